--- a/src/rhubarbfield/machine.py
+++ b/src/rhubarbfield/machine.py
@@ -107,7 +107,7 @@
             for command_type in registry.command_types
         }
         self._commands = msgspec.msgpack.Decoder(Union[tuple(self._sections)])  # noqa: UP007
-        self._replies = msgspec.msgpack.Decoder(Union[(Done, Refused, *reply_types)])  # noqa: UP007
+        self._replies = msgspec.msgpack.Decoder(Union[(Done, Refused, *reply_types)])
         self._states = msgspec.msgpack.Decoder(state_type)
         self._encoder = msgspec.msgpack.Encoder()
 
