Carry typed messages between processes over gRPC

Streams, calls and peer links on grpclib through one asyncio bridge, with a msgspec codec in place of protobuf.

Cause of a link that stayed mute until its test's limit: a task received from a stream before another had sent, and grpclib answers that with an error until the request's headers are out.

--- /dev/null
+++ b/src/rhubarbfield/peering/client.py
@@ -0,0 +1,138 @@
+"""Connecting to another process."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager, suppress
+from datetime import timedelta
+from typing import Any
+
+import trio
+from grpclib.client import Channel, StreamStreamMethod, UnaryUnaryMethod
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
+from returns.result import Failure, Result, Success
+from trio_asyncio import aio_as_trio
+
+from rhubarbfield.peering._bridge import TRANSPORT_ERRORS, GrpcStream, make_codec
+from rhubarbfield.peering.credentials import Credentials
+from rhubarbfield.peering.ports import (
+    CallFailure,
+    CallFailureKind,
+    CallMethod,
+    Encoding,
+    MessageStream,
+    StreamMethod,
+)
+
+CALL_TIMEOUT = timedelta(seconds=3)
+
+
+class Connection:
+    """A connection to one address, made when first used.
+
+    Parameters
+    ----------
+    channel
+        The grpclib channel.
+    credentials
+        What this process presents.
+    """
+
+    def __init__(self, channel: Channel, credentials: Credentials) -> None:
+        self._channel = channel
+        self._metadata = credentials.make_metadata()
+
+    async def call(
+        self, method: CallMethod, request: Any, timeout: timedelta = CALL_TIMEOUT
+    ) -> Result[Any, CallFailure]:
+        """Send ``request`` and return its reply within ``timeout``."""
+        with trio.move_on_after(timeout.total_seconds()) as scope:
+            reached = await self._reach()
+            if reached is not None:
+                return Failure(reached)
+            return await self._call(method, request)
+        assert scope.cancelled_caught
+        self.close()
+        return Failure(CallFailure(CallFailureKind.TIMEOUT, f"no reply in {timeout}"))
+
+    async def _reach(self) -> CallFailure | None:
+        """Connect first, so that a failure before any byte is told apart."""
+        try:
+            await aio_as_trio(self._channel.__connect__)()
+        except (TimeoutError, OSError) as error:
+            return CallFailure(CallFailureKind.UNREACHABLE, str(error))
+        return None
+
+    async def _call(self, method: CallMethod, request: Any) -> Result[Any, CallFailure]:
+        remote: UnaryUnaryMethod[Any, Any] = UnaryUnaryMethod(
+            self._channel, method.path, method.request, method.reply
+        )
+        try:
+            reply = await aio_as_trio(remote)(request, metadata=self._metadata)
+        except GRPCError as error:
+            refused = error.status in (Status.UNAUTHENTICATED, Status.INVALID_ARGUMENT)
+            kind = CallFailureKind.REFUSED if refused else CallFailureKind.TIMEOUT
+            return Failure(CallFailure(kind, str(error.message)))
+        except TRANSPORT_ERRORS as error:
+            return Failure(CallFailure(CallFailureKind.TIMEOUT, str(error)))
+        return Success(reply)
+
+    @asynccontextmanager
+    async def open(self, method: StreamMethod) -> AsyncIterator[MessageStream | None]:
+        """Open a stream; None when the other side can't be reached.
+
+        The stream is reset when the block is left, whatever the reason.
+        """
+        if await self._reach() is not None:
+            yield None
+            return
+        remote: StreamStreamMethod[Any, Any] = StreamStreamMethod(
+            self._channel, method.path, method.inbound, method.outbound
+        )
+        stream = GrpcStream(remote.open(metadata=self._metadata))
+        async with _entered(stream):
+            yield stream
+
+    def close(self) -> None:
+        """Close the connection; calls in progress fail."""
+        self._channel.close()
+
+
+@asynccontextmanager
+async def _entered(stream: GrpcStream) -> AsyncIterator[None]:
+    """Keep the grpclib stream entered; swallow what its end says."""
+    inner = stream._stream
+    await aio_as_trio(inner.__aenter__)()
+    try:
+        # Headers first: a task may receive before another has sent.
+        with suppress(*TRANSPORT_ERRORS):
+            await aio_as_trio(inner.send_request)()
+        yield
+    finally:
+        with trio.CancelScope(shield=True):
+            await stream.close()
+            with suppress(*TRANSPORT_ERRORS):
+                await aio_as_trio(inner.__aexit__)(None, None, None)
+
+
+@asynccontextmanager
+async def connect(
+    host: str,
+    port: int,
+    *,
+    credentials: Credentials,
+    encoding: Encoding = Encoding.MSGPACK,
+) -> AsyncIterator[Connection]:
+    """Yield a connection to ``host``:``port``, closed when the block is left."""
+    channel = Channel(
+        host,
+        port,
+        codec=make_codec(encoding),
+        ssl=credentials.make_client_context(),
+    )
+    connection = Connection(channel, credentials)
+    try:
+        yield connection
+    finally:
+        connection.close()
--- /dev/null
+++ b/src/rhubarbfield/peering/server.py
@@ -0,0 +1,135 @@
+"""Serving streams and calls to other processes."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Any
+
+import msgspec
+import trio
+from grpclib.const import Cardinality, Handler, Status
+from grpclib.exceptions import GRPCError
+from grpclib.server import Server
+from trio_asyncio import aio_as_trio, trio_as_aio
+
+from rhubarbfield.exceptions import BrokenInvariantError
+from rhubarbfield.peering._bridge import TRANSPORT_ERRORS, GrpcStream, make_codec
+from rhubarbfield.peering.credentials import Credentials
+from rhubarbfield.peering.ports import (
+    CallHandler,
+    CallMethod,
+    Encoding,
+    StreamHandler,
+    StreamMethod,
+)
+
+logger = logging.getLogger(__name__)
+
+GrpcHandler = Callable[[Any], Awaitable[None]]
+
+
+class _Service:
+    """A grpclib service whose methods are trio functions."""
+
+    def __init__(self, credentials: Credentials) -> None:
+        self._credentials = credentials
+        self._handlers: dict[str, Handler] = {}
+        self.broken: BrokenInvariantError | None = None
+        self.broken_seen = trio.Event()
+
+    def __mapping__(self) -> dict[str, Handler]:
+        return self._handlers
+
+    def add_stream(self, method: StreamMethod, handle: StreamHandler) -> None:
+        async def run(stream: Any) -> None:
+            await handle(GrpcStream(stream))
+
+        self._handlers[method.path] = Handler(
+            self._guard(method.path, run),
+            Cardinality.STREAM_STREAM,
+            method.inbound,
+            method.outbound,
+        )
+
+    def add_call(self, method: CallMethod, handle: CallHandler) -> None:
+        async def run(stream: Any) -> None:
+            request = await aio_as_trio(stream.recv_message)()
+            reply = await handle(request)
+            await aio_as_trio(stream.send_message)(reply)
+
+        self._handlers[method.path] = Handler(
+            self._guard(method.path, run),
+            Cardinality.UNARY_UNARY,
+            method.request,
+            method.reply,
+        )
+
+    def _guard(self, path: str, run: GrpcHandler) -> GrpcHandler:
+        """Wrap ``run``: refuse strangers, log faults, stop on broken invariants."""
+
+        async def run_guarded(stream: Any) -> None:
+            if not self._credentials.accepts(stream.metadata):
+                logger.warning("peer-refused path=%s", path)
+                raise GRPCError(Status.UNAUTHENTICATED, "the shared secret is wrong")
+            try:
+                await trio_as_aio(run)(stream)
+            except BrokenInvariantError as broken:
+                self.broken = broken
+                self.broken_seen.set()
+                raise GRPCError(Status.INTERNAL, "an invariant is broken") from broken
+            except msgspec.MsgspecError as error:
+                raise GRPCError(Status.INVALID_ARGUMENT, str(error)) from error
+            except TRANSPORT_ERRORS as error:
+                logger.debug("stream-lost path=%s error=%r", path, error)
+
+        return run_guarded
+
+
+async def serve_methods(
+    host: str,
+    port: int,
+    *,
+    credentials: Credentials,
+    encoding: Encoding = Encoding.MSGPACK,
+    streams: Mapping[StreamMethod, StreamHandler] | None = None,
+    calls: Mapping[CallMethod, CallHandler] | None = None,
+    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve streams and calls on one port until cancelled.
+
+    Parameters
+    ----------
+    host, port
+        The address to listen on.
+    credentials
+        What a peer has to present; strangers are refused and logged.
+    encoding
+        How messages are written.
+    streams, calls
+        The methods served and the function that handles each.
+    task_status
+        Started once the port accepts connections.
+
+    Raises
+    ------
+    BrokenInvariantError
+        If a handler raised it.
+    OSError
+        If the port can't be listened on.
+    """
+    service = _Service(credentials)
+    for stream_method, stream_handler in (streams or {}).items():
+        service.add_stream(stream_method, stream_handler)
+    for call_method, call_handler in (calls or {}).items():
+        service.add_call(call_method, call_handler)
+    server = Server([service], codec=make_codec(encoding))
+    context = credentials.make_server_context()
+    await aio_as_trio(server.start)(host, port, ssl=context, reuse_address=True)
+    task_status.started()
+    try:
+        await service.broken_seen.wait()
+        assert service.broken is not None
+        raise service.broken
+    finally:
+        server.close()
--- /dev/null
+++ b/tests/peering/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the transport between processes."""
--- /dev/null
+++ b/tests/peering/test_grpc.py
@@ -0,0 +1,192 @@
+"""Tests of streams, calls and links over real loopback connections."""
+
+from __future__ import annotations
+
+import socket
+import unittest
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+
+import msgspec
+import trio
+import trio_asyncio
+from returns.result import Failure, Success
+
+from rhubarbfield.peering import (
+    CallFailureKind,
+    CallMethod,
+    Credentials,
+    Encoding,
+    MessageStream,
+    PeerLinks,
+    StreamMethod,
+    connect,
+    serve_link,
+    serve_methods,
+)
+from rhubarbfield.peering.links import make_link_method
+from rhubarbfield.types import InstanceName
+
+HOST = "127.0.0.1"
+TEST_LIMIT_SECONDS = 10
+SECRET = Credentials("a secret")
+STRANGER = Credentials("another secret")
+
+
+class Question(msgspec.Struct, frozen=True, tag=True):
+    number: int
+
+
+class Reply(msgspec.Struct, frozen=True, tag=True):
+    number: int
+
+
+CALL = CallMethod("/test.Test/Call", Question, Reply)
+STREAM = StreamMethod("/test.Test/Stream", Question, Reply)
+LINK = make_link_method("/test.Test/Link", Question)
+
+
+async def answer(question: Question) -> Reply:
+    return Reply(question.number + 1)
+
+
+async def answer_all(stream: MessageStream) -> None:
+    while (question := await stream.receive()) is not None:
+        assert isinstance(question, Question)
+        await stream.send(Reply(question.number + 1))
+
+
+def find_port() -> int:
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        return int(probe.getsockname()[1])
+
+
+def run_with_loop(body: Callable[[], Awaitable[None]]) -> None:
+    async def run() -> None:
+        with trio.fail_after(TEST_LIMIT_SECONDS):
+            async with trio_asyncio.open_loop():
+                await body()
+
+    trio.run(run)
+
+
+class CallTest(unittest.TestCase):
+    def test_reply_comes_back_in_both_encodings(self) -> None:
+        for encoding in Encoding:
+            with self.subTest(encoding=encoding):
+                run_with_loop(lambda encoding=encoding: self.call_once(encoding))
+
+    async def call_once(self, encoding: Encoding) -> None:
+        port = find_port()
+        async with trio.open_nursery() as nursery:
+            await nursery.start(serve_with_calls, port, encoding)
+            async with connect(
+                HOST, port, credentials=SECRET, encoding=encoding
+            ) as connection:
+                reply = await connection.call(CALL, Question(1))
+            self.assertEqual(reply, Success(Reply(2)))
+            nursery.cancel_scope.cancel()
+
+    def test_a_stranger_is_refused(self) -> None:
+        run_with_loop(self.call_as_a_stranger)
+
+    async def call_as_a_stranger(self) -> None:
+        port = find_port()
+        async with trio.open_nursery() as nursery:
+            await nursery.start(serve_with_calls, port, Encoding.MSGPACK)
+            async with connect(HOST, port, credentials=STRANGER) as connection:
+                reply = await connection.call(CALL, Question(1))
+            self.assertIsInstance(reply, Failure)
+            self.assertEqual(reply.failure().kind, CallFailureKind.REFUSED)
+            nursery.cancel_scope.cancel()
+
+    def test_nobody_there_is_told_apart_from_no_reply(self) -> None:
+        run_with_loop(self.call_nobody)
+
+    async def call_nobody(self) -> None:
+        async with connect(HOST, find_port(), credentials=SECRET) as connection:
+            reply = await connection.call(CALL, Question(1))
+        self.assertEqual(reply.failure().kind, CallFailureKind.UNREACHABLE)
+
+    def test_a_silent_server_times_out(self) -> None:
+        run_with_loop(self.call_a_silent_server)
+
+    async def call_a_silent_server(self) -> None:
+        listeners = await trio.open_tcp_listeners(0, host=HOST)
+        port = listeners[0].socket.getsockname()[1]
+        async with connect(HOST, port, credentials=SECRET) as connection:
+            reply = await connection.call(
+                CALL, Question(1), timedelta(milliseconds=100)
+            )
+        self.assertEqual(reply.failure().kind, CallFailureKind.TIMEOUT)
+        await listeners[0].aclose()
+
+
+async def serve_with_calls(
+    port: int,
+    encoding: Encoding,
+    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    await serve_methods(
+        HOST,
+        port,
+        credentials=SECRET,
+        encoding=encoding,
+        calls={CALL: answer},
+        streams={STREAM: answer_all},
+        task_status=task_status,
+    )
+
+
+class StreamTest(unittest.TestCase):
+    def test_messages_go_both_ways_until_the_server_stops(self) -> None:
+        run_with_loop(self.exchange)
+
+    async def exchange(self) -> None:
+        port = find_port()
+        async with (
+            trio.open_nursery() as nursery,
+            connect(HOST, port, credentials=SECRET) as connection,
+        ):
+            await nursery.start(serve_with_calls, port, Encoding.MSGPACK)
+            async with connection.open(STREAM) as stream:
+                assert stream is not None
+                for number in range(3):
+                    self.assertTrue(await stream.send(Question(number)))
+                    self.assertEqual(await stream.receive(), Reply(number + 1))
+            nursery.cancel_scope.cancel()
+
+
+class LinkTest(unittest.TestCase):
+    def test_messages_arrive_in_order_with_their_sender(self) -> None:
+        run_with_loop(self.link_up)
+
+    async def link_up(self) -> None:
+        port = find_port()
+        sender, receiver = InstanceName("a1"), InstanceName("a2")
+        received: list[tuple[InstanceName, Question]] = []
+
+        async def handle(stream: MessageStream) -> None:
+            await serve_link(stream, lambda name, inner: received.append((name, inner)))
+
+        links = PeerLinks(sender, {receiver: (HOST, port)}, LINK, SECRET)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(links.run)
+            for number in range(5):
+                links.send(receiver, Question(number))
+            await nursery.start(serve_linked, port, handle)
+            while len(received) < 5:
+                await trio.sleep(0.01)
+            nursery.cancel_scope.cancel()
+        self.assertEqual(received, [(sender, Question(n)) for n in range(5)])
+
+
+async def serve_linked(
+    port: int,
+    handle: Callable[[MessageStream], Awaitable[None]],
+    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    await serve_methods(
+        HOST, port, credentials=SECRET, streams={LINK: handle}, task_status=task_status
+    )
