--- /dev/null
+++ b/src/rhubarbfield/settings/__init__.py
@@ -0,0 +1,46 @@
+"""Settings of an instance: one YAML file, checked whole before anything starts."""
+
+from rhubarbfield.settings.loading import load_settings, parse_settings
+from rhubarbfield.settings.model import (
+    Addresses,
+    DomainMembers,
+    Fleet,
+    FleetInstance,
+    Instance,
+    Logging,
+    LogLevel,
+    Settings,
+    Tls,
+)
+from rhubarbfield.settings.policy import (
+    Placement,
+    PlacementProfile,
+    Routing,
+    Timing,
+    Weights,
+)
+from rhubarbfield.settings.problems import SettingsErrors, SettingsProblem
+from rhubarbfield.settings.reloading import SettingChange, diff_reloadable
+
+__all__ = [
+    "load_settings",
+    "parse_settings",
+    "diff_reloadable",
+    "SettingChange",
+    "Settings",
+    "Addresses",
+    "DomainMembers",
+    "Fleet",
+    "FleetInstance",
+    "Instance",
+    "Logging",
+    "LogLevel",
+    "Placement",
+    "PlacementProfile",
+    "Routing",
+    "Timing",
+    "Tls",
+    "Weights",
+    "SettingsErrors",
+    "SettingsProblem",
+]
--- /dev/null
+++ b/src/rhubarbfield/settings/consistency.py
@@ -0,0 +1,174 @@
+"""Checks that concern several keys of the settings at once."""
+
+from __future__ import annotations
+
+import difflib
+from collections.abc import Iterator, Sequence
+
+import msgspec
+
+from rhubarbfield.settings.document import Path
+from rhubarbfield.settings.model import FleetInstance, Settings
+
+PORT_KEYS = (
+    "entry_peer_port",
+    "controller_peer_port",
+    "announcements_port",
+    "workers_port",
+    "operators_port",
+)
+LEAST_HEARTBEATS_IN_SILENCE = 2
+
+
+class Inconsistency(msgspec.Struct, frozen=True):
+    """Values that are well formed but do not go together.
+
+    Attributes
+    ----------
+    path
+        The key to change.
+    seen
+        What stands there.
+    allowed
+        What it has to agree with.
+    """
+
+    path: Path
+    seen: str
+    allowed: str
+
+
+def check_consistency(settings: Settings) -> list[Inconsistency]:
+    """Return everything in ``settings`` that does not go together."""
+    return [
+        *_check_own_instance(settings),
+        *_check_own_ports(settings),
+        *_check_instances(settings.fleet.instances),
+        *_check_regions(settings.fleet.instances),
+        *_check_fleet_voters(settings),
+        *_check_domains(settings),
+        *_check_routing(settings),
+        *_check_timing(settings),
+    ]
+
+
+def _check_own_instance(settings: Settings) -> Iterator[Inconsistency]:
+    own = settings.instance
+    listed = settings.fleet.find_instance(own.name)
+    if listed is None:
+        allowed = "has to be one of fleet.instances"
+        yield Inconsistency(("instance", "name"), own.name, allowed)
+        return
+    for key in ("failure_domain", "region"):
+        expected = getattr(listed, key)
+        if getattr(own, key) != expected:
+            allowed = f"fleet.instances says {expected} for {own.name}"
+            yield Inconsistency(("instance", key), getattr(own, key), allowed)
+    for key in PORT_KEYS:
+        expected = getattr(listed, key)
+        seen = getattr(settings.addresses, key)
+        if seen != expected:
+            allowed = f"fleet.instances says {expected} for {own.name}"
+            yield Inconsistency(("addresses", key), str(seen), allowed)
+
+
+def _check_own_ports(settings: Settings) -> Iterator[Inconsistency]:
+    taken: dict[int, str] = {}
+    for key in ("callers_port", *PORT_KEYS):
+        port = getattr(settings.addresses, key)
+        if port in taken:
+            allowed = f"addresses.{taken[port]} has this port already"
+            yield Inconsistency(("addresses", key), str(port), allowed)
+        taken.setdefault(port, key)
+
+
+def _check_instances(instances: Sequence[FleetInstance]) -> Iterator[Inconsistency]:
+    names: set[str] = set()
+    taken: dict[str, str] = {}
+    for place, instance in enumerate(instances):
+        path: Path = ("fleet", "instances", place)
+        if instance.name in names:
+            allowed = "another instance has this name already"
+            yield Inconsistency((*path, "name"), instance.name, allowed)
+        names.add(instance.name)
+        for key in PORT_KEYS:
+            address = f"{instance.host} port {getattr(instance, key)}"
+            owner = f"{instance.name} {key}"
+            if taken.setdefault(address, owner) != owner:
+                allowed = f"{taken[address]} has this address already"
+                yield Inconsistency((*path, key), address, allowed)
+
+
+def _check_regions(instances: Sequence[FleetInstance]) -> Iterator[Inconsistency]:
+    regions: dict[str, str] = {}
+    for place, instance in enumerate(instances):
+        region = regions.setdefault(instance.failure_domain, instance.region)
+        if region != instance.region:
+            path: Path = ("fleet", "instances", place, "region")
+            allowed = f"{instance.failure_domain} is in region {region} further up"
+            yield Inconsistency(path, instance.region, allowed)
+
+
+def _check_voters(
+    path: Path, voters: Sequence[str], known: Sequence[str]
+) -> Iterator[Inconsistency]:
+    if len(voters) % 2 == 0:
+        allowed = "has to name an odd number of voters"
+        yield Inconsistency(path, f"{len(voters)} voters", allowed)
+    for place, name in enumerate(voters):
+        if name in voters[:place]:
+            yield Inconsistency((*path, place), name, "is named twice")
+        if name not in known:
+            nearest = difflib.get_close_matches(name, known, n=1)
+            hint = f"; did you mean {nearest[0]}?" if nearest else ""
+            allowed = f"has to be one of fleet.instances{hint}"
+            yield Inconsistency((*path, place), name, allowed)
+
+
+def _check_fleet_voters(settings: Settings) -> Iterator[Inconsistency]:
+    known = [instance.name for instance in settings.fleet.instances]
+    path: Path = ("fleet", "fleet_voters")
+    yield from _check_voters(path, settings.fleet.fleet_voters, known)
+
+
+def _check_domains(settings: Settings) -> Iterator[Inconsistency]:
+    fleet = settings.fleet
+    known = [instance.name for instance in fleet.instances]
+    domains = {instance.failure_domain for instance in fleet.instances}
+    for domain, members in fleet.domains.items():
+        path: Path = ("fleet", "domains", domain)
+        if domain not in domains:
+            yield Inconsistency(path, domain, "no instance is in this failure domain")
+        yield from _check_voters((*path, "voters"), members.voters, known)
+    for domain in sorted(domains - set(fleet.domains)):
+        yield Inconsistency(("fleet", "domains"), "", f"{domain} is missing")
+
+
+def _check_routing(settings: Settings) -> Iterator[Inconsistency]:
+    routing = settings.routing
+    if routing.default_request > routing.longest_request:
+        seen = f"{routing.default_request.total_seconds():g}"
+        allowed = "has to be at most longest_request_seconds"
+        yield Inconsistency(("routing", "default_request_seconds"), seen, allowed)
+
+
+def _check_timing(settings: Settings) -> Iterator[Inconsistency]:
+    timing = settings.timing
+    if timing.silence < LEAST_HEARTBEATS_IN_SILENCE * timing.heartbeat:
+        seen = f"{timing.silence.total_seconds():g}"
+        allowed = f"has to be {LEAST_HEARTBEATS_IN_SILENCE} heartbeats at least"
+        yield Inconsistency(("timing", "silence_seconds"), seen, allowed)
+    if timing.leader_lease * (1 + timing.drift_fraction) > timing.election_timeout:
+        seen = f"{timing.leader_lease.total_seconds():g}"
+        allowed = "has to end before election_timeout_seconds, drift included"
+        yield Inconsistency(("timing", "leader_lease_seconds"), seen, allowed)
+    for key in ("backend_server_lease", "worker_lease"):
+        lease = getattr(timing, key)
+        if lease < LEAST_HEARTBEATS_IN_SILENCE * timing.heartbeat:
+            seen = f"{lease.total_seconds():g}"
+            allowed = f"has to be {LEAST_HEARTBEATS_IN_SILENCE} heartbeats at least"
+            yield Inconsistency(("timing", f"{key}_seconds"), seen, allowed)
+    if timing.readiness_off > timing.longest_stop:
+        seen = f"{timing.readiness_off.total_seconds():g}"
+        allowed = "has to be at most longest_stop_seconds"
+        yield Inconsistency(("timing", "readiness_off_seconds"), seen, allowed)
--- /dev/null
+++ b/src/rhubarbfield/settings/document.py
@@ -0,0 +1,163 @@
+"""A YAML text as plain values, with the line of every key."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import msgspec
+import yaml
+from returns.result import Failure, Result, Success
+
+from rhubarbfield.settings.problems import SettingsProblem
+
+LARGEST_TEXT_CHARACTERS = 1_000_000
+DEEPEST_NESTING = 16
+LONGEST_SHOWN_CHARACTERS = 60
+_NULLS = frozenset({"", "~", "null"})
+
+Path = tuple[str | int, ...]
+
+
+class Document(msgspec.Struct, frozen=True):
+    """A text that was read.
+
+    Attributes
+    ----------
+    value
+        Mappings, lists, strings and None; numbers are left as text.
+    lines
+        For the path of each key and item, its line counted from 1.
+    texts
+        For the path of each plain value, what is written there.
+    """
+
+    value: object
+    lines: dict[Path, int]
+    texts: dict[Path, str]
+
+    def find_line(self, path: Path) -> int:
+        """Return the line of ``path`` or of its nearest parent."""
+        while path and path not in self.lines:
+            path = path[:-1]
+        return self.lines.get(path, 0)
+
+
+def shorten(value: object) -> str:
+    """Return ``value`` on one line, cut to a readable length."""
+    text = " ".join(str(value).split())
+    if len(text) <= LONGEST_SHOWN_CHARACTERS:
+        return text
+    return text[: LONGEST_SHOWN_CHARACTERS - 1] + "…"
+
+
+def format_path(path: Path) -> str:
+    """Return a path as people write it, such as ``fleet.instances[2].host``."""
+    text = ""
+    for part in path:
+        text += f"[{part}]" if isinstance(part, int) else f".{part}"
+    return text.lstrip(".")
+
+
+def read_document(text: str) -> Result[Document, tuple[SettingsProblem, ...]]:
+    """Read one YAML document.
+
+    Anchors, aliases, tags, duplicate keys and deep nesting are refused: none
+    is needed for settings, and each can hide what is in force.
+
+    Parameters
+    ----------
+    text
+        The whole text.
+
+    Returns
+    -------
+    Result
+        The document, or what is wrong with the text.
+    """
+    if len(text) > LARGEST_TEXT_CHARACTERS:
+        allowed = f"the file may have at most {LARGEST_TEXT_CHARACTERS} characters"
+        return Failure((SettingsProblem("", 0, str(len(text)), allowed),))
+    try:
+        problems = tuple(_check_events(text))
+        node = None if problems else yaml.compose(text, Loader=yaml.SafeLoader)
+    except yaml.YAMLError as error:
+        return Failure((_describe_yaml_error(error),))
+    if problems:
+        return Failure(problems)
+    reader = _Reader()
+    value = reader.build(node, ()) if node is not None else None
+    if reader.problems:
+        return Failure(tuple(reader.problems))
+    return Success(Document(value, reader.lines, reader.texts))
+
+
+def _check_events(text: str) -> Iterator[SettingsProblem]:
+    depth = 0
+    for event in yaml.parse(text, Loader=yaml.SafeLoader):
+        line = event.start_mark.line + 1 if event.start_mark else 0
+        if isinstance(event, yaml.AliasEvent) or getattr(event, "anchor", None):
+            yield SettingsProblem("", line, "", "anchors and aliases are not allowed")
+        tag = getattr(event, "tag", None)
+        if tag:
+            yield SettingsProblem("", line, shorten(tag), "tags are not allowed")
+        if isinstance(event, yaml.CollectionStartEvent):
+            depth += 1
+        if isinstance(event, yaml.CollectionEndEvent):
+            depth -= 1
+        if depth > DEEPEST_NESTING:
+            allowed = f"at most {DEEPEST_NESTING} levels of nesting are allowed"
+            yield SettingsProblem("", line, "", allowed)
+            return
+
+
+def _describe_yaml_error(error: yaml.YAMLError) -> SettingsProblem:
+    mark = getattr(error, "problem_mark", None)
+    line = mark.line + 1 if mark is not None else 0
+    what = getattr(error, "problem", None) or getattr(error, "reason", None)
+    return SettingsProblem("", line, "", f"this is not YAML: {what or error}")
+
+
+class _Reader:
+    def __init__(self) -> None:
+        self.lines: dict[Path, int] = {}
+        self.texts: dict[Path, str] = {}
+        self.problems: list[SettingsProblem] = []
+
+    def build(self, node: yaml.Node, path: Path) -> object:
+        self.lines.setdefault(path, node.start_mark.line + 1)
+        if isinstance(node, yaml.MappingNode):
+            return self._build_mapping(node, path)
+        if isinstance(node, yaml.SequenceNode):
+            return [
+                self.build(item, (*path, place))
+                for place, item in enumerate(node.value)
+            ]
+        return self._build_scalar(node, path)
+
+    def _build_scalar(self, node: yaml.Node, path: Path) -> str | None:
+        plain = getattr(node, "style", None) is None
+        if plain and node.value.lower() in _NULLS:
+            return None
+        self.texts[path] = str(node.value)
+        return self.texts[path]
+
+    def _build_mapping(self, node: yaml.MappingNode, path: Path) -> dict[str, object]:
+        mapping: dict[str, object] = {}
+        for key_node, value_node in node.value:
+            line = key_node.start_mark.line + 1
+            if not isinstance(key_node, yaml.ScalarNode):
+                self._refuse(path, line, "", "a key has to be a plain word")
+                continue
+            key = str(key_node.value)
+            if key in mapping:
+                first = self.lines[(*path, key)]
+                allowed = f"this key stands already in line {first}"
+                self._refuse((*path, key), line, key, allowed)
+                continue
+            self.lines[(*path, key)] = line
+            mapping[key] = self.build(value_node, (*path, key))
+        return mapping
+
+    def _refuse(self, path: Path, line: int, seen: str, allowed: str) -> None:
+        problem = SettingsProblem(format_path(path), line, shorten(seen), allowed)
+        self.problems.append(problem)
