--- /dev/null
+++ b/src/rhubarbfield/language/building.py
@@ -0,0 +1,154 @@
+"""From a parse tree to typed values, with a problem for each that is wrong."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Callable
+from datetime import timedelta
+
+from lark import Token, Tree
+from returns.result import Failure, Result, Success
+
+from rhubarbfield.language.problems import SyntaxProblem
+from rhubarbfield.language.statements import Statement, Value
+
+MB_PER_GB = 1024
+SECONDS_PER_UNIT = {"s": 1, "min": 60, "h": 3600}
+_NAME = re.compile(r"[A-Za-z0-9_][A-Za-z0-9_.:/-]{0,127}")
+
+Node = Tree[Token]
+
+
+class Building:
+    """One statement being built.
+
+    Parameters
+    ----------
+    text
+        The whole text, for pointing at what is wrong.
+
+    Attributes
+    ----------
+    problems
+        What was found wrong so far.
+    """
+
+    def __init__(self, text: str) -> None:
+        self._text = text
+        self.problems: list[SyntaxProblem] = []
+
+    def refuse(self, token: Token, message: str) -> None:
+        """Note that the value of ``token`` is not allowed."""
+        position = token.start_pos or 0
+        self.problems.append(SyntaxProblem(message, self._text, position))
+
+    def read_name(self, node: Node) -> str:
+        """Return a name, without quotes if it was quoted."""
+        token = find_token(node)
+        name = token.strip('"')
+        if not _NAME.fullmatch(name):
+            self.refuse(token, "a name has 1 to 128 letters, digits or _ . : / -")
+        return name
+
+    def read_whole(self, token: Token, most: int, least: int = 1) -> int:
+        """Return a whole number from ``least`` to ``most``."""
+        number = float(token)
+        if not number.is_integer() or not least <= number <= most:
+            self.refuse(token, f"a whole number from {least} to {most} is allowed")
+            return least
+        return int(number)
+
+    def read_number(self, token: Token, most: float) -> float:
+        """Return a number above 0 and up to ``most``."""
+        number = float(token)
+        if not 0 < number <= most:
+            self.refuse(token, f"a number above 0 and up to {most} is allowed")
+        return number
+
+    def read_size(self, node: Node, most_mb: int) -> int:
+        """Return a size in megabytes."""
+        number, unit = find_tokens(node)
+        size = float(number) * (MB_PER_GB if unit.lower() == "gb" else 1)
+        if not size.is_integer() or not 1 <= size <= most_mb:
+            self.refuse(number, f"a size from 1 mb to {most_mb} mb is allowed")
+            return 1
+        return int(size)
+
+    def read_duration(self, node: Node, most: timedelta) -> timedelta:
+        """Return a duration above zero."""
+        number, unit = find_tokens(node)
+        seconds = float(number) * SECONDS_PER_UNIT[unit.lower()]
+        if not 0 < seconds <= most.total_seconds():
+            self.refuse(number, f"a duration above 0 and up to {most} is allowed")
+            return most
+        return timedelta(seconds=seconds)
+
+    def read_value(self, node: Node) -> Value:
+        """Return a number, a truth value or a text."""
+        token = find_token(node)
+        if token.type == "NUMBER":
+            return float(token) if "." in token else int(token)
+        if token.type in {"TRUE", "FALSE"}:
+            return token.type == "TRUE"
+        return token.strip('"')
+
+
+Builder = Callable[[Building, Node], Statement]
+_builders: dict[str, Builder] = {}
+
+
+def builds(rule: str) -> Callable[[Builder], Builder]:
+    """Register the decorated function as what builds the statement ``rule``."""
+
+    def register(builder: Builder) -> Builder:
+        _builders[rule] = builder
+        return builder
+
+    return register
+
+
+def build_statement(tree: Node, text: str) -> Result[Statement, SyntaxProblem]:
+    """Build the statement that ``tree`` was parsed from.
+
+    Parameters
+    ----------
+    tree
+        The tree of the whole text.
+    text
+        The text, for pointing at what is wrong.
+
+    Returns
+    -------
+    Result
+        The statement, or the first value that is not allowed.
+    """
+    node = find_nodes(tree)[0]
+    building = Building(text)
+    statement = _builders[str(node.data)](building, node)
+    if building.problems:
+        return Failure(min(building.problems, key=lambda found: found.position))
+    return Success(statement)
+
+
+def find_nodes(node: Node, rule: str = "") -> list[Node]:
+    """Return the children that are trees, of one rule if it is named."""
+    return [
+        child
+        for child in node.children
+        if isinstance(child, Tree) and rule in ("", child.data)
+    ]
+
+
+def find_tokens(node: Node) -> list[Token]:
+    """Return the children that are tokens."""
+    return [child for child in node.children if isinstance(child, Token)]
+
+
+def find_token(node: Node) -> Token:
+    """Return the first child that is a token."""
+    return find_tokens(node)[0]
+
+
+def has_token(node: Node, kind: str) -> bool:
+    """Return whether a token of that terminal is among the children."""
+    return any(token.type == kind for token in find_tokens(node))
--- /dev/null
+++ b/src/rhubarbfield/language/tables.py
@@ -0,0 +1,208 @@
+"""Answers to queries, as typed tables, and what is asked of them."""
+
+from __future__ import annotations
+
+import operator
+from collections.abc import Callable, Sequence
+from enum import StrEnum
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from rhubarbfield.language.problems import find_nearest
+from rhubarbfield.language.statements import (
+    AllOf,
+    AnyOf,
+    Comparator,
+    Comparison,
+    Condition,
+    Negation,
+    Show,
+    Value,
+)
+from rhubarbfield.types import LogIndex
+
+Cell = str | int | float | bool | None
+
+
+class Table(msgspec.Struct, frozen=True, kw_only=True):
+    """Rows that answer a query.
+
+    Attributes
+    ----------
+    columns
+        Names of the columns.
+    rows
+        One cell for each column.
+    position
+        Position in the log that the rows reflect.
+    stale
+        Whether later changes may have been accepted that are not seen here.
+    note
+        What else a reader should know; empty if nothing.
+    """
+
+    columns: tuple[str, ...]
+    rows: tuple[tuple[Cell, ...], ...]
+    position: LogIndex = LogIndex(0)
+    stale: bool = False
+    note: str = ""
+
+
+class TableFormat(StrEnum):
+    """How a table is written out."""
+
+    TEXT = "text"
+    JSON = "json"
+
+
+class UnknownColumn(msgspec.Struct, frozen=True):
+    """A query names a column that its subject does not have.
+
+    Attributes
+    ----------
+    column
+        What was named.
+    columns
+        What there is.
+    nearest
+        What was probably meant; empty if nothing is near.
+    """
+
+    column: str
+    columns: tuple[str, ...]
+    nearest: str
+
+    def format(self) -> str:
+        """Return the problem for a person."""
+        hint = f"; did you mean {self.nearest}?" if self.nearest else ""
+        known = ", ".join(self.columns)
+        return f"there is no column {self.column}{hint} (columns: {known})"
+
+
+_COMPARISONS: dict[Comparator, Callable[[Value, Value], bool]] = {
+    Comparator.EQUAL: operator.eq,
+    Comparator.UNEQUAL: operator.ne,
+    Comparator.LESS: operator.lt,
+    Comparator.AT_MOST: operator.le,
+    Comparator.GREATER: operator.gt,
+    Comparator.AT_LEAST: operator.ge,
+}
+
+
+def select_rows(table: Table, query: Show) -> Result[Table, UnknownColumn]:
+    """Keep, order and cut the rows of ``table`` as ``query`` asks.
+
+    Parameters
+    ----------
+    table
+        All rows of the subject.
+    query
+        What was asked.
+
+    Returns
+    -------
+    Result
+        The rows asked for, or the column that does not exist.
+    """
+    for column in _list_columns(query):
+        if column not in table.columns:
+            nearest = find_nearest(column, table.columns)
+            return Failure(UnknownColumn(column, table.columns, nearest))
+    rows = list(table.rows)
+    if query.where is not None:
+        rows = [row for row in rows if _holds(query.where, table.columns, row)]
+    for key in reversed(query.sort):
+        place = table.columns.index(key.column)
+        rows.sort(key=lambda row: _order(row[place]), reverse=key.descending)
+    return Success(msgspec.structs.replace(table, rows=tuple(rows[: query.limit])))
+
+
+def _list_columns(query: Show) -> list[str]:
+    columns = [key.column for key in query.sort]
+    pending = [query.where] if query.where is not None else []
+    while pending:
+        condition = pending.pop()
+        match condition:
+            case Comparison():
+                columns.append(condition.column)
+            case AllOf() | AnyOf():
+                pending.extend(condition.conditions)
+            case Negation():
+                pending.append(condition.condition)
+    return columns
+
+
+def _holds(condition: Condition, columns: Sequence[str], row: Sequence[Cell]) -> bool:
+    match condition:
+        case Comparison():
+            return _compare(condition, row[columns.index(condition.column)])
+        case AllOf():
+            return all(_holds(part, columns, row) for part in condition.conditions)
+        case AnyOf():
+            return any(_holds(part, columns, row) for part in condition.conditions)
+        case Negation():
+            return not _holds(condition.condition, columns, row)
+    return False
+
+
+def _compare(comparison: Comparison, cell: Cell) -> bool:
+    wanted: Value = comparison.value
+    if cell is None:
+        return comparison.comparator is Comparator.UNEQUAL
+    if comparison.comparator is Comparator.CONTAINS:
+        return str(wanted).lower() in str(cell).lower()
+    if isinstance(cell, str) != isinstance(wanted, str):
+        cell, wanted = str(cell), str(wanted)
+    return _COMPARISONS[comparison.comparator](cell, wanted)
+
+
+def _order(cell: Cell) -> tuple[int, float, str]:
+    if cell is None:
+        return (0, 0.0, "")
+    if isinstance(cell, str):
+        return (2, 0.0, cell)
+    return (1, float(cell), "")
+
+
+def format_table(table: Table, table_format: TableFormat = TableFormat.TEXT) -> str:
+    """Write ``table`` out, as aligned text or as JSON."""
+    if table_format is TableFormat.JSON:
+        return msgspec.json.format(msgspec.json.encode(table), indent=2).decode()
+    return _format_text(table)
+
+
+def _format_text(table: Table) -> str:
+    cells = [[_format_cell(cell) for cell in row] for row in table.rows]
+    widths = [
+        max(len(column), *(len(row[place]) for row in cells), 0)
+        for place, column in enumerate(table.columns)
+    ]
+    lines = [_format_line(table.columns, widths)]
+    lines.append(_format_line(["-" * width for width in widths], widths))
+    lines.extend(_format_line(row, widths) for row in cells)
+    lines.append(_describe_position(table))
+    if table.note:
+        lines.append(table.note)
+    return "\n".join(lines)
+
+
+def _format_line(cells: Sequence[str], widths: Sequence[int]) -> str:
+    padded = (cell.ljust(width) for cell, width in zip(cells, widths, strict=True))
+    return "  ".join(padded).rstrip()
+
+
+def _format_cell(cell: Cell) -> str:
+    if cell is None:
+        return "-"
+    if isinstance(cell, bool):
+        return "yes" if cell else "no"
+    if isinstance(cell, float):
+        return f"{cell:g}"
+    return "".join(letter if letter.isprintable() else "?" for letter in str(cell))
+
+
+def _describe_position(table: Table) -> str:
+    count = f"{len(table.rows)} row{'' if len(table.rows) == 1 else 's'}"
+    freshness = "STALE: later changes may exist" if table.stale else "current"
+    return f"{count}, as of position {table.position} ({freshness})"
