--- /dev/null
+++ b/src/rhubarbfield/fleet/__init__.py
@@ -0,0 +1,52 @@
+"""The fleet's replicated state: commands, configuration, jobs and delegation."""
+
+from rhubarbfield.fleet.commands import (
+    CommandAnswered,
+    CommandClash,
+    NumberRefused,
+    SubmitCommand,
+    find_next_number,
+)
+from rhubarbfield.fleet.jobs import (
+    Delegated,
+    DelegateJob,
+    FinishJob,
+    ReleaseJob,
+    ReportJob,
+)
+from rhubarbfield.fleet.registry import fleet_commands
+from rhubarbfield.fleet.state import (
+    CommandRecord,
+    CommandTable,
+    Configuration,
+    FleetJob,
+    FleetState,
+    JobRequest,
+    Mark,
+    Quota,
+)
+
+FLEET_REPLY_TYPES = (CommandAnswered, CommandClash, NumberRefused, Delegated)
+
+__all__ = [
+    "FleetState",
+    "fleet_commands",
+    "FLEET_REPLY_TYPES",
+    "SubmitCommand",
+    "CommandAnswered",
+    "CommandClash",
+    "NumberRefused",
+    "CommandRecord",
+    "CommandTable",
+    "find_next_number",
+    "Configuration",
+    "FleetJob",
+    "JobRequest",
+    "DelegateJob",
+    "Delegated",
+    "ReleaseJob",
+    "ReportJob",
+    "FinishJob",
+    "Mark",
+    "Quota",
+]
--- /dev/null
+++ b/src/rhubarbfield/logs.py
@@ -0,0 +1,114 @@
+"""Structured logs: one event a line, as JSON, under a stable name.
+
+An event has a name that never changes with its wording, a level, and the
+ids it concerns. Values of fields that may carry secrets are left out.
+"""
+
+from __future__ import annotations
+
+import logging
+import sys
+from datetime import UTC, datetime, timedelta
+from enum import Enum
+from typing import TextIO
+
+import msgspec
+
+ROOT_LOGGER = "rhubarbfield"
+REDACTED = "[left out]"
+LONGEST_VALUE_CHARACTERS = 2_000
+SECRET_FIELDS = frozenset(
+    {"authorization", "cookie", "key_file", "password", "secret", "token"}
+)
+_IDS_ATTRIBUTE = "rhubarbfield_ids"
+_LEVELS = logging.getLevelNamesMapping()
+
+LogValue = str | int | float | bool | None | timedelta | datetime | Enum
+
+
+class JsonFormatter(logging.Formatter):
+    """Writes each record as one line of JSON."""
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return the line of ``record``, without its line end."""
+        event: dict[str, object] = {
+            "at": _format_time(record.created),
+            "level": record.levelname.lower(),
+            "area": record.name.removeprefix(f"{ROOT_LOGGER}."),
+            "event": record.getMessage(),
+        }
+        for name, value in getattr(record, _IDS_ATTRIBUTE, {}).items():
+            event[name] = _present(name, value)
+        if record.exc_info and record.exc_info[1] is not None:
+            event["error"] = _cut(repr(record.exc_info[1]))
+            event["trace"] = _cut(self.formatException(record.exc_info))
+        return msgspec.json.encode(event).decode()
+
+
+def configure_logging(level: str = "info", stream: TextIO | None = None) -> None:
+    """Send the events of the whole program to ``stream``.
+
+    Calling it again replaces what was configured before, so that a reload
+    can change the level.
+
+    Parameters
+    ----------
+    level
+        ``debug``, ``info``, ``warning`` or ``error``.
+    stream
+        Where to write; standard error if None.
+    """
+    handler = logging.StreamHandler(stream or sys.stderr)
+    handler.setFormatter(JsonFormatter())
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(logging.WARNING)
+    logging.getLogger(ROOT_LOGGER).setLevel(_LEVELS[level.upper()])
+
+
+def get_logger(area: str) -> logging.Logger:
+    """Return the logger of one area of the program, such as ``routing``."""
+    return logging.getLogger(f"{ROOT_LOGGER}.{area}")
+
+
+def log_event(
+    logger: logging.Logger, level: int, event: str, /, **ids: LogValue
+) -> None:
+    """Write one event.
+
+    Parameters
+    ----------
+    logger
+        From :func:`get_logger`.
+    level
+        A level of :mod:`logging`, such as ``logging.INFO``.
+    event
+        Its stable name, in small letters and hyphens.
+    **ids
+        What it concerns: request, task, lease, epoch, and other values.
+    """
+    if logger.isEnabledFor(level):
+        logger.log(level, "%s", event, extra={_IDS_ATTRIBUTE: ids})
+
+
+def _present(name: str, value: object) -> object:
+    if name.lower() in SECRET_FIELDS:
+        return REDACTED
+    if isinstance(value, timedelta):
+        return value.total_seconds()
+    if isinstance(value, datetime):
+        return value.isoformat()
+    if isinstance(value, Enum):
+        return value.name.lower()
+    if value is None or isinstance(value, bool | int | float):
+        return value
+    return _cut(str(value))
+
+
+def _cut(text: str) -> str:
+    safe = text.encode(errors="backslashreplace").decode()
+    return safe[:LONGEST_VALUE_CHARACTERS]
+
+
+def _format_time(seconds: float) -> str:
+    return datetime.fromtimestamp(seconds, UTC).isoformat(timespec="milliseconds")
