--- /dev/null
+++ b/src/rhubarbfield/measurement/__init__.py
@@ -0,0 +1,1 @@
+"""Commands that measure parts of the program and print a table."""
--- /dev/null
+++ b/src/rhubarbfield/workers/__init__.py
@@ -0,0 +1,89 @@
+"""The sessions of workers with the controller of their failure domain.
+
+A controller hands each connection to :meth:`WorkerSessions.serve`. The rest
+of the controller is reached by the two ports :class:`WorkLog` and
+:class:`ObservationSink`.
+"""
+
+from rhubarbfield.workers.messages import (
+    AttemptReport,
+    AttemptUsage,
+    FromWorker,
+    GoToLeader,
+    HeldAttempt,
+    LatencySample,
+    LeaseGranted,
+    Order,
+    RenewLease,
+    ReportsCommitted,
+    Resources,
+    SessionOpened,
+    StartAttempt,
+    StopAttempt,
+    TakeCheckpoint,
+    Throttle,
+    ToWorker,
+    UsageReport,
+    WorkerHello,
+    decode_worker_message,
+)
+from rhubarbfield.workers.ports import (
+    Admitted,
+    CommittedOrder,
+    LiveAttempt,
+    NotLeading,
+    ObservationSink,
+    SessionEnded,
+    Unavailable,
+    WorkerRefused,
+    WorkLog,
+)
+from rhubarbfield.workers.reconciliation import Reconciliation, reconcile
+from rhubarbfield.workers.sessions import WorkerSessions
+from rhubarbfield.workers.settings import WorkerSessionSettings
+from rhubarbfield.workers.streams import (
+    ConnectionRefused,
+    Malformed,
+    MessageStream,
+    WatchedStream,
+)
+
+__all__ = [
+    "WorkerSessions",
+    "WorkerSessionSettings",
+    "WorkLog",
+    "ObservationSink",
+    "Admitted",
+    "CommittedOrder",
+    "LiveAttempt",
+    "NotLeading",
+    "SessionEnded",
+    "Unavailable",
+    "WorkerRefused",
+    "Reconciliation",
+    "reconcile",
+    "FromWorker",
+    "ToWorker",
+    "decode_worker_message",
+    "WorkerHello",
+    "HeldAttempt",
+    "RenewLease",
+    "UsageReport",
+    "AttemptUsage",
+    "LatencySample",
+    "AttemptReport",
+    "SessionOpened",
+    "LeaseGranted",
+    "Order",
+    "StartAttempt",
+    "Throttle",
+    "TakeCheckpoint",
+    "StopAttempt",
+    "ReportsCommitted",
+    "GoToLeader",
+    "Resources",
+    "ConnectionRefused",
+    "Malformed",
+    "MessageStream",
+    "WatchedStream",
+]
--- /dev/null
+++ b/src/rhubarbfield/workers/sessions.py
@@ -0,0 +1,190 @@
+"""The sessions of all workers with the controller that leads their domain."""
+
+from __future__ import annotations
+
+import logging
+
+import msgspec
+from returns.result import Failure, Success
+
+from rhubarbfield.clock import Clock
+from rhubarbfield.exceptions import check_invariant
+from rhubarbfield.leases import LeaseTable
+from rhubarbfield.types import Epoch, WorkerId
+from rhubarbfield.workers.connection import WorkerConnection
+from rhubarbfield.workers.messages import GoToLeader, WorkerHello
+from rhubarbfield.workers.ports import (
+    Admitted,
+    NotLeading,
+    ObservationSink,
+    SessionEnded,
+    WorkerRefused,
+    WorkLog,
+)
+from rhubarbfield.workers.settings import WorkerSessionSettings
+from rhubarbfield.workers.streams import (
+    ConnectionRefused,
+    Ended,
+    Malformed,
+    Message,
+    MessageStream,
+    Silent,
+    WatchedStream,
+)
+
+logger = logging.getLogger(__name__)
+
+
+class WorkerSessions:
+    """Serves the connections of workers and ends sessions that have lapsed.
+
+    A controller makes a new one each time it starts to lead and drops it when
+    it stops leading; leases are kept in memory alone.
+
+    Parameters
+    ----------
+    settings
+        Times and sizes.
+    clock
+        The controller's clock.
+    log
+        The domain's replicated log.
+    observations
+        Where usage reports go.
+    """
+
+    def __init__(
+        self,
+        settings: WorkerSessionSettings,
+        *,
+        clock: Clock,
+        log: WorkLog,
+        observations: ObservationSink,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._log = log
+        self._observations = observations
+        self._connections = 0
+        self._newest: dict[WorkerId, WorkerConnection] = {}
+        self._leases: LeaseTable[WorkerId] = LeaseTable(
+            settings.lease, known=log.sessions(), at=clock.monotonic()
+        )
+
+    @property
+    def connected(self) -> int:
+        """The number of workers with an open session on a connection."""
+        return len(self._newest)
+
+    async def serve(self, stream: MessageStream) -> None:
+        """Serve one connection until it ends.
+
+        Parameters
+        ----------
+        stream
+            The connection of a worker; it is closed on return.
+        """
+        watched = WatchedStream(
+            stream,
+            send_deadline=self._settings.send_deadline,
+            silence_limit=self._settings.silence_limit,
+        )
+        self._connections += 1
+        try:
+            if self._connections > self._settings.max_connections:
+                await watched.send(ConnectionRefused(reason="too many connections"))
+                return
+            await self._serve_hello(watched)
+        finally:
+            self._connections -= 1
+            await watched.close()
+
+    async def sweep(self) -> None:
+        """Commit the loss of workers whose leases have lapsed, until cancelled."""
+        while True:
+            await self._clock.sleep(self._settings.sweep_interval)
+            if not self._log.leads():
+                continue
+            for worker, session in self._leases.lapsed(self._clock.monotonic()):
+                await self._lose(worker, session)
+
+    async def _serve_hello(self, watched: WatchedStream) -> None:
+        hello = await watched.receive()
+        if not isinstance(hello, WorkerHello):
+            refusal = describe_end(hello) or "the first message has to be worker-hello"
+            await watched.send(ConnectionRefused(reason=refusal))
+            return
+        match await self._log.admit(hello):
+            case Success(admitted):
+                await self._serve_session(watched, hello, admitted)
+            case Failure(failure):
+                await watched.send(_answer_unadmitted(failure))
+
+    async def _serve_session(
+        self, watched: WatchedStream, hello: WorkerHello, admitted: Admitted
+    ) -> None:
+        if not self._log.leads():
+            await watched.send(GoToLeader())
+            return
+        connection = WorkerConnection(
+            watched,
+            hello,
+            admitted,
+            settings=self._settings,
+            clock=self._clock,
+            log=self._log,
+            leases=self._leases,
+            observations=self._observations,
+        )
+        before = self._newest.get(hello.worker)
+        if before is not None:
+            if before.session > admitted.session:
+                return
+            before.cancel()
+        self._newest[hello.worker] = connection
+        logger.info("worker-session worker=%s epoch=%d", hello.worker, admitted.session)
+        try:
+            await connection.run()
+        finally:
+            if self._newest.get(hello.worker) is connection:
+                del self._newest[hello.worker]
+
+    async def _lose(self, worker: WorkerId, session: Epoch) -> None:
+        check_invariant(
+            self._leases.has_lapsed(worker, self._clock.monotonic()),
+            "worker-lost-only-after-lapse",
+            (worker, session),
+        )
+        match await self._log.lose_worker(worker, session):
+            case Success(_) | Failure(SessionEnded()):
+                logger.info("worker-lost worker=%s epoch=%d", worker, session)
+                self._leases.forget(worker, epoch=session)
+            case Failure(failure):
+                logger.warning("worker-loss-delayed worker=%s %r", worker, failure)
+
+
+def describe_end(message: msgspec.Struct) -> str:
+    """Return why a stream that ended in ``message`` did; empty if it hasn't.
+
+    Parameters
+    ----------
+    message
+        What :meth:`~rhubarbfield.workers.streams.WatchedStream.receive` gave.
+    """
+    match message:
+        case Malformed(reason=reason):
+            return reason
+        case Silent():
+            return "nothing was heard for too long"
+        case Ended():
+            return "the connection has ended"
+    return ""
+
+
+def _answer_unadmitted(failure: msgspec.Struct) -> Message:
+    match failure:
+        case WorkerRefused(reason=reason):
+            return ConnectionRefused(reason=reason)
+        case NotLeading(leader=leader):
+            return GoToLeader(address=leader)
+    return GoToLeader()
--- /dev/null
+++ b/src/rhubarbfield/workers/streams.py
@@ -0,0 +1,136 @@
+"""The stream port, and what every session over a stream does with it."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from typing import Protocol
+
+import msgspec
+import trio
+
+
+class MessageStream(Protocol):
+    """One bidirectional stream of typed messages.
+
+    ``receive`` may raise :class:`msgspec.MsgspecError` when the other side
+    sent what can't be decoded.
+    """
+
+    async def send(self, message: msgspec.Struct) -> bool:
+        """Send ``message``; False when the stream is gone or too slow."""
+
+    async def receive(self) -> msgspec.Struct | None:
+        """Return the next message, or None once the stream has ended."""
+
+    async def close(self) -> None:
+        """End the stream; the other side's ``receive`` returns None."""
+
+
+class Malformed(msgspec.Struct, frozen=True):
+    """The other side sent what can't be decoded.
+
+    Attributes
+    ----------
+    reason
+        A sentence for a person that names the field.
+    """
+
+    reason: str
+
+
+class Silent(msgspec.Struct, frozen=True):
+    """Nothing came within the time allowed; the connection isn't trusted."""
+
+
+class Ended(msgspec.Struct, frozen=True):
+    """The stream has ended."""
+
+
+class WatchedStream:
+    """A stream that is never waited on without a limit.
+
+    Connections go silent without an error, so each send has a deadline and
+    each receive a limit on silence. Several tasks may send; their messages
+    don't mix.
+
+    Parameters
+    ----------
+    stream
+        The stream underneath.
+    send_deadline
+        How long one send may take.
+    silence_limit
+        How long the other side may say nothing.
+    """
+
+    def __init__(
+        self,
+        stream: MessageStream,
+        *,
+        send_deadline: timedelta,
+        silence_limit: timedelta,
+    ) -> None:
+        self._stream = stream
+        self._send_deadline = send_deadline.total_seconds()
+        self._silence_limit = silence_limit.total_seconds()
+        self._lock = trio.Lock()
+
+    async def send(self, message: msgspec.Struct) -> bool:
+        """Send ``message``; False when the stream is not to be used again."""
+        with trio.move_on_after(self._send_deadline):
+            async with self._lock:
+                return await self._stream.send(message)
+        return False
+
+    async def receive(self) -> msgspec.Struct:
+        """Return the next message, or one of the three ends of a stream.
+
+        Returns
+        -------
+        msgspec.Struct
+            A message, or :class:`Malformed`, :class:`Silent` or
+            :class:`Ended`, after which nothing more is to be received.
+        """
+        with trio.move_on_after(self._silence_limit):
+            try:
+                message = await self._stream.receive()
+            except msgspec.MsgspecError as error:
+                return Malformed(str(error))
+            return Ended() if message is None else message
+        return Silent()
+
+    async def close(self) -> None:
+        """End the stream, within the deadline for sending and when cancelled."""
+        with trio.move_on_after(self._send_deadline) as scope:
+            scope.shield = True
+            await self._stream.close()
+
+
+def make_tag(class_name: str) -> str:
+    """Return a message's ``type`` on the wire, as ``usage-report``.
+
+    Parameters
+    ----------
+    class_name
+        The name of the message's class.
+    """
+    parts = ["-" + char.lower() if char.isupper() else char for char in class_name]
+    return "".join(parts).removeprefix("-")
+
+
+class Message(
+    msgspec.Struct, frozen=True, kw_only=True, tag_field="type", tag=make_tag
+):
+    """Base of the messages that workers and backend servers exchange with us."""
+
+
+class ConnectionRefused(Message, frozen=True, kw_only=True):
+    """The session is over and the same words would be refused again.
+
+    Attributes
+    ----------
+    reason
+        A sentence for a person.
+    """
+
+    reason: str
