--- /dev/null
+++ b/src/rhubarbfield/controller/delegating.py
@@ -0,0 +1,138 @@
+"""The leader of the fleet gives each job to one failure domain."""
+
+from __future__ import annotations
+
+import logging
+from collections import Counter
+from datetime import timedelta
+
+import trio
+from returns.result import Success
+
+from rhubarbfield.clock import Clock
+from rhubarbfield.controller.machines import WholeState
+from rhubarbfield.controller.replicated import ReplicatedLog
+from rhubarbfield.fleet import DelegateJob, FleetJob, JobRequest
+from rhubarbfield.placement import QuarantineState, Worker, WorkState
+from rhubarbfield.protocol import DomainSummary, WorkerShape
+from rhubarbfield.types import FailureDomain
+
+logger = logging.getLogger(__name__)
+
+ROUND_INTERVAL = timedelta(milliseconds=100)
+IDLE_INTERVAL = timedelta(seconds=1)
+SUMMARY_LIFETIME = timedelta(seconds=15)
+MILLICORES = 1000
+
+
+class Delegator:
+    """Delegates jobs that no domain has.
+
+    Parameters
+    ----------
+    log
+        The fleet's log, led by this instance.
+    clock
+        The time.
+    """
+
+    def __init__(self, log: ReplicatedLog[WholeState], clock: Clock) -> None:
+        self._log = log
+        self._clock = clock
+        self._summaries: dict[FailureDomain, tuple[timedelta, DomainSummary]] = {}
+        self._given: Counter[FailureDomain] = Counter()
+
+    def take_summary(self, summary: DomainSummary) -> None:
+        """Remember how much room a domain has."""
+        self._summaries[summary.domain] = (self._clock.monotonic(), summary)
+        self._given[summary.domain] = 0
+
+    async def run(self) -> None:
+        """Delegate until cancelled."""
+        while True:
+            for job in list(self._log.state.fleet.jobs.values()):
+                if self._needs_domain(job):
+                    await self._delegate(job)
+            await self._clock.sleep(ROUND_INTERVAL)
+            with trio.move_on_after(IDLE_INTERVAL.total_seconds()):
+                await self._log.wait_change()
+
+    def _needs_domain(self, job: FleetJob) -> bool:
+        lost = self._log.state.fleet.lost_domains
+        return job.is_open and (job.domain is None or job.domain in lost)
+
+    async def _delegate(self, job: FleetJob) -> None:
+        domain = self._choose(job.request)
+        if domain is None:
+            return
+        proposed = await self._log.propose(
+            DelegateJob(job=job.id, domain=domain, at=self._clock.now())
+        )
+        if isinstance(proposed, Success):
+            self._given[domain] += round(job.request.cores * job.request.tasks)
+        logger.info("job-delegated job=%s domain=%s", job.id, domain)
+
+    def _choose(self, request: JobRequest) -> FailureDomain | None:
+        """Return the domain with the most free cores that can hold the job.
+
+        A job that fits nowhere goes to some domain, which then says why.
+        """
+        if request.domain is not None:
+            return request.domain
+        now = self._clock.monotonic()
+        fresh = [
+            summary
+            for taken_at, summary in self._summaries.values()
+            if now - taken_at < SUMMARY_LIFETIME
+            and summary.domain not in self._log.state.fleet.lost_domains
+        ]
+        candidates = [summary for summary in fresh if fits_domain(request, summary)]
+        best = max(candidates or fresh, key=self._count_free, default=None)
+        return None if best is None else best.domain
+
+    def _count_free(self, summary: DomainSummary) -> float:
+        waiting = summary.waiting_tasks + self._given[summary.domain]
+        return summary.free_millicores / MILLICORES - waiting
+
+
+def fits_domain(request: JobRequest, summary: DomainSummary) -> bool:
+    """Return whether an idle domain could hold the job."""
+    room = sum(_count_fits(request, shape) for shape in summary.shapes)
+    return room >= (request.tasks if request.gang else 1)
+
+
+def _count_fits(request: JobRequest, shape: WorkerShape) -> int:
+    """Return how many tasks of the job fit the workers of one shape."""
+    each = [shape.memory_mb // max(1, request.memory_mb)]
+    if request.cores:
+        each.append(int(shape.millicores // max(1, request.cores * MILLICORES)))
+    if request.accelerators:
+        each.append(shape.accelerators // request.accelerators)
+    return min(each) * shape.count
+
+
+def summarize_domain(domain: FailureDomain, work: WorkState) -> DomainSummary:
+    """Return how much room a domain has."""
+    usable = [worker for worker in work.workers.values() if _is_usable(worker)]
+    shapes = Counter(
+        (
+            worker.announced.millicores,
+            worker.announced.memory_mb,
+            worker.announced.accelerators,
+        )
+        for worker in usable
+    )
+    free = [worker.capacity - worker.committed for worker in usable]
+    return DomainSummary(
+        domain=domain,
+        free_millicores=sum(one.millicores for one in free),
+        free_memory_mb=sum(one.memory_mb for one in free),
+        free_accelerators=sum(one.accelerators for one in free),
+        shapes=tuple(WorkerShape(*shape, count) for shape, count in shapes.items()),
+        waiting_tasks=sum(len(work.jobs[job].pending) for job in work.waiting),
+    )
+
+
+def _is_usable(worker: Worker) -> bool:
+    trusted = worker.quarantine is QuarantineState.TRUSTED
+    return worker.present and trusted and not worker.draining
--- /dev/null
+++ b/src/rhubarbfield/controller/entrysessions.py
@@ -0,0 +1,196 @@
+"""The sessions of entries with the controller that leads their domain."""
+
+from __future__ import annotations
+
+import logging
+from datetime import timedelta
+
+import trio
+from returns.result import Failure, Success
+
+from rhubarbfield.clock import Clock
+from rhubarbfield.controller.machines import DomainState, WholeState
+from rhubarbfield.controller.replicated import ReplicatedLog
+from rhubarbfield.leases import LeaseTable, LeaseTerms
+from rhubarbfield.ownership import (
+    DirectoryEntry,
+    EndEntrySession,
+    OpenEntrySession,
+    ProofOfEnd,
+    SessionEpoch,
+    list_directory,
+)
+from rhubarbfield.peering import MessageStream
+from rhubarbfield.protocol import (
+    ConfigurationUpdate,
+    DirectoryUpdate,
+    EntryHello,
+    EntryLease,
+    EntryOpened,
+    EntryRefused,
+    RenewEntry,
+)
+from rhubarbfield.types import (
+    BackendServerId,
+    ConfigurationVersion,
+    Epoch,
+    InstanceName,
+)
+
+logger = logging.getLogger(__name__)
+
+SWEEP_INTERVAL = timedelta(milliseconds=200)
+PUSH_INTERVAL = timedelta(milliseconds=100)
+
+
+class EntrySessions:
+    """Serves the streams of entries while this instance leads its domain.
+
+    Parameters
+    ----------
+    domain_log, fleet_log
+        The logs whose changes entries are told.
+    terms
+        The lease of each entry's session.
+    clock
+        The time.
+    """
+
+    def __init__(
+        self,
+        domain_log: ReplicatedLog[DomainState],
+        fleet_log: ReplicatedLog[WholeState],
+        terms: LeaseTerms,
+        clock: Clock,
+    ) -> None:
+        self._log = domain_log
+        self._fleet_log = fleet_log
+        self._clock = clock
+        self.versions: dict[InstanceName, ConfigurationVersion] = {}
+        open_sessions = {
+            session.entry: session.epoch
+            for session in domain_log.state.ownership.sessions.values()
+            if not session.ended
+        }
+        self._leases: LeaseTable[InstanceName] = LeaseTable(
+            terms, known=open_sessions, at=clock.monotonic()
+        )
+
+    async def serve(self, stream: MessageStream) -> None:
+        """Serve one entry's stream until it ends."""
+        hello = await stream.receive()
+        if not isinstance(hello, EntryHello):
+            return
+        opened = await self._open(hello)
+        await stream.send(opened)
+        if not isinstance(opened, EntryOpened):
+            return
+        epoch = opened.lease.epoch
+        self.versions[hello.entry] = hello.configuration
+        logger.info("entry-session entry=%s epoch=%d", hello.entry, epoch)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._push_directory, stream)
+            nursery.start_soon(self._push_configuration, stream)
+            await self._renew_until_end(stream, hello.entry, epoch)
+            nursery.cancel_scope.cancel()
+
+    async def sweep(self) -> None:
+        """Commit the end of sessions whose leases have lapsed, until cancelled."""
+        while True:
+            await self._clock.sleep(SWEEP_INTERVAL)
+            if not self._log.leads():
+                continue
+            for entry, epoch in self._leases.lapsed(self._clock.monotonic()):
+                await self._end(entry, epoch)
+
+    async def _open(self, hello: EntryHello) -> EntryOpened | EntryRefused:
+        proposed = await self._log.propose(
+            OpenEntrySession(
+                entry=hello.entry,
+                incarnation=hello.incarnation,
+                address=hello.address,
+                at=self._clock.now(),
+            )
+        )
+        match proposed:
+            case Success(SessionEpoch(epoch=epoch)) if self._log.leads():
+                granted = self._leases.grant(
+                    hello.entry,
+                    epoch=epoch,
+                    number=hello.number,
+                    at=self._clock.monotonic(),
+                )
+                if isinstance(granted, Success):
+                    return EntryOpened(lease=granted.unwrap())
+        return EntryRefused(leader=None, reason=str(proposed))
+
+    async def _renew_until_end(
+        self, stream: MessageStream, entry: InstanceName, epoch: Epoch
+    ) -> None:
+        while isinstance(message := await stream.receive(), RenewEntry):
+            self.versions[entry] = message.configuration
+            if not self._log.leads():
+                return
+            renewed = self._leases.renew(
+                entry, epoch=epoch, number=message.number, at=self._clock.monotonic()
+            )
+            match renewed:
+                case Success(lease):
+                    if not await stream.send(EntryLease(lease=lease)):
+                        return
+                case Failure(_):
+                    return
+
+    async def _push_directory(self, stream: MessageStream) -> None:
+        known: dict[BackendServerId, DirectoryEntry] = {}
+        first = True
+        while True:
+            current = {
+                entry.server: entry
+                for entry in list_directory(self._log.state.ownership)
+            }
+            update = _compare_directories(known, current)
+            if first or update.changed or update.removed:
+                if not await stream.send(update):
+                    return
+            known = current
+            first = False
+            await self._log.wait_change()
+            await self._clock.sleep(PUSH_INTERVAL)
+
+    async def _push_configuration(self, stream: MessageStream) -> None:
+        version: ConfigurationVersion | None = None
+        while True:
+            configuration = self._fleet_log.state.fleet.configuration
+            if configuration.version != version:
+                version = configuration.version
+                update = ConfigurationUpdate(configuration=configuration)
+                if not await stream.send(update):
+                    return
+            await self._fleet_log.wait_change()
+
+    async def _end(self, entry: InstanceName, epoch: Epoch) -> None:
+        proposed = await self._log.propose(
+            EndEntrySession(
+                entry=entry,
+                session=epoch,
+                proof=ProofOfEnd.LEASE_LAPSED,
+                at=self._clock.now(),
+            )
+        )
+        if isinstance(proposed, Success):
+            logger.info("entry-session-lapsed entry=%s epoch=%d", entry, epoch)
+            self._leases.forget(entry, epoch=epoch)
+            self.versions.pop(entry, None)
+
+
+def _compare_directories(
+    known: dict[BackendServerId, DirectoryEntry],
+    current: dict[BackendServerId, DirectoryEntry],
+) -> DirectoryUpdate:
+    return DirectoryUpdate(
+        changed=tuple(
+            entry for server, entry in current.items() if known.get(server) != entry
+        ),
+        removed=tuple(server for server in known if server not in current),
+    )
--- /dev/null
+++ b/src/rhubarbfield/controller/groups.py
@@ -0,0 +1,66 @@
+"""Which replicated logs this instance takes part in, and who else does."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+import msgspec
+
+from rhubarbfield.settings import Settings
+from rhubarbfield.types import FailureDomain, GroupId, InstanceName
+
+FLEET_GROUP = GroupId("fleet")
+DOMAIN_GROUP_PREFIX = "domain-"
+
+
+def name_domain_group(domain: FailureDomain) -> GroupId:
+    """Return the group of a failure domain's log."""
+    return GroupId(f"{DOMAIN_GROUP_PREFIX}{domain}")
+
+
+class DomainGroup(msgspec.Struct, frozen=True):
+    """The group of one failure domain's log.
+
+    Attributes
+    ----------
+    domain
+        The failure domain.
+    voters
+        Instances that form the group; one may stand in another domain.
+    members
+        The voters, and all other instances of the domain, which learn.
+    """
+
+    domain: FailureDomain
+    voters: tuple[InstanceName, ...]
+    members: tuple[InstanceName, ...]
+
+
+def list_domain_groups(settings: Settings) -> tuple[DomainGroup, ...]:
+    """Return the group of each failure domain."""
+    groups = []
+    for domain, members in settings.fleet.domains.items():
+        voters = tuple(InstanceName(name) for name in members.voters)
+        own = tuple(
+            InstanceName(one.name)
+            for one in settings.fleet.instances
+            if one.failure_domain == domain and one.name not in voters
+        )
+        groups.append(DomainGroup(FailureDomain(domain), voters, voters + own))
+    return tuple(groups)
+
+
+def map_controllers(settings: Settings) -> Mapping[InstanceName, tuple[str, int]]:
+    """Return host and peer port of each instance's controller."""
+    return {
+        InstanceName(one.name): (one.host, one.controller_peer_port)
+        for one in settings.fleet.instances
+    }
+
+
+def map_members(
+    settings: Settings, members: tuple[InstanceName, ...]
+) -> Mapping[InstanceName, tuple[str, int]]:
+    """Return host and peer port of the controllers of ``members``."""
+    controllers = map_controllers(settings)
+    return {name: controllers[name] for name in members}
--- /dev/null
+++ b/src/rhubarbfield/controller/machines.py
@@ -0,0 +1,63 @@
+"""What the two kinds of replicated log keep."""
+
+from __future__ import annotations
+
+import msgspec
+
+from rhubarbfield.fleet import FLEET_REPLY_TYPES, FleetState, fleet_commands
+from rhubarbfield.machine import SectionedMachine
+from rhubarbfield.ownership import (
+    OWNERSHIP_REPLIES,
+    OwnershipState,
+    ownership_commands,
+)
+from rhubarbfield.placement import WorkState, work_commands, work_replies
+from rhubarbfield.records import RECORD_REPLIES, RecordState, record_commands
+
+
+class DomainState(msgspec.Struct):
+    """The log of one failure domain.
+
+    Attributes
+    ----------
+    work
+        Workers, jobs, tasks and their attempts.
+    ownership
+        Backend servers and the entries that own them.
+    records
+        Requests that must run at most once.
+    """
+
+    work: WorkState = msgspec.field(default_factory=WorkState)
+    ownership: OwnershipState = msgspec.field(default_factory=OwnershipState)
+    records: RecordState = msgspec.field(default_factory=RecordState)
+
+
+class WholeState(msgspec.Struct):
+    """The log of the whole fleet.
+
+    Attributes
+    ----------
+    fleet
+        Configuration, jobs and their delegation, operators' commands.
+    """
+
+    fleet: FleetState = msgspec.field(default_factory=FleetState)
+
+
+def make_domain_machine() -> SectionedMachine[DomainState]:
+    """Return an empty machine for the log of a failure domain."""
+    return SectionedMachine(
+        DomainState,
+        {
+            "work": work_commands,
+            "ownership": ownership_commands,
+            "records": record_commands,
+        },
+        (*work_replies, *OWNERSHIP_REPLIES, *RECORD_REPLIES),
+    )
+
+
+def make_fleet_machine() -> SectionedMachine[WholeState]:
+    """Return an empty machine for the log of the fleet."""
+    return SectionedMachine(WholeState, {"fleet": fleet_commands}, FLEET_REPLY_TYPES)
--- /dev/null
+++ b/src/rhubarbfield/controller/queries.py
@@ -0,0 +1,275 @@
+"""Answering operators: what they ask, and what they command."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from datetime import timedelta
+
+import msgspec
+import trio
+from returns.result import Failure, Result, Success
+
+from rhubarbfield.controller.explaining import (
+    build_job_explanation,
+    build_task_explanation,
+)
+from rhubarbfield.controller.machines import WholeState
+from rhubarbfield.controller.replicated import ReplicatedLog
+from rhubarbfield.controller.tables import (
+    DomainView,
+    find_domain_table,
+    find_fleet_table,
+    make_table,
+)
+from rhubarbfield.fleet import CommandRecord, SubmitCommand
+from rhubarbfield.language import (
+    Explain,
+    ExplainedKind,
+    Query,
+    Show,
+    Subject,
+    Table,
+)
+from rhubarbfield.machine import Reply
+from rhubarbfield.operators import (
+    ControllerStatus,
+    FailureKind,
+    OperatorFailure,
+    Submission,
+    read_reply,
+)
+from rhubarbfield.protocol import (
+    LeaderCalls,
+    LeaderFailure,
+    NotLeading,
+    QueryAnswer,
+    QueryRequest,
+)
+from rhubarbfield.settings import Settings
+from rhubarbfield.types import FailureDomain, InstanceName
+from rhubarbfield.clock import Clock
+
+COMMAND_TIMEOUT = timedelta(seconds=8)
+DOMAIN_TIMEOUT = timedelta(seconds=3)
+READ_TIMEOUT = timedelta(seconds=2)
+
+
+class OperatorService:
+    """What :func:`rhubarbfield.operators.create_operators_app` asks.
+
+    Parameters
+    ----------
+    settings
+        The instance's settings.
+    fleet_log
+        The fleet's log as applied here.
+    fleet
+        Calls to the leader of the fleet.
+    domains
+        For each failure domain, calls to its leader.
+    view_domain
+        Returns this instance's own domain while it leads it.
+    clock
+        The time.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        *,
+        fleet_log: ReplicatedLog[WholeState],
+        fleet: LeaderCalls,
+        domains: Mapping[FailureDomain, LeaderCalls],
+        view_domain: Callable[[], DomainView | None],
+        clock: Clock,
+    ) -> None:
+        self._settings = settings
+        self._fleet_log = fleet_log
+        self._fleet = fleet
+        self._domains = domains
+        self._view_domain = view_domain
+        self._clock = clock
+
+    def get_status(self) -> ControllerStatus:
+        """Return what this controller knows of itself."""
+        log = self._fleet_log
+        return ControllerStatus(
+            instance=InstanceName(self._settings.instance.name),
+            ready=log.replica.leader_hint is not None or log.leads(),
+            leader=log.replica.leader_hint,
+            position=log.position,
+            configuration_version=log.state.fleet.configuration.version,
+        )
+
+    async def command(
+        self, submission: Submission
+    ) -> Result[CommandRecord, OperatorFailure]:
+        """Have a command decided by the fleet's log."""
+        command = SubmitCommand(
+            operator=submission.operator,
+            number=submission.number,
+            text=submission.text,
+            statement=submission.statement,
+            at=self._clock.now(),
+        )
+        match await self._fleet.call(command, COMMAND_TIMEOUT):
+            case Success(Reply() as reply):
+                return read_reply(reply)
+            case Failure(LeaderFailure() as failure):
+                return Failure(_describe_failure(failure))
+        return Failure(
+            OperatorFailure(kind=FailureKind.INVALID, message="no answer was read")
+        )
+
+    async def query(self, statement: Query) -> Result[Table, OperatorFailure]:
+        """Answer a query from the logs, and say how current the answer is."""
+        if isinstance(statement, Show):
+            return await self._show(statement)
+        if isinstance(statement, Explain):
+            return await self._explain(statement)
+        return Failure(
+            OperatorFailure(kind=FailureKind.INVALID, message="this can't be asked")
+        )
+
+    async def _show(self, show: Show) -> Result[Table, OperatorFailure]:
+        if show.subject is Subject.INSTANCES:
+            return Success(await self._date(self._list_instances()))
+        if show.subject is Subject.DOMAINS:
+            return Success(await self._list_domains())
+        build = find_fleet_table(show.subject)
+        if build is not None:
+            return Success(await self._date(build(self._fleet_log.state.fleet)))
+        if find_domain_table(show.subject) is None:
+            message = f"{show.subject.value} can't be shown"
+            return Failure(OperatorFailure(kind=FailureKind.INVALID, message=message))
+        table = await self._gather(Show(subject=show.subject))
+        if show.subject is Subject.CONFIGURATION:
+            table = await self._add_configuration(table)
+        return Success(table)
+
+    async def _explain(self, explain: Explain) -> Result[Table, OperatorFailure]:
+        if explain.kind is ExplainedKind.JOB:
+            table = build_job_explanation(
+                self._fleet_log.state.fleet, explain.identifier
+            )
+            if table is not None:
+                return Success(await self._date(table))
+        elif explain.kind is ExplainedKind.TASK:
+            found = await self._gather(explain)
+            if found.rows:
+                return Success(found)
+        message = f"there is no {explain.kind.value} {explain.identifier}"
+        return Failure(OperatorFailure(kind=FailureKind.NOT_FOUND, message=message))
+
+    async def _date(self, table: Table) -> Table:
+        """Say which position of the fleet's log a table reflects, and if it's old."""
+        log = self._fleet_log
+        return msgspec.structs.replace(
+            table,
+            position=log.position,
+            stale=not log.leads(),
+            note="" if log.leads() else "this instance does not lead the fleet's log",
+        )
+
+    async def _gather(self, statement: Show | Explain) -> Table:
+        """Join what the leaders of all domains answer."""
+        answers: dict[FailureDomain, Table | None] = {}
+        async with trio.open_nursery() as nursery:
+            for domain in self._domains:
+                nursery.start_soon(self._ask_domain, domain, statement, answers)
+        return _join_tables(answers)
+
+    async def _ask_domain(
+        self,
+        domain: FailureDomain,
+        statement: Show | Explain,
+        answers: dict[FailureDomain, Table | None],
+    ) -> None:
+        request = QueryRequest(domain, statement)
+        answers[domain] = None
+        match await self._domains[domain].call(request, DOMAIN_TIMEOUT):
+            case Success(QueryAnswer(table=table)):
+                answers[domain] = table
+
+    def answer_domain(self, request: QueryRequest) -> QueryAnswer | NotLeading:
+        """Answer another controller's query from the domain led here."""
+        view = self._view_domain()
+        if view is None or view.domain != request.domain:
+            return NotLeading()
+        statement = request.statement
+        if isinstance(statement, Explain):
+            table = build_task_explanation(view, statement.identifier)
+            empty = make_table((), ())
+            return QueryAnswer(table=table or empty, found=table is not None)
+        build = find_domain_table(statement.subject)
+        return QueryAnswer(table=build(view) if build else make_table((), ()))
+
+    async def _add_configuration(self, table: Table) -> Table:
+        configuration = self._fleet_log.state.fleet.configuration
+        own = ("", f"controller {self._settings.instance.name}", configuration.version)
+        values = ", ".join(f"{key} = {value}" for key, value in configuration.values.items())
+        note = f"accepted: version {configuration.version}; {values or 'no keys are set'}"
+        columns = table.columns or ("domain", "process", "version")
+        return msgspec.structs.replace(
+            table,
+            columns=columns,
+            rows=(own, *table.rows),
+            note=f"{note}. {table.note}" if table.note else note,
+        )
+
+    def _list_instances(self) -> Table:
+        columns = ("instance", "domain", "region", "fleet_voter", "drained")
+        fleet = self._settings.fleet
+        state = self._fleet_log.state.fleet
+        rows = (
+            (
+                one.name,
+                one.failure_domain,
+                one.region,
+                one.name in fleet.fleet_voters,
+                state.is_drained("instance", one.name),
+            )
+            for one in fleet.instances
+        )
+        return make_table(columns, rows)
+
+    async def _list_domains(self) -> Table:
+        columns = ("domain", "reachable", "workers", "declared_lost")
+        lost = self._fleet_log.state.fleet.lost_domains
+        answers: dict[FailureDomain, Table | None] = {}
+        show = Show(subject=Subject.WORKERS)
+        async with trio.open_nursery() as nursery:
+            for domain in self._domains:
+                nursery.start_soon(self._ask_domain, domain, show, answers)
+        rows = (
+            (name, table is not None, len(table.rows) if table else None, name in lost)
+            for name, table in sorted(answers.items())
+        )
+        return await self._date(make_table(columns, rows))
+
+
+def _join_tables(answers: Mapping[FailureDomain, Table | None]) -> Table:
+    """Join the rows of the domains that answered, and name those that did not."""
+    silent = sorted(domain for domain, table in answers.items() if table is None)
+    tables = [answers[domain] for domain in sorted(answers)]
+    found = [table for table in tables if table is not None and table.columns]
+    note = ""
+    if silent:
+        note = f"no answer from the leader of: {', '.join(silent)}"
+    if not found:
+        return Table(columns=(), rows=(), stale=bool(silent), note=note)
+    rows = tuple(row for table in found for row in table.rows)
+    return Table(
+        columns=found[0].columns, rows=rows, stale=bool(silent), note=note
+    )
+
+
+def _describe_failure(failure: LeaderFailure) -> OperatorFailure:
+    if failure.in_doubt:
+        message = (
+            f"the outcome is not known ({failure.detail}); send the command again"
+            " under the same number to learn it"
+        )
+        return OperatorFailure(kind=FailureKind.UNKNOWN_OUTCOME, message=message)
+    message = f"not accepted: no leader of the fleet's log answered ({failure.detail})"
+    return OperatorFailure(kind=FailureKind.NO_QUORUM, message=message)
--- /dev/null
+++ b/src/rhubarbfield/controller/replicated.py
@@ -0,0 +1,124 @@
+"""A replicated log with its typed state machine, as the controller uses it."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+from typing import Generic, TypeVar
+
+import trio
+from returns.result import Failure, Result, Success
+
+from rhubarbfield.clock import Clock
+from rhubarbfield.exceptions import check_invariant
+from rhubarbfield.machine import Command, Reply, SectionedMachine
+from rhubarbfield.protocol import NotLeading, Unavailable
+from rhubarbfield.replication import (
+    NoQuorum,
+    NotLeader,
+    OutcomeUnknown,
+    Overloaded,
+    ProposeError,
+    Replica,
+)
+from rhubarbfield.types import LogIndex
+
+LEADERSHIP_POLL = timedelta(milliseconds=100)
+
+StateT = TypeVar("StateT")
+
+
+class ReplicatedLog(Generic[StateT]):
+    """One group's log on this instance.
+
+    Parameters
+    ----------
+    replica
+        This instance's replica of the log.
+    machine
+        The state machine that the replica drives.
+    """
+
+    def __init__(self, replica: Replica, machine: SectionedMachine[StateT]) -> None:
+        self.replica = replica
+        self.machine = machine
+        self._changed = trio.Event()
+        machine.watch(self._note_change)
+
+    @property
+    def state(self) -> StateT:
+        """The state as applied on this instance; not to be changed."""
+        return self.machine.state
+
+    @property
+    def position(self) -> LogIndex:
+        """Up to where the log is applied on this instance."""
+        return self.replica.applied
+
+    def leads(self) -> bool:
+        """Return whether no other instance can lead at this moment."""
+        return self.replica.leadership is not None
+
+    async def propose(
+        self, command: Command
+    ) -> Result[Reply, NotLeading | Unavailable]:
+        """Commit ``command`` and return what applying it answered."""
+        proposed = await self.replica.propose(self.machine.encode_command(command))
+        match proposed:
+            case Success(reply):
+                return Success(self.machine.decode_reply(reply))
+            case Failure(error):
+                return Failure(_describe_error(error))
+        raise AssertionError
+
+    async def wait_change(self) -> None:
+        """Wait until one more command has been applied on this instance."""
+        await self._changed.wait()
+
+    def _note_change(self, index: LogIndex, command: Command, reply: Reply) -> None:
+        self._changed.set()
+        self._changed = trio.Event()
+
+
+def _describe_error(error: ProposeError) -> NotLeading | Unavailable:
+    match error:
+        case NotLeader(leader=leader):
+            return NotLeading(leader)
+        case NoQuorum():
+            return Unavailable("too few voters answer", in_doubt=False)
+        case Overloaded(reason=reason):
+            return Unavailable(reason, in_doubt=False)
+        case OutcomeUnknown():
+            return Unavailable("the outcome is not known", in_doubt=True)
+    check_invariant(False, "propose-error-known", error)
+    raise AssertionError
+
+
+async def run_while_leading(
+    log: ReplicatedLog[StateT], body: Callable[[], Awaitable[None]], clock: Clock
+) -> None:
+    """Run ``body`` in each term in which this instance leads ``log``.
+
+    It is cancelled once the term ends, and run anew in the next one.
+
+    Parameters
+    ----------
+    log
+        The log that has to be led.
+    body
+        What a leader does until it is cancelled.
+    clock
+        The time.
+    """
+    while True:
+        leadership = log.replica.leadership
+        if leadership is None:
+            await clock.sleep(LEADERSHIP_POLL)
+            continue
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(body)
+            term = leadership.term
+            while leadership is not None and leadership.term == term:
+                await clock.sleep(LEADERSHIP_POLL)
+                leadership = log.replica.leadership
+            nursery.cancel_scope.cancel()
--- /dev/null
+++ b/src/rhubarbfield/controller/worklog.py
@@ -0,0 +1,258 @@
+"""The domain's log as the sessions of workers see it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+
+from returns.result import Failure, Result, Success
+
+from rhubarbfield.clock import Clock
+from rhubarbfield.controller.machines import DomainState
+from rhubarbfield.controller.orders import OrderFeed, make_start, make_stop
+from rhubarbfield.controller.replicated import ReplicatedLog
+from rhubarbfield.exceptions import check_invariant
+from rhubarbfield.machine import Command, Refused, Reply
+from rhubarbfield.placement import (
+    AddWorker,
+    LoseWorker,
+    ReportAttempts,
+    UpdateWorker,
+    Worker,
+    WorkerAdded,
+)
+from rhubarbfield.placement import AttemptReport as CommittedReport
+from rhubarbfield.placement import Resources as PlacementResources
+from rhubarbfield.protocol import NotLeading as NotLeadingReply
+from rhubarbfield.protocol import Unavailable as UnavailableReply
+from rhubarbfield.types import (
+    AttemptState,
+    Epoch,
+    FailureDomain,
+    InstanceName,
+    LogIndex,
+    WorkerId,
+)
+from rhubarbfield.workers import (
+    Admitted,
+    AttemptReport,
+    CommittedOrder,
+    LiveAttempt,
+    NotLeading,
+    SessionEnded,
+    Unavailable,
+    WorkerHello,
+    WorkerRefused,
+)
+
+RUNNING_STATES = frozenset(
+    {AttemptState.STARTING, AttemptState.RUNNING, AttemptState.EVICTING}
+)
+ATTEMPT_ENDS = {
+    AttemptState.LOST: AttemptState.EVICTED,
+    AttemptState.CANCELLED: AttemptState.EVICTED,
+}
+
+
+class DomainWorkLog:
+    """Maps sessions of workers onto the commands of placement.
+
+    Parameters
+    ----------
+    log
+        The domain's log.
+    feed
+        The orders that the log commits.
+    domain
+        The failure domain; workers of another one are refused.
+    clock
+        The time.
+    find_workers_address
+        Returns ``host:port`` of an instance's port for workers, or an empty
+        text if the instance is not known.
+    """
+
+    def __init__(
+        self,
+        log: ReplicatedLog[DomainState],
+        feed: OrderFeed,
+        domain: FailureDomain,
+        clock: Clock,
+        find_workers_address: Callable[[InstanceName | None], str],
+    ) -> None:
+        self._log = log
+        self._feed = feed
+        self._domain = domain
+        self._clock = clock
+        self._find_address = find_workers_address
+
+    def leads(self) -> bool:
+        """Return whether no other controller can lead at this moment."""
+        return self._log.leads()
+
+    def sessions(self) -> Mapping[WorkerId, Epoch]:
+        """Return the open session of each worker in the log."""
+        workers = self._log.state.work.workers.values()
+        return {worker.worker: worker.epoch for worker in workers if worker.present}
+
+    async def admit(
+        self, hello: WorkerHello
+    ) -> Result[Admitted, NotLeading | Unavailable | WorkerRefused]:
+        """Commit a new session and what the worker says of itself."""
+        if hello.domain != self._domain:
+            return Failure(WorkerRefused(reason=f"this is domain {self._domain}"))
+        known = self._log.state.work.workers.get(hello.worker)
+        same = known is not None and known.incarnation == hello.incarnation
+        if known is not None and known.present and not same:
+            replaced = await self._replace(known, hello)
+            if replaced is not None:
+                return Failure(replaced)
+        added = await self._propose(_make_add(hello, self._clock))
+        match added:
+            case Success(WorkerAdded(epoch=epoch)):
+                await self._update_capacity(hello, epoch)
+                return Success(self._describe_live(hello, epoch, same))
+            case Success(Refused(reason=reason)):
+                return Failure(WorkerRefused(reason=reason))
+            case Failure(failure):
+                return Failure(failure)
+        check_invariant(False, "add-worker-answer-known", added)
+        raise AssertionError
+
+    async def _replace(
+        self, known: Worker, hello: WorkerHello
+    ) -> NotLeading | Unavailable | None:
+        """Commit the end of a worker's former process, on its own word.
+
+        A new process that still has tasks of the former one has not ended
+        them; its former lease must lapse first.
+        """
+        if any(held.state in RUNNING_STATES for held in hello.running):
+            return Unavailable()
+        lost = await self.lose_worker(known.worker, known.epoch)
+        match lost:
+            case Failure(NotLeading() | Unavailable() as failure):
+                return failure
+        return None
+
+    async def _update_capacity(self, hello: WorkerHello, epoch: Epoch) -> None:
+        capacity = _convert_capacity(hello)
+        if self._log.state.work.workers[hello.worker].announced != capacity:
+            await self._propose(
+                UpdateWorker(
+                    at=self._clock.now(),
+                    worker=hello.worker,
+                    epoch=epoch,
+                    capacity=capacity,
+                )
+            )
+
+    def _describe_live(self, hello: WorkerHello, epoch: Epoch, same: bool) -> Admitted:
+        work = self._log.state.work
+        live = []
+        for task_id in work.workers[hello.worker].live.values():
+            start = make_start(work, task_id)
+            task = work.tasks[task_id]
+            if start is None or task.live is None:
+                continue
+            stop = make_stop(task)
+            stopping = task.live.state is AttemptState.EVICTING
+            live.append(
+                LiveAttempt(
+                    start=start,
+                    state=task.live.state,
+                    pending=(stop,) if stopping and stop is not None else (),
+                )
+            )
+        return Admitted(
+            session=epoch,
+            position=self._log.position,
+            same_incarnation=same,
+            live=tuple(live),
+        )
+
+    async def report_attempts(
+        self, worker: WorkerId, session: Epoch, reports: tuple[AttemptReport, ...]
+    ) -> Result[None, NotLeading | Unavailable | SessionEnded]:
+        """Commit the worker's own word on attempts; repeated ones are harmless."""
+        if not self._is_open(worker, session):
+            return Failure(SessionEnded())
+        committed = tuple(
+            CommittedReport(
+                attempt=report.attempt,
+                worker=worker,
+                epoch=session,
+                state=ATTEMPT_ENDS.get(report.state, report.state),
+                checkpoint=report.checkpoint,
+                reason=report.detail,
+            )
+            for report in reports
+        )
+        proposed = await self._propose(
+            ReportAttempts(at=self._clock.now(), reports=committed)
+        )
+        return proposed.map(lambda _: None)
+
+    async def lose_worker(
+        self, worker: WorkerId, session: Epoch
+    ) -> Result[None, NotLeading | Unavailable | SessionEnded]:
+        """Commit that this session of a worker has ended."""
+        if not self._is_open(worker, session):
+            return Failure(SessionEnded())
+        proposed = await self._propose(
+            LoseWorker(
+                at=self._clock.now(),
+                worker=worker,
+                epoch=session,
+                reason="its lease has lapsed or it was started afresh",
+            )
+        )
+        return proposed.map(lambda _: None)
+
+    async def wait_orders(
+        self, worker: WorkerId, session: Epoch, after: LogIndex
+    ) -> Result[tuple[CommittedOrder, ...], NotLeading | Unavailable | SessionEnded]:
+        """Wait for orders committed after ``after`` and return them in order."""
+        while True:
+            if not self._is_open(worker, session):
+                return Failure(SessionEnded())
+            orders = self._feed.list_after(worker, after)
+            if orders is None:
+                return Failure(SessionEnded())
+            if orders:
+                return Success(orders)
+            await self._feed.wait(worker)
+
+    def _is_open(self, worker: WorkerId, session: Epoch) -> bool:
+        known = self._log.state.work.workers.get(worker)
+        return known is not None and known.present and known.epoch == session
+
+    async def _propose(
+        self, command: Command
+    ) -> Result[Reply, NotLeading | Unavailable]:
+        proposed = await self._log.propose(command)
+        match proposed:
+            case Success(reply):
+                return Success(reply)
+            case Failure(NotLeadingReply(leader=leader)):
+                return Failure(NotLeading(leader=self._find_address(leader)))
+            case Failure(UnavailableReply()):
+                return Failure(Unavailable())
+        raise AssertionError
+
+
+def _make_add(hello: WorkerHello, clock: Clock) -> AddWorker:
+    return AddWorker(
+        at=clock.now(),
+        worker=hello.worker,
+        capacity=_convert_capacity(hello),
+        rack=hello.rack,
+        domain=hello.domain,
+        incarnation=hello.incarnation,
+    )
+
+
+def _convert_capacity(hello: WorkerHello) -> PlacementResources:
+    capacity = hello.capacity
+    return PlacementResources.of(
+        capacity.cores, capacity.memory_mb, capacity.accelerators
+    )
--- a/src/rhubarbfield/machine.py
+++ b/src/rhubarbfield/machine.py
@@ -45,6 +45,7 @@
 
 
 StateT = TypeVar("StateT")
+Watcher = Callable[[LogIndex, "Command", "Reply"], None]
 CommandT = TypeVar("CommandT", bound=Command)
 Applier = Callable[[Any, Any], Reply]
 
@@ -110,6 +111,11 @@
         self._replies = msgspec.msgpack.Decoder(Union[(Done, Refused, *reply_types)])
         self._states = msgspec.msgpack.Decoder(state_type)
         self._encoder = msgspec.msgpack.Encoder()
+        self._watchers: list[Watcher] = []
+
+    def watch(self, watcher: Watcher) -> None:
+        """Have ``watcher`` called after each command applied from now on."""
+        self._watchers.append(watcher)
 
     def encode_command(self, command: Command) -> bytes:
         """Return the bytes of ``command`` as the log keeps them."""
@@ -124,6 +130,8 @@
         decoded = self._commands.decode(command)
         name, registry = self._sections[type(decoded)]
         reply = registry.apply(getattr(self.state, name), decoded)
+        for watcher in self._watchers:
+            watcher(index, decoded, reply)
         return self._encoder.encode(reply)
 
     def take_snapshot(self) -> bytes:
--- a/src/rhubarbfield/peering/_bridge.py
+++ b/src/rhubarbfield/peering/_bridge.py
@@ -101,9 +101,18 @@
         return True
 
     async def receive(self) -> msgspec.Struct | None:
-        """Return the next message; None after the end or a bad message."""
+        """Return the next message, or None after the end.
+
+        Raises
+        ------
+        msgspec.MsgspecError
+            If the other side sent what is no message.
+        """
         try:
             message = await aio_as_trio(self._stream.recv_message)()
+        except msgspec.MsgspecError:
+            self._open = False
+            raise
         except TRANSPORT_ERRORS:
             self._open = False
             return None
--- a/src/rhubarbfield/peering/client.py
+++ b/src/rhubarbfield/peering/client.py
@@ -53,7 +53,6 @@
                 return Failure(reached)
             return await self._call(method, request)
         assert scope.cancelled_caught
-        self.close()
         return Failure(CallFailure(CallFailureKind.TIMEOUT, f"no reply in {timeout}"))
 
     async def _reach(self) -> CallFailure | None:
@@ -116,22 +115,33 @@
                 await aio_as_trio(inner.__aexit__)(None, None, None)
 
 
-@asynccontextmanager
-async def connect(
+def open_connection(
     host: str,
     port: int,
     *,
     credentials: Credentials,
     encoding: Encoding = Encoding.MSGPACK,
-) -> AsyncIterator[Connection]:
-    """Yield a connection to ``host``:``port``, closed when the block is left."""
+) -> Connection:
+    """Return a connection to ``host``:``port``; the caller closes it."""
     channel = Channel(
         host,
         port,
         codec=make_codec(encoding),
         ssl=credentials.make_client_context(),
     )
-    connection = Connection(channel, credentials)
+    return Connection(channel, credentials)
+
+
+@asynccontextmanager
+async def connect(
+    host: str,
+    port: int,
+    *,
+    credentials: Credentials,
+    encoding: Encoding = Encoding.MSGPACK,
+) -> AsyncIterator[Connection]:
+    """Yield a connection to ``host``:``port``, closed when the block is left."""
+    connection = open_connection(host, port, credentials=credentials, encoding=encoding)
     try:
         yield connection
     finally:
--- a/src/rhubarbfield/peering/links.py
+++ b/src/rhubarbfield/peering/links.py
@@ -10,6 +10,7 @@
 
 from collections import deque
 from collections.abc import Callable
+from contextlib import suppress
 from datetime import timedelta
 from typing import Any, Generic, TypeVar
 
@@ -101,8 +102,10 @@
                 return
 
     async def _receive_pongs(self, stream: MessageStream) -> None:
-        while await stream.receive() is not None:
-            self._heard_at = trio.current_time()
+        # What is no pong ends the link like silence does.
+        with suppress(msgspec.MsgspecError):
+            while await stream.receive() is not None:
+                self._heard_at = trio.current_time()
 
 
 async def _run_then_cancel(
--- /dev/null
+++ b/src/rhubarbfield/protocol/__init__.py
@@ -0,0 +1,56 @@
+"""What the system's own processes say to each other.
+
+Messages are msgspec structs; the methods name the gRPC paths and the types
+that go each way.
+"""
+
+from rhubarbfield.protocol.calls import (
+    DOMAIN_CALL,
+    FLEET_CALL,
+    QUERY_CALL,
+    NotLeading,
+    QueryAnswer,
+    QueryRequest,
+    Unavailable,
+)
+from rhubarbfield.protocol.entries import (
+    ENTRY_STREAM,
+    ConfigurationUpdate,
+    DirectoryUpdate,
+    EntryHello,
+    EntryLease,
+    EntryOpened,
+    EntryRefused,
+    RenewEntry,
+)
+from rhubarbfield.protocol.forwarding import FORWARD_CALL, ForwardAnswer
+from rhubarbfield.protocol.leaders import LeaderCalls, LeaderFailure
+from rhubarbfield.protocol.packets import REPLICATION_LINK, Packet
+from rhubarbfield.protocol.summaries import SUMMARY_CALL, DomainSummary, WorkerShape
+
+__all__ = [
+    "DOMAIN_CALL",
+    "FLEET_CALL",
+    "QUERY_CALL",
+    "NotLeading",
+    "Unavailable",
+    "QueryRequest",
+    "QueryAnswer",
+    "ENTRY_STREAM",
+    "EntryHello",
+    "RenewEntry",
+    "EntryOpened",
+    "EntryLease",
+    "EntryRefused",
+    "DirectoryUpdate",
+    "ConfigurationUpdate",
+    "FORWARD_CALL",
+    "ForwardAnswer",
+    "LeaderCalls",
+    "LeaderFailure",
+    "SUMMARY_CALL",
+    "DomainSummary",
+    "WorkerShape",
+    "REPLICATION_LINK",
+    "Packet",
+]
--- /dev/null
+++ b/src/rhubarbfield/protocol/calls.py
@@ -0,0 +1,116 @@
+"""Calls that controllers answer."""
+
+from __future__ import annotations
+
+from typing import Union
+
+import msgspec
+
+from rhubarbfield.fleet import FLEET_REPLY_TYPES, fleet_commands
+from rhubarbfield.language import Explain, Show, Table
+from rhubarbfield.machine import Done, Refused
+from rhubarbfield.ownership import (
+    OWNERSHIP_REPLIES,
+    AssignServer,
+    EndEntrySession,
+    ForgetServer,
+    ReleaseServer,
+    SetServerState,
+    SettleServer,
+    UpdateServer,
+)
+from rhubarbfield.peering import CallMethod
+from rhubarbfield.records import (
+    RECORD_REPLIES,
+    BeginRequest,
+    ClearRequest,
+    FinishRequest,
+)
+from rhubarbfield.types import FailureDomain, InstanceName
+
+
+class NotLeading(msgspec.Struct, frozen=True, tag=True):
+    """The controller asked does not lead the group; nothing was done.
+
+    Attributes
+    ----------
+    leader
+        Whom to ask instead, if known.
+    """
+
+    leader: InstanceName | None = None
+
+
+class Unavailable(msgspec.Struct, frozen=True, tag=True):
+    """The group could not decide in time.
+
+    Attributes
+    ----------
+    reason
+        A sentence for a person.
+    in_doubt
+        Whether the command may still have its effect.
+    """
+
+    reason: str
+    in_doubt: bool
+
+
+class QueryRequest(msgspec.Struct, frozen=True, tag=True):
+    """An operator's query, passed on to the leader of a failure domain."""
+
+    domain: FailureDomain
+    statement: Show | Explain
+
+
+class QueryAnswer(msgspec.Struct, frozen=True, tag=True):
+    """One failure domain's part of the answer to a query.
+
+    Attributes
+    ----------
+    table
+        All rows that this domain has.
+    found
+        False if what was to be explained is not known here.
+    """
+
+    table: Table
+    found: bool = True
+
+
+DomainCommand = (
+    AssignServer
+    | ReleaseServer
+    | ForgetServer
+    | SetServerState
+    | SettleServer
+    | UpdateServer
+    | EndEntrySession
+    | BeginRequest
+    | FinishRequest
+    | ClearRequest
+)
+
+DOMAIN_CALL = CallMethod(
+    "/rhubarbfield.Controller/Domain",
+    DomainCommand,
+    Union[(Done, Refused, *OWNERSHIP_REPLIES, *RECORD_REPLIES, NotLeading, Unavailable)],
+)
+FLEET_CALL = CallMethod(
+    "/rhubarbfield.Controller/Fleet",
+    Union[fleet_commands.command_types],
+    Union[(Done, Refused, *FLEET_REPLY_TYPES, NotLeading, Unavailable)],
+)
+QUERY_CALL = CallMethod(
+    "/rhubarbfield.Controller/Query", QueryRequest, QueryAnswer | NotLeading
+)
+
+__all__ = [
+    "DOMAIN_CALL",
+    "FLEET_CALL",
+    "QUERY_CALL",
+    "NotLeading",
+    "QueryAnswer",
+    "QueryRequest",
+    "Unavailable",
+]
--- /dev/null
+++ b/src/rhubarbfield/protocol/leaders.py
@@ -0,0 +1,137 @@
+"""Finding the leader of a group and asking it."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Mapping
+from datetime import timedelta
+from typing import Any
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from rhubarbfield.clock import Clock
+from rhubarbfield.peering import (
+    CallFailure,
+    CallFailureKind,
+    CallMethod,
+    Connection,
+    Credentials,
+    open_connection,
+)
+from rhubarbfield.protocol.calls import NotLeading, Unavailable
+from rhubarbfield.types import InstanceName
+
+RETRY_DELAY = timedelta(milliseconds=100)
+ATTEMPT_TIMEOUT = timedelta(milliseconds=1500)
+RETIRED_FOR = timedelta(seconds=10)
+
+
+class LeaderFailure(msgspec.Struct, frozen=True, kw_only=True):
+    """No leader answered in time.
+
+    Attributes
+    ----------
+    detail
+        A sentence for a person.
+    in_doubt
+        Whether what was asked may still have its effect.
+    """
+
+    detail: str
+    in_doubt: bool
+
+
+class LeaderCalls:
+    """Asks whoever leads a group, and remembers who that is.
+
+    Parameters
+    ----------
+    method
+        The call.
+    members
+        Host and port of each instance that may lead.
+    credentials
+        What this process presents.
+    clock
+        The time.
+    """
+
+    def __init__(
+        self,
+        method: CallMethod,
+        members: Mapping[InstanceName, tuple[str, int]],
+        credentials: Credentials,
+        clock: Clock,
+    ) -> None:
+        self._method = method
+        self._members = dict(members)
+        self._credentials = credentials
+        self._clock = clock
+        self._connections: dict[InstanceName, Connection] = {}
+        self._retired: deque[tuple[timedelta, Connection]] = deque()
+        self._leader = next(iter(self._members))
+
+    async def call(
+        self, request: Any, timeout: timedelta
+    ) -> Result[Any, LeaderFailure]:
+        """Return the leader's reply to ``request``.
+
+        A request is repeated only while it certainly had no effect, or when
+        repeating it is harmless because every command this is used for is
+        idempotent; a failure says whether it may have had one.
+        """
+        ends = self._clock.monotonic() + timeout
+        in_doubt = False
+        detail = "no leader was found"
+        while (left := ends - self._clock.monotonic()) > timedelta():
+            connection = self._get_connection(self._leader)
+            reply = await connection.call(
+                self._method, request, min(left, ATTEMPT_TIMEOUT)
+            )
+            match reply:
+                case Success(NotLeading(leader=leader)):
+                    self._follow(leader)
+                case Success(Unavailable(reason=reason, in_doubt=doubt)):
+                    detail = reason
+                    in_doubt = in_doubt or doubt
+                case Success(answer):
+                    return Success(answer)
+                case Failure(failure):
+                    detail = failure.detail
+                    in_doubt = in_doubt or _is_in_doubt(failure)
+                    self._retire(self._leader)
+                    self._follow(None)
+            await self._clock.sleep(min(left, RETRY_DELAY))
+        return Failure(LeaderFailure(detail=detail, in_doubt=in_doubt))
+
+    def _follow(self, leader: InstanceName | None) -> None:
+        if leader in self._members and leader != self._leader:
+            self._leader = leader
+            return
+        names = list(self._members)
+        self._leader = names[(names.index(self._leader) + 1) % len(names)]
+
+    def _get_connection(self, name: InstanceName) -> Connection:
+        connection = self._connections.get(name)
+        if connection is None:
+            host, port = self._members[name]
+            connection = open_connection(host, port, credentials=self._credentials)
+            self._connections[name] = connection
+        return connection
+
+    def _retire(self, name: InstanceName) -> None:
+        """Use a connection no more that may have gone silent.
+
+        Calls that others have on it are given time to end.
+        """
+        now = self._clock.monotonic()
+        connection = self._connections.pop(name, None)
+        if connection is not None:
+            self._retired.append((now, connection))
+        while self._retired and self._retired[0][0] + RETIRED_FOR < now:
+            self._retired.popleft()[1].close()
+
+
+def _is_in_doubt(failure: CallFailure) -> bool:
+    return failure.kind is CallFailureKind.TIMEOUT
--- a/tests/test_machine.py
+++ b/tests/test_machine.py
@@ -69,3 +69,10 @@
         other.restore(machine.take_snapshot())
         self.assertEqual(other.state, machine.state)
         self.assertNotIsInstance(self.apply(other, 1), Done)
+
+    def test_watchers_see_each_command_with_its_reply(self) -> None:
+        machine = make_machine()
+        seen: list[tuple[int, Command, Reply]] = []
+        machine.watch(lambda *applied: seen.append(applied))
+        self.apply(machine, 2)
+        self.assertEqual(seen, [(1, Add(amount=2), Total(total=2))])
