--- /dev/null
+++ b/src/rhubarbfield/replication/__init__.py
@@ -0,0 +1,49 @@
+"""The replicated log: one leader a term, leases, snapshots, repair."""
+
+from rhubarbfield.replication.applier import Machine
+from rhubarbfield.replication.failures import (
+    ChangeError,
+    NoQuorum,
+    NotLeader,
+    OutcomeUnknown,
+    Overloaded,
+    ProposeError,
+    Unsafe,
+)
+from rhubarbfield.replication.leader import Leadership
+from rhubarbfield.replication.membership import Membership
+from rhubarbfield.replication.messages import (
+    MalformedMessage,
+    ReplicationMessage,
+    decode_message,
+    encode_message,
+)
+from rhubarbfield.replication.replica import Replica
+from rhubarbfield.replication.settings import GroupSettings
+from rhubarbfield.replication.state import MessageSender, Role
+from rhubarbfield.replication.status import MemberStatus, ReplicaStatus
+from rhubarbfield.storage import ReplicaId
+
+__all__ = [
+    "Replica",
+    "ReplicaId",
+    "GroupSettings",
+    "Machine",
+    "MessageSender",
+    "Leadership",
+    "Membership",
+    "Role",
+    "ReplicaStatus",
+    "MemberStatus",
+    "ProposeError",
+    "ChangeError",
+    "NotLeader",
+    "NoQuorum",
+    "OutcomeUnknown",
+    "Overloaded",
+    "Unsafe",
+    "ReplicationMessage",
+    "MalformedMessage",
+    "decode_message",
+    "encode_message",
+]
--- /dev/null
+++ b/src/rhubarbfield/replication/applier.py
@@ -0,0 +1,153 @@
+"""Applying committed entries to the machine, and taking snapshots."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from typing import Protocol
+
+import trio
+
+from rhubarbfield.exceptions import check_invariant
+from rhubarbfield.replication.log import encode_membership
+from rhubarbfield.replication.proposals import Proposals
+from rhubarbfield.replication.state import ReplicaState
+from rhubarbfield.storage import Entry, EntryKind, LogPosition, Snapshot
+from rhubarbfield.types import LogIndex
+
+ENTRIES_A_TURN = 128
+SNAPSHOT_RETRY_ENTRIES = 100
+
+
+class Machine(Protocol):
+    """The deterministic state machine that a log drives."""
+
+    def apply(self, index: LogIndex, command: bytes) -> bytes:
+        """Apply the command at ``index`` and return its reply."""
+
+    def take_snapshot(self) -> bytes:
+        """Return the whole state."""
+
+    def restore(self, snapshot: bytes) -> None:
+        """Replace the whole state by that of a snapshot."""
+
+
+class Applier:
+    """The part of a replica that drives the machine.
+
+    Parameters
+    ----------
+    state
+        The replica's state.
+    machine
+        What is driven.
+    proposals
+        Told the reply to each command.
+    """
+
+    def __init__(
+        self, state: ReplicaState, machine: Machine, proposals: Proposals
+    ) -> None:
+        self._state = state
+        self._machine = machine
+        self._proposals = proposals
+        self._waiting: list[tuple[LogIndex, int, trio.Event]] = []
+        self._ticket = itertools.count()
+        self._current_at: LogIndex | None = None
+        self._snapshot_due = state.settings.snapshot_after
+        self.applied = LogIndex(0)
+        self.is_current = False
+        self.became_current = trio.Event()
+        if state.log.snapshot is not None:
+            self.restore(state.log.snapshot)
+
+    async def run(self) -> None:
+        """Apply entries as they are committed, until cancelled."""
+        state = self._state
+        while True:
+            self._apply_some()
+            if self.applied < state.log.commit:
+                await trio.lowlevel.checkpoint()
+            else:
+                await state.commit_advanced.wait()
+
+    def restore(self, snapshot: Snapshot) -> None:
+        """Put the machine at a snapshot, which must be ahead of it."""
+        index = snapshot.position.index
+        check_invariant(
+            index > self.applied, "applied-only-grows", (self.applied, index)
+        )
+        self._machine.restore(snapshot.data)
+        self._set_applied(index)
+        self._snapshot_due = index + self._state.settings.snapshot_after
+
+    def expect_current(self, commit: LogIndex) -> None:
+        """Learn that the leader has settled and committed up to ``commit``."""
+        if self._current_at is None:
+            self._current_at = commit
+        self._note_current()
+
+    async def wait_applied(self, index: LogIndex) -> None:
+        """Wait until the entry at ``index`` is applied."""
+        if self.applied >= index:
+            await trio.lowlevel.checkpoint()
+            return
+        event = trio.Event()
+        heapq.heappush(self._waiting, (index, next(self._ticket), event))
+        await event.wait()
+
+    def _apply_some(self) -> None:
+        log = self._state.log
+        until = min(log.commit, self.applied + ENTRIES_A_TURN)
+        while self.applied < until:
+            entry = log.get_entry(LogIndex(self.applied + 1))
+            check_invariant(
+                entry.index == self.applied + 1,
+                "applied-in-order",
+                (self.applied, entry.index),
+            )
+            reply = self._apply(entry)
+            self._set_applied(entry.index)
+            self._proposals.settle(entry, reply)
+        if self.applied >= self._snapshot_due:
+            self._take_snapshot()
+
+    def _apply(self, entry: Entry) -> bytes:
+        if entry.kind is EntryKind.COMMAND:
+            return self._machine.apply(entry.index, entry.data)
+        return b""
+
+    def _set_applied(self, index: LogIndex) -> None:
+        self.applied = index
+        while self._waiting and self._waiting[0][0] <= index:
+            heapq.heappop(self._waiting)[2].set()
+        self._note_current()
+
+    def _note_current(self) -> None:
+        if self._current_at is not None and self.applied >= self._current_at:
+            self.is_current = True
+            self.became_current.set()
+
+    def _take_snapshot(self) -> None:
+        state = self._state
+        log = state.log
+        term = log.find_term(self.applied)
+        membership = log.get_membership_at(self.applied)
+        check_invariant(
+            term is not None and membership is not None,
+            "snapshot-of-known-entry",
+            (self.applied, log.base, log.last),
+        )
+        if term is None or membership is None:
+            return
+        position = LogPosition(self.applied, term)
+        data = self._machine.take_snapshot()
+        snapshot = Snapshot(position, encode_membership(membership), data)
+        first_kept = max(log.base.index, self.applied - state.settings.kept_entries)
+        base_term = log.find_term(LogIndex(first_kept))
+        if base_term is None:
+            return
+        base = LogPosition(LogIndex(first_kept), base_term)
+        saved = state.persist(log.compact(snapshot, base))
+        wait = state.settings.snapshot_after if saved else SNAPSHOT_RETRY_ENTRIES
+        self._snapshot_due = self.applied + wait
--- /dev/null
+++ b/src/rhubarbfield/replication/changes.py
@@ -0,0 +1,180 @@
+"""Changes of who votes, one at a time and through the log."""
+
+from __future__ import annotations
+
+import logging
+from datetime import timedelta
+
+from returns.result import Failure, Result, Success
+
+from rhubarbfield.replication.failures import (
+    ChangeError,
+    NoQuorum,
+    NotLeader,
+    Overloaded,
+    Unsafe,
+)
+from rhubarbfield.replication.leader import Leader
+from rhubarbfield.replication.log import encode_membership
+from rhubarbfield.replication.membership import MAX_VOTERS, Membership, Quorum
+from rhubarbfield.replication.proposals import Proposal
+from rhubarbfield.replication.state import ReplicaState
+from rhubarbfield.storage import EntryKind, ReplicaId
+from rhubarbfield.types import InstanceName
+
+logger = logging.getLogger(__name__)
+
+MIN_VOTERS = 1
+
+
+class MembershipChanges:
+    """Changes the voters of the group that a leader leads.
+
+    A change is one log entry. It is committed by majorities of both the
+    voters before it and those after it; until then elections need both.
+
+    Parameters
+    ----------
+    state
+        The leader's state.
+    leader
+        The leader.
+    """
+
+    def __init__(self, state: ReplicaState, leader: Leader) -> None:
+        self._state = state
+        self._leader = leader
+
+    async def run(self) -> None:
+        """Give returned voters their place back, until cancelled."""
+        while True:
+            await self._state.clock.sleep(self._state.settings.heartbeat)
+            self._swap_returned()
+
+    async def replace_voter(
+        self, old: InstanceName, new: InstanceName
+    ) -> Result[None, ChangeError]:
+        """Let the learner called ``new`` vote in place of ``old``."""
+        voter = self._find_voter(old)
+        learner = self._find_learner(new)
+        if voter is None:
+            return Failure(Unsafe(f"{old} is not a voter"))
+        if learner is None:
+            return Failure(Unsafe(f"{new} is not a learner"))
+        return await self._change(voter, learner)
+
+    async def add_voter(self, name: InstanceName) -> Result[None, ChangeError]:
+        """Let a learner vote, besides the voters there are."""
+        learner = self._find_learner(name)
+        if learner is None:
+            return Failure(Unsafe(f"{name} is not a learner"))
+        return await self._change(None, learner)
+
+    async def remove_member(self, name: InstanceName) -> Result[None, ChangeError]:
+        """Take the vote from a voter, or forget a learner."""
+        voter = self._find_voter(name)
+        if voter is not None:
+            return await self._change(voter, None)
+        if self._leader.drop_learner(name):
+            return Success(None)
+        return Failure(Unsafe(f"{name} is not a member"))
+
+    def _find_voter(self, name: InstanceName) -> ReplicaId | None:
+        membership = self._state.log.membership
+        return membership.find_voter(name) if membership is not None else None
+
+    def _find_learner(self, name: InstanceName) -> ReplicaId | None:
+        voters = self._state.log.quorum.voters
+        learners = (peer for peer in self._leader.peers if peer not in voters)
+        return next((peer for peer in learners if peer.name == name), None)
+
+    async def _change(
+        self, old: ReplicaId | None, new: ReplicaId | None
+    ) -> Result[None, ChangeError]:
+        started = self._start_change(old, new)
+        if isinstance(started, Failure):
+            return started
+        outcome = await started.unwrap().wait()
+        if isinstance(outcome, Success):
+            return Success(None)
+        failure = outcome.failure()
+        if isinstance(failure, Overloaded):
+            return Failure(Unsafe(failure.reason))
+        return Failure(failure)
+
+    def _start_change(
+        self, old: ReplicaId | None, new: ReplicaId | None
+    ) -> Result[Proposal, ChangeError]:
+        state = self._state
+        before = state.log.membership
+        if before is None or not self._leader.is_active:
+            return Failure(NotLeader(None))
+        after = before.replace(old, new)
+        refusal = self._find_refusal(before, after, new)
+        if refusal is not None:
+            return Failure(refusal)
+        deadline = state.now + state.settings.propose_timeout
+        data = encode_membership(after)
+        proposal = Proposal(EntryKind.MEMBERSHIP, data, deadline)
+        if not self._leader.append([proposal]):
+            return Failure(Unsafe("the leader cannot write to its storage"))
+        logger.info("voters-changed group=%s voters=%s", state.group, after.voters)
+        return Success(proposal)
+
+    def _find_refusal(
+        self, before: Membership, after: Membership, new: ReplicaId | None
+    ) -> ChangeError | None:
+        leader = self._leader
+        if leader.get_leadership() is None:
+            return NoQuorum()
+        rules = (
+            (
+                not self._state.log.has_uncommitted_change,
+                "another change of voters is not committed yet",
+            ),
+            (
+                MIN_VOTERS <= len(after.voters) <= MAX_VOTERS,
+                f"a group has {MIN_VOTERS} to {MAX_VOTERS} voters",
+            ),
+            (
+                new is None or leader.is_caught_up(new),
+                "the new voter has not caught up with the log",
+            ),
+            (
+                Quorum((before,)).is_reached(leader.is_in_contact),
+                "too few of the present voters answer",
+            ),
+            (
+                Quorum((after,)).is_reached(leader.is_caught_up),
+                "too few of the new voters answer and have caught up",
+            ),
+        )
+        broken = (reason for holds, reason in rules if not holds)
+        return next((Unsafe(reason) for reason in broken), None)
+
+    def _swap_returned(self) -> None:
+        """Swap in the first voter that returned with another incarnation."""
+        state = self._state
+        membership = state.log.membership
+        if membership is None:
+            return
+        for voter in membership.voters:
+            learner = self._find_learner(voter.name)
+            if learner is None or self._is_heard(voter):
+                continue
+            result = self._start_change(voter, learner)
+            if isinstance(result, Success):
+                return
+            logger.info(
+                "swap-refused group=%s name=%s reason=%s",
+                state.group,
+                voter.name,
+                result.failure(),
+            )
+
+    def _is_heard(self, voter: ReplicaId) -> bool:
+        peer = self._leader.peers.get(voter)
+        silence: timedelta = self._state.settings.lease
+        return voter == self._state.id or (
+            peer is not None and self._state.now - peer.last_contact <= silence
+        )
--- /dev/null
+++ b/src/rhubarbfield/replication/election.py
@@ -0,0 +1,179 @@
+"""Asking for votes and giving them."""
+
+from __future__ import annotations
+
+import logging
+from datetime import timedelta
+
+from rhubarbfield.exceptions import check_invariant
+from rhubarbfield.replication.messages import (
+    PreVote,
+    PreVoteAnswer,
+    Vote,
+    VoteAnswer,
+)
+from rhubarbfield.replication.state import ReplicaState, Role
+from rhubarbfield.storage import LogPosition, ReplicaId
+from rhubarbfield.types import Term
+
+logger = logging.getLogger(__name__)
+
+
+class Election:
+    """The part of a replica that elects leaders.
+
+    A voter that misses its leader first asks whether it would get the votes,
+    and enters a new term only if it would: a replica that was cut off does
+    not disturb a healthy leader when it returns.
+
+    Parameters
+    ----------
+    state
+        The replica's state.
+    """
+
+    def __init__(self, state: ReplicaState) -> None:
+        self._state = state
+        self._granted: set[ReplicaId] = set()
+
+    async def run(self) -> None:
+        """Watch the leader until cancelled."""
+        state = self._state
+        while True:
+            await state.clock.sleep(max(state.election_due - state.now, timedelta()))
+            if state.now < state.election_due:
+                continue
+            if state.is_leader or not state.is_voter:
+                state.postpone_election()
+            else:
+                self._ask_for_pre_votes()
+
+    def _ask_for_pre_votes(self) -> None:
+        state = self._state
+        state.role = Role.PRE_CANDIDATE
+        state.leader = None
+        self._granted = {state.id}
+        self._schedule_retry()
+        for voter in self._iterate_others():
+            request = PreVote(
+                source=state.id,
+                target=voter.incarnation,
+                term=state.term,
+                last=state.log.last,
+            )
+            state.send(voter.name, request)
+        self._count_votes()
+
+    def _schedule_retry(self) -> None:
+        state = self._state
+        wait = state.settings.heartbeat * state.random.uniform(1, 4)
+        state.election_due = state.now + wait
+
+    def _iterate_others(self) -> list[ReplicaId]:
+        voters = self._state.log.quorum.voters
+        return [voter for voter in voters if voter != self._state.id]
+
+    def _count_votes(self) -> None:
+        state = self._state
+        if not state.log.quorum.is_reached(self._granted.__contains__):
+            return
+        if state.role is Role.PRE_CANDIDATE:
+            self._ask_for_votes()
+        else:
+            check_invariant(
+                state.role is Role.CANDIDATE, "only-candidates-win", state.role
+            )
+            logger.info("elected group=%s term=%d", state.group, state.term)
+            state.lead()
+
+    def _ask_for_votes(self) -> None:
+        state = self._state
+        term = Term(state.term + 1)
+        if not state.persist(state.log.save_vote(term, state.id)):
+            state.step_down()
+            return
+        state.role = Role.CANDIDATE
+        self._granted = {state.id}
+        self._schedule_retry()
+        for voter in self._iterate_others():
+            request = Vote(
+                source=state.id,
+                target=voter.incarnation,
+                term=term,
+                last=state.log.last,
+            )
+            state.send(voter.name, request)
+        self._count_votes()
+
+    def on_pre_vote(self, message: PreVote) -> None:
+        """Say whether a vote would be granted; promise nothing."""
+        state = self._state
+        granted = (
+            not self._is_bound()
+            and message.term >= state.term
+            and self._is_recent_enough(message.last)
+        )
+        answer = PreVoteAnswer(
+            source=state.id,
+            target=message.source.incarnation,
+            term=state.term,
+            asked_term=message.term,
+            granted=granted,
+        )
+        state.send(message.source.name, answer)
+
+    def on_pre_vote_answer(self, message: PreVoteAnswer) -> None:
+        """Count a pre-vote."""
+        state = self._state
+        if state.role is not Role.PRE_CANDIDATE or message.asked_term != state.term:
+            return
+        if message.term > state.term:
+            state.observe_term(message.term)
+        elif message.granted:
+            self._granted.add(message.source)
+            self._count_votes()
+
+    def on_vote(self, message: Vote) -> None:
+        """Vote, or refuse."""
+        state = self._state
+        granted = not self._is_bound() and self._grant(message)
+        answer = VoteAnswer(
+            source=state.id,
+            target=message.source.incarnation,
+            term=state.term,
+            asked_term=message.term,
+            granted=granted,
+        )
+        state.send(message.source.name, answer)
+
+    def on_vote_answer(self, message: VoteAnswer) -> None:
+        """Count a vote."""
+        state = self._state
+        if state.role is not Role.CANDIDATE or message.asked_term != state.term:
+            return
+        if message.granted:
+            self._granted.add(message.source)
+            self._count_votes()
+        else:
+            state.observe_term(message.term)
+
+    def _is_bound(self) -> bool:
+        state = self._state
+        return state.is_leader or state.now < state.refuse_votes_until
+
+    def _is_recent_enough(self, last: LogPosition) -> bool:
+        own = self._state.log.last
+        return (last.term, last.index) >= (own.term, own.index)
+
+    def _grant(self, message: Vote) -> bool:
+        state = self._state
+        if message.term < state.term or not state.observe_term(message.term):
+            return False
+        if state.log.hard_state.vote not in {None, message.source}:
+            return False
+        if not self._is_recent_enough(message.last):
+            return False
+        if not state.persist(state.log.save_vote(message.term, message.source)):
+            return False
+        state.step_down()
+        return True
--- /dev/null
+++ b/src/rhubarbfield/replication/leader.py
@@ -0,0 +1,277 @@
+"""Leading a group for one term."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Sequence
+from datetime import timedelta
+
+import msgspec
+import trio
+
+from rhubarbfield.replication.applier import Applier
+from rhubarbfield.replication.messages import AppendAnswer, InstallSnapshotAnswer
+from rhubarbfield.replication.peer import Peer
+from rhubarbfield.replication.proposals import Proposal, Proposals
+from rhubarbfield.replication.state import LONG_AGO, ReplicaState
+from rhubarbfield.storage import Entry, EntryKind, ReplicaId
+from rhubarbfield.types import InstanceName, LogIndex, Term
+
+logger = logging.getLogger(__name__)
+
+LEARNER_SILENCE = timedelta(seconds=30)
+
+
+class Leadership(msgspec.Struct, frozen=True):
+    """The right to act as leader, for a while.
+
+    Attributes
+    ----------
+    term
+        The leader's term; put it on every effect as its epoch.
+    valid_until
+        The monotonic time at which the right ends unless it is renewed.
+    """
+
+    term: Term
+    valid_until: timedelta
+
+
+class Leader:
+    """The part of a replica that leads.
+
+    Parameters
+    ----------
+    state
+        The replica's state, just elected.
+    applier
+        Tells what is applied.
+    proposals
+        What is to be appended.
+    """
+
+    def __init__(
+        self, state: ReplicaState, applier: Applier, proposals: Proposals
+    ) -> None:
+        self._state = state
+        self._applier = applier
+        self._proposals = proposals
+        self._elected_at = state.now
+        self._term = state.term
+        self._settled_at = LogIndex(state.log.last.index + 1)
+        self._scopes: dict[ReplicaId, trio.CancelScope] = {}
+        self._nursery: trio.Nursery | None = None
+        self.peers: dict[ReplicaId, Peer] = {}
+
+    async def run(self) -> None:
+        """Lead until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            no_operation = Proposal(EntryKind.NO_OPERATION, b"", timedelta.max)
+            if not self.append([no_operation]):
+                self._state.step_down()
+                return
+            nursery.start_soon(self._append_proposals)
+            nursery.start_soon(self._beat)
+
+    @property
+    def is_active(self) -> bool:
+        """Whether the replica still leads the term that this is for."""
+        return self._state.is_leader and self._state.term == self._term
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether an entry of this term is committed."""
+        return self._state.log.commit >= self._settled_at
+
+    def get_leadership(self) -> Leadership | None:
+        """Return the lease as it stands now, or None."""
+        state = self._state
+        if not self.is_active or self._applier.applied < self._settled_at:
+            return None
+        until = self._find_lease_end()
+        if state.now >= until:
+            return None
+        # Whoever is shown this may count on it until then.
+        state.promise_leader(until)
+        return Leadership(state.term, until)
+
+    def append(self, proposals: Sequence[Proposal]) -> bool:
+        """Append proposals to the log and start to replicate them."""
+        state = self._state
+        first = state.log.last.index + 1
+        entries = [
+            Entry(LogIndex(index), state.term, proposal.kind, proposal.data)
+            for index, proposal in enumerate(proposals, first)
+        ]
+        if not state.persist(state.log.append(entries)):
+            return False
+        for entry, proposal in zip(entries, proposals, strict=True):
+            self._proposals.track(entry, proposal)
+        self._start_peers()
+        self._advance_commit()
+        for peer in self.peers.values():
+            peer.wake()
+        return True
+
+    def add_learner(self, learner: ReplicaId) -> bool:
+        """Start to replicate to a replica that does not vote."""
+        if learner in self.peers:
+            return True
+        voters = self._state.log.quorum.voters
+        learners = [peer for peer in self.peers if peer not in voters]
+        for other in learners:
+            if other.name == learner.name:
+                self._stop_peer(other)
+        if len(learners) >= self._state.settings.max_learners:
+            return False
+        self._start_peer(learner)
+        return True
+
+    def drop_learner(self, name: InstanceName) -> bool:
+        """Stop replicating to the learner called ``name``."""
+        voters = self._state.log.quorum.voters
+        found = [peer for peer in self.peers if peer.name == name]
+        dropped = [peer for peer in found if peer not in voters]
+        for peer in dropped:
+            self._stop_peer(peer)
+        return bool(dropped)
+
+    def is_in_contact(self, replica_id: ReplicaId) -> bool:
+        """Say whether a replica answered within the last lease."""
+        state = self._state
+        if replica_id == state.id:
+            return True
+        peer = self.peers.get(replica_id)
+        return peer is not None and (
+            state.now - peer.last_contact <= state.settings.lease
+        )
+
+    def is_caught_up(self, replica_id: ReplicaId) -> bool:
+        """Say whether a replica lately had all that is committed."""
+        if replica_id == self._state.id:
+            return True
+        peer = self.peers.get(replica_id)
+        return (
+            peer is not None
+            and self.is_in_contact(replica_id)
+            and peer.match_index >= self._state.log.commit
+        )
+
+    def on_append_answer(self, message: AppendAnswer) -> None:
+        """Hear a peer."""
+        peer = self.peers.get(message.source)
+        if peer is not None and self._is_answer_to_this(message):
+            peer.on_append_answer(message)
+            self._advance_commit()
+
+    def on_install_answer(self, message: InstallSnapshotAnswer) -> None:
+        """Hear a peer that installs a snapshot."""
+        peer = self.peers.get(message.source)
+        if peer is not None and self._is_answer_to_this(message):
+            peer.on_install_answer(message)
+            self._advance_commit()
+
+    def _is_answer_to_this(self, message: AppendAnswer | InstallSnapshotAnswer) -> bool:
+        return self.is_active and message.asked_term == message.term == self._term
+
+    async def _append_proposals(self) -> None:
+        while True:
+            await self._proposals.queued.wait()
+            taken = self._proposals.take()
+            if taken and not self.append(taken):
+                self._state.step_down()
+
+    async def _beat(self) -> None:
+        state = self._state
+        while True:
+            for peer in self.peers.values():
+                peer.beat()
+            self._proposals.expire(state.now)
+            self._drop_silent_learners()
+            await state.clock.sleep(state.settings.heartbeat)
+            grace = self._elected_at + state.settings.lease
+            if state.now > max(grace, self._find_lease_end()):
+                logger.warning("quorum-lost group=%s term=%d", state.group, state.term)
+                state.step_down()
+
+    def _find_lease_end(self) -> timedelta:
+        state = self._state
+        heard = state.log.quorum.find_agreed(self._get_acknowledged)
+        return heard + state.settings.holder_lease
+
+    def _get_acknowledged(self, voter: ReplicaId) -> timedelta:
+        if voter == self._state.id:
+            return self._state.now
+        peer = self.peers.get(voter)
+        return LONG_AGO if peer is None else peer.acknowledged_sent
+
+    def _get_match(self, voter: ReplicaId) -> LogIndex:
+        if voter == self._state.id:
+            return self._state.log.last.index
+        peer = self.peers.get(voter)
+        return LogIndex(0) if peer is None else peer.match_index
+
+    def _advance_commit(self) -> None:
+        state = self._state
+        log = state.log
+        agreed = log.quorum.find_agreed(self._get_match)
+        if agreed <= log.commit or log.find_term(agreed) != state.term:
+            return
+        had_change = log.has_uncommitted_change
+        log.advance_commit(agreed)
+        state.commit_advanced.set()
+        if self.is_settled:
+            self._applier.expect_current(log.commit)
+            for peer in self.peers.values():
+                peer.settled = True
+        if had_change and not log.has_uncommitted_change:
+            self._finish_change()
+
+    def _finish_change(self) -> None:
+        """Make a committed membership known at once, here and at the peers."""
+        state = self._state
+        state.persist(state.log.save_commit())
+        voters = state.log.quorum.voters
+        names = {voter.name for voter in voters}
+        for replica_id in list(self.peers):
+            if replica_id not in voters and replica_id.name in names:
+                self._stop_peer(replica_id)
+        for peer in self.peers.values():
+            peer.beat()
+        if not state.is_voter:
+            state.step_down()
+
+    def _start_peers(self) -> None:
+        for voter in self._state.log.quorum.voters:
+            if voter != self._state.id and voter not in self.peers:
+                self._start_peer(voter)
+
+    def _start_peer(self, replica_id: ReplicaId) -> None:
+        state = self._state
+        peer = Peer(state, replica_id, LogIndex(state.log.last.index + 1))
+        peer.settled = self.is_settled
+        self.peers[replica_id] = peer
+        scope = self._scopes[replica_id] = trio.CancelScope()
+        if self._nursery is not None:
+            self._nursery.start_soon(self._run_peer, peer, scope)
+
+    async def _run_peer(self, peer: Peer, scope: trio.CancelScope) -> None:
+        with scope:
+            await peer.run()
+
+    def _stop_peer(self, replica_id: ReplicaId) -> None:
+        del self.peers[replica_id]
+        self._scopes.pop(replica_id).cancel()
+
+    def _drop_silent_learners(self) -> None:
+        voters = self._state.log.quorum.voters
+        now = self._state.now
+        silent = [
+            peer.id
+            for peer in self.peers.values()
+            if peer.id not in voters
+            and now - max(peer.last_contact, peer.added_at) > LEARNER_SILENCE
+        ]
+        for replica_id in silent:
+            self._stop_peer(replica_id)
--- /dev/null
+++ b/src/rhubarbfield/replication/log.py
@@ -0,0 +1,258 @@
+"""The log of one replica: what is stored, kept in memory for reading."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+import msgspec
+from returns.result import Result
+
+from rhubarbfield.exceptions import check_invariant
+from rhubarbfield.replication.membership import Membership, PlacedMembership, Quorum
+from rhubarbfield.storage import (
+    Entry,
+    EntryKind,
+    HardState,
+    LogPosition,
+    LogStore,
+    ReplicaId,
+    Snapshot,
+    StoredLog,
+    StoreFailure,
+)
+from rhubarbfield.types import LogIndex, Term
+
+_encoder = msgspec.msgpack.Encoder()
+_memberships = msgspec.msgpack.Decoder(Membership)
+
+
+def encode_membership(membership: Membership) -> bytes:
+    """Return ``membership`` as entries and snapshots carry it."""
+    return _encoder.encode(membership)
+
+
+def decode_membership(data: bytes) -> Membership:
+    """Return the membership that :func:`encode_membership` made ``data`` of."""
+    return _memberships.decode(data)
+
+
+class ReplicatedLog:
+    """Entries, snapshot, votes and memberships of one replica.
+
+    Every change is durable when the method that makes it returns a success;
+    on a failure nothing has changed.
+
+    Parameters
+    ----------
+    store
+        Where it is kept.
+    stored
+        What ``store`` returned when it was loaded.
+    """
+
+    def __init__(self, store: LogStore, stored: StoredLog) -> None:
+        self._store = store
+        self.hard_state = stored.hard_state
+        self.snapshot = stored.snapshot
+        self.base = stored.base
+        self._entries = list(stored.entries)
+        first_shown = stored.snapshot.position.index if stored.snapshot else 0
+        self.commit = LogIndex(max(stored.hard_state.commit, first_shown))
+        self._placed = self._collect_memberships()
+        check_invariant(
+            self.commit <= self.last.index, "commit-within-log", stored.hard_state
+        )
+
+    @property
+    def term(self) -> Term:
+        """The highest term seen."""
+        return self.hard_state.term
+
+    @property
+    def last(self) -> LogPosition:
+        """The position of the last entry."""
+        if not self._entries:
+            return self.base
+        return LogPosition(self._entries[-1].index, self._entries[-1].term)
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether this replica has never heard of a group."""
+        return self.term == 0 and self.last.index == 0
+
+    @property
+    def quorum(self) -> Quorum:
+        """Who must agree now: two majorities while a change is uncommitted."""
+        in_force = self._placed[-1:]
+        if in_force and in_force[0].index > self.commit:
+            in_force = self._placed[-2:]
+        return Quorum(tuple(placed.membership for placed in in_force))
+
+    @property
+    def membership(self) -> Membership | None:
+        """The latest membership in the log, committed or not."""
+        return self._placed[-1].membership if self._placed else None
+
+    @property
+    def has_uncommitted_change(self) -> bool:
+        """Whether the latest membership is not known to be committed."""
+        return bool(self._placed) and self._placed[-1].index > self.commit
+
+    def find_term(self, index: LogIndex) -> Term | None:
+        """Return the term of the entry at ``index``, or None if not kept."""
+        if index == self.base.index:
+            return self.base.term
+        if not self.base.index < index <= self.last.index:
+            return None
+        return self._entries[index - self.base.index - 1].term
+
+    def get_entry(self, index: LogIndex) -> Entry:
+        """Return a kept entry."""
+        return self._entries[index - self.base.index - 1]
+
+    def get_batch(
+        self, first: LogIndex, max_entries: int, max_bytes: int
+    ) -> tuple[Entry, ...]:
+        """Return entries from ``first`` on, at least one, within the bounds."""
+        start = first - self.base.index - 1
+        candidates = self._entries[start : start + max_entries]
+        taken = 0
+        size = 0
+        for entry in candidates:
+            size += len(entry.data)
+            if taken and size > max_bytes:
+                break
+            taken += 1
+        return tuple(candidates[:taken])
+
+    def get_membership_at(self, index: LogIndex) -> Membership | None:
+        """Return the membership in force after the entry at ``index``."""
+        until = [placed for placed in self._placed if placed.index <= index]
+        return until[-1].membership if until else None
+
+    def save_incarnation(self, hard_state: HardState) -> Result[None, StoreFailure]:
+        """Save the first hard state of an empty store."""
+        check_invariant(self.is_empty, "incarnation-saved-once", self.hard_state)
+        return self._store.append(hard_state).map(
+            lambda _: self._set_hard_state(hard_state)
+        )
+
+    def save_vote(
+        self, term: Term, vote: ReplicaId | None
+    ) -> Result[None, StoreFailure]:
+        """Save a term and the vote given in it."""
+        old = self.hard_state
+        check_invariant(term >= old.term, "term-only-grows", (old, term))
+        check_invariant(
+            term > old.term or old.vote in {None, vote},
+            "one-vote-a-term",
+            (old, vote),
+        )
+        new = HardState(old.incarnation, term, vote, self.commit)
+        return self._store.append(new).map(lambda _: self._set_hard_state(new))
+
+    def append(self, entries: Sequence[Entry]) -> Result[None, StoreFailure]:
+        """Append entries, dropping those stored at or after the first."""
+        first = entries[0].index
+        check_invariant(
+            self.commit < first <= self.last.index + 1,
+            "committed-entries-never-change",
+            (self.commit, first, self.last),
+        )
+        old = self.hard_state
+        new = HardState(old.incarnation, old.term, old.vote, self.commit)
+        result = self._store.append(new, entries)
+        return result.map(lambda _: self._add_entries(new, entries))
+
+    def compact(
+        self, snapshot: Snapshot, base: LogPosition
+    ) -> Result[None, StoreFailure]:
+        """Save a snapshot and drop the entries up to ``base``.
+
+        Parameters
+        ----------
+        snapshot
+            Of an applied entry.
+        base
+            Kept entries begin after it; at or before the snapshot.
+        """
+        kept = self._entries[base.index - self.base.index :]
+        return self._replace(snapshot, base, kept)
+
+    def install(self, snapshot: Snapshot) -> Result[None, StoreFailure]:
+        """Save a snapshot of the leader in place of the log before it."""
+        position = snapshot.position
+        check_invariant(
+            position.index > self.commit,
+            "snapshot-only-newer",
+            (position, self.commit),
+        )
+        agrees = self.find_term(position.index) == position.term
+        kept = self._entries[position.index - self.base.index :] if agrees else []
+        return self._replace(snapshot, position, kept)
+
+    def advance_commit(self, index: LogIndex) -> None:
+        """Mark the entries up to ``index`` as committed, in memory."""
+        check_invariant(
+            self.commit <= index <= self.last.index,
+            "commit-only-grows",
+            (self.commit, index, self.last),
+        )
+        self.commit = index
+
+    def save_commit(self) -> Result[None, StoreFailure]:
+        """Make the commit index durable now, not with the next entries."""
+        return self.save_vote(self.term, self.hard_state.vote)
+
+    def _set_hard_state(self, hard_state: HardState) -> None:
+        self.hard_state = hard_state
+
+    def _add_entries(self, hard_state: HardState, entries: Sequence[Entry]) -> None:
+        self.hard_state = hard_state
+        first = entries[0].index
+        del self._entries[first - self.base.index - 1 :]
+        self._entries.extend(entries)
+        while self._placed and self._placed[-1].index >= first:
+            self._placed.pop()
+        self._placed.extend(_place_memberships(entries))
+
+    def _replace(
+        self, snapshot: Snapshot, base: LogPosition, kept: list[Entry]
+    ) -> Result[None, StoreFailure]:
+        commit = LogIndex(max(self.commit, snapshot.position.index))
+        old = self.hard_state
+        new = HardState(old.incarnation, old.term, old.vote, commit)
+        result = self._store.save_snapshot(new, snapshot, base, kept)
+        return result.map(lambda _: self._set_all(new, snapshot, base, kept))
+
+    def _set_all(
+        self,
+        hard_state: HardState,
+        snapshot: Snapshot,
+        base: LogPosition,
+        entries: list[Entry],
+    ) -> None:
+        self.hard_state = hard_state
+        self.commit = hard_state.commit
+        self.snapshot = snapshot
+        self.base = base
+        self._entries = entries
+        self._placed = self._collect_memberships()
+
+    def _collect_memberships(self) -> list[PlacedMembership]:
+        placed: list[PlacedMembership] = []
+        covered = 0
+        if self.snapshot is not None:
+            covered = self.snapshot.position.index
+            membership = decode_membership(self.snapshot.membership)
+            placed.append(PlacedMembership(LogIndex(covered), membership))
+        later = [entry for entry in self._entries if entry.index > covered]
+        return placed + _place_memberships(later)
+
+
+def _place_memberships(entries: Sequence[Entry]) -> list[PlacedMembership]:
+    return [
+        PlacedMembership(entry.index, decode_membership(entry.data))
+        for entry in entries
+        if entry.kind is EntryKind.MEMBERSHIP
+    ]
--- /dev/null
+++ b/src/rhubarbfield/replication/parts.py
@@ -0,0 +1,141 @@
+"""What a running replica is made of, and which part hears which message."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import trio
+
+from rhubarbfield.replication.applier import Applier, Machine
+from rhubarbfield.replication.changes import MembershipChanges
+from rhubarbfield.replication.election import Election
+from rhubarbfield.replication.follower import Follower
+from rhubarbfield.replication.joining import Joining
+from rhubarbfield.replication.leader import Leader
+from rhubarbfield.replication.messages import (
+    Append,
+    AppendAnswer,
+    InstallSnapshot,
+    InstallSnapshotAnswer,
+    PreVote,
+    PreVoteAnswer,
+    Probe,
+    ProbeAnswer,
+    ReplicationMessage,
+    Vote,
+    VoteAnswer,
+)
+from rhubarbfield.replication.proposals import Proposals
+from rhubarbfield.replication.state import ReplicaState
+from rhubarbfield.types import InstanceName
+
+
+class ReplicaParts:
+    """The parts of one running replica.
+
+    Parameters
+    ----------
+    state
+        What they share.
+    machine
+        What committed commands are applied to.
+    proposals
+        The commands on their way.
+    bootstrap
+        The voters that form the group.
+
+    Attributes
+    ----------
+    leader, changes
+        Present only while this replica leads.
+    """
+
+    def __init__(
+        self,
+        state: ReplicaState,
+        machine: Machine,
+        proposals: Proposals,
+        bootstrap: tuple[InstanceName, ...],
+    ) -> None:
+        self.state = state
+        self.proposals = proposals
+        self.applier = Applier(state, machine, proposals)
+        self.follower = Follower(state, self.applier)
+        self.election = Election(state)
+        self.joining = Joining(state, bootstrap)
+        self.leader: Leader | None = None
+        self.changes: MembershipChanges | None = None
+        self._handlers: dict[type[ReplicationMessage], Callable[[Any], None]] = {
+            PreVote: self._on_pre_vote,
+            PreVoteAnswer: self.election.on_pre_vote_answer,
+            Vote: self.election.on_vote,
+            VoteAnswer: self.election.on_vote_answer,
+            Append: self.follower.on_append,
+            InstallSnapshot: self.follower.on_install_snapshot,
+            AppendAnswer: self._on_append_answer,
+            InstallSnapshotAnswer: self._on_install_answer,
+            Probe: self._on_probe,
+            ProbeAnswer: self._on_probe_answer,
+        }
+
+    async def run(self) -> None:
+        """Take part in the group until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.applier.run)
+            nursery.start_soon(self.election.run)
+            nursery.start_soon(self.joining.run)
+            nursery.start_soon(self._lead)
+
+    def handle(self, message: ReplicationMessage) -> None:
+        """Hand a message to the part that it concerns."""
+        state = self.state
+        meant_for_this = message.target in {"", state.id.incarnation}
+        if meant_for_this and state.halted is None:
+            self._handlers[type(message)](message)
+
+    async def _lead(self) -> None:
+        state = self.state
+        while True:
+            await state.elected.wait()
+            if not state.is_leader:
+                continue
+            leader = self.leader = Leader(state, self.applier, self.proposals)
+            changes = self.changes = MembershipChanges(state, leader)
+            try:
+                with state.leading_scope:
+                    async with trio.open_nursery() as nursery:
+                        nursery.start_soon(leader.run)
+                        nursery.start_soon(changes.run)
+            finally:
+                self.leader = None
+                self.changes = None
+                self.proposals.abandon(state.leader.name if state.leader else None)
+
+    def _on_append_answer(self, message: AppendAnswer) -> None:
+        self.state.observe_term(message.term)
+        if self.leader is not None:
+            self.leader.on_append_answer(message)
+
+    def _on_install_answer(self, message: InstallSnapshotAnswer) -> None:
+        self.state.observe_term(message.term)
+        if self.leader is not None:
+            self.leader.on_install_answer(message)
+
+    def _on_pre_vote(self, message: PreVote) -> None:
+        # A former voter that does not know yet that it was replaced.
+        self._take_in(message)
+        self.election.on_pre_vote(message)
+
+    def _on_probe(self, message: Probe) -> None:
+        self._take_in(message)
+        self.joining.on_probe(message)
+
+    def _on_probe_answer(self, message: ProbeAnswer) -> None:
+        if self.joining.is_invited(message.source.name):
+            self._take_in(message)
+        self.joining.on_probe_answer(message)
+
+    def _take_in(self, message: PreVote | Probe | ProbeAnswer) -> None:
+        if self.leader is not None and self.leader.is_active:
+            self.leader.add_learner(message.source)
--- /dev/null
+++ b/src/rhubarbfield/replication/peer.py
@@ -0,0 +1,199 @@
+"""What a leader keeps of each peer, and how it brings it the log."""
+
+from __future__ import annotations
+
+from collections import deque
+
+from rhubarbfield.exceptions import check_invariant
+from rhubarbfield.replication.messages import (
+    MAX_CHUNK_BYTES,
+    Append,
+    AppendAnswer,
+    InstallSnapshot,
+    InstallSnapshotAnswer,
+)
+from rhubarbfield.replication.signal import Signal
+from rhubarbfield.replication.state import LONG_AGO, MICROSECOND, ReplicaState
+from rhubarbfield.storage import Entry, LogPosition, ReplicaId, Snapshot
+from rhubarbfield.types import LogIndex
+
+
+class SnapshotTransfer:
+    """A snapshot on its way to a peer.
+
+    Parameters
+    ----------
+    snapshot
+        What is sent.
+    """
+
+    def __init__(self, snapshot: Snapshot) -> None:
+        self.snapshot = snapshot
+        self.received = 0
+        self.sent_until = -1
+
+
+class Peer:
+    """One peer of a leader, in the leader's term.
+
+    Entries are sent in batches, several on their way at a time. A heartbeat
+    names the last entry sent before it, so that a lost batch is noticed and
+    sent again.
+
+    Parameters
+    ----------
+    state
+        The leader's state.
+    replica_id
+        The peer.
+    next_index
+        The first entry to send.
+    """
+
+    def __init__(
+        self, state: ReplicaState, replica_id: ReplicaId, next_index: LogIndex
+    ) -> None:
+        self._state = state
+        self.id = replica_id
+        self.match_index = LogIndex(0)
+        self.acknowledged_sent = LONG_AGO
+        self.last_contact = LONG_AGO
+        self.added_at = state.now
+        self.settled = False
+        self._next_index = next_index
+        self._in_flight: deque[LogIndex] = deque()
+        self._transfer: SnapshotTransfer | None = None
+        self._is_beat_due = True
+        self._wake = Signal()
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Send what the peer lacks, and heartbeats, until cancelled."""
+        while True:
+            await self._wake.wait()
+            if self._transfer is not None or self._needs_snapshot():
+                self._send_chunk()
+            else:
+                self._send_entries()
+
+    def wake(self) -> None:
+        """Look whether there are entries to send."""
+        self._wake.set()
+
+    def beat(self) -> None:
+        """Send at least a heartbeat."""
+        self._is_beat_due = True
+        self._wake.set()
+
+    def on_append_answer(self, message: AppendAnswer) -> None:
+        """Note up to where the peer has the log."""
+        self._note_contact(message)
+        if message.matched:
+            self._note_match(message.index)
+        else:
+            check_invariant(
+                message.index <= self._state.log.last.index,
+                "peer-log-within-leader-log",
+                message,
+            )
+            self._next_index = LogIndex(max(self.match_index, message.index) + 1)
+            self._in_flight.clear()
+        self._wake.set()
+
+    def on_install_answer(self, message: InstallSnapshotAnswer) -> None:
+        """Note how much of a snapshot the peer has."""
+        self._note_contact(message)
+        transfer = self._transfer
+        if transfer is None or transfer.snapshot.position != message.position:
+            return
+        transfer.received = message.received
+        if message.received >= len(transfer.snapshot.data):
+            self._transfer = None
+            self._note_match(message.position.index)
+            self._next_index = LogIndex(self.match_index + 1)
+        self._wake.set()
+
+    def _note_contact(self, message: AppendAnswer | InstallSnapshotAnswer) -> None:
+        state = self._state
+        sent = message.sent * MICROSECOND
+        check_invariant(sent <= state.now, "answer-after-question", message)
+        self.last_contact = state.now
+        self.acknowledged_sent = max(self.acknowledged_sent, sent)
+
+    def _note_match(self, index: LogIndex) -> None:
+        check_invariant(
+            index <= self._state.log.last.index,
+            "peer-log-within-leader-log",
+            (self.id, index),
+        )
+        self.match_index = LogIndex(max(self.match_index, index))
+        self._next_index = LogIndex(max(self._next_index, self.match_index + 1))
+        while self._in_flight and self._in_flight[0] <= self.match_index:
+            self._in_flight.popleft()
+
+    def _needs_snapshot(self) -> bool:
+        return self._next_index <= self._state.log.base.index
+
+    def _send_entries(self) -> None:
+        state = self._state
+        settings = state.settings
+        while (
+            self._next_index <= state.log.last.index
+            and len(self._in_flight) < settings.batches_in_flight
+        ):
+            batch = state.log.get_batch(
+                self._next_index, settings.batch_entries, settings.batch_bytes
+            )
+            self._send_append(batch)
+            self._next_index = LogIndex(batch[-1].index + 1)
+            self._in_flight.append(batch[-1].index)
+        if self._is_beat_due:
+            self._send_append(())
+
+    def _send_append(self, entries: tuple[Entry, ...]) -> None:
+        state = self._state
+        previous = LogIndex(self._next_index - 1)
+        term = state.log.find_term(previous)
+        check_invariant(term is not None, "previous-entry-kept", (self.id, previous))
+        if term is None:
+            return
+        message = Append(
+            source=state.id,
+            target=self.id.incarnation,
+            term=state.term,
+            previous=LogPosition(previous, term),
+            entries=entries,
+            commit=state.log.commit,
+            settled=self.settled,
+            sent=int(state.now / MICROSECOND),
+        )
+        self._is_beat_due = False
+        state.send(self.id.name, message)
+
+    def _send_chunk(self) -> None:
+        state = self._state
+        transfer = self._transfer
+        if transfer is None:
+            snapshot = state.log.snapshot
+            check_invariant(snapshot is not None, "snapshot-kept", state.log.base)
+            if snapshot is None:
+                return
+            transfer = self._transfer = SnapshotTransfer(snapshot)
+        if transfer.received == transfer.sent_until and not self._is_beat_due:
+            return
+        self._is_beat_due = False
+        transfer.sent_until = transfer.received
+        snapshot = transfer.snapshot
+        end = transfer.received + MAX_CHUNK_BYTES
+        message = InstallSnapshot(
+            source=state.id,
+            target=self.id.incarnation,
+            term=state.term,
+            position=snapshot.position,
+            membership=snapshot.membership,
+            total=len(snapshot.data),
+            offset=transfer.received,
+            data=snapshot.data[transfer.received : end],
+            sent=int(state.now / MICROSECOND),
+        )
+        state.send(self.id.name, message)
--- /dev/null
+++ b/src/rhubarbfield/replication/proposals.py
@@ -0,0 +1,111 @@
+"""Commands on their way through the log of a leader."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+import trio
+from returns.result import Failure, Result, Success
+
+from rhubarbfield.replication.failures import (
+    NotLeader,
+    OutcomeUnknown,
+    Overloaded,
+    ProposeError,
+)
+from rhubarbfield.replication.signal import Signal
+from rhubarbfield.storage import MAX_COMMAND_BYTES, Entry, EntryKind
+from rhubarbfield.types import InstanceName, LogIndex, Term
+
+
+class Proposal:
+    """One command and, in the end, what became of it.
+
+    Parameters
+    ----------
+    kind, data
+        What the entry will hold.
+    deadline
+        The monotonic time after which it is given up on.
+    """
+
+    def __init__(self, kind: EntryKind, data: bytes, deadline: timedelta) -> None:
+        self.kind = kind
+        self.data = data
+        self.deadline = deadline
+        self._done = trio.Event()
+        self._outcome: Result[bytes, ProposeError] = Failure(OutcomeUnknown())
+
+    def finish(self, outcome: Result[bytes, ProposeError]) -> None:
+        """Set the outcome, unless one is set."""
+        if not self._done.is_set():
+            self._outcome = outcome
+            self._done.set()
+
+    async def wait(self) -> Result[bytes, ProposeError]:
+        """Wait for the outcome."""
+        await self._done.wait()
+        return self._outcome
+
+
+class Proposals:
+    """The proposals of one replica.
+
+    Parameters
+    ----------
+    max_pending
+        How many may be unfinished.
+    """
+
+    def __init__(self, max_pending: int) -> None:
+        self._max_pending = max_pending
+        self._queue: list[Proposal] = []
+        self._appended: dict[LogIndex, tuple[Term, Proposal]] = {}
+        self.queued = Signal()
+
+    def enqueue(self, data: bytes, deadline: timedelta) -> Proposal:
+        """Queue a command; it may be refused at once."""
+        proposal = Proposal(EntryKind.COMMAND, data, deadline)
+        if len(data) > MAX_COMMAND_BYTES:
+            limit = f"a command may have {MAX_COMMAND_BYTES} bytes at most"
+            proposal.finish(Failure(Overloaded(limit)))
+        elif len(self._queue) + len(self._appended) >= self._max_pending:
+            limit = f"{self._max_pending} proposals are pending"
+            proposal.finish(Failure(Overloaded(limit)))
+        else:
+            self._queue.append(proposal)
+            self.queued.set()
+        return proposal
+
+    def take(self) -> list[Proposal]:
+        """Return the queued proposals and empty the queue."""
+        taken, self._queue = self._queue, []
+        return taken
+
+    def track(self, entry: Entry, proposal: Proposal) -> None:
+        """Remember that ``proposal`` became ``entry``."""
+        self._appended[entry.index] = (entry.term, proposal)
+
+    def settle(self, entry: Entry, reply: bytes) -> None:
+        """Finish the proposal that became the applied ``entry``, if any."""
+        term, proposal = self._appended.pop(entry.index, (entry.term, None))
+        if proposal is not None and term == entry.term:
+            proposal.finish(Success(reply))
+
+    def expire(self, now: timedelta) -> None:
+        """Give up on the proposals whose deadline has passed."""
+        late = [
+            index
+            for index, (_, proposal) in self._appended.items()
+            if proposal.deadline <= now
+        ]
+        for index in late:
+            self._appended.pop(index)[1].finish(Failure(OutcomeUnknown()))
+
+    def abandon(self, leader: InstanceName | None) -> None:
+        """Finish all: leadership was lost."""
+        for proposal in self.take():
+            proposal.finish(Failure(NotLeader(leader)))
+        for _, proposal in self._appended.values():
+            proposal.finish(Failure(OutcomeUnknown()))
+        self._appended.clear()
--- /dev/null
+++ b/src/rhubarbfield/replication/replica.py
@@ -0,0 +1,292 @@
+"""One replica of a group: the parts put together."""
+
+from __future__ import annotations
+
+import logging
+from random import Random
+
+import trio
+from returns.result import Failure, Result, Success
+
+from rhubarbfield.clock import Clock
+from rhubarbfield.replication.applier import Machine
+from rhubarbfield.replication.changes import MembershipChanges
+from rhubarbfield.replication.failures import (
+    ChangeError,
+    NoQuorum,
+    NotLeader,
+    ProposeError,
+    Unsafe,
+)
+from rhubarbfield.replication.leader import Leader, Leadership
+from rhubarbfield.replication.log import ReplicatedLog
+from rhubarbfield.replication.messages import ReplicationMessage
+from rhubarbfield.replication.parts import ReplicaParts
+from rhubarbfield.replication.proposals import Proposals
+from rhubarbfield.replication.settings import GroupSettings
+from rhubarbfield.replication.state import MessageSender, ReplicaState
+from rhubarbfield.replication.status import ReplicaStatus, describe_status
+from rhubarbfield.storage import (
+    HardState,
+    LogStore,
+    ReplicaId,
+    StoreDamaged,
+    StoreFailure,
+)
+from rhubarbfield.types import GroupId, Incarnation, InstanceName, LogIndex
+
+logger = logging.getLogger(__name__)
+
+INBOX_MESSAGES = 1024
+INCARNATION_BITS = 64
+READ_CHECKS_A_HEARTBEAT = 4
+
+
+class Replica:
+    """One member of a group that keeps a replicated log.
+
+    Parameters
+    ----------
+    group
+        The group.
+    name
+        The instance that this replica runs on.
+    bootstrap
+        The instances whose replicas are the first voters. A replica that is
+        not among them asks these to be taken as a learner.
+    machine
+        What the committed commands are applied to.
+    store
+        Where the log is kept.
+    sender
+        The way to the other replicas.
+    clock
+        Its monotonic readings must go on while the process is stopped.
+    random
+        Must differ between processes and runs: the incarnation of an empty
+        store is drawn from it.
+    settings
+        Times and sizes, the same in the whole group.
+    """
+
+    def __init__(
+        self,
+        *,
+        group: GroupId,
+        name: InstanceName,
+        bootstrap: tuple[InstanceName, ...],
+        machine: Machine,
+        store: LogStore,
+        sender: MessageSender,
+        clock: Clock,
+        random: Random,
+        settings: GroupSettings,
+    ) -> None:
+        self.group = group
+        self.name = name
+        self._bootstrap = bootstrap
+        self._machine = machine
+        self._store = store
+        self._sender = sender
+        self._clock = clock
+        self._random = random
+        self._settings = settings
+        self._proposals = Proposals(settings.max_pending)
+        self._parts: ReplicaParts | None = None
+        self._store_note: StoreFailure | None = None
+        self._halted: StoreFailure | None = None
+        self._inbox_in, self._inbox_out = trio.open_memory_channel[ReplicationMessage](
+            INBOX_MESSAGES
+        )
+
+    async def run(
+        self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> Result[None, StoreFailure]:
+        """Take part in the group until cancelled.
+
+        Returns
+        -------
+        Result[None, StoreFailure]
+            A failure once the store can no longer be trusted. The process
+            should then be restarted.
+        """
+        opened = self._open_log()
+        if isinstance(opened, Failure):
+            self._halted = opened.failure()
+            task_status.started()
+            return opened
+        parts = self._parts = self._build_parts(opened.unwrap())
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._receive, parts)
+                nursery.start_soon(parts.run)
+                task_status.started()
+                await parts.state.halt_event.wait()
+                nursery.cancel_scope.cancel()
+        finally:
+            self._halted = parts.state.halted
+            self._parts = None
+            self._proposals.abandon(None)
+        failure = self._halted
+        return Success(None) if failure is None else Failure(failure)
+
+    def deliver(self, sender: InstanceName, message: ReplicationMessage) -> None:
+        """Hand over a message that came from ``sender``; never waits.
+
+        A message that claims another source is dropped, and so is one that
+        finds the inbox full.
+        """
+        if message.source.name != sender or sender == self.name:
+            return
+        try:
+            self._inbox_in.send_nowait(message)
+        except trio.WouldBlock:
+            logger.warning("inbox-full group=%s replica=%s", self.group, self.name)
+
+    async def propose(self, command: bytes) -> Result[bytes, ProposeError]:
+        """Append a command and wait until it is applied here.
+
+        Returns
+        -------
+        Result[bytes, ProposeError]
+            The machine's reply, or why there is none. Only
+            :class:`OutcomeUnknown` leaves open whether the command will be
+            applied.
+        """
+        leader = self._leader
+        if leader is None or not leader.is_active:
+            return Failure(NotLeader(self.leader_hint))
+        if leader.get_leadership() is None:
+            return Failure(NoQuorum())
+        deadline = self._clock.monotonic() + self._settings.propose_timeout
+        return await self._proposals.enqueue(command, deadline).wait()
+
+    @property
+    def leadership(self) -> Leadership | None:
+        """The right to act as leader as of now, or None.
+
+        Ask again just before each effect: the process may have been stopped
+        since the last time.
+        """
+        return self._leader.get_leadership() if self._leader is not None else None
+
+    async def confirm_read(self) -> Result[LogIndex, NotLeader]:
+        """Return an index that includes all that was acknowledged before.
+
+        Wait for it with :meth:`wait_applied` before reading.
+        """
+        pause = self._settings.heartbeat / READ_CHECKS_A_HEARTBEAT
+        deadline = self._clock.monotonic() + self._settings.lease
+        while self._leader is not None and self._clock.monotonic() < deadline:
+            if self._leader.get_leadership() is not None and self._parts is not None:
+                return Success(self._parts.state.log.commit)
+            await self._clock.sleep(pause)
+        return Failure(NotLeader(self.leader_hint))
+
+    @property
+    def applied(self) -> LogIndex:
+        """The last index applied to the machine."""
+        return self._parts.applier.applied if self._parts else LogIndex(0)
+
+    @property
+    def leader_hint(self) -> InstanceName | None:
+        """Who leads, as far as is known."""
+        parts = self._parts
+        if parts is None or parts.state.leader is None:
+            return None
+        return parts.state.leader.name
+
+    @property
+    def is_current(self) -> bool:
+        """Whether all that was ever shown by any replica before is applied."""
+        return self._parts is not None and self._parts.applier.is_current
+
+    async def wait_current(self) -> None:
+        """Wait until this replica has caught up since it started."""
+        if self._parts is not None:
+            await self._parts.applier.became_current.wait()
+
+    async def wait_applied(self, index: LogIndex) -> None:
+        """Wait until the entry at ``index`` is applied here."""
+        if self._parts is not None:
+            await self._parts.applier.wait_applied(index)
+
+    async def replace_voter(
+        self, old: InstanceName, new: InstanceName
+    ) -> Result[None, ChangeError]:
+        """Let the learner ``new`` vote in place of ``old``, at the leader."""
+        if self._changes is None:
+            return Failure(NotLeader(self.leader_hint))
+        return await self._changes.replace_voter(old, new)
+
+    async def add_voter(self, name: InstanceName) -> Result[None, ChangeError]:
+        """Let a learner vote besides the present voters, at the leader."""
+        if self._changes is None:
+            return Failure(NotLeader(self.leader_hint))
+        return await self._changes.add_voter(name)
+
+    async def add_learner(self, name: InstanceName) -> Result[None, ChangeError]:
+        """Invite an instance to become a learner, at the leader.
+
+        Instances that know of the group ask by themselves.
+        """
+        if self._leader is None or self._parts is None:
+            return Failure(NotLeader(self.leader_hint))
+        self._parts.joining.invite(name)
+        await self._clock.sleep(self._settings.heartbeat)
+        leader = self._leader
+        if leader is None or all(peer.name != name for peer in leader.peers):
+            return Failure(Unsafe(f"{name} does not answer, or there is no room"))
+        return Success(None)
+
+    async def remove_member(self, name: InstanceName) -> Result[None, ChangeError]:
+        """Take the vote from a voter or forget a learner, at the leader."""
+        if self._changes is None:
+            return Failure(NotLeader(self.leader_hint))
+        return await self._changes.remove_member(name)
+
+    def status(self) -> ReplicaStatus:
+        """Return what is known now."""
+        if self._parts is None:
+            return ReplicaStatus(
+                self.group, halted=self._halted, store_note=self._store_note
+            )
+        return describe_status(self._parts, self._store_note)
+
+    @property
+    def _leader(self) -> Leader | None:
+        return self._parts.leader if self._parts is not None else None
+
+    @property
+    def _changes(self) -> MembershipChanges | None:
+        return self._parts.changes if self._parts is not None else None
+
+    async def _receive(self, parts: ReplicaParts) -> None:
+        async for message in self._inbox_out:
+            parts.handle(message)
+
+    def _open_log(self) -> Result[ReplicatedLog, StoreFailure]:
+        loaded = self._store.load()
+        if isinstance(loaded, Failure) and isinstance(loaded.failure(), StoreDamaged):
+            logger.error("store-damaged group=%s %s", self.group, loaded.failure())
+            self._store_note = loaded.failure()
+            loaded = self._store.discard().bind(lambda _: self._store.load())
+        if isinstance(loaded, Failure):
+            return loaded
+        log = ReplicatedLog(self._store, loaded.unwrap())
+        if log.hard_state.incarnation:
+            return Success(log)
+        drawn = Incarnation(f"{self._random.getrandbits(INCARNATION_BITS):016x}")
+        return log.save_incarnation(HardState(drawn)).map(lambda _: log)
+
+    def _build_parts(self, log: ReplicatedLog) -> ReplicaParts:
+        state = ReplicaState(
+            group=self.group,
+            replica_id=ReplicaId(self.name, log.hard_state.incarnation),
+            log=log,
+            sender=self._sender,
+            clock=self._clock,
+            random=self._random,
+            settings=self._settings,
+        )
+        return ReplicaParts(state, self._machine, self._proposals, self._bootstrap)
--- /dev/null
+++ b/src/rhubarbfield/replication/settings.py
@@ -0,0 +1,117 @@
+"""Times and sizes of a replicated group."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+import msgspec
+
+from rhubarbfield.exceptions import UsageError
+from rhubarbfield.storage import MAX_COMMAND_BYTES
+
+MIN_HEARTBEATS_IN_LEASE = 3
+MAX_CLOCK_DRIFT = 0.25
+MAX_BATCH_BYTES = 2 * MAX_COMMAND_BYTES
+
+
+class GroupSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Settings that all replicas of a group share.
+
+    Attributes
+    ----------
+    heartbeat
+        How often a leader is heard by each of its peers.
+    lease
+        How long after answering a leader a voter votes for no other.
+    election_min, election_max
+        Bounds of the random time without a leader after which a voter asks
+        for votes.
+    clock_drift
+        By what fraction the rate of any clock may be off.
+    snapshot_after
+        Entries applied between two snapshots.
+    kept_entries
+        Entries kept behind a snapshot, so that a replica that lags a little
+        needs no snapshot.
+    batch_bytes, batch_entries
+        Bounds of the entries in one message.
+    batches_in_flight
+        Messages with entries that may be on their way to one peer.
+    max_pending
+        Proposals that may wait at a leader.
+    propose_timeout
+        How long a proposal waits to be committed.
+    max_learners
+        Learners that a leader takes.
+
+    Raises
+    ------
+    UsageError
+        If the settings contradict each other.
+    """
+
+    heartbeat: timedelta = timedelta(milliseconds=400)
+    lease: timedelta = timedelta(milliseconds=1600)
+    election_min: timedelta = timedelta(seconds=2)
+    election_max: timedelta = timedelta(seconds=3)
+    clock_drift: float = 0.05
+    snapshot_after: int = 1000
+    kept_entries: int = 500
+    batch_bytes: int = 256 * 1024
+    batch_entries: int = 512
+    batches_in_flight: int = 4
+    max_pending: int = 4096
+    propose_timeout: timedelta = timedelta(seconds=5)
+    max_learners: int = 64
+
+    def __post_init__(self) -> None:
+        """Check that the settings agree with each other."""
+        for holds, message in self._iterate_rules():
+            if not holds:
+                raise UsageError(message)
+
+    def _iterate_rules(self) -> tuple[tuple[bool, str], ...]:
+        counts = (
+            self.snapshot_after,
+            self.batch_entries,
+            self.batches_in_flight,
+            self.max_pending,
+        )
+        return (
+            (self.heartbeat > timedelta(), "heartbeat must be above zero"),
+            (
+                self.lease >= MIN_HEARTBEATS_IN_LEASE * self.heartbeat,
+                f"lease must be at least {MIN_HEARTBEATS_IN_LEASE} heartbeats",
+            ),
+            (
+                0 <= self.clock_drift <= MAX_CLOCK_DRIFT,
+                f"clock_drift must be between 0 and {MAX_CLOCK_DRIFT}",
+            ),
+            (
+                self.election_min * (1 - self.clock_drift)
+                >= self.lease * (1 + self.clock_drift),
+                "election_min must exceed lease by the clock drift",
+            ),
+            (
+                self.election_max > self.election_min,
+                "election_max must be above election_min",
+            ),
+            (min(counts) > 0, "counts must be above zero"),
+            (self.kept_entries >= 0, "kept_entries must not be negative"),
+            (
+                0 < self.batch_bytes <= MAX_BATCH_BYTES,
+                f"batch_bytes must be between 1 and {MAX_BATCH_BYTES}",
+            ),
+            (
+                self.propose_timeout >= self.lease,
+                "propose_timeout must be at least lease",
+            ),
+        )
+
+    @property
+    def holder_lease(self) -> timedelta:
+        """How long a leader trusts its lease, from sending the heartbeat.
+
+        Shorter than ``lease`` by the drift of two clocks.
+        """
+        return self.lease * ((1 - self.clock_drift) / (1 + self.clock_drift))
--- /dev/null
+++ b/src/rhubarbfield/storage/file.py
@@ -0,0 +1,318 @@
+"""A store in files of one folder."""
+
+from __future__ import annotations
+
+import errno
+from collections.abc import Callable, Sequence
+from pathlib import Path
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from rhubarbfield.storage.files import FileLayer, SystemFiles
+from rhubarbfield.storage.frames import frame_payload, read_frames
+from rhubarbfield.storage.records import (
+    Entry,
+    HardState,
+    LogPosition,
+    Snapshot,
+    StoredLog,
+)
+from rhubarbfield.storage.store import (
+    DiskFull,
+    StoreDamaged,
+    StoreFailure,
+    SyncFailed,
+)
+
+LOG_FILE = "log"
+SNAPSHOT_FILE = "snapshot"
+NEW_SUFFIX = ".new"
+DAMAGED_SUFFIX = ".damaged"
+FORMAT_VERSION = 1
+FULL_DISK_ERRORS = frozenset({errno.ENOSPC, errno.EDQUOT})
+
+
+class LogHeader(msgspec.Struct, frozen=True, array_like=True):
+    """The first record of a log file.
+
+    Attributes
+    ----------
+    version
+        The version of the format.
+    base
+        The position just before the first entry.
+    """
+
+    version: int
+    base: LogPosition
+
+
+class LogRecord(msgspec.Struct, frozen=True, array_like=True):
+    """Every other record of a log file; written and synced as one.
+
+    Attributes
+    ----------
+    hard_state
+        Replaces that of the record before.
+    entries
+        Replace those stored at and after the first of them.
+    """
+
+    hard_state: HardState
+    entries: tuple[Entry, ...] = ()
+
+
+_encoder = msgspec.msgpack.Encoder()
+_headers = msgspec.msgpack.Decoder(LogHeader)
+_records = msgspec.msgpack.Decoder(LogRecord)
+_snapshots = msgspec.msgpack.Decoder(Snapshot)
+
+
+def encode_log(
+    hard_state: HardState, base: LogPosition, entries: Sequence[Entry]
+) -> bytes:
+    """Return the contents of a new log file."""
+    header = _encoder.encode(LogHeader(FORMAT_VERSION, base))
+    record = _encoder.encode(LogRecord(hard_state, tuple(entries)))
+    return frame_payload(header) + frame_payload(record)
+
+
+def decode_log(data: bytes) -> Result[StoredLog, StoreDamaged]:
+    """Read the contents of a log file, leaving out a torn last record."""
+    frames = read_frames(data)
+    if frames.damage is not None:
+        damage = frames.damage
+        return Failure(StoreDamaged(LOG_FILE, damage.offset, damage.reason))
+    if not frames.payloads:
+        return Failure(StoreDamaged(LOG_FILE, 0, "no whole record"))
+    try:
+        header = _headers.decode(frames.payloads[0])
+        records = [_records.decode(payload) for payload in frames.payloads[1:]]
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        return Failure(StoreDamaged(LOG_FILE, 0, str(error)))
+    if header.version != FORMAT_VERSION:
+        reason = f"format {header.version}, but {FORMAT_VERSION} is understood"
+        return Failure(StoreDamaged(LOG_FILE, 0, reason))
+    return _replay(header.base, records)
+
+
+def decode_snapshot(data: bytes) -> Result[Snapshot, StoreDamaged]:
+    """Read the contents of a snapshot file."""
+    frames = read_frames(data)
+    if frames.damage is not None:
+        damage = frames.damage
+        return Failure(StoreDamaged(SNAPSHOT_FILE, damage.offset, damage.reason))
+    if len(frames.payloads) != 1 or frames.whole_bytes != len(data):
+        return Failure(StoreDamaged(SNAPSHOT_FILE, 0, "not one whole record"))
+    try:
+        return Success(_snapshots.decode(frames.payloads[0]))
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        return Failure(StoreDamaged(SNAPSHOT_FILE, 0, str(error)))
+
+
+def _replay(
+    base: LogPosition, records: Sequence[LogRecord]
+) -> Result[StoredLog, StoreDamaged]:
+    hard_state = HardState()
+    entries: list[Entry] = []
+    for number, record in enumerate(records, 1):
+        hard_state = record.hard_state
+        if not record.entries:
+            continue
+        start = record.entries[0].index - base.index - 1
+        indexes = range(record.entries[0].index, record.entries[-1].index + 1)
+        if not 0 <= start <= len(entries) or list(indexes) != [
+            entry.index for entry in record.entries
+        ]:
+            reason = f"record {number} leaves a gap in the entries"
+            return Failure(StoreDamaged(LOG_FILE, 0, reason))
+        del entries[start:]
+        entries.extend(record.entries)
+    return Success(StoredLog(hard_state, None, base, tuple(entries)))
+
+
+def join_snapshot(
+    log: StoredLog, snapshot: Snapshot | None
+) -> Result[StoredLog, StoreDamaged]:
+    """Put a log and a snapshot together that were saved one after the other.
+
+    The snapshot may be newer than the log, if the process ended between the
+    two; it is never older than what the log was cut at.
+    """
+    if snapshot is None:
+        if log.base.index > 0:
+            return Failure(StoreDamaged(SNAPSHOT_FILE, 0, "the file is missing"))
+        return Success(log)
+    position = snapshot.position
+    if position.index < log.base.index:
+        reason = f"it ends at {position.index}, the log begins after {log.base.index}"
+        return Failure(StoreDamaged(SNAPSHOT_FILE, 0, reason))
+    offset = position.index - log.base.index
+    positions = [log.base, *(LogPosition(e.index, e.term) for e in log.entries)]
+    agrees = offset < len(positions) and positions[offset] == position
+    if agrees:
+        return Success(StoredLog(log.hard_state, snapshot, log.base, log.entries))
+    return Success(StoredLog(log.hard_state, snapshot, position, ()))
+
+
+class FileStore:
+    """Keeps a log in one file and the latest snapshot in another.
+
+    Each append is one record and one ``fdatasync``. Files that are replaced
+    are written beside, synced, and renamed. After an error that leaves open
+    what is durable, every call fails with :class:`SyncFailed`; opening the
+    folder anew writes all that can be read into a new, synced file.
+
+    Parameters
+    ----------
+    folder
+        Of this replica alone; made if there is none.
+    files
+        Stands in for the files of ``folder`` in tests.
+    """
+
+    def __init__(self, folder: Path, files: FileLayer | None = None) -> None:
+        self._files = files if files is not None else SystemFiles(folder)
+        self._size = 0
+        self._stopped: SyncFailed | None = None
+
+    def load(self) -> Result[StoredLog, StoreFailure]:
+        """Return all that is stored; a torn last record is cut."""
+        try:
+            log_data = self._files.read(LOG_FILE)
+            snapshot_data = self._files.read(SNAPSHOT_FILE)
+        except OSError as error:
+            return Failure(StoreDamaged(LOG_FILE, 0, str(error)))
+        if log_data is None and snapshot_data is None:
+            return Success(StoredLog())
+        if log_data is None:
+            return Failure(StoreDamaged(LOG_FILE, 0, "the file is missing"))
+        snapshot: Result[Snapshot | None, StoreDamaged] = Success(None)
+        if snapshot_data is not None:
+            snapshot = decode_snapshot(snapshot_data)
+        if isinstance(snapshot, Failure):
+            return snapshot
+        stored = decode_log(log_data).bind(
+            lambda log: join_snapshot(log, snapshot.unwrap())
+        )
+        if isinstance(stored, Failure):
+            return stored
+        # What was read may be in the system's cache only.
+        found = stored.unwrap()
+        saved = self._guard(
+            lambda: self._rewrite_log(found.hard_state, found.base, found.entries)
+        )
+        return saved.map(lambda _: found)
+
+    def append(
+        self, hard_state: HardState, entries: Sequence[Entry] = ()
+    ) -> Result[None, StoreFailure]:
+        """Save the hard state and entries, as one record."""
+        if self._size == 0:
+            return self._guard(
+                lambda: self._rewrite_log(hard_state, LogPosition(), entries)
+            )
+        record = _encoder.encode(LogRecord(hard_state, tuple(entries)))
+        return self._guard(lambda: self._append_record(frame_payload(record)))
+
+    def save_snapshot(
+        self,
+        hard_state: HardState,
+        snapshot: Snapshot,
+        base: LogPosition,
+        entries: Sequence[Entry],
+    ) -> Result[None, StoreFailure]:
+        """Save a snapshot and replace the stored entries."""
+
+        def save() -> None:
+            data = frame_payload(_encoder.encode(snapshot))
+            log_data = encode_log(hard_state, base, entries)
+            self._write_beside(SNAPSHOT_FILE, data)
+            self._write_beside(LOG_FILE, log_data)
+            self._take_place(SNAPSHOT_FILE)
+            self._take_place(LOG_FILE)
+            self._size = len(log_data)
+
+        return self._guard(save)
+
+    def discard(self) -> Result[None, StoreFailure]:
+        """Rename the files, so that the folder counts as empty."""
+
+        def rename() -> None:
+            for name in (LOG_FILE, SNAPSHOT_FILE):
+                if self._files.read(name) is not None:
+                    self._files.rename(name, name + DAMAGED_SUFFIX)
+            self._sync_folder()
+            self._size = 0
+
+        return self._guard(rename)
+
+    def close(self) -> None:
+        """Close the files."""
+        self._files.close()
+
+    def _guard(self, action: Callable[[], None]) -> Result[None, StoreFailure]:
+        if self._stopped is not None:
+            return Failure(self._stopped)
+        try:
+            action()
+        except OSError as error:
+            if error.errno in FULL_DISK_ERRORS and self._undo():
+                return Failure(DiskFull())
+            self._stopped = SyncFailed(str(error))
+            return Failure(self._stopped)
+        return Success(None)
+
+    def _undo(self) -> bool:
+        """Remove what a full disk left half written."""
+        try:
+            self._files.remove(LOG_FILE + NEW_SUFFIX)
+            self._files.remove(SNAPSHOT_FILE + NEW_SUFFIX)
+            if self._size:
+                self._files.truncate(LOG_FILE, self._size)
+        except OSError:
+            return False
+        return True
+
+    def _append_record(self, record: bytes) -> None:
+        self._files.append(LOG_FILE, record)
+        self._sync(LOG_FILE)
+        self._size += len(record)
+
+    def _rewrite_log(
+        self, hard_state: HardState, base: LogPosition, entries: Sequence[Entry]
+    ) -> None:
+        data = encode_log(hard_state, base, entries)
+        self._write_beside(LOG_FILE, data)
+        self._take_place(LOG_FILE)
+        self._size = len(data)
+
+    def _write_beside(self, name: str, data: bytes) -> None:
+        self._files.remove(name + NEW_SUFFIX)
+        self._files.append(name + NEW_SUFFIX, data)
+        self._sync(name + NEW_SUFFIX)
+
+    def _take_place(self, name: str) -> None:
+        self._files.rename(name + NEW_SUFFIX, name)
+        self._sync_folder()
+
+    def _sync(self, name: str) -> None:
+        try:
+            self._files.sync(name)
+        except OSError as error:
+            raise _make_final(error) from error
+
+    def _sync_folder(self) -> None:
+        try:
+            self._files.sync_folder()
+        except OSError as error:
+            raise _make_final(error) from error
+
+
+def _make_final(error: OSError) -> OSError:
+    """Return an error that counts as final even if the disk is only full.
+
+    A failed sync leaves open what is durable.
+    """
+    return OSError(errno.EIO, f"sync failed: {error}")
--- /dev/null
+++ b/src/rhubarbfield/storage/store.py
@@ -0,0 +1,104 @@
+"""The port through which a replica keeps its log, and how it may fail."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Protocol
+
+import msgspec
+from returns.result import Result
+
+from rhubarbfield.storage.records import (
+    Entry,
+    HardState,
+    LogPosition,
+    Snapshot,
+    StoredLog,
+)
+
+
+class StoreDamaged(msgspec.Struct, frozen=True, tag=True):
+    """What was read is not what was written; nothing in it can be trusted.
+
+    Attributes
+    ----------
+    file
+        The damaged file.
+    offset
+        Where in the file the damage was noticed, in bytes.
+    reason
+        What was found there.
+    """
+
+    file: str
+    offset: int
+    reason: str
+
+
+class SyncFailed(msgspec.Struct, frozen=True, tag=True):
+    """The system could not say that data is durable; the store has stopped.
+
+    Attributes
+    ----------
+    reason
+        The system's own words.
+    """
+
+    reason: str
+
+
+class DiskFull(msgspec.Struct, frozen=True, tag=True):
+    """There was no room; nothing was changed and a later try may succeed."""
+
+
+StoreFailure = StoreDamaged | SyncFailed | DiskFull
+
+
+class LogStore(Protocol):
+    """Durable storage of one replica of one group.
+
+    Every method returns only once its effect is durable. Methods block: a
+    replica must not answer a message before what it answers is durable.
+    """
+
+    def load(self) -> Result[StoredLog, StoreFailure]:
+        """Return all that is stored; called once, before anything else."""
+
+    def append(
+        self, hard_state: HardState, entries: Sequence[Entry] = ()
+    ) -> Result[None, StoreFailure]:
+        """Save the hard state and entries, as one.
+
+        Parameters
+        ----------
+        hard_state
+            Replaces the one saved before.
+        entries
+            Without gaps. Entries stored at or after the first of them are
+            dropped.
+        """
+
+    def save_snapshot(
+        self,
+        hard_state: HardState,
+        snapshot: Snapshot,
+        base: LogPosition,
+        entries: Sequence[Entry],
+    ) -> Result[None, StoreFailure]:
+        """Save a snapshot and replace the stored entries.
+
+        Parameters
+        ----------
+        hard_state
+            Replaces the one saved before.
+        snapshot
+            Replaces the one saved before.
+        base
+            The position just before the first of ``entries``, at or before
+            that of the snapshot.
+        entries
+            All the entries to keep.
+        """
+
+    def discard(self) -> Result[None, StoreFailure]:
+        """Set damaged contents aside, so that ``load`` finds an empty store."""
--- /dev/null
+++ b/tests/replication/group.py
@@ -0,0 +1,231 @@
+"""A whole group in one process, and an observer that trusts no replica."""
+
+from __future__ import annotations
+
+import hashlib
+from datetime import timedelta
+from pathlib import Path
+from random import Random
+
+import msgspec
+import trio
+from returns.result import Result, Success
+
+from rhubarbfield.replication import GroupSettings, ProposeError, Replica
+from rhubarbfield.storage import FileStore, LogStore, MemoryStore
+from rhubarbfield.types import GroupId, InstanceName, LogIndex
+from tests.replication.network import Network, NetworkSender, SimulatedClock
+from tests.storage.simulated_files import SimulatedCrashError, SimulatedFiles
+
+GROUP = GroupId("fleet")
+
+
+class Observer:
+    """Watches all that is applied, acknowledged and led, from outside."""
+
+    def __init__(self) -> None:
+        self.history: dict[LogIndex, bytes] = {}
+        self.digests: dict[LogIndex, str] = {}
+        self.acknowledged: dict[bytes, LogIndex] = {}
+        self.refused: set[bytes] = set()
+        self.shown_lease_changes = 0
+
+    def note_applied(self, index: LogIndex, command: bytes, digest: str) -> None:
+        assert self.history.setdefault(index, command) == command, index
+        assert self.digests.setdefault(index, digest) == digest, index
+
+    def check_outcomes(self) -> None:
+        """Every acknowledged command once, no refused one at all."""
+        counts: dict[bytes, int] = {}
+        for command in self.history.values():
+            counts[command] = counts.get(command, 0) + 1
+        for command, index in self.acknowledged.items():
+            assert self.history.get(index) == command, (index, command)
+        assert all(count == 1 for count in counts.values()), counts
+        assert not self.refused & counts.keys(), "a refused command was applied"
+
+
+class MachineState(msgspec.Struct):
+    index: int = 0
+    digest: str = ""
+
+
+class ChainMachine:
+    """Chains a digest over all commands; replies the index."""
+
+    def __init__(self, observer: Observer) -> None:
+        self._observer = observer
+        self.state = MachineState()
+        self.restored = 0
+
+    def apply(self, index: LogIndex, command: bytes) -> bytes:
+        assert index > self.state.index
+        chained = self.state.digest.encode() + command
+        self.state = MachineState(index, hashlib.sha256(chained).hexdigest())
+        self._observer.note_applied(index, command, self.state.digest)
+        return str(index).encode()
+
+    def take_snapshot(self) -> bytes:
+        return msgspec.msgpack.encode(self.state)
+
+    def restore(self, snapshot: bytes) -> None:
+        state = msgspec.msgpack.decode(snapshot, type=MachineState)
+        assert state.index >= self.state.index
+        if state.index:
+            assert self._observer.digests[LogIndex(state.index)] == state.digest
+        self.state = state
+        self.restored += 1
+
+
+class Node:
+    """One instance: its disk outlives its replica."""
+
+    def __init__(self, group: Group, name: InstanceName, rate: float) -> None:
+        self._group = group
+        self.name = name
+        self.clock = SimulatedClock(rate, group.random.uniform(0, 1e6))
+        self.files = SimulatedFiles(Random(group.random.random()))
+        self.memory = MemoryStore()
+        self.has_disk = True
+        self.replica: Replica | None = None
+        self.machine: ChainMachine | None = None
+        self.highest_shown = LogIndex(0)
+        self._scope = trio.CancelScope()
+
+    def make_store(self) -> LogStore:
+        if self.has_disk:
+            return FileStore(Path("unused"), self.files)
+        self.memory = MemoryStore()
+        return self.memory
+
+    async def start(self) -> None:
+        group = self._group
+        self._scope = trio.CancelScope()
+        self.machine = ChainMachine(group.observer)
+        self.replica = Replica(
+            group=GROUP,
+            name=self.name,
+            bootstrap=group.bootstrap,
+            machine=self.machine,
+            store=self.make_store(),
+            sender=NetworkSender(group.network, self.name),
+            clock=self.clock,
+            random=Random(group.random.random()),
+            settings=group.settings,
+        )
+        group.network.attach(self.name, self.clock, self.replica.deliver)
+        await group.nursery.start(self._run, self.replica, self._scope)
+
+    async def _run(
+        self,
+        replica: Replica,
+        scope: trio.CancelScope,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        try:
+            with scope:
+                await replica.run(task_status=task_status)
+        except* SimulatedCrashError:
+            pass
+        if self.replica is replica:
+            self._group.network.detach(self.name)
+            self.replica = None
+            self.files.lose_unsynced()
+
+    async def crash(self) -> None:
+        self._scope.cancel()
+        while self.replica is not None:
+            await trio.sleep(0)
+        self.clock.thaw()
+
+    async def lose_disk(self) -> None:
+        await self.crash()
+        self.files.lose_all()
+
+
+class Group:
+    """Nodes, their network and the observer."""
+
+    def __init__(
+        self,
+        nursery: trio.Nursery,
+        seed: int,
+        *,
+        names: str = "abc",
+        learners: str = "",
+        settings: GroupSettings | None = None,
+        drift: float = 0.0,
+    ) -> None:
+        self.nursery = nursery
+        self.random = Random(seed)
+        self.settings = settings or GroupSettings()
+        self.observer = Observer()
+        self.network = Network(nursery, Random(self.random.random()))
+        self.bootstrap = tuple(InstanceName(name) for name in names)
+        self.nodes = {
+            InstanceName(name): Node(
+                self, InstanceName(name), 1 + self.random.uniform(-drift, drift)
+            )
+            for name in names + learners
+        }
+        self.network.on_delivery = self.check_leases
+
+    async def start(self) -> None:
+        for node in self.nodes.values():
+            await node.start()
+
+    def get(self, name: str) -> Node:
+        return self.nodes[InstanceName(name)]
+
+    def list_lease_holders(self) -> list[Node]:
+        return [
+            node
+            for node in self.nodes.values()
+            if node.replica is not None and node.replica.leadership is not None
+        ]
+
+    def check_leases(self) -> None:
+        holders = self.list_lease_holders()
+        assert len(holders) <= 1, [node.name for node in holders]
+
+    async def wait_leader(self, limit: float = 60) -> Node:
+        """Wait for a leader with a lease that is not frozen."""
+        with trio.fail_after(limit):
+            while True:
+                for node in self.list_lease_holders():
+                    if not node.clock.is_frozen:
+                        return node
+                await trio.sleep(0.01)
+
+    async def wait_until_all_at(self, index: LogIndex, limit: float = 60) -> None:
+        with trio.fail_after(limit):
+            for node in self.nodes.values():
+                assert node.replica is not None
+                await node.replica.wait_applied(index)
+
+    async def propose(self, node: Node, command: bytes) -> Result[bytes, ProposeError]:
+        """Propose and tell the observer what became of it."""
+        replica = node.replica
+        assert replica is not None
+        result = await replica.propose(command)
+        if isinstance(result, Success):
+            self.observer.acknowledged[command] = LogIndex(int(result.unwrap()))
+        elif type(result.failure()).__name__ != "OutcomeUnknown":
+            self.observer.refused.add(command)
+        return result
+
+    async def propose_many(self, prefix: str, count: int) -> LogIndex:
+        """Propose ``count`` commands at once, which all must succeed."""
+        leader = await self.wait_leader()
+
+        async def propose_one(number: int) -> None:
+            result = await self.propose(leader, f"{prefix}{number}".encode())
+            assert isinstance(result, Success), result
+
+        async with trio.open_nursery() as nursery:
+            for number in range(count):
+                nursery.start_soon(propose_one, number)
+        return LogIndex(max(self.observer.history))
+
+
+SECOND = timedelta(seconds=1)
--- /dev/null
+++ b/tests/replication/network.py
@@ -0,0 +1,133 @@
+"""An in-memory network and clocks that run apart."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from datetime import UTC, datetime, timedelta
+from random import Random
+
+import trio
+
+from rhubarbfield.replication import (
+    ReplicationMessage,
+    decode_message,
+    encode_message,
+)
+from rhubarbfield.types import GroupId, InstanceName
+
+MAX_WIRE_BYTES = 1_000_000
+Delivery = Callable[[InstanceName, ReplicationMessage], None]
+
+
+class SimulatedClock:
+    """A clock with its own rate, whose owner can be frozen."""
+
+    def __init__(self, rate: float = 1.0, offset: float = 1000.0) -> None:
+        self._rate = rate
+        self._offset = offset
+        self._thawed = trio.Event()
+        self._thawed.set()
+
+    @property
+    def is_frozen(self) -> bool:
+        return not self._thawed.is_set()
+
+    def freeze(self) -> None:
+        self._thawed = trio.Event()
+
+    def thaw(self) -> None:
+        self._thawed.set()
+
+    async def wait_thawed(self) -> None:
+        await self._thawed.wait()
+
+    def monotonic(self) -> timedelta:
+        return timedelta(seconds=self._offset + trio.current_time() * self._rate)
+
+    def now(self) -> datetime:
+        return datetime.fromtimestamp(0, UTC) + self.monotonic()
+
+    async def sleep(self, duration: timedelta) -> None:
+        await trio.sleep(max(0.0, duration.total_seconds() / self._rate))
+        await self._thawed.wait()
+
+
+class Network:
+    """Carries messages late, twice, in another order, or not at all."""
+
+    def __init__(self, nursery: trio.Nursery, random: Random) -> None:
+        self._nursery = nursery
+        self._random = random
+        self._deliveries: dict[InstanceName, Delivery] = {}
+        self._clocks: dict[InstanceName, SimulatedClock] = {}
+        self._cuts: set[tuple[InstanceName, InstanceName]] = set()
+        self.min_delay = 0.001
+        self.max_delay = 0.004
+        self.drop_rate = 0.0
+        self.duplicate_rate = 0.0
+        self.sent: dict[str, int] = {}
+        self.sent_bytes = 0
+        self.on_delivery: Callable[[], None] = lambda: None
+
+    def attach(
+        self, name: InstanceName, clock: SimulatedClock, delivery: Delivery
+    ) -> None:
+        self._clocks[name] = clock
+        self._deliveries[name] = delivery
+
+    def detach(self, name: InstanceName) -> None:
+        self._deliveries.pop(name, None)
+
+    def cut(self, source: InstanceName, target: InstanceName) -> None:
+        """Lose all that goes from ``source`` to ``target``."""
+        self._cuts.add((source, target))
+
+    def isolate(self, name: InstanceName) -> None:
+        for other in self._clocks:
+            self.cut(name, other)
+            self.cut(other, name)
+
+    def heal(self) -> None:
+        self._cuts.clear()
+
+    def send_from(
+        self, source: InstanceName, to: InstanceName, message: ReplicationMessage
+    ) -> None:
+        kind = type(message).__name__
+        self.sent[kind] = self.sent.get(kind, 0) + 1
+        data = encode_message(message)
+        self.sent_bytes += len(data)
+        assert len(data) < MAX_WIRE_BYTES, (kind, len(data))
+        copies = 2 if self._random.random() < self.duplicate_rate else 1
+        for _ in range(copies):
+            if self._random.random() >= self.drop_rate:
+                delay = self._random.uniform(self.min_delay, self.max_delay)
+                self._nursery.start_soon(self._carry, source, to, data, delay)
+
+    async def _carry(
+        self, source: InstanceName, to: InstanceName, data: bytes, delay: float
+    ) -> None:
+        if (source, to) in self._cuts:
+            return
+        await trio.sleep(delay)
+        clock = self._clocks.get(to)
+        if clock is None or (source, to) in self._cuts:
+            return
+        await clock.wait_thawed()
+        delivery = self._deliveries.get(to)
+        if delivery is not None:
+            delivery(source, decode_message(data).unwrap())
+            self.on_delivery()
+
+
+class NetworkSender:
+    """The sender of one instance."""
+
+    def __init__(self, network: Network, name: InstanceName) -> None:
+        self._network = network
+        self._name = name
+
+    def send(
+        self, to: InstanceName, group: GroupId, message: ReplicationMessage
+    ) -> None:
+        self._network.send_from(self._name, to, message)
--- /dev/null
+++ b/tests/storage/simulated_files.py
@@ -0,0 +1,109 @@
+"""Files in memory that can lose, tear and refuse what is written."""
+
+from __future__ import annotations
+
+import errno
+from random import Random
+
+
+class SimulatedCrashError(Exception):
+    """The process dies in the middle of a file operation."""
+
+
+class SimulatedFile:
+    def __init__(self) -> None:
+        self.data = bytearray()
+        self.synced = b""
+
+
+class SimulatedFiles:
+    """A :class:`rhubarbfield.storage.FileLayer` of one folder."""
+
+    def __init__(self, random: Random | None = None) -> None:
+        self._random = random or Random(0)
+        self._names: dict[str, SimulatedFile] = {}
+        self._durable_names: dict[str, SimulatedFile] = {}
+        self.capacity: int | None = None
+        self.fail_syncs = False
+        self.operations_until_crash: int | None = None
+        self.syncs = 0
+
+    def read(self, name: str) -> bytes | None:
+        file = self._names.get(name)
+        return bytes(file.data) if file is not None else None
+
+    def append(self, name: str, data: bytes) -> None:
+        file = self._names.setdefault(name, SimulatedFile())
+        room = len(data)
+        if self.capacity is not None:
+            used = sum(len(each.data) for each in self._names.values())
+            room = max(0, self.capacity - used)
+        file.data += data[:room]
+        self._count_operation()
+        if room < len(data):
+            raise OSError(errno.ENOSPC, "no space left")
+
+    def truncate(self, name: str, size: int) -> None:
+        self._count_operation()
+        file = self._names[name]
+        del file.data[size:]
+        file.synced = file.synced[:size]
+
+    def sync(self, name: str) -> None:
+        self._count_operation()
+        if self.fail_syncs:
+            raise OSError(errno.EIO, "sync refused")
+        self.syncs += 1
+        file = self._names[name]
+        file.synced = bytes(file.data)
+
+    def rename(self, old: str, new: str) -> None:
+        self._count_operation()
+        self._names[new] = self._names.pop(old)
+
+    def remove(self, name: str) -> None:
+        self._names.pop(name, None)
+
+    def sync_folder(self) -> None:
+        self._count_operation()
+        if self.fail_syncs:
+            raise OSError(errno.EIO, "sync refused")
+        self._durable_names = dict(self._names)
+
+    def close(self) -> None:
+        pass
+
+    def flip_byte(self, name: str, offset: int) -> None:
+        file = self._names[name]
+        file.data[offset] ^= 0xFF
+        file.synced = bytes(file.data)
+
+    def cut(self, name: str, size: int) -> None:
+        del self._names[name].data[size:]
+
+    def lose_unsynced(self) -> None:
+        """Go back to what is durable, and by chance a part of the rest."""
+        if self._random.random() < 0.5:
+            self._names = dict(self._durable_names)
+        for file in self._names.values():
+            tail = bytes(file.data[len(file.synced) :])
+            kept = self._random.randint(0, len(tail))
+            file.data = bytearray(file.synced + tail[:kept])
+            file.synced = bytes(file.data)
+        self._durable_names = dict(self._names)
+        self.operations_until_crash = None
+        self.fail_syncs = False
+
+    def lose_all(self) -> None:
+        """Be another, empty disk."""
+        self._names = {}
+        self._durable_names = {}
+        self.operations_until_crash = None
+        self.fail_syncs = False
+
+    def _count_operation(self) -> None:
+        if self.operations_until_crash is None:
+            return
+        self.operations_until_crash -= 1
+        if self.operations_until_crash <= 0:
+            raise SimulatedCrashError
