--- /dev/null
+++ b/src/rhubarbfield/backends/http.py
@@ -0,0 +1,206 @@
+"""Requests to backend servers over HTTP.
+
+Each backend server has its own pool, so that its connections are counted
+apart from the others'. Requests that must not run twice get a connection of
+their own: an idle one may have been closed at the other end, and one can't
+tell whether a request sent into it was read. A connection on which a request
+timed out, was cancelled or failed is closed by the pool, never kept.
+"""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from typing import Any
+
+import httpx
+import trio
+from returns.result import Failure, Result, Success
+
+from rhubarbfield.backends.answers import InvalidAnswerError, check_answer, read_body
+from rhubarbfield.backends.pools import PoolRegistry
+from rhubarbfield.clock import Clock
+from rhubarbfield.routing.ports import (
+    BackendTarget,
+    ExchangeFailure,
+    FailureReason,
+    Reach,
+)
+from rhubarbfield.routing.requests import BackendAnswer, CallerRequest, Header
+from rhubarbfield.routing.settings import RoutingSettings
+from rhubarbfield.types import BackendServerId
+
+REQUEST_ID_HEADER = "Rhubarbfield-Request-Id"
+EPOCH_HEADER = "Rhubarbfield-Epoch"
+TIMEOUT_HEADER = "Rhubarbfield-Timeout"
+TENANT_HEADER = "Rhubarbfield-Tenant"
+CLASS_HEADER = "Rhubarbfield-Class"
+KEY_HEADER = "Idempotency-Key"
+SENDING_EVENT = "http11.send_request_headers.started"
+DROPPED_HEADERS = frozenset(
+    {
+        "connection",
+        "content-length",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+Exchanged = Result[BackendAnswer, ExchangeFailure]
+
+
+class _LeaseLapsedError(Exception):
+    """Raised inside the pool to stop a request before its first byte."""
+
+
+class _Progress:
+    """Follows one request through the pool."""
+
+    def __init__(self, clock: Clock, valid_until: timedelta) -> None:
+        self.sent = False
+        self._clock = clock
+        self._valid_until = valid_until
+
+    async def trace(self, event: str, _info: dict[str, Any]) -> None:
+        """Check the lease right before the first byte, and remember it left."""
+        if event != SENDING_EVENT:
+            return
+        if self._clock.monotonic() >= self._valid_until:
+            raise _LeaseLapsedError
+        self.sent = True
+
+    @property
+    def reach(self) -> Reach:
+        """How far the request surely got at most."""
+        return Reach.SENT if self.sent else Reach.NOT_SENT
+
+    def fail(self, reason: FailureReason, error: BaseException | str) -> Exchanged:
+        """Return the failure of the request."""
+        if not self.sent and reason is not FailureReason.LEASE_LAPSED:
+            reason = FailureReason.CONNECT
+        detail = str(error) or type(error).__name__
+        return Failure(ExchangeFailure(reach=self.reach, reason=reason, detail=detail))
+
+
+class HttpBackends:
+    """Speaks HTTP/1.1 to backend servers.
+
+    Parameters
+    ----------
+    clock
+        Leases are checked against its monotonic time.
+    settings
+        Holds the largest answer.
+    """
+
+    def __init__(self, clock: Clock, settings: RoutingSettings) -> None:
+        self._clock = clock
+        self._settings = settings
+        self._pools = PoolRegistry()
+
+    async def exchange(
+        self, server: BackendTarget, request: CallerRequest, timeout: timedelta
+    ) -> Exchanged:
+        """Send ``request`` and return the whole answer within ``timeout``."""
+        progress = _Progress(self._clock, server.valid_until)
+        result = progress.fail(FailureReason.TIMEOUT, "no answer in time")
+        with trio.move_on_after(timeout.total_seconds()):
+            return await self._exchange(server, request, timeout, progress)
+        if progress.sent:
+            result = progress.fail(FailureReason.TIMEOUT, "no answer in time")
+        return result
+
+    async def forget(self, server: BackendServerId) -> None:
+        """Close the idle connections to ``server``."""
+        await self._pools.close(server)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._pools.close_all()
+
+    async def _exchange(
+        self,
+        server: BackendTarget,
+        request: CallerRequest,
+        timeout: timedelta,
+        progress: _Progress,
+    ) -> Exchanged:
+        outgoing = _make_request(server, request, timeout, progress)
+        try:
+            async with self._pools.use(server, fresh=not request.idempotent) as pool:
+                response = await pool.handle_async_request(outgoing)
+                try:
+                    return await self._read(server, request, response)
+                finally:
+                    with trio.CancelScope(shield=True):
+                        await response.aclose()
+        except _LeaseLapsedError:
+            return progress.fail(FailureReason.LEASE_LAPSED, "the lease has lapsed")
+        except InvalidAnswerError as error:
+            return progress.fail(error.reason, error)
+        except httpx.TransportError as error:
+            return progress.fail(FailureReason.CUT_SHORT, error)
+
+    async def _read(
+        self, server: BackendTarget, request: CallerRequest, response: httpx.Response
+    ) -> Exchanged:
+        check_answer(server, request, response)
+        body = await read_body(response, self._settings.answer_limit)
+        if response.headers.get("Rhubarbfield-Outcome") == "not-run":
+            return Failure(
+                ExchangeFailure(
+                    reach=Reach.REFUSED_BY_SERVER,
+                    reason=FailureReason.REFUSED,
+                    detail=f"status {response.status_code}",
+                )
+            )
+        return Success(
+            BackendAnswer(
+                status=response.status_code,
+                headers=_pass_headers(response.headers, request.method),
+                body=body,
+            )
+        )
+
+
+def _make_request(
+    server: BackendTarget,
+    request: CallerRequest,
+    timeout: timedelta,
+    progress: _Progress,
+) -> httpx.Request:
+    headers = [
+        (each.name, each.value)
+        for each in request.headers
+        if each.name.lower() not in DROPPED_HEADERS and each.name.lower() != "host"
+    ]
+    headers.append((REQUEST_ID_HEADER, request.request_id))
+    headers.append((EPOCH_HEADER, str(server.epoch)))
+    headers.append((TIMEOUT_HEADER, f"{timeout.total_seconds():.3f}"))
+    headers.append((TENANT_HEADER, request.tenant))
+    headers.append((CLASS_HEADER, request.request_class))
+    if request.idempotency_key is not None:
+        headers.append((KEY_HEADER, request.idempotency_key))
+    if not request.idempotent or not server.idle_connections:
+        headers.append(("Connection", "close"))
+    return httpx.Request(
+        request.method,
+        f"http://{server.address}{request.path}",
+        headers=headers,
+        content=request.body,
+        extensions={"trace": progress.trace},
+    )
+
+
+def _pass_headers(headers: httpx.Headers, method: str) -> tuple[Header, ...]:
+    dropped = DROPPED_HEADERS
+    if method == "HEAD":
+        dropped = dropped - {"content-length"}
+    return tuple(
+        Header(name, value)
+        for name, value in headers.multi_items()
+        if name not in dropped and not name.startswith("rhubarbfield-")
+    )
--- /dev/null
+++ b/src/rhubarbfield/callers/app.py
@@ -0,0 +1,176 @@
+"""The HTTP app that callers, the balancer and metrics collectors speak to."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Sequence
+from http import HTTPStatus
+
+import msgspec
+from prometheus_client import CollectorRegistry
+from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
+from quart import Quart, Response, request
+from quart_trio import QuartTrio
+from returns.result import Success
+from werkzeug.exceptions import HTTPException, RequestEntityTooLarge
+
+from rhubarbfield.callers.answers import (
+    JSON_TYPE,
+    make_complaint,
+    make_internal_failure,
+    make_response,
+)
+from rhubarbfield.callers.parsing import (
+    METHODS,
+    BadRequest,
+    FieldName,
+    RawRequest,
+    parse_request,
+    refuse_size,
+)
+from rhubarbfield.callers.readiness import Readiness
+from rhubarbfield.routing.requests import Header
+from rhubarbfield.routing.router import Router
+from rhubarbfield.types import RequestId
+
+SERVICES_PREFIX = "/services/"
+REQUEST_ID_BITS = 96
+BODY_SECONDS = 10
+
+
+class Status(msgspec.Struct, frozen=True):
+    """The JSON document of the health and readiness pages."""
+
+    status: str
+
+
+def create_app(
+    router: Router,
+    *,
+    readiness: Readiness,
+    rng: random.Random,
+    registries: Sequence[CollectorRegistry] = (),
+) -> Quart:
+    """Return the app that routes callers' requests.
+
+    Parameters
+    ----------
+    router
+        Routes the requests; it must be running.
+    readiness
+        What ``/-/ready`` tells.
+    rng
+        Request ids come from it; unpredictable and differently seeded in each
+        process.
+    registries
+        Metrics shown besides the router's.
+    """
+    app = QuartTrio(__name__)
+    app.url_map.strict_slashes = False
+    app.url_map.merge_slashes = False
+    app.url_map.redirect_defaults = False
+    app.config["MAX_CONTENT_LENGTH"] = router.settings.body_limit
+    app.config["BODY_TIMEOUT"] = BODY_SECONDS
+    app.config["RESPONSE_TIMEOUT"] = None
+    app.config["PROVIDE_AUTOMATIC_OPTIONS"] = False
+    _add_service_routes(app, router, rng)
+    _add_status_routes(app, readiness, (router.metrics.registry, *registries))
+    _add_error_handlers(app, router, rng)
+    _close_connections_on_stop(app, readiness)
+    return app
+
+
+def _add_service_routes(app: Quart, router: Router, rng: random.Random) -> None:
+    methods = list(METHODS)
+
+    @app.route("/services/<service>", methods=methods, defaults={"rest": ""})
+    @app.route("/services/<service>/", methods=methods, defaults={"rest": ""})
+    @app.route("/services/<service>/<path:rest>", methods=methods)
+    async def answer(service: str, rest: str) -> Response:
+        request_id = make_request_id(rng)
+        raw = RawRequest(
+            method=request.method,
+            service=service,
+            path=_get_raw_path(),
+            headers=tuple(Header(name, value) for name, value in request.headers),
+            body=await _read_body(),
+        )
+        parsed = parse_request(raw, request_id, router.settings)
+        if not isinstance(parsed, Success):
+            return make_complaint(parsed.failure(), request_id)
+        return make_response(await router.route(parsed.unwrap()), request_id)
+
+
+def _add_status_routes(
+    app: Quart, readiness: Readiness, registries: Sequence[CollectorRegistry]
+) -> None:
+    @app.get("/-/health")
+    async def show_health() -> Response:
+        return _make_status("healthy", HTTPStatus.OK)
+
+    @app.get("/-/ready")
+    async def show_readiness() -> Response:
+        if readiness.is_ready():
+            return _make_status("ready", HTTPStatus.OK)
+        status = "stopping" if readiness.stopping else "not ready"
+        return _make_status(status, HTTPStatus.SERVICE_UNAVAILABLE)
+
+    @app.get("/-/metrics")
+    async def show_metrics() -> Response:
+        shown = b"".join(generate_latest(each) for each in registries)
+        return Response(shown, content_type=CONTENT_TYPE_LATEST)
+
+
+def _add_error_handlers(app: Quart, router: Router, rng: random.Random) -> None:
+    @app.errorhandler(RequestEntityTooLarge)
+    async def complain_of_size(_error: RequestEntityTooLarge) -> Response:
+        bad = refuse_size(router.settings.body_limit)
+        return make_complaint(bad, make_request_id(rng), content_read=False)
+
+    @app.errorhandler(HTTPException)
+    async def complain(error: HTTPException) -> Response:
+        status = HTTPStatus(error.code or HTTPStatus.INTERNAL_SERVER_ERROR)
+        if status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+            return make_internal_failure(make_request_id(rng))
+        field = "method" if status is HTTPStatus.METHOD_NOT_ALLOWED else "path"
+        if status is HTTPStatus.REQUEST_TIMEOUT:
+            field = "content"
+        bad = BadRequest(
+            field=FieldName(field),
+            sentence=f"{status.phrase.lower()}; services are below {SERVICES_PREFIX}",
+            status=status,
+        )
+        return make_complaint(bad, make_request_id(rng), content_read=False)
+
+
+def _close_connections_on_stop(app: Quart, readiness: Readiness) -> None:
+    @app.after_request
+    async def close_connection(response: Response) -> Response:
+        if readiness.stopping:
+            response.headers["Connection"] = "close"
+        return response
+
+
+def make_request_id(rng: random.Random) -> RequestId:
+    """Return a new id, unique over all entries."""
+    return RequestId(f"{rng.getrandbits(REQUEST_ID_BITS):024x}")
+
+
+async def _read_body() -> bytes:
+    body = await request.get_data(as_text=False)
+    return body if isinstance(body, bytes) else body.encode()
+
+
+def _get_raw_path() -> str:
+    scope = request.scope
+    raw_path = scope.get("raw_path") or scope["path"].encode()
+    _, _, rest = raw_path.removeprefix(SERVICES_PREFIX.encode()).partition(b"/")
+    path = "/" + rest.decode("latin-1")
+    query = scope["query_string"].decode("latin-1")
+    return f"{path}?{query}" if query else path
+
+
+def _make_status(status: str, code: HTTPStatus) -> Response:
+    return Response(
+        msgspec.json.encode(Status(status)), status=code, content_type=JSON_TYPE
+    )
--- /dev/null
+++ b/src/rhubarbfield/callers/serving.py
@@ -0,0 +1,110 @@
+"""Serving the app, and stopping it without cutting off a request."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+
+import msgspec
+import trio
+from hypercorn.config import Config
+from hypercorn.trio import serve as serve_app
+from quart import Quart
+
+from rhubarbfield.callers.readiness import Readiness
+from rhubarbfield.clock import Clock
+
+_logger = logging.getLogger(__name__)
+
+
+class ServingSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Times of the callers' side of an entry.
+
+    Attributes
+    ----------
+    keep_alive
+        How long an idle connection of a caller stays open.
+    look_away
+        How long the balancer may take to see that the entry isn't ready;
+        longer than ``keep_alive``, so that no idle connection outlasts it.
+    grace
+        How long requests in progress may take to finish after that.
+    backlog
+        How many connections may wait to be accepted.
+    """
+
+    keep_alive: timedelta = timedelta(seconds=4)
+    look_away: timedelta = timedelta(seconds=5)
+    grace: timedelta = timedelta(seconds=35)
+    backlog: int = 1024
+
+
+async def serve(
+    app: Quart,
+    address: str,
+    *,
+    stop: trio.Event,
+    readiness: Readiness,
+    clock: Clock,
+    settings: ServingSettings | None = None,
+    task_status: trio.TaskStatus[list[str]] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve ``app`` until ``stop`` is set and its last request has finished.
+
+    A planned stop has four steps. The readiness page says no, and each answer
+    closes its connection; all the while the entry goes on serving. Once the
+    balancer has looked away, new connections are refused. Requests in
+    progress then finish. Then the function returns.
+
+    Parameters
+    ----------
+    address
+        ``host:port`` to listen on.
+    stop
+        Begins the planned stop.
+    readiness
+        Is opened once the entry listens.
+    task_status
+        Is handed the addresses, with the port that was taken.
+    """
+    times = settings if settings is not None else ServingSettings()
+    config = _make_config(address, times)
+
+    async def wait_for_stop() -> None:
+        await stop.wait()
+        readiness.begin_stop()
+        _logger.info("planned stop: not ready")
+        await clock.sleep(times.look_away)
+        _logger.info("planned stop: no new connections")
+
+    async with trio.open_nursery() as nursery:
+        binds = await nursery.start(_serve_app, app, config, wait_for_stop)
+        readiness.open()
+        task_status.started(binds)
+    _logger.info("planned stop: finished")
+
+
+async def _serve_app(
+    app: Quart,
+    config: Config,
+    wait_for_stop: Callable[[], Awaitable[None]],
+    task_status: trio.TaskStatus[list[str]] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    await serve_app(
+        app,
+        config,
+        shutdown_trigger=wait_for_stop,
+        task_status=task_status,
+    )
+
+
+def _make_config(address: str, settings: ServingSettings) -> Config:
+    config = Config()
+    config.bind = [address]
+    config.backlog = settings.backlog
+    config.keep_alive_timeout = settings.keep_alive.total_seconds()
+    config.graceful_timeout = settings.grace.total_seconds()
+    config.include_server_header = False
+    config.loglevel = "WARNING"
+    return config
--- a/src/rhubarbfield/routing/requests.py
+++ b/src/rhubarbfield/routing/requests.py
@@ -91,7 +91,6 @@
     DEADLINE = "deadline"
     QUOTA = "quota"
     CALLER_LEFT = "caller-left"
-    RETRIES_SPENT = "retries-spent"
     BACKEND_UNREACHABLE = "backend-unreachable"
     REFUSED_BY_SERVER = "refused-by-server"
     ANSWER_LOST = "answer-lost"
