--- a/src/rhubarbfield/controller/queries.py
+++ b/src/rhubarbfield/controller/queries.py
@@ -9,6 +9,7 @@
 import trio
 from returns.result import Failure, Result, Success
 
+from rhubarbfield.clock import Clock
 from rhubarbfield.controller.explaining import (
     build_job_explanation,
     build_task_explanation,
@@ -47,7 +48,6 @@
 )
 from rhubarbfield.settings import Settings
 from rhubarbfield.types import FailureDomain, InstanceName
-from rhubarbfield.clock import Clock
 
 COMMAND_TIMEOUT = timedelta(seconds=8)
 DOMAIN_TIMEOUT = timedelta(seconds=3)
@@ -207,8 +207,12 @@
     async def _add_configuration(self, table: Table) -> Table:
         configuration = self._fleet_log.state.fleet.configuration
         own = ("", f"controller {self._settings.instance.name}", configuration.version)
-        values = ", ".join(f"{key} = {value}" for key, value in configuration.values.items())
-        note = f"accepted: version {configuration.version}; {values or 'no keys are set'}"
+        values = ", ".join(
+            f"{key} = {value}" for key, value in configuration.values.items()
+        )
+        note = (
+            f"accepted: version {configuration.version}; {values or 'no keys are set'}"
+        )
         columns = table.columns or ("domain", "process", "version")
         return msgspec.structs.replace(
             table,
@@ -259,9 +263,7 @@
     if not found:
         return Table(columns=(), rows=(), stale=bool(silent), note=note)
     rows = tuple(row for table in found for row in table.rows)
-    return Table(
-        columns=found[0].columns, rows=rows, stale=bool(silent), note=note
-    )
+    return Table(columns=found[0].columns, rows=rows, stale=bool(silent), note=note)
 
 
 def _describe_failure(failure: LeaderFailure) -> OperatorFailure:
--- a/src/rhubarbfield/controller/reconciling.py
+++ b/src/rhubarbfield/controller/reconciling.py
@@ -228,7 +228,8 @@
                 nursery.start_soon(_wait_then_cancel, wait, nursery.cancel_scope)
 
 
-async def _wait_then_cancel(wait: Callable[[], Awaitable[None]], scope: trio.CancelScope) -> None:
+async def _wait_then_cancel(
+    wait: Callable[[], Awaitable[None]], scope: trio.CancelScope
+) -> None:
     await wait()
     scope.cancel()
-
--- a/src/rhubarbfield/controller/usage.py
+++ b/src/rhubarbfield/controller/usage.py
@@ -77,7 +77,10 @@
         """Remember what an attempt was told to use."""
         self._throttles[attempt] = fraction
         live = self._log.state.work.workers.values()
-        if len(self._throttles) > 2 * sum(len(one.live) for one in live) + SPARE_THROTTLES:
+        if (
+            len(self._throttles)
+            > 2 * sum(len(one.live) for one in live) + SPARE_THROTTLES
+        ):
             self._forget_ended()
 
     def _forget_ended(self) -> None:
--- a/src/rhubarbfield/measurement/__init__.py
+++ b/src/rhubarbfield/measurement/__init__.py
@@ -1,1 +1,1 @@
-"""Commands that measure parts of the program and print a table."""
+"""Measurements of the program, each a command that prints a table."""
--- a/src/rhubarbfield/protocol/calls.py
+++ b/src/rhubarbfield/protocol/calls.py
@@ -94,7 +94,9 @@
 DOMAIN_CALL = CallMethod(
     "/rhubarbfield.Controller/Domain",
     DomainCommand,
-    Union[(Done, Refused, *OWNERSHIP_REPLIES, *RECORD_REPLIES, NotLeading, Unavailable)],
+    Union[
+        (Done, Refused, *OWNERSHIP_REPLIES, *RECORD_REPLIES, NotLeading, Unavailable)
+    ],
 )
 FLEET_CALL = CallMethod(
     "/rhubarbfield.Controller/Fleet",
--- a/src/rhubarbfield/testing/__init__.py
+++ b/src/rhubarbfield/testing/__init__.py
@@ -1,1 +1,1 @@
-"""Stand-ins and fakes at the interfaces, for tests and the guided tour."""
+"""Stand-ins for the systems around this one, for tests and first trials."""
