--- /dev/null
+++ b/src/rhubarbfield/placement/explanation.py
@@ -0,0 +1,184 @@
+"""Answers to: where is this task, why there, and why not elsewhere."""
+
+from __future__ import annotations
+
+from datetime import datetime
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from rhubarbfield.placement.decision import Decision, RejectionReason
+from rhubarbfield.placement.fleet import name_shortage
+from rhubarbfield.placement.resources import Resources
+from rhubarbfield.placement.runnable import find_usable
+from rhubarbfield.placement.state import (
+    Attempt,
+    QuarantineState,
+    Task,
+    TaskState,
+    Worker,
+    WorkState,
+)
+from rhubarbfield.types import (
+    AttemptId,
+    AttemptState,
+    CheckpointId,
+    JobId,
+    JobState,
+    TaskId,
+    WorkerId,
+)
+
+
+class UnknownTask(msgspec.Struct, frozen=True):
+    """There is no such task, or its job was forgotten after it ended."""
+
+    task: TaskId
+
+
+class AttemptRecord(msgspec.Struct, frozen=True):
+    """One attempt as it is told to a person."""
+
+    attempt: AttemptId
+    worker: WorkerId
+    state: AttemptState
+    size: Resources
+    started_at: datetime
+    ended_at: datetime | None
+    resumed_from: CheckpointId | None
+    reason: str
+    decision: Decision
+
+
+class WorkerReason(msgspec.Struct, frozen=True):
+    """Why one worker does not have the task.
+
+    Attributes
+    ----------
+    score
+        Its cost when the task was placed, where that was recorded.
+    """
+
+    worker: WorkerId
+    reason: RejectionReason
+    score: float | None = None
+
+
+class Explanation(msgspec.Struct, frozen=True):
+    """Everything known of a task.
+
+    Attributes
+    ----------
+    worker
+        Where it is, if it is anywhere.
+    summary
+        Where and why, as a sentence.
+    live
+        The attempt whose end is not proved, with the recorded decision.
+    past
+        Ended attempts, oldest first; of very many only the latest.
+    elsewhere
+        Every other worker and why it does not have the task as things are now.
+    """
+
+    task: TaskId
+    job: JobId
+    job_state: JobState
+    state: TaskState
+    worker: WorkerId | None
+    summary: str
+    live: AttemptRecord | None
+    past: tuple[AttemptRecord, ...]
+    elsewhere: tuple[WorkerReason, ...]
+
+
+def explain_task(state: WorkState, task: TaskId) -> Result[Explanation, UnknownTask]:
+    """Explain a task from the records in the replicated state.
+
+    Parameters
+    ----------
+    state
+        The state; what is said is as of its log position.
+    task
+        The task.
+    """
+    known = state.tasks.get(task)
+    if known is None:
+        return Failure(UnknownTask(task))
+    job = state.jobs[known.job]
+    live = known.live
+    return Success(
+        Explanation(
+            task=task,
+            job=known.job,
+            job_state=job.state,
+            state=known.state,
+            worker=live.worker if live else None,
+            summary=_summarise(state, known),
+            live=_record(live) if live else None,
+            past=tuple(_record(attempt) for attempt in known.past),
+            elsewhere=_list_elsewhere(state, known),
+        )
+    )
+
+
+def _record(attempt: Attempt) -> AttemptRecord:
+    return AttemptRecord(
+        attempt=attempt.attempt,
+        worker=attempt.worker,
+        state=attempt.state,
+        size=attempt.size,
+        started_at=attempt.started_at,
+        ended_at=attempt.ended_at,
+        resumed_from=attempt.resumed_from,
+        reason=attempt.end_reason,
+        decision=attempt.decision,
+    )
+
+
+def _summarise(state: WorkState, task: Task) -> str:
+    job = state.jobs[task.job]
+    if task.live is not None:
+        attempt = task.live
+        ending = f" ({attempt.end_reason})" if attempt.end_reason else ""
+        decision = attempt.decision
+        why = decision.reason or "no reason kept"
+        return (
+            f"{attempt.state} on {attempt.worker}{ending}; "
+            f"placed by {decision.strategy}: {why}"
+        )
+    if task.state is TaskState.PENDING:
+        last = f"; last: {task.past[-1].end_reason}" if task.past else ""
+        return f"waits since {task.queued_at.isoformat()}{last}"
+    return f"{task.state}; {job.reason}" if job.reason else str(task.state)
+
+
+def _list_elsewhere(state: WorkState, task: Task) -> tuple[WorkerReason, ...]:
+    if task.state not in (TaskState.PENDING, TaskState.LIVE):
+        return ()
+    live = task.live
+    here = live.worker if live else None
+    size = live.size if live else state.jobs[task.job].spec.declared
+    decision = live.decision if live else Decision()
+    scores = {other.worker: other.score for other in decision.alternatives}
+    return tuple(
+        WorkerReason(name, _judge(worker, task, size), scores.get(name))
+        for name, worker in state.workers.items()
+        if name != here
+    )
+
+
+def _judge(worker: Worker, task: Task, size: Resources) -> RejectionReason:
+    """Return why a worker does not have the task as things are now."""
+    if not worker.present:
+        return RejectionReason.ABSENT
+    if worker.draining:
+        return RejectionReason.DRAINING
+    if worker.quarantine is QuarantineState.QUARANTINED:
+        return RejectionReason.QUARANTINED
+    if worker.worker in task.failed_on:
+        return RejectionReason.FAILED_THERE
+    room = find_usable(worker.announced) - worker.committed
+    if not size.fits(room):
+        return name_shortage(size, room)
+    return RejectionReason.COSTLIER
--- /dev/null
+++ b/src/rhubarbfield/placement/observations.py
@@ -0,0 +1,210 @@
+"""What is seen of workers, late: use of resources and latency of services."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from datetime import datetime, timedelta
+
+import msgspec
+
+from rhubarbfield.placement.harm import HarmModel, find_band
+from rhubarbfield.placement.sizes import SizeModel
+from rhubarbfield.placement.state import BatchKind, JobSpec, WorkState
+from rhubarbfield.types import AttemptId, Epoch, TaskId, WorkerId, WorkKind
+
+SMOOTHING = 0.5
+LEAST_THROTTLE = 0.1
+
+
+class AttemptUsage(msgspec.Struct, frozen=True, array_like=True):
+    """What one attempt used when the report was taken.
+
+    Attributes
+    ----------
+    throttle
+        Fraction of its processors that the worker let it use.
+    """
+
+    attempt: AttemptId
+    millicores: int
+    memory_mb: int
+    throttle: float = 1.0
+
+
+class ServiceLatency(msgspec.Struct, frozen=True, array_like=True):
+    """Tail latency of one attempt that serves a service.
+
+    Attributes
+    ----------
+    load
+        Fraction of its slots in use, from 0 to 1.
+    p99
+        99th percentile over the time since the last report.
+    """
+
+    attempt: AttemptId
+    load: float
+    p99: timedelta
+
+
+class UsageReport(msgspec.Struct, frozen=True):
+    """One worker's report.
+
+    Attributes
+    ----------
+    taken_at
+        When the numbers were true; later numbers are learned, earlier ignored.
+    usages
+        Every attempt that was on the worker at that moment, and no other: harm
+        is attributed to these.
+    """
+
+    worker: WorkerId
+    epoch: Epoch
+    taken_at: datetime
+    usages: tuple[AttemptUsage, ...]
+    latencies: tuple[ServiceLatency, ...] = ()
+
+
+class Observations:
+    """Latest reports of workers, and what was learned from all of them.
+
+    Attributes
+    ----------
+    reports
+        The latest report of each worker.
+    latency
+        Smoothed tail latency in seconds of each attempt that serves a service.
+    load
+        Its latest load, from 0 to 1.
+    fresh
+        Workers that reported since :meth:`start_round`.
+    memory_growth
+        Growth of the memory in use on each worker, in megabytes a second.
+
+    Held by the leader alone. A new leader makes its own and calls
+    :meth:`restore` with the replicated state.
+    """
+
+    def __init__(self) -> None:
+        self.reports: dict[WorkerId, UsageReport] = {}
+        self.latency: dict[AttemptId, float] = {}
+        self.load: dict[AttemptId, float] = {}
+        self.fresh: dict[WorkerId, bool] = {}
+        self.memory_growth: dict[WorkerId, float] = {}
+        self.sizes = SizeModel()
+        self.harm = HarmModel()
+
+    def restore(self, state: WorkState) -> None:
+        """Start from what an earlier leader learned."""
+        self.sizes.restore(state.sizes.values())
+        self.harm.restore(state.harm.values())
+
+    def record(self, state: WorkState, report: UsageReport) -> bool:
+        """Take in one report.
+
+        Returns
+        -------
+        bool
+            False if the report was overtaken by a later one or is not of the
+            worker's present epoch; nothing is learned from it then.
+        """
+        worker = state.workers.get(report.worker)
+        last = self.reports.get(report.worker)
+        if worker is None or worker.epoch != report.epoch:
+            return False
+        if last is not None and last.epoch == report.epoch:
+            if last.taken_at >= report.taken_at:
+                return False
+            self._drop_ended(last, report)
+            self.memory_growth[report.worker] = measure_growth(last, report)
+        self.reports[report.worker] = report
+        self.fresh[report.worker] = True
+        specs = {
+            usage.attempt: find_spec(state, usage.attempt) for usage in report.usages
+        }
+        self._learn_sizes(report, specs)
+        self._learn_harm(report, specs, worker.announced.millicores)
+        return True
+
+    def start_round(self) -> None:
+        """Begin a new round, after the plan of the last one was proposed."""
+        self.fresh.clear()
+        self.sizes.forget_changes()
+        self.harm.forget_changes()
+
+    def drop_worker(self, worker: WorkerId) -> None:
+        """Forget the reports of a worker that was lost."""
+        report = self.reports.pop(worker, None)
+        self.fresh.pop(worker, None)
+        self.memory_growth.pop(worker, None)
+        for latency in report.latencies if report else ():
+            self.latency.pop(latency.attempt, None)
+            self.load.pop(latency.attempt, None)
+
+    def _drop_ended(self, last: UsageReport, report: UsageReport) -> None:
+        still = {latency.attempt for latency in report.latencies}
+        for latency in last.latencies:
+            if latency.attempt not in still:
+                self.latency.pop(latency.attempt, None)
+                self.load.pop(latency.attempt, None)
+
+    def _learn_sizes(
+        self, report: UsageReport, specs: dict[AttemptId, JobSpec | None]
+    ) -> None:
+        for usage in report.usages:
+            spec = specs[usage.attempt]
+            if spec is not None:
+                # A throttled task would use more if it were let.
+                millicores = usage.millicores / max(usage.throttle, LEAST_THROTTLE)
+                self.sizes.learn(spec.estimate_key, millicores, usage.memory_mb)
+
+    def _learn_harm(
+        self,
+        report: UsageReport,
+        specs: dict[AttemptId, JobSpec | None],
+        capacity_millicores: int,
+    ) -> None:
+        shares = sum_shares(
+            ((specs[usage.attempt], usage.millicores) for usage in report.usages),
+            capacity_millicores,
+        )
+        for sample in report.latencies:
+            spec = specs.get(sample.attempt)
+            if spec is None or spec.service is None:
+                continue
+            seconds = sample.p99.total_seconds()
+            last = self.latency.get(sample.attempt, seconds)
+            self.latency[sample.attempt] = last + SMOOTHING * (seconds - last)
+            self.load[sample.attempt] = sample.load
+            self.harm.learn(spec.service, find_band(sample.load), shares, seconds)
+
+
+def measure_growth(last: UsageReport, report: UsageReport) -> float:
+    """Return growth in megabytes a second of attempts that are in both reports."""
+    seconds = (report.taken_at - last.taken_at).total_seconds()
+    before = {usage.attempt: usage.memory_mb for usage in last.usages}
+    growth = sum(
+        usage.memory_mb - before[usage.attempt]
+        for usage in report.usages
+        if usage.attempt in before
+    )
+    return max(0.0, growth / seconds)
+
+
+def find_spec(state: WorkState, attempt: AttemptId) -> JobSpec | None:
+    """Return the job's spec of an attempt, live or ended, if still known."""
+    task = state.tasks.get(TaskId(attempt.rpartition("#")[0]))
+    return state.jobs[task.job].spec if task else None
+
+
+def sum_shares(
+    uses: Iterable[tuple[JobSpec | None, int]], capacity_millicores: int
+) -> dict[BatchKind, float]:
+    """Return the share of a worker's processors used by each kind of batch work."""
+    shares: dict[BatchKind, float] = {}
+    for spec, millicores in uses:
+        if spec is not None and spec.kind is not WorkKind.SERVICE:
+            share = millicores / max(1, capacity_millicores)
+            shares[spec.batch_kind] = shares.get(spec.batch_kind, 0.0) + share
+    return shares
--- /dev/null
+++ b/src/rhubarbfield/placement/orders.py
@@ -0,0 +1,50 @@
+"""What a worker has to be told, worked out from the state alone.
+
+For a new leader and for a worker that has reconnected: replies to earlier
+commands may have been lost on the way.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from rhubarbfield.placement._starts import describe_start
+from rhubarbfield.placement.replies import Eviction, StartedAttempt
+from rhubarbfield.placement.state import WorkState
+from rhubarbfield.types import AttemptId, AttemptState, WorkerId
+
+
+class WorkerOrders(msgspec.Struct, frozen=True):
+    """What one worker has to do.
+
+    Attributes
+    ----------
+    start
+        Attempts that it has not said to run yet.
+    stop
+        Attempts to checkpoint and end.
+    keep
+        Every attempt that it may have; it stops all others.
+    """
+
+    start: tuple[StartedAttempt, ...] = ()
+    stop: tuple[Eviction, ...] = ()
+    keep: tuple[AttemptId, ...] = ()
+
+
+def list_orders(state: WorkState, worker: WorkerId) -> WorkerOrders:
+    """Return everything that a worker has to be told now; telling it twice is safe."""
+    known = state.workers.get(worker)
+    if known is None:
+        return WorkerOrders()
+    start: list[StartedAttempt] = []
+    stop: list[Eviction] = []
+    for attempt_id, task_id in known.live.items():
+        attempt = state.tasks[task_id].live
+        if attempt is None:
+            continue
+        if attempt.state is AttemptState.STARTING:
+            start.append(describe_start(attempt, task_id))
+        elif attempt.state is AttemptState.EVICTING:
+            stop.append(Eviction(attempt_id, worker, attempt.end_reason))
+    return WorkerOrders(tuple(start), tuple(stop), tuple(known.live))
--- /dev/null
+++ b/src/rhubarbfield/placement/placing.py
@@ -0,0 +1,176 @@
+"""Choosing workers for tasks that are alike."""
+
+from __future__ import annotations
+
+import heapq
+import math
+from collections.abc import Iterator
+from random import Random
+
+import msgspec
+
+from rhubarbfield.placement.decision import (
+    Alternative,
+    Decision,
+    RejectionCount,
+    RejectionReason,
+)
+from rhubarbfield.placement.fleet import Fleet, Request, Seat
+from rhubarbfield.placement.state import Job
+from rhubarbfield.placement.strategies import Strategy
+from rhubarbfield.types import RackName, WorkerId
+
+ALTERNATIVES = 2
+ROOM_REASONS = (
+    RejectionReason.CORES,
+    RejectionReason.MEMORY,
+    RejectionReason.ACCELERATORS,
+    RejectionReason.DRAINING,
+    RejectionReason.QUARANTINED,
+)
+
+
+class Crowding(msgspec.Struct, frozen=True, order=True, array_like=True):
+    """Order among workers: fewest tasks of the job nearby, then lowest cost.
+
+    For batch work the first two are always 0.
+    """
+
+    on_worker: int
+    on_rack: int
+    score: float
+    index: int
+
+
+class Chosen(msgspec.Struct, frozen=True):
+    """A worker for one task, and why."""
+
+    seat: Seat
+    decision: Decision
+
+
+class Chooser:
+    """Chooses workers for one job's tasks in one round.
+
+    Parameters
+    ----------
+    fleet, strategy, random
+        The round and how to choose.
+    job, request
+        The job, and what one of its tasks needs.
+    avoid
+        Workers that must not be taken.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        strategy: Strategy,
+        random: Random,
+        *,
+        job: Job,
+        request: Request,
+        avoid: tuple[WorkerId, ...] = (),
+    ) -> None:
+        self._fleet = fleet
+        self._strategy = strategy
+        self._random = random
+        self._request = request
+        self._avoid = avoid
+        self._spread = job.spec.endless
+        self._racks = self._count_racks(job) if self._spread else {}
+        self._rejections: dict[RejectionReason, int] = {}
+
+    def choose(self, count: int) -> list[Chosen]:
+        """Choose workers for up to ``count`` tasks and take the room."""
+        heap = [self._rank(seat) for seat in self._list_candidates()]
+        heap = [rank for rank in heap if rank.score < math.inf]
+        heapq.heapify(heap)
+        chosen: list[Chosen] = []
+        while heap and len(chosen) < count:
+            rank = heapq.heappop(heap)
+            seat = self._fleet.seats[rank.index]
+            chosen.append(Chosen(seat, self._explain(rank, heap)))
+            self._fleet.take(seat, self._request)
+            self._count_rack(seat)
+            if self._accepts(seat):
+                again = self._rank(seat)
+                if again.score < math.inf:
+                    heapq.heappush(heap, again)
+        return chosen
+
+    @property
+    def lacks_room(self) -> bool:
+        """Whether room alone was missing, whatever the kind of work."""
+        return all(reason in ROOM_REASONS for reason in self._rejections)
+
+    def describe_wait(self) -> str:
+        """Return why nothing was found, for a person."""
+        parts = [f"{count} {reason}" for reason, count in self._rejections.items()]
+        return ", ".join(parts) or "no worker is present"
+
+    def _list_candidates(self) -> Iterator[Seat]:
+        """Yield workers that could take a task, from a random one onwards."""
+        seats = self._fleet.seats
+        first = 0 if self._strategy.ordered else self._random.randrange(len(seats) or 1)
+        found = 0
+        for seat in (*seats[first:], *seats[:first]):
+            if self._accepts(seat):
+                found += 1
+                yield seat
+                if found >= self._fleet.settings.candidates:
+                    return
+
+    def _accepts(self, seat: Seat) -> bool:
+        """Return whether a worker could take a task; count why not."""
+        if seat.name in self._avoid:
+            reason: RejectionReason | None = RejectionReason.FAILED_THERE
+        else:
+            reason = self._fleet.reject(seat, self._request)
+        if reason is not None:
+            self._count(reason)
+        return reason is None
+
+    def _count(self, reason: RejectionReason) -> None:
+        self._rejections[reason] = self._rejections.get(reason, 0) + 1
+
+    def _rank(self, seat: Seat) -> Crowding:
+        score = self._strategy.score(self._fleet, seat, self._request, self._random)
+        if score == math.inf:
+            self._count(RejectionReason.HARM)
+        if not self._spread:
+            return Crowding(0, 0, score, seat.index)
+        self._fleet.find_residents(seat)
+        on_worker = seat.jobs.get(self._request.spec.job, 0)
+        on_rack = self._racks.get(seat.worker.rack, 0)
+        return Crowding(on_worker, on_rack, score, seat.index)
+
+    def _explain(self, rank: Crowding, others: list[Crowding]) -> Decision:
+        best = heapq.nsmallest(ALTERNATIVES, others)
+        return Decision(
+            strategy=self._strategy.name,
+            score=round(rank.score, 4),
+            reason=f"least cost of {len(others) + 1} workers that could take it",
+            alternatives=tuple(
+                Alternative(self._fleet.seats[other.index].name, round(other.score, 4))
+                for other in best
+            ),
+            rejections=tuple(
+                RejectionCount(reason, count)
+                for reason, count in self._rejections.items()
+            ),
+        )
+
+    def _count_racks(self, job: Job) -> dict[RackName, int]:
+        racks: dict[RackName, int] = {}
+        for task_id in job.live:
+            attempt = self._fleet.state.tasks[task_id].live
+            if attempt is not None:
+                rack = self._fleet.state.workers[attempt.worker].rack
+                racks[rack] = racks.get(rack, 0) + 1
+        return racks
+
+    def _count_rack(self, seat: Seat) -> None:
+        if self._spread:
+            rack = seat.worker.rack
+            self._racks[rack] = self._racks.get(rack, 0) + 1
--- /dev/null
+++ b/src/rhubarbfield/placement/quarantine.py
@@ -0,0 +1,87 @@
+"""Judging workers by work that succeeds elsewhere."""
+
+from __future__ import annotations
+
+from datetime import datetime
+
+from rhubarbfield.placement._starts import may_probe
+from rhubarbfield.placement.commands import AttemptStart, SetQuarantine
+from rhubarbfield.placement.decision import Decision
+from rhubarbfield.placement.fleet import Fleet, Seat
+from rhubarbfield.placement.state import (
+    Job,
+    QuarantineState,
+    Task,
+    Worker,
+    WorkState,
+)
+from rhubarbfield.types import Priority, TaskId, WorkKind
+
+JUDGING_FAILURES = 3
+
+
+def count_failures(state: WorkState, worker: Worker) -> int:
+    """Return failures since the last success, of jobs that succeed elsewhere."""
+    return sum(
+        failures
+        for job_id, failures in worker.failed_jobs.items()
+        if _is_proven_elsewhere(state.jobs.get(job_id), worker)
+    )
+
+
+def _is_proven_elsewhere(job: Job | None, worker: Worker) -> bool:
+    if job is None:
+        return False
+    return any(name != worker.worker for name in job.proven_on)
+
+
+def judge_workers(state: WorkState, now: datetime) -> list[SetQuarantine]:
+    """Return quarantines for workers that fail everything they start."""
+    found = []
+    for worker in state.workers.values():
+        if not worker.present or worker.quarantine is QuarantineState.QUARANTINED:
+            continue
+        failures = count_failures(state, worker) if worker.failed_jobs else 0
+        if failures >= JUDGING_FAILURES:
+            reason = f"failed {failures} tasks in a row of jobs that succeed elsewhere"
+            found.append(
+                SetQuarantine(
+                    at=now,
+                    worker=worker.worker,
+                    state=QuarantineState.QUARANTINED,
+                    reason=reason,
+                )
+            )
+    return found
+
+
+def plan_probe(fleet: Fleet, seat: Seat, taken: set[TaskId]) -> AttemptStart | None:
+    """Return one small start on a quarantined worker whose time has come.
+
+    Only batch work that has succeeded elsewhere is used, so that the worker
+    alone is judged by it.
+    """
+    if not may_probe(fleet.state, seat.worker, fleet.now) or seat.worker.draining:
+        return None
+    for job_id in fleet.state.waiting:
+        job = fleet.state.jobs[job_id]
+        size = fleet.view.sizes.estimate(job.spec)
+        if not _is_probe(job, seat) or not size.fits(seat.room):
+            continue
+        for task_id in reversed(job.pending):
+            task = fleet.state.tasks[task_id]
+            if task_id not in taken and _may_go(task, seat, fleet.now):
+                decision = Decision("probe", reason="probes a quarantined worker")
+                return AttemptStart(task_id, seat.name, size, decision)
+    return None
+
+
+def _is_probe(job: Job, seat: Seat) -> bool:
+    spec = job.spec
+    plain = spec.kind is WorkKind.BATCH and not spec.gang
+    lasting = spec.priority is not Priority.URGENT
+    return plain and lasting and _is_proven_elsewhere(job, seat.worker)
+
+
+def _may_go(task: Task, seat: Seat, now: datetime) -> bool:
+    return task.not_before <= now and seat.name not in task.failed_on
--- /dev/null
+++ b/src/rhubarbfield/placement/queueing.py
@@ -0,0 +1,311 @@
+"""The queue: who is placed next, and what happens where there is no room."""
+
+from __future__ import annotations
+
+import heapq
+import math
+from datetime import datetime
+from random import Random
+
+import msgspec
+
+from rhubarbfield.placement.commands import AttemptStart
+from rhubarbfield.placement.fleet import Fleet, Request
+from rhubarbfield.placement.placing import Chooser
+from rhubarbfield.placement.preemption import Preemptor
+from rhubarbfield.placement.quarantine import plan_probe
+from rhubarbfield.placement.relief import Relief
+from rhubarbfield.placement.resources import Resources
+from rhubarbfield.placement.runnable import count_places
+from rhubarbfield.placement.state import Job, QuarantineState, Task
+from rhubarbfield.placement.strategies import Strategy
+from rhubarbfield.types import JobId, Priority, TaskId, Tenant, WorkerId
+
+CHUNK = 8
+
+
+class Wait(msgspec.Struct, frozen=True):
+    """Why tasks of a job were not placed in this round."""
+
+    job: JobId
+    reason: str
+
+
+class Attempted(msgspec.Struct, frozen=True):
+    """What came of placing a chunk of a job.
+
+    Attributes
+    ----------
+    placed
+        Tasks placed.
+    more
+        Whether it is worth trying more of the job in this round.
+    missing
+        Tasks that could start but found no room.
+    waited
+        For how many patiences its first task has waited.
+    """
+
+    placed: int = 0
+    more: bool = False
+    missing: int = 0
+    waited: float = 0.0
+
+
+class Dead(msgspec.Struct, frozen=True):
+    """A request that found no place, so that none like it is tried again."""
+
+    request: Request
+    by_room: bool
+
+    def covers(self, request: Request) -> bool:
+        """Return whether a request is as hopeless."""
+        if not self.request.size.fits(request.size):
+            return False
+        if self.by_room:
+            return True
+        return (
+            request.spec.batch_kind == self.request.spec.batch_kind
+            and request.spec.service == self.request.spec.service
+            and request.proven == self.request.proven
+            and request.ceiling <= self.request.ceiling
+            and request.spec.priority.value >= self.request.spec.priority.value
+        )
+
+
+def _find_turn(job: Job) -> tuple[bool, datetime, JobId]:
+    """Return the order among a tenant's jobs: services and standing work first."""
+    return (not job.spec.endless, job.accepted_at, job.spec.job)
+
+
+class Placer:
+    """Places what waits in one round.
+
+    Parameters
+    ----------
+    fleet, strategy, random
+        The round and how to choose.
+    relief
+        What the round evicts already; evictions for urgent work are added.
+
+    Attributes
+    ----------
+    starts
+        What is to start where.
+    waits
+        Why jobs that could start did not.
+    """
+
+    def __init__(
+        self, fleet: Fleet, strategy: Strategy, random: Random, relief: Relief
+    ) -> None:
+        self._fleet = fleet
+        self._strategy = strategy
+        self._random = random
+        self._relief = relief
+        self._taken: set[TaskId] = set()
+        self._used: dict[Tenant, Resources] = {}
+        self._dead: list[Dead] = []
+        self.starts: list[AttemptStart] = []
+        self.waits: dict[JobId, str] = {}
+
+    def place(self) -> None:
+        """Place probes, then urgent work, then the rest by tenants' shares."""
+        self._probe()
+        waiting: dict[Priority, dict[Tenant, list[Job]]] = {}
+        for job_id in self._fleet.state.waiting:
+            job = self._fleet.state.jobs[job_id]
+            tenants = waiting.setdefault(job.spec.priority, {})
+            tenants.setdefault(job.spec.tenant, []).append(job)
+        evicting = {order.attempt for order in self._relief.evictions}
+        preemptor = Preemptor(self._fleet, evicting)
+        for priority in Priority:
+            if self._place_priority(waiting.get(priority, {}), preemptor):
+                return
+
+    def _probe(self) -> None:
+        for seat in self._fleet.seats:
+            if seat.worker.quarantine is QuarantineState.QUARANTINED:
+                start = plan_probe(self._fleet, seat, self._taken)
+                if start is not None:
+                    self.starts.append(start)
+                    self._taken.add(start.task)
+
+    def _place_priority(
+        self, tenants: dict[Tenant, list[Job]], preemptor: Preemptor
+    ) -> bool:
+        """Place one priority; return whether those below have to hold back."""
+        for jobs in tenants.values():
+            jobs.sort(key=_find_turn, reverse=True)
+        heap = [(self._find_share(tenant), tenant) for tenant in tenants]
+        heapq.heapify(heap)
+        while heap and len(self.starts) < self._fleet.settings.max_starts:
+            _, tenant = heapq.heappop(heap)
+            jobs = tenants[tenant]
+            job = jobs[-1]
+            attempted = self._place_some(job)
+            if not attempted.more:
+                jobs.pop()
+            if attempted.missing and job.spec.priority is Priority.URGENT:
+                request = self._make_request(job)
+                self._relief.evictions += preemptor.make_room(
+                    request, attempted.missing
+                )
+            if attempted.missing and self._holds_back(job, attempted):
+                self.waits[job.spec.job] += "; it holds back those behind it"
+                return True
+            if jobs:
+                heapq.heappush(heap, (self._find_share(tenant), tenant))
+        return False
+
+    def _holds_back(self, job: Job, attempted: Attempted) -> bool:
+        """Return whether it is a job's turn to have room kept for it.
+
+        Only a job that an empty fleet would hold gets such turns, of one
+        patience each, with one between.
+        """
+        if int(attempted.waited) % 2 == 0:
+            return False
+        size = self._make_request(job).size
+        rooms = [self._fleet.largest_room(seat) for seat in self._fleet.seats]
+        needed = attempted.missing if job.spec.gang else 1
+        return sum(count_places(size, room) for room in rooms) >= needed
+
+    def _find_share(self, tenant: Tenant) -> float:
+        account = self._fleet.state.accounts[tenant]
+        used = self._used.get(tenant, account.used)
+        return used.dominant_share(self._fleet.total) / account.quota.weight
+
+    def _make_request(self, job: Job) -> Request:
+        spec = job.spec
+        sizes = self._fleet.view.sizes
+        size = sizes.estimate(spec)
+        largest = self._fleet.largest
+        # A learned size or a margin must not make a job unplaceable.
+        cut = Resources(
+            min(size.millicores, max(1, largest.millicores)),
+            min(size.memory_mb, max(1, largest.memory_mb)),
+            size.accelerators,
+        )
+        proven = sizes.is_proven(spec.estimate_key)
+        return Request(spec, cut, proven, self._find_ceiling(job))
+
+    def _find_ceiling(self, job: Job) -> float:
+        """Return how slow a service may be made; grows while a job waits."""
+        if job.spec.priority is Priority.URGENT:
+            return math.inf
+        settings = self._fleet.settings
+        waited = (self._fleet.now - job.accepted_at) / settings.starvation_patience
+        patience = 0.0 if job.live else max(0.0, waited - 1)
+        return math.log(settings.latency_ceiling * (1 + patience))
+
+    def _place_some(self, job: Job) -> Attempted:
+        """Place a chunk of a job."""
+        tasks = self._list_eligible(job)
+        if not tasks:
+            self.waits[job.spec.job] = "its tasks wait out a backoff or an eviction"
+            return Attempted()
+        request = self._make_request(job)
+        waited = self._measure_wait(tasks[0])
+        wanted = tasks if job.spec.gang else tasks[:CHUNK]
+        wanted = wanted[: self._count_within_quota(job, request, len(wanted))]
+        if not wanted or (job.spec.gang and len(wanted) < len(tasks)):
+            self.waits[job.spec.job] = "the quota of its tenant is used up"
+            return Attempted()
+        if any(dead.covers(request) for dead in self._dead):
+            self.waits[job.spec.job] = "no worker could take a task like it"
+            return Attempted(missing=len(wanted), waited=waited)
+        if job.spec.gang:
+            placed = self._place_gang(job, request, wanted)
+        else:
+            placed = self._place_each(job, request, wanted)
+        whole = placed == len(wanted)
+        more = whole and len(tasks) > len(wanted)
+        return Attempted(placed, more, len(wanted) - placed, waited)
+
+    def _measure_wait(self, task: Task) -> float:
+        waited = self._fleet.now - task.queued_at
+        return waited / self._fleet.settings.starvation_patience
+
+    def _list_eligible(self, job: Job) -> list[Task]:
+        """Return tasks that may start now; of a gang all that wait or none."""
+        limit = len(job.pending) if job.spec.gang else CHUNK + 1
+        found: list[Task] = []
+        for task_id in job.pending:
+            task = self._fleet.state.tasks[task_id]
+            if task.not_before <= self._fleet.now and task_id not in self._taken:
+                found.append(task)
+                if len(found) >= limit:
+                    break
+        if job.spec.gang and (job.live or len(found) < len(job.pending)):
+            return []
+        return found
+
+    def _count_within_quota(self, job: Job, request: Request, most: int) -> int:
+        account = self._fleet.state.accounts[job.spec.tenant]
+        limit = account.quota.limit
+        if limit is None:
+            return most
+        used = self._used.get(job.spec.tenant, account.used)
+        return min(most, count_places(request.size, limit - used))
+
+    def _place_gang(self, job: Job, request: Request, tasks: list[Task]) -> int:
+        """Place all of a gang or nothing; at need with the declared size."""
+        for size in (request.size, job.spec.declared):
+            trial = Request(job.spec, size, request.proven, request.ceiling)
+            if not request.proven or size == request.size:
+                placed = self._choose(job, trial, tasks, ())
+                if placed == len(tasks):
+                    return placed
+        return 0
+
+    def _place_each(self, job: Job, request: Request, tasks: list[Task]) -> int:
+        """Place tasks as far as there is room; those that failed somewhere apart."""
+        plain = [task for task in tasks if not task.failed_on]
+        placed = self._choose(job, request, plain, ()) if plain else 0
+        for task in tasks:
+            if task.failed_on:
+                placed += self._place_failed(job, request, task)
+        return placed
+
+    def _place_failed(self, job: Job, request: Request, task: Task) -> int:
+        avoid = tuple(task.failed_on)
+        placed = self._choose(job, request, [task], avoid)
+        if not placed and len(self._fleet.seats) <= len(avoid):
+            placed = self._choose(job, request, [task], ())
+        return placed
+
+    def _choose(
+        self,
+        job: Job,
+        request: Request,
+        tasks: list[Task],
+        avoid: tuple[WorkerId, ...],
+    ) -> int:
+        chooser = Chooser(
+            self._fleet,
+            self._strategy,
+            self._random,
+            job=job,
+            request=request,
+            avoid=avoid,
+        )
+        chosen = chooser.choose(len(tasks))
+        if len(chosen) < len(tasks):
+            self.waits[job.spec.job] = chooser.describe_wait()
+            if not avoid and not job.spec.gang:
+                self._dead.append(Dead(request, chooser.lacks_room))
+            if job.spec.gang:
+                for choice in chosen:
+                    self._fleet.give_back(choice.seat, request)
+                return 0
+        for task, choice in zip(tasks, chosen, strict=False):
+            name = choice.seat.name
+            self.starts.append(
+                AttemptStart(task.task, name, request.size, choice.decision)
+            )
+            self._taken.add(task.task)
+        tenant = job.spec.tenant
+        used = self._used.get(tenant, self._fleet.state.accounts[tenant].used)
+        self._used[tenant] = used + request.size.scale(len(chosen))
+        return len(chosen)
--- /dev/null
+++ b/src/rhubarbfield/placement/runnable.py
@@ -0,0 +1,135 @@
+"""Whether a job could ever run on the workers that are known."""
+
+from __future__ import annotations
+
+from rhubarbfield.placement.replies import (
+    Impossible,
+    ImpossibleReason,
+)
+from rhubarbfield.placement.resources import Resources
+from rhubarbfield.placement.state import JobSpec, Worker, WorkState
+
+MAX_TASKS = 10_000
+MEMORY_RESERVE = 0.1
+
+
+def find_usable(announced: Resources) -> Resources:
+    """Return what of a worker may be promised in advance.
+
+    A reserve of memory is kept for tasks that turn out larger than thought.
+    """
+    memory_mb = int(announced.memory_mb * (1 - MEMORY_RESERVE))
+    return Resources(announced.millicores, memory_mb, announced.accelerators)
+
+
+def check_runnable(state: WorkState, spec: JobSpec) -> Impossible | None:
+    """Return why a job can never run, or ``None`` if it might.
+
+    Absent workers count, since they may return. Where no worker is known yet
+    nothing is said to be too large.
+
+    Parameters
+    ----------
+    state
+        The workers and quotas to judge by.
+    spec
+        The job.
+    """
+    return (
+        _check_shape(spec)
+        or _check_quota(state, spec)
+        or _check_single(state, spec)
+        or _check_gang(state, spec)
+    )
+
+
+def _check_shape(spec: JobSpec) -> Impossible | None:
+    if spec.tasks < 1:
+        return Impossible(ImpossibleReason.NO_TASKS, "the job has no tasks")
+    if spec.tasks > MAX_TASKS:
+        message = f"the job has {spec.tasks} tasks; at most {MAX_TASKS} are allowed"
+        return Impossible(ImpossibleReason.TOO_MANY_TASKS, message)
+    if spec.cores <= 0 or spec.memory_mb <= 0 or spec.accelerators < 0:
+        message = f"a task cannot need {spec.declared.describe()}"
+        return Impossible(ImpossibleReason.BAD_SIZE, message)
+    return None
+
+
+def _check_quota(state: WorkState, spec: JobSpec) -> Impossible | None:
+    account = state.accounts.get(spec.tenant)
+    limit = account.quota.limit if account else None
+    if limit is None:
+        return None
+    needed = spec.declared.scale(spec.tasks if spec.gang else 1)
+    if needed.fits(limit):
+        return None
+    message = (
+        f"{needed.describe()} needed at once; the quota of {spec.tenant} "
+        f"is {limit.describe()}"
+    )
+    return Impossible(ImpossibleReason.EXCEEDS_QUOTA, message)
+
+
+def _check_single(state: WorkState, spec: JobSpec) -> Impossible | None:
+    workers = list(state.workers.values())
+    need = spec.declared
+    if not workers or any(
+        need.fits(find_usable(worker.announced)) for worker in workers
+    ):
+        return None
+    largest = Resources()
+    for worker in workers:
+        largest = largest.enlarge(find_usable(worker.announced))
+    nearest = min(workers, key=lambda worker: (_shortfall(need, worker), worker.worker))
+    if need.accelerators and not largest.accelerators:
+        reason, message = ImpossibleReason.NO_ACCELERATOR, "no worker has accelerators"
+    elif need.accelerators > largest.accelerators:
+        reason = ImpossibleReason.TOO_MANY_ACCELERATORS
+        message = f"no worker has more than {largest.accelerators} accelerators"
+    elif need.millicores > largest.millicores:
+        reason = ImpossibleReason.TOO_MANY_CORES
+        message = f"no worker has {spec.cores:g} cores"
+    elif need.memory_mb > largest.memory_mb:
+        reason = ImpossibleReason.TOO_MUCH_MEMORY
+        message = f"no worker has {spec.memory_mb} MB besides its reserve"
+    else:
+        reason = ImpossibleReason.NO_SINGLE_WORKER
+        message = f"no single worker has {need.describe()}"
+    message = (
+        f"{message}; nearest is {nearest.worker} with {nearest.announced.describe()}"
+    )
+    return Impossible(reason, message, nearest.worker, nearest.announced)
+
+
+def _check_gang(state: WorkState, spec: JobSpec) -> Impossible | None:
+    if not spec.gang or not state.workers:
+        return None
+    places = sum(
+        count_places(spec.declared, find_usable(worker.announced))
+        for worker in state.workers.values()
+    )
+    if places >= spec.tasks:
+        return None
+    message = f"the workers hold {places} of the {spec.tasks} tasks of the gang"
+    return Impossible(ImpossibleReason.GANG_TOO_LARGE, message)
+
+
+def count_places(size: Resources, room: Resources) -> int:
+    """Return how many tasks of a size fit into a room."""
+    if not size.fits(room):
+        return 0
+    places = room.millicores // max(1, size.millicores)
+    places = min(places, room.memory_mb // max(1, size.memory_mb))
+    if size.accelerators:
+        places = min(places, room.accelerators // size.accelerators)
+    return places
+
+
+def _shortfall(need: Resources, worker: Worker) -> float:
+    have = find_usable(worker.announced)
+    gaps = (
+        (need.millicores, have.millicores),
+        (need.memory_mb, have.memory_mb),
+        (need.accelerators, have.accelerators),
+    )
+    return sum(max(0.0, 1 - has / wanted) for wanted, has in gaps if wanted)
--- /dev/null
+++ b/src/rhubarbfield/placement/sizes.py
@@ -0,0 +1,87 @@
+"""How large tasks really are, against how large they were declared."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from rhubarbfield.placement.resources import Resources
+from rhubarbfield.placement.state import EstimateKey, JobSpec, SizeEstimate
+
+PROVEN_SAMPLES = 10
+MEMORY_RISE, MEMORY_FALL = 0.4, 0.004
+PROCESSOR_RISE, PROCESSOR_FALL = 0.1, 0.02
+FIRST_MARGIN, LAST_MARGIN = 0.4, 0.1
+LEAST_MILLICORES, LEAST_MEMORY_MB = 50, 32
+
+
+class SizeModel:
+    """Sizes learned from reports for each tenant and kind of work.
+
+    Memory follows use quickly upwards and slowly downwards, which settles at
+    a high quantile; processor use likewise, less steeply.
+    """
+
+    def __init__(self) -> None:
+        self._sizes: dict[EstimateKey, SizeEstimate] = {}
+        self._changed: dict[EstimateKey, bool] = {}
+
+    def learn(self, key: EstimateKey, millicores: float, memory_mb: float) -> None:
+        """Learn from one task's reported use."""
+        known = self._sizes.get(key)
+        if known is None:
+            known = SizeEstimate(key, millicores, memory_mb, 0)
+        self._sizes[key] = SizeEstimate(
+            key,
+            _follow(known.millicores, millicores, PROCESSOR_RISE, PROCESSOR_FALL),
+            _follow(known.memory_mb, memory_mb, MEMORY_RISE, MEMORY_FALL),
+            known.samples + 1,
+        )
+        self._changed[key] = True
+
+    def is_proven(self, key: EstimateKey) -> bool:
+        """Return whether enough reports stand behind the estimate."""
+        known = self._sizes.get(key)
+        return known is not None and known.samples >= PROVEN_SAMPLES
+
+    def estimate(self, spec: JobSpec) -> Resources:
+        """Return what to commit to one task of a job.
+
+        Starts at the declaration plus a margin and moves to what was seen as
+        reports come in. Accelerators are always as declared.
+        """
+        declared = spec.declared
+        known = self._sizes.get(spec.estimate_key)
+        if known is None:
+            return _finish(declared, declared.millicores, declared.memory_mb, 0.0)
+        trust = known.samples / (known.samples + PROVEN_SAMPLES)
+        millicores = trust * known.millicores + (1 - trust) * declared.millicores
+        memory_mb = trust * known.memory_mb + (1 - trust) * declared.memory_mb
+        return _finish(declared, millicores, max(memory_mb, known.memory_mb), trust)
+
+    def restore(self, estimates: Iterable[SizeEstimate]) -> None:
+        """Start from the estimates that an earlier leader left in the log."""
+        for entry in estimates:
+            self._sizes[entry.key] = entry
+
+    def list_changed(self) -> list[SizeEstimate]:
+        """Return the estimates that changed since :meth:`forget_changes`."""
+        return [self._sizes[key] for key in self._changed]
+
+    def forget_changes(self) -> None:
+        """Count changes from here on."""
+        self._changed.clear()
+
+
+def _follow(mean: float, seen: float, rise: float, fall: float) -> float:
+    return mean + (rise if seen > mean else fall) * (seen - mean)
+
+
+def _finish(
+    declared: Resources, millicores: float, memory_mb: float, trust: float
+) -> Resources:
+    margin = 1 + FIRST_MARGIN + trust * (LAST_MARGIN - FIRST_MARGIN)
+    return Resources(
+        max(LEAST_MILLICORES, round(millicores)),
+        max(LEAST_MEMORY_MB, round(memory_mb * margin)),
+        declared.accelerators,
+    )
--- /dev/null
+++ b/src/rhubarbfield/placement/strategies.py
@@ -0,0 +1,116 @@
+"""Ways to choose among the workers that could take a task."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from random import Random
+from typing import NamedTuple
+
+import msgspec
+
+from rhubarbfield.exceptions import UsageError
+from rhubarbfield.placement.fleet import Fleet, Request, Seat
+from rhubarbfield.types import WorkKind
+
+Scorer = Callable[[Fleet, Seat, Request, Random], float]
+
+FILL_COST = 0.05
+REFUSED = math.inf
+
+
+class Strategy(msgspec.Struct, frozen=True):
+    """A way to choose.
+
+    Attributes
+    ----------
+    score
+        Returns the cost of a worker; the lowest is taken, and infinity means
+        that the task had better wait.
+    aware
+        Whether it looks at harm; only then are services relieved of batch work.
+    ordered
+        Whether workers are looked at in order of joining, until one fits.
+    """
+
+    name: str
+    score: Scorer
+    aware: bool = False
+    ordered: bool = False
+
+
+class StrategyTraits(NamedTuple):
+    """What a strategy is registered with besides its name."""
+
+    aware: bool = False
+    ordered: bool = False
+
+
+PLAIN = StrategyTraits()
+
+_strategies: dict[str, Strategy] = {}
+
+
+def strategy(name: str, traits: StrategyTraits = PLAIN) -> Callable[[Scorer], Scorer]:
+    """Register the decorated function as the strategy ``name``."""
+
+    def register(scorer: Scorer) -> Scorer:
+        _strategies[name] = Strategy(name, scorer, traits.aware, traits.ordered)
+        return scorer
+
+    return register
+
+
+def list_strategies() -> tuple[str, ...]:
+    """Return the names of all strategies."""
+    return tuple(_strategies)
+
+
+def find_strategy(name: str) -> Strategy:
+    """Return a strategy by name.
+
+    Raises
+    ------
+    UsageError
+        If there is none of that name.
+    """
+    if name not in _strategies:
+        known = ", ".join(_strategies)
+        raise UsageError(f"there is no strategy {name!r}", f"Known are: {known}.")
+    return _strategies[name]
+
+
+@strategy("harm-aware", StrategyTraits(aware=True))
+def score_harm(fleet: Fleet, seat: Seat, request: Request, _random: Random) -> float:
+    """Weigh what is learned of harm to services against spreading load."""
+    weights = fleet.settings.weights
+    after = request.size - seat.room
+    fill = 1 + after.millicores / max(1, seat.capacity.millicores)
+    cost = weights.throughput * FILL_COST * fill
+    if request.spec.kind is WorkKind.SERVICE:
+        return cost + weights.tail_latency * fleet.predict_suffering(seat, request)
+    growth, worst = fleet.predict_harm(seat, request)
+    if growth > 0 and worst > request.ceiling:
+        return REFUSED
+    return cost + weights.tail_latency * growth
+
+
+@strategy("first-fit", StrategyTraits(ordered=True))
+def score_first(_fleet: Fleet, seat: Seat, _request: Request, _random: Random) -> float:
+    """Take the worker that joined first."""
+    return float(seat.index)
+
+
+@strategy("random")
+def score_random(_fleet: Fleet, _seat: Seat, _request: Request, rng: Random) -> float:
+    """Take any worker."""
+    return rng.random()
+
+
+@strategy("harm-blind")
+def score_best_fit(
+    _fleet: Fleet, seat: Seat, request: Request, _random: Random
+) -> float:
+    """Take the worker with the least room left over."""
+    left = seat.room - request.size
+    return left.dominant_share(seat.capacity)
