--- a/src/rhubarbfield/fleet/__init__.py
+++ b/src/rhubarbfield/fleet/__init__.py
@@ -7,6 +7,12 @@
     SubmitCommand,
     find_next_number,
 )
+from rhubarbfield.fleet.configuration import (
+    ConfigurationProblem,
+    check_configuration,
+    list_configurable_keys,
+    overlay_configuration,
+)
 from rhubarbfield.fleet.jobs import (
     Delegated,
     DelegateJob,
@@ -40,6 +46,10 @@
     "CommandTable",
     "find_next_number",
     "Configuration",
+    "ConfigurationProblem",
+    "check_configuration",
+    "list_configurable_keys",
+    "overlay_configuration",
     "FleetJob",
     "JobRequest",
     "DelegateJob",
--- a/src/rhubarbfield/fleet/commands.py
+++ b/src/rhubarbfield/fleet/commands.py
@@ -127,9 +127,8 @@
 def _answer_again(
     table: CommandTable, standing: CommandRecord, command: SubmitCommand
 ) -> Reply:
-    same = (
-        standing.operator == command.operator
-        and standing.digest == digest_text(command.text)
+    same = standing.operator == command.operator and standing.digest == digest_text(
+        command.text
     )
     if same:
         return CommandAnswered(record=standing)
--- a/src/rhubarbfield/fleet/effects.py
+++ b/src/rhubarbfield/fleet/effects.py
@@ -104,13 +104,18 @@
     check_invariant(job_id not in state.jobs, "job-created-once", job_id)
     state.jobs[job_id] = FleetJob(
         id=job_id,
-        request=msgspec.convert(statement, JobRequest, from_attributes=True),
+        request=_read_request(statement),
         created_by=mark.operator,
         created_at=mark.at,
     )
     return Effect(True, f"job {job_id} is accepted", (job_id,))
 
 
+def _read_request(statement: CreateJob) -> JobRequest:
+    names = JobRequest.__struct_fields__
+    return JobRequest(**{name: getattr(statement, name) for name in names})
+
+
 @_has_effect(CancelJobs)
 def _cancel_jobs(state: FleetState, statement: CancelJobs, mark: Mark) -> Effect:
     missing = [name for name in statement.jobs if name not in state.jobs]
--- a/src/rhubarbfield/fleet/jobs.py
+++ b/src/rhubarbfield/fleet/jobs.py
@@ -228,6 +228,4 @@
 
 
 def _refuse_epoch(command: ReleaseJob | ReportJob | FinishJob) -> str:
-    return (
-        f"job {command.job} is not with {command.domain} under epoch {command.epoch}"
-    )
+    return f"job {command.job} is not with {command.domain} under epoch {command.epoch}"
--- /dev/null
+++ b/src/rhubarbfield/operators/app.py
@@ -0,0 +1,317 @@
+"""The controller's HTTP for operators."""
+
+from __future__ import annotations
+
+import hmac
+import logging
+from collections.abc import Awaitable, Callable, Iterable
+from datetime import timedelta
+from typing import Any, TypeVar, cast
+
+import msgspec
+import trio
+from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client.exposition import CONTENT_TYPE_LATEST
+from quart import Response, request
+from quart_trio import QuartTrio
+from returns.result import Failure, Result, Success
+from werkzeug.exceptions import HTTPException, RequestEntityTooLarge
+
+from rhubarbfield.exceptions import BrokenInvariantError
+from rhubarbfield.fleet import ConfigurationProblem, check_configuration
+from rhubarbfield.language import (
+    AnyCommandStatement,
+    CommandStatement,
+    Configure,
+    Query,
+    Show,
+    Statement,
+    Table,
+    parse,
+    select_rows,
+)
+from rhubarbfield.logs import get_logger, log_event
+from rhubarbfield.operators.failures import FailureKind, OperatorFailure
+from rhubarbfield.operators.messages import (
+    LARGEST_BODY_BYTES,
+    CommandAnswer,
+    CommandRequest,
+    FailureAnswer,
+    QueryRequest,
+)
+from rhubarbfield.operators.port import OperatorsPort, Submission
+from rhubarbfield.settings import Secret
+from rhubarbfield.types import CommandNumber, OperatorName
+
+LONGEST_BODY = timedelta(seconds=10)
+LONGEST_ANSWER = timedelta(seconds=30)
+MOST_REQUESTS_AT_ONCE = 64
+RETRY_AFTER_SECONDS = 1
+_LOGGER = get_logger("operators")
+_STATUS_BY_KIND = {
+    FailureKind.UNAUTHORIZED: 401,
+    FailureKind.MALFORMED: 400,
+    FailureKind.TOO_LARGE: 413,
+    FailureKind.SYNTAX: 400,
+    FailureKind.INVALID: 422,
+    FailureKind.NOT_FOUND: 404,
+    FailureKind.CLASH: 409,
+    FailureKind.NUMBER_REFUSED: 409,
+    FailureKind.NOT_LEADER: 503,
+    FailureKind.NO_QUORUM: 503,
+    FailureKind.UNKNOWN_OUTCOME: 504,
+    FailureKind.BUSY: 503,
+    FailureKind.UNREACHABLE: 502,
+    FailureKind.INTERNAL: 500,
+}
+_STATUS_OK = 200
+_STATUS_UNAVAILABLE = 503
+_STATUS_NOT_FOUND = 404
+
+BodyT = TypeVar("BodyT")
+Answer = Result[Any, OperatorFailure]
+
+
+def create_operators_app(
+    service: OperatorsPort,
+    *,
+    secret: Secret,
+    metrics: CollectorRegistry,
+    on_broken_invariant: Callable[[BrokenInvariantError], None] | None = None,
+) -> QuartTrio:
+    """Make the application that answers operators.
+
+    Parameters
+    ----------
+    service
+        The controller.
+    secret
+        What an operator has to show as ``Authorization: Bearer SECRET``.
+    metrics
+        What ``/-/metrics`` exposes.
+    on_broken_invariant
+        Told of an invariant found broken while answering, so that the
+        process can be stopped; the web library would go on.
+
+    Returns
+    -------
+    QuartTrio
+        For :func:`hypercorn.trio.serve`.
+    """
+    app = QuartTrio("rhubarbfield.operators")
+    app.config["MAX_CONTENT_LENGTH"] = LARGEST_BODY_BYTES
+    app.config["BODY_TIMEOUT"] = LONGEST_BODY.total_seconds()
+    handlers = _Handlers(service, secret, metrics, on_broken_invariant)
+    app.before_request(handlers.admit)
+    app.register_error_handler(HTTPException, handlers.answer_http_error)
+    app.register_error_handler(Exception, handlers.answer_fault)
+    app.add_url_rule("/v1/query", view_func=handlers.query, methods=["POST"])
+    app.add_url_rule("/v1/command", view_func=handlers.command, methods=["POST"])
+    app.add_url_rule("/v1/status", view_func=handlers.show_status)
+    app.add_url_rule("/-/health", view_func=handlers.show_health)
+    app.add_url_rule("/-/ready", view_func=handlers.show_ready)
+    app.add_url_rule("/-/metrics", view_func=handlers.show_metrics)
+    return app
+
+
+class _Handlers:
+    def __init__(
+        self,
+        service: OperatorsPort,
+        secret: Secret,
+        metrics: CollectorRegistry,
+        on_broken_invariant: Callable[[BrokenInvariantError], None] | None,
+    ) -> None:
+        self._service = service
+        self._expected = b"Bearer " + secret
+        self._metrics = metrics
+        self._on_broken_invariant = on_broken_invariant
+        self._places = trio.CapacityLimiter(MOST_REQUESTS_AT_ONCE)
+
+    async def admit(self) -> Response | None:
+        """Refuse whoever does not show the secret, but for probes."""
+        if request.path in {"/-/health", "/-/ready"}:
+            return None
+        shown = request.headers.get("Authorization", "").encode()
+        if hmac.compare_digest(shown, self._expected):
+            return None
+        log_event(
+            _LOGGER,
+            logging.WARNING,
+            "operator-refused",
+            remote=request.remote_addr,
+            path=request.path,
+        )
+        message = "the Authorization header does not show the shared secret"
+        return _answer(_fail(FailureKind.UNAUTHORIZED, message))
+
+    async def query(self) -> Response:
+        """Answer a query."""
+        with trio.move_on_after(LONGEST_ANSWER.total_seconds()):
+            return _answer(await self._within_bounds(self._query))
+        return _answer(_fail(FailureKind.BUSY, "the answer took too long"))
+
+    async def command(self) -> Response:
+        """Have a command decided."""
+        with trio.move_on_after(LONGEST_ANSWER.total_seconds()):
+            return _answer(await self._within_bounds(self._command))
+        message = (
+            "whether the command had its effect is not known yet; send it again"
+            " under the same number"
+        )
+        return _answer(_fail(FailureKind.UNKNOWN_OUTCOME, message))
+
+    async def show_status(self) -> Response:
+        """Return what the controller knows of itself."""
+        return _encode(self._service.get_status())
+
+    async def show_health(self) -> Response:
+        """Say that the process lives."""
+        return Response("alive\n", mimetype="text/plain")
+
+    async def show_ready(self) -> Response:
+        """Say whether the controller can answer."""
+        status = self._service.get_status()
+        if status.ready:
+            return Response("ready\n", mimetype="text/plain")
+        text = f"not ready: {status.note}\n"
+        return Response(text, _STATUS_UNAVAILABLE, mimetype="text/plain")
+
+    async def show_metrics(self) -> Response:
+        """Expose the metrics of the process."""
+        data = generate_latest(self._metrics)
+        return Response(data, content_type=CONTENT_TYPE_LATEST)
+
+    async def answer_http_error(self, error: HTTPException) -> Response:
+        """Answer a request that has no handler or can't be read."""
+        if isinstance(error, RequestEntityTooLarge):
+            message = f"a request has at most {LARGEST_BODY_BYTES} bytes"
+            return _answer(_fail(FailureKind.TOO_LARGE, message))
+        found = error.code != _STATUS_NOT_FOUND
+        kind = FailureKind.MALFORMED if found else FailureKind.NOT_FOUND
+        return _answer(_fail(kind, error.description or "not a request"))
+
+    async def answer_fault(self, error: Exception) -> Response:
+        """Answer a request during which the program failed."""
+        log_event(_LOGGER, logging.ERROR, "operator-request-fault", error=repr(error))
+        if isinstance(error, BrokenInvariantError) and self._on_broken_invariant:
+            self._on_broken_invariant(error)
+        message = "the controller met a fault of its own; its log says which"
+        return _answer(_fail(FailureKind.INTERNAL, message))
+
+    async def _within_bounds(self, answer: Callable[[], Awaitable[Answer]]) -> Answer:
+        borrower = object()
+        try:
+            self._places.acquire_on_behalf_of_nowait(borrower)
+        except trio.WouldBlock:
+            message = f"{MOST_REQUESTS_AT_ONCE} requests are being answered already"
+            return _fail(FailureKind.BUSY, message)
+        try:
+            return await answer()
+        finally:
+            self._places.release_on_behalf_of(borrower)
+
+    async def _query(self) -> Answer:
+        match _decode(await _read_body(), QueryRequest):
+            case Success(QueryRequest(text=text)):
+                return await self._answer_query(text)
+            case refused:
+                return refused
+
+    async def _answer_query(self, text: str) -> Answer:
+        match _read_statement(text):
+            case Success(Query() as query):
+                found = await self._service.query(query)
+            case Success(_):
+                return _fail(FailureKind.INVALID, "this is a command, not a query")
+            case refused:
+                return refused
+        if isinstance(query, Show) and isinstance(found, Success):
+            return _select(found.unwrap(), query)
+        return found
+
+    async def _command(self) -> Answer:
+        match _decode(await _read_body(), CommandRequest):
+            case Success(CommandRequest() as asked):
+                return await self._answer_command(asked)
+            case refused:
+                return refused
+
+    async def _answer_command(self, asked: CommandRequest) -> Answer:
+        match _read_statement(asked.text).bind(_check_command):
+            case Success(statement):
+                submission = Submission(
+                    operator=OperatorName(asked.operator),
+                    number=CommandNumber(asked.number),
+                    text=asked.text,
+                    statement=statement,
+                )
+                record = await self._service.command(submission)
+                return record.map(lambda found: CommandAnswer(record=found))
+            case refused:
+                return refused
+
+
+async def _read_body() -> bytes:
+    return cast(bytes, await request.get_data(as_text=False))
+
+
+def _decode(data: bytes, body_type: type[BodyT]) -> Result[BodyT, OperatorFailure]:
+    try:
+        return Success(msgspec.json.decode(data, type=body_type))
+    except (msgspec.DecodeError, RecursionError) as error:
+        return _fail(FailureKind.MALFORMED, f"the body is not as expected: {error}")
+
+
+def _read_statement(text: str) -> Result[Statement, OperatorFailure]:
+    return parse(text).alt(
+        lambda problem: OperatorFailure(
+            kind=FailureKind.SYNTAX, message=problem.format()
+        )
+    )
+
+
+def _check_command(
+    statement: Statement,
+) -> Result[AnyCommandStatement, OperatorFailure]:
+    if isinstance(statement, Configure):
+        return check_configuration(statement).map(lambda _: statement).alt(_join)
+    if isinstance(statement, CommandStatement):
+        return Success(cast(AnyCommandStatement, statement))
+    return _fail(FailureKind.INVALID, "this is a query, not a command")
+
+
+def _join(problems: Iterable[ConfigurationProblem]) -> OperatorFailure:
+    message = "\n".join(problem.format() for problem in problems)
+    return OperatorFailure(kind=FailureKind.INVALID, message=message)
+
+
+def _select(table: Table, query: Show) -> Result[Table, OperatorFailure]:
+    return select_rows(table, query).alt(
+        lambda problem: OperatorFailure(
+            kind=FailureKind.INVALID, message=problem.format()
+        )
+    )
+
+
+def _fail(kind: FailureKind, message: str) -> Result[Any, OperatorFailure]:
+    return Failure(OperatorFailure(kind=kind, message=message))
+
+
+def _answer(outcome: Answer) -> Response:
+    match outcome:
+        case Failure(OperatorFailure() as failure):
+            return _answer_failure(failure)
+    return _encode(outcome.unwrap())
+
+
+def _answer_failure(failure: OperatorFailure) -> Response:
+    status = _STATUS_BY_KIND[failure.kind]
+    response = _encode(FailureAnswer(failure=failure), status)
+    if status == _STATUS_UNAVAILABLE:
+        response.headers["Retry-After"] = str(RETRY_AFTER_SECONDS)
+    return response
+
+
+def _encode(value: msgspec.Struct, status: int = _STATUS_OK) -> Response:
+    return Response(msgspec.json.encode(value), status, mimetype="application/json")
--- /dev/null
+++ b/src/rhubarbfield/operators/client.py
@@ -0,0 +1,188 @@
+"""The operators' side of the controller's HTTP."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from datetime import timedelta
+from typing import TypeVar
+
+import httpx
+import msgspec
+from returns.result import Failure, Result, Success
+
+from rhubarbfield.fleet import CommandRecord
+from rhubarbfield.language import Table
+from rhubarbfield.operators.failures import FailureKind, OperatorFailure
+from rhubarbfield.operators.messages import (
+    CommandAnswer,
+    CommandRequest,
+    FailureAnswer,
+    QueryRequest,
+)
+from rhubarbfield.operators.port import ControllerStatus
+from rhubarbfield.settings import Secret
+
+LONGEST_CONNECT = timedelta(seconds=2)
+LONGEST_ANSWER = timedelta(seconds=35)
+LARGEST_ANSWER_BYTES = 64 * 1024 * 1024
+_OK = 200
+_ASK_ANOTHER = frozenset(
+    {
+        FailureKind.UNREACHABLE,
+        FailureKind.NOT_LEADER,
+        FailureKind.NO_QUORUM,
+        FailureKind.BUSY,
+    }
+)
+
+AnswerT = TypeVar("AnswerT", bound=msgspec.Struct)
+
+
+class OperatorsClient:
+    """Asks controllers one after the other until one answers.
+
+    A command is safe to send to several, and again after a lost answer: its
+    number makes sure that it has its effect once.
+
+    Parameters
+    ----------
+    addresses
+        Such as ``127.0.0.1:7105``, in the order to be asked.
+    secret
+        The shared secret.
+    transport
+        For tests; None for the network.
+    """
+
+    def __init__(
+        self,
+        addresses: Sequence[str],
+        secret: Secret,
+        transport: httpx.AsyncBaseTransport | None = None,
+    ) -> None:
+        self._addresses = tuple(addresses)
+        timeout = httpx.Timeout(
+            LONGEST_ANSWER.total_seconds(), connect=LONGEST_CONNECT.total_seconds()
+        )
+        self._http = httpx.AsyncClient(
+            headers={"Authorization": f"Bearer {secret.decode()}"},
+            timeout=timeout,
+            transport=transport,
+            trust_env=False,
+        )
+
+    async def __aenter__(self) -> OperatorsClient:
+        """Return the client, to be closed at the end of the block."""
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        """Close every connection."""
+        await self._http.aclose()
+
+    async def query(self, text: str) -> Result[Table, OperatorFailure]:
+        """Ask a query.
+
+        Parameters
+        ----------
+        text
+            What was typed.
+        """
+        return await self._ask("POST", "/v1/query", Table, QueryRequest(text))
+
+    async def command(
+        self, operator: str, number: int, text: str
+    ) -> Result[CommandRecord, OperatorFailure]:
+        """Send a command.
+
+        Parameters
+        ----------
+        operator, number
+            Who sends it, under which number.
+        text
+            What was typed.
+        """
+        body = CommandRequest(operator, number, text)
+        answer = await self._ask("POST", "/v1/command", CommandAnswer, body)
+        return answer.map(lambda found: found.record)
+
+    async def get_status(self) -> Result[ControllerStatus, OperatorFailure]:
+        """Return the status of the first controller that answers."""
+        return await self._ask("GET", "/v1/status", ControllerStatus)
+
+    async def _ask(
+        self,
+        method: str,
+        path: str,
+        answer_type: type[AnswerT],
+        body: msgspec.Struct | None = None,
+    ) -> Result[AnswerT, OperatorFailure]:
+        content = msgspec.json.encode(body) if body is not None else b""
+        failures: list[OperatorFailure] = []
+        for address in self._addresses:
+            outcome = await self._ask_one(method, address, path, content, answer_type)
+            if isinstance(outcome, Success):
+                return outcome
+            failures.append(outcome.failure())
+            if failures[-1].kind not in _ASK_ANOTHER:
+                break
+        return Failure(_choose_failure(failures))
+
+    async def _ask_one(
+        self,
+        method: str,
+        address: str,
+        path: str,
+        content: bytes,
+        answer_type: type[AnswerT],
+    ) -> Result[AnswerT, OperatorFailure]:
+        url = f"http://{address}{path}"
+        try:
+            async with self._http.stream(method, url, content=content) as response:
+                data = await _read_bounded(response)
+        except (httpx.ConnectError, httpx.ConnectTimeout) as error:
+            return _fail(
+                FailureKind.UNREACHABLE, f"{address} can't be reached: {error}"
+            )
+        except (httpx.HTTPError, httpx.InvalidURL) as error:
+            reason = str(error) or type(error).__name__
+            return _fail(_lost_answer(path), f"{address} gave no answer: {reason}")
+        return _decode(response.status_code, data, answer_type, address)
+
+
+def _lost_answer(path: str) -> FailureKind:
+    if path == "/v1/command":
+        return FailureKind.UNKNOWN_OUTCOME
+    return FailureKind.UNREACHABLE
+
+
+async def _read_bounded(response: httpx.Response) -> bytes:
+    data = bytearray()
+    async for chunk in response.aiter_bytes():
+        data.extend(chunk)
+        if len(data) > LARGEST_ANSWER_BYTES:
+            raise httpx.DecodingError("the answer is too large")
+    return bytes(data)
+
+
+def _decode(
+    status: int, data: bytes, answer_type: type[AnswerT], address: str
+) -> Result[AnswerT, OperatorFailure]:
+    try:
+        if status == _OK:
+            return Success(msgspec.json.decode(data, type=answer_type))
+        return Failure(msgspec.json.decode(data, type=FailureAnswer).failure)
+    except msgspec.DecodeError:
+        message = f"{address} answered {status} in a way that can't be read"
+        return _fail(FailureKind.MALFORMED, message)
+
+
+def _choose_failure(failures: Sequence[OperatorFailure]) -> OperatorFailure:
+    if not failures:
+        message = "no controller was named"
+        return OperatorFailure(kind=FailureKind.UNREACHABLE, message=message)
+    reached = [one for one in failures if one.kind is not FailureKind.UNREACHABLE]
+    return reached[-1] if reached else failures[0]
+
+
+def _fail(kind: FailureKind, message: str) -> Result[AnswerT, OperatorFailure]:
+    return Failure(OperatorFailure(kind=kind, message=message))
--- a/src/rhubarbfield/settings/__init__.py
+++ b/src/rhubarbfield/settings/__init__.py
@@ -21,12 +21,15 @@
 )
 from rhubarbfield.settings.problems import SettingsErrors, SettingsProblem
 from rhubarbfield.settings.reloading import SettingChange, diff_reloadable
+from rhubarbfield.settings.secrets import Secret, load_secret
 
 __all__ = [
     "load_settings",
     "parse_settings",
     "diff_reloadable",
     "SettingChange",
+    "load_secret",
+    "Secret",
     "Settings",
     "Addresses",
     "DomainMembers",
--- a/src/rhubarbfield/settings/loading.py
+++ b/src/rhubarbfield/settings/loading.py
@@ -117,7 +117,8 @@
 
 def _describe(document: Document, detail: ErrorDetails) -> SettingsProblem:
     path: Path = tuple(part for part in detail["loc"] if part != "[key]")
-    allowed = _describe_allowed(path, detail)
+    unknown = detail["type"] == "extra_forbidden"
+    allowed = _describe_unknown_key(path) if unknown else describe_error(detail)
     seen = (
         ""
         if detail["type"] == "missing"
@@ -137,9 +138,14 @@
     return "nothing" if value is None else str(value)
 
 
-def _describe_allowed(path: Path, detail: ErrorDetails) -> str:
-    if detail["type"] == "extra_forbidden":
-        return _describe_unknown_key(path)
+def describe_error(detail: ErrorDetails) -> str:
+    """Return what is allowed in place of a refused value.
+
+    Parameters
+    ----------
+    detail
+        One of the errors that pydantic found.
+    """
     template = _ALLOWED_BY_TYPE.get(detail["type"])
     if template is None:
         return detail["msg"]
