--- a/src/rhubarbfield/cli/__init__.py
+++ b/src/rhubarbfield/cli/__init__.py
@@ -1,8 +1,6 @@
-"""The command line."""
+"""The command line: one program with subcommands."""
 
-from __future__ import annotations
+from rhubarbfield.cli.program import main, run
+from rhubarbfield.cli.registry import Call, Subcommand, list_subcommands, subcommand
 
-
-def main() -> None:
-    """Run the command named on the command line."""
-    raise SystemExit(2)
+__all__ = ["main", "run", "subcommand", "Subcommand", "Call", "list_subcommands"]
--- /dev/null
+++ b/src/rhubarbfield/cli/checking.py
@@ -0,0 +1,48 @@
+"""Checks that need no daemon."""
+
+from __future__ import annotations
+
+from absl import flags
+
+from rhubarbfield.cli.registry import Call, subcommand
+from rhubarbfield.exceptions import EXIT_USAGE, UsageError
+
+
+def _define_flags(values: flags.FlagValues) -> None:
+    flags.DEFINE_boolean(
+        "with_files",
+        False,
+        "Check also the files that the settings name.",
+        flag_values=values,
+    )
+
+
+@subcommand(
+    "check-settings",
+    help="Check files of settings whole, and print every error.",
+    usage="[--with_files] FILE…",
+    flags=_define_flags,
+)
+def check_settings(call: Call) -> int:
+    """Check each file; complain of everything that is wrong."""
+    if not call.arguments:
+        raise UsageError("a file is missing", "name the files to check")
+    results = [_check_file(call, path) for path in call.arguments]
+    return 0 if all(results) else EXIT_USAGE
+
+
+def _check_file(call: Call, path: str) -> bool:
+    from returns.result import Failure
+
+    from rhubarbfield.settings import find_file_problems, load_settings
+
+    outcome = load_settings(path)
+    if isinstance(outcome, Failure):
+        call.complain(f"{path} can't be used\n{outcome.failure().format()}")
+        return False
+    problems = find_file_problems(outcome.unwrap()) if call.flags.with_files else ()
+    for problem in problems:
+        call.complain(f"{path}: {problem.format()}")
+    if not problems:
+        call.write(f"{path}: good")
+    return not problems
--- /dev/null
+++ b/src/rhubarbfield/cli/daemons.py
@@ -0,0 +1,113 @@
+"""The two daemons of an instance."""
+
+from __future__ import annotations
+
+import logging
+import os
+from collections.abc import Awaitable, Callable
+from datetime import UTC, datetime
+from functools import partial
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+from rhubarbfield.cli.options import define_settings_flag, load_part, read_settings
+from rhubarbfield.cli.program import find_error
+from rhubarbfield.cli.registry import Call, subcommand
+from rhubarbfield.exceptions import BrokenInvariantError, UsageError
+
+if TYPE_CHECKING:
+    from rhubarbfield.settings import Settings
+
+BROKEN_INVARIANTS_FILE = "broken-invariants.jsonl"
+Daemon = Callable[..., Awaitable[Any]]
+
+
+@subcommand(
+    "entry",
+    help="Serve callers and own backend servers (a daemon).",
+    usage="--settings FILE",
+    flags=define_settings_flag,
+)
+def run_entry_daemon(call: Call) -> int:
+    """Run the entry until it is told to stop."""
+    settings = read_settings(call)
+    return run_daemon("entry", load_part("entry", "run_entry"), settings, call)
+
+
+@subcommand(
+    "controller",
+    help="Keep the replicated logs and place work (a daemon).",
+    usage="--settings FILE",
+    flags=define_settings_flag,
+)
+def run_controller_daemon(call: Call) -> int:
+    """Run the controller until it is told to stop."""
+    settings = read_settings(call)
+    daemon = load_part("controller", "run_controller")
+    return run_daemon("controller", daemon, settings, call)
+
+
+def run_daemon(name: str, daemon: Daemon, settings: Settings, call: Call) -> int:
+    """Run a daemon; keep what a broken invariant saw.
+
+    Parameters
+    ----------
+    name
+        What the daemon is called in logs.
+    daemon
+        Takes the settings and ``task_status``.
+    settings
+        Of the instance.
+    call
+        How the program was called.
+
+    Returns
+    -------
+    int
+        The exit code.
+    """
+    import trio
+
+    from rhubarbfield.logs import configure_logging, get_logger, log_event
+
+    if call.arguments:
+        raise UsageError(f"{name} takes no arguments, but got {call.arguments[0]!r}")
+    configure_logging(settings.logging.level, call.stderr)
+    logger = get_logger(name)
+    ids = {"instance": settings.instance.name}
+    log_event(logger, logging.INFO, "daemon-starting", **ids)
+    try:
+        trio.run(partial(daemon, settings, task_status=trio.TASK_STATUS_IGNORED))
+    except Exception as error:
+        found = find_error(error)
+        if isinstance(found, BrokenInvariantError):
+            _keep(found, name, settings)
+        logger.error("daemon-failed", exc_info=error)
+        raise
+    log_event(logger, logging.INFO, "daemon-stopped", **ids)
+    return 0
+
+
+def _keep(error: BrokenInvariantError, name: str, settings: Settings) -> None:
+    import msgspec
+
+    if settings.data_folder is None:
+        return
+    event = {
+        "at": datetime.now(UTC).isoformat(),
+        "daemon": name,
+        "instance": settings.instance.name,
+        "invariant": error.invariant,
+        "seen": error.seen,
+    }
+    path = Path(settings.data_folder) / BROKEN_INVARIANTS_FILE
+    try:
+        path.parent.mkdir(parents=True, exist_ok=True)
+        with path.open("ab") as file:
+            file.write(msgspec.json.encode(event) + b"\n")
+            file.flush()
+            os.fsync(file.fileno())
+    except OSError as failure:
+        logging.getLogger(f"rhubarbfield.{name}").error(
+            "broken-invariant-not-kept", exc_info=failure
+        )
--- /dev/null
+++ b/src/rhubarbfield/cli/help.py
@@ -0,0 +1,73 @@
+"""Help texts, and the subcommands that only tell about the program."""
+
+from __future__ import annotations
+
+from absl import flags
+
+from rhubarbfield import __version__
+from rhubarbfield.cli.registry import (
+    Call,
+    Subcommand,
+    find_subcommand,
+    list_subcommands,
+    subcommand,
+)
+from rhubarbfield.exceptions import UsageError
+
+HELP_FLAG = "help"
+
+
+@subcommand("version", help="Print the version of the program.")
+def print_version(call: Call) -> int:
+    """Print the version."""
+    call.write(f"rhubarbfield {__version__}")
+    return 0
+
+
+@subcommand(HELP_FLAG, help="Tell about a subcommand, or all.", usage="[SUBCOMMAND]")
+def print_help(call: Call) -> int:
+    """Print the help of one subcommand, or the list of all."""
+    if not call.arguments:
+        call.write(format_overview())
+        return 0
+    name = call.arguments[0]
+    found = find_subcommand(name)
+    if found is None:
+        raise UsageError(
+            f"there is no subcommand {name!r}", "rhubarbfield help lists them"
+        )
+    call.write(format_subcommand(found))
+    return 0
+
+
+def format_overview() -> str:
+    """Return what the program is called with."""
+    width = max(len(one.name) for one in list_subcommands())
+    lines = [
+        "usage: rhubarbfield SUBCOMMAND [flags] [arguments]",
+        "",
+        "A scheduler for latency-critical services and batch work.",
+        "",
+    ]
+    lines += [f"  {one.name:<{width}}  {one.help}" for one in list_subcommands()]
+    lines += ["", "rhubarbfield help SUBCOMMAND tells more."]
+    return "\n".join(lines)
+
+
+def format_subcommand(found: Subcommand) -> str:
+    """Return how a subcommand is called, with its flags."""
+    values = flags.FlagValues()
+    found.define_flags(values)
+    usage = f"usage: rhubarbfield {found.name} {found.usage}".rstrip()
+    lines = [usage, "", found.help]
+    names = sorted(name for name in values if name != HELP_FLAG)
+    if names:
+        lines.append("")
+    lines += [_format_flag(values[name]) for name in names]
+    return "\n".join(lines)
+
+
+def _format_flag(flag: flags.Flag) -> str:
+    default = f" (default: {flag.default})" if flag.default not in (None, []) else ""
+    text = str(flag.help).split(";\n", maxsplit=1)[0]
+    return f"  --{flag.name}  {text}{default}"
--- /dev/null
+++ b/src/rhubarbfield/cli/options.py
@@ -0,0 +1,68 @@
+"""Flags that several subcommands share, and what is read from them."""
+
+from __future__ import annotations
+
+import importlib
+from typing import TYPE_CHECKING, Any
+
+from absl import flags
+
+from rhubarbfield.cli.registry import Call
+from rhubarbfield.exceptions import UsageError
+
+if TYPE_CHECKING:
+    from rhubarbfield.settings import Settings
+
+
+def define_settings_flag(values: flags.FlagValues) -> None:
+    """Define ``--settings``."""
+    flags.DEFINE_string(
+        "settings", None, "File with the settings of an instance.", flag_values=values
+    )
+
+
+def read_settings(call: Call) -> Settings:
+    """Return the checked settings that ``--settings`` names.
+
+    Raises
+    ------
+    UsageError
+        If the flag is missing or anything in the file is wrong.
+    """
+    from returns.result import Failure, Success
+
+    from rhubarbfield.settings import load_settings
+
+    path = call.flags.settings
+    if not path:
+        raise UsageError("--settings is missing", "give the file of an instance")
+    match load_settings(path):
+        case Success(settings):
+            return settings
+        case Failure(errors):
+            raise UsageError(f"the settings can't be used\n{errors.format()}")
+    raise AssertionError
+
+
+def load_part(module: str, name: str) -> Any:
+    """Import one function of the package only when a subcommand needs it.
+
+    Parameters
+    ----------
+    module
+        Inside the package.
+    name
+        Of the function.
+
+    Raises
+    ------
+    UsageError
+        If this build of the program was made without the module.
+    """
+    full_name = f"rhubarbfield.{module}"
+    try:
+        return getattr(importlib.import_module(full_name), name)
+    except ModuleNotFoundError as error:
+        if error.name != full_name:
+            raise
+        raise UsageError(f"this build of the program has no {module}") from None
--- /dev/null
+++ b/src/rhubarbfield/cli/program.py
@@ -0,0 +1,143 @@
+"""The edge of the program: arguments in, exit code out."""
+
+from __future__ import annotations
+
+import difflib
+import importlib
+import sys
+import traceback
+from collections.abc import Sequence
+from typing import NoReturn, TextIO
+
+from absl import flags
+
+from rhubarbfield.cli.help import HELP_FLAG, format_overview, format_subcommand
+from rhubarbfield.cli.registry import (
+    Call,
+    Subcommand,
+    find_subcommand,
+    list_subcommands,
+)
+from rhubarbfield.exceptions import (
+    EXIT_BROKEN_INVARIANT,
+    EXIT_FAILURE,
+    RhubarbfieldError,
+    UsageError,
+)
+
+EXIT_INTERRUPTED = 130
+_MODULES = ("daemons", "asking", "checking", "proving", "standins")
+
+
+def main() -> NoReturn:
+    """Run the program on the arguments of the process."""
+    sys.exit(run(sys.argv[1:], sys.stdout, sys.stderr))
+
+
+def run(arguments: Sequence[str], stdout: TextIO, stderr: TextIO) -> int:
+    """Run one subcommand.
+
+    Nothing that a person typed wrong, and no fault of the program, ends in a
+    stack trace.
+
+    Parameters
+    ----------
+    arguments
+        What follows the name of the program.
+    stdout, stderr
+        Where to write answers and complaints.
+
+    Returns
+    -------
+    int
+        The exit code: 0 done, 1 refused or failed, 2 wrong usage, 70 broken
+        invariant, 75 try again, 130 interrupted.
+    """
+    _register_subcommands()
+    try:
+        code = _dispatch(arguments, stdout, stderr)
+        stdout.flush()
+    except BrokenPipeError:
+        return EXIT_FAILURE
+    except KeyboardInterrupt:
+        return EXIT_INTERRUPTED
+    except Exception as error:
+        return _report(error, stderr)
+    return code
+
+
+def find_error(error: BaseException) -> RhubarbfieldError | None:
+    """Return the error made for people that ``error`` is or contains."""
+    if isinstance(error, RhubarbfieldError):
+        return error
+    if not isinstance(error, BaseExceptionGroup):
+        return None
+    found = (find_error(part) for part in error.exceptions)
+    return next((one for one in found if one is not None), None)
+
+
+def _register_subcommands() -> None:
+    for name in _MODULES:
+        importlib.import_module(f"rhubarbfield.cli.{name}")
+
+
+def _dispatch(arguments: Sequence[str], stdout: TextIO, stderr: TextIO) -> int:
+    if not arguments:
+        raise UsageError("a subcommand is missing", format_overview())
+    name, *rest = arguments
+    if name in ("--help", "-h"):
+        name = HELP_FLAG
+    found = find_subcommand(name)
+    if found is None:
+        raise UsageError(f"there is no subcommand {name!r}", _suggest(name))
+    values = _parse_flags(found, rest)
+    if values[HELP_FLAG].value:
+        stdout.write(f"{format_subcommand(found)}\n")
+        return 0
+    call = Call(
+        arguments=tuple(values.remaining), flags=values, stdout=stdout, stderr=stderr
+    )
+    return found.run(call)
+
+
+def _suggest(name: str) -> str:
+    names = [one.name for one in list_subcommands()]
+    nearest = difflib.get_close_matches(name, names, n=1)
+    if nearest:
+        return f"did you mean {nearest[0]}?"
+    return f"subcommands: {', '.join(names)}"
+
+
+class _Values(flags.FlagValues):
+    """Flags of one subcommand, with what was left over."""
+
+    remaining: list[str]
+
+
+def _parse_flags(found: Subcommand, arguments: Sequence[str]) -> _Values:
+    values = _Values()
+    flags.DEFINE_boolean(HELP_FLAG, False, "Tell about it.", flag_values=values)
+    found.define_flags(values)
+    values.set_gnu_getopt(True)
+    try:
+        remaining = values([found.name, *arguments])
+    except flags.Error as error:
+        message = " ".join(str(error).split())
+        hint = f"rhubarbfield help {found.name} lists its flags"
+        raise UsageError(message, hint) from None
+    object.__setattr__(values, "remaining", remaining[1:])
+    return values
+
+
+def _report(error: Exception, stderr: TextIO) -> int:
+    known = find_error(error)
+    if known is not None:
+        stderr.write(f"rhubarbfield: {known.format_message()}\n")
+        return known.exit_code
+    frame = traceback.extract_tb(error.__traceback__)[-1]
+    place = f"{frame.name}, line {frame.lineno}"
+    stderr.write(
+        f"rhubarbfield: stopped by a fault of its own in {place}:"
+        f" {type(error).__name__}: {error}\n"
+    )
+    return EXIT_BROKEN_INVARIANT
--- /dev/null
+++ b/src/rhubarbfield/cli/registry.py
@@ -0,0 +1,108 @@
+"""The subcommands of the program, filled by a decorator."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, TextIO
+
+import msgspec
+from absl import flags
+
+Definer = Callable[[flags.FlagValues], None]
+
+
+class Call(msgspec.Struct, frozen=True, kw_only=True):
+    """One call of a subcommand.
+
+    Attributes
+    ----------
+    arguments
+        What was given besides flags.
+    flags
+        The values of the flags that the subcommand defines.
+    stdout, stderr
+        Where to write answers and complaints.
+    """
+
+    arguments: tuple[str, ...]
+    flags: Any
+    stdout: TextIO
+    stderr: TextIO
+
+    def write(self, text: str) -> None:
+        """Write an answer, with a line end."""
+        self.stdout.write(f"{text}\n")
+
+    def complain(self, text: str) -> None:
+        """Write what went wrong, with a line end."""
+        self.stderr.write(f"rhubarbfield: {text}\n")
+
+
+Runner = Callable[[Call], int]
+
+
+class Subcommand(msgspec.Struct, frozen=True, kw_only=True):
+    """Something that the program can be told to do.
+
+    Attributes
+    ----------
+    name
+        What is typed.
+    help
+        One sentence for the list of subcommands.
+    usage
+        What follows the name.
+    define_flags
+        Defines its flags on the values it is given.
+    run
+        Does it, and returns the exit code.
+    """
+
+    name: str
+    help: str
+    usage: str
+    define_flags: Definer
+    run: Runner
+
+
+_subcommands: dict[str, Subcommand] = {}
+
+
+def _define_no_flags(_values: flags.FlagValues) -> None:
+    pass
+
+
+def subcommand(
+    name: str, *, help: str, usage: str = "", flags: Definer = _define_no_flags
+) -> Callable[[Runner], Runner]:
+    """Register the decorated function as a subcommand.
+
+    Parameters
+    ----------
+    name
+        What is typed.
+    help
+        One sentence for the list of subcommands.
+    usage
+        What follows the name.
+    flags
+        Defines its flags on the values it is given.
+    """
+
+    def register(run: Runner) -> Runner:
+        _subcommands[name] = Subcommand(
+            name=name, help=help, usage=usage, define_flags=flags, run=run
+        )
+        return run
+
+    return register
+
+
+def list_subcommands() -> tuple[Subcommand, ...]:
+    """Return all subcommands, in order of registration."""
+    return tuple(_subcommands.values())
+
+
+def find_subcommand(name: str) -> Subcommand | None:
+    """Return the subcommand of that name, if there is one."""
+    return _subcommands.get(name)
--- a/src/rhubarbfield/settings/__init__.py
+++ b/src/rhubarbfield/settings/__init__.py
@@ -1,5 +1,6 @@
 """Settings of an instance: one YAML file, checked whole before anything starts."""
 
+from rhubarbfield.settings.files import find_file_problems
 from rhubarbfield.settings.loading import load_settings, parse_settings
 from rhubarbfield.settings.model import (
     Addresses,
@@ -28,6 +29,7 @@
     "parse_settings",
     "diff_reloadable",
     "SettingChange",
+    "find_file_problems",
     "load_secret",
     "Secret",
     "Settings",
--- /dev/null
+++ b/src/rhubarbfield/settings/files.py
@@ -0,0 +1,47 @@
+"""Checks of the files that the settings name."""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Iterator
+from pathlib import Path
+
+from returns.result import Failure
+
+from rhubarbfield.settings.model import Settings
+from rhubarbfield.settings.problems import SettingsProblem
+from rhubarbfield.settings.secrets import load_secret
+
+
+def find_file_problems(settings: Settings) -> tuple[SettingsProblem, ...]:
+    """Return what is wrong with the files that ``settings`` name.
+
+    Parameters
+    ----------
+    settings
+        Well formed themselves.
+    """
+    return tuple(_iterate_problems(settings))
+
+
+def _iterate_problems(settings: Settings) -> Iterator[SettingsProblem]:
+    secret = load_secret(settings.secret_file)
+    if isinstance(secret, Failure):
+        allowed = secret.failure().problems[0].allowed
+        yield SettingsProblem("secret_file", 0, settings.secret_file, allowed)
+    if settings.tls is not None:
+        for key in ("certificate_file", "key_file", "authority_file"):
+            path = getattr(settings.tls, key)
+            if not os.access(path, os.R_OK):
+                yield SettingsProblem(f"tls.{key}", 0, path, "cannot be read")
+    folder = settings.data_folder
+    if folder is not None and not _can_hold_data(Path(folder)):
+        allowed = "is no folder that can be written to"
+        yield SettingsProblem("data_folder", 0, folder, allowed)
+
+
+def _can_hold_data(folder: Path) -> bool:
+    existing = folder
+    while not existing.exists() and existing != existing.parent:
+        existing = existing.parent
+    return existing.is_dir() and os.access(existing, os.W_OK)
