--- a/src/rhubarbfield/settings/__init__.py
+++ b/src/rhubarbfield/settings/__init__.py
@@ -1,5 +1,6 @@
 """Settings of an instance: one YAML file, checked whole before anything starts."""
 
+from rhubarbfield.settings.files import find_file_problems
 from rhubarbfield.settings.loading import load_settings, parse_settings
 from rhubarbfield.settings.model import (
     Addresses,
@@ -21,12 +22,16 @@
 )
 from rhubarbfield.settings.problems import SettingsErrors, SettingsProblem
 from rhubarbfield.settings.reloading import SettingChange, diff_reloadable
+from rhubarbfield.settings.secrets import Secret, load_secret
 
 __all__ = [
     "load_settings",
     "parse_settings",
     "diff_reloadable",
     "SettingChange",
+    "find_file_problems",
+    "load_secret",
+    "Secret",
     "Settings",
     "Addresses",
     "DomainMembers",
