--- /dev/null
+++ b/src/rhubarbfield/announcements/connection.py
@@ -0,0 +1,135 @@
+"""One connection of a backend server, written straight down."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from rhubarbfield.announcements.messages import (
+    Accepted,
+    Announce,
+    GoTo,
+    Heartbeat,
+    Ping,
+)
+from rhubarbfield.announcements.servers import AnnouncedServer
+from rhubarbfield.announcements.settings import AnnouncementSettings
+from rhubarbfield.clock import Clock
+from rhubarbfield.types import Epoch, InstanceName
+from rhubarbfield.workers.streams import (
+    ConnectionRefused,
+    Malformed,
+    WatchedStream,
+)
+
+logger = logging.getLogger(__name__)
+
+PING_AFTER_MISSED = 2
+
+
+class AnnouncementConnection:
+    """A connection from its first announcement to its end.
+
+    Parameters
+    ----------
+    stream
+        The connection.
+    server
+        What the entry knows of the backend server.
+    announce
+        The first message.
+    entry
+        The instance that this is.
+    settings
+        Times and sizes.
+    clock
+        The entry's clock.
+    """
+
+    def __init__(
+        self,
+        stream: WatchedStream,
+        server: AnnouncedServer,
+        announce: Announce,
+        *,
+        entry: InstanceName,
+        settings: AnnouncementSettings,
+        clock: Clock,
+    ) -> None:
+        self._stream = stream
+        self._server = server
+        self._first = announce
+        self._entry = entry
+        self._settings = settings
+        self._clock = clock
+        self._scope = trio.CancelScope()
+
+    def cancel(self) -> None:
+        """End the connection, because a newer one takes its place."""
+        self._scope.cancel()
+
+    async def run(self) -> None:
+        """Serve the connection until it ends."""
+        with self._scope:
+            if not await self._hear(self._first):
+                return
+            async with trio.open_nursery() as nursery:
+                for part in (self._receive, self._publish, self._ping):
+                    nursery.start_soon(self._run_part, part)
+
+    async def _run_part(self, part: Callable[[], Awaitable[None]]) -> None:
+        await part()
+        self._scope.cancel()
+
+    async def _receive(self) -> None:
+        while True:
+            message = await self._stream.receive()
+            match message:
+                case Announce() | Heartbeat():
+                    if not await self._hear(message):
+                        return
+                case Malformed(reason=reason):
+                    await self._refuse(reason)
+                    return
+                case _:
+                    return
+
+    async def _hear(self, message: Announce | Heartbeat) -> bool:
+        if isinstance(message, Heartbeat):
+            self._server.hear_heartbeat(message.running)
+        elif message.server == self._first.server:
+            self._server.hear(message)
+        else:
+            await self._refuse("a connection announces one backend server")
+            return False
+        granted = self._server.granted
+        answer = Accepted(
+            number=message.number,
+            owner=InstanceName("") if granted is None else self._entry,
+            epoch=Epoch(0) if granted is None else granted.epoch,
+            heartbeat_seconds=self._settings.heartbeat_interval.total_seconds(),
+        )
+        return await self._stream.send(answer)
+
+    async def _publish(self) -> None:
+        while True:
+            await self._server.changed.wait()
+            self._server.changed = trio.Event()
+            owner = await self._server.publish()
+            if owner is not None:
+                await self._stream.send(GoTo(owner=owner.owner, address=owner.address))
+                return
+
+    async def _ping(self) -> None:
+        interval = self._settings.heartbeat_interval
+        while True:
+            await self._clock.sleep(interval)
+            late = self._server.silent_for > interval * PING_AFTER_MISSED
+            if late and not await self._stream.send(Ping()):
+                return
+
+    async def _refuse(self, reason: str) -> None:
+        logger.warning("server-refused server=%s %s", self._first.server, reason)
+        await self._stream.send(ConnectionRefused(reason=reason))
--- a/src/rhubarbfield/workers/messages.py
+++ b/src/rhubarbfield/workers/messages.py
@@ -7,7 +7,7 @@
 
 import msgspec
 from msgspec import Meta
-from returns.result import Failure, Result, Success
+from returns.result import Result
 
 from rhubarbfield.types import (
     AttemptId,
@@ -21,7 +21,12 @@
     TaskId,
     WorkerId,
 )
-from rhubarbfield.workers.streams import ConnectionRefused, Malformed, Message
+from rhubarbfield.workers.streams import (
+    ConnectionRefused,
+    Malformed,
+    Message,
+    decode_message,
+)
 
 MAX_MESSAGE_BYTES = 256 * 1024
 MAX_ID_LENGTH = 128
@@ -365,11 +370,4 @@
     Result[FromWorker, Malformed]
         The message, or what is wrong with it.
     """
-    if len(data) > MAX_MESSAGE_BYTES:
-        return Failure(Malformed(f"a message may have {MAX_MESSAGE_BYTES} bytes"))
-    try:
-        return Success(_from_worker.decode(data))
-    except msgspec.MsgspecError as error:
-        return Failure(Malformed(str(error)))
-    except UnicodeDecodeError:
-        return Failure(Malformed("the message is not UTF-8"))
+    return decode_message(data, _from_worker, MAX_MESSAGE_BYTES)
--- a/src/rhubarbfield/workers/sessions.py
+++ b/src/rhubarbfield/workers/sessions.py
@@ -24,12 +24,10 @@
 from rhubarbfield.workers.settings import WorkerSessionSettings
 from rhubarbfield.workers.streams import (
     ConnectionRefused,
-    Ended,
-    Malformed,
     Message,
     MessageStream,
-    Silent,
     WatchedStream,
+    describe_end,
 )
 
 logger = logging.getLogger(__name__)
@@ -163,24 +161,6 @@
                 logger.warning("worker-loss-delayed worker=%s %r", worker, failure)
 
 
-def describe_end(message: msgspec.Struct) -> str:
-    """Return why a stream that ended in ``message`` did; empty if it hasn't.
-
-    Parameters
-    ----------
-    message
-        What :meth:`~rhubarbfield.workers.streams.WatchedStream.receive` gave.
-    """
-    match message:
-        case Malformed(reason=reason):
-            return reason
-        case Silent():
-            return "nothing was heard for too long"
-        case Ended():
-            return "the connection has ended"
-    return ""
-
-
 def _answer_unadmitted(failure: msgspec.Struct) -> Message:
     match failure:
         case WorkerRefused(reason=reason):
--- a/src/rhubarbfield/workers/streams.py
+++ b/src/rhubarbfield/workers/streams.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from contextlib import AbstractAsyncContextManager
 from datetime import timedelta
-from typing import Protocol
+from typing import Protocol, TypeAlias, TypeVar
 
 import msgspec
 import trio
+from returns.result import Failure, Result, Success
 
 
 class MessageStream(Protocol):
@@ -26,6 +29,10 @@
         """End the stream; the other side's ``receive`` returns None."""
 
 
+Connect: TypeAlias = Callable[[str], AbstractAsyncContextManager[MessageStream | None]]
+"""Opens a stream to ``host:port``; None when the other side can't be reached."""
+
+
 class Malformed(msgspec.Struct, frozen=True):
     """The other side sent what can't be decoded.
 
@@ -124,6 +131,56 @@
     """Base of the messages that workers and backend servers exchange with us."""
 
 
+MessageT = TypeVar("MessageT")
+
+
+def decode_message(
+    data: bytes, decoder: msgspec.json.Decoder[MessageT], limit: int
+) -> Result[MessageT, Malformed]:
+    """Decode one message from outside.
+
+    Parameters
+    ----------
+    data
+        The message as JSON.
+    decoder
+        The decoder of the messages that are allowed.
+    limit
+        The largest message allowed, in bytes.
+
+    Returns
+    -------
+    Result[MessageT, Malformed]
+        The message, or what is wrong with it.
+    """
+    if len(data) > limit:
+        return Failure(Malformed(f"a message may have {limit} bytes"))
+    try:
+        return Success(decoder.decode(data))
+    except msgspec.MsgspecError as error:
+        return Failure(Malformed(str(error)))
+    except UnicodeDecodeError:
+        return Failure(Malformed("the message is not UTF-8"))
+
+
+def describe_end(message: msgspec.Struct) -> str:
+    """Return why a stream that ended in ``message`` did; empty if it hasn't.
+
+    Parameters
+    ----------
+    message
+        What :meth:`WatchedStream.receive` gave.
+    """
+    match message:
+        case Malformed(reason=reason):
+            return reason
+        case Silent():
+            return "nothing was heard for too long"
+        case Ended():
+            return "the connection has ended"
+    return ""
+
+
 class ConnectionRefused(Message, frozen=True, kw_only=True):
     """The session is over and the same words would be refused again.
 
