--- a/src/rhubarbfield/announcements/servers.py
+++ b/src/rhubarbfield/announcements/servers.py
@@ -101,6 +101,8 @@
         """
         while self._is_outdated():
             async with self._turn:
+                if not self._is_outdated():
+                    return None
                 result = await self._publish_once()
             match result:
                 case Failure(OwnedBy() as owner):
--- /dev/null
+++ b/src/rhubarbfield/testing/usage.py
@@ -0,0 +1,129 @@
+"""Lagging usage reports of a stand-in worker."""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+from collections.abc import Callable, Mapping
+from datetime import timedelta
+
+from rhubarbfield.clock import Clock
+from rhubarbfield.testing.attempts import SimulatedAttempt
+from rhubarbfield.types import AttemptId, AttemptState, ServiceName
+from rhubarbfield.workers.messages import (
+    LatencySample,
+    UsageReport,
+)
+from rhubarbfield.workers.orders import (
+    StartAttempt,
+)
+
+SAMPLE_REQUESTS = 100
+BASE_MEDIAN_MS = 20.0
+TAIL_FACTOR = 4.0
+WORST_HARM = 0.8
+
+LatencyModel = Callable[[tuple[StartAttempt, ...]], tuple[LatencySample, ...]]
+"""Latency of services on a worker, given the attempts that share it."""
+
+
+def measure_nothing(running: tuple[StartAttempt, ...]) -> tuple[LatencySample, ...]:
+    """Return no samples: no service has requests on the worker.
+
+    Parameters
+    ----------
+    running
+        The attempts that share the worker.
+    """
+    return ()
+
+
+def make_seeded_harm(seed: int, services: tuple[ServiceName, ...]) -> LatencyModel:
+    """Return a model in which harm depends on who shares the worker.
+
+    Parameters
+    ----------
+    seed
+        Equal seeds harm equal pairs by as much.
+    services
+        The services with requests on the worker.
+    """
+
+    def measure_one(
+        service: ServiceName, running: tuple[StartAttempt, ...]
+    ) -> LatencySample:
+        harm = sum(
+            random.Random(f"{seed}/{service}/{order.argument}").uniform(0, WORST_HARM)
+            for order in running
+        )
+        return LatencySample(
+            service=service,
+            requests=SAMPLE_REQUESTS,
+            median_ms=BASE_MEDIAN_MS * (1 + harm),
+            tail_ms=BASE_MEDIAN_MS * TAIL_FACTOR * (1 + harm) ** 2,
+        )
+
+    def measure_all(running: tuple[StartAttempt, ...]) -> tuple[LatencySample, ...]:
+        return tuple(measure_one(service, running) for service in services)
+
+    return measure_all
+
+
+class UsageReporter:
+    """Measures at equal intervals and hands the measurements out late.
+
+    Parameters
+    ----------
+    clock
+        The worker's clock.
+    latency
+        What requests of services take.
+    interval
+        The time between measurements.
+    lag
+        How old a measurement is when it is handed out.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        latency: LatencyModel,
+        *,
+        interval: timedelta,
+        lag: timedelta,
+    ) -> None:
+        self._clock = clock
+        self._latency = latency
+        self._interval = interval
+        self._kept = max(1, round(lag / interval))
+        self._waiting: deque[UsageReport] = deque()
+
+    async def measure(
+        self, attempts: Mapping[AttemptId, SimulatedAttempt]
+    ) -> UsageReport:
+        """Measure until there is a report old enough, and return it.
+
+        Parameters
+        ----------
+        attempts
+            The attempts on the worker; read again at each measurement.
+        """
+        while True:
+            await self._clock.sleep(self._interval)
+            self._waiting.append(self._measure_now(attempts))
+            if len(self._waiting) > self._kept:
+                return self._waiting.popleft()
+
+    def _measure_now(
+        self, attempts: Mapping[AttemptId, SimulatedAttempt]
+    ) -> UsageReport:
+        running = [
+            attempt
+            for attempt in attempts.values()
+            if attempt.state is AttemptState.RUNNING
+        ]
+        return UsageReport(
+            taken_at=self._clock.now(),
+            attempts=tuple(attempt.measure() for attempt in running),
+            services=self._latency(tuple(attempt.order for attempt in running)),
+        )
--- /dev/null
+++ b/src/rhubarbfield/testing/workload.py
@@ -0,0 +1,172 @@
+"""What a stand-in worker does with its orders."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable, Iterable
+
+import trio
+
+from rhubarbfield.clock import Clock
+from rhubarbfield.leases import HeldLease
+from rhubarbfield.testing.attempts import SimulatedAttempt, WorkModel
+from rhubarbfield.testing.observer import Observer
+from rhubarbfield.types import AttemptId, AttemptState, Epoch, TaskId, WorkerId
+from rhubarbfield.workers.bounds import Resources
+from rhubarbfield.workers.messages import AttemptReport, HeldAttempt
+from rhubarbfield.workers.orders import (
+    CommittedReport,
+    Order,
+    StartAttempt,
+    StopAttempt,
+    TakeCheckpoint,
+    Throttle,
+)
+
+
+class Workload:
+    """The attempts of one worker process.
+
+    Parameters
+    ----------
+    worker, capacity
+        Who it is and what it has.
+    lease
+        The worker's lease.
+    clock
+        The worker's clock.
+    work
+        The truth about tasks.
+    observer
+        Told of everything that runs.
+    thaw
+        Waits while the worker process is frozen.
+
+    Attributes
+    ----------
+    attempts
+        Every attempt whose end is not known to be committed.
+    changed
+        Set once there is something to report.
+    fails_everything
+        Whether every attempt fails as soon as it is started.
+    refused_orders
+        How many orders of old sessions or epochs were refused.
+    """
+
+    def __init__(
+        self,
+        worker: WorkerId,
+        capacity: Resources,
+        *,
+        lease: HeldLease,
+        clock: Clock,
+        work: WorkModel,
+        observer: Observer,
+        thaw: Callable[[], Awaitable[None]],
+    ) -> None:
+        self.attempts: dict[AttemptId, SimulatedAttempt] = {}
+        self.changed = trio.Event()
+        self.fails_everything = False
+        self.refused_orders = 0
+        self._worker = worker
+        self._capacity = capacity
+        self._lease = lease
+        self._clock = clock
+        self._work = work
+        self._observer = observer
+        self._thaw = thaw
+        self._task_epochs: dict[TaskId, Epoch] = {}
+        self._denied: list[AttemptReport] = []
+        self._tasks: trio.Nursery | None = None
+
+    def run_in(self, nursery: trio.Nursery) -> None:
+        """Run attempts in ``nursery`` from now on."""
+        self._tasks = nursery
+
+    def describe(self) -> tuple[HeldAttempt, ...]:
+        """Return what a hello says."""
+        return tuple(attempt.describe() for attempt in self.attempts.values())
+
+    def keep_only(self, keep: Iterable[AttemptId]) -> None:
+        """Drop the attempts that the controller doesn't know."""
+        kept = set(keep)
+        for attempt in [held for held in self.attempts if held not in kept]:
+            dropped = self.attempts.pop(attempt)
+            dropped.stop(evict=False, reason="the controller doesn't know it")
+        self.changed.set()
+
+    def forget_committed(self, reports: Iterable[CommittedReport]) -> None:
+        """Forget attempts whose ends are committed."""
+        for report in reports:
+            attempt = self.attempts.get(report.attempt)
+            if attempt is not None and attempt.ended and attempt.state is report.state:
+                del self.attempts[report.attempt]
+
+    def collect_reports(self, told: dict[AttemptId, int]) -> list[AttemptReport]:
+        """Return what is new to a session.
+
+        Parameters
+        ----------
+        told
+            The last revision that the session was told of each attempt; it is
+            brought up to date.
+        """
+        self.changed = trio.Event()
+        reports, self._denied = self._denied, []
+        for attempt, held in self.attempts.items():
+            if told.get(attempt) != held.revision:
+                told[attempt] = held.revision
+                reports.append(held.make_report())
+        return reports
+
+    def obey(self, order: Order, session: Epoch) -> None:
+        """Do what an order says, if it comes from the present session."""
+        if order.session != session:
+            self.refused_orders += 1
+            return
+        attempt = self.attempts.get(order.attempt)
+        match order:
+            case StartAttempt() if attempt is None:
+                self._start(order)
+            case StopAttempt() if attempt is None:
+                self._deny(order)
+            case StopAttempt(evict=evict, reason=reason) if attempt is not None:
+                attempt.stop(evict=evict, reason=reason)
+            case Throttle(fraction=fraction) if attempt is not None:
+                attempt.fraction = fraction
+            case TakeCheckpoint() if attempt is not None:
+                attempt.take_checkpoint()
+        self.changed.set()
+
+    def _start(self, order: StartAttempt) -> None:
+        if order.epoch <= self._task_epochs.get(order.task, Epoch(0)):
+            self.refused_orders += 1
+            return
+        self._task_epochs[order.task] = order.epoch
+        attempt = SimulatedAttempt(
+            order,
+            self._work(order),
+            worker=self._worker,
+            lease=self._lease,
+            clock=self._clock,
+            observer=self._observer,
+            thaw=self._thaw,
+        )
+        self.attempts[order.attempt] = attempt
+        self._observer.note_start(self._worker, self._capacity, order)
+        if self.fails_everything:
+            attempt.fail("the worker fails everything")
+        assert self._tasks is not None
+        self._tasks.start_soon(attempt.run, self._note_change)
+
+    def _note_change(self) -> None:
+        self.changed.set()
+
+    def _deny(self, order: StopAttempt) -> None:
+        report = AttemptReport(
+            attempt=order.attempt,
+            epoch=Epoch(0),
+            state=AttemptState.CANCELLED,
+            detail="it never started here",
+        )
+        self._denied.append(report)
--- a/src/rhubarbfield/workers/__init__.py
+++ b/src/rhubarbfield/workers/__init__.py
@@ -5,27 +5,32 @@
 :class:`ObservationSink`.
 """
 
+from rhubarbfield.workers.bounds import (
+    Resources,
+)
 from rhubarbfield.workers.messages import (
     AttemptReport,
     AttemptUsage,
     FromWorker,
-    GoToLeader,
     HeldAttempt,
     LatencySample,
+    RenewLease,
+    UsageReport,
+    WorkerHello,
+    decode_worker_message,
+)
+from rhubarbfield.workers.orders import (
+    CommittedReport,
+    GoToLeader,
     LeaseGranted,
     Order,
-    RenewLease,
     ReportsCommitted,
-    Resources,
     SessionOpened,
     StartAttempt,
     StopAttempt,
     TakeCheckpoint,
     Throttle,
     ToWorker,
-    UsageReport,
-    WorkerHello,
-    decode_worker_message,
 )
 from rhubarbfield.workers.ports import (
     Admitted,
@@ -42,6 +47,7 @@
 from rhubarbfield.workers.sessions import WorkerSessions
 from rhubarbfield.workers.settings import WorkerSessionSettings
 from rhubarbfield.workers.streams import (
+    Connect,
     ConnectionRefused,
     Malformed,
     MessageStream,
@@ -80,10 +86,12 @@
     "TakeCheckpoint",
     "StopAttempt",
     "ReportsCommitted",
+    "CommittedReport",
     "GoToLeader",
     "Resources",
     "ConnectionRefused",
     "Malformed",
     "MessageStream",
+    "Connect",
     "WatchedStream",
 ]
--- a/src/rhubarbfield/workers/connection.py
+++ b/src/rhubarbfield/workers/connection.py
@@ -16,17 +16,22 @@
 from rhubarbfield.exceptions import check_invariant
 from rhubarbfield.leases import Lease, LeaseTable
 from rhubarbfield.types import Epoch, LogIndex, WorkerId
-from rhubarbfield.workers.messages import (
+from rhubarbfield.workers.bounds import (
     MAX_ATTEMPTS,
+)
+from rhubarbfield.workers.messages import (
     AttemptReport,
+    RenewLease,
+    UsageReport,
+    WorkerHello,
+)
+from rhubarbfield.workers.orders import (
+    CommittedReport,
     GoToLeader,
     LeaseGranted,
     Order,
-    RenewLease,
     ReportsCommitted,
     SessionOpened,
-    UsageReport,
-    WorkerHello,
 )
 from rhubarbfield.workers.ports import (
     Admitted,
@@ -202,8 +207,11 @@
             )
             if not isinstance(committed, Success):
                 return
-            ended = tuple(dict.fromkeys(report.attempt for report in batch))
-            if not await self._stream.send(ReportsCommitted(attempts=ended)):
+            told = tuple(
+                CommittedReport(attempt=report.attempt, state=report.state)
+                for report in batch
+            )
+            if not await self._stream.send(ReportsCommitted(reports=told)):
                 return
 
     async def _send_orders(self) -> None:
--- a/src/rhubarbfield/workers/ports.py
+++ b/src/rhubarbfield/workers/ports.py
@@ -11,11 +11,13 @@
 from rhubarbfield.types import AttemptState, Epoch, LogIndex, WorkerId
 from rhubarbfield.workers.messages import (
     AttemptReport,
-    Order,
-    StartAttempt,
     UsageReport,
     WorkerHello,
 )
+from rhubarbfield.workers.orders import (
+    Order,
+    StartAttempt,
+)
 
 
 class LiveAttempt(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/rhubarbfield/workers/reconciliation.py
+++ b/src/rhubarbfield/workers/reconciliation.py
@@ -7,9 +7,11 @@
 from rhubarbfield.types import AttemptId, AttemptState
 from rhubarbfield.workers.messages import (
     AttemptReport,
+    WorkerHello,
+)
+from rhubarbfield.workers.orders import (
     Order,
     StopAttempt,
-    WorkerHello,
 )
 from rhubarbfield.workers.ports import Admitted, LiveAttempt
 
--- a/src/rhubarbfield/workers/sessions.py
+++ b/src/rhubarbfield/workers/sessions.py
@@ -12,7 +12,12 @@
 from rhubarbfield.leases import LeaseTable
 from rhubarbfield.types import Epoch, WorkerId
 from rhubarbfield.workers.connection import WorkerConnection
-from rhubarbfield.workers.messages import GoToLeader, WorkerHello
+from rhubarbfield.workers.messages import (
+    WorkerHello,
+)
+from rhubarbfield.workers.orders import (
+    GoToLeader,
+)
 from rhubarbfield.workers.ports import (
     Admitted,
     NotLeading,
