--- /dev/null
+++ b/src/rhubarbfield/controller/calls.py
@@ -0,0 +1,132 @@
+"""What other processes ask of a controller."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+import msgspec
+from returns.result import Failure, Success
+
+from rhubarbfield.clock import Clock
+from rhubarbfield.controller.leading import DomainLeader, FleetLeader
+from rhubarbfield.controller.machines import DomainState, WholeState
+from rhubarbfield.controller.queries import OperatorService
+from rhubarbfield.controller.replicated import ReplicatedLog
+from rhubarbfield.machine import Command, Done, Reply
+from rhubarbfield.ownership import AssignServer, plan_claim
+from rhubarbfield.peering import CallMethod, MessageStream
+from rhubarbfield.peering.ports import CallHandler
+from rhubarbfield.protocol import (
+    DOMAIN_CALL,
+    FLEET_CALL,
+    QUERY_CALL,
+    SUMMARY_CALL,
+    DomainSummary,
+    EntryRefused,
+    NotLeading,
+    QueryAnswer,
+    QueryRequest,
+    Unavailable,
+)
+
+CommandT = TypeVar("CommandT", bound=Command)
+
+
+class ControllerCalls:
+    """Answers the calls and serves the streams of other processes.
+
+    Parameters
+    ----------
+    domain_log, fleet_log
+        The logs on this instance.
+    operators
+        Answers other controllers' queries.
+    get_domain_leader, get_fleet_leader
+        Return the present term, while this instance leads.
+    clock
+        The time.
+    """
+
+    def __init__(
+        self,
+        *,
+        domain_log: ReplicatedLog[DomainState],
+        fleet_log: ReplicatedLog[WholeState],
+        operators: OperatorService,
+        get_domain_leader: Callable[[], DomainLeader | None],
+        get_fleet_leader: Callable[[], FleetLeader | None],
+        clock: Clock,
+    ) -> None:
+        self._domain_log = domain_log
+        self._fleet_log = fleet_log
+        self._operators = operators
+        self._get_domain_leader = get_domain_leader
+        self._get_fleet_leader = get_fleet_leader
+        self._clock = clock
+
+    def map_handlers(self) -> dict[CallMethod, CallHandler]:
+        """Return what answers each call."""
+        return {
+            DOMAIN_CALL: self.decide_domain,
+            FLEET_CALL: self.decide_fleet,
+            QUERY_CALL: self.query,
+            SUMMARY_CALL: self.take_summary,
+        }
+
+    async def decide_domain(self, command: Command) -> Reply | NotLeading | Unavailable:
+        """Commit a command to the domain's log."""
+        if not self._domain_log.leads():
+            return NotLeading(self._domain_log.replica.leader_hint)
+        command = self._stamp(command)
+        if isinstance(command, AssignServer):
+            planned = plan_claim(self._domain_log.state.ownership, command)
+            match planned:
+                case Failure(owned_elsewhere):
+                    return owned_elsewhere
+                case Success(claim):
+                    command = claim
+        return await _decide(self._domain_log, command)
+
+    async def decide_fleet(self, command: Command) -> Reply | NotLeading | Unavailable:
+        """Commit a command to the fleet's log."""
+        return await _decide(self._fleet_log, self._stamp(command))
+
+    async def query(self, request: QueryRequest) -> QueryAnswer | NotLeading:
+        """Answer a query from the domain that this instance leads."""
+        return self._operators.answer_domain(request)
+
+    async def take_summary(self, summary: DomainSummary) -> Done | NotLeading:
+        """Remember how much room a domain has."""
+        leader = self._get_fleet_leader()
+        if leader is None:
+            return NotLeading(self._fleet_log.replica.leader_hint)
+        leader.take_summary(summary)
+        return Done()
+
+    async def serve_entry(self, stream: MessageStream) -> None:
+        """Serve the stream of an entry."""
+        leader = self._get_domain_leader()
+        if leader is not None:
+            await leader.entries.serve(stream)
+            return
+        hint = self._domain_log.replica.leader_hint
+        await stream.send(EntryRefused(leader=hint, reason="not the leader"))
+
+    def _stamp(self, command: CommandT) -> CommandT:
+        """Put the leader's time on a command that carries one."""
+        if "at" not in command.__struct_fields__:
+            return command
+        stamped: Any = command
+        return msgspec.structs.replace(stamped, at=self._clock.now())
+
+
+async def _decide(
+    log: ReplicatedLog[Any], command: Command
+) -> Reply | NotLeading | Unavailable:
+    match await log.propose(command):
+        case Success(reply):
+            return reply
+        case Failure(failure):
+            return failure
+    raise AssertionError
--- /dev/null
+++ b/src/rhubarbfield/controller/daemon.py
@@ -0,0 +1,370 @@
+"""Putting a controller together and running it."""
+
+from __future__ import annotations
+
+import logging
+import random
+from pathlib import Path
+from typing import Any
+
+import trio
+import trio_asyncio
+from hypercorn.config import Config
+from hypercorn.trio import serve as serve_app
+from prometheus_client import CollectorRegistry
+from returns.result import Failure
+
+from rhubarbfield.clock import Clock, TrioClock
+from rhubarbfield.controller.calls import ControllerCalls
+from rhubarbfield.controller.groups import (
+    FLEET_GROUP,
+    list_domain_groups,
+    map_controllers,
+    map_members,
+    name_domain_group,
+)
+from rhubarbfield.controller.leading import DomainLeader, FleetCalls, FleetLeader
+from rhubarbfield.controller.machines import (
+    DomainState,
+    WholeState,
+    make_domain_machine,
+    make_fleet_machine,
+)
+from rhubarbfield.controller.options import (
+    make_entry_terms,
+    make_group_settings,
+    make_placement_settings,
+    make_worker_settings,
+)
+from rhubarbfield.controller.orders import OrderFeed
+from rhubarbfield.controller.queries import OperatorService
+from rhubarbfield.controller.replicated import ReplicatedLog, run_while_leading
+from rhubarbfield.controller.tables import DomainView
+from rhubarbfield.controller.worklog import DomainWorkLog
+from rhubarbfield.daemons import load_credentials, run_until_signal
+from rhubarbfield.machine import SectionedMachine
+from rhubarbfield.operators import create_operators_app
+from rhubarbfield.peering import (
+    Credentials,
+    Encoding,
+    MessageStream,
+    PeerLinks,
+    serve_link,
+    serve_methods,
+)
+from rhubarbfield.protocol import (
+    ENTRY_STREAM,
+    FLEET_CALL,
+    QUERY_CALL,
+    REPLICATION_LINK,
+    SUMMARY_CALL,
+    LeaderCalls,
+    Packet,
+)
+from rhubarbfield.protocol.workers import WORKER_STREAM
+from rhubarbfield.replication import GroupSettings, Replica, ReplicationMessage
+from rhubarbfield.settings import Settings
+from rhubarbfield.settings.secrets import Secret
+from rhubarbfield.storage import FileStore, LogStore, MemoryStore
+from rhubarbfield.types import FailureDomain, GroupId, InstanceName
+from rhubarbfield.workers import GoToLeader
+
+logger = logging.getLogger(__name__)
+
+GRACEFUL_SECONDS = 5.0
+STORE_EXIT_REASON = "the store of group %s can't be trusted: %s"
+
+
+class PacketSender:
+    """Sends replication messages over the links to other controllers."""
+
+    def __init__(self, links: PeerLinks) -> None:
+        self._links = links
+
+    def send(
+        self, to: InstanceName, group: GroupId, message: ReplicationMessage
+    ) -> None:
+        """Queue a message; never waits."""
+        self._links.send(to, Packet(group, message))
+
+
+class Controller:
+    """One controller, from its settings.
+
+    Parameters
+    ----------
+    settings
+        Of the instance.
+    credentials, secret
+        What peers and operators have to present.
+    clock, rng
+        The time and the random source.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        *,
+        credentials: Credentials,
+        secret: Secret,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self._settings = settings
+        self._credentials = credentials
+        self._secret = secret
+        self._clock = clock
+        self._rng = rng
+        self._name = InstanceName(settings.instance.name)
+        self._domain = FailureDomain(settings.instance.failure_domain)
+        self._domain_leader: DomainLeader | None = None
+        self._fleet_leader: FleetLeader | None = None
+        controllers = dict(map_controllers(settings))
+        peers = {name: at for name, at in controllers.items() if name != self._name}
+        self._links = PeerLinks(self._name, peers, REPLICATION_LINK, credentials)
+        self._replicas: dict[GroupId, Replica] = {}
+        self._fleet_log = self._make_fleet_log()
+        self._domain_log = self._make_domain_logs()
+        self._feed = OrderFeed(self._domain_log.machine)
+        self._fleet_calls = self._make_calls(FLEET_CALL, tuple(controllers))
+        self._summary_calls = self._make_calls(SUMMARY_CALL, tuple(controllers))
+        self._operators = OperatorService(
+            settings,
+            fleet_log=self._fleet_log,
+            fleet=self._fleet_calls,
+            domains={
+                group.domain: self._make_calls(QUERY_CALL, group.members)
+                for group in list_domain_groups(settings)
+            },
+            view_domain=self._view_domain,
+            clock=clock,
+        )
+        self._work_log = DomainWorkLog(
+            self._domain_log,
+            self._feed,
+            self._domain,
+            clock,
+            self._find_workers_address,
+        )
+
+    async def run(
+        self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Run until cancelled."""
+        addresses = self._settings.addresses
+        calls = ControllerCalls(
+            domain_log=self._domain_log,
+            fleet_log=self._fleet_log,
+            operators=self._operators,
+            get_domain_leader=lambda: self._domain_leader,
+            get_fleet_leader=lambda: self._fleet_leader,
+            clock=self._clock,
+        )
+        async with trio.open_nursery() as nursery:
+            for group, replica in self._replicas.items():
+                await nursery.start(self._run_replica, group, replica)
+            nursery.start_soon(self._links.run)
+            await nursery.start(self._serve_peers, calls)
+            await nursery.start(self._serve_workers)
+            nursery.start_soon(
+                run_while_leading, self._domain_log, self._lead_domain, self._clock
+            )
+            nursery.start_soon(
+                run_while_leading, self._fleet_log, self._lead_fleet, self._clock
+            )
+            await nursery.start(self._serve_operators)
+            logger.info("controller-serving port=%d", addresses.controller_peer_port)
+            task_status.started()
+
+    def _make_fleet_log(self) -> ReplicatedLog[WholeState]:
+        voters = tuple(InstanceName(n) for n in self._settings.fleet.fleet_voters)
+        return self._make_log(FLEET_GROUP, voters, make_fleet_machine())
+
+    def _make_domain_logs(self) -> ReplicatedLog[DomainState]:
+        """Make the log of the own domain, and of each this is a witness for."""
+        own: ReplicatedLog[DomainState] | None = None
+        for group in list_domain_groups(self._settings):
+            if self._name not in group.members:
+                continue
+            log = self._make_log(
+                name_domain_group(group.domain), group.voters, make_domain_machine()
+            )
+            if group.domain == self._domain:
+                own = log
+        assert own is not None
+        return own
+
+    def _make_log(
+        self,
+        group: GroupId,
+        voters: tuple[InstanceName, ...],
+        machine: SectionedMachine[Any],
+    ) -> ReplicatedLog[Any]:
+        replica = Replica(
+            group=group,
+            name=self._name,
+            bootstrap=voters,
+            machine=machine,
+            store=self._open_store(group),
+            sender=PacketSender(self._links),
+            clock=self._clock,
+            random=self._rng,
+            settings=self._group_settings,
+        )
+        self._replicas[group] = replica
+        return ReplicatedLog(replica, machine)
+
+    @property
+    def _group_settings(self) -> GroupSettings:
+        return make_group_settings(self._settings.timing)
+
+    def _open_store(self, group: GroupId) -> LogStore:
+        folder = self._settings.data_folder
+        if folder is None:
+            return MemoryStore()
+        return FileStore(Path(folder) / group)
+
+    def _make_calls(
+        self, method: Any, members: tuple[InstanceName, ...]
+    ) -> LeaderCalls:
+        at = map_members(self._settings, members)
+        return LeaderCalls(method, at, self._credentials, self._clock)
+
+    async def _run_replica(
+        self,
+        group: GroupId,
+        replica: Replica,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        result = await replica.run(task_status=task_status)
+        match result:
+            case Failure(failure):
+                # The group goes on with its other members; operators are told.
+                logger.error(STORE_EXIT_REASON, group, failure)
+
+    async def _serve_peers(
+        self,
+        calls: ControllerCalls,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        async def handle_link(stream: MessageStream) -> None:
+            await serve_link(stream, self._deliver)
+
+        await serve_methods(
+            self._settings.addresses.host,
+            self._settings.addresses.controller_peer_port,
+            credentials=self._credentials,
+            streams={REPLICATION_LINK: handle_link, ENTRY_STREAM: calls.serve_entry},
+            calls=calls.map_handlers(),
+            task_status=task_status,
+        )
+
+    def _deliver(self, sender: InstanceName, packet: Packet) -> None:
+        replica = self._replicas.get(packet.group)
+        if replica is not None:
+            replica.deliver(sender, packet.message)
+
+    async def _serve_workers(
+        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        async def handle(stream: MessageStream) -> None:
+            leader = self._domain_leader
+            if leader is not None:
+                await leader.workers.serve(stream)
+                return
+            hint = self._domain_log.replica.leader_hint
+            await stream.receive()
+            await stream.send(GoToLeader(address=self._find_workers_address(hint)))
+
+        await serve_methods(
+            self._settings.addresses.host,
+            self._settings.addresses.workers_port,
+            credentials=self._credentials,
+            encoding=Encoding.JSON,
+            streams={WORKER_STREAM: handle},
+            task_status=task_status,
+        )
+
+    async def _serve_operators(
+        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        app = create_operators_app(
+            self._operators, secret=self._secret, metrics=CollectorRegistry()
+        )
+        config = Config()
+        addresses = self._settings.addresses
+        config.bind = [f"{addresses.host}:{addresses.operators_port}"]
+        config.graceful_timeout = GRACEFUL_SECONDS
+        config.include_server_header = False
+        config.loglevel = "WARNING"
+        async with trio.open_nursery() as nursery:
+            await nursery.start(serve_app, app, config)
+            task_status.started()
+
+    async def _lead_domain(self) -> None:
+        self._domain_leader = DomainLeader(
+            self._domain,
+            log=self._domain_log,
+            fleet_log=self._fleet_log,
+            feed=self._feed,
+            work_log=self._work_log,
+            fleet=FleetCalls(self._fleet_calls),
+            summaries=self._summary_calls,
+            entry_terms=make_entry_terms(self._settings.timing),
+            worker_settings=make_worker_settings(self._settings.timing),
+            placement=make_placement_settings(self._settings.placement),
+            clock=self._clock,
+            rng=self._rng,
+        )
+        try:
+            await self._domain_leader.run()
+        finally:
+            self._domain_leader = None
+
+    async def _lead_fleet(self) -> None:
+        self._fleet_leader = FleetLeader(self._fleet_log, self._clock)
+        try:
+            await self._fleet_leader.run()
+        finally:
+            self._fleet_leader = None
+
+    def _view_domain(self) -> DomainView | None:
+        leader = self._domain_leader
+        if leader is None or not self._domain_log.leads():
+            return None
+        return DomainView(
+            domain=self._domain,
+            state=self._domain_log.state,
+            versions=dict(leader.entries.versions),
+            waits={wait.job: wait.reason for wait in leader.planner.waits},
+        )
+
+    def _find_workers_address(self, name: InstanceName | None) -> str:
+        instance = self._settings.fleet.find_instance(name) if name else None
+        return f"{instance.host}:{instance.workers_port}" if instance else ""
+
+
+async def run_controller(
+    settings: Settings,
+    *,
+    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Run a controller until it is told to stop by SIGTERM or SIGINT.
+
+    Parameters
+    ----------
+    settings
+        Of the instance.
+    task_status
+        Started once it serves.
+    """
+    secret, credentials = load_credentials(settings)
+    async with trio_asyncio.open_loop():
+        controller = Controller(
+            settings,
+            credentials=credentials,
+            secret=secret,
+            clock=TrioClock(),
+            rng=random.SystemRandom(),
+        )
+        await run_until_signal(controller.run, task_status=task_status)
--- a/src/rhubarbfield/controller/entrysessions.py
+++ b/src/rhubarbfield/controller/entrysessions.py
@@ -150,9 +150,9 @@
                 for entry in list_directory(self._log.state.ownership)
             }
             update = _compare_directories(known, current)
-            if first or update.changed or update.removed:
-                if not await stream.send(update):
-                    return
+            wanted = first or update.changed or update.removed
+            if wanted and not await stream.send(update):
+                return
             known = current
             first = False
             await self._log.wait_change()
--- a/src/rhubarbfield/controller/leading.py
+++ b/src/rhubarbfield/controller/leading.py
@@ -104,7 +104,9 @@
             worker_settings, clock=clock, log=work_log, observations=usage
         )
         self.entries = EntrySessions(log, fleet_log, entry_terms, clock)
-        self.planner = Planner(log, feed, usage, placement, clock, rng)
+        self.planner = Planner(
+            log, feed=feed, usage=usage, settings=placement, clock=clock, rng=rng
+        )
         self._reconciler = Reconciler(domain, log, fleet_log, fleet, clock)
 
     async def run(self) -> None:
--- /dev/null
+++ b/src/rhubarbfield/controller/options.py
@@ -0,0 +1,66 @@
+"""The settings of a controller's parts, from those of its instance."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+from rhubarbfield.leases import LeaseTerms
+from rhubarbfield.placement import PlacementSettings, Profile, Weights, choose_settings
+from rhubarbfield.replication import GroupSettings
+from rhubarbfield.settings import Placement, Timing
+from rhubarbfield.workers import WorkerSessionSettings
+
+HEARTBEATS_IN_LEASE = 4
+ELECTION_SPREAD = 1.5
+RENEWALS_IN_LEASE = 4
+SILENCE_RENEWALS = 3
+
+
+def make_group_settings(timing: Timing) -> GroupSettings:
+    """Return the times of replicated groups."""
+    drift = timing.drift_fraction
+    least = timing.leader_lease * ((1 + drift) / (1 - drift))
+    election = max(timing.election_timeout, least)
+    return GroupSettings(
+        heartbeat=timing.leader_lease / HEARTBEATS_IN_LEASE,
+        lease=timing.leader_lease,
+        election_min=election,
+        election_max=election * ELECTION_SPREAD,
+        clock_drift=drift,
+        snapshot_after=timing.snapshot_commands,
+        kept_entries=timing.snapshot_commands // 2,
+    )
+
+
+def make_entry_terms(timing: Timing) -> LeaseTerms:
+    """Return the lease of an entry's session."""
+    return LeaseTerms(duration=timing.backend_server_lease, drift=timing.drift_fraction)
+
+
+def make_worker_settings(timing: Timing) -> WorkerSessionSettings:
+    """Return the settings of workers' sessions."""
+    renew = timing.worker_lease / RENEWALS_IN_LEASE
+    silence = max(renew * SILENCE_RENEWALS, timedelta(seconds=1))
+    return WorkerSessionSettings(
+        lease=LeaseTerms(duration=timing.worker_lease, drift=timing.drift_fraction),
+        renew_interval=renew,
+        silence_limit=silence,
+    )
+
+
+def make_placement_settings(placement: Placement) -> PlacementSettings:
+    """Return the settings of the placement policy."""
+    base = choose_settings(Profile(placement.profile.value))
+    if placement.weights is None:
+        return base
+    weights = Weights(
+        tail_latency=placement.weights.tail_latency,
+        throughput=placement.weights.throughput,
+        eviction=placement.weights.evictions,
+    )
+    return PlacementSettings(
+        weights=weights,
+        latency_ceiling=base.latency_ceiling,
+        throttle_above=base.throttle_above,
+        evict_above=base.evict_above,
+    )
--- a/src/rhubarbfield/controller/planning.py
+++ b/src/rhubarbfield/controller/planning.py
@@ -50,6 +50,7 @@
     def __init__(
         self,
         log: ReplicatedLog[DomainState],
+        *,
         feed: OrderFeed,
         usage: UsageSink,
         settings: PlacementSettings,
--- a/src/rhubarbfield/controller/tables.py
+++ b/src/rhubarbfield/controller/tables.py
@@ -293,7 +293,9 @@
         counts[1] += server.state.value == "leaving"
         counts[2] += server.owner is None
         counts[3] += server.description.slots
-    rows = ((name, view.domain, *counts) for name, counts in services.items())
+    rows: list[Row] = [
+        (name, view.domain, *counts) for name, counts in services.items()
+    ]
     return make_table(columns, rows)
 
 
--- /dev/null
+++ b/src/rhubarbfield/entry/grants.py
@@ -0,0 +1,100 @@
+"""Backend servers that were announced, on their way to the router."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+from rhubarbfield.announcements import Announce, Granted
+from rhubarbfield.clock import Clock
+from rhubarbfield.entry.session import EntrySession
+from rhubarbfield.routing import (
+    BackendGrant,
+    OwnedServers,
+    RoutingSettings,
+    ServerReport,
+)
+from rhubarbfield.types import BackendServerId, BackendServerState, Epoch
+
+
+class RouterGrants:
+    """The :class:`~rhubarbfield.announcements.GrantSink` of an entry.
+
+    A backend server is used as long as it has been heard from lately and the
+    entry's own lease holds, whichever ends first.
+
+    Parameters
+    ----------
+    servers
+        The router's backend servers.
+    settings
+        The router's settings.
+    clock
+        The time.
+    """
+
+    def __init__(
+        self, servers: OwnedServers, settings: RoutingSettings, clock: Clock
+    ) -> None:
+        self._servers = servers
+        self._settings = settings
+        self._clock = clock
+        self._session: EntrySession | None = None
+        self._until: dict[BackendServerId, tuple[Epoch, timedelta]] = {}
+
+    def use_session(self, session: EntrySession) -> None:
+        """Bound all grants by the lease of ``session`` from now on."""
+        self._session = session
+
+    def grant(self, announce: Announce, granted: Granted, until: timedelta) -> None:
+        """Start to use a server, or take in its changed capacity."""
+        self._until[announce.server] = (granted.epoch, until)
+        taken_until = None
+        if not granted.settled:
+            longest = self._settings.longest_timeout + self._settings.settle_time
+            taken_until = self._clock.monotonic() + longest
+        self._servers.grant(
+            BackendGrant(
+                server=announce.server,
+                service=announce.service,
+                address=f"{announce.host}:{announce.port}",
+                slots=announce.slots,
+                connections=announce.connections,
+                epoch=granted.epoch,
+                valid_until=self._bound(until),
+                taken_until=taken_until,
+                answers_until_close=announce.close_delimited_answers,
+            )
+        )
+        if announce.state is BackendServerState.LEAVING:
+            self._servers.mark_leaving(announce.server)
+
+    def renew(self, server: BackendServerId, epoch: Epoch, until: timedelta) -> None:
+        """Go on using a server that has been heard from."""
+        self._until[server] = (epoch, until)
+        self._servers.renew(server, epoch, self._bound(until))
+
+    def renew_all(self) -> None:
+        """Take in that the entry's own lease was extended."""
+        for server, (epoch, until) in self._until.items():
+            self._servers.renew(server, epoch, self._bound(until))
+
+    def report(self, server: BackendServerId, epoch: Epoch, running: int) -> None:
+        """Take in the server's own count of the requests that run on it."""
+        self._servers.report(ServerReport(server=server, running=running))
+
+    def mark_leaving(self, server: BackendServerId, epoch: Epoch) -> None:
+        """Send no new requests to a server; those in progress go on."""
+        self._servers.mark_leaving(server)
+
+    def revoke(self, server: BackendServerId, epoch: Epoch) -> bool:
+        """Stop using a server; return whether nothing of ours runs on it."""
+        self._until.pop(server, None)
+        ledger = self._servers.get(server)
+        idle = ledger is None or ledger.is_idle(self._clock.monotonic())
+        self._servers.revoke(server)
+        return idle
+
+    def _bound(self, until: timedelta) -> timedelta:
+        if self._session is None:
+            return self._clock.monotonic()
+        return min(until, self._session.valid_until())
--- /dev/null
+++ b/src/rhubarbfield/entry/options.py
@@ -0,0 +1,68 @@
+"""The settings of an entry's parts, from those of its instance."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+import msgspec
+
+from rhubarbfield.announcements import AnnouncementSettings
+from rhubarbfield.callers import ServingSettings
+from rhubarbfield.routing import RoutingSettings
+from rhubarbfield.settings import Settings
+from rhubarbfield.types import RequestClass
+
+BYTES_IN_MB = 1_000_000
+LEAVING_LIMIT = timedelta(milliseconds=1800)
+HEARTBEATS_IN_SILENCE = 3
+
+
+def make_routing_settings(settings: Settings) -> RoutingSettings:
+    """Return the limits of the request path."""
+    routing = settings.routing
+    base = RoutingSettings()
+    classes = {
+        name: msgspec.structs.replace(
+            one,
+            queue_length=routing.longest_queue_requests,
+            timeout=_choose_timeout(name, one.timeout, settings),
+        )
+        for name, one in base.classes.items()
+    }
+    return msgspec.structs.replace(
+        base,
+        longest_timeout=routing.longest_request,
+        body_limit=round(routing.largest_request_mb * BYTES_IN_MB),
+        answer_limit=round(routing.largest_answer_mb * BYTES_IN_MB),
+        retry_ratio=routing.retry_budget_fraction,
+        ejection_failures=routing.ejection_failures,
+        ejection_time=routing.ejection,
+        ejection_cap=routing.largest_ejected_fraction,
+        slow_start=routing.slow_start,
+        classes=classes,
+    )
+
+
+def _choose_timeout(
+    name: RequestClass, usual: timedelta, settings: Settings
+) -> timedelta:
+    routing = settings.routing
+    wanted = usual if name is RequestClass.BULK else routing.default_request
+    return min(wanted, routing.longest_request)
+
+
+def make_announcement_settings(settings: Settings) -> AnnouncementSettings:
+    """Return the times of backend servers' sessions."""
+    silence = min(settings.timing.silence, LEAVING_LIMIT)
+    heartbeat = min(settings.timing.heartbeat, silence / HEARTBEATS_IN_SILENCE)
+    return AnnouncementSettings(heartbeat_interval=heartbeat, silence_limit=silence)
+
+
+def make_serving_settings(settings: Settings) -> ServingSettings:
+    """Return the times of the callers' side."""
+    timing = settings.timing
+    return ServingSettings(
+        keep_alive=timing.readiness_off,
+        look_away=timing.readiness_off + timedelta(milliseconds=500),
+        grace=timing.longest_stop,
+    )
--- /dev/null
+++ b/src/rhubarbfield/entry/ownership.py
@@ -0,0 +1,144 @@
+"""The domain's decisions on backend servers, asked of its leader."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+from returns.result import Failure, Result, Success
+
+from rhubarbfield.announcements import (
+    Announce,
+    Granted,
+    OwnedBy,
+    OwnershipLost,
+    OwnershipUnavailable,
+)
+from rhubarbfield.clock import Clock
+from rhubarbfield.entry.session import EntrySession
+from rhubarbfield.machine import Command, Done
+from rhubarbfield.ownership import (
+    AssignServer,
+    EndEntrySession,
+    ForgetServer,
+    OwnedElsewhere,
+    ProofOfEnd,
+    ReleaseServer,
+    ServerAssigned,
+    ServerDescription,
+    SetServerState,
+    StaleEpoch,
+    UpdateServer,
+)
+from rhubarbfield.protocol import LeaderCalls
+from rhubarbfield.types import BackendServerId, Epoch, InstanceName
+
+DECISION_TIMEOUT = timedelta(seconds=3)
+
+
+class DomainOwnership:
+    """The :class:`~rhubarbfield.announcements.OwnershipPort` of an entry.
+
+    Parameters
+    ----------
+    entry
+        This instance.
+    session
+        Its session with the leader of the domain.
+    calls
+        Calls to that leader.
+    clock
+        The time.
+    """
+
+    def __init__(
+        self,
+        entry: InstanceName,
+        session: EntrySession,
+        calls: LeaderCalls,
+        clock: Clock,
+    ) -> None:
+        self._entry = entry
+        self._session = session
+        self._calls = calls
+        self._clock = clock
+
+    async def claim(
+        self, announce: Announce
+    ) -> Result[Granted, OwnedBy | OwnershipUnavailable]:
+        """Become the owner of a backend server, or confirm that this entry is."""
+        session = self._session.epoch
+        if not self._session.holds():
+            return Failure(OwnershipUnavailable())
+        command = AssignServer(
+            server=announce.server,
+            description=_describe(announce),
+            entry=self._entry,
+            session=session,
+            at=self._clock.now(),
+        )
+        reply = await self._calls.call(command, DECISION_TIMEOUT)
+        match reply:
+            case Success(ServerAssigned(epoch=epoch, settled=settled)):
+                if self._session.epoch == session:
+                    return Success(Granted(epoch=epoch, settled=settled))
+            case Success(OwnedElsewhere(owner=owner, address=address)):
+                if owner != self._entry:
+                    return Failure(OwnedBy(owner=owner, address=address))
+        return Failure(OwnershipUnavailable())
+
+    async def update(
+        self, announce: Announce, epoch: Epoch
+    ) -> Result[None, OwnershipLost | OwnershipUnavailable]:
+        """Publish changed capacity or state of an owned backend server."""
+        description = _describe(announce)
+        updated = await self._ask(
+            UpdateServer(server=announce.server, epoch=epoch, description=description)
+        )
+        if not isinstance(updated, Success):
+            return updated
+        return await self._ask(
+            SetServerState(server=announce.server, epoch=epoch, state=announce.state)
+        )
+
+    async def release(
+        self, server: BackendServerId, epoch: Epoch, *, settled: bool, gone: bool
+    ) -> Result[None, OwnershipLost | OwnershipUnavailable]:
+        """Give a backend server up."""
+        released = await self._ask(
+            ReleaseServer(server=server, epoch=epoch, settled=settled)
+        )
+        if not isinstance(released, Success) or not (gone and settled):
+            return released
+        return await self._ask(ForgetServer(server=server, epoch=epoch, settled=True))
+
+    async def end_session(self) -> None:
+        """Tell the leader that this entry sends nothing any more."""
+        await self._ask(
+            EndEntrySession(
+                entry=self._entry,
+                session=self._session.epoch,
+                proof=ProofOfEnd.RELEASED,
+                at=self._clock.now(),
+            )
+        )
+
+    async def _ask(
+        self, command: Command
+    ) -> Result[None, OwnershipLost | OwnershipUnavailable]:
+        match await self._calls.call(command, DECISION_TIMEOUT):
+            case Success(Done()):
+                return Success(None)
+            case Success(StaleEpoch()):
+                return Failure(OwnershipLost())
+        return Failure(OwnershipUnavailable())
+
+
+def _describe(announce: Announce) -> ServerDescription:
+    return ServerDescription(
+        service=announce.service,
+        host=announce.host,
+        port=announce.port,
+        slots=announce.slots,
+        connections=announce.connections,
+        close_delimited_answers=announce.close_delimited_answers,
+    )
--- /dev/null
+++ b/src/rhubarbfield/entry/session.py
@@ -0,0 +1,208 @@
+"""An entry's session with the leader of its failure domain."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable, Mapping
+from datetime import timedelta
+
+import msgspec
+import trio
+
+from rhubarbfield.clock import Clock
+from rhubarbfield.fleet import Configuration
+from rhubarbfield.leases import HeldLease, LeaseTerms
+from rhubarbfield.ownership import DirectoryEntry
+from rhubarbfield.peering import Credentials, MessageStream, connect
+from rhubarbfield.protocol import (
+    ENTRY_STREAM,
+    ConfigurationUpdate,
+    DirectoryUpdate,
+    EntryHello,
+    EntryLease,
+    EntryOpened,
+    EntryRefused,
+    RenewEntry,
+)
+from rhubarbfield.types import (
+    BackendServerId,
+    Epoch,
+    Incarnation,
+    InstanceName,
+)
+
+logger = logging.getLogger(__name__)
+
+RECONNECT_DELAY = timedelta(milliseconds=100)
+RENEWALS_IN_LEASE = 5
+SILENT_RENEWALS = 2
+ANSWER_TIMEOUT = timedelta(seconds=2)
+
+
+class EntrySession:
+    """Keeps a session with whoever leads the domain, and what it grants.
+
+    The directory and the configuration stay as they were last heard while
+    there is no leader; the lease lapses by itself.
+
+    Parameters
+    ----------
+    entry
+        This instance.
+    incarnation
+        New at each start of the process.
+    address
+        ``host:port`` at which backend servers announce themselves.
+    controllers
+        Host and peer port of each controller that may lead the domain.
+    credentials
+        What this process presents.
+    terms
+        The lease of the session.
+    clock
+        The time.
+    on_session
+        Called when a session with a new epoch has been opened.
+    on_lease
+        Called after each extension of the lease.
+    """
+
+    def __init__(
+        self,
+        entry: InstanceName,
+        *,
+        incarnation: Incarnation,
+        address: str,
+        controllers: Mapping[InstanceName, tuple[str, int]],
+        credentials: Credentials,
+        terms: LeaseTerms,
+        clock: Clock,
+        on_session: Callable[[], None],
+        on_lease: Callable[[], None],
+    ) -> None:
+        self._entry = entry
+        self._incarnation = incarnation
+        self._address = address
+        self._controllers = dict(controllers)
+        self._credentials = credentials
+        self._clock = clock
+        self._on_session = on_session
+        self._on_lease = on_lease
+        self._renew_interval = terms.duration / RENEWALS_IN_LEASE
+        self._lease = HeldLease(drift=terms.drift, clock=clock)
+        self._target = next(iter(self._controllers))
+        self._heard = trio.Event()
+        self.directory: dict[BackendServerId, DirectoryEntry] = {}
+        self.configuration = Configuration()
+
+    @property
+    def epoch(self) -> Epoch:
+        """The epoch of the session; zero before the first."""
+        return self._lease.epoch
+
+    def holds(self) -> bool:
+        """Return whether the session's lease holds now."""
+        return self._lease.holds()
+
+    def valid_until(self) -> timedelta:
+        """Return the monotonic time at which the lease ends unless extended."""
+        return self._clock.monotonic() + self._lease.remaining()
+
+    async def run(self) -> None:
+        """Keep a session until cancelled."""
+        while True:
+            host, port = self._controllers[self._target]
+            async with (
+                connect(host, port, credentials=self._credentials) as connection,
+                connection.open(ENTRY_STREAM) as stream,
+            ):
+                hint = None
+                if stream is not None:
+                    hint = await self._use(stream)
+            self._choose_target(hint)
+            await self._clock.sleep(RECONNECT_DELAY)
+
+    def _choose_target(self, hint: InstanceName | None) -> None:
+        if hint in self._controllers and hint != self._target:
+            self._target = hint
+            return
+        names = list(self._controllers)
+        place = names.index(self._target)
+        self._target = names[(place + 1) % len(names)]
+
+    async def _use(self, stream: MessageStream) -> InstanceName | None:
+        """Serve one stream until it ends; return who leads, if it was said."""
+        hello = EntryHello(
+            entry=self._entry,
+            incarnation=self._incarnation,
+            address=self._address,
+            number=self._lease.request(),
+            configuration=self.configuration.version,
+        )
+        if not await stream.send(hello):
+            return None
+        opened: msgspec.Struct | None = None
+        with trio.move_on_after(ANSWER_TIMEOUT.total_seconds()):
+            opened = await stream.receive()
+        if isinstance(opened, EntryRefused):
+            logger.info("session-refused reason=%s", opened.reason)
+            return opened.leader
+        if isinstance(opened, EntryOpened):
+            self._open(opened)
+            await self._serve(stream)
+        return None
+
+    def _open(self, opened: EntryOpened) -> None:
+        before = self._lease.epoch
+        if not self._lease.accept(opened.lease):
+            return
+        logger.info("session-opened epoch=%d leader=%s", self.epoch, self._target)
+        if self._lease.epoch != before:
+            self._on_session()
+        self._on_lease()
+
+    async def _serve(self, stream: MessageStream) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._renew, stream, nursery.cancel_scope)
+            while (message := await stream.receive()) is not None:
+                self._take(message)
+            nursery.cancel_scope.cancel()
+
+    async def _renew(self, stream: MessageStream, scope: trio.CancelScope) -> None:
+        """Extend the lease; give the stream up once it stays without answers."""
+        while True:
+            self._heard = trio.Event()
+            message = RenewEntry(
+                number=self._lease.request(),
+                epoch=self._lease.epoch,
+                configuration=self.configuration.version,
+            )
+            sent = await stream.send(message)
+            await self._clock.sleep(self._renew_interval)
+            with trio.move_on_after(
+                self._renew_interval.total_seconds() * SILENT_RENEWALS
+            ):
+                await self._heard.wait()
+            if not sent or not self._heard.is_set():
+                logger.warning("session-silent leader=%s", self._target)
+                scope.cancel()
+                return
+
+    def _take(self, message: msgspec.Struct) -> None:
+        match message:
+            case EntryLease(lease=lease):
+                if self._lease.accept(lease):
+                    self._heard.set()
+                    self._on_lease()
+            case DirectoryUpdate(changed=changed, removed=removed):
+                self.directory.update({one.server: one for one in changed})
+                for server in removed:
+                    self.directory.pop(server, None)
+            case ConfigurationUpdate(configuration=configuration):
+                self._take_configuration(configuration)
+
+    def _take_configuration(self, configuration: Configuration) -> None:
+        # Another controller may lag behind the one heard before.
+        if configuration.version > self.configuration.version:
+            self.configuration = configuration
+            logger.info("configuration-in-force version=%d", configuration.version)
--- /dev/null
+++ b/src/rhubarbfield/entry/siblings.py
@@ -0,0 +1,233 @@
+"""The other entries: what room they have, and passing requests on to them."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Mapping, Sequence
+from datetime import timedelta
+
+import msgspec
+import trio
+from returns.result import Failure, Result, Success
+
+from rhubarbfield.clock import Clock
+from rhubarbfield.peering import (
+    CallFailure,
+    CallFailureKind,
+    Connection,
+    Credentials,
+    MessageStream,
+    PeerLinks,
+    open_connection,
+    serve_link,
+    serve_methods,
+)
+from rhubarbfield.protocol import (
+    FORWARD_CALL,
+    ROOM_LINK,
+    ForwardAnswer,
+    RoomReport,
+    ServiceRoom,
+)
+from rhubarbfield.routing import (
+    BackendAnswer,
+    CallerRequest,
+    Candidate,
+    OwnedServers,
+    Refusal,
+    RefusalReason,
+    Router,
+)
+from rhubarbfield.types import FailureDomain, InstanceName, Outcome, ServiceName
+
+logger = logging.getLogger(__name__)
+
+REPORT_INTERVAL = timedelta(milliseconds=250)
+REPORT_LIFETIME = timedelta(seconds=2)
+REPEAT_INTERVAL = timedelta(seconds=1)
+FORWARD_GRACE = timedelta(milliseconds=500)
+RETRY_AFTER = timedelta(seconds=1)
+
+
+class KnownRoom(msgspec.Struct):
+    """What an entry said last of its room."""
+
+    domain: FailureDomain
+    heard_at: timedelta
+    services: dict[ServiceName, int]
+
+
+class Siblings:
+    """The :class:`~rhubarbfield.routing.SiblingPort` of an entry.
+
+    Parameters
+    ----------
+    name, domain
+        This instance and its failure domain.
+    peers
+        Host and peer port of each other entry.
+    servers
+        The backend servers owned here, whose room is told to the others.
+    credentials
+        What this process presents.
+    clock
+        The time.
+    """
+
+    def __init__(
+        self,
+        name: InstanceName,
+        domain: FailureDomain,
+        *,
+        peers: Mapping[InstanceName, tuple[str, int]],
+        servers: OwnedServers,
+        credentials: Credentials,
+        clock: Clock,
+    ) -> None:
+        self._domain = domain
+        self._peers = dict(peers)
+        self._servers = servers
+        self._credentials = credentials
+        self._clock = clock
+        self._links = PeerLinks(name, self._peers, ROOM_LINK, credentials)
+        self._known: dict[InstanceName, KnownRoom] = {}
+        self._connections: dict[InstanceName, Connection] = {}
+
+    async def run(self) -> None:
+        """Keep the others informed until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._links.run)
+            nursery.start_soon(self._report)
+
+    async def serve(
+        self,
+        host: str,
+        port: int,
+        router: Router,
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve the other entries until cancelled.
+
+        Parameters
+        ----------
+        host, port
+            Where to listen.
+        router
+            Routes the requests that others pass on.
+        task_status
+            Started once the port accepts connections.
+        """
+
+        async def handle_link(stream: MessageStream) -> None:
+            await serve_link(stream, self._take_report)
+
+        async def handle_forward(request: CallerRequest) -> ForwardAnswer:
+            result = await router.route(request)
+            room = self._servers.count_room(request.service)
+            match result:
+                case Success(answer):
+                    return ForwardAnswer(answer=answer, room=room)
+                case Failure(refusal):
+                    return ForwardAnswer(refusal=refusal, room=room)
+            raise AssertionError
+
+        await serve_methods(
+            host,
+            port,
+            credentials=self._credentials,
+            streams={ROOM_LINK: handle_link},
+            calls={FORWARD_CALL: handle_forward},
+            task_status=task_status,
+        )
+
+    def siblings(self, service: ServiceName) -> Sequence[Candidate]:
+        """Return the entries that own backend servers of ``service``."""
+        oldest = self._clock.monotonic() - REPORT_LIFETIME
+        return [
+            Candidate(
+                entry=entry,
+                domain=known.domain,
+                same_domain=known.domain == self._domain,
+                room=known.services[service],
+            )
+            for entry, known in self._known.items()
+            if service in known.services and known.heard_at > oldest
+        ]
+
+    async def forward(
+        self, entry: InstanceName, request: CallerRequest
+    ) -> Result[BackendAnswer, Refusal]:
+        """Have ``entry`` route ``request``, which counts one hop already."""
+        connection = self._get_connection(entry)
+        reply = await connection.call(
+            FORWARD_CALL, request, request.timeout + FORWARD_GRACE
+        )
+        match reply:
+            case Success(ForwardAnswer() as answer):
+                return self._read_answer(entry, request, answer)
+            case Failure(CallFailure() as failure):
+                self._retire(entry, connection)
+                return Failure(_refuse(entry, failure))
+        raise AssertionError
+
+    def _read_answer(
+        self, entry: InstanceName, request: CallerRequest, answer: ForwardAnswer
+    ) -> Result[BackendAnswer, Refusal]:
+        known = self._known.get(entry)
+        if known is not None and request.service in known.services:
+            known.services[request.service] = answer.room
+        if answer.answer is not None:
+            return Success(answer.answer)
+        assert answer.refusal is not None
+        return Failure(answer.refusal)
+
+    def _get_connection(self, entry: InstanceName) -> Connection:
+        connection = self._connections.get(entry)
+        if connection is None:
+            host, port = self._peers[entry]
+            connection = open_connection(host, port, credentials=self._credentials)
+            self._connections[entry] = connection
+        return connection
+
+    def _retire(self, entry: InstanceName, connection: Connection) -> None:
+        """Make a new connection next time; requests on the old one go on."""
+        if self._connections.get(entry) is connection:
+            del self._connections[entry]
+
+    def _take_report(self, sender: InstanceName, report: RoomReport) -> None:
+        self._known[sender] = KnownRoom(
+            domain=report.domain,
+            heard_at=self._clock.monotonic(),
+            services={one.service: one.room for one in report.services},
+        )
+
+    async def _report(self) -> None:
+        """Tell the others of each change, and now and then without one."""
+        last: RoomReport | None = None
+        sent_at = timedelta()
+        while True:
+            report = self._make_report()
+            now = self._clock.monotonic()
+            if report != last or now - sent_at >= REPEAT_INTERVAL:
+                for peer in self._peers:
+                    self._links.send(peer, report)
+                last, sent_at = report, now
+            await self._clock.sleep(REPORT_INTERVAL)
+
+    def _make_report(self) -> RoomReport:
+        services = tuple(
+            ServiceRoom(service, self._servers.count_room(service))
+            for service in sorted(self._servers.list_services())
+        )
+        return RoomReport(self._domain, services)
+
+
+def _refuse(entry: InstanceName, failure: CallFailure) -> Refusal:
+    sent = failure.kind is CallFailureKind.TIMEOUT
+    return Refusal(
+        outcome=Outcome.UNKNOWN if sent else Outcome.NOT_RUN,
+        reason=RefusalReason.ANSWER_LOST if sent else RefusalReason.BACKEND_UNREACHABLE,
+        sentence=f"entry {entry} did not answer: {failure.detail}",
+        retry_after=RETRY_AFTER,
+    )
--- a/src/rhubarbfield/machine.py
+++ b/src/rhubarbfield/machine.py
@@ -12,8 +12,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
-from typing import Any, Generic, TypeVar, Union
+import functools
+import operator
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any, Generic, TypeVar
 
 import msgspec
 
@@ -50,6 +52,11 @@
 Applier = Callable[[Any, Any], Reply]
 
 
+def join_types(types: Iterable[type]) -> Any:
+    """Return the union of ``types``, for a decoder."""
+    return functools.reduce(operator.or_, types)
+
+
 class CommandRegistry(Generic[StateT]):
     """The commands of one kind of state, filled by a decorator."""
 
@@ -107,8 +114,10 @@
             for name, registry in sections.items()
             for command_type in registry.command_types
         }
-        self._commands = msgspec.msgpack.Decoder(Union[tuple(self._sections)])  # noqa: UP007
-        self._replies = msgspec.msgpack.Decoder(Union[(Done, Refused, *reply_types)])
+        self._commands = msgspec.msgpack.Decoder(join_types(self._sections))
+        self._replies = msgspec.msgpack.Decoder(
+            join_types((Done, Refused, *reply_types))
+        )
         self._states = msgspec.msgpack.Decoder(state_type)
         self._encoder = msgspec.msgpack.Encoder()
         self._watchers: list[Watcher] = []
--- a/src/rhubarbfield/protocol/__init__.py
+++ b/src/rhubarbfield/protocol/__init__.py
@@ -26,6 +26,7 @@
 from rhubarbfield.protocol.forwarding import FORWARD_CALL, ForwardAnswer
 from rhubarbfield.protocol.leaders import LeaderCalls, LeaderFailure
 from rhubarbfield.protocol.packets import REPLICATION_LINK, Packet
+from rhubarbfield.protocol.rooms import ROOM_LINK, RoomReport, ServiceRoom
 from rhubarbfield.protocol.summaries import SUMMARY_CALL, DomainSummary, WorkerShape
 
 __all__ = [
@@ -51,6 +52,9 @@
     "SUMMARY_CALL",
     "DomainSummary",
     "WorkerShape",
+    "ROOM_LINK",
+    "RoomReport",
+    "ServiceRoom",
     "REPLICATION_LINK",
     "Packet",
 ]
--- a/src/rhubarbfield/protocol/calls.py
+++ b/src/rhubarbfield/protocol/calls.py
@@ -2,13 +2,11 @@
 
 from __future__ import annotations
 
-from typing import Union
-
 import msgspec
 
 from rhubarbfield.fleet import FLEET_REPLY_TYPES, fleet_commands
 from rhubarbfield.language import Explain, Show, Table
-from rhubarbfield.machine import Done, Refused
+from rhubarbfield.machine import Done, Refused, join_types
 from rhubarbfield.ownership import (
     OWNERSHIP_REPLIES,
     AssignServer,
@@ -91,17 +89,19 @@
     | ClearRequest
 )
 
+_COMMON_REPLIES = (Done, Refused, NotLeading, Unavailable)
+_DOMAIN_REPLIES = (*_COMMON_REPLIES, *OWNERSHIP_REPLIES, *RECORD_REPLIES)
+_FLEET_REPLIES = (*_COMMON_REPLIES, *FLEET_REPLY_TYPES)
+
 DOMAIN_CALL = CallMethod(
     "/rhubarbfield.Controller/Domain",
     DomainCommand,
-    Union[
-        (Done, Refused, *OWNERSHIP_REPLIES, *RECORD_REPLIES, NotLeading, Unavailable)
-    ],
+    join_types(_DOMAIN_REPLIES),
 )
 FLEET_CALL = CallMethod(
     "/rhubarbfield.Controller/Fleet",
-    Union[fleet_commands.command_types],
-    Union[(Done, Refused, *FLEET_REPLY_TYPES, NotLeading, Unavailable)],
+    join_types(fleet_commands.command_types),
+    join_types(_FLEET_REPLIES),
 )
 QUERY_CALL = CallMethod(
     "/rhubarbfield.Controller/Query", QueryRequest, QueryAnswer | NotLeading
