--- a/src/rhubarbfield/protocol/calls.py
+++ b/src/rhubarbfield/protocol/calls.py
@@ -90,8 +90,12 @@
 )
 
 _COMMON_REPLIES = (Done, Refused, NotLeading, Unavailable)
-_DOMAIN_REPLIES = (*_COMMON_REPLIES, *OWNERSHIP_REPLIES, *RECORD_REPLIES)
-_FLEET_REPLIES = (*_COMMON_REPLIES, *FLEET_REPLY_TYPES)
+_DOMAIN_REPLIES: tuple[type, ...] = (
+    *_COMMON_REPLIES,
+    *OWNERSHIP_REPLIES,
+    *RECORD_REPLIES,
+)
+_FLEET_REPLIES: tuple[type, ...] = (*_COMMON_REPLIES, *FLEET_REPLY_TYPES)
 
 DOMAIN_CALL = CallMethod(
     "/rhubarbfield.Controller/Domain",
