--- a/src/rhubarbfield/replication/applier.py
+++ b/src/rhubarbfield/replication/applier.py
@@ -82,7 +82,7 @@
         self._snapshot_due = index + self._state.settings.snapshot_after
 
     def expect_current(self, commit: LogIndex) -> None:
-        """Learn that the leader has settled and committed up to ``commit``."""
+        """Learn that a leader with a lease has committed up to ``commit``."""
         if self._current_at is None:
             self._current_at = commit
         self._note_current()
@@ -124,7 +124,9 @@
         self._note_current()
 
     def _note_current(self) -> None:
-        if self._current_at is not None and self.applied >= self._current_at:
+        if self._current_at is None:
+            return
+        if self.applied >= max(self._current_at, self._state.log.recovered):
             self.is_current = True
             self.became_current.set()
 
--- a/src/rhubarbfield/replication/follower.py
+++ b/src/rhubarbfield/replication/follower.py
@@ -153,7 +153,7 @@
         if commit > state.log.commit:
             state.log.advance_commit(commit)
             state.commit_advanced.set()
-        if message.settled:
+        if message.confirmed:
             self._applier.expect_current(message.commit)
 
     def _receive(self, message: InstallSnapshot) -> int | None:
--- a/src/rhubarbfield/replication/leader.py
+++ b/src/rhubarbfield/replication/leader.py
@@ -96,6 +96,9 @@
         state.promise_leader(until)
         return Leadership(state.term, until)
 
+    def _has_lease(self) -> bool:
+        return self.get_leadership() is not None
+
     def append(self, proposals: Sequence[Proposal]) -> bool:
         """Append proposals to the log and start to replicate them."""
         state = self._state
@@ -223,8 +226,6 @@
         state.commit_advanced.set()
         if self.is_settled:
             self._applier.expect_current(log.commit)
-            for peer in self.peers.values():
-                peer.settled = True
         if had_change and not log.has_uncommitted_change:
             self._finish_change()
 
@@ -248,9 +249,7 @@
                 self._start_peer(voter)
 
     def _start_peer(self, replica_id: ReplicaId) -> None:
-        state = self._state
-        peer = Peer(state, replica_id, LogIndex(state.log.last.index + 1))
-        peer.settled = self.is_settled
+        peer = Peer(self._state, replica_id, self._has_lease)
         self.peers[replica_id] = peer
         scope = self._scopes[replica_id] = trio.CancelScope()
         if self._nursery is not None:
--- a/src/rhubarbfield/replication/log.py
+++ b/src/rhubarbfield/replication/log.py
@@ -48,6 +48,12 @@
         Where it is kept.
     stored
         What ``store`` returned when it was loaded.
+
+    Attributes
+    ----------
+    recovered
+        The last entry found when the store was loaded that was not
+        overwritten since.
     """
 
     def __init__(self, store: LogStore, stored: StoredLog) -> None:
@@ -59,6 +65,8 @@
         first_shown = stored.snapshot.position.index if stored.snapshot else 0
         self.commit = LogIndex(max(stored.hard_state.commit, first_shown))
         self._placed = self._collect_memberships()
+        # Nothing was shown before a restart that was not durable here.
+        self.recovered = self.last.index
         check_invariant(
             self.commit <= self.last.index, "commit-within-log", stored.hard_state
         )
@@ -210,6 +218,8 @@
     def _add_entries(self, hard_state: HardState, entries: Sequence[Entry]) -> None:
         self.hard_state = hard_state
         first = entries[0].index
+        if first <= self.last.index:
+            self.recovered = LogIndex(min(self.recovered, first - 1))
         del self._entries[first - self.base.index - 1 :]
         self._entries.extend(entries)
         while self._placed and self._placed[-1].index >= first:
--- a/src/rhubarbfield/replication/messages.py
+++ b/src/rhubarbfield/replication/messages.py
@@ -106,8 +106,9 @@
         Without gaps; none in a mere heartbeat.
     commit
         The leader's commit index.
-    settled
-        Whether an entry of the leader's own term is committed.
+    confirmed
+        Whether the leader held its lease when it sent this, so that
+        ``commit`` was not behind any other replica's.
     sent
         The leader's monotonic time of sending, in microseconds.
     """
@@ -117,7 +118,7 @@
         tuple[Entry, ...], msgspec.Meta(max_length=MAX_ENTRIES_IN_MESSAGE)
     ]
     commit: Index
-    settled: bool
+    confirmed: bool
     sent: Microseconds
 
 
--- a/src/rhubarbfield/replication/peer.py
+++ b/src/rhubarbfield/replication/peer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 
 from rhubarbfield.exceptions import check_invariant
 from rhubarbfield.replication.messages import (
@@ -46,12 +47,15 @@
         The leader's state.
     replica_id
         The peer.
-    next_index
-        The first entry to send.
+    has_lease
+        Tells whether the leader holds its lease.
     """
 
     def __init__(
-        self, state: ReplicaState, replica_id: ReplicaId, next_index: LogIndex
+        self,
+        state: ReplicaState,
+        replica_id: ReplicaId,
+        has_lease: Callable[[], bool],
     ) -> None:
         self._state = state
         self.id = replica_id
@@ -59,8 +63,8 @@
         self.acknowledged_sent = LONG_AGO
         self.last_contact = LONG_AGO
         self.added_at = state.now
-        self.settled = False
-        self._next_index = next_index
+        self._has_lease = has_lease
+        self._next_index = LogIndex(state.log.last.index + 1)
         self._in_flight: deque[LogIndex] = deque()
         self._transfer: SnapshotTransfer | None = None
         self._is_beat_due = True
@@ -164,7 +168,7 @@
             previous=LogPosition(previous, term),
             entries=entries,
             commit=state.log.commit,
-            settled=self.settled,
+            confirmed=self._has_lease(),
             sent=int(state.now / MICROSECOND),
         )
         self._is_beat_due = False
--- a/tests/replication/group.py
+++ b/tests/replication/group.py
@@ -28,7 +28,6 @@
         self.digests: dict[LogIndex, str] = {}
         self.acknowledged: dict[bytes, LogIndex] = {}
         self.refused: set[bytes] = set()
-        self.shown_lease_changes = 0
 
     def note_applied(self, index: LogIndex, command: bytes, digest: str) -> None:
         assert self.history.setdefault(index, command) == command, index
@@ -132,6 +131,12 @@
             self.replica = None
             self.files.lose_unsynced()
 
+    def check_shown(self) -> None:
+        """Nothing older is shown than before, in this life or earlier."""
+        if self.replica is not None and self.replica.is_current:
+            assert self.replica.applied >= self.highest_shown, self.name
+            self.highest_shown = self.replica.applied
+
     async def crash(self) -> None:
         self._scope.cancel()
         while self.replica is not None:
@@ -168,7 +173,7 @@
             )
             for name in names + learners
         }
-        self.network.on_delivery = self.check_leases
+        self.network.on_delivery = self.check
 
     async def start(self) -> None:
         for node in self.nodes.values():
@@ -184,9 +189,11 @@
             if node.replica is not None and node.replica.leadership is not None
         ]
 
-    def check_leases(self) -> None:
+    def check(self) -> None:
         holders = self.list_lease_holders()
         assert len(holders) <= 1, [node.name for node in holders]
+        for node in self.nodes.values():
+            node.check_shown()
 
     async def wait_leader(self, limit: float = 60) -> Node:
         """Wait for a leader with a lease that is not frozen."""
