--- a/src/rhubarbfield/backends/http.py
+++ b/src/rhubarbfield/backends/http.py
@@ -26,7 +26,7 @@
     Reach,
 )
 from rhubarbfield.routing.requests import BackendAnswer, CallerRequest, Header
-from rhubarbfield.routing.settings import RoutingSettings
+from rhubarbfield.routing.settings import LiveSettings
 from rhubarbfield.types import BackendServerId
 
 REQUEST_ID_HEADER = "Rhubarbfield-Request-Id"
@@ -96,7 +96,7 @@
         Holds the largest answer.
     """
 
-    def __init__(self, clock: Clock, settings: RoutingSettings) -> None:
+    def __init__(self, clock: Clock, settings: LiveSettings) -> None:
         self._clock = clock
         self._settings = settings
         self._pools = PoolRegistry()
@@ -148,7 +148,7 @@
         self, server: BackendTarget, request: CallerRequest, response: httpx.Response
     ) -> Exchanged:
         check_answer(server, request, response)
-        body = await read_body(response, self._settings.answer_limit)
+        body = await read_body(response, self._settings.current.answer_limit)
         if response.headers.get("Rhubarbfield-Outcome") == "not-run":
             return Failure(
                 ExchangeFailure(
--- a/src/rhubarbfield/callers/app.py
+++ b/src/rhubarbfield/callers/app.py
@@ -69,7 +69,7 @@
     app.url_map.strict_slashes = False
     app.url_map.merge_slashes = False
     app.url_map.redirect_defaults = False
-    app.config["MAX_CONTENT_LENGTH"] = router.settings.body_limit
+    app.config["MAX_CONTENT_LENGTH"] = router.settings.current.body_limit
     app.config["BODY_TIMEOUT"] = BODY_SECONDS
     app.config["RESPONSE_TIMEOUT"] = None
     app.config["PROVIDE_AUTOMATIC_OPTIONS"] = False
@@ -95,7 +95,7 @@
             headers=tuple(Header(name, value) for name, value in request.headers),
             body=await _read_body(),
         )
-        parsed = parse_request(raw, request_id, router.settings)
+        parsed = parse_request(raw, request_id, router.settings.current)
         if not isinstance(parsed, Success):
             return make_complaint(parsed.failure(), request_id)
         return make_response(await router.route(parsed.unwrap()), request_id)
@@ -124,7 +124,7 @@
 def _add_error_handlers(app: Quart, router: Router, rng: random.Random) -> None:
     @app.errorhandler(RequestEntityTooLarge)
     async def complain_of_size(_error: RequestEntityTooLarge) -> Response:
-        bad = refuse_size(router.settings.body_limit)
+        bad = refuse_size(router.settings.current.body_limit)
         return make_complaint(bad, make_request_id(rng), content_read=False)
 
     @app.errorhandler(HTTPException)
--- a/src/rhubarbfield/routing/__init__.py
+++ b/src/rhubarbfield/routing/__init__.py
@@ -1,13 +1,12 @@
 """The request path of an entry: decisions, and the ports they speak to."""
 
-from rhubarbfield.routing.ledger import (
+from rhubarbfield.routing.grants import (
     BackendGrant,
-    OwnedServers,
+    Reservation,
     ServerReport,
-    SlotLedger,
     StaleGrant,
-    check_grants,
 )
+from rhubarbfield.routing.ledger import SlotLedger
 from rhubarbfield.routing.metrics import RoutingMetrics
 from rhubarbfield.routing.ports import (
     BackendPort,
@@ -35,8 +34,10 @@
     compute_fingerprint,
 )
 from rhubarbfield.routing.router import Router
+from rhubarbfield.routing.servers import OwnedServers, check_grants
 from rhubarbfield.routing.settings import (
     ClassSettings,
+    LiveSettings,
     RoutingSettings,
     ServiceSettings,
     TenantSettings,
@@ -56,6 +57,7 @@
     "FailureReason",
     "FirstAnswer",
     "Header",
+    "LiveSettings",
     "OtherRequest",
     "OwnedServers",
     "Reach",
@@ -64,6 +66,7 @@
     "RecordPort",
     "Refusal",
     "RefusalReason",
+    "Reservation",
     "Router",
     "RoutingMetrics",
     "RoutingSettings",
--- a/src/rhubarbfield/routing/admission.py
+++ b/src/rhubarbfield/routing/admission.py
@@ -11,7 +11,6 @@
 from rhubarbfield.clock import Clock
 from rhubarbfield.routing.budget import DrainRate
 from rhubarbfield.routing.choice import ServerChoice
-from rhubarbfield.routing.ledger import OwnedServers
 from rhubarbfield.routing.neighbours import Neighbours
 from rhubarbfield.routing.ports import SiblingPort
 from rhubarbfield.routing.queues import (
@@ -23,7 +22,8 @@
 )
 from rhubarbfield.routing.refusals import refuse_deadline, refuse_not_run
 from rhubarbfield.routing.requests import CallerRequest, Refusal, RefusalReason
-from rhubarbfield.routing.settings import RoutingSettings
+from rhubarbfield.routing.servers import OwnedServers
+from rhubarbfield.routing.settings import LiveSettings
 from rhubarbfield.types import BackendServerId, ServiceName
 
 
@@ -48,7 +48,7 @@
         siblings: SiblingPort,
         clock: Clock,
         rng: random.Random,
-        settings: RoutingSettings,
+        settings: LiveSettings,
     ) -> None:
         self._servers = servers
         self._choice = choice
@@ -57,7 +57,7 @@
         self.neighbours = Neighbours(siblings, clock, rng, settings)
         self._rooms: dict[ServiceName, WaitingRoom] = {}
         self._drains: defaultdict[ServiceName, DrainRate] = defaultdict(
-            lambda: DrainRate(settings.latency_weight)
+            lambda: DrainRate(settings)
         )
 
     def count_waiting(self, service: ServiceName) -> int:
--- a/src/rhubarbfield/routing/attempts.py
+++ b/src/rhubarbfield/routing/attempts.py
@@ -28,7 +28,7 @@
     Refusal,
     RefusalReason,
 )
-from rhubarbfield.routing.settings import RoutingSettings
+from rhubarbfield.routing.settings import LiveSettings
 from rhubarbfield.types import BackendServerId, Outcome
 
 Routed = Result[BackendAnswer, Refusal]
@@ -88,7 +88,7 @@
         dispatcher: Dispatcher,
         siblings: SiblingPort,
         clock: Clock,
-        settings: RoutingSettings,
+        settings: LiveSettings,
         metrics: RoutingMetrics,
     ) -> None:
         self._admission = admission
@@ -97,7 +97,7 @@
         self._clock = clock
         self._settings = settings
         self._metrics = metrics
-        self._budget = RetryBudget(settings.retry_ratio, settings.retry_burst)
+        self._budget = RetryBudget(settings)
 
     async def carry_out(self, run: Run) -> Routed:
         """Return the answer to the request of ``run``, or its refusal."""
@@ -119,7 +119,10 @@
     def _may_try_again(self, failed: _Failed, attempts: int) -> bool:
         if failed.again is _Again.FREE:
             return True
-        if failed.again is _Again.NEVER or attempts >= self._settings.attempts_limit:
+        if (
+            failed.again is _Again.NEVER
+            or attempts >= self._settings.current.attempts_limit
+        ):
             return False
         if not self._budget.withdraw():
             return False
--- a/src/rhubarbfield/routing/budget.py
+++ b/src/rhubarbfield/routing/budget.py
@@ -6,7 +6,7 @@
 from datetime import timedelta
 
 from rhubarbfield.exceptions import check_invariant
-from rhubarbfield.routing.settings import RoutingSettings
+from rhubarbfield.routing.settings import LiveSettings
 from rhubarbfield.types import Tenant
 
 
@@ -15,20 +15,19 @@
 
     Parameters
     ----------
-    ratio
-        Retries earned by each success.
-    burst
-        The most retries that can be saved up, and the first balance.
+    settings
+        Say how many retries a success earns, and how many can be saved up.
     """
 
-    def __init__(self, ratio: float, burst: float) -> None:
-        self._ratio = ratio
-        self._burst = burst
-        self._balance = burst
+    def __init__(self, settings: LiveSettings) -> None:
+        self._settings = settings
+        self._balance = settings.current.retry_burst
 
     def deposit(self) -> None:
         """Earn a fraction of a retry by a success."""
-        self._balance = min(self._burst, self._balance + self._ratio)
+        settings = self._settings.current
+        saved = self._balance + settings.retry_ratio
+        self._balance = min(settings.retry_burst, saved)
 
     def withdraw(self) -> bool:
         """Spend one retry; return whether there was one."""
@@ -47,13 +46,16 @@
         Holds the limit of each tenant.
     """
 
-    def __init__(self, settings: RoutingSettings) -> None:
+    def __init__(self, settings: LiveSettings) -> None:
         self._settings = settings
         self._in_flight: Counter[Tenant] = Counter()
 
     def enter(self, tenant: Tenant) -> bool:
         """Count one request in; return whether the limit allows it."""
-        if self._in_flight[tenant] >= self._settings.get_tenant(tenant).in_flight:
+        if (
+            self._in_flight[tenant]
+            >= self._settings.current.get_tenant(tenant).in_flight
+        ):
             return False
         self._in_flight[tenant] += 1
         return True
@@ -74,12 +76,12 @@
 
     Parameters
     ----------
-    weight
-        How much one answer counts in the mean, from 0 to 1.
+    settings
+        Say how much one answer counts in the mean.
     """
 
-    def __init__(self, weight: float) -> None:
-        self._weight = weight
+    def __init__(self, settings: LiveSettings) -> None:
+        self._settings = settings
         self._mean: timedelta | None = None
 
     @property
@@ -92,7 +94,8 @@
         if self._mean is None:
             self._mean = latency
         else:
-            self._mean += (latency - self._mean) * self._weight
+            weight = self._settings.current.latency_weight
+            self._mean += (latency - self._mean) * weight
 
     def estimate_wait(self, ahead: int, slots: int) -> timedelta:
         """Return how long until ``ahead`` requests and one more got a slot.
--- a/src/rhubarbfield/routing/choice.py
+++ b/src/rhubarbfield/routing/choice.py
@@ -11,7 +11,7 @@
 
 from rhubarbfield.clock import Clock
 from rhubarbfield.routing.ledger import SlotLedger
-from rhubarbfield.routing.settings import RoutingSettings
+from rhubarbfield.routing.settings import LiveSettings
 from rhubarbfield.types import BackendServerId
 
 COLDEST = 0.1
@@ -43,7 +43,7 @@
     """
 
     def __init__(
-        self, clock: Clock, rng: random.Random, settings: RoutingSettings
+        self, clock: Clock, rng: random.Random, settings: LiveSettings
     ) -> None:
         self._clock = clock
         self._rng = rng
@@ -81,7 +81,7 @@
         """Remember an answer and how long it took."""
         health = self._get_health(server)
         seconds = latency.total_seconds()
-        weight = self._settings.latency_weight
+        weight = self._settings.current.latency_weight
         before = health.latency
         health.latency = (
             seconds if before is None else before + weight * (seconds - before)
@@ -94,11 +94,11 @@
         """Remember a failure; too many in a row eject the backend server."""
         health = self._get_health(server)
         health.failures += 1
-        if health.failures < self._settings.ejection_failures:
+        if health.failures < self._settings.current.ejection_failures:
             return
         health.failures = 0
         health.ejections = min(health.ejections + 1, LONGEST_EJECTION_FACTOR)
-        lasting = self._settings.ejection_time * health.ejections
+        lasting = self._settings.current.ejection_time * health.ejections
         health.ejected_until = self._clock.monotonic() + lasting
 
     def forget(self, server: BackendServerId) -> None:
@@ -125,7 +125,9 @@
         ejected = [each for each in ledgers if self._is_ejected(each, now)]
         if not ejected:
             return ledgers
-        most = min(int(len(ledgers) * self._settings.ejection_cap), len(ledgers) - 1)
+        most = min(
+            int(len(ledgers) * self._settings.current.ejection_cap), len(ledgers) - 1
+        )
         ejected.sort(key=self._get_ejection_end, reverse=True)
         dropped = {each.grant.server for each in ejected[:most]}
         return [each for each in ledgers if each.grant.server not in dropped]
@@ -156,7 +158,7 @@
         return load * slowness / warmth + self._rng.random() * TIE_BREAK
 
     def _compute_warmth(self, health: _Health, now: timedelta) -> float:
-        window = self._settings.slow_start
+        window = self._settings.current.slow_start
         if window <= timedelta():
             return 1.0
         age = (now - health.first_seen) / window
--- a/src/rhubarbfield/routing/dispatch.py
+++ b/src/rhubarbfield/routing/dispatch.py
@@ -9,7 +9,6 @@
 from rhubarbfield.clock import Clock
 from rhubarbfield.routing.admission import Admission
 from rhubarbfield.routing.choice import ServerChoice
-from rhubarbfield.routing.ledger import OwnedServers
 from rhubarbfield.routing.metrics import RoutingMetrics
 from rhubarbfield.routing.ports import (
     BackendPort,
@@ -19,6 +18,7 @@
 )
 from rhubarbfield.routing.queues import Place
 from rhubarbfield.routing.requests import BackendAnswer, CallerRequest
+from rhubarbfield.routing.servers import OwnedServers
 from rhubarbfield.types import BackendServerId
 
 FIRST_SERVER_ERROR = 500
--- a/src/rhubarbfield/routing/ledger.py
+++ b/src/rhubarbfield/routing/ledger.py
@@ -11,101 +11,14 @@
 from __future__ import annotations
 
 import itertools
-from collections.abc import Callable, Iterable
 from datetime import timedelta
 
 import msgspec
-from returns.result import Failure, Result, Success
 
-from rhubarbfield.clock import Clock
 from rhubarbfield.exceptions import check_invariant
-from rhubarbfield.routing.ports import BackendTarget
-from rhubarbfield.routing.settings import RoutingSettings
-from rhubarbfield.types import BackendServerId, Epoch, RequestId, ServiceName
-
-
-class BackendGrant(msgspec.Struct, frozen=True, kw_only=True):
-    """A lease on a backend server, or on a part of its slots.
-
-    Attributes
-    ----------
-    address
-        ``host:port`` of the backend server.
-    slots, connections
-        How many requests and connections the owner may have there.
-    epoch
-        Grows with each change of owner.
-    valid_until
-        Monotonic time at which the lease ends unless renewed.
-    taken_until
-        Monotonic time up to which requests of an earlier owner may run;
-        ``None`` if there was none.
-    answers_until_close
-        Whether the backend server announced answers that end with their
-        connection, without a length.
-    """
-
-    server: BackendServerId
-    service: ServiceName
-    address: str
-    slots: int
-    connections: int
-    epoch: Epoch
-    valid_until: timedelta
-    taken_until: timedelta | None = None
-    answers_until_close: bool = False
-
-
-class StaleGrant(msgspec.Struct, frozen=True):
-    """A grant or renewal of an epoch that another one has replaced.
-
-    Attributes
-    ----------
-    seen
-        The epoch that was offered.
-    held
-        The newest epoch known; ``None`` if the backend server is not owned.
-    """
-
-    seen: Epoch
-    held: Epoch | None
-
-
-class Reservation(msgspec.Struct, frozen=True, kw_only=True):
-    """One slot held for one request.
-
-    Attributes
-    ----------
-    serial
-        Tells apart several attempts at one request.
-    started_at
-        Monotonic time at which the slot was taken.
-    """
-
-    server: BackendServerId
-    serial: int
-    request_id: RequestId
-    started_at: timedelta
-
-
-class ServerReport(msgspec.Struct, frozen=True, kw_only=True):
-    """What a backend server says it is running.
-
-    Attributes
-    ----------
-    running
-        How many requests it ran when it counted.
-    counted_after
-        A monotonic time of this entry that is surely before the count, such
-        as when the report was asked for; ``None`` if only its age is bounded.
-    running_ids
-        The requests it ran, if it says so.
-    """
-
-    server: BackendServerId
-    running: int
-    counted_after: timedelta | None = None
-    running_ids: frozenset[RequestId] | None = None
+from rhubarbfield.routing.grants import BackendGrant, Reservation, ServerReport
+from rhubarbfield.routing.settings import LiveSettings
+from rhubarbfield.types import RequestId
 
 
 class _Abandoned(msgspec.Struct, frozen=True):
@@ -128,7 +41,7 @@
     """
 
     def __init__(
-        self, grant: BackendGrant, granted_at: timedelta, settings: RoutingSettings
+        self, grant: BackendGrant, granted_at: timedelta, settings: LiveSettings
     ) -> None:
         self.grant = grant
         self.granted_at = granted_at
@@ -197,11 +110,13 @@
         """Take a slot for ``request_id``, or return ``None`` if there is none."""
         if self.count_room(now) <= 0:
             return None
+        settings = self._settings.current
         reservation = Reservation(
             server=self.grant.server,
             serial=next(self._serials),
             request_id=request_id,
             started_at=now,
+            ends_by=now + settings.longest_timeout + settings.settle_time,
         )
         self._active[reservation.serial] = reservation
         used = self.count_used(now)
@@ -220,18 +135,16 @@
     def abandon(self, reservation: Reservation, now: timedelta) -> None:
         """Give up on a request that may still run; its slot stays taken."""
         self.release(reservation)
-        settings = self._settings
-        until = reservation.started_at + settings.longest_timeout + settings.settle_time
         self._abandoned[reservation.serial] = _Abandoned(
-            reservation.request_id, now, until
+            reservation.request_id, now, reservation.ends_by
         )
 
     def take_report(self, report: ServerReport, now: timedelta) -> None:
         """Free the slots that the backend server's own word proves free."""
         counted_after = report.counted_after
         if counted_after is None:
-            counted_after = now - self._settings.report_age
-        known = counted_after - self._settings.settle_time
+            counted_after = now - self._settings.current.report_age
+        known = counted_after - self._settings.current.settle_time
         if known >= self.granted_at:
             self._inherited = min(self._inherited, self._count_foreign(report))
         ended = [
@@ -259,149 +172,3 @@
             over = [key for key, each in self._abandoned.items() if now >= each.until]
             for serial in over:
                 del self._abandoned[serial]
-
-
-class OwnedServers:
-    """The backend servers this entry holds leases on.
-
-    Parameters
-    ----------
-    clock
-        Its monotonic time is what leases are checked against.
-    settings
-        Limits of the request path.
-    """
-
-    def __init__(self, clock: Clock, settings: RoutingSettings) -> None:
-        self._clock = clock
-        self._settings = settings
-        self._ledgers: dict[BackendServerId, SlotLedger] = {}
-        self._services: dict[ServiceName, dict[BackendServerId, SlotLedger]] = {}
-        self._newest: dict[BackendServerId, Epoch] = {}
-        self._retired: dict[BackendServerId, SlotLedger] = {}
-        self._watchers: list[Callable[[ServiceName, BackendServerId], None]] = []
-
-    def watch(self, watcher: Callable[[ServiceName, BackendServerId], None]) -> None:
-        """Have ``watcher`` called after each change of a backend server."""
-        self._watchers.append(watcher)
-
-    def _notify(self, ledger: SlotLedger) -> None:
-        for watcher in self._watchers:
-            watcher(ledger.grant.service, ledger.grant.server)
-
-    def grant(self, grant: BackendGrant) -> Result[None, StaleGrant]:
-        """Take a lease, or a new size of one already held."""
-        newest = self._newest.get(grant.server)
-        if newest is not None and grant.epoch < newest:
-            return Failure(StaleGrant(grant.epoch, newest))
-        now = self._clock.monotonic()
-        ledger = self._ledgers.get(grant.server) or self._take_retired(grant.server)
-        if ledger is None:
-            ledger = SlotLedger(grant, now, self._settings)
-        else:
-            self._drop_from_service(ledger)
-            ledger.replace_grant(grant, now)
-        self._ledgers[grant.server] = ledger
-        self._newest[grant.server] = grant.epoch
-        self._services.setdefault(grant.service, {})[grant.server] = ledger
-        self._notify(ledger)
-        return Success(None)
-
-    def renew(
-        self, server: BackendServerId, epoch: Epoch, valid_until: timedelta
-    ) -> Result[None, StaleGrant]:
-        """Extend the lease of ``epoch`` to ``valid_until``."""
-        ledger = self._ledgers.get(server)
-        if ledger is None or ledger.grant.epoch != epoch:
-            held = ledger.grant.epoch if ledger is not None else None
-            return Failure(StaleGrant(epoch, held))
-        if valid_until > ledger.grant.valid_until:
-            ledger.grant = msgspec.structs.replace(
-                ledger.grant, valid_until=valid_until
-            )
-            self._notify(ledger)
-        return Success(None)
-
-    def revoke(self, server: BackendServerId) -> None:
-        """Give ``server`` up at once; requests there run on to their end."""
-        ledger = self._ledgers.pop(server, None)
-        if ledger is not None:
-            ledger.leaving = True
-            self._drop_from_service(ledger)
-            self._retired[server] = ledger
-            self._notify(ledger)
-        self._drop_idle_retired()
-
-    def mark_leaving(self, server: BackendServerId) -> None:
-        """Send nothing new to ``server``; the lease stays."""
-        if server in self._ledgers:
-            self._ledgers[server].leaving = True
-
-    def report(self, report: ServerReport) -> None:
-        """Take a backend server's own word on what it runs."""
-        ledger = self._ledgers.get(report.server)
-        if ledger is not None:
-            ledger.take_report(report, self._clock.monotonic())
-            self._notify(ledger)
-
-    def get(self, server: BackendServerId) -> SlotLedger | None:
-        """Return the ledger of ``server`` if it is owned."""
-        return self._ledgers.get(server)
-
-    def iterate(self, service: ServiceName) -> Iterable[SlotLedger]:
-        """Return the ledgers of the backend servers of ``service``."""
-        return self._services.get(service, {}).values()
-
-    def list_services(self) -> list[ServiceName]:
-        """Return the services that have a backend server here."""
-        return [name for name, ledgers in self._services.items() if ledgers]
-
-    def count_room(self, service: ServiceName) -> int:
-        """Return how many more requests of ``service`` may be dispatched."""
-        now = self._clock.monotonic()
-        return sum(ledger.count_room(now) for ledger in self.iterate(service))
-
-    def count_slots(self, service: ServiceName) -> int:
-        """Return the slots of ``service`` under valid leases."""
-        now = self._clock.monotonic()
-        ledgers = self.iterate(service)
-        return sum(each.limit for each in ledgers if now < each.grant.valid_until)
-
-    def make_target(self, ledger: SlotLedger) -> BackendTarget | None:
-        """Return where to send now, or ``None`` if the lease has lapsed."""
-        grant = ledger.grant
-        if self._clock.monotonic() >= grant.valid_until:
-            return None
-        return BackendTarget(
-            server=grant.server,
-            address=grant.address,
-            epoch=grant.epoch,
-            valid_until=grant.valid_until,
-            idle_connections=ledger.idle_connections,
-            answers_until_close=grant.answers_until_close,
-        )
-
-    def _take_retired(self, server: BackendServerId) -> SlotLedger | None:
-        self._drop_idle_retired()
-        return self._retired.pop(server, None)
-
-    def _drop_idle_retired(self) -> None:
-        now = self._clock.monotonic()
-        self._retired = {
-            server: ledger
-            for server, ledger in self._retired.items()
-            if not ledger.is_idle(now)
-        }
-
-    def _drop_from_service(self, ledger: SlotLedger) -> None:
-        self._services.get(ledger.grant.service, {}).pop(ledger.grant.server, None)
-
-
-def check_grants(announced_slots: int, grants: Iterable[BackendGrant]) -> None:
-    """Stop the process if more slots are granted than were announced."""
-    granted = sum(grant.slots for grant in grants)
-    check_invariant(
-        granted <= announced_slots,
-        "grants-within-capacity",
-        f"{granted} granted, {announced_slots} announced",
-    )
--- a/src/rhubarbfield/routing/neighbours.py
+++ b/src/rhubarbfield/routing/neighbours.py
@@ -8,7 +8,7 @@
 
 from rhubarbfield.clock import Clock
 from rhubarbfield.routing.ports import Candidate, SiblingPort
-from rhubarbfield.routing.settings import RoutingSettings
+from rhubarbfield.routing.settings import LiveSettings
 from rhubarbfield.types import InstanceName, ServiceName
 
 
@@ -25,7 +25,7 @@
         siblings: SiblingPort,
         clock: Clock,
         rng: random.Random,
-        settings: RoutingSettings,
+        settings: LiveSettings,
     ) -> None:
         self._siblings = siblings
         self._clock = clock
@@ -61,7 +61,9 @@
 
     def pause(self, entry: InstanceName) -> None:
         """Leave ``entry`` alone for a while, as it had no room."""
-        self._paused[entry] = self._clock.monotonic() + self._settings.sibling_pause
+        self._paused[entry] = (
+            self._clock.monotonic() + self._settings.current.sibling_pause
+        )
 
     def _count_room(self, candidate: Candidate) -> int:
         now = self._clock.monotonic()
@@ -73,6 +75,6 @@
         times = self._passed_on.get(entry)
         if times is None:
             return 0
-        while times and times[0] + self._settings.sibling_pause <= now:
+        while times and times[0] + self._settings.current.sibling_pause <= now:
             times.popleft()
         return len(times)
--- a/src/rhubarbfield/routing/queues.py
+++ b/src/rhubarbfield/routing/queues.py
@@ -10,9 +10,10 @@
 import msgspec
 import trio
 
-from rhubarbfield.routing.ledger import Reservation, SlotLedger
+from rhubarbfield.routing.grants import Reservation
+from rhubarbfield.routing.ledger import SlotLedger
 from rhubarbfield.routing.requests import CallerRequest, Refusal
-from rhubarbfield.routing.settings import RoutingSettings
+from rhubarbfield.routing.settings import LiveSettings
 from rhubarbfield.types import BackendServerId, InstanceName, RequestClass, Tenant
 
 LaneKey = TypeVar("LaneKey")
@@ -201,7 +202,7 @@
         Holds the weights and lengths.
     """
 
-    def __init__(self, settings: RoutingSettings) -> None:
+    def __init__(self, settings: LiveSettings) -> None:
         self._settings = settings
         self._turns: FairTurns[RequestClass] = FairTurns()
         self._queues = {each: ClassQueue(self._weigh_tenant) for each in RequestClass}
@@ -213,7 +214,7 @@
     def has_space(self, request: CallerRequest) -> bool:
         """Say whether ``request`` may wait without another's going."""
         queue = self._queues[request.request_class]
-        length = self._settings.classes[request.request_class].queue_length
+        length = self._settings.current.classes[request.request_class].queue_length
         return len(queue) < length
 
     def find_excess(self, request: CallerRequest) -> Waiter | None:
@@ -266,10 +267,10 @@
             yield from queue.iterate()
 
     def _weigh_class(self, request_class: RequestClass) -> float:
-        return self._settings.classes[request_class].weight
+        return self._settings.current.classes[request_class].weight
 
     def _weigh_tenant(self, tenant: Tenant) -> float:
-        return self._settings.get_tenant(tenant).weight
+        return self._settings.current.get_tenant(tenant).weight
 
     def _note_removed(self, request_class: RequestClass) -> None:
         if not len(self._queues[request_class]):
--- a/src/rhubarbfield/routing/router.py
+++ b/src/rhubarbfield/routing/router.py
@@ -16,12 +16,12 @@
 from rhubarbfield.routing.choice import ServerChoice
 from rhubarbfield.routing.dispatch import Dispatcher
 from rhubarbfield.routing.keys import KeyedRuns, note_key_unchecked
-from rhubarbfield.routing.ledger import OwnedServers
 from rhubarbfield.routing.metrics import RoutingMetrics
 from rhubarbfield.routing.ports import BackendPort, RecordPort, SiblingPort
 from rhubarbfield.routing.refusals import refuse_not_run
 from rhubarbfield.routing.requests import CallerRequest, RefusalReason
-from rhubarbfield.routing.settings import RoutingSettings
+from rhubarbfield.routing.servers import OwnedServers
+from rhubarbfield.routing.settings import LiveSettings
 from rhubarbfield.types import BackendServerId, Outcome, ServiceName
 
 
@@ -59,12 +59,14 @@
         records: RecordPort,
         clock: Clock,
         rng: random.Random,
-        settings: RoutingSettings,
+        settings: LiveSettings,
         metrics: RoutingMetrics | None = None,
     ) -> None:
         self.servers = servers
         self.settings = settings
-        self.metrics = metrics or RoutingMetrics(tenants_limit=settings.metrics_tenants)
+        self.metrics = metrics or RoutingMetrics(
+            tenants_limit=settings.current.metrics_tenants
+        )
         self._backend = backend
         self._clock = clock
         self._keys = KeyedRuns(records, clock)
@@ -109,7 +111,7 @@
             self._keys.use_nursery(nursery)
             task_status.started()
             while True:
-                await self._clock.sleep(self.settings.offload_interval)
+                await self._clock.sleep(self.settings.current.offload_interval)
                 self._admission.sweep()
 
     async def route(self, request: CallerRequest) -> Routed:
--- /dev/null
+++ b/src/rhubarbfield/routing/servers.py
@@ -0,0 +1,163 @@
+"""The backend servers an entry holds leases on."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from datetime import timedelta
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from rhubarbfield.clock import Clock
+from rhubarbfield.exceptions import check_invariant
+from rhubarbfield.routing.grants import BackendGrant, ServerReport, StaleGrant
+from rhubarbfield.routing.ledger import SlotLedger
+from rhubarbfield.routing.ports import BackendTarget
+from rhubarbfield.routing.settings import LiveSettings
+from rhubarbfield.types import BackendServerId, Epoch, ServiceName
+
+
+class OwnedServers:
+    """The backend servers this entry holds leases on.
+
+    Parameters
+    ----------
+    clock
+        Its monotonic time is what leases are checked against.
+    settings
+        Limits of the request path.
+    """
+
+    def __init__(self, clock: Clock, settings: LiveSettings) -> None:
+        self._clock = clock
+        self._settings = settings
+        self._ledgers: dict[BackendServerId, SlotLedger] = {}
+        self._services: dict[ServiceName, dict[BackendServerId, SlotLedger]] = {}
+        self._newest: dict[BackendServerId, Epoch] = {}
+        self._retired: dict[BackendServerId, SlotLedger] = {}
+        self._watchers: list[Callable[[ServiceName, BackendServerId], None]] = []
+
+    def watch(self, watcher: Callable[[ServiceName, BackendServerId], None]) -> None:
+        """Have ``watcher`` called after each change of a backend server."""
+        self._watchers.append(watcher)
+
+    def _notify(self, ledger: SlotLedger) -> None:
+        for watcher in self._watchers:
+            watcher(ledger.grant.service, ledger.grant.server)
+
+    def grant(self, grant: BackendGrant) -> Result[None, StaleGrant]:
+        """Take a lease, or a new size of one already held."""
+        newest = self._newest.get(grant.server)
+        if newest is not None and grant.epoch < newest:
+            return Failure(StaleGrant(grant.epoch, newest))
+        now = self._clock.monotonic()
+        ledger = self._ledgers.get(grant.server) or self._take_retired(grant.server)
+        if ledger is None:
+            ledger = SlotLedger(grant, now, self._settings)
+        else:
+            self._drop_from_service(ledger)
+            ledger.replace_grant(grant, now)
+        self._ledgers[grant.server] = ledger
+        self._newest[grant.server] = grant.epoch
+        self._services.setdefault(grant.service, {})[grant.server] = ledger
+        self._notify(ledger)
+        return Success(None)
+
+    def renew(
+        self, server: BackendServerId, epoch: Epoch, valid_until: timedelta
+    ) -> Result[None, StaleGrant]:
+        """Extend the lease of ``epoch`` to ``valid_until``."""
+        ledger = self._ledgers.get(server)
+        if ledger is None or ledger.grant.epoch != epoch:
+            held = ledger.grant.epoch if ledger is not None else None
+            return Failure(StaleGrant(epoch, held))
+        if valid_until > ledger.grant.valid_until:
+            ledger.grant = msgspec.structs.replace(
+                ledger.grant, valid_until=valid_until
+            )
+            self._notify(ledger)
+        return Success(None)
+
+    def revoke(self, server: BackendServerId) -> None:
+        """Give ``server`` up at once; requests there run on to their end."""
+        ledger = self._ledgers.pop(server, None)
+        if ledger is not None:
+            ledger.leaving = True
+            self._drop_from_service(ledger)
+            self._retired[server] = ledger
+            self._notify(ledger)
+        self._drop_idle_retired()
+
+    def mark_leaving(self, server: BackendServerId) -> None:
+        """Send nothing new to ``server``; the lease stays."""
+        if server in self._ledgers:
+            self._ledgers[server].leaving = True
+
+    def report(self, report: ServerReport) -> None:
+        """Take a backend server's own word on what it runs."""
+        ledger = self._ledgers.get(report.server)
+        if ledger is not None:
+            ledger.take_report(report, self._clock.monotonic())
+            self._notify(ledger)
+
+    def get(self, server: BackendServerId) -> SlotLedger | None:
+        """Return the ledger of ``server`` if it is owned."""
+        return self._ledgers.get(server)
+
+    def iterate(self, service: ServiceName) -> Iterable[SlotLedger]:
+        """Return the ledgers of the backend servers of ``service``."""
+        return self._services.get(service, {}).values()
+
+    def list_services(self) -> list[ServiceName]:
+        """Return the services that have a backend server here."""
+        return [name for name, ledgers in self._services.items() if ledgers]
+
+    def count_room(self, service: ServiceName) -> int:
+        """Return how many more requests of ``service`` may be dispatched."""
+        now = self._clock.monotonic()
+        return sum(ledger.count_room(now) for ledger in self.iterate(service))
+
+    def count_slots(self, service: ServiceName) -> int:
+        """Return the slots of ``service`` under valid leases."""
+        now = self._clock.monotonic()
+        ledgers = self.iterate(service)
+        return sum(each.limit for each in ledgers if now < each.grant.valid_until)
+
+    def make_target(self, ledger: SlotLedger) -> BackendTarget | None:
+        """Return where to send now, or ``None`` if the lease has lapsed."""
+        grant = ledger.grant
+        if self._clock.monotonic() >= grant.valid_until:
+            return None
+        return BackendTarget(
+            server=grant.server,
+            address=grant.address,
+            epoch=grant.epoch,
+            valid_until=grant.valid_until,
+            idle_connections=ledger.idle_connections,
+            answers_until_close=grant.answers_until_close,
+        )
+
+    def _take_retired(self, server: BackendServerId) -> SlotLedger | None:
+        self._drop_idle_retired()
+        return self._retired.pop(server, None)
+
+    def _drop_idle_retired(self) -> None:
+        now = self._clock.monotonic()
+        self._retired = {
+            server: ledger
+            for server, ledger in self._retired.items()
+            if not ledger.is_idle(now)
+        }
+
+    def _drop_from_service(self, ledger: SlotLedger) -> None:
+        self._services.get(ledger.grant.service, {}).pop(ledger.grant.server, None)
+
+
+def check_grants(announced_slots: int, grants: Iterable[BackendGrant]) -> None:
+    """Stop the process if more slots are granted than were announced."""
+    granted = sum(grant.slots for grant in grants)
+    check_invariant(
+        granted <= announced_slots,
+        "grants-within-capacity",
+        f"{granted} granted, {announced_slots} announced",
+    )
--- a/src/rhubarbfield/routing/settings.py
+++ b/src/rhubarbfield/routing/settings.py
@@ -156,3 +156,25 @@
         if particular is not None and method in particular.non_idempotent_methods:
             return False
         return method in SAFE_METHODS
+
+
+class LiveSettings:
+    """The settings in force, which a reload replaces as a whole.
+
+    Parameters
+    ----------
+    current
+        The first settings.
+
+    Attributes
+    ----------
+    current
+        The settings in force.
+    """
+
+    def __init__(self, current: RoutingSettings | None = None) -> None:
+        self.current = current if current is not None else RoutingSettings()
+
+    def replace(self, settings: RoutingSettings) -> None:
+        """Put ``settings`` in force for everything that begins from now on."""
+        self.current = settings
