--- a/src/rhubarbfield/placement/__init__.py
+++ b/src/rhubarbfield/placement/__init__.py
@@ -47,7 +47,7 @@
     ServiceLatency,
     UsageReport,
 )
-from rhubarbfield.placement.orders import WorkerOrders, list_orders
+from rhubarbfield.placement.orders import KeptAttempt, WorkerOrders, list_orders
 from rhubarbfield.placement.policy import Plan, plan
 from rhubarbfield.placement.queueing import Wait
 from rhubarbfield.placement.relief import ThrottleOrder
@@ -134,6 +134,7 @@
     "HarmEstimate",
     "Job",
     "JobSpec",
+    "KeptAttempt",
     "QuarantineState",
     "Quota",
     "RejectionCount",
--- a/src/rhubarbfield/placement/fleet.py
+++ b/src/rhubarbfield/placement/fleet.py
@@ -65,12 +65,15 @@
         Attempts of unproven size on it.
     reserved
         Whether urgent work waits for evictions on it.
+    judged
+        Whether this round quarantines it.
     """
 
     worker: Worker
     index: int
     room: Resources
     reserved: bool = False
+    judged: bool = False
     residents: list[Resident] | None = None
     shares: dict[BatchKind, float] = field(default_factory=dict)
     unproven: int = 0
@@ -220,7 +223,7 @@
         worker = seat.worker
         if worker.draining:
             return RejectionReason.DRAINING
-        if worker.quarantine is QuarantineState.QUARANTINED:
+        if seat.judged or worker.quarantine is QuarantineState.QUARANTINED:
             return RejectionReason.QUARANTINED
         if not request.size.fits(seat.room):
             return name_shortage(request.size, seat.room)
--- a/src/rhubarbfield/placement/orders.py
+++ b/src/rhubarbfield/placement/orders.py
@@ -10,10 +10,18 @@
 
 from rhubarbfield.placement._starts import describe_start
 from rhubarbfield.placement.replies import Eviction, StartedAttempt
+from rhubarbfield.placement.resources import Resources
 from rhubarbfield.placement.state import WorkState
 from rhubarbfield.types import AttemptId, AttemptState, WorkerId
 
 
+class KeptAttempt(msgspec.Struct, frozen=True):
+    """An attempt that a worker may have, and its present commitment."""
+
+    attempt: AttemptId
+    size: Resources
+
+
 class WorkerOrders(msgspec.Struct, frozen=True):
     """What one worker has to do.
 
@@ -29,7 +37,7 @@
 
     start: tuple[StartedAttempt, ...] = ()
     stop: tuple[Eviction, ...] = ()
-    keep: tuple[AttemptId, ...] = ()
+    keep: tuple[KeptAttempt, ...] = ()
 
 
 def list_orders(state: WorkState, worker: WorkerId) -> WorkerOrders:
@@ -39,12 +47,14 @@
         return WorkerOrders()
     start: list[StartedAttempt] = []
     stop: list[Eviction] = []
+    keep: list[KeptAttempt] = []
     for attempt_id, task_id in known.live.items():
         attempt = state.tasks[task_id].live
         if attempt is None:
             continue
+        keep.append(KeptAttempt(attempt_id, attempt.size))
         if attempt.state is AttemptState.STARTING:
             start.append(describe_start(attempt, task_id))
         elif attempt.state is AttemptState.EVICTING:
             stop.append(Eviction(attempt_id, worker, attempt.end_reason))
-    return WorkerOrders(tuple(start), tuple(stop), tuple(known.live))
+    return WorkerOrders(tuple(start), tuple(stop), tuple(keep))
--- a/src/rhubarbfield/placement/policy.py
+++ b/src/rhubarbfield/placement/policy.py
@@ -93,7 +93,10 @@
     def run(self) -> Plan:
         """Return the plan."""
         fleet = self._fleet
-        commands: list[Command] = list(judge_workers(fleet.state, fleet.now))
+        judgements = judge_workers(fleet.state, fleet.now)
+        for judgement in judgements:
+            fleet.by_name[judgement.worker].judged = True
+        commands: list[Command] = [*judgements]
         self._relieve()
         self._empty()
         placer = Placer(fleet, self._strategy, self._random, self._relief)
--- a/src/rhubarbfield/placement/quarantine.py
+++ b/src/rhubarbfield/placement/quarantine.py
@@ -5,8 +5,7 @@
 from datetime import datetime
 
 from rhubarbfield.placement._starts import may_probe
-from rhubarbfield.placement.commands import AttemptStart, SetQuarantine
-from rhubarbfield.placement.decision import Decision
+from rhubarbfield.placement.commands import SetQuarantine
 from rhubarbfield.placement.fleet import Fleet, Seat
 from rhubarbfield.placement.state import (
     Job,
@@ -55,8 +54,8 @@
     return found
 
 
-def plan_probe(fleet: Fleet, seat: Seat, taken: set[TaskId]) -> AttemptStart | None:
-    """Return one small start on a quarantined worker whose time has come.
+def find_probe(fleet: Fleet, seat: Seat, taken: set[TaskId]) -> Task | None:
+    """Return a task to try a quarantined worker with, if its time has come.
 
     Only batch work that has succeeded elsewhere is used, so that the worker
     alone is judged by it.
@@ -65,14 +64,12 @@
         return None
     for job_id in fleet.state.waiting:
         job = fleet.state.jobs[job_id]
-        size = fleet.view.sizes.estimate(job.spec)
-        if not _is_probe(job, seat) or not size.fits(seat.room):
+        if not _is_probe(job, seat):
             continue
         for task_id in reversed(job.pending):
             task = fleet.state.tasks[task_id]
             if task_id not in taken and _may_go(task, seat, fleet.now):
-                decision = Decision("probe", reason="probes a quarantined worker")
-                return AttemptStart(task_id, seat.name, size, decision)
+                return task
     return None
 
 
--- a/src/rhubarbfield/placement/queueing.py
+++ b/src/rhubarbfield/placement/queueing.py
@@ -10,10 +10,11 @@
 import msgspec
 
 from rhubarbfield.placement.commands import AttemptStart
-from rhubarbfield.placement.fleet import Fleet, Request
-from rhubarbfield.placement.placing import Chooser
+from rhubarbfield.placement.decision import Decision
+from rhubarbfield.placement.fleet import Fleet, Request, Seat
+from rhubarbfield.placement.placing import Chooser, Chosen
 from rhubarbfield.placement.preemption import Preemptor
-from rhubarbfield.placement.quarantine import plan_probe
+from rhubarbfield.placement.quarantine import find_probe
 from rhubarbfield.placement.relief import Relief
 from rhubarbfield.placement.resources import Resources
 from rhubarbfield.placement.runnable import count_places
@@ -104,7 +105,10 @@
         self._random = random
         self._relief = relief
         self._taken: set[TaskId] = set()
-        self._used: dict[Tenant, Resources] = {}
+        self._used = {
+            tenant: account.used + relief.grown.get(tenant, Resources())
+            for tenant, account in fleet.state.accounts.items()
+        }
         self._dead: list[Dead] = []
         self.starts: list[AttemptStart] = []
         self.waits: dict[JobId, str] = {}
@@ -125,11 +129,21 @@
 
     def _probe(self) -> None:
         for seat in self._fleet.seats:
-            if seat.worker.quarantine is QuarantineState.QUARANTINED:
-                start = plan_probe(self._fleet, seat, self._taken)
-                if start is not None:
-                    self.starts.append(start)
-                    self._taken.add(start.task)
+            if seat.worker.quarantine is not QuarantineState.QUARANTINED:
+                continue
+            task = find_probe(self._fleet, seat, self._taken)
+            if task is not None:
+                self._start_probe(seat, task)
+
+    def _start_probe(self, seat: Seat, task: Task) -> None:
+        job = self._fleet.state.jobs[task.job]
+        request = self._make_request(job)
+        fits = request.size.fits(seat.room)
+        if not fits or not self._count_within_quota(job, request, 1):
+            return
+        decision = Decision("probe", reason="probes a quarantined worker")
+        self._start(task, request, Chosen(seat, decision))
+        self._fleet.take(seat, request)
 
     def _place_priority(
         self, tenants: dict[Tenant, list[Job]], preemptor: Preemptor
@@ -173,7 +187,7 @@
 
     def _find_share(self, tenant: Tenant) -> float:
         account = self._fleet.state.accounts[tenant]
-        used = self._used.get(tenant, account.used)
+        used = self._used[tenant]
         return used.dominant_share(self._fleet.total) / account.quota.weight
 
     def _make_request(self, job: Job) -> Request:
@@ -210,7 +224,7 @@
         wanted = tasks if job.spec.gang else tasks[:CHUNK]
         wanted = wanted[: self._count_within_quota(job, request, len(wanted))]
         if not wanted or (job.spec.gang and len(wanted) < len(tasks)):
-            self.waits[job.spec.job] = "the quota of its tenant is used up"
+            self.waits[job.spec.job] = self._describe_quota(job, request)
             return Attempted()
         if any(dead.covers(request) for dead in self._dead):
             self.waits[job.spec.job] = "no worker could take a task like it"
@@ -246,9 +260,16 @@
         limit = account.quota.limit
         if limit is None:
             return most
-        used = self._used.get(job.spec.tenant, account.used)
+        used = self._used[job.spec.tenant]
         return min(most, count_places(request.size, limit - used))
 
+    def _describe_quota(self, job: Job, request: Request) -> str:
+        limit = self._fleet.state.accounts[job.spec.tenant].quota.limit
+        needed = request.size.scale(len(job.pending) if job.spec.gang else 1)
+        if limit is not None and not needed.fits(limit):
+            return f"{needed.describe()} is beyond its tenant's whole quota"
+        return "the quota of its tenant is used up"
+
     def _place_gang(self, job: Job, request: Request, tasks: list[Task]) -> int:
         """Place all of a gang or nothing; at need with the declared size."""
         for size in (request.size, job.spec.declared):
@@ -300,12 +321,12 @@
                     self._fleet.give_back(choice.seat, request)
                 return 0
         for task, choice in zip(tasks, chosen, strict=False):
-            name = choice.seat.name
-            self.starts.append(
-                AttemptStart(task.task, name, request.size, choice.decision)
-            )
-            self._taken.add(task.task)
-        tenant = job.spec.tenant
-        used = self._used.get(tenant, self._fleet.state.accounts[tenant].used)
-        self._used[tenant] = used + request.size.scale(len(chosen))
+            self._start(task, request, choice)
         return len(chosen)
+
+    def _start(self, task: Task, request: Request, choice: Chosen) -> None:
+        name, decision = choice.seat.name, choice.decision
+        self.starts.append(AttemptStart(task.task, name, request.size, decision))
+        self._taken.add(task.task)
+        tenant = request.spec.tenant
+        self._used[tenant] = self._used[tenant] + request.size
--- a/src/rhubarbfield/placement/relief.py
+++ b/src/rhubarbfield/placement/relief.py
@@ -14,7 +14,14 @@
 from rhubarbfield.placement.replies import Eviction
 from rhubarbfield.placement.resources import MILLICORES_PER_CORE, Resources
 from rhubarbfield.placement.state import Attempt, JobSpec, Task
-from rhubarbfield.types import AttemptId, AttemptState, Epoch, WorkerId, WorkKind
+from rhubarbfield.types import (
+    AttemptId,
+    AttemptState,
+    Epoch,
+    Tenant,
+    WorkerId,
+    WorkKind,
+)
 
 THROTTLE_LEVELS = (1.0, 0.5, 0.25)
 CALM_FRACTION = 0.7
@@ -41,11 +48,18 @@
 
 
 class Relief(msgspec.Struct):
-    """What one round does to attempts that run."""
+    """What one round does to attempts that run.
+
+    Attributes
+    ----------
+    grown
+        What the resizes add to each tenant's usage.
+    """
 
     throttles: list[ThrottleOrder] = msgspec.field(default_factory=list)
     evictions: list[Eviction] = msgspec.field(default_factory=list)
     resizes: list[Resize] = msgspec.field(default_factory=list)
+    grown: dict[Tenant, Resources] = msgspec.field(default_factory=dict)
 
 
 class Blamed(msgspec.Struct):
@@ -125,7 +139,10 @@
                 continue
             wanted = self._find_wanted(attempt, spec, usage)
             if wanted is not None:
-                self._seat.room = self._seat.room + (attempt.size - wanted)
+                growth = wanted - attempt.size
+                grown = self._relief.grown.get(spec.tenant, Resources())
+                self._relief.grown[spec.tenant] = grown + growth
+                self._seat.room = self._seat.room - growth
                 self._relief.resizes.append(
                     Resize(attempt.attempt, self._seat.name, wanted)
                 )
--- a/src/rhubarbfield/placement/state.py
+++ b/src/rhubarbfield/placement/state.py
@@ -104,9 +104,15 @@
 
     @property
     def estimate_key(self) -> EstimateKey:
-        """The key under which sizes are learned."""
+        """The key under which sizes are learned.
+
+        Declarations are kept apart by powers of two: tasks of one kind that are
+        declared alike are taken to be alike.
+        """
         label = self.service or self.batch_kind
-        return EstimateKey(f"{self.tenant}/{label}")
+        memory = self.memory_mb.bit_length()
+        cores = self.declared.millicores.bit_length()
+        return EstimateKey(f"{self.tenant}/{label}/{cores}/{memory}")
 
     @property
     def endless(self) -> bool:
--- /dev/null
+++ b/tests/placement/world.py
@@ -0,0 +1,368 @@
+"""A small world around the work state: workers that fail and an observer.
+
+Workers here run what they are told and nothing else; the observer counts for
+itself what runs where and believes nothing that the state says.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from datetime import UTC, datetime, timedelta
+from random import Random
+
+import msgspec
+
+from rhubarbfield.machine import Command, Reply, SectionedMachine
+from rhubarbfield.placement import (
+    AddWorker,
+    AttemptReport,
+    AttemptsReported,
+    AttemptsResized,
+    AttemptsStarted,
+    AttemptUsage,
+    JobSpec,
+    LoseWorker,
+    Observations,
+    PlacementSettings,
+    RefusedStart,
+    ReportAttempts,
+    ResizeAttempts,
+    Resources,
+    ServiceLatency,
+    StartedAttempt,
+    UsageReport,
+    WorkerAdded,
+    WorkState,
+    check_state,
+    list_orders,
+    plan,
+    work_commands,
+    work_replies,
+)
+from rhubarbfield.types import (
+    AttemptId,
+    AttemptState,
+    CheckpointId,
+    Epoch,
+    FailureDomain,
+    Incarnation,
+    LogIndex,
+    RackName,
+    TaskId,
+    WorkerId,
+)
+
+START = datetime(2026, 1, 1, tzinfo=UTC)
+SECOND = timedelta(seconds=1)
+CAPACITY = Resources.of(8, 32_000, 1)
+
+
+NO_EPOCH = Epoch(0)
+
+
+class Sections(msgspec.Struct):
+    work: WorkState = msgspec.field(default_factory=WorkState)
+
+
+def make_machine() -> SectionedMachine[Sections]:
+    return SectionedMachine(Sections, {"work": work_commands}, work_replies)
+
+
+@dataclass
+class Running:
+    """One attempt on a worker."""
+
+    order: StartedAttempt
+    memory_mb: int
+    checkpoints: int = 0
+
+
+@dataclass
+class FakeWorker:
+    """A worker as a process: what it runs, and words it has not got rid of."""
+
+    name: WorkerId
+    epoch: Epoch = NO_EPOCH
+    incarnation: int = 0
+    connected: bool = True
+    lapsed: bool = False
+    broken: bool = False
+    running: dict[AttemptId, Running] = field(default_factory=dict)
+    ended: dict[AttemptId, AttemptReport] = field(default_factory=dict)
+    outbox: list[AttemptReport] = field(default_factory=list)
+
+
+class Observer:
+    """Counts what runs, by the workers' doings alone."""
+
+    def __init__(self) -> None:
+        self.places: dict[TaskId, AttemptId] = {}
+        self.begun: set[AttemptId] = set()
+        self.sizes: dict[WorkerId, dict[AttemptId, Resources]] = {}
+        self.checkpoints: dict[TaskId, CheckpointId | None] = {}
+        self.finished: set[TaskId] = set()
+        self.closed: set[AttemptId] = set()
+
+    def begin(self, order: StartedAttempt) -> None:
+        assert order.attempt not in self.begun, f"{order.attempt} began twice"
+        assert order.task not in self.places, f"{order.task} runs twice"
+        assert order.task not in self.finished, f"{order.task} ran after its end"
+        expected = self.checkpoints.get(order.task)
+        assert order.checkpoint == expected, (order, expected)
+        self.begun.add(order.attempt)
+        self.places[order.task] = order.attempt
+        self.sizes.setdefault(order.worker, {})[order.attempt] = order.size
+        self.check_worker(order.worker)
+
+    def check_worker(self, worker: WorkerId) -> None:
+        total = Resources()
+        for size in self.sizes.get(worker, {}).values():
+            total = total + size
+        assert total.fits(CAPACITY), (worker, total)
+
+    def end(self, order: StartedAttempt) -> None:
+        if self.places.get(order.task) == order.attempt:
+            del self.places[order.task]
+        self.sizes[order.worker].pop(order.attempt, None)
+
+    def hear(self, report: AttemptReport, endless: bool) -> None:
+        """Note what the state was told, once it was; words after the end are idle."""
+        if report.attempt in self.closed:
+            return
+        if report.state not in (AttemptState.RUNNING, AttemptState.HELD):
+            self.closed.add(report.attempt)
+        task = TaskId(report.attempt.rpartition("#")[0])
+        if report.checkpoint is not None:
+            self.checkpoints[task] = report.checkpoint
+        if report.state is AttemptState.SUCCEEDED and not endless:
+            self.finished.add(task)
+
+
+class World:
+    """Two replicas of the state, a policy, and workers.
+
+    Parameters
+    ----------
+    seed
+        Source of everything that happens by chance.
+    workers
+        How many workers there are.
+    """
+
+    def __init__(self, seed: int, workers: int = 4) -> None:
+        self.random = Random(seed)
+        self.now = START
+        self.machine = make_machine()
+        self.replica = make_machine()
+        self.view = Observations()
+        self.settings = PlacementSettings()
+        self.observer = Observer()
+        self.index = 0
+        self.refused: tuple[RefusedStart, ...] = ()
+        self.workers: dict[WorkerId, FakeWorker] = {}
+        for number in range(workers):
+            worker = FakeWorker(WorkerId(f"w{number}"))
+            self.workers[worker.name] = worker
+            self.join(worker)
+
+    @property
+    def state(self) -> WorkState:
+        return self.machine.state.work
+
+    def apply(self, command: Command) -> Reply:
+        """Commit a command on both replicas; they must answer alike."""
+        self.index += 1
+        data = self.machine.encode_command(command)
+        reply = self.machine.apply(LogIndex(self.index), data)
+        assert reply == self.replica.apply(LogIndex(self.index), data)
+        return self.machine.decode_reply(reply)
+
+    def pass_time(self, duration: timedelta) -> None:
+        self.now += duration
+
+    def join(self, worker: FakeWorker) -> None:
+        """Let a process that has just started join under a new epoch."""
+        known = self.state.workers.get(worker.name)
+        if known is not None and known.present:
+            self.lose(worker, "it started afresh")
+        worker.incarnation += 1
+        worker.connected, worker.lapsed = True, False
+        for running in worker.running.values():
+            self.observer.end(running.order)
+        worker.running.clear()
+        worker.ended.clear()
+        worker.outbox.clear()
+        number = int(worker.name[1:])
+        reply = self.apply(
+            AddWorker(
+                at=self.now,
+                worker=worker.name,
+                capacity=CAPACITY,
+                rack=RackName(f"r{number % 2}"),
+                domain=FailureDomain("d"),
+                incarnation=Incarnation(str(worker.incarnation)),
+            )
+        )
+        assert isinstance(reply, WorkerAdded), reply
+        assert reply.epoch > worker.epoch
+        worker.epoch = reply.epoch
+
+    def lose(self, worker: FakeWorker, reason: str) -> None:
+        """Commit the loss of a worker whose lease has lapsed."""
+        for running in worker.running.values():
+            self.observer.end(running.order)
+        self.observer.closed.update(self.state.workers[worker.name].live)
+        self.apply(
+            LoseWorker(
+                at=self.now, worker=worker.name, epoch=worker.epoch, reason=reason
+            )
+        )
+        self.view.drop_worker(worker.name)
+
+    def cut(self, worker: FakeWorker) -> None:
+        """Cut a worker off; its lease lapses, and it holds what it ran."""
+        worker.connected, worker.lapsed = False, True
+
+    def heal(self, worker: FakeWorker) -> None:
+        """Let a worker back; it goes on only if it was not lost meanwhile."""
+        known = self.state.workers[worker.name]
+        if not known.present or known.epoch != worker.epoch:
+            self.join(worker)
+            return
+        worker.connected, worker.lapsed = True, False
+        for attempt in worker.running:
+            self.say(worker, attempt, AttemptState.HELD)
+            self.say(worker, attempt, AttemptState.RUNNING)
+
+    def say(
+        self,
+        worker: FakeWorker,
+        attempt: AttemptId,
+        state: AttemptState,
+        checkpoint: CheckpointId | None = None,
+    ) -> None:
+        worker.outbox.append(
+            AttemptReport(attempt, worker.name, worker.epoch, state, checkpoint)
+        )
+
+    def end(self, worker: FakeWorker, attempt: AttemptId, state: AttemptState) -> None:
+        """Let an attempt end, with a checkpoint if it was evicted."""
+        running = worker.running.pop(attempt)
+        checkpoint = None
+        if state is AttemptState.EVICTED:
+            running.checkpoints += 1
+            checkpoint = CheckpointId(f"{attempt}@{running.checkpoints}")
+        self.observer.end(running.order)
+        self.say(worker, attempt, state, checkpoint)
+        worker.ended[attempt] = worker.outbox[-1]
+
+    def save(self, worker: FakeWorker, attempt: AttemptId) -> None:
+        """Let an attempt take a checkpoint while it runs."""
+        running = worker.running[attempt]
+        running.checkpoints += 1
+        checkpoint = CheckpointId(f"{attempt}@{running.checkpoints}")
+        self.say(worker, attempt, AttemptState.RUNNING, checkpoint)
+
+    def tell(self, worker: FakeWorker) -> None:
+        """Tell a worker its orders, worked out afresh from the state."""
+        if not worker.connected:
+            return
+        orders = list_orders(self.state, worker.name)
+        for order in orders.start:
+            if order.attempt in worker.ended:
+                worker.outbox.append(worker.ended[order.attempt])
+            elif order.attempt not in worker.running:
+                self.observer.begin(order)
+                declared = self.find_spec(order.task).memory_mb
+                memory_mb = int(declared * 10 ** self.random.uniform(-1, 1))
+                worker.running[order.attempt] = Running(order, memory_mb)
+                self.say(worker, order.attempt, AttemptState.RUNNING)
+        for stop in orders.stop:
+            if stop.attempt in worker.running:
+                self.end(worker, stop.attempt, AttemptState.EVICTED)
+            else:
+                # Ended already, or never begun because the order was lost.
+                known = worker.ended.get(stop.attempt)
+                if known is None:
+                    self.say(worker, stop.attempt, AttemptState.EVICTED)
+                    known = worker.ended[stop.attempt] = worker.outbox[-1]
+                worker.outbox.append(known)
+
+    def deliver(self, worker: FakeWorker, twice: bool = False) -> None:
+        """Commit a worker's words; some are said twice."""
+        if not worker.connected or not worker.outbox:
+            return
+        reports = tuple(worker.outbox)
+        worker.outbox.clear()
+        self.guard(worker)
+        reply = self.apply(ReportAttempts(at=self.now, reports=reports))
+        assert isinstance(reply, AttemptsReported)
+        for report in reports:
+            task = self.state.tasks.get(TaskId(report.attempt.rpartition("#")[0]))
+            if task is not None:
+                endless = self.state.jobs[task.job].spec.endless
+                self.observer.hear(report, endless)
+        if twice:
+            self.apply(ReportAttempts(at=self.now, reports=reports))
+
+    def guard(self, worker: FakeWorker) -> None:
+        """Evict what is largest while real use is above what the worker has."""
+        while sum(r.memory_mb for r in worker.running.values()) > CAPACITY.memory_mb:
+            largest = max(worker.running.values(), key=lambda r: r.memory_mb)
+            self.end(worker, largest.order.attempt, AttemptState.EVICTED)
+
+    def report(self, worker: FakeWorker) -> None:
+        """Report use of resources, and a latency for services."""
+        if not worker.connected or worker.lapsed:
+            return
+        usages = []
+        latencies = []
+        for attempt, running in worker.running.items():
+            spec = self.find_spec(running.order.task)
+            usages.append(AttemptUsage(attempt, 500, running.memory_mb))
+            if spec.service is not None:
+                p99 = timedelta(milliseconds=self.random.randrange(5, 200))
+                latencies.append(ServiceLatency(attempt, self.random.random(), p99))
+        taken_at = self.now - 5 * SECOND
+        report = UsageReport(
+            worker.name, worker.epoch, taken_at, tuple(usages), tuple(latencies)
+        )
+        self.view.record(self.state, report)
+
+    def find_spec(self, task: TaskId) -> JobSpec:
+        return self.state.jobs[self.state.tasks[task].job].spec
+
+    def plan(self) -> None:
+        """Commit one round of the policy at once, so that no start is refused."""
+        wanted = plan(self.state, self.view, self.settings, self.now, self.random)
+        for command in wanted.commands:
+            reply = self.apply(command)
+            if isinstance(reply, AttemptsStarted):
+                self.refused += reply.refused
+            if isinstance(command, ResizeAttempts):
+                self.resize(command, reply)
+        self.view.start_round()
+
+    def resize(self, command: ResizeAttempts, reply: Reply) -> None:
+        """Tell workers of new commitments, those that took effect."""
+        assert isinstance(reply, AttemptsResized)
+        for resize in command.resizes:
+            sizes = self.observer.sizes.get(resize.worker, {})
+            if resize.attempt in reply.resized and resize.attempt in sizes:
+                sizes[resize.attempt] = resize.size
+        for name in self.workers:
+            self.observer.check_worker(name)
+
+    def restart_leader(self) -> None:
+        """Carry the state over by snapshot and start with fresh observations."""
+        snapshot = self.machine.take_snapshot()
+        assert snapshot == self.replica.take_snapshot()
+        self.machine = make_machine()
+        self.machine.restore(snapshot)
+        self.view = Observations()
+        self.view.restore(self.state)
+
+    def check(self) -> None:
+        check_state(self.state)
+        # The state has not changed since the plan, so nothing may be refused.
+        assert not self.refused, self.refused
