--- a/src/rhubarbfield/fleet/__init__.py
+++ b/src/rhubarbfield/fleet/__init__.py
@@ -13,6 +13,7 @@
     list_configurable_keys,
     overlay_configuration,
 )
+from rhubarbfield.fleet.inforce import ConfigurationInForce
 from rhubarbfield.fleet.jobs import (
     Delegated,
     DelegateJob,
@@ -31,6 +32,7 @@
     Mark,
     Quota,
 )
+from rhubarbfield.fleet.tables import describe_job_state, explain_job, fleet_tables
 
 FLEET_REPLY_TYPES = (CommandAnswered, CommandClash, NumberRefused, Delegated)
 
@@ -46,6 +48,7 @@
     "CommandTable",
     "find_next_number",
     "Configuration",
+    "ConfigurationInForce",
     "ConfigurationProblem",
     "check_configuration",
     "list_configurable_keys",
@@ -58,5 +61,8 @@
     "ReportJob",
     "FinishJob",
     "Mark",
+    "fleet_tables",
+    "describe_job_state",
+    "explain_job",
     "Quota",
 ]
--- a/src/rhubarbfield/fleet/commands.py
+++ b/src/rhubarbfield/fleet/commands.py
@@ -15,7 +15,7 @@
 
 RETENTION = timedelta(days=3)
 MOST_RECORDS = 50_000
-MOST_NUMBERS_AHEAD = 1_000_000
+MOST_NUMBERS_AHEAD = 10_000_000
 LONGEST_KEPT_TEXT_CHARACTERS = 240
 
 
@@ -86,7 +86,7 @@
 @fleet_commands.applies(SubmitCommand)
 def _apply_submit(state: FleetState, command: SubmitCommand) -> Reply:
     table = state.table
-    _advance(table, command.at)
+    _forget_old_records(table, command.at)
     standing = table.records.get(str(command.number))
     if standing is not None:
         return _answer_again(table, standing, command)
@@ -114,11 +114,11 @@
     return hashlib.sha256(text.encode()).hexdigest()
 
 
-def _advance(table: CommandTable, at: datetime) -> None:
-    table.latest_at = max(table.latest_at, at)
-    oldest = table.latest_at - RETENTION
+def _forget_old_records(table: CommandTable, now: datetime) -> None:
+    # A clock that was set wrong may make records look too old, or as if they
+    # came from the future. Either way they go, and their numbers stay taken.
     for key, record in list(table.records.items()):
-        if record.decided_at >= oldest:
+        if abs(now - record.decided_at) <= RETENTION:
             return
         del table.records[key]
         table.forgotten_number = max(table.forgotten_number, record.number)
@@ -141,8 +141,11 @@
             f"number {number} may have been used before the "
             f"{RETENTION.days} days that are remembered"
         )
-    if number > find_next_number(table) + MOST_NUMBERS_AHEAD:
-        return f"number {number} is more than {MOST_NUMBERS_AHEAD} ahead"
+    if 0 < table.highest_number < number - MOST_NUMBERS_AHEAD:
+        return (
+            f"number {number} is more than {MOST_NUMBERS_AHEAD} above the highest"
+            f" so far, {table.highest_number}; was it mistyped?"
+        )
     if len(table.records) >= MOST_RECORDS:
         return (
             f"{MOST_RECORDS} commands of the last {RETENTION.days} days "
@@ -152,15 +155,14 @@
 
 
 def _record(state: FleetState, command: SubmitCommand) -> CommandRecord:
-    at = state.table.latest_at
-    mark = Mark(operator=command.operator, number=command.number, at=at)
+    mark = Mark(operator=command.operator, number=command.number, at=command.at)
     effect = apply_statement(state, command.statement, mark)
     return CommandRecord(
         operator=command.operator,
         number=command.number,
         text=command.text[:LONGEST_KEPT_TEXT_CHARACTERS],
         digest=digest_text(command.text),
-        decided_at=at,
+        decided_at=command.at,
         accepted=effect.accepted,
         answer=effect.answer,
         jobs=effect.jobs,
--- a/src/rhubarbfield/fleet/configuration.py
+++ b/src/rhubarbfield/fleet/configuration.py
@@ -99,7 +99,17 @@
         name: _overlay_section(getattr(settings, name), name, configuration.values)
         for name in _DEFAULT_SECTIONS
     }
-    return settings.model_copy(update=sections)
+    return _keep_deadlines_in_order(settings.model_copy(update=sections))
+
+
+def _keep_deadlines_in_order(settings: Settings) -> Settings:
+    # Each value was checked alone, so that a version once accepted can be put
+    # in force over any file.
+    routing = settings.routing
+    if routing.default_request <= routing.longest_request:
+        return settings
+    routing = routing.model_copy(update={"default_request": routing.longest_request})
+    return settings.model_copy(update={"routing": routing})
 
 
 def _list_keys(section: BaseModel) -> Iterator[str]:
--- a/src/rhubarbfield/fleet/effects.py
+++ b/src/rhubarbfield/fleet/effects.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from rhubarbfield.exceptions import check_invariant
-from rhubarbfield.fleet.jobs import cancel_job, forget_old_jobs
+from rhubarbfield.fleet.jobs import cancel_job, end_job, forget_old_jobs
 from rhubarbfield.fleet.state import (
     Configuration,
     FleetJob,
@@ -34,7 +34,7 @@
 )
 from rhubarbfield.types import ConfigurationVersion, JobId, JobState
 
-MOST_OPEN_JOBS = 20_000
+MOST_OPEN_JOBS = 10_000
 MOST_MARKS = 10_000
 MOST_QUOTAS = 5_000
 MOST_CONFIGURATION_KEYS = 500
@@ -134,10 +134,14 @@
     )
 
 
+def _is_held(state: FleetState, job: FleetJob) -> bool:
+    return job.domain is not None and job.domain not in state.lost_domains
+
+
 def _cancel_all(state: FleetState, jobs: Iterable[FleetJob], mark: Mark) -> Effect:
     open_jobs = [job for job in jobs if job.is_open]
     for job in open_jobs:
-        cancel_job(job, mark)
+        cancel_job(job, mark, is_held=_is_held(state, job))
     told = sum(job.state is not JobState.CANCELLED for job in open_jobs)
     answer = f"{len(open_jobs)} open jobs are cancelled"
     if told:
@@ -211,9 +215,11 @@
     state: FleetState, statement: DeclareDomainLost, mark: Mark
 ) -> Effect:
     _set_mark(state.lost_domains, statement.domain, mark)
-    held = sum(
-        job.is_open and job.domain == statement.domain for job in state.jobs.values()
-    )
+    jobs = [job for job in state.jobs.values() if job.domain == statement.domain]
+    held = sum(job.is_open and not job.cancelling for job in jobs)
+    for job in jobs:
+        if job.is_open and job.cancelling:
+            end_job(job, JobState.CANCELLED, mark.at)
     return Effect(
         True,
         f"failure domain {statement.domain} is declared lost; {held} of its jobs may"
--- a/src/rhubarbfield/fleet/jobs.py
+++ b/src/rhubarbfield/fleet/jobs.py
@@ -11,7 +11,7 @@
 from rhubarbfield.types import Epoch, FailureDomain, JobId, JobState
 
 FINISHED_JOB_RETENTION = timedelta(days=1)
-MOST_JOBS = 40_000
+MOST_JOBS = 20_000
 
 
 class DelegateJob(Command, frozen=True):
@@ -119,7 +119,7 @@
 
 def _delegate(job: FleetJob, command: DelegateJob) -> Reply:
     if job.cancelling:
-        _end(job, JobState.CANCELLED, command.at)
+        end_job(job, JobState.CANCELLED, command.at)
         return Refused(reason=f"job {job.id} is cancelled")
     job.epoch = Epoch(job.epoch + 1)
     job.domain = command.domain
@@ -128,7 +128,19 @@
     return Delegated(epoch=job.epoch)
 
 
-def _end(job: FleetJob, state: JobState, at: datetime) -> None:
+def end_job(job: FleetJob, state: JobState, at: datetime) -> None:
+    """Put an open job into a state that is not open.
+
+    Parameters
+    ----------
+    job
+        Changed in place.
+    state
+        How it ended.
+    at
+        When.
+    """
+    check_invariant(job.is_open, "job-ends-once", job.id)
     job.state = state
     job.finished_at = at
 
@@ -142,7 +154,7 @@
     job.state = JobState.QUEUED
     job.reason = command.reason
     if job.cancelling:
-        _end(job, JobState.CANCELLED, command.at)
+        end_job(job, JobState.CANCELLED, command.at)
     return Done()
 
 
@@ -167,7 +179,7 @@
     if command.state in OPEN_JOB_STATES:
         return Refused(reason=f"a job does not end {command.state}")
     job.reason = command.reason
-    _end(job, command.state, command.at)
+    end_job(job, command.state, command.at)
     return Done()
 
 
@@ -180,7 +192,7 @@
     return Done() if same else Refused(reason=f"job {job.id} ended {job.state}")
 
 
-def cancel_job(job: FleetJob, mark: Mark) -> None:
+def cancel_job(job: FleetJob, mark: Mark, *, is_held: bool) -> None:
     """Cancel an open job, or have its domain told to end it.
 
     Parameters
@@ -189,12 +201,13 @@
         Changed in place.
     mark
         Whose command, and when.
+    is_held
+        Whether a failure domain has the job and has to end it first.
     """
-    check_invariant(job.is_open, "cancel-only-open-jobs", job.id)
     job.cancelling = True
     job.reason = f"cancelled by {mark.operator}, command {mark.number}"
-    if job.domain is None:
-        _end(job, JobState.CANCELLED, mark.at)
+    if not is_held:
+        end_job(job, JobState.CANCELLED, mark.at)
 
 
 def forget_old_jobs(state: FleetState, now: datetime) -> None:
--- a/src/rhubarbfield/fleet/state.py
+++ b/src/rhubarbfield/fleet/state.py
@@ -126,7 +126,7 @@
     digest
         SHA-256 of the whole text, in hexadecimal digits.
     decided_at
-        Never earlier than that of the record before.
+        Wall time of the leader that decided it.
     accepted
         Whether it had its effect.
     answer
@@ -152,8 +152,6 @@
     ----------
     records
         By number, as text.
-    latest_at
-        The latest time that any command carried.
     highest_number
         The highest number that was ever taken.
     forgotten_number
@@ -162,7 +160,6 @@
     """
 
     records: dict[str, CommandRecord] = msgspec.field(default_factory=dict)
-    latest_at: datetime = BEGINNING
     highest_number: CommandNumber = CommandNumber(0)
     forgotten_number: CommandNumber = CommandNumber(0)
 
--- a/src/rhubarbfield/language/parsing.py
+++ b/src/rhubarbfield/language/parsing.py
@@ -88,7 +88,7 @@
     expected = tuple(_TERMINAL_WORDS.get(name, name.lower()) for name in names)
     match = _WORD.match(text, position)
     if match is None:
-        rest = text[position : position + 1]
+        rest = text[position : position + 1].strip()
         message = f"{rest!r} cannot stand here" if rest else "the statement ends early"
         return SyntaxProblem(message, text, position, expected)
     nearest = find_nearest(match.group(), expected)
--- a/src/rhubarbfield/settings/loading.py
+++ b/src/rhubarbfield/settings/loading.py
@@ -173,7 +173,7 @@
     for part in path:
         fields = {field.alias or name: field for name, field in _fields(model)}
         if part in fields:
-            model = _find_model(fields[str(part)].annotation) or model
+            model = find_model(fields[str(part)].annotation) or model
     return [field.alias or name for name, field in _fields(model)]
 
 
@@ -181,8 +181,15 @@
     return list(model.model_fields.items())
 
 
-def _find_model(annotation: Any) -> type[BaseModel] | None:
+def find_model(annotation: Any) -> type[BaseModel] | None:
+    """Return the section that a field holds, if it holds one or several.
+
+    Parameters
+    ----------
+    annotation
+        The type of the field.
+    """
     if isinstance(annotation, type) and issubclass(annotation, BaseModel):
         return annotation
-    found = (_find_model(argument) for argument in get_args(annotation))
+    found = (find_model(argument) for argument in get_args(annotation))
     return next((model for model in found if model is not None), None)
--- /dev/null
+++ b/tests/fleet/test_jobs.py
@@ -0,0 +1,167 @@
+"""Tests of delegation: one failure domain at a time."""
+
+from __future__ import annotations
+
+import unittest
+from datetime import timedelta
+
+from rhubarbfield.fleet import (
+    Delegated,
+    DelegateJob,
+    FinishJob,
+    FleetJob,
+    ReleaseJob,
+    ReportJob,
+    explain_job,
+    fleet_tables,
+)
+from rhubarbfield.fleet.jobs import FINISHED_JOB_RETENTION
+from rhubarbfield.language import Subject
+from rhubarbfield.machine import Done, Refused, Reply
+from rhubarbfield.types import Epoch, FailureDomain, JobId, JobState
+from tests.fleet.fleets import CREATE, START, FleetLog
+
+JOB = JobId("1-weekly")
+
+
+class JobCase(unittest.TestCase):
+    def setUp(self) -> None:
+        self.log = FleetLog()
+        self.log.decide(1, CREATE)
+
+    @property
+    def job(self) -> FleetJob:
+        return self.log.state.jobs[JOB]
+
+    def delegate(self, domain: str) -> Reply:
+        return self.log.apply(
+            DelegateJob(job=JOB, domain=FailureDomain(domain), at=START)
+        )
+
+    def release(self, domain: str, epoch: int) -> Reply:
+        return self.log.apply(
+            ReleaseJob(
+                job=JOB,
+                domain=FailureDomain(domain),
+                epoch=Epoch(epoch),
+                reason="no room",
+                at=START,
+            )
+        )
+
+    def finish(
+        self, domain: str, epoch: int, state: JobState = JobState.SUCCEEDED
+    ) -> Reply:
+        return self.log.apply(
+            FinishJob(
+                job=JOB,
+                domain=FailureDomain(domain),
+                epoch=Epoch(epoch),
+                state=state,
+                reason="",
+                at=START,
+            )
+        )
+
+
+class DelegationTest(JobCase):
+    def test_a_job_moves_only_after_its_release(self) -> None:
+        self.assertEqual(self.delegate("leiria"), Delegated(epoch=Epoch(1)))
+        self.assertEqual(self.delegate("leiria"), Delegated(epoch=Epoch(1)))
+        self.assertIsInstance(self.delegate("tomar"), Refused)
+        self.assertEqual(self.release("leiria", 1), Done())
+        self.assertEqual(self.delegate("tomar"), Delegated(epoch=Epoch(2)))
+
+    def test_a_domain_under_an_old_epoch_has_no_say(self) -> None:
+        self.delegate("leiria")
+        self.release("leiria", 1)
+        self.delegate("leiria")
+        for reply in (self.release("leiria", 1), self.finish("leiria", 1)):
+            self.assertIsInstance(reply, Refused)
+        self.assertIsInstance(self.release("tomar", 2), Refused)
+        self.assertEqual(self.job.epoch, 2)
+        self.assertTrue(self.job.is_open)
+
+    def test_a_lost_domain_loses_its_jobs_and_the_answer_names_the_risk(self) -> None:
+        self.delegate("leiria")
+        record = self.log.decide(2, "declare domain leiria lost")
+        self.assertIn("two places", record.answer)
+        self.assertIsInstance(self.delegate("leiria"), Refused)
+        self.assertEqual(self.delegate("tomar"), Delegated(epoch=Epoch(2)))
+        self.assertIsInstance(self.finish("leiria", 1), Refused)
+        self.log.decide(3, "declare domain leiria restored")
+        self.assertIsInstance(self.delegate("leiria"), Refused)
+
+    def test_a_job_ends_once(self) -> None:
+        self.delegate("leiria")
+        report = ReportJob(job=JOB, domain=FailureDomain("leiria"), epoch=Epoch(1))
+        self.assertEqual(self.log.apply(report), Done())
+        self.assertIsInstance(self.finish("leiria", 1, JobState.RUNNING), Refused)
+        self.assertEqual(self.finish("leiria", 1), Done())
+        self.assertEqual(self.finish("leiria", 1), Done())
+        self.assertIsInstance(self.finish("leiria", 1, JobState.FAILED), Refused)
+        self.assertEqual(self.job.state, JobState.SUCCEEDED)
+
+    def test_a_stated_domain_is_kept_to(self) -> None:
+        self.log.decide(2, f"{CREATE} domain tomar")
+        command = DelegateJob(
+            job=JobId("2-weekly"), domain=FailureDomain("leiria"), at=START
+        )
+        self.assertIsInstance(self.log.apply(command), Refused)
+
+
+class CancellationTest(JobCase):
+    def test_a_job_with_no_domain_is_cancelled_at_once(self) -> None:
+        self.log.decide(2, "cancel job 1-weekly")
+        self.assertEqual(self.job.state, JobState.CANCELLED)
+        self.assertIsInstance(self.delegate("leiria"), Refused)
+
+    def test_a_delegated_job_is_cancelled_once_its_domain_says_so(self) -> None:
+        self.delegate("leiria")
+        record = self.log.decide(2, "cancel jobs where tenant = iris")
+        self.assertIn("as soon as", record.answer)
+        self.assertTrue(self.job.is_open)
+        table = explain_job(self.log.state, JOB)
+        assert table is not None
+        self.assertEqual(table.rows[0], ("state", "cancelling"))
+        self.assertEqual(self.release("leiria", 1), Done())
+        self.assertEqual(self.job.state, JobState.CANCELLED)
+
+    def test_completion_in_flight_wins_over_a_cancellation(self) -> None:
+        self.delegate("leiria")
+        self.log.decide(2, "cancel job 1-weekly")
+        self.assertEqual(self.finish("leiria", 1), Done())
+        self.assertEqual(self.job.state, JobState.SUCCEEDED)
+
+    def test_a_cancelled_job_of_a_lost_domain_is_not_started_elsewhere(self) -> None:
+        self.delegate("leiria")
+        self.log.decide(2, "cancel job 1-weekly")
+        self.log.decide(3, "declare domain leiria lost")
+        self.assertEqual(self.job.state, JobState.CANCELLED)
+
+    def test_a_cancellation_naming_an_unknown_job_cancels_none(self) -> None:
+        self.assertFalse(self.log.decide(2, "cancel job 1-weekly, 9-x").accepted)
+        self.assertTrue(self.job.is_open)
+
+    def test_ended_jobs_are_forgotten_and_open_ones_never(self) -> None:
+        self.log.decide(2, CREATE)
+        self.log.decide(3, "cancel job 1-weekly")
+        later = FINISHED_JOB_RETENTION + timedelta(seconds=1)
+        self.log.decide(4, CREATE, after=later)
+        self.assertEqual(list(self.log.state.jobs), ["2-weekly", "4-weekly"])
+
+    def test_tables_of_every_subject_have_cells_for_their_columns(self) -> None:
+        self.log.decide(2, "set quota for tenant iris cores 4")
+        self.log.decide(3, "set quota for tenant iris tasks 9")
+        self.log.decide(4, "configure routing.retry_budget_fraction = 0.2")
+        self.log.decide(5, "drain worker w1")
+        self.log.decide(6, "quarantine worker w2")
+        for subject in Subject:
+            table = fleet_tables.make_table(self.log.state, subject)
+            if table is not None:
+                self.assertTrue(table.rows, subject)
+                for row in table.rows:
+                    self.assertEqual(len(row), len(table.columns))
+        quotas = fleet_tables.make_table(self.log.state, Subject.QUOTAS)
+        assert quotas is not None
+        self.assertEqual(quotas.rows, (("iris", 4.0, None, None, 9),))
--- /dev/null
+++ b/tests/language/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the package ``rhubarbfield.language``."""
--- /dev/null
+++ b/tests/operators/fakes.py
@@ -0,0 +1,90 @@
+"""A controller in memory, as operators' requests reach it."""
+
+from __future__ import annotations
+
+from datetime import UTC, datetime
+
+import msgspec
+from prometheus_client import CollectorRegistry
+from quart_trio import QuartTrio
+from returns.result import Failure, Result, Success
+
+from rhubarbfield.exceptions import BrokenInvariantError
+from rhubarbfield.fleet import (
+    CommandRecord,
+    FleetState,
+    SubmitCommand,
+    explain_job,
+    fleet_commands,
+    fleet_tables,
+)
+from rhubarbfield.language import Explain, Query, Show, Table
+from rhubarbfield.operators import (
+    ControllerStatus,
+    FailureKind,
+    OperatorFailure,
+    Submission,
+    create_operators_app,
+    read_reply,
+)
+from rhubarbfield.settings import Secret
+from rhubarbfield.types import InstanceName, JobId, LogIndex
+
+SECRET = Secret(b"correct-horse-battery-staple-0123")
+HEADERS = {"Authorization": f"Bearer {SECRET.decode()}"}
+NOW = datetime(2026, 3, 1, tzinfo=UTC)
+
+
+class FakeController:
+    """Decides commands at once, unless told to fail."""
+
+    def __init__(self) -> None:
+        self.state = FleetState()
+        self.failure: OperatorFailure | None = None
+        self.fault: Exception | None = None
+        self.stale = False
+        self.broken: list[BrokenInvariantError] = []
+
+    async def query(self, statement: Query) -> Result[Table, OperatorFailure]:
+        if self.failure is not None:
+            return Failure(self.failure)
+        table = None
+        if isinstance(statement, Show):
+            table = fleet_tables.make_table(self.state, statement.subject)
+        if isinstance(statement, Explain):
+            table = explain_job(self.state, JobId(statement.identifier))
+        if table is None:
+            failure = OperatorFailure(kind=FailureKind.NOT_FOUND, message="none")
+            return Failure(failure)
+        return Success(
+            msgspec.structs.replace(table, position=LogIndex(9), stale=self.stale)
+        )
+
+    async def command(
+        self, submission: Submission
+    ) -> Result[CommandRecord, OperatorFailure]:
+        if self.fault is not None:
+            raise self.fault
+        if self.failure is not None:
+            return Failure(self.failure)
+        command = SubmitCommand(
+            operator=submission.operator,
+            number=submission.number,
+            text=submission.text,
+            statement=submission.statement,
+            at=NOW,
+        )
+        return read_reply(fleet_commands.apply(self.state, command))
+
+    def get_status(self) -> ControllerStatus:
+        return ControllerStatus(
+            instance=InstanceName("a1"), ready=not self.stale, note="no quorum"
+        )
+
+    def make_app(self) -> QuartTrio:
+        return create_operators_app(
+            self,
+            secret=SECRET,
+            metrics=CollectorRegistry(),
+            on_broken_invariant=self.broken.append,
+        )
