--- a/src/rhubarbfield/ownership/appliers.py
+++ b/src/rhubarbfield/ownership/appliers.py
@@ -215,8 +215,8 @@
 
 
 def _describe_owner(state: OwnershipState, server: OwnedServer) -> Reply:
-    if server.owner is None:
-        return Refused(reason="the backend server has no owner")
+    if server.owner is None or not state.is_open(server.owner, server.owner_session):
+        return StaleEpoch(epoch=server.epoch)
     return OwnedElsewhere(
         owner=server.owner,
         address=state.sessions[server.owner].address,
