--- a/src/rhubarbfield/announcements/connection.py
+++ b/src/rhubarbfield/announcements/connection.py
@@ -114,13 +114,15 @@
         return await self._stream.send(answer)
 
     async def _publish(self) -> None:
+        # A server that was sent away before may be claimed on its return, so
+        # that the first round doesn't wait for a change.
         while True:
-            await self._server.changed.wait()
             self._server.changed = trio.Event()
             owner = await self._server.publish()
             if owner is not None:
                 await self._stream.send(GoTo(owner=owner.owner, address=owner.address))
                 return
+            await self._server.changed.wait()
 
     async def _ping(self) -> None:
         interval = self._settings.heartbeat_interval
--- a/src/rhubarbfield/announcements/servers.py
+++ b/src/rhubarbfield/announcements/servers.py
@@ -52,7 +52,6 @@
         self.announce = announce
         self.granted: Granted | None = None
         self.changed = trio.Event()
-        self.changed.set()
         self._settings = settings
         self._clock = clock
         self._ownership = ownership
--- a/src/rhubarbfield/testing/workload.py
+++ b/src/rhubarbfield/testing/workload.py
@@ -129,7 +129,7 @@
             case StartAttempt() if attempt is None:
                 self._start(order)
             case StopAttempt() if attempt is None:
-                self._deny(order)
+                self._deny(order, "it never started here")
             case StopAttempt(evict=evict, reason=reason) if attempt is not None:
                 attempt.stop(evict=evict, reason=reason)
             case Throttle(fraction=fraction) if attempt is not None:
@@ -141,6 +141,7 @@
     def _start(self, order: StartAttempt) -> None:
         if order.epoch <= self._task_epochs.get(order.task, Epoch(0)):
             self.refused_orders += 1
+            self._deny(order, "a later attempt at the task was seen here")
             return
         self._task_epochs[order.task] = order.epoch
         attempt = SimulatedAttempt(
@@ -162,11 +163,11 @@
     def _note_change(self) -> None:
         self.changed.set()
 
-    def _deny(self, order: StopAttempt) -> None:
+    def _deny(self, order: Order, detail: str) -> None:
         report = AttemptReport(
             attempt=order.attempt,
             epoch=Epoch(0),
             state=AttemptState.CANCELLED,
-            detail="it never started here",
+            detail=detail,
         )
         self._denied.append(report)
--- /dev/null
+++ b/tests/workers/fleet.py
@@ -0,0 +1,164 @@
+"""A few controllers and stand-in workers in one process."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+
+import trio
+import trio.testing
+
+from rhubarbfield.clock import Clock, TrioClock
+from rhubarbfield.testing.attempts import TrueWork
+from rhubarbfield.testing.observer import Observer
+from rhubarbfield.testing.streams import MemoryNetwork
+from rhubarbfield.testing.worker import StandInWorker, WorkerProfile
+from rhubarbfield.testing.worklog import ControllerLog, MemoryWorkLog
+from rhubarbfield.types import (
+    Epoch,
+    FailureDomain,
+    Incarnation,
+    RackName,
+    TaskId,
+    WorkerId,
+)
+from rhubarbfield.workers import (
+    FromWorker,
+    MessageStream,
+    Resources,
+    StartAttempt,
+    ToWorker,
+    UsageReport,
+    WorkerSessions,
+    WorkerSessionSettings,
+)
+
+SECOND = timedelta(seconds=1)
+SETTINGS = WorkerSessionSettings()
+CAPACITY = Resources(cores=8, memory_mb=8000)
+SMALL = Resources(cores=1, memory_mb=100)
+
+
+class Observations:
+    def __init__(self) -> None:
+        self.reports: list[UsageReport] = []
+
+    def observe(self, worker: WorkerId, session: Epoch, report: UsageReport) -> None:
+        self.reports.append(report)
+
+
+class Controller:
+    """One controller process; it serves workers only while it leads."""
+
+    def __init__(self, fleet: Fleet, address: str) -> None:
+        self.fleet = fleet
+        self.address = address
+        self.log = ControllerLog(fleet.log, leading=False)
+        self.sessions: WorkerSessions | None = None
+        self.scope = trio.CancelScope()
+
+    def lead(self) -> None:
+        self.log.leading = True
+        self.scope = trio.CancelScope()
+        self.sessions = WorkerSessions(
+            SETTINGS,
+            clock=self.fleet.clock,
+            log=self.log,
+            observations=self.fleet.observations,
+        )
+        self.fleet.network.listen(self.address, self.sessions.serve)
+        self.fleet.nursery.start_soon(self.sweep, self.sessions)
+
+    def depose(self, leader: str = "") -> None:
+        """Let it lead no more; its open connections stay."""
+        self.log.leading = False
+        self.log.leader = leader
+        self.scope.cancel()
+
+    def kill(self) -> None:
+        self.depose()
+        self.fleet.network.close(self.address)
+
+    async def sweep(self, sessions: WorkerSessions) -> None:
+        with self.scope:
+            await sessions.sweep()
+
+
+class Fleet:
+    """What a test drives; two controllers, and workers as asked for."""
+
+    def __init__(self, nursery: trio.Nursery, *, run_time: timedelta) -> None:
+        self.nursery = nursery
+        self.clock: Clock = TrioClock()
+        self.run_time = run_time
+        self.log = MemoryWorkLog()
+        self.observer = Observer()
+        self.observations = Observations()
+        self.network = MemoryNetwork(
+            nursery, clients_receive=ToWorker, servers_receive=FromWorker
+        )
+        self.workers: dict[str, StandInWorker] = {}
+        self.controllers = [Controller(self, name) for name in ("c0:1", "c1:1")]
+        self.starts = 0
+
+    async def start_worker(
+        self, name: str, clock: Clock | None = None
+    ) -> StandInWorker:
+        """Start a worker process and let it open its session."""
+        self.starts += 1
+        worker = StandInWorker(
+            WorkerProfile(
+                worker=WorkerId(name),
+                rack=RackName("r1"),
+                domain=FailureDomain("d1"),
+                capacity=CAPACITY,
+            ),
+            incarnation=Incarnation(f"{name}/{self.starts}"),
+            connect=self.network.connect,
+            addresses=[one.address for one in self.controllers],
+            clock=clock or self.clock,
+            rng=random.Random(self.starts),
+            work=self.find_truth,
+            observer=self.observer,
+        )
+        self.workers[name] = worker
+        self.nursery.start_soon(worker.run)
+        await self.sleep(1)
+        return worker
+
+    def find_truth(self, order: StartAttempt) -> TrueWork:
+        return TrueWork(run_time=self.run_time, cores=1, memory_mb=100)
+
+    def place(self, worker: str, task: str, **options: str) -> str:
+        return self.log.place(
+            WorkerId(worker), TaskId(task), resources=SMALL, **options
+        )
+
+    def state(self, attempt: str) -> str:
+        return str(self.log.attempts[attempt].state.value)  # type: ignore[index]
+
+    def streams(self) -> list[MessageStream]:
+        return [
+            s for one in self.controllers for s in self.network.find_open(one.address)
+        ]
+
+    async def sleep(self, seconds: float) -> None:
+        await self.clock.sleep(timedelta(seconds=seconds))
+
+
+def run_fleet(
+    scenario: Callable[[Fleet], Awaitable[None]], *, run_time: float = 20
+) -> Fleet:
+    """Run a scenario on a virtual clock; the first controller leads."""
+
+    async def run() -> Fleet:
+        async with trio.open_nursery() as nursery:
+            fleet = Fleet(nursery, run_time=timedelta(seconds=run_time))
+            fleet.controllers[0].lead()
+            await scenario(fleet)
+            nursery.cancel_scope.cancel()
+        return fleet
+
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    return trio.run(run, clock=clock)
