--- a/src/rhubarbfield/controller/usage.py
+++ b/src/rhubarbfield/controller/usage.py
@@ -39,6 +39,9 @@
     def observe(self, worker: WorkerId, session: Epoch, report: UsageReport) -> None:
         """Take in a report; those that were overtaken are ignored."""
         work = self._log.state.work
+        known = work.workers.get(worker)
+        if known is None:
+            return
         usages = tuple(
             AttemptUsage(
                 attempt=usage.attempt,
@@ -66,7 +69,7 @@
             work,
             PlacementReport(
                 worker=worker,
-                epoch=session,
+                epoch=known.epoch,
                 taken_at=report.taken_at,
                 usages=usages,
                 latencies=tuple(latencies),
--- a/src/rhubarbfield/controller/worklog.py
+++ b/src/rhubarbfield/controller/worklog.py
@@ -84,6 +84,17 @@
         self._domain = domain
         self._clock = clock
         self._find_address = find_workers_address
+        self._sessions: dict[WorkerId, Epoch] = {}
+        log.machine.watch(self._note_admission)
+
+    def _note_admission(self, index: LogIndex, command: Command, reply: Reply) -> None:
+        # Every hello is committed, so the position of the latest is an epoch
+        # above all earlier ones, also those that a snapshot has swallowed.
+        if isinstance(command, AddWorker) and isinstance(reply, WorkerAdded):
+            self._sessions[command.worker] = Epoch(index)
+
+    def _find_session(self, worker: WorkerId) -> Epoch:
+        return self._sessions.get(worker, Epoch(0))
 
     def leads(self) -> bool:
         """Return whether no other controller can lead at this moment."""
@@ -92,7 +103,11 @@
     def sessions(self) -> Mapping[WorkerId, Epoch]:
         """Return the open session of each worker in the log."""
         workers = self._log.state.work.workers.values()
-        return {worker.worker: worker.epoch for worker in workers if worker.present}
+        return {
+            worker.worker: self._find_session(worker.worker)
+            for worker in workers
+            if worker.present
+        }
 
     async def admit(
         self, hello: WorkerHello
@@ -110,7 +125,7 @@
         match added:
             case Success(WorkerAdded(epoch=epoch)):
                 await self._update_capacity(hello, epoch)
-                return Success(self._describe_live(hello, epoch, same))
+                return Success(self._describe_live(hello, same))
             case Success(Refused(reason=reason)):
                 return Failure(WorkerRefused(reason=reason))
             case Failure(failure):
@@ -128,7 +143,7 @@
         """
         if any(held.state in RUNNING_STATES for held in hello.running):
             return Unavailable()
-        lost = await self.lose_worker(known.worker, known.epoch)
+        lost = await self.lose_worker(known.worker, self._find_session(known.worker))
         match lost:
             case Failure(NotLeading() | Unavailable() as failure):
                 return failure
@@ -146,7 +161,7 @@
                 )
             )
 
-    def _describe_live(self, hello: WorkerHello, epoch: Epoch, same: bool) -> Admitted:
+    def _describe_live(self, hello: WorkerHello, same: bool) -> Admitted:
         work = self._log.state.work
         live = []
         for task_id in work.workers[hello.worker].live.values():
@@ -164,7 +179,7 @@
                 )
             )
         return Admitted(
-            session=epoch,
+            session=self._find_session(hello.worker),
             position=self._log.position,
             same_incarnation=same,
             live=tuple(live),
@@ -176,11 +191,12 @@
         """Commit the worker's own word on attempts; repeated ones are harmless."""
         if not self._is_open(worker, session):
             return Failure(SessionEnded())
+        epoch = self._log.state.work.workers[worker].epoch
         committed = tuple(
             CommittedReport(
                 attempt=report.attempt,
                 worker=worker,
-                epoch=session,
+                epoch=epoch,
                 state=ATTEMPT_ENDS.get(report.state, report.state),
                 checkpoint=report.checkpoint,
                 reason=report.detail,
@@ -202,7 +218,7 @@
             LoseWorker(
                 at=self._clock.now(),
                 worker=worker,
-                epoch=session,
+                epoch=self._log.state.work.workers[worker].epoch,
                 reason="its lease has lapsed or it was started afresh",
             )
         )
@@ -224,7 +240,8 @@
 
     def _is_open(self, worker: WorkerId, session: Epoch) -> bool:
         known = self._log.state.work.workers.get(worker)
-        return known is not None and known.present and known.epoch == session
+        present = known is not None and known.present
+        return present and self._find_session(worker) == session
 
     async def _propose(
         self, command: Command
--- a/src/rhubarbfield/peering/__init__.py
+++ b/src/rhubarbfield/peering/__init__.py
@@ -5,7 +5,7 @@
 :class:`CallMethod`, all of them plain trio.
 """
 
-from rhubarbfield.peering.client import Connection, connect, open_connection
+from rhubarbfield.peering.client import Connection, connect, dial, open_connection
 from rhubarbfield.peering.credentials import Credentials
 from rhubarbfield.peering.links import PeerLinks, serve_link
 from rhubarbfield.peering.ports import (
@@ -29,6 +29,7 @@
     "PeerLinks",
     "StreamMethod",
     "connect",
+    "dial",
     "open_connection",
     "serve_link",
     "serve_methods",
--- a/src/rhubarbfield/peering/client.py
+++ b/src/rhubarbfield/peering/client.py
@@ -146,3 +146,25 @@
         yield connection
     finally:
         connection.close()
+
+
+@asynccontextmanager
+async def dial(
+    address: str,
+    method: StreamMethod,
+    *,
+    credentials: Credentials,
+    encoding: Encoding = Encoding.MSGPACK,
+) -> AsyncIterator[MessageStream | None]:
+    """Yield a stream to ``host:port`` on a connection of its own.
+
+    It is None when the other side can't be reached.
+    """
+    host, _, port = address.rpartition(":")
+    async with (
+        connect(
+            host, int(port), credentials=credentials, encoding=encoding
+        ) as connection,
+        connection.open(method) as stream,
+    ):
+        yield stream
