--- /dev/null
+++ b/src/rhubarbfield/routing/ledger.py
@@ -0,0 +1,174 @@
+"""Exact counts of the slots and connections of owned backend servers.
+
+An entry owns a backend server under a lease of its failure domain's
+controller. As long as the lease is valid, nobody else sends requests there,
+so that the counts kept here are the whole truth but for requests left behind:
+those given up on, and those of an owner before this one. These keep their
+slots until the backend server's own report, or the longest timeout, proves
+their end.
+"""
+
+from __future__ import annotations
+
+import itertools
+from datetime import timedelta
+
+import msgspec
+
+from rhubarbfield.exceptions import check_invariant
+from rhubarbfield.routing.grants import BackendGrant, Reservation, ServerReport
+from rhubarbfield.routing.settings import LiveSettings
+from rhubarbfield.types import RequestId
+
+
+class _Abandoned(msgspec.Struct, frozen=True):
+    request_id: RequestId
+    closed_at: timedelta
+    until: timedelta
+
+
+class SlotLedger:
+    """The slots of one owned backend server.
+
+    Parameters
+    ----------
+    grant
+        The lease that came first.
+    granted_at
+        Monotonic time of its arrival.
+    settings
+        Limits of the request path.
+    """
+
+    def __init__(
+        self, grant: BackendGrant, granted_at: timedelta, settings: LiveSettings
+    ) -> None:
+        self.grant = grant
+        self.granted_at = granted_at
+        self.leaving = False
+        self._settings = settings
+        self._serials = itertools.count()
+        self._active: dict[int, Reservation] = {}
+        self._abandoned: dict[int, _Abandoned] = {}
+        self._inherited = 0
+        self._inherited_until = granted_at
+        self._inherit(grant, granted_at)
+
+    def _inherit(self, grant: BackendGrant, now: timedelta) -> None:
+        if grant.taken_until is not None and grant.taken_until > now:
+            self._inherited = grant.slots
+            self._inherited_until = grant.taken_until
+            self.granted_at = now
+
+    @property
+    def limit(self) -> int:
+        """How many requests may be there at once."""
+        return max(0, min(self.grant.slots, self.grant.connections))
+
+    @property
+    def idle_connections(self) -> int:
+        """How many idle connections may be kept.
+
+        An owner uses at most half of the connections, so that its successor
+        finds room even if it froze with all of them open.
+        """
+        spare = self.grant.connections // 2 - self.limit
+        return max(0, min(self.limit, spare))
+
+    @property
+    def running(self) -> int:
+        """How many requests have been dispatched and not been given up on."""
+        return len(self._active)
+
+    def count_used(self, now: timedelta) -> int:
+        """Return the slots in use, with those whose end is not proved."""
+        self._expire(now)
+        return len(self._active) + len(self._abandoned) + self._inherited
+
+    def is_serving(self, now: timedelta) -> bool:
+        """Say whether the lease is valid and the backend server stays."""
+        return not self.leaving and now < self.grant.valid_until
+
+    def is_idle(self, now: timedelta) -> bool:
+        """Say whether no slot is in use."""
+        return self.count_used(now) == 0
+
+    def count_room(self, now: timedelta) -> int:
+        """Return how many more requests may be dispatched."""
+        if not self.is_serving(now):
+            return 0
+        return max(0, self.limit - self.count_used(now))
+
+    def replace_grant(self, grant: BackendGrant, now: timedelta) -> None:
+        """Take a grant of the same or a newer epoch."""
+        if grant.epoch > self.grant.epoch:
+            self._inherit(grant, now)
+            self.leaving = False
+        self.grant = grant
+
+    def reserve(self, request_id: RequestId, now: timedelta) -> Reservation | None:
+        """Take a slot for ``request_id``, or return ``None`` if there is none."""
+        if self.count_room(now) <= 0:
+            return None
+        settings = self._settings.current
+        reservation = Reservation(
+            server=self.grant.server,
+            serial=next(self._serials),
+            request_id=request_id,
+            started_at=now,
+            ends_by=now + settings.longest_timeout + settings.settle_time,
+        )
+        self._active[reservation.serial] = reservation
+        used = self.count_used(now)
+        check_invariant(
+            used <= self.limit, "slots-within-grant", f"{used} of {self.limit} used"
+        )
+        return reservation
+
+    def release(self, reservation: Reservation) -> None:
+        """Free the slot of a request whose end is proved."""
+        held = self._active.pop(reservation.serial, None)
+        check_invariant(
+            held == reservation, "slot-released-once", reservation.request_id
+        )
+
+    def abandon(self, reservation: Reservation, now: timedelta) -> None:
+        """Give up on a request that may still run; its slot stays taken."""
+        self.release(reservation)
+        self._abandoned[reservation.serial] = _Abandoned(
+            reservation.request_id, now, reservation.ends_by
+        )
+
+    def take_report(self, report: ServerReport, now: timedelta) -> None:
+        """Free the slots that the backend server's own word proves free."""
+        counted_after = report.counted_after
+        if counted_after is None:
+            counted_after = now - self._settings.current.report_age
+        known = counted_after - self._settings.current.settle_time
+        if known >= self.granted_at:
+            self._inherited = min(self._inherited, self._count_foreign(report))
+        ended = [
+            serial
+            for serial, abandoned in self._abandoned.items()
+            if abandoned.closed_at <= known
+            and abandoned.request_id not in (report.running_ids or ())
+        ]
+        if report.running_ids is None:
+            ended = ended[: max(0, len(ended) - report.running)]
+        for serial in ended:
+            del self._abandoned[serial]
+
+    def _count_foreign(self, report: ServerReport) -> int:
+        if report.running_ids is None:
+            return report.running
+        own = {each.request_id for each in self._active.values()}
+        own.update(each.request_id for each in self._abandoned.values())
+        return len(report.running_ids - own)
+
+    def _expire(self, now: timedelta) -> None:
+        if self._inherited and now >= self._inherited_until:
+            self._inherited = 0
+        if self._abandoned:
+            over = [key for key, each in self._abandoned.items() if now >= each.until]
+            for serial in over:
+                del self._abandoned[serial]
