Run the whole path as separate processes on loopback

Seen on the way and still open: a witness that is elected leads a domain it can't serve, and work starts seconds late because waits miss changes.

--- a/src/rhubarbfield/cli/standins.py
+++ b/src/rhubarbfield/cli/standins.py
@@ -21,6 +21,7 @@
     flags.DEFINE_integer("port", 0, "Port it answers on.", flag_values=values)
     flags.DEFINE_integer("slots", 8, "Requests it runs at once.", flag_values=values)
     flags.DEFINE_integer("connections", 64, "Connections.", flag_values=values)
+    flags.DEFINE_string("domain", "", "Failure domain of a worker.", flag_values=values)
     flags.DEFINE_string("rack", "r1", "Rack of a worker.", flag_values=values)
     flags.DEFINE_float("cores", 32, "Cores of a worker.", flag_values=values)
     flags.DEFINE_integer("memory_mb", 125_000, "Memory.", flag_values=values)
--- a/src/rhubarbfield/entry/daemon.py
+++ b/src/rhubarbfield/entry/daemon.py
@@ -29,7 +29,7 @@
 from rhubarbfield.peering import Credentials, Encoding, serve_methods
 from rhubarbfield.protocol import DOMAIN_CALL, LeaderCalls
 from rhubarbfield.protocol.workers import BACKEND_SERVER_STREAM
-from rhubarbfield.routing import OwnedServers, Router
+from rhubarbfield.routing import LiveSettings, OwnedServers, Router
 from rhubarbfield.settings import Settings
 from rhubarbfield.types import FailureDomain, Incarnation, InstanceName
 
@@ -67,7 +67,7 @@
         self._name = InstanceName(settings.instance.name)
         self._domain = FailureDomain(settings.instance.failure_domain)
         self._readiness = Readiness()
-        routing = make_routing_settings(settings)
+        routing = LiveSettings(make_routing_settings(settings))
         self._servers = OwnedServers(clock, routing)
         self._grants = RouterGrants(self._servers, routing, clock)
         self._domain_calls = self._make_domain_calls()
--- a/src/rhubarbfield/entry/grants.py
+++ b/src/rhubarbfield/entry/grants.py
@@ -9,8 +9,8 @@
 from rhubarbfield.entry.session import EntrySession
 from rhubarbfield.routing import (
     BackendGrant,
+    LiveSettings,
     OwnedServers,
-    RoutingSettings,
     ServerReport,
 )
 from rhubarbfield.types import BackendServerId, BackendServerState, Epoch
@@ -33,7 +33,7 @@
     """
 
     def __init__(
-        self, servers: OwnedServers, settings: RoutingSettings, clock: Clock
+        self, servers: OwnedServers, settings: LiveSettings, clock: Clock
     ) -> None:
         self._servers = servers
         self._settings = settings
@@ -50,7 +50,8 @@
         self._until[announce.server] = (granted.epoch, until)
         taken_until = None
         if not granted.settled:
-            longest = self._settings.longest_timeout + self._settings.settle_time
+            limits = self._settings.current
+            longest = limits.longest_timeout + limits.settle_time
             taken_until = self._clock.monotonic() + longest
         self._servers.grant(
             BackendGrant(
--- /dev/null
+++ b/src/rhubarbfield/standins.py
@@ -0,0 +1,148 @@
+"""Running the stand-ins of :mod:`rhubarbfield.testing` as processes."""
+
+from __future__ import annotations
+
+import contextlib
+import logging
+import secrets
+import signal
+from collections.abc import Callable
+from functools import partial
+from typing import Any
+
+import trio
+import trio_asyncio
+from returns.result import Failure, Success
+
+from rhubarbfield.announcements import Announce
+from rhubarbfield.exceptions import UsageError
+from rhubarbfield.logs import configure_logging
+from rhubarbfield.peering import Credentials, Encoding, StreamMethod, dial
+from rhubarbfield.protocol.workers import BACKEND_SERVER_STREAM, WORKER_STREAM
+from rhubarbfield.settings.secrets import load_secret
+from rhubarbfield.testing.announcer import announce
+from rhubarbfield.testing.backend import (
+    StandInBackend,
+    StandInSettings,
+    serve_backend,
+)
+from rhubarbfield.testing.worker import WorkerProfile, run_worker
+from rhubarbfield.types import (
+    BackendServerId,
+    FailureDomain,
+    Incarnation,
+    RackName,
+    ServiceName,
+    WorkerId,
+)
+from rhubarbfield.workers import Resources
+
+logger = logging.getLogger(__name__)
+
+INCARNATION_BYTES = 8
+
+
+class DescribedBackend:
+    """What a stand-in backend server announces of itself.
+
+    Parameters
+    ----------
+    backend
+        The stand-in.
+    server
+        Its id.
+    """
+
+    def __init__(self, backend: StandInBackend, server: BackendServerId) -> None:
+        self._backend = backend
+        self._server = server
+        self._incarnation = Incarnation(secrets.token_hex(INCARNATION_BYTES))
+
+    def describe(self) -> Announce:
+        """Return the announcement as of now."""
+        settings = self._backend.settings
+        return Announce(
+            number=0,
+            server=self._server,
+            service=ServiceName(settings.service),
+            incarnation=self._incarnation,
+            host="127.0.0.1",
+            port=self._backend.port,
+            slots=settings.slots,
+            connections=settings.connections,
+            state=self._backend.state,
+            running=self._backend.observe().running,
+            echoes_request_id=True,
+        )
+
+
+def run_stand_in(kind: str, values: Any) -> int:
+    """Run one stand-in until it is told to stop.
+
+    Parameters
+    ----------
+    kind
+        ``backend`` or ``worker``.
+    values
+        The flags of the subcommand.
+
+    Returns
+    -------
+    int
+        The exit code.
+    """
+    for name in ("name", "secret_file"):
+        if getattr(values, name) is None:
+            raise UsageError(f"--{name} is required")
+    if not values.to:
+        raise UsageError("--to is required, at least once")
+    configure_logging("info")
+    run = _run_backend if kind == "backend" else _run_worker
+    trio.run(_run_until_signal, partial(run, values))
+    return 0
+
+
+async def _run_until_signal(run: Callable[[], Any]) -> None:
+    async with trio_asyncio.open_loop(), trio.open_nursery() as nursery:
+        nursery.start_soon(run)
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async for _ in signals:
+                nursery.cancel_scope.cancel()
+                return
+
+
+def _make_connect(
+    method: StreamMethod, secret_file: str
+) -> Callable[[str], contextlib.AbstractAsyncContextManager[Any]]:
+    match load_secret(secret_file):
+        case Success(secret):
+            credentials = Credentials(secret=secret.decode())
+        case Failure(errors):
+            raise UsageError(errors.format())
+    return partial(dial, method=method, credentials=credentials, encoding=Encoding.JSON)
+
+
+async def _run_backend(values: Any) -> None:
+    settings = StandInSettings(
+        service=values.service, slots=values.slots, connections=values.connections
+    )
+    connect = _make_connect(BACKEND_SERVER_STREAM, values.secret_file)
+    async with trio.open_nursery() as nursery:
+        backend = await nursery.start(serve_backend, settings, values.port)
+        described = DescribedBackend(backend, BackendServerId(values.name))
+        await announce(described, connect=connect, addresses=values.to)
+
+
+async def _run_worker(values: Any) -> None:
+    profile = WorkerProfile(
+        worker=WorkerId(values.name),
+        rack=RackName(values.rack),
+        domain=FailureDomain(values.domain),
+        capacity=Resources(
+            cores=values.cores,
+            memory_mb=values.memory_mb,
+            accelerators=values.accelerators,
+        ),
+    )
+    connect = _make_connect(WORKER_STREAM, values.secret_file)
+    await run_worker(profile, connect=connect, addresses=values.to)
