Let a witness hand leadership over, and miss no change

Cause of the failure domain without service: its witness, in another domain, was elected and kept the leadership, and a controller serves only its own domain.

Cause of work that started 4 s after its command: the loops slept between looking at the state and waiting for a change, and a change in that gap was waited for until the idle limit. Ruled out: the round interval (0.25 s) and leases. Waits now name the count of changes they have seen.

--- a/src/rhubarbfield/controller/daemon.py
+++ b/src/rhubarbfield/controller/daemon.py
@@ -187,7 +187,10 @@
             if self._name not in group.members:
                 continue
             log = self._make_log(
-                name_domain_group(group.domain), group.voters, make_domain_machine()
+                name_domain_group(group.domain),
+                group.voters,
+                make_domain_machine(),
+                reluctant=group.domain != self._domain,
             )
             if group.domain == self._domain:
                 own = log
@@ -199,6 +202,8 @@
         group: GroupId,
         voters: tuple[InstanceName, ...],
         machine: SectionedMachine[Any],
+        *,
+        reluctant: bool = False,
     ) -> ReplicatedLog[Any]:
         replica = Replica(
             group=group,
@@ -210,6 +215,7 @@
             clock=self._clock,
             random=self._rng,
             settings=self._group_settings,
+            reluctant=reluctant,
         )
         self._replicas[group] = replica
         return ReplicatedLog(replica, machine)
@@ -341,7 +347,10 @@
 
     def _find_workers_address(self, name: InstanceName | None) -> str:
         instance = self._settings.fleet.find_instance(name) if name else None
-        return f"{instance.host}:{instance.workers_port}" if instance else ""
+        # A witness may lead for a moment, but serves no workers of the domain.
+        if instance is None or instance.failure_domain != self._domain:
+            return ""
+        return f"{instance.host}:{instance.workers_port}"
 
 
 async def run_controller(
--- a/src/rhubarbfield/controller/delegating.py
+++ b/src/rhubarbfield/controller/delegating.py
@@ -50,12 +50,13 @@
     async def run(self) -> None:
         """Delegate until cancelled."""
         while True:
+            seen = self._log.changes
             for job in list(self._log.state.fleet.jobs.values()):
                 if self._needs_domain(job):
                     await self._delegate(job)
             await self._clock.sleep(ROUND_INTERVAL)
             with trio.move_on_after(IDLE_INTERVAL.total_seconds()):
-                await self._log.wait_change()
+                await self._log.wait_change(seen)
 
     def _needs_domain(self, job: FleetJob) -> bool:
         lost = self._log.state.fleet.lost_domains
--- a/src/rhubarbfield/controller/entrysessions.py
+++ b/src/rhubarbfield/controller/entrysessions.py
@@ -145,6 +145,7 @@
         known: dict[BackendServerId, DirectoryEntry] = {}
         first = True
         while True:
+            seen = self._log.changes
             current = {
                 entry.server: entry
                 for entry in list_directory(self._log.state.ownership)
@@ -155,19 +156,20 @@
                 return
             known = current
             first = False
-            await self._log.wait_change()
+            await self._log.wait_change(seen)
             await self._clock.sleep(PUSH_INTERVAL)
 
     async def _push_configuration(self, stream: MessageStream) -> None:
         version: ConfigurationVersion | None = None
         while True:
+            seen = self._fleet_log.changes
             configuration = self._fleet_log.state.fleet.configuration
             if configuration.version != version:
                 version = configuration.version
                 update = ConfigurationUpdate(configuration=configuration)
                 if not await stream.send(update):
                     return
-            await self._fleet_log.wait_change()
+            await self._fleet_log.wait_change(seen)
 
     async def _end(self, entry: InstanceName, epoch: Epoch) -> None:
         proposed = await self._log.propose(
--- a/src/rhubarbfield/controller/planning.py
+++ b/src/rhubarbfield/controller/planning.py
@@ -70,10 +70,11 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._forget_finished)
             while True:
+                seen = self._log.changes
                 await self._run_round()
                 await self._clock.sleep(ROUND_INTERVAL)
                 with trio.move_on_after(IDLE_INTERVAL.total_seconds()):
-                    await self._log.wait_change()
+                    await self._log.wait_change(seen)
 
     async def _run_round(self) -> None:
         view = self._usage.observations
--- a/src/rhubarbfield/controller/reconciling.py
+++ b/src/rhubarbfield/controller/reconciling.py
@@ -9,6 +9,7 @@
 import logging
 from collections.abc import Awaitable, Callable, Iterator
 from datetime import timedelta
+from functools import partial
 from typing import Protocol
 
 import trio
@@ -95,13 +96,16 @@
     async def run(self) -> None:
         """Compare after each change, and now and then without one."""
         while True:
+            seen = (self._log.changes, self._fleet_log.changes)
             for command in list(self._list_domain_commands()):
                 if not isinstance(await self._log.propose(command), Success):
                     break
             await self._report_all()
             await self._clock.sleep(ROUND_INTERVAL)
             await _wait_any(
-                IDLE_INTERVAL, self._log.wait_change, self._fleet_log.wait_change
+                IDLE_INTERVAL,
+                partial(self._log.wait_change, seen[0]),
+                partial(self._fleet_log.wait_change, seen[1]),
             )
 
     def _list_domain_commands(self) -> Iterator[Command]:
--- a/src/rhubarbfield/controller/replicated.py
+++ b/src/rhubarbfield/controller/replicated.py
@@ -43,6 +43,7 @@
         self.replica = replica
         self.machine = machine
         self._changed = trio.Event()
+        self._changes = 0
         machine.watch(self._note_change)
 
     @property
@@ -71,11 +72,25 @@
                 return Failure(_describe_error(error))
         raise AssertionError
 
-    async def wait_change(self) -> None:
-        """Wait until one more command has been applied on this instance."""
-        await self._changed.wait()
+    @property
+    def changes(self) -> int:
+        """How many commands have been applied since this process started."""
+        return self._changes
+
+    async def wait_change(self, seen: int) -> None:
+        """Wait until more than ``seen`` commands have been applied here.
+
+        Parameters
+        ----------
+        seen
+            What :attr:`changes` was before the state was last looked at; a
+            change since then is not waited for again.
+        """
+        if self._changes <= seen:
+            await self._changed.wait()
 
     def _note_change(self, index: LogIndex, command: Command, reply: Reply) -> None:
+        self._changes += 1
         self._changed.set()
         self._changed = trio.Event()
 
--- a/src/rhubarbfield/peering/server.py
+++ b/src/rhubarbfield/peering/server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Any
@@ -29,6 +30,13 @@
 GrpcHandler = Callable[[Any], Awaitable[None]]
 
 
+def _pass_on_cancellation() -> None:
+    """Tell grpclib that a handler it cancelled has ended for that reason."""
+    task = asyncio.current_task()
+    if task is not None and task.cancelling():
+        raise asyncio.CancelledError
+
+
 class _Service:
     """A grpclib service whose methods are trio functions."""
 
@@ -82,6 +90,7 @@
                 raise GRPCError(Status.INVALID_ARGUMENT, str(error)) from error
             except TRANSPORT_ERRORS as error:
                 logger.debug("stream-lost path=%s error=%r", path, error)
+            _pass_on_cancellation()
 
         return run_guarded
 
--- a/src/rhubarbfield/replication/leader.py
+++ b/src/rhubarbfield/replication/leader.py
@@ -192,12 +192,20 @@
                 peer.beat()
             self._proposals.expire(state.now)
             self._drop_silent_learners()
+            if state.reluctant and self.is_settled and self._find_successor():
+                logger.info("leadership-yielded group=%s", state.group)
+                state.step_down()
             await state.clock.sleep(state.settings.heartbeat)
             grace = self._elected_at + state.settings.lease
             if state.now > max(grace, self._find_lease_end()):
                 logger.warning("quorum-lost group=%s term=%d", state.group, state.term)
                 state.step_down()
 
+    def _find_successor(self) -> ReplicaId | None:
+        """Return a voter in contact that has all that is committed, if any."""
+        others = [peer for peer in self.peers if peer in self._state.log.quorum.voters]
+        return next((peer for peer in others if self.is_caught_up(peer)), None)
+
     def _find_lease_end(self) -> timedelta:
         state = self._state
         heard = state.log.quorum.find_agreed(self._get_acknowledged)
--- a/src/rhubarbfield/replication/replica.py
+++ b/src/rhubarbfield/replication/replica.py
@@ -67,6 +67,9 @@
         store is drawn from it.
     settings
         Times and sizes, the same in the whole group.
+    reluctant
+        Leads only if no other voter can, and only until one has caught up:
+        for a witness that votes from outside.
     """
 
     def __init__(
@@ -81,6 +84,7 @@
         clock: Clock,
         random: Random,
         settings: GroupSettings,
+        reluctant: bool = False,
     ) -> None:
         self.group = group
         self.name = name
@@ -91,6 +95,7 @@
         self._clock = clock
         self._random = random
         self._settings = settings
+        self._reluctant = reluctant
         self._proposals = Proposals(settings.max_pending)
         self._parts: ReplicaParts | None = None
         self._store_note: StoreFailure | None = None
@@ -288,5 +293,6 @@
             clock=self._clock,
             random=self._random,
             settings=self._settings,
+            reluctant=self._reluctant,
         )
         return ReplicaParts(state, self._machine, self._proposals, self._bootstrap)
--- a/src/rhubarbfield/replication/state.py
+++ b/src/rhubarbfield/replication/state.py
@@ -24,6 +24,7 @@
 
 LONG_AGO = timedelta(days=-365)
 MICROSECOND = timedelta(microseconds=1)
+RELUCTANCE = 2
 
 
 class MessageSender(Protocol):
@@ -60,7 +61,7 @@
         Its log.
     sender
         The way to the peers.
-    clock, random, settings
+    clock, random, settings, reluctant
         As the replica was given them.
     """
 
@@ -74,6 +75,7 @@
         clock: Clock,
         random: Random,
         settings: GroupSettings,
+        reluctant: bool = False,
     ) -> None:
         self.group = group
         self.id = replica_id
@@ -81,6 +83,7 @@
         self.clock = clock
         self.random = random
         self.settings = settings
+        self.reluctant = reluctant
         self._sender = sender
         self.role = Role.FOLLOWER
         self.leader: ReplicaId | None = None
@@ -168,7 +171,8 @@
         """Wait anew for a random time before asking for votes."""
         low = self.settings.election_min / MICROSECOND
         high = self.settings.election_max / MICROSECOND
-        self.election_due = self.now + self.random.uniform(low, high) * MICROSECOND
+        wait = self.random.uniform(low, high) * MICROSECOND
+        self.election_due = self.now + (wait * RELUCTANCE if self.reluctant else wait)
 
     def lead(self) -> None:
         """Become the leader of the current term."""
--- a/tests/replication/group.py
+++ b/tests/replication/group.py
@@ -111,6 +111,7 @@
             clock=self.clock,
             random=Random(group.random.random()),
             settings=group.settings,
+            reluctant=self.name in group.reluctant,
         )
         group.network.attach(self.name, self.clock, self.replica.deliver)
         await group.nursery.start(self._run, self.replica, self._scope)
@@ -160,7 +161,9 @@
         learners: str = "",
         settings: GroupSettings | None = None,
         drift: float = 0.0,
+        reluctant: str = "",
     ) -> None:
+        self.reluctant = reluctant
         self.nursery = nursery
         self.random = Random(seed)
         self.settings = settings or GroupSettings()
