--- a/src/rhubarbfield/backends/http.py
+++ b/src/rhubarbfield/backends/http.py
@@ -30,6 +30,7 @@
 from rhubarbfield.types import BackendServerId
 
 REQUEST_ID_HEADER = "Rhubarbfield-Request-Id"
+DISPATCH_HEADER = "Rhubarbfield-Dispatch-Id"
 EPOCH_HEADER = "Rhubarbfield-Epoch"
 TIMEOUT_HEADER = "Rhubarbfield-Timeout"
 TENANT_HEADER = "Rhubarbfield-Tenant"
@@ -178,6 +179,7 @@
         if each.name.lower() not in DROPPED_HEADERS and each.name.lower() != "host"
     ]
     headers.append((REQUEST_ID_HEADER, request.request_id))
+    headers.append((DISPATCH_HEADER, server.dispatch_id))
     headers.append((EPOCH_HEADER, str(server.epoch)))
     headers.append((TIMEOUT_HEADER, f"{timeout.total_seconds():.3f}"))
     headers.append((TENANT_HEADER, request.tenant))
--- a/src/rhubarbfield/routing/__init__.py
+++ b/src/rhubarbfield/routing/__init__.py
@@ -28,6 +28,7 @@
 from rhubarbfield.routing.requests import (
     BackendAnswer,
     CallerRequest,
+    DispatchId,
     Header,
     Refusal,
     RefusalReason,
@@ -53,6 +54,7 @@
     "CallerRequest",
     "Candidate",
     "ClassSettings",
+    "DispatchId",
     "ExchangeFailure",
     "FailureReason",
     "FirstAnswer",
--- a/src/rhubarbfield/routing/admission.py
+++ b/src/rhubarbfield/routing/admission.py
@@ -55,11 +55,18 @@
         self._clock = clock
         self._settings = settings
         self.neighbours = Neighbours(siblings, clock, rng, settings)
+        self._pushed = trio.Event()
         self._rooms: dict[ServiceName, WaitingRoom] = {}
         self._drains: defaultdict[ServiceName, DrainRate] = defaultdict(
             lambda: DrainRate(settings)
         )
 
+    async def wait_for_waiter(self) -> None:
+        """Return once any request waits."""
+        while not any(len(room) for room in self._rooms.values()):
+            self._pushed = trio.Event()
+            await self._pushed.wait()
+
     def count_waiting(self, service: ServiceName) -> int:
         """Return how many requests of ``service`` wait."""
         return len(self._rooms.get(service, ()))
@@ -150,6 +157,7 @@
             if excess is not None:
                 self._refuse_excess(excess)
         room.push(waiter)
+        self._pushed.set()
 
     def _assign(self, waiter: Waiter) -> Assignment | None:
         request = waiter.request
--- a/src/rhubarbfield/routing/attempts.py
+++ b/src/rhubarbfield/routing/attempts.py
@@ -112,17 +112,16 @@
                 run.may_have_run = True
             if outcome.again is not _Again.FREE:
                 attempts += 1
-            if not self._may_try_again(outcome, attempts):
+            if not self._may_try_again(run, outcome, attempts):
                 return Failure(self._conclude(run, outcome.refusal))
             returning = True
 
-    def _may_try_again(self, failed: _Failed, attempts: int) -> bool:
+    def _may_try_again(self, run: Run, failed: _Failed, attempts: int) -> bool:
+        if failed.again is _Again.NEVER or self._clock.monotonic() >= run.deadline:
+            return False
         if failed.again is _Again.FREE:
             return True
-        if (
-            failed.again is _Again.NEVER
-            or attempts >= self._settings.current.attempts_limit
-        ):
+        if attempts >= self._settings.current.attempts_limit:
             return False
         if not self._budget.withdraw():
             return False
--- a/src/rhubarbfield/routing/dispatch.py
+++ b/src/rhubarbfield/routing/dispatch.py
@@ -77,7 +77,7 @@
     async def _send(
         self, place: Place, request: CallerRequest, deadline: timedelta
     ) -> Exchanged:
-        target = self._servers.make_target(place.ledger)
+        target = self._servers.make_target(place.ledger, place.reservation)
         if target is None:
             return Failure(
                 ExchangeFailure(reach=Reach.NOT_SENT, reason=FailureReason.LEASE_LAPSED)
--- a/src/rhubarbfield/routing/grants.py
+++ b/src/rhubarbfield/routing/grants.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from rhubarbfield.routing.requests import DispatchId
 from rhubarbfield.types import BackendServerId, Epoch, RequestId, ServiceName
 
 
@@ -25,6 +26,8 @@
     taken_until
         Monotonic time up to which requests of an earlier owner may run;
         ``None`` if there was none.
+    leaving
+        Whether nothing new may be sent, as the backend server is leaving.
     answers_until_close
         Whether the backend server announced answers that end with their
         connection, without a length.
@@ -38,6 +41,7 @@
     epoch: Epoch
     valid_until: timedelta
     taken_until: timedelta | None = None
+    leaving: bool = False
     answers_until_close: bool = False
 
 
@@ -62,7 +66,9 @@
     Attributes
     ----------
     serial
-        Tells apart several attempts at one request.
+        Counts the reservations of this owner.
+    dispatch_id
+        Tells apart all attempts ever sent to the backend server, of any owner.
     started_at
         Monotonic time at which the slot was taken.
     ends_by
@@ -71,6 +77,7 @@
 
     server: BackendServerId
     serial: int
+    dispatch_id: DispatchId
     request_id: RequestId
     started_at: timedelta
     ends_by: timedelta
@@ -87,10 +94,10 @@
         A monotonic time of this entry that is surely before the count, such
         as when the report was asked for; ``None`` if only its age is bounded.
     running_ids
-        The requests it ran, if it says so.
+        The dispatches it ran, if it says so.
     """
 
     server: BackendServerId
     running: int
     counted_after: timedelta | None = None
-    running_ids: frozenset[RequestId] | None = None
+    running_ids: frozenset[DispatchId] | None = None
--- a/src/rhubarbfield/routing/ledger.py
+++ b/src/rhubarbfield/routing/ledger.py
@@ -17,12 +17,13 @@
 
 from rhubarbfield.exceptions import check_invariant
 from rhubarbfield.routing.grants import BackendGrant, Reservation, ServerReport
+from rhubarbfield.routing.requests import DispatchId
 from rhubarbfield.routing.settings import LiveSettings
 from rhubarbfield.types import RequestId
 
 
 class _Abandoned(msgspec.Struct, frozen=True):
-    request_id: RequestId
+    dispatch_id: DispatchId
     closed_at: timedelta
     until: timedelta
 
@@ -45,7 +46,7 @@
     ) -> None:
         self.grant = grant
         self.granted_at = granted_at
-        self.leaving = False
+        self.leaving = grant.leaving
         self._settings = settings
         self._serials = itertools.count()
         self._active: dict[int, Reservation] = {}
@@ -104,6 +105,7 @@
         if grant.epoch > self.grant.epoch:
             self._inherit(grant, now)
             self.leaving = False
+        self.leaving = self.leaving or grant.leaving
         self.grant = grant
 
     def reserve(self, request_id: RequestId, now: timedelta) -> Reservation | None:
@@ -111,9 +113,11 @@
         if self.count_room(now) <= 0:
             return None
         settings = self._settings.current
+        serial = next(self._serials)
         reservation = Reservation(
             server=self.grant.server,
-            serial=next(self._serials),
+            serial=serial,
+            dispatch_id=DispatchId(f"{self.grant.epoch}.{serial}"),
             request_id=request_id,
             started_at=now,
             ends_by=now + settings.longest_timeout + settings.settle_time,
@@ -136,7 +140,7 @@
         """Give up on a request that may still run; its slot stays taken."""
         self.release(reservation)
         self._abandoned[reservation.serial] = _Abandoned(
-            reservation.request_id, now, reservation.ends_by
+            reservation.dispatch_id, now, reservation.ends_by
         )
 
     def take_report(self, report: ServerReport, now: timedelta) -> None:
@@ -151,7 +155,7 @@
             serial
             for serial, abandoned in self._abandoned.items()
             if abandoned.closed_at <= known
-            and abandoned.request_id not in (report.running_ids or ())
+            and abandoned.dispatch_id not in (report.running_ids or ())
         ]
         if report.running_ids is None:
             ended = ended[: max(0, len(ended) - report.running)]
@@ -161,8 +165,8 @@
     def _count_foreign(self, report: ServerReport) -> int:
         if report.running_ids is None:
             return report.running
-        own = {each.request_id for each in self._active.values()}
-        own.update(each.request_id for each in self._abandoned.values())
+        own = {each.dispatch_id for each in self._active.values()}
+        own.update(each.dispatch_id for each in self._abandoned.values())
         return len(report.running_ids - own)
 
     def _expire(self, now: timedelta) -> None:
--- a/src/rhubarbfield/routing/ports.py
+++ b/src/rhubarbfield/routing/ports.py
@@ -10,7 +10,12 @@
 import msgspec
 from returns.result import Result
 
-from rhubarbfield.routing.requests import BackendAnswer, CallerRequest, Refusal
+from rhubarbfield.routing.requests import (
+    BackendAnswer,
+    CallerRequest,
+    DispatchId,
+    Refusal,
+)
 from rhubarbfield.types import (
     BackendServerId,
     Epoch,
@@ -32,6 +37,8 @@
         ``host:port`` of the backend server.
     epoch
         Of the lease; the backend server refuses older ones.
+    dispatch_id
+        Tells apart all attempts ever sent to the backend server.
     valid_until
         Monotonic time after which no byte may be sent.
     idle_connections
@@ -43,6 +50,7 @@
     server: BackendServerId
     address: str
     epoch: Epoch
+    dispatch_id: DispatchId
     valid_until: timedelta
     idle_connections: int = 0
     answers_until_close: bool = False
--- a/src/rhubarbfield/routing/requests.py
+++ b/src/rhubarbfield/routing/requests.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable
 from datetime import timedelta
 from enum import StrEnum
+from typing import NewType
 
 import msgspec
 
@@ -18,6 +19,8 @@
     Tenant,
 )
 
+DispatchId = NewType("DispatchId", str)
+
 
 class Header(msgspec.Struct, frozen=True, array_like=True):
     """One header field.
@@ -91,6 +94,7 @@
     DEADLINE = "deadline"
     QUOTA = "quota"
     CALLER_LEFT = "caller-left"
+    ENTRY_STOPPED = "entry-stopped"
     BACKEND_UNREACHABLE = "backend-unreachable"
     REFUSED_BY_SERVER = "refused-by-server"
     ANSWER_LOST = "answer-lost"
--- a/src/rhubarbfield/routing/servers.py
+++ b/src/rhubarbfield/routing/servers.py
@@ -10,7 +10,12 @@
 
 from rhubarbfield.clock import Clock
 from rhubarbfield.exceptions import check_invariant
-from rhubarbfield.routing.grants import BackendGrant, ServerReport, StaleGrant
+from rhubarbfield.routing.grants import (
+    BackendGrant,
+    Reservation,
+    ServerReport,
+    StaleGrant,
+)
 from rhubarbfield.routing.ledger import SlotLedger
 from rhubarbfield.routing.ports import BackendTarget
 from rhubarbfield.routing.settings import LiveSettings
@@ -123,7 +128,9 @@
         ledgers = self.iterate(service)
         return sum(each.limit for each in ledgers if now < each.grant.valid_until)
 
-    def make_target(self, ledger: SlotLedger) -> BackendTarget | None:
+    def make_target(
+        self, ledger: SlotLedger, reservation: Reservation
+    ) -> BackendTarget | None:
         """Return where to send now, or ``None`` if the lease has lapsed."""
         grant = ledger.grant
         if self._clock.monotonic() >= grant.valid_until:
@@ -132,6 +139,7 @@
             server=grant.server,
             address=grant.address,
             epoch=grant.epoch,
+            dispatch_id=reservation.dispatch_id,
             valid_until=grant.valid_until,
             idle_connections=ledger.idle_connections,
             answers_until_close=grant.answers_until_close,
--- a/src/rhubarbfield/testing/backend.py
+++ b/src/rhubarbfield/testing/backend.py
@@ -26,6 +26,7 @@
 from quart_trio import QuartTrio
 
 from rhubarbfield.exceptions import UsageError
+from rhubarbfield.routing.requests import DispatchId
 from rhubarbfield.testing.observations import (
     MisbehaveOrder,
     Misbehaviour,
@@ -54,7 +55,7 @@
     Attributes
     ----------
     running_ids
-        The requests that run now.
+        The dispatches that run now, as its reports list them.
     state
         Whether it is leaving.
     port
@@ -65,7 +66,7 @@
         self.settings = settings
         self.state = BackendServerState.SERVING
         self.misbehaviour = Misbehaviour.NONE
-        self.running_ids: set[RequestId] = set()
+        self.running_ids: set[DispatchId] = set()
         self.port = 0
         self.relay: Relay | None = None
         self._observations = Observations()
@@ -110,31 +111,32 @@
             self._observations.over_slots += 1
             return _refuse("no slot is free")
         self._count_run(request_id)
-        await self._run_apart(request_id)
+        dispatch_id = DispatchId(headers.get("Rhubarbfield-Dispatch-Id", request_id))
+        await self._run_apart(dispatch_id)
         if self.misbehaviour is Misbehaviour.ERROR:
             return Response("told to fail\n", status=500)
         body = {"request_id": request_id, "service": self.settings.service}
         return _answer_json(body, {"Rhubarbfield-Request-Id": request_id})
 
-    async def _run_apart(self, request_id: RequestId) -> None:
+    async def _run_apart(self, dispatch_id: DispatchId) -> None:
         assert self._nursery is not None
         finished = trio.Event()
         self._observations.running += 1
         self._observations.most_running = max(
             self._observations.most_running, self._observations.running
         )
-        self.running_ids.add(request_id)
-        self._nursery.start_soon(self._work, request_id, finished)
+        self.running_ids.add(dispatch_id)
+        self._nursery.start_soon(self._work, dispatch_id, finished)
         await finished.wait()
 
-    async def _work(self, request_id: RequestId, finished: trio.Event) -> None:
+    async def _work(self, dispatch_id: DispatchId, finished: trio.Event) -> None:
         seconds = self._draw_seconds()
         longest = self.settings.longest_timeout.total_seconds()
         if self.misbehaviour is Misbehaviour.HANG:
             seconds = longest
         await trio.sleep(min(seconds, longest))
         self._observations.running -= 1
-        self.running_ids.discard(request_id)
+        self.running_ids.discard(dispatch_id)
         finished.set()
 
     def _draw_seconds(self) -> float:
--- /dev/null
+++ b/tests/backends/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapter for backend servers."""
