--- /dev/null
+++ b/tests/backends/test_http.py
@@ -0,0 +1,198 @@
+"""Tests of the adapter for backend servers, over real connections."""
+
+from __future__ import annotations
+
+import unittest
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+from typing import Any
+
+import trio
+from returns.result import Result
+
+from rhubarbfield.backends import HttpBackends
+from rhubarbfield.clock import TrioClock
+from rhubarbfield.routing import (
+    BackendAnswer,
+    BackendTarget,
+    DispatchId,
+    ExchangeFailure,
+    FailureReason,
+    LiveSettings,
+    Reach,
+    RoutingSettings,
+)
+from rhubarbfield.testing.backend import (
+    Misbehaviour,
+    StandInBackend,
+    StandInSettings,
+    serve_backend,
+)
+from rhubarbfield.types import BackendServerId, Epoch
+from tests.routing.fakes import MS, SECOND, make_request
+
+POST = {"method": "POST", "idempotent": False}
+
+
+class Bench:
+    """The adapter, and a backend server for it."""
+
+    def __init__(self, port: int, answer_limit: int = 1 << 20) -> None:
+        self.clock = TrioClock()
+        settings = RoutingSettings(answer_limit=answer_limit)
+        self.backends = HttpBackends(self.clock, LiveSettings(settings))
+        self.port = port
+
+    async def exchange(
+        self, timeout: timedelta = SECOND, target: Any = None, **changes: Any
+    ) -> Result[BackendAnswer, ExchangeFailure]:
+        fields: dict[str, Any] = {
+            "server": BackendServerId("s1"),
+            "address": f"127.0.0.1:{self.port}",
+            "epoch": Epoch(2),
+            "dispatch_id": DispatchId("2.1"),
+            "valid_until": self.clock.monotonic() + timedelta(minutes=1),
+            "idle_connections": 2,
+        }
+        made = BackendTarget(**(fields | (target or {})))
+        return await self.backends.exchange(made, make_request(**changes), timeout)
+
+
+class StandInTest(unittest.TestCase):
+    def run_bench(
+        self, scenario: Callable[[Bench, StandInBackend], Awaitable[None]]
+    ) -> None:
+        async def run() -> None:
+            async with trio.open_nursery() as nursery:
+                settings = StandInSettings(mean_latency=5 * MS)
+                stand_in = await nursery.start(serve_backend, settings)
+                await scenario(Bench(stand_in.port), stand_in)
+                nursery.cancel_scope.cancel()
+
+        trio.run(run)
+
+    def assert_failed(
+        self,
+        result: Result[BackendAnswer, ExchangeFailure],
+        reach: Reach,
+        reason: FailureReason,
+    ) -> None:
+        failure = result.failure()
+        self.assertEqual((failure.reach, failure.reason), (reach, reason))
+
+    def test_idle_connections_serve_idempotent_requests_only(self) -> None:
+        async def scenario(bench: Bench, stand_in: StandInBackend) -> None:
+            for _ in range(3):
+                (await bench.exchange()).unwrap()
+            self.assertEqual(stand_in.observe().most_connections, 1)
+            (await bench.exchange(**POST)).unwrap()
+            self.assertEqual(stand_in.observe().most_connections, 2)
+
+        self.run_bench(scenario)
+
+    def test_a_connection_that_timed_out_is_closed(self) -> None:
+        async def scenario(bench: Bench, stand_in: StandInBackend) -> None:
+            stand_in.misbehave(Misbehaviour.HANG)
+            result = await bench.exchange(100 * MS)
+            self.assert_failed(result, Reach.SENT, FailureReason.TIMEOUT)
+            await trio.sleep(0.1)
+            self.assertEqual(stand_in.observe().connections, 0)
+            self.assertEqual(stand_in.observe().running, 1)
+
+        self.run_bench(scenario)
+
+    def test_each_misbehaviour_has_its_failure(self) -> None:
+        failures = {
+            Misbehaviour.CUT_SHORT: (Reach.SENT, FailureReason.CUT_SHORT),
+            Misbehaviour.SILENT: (Reach.SENT, FailureReason.TIMEOUT),
+            Misbehaviour.REFUSE: (Reach.REFUSED_BY_SERVER, FailureReason.REFUSED),
+        }
+
+        async def scenario(bench: Bench, stand_in: StandInBackend) -> None:
+            for misbehaviour, (reach, reason) in failures.items():
+                stand_in.misbehave(misbehaviour)
+                for changes in ({}, POST):
+                    result = await bench.exchange(100 * MS, **changes)
+                    self.assert_failed(result, reach, reason)
+
+        self.run_bench(scenario)
+
+    def test_a_lapsed_lease_sends_no_byte(self) -> None:
+        async def scenario(bench: Bench, stand_in: StandInBackend) -> None:
+            lapsed = {"valid_until": bench.clock.monotonic()}
+            result = await bench.exchange(target=lapsed)
+            self.assert_failed(result, Reach.NOT_SENT, FailureReason.LEASE_LAPSED)
+            self.assertEqual(stand_in.observe().runs_by_request, {})
+
+        self.run_bench(scenario)
+
+    def test_an_older_epoch_is_refused_by_the_server(self) -> None:
+        async def scenario(bench: Bench, stand_in: StandInBackend) -> None:
+            (await bench.exchange()).unwrap()
+            result = await bench.exchange(target={"epoch": Epoch(1)})
+            self.assert_failed(result, Reach.REFUSED_BY_SERVER, FailureReason.REFUSED)
+            self.assertEqual(stand_in.observe().stale_epochs, 1)
+
+        self.run_bench(scenario)
+
+    def test_a_given_up_server_keeps_no_connection(self) -> None:
+        async def scenario(bench: Bench, stand_in: StandInBackend) -> None:
+            (await bench.exchange()).unwrap()
+            await bench.backends.forget(BackendServerId("s1"))
+            await trio.sleep(0.1)
+            self.assertEqual(stand_in.observe().connections, 0)
+
+        self.run_bench(scenario)
+
+    def test_nobody_listening_is_not_sent(self) -> None:
+        async def scenario(bench: Bench, _: StandInBackend) -> None:
+            result = await bench.exchange(target={"address": "127.0.0.1:1"})
+            self.assert_failed(result, Reach.NOT_SENT, FailureReason.CONNECT)
+
+        self.run_bench(scenario)
+
+
+class RawAnswerTest(unittest.TestCase):
+    def exchange(
+        self, answer: bytes, **target: Any
+    ) -> Result[BackendAnswer, ExchangeFailure]:
+        async def respond(stream: trio.SocketStream) -> None:
+            await stream.receive_some(65536)
+            await stream.send_all(answer)
+            await stream.aclose()
+
+        async def run() -> Result[BackendAnswer, ExchangeFailure]:
+            async with trio.open_nursery() as nursery:
+                listeners = await nursery.start(trio.serve_tcp, respond, 0)
+                port = listeners[0].socket.getsockname()[1]
+                bench = Bench(port, answer_limit=10)
+                result = await bench.exchange(target=target)
+                nursery.cancel_scope.cancel()
+            return result
+
+        return trio.run(run)
+
+    def assert_invalid(self, answer: bytes, reason: FailureReason) -> None:
+        failure = self.exchange(b"HTTP/1.1 200 OK\r\n" + answer).failure()
+        self.assertEqual((failure.reach, failure.reason), (Reach.SENT, reason))
+
+    def test_a_short_answer_is_no_answer(self) -> None:
+        self.assert_invalid(b"Content-Length: 9\r\n\r\nhalf", FailureReason.CUT_SHORT)
+        chunked = b"Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"
+        self.assert_invalid(chunked, FailureReason.CUT_SHORT)
+
+    def test_an_answer_without_length_counts_only_if_announced(self) -> None:
+        self.assert_invalid(b"\r\nhalf", FailureReason.UNBOUNDED)
+        answer = b"HTTP/1.1 200 OK\r\n\r\nwhole"
+        result = self.exchange(answer, answers_until_close=True)
+        self.assertEqual(result.unwrap().body, b"whole")
+
+    def test_an_answer_to_another_request_is_dropped(self) -> None:
+        head = b"Rhubarbfield-Request-Id: r9\r\nContent-Length: 0\r\n\r\n"
+        self.assert_invalid(head, FailureReason.MISMATCHED)
+
+    def test_an_answer_above_the_limit_is_dropped(self) -> None:
+        long = b"Content-Length: 11\r\n\r\n01234567890"
+        self.assert_invalid(long, FailureReason.TOO_LARGE)
+        chunked = b"Transfer-Encoding: chunked\r\n\r\nb\r\n01234567890\r\n0\r\n\r\n"
+        self.assert_invalid(chunked, FailureReason.TOO_LARGE)
