--- a/tests/testing/__init__.py
+++ b/tests/testing/__init__.py
@@ -1,1 +1,5 @@
+<<<<<<< HEAD
 """Tests of the package ``testing``."""
+=======
+"""Tests of the stand-ins."""
+>>>>>>> routing
