--- a/src/rhubarbfield/logs.py
+++ b/src/rhubarbfield/logs.py
@@ -38,7 +38,7 @@
             "event": record.getMessage(),
         }
         for name, value in getattr(record, _IDS_ATTRIBUTE, {}).items():
-            event[name] = _present(name, value)
+            event[name if name not in event else f"{name}_"] = _present(name, value)
         if record.exc_info and record.exc_info[1] is not None:
             event["error"] = _cut(repr(record.exc_info[1]))
             event["trace"] = _cut(self.formatException(record.exc_info))
--- a/src/rhubarbfield/operators/app.py
+++ b/src/rhubarbfield/operators/app.py
@@ -44,7 +44,7 @@
 from rhubarbfield.types import CommandNumber, OperatorName
 
 LONGEST_BODY = timedelta(seconds=10)
-LONGEST_ANSWER = timedelta(seconds=30)
+LONGEST_ANSWER = timedelta(seconds=10)
 MOST_REQUESTS_AT_ONCE = 64
 RETRY_AFTER_SECONDS = 1
 _LOGGER = get_logger("operators")
