--- a/src/rhubarbfield/fleet/__init__.py
+++ b/src/rhubarbfield/fleet/__init__.py
@@ -32,7 +32,6 @@
     Mark,
     Quota,
 )
-from rhubarbfield.fleet.tables import describe_job_state, explain_job, fleet_tables
 
 FLEET_REPLY_TYPES = (CommandAnswered, CommandClash, NumberRefused, Delegated)
 
@@ -61,8 +60,5 @@
     "ReportJob",
     "FinishJob",
     "Mark",
-    "fleet_tables",
-    "describe_job_state",
-    "explain_job",
     "Quota",
 ]
--- a/src/rhubarbfield/fleet/configuration.py
+++ b/src/rhubarbfield/fleet/configuration.py
@@ -14,7 +14,7 @@
 from pydantic import BaseModel, ValidationError
 from returns.result import Failure, Result, Success
 
-from rhubarbfield.fleet.state import Configuration
+from rhubarbfield.fleet.state import UNSET_VALUE, Configuration
 from rhubarbfield.language import Configure, Value
 from rhubarbfield.language.problems import find_nearest
 from rhubarbfield.settings import (
@@ -127,6 +127,8 @@
         nearest = find_nearest(key, known)
         hint = f"; did you mean {nearest}?" if nearest else ""
         return ConfigurationProblem(key, f"can't be configured{hint}")
+    if value == UNSET_VALUE:
+        return None
     name, _, path = key.partition(".")
     try:
         _replace(_DEFAULT_SECTIONS[name], {path: value})
--- a/src/rhubarbfield/fleet/effects.py
+++ b/src/rhubarbfield/fleet/effects.py
@@ -10,6 +10,7 @@
 from rhubarbfield.exceptions import check_invariant
 from rhubarbfield.fleet.jobs import cancel_job, end_job, forget_old_jobs
 from rhubarbfield.fleet.state import (
+    UNSET_VALUE,
     Configuration,
     FleetJob,
     FleetState,
@@ -29,6 +30,7 @@
     Drain,
     QuarantineWorker,
     ReleaseWorker,
+    RemoveQuota,
     SetQuota,
     Undrain,
 )
@@ -193,11 +195,21 @@
     return Effect(True, f"the quota of tenant {statement.tenant} is set")
 
 
+@_has_effect(RemoveQuota)
+def _remove_quota(state: FleetState, statement: RemoveQuota, _mark: Mark) -> Effect:
+    if state.quotas.pop(statement.tenant, None) is None:
+        return Effect(True, f"tenant {statement.tenant} had no quota")
+    return Effect(True, f"tenant {statement.tenant} has no quota any more")
+
+
 @_has_effect(Configure)
 def _configure(state: FleetState, statement: Configure, mark: Mark) -> Effect:
     old = state.configuration
     values = dict(old.values)
-    values.update({one.key: one.value for one in statement.assignments})
+    for one in statement.assignments:
+        values[one.key] = one.value
+        if one.value == UNSET_VALUE:
+            del values[one.key]
     if len(values) > MOST_CONFIGURATION_KEYS:
         return Effect(False, f"{MOST_CONFIGURATION_KEYS} keys at most can be set")
     version = ConfigurationVersion(old.version + 1)
--- a/src/rhubarbfield/fleet/state.py
+++ b/src/rhubarbfield/fleet/state.py
@@ -22,6 +22,7 @@
 )
 
 BEGINNING = datetime.fromtimestamp(0, UTC)
+UNSET_VALUE = "default"
 OPEN_JOB_STATES = frozenset({JobState.QUEUED, JobState.RUNNING})
 
 
@@ -172,7 +173,7 @@
     version
         0 before the first change.
     values
-        Every key that was ever set, with its value in force.
+        Every key that is set, with its value in force.
     changed_by, changed_at
         Who made this version, and when.
     """
--- a/src/rhubarbfield/language/commands.py
+++ b/src/rhubarbfield/language/commands.py
@@ -28,6 +28,7 @@
     Drain,
     QuarantineWorker,
     ReleaseWorker,
+    RemoveQuota,
     SetQuota,
     Statement,
     TargetKind,
@@ -202,6 +203,11 @@
     )
 
 
+@builds("remove_quota")
+def _build_remove_quota(building: Building, node: Node) -> RemoveQuota:
+    return RemoveQuota(tenant=Tenant(_read_name(building, node)))
+
+
 @builds("configure")
 def _build_configure(building: Building, node: Node) -> Configure:
     assignments: dict[str, Assignment] = {}
--- a/src/rhubarbfield/language/statements.py
+++ b/src/rhubarbfield/language/statements.py
@@ -246,8 +246,22 @@
     tasks: int | None = None
 
 
+class RemoveQuota(CommandStatement, frozen=True):
+    """``remove quota``: no limits for one tenant."""
+
+    tenant: Tenant
+
+
 class Assignment(msgspec.Struct, frozen=True):
-    """A key of the configuration and its new value."""
+    """A key of the configuration and its new value.
+
+    Attributes
+    ----------
+    key
+        As in the file of settings.
+    value
+        ``default`` goes back to what the files say.
+    """
 
     key: str
     value: Value
@@ -280,6 +294,7 @@
     | QuarantineWorker
     | ReleaseWorker
     | SetQuota
+    | RemoveQuota
     | Configure
     | DeclareDomainLost
     | DeclareDomainRestored
--- a/src/rhubarbfield/logs.py
+++ b/src/rhubarbfield/logs.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import logging
+import re
 import sys
 from datetime import UTC, datetime, timedelta
 from enum import Enum
@@ -21,6 +22,7 @@
     {"authorization", "cookie", "key_file", "password", "secret", "token"}
 )
 _IDS_ATTRIBUTE = "rhubarbfield_ids"
+_FIELD = re.compile(r"(\w+)=%[dsrf]")
 _LEVELS = logging.getLevelNamesMapping()
 
 LogValue = str | int | float | bool | None | timedelta | datetime | Enum
@@ -31,13 +33,14 @@
 
     def format(self, record: logging.LogRecord) -> str:
         """Return the line of ``record``, without its line end."""
+        name, ids = _split_event(record)
         event: dict[str, object] = {
             "at": _format_time(record.created),
             "level": record.levelname.lower(),
             "area": record.name.removeprefix(f"{ROOT_LOGGER}."),
-            "event": record.getMessage(),
+            "event": name,
         }
-        for name, value in getattr(record, _IDS_ATTRIBUTE, {}).items():
+        for name, value in ids.items():
             event[name if name not in event else f"{name}_"] = _present(name, value)
         if record.exc_info and record.exc_info[1] is not None:
             event["error"] = _cut(repr(record.exc_info[1]))
@@ -91,6 +94,24 @@
         logger.log(level, "%s", event, extra={_IDS_ATTRIBUTE: ids})
 
 
+def _split_event(record: logging.LogRecord) -> tuple[str, dict[str, object]]:
+    """Return the name of an event, and its ids.
+
+    Besides those of :func:`log_event`, events are understood whose text is a
+    name and then only ``id=%s``, as in ``"job-delegated job=%s domain=%s"``.
+    """
+    ids = getattr(record, _IDS_ATTRIBUTE, None)
+    if ids is not None:
+        return record.getMessage(), ids
+    name, *fields = str(record.msg).split() or [""]
+    values = record.args if isinstance(record.args, tuple) else ()
+    matches = [_FIELD.fullmatch(field) for field in fields]
+    if not fields or len(values) != len(fields) or None in matches:
+        return record.getMessage(), {}
+    names = [match.group(1) for match in matches if match is not None]
+    return name, dict(zip(names, values, strict=True))
+
+
 def _present(name: str, value: object) -> object:
     if name.lower() in SECRET_FIELDS:
         return REDACTED
--- a/src/rhubarbfield/settings/__init__.py
+++ b/src/rhubarbfield/settings/__init__.py
@@ -21,13 +21,18 @@
     Weights,
 )
 from rhubarbfield.settings.problems import SettingsErrors, SettingsProblem
-from rhubarbfield.settings.reloading import SettingChange, diff_reloadable
+from rhubarbfield.settings.reloading import (
+    SettingChange,
+    diff_reloadable,
+    reload_settings,
+)
 from rhubarbfield.settings.secrets import Secret, load_secret
 
 __all__ = [
     "load_settings",
     "parse_settings",
     "diff_reloadable",
+    "reload_settings",
     "SettingChange",
     "find_file_problems",
     "load_secret",
--- a/src/rhubarbfield/settings/loading.py
+++ b/src/rhubarbfield/settings/loading.py
@@ -93,7 +93,7 @@
     if settings is None or problems:
         ordered = sorted(problems, key=lambda problem: problem.line)
         return Failure(SettingsErrors(source, tuple(ordered)))
-    return Success(settings)
+    return Success(settings.with_source(source))
 
 
 def _validate(document: Document) -> tuple[list[SettingsProblem], Settings | None]:
--- a/src/rhubarbfield/settings/model.py
+++ b/src/rhubarbfield/settings/model.py
@@ -4,7 +4,7 @@
 
 from enum import StrEnum
 
-from pydantic import Field
+from pydantic import Field, PrivateAttr
 
 from rhubarbfield.settings.fields import (
     FilePath,
@@ -116,3 +116,15 @@
     placement: Placement = required("Tasks on workers.")
     timing: Timing = Field(default=Timing(), description="Heartbeats and leases.")
     logging: Logging = Field(default=Logging(), description="The log.")
+    _source: str = PrivateAttr(default="")
+
+    @property
+    def source(self) -> str:
+        """Where the settings were read from."""
+        return self._source
+
+    def with_source(self, source: str) -> Settings:
+        """Return the same settings, read from ``source``."""
+        copy = self.model_copy()
+        object.__setattr__(copy, "__pydantic_private__", {"_source": source})
+        return copy
--- a/src/rhubarbfield/settings/reloading.py
+++ b/src/rhubarbfield/settings/reloading.py
@@ -9,6 +9,7 @@
 from returns.result import Failure, Result, Success
 
 from rhubarbfield.settings.document import shorten
+from rhubarbfield.settings.loading import load_settings
 from rhubarbfield.settings.model import Settings
 from rhubarbfield.settings.problems import SettingsErrors, SettingsProblem
 
@@ -73,6 +74,26 @@
     return Failure(SettingsErrors(source, problems))
 
 
+def reload_settings(current: Settings) -> Result[Settings, SettingsErrors]:
+    """Read the file of ``current`` again, to take over what may change.
+
+    Parameters
+    ----------
+    current
+        The settings in force, as read from their file.
+
+    Returns
+    -------
+    Result
+        The new settings; or everything that is wrong with the file or needs
+        a restart, and then nothing may be taken over.
+    """
+    source = current.source
+    return load_settings(source).bind(
+        lambda new: diff_reloadable(current, new, source).map(lambda _: new)
+    )
+
+
 def _is_reloadable(path: str) -> bool:
     return any(
         path == allowed or path.startswith(f"{allowed}.")
--- a/tests/fleet/test_configuration.py
+++ b/tests/fleet/test_configuration.py
@@ -113,3 +113,6 @@
         self.assertEqual(log.state.configuration.version, 4)
         values = log.state.configuration.values
         self.assertEqual(values, {"routing.slow_start_seconds": 4})
+        log.decide(9, "configure routing.slow_start_seconds = default")
+        self.assertEqual(log.state.configuration.values, {})
+        self.assertEqual(log.state.configuration.version, 5)
--- a/tests/language/test_parsing.py
+++ b/tests/language/test_parsing.py
@@ -27,6 +27,7 @@
     Negation,
     QuarantineWorker,
     ReleaseWorker,
+    RemoveQuota,
     SetQuota,
     Show,
     SortKey,
@@ -135,6 +136,7 @@
             "set quota for tenant t cores 5 memory 3gb": SetQuota(
                 tenant=Tenant("t"), cores=5.0, memory_mb=3072
             ),
+            "remove quota for tenant t": RemoveQuota(tenant=Tenant("t")),
             "configure logging.level = debug, a.b = 0.5, c = true": Configure(
                 assignments=(
                     Assignment("logging.level", "debug"),
--- a/tests/settings/test_reloading.py
+++ b/tests/settings/test_reloading.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import tempfile
 import unittest
+from pathlib import Path
 
-from rhubarbfield.settings import diff_reloadable
-from tests.settings.samples import make_settings
+from rhubarbfield.settings import diff_reloadable, load_settings, reload_settings
+from tests.settings.samples import make_settings, read_changed
 
 
 class DiffReloadableTest(unittest.TestCase):
@@ -38,3 +40,22 @@
         new = make_settings(("data_folder: /var/lib/rhubarbfield/a1", ""))
         errors = diff_reloadable(make_settings(), new).failure()
         self.assertEqual(errors.problems[0].path, "data_folder")
+
+
+class ReloadSettingsTest(unittest.TestCase):
+    def test_the_file_is_read_again_and_refused_whole_if_wrong(self) -> None:
+        level = ("level: info", "level: debug")
+        lease = ("worker_lease_seconds: 10", "worker_lease_seconds: 20")
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "a1.yaml"
+            path.write_text(read_changed())
+            current = load_settings(path).unwrap()
+            path.write_text(read_changed(level))
+            new = reload_settings(current).unwrap()
+            self.assertEqual(new.logging.level, "debug")
+            path.write_text(read_changed(level, lease))
+            self.assertIn("only a restart", reload_settings(new).failure().format())
+            path.write_text(read_changed(level, ("name: a2", "name: A2")))
+            self.assertIn("has to match", reload_settings(new).failure().format())
+            path.unlink()
+            self.assertIn("cannot be read", reload_settings(new).failure().format())
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -84,3 +84,13 @@
         logging.getLogger("hypercorn.error").warning("%s %d", "port", 7)
         (event,) = self.read_events()
         self.assertEqual(event["event"], "port 7")
+
+    def test_ids_are_read_from_the_text_of_an_event(self) -> None:
+        self.logger.info("job-delegated job=%s epoch=%d secret=%s", "1-a", 3, "s3cret")
+        self.logger.info("store-failed group=%s", ValueError("full"))
+        self.logger.info("")
+        delegated, failed, _ = self.read_events()
+        self.assertEqual(delegated["event"], "job-delegated")
+        self.assertEqual((delegated["job"], delegated["epoch"]), ("1-a", 3))
+        self.assertEqual(delegated["secret"], REDACTED)
+        self.assertEqual(failed["group"], "full")
