--- /dev/null
+++ b/src/rhubarbfield/routing/__init__.py
@@ -0,0 +1,82 @@
+"""The request path of an entry: decisions, and the ports they speak to."""
+
+from rhubarbfield.routing.grants import (
+    BackendGrant,
+    Reservation,
+    ServerReport,
+    StaleGrant,
+)
+from rhubarbfield.routing.ledger import SlotLedger
+from rhubarbfield.routing.metrics import RoutingMetrics
+from rhubarbfield.routing.ports import (
+    BackendPort,
+    BackendTarget,
+    BeginReply,
+    Begun,
+    Candidate,
+    ExchangeFailure,
+    FailureReason,
+    FirstAnswer,
+    OtherRequest,
+    Reach,
+    RecordFailure,
+    RecordFailureReason,
+    RecordPort,
+    SiblingPort,
+    StillRunning,
+)
+from rhubarbfield.routing.requests import (
+    BackendAnswer,
+    CallerRequest,
+    Header,
+    Refusal,
+    RefusalReason,
+    compute_fingerprint,
+)
+from rhubarbfield.routing.router import Router
+from rhubarbfield.routing.servers import OwnedServers, check_grants
+from rhubarbfield.routing.settings import (
+    ClassSettings,
+    LiveSettings,
+    RoutingSettings,
+    ServiceSettings,
+    TenantSettings,
+)
+
+__all__ = [
+    "BackendAnswer",
+    "BackendGrant",
+    "BackendPort",
+    "BackendTarget",
+    "BeginReply",
+    "Begun",
+    "CallerRequest",
+    "Candidate",
+    "ClassSettings",
+    "ExchangeFailure",
+    "FailureReason",
+    "FirstAnswer",
+    "Header",
+    "LiveSettings",
+    "OtherRequest",
+    "OwnedServers",
+    "Reach",
+    "RecordFailure",
+    "RecordFailureReason",
+    "RecordPort",
+    "Refusal",
+    "RefusalReason",
+    "Reservation",
+    "Router",
+    "RoutingMetrics",
+    "RoutingSettings",
+    "ServerReport",
+    "ServiceSettings",
+    "SiblingPort",
+    "SlotLedger",
+    "StaleGrant",
+    "StillRunning",
+    "TenantSettings",
+    "check_grants",
+    "compute_fingerprint",
+]
--- /dev/null
+++ b/src/rhubarbfield/testing/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the systems around this one, for tests and first trials."""
