Test real processes under kills, freezes and lost disks; mend what they found

Cause: the members of a group were taken for the controllers that serve its domain. Sessions and commands now go to controllers of the domain and name it; others refuse. - An entry died of a connection to a killed sibling that was dropped unclosed: the asyncio bridge made a callback's complaint fatal. Such complaints are logged now, and both users of retired connections share one pool that closes them. Ruled out for the cut-off requests of the rolling restart: the order of the planned stop; nothing in it was changed. - A service whose owner had died was answered 404 until its next owner came; it is 503 with Retry-After, as the directory knows the service.

--- a/src/rhubarbfield/controller/calls.py
+++ b/src/rhubarbfield/controller/calls.py
@@ -22,6 +22,7 @@
     FLEET_CALL,
     QUERY_CALL,
     SUMMARY_CALL,
+    DomainRequest,
     DomainSummary,
     EntryRefused,
     NotLeading,
@@ -29,6 +30,7 @@
     QueryRequest,
     Unavailable,
 )
+from rhubarbfield.types import FailureDomain
 
 CommandT = TypeVar("CommandT", bound=Command)
 
@@ -38,6 +40,8 @@
 
     Parameters
     ----------
+    domain
+        The failure domain of this instance.
     domain_log, fleet_log
         The logs on this instance.
     operators
@@ -51,6 +55,7 @@
     def __init__(
         self,
         *,
+        domain: FailureDomain,
         domain_log: ReplicatedLog[DomainState],
         fleet_log: ReplicatedLog[WholeState],
         operators: OperatorService,
@@ -58,6 +63,7 @@
         get_fleet_leader: Callable[[], FleetLeader | None],
         clock: Clock,
     ) -> None:
+        self._domain = domain
         self._domain_log = domain_log
         self._fleet_log = fleet_log
         self._operators = operators
@@ -74,11 +80,15 @@
             SUMMARY_CALL: self.take_summary,
         }
 
-    async def decide_domain(self, command: Command) -> Reply | NotLeading | Unavailable:
+    async def decide_domain(
+        self, request: DomainRequest
+    ) -> Reply | NotLeading | Unavailable:
         """Commit a command to the domain's log."""
+        if request.domain != self._domain:
+            return NotLeading()
         if not self._domain_log.leads():
             return NotLeading(self._domain_log.replica.leader_hint)
-        command = self._stamp(command)
+        command: Command = self._stamp(request.command)
         if isinstance(command, AssignServer):
             planned = plan_claim(self._domain_log.state.ownership, command)
             match planned:
--- a/src/rhubarbfield/controller/daemon.py
+++ b/src/rhubarbfield/controller/daemon.py
@@ -8,7 +8,6 @@
 from typing import Any
 
 import trio
-import trio_asyncio
 from hypercorn.config import Config
 from hypercorn.trio import serve as serve_app
 from prometheus_client import CollectorRegistry
@@ -49,6 +48,7 @@
     Encoding,
     MessageStream,
     PeerLinks,
+    open_bridge,
     serve_link,
     serve_methods,
 )
@@ -133,7 +133,7 @@
             fleet_log=self._fleet_log,
             fleet=self._fleet_calls,
             domains={
-                group.domain: self._make_calls(QUERY_CALL, group.members)
+                group.domain: self._make_calls(QUERY_CALL, group.controllers)
                 for group in list_domain_groups(settings)
             },
             view_domain=self._view_domain,
@@ -153,6 +153,7 @@
         """Run until cancelled."""
         addresses = self._settings.addresses
         calls = ControllerCalls(
+            domain=self._domain,
             domain_log=self._domain_log,
             fleet_log=self._fleet_log,
             operators=self._operators,
@@ -368,7 +369,7 @@
         Started once it serves.
     """
     secret, credentials = load_credentials(settings)
-    async with trio_asyncio.open_loop():
+    async with open_bridge():
         controller = Controller(
             settings,
             credentials=credentials,
--- a/src/rhubarbfield/controller/entrysessions.py
+++ b/src/rhubarbfield/controller/entrysessions.py
@@ -34,6 +34,7 @@
     BackendServerId,
     ConfigurationVersion,
     Epoch,
+    FailureDomain,
     InstanceName,
 )
 
@@ -48,6 +49,8 @@
 
     Parameters
     ----------
+    domain
+        The failure domain; entries of another one are refused.
     domain_log, fleet_log
         The logs whose changes entries are told.
     terms
@@ -58,11 +61,14 @@
 
     def __init__(
         self,
+        domain: FailureDomain,
+        *,
         domain_log: ReplicatedLog[DomainState],
         fleet_log: ReplicatedLog[WholeState],
         terms: LeaseTerms,
         clock: Clock,
     ) -> None:
+        self._domain = domain
         self._log = domain_log
         self._fleet_log = fleet_log
         self._clock = clock
@@ -104,6 +110,8 @@
                 await self._end(entry, epoch)
 
     async def _open(self, hello: EntryHello) -> EntryOpened | EntryRefused:
+        if hello.domain != self._domain:
+            return EntryRefused(leader=None, reason=f"this is domain {self._domain}")
         proposed = await self._log.propose(
             OpenEntrySession(
                 entry=hello.entry,
--- a/src/rhubarbfield/controller/groups.py
+++ b/src/rhubarbfield/controller/groups.py
@@ -29,11 +29,14 @@
         Instances that form the group; one may stand in another domain.
     members
         The voters, and all other instances of the domain, which learn.
+    controllers
+        The instances of the domain, whose controllers serve it when they lead.
     """
 
     domain: FailureDomain
     voters: tuple[InstanceName, ...]
     members: tuple[InstanceName, ...]
+    controllers: tuple[InstanceName, ...]
 
 
 def list_domain_groups(settings: Settings) -> tuple[DomainGroup, ...]:
@@ -44,9 +47,11 @@
         own = tuple(
             InstanceName(one.name)
             for one in settings.fleet.instances
-            if one.failure_domain == domain and one.name not in voters
+            if one.failure_domain == domain
         )
-        groups.append(DomainGroup(FailureDomain(domain), voters, voters + own))
+        learners = tuple(name for name in own if name not in voters)
+        group = DomainGroup(FailureDomain(domain), voters, voters + learners, own)
+        groups.append(group)
     return tuple(groups)
 
 
--- a/src/rhubarbfield/controller/leading.py
+++ b/src/rhubarbfield/controller/leading.py
@@ -103,7 +103,13 @@
         self.workers = WorkerSessions(
             worker_settings, clock=clock, log=work_log, observations=usage
         )
-        self.entries = EntrySessions(log, fleet_log, entry_terms, clock)
+        self.entries = EntrySessions(
+            domain,
+            domain_log=log,
+            fleet_log=fleet_log,
+            terms=entry_terms,
+            clock=clock,
+        )
         self.planner = Planner(
             log, feed=feed, usage=usage, settings=placement, clock=clock, rng=rng
         )
--- a/src/rhubarbfield/entry/daemon.py
+++ b/src/rhubarbfield/entry/daemon.py
@@ -7,7 +7,6 @@
 from datetime import timedelta
 
 import trio
-import trio_asyncio
 
 from rhubarbfield.announcements import AnnouncementSessions
 from rhubarbfield.backends import HttpBackends
@@ -26,12 +25,12 @@
 from rhubarbfield.entry.records import HomeRecords
 from rhubarbfield.entry.session import EntrySession
 from rhubarbfield.entry.siblings import Siblings
-from rhubarbfield.peering import Credentials, Encoding, serve_methods
+from rhubarbfield.peering import Credentials, Encoding, open_bridge, serve_methods
 from rhubarbfield.protocol import DOMAIN_CALL, LeaderCalls
 from rhubarbfield.protocol.workers import BACKEND_SERVER_STREAM
 from rhubarbfield.routing import LiveSettings, OwnedServers, Router
 from rhubarbfield.settings import Settings
-from rhubarbfield.types import FailureDomain, Incarnation, InstanceName
+from rhubarbfield.types import FailureDomain, Incarnation, InstanceName, ServiceName
 
 logger = logging.getLogger(__name__)
 
@@ -74,7 +73,11 @@
         self._session = self._make_session()
         self._grants.use_session(self._session)
         self._ownership = DomainOwnership(
-            self._name, self._session, self._domain_calls[self._domain], clock
+            self._name,
+            self._domain,
+            session=self._session,
+            calls=self._domain_calls[self._domain],
+            clock=clock,
         )
         self._announcements = AnnouncementSessions(
             make_announcement_settings(settings),
@@ -175,7 +178,7 @@
         return {
             group.domain: LeaderCalls(
                 DOMAIN_CALL,
-                map_members(self._settings, group.members),
+                map_members(self._settings, group.controllers),
                 self._credentials,
                 self._clock,
             )
@@ -190,9 +193,10 @@
         addresses = settings.addresses
         return EntrySession(
             self._name,
+            domain=self._domain,
             incarnation=Incarnation(f"{self._rng.getrandbits(INCARNATION_BITS):x}"),
             address=f"{addresses.host}:{addresses.announcements_port}",
-            controllers=map_members(settings, group.members),
+            controllers=map_members(settings, group.controllers),
             credentials=self._credentials,
             terms=make_entry_terms(settings.timing),
             clock=self._clock,
@@ -203,6 +207,10 @@
     def _reclaim(self) -> None:
         self._announcements.reclaim_all()
 
+    def _is_served(self, service: ServiceName) -> bool:
+        servers = self._session.directory.values()
+        return any(one.description.service == service for one in servers)
+
     def _make_siblings(self) -> Siblings:
         peers = {
             InstanceName(one.name): (one.host, one.entry_peer_port)
@@ -214,6 +222,7 @@
             self._domain,
             peers=peers,
             servers=self._servers,
+            is_served=self._is_served,
             credentials=self._credentials,
             clock=self._clock,
         )
@@ -238,7 +247,7 @@
     """
     _, credentials = load_credentials(settings)
     stop = trio.Event()
-    async with trio_asyncio.open_loop():
+    async with open_bridge():
         entry = Entry(
             settings,
             credentials=credentials,
--- a/src/rhubarbfield/entry/ownership.py
+++ b/src/rhubarbfield/entry/ownership.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from datetime import timedelta
+from typing import Any
 
 from returns.result import Failure, Result, Success
 
@@ -15,7 +16,7 @@
 )
 from rhubarbfield.clock import Clock
 from rhubarbfield.entry.session import EntrySession
-from rhubarbfield.machine import Command, Done
+from rhubarbfield.machine import Done
 from rhubarbfield.ownership import (
     AssignServer,
     EndEntrySession,
@@ -29,8 +30,9 @@
     StaleEpoch,
     UpdateServer,
 )
-from rhubarbfield.protocol import LeaderCalls
-from rhubarbfield.types import BackendServerId, Epoch, InstanceName
+from rhubarbfield.protocol import DomainRequest, LeaderCalls, LeaderFailure
+from rhubarbfield.protocol.calls import DomainCommand
+from rhubarbfield.types import BackendServerId, Epoch, FailureDomain, InstanceName
 
 DECISION_TIMEOUT = timedelta(seconds=3)
 
@@ -40,8 +42,8 @@
 
     Parameters
     ----------
-    entry
-        This instance.
+    entry, domain
+        This instance and its failure domain.
     session
         Its session with the leader of the domain.
     calls
@@ -53,11 +55,14 @@
     def __init__(
         self,
         entry: InstanceName,
+        domain: FailureDomain,
+        *,
         session: EntrySession,
         calls: LeaderCalls,
         clock: Clock,
     ) -> None:
         self._entry = entry
+        self._domain = domain
         self._session = session
         self._calls = calls
         self._clock = clock
@@ -76,7 +81,7 @@
             session=session,
             at=self._clock.now(),
         )
-        reply = await self._calls.call(command, DECISION_TIMEOUT)
+        reply = await self._call(command)
         match reply:
             case Success(ServerAssigned(epoch=epoch, settled=settled)):
                 if self._session.epoch == session:
@@ -123,15 +128,19 @@
         )
 
     async def _ask(
-        self, command: Command
+        self, command: DomainCommand
     ) -> Result[None, OwnershipLost | OwnershipUnavailable]:
-        match await self._calls.call(command, DECISION_TIMEOUT):
+        match await self._call(command):
             case Success(Done()):
                 return Success(None)
             case Success(StaleEpoch()):
                 return Failure(OwnershipLost())
         return Failure(OwnershipUnavailable())
 
+    async def _call(self, command: DomainCommand) -> Result[Any, LeaderFailure]:
+        request = DomainRequest(domain=self._domain, command=command)
+        return await self._calls.call(request, DECISION_TIMEOUT)
+
 
 def _describe(announce: Announce) -> ServerDescription:
     return ServerDescription(
--- a/src/rhubarbfield/entry/records.py
+++ b/src/rhubarbfield/entry/records.py
@@ -5,12 +5,14 @@
 import hashlib
 from collections.abc import Mapping
 from datetime import timedelta
+from typing import Any
 
 from returns.result import Failure, Result, Success
 
 from rhubarbfield.clock import Clock
 from rhubarbfield.machine import Reply
-from rhubarbfield.protocol import LeaderCalls, LeaderFailure
+from rhubarbfield.protocol import DomainRequest, LeaderCalls, LeaderFailure
+from rhubarbfield.protocol.calls import DomainCommand
 from rhubarbfield.records import (
     BeginRequest,
     ClearRequest,
@@ -76,7 +78,7 @@
             request_id=request_id,
             at=self._clock.now(),
         )
-        match await self._find(tenant).call(command, BEGIN_TIMEOUT):
+        match await self._call(tenant, command, BEGIN_TIMEOUT):
             case Success(Reply() as reply):
                 return translate_begin_reply(reply)
             case Failure(LeaderFailure(detail=detail)):
@@ -106,15 +108,19 @@
     async def _end(
         self, tenant: Tenant, command: FinishRequest | ClearRequest
     ) -> Result[None, RecordFailure]:
-        match await self._find(tenant).call(command, END_TIMEOUT):
+        match await self._call(tenant, command, END_TIMEOUT):
             case Success(_):
                 return Success(None)
             case Failure(LeaderFailure(detail=detail)):
                 return Failure(_describe(tenant, detail))
         return Failure(_describe(tenant, "no reply"))
 
-    def _find(self, tenant: Tenant) -> LeaderCalls:
-        return self._domains[find_home(tenant, self._names)]
+    async def _call(
+        self, tenant: Tenant, command: DomainCommand, timeout: timedelta
+    ) -> Result[Any, LeaderFailure]:
+        home = find_home(tenant, self._names)
+        request = DomainRequest(domain=home, command=command)
+        return await self._domains[home].call(request, timeout)
 
 
 def _describe(tenant: Tenant, detail: str) -> RecordFailure:
--- a/src/rhubarbfield/entry/session.py
+++ b/src/rhubarbfield/entry/session.py
@@ -27,6 +27,7 @@
 from rhubarbfield.types import (
     BackendServerId,
     Epoch,
+    FailureDomain,
     Incarnation,
     InstanceName,
 )
@@ -49,6 +50,8 @@
     ----------
     entry
         This instance.
+    domain
+        Its failure domain.
     incarnation
         New at each start of the process.
     address
@@ -71,6 +74,7 @@
         self,
         entry: InstanceName,
         *,
+        domain: FailureDomain,
         incarnation: Incarnation,
         address: str,
         controllers: Mapping[InstanceName, tuple[str, int]],
@@ -81,6 +85,7 @@
         on_lease: Callable[[], None],
     ) -> None:
         self._entry = entry
+        self._domain = domain
         self._incarnation = incarnation
         self._address = address
         self._controllers = dict(controllers)
@@ -135,6 +140,7 @@
         hello = EntryHello(
             entry=self._entry,
             incarnation=self._incarnation,
+            domain=self._domain,
             address=self._address,
             number=self._lease.request(),
             configuration=self.configuration.version,
--- a/src/rhubarbfield/entry/siblings.py
+++ b/src/rhubarbfield/entry/siblings.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from datetime import timedelta
 
 import msgspec
@@ -14,11 +14,10 @@
 from rhubarbfield.peering import (
     CallFailure,
     CallFailureKind,
-    Connection,
+    ConnectionPool,
     Credentials,
     MessageStream,
     PeerLinks,
-    open_connection,
     serve_link,
     serve_methods,
 )
@@ -68,6 +67,9 @@
         Host and peer port of each other entry.
     servers
         The backend servers owned here, whose room is told to the others.
+    is_served
+        Whether the domain's directory has a backend server of a service,
+        though it may have no owner for the moment.
     credentials
         What this process presents.
     clock
@@ -81,17 +83,20 @@
         *,
         peers: Mapping[InstanceName, tuple[str, int]],
         servers: OwnedServers,
+        is_served: Callable[[ServiceName], bool],
         credentials: Credentials,
         clock: Clock,
     ) -> None:
+        self._name = name
+        self._is_served = is_served
         self._domain = domain
-        self._peers = dict(peers)
+        self._peers = tuple(peers)
         self._servers = servers
         self._credentials = credentials
         self._clock = clock
-        self._links = PeerLinks(name, self._peers, ROOM_LINK, credentials)
+        self._links = PeerLinks(name, dict(peers), ROOM_LINK, credentials)
+        self._pool = ConnectionPool(peers, credentials, clock)
         self._known: dict[InstanceName, KnownRoom] = {}
-        self._connections: dict[InstanceName, Connection] = {}
 
     async def run(self) -> None:
         """Keep the others informed until cancelled."""
@@ -144,7 +149,7 @@
     def siblings(self, service: ServiceName) -> Sequence[Candidate]:
         """Return the entries that own backend servers of ``service``."""
         oldest = self._clock.monotonic() - REPORT_LIFETIME
-        return [
+        found = [
             Candidate(
                 entry=entry,
                 domain=known.domain,
@@ -154,12 +159,21 @@
             for entry, known in self._known.items()
             if service in known.services and known.heard_at > oldest
         ]
+        if not found and self._is_served(service):
+            return [self._make_placeholder()]
+        return found
+
+    def _make_placeholder(self) -> Candidate:
+        """Return a candidate without room: the service exists, its owner is gone."""
+        return Candidate(
+            entry=self._name, domain=self._domain, same_domain=True, room=0
+        )
 
     async def forward(
         self, entry: InstanceName, request: CallerRequest
     ) -> Result[BackendAnswer, Refusal]:
         """Have ``entry`` route ``request``, which counts one hop already."""
-        connection = self._get_connection(entry)
+        connection = self._pool.get(entry)
         reply = await connection.call(
             FORWARD_CALL, request, request.timeout + FORWARD_GRACE
         )
@@ -167,7 +181,7 @@
             case Success(ForwardAnswer() as answer):
                 return self._read_answer(entry, request, answer)
             case Failure(CallFailure() as failure):
-                self._retire(entry, connection)
+                self._pool.retire(entry, connection)
                 return Failure(_refuse(entry, failure))
         raise AssertionError
 
@@ -182,19 +196,6 @@
         assert answer.refusal is not None
         return Failure(answer.refusal)
 
-    def _get_connection(self, entry: InstanceName) -> Connection:
-        connection = self._connections.get(entry)
-        if connection is None:
-            host, port = self._peers[entry]
-            connection = open_connection(host, port, credentials=self._credentials)
-            self._connections[entry] = connection
-        return connection
-
-    def _retire(self, entry: InstanceName, connection: Connection) -> None:
-        """Make a new connection next time; requests on the old one go on."""
-        if self._connections.get(entry) is connection:
-            del self._connections[entry]
-
     def _take_report(self, sender: InstanceName, report: RoomReport) -> None:
         self._known[sender] = KnownRoom(
             domain=report.domain,
--- /dev/null
+++ b/src/rhubarbfield/peering/pool.py
@@ -0,0 +1,63 @@
+"""Connections to several peers, replaced once they may have gone silent."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Mapping
+from datetime import timedelta
+from typing import Generic, TypeVar
+
+from rhubarbfield.clock import Clock
+from rhubarbfield.peering.client import Connection, open_connection
+from rhubarbfield.peering.credentials import Credentials
+
+RETIRED_FOR = timedelta(seconds=60)
+
+PeerT = TypeVar("PeerT")
+
+
+class ConnectionPool(Generic[PeerT]):
+    """One connection to each peer, made when first asked for.
+
+    Parameters
+    ----------
+    addresses
+        Host and port of each peer.
+    credentials
+        What this process presents.
+    clock
+        The time.
+    """
+
+    def __init__(
+        self,
+        addresses: Mapping[PeerT, tuple[str, int]],
+        credentials: Credentials,
+        clock: Clock,
+    ) -> None:
+        self._addresses = dict(addresses)
+        self._credentials = credentials
+        self._clock = clock
+        self._current: dict[PeerT, Connection] = {}
+        self._retired: deque[tuple[timedelta, Connection]] = deque()
+
+    def get(self, peer: PeerT) -> Connection:
+        """Return the connection to ``peer``."""
+        connection = self._current.get(peer)
+        if connection is None:
+            host, port = self._addresses[peer]
+            connection = open_connection(host, port, credentials=self._credentials)
+            self._current[peer] = connection
+        return connection
+
+    def retire(self, peer: PeerT, connection: Connection) -> None:
+        """Use ``connection`` for nothing new; calls on it are given time to end."""
+        if self._current.get(peer) is connection:
+            del self._current[peer]
+            self._retired.append((self._clock.monotonic(), connection))
+        self._close_old()
+
+    def _close_old(self) -> None:
+        oldest = self._clock.monotonic() - RETIRED_FOR
+        while self._retired and self._retired[0][0] <= oldest:
+            self._retired.popleft()[1].close()
--- a/src/rhubarbfield/protocol/__init__.py
+++ b/src/rhubarbfield/protocol/__init__.py
@@ -8,6 +8,7 @@
     DOMAIN_CALL,
     FLEET_CALL,
     QUERY_CALL,
+    DomainRequest,
     NotLeading,
     QueryAnswer,
     QueryRequest,
@@ -31,6 +32,7 @@
 
 __all__ = [
     "DOMAIN_CALL",
+    "DomainRequest",
     "FLEET_CALL",
     "QUERY_CALL",
     "NotLeading",
--- a/src/rhubarbfield/protocol/calls.py
+++ b/src/rhubarbfield/protocol/calls.py
@@ -97,9 +97,25 @@
 )
 _FLEET_REPLIES: tuple[type, ...] = (*_COMMON_REPLIES, *FLEET_REPLY_TYPES)
 
+
+class DomainRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """A command for the log of one failure domain.
+
+    Attributes
+    ----------
+    domain
+        Whose log; a controller of another domain refuses it.
+    command
+        What to commit.
+    """
+
+    domain: FailureDomain
+    command: DomainCommand
+
+
 DOMAIN_CALL = CallMethod(
     "/rhubarbfield.Controller/Domain",
-    DomainCommand,
+    DomainRequest,
     join_types(_DOMAIN_REPLIES),
 )
 FLEET_CALL = CallMethod(
@@ -113,6 +129,7 @@
 
 __all__ = [
     "DOMAIN_CALL",
+    "DomainRequest",
     "FLEET_CALL",
     "QUERY_CALL",
     "NotLeading",
--- a/src/rhubarbfield/protocol/entries.py
+++ b/src/rhubarbfield/protocol/entries.py
@@ -12,6 +12,7 @@
     BackendServerId,
     ConfigurationVersion,
     Epoch,
+    FailureDomain,
     Incarnation,
     InstanceName,
 )
@@ -28,6 +29,8 @@
     ----------
     entry, incarnation
         The entry, and which of its processes.
+    domain
+        Its failure domain; a controller of another one refuses it.
     address
         ``host:port`` at which it takes announcements.
     number
@@ -38,6 +41,7 @@
 
     entry: InstanceName
     incarnation: Incarnation
+    domain: FailureDomain
     address: str
     number: int
     configuration: ConfigurationVersion
--- a/src/rhubarbfield/protocol/leaders.py
+++ b/src/rhubarbfield/protocol/leaders.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Mapping
 from datetime import timedelta
 from typing import Any
@@ -15,16 +14,14 @@
     CallFailure,
     CallFailureKind,
     CallMethod,
-    Connection,
+    ConnectionPool,
     Credentials,
-    open_connection,
 )
 from rhubarbfield.protocol.calls import NotLeading, Unavailable
 from rhubarbfield.types import InstanceName
 
 RETRY_DELAY = timedelta(milliseconds=100)
 ATTEMPT_TIMEOUT = timedelta(milliseconds=1500)
-RETIRED_FOR = timedelta(seconds=10)
 
 
 class LeaderFailure(msgspec.Struct, frozen=True, kw_only=True):
@@ -66,10 +63,8 @@
     ) -> None:
         self._method = method
         self._members = dict(members)
-        self._credentials = credentials
         self._clock = clock
-        self._connections: dict[InstanceName, Connection] = {}
-        self._retired: deque[tuple[timedelta, Connection]] = deque()
+        self._pool = ConnectionPool(self._members, credentials, clock)
         self._leader = next(iter(self._members))
 
     async def call(
@@ -85,7 +80,7 @@
         in_doubt = False
         detail = "no leader was found"
         while (left := ends - self._clock.monotonic()) > timedelta():
-            connection = self._get_connection(self._leader)
+            connection = self._pool.get(self._leader)
             reply = await connection.call(
                 self._method, request, min(left, ATTEMPT_TIMEOUT)
             )
@@ -100,7 +95,7 @@
                 case Failure(failure):
                     detail = failure.detail
                     in_doubt = in_doubt or _is_in_doubt(failure)
-                    self._retire(self._leader)
+                    self._pool.retire(self._leader, connection)
                     self._follow(None)
             await self._clock.sleep(min(left, RETRY_DELAY))
         return Failure(LeaderFailure(detail=detail, in_doubt=in_doubt))
@@ -112,26 +107,6 @@
         names = list(self._members)
         self._leader = names[(names.index(self._leader) + 1) % len(names)]
 
-    def _get_connection(self, name: InstanceName) -> Connection:
-        connection = self._connections.get(name)
-        if connection is None:
-            host, port = self._members[name]
-            connection = open_connection(host, port, credentials=self._credentials)
-            self._connections[name] = connection
-        return connection
-
-    def _retire(self, name: InstanceName) -> None:
-        """Use a connection no more that may have gone silent.
-
-        Calls that others have on it are given time to end.
-        """
-        now = self._clock.monotonic()
-        connection = self._connections.pop(name, None)
-        if connection is not None:
-            self._retired.append((now, connection))
-        while self._retired and self._retired[0][0] + RETIRED_FOR < now:
-            self._retired.popleft()[1].close()
-
 
 def _is_in_doubt(failure: CallFailure) -> bool:
     return failure.kind is CallFailureKind.TIMEOUT
--- a/src/rhubarbfield/standins.py
+++ b/src/rhubarbfield/standins.py
@@ -11,13 +11,12 @@
 from typing import Any
 
 import trio
-import trio_asyncio
 from returns.result import Failure, Success
 
 from rhubarbfield.announcements import Announce
 from rhubarbfield.exceptions import UsageError
 from rhubarbfield.logs import configure_logging
-from rhubarbfield.peering import Credentials, Encoding, StreamMethod, dial
+from rhubarbfield.peering import Credentials, Encoding, StreamMethod, dial, open_bridge
 from rhubarbfield.protocol.workers import BACKEND_SERVER_STREAM, WORKER_STREAM
 from rhubarbfield.settings.secrets import load_secret
 from rhubarbfield.testing.announcer import announce
@@ -103,7 +102,7 @@
 
 
 async def _run_until_signal(run: Callable[[], Any]) -> None:
-    async with trio_asyncio.open_loop(), trio.open_nursery() as nursery:
+    async with open_bridge(), trio.open_nursery() as nursery:
         nursery.start_soon(run)
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             async for _ in signals:
--- a/tests/peering/test_grpc.py
+++ b/tests/peering/test_grpc.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import socket
 import unittest
 from collections.abc import Awaitable, Callable
@@ -21,6 +22,8 @@
     PeerLinks,
     StreamMethod,
     connect,
+    open_bridge,
+    open_connection,
     serve_link,
     serve_methods,
 )
@@ -190,3 +193,21 @@
     await serve_methods(
         HOST, port, credentials=SECRET, streams={LINK: handle}, task_status=task_status
     )
+
+
+class BridgeTest(unittest.TestCase):
+    def test_a_connection_that_was_left_open_ends_nothing_else(self) -> None:
+        async def leave_open() -> None:
+            async with open_bridge():
+                connection = open_connection(HOST, find_port(), credentials=SECRET)
+                listeners = await trio.open_tcp_listeners(0, host=HOST)
+                port = listeners[0].socket.getsockname()[1]
+                connection = open_connection(HOST, port, credentials=SECRET)
+                await connection.call(CALL, Question(1), timedelta(milliseconds=100))
+                del connection
+                gc.collect()
+                await trio.sleep(0.1)
+                await listeners[0].aclose()
+
+        with self.assertLogs("rhubarbfield.peering.bridge", "ERROR"):
+            trio.run(leave_open)
--- /dev/null
+++ b/tests/processes/__init__.py
@@ -0,0 +1,1 @@
+"""Tests with the real program as separate processes on loopback."""
--- /dev/null
+++ b/tests/processes/test_failures.py
@@ -0,0 +1,145 @@
+"""Kills, freezes and lost disks, with real processes under load."""
+
+from __future__ import annotations
+
+import shutil
+import signal
+import time
+import unittest
+
+import httpx
+
+from tests.processes.callers import Callers
+from tests.processes.fleet import ProcessFleet, run_fleet, wait_until
+
+DOMAIN = {"north": ("a1", "a2", "a3")}
+BATCH = "create batch b{0} for tenant t tasks 2 cores 1 memory 100 mb"
+SERVICE_AGAIN_SECONDS = 10.0
+
+
+def start_service(fleet: ProcessFleet) -> int:
+    port = fleet.start_backend("s-1", "north")
+    wait_until(lambda: fleet.ask("a1").is_success, "the service answers")
+    return port
+
+
+def find_owner(fleet: ProcessFleet) -> str:
+    return str(
+        wait_until(
+            lambda: next((r["owner"] for r in fleet.list_rows("show servers")), None),
+            "the backend server has an owner",
+        )
+    )
+
+
+def post_with_key(fleet: ProcessFleet, instance: str, key: str) -> httpx.Response:
+    url = f"{fleet.places[instance].callers}/services/board/reserve"
+    headers = {"Rhubarbfield-Tenant": "house-a", "Idempotency-Key": key}
+    return httpx.post(url, headers=headers, content=b"sander", timeout=10)
+
+
+class ControllerFailureTest(unittest.TestCase):
+    def test_kill_of_the_leading_controller(self) -> None:
+        with run_fleet(DOMAIN) as fleet:
+            port = start_service(fleet)
+            fleet.start_worker("w-1", "north")
+            wait_until(lambda: fleet.list_rows("show workers"), "a worker joins")
+            fleet.command(1, BATCH.format(1))
+            leader = fleet.find_leader("north")
+            with Callers(fleet) as callers:
+                fleet.kill(f"controller-{leader}")
+                text = BATCH.format(2)
+                wait_until(
+                    lambda: "record" in fleet.command(2, text),
+                    "a command is accepted again",
+                    SERVICE_AGAIN_SECONDS,
+                )
+            self.assertEqual(set(callers.outcomes), {"answered"})
+            self.assertEqual(fleet.observe(port)["over_slots"], 0)
+            wait_until(
+                lambda: (
+                    all(row["worker"] for row in fleet.list_rows("show tasks"))
+                    and len(fleet.list_rows("show tasks")) == 4
+                ),
+                "all tasks are placed",
+            )
+
+    def test_lost_data_folder(self) -> None:
+        with run_fleet(DOMAIN) as fleet:
+            fleet.command(1, "configure routing.retry_budget_fraction = 0.2")
+            fleet.kill("controller-a2")
+            shutil.rmtree(fleet.folder / "data-a2")
+            fleet.start_daemon("controller", "a2")
+            fleet.wait_ready("a2")
+            wait_until(
+                lambda: fleet.query("show configuration", "a2")["note"].startswith(
+                    "accepted: version 1"
+                ),
+                "the replaced replica has the configuration",
+            )
+            time.sleep(3)
+            # A second loss right after the repair must find it caught up.
+            fleet.kill("controller-a3")
+            wait_until(
+                lambda: (
+                    "record"
+                    in fleet.command(2, "configure routing.retry_budget_fraction = 0.3")
+                ),
+                "two of three decide",
+                SERVICE_AGAIN_SECONDS,
+            )
+
+
+class EntryFailureTest(unittest.TestCase):
+    def test_kill_of_the_owner(self) -> None:
+        with run_fleet(DOMAIN) as fleet:
+            port = start_service(fleet)
+            owner = find_owner(fleet)
+            others = [name for name in fleet.places if name != owner]
+            fleet.kill(f"entry-{owner}")
+            wait_until(
+                lambda: fleet.ask(others[0]).is_success,
+                "another entry serves",
+                SERVICE_AGAIN_SECONDS,
+            )
+            self.assertNotEqual(find_owner(fleet), owner)
+            self.assertEqual(fleet.observe(port)["over_slots"], 0)
+
+    def test_freeze_of_the_owner(self) -> None:
+        with run_fleet(DOMAIN) as fleet:
+            port = start_service(fleet)
+            owner = find_owner(fleet)
+            with Callers(fleet, count=8):
+                time.sleep(1)
+                fleet.signal(f"entry-{owner}", signal.SIGSTOP)
+                wait_until(
+                    lambda: find_owner(fleet) != owner,
+                    "another entry owns the backend server",
+                    SERVICE_AGAIN_SECONDS,
+                )
+                fleet.signal(f"entry-{owner}", signal.SIGCONT)
+                time.sleep(2)
+            self.assertEqual(fleet.observe(port)["over_slots"], 0)
+
+    def test_a_key_runs_once_through_all_entries(self) -> None:
+        with run_fleet(DOMAIN) as fleet:
+            port = start_service(fleet)
+            answers = [post_with_key(fleet, name, "k1") for name in fleet.places]
+            bodies = {answer.content for answer in answers}
+            self.assertEqual(len(bodies), 1, [a.text for a in answers])
+            self.assertEqual(list(fleet.observe(port)["runs_by_key"].values()), [1])
+
+
+class RollingRestartTest(unittest.TestCase):
+    def test_no_request_is_cut_off(self) -> None:
+        with run_fleet(DOMAIN) as fleet:
+            port = start_service(fleet)
+            with Callers(fleet) as callers:
+                for name in fleet.places:
+                    for kind in ("entry", "controller"):
+                        self.assertEqual(fleet.stop(f"{kind}-{name}"), 0)
+                        fleet.start_daemon(kind, name)
+                        fleet.wait_ready(name)
+            self.assertEqual(set(callers.outcomes), {"answered"})
+            self.assertGreater(callers.outcomes["answered"], 100)
+            self.assertEqual(fleet.observe(port)["over_slots"], 0)
