Test the replicated log under faults; finish what the storage refuses

A proposal whose entry the storage refused was never finished: its caller waited for ever (found by the tests of failed syncs and full disks). It is now not run if the disk was full, and unknown if a sync failed.

--- a/src/rhubarbfield/replication/changes.py
+++ b/src/rhubarbfield/replication/changes.py
@@ -11,6 +11,7 @@
     ChangeError,
     NoQuorum,
     NotLeader,
+    OutcomeUnknown,
     Overloaded,
     Unsafe,
 )
@@ -25,6 +26,7 @@
 logger = logging.getLogger(__name__)
 
 MIN_VOTERS = 1
+CHECKS_A_HEARTBEAT = 4
 
 
 class MembershipChanges:
@@ -54,13 +56,17 @@
     async def replace_voter(
         self, old: InstanceName, new: InstanceName
     ) -> Result[None, ChangeError]:
-        """Let the learner called ``new`` vote in place of ``old``."""
+        """Let the learner called ``new`` vote in place of ``old``.
+
+        A learner that lags is given the time of one lease to catch up.
+        """
         voter = self._find_voter(old)
         learner = self._find_learner(new)
         if voter is None:
             return Failure(Unsafe(f"{old} is not a voter"))
         if learner is None:
             return Failure(Unsafe(f"{new} is not a learner"))
+        await self._wait_caught_up(learner)
         return await self._change(voter, learner)
 
     async def add_voter(self, name: InstanceName) -> Result[None, ChangeError]:
@@ -68,6 +74,7 @@
         learner = self._find_learner(name)
         if learner is None:
             return Failure(Unsafe(f"{name} is not a learner"))
+        await self._wait_caught_up(learner)
         return await self._change(None, learner)
 
     async def remove_member(self, name: InstanceName) -> Result[None, ChangeError]:
@@ -88,6 +95,13 @@
         learners = (peer for peer in self._leader.peers if peer not in voters)
         return next((peer for peer in learners if peer.name == name), None)
 
+    async def _wait_caught_up(self, learner: ReplicaId) -> None:
+        state = self._state
+        deadline = state.now + state.settings.lease
+        pause = state.settings.heartbeat / CHECKS_A_HEARTBEAT
+        while not self._leader.is_caught_up(learner) and state.now < deadline:
+            await state.clock.sleep(pause)
+
     async def _change(
         self, old: ReplicaId | None, new: ReplicaId | None
     ) -> Result[None, ChangeError]:
@@ -117,7 +131,9 @@
         data = encode_membership(after)
         proposal = Proposal(EntryKind.MEMBERSHIP, data, deadline)
         if not self._leader.append([proposal]):
-            return Failure(Unsafe("the leader cannot write to its storage"))
+            state.step_down()
+            is_open = state.halted is not None
+            return Failure(OutcomeUnknown() if is_open else NotLeader(None))
         logger.info("voters-changed group=%s voters=%s", state.group, after.voters)
         return Success(proposal)
 
--- a/src/rhubarbfield/replication/leader.py
+++ b/src/rhubarbfield/replication/leader.py
@@ -8,8 +8,10 @@
 
 import msgspec
 import trio
+from returns.result import Failure
 
 from rhubarbfield.replication.applier import Applier
+from rhubarbfield.replication.failures import NotLeader, OutcomeUnknown, ProposeError
 from rhubarbfield.replication.messages import AppendAnswer, InstallSnapshotAnswer
 from rhubarbfield.replication.peer import Peer
 from rhubarbfield.replication.proposals import Proposal, Proposals
@@ -183,8 +185,18 @@
             await self._proposals.queued.wait()
             taken = self._proposals.take()
             if taken and not self.append(taken):
+                self._fail(taken)
                 self._state.step_down()
 
+    def _fail(self, proposals: Sequence[Proposal]) -> None:
+        """Finish proposals that the storage did not take."""
+        failure: ProposeError = NotLeader(None)
+        if self._state.halted is not None:
+            # They may be found in the storage when it is next opened.
+            failure = OutcomeUnknown()
+        for proposal in proposals:
+            proposal.finish(Failure(failure))
+
     async def _beat(self) -> None:
         state = self._state
         while True:
--- a/src/rhubarbfield/replication/state.py
+++ b/src/rhubarbfield/replication/state.py
@@ -90,6 +90,7 @@
         self.election_due = timedelta()
         self.commit_advanced = Signal()
         self.elected = Signal()
+        self._is_disk_full = False
         self.halted: StoreFailure | None = None
         self.halt_event = trio.Event()
         self.leading_scope = trio.CancelScope()
@@ -123,12 +124,14 @@
     def persist(self, result: Result[None, StoreFailure]) -> bool:
         """Return whether a change of the log was made; halt if it never can."""
         if not isinstance(result, Failure):
+            self._is_disk_full = False
             return True
         failure = result.failure()
-        if isinstance(failure, DiskFull):
-            logger.warning("disk-full group=%s replica=%s", self.group, self.id.name)
-        else:
+        if not isinstance(failure, DiskFull):
             self.halt(failure)
+        elif not self._is_disk_full:
+            self._is_disk_full = True
+            logger.warning("disk-full group=%s replica=%s", self.group, self.id.name)
         return False
 
     def halt(self, failure: StoreFailure) -> None:
--- a/tests/replication/group.py
+++ b/tests/replication/group.py
@@ -113,17 +113,13 @@
             settings=group.settings,
         )
         group.network.attach(self.name, self.clock, self.replica.deliver)
-        await group.nursery.start(self._run, self.replica, self._scope)
+        group.nursery.start_soon(self._run, self.replica, self._scope)
+        await trio.sleep(0)
 
-    async def _run(
-        self,
-        replica: Replica,
-        scope: trio.CancelScope,
-        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
-    ) -> None:
+    async def _run(self, replica: Replica, scope: trio.CancelScope) -> None:
         try:
             with scope:
-                await replica.run(task_status=task_status)
+                await replica.run()
         except* SimulatedCrashError:
             pass
         if self.replica is replica:
--- a/tests/replication/test_replica.py
+++ b/tests/replication/test_replica.py
@@ -15,6 +15,7 @@
 from tests.replication.determinism import check_private_names, run_deterministic
 from tests.replication.group import Group
 
+VIRTUAL_LIMIT = 600.0
 Scenario = Callable[[Group], Awaitable[None]]
 
 
@@ -25,7 +26,8 @@
         async with trio.open_nursery() as nursery:
             group = Group(nursery, seed, **options)  # type: ignore[arg-type]
             await group.start()
-            await scenario(group)
+            with trio.fail_after(VIRTUAL_LIMIT):
+                await scenario(group)
             group.observer.check_outcomes()
             nursery.cancel_scope.cancel()
 
--- /dev/null
+++ b/tests/storage/test_file.py
@@ -0,0 +1,214 @@
+"""Tests of the store in files: what is torn, damaged, full or not synced."""
+
+from __future__ import annotations
+
+import tempfile
+import unittest
+from pathlib import Path
+from random import Random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from returns.result import Failure, Success
+
+from rhubarbfield.storage import (
+    DiskFull,
+    Entry,
+    EntryKind,
+    FileStore,
+    HardState,
+    LogPosition,
+    Snapshot,
+    StoreDamaged,
+    StoredLog,
+    SyncFailed,
+    SystemFiles,
+)
+from rhubarbfield.storage.file import decode_log, decode_snapshot, encode_log
+from rhubarbfield.types import Incarnation, LogIndex, Term
+from tests.storage.simulated_files import SimulatedCrashError, SimulatedFiles
+
+STATE = HardState(Incarnation("one"), Term(3))
+
+
+def make_entries(first: int, count: int, term: int = 1) -> tuple[Entry, ...]:
+    return tuple(
+        Entry(LogIndex(index), Term(term), EntryKind.COMMAND, b"x" * index)
+        for index in range(first, first + count)
+    )
+
+
+def make_snapshot(index: int, term: int = 1) -> Snapshot:
+    return Snapshot(LogPosition(LogIndex(index), Term(term)), b"\x91\x90", b"state")
+
+
+class FileStoreTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.files = SimulatedFiles(Random(1))
+        self.store = self.open()
+
+    def open(self) -> FileStore:
+        store = FileStore(Path("unused"), self.files)
+        self.loaded = store.load()
+        return store
+
+    def append(self, *batches: tuple[Entry, ...]) -> None:
+        for batch in batches:
+            self.assertEqual(self.store.append(STATE, batch), Success(None))
+
+    def assert_entries(self, expected: tuple[Entry, ...]) -> None:
+        self.open()
+        self.assertIsInstance(self.loaded, Success)
+        self.assertEqual(self.loaded.unwrap().entries, expected)
+        self.assertEqual(self.loaded.unwrap().hard_state, STATE)
+
+    def assert_damaged(self) -> None:
+        self.open()
+        self.assertIsInstance(self.loaded, Failure)
+        self.assertIsInstance(self.loaded.failure(), StoreDamaged)
+
+    def test_a_batch_costs_one_sync_and_is_read_back(self) -> None:
+        self.append(make_entries(1, 2))
+        before = self.files.syncs
+        self.append(make_entries(3, 200))
+        self.assertEqual(self.files.syncs - before, 1)
+        self.assert_entries(make_entries(1, 202))
+
+    def test_later_entries_replace_those_at_their_index(self) -> None:
+        self.append(make_entries(1, 5), make_entries(3, 1, term=2))
+        self.assert_entries(make_entries(1, 2) + make_entries(3, 1, term=2))
+
+    def test_a_torn_last_record_is_cut_at_every_length(self) -> None:
+        self.append(make_entries(1, 2))
+        whole = len(self.files.read("log") or b"")
+        self.append(make_entries(3, 2))
+        data = self.files.read("log") or b""
+        for size in range(whole, len(data)):
+            stored = decode_log(data[:size]).unwrap()
+            self.assertEqual(stored.entries, make_entries(1, 2), size)
+        zeros = decode_log(data + bytes(100)).unwrap()
+        self.assertEqual(zeros.entries, make_entries(1, 4))
+
+    def test_every_flipped_byte_is_noticed(self) -> None:
+        self.append(make_entries(1, 2), make_entries(3, 2))
+        data = self.files.read("log") or b""
+        for offset in range(len(data)):
+            flipped = bytearray(data)
+            flipped[offset] ^= 0x10
+            result = decode_log(bytes(flipped))
+            self.assertIsInstance(result, Failure, offset)
+
+    def test_missing_files_are_noticed(self) -> None:
+        snapshot = make_snapshot(2)
+        self.append(make_entries(1, 4))
+        kept = make_entries(3, 2)
+        saved = self.store.save_snapshot(STATE, snapshot, snapshot.position, kept)
+        self.assertEqual(saved, Success(None))
+        self.assert_entries(kept)
+        for name in ("log", "snapshot"):
+            data = self.files.read(name) or b""
+            self.files.remove(name)
+            self.assert_damaged()
+            self.files.append(name, data)
+        self.assert_entries(kept)
+
+    def test_damaged_files_are_set_aside_for_an_empty_start(self) -> None:
+        self.append(make_entries(1, 4))
+        self.files.flip_byte("log", 30)
+        self.assert_damaged()
+        store = FileStore(Path("unused"), self.files)
+        self.assertIsInstance(store.load(), Failure)
+        self.assertEqual(store.discard(), Success(None))
+        self.assertEqual(store.load(), Success(StoredLog()))
+        self.assertIsNotNone(self.files.read("log.damaged"))
+
+    def test_a_failed_sync_is_never_trusted_again(self) -> None:
+        self.append(make_entries(1, 2))
+        self.files.fail_syncs = True
+        for _ in range(2):
+            result = self.store.append(STATE, make_entries(3, 1))
+            self.assertIsInstance(result.failure(), SyncFailed)
+            self.files.fail_syncs = False
+
+    def test_opening_makes_durable_what_it_reads(self) -> None:
+        self.append(make_entries(1, 2))
+        self.files.fail_syncs = True
+        self.store.append(STATE, make_entries(3, 1))
+        self.files.fail_syncs = False
+        self.assert_entries(make_entries(1, 3))
+        self.files.lose_unsynced()
+        self.assert_entries(make_entries(1, 3))
+
+    def test_a_full_disk_changes_nothing_and_passes(self) -> None:
+        self.append(make_entries(1, 2))
+        size = len(self.files.read("log") or b"")
+        for room in range(0, 60, 7):
+            self.files.capacity = size + room
+            full = self.store.append(STATE, make_entries(3, 40))
+            self.assertEqual(full, Failure(DiskFull()))
+            snapshot = make_snapshot(2)
+            full = self.store.save_snapshot(STATE, snapshot, snapshot.position, ())
+            self.assertEqual(full, Failure(DiskFull()))
+        self.files.capacity = None
+        self.append(make_entries(3, 1))
+        self.assert_entries(make_entries(1, 3))
+
+    def test_a_crash_at_every_step_leaves_the_old_or_the_new(self) -> None:
+        for step in range(1, 12):
+            for seed in range(6):
+                self.files = SimulatedFiles(Random(seed))
+                self.store = self.open()
+                self.append(make_entries(1, 4))
+                self.files.operations_until_crash = step
+                snapshot = make_snapshot(3)
+                base = LogPosition(LogIndex(2), Term(1))
+                try:
+                    self.store.save_snapshot(STATE, snapshot, base, make_entries(3, 2))
+                    self.store.append(STATE, make_entries(5, 1))
+                except SimulatedCrashError:
+                    pass
+                self.files.lose_unsynced()
+                self.open()
+                stored = self.loaded.unwrap()
+                last = stored.base.index + len(stored.entries)
+                self.assertIn(last, {4, 5}, (step, seed))
+
+    def test_an_installed_snapshot_replaces_entries_that_differ(self) -> None:
+        self.append(make_entries(1, 4))
+        data = self.files.read("log") or b""
+        snapshot = make_snapshot(4, term=2)
+        self.store.save_snapshot(STATE, snapshot, snapshot.position, ())
+        self.files.remove("log")
+        self.files.append("log", data)
+        self.assert_entries(())
+        self.assertEqual(self.loaded.unwrap().base, snapshot.position)
+
+    def test_real_files_keep_what_was_written(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            for first in (1, 3):
+                store = FileStore(Path(folder) / "group")
+                self.assertIsInstance(store.load(), Success)
+                store.append(STATE, make_entries(first, 2))
+                store.close()
+            files = SystemFiles(Path(folder) / "group")
+            files.append("log", b"torn")
+            store = FileStore(Path(folder) / "group")
+            self.assertEqual(store.load().unwrap().entries, make_entries(1, 4))
+            snapshot = make_snapshot(4)
+            store.save_snapshot(STATE, snapshot, snapshot.position, ())
+            self.assertEqual(store.load().unwrap().snapshot, snapshot)
+            store.close()
+            files.close()
+
+
+class DecoderTest(unittest.TestCase):
+    @settings(max_examples=200, derandomize=True)
+    @given(st.binary(max_size=300), st.integers(0, 400), st.binary(max_size=4))
+    def test_any_bytes_are_read_or_refused(
+        self, noise: bytes, offset: int, patch: bytes
+    ) -> None:
+        data = bytearray(encode_log(STATE, LogPosition(), make_entries(1, 5)))
+        data[offset : offset + len(patch)] = patch
+        for sample in (noise, bytes(data), bytes(data) + noise):
+            decode_log(sample)
+            decode_snapshot(sample)
