Harden the replicated log after a review

One leader a term is checked also after a leader was lost from sight; a removed leader leaves only once its removal is applied; repeated refusals of one peer are answered once; wait_applied waits for the replica to open; a replica whose disk is full lets another one stand for election first.

--- a/src/rhubarbfield/replication/election.py
+++ b/src/rhubarbfield/replication/election.py
@@ -43,7 +43,13 @@
             await state.clock.sleep(max(state.election_due - state.now, timedelta()))
             if state.now < state.election_due:
                 continue
-            if state.is_leader or not state.is_voter:
+            if state.now < state.refuse_votes_until:
+                state.election_due = state.refuse_votes_until
+            elif state.is_leader or not state.is_voter:
+                state.postpone_election()
+            elif state.is_disk_full:
+                # Another voter may have room; this one tries after it.
+                state.is_disk_full = False
                 state.postpone_election()
             else:
                 self._ask_for_pre_votes()
--- a/src/rhubarbfield/replication/joining.py
+++ b/src/rhubarbfield/replication/joining.py
@@ -18,6 +18,7 @@
 
 BEATS_BETWEEN_PROBES = 2
 BEATS_AN_ANSWER_LASTS = 5
+VOTER_PATIENCE = 10
 
 
 class EmptyPeer(msgspec.Struct, frozen=True):
@@ -102,8 +103,12 @@
 
     def _is_astray(self) -> bool:
         state = self._state
-        lost = state.now - state.last_contact > state.settings.election_min
-        return not state.is_voter and lost
+        patience = state.settings.election_min
+        if state.is_voter:
+            # All the voters it knows may have been replaced meanwhile.
+            patience *= VOTER_PATIENCE
+        is_lost = state.now - state.last_contact > patience
+        return is_lost and not state.is_leader
 
     def _list_contacts(self) -> tuple[InstanceName, ...]:
         voters = {voter.name for voter in self._state.log.quorum.voters}
--- a/src/rhubarbfield/replication/leader.py
+++ b/src/rhubarbfield/replication/leader.py
@@ -203,6 +203,7 @@
             for peer in self.peers.values():
                 peer.beat()
             self._proposals.expire(state.now)
+            self._leave_if_removed()
             self._drop_silent_learners()
             await state.clock.sleep(state.settings.heartbeat)
             grace = self._elected_at + state.settings.lease
@@ -210,6 +211,12 @@
                 logger.warning("quorum-lost group=%s term=%d", state.group, state.term)
                 state.step_down()
 
+    def _leave_if_removed(self) -> None:
+        state = self._state
+        is_applied = self._applier.applied >= state.log.commit
+        if is_applied and not state.is_voter:
+            state.step_down()
+
     def _find_lease_end(self) -> timedelta:
         state = self._state
         heard = state.log.quorum.find_agreed(self._get_acknowledged)
@@ -252,8 +259,6 @@
                 self._stop_peer(replica_id)
         for peer in self.peers.values():
             peer.beat()
-        if not state.is_voter:
-            state.step_down()
 
     def _start_peers(self) -> None:
         for voter in self._state.log.quorum.voters:
--- a/src/rhubarbfield/replication/messages.py
+++ b/src/rhubarbfield/replication/messages.py
@@ -8,11 +8,11 @@
 from returns.result import Failure, Result, Success
 
 from rhubarbfield.replication.membership import MAX_VOTERS
+from rhubarbfield.replication.settings import MAX_BATCH_ENTRIES
 from rhubarbfield.storage import Entry, LogPosition, ReplicaId
 from rhubarbfield.storage.records import IncarnationText, Index, Name, TermNumber
 from rhubarbfield.types import InstanceName
 
-MAX_ENTRIES_IN_MESSAGE = 4096
 MAX_CHUNK_BYTES = 256 * 1024
 MAX_SNAPSHOT_BYTES = 256 * 1024 * 1024
 MAX_MEMBERSHIP_BYTES = 64 * 1024
@@ -114,9 +114,7 @@
     """
 
     previous: LogPosition
-    entries: Annotated[
-        tuple[Entry, ...], msgspec.Meta(max_length=MAX_ENTRIES_IN_MESSAGE)
-    ]
+    entries: Annotated[tuple[Entry, ...], msgspec.Meta(max_length=MAX_BATCH_ENTRIES)]
     commit: Index
     confirmed: bool
     sent: Microseconds
--- a/src/rhubarbfield/replication/parts.py
+++ b/src/rhubarbfield/replication/parts.py
@@ -90,7 +90,8 @@
     def handle(self, message: ReplicationMessage) -> None:
         """Hand a message to the part that it concerns."""
         state = self.state
-        meant_for_this = message.target in {"", state.id.incarnation}
+        is_probe = isinstance(message, Probe)
+        meant_for_this = is_probe or message.target == state.id.incarnation
         if meant_for_this and state.halted is None:
             self._handlers[type(message)](message)
 
--- a/src/rhubarbfield/replication/peer.py
+++ b/src/rhubarbfield/replication/peer.py
@@ -65,6 +65,7 @@
         self.added_at = state.now
         self._has_lease = has_lease
         self._next_index = LogIndex(state.log.last.index + 1)
+        self._reset_at = 0
         self._in_flight: deque[LogIndex] = deque()
         self._transfer: SnapshotTransfer | None = None
         self._is_beat_due = True
@@ -94,12 +95,14 @@
         self._note_contact(message)
         if message.matched:
             self._note_match(message.index)
-        else:
+        elif message.sent >= self._reset_at:
             check_invariant(
                 message.index <= self._state.log.last.index,
                 "peer-log-within-leader-log",
                 message,
             )
+            # What was sent before this will be refused as well.
+            self._reset_at = self._get_microseconds()
             self._next_index = LogIndex(max(self.match_index, message.index) + 1)
             self._in_flight.clear()
         self._wake.set()
@@ -117,6 +120,9 @@
             self._next_index = LogIndex(self.match_index + 1)
         self._wake.set()
 
+    def _get_microseconds(self) -> int:
+        return int(self._state.now / MICROSECOND)
+
     def _note_contact(self, message: AppendAnswer | InstallSnapshotAnswer) -> None:
         state = self._state
         sent = message.sent * MICROSECOND
@@ -169,7 +175,7 @@
             entries=entries,
             commit=state.log.commit,
             confirmed=self._has_lease(),
-            sent=int(state.now / MICROSECOND),
+            sent=self._get_microseconds(),
         )
         self._is_beat_due = False
         state.send(self.id.name, message)
@@ -198,6 +204,6 @@
             total=len(snapshot.data),
             offset=transfer.received,
             data=snapshot.data[transfer.received : end],
-            sent=int(state.now / MICROSECOND),
+            sent=self._get_microseconds(),
         )
         state.send(self.id.name, message)
--- a/src/rhubarbfield/replication/proposals.py
+++ b/src/rhubarbfield/replication/proposals.py
@@ -89,8 +89,10 @@
     def settle(self, entry: Entry, reply: bytes) -> None:
         """Finish the proposal that became the applied ``entry``, if any."""
         term, proposal = self._appended.pop(entry.index, (entry.term, None))
-        if proposal is not None and term == entry.term:
-            proposal.finish(Success(reply))
+        if proposal is None:
+            return
+        is_own = term == entry.term
+        proposal.finish(Success(reply) if is_own else Failure(NotLeader(None)))
 
     def expire(self, now: timedelta) -> None:
         """Give up on the proposals whose deadline has passed."""
--- a/src/rhubarbfield/replication/replica.py
+++ b/src/rhubarbfield/replication/replica.py
@@ -93,6 +93,7 @@
         self._settings = settings
         self._proposals = Proposals(settings.max_pending)
         self._parts: ReplicaParts | None = None
+        self._opened = trio.Event()
         self._store_note: StoreFailure | None = None
         self._halted: StoreFailure | None = None
         self._inbox_in, self._inbox_out = trio.open_memory_channel[ReplicationMessage](
@@ -116,6 +117,7 @@
             task_status.started()
             return opened
         parts = self._parts = self._build_parts(opened.unwrap())
+        self._opened.set()
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._receive, parts)
@@ -203,11 +205,13 @@
 
     async def wait_current(self) -> None:
         """Wait until this replica has caught up since it started."""
+        await self._opened.wait()
         if self._parts is not None:
             await self._parts.applier.became_current.wait()
 
     async def wait_applied(self, index: LogIndex) -> None:
         """Wait until the entry at ``index`` is applied here."""
+        await self._opened.wait()
         if self._parts is not None:
             await self._parts.applier.wait_applied(index)
 
--- a/src/rhubarbfield/replication/settings.py
+++ b/src/rhubarbfield/replication/settings.py
@@ -11,6 +11,7 @@
 
 MIN_HEARTBEATS_IN_LEASE = 3
 MAX_CLOCK_DRIFT = 0.25
+MAX_BATCH_ENTRIES = 4096
 MAX_BATCH_BYTES = 2 * MAX_COMMAND_BYTES
 
 
@@ -98,6 +99,10 @@
             ),
             (min(counts) > 0, "counts must be above zero"),
             (self.kept_entries >= 0, "kept_entries must not be negative"),
+            (
+                self.batch_entries <= MAX_BATCH_ENTRIES,
+                f"batch_entries must be at most {MAX_BATCH_ENTRIES}",
+            ),
             (
                 0 < self.batch_bytes <= MAX_BATCH_BYTES,
                 f"batch_bytes must be between 1 and {MAX_BATCH_BYTES}",
--- a/src/rhubarbfield/replication/state.py
+++ b/src/rhubarbfield/replication/state.py
@@ -84,13 +84,15 @@
         self._sender = sender
         self.role = Role.FOLLOWER
         self.leader: ReplicaId | None = None
+        self._latest_leader: ReplicaId | None = None
+        self._latest_leader_term = Term(0)
         self.last_contact = LONG_AGO
         # A voter that restarts may have answered a leader just before.
         self.refuse_votes_until = clock.monotonic() + settings.lease
         self.election_due = timedelta()
         self.commit_advanced = Signal()
         self.elected = Signal()
-        self._is_disk_full = False
+        self.is_disk_full = False
         self.halted: StoreFailure | None = None
         self.halt_event = trio.Event()
         self.leading_scope = trio.CancelScope()
@@ -124,13 +126,13 @@
     def persist(self, result: Result[None, StoreFailure]) -> bool:
         """Return whether a change of the log was made; halt if it never can."""
         if not isinstance(result, Failure):
-            self._is_disk_full = False
+            self.is_disk_full = False
             return True
         failure = result.failure()
         if not isinstance(failure, DiskFull):
             self.halt(failure)
-        elif not self._is_disk_full:
-            self._is_disk_full = True
+        elif not self.is_disk_full:
+            self.is_disk_full = True
             logger.warning("disk-full group=%s replica=%s", self.group, self.id.name)
         return False
 
@@ -153,15 +155,20 @@
 
     def follow(self, leader: ReplicaId) -> None:
         """Take ``leader`` as the leader of the current term."""
+        self._note_leader(leader)
+        self.role = Role.FOLLOWER
+        self.last_contact = self.now
+        self.postpone_election()
+
+    def _note_leader(self, leader: ReplicaId) -> None:
         check_invariant(
-            not self.is_leader and self.leader in {None, leader},
+            self._latest_leader_term < self.term or self._latest_leader == leader,
             "one-leader-a-term",
-            (self.term, self.role, self.leader, leader),
+            (self.term, self._latest_leader, leader),
         )
-        self.role = Role.FOLLOWER
+        self._latest_leader_term = self.term
+        self._latest_leader = leader
         self.leader = leader
-        self.last_contact = self.now
-        self.postpone_election()
 
     def promise_leader(self, until: timedelta) -> None:
         """Vote for no other than the current leader before ``until``."""
@@ -175,8 +182,8 @@
 
     def lead(self) -> None:
         """Become the leader of the current term."""
+        self._note_leader(self.id)
         self.role = Role.LEADER
-        self.leader = self.id
         self.leading_scope = trio.CancelScope()
         self.elected.set()
 
