--- a/tests/replication/group.py
+++ b/tests/replication/group.py
@@ -80,7 +80,7 @@
     """One instance: its disk outlives its replica."""
 
     def __init__(self, group: Group, name: InstanceName, rate: float) -> None:
-        self._group = group
+        self.group = group
         self.name = name
         self.clock = SimulatedClock(rate, group.random.uniform(0, 1e6))
         self.files = SimulatedFiles(Random(group.random.random()))
@@ -98,7 +98,7 @@
         return self.memory
 
     async def start(self) -> None:
-        group = self._group
+        group = self.group
         self._scope = trio.CancelScope()
         self.machine = ChainMachine(group.observer)
         self.replica = Replica(
@@ -123,7 +123,7 @@
         except* SimulatedCrashError:
             pass
         if self.replica is replica:
-            self._group.network.detach(self.name)
+            self.group.network.detach(self.name)
             self.replica = None
             self.files.lose_unsynced()
 
--- a/tests/replication/network.py
+++ b/tests/replication/network.py
@@ -61,6 +61,7 @@
         self._deliveries: dict[InstanceName, Delivery] = {}
         self._clocks: dict[InstanceName, SimulatedClock] = {}
         self._cuts: set[tuple[InstanceName, InstanceName]] = set()
+        self._delays: dict[tuple[InstanceName, InstanceName], float] = {}
         self.min_delay = 0.001
         self.max_delay = 0.004
         self.drop_rate = 0.0
@@ -82,6 +83,10 @@
         """Lose all that goes from ``source`` to ``target``."""
         self._cuts.add((source, target))
 
+    def slow(self, source: InstanceName, target: InstanceName, delay: float) -> None:
+        """Add a delay in seconds to all that goes one way."""
+        self._delays[source, target] = delay
+
     def isolate(self, name: InstanceName) -> None:
         for other in self._clocks:
             self.cut(name, other)
@@ -102,6 +107,7 @@
         for _ in range(copies):
             if self._random.random() >= self.drop_rate:
                 delay = self._random.uniform(self.min_delay, self.max_delay)
+                delay += self._delays.get((source, to), 0.0)
                 self._nursery.start_soon(self._carry, source, to, data, delay)
 
     async def _carry(
--- a/tests/replication/test_faults.py
+++ b/tests/replication/test_faults.py
@@ -86,6 +86,23 @@
 
         run_group(play)
 
+    def test_a_late_answer_does_not_stretch_the_lease(self) -> None:
+        async def play(group: Group) -> None:
+            leader = await group.wait_leader()
+            others = list_others(group, leader)
+            for node in others:
+                group.network.slow(node.name, leader.name, 0.9)
+            await trio.sleep(5)
+            leader = await group.wait_leader()
+            for node in list_others(group, leader):
+                group.network.cut(leader.name, node.name)
+            for _ in range(400):
+                await trio.sleep(0.01)
+                group.check()
+
+        for seed in range(1, 7):
+            run_group(play, seed=seed)
+
     def test_a_restarted_voter_keeps_its_promise(self) -> None:
         async def play(group: Group) -> None:
             leader = await group.wait_leader()
--- /dev/null
+++ b/tests/replication/test_leader.py
@@ -0,0 +1,181 @@
+"""Tests of one replica whose peers are played by the test."""
+
+from __future__ import annotations
+
+import unittest
+from collections.abc import Awaitable, Callable
+from random import Random
+
+import trio
+
+from rhubarbfield.clock import TrioClock
+from rhubarbfield.replication import (
+    GroupSettings,
+    Membership,
+    Replica,
+    ReplicaId,
+    ReplicationMessage,
+)
+from rhubarbfield.replication.log import ReplicatedLog, encode_membership
+from rhubarbfield.replication.messages import (
+    Append,
+    AppendAnswer,
+    PreVote,
+    PreVoteAnswer,
+    Vote,
+    VoteAnswer,
+)
+from rhubarbfield.storage import (
+    Entry,
+    EntryKind,
+    HardState,
+    LogPosition,
+    MemoryStore,
+)
+from rhubarbfield.types import GroupId, Incarnation, InstanceName, LogIndex, Term
+from tests.replication.determinism import run_deterministic
+from tests.replication.group import ChainMachine, Observer
+
+A, B, C, D = (ReplicaId(InstanceName(name), Incarnation("1")) for name in "abcd")
+OLD = Membership((A, B, C))
+NEW = Membership((A, B, D))
+
+
+def make_entry(index: int, term: int, membership: Membership | None = None) -> Entry:
+    kind = EntryKind.MEMBERSHIP if membership else EntryKind.COMMAND
+    data = encode_membership(membership) if membership else b"command"
+    return Entry(LogIndex(index), Term(term), kind, data)
+
+
+def make_store(*entries: Entry, term: int, commit: int) -> MemoryStore:
+    store = MemoryStore()
+    hard_state = HardState(A.incarnation, Term(term), None, LogIndex(commit))
+    store.append(hard_state, entries)
+    return store
+
+
+class ScriptedPeers:
+    """Grants every vote of one replica and records what it appends."""
+
+    def __init__(self) -> None:
+        self.replica: Replica | None = None
+        self.appends: list[Append] = []
+
+    def send(
+        self, to: InstanceName, group: GroupId, message: ReplicationMessage
+    ) -> None:
+        source = ReplicaId(to, Incarnation("1"))
+        common = {"source": source, "target": A.incarnation, "term": message.term}
+        if isinstance(message, PreVote):
+            self.answer(PreVoteAnswer(asked_term=message.term, granted=True, **common))
+        elif isinstance(message, Vote):
+            self.answer(VoteAnswer(asked_term=message.term, granted=True, **common))
+        elif isinstance(message, Append) and to == B.name:
+            self.appends.append(message)
+
+    def answer(self, message: ReplicationMessage) -> None:
+        assert self.replica is not None
+        self.replica.deliver(message.source.name, message)
+
+    def acknowledge(self, index: int) -> None:
+        latest = self.appends[-1]
+        self.answer(
+            AppendAnswer(
+                source=B,
+                target=A.incarnation,
+                term=latest.term,
+                asked_term=latest.term,
+                matched=True,
+                index=LogIndex(index),
+                sent=latest.sent,
+            )
+        )
+
+
+def run_scripted(
+    store: MemoryStore,
+    scenario: Callable[[Replica, ScriptedPeers], Awaitable[None]],
+) -> None:
+    async def play() -> None:
+        peers = ScriptedPeers()
+        replica = peers.replica = Replica(
+            group=GroupId("fleet"),
+            name=A.name,
+            bootstrap=(A.name, B.name, C.name),
+            machine=ChainMachine(Observer()),
+            store=store,
+            sender=peers,
+            clock=TrioClock(),
+            random=Random(1),
+            settings=GroupSettings(),
+        )
+        async with trio.open_nursery() as nursery:
+            await nursery.start(replica.run)
+            await scenario(replica, peers)
+            nursery.cancel_scope.cancel()
+
+    run_deterministic(play, 1)
+
+
+class LeaderTest(unittest.TestCase):
+    def test_entries_of_earlier_terms_are_not_committed_by_counting(self) -> None:
+        async def play(replica: Replica, peers: ScriptedPeers) -> None:
+            while not peers.appends:
+                await trio.sleep(0.1)
+            peers.acknowledge(2)
+            await trio.sleep(0.01)
+            self.assertEqual(replica.status().commit, 1)
+            self.assertIsNone(replica.leadership)
+            peers.acknowledge(3)
+            await trio.sleep(0.01)
+            self.assertEqual(replica.status().commit, 3)
+            self.assertIsNotNone(replica.leadership)
+
+        entries = make_entry(1, 1, OLD), make_entry(2, 2)
+        run_scripted(make_store(*entries, term=3, commit=1), play)
+
+
+class FollowerTest(unittest.TestCase):
+    def test_a_restarted_replica_is_current_once_all_it_had_is_applied(self) -> None:
+        async def play(replica: Replica, peers: ScriptedPeers) -> None:
+            for commit, is_current in ((3, False), (4, False), (5, True)):
+                position = LogPosition(LogIndex(commit), Term(1))
+                peers.answer(
+                    Append(
+                        source=B,
+                        target=A.incarnation,
+                        term=Term(1),
+                        previous=position,
+                        entries=(),
+                        commit=LogIndex(commit),
+                        confirmed=True,
+                        sent=0,
+                    )
+                )
+                await trio.sleep(0.01)
+                self.assertEqual(replica.applied, commit)
+                self.assertEqual(replica.is_current, is_current)
+
+        commands = [make_entry(index, 1) for index in range(2, 6)]
+        store = make_store(make_entry(1, 1, OLD), *commands, term=1, commit=1)
+        run_scripted(store, play)
+
+
+class QuorumTest(unittest.TestCase):
+    def test_an_uncommitted_change_needs_both_majorities(self) -> None:
+        entries = make_entry(1, 1, OLD), make_entry(2, 1, NEW)
+        store = make_store(*entries, term=1, commit=1)
+        log = ReplicatedLog(store, store.load().unwrap())
+        for agreeing, reached in (({A, B}, True), ({A, C}, False), ({A, D}, False)):
+            self.assertEqual(log.quorum.is_reached(agreeing.__contains__), reached)
+        log.advance_commit(LogIndex(2))
+        self.assertTrue(log.quorum.is_reached({A, D}.__contains__))
+        self.assertFalse(log.quorum.is_reached({A, C}.__contains__))
+
+    def test_an_overwritten_change_is_forgotten(self) -> None:
+        entries = make_entry(1, 1, OLD), make_entry(2, 1, NEW)
+        store = make_store(*entries, term=1, commit=1)
+        log = ReplicatedLog(store, store.load().unwrap())
+        log.append([make_entry(2, 2)])
+        self.assertEqual(log.membership, OLD)
+        self.assertEqual(log.recovered, 1)
