--- a/src/rhubarbfield/replication/peer.py
+++ b/src/rhubarbfield/replication/peer.py
@@ -116,6 +116,7 @@
         transfer.received = message.received
         if message.received >= len(transfer.snapshot.data):
             self._transfer = None
+            self._in_flight.clear()
             self._note_match(message.position.index)
             self._next_index = LogIndex(self.match_index + 1)
         self._wake.set()
--- a/src/rhubarbfield/replication/replica.py
+++ b/src/rhubarbfield/replication/replica.py
@@ -9,6 +9,7 @@
 from returns.result import Failure, Result, Success
 
 from rhubarbfield.clock import Clock
+from rhubarbfield.exceptions import UsageError
 from rhubarbfield.replication.applier import Machine
 from rhubarbfield.replication.changes import MembershipChanges
 from rhubarbfield.replication.failures import (
@@ -67,6 +68,11 @@
         store is drawn from it.
     settings
         Times and sizes, the same in the whole group.
+
+    Raises
+    ------
+    UsageError
+        If ``bootstrap`` is empty.
     """
 
     def __init__(
@@ -82,6 +88,8 @@
         random: Random,
         settings: GroupSettings,
     ) -> None:
+        if not bootstrap:
+            raise UsageError(f"group {group} names no instance to form it")
         self.group = group
         self.name = name
         self._bootstrap = bootstrap
