--- a/src/rhubarbfield/replication/leader.py
+++ b/src/rhubarbfield/replication/leader.py
@@ -8,8 +8,10 @@
 
 import msgspec
 import trio
+from returns.result import Failure
 
 from rhubarbfield.replication.applier import Applier
+from rhubarbfield.replication.failures import NotLeader, OutcomeUnknown, ProposeError
 from rhubarbfield.replication.messages import AppendAnswer, InstallSnapshotAnswer
 from rhubarbfield.replication.peer import Peer
 from rhubarbfield.replication.proposals import Proposal, Proposals
@@ -183,14 +185,25 @@
             await self._proposals.queued.wait()
             taken = self._proposals.take()
             if taken and not self.append(taken):
+                self._fail(taken)
                 self._state.step_down()
 
+    def _fail(self, proposals: Sequence[Proposal]) -> None:
+        """Finish proposals that the storage did not take."""
+        failure: ProposeError = NotLeader(None)
+        if self._state.halted is not None:
+            # They may be found in the storage when it is next opened.
+            failure = OutcomeUnknown()
+        for proposal in proposals:
+            proposal.finish(Failure(failure))
+
     async def _beat(self) -> None:
         state = self._state
         while True:
             for peer in self.peers.values():
                 peer.beat()
             self._proposals.expire(state.now)
+            self._leave_if_removed()
             self._drop_silent_learners()
             if state.reluctant and self.is_settled and self._find_successor():
                 logger.info("leadership-yielded group=%s", state.group)
@@ -206,6 +219,12 @@
         others = [peer for peer in self.peers if peer in self._state.log.quorum.voters]
         return next((peer for peer in others if self.is_caught_up(peer)), None)
 
+    def _leave_if_removed(self) -> None:
+        state = self._state
+        is_applied = self._applier.applied >= state.log.commit
+        if is_applied and not state.is_voter:
+            state.step_down()
+
     def _find_lease_end(self) -> timedelta:
         state = self._state
         heard = state.log.quorum.find_agreed(self._get_acknowledged)
@@ -248,8 +267,6 @@
                 self._stop_peer(replica_id)
         for peer in self.peers.values():
             peer.beat()
-        if not state.is_voter:
-            state.step_down()
 
     def _start_peers(self) -> None:
         for voter in self._state.log.quorum.voters:
