--- /dev/null
+++ b/src/rhubarbfield/measurement/slots.py
@@ -0,0 +1,97 @@
+"""Owner for each backend server against split slots, by tail latency.
+
+``python -m rhubarbfield.measurement.slots`` runs a fleet of entries with the
+real routing decisions on a virtual clock and prints a table. Three ways are
+compared:
+
+- ``owner``: one entry owns all slots of a backend server and passes requests
+  on to other entries when its own are full;
+- ``split``: each entry of a failure domain holds a part of the slots of each
+  backend server there, and passes nothing on;
+- ``split-hops``: the same, but entries pass requests on.
+"""
+
+from __future__ import annotations
+
+import statistics
+from collections.abc import Sequence
+from datetime import timedelta
+
+from absl import flags
+
+from rhubarbfield.exceptions import UsageError
+from rhubarbfield.measurement.fleet import Callers, Trial, Way, run_trial
+
+PERCENT = 100
+QUANTILES = (0.5, 0.99, 0.999)
+
+
+def format_spread(values: Sequence[float]) -> str:
+    """Return the median of ``values`` with their range."""
+    return f"{statistics.median(values):7.1f} ({min(values):.1f}-{max(values):.1f})"
+
+
+def format_row(trials: Sequence[Trial]) -> str:
+    """Run trials that differ in their seeds only and return their row."""
+    runs = [run_trial(each) for each in trials]
+    first = trials[0]
+    cells = [
+        f"{first.callers:7} {first.load * PERCENT:4.0f} {first.way:11}",
+        *(format_spread([run.quantile(part) for run in runs]) for part in QUANTILES),
+    ]
+    answered = sum(len(run.latencies) for run in runs)
+    refused = sum(run.refused for run in runs)
+    passed_on = sum(run.passed_on for run in runs)
+    bounced = sum(run.bounced for run in runs)
+    total = answered + refused
+    cells.append(f"{PERCENT * refused / total:6.2f}")
+    cells.append(f"{PERCENT * passed_on / total:6.1f}")
+    cells.append(f"{PERCENT * bounced / total:6.1f}")
+    return " | ".join(cells)
+
+
+def main(argv: Sequence[str]) -> int:
+    """Print the table for the flags in ``argv`` and return the exit code.
+
+    Raises
+    ------
+    UsageError
+        If a flag is unknown or has a wrong value.
+    """
+    values = flags.FlagValues()
+    flags.DEFINE_integer("seeds", 5, "Runs of each row.", 1, flag_values=values)
+    flags.DEFINE_integer("seed", 1, "The first seed.", flag_values=values)
+    flags.DEFINE_float("seconds", 8, "Virtual time a run.", 1, flag_values=values)
+    flags.DEFINE_multi_integer(
+        "load", [50, 80, 95], "Load in percent.", 1, flag_values=values
+    )
+    flags.DEFINE_multi_enum_class(
+        "callers", list(Callers), Callers, "Their spread.", flag_values=values
+    )
+    try:
+        values(["slots", *argv])
+    except flags.Error as error:
+        raise UsageError(str(error)) from error
+    columns = ("p50 ms", "p99 ms", "p99.9 ms", "refused %", "hops %", "bounced %")
+    print(" | ".join(("callers load way        ", *columns)))
+    for callers in values.callers:
+        for load in values.load:
+            for way in Way:
+                trials = [
+                    Trial(
+                        way=way,
+                        callers=callers,
+                        load=load / PERCENT,
+                        seed=seed,
+                        duration=timedelta(seconds=values.seconds),
+                    )
+                    for seed in range(values.seed, values.seed + values.seeds)
+                ]
+                print(format_row(trials), flush=True)
+    return 0
+
+
+if __name__ == "__main__":
+    import sys
+
+    raise SystemExit(main(sys.argv[1:]))
--- a/src/rhubarbfield/routing/admission.py
+++ b/src/rhubarbfield/routing/admission.py
@@ -128,13 +128,12 @@
         room = self._rooms.get(service)
         if room is None:
             return
-        while len(room):
-            if not self._has_room(service):
-                return
+        while len(room) and self._has_room(service):
             waiter = room.pop()
             assert waiter is not None
             assignment = self._assign(waiter)
             if assignment is None:
+                waiter.returning = True
                 room.push(waiter)
                 return
             waiter.assign(assignment)
@@ -166,6 +165,8 @@
             return place
         if request.hops:
             return refuse_not_run(RefusalReason.NO_ROOM, "this entry has no room")
+        if self._is_wait_short(request.service):
+            return None
         entry = self.neighbours.take(request.service)
         return Elsewhere(entry) if entry is not None else None
 
@@ -187,7 +188,14 @@
     def _has_room(self, service: ServiceName) -> bool:
         if self._choice.has_room(self._servers.iterate(service)):
             return True
-        return self.neighbours.has_room(service)
+        return not self._is_wait_short(service) and self.neighbours.has_room(service)
+
+    def _is_wait_short(self, service: ServiceName) -> bool:
+        slots = self._servers.count_slots(service)
+        if not slots or self._drains[service].mean_latency is None:
+            return False
+        wait = self._drains[service].estimate_wait(self.count_waiting(service), slots)
+        return wait <= self._settings.current.hop_patience
 
     def _get_waiting_room(self, service: ServiceName) -> WaitingRoom:
         room = self._rooms.get(service)
--- a/src/rhubarbfield/routing/settings.py
+++ b/src/rhubarbfield/routing/settings.py
@@ -115,6 +115,8 @@
         How long an entry that had no room is not asked again.
     offload_interval
         How often waiting requests are offered to other entries.
+    hop_patience
+        How long a request rather waits for an own slot than being passed on.
     classes, default_tenant, tenants, services
         Settings for each class, tenant and service.
     metrics_tenants
@@ -136,6 +138,7 @@
     latency_weight: float = 0.1
     sibling_pause: timedelta = timedelta(milliseconds=20)
     offload_interval: timedelta = timedelta(milliseconds=10)
+    hop_patience: timedelta = timedelta(milliseconds=5)
     classes: dict[RequestClass, ClassSettings] = msgspec.field(
         default_factory=_make_classes
     )
--- a/tests/routing/longrun.py
+++ b/tests/routing/longrun.py
@@ -125,6 +125,8 @@
             entry.servers.renew(server.id, Epoch(self.epochs[server.id]), now + LEASE)
             counted_after = now - timedelta(milliseconds=5)
             entry.servers.report(server.report(counted_after))
+            if server.leaving:
+                entry.servers.mark_leaving(server.id)
             return
         if moves and owner is not None and owner not in self.cut_off:
             self.entries[owner].servers.revoke(server.id)
