--- /dev/null
+++ b/src/rhubarbfield/measurement/entry.py
@@ -0,0 +1,225 @@
+"""Processor time a request of one entry, and requests a second.
+
+``python -m rhubarbfield.measurement.entry`` serves an entry on loopback,
+with callers and a stand-in backend server in a second thread, and prints a
+table. The processor time is that of the entry's thread alone. The requests a
+second are what one process that does nothing else could do with it, and what
+was seen here, where both threads share one interpreter.
+"""
+
+from __future__ import annotations
+
+import random
+import statistics
+import threading
+import time
+from collections.abc import Sequence
+from enum import StrEnum
+from functools import partial
+
+import httpx
+import msgspec
+import trio
+from absl import flags
+
+from rhubarbfield.backends import HttpBackends
+from rhubarbfield.callers import Readiness, create_app, serve
+from rhubarbfield.clock import TrioClock
+from rhubarbfield.exceptions import UsageError
+from rhubarbfield.measurement.absences import NoEntries, NoRecords
+from rhubarbfield.measurement.fleet import LEASE
+from rhubarbfield.measurement.tables import format_spread
+from rhubarbfield.routing import BackendGrant, LiveSettings, OwnedServers, Router
+from rhubarbfield.testing.backend import StandInSettings, serve_backend
+from rhubarbfield.types import BackendServerId, Epoch, ServiceName
+
+SERVICE = ServiceName("board")
+CONCURRENCY = 8
+WARM_UP_REQUESTS = 100
+MILLISECONDS = 1000
+HEADERS = {"Rhubarbfield-Tenant": "casa"}
+
+
+class Kind(StrEnum):
+    """What the callers send."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non-idempotent"
+    WITH_KEY = "with-key"
+    REFUSED = "refused"
+
+
+class Figures(msgspec.Struct, frozen=True):
+    """What one run gave.
+
+    Attributes
+    ----------
+    cpu_ms
+        Processor time of the entry for each request.
+    seen_rate
+        Requests answered in a second.
+    latency_ms
+        The median latency a caller saw.
+    """
+
+    cpu_ms: float
+    seen_rate: float
+    latency_ms: float
+
+
+class Bench:
+    """An entry in one thread and its callers in another."""
+
+    def __init__(self, seed: int, requests: int) -> None:
+        self._seed = seed
+        self._requests = requests
+        self._backend_port = 0
+        self._base_url = ""
+        self._backend_ready = threading.Event()
+        self._entry_ready = threading.Event()
+        self._entry_clock = time.pthread_getcpuclockid(threading.get_ident())
+        self._stopped = threading.Event()
+        self.figures: dict[Kind, Figures] = {}
+
+    def run(self) -> dict[Kind, Figures]:
+        """Measure every kind and return its figures."""
+        peers = threading.Thread(target=trio.run, args=(self._run_peers,))
+        peers.start()
+        self._backend_ready.wait()
+        trio.run(self._run_entry)
+        peers.join()
+        return self.figures
+
+    async def _run_entry(self) -> None:
+        clock = TrioClock()
+        settings = LiveSettings()
+        servers = OwnedServers(clock, settings)
+        backends = HttpBackends(clock, settings)
+        router = Router(
+            servers=servers,
+            backend=backends,
+            siblings=NoEntries(),
+            records=NoRecords(),
+            clock=clock,
+            rng=random.Random(self._seed),
+            settings=settings,
+        )
+        readiness = Readiness()
+        app = create_app(router, readiness=readiness, rng=random.Random(self._seed))
+        async with trio.open_nursery() as nursery:
+            await nursery.start(router.run)
+            servers.grant(self._make_grant(clock)).unwrap()
+            serve_app = partial(
+                serve,
+                stop=trio.Event(),
+                readiness=readiness,
+                clock=clock,
+            )
+            binds = await nursery.start(serve_app, app, "127.0.0.1:0")
+            self._base_url = binds[0]
+            self._entry_ready.set()
+            await trio.to_thread.run_sync(self._stopped.wait)
+            nursery.cancel_scope.cancel()
+
+    def _make_grant(self, clock: TrioClock) -> BackendGrant:
+        return BackendGrant(
+            server=BackendServerId("s1"),
+            service=SERVICE,
+            address=f"127.0.0.1:{self._backend_port}",
+            slots=CONCURRENCY,
+            connections=CONCURRENCY * 8,
+            epoch=Epoch(1),
+            valid_until=clock.monotonic() + LEASE,
+        )
+
+    async def _run_peers(self) -> None:
+        settings = StandInSettings(
+            slots=CONCURRENCY, connections=CONCURRENCY * 8, seed=self._seed
+        )
+        async with trio.open_nursery() as nursery:
+            stand_in = await nursery.start(serve_backend, settings)
+            self._backend_port = stand_in.port
+            self._backend_ready.set()
+            await trio.to_thread.run_sync(self._entry_ready.wait)
+            for kind in Kind:
+                await self._measure(kind, WARM_UP_REQUESTS)
+                self.figures[kind] = await self._measure(kind, self._requests)
+            self._stopped.set()
+            nursery.cancel_scope.cancel()
+
+    async def _measure(self, kind: Kind, requests: int) -> Figures:
+        latencies: list[float] = []
+        cpu_before = time.clock_gettime(self._entry_clock)
+        started_at = time.monotonic()
+        async with (
+            httpx.AsyncClient(base_url=self._base_url, headers=HEADERS) as client,
+            trio.open_nursery() as nursery,
+        ):
+            for caller in range(CONCURRENCY):
+                count = requests // CONCURRENCY
+                nursery.start_soon(_call, client, kind, caller, count, latencies)
+        cpu = time.clock_gettime(self._entry_clock) - cpu_before
+        took = time.monotonic() - started_at
+        return Figures(
+            cpu_ms=cpu / len(latencies) * MILLISECONDS,
+            seen_rate=len(latencies) / took,
+            latency_ms=statistics.median(latencies) * MILLISECONDS,
+        )
+
+
+async def _call(
+    client: httpx.AsyncClient,
+    kind: Kind,
+    caller: int,
+    count: int,
+    latencies: list[float],
+) -> None:
+    method = "GET" if kind is Kind.IDEMPOTENT else "POST"
+    service = "nobody" if kind is Kind.REFUSED else SERVICE
+    for number in range(count):
+        headers = {}
+        if kind is Kind.WITH_KEY:
+            headers["Idempotency-Key"] = f"{caller}-{number}"
+        started_at = time.monotonic()
+        await client.request(method, f"/services/{service}/", headers=headers)
+        latencies.append(time.monotonic() - started_at)
+
+
+def main(argv: Sequence[str]) -> int:
+    """Print the table for the flags in ``argv`` and return the exit code.
+
+    Raises
+    ------
+    UsageError
+        If a flag is unknown or has a wrong value.
+    """
+    values = flags.FlagValues()
+    flags.DEFINE_integer("seeds", 5, "Runs of each row.", 1, flag_values=values)
+    flags.DEFINE_integer("seed", 1, "The first seed.", flag_values=values)
+    flags.DEFINE_integer(
+        "requests", 800, "Requests of each kind a run.", CONCURRENCY, flag_values=values
+    )
+    try:
+        values(["entry", *argv])
+    except flags.Error as error:
+        raise UsageError(str(error)) from error
+    seeds = range(values.seed, values.seed + values.seeds)
+    runs = [Bench(seed, values.requests).run() for seed in seeds]
+    print("kind           | CPU ms a request | 1/CPU a s | seen a s | p50 ms")
+    for kind in Kind:
+        figures = [run[kind] for run in runs]
+        cells = (
+            f"{kind:14}",
+            format_spread([each.cpu_ms for each in figures], digits=2),
+            format_spread([MILLISECONDS / each.cpu_ms for each in figures], digits=0),
+            format_spread([each.seen_rate for each in figures], digits=0),
+            format_spread([each.latency_ms for each in figures]),
+        )
+        print(" | ".join(cells))
+    return 0
+
+
+if __name__ == "__main__":
+    import sys
+
+    raise SystemExit(main(sys.argv[1:]))
--- a/src/rhubarbfield/measurement/fleet.py
+++ b/src/rhubarbfield/measurement/fleet.py
@@ -14,18 +14,16 @@
 from returns.result import Failure, Result, Success
 
 from rhubarbfield.clock import TrioClock
+from rhubarbfield.measurement.absences import NoRecords
 from rhubarbfield.routing import (
     BackendAnswer,
     BackendGrant,
     BackendTarget,
-    BeginReply,
-    Begun,
     CallerRequest,
     Candidate,
     ExchangeFailure,
     LiveSettings,
     OwnedServers,
-    RecordFailure,
     Refusal,
     Router,
     RoutingSettings,
@@ -36,7 +34,6 @@
     BackendServerId,
     Epoch,
     FailureDomain,
-    IdempotencyKey,
     InstanceName,
     RequestClass,
     RequestId,
@@ -143,36 +140,6 @@
         """Do nothing, as there are no connections."""
 
 
-class NoRecords:
-    """Records that are never asked, as no request has a key."""
-
-    async def begin(
-        self,
-        tenant: Tenant,
-        key: IdempotencyKey,
-        fingerprint: str,
-        request_id: RequestId,
-    ) -> Result[BeginReply, RecordFailure]:
-        """Let the request begin."""
-        return Success(Begun())
-
-    async def finish(
-        self,
-        tenant: Tenant,
-        key: IdempotencyKey,
-        request_id: RequestId,
-        answer: BackendAnswer,
-    ) -> Result[None, RecordFailure]:
-        """Keep nothing."""
-        return Success(None)
-
-    async def clear(
-        self, tenant: Tenant, key: IdempotencyKey, request_id: RequestId
-    ) -> Result[None, RecordFailure]:
-        """Forget nothing."""
-        return Success(None)
-
-
 class SimulatedEntries:
     """The entries as one of them sees the others: late, and at a distance."""
 
--- a/src/rhubarbfield/measurement/slots.py
+++ b/src/rhubarbfield/measurement/slots.py
@@ -13,7 +13,6 @@
 
 from __future__ import annotations
 
-import statistics
 from collections.abc import Sequence
 from datetime import timedelta
 
@@ -21,16 +20,12 @@
 
 from rhubarbfield.exceptions import UsageError
 from rhubarbfield.measurement.fleet import Callers, Trial, Way, run_trial
+from rhubarbfield.measurement.tables import format_spread
 
 PERCENT = 100
 QUANTILES = (0.5, 0.99, 0.999)
 
 
-def format_spread(values: Sequence[float]) -> str:
-    """Return the median of ``values`` with their range."""
-    return f"{statistics.median(values):7.1f} ({min(values):.1f}-{max(values):.1f})"
-
-
 def format_row(trials: Sequence[Trial]) -> str:
     """Run trials that differ in their seeds only and return their row."""
     runs = [run_trial(each) for each in trials]
