End a lease for requests not sent yet; drop what the kernel holds

Cause: a request still connecting went out after its backend server was given up, as it carried a copy of the lease; and a connection closed under a cut left its bytes with the kernel, to be delivered once the cut heals, after the slot was freed. The lease is now shared and checked right before the first byte, and closing a connection resets it. Header values outside ASCII no longer fail, every waiter for idleness wakes, and a passed-on request looks at this entry's own room only.

--- a/src/rhubarbfield/backends/http.py
+++ b/src/rhubarbfield/backends/http.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import logging
 from datetime import timedelta
 from typing import Any
 
@@ -23,6 +24,7 @@
     BackendTarget,
     ExchangeFailure,
     FailureReason,
+    Lease,
     Reach,
 )
 from rhubarbfield.routing.requests import BackendAnswer, CallerRequest, Header
@@ -36,6 +38,7 @@
 TENANT_HEADER = "Rhubarbfield-Tenant"
 CLASS_HEADER = "Rhubarbfield-Class"
 KEY_HEADER = "Idempotency-Key"
+HEADER_ENCODING = "latin-1"
 SENDING_EVENT = "http11.send_request_headers.started"
 DROPPED_HEADERS = frozenset(
     {
@@ -50,6 +53,8 @@
     }
 )
 
+_logger = logging.getLogger(__name__)
+
 Exchanged = Result[BackendAnswer, ExchangeFailure]
 
 
@@ -60,16 +65,16 @@
 class _Progress:
     """Follows one request through the pool."""
 
-    def __init__(self, clock: Clock, valid_until: timedelta) -> None:
+    def __init__(self, clock: Clock, lease: Lease) -> None:
         self.sent = False
         self._clock = clock
-        self._valid_until = valid_until
+        self._lease = lease
 
     async def trace(self, event: str, _info: dict[str, Any]) -> None:
         """Check the lease right before the first byte, and remember it left."""
         if event != SENDING_EVENT:
             return
-        if self._clock.monotonic() >= self._valid_until:
+        if not self._lease.is_valid(self._clock.monotonic()):
             raise _LeaseLapsedError
         self.sent = True
 
@@ -106,7 +111,7 @@
         self, server: BackendTarget, request: CallerRequest, timeout: timedelta
     ) -> Exchanged:
         """Send ``request`` and return the whole answer within ``timeout``."""
-        progress = _Progress(self._clock, server.valid_until)
+        progress = _Progress(self._clock, server.lease)
         result = progress.fail(FailureReason.TIMEOUT, "no answer in time")
         with trio.move_on_after(timeout.total_seconds()):
             return await self._exchange(server, request, timeout, progress)
@@ -129,8 +134,8 @@
         timeout: timedelta,
         progress: _Progress,
     ) -> Exchanged:
-        outgoing = _make_request(server, request, timeout, progress)
         try:
+            outgoing = _make_request(server, request, timeout, progress)
             async with self._pools.use(server, fresh=not request.idempotent) as pool:
                 response = await pool.handle_async_request(outgoing)
                 try:
@@ -144,6 +149,10 @@
             return progress.fail(error.reason, error)
         except httpx.TransportError as error:
             return progress.fail(FailureReason.CUT_SHORT, error)
+        except Exception as error:
+            # One odd request must not stop the process for all the others.
+            _logger.exception("request %s failed", request.request_id)
+            return progress.fail(FailureReason.CUT_SHORT, error)
 
     async def _read(
         self, server: BackendTarget, request: CallerRequest, response: httpx.Response
@@ -191,7 +200,10 @@
     return httpx.Request(
         request.method,
         f"http://{server.address}{request.path}",
-        headers=headers,
+        headers=[
+            (name.encode(HEADER_ENCODING), value.encode(HEADER_ENCODING))
+            for name, value in headers
+        ],
         content=request.body,
         extensions={"trace": progress.trace},
     )
--- a/src/rhubarbfield/backends/pools.py
+++ b/src/rhubarbfield/backends/pools.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import socket
 import ssl
+import struct
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -13,6 +15,9 @@
 from rhubarbfield.types import BackendServerId
 
 IDLE_SECONDS = 4.0
+# Closing a connection drops what its other end hasn't received, so that a
+# request that was given up on can't be delivered once a cut has healed.
+DROP_UNSENT = (socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
 
 
 class _Pool:
@@ -24,6 +29,7 @@
         self.transport = httpx.AsyncHTTPTransport(
             verify=context,
             trust_env=False,
+            socket_options=[DROP_UNSENT],
             limits=httpx.Limits(
                 max_connections=None,
                 max_keepalive_connections=idle_connections,
--- a/src/rhubarbfield/callers/answers.py
+++ b/src/rhubarbfield/callers/answers.py
@@ -17,6 +17,7 @@
 REQUEST_ID_HEADER = "Rhubarbfield-Request-Id"
 REPEATED_HEADER = "Rhubarbfield-Repeated"
 SERVER_SET_HEADER = "date"
+WITHOUT_CONTENT = frozenset({HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED})
 JSON_TYPE = "application/json"
 
 _STATUSES = {
@@ -99,7 +100,8 @@
     for header in answer.headers:
         if header.name.lower() != SERVER_SET_HEADER:
             response.headers.add(header.name, header.value)
-    response.headers.setdefault("Content-Length", str(len(answer.body)))
+    if answer.status not in WITHOUT_CONTENT:
+        response.headers.setdefault("Content-Length", str(len(answer.body)))
     if answer.repeated:
         response.headers[REPEATED_HEADER] = "true"
     return _mark(response, Outcome.ANSWERED, request_id)
--- a/src/rhubarbfield/callers/parsing.py
+++ b/src/rhubarbfield/callers/parsing.py
@@ -36,7 +36,7 @@
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
 _SECONDS = re.compile(r"[0-9]{1,6}(\.[0-9]{1,6})?")
 _KEY = re.compile(r"[!#-\[\]-~]([ !#-\[\]-~]{0,253}[!#-\[\]-~])?")
-_PATH = re.compile(r"/[!-~]*")
+_PATH = re.compile(r"/[!\"$-~]*")
 _HOP_HEADERS = frozenset(
     {
         "connection",
@@ -47,6 +47,7 @@
         "keep-alive",
         "proxy-authorization",
         "proxy-connection",
+        "remote-addr",
         "te",
         "trailer",
         "transfer-encoding",
--- a/src/rhubarbfield/routing/admission.py
+++ b/src/rhubarbfield/routing/admission.py
@@ -87,10 +87,10 @@
                 RefusalReason.NO_SUCH_SERVICE,
                 f"no backend server of service {service!r} is known",
             )
+        if request.hops:
+            return self._precheck_passed_on(service)
         if self._has_room(service) and not self.count_waiting(service):
             return None
-        if request.hops:
-            return refuse_not_run(RefusalReason.NO_ROOM, "this entry has no room")
         room = self._get_waiting_room(service)
         wait = self._estimate_wait(request)
         if not room.has_space(request) and room.find_excess(request) is None:
@@ -101,6 +101,12 @@
             return refuse_deadline(request, wait)
         return None
 
+    def _precheck_passed_on(self, service: ServiceName) -> Refusal | None:
+        own_room = self._choice.has_room(self._servers.iterate(service))
+        if own_room and not self.count_waiting(service):
+            return None
+        return refuse_not_run(RefusalReason.NO_ROOM, "this entry has no room")
+
     async def acquire(self, waiter: Waiter) -> Assignment:
         """Return where the request of ``waiter`` goes, or its refusal."""
         request = waiter.request
--- a/src/rhubarbfield/routing/ledger.py
+++ b/src/rhubarbfield/routing/ledger.py
@@ -17,6 +17,7 @@
 
 from rhubarbfield.exceptions import check_invariant
 from rhubarbfield.routing.grants import BackendGrant, Reservation, ServerReport
+from rhubarbfield.routing.ports import Lease
 from rhubarbfield.routing.requests import DispatchId
 from rhubarbfield.routing.settings import LiveSettings
 from rhubarbfield.types import RequestId
@@ -45,6 +46,7 @@
         self, grant: BackendGrant, granted_at: timedelta, settings: LiveSettings
     ) -> None:
         self.grant = grant
+        self.lease = Lease(grant.valid_until)
         self.granted_at = granted_at
         self.leaving = grant.leaving
         self._settings = settings
@@ -88,7 +90,7 @@
 
     def is_serving(self, now: timedelta) -> bool:
         """Say whether the lease is valid and the backend server stays."""
-        return not self.leaving and now < self.grant.valid_until
+        return not self.leaving and self.lease.is_valid(now)
 
     def is_idle(self, now: timedelta) -> bool:
         """Say whether no slot is in use."""
@@ -104,9 +106,21 @@
         """Take a grant of the same or a newer epoch."""
         if grant.epoch > self.grant.epoch:
             self._inherit(grant, now)
+            self.lease.end()
+            self.lease = Lease(grant.valid_until)
             self.leaving = False
         self.leaving = self.leaving or grant.leaving
         self.grant = grant
+        self.lease.valid_until = grant.valid_until
+
+    def renew(self, valid_until: timedelta) -> None:
+        """Extend the lease; it never gets shorter."""
+        self.lease.valid_until = max(self.lease.valid_until, valid_until)
+
+    def retire(self) -> None:
+        """Send nothing more, not even what was reserved before."""
+        self.leaving = True
+        self.lease.end()
 
     def reserve(self, request_id: RequestId, now: timedelta) -> Reservation | None:
         """Take a slot for ``request_id``, or return ``None`` if there is none."""
--- a/src/rhubarbfield/routing/ports.py
+++ b/src/rhubarbfield/routing/ports.py
@@ -28,6 +28,33 @@
 )
 
 
+class Lease:
+    """The right to send requests to a backend server, which may end early.
+
+    Parameters
+    ----------
+    valid_until
+        Monotonic time at which it ends.
+
+    Attributes
+    ----------
+    valid_until
+        Moves with renewals.
+    """
+
+    def __init__(self, valid_until: timedelta) -> None:
+        self.valid_until = valid_until
+        self._ended = False
+
+    def end(self) -> None:
+        """End it at once, for good."""
+        self._ended = True
+
+    def is_valid(self, now: timedelta) -> bool:
+        """Say whether a byte may be sent at the monotonic time ``now``."""
+        return not self._ended and now < self.valid_until
+
+
 class BackendTarget(msgspec.Struct, frozen=True, kw_only=True):
     """Where and under which lease a request is sent.
 
@@ -39,8 +66,8 @@
         Of the lease; the backend server refuses older ones.
     dispatch_id
         Tells apart all attempts ever sent to the backend server.
-    valid_until
-        Monotonic time after which no byte may be sent.
+    lease
+        Is to be checked right before the first byte.
     idle_connections
         How many connections may be kept open without a request.
     answers_until_close
@@ -51,7 +78,7 @@
     address: str
     epoch: Epoch
     dispatch_id: DispatchId
-    valid_until: timedelta
+    lease: Lease
     idle_connections: int = 0
     answers_until_close: bool = False
 
--- a/src/rhubarbfield/routing/router.py
+++ b/src/rhubarbfield/routing/router.py
@@ -147,7 +147,6 @@
     async def wait_idle(self) -> None:
         """Wait until no request is under way."""
         while self._in_flight:
-            self._idle = trio.Event()
             await self._idle.wait()
 
     def count_room(self, service: ServiceName) -> int:
@@ -206,6 +205,8 @@
             self._admission.withdraw(run.waiter)
 
     def _count_in(self) -> None:
+        if not self._in_flight:
+            self._idle = trio.Event()
         self._in_flight += 1
 
     def _count_out(self) -> None:
--- a/src/rhubarbfield/routing/servers.py
+++ b/src/rhubarbfield/routing/servers.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable, Iterable
 from datetime import timedelta
 
-import msgspec
 from returns.result import Failure, Result, Success
 
 from rhubarbfield.clock import Clock
@@ -76,18 +75,18 @@
         if ledger is None or ledger.grant.epoch != epoch:
             held = ledger.grant.epoch if ledger is not None else None
             return Failure(StaleGrant(epoch, held))
-        if valid_until > ledger.grant.valid_until:
-            ledger.grant = msgspec.structs.replace(
-                ledger.grant, valid_until=valid_until
-            )
-            self._notify(ledger)
+        ledger.renew(valid_until)
+        self._notify(ledger)
         return Success(None)
 
     def revoke(self, server: BackendServerId) -> None:
-        """Give ``server`` up at once; requests there run on to their end."""
+        """Give ``server`` up at once.
+
+        Requests sent there run on to their end; those not sent yet aren't.
+        """
         ledger = self._ledgers.pop(server, None)
         if ledger is not None:
-            ledger.leaving = True
+            ledger.retire()
             self._drop_from_service(ledger)
             self._retired[server] = ledger
             self._notify(ledger)
@@ -126,21 +125,21 @@
         """Return the slots of ``service`` under valid leases."""
         now = self._clock.monotonic()
         ledgers = self.iterate(service)
-        return sum(each.limit for each in ledgers if now < each.grant.valid_until)
+        return sum(each.limit for each in ledgers if each.lease.is_valid(now))
 
     def make_target(
         self, ledger: SlotLedger, reservation: Reservation
     ) -> BackendTarget | None:
         """Return where to send now, or ``None`` if the lease has lapsed."""
         grant = ledger.grant
-        if self._clock.monotonic() >= grant.valid_until:
+        if not ledger.lease.is_valid(self._clock.monotonic()):
             return None
         return BackendTarget(
             server=grant.server,
             address=grant.address,
             epoch=grant.epoch,
             dispatch_id=reservation.dispatch_id,
-            valid_until=grant.valid_until,
+            lease=ledger.lease,
             idle_connections=ledger.idle_connections,
             answers_until_close=grant.answers_until_close,
         )
--- a/tests/backends/test_http.py
+++ b/tests/backends/test_http.py
@@ -18,6 +18,8 @@
     DispatchId,
     ExchangeFailure,
     FailureReason,
+    Header,
+    Lease,
     LiveSettings,
     Reach,
     RoutingSettings,
@@ -51,7 +53,7 @@
             "address": f"127.0.0.1:{self.port}",
             "epoch": Epoch(2),
             "dispatch_id": DispatchId("2.1"),
-            "valid_until": self.clock.monotonic() + timedelta(minutes=1),
+            "lease": Lease(self.clock.monotonic() + timedelta(minutes=1)),
             "idle_connections": 2,
         }
         made = BackendTarget(**(fields | (target or {})))
@@ -119,7 +121,7 @@
 
     def test_a_lapsed_lease_sends_no_byte(self) -> None:
         async def scenario(bench: Bench, stand_in: StandInBackend) -> None:
-            lapsed = {"valid_until": bench.clock.monotonic()}
+            lapsed = {"lease": Lease(bench.clock.monotonic())}
             result = await bench.exchange(target=lapsed)
             self.assert_failed(result, Reach.NOT_SENT, FailureReason.LEASE_LAPSED)
             self.assertEqual(stand_in.observe().runs_by_request, {})
@@ -152,6 +154,40 @@
         self.run_bench(scenario)
 
 
+class RawRequestTest(unittest.TestCase):
+    def receive(self, **changes: Any) -> tuple[bytes, type[Exception] | None]:
+        received: list[bytes] = []
+        ended: list[type[Exception]] = []
+
+        async def listen(stream: trio.SocketStream) -> None:
+            try:
+                while data := await stream.receive_some(65536):
+                    received.append(data)
+            except trio.BrokenResourceError as error:
+                ended.append(type(error.__cause__))  # type: ignore[arg-type]
+
+        async def run() -> None:
+            async with trio.open_nursery() as nursery:
+                listeners = await nursery.start(trio.serve_tcp, listen, 0)
+                bench = Bench(listeners[0].socket.getsockname()[1])
+                await bench.exchange(100 * MS, **changes)
+                await trio.sleep(0.05)
+                nursery.cancel_scope.cancel()
+
+        trio.run(run)
+        return b"".join(received), ended[0] if ended else None
+
+    def test_what_is_given_up_on_is_not_delivered_later(self) -> None:
+        _, ended = self.receive()
+        self.assertIs(ended, ConnectionResetError)
+
+    def test_headers_pass_as_they_came(self) -> None:
+        name = Header("X-Name", "Jo\xe3o")
+        sent, _ = self.receive(headers=(name,), path="/a%2Fb?c=%C3%A3")
+        self.assertIn("X-Name: Jo\xe3o\r\n".encode("latin-1").lower(), sent.lower())
+        self.assertTrue(sent.startswith(b"GET /a%2Fb?c=%C3%A3 HTTP/1.1\r\n"))
+
+
 class RawAnswerTest(unittest.TestCase):
     def exchange(
         self, answer: bytes, **target: Any
@@ -187,6 +223,12 @@
         result = self.exchange(answer, answers_until_close=True)
         self.assertEqual(result.unwrap().body, b"whole")
 
+    def test_an_answer_without_content_is_whole(self) -> None:
+        answer = b"HTTP/1.1 204 No Content\r\nX-Name: Jo\xe3o\r\n\r\n"
+        result = self.exchange(answer).unwrap()
+        self.assertEqual((result.status, result.body), (204, b""))
+        self.assertIn(Header("x-name", "Jo\xe3o"), result.headers)
+
     def test_an_answer_to_another_request_is_dropped(self) -> None:
         head = b"Rhubarbfield-Request-Id: r9\r\nContent-Length: 0\r\n\r\n"
         self.assert_invalid(head, FailureReason.MISMATCHED)
--- a/tests/callers/test_parsing.py
+++ b/tests/callers/test_parsing.py
@@ -92,6 +92,7 @@
         self.assert_bad(parse(TENANT), "Rhubarbfield-Tenant")
         self.assert_bad(parse(service="../etc"), "service")
         self.assert_bad(parse(path="/a b"), "path")
+        self.assert_bad(parse(path="/a#b"), "path")
 
     def test_bounds_every_size(self) -> None:
         self.assert_bad(parse(body=bytes((1 << 20) + 1)), "content", 413)
--- a/tests/routing/fakes.py
+++ b/tests/routing/fakes.py
@@ -127,13 +127,9 @@
     ) -> Result[BackendAnswer, ExchangeFailure]:
         server = self.servers[target.server]
         behaviour = server.behaviour()
-        await trio.sleep(0.0005)
-        if behaviour == "unreachable":
-            return fail(Reach.NOT_SENT, FailureReason.CONNECT)
-        if self._clock.monotonic() >= target.valid_until:
-            return fail(Reach.NOT_SENT, FailureReason.LEASE_LAPSED)
-        if target.epoch < server.epoch or behaviour == "refuse":
-            return fail(Reach.REFUSED_BY_SERVER, FailureReason.REFUSED)
+        failure = await self._connect(server, target, behaviour, timeout)
+        if failure is not None:
+            return failure
         server.epoch = target.epoch
         self._begin(server, request)
         finished = trio.Event()
@@ -146,6 +142,24 @@
             return Success(BackendAnswer(status=200, body=request.request_id.encode()))
         return fail(Reach.SENT, FailureReason.TIMEOUT)
 
+    async def _connect(
+        self,
+        server: FakeServer,
+        target: BackendTarget,
+        behaviour: str,
+        timeout: timedelta,
+    ) -> Failure[ExchangeFailure] | None:
+        seconds = 2.5 if behaviour == "slow-connect" else 0.0005
+        with trio.move_on_after(timeout.total_seconds()) as scope:
+            await trio.sleep(seconds)
+        if scope.cancelled_caught or behaviour == "unreachable":
+            return fail(Reach.NOT_SENT, FailureReason.CONNECT)
+        if not target.lease.is_valid(self._clock.monotonic()):
+            return fail(Reach.NOT_SENT, FailureReason.LEASE_LAPSED)
+        if target.epoch < server.epoch or behaviour == "refuse":
+            return fail(Reach.REFUSED_BY_SERVER, FailureReason.REFUSED)
+        return None
+
     def _begin(self, server: FakeServer, request: CallerRequest) -> None:
         self.runs[request.request_id] += 1
         if request.idempotency_key is not None:
--- a/tests/routing/longrun.py
+++ b/tests/routing/longrun.py
@@ -42,7 +42,7 @@
 RENEWAL_SECONDS = 1.0
 LATENESS = timedelta(seconds=1)
 LEAVING_NOTICE_SECONDS = 2.0
-BEHAVIOURS = ("answer", "unreachable", "refuse", "cut", "hang")
+BEHAVIOURS = ("answer", "slow-connect", "unreachable", "refuse", "cut", "hang")
 
 
 class World:
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -278,6 +278,31 @@
 
         self.run_entry(scenario)
 
+    def test_a_server_given_up_while_connecting_gets_no_byte(self) -> None:
+        async def scenario(entry: Entry, backends: FakeBackends) -> None:
+            server = backends.add("s1", 4)
+            server.behaviour = lambda: "slow-connect"
+            entry.grant(server)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(entry.router.route, make_request(timeout=5 * SECOND))
+                await trio.sleep(0.1)
+                entry.servers.revoke(server.id)
+            self.assertEqual(backends.runs[RequestId("r0")], 0)
+
+        self.run_entry(scenario)
+
+    def test_everyone_who_waits_for_idleness_is_woken(self) -> None:
+        async def scenario(entry: Entry, backends: FakeBackends) -> None:
+            entry.grant(backends.add("s1", 4))
+            with trio.fail_after(5):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(entry.router.route, make_request())
+                    await trio.sleep(0.01)
+                    nursery.start_soon(entry.router.wait_idle)
+                    nursery.start_soon(entry.router.wait_idle)
+
+        self.run_entry(scenario)
+
     def test_a_service_nobody_serves_is_refused(self) -> None:
         async def scenario(entry: Entry, _: FakeBackends) -> None:
             result = await entry.router.route(make_request())
