--- a/tests/backends/test_http.py
+++ b/tests/backends/test_http.py
@@ -31,7 +31,7 @@
     serve_backend,
 )
 from rhubarbfield.types import BackendServerId, Epoch
-from tests.routing.fakes import MS, SECOND, make_request
+from tests.routing.fakes import MS, SECOND, make_request, scenario
 
 POST = {"method": "POST", "idempotent": False}
 
@@ -82,76 +82,75 @@
         failure = result.failure()
         self.assertEqual((failure.reach, failure.reason), (reach, reason))
 
-    def test_idle_connections_serve_idempotent_requests_only(self) -> None:
-        async def scenario(bench: Bench, stand_in: StandInBackend) -> None:
-            for _ in range(3):
-                (await bench.exchange()).unwrap()
-            self.assertEqual(stand_in.observe().most_connections, 1)
-            (await bench.exchange(**POST)).unwrap()
-            self.assertEqual(stand_in.observe().most_connections, 2)
-
-        self.run_bench(scenario)
-
-    def test_a_connection_that_timed_out_is_closed(self) -> None:
-        async def scenario(bench: Bench, stand_in: StandInBackend) -> None:
-            stand_in.misbehave(Misbehaviour.HANG)
-            result = await bench.exchange(100 * MS)
-            self.assert_failed(result, Reach.SENT, FailureReason.TIMEOUT)
-            await trio.sleep(0.1)
-            self.assertEqual(stand_in.observe().connections, 0)
-            self.assertEqual(stand_in.observe().running, 1)
-
-        self.run_bench(scenario)
+    @scenario("run_bench")
+    async def test_idle_connections_serve_idempotent_requests_only(
+        self, bench: Bench, stand_in: StandInBackend
+    ) -> None:
+        for _ in range(3):
+            (await bench.exchange()).unwrap()
+        self.assertEqual(stand_in.observe().most_connections, 1)
+        (await bench.exchange(**POST)).unwrap()
+        self.assertEqual(stand_in.observe().most_connections, 2)
 
-    def test_each_misbehaviour_has_its_failure(self) -> None:
+    @scenario("run_bench")
+    async def test_a_connection_that_timed_out_is_closed(
+        self, bench: Bench, stand_in: StandInBackend
+    ) -> None:
+        stand_in.misbehave(Misbehaviour.HANG)
+        result = await bench.exchange(100 * MS)
+        self.assert_failed(result, Reach.SENT, FailureReason.TIMEOUT)
+        await trio.sleep(0.1)
+        self.assertEqual(stand_in.observe().connections, 0)
+        self.assertEqual(stand_in.observe().running, 1)
+
+    @scenario("run_bench")
+    async def test_each_misbehaviour_has_its_failure(
+        self, bench: Bench, stand_in: StandInBackend
+    ) -> None:
         failures = {
             Misbehaviour.CUT_SHORT: (Reach.SENT, FailureReason.CUT_SHORT),
             Misbehaviour.SILENT: (Reach.SENT, FailureReason.TIMEOUT),
             Misbehaviour.REFUSE: (Reach.REFUSED_BY_SERVER, FailureReason.REFUSED),
         }
-
-        async def scenario(bench: Bench, stand_in: StandInBackend) -> None:
-            for misbehaviour, (reach, reason) in failures.items():
-                stand_in.misbehave(misbehaviour)
-                for changes in ({}, POST):
-                    result = await bench.exchange(100 * MS, **changes)
-                    self.assert_failed(result, reach, reason)
-
-        self.run_bench(scenario)
-
-    def test_a_lapsed_lease_sends_no_byte(self) -> None:
-        async def scenario(bench: Bench, stand_in: StandInBackend) -> None:
-            lapsed = {"lease": Lease(bench.clock.monotonic())}
-            result = await bench.exchange(target=lapsed)
-            self.assert_failed(result, Reach.NOT_SENT, FailureReason.LEASE_LAPSED)
-            self.assertEqual(stand_in.observe().runs_by_request, {})
-
-        self.run_bench(scenario)
-
-    def test_an_older_epoch_is_refused_by_the_server(self) -> None:
-        async def scenario(bench: Bench, stand_in: StandInBackend) -> None:
-            (await bench.exchange()).unwrap()
-            result = await bench.exchange(target={"epoch": Epoch(1)})
-            self.assert_failed(result, Reach.REFUSED_BY_SERVER, FailureReason.REFUSED)
-            self.assertEqual(stand_in.observe().stale_epochs, 1)
-
-        self.run_bench(scenario)
-
-    def test_a_given_up_server_keeps_no_connection(self) -> None:
-        async def scenario(bench: Bench, stand_in: StandInBackend) -> None:
-            (await bench.exchange()).unwrap()
-            await bench.backends.forget(BackendServerId("s1"))
-            await trio.sleep(0.1)
-            self.assertEqual(stand_in.observe().connections, 0)
-
-        self.run_bench(scenario)
-
-    def test_nobody_listening_is_not_sent(self) -> None:
-        async def scenario(bench: Bench, _: StandInBackend) -> None:
-            result = await bench.exchange(target={"address": "127.0.0.1:1"})
-            self.assert_failed(result, Reach.NOT_SENT, FailureReason.CONNECT)
-
-        self.run_bench(scenario)
+        for misbehaviour, (reach, reason) in failures.items():
+            stand_in.misbehave(misbehaviour)
+            for changes in ({}, POST):
+                result = await bench.exchange(100 * MS, **changes)
+                self.assert_failed(result, reach, reason)
+
+    @scenario("run_bench")
+    async def test_a_lapsed_lease_sends_no_byte(
+        self, bench: Bench, stand_in: StandInBackend
+    ) -> None:
+        lapsed = {"lease": Lease(bench.clock.monotonic())}
+        result = await bench.exchange(target=lapsed)
+        self.assert_failed(result, Reach.NOT_SENT, FailureReason.LEASE_LAPSED)
+        self.assertEqual(stand_in.observe().runs_by_request, {})
+
+    @scenario("run_bench")
+    async def test_an_older_epoch_is_refused_by_the_server(
+        self, bench: Bench, stand_in: StandInBackend
+    ) -> None:
+        (await bench.exchange()).unwrap()
+        result = await bench.exchange(target={"epoch": Epoch(1)})
+        self.assert_failed(result, Reach.REFUSED_BY_SERVER, FailureReason.REFUSED)
+        self.assertEqual(stand_in.observe().stale_epochs, 1)
+
+    @scenario("run_bench")
+    async def test_a_given_up_server_keeps_no_connection(
+        self, bench: Bench, stand_in: StandInBackend
+    ) -> None:
+        (await bench.exchange()).unwrap()
+        await bench.backends.forget(BackendServerId("s1"))
+        await trio.sleep(0.1)
+        self.assertEqual(stand_in.observe().connections, 0)
+
+    @scenario("run_bench")
+    async def test_nobody_listening_is_not_sent(
+        self, bench: Bench, _: StandInBackend
+    ) -> None:
+        result = await bench.exchange(target={"address": "127.0.0.1:1"})
+        self.assert_failed(result, Reach.NOT_SENT, FailureReason.CONNECT)
 
 
 class RawRequestTest(unittest.TestCase):
--- a/tests/callers/test_serving.py
+++ b/tests/callers/test_serving.py
@@ -15,7 +15,7 @@
 from rhubarbfield.callers import Readiness, ServingSettings, create_app, serve
 from rhubarbfield.callers.answers import RefusalBody
 from rhubarbfield.types import Outcome
-from tests.routing.fakes import MS, Entry, FakeBackends
+from tests.routing.fakes import MS, Entry, FakeBackends, scenario
 
 TIMES = ServingSettings(
     keep_alive=timedelta(seconds=1),
@@ -71,79 +71,73 @@
 
         trio.run(run)
 
-    def test_answers_and_says_so(self) -> None:
-        async def scenario(served: Served) -> None:
-            response = await served.client.get("/services/board/a%2Fb?c=d")
-            self.assertEqual(response.status_code, 200)
-            self.assertEqual(response.headers["Rhubarbfield-Outcome"], "answered")
-            request_id = response.headers["Rhubarbfield-Request-Id"]
-            self.assertEqual(response.text, request_id)
-            metrics = await served.client.get("/-/metrics")
-            names = {each.name for each in text_string_to_metric_families(metrics.text)}
-            self.assertIn("rhubarbfield_request_seconds", names)
-
-        self.run_served(scenario)
-
-    def test_refusals_are_small_documents(self) -> None:
-        async def scenario(served: Served) -> None:
-            attempts = (
-                ("GET", "/services/nobody/", b"", 404, "no-such-service"),
-                ("GET", "/elsewhere", b"", 404, "bad-request"),
-                ("TRACE", "/services/board/", b"", 405, "bad-request"),
-                ("POST", "/services/board/", bytes(2 << 20), 413, "bad-request"),
-                ("GET", "/services/board/" + "a" * 9000, b"", 414, "bad-request"),
-            )
-            for method, path, content, status, reason in attempts:
-                response = await served.client.request(method, path, content=content)
-                body = msgspec.json.decode(response.content, type=RefusalBody)
-                self.assertEqual((response.status_code, body.reason), (status, reason))
-                self.assertEqual(body.outcome, Outcome.NOT_RUN)
-                self.assertEqual(response.headers["Rhubarbfield-Outcome"], "not-run")
-
-        self.run_served(scenario)
-
-    def test_a_fault_of_the_entry_shows_no_stack_trace(self) -> None:
-        async def scenario(served: Served) -> None:
-            served.entry.router.route = None  # type: ignore[assignment, method-assign]
-            with self.assertLogs(level="ERROR"):
-                response = await served.client.get("/services/board/")
+    @scenario("run_served")
+    async def test_answers_and_says_so(self, served: Served) -> None:
+        response = await served.client.get("/services/board/a%2Fb?c=d")
+        self.assertEqual(response.status_code, 200)
+        self.assertEqual(response.headers["Rhubarbfield-Outcome"], "answered")
+        request_id = response.headers["Rhubarbfield-Request-Id"]
+        self.assertEqual(response.text, request_id)
+        metrics = await served.client.get("/-/metrics")
+        names = {each.name for each in text_string_to_metric_families(metrics.text)}
+        self.assertIn("rhubarbfield_request_seconds", names)
+
+    @scenario("run_served")
+    async def test_refusals_are_small_documents(self, served: Served) -> None:
+        attempts = (
+            ("GET", "/services/nobody/", b"", 404, "no-such-service"),
+            ("GET", "/elsewhere", b"", 404, "bad-request"),
+            ("TRACE", "/services/board/", b"", 405, "bad-request"),
+            ("POST", "/services/board/", bytes(2 << 20), 413, "bad-request"),
+            ("GET", "/services/board/" + "a" * 9000, b"", 414, "bad-request"),
+        )
+        for method, path, content, status, reason in attempts:
+            response = await served.client.request(method, path, content=content)
             body = msgspec.json.decode(response.content, type=RefusalBody)
-            self.assertEqual((response.status_code, body.outcome), (500, "unknown"))
-
-        self.run_served(scenario)
-
-    def test_a_planned_stop_cuts_off_no_request(self) -> None:
-        async def scenario(served: Served) -> None:
-            statuses: list[int] = []
-
-            async def call(delay: float) -> None:
-                await trio.sleep(delay)
-                response = await served.client.get("/services/board/")
-                statuses.append(response.status_code)
-
-            async with trio.open_nursery() as nursery:
-                for number in range(12):
-                    nursery.start_soon(call, number * 0.04)
-                await trio.sleep(0.2)
-                served.stop.set()
-                await trio.sleep(0.05)
-                ready = await served.client.get("/-/ready")
-                self.assertEqual(ready.status_code, 503)
-                self.assertEqual(ready.headers["Connection"], "close")
-            self.assertEqual(statuses, [200] * 12)
-            with trio.fail_after(3):
-                await served.stopped.wait()
-
-        self.run_served(scenario)
-
-    def test_a_caller_who_disconnects_leaves_the_request_running(self) -> None:
-        async def scenario(served: Served) -> None:
-            with trio.move_on_after(0.2):
-                await served.client.post("/services/board/")
-            await trio.sleep(0.1)
-            self.assertEqual(served.entry.router.count_in_flight(), 1)
-            self.assertEqual(served.entry.router.count_room("board"), 7)
-            with trio.fail_after(2):
-                await served.entry.router.wait_idle()
-
-        self.run_served(scenario)
+            self.assertEqual((response.status_code, body.reason), (status, reason))
+            self.assertEqual(body.outcome, Outcome.NOT_RUN)
+            self.assertEqual(response.headers["Rhubarbfield-Outcome"], "not-run")
+
+    @scenario("run_served")
+    async def test_a_fault_of_the_entry_shows_no_stack_trace(
+        self, served: Served
+    ) -> None:
+        served.entry.router.route = None  # type: ignore[assignment, method-assign]
+        with self.assertLogs(level="ERROR"):
+            response = await served.client.get("/services/board/")
+        body = msgspec.json.decode(response.content, type=RefusalBody)
+        self.assertEqual((response.status_code, body.outcome), (500, "unknown"))
+
+    @scenario("run_served")
+    async def test_a_planned_stop_cuts_off_no_request(self, served: Served) -> None:
+        statuses: list[int] = []
+
+        async def call(delay: float) -> None:
+            await trio.sleep(delay)
+            response = await served.client.get("/services/board/")
+            statuses.append(response.status_code)
+
+        async with trio.open_nursery() as nursery:
+            for number in range(12):
+                nursery.start_soon(call, number * 0.04)
+            await trio.sleep(0.2)
+            served.stop.set()
+            await trio.sleep(0.05)
+            ready = await served.client.get("/-/ready")
+            self.assertEqual(ready.status_code, 503)
+            self.assertEqual(ready.headers["Connection"], "close")
+        self.assertEqual(statuses, [200] * 12)
+        with trio.fail_after(3):
+            await served.stopped.wait()
+
+    @scenario("run_served")
+    async def test_a_caller_who_disconnects_leaves_the_request_running(
+        self, served: Served
+    ) -> None:
+        with trio.move_on_after(0.2):
+            await served.client.post("/services/board/")
+        await trio.sleep(0.1)
+        self.assertEqual(served.entry.router.count_in_flight(), 1)
+        self.assertEqual(served.entry.router.count_room("board"), 7)
+        with trio.fail_after(2):
+            await served.entry.router.wait_idle()
--- a/tests/routing/fakes.py
+++ b/tests/routing/fakes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import random
 from collections import Counter
 from collections.abc import Awaitable, Callable, Sequence
@@ -39,7 +40,6 @@
     RecordFailureReason,
     Refusal,
     Router,
-    RoutingSettings,
     ServerReport,
 )
 from rhubarbfield.types import (
@@ -65,6 +65,19 @@
     trio.run(test, clock=trio.testing.MockClock(autojump_threshold=0))
 
 
+def scenario(runner: str) -> Callable[[Any], Callable[[Any], None]]:
+    """Have the method ``runner`` of the test case run the decorated test."""
+
+    def decorate(test: Any) -> Callable[[Any], None]:
+        @functools.wraps(test)
+        def run(case: Any) -> None:
+            getattr(case, runner)(functools.partial(test, case))
+
+        return run
+
+    return decorate
+
+
 def make_request(number: int = 0, **changes: Any) -> CallerRequest:
     fields: dict[str, Any] = {
         "request_id": RequestId(f"r{number}"),
@@ -291,12 +304,12 @@
         name: str = "entry-1",
         domains: dict[str, str] | None = None,
         records: FakeRecords | None = None,
-        settings: RoutingSettings | None = None,
         seed: int = 1,
         delay: timedelta = MS,
     ) -> None:
+        self.backends = backends
         self.clock = TrioClock()
-        self.settings = LiveSettings(settings)
+        self.settings = LiveSettings()
         self.servers = OwnedServers(self.clock, self.settings)
         self.siblings = FakeSiblings(name, domains or {name: HOME}, delay)
         self.records = records or FakeRecords()
--- a/tests/testing/test_backend.py
+++ b/tests/testing/test_backend.py
@@ -18,6 +18,7 @@
     StandInSettings,
     serve_backend,
 )
+from tests.routing.fakes import scenario
 
 
 class StandInBackendTest(unittest.TestCase):
@@ -38,56 +39,56 @@
 
         trio.run(run)
 
-    def test_counts_what_finds_no_slot(self) -> None:
-        async def scenario(_: StandInBackend, client: httpx.AsyncClient) -> None:
-            async with trio.open_nursery() as nursery:
-                for _ in range(3):
-                    nursery.start_soon(client.get, "/render")
-            shown = await client.get("/-/observations")
-            seen = msgspec.json.decode(shown.content, type=Observations)
-            self.assertEqual((seen.most_running, seen.over_slots), (2, 1))
-            self.assertEqual(seen.most_connections, 3)
-
-        self.run_stand_in(scenario)
-
-    def test_counts_what_runs_on_after_its_caller_left(self) -> None:
-        async def scenario(stand_in: StandInBackend, client: httpx.AsyncClient) -> None:
-            headers = {"Idempotency-Key": "k", "Rhubarbfield-Tenant": "casa"}
-            with trio.move_on_after(0.1):
-                await client.post("/reserve", headers=headers)
-            await trio.sleep(0.02)
-            self.assertEqual(stand_in.observe().running, 1)
-            await trio.sleep(0.2)
-            self.assertEqual(stand_in.observe().running, 0)
-            self.assertEqual(stand_in.observe().runs_by_key, {"casa/k": 1})
-
-        self.run_stand_in(scenario)
-
-    def test_closes_connections_above_the_limit(self) -> None:
-        async def scenario(stand_in: StandInBackend, client: httpx.AsyncClient) -> None:
-            streams = [
-                await trio.open_tcp_stream("127.0.0.1", stand_in.port) for _ in range(5)
-            ]
-            await trio.sleep(0.1)
-            self.assertEqual(stand_in.observe().over_connections, 1)
-            for stream in streams:
-                await stream.aclose()
-
-        self.run_stand_in(scenario)
-
-    def test_takes_orders_only_from_outside_the_entries(self) -> None:
-        async def scenario(stand_in: StandInBackend, client: httpx.AsyncClient) -> None:
-            routed = {"Rhubarbfield-Request-Id": "r1"}
-            await client.post("/-/leave", headers=routed)
-            self.assertEqual(stand_in.state, "serving")
-            await client.post("/-/leave")
-            self.assertEqual(stand_in.state, "leaving")
-            refused = await client.get("/render", headers=routed)
-            self.assertEqual(refused.headers["Rhubarbfield-Outcome"], "not-run")
-            wrong = await client.post("/-/misbehave", content=b'{"misbehaviour": 1}')
-            self.assertEqual(wrong.status_code, 400)
-
-        self.run_stand_in(scenario)
+    @scenario("run_stand_in")
+    async def test_counts_what_finds_no_slot(
+        self, _: StandInBackend, client: httpx.AsyncClient
+    ) -> None:
+        async with trio.open_nursery() as nursery:
+            for _ in range(3):
+                nursery.start_soon(client.get, "/render")
+        shown = await client.get("/-/observations")
+        seen = msgspec.json.decode(shown.content, type=Observations)
+        self.assertEqual((seen.most_running, seen.over_slots), (2, 1))
+        self.assertEqual(seen.most_connections, 3)
+
+    @scenario("run_stand_in")
+    async def test_counts_what_runs_on_after_its_caller_left(
+        self, stand_in: StandInBackend, client: httpx.AsyncClient
+    ) -> None:
+        headers = {"Idempotency-Key": "k", "Rhubarbfield-Tenant": "casa"}
+        with trio.move_on_after(0.1):
+            await client.post("/reserve", headers=headers)
+        await trio.sleep(0.02)
+        self.assertEqual(stand_in.observe().running, 1)
+        await trio.sleep(0.2)
+        self.assertEqual(stand_in.observe().running, 0)
+        self.assertEqual(stand_in.observe().runs_by_key, {"casa/k": 1})
+
+    @scenario("run_stand_in")
+    async def test_closes_connections_above_the_limit(
+        self, stand_in: StandInBackend, client: httpx.AsyncClient
+    ) -> None:
+        streams = [
+            await trio.open_tcp_stream("127.0.0.1", stand_in.port) for _ in range(5)
+        ]
+        await trio.sleep(0.1)
+        self.assertEqual(stand_in.observe().over_connections, 1)
+        for stream in streams:
+            await stream.aclose()
+
+    @scenario("run_stand_in")
+    async def test_takes_orders_only_from_outside_the_entries(
+        self, stand_in: StandInBackend, client: httpx.AsyncClient
+    ) -> None:
+        routed = {"Rhubarbfield-Request-Id": "r1"}
+        await client.post("/-/leave", headers=routed)
+        self.assertEqual(stand_in.state, "serving")
+        await client.post("/-/leave")
+        self.assertEqual(stand_in.state, "leaving")
+        refused = await client.get("/render", headers=routed)
+        self.assertEqual(refused.headers["Rhubarbfield-Outcome"], "not-run")
+        wrong = await client.post("/-/misbehave", content=b'{"misbehaviour": 1}')
+        self.assertEqual(wrong.status_code, 400)
 
     def test_a_wrong_flag_is_a_usage_error(self) -> None:
         for argv in (["--slot=1"], ["--slots=0"], ["--mean_ms=fast"]):
