Bound how long idempotency records may hold a caller back

Found in review: a record port that never answers held a caller past its deadline. The test failed first; begin now ends with the deadline as not run and is cleared later, clearing waits half a second at most.

--- a/src/rhubarbfield/routing/keys.py
+++ b/src/rhubarbfield/routing/keys.py
@@ -31,8 +31,15 @@
 
 WRITE_ATTEMPTS = 5
 FIRST_PAUSE = timedelta(milliseconds=200)
+WRITE_PATIENCE = timedelta(seconds=5)
+CLEARING_PATIENCE = timedelta(milliseconds=500)
 NOT_LOOKED_UP = "; earlier requests with its key were not looked up"
 
+_SILENT = RecordFailure(
+    reason=RecordFailureReason.UNREACHABLE,
+    detail="the records of its key did not answer in time",
+)
+
 
 class KeyedRuns:
     """Records requests that must run at most once.
@@ -53,16 +60,24 @@
         self._nursery = nursery
 
     async def begin(
-        self, request: CallerRequest
+        self, request: CallerRequest, patience: timedelta
     ) -> Result[BackendAnswer, Refusal] | None:
-        """Record ``request``; return its result if it must not be dispatched."""
+        """Record ``request``; return its result if it must not be dispatched.
+
+        Parameters
+        ----------
+        patience
+            How long the records may take.
+        """
         assert request.idempotency_key is not None
-        result = await self._records.begin(
-            request.tenant,
-            request.idempotency_key,
-            compute_fingerprint(request),
-            request.request_id,
-        )
+        result: Result[BeginReply, RecordFailure] = Failure(_SILENT)
+        with trio.move_on_after(max(0.0, patience.total_seconds())):
+            result = await self._records.begin(
+                request.tenant,
+                request.idempotency_key,
+                compute_fingerprint(request),
+                request.request_id,
+            )
         if isinstance(result, Success):
             return _translate_reply(result.unwrap())
         failure = result.failure()
@@ -84,7 +99,10 @@
         Its caller waits for the first try, so that a repeat finds the key
         free; further ones are made later.
         """
-        if not await self._clear_once(request):
+        cleared = False
+        with trio.move_on_after(CLEARING_PATIENCE.total_seconds()):
+            cleared = await self._clear_once(request)
+        if not cleared:
             self._repeat_later(partial(self._clear_once, request))
 
     async def _clear_once(self, request: CallerRequest) -> bool:
@@ -108,8 +126,9 @@
     async def _repeat(self, write: Callable[[], Awaitable[bool]]) -> None:
         pause = FIRST_PAUSE
         for _ in range(WRITE_ATTEMPTS):
-            if await write():
-                return
+            with trio.move_on_after(WRITE_PATIENCE.total_seconds()):
+                if await write():
+                    return
             await self._clock.sleep(pause)
             pause *= 2
 
--- a/src/rhubarbfield/routing/router.py
+++ b/src/rhubarbfield/routing/router.py
@@ -189,7 +189,8 @@
         refusal = self._admission.precheck(request, run.deadline)
         if refusal is not None:
             return Failure(note_key_unchecked(request, refusal))
-        settled = await self._keys.begin(request)
+        patience = run.deadline - self._clock.monotonic()
+        settled = await self._keys.begin(request, patience)
         if settled is not None:
             return settled
         result = await self._attempts.carry_out(run)
--- a/tests/routing/fakes.py
+++ b/tests/routing/fakes.py
@@ -13,7 +13,7 @@
 import trio.testing
 from returns.result import Failure, Result, Success
 
-from rhubarbfield.clock import TrioClock
+from rhubarbfield.clock import Clock, TrioClock
 from rhubarbfield.records import (
     BeginRequest,
     ClearRequest,
@@ -92,6 +92,17 @@
     return CallerRequest(**(fields | changes))
 
 
+def make_grant(clock: Clock, **changes: Any) -> BackendGrant:
+    fields: dict[str, Any] = {
+        "service": BOARD,
+        "address": "127.0.0.1:1",
+        "connections": 64,
+        "epoch": Epoch(1),
+        "valid_until": clock.monotonic() + timedelta(hours=1),
+    }
+    return BackendGrant(**(fields | changes))
+
+
 class FakeServer:
     """One backend server; ``check`` is called on each start."""
 
@@ -208,6 +219,7 @@
         self.state = RecordState()
         self.reachable: Callable[[], bool] = lambda: True
         self.replies_arrive: Callable[[], bool] = lambda: True
+        self.hangs: Callable[[], bool] = lambda: False
         self._clock = TrioClock()
 
     async def begin(
@@ -252,6 +264,8 @@
             reason=RecordFailureReason.UNREACHABLE,
             detail="its records are out of reach",
         )
+        if self.hangs():
+            await trio.sleep_forever()
         if not self.reachable():
             return Failure(unreachable)
         reply = record_commands.apply(self.state, command)
@@ -323,17 +337,7 @@
             settings=self.settings,
         )
 
-    def grant(self, server: FakeServer, **changes: Any) -> BackendGrant:
-        fields: dict[str, Any] = {
-            "server": server.id,
-            "service": BOARD,
-            "address": "127.0.0.1:1",
-            "slots": server.slots,
-            "connections": 64,
-            "epoch": Epoch(1),
-            "valid_until": self.clock.monotonic() + timedelta(hours=1),
-            "leaving": server.leaving,
-        }
-        grant = BackendGrant(**(fields | changes))
+    def grant(self, server: FakeServer, **changes: Any) -> None:
+        fields = {"server": server.id, "slots": server.slots, "leaving": server.leaving}
+        grant = make_grant(self.clock, **(fields | changes))
         self.servers.grant(grant).unwrap()
-        return grant
--- a/tests/routing/longrun.py
+++ b/tests/routing/longrun.py
@@ -54,6 +54,7 @@
         self.backends = FakeBackends(nursery, LONGEST)
         self.records = FakeRecords()
         self.records.reachable = lambda: self.rng.random() > 0.02
+        self.records.hangs = lambda: self.rng.random() < 0.01
         self.records.replies_arrive = lambda: self.rng.random() > 0.02
         self.entries: dict[str, Entry] = {}
         self.scopes: dict[str, trio.CancelScope] = {}
--- a/tests/routing/test_keys.py
+++ b/tests/routing/test_keys.py
@@ -20,6 +20,7 @@
 )
 from tests.routing.cases import EntryCase
 from tests.routing.fakes import (
+    SECOND,
     Entry,
     make_request,
     scenario,
@@ -84,3 +85,23 @@
         await trio.sleep(10)
         self.assertIsInstance(await self.run_keyed(2, entry), Success)
         self.assertEqual(sum(entry.backends.runs.values()), 1)
+
+    @scenario("run_entry")
+    async def test_silent_records_hold_nobody_back(self, entry: Entry) -> None:
+        server = entry.backends.add("s1", 4)
+        entry.grant(server)
+        entry.records.hangs = lambda: True
+        with trio.fail_after(1.1):
+            result = await self.run_keyed(1, entry, timeout=SECOND)
+        self.assert_refused(result, Outcome.NOT_RUN, RefusalReason.RECORDS_UNREACHABLE)
+        entry.records.hangs = lambda: False
+
+        def refuse() -> str:
+            entry.records.hangs = lambda: True
+            return "refuse"
+
+        server.behaviour = refuse
+        with trio.fail_after(2):
+            result = await self.run_keyed(2, entry)
+        self.assertEqual(result.failure().outcome, Outcome.NOT_RUN)
+        self.assertEqual(sum(entry.backends.runs.values()), 0)
