--- a/src/rhubarbfield/measurement/fleet.py
+++ b/src/rhubarbfield/measurement/fleet.py
@@ -51,7 +51,6 @@
 NEAR_DELAY = timedelta(milliseconds=0.3)
 FAR_DELAY = timedelta(milliseconds=1.5)
 HOP_WORK = timedelta(milliseconds=1.9)
-HINT_INTERVAL = timedelta(milliseconds=50)
 TIMEOUT = timedelta(seconds=5)
 WARM_UP = timedelta(seconds=2)
 LEASE = timedelta(hours=1)
@@ -82,6 +81,8 @@
         Requests under way on average, as a part of all slots.
     duration
         How long requests arrive, in virtual time.
+    hint_interval
+        How often entries tell each other of their room.
     mean_latency, spread
         The mean service time and the deviation of its logarithm.
     """
@@ -91,6 +92,7 @@
     load: float
     seed: int
     duration: timedelta
+    hint_interval: timedelta = timedelta(milliseconds=50)
     mean_latency: timedelta = timedelta(milliseconds=100)
     spread: float = 0.5
 
@@ -173,7 +175,9 @@
         delay = NEAR_DELAY if near else FAR_DELAY
         await trio.sleep((delay + HOP_WORK / 2).total_seconds())
         result = await self._fleet.routers[int(entry)].route(request)
+        room = self._fleet.routers[int(entry)].count_room(request.service)
         await trio.sleep((delay + HOP_WORK / 2).total_seconds())
+        self._fleet.rooms[int(entry)] = room
         if isinstance(result, Success):
             self._fleet.figures.passed_on += 1
         else:
@@ -262,7 +266,7 @@
     async def _refresh_hints(self) -> None:
         while True:
             self.rooms = [router.count_room(SERVICE) for router in self.routers]
-            await self._clock.sleep(HINT_INTERVAL)
+            await self._clock.sleep(self.trial.hint_interval)
 
     async def _arrive(self, nursery: trio.Nursery) -> None:
         trial = self.trial
--- a/src/rhubarbfield/measurement/slots.py
+++ b/src/rhubarbfield/measurement/slots.py
@@ -63,6 +63,12 @@
     flags.DEFINE_multi_enum_class(
         "callers", list(Callers), Callers, "Their spread.", flag_values=values
     )
+    flags.DEFINE_multi_enum_class(
+        "way", list(Way), Way, "How slots are given.", flag_values=values
+    )
+    flags.DEFINE_float(
+        "hint_ms", 50, "Time between words on room.", 1, flag_values=values
+    )
     try:
         values(["slots", *argv])
     except flags.Error as error:
@@ -71,7 +77,7 @@
     print(" | ".join(("callers load way        ", *columns)))
     for callers in values.callers:
         for load in values.load:
-            for way in Way:
+            for way in values.way:
                 trials = [
                     Trial(
                         way=way,
@@ -79,6 +85,7 @@
                         load=load / PERCENT,
                         seed=seed,
                         duration=timedelta(seconds=values.seconds),
+                        hint_interval=timedelta(milliseconds=values.hint_ms),
                     )
                     for seed in range(values.seed, values.seed + values.seeds)
                 ]
