--- a/src/rhubarbfield/routing/admission.py
+++ b/src/rhubarbfield/routing/admission.py
@@ -87,10 +87,10 @@
                 RefusalReason.NO_SUCH_SERVICE,
                 f"no backend server of service {service!r} is known",
             )
+        if request.hops:
+            return self._precheck_passed_on(service)
         if self._has_room(service) and not self.count_waiting(service):
             return None
-        if request.hops:
-            return refuse_not_run(RefusalReason.NO_ROOM, "this entry has no room")
         room = self._get_waiting_room(service)
         wait = self._estimate_wait(request)
         if not room.has_space(request) and room.find_excess(request) is None:
@@ -101,6 +101,12 @@
             return refuse_deadline(request, wait)
         return None
 
+    def _precheck_passed_on(self, service: ServiceName) -> Refusal | None:
+        own_room = self._choice.has_room(self._servers.iterate(service))
+        if own_room and not self.count_waiting(service):
+            return None
+        return refuse_not_run(RefusalReason.NO_ROOM, "this entry has no room")
+
     async def acquire(self, waiter: Waiter) -> Assignment:
         """Return where the request of ``waiter`` goes, or its refusal."""
         request = waiter.request
@@ -128,13 +134,12 @@
         room = self._rooms.get(service)
         if room is None:
             return
-        while len(room):
-            if not self._has_room(service):
-                return
+        while len(room) and self._has_room(service):
             waiter = room.pop()
             assert waiter is not None
             assignment = self._assign(waiter)
             if assignment is None:
+                waiter.returning = True
                 room.push(waiter)
                 return
             waiter.assign(assignment)
@@ -166,6 +171,8 @@
             return place
         if request.hops:
             return refuse_not_run(RefusalReason.NO_ROOM, "this entry has no room")
+        if self._is_wait_short(request.service):
+            return None
         entry = self.neighbours.take(request.service)
         return Elsewhere(entry) if entry is not None else None
 
@@ -187,7 +194,14 @@
     def _has_room(self, service: ServiceName) -> bool:
         if self._choice.has_room(self._servers.iterate(service)):
             return True
-        return self.neighbours.has_room(service)
+        return not self._is_wait_short(service) and self.neighbours.has_room(service)
+
+    def _is_wait_short(self, service: ServiceName) -> bool:
+        slots = self._servers.count_slots(service)
+        if not slots or self._drains[service].mean_latency is None:
+            return False
+        wait = self._drains[service].estimate_wait(self.count_waiting(service), slots)
+        return wait <= self._settings.current.hop_patience
 
     def _get_waiting_room(self, service: ServiceName) -> WaitingRoom:
         room = self._rooms.get(service)
--- a/tests/routing/fakes.py
+++ b/tests/routing/fakes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import random
 from collections import Counter
 from collections.abc import Awaitable, Callable, Sequence
@@ -12,7 +13,7 @@
 import trio.testing
 from returns.result import Failure, Result, Success
 
-from rhubarbfield.clock import TrioClock
+from rhubarbfield.clock import Clock, TrioClock
 from rhubarbfield.records import (
     BeginRequest,
     ClearRequest,
@@ -39,7 +40,6 @@
     RecordFailureReason,
     Refusal,
     Router,
-    RoutingSettings,
     ServerReport,
 )
 from rhubarbfield.types import (
@@ -65,6 +65,19 @@
     trio.run(test, clock=trio.testing.MockClock(autojump_threshold=0))
 
 
+def scenario(runner: str) -> Callable[[Any], Callable[[Any], None]]:
+    """Have the method ``runner`` of the test case run the decorated test."""
+
+    def decorate(test: Any) -> Callable[[Any], None]:
+        @functools.wraps(test)
+        def run(case: Any) -> None:
+            getattr(case, runner)(functools.partial(test, case))
+
+        return run
+
+    return decorate
+
+
 def make_request(number: int = 0, **changes: Any) -> CallerRequest:
     fields: dict[str, Any] = {
         "request_id": RequestId(f"r{number}"),
@@ -79,6 +92,17 @@
     return CallerRequest(**(fields | changes))
 
 
+def make_grant(clock: Clock, **changes: Any) -> BackendGrant:
+    fields: dict[str, Any] = {
+        "service": BOARD,
+        "address": "127.0.0.1:1",
+        "connections": 64,
+        "epoch": Epoch(1),
+        "valid_until": clock.monotonic() + timedelta(hours=1),
+    }
+    return BackendGrant(**(fields | changes))
+
+
 class FakeServer:
     """One backend server; ``check`` is called on each start."""
 
@@ -127,13 +151,9 @@
     ) -> Result[BackendAnswer, ExchangeFailure]:
         server = self.servers[target.server]
         behaviour = server.behaviour()
-        await trio.sleep(0.0005)
-        if behaviour == "unreachable":
-            return fail(Reach.NOT_SENT, FailureReason.CONNECT)
-        if self._clock.monotonic() >= target.valid_until:
-            return fail(Reach.NOT_SENT, FailureReason.LEASE_LAPSED)
-        if target.epoch < server.epoch or behaviour == "refuse":
-            return fail(Reach.REFUSED_BY_SERVER, FailureReason.REFUSED)
+        failure = await self._connect(server, target, behaviour, timeout)
+        if failure is not None:
+            return failure
         server.epoch = target.epoch
         self._begin(server, request)
         finished = trio.Event()
@@ -146,6 +166,24 @@
             return Success(BackendAnswer(status=200, body=request.request_id.encode()))
         return fail(Reach.SENT, FailureReason.TIMEOUT)
 
+    async def _connect(
+        self,
+        server: FakeServer,
+        target: BackendTarget,
+        behaviour: str,
+        timeout: timedelta,
+    ) -> Failure[ExchangeFailure] | None:
+        seconds = 2.5 if behaviour == "slow-connect" else 0.0005
+        with trio.move_on_after(timeout.total_seconds()) as scope:
+            await trio.sleep(seconds)
+        if scope.cancelled_caught or behaviour == "unreachable":
+            return fail(Reach.NOT_SENT, FailureReason.CONNECT)
+        if not target.lease.is_valid(self._clock.monotonic()):
+            return fail(Reach.NOT_SENT, FailureReason.LEASE_LAPSED)
+        if target.epoch < server.epoch or behaviour == "refuse":
+            return fail(Reach.REFUSED_BY_SERVER, FailureReason.REFUSED)
+        return None
+
     def _begin(self, server: FakeServer, request: CallerRequest) -> None:
         self.runs[request.request_id] += 1
         if request.idempotency_key is not None:
@@ -181,6 +219,7 @@
         self.state = RecordState()
         self.reachable: Callable[[], bool] = lambda: True
         self.replies_arrive: Callable[[], bool] = lambda: True
+        self.hangs: Callable[[], bool] = lambda: False
         self._clock = TrioClock()
 
     async def begin(
@@ -225,6 +264,8 @@
             reason=RecordFailureReason.UNREACHABLE,
             detail="its records are out of reach",
         )
+        if self.hangs():
+            await trio.sleep_forever()
         if not self.reachable():
             return Failure(unreachable)
         reply = record_commands.apply(self.state, command)
@@ -277,12 +318,12 @@
         name: str = "entry-1",
         domains: dict[str, str] | None = None,
         records: FakeRecords | None = None,
-        settings: RoutingSettings | None = None,
         seed: int = 1,
         delay: timedelta = MS,
     ) -> None:
+        self.backends = backends
         self.clock = TrioClock()
-        self.settings = LiveSettings(settings)
+        self.settings = LiveSettings()
         self.servers = OwnedServers(self.clock, self.settings)
         self.siblings = FakeSiblings(name, domains or {name: HOME}, delay)
         self.records = records or FakeRecords()
@@ -296,17 +337,7 @@
             settings=self.settings,
         )
 
-    def grant(self, server: FakeServer, **changes: Any) -> BackendGrant:
-        fields: dict[str, Any] = {
-            "server": server.id,
-            "service": BOARD,
-            "address": "127.0.0.1:1",
-            "slots": server.slots,
-            "connections": 64,
-            "epoch": Epoch(1),
-            "valid_until": self.clock.monotonic() + timedelta(hours=1),
-            "leaving": server.leaving,
-        }
-        grant = BackendGrant(**(fields | changes))
+    def grant(self, server: FakeServer, **changes: Any) -> None:
+        fields = {"server": server.id, "slots": server.slots, "leaving": server.leaving}
+        grant = make_grant(self.clock, **(fields | changes))
         self.servers.grant(grant).unwrap()
-        return grant
--- a/tests/routing/longrun.py
+++ b/tests/routing/longrun.py
@@ -42,7 +42,7 @@
 RENEWAL_SECONDS = 1.0
 LATENESS = timedelta(seconds=1)
 LEAVING_NOTICE_SECONDS = 2.0
-BEHAVIOURS = ("answer", "unreachable", "refuse", "cut", "hang")
+BEHAVIOURS = ("answer", "slow-connect", "unreachable", "refuse", "cut", "hang")
 
 
 class World:
@@ -54,6 +54,7 @@
         self.backends = FakeBackends(nursery, LONGEST)
         self.records = FakeRecords()
         self.records.reachable = lambda: self.rng.random() > 0.02
+        self.records.hangs = lambda: self.rng.random() < 0.01
         self.records.replies_arrive = lambda: self.rng.random() > 0.02
         self.entries: dict[str, Entry] = {}
         self.scopes: dict[str, trio.CancelScope] = {}
@@ -125,6 +126,8 @@
             entry.servers.renew(server.id, Epoch(self.epochs[server.id]), now + LEASE)
             counted_after = now - timedelta(milliseconds=5)
             entry.servers.report(server.report(counted_after))
+            if server.leaving:
+                entry.servers.mark_leaving(server.id)
             return
         if moves and owner is not None and owner not in self.cut_off:
             self.entries[owner].servers.revoke(server.id)
