--- a/src/rhubarbfield/measurement/placement.py
+++ b/src/rhubarbfield/measurement/placement.py
@@ -45,6 +45,7 @@
 )
 DEPLOYMENTS = {one.name: one for one in (CONSORTIUM, LENDING)}
 STRATEGIES = ("harm-aware", "first-fit", "random", "harm-blind")
+WITHOUT_RELIEF = ":no-relief"
 COLUMNS: dict[str, Callable[[Figures], float]] = {
     "p99/goal counter": lambda figures: figures.p99_of_goal[COUNTER],
     "p99/goal colours": lambda figures: figures.p99_of_goal[COLOURS],
@@ -63,7 +64,12 @@
     flags.DEFINE_integer("seeds", 5, "Number of seeds.", lower_bound=1)
     flags.DEFINE_float("hours", 2.0, "Virtual hours of a run.", lower_bound=0.1)
     flags.DEFINE_list("deployments", list(DEPLOYMENTS), "Deployments to measure.")
-    flags.DEFINE_list("strategies", list(STRATEGIES), "Strategies to compare.")
+    flags.DEFINE_list(
+        "strategies",
+        list(STRATEGIES),
+        "Strategies to compare; the first one against the others. With :no-relief "
+        "after its name a strategy only places.",
+    )
     flags.DEFINE_bool("scaling", False, "Measure processor time by size instead.")
 
 
@@ -72,7 +78,10 @@
 ) -> list[Figures]:
     """Return the figures of one strategy, one for each seed."""
     settings = choose_settings(Profile(deployment.name))
-    settings = msgspec.structs.replace(settings, strategy=strategy)
+    name = strategy.removesuffix(WITHOUT_RELIEF)
+    settings = msgspec.structs.replace(
+        settings, strategy=name, relieves_latency=name == strategy
+    )
     return [
         Replay(deployment, settings, seed).run(hours) for seed in range(1, seeds + 1)
     ]
--- a/src/rhubarbfield/placement/fleet.py
+++ b/src/rhubarbfield/placement/fleet.py
@@ -43,12 +43,16 @@
     Attributes
     ----------
     log_ratio
-        Logarithm of predicted tail latency over its goal, before any batch work.
+        Logarithm of predicted tail latency over its goal, with the batch work that
+        is beside it.
+    ratio
+        The same without logarithm, once it was asked for.
     """
 
     service: ServiceName
     band: int
     log_ratio: float
+    ratio: float | None = None
 
 
 @dataclass
@@ -112,6 +116,7 @@
         self.size = size
         self.proven = proven
         self.ceiling = ceiling
+        self.rates: dict[ServiceName, list[float]] = {}
 
 
 class Fleet:
@@ -164,12 +169,20 @@
             for _, attempt, spec in self.list_attempts(seat):
                 seat.jobs[spec.job] = seat.jobs.get(spec.job, 0) + 1
                 self._count(seat, attempt.attempt, attempt.size, spec)
+            for resident in seat.residents:
+                for kind, share in seat.shares.items():
+                    self._add_harm(resident, kind, share)
         return seat.residents
 
+    def _add_harm(self, resident: Resident, kind: BatchKind, share: float) -> None:
+        rate = self.view.harm.find_rate(resident.service, kind, resident.band)
+        resident.log_ratio += share * rate
+        resident.ratio = None
+
     def _count(
         self, seat: Seat, attempt: AttemptId | None, size: Resources, spec: JobSpec
     ) -> None:
-        if not self.view.sizes.is_proven(spec.estimate_key):
+        if not self.view.sizes.is_proven(spec):
             seat.unproven += 1
         if spec.kind is not WorkKind.SERVICE:
             share = size.millicores / max(1, seat.capacity.millicores)
@@ -197,12 +210,24 @@
         job = request.spec.job
         seat.jobs[job] = seat.jobs.get(job, 0) + 1
         self._count(seat, None, request.size, request.spec)
+        self._shift_harm(seat, request, 1)
+
+    def _shift_harm(self, seat: Seat, request: Request, sign: int) -> None:
+        spec = request.spec
+        if spec.kind is not WorkKind.SERVICE:
+            share = sign * request.size.millicores / max(1, seat.capacity.millicores)
+            for resident in self.find_residents(seat):
+                self._add_harm(resident, spec.batch_kind, share)
+        elif spec.service is not None and sign > 0:
+            for kind, share in seat.shares.items():
+                self._add_harm(self.find_residents(seat)[-1], kind, share)
 
     def give_back(self, seat: Seat, request: Request) -> None:
         """Undo one :meth:`take`."""
         seat.room = seat.room + request.size
         seat.jobs[request.spec.job] -= 1
-        if not self.view.sizes.is_proven(request.spec.estimate_key):
+        self._shift_harm(seat, request, -1)
+        if not self.view.sizes.is_proven(request.spec):
             seat.unproven -= 1
         if request.spec.kind is not WorkKind.SERVICE:
             share = request.size.millicores / max(1, seat.capacity.millicores)
@@ -256,21 +281,26 @@
         if not residents:
             return 0.0, -MAX_LOG_RATIO
         share = request.size.millicores / max(1, seat.capacity.millicores)
-        harm = self.view.harm
         growth, worst = 0.0, -MAX_LOG_RATIO
         for resident in residents:
-            before = resident.log_ratio
-            for kind, used in seat.shares.items():
-                before += used * harm.find_rate(resident.service, kind, resident.band)
-            added = harm.find_rate(
-                resident.service, request.spec.batch_kind, resident.band
-            )
-            after = before + share * added
+            added = share * self._find_rate(request, resident)
+            after = resident.log_ratio + added
             worst = max(worst, after)
-            after = min(after, MAX_LOG_RATIO)
-            growth += math.exp(after) - math.exp(min(before, MAX_LOG_RATIO))
+            if resident.ratio is None:
+                resident.ratio = math.exp(min(resident.log_ratio, MAX_LOG_RATIO))
+            growth += resident.ratio * math.expm1(min(added, MAX_LOG_RATIO))
         return growth, worst
 
+    def _find_rate(self, request: Request, resident: Resident) -> float:
+        """Return the harm of a request to a service, looked up once a request."""
+        rates = request.rates.get(resident.service)
+        if rates is None:
+            kind = request.spec.batch_kind
+            find_rate = self.view.harm.find_rate
+            rates = [find_rate(resident.service, kind, band) for band in range(BANDS)]
+            request.rates[resident.service] = rates
+        return rates[resident.band]
+
     def predict_suffering(self, seat: Seat, request: Request) -> float:
         """Return growth of a newcomer service's latency from work that is there."""
         self.find_residents(seat)
--- a/src/rhubarbfield/placement/harm.py
+++ b/src/rhubarbfield/placement/harm.py
@@ -11,8 +11,6 @@
 import math
 from collections.abc import Iterable, Mapping
 
-import msgspec
-
 from rhubarbfield.placement.state import BatchKind, HarmEstimate
 from rhubarbfield.types import ServiceName
 
@@ -35,13 +33,6 @@
     return max(0, min(BANDS - 1, int(load * BANDS)))
 
 
-class BandKey(msgspec.Struct, frozen=True):
-    """A service in one of its load bands."""
-
-    service: ServiceName
-    band: int
-
-
 class Regression:
     """Base and rates of one service in one load band, with their covariance."""
 
@@ -96,8 +87,8 @@
     """Learned harm for each service, kind of batch work and load band."""
 
     def __init__(self) -> None:
-        self._regressions: dict[BandKey, Regression] = {}
-        self._changed: dict[BandKey, bool] = {}
+        self._services: dict[ServiceName, list[Regression]] = {}
+        self._changed: dict[ServiceName, set[int]] = {}
 
     def learn(
         self,
@@ -117,42 +108,40 @@
         latency_seconds
             The tail latency.
         """
-        key = BandKey(service, band)
         seen = math.log(max(latency_seconds, LEAST_SECONDS))
-        regression = self._regressions.setdefault(key, Regression())
+        regression = self._find_bands(service)[band]
         inputs = {BASE_KIND: 1.0}
         inputs.update((kind, x) for kind, x in shares.items() if x > 0)
         for kind in inputs:
             if kind not in regression.means:
-                self._begin(regression, key, kind, seen)
+                self._begin(service, band, kind, seen)
         regression.learn(inputs, seen)
         regression.make_room()
-        self._changed[key] = True
+        self._changed.setdefault(service, set()).add(band)
 
     def find_rate(self, service: ServiceName, kind: BatchKind, band: int) -> float:
         """Return growth of log latency if ``kind`` used the whole worker."""
-        mean = self._find_mean(BandKey(service, band), kind)
+        mean = self._find_mean(service, band, kind)
         return PRIOR_RATE if mean is None else max(0.0, mean)
 
     def find_base(self, service: ServiceName, band: int) -> float | None:
         """Return the logarithm of undisturbed tail latency, if one is known."""
-        return self._find_mean(BandKey(service, band), BASE_KIND)
+        return self._find_mean(service, band, BASE_KIND)
 
     def restore(self, estimates: Iterable[HarmEstimate]) -> None:
         """Start from the estimates that an earlier leader left in the log."""
         for entry in estimates:
-            key = BandKey(entry.service, entry.band)
-            regression = self._regressions.setdefault(key, Regression())
-            regression.set(
+            self._find_bands(entry.service)[entry.band].set(
                 entry.batch_kind, entry.rate, RESTORED_VARIANCE, entry.samples
             )
 
     def list_changed(self) -> list[HarmEstimate]:
         """Return the estimates of bands learned since :meth:`forget_changes`."""
         return [
-            HarmEstimate(key.service, kind, key.band, mean, regression.samples[kind])
-            for key in self._changed
-            for regression in (self._regressions[key],)
+            HarmEstimate(service, kind, band, mean, regression.samples[kind])
+            for service, bands in self._changed.items()
+            for band in sorted(bands)
+            for regression in (self._services[service][band],)
             for kind, mean in regression.means.items()
         ]
 
@@ -160,10 +149,17 @@
         """Count changes from here on."""
         self._changed.clear()
 
+    def _find_bands(self, service: ServiceName) -> list[Regression]:
+        bands = self._services.get(service)
+        if bands is None:
+            bands = self._services[service] = [Regression() for _ in range(BANDS)]
+        return bands
+
     def _begin(
-        self, regression: Regression, key: BandKey, kind: BatchKind, seen: float
+        self, service: ServiceName, band: int, kind: BatchKind, seen: float
     ) -> None:
-        near = self._find_mean(key, kind)
+        regression = self._services[service][band]
+        near = self._find_mean(service, band, kind)
         if near is not None:
             regression.set(kind, near, NEIGHBOUR_VARIANCE, 0)
         elif kind == BASE_KIND:
@@ -171,11 +167,18 @@
         else:
             regression.set(kind, PRIOR_RATE, PRIOR_VARIANCE, 0)
 
-    def _find_mean(self, key: BandKey, kind: BatchKind) -> float | None:
+    def _find_mean(
+        self, service: ServiceName, band: int, kind: BatchKind
+    ) -> float | None:
         """Return what is believed for the load band or the nearest to it."""
-        for distance in range(BANDS):
-            for band in (key.band - distance, key.band + distance):
-                near = self._regressions.get(BandKey(key.service, band))
-                if near is not None and kind in near.means:
-                    return near.means[kind]
+        bands = self._services.get(service)
+        if bands is None:
+            return None
+        mean = bands[band].means.get(kind)
+        if mean is not None:
+            return mean
+        for distance in range(1, BANDS):
+            for near in (band - distance, band + distance):
+                if 0 <= near < BANDS and kind in bands[near].means:
+                    return bands[near].means[kind]
         return None
--- a/src/rhubarbfield/placement/observations.py
+++ b/src/rhubarbfield/placement/observations.py
@@ -14,6 +14,7 @@
 
 SMOOTHING = 0.5
 LEAST_THROTTLE = 0.1
+LEARNING_EFFORT = 300
 
 
 class AttemptUsage(msgspec.Struct, frozen=True, array_like=True):
@@ -157,7 +158,7 @@
             if spec is not None:
                 # A throttled task would use more if it were let.
                 millicores = usage.millicores / max(usage.throttle, LEAST_THROTTLE)
-                self.sizes.learn(spec.estimate_key, millicores, usage.memory_mb)
+                self.sizes.learn(spec, millicores, usage.memory_mb)
 
     def _learn_harm(
         self,
@@ -170,14 +171,28 @@
             capacity_millicores,
         )
         for sample in report.latencies:
-            spec = specs.get(sample.attempt)
-            if spec is None or spec.service is None:
-                continue
             seconds = sample.p99.total_seconds()
             last = self.latency.get(sample.attempt, seconds)
             self.latency[sample.attempt] = last + SMOOTHING * (seconds - last)
             self.load[sample.attempt] = sample.load
-            self.harm.learn(spec.service, find_band(sample.load), shares, seconds)
+        for sample in choose_samples(report, len(shares)):
+            spec = specs.get(sample.attempt)
+            if spec is not None and spec.service is not None:
+                seconds = sample.p99.total_seconds()
+                self.harm.learn(spec.service, find_band(sample.load), shares, seconds)
+
+
+def choose_samples(report: UsageReport, kinds: int) -> list[ServiceLatency]:
+    """Return the latencies to learn from: all, or a few in turn beside many kinds.
+
+    What a sample costs grows with the square of the kinds beside the service.
+    """
+    count = max(1, LEARNING_EFFORT // (kinds + 1) ** 2)
+    if count >= len(report.latencies):
+        return list(report.latencies)
+    first = int(report.taken_at.timestamp()) % len(report.latencies)
+    turned = (*report.latencies[first:], *report.latencies[:first])
+    return list(turned[:count])
 
 
 def measure_growth(last: UsageReport, report: UsageReport) -> float:
--- a/src/rhubarbfield/placement/placing.py
+++ b/src/rhubarbfield/placement/placing.py
@@ -49,13 +49,32 @@
     decision: Decision
 
 
+class Window(msgspec.Struct, frozen=True):
+    """The workers that are looked at.
+
+    Attributes
+    ----------
+    first
+        Index of the first one. The same for all jobs of a round, so that few
+        workers have to be looked up.
+    candidates
+        How many that fit are weighed.
+    random
+        Source of chance for strategies that need it.
+    """
+
+    first: int
+    candidates: int
+    random: Random
+
+
 class Chooser:
     """Chooses workers for one job's tasks in one round.
 
     Parameters
     ----------
-    fleet, strategy, random
-        The round and how to choose.
+    fleet, strategy, window
+        The round, how to choose, and among whom.
     job, request
         The job, and what one of its tasks needs.
     avoid
@@ -66,7 +85,7 @@
         self,
         fleet: Fleet,
         strategy: Strategy,
-        random: Random,
+        window: Window,
         *,
         job: Job,
         request: Request,
@@ -74,7 +93,7 @@
     ) -> None:
         self._fleet = fleet
         self._strategy = strategy
-        self._random = random
+        self._window = window
         self._request = request
         self._avoid = avoid
         self._spread = job.spec.endless
@@ -110,15 +129,15 @@
         return ", ".join(parts) or "no worker is present"
 
     def _list_candidates(self) -> Iterator[Seat]:
-        """Yield workers that could take a task, from a random one onwards."""
+        """Yield workers that could take a task, from the first of the window on."""
         seats = self._fleet.seats
-        first = 0 if self._strategy.ordered else self._random.randrange(len(seats) or 1)
+        first = 0 if self._strategy.ordered else self._window.first
         found = 0
         for seat in (*seats[first:], *seats[:first]):
             if self._accepts(seat):
                 found += 1
                 yield seat
-                if found >= self._fleet.settings.candidates:
+                if found >= self._window.candidates:
                     return
 
     def _accepts(self, seat: Seat) -> bool:
@@ -135,7 +154,8 @@
         self._rejections[reason] = self._rejections.get(reason, 0) + 1
 
     def _rank(self, seat: Seat) -> Crowding:
-        score = self._strategy.score(self._fleet, seat, self._request, self._random)
+        random = self._window.random
+        score = self._strategy.score(self._fleet, seat, self._request, random)
         if score == math.inf:
             self._count(RejectionReason.HARM)
         if not self._spread:
--- a/src/rhubarbfield/placement/queueing.py
+++ b/src/rhubarbfield/placement/queueing.py
@@ -12,7 +12,7 @@
 from rhubarbfield.placement.commands import AttemptStart
 from rhubarbfield.placement.decision import Decision
 from rhubarbfield.placement.fleet import Fleet, Request, Seat
-from rhubarbfield.placement.placing import Chooser, Chosen
+from rhubarbfield.placement.placing import Chooser, Chosen, Window
 from rhubarbfield.placement.preemption import Preemptor
 from rhubarbfield.placement.quarantine import find_probe
 from rhubarbfield.placement.relief import Relief
@@ -24,6 +24,7 @@
 from rhubarbfield.types import JobId, Priority, TaskId, Tenant, WorkerId
 
 CHUNK = 8
+STARTS_PER_CANDIDATE = 4
 
 
 class Wait(msgspec.Struct, frozen=True):
@@ -101,6 +102,7 @@
         self._fleet = fleet
         self._strategy = strategy
         self._random = random
+        self._first = random.randrange(len(fleet.seats) or 1)
         self._relief = relief
         self._taken: set[TaskId] = set()
         self._used = {
@@ -201,7 +203,7 @@
             min(size.memory_mb, max(1, largest.memory_mb)),
             size.accelerators,
         )
-        proven = sizes.is_proven(spec.estimate_key)
+        proven = sizes.is_proven(spec)
         return Request(spec, cut, proven, self._find_ceiling(job))
 
     def _find_ceiling(self, job: Job) -> float:
@@ -301,7 +303,7 @@
         chooser = Chooser(
             self._fleet,
             self._strategy,
-            self._random,
+            self._make_window(),
             job=job,
             request=request,
             avoid=avoid,
@@ -319,6 +321,12 @@
             self._start(task, request, choice)
         return len(chosen)
 
+    def _make_window(self) -> Window:
+        """Return where to look: wider the more was started in this round."""
+        more = len(self.starts) // STARTS_PER_CANDIDATE
+        candidates = self._fleet.settings.candidates + more
+        return Window(self._first, candidates, self._random)
+
     def _start(self, task: Task, request: Request, choice: Chosen) -> None:
         name, decision = choice.seat.name, choice.decision
         self.starts.append(AttemptStart(task.task, name, request.size, decision))
--- a/src/rhubarbfield/placement/relief.py
+++ b/src/rhubarbfield/placement/relief.py
@@ -307,6 +307,8 @@
 
     def _loosen(self, ratios: dict[AttemptId, float], limit: float) -> None:
         """Give the least harmful throttled attempt more, if that looks safe."""
+        if all(usage.throttle >= THROTTLE_LEVELS[0] for usage in self._report.usages):
+            return
         worst = max(ratios.values())
         for entry in sorted(self._blame(list(ratios)), key=lambda e: e.contribution):
             level = previous_level(entry.usage.throttle)
--- a/src/rhubarbfield/placement/settings.py
+++ b/src/rhubarbfield/placement/settings.py
@@ -54,7 +54,7 @@
         Attempts of unproven size that one worker is given at once, unless it would
         hold more even if they were ten times larger.
     candidates
-        Workers weighed for one task at most.
+        Workers weighed for one task, besides one for every four starts in the same plan.
     max_starts, max_preemptions, max_drained
         Bounds on what one plan does.
     starvation_patience
@@ -71,7 +71,7 @@
     memory_throttle_above: float = 0.88
     memory_evict_above: float = 0.94
     unproven_per_worker: int = 2
-    candidates: int = 48
+    candidates: int = 16
     max_starts: int = 200
     max_preemptions: int = 8
     max_drained: int = 4
--- a/src/rhubarbfield/placement/sizes.py
+++ b/src/rhubarbfield/placement/sizes.py
@@ -4,16 +4,27 @@
 
 from collections.abc import Iterable
 
+import msgspec
+
 from rhubarbfield.placement.resources import Resources
 from rhubarbfield.placement.state import EstimateKey, JobSpec, SizeEstimate
+from rhubarbfield.types import JobId
 
 PROVEN_SAMPLES = 10
 MEMORY_RISE, MEMORY_FALL = 0.4, 0.004
 PROCESSOR_RISE, PROCESSOR_FALL = 0.1, 0.02
 FIRST_MARGIN, LAST_MARGIN = 0.4, 0.1
+MAX_KEYS = 20_000
 LEAST_MILLICORES, LEAST_MEMORY_MB = 50, 32
 
 
+class KnownKey(msgspec.Struct, frozen=True):
+    """A job's spec and the key made of it."""
+
+    spec: JobSpec
+    key: EstimateKey
+
+
 class SizeModel:
     """Sizes learned from reports for each tenant and kind of work.
 
@@ -24,9 +35,22 @@
     def __init__(self) -> None:
         self._sizes: dict[EstimateKey, SizeEstimate] = {}
         self._changed: dict[EstimateKey, bool] = {}
-
-    def learn(self, key: EstimateKey, millicores: float, memory_mb: float) -> None:
-        """Learn from one task's reported use."""
+        self._keys: dict[JobId, KnownKey] = {}
+
+    def find_key(self, spec: JobSpec) -> EstimateKey:
+        """Return the key under which a job's sizes are learned."""
+        known = self._keys.get(spec.job)
+        if known is not None and known.spec is spec:
+            return known.key
+        if len(self._keys) >= MAX_KEYS:
+            self._keys.clear()
+        key = spec.estimate_key
+        self._keys[spec.job] = KnownKey(spec, key)
+        return key
+
+    def learn(self, spec: JobSpec, millicores: float, memory_mb: float) -> None:
+        """Learn from the reported use of one of a job's tasks."""
+        key = self.find_key(spec)
         known = self._sizes.get(key)
         if known is None:
             known = SizeEstimate(key, millicores, memory_mb, 0)
@@ -38,9 +62,9 @@
         )
         self._changed[key] = True
 
-    def is_proven(self, key: EstimateKey) -> bool:
-        """Return whether enough reports stand behind the estimate."""
-        known = self._sizes.get(key)
+    def is_proven(self, spec: JobSpec) -> bool:
+        """Return whether enough reports stand behind a job's estimate."""
+        known = self._sizes.get(self.find_key(spec))
         return known is not None and known.samples >= PROVEN_SAMPLES
 
     def estimate(self, spec: JobSpec) -> Resources:
@@ -50,7 +74,7 @@
         reports come in. Accelerators are always as declared.
         """
         declared = spec.declared
-        known = self._sizes.get(spec.estimate_key)
+        known = self._sizes.get(self.find_key(spec))
         if known is None:
             return _finish(declared, declared.millicores, declared.memory_mb, 0.0)
         trust = known.samples / (known.samples + PROVEN_SAMPLES)
--- a/tests/placement/test_relief.py
+++ b/tests/placement/test_relief.py
@@ -189,7 +189,7 @@
         spec = JobSpec(job=JobId("j"), tenant=Tenant("t"), memory_mb=10_000, cores=10.0)
         self.assertEqual(view.sizes.estimate(spec), Resources(10_000, 14_000, 0))
         for _ in range(400):
-            view.sizes.learn(spec.estimate_key, 1000, 1000)
+            view.sizes.learn(spec, 1000, 1000)
         size = view.sizes.estimate(spec)
         self.assertLess(size.memory_mb, 1_500)
         self.assertLess(size.millicores, 1_500)
