--- a/src/rhubarbfield/placement/settings.py
+++ b/src/rhubarbfield/placement/settings.py
@@ -54,7 +54,7 @@
         Attempts of unproven size that one worker is given at once, unless it would
         hold more even if they were ten times larger.
     candidates
-        Workers weighed for one task, besides one for every four starts in the same plan.
+        Workers weighed for one task, and one more for every four starts in the plan.
     max_starts, max_preemptions, max_drained
         Bounds on what one plan does.
     starvation_patience
--- a/tests/placement/test_relief.py
+++ b/tests/placement/test_relief.py
@@ -87,11 +87,17 @@
         self.assertEqual([one.attempt for one in list_evictions(wanted)], ["loud/0#1"])
 
     def test_nothing_more_is_evicted_until_a_report_shows_the_change(self) -> None:
-        order = list_evictions(self.report(AWFUL, throttle=0.25))[0]
+        self.bench.accept("second", batch_kind=LOUD, cores=2.0)
+        self.bench.begin("second/0", "w0", cores=2)
+        first = list_evictions(self.report(AWFUL, throttle=0.25))
+        self.assertEqual(len(first), 1)
         self.assertFalse(list_evictions(self.report(AWFUL, throttle=0.25)))
+        self.bench.now += timedelta(seconds=10)
         self.bench.observe("w0", p99=AWFUL, throttle=0.25)
-        self.bench.say(order, AttemptState.EVICTED)
+        self.bench.say(first[0], AttemptState.EVICTED)
         self.assertFalse(list_evictions(self.bench.run_round()))
+        second = list_evictions(self.report(AWFUL, throttle=0.25))
+        self.assertEqual(len(second), 1)
 
     def test_the_service_alone_is_not_blamed_on_others(self) -> None:
         self.learn(with_loud=CALM)
