--- a/src/rhubarbfield/placement/_jobs.py
+++ b/src/rhubarbfield/placement/_jobs.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import TypeVar
+
 from rhubarbfield.machine import Done, Refused, Reply
 from rhubarbfield.placement.commands import (
     AcceptJob,
@@ -18,7 +20,14 @@
     JobsCancelled,
 )
 from rhubarbfield.placement.runnable import check_runnable
-from rhubarbfield.placement.state import HarmEstimate, Job, Task, WorkState
+from rhubarbfield.placement.state import (
+    MAX_HARM,
+    MAX_SIZES,
+    HarmEstimate,
+    Job,
+    Task,
+    WorkState,
+)
 from rhubarbfield.placement.transitions import (
     ACTIVE_JOB_STATES,
     find_account,
@@ -27,6 +36,9 @@
 )
 from rhubarbfield.types import JobId, JobState
 
+KeyT = TypeVar("KeyT")
+ValueT = TypeVar("ValueT")
+
 
 @work_commands.applies(AcceptJob)
 def accept_job(state: WorkState, command: AcceptJob) -> Reply:
@@ -110,12 +122,20 @@
 def set_estimates(state: WorkState, command: SetEstimates) -> Reply:
     """Keep the latest estimates."""
     for size in command.sizes:
-        state.sizes[size.key] = size
+        keep_latest(state.sizes, size.key, size, MAX_SIZES)
     for harm in command.harm:
-        state.harm[make_harm_key(harm)] = harm
+        keep_latest(state.harm, make_harm_key(harm), harm, MAX_HARM)
     return Done()
 
 
+def keep_latest(kept: dict[KeyT, ValueT], key: KeyT, value: ValueT, limit: int) -> None:
+    """Put an entry last and drop the first ones beyond a limit."""
+    kept.pop(key, None)
+    kept[key] = value
+    while len(kept) > limit:
+        del kept[next(iter(kept))]
+
+
 def make_harm_key(harm: HarmEstimate) -> str:
     """Return the key under which the state keeps a harm estimate."""
     return f"{harm.service}/{harm.batch_kind}/{harm.band}"
--- a/src/rhubarbfield/placement/fleet.py
+++ b/src/rhubarbfield/placement/fleet.py
@@ -140,7 +140,10 @@
         self.seats: list[Seat] = []
         self.total = Resources()
         self.largest = Resources()
+        self.largest_known = Resources()
         for worker in state.workers.values():
+            usable = find_usable(worker.announced)
+            self.largest_known = self.largest_known.enlarge(usable)
             if worker.present:
                 self._add(worker)
         self.by_name = {seat.name: seat for seat in self.seats}
--- a/src/rhubarbfield/placement/harm.py
+++ b/src/rhubarbfield/placement/harm.py
@@ -15,7 +15,7 @@
 from rhubarbfield.types import ServiceName
 
 BANDS = 4
-MAX_KINDS = 40
+MAX_KINDS = 24
 BASE_KIND = BatchKind("")
 PRIOR_RATE = 0.5
 PRIOR_VARIANCE = 2.0
--- a/src/rhubarbfield/placement/queueing.py
+++ b/src/rhubarbfield/placement/queueing.py
@@ -195,16 +195,14 @@
     def _make_request(self, job: Job) -> Request:
         spec = job.spec
         sizes = self._fleet.view.sizes
-        size = sizes.estimate(spec)
-        largest = self._fleet.largest
-        # A learned size or a margin must not make a job unplaceable.
-        cut = Resources(
-            min(size.millicores, max(1, largest.millicores)),
-            min(size.memory_mb, max(1, largest.memory_mb)),
-            size.accelerators,
-        )
+        # A margin must make neither the worker nor the quota too small.
+        most = self._fleet.largest
+        limit = self._fleet.state.accounts[spec.tenant].quota.limit
+        if limit is not None:
+            most = most.reduce(limit.divide(spec.tasks if spec.gang else 1))
+        size = sizes.estimate_within(spec, most, self._fleet.largest_known)
         proven = sizes.is_proven(spec)
-        return Request(spec, cut, proven, self._find_ceiling(job))
+        return Request(spec, size, proven, self._find_ceiling(job))
 
     def _find_ceiling(self, job: Job) -> float:
         """Return how slow a service may be made; grows while a job waits."""
--- a/src/rhubarbfield/placement/resources.py
+++ b/src/rhubarbfield/placement/resources.py
@@ -56,6 +56,22 @@
             self.accelerators * factor,
         )
 
+    def divide(self, parts: int) -> Resources:
+        """Return one of so many equal parts, rounded down."""
+        return Resources(
+            self.millicores // parts,
+            self.memory_mb // parts,
+            self.accelerators // parts,
+        )
+
+    def reduce(self, other: Resources) -> Resources:
+        """Return the smaller of both in every dimension."""
+        return Resources(
+            min(self.millicores, other.millicores),
+            min(self.memory_mb, other.memory_mb),
+            min(self.accelerators, other.accelerators),
+        )
+
     def fits(self, room: Resources) -> bool:
         """Return whether the amount is within ``room`` in every dimension."""
         return (
--- a/src/rhubarbfield/placement/sizes.py
+++ b/src/rhubarbfield/placement/sizes.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from rhubarbfield.placement.resources import Resources
-from rhubarbfield.placement.state import EstimateKey, JobSpec, SizeEstimate
+from rhubarbfield.placement.state import MAX_SIZES, EstimateKey, JobSpec, SizeEstimate
 from rhubarbfield.types import JobId
 
 PROVEN_SAMPLES = 10
@@ -54,6 +54,7 @@
         known = self._sizes.get(key)
         if known is None:
             known = SizeEstimate(key, millicores, memory_mb, 0)
+        self._sizes.pop(key, None)
         self._sizes[key] = SizeEstimate(
             key,
             _follow(known.millicores, millicores, PROCESSOR_RISE, PROCESSOR_FALL),
@@ -61,6 +62,10 @@
             known.samples + 1,
         )
         self._changed[key] = True
+        if len(self._sizes) > MAX_SIZES:
+            oldest = next(iter(self._sizes))
+            del self._sizes[oldest]
+            self._changed.pop(oldest, None)
 
     def is_proven(self, spec: JobSpec) -> bool:
         """Return whether enough reports stand behind a job's estimate."""
@@ -73,14 +78,53 @@
         Starts at the declaration plus a margin and moves to what was seen as
         reports come in. Accelerators are always as declared.
         """
+        bare = self.estimate_bare(spec)
+        known = self._sizes.get(self.find_key(spec))
+        trust = _find_trust(known) if known else 0.0
+        margin = 1 + FIRST_MARGIN + trust * (LAST_MARGIN - FIRST_MARGIN)
+        memory_mb = max(LEAST_MEMORY_MB, round(bare.memory_mb * margin))
+        return Resources(bare.millicores, memory_mb, bare.accelerators)
+
+    def estimate_bare(self, spec: JobSpec) -> Resources:
+        """Return the estimate without its margin."""
         declared = spec.declared
         known = self._sizes.get(self.find_key(spec))
         if known is None:
-            return _finish(declared, declared.millicores, declared.memory_mb, 0.0)
-        trust = known.samples / (known.samples + PROVEN_SAMPLES)
+            return declared
+        trust = _find_trust(known)
         millicores = trust * known.millicores + (1 - trust) * declared.millicores
         memory_mb = trust * known.memory_mb + (1 - trust) * declared.memory_mb
-        return _finish(declared, millicores, max(memory_mb, known.memory_mb), trust)
+        return Resources(
+            max(LEAST_MILLICORES, round(millicores)),
+            round(max(memory_mb, known.memory_mb)),
+            declared.accelerators,
+        )
+
+    def estimate_within(
+        self, spec: JobSpec, most: Resources, largest: Resources
+    ) -> Resources:
+        """Return the estimate with its margin cut.
+
+        Parameters
+        ----------
+        spec
+            The job.
+        most
+            What can be had now. A task that needs more without margin waits.
+        largest
+            What the largest known worker has, absent ones too. A task that was
+            seen to need more is given all of it, and that worker alone.
+        """
+        size, bare = self.estimate(spec), self.estimate_bare(spec)
+        least = min(bare.millicores, spec.declared.millicores)
+        return Resources(
+            max(least, min(size.millicores, most.millicores)),
+            max(
+                min(bare.memory_mb, largest.memory_mb),
+                min(size.memory_mb, most.memory_mb),
+            ),
+            size.accelerators,
+        )
 
     def restore(self, estimates: Iterable[SizeEstimate]) -> None:
         """Start from the estimates that an earlier leader left in the log."""
@@ -100,12 +144,6 @@
     return mean + (rise if seen > mean else fall) * (seen - mean)
 
 
-def _finish(
-    declared: Resources, millicores: float, memory_mb: float, trust: float
-) -> Resources:
-    margin = 1 + FIRST_MARGIN + trust * (LAST_MARGIN - FIRST_MARGIN)
-    return Resources(
-        max(LEAST_MILLICORES, round(millicores)),
-        max(LEAST_MEMORY_MB, round(memory_mb * margin)),
-        declared.accelerators,
-    )
+def _find_trust(known: SizeEstimate) -> float:
+    """Return how far an estimate is believed over the declaration, from 0 to 1."""
+    return known.samples / (known.samples + PROVEN_SAMPLES)
--- a/src/rhubarbfield/placement/state.py
+++ b/src/rhubarbfield/placement/state.py
@@ -32,6 +32,8 @@
 EstimateKey = NewType("EstimateKey", str)
 
 HISTORY_LIMIT = 8
+MAX_SIZES = 5_000
+MAX_HARM = 10_000
 DEFAULT_MAX_FAILURES = 3
 BEGINNING = datetime(1970, 1, 1, tzinfo=UTC)
 
@@ -311,6 +313,8 @@
 
     Attributes
     ----------
+    sizes, harm
+        What was learned, the latest last; of very many the oldest are dropped.
     waiting
         Jobs with pending tasks, in order of acceptance; the values carry nothing.
     """
--- a/tests/placement/test_models.py
+++ b/tests/placement/test_models.py
@@ -10,19 +10,26 @@
 from rhubarbfield.placement import (
     AttemptUsage,
     BatchKind,
+    JobSpec,
+    Observations,
     ServiceLatency,
+    SetEstimates,
     UsageReport,
+    WorkState,
+    work_commands,
 )
 from rhubarbfield.placement.harm import HarmModel, find_band
 from rhubarbfield.types import (
     AttemptId,
     AttemptState,
     Epoch,
+    JobId,
     ServiceName,
+    Tenant,
     WorkerId,
     WorkKind,
 )
-from tests.placement.builders import Bench
+from tests.placement.builders import START, Bench
 
 COUNTER = ServiceName("counter")
 A, B = BatchKind("a"), BatchKind("b")
@@ -63,6 +70,25 @@
         self.assertEqual(bands, [0, 0, 1, 3, 3, 3])
 
 
+class BoundsTest(unittest.TestCase):
+    def test_labels_without_end_do_not_grow_what_is_kept(self) -> None:
+        state, model = WorkState(), Observations()
+        for number in range(6_000):
+            kind = BatchKind(f"kind-{number}")
+            spec = JobSpec(job=JobId("j"), tenant=Tenant("t"), batch_kind=kind)
+            model.sizes.learn(spec, 1000, 1000)
+            model.harm.learn(COUNTER, 0, {kind: 0.5}, 0.1)
+            sizes = tuple(model.sizes.list_changed())
+            harm = tuple(model.harm.list_changed())
+            command = SetEstimates(at=START, sizes=sizes, harm=harm)
+            work_commands.apply(state, command)
+            model.start_round()
+        self.assertEqual(len(state.sizes), 5_000)
+        self.assertLessEqual(len(state.harm), 10_000)
+        model.harm.learn(COUNTER, 0, {}, 0.1)
+        self.assertLess(len(model.harm.list_changed()), 50)
+
+
 class ObservationsTest(unittest.TestCase):
     def report(self, bench: Bench, seconds: int, epoch: int = 1) -> UsageReport:
         usages = (
--- a/tests/placement/test_policy.py
+++ b/tests/placement/test_policy.py
@@ -11,6 +11,7 @@
 from rhubarbfield.placement import (
     BatchKind,
     EvictAttempts,
+    LoseWorker,
     QuarantineState,
     Quota,
     Resources,
@@ -21,6 +22,7 @@
 )
 from rhubarbfield.types import (
     AttemptState,
+    Epoch,
     JobId,
     JobState,
     Priority,
@@ -77,6 +79,28 @@
         self.assertEqual(len(bench.state.jobs[JobId("j")].live), 3)
         self.assertIn("quota", wanted.waits[0].reason)
 
+    def test_a_margin_does_not_push_a_job_past_its_quota(self) -> None:
+        for gang, tasks, memory_mb in ((False, 1, 8_000), (True, 2, 4_000)):
+            with self.subTest(gang=gang):
+                bench = Bench(workers=2)
+                quota = Quota(limit=Resources.of(2, 8_000))
+                bench.apply(SetQuota(at=bench.now, tenant=Tenant("t"), quota=quota))
+                bench.accept(tasks=tasks, memory_mb=memory_mb, gang=gang)
+                bench.run_round()
+                self.assertEqual(len(bench.state.jobs[JobId("j")].live), tasks)
+
+    def test_a_job_waits_for_the_only_worker_that_holds_it(self) -> None:
+        bench = Bench(workers=1, cores=8)
+        bench.add_worker("large", cores=16)
+        bench.accept(cores=12.0)
+        large = WorkerId("large")
+        bench.apply(LoseWorker(at=bench.now, worker=large, epoch=Epoch(1), reason="x"))
+        bench.run_round()
+        self.assertIsNone(bench.find_worker("j/0"))
+        bench.add_worker("large", cores=16, incarnation="2")
+        bench.run_round()
+        self.assertEqual(bench.find_worker("j/0"), "large")
+
     def test_unproven_sizes_start_few_at_a_time(self) -> None:
         bench = Bench(workers=1, cores=64)
         bench.accept(tasks=20, memory_mb=1000)
