--- a/src/rhubarbfield/cli/program.py
+++ b/src/rhubarbfield/cli/program.py
@@ -118,6 +118,10 @@
     values = _Values()
     flags.DEFINE_boolean(HELP_FLAG, False, "Tell about it.", flag_values=values)
     found.define_flags(values)
+    if found.passes_flags and HELP_FLAG not in {one.strip("-") for one in arguments}:
+        object.__setattr__(values, "remaining", list(arguments))
+        values.mark_as_parsed()
+        return values
     values.set_gnu_getopt(True)
     try:
         remaining = values([found.name, *arguments])
--- a/src/rhubarbfield/cli/proving.py
+++ b/src/rhubarbfield/cli/proving.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+import importlib
+import pkgutil
+
 from absl import flags
 
 from rhubarbfield.cli.options import load_part
 from rhubarbfield.cli.registry import Call, subcommand
 from rhubarbfield.exceptions import UsageError
 
+_PACKAGE = "rhubarbfield.measurement"
+
 
 def _define_replay_flags(values: flags.FlagValues) -> None:
     flags.DEFINE_string(
@@ -32,30 +37,28 @@
     return int(replay_traces(call.arguments, call.stdout, record=call.flags.record))
 
 
-def _define_measure_flags(values: flags.FlagValues) -> None:
-    flags.DEFINE_integer(
-        "seeds", 3, "How many seeds to run.", lower_bound=1, flag_values=values
-    )
-    flags.DEFINE_integer("seed", 1, "The first seed.", flag_values=values)
-
-
 @subcommand(
     "measure",
     help="Run a measurement and print its table; without a name, list them.",
-    usage="[NAME]",
-    flags=_define_measure_flags,
+    usage="[NAME [flags of the measurement]]",
+    passes_flags=True,
 )
 def run_measure(call: Call) -> int:
-    """Run one measurement."""
-    names = load_part("measures", "list_measures")()
+    """Run one measurement, or list them all."""
+    names = list_measurements()
     if not call.arguments:
         call.write("\n".join(names))
         return 0
-    name = call.arguments[0]
+    name, *arguments = call.arguments
     if name not in names:
-        raise UsageError(
-            f"there is no measurement {name!r}", f"there are: {', '.join(names)}"
-        )
-    seeds = range(call.flags.seed, call.flags.seed + call.flags.seeds)
-    measure = load_part("measures", "run_measure")
-    return int(measure(name, tuple(seeds), call.stdout))
+        hint = f"measurements: {', '.join(names)}"
+        raise UsageError(f"there is no measurement {name!r}", hint)
+    module = importlib.import_module(f"{_PACKAGE}.{name}")
+    return int(module.main(arguments))
+
+
+def list_measurements() -> tuple[str, ...]:
+    """Return the names of all measurements that this build has."""
+    package = importlib.import_module(_PACKAGE)
+    found = pkgutil.iter_modules(package.__path__)
+    return tuple(sorted(one.name for one in found if not one.name.startswith("_")))
--- a/src/rhubarbfield/cli/registry.py
+++ b/src/rhubarbfield/cli/registry.py
@@ -56,6 +56,8 @@
         Defines its flags on the values it is given.
     run
         Does it, and returns the exit code.
+    passes_flags
+        Whether all flags are left among the arguments.
     """
 
     name: str
@@ -63,6 +65,7 @@
     usage: str
     define_flags: Definer
     run: Runner
+    passes_flags: bool = False
 
 
 _subcommands: dict[str, Subcommand] = {}
@@ -73,7 +76,12 @@
 
 
 def subcommand(
-    name: str, *, help: str, usage: str = "", flags: Definer = _define_no_flags
+    name: str,
+    *,
+    help: str,
+    usage: str = "",
+    flags: Definer = _define_no_flags,
+    passes_flags: bool = False,
 ) -> Callable[[Runner], Runner]:
     """Register the decorated function as a subcommand.
 
@@ -87,11 +95,18 @@
         What follows the name.
     flags
         Defines its flags on the values it is given.
+    passes_flags
+        Whether all flags are left among the arguments.
     """
 
     def register(run: Runner) -> Runner:
         _subcommands[name] = Subcommand(
-            name=name, help=help, usage=usage, define_flags=flags, run=run
+            name=name,
+            help=help,
+            usage=usage,
+            define_flags=flags,
+            run=run,
+            passes_flags=passes_flags,
         )
         return run
 
--- a/tests/cli/test_program.py
+++ b/tests/cli/test_program.py
@@ -49,6 +49,7 @@
                 (("controller", "--settings", folder), "cannot be read"),
                 (("check-settings",), "a file is missing"),
                 (("replay",), "a trace is missing"),
+                (("measure", "speed"), "there is no measurement"),
                 (("stand-in", "x"), "backend, worker"),
                 (
                     ("query", f"--secret_file={secret}", "--address=x", "show jobs"),
@@ -69,6 +70,11 @@
                 self.assertIn(f"usage: rhubarbfield {one.name}", text)
                 self.assertIn(one.help, text)
 
+    def test_measurements_are_listed(self) -> None:
+        code, names, _ = self.run_program("measure")
+        self.assertEqual(code, 0)
+        self.assertIn("placement", names.split())
+
     def test_settings_are_checked_with_every_error(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             bad = Path(folder) / "bad.yaml"
