Import the web framework only where it serves, and select rows faster

Cause: the command line imported the controller's web framework with the client; a condition looked up its column for every row. Ruled out: reading the settings (20 ms) and the grammar. Change: create_operators_app is imported when it is asked for; a condition becomes one predicate before the rows are read.

--- a/src/rhubarbfield/language/tables.py
+++ b/src/rhubarbfield/language/tables.py
@@ -23,6 +23,8 @@
 from rhubarbfield.types import LogIndex
 
 Cell = str | int | float | bool | None
+Row = tuple[Cell, ...]
+Predicate = Callable[[Row], bool]
 
 
 class Table(msgspec.Struct, frozen=True, kw_only=True):
@@ -43,7 +45,7 @@
     """
 
     columns: tuple[str, ...]
-    rows: tuple[tuple[Cell, ...], ...]
+    rows: tuple[Row, ...]
     position: LogIndex = LogIndex(0)
     stale: bool = False
     note: str = ""
@@ -111,7 +113,8 @@
             return Failure(UnknownColumn(column, table.columns, nearest))
     rows = list(table.rows)
     if query.where is not None:
-        rows = [row for row in rows if _holds(query.where, table.columns, row)]
+        holds = _make_predicate(query.where, table.columns)
+        rows = [row for row in rows if holds(row)]
     for key in reversed(query.sort):
         place = table.columns.index(key.column)
         rows.sort(key=lambda row: _order(row[place]), reverse=key.descending)
@@ -133,28 +136,39 @@
     return columns
 
 
-def _holds(condition: Condition, columns: Sequence[str], row: Sequence[Cell]) -> bool:
+def _make_predicate(condition: Condition, columns: Sequence[str]) -> Predicate:
     match condition:
         case Comparison():
-            return _compare(condition, row[columns.index(condition.column)])
+            return _make_comparison(condition, columns.index(condition.column))
         case AllOf():
-            return all(_holds(part, columns, row) for part in condition.conditions)
+            parts = [_make_predicate(part, columns) for part in condition.conditions]
+            return lambda row: all(part(row) for part in parts)
         case AnyOf():
-            return any(_holds(part, columns, row) for part in condition.conditions)
+            parts = [_make_predicate(part, columns) for part in condition.conditions]
+            return lambda row: any(part(row) for part in parts)
         case Negation():
-            return not _holds(condition.condition, columns, row)
-    return False
-
-
-def _compare(comparison: Comparison, cell: Cell) -> bool:
-    wanted: Value = comparison.value
-    if cell is None:
-        return comparison.comparator is Comparator.UNEQUAL
-    if comparison.comparator is Comparator.CONTAINS:
-        return str(wanted).lower() in str(cell).lower()
-    if isinstance(cell, str) != isinstance(wanted, str):
-        cell, wanted = str(cell), str(wanted)
-    return _COMPARISONS[comparison.comparator](cell, wanted)
+            negated = _make_predicate(condition.condition, columns)
+            return lambda row: not negated(row)
+    raise AssertionError(condition)
+
+
+def _make_comparison(comparison: Comparison, place: int) -> Predicate:
+    wanted, comparator = comparison.value, comparison.comparator
+    if comparator is Comparator.CONTAINS:
+        part = str(wanted).lower()
+        return lambda row: row[place] is not None and part in str(row[place]).lower()
+    compare = _COMPARISONS[comparator]
+    is_text, text = isinstance(wanted, str), str(wanted)
+
+    def holds(row: Row) -> bool:
+        cell = row[place]
+        if cell is None:
+            return comparator is Comparator.UNEQUAL
+        if isinstance(cell, str) == is_text:
+            return compare(cell, wanted)
+        return compare(str(cell), text)
+
+    return holds
 
 
 def _order(cell: Cell) -> tuple[int, float, str]:
--- a/src/rhubarbfield/operators/__init__.py
+++ b/src/rhubarbfield/operators/__init__.py
@@ -1,6 +1,9 @@
 """HTTP between operators and the controllers."""
 
-from rhubarbfield.operators.app import create_operators_app
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
 from rhubarbfield.operators.client import OperatorsClient
 from rhubarbfield.operators.failures import FailureKind, OperatorFailure
 from rhubarbfield.operators.messages import (
@@ -16,6 +19,9 @@
     read_reply,
 )
 
+if TYPE_CHECKING:
+    from rhubarbfield.operators.app import create_operators_app
+
 __all__ = [
     "create_operators_app",
     "OperatorsPort",
@@ -30,3 +36,13 @@
     "CommandAnswer",
     "FailureAnswer",
 ]
+
+
+def __getattr__(name: str) -> Any:
+    # The web framework takes longer to import than the rest of a command line
+    # call, which needs only the client.
+    if name == "create_operators_app":
+        from rhubarbfield.operators.app import create_operators_app
+
+        return create_operators_app
+    raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
