Grant nothing while the lapse of a lease is being committed

Ruled out: fencing in the log alone, since commands without a session epoch can't tell the two orders apart. Change: LeaseTable.grant refuses while a lapse that was told is not forgotten. Doubt about a backend server is told to the router once for each epoch. Another incarnation waits for the former lease.

--- a/src/rhubarbfield/announcements/ports.py
+++ b/src/rhubarbfield/announcements/ports.py
@@ -80,6 +80,8 @@
     def grant(self, announce: Announce, granted: Granted, until: timedelta) -> None:
         """Start to use a server, or take in its changed capacity.
 
+        ``granted.settled`` is false only the first time that an epoch is
+        told, and then means that all slots are taken until there is proof.
         ``until`` is a reading of the entry's clock after which the server
         gets no new requests, unless it is renewed.
         """
--- a/src/rhubarbfield/announcements/servers.py
+++ b/src/rhubarbfield/announcements/servers.py
@@ -21,7 +21,7 @@
 from rhubarbfield.announcements.settings import AnnouncementSettings
 from rhubarbfield.clock import Clock
 from rhubarbfield.exceptions import check_invariant
-from rhubarbfield.types import BackendServerState
+from rhubarbfield.types import BackendServerState, Epoch
 
 logger = logging.getLogger(__name__)
 
@@ -60,6 +60,7 @@
         self._heard_at = clock.monotonic()
         self._quiet = False
         self._retired = False
+        self._told_epoch = Epoch(0)
         self._turn = trio.Lock()
 
     @property
@@ -115,6 +116,7 @@
     def drop_grant(self) -> bool:
         """Stop using the server; return whether nothing of ours runs on it."""
         granted, self.granted = self.granted, None
+        self._told_epoch = Epoch(0)
         self.changed.set()
         return granted is None or self._sink.revoke(self.announce.server, granted.epoch)
 
@@ -192,7 +194,12 @@
     def _use(self) -> None:
         if self.granted is None:
             return
-        self._sink.grant(self.announce, self.granted, self._until())
+        # Doubt is told once: the router has kept it since the first time.
+        told = self.granted
+        if told.epoch == self._told_epoch:
+            told = msgspec.structs.replace(told, settled=True)
+        self._told_epoch = told.epoch
+        self._sink.grant(self.announce, told, self._until())
         if self.announce.state is BackendServerState.LEAVING:
             self._sink.mark_leaving(self.announce.server, self.granted.epoch)
 
--- a/src/rhubarbfield/leases/table.py
+++ b/src/rhubarbfield/leases/table.py
@@ -72,7 +72,9 @@
     ) -> Result[Lease, LeaseLapsed]:
         """Open the session of ``holder`` under an epoch committed to the log.
 
-        It fails when a newer session is open already.
+        It fails when a newer session is open already, and after a lapse was
+        told: what follows from that lapse is being committed, and could be
+        committed after ``epoch`` was.
 
         Parameters
         ----------
@@ -86,7 +88,7 @@
             The grantor's monotonic reading, taken when it answers.
         """
         known = self._granted.get(holder)
-        if known is not None and epoch < known.epoch:
+        if known is not None and (known.revoked or epoch < known.epoch):
             return Failure(LeaseLapsed(epoch=known.epoch))
         self._granted[holder] = _Granted(epoch=epoch, answered=at)
         return Success(self._make_lease(epoch, number))
@@ -116,8 +118,8 @@
     def lapsed(self, at: timedelta) -> tuple[tuple[HolderT, Epoch], ...]:
         """Return the sessions whose holders can't rely on them any more.
 
-        They are never renewed from now on, so that what follows from their
-        lapse can be committed without a race.
+        Their holders get nothing from now on until :meth:`forget` was called,
+        so that what follows from the lapse is committed without a race.
 
         Parameters
         ----------
--- a/src/rhubarbfield/testing/worklog.py
+++ b/src/rhubarbfield/testing/worklog.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from datetime import timedelta
 
 import msgspec
 import trio
@@ -157,6 +158,13 @@
             if placed.worker == worker and not placed.ended:
                 placed.state = AttemptState.LOST
 
+    def has_rival(self, hello: WorkerHello) -> bool:
+        """Return whether another process of the worker has an open session."""
+        known = self.workers.get(hello.worker)
+        if known is None or not known.open:
+            return False
+        return known.incarnation != hello.incarnation
+
     def has_session(self, worker: WorkerId, session: Epoch) -> bool:
         """Return whether this is the worker's open session."""
         known = self.workers.get(worker)
@@ -209,6 +217,9 @@
         Whether it reaches a quorum.
     leader
         The address of the leader, given to workers that ask the wrong one.
+    commit_delay
+        How long each commit takes. What was asked is decided before, as by a
+        log whose commands carry no epoch of the session.
     """
 
     def __init__(self, log: MemoryWorkLog, *, leading: bool = True) -> None:
@@ -216,6 +227,7 @@
         self.leading = leading
         self.reachable = True
         self.leader = ""
+        self.commit_delay = timedelta()
 
     def leads(self) -> bool:
         """Return whether this controller leads."""
@@ -233,21 +245,21 @@
         self, hello: WorkerHello
     ) -> Result[Admitted, NotLeading | Unavailable]:
         """Commit a new session."""
-        await trio.lowlevel.checkpoint()
         if not self.leading:
             return Failure(NotLeading(leader=self.leader))
-        if not self.reachable:
+        if not self.reachable or self.log.has_rival(hello):
             return Failure(Unavailable())
+        await self._commit()
         return Success(self.log.admit(hello))
 
     async def report_attempts(
         self, worker: WorkerId, session: Epoch, reports: tuple[AttemptReport, ...]
     ) -> Result[None, WorkLogFailure]:
         """Commit reports."""
-        await trio.lowlevel.checkpoint()
         refused = self._find_refusal(worker, session)
         if refused is not None:
             return Failure(refused)
+        await self._commit()
         self.log.report(reports)
         return Success(None)
 
@@ -255,10 +267,10 @@
         self, worker: WorkerId, session: Epoch
     ) -> Result[None, WorkLogFailure]:
         """Commit the loss of a worker."""
-        await trio.lowlevel.checkpoint()
         refused = self._find_refusal(worker, session)
         if refused is not None:
             return Failure(refused)
+        await self._commit()
         self.log.lose(worker)
         return Success(None)
 
@@ -275,6 +287,9 @@
                 return Success(orders)
             await self.log.wait_change()
 
+    async def _commit(self) -> None:
+        await trio.sleep(self.commit_delay.total_seconds())
+
     def _find_refusal(self, worker: WorkerId, session: Epoch) -> WorkLogFailure | None:
         if not self.leading:
             return NotLeading(leader=self.leader)
--- a/src/rhubarbfield/workers/ports.py
+++ b/src/rhubarbfield/workers/ports.py
@@ -106,7 +106,11 @@
     async def admit(
         self, hello: WorkerHello
     ) -> Result[Admitted, NotLeading | Unavailable | WorkerRefused]:
-        """Commit a new session and what the worker says of itself."""
+        """Commit a new session and what the worker says of itself.
+
+        While the lease of another incarnation may hold, the answer is
+        ``Unavailable``: its process may be cut off and still running.
+        """
 
     async def report_attempts(
         self, worker: WorkerId, session: Epoch, reports: tuple[AttemptReport, ...]
--- a/src/rhubarbfield/workers/sessions.py
+++ b/src/rhubarbfield/workers/sessions.py
@@ -5,6 +5,7 @@
 import logging
 
 import msgspec
+import trio
 from returns.result import Failure, Success
 
 from rhubarbfield.clock import Clock
@@ -108,8 +109,10 @@
             await self._clock.sleep(self._settings.sweep_interval)
             if not self._log.leads():
                 continue
-            for worker, session in self._leases.lapsed(self._clock.monotonic()):
-                await self._lose(worker, session)
+            lapsed = self._leases.lapsed(self._clock.monotonic())
+            async with trio.open_nursery() as nursery:
+                for worker, session in lapsed:
+                    nursery.start_soon(self._lose, worker, session)
 
     async def _serve_hello(self, watched: WatchedStream) -> None:
         hello = await watched.receive()
--- a/tests/announcements/domain.py
+++ b/tests/announcements/domain.py
@@ -7,7 +7,6 @@
 from datetime import UTC, datetime, timedelta
 
 import trio
-import trio.testing
 from returns.result import Failure, Result, Success
 
 from rhubarbfield.announcements import (
@@ -48,6 +47,7 @@
     InstanceName,
     ServiceName,
 )
+from tests.replication.determinism import run_deterministic
 
 AT = datetime(2026, 1, 1, tzinfo=UTC)
 
@@ -280,7 +280,7 @@
             nursery.cancel_scope.cancel()
         return domain
 
-    return trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+    return run_deterministic(run, 0)
 
 
 LEAVING = BackendServerState.LEAVING
--- a/tests/leases/test_table.py
+++ b/tests/leases/test_table.py
@@ -49,6 +49,17 @@
         late = table.renew("a", epoch=Epoch(1), number=2, at=timedelta())
         self.assertEqual(late, Failure(LeaseLapsed(epoch=Epoch(1))))
 
+    def test_nothing_is_granted_while_a_lapse_is_being_committed(self) -> None:
+        table = make_table()
+        table.grant("a", epoch=Epoch(1), number=1, at=timedelta())
+        table.lapsed(11 * SECOND)
+        for epoch in (Epoch(1), Epoch(2)):
+            again = table.grant("a", epoch=epoch, number=2, at=12 * SECOND)
+            self.assertEqual(again, Failure(LeaseLapsed(epoch=Epoch(1))))
+        table.forget("a", epoch=Epoch(1))
+        again = table.grant("a", epoch=Epoch(2), number=3, at=12 * SECOND)
+        self.assertIsInstance(again, Success)
+
     def test_another_epoch_is_not_renewed(self) -> None:
         table = make_table()
         table.grant("a", epoch=Epoch(2), number=1, at=timedelta())
--- a/tests/workers/fleet.py
+++ b/tests/workers/fleet.py
@@ -7,7 +7,6 @@
 from datetime import timedelta
 
 import trio
-import trio.testing
 
 from rhubarbfield.clock import Clock, TrioClock
 from rhubarbfield.testing.attempts import TrueWork
@@ -33,8 +32,10 @@
     WorkerSessions,
     WorkerSessionSettings,
 )
+from tests.replication.determinism import run_deterministic
 
 SECOND = timedelta(seconds=1)
+COMMIT_DELAY = timedelta(milliseconds=200)
 SETTINGS = WorkerSessionSettings()
 CAPACITY = Resources(cores=8, memory_mb=8000)
 SMALL = Resources(cores=1, memory_mb=100)
@@ -55,6 +56,7 @@
         self.fleet = fleet
         self.address = address
         self.log = ControllerLog(fleet.log, leading=False)
+        self.log.commit_delay = COMMIT_DELAY
         self.sessions: WorkerSessions | None = None
         self.scope = trio.CancelScope()
 
@@ -88,7 +90,10 @@
 class Fleet:
     """What a test drives; two controllers, and workers as asked for."""
 
-    def __init__(self, nursery: trio.Nursery, *, run_time: timedelta) -> None:
+    def __init__(
+        self, nursery: trio.Nursery, *, run_time: timedelta, seed: int
+    ) -> None:
+        self.seed = seed
         self.nursery = nursery
         self.clock: Clock = TrioClock()
         self.run_time = run_time
@@ -118,7 +123,7 @@
             connect=self.network.connect,
             addresses=[one.address for one in self.controllers],
             clock=clock or self.clock,
-            rng=random.Random(self.starts),
+            rng=random.Random(f"{self.seed}/{self.starts}"),
             work=self.find_truth,
             observer=self.observer,
         )
@@ -148,17 +153,16 @@
 
 
 def run_fleet(
-    scenario: Callable[[Fleet], Awaitable[None]], *, run_time: float = 20
+    scenario: Callable[[Fleet], Awaitable[None]], *, run_time: float = 20, seed: int = 0
 ) -> Fleet:
     """Run a scenario on a virtual clock; the first controller leads."""
 
     async def run() -> Fleet:
         async with trio.open_nursery() as nursery:
-            fleet = Fleet(nursery, run_time=timedelta(seconds=run_time))
+            fleet = Fleet(nursery, run_time=timedelta(seconds=run_time), seed=seed)
             fleet.controllers[0].lead()
             await scenario(fleet)
             nursery.cancel_scope.cancel()
         return fleet
 
-    clock = trio.testing.MockClock(autojump_threshold=0)
-    return trio.run(run, clock=clock)
+    return run_deterministic(run, seed)
--- a/tests/workers/longrun.py
+++ b/tests/workers/longrun.py
@@ -148,7 +148,7 @@
             if not run.unfinished():
                 break
 
-    run_fleet(scenario, run_time=run_time)
+    run_fleet(scenario, run_time=run_time, seed=seed)
     return runs[0]
 
 
--- a/tests/workers/test_sessions.py
+++ b/tests/workers/test_sessions.py
@@ -128,15 +128,50 @@
 
                 self.check(run_fleet(scenario))
 
-    def test_a_restarted_worker_denies_what_it_lost(self) -> None:
+    def test_a_return_around_the_lapse_runs_nothing_twice(self) -> None:
+        # The lapse and the hello are being committed at the same time.
+        for seed in range(12):
+            with self.subTest(seed=seed):
+
+                async def scenario(fleet: Fleet) -> None:
+                    await fleet.start_worker("w1")
+                    await fleet.start_worker("w2")
+                    fleet.place("w1", "t1")
+                    await fleet.sleep(5)
+                    fleet.network.unreachable = {"c0:1"}
+                    fleet.streams()[0].silence()  # type: ignore[attr-defined]
+                    await fleet.sleep(9.2)
+                    fleet.network.unreachable = set()
+                    for _ in range(80):
+                        await fleet.sleep(0.05)
+                        if fleet.state("t1-1") == "lost":
+                            fleet.place("w2", "t1")
+                            break
+                    await fleet.sleep(2)
+
+                self.check(run_fleet(scenario, run_time=60, seed=seed))
+
+    def test_a_restarted_worker_waits_for_the_lease_of_its_former_process(
+        self,
+    ) -> None:
         async def scenario(fleet: Fleet) -> None:
-            worker = await fleet.start_worker("w1")
+            former = await fleet.start_worker("w1")
             attempt = fleet.place("w1", "t1")
             await fleet.sleep(5)
-            worker.die()
+            fleet.network.unreachable = {"c0:1"}
+            for stream in fleet.streams():
+                stream.silence()  # type: ignore[attr-defined]
             await fleet.start_worker("w1")
-            await fleet.sleep(1)
+            fleet.network.unreachable = set()
+            former.freeze(SECOND)
+            await fleet.sleep(2)
+            self.assertEqual(fleet.state(attempt), "running")
+            former.die()
+            await fleet.sleep(12)
             self.assertEqual(fleet.state(attempt), "lost")
+            again = fleet.place("w1", "t1")
+            await fleet.sleep(2)
+            self.assertEqual(fleet.state(again), "running")
 
         self.check(run_fleet(scenario))
 
