--- a/src/rhubarbfield/announcements/connection.py
+++ b/src/rhubarbfield/announcements/connection.py
@@ -4,6 +4,7 @@
 
 import logging
 from collections.abc import Awaitable, Callable
+from datetime import timedelta
 
 import trio
 
@@ -15,7 +16,6 @@
     Ping,
 )
 from rhubarbfield.announcements.servers import AnnouncedServer
-from rhubarbfield.announcements.settings import AnnouncementSettings
 from rhubarbfield.clock import Clock
 from rhubarbfield.types import Epoch, InstanceName
 from rhubarbfield.workers.streams import (
@@ -26,7 +26,7 @@
 
 logger = logging.getLogger(__name__)
 
-PING_AFTER_MISSED = 2
+PING_AFTER = 0.6
 
 
 class AnnouncementConnection:
@@ -42,8 +42,8 @@
         The first message.
     entry
         The instance that this is.
-    settings
-        Times and sizes.
+    choose_interval
+        Returns how often the server is to send heartbeats.
     clock
         The entry's clock.
     """
@@ -55,14 +55,14 @@
         announce: Announce,
         *,
         entry: InstanceName,
-        settings: AnnouncementSettings,
+        choose_interval: Callable[[], timedelta],
         clock: Clock,
     ) -> None:
         self._stream = stream
         self._server = server
         self._first = announce
         self._entry = entry
-        self._settings = settings
+        self._choose_interval = choose_interval
         self._clock = clock
         self._scope = trio.CancelScope()
 
@@ -85,7 +85,7 @@
 
     async def _receive(self) -> None:
         while True:
-            message = await self._stream.receive()
+            message = await self._stream.receive(self._server.silence_limit)
             match message:
                 case Announce() | Heartbeat():
                     if not await self._hear(message):
@@ -105,11 +105,13 @@
             await self._refuse("a connection announces one backend server")
             return False
         granted = self._server.granted
+        interval = self._choose_interval()
+        self._server.expect(interval)
         answer = Accepted(
             number=message.number,
             owner=InstanceName("") if granted is None else self._entry,
             epoch=Epoch(0) if granted is None else granted.epoch,
-            heartbeat_seconds=self._settings.heartbeat_interval.total_seconds(),
+            heartbeat_seconds=interval.total_seconds(),
         )
         return await self._stream.send(answer)
 
@@ -125,10 +127,9 @@
             await self._server.changed.wait()
 
     async def _ping(self) -> None:
-        interval = self._settings.heartbeat_interval
         while True:
-            await self._clock.sleep(interval)
-            late = self._server.silent_for > interval * PING_AFTER_MISSED
+            await self._clock.sleep(self._choose_interval())
+            late = self._server.silent_for > self._server.silence_limit * PING_AFTER
             if late and not await self._stream.send(Ping()):
                 return
 
--- a/src/rhubarbfield/announcements/servers.py
+++ b/src/rhubarbfield/announcements/servers.py
@@ -58,6 +58,9 @@
         self._sink = sink
         self._published = announce
         self._heard_at = clock.monotonic()
+        self._ended_at: timedelta | None = None
+        self._told_interval = settings.heartbeat_interval
+        self._expected_interval = settings.heartbeat_interval
         self._quiet = False
         self._retired = False
         self._told_epoch = Epoch(0)
@@ -68,6 +71,25 @@
         """How long nothing has been heard of the server."""
         return self._clock.monotonic() - self._heard_at
 
+    @property
+    def silence_limit(self) -> timedelta:
+        """How long the server may say nothing."""
+        least = self._settings.heartbeat_interval
+        return self._settings.silence_limit * (self._expected_interval / least)
+
+    def expect(self, interval: timedelta) -> None:
+        """Note the interval that the server is told now.
+
+        It follows it only from its next heartbeat on, and may still send that
+        one at the interval it was told before.
+        """
+        self._expected_interval = max(self._told_interval, interval)
+        self._told_interval = interval
+
+    def note_end(self) -> None:
+        """Note that the server's connection has ended, with no other one."""
+        self._ended_at = self._clock.monotonic()
+
     def hear(self, announce: Announce) -> None:
         """Take in an announcement and pass it to the router at once."""
         before, self.announce = self.announce, announce
@@ -86,7 +108,7 @@
         """Tell the router once the server has been silent for too long."""
         if self.granted is None or self._quiet:
             return
-        if self.silent_for >= self._settings.silence_limit:
+        if self._is_silent():
             self._quiet = True
             logger.info("server-silent server=%s", self.announce.server)
             self._sink.mark_leaving(self.announce.server, self.granted.epoch)
@@ -183,8 +205,17 @@
             return False
         return self.granted is None or _differs(self._published, self.announce)
 
+    def _is_silent(self) -> bool:
+        if self.silent_for >= self.silence_limit:
+            return True
+        if self._ended_at is None:
+            return False
+        without = self._clock.monotonic() - self._ended_at
+        return without >= self._settings.silence_limit
+
     def _touch(self) -> None:
         self._heard_at = self._clock.monotonic()
+        self._ended_at = None
         if self._quiet:
             self._quiet = False
             self._use()
@@ -208,7 +239,7 @@
             self._sink.report(self.announce.server, self.granted.epoch, running)
 
     def _until(self) -> timedelta:
-        return self._heard_at + self._settings.silence_limit
+        return self._heard_at + self.silence_limit
 
 
 def _differs(one: Announce, other: Announce) -> bool:
--- a/src/rhubarbfield/announcements/sessions.py
+++ b/src/rhubarbfield/announcements/sessions.py
@@ -24,6 +24,7 @@
 logger = logging.getLogger(__name__)
 
 WATCH_INTERVAL = timedelta(milliseconds=100)
+FIRST_MESSAGE_LIMIT = timedelta(seconds=2)
 
 
 class AnnouncementSessions:
@@ -81,7 +82,7 @@
         watched = WatchedStream(
             stream,
             send_deadline=self._settings.send_deadline,
-            silence_limit=self._settings.silence_limit,
+            silence_limit=FIRST_MESSAGE_LIMIT,
         )
         self._connections += 1
         try:
@@ -150,7 +151,7 @@
             known,
             announce,
             entry=self._entry,
-            settings=self._settings,
+            choose_interval=self._choose_interval,
             clock=self._clock,
         )
         self._newest[announce.server] = connection
@@ -159,6 +160,10 @@
         finally:
             if self._newest.get(announce.server) is connection:
                 del self._newest[announce.server]
+                known.note_end()
+
+    def _choose_interval(self) -> timedelta:
+        return self._settings.choose_heartbeat_interval(len(self._newest))
 
     def _make_server(self, announce: Announce) -> AnnouncedServer:
         return AnnouncedServer(
@@ -174,7 +179,7 @@
         if known is None or announce.server not in self._newest:
             return False
         other = known.announce.incarnation != announce.incarnation
-        return other and known.silent_for < self._settings.silence_limit
+        return other and known.silent_for < known.silence_limit
 
     def _is_gone(self, server: BackendServerId, known: AnnouncedServer) -> bool:
         if server in self._newest:
--- a/src/rhubarbfield/announcements/settings.py
+++ b/src/rhubarbfield/announcements/settings.py
@@ -13,10 +13,15 @@
     Attributes
     ----------
     heartbeat_interval
-        How often a backend server is told to send heartbeats.
+        The least time between two heartbeats of a backend server.
+    heartbeats_per_second
+        How many heartbeats all backend servers together may send to this
+        entry. With many of them each is told a longer interval.
     silence_limit
-        How long it may say nothing, over all its connections, before it gets
-        no new requests. Below two seconds, to keep the promise made to users.
+        How long a backend server that is told the least interval may say
+        nothing before it gets no new requests; others may longer, in
+        proportion. Whatever the interval, it is also how long one may be
+        without a connection after the last has ended.
     release_after
         How long it may say nothing before its entry gives it up.
     send_deadline
@@ -28,8 +33,20 @@
     """
 
     heartbeat_interval: timedelta = timedelta(milliseconds=500)
+    heartbeats_per_second: float = 40.0
     silence_limit: timedelta = timedelta(milliseconds=1600)
     release_after: timedelta = timedelta(seconds=60)
     send_deadline: timedelta = timedelta(seconds=1)
     retry_delay: timedelta = timedelta(milliseconds=250)
     max_connections: int = 512
+
+    def choose_heartbeat_interval(self, servers: int) -> timedelta:
+        """Return how often each of ``servers`` backend servers is to be heard.
+
+        Parameters
+        ----------
+        servers
+            How many backend servers have a connection to this entry.
+        """
+        shared = timedelta(seconds=servers / self.heartbeats_per_second)
+        return max(self.heartbeat_interval, shared)
--- a/src/rhubarbfield/testing/announcer.py
+++ b/src/rhubarbfield/testing/announcer.py
@@ -27,7 +27,7 @@
 )
 
 SEND_DEADLINE = timedelta(seconds=1)
-SILENCE_LIMIT = timedelta(milliseconds=1600)
+SILENCE_INTERVALS = 3.2
 FIRST_INTERVAL = timedelta(milliseconds=500)
 RECONNECT_DELAY = timedelta(milliseconds=200)
 REFUSED_DELAY = timedelta(seconds=2)
@@ -129,8 +129,11 @@
                 self.address = ""
 
     async def _serve(self, plain: MessageStream) -> msgspec.Struct:
+        self._interval = FIRST_INTERVAL
         stream = WatchedStream(
-            plain, send_deadline=SEND_DEADLINE, silence_limit=SILENCE_LIMIT
+            plain,
+            send_deadline=SEND_DEADLINE,
+            silence_limit=FIRST_INTERVAL * SILENCE_INTERVALS,
         )
         self._changed.set()
         ends: list[msgspec.Struct] = []
@@ -148,7 +151,7 @@
 
     async def _receive(self, stream: WatchedStream) -> msgspec.Struct:
         while True:
-            message = await stream.receive()
+            message = await stream.receive(self._interval * SILENCE_INTERVALS)
             match message:
                 case Accepted():
                     self.owner, self.epoch = message.owner, message.epoch
--- a/src/rhubarbfield/testing/usage.py
+++ b/src/rhubarbfield/testing/usage.py
@@ -18,6 +18,7 @@
     StartAttempt,
 )
 
+LEAST_INTERVAL = timedelta(seconds=5)
 SAMPLE_REQUESTS = 100
 BASE_MEDIAN_MS = 20.0
 TAIL_FACTOR = 4.0
@@ -78,10 +79,13 @@
         The worker's clock.
     latency
         What requests of services take.
+    lag
+        The least age of a measurement when it is handed out.
+
+    Attributes
+    ----------
     interval
         The time between measurements.
-    lag
-        How old a measurement is when it is handed out.
     """
 
     def __init__(
@@ -89,14 +93,13 @@
         clock: Clock,
         latency: LatencyModel,
         *,
-        interval: timedelta,
         lag: timedelta,
     ) -> None:
+        self.interval = LEAST_INTERVAL
         self._clock = clock
         self._latency = latency
-        self._interval = interval
-        self._kept = max(1, round(lag / interval))
-        self._waiting: deque[UsageReport] = deque()
+        self._lag = lag
+        self._waiting: deque[tuple[timedelta, UsageReport]] = deque()
 
     async def measure(
         self, attempts: Mapping[AttemptId, SimulatedAttempt]
@@ -109,10 +112,13 @@
             The attempts on the worker; read again at each measurement.
         """
         while True:
-            await self._clock.sleep(self._interval)
-            self._waiting.append(self._measure_now(attempts))
-            if len(self._waiting) > self._kept:
-                return self._waiting.popleft()
+            await self._clock.sleep(self.interval)
+            now = self._clock.monotonic()
+            self._waiting.append((now, self._measure_now(attempts)))
+            taken, report = self._waiting[0]
+            if now - taken >= self._lag:
+                self._waiting.popleft()
+                return report
 
     def _measure_now(
         self, attempts: Mapping[AttemptId, SimulatedAttempt]
--- a/src/rhubarbfield/testing/worker.py
+++ b/src/rhubarbfield/testing/worker.py
@@ -58,7 +58,6 @@
 SILENCE_LIMIT = timedelta(seconds=7)
 RECONNECT_DELAY = timedelta(milliseconds=250)
 REFUSED_DELAY = timedelta(seconds=5)
-USAGE_INTERVAL = timedelta(seconds=5)
 USAGE_LAG = timedelta(seconds=10)
 
 
@@ -139,9 +138,7 @@
             observer=observer,
             thaw=self._thaw,
         )
-        self._usage = UsageReporter(
-            clock, latency, interval=USAGE_INTERVAL, lag=USAGE_LAG
-        )
+        self._usage = UsageReporter(clock, latency, lag=USAGE_LAG)
         self._session = Epoch(0)
         self._scope = trio.CancelScope()
 
@@ -202,6 +199,7 @@
         if not isinstance(opened, SessionOpened) or opened.epoch <= self._session:
             return opened
         self._session = opened.epoch
+        self._usage.interval = timedelta(seconds=opened.usage_seconds)
         self.workload.keep_only(opened.keep)
         return await self._serve(stream, timedelta(seconds=opened.renew_seconds))
 
--- a/src/rhubarbfield/workers/connection.py
+++ b/src/rhubarbfield/workers/connection.py
@@ -131,9 +131,11 @@
         if not isinstance(granted, Success):
             return False
         lease = granted.unwrap()
+        usage_interval = self._settings.choose_usage_interval(len(self._leases))
         opened = SessionOpened(
             epoch=self.session,
             renew_seconds=self._settings.renew_interval.total_seconds(),
+            usage_seconds=usage_interval.total_seconds(),
             keep=found.keep,
         )
         orders = [self._stamp(order) for order in found.resend]
--- a/src/rhubarbfield/workers/orders.py
+++ b/src/rhubarbfield/workers/orders.py
@@ -35,6 +35,8 @@
         orders that carry another one.
     renew_seconds
         How often the worker is to renew its lease.
+    usage_seconds
+        How often the worker is to report usage.
     keep
         The attempts that the worker may go on with, or whose end is still to
         be reported. It drops all others before it does anything else.
@@ -42,6 +44,7 @@
 
     epoch: OnWireEpoch
     renew_seconds: float
+    usage_seconds: float
     keep: Annotated[tuple[OnWireAttempt, ...], ATTEMPTS] = ()
 
 
--- a/src/rhubarbfield/workers/streams.py
+++ b/src/rhubarbfield/workers/streams.py
@@ -79,7 +79,7 @@
     ) -> None:
         self._stream = stream
         self._send_deadline = send_deadline.total_seconds()
-        self._silence_limit = silence_limit.total_seconds()
+        self._silence_limit = silence_limit
         self._lock = trio.Lock()
 
     async def send(self, message: msgspec.Struct) -> bool:
@@ -89,16 +89,22 @@
                 return await self._stream.send(message)
         return False
 
-    async def receive(self) -> msgspec.Struct:
+    async def receive(self, silence_limit: timedelta | None = None) -> msgspec.Struct:
         """Return the next message, or one of the three ends of a stream.
 
+        Parameters
+        ----------
+        silence_limit
+            Taken instead of the stream's own, if given.
+
         Returns
         -------
         msgspec.Struct
             A message, or :class:`Malformed`, :class:`Silent` or
             :class:`Ended`, after which nothing more is to be received.
         """
-        with trio.move_on_after(self._silence_limit):
+        limit = silence_limit or self._silence_limit
+        with trio.move_on_after(limit.total_seconds()):
             try:
                 message = await self._stream.receive()
             except msgspec.MsgspecError as error:
--- a/tests/announcements/domain.py
+++ b/tests/announcements/domain.py
@@ -261,8 +261,11 @@
         (found,) = [one for one in self.entries if one.ownership.entry == name]
         return found
 
+    def streams_to(self, entry: str) -> list[MemoryStream]:
+        return self.network.find_open(f"{entry}:1")
+
     def streams(self) -> list[MemoryStream]:
-        return [s for a in ("e0:1", "e1:1") for s in self.network.find_open(a)]
+        return [*self.streams_to("e0"), *self.streams_to("e1")]
 
     async def sleep(self, seconds: float) -> None:
         """Wait, and look at every tenth of a second who may send."""
--- a/tests/announcements/test_sessions.py
+++ b/tests/announcements/test_sessions.py
@@ -95,6 +95,26 @@
 
         self.run_in(scenario)
 
+    def test_many_servers_send_heartbeats_less_often(self) -> None:
+        async def scenario(domain: Domain) -> None:
+            _, announcer = domain.start_server("s1")
+            for number in range(2, 102):
+                domain.start_server(f"s{number}")
+            await domain.sleep(8)
+            (owner,) = domain.users()
+            sessions = domain.entry(owner).sessions
+            before = sum(stream.outgoing.messages for stream in domain.streams())
+            await domain.sleep(30)
+            after = sum(stream.outgoing.messages for stream in domain.streams())
+            self.assertLess((after - before) / 30, 2 * 45)
+            self.assertEqual(domain.users(), [owner])
+            self.assertEqual(len(sessions.owned), len(domain.streams_to(owner)))
+            announcer.stop()
+            await domain.sleep(2)
+            self.assertEqual(domain.users(), [], "its connection has ended")
+
+        self.run_in(scenario)
+
     def test_a_connection_silent_one_way_is_replaced(self) -> None:
         for both_ways in (False, True):
             with self.subTest(both_ways=both_ways):
--- /dev/null
+++ b/tests/testing/test_network.py
@@ -0,0 +1,81 @@
+"""Tests of the proxy that fails connections, over loopback."""
+
+from __future__ import annotations
+
+import unittest
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+
+import trio
+
+from rhubarbfield.testing.network import CuttingProxy
+
+LOOPBACK = "127.0.0.1"
+PATIENCE = 0.3
+
+
+async def echo(stream: trio.SocketStream) -> None:
+    async for chunk in stream:
+        await stream.send_all(chunk)
+
+
+async def ask(stream: trio.SocketStream, word: bytes) -> bytes | None:
+    """Return what the echo answers; None if it stays silent."""
+    with trio.move_on_after(PATIENCE):
+        await stream.send_all(word)
+        return await stream.receive_some(64)
+    return None
+
+
+class CuttingProxyTest(unittest.TestCase):
+    def run_proxy(self, check: Callable[[CuttingProxy, int], Awaitable[None]]) -> None:
+        async def run() -> None:
+            async with trio.open_nursery() as nursery:
+                listeners = await trio.open_tcp_listeners(0, host=LOOPBACK)
+                port = listeners[0].socket.getsockname()[1]
+                nursery.start_soon(trio.serve_listeners, echo, listeners)
+                proxy = CuttingProxy(LOOPBACK, port)
+                at = await nursery.start(proxy.serve, LOOPBACK)
+                await check(proxy, at)
+                nursery.cancel_scope.cancel()
+
+        trio.run(run)
+
+    def test_open_connections_go_silent_while_new_ones_work(self) -> None:
+        async def check(proxy: CuttingProxy, port: int) -> None:
+            for way in ("to_server", "to_client"):
+                async with await trio.open_tcp_stream(LOOPBACK, port) as old:
+                    self.assertEqual(await ask(old, b"one"), b"one")
+                    proxy.blackhole_all(**{way: True, _other(way): False})
+                    self.assertIsNone(await ask(old, b"two"))
+                    async with await trio.open_tcp_stream(LOOPBACK, port) as new:
+                        self.assertEqual(await ask(new, b"three"), b"three")
+
+        self.run_proxy(check)
+
+    def test_connections_are_cut_and_refused(self) -> None:
+        async def check(proxy: CuttingProxy, port: int) -> None:
+            async with await trio.open_tcp_stream(LOOPBACK, port) as stream:
+                self.assertEqual(await ask(stream, b"one"), b"one")
+                proxy.accepting = False
+                proxy.cut_all()
+                self.assertEqual(await stream.receive_some(64), b"")
+            async with await trio.open_tcp_stream(LOOPBACK, port) as refused:
+                self.assertEqual(await refused.receive_some(64), b"")
+
+        self.run_proxy(check)
+
+    def test_one_connection_is_slow(self) -> None:
+        async def check(proxy: CuttingProxy, port: int) -> None:
+            async with await trio.open_tcp_stream(LOOPBACK, port) as stream:
+                self.assertEqual(await ask(stream, b"one"), b"one")
+                proxy.connections[0].delay = timedelta(seconds=2 * PATIENCE)
+                self.assertIsNone(await ask(stream, b"two"))
+                async with await trio.open_tcp_stream(LOOPBACK, port) as other:
+                    self.assertEqual(await ask(other, b"three"), b"three")
+
+        self.run_proxy(check)
+
+
+def _other(way: str) -> str:
+    return "to_client" if way == "to_server" else "to_server"
--- /dev/null
+++ b/tests/testing/test_worker.py
@@ -0,0 +1,168 @@
+"""Tests of the stand-in worker and of what watches it."""
+
+from __future__ import annotations
+
+import unittest
+from datetime import timedelta
+
+import trio
+
+from rhubarbfield.clock import TrioClock
+from rhubarbfield.testing.attempts import (
+    SimulatedAttempt,
+    TrueWork,
+    make_checkpoint,
+    make_seeded_work,
+    read_progress,
+)
+from rhubarbfield.testing.observer import Observer
+from rhubarbfield.testing.streams import MemoryStream, memory_stream_pair
+from rhubarbfield.testing.usage import make_seeded_harm
+from rhubarbfield.types import (
+    AttemptId,
+    CheckpointId,
+    Epoch,
+    ServiceName,
+    TaskId,
+    WorkerId,
+)
+from rhubarbfield.workers import (
+    GoToLeader,
+    Resources,
+    StartAttempt,
+    ToWorker,
+    UsageReport,
+)
+from tests.replication.determinism import run_deterministic
+from tests.workers.fleet import Fleet, run_fleet
+
+W1, W2 = WorkerId("w1"), WorkerId("w2")
+SECOND = timedelta(seconds=1)
+
+
+def order(attempt: str, task: str = "t", cores: float = 1) -> StartAttempt:
+    return StartAttempt(
+        attempt=AttemptId(attempt),
+        task=TaskId(task),
+        epoch=Epoch(1),
+        resources=Resources(cores=cores),
+        argument="catalogue",
+    )
+
+
+class ObserverTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.observer = Observer()
+
+    def test_two_places_at_once_are_seen_in_either_order(self) -> None:
+        self.observer.note_run(W1, order("a"), SECOND, 2 * SECOND)
+        self.observer.note_run(W2, order("b"), 2 * SECOND, 3 * SECOND)
+        self.assertEqual(self.observer.violations, [])
+        self.observer.note_run(W2, order("c"), 1.5 * SECOND, 1.6 * SECOND)
+        self.assertEqual(len(self.observer.violations), 1)
+
+    def test_more_than_capacity_and_a_second_start_are_seen(self) -> None:
+        capacity = Resources(cores=2)
+        self.observer.note_start(W1, capacity, order("a"))
+        self.observer.note_start(W1, capacity, order("b"))
+        self.assertEqual(self.observer.violations, [])
+        self.observer.note_end(W1, AttemptId("a"))
+        self.observer.note_start(W1, capacity, order("b"))
+        self.observer.note_start(W1, capacity, order("c", cores=1.5))
+        self.assertEqual(len(self.observer.violations), 2)
+
+
+class SimulationTest(unittest.TestCase):
+    def test_truth_follows_from_seed_and_task(self) -> None:
+        one, same, other = (make_seeded_work(seed) for seed in (1, 1, 2))
+        self.assertEqual(one(order("a")), same(order("b")))
+        self.assertNotEqual(one(order("a")), other(order("a")))
+
+    def test_a_checkpoint_keeps_the_progress(self) -> None:
+        kept = make_checkpoint(0.25, order("a"))
+        self.assertEqual(read_progress(kept), 0.25)
+        self.assertEqual(read_progress(None), 0)
+        self.assertNotEqual(kept, CheckpointId(""))
+
+    def test_harm_grows_with_those_who_share_the_worker(self) -> None:
+        measure = make_seeded_harm(1, (ServiceName("boards"),))
+        (alone,), (shared,) = measure(()), measure((order("a"), order("b")))
+        self.assertGreater(shared.tail_ms, alone.tail_ms)
+
+    def test_failing_everything_is_reported(self) -> None:
+        async def scenario(fleet: Fleet) -> None:
+            worker = await fleet.start_worker("w1")
+            worker.workload.fails_everything = True
+            attempt = fleet.place("w1", "t1")
+            await fleet.sleep(1)
+            self.assertEqual(fleet.state(attempt), "failed")
+
+        self.assertEqual(run_fleet(scenario).observer.spans, [])
+
+    def test_an_attempt_that_fails_does_so_at_its_end(self) -> None:
+        async def scenario(fleet: Fleet) -> None:
+            work = TrueWork(run_time=2 * SECOND, cores=1, memory_mb=1, fails=True)
+            worker = await fleet.start_worker("w1")
+            attempt = SimulatedAttempt(
+                order("a"),
+                work,
+                worker=W1,
+                lease=worker.lease,
+                clock=TrioClock(),
+                observer=fleet.observer,
+                thaw=worker._thaw,
+            )
+            await attempt.run(lambda: None)
+            self.assertEqual(attempt.state.value, "failed")
+
+        run_fleet(scenario)
+
+    def test_reports_are_as_old_as_they_say(self) -> None:
+        async def scenario(fleet: Fleet) -> None:
+            await fleet.start_worker("w1")
+            await fleet.sleep(60)
+
+        reports = run_fleet(scenario).observations.reports
+        self.assertGreater(len(reports), 5)
+        self.assertTrue(all(isinstance(report, UsageReport) for report in reports))
+
+
+class MemoryStreamTest(unittest.TestCase):
+    def run_pair(self, check: object) -> None:
+        async def run() -> None:
+            await check(*memory_stream_pair(ToWorker, ToWorker))  # type: ignore
+
+        run_deterministic(run, 0)
+
+    def test_messages_come_late_and_in_order(self) -> None:
+        async def check(here: MemoryStream, there: MemoryStream) -> None:
+            here.outgoing.delay = SECOND
+            for address in ("a:1", "b:1"):
+                await here.send(GoToLeader(address=address))
+            began = trio.current_time()
+            self.assertEqual(await there.receive(), GoToLeader(address="a:1"))
+            self.assertAlmostEqual(trio.current_time() - began, 1)
+            self.assertEqual(await there.receive(), GoToLeader(address="b:1"))
+
+        self.run_pair(check)
+
+    def test_a_silent_way_swallows_everything_even_the_end(self) -> None:
+        async def check(here: MemoryStream, there: MemoryStream) -> None:
+            here.silence(both_ways=False)
+            self.assertTrue(await here.send(GoToLeader()))
+            await here.close()
+            with trio.move_on_after(60) as scope:
+                await there.receive()
+            self.assertTrue(scope.cancelled_caught)
+
+        self.run_pair(check)
+
+    def test_a_cut_is_seen_by_both_ends(self) -> None:
+        async def check(here: MemoryStream, there: MemoryStream) -> None:
+            await here.send(GoToLeader())
+            here.cut()
+            self.assertIsNone(await there.receive())
+            self.assertFalse(await there.send(GoToLeader()))
+            self.assertFalse(await here.send(GoToLeader()))
+
+        self.run_pair(check)
