--- a/src/rhubarbfield/measurement/sessions.py
+++ b/src/rhubarbfield/measurement/sessions.py
@@ -189,11 +189,13 @@
         mine, theirs = memory_stream_pair(ToBackendServer, FromBackendServer)
         nursery.start_soon(sessions.serve, theirs)
         await mine.send(_make_announce(f"runner-{number:03d}"))
-        heartbeat = Heartbeat(number=10_000, running=5)
-        interval = SERVER_SETTINGS.choose_heartbeat_interval(count)
-        nursery.start_soon(_repeat, mine, heartbeat, interval)
         nursery.start_soon(_discard_all, mine)
         streams.append(mine)
+    await trio.sleep(SERVER_SETTINGS.heartbeat_interval.total_seconds() / 2)
+    heartbeat = Heartbeat(number=10_000, running=5)
+    interval = SERVER_SETTINGS.choose_heartbeat_interval(count)
+    for stream in streams:
+        nursery.start_soon(_repeat, stream, heartbeat, interval)
     return streams
 
 
