Bound the opening of streams, and prove sessions over gRPC on loopback

A host that is gone answers nothing to a connection attempt, so that the stand-ins now give up opening a stream after a deadline. The new test runs a worker through a proxy that silences its connections both ways and each way.

--- a/src/rhubarbfield/testing/announcer.py
+++ b/src/rhubarbfield/testing/announcer.py
@@ -24,11 +24,13 @@
     ConnectionRefused,
     MessageStream,
     WatchedStream,
+    use_stream,
 )
 
 SEND_DEADLINE = timedelta(seconds=1)
 SILENCE_INTERVALS = 3.2
 FIRST_INTERVAL = timedelta(milliseconds=500)
+CONNECT_DEADLINE = timedelta(seconds=1)
 RECONNECT_DELAY = timedelta(milliseconds=200)
 REFUSED_DELAY = timedelta(seconds=2)
 MAX_DETOURS = 3
@@ -119,14 +121,16 @@
         return self._rng.choice(others or self._addresses)
 
     async def _try_entry(self, address: str) -> msgspec.Struct | None:
-        async with self._connect(address) as stream:
-            if stream is None:
-                return None
+        async def use(stream: MessageStream) -> msgspec.Struct:
             self.address = address
-            try:
-                return await self._serve(stream)
-            finally:
-                self.address = ""
+            return await self._serve(stream)
+
+        try:
+            return await use_stream(
+                self._connect, address, use, connect_deadline=CONNECT_DEADLINE
+            )
+        finally:
+            self.address = ""
 
     async def _serve(self, plain: MessageStream) -> msgspec.Struct:
         self._interval = FIRST_INTERVAL
--- a/src/rhubarbfield/testing/worker.py
+++ b/src/rhubarbfield/testing/worker.py
@@ -49,13 +49,16 @@
     ConnectionRefused,
     MessageStream,
     WatchedStream,
+    use_stream,
 )
 
 logger = logging.getLogger(__name__)
 
 DRIFT = 0.01
 SEND_DEADLINE = timedelta(seconds=2)
-SILENCE_LIMIT = timedelta(seconds=7)
+CONNECT_DEADLINE = timedelta(seconds=2)
+ADMISSION_LIMIT = timedelta(seconds=3)
+SILENCE_RENEWALS = 2.3
 RECONNECT_DELAY = timedelta(milliseconds=250)
 REFUSED_DELAY = timedelta(seconds=5)
 USAGE_LAG = timedelta(seconds=10)
@@ -161,16 +164,19 @@
     async def _keep_session(self) -> None:
         address = self._rng.choice(self._addresses)
         while True:
-            goes_to = ""
-            refused = False
-            async with self._connect(address) as stream:
-                if stream is not None:
-                    end = await self._hold_session(stream)
-                    goes_to = end.address if isinstance(end, GoToLeader) else ""
-                    refused = isinstance(end, ConnectionRefused)
-            if refused:
-                logger.error("worker-refused worker=%s", self._profile.worker)
-            await self._pause(REFUSED_DELAY if refused else RECONNECT_DELAY)
+            end = await use_stream(
+                self._connect,
+                address,
+                self._hold_session,
+                connect_deadline=CONNECT_DEADLINE,
+            )
+            goes_to = end.address if isinstance(end, GoToLeader) else ""
+            delay = RECONNECT_DELAY
+            if isinstance(end, ConnectionRefused):
+                delay = REFUSED_DELAY
+                name = self._profile.worker
+                logger.error("worker-refused worker=%s reason=%s", name, end.reason)
+            await self._pause(delay)
             address = goes_to or self._rng.choice(self._addresses)
 
     async def _pause(self, delay: timedelta) -> None:
@@ -181,7 +187,7 @@
         stream = WatchedStream(
             plain,
             send_deadline=SEND_DEADLINE,
-            silence_limit=SILENCE_LIMIT,
+            silence_limit=ADMISSION_LIMIT,
         )
         await self._thaw()
         hello = WorkerHello(
@@ -213,15 +219,17 @@
                 ends.append(await part())
                 nursery.cancel_scope.cancel()
 
-            nursery.start_soon(run_part, lambda: self._receive(stream))
+            nursery.start_soon(run_part, lambda: self._receive(stream, renew_interval))
             nursery.start_soon(run_part, lambda: self._renew(stream, renew_interval))
             nursery.start_soon(run_part, lambda: self._send_reports(stream))
             nursery.start_soon(run_part, lambda: self._send_usage(stream))
         return ends[0]
 
-    async def _receive(self, stream: WatchedStream) -> msgspec.Struct:
+    async def _receive(
+        self, stream: WatchedStream, renew_interval: timedelta
+    ) -> msgspec.Struct:
         while True:
-            message = await stream.receive()
+            message = await stream.receive(renew_interval * SILENCE_RENEWALS)
             await self._thaw()
             match message:
                 case LeaseGranted():
--- a/src/rhubarbfield/workers/streams.py
+++ b/src/rhubarbfield/workers/streams.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+import math
+from collections.abc import Awaitable, Callable
 from contextlib import AbstractAsyncContextManager
 from datetime import timedelta
 from typing import Protocol, TypeAlias, TypeVar
@@ -33,6 +34,39 @@
 """Opens a stream to ``host:port``; None when the other side can't be reached."""
 
 
+async def use_stream(
+    connect: Connect,
+    address: str,
+    use: Callable[[MessageStream], Awaitable[msgspec.Struct]],
+    *,
+    connect_deadline: timedelta,
+) -> msgspec.Struct | None:
+    """Open a stream, use it and close it.
+
+    Parameters
+    ----------
+    connect
+        Opens the stream.
+    address
+        ``host:port`` of the other side.
+    use
+        Called with the stream once it is open.
+    connect_deadline
+        How long opening may take; a host that is gone answers nothing.
+
+    Returns
+    -------
+    msgspec.Struct or None
+        What ``use`` returned; None when the stream was not opened.
+    """
+    with trio.move_on_after(connect_deadline.total_seconds()) as scope:
+        async with connect(address) as stream:
+            if stream is not None:
+                scope.deadline = math.inf
+                return await use(stream)
+    return None
+
+
 class Malformed(msgspec.Struct, frozen=True):
     """The other side sent what can't be decoded.
 
--- /dev/null
+++ b/tests/workers/test_over_grpc.py
@@ -0,0 +1,122 @@
+"""Sessions of workers over gRPC on loopback, through a failing proxy."""
+
+from __future__ import annotations
+
+import random
+import unittest
+from collections.abc import Callable
+from datetime import timedelta
+from functools import partial
+
+import trio
+import trio_asyncio
+
+from rhubarbfield.clock import TrioClock
+from rhubarbfield.leases import LeaseTerms
+from rhubarbfield.peering import Credentials, Encoding, StreamMethod, serve_methods
+from rhubarbfield.peering.client import dial
+from rhubarbfield.testing.attempts import make_seeded_work
+from rhubarbfield.testing.network import CuttingProxy
+from rhubarbfield.testing.observer import Observer
+from rhubarbfield.testing.worker import StandInWorker, WorkerProfile
+from rhubarbfield.testing.worklog import ControllerLog, MemoryWorkLog
+from rhubarbfield.types import (
+    FailureDomain,
+    Incarnation,
+    RackName,
+    TaskId,
+    WorkerId,
+)
+from rhubarbfield.workers import (
+    FromWorker,
+    Resources,
+    ToWorker,
+    WorkerSessions,
+    WorkerSessionSettings,
+)
+from tests.workers.fleet import Observations
+
+LOOPBACK = "127.0.0.1"
+CREDENTIALS = Credentials(secret="test")
+METHOD = StreamMethod("/rhubarbfield.Workers/Session", FromWorker, ToWorker)
+W1 = WorkerId("w1")
+SETTINGS = WorkerSessionSettings(
+    lease=LeaseTerms(duration=timedelta(seconds=8), drift=0.01),
+    renew_interval=timedelta(milliseconds=300),
+    silence_limit=timedelta(milliseconds=700),
+    send_deadline=timedelta(milliseconds=500),
+    sweep_interval=timedelta(milliseconds=100),
+)
+
+
+async def wait_until(holds: Callable[[], bool]) -> None:
+    with trio.fail_after(10):
+        while not holds():
+            await trio.sleep(0.02)
+
+
+async def find_port() -> int:
+    (listener,) = await trio.open_tcp_listeners(0, host=LOOPBACK)
+    port = listener.socket.getsockname()[1]
+    await listener.aclose()
+    return int(port)
+
+
+class OverGrpcTest(unittest.TestCase):
+    def test_a_task_survives_connections_that_go_silent(self) -> None:
+        trio_asyncio.run(self.run_silenced)
+
+    async def run_silenced(self) -> None:
+        log, observer = MemoryWorkLog(), Observer()
+        sessions = WorkerSessions(
+            SETTINGS,
+            clock=TrioClock(),
+            log=ControllerLog(log),
+            observations=Observations(),
+        )
+        async with trio.open_nursery() as nursery:
+            port = await find_port()
+            serve = partial(
+                serve_methods,
+                credentials=CREDENTIALS,
+                encoding=Encoding.JSON,
+                streams={METHOD: sessions.serve},
+            )
+            await nursery.start(serve, LOOPBACK, port)
+            nursery.start_soon(sessions.sweep)
+            proxy = CuttingProxy(LOOPBACK, port)
+            at = await nursery.start(proxy.serve, LOOPBACK)
+            worker = make_worker(f"{LOOPBACK}:{at}", observer)
+            nursery.start_soon(worker.run)
+            await wait_until(worker.lease.holds)
+            attempt = log.place(W1, TaskId("t1"), resources=Resources(cores=1))
+            for ways in ({}, {"to_server": False}, {"to_client": False}):
+                epoch = worker.lease.epoch
+                proxy.blackhole_all(**ways)
+                await wait_until(lambda before=epoch: worker.lease.epoch > before)
+            await wait_until(lambda: log.attempts[attempt].ended)
+            nursery.cancel_scope.cancel()
+        self.assertEqual(log.attempts[attempt].state.value, "succeeded")
+        self.assertEqual(observer.violations, [])
+        self.assertEqual(len({span.attempt for span in observer.spans}), 1)
+
+
+def make_worker(address: str, observer: Observer) -> StandInWorker:
+    brief = timedelta(seconds=5)
+    return StandInWorker(
+        WorkerProfile(
+            worker=W1,
+            rack=RackName("r1"),
+            domain=FailureDomain("d1"),
+            capacity=Resources(cores=8, memory_mb=8000),
+        ),
+        incarnation=Incarnation("1"),
+        connect=partial(
+            dial, method=METHOD, credentials=CREDENTIALS, encoding=Encoding.JSON
+        ),
+        addresses=[address],
+        clock=TrioClock(),
+        rng=random.Random(1),
+        work=make_seeded_work(1, shortest=brief, longest=brief),
+        observer=observer,
+    )
