--- a/src/rhubarbfield/measurement/sessions.py
+++ b/src/rhubarbfield/measurement/sessions.py
@@ -18,18 +18,18 @@
 import msgspec
 import trio
 import trio.testing
-from returns.result import Result, Success
 
 from rhubarbfield.announcements import (
     Announce,
     AnnouncementSessions,
     AnnouncementSettings,
     FromBackendServer,
-    Granted,
     Heartbeat,
     ToBackendServer,
 )
 from rhubarbfield.clock import TrioClock
+from rhubarbfield.ownership import OwnershipState
+from rhubarbfield.testing.ownership import MemoryOwnership, RecordedGrants
 from rhubarbfield.testing.streams import MemoryStream, memory_stream_pair
 from rhubarbfield.testing.worklog import ControllerLog, MemoryWorkLog
 from rhubarbfield.types import (
@@ -62,6 +62,7 @@
 ATTEMPTS_EACH = 30
 LENGTH = timedelta(minutes=2)
 MICROSECONDS = 1_000_000
+ENTRY = InstanceName("entry-north-1")
 WORKER_SETTINGS = WorkerSessionSettings()
 SERVER_SETTINGS = AnnouncementSettings()
 
@@ -96,43 +97,6 @@
         pass
 
 
-class _Domain:
-    """Answers as a domain in which this entry owns everything."""
-
-    async def claim(self, announce: Announce) -> Result[Granted, msgspec.Struct]:
-        await trio.lowlevel.checkpoint()
-        return Success(Granted(epoch=Epoch(1), settled=True))
-
-    async def update(
-        self, announce: Announce, epoch: Epoch
-    ) -> Result[None, msgspec.Struct]:
-        await trio.lowlevel.checkpoint()
-        return Success(None)
-
-    async def release(
-        self, server: BackendServerId, epoch: Epoch, *, settled: bool, gone: bool
-    ) -> Result[None, msgspec.Struct]:
-        await trio.lowlevel.checkpoint()
-        return Success(None)
-
-
-class _Router:
-    def grant(self, announce: Announce, granted: Granted, until: timedelta) -> None:
-        pass
-
-    def renew(self, server: BackendServerId, epoch: Epoch, until: timedelta) -> None:
-        pass
-
-    def report(self, server: BackendServerId, epoch: Epoch, running: int) -> None:
-        pass
-
-    def mark_leaving(self, server: BackendServerId, epoch: Epoch) -> None:
-        pass
-
-    def revoke(self, server: BackendServerId, epoch: Epoch) -> bool:
-        return True
-
-
 async def open_workers(nursery: trio.Nursery, count: int) -> list[MemoryStream]:
     """Open ``count`` sessions of workers and return the workers' ends.
 
@@ -178,10 +142,10 @@
     """
     sessions = AnnouncementSessions(
         SERVER_SETTINGS,
-        entry=InstanceName("entry-north-1"),
+        entry=ENTRY,
         clock=TrioClock(),
-        ownership=_Domain(),  # type: ignore[arg-type]
-        sink=_Router(),
+        ownership=MemoryOwnership(OwnershipState(), ENTRY),
+        sink=RecordedGrants(),
     )
     nursery.start_soon(sessions.watch)
     streams = []
--- /dev/null
+++ b/src/rhubarbfield/testing/ownership.py
@@ -0,0 +1,210 @@
+"""Ownership of backend servers in the memory of one process."""
+
+from __future__ import annotations
+
+from datetime import UTC, datetime, timedelta
+from typing import Any
+
+import trio
+from returns.result import Failure, Result, Success
+
+from rhubarbfield.announcements import (
+    Announce,
+    Granted,
+    OwnedBy,
+    OwnershipLost,
+    OwnershipUnavailable,
+)
+from rhubarbfield.machine import Command, Done
+from rhubarbfield.ownership import (
+    AssignServer,
+    EndEntrySession,
+    ForgetServer,
+    OpenEntrySession,
+    OwnershipState,
+    ProofOfEnd,
+    ReleaseServer,
+    ServerAssigned,
+    ServerDescription,
+    SessionEpoch,
+    SetServerState,
+    UpdateServer,
+    ownership_commands,
+    plan_claim,
+)
+from rhubarbfield.types import BackendServerId, Epoch, Incarnation, InstanceName
+
+COMMIT_TIME = timedelta(milliseconds=10)
+AT = datetime(2026, 1, 1, tzinfo=UTC)
+
+
+class MemoryOwnership:
+    """The ownership port of one entry, onto a state that entries share.
+
+    Parameters
+    ----------
+    state
+        The domain's state.
+    entry
+        The entry.
+
+    Attributes
+    ----------
+    reachable
+        Whether the entry reaches the leader of its domain.
+    session
+        The epoch of the entry's session.
+    """
+
+    def __init__(self, state: OwnershipState, entry: InstanceName) -> None:
+        self.reachable = True
+        self.entry = entry
+        self._state = state
+        self.session = self.open_session()
+
+    def open_session(self) -> Epoch:
+        """Open a session, or find the open one, and return its epoch."""
+        reply = self._apply(
+            OpenEntrySession(
+                entry=self.entry,
+                incarnation=Incarnation("1"),
+                address=f"{self.entry}:1",
+                at=AT,
+            )
+        )
+        assert isinstance(reply, SessionEpoch)
+        return reply.epoch
+
+    def lapse(self) -> None:
+        """Let the entry's lease have lapsed."""
+        self._apply(
+            EndEntrySession(
+                entry=self.entry,
+                session=self.session,
+                proof=ProofOfEnd.LEASE_LAPSED,
+                at=AT,
+            )
+        )
+
+    async def claim(
+        self, announce: Announce
+    ) -> Result[Granted, OwnedBy | OwnershipUnavailable]:
+        """Become the owner of a backend server, or confirm that this entry is."""
+        await trio.sleep(COMMIT_TIME.total_seconds())
+        if not self.reachable:
+            return Failure(OwnershipUnavailable())
+        announced = AssignServer(
+            server=announce.server,
+            description=describe_announced(announce),
+            entry=self.entry,
+            session=self.session,
+            at=AT,
+        )
+        planned = plan_claim(self._state, announced)
+        if isinstance(planned, Failure):
+            elsewhere = planned.failure()
+            return Failure(OwnedBy(owner=elsewhere.owner, address=elsewhere.address))
+        reply = self._apply(planned.unwrap())
+        if isinstance(reply, ServerAssigned):
+            return Success(Granted(epoch=reply.epoch, settled=reply.settled))
+        return Failure(OwnershipUnavailable())
+
+    async def update(
+        self, announce: Announce, epoch: Epoch
+    ) -> Result[None, OwnershipLost | OwnershipUnavailable]:
+        """Publish changed capacity or state of an owned backend server."""
+        state = SetServerState(
+            server=announce.server, epoch=epoch, state=announce.state
+        )
+        description = describe_announced(announce)
+        return await self._commit(
+            state,
+            UpdateServer(server=announce.server, epoch=epoch, description=description),
+        )
+
+    async def release(
+        self, server: BackendServerId, epoch: Epoch, *, settled: bool, gone: bool
+    ) -> Result[None, OwnershipLost | OwnershipUnavailable]:
+        """Give a backend server up."""
+        if gone and settled:
+            return await self._commit(
+                ForgetServer(server=server, epoch=epoch, settled=True)
+            )
+        return await self._commit(
+            ReleaseServer(server=server, epoch=epoch, settled=settled)
+        )
+
+    async def _commit(
+        self, *commands: Command
+    ) -> Result[None, OwnershipLost | OwnershipUnavailable]:
+        await trio.sleep(COMMIT_TIME.total_seconds())
+        if not self.reachable:
+            return Failure(OwnershipUnavailable())
+        replies = [self._apply(command) for command in commands]
+        done = all(isinstance(reply, Done) for reply in replies)
+        return Success(None) if done else Failure(OwnershipLost())
+
+    def _apply(self, command: Command) -> Any:
+        return ownership_commands.apply(self._state, command)
+
+
+class RecordedGrants:
+    """A router that keeps what it is told, and sends nothing.
+
+    Attributes
+    ----------
+    until, slots, settled, running
+        What was last told of each backend server.
+    leaving
+        Backend servers that get no new requests.
+    busy
+        Whether requests still run on every backend server.
+    """
+
+    def __init__(self) -> None:
+        self.until: dict[BackendServerId, timedelta] = {}
+        self.slots: dict[BackendServerId, int] = {}
+        self.settled: dict[BackendServerId, bool] = {}
+        self.running: dict[BackendServerId, int] = {}
+        self.leaving: set[BackendServerId] = set()
+        self.busy = False
+
+    def grant(self, announce: Announce, granted: Granted, until: timedelta) -> None:
+        """Start to use a server, or take in its changed capacity."""
+        self.until[announce.server] = until
+        self.slots[announce.server] = announce.slots
+        self.settled[announce.server] = granted.settled
+        self.leaving.discard(announce.server)
+
+    def renew(self, server: BackendServerId, epoch: Epoch, until: timedelta) -> None:
+        """Go on using a server that has been heard from."""
+        self.until[server] = until
+
+    def report(self, server: BackendServerId, epoch: Epoch, running: int) -> None:
+        """Take in the server's own count of the requests that run on it."""
+        self.running[server] = running
+
+    def mark_leaving(self, server: BackendServerId, epoch: Epoch) -> None:
+        """Send no new requests to a server."""
+        self.leaving.add(server)
+
+    def revoke(self, server: BackendServerId, epoch: Epoch) -> bool:
+        """Stop using a server; return whether nothing runs on it."""
+        self.until.pop(server, None)
+        return not self.busy
+
+    def may_send(self, server: BackendServerId, now: timedelta) -> bool:
+        """Return whether a request might be sent to a server now."""
+        return server not in self.leaving and now < self.until.get(server, now)
+
+
+def describe_announced(announce: Announce) -> ServerDescription:
+    """Return what the log keeps of an announcement."""
+    return ServerDescription(
+        service=announce.service,
+        host=announce.host,
+        port=announce.port,
+        slots=announce.slots,
+        connections=announce.connections,
+        close_delimited_answers=announce.close_delimited_answers,
+    )
