End all connections of a term when it ends

Cause: connections outlive the term in which they were made. When a controller led again before the worker's next renewal, the old connection went on renewing in the old lease table, while the new term's table counted the lease as lapsed and gave the tasks away. Ruled out: asking whether this controller leads, which it does again. Test: a worker that renews across the gap of one second was lost while its lease held; it is not any more.

--- a/src/rhubarbfield/leases/table.py
+++ b/src/rhubarbfield/leases/table.py
@@ -58,6 +58,7 @@
         self, terms: LeaseTerms, *, known: Mapping[HolderT, Epoch], at: timedelta
     ) -> None:
         self._terms = terms
+        self._closed = False
         self._granted = {
             holder: _Granted(epoch=epoch, answered=at)
             for holder, epoch in known.items()
@@ -67,12 +68,21 @@
         """Return the number of sessions that are not known to have ended."""
         return len(self._granted)
 
+    def close(self) -> None:
+        """Grant nothing from now on; its leader has stopped leading.
+
+        Connections may outlive the term in which they were made. What they
+        renewed here later on would be unknown to the table of the next term.
+        """
+        self._closed = True
+
     def grant(
         self, holder: HolderT, *, epoch: Epoch, number: int, at: timedelta
     ) -> Result[Lease, LeaseLapsed]:
         """Open the session of ``holder`` under an epoch committed to the log.
 
-        It fails when a newer session is open already, and after a lapse was
+        It fails when a newer session is open already, when the table is
+        closed, and after a lapse was
         told: what follows from that lapse is being committed, and could be
         committed after ``epoch`` was.
 
@@ -88,6 +98,8 @@
             The grantor's monotonic reading, taken when it answers.
         """
         known = self._granted.get(holder)
+        if self._closed:
+            return Failure(LeaseLapsed(epoch=epoch))
         if known is not None and (known.revoked or epoch < known.epoch):
             return Failure(LeaseLapsed(epoch=known.epoch))
         self._granted[holder] = _Granted(epoch=epoch, answered=at)
@@ -108,7 +120,7 @@
             The grantor's monotonic reading, taken when it answers.
         """
         granted = self._granted.get(holder)
-        if granted is None:
+        if granted is None or self._closed:
             return Failure(UnknownHolder())
         if granted.epoch != epoch or self._has_lapsed(granted, at):
             return Failure(LeaseLapsed(epoch=granted.epoch))
--- a/src/rhubarbfield/workers/sessions.py
+++ b/src/rhubarbfield/workers/sessions.py
@@ -42,8 +42,8 @@
 class WorkerSessions:
     """Serves the connections of workers and ends sessions that have lapsed.
 
-    A controller makes a new one each time it starts to lead and drops it when
-    it stops leading; leases are kept in memory alone.
+    A controller makes a new one each time it starts to lead, and cancels
+    :meth:`sweep` when it stops leading; leases are kept in memory alone.
 
     Parameters
     ----------
@@ -104,15 +104,20 @@
             await watched.close()
 
     async def sweep(self) -> None:
-        """Commit the loss of workers whose leases have lapsed, until cancelled."""
-        while True:
-            await self._clock.sleep(self._settings.sweep_interval)
-            if not self._log.leads():
-                continue
-            lapsed = self._leases.lapsed(self._clock.monotonic())
-            async with trio.open_nursery() as nursery:
-                for worker, session in lapsed:
-                    nursery.start_soon(self._lose, worker, session)
+        """Commit the loss of workers whose leases have lapsed, until cancelled.
+
+        Once it is cancelled all connections end: the leases that they would
+        renew are unknown to whoever leads next, this controller included.
+        """
+        try:
+            while True:
+                await self._clock.sleep(self._settings.sweep_interval)
+                if self._log.leads():
+                    await self._lose_lapsed()
+        finally:
+            self._leases.close()
+            for connection in self._newest.values():
+                connection.cancel()
 
     async def _serve_hello(self, watched: WatchedStream) -> None:
         hello = await watched.receive()
@@ -155,6 +160,12 @@
             if self._newest.get(hello.worker) is connection:
                 del self._newest[hello.worker]
 
+    async def _lose_lapsed(self) -> None:
+        lapsed = self._leases.lapsed(self._clock.monotonic())
+        async with trio.open_nursery() as nursery:
+            for worker, session in lapsed:
+                nursery.start_soon(self._lose, worker, session)
+
     async def _lose(self, worker: WorkerId, session: Epoch) -> None:
         check_invariant(
             self._leases.has_lapsed(worker, self._clock.monotonic()),
--- a/tests/leases/test_table.py
+++ b/tests/leases/test_table.py
@@ -84,6 +84,14 @@
         gone = table.renew("a", epoch=Epoch(2), number=2, at=SECOND)
         self.assertEqual(gone, Failure(UnknownHolder()))
 
+    def test_a_closed_table_grants_nothing(self) -> None:
+        table = make_table({"a": Epoch(1)})
+        table.close()
+        again = table.grant("a", epoch=Epoch(2), number=1, at=SECOND)
+        self.assertIsInstance(again, Failure)
+        renewed = table.renew("a", epoch=Epoch(1), number=1, at=SECOND)
+        self.assertEqual(renewed, Failure(UnknownHolder()))
+
     def test_terms_without_a_lease_are_refused(self) -> None:
         for duration, drift in ((timedelta(), 0.1), (SECOND, 1.0), (SECOND, -0.1)):
             with self.subTest(drift=drift), self.assertRaises(ValueError):
--- a/tests/workers/test_sessions.py
+++ b/tests/workers/test_sessions.py
@@ -236,6 +236,22 @@
 
         self.check(run_fleet(scenario))
 
+    def test_connections_of_a_former_term_renew_nothing(self) -> None:
+        # The worker notices nothing: it sends no request in between.
+        async def scenario(fleet: Fleet) -> None:
+            worker = await fleet.start_worker("w1")
+            fleet.place("w1", "t1")
+            await fleet.sleep(3)
+            fleet.controllers[0].depose()
+            await fleet.sleep(1)
+            fleet.controllers[0].lead()
+            for _ in range(120):
+                await fleet.sleep(0.1)
+                lost = fleet.state("t1-1") == "lost"
+                self.assertFalse(lost and worker.lease.holds())
+
+        self.check(run_fleet(scenario, run_time=60))
+
     def test_throttled_work_is_slower_and_checkpoints_are_reported(self) -> None:
         async def scenario(fleet: Fleet) -> None:
             await fleet.start_worker("w1")
