--- a/src/rhubarbfield/cli/standins.py
+++ b/src/rhubarbfield/cli/standins.py
@@ -17,6 +17,9 @@
     flags.DEFINE_multi_string(
         "to", [], "Address to announce itself to; repeatable.", flag_values=values
     )
+    flags.DEFINE_integer(
+        "count", 1, "How many; more than one get numbers.", 1, flag_values=values
+    )
     flags.DEFINE_string("service", "board", "Service it answers.", flag_values=values)
     flags.DEFINE_integer("port", 0, "Port it answers on.", flag_values=values)
     flags.DEFINE_integer("slots", 8, "Requests it runs at once.", flag_values=values)
--- a/src/rhubarbfield/controller/daemon.py
+++ b/src/rhubarbfield/controller/daemon.py
@@ -10,7 +10,7 @@
 import trio
 from hypercorn.config import Config
 from hypercorn.trio import serve as serve_app
-from prometheus_client import CollectorRegistry
+from prometheus_client import REGISTRY
 from returns.result import Failure
 
 from rhubarbfield.clock import Clock, TrioClock
@@ -40,7 +40,11 @@
 from rhubarbfield.controller.replicated import ReplicatedLog, run_while_leading
 from rhubarbfield.controller.tables import DomainView
 from rhubarbfield.controller.worklog import DomainWorkLog
-from rhubarbfield.daemons import load_credentials, run_until_signal
+from rhubarbfield.daemons import (
+    SettingsInForce,
+    load_credentials,
+    run_until_signal,
+)
 from rhubarbfield.machine import SectionedMachine
 from rhubarbfield.operators import create_operators_app
 from rhubarbfield.peering import (
@@ -122,6 +126,8 @@
         controllers = dict(map_controllers(settings))
         peers = {name: at for name, at in controllers.items() if name != self._name}
         self._links = PeerLinks(self._name, peers, REPLICATION_LINK, credentials)
+        self._placement = make_placement_settings(settings.placement)
+        self.in_force = SettingsInForce(settings, self._apply_settings)
         self._replicas: dict[GroupId, Replica] = {}
         self._fleet_log = self._make_fleet_log()
         self._domain_log = self._make_domain_logs()
@@ -165,6 +171,7 @@
             for group, replica in self._replicas.items():
                 await nursery.start(self._run_replica, group, replica)
             nursery.start_soon(self._links.run)
+            nursery.start_soon(self._follow_configuration)
             await nursery.start(self._serve_peers, calls)
             await nursery.start(self._serve_workers)
             nursery.start_soon(
@@ -296,7 +303,7 @@
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
         app = create_operators_app(
-            self._operators, secret=self._secret, metrics=CollectorRegistry()
+            self._operators, secret=self._secret, metrics=REGISTRY
         )
         config = Config()
         addresses = self._settings.addresses
@@ -319,7 +326,7 @@
             summaries=self._summary_calls,
             entry_terms=make_entry_terms(self._settings.timing),
             worker_settings=make_worker_settings(self._settings.timing),
-            placement=make_placement_settings(self._settings.placement),
+            get_placement=lambda: self._placement,
             clock=self._clock,
             rng=self._rng,
         )
@@ -335,6 +342,15 @@
         finally:
             self._fleet_leader = None
 
+    def _apply_settings(self, settings: Settings) -> None:
+        self._placement = make_placement_settings(settings.placement)
+
+    async def _follow_configuration(self) -> None:
+        while True:
+            seen = self._fleet_log.changes
+            self.in_force.offer(self._fleet_log.state.fleet.configuration)
+            await self._fleet_log.wait_change(seen)
+
     def _view_domain(self) -> DomainView | None:
         leader = self._domain_leader
         if leader is None or not self._domain_log.leads():
@@ -377,4 +393,6 @@
             clock=TrioClock(),
             rng=random.SystemRandom(),
         )
-        await run_until_signal(controller.run, task_status=task_status)
+        await run_until_signal(
+            controller.run, reload=controller.in_force.reload, task_status=task_status
+        )
--- a/src/rhubarbfield/controller/leading.py
+++ b/src/rhubarbfield/controller/leading.py
@@ -4,6 +4,7 @@
 
 import logging
 import random
+from collections.abc import Callable
 from datetime import timedelta
 
 import trio
@@ -73,8 +74,10 @@
         Calls that tell the leader of the fleet how much room there is.
     entry_terms
         The lease of entries' sessions.
-    worker_settings, placement
-        Settings of workers' sessions and of the placement policy.
+    worker_settings
+        Settings of workers' sessions.
+    get_placement
+        Returns the settings of the placement policy in force.
     clock, rng
         The time and the random source.
     """
@@ -91,7 +94,7 @@
         summaries: LeaderCalls,
         entry_terms: LeaseTerms,
         worker_settings: WorkerSessionSettings,
-        placement: PlacementSettings,
+        get_placement: Callable[[], PlacementSettings],
         clock: Clock,
         rng: random.Random,
     ) -> None:
@@ -111,7 +114,12 @@
             clock=clock,
         )
         self.planner = Planner(
-            log, feed=feed, usage=usage, settings=placement, clock=clock, rng=rng
+            log,
+            feed=feed,
+            usage=usage,
+            get_settings=get_placement,
+            clock=clock,
+            rng=rng,
         )
         self._reconciler = Reconciler(domain, log, fleet_log, fleet, clock)
 
--- a/src/rhubarbfield/controller/planning.py
+++ b/src/rhubarbfield/controller/planning.py
@@ -4,6 +4,7 @@
 
 import logging
 import random
+from collections.abc import Callable
 from datetime import timedelta
 
 import trio
@@ -41,8 +42,8 @@
         Where throttle orders go.
     usage
         What workers reported.
-    settings
-        The policy's settings.
+    get_settings
+        Returns the policy's settings in force.
     clock, rng
         The time and the random source.
     """
@@ -53,14 +54,14 @@
         *,
         feed: OrderFeed,
         usage: UsageSink,
-        settings: PlacementSettings,
+        get_settings: Callable[[], PlacementSettings],
         clock: Clock,
         rng: random.Random,
     ) -> None:
         self._log = log
         self._feed = feed
         self._usage = usage
-        self._settings = settings
+        self._get_settings = get_settings
         self._clock = clock
         self._rng = rng
         self.waits: tuple[Wait, ...] = ()
@@ -79,7 +80,11 @@
     async def _run_round(self) -> None:
         view = self._usage.observations
         wanted = plan(
-            self._log.state.work, view, self._settings, self._clock.now(), self._rng
+            self._log.state.work,
+            view,
+            self._get_settings(),
+            self._clock.now(),
+            self._rng,
         )
         self.waits = wanted.waits
         view.start_round()
--- a/src/rhubarbfield/controller/replicated.py
+++ b/src/rhubarbfield/controller/replicated.py
@@ -44,7 +44,8 @@
         self.machine = machine
         self._changed = trio.Event()
         self._changes = 0
-        machine.watch(self._note_change)
+        machine.watch(lambda *_: self._note_change())
+        machine.watch_restore(self._note_change)
 
     @property
     def state(self) -> StateT:
@@ -74,11 +75,11 @@
 
     @property
     def changes(self) -> int:
-        """How many commands have been applied since this process started."""
+        """How often the state has changed since this process started."""
         return self._changes
 
     async def wait_change(self, seen: int) -> None:
-        """Wait until more than ``seen`` commands have been applied here.
+        """Wait until the state has changed more than ``seen`` times here.
 
         Parameters
         ----------
@@ -89,7 +90,7 @@
         if self._changes <= seen:
             await self._changed.wait()
 
-    def _note_change(self, index: LogIndex, command: Command, reply: Reply) -> None:
+    def _note_change(self) -> None:
         self._changes += 1
         self._changed.set()
         self._changed = trio.Event()
--- a/src/rhubarbfield/daemons.py
+++ b/src/rhubarbfield/daemons.py
@@ -4,15 +4,18 @@
 
 import logging
 import signal
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
+from functools import partial
 from pathlib import Path
 
 import trio
 from returns.result import Failure, Success
 
 from rhubarbfield.exceptions import UsageError
+from rhubarbfield.fleet import Configuration, ConfigurationInForce
+from rhubarbfield.logs import set_level
 from rhubarbfield.peering import Credentials
-from rhubarbfield.settings import Settings
+from rhubarbfield.settings import Settings, reload_settings
 from rhubarbfield.settings.secrets import Secret, load_secret
 
 logger = logging.getLogger(__name__)
@@ -47,9 +50,57 @@
     )
 
 
+class SettingsInForce:
+    """The settings of an instance while it runs.
+
+    What operators configured goes before the file, and the file may be read
+    again; either takes effect without a restart.
+
+    Parameters
+    ----------
+    settings
+        As read when the daemon started.
+    apply
+        Called with the settings after each change.
+    """
+
+    def __init__(self, settings: Settings, apply: Callable[[Settings], None]) -> None:
+        self._file_settings = settings
+        self._in_force = ConfigurationInForce(settings)
+        self._apply = apply
+
+    @property
+    def configuration(self) -> Configuration:
+        """The version of the configuration in force."""
+        return self._in_force.configuration
+
+    def offer(self, configuration: Configuration) -> None:
+        """Put ``configuration`` in force if it is newer."""
+        if self._in_force.offer(configuration):
+            logger.info("configuration-in-force version=%d", configuration.version)
+            self._use()
+
+    def reload(self) -> None:
+        """Read the file again; refuse it whole if anything is wrong with it."""
+        match reload_settings(self._file_settings):
+            case Success(settings):
+                self._file_settings = settings
+                self._in_force.reload(settings)
+                logger.info("settings-reloaded")
+                self._use()
+            case Failure(errors):
+                logger.error("settings-refused %s", errors.format())
+
+    def _use(self) -> None:
+        settings = self._in_force.settings
+        set_level(settings.logging.level)
+        self._apply(settings)
+
+
 async def run_until_signal(
     run: Callable[..., Awaitable[None]],
     *,
+    reload: Callable[[], None],
     stop: trio.Event | None = None,
     task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
 ) -> None:
@@ -59,15 +110,19 @@
     ----------
     run
         The daemon; takes ``task_status``.
+    reload
+        Called on each SIGHUP.
     stop
         Set by the first signal, so that the daemon ends by itself; a second
         signal cancels it. Without it the first signal cancels.
     task_status
         Started once the daemon is.
     """
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+    watched = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    with trio.open_signal_receiver(*watched) as signals:
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(_follow_signals, signals, stop, nursery.cancel_scope)
+            follow = partial(_follow_signals, signals, reload, stop)
+            nursery.start_soon(follow, nursery.cancel_scope)
             await nursery.start(_run_then_cancel, run, nursery.cancel_scope)
             task_status.started()
 
@@ -82,10 +137,16 @@
 
 
 async def _follow_signals(
-    signals: object, stop: trio.Event | None, scope: trio.CancelScope
+    signals: AsyncIterator[int],
+    reload: Callable[[], None],
+    stop: trio.Event | None,
+    scope: trio.CancelScope,
 ) -> None:
-    async for number in signals:  # type: ignore[attr-defined]
+    async for number in signals:
         logger.info("signal-received number=%d", number)
+        if number == signal.SIGHUP:
+            reload()
+            continue
         if stop is None or stop.is_set():
             scope.cancel()
             return
--- a/src/rhubarbfield/entry/daemon.py
+++ b/src/rhubarbfield/entry/daemon.py
@@ -7,6 +7,7 @@
 from datetime import timedelta
 
 import trio
+from prometheus_client import REGISTRY
 
 from rhubarbfield.announcements import AnnouncementSessions
 from rhubarbfield.backends import HttpBackends
@@ -14,7 +15,11 @@
 from rhubarbfield.clock import Clock, TrioClock
 from rhubarbfield.controller.groups import list_domain_groups, map_members
 from rhubarbfield.controller.options import make_entry_terms
-from rhubarbfield.daemons import load_credentials, run_until_signal
+from rhubarbfield.daemons import (
+    SettingsInForce,
+    load_credentials,
+    run_until_signal,
+)
 from rhubarbfield.entry.grants import RouterGrants
 from rhubarbfield.entry.options import (
     make_announcement_settings,
@@ -67,6 +72,9 @@
         self._domain = FailureDomain(settings.instance.failure_domain)
         self._readiness = Readiness()
         routing = LiveSettings(make_routing_settings(settings))
+        self.in_force = SettingsInForce(
+            settings, lambda changed: routing.replace(make_routing_settings(changed))
+        )
         self._servers = OwnedServers(clock, routing)
         self._grants = RouterGrants(self._servers, routing, clock)
         self._domain_calls = self._make_domain_calls()
@@ -120,7 +128,12 @@
     async def _serve_callers(
         self, stop: trio.Event, task_status: trio.TaskStatus[None]
     ) -> None:
-        app = create_app(self._router, readiness=self._readiness, rng=self._rng)
+        app = create_app(
+            self._router,
+            readiness=self._readiness,
+            rng=self._rng,
+            registries=(REGISTRY,),
+        )
         addresses = self._settings.addresses
         async with trio.open_nursery() as nursery:
             await nursery.start(self._serve_app, app, addresses.callers_port, stop)
@@ -200,6 +213,7 @@
             credentials=self._credentials,
             terms=make_entry_terms(settings.timing),
             clock=self._clock,
+            in_force=self.in_force,
             on_session=self._reclaim,
             on_lease=self._grants.renew_all,
         )
@@ -260,4 +274,6 @@
         ) -> None:
             await entry.run(stop, task_status=task_status)
 
-        await run_until_signal(run, stop=stop, task_status=task_status)
+        await run_until_signal(
+            run, reload=entry.in_force.reload, stop=stop, task_status=task_status
+        )
--- a/src/rhubarbfield/entry/session.py
+++ b/src/rhubarbfield/entry/session.py
@@ -10,7 +10,7 @@
 import trio
 
 from rhubarbfield.clock import Clock
-from rhubarbfield.fleet import Configuration
+from rhubarbfield.daemons import SettingsInForce
 from rhubarbfield.leases import HeldLease, LeaseTerms
 from rhubarbfield.ownership import DirectoryEntry
 from rhubarbfield.peering import Credentials, MessageStream, connect
@@ -64,6 +64,8 @@
         The lease of the session.
     clock
         The time.
+    in_force
+        Takes the configurations that are heard of.
     on_session
         Called when a session with a new epoch has been opened.
     on_lease
@@ -81,6 +83,7 @@
         credentials: Credentials,
         terms: LeaseTerms,
         clock: Clock,
+        in_force: SettingsInForce,
         on_session: Callable[[], None],
         on_lease: Callable[[], None],
     ) -> None:
@@ -97,8 +100,8 @@
         self._lease = HeldLease(drift=terms.drift, clock=clock)
         self._target = next(iter(self._controllers))
         self._heard = trio.Event()
+        self._in_force = in_force
         self.directory: dict[BackendServerId, DirectoryEntry] = {}
-        self.configuration = Configuration()
 
     @property
     def epoch(self) -> Epoch:
@@ -143,7 +146,7 @@
             domain=self._domain,
             address=self._address,
             number=self._lease.request(),
-            configuration=self.configuration.version,
+            configuration=self._in_force.configuration.version,
         )
         if not await stream.send(hello):
             return None
@@ -181,7 +184,7 @@
             message = RenewEntry(
                 number=self._lease.request(),
                 epoch=self._lease.epoch,
-                configuration=self.configuration.version,
+                configuration=self._in_force.configuration.version,
             )
             sent = await stream.send(message)
             await self._clock.sleep(self._renew_interval)
@@ -205,10 +208,5 @@
                 for server in removed:
                     self.directory.pop(server, None)
             case ConfigurationUpdate(configuration=configuration):
-                self._take_configuration(configuration)
-
-    def _take_configuration(self, configuration: Configuration) -> None:
-        # Another controller may lag behind the one heard before.
-        if configuration.version > self.configuration.version:
-            self.configuration = configuration
-            logger.info("configuration-in-force version=%d", configuration.version)
+                # Another controller may lag behind the one heard before.
+                self._in_force.offer(configuration)
--- a/src/rhubarbfield/logs.py
+++ b/src/rhubarbfield/logs.py
@@ -66,6 +66,11 @@
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(logging.WARNING)
+    set_level(level)
+
+
+def set_level(level: str) -> None:
+    """Write events of ``level`` and above from now on, to where they go now."""
     logging.getLogger(ROOT_LOGGER).setLevel(_LEVELS[level.upper()])
 
 
--- a/src/rhubarbfield/machine.py
+++ b/src/rhubarbfield/machine.py
@@ -121,11 +121,16 @@
         self._states = msgspec.msgpack.Decoder(state_type)
         self._encoder = msgspec.msgpack.Encoder()
         self._watchers: list[Watcher] = []
+        self._restore_watchers: list[Callable[[], None]] = []
 
     def watch(self, watcher: Watcher) -> None:
         """Have ``watcher`` called after each command applied from now on."""
         self._watchers.append(watcher)
 
+    def watch_restore(self, watcher: Callable[[], None]) -> None:
+        """Have ``watcher`` called after each restore from now on."""
+        self._restore_watchers.append(watcher)
+
     def encode_command(self, command: Command) -> bytes:
         """Return the bytes of ``command`` as the log keeps them."""
         return self._encoder.encode(command)
@@ -150,3 +155,5 @@
     def restore(self, snapshot: bytes) -> None:
         """Replace the whole state by that of :meth:`take_snapshot`."""
         self.state = self._states.decode(snapshot)
+        for watcher in self._restore_watchers:
+            watcher()
--- /dev/null
+++ b/src/rhubarbfield/measurement/control.py
@@ -0,0 +1,125 @@
+"""What running daemons spend: processor time, memory and bytes.
+
+``rhubarbfield measure control --secret_file FILE URL…`` reads the metrics of
+the daemons at the URLs twice and prints the differences as rates.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Sequence
+
+import httpx
+import msgspec
+from absl import flags
+from prometheus_client.parser import text_string_to_metric_families
+
+from rhubarbfield.exceptions import UsageError
+from rhubarbfield.language import Table, format_table
+from rhubarbfield.settings.secrets import load_secret
+
+COLUMNS = ("daemon", "core_percent", "memory_mb", "sent_kb_s", "received_kb_s")
+COLUMNS_MESSAGES = ("sent_per_s", "received_per_s")
+BYTES_IN_KB = 1000
+BYTES_IN_MB = 1_000_000
+PERCENT = 100
+READ_TIMEOUT_SECONDS = 5.0
+
+
+class Reading(msgspec.Struct, frozen=True, kw_only=True):
+    """The counters of one daemon at one moment.
+
+    Attributes
+    ----------
+    at
+        Monotonic time of this program, in seconds.
+    processor
+        Processor time spent, in seconds.
+    memory
+        Resident memory, in bytes.
+    sent, received
+        Bytes exchanged with other processes.
+    sent_messages, received_messages
+        Messages exchanged with other processes.
+    """
+
+    at: float
+    processor: float
+    memory: float
+    sent: float
+    received: float
+    sent_messages: float
+    received_messages: float
+
+
+def read_daemon(url: str, secret: str) -> Reading:
+    """Read the metrics of the daemon at ``url``.
+
+    Raises
+    ------
+    UsageError
+        If it does not answer.
+    """
+    headers = {"Authorization": f"Bearer {secret}"}
+    try:
+        answer = httpx.get(
+            f"{url}/-/metrics", headers=headers, timeout=READ_TIMEOUT_SECONDS
+        )
+        answer.raise_for_status()
+    except httpx.HTTPError as error:
+        raise UsageError(f"{url} shows no metrics: {error}") from error
+    values = {
+        (sample.name, sample.labels.get("direction", "")): sample.value
+        for family in text_string_to_metric_families(answer.text)
+        for sample in family.samples
+    }
+    return Reading(
+        at=time.monotonic(),
+        processor=values["process_cpu_seconds_total", ""],
+        memory=values["process_resident_memory_bytes", ""],
+        sent=values["rhubarbfield_peering_bytes_total", "sent"],
+        received=values["rhubarbfield_peering_bytes_total", "received"],
+        sent_messages=values["rhubarbfield_peering_messages_total", "sent"],
+        received_messages=values["rhubarbfield_peering_messages_total", "received"],
+    )
+
+
+def compare(name: str, first: Reading, last: Reading) -> tuple[str | float, ...]:
+    """Return one row of the table, from two readings of a daemon."""
+    seconds = last.at - first.at
+    return (
+        name,
+        round(PERCENT * (last.processor - first.processor) / seconds, 2),
+        round(last.memory / BYTES_IN_MB, 1),
+        round((last.sent - first.sent) / seconds / BYTES_IN_KB, 2),
+        round((last.received - first.received) / seconds / BYTES_IN_KB, 2),
+        round((last.sent_messages - first.sent_messages) / seconds, 1),
+        round((last.received_messages - first.received_messages) / seconds, 1),
+    )
+
+
+def measure_daemons(
+    urls: Sequence[str], secret: str, seconds: float
+) -> list[tuple[str | float, ...]]:
+    """Return a row for each daemon, of what it spends over ``seconds``."""
+    first = {url: read_daemon(url, secret) for url in urls}
+    time.sleep(seconds)
+    return [compare(url, first[url], read_daemon(url, secret)) for url in urls]
+
+
+def main(argv: Sequence[str]) -> int:
+    """Measure the daemons that ``argv`` names and print the table."""
+    values = flags.FlagValues()
+    flags.DEFINE_string("secret_file", None, "The shared secret.", flag_values=values)
+    flags.DEFINE_float("seconds", 30, "For how long.", 1, flag_values=values)
+    try:
+        urls = values(["control", *argv])[1:]
+    except flags.Error as error:
+        raise UsageError(str(error)) from error
+    if not urls or values.secret_file is None:
+        raise UsageError("name --secret_file and the URLs of daemons")
+    loaded = load_secret(values.secret_file)
+    secret = loaded.unwrap().decode()
+    rows = tuple(measure_daemons(urls, secret, values.seconds))
+    print(format_table(Table(columns=(*COLUMNS, *COLUMNS_MESSAGES), rows=rows)))
+    return 0
--- a/src/rhubarbfield/peering/_bridge.py
+++ b/src/rhubarbfield/peering/_bridge.py
@@ -12,6 +12,7 @@
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 from trio_asyncio import aio_as_trio
 
+from rhubarbfield.peering.metrics import count_received, count_sent
 from rhubarbfield.peering.ports import Encoding
 
 SEND_TIMEOUT = timedelta(seconds=2)
@@ -38,10 +39,13 @@
 
     def encode(self, message: Any, message_type: Any) -> bytes:
         """Return ``message`` as bytes."""
-        return bytes(self._module.encode(message))
+        data = bytes(self._module.encode(message))
+        count_sent(len(data))
+        return data
 
     def decode(self, data: bytes, message_type: Any) -> Any:
         """Return the message of ``message_type`` that ``data`` holds."""
+        count_received(len(data))
         if len(data) > MAX_MESSAGE_BYTES:
             raise msgspec.ValidationError(f"a message has {len(data)} bytes")
         decoder = self._decoders.get(message_type)
--- a/src/rhubarbfield/standins.py
+++ b/src/rhubarbfield/standins.py
@@ -121,27 +121,43 @@
     return partial(dial, method=method, credentials=credentials, encoding=Encoding.JSON)
 
 
+def _list_names(values: Any) -> list[str]:
+    if values.count == 1:
+        return [str(values.name)]
+    return [f"{values.name}-{number}" for number in range(values.count)]
+
+
 async def _run_backend(values: Any) -> None:
     settings = StandInSettings(
         service=values.service, slots=values.slots, connections=values.connections
     )
     connect = _make_connect(BACKEND_SERVER_STREAM, values.secret_file)
+
+    async def run_one(name: str) -> None:
+        async with trio.open_nursery() as nursery:
+            backend = await nursery.start(serve_backend, settings, values.port)
+            described = DescribedBackend(backend, BackendServerId(name))
+            await announce(described, connect=connect, addresses=values.to)
+
     async with trio.open_nursery() as nursery:
-        backend = await nursery.start(serve_backend, settings, values.port)
-        described = DescribedBackend(backend, BackendServerId(values.name))
-        await announce(described, connect=connect, addresses=values.to)
+        for name in _list_names(values):
+            nursery.start_soon(run_one, name)
 
 
 async def _run_worker(values: Any) -> None:
-    profile = WorkerProfile(
-        worker=WorkerId(values.name),
-        rack=RackName(values.rack),
-        domain=FailureDomain(values.domain),
-        capacity=Resources(
-            cores=values.cores,
-            memory_mb=values.memory_mb,
-            accelerators=values.accelerators,
-        ),
-    )
     connect = _make_connect(WORKER_STREAM, values.secret_file)
-    await run_worker(profile, connect=connect, addresses=values.to)
+    capacity = Resources(
+        cores=values.cores,
+        memory_mb=values.memory_mb,
+        accelerators=values.accelerators,
+    )
+    async with trio.open_nursery() as nursery:
+        for name in _list_names(values):
+            profile = WorkerProfile(
+                worker=WorkerId(name),
+                rack=RackName(values.rack),
+                domain=FailureDomain(values.domain),
+                capacity=capacity,
+            )
+            run_one = partial(run_worker, connect=connect, addresses=values.to)
+            nursery.start_soon(run_one, profile)
--- /dev/null
+++ b/tests/processes/capacity.py
@@ -0,0 +1,82 @@
+"""What control costs as a failure domain grows, with real processes.
+
+``python -m tests.processes.capacity`` starts one failure domain of three
+instances for each size, with stand-in workers or backend servers, and prints
+what the daemons spend. It takes about two minutes a size.
+"""
+
+from __future__ import annotations
+
+import sys
+import time
+
+from rhubarbfield.language import Table, format_table
+from rhubarbfield.measurement.control import (
+    COLUMNS,
+    COLUMNS_MESSAGES,
+    measure_daemons,
+)
+from tests.processes.fleet import ProcessFleet, run_fleet, wait_until
+
+WORKERS = (0, 10, 30, 60, 113)
+SERVERS = (0, 10, 30, 90)
+SETTLE_SECONDS = 15.0
+MEASURE_SECONDS = 20.0
+TASKS_EACH = 4
+BATCH = "create batch load for tenant t tasks {0} cores 1 memory 100 mb"
+
+
+def measure(fleet: ProcessFleet, label: str) -> list[tuple[str | float, ...]]:
+    """Return a row for each daemon of the fleet."""
+    time.sleep(SETTLE_SECONDS)
+    urls = [place.operators for place in fleet.places.values()]
+    urls += [place.callers for place in fleet.places.values()]
+    secret = (fleet.folder / "secret").read_text(encoding="utf-8").strip()
+    names = [f"controller {name}" for name in fleet.places]
+    names += [f"entry {name}" for name in fleet.places]
+    leader = fleet.find_leader("north")
+    names = [
+        f"{name} (leads)" if name == f"controller {leader}" else name for name in names
+    ]
+    rows = measure_daemons(urls, secret, MEASURE_SECONDS)
+    return [(label, name, *row[1:]) for name, row in zip(names, rows, strict=True)]
+
+
+def measure_workers(count: int) -> list[tuple[str | float, ...]]:
+    """Measure with ``count`` workers that run tasks."""
+    with run_fleet({"north": ("a1", "a2", "a3")}, timing={}) as fleet:
+        if count:
+            fleet.start_worker("w", "north", count=count)
+            wait_until(
+                lambda: len(fleet.list_rows("show workers")) == count, "workers join"
+            )
+            fleet.command(1, BATCH.format(count * TASKS_EACH))
+        return measure(fleet, f"{count} workers")
+
+
+def measure_servers(count: int) -> list[tuple[str | float, ...]]:
+    """Measure with ``count`` backend servers that announce themselves."""
+    with run_fleet({"north": ("a1", "a2", "a3")}, timing={}) as fleet:
+        if count:
+            fleet.start_backend("s", "north", count=count)
+            wait_until(
+                lambda: len(fleet.list_rows("show servers")) == count, "servers join"
+            )
+        return measure(fleet, f"{count} servers")
+
+
+def main() -> int:
+    """Measure the sizes that the command line names: ``workers`` or ``servers``."""
+    kind = sys.argv[1] if len(sys.argv) > 1 else "workers"
+    sizes = tuple(int(one) for one in sys.argv[2:])
+    rows: list[tuple[str | float, ...]] = []
+    for count in sizes or (WORKERS if kind == "workers" else SERVERS):
+        run = measure_workers if kind == "workers" else measure_servers
+        rows += run(count)
+        columns = ("size", *COLUMNS, *COLUMNS_MESSAGES)
+        print(format_table(Table(columns=columns, rows=tuple(rows))), flush=True)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -95,16 +95,19 @@
         for instance in self.places:
             self.wait_ready(instance)
 
-    def start_worker(self, name: str, domain: str, cores: int = 16) -> None:
+    def start_worker(
+        self, name: str, domain: str, cores: int = 16, count: int = 1
+    ) -> None:
         to = [p.workers for p in self.places.values() if p.domain == domain]
-        self._start_stand_in(
-            "worker", name, to, "--domain", domain, "--cores", str(cores)
-        )
+        arguments = ("--domain", domain, "--cores", str(cores), "--count", str(count))
+        self._start_stand_in("worker", name, to, *arguments)
 
-    def start_backend(self, name: str, domain: str, slots: int = 4) -> int:
-        port = self._take_port()
+    def start_backend(
+        self, name: str, domain: str, slots: int = 4, count: int = 1
+    ) -> int:
+        port = self._take_port() if count == 1 else 0
         to = [p.announcements for p in self.places.values() if p.domain == domain]
-        arguments = ("--port", str(port), "--slots", str(slots))
+        arguments = ("--port", str(port), "--slots", str(slots), "--count", str(count))
         self._start_stand_in("backend", name, to, *arguments)
         return port
 
@@ -227,7 +230,10 @@
 
 @contextmanager
 def run_fleet(
-    domains: dict[str, tuple[str, ...]], *, diskless: tuple[str, ...] = ()
+    domains: dict[str, tuple[str, ...]],
+    *,
+    diskless: tuple[str, ...] = (),
+    timing: dict[str, float] | None = None,
 ) -> Iterator[ProcessFleet]:
     """Yield a fleet whose processes all serve; end them afterwards."""
     with tempfile.TemporaryDirectory() as folder:
@@ -235,7 +241,7 @@
             domains=domains,
             first_port=find_port_block(),
             diskless=diskless,
-            timing=QUICK_TIMING,
+            timing=QUICK_TIMING if timing is None else timing,
         )
         fleet = ProcessFleet(Path(folder), plan)
         try:
--- a/tests/test_machine.py
+++ b/tests/test_machine.py
@@ -76,3 +76,12 @@
         machine.watch(lambda *applied: seen.append(applied))
         self.apply(machine, 2)
         self.assertEqual(seen, [(1, Add(amount=2), Total(total=2))])
+
+    def test_a_restore_is_told(self) -> None:
+        machine = make_machine()
+        restored: list[int] = []
+        machine.watch_restore(lambda: restored.append(machine.state.counter.total))
+        other = make_machine()
+        self.apply(other, 7)
+        machine.restore(other.take_snapshot())
+        self.assertEqual(restored, [7])
