--- a/src/rhubarbfield/controller/daemon.py
+++ b/src/rhubarbfield/controller/daemon.py
@@ -4,6 +4,8 @@
 
 import logging
 import random
+from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -48,13 +50,13 @@
 from rhubarbfield.machine import SectionedMachine
 from rhubarbfield.operators import create_operators_app
 from rhubarbfield.peering import (
-    Credentials,
     Encoding,
+    GrpcTransport,
     MessageStream,
     PeerLinks,
+    Transport,
     open_bridge,
     serve_link,
-    serve_methods,
 )
 from rhubarbfield.protocol import (
     ENTRY_STREAM,
@@ -99,8 +101,10 @@
     ----------
     settings
         Of the instance.
-    credentials, secret
-        What peers and operators have to present.
+    transport
+        The way to other processes.
+    open_store
+        Opens the store of a group's log.
     clock, rng
         The time and the random source.
     """
@@ -109,14 +113,14 @@
         self,
         settings: Settings,
         *,
-        credentials: Credentials,
-        secret: Secret,
+        transport: Transport,
+        open_store: Callable[[GroupId], LogStore],
         clock: Clock,
         rng: random.Random,
     ) -> None:
         self._settings = settings
-        self._credentials = credentials
-        self._secret = secret
+        self._transport = transport
+        self._open_store = open_store
         self._clock = clock
         self._rng = rng
         self._name = InstanceName(settings.instance.name)
@@ -125,7 +129,7 @@
         self._fleet_leader: FleetLeader | None = None
         controllers = dict(map_controllers(settings))
         peers = {name: at for name, at in controllers.items() if name != self._name}
-        self._links = PeerLinks(self._name, peers, REPLICATION_LINK, credentials)
+        self._links = PeerLinks(self._name, peers, REPLICATION_LINK, transport)
         self._placement = make_placement_settings(settings.placement)
         self.in_force = SettingsInForce(settings, self._apply_settings)
         self._replicas: dict[GroupId, Replica] = {}
@@ -134,7 +138,7 @@
         self._feed = OrderFeed(self._domain_log.machine)
         self._fleet_calls = self._make_calls(FLEET_CALL, tuple(controllers))
         self._summary_calls = self._make_calls(SUMMARY_CALL, tuple(controllers))
-        self._operators = OperatorService(
+        self.operators = OperatorService(
             settings,
             fleet_log=self._fleet_log,
             fleet=self._fleet_calls,
@@ -162,7 +166,7 @@
             domain=self._domain,
             domain_log=self._domain_log,
             fleet_log=self._fleet_log,
-            operators=self._operators,
+            operators=self.operators,
             get_domain_leader=lambda: self._domain_leader,
             get_fleet_leader=lambda: self._fleet_leader,
             clock=self._clock,
@@ -180,7 +184,6 @@
             nursery.start_soon(
                 run_while_leading, self._fleet_log, self._lead_fleet, self._clock
             )
-            await nursery.start(self._serve_operators)
             logger.info("controller-serving port=%d", addresses.controller_peer_port)
             task_status.started()
 
@@ -232,17 +235,11 @@
     def _group_settings(self) -> GroupSettings:
         return make_group_settings(self._settings.timing)
 
-    def _open_store(self, group: GroupId) -> LogStore:
-        folder = self._settings.data_folder
-        if folder is None:
-            return MemoryStore()
-        return FileStore(Path(folder) / group)
-
     def _make_calls(
         self, method: Any, members: tuple[InstanceName, ...]
     ) -> LeaderCalls:
         at = map_members(self._settings, members)
-        return LeaderCalls(method, at, self._credentials, self._clock)
+        return LeaderCalls(method, at, self._transport, self._clock)
 
     async def _run_replica(
         self,
@@ -264,10 +261,9 @@
         async def handle_link(stream: MessageStream) -> None:
             await serve_link(stream, self._deliver)
 
-        await serve_methods(
+        await self._transport.serve(
             self._settings.addresses.host,
             self._settings.addresses.controller_peer_port,
-            credentials=self._credentials,
             streams={REPLICATION_LINK: handle_link, ENTRY_STREAM: calls.serve_entry},
             calls=calls.map_handlers(),
             task_status=task_status,
@@ -290,31 +286,14 @@
             await stream.receive()
             await stream.send(GoToLeader(address=self._find_workers_address(hint)))
 
-        await serve_methods(
+        await self._transport.serve(
             self._settings.addresses.host,
             self._settings.addresses.workers_port,
-            credentials=self._credentials,
             encoding=Encoding.JSON,
             streams={WORKER_STREAM: handle},
             task_status=task_status,
         )
 
-    async def _serve_operators(
-        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
-    ) -> None:
-        app = create_operators_app(
-            self._operators, secret=self._secret, metrics=REGISTRY
-        )
-        config = Config()
-        addresses = self._settings.addresses
-        config.bind = [f"{addresses.host}:{addresses.operators_port}"]
-        config.graceful_timeout = GRACEFUL_SECONDS
-        config.include_server_header = False
-        config.loglevel = "WARNING"
-        async with trio.open_nursery() as nursery:
-            await nursery.start(serve_app, app, config)
-            task_status.started()
-
     async def _lead_domain(self) -> None:
         self._domain_leader = DomainLeader(
             self._domain,
@@ -370,6 +349,33 @@
         return f"{instance.host}:{instance.workers_port}"
 
 
+async def serve_operators(
+    controller: Controller,
+    settings: Settings,
+    secret: Secret,
+    *,
+    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve operators by HTTP until cancelled."""
+    app = create_operators_app(controller.operators, secret=secret, metrics=REGISTRY)
+    config = Config()
+    addresses = settings.addresses
+    config.bind = [f"{addresses.host}:{addresses.operators_port}"]
+    config.graceful_timeout = GRACEFUL_SECONDS
+    config.include_server_header = False
+    config.loglevel = "WARNING"
+    async with trio.open_nursery() as nursery:
+        await nursery.start(serve_app, app, config)
+        task_status.started()
+
+
+def open_store(settings: Settings, group: GroupId) -> LogStore:
+    """Return the store of a group's log; in memory on an instance without disk."""
+    if settings.data_folder is None:
+        return MemoryStore()
+    return FileStore(Path(settings.data_folder) / group)
+
+
 async def run_controller(
     settings: Settings,
     *,
@@ -388,11 +394,20 @@
     async with open_bridge():
         controller = Controller(
             settings,
-            credentials=credentials,
-            secret=secret,
+            transport=GrpcTransport(credentials),
+            open_store=partial(open_store, settings),
             clock=TrioClock(),
             rng=random.SystemRandom(),
         )
+
+        async def run(
+            *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+        ) -> None:
+            async with trio.open_nursery() as nursery:
+                await nursery.start(controller.run)
+                await nursery.start(serve_operators, controller, settings, secret)
+                task_status.started()
+
         await run_until_signal(
-            controller.run, reload=controller.in_force.reload, task_status=task_status
+            run, reload=controller.in_force.reload, task_status=task_status
         )
--- a/src/rhubarbfield/entry/daemon.py
+++ b/src/rhubarbfield/entry/daemon.py
@@ -5,6 +5,7 @@
 import logging
 import random
 from datetime import timedelta
+from functools import partial
 
 import trio
 from prometheus_client import REGISTRY
@@ -30,10 +31,10 @@
 from rhubarbfield.entry.records import HomeRecords
 from rhubarbfield.entry.session import EntrySession
 from rhubarbfield.entry.siblings import Siblings
-from rhubarbfield.peering import Credentials, Encoding, open_bridge, serve_methods
+from rhubarbfield.peering import Encoding, GrpcTransport, Transport, open_bridge
 from rhubarbfield.protocol import DOMAIN_CALL, LeaderCalls
 from rhubarbfield.protocol.workers import BACKEND_SERVER_STREAM
-from rhubarbfield.routing import LiveSettings, OwnedServers, Router
+from rhubarbfield.routing import BackendPort, LiveSettings, OwnedServers, Router
 from rhubarbfield.settings import Settings
 from rhubarbfield.types import FailureDomain, Incarnation, InstanceName, ServiceName
 
@@ -50,8 +51,12 @@
     ----------
     settings
         Of the instance.
-    credentials
-        What peers have to present.
+    transport
+        The way to other processes.
+    backend
+        The way to backend servers.
+    limits
+        The limits of the request path, which configuration replaces.
     clock, rng
         The time and the random source.
     """
@@ -60,23 +65,23 @@
         self,
         settings: Settings,
         *,
-        credentials: Credentials,
+        transport: Transport,
+        backend: BackendPort,
+        limits: LiveSettings,
         clock: Clock,
         rng: random.Random,
     ) -> None:
-        self._settings = settings
-        self._credentials = credentials
+        self.settings = settings
+        self._transport = transport
         self._clock = clock
         self._rng = rng
         self._name = InstanceName(settings.instance.name)
         self._domain = FailureDomain(settings.instance.failure_domain)
-        self._readiness = Readiness()
-        routing = LiveSettings(make_routing_settings(settings))
         self.in_force = SettingsInForce(
-            settings, lambda changed: routing.replace(make_routing_settings(changed))
+            settings, lambda changed: limits.replace(make_routing_settings(changed))
         )
-        self._servers = OwnedServers(clock, routing)
-        self._grants = RouterGrants(self._servers, routing, clock)
+        self._servers = OwnedServers(clock, limits)
+        self._grants = RouterGrants(self._servers, limits, clock)
         self._domain_calls = self._make_domain_calls()
         self._session = self._make_session()
         self._grants.use_session(self._session)
@@ -95,111 +100,72 @@
             sink=self._grants,
         )
         self._siblings = self._make_siblings()
-        self._router = Router(
+        self.router = Router(
             servers=self._servers,
-            backend=HttpBackends(clock, routing),
+            backend=backend,
             siblings=self._siblings,
             records=HomeRecords(self._domain_calls, clock),
             clock=clock,
             rng=rng,
-            settings=routing,
+            settings=limits,
         )
 
     async def run(
-        self,
-        stop: trio.Event,
-        *,
-        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+        self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
-        """Run until ``stop`` is set and the last request has finished."""
-        addresses = self._settings.addresses
+        """Route requests and own backend servers until cancelled."""
         async with trio.open_nursery() as nursery:
-            await nursery.start(self._router.run)
+            await nursery.start(self.router.run)
             nursery.start_soon(self._session.run)
             nursery.start_soon(self._siblings.run)
             nursery.start_soon(self._announcements.watch)
             await nursery.start(self._serve_siblings)
             await nursery.start(self._serve_backend_servers)
-            logger.info("entry-serving port=%d", addresses.callers_port)
-            await self._serve_callers(stop, task_status)
-            await self._hand_over()
-            nursery.cancel_scope.cancel()
-
-    async def _serve_callers(
-        self, stop: trio.Event, task_status: trio.TaskStatus[None]
-    ) -> None:
-        app = create_app(
-            self._router,
-            readiness=self._readiness,
-            rng=self._rng,
-            registries=(REGISTRY,),
-        )
-        addresses = self._settings.addresses
-        async with trio.open_nursery() as nursery:
-            await nursery.start(self._serve_app, app, addresses.callers_port, stop)
             task_status.started()
 
-    async def _serve_app(
-        self,
-        app: object,
-        port: int,
-        stop: trio.Event,
-        task_status: trio.TaskStatus[list[str]] = trio.TASK_STATUS_IGNORED,
-    ) -> None:
-        await serve(
-            app,  # type: ignore[arg-type]
-            f"{self._settings.addresses.host}:{port}",
-            stop=stop,
-            readiness=self._readiness,
-            clock=self._clock,
-            settings=make_serving_settings(self._settings),
-            task_status=task_status,
-        )
+    async def hand_over(self) -> None:
+        """Give the backend servers to the other entries, within a limit."""
+        with trio.move_on_after(HANDOVER_TIMEOUT.total_seconds()) as scope:
+            await self._announcements.hand_over_all()
+            await self._ownership.end_session()
+        logger.info("handed-over in_time=%s", not scope.cancelled_caught)
 
     async def _serve_siblings(
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
-        addresses = self._settings.addresses
+        addresses = self.settings.addresses
         await self._siblings.serve(
             addresses.host,
             addresses.entry_peer_port,
-            self._router,
+            self.router,
             task_status=task_status,
         )
 
     async def _serve_backend_servers(
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
-        addresses = self._settings.addresses
-        await serve_methods(
+        addresses = self.settings.addresses
+        await self._transport.serve(
             addresses.host,
             addresses.announcements_port,
-            credentials=self._credentials,
             encoding=Encoding.JSON,
             streams={BACKEND_SERVER_STREAM: self._announcements.serve},
             task_status=task_status,
         )
 
-    async def _hand_over(self) -> None:
-        """Give the backend servers to the other entries, within a limit."""
-        with trio.move_on_after(HANDOVER_TIMEOUT.total_seconds()) as scope:
-            await self._announcements.hand_over_all()
-            await self._ownership.end_session()
-        logger.info("handed-over in_time=%s", not scope.cancelled_caught)
-
     def _make_domain_calls(self) -> dict[FailureDomain, LeaderCalls]:
         return {
             group.domain: LeaderCalls(
                 DOMAIN_CALL,
-                map_members(self._settings, group.controllers),
-                self._credentials,
+                map_members(self.settings, group.controllers),
+                self._transport,
                 self._clock,
             )
-            for group in list_domain_groups(self._settings)
+            for group in list_domain_groups(self.settings)
         }
 
     def _make_session(self) -> EntrySession:
-        settings = self._settings
+        settings = self.settings
         group = next(
             one for one in list_domain_groups(settings) if one.domain == self._domain
         )
@@ -210,7 +176,7 @@
             incarnation=Incarnation(f"{self._rng.getrandbits(INCARNATION_BITS):x}"),
             address=f"{addresses.host}:{addresses.announcements_port}",
             controllers=map_members(settings, group.controllers),
-            credentials=self._credentials,
+            transport=self._transport,
             terms=make_entry_terms(settings.timing),
             clock=self._clock,
             in_force=self.in_force,
@@ -228,7 +194,7 @@
     def _make_siblings(self) -> Siblings:
         peers = {
             InstanceName(one.name): (one.host, one.entry_peer_port)
-            for one in self._settings.fleet.instances
+            for one in self.settings.fleet.instances
             if one.name != self._name
         }
         return Siblings(
@@ -237,11 +203,43 @@
             peers=peers,
             servers=self._servers,
             is_served=self._is_served,
-            credentials=self._credentials,
+            transport=self._transport,
             clock=self._clock,
         )
 
 
+async def serve_callers(
+    entry: Entry,
+    stop: trio.Event,
+    clock: Clock,
+    *,
+    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve callers by HTTP until ``stop`` is set and the last one is answered."""
+    readiness = Readiness()
+    app = create_app(
+        entry.router,
+        readiness=readiness,
+        rng=random.SystemRandom(),
+        registries=(REGISTRY,),
+    )
+    addresses = entry.settings.addresses
+    address = f"{addresses.host}:{addresses.callers_port}"
+    run = partial(
+        serve,
+        app,
+        address,
+        stop=stop,
+        readiness=readiness,
+        clock=clock,
+        settings=make_serving_settings(entry.settings),
+    )
+    async with trio.open_nursery() as nursery:
+        await nursery.start(run)
+        logger.info("entry-serving port=%d", addresses.callers_port)
+        task_status.started()
+
+
 async def run_entry(
     settings: Settings,
     *,
@@ -260,19 +258,27 @@
         Started once it serves callers.
     """
     _, credentials = load_credentials(settings)
+    clock = TrioClock()
+    limits = LiveSettings(make_routing_settings(settings))
     stop = trio.Event()
     async with open_bridge():
         entry = Entry(
             settings,
-            credentials=credentials,
-            clock=TrioClock(),
+            transport=GrpcTransport(credentials),
+            backend=HttpBackends(clock, limits),
+            limits=limits,
+            clock=clock,
             rng=random.SystemRandom(),
         )
 
         async def run(
             *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
         ) -> None:
-            await entry.run(stop, task_status=task_status)
+            async with trio.open_nursery() as nursery:
+                await nursery.start(entry.run)
+                await serve_callers(entry, stop, clock, task_status=task_status)
+                await entry.hand_over()
+                nursery.cancel_scope.cancel()
 
         await run_until_signal(
             run, reload=entry.in_force.reload, stop=stop, task_status=task_status
--- a/src/rhubarbfield/entry/session.py
+++ b/src/rhubarbfield/entry/session.py
@@ -13,7 +13,7 @@
 from rhubarbfield.daemons import SettingsInForce
 from rhubarbfield.leases import HeldLease, LeaseTerms
 from rhubarbfield.ownership import DirectoryEntry
-from rhubarbfield.peering import Credentials, MessageStream, connect
+from rhubarbfield.peering import MessageStream, Transport, connect
 from rhubarbfield.protocol import (
     ENTRY_STREAM,
     ConfigurationUpdate,
@@ -58,8 +58,8 @@
         ``host:port`` at which backend servers announce themselves.
     controllers
         Host and peer port of each controller that may lead the domain.
-    credentials
-        What this process presents.
+    transport
+        The way to other processes.
     terms
         The lease of the session.
     clock
@@ -80,7 +80,7 @@
         incarnation: Incarnation,
         address: str,
         controllers: Mapping[InstanceName, tuple[str, int]],
-        credentials: Credentials,
+        transport: Transport,
         terms: LeaseTerms,
         clock: Clock,
         in_force: SettingsInForce,
@@ -92,7 +92,7 @@
         self._incarnation = incarnation
         self._address = address
         self._controllers = dict(controllers)
-        self._credentials = credentials
+        self._transport = transport
         self._clock = clock
         self._on_session = on_session
         self._on_lease = on_lease
@@ -121,7 +121,7 @@
         while True:
             host, port = self._controllers[self._target]
             async with (
-                connect(host, port, credentials=self._credentials) as connection,
+                connect(self._transport, host, port) as connection,
                 connection.open(ENTRY_STREAM) as stream,
             ):
                 hint = None
--- a/src/rhubarbfield/entry/siblings.py
+++ b/src/rhubarbfield/entry/siblings.py
@@ -15,11 +15,10 @@
     CallFailure,
     CallFailureKind,
     ConnectionPool,
-    Credentials,
     MessageStream,
     PeerLinks,
+    Transport,
     serve_link,
-    serve_methods,
 )
 from rhubarbfield.protocol import (
     FORWARD_CALL,
@@ -70,8 +69,8 @@
     is_served
         Whether the domain's directory has a backend server of a service,
         though it may have no owner for the moment.
-    credentials
-        What this process presents.
+    transport
+        The way to other processes.
     clock
         The time.
     """
@@ -84,7 +83,7 @@
         peers: Mapping[InstanceName, tuple[str, int]],
         servers: OwnedServers,
         is_served: Callable[[ServiceName], bool],
-        credentials: Credentials,
+        transport: Transport,
         clock: Clock,
     ) -> None:
         self._name = name
@@ -92,10 +91,10 @@
         self._domain = domain
         self._peers = tuple(peers)
         self._servers = servers
-        self._credentials = credentials
+        self._transport = transport
         self._clock = clock
-        self._links = PeerLinks(name, dict(peers), ROOM_LINK, credentials)
-        self._pool = ConnectionPool(peers, credentials, clock)
+        self._links = PeerLinks(name, dict(peers), ROOM_LINK, transport)
+        self._pool = ConnectionPool(peers, transport, clock)
         self._known: dict[InstanceName, KnownRoom] = {}
 
     async def run(self) -> None:
@@ -137,10 +136,9 @@
                     return ForwardAnswer(refusal=refusal, room=room)
             raise AssertionError
 
-        await serve_methods(
+        await self._transport.serve(
             host,
             port,
-            credentials=self._credentials,
             streams={ROOM_LINK: handle_link},
             calls={FORWARD_CALL: handle_forward},
             task_status=task_status,
--- a/src/rhubarbfield/peering/__init__.py
+++ b/src/rhubarbfield/peering/__init__.py
@@ -1,12 +1,11 @@
 """Typed messages between processes, carried by gRPC.
 
 Everything that knows of :mod:`grpclib` or of asyncio lives in this package.
-The rest of the program sees :class:`MessageStream`, :class:`StreamMethod` and
-:class:`CallMethod`, all of them plain trio.
+The rest of the program sees :class:`Transport`, :class:`MessageStream`,
+:class:`StreamMethod` and :class:`CallMethod`, all of them plain trio.
 """
 
 from rhubarbfield.peering.bridge import open_bridge
-from rhubarbfield.peering.client import Connection, connect, dial, open_connection
 from rhubarbfield.peering.credentials import Credentials
 from rhubarbfield.peering.links import PeerLinks, serve_link
 from rhubarbfield.peering.pool import ConnectionPool
@@ -14,11 +13,13 @@
     CallFailure,
     CallFailureKind,
     CallMethod,
+    Connection,
     Encoding,
     MessageStream,
     StreamMethod,
+    Transport,
 )
-from rhubarbfield.peering.server import serve_methods
+from rhubarbfield.peering.transport import GrpcTransport, connect, dial
 
 __all__ = [
     "CallFailure",
@@ -31,10 +32,10 @@
     "MessageStream",
     "PeerLinks",
     "StreamMethod",
+    "Transport",
+    "GrpcTransport",
     "connect",
     "open_bridge",
     "dial",
-    "open_connection",
     "serve_link",
-    "serve_methods",
 ]
--- a/src/rhubarbfield/peering/client.py
+++ b/src/rhubarbfield/peering/client.py
@@ -1,4 +1,4 @@
-"""Connecting to another process."""
+"""A connection to another process by gRPC."""
 
 from __future__ import annotations
 
@@ -14,21 +14,19 @@
 from returns.result import Failure, Result, Success
 from trio_asyncio import aio_as_trio
 
-from rhubarbfield.peering._bridge import TRANSPORT_ERRORS, GrpcStream, make_codec
+from rhubarbfield.peering._bridge import TRANSPORT_ERRORS, GrpcStream
 from rhubarbfield.peering.credentials import Credentials
 from rhubarbfield.peering.ports import (
+    CALL_TIMEOUT,
     CallFailure,
     CallFailureKind,
     CallMethod,
-    Encoding,
     MessageStream,
     StreamMethod,
 )
 
-CALL_TIMEOUT = timedelta(seconds=3)
 
-
-class Connection:
+class GrpcConnection:
     """A connection to one address, made when first used.
 
     Parameters
@@ -113,58 +111,3 @@
             await stream.close()
             with suppress(*TRANSPORT_ERRORS):
                 await aio_as_trio(inner.__aexit__)(None, None, None)
-
-
-def open_connection(
-    host: str,
-    port: int,
-    *,
-    credentials: Credentials,
-    encoding: Encoding = Encoding.MSGPACK,
-) -> Connection:
-    """Return a connection to ``host``:``port``; the caller closes it."""
-    channel = Channel(
-        host,
-        port,
-        codec=make_codec(encoding),
-        ssl=credentials.make_client_context(),
-    )
-    return Connection(channel, credentials)
-
-
-@asynccontextmanager
-async def connect(
-    host: str,
-    port: int,
-    *,
-    credentials: Credentials,
-    encoding: Encoding = Encoding.MSGPACK,
-) -> AsyncIterator[Connection]:
-    """Yield a connection to ``host``:``port``, closed when the block is left."""
-    connection = open_connection(host, port, credentials=credentials, encoding=encoding)
-    try:
-        yield connection
-    finally:
-        connection.close()
-
-
-@asynccontextmanager
-async def dial(
-    address: str,
-    method: StreamMethod,
-    *,
-    credentials: Credentials,
-    encoding: Encoding = Encoding.MSGPACK,
-) -> AsyncIterator[MessageStream | None]:
-    """Yield a stream to ``host:port`` on a connection of its own.
-
-    It is None when the other side can't be reached.
-    """
-    host, _, port = address.rpartition(":")
-    async with (
-        connect(
-            host, int(port), credentials=credentials, encoding=encoding
-        ) as connection,
-        connection.open(method) as stream,
-    ):
-        yield stream
--- a/src/rhubarbfield/peering/links.py
+++ b/src/rhubarbfield/peering/links.py
@@ -17,9 +17,8 @@
 import msgspec
 import trio
 
-from rhubarbfield.peering.client import connect
-from rhubarbfield.peering.credentials import Credentials
-from rhubarbfield.peering.ports import MessageStream, StreamMethod
+from rhubarbfield.peering.ports import MessageStream, StreamMethod, Transport
+from rhubarbfield.peering.transport import connect
 from rhubarbfield.types import InstanceName
 
 QUEUE_MESSAGES = 512
@@ -126,8 +125,8 @@
         Host and port of each peer.
     method
         What :func:`make_link_method` returned.
-    credentials
-        What this process presents.
+    transport
+        The way to the peers.
     """
 
     def __init__(
@@ -135,11 +134,11 @@
         name: InstanceName,
         peers: dict[InstanceName, tuple[str, int]],
         method: StreamMethod,
-        credentials: Credentials,
+        transport: Transport,
     ) -> None:
         self._peers = peers
         self._method = method
-        self._credentials = credentials
+        self._transport = transport
         self._links = {peer: _Link(name) for peer in peers}
 
     def send(self, to: InstanceName, message: Any) -> None:
@@ -158,7 +157,7 @@
         host, port = self._peers[peer]
         while True:
             async with (
-                connect(host, port, credentials=self._credentials) as connection,
+                connect(self._transport, host, port) as connection,
                 connection.open(self._method) as stream,
             ):
                 if stream is not None:
--- a/src/rhubarbfield/peering/pool.py
+++ b/src/rhubarbfield/peering/pool.py
@@ -8,8 +8,7 @@
 from typing import Generic, TypeVar
 
 from rhubarbfield.clock import Clock
-from rhubarbfield.peering.client import Connection, open_connection
-from rhubarbfield.peering.credentials import Credentials
+from rhubarbfield.peering.ports import Connection, Transport
 
 RETIRED_FOR = timedelta(seconds=60)
 
@@ -23,8 +22,8 @@
     ----------
     addresses
         Host and port of each peer.
-    credentials
-        What this process presents.
+    transport
+        The way to the peers.
     clock
         The time.
     """
@@ -32,11 +31,11 @@
     def __init__(
         self,
         addresses: Mapping[PeerT, tuple[str, int]],
-        credentials: Credentials,
+        transport: Transport,
         clock: Clock,
     ) -> None:
         self._addresses = dict(addresses)
-        self._credentials = credentials
+        self._transport = transport
         self._clock = clock
         self._current: dict[PeerT, Connection] = {}
         self._retired: deque[tuple[timedelta, Connection]] = deque()
@@ -46,7 +45,7 @@
         connection = self._current.get(peer)
         if connection is None:
             host, port = self._addresses[peer]
-            connection = open_connection(host, port, credentials=self._credentials)
+            connection = self._transport.open_connection(host, port)
             self._current[peer] = connection
         return connection
 
--- a/src/rhubarbfield/peering/ports.py
+++ b/src/rhubarbfield/peering/ports.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
+from contextlib import AbstractAsyncContextManager
+from datetime import timedelta
 from enum import StrEnum
 from typing import Any, Protocol
 
 import msgspec
+import trio
+from returns.result import Result
 
 
 class Encoding(StrEnum):
@@ -53,6 +57,9 @@
     detail: str
 
 
+CALL_TIMEOUT = timedelta(seconds=3)
+
+
 class StreamMethod(msgspec.Struct, frozen=True):
     """A stream that a server offers.
 
@@ -89,5 +96,65 @@
     reply: Any
 
 
+class Connection(Protocol):
+    """A connection to one address, made when first used."""
+
+    async def call(
+        self, method: CallMethod, request: Any, timeout: timedelta = CALL_TIMEOUT
+    ) -> Result[Any, CallFailure]:
+        """Send ``request`` and return its reply within ``timeout``."""
+
+    def open(
+        self, method: StreamMethod
+    ) -> AbstractAsyncContextManager[MessageStream | None]:
+        """Open a stream; None when the other side can't be reached.
+
+        The stream is reset when the block is left, whatever the reason.
+        """
+
+    def close(self) -> None:
+        """Close the connection; calls in progress fail."""
+
+
 StreamHandler = Callable[[MessageStream], Awaitable[None]]
 CallHandler = Callable[[Any], Awaitable[Any]]
+
+
+class Transport(Protocol):
+    """How processes reach each other."""
+
+    def open_connection(
+        self, host: str, port: int, *, encoding: Encoding = Encoding.MSGPACK
+    ) -> Connection:
+        """Return a connection to ``host``:``port``; the caller closes it."""
+
+    async def serve(
+        self,
+        host: str,
+        port: int,
+        *,
+        encoding: Encoding = Encoding.MSGPACK,
+        streams: Mapping[StreamMethod, StreamHandler] | None = None,
+        calls: Mapping[CallMethod, CallHandler] | None = None,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve streams and calls on one port until cancelled.
+
+        Parameters
+        ----------
+        host, port
+            The address to listen on.
+        encoding
+            How messages are written.
+        streams, calls
+            The methods served and the function that handles each.
+        task_status
+            Started once the port accepts connections.
+
+        Raises
+        ------
+        BrokenInvariantError
+            If a handler raised it.
+        OSError
+            If the port can't be listened on.
+        """
--- a/src/rhubarbfield/peering/server.py
+++ b/src/rhubarbfield/peering/server.py
@@ -1,4 +1,4 @@
-"""Serving streams and calls to other processes."""
+"""Serving streams and calls to other processes by gRPC."""
 
 from __future__ import annotations
 
@@ -100,37 +100,16 @@
     port: int,
     *,
     credentials: Credentials,
-    encoding: Encoding = Encoding.MSGPACK,
-    streams: Mapping[StreamMethod, StreamHandler] | None = None,
-    calls: Mapping[CallMethod, CallHandler] | None = None,
-    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    encoding: Encoding,
+    streams: Mapping[StreamMethod, StreamHandler],
+    calls: Mapping[CallMethod, CallHandler],
+    task_status: trio.TaskStatus[None],
 ) -> None:
-    """Serve streams and calls on one port until cancelled.
-
-    Parameters
-    ----------
-    host, port
-        The address to listen on.
-    credentials
-        What a peer has to present; strangers are refused and logged.
-    encoding
-        How messages are written.
-    streams, calls
-        The methods served and the function that handles each.
-    task_status
-        Started once the port accepts connections.
-
-    Raises
-    ------
-    BrokenInvariantError
-        If a handler raised it.
-    OSError
-        If the port can't be listened on.
-    """
+    """Serve streams and calls by gRPC; see :class:`Transport`."""
     service = _Service(credentials)
-    for stream_method, stream_handler in (streams or {}).items():
+    for stream_method, stream_handler in streams.items():
         service.add_stream(stream_method, stream_handler)
-    for call_method, call_handler in (calls or {}).items():
+    for call_method, call_handler in calls.items():
         service.add_call(call_method, call_handler)
     server = Server([service], codec=make_codec(encoding))
     context = credentials.make_server_context()
--- /dev/null
+++ b/src/rhubarbfield/peering/transport.py
@@ -0,0 +1,107 @@
+"""The gRPC transport, and what is built on any transport."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator, Mapping
+from contextlib import asynccontextmanager
+
+import trio
+from grpclib.client import Channel
+
+from rhubarbfield.peering._bridge import make_codec
+from rhubarbfield.peering.client import GrpcConnection
+from rhubarbfield.peering.credentials import Credentials
+from rhubarbfield.peering.ports import (
+    CallHandler,
+    CallMethod,
+    Connection,
+    Encoding,
+    MessageStream,
+    StreamHandler,
+    StreamMethod,
+    Transport,
+)
+from rhubarbfield.peering.server import serve_methods
+
+
+class GrpcTransport:
+    """A :class:`Transport` over gRPC; runs inside :func:`open_bridge`.
+
+    Parameters
+    ----------
+    credentials
+        What this process presents, and what it asks of others; strangers
+        are refused and logged.
+    """
+
+    def __init__(self, credentials: Credentials) -> None:
+        self._credentials = credentials
+
+    def open_connection(
+        self, host: str, port: int, *, encoding: Encoding = Encoding.MSGPACK
+    ) -> Connection:
+        """Return a connection to ``host``:``port``; the caller closes it."""
+        channel = Channel(
+            host,
+            port,
+            codec=make_codec(encoding),
+            ssl=self._credentials.make_client_context(),
+        )
+        return GrpcConnection(channel, self._credentials)
+
+    async def serve(
+        self,
+        host: str,
+        port: int,
+        *,
+        encoding: Encoding = Encoding.MSGPACK,
+        streams: Mapping[StreamMethod, StreamHandler] | None = None,
+        calls: Mapping[CallMethod, CallHandler] | None = None,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve streams and calls on one port until cancelled."""
+        await serve_methods(
+            host,
+            port,
+            credentials=self._credentials,
+            encoding=encoding,
+            streams=streams or {},
+            calls=calls or {},
+            task_status=task_status,
+        )
+
+
+@asynccontextmanager
+async def connect(
+    transport: Transport,
+    host: str,
+    port: int,
+    *,
+    encoding: Encoding = Encoding.MSGPACK,
+) -> AsyncIterator[Connection]:
+    """Yield a connection to ``host``:``port``, closed when the block is left."""
+    connection = transport.open_connection(host, port, encoding=encoding)
+    try:
+        yield connection
+    finally:
+        connection.close()
+
+
+@asynccontextmanager
+async def dial(
+    transport: Transport,
+    address: str,
+    method: StreamMethod,
+    *,
+    encoding: Encoding = Encoding.MSGPACK,
+) -> AsyncIterator[MessageStream | None]:
+    """Yield a stream to ``host:port`` on a connection of its own.
+
+    It is None when the other side can't be reached.
+    """
+    host, _, port = address.rpartition(":")
+    async with (
+        connect(transport, host, int(port), encoding=encoding) as connection,
+        connection.open(method) as stream,
+    ):
+        yield stream
--- a/src/rhubarbfield/protocol/leaders.py
+++ b/src/rhubarbfield/protocol/leaders.py
@@ -15,7 +15,7 @@
     CallFailureKind,
     CallMethod,
     ConnectionPool,
-    Credentials,
+    Transport,
 )
 from rhubarbfield.protocol.calls import NotLeading, Unavailable
 from rhubarbfield.types import InstanceName
@@ -48,8 +48,8 @@
         The call.
     members
         Host and port of each instance that may lead.
-    credentials
-        What this process presents.
+    transport
+        The way to other processes.
     clock
         The time.
     """
@@ -58,13 +58,13 @@
         self,
         method: CallMethod,
         members: Mapping[InstanceName, tuple[str, int]],
-        credentials: Credentials,
+        transport: Transport,
         clock: Clock,
     ) -> None:
         self._method = method
         self._members = dict(members)
         self._clock = clock
-        self._pool = ConnectionPool(self._members, credentials, clock)
+        self._pool = ConnectionPool(self._members, transport, clock)
         self._leader = next(iter(self._members))
 
     async def call(
--- a/src/rhubarbfield/standins.py
+++ b/src/rhubarbfield/standins.py
@@ -16,7 +16,14 @@
 from rhubarbfield.announcements import Announce
 from rhubarbfield.exceptions import UsageError
 from rhubarbfield.logs import configure_logging
-from rhubarbfield.peering import Credentials, Encoding, StreamMethod, dial, open_bridge
+from rhubarbfield.peering import (
+    Credentials,
+    Encoding,
+    GrpcTransport,
+    StreamMethod,
+    dial,
+    open_bridge,
+)
 from rhubarbfield.protocol.workers import BACKEND_SERVER_STREAM, WORKER_STREAM
 from rhubarbfield.settings.secrets import load_secret
 from rhubarbfield.testing.announcer import announce
@@ -118,7 +125,8 @@
             credentials = Credentials(secret=secret.decode())
         case Failure(errors):
             raise UsageError(errors.format())
-    return partial(dial, method=method, credentials=credentials, encoding=Encoding.JSON)
+    transport = GrpcTransport(credentials)
+    return partial(dial, transport, method=method, encoding=Encoding.JSON)
 
 
 def _list_names(values: Any) -> list[str]:
--- a/tests/peering/test_grpc.py
+++ b/tests/peering/test_grpc.py
@@ -18,22 +18,21 @@
     CallMethod,
     Credentials,
     Encoding,
+    GrpcTransport,
     MessageStream,
     PeerLinks,
     StreamMethod,
     connect,
     open_bridge,
-    open_connection,
     serve_link,
-    serve_methods,
 )
 from rhubarbfield.peering.links import make_link_method
 from rhubarbfield.types import InstanceName
 
 HOST = "127.0.0.1"
 TEST_LIMIT_SECONDS = 10
-SECRET = Credentials("a secret")
-STRANGER = Credentials("another secret")
+SECRET = GrpcTransport(Credentials("a secret"))
+STRANGER = GrpcTransport(Credentials("another secret"))
 
 
 class Question(msgspec.Struct, frozen=True, tag=True):
@@ -84,9 +83,7 @@
         port = find_port()
         async with trio.open_nursery() as nursery:
             await nursery.start(serve_with_calls, port, encoding)
-            async with connect(
-                HOST, port, credentials=SECRET, encoding=encoding
-            ) as connection:
+            async with connect(SECRET, HOST, port, encoding=encoding) as connection:
                 reply = await connection.call(CALL, Question(1))
             self.assertEqual(reply, Success(Reply(2)))
             nursery.cancel_scope.cancel()
@@ -98,7 +95,7 @@
         port = find_port()
         async with trio.open_nursery() as nursery:
             await nursery.start(serve_with_calls, port, Encoding.MSGPACK)
-            async with connect(HOST, port, credentials=STRANGER) as connection:
+            async with connect(STRANGER, HOST, port) as connection:
                 reply = await connection.call(CALL, Question(1))
             self.assertIsInstance(reply, Failure)
             self.assertEqual(reply.failure().kind, CallFailureKind.REFUSED)
@@ -108,7 +105,7 @@
         run_with_loop(self.call_nobody)
 
     async def call_nobody(self) -> None:
-        async with connect(HOST, find_port(), credentials=SECRET) as connection:
+        async with connect(SECRET, HOST, find_port()) as connection:
             reply = await connection.call(CALL, Question(1))
         self.assertEqual(reply.failure().kind, CallFailureKind.UNREACHABLE)
 
@@ -118,7 +115,7 @@
     async def call_a_silent_server(self) -> None:
         listeners = await trio.open_tcp_listeners(0, host=HOST)
         port = listeners[0].socket.getsockname()[1]
-        async with connect(HOST, port, credentials=SECRET) as connection:
+        async with connect(SECRET, HOST, port) as connection:
             reply = await connection.call(
                 CALL, Question(1), timedelta(milliseconds=100)
             )
@@ -131,10 +128,9 @@
     encoding: Encoding,
     task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
 ) -> None:
-    await serve_methods(
+    await SECRET.serve(
         HOST,
         port,
-        credentials=SECRET,
         encoding=encoding,
         calls={CALL: answer},
         streams={STREAM: answer_all},
@@ -150,7 +146,7 @@
         port = find_port()
         async with (
             trio.open_nursery() as nursery,
-            connect(HOST, port, credentials=SECRET) as connection,
+            connect(SECRET, HOST, port) as connection,
         ):
             await nursery.start(serve_with_calls, port, Encoding.MSGPACK)
             async with connection.open(STREAM) as stream:
@@ -190,19 +186,17 @@
     handle: Callable[[MessageStream], Awaitable[None]],
     task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
 ) -> None:
-    await serve_methods(
-        HOST, port, credentials=SECRET, streams={LINK: handle}, task_status=task_status
-    )
+    await SECRET.serve(HOST, port, streams={LINK: handle}, task_status=task_status)
 
 
 class BridgeTest(unittest.TestCase):
     def test_a_connection_that_was_left_open_ends_nothing_else(self) -> None:
         async def leave_open() -> None:
             async with open_bridge():
-                connection = open_connection(HOST, find_port(), credentials=SECRET)
+                connection = SECRET.open_connection(HOST, find_port())
                 listeners = await trio.open_tcp_listeners(0, host=HOST)
                 port = listeners[0].socket.getsockname()[1]
-                connection = open_connection(HOST, port, credentials=SECRET)
+                connection = SECRET.open_connection(HOST, port)
                 await connection.call(CALL, Question(1), timedelta(milliseconds=100))
                 del connection
                 gc.collect()
