--- a/src/rhubarbfield/controller/daemon.py
+++ b/src/rhubarbfield/controller/daemon.py
@@ -47,6 +47,7 @@
     load_credentials,
     run_until_signal,
 )
+from rhubarbfield.fleet import FleetState
 from rhubarbfield.machine import SectionedMachine
 from rhubarbfield.operators import create_operators_app
 from rhubarbfield.peering import (
@@ -187,6 +188,11 @@
             logger.info("controller-serving port=%d", addresses.controller_peer_port)
             task_status.started()
 
+    @property
+    def fleet_state(self) -> FleetState:
+        """The fleet's state as applied on this instance."""
+        return self._fleet_log.state.fleet
+
     def _make_fleet_log(self) -> ReplicatedLog[WholeState]:
         voters = tuple(InstanceName(n) for n in self._settings.fleet.fleet_voters)
         return self._make_log(FLEET_GROUP, voters, make_fleet_machine())
--- a/src/rhubarbfield/entry/daemon.py
+++ b/src/rhubarbfield/entry/daemon.py
@@ -124,7 +124,14 @@
             task_status.started()
 
     async def hand_over(self) -> None:
-        """Give the backend servers to the other entries, within a limit."""
+        """Finish what siblings passed on, then give the backend servers to them."""
+        self._siblings.stop()
+        longest = self.settings.timing.longest_stop
+        with trio.move_on_after(longest.total_seconds()) as scope:
+            await self.router.wait_idle()
+        if scope.cancelled_caught:
+            cut = self.router.count_in_flight()
+            logger.warning("stop-deadline requests_cut_off=%d", cut)
         with trio.move_on_after(HANDOVER_TIMEOUT.total_seconds()) as scope:
             await self._announcements.hand_over_all()
             await self._ownership.end_session()
--- a/src/rhubarbfield/entry/siblings.py
+++ b/src/rhubarbfield/entry/siblings.py
@@ -96,6 +96,7 @@
         self._links = PeerLinks(name, dict(peers), ROOM_LINK, transport)
         self._pool = ConnectionPool(peers, transport, clock)
         self._known: dict[InstanceName, KnownRoom] = {}
+        self._stopping = False
 
     async def run(self) -> None:
         """Keep the others informed until cancelled."""
@@ -103,6 +104,10 @@
             nursery.start_soon(self._links.run)
             nursery.start_soon(self._report)
 
+    def stop(self) -> None:
+        """Take no more requests from the others; those in progress go on."""
+        self._stopping = True
+
     async def serve(
         self,
         host: str,
@@ -127,6 +132,8 @@
             await serve_link(stream, self._take_report)
 
         async def handle_forward(request: CallerRequest) -> ForwardAnswer:
+            if self._stopping:
+                return ForwardAnswer(refusal=_refuse_stopping())
             result = await router.route(request)
             room = self._servers.count_room(request.service)
             match result:
@@ -215,6 +222,8 @@
             await self._clock.sleep(REPORT_INTERVAL)
 
     def _make_report(self) -> RoomReport:
+        if self._stopping:
+            return RoomReport(self._domain, ())
         services = tuple(
             ServiceRoom(service, self._servers.count_room(service))
             for service in sorted(self._servers.list_services())
@@ -222,6 +231,15 @@
         return RoomReport(self._domain, services)
 
 
+def _refuse_stopping() -> Refusal:
+    return Refusal(
+        outcome=Outcome.NOT_RUN,
+        reason=RefusalReason.NO_ROOM,
+        sentence="the entry is stopping",
+        retry_after=RETRY_AFTER,
+    )
+
+
 def _refuse(entry: InstanceName, failure: CallFailure) -> Refusal:
     sent = failure.kind is CallFailureKind.TIMEOUT
     return Refusal(
--- /dev/null
+++ b/src/rhubarbfield/replay/generator.py
@@ -0,0 +1,191 @@
+"""Random traces: load, operators and faults together."""
+
+from __future__ import annotations
+
+import random
+
+from rhubarbfield.replay.events import (
+    AnyEvent,
+    Ask,
+    Command,
+    Cut,
+    HealAll,
+    Kill,
+    LoseDisk,
+    Silence,
+    Slow,
+    Start,
+    Trace,
+    TracedFleet,
+)
+
+DOMAINS: dict[str, tuple[str, ...]] = {
+    "north": ("a1", "a2"),
+    "south": ("b1", "b2"),
+    "west": ("c1", "c2"),
+}
+DISKLESS = ("b2", "c2")
+ASKS_PER_SECOND = 4.0
+COMMANDS_PER_MINUTE = 6.0
+FAULTS_PER_MINUTE = 5.0
+SECONDS_IN_MINUTE = 60.0
+LONGEST_FAULT_SECONDS = 25.0
+REPEATED = 0.4
+KEYED = 0.4
+CONFIGURED = 0.3
+CANCELLED = 0.15
+RACED = 0.25
+SLOWEST = 40.0
+
+
+class TraceGenerator:
+    """Makes one random trace.
+
+    Parameters
+    ----------
+    seed
+        Equal seeds give equal traces.
+    minutes
+        For how long load and faults last.
+    """
+
+    def __init__(self, seed: int, minutes: float) -> None:
+        self._rng = random.Random(f"trace/{seed}")
+        self._seed = seed
+        self._length = minutes * SECONDS_IN_MINUTE
+        self._instances = [name for names in DOMAINS.values() for name in names]
+        self._events: list[AnyEvent] = []
+        self._number = 0
+
+    def make(self) -> Trace:
+        """Return the trace."""
+        self._add_asks()
+        self._add_commands()
+        self._add_faults()
+        self._events.sort(key=lambda event: event.at)
+        fleet = TracedFleet(
+            name=f"random, seed {self._seed}",
+            domains=DOMAINS,
+            diskless=DISKLESS,
+            seed=self._seed,
+            settle_seconds=240.0,
+        )
+        return Trace(fleet, tuple(self._events))
+
+    def _iterate_times(self, per_second: float) -> list[float]:
+        times = []
+        at = self._rng.expovariate(per_second)
+        while at < self._length:
+            times.append(round(at, 3))
+            at += self._rng.expovariate(per_second)
+        return times
+
+    def _add_asks(self) -> None:
+        keys: list[tuple[str, str]] = []
+        for at in self._iterate_times(ASKS_PER_SECOND):
+            entry = self._rng.choice(self._instances)
+            if self._rng.random() >= KEYED:
+                self._events.append(Ask(at=at, entry=entry))
+                continue
+            if keys and self._rng.random() < REPEATED:
+                tenant, key = self._rng.choice(keys[-20:])
+            else:
+                tenant, key = f"house-{self._rng.randrange(5)}", f"k{len(keys)}"
+                keys.append((tenant, key))
+            self._events.append(Ask(at=at, entry=entry, tenant=tenant, key=key))
+
+    def _add_commands(self) -> None:
+        for at in self._iterate_times(COMMANDS_PER_MINUTE / SECONDS_IN_MINUTE):
+            self._number += 1
+            text = self._choose_text()
+            self._add_command(at, "ana", text)
+            if self._rng.random() < REPEATED:
+                self._add_command(at + self._rng.uniform(0, 10), "ana", text)
+            if self._rng.random() < RACED:
+                self._add_command(at, "rui", self._choose_text())
+
+    def _add_command(self, at: float, operator: str, text: str) -> None:
+        controller = self._rng.choice(self._instances)
+        self._events.append(
+            Command(
+                at=at,
+                controller=controller,
+                operator=operator,
+                number=self._number,
+                text=text,
+            )
+        )
+
+    def _choose_text(self) -> str:
+        drawn = self._rng.random()
+        if drawn < CONFIGURED:
+            value = round(self._rng.uniform(0, 1), 3)
+            return f"configure routing.retry_budget_fraction = {value}"
+        if drawn < CONFIGURED + CANCELLED and self._number > 1:
+            return f"cancel job {self._rng.randrange(1, self._number)}-batch"
+        tasks = self._rng.randint(1, 6)
+        memory = self._rng.choice((500, 2000, 8000))
+        return (
+            f"create batch batch for tenant house-{self._rng.randrange(3)}"
+            f" tasks {tasks} cores {self._rng.choice((1, 2, 4))} memory {memory} mb"
+        )
+
+    def _add_faults(self) -> None:
+        for at in self._iterate_times(FAULTS_PER_MINUTE / SECONDS_IN_MINUTE):
+            lasts = self._rng.uniform(1, LONGEST_FAULT_SECONDS)
+            fault = self._rng.choice(
+                (
+                    self._add_kill,
+                    self._add_kill,
+                    self._add_worker_kill,
+                    self._add_lost_disk,
+                    self._add_cut,
+                    self._add_cut,
+                    self._add_silence,
+                    self._add_slowness,
+                )
+            )
+            fault(at, at + lasts)
+
+    def _add_kill(self, at: float, until: float) -> None:
+        kind = self._rng.choice(("controller", "entry"))
+        process = f"{kind} {self._rng.choice(self._instances)}"
+        self._events.append(Kill(at=at, process=process))
+        self._events.append(Start(at=until, process=process))
+
+    def _add_worker_kill(self, at: float, until: float) -> None:
+        domain = self._rng.choice(list(DOMAINS))
+        process = f"worker w-{domain}-{self._rng.randrange(2)}"
+        self._events.append(Kill(at=at, process=process))
+        self._events.append(Start(at=until, process=process))
+
+    def _add_lost_disk(self, at: float, until: float) -> None:
+        instance = self._rng.choice(self._instances)
+        self._events.append(LoseDisk(at=at, instance=instance))
+        self._events.append(Start(at=until, process=f"controller {instance}"))
+
+    def _add_cut(self, at: float, until: float) -> None:
+        one_way = self._rng.random() < RACED
+        if self._rng.random() < REPEATED:
+            source, target = self._rng.sample(self._instances, 2)
+            cut = Cut(at=at, sources=(source,), targets=(target,), one_way=one_way)
+        else:
+            domain = self._rng.choice(list(DOMAINS))
+            others = tuple(name for name in DOMAINS if name != domain)
+            cut = Cut(at=at, sources=(domain,), targets=others, one_way=one_way)
+        self._events.append(cut)
+        self._events.append(HealAll(at=until))
+
+    def _add_silence(self, at: float, until: float) -> None:
+        one, other = self._rng.sample(self._instances, 2)
+        self._events.append(Silence(at=at, one=one, other=other))
+
+    def _add_slowness(self, at: float, until: float) -> None:
+        factor = round(self._rng.uniform(2, SLOWEST), 1)
+        self._events.append(Slow(at=at, factor=factor))
+        self._events.append(Slow(at=until, factor=1.0))
+
+
+def generate_trace(seed: int, minutes: float) -> Trace:
+    """Return a random trace; equal arguments give equal traces."""
+    return TraceGenerator(seed, minutes).make()
--- /dev/null
+++ b/src/rhubarbfield/replay/player.py
@@ -0,0 +1,273 @@
+"""Playing a trace on a fleet in memory, and judging what came of it."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+from typing import Any
+
+import msgspec
+import trio
+from returns.result import Failure, Success
+
+from rhubarbfield.language import CommandStatement, parse
+from rhubarbfield.operators import Submission
+from rhubarbfield.replay.events import (
+    AnyEvent,
+    Ask,
+    CheckConfiguration,
+    CheckJob,
+    Command,
+    Cut,
+    HealAll,
+    Kill,
+    Leave,
+    LoseDisk,
+    Silence,
+    Slow,
+    Start,
+    Trace,
+    TraceEvent,
+)
+from rhubarbfield.replay.fleet import SERVICE, MemoryFleet
+from rhubarbfield.replay.judge import Judge
+from rhubarbfield.routing import CallerRequest
+from rhubarbfield.types import (
+    CommandNumber,
+    IdempotencyKey,
+    OperatorName,
+    RequestClass,
+    RequestId,
+    Tenant,
+)
+
+START_SECONDS = 15.0
+WATCH_SECONDS = 0.5
+
+
+class Played(msgspec.Struct, frozen=True):
+    """An event and what came of it."""
+
+    event: AnyEvent
+    seen: str
+
+    @property
+    def differs(self) -> bool:
+        """Whether something else was stated."""
+        stated = self.event.outcome
+        return bool(stated) and self.seen not in stated.split("|")
+
+
+class Verdict(msgspec.Struct, frozen=True, kw_only=True):
+    """What came of a trace.
+
+    Attributes
+    ----------
+    played
+        The events in order, with their outcomes.
+    violations
+        A sentence for each promise that was seen broken.
+    """
+
+    played: tuple[Played, ...]
+    violations: tuple[str, ...]
+
+    @property
+    def differences(self) -> tuple[Played, ...]:
+        """The events of which something else came than was stated."""
+        return tuple(one for one in self.played if one.differs)
+
+    @property
+    def holds(self) -> bool:
+        """Whether nothing differed and no promise was broken."""
+        return not self.differences and not self.violations
+
+
+async def play_trace(trace: Trace) -> Verdict:
+    """Play ``trace`` in the running trio loop.
+
+    Raises
+    ------
+    BrokenInvariantError
+        If the program itself found one of its invariants broken.
+    """
+    async with trio.open_nursery() as nursery:
+        fleet = MemoryFleet(trace.fleet, nursery)
+        player = _Player(fleet, nursery, trace)
+        verdict = await player.play()
+        nursery.cancel_scope.cancel()
+    return verdict
+
+
+class _Player:
+    def __init__(self, fleet: MemoryFleet, nursery: trio.Nursery, trace: Trace) -> None:
+        self._fleet = fleet
+        self._nursery = nursery
+        self._trace = trace
+        self._judge = Judge(fleet)
+        self._seen: dict[int, str] = {}
+        self._open = 0
+        self._handlers: dict[type[TraceEvent], Callable[[Any], Awaitable[str]]] = {
+            Ask: self._ask,
+            Command: self._command,
+            Kill: self._kill,
+            Start: self._start,
+            LoseDisk: self._lose_disk,
+            Cut: self._cut,
+            HealAll: self._heal_all,
+            Silence: self._silence,
+            Slow: self._slow,
+            Leave: self._leave,
+            CheckJob: self._check_job,
+            CheckConfiguration: self._check_configuration,
+        }
+
+    async def play(self) -> Verdict:
+        await self._fleet.start()
+        await trio.sleep(START_SECONDS)
+        self._nursery.start_soon(self._watch)
+        begin = trio.current_time()
+        for number, event in enumerate(self._trace.events):
+            await trio.sleep_until(begin + event.at)
+            self._open += 1
+            self._nursery.start_soon(self._play_event, number, event)
+        await self._mend()
+        await trio.sleep(self._trace.fleet.settle_seconds)
+        while self._open:
+            await trio.sleep(WATCH_SECONDS)
+        self._judge.watch()
+        self._judge.finish()
+        played = tuple(
+            Played(event, self._seen[number])
+            for number, event in enumerate(self._trace.events)
+        )
+        return Verdict(played=played, violations=tuple(self._judge.violations))
+
+    async def _mend(self) -> None:
+        """Start what was killed and let all connections through."""
+        self._fleet.network.heal_all()
+        for name in self._trace.fleet.domains.values():
+            for instance in name:
+                await self._fleet.start_process(f"controller {instance}")
+                await self._fleet.start_process(f"entry {instance}")
+        for domain in self._trace.fleet.domains:
+            for number in range(self._trace.fleet.workers_each):
+                await self._fleet.start_process(f"worker w-{domain}-{number}")
+
+    async def _watch(self) -> None:
+        while True:
+            self._judge.watch()
+            await trio.sleep(WATCH_SECONDS)
+
+    async def _play_event(self, number: int, event: AnyEvent) -> None:
+        self._seen[number] = await self._handlers[type(event)](event)
+        self._open -= 1
+
+    async def _ask(self, event: Ask) -> str:
+        entry = self._fleet.entries.get(event.entry)
+        if entry is None:
+            return "refused"
+        request = CallerRequest(
+            request_id=RequestId(self._judge.name_request()),
+            tenant=Tenant(event.tenant),
+            service=SERVICE,
+            request_class=RequestClass.INTERACTIVE,
+            method="POST" if event.key else "GET",
+            path=f"/{event.key}",
+            timeout=timedelta(seconds=event.timeout_seconds),
+            idempotent=not event.key,
+            idempotency_key=IdempotencyKey(event.key) if event.key else None,
+        )
+        return await self._route(event, request)
+
+    async def _route(self, event: Ask, request: CallerRequest) -> str:
+        process = self._fleet.processes.get(f"entry {event.entry}")
+        entry = self._fleet.entries[event.entry]
+        results: list[Any] = []
+
+        async def route() -> None:
+            results.append(await entry.router.route(request))
+
+        if process is None or not await process.run_inside(route):
+            return "refused"
+        match results[0]:
+            case Success(answer):
+                self._judge.note_answer(request, answer)
+                return "answered"
+            case Failure(refusal):
+                self._judge.note_refusal(request, refusal)
+                return str(refusal.outcome.value)
+        raise AssertionError
+
+    async def _command(self, event: Command) -> str:
+        controller = self._fleet.controllers.get(event.controller)
+        if controller is None:
+            return "refused"
+        match parse(event.text):
+            case Success(CommandStatement() as statement):
+                submission = Submission(
+                    operator=OperatorName(event.operator),
+                    number=CommandNumber(event.number),
+                    text=event.text,
+                    statement=statement,  # type: ignore[arg-type]
+                )
+            case _:
+                return "syntax"
+        match await controller.operators.command(submission):
+            case Success(record):
+                self._judge.note_record(event, record)
+                return "accepted" if record.accepted else "declined"
+            case Failure(failure):
+                return str(failure.kind.value)
+        raise AssertionError
+
+    async def _kill(self, event: Kill) -> str:
+        await self._fleet.kill_process(event.process)
+        return "killed"
+
+    async def _start(self, event: Start) -> str:
+        await self._fleet.start_process(event.process)
+        return "started"
+
+    async def _lose_disk(self, event: LoseDisk) -> str:
+        await self._fleet.lose_disk(event.instance)
+        return "lost"
+
+    async def _cut(self, event: Cut) -> str:
+        for source in self._fleet.expand(event.sources):
+            for target in self._fleet.expand(event.targets):
+                self._fleet.network.cut(source, target)
+                if not event.one_way:
+                    self._fleet.network.cut(target, source)
+        return "cut"
+
+    async def _heal_all(self, event: HealAll) -> str:
+        self._fleet.network.heal_all()
+        return "healed"
+
+    async def _silence(self, event: Silence) -> str:
+        (one,) = self._fleet.expand((event.one,))
+        (other,) = self._fleet.expand((event.other,))
+        self._fleet.network.silence(one, other)
+        return "silent"
+
+    async def _slow(self, event: Slow) -> str:
+        self._fleet.network.slowness = event.factor
+        return "slow"
+
+    async def _leave(self, event: Leave) -> str:
+        self._fleet.servers[event.server].leave()
+        self._fleet.announcers[event.server].push()
+        return "leaving"
+
+    async def _check_job(self, event: CheckJob) -> str:
+        controller = self._fleet.controllers.get(event.controller)
+        job = controller.fleet_state.jobs.get(event.job) if controller else None
+        return job.state.value if job else "unknown"
+
+    async def _check_configuration(self, event: CheckConfiguration) -> str:
+        controllers = self._fleet.controllers.values()
+        versions = [one.in_force.configuration.version for one in controllers]
+        entries = self._fleet.entries.values()
+        versions += [one.in_force.configuration.version for one in entries]
+        return str(min(versions, default=0))
--- a/src/rhubarbfield/testing/fleet.py
+++ b/src/rhubarbfield/testing/fleet.py
@@ -103,13 +103,32 @@
     secret_file.write_text(secrets.token_hex(SECRET_BYTES), encoding="utf-8")
     secret_file.chmod(0o600)
     places = _place_instances(folder, plan)
-    fleet = _describe_fleet(plan, places)
-    for place in places.values():
-        text = yaml.safe_dump(_describe_instance(plan, place, fleet, folder))
-        place.settings_file.write_text(text, encoding="utf-8")
+    for name, described in describe_fleet(plan, folder).items():
+        text = yaml.safe_dump(described)
+        places[name].settings_file.write_text(text, encoding="utf-8")
     return places
 
 
+def describe_fleet(
+    plan: FleetPlan, folder: Path = Path("/nowhere")
+) -> dict[str, dict[str, Any]]:
+    """Return the settings of each instance, as its file would hold them.
+
+    Parameters
+    ----------
+    plan
+        The fleet.
+    folder
+        Where the secret and the data folders would be.
+    """
+    places = _place_instances(folder, plan)
+    fleet = _describe_instances(plan, places)
+    return {
+        name: _describe_instance(plan, place, fleet, folder)
+        for name, place in places.items()
+    }
+
+
 def _place_instances(folder: Path, plan: FleetPlan) -> dict[str, InstancePlace]:
     places: dict[str, InstancePlace] = {}
     for domain, names in plan.domains.items():
@@ -123,7 +142,7 @@
     return places
 
 
-def _describe_fleet(
+def _describe_instances(
     plan: FleetPlan, places: dict[str, InstancePlace]
 ) -> dict[str, Any]:
     instances = [
--- /dev/null
+++ b/src/rhubarbfield/testing/simulated.py
@@ -0,0 +1,200 @@
+"""Backend servers in memory, which count for themselves what they run."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from datetime import timedelta
+
+import msgspec
+import trio
+from returns.result import Failure, Result, Success
+
+from rhubarbfield.announcements import Announce
+from rhubarbfield.clock import Clock
+from rhubarbfield.routing import (
+    BackendAnswer,
+    BackendTarget,
+    CallerRequest,
+    ExchangeFailure,
+    FailureReason,
+    Reach,
+)
+from rhubarbfield.testing.memory import SimulatedNetwork
+from rhubarbfield.types import (
+    BackendServerId,
+    BackendServerState,
+    Incarnation,
+    RequestId,
+    ServiceName,
+)
+
+PORT = 1
+MEAN_SECONDS = 0.05
+STATUS_OK = 200
+
+
+class ServerCounts(msgspec.Struct):
+    """What a backend server saw.
+
+    Attributes
+    ----------
+    running, most_running
+        Requests that run now, and the most at a time.
+    over_slots
+        Requests that came while all slots were taken.
+    runs
+        How often each request was begun.
+    keyed_runs
+        How often each tenant's key was begun.
+    after_leaving
+        Requests begun later than the time allowed after it said it leaves.
+    """
+
+    running: int = 0
+    most_running: int = 0
+    over_slots: int = 0
+    runs: Counter[RequestId] = msgspec.field(default_factory=Counter)
+    keyed_runs: Counter[str] = msgspec.field(default_factory=Counter)
+    after_leaving: int = 0
+
+
+class SimulatedServer:
+    """One backend server.
+
+    Parameters
+    ----------
+    server, service, host, slots
+        What it announces.
+    nursery
+        Where its requests run, whatever becomes of who sent them.
+    rng
+        Of its run times.
+    """
+
+    def __init__(
+        self,
+        server: BackendServerId,
+        *,
+        service: ServiceName,
+        host: str,
+        slots: int,
+        nursery: trio.Nursery,
+        rng: random.Random,
+    ) -> None:
+        self.server = server
+        self.host = host
+        self.counts = ServerCounts()
+        self.state = BackendServerState.SERVING
+        self.leaving_since: float | None = None
+        self._service = service
+        self._slots = slots
+        self._nursery = nursery
+        self._rng = rng
+        self._epoch = 0
+        self._incarnation = Incarnation(f"{rng.getrandbits(64):x}")
+
+    def describe(self) -> Announce:
+        """Return the announcement as of now."""
+        return Announce(
+            number=0,
+            server=self.server,
+            service=self._service,
+            incarnation=self._incarnation,
+            host=self.host,
+            port=PORT,
+            slots=self._slots,
+            connections=self._slots * 2,
+            state=self.state,
+            running=self.counts.running,
+        )
+
+    def leave(self) -> None:
+        """Want no new requests from now on."""
+        self.state = BackendServerState.LEAVING
+        self.leaving_since = trio.current_time()
+
+    def begin(self, request: CallerRequest, epoch: int) -> trio.Event | None:
+        """Begin a request; None if it comes from an owner of the past."""
+        if epoch < self._epoch:
+            return None
+        self._epoch = epoch
+        counts = self.counts
+        counts.over_slots += counts.running >= self._slots
+        counts.running += 1
+        counts.most_running = max(counts.most_running, counts.running)
+        counts.runs[request.request_id] += 1
+        if request.idempotency_key is not None:
+            counts.keyed_runs[f"{request.tenant}/{request.idempotency_key}"] += 1
+        if self.leaving_since is not None:
+            counts.after_leaving += trio.current_time() > self.leaving_since + 2
+        done = trio.Event()
+        self._nursery.start_soon(self._run, done)
+        return done
+
+    async def _run(self, done: trio.Event) -> None:
+        await trio.sleep(self._rng.expovariate(1 / MEAN_SECONDS))
+        self.counts.running -= 1
+        done.set()
+
+
+class SimulatedBackends:
+    """The :class:`~rhubarbfield.routing.BackendPort` of one entry.
+
+    Parameters
+    ----------
+    network, host
+        The network, and the entry's address in it.
+    servers
+        The backend servers by address; shared by all entries.
+    clock
+        The entry's clock.
+    """
+
+    def __init__(
+        self,
+        network: SimulatedNetwork,
+        host: str,
+        servers: dict[str, SimulatedServer],
+        clock: Clock,
+    ) -> None:
+        self._network = network
+        self._host = host
+        self._servers = servers
+        self._clock = clock
+
+    async def exchange(
+        self, server: BackendTarget, request: CallerRequest, timeout: timedelta
+    ) -> Result[BackendAnswer, ExchangeFailure]:
+        """Send ``request`` and return the whole answer within ``timeout``."""
+        reach = Reach.NOT_SENT
+        with trio.move_on_after(timeout.total_seconds()):
+            target = server.address.rpartition(":")[0]
+            await self._network.travel()
+            if self._network.is_cut(self._host, target):
+                await trio.sleep_forever()
+            found = self._servers.get(target)
+            if found is None:
+                return _fail(reach, FailureReason.CONNECT)
+            if not server.lease.is_valid(self._clock.monotonic()):
+                return _fail(reach, FailureReason.LEASE_LAPSED)
+            done = found.begin(request, server.epoch)
+            if done is None:
+                return _fail(Reach.REFUSED_BY_SERVER, FailureReason.REFUSED)
+            reach = Reach.SENT
+            await done.wait()
+            await self._network.travel()
+            if self._network.is_cut(target, self._host):
+                await trio.sleep_forever()
+            body = f"{request.request_id}".encode()
+            return Success(BackendAnswer(status=STATUS_OK, body=body))
+        return _fail(reach, FailureReason.TIMEOUT)
+
+    async def forget(self, server: BackendServerId) -> None:
+        """Close the idle connections to ``server``."""
+
+
+def _fail(
+    reach: Reach, reason: FailureReason
+) -> Result[BackendAnswer, ExchangeFailure]:
+    return Failure(ExchangeFailure(reach=reach, reason=reason))
