--- a/src/rhubarbfield/replay/generator.py
+++ b/src/rhubarbfield/replay/generator.py
@@ -36,6 +36,7 @@
 CANCELLED = 0.15
 RACED = 0.25
 SLOWEST = 40.0
+REPAIR_SECONDS = 45.0
 
 
 class TraceGenerator:
@@ -56,6 +57,7 @@
         self._instances = [name for names in DOMAINS.values() for name in names]
         self._events: list[AnyEvent] = []
         self._number = 0
+        self._memory_safe_at = 0.0
 
     def make(self) -> Trace:
         """Return the trace."""
@@ -147,9 +149,25 @@
             )
             fault(at, at + lasts)
 
+    def _may_lose_memory(self, at: float, until: float) -> bool:
+        """Return whether no other replica has lost its memory a moment ago.
+
+        Two of three replicas that lose their memories before one is repaired
+        leave a group without a quorum until an operator decides; that is not
+        a fault that mends itself.
+        """
+        if at < self._memory_safe_at:
+            return False
+        self._memory_safe_at = until + REPAIR_SECONDS
+        return True
+
     def _add_kill(self, at: float, until: float) -> None:
         kind = self._rng.choice(("controller", "entry"))
-        process = f"{kind} {self._rng.choice(self._instances)}"
+        instance = self._rng.choice(self._instances)
+        forgets = kind == "controller" and instance in DISKLESS
+        if forgets and not self._may_lose_memory(at, until):
+            return
+        process = f"{kind} {instance}"
         self._events.append(Kill(at=at, process=process))
         self._events.append(Start(at=until, process=process))
 
@@ -161,6 +179,8 @@
 
     def _add_lost_disk(self, at: float, until: float) -> None:
         instance = self._rng.choice(self._instances)
+        if not self._may_lose_memory(at, until):
+            return
         self._events.append(LoseDisk(at=at, instance=instance))
         self._events.append(Start(at=until, process=f"controller {instance}"))
 
