--- a/tests/replication/measure.py
+++ b/tests/replication/measure.py
@@ -41,6 +41,10 @@
 FAILOVER_SEEDS = range(1, 26)
 CATCH_UP_SIZES = (1_000, 5_000, 20_000)
 CATCH_UP_SEEDS = range(1, 6)
+CATCH_UP_SETTINGS = {
+    "snapshot": GroupSettings(),
+    "entries": GroupSettings(snapshot_after=100_000),
+}
 
 
 class CountingMachine:
@@ -178,12 +182,14 @@
     return run_deterministic(play, seed)
 
 
-def measure_catch_up(entries: int, seed: int) -> tuple[float, int, float]:
+def measure_catch_up(
+    entries: int, seed: int, settings: GroupSettings
+) -> tuple[float, int, float]:
     """Return seconds, messages and CPU seconds of one replica's catching up."""
 
     async def play() -> tuple[float, int, float]:
         async with trio.open_nursery() as nursery:
-            group = Group(nursery, seed)
+            group = Group(nursery, seed, settings=settings)
             await group.start()
             leader = await group.wait_leader()
             behind = next(n for n in group.nodes.values() if n is not leader)
@@ -221,14 +227,20 @@
         row = statistics.median(times), min(times), max(times)
         print(f"{harm.__name__:10}" + "".join(f"{value:>10.2f}" for value in row))
     print(f"\ncatching up after a restart, {len(CATCH_UP_SEEDS)} seeds")
-    print("entries   median s      max s   messages   CPU ms")
-    for entries in CATCH_UP_SIZES:
-        runs = [measure_catch_up(entries, seed) for seed in CATCH_UP_SEEDS]
-        times = [elapsed for elapsed, _, _ in runs]
-        messages = max(count for _, count, _ in runs)
-        cpu = statistics.median(cpu for _, _, cpu in runs) * 1000
-        row = f"{statistics.median(times):>11.2f}{max(times):>11.2f}"
-        print(f"{entries:7}{row}{messages:>11}{cpu:>9.0f}")
+    print("entries  by           median s      max s   messages   CPU ms")
+    for label, settings in CATCH_UP_SETTINGS.items():
+        for entries in CATCH_UP_SIZES:
+            print_catch_up(label, settings, entries)
+
+
+def print_catch_up(label: str, settings: GroupSettings, entries: int) -> None:
+    """Print one row of the table of catching up."""
+    runs = [measure_catch_up(entries, seed, settings) for seed in CATCH_UP_SEEDS]
+    times = [elapsed for elapsed, _, _ in runs]
+    messages = max(count for _, count, _ in runs)
+    cpu = statistics.median(cpu for _, _, cpu in runs) * 1000
+    row = f"{statistics.median(times):>10.2f}{max(times):>11.2f}"
+    print(f"{entries:7}  {label:9}  {row}{messages:>11}{cpu:>9.0f}")
 
 
 if __name__ == "__main__":
