Save the first entry of a group, its term and its vote as one

Cause: a crash between saving the vote and the first entry left a replica that was neither empty nor in a group, so that no group was ever formed. Ruled out: lost votes (the log of the stuck replica was empty).

--- a/src/rhubarbfield/replication/joining.py
+++ b/src/rhubarbfield/replication/joining.py
@@ -7,12 +7,11 @@
 
 import msgspec
 
-from rhubarbfield.replication.log import encode_membership
 from rhubarbfield.replication.membership import Membership
 from rhubarbfield.replication.messages import MAX_CONTACTS, Probe, ProbeAnswer
 from rhubarbfield.replication.state import ReplicaState
-from rhubarbfield.storage import Entry, EntryKind, ReplicaId
-from rhubarbfield.types import Incarnation, InstanceName, LogIndex, Term
+from rhubarbfield.storage import ReplicaId
+from rhubarbfield.types import Incarnation, InstanceName
 
 logger = logging.getLogger(__name__)
 
@@ -144,11 +143,6 @@
 
     def _form(self, membership: Membership) -> None:
         state = self._state
-        term = Term(state.term + 1)
-        if not state.persist(state.log.save_vote(term, state.id)):
-            return
-        data = encode_membership(membership)
-        first = Entry(LogIndex(1), term, EntryKind.MEMBERSHIP, data)
-        if state.persist(state.log.append([first])):
+        if state.persist(state.log.save_first(state.id, membership)):
             logger.info("formed group=%s voters=%s", state.group, membership.voters)
             state.election_due = state.now
--- a/src/rhubarbfield/replication/log.py
+++ b/src/rhubarbfield/replication/log.py
@@ -159,6 +159,18 @@
         new = HardState(old.incarnation, term, vote, self.commit)
         return self._store.append(new).map(lambda _: self._set_hard_state(new))
 
+    def save_first(
+        self, vote: ReplicaId, membership: Membership
+    ) -> Result[None, StoreFailure]:
+        """Save the first entry of a new group, its term and vote, as one."""
+        check_invariant(self.is_empty, "group-formed-once", self.hard_state)
+        term = Term(1)
+        data = encode_membership(membership)
+        entries = [Entry(LogIndex(1), term, EntryKind.MEMBERSHIP, data)]
+        new = HardState(self.hard_state.incarnation, term, vote)
+        result = self._store.append(new, entries)
+        return result.map(lambda _: self._add_entries(new, entries))
+
     def append(self, entries: Sequence[Entry]) -> Result[None, StoreFailure]:
         """Append entries, dropping those stored at or after the first."""
         first = entries[0].index
--- a/tests/replication/longrun.py
+++ b/tests/replication/longrun.py
@@ -25,7 +25,6 @@
 from tests.replication.group import Group, Node
 
 CLIENTS = 3
-CHAOS_TASKS = 2
 QUIET_AT_END = 120.0
 CLOCK_DRIFT = 0.05
 SETTINGS = GroupSettings(snapshot_after=150, kept_entries=60)
@@ -50,11 +49,11 @@
         self.is_over = False
         self._commands = 0
 
-    async def play(self, duration: float) -> None:
+    async def play(self, duration: float, at_once: int) -> None:
         async with trio.open_nursery() as nursery:
             for _ in range(CLIENTS):
                 nursery.start_soon(self._propose_and_read)
-            for _ in range(CHAOS_TASKS):
+            for _ in range(at_once):
                 nursery.start_soon(self._cause_faults)
             await trio.sleep(duration)
             self.is_over = True
@@ -273,7 +272,7 @@
     network.max_delay = 0.004
 
 
-def run_long(seed: int, hours: float) -> Counter[str]:
+def run_long(seed: int, hours: float, at_once: int = 2) -> Counter[str]:
     """Play one run; raises on the first thing that must not be."""
 
     async def play() -> Counter[str]:
@@ -285,7 +284,7 @@
                 group.get(name).has_disk = False
             await group.start()
             run = LongRun(group, seed)
-            await run.play(hours * 3600)
+            await run.play(hours * 3600, at_once)
             run.counts["entries applied"] = len(group.observer.history)
             nursery.cancel_scope.cancel()
         return run.counts
@@ -300,7 +299,7 @@
     """Run the seeds asked for and print what happened."""
     for seed in range(FLAGS.seed, FLAGS.seed + FLAGS.seeds):
         started = time.monotonic()
-        counts = run_long(seed, FLAGS.hours)
+        counts = run_long(seed, FLAGS.hours, FLAGS.at_once)
         elapsed = time.monotonic() - started
         print(f"seed {seed}: {FLAGS.hours} virtual hours in {elapsed:.0f} s, passed")
         for name, count in sorted(counts.items()):
@@ -312,4 +311,5 @@
     flags.DEFINE_integer("seed", 1, "The first seed.")
     flags.DEFINE_integer("seeds", 1, "How many seeds to run, one after the other.")
     flags.DEFINE_float("hours", 1.0, "Virtual hours of each run.")
+    flags.DEFINE_integer("at_once", 2, "Faults that may go on at the same time.")
     app.run(main)
--- a/tests/replication/test_faults.py
+++ b/tests/replication/test_faults.py
@@ -190,6 +190,23 @@
 
         run_group(play)
 
+    def test_a_crash_while_forming_leaves_nothing_half_formed(self) -> None:
+        async def play(group: Group) -> None:
+            former = group.get("a")
+            await former.crash()
+            former.files.operations_until_crash = steps.pop()
+            await former.start()
+            while former.replica is not None and trio.current_time() < 10:
+                await trio.sleep(0.1)
+            former.files.operations_until_crash = None
+            if former.replica is None:
+                await former.start()
+            await group.propose_many("x", 1)
+
+        steps = list(range(4, 14))
+        while steps:
+            run_group(play)
+
     def test_a_lost_voter_cannot_form_a_second_group(self) -> None:
         async def play(group: Group) -> None:
             await group.propose_many("x", 1)
