--- a/tests/replication/longrun.py
+++ b/tests/replication/longrun.py
@@ -26,6 +26,7 @@
 
 CLIENTS = 3
 QUIET_AT_END = 120.0
+SECONDS_BETWEEN_CHECKS = 0.1
 CLOCK_DRIFT = 0.05
 SETTINGS = GroupSettings(snapshot_after=150, kept_entries=60)
 
@@ -53,6 +54,7 @@
         async with trio.open_nursery() as nursery:
             for _ in range(CLIENTS):
                 nursery.start_soon(self._propose_and_read)
+            nursery.start_soon(self._watch)
             for _ in range(at_once):
                 nursery.start_soon(self._cause_faults)
             await trio.sleep(duration)
@@ -60,6 +62,11 @@
             nursery.cancel_scope.cancel()
         await self._settle()
 
+    async def _watch(self) -> None:
+        while True:
+            await trio.sleep(SECONDS_BETWEEN_CHECKS)
+            self.group.check()
+
     def choose_node(self) -> Node:
         return self.random.choice(list(self.group.nodes.values()))
 
@@ -232,6 +239,48 @@
     run.group.network.heal()
 
 
+@fault
+async def isolate_leader_and_restart_its_voter(run: LongRun) -> None:
+    """Restart who supports a leader, next to one that wants to be elected."""
+    holders = run.group.list_lease_holders()
+    if not holders:
+        return
+    leader = holders[0]
+    others = [name for name in run.group.nodes if name != leader.name]
+    rival, voter = run.random.sample(others, 2)
+    run.group.network.cut(leader.name, rival)
+    run.group.network.cut(rival, leader.name)
+    await trio.sleep(run.random.uniform(2, 5))
+    node = run.group.nodes[voter]
+    await node.crash()
+    run.group.network.isolate(leader.name)
+    if node.replica is None:
+        await node.start()
+    await trio.sleep(run.random.uniform(1, 10))
+    run.group.network.heal()
+
+
+@fault
+async def delay_answers_and_cut_the_leader_off(run: LongRun) -> None:
+    """Let answers arrive after the voters stopped hearing the leader."""
+    network = run.group.network
+    holders = run.group.list_lease_holders()
+    if not holders:
+        return
+    leader = holders[0].name
+    delay = run.random.uniform(0.1, 1.0)
+    others = [name for name in run.group.nodes if name != leader]
+    for name in others:
+        network.slow(name, leader, delay)
+    await trio.sleep(run.random.uniform(1, 6))
+    for name in others:
+        network.cut(leader, name)
+    await trio.sleep(run.random.uniform(1, 10))
+    network.heal()
+    for name in others:
+        network.slow(name, leader, 0.0)
+
+
 @fault
 async def cut_one_way(run: LongRun) -> None:
     for _ in range(run.random.randint(1, 3)):
