--- a/tests/replication/longrun.py
+++ b/tests/replication/longrun.py
@@ -25,8 +25,8 @@
 from tests.replication.group import Group, Node
 
 CLIENTS = 3
-CHAOS_TASKS = 2
 QUIET_AT_END = 120.0
+SECONDS_BETWEEN_CHECKS = 0.1
 CLOCK_DRIFT = 0.05
 SETTINGS = GroupSettings(snapshot_after=150, kept_entries=60)
 
@@ -50,17 +50,23 @@
         self.is_over = False
         self._commands = 0
 
-    async def play(self, duration: float) -> None:
+    async def play(self, duration: float, at_once: int) -> None:
         async with trio.open_nursery() as nursery:
             for _ in range(CLIENTS):
                 nursery.start_soon(self._propose_and_read)
-            for _ in range(CHAOS_TASKS):
+            nursery.start_soon(self._watch)
+            for _ in range(at_once):
                 nursery.start_soon(self._cause_faults)
             await trio.sleep(duration)
             self.is_over = True
             nursery.cancel_scope.cancel()
         await self._settle()
 
+    async def _watch(self) -> None:
+        while True:
+            await trio.sleep(SECONDS_BETWEEN_CHECKS)
+            self.group.check()
+
     def choose_node(self) -> Node:
         return self.random.choice(list(self.group.nodes.values()))
 
@@ -233,6 +239,48 @@
     run.group.network.heal()
 
 
+@fault
+async def isolate_leader_and_restart_its_voter(run: LongRun) -> None:
+    """Restart who supports a leader, next to one that wants to be elected."""
+    holders = run.group.list_lease_holders()
+    if not holders:
+        return
+    leader = holders[0]
+    others = [name for name in run.group.nodes if name != leader.name]
+    rival, voter = run.random.sample(others, 2)
+    run.group.network.cut(leader.name, rival)
+    run.group.network.cut(rival, leader.name)
+    await trio.sleep(run.random.uniform(2, 5))
+    node = run.group.nodes[voter]
+    await node.crash()
+    run.group.network.isolate(leader.name)
+    if node.replica is None:
+        await node.start()
+    await trio.sleep(run.random.uniform(1, 10))
+    run.group.network.heal()
+
+
+@fault
+async def delay_answers_and_cut_the_leader_off(run: LongRun) -> None:
+    """Let answers arrive after the voters stopped hearing the leader."""
+    network = run.group.network
+    holders = run.group.list_lease_holders()
+    if not holders:
+        return
+    leader = holders[0].name
+    delay = run.random.uniform(0.1, 1.0)
+    others = [name for name in run.group.nodes if name != leader]
+    for name in others:
+        network.slow(name, leader, delay)
+    await trio.sleep(run.random.uniform(1, 6))
+    for name in others:
+        network.cut(leader, name)
+    await trio.sleep(run.random.uniform(1, 10))
+    network.heal()
+    for name in others:
+        network.slow(name, leader, 0.0)
+
+
 @fault
 async def cut_one_way(run: LongRun) -> None:
     for _ in range(run.random.randint(1, 3)):
@@ -273,7 +321,7 @@
     network.max_delay = 0.004
 
 
-def run_long(seed: int, hours: float) -> Counter[str]:
+def run_long(seed: int, hours: float, at_once: int = 2) -> Counter[str]:
     """Play one run; raises on the first thing that must not be."""
 
     async def play() -> Counter[str]:
@@ -285,7 +333,7 @@
                 group.get(name).has_disk = False
             await group.start()
             run = LongRun(group, seed)
-            await run.play(hours * 3600)
+            await run.play(hours * 3600, at_once)
             run.counts["entries applied"] = len(group.observer.history)
             nursery.cancel_scope.cancel()
         return run.counts
@@ -300,7 +348,7 @@
     """Run the seeds asked for and print what happened."""
     for seed in range(FLAGS.seed, FLAGS.seed + FLAGS.seeds):
         started = time.monotonic()
-        counts = run_long(seed, FLAGS.hours)
+        counts = run_long(seed, FLAGS.hours, FLAGS.at_once)
         elapsed = time.monotonic() - started
         print(f"seed {seed}: {FLAGS.hours} virtual hours in {elapsed:.0f} s, passed")
         for name, count in sorted(counts.items()):
@@ -312,4 +360,5 @@
     flags.DEFINE_integer("seed", 1, "The first seed.")
     flags.DEFINE_integer("seeds", 1, "How many seeds to run, one after the other.")
     flags.DEFINE_float("hours", 1.0, "Virtual hours of each run.")
+    flags.DEFINE_integer("at_once", 2, "Faults that may go on at the same time.")
     app.run(main)
