--- a/src/rhubarbfield/records/state.py
+++ b/src/rhubarbfield/records/state.py
@@ -17,9 +17,10 @@
 from rhubarbfield.routing.requests import BackendAnswer
 from rhubarbfield.types import IdempotencyKey, RequestId, Tenant
 
-RECORDS_LIMIT = 100_000
+RECORDS_LIMIT = 60_000
+TENANT_RECORDS_LIMIT = 15_000
 ANSWER_BYTES_LIMIT = 4096
-ANSWERS_BYTES_LIMIT = 32 << 20
+ANSWERS_BYTES_LIMIT = 8 << 20
 
 
 class RequestRecord(msgspec.Struct, kw_only=True):
@@ -141,7 +142,7 @@
 
 
 class RecordsFull(Reply, frozen=True):
-    """There are too many records; none was written."""
+    """There are too many records, of all or of the tenant; none was written."""
 
 
 RECORD_REPLIES: tuple[type[Reply], ...] = (
@@ -165,7 +166,8 @@
     record = _find(state, command.tenant, command.key)
     if record is not None:
         return _judge_repeat(record, command)
-    if state.count >= RECORDS_LIMIT:
+    of_tenant = len(state.tenants.get(command.tenant, ()))
+    if state.count >= RECORDS_LIMIT or of_tenant >= TENANT_RECORDS_LIMIT:
         return RecordsFull()
     records = state.tenants.setdefault(command.tenant, {})
     records[command.key] = RequestRecord(
--- a/tests/records/test_state.py
+++ b/tests/records/test_state.py
@@ -108,9 +108,16 @@
 
     def test_a_full_state_refuses_new_keys_only(self) -> None:
         self.begin()
-        with mock.patch.object(state, "RECORDS_LIMIT", 1):
+        for limit in ("RECORDS_LIMIT", "TENANT_RECORDS_LIMIT"):
+            with mock.patch.object(state, limit, 1):
+                self.assertEqual(self.begin(key=IdempotencyKey("new")), RecordsFull())
+                self.assertEqual(self.begin("r2"), AlreadyRunning())
+
+    def test_a_tenant_fills_its_own_part_only(self) -> None:
+        self.begin()
+        with mock.patch.object(state, "TENANT_RECORDS_LIMIT", 1):
             self.assertEqual(self.begin(key=IdempotencyKey("new")), RecordsFull())
-            self.assertEqual(self.begin("r2"), AlreadyRunning())
+            self.assertEqual(self.begin(tenant=Tenant("other")), RecordBegun())
 
     def test_a_snapshot_keeps_every_record(self) -> None:
         self.begin()
