--- a/src/rhubarbfield/measurement/placement.py
+++ b/src/rhubarbfield/measurement/placement.py
@@ -62,6 +62,7 @@
 def define_flags() -> None:
     """Define the flags of this program."""
     flags.DEFINE_integer("seeds", 5, "Number of seeds.", lower_bound=1)
+    flags.DEFINE_integer("first_seed", 101, "The first seed; the others follow.")
     flags.DEFINE_float("hours", 2.0, "Virtual hours of a run.", lower_bound=0.1)
     flags.DEFINE_list("deployments", list(DEPLOYMENTS), "Deployments to measure.")
     flags.DEFINE_list(
@@ -74,7 +75,7 @@
 
 
 def run_strategy(
-    deployment: Deployment, strategy: str, seeds: int, hours: float
+    deployment: Deployment, strategy: str, seeds: Sequence[int], hours: float
 ) -> list[Figures]:
     """Return the figures of one strategy, one for each seed."""
     settings = choose_settings(Profile(deployment.name))
@@ -82,9 +83,7 @@
     settings = msgspec.structs.replace(
         settings, strategy=name, relieves_latency=name == strategy
     )
-    return [
-        Replay(deployment, settings, seed).run(hours) for seed in range(1, seeds + 1)
-    ]
+    return [Replay(deployment, settings, seed).run(hours) for seed in seeds]
 
 
 def describe_spread(values: Sequence[float]) -> str:
@@ -119,10 +118,11 @@
 
         print_scaling()
         return
+    seeds = range(FLAGS.first_seed, FLAGS.first_seed + FLAGS.seeds)
     for name in FLAGS.deployments:
         deployment = DEPLOYMENTS[name]
         measured = {
-            strategy: run_strategy(deployment, strategy, FLAGS.seeds, FLAGS.hours)
+            strategy: run_strategy(deployment, strategy, seeds, FLAGS.hours)
             for strategy in FLAGS.strategies
         }
         print_table(deployment, measured)
--- a/src/rhubarbfield/placement/settings.py
+++ b/src/rhubarbfield/placement/settings.py
@@ -89,7 +89,9 @@
     """
     if profile is Profile.LENDING:
         weights = Weights(tail_latency=4.0, throughput=1.0, eviction=0.5)
-        return PlacementSettings(weights=weights)
+        return PlacementSettings(
+            weights=weights, latency_ceiling=0.8, throttle_above=0.85
+        )
     return PlacementSettings(
         weights=Weights(tail_latency=1.0, throughput=2.0, eviction=2.0),
         latency_ceiling=1.3,
