--- a/src/rhubarbfield/placement/harm.py
+++ b/src/rhubarbfield/placement/harm.py
@@ -11,6 +11,8 @@
 import math
 from collections.abc import Iterable, Mapping
 
+import msgspec
+
 from rhubarbfield.placement.state import BatchKind, HarmEstimate
 from rhubarbfield.types import ServiceName
 
@@ -33,6 +35,14 @@
     return max(0, min(BANDS - 1, int(load * BANDS)))
 
 
+class PairKey(msgspec.Struct, frozen=True):
+    """A service, a kind of work beside it, and the service's load band."""
+
+    service: ServiceName
+    kind: BatchKind
+    band: int
+
+
 class Regression:
     """Base and rates of one service in one load band, with their covariance."""
 
@@ -88,7 +98,7 @@
 
     def __init__(self) -> None:
         self._services: dict[ServiceName, list[Regression]] = {}
-        self._changed: dict[ServiceName, set[int]] = {}
+        self._changed: dict[PairKey, bool] = {}
 
     def learn(
         self,
@@ -117,7 +127,8 @@
                 self._begin(service, band, kind, seen)
         regression.learn(inputs, seen)
         regression.make_room()
-        self._changed.setdefault(service, set()).add(band)
+        for kind in inputs:
+            self._changed[PairKey(service, kind, band)] = True
 
     def find_rate(self, service: ServiceName, kind: BatchKind, band: int) -> float:
         """Return growth of log latency if ``kind`` used the whole worker."""
@@ -136,13 +147,14 @@
             )
 
     def list_changed(self) -> list[HarmEstimate]:
-        """Return the estimates of bands learned since :meth:`forget_changes`."""
+        """Return the estimates sampled since :meth:`forget_changes`."""
         return [
-            HarmEstimate(service, kind, band, mean, regression.samples[kind])
-            for service, bands in self._changed.items()
-            for band in sorted(bands)
-            for regression in (self._services[service][band],)
-            for kind, mean in regression.means.items()
+            HarmEstimate(key.service, key.kind, key.band, mean, samples[key.kind])
+            for key in self._changed
+            for regression in (self._services[key.service][key.band],)
+            for samples in (regression.samples,)
+            for mean in (regression.means.get(key.kind),)
+            if mean is not None
         ]
 
     def forget_changes(self) -> None:
--- a/src/rhubarbfield/placement/observations.py
+++ b/src/rhubarbfield/placement/observations.py
@@ -14,7 +14,7 @@
 
 SMOOTHING = 0.5
 LEAST_THROTTLE = 0.1
-LEARNING_EFFORT = 300
+LEARNING_EFFORT = 150
 
 
 class AttemptUsage(msgspec.Struct, frozen=True, array_like=True):
