--- a/src/rhubarbfield/placement/_jobs.py
+++ b/src/rhubarbfield/placement/_jobs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TypeVar
 
 from rhubarbfield.machine import Done, Refused, Reply
@@ -112,8 +113,8 @@
 @work_commands.applies(SetQuota)
 def set_quota(state: WorkState, command: SetQuota) -> Reply:
     """Set what a tenant may hold from now on."""
-    if command.quota.weight <= 0:
-        return Refused(reason="the weight of a quota must be above 0")
+    if not 0 < command.quota.weight < math.inf:
+        return Refused(reason="the weight of a quota must be a number above 0")
     find_account(state, command.tenant).quota = command.quota
     return Done()
 
--- a/src/rhubarbfield/placement/decision.py
+++ b/src/rhubarbfield/placement/decision.py
@@ -13,6 +13,7 @@
     """Why a worker does not get a task."""
 
     ABSENT = "absent"
+    SILENT = "silent"
     DRAINING = "draining"
     QUARANTINED = "quarantined"
     CORES = "cores"
--- a/src/rhubarbfield/placement/explanation.py
+++ b/src/rhubarbfield/placement/explanation.py
@@ -10,7 +10,7 @@
 from rhubarbfield.placement.decision import Decision, RejectionReason
 from rhubarbfield.placement.fleet import name_shortage
 from rhubarbfield.placement.resources import Resources
-from rhubarbfield.placement.runnable import find_usable
+from rhubarbfield.placement.runnable import check_runnable, find_usable
 from rhubarbfield.placement.state import (
     Attempt,
     QuarantineState,
@@ -149,7 +149,13 @@
         )
     if task.state is TaskState.PENDING:
         last = f"; last: {task.past[-1].end_reason}" if task.past else ""
-        return f"waits since {task.queued_at.isoformat()}{last}"
+        impossible = check_runnable(state, job.spec)
+        never = (
+            f"; as things are it never runs: {impossible.message}"
+            if (impossible)
+            else ""
+        )
+        return f"waits since {task.queued_at.isoformat()}{last}{never}"
     return f"{task.state}; {job.reason}" if job.reason else str(task.state)
 
 
--- a/src/rhubarbfield/placement/fleet.py
+++ b/src/rhubarbfield/placement/fleet.py
@@ -248,11 +248,9 @@
 
     def reject(self, seat: Seat, request: Request) -> RejectionReason | None:
         """Return why a worker can't take a task now, harm aside."""
-        worker = seat.worker
-        if worker.draining:
-            return RejectionReason.DRAINING
-        if seat.judged or worker.quarantine is QuarantineState.QUARANTINED:
-            return RejectionReason.QUARANTINED
+        reason = self._reject_worker(seat)
+        if reason is not None:
+            return reason
         if not request.size.fits(seat.room):
             return name_shortage(request.size, seat.room)
         if seat.reserved and request.spec.priority is not Priority.URGENT:
@@ -261,6 +259,16 @@
             return self._reject_unproven(seat, request)
         return None
 
+    def _reject_worker(self, seat: Seat) -> RejectionReason | None:
+        """Return why a worker can't take any task."""
+        if seat.worker.draining:
+            return RejectionReason.DRAINING
+        if seat.name in self.view.silent:
+            return RejectionReason.SILENT
+        if seat.judged or seat.worker.quarantine is QuarantineState.QUARANTINED:
+            return RejectionReason.QUARANTINED
+        return None
+
     def _reject_unproven(self, seat: Seat, request: Request) -> RejectionReason | None:
         """Return why one more task of unknown real size is too many."""
         self.find_residents(seat)
--- a/src/rhubarbfield/placement/observations.py
+++ b/src/rhubarbfield/placement/observations.py
@@ -78,6 +78,8 @@
         Smoothed tail latency in seconds of each attempt that serves a service.
     load
         Its latest load, from 0 to 1.
+    silent
+        Workers not heard from now; nothing new is placed on them.
     fresh
         Workers that reported since :meth:`start_round`.
     memory_growth
@@ -91,6 +93,7 @@
         self.reports: dict[WorkerId, UsageReport] = {}
         self.latency: dict[AttemptId, float] = {}
         self.load: dict[AttemptId, float] = {}
+        self.silent: set[WorkerId] = set()
         self.fresh: dict[WorkerId, bool] = {}
         self.memory_growth: dict[WorkerId, float] = {}
         self.sizes = SizeModel()
@@ -128,6 +131,13 @@
         self._learn_harm(report, specs, worker.announced.millicores)
         return True
 
+    def set_reachable(self, worker: WorkerId, reachable: bool) -> None:
+        """Note whether a worker's stream and lease are alive."""
+        if reachable:
+            self.silent.discard(worker)
+        else:
+            self.silent.add(worker)
+
     def start_round(self) -> None:
         """Begin a new round, after the plan of the last one was proposed."""
         self.fresh.clear()
--- a/src/rhubarbfield/placement/placing.py
+++ b/src/rhubarbfield/placement/placing.py
@@ -26,6 +26,7 @@
     RejectionReason.MEMORY,
     RejectionReason.ACCELERATORS,
     RejectionReason.DRAINING,
+    RejectionReason.SILENT,
     RejectionReason.QUARANTINED,
 )
 
--- a/src/rhubarbfield/placement/preemption.py
+++ b/src/rhubarbfield/placement/preemption.py
@@ -72,7 +72,7 @@
 
     def _use_coming(self, request: Request) -> bool:
         for seat in self._fleet.seats:
-            if not _is_usable(seat):
+            if not self._is_usable(seat):
                 continue
             if seat.worker.live and request.size.fits(self._sum_coming(seat)):
                 self._coming[seat.index] = self._sum_coming(seat) - request.size
@@ -84,7 +84,7 @@
         best: tuple[Seat, list[Attempt]] | None = None
         best_cost = float("inf")
         for seat in self._fleet.seats:
-            if not _is_usable(seat) or not request.size.fits(
+            if not self._is_usable(seat) or not request.size.fits(
                 self._fleet.largest_room(seat)
             ):
                 continue
@@ -114,17 +114,17 @@
             victims.append((task, attempt))
         return victims if request.size.fits(room) else []
 
+    def _is_usable(self, seat: Seat) -> bool:
+        trusted = seat.worker.quarantine is QuarantineState.TRUSTED
+        heard = seat.name not in self._fleet.view.silent
+        return trusted and heard and not seat.worker.draining
+
     def _is_victim(self, attempt: Attempt, spec: JobSpec, request: Request) -> bool:
         lower = spec.priority.value > request.spec.priority.value
         free = attempt.attempt not in self._evicting
         return lower and free and not spec.gang and may_evict(attempt, spec)
 
 
-def _is_usable(seat: Seat) -> bool:
-    trusted = seat.worker.quarantine is QuarantineState.TRUSTED
-    return trusted and not seat.worker.draining
-
-
 def drain_worker(fleet: Fleet, seat: Seat) -> list[Eviction]:
     """Return the next evictions that empty a worker.
 
--- a/src/rhubarbfield/placement/quarantine.py
+++ b/src/rhubarbfield/placement/quarantine.py
@@ -69,7 +69,9 @@
     Only batch work that has succeeded elsewhere is used, so that the worker
     alone is judged by it.
     """
-    if not may_probe(fleet.state, seat.worker, fleet.now) or seat.worker.draining:
+    if seat.worker.draining or seat.name in fleet.view.silent:
+        return None
+    if not may_probe(fleet.state, seat.worker, fleet.now):
         return None
     for job_id in fleet.state.waiting:
         job = fleet.state.jobs[job_id]
--- a/src/rhubarbfield/placement/relief.py
+++ b/src/rhubarbfield/placement/relief.py
@@ -72,10 +72,15 @@
 
 
 def measure_redone(task: Task, attempt: Attempt, fleet: Fleet) -> float:
-    """Return core-seconds of work that evicting an attempt would throw away."""
+    """Return core-seconds of work that evicting an attempt would throw away.
+
+    A gang is evicted whole.
+    """
     seconds = (fleet.now - attempt.checkpoint_at).total_seconds()
     cores = attempt.size.millicores / MILLICORES_PER_CORE
-    return max(MIN_REDONE_SECONDS, seconds) * cores
+    job = fleet.state.jobs[task.job]
+    attempts = len(job.live) if job.spec.gang else 1
+    return max(MIN_REDONE_SECONDS, seconds) * cores * attempts
 
 
 def may_evict(attempt: Attempt, spec: JobSpec) -> bool:
--- a/src/rhubarbfield/placement/runnable.py
+++ b/src/rhubarbfield/placement/runnable.py
@@ -10,6 +10,9 @@
 from rhubarbfield.placement.state import JobSpec, Worker, WorkState
 
 MAX_TASKS = 10_000
+MAX_CORES = 100_000
+MAX_MEMORY_MB = 1_000_000_000
+MAX_ACCELERATORS = 100_000
 MEMORY_RESERVE = 0.1
 
 
@@ -49,8 +52,15 @@
     if spec.tasks > MAX_TASKS:
         message = f"the job has {spec.tasks} tasks; at most {MAX_TASKS} are allowed"
         return Impossible(ImpossibleReason.TOO_MANY_TASKS, message)
-    if spec.cores <= 0 or spec.memory_mb <= 0 or spec.accelerators < 0:
-        message = f"a task cannot need {spec.declared.describe()}"
+    if not (
+        0 < spec.cores <= MAX_CORES
+        and 0 < spec.memory_mb <= MAX_MEMORY_MB
+        and 0 <= spec.accelerators <= MAX_ACCELERATORS
+    ):
+        message = (
+            f"a task cannot need {spec.cores:g} cores, {spec.memory_mb} MB "
+            f"and {spec.accelerators} accelerators"
+        )
         return Impossible(ImpossibleReason.BAD_SIZE, message)
     return None
 
--- a/tests/placement/test_explanation.py
+++ b/tests/placement/test_explanation.py
@@ -7,11 +7,13 @@
 from returns.result import Failure
 
 from rhubarbfield.placement import (
+    LoseWorker,
     RejectionReason,
+    RemoveWorker,
     UnknownTask,
     explain_task,
 )
-from rhubarbfield.types import AttemptState, TaskId
+from rhubarbfield.types import AttemptState, Epoch, TaskId, WorkerId
 from tests.placement.builders import MINUTE, Bench
 
 
@@ -51,6 +53,16 @@
         self.assertIn("waits since", told.summary)
         self.assertIs(told.elsewhere[0].reason, RejectionReason.FAILED_THERE)
 
+    def test_says_when_the_only_worker_for_it_was_removed(self) -> None:
+        bench = Bench(workers=1)
+        bench.add_worker("large", cores=16)
+        bench.accept(cores=12.0)
+        name = WorkerId("large")
+        bench.apply(LoseWorker(at=bench.now, worker=name, epoch=Epoch(1), reason="x"))
+        bench.apply(RemoveWorker(at=bench.now, worker=name))
+        told = explain_task(bench.state, TaskId("j/0")).unwrap()
+        self.assertIn("never runs: no worker has 12 cores", told.summary)
+
     def test_an_unknown_task_is_a_value(self) -> None:
         told = explain_task(Bench().state, TaskId("none/0"))
         self.assertEqual(told, Failure(UnknownTask(TaskId("none/0"))))
--- a/tests/placement/test_jobs.py
+++ b/tests/placement/test_jobs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import unittest
 from datetime import timedelta
 
@@ -39,6 +40,9 @@
             ({"tasks": 0}, ImpossibleReason.NO_TASKS),
             ({"tasks": 10_001}, ImpossibleReason.TOO_MANY_TASKS),
             ({"cores": 0.0}, ImpossibleReason.BAD_SIZE),
+            ({"cores": math.nan}, ImpossibleReason.BAD_SIZE),
+            ({"cores": math.inf}, ImpossibleReason.BAD_SIZE),
+            ({"memory_mb": -1}, ImpossibleReason.BAD_SIZE),
             ({"cores": 9.0}, ImpossibleReason.TOO_MANY_CORES),
             ({"memory_mb": 31_000}, ImpossibleReason.TOO_MUCH_MEMORY),
             ({"accelerators": 1}, ImpossibleReason.NO_ACCELERATOR),
@@ -69,6 +73,13 @@
         self.assertIs(reply.impossible.reason, ImpossibleReason.EXCEEDS_QUOTA)
         self.assertIsInstance(bench.accept(job="k", cores=1.0, tasks=9), JobAccepted)
 
+    def test_a_weight_has_to_be_a_number_above_0(self) -> None:
+        bench = Bench()
+        for weight in (0.0, -1.0, math.nan, math.inf):
+            quota = Quota(weight=weight)
+            reply = bench.apply(SetQuota(at=bench.now, tenant=Tenant("t"), quota=quota))
+            self.assertIsInstance(reply, Refused)
+
     def test_nothing_is_too_large_while_no_worker_is_known(self) -> None:
         bench = Bench(workers=0)
         self.assertIsInstance(bench.accept(cores=500.0), JobAccepted)
--- a/tests/placement/test_policy.py
+++ b/tests/placement/test_policy.py
@@ -120,6 +120,16 @@
         bench.run_round()
         self.assertEqual(bench.find_worker("j/0"), "w0")
 
+    def test_nothing_new_goes_to_a_worker_that_is_not_heard_from(self) -> None:
+        bench = Bench(workers=2)
+        bench.view.set_reachable(WorkerId("w0"), False)
+        bench.accept(tasks=20, **SMALL)
+        bench.run_round()
+        self.assertFalse(bench.state.workers[WorkerId("w0")].live)
+        bench.view.set_reachable(WorkerId("w0"), True)
+        bench.run_round()
+        self.assertEqual(len(bench.state.workers[WorkerId("w0")].live), 8)
+
     def test_a_large_job_is_not_starved_by_small_ones(self) -> None:
         bench = Bench(workers=1)
         bench.accept("small", tasks=1000, cores=2.0, **SMALL)
