--- a/src/rhubarbfield/measurement/_model.py
+++ b/src/rhubarbfield/measurement/_model.py
@@ -14,10 +14,10 @@
 
 import msgspec
 
+from rhubarbfield.measurement._nature import Nature
 from rhubarbfield.placement import (
     AttemptReport,
     AttemptUsage,
-    BatchKind,
     JobSpec,
     Resources,
     ServiceLatency,
@@ -44,10 +44,6 @@
 CHECKPOINT_SECONDS = 300.0
 EVICTION_STEPS = 2
 RAMP_SECONDS = 150.0
-LOAD_PERIOD_SECONDS = 5400.0
-HARMFUL_SHARE = 0.3
-HARMFUL_RANGE = (2.0, 4.5)
-BENIGN_RANGE = (0.0, 0.4)
 QUEUEING_COST = 0.6
 OVERLOAD_COST = 4.0
 LATENCY_NOISE = 0.12
@@ -79,49 +75,6 @@
     eviction: float
 
 
-class Nature:
-    """What is true of services and kinds of batch work, hidden from the policy.
-
-    Parameters
-    ----------
-    services, kinds
-        Their names.
-    random
-        Source of the hidden numbers.
-    """
-
-    def __init__(
-        self,
-        services: tuple[ServiceName, ...],
-        kinds: tuple[BatchKind, ...],
-        random: Random,
-    ) -> None:
-        self._harm = {
-            (service, kind): random.uniform(
-                *(HARMFUL_RANGE if random.random() < HARMFUL_SHARE else BENIGN_RANGE)
-            )
-            for service in services
-            for kind in kinds
-        }
-        self._phase = {service: random.random() for service in services}
-        self.base_seconds = {
-            service: random.uniform(0.015, 0.05) for service in services
-        }
-
-    def find_goal(self, service: ServiceName) -> timedelta:
-        """Return the latency goal that an operator would have set."""
-        return timedelta(seconds=self.base_seconds[service] * 2.5)
-
-    def find_load(self, service: ServiceName, seconds: float) -> float:
-        """Return the load of a service, which shifts slowly."""
-        turn = seconds / LOAD_PERIOD_SECONDS + self._phase[service]
-        return 0.45 + 0.35 * math.sin(2 * math.pi * turn)
-
-    def find_harm(self, service: ServiceName, kind: BatchKind, load: float) -> float:
-        """Return growth of log latency if a kind used the whole worker."""
-        return self._harm[service, kind] * (0.4 + 1.2 * load)
-
-
 @dataclass
 class Body:
     """One attempt as it really is.
--- a/src/rhubarbfield/measurement/_replay.py
+++ b/src/rhubarbfield/measurement/_replay.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from rhubarbfield.machine import Command
+from rhubarbfield.measurement._figures import Figures
 from rhubarbfield.measurement._model import (
     LEAST_LAG_STEPS,
     MOST_LAG_STEPS,
@@ -19,9 +20,9 @@
     Deployment,
     Ending,
     Host,
-    Nature,
     Truth,
 )
+from rhubarbfield.measurement._nature import Nature
 from rhubarbfield.placement import (
     AcceptJob,
     AddWorker,
@@ -67,35 +68,7 @@
 CRASHES_AN_HOUR, BREAKS_AN_HOUR = 1.5, 0.5
 LOST_AFTER_STEPS, BACK_AFTER_STEPS, BROKEN_STEPS = 12, 60, 360
 HOUR_SECONDS = 3600.0
-
-
-class Figures(msgspec.Struct, frozen=True):
-    """What one run measured.
-
-    Attributes
-    ----------
-    p99_of_goal
-        For each service, 99th percentile of tail latency over its goal.
-    over_goal
-        Fraction of latency samples above their goal.
-    finished_an_hour, evictions_an_hour
-        Batch tasks finished; attempts evicted, or stopped by a worker's guard.
-    done, redone
-        Work finished over work offered; work thrown away over work finished.
-    overflows
-        Times a worker's guard stopped work because memory was overfull.
-    score
-        The deployment's own weighted measure; lower is better.
-    """
-
-    p99_of_goal: dict[ServiceName, float]
-    over_goal: float
-    finished_an_hour: float
-    evictions_an_hour: float
-    done: float
-    redone: float
-    overflows: int
-    score: float
+P99 = 0.99
 
 
 class Tally(msgspec.Struct):
@@ -355,5 +328,16 @@
             done=done,
             redone=redone,
             overflows=sum(host.overflows for host in self._hosts.values()),
+            urgent_wait=self._measure_urgent_wait(),
             score=score + one.eviction * (evicted + redone),
         )
+
+    def _measure_urgent_wait(self) -> float:
+        waits = [0.0]
+        for task in self._state.tasks.values():
+            job = self._state.jobs[task.job]
+            first = next(iter(task.past), task.live)
+            urgent = job.spec.priority is Priority.URGENT
+            if urgent and job.spec.kind is WorkKind.BATCH and first is not None:
+                waits.append((first.started_at - job.accepted_at).total_seconds())
+        return sorted(waits)[int(P99 * (len(waits) - 1))]
--- a/src/rhubarbfield/measurement/placement.py
+++ b/src/rhubarbfield/measurement/placement.py
@@ -13,8 +13,9 @@
 import msgspec
 from absl import app, flags
 
+from rhubarbfield.measurement._figures import Figures
 from rhubarbfield.measurement._model import Deployment
-from rhubarbfield.measurement._replay import Figures, Replay
+from rhubarbfield.measurement._replay import Replay
 from rhubarbfield.placement import Profile, choose_settings
 from rhubarbfield.types import ServiceName
 
@@ -55,6 +56,7 @@
     "evictions/h": lambda figures: figures.evictions_an_hour,
     "redone %": lambda figures: 100 * figures.redone,
     "overflows": lambda figures: float(figures.overflows),
+    "urgent wait p99 s": lambda figures: figures.urgent_wait,
     "score": lambda figures: figures.score,
 }
 
@@ -71,15 +73,29 @@
         "Strategies to compare; the first one against the others. With :no-relief "
         "after its name a strategy only places.",
     )
+    flags.register_validator(
+        "deployments",
+        lambda names: set(names) <= set(DEPLOYMENTS),
+        message=f"allowed are {', '.join(DEPLOYMENTS)}",
+    )
+    flags.register_validator(
+        "strategies",
+        lambda names: {_strip(name) for name in names} <= set(STRATEGIES),
+        message=f"allowed are {', '.join(STRATEGIES)}, each also with {WITHOUT_RELIEF}",
+    )
     flags.DEFINE_bool("scaling", False, "Measure processor time by size instead.")
 
 
+def _strip(strategy: str) -> str:
+    return strategy.removesuffix(WITHOUT_RELIEF)
+
+
 def run_strategy(
     deployment: Deployment, strategy: str, seeds: Sequence[int], hours: float
 ) -> list[Figures]:
     """Return the figures of one strategy, one for each seed."""
     settings = choose_settings(Profile(deployment.name))
-    name = strategy.removesuffix(WITHOUT_RELIEF)
+    name = _strip(strategy)
     settings = msgspec.structs.replace(
         settings, strategy=name, relieves_latency=name == strategy
     )
