Give processors back once memory is no longer short

Cause: batch work throttled for memory on a worker without services was never loosened, since only a calm service did that. The test failed before with no order at all.

--- a/src/rhubarbfield/placement/__init__.py
+++ b/src/rhubarbfield/placement/__init__.py
@@ -50,7 +50,6 @@
 from rhubarbfield.placement.orders import KeptAttempt, WorkerOrders, list_orders
 from rhubarbfield.placement.policy import Plan, plan
 from rhubarbfield.placement.queueing import Wait
-from rhubarbfield.placement.relief import ThrottleOrder
 from rhubarbfield.placement.replies import (
     AttemptsEvicting,
     AttemptsReported,
@@ -93,6 +92,7 @@
     WorkState,
 )
 from rhubarbfield.placement.strategies import find_strategy, list_strategies, strategy
+from rhubarbfield.placement.throttling import ThrottleOrder
 from rhubarbfield.placement.transitions import make_task_id
 
 # Importing these modules fills the registry of commands.
--- a/src/rhubarbfield/placement/policy.py
+++ b/src/rhubarbfield/placement/policy.py
@@ -20,10 +20,11 @@
 from rhubarbfield.placement.preemption import drain_worker, shrink_worker
 from rhubarbfield.placement.quarantine import judge_workers
 from rhubarbfield.placement.queueing import Placer, Wait
-from rhubarbfield.placement.relief import Relief, Reliever, ThrottleOrder
+from rhubarbfield.placement.relief import Relief, Reliever
 from rhubarbfield.placement.settings import PlacementSettings
 from rhubarbfield.placement.state import HarmEstimate, SizeEstimate, WorkState
 from rhubarbfield.placement.strategies import Strategy, find_strategy
+from rhubarbfield.placement.throttling import ThrottleOrder
 
 MAX_ESTIMATES = 64
 ESTIMATE_CHANGE = 0.15
@@ -129,11 +130,10 @@
             report = view.reports.get(name)
             if seat is None or report is None or report.epoch != seat.worker.epoch:
                 continue
-            reliever = Reliever(self._fleet, seat, report, self._relief)
-            reliever.resize()
-            if relieves:
-                reliever.relieve_latency()
-            reliever.relieve_memory()
+            reliever = Reliever(
+                self._fleet, seat, report, self._relief, relieves=relieves
+            )
+            reliever.relieve()
 
     def _empty(self) -> None:
         """Evict from workers that drain or shrank."""
--- a/src/rhubarbfield/placement/relief.py
+++ b/src/rhubarbfield/placement/relief.py
@@ -14,16 +14,19 @@
 from rhubarbfield.placement.replies import Eviction
 from rhubarbfield.placement.resources import MILLICORES_PER_CORE, Resources
 from rhubarbfield.placement.state import Attempt, JobSpec, Task
+from rhubarbfield.placement.throttling import (
+    THROTTLE_LEVELS,
+    ThrottleOrder,
+    next_level,
+    previous_level,
+)
 from rhubarbfield.types import (
     AttemptId,
     AttemptState,
-    Epoch,
     Tenant,
-    WorkerId,
     WorkKind,
 )
 
-THROTTLE_LEVELS = (1.0, 0.5, 0.25)
 CALM_FRACTION = 0.7
 LEAST_BLAME = 0.25
 IN_USE_MARGIN = 1.05
@@ -34,19 +37,6 @@
 MIN_REDONE_SECONDS = 30.0
 
 
-class ThrottleOrder(msgspec.Struct, frozen=True):
-    """Fraction of its processors that a worker has to let an attempt use.
-
-    Not kept in the log: a lost order is repeated after the next report.
-    """
-
-    worker: WorkerId
-    epoch: Epoch
-    attempt: AttemptId
-    fraction: float
-    reason: str
-
-
 class Relief(msgspec.Struct):
     """What one round does to attempts that run.
 
@@ -89,17 +79,6 @@
     return live and spec.kind is WorkKind.BATCH
 
 
-def next_level(fraction: float) -> float | None:
-    """Return the throttle level below ``fraction``, if there is one."""
-    return next((level for level in THROTTLE_LEVELS if level < fraction), None)
-
-
-def previous_level(fraction: float) -> float | None:
-    """Return the throttle level above ``fraction``, if there is one."""
-    above = [level for level in THROTTLE_LEVELS if level > fraction]
-    return above[-1] if above else None
-
-
 class Reliever:
     """Judges one worker by a new report.
 
@@ -111,11 +90,20 @@
         The worker and its report.
     relief
         Where orders are added.
+    relieves
+        Whether services are relieved of batch work.
     """
 
     def __init__(
-        self, fleet: Fleet, seat: Seat, report: UsageReport, relief: Relief
+        self,
+        fleet: Fleet,
+        seat: Seat,
+        report: UsageReport,
+        relief: Relief,
+        *,
+        relieves: bool,
     ) -> None:
+        self._relieves = relieves
         self._fleet = fleet
         self._seat = seat
         self._relief = relief
@@ -136,6 +124,13 @@
             Eviction(attempt.attempt, self._seat.name, reason)
         )
 
+    def relieve(self) -> None:
+        """Resize, throttle and evict; memory has the last word."""
+        self.resize()
+        if self._relieves:
+            self.relieve_latency()
+        self.relieve_memory()
+
     def resize(self) -> None:
         """Bring commitments to estimates, never below what is in use."""
         for _, attempt, spec in self._attempts:
@@ -178,6 +173,8 @@
         whole = self._seat.capacity.memory_mb
         used = self._project_memory()
         if used < settings.memory_throttle_above * whole:
+            if used < CALM_FRACTION * whole:
+                self._give_back()
             return
         batch = [
             (task, attempt)
@@ -198,6 +195,16 @@
             self._evict(attempt, "memory runs short")
             excess -= self._memory_of(attempt)
 
+    def _give_back(self) -> None:
+        """Loosen batch work that no service beside it keeps throttled."""
+        if self._relieves and self._measure_ratios():
+            return
+        for _, attempt, spec in self._attempts:
+            usage = self._usages.get(attempt.attempt)
+            level = previous_level(usage.throttle) if usage else None
+            if level is not None and may_evict(attempt, spec):
+                self._throttle(attempt, level, "memory is no longer short")
+
     def _project_memory(self) -> float:
         """Return memory in use once an eviction ordered now has taken effect."""
         used = sum(
--- a/tests/placement/test_relief.py
+++ b/tests/placement/test_relief.py
@@ -164,6 +164,20 @@
         self.assertTrue(0 < throttled_at < evicted_at, (throttled_at, evicted_at))
         self.assertLess(evicted_at + 3_000, 32_000)
 
+    def test_what_was_throttled_for_memory_gets_its_processors_back(self) -> None:
+        bench = Bench(workers=1)
+        bench.accept(memory_mb=1000)
+        bench.run_round()
+        for strategy in ("harm-aware", "first-fit"):
+            with self.subTest(strategy=strategy):
+                bench.settings = msgspec.structs.replace(
+                    bench.settings, strategy=strategy
+                )
+                bench.now += MINUTE
+                bench.observe("w0", {"j/0": 3_000}, throttle=0.25)
+                orders = [order.fraction for order in bench.run_round().throttles]
+                self.assertEqual(orders, [0.5])
+
     def test_the_least_redone_work_is_thrown_away(self) -> None:
         bench = Bench(workers=1)
         bench.accept(tasks=2, memory_mb=1000)
