--- a/src/rhubarbfield/cli/asking.py
+++ b/src/rhubarbfield/cli/asking.py
@@ -153,33 +153,35 @@
 
     from rhubarbfield.operators import OperatorsClient
 
-    addresses, secret = _find_controllers(call)
+    addresses, secret, instances = _find_controllers(call)
 
     async def connect() -> Any:
-        async with OperatorsClient(addresses, secret) as client:
+        async with OperatorsClient(addresses, secret, instances) as client:
             return await ask(client)
 
     return trio.run(connect)
 
 
-def _find_controllers(call: Call) -> tuple[Sequence[str], Secret]:
+def _find_controllers(call: Call) -> tuple[Sequence[str], Secret, dict[str, str]]:
     from returns.result import Failure
 
     from rhubarbfield.settings import load_secret
 
     addresses, secret_file = call.flags.address, call.flags.secret_file
+    instances: dict[str, str] = {}
     if not (addresses and secret_file):
         settings = read_settings(call)
         secret_file = secret_file or settings.secret_file
         own = settings.instance.name
-        instances = sorted(settings.fleet.instances, key=lambda one: one.name != own)
-        addresses = addresses or [
-            f"{_bracket(one.host)}:{one.operators_port}" for one in instances
-        ]
+        listed = sorted(settings.fleet.instances, key=lambda one: one.name != own)
+        instances = {
+            one.name: f"{_bracket(one.host)}:{one.operators_port}" for one in listed
+        }
+        addresses = addresses or list(instances.values())
     outcome = load_secret(secret_file)
     if isinstance(outcome, Failure):
         raise UsageError(outcome.failure().format())
-    return addresses, outcome.unwrap()
+    return addresses, outcome.unwrap(), instances
 
 
 def _bracket(host: str) -> str:
--- a/src/rhubarbfield/operators/client.py
+++ b/src/rhubarbfield/operators/client.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from datetime import timedelta
 from typing import TypeVar
 
@@ -51,6 +51,8 @@
         Such as ``127.0.0.1:7105``, in the order to be asked.
     secret
         The shared secret.
+    instances
+        The address of each instance, so that its leader can be asked.
     transport
         For tests; None for the network.
     """
@@ -59,9 +61,11 @@
         self,
         addresses: Sequence[str],
         secret: Secret,
+        instances: Mapping[str, str] | None = None,
         transport: httpx.AsyncBaseTransport | None = None,
     ) -> None:
         self._addresses = tuple(addresses)
+        self._instances = dict(instances or {})
         timeout = httpx.Timeout(
             LONGEST_ANSWER.total_seconds(), connect=LONGEST_CONNECT.total_seconds()
         )
@@ -81,14 +85,23 @@
         await self._http.aclose()
 
     async def query(self, text: str) -> Result[Table, OperatorFailure]:
-        """Ask a query.
+        """Ask a query; a stale answer only if the leader gives no other.
 
         Parameters
         ----------
         text
             What was typed.
         """
-        return await self._ask("POST", "/v1/query", Table, QueryRequest(text))
+        body = QueryRequest(text)
+        answer = await self._ask("POST", "/v1/query", Table, body)
+        if not (isinstance(answer, Success) and answer.unwrap().stale):
+            return answer
+        leader = await self._find_leader()
+        if leader is None:
+            return answer
+        content = msgspec.json.encode(body)
+        other = await self._ask_one("POST", leader, "/v1/query", content, Table)
+        return other if isinstance(other, Success) else answer
 
     async def command(
         self, operator: str, number: int, text: str
@@ -110,6 +123,12 @@
         """Return the status of the first controller that answers."""
         return await self._ask("GET", "/v1/status", ControllerStatus)
 
+    async def _find_leader(self) -> str | None:
+        status = await self.get_status()
+        if not isinstance(status, Success):
+            return None
+        return self._instances.get(status.unwrap().leader or "")
+
     async def _ask(
         self,
         method: str,
--- a/tests/operators/test_client.py
+++ b/tests/operators/test_client.py
@@ -11,11 +11,13 @@
 
 from rhubarbfield.language import Table
 from rhubarbfield.operators import (
+    ControllerStatus,
     FailureAnswer,
     FailureKind,
     OperatorFailure,
     OperatorsClient,
 )
+from rhubarbfield.types import InstanceName
 from tests.operators.fakes import SECRET, FakeController
 
 Handler = Callable[[httpx.Request], httpx.Response]
@@ -50,9 +52,13 @@
             asked.append(request.url.host)
             return by_host[request.url.host](request)
 
+        named = {"leader": f"host{len(handlers) - 1}"}
+
         async def run() -> object:
             transport = httpx.MockTransport(handle)
-            async with OperatorsClient(list(by_host), SECRET, transport) as client:
+            async with OperatorsClient(
+                list(by_host), SECRET, named, transport
+            ) as client:
                 if text.startswith("show"):
                     return await client.query(text)
                 return await client.command("ana", 1, text)
@@ -73,6 +79,21 @@
         self.assertEqual(outcome.unwrap(), TABLE)  # type: ignore[attr-defined]
         self.assertEqual(asked, ["host0", "host1", "host2"])
 
+    def test_a_stale_answer_is_given_only_if_the_leader_gives_no_other(self) -> None:
+        stale = msgspec.structs.replace(TABLE, stale=True)
+        status = ControllerStatus(
+            instance=InstanceName("a1"), ready=True, leader=InstanceName("leader")
+        )
+
+        def follow(request: httpx.Request) -> httpx.Response:
+            answer = status if request.url.path == "/v1/status" else stale
+            return httpx.Response(200, content=msgspec.json.encode(answer))
+
+        for leader, expected in ((answer_table, TABLE), (refuse_connection, stale)):
+            outcome, asked = self.ask("show jobs", follow, leader)
+            self.assertEqual(outcome.unwrap(), expected)  # type: ignore[attr-defined]
+            self.assertEqual(asked, ["host0", "host0", "host1"])
+
     def test_a_decision_is_not_asked_for_elsewhere(self) -> None:
         _, asked = self.ask("drain", fail(FailureKind.CLASH, 409), answer_table)
         self.assertEqual(asked, ["host0"])
@@ -97,7 +118,7 @@
         async def run() -> object:
             app = FakeController().make_app()
             transport = httpx.ASGITransport(app=app)  # type: ignore[arg-type]
-            async with OperatorsClient(["a1"], SECRET, transport) as client:
+            async with OperatorsClient(["a1"], SECRET, {}, transport) as client:
                 text = "create batch a for tenant t cores 1 memory 1gb"
                 record = (await client.command("ana", 1, text)).unwrap()
                 status = (await client.get_status()).unwrap()
