--- a/src/rhubarbfield/cli/daemons.py
+++ b/src/rhubarbfield/cli/daemons.py
@@ -79,10 +79,11 @@
     try:
         trio.run(partial(daemon, settings, task_status=trio.TASK_STATUS_IGNORED))
     except Exception as error:
-        found = find_error(error)
-        if isinstance(found, BrokenInvariantError):
-            _keep(found, name, settings)
-        logger.error("daemon-failed", exc_info=error)
+        broken = find_error(error, BrokenInvariantError)
+        if broken is not None:
+            _keep(broken, name, settings)
+        if find_error(error, UsageError) is None:
+            logger.error("daemon-failed", exc_info=error)
         raise
     log_event(logger, logging.INFO, "daemon-stopped", **ids)
     return 0
--- a/src/rhubarbfield/cli/program.py
+++ b/src/rhubarbfield/cli/program.py
@@ -7,7 +7,7 @@
 import sys
 import traceback
 from collections.abc import Sequence
-from typing import NoReturn, TextIO
+from typing import NoReturn, TextIO, TypeVar
 
 from absl import flags
 
@@ -26,6 +26,7 @@
 )
 
 EXIT_INTERRUPTED = 130
+ErrorT = TypeVar("ErrorT", bound=BaseException)
 _MODULES = ("daemons", "asking", "checking", "proving", "standins")
 
 
@@ -59,20 +60,26 @@
         stdout.flush()
     except BrokenPipeError:
         return EXIT_FAILURE
-    except KeyboardInterrupt:
-        return EXIT_INTERRUPTED
-    except Exception as error:
+    except (Exception, KeyboardInterrupt, BaseExceptionGroup) as error:
         return _report(error, stderr)
     return code
 
 
-def find_error(error: BaseException) -> RhubarbfieldError | None:
-    """Return the error made for people that ``error`` is or contains."""
-    if isinstance(error, RhubarbfieldError):
+def find_error(error: BaseException, kind: type[ErrorT]) -> ErrorT | None:
+    """Return the error of one kind that ``error`` is or contains.
+
+    Parameters
+    ----------
+    error
+        What was raised; errors of several tasks come as a group.
+    kind
+        What to look for.
+    """
+    if isinstance(error, kind):
         return error
     if not isinstance(error, BaseExceptionGroup):
         return None
-    found = (find_error(part) for part in error.exceptions)
+    found = (find_error(part, kind) for part in error.exceptions)
     return next((one for one in found if one is not None), None)
 
 
@@ -133,11 +140,17 @@
     return values
 
 
-def _report(error: Exception, stderr: TextIO) -> int:
-    known = find_error(error)
+def _report(error: BaseException, stderr: TextIO) -> int:
+    known = find_error(error, RhubarbfieldError)
     if known is not None:
         stderr.write(f"rhubarbfield: {known.format_message()}\n")
         return known.exit_code
+    if find_error(error, KeyboardInterrupt) is not None:
+        return EXIT_INTERRUPTED
+    refused = find_error(error, OSError)
+    if refused is not None:
+        stderr.write(f"rhubarbfield: the machine refused: {refused}\n")
+        return EXIT_FAILURE
     frame = traceback.extract_tb(error.__traceback__)[-1]
     place = f"{frame.name}, line {frame.lineno}"
     stderr.write(
--- a/src/rhubarbfield/fleet/effects.py
+++ b/src/rhubarbfield/fleet/effects.py
@@ -36,6 +36,7 @@
 )
 from rhubarbfield.types import ConfigurationVersion, JobId, JobState
 
+MOST_NAMED_JOBS = 100
 MOST_MARKS = 10_000
 MOST_QUOTAS = 5_000
 MOST_CONFIGURATION_KEYS = 500
@@ -51,7 +52,7 @@
     answer
         What to tell the operator.
     jobs
-        The jobs it created or cancelled.
+        The jobs it created or cancelled, but no more than a hundred.
     """
 
     accepted: bool
@@ -147,7 +148,8 @@
     answer = f"{len(open_jobs)} open jobs are cancelled"
     if told:
         answer += f", {told} of them as soon as their failure domain has ended them"
-    return Effect(True, answer, tuple(job.id for job in open_jobs))
+    named = tuple(job.id for job in open_jobs[:MOST_NAMED_JOBS])
+    return Effect(True, answer, named)
 
 
 @_has_effect(Drain)
--- a/src/rhubarbfield/fleet/state.py
+++ b/src/rhubarbfield/fleet/state.py
@@ -133,7 +133,7 @@
     answer
         What was answered, for a person.
     jobs
-        The jobs it created or cancelled.
+        The jobs it created or cancelled, but no more than a hundred.
     """
 
     operator: OperatorName
--- a/src/rhubarbfield/settings/consistency.py
+++ b/src/rhubarbfield/settings/consistency.py
@@ -140,10 +140,27 @@
         if domain not in domains:
             yield Inconsistency(path, domain, "no instance is in this failure domain")
         yield from _check_voters((*path, "voters"), members.voters, known)
+        yield from _check_places(settings, domain, members.voters)
     for domain in sorted(domains - set(fleet.domains)):
         yield Inconsistency(("fleet", "domains"), "", f"{domain} is missing")
 
 
+def _check_places(
+    settings: Settings, domain: str, voters: Sequence[str]
+) -> Iterator[Inconsistency]:
+    found = [settings.fleet.find_instance(name) for name in voters]
+    known = [instance for instance in found if instance is not None]
+    inside = [instance for instance in known if instance.failure_domain == domain]
+    path: Path = ("fleet", "domains", domain, "voters")
+    if known and not inside:
+        yield Inconsistency(path, "", f"has to name a voter in {domain} itself")
+        return
+    for place, instance in enumerate(found):
+        if instance is not None and inside and instance.region != inside[0].region:
+            allowed = f"has to be in region {inside[0].region}, as {domain} is"
+            yield Inconsistency((*path, place), instance.name, allowed)
+
+
 def _check_routing(settings: Settings) -> Iterator[Inconsistency]:
     routing = settings.routing
     if routing.default_request > routing.longest_request:
--- a/src/rhubarbfield/settings/files.py
+++ b/src/rhubarbfield/settings/files.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import stat
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -29,6 +30,9 @@
     if isinstance(secret, Failure):
         allowed = secret.failure().problems[0].allowed
         yield SettingsProblem("secret_file", 0, settings.secret_file, allowed)
+    elif Path(settings.secret_file).stat().st_mode & stat.S_IROTH:
+        allowed = "can be read by every user of the machine; use mode 600"
+        yield SettingsProblem("secret_file", 0, settings.secret_file, allowed)
     if settings.tls is not None:
         for key in ("certificate_file", "key_file", "authority_file"):
             path = getattr(settings.tls, key)
--- a/tests/cli/test_program.py
+++ b/tests/cli/test_program.py
@@ -151,6 +151,21 @@
         code, _ = self.run_broken_daemon(settings)
         self.assertEqual(code, 70)
 
+    def test_what_the_machine_refuses_and_interruptions_are_no_faults(self) -> None:
+        for error, expected in (
+            (OSError(98, "Address already in use"), 1),
+            (KeyboardInterrupt(), 130),
+            (BaseExceptionGroup("tasks", [KeyboardInterrupt()]), 130),
+        ):
+
+            @subcommand("test-fault", help="Fail.")
+            def run_fault(_call: Call, error: BaseException = error) -> int:
+                raise error
+
+            code, _, stderr = self.run_program("test-fault")
+            self.assertEqual(code, expected)
+            self.assertNotIn("fault of its own", stderr)
+
     def test_any_other_fault_is_a_sentence_too(self) -> None:
         @subcommand("test-fault", help="Fail.")
         def run_fault(_call: Call) -> int:
--- a/tests/fleet/test_jobs.py
+++ b/tests/fleet/test_jobs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import unittest
 from datetime import timedelta
 from unittest import mock
@@ -168,3 +169,44 @@
         self.assertEqual(
             list(self.log.state.jobs), ["1-weekly", "3-weekly", "6-weekly"]
         )
+
+
+class RandomisedTest(unittest.TestCase):
+    """Domains that act late, doubly and after loss; an observer counts holders."""
+
+    def run_fleet(self, seed: int) -> None:
+        source = random.Random(seed)
+        log = FleetLog()
+        domains = [FailureDomain(name) for name in ("leiria", "tomar", "coimbra")]
+        held: dict[FailureDomain, Epoch] = {}
+        lost: set[FailureDomain] = set()
+        log.decide(1, CREATE)
+        for number in range(2, 60):
+            job, domain = log.state.jobs[JOB], source.choice(domains)
+            epoch = source.choice([held.get(domain, Epoch(9)), job.epoch])
+            match source.randrange(6):
+                case 0 | 1:
+                    command = DelegateJob(job=JOB, domain=domain, at=START)
+                    if isinstance(reply := log.apply(command), Delegated):
+                        held[domain] = reply.epoch
+                case 2:
+                    release = ReleaseJob(
+                        job=JOB, domain=domain, epoch=epoch, reason="", at=START
+                    )
+                    if log.apply(release) == Done():
+                        self.assertEqual(held.pop(domain), epoch)
+                case 3:
+                    log = log.restart()
+                case 4 if source.random() < 0.3:
+                    log.decide(number, f"declare domain {domain} lost")
+                    lost.add(domain)
+                case 5:
+                    log.decide(number, f"declare domain {domain} restored")
+            current = [one for one in held if one not in lost]
+            self.assertLessEqual(len(current), 1, f"seed {seed}")
+            if job.domain in lost and job.domain in held:
+                self.assertEqual(held[job.domain], job.epoch)
+
+    def test_no_two_domains_hold_a_job_unless_one_was_declared_lost(self) -> None:
+        for seed in range(200):
+            self.run_fleet(seed)
--- a/tests/settings/test_files.py
+++ b/tests/settings/test_files.py
@@ -21,6 +21,7 @@
     def write(self, content: bytes) -> Path:
         path = self.folder / "secret"
         path.write_bytes(content)
+        path.chmod(0o600)
         return path
 
     def test_a_secret_is_read_without_white_space(self) -> None:
@@ -41,6 +42,9 @@
             ("/var/lib/rhubarbfield/a1", str(self.folder / "data")),
         )
         self.assertEqual(find_file_problems(good), ())
+        secret.chmod(0o644)
+        (problem,) = find_file_problems(good)
+        self.assertIn("every user", problem.allowed)
         bad = make_settings(
             ("/etc/rhubarbfield/secret", str(self.folder / "none")),
             ("/var/lib/rhubarbfield/a1", str(secret)),
--- a/tests/settings/test_loading.py
+++ b/tests/settings/test_loading.py
@@ -122,6 +122,21 @@
             voters, "fleet_voters: [a1, b1, x9]", f"{path}[2]", "fleet.instances"
         )
 
+    def test_voters_of_a_domain_stand_in_it_and_in_its_region(self) -> None:
+        path = "fleet.domains.tomar.voters"
+        new = "tomar: {voters: [a1, a2, b1]}"
+        self.assert_problem(
+            "tomar: {voters: [c1, c2, a2]}", new, path, "in tomar itself"
+        )
+        problems = find_problems(
+            (
+                "failure_domain: coimbra, region: portugal",
+                "failure_domain: coimbra, region: spain",
+            ),
+            ("  region: portugal\n", "  region: spain\n"),
+        )
+        self.assertIn("region portugal", problems[f"{path}[2]"].allowed)
+
     def test_domains_and_instances_agree(self) -> None:
         path = "fleet.domains.lisbon"
         self.assert_problem("tomar: {voters", "lisbon: {voters", path, "no instance")
