--- a/src/rhubarbfield/announcements/servers.py
+++ b/src/rhubarbfield/announcements/servers.py
@@ -21,7 +21,7 @@
 from rhubarbfield.announcements.settings import AnnouncementSettings
 from rhubarbfield.clock import Clock
 from rhubarbfield.exceptions import check_invariant
-from rhubarbfield.types import BackendServerState
+from rhubarbfield.types import BackendServerState, Epoch
 
 logger = logging.getLogger(__name__)
 
@@ -58,8 +58,12 @@
         self._sink = sink
         self._published = announce
         self._heard_at = clock.monotonic()
+        self._ended_at: timedelta | None = None
+        self._told_interval = settings.heartbeat_interval
+        self._expected_interval = settings.heartbeat_interval
         self._quiet = False
         self._retired = False
+        self._told_epoch = Epoch(0)
         self._turn = trio.Lock()
 
     @property
@@ -67,6 +71,25 @@
         """How long nothing has been heard of the server."""
         return self._clock.monotonic() - self._heard_at
 
+    @property
+    def silence_limit(self) -> timedelta:
+        """How long the server may say nothing."""
+        least = self._settings.heartbeat_interval
+        return self._settings.silence_limit * (self._expected_interval / least)
+
+    def expect(self, interval: timedelta) -> None:
+        """Note the interval that the server is told now.
+
+        It follows it only from its next heartbeat on, and may still send that
+        one at the interval it was told before.
+        """
+        self._expected_interval = max(self._told_interval, interval)
+        self._told_interval = interval
+
+    def note_end(self) -> None:
+        """Note that the server's connection has ended, with no other one."""
+        self._ended_at = self._clock.monotonic()
+
     def hear(self, announce: Announce) -> None:
         """Take in an announcement and pass it to the router at once."""
         before, self.announce = self.announce, announce
@@ -85,7 +108,7 @@
         """Tell the router once the server has been silent for too long."""
         if self.granted is None or self._quiet:
             return
-        if self.silent_for >= self._settings.silence_limit:
+        if self._is_silent():
             self._quiet = True
             logger.info("server-silent server=%s", self.announce.server)
             self._sink.mark_leaving(self.announce.server, self.granted.epoch)
@@ -115,6 +138,7 @@
     def drop_grant(self) -> bool:
         """Stop using the server; return whether nothing of ours runs on it."""
         granted, self.granted = self.granted, None
+        self._told_epoch = Epoch(0)
         self.changed.set()
         return granted is None or self._sink.revoke(self.announce.server, granted.epoch)
 
@@ -181,8 +205,17 @@
             return False
         return self.granted is None or _differs(self._published, self.announce)
 
+    def _is_silent(self) -> bool:
+        if self.silent_for >= self.silence_limit:
+            return True
+        if self._ended_at is None:
+            return False
+        without = self._clock.monotonic() - self._ended_at
+        return without >= self._settings.silence_limit
+
     def _touch(self) -> None:
         self._heard_at = self._clock.monotonic()
+        self._ended_at = None
         if self._quiet:
             self._quiet = False
             self._use()
@@ -192,7 +225,12 @@
     def _use(self) -> None:
         if self.granted is None:
             return
-        self._sink.grant(self.announce, self.granted, self._until())
+        # Doubt is told once: the router has kept it since the first time.
+        told = self.granted
+        if told.epoch == self._told_epoch:
+            told = msgspec.structs.replace(told, settled=True)
+        self._told_epoch = told.epoch
+        self._sink.grant(self.announce, told, self._until())
         if self.announce.state is BackendServerState.LEAVING:
             self._sink.mark_leaving(self.announce.server, self.granted.epoch)
 
@@ -201,7 +239,7 @@
             self._sink.report(self.announce.server, self.granted.epoch, running)
 
     def _until(self) -> timedelta:
-        return self._heard_at + self._settings.silence_limit
+        return self._heard_at + self.silence_limit
 
 
 def _differs(one: Announce, other: Announce) -> bool:
--- a/src/rhubarbfield/placement/queueing.py
+++ b/src/rhubarbfield/placement/queueing.py
@@ -12,7 +12,7 @@
 from rhubarbfield.placement.commands import AttemptStart
 from rhubarbfield.placement.decision import Decision
 from rhubarbfield.placement.fleet import Fleet, Request, Seat
-from rhubarbfield.placement.placing import Chooser, Chosen
+from rhubarbfield.placement.placing import Chooser, Chosen, Window
 from rhubarbfield.placement.preemption import Preemptor
 from rhubarbfield.placement.quarantine import find_probe
 from rhubarbfield.placement.relief import Relief
@@ -24,6 +24,7 @@
 from rhubarbfield.types import JobId, Priority, TaskId, Tenant, WorkerId
 
 CHUNK = 8
+STARTS_PER_CANDIDATE = 4
 
 
 class Wait(msgspec.Struct, frozen=True):
@@ -101,6 +102,7 @@
         self._fleet = fleet
         self._strategy = strategy
         self._random = random
+        self._first = random.randrange(len(fleet.seats) or 1)
         self._relief = relief
         self._taken: set[TaskId] = set()
         self._used = {
@@ -193,16 +195,14 @@
     def _make_request(self, job: Job) -> Request:
         spec = job.spec
         sizes = self._fleet.view.sizes
-        size = sizes.estimate(spec)
-        largest = self._fleet.largest
-        # A learned size or a margin must not make a job unplaceable.
-        cut = Resources(
-            min(size.millicores, max(1, largest.millicores)),
-            min(size.memory_mb, max(1, largest.memory_mb)),
-            size.accelerators,
-        )
-        proven = sizes.is_proven(spec.estimate_key)
-        return Request(spec, cut, proven, self._find_ceiling(job))
+        # A margin must make neither the worker nor the quota too small.
+        most = self._fleet.largest
+        limit = self._fleet.state.accounts[spec.tenant].quota.limit
+        if limit is not None:
+            most = most.reduce(limit.divide(spec.tasks if spec.gang else 1))
+        size = sizes.estimate_within(spec, most, self._fleet.largest_known)
+        proven = sizes.is_proven(spec)
+        return Request(spec, size, proven, self._find_ceiling(job))
 
     def _find_ceiling(self, job: Job) -> float:
         """Return how slow a service may be made; grows while a job waits."""
@@ -301,7 +301,7 @@
         chooser = Chooser(
             self._fleet,
             self._strategy,
-            self._random,
+            self._make_window(),
             job=job,
             request=request,
             avoid=avoid,
@@ -319,6 +319,12 @@
             self._start(task, request, choice)
         return len(chosen)
 
+    def _make_window(self) -> Window:
+        """Return where to look: wider the more was started in this round."""
+        more = len(self.starts) // STARTS_PER_CANDIDATE
+        candidates = self._fleet.settings.candidates + more
+        return Window(self._first, candidates, self._random)
+
     def _start(self, task: Task, request: Request, choice: Chosen) -> None:
         name, decision = choice.seat.name, choice.decision
         self.starts.append(AttemptStart(task.task, name, request.size, decision))
--- a/src/rhubarbfield/routing/router.py
+++ b/src/rhubarbfield/routing/router.py
@@ -147,7 +147,6 @@
     async def wait_idle(self) -> None:
         """Wait until no request is under way."""
         while self._in_flight:
-            self._idle = trio.Event()
             await self._idle.wait()
 
     def count_room(self, service: ServiceName) -> int:
@@ -190,7 +189,8 @@
         refusal = self._admission.precheck(request, run.deadline)
         if refusal is not None:
             return Failure(note_key_unchecked(request, refusal))
-        settled = await self._keys.begin(request)
+        patience = run.deadline - self._clock.monotonic()
+        settled = await self._keys.begin(request, patience)
         if settled is not None:
             return settled
         result = await self._attempts.carry_out(run)
@@ -206,6 +206,8 @@
             self._admission.withdraw(run.waiter)
 
     def _count_in(self) -> None:
+        if not self._in_flight:
+            self._idle = trio.Event()
         self._in_flight += 1
 
     def _count_out(self) -> None:
--- a/tests/backends/test_http.py
+++ b/tests/backends/test_http.py
@@ -18,6 +18,8 @@
     DispatchId,
     ExchangeFailure,
     FailureReason,
+    Header,
+    Lease,
     LiveSettings,
     Reach,
     RoutingSettings,
@@ -29,7 +31,7 @@
     serve_backend,
 )
 from rhubarbfield.types import BackendServerId, Epoch
-from tests.routing.fakes import MS, SECOND, make_request
+from tests.routing.fakes import MS, SECOND, make_request, scenario
 
 POST = {"method": "POST", "idempotent": False}
 
@@ -51,7 +53,7 @@
             "address": f"127.0.0.1:{self.port}",
             "epoch": Epoch(2),
             "dispatch_id": DispatchId("2.1"),
-            "valid_until": self.clock.monotonic() + timedelta(minutes=1),
+            "lease": Lease(self.clock.monotonic() + timedelta(minutes=1)),
             "idle_connections": 2,
         }
         made = BackendTarget(**(fields | (target or {})))
@@ -80,76 +82,109 @@
         failure = result.failure()
         self.assertEqual((failure.reach, failure.reason), (reach, reason))
 
-    def test_idle_connections_serve_idempotent_requests_only(self) -> None:
-        async def scenario(bench: Bench, stand_in: StandInBackend) -> None:
-            for _ in range(3):
-                (await bench.exchange()).unwrap()
-            self.assertEqual(stand_in.observe().most_connections, 1)
-            (await bench.exchange(**POST)).unwrap()
-            self.assertEqual(stand_in.observe().most_connections, 2)
-
-        self.run_bench(scenario)
-
-    def test_a_connection_that_timed_out_is_closed(self) -> None:
-        async def scenario(bench: Bench, stand_in: StandInBackend) -> None:
-            stand_in.misbehave(Misbehaviour.HANG)
-            result = await bench.exchange(100 * MS)
-            self.assert_failed(result, Reach.SENT, FailureReason.TIMEOUT)
-            await trio.sleep(0.1)
-            self.assertEqual(stand_in.observe().connections, 0)
-            self.assertEqual(stand_in.observe().running, 1)
-
-        self.run_bench(scenario)
+    @scenario("run_bench")
+    async def test_idle_connections_serve_idempotent_requests_only(
+        self, bench: Bench, stand_in: StandInBackend
+    ) -> None:
+        for _ in range(3):
+            (await bench.exchange()).unwrap()
+        self.assertEqual(stand_in.observe().most_connections, 1)
+        (await bench.exchange(**POST)).unwrap()
+        self.assertEqual(stand_in.observe().most_connections, 2)
 
-    def test_each_misbehaviour_has_its_failure(self) -> None:
+    @scenario("run_bench")
+    async def test_a_connection_that_timed_out_is_closed(
+        self, bench: Bench, stand_in: StandInBackend
+    ) -> None:
+        stand_in.misbehave(Misbehaviour.HANG)
+        result = await bench.exchange(100 * MS)
+        self.assert_failed(result, Reach.SENT, FailureReason.TIMEOUT)
+        await trio.sleep(0.1)
+        self.assertEqual(stand_in.observe().connections, 0)
+        self.assertEqual(stand_in.observe().running, 1)
+
+    @scenario("run_bench")
+    async def test_each_misbehaviour_has_its_failure(
+        self, bench: Bench, stand_in: StandInBackend
+    ) -> None:
         failures = {
             Misbehaviour.CUT_SHORT: (Reach.SENT, FailureReason.CUT_SHORT),
             Misbehaviour.SILENT: (Reach.SENT, FailureReason.TIMEOUT),
             Misbehaviour.REFUSE: (Reach.REFUSED_BY_SERVER, FailureReason.REFUSED),
         }
+        for misbehaviour, (reach, reason) in failures.items():
+            stand_in.misbehave(misbehaviour)
+            for changes in ({}, POST):
+                result = await bench.exchange(100 * MS, **changes)
+                self.assert_failed(result, reach, reason)
+
+    @scenario("run_bench")
+    async def test_a_lapsed_lease_sends_no_byte(
+        self, bench: Bench, stand_in: StandInBackend
+    ) -> None:
+        lapsed = {"lease": Lease(bench.clock.monotonic())}
+        result = await bench.exchange(target=lapsed)
+        self.assert_failed(result, Reach.NOT_SENT, FailureReason.LEASE_LAPSED)
+        self.assertEqual(stand_in.observe().runs_by_request, {})
+
+    @scenario("run_bench")
+    async def test_an_older_epoch_is_refused_by_the_server(
+        self, bench: Bench, stand_in: StandInBackend
+    ) -> None:
+        (await bench.exchange()).unwrap()
+        result = await bench.exchange(target={"epoch": Epoch(1)})
+        self.assert_failed(result, Reach.REFUSED_BY_SERVER, FailureReason.REFUSED)
+        self.assertEqual(stand_in.observe().stale_epochs, 1)
+
+    @scenario("run_bench")
+    async def test_a_given_up_server_keeps_no_connection(
+        self, bench: Bench, stand_in: StandInBackend
+    ) -> None:
+        (await bench.exchange()).unwrap()
+        await bench.backends.forget(BackendServerId("s1"))
+        await trio.sleep(0.1)
+        self.assertEqual(stand_in.observe().connections, 0)
+
+    @scenario("run_bench")
+    async def test_nobody_listening_is_not_sent(
+        self, bench: Bench, _: StandInBackend
+    ) -> None:
+        result = await bench.exchange(target={"address": "127.0.0.1:1"})
+        self.assert_failed(result, Reach.NOT_SENT, FailureReason.CONNECT)
 
-        async def scenario(bench: Bench, stand_in: StandInBackend) -> None:
-            for misbehaviour, (reach, reason) in failures.items():
-                stand_in.misbehave(misbehaviour)
-                for changes in ({}, POST):
-                    result = await bench.exchange(100 * MS, **changes)
-                    self.assert_failed(result, reach, reason)
-
-        self.run_bench(scenario)
-
-    def test_a_lapsed_lease_sends_no_byte(self) -> None:
-        async def scenario(bench: Bench, stand_in: StandInBackend) -> None:
-            lapsed = {"valid_until": bench.clock.monotonic()}
-            result = await bench.exchange(target=lapsed)
-            self.assert_failed(result, Reach.NOT_SENT, FailureReason.LEASE_LAPSED)
-            self.assertEqual(stand_in.observe().runs_by_request, {})
-
-        self.run_bench(scenario)
 
-    def test_an_older_epoch_is_refused_by_the_server(self) -> None:
-        async def scenario(bench: Bench, stand_in: StandInBackend) -> None:
-            (await bench.exchange()).unwrap()
-            result = await bench.exchange(target={"epoch": Epoch(1)})
-            self.assert_failed(result, Reach.REFUSED_BY_SERVER, FailureReason.REFUSED)
-            self.assertEqual(stand_in.observe().stale_epochs, 1)
+class RawRequestTest(unittest.TestCase):
+    def receive(self, **changes: Any) -> tuple[bytes, type[Exception] | None]:
+        received: list[bytes] = []
+        ended: list[type[Exception]] = []
 
-        self.run_bench(scenario)
+        async def listen(stream: trio.SocketStream) -> None:
+            try:
+                while data := await stream.receive_some(65536):
+                    received.append(data)
+            except trio.BrokenResourceError as error:
+                ended.append(type(error.__cause__))  # type: ignore[arg-type]
 
-    def test_a_given_up_server_keeps_no_connection(self) -> None:
-        async def scenario(bench: Bench, stand_in: StandInBackend) -> None:
-            (await bench.exchange()).unwrap()
-            await bench.backends.forget(BackendServerId("s1"))
-            await trio.sleep(0.1)
-            self.assertEqual(stand_in.observe().connections, 0)
+        async def run() -> None:
+            async with trio.open_nursery() as nursery:
+                listeners = await nursery.start(trio.serve_tcp, listen, 0)
+                bench = Bench(listeners[0].socket.getsockname()[1])
+                await bench.exchange(100 * MS, **changes)
+                await trio.sleep(0.05)
+                nursery.cancel_scope.cancel()
 
-        self.run_bench(scenario)
+        trio.run(run)
+        return b"".join(received), ended[0] if ended else None
 
-    def test_nobody_listening_is_not_sent(self) -> None:
-        async def scenario(bench: Bench, _: StandInBackend) -> None:
-            result = await bench.exchange(target={"address": "127.0.0.1:1"})
-            self.assert_failed(result, Reach.NOT_SENT, FailureReason.CONNECT)
+    def test_what_is_given_up_on_is_not_delivered_later(self) -> None:
+        _, ended = self.receive()
+        self.assertIs(ended, ConnectionResetError)
 
-        self.run_bench(scenario)
+    def test_headers_pass_as_they_came(self) -> None:
+        name = Header("X-Name", "Jo\xe3o")
+        sent, _ = self.receive(headers=(name,), path="/a%2Fb?c=%C3%A3")
+        self.assertIn("X-Name: Jo\xe3o\r\n".encode("latin-1").lower(), sent.lower())
+        self.assertTrue(sent.startswith(b"GET /a%2Fb?c=%C3%A3 HTTP/1.1\r\n"))
 
 
 class RawAnswerTest(unittest.TestCase):
@@ -187,6 +222,12 @@
         result = self.exchange(answer, answers_until_close=True)
         self.assertEqual(result.unwrap().body, b"whole")
 
+    def test_an_answer_without_content_is_whole(self) -> None:
+        answer = b"HTTP/1.1 204 No Content\r\nX-Name: Jo\xe3o\r\n\r\n"
+        result = self.exchange(answer).unwrap()
+        self.assertEqual((result.status, result.body), (204, b""))
+        self.assertIn(Header("x-name", "Jo\xe3o"), result.headers)
+
     def test_an_answer_to_another_request_is_dropped(self) -> None:
         head = b"Rhubarbfield-Request-Id: r9\r\nContent-Length: 0\r\n\r\n"
         self.assert_invalid(head, FailureReason.MISMATCHED)
