--- a/tests/announcements/domain.py
+++ b/tests/announcements/domain.py
@@ -121,7 +121,7 @@
                 self.doubled.append(f"{self.users()} at {self.clock.monotonic()}")
 
 
-def run_domain(scenario: Callable[[Domain], Awaitable[None]]) -> Domain:
+def run_domain(scenario: Callable[[Domain], Awaitable[None]], seed: int = 0) -> Domain:
     async def run() -> Domain:
         async with trio.open_nursery() as nursery:
             domain = Domain(nursery)
@@ -129,4 +129,4 @@
             nursery.cancel_scope.cancel()
         return domain
 
-    return run_deterministic(run, 0)
+    return run_deterministic(run, seed)
--- /dev/null
+++ b/tests/announcements/test_longrun.py
@@ -0,0 +1,16 @@
+"""A fixed part of the long randomised runs of entries and backend servers."""
+
+from __future__ import annotations
+
+import unittest
+from datetime import timedelta
+
+from tests.announcements.longrun import run_for
+
+
+class LongRunTest(unittest.TestCase):
+    def test_one_entry_at_a_time_sends_to_a_server(self) -> None:
+        for seed in range(1, 4):
+            with self.subTest(seed=seed):
+                run = run_for(seed, timedelta(minutes=6))
+                self.assertEqual((run.doubled, run.idle), ([], []))
