--- a/src/rhubarbfield/placement/sizes.py
+++ b/src/rhubarbfield/placement/sizes.py
@@ -4,16 +4,27 @@
 
 from collections.abc import Iterable
 
+import msgspec
+
 from rhubarbfield.placement.resources import Resources
-from rhubarbfield.placement.state import EstimateKey, JobSpec, SizeEstimate
+from rhubarbfield.placement.state import MAX_SIZES, EstimateKey, JobSpec, SizeEstimate
+from rhubarbfield.types import JobId
 
 PROVEN_SAMPLES = 10
 MEMORY_RISE, MEMORY_FALL = 0.4, 0.004
 PROCESSOR_RISE, PROCESSOR_FALL = 0.1, 0.02
 FIRST_MARGIN, LAST_MARGIN = 0.4, 0.1
+MAX_KEYS = 20_000
 LEAST_MILLICORES, LEAST_MEMORY_MB = 50, 32
 
 
+class KnownKey(msgspec.Struct, frozen=True):
+    """A job's spec and the key made of it."""
+
+    spec: JobSpec
+    key: EstimateKey
+
+
 class SizeModel:
     """Sizes learned from reports for each tenant and kind of work.
 
@@ -24,12 +35,26 @@
     def __init__(self) -> None:
         self._sizes: dict[EstimateKey, SizeEstimate] = {}
         self._changed: dict[EstimateKey, bool] = {}
-
-    def learn(self, key: EstimateKey, millicores: float, memory_mb: float) -> None:
-        """Learn from one task's reported use."""
+        self._keys: dict[JobId, KnownKey] = {}
+
+    def find_key(self, spec: JobSpec) -> EstimateKey:
+        """Return the key under which a job's sizes are learned."""
+        known = self._keys.get(spec.job)
+        if known is not None and known.spec is spec:
+            return known.key
+        if len(self._keys) >= MAX_KEYS:
+            self._keys.clear()
+        key = spec.estimate_key
+        self._keys[spec.job] = KnownKey(spec, key)
+        return key
+
+    def learn(self, spec: JobSpec, millicores: float, memory_mb: float) -> None:
+        """Learn from the reported use of one of a job's tasks."""
+        key = self.find_key(spec)
         known = self._sizes.get(key)
         if known is None:
             known = SizeEstimate(key, millicores, memory_mb, 0)
+        self._sizes.pop(key, None)
         self._sizes[key] = SizeEstimate(
             key,
             _follow(known.millicores, millicores, PROCESSOR_RISE, PROCESSOR_FALL),
@@ -37,10 +62,14 @@
             known.samples + 1,
         )
         self._changed[key] = True
-
-    def is_proven(self, key: EstimateKey) -> bool:
-        """Return whether enough reports stand behind the estimate."""
-        known = self._sizes.get(key)
+        if len(self._sizes) > MAX_SIZES:
+            oldest = next(iter(self._sizes))
+            del self._sizes[oldest]
+            self._changed.pop(oldest, None)
+
+    def is_proven(self, spec: JobSpec) -> bool:
+        """Return whether enough reports stand behind a job's estimate."""
+        known = self._sizes.get(self.find_key(spec))
         return known is not None and known.samples >= PROVEN_SAMPLES
 
     def estimate(self, spec: JobSpec) -> Resources:
@@ -49,14 +78,53 @@
         Starts at the declaration plus a margin and moves to what was seen as
         reports come in. Accelerators are always as declared.
         """
+        bare = self.estimate_bare(spec)
+        known = self._sizes.get(self.find_key(spec))
+        trust = _find_trust(known) if known else 0.0
+        margin = 1 + FIRST_MARGIN + trust * (LAST_MARGIN - FIRST_MARGIN)
+        memory_mb = max(LEAST_MEMORY_MB, round(bare.memory_mb * margin))
+        return Resources(bare.millicores, memory_mb, bare.accelerators)
+
+    def estimate_bare(self, spec: JobSpec) -> Resources:
+        """Return the estimate without its margin."""
         declared = spec.declared
-        known = self._sizes.get(spec.estimate_key)
+        known = self._sizes.get(self.find_key(spec))
         if known is None:
-            return _finish(declared, declared.millicores, declared.memory_mb, 0.0)
-        trust = known.samples / (known.samples + PROVEN_SAMPLES)
+            return declared
+        trust = _find_trust(known)
         millicores = trust * known.millicores + (1 - trust) * declared.millicores
         memory_mb = trust * known.memory_mb + (1 - trust) * declared.memory_mb
-        return _finish(declared, millicores, max(memory_mb, known.memory_mb), trust)
+        return Resources(
+            max(LEAST_MILLICORES, round(millicores)),
+            round(max(memory_mb, known.memory_mb)),
+            declared.accelerators,
+        )
+
+    def estimate_within(
+        self, spec: JobSpec, most: Resources, largest: Resources
+    ) -> Resources:
+        """Return the estimate with its margin cut.
+
+        Parameters
+        ----------
+        spec
+            The job.
+        most
+            What can be had now. A task that needs more without margin waits.
+        largest
+            What the largest known worker has, absent ones too. A task that was
+            seen to need more is given all of it, and that worker alone.
+        """
+        size, bare = self.estimate(spec), self.estimate_bare(spec)
+        least = min(bare.millicores, spec.declared.millicores)
+        return Resources(
+            max(least, min(size.millicores, most.millicores)),
+            max(
+                min(bare.memory_mb, largest.memory_mb),
+                min(size.memory_mb, most.memory_mb),
+            ),
+            size.accelerators,
+        )
 
     def restore(self, estimates: Iterable[SizeEstimate]) -> None:
         """Start from the estimates that an earlier leader left in the log."""
@@ -76,12 +144,6 @@
     return mean + (rise if seen > mean else fall) * (seen - mean)
 
 
-def _finish(
-    declared: Resources, millicores: float, memory_mb: float, trust: float
-) -> Resources:
-    margin = 1 + FIRST_MARGIN + trust * (LAST_MARGIN - FIRST_MARGIN)
-    return Resources(
-        max(LEAST_MILLICORES, round(millicores)),
-        max(LEAST_MEMORY_MB, round(memory_mb * margin)),
-        declared.accelerators,
-    )
+def _find_trust(known: SizeEstimate) -> float:
+    """Return how far an estimate is believed over the declaration, from 0 to 1."""
+    return known.samples / (known.samples + PROVEN_SAMPLES)
--- a/src/rhubarbfield/replication/replica.py
+++ b/src/rhubarbfield/replication/replica.py
@@ -9,6 +9,7 @@
 from returns.result import Failure, Result, Success
 
 from rhubarbfield.clock import Clock
+from rhubarbfield.exceptions import UsageError
 from rhubarbfield.replication.applier import Machine
 from rhubarbfield.replication.changes import MembershipChanges
 from rhubarbfield.replication.failures import (
@@ -70,6 +71,11 @@
     reluctant
         Leads only if no other voter can, and only until one has caught up:
         for a witness that votes from outside.
+
+    Raises
+    ------
+    UsageError
+        If ``bootstrap`` is empty.
     """
 
     def __init__(
@@ -86,6 +92,8 @@
         settings: GroupSettings,
         reluctant: bool = False,
     ) -> None:
+        if not bootstrap:
+            raise UsageError(f"group {group} names no instance to form it")
         self.group = group
         self.name = name
         self._bootstrap = bootstrap
@@ -98,6 +106,7 @@
         self._reluctant = reluctant
         self._proposals = Proposals(settings.max_pending)
         self._parts: ReplicaParts | None = None
+        self._opened = trio.Event()
         self._store_note: StoreFailure | None = None
         self._halted: StoreFailure | None = None
         self._inbox_in, self._inbox_out = trio.open_memory_channel[ReplicationMessage](
@@ -121,6 +130,7 @@
             task_status.started()
             return opened
         parts = self._parts = self._build_parts(opened.unwrap())
+        self._opened.set()
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._receive, parts)
@@ -208,11 +218,13 @@
 
     async def wait_current(self) -> None:
         """Wait until this replica has caught up since it started."""
+        await self._opened.wait()
         if self._parts is not None:
             await self._parts.applier.became_current.wait()
 
     async def wait_applied(self, index: LogIndex) -> None:
         """Wait until the entry at ``index`` is applied here."""
+        await self._opened.wait()
         if self._parts is not None:
             await self._parts.applier.wait_applied(index)
 
--- a/tests/placement/test_relief.py
+++ b/tests/placement/test_relief.py
@@ -87,11 +87,17 @@
         self.assertEqual([one.attempt for one in list_evictions(wanted)], ["loud/0#1"])
 
     def test_nothing_more_is_evicted_until_a_report_shows_the_change(self) -> None:
-        order = list_evictions(self.report(AWFUL, throttle=0.25))[0]
+        self.bench.accept("second", batch_kind=LOUD, cores=2.0)
+        self.bench.begin("second/0", "w0", cores=2)
+        first = list_evictions(self.report(AWFUL, throttle=0.25))
+        self.assertEqual(len(first), 1)
         self.assertFalse(list_evictions(self.report(AWFUL, throttle=0.25)))
+        self.bench.now += timedelta(seconds=10)
         self.bench.observe("w0", p99=AWFUL, throttle=0.25)
-        self.bench.say(order, AttemptState.EVICTED)
+        self.bench.say(first[0], AttemptState.EVICTED)
         self.assertFalse(list_evictions(self.bench.run_round()))
+        second = list_evictions(self.report(AWFUL, throttle=0.25))
+        self.assertEqual(len(second), 1)
 
     def test_the_service_alone_is_not_blamed_on_others(self) -> None:
         self.learn(with_loud=CALM)
@@ -189,7 +195,7 @@
         spec = JobSpec(job=JobId("j"), tenant=Tenant("t"), memory_mb=10_000, cores=10.0)
         self.assertEqual(view.sizes.estimate(spec), Resources(10_000, 14_000, 0))
         for _ in range(400):
-            view.sizes.learn(spec.estimate_key, 1000, 1000)
+            view.sizes.learn(spec, 1000, 1000)
         size = view.sizes.estimate(spec)
         self.assertLess(size.memory_mb, 1_500)
         self.assertLess(size.millicores, 1_500)
