--- a/src/rhubarbfield/testing/attempts.py
+++ b/src/rhubarbfield/testing/attempts.py
@@ -10,8 +10,8 @@
 
 from rhubarbfield.clock import Clock, TrioClock
 from rhubarbfield.leases import HeldLease
-from rhubarbfield.testing.observer import Observer
-from rhubarbfield.types import AttemptState, CheckpointId, WorkerId
+from rhubarbfield.testing.observer import Observer, Runner
+from rhubarbfield.types import AttemptState, CheckpointId
 from rhubarbfield.workers.messages import (
     AttemptReport,
     AttemptUsage,
@@ -105,7 +105,7 @@
         What started it.
     work
         Its truth.
-    worker
+    runner
         Where it runs.
     lease
         The worker's lease; nothing is done while it doesn't hold.
@@ -127,7 +127,7 @@
         order: StartAttempt,
         work: TrueWork,
         *,
-        worker: WorkerId,
+        runner: Runner,
         lease: HeldLease,
         clock: Clock,
         observer: Observer,
@@ -142,7 +142,7 @@
         self.revision = 0
         self.progress = read_progress(order.checkpoint)
         self._stopped_at: timedelta | None = None
-        self._worker = worker
+        self._runner = runner
         self._lease = lease
         self._clock = clock
         self._true_clock = TrioClock()
@@ -242,7 +242,7 @@
         ended = self._stopped_at or self._true_clock.monotonic()
         if ended - began > planned + WAKE_TOLERANCE:
             ended = began + planned
-        self._observer.note_run(self._worker, self.order, began, ended)
+        self._observer.note_run(self._runner, self.order, began, ended)
 
     def _finish(self) -> None:
         if self.work.fails:
@@ -259,4 +259,4 @@
     def _end(self, state: AttemptState) -> None:
         self._stopped_at = self._true_clock.monotonic()
         self.state = state
-        self._observer.note_end(self._worker, self.order.attempt)
+        self._observer.note_end(self._runner, self.order.attempt)
--- a/src/rhubarbfield/testing/worker.py
+++ b/src/rhubarbfield/testing/worker.py
@@ -12,6 +12,7 @@
 import secrets
 from collections.abc import Awaitable, Callable, Sequence
 from datetime import timedelta
+from pathlib import Path
 
 import msgspec
 import trio
@@ -19,7 +20,7 @@
 from rhubarbfield.clock import Clock, TrioClock
 from rhubarbfield.leases import HeldLease, Lease
 from rhubarbfield.testing.attempts import WorkModel, make_seeded_work
-from rhubarbfield.testing.observer import Observer
+from rhubarbfield.testing.observer import Observer, RecordingObserver, Runner
 from rhubarbfield.testing.usage import LatencyModel, UsageReporter, measure_nothing
 from rhubarbfield.testing.workload import Workload
 from rhubarbfield.types import (
@@ -132,8 +133,9 @@
         self._clock = clock
         self._rng = rng
         self._observer = observer
+        self._runner = Runner(worker=profile.worker, incarnation=incarnation)
         self.workload = Workload(
-            profile.worker,
+            self._runner,
             profile.capacity,
             lease=self.lease,
             clock=clock,
@@ -152,7 +154,7 @@
     def die(self) -> None:
         """End the process at once; all it had in memory is gone."""
         self._scope.cancel()
-        self._observer.note_death(self._profile.worker)
+        self._observer.note_death(self._runner)
 
     async def run(self) -> None:
         """Work until cancelled or dead."""
@@ -286,7 +288,7 @@
     connect: Connect,
     addresses: Sequence[str],
     seed: int = 0,
-    observer: Observer | None = None,
+    record_file: Path | None = None,
 ) -> None:
     """Run a stand-in worker on the loop's clock until cancelled.
 
@@ -300,18 +302,23 @@
         The controllers of its domain, as ``host:port``.
     seed
         Of all its randomness, the truth about tasks included.
-    observer
-        Told of everything that runs.
+    record_file
+        Where to write down what ran, for
+        :func:`~rhubarbfield.testing.observer.judge_records`.
     """
+    clock = TrioClock()
+    observer = Observer()
+    if record_file is not None:
+        observer = RecordingObserver(record_file, clock)
     rng = random.Random(f"{seed}/{profile.worker}")
     worker = StandInWorker(
         profile,
         incarnation=Incarnation(secrets.token_hex(8)),
         connect=connect,
         addresses=addresses,
-        clock=TrioClock(),
+        clock=clock,
         rng=rng,
         work=make_seeded_work(seed),
-        observer=observer or Observer(),
+        observer=observer,
     )
     await worker.run()
--- a/src/rhubarbfield/testing/workload.py
+++ b/src/rhubarbfield/testing/workload.py
@@ -9,8 +9,8 @@
 from rhubarbfield.clock import Clock
 from rhubarbfield.leases import HeldLease
 from rhubarbfield.testing.attempts import SimulatedAttempt, WorkModel
-from rhubarbfield.testing.observer import Observer
-from rhubarbfield.types import AttemptId, AttemptState, Epoch, TaskId, WorkerId
+from rhubarbfield.testing.observer import Observer, Runner
+from rhubarbfield.types import AttemptId, AttemptState, Epoch, TaskId
 from rhubarbfield.workers.bounds import Resources
 from rhubarbfield.workers.messages import AttemptReport, HeldAttempt
 from rhubarbfield.workers.orders import (
@@ -28,8 +28,8 @@
 
     Parameters
     ----------
-    worker, capacity
-        Who it is and what it has.
+    runner, capacity
+        Which process it is and what the worker has.
     lease
         The worker's lease.
     clock
@@ -55,7 +55,7 @@
 
     def __init__(
         self,
-        worker: WorkerId,
+        runner: Runner,
         capacity: Resources,
         *,
         lease: HeldLease,
@@ -68,7 +68,7 @@
         self.changed = trio.Event()
         self.fails_everything = False
         self.refused_orders = 0
-        self._worker = worker
+        self._runner = runner
         self._capacity = capacity
         self._lease = lease
         self._clock = clock
@@ -147,14 +147,14 @@
         attempt = SimulatedAttempt(
             order,
             self._work(order),
-            worker=self._worker,
+            runner=self._runner,
             lease=self._lease,
             clock=self._clock,
             observer=self._observer,
             thaw=self._thaw,
         )
         self.attempts[order.attempt] = attempt
-        self._observer.note_start(self._worker, self._capacity, order)
+        self._observer.note_start(self._runner, self._capacity, order)
         if self.fails_everything:
             attempt.fail("the worker fails everything")
         assert self._tasks is not None
--- a/tests/workers/longrun.py
+++ b/tests/workers/longrun.py
@@ -59,6 +59,7 @@
         faults = (
             self.freeze,
             self.kill_worker,
+            self.replace_worker,
             self.silence,
             self.cut,
             self.partition,
@@ -83,6 +84,14 @@
         await self.fleet.sleep(self.rng.choice((0, 1, 15)))
         await self.start_worker(name)
 
+    async def replace_worker(self) -> None:
+        """Start a second process of a worker while the first is still there."""
+        name = self.pick_worker()
+        former = self.fleet.workers[name]
+        await self.start_worker(name)
+        await self.fleet.sleep(self.rng.uniform(0, 20))
+        former.die()
+
     async def silence(self) -> None:
         for stream in self.fleet.streams():
             if self.rng.random() < 0.5:
