--- a/tests/workers/longrun.py
+++ b/tests/workers/longrun.py
@@ -38,6 +38,11 @@
         clock = SkewedClock(self.fleet.clock, self.rng.uniform(0.99, 1.01))
         await self.fleet.start_worker(name, clock)
 
+    async def keep_placing(self) -> None:
+        while True:
+            self.place_tasks()
+            await self.fleet.sleep(0.3)
+
     def place_tasks(self) -> None:
         attempts = self.fleet.log.attempts
         for number in range(TASKS):
@@ -147,12 +152,11 @@
         run = Run(fleet, random.Random(seed))
         runs.append(run)
         await run.start()
+        fleet.nursery.start_soon(run.keep_placing)
         while fleet.clock.monotonic() < length:
-            run.place_tasks()
             await fleet.sleep(run.rng.uniform(0.2, 6))
             await run.break_something()
         for _ in range(200):
-            run.place_tasks()
             await fleet.sleep(10)
             if not run.unfinished():
                 break
