--- a/src/rhubarbfield/replay/fleet.py
+++ b/src/rhubarbfield/replay/fleet.py
@@ -223,7 +223,7 @@
         try:
             await worker.run()
         finally:
-            self.observer.note_death(WorkerId(name))
+            worker.die()
 
     async def _start_server(self, domain: str, name: str) -> None:
         server = SimulatedServer(
