Move messages by one task each way; give a job time to find a domain

Cause of the cost of control messages: each send and each receive made an asyncio task and several turns of both loops. Ruled out: the session code (146 us a message, measured over memory streams) and encoding. A pump each way now lives as long as its stream.

A job that fits nowhere now waits for 5 s, and for the first worker anywhere.

--- a/src/rhubarbfield/controller/delegating.py
+++ b/src/rhubarbfield/controller/delegating.py
@@ -4,6 +4,7 @@
 
 import logging
 from collections import Counter
+from collections.abc import Sequence
 from datetime import timedelta
 
 import trio
@@ -15,13 +16,14 @@
 from rhubarbfield.fleet import DelegateJob, FleetJob, JobRequest
 from rhubarbfield.placement import QuarantineState, Worker, WorkState
 from rhubarbfield.protocol import DomainSummary, WorkerShape
-from rhubarbfield.types import FailureDomain
+from rhubarbfield.types import FailureDomain, JobId
 
 logger = logging.getLogger(__name__)
 
 ROUND_INTERVAL = timedelta(milliseconds=100)
 IDLE_INTERVAL = timedelta(seconds=1)
 SUMMARY_LIFETIME = timedelta(seconds=15)
+UNFIT_PATIENCE = timedelta(seconds=5)
 MILLICORES = 1000
 
 
@@ -41,6 +43,7 @@
         self._clock = clock
         self._summaries: dict[FailureDomain, tuple[timedelta, DomainSummary]] = {}
         self._given: Counter[FailureDomain] = Counter()
+        self._unfit_since: dict[JobId, timedelta] = {}
 
     def take_summary(self, summary: DomainSummary) -> None:
         """Remember how much room a domain has."""
@@ -63,9 +66,10 @@
         return job.is_open and (job.domain is None or job.domain in lost)
 
     async def _delegate(self, job: FleetJob) -> None:
-        domain = self._choose(job.request)
+        domain = self._choose(job)
         if domain is None:
             return
+        self._unfit_since.pop(job.id, None)
         proposed = await self._log.propose(
             DelegateJob(job=job.id, domain=domain, at=self._clock.now())
         )
@@ -73,11 +77,13 @@
             self._given[domain] += round(job.request.cores * job.request.tasks)
         logger.info("job-delegated job=%s domain=%s", job.id, domain)
 
-    def _choose(self, request: JobRequest) -> FailureDomain | None:
+    def _choose(self, job: FleetJob) -> FailureDomain | None:
         """Return the domain with the most free cores that can hold the job.
 
-        A job that fits nowhere goes to some domain, which then says why.
+        A job that fits nowhere, also not a moment later when all domains have
+        told of their latest workers, goes to some domain, which then says why.
         """
+        request = job.request
         if request.domain is not None:
             return request.domain
         now = self._clock.monotonic()
@@ -88,9 +94,17 @@
             and summary.domain not in self._log.state.fleet.lost_domains
         ]
         candidates = [summary for summary in fresh if fits_domain(request, summary)]
+        if not candidates and self._may_fit_soon(job.id, fresh):
+            return None
         best = max(candidates or fresh, key=self._count_free, default=None)
         return None if best is None else best.domain
 
+    def _may_fit_soon(self, job: JobId, fresh: Sequence[DomainSummary]) -> bool:
+        if not any(summary.shapes for summary in fresh):
+            return True
+        now = self._clock.monotonic()
+        return now - self._unfit_since.setdefault(job, now) < UNFIT_PATIENCE
+
     def _count_free(self, summary: DomainSummary) -> float:
         waiting = summary.waiting_tasks + self._given[summary.domain]
         return summary.free_millicores / MILLICORES - waiting
--- a/src/rhubarbfield/peering/_bridge.py
+++ b/src/rhubarbfield/peering/_bridge.py
@@ -3,6 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import math
+from collections import deque
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from datetime import timedelta
 from typing import Any
 
@@ -16,6 +20,10 @@
 from rhubarbfield.peering.ports import Encoding
 
 SEND_TIMEOUT = timedelta(seconds=2)
+CLOSE_TIMEOUT = timedelta(milliseconds=200)
+FULL_INBOX_PAUSE = timedelta(milliseconds=10)
+OUTBOX_MESSAGES = 16
+INBOX_MESSAGES = 64
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
 
 TRANSPORT_ERRORS = (
@@ -73,6 +81,9 @@
 class GrpcStream:
     """A :class:`~rhubarbfield.peering.ports.MessageStream` over grpclib.
 
+    One asyncio task each way moves messages for the whole life of the
+    stream; a task for each message would cost more than the message.
+
     Parameters
     ----------
     stream
@@ -82,28 +93,37 @@
     def __init__(self, stream: Any) -> None:
         self._stream = stream
         self._open = True
-        # Two messages must not interleave their frames.
-        self._sending = trio.Lock()
+        self._outbox: deque[msgspec.Struct] = deque()
+        self._filled = asyncio.Event()
+        self._drained = trio.Event()
+        self._deliver, self._inbox = trio.open_memory_channel[Any](math.inf)
+
+    @asynccontextmanager
+    async def pump(self) -> AsyncIterator[None]:
+        """Move messages both ways while the block runs."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(aio_as_trio(self._pump_out))
+            nursery.start_soon(aio_as_trio(self._pump_in))
+            yield
+            nursery.cancel_scope.cancel()
 
     async def send(self, message: msgspec.Struct) -> bool:
-        """Send ``message`` within the send deadline."""
+        """Send ``message``; False when the stream is gone or too slow."""
         if not self._open:
             return False
+        self._outbox.append(message)
+        self._filled.set()
+        if len(self._outbox) <= OUTBOX_MESSAGES:
+            await trio.lowlevel.checkpoint()
+            return self._open
         with trio.move_on_after(SEND_TIMEOUT.total_seconds()):
-            async with self._sending:
-                return await self._send_now(message)
-        # Half of a message may be out: nothing may follow it.
-        self._open = False
+            while self._open and len(self._outbox) > OUTBOX_MESSAGES:
+                self._drained = trio.Event()
+                await self._drained.wait()
+            return self._open
+        self._end()
         return False
 
-    async def _send_now(self, message: msgspec.Struct) -> bool:
-        try:
-            await aio_as_trio(self._stream.send_message)(message)
-        except TRANSPORT_ERRORS:
-            self._open = False
-            return False
-        return True
-
     async def receive(self) -> msgspec.Struct | None:
         """Return the next message, or None after the end.
 
@@ -113,21 +133,53 @@
             If the other side sent what is no message.
         """
         try:
-            message = await aio_as_trio(self._stream.recv_message)()
-        except msgspec.MsgspecError:
-            self._open = False
-            raise
-        except TRANSPORT_ERRORS:
-            self._open = False
+            message = await self._inbox.receive()
+        except trio.EndOfChannel:
             return None
-        if message is None:
-            self._open = False
+        if isinstance(message, msgspec.MsgspecError):
+            raise message
         return message
 
     async def close(self) -> None:
-        """Reset the stream."""
-        self._open = False
+        """Send what is under way and use the stream no more.
+
+        grpclib ends it for the other side once its handler returns, on a
+        server, or its block is left, on a client.
+        """
+        with trio.move_on_after(CLOSE_TIMEOUT.total_seconds()):
+            while self._open and self._outbox:
+                self._drained = trio.Event()
+                await self._drained.wait()
+        self._end()
+
+    async def _pump_out(self) -> None:
+        """Send what is in the outbox; runs on the asyncio side."""
         try:
-            await aio_as_trio(self._stream.cancel)()
+            while self._open:
+                await self._filled.wait()
+                while self._outbox:
+                    await self._stream.send_message(self._outbox[0])
+                    self._outbox.popleft()
+                self._filled.clear()
+                self._drained.set()
         except TRANSPORT_ERRORS:
-            return
+            self._end()
+
+    async def _pump_in(self) -> None:
+        """Hand over what comes; runs on the asyncio side."""
+        try:
+            while (message := await self._stream.recv_message()) is not None:
+                self._deliver.send_nowait(message)
+                while self._inbox.statistics().current_buffer_used > INBOX_MESSAGES:
+                    await asyncio.sleep(FULL_INBOX_PAUSE.total_seconds())
+        except msgspec.MsgspecError as error:
+            self._deliver.send_nowait(error)
+        except TRANSPORT_ERRORS:
+            pass
+        self._end()
+
+    def _end(self) -> None:
+        self._open = False
+        self._deliver.close()
+        self._drained.set()
+        self._filled.set()
--- a/src/rhubarbfield/peering/client.py
+++ b/src/rhubarbfield/peering/client.py
@@ -105,9 +105,12 @@
         # Headers first: a task may receive before another has sent.
         with suppress(*TRANSPORT_ERRORS):
             await aio_as_trio(inner.send_request)()
-        yield
+        async with stream.pump():
+            yield
+            await stream.close()
     finally:
         with trio.CancelScope(shield=True):
-            await stream.close()
+            with suppress(*TRANSPORT_ERRORS):
+                await aio_as_trio(inner.cancel)()
             with suppress(*TRANSPORT_ERRORS):
                 await aio_as_trio(inner.__aexit__)(None, None, None)
--- a/src/rhubarbfield/peering/server.py
+++ b/src/rhubarbfield/peering/server.py
@@ -51,7 +51,10 @@
 
     def add_stream(self, method: StreamMethod, handle: StreamHandler) -> None:
         async def run(stream: Any) -> None:
-            await handle(GrpcStream(stream))
+            moved = GrpcStream(stream)
+            async with moved.pump():
+                await handle(moved)
+                await moved.close()
 
         self._handlers[method.path] = Handler(
             self._guard(method.path, run),
