--- a/src/rhubarbfield/controller/entrysessions.py
+++ b/src/rhubarbfield/controller/entrysessions.py
@@ -101,13 +101,22 @@
             nursery.cancel_scope.cancel()
 
     async def sweep(self) -> None:
-        """Commit the end of sessions whose leases have lapsed, until cancelled."""
-        while True:
-            await self._clock.sleep(SWEEP_INTERVAL)
-            if not self._log.leads():
-                continue
-            for entry, epoch in self._leases.lapsed(self._clock.monotonic()):
-                await self._end(entry, epoch)
+        """Commit the end of sessions whose leases have lapsed, until cancelled.
+
+        Being cancelled ends the term: a stream that outlives it renews nothing,
+        as the next term has a table of its own.
+        """
+        try:
+            while True:
+                await self._clock.sleep(SWEEP_INTERVAL)
+                if self._log.leads():
+                    await self._end_lapsed()
+        finally:
+            self._leases.close()
+
+    async def _end_lapsed(self) -> None:
+        for entry, epoch in self._leases.lapsed(self._clock.monotonic()):
+            await self._end(entry, epoch)
 
     async def _open(self, hello: EntryHello) -> EntryOpened | EntryRefused:
         if hello.domain != self._domain:
--- a/src/rhubarbfield/controller/worklog.py
+++ b/src/rhubarbfield/controller/worklog.py
@@ -17,7 +17,6 @@
     LoseWorker,
     ReportAttempts,
     UpdateWorker,
-    Worker,
     WorkerAdded,
 )
 from rhubarbfield.placement import AttemptReport as CommittedReport
@@ -44,9 +43,6 @@
     WorkerRefused,
 )
 
-RUNNING_STATES = frozenset(
-    {AttemptState.STARTING, AttemptState.RUNNING, AttemptState.EVICTING}
-)
 ATTEMPT_ENDS = {
     AttemptState.LOST: AttemptState.EVICTED,
     AttemptState.CANCELLED: AttemptState.EVICTED,
@@ -118,9 +114,9 @@
         known = self._log.state.work.workers.get(hello.worker)
         same = known is not None and known.incarnation == hello.incarnation
         if known is not None and known.present and not same:
-            replaced = await self._replace(known, hello)
-            if replaced is not None:
-                return Failure(replaced)
+            # The former process may be cut off and still run its tasks; it is
+            # lost once its lease has lapsed, whatever the new one says.
+            return Failure(Unavailable())
         added = await self._propose(_make_add(hello, self._clock))
         match added:
             case Success(WorkerAdded(epoch=epoch)):
@@ -133,22 +129,6 @@
         check_invariant(False, "add-worker-answer-known", added)
         raise AssertionError
 
-    async def _replace(
-        self, known: Worker, hello: WorkerHello
-    ) -> NotLeading | Unavailable | None:
-        """Commit the end of a worker's former process, on its own word.
-
-        A new process that still has tasks of the former one has not ended
-        them; its former lease must lapse first.
-        """
-        if any(held.state in RUNNING_STATES for held in hello.running):
-            return Unavailable()
-        lost = await self.lose_worker(known.worker, self._find_session(known.worker))
-        match lost:
-            case Failure(NotLeading() | Unavailable() as failure):
-                return failure
-        return None
-
     async def _update_capacity(self, hello: WorkerHello, epoch: Epoch) -> None:
         capacity = _convert_capacity(hello)
         if self._log.state.work.workers[hello.worker].announced != capacity:
@@ -219,7 +199,7 @@
                 at=self._clock.now(),
                 worker=worker,
                 epoch=self._log.state.work.workers[worker].epoch,
-                reason="its lease has lapsed or it was started afresh",
+                reason="its lease has lapsed",
             )
         )
         return proposed.map(lambda _: None)
--- a/src/rhubarbfield/entry/ownership.py
+++ b/src/rhubarbfield/entry/ownership.py
@@ -112,7 +112,9 @@
         released = await self._ask(
             ReleaseServer(server=server, epoch=epoch, settled=settled)
         )
-        if not isinstance(released, Success) or not (gone and settled):
+        # A repeated release finds that the first one had its effect.
+        lost = released == Failure(OwnershipLost())
+        if not (gone and settled) or not (isinstance(released, Success) or lost):
             return released
         return await self._ask(ForgetServer(server=server, epoch=epoch, settled=True))
 
--- a/src/rhubarbfield/peering/_bridge.py
+++ b/src/rhubarbfield/peering/_bridge.py
@@ -173,7 +173,10 @@
                 while self._inbox.statistics().current_buffer_used > INBOX_MESSAGES:
                     await asyncio.sleep(FULL_INBOX_PAUSE.total_seconds())
         except msgspec.MsgspecError as error:
+            # The other side may still be told what was wrong.
             self._deliver.send_nowait(error)
+            self._deliver.close()
+            return
         except TRANSPORT_ERRORS:
             pass
         self._end()
--- a/tests/workers/test_over_grpc.py
+++ b/tests/workers/test_over_grpc.py
@@ -13,8 +13,13 @@
 
 from rhubarbfield.clock import TrioClock
 from rhubarbfield.leases import LeaseTerms
-from rhubarbfield.peering import Credentials, Encoding, StreamMethod, serve_methods
-from rhubarbfield.peering.client import dial
+from rhubarbfield.peering import (
+    Credentials,
+    Encoding,
+    GrpcTransport,
+    StreamMethod,
+    dial,
+)
 from rhubarbfield.testing.attempts import make_seeded_work
 from rhubarbfield.testing.network import CuttingProxy
 from rhubarbfield.testing.observer import Observer
@@ -39,10 +44,10 @@
 from tests.workers.fleet import Observations
 
 LOOPBACK = "127.0.0.1"
-CREDENTIALS = Credentials(secret="test")
+TRANSPORT = GrpcTransport(Credentials(secret="test"))
 METHOD = StreamMethod("/rhubarbfield.Workers/Session", FromWorker, ToWorker)
 W1 = WorkerId("w1")
-connect = partial(dial, method=METHOD, credentials=CREDENTIALS, encoding=Encoding.JSON)
+connect = partial(dial, TRANSPORT, method=METHOD, encoding=Encoding.JSON)
 SETTINGS = WorkerSessionSettings(
     lease=LeaseTerms(duration=timedelta(seconds=8), drift=0.01),
     renew_interval=timedelta(milliseconds=300),
@@ -86,8 +91,7 @@
             async with trio.open_nursery() as nursery:
                 port = await find_port()
                 serve = partial(
-                    serve_methods,
-                    credentials=CREDENTIALS,
+                    TRANSPORT.serve,
                     encoding=Encoding.JSON,
                     streams={METHOD: sessions.serve},
                 )
