--- /dev/null
+++ b/tests/replication/chaos.py
@@ -0,0 +1,227 @@
+"""Faults that the long run brings about, several at a time."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+from random import Random
+
+import trio
+from returns.result import Success
+
+from tests.replication.group import Group, Node
+
+Fault = Callable[["Chaos"], Awaitable[None]]
+_faults: dict[str, Fault] = {}
+
+
+def fault(function: Fault) -> Fault:
+    """Register a fault that may be chosen."""
+    _faults[function.__name__] = function
+    return function
+
+
+class Chaos:
+    """What faults need to know, and how often each was brought about."""
+
+    def __init__(self, group: Group, random: Random, counts: Counter[str]) -> None:
+        self.group = group
+        self.random = random
+        self.counts = counts
+
+    async def run(self) -> None:
+        """Bring about one fault after the other until cancelled."""
+        while True:
+            await trio.sleep(self.random.uniform(1, 40))
+            name = self.random.choice(sorted(_faults))
+            self.counts[f"fault {name}"] += 1
+            await _faults[name](self)
+
+    def choose_node(self) -> Node:
+        return self.random.choice(list(self.group.nodes.values()))
+
+    def may_lose_one(self) -> bool:
+        """Whether every voter now holds all that is committed."""
+        if any(node.replica is None for node in self.group.nodes.values()):
+            return False
+        holders = self.group.list_lease_holders()
+        if not holders or holders[0].replica is None:
+            return False
+        status = holders[0].replica.status()
+        voters = [member for member in status.members if member.is_voter]
+        return all(
+            member.id.name == holders[0].name
+            or (
+                (member.match or 0) >= status.commit
+                and member.silence is not None
+                and member.silence < timedelta(seconds=1)
+            )
+            for member in voters
+        )
+
+
+async def stay_down(chaos: Chaos, node: Node) -> None:
+    await trio.sleep(chaos.random.uniform(0.01, 15))
+    if node.replica is None:
+        await node.start()
+
+
+@fault
+async def crash(chaos: Chaos) -> None:
+    node = chaos.choose_node()
+    await node.crash()
+    await stay_down(chaos, node)
+
+
+@fault
+async def crash_while_writing(chaos: Chaos) -> None:
+    node = chaos.choose_node()
+    node.files.operations_until_crash = chaos.random.randint(1, 12)
+    await trio.sleep(chaos.random.uniform(1, 10))
+    node.files.operations_until_crash = None
+    await stay_down(chaos, node)
+
+
+@fault
+async def crash_all(chaos: Chaos) -> None:
+    for node in chaos.group.nodes.values():
+        await node.crash()
+    for node in chaos.group.nodes.values():
+        await stay_down(chaos, node)
+
+
+@fault
+async def lose_disk(chaos: Chaos) -> None:
+    if not chaos.may_lose_one():
+        return
+    chaos.counts["disks lost"] += 1
+    node = chaos.choose_node()
+    await node.lose_disk()
+    await stay_down(chaos, node)
+
+
+@fault
+async def damage_log(chaos: Chaos) -> None:
+    node = chaos.choose_node()
+    if not chaos.may_lose_one() or not node.has_disk:
+        return
+    chaos.counts["logs damaged"] += 1
+    await node.crash()
+    size = len(node.files.read("log") or b"")
+    node.files.flip_byte("log", chaos.random.randrange(size))
+    await stay_down(chaos, node)
+
+
+@fault
+async def fail_syncs(chaos: Chaos) -> None:
+    node = chaos.choose_node()
+    node.files.fail_syncs = True
+    await trio.sleep(chaos.random.uniform(1, 10))
+    node.files.fail_syncs = False
+    await stay_down(chaos, node)
+
+
+@fault
+async def fill_disk(chaos: Chaos) -> None:
+    node = chaos.choose_node()
+    node.files.capacity = chaos.random.randint(0, 20_000)
+    await trio.sleep(chaos.random.uniform(1, 30))
+    node.files.capacity = None
+
+
+@fault
+async def freeze(chaos: Chaos) -> None:
+    node = chaos.choose_node()
+    node.clock.freeze()
+    await trio.sleep(chaos.random.uniform(0.2, 20))
+    node.clock.thaw()
+
+
+@fault
+async def isolate(chaos: Chaos) -> None:
+    chaos.group.network.isolate(chaos.choose_node().name)
+    await trio.sleep(chaos.random.uniform(0.5, 30))
+    chaos.group.network.heal()
+
+
+@fault
+async def isolate_leader_and_restart_its_voter(chaos: Chaos) -> None:
+    """Restart who supports a leader, next to one that wants to be elected."""
+    holders = chaos.group.list_lease_holders()
+    if not holders:
+        return
+    leader = holders[0]
+    others = [name for name in chaos.group.nodes if name != leader.name]
+    rival, voter = chaos.random.sample(others, 2)
+    chaos.group.network.cut(leader.name, rival)
+    chaos.group.network.cut(rival, leader.name)
+    await trio.sleep(chaos.random.uniform(2, 5))
+    node = chaos.group.nodes[voter]
+    await node.crash()
+    chaos.group.network.isolate(leader.name)
+    if node.replica is None:
+        await node.start()
+    await trio.sleep(chaos.random.uniform(1, 10))
+    chaos.group.network.heal()
+
+
+@fault
+async def delay_answers_and_cut_the_leader_off(chaos: Chaos) -> None:
+    """Let answers arrive after the voters stopped hearing the leader."""
+    network = chaos.group.network
+    holders = chaos.group.list_lease_holders()
+    if not holders:
+        return
+    leader = holders[0].name
+    delay = chaos.random.uniform(0.1, 1.0)
+    others = [name for name in chaos.group.nodes if name != leader]
+    for name in others:
+        network.slow(name, leader, delay)
+    await trio.sleep(chaos.random.uniform(1, 6))
+    for name in others:
+        network.cut(leader, name)
+    await trio.sleep(chaos.random.uniform(1, 10))
+    network.heal()
+    for name in others:
+        network.slow(name, leader, 0.0)
+
+
+@fault
+async def cut_one_way(chaos: Chaos) -> None:
+    for _ in range(chaos.random.randint(1, 3)):
+        chaos.group.network.cut(chaos.choose_node().name, chaos.choose_node().name)
+    await trio.sleep(chaos.random.uniform(0.5, 30))
+    chaos.group.network.heal()
+
+
+@fault
+async def change_voters(chaos: Chaos) -> None:
+    leaders = [n for n in chaos.group.list_lease_holders() if not n.clock.is_frozen]
+    if not leaders or leaders[0].replica is None:
+        return
+    replica = leaders[0].replica
+    members = replica.status().members
+    voters = [member.id.name for member in members if member.is_voter]
+    others = [n.name for n in chaos.group.nodes.values() if n.has_disk]
+    learners = [name for name in others if name not in voters]
+    old = chaos.random.choice(voters)
+    if len(voters) > len(chaos.group.bootstrap):
+        result = await replica.remove_member(old)
+    elif chaos.random.random() < 0.3:
+        result = await replica.add_voter(chaos.random.choice(learners))
+    else:
+        result = await replica.replace_voter(old, chaos.random.choice(learners))
+    outcome = result if isinstance(result, Success) else result.failure()
+    chaos.counts[f"change {type(outcome).__name__}"] += 1
+
+
+@fault
+async def worsen_links(chaos: Chaos) -> None:
+    network = chaos.group.network
+    network.drop_rate = chaos.random.uniform(0, 0.3)
+    network.duplicate_rate = chaos.random.uniform(0, 0.2)
+    network.max_delay = chaos.random.uniform(0.004, 0.6)
+    await trio.sleep(chaos.random.uniform(1, 30))
+    network.drop_rate = network.duplicate_rate = 0.0
+    network.max_delay = 0.004
--- a/tests/replication/group.py
+++ b/tests/replication/group.py
@@ -178,6 +178,9 @@
     def get(self, name: str) -> Node:
         return self.nodes[InstanceName(name)]
 
+    def list_others(self, leader: Node) -> list[Node]:
+        return [node for node in self.nodes.values() if node is not leader]
+
     def list_lease_holders(self) -> list[Node]:
         return [
             node
--- a/tests/replication/longrun.py
+++ b/tests/replication/longrun.py
@@ -11,8 +11,6 @@
 import sys
 import time
 from collections import Counter
-from collections.abc import Awaitable, Callable
-from datetime import timedelta
 from random import Random
 
 import trio
@@ -21,6 +19,7 @@
 
 from rhubarbfield.replication import GroupSettings
 from rhubarbfield.types import LogIndex
+from tests.replication.chaos import Chaos
 from tests.replication.determinism import run_deterministic
 from tests.replication.group import Group, Node
 
@@ -30,15 +29,6 @@
 CLOCK_DRIFT = 0.05
 SETTINGS = GroupSettings(snapshot_after=150, kept_entries=60)
 
-Fault = Callable[["LongRun"], Awaitable[None]]
-_faults: dict[str, Fault] = {}
-
-
-def fault(function: Fault) -> Fault:
-    """Register a fault that the run may choose."""
-    _faults[function.__name__] = function
-    return function
-
 
 class LongRun:
     """One run and what happened in it."""
@@ -47,7 +37,7 @@
         self.group = group
         self.random = Random(seed)
         self.counts: Counter[str] = Counter()
-        self.is_over = False
+        self.chaos = Chaos(group, self.random, self.counts)
         self._commands = 0
 
     async def play(self, duration: float, at_once: int) -> None:
@@ -56,9 +46,8 @@
                 nursery.start_soon(self._propose_and_read)
             nursery.start_soon(self._watch)
             for _ in range(at_once):
-                nursery.start_soon(self._cause_faults)
+                nursery.start_soon(self.chaos.run)
             await trio.sleep(duration)
-            self.is_over = True
             nursery.cancel_scope.cancel()
         await self._settle()
 
@@ -67,28 +56,6 @@
             await trio.sleep(SECONDS_BETWEEN_CHECKS)
             self.group.check()
 
-    def choose_node(self) -> Node:
-        return self.random.choice(list(self.group.nodes.values()))
-
-    def may_lose_one(self) -> bool:
-        """Whether every voter now holds all that is committed."""
-        if any(node.replica is None for node in self.group.nodes.values()):
-            return False
-        holders = self.group.list_lease_holders()
-        if not holders or holders[0].replica is None:
-            return False
-        status = holders[0].replica.status()
-        voters = [member for member in status.members if member.is_voter]
-        return all(
-            member.id.name == holders[0].name
-            or (
-                (member.match or 0) >= status.commit
-                and member.silence is not None
-                and member.silence < timedelta(seconds=1)
-            )
-            for member in voters
-        )
-
     async def _settle(self) -> None:
         """End all faults; then everything must be well."""
         group = self.group
@@ -147,179 +114,6 @@
             if isinstance(result, Success):
                 assert result.unwrap() >= before, "a read missed what was said"
 
-    async def _cause_faults(self) -> None:
-        while True:
-            await trio.sleep(self.random.uniform(1, 40))
-            name = self.random.choice(sorted(_faults))
-            self.counts[f"fault {name}"] += 1
-            await _faults[name](self)
-
-
-async def stay_down(run: LongRun, node: Node) -> None:
-    await trio.sleep(run.random.uniform(0.01, 15))
-    if node.replica is None:
-        await node.start()
-
-
-@fault
-async def crash(run: LongRun) -> None:
-    node = run.choose_node()
-    await node.crash()
-    await stay_down(run, node)
-
-
-@fault
-async def crash_while_writing(run: LongRun) -> None:
-    node = run.choose_node()
-    node.files.operations_until_crash = run.random.randint(1, 12)
-    await trio.sleep(run.random.uniform(1, 10))
-    node.files.operations_until_crash = None
-    await stay_down(run, node)
-
-
-@fault
-async def crash_all(run: LongRun) -> None:
-    for node in run.group.nodes.values():
-        await node.crash()
-    for node in run.group.nodes.values():
-        await stay_down(run, node)
-
-
-@fault
-async def lose_disk(run: LongRun) -> None:
-    if not run.may_lose_one():
-        return
-    run.counts["disks lost"] += 1
-    node = run.choose_node()
-    await node.lose_disk()
-    await stay_down(run, node)
-
-
-@fault
-async def damage_log(run: LongRun) -> None:
-    node = run.choose_node()
-    if not run.may_lose_one() or not node.has_disk:
-        return
-    run.counts["logs damaged"] += 1
-    await node.crash()
-    size = len(node.files.read("log") or b"")
-    node.files.flip_byte("log", run.random.randrange(size))
-    await stay_down(run, node)
-
-
-@fault
-async def fail_syncs(run: LongRun) -> None:
-    node = run.choose_node()
-    node.files.fail_syncs = True
-    await trio.sleep(run.random.uniform(1, 10))
-    node.files.fail_syncs = False
-    await stay_down(run, node)
-
-
-@fault
-async def fill_disk(run: LongRun) -> None:
-    node = run.choose_node()
-    node.files.capacity = run.random.randint(0, 20_000)
-    await trio.sleep(run.random.uniform(1, 30))
-    node.files.capacity = None
-
-
-@fault
-async def freeze(run: LongRun) -> None:
-    node = run.choose_node()
-    node.clock.freeze()
-    await trio.sleep(run.random.uniform(0.2, 20))
-    node.clock.thaw()
-
-
-@fault
-async def isolate(run: LongRun) -> None:
-    run.group.network.isolate(run.choose_node().name)
-    await trio.sleep(run.random.uniform(0.5, 30))
-    run.group.network.heal()
-
-
-@fault
-async def isolate_leader_and_restart_its_voter(run: LongRun) -> None:
-    """Restart who supports a leader, next to one that wants to be elected."""
-    holders = run.group.list_lease_holders()
-    if not holders:
-        return
-    leader = holders[0]
-    others = [name for name in run.group.nodes if name != leader.name]
-    rival, voter = run.random.sample(others, 2)
-    run.group.network.cut(leader.name, rival)
-    run.group.network.cut(rival, leader.name)
-    await trio.sleep(run.random.uniform(2, 5))
-    node = run.group.nodes[voter]
-    await node.crash()
-    run.group.network.isolate(leader.name)
-    if node.replica is None:
-        await node.start()
-    await trio.sleep(run.random.uniform(1, 10))
-    run.group.network.heal()
-
-
-@fault
-async def delay_answers_and_cut_the_leader_off(run: LongRun) -> None:
-    """Let answers arrive after the voters stopped hearing the leader."""
-    network = run.group.network
-    holders = run.group.list_lease_holders()
-    if not holders:
-        return
-    leader = holders[0].name
-    delay = run.random.uniform(0.1, 1.0)
-    others = [name for name in run.group.nodes if name != leader]
-    for name in others:
-        network.slow(name, leader, delay)
-    await trio.sleep(run.random.uniform(1, 6))
-    for name in others:
-        network.cut(leader, name)
-    await trio.sleep(run.random.uniform(1, 10))
-    network.heal()
-    for name in others:
-        network.slow(name, leader, 0.0)
-
-
-@fault
-async def cut_one_way(run: LongRun) -> None:
-    for _ in range(run.random.randint(1, 3)):
-        run.group.network.cut(run.choose_node().name, run.choose_node().name)
-    await trio.sleep(run.random.uniform(0.5, 30))
-    run.group.network.heal()
-
-
-@fault
-async def change_voters(run: LongRun) -> None:
-    leaders = [n for n in run.group.list_lease_holders() if not n.clock.is_frozen]
-    if not leaders or leaders[0].replica is None:
-        return
-    replica = leaders[0].replica
-    members = replica.status().members
-    voters = [member.id.name for member in members if member.is_voter]
-    others = [n.name for n in run.group.nodes.values() if n.has_disk]
-    learners = [name for name in others if name not in voters]
-    old = run.random.choice(voters)
-    if len(voters) > len(run.group.bootstrap):
-        result = await replica.remove_member(old)
-    elif run.random.random() < 0.3:
-        result = await replica.add_voter(run.random.choice(learners))
-    else:
-        result = await replica.replace_voter(old, run.random.choice(learners))
-    outcome = result if isinstance(result, Success) else result.failure()
-    run.counts[f"change {type(outcome).__name__}"] += 1
-
-
-@fault
-async def worsen_links(run: LongRun) -> None:
-    network = run.group.network
-    network.drop_rate = run.random.uniform(0, 0.3)
-    network.duplicate_rate = run.random.uniform(0, 0.2)
-    network.max_delay = run.random.uniform(0.004, 0.6)
-    await trio.sleep(run.random.uniform(1, 30))
-    network.drop_rate = network.duplicate_rate = 0.0
-    network.max_delay = 0.004
-
 
 def run_long(seed: int, hours: float, at_once: int = 2) -> Counter[str]:
     """Play one run; raises on the first thing that must not be."""
