--- a/tests/replication/chaos.py
+++ b/tests/replication/chaos.py
@@ -33,11 +33,16 @@
     async def run(self) -> None:
         """Bring about one fault after the other until cancelled."""
         while True:
-            await trio.sleep(self.random.uniform(1, 40))
+            await trio.sleep(self.random.uniform(0.5, 12))
             name = self.random.choice(sorted(_faults))
             self.counts[f"fault {name}"] += 1
             await _faults[name](self)
 
+    def find_leader(self) -> Node | None:
+        """Return a leader with a lease that is not frozen, if there is one."""
+        holders = self.group.list_lease_holders()
+        return next((node for node in holders if not node.clock.is_frozen), None)
+
     def choose_node(self) -> Node:
         return self.random.choice(list(self.group.nodes.values()))
 
@@ -148,11 +153,14 @@
 @fault
 async def isolate_leader_and_restart_its_voter(chaos: Chaos) -> None:
     """Restart who supports a leader, next to one that wants to be elected."""
-    holders = chaos.group.list_lease_holders()
-    if not holders:
+    leader = chaos.find_leader()
+    if leader is None or leader.replica is None:
+        return
+    members = leader.replica.status().members
+    voters = [member.id.name for member in members if member.is_voter]
+    others = [name for name in voters if name != leader.name]
+    if len(others) != len(chaos.group.bootstrap) - 1:
         return
-    leader = holders[0]
-    others = [name for name in chaos.group.nodes if name != leader.name]
     rival, voter = chaos.random.sample(others, 2)
     chaos.group.network.cut(leader.name, rival)
     chaos.group.network.cut(rival, leader.name)
@@ -170,11 +178,11 @@
 async def delay_answers_and_cut_the_leader_off(chaos: Chaos) -> None:
     """Let answers arrive after the voters stopped hearing the leader."""
     network = chaos.group.network
-    holders = chaos.group.list_lease_holders()
-    if not holders:
+    holder = chaos.find_leader()
+    if holder is None:
         return
-    leader = holders[0].name
-    delay = chaos.random.uniform(0.1, 1.0)
+    leader = holder.name
+    delay = chaos.random.uniform(0.3, 1.0)
     others = [name for name in chaos.group.nodes if name != leader]
     for name in others:
         network.slow(name, leader, delay)
@@ -197,10 +205,10 @@
 
 @fault
 async def change_voters(chaos: Chaos) -> None:
-    leaders = [n for n in chaos.group.list_lease_holders() if not n.clock.is_frozen]
-    if not leaders or leaders[0].replica is None:
+    leader = chaos.find_leader()
+    if leader is None or leader.replica is None:
         return
-    replica = leaders[0].replica
+    replica = leader.replica
     members = replica.status().members
     voters = [member.id.name for member in members if member.is_voter]
     others = [n.name for n in chaos.group.nodes.values() if n.has_disk]
