Let no task of a deposed leader speak in the new term

Cause: a peer's task that was already scheduled when its leader was deposed ran once more, past its cancellation, and sent entries under the new term as if it led it; the task that appends proposals could do the same in the log. Found by a long run of a mutant (a leader that never steps down), where the invariant one-leader-a-term broke. Ruled out: double votes (votes were durable and single). Now each of these tasks asks whether its own term is still led. The new test failed before (term 9 seen in appends of term 4) and passes after.

--- a/src/rhubarbfield/replication/changes.py
+++ b/src/rhubarbfield/replication/changes.py
@@ -131,7 +131,8 @@
         data = encode_membership(after)
         proposal = Proposal(EntryKind.MEMBERSHIP, data, deadline)
         if not self._leader.append([proposal]):
-            state.step_down()
+            if self._leader.is_active:
+                state.step_down()
             is_open = state.halted is not None
             return Failure(OutcomeUnknown() if is_open else NotLeader(None))
         logger.info("voters-changed group=%s voters=%s", state.group, after.voters)
--- a/src/rhubarbfield/replication/leader.py
+++ b/src/rhubarbfield/replication/leader.py
@@ -71,7 +71,7 @@
             self._nursery = nursery
             no_operation = Proposal(EntryKind.NO_OPERATION, b"", timedelta.max)
             if not self.append([no_operation]):
-                self._state.step_down()
+                self._resign()
                 return
             nursery.start_soon(self._append_proposals)
             nursery.start_soon(self._beat)
@@ -79,7 +79,7 @@
     @property
     def is_active(self) -> bool:
         """Whether the replica still leads the term that this is for."""
-        return self._state.is_leader and self._state.term == self._term
+        return self._state.leads(self._term)
 
     @property
     def is_settled(self) -> bool:
@@ -104,6 +104,8 @@
     def append(self, proposals: Sequence[Proposal]) -> bool:
         """Append proposals to the log and start to replicate them."""
         state = self._state
+        if not self.is_active:
+            return False
         first = state.log.last.index + 1
         entries = [
             Entry(LogIndex(index), state.term, proposal.kind, proposal.data)
@@ -186,7 +188,11 @@
             taken = self._proposals.take()
             if taken and not self.append(taken):
                 self._fail(taken)
-                self._state.step_down()
+                self._resign()
+
+    def _resign(self) -> None:
+        if self.is_active:
+            self._state.step_down()
 
     def _fail(self, proposals: Sequence[Proposal]) -> None:
         """Finish proposals that the storage did not take."""
@@ -199,7 +205,7 @@
 
     async def _beat(self) -> None:
         state = self._state
-        while True:
+        while self.is_active:
             for peer in self.peers.values():
                 peer.beat()
             self._proposals.expire(state.now)
@@ -207,7 +213,7 @@
             self._drop_silent_learners()
             await state.clock.sleep(state.settings.heartbeat)
             grace = self._elected_at + state.settings.lease
-            if state.now > max(grace, self._find_lease_end()):
+            if self.is_active and state.now > max(grace, self._find_lease_end()):
                 logger.warning("quorum-lost group=%s term=%d", state.group, state.term)
                 state.step_down()
 
@@ -215,7 +221,7 @@
         state = self._state
         is_applied = self._applier.applied >= state.log.commit
         if is_applied and not state.is_voter:
-            state.step_down()
+            self._resign()
 
     def _find_lease_end(self) -> timedelta:
         state = self._state
--- a/src/rhubarbfield/replication/peer.py
+++ b/src/rhubarbfield/replication/peer.py
@@ -58,6 +58,7 @@
         has_lease: Callable[[], bool],
     ) -> None:
         self._state = state
+        self._term = state.term
         self.id = replica_id
         self.match_index = LogIndex(0)
         self.acknowledged_sent = LONG_AGO
@@ -76,6 +77,8 @@
         """Send what the peer lacks, and heartbeats, until cancelled."""
         while True:
             await self._wake.wait()
+            if not self._state.leads(self._term):
+                return
             if self._transfer is not None or self._needs_snapshot():
                 self._send_chunk()
             else:
--- a/src/rhubarbfield/replication/state.py
+++ b/src/rhubarbfield/replication/state.py
@@ -118,6 +118,14 @@
         """Whether this replica leads its term; says nothing of its lease."""
         return self.role is Role.LEADER
 
+    def leads(self, term: Term) -> bool:
+        """Say whether this replica leads, and leads in ``term``.
+
+        A task of a leader may be running already when the leader is deposed;
+        it has to ask before it does anything in the leader's name.
+        """
+        return self.is_leader and self.term == term
+
     def send(self, to: InstanceName, message: ReplicationMessage) -> None:
         """Send a message to a peer."""
         if self.halted is None:
--- a/tests/replication/test_leader.py
+++ b/tests/replication/test_leader.py
@@ -77,13 +77,13 @@
         assert self.replica is not None
         self.replica.deliver(message.source.name, message)
 
-    def acknowledge(self, index: int) -> None:
+    def acknowledge(self, index: int, term: int = 0) -> None:
         latest = self.appends[-1]
         self.answer(
             AppendAnswer(
                 source=B,
                 target=A.incarnation,
-                term=latest.term,
+                term=Term(term or latest.term),
                 asked_term=latest.term,
                 matched=True,
                 index=LogIndex(index),
@@ -95,6 +95,7 @@
 def run_scripted(
     store: MemoryStore,
     scenario: Callable[[Replica, ScriptedPeers], Awaitable[None]],
+    seed: int = 1,
 ) -> None:
     async def play() -> None:
         peers = ScriptedPeers()
@@ -114,7 +115,7 @@
             await scenario(replica, peers)
             nursery.cancel_scope.cancel()
 
-    run_deterministic(play, 1)
+    run_deterministic(play, seed)
 
 
 class LeaderTest(unittest.TestCase):
@@ -134,6 +135,26 @@
         entries = make_entry(1, 1, OLD), make_entry(2, 2)
         run_scripted(make_store(*entries, term=3, commit=1), play)
 
+    def test_a_deposed_leader_says_nothing_in_the_new_term(self) -> None:
+        async def play(replica: Replica, peers: ScriptedPeers) -> None:
+            while not peers.appends:
+                await trio.sleep(0.1)
+            term = peers.appends[-1].term
+            peers.acknowledge(3)
+            await trio.sleep(0.01)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(replica.propose, b"late")
+                for _ in range(seed % 5):
+                    await trio.lowlevel.checkpoint()
+                peers.acknowledge(3, term=term + 5)
+            await trio.sleep(0.1)
+            self.assertEqual({append.term for append in peers.appends}, {term})
+            self.assertEqual(replica.status().term, term + 5)
+
+        for seed in range(1, 41):
+            entries = make_entry(1, 1, OLD), make_entry(2, 2)
+            run_scripted(make_store(*entries, term=3, commit=1), play, seed)
+
 
 class FollowerTest(unittest.TestCase):
     def test_a_restarted_replica_is_current_once_all_it_had_is_applied(self) -> None:
