--- a/tests/replication/test_leader.py
+++ b/tests/replication/test_leader.py
@@ -54,12 +54,26 @@
     return store
 
 
+def make_append(previous: int, commit: int) -> Append:
+    return Append(
+        source=B,
+        target=A.incarnation,
+        term=Term(1),
+        previous=LogPosition(LogIndex(previous), Term(1)),
+        entries=(),
+        commit=LogIndex(commit),
+        confirmed=True,
+        sent=0,
+    )
+
+
 class ScriptedPeers:
     """Grants every vote of one replica and records what it appends."""
 
     def __init__(self) -> None:
         self.replica: Replica | None = None
         self.appends: list[Append] = []
+        self.votes: list[bool] = []
 
     def send(
         self, to: InstanceName, group: GroupId, message: ReplicationMessage
@@ -70,6 +84,8 @@
             self.answer(PreVoteAnswer(asked_term=message.term, granted=True, **common))
         elif isinstance(message, Vote):
             self.answer(VoteAnswer(asked_term=message.term, granted=True, **common))
+        elif isinstance(message, VoteAnswer):
+            self.votes.append(message.granted)
         elif isinstance(message, Append) and to == B.name:
             self.appends.append(message)
 
@@ -157,22 +173,39 @@
 
 
 class FollowerTest(unittest.TestCase):
+    def test_a_vote_is_given_once_a_term_and_not_to_who_lags(self) -> None:
+        async def play(replica: Replica, peers: ScriptedPeers) -> None:
+            for wait, source, index in ((0.1, B, 2), (1.7, B, 1), (0, B, 2), (0, C, 2)):
+                await trio.sleep(wait)
+                vote = Vote(
+                    source=source,
+                    target=A.incarnation,
+                    term=Term(9),
+                    last=LogPosition(LogIndex(index), Term(index)),
+                )
+                peers.answer(vote)
+                await trio.sleep(0.01)
+            self.assertEqual(peers.votes, [False, False, True, False])
+            stored = store.load().unwrap().hard_state
+            self.assertEqual((stored.term, stored.vote), (9, B))
+
+        store = make_store(make_entry(1, 1, OLD), make_entry(2, 2), term=3, commit=1)
+        run_scripted(store, play)
+
+    def test_entries_beyond_what_matched_are_not_committed(self) -> None:
+        async def play(replica: Replica, peers: ScriptedPeers) -> None:
+            peers.answer(make_append(previous=2, commit=4))
+            await trio.sleep(0.01)
+            self.assertEqual(replica.status().commit, 2)
+
+        commands = [make_entry(index, 1) for index in range(2, 6)]
+        store = make_store(make_entry(1, 1, OLD), *commands, term=1, commit=1)
+        run_scripted(store, play)
+
     def test_a_restarted_replica_is_current_once_all_it_had_is_applied(self) -> None:
         async def play(replica: Replica, peers: ScriptedPeers) -> None:
             for commit, is_current in ((3, False), (4, False), (5, True)):
-                position = LogPosition(LogIndex(commit), Term(1))
-                peers.answer(
-                    Append(
-                        source=B,
-                        target=A.incarnation,
-                        term=Term(1),
-                        previous=position,
-                        entries=(),
-                        commit=LogIndex(commit),
-                        confirmed=True,
-                        sent=0,
-                    )
-                )
+                peers.answer(make_append(previous=commit, commit=commit))
                 await trio.sleep(0.01)
                 self.assertEqual(replica.applied, commit)
                 self.assertEqual(replica.is_current, is_current)
