--- a/src/rhubarbfield/storage/__init__.py
+++ b/src/rhubarbfield/storage/__init__.py
@@ -18,6 +18,7 @@
     LogStore,
     StoreDamaged,
     StoreFailure,
+    StoreInUse,
     SyncFailed,
 )
 
@@ -38,5 +39,6 @@
     "StoreDamaged",
     "SyncFailed",
     "DiskFull",
+    "StoreInUse",
     "MAX_COMMAND_BYTES",
 ]
--- a/src/rhubarbfield/storage/file.py
+++ b/src/rhubarbfield/storage/file.py
@@ -22,6 +22,7 @@
     DiskFull,
     StoreDamaged,
     StoreFailure,
+    StoreInUse,
     SyncFailed,
 )
 
@@ -173,6 +174,7 @@
     """
 
     def __init__(self, folder: Path, files: FileLayer | None = None) -> None:
+        self._folder = folder
         self._files = files if files is not None else SystemFiles(folder)
         self._size = 0
         self._stopped: SyncFailed | None = None
@@ -180,10 +182,26 @@
     def load(self) -> Result[StoredLog, StoreFailure]:
         """Return all that is stored; a torn last record is cut."""
         try:
-            log_data = self._files.read(LOG_FILE)
-            snapshot_data = self._files.read(SNAPSHOT_FILE)
+            self._files.lock()
+            stored = self._read_files()
+        except BlockingIOError:
+            return Failure(StoreInUse(f"another process uses {self._folder}"))
         except OSError as error:
-            return Failure(StoreDamaged(LOG_FILE, 0, str(error)))
+            if error.errno == errno.EIO:
+                return Failure(StoreDamaged(LOG_FILE, 0, str(error)))
+            return Failure(SyncFailed(str(error)))
+        if isinstance(stored, Failure) or stored.unwrap() == StoredLog():
+            return stored
+        # What was read may be in the system's cache only.
+        found = stored.unwrap()
+        saved = self._guard(
+            lambda: self._rewrite_log(found.hard_state, found.base, found.entries)
+        )
+        return saved.map(lambda _: found)
+
+    def _read_files(self) -> Result[StoredLog, StoreFailure]:
+        log_data = self._files.read(LOG_FILE)
+        snapshot_data = self._files.read(SNAPSHOT_FILE)
         if log_data is None and snapshot_data is None:
             return Success(StoredLog())
         if log_data is None:
@@ -193,17 +211,9 @@
             snapshot = decode_snapshot(snapshot_data)
         if isinstance(snapshot, Failure):
             return snapshot
-        stored = decode_log(log_data).bind(
+        return decode_log(log_data).bind(
             lambda log: join_snapshot(log, snapshot.unwrap())
         )
-        if isinstance(stored, Failure):
-            return stored
-        # What was read may be in the system's cache only.
-        found = stored.unwrap()
-        saved = self._guard(
-            lambda: self._rewrite_log(found.hard_state, found.base, found.entries)
-        )
-        return saved.map(lambda _: found)
 
     def append(
         self, hard_state: HardState, entries: Sequence[Entry] = ()
--- a/src/rhubarbfield/storage/files.py
+++ b/src/rhubarbfield/storage/files.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import fcntl
 import os
 from pathlib import Path
 from typing import Protocol
 
 FILE_MODE = 0o600
+LOCK_FILE = "lock"
 
 
 class FileLayer(Protocol):
@@ -15,6 +17,12 @@
     Every method raises :class:`OSError` when the system refuses.
     """
 
+    def lock(self) -> None:
+        """Keep other processes out until closed or the process ends.
+
+        Raises :class:`BlockingIOError` if another process did.
+        """
+
     def read(self, name: str) -> bytes | None:
         """Return the contents of a file, or None if there is none."""
 
@@ -54,6 +62,10 @@
         self._folder.mkdir(parents=True, exist_ok=True)
         self._open: dict[str, int] = {}
 
+    def lock(self) -> None:
+        """Keep other processes out until closed or the process ends."""
+        fcntl.flock(self._get_descriptor(LOCK_FILE), fcntl.LOCK_EX | fcntl.LOCK_NB)
+
     def read(self, name: str) -> bytes | None:
         """Return the contents of a file, or None if there is none."""
         try:
--- a/src/rhubarbfield/storage/store.py
+++ b/src/rhubarbfield/storage/store.py
@@ -36,7 +36,9 @@
 
 
 class SyncFailed(msgspec.Struct, frozen=True, tag=True):
-    """The system could not say that data is durable; the store has stopped.
+    """The system refused an operation; the store has stopped.
+
+    What was last written may or may not be durable.
 
     Attributes
     ----------
@@ -51,7 +53,19 @@
     """There was no room; nothing was changed and a later try may succeed."""
 
 
-StoreFailure = StoreDamaged | SyncFailed | DiskFull
+class StoreInUse(msgspec.Struct, frozen=True, tag=True):
+    """Another process works with the same files; nothing was read.
+
+    Attributes
+    ----------
+    reason
+        Which folder, and what to do.
+    """
+
+    reason: str
+
+
+StoreFailure = StoreDamaged | SyncFailed | DiskFull | StoreInUse
 
 
 class LogStore(Protocol):
--- a/tests/storage/simulated_files.py
+++ b/tests/storage/simulated_files.py
@@ -28,6 +28,9 @@
         self.operations_until_crash: int | None = None
         self.syncs = 0
 
+    def lock(self) -> None:
+        pass
+
     def read(self, name: str) -> bytes | None:
         file = self._names.get(name)
         return bytes(file.data) if file is not None else None
--- a/tests/storage/test_file.py
+++ b/tests/storage/test_file.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import errno
 import tempfile
 import unittest
 from pathlib import Path
 from random import Random
+from unittest import mock
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -21,6 +23,7 @@
     Snapshot,
     StoreDamaged,
     StoredLog,
+    StoreInUse,
     SyncFailed,
     SystemFiles,
 )
@@ -183,6 +186,14 @@
         self.assert_entries(())
         self.assertEqual(self.loaded.unwrap().base, snapshot.position)
 
+    def test_files_that_may_not_be_read_do_not_count_as_damaged(self) -> None:
+        self.append(make_entries(1, 2))
+        refusal = PermissionError(errno.EACCES, "refused")
+        with mock.patch.object(self.files, "read", side_effect=refusal):
+            self.open()
+        self.assertIsInstance(self.loaded.failure(), SyncFailed)
+        self.assert_entries(make_entries(1, 2))
+
     def test_real_files_keep_what_was_written(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             for first in (1, 3):
@@ -197,7 +208,11 @@
             snapshot = make_snapshot(4)
             store.save_snapshot(STATE, snapshot, snapshot.position, ())
             self.assertEqual(store.load().unwrap().snapshot, snapshot)
+            other = FileStore(Path(folder) / "group")
+            self.assertIsInstance(other.load().failure(), StoreInUse)
             store.close()
+            self.assertIsInstance(other.load(), Success)
+            other.close()
             files.close()
 
 
