--- a/tests/replication/group.py
+++ b/tests/replication/group.py
@@ -47,6 +47,7 @@
 class MachineState(msgspec.Struct):
     index: int = 0
     digest: str = ""
+    padding: bytes = b""
 
 
 class ChainMachine:
@@ -60,7 +61,8 @@
     def apply(self, index: LogIndex, command: bytes) -> bytes:
         assert index > self.state.index
         chained = self.state.digest.encode() + command
-        self.state = MachineState(index, hashlib.sha256(chained).hexdigest())
+        digest = hashlib.sha256(chained).hexdigest()
+        self.state = MachineState(index, digest, self.state.padding)
         self._observer.note_applied(index, command, self.state.digest)
         return str(index).encode()
 
--- a/tests/replication/test_membership.py
+++ b/tests/replication/test_membership.py
@@ -83,6 +83,25 @@
 
         run_group(play)
 
+    def test_a_large_snapshot_arrives_in_parts_over_bad_links(self) -> None:
+        async def play(group: Group) -> None:
+            padding = group.random.randbytes(1_500_000)
+            for node in group.nodes.values():
+                node.machine.state.padding = padding
+            behind = group.list_others(await group.wait_leader())[0]
+            await behind.crash()
+            for part in range(3):
+                index = await group.propose_many(f"part{part} ", 500)
+            await behind.start()
+            group.network.drop_rate = 0.3
+            group.network.duplicate_rate = 0.3
+            group.network.sent.clear()
+            await behind.replica.wait_applied(index)
+            self.assertEqual(behind.machine.state.padding, padding)
+            self.assertGreater(group.network.sent["InstallSnapshot"], 5)
+
+        run_group(play)
+
     def test_bad_links_lose_nothing(self) -> None:
         async def play(group: Group) -> None:
             await group.propose_many("x", 100)
