--- a/tests/replication/measure.py
+++ b/tests/replication/measure.py
@@ -182,6 +182,37 @@
     return run_deterministic(play, seed)
 
 
+def measure_repair(seed: int) -> float:
+    """Return the seconds from an empty start to being a voter again."""
+
+    async def play() -> float:
+        async with trio.open_nursery() as nursery:
+            group = Group(nursery, seed, drift=0.05)
+            await group.start()
+            await group.propose_many("x", 100)
+            await trio.sleep(group.random.uniform(1, 2))
+            leader = await group.wait_leader()
+            lost = group.list_others(leader)[0]
+            await lost.lose_disk()
+            await lost.start()
+            started = trio.current_time()
+            while not is_voter(lost):
+                await trio.sleep(0.01)
+            elapsed = trio.current_time() - started
+            nursery.cancel_scope.cancel()
+        return elapsed
+
+    return run_deterministic(play, seed)
+
+
+def is_voter(node: Node) -> bool:
+    """Say whether a replica knows that its own place is committed."""
+    assert node.replica is not None
+    status = node.replica.status()
+    own = [member for member in status.members if member.id == status.id]
+    return bool(own) and own[0].is_voter and status.commit == status.last
+
+
 def measure_catch_up(
     entries: int, seed: int, settings: GroupSettings
 ) -> tuple[float, int, float]:
@@ -226,6 +257,9 @@
         times = [measure_failover(harm, seed) for seed in FAILOVER_SEEDS]
         row = statistics.median(times), min(times), max(times)
         print(f"{harm.__name__:10}" + "".join(f"{value:>10.2f}" for value in row))
+    times = [measure_repair(seed) for seed in FAILOVER_SEEDS]
+    row = statistics.median(times), min(times), max(times)
+    print("disk lost " + "".join(f"{value:>10.2f}" for value in row))
     print(f"\ncatching up after a restart, {len(CATCH_UP_SEEDS)} seeds")
     print("entries  by           median s      max s   messages   CPU ms")
     for label, settings in CATCH_UP_SETTINGS.items():
