Trust no report that waited here while the process was frozen

Found in review: a report that came before a freeze is read after it and was taken for at most three seconds old, which freed the slot of a request that may still run.

--- a/src/rhubarbfield/routing/router.py
+++ b/src/rhubarbfield/routing/router.py
@@ -24,6 +24,8 @@
 from rhubarbfield.routing.settings import LiveSettings
 from rhubarbfield.types import BackendServerId, Outcome, ServiceName
 
+AWAKE_NOTES_IN_LIMIT = 4
+
 
 class Router:
     """Routes callers' requests to backend servers.
@@ -110,6 +112,7 @@
             async with trio.open_nursery() as nursery:
                 self._nursery = nursery
                 self._keys.use_nursery(nursery)
+                nursery.start_soon(self._note_awake)
                 task_status.started()
                 while True:
                     await self._admission.wait_for_waiter()
@@ -118,6 +121,13 @@
         finally:
             self._nursery = None
 
+    async def _note_awake(self) -> None:
+        while True:
+            self.servers.note_awake()
+            await self._clock.sleep(
+                self.settings.current.freeze_limit / AWAKE_NOTES_IN_LIMIT
+            )
+
     async def route(self, request: CallerRequest) -> Routed:
         """Return the backend server's answer to ``request``, or its refusal.
 
--- a/src/rhubarbfield/routing/servers.py
+++ b/src/rhubarbfield/routing/servers.py
@@ -39,6 +39,8 @@
         self._services: dict[ServiceName, dict[BackendServerId, SlotLedger]] = {}
         self._newest: dict[BackendServerId, Epoch] = {}
         self._retired: dict[BackendServerId, SlotLedger] = {}
+        self._awake_at: timedelta | None = None
+        self._reports_trusted_from = timedelta()
         self._watchers: list[Callable[[ServiceName, BackendServerId], None]] = []
 
     def watch(self, watcher: Callable[[ServiceName, BackendServerId], None]) -> None:
@@ -97,10 +99,26 @@
         if server in self._ledgers:
             self._ledgers[server].leaving = True
 
+    def note_awake(self) -> None:
+        """Note that the process runs; call it often, to find out freezes.
+
+        After a freeze, reports that came meanwhile are read as if they were
+        new. Until all of them must have been read, reports prove nothing
+        unless they say what they were counted after.
+        """
+        now = self._clock.monotonic()
+        settings = self._settings.current
+        before = self._awake_at if self._awake_at is not None else now
+        if now - before > settings.freeze_limit:
+            self._reports_trusted_from = now + settings.report_age
+        self._awake_at = now
+
     def report(self, report: ServerReport) -> None:
         """Take a backend server's own word on what it runs."""
+        self.note_awake()
+        trusted = self._clock.monotonic() >= self._reports_trusted_from
         ledger = self._ledgers.get(report.server)
-        if ledger is not None:
+        if ledger is not None and (trusted or report.counted_after is not None):
             ledger.take_report(report, self._clock.monotonic())
             self._notify(ledger)
 
--- a/src/rhubarbfield/routing/settings.py
+++ b/src/rhubarbfield/routing/settings.py
@@ -93,6 +93,8 @@
         How long bytes may be under way after their connection was closed.
     report_age
         How old a backend server's own report may be when it arrives.
+    freeze_limit
+        A longer pause of the process means that reports may have waited here.
     body_limit, answer_limit
         The largest request and answer, in bytes.
     retry_ratio
@@ -126,6 +128,7 @@
     longest_timeout: timedelta = timedelta(seconds=30)
     settle_time: timedelta = timedelta(seconds=1)
     report_age: timedelta = timedelta(seconds=3)
+    freeze_limit: timedelta = timedelta(seconds=1)
     body_limit: int = 1 << 20
     answer_limit: int = 4 << 20
     retry_ratio: float = 0.1
--- a/tests/routing/test_ledger.py
+++ b/tests/routing/test_ledger.py
@@ -130,6 +130,24 @@
         self.servers.report(make_report(1, 4 * SECOND, "1.5"))
         self.assertEqual(self.count_room(), 4)
 
+    def test_a_report_that_waited_while_the_process_was_frozen_proves_nothing(
+        self,
+    ) -> None:
+        self.servers.grant(make_grant())
+        self.servers.note_awake()
+        self.get_ledger().abandon(self.reserve("lost"), self.clock.monotonic())
+        self.clock.advance(10 * SECOND)
+        buffered = ServerReport(server=SERVER, running=0)
+        for _ in range(2):
+            self.servers.report(buffered)
+            self.servers.note_awake()
+        self.assertEqual(self.count_room(), 3)
+        for _ in range(8):
+            self.clock.advance(SECOND / 2)
+            self.servers.note_awake()
+        self.servers.report(buffered)
+        self.assertEqual(self.count_room(), 4)
+
     def test_an_abandoned_request_ends_with_the_longest_timeout(self) -> None:
         self.servers.grant(make_grant())
         self.get_ledger().abandon(self.reserve("lost"), self.clock.monotonic())
