--- a/src/rhubarbfield/measurement/entry.py
+++ b/src/rhubarbfield/measurement/entry.py
@@ -27,6 +27,7 @@
 from rhubarbfield.clock import TrioClock
 from rhubarbfield.exceptions import UsageError
 from rhubarbfield.measurement.absences import NoEntries, NoRecords
+from rhubarbfield.measurement.commands import run_command
 from rhubarbfield.measurement.fleet import LEASE
 from rhubarbfield.measurement.tables import format_spread
 from rhubarbfield.routing import BackendGrant, LiveSettings, OwnedServers, Router
@@ -220,6 +221,4 @@
 
 
 if __name__ == "__main__":
-    import sys
-
-    raise SystemExit(main(sys.argv[1:]))
+    run_command(main)
--- a/src/rhubarbfield/measurement/slots.py
+++ b/src/rhubarbfield/measurement/slots.py
@@ -19,6 +19,7 @@
 from absl import flags
 
 from rhubarbfield.exceptions import UsageError
+from rhubarbfield.measurement.commands import run_command
 from rhubarbfield.measurement.fleet import Callers, Trial, Way, run_trial
 from rhubarbfield.measurement.tables import format_spread
 
@@ -94,6 +95,4 @@
 
 
 if __name__ == "__main__":
-    import sys
-
-    raise SystemExit(main(sys.argv[1:]))
+    run_command(main)
