Never start a gang below what was seen of its like

A gang that found no room was tried at its declared size, which may be above what the quota was checked for, and below what its like was seen to use. Change: only the margin is left out.

--- a/src/rhubarbfield/placement/queueing.py
+++ b/src/rhubarbfield/placement/queueing.py
@@ -266,13 +266,13 @@
         return "the quota of its tenant is used up"
 
     def _place_gang(self, job: Job, request: Request, tasks: list[Task]) -> int:
-        """Place all of a gang or nothing; at need with the declared size."""
-        for size in (request.size, job.spec.declared):
+        """Place all of a gang or nothing; at need without the margin of memory."""
+        bare = self._fleet.view.sizes.estimate_bare(job.spec)
+        for size in (request.size, request.size.reduce(bare)):
             trial = Request(job.spec, size, request.proven, request.ceiling)
-            if not request.proven or size == request.size:
-                placed = self._choose(job, trial, tasks, ())
-                if placed == len(tasks):
-                    return placed
+            placed = self._choose(job, trial, tasks, ())
+            if placed:
+                return placed
         return 0
 
     def _place_each(self, job: Job, request: Request, tasks: list[Task]) -> int:
--- a/tests/placement/test_policy.py
+++ b/tests/placement/test_policy.py
@@ -187,6 +187,19 @@
         bench.run_round()
         self.assertEqual(len(bench.state.jobs[JobId("j")].live), 2)
 
+    def test_a_gang_never_gets_less_than_was_seen_of_its_like(self) -> None:
+        bench = Bench(workers=1)
+        bench.accept("filler", memory_mb=2_000, batch_kind=BatchKind("other"))
+        bench.run_round()
+        bench.accept(cores=4.0, memory_mb=2_000, gang=True)
+        for _ in range(5):
+            spec = bench.state.jobs[JobId("j")].spec
+            bench.view.sizes.learn(spec, 2_000, 25_000)
+        bench.run_round()
+        live = bench.state.tasks[TaskId("j/0")].live
+        assert live is not None
+        self.assertGreaterEqual(live.size.memory_mb, 25_000)
+
 
 class UrgentTest(unittest.TestCase):
     def test_urgent_work_goes_first(self) -> None:
