--- a/src/rhubarbfield/placement/_jobs.py
+++ b/src/rhubarbfield/placement/_jobs.py
@@ -10,6 +10,7 @@
     AcceptJob,
     CancelJobs,
     ForgetFinished,
+    RejectJobs,
     SetEstimates,
     SetQuota,
     work_commands,
@@ -95,6 +96,16 @@
     )
 
 
+@work_commands.applies(RejectJobs)
+def reject_jobs(state: WorkState, command: RejectJobs) -> Reply:
+    """End what turned out to be impossible."""
+    for rejection in command.rejections:
+        job = state.jobs.get(rejection.job)
+        if job is not None and job.state in ACTIVE_JOB_STATES and not job.live:
+            stop_job(state, job, JobState.IMPOSSIBLE, command.at, rejection.reason)
+    return Done()
+
+
 @work_commands.applies(ForgetFinished)
 def forget_finished(state: WorkState, command: ForgetFinished) -> Reply:
     """Drop the records of jobs that ended long ago."""
--- a/src/rhubarbfield/placement/commands.py
+++ b/src/rhubarbfield/placement/commands.py
@@ -107,6 +107,23 @@
     spec: JobSpec
 
 
+class Rejection(msgspec.Struct, frozen=True):
+    """A job that turned out never to run, and why."""
+
+    job: JobId
+    reason: str
+
+
+class RejectJobs(Command, frozen=True):
+    """End jobs as impossible that were seen to be larger than declared.
+
+    Jobs that have ended or have live attempts stay as they are.
+    """
+
+    at: datetime
+    rejections: tuple[Rejection, ...]
+
+
 class CancelJobs(Command, frozen=True):
     """Cancel jobs, whatever state they are in; answered by :class:`JobsCancelled`."""
 
--- a/src/rhubarbfield/placement/policy.py
+++ b/src/rhubarbfield/placement/policy.py
@@ -11,6 +11,7 @@
 from rhubarbfield.placement._jobs import make_harm_key
 from rhubarbfield.placement.commands import (
     EvictAttempts,
+    RejectJobs,
     ResizeAttempts,
     SetEstimates,
     StartAttempts,
@@ -110,6 +111,9 @@
         if evictions:
             orders = tuple(evictions.values())
             commands.append(EvictAttempts(at=fleet.now, evictions=orders))
+        if placer.rejections:
+            rejections = tuple(placer.rejections)
+            commands.append(RejectJobs(at=fleet.now, rejections=rejections))
         if placer.starts:
             commands.append(StartAttempts(at=fleet.now, starts=tuple(placer.starts)))
         throttles = {order.attempt: order for order in self._relief.throttles}
--- a/src/rhubarbfield/placement/queueing.py
+++ b/src/rhubarbfield/placement/queueing.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from rhubarbfield.placement.commands import AttemptStart
+from rhubarbfield.placement.commands import AttemptStart, Rejection
 from rhubarbfield.placement.decision import Decision
 from rhubarbfield.placement.fleet import Fleet, Request, Seat
 from rhubarbfield.placement.placing import Chooser, Chosen, Window
@@ -18,7 +18,11 @@
 from rhubarbfield.placement.relief import Relief
 from rhubarbfield.placement.resources import Resources
 from rhubarbfield.placement.runnable import count_places
-from rhubarbfield.placement.starvation import find_starving, is_short_of_room
+from rhubarbfield.placement.starvation import (
+    find_outgrown,
+    find_starving,
+    is_short_of_room,
+)
 from rhubarbfield.placement.state import Job, QuarantineState, Task
 from rhubarbfield.placement.strategies import Strategy
 from rhubarbfield.types import JobId, Priority, TaskId, Tenant, WorkerId
@@ -92,6 +96,8 @@
     ----------
     starts
         What is to start where.
+    rejections
+        Gangs that turned out never to fit.
     waits
         Why jobs that could start did not.
     """
@@ -111,6 +117,7 @@
         }
         self._dead: list[Dead] = []
         self.starts: list[AttemptStart] = []
+        self.rejections: list[Rejection] = []
         self.waits: dict[JobId, str] = {}
 
     def place(self) -> None:
@@ -273,6 +280,9 @@
             placed = self._choose(job, trial, tasks, ())
             if placed:
                 return placed
+        reason = find_outgrown(self._fleet, job)
+        if reason is not None:
+            self.rejections.append(Rejection(job.spec.job, reason))
         return 0
 
     def _place_each(self, job: Job, request: Request, tasks: list[Task]) -> int:
--- a/src/rhubarbfield/placement/starvation.py
+++ b/src/rhubarbfield/placement/starvation.py
@@ -5,7 +5,11 @@
 from collections.abc import Iterable
 
 from rhubarbfield.placement.fleet import Fleet, Request
-from rhubarbfield.placement.runnable import count_places
+from rhubarbfield.placement.runnable import (
+    check_runnable,
+    count_places,
+    find_usable,
+)
 from rhubarbfield.placement.state import Job
 
 LARGE_SHARE = 0.25
@@ -37,6 +41,27 @@
     return int(waited) % 2 == 1
 
 
+def find_outgrown(fleet: Fleet, job: Job) -> str | None:
+    """Return why a gang never fits, judged by what was seen of its like.
+
+    A gang that is too large as declared waits for more workers to join.
+    """
+    spec = job.spec
+    if not spec.gang or job.live or check_runnable(fleet.state, spec):
+        return None
+    size = fleet.view.sizes.estimate_bare(spec).reduce(fleet.largest_known)
+    places = sum(
+        count_places(size, find_usable(worker.announced))
+        for worker in fleet.state.workers.values()
+    )
+    if places >= len(job.pending):
+        return None
+    return (
+        f"tasks like these were seen to need {size.describe()}; the workers hold "
+        f"{places} of the {len(job.pending)} tasks of the gang"
+    )
+
+
 def is_short_of_room(fleet: Fleet, request: Request, tasks: int) -> bool:
     """Return whether tasks would fit empty workers but do not fit what is free."""
     free = sum(count_places(request.size, seat.room) for seat in fleet.seats)
--- a/tests/placement/test_policy.py
+++ b/tests/placement/test_policy.py
@@ -200,6 +200,25 @@
         assert live is not None
         self.assertGreaterEqual(live.size.memory_mb, 25_000)
 
+    def test_a_gang_waits_for_workers_that_have_not_joined_yet(self) -> None:
+        bench = Bench(workers=0)
+        bench.accept(tasks=2, cores=6.0, gang=True)
+        for number in range(2):
+            bench.add_worker(f"w{number}")
+            bench.run_round()
+        self.assertEqual(len(bench.state.jobs[JobId("j")].live), 2)
+
+    def test_a_gang_whose_like_outgrew_the_fleet_is_said_to_be_impossible(self) -> None:
+        bench = Bench(workers=2)
+        bench.accept(tasks=4, memory_mb=2_000, gang=True)
+        for _ in range(20):
+            spec = bench.state.jobs[JobId("j")].spec
+            bench.view.sizes.learn(spec, 1_000, 20_000)
+        bench.run_round()
+        job = bench.state.jobs[JobId("j")]
+        self.assertIs(job.state, JobState.IMPOSSIBLE)
+        self.assertIn("the workers hold 2 of the 4 tasks", job.reason)
+
 
 class UrgentTest(unittest.TestCase):
     def test_urgent_work_goes_first(self) -> None:
