--- a/src/rhubarbfield/cli/daemons.py
+++ b/src/rhubarbfield/cli/daemons.py
@@ -82,8 +82,11 @@
         broken = find_error(error, BrokenInvariantError)
         if broken is not None:
             _keep(broken, name, settings)
-        if find_error(error, UsageError) is None:
+        expected = find_error(error, UsageError) or find_error(error, OSError)
+        if expected is None:
             logger.error("daemon-failed", exc_info=error)
+        else:
+            log_event(logger, logging.ERROR, "daemon-refused", error=str(expected))
         raise
     log_event(logger, logging.INFO, "daemon-stopped", **ids)
     return 0
--- a/src/rhubarbfield/fleet/effects.py
+++ b/src/rhubarbfield/fleet/effects.py
@@ -145,9 +145,9 @@
     for job in open_jobs:
         cancel_job(job, mark, is_held=_is_held(state, job))
     told = sum(job.state is not JobState.CANCELLED for job in open_jobs)
-    answer = f"{len(open_jobs)} open jobs are cancelled"
+    answer = f"open jobs cancelled: {len(open_jobs)}"
     if told:
-        answer += f", {told} of them as soon as their failure domain has ended them"
+        answer += f"; as soon as their failure domain has ended them: {told}"
     named = tuple(job.id for job in open_jobs[:MOST_NAMED_JOBS])
     return Effect(True, answer, named)
 
--- a/src/rhubarbfield/logs.py
+++ b/src/rhubarbfield/logs.py
@@ -23,6 +23,7 @@
 )
 _IDS_ATTRIBUTE = "rhubarbfield_ids"
 _FIELD = re.compile(r"(\w+)=%[dsrf]")
+_EVENT = re.compile(r"[a-z0-9]+(-[a-z0-9]+)+")
 _LEVELS = logging.getLevelNamesMapping()
 
 LogValue = str | int | float | bool | None | timedelta | datetime | Enum
@@ -104,6 +105,7 @@
 
     Besides those of :func:`log_event`, events are understood whose text is a
     name and then only ``id=%s``, as in ``"job-delegated job=%s domain=%s"``.
+    Anything else that follows a name with a hyphen is its detail.
     """
     ids = getattr(record, _IDS_ATTRIBUTE, None)
     if ids is not None:
@@ -112,7 +114,9 @@
     values = record.args if isinstance(record.args, tuple) else ()
     matches = [_FIELD.fullmatch(field) for field in fields]
     if not fields or len(values) != len(fields) or None in matches:
-        return record.getMessage(), {}
+        event, _, detail = record.getMessage().partition(" ")
+        named = _EVENT.fullmatch(event) is not None and detail
+        return (event, {"detail": detail}) if named else (record.getMessage(), {})
     names = [match.group(1) for match in matches if match is not None]
     return name, dict(zip(names, values, strict=True))
 
