--- a/src/rhubarbfield/operators/app.py
+++ b/src/rhubarbfield/operators/app.py
@@ -18,7 +18,7 @@
 from werkzeug.exceptions import HTTPException, RequestEntityTooLarge
 
 from rhubarbfield.exceptions import BrokenInvariantError
-from rhubarbfield.fleet import ConfigurationProblem, check_configuration
+from rhubarbfield.fleet import CommandRecord, ConfigurationProblem, check_configuration
 from rhubarbfield.language import (
     AnyCommandStatement,
     CommandStatement,
@@ -246,8 +246,9 @@
                     text=asked.text,
                     statement=statement,
                 )
-                record = await self._service.command(submission)
-                return record.map(lambda found: CommandAnswer(record=found))
+                outcome = await self._service.command(submission)
+                _log_command(submission, outcome)
+                return outcome.map(lambda record: CommandAnswer(record=record))
             case refused:
                 return refused
 
@@ -294,6 +295,24 @@
     )
 
 
+def _log_command(
+    submission: Submission, outcome: Result[CommandRecord, OperatorFailure]
+) -> None:
+    match outcome:
+        case Success(CommandRecord(accepted=accepted)):
+            verdict = "accepted" if accepted else "refused"
+        case _:
+            verdict = outcome.failure().kind.value
+    log_event(
+        _LOGGER,
+        logging.INFO,
+        "operator-command",
+        operator=submission.operator,
+        number=submission.number,
+        verdict=verdict,
+    )
+
+
 def _fail(kind: FailureKind, message: str) -> Result[Any, OperatorFailure]:
     return Failure(OperatorFailure(kind=kind, message=message))
 
--- a/tests/operators/test_app.py
+++ b/tests/operators/test_app.py
@@ -85,7 +85,9 @@
         self.assertIn(b'"1-a"', answer.body)
 
     def test_a_resent_command_gets_the_same_bytes_again(self) -> None:
-        first = self.command(1, CREATE)
+        with self.assertLogs("rhubarbfield.operators", "INFO") as logs:
+            first = self.command(1, CREATE)
+        self.assertIn("operator-command", logs.output[0])
         self.assertEqual(first.status, 200)
         self.assertEqual(self.command(1, CREATE), first)
         clash = self.command(1, CREATE, operator="bo")
