--- /dev/null
+++ b/src/rhubarbfield/operators/answers.py
@@ -0,0 +1,76 @@
+"""Outcomes as HTTP answers."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+from quart import Response
+from returns.result import Failure, Result
+
+from rhubarbfield.operators.failures import FailureKind, OperatorFailure
+from rhubarbfield.operators.messages import FailureAnswer
+
+RETRY_AFTER_SECONDS = 1
+_STATUS_BY_KIND = {
+    FailureKind.UNAUTHORIZED: 401,
+    FailureKind.MALFORMED: 400,
+    FailureKind.TOO_LARGE: 413,
+    FailureKind.SYNTAX: 400,
+    FailureKind.INVALID: 422,
+    FailureKind.NOT_FOUND: 404,
+    FailureKind.CLASH: 409,
+    FailureKind.NUMBER_REFUSED: 409,
+    FailureKind.NOT_LEADER: 503,
+    FailureKind.NO_QUORUM: 503,
+    FailureKind.UNKNOWN_OUTCOME: 504,
+    FailureKind.BUSY: 503,
+    FailureKind.UNREACHABLE: 502,
+    FailureKind.INTERNAL: 500,
+}
+_STATUS_OK = 200
+STATUS_UNAVAILABLE = 503
+STATUS_NOT_FOUND = 404
+
+
+Answer = Result[Any, OperatorFailure]
+
+
+def fail(kind: FailureKind, message: str) -> Answer:
+    """Return a failure as an outcome.
+
+    Parameters
+    ----------
+    kind
+        What kept the request from its answer.
+    message
+        What to tell the operator.
+    """
+    return Failure(OperatorFailure(kind=kind, message=message))
+
+
+def make_response(outcome: Answer) -> Response:
+    """Return the HTTP response for an outcome.
+
+    Parameters
+    ----------
+    outcome
+        A struct, or a failure, which has the status of its kind.
+    """
+    match outcome:
+        case Failure(OperatorFailure() as failure):
+            return _answer_failure(failure)
+    return encode(outcome.unwrap())
+
+
+def _answer_failure(failure: OperatorFailure) -> Response:
+    status = _STATUS_BY_KIND[failure.kind]
+    response = encode(FailureAnswer(failure=failure), status)
+    if status == STATUS_UNAVAILABLE:
+        response.headers["Retry-After"] = str(RETRY_AFTER_SECONDS)
+    return response
+
+
+def encode(value: msgspec.Struct, status: int = _STATUS_OK) -> Response:
+    """Return ``value`` as JSON, with a status."""
+    return Response(msgspec.json.encode(value), status, mimetype="application/json")
--- a/src/rhubarbfield/operators/app.py
+++ b/src/rhubarbfield/operators/app.py
@@ -6,7 +6,7 @@
 import logging
 from collections.abc import Awaitable, Callable, Iterable
 from datetime import timedelta
-from typing import Any, TypeVar, cast
+from typing import TypeVar, cast
 
 import msgspec
 import trio
@@ -14,7 +14,7 @@
 from prometheus_client.exposition import CONTENT_TYPE_LATEST
 from quart import Response, request
 from quart_trio import QuartTrio
-from returns.result import Failure, Result, Success
+from returns.result import Result, Success
 from werkzeug.exceptions import HTTPException, RequestEntityTooLarge
 
 from rhubarbfield.exceptions import BrokenInvariantError
@@ -31,12 +31,19 @@
     select_rows,
 )
 from rhubarbfield.logs import get_logger, log_event
+from rhubarbfield.operators.answers import (
+    STATUS_NOT_FOUND,
+    STATUS_UNAVAILABLE,
+    Answer,
+    encode,
+    fail,
+    make_response,
+)
 from rhubarbfield.operators.failures import FailureKind, OperatorFailure
 from rhubarbfield.operators.messages import (
     LARGEST_BODY_BYTES,
     CommandAnswer,
     CommandRequest,
-    FailureAnswer,
     QueryRequest,
 )
 from rhubarbfield.operators.port import OperatorsPort, Submission
@@ -46,30 +53,8 @@
 LONGEST_BODY = timedelta(seconds=10)
 LONGEST_ANSWER = timedelta(seconds=10)
 MOST_REQUESTS_AT_ONCE = 64
-RETRY_AFTER_SECONDS = 1
 _LOGGER = get_logger("operators")
-_STATUS_BY_KIND = {
-    FailureKind.UNAUTHORIZED: 401,
-    FailureKind.MALFORMED: 400,
-    FailureKind.TOO_LARGE: 413,
-    FailureKind.SYNTAX: 400,
-    FailureKind.INVALID: 422,
-    FailureKind.NOT_FOUND: 404,
-    FailureKind.CLASH: 409,
-    FailureKind.NUMBER_REFUSED: 409,
-    FailureKind.NOT_LEADER: 503,
-    FailureKind.NO_QUORUM: 503,
-    FailureKind.UNKNOWN_OUTCOME: 504,
-    FailureKind.BUSY: 503,
-    FailureKind.UNREACHABLE: 502,
-    FailureKind.INTERNAL: 500,
-}
-_STATUS_OK = 200
-_STATUS_UNAVAILABLE = 503
-_STATUS_NOT_FOUND = 404
-
 BodyT = TypeVar("BodyT")
-Answer = Result[Any, OperatorFailure]
 
 
 def create_operators_app(
@@ -143,27 +128,27 @@
             path=request.path,
         )
         message = "the Authorization header does not show the shared secret"
-        return _answer(_fail(FailureKind.UNAUTHORIZED, message))
+        return make_response(fail(FailureKind.UNAUTHORIZED, message))
 
     async def query(self) -> Response:
         """Answer a query."""
         with trio.move_on_after(LONGEST_ANSWER.total_seconds()):
-            return _answer(await self._within_bounds(self._query))
-        return _answer(_fail(FailureKind.BUSY, "the answer took too long"))
+            return make_response(await self._within_bounds(self._query))
+        return make_response(fail(FailureKind.BUSY, "the answer took too long"))
 
     async def command(self) -> Response:
         """Have a command decided."""
         with trio.move_on_after(LONGEST_ANSWER.total_seconds()):
-            return _answer(await self._within_bounds(self._command))
+            return make_response(await self._within_bounds(self._command))
         message = (
             "whether the command had its effect is not known yet; send it again"
             " under the same number"
         )
-        return _answer(_fail(FailureKind.UNKNOWN_OUTCOME, message))
+        return make_response(fail(FailureKind.UNKNOWN_OUTCOME, message))
 
     async def show_status(self) -> Response:
         """Return what the controller knows of itself."""
-        return _encode(self._service.get_status())
+        return encode(self._service.get_status())
 
     async def show_health(self) -> Response:
         """Say that the process lives."""
@@ -175,7 +160,7 @@
         if status.ready:
             return Response("ready\n", mimetype="text/plain")
         text = f"not ready: {status.note}\n"
-        return Response(text, _STATUS_UNAVAILABLE, mimetype="text/plain")
+        return Response(text, STATUS_UNAVAILABLE, mimetype="text/plain")
 
     async def show_metrics(self) -> Response:
         """Expose the metrics of the process."""
@@ -186,10 +171,10 @@
         """Answer a request that has no handler or can't be read."""
         if isinstance(error, RequestEntityTooLarge):
             message = f"a request has at most {LARGEST_BODY_BYTES} bytes"
-            return _answer(_fail(FailureKind.TOO_LARGE, message))
-        found = error.code != _STATUS_NOT_FOUND
+            return make_response(fail(FailureKind.TOO_LARGE, message))
+        found = error.code != STATUS_NOT_FOUND
         kind = FailureKind.MALFORMED if found else FailureKind.NOT_FOUND
-        return _answer(_fail(kind, error.description or "not a request"))
+        return make_response(fail(kind, error.description or "not a request"))
 
     async def answer_fault(self, error: Exception) -> Response:
         """Answer a request during which the program failed."""
@@ -197,7 +182,7 @@
         if isinstance(error, BrokenInvariantError) and self._on_broken_invariant:
             self._on_broken_invariant(error)
         message = "the controller met a fault of its own; its log says which"
-        return _answer(_fail(FailureKind.INTERNAL, message))
+        return make_response(fail(FailureKind.INTERNAL, message))
 
     async def _within_bounds(self, answer: Callable[[], Awaitable[Answer]]) -> Answer:
         borrower = object()
@@ -205,7 +190,7 @@
             self._places.acquire_on_behalf_of_nowait(borrower)
         except trio.WouldBlock:
             message = f"{MOST_REQUESTS_AT_ONCE} requests are being answered already"
-            return _fail(FailureKind.BUSY, message)
+            return fail(FailureKind.BUSY, message)
         try:
             return await answer()
         finally:
@@ -223,7 +208,7 @@
             case Success(Query() as query):
                 found = await self._service.query(query)
             case Success(_):
-                return _fail(FailureKind.INVALID, "this is a command, not a query")
+                return fail(FailureKind.INVALID, "this is a command, not a query")
             case refused:
                 return refused
         if isinstance(query, Show) and isinstance(found, Success):
@@ -261,7 +246,7 @@
     try:
         return Success(msgspec.json.decode(data, type=body_type))
     except (msgspec.DecodeError, RecursionError) as error:
-        return _fail(FailureKind.MALFORMED, f"the body is not as expected: {error}")
+        return fail(FailureKind.MALFORMED, f"the body is not as expected: {error}")
 
 
 def _read_statement(text: str) -> Result[Statement, OperatorFailure]:
@@ -279,7 +264,7 @@
         return check_configuration(statement).map(lambda _: statement).alt(_join)
     if isinstance(statement, CommandStatement):
         return Success(cast(AnyCommandStatement, statement))
-    return _fail(FailureKind.INVALID, "this is a query, not a command")
+    return fail(FailureKind.INVALID, "this is a query, not a command")
 
 
 def _join(problems: Iterable[ConfigurationProblem]) -> OperatorFailure:
@@ -311,26 +296,3 @@
         number=submission.number,
         verdict=verdict,
     )
-
-
-def _fail(kind: FailureKind, message: str) -> Result[Any, OperatorFailure]:
-    return Failure(OperatorFailure(kind=kind, message=message))
-
-
-def _answer(outcome: Answer) -> Response:
-    match outcome:
-        case Failure(OperatorFailure() as failure):
-            return _answer_failure(failure)
-    return _encode(outcome.unwrap())
-
-
-def _answer_failure(failure: OperatorFailure) -> Response:
-    status = _STATUS_BY_KIND[failure.kind]
-    response = _encode(FailureAnswer(failure=failure), status)
-    if status == _STATUS_UNAVAILABLE:
-        response.headers["Retry-After"] = str(RETRY_AFTER_SECONDS)
-    return response
-
-
-def _encode(value: msgspec.Struct, status: int = _STATUS_OK) -> Response:
-    return Response(msgspec.json.encode(value), status, mimetype="application/json")
