--- a/src/rhubarbfield/cli/proving.py
+++ b/src/rhubarbfield/cli/proving.py
@@ -2,16 +2,21 @@
 
 from __future__ import annotations
 
-import importlib
+import importlib.util
 import pkgutil
+import runpy
+import sys
+from collections.abc import Sequence
+from importlib.abc import InspectLoader
 
 from absl import flags
 
 from rhubarbfield.cli.options import load_part
 from rhubarbfield.cli.registry import Call, subcommand
-from rhubarbfield.exceptions import UsageError
+from rhubarbfield.exceptions import EXIT_FAILURE, UsageError
 
 _PACKAGE = "rhubarbfield.measurement"
+_PROGRAM_GUARD = '__name__ == "__main__"'
 
 
 def _define_replay_flags(values: flags.FlagValues) -> None:
@@ -53,12 +58,30 @@
     if name not in names:
         hint = f"measurements: {', '.join(names)}"
         raise UsageError(f"there is no measurement {name!r}", hint)
-    module = importlib.import_module(f"{_PACKAGE}.{name}")
-    return int(module.main(arguments))
+    return _run_module(f"{_PACKAGE}.{name}", arguments)
 
 
 def list_measurements() -> tuple[str, ...]:
     """Return the names of all measurements that this build has."""
     package = importlib.import_module(_PACKAGE)
-    found = pkgutil.iter_modules(package.__path__)
-    return tuple(sorted(one.name for one in found if not one.name.startswith("_")))
+    names = sorted(one.name for one in pkgutil.iter_modules(package.__path__))
+    return tuple(name for name in names if _is_program(f"{_PACKAGE}.{name}"))
+
+
+def _is_program(module: str) -> bool:
+    spec = importlib.util.find_spec(module)
+    if spec is None or not isinstance(spec.loader, InspectLoader):
+        return False
+    return _PROGRAM_GUARD in (spec.loader.get_source(module) or "")
+
+
+def _run_module(module: str, arguments: Sequence[str]) -> int:
+    before = sys.argv
+    sys.argv = [module, *arguments]
+    try:
+        runpy.run_module(module, run_name="__main__")
+    except SystemExit as done:
+        return done.code if isinstance(done.code, int) else EXIT_FAILURE
+    finally:
+        sys.argv = before
+    return 0
