--- a/src/rhubarbfield/controller/daemon.py
+++ b/src/rhubarbfield/controller/daemon.py
@@ -47,6 +47,7 @@
     load_credentials,
     run_until_signal,
 )
+from rhubarbfield.exceptions import BrokenInvariantError
 from rhubarbfield.fleet import FleetState
 from rhubarbfield.machine import SectionedMachine
 from rhubarbfield.operators import create_operators_app
@@ -345,6 +346,7 @@
             state=self._domain_log.state,
             versions=dict(leader.entries.versions),
             waits={wait.job: wait.reason for wait in leader.planner.waits},
+            position=self._domain_log.position,
         )
 
     def _find_workers_address(self, name: InstanceName | None) -> str:
@@ -362,9 +364,28 @@
     *,
     task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
 ) -> None:
-    """Serve operators by HTTP until cancelled."""
-    app = create_operators_app(controller.operators, secret=secret, metrics=REGISTRY)
+    """Serve operators by HTTP until cancelled.
+
+    Raises
+    ------
+    BrokenInvariantError
+        If answering found one.
+    """
+    broken: list[BrokenInvariantError] = []
+    seen = trio.Event()
+
+    def note_broken(error: BrokenInvariantError) -> None:
+        broken.append(error)
+        seen.set()
+
+    app = create_operators_app(
+        controller.operators,
+        secret=secret,
+        metrics=REGISTRY,
+        on_broken_invariant=note_broken,
+    )
     config = Config()
+    config.errorlog = logging.getLogger("rhubarbfield.http")
     addresses = settings.addresses
     config.bind = [f"{addresses.host}:{addresses.operators_port}"]
     config.graceful_timeout = GRACEFUL_SECONDS
@@ -373,6 +394,8 @@
     async with trio.open_nursery() as nursery:
         await nursery.start(serve_app, app, config)
         task_status.started()
+        await seen.wait()
+        raise broken[0]
 
 
 def open_store(settings: Settings, group: GroupId) -> LogStore:
--- a/src/rhubarbfield/controller/leading.py
+++ b/src/rhubarbfield/controller/leading.py
@@ -33,7 +33,7 @@
 SUMMARY_INTERVAL = timedelta(seconds=2)
 SUMMARY_TIMEOUT = timedelta(seconds=2)
 EXPIRE_INTERVAL = timedelta(minutes=10)
-RECORDS_KEPT = timedelta(days=2)
+RECORDS_KEPT = timedelta(hours=6)
 
 
 class FleetCalls:
--- a/src/rhubarbfield/controller/queries.py
+++ b/src/rhubarbfield/controller/queries.py
@@ -177,7 +177,8 @@
         async with trio.open_nursery() as nursery:
             for domain in self._domains:
                 nursery.start_soon(self._ask_domain, domain, statement, answers)
-        return _join_tables(answers)
+        table = _join_tables(answers)
+        return msgspec.structs.replace(table, position=self._fleet_log.position)
 
     async def _ask_domain(
         self,
@@ -199,10 +200,12 @@
         statement = request.statement
         if isinstance(statement, Explain):
             table = build_task_explanation(view, statement.identifier)
-            empty = make_table((), ())
-            return QueryAnswer(table=table or empty, found=table is not None)
+            table = table or make_table((), ())
+            dated = msgspec.structs.replace(table, position=view.position)
+            return QueryAnswer(table=dated, found=bool(table.rows))
         build = find_domain_table(statement.subject)
-        return QueryAnswer(table=build(view) if build else make_table((), ()))
+        table = build(view) if build else make_table((), ())
+        return QueryAnswer(table=msgspec.structs.replace(table, position=view.position))
 
     async def _add_configuration(self, table: Table) -> Table:
         configuration = self._fleet_log.state.fleet.configuration
@@ -257,9 +260,14 @@
     silent = sorted(domain for domain, table in answers.items() if table is None)
     tables = [answers[domain] for domain in sorted(answers)]
     found = [table for table in tables if table is not None and table.columns]
-    note = ""
+    dated = [
+        f"{domain} {table.position}"
+        for domain, table in sorted(answers.items())
+        if table is not None and table.columns
+    ]
+    note = f"positions by failure domain: {', '.join(dated)}" if dated else ""
     if silent:
-        note = f"no answer from the leader of: {', '.join(silent)}"
+        note = f"{note}. No answer from the leader of: {', '.join(silent)}"
     if not found:
         return Table(columns=(), rows=(), stale=bool(silent), note=note)
     rows = tuple(row for table in found for row in table.rows)
--- a/src/rhubarbfield/controller/tables.py
+++ b/src/rhubarbfield/controller/tables.py
@@ -11,7 +11,12 @@
 from rhubarbfield.fleet import FleetState
 from rhubarbfield.language import Subject, Table
 from rhubarbfield.placement import Resources, Task
-from rhubarbfield.types import ConfigurationVersion, FailureDomain, InstanceName
+from rhubarbfield.types import (
+    ConfigurationVersion,
+    FailureDomain,
+    InstanceName,
+    LogIndex,
+)
 
 MILLICORES = 1000
 Cell = str | int | float | bool | None
@@ -31,12 +36,15 @@
         The configuration in force at each entry, as last heard.
     waits
         Why jobs wait, by job.
+    position
+        The log position that the state reflects.
     """
 
     domain: FailureDomain
     state: DomainState
     versions: dict[InstanceName, ConfigurationVersion]
     waits: dict[str, str]
+    position: LogIndex = LogIndex(0)
 
 
 FleetTable = Callable[[FleetState], Table]
@@ -102,7 +110,7 @@
             job.request.tenant,
             job.request.kind.value,
             job.request.priority.name.lower(),
-            job.state.value,
+            "cancelling" if job.cancelling and job.is_open else job.state.value,
             job.domain,
             job.request.tasks,
             job.created_by,
--- a/src/rhubarbfield/entry/grants.py
+++ b/src/rhubarbfield/entry/grants.py
@@ -64,10 +64,9 @@
                 valid_until=self._bound(until),
                 taken_until=taken_until,
                 answers_until_close=announce.close_delimited_answers,
+                leaving=announce.state is BackendServerState.LEAVING,
             )
         )
-        if announce.state is BackendServerState.LEAVING:
-            self._servers.mark_leaving(announce.server)
 
     def renew(self, server: BackendServerId, epoch: Epoch, until: timedelta) -> None:
         """Go on using a server that has been heard from."""
--- a/src/rhubarbfield/measurement/control.py
+++ b/src/rhubarbfield/measurement/control.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import sys
 import time
 from collections.abc import Sequence
 
@@ -13,6 +14,7 @@
 import msgspec
 from absl import flags
 from prometheus_client.parser import text_string_to_metric_families
+from returns.result import Failure, Success
 
 from rhubarbfield.exceptions import UsageError
 from rhubarbfield.language import Table, format_table
@@ -118,8 +120,15 @@
         raise UsageError(str(error)) from error
     if not urls or values.secret_file is None:
         raise UsageError("name --secret_file and the URLs of daemons")
-    loaded = load_secret(values.secret_file)
-    secret = loaded.unwrap().decode()
+    match load_secret(values.secret_file):
+        case Success(found):
+            secret = found.decode()
+        case Failure(errors):
+            raise UsageError(errors.format())
     rows = tuple(measure_daemons(urls, secret, values.seconds))
     print(format_table(Table(columns=(*COLUMNS, *COLUMNS_MESSAGES), rows=rows)))
     return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
