--- a/src/rhubarbfield/controller/entrysessions.py
+++ b/src/rhubarbfield/controller/entrysessions.py
@@ -40,7 +40,7 @@
 
 logger = logging.getLogger(__name__)
 
-SWEEP_INTERVAL = timedelta(milliseconds=200)
+SWEEP_INTERVAL = timedelta(milliseconds=500)
 PUSH_INTERVAL = timedelta(milliseconds=100)
 
 
--- a/src/rhubarbfield/controller/options.py
+++ b/src/rhubarbfield/controller/options.py
@@ -22,7 +22,7 @@
     least = timing.leader_lease * ((1 + drift) / (1 - drift))
     election = max(timing.election_timeout, least)
     return GroupSettings(
-        heartbeat=timing.leader_lease / HEARTBEATS_IN_LEASE,
+        heartbeat=timing.leader_lease // HEARTBEATS_IN_LEASE,
         lease=timing.leader_lease,
         election_min=election,
         election_max=election * ELECTION_SPREAD,
--- a/src/rhubarbfield/controller/replicated.py
+++ b/src/rhubarbfield/controller/replicated.py
@@ -23,7 +23,7 @@
 )
 from rhubarbfield.types import LogIndex
 
-LEADERSHIP_POLL = timedelta(milliseconds=100)
+LEADERSHIP_POLL = timedelta(milliseconds=250)
 
 StateT = TypeVar("StateT")
 
--- a/src/rhubarbfield/entry/session.py
+++ b/src/rhubarbfield/entry/session.py
@@ -35,7 +35,7 @@
 logger = logging.getLogger(__name__)
 
 RECONNECT_DELAY = timedelta(milliseconds=100)
-RENEWALS_IN_LEASE = 5
+RENEWALS_IN_LEASE = 3
 SILENT_RENEWALS = 2
 ANSWER_TIMEOUT = timedelta(seconds=2)
 
