--- /dev/null
+++ b/tests/processes/test_binary.py
@@ -0,0 +1,62 @@
+"""The one file that is shipped: it runs, as one process that starts no other."""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import tempfile
+import time
+import unittest
+from pathlib import Path
+
+from rhubarbfield import __version__
+from rhubarbfield.testing.fleet import FleetPlan, write_fleet
+from tests.processes.fleet import find_port_block, wait_until
+
+ROOT = Path(__file__).resolve().parent.parent.parent
+BUILD_SECONDS = 300
+WATCH_SECONDS = 2.0
+
+
+def list_children(pid: int) -> list[str]:
+    tasks = Path(f"/proc/{pid}/task").glob("*/children")
+    return [child for task in tasks for child in task.read_text().split()]
+
+
+class BinaryTest(unittest.TestCase):
+    def test_one_process_that_starts_no_other(self) -> None:
+        with tempfile.TemporaryDirectory() as name:
+            folder = Path(name)
+            binary = folder / "rhubarbfield"
+            built = subprocess.run(
+                ["bash", str(ROOT / "scripts" / "build"), str(binary)],
+                capture_output=True,
+                text=True,
+                timeout=BUILD_SECONDS,
+                check=False,
+                env=dict(os.environ, SHIV_ROOT=str(folder / "unpacked")),
+            )
+            self.assertIn(f"rhubarbfield {__version__}", built.stdout, built.stderr)
+            self.check_daemons(folder, binary)
+
+    def check_daemons(self, folder: Path, binary: Path) -> None:
+        plan = FleetPlan(domains={"north": ("a1",)}, first_port=find_port_block())
+        place = write_fleet(folder, plan)["a1"]
+        environment = dict(os.environ, SHIV_ROOT=str(folder / "unpacked"))
+        for daemon in ("controller", "entry"):
+            command = [str(binary), daemon, "--settings", str(place.settings_file)]
+            log = (folder / daemon).open("wb")
+            process = subprocess.Popen(command, stderr=log, env=environment)
+            try:
+                wait_until(
+                    lambda d=daemon: b"-serving" in (folder / d).read_bytes(),
+                    f"the {daemon} serves",
+                )
+                ends = time.monotonic() + WATCH_SECONDS
+                while time.monotonic() < ends:
+                    self.assertEqual(list_children(process.pid), [])
+                    time.sleep(0.05)
+            finally:
+                process.terminate()
+                self.assertEqual(process.wait(30), 0)
+                log.close()
