--- a/src/rhubarbfield/announcements/connection.py
+++ b/src/rhubarbfield/announcements/connection.py
@@ -27,6 +27,7 @@
 logger = logging.getLogger(__name__)
 
 PING_AFTER = 0.6
+MOST_ANSWERS = 32
 
 
 class AnnouncementConnection:
@@ -65,6 +66,7 @@
         self._choose_interval = choose_interval
         self._clock = clock
         self._scope = trio.CancelScope()
+        self._answered: dict[int, timedelta] = {}
 
     def cancel(self) -> None:
         """End the connection, because a newer one takes its place."""
@@ -97,10 +99,11 @@
                     return
 
     async def _hear(self, message: Announce | Heartbeat) -> bool:
+        counted_after = self._answered.get(message.heard)
         if isinstance(message, Heartbeat):
-            self._server.hear_heartbeat(message.running)
+            self._server.hear_heartbeat(message.running, counted_after)
         elif message.server == self._first.server:
-            self._server.hear(message)
+            self._server.hear(message, counted_after)
         else:
             await self._refuse("a connection announces one backend server")
             return False
@@ -113,8 +116,15 @@
             epoch=Epoch(0) if granted is None else granted.epoch,
             heartbeat_seconds=interval.total_seconds(),
         )
+        self._note_answer(message.number)
         return await self._stream.send(answer)
 
+    def _note_answer(self, number: int) -> None:
+        """Remember when an answer was sent, before it is."""
+        self._answered[number] = self._clock.monotonic()
+        if len(self._answered) > MOST_ANSWERS:
+            del self._answered[min(self._answered)]
+
     async def _publish(self) -> None:
         # A server that was sent away before may be claimed on its return, so
         # that the first round doesn't wait for a change.
--- a/src/rhubarbfield/announcements/messages.py
+++ b/src/rhubarbfield/announcements/messages.py
@@ -55,6 +55,9 @@
         ``leaving`` once it is to get no new requests.
     running
         How many requests run on it now.
+    heard
+        The number of the latest ``accepted`` on this connection that had come
+        when it counted; zero if none. It dates the count by the entry's clock.
     echoes_request_id
         Whether its answers carry the id of their request.
     close_delimited_answers
@@ -71,6 +74,7 @@
     connections: Annotated[int, Meta(ge=1, le=MAX_CONNECTIONS)]
     state: BackendServerState = BackendServerState.SERVING
     running: Annotated[int, Meta(ge=0, le=MAX_CONNECTIONS)] = 0
+    heard: Annotated[int, _Number] = 0
     echoes_request_id: bool = False
     close_delimited_answers: bool = False
 
@@ -80,12 +84,13 @@
 
     Attributes
     ----------
-    number, running
+    number, running, heard
         As in :class:`Announce`.
     """
 
     number: Annotated[int, _Number]
     running: Annotated[int, Meta(ge=0, le=MAX_CONNECTIONS)]
+    heard: Annotated[int, _Number] = 0
 
 
 class Accepted(Message, frozen=True, kw_only=True):
--- a/src/rhubarbfield/announcements/ports.py
+++ b/src/rhubarbfield/announcements/ports.py
@@ -89,8 +89,18 @@
     def renew(self, server: BackendServerId, epoch: Epoch, until: timedelta) -> None:
         """Go on using a server that has been heard from."""
 
-    def report(self, server: BackendServerId, epoch: Epoch, running: int) -> None:
-        """Take in the server's own count of the requests that run on it."""
+    def report(
+        self,
+        server: BackendServerId,
+        epoch: Epoch,
+        running: int,
+        counted_after: timedelta | None,
+    ) -> None:
+        """Take in the server's own count of the requests that run on it.
+
+        ``counted_after`` is a reading of the entry's clock surely before the
+        count, or None if that is not known.
+        """
 
     def mark_leaving(self, server: BackendServerId, epoch: Epoch) -> None:
         """Send no new requests to a server; those in progress go on."""
--- a/src/rhubarbfield/announcements/servers.py
+++ b/src/rhubarbfield/announcements/servers.py
@@ -90,19 +90,30 @@
         """Note that the server's connection has ended, with no other one."""
         self._ended_at = self._clock.monotonic()
 
-    def hear(self, announce: Announce) -> None:
-        """Take in an announcement and pass it to the router at once."""
+    def hear(self, announce: Announce, counted_after: timedelta | None = None) -> None:
+        """Take in an announcement and pass it to the router at once.
+
+        Parameters
+        ----------
+        announce
+            The announcement.
+        counted_after
+            A reading of the entry's clock surely before the server counted;
+            None if that is not known.
+        """
         before, self.announce = self.announce, announce
         self._touch()
         if _differs(before, announce):
             self.changed.set()
             self._use()
-        self._report(announce.running)
+        self._report(announce.running, counted_after)
 
-    def hear_heartbeat(self, running: int) -> None:
-        """Take in a heartbeat."""
+    def hear_heartbeat(
+        self, running: int, counted_after: timedelta | None = None
+    ) -> None:
+        """Take in a heartbeat; see :meth:`hear`."""
         self._touch()
-        self._report(running)
+        self._report(running, counted_after)
 
     def check_silence(self) -> None:
         """Tell the router once the server has been silent for too long."""
@@ -198,7 +209,7 @@
         )
         self.granted = granted
         self._use()
-        self._report(self.announce.running)
+        self._report(self.announce.running, None)
 
     def _is_outdated(self) -> bool:
         if self._retired:
@@ -234,9 +245,11 @@
         if self.announce.state is BackendServerState.LEAVING:
             self._sink.mark_leaving(self.announce.server, self.granted.epoch)
 
-    def _report(self, running: int) -> None:
+    def _report(self, running: int, counted_after: timedelta | None) -> None:
         if self.granted is not None:
-            self._sink.report(self.announce.server, self.granted.epoch, running)
+            self._sink.report(
+                self.announce.server, self.granted.epoch, running, counted_after
+            )
 
     def _until(self) -> timedelta:
         return self._heard_at + self.silence_limit
@@ -247,4 +260,4 @@
 
 
 def _without_counts(announce: Announce) -> Announce:
-    return msgspec.structs.replace(announce, number=0, running=0)
+    return msgspec.structs.replace(announce, number=0, running=0, heard=0)
--- a/src/rhubarbfield/entry/grants.py
+++ b/src/rhubarbfield/entry/grants.py
@@ -78,9 +78,17 @@
         for server, (epoch, until) in self._until.items():
             self._servers.renew(server, epoch, self._bound(until))
 
-    def report(self, server: BackendServerId, epoch: Epoch, running: int) -> None:
+    def report(
+        self,
+        server: BackendServerId,
+        epoch: Epoch,
+        running: int,
+        counted_after: timedelta | None,
+    ) -> None:
         """Take in the server's own count of the requests that run on it."""
-        self._servers.report(ServerReport(server=server, running=running))
+        self._servers.report(
+            ServerReport(server=server, running=running, counted_after=counted_after)
+        )
 
     def mark_leaving(self, server: BackendServerId, epoch: Epoch) -> None:
         """Send no new requests to a server; those in progress go on."""
--- a/src/rhubarbfield/testing/announcer.py
+++ b/src/rhubarbfield/testing/announcer.py
@@ -88,6 +88,7 @@
         self._clock = clock
         self._rng = rng
         self._number = 0
+        self._heard = 0
         self._interval = FIRST_INTERVAL
         self._changed = trio.Event()
         self._scope = trio.CancelScope()
@@ -140,6 +141,7 @@
             silence_limit=FIRST_INTERVAL * SILENCE_INTERVALS,
         )
         self._changed.set()
+        self._heard = 0
         ends: list[msgspec.Struct] = []
         async with trio.open_nursery() as nursery:
 
@@ -158,6 +160,7 @@
             message = await stream.receive(self._interval * SILENCE_INTERVALS)
             match message:
                 case Accepted():
+                    self._heard = message.number
                     self.owner, self.epoch = message.owner, message.epoch
                     self._interval = timedelta(seconds=message.heartbeat_seconds)
                 case Ping():
@@ -170,7 +173,9 @@
             await self._changed.wait()
             self._changed = trio.Event()
             announce = msgspec.structs.replace(
-                self._server.describe(), number=self._take_number()
+                self._server.describe(),
+                number=self._take_number(),
+                heard=self._heard,
             )
             if not self.silent and not await stream.send(announce):
                 return announce
@@ -179,7 +184,9 @@
         while True:
             await self._clock.sleep(self._interval)
             heartbeat = Heartbeat(
-                number=self._take_number(), running=self._server.describe().running
+                number=self._take_number(),
+                running=self._server.describe().running,
+                heard=self._heard,
             )
             if not self.silent and not await stream.send(heartbeat):
                 return heartbeat
--- a/src/rhubarbfield/testing/ownership.py
+++ b/src/rhubarbfield/testing/ownership.py
@@ -180,7 +180,13 @@
         """Go on using a server that has been heard from."""
         self.until[server] = until
 
-    def report(self, server: BackendServerId, epoch: Epoch, running: int) -> None:
+    def report(
+        self,
+        server: BackendServerId,
+        epoch: Epoch,
+        running: int,
+        counted_after: timedelta | None,
+    ) -> None:
         """Take in the server's own count of the requests that run on it."""
         self.running[server] = running
 
