--- a/src/rhubarbfield/replay/__init__.py
+++ b/src/rhubarbfield/replay/__init__.py
@@ -11,6 +11,8 @@
     Trace,
     TracedFleet,
     TraceEvent,
+)
+from rhubarbfield.replay.file import (
     TraceProblem,
     load_trace,
     parse_trace,
--- a/src/rhubarbfield/replay/command.py
+++ b/src/rhubarbfield/replay/command.py
@@ -12,7 +12,8 @@
 from trio.testing import MockClock
 
 from rhubarbfield.exceptions import EXIT_FAILURE, UsageError
-from rhubarbfield.replay.events import Trace, load_trace, write_trace
+from rhubarbfield.replay.events import Trace
+from rhubarbfield.replay.file import load_trace, write_trace
 from rhubarbfield.replay.player import Verdict, play_trace
 
 
--- a/src/rhubarbfield/replay/events.py
+++ b/src/rhubarbfield/replay/events.py
@@ -1,18 +1,22 @@
-"""What can happen in a trace, and the file that holds one.
-
-A trace is a text file with one JSON object a line: first the fleet, then the
-events in order of time. Beside an event may stand its stated outcome.
-"""
+"""What can happen in a trace."""
 
 from __future__ import annotations
 
-from pathlib import Path
+from typing import Annotated
 
 import msgspec
-from returns.result import Failure, Result, Success
 
-MAX_TRACE_BYTES = 64 * 1024 * 1024
-MAX_EVENTS = 200_000
+MOST_SECONDS = 7 * 24 * 3600
+MOST_OF_A_KIND = 100
+MOST_REQUESTS = 10_000
+SLOWEST_FACTOR = 1000.0
+
+Seconds = Annotated[float, msgspec.Meta(ge=0, le=MOST_SECONDS)]
+Name = Annotated[str, msgspec.Meta(pattern="^[a-z][a-z0-9]{0,31}$")]
+Count = Annotated[int, msgspec.Meta(ge=0, le=MOST_OF_A_KIND)]
+Requests = Annotated[int, msgspec.Meta(ge=1, le=MOST_REQUESTS)]
+Factor = Annotated[float, msgspec.Meta(ge=0.01, le=SLOWEST_FACTOR)]
+Timeout = Annotated[float, msgspec.Meta(gt=0, le=MOST_SECONDS)]
 
 
 class TracedFleet(msgspec.Struct, frozen=True, kw_only=True, tag="fleet"):
@@ -30,17 +34,24 @@
         How many of them each failure domain has.
     seed
         Of all that is left to chance.
+    size_factor
+        How many times what they declare the tasks really use.
+    failing
+        The fraction of tasks that fail wherever they run.
     settle_seconds
-        How long to go on after the last event, with all faults mended.
+        How long work may go on at most after the last event, with all faults
+        mended.
     """
 
     name: str
-    domains: dict[str, tuple[str, ...]]
-    diskless: tuple[str, ...] = ()
-    workers_each: int = 2
-    servers_each: int = 2
+    domains: dict[Name, tuple[Name, ...]]
+    diskless: tuple[Name, ...] = ()
+    workers_each: Count = 2
+    servers_each: Count = 2
     seed: int = 0
-    settle_seconds: float = 120.0
+    size_factor: Factor = 1.0
+    failing: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.0
+    settle_seconds: Seconds = 120.0
 
 
 class TraceEvent(msgspec.Struct, frozen=True, kw_only=True, tag=True):
@@ -55,7 +66,7 @@
         nothing is stated.
     """
 
-    at: float
+    at: Seconds
     outcome: str = ""
 
 
@@ -69,7 +80,20 @@
     entry: str
     tenant: str = "house-a"
     key: str = ""
-    timeout_seconds: float = 5.0
+    timeout_seconds: Timeout = 5.0
+
+
+class Burst(TraceEvent, frozen=True):
+    """Many requests of one tenant come to an entry, evenly spread.
+
+    Its outcome is ``answered`` if all were, else ``mixed``.
+    """
+
+    entry: str
+    tenant: str = "house-a"
+    requests: Requests = 100
+    over_seconds: Seconds = 1.0
+    timeout_seconds: Timeout = 5.0
 
 
 class Command(TraceEvent, frozen=True):
@@ -134,7 +158,21 @@
 class Slow(TraceEvent, frozen=True):
     """All messages take this many times as long."""
 
-    factor: float
+    factor: Factor
+
+
+class FailEverything(TraceEvent, frozen=True):
+    """From now on a worker fails whatever it starts, or does so no longer."""
+
+    worker: str
+    fails: bool = True
+
+
+class Freeze(TraceEvent, frozen=True):
+    """A worker process stalls for some time and then goes on."""
+
+    worker: str
+    seconds: Seconds
 
 
 class Leave(TraceEvent, frozen=True):
@@ -156,6 +194,7 @@
 
 AnyEvent = (
     Ask
+    | Burst
     | Command
     | Kill
     | Start
@@ -164,6 +203,8 @@
     | HealAll
     | Silence
     | Slow
+    | FailEverything
+    | Freeze
     | Leave
     | CheckJob
     | CheckConfiguration
@@ -175,80 +216,3 @@
 
     fleet: TracedFleet
     events: tuple[AnyEvent, ...]
-
-
-class TraceProblem(msgspec.Struct, frozen=True):
-    """Why a file is no trace.
-
-    Attributes
-    ----------
-    file, line
-        Where; line 0 is the file as a whole.
-    reason
-        What is wrong, naming the field.
-    """
-
-    file: str
-    line: int
-    reason: str
-
-    def format(self) -> str:
-        """Return the problem for a person."""
-        place = f"{self.file}, line {self.line}" if self.line else self.file
-        return f"{place}: {self.reason}"
-
-
-_fleet_decoder = msgspec.json.Decoder(TracedFleet)
-_event_decoder = msgspec.json.Decoder(AnyEvent)
-
-
-def load_trace(path: str | Path) -> Result[Trace, TraceProblem]:
-    """Read a trace.
-
-    Parameters
-    ----------
-    path
-        The file.
-
-    Returns
-    -------
-    Result
-        The trace, or the first thing that is wrong with the file.
-    """
-    try:
-        data = Path(path).read_bytes()
-    except (OSError, ValueError) as error:
-        reason = getattr(error, "strerror", None) or "not a usable name"
-        return Failure(TraceProblem(str(path), 0, f"cannot be read: {reason}"))
-    if len(data) > MAX_TRACE_BYTES:
-        return Failure(TraceProblem(str(path), 0, f"more than {MAX_TRACE_BYTES} bytes"))
-    return parse_trace(data, str(path))
-
-
-def parse_trace(data: bytes, source: str) -> Result[Trace, TraceProblem]:
-    """Read a trace from bytes; see :func:`load_trace`."""
-    lines = data.splitlines()
-    if not lines:
-        return Failure(TraceProblem(source, 0, "the file is empty"))
-    if len(lines) > MAX_EVENTS:
-        return Failure(TraceProblem(source, 0, f"more than {MAX_EVENTS} events"))
-    events: list[AnyEvent] = []
-    try:
-        fleet = _fleet_decoder.decode(lines[0])
-        while len(events) + 1 < len(lines):
-            events.append(_event_decoder.decode(lines[len(events) + 1]))
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
-        return Failure(TraceProblem(source, len(events) + 2, str(error)))
-    late = next(
-        (i for i in range(1, len(events)) if events[i].at < events[i - 1].at), 0
-    )
-    if late:
-        return Failure(TraceProblem(source, late + 2, "`at` is before that above it"))
-    return Success(Trace(fleet, tuple(events)))
-
-
-def write_trace(path: str | Path, trace: Trace) -> None:
-    """Write a trace that :func:`load_trace` reads."""
-    lines = [msgspec.json.encode(trace.fleet)]
-    lines += [msgspec.json.encode(event) for event in trace.events]
-    Path(path).write_bytes(b"\n".join(lines) + b"\n")
--- a/src/rhubarbfield/replay/fleet.py
+++ b/src/rhubarbfield/replay/fleet.py
@@ -7,7 +7,9 @@
 from functools import partial
 from typing import Any
 
+import msgspec
 import trio
+import yaml
 from returns.result import Success
 
 from rhubarbfield.clock import TrioClock
@@ -22,7 +24,7 @@
 from rhubarbfield.settings import Settings, parse_settings
 from rhubarbfield.storage import LogStore, MemoryStore
 from rhubarbfield.testing.announcer import Announcer
-from rhubarbfield.testing.attempts import make_seeded_work
+from rhubarbfield.testing.attempts import TrueWork, make_seeded_work
 from rhubarbfield.testing.fleet import FleetPlan, describe_fleet
 from rhubarbfield.testing.memory import MemoryTransport, SimulatedNetwork
 from rhubarbfield.testing.observer import Observer
@@ -37,7 +39,7 @@
     ServiceName,
     WorkerId,
 )
-from rhubarbfield.workers import Resources
+from rhubarbfield.workers import Resources, StartAttempt
 
 SERVICE = ServiceName("board")
 SLOTS = 4
@@ -63,6 +65,8 @@
         The processes that run, by instance.
     observer
         What the workers counted for themselves.
+    workers
+        The worker processes that run, by name.
     servers
         The backend servers, by address.
     """
@@ -77,11 +81,16 @@
         self.controllers: dict[str, Controller] = {}
         self.entries: dict[str, Entry] = {}
         self.servers: dict[str, SimulatedServer] = {}
+        self.workers: dict[str, StandInWorker] = {}
+        self._failing: set[str] = set()
         self.announcers: dict[str, Announcer] = {}
         self.processes: dict[str, Process] = {}
         self.hosts: dict[str, tuple[str, ...]] = {}
         self._stores: dict[tuple[str, GroupId], MemoryStore] = {}
         self._settings = self._make_settings()
+        self._work = make_seeded_work(
+            traced.seed, longest=LONGEST_TASK, failing=traced.failing
+        )
 
     async def start(self) -> None:
         """Start everything."""
@@ -126,6 +135,22 @@
             key: store for key, store in self._stores.items() if key[0] != instance
         }
 
+    def set_failing(self, worker: str, fails: bool) -> None:
+        """Let a worker fail whatever it starts, or no longer."""
+        if fails:
+            self._failing.add(worker)
+        else:
+            self._failing.discard(worker)
+        if worker in self.workers:
+            self.workers[worker].workload.fails_everything = fails
+
+    @property
+    def is_disturbed(self) -> bool:
+        """Whether a process is down, or connections are cut or slow."""
+        instances = sum(len(names) for names in self._traced.domains.values())
+        running = len(self.controllers) + len(self.entries)
+        return running < 2 * instances or self.network.is_disturbed
+
     def expand(self, names: tuple[str, ...]) -> tuple[str, ...]:
         """Return the hosts of instances and failure domains."""
         return tuple(host for name in names for host in self.hosts[name])
@@ -216,14 +241,26 @@
             addresses=self._list_addresses(domain, "workers_port"),
             clock=self._clock,
             rng=self._new_rng(),
-            work=make_seeded_work(self._traced.seed, longest=LONGEST_TASK),
+            work=self._find_truth,
             observer=self.observer,
         )
+        worker.workload.fails_everything = name in self._failing
+        self.workers[name] = worker
         task_status.started()
         try:
             await worker.run()
         finally:
             worker.die()
+            del self.workers[name]
+
+    def _find_truth(self, order: StartAttempt) -> TrueWork:
+        truth = self._work(order)
+        factor = self._traced.size_factor
+        return msgspec.structs.replace(
+            truth,
+            cores=truth.cores * factor,
+            memory_mb=int(truth.memory_mb * factor),
+        )
 
     async def _start_server(self, domain: str, name: str) -> None:
         server = SimulatedServer(
@@ -261,8 +298,6 @@
 
 
 def _read_settings(described: dict[str, Any], name: str) -> Settings:
-    import yaml
-
     parsed = parse_settings(yaml.safe_dump(described), name)
     assert isinstance(parsed, Success), parsed
     return parsed.unwrap()
--- a/src/rhubarbfield/replay/player.py
+++ b/src/rhubarbfield/replay/player.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
+from functools import partial
 from typing import Any
 
 import msgspec
@@ -15,10 +16,13 @@
 from rhubarbfield.replay.events import (
     AnyEvent,
     Ask,
+    Burst,
     CheckConfiguration,
     CheckJob,
     Command,
     Cut,
+    FailEverything,
+    Freeze,
     HealAll,
     Kill,
     Leave,
@@ -31,6 +35,7 @@
 )
 from rhubarbfield.replay.fleet import SERVICE, MemoryFleet
 from rhubarbfield.replay.judge import Judge
+from rhubarbfield.replay.names import list_instances, list_workers
 from rhubarbfield.routing import CallerRequest
 from rhubarbfield.types import (
     CommandNumber,
@@ -43,6 +48,8 @@
 
 START_SECONDS = 15.0
 WATCH_SECONDS = 0.5
+LEAST_SETTLE_SECONDS = 15.0
+FAULTS = (Cut, HealAll, Kill, LoseDisk, Silence, Slow, Start)
 
 
 class Played(msgspec.Struct, frozen=True):
@@ -109,6 +116,7 @@
         self._open = 0
         self._handlers: dict[type[TraceEvent], Callable[[Any], Awaitable[str]]] = {
             Ask: self._ask,
+            Burst: self._burst,
             Command: self._command,
             Kill: self._kill,
             Start: self._start,
@@ -117,6 +125,8 @@
             HealAll: self._heal_all,
             Silence: self._silence,
             Slow: self._slow,
+            FailEverything: self._fail_everything,
+            Freeze: self._freeze,
             Leave: self._leave,
             CheckJob: self._check_job,
             CheckConfiguration: self._check_configuration,
@@ -132,9 +142,7 @@
             self._open += 1
             self._nursery.start_soon(self._play_event, number, event)
         await self._mend()
-        await trio.sleep(self._trace.fleet.settle_seconds)
-        while self._open:
-            await trio.sleep(WATCH_SECONDS)
+        await self._settle()
         self._judge.watch()
         self._judge.finish()
         played = tuple(
@@ -143,23 +151,36 @@
         )
         return Verdict(played=played, violations=tuple(self._judge.violations))
 
+    async def _settle(self) -> None:
+        """Wait until all is done, but no longer than the trace allows."""
+        await trio.sleep(LEAST_SETTLE_SECONDS)
+        with trio.move_on_after(self._trace.fleet.settle_seconds):
+            while self._judge.find_unsettled():
+                await trio.sleep(WATCH_SECONDS)
+        while self._open:
+            await trio.sleep(WATCH_SECONDS)
+
     async def _mend(self) -> None:
         """Start what was killed and let all connections through."""
+        self._judge.note_disturbance()
         self._fleet.network.heal_all()
-        for name in self._trace.fleet.domains.values():
-            for instance in name:
-                await self._fleet.start_process(f"controller {instance}")
-                await self._fleet.start_process(f"entry {instance}")
-        for domain in self._trace.fleet.domains:
-            for number in range(self._trace.fleet.workers_each):
-                await self._fleet.start_process(f"worker w-{domain}-{number}")
+        for name in list_instances(self._trace.fleet):
+            await self._fleet.start_process(f"controller {name}")
+            await self._fleet.start_process(f"entry {name}")
+        for name in list_workers(self._trace.fleet):
+            await self._fleet.start_process(f"worker {name}")
+            self._fleet.set_failing(name, False)
 
     async def _watch(self) -> None:
         while True:
+            if self._fleet.is_disturbed:
+                self._judge.note_disturbance()
             self._judge.watch()
             await trio.sleep(WATCH_SECONDS)
 
     async def _play_event(self, number: int, event: AnyEvent) -> None:
+        if isinstance(event, FAULTS):
+            self._judge.note_disturbance()
         self._seen[number] = await self._handlers[type(event)](event)
         self._open -= 1
 
@@ -178,19 +199,13 @@
             idempotent=not event.key,
             idempotency_key=IdempotencyKey(event.key) if event.key else None,
         )
-        return await self._route(event, request)
-
-    async def _route(self, event: Ask, request: CallerRequest) -> str:
-        process = self._fleet.processes.get(f"entry {event.entry}")
-        entry = self._fleet.entries[event.entry]
-        results: list[Any] = []
-
-        async def route() -> None:
-            results.append(await entry.router.route(request))
-
-        if process is None or not await process.run_inside(route):
-            return "refused"
-        match results[0]:
+        self._judge.note_request(request)
+        result = await self._call_inside(
+            f"entry {event.entry}", partial(entry.router.route, request)
+        )
+        match result:
+            case None:
+                return "refused"
             case Success(answer):
                 self._judge.note_answer(request, answer)
                 return "answered"
@@ -199,6 +214,38 @@
                 return str(refusal.outcome.value)
         raise AssertionError
 
+    async def _burst(self, event: Burst) -> str:
+        seen: list[str] = []
+
+        async def ask(number: int) -> None:
+            await trio.sleep(number * event.over_seconds / event.requests)
+            one = Ask(
+                at=event.at,
+                entry=event.entry,
+                tenant=event.tenant,
+                timeout_seconds=event.timeout_seconds,
+            )
+            seen.append(await self._ask(one))
+
+        async with trio.open_nursery() as nursery:
+            for number in range(event.requests):
+                nursery.start_soon(ask, number)
+        return "answered" if set(seen) == {"answered"} else "mixed"
+
+    async def _call_inside(
+        self, name: str, call: Callable[[], Awaitable[Any]]
+    ) -> Any | None:
+        """Return what ``call`` returns inside a process; None if that dies."""
+        process = self._fleet.processes.get(name)
+        results: list[Any] = []
+
+        async def run() -> None:
+            results.append(await call())
+
+        if process is None or not await process.run_inside(run):
+            return None
+        return results[0]
+
     async def _command(self, event: Command) -> str:
         controller = self._fleet.controllers.get(event.controller)
         if controller is None:
@@ -213,7 +260,13 @@
                 )
             case _:
                 return "syntax"
-        match await controller.operators.command(submission):
+        result = await self._call_inside(
+            f"controller {event.controller}",
+            partial(controller.operators.command, submission),
+        )
+        match result:
+            case None:
+                return "refused"
             case Success(record):
                 self._judge.note_record(event, record)
                 return "accepted" if record.accepted else "declined"
@@ -236,6 +289,8 @@
     async def _cut(self, event: Cut) -> str:
         for source in self._fleet.expand(event.sources):
             for target in self._fleet.expand(event.targets):
+                if source == target:
+                    continue
                 self._fleet.network.cut(source, target)
                 if not event.one_way:
                     self._fleet.network.cut(target, source)
@@ -255,6 +310,17 @@
         self._fleet.network.slowness = event.factor
         return "slow"
 
+    async def _fail_everything(self, event: FailEverything) -> str:
+        self._fleet.set_failing(event.worker, event.fails)
+        return "failing" if event.fails else "well"
+
+    async def _freeze(self, event: Freeze) -> str:
+        worker = self._fleet.workers.get(event.worker)
+        if worker is None:
+            return "refused"
+        worker.freeze(timedelta(seconds=event.seconds))
+        return "frozen"
+
     async def _leave(self, event: Leave) -> str:
         self._fleet.servers[event.server].leave()
         self._fleet.announcers[event.server].push()
--- a/src/rhubarbfield/testing/memory.py
+++ b/src/rhubarbfield/testing/memory.py
@@ -65,6 +65,11 @@
         self._cuts: set[tuple[str, str]] = set()
         self.slowness = 1.0
 
+    @property
+    def is_disturbed(self) -> bool:
+        """Whether anything is cut or slow for new connections."""
+        return bool(self._cuts) or self.slowness > 1
+
     def cut(self, source: str, target: str) -> None:
         """Lose all that ``source`` sends to ``target`` from now on."""
         self._cuts.add((source, target))
@@ -208,7 +213,8 @@
             yield None
             return
         async with network.join(self._host, target, method) as stream:
-            served.nursery.start_soon(served.streams[method], stream.far)
+            handler = served.streams[method]
+            served.nursery.start_soon(_handle_stream, handler, stream.far)
             yield stream.near
 
     def close(self) -> None:
@@ -250,3 +256,11 @@
         async with self._network.listen((host, port), streams or {}, calls or {}):
             task_status.started()
             await trio.sleep_forever()
+
+
+async def _handle_stream(handler: StreamHandler, stream: MemoryStream) -> None:
+    """Run a handler; its end of the stream ends with it, as that of a process."""
+    try:
+        await handler(stream)
+    finally:
+        stream.hang_up()
--- /dev/null
+++ b/tests/replay/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of replayed traces."""
