--- /dev/null
+++ b/tests/replay/test_player.py
@@ -0,0 +1,67 @@
+"""Playing a trace and telling what came of it."""
+
+from __future__ import annotations
+
+import unittest
+from io import StringIO
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+from rhubarbfield.exceptions import UsageError
+from rhubarbfield.replay import (
+    Trace,
+    TracedFleet,
+    load_trace,
+    replay_traces,
+    write_trace,
+)
+from rhubarbfield.replay.events import Ask, Command, Cut, HealAll, Kill
+from tests.replay.longrun import play_deterministic
+
+FLEET = TracedFleet(
+    name="small",
+    domains={"north": ("a1",), "south": ("b1",), "west": ("c1",)},
+    workers_each=1,
+    servers_each=1,
+)
+CONFIGURE = "configure routing.retry_budget_fraction = 0.2"
+WRONG = Trace(FLEET, (Ask(at=0, entry="a1", outcome="not-run|unknown"),))
+
+
+class PlayerTest(unittest.TestCase):
+    def test_outcomes_are_told_and_compared(self) -> None:
+        events = (
+            Ask(at=0, entry="a1", outcome="answered"),
+            Ask(at=0, entry="a1", outcome="not-run"),
+            Kill(at=1, process="entry b1"),
+            Ask(at=2, entry="b1", outcome="refused|answered"),
+            Cut(at=3, sources=("c1",), targets=("north", "south", "west")),
+            Command(at=4, controller="c1", operator="ana", number=1, text=CONFIGURE),
+            Command(at=4, controller="a1", operator="ana", number=2, text="dance"),
+            HealAll(at=20),
+            Command(at=30, controller="a1", operator="ana", number=1, text=CONFIGURE),
+        )
+        verdict = play_deterministic(Trace(FLEET, events))
+        seen = [one.seen for one in verdict.played]
+        self.assertEqual(seen[:5], ["answered", "answered", "killed", "refused", "cut"])
+        self.assertIn(seen[5], {"no-quorum", "unknown-outcome"})
+        self.assertEqual(seen[6:], ["syntax", "healed", "accepted"])
+        self.assertEqual([one.event for one in verdict.differences], [events[1]])
+        self.assertEqual(verdict.violations, ())
+        self.assertFalse(verdict.holds)
+
+
+class CommandTest(unittest.TestCase):
+    def test_a_difference_is_printed_and_recorded(self) -> None:
+        with TemporaryDirectory() as folder:
+            file, record = Path(folder) / "t", Path(folder) / "r"
+            file.write_bytes(b"")
+            with self.assertRaises(UsageError):
+                replay_traces([str(file)], StringIO())
+            write_trace(file, WRONG)
+            output = StringIO()
+            self.assertEqual(replay_traces([str(file)], output, record=str(record)), 1)
+            self.assertIn("came out as answered", output.getvalue())
+            recorded = load_trace(record).unwrap()
+            self.assertEqual(recorded.events[0].outcome, "answered")
+            self.assertEqual(replay_traces([str(record)], StringIO()), 0)
