--- a/src/rhubarbfield/replay/events.py
+++ b/src/rhubarbfield/replay/events.py
@@ -38,6 +38,8 @@
         How many times what they declare the tasks really use.
     failing
         The fraction of tasks that fail wherever they run.
+    mean_run_seconds
+        Mean time that a backend server takes for a request.
     settle_seconds
         How long work may go on at most after the last event, with all faults
         mended.
@@ -51,6 +53,7 @@
     seed: int = 0
     size_factor: Factor = 1.0
     failing: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.0
+    mean_run_seconds: Factor = 0.05
     settle_seconds: Seconds = 120.0
 
 
@@ -155,6 +158,13 @@
     other: str
 
 
+class Reset(TraceEvent, frozen=True):
+    """Open connections between two hosts break, and both sides notice."""
+
+    one: str
+    other: str
+
+
 class Slow(TraceEvent, frozen=True):
     """All messages take this many times as long."""
 
@@ -202,6 +212,7 @@
     | Cut
     | HealAll
     | Silence
+    | Reset
     | Slow
     | FailEverything
     | Freeze
--- a/src/rhubarbfield/replay/fleet.py
+++ b/src/rhubarbfield/replay/fleet.py
@@ -270,6 +270,7 @@
             slots=SLOTS,
             nursery=self._nursery,
             rng=self._new_rng(),
+            mean_run_time=timedelta(seconds=self._traced.mean_run_seconds),
         )
         self.servers[name] = server
         announcer = Announcer(
--- a/src/rhubarbfield/replay/names.py
+++ b/src/rhubarbfield/replay/names.py
@@ -16,6 +16,7 @@
     Kill,
     Leave,
     LoseDisk,
+    Reset,
     Silence,
     Start,
     TracedFleet,
@@ -77,15 +78,15 @@
             yield "worker", event.worker, workers
         case Leave():
             yield "server", event.server, list_servers(fleet)
-        case Cut() | Silence():
+        case Cut() | Silence() | Reset():
             yield from _iterate_hosts(fleet, event)
 
 
 def _iterate_hosts(
-    fleet: TracedFleet, event: Cut | Silence
+    fleet: TracedFleet, event: Cut | Silence | Reset
 ) -> Iterator[tuple[str, str, list[str]]]:
     hosts = [*list_instances(fleet), *list_workers(fleet), *list_servers(fleet)]
-    if isinstance(event, Silence):
+    if isinstance(event, Silence | Reset):
         yield "one", event.one, hosts
         yield "other", event.other, hosts
         return
--- a/src/rhubarbfield/replay/player.py
+++ b/src/rhubarbfield/replay/player.py
@@ -27,6 +27,7 @@
     Kill,
     Leave,
     LoseDisk,
+    Reset,
     Silence,
     Slow,
     Start,
@@ -49,7 +50,7 @@
 START_SECONDS = 15.0
 WATCH_SECONDS = 0.5
 LEAST_SETTLE_SECONDS = 15.0
-FAULTS = (Cut, HealAll, Kill, LoseDisk, Silence, Slow, Start)
+FAULTS = (Cut, HealAll, Kill, LoseDisk, Reset, Silence, Slow, Start)
 
 
 class Played(msgspec.Struct, frozen=True):
@@ -124,6 +125,7 @@
             Cut: self._cut,
             HealAll: self._heal_all,
             Silence: self._silence,
+            Reset: self._reset,
             Slow: self._slow,
             FailEverything: self._fail_everything,
             Freeze: self._freeze,
@@ -306,6 +308,12 @@
         self._fleet.network.silence(one, other)
         return "silent"
 
+    async def _reset(self, event: Reset) -> str:
+        (one,) = self._fleet.expand((event.one,))
+        (other,) = self._fleet.expand((event.other,))
+        self._fleet.network.reset(one, other)
+        return "reset"
+
     async def _slow(self, event: Slow) -> str:
         self._fleet.network.slowness = event.factor
         return "slow"
--- a/src/rhubarbfield/testing/memory.py
+++ b/src/rhubarbfield/testing/memory.py
@@ -63,6 +63,7 @@
         self._served: dict[tuple[str, int], _Served] = {}
         self._streams: list[_OpenStream] = []
         self._cuts: set[tuple[str, str]] = set()
+        self._resets: dict[frozenset[str], trio.Event] = {}
         self.slowness = 1.0
 
     @property
@@ -94,6 +95,19 @@
             if {stream.opener, stream.server} == {one, other}:
                 stream.near.silence()
 
+    def reset(self, one: str, other: str) -> None:
+        """Break the open connections between two hosts, so that both notice."""
+        for stream in self._streams:
+            if {stream.opener, stream.server} == {one, other}:
+                stream.near.cut()
+                stream.far.cut()
+        self._resets.pop(frozenset((one, other)), trio.Event()).set()
+
+    async def wait_until_reset(self, one: str, other: str) -> None:
+        """Wait until the open connections between two hosts break."""
+        pair = frozenset((one, other))
+        await self._resets.setdefault(pair, trio.Event()).wait()
+
     def drop_host(self, host: str) -> None:
         """Cut every stream of a host whose process has died."""
         for stream in self._streams:
--- a/src/rhubarbfield/testing/simulated.py
+++ b/src/rhubarbfield/testing/simulated.py
@@ -30,7 +30,7 @@
 )
 
 PORT = 1
-MEAN_SECONDS = 0.05
+MEAN_RUN_TIME = timedelta(milliseconds=50)
 STATUS_OK = 200
 
 
@@ -70,6 +70,8 @@
         Where its requests run, whatever becomes of who sent them.
     rng
         Of its run times.
+    mean_run_time
+        Mean of the run times.
     """
 
     def __init__(
@@ -81,6 +83,7 @@
         slots: int,
         nursery: trio.Nursery,
         rng: random.Random,
+        mean_run_time: timedelta = MEAN_RUN_TIME,
     ) -> None:
         self.server = server
         self.host = host
@@ -91,6 +94,7 @@
         self._slots = slots
         self._nursery = nursery
         self._rng = rng
+        self._mean_run_time = mean_run_time
         self._epoch = 0
         self._incarnation = Incarnation(f"{rng.getrandbits(64):x}")
 
@@ -133,7 +137,8 @@
         return done
 
     async def _run(self, done: trio.Event) -> None:
-        await trio.sleep(self._rng.expovariate(1 / MEAN_SECONDS))
+        mean_seconds = self._mean_run_time.total_seconds()
+        await trio.sleep(self._rng.expovariate(1 / mean_seconds))
         self.counts.running -= 1
         done.set()
 
@@ -182,7 +187,8 @@
             if done is None:
                 return _fail(Reach.REFUSED_BY_SERVER, FailureReason.REFUSED)
             reach = Reach.SENT
-            await done.wait()
+            if not await self._wait_for_end(target, done):
+                return _fail(reach, FailureReason.CUT_SHORT)
             await self._network.travel()
             if self._network.is_cut(target, self._host):
                 await trio.sleep_forever()
@@ -190,6 +196,19 @@
             return Success(BackendAnswer(status=STATUS_OK, body=body))
         return _fail(reach, FailureReason.TIMEOUT)
 
+    async def _wait_for_end(self, target: str, done: trio.Event) -> bool:
+        """Wait for the end of a request; False if the connection broke before."""
+        async with trio.open_nursery() as nursery:
+
+            async def wait_until_reset() -> None:
+                await self._network.wait_until_reset(self._host, target)
+                nursery.cancel_scope.cancel()
+
+            nursery.start_soon(wait_until_reset)
+            await done.wait()
+            nursery.cancel_scope.cancel()
+        return done.is_set()
+
     async def forget(self, server: BackendServerId) -> None:
         """Close the idle connections to ``server``."""
 
--- a/tests/replay/test_traces.py
+++ b/tests/replay/test_traces.py
@@ -4,12 +4,14 @@
 
 import logging
 import unittest
+from collections.abc import Callable
 from io import StringIO
 from pathlib import Path
 
 from rhubarbfield.replay import replay_traces
 
 TRACES = Path(__file__).resolve().parents[2] / "examples" / "traces"
+FILES = sorted(TRACES.glob("*.jsonl"))
 
 
 class ShippedTracesTest(unittest.TestCase):
@@ -17,11 +19,19 @@
         logging.disable(logging.CRITICAL)
         self.addCleanup(logging.disable, logging.NOTSET)
 
-    def test_every_shipped_trace_comes_out_as_stated(self) -> None:
-        files = sorted(TRACES.glob("*.jsonl"))
-        self.assertGreaterEqual(len(files), 12)
-        for file in files:
-            with self.subTest(trace=file.name):
-                output = StringIO()
-                code = replay_traces([str(file)], output)
-                self.assertEqual(code, 0, output.getvalue())
+    def test_there_is_one_for_each_kind_of_failure(self) -> None:
+        self.assertGreaterEqual(len(FILES), 12)
+
+
+def make_test(file: Path) -> Callable[[ShippedTracesTest], None]:
+    def test(self: ShippedTracesTest) -> None:
+        output = StringIO()
+        code = replay_traces([str(file)], output)
+        self.assertEqual(code, 0, output.getvalue())
+
+    return test
+
+
+for found in FILES:
+    name = "test_" + found.stem.replace("-", "_")
+    setattr(ShippedTracesTest, name, make_test(found))
