--- a/src/rhubarbfield/replay/generator.py
+++ b/src/rhubarbfield/replay/generator.py
@@ -9,9 +9,12 @@
     Ask,
     Command,
     Cut,
+    FailEverything,
+    Freeze,
     HealAll,
     Kill,
     LoseDisk,
+    Reset,
     Silence,
     Slow,
     Start,
@@ -37,6 +40,9 @@
 RACED = 0.25
 SLOWEST = 40.0
 REPAIR_SECONDS = 45.0
+SIZE_FACTORS = (0.5, 3.0)
+FAILING = 0.03
+MEAN_RUN_SECONDS = (0.05, 0.3, 1.0)
 
 
 class TraceGenerator:
@@ -70,6 +76,9 @@
             domains=DOMAINS,
             diskless=DISKLESS,
             seed=self._seed,
+            size_factor=round(self._rng.uniform(*SIZE_FACTORS), 2),
+            failing=FAILING,
+            mean_run_seconds=self._rng.choice(MEAN_RUN_SECONDS),
             settle_seconds=240.0,
         )
         return Trace(fleet, tuple(self._events))
@@ -144,6 +153,9 @@
                     self._add_cut,
                     self._add_cut,
                     self._add_silence,
+                    self._add_reset,
+                    self._add_freeze,
+                    self._add_failing_worker,
                     self._add_slowness,
                 )
             )
@@ -172,8 +184,7 @@
         self._events.append(Start(at=until, process=process))
 
     def _add_worker_kill(self, at: float, until: float) -> None:
-        domain = self._rng.choice(list(DOMAINS))
-        process = f"worker w-{domain}-{self._rng.randrange(2)}"
+        process = f"worker {self._choose_worker()}"
         self._events.append(Kill(at=at, process=process))
         self._events.append(Start(at=until, process=process))
 
@@ -200,6 +211,24 @@
         one, other = self._rng.sample(self._instances, 2)
         self._events.append(Silence(at=at, one=one, other=other))
 
+    def _add_reset(self, at: float, until: float) -> None:
+        domain = self._rng.choice(list(DOMAINS))
+        one = self._rng.choice(DOMAINS[domain])
+        server = f"s-{domain}-{self._rng.randrange(2)}"
+        self._events.append(Reset(at=at, one=one, other=server))
+
+    def _add_freeze(self, at: float, until: float) -> None:
+        worker = self._choose_worker()
+        self._events.append(Freeze(at=at, worker=worker, seconds=until - at))
+
+    def _add_failing_worker(self, at: float, until: float) -> None:
+        worker = self._choose_worker()
+        self._events.append(FailEverything(at=at, worker=worker))
+        self._events.append(FailEverything(at=until, worker=worker, fails=False))
+
+    def _choose_worker(self) -> str:
+        return f"w-{self._rng.choice(list(DOMAINS))}-{self._rng.randrange(2)}"
+
     def _add_slowness(self, at: float, until: float) -> None:
         factor = round(self._rng.uniform(2, SLOWEST), 1)
         self._events.append(Slow(at=at, factor=factor))
--- a/tests/replay/test_traces.py
+++ b/tests/replay/test_traces.py
@@ -22,6 +22,11 @@
     def test_there_is_one_for_each_kind_of_failure(self) -> None:
         self.assertGreaterEqual(len(FILES), 12)
 
+    def test_the_guide_shows_the_first_trace(self) -> None:
+        guide = (TRACES.parents[1] / "docs" / "traces.md").read_text("utf-8")
+        shipped = (TRACES / "a-first-trace.jsonl").read_text("utf-8")
+        self.assertEqual(guide.split("```")[1].lstrip(), shipped)
+
 
 def make_test(file: Path) -> Callable[[ShippedTracesTest], None]:
     def test(self: ShippedTracesTest) -> None:
