--- a/src/rhubarbfield/replay/generator.py
+++ b/src/rhubarbfield/replay/generator.py
@@ -41,7 +41,6 @@
 SLOWEST = 40.0
 REPAIR_SECONDS = 45.0
 SIZE_FACTORS = (0.5, 3.0)
-FAILING = 0.03
 MEAN_RUN_SECONDS = (0.05, 0.3, 1.0)
 
 
@@ -77,7 +76,6 @@
             diskless=DISKLESS,
             seed=self._seed,
             size_factor=round(self._rng.uniform(*SIZE_FACTORS), 2),
-            failing=FAILING,
             mean_run_seconds=self._rng.choice(MEAN_RUN_SECONDS),
             settle_seconds=240.0,
         )
