--- a/src/rhubarbfield/testing/memory.py
+++ b/src/rhubarbfield/testing/memory.py
@@ -63,8 +63,14 @@
         self._served: dict[tuple[str, int], _Served] = {}
         self._streams: list[_OpenStream] = []
         self._cuts: set[tuple[str, str]] = set()
+        self._resets: dict[frozenset[str], trio.Event] = {}
         self.slowness = 1.0
 
+    @property
+    def is_disturbed(self) -> bool:
+        """Whether anything is cut or slow for new connections."""
+        return bool(self._cuts) or self.slowness > 1
+
     def cut(self, source: str, target: str) -> None:
         """Lose all that ``source`` sends to ``target`` from now on."""
         self._cuts.add((source, target))
@@ -89,6 +95,19 @@
             if {stream.opener, stream.server} == {one, other}:
                 stream.near.silence()
 
+    def reset(self, one: str, other: str) -> None:
+        """Break the open connections between two hosts, so that both notice."""
+        for stream in self._streams:
+            if {stream.opener, stream.server} == {one, other}:
+                stream.near.cut()
+                stream.far.cut()
+        self._resets.pop(frozenset((one, other)), trio.Event()).set()
+
+    async def wait_until_reset(self, one: str, other: str) -> None:
+        """Wait until the open connections between two hosts break."""
+        pair = frozenset((one, other))
+        await self._resets.setdefault(pair, trio.Event()).wait()
+
     def drop_host(self, host: str) -> None:
         """Cut every stream of a host whose process has died."""
         for stream in self._streams:
@@ -208,7 +227,8 @@
             yield None
             return
         async with network.join(self._host, target, method) as stream:
-            served.nursery.start_soon(served.streams[method], stream.far)
+            handler = served.streams[method]
+            served.nursery.start_soon(_handle_stream, handler, stream.far)
             yield stream.near
 
     def close(self) -> None:
@@ -250,3 +270,11 @@
         async with self._network.listen((host, port), streams or {}, calls or {}):
             task_status.started()
             await trio.sleep_forever()
+
+
+async def _handle_stream(handler: StreamHandler, stream: MemoryStream) -> None:
+    """Run a handler; its end of the stream ends with it, as that of a process."""
+    try:
+        await handler(stream)
+    finally:
+        stream.hang_up()
