--- a/src/rhubarbfield/controller/worklog.py
+++ b/src/rhubarbfield/controller/worklog.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable, Mapping
 
+import trio
 from returns.result import Failure, Result, Success
 
 from rhubarbfield.clock import Clock
@@ -81,6 +82,7 @@
         self._clock = clock
         self._find_address = find_workers_address
         self._sessions: dict[WorkerId, Epoch] = {}
+        self._admissions: dict[WorkerId, trio.Lock] = {}
         log.machine.watch(self._note_admission)
 
     def _note_admission(self, index: LogIndex, command: Command, reply: Reply) -> None:
@@ -111,6 +113,14 @@
         """Commit a new session and what the worker says of itself."""
         if hello.domain != self._domain:
             return Failure(WorkerRefused(reason=f"this is domain {self._domain}"))
+        # Two hellos that are committed together would both take the position
+        # of the later one for their own.
+        async with self._admissions.setdefault(hello.worker, trio.Lock()):
+            return await self._admit(hello)
+
+    async def _admit(
+        self, hello: WorkerHello
+    ) -> Result[Admitted, NotLeading | Unavailable | WorkerRefused]:
         known = self._log.state.work.workers.get(hello.worker)
         same = known is not None and known.incarnation == hello.incarnation
         if known is not None and known.present and not same:
