Release a job that a returned domain had ended; leave lost domains alone

A domain that was declared lost, restored, and given its former job again reported that job as cancelled, though nobody had cancelled it. It now releases it, and the fleet's leader gives a job to no domain that has just released it. A job that has to run in a domain declared lost was offered to it in every round, one log entry each.

--- a/src/rhubarbfield/controller/delegating.py
+++ b/src/rhubarbfield/controller/delegating.py
@@ -13,7 +13,7 @@
 from rhubarbfield.clock import Clock
 from rhubarbfield.controller.machines import WholeState
 from rhubarbfield.controller.replicated import ReplicatedLog
-from rhubarbfield.fleet import DelegateJob, FleetJob, JobRequest
+from rhubarbfield.fleet import Delegated, DelegateJob, FleetJob, JobRequest
 from rhubarbfield.placement import QuarantineState, Worker, WorkState
 from rhubarbfield.protocol import DomainSummary, WorkerShape
 from rhubarbfield.types import FailureDomain, JobId
@@ -44,6 +44,7 @@
         self._summaries: dict[FailureDomain, tuple[timedelta, DomainSummary]] = {}
         self._given: Counter[FailureDomain] = Counter()
         self._unfit_since: dict[JobId, timedelta] = {}
+        self._last_given: dict[JobId, FailureDomain] = {}
 
     def take_summary(self, summary: DomainSummary) -> None:
         """Remember how much room a domain has."""
@@ -55,7 +56,9 @@
         while True:
             seen = self._log.changes
             for job in list(self._log.state.fleet.jobs.values()):
-                if self._needs_domain(job):
+                if not job.is_open:
+                    self._last_given.pop(job.id, None)
+                elif self._needs_domain(job):
                     await self._delegate(job)
             await self._clock.sleep(ROUND_INTERVAL)
             with trio.move_on_after(IDLE_INTERVAL.total_seconds()):
@@ -63,7 +66,7 @@
 
     def _needs_domain(self, job: FleetJob) -> bool:
         lost = self._log.state.fleet.lost_domains
-        return job.is_open and (job.domain is None or job.domain in lost)
+        return job.domain is None or job.domain in lost
 
     async def _delegate(self, job: FleetJob) -> None:
         domain = self._choose(job)
@@ -73,9 +76,10 @@
         proposed = await self._log.propose(
             DelegateJob(job=job.id, domain=domain, at=self._clock.now())
         )
-        if isinstance(proposed, Success):
+        if isinstance(proposed, Success) and isinstance(proposed.unwrap(), Delegated):
+            self._last_given[job.id] = domain
             self._given[domain] += round(job.request.cores * job.request.tasks)
-        logger.info("job-delegated job=%s domain=%s", job.id, domain)
+            logger.info("job-delegated job=%s domain=%s", job.id, domain)
 
     def _choose(self, job: FleetJob) -> FailureDomain | None:
         """Return the domain with the most free cores that can hold the job.
@@ -84,14 +88,15 @@
         told of their latest workers, goes to some domain, which then says why.
         """
         request = job.request
+        # A domain that has released a job can't run it.
+        excluded = {*self._log.state.fleet.lost_domains, self._last_given.get(job.id)}
         if request.domain is not None:
-            return request.domain
+            return None if request.domain in excluded else request.domain
         now = self._clock.monotonic()
         fresh = [
             summary
             for taken_at, summary in self._summaries.values()
-            if now - taken_at < SUMMARY_LIFETIME
-            and summary.domain not in self._log.state.fleet.lost_domains
+            if now - taken_at < SUMMARY_LIFETIME and summary.domain not in excluded
         ]
         candidates = [summary for summary in fresh if fits_domain(request, summary)]
         if not candidates and self._may_fit_soon(job.id, fresh):
--- a/src/rhubarbfield/controller/reconciling.py
+++ b/src/rhubarbfield/controller/reconciling.py
@@ -179,6 +179,16 @@
             if known.state is JobState.RUNNING and job.state is JobState.QUEUED:
                 yield ReportJob(job=job.id, domain=self._domain, epoch=job.epoch)
             return
+        if known.state is JobState.CANCELLED and not job.cancelling:
+            # It was declared lost while it had the job, and got it once more.
+            yield ReleaseJob(
+                job=job.id,
+                domain=self._domain,
+                epoch=job.epoch,
+                reason=f"{self._domain} ended it when the job was with another domain",
+                at=self._clock.now(),
+            )
+            return
         yield FinishJob(
             job=job.id,
             domain=self._domain,
