Say which domain is silent when a task is not found; keep the columns

explain said that a task does not exist while a silent domain could have had it, and show lost its columns while no domain answered, so that filters were refused as naming unknown columns.

--- a/src/rhubarbfield/controller/queries.py
+++ b/src/rhubarbfield/controller/queries.py
@@ -14,7 +14,7 @@
     build_job_explanation,
     build_task_explanation,
 )
-from rhubarbfield.controller.machines import WholeState
+from rhubarbfield.controller.machines import DomainState, WholeState
 from rhubarbfield.controller.replicated import ReplicatedLog
 from rhubarbfield.controller.tables import (
     DomainView,
@@ -51,7 +51,10 @@
 
 COMMAND_TIMEOUT = timedelta(seconds=8)
 DOMAIN_TIMEOUT = timedelta(seconds=3)
-READ_TIMEOUT = timedelta(seconds=2)
+
+_EMPTY_DOMAIN = DomainView(
+    domain=FailureDomain(""), state=DomainState(), versions={}, waits={}
+)
 
 
 class OperatorService:
@@ -139,10 +142,15 @@
         build = find_fleet_table(show.subject)
         if build is not None:
             return Success(await self._date(build(self._fleet_log.state.fleet)))
-        if find_domain_table(show.subject) is None:
+        build_part = find_domain_table(show.subject)
+        if build_part is None:
             message = f"{show.subject.value} can't be shown"
             return Failure(OperatorFailure(kind=FailureKind.INVALID, message=message))
         table = await self._gather(Show(subject=show.subject))
+        if not table.columns:
+            # Filters have to find their columns also while no domain answers.
+            columns = build_part(_EMPTY_DOMAIN).columns
+            table = msgspec.structs.replace(table, columns=columns)
         if show.subject is Subject.CONFIGURATION:
             table = await self._add_configuration(table)
         return Success(table)
@@ -158,6 +166,10 @@
             found = await self._gather(explain)
             if found.rows:
                 return Success(found)
+            if found.stale:
+                message = f"task {explain.identifier} was not found. {found.note}"
+                kind = FailureKind.UNREACHABLE
+                return Failure(OperatorFailure(kind=kind, message=message))
         message = f"there is no {explain.kind.value} {explain.identifier}"
         return Failure(OperatorFailure(kind=FailureKind.NOT_FOUND, message=message))
 
@@ -216,10 +228,8 @@
         note = (
             f"accepted: version {configuration.version}; {values or 'no keys are set'}"
         )
-        columns = table.columns or ("domain", "process", "version")
         return msgspec.structs.replace(
             table,
-            columns=columns,
             rows=(own, *table.rows),
             note=f"{note}. {table.note}" if table.note else note,
         )
@@ -265,9 +275,12 @@
         for domain, table in sorted(answers.items())
         if table is not None and table.columns
     ]
-    note = f"positions by failure domain: {', '.join(dated)}" if dated else ""
+    notes = []
+    if dated:
+        notes.append(f"positions by failure domain: {', '.join(dated)}")
     if silent:
-        note = f"{note}. No answer from the leader of: {', '.join(silent)}"
+        notes.append(f"No answer from the leader of: {', '.join(silent)}")
+    note = ". ".join(notes)
     if not found:
         return Table(columns=(), rows=(), stale=bool(silent), note=note)
     rows = tuple(row for table in found for row in table.rows)
