Forget removed backend servers over a reconnect

The first update on a new stream is whole, but was laid over what was known before: servers removed meanwhile stayed in the entry's directory, and requests for a service without any server were queued in place of refused.

--- a/src/rhubarbfield/entry/session.py
+++ b/src/rhubarbfield/entry/session.py
@@ -101,6 +101,7 @@
         self._target = next(iter(self._controllers))
         self._heard = trio.Event()
         self._in_force = in_force
+        self._directory_is_old = True
         self.directory: dict[BackendServerId, DirectoryEntry] = {}
 
     @property
@@ -171,6 +172,7 @@
         self._on_lease()
 
     async def _serve(self, stream: MessageStream) -> None:
+        self._directory_is_old = True
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._renew, stream, nursery.cancel_scope)
             while (message := await stream.receive()) is not None:
@@ -203,10 +205,18 @@
                 if self._lease.accept(lease):
                     self._heard.set()
                     self._on_lease()
-            case DirectoryUpdate(changed=changed, removed=removed):
-                self.directory.update({one.server: one for one in changed})
-                for server in removed:
-                    self.directory.pop(server, None)
+            case DirectoryUpdate() as update:
+                self._update_directory(update)
             case ConfigurationUpdate(configuration=configuration):
                 # Another controller may lag behind the one heard before.
                 self._in_force.offer(configuration)
+
+    def _update_directory(self, update: DirectoryUpdate) -> None:
+        # The first update on a stream is whole; what was removed while there
+        # was none is not named in it.
+        if self._directory_is_old:
+            self.directory.clear()
+            self._directory_is_old = False
+        self.directory.update({one.server: one for one in update.changed})
+        for server in update.removed:
+            self.directory.pop(server, None)
