Refuse a command as not accepted while no leader is known

A controller cut off with a minority sent commands to instances it could not reach and told its operator that the outcome is unknown (seen by tests.entry.test_fleet: 'unknown-outcome'). It now waits for a leader of the fleet's log to be known, and refuses as not accepted if none is within the timeout; nothing has been sent by then.

--- a/src/rhubarbfield/controller/queries.py
+++ b/src/rhubarbfield/controller/queries.py
@@ -51,7 +51,9 @@
 
 COMMAND_TIMEOUT = timedelta(seconds=8)
 DOMAIN_TIMEOUT = timedelta(seconds=3)
+LEADER_POLL = timedelta(milliseconds=100)
 
+_NO_LEADER = LeaderFailure(detail="this instance knows of none", in_doubt=False)
 _EMPTY_DOMAIN = DomainView(
     domain=FailureDomain(""), state=DomainState(), versions={}, waits={}
 )
@@ -108,6 +110,8 @@
         self, submission: Submission
     ) -> Result[CommandRecord, OperatorFailure]:
         """Have a command decided by the fleet's log."""
+        if not await self._wait_leader():
+            return Failure(_describe_failure(_NO_LEADER))
         command = SubmitCommand(
             operator=submission.operator,
             number=submission.number,
@@ -124,6 +128,18 @@
             OperatorFailure(kind=FailureKind.INVALID, message="no answer was read")
         )
 
+    async def _wait_leader(self) -> bool:
+        """Wait until a leader is known; before that nothing is sent.
+
+        What is sent into a network that loses it leaves its operator in doubt.
+        """
+        log = self._fleet_log
+        with trio.move_on_after(COMMAND_TIMEOUT.total_seconds()):
+            while log.replica.leader_hint is None and not log.leads():
+                await self._clock.sleep(LEADER_POLL)
+            return True
+        return False
+
     async def query(self, statement: Query) -> Result[Table, OperatorFailure]:
         """Answer a query from the logs, and say how current the answer is."""
         if isinstance(statement, Show):
