--- a/tests/controller/test_reconciling.py
+++ b/tests/controller/test_reconciling.py
@@ -126,7 +126,9 @@
         async def body(fleet: WholeFleet) -> None:
             await fleet.submit(CREATE)
             first, epoch = fleet.job.domain, fleet.job.epoch
+            before = fleet.replica.commands
             await trio.sleep(300)
+            self.assertEqual(fleet.replica.commands, before)
             self.assertEqual((fleet.job.domain, fleet.job.epoch), (first, epoch))
 
         self.run_fleet(body)
--- /dev/null
+++ b/tests/entry/test_fleet.py
@@ -0,0 +1,227 @@
+"""Tests of entries and controllers together, in memory on a virtual clock."""
+
+from __future__ import annotations
+
+import unittest
+from typing import Any
+
+import msgspec
+import trio
+from returns.result import Success
+
+from rhubarbfield.controller.options import make_entry_terms
+from rhubarbfield.entry.records import find_home
+from rhubarbfield.ownership import EndEntrySession, ProofOfEnd
+from rhubarbfield.peering import Encoding
+from rhubarbfield.protocol import (
+    DOMAIN_CALL,
+    ENTRY_STREAM,
+    FORWARD_CALL,
+    DomainRequest,
+    EntryHello,
+    EntryRefused,
+    NotLeading,
+)
+from rhubarbfield.protocol.workers import WORKER_STREAM
+from rhubarbfield.replay.fleet import MemoryFleet
+from rhubarbfield.routing import Refusal
+from rhubarbfield.testing.memory import MemoryTransport
+from rhubarbfield.types import (
+    ConfigurationVersion,
+    Epoch,
+    FailureDomain,
+    Incarnation,
+    InstanceName,
+    Outcome,
+    Tenant,
+)
+from rhubarbfield.workers import GoToLeader
+from rhubarbfield.workers.streams import ConnectionRefused
+from tests.controller.test_worklog import HELLO
+from tests.entry.fleets import (
+    DOMAINS,
+    TENANT,
+    configure,
+    cut_off,
+    find_owner,
+    make_request,
+    route,
+    run_fleet,
+)
+from tests.fleet.fleets import START
+
+NAMES = tuple(FailureDomain(name) for name in sorted(DOMAINS))
+HOME = find_home(TENANT, NAMES)
+AWAY, THIRD = (name for name in NAMES if name != HOME)
+CONFIGURE = "configure routing.default_request_seconds = {}"
+
+
+def count_runs(fleet: MemoryFleet, key: str) -> int:
+    servers = fleet.servers.values()
+    return sum(one.counts.keyed_runs[f"{TENANT}/{key}"] for one in servers)
+
+
+class HomeTest(unittest.TestCase):
+    def test_the_home_of_a_tenant_never_changes(self) -> None:
+        """Another choice, also of a later version, would run requests twice."""
+        tenants = [Tenant(f"t{number}") for number in range(8)]
+        homes = [find_home(tenant, NAMES)[0] for tenant in tenants]
+        self.assertEqual("".join(homes), "swsnswnw")
+        for tenant in tenants:
+            reverse = find_home(tenant, tuple(reversed(NAMES)))
+            self.assertEqual(find_home(tenant, NAMES), reverse)
+
+    def test_a_key_repeated_through_any_entry_runs_once(self) -> None:
+        async def body(fleet: MemoryFleet) -> None:
+            results = []
+
+            async def ask(entry: str, number: int) -> None:
+                request = make_request(f"r{number}", key="k1")
+                results.append(await route(fleet, entry, request))
+
+            async with trio.open_nursery() as nursery:
+                for number, entry in enumerate(("n1", "s1", "w1")):
+                    nursery.start_soon(ask, entry, number)
+            await ask("s2", 4)
+            self.assertEqual(count_runs(fleet, "k1"), 1)
+            self.assertIsInstance(results[-1], Success)
+            self.assertTrue(results[-1].unwrap().repeated)
+
+        run_fleet(body)
+
+    def test_a_home_out_of_reach_refuses_as_not_run(self) -> None:
+        async def body(fleet: MemoryFleet) -> None:
+            cut_off(fleet, HOME)
+            entry = DOMAINS[AWAY][0]
+            refused = await route(fleet, entry, make_request("r1", key="k1"))
+            self.assertEqual(refused.failure().outcome, Outcome.NOT_RUN)
+            answered = await route(fleet, entry, make_request("r2"))
+            self.assertIsInstance(answered, Success)
+            self.assertEqual(count_runs(fleet, "k1"), 0)
+
+        run_fleet(body)
+
+
+class WitnessTest(unittest.TestCase):
+    def test_a_witness_serves_nothing_of_the_foreign_domain(self) -> None:
+        async def body(fleet: MemoryFleet) -> None:
+            # One instance of the next domain votes for north.
+            for name in DOMAINS["north"]:
+                fleet.network.drop_host(fleet.hosts[name][0])
+                await fleet.kill_process(f"controller {name}")
+            await trio.sleep(20)
+            for name in (*DOMAINS["south"], *DOMAINS["west"]):
+                await self.check_refusals(fleet, name)
+
+        run_fleet(body)
+
+    async def check_refusals(self, fleet: MemoryFleet, name: str) -> None:
+        transport = MemoryTransport(fleet.network, "n1")
+        addresses = fleet._settings[name].addresses
+        host, port = addresses.host, addresses.controller_peer_port
+        connection = transport.open_connection(host, port)
+        hello = EntryHello(
+            entry=InstanceName("n1"),
+            incarnation=Incarnation("x"),
+            domain=FailureDomain("north"),
+            address="",
+            number=1,
+            configuration=ConfigurationVersion(0),
+        )
+        async with connection.open(ENTRY_STREAM) as stream:
+            assert stream is not None
+            await stream.send(hello)
+            self.assertIsInstance(await stream.receive(), EntryRefused)
+        end = EndEntrySession(
+            entry=InstanceName("n1"),
+            session=Epoch(1),
+            proof=ProofOfEnd.RELEASED,
+            at=START,
+        )
+        reply = await connection.call(
+            DOMAIN_CALL, DomainRequest(domain=FailureDomain("north"), command=end)
+        )
+        self.assertEqual(reply, Success(NotLeading()))
+        workers = transport.open_connection(
+            host, addresses.workers_port, encoding=Encoding.JSON
+        )
+        async with workers.open(WORKER_STREAM) as stream:
+            assert stream is not None
+            await stream.send(HELLO)
+            self.assertIsInstance(
+                await stream.receive(), GoToLeader | ConnectionRefused
+            )
+
+
+class PlannedStopTest(unittest.TestCase):
+    def test_a_stopping_entry_finishes_what_was_passed_on_and_hands_over(self) -> None:
+        async def body(fleet: MemoryFleet) -> None:
+            owner, epoch = find_owner(fleet, "s-north-0")
+            other = next(one for one in DOMAINS["north"] if one != owner)
+            results: list[Any] = []
+
+            async def ask(number: int) -> None:
+                request = make_request(f"r{number}")
+                results.append(await route(fleet, other, request))
+
+            async with trio.open_nursery() as nursery:
+                for number in range(4):
+                    nursery.start_soon(ask, number)
+                await trio.sleep(0.02)
+                begun = trio.current_time()
+                stopping = fleet.entries[owner]
+                self.assertGreater(stopping.router.count_in_flight(), 0)
+                await stopping.hand_over()
+            self.assertEqual([type(one) for one in results], [Success] * 4)
+            late = await self.forward(fleet, owner)
+            self.assertEqual(late.outcome, Outcome.NOT_RUN)
+            while find_owner(fleet, "s-north-0")[0] != other:
+                await trio.sleep(0.05)
+            took = trio.current_time() - begun
+            lease = make_entry_terms(stopping.settings.timing).duration.total_seconds()
+            self.assertLess(took, lease / 2)
+            self.assertGreater(find_owner(fleet, "s-north-0")[1], epoch)
+
+        run_fleet(body)
+
+    async def forward(self, fleet: MemoryFleet, owner: str) -> Refusal:
+        addresses = fleet.entries[owner].settings.addresses
+        transport = MemoryTransport(fleet.network, "127.0.0.1")
+        connection = transport.open_connection(
+            addresses.host, addresses.entry_peer_port
+        )
+        request = msgspec.structs.replace(make_request("late"), hops=1)
+        answer = (await connection.call(FORWARD_CALL, request)).unwrap()
+        assert answer.refusal is not None
+        return answer.refusal
+
+
+class ConfigurationTest(unittest.TestCase):
+    def test_a_version_never_reverts(self) -> None:
+        async def body(fleet: MemoryFleet) -> None:
+            self.assertEqual(
+                await configure(fleet, "n1", 1, CONFIGURE.format(3)), "accepted"
+            )
+            await trio.sleep(8)
+            self.assertEqual(self.versions(fleet), {1})
+            cut_off(fleet, "west")
+            await trio.sleep(10)
+            refused = await configure(fleet, "w1", 2, CONFIGURE.format(4))
+            self.assertEqual(refused, "no-quorum")
+            accepted = await configure(fleet, "n1", 3, CONFIGURE.format(5))
+            self.assertEqual(accepted, "accepted")
+            await trio.sleep(8)
+            self.assertEqual(fleet.entries["w1"].in_force.configuration.version, 1)
+            fleet.network.heal_all()
+            await trio.sleep(8)
+            self.assertEqual(self.versions(fleet), {2})
+            await fleet.kill_process("entry s1")
+            await fleet.start_process("entry s1")
+            await trio.sleep(8)
+            self.assertEqual(self.versions(fleet), {2})
+
+        run_fleet(body)
+
+    def versions(self, fleet: MemoryFleet) -> set[int]:
+        entries = [one.in_force.configuration.version for one in fleet.entries.values()]
+        return {*entries}
