Cut off nothing that a sibling still sends; restart on a lost store; show nothing older

It now refuses as not run for one more second.

Taken from the review of the replicated log: a replica whose store fails ends its process, so that it restarts from what the disk has; configuration is put in force, pushed and called ready only once a restarted replica has caught up.

The controller's program is a file of its own.

--- a/src/rhubarbfield/controller/daemon.py
+++ b/src/rhubarbfield/controller/daemon.py
@@ -5,17 +5,12 @@
 import logging
 import random
 from collections.abc import Callable
-from functools import partial
-from pathlib import Path
 from typing import Any
 
 import trio
-from hypercorn.config import Config
-from hypercorn.trio import serve as serve_app
-from prometheus_client import REGISTRY
 from returns.result import Failure
 
-from rhubarbfield.clock import Clock, TrioClock
+from rhubarbfield.clock import Clock
 from rhubarbfield.controller.calls import ControllerCalls
 from rhubarbfield.controller.groups import (
     FLEET_GROUP,
@@ -44,20 +39,15 @@
 from rhubarbfield.controller.worklog import DomainWorkLog
 from rhubarbfield.daemons import (
     SettingsInForce,
-    load_credentials,
-    run_until_signal,
 )
-from rhubarbfield.exceptions import BrokenInvariantError
+from rhubarbfield.exceptions import RhubarbfieldError
 from rhubarbfield.fleet import FleetState
 from rhubarbfield.machine import SectionedMachine
-from rhubarbfield.operators import create_operators_app
 from rhubarbfield.peering import (
     Encoding,
-    GrpcTransport,
     MessageStream,
     PeerLinks,
     Transport,
-    open_bridge,
     serve_link,
 )
 from rhubarbfield.protocol import (
@@ -68,32 +58,33 @@
     SUMMARY_CALL,
     LeaderCalls,
     Packet,
+    PacketSender,
 )
 from rhubarbfield.protocol.workers import WORKER_STREAM
-from rhubarbfield.replication import GroupSettings, Replica, ReplicationMessage
+from rhubarbfield.replication import GroupSettings, Replica
 from rhubarbfield.settings import Settings
-from rhubarbfield.settings.secrets import Secret
-from rhubarbfield.storage import FileStore, LogStore, MemoryStore
+from rhubarbfield.storage import LogStore, StoreFailure
 from rhubarbfield.types import FailureDomain, GroupId, InstanceName
 from rhubarbfield.workers import GoToLeader
 
 logger = logging.getLogger(__name__)
 
 GRACEFUL_SECONDS = 5.0
-STORE_EXIT_REASON = "the store of group %s can't be trusted: %s"
 
 
-class PacketSender:
-    """Sends replication messages over the links to other controllers."""
+class StoreLostError(RhubarbfieldError):
+    """The store of a log can't be used or trusted any more.
 
-    def __init__(self, links: PeerLinks) -> None:
-        self._links = links
+    Parameters
+    ----------
+    group
+        Whose log.
+    failure
+        What the store said.
+    """
 
-    def send(
-        self, to: InstanceName, group: GroupId, message: ReplicationMessage
-    ) -> None:
-        """Queue a message; never waits."""
-        self._links.send(to, Packet(group, message))
+    def __init__(self, group: GroupId, failure: StoreFailure) -> None:
+        super().__init__(f"the store of group {group} failed: {failure}")
 
 
 class Controller:
@@ -257,8 +248,9 @@
         result = await replica.run(task_status=task_status)
         match result:
             case Failure(failure):
-                # The group goes on with its other members; operators are told.
-                logger.error(STORE_EXIT_REASON, group, failure)
+                # The group goes on with its other members. Started anew, this
+                # replica reads what is on the disk and not what it remembers.
+                raise StoreLostError(group, failure)
 
     async def _serve_peers(
         self,
@@ -332,6 +324,8 @@
         self._placement = make_placement_settings(settings.placement)
 
     async def _follow_configuration(self) -> None:
+        # What a restarted replica finds may be older than what it showed before.
+        await self._fleet_log.replica.wait_current()
         while True:
             seen = self._fleet_log.changes
             self.in_force.offer(self._fleet_log.state.fleet.configuration)
@@ -355,88 +349,3 @@
         if instance is None or instance.failure_domain != self._domain:
             return ""
         return f"{instance.host}:{instance.workers_port}"
-
-
-async def serve_operators(
-    controller: Controller,
-    settings: Settings,
-    secret: Secret,
-    *,
-    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
-) -> None:
-    """Serve operators by HTTP until cancelled.
-
-    Raises
-    ------
-    BrokenInvariantError
-        If answering found one.
-    """
-    broken: list[BrokenInvariantError] = []
-    seen = trio.Event()
-
-    def note_broken(error: BrokenInvariantError) -> None:
-        broken.append(error)
-        seen.set()
-
-    app = create_operators_app(
-        controller.operators,
-        secret=secret,
-        metrics=REGISTRY,
-        on_broken_invariant=note_broken,
-    )
-    config = Config()
-    config.errorlog = logging.getLogger("rhubarbfield.http")
-    addresses = settings.addresses
-    config.bind = [f"{addresses.host}:{addresses.operators_port}"]
-    config.graceful_timeout = GRACEFUL_SECONDS
-    config.include_server_header = False
-    config.loglevel = "WARNING"
-    async with trio.open_nursery() as nursery:
-        await nursery.start(serve_app, app, config)
-        task_status.started()
-        await seen.wait()
-        raise broken[0]
-
-
-def open_store(settings: Settings, group: GroupId) -> LogStore:
-    """Return the store of a group's log; in memory on an instance without disk."""
-    if settings.data_folder is None:
-        return MemoryStore()
-    return FileStore(Path(settings.data_folder) / group)
-
-
-async def run_controller(
-    settings: Settings,
-    *,
-    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
-) -> None:
-    """Run a controller until it is told to stop by SIGTERM or SIGINT.
-
-    Parameters
-    ----------
-    settings
-        Of the instance.
-    task_status
-        Started once it serves.
-    """
-    secret, credentials = load_credentials(settings)
-    async with open_bridge():
-        controller = Controller(
-            settings,
-            transport=GrpcTransport(credentials),
-            open_store=partial(open_store, settings),
-            clock=TrioClock(),
-            rng=random.SystemRandom(),
-        )
-
-        async def run(
-            *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
-        ) -> None:
-            async with trio.open_nursery() as nursery:
-                await nursery.start(controller.run)
-                await nursery.start(serve_operators, controller, settings, secret)
-                task_status.started()
-
-        await run_until_signal(
-            run, reload=controller.in_force.reload, task_status=task_status
-        )
--- a/src/rhubarbfield/controller/entrysessions.py
+++ b/src/rhubarbfield/controller/entrysessions.py
@@ -178,6 +178,7 @@
 
     async def _push_configuration(self, stream: MessageStream) -> None:
         version: ConfigurationVersion | None = None
+        await self._fleet_log.replica.wait_current()
         while True:
             seen = self._fleet_log.changes
             configuration = self._fleet_log.state.fleet.configuration
--- /dev/null
+++ b/src/rhubarbfield/controller/program.py
@@ -0,0 +1,113 @@
+"""Running a controller as a process: stores, HTTP for operators, signals."""
+
+from __future__ import annotations
+
+import logging
+import random
+from functools import partial
+from pathlib import Path
+
+import trio
+from hypercorn.config import Config
+from hypercorn.trio import serve as serve_app
+from prometheus_client import REGISTRY
+
+from rhubarbfield.clock import TrioClock
+from rhubarbfield.controller.daemon import Controller
+from rhubarbfield.daemons import load_credentials, run_until_signal
+from rhubarbfield.exceptions import BrokenInvariantError
+from rhubarbfield.operators import create_operators_app
+from rhubarbfield.peering import GrpcTransport, open_bridge
+from rhubarbfield.settings import Settings
+from rhubarbfield.settings.secrets import Secret
+from rhubarbfield.storage import FileStore, LogStore, MemoryStore
+from rhubarbfield.types import GroupId
+
+logger = logging.getLogger(__name__)
+
+GRACEFUL_SECONDS = 5.0
+
+
+async def serve_operators(
+    controller: Controller,
+    settings: Settings,
+    secret: Secret,
+    *,
+    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve operators by HTTP until cancelled.
+
+    Raises
+    ------
+    BrokenInvariantError
+        If answering found one.
+    """
+    broken: list[BrokenInvariantError] = []
+    seen = trio.Event()
+
+    def note_broken(error: BrokenInvariantError) -> None:
+        broken.append(error)
+        seen.set()
+
+    app = create_operators_app(
+        controller.operators,
+        secret=secret,
+        metrics=REGISTRY,
+        on_broken_invariant=note_broken,
+    )
+    config = Config()
+    config.errorlog = logging.getLogger("rhubarbfield.http")
+    addresses = settings.addresses
+    config.bind = [f"{addresses.host}:{addresses.operators_port}"]
+    config.graceful_timeout = GRACEFUL_SECONDS
+    config.include_server_header = False
+    config.loglevel = "WARNING"
+    async with trio.open_nursery() as nursery:
+        await nursery.start(serve_app, app, config)
+        task_status.started()
+        await seen.wait()
+        raise broken[0]
+
+
+def open_store(settings: Settings, group: GroupId) -> LogStore:
+    """Return the store of a group's log; in memory on an instance without disk."""
+    if settings.data_folder is None:
+        return MemoryStore()
+    return FileStore(Path(settings.data_folder) / group)
+
+
+async def run_controller(
+    settings: Settings,
+    *,
+    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Run a controller until it is told to stop by SIGTERM or SIGINT.
+
+    Parameters
+    ----------
+    settings
+        Of the instance.
+    task_status
+        Started once it serves.
+    """
+    secret, credentials = load_credentials(settings)
+    async with open_bridge():
+        controller = Controller(
+            settings,
+            transport=GrpcTransport(credentials),
+            open_store=partial(open_store, settings),
+            clock=TrioClock(),
+            rng=random.SystemRandom(),
+        )
+
+        async def run(
+            *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+        ) -> None:
+            async with trio.open_nursery() as nursery:
+                await nursery.start(controller.run)
+                await nursery.start(serve_operators, controller, settings, secret)
+                task_status.started()
+
+        await run_until_signal(
+            run, reload=controller.in_force.reload, task_status=task_status
+        )
--- a/src/rhubarbfield/controller/queries.py
+++ b/src/rhubarbfield/controller/queries.py
@@ -100,7 +100,7 @@
         log = self._fleet_log
         return ControllerStatus(
             instance=InstanceName(self._settings.instance.name),
-            ready=log.replica.leader_hint is not None or log.leads(),
+            ready=log.replica.is_current,
             leader=log.replica.leader_hint,
             position=log.position,
             configuration_version=log.state.fleet.configuration.version,
--- a/src/rhubarbfield/entry/daemon.py
+++ b/src/rhubarbfield/entry/daemon.py
@@ -41,6 +41,7 @@
 logger = logging.getLogger(__name__)
 
 HANDOVER_TIMEOUT = timedelta(seconds=5)
+STOP_GRACE = timedelta(seconds=1)
 INCARNATION_BITS = 64
 
 
@@ -136,6 +137,8 @@
             await self._announcements.hand_over_all()
             await self._ownership.end_session()
         logger.info("handed-over in_time=%s", not scope.cancelled_caught)
+        # Siblings that have not heard yet are still refused, and not cut off.
+        await self._clock.sleep(STOP_GRACE)
 
     async def _serve_siblings(
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
--- a/src/rhubarbfield/protocol/__init__.py
+++ b/src/rhubarbfield/protocol/__init__.py
@@ -26,7 +26,7 @@
 )
 from rhubarbfield.protocol.forwarding import FORWARD_CALL, ForwardAnswer
 from rhubarbfield.protocol.leaders import LeaderCalls, LeaderFailure
-from rhubarbfield.protocol.packets import REPLICATION_LINK, Packet
+from rhubarbfield.protocol.packets import REPLICATION_LINK, Packet, PacketSender
 from rhubarbfield.protocol.rooms import ROOM_LINK, RoomReport, ServiceRoom
 from rhubarbfield.protocol.summaries import SUMMARY_CALL, DomainSummary, WorkerShape
 
@@ -59,4 +59,5 @@
     "ServiceRoom",
     "REPLICATION_LINK",
     "Packet",
+    "PacketSender",
 ]
--- a/tests/controller/solo.py
+++ b/tests/controller/solo.py
@@ -26,6 +26,9 @@
         self.leader_hint = None
         self.commands = 0
 
+    async def wait_current(self) -> None:
+        await trio.lowlevel.checkpoint()
+
     async def propose(self, command: bytes) -> Result[bytes, NotLeader]:
         if self.leadership is None:
             return Failure(NotLeader(None))
