Keep one stream port for sessions and the transport

Sessions had repeated peering's MessageStream, written before the transport was there; they import it now. The controller's program loses a logger that nothing used. Formatter, linter, types and the tests of workers, announcements, leases, ownership, testing, peering, protocol, controller, entry, operators, cli, the shipped traces and the whole path pass; the whole suite was not run again.

--- a/src/rhubarbfield/controller/program.py
+++ b/src/rhubarbfield/controller/program.py
@@ -23,8 +23,6 @@
 from rhubarbfield.storage import FileStore, LogStore, MemoryStore
 from rhubarbfield.types import GroupId
 
-logger = logging.getLogger(__name__)
-
 GRACEFUL_SECONDS = 5.0
 
 
--- a/src/rhubarbfield/peering/ports.py
+++ b/src/rhubarbfield/peering/ports.py
@@ -21,7 +21,11 @@
 
 
 class MessageStream(Protocol):
-    """One bidirectional stream of typed messages."""
+    """One bidirectional stream of typed messages.
+
+    ``receive`` may raise :class:`msgspec.MsgspecError` when the other side
+    sent what can't be decoded.
+    """
 
     async def send(self, message: msgspec.Struct) -> bool:
         """Send ``message``; False when the stream is gone or too slow."""
--- a/src/rhubarbfield/workers/streams.py
+++ b/src/rhubarbfield/workers/streams.py
@@ -6,29 +6,13 @@
 from collections.abc import Awaitable, Callable
 from contextlib import AbstractAsyncContextManager
 from datetime import timedelta
-from typing import Protocol, TypeAlias, TypeVar
+from typing import TypeAlias, TypeVar
 
 import msgspec
 import trio
 from returns.result import Failure, Result, Success
 
-
-class MessageStream(Protocol):
-    """One bidirectional stream of typed messages.
-
-    ``receive`` may raise :class:`msgspec.MsgspecError` when the other side
-    sent what can't be decoded.
-    """
-
-    async def send(self, message: msgspec.Struct) -> bool:
-        """Send ``message``; False when the stream is gone or too slow."""
-
-    async def receive(self) -> msgspec.Struct | None:
-        """Return the next message, or None once the stream has ended."""
-
-    async def close(self) -> None:
-        """End the stream; the other side's ``receive`` returns None."""
-
+from rhubarbfield.peering.ports import MessageStream
 
 Connect: TypeAlias = Callable[[str], AbstractAsyncContextManager[MessageStream | None]]
 """Opens a stream to ``host:port``; None when the other side can't be reached."""
