--- a/src/rhubarbfield/cli/program.py
+++ b/src/rhubarbfield/cli/program.py
@@ -27,7 +27,7 @@
 
 EXIT_INTERRUPTED = 130
 ErrorT = TypeVar("ErrorT", bound=BaseException)
-_MODULES = ("daemons", "asking", "checking", "proving", "standins")
+_MODULES = ("daemons", "scheduling", "asking", "checking", "proving", "standins")
 
 
 def main() -> NoReturn:
--- a/src/rhubarbfield/controller/calls.py
+++ b/src/rhubarbfield/controller/calls.py
@@ -12,7 +12,7 @@
 from rhubarbfield.controller.leading import DomainLeader, FleetLeader
 from rhubarbfield.controller.machines import DomainState, WholeState
 from rhubarbfield.controller.queries import OperatorService
-from rhubarbfield.controller.replicated import ReplicatedLog
+from rhubarbfield.groups import ReplicatedLog
 from rhubarbfield.machine import Command, Done, Reply
 from rhubarbfield.ownership import AssignServer, plan_claim
 from rhubarbfield.peering import CallMethod, MessageStream
--- a/src/rhubarbfield/controller/daemon.py
+++ b/src/rhubarbfield/controller/daemon.py
@@ -34,14 +34,21 @@
 )
 from rhubarbfield.controller.orders import OrderFeed
 from rhubarbfield.controller.queries import OperatorService
-from rhubarbfield.controller.replicated import ReplicatedLog, run_while_leading
 from rhubarbfield.controller.tables import DomainView
 from rhubarbfield.controller.worklog import DomainWorkLog
 from rhubarbfield.daemons import (
     SettingsInForce,
 )
-from rhubarbfield.exceptions import RhubarbfieldError
 from rhubarbfield.fleet import FleetState
+from rhubarbfield.groups import (
+    REPLICATION_LINK,
+    LeaderCalls,
+    Packet,
+    PacketSender,
+    ReplicatedLog,
+    StoreLostError,
+    run_while_leading,
+)
 from rhubarbfield.machine import SectionedMachine
 from rhubarbfield.peering import (
     Encoding,
@@ -54,16 +61,12 @@
     ENTRY_STREAM,
     FLEET_CALL,
     QUERY_CALL,
-    REPLICATION_LINK,
     SUMMARY_CALL,
-    LeaderCalls,
-    Packet,
-    PacketSender,
 )
 from rhubarbfield.protocol.workers import WORKER_STREAM
 from rhubarbfield.replication import GroupSettings, Replica
 from rhubarbfield.settings import Settings
-from rhubarbfield.storage import LogStore, StoreFailure
+from rhubarbfield.storage import LogStore
 from rhubarbfield.types import FailureDomain, GroupId, InstanceName
 from rhubarbfield.workers import GoToLeader
 
@@ -72,21 +75,6 @@
 GRACEFUL_SECONDS = 5.0
 
 
-class StoreLostError(RhubarbfieldError):
-    """The store of a log can't be used or trusted any more.
-
-    Parameters
-    ----------
-    group
-        Whose log.
-    failure
-        What the store said.
-    """
-
-    def __init__(self, group: GroupId, failure: StoreFailure) -> None:
-        super().__init__(f"the store of group {group} failed: {failure}")
-
-
 class Controller:
     """One controller, from its settings.
 
--- a/src/rhubarbfield/controller/delegating.py
+++ b/src/rhubarbfield/controller/delegating.py
@@ -12,8 +12,8 @@
 
 from rhubarbfield.clock import Clock
 from rhubarbfield.controller.machines import WholeState
-from rhubarbfield.controller.replicated import ReplicatedLog
 from rhubarbfield.fleet import Delegated, DelegateJob, FleetJob, JobRequest
+from rhubarbfield.groups import ReplicatedLog
 from rhubarbfield.placement import QuarantineState, Worker, WorkState
 from rhubarbfield.protocol import DomainSummary, WorkerShape
 from rhubarbfield.types import FailureDomain, JobId
--- a/src/rhubarbfield/controller/entrysessions.py
+++ b/src/rhubarbfield/controller/entrysessions.py
@@ -10,7 +10,7 @@
 
 from rhubarbfield.clock import Clock
 from rhubarbfield.controller.machines import DomainState, WholeState
-from rhubarbfield.controller.replicated import ReplicatedLog
+from rhubarbfield.groups import ReplicatedLog
 from rhubarbfield.leases import LeaseTable, LeaseTerms
 from rhubarbfield.ownership import (
     DirectoryEntry,
--- a/src/rhubarbfield/controller/leading.py
+++ b/src/rhubarbfield/controller/leading.py
@@ -17,9 +17,9 @@
 from rhubarbfield.controller.orders import OrderFeed
 from rhubarbfield.controller.planning import Planner
 from rhubarbfield.controller.reconciling import FleetReporter, Reconciler
-from rhubarbfield.controller.replicated import ReplicatedLog
 from rhubarbfield.controller.usage import UsageSink
 from rhubarbfield.controller.worklog import DomainWorkLog
+from rhubarbfield.groups import ReplicatedLog
 from rhubarbfield.leases import LeaseTerms
 from rhubarbfield.machine import Command
 from rhubarbfield.placement import PlacementSettings
--- a/src/rhubarbfield/controller/planning.py
+++ b/src/rhubarbfield/controller/planning.py
@@ -13,8 +13,8 @@
 from rhubarbfield.clock import Clock
 from rhubarbfield.controller.machines import DomainState
 from rhubarbfield.controller.orders import OrderFeed
-from rhubarbfield.controller.replicated import ReplicatedLog
 from rhubarbfield.controller.usage import UsageSink
+from rhubarbfield.groups import ReplicatedLog
 from rhubarbfield.placement import (
     ForgetFinished,
     PlacementSettings,
--- a/src/rhubarbfield/controller/program.py
+++ b/src/rhubarbfield/controller/program.py
@@ -14,12 +14,13 @@
 
 from rhubarbfield.clock import TrioClock
 from rhubarbfield.controller.daemon import Controller
-from rhubarbfield.daemons import load_credentials, run_until_signal
+from rhubarbfield.daemons import load_credentials
 from rhubarbfield.exceptions import BrokenInvariantError
 from rhubarbfield.operators import create_operators_app
 from rhubarbfield.peering import GrpcTransport, open_bridge
 from rhubarbfield.settings import Settings
 from rhubarbfield.settings.secrets import Secret
+from rhubarbfield.signals import run_until_signal
 from rhubarbfield.storage import FileStore, LogStore, MemoryStore
 from rhubarbfield.types import GroupId
 
--- a/src/rhubarbfield/controller/queries.py
+++ b/src/rhubarbfield/controller/queries.py
@@ -15,7 +15,6 @@
     build_task_explanation,
 )
 from rhubarbfield.controller.machines import DomainState, WholeState
-from rhubarbfield.controller.replicated import ReplicatedLog
 from rhubarbfield.controller.tables import (
     DomainView,
     find_domain_table,
@@ -23,6 +22,7 @@
     make_table,
 )
 from rhubarbfield.fleet import CommandRecord, SubmitCommand
+from rhubarbfield.groups import ReplicatedLog
 from rhubarbfield.language import (
     Explain,
     ExplainedKind,
--- a/src/rhubarbfield/controller/reconciling.py
+++ b/src/rhubarbfield/controller/reconciling.py
@@ -17,7 +17,6 @@
 
 from rhubarbfield.clock import Clock
 from rhubarbfield.controller.machines import DomainState, WholeState
-from rhubarbfield.controller.replicated import ReplicatedLog
 from rhubarbfield.fleet import (
     FinishJob,
     FleetJob,
@@ -25,6 +24,7 @@
     ReportJob,
 )
 from rhubarbfield.fleet import Quota as FleetQuota
+from rhubarbfield.groups import ReplicatedLog
 from rhubarbfield.machine import Command
 from rhubarbfield.placement import (
     AcceptJob,
--- a/src/rhubarbfield/controller/usage.py
+++ b/src/rhubarbfield/controller/usage.py
@@ -5,7 +5,7 @@
 from datetime import timedelta
 
 from rhubarbfield.controller.machines import DomainState
-from rhubarbfield.controller.replicated import ReplicatedLog
+from rhubarbfield.groups import ReplicatedLog
 from rhubarbfield.placement import (
     Attempt,
     AttemptUsage,
--- a/src/rhubarbfield/controller/worklog.py
+++ b/src/rhubarbfield/controller/worklog.py
@@ -10,8 +10,8 @@
 from rhubarbfield.clock import Clock
 from rhubarbfield.controller.machines import DomainState
 from rhubarbfield.controller.orders import OrderFeed, make_start, make_stop
-from rhubarbfield.controller.replicated import ReplicatedLog
 from rhubarbfield.exceptions import check_invariant
+from rhubarbfield.groups import ReplicatedLog
 from rhubarbfield.machine import Command, Refused, Reply
 from rhubarbfield.placement import (
     AddWorker,
--- a/src/rhubarbfield/daemons.py
+++ b/src/rhubarbfield/daemons.py
@@ -1,14 +1,11 @@
-"""What both daemons do when they start and when they are told to stop."""
+"""What both daemons do when they start and when their settings change."""
 
 from __future__ import annotations
 
 import logging
-import signal
-from collections.abc import AsyncIterator, Awaitable, Callable
-from functools import partial
+from collections.abc import Callable
 from pathlib import Path
 
-import trio
 from returns.result import Failure, Success
 
 from rhubarbfield.exceptions import UsageError
@@ -95,59 +92,3 @@
         settings = self._in_force.settings
         set_level(settings.logging.level)
         self._apply(settings)
-
-
-async def run_until_signal(
-    run: Callable[..., Awaitable[None]],
-    *,
-    reload: Callable[[], None],
-    stop: trio.Event | None = None,
-    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
-) -> None:
-    """Run a daemon until SIGTERM or SIGINT.
-
-    Parameters
-    ----------
-    run
-        The daemon; takes ``task_status``.
-    reload
-        Called on each SIGHUP.
-    stop
-        Set by the first signal, so that the daemon ends by itself; a second
-        signal cancels it. Without it the first signal cancels.
-    task_status
-        Started once the daemon is.
-    """
-    watched = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-    with trio.open_signal_receiver(*watched) as signals:
-        async with trio.open_nursery() as nursery:
-            follow = partial(_follow_signals, signals, reload, stop)
-            nursery.start_soon(follow, nursery.cancel_scope)
-            await nursery.start(_run_then_cancel, run, nursery.cancel_scope)
-            task_status.started()
-
-
-async def _run_then_cancel(
-    run: Callable[..., Awaitable[None]],
-    scope: trio.CancelScope,
-    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
-) -> None:
-    await run(task_status=task_status)
-    scope.cancel()
-
-
-async def _follow_signals(
-    signals: AsyncIterator[int],
-    reload: Callable[[], None],
-    stop: trio.Event | None,
-    scope: trio.CancelScope,
-) -> None:
-    async for number in signals:
-        logger.info("signal-received number=%d", number)
-        if number == signal.SIGHUP:
-            reload()
-            continue
-        if stop is None or stop.is_set():
-            scope.cancel()
-            return
-        stop.set()
--- a/src/rhubarbfield/entry/daemon.py
+++ b/src/rhubarbfield/entry/daemon.py
@@ -19,7 +19,6 @@
 from rhubarbfield.daemons import (
     SettingsInForce,
     load_credentials,
-    run_until_signal,
 )
 from rhubarbfield.entry.grants import RouterGrants
 from rhubarbfield.entry.options import (
@@ -36,6 +35,7 @@
 from rhubarbfield.protocol.workers import BACKEND_SERVER_STREAM
 from rhubarbfield.routing import BackendPort, LiveSettings, OwnedServers, Router
 from rhubarbfield.settings import Settings
+from rhubarbfield.signals import run_until_signal
 from rhubarbfield.types import FailureDomain, Incarnation, InstanceName, ServiceName
 
 logger = logging.getLogger(__name__)
--- /dev/null
+++ b/src/rhubarbfield/groups/__init__.py
@@ -0,0 +1,20 @@
+"""Replicated groups as the daemons use them: typed logs, leaders, links."""
+
+from rhubarbfield.groups.answers import NotLeading, Unavailable
+from rhubarbfield.groups.failures import StoreLostError
+from rhubarbfield.groups.leaders import LeaderCalls, LeaderFailure
+from rhubarbfield.groups.packets import REPLICATION_LINK, Packet, PacketSender
+from rhubarbfield.groups.replicated import ReplicatedLog, run_while_leading
+
+__all__ = [
+    "LeaderCalls",
+    "LeaderFailure",
+    "NotLeading",
+    "Packet",
+    "PacketSender",
+    "REPLICATION_LINK",
+    "ReplicatedLog",
+    "StoreLostError",
+    "Unavailable",
+    "run_while_leading",
+]
--- a/src/rhubarbfield/protocol/leaders.py
+++ b/src/rhubarbfield/groups/leaders.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from datetime import timedelta
 from typing import Any
 
@@ -10,6 +10,7 @@
 from returns.result import Failure, Result, Success
 
 from rhubarbfield.clock import Clock
+from rhubarbfield.groups.answers import NotLeading, Unavailable
 from rhubarbfield.peering import (
     CallFailure,
     CallFailureKind,
@@ -17,7 +18,6 @@
     ConnectionPool,
     Transport,
 )
-from rhubarbfield.protocol.calls import NotLeading, Unavailable
 from rhubarbfield.types import InstanceName
 
 RETRY_DELAY = timedelta(milliseconds=100)
@@ -52,6 +52,11 @@
         The way to other processes.
     clock
         The time.
+    locate
+        Returns host and port of an instance that ``members`` does not list,
+        where members may be replaced while the program runs.
+    attempt_timeout
+        How long one instance is waited for.
     """
 
     def __init__(
@@ -60,13 +65,22 @@
         members: Mapping[InstanceName, tuple[str, int]],
         transport: Transport,
         clock: Clock,
+        *,
+        locate: Callable[[InstanceName], tuple[str, int]] | None = None,
+        attempt_timeout: timedelta = ATTEMPT_TIMEOUT,
     ) -> None:
         self._method = method
         self._members = dict(members)
         self._clock = clock
-        self._pool = ConnectionPool(self._members, transport, clock)
+        self._locate = locate
+        self._attempt_timeout = attempt_timeout
+        self._pool = ConnectionPool(self._members, transport, clock, locate)
         self._leader = next(iter(self._members))
 
+    def add_members(self, members: Mapping[InstanceName, tuple[str, int]]) -> None:
+        """Ask these instances too."""
+        self._members.update(members)
+
     async def call(
         self, request: Any, timeout: timedelta
     ) -> Result[Any, LeaderFailure]:
@@ -82,7 +96,7 @@
         while (left := ends - self._clock.monotonic()) > timedelta():
             connection = self._pool.get(self._leader)
             reply = await connection.call(
-                self._method, request, min(left, ATTEMPT_TIMEOUT)
+                self._method, request, min(left, self._attempt_timeout)
             )
             match reply:
                 case Success(NotLeading(leader=leader)):
@@ -101,6 +115,8 @@
         return Failure(LeaderFailure(detail=detail, in_doubt=in_doubt))
 
     def _follow(self, leader: InstanceName | None) -> None:
+        if leader is not None and self._locate is not None:
+            self._members.setdefault(leader, self._locate(leader))
         if leader in self._members and leader != self._leader:
             self._leader = leader
             return
--- a/src/rhubarbfield/controller/replicated.py
+++ b/src/rhubarbfield/groups/replicated.py
@@ -11,8 +11,8 @@
 
 from rhubarbfield.clock import Clock
 from rhubarbfield.exceptions import check_invariant
+from rhubarbfield.groups.answers import NotLeading, Unavailable
 from rhubarbfield.machine import Command, Reply, SectionedMachine
-from rhubarbfield.protocol import NotLeading, Unavailable
 from rhubarbfield.replication import (
     NoQuorum,
     NotLeader,
--- a/src/rhubarbfield/peering/client.py
+++ b/src/rhubarbfield/peering/client.py
@@ -18,6 +18,7 @@
 from rhubarbfield.peering.credentials import Credentials
 from rhubarbfield.peering.ports import (
     CALL_TIMEOUT,
+    CONNECT_TIMEOUT,
     CallFailure,
     CallFailureKind,
     CallMethod,
@@ -56,7 +57,11 @@
     async def _reach(self) -> CallFailure | None:
         """Connect first, so that a failure before any byte is told apart."""
         try:
-            await aio_as_trio(self._channel.__connect__)()
+            with trio.fail_after(CONNECT_TIMEOUT.total_seconds()):
+                await aio_as_trio(self._channel.__connect__)()
+        except trio.TooSlowError:
+            detail = f"not connected in {CONNECT_TIMEOUT}"
+            return CallFailure(CallFailureKind.UNREACHABLE, detail)
         except (TimeoutError, OSError) as error:
             return CallFailure(CallFailureKind.UNREACHABLE, str(error))
         return None
--- a/src/rhubarbfield/peering/links.py
+++ b/src/rhubarbfield/peering/links.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from contextlib import suppress
 from datetime import timedelta
 from typing import Any, Generic, TypeVar
@@ -26,6 +26,7 @@
 PING_INTERVAL = timedelta(milliseconds=1500)
 SILENCE_LIMIT = timedelta(seconds=4)
 RECONNECT_DELAY = timedelta(milliseconds=250)
+IDLE_LINK_LIMIT = timedelta(seconds=60)  # longer than any pause of a group
 
 M = TypeVar("M")
 
@@ -71,8 +72,15 @@
         self._queue: deque[Any] = deque(maxlen=QUEUE_MESSAGES)
         self._filled = trio.Event()
         self._heard_at = trio.current_time()
+        self._used_at = trio.current_time()
+
+    @property
+    def idle_seconds(self) -> float:
+        """How long ago a message was last queued."""
+        return trio.current_time() - self._used_at
 
     def put(self, message: Any) -> None:
+        self._used_at = trio.current_time()
         self._queue.append(message)
         self._filled.set()
 
@@ -127,34 +135,62 @@
         What :func:`make_link_method` returned.
     transport
         The way to the peers.
+    locate
+        Returns host and port of a peer that ``peers`` does not list, or None.
+        The link to such a peer is made when first used, and given up once
+        nothing was sent for ``IDLE_LINK_LIMIT``.
     """
 
     def __init__(
         self,
         name: InstanceName,
-        peers: dict[InstanceName, tuple[str, int]],
+        peers: Mapping[InstanceName, tuple[str, int]],
         method: StreamMethod,
         transport: Transport,
+        locate: Callable[[InstanceName], tuple[str, int] | None] | None = None,
     ) -> None:
+        self._name = name
         self._peers = peers
         self._method = method
         self._transport = transport
+        self._locate = locate
+        self._nursery: trio.Nursery | None = None
         self._links = {peer: _Link(name) for peer in peers}
 
     def send(self, to: InstanceName, message: Any) -> None:
-        """Queue ``message`` for ``to``; unknown peers are ignored."""
-        link = self._links.get(to)
+        """Queue ``message`` for ``to``; peers without an address are ignored."""
+        link = self._links.get(to) or self._open_link(to)
         if link is not None:
             link.put(message)
 
     async def run(self) -> None:
         """Keep a link to each peer until cancelled."""
         async with trio.open_nursery() as nursery:
+            self._nursery = nursery
             for peer, link in self._links.items():
-                nursery.start_soon(self._keep_link, peer, link)
-
-    async def _keep_link(self, peer: InstanceName, link: _Link) -> None:
-        host, port = self._peers[peer]
+                nursery.start_soon(self._keep_link, link, self._peers[peer])
+            await trio.sleep_forever()
+
+    def _open_link(self, to: InstanceName) -> _Link | None:
+        address = self._locate(to) if self._locate is not None else None
+        if address is None or self._nursery is None:
+            return None
+        link = self._links[to] = _Link(self._name)
+        self._nursery.start_soon(self._keep_while_used, to, link, address)
+        return link
+
+    async def _keep_while_used(
+        self, peer: InstanceName, link: _Link, address: tuple[str, int]
+    ) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._keep_link, link, address)
+            while link.idle_seconds < IDLE_LINK_LIMIT.total_seconds():
+                await trio.sleep(PING_INTERVAL.total_seconds())
+            del self._links[peer]
+            nursery.cancel_scope.cancel()
+
+    async def _keep_link(self, link: _Link, address: tuple[str, int]) -> None:
+        host, port = address
         while True:
             async with (
                 connect(self._transport, host, port) as connection,
--- a/src/rhubarbfield/peering/pool.py
+++ b/src/rhubarbfield/peering/pool.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from datetime import timedelta
 from typing import Generic, TypeVar
 
@@ -26,6 +26,8 @@
         The way to the peers.
     clock
         The time.
+    locate
+        Returns host and port of a peer that ``addresses`` does not list.
     """
 
     def __init__(
@@ -33,8 +35,10 @@
         addresses: Mapping[PeerT, tuple[str, int]],
         transport: Transport,
         clock: Clock,
+        locate: Callable[[PeerT], tuple[str, int]] | None = None,
     ) -> None:
         self._addresses = dict(addresses)
+        self._locate = locate
         self._transport = transport
         self._clock = clock
         self._current: dict[PeerT, Connection] = {}
@@ -44,7 +48,10 @@
         """Return the connection to ``peer``."""
         connection = self._current.get(peer)
         if connection is None:
-            host, port = self._addresses[peer]
+            address = self._addresses.get(peer)
+            if address is None and self._locate is not None:
+                address = self._locate(peer)
+            host, port = address or self._addresses[peer]
             connection = self._transport.open_connection(host, port)
             self._current[peer] = connection
         return connection
--- a/src/rhubarbfield/peering/ports.py
+++ b/src/rhubarbfield/peering/ports.py
@@ -62,6 +62,8 @@
 
 
 CALL_TIMEOUT = timedelta(seconds=3)
+# An instance without power does not refuse; the system would wait for minutes.
+CONNECT_TIMEOUT = timedelta(seconds=1)
 
 
 class StreamMethod(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/src/rhubarbfield/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The adapter to the users' platform: it translates, and decides nothing."""
--- /dev/null
+++ b/src/rhubarbfield/platform/daemons.py
@@ -0,0 +1,140 @@
+"""The two programs that run on the platform."""
+
+from __future__ import annotations
+
+import logging
+import random
+from datetime import timedelta
+from functools import partial
+from pathlib import Path
+
+import trio
+from hypercorn.config import Config
+from hypercorn.trio import serve as serve_app
+from quart import Quart
+
+from rhubarbfield.clock import TrioClock
+from rhubarbfield.exceptions import UsageError
+from rhubarbfield.peering import Credentials, GrpcTransport, open_bridge
+from rhubarbfield.platform.control import create_control_app
+from rhubarbfield.platform.ingress import create_ingress_app
+from rhubarbfield.platform.runners import RunnerCalls
+from rhubarbfield.scheduling.controller import SchedulingController, open_log_store
+from rhubarbfield.scheduling.deployment import (
+    DeploymentSettings,
+    load_deployment_settings,
+)
+from rhubarbfield.scheduling.gateway import Gateway
+from rhubarbfield.signals import run_until_signal
+
+logger = logging.getLogger(__name__)
+
+LOOK_AWAY = timedelta(seconds=3)  # the balancer misses two checks, one a second
+IDLE_CONNECTION = timedelta(seconds=15)
+
+
+async def run_entry(
+    settings: DeploymentSettings,
+    path: Path,
+    *,
+    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve clients until told to stop."""
+    clock = TrioClock()
+    stop = trio.Event()
+    async with open_bridge():
+        transport = GrpcTransport(Credentials(secret=settings.secret))
+        gateway = Gateway(settings, transport, clock)
+
+        async def wait_for_stop() -> None:
+            await stop.wait()
+            gateway.begin_stop()
+            logger.info("planned-stop-begun")
+            await clock.sleep(LOOK_AWAY)
+
+        async def run(
+            *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+        ) -> None:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(gateway.run)
+                app = create_ingress_app(gateway)
+                config = _make_config(settings, settings.callers, settings.readiness)
+                serve = partial(serve_app, app, config, shutdown_trigger=wait_for_stop)
+                async with trio.open_nursery() as serving:
+                    await serving.start(serve)
+                    task_status.started()
+                nursery.cancel_scope.cancel()
+
+        await run_until_signal(
+            run,
+            reload=partial(_reload, path, gateway.add_seeds),
+            stop=stop,
+            task_status=task_status,
+        )
+
+
+async def run_controller(
+    settings: DeploymentSettings,
+    path: Path,
+    *,
+    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Keep the log, and lead when elected, until told to stop."""
+    scheduling = settings.make_scheduling_settings()
+    async with open_bridge():
+        controller = SchedulingController(
+            settings,
+            transport=GrpcTransport(Credentials(secret=settings.secret)),
+            store=open_log_store(settings),
+            calls=RunnerCalls(scheduling.order_timeout),
+            clock=TrioClock(),
+            rng=random.SystemRandom(),
+        )
+
+        async def run(
+            *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+        ) -> None:
+            async with trio.open_nursery() as nursery:
+                await nursery.start(controller.run)
+                app = create_control_app(controller.service, settings.control_port)
+                await nursery.start(_serve, app, settings)
+                task_status.started()
+
+        await run_until_signal(
+            run,
+            reload=partial(_reload, path, controller.add_seeds),
+            task_status=task_status,
+        )
+
+
+async def _serve(
+    app: Quart,
+    settings: DeploymentSettings,
+    *,
+    task_status: trio.TaskStatus[list[str]] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    config = _make_config(settings, settings.control)
+    await serve_app(app, config, task_status=task_status)
+
+
+def _reload(path: Path, apply: object) -> None:
+    try:
+        settings = load_deployment_settings(path)
+    except UsageError as error:
+        logger.error("settings-refused %s", error.format_message())
+        return
+    logger.info("settings-reloaded")
+    apply(settings)  # type: ignore[operator]
+
+
+def _make_config(settings: DeploymentSettings, *binds: str) -> Config:
+    config = Config()
+    config.bind = [bind for bind in binds if bind]
+    config.backlog = 1024
+    config.keep_alive_timeout = IDLE_CONNECTION.total_seconds()
+    grace = timedelta(milliseconds=settings.grace_ms) - LOOK_AWAY
+    config.graceful_timeout = max(grace.total_seconds() - 1, 1)
+    config.include_server_header = False
+    config.errorlog = logging.getLogger("rhubarbfield.http")
+    config.loglevel = "WARNING"
+    return config
--- /dev/null
+++ b/src/rhubarbfield/platform/ingress.py
@@ -0,0 +1,125 @@
+"""The HTTP interface of clients: jobs in, states out."""
+
+from __future__ import annotations
+
+import math
+from datetime import timedelta
+from http import HTTPStatus
+
+import msgspec
+from quart import Quart, Response, request
+from quart_trio import QuartTrio
+from returns.result import Failure, Success
+
+from rhubarbfield.scheduling.gateway import Gateway, Undecided
+from rhubarbfield.scheduling.model import JobSubmission
+from rhubarbfield.scheduling.service import (
+    Accepted,
+    BadJob,
+    JobReply,
+    JobRequest,
+    JobStatus,
+    JobVerb,
+    NoSuchJob,
+    NoSuchQueue,
+    NotConfigured,
+    WaitingJobs,
+)
+
+JSON_TYPE = "application/json"
+READY_PATH = "readyz"
+DEFAULT_DEADLINE = timedelta(seconds=3)  # what clients of both sites wait
+VERBS = {"POST": JobVerb.SUBMIT, "GET": JobVerb.READ, "DELETE": JobVerb.CANCEL}
+MAX_BODY_BYTES = 262_144
+RETRY_SOON = timedelta(seconds=1)
+
+
+def create_ingress_app(gateway: Gateway) -> Quart:
+    """Return the app that clients and the platform's balancer speak to."""
+    app = QuartTrio(__name__)
+    app.config["MAX_CONTENT_LENGTH"] = MAX_BODY_BYTES
+    app.config["PROVIDE_AUTOMATIC_OPTIONS"] = False
+    app.url_map.merge_slashes = False
+
+    @app.route("/", methods=list(VERBS), defaults={"path": ""})
+    @app.route("/<path:path>", methods=list(VERBS))
+    async def answer(path: str) -> Response:
+        if path == READY_PATH:
+            ready = gateway.is_ready
+            return Response(
+                "", HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE
+            )
+        return await _answer_client(gateway, f"/{path}")
+
+    @app.after_request
+    async def close_connection(response: Response) -> Response:
+        if gateway.is_stopping:
+            response.headers["Connection"] = "close"
+        return response
+
+    return app
+
+
+async def _answer_client(gateway: Gateway, path: str) -> Response:
+    verb = VERBS[request.method]
+    submission: JobSubmission | None = None
+    if verb is JobVerb.SUBMIT:
+        from rhubarbfield.platform.wire import decode_job
+
+        body = await request.get_data(as_text=False)
+        match decode_job(body if isinstance(body, bytes) else body.encode()):
+            case Success(job):
+                submission = job
+            case Failure(complaint):
+                return _make_json(HTTPStatus.BAD_REQUEST, {"Error": complaint})
+    wanted = JobRequest(
+        verb=verb,
+        host=request.host.partition(":")[0],
+        path=path,
+        submission=submission,
+    )
+    return make_response(verb, await gateway.ask(wanted, _read_deadline()))
+
+
+def make_response(verb: JobVerb, reply: JobReply | Undecided) -> Response:
+    """Return what clients are told of a reply."""
+    match reply:
+        case Accepted():
+            return _make_json(HTTPStatus.OK, {})
+        case JobStatus(phase=phase):
+            return _make_json(HTTPStatus.OK, {"State": phase.value})
+        case WaitingJobs(count=count):
+            return _make_json(HTTPStatus.OK, {"WaitingCount": count})
+        case NoSuchQueue():
+            return _make_json(HTTPStatus.NOT_FOUND, {"Error": "no such queue"})
+        case NoSuchJob():
+            return _make_json(HTTPStatus.GONE, {"Error": "no such job"})
+        case BadJob(reason=reason):
+            return _make_json(HTTPStatus.BAD_REQUEST, {"Error": reason})
+        case NotConfigured():
+            return _make_retry(HTTPStatus.SERVICE_UNAVAILABLE, RETRY_SOON)
+        case Undecided(in_doubt=in_doubt, retry_after=retry_after):
+            # A client may take 503 as proof that its job never runs.
+            is_open = in_doubt and verb is JobVerb.SUBMIT
+            status = (
+                HTTPStatus.GATEWAY_TIMEOUT
+                if is_open
+                else HTTPStatus.SERVICE_UNAVAILABLE
+            )
+            return _make_retry(status, retry_after)
+    return _make_retry(HTTPStatus.SERVICE_UNAVAILABLE, RETRY_SOON)
+
+
+def _read_deadline() -> timedelta:
+    text = request.headers.get("X-Deadline-Ms", "")
+    return timedelta(milliseconds=int(text)) if text.isdecimal() else DEFAULT_DEADLINE
+
+
+def _make_retry(status: HTTPStatus, after: timedelta) -> Response:
+    response = _make_json(status, {"Error": "no controller can decide now"})
+    response.headers["Retry-After"] = str(math.ceil(after.total_seconds()))
+    return response
+
+
+def _make_json(status: HTTPStatus, content: dict[str, object]) -> Response:
+    return Response(msgspec.json.encode(content), status=status, content_type=JSON_TYPE)
--- /dev/null
+++ b/src/rhubarbfield/platform/runners.py
@@ -0,0 +1,210 @@
+"""Calls to the platform's runners, which the program calls workers."""
+
+from __future__ import annotations
+
+import logging
+from datetime import timedelta
+from http import HTTPStatus
+from typing import Any
+
+import httpcore
+import msgspec
+from returns.result import Failure, Result, Success
+
+from rhubarbfield.platform.wire import MILLISECOND, REFUSALS, WireReply, WireView
+from rhubarbfield.scheduling.model import RunNumber, TaskName
+from rhubarbfield.scheduling.ports import (
+    CallFailure,
+    NoReply,
+    OtherLife,
+    Refusal,
+    Refused,
+    StartOrder,
+    WorkerAddress,
+    WorkerView,
+)
+from rhubarbfield.types import Term
+
+logger = logging.getLogger(__name__)
+
+CONNECTIONS_A_RUNNER = 4  # orders, a view, and room for one that hangs
+KEEP_ALIVE = timedelta(seconds=1.8)  # runners close idle connections after 2 s
+EXPECTED_INSTANCE = b"X-Expected-Instance"
+# Runners take whole milliseconds up to this, whatever the patience.
+LONGEST_WAIT = timedelta(seconds=2)
+UNHEALTHY = (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
+
+_replies = msgspec.json.Decoder(WireReply)
+_views = msgspec.json.Decoder(WireView)
+
+
+class RunnerCalls:
+    """A :class:`~rhubarbfield.scheduling.ports.WorkerCalls` over HTTP.
+
+    Parameters
+    ----------
+    order_timeout
+        How long a reply to an order may take.
+    """
+
+    def __init__(self, order_timeout: timedelta) -> None:
+        self._order_timeout = order_timeout
+        self._pools: dict[str, httpcore.AsyncConnectionPool] = {}
+
+    async def start(
+        self, to: WorkerAddress, order: StartOrder
+    ) -> Result[timedelta, CallFailure]:
+        """Start a run."""
+        body: dict[str, Any] = {
+            "Task": order.task,
+            "Run": order.run,
+            "Spec": order.payload,
+            "DeadlineMs": int(order.lease_end / MILLISECOND),
+            "FencingToken": order.term,
+        }
+        if order.checkpoint:
+            body["Checkpoint"] = order.checkpoint
+        if order.ticket:
+            body["Ticket"] = order.ticket
+        return await self._order(to, "/run-start", body)
+
+    async def stop(
+        self, to: WorkerAddress, task: TaskName, run: RunNumber, term: Term
+    ) -> Result[timedelta, CallFailure]:
+        """Stop a run."""
+        body = {"Task": task, "Run": run, "FencingToken": term}
+        return await self._order(to, "/run-stop", body)
+
+    async def pace(
+        self,
+        to: WorkerAddress,
+        task: TaskName,
+        run: RunNumber,
+        percent: int,
+        term: Term,
+    ) -> Result[timedelta, CallFailure]:
+        """Let a run work at a share of its speed."""
+        body = {"Task": task, "Run": run, "Percent": percent, "FencingToken": term}
+        return await self._order(to, "/pace", body)
+
+    async def view(
+        self,
+        to: WorkerAddress,
+        *,
+        recorded_ends: int,
+        lease_end: timedelta | None,
+        patience: timedelta,
+        term: Term,
+    ) -> Result[WorkerView, CallFailure]:
+        """Return what the runner runs, and what ended there."""
+        wait = min(patience, LONGEST_WAIT)
+        body: dict[str, Any] = {"FencingToken": term, "AckedUpto": recorded_ends}
+        if lease_end is not None:
+            body["DeadlineMs"] = int(lease_end / MILLISECOND)
+        if wait > timedelta():
+            body["WaitMs"] = int(wait / MILLISECOND)
+        result = await self._post(to, "/hold", body, wait + self._order_timeout)
+        match result:
+            case Success(content):
+                return _read_view(content)
+            case Failure(failure):
+                return Failure(failure)
+        raise AssertionError
+
+    async def forget(self, address: str) -> None:
+        """Close the connections to an address."""
+        pool = self._pools.pop(address, None)
+        if pool is not None:
+            await pool.aclose()
+
+    async def _order(
+        self, to: WorkerAddress, path: str, body: dict[str, Any]
+    ) -> Result[timedelta, CallFailure]:
+        result = await self._post(to, path, body, self._order_timeout)
+        match result:
+            case Success(content):
+                reply = _read_reply(content)
+                if reply is None or reply.clock_ms is None:
+                    return Failure(NoReply("the reply can't be read"))
+                return Success(reply.clock_ms * MILLISECOND)
+            case Failure(failure):
+                return Failure(failure)
+        raise AssertionError
+
+    async def _post(
+        self,
+        to: WorkerAddress,
+        path: str,
+        body: dict[str, Any],
+        timeout: timedelta,
+    ) -> Result[bytes, CallFailure]:
+        seconds = timeout.total_seconds()
+        limits = dict.fromkeys(("connect", "read", "write", "pool"), seconds)
+        limits["connect"] = self._order_timeout.total_seconds()
+        content = msgspec.json.encode(body)
+        try:
+            response = await self._get_pool(to.address).request(
+                "POST",
+                f"http://{to.address}{path}",
+                headers=[
+                    (b"Content-Type", b"application/json"),
+                    (EXPECTED_INSTANCE, to.worker.encode()),
+                ],
+                content=content,
+                extensions={"timeout": limits},
+            )
+        except (
+            httpcore.TimeoutException,
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+        ) as error:
+            return Failure(NoReply(repr(error)))
+        if response.status == HTTPStatus.OK:
+            return Success(response.content)
+        return Failure(_read_failure(response.status, response.content))
+
+    def _get_pool(self, address: str) -> httpcore.AsyncConnectionPool:
+        pool = self._pools.get(address)
+        if pool is None:
+            pool = self._pools[address] = httpcore.AsyncConnectionPool(
+                max_connections=CONNECTIONS_A_RUNNER,
+                keepalive_expiry=KEEP_ALIVE.total_seconds(),
+            )
+        return pool
+
+
+def _read_failure(status: int, content: bytes) -> CallFailure:
+    if status == HTTPStatus.MISDIRECTED_REQUEST:
+        return OtherLife()
+    if status in UNHEALTHY:
+        return Refused(Refusal.UNHEALTHY)
+    reply = _read_reply(content)
+    refusal = REFUSALS.get(reply.reason if reply is not None else "")
+    clock_ms = reply.clock_ms if reply is not None else None
+    clock = None if clock_ms is None else clock_ms * MILLISECOND
+    if status == HTTPStatus.CONFLICT and refusal is not None:
+        return Refused(refusal, clock)
+    if status == HTTPStatus.BAD_REQUEST:
+        return Refused(Refusal.MALFORMED, clock)
+    return NoReply(f"status {status}")
+
+
+def _read_reply(content: bytes) -> WireReply | None:
+    try:
+        return _replies.decode(content)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        logger.warning("reply-unreadable error=%s", error)
+        return None
+
+
+def _read_view(content: bytes) -> Result[WorkerView, CallFailure]:
+    try:
+        return Success(_views.decode(content).to_view())
+    except (
+        msgspec.MsgspecError,
+        UnicodeDecodeError,
+        ValueError,
+        TypeError,
+        IndexError,
+    ) as error:
+        return Failure(NoReply(f"the lists can't be read: {error}"))
--- a/src/rhubarbfield/protocol/__init__.py
+++ b/src/rhubarbfield/protocol/__init__.py
@@ -4,15 +4,22 @@
 that go each way.
 """
 
+from rhubarbfield.groups import (
+    REPLICATION_LINK,
+    LeaderCalls,
+    LeaderFailure,
+    NotLeading,
+    Packet,
+    PacketSender,
+    Unavailable,
+)
 from rhubarbfield.protocol.calls import (
     DOMAIN_CALL,
     FLEET_CALL,
     QUERY_CALL,
     DomainRequest,
-    NotLeading,
     QueryAnswer,
     QueryRequest,
-    Unavailable,
 )
 from rhubarbfield.protocol.entries import (
     ENTRY_STREAM,
@@ -25,8 +32,6 @@
     RenewEntry,
 )
 from rhubarbfield.protocol.forwarding import FORWARD_CALL, ForwardAnswer
-from rhubarbfield.protocol.leaders import LeaderCalls, LeaderFailure
-from rhubarbfield.protocol.packets import REPLICATION_LINK, Packet, PacketSender
 from rhubarbfield.protocol.rooms import ROOM_LINK, RoomReport, ServiceRoom
 from rhubarbfield.protocol.summaries import SUMMARY_CALL, DomainSummary, WorkerShape
 
--- a/src/rhubarbfield/protocol/calls.py
+++ b/src/rhubarbfield/protocol/calls.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from rhubarbfield.fleet import FLEET_REPLY_TYPES, fleet_commands
+from rhubarbfield.groups import NotLeading, Unavailable
 from rhubarbfield.language import Explain, Show, Table
 from rhubarbfield.machine import Done, Refused, join_types
 from rhubarbfield.ownership import (
@@ -24,34 +25,7 @@
     ClearRequest,
     FinishRequest,
 )
-from rhubarbfield.types import FailureDomain, InstanceName
-
-
-class NotLeading(msgspec.Struct, frozen=True, tag=True):
-    """The controller asked does not lead the group; nothing was done.
-
-    Attributes
-    ----------
-    leader
-        Whom to ask instead, if known.
-    """
-
-    leader: InstanceName | None = None
-
-
-class Unavailable(msgspec.Struct, frozen=True, tag=True):
-    """The group could not decide in time.
-
-    Attributes
-    ----------
-    reason
-        A sentence for a person.
-    in_doubt
-        Whether the command may still have its effect.
-    """
-
-    reason: str
-    in_doubt: bool
+from rhubarbfield.types import FailureDomain
 
 
 class QueryRequest(msgspec.Struct, frozen=True, tag=True):
--- a/src/rhubarbfield/replication/changes.py
+++ b/src/rhubarbfield/replication/changes.py
@@ -52,6 +52,8 @@
         while True:
             await self._state.clock.sleep(self._state.settings.heartbeat)
             self._swap_returned()
+            self._replace_silent()
+            self._promote()
 
     async def replace_voter(
         self, old: InstanceName, new: InstanceName
@@ -189,9 +191,45 @@
                 result.failure(),
             )
 
-    def _is_heard(self, voter: ReplicaId) -> bool:
+    def _replace_silent(self) -> None:
+        """Let a learner vote in place of a voter that has gone silent."""
+        patience = self._state.settings.replace_after
+        membership = self._state.log.membership
+        if patience is None or membership is None:
+            return
+        learner = self._find_newcomer(membership)
+        if learner is None:
+            return
+        for voter in membership.voters:
+            if not self._is_heard(voter, patience):
+                self._start_change(voter, learner)
+                return
+
+    def _promote(self) -> None:
+        """Make a learner a voter while the group has too few."""
+        membership = self._state.log.membership
+        wanted = self._state.settings.wanted_voters
+        if membership is None or len(membership.voters) >= wanted:
+            return
+        learner = self._find_newcomer(membership)
+        if learner is not None:
+            self._start_change(None, learner)
+
+    def _find_newcomer(self, membership: Membership) -> ReplicaId | None:
+        """Return a learner that has caught up and whose name does not vote."""
+        names = {voter.name for voter in membership.voters}
+        return next(
+            (
+                peer
+                for peer in self._leader.peers
+                if peer.name not in names and self._leader.is_caught_up(peer)
+            ),
+            None,
+        )
+
+    def _is_heard(self, voter: ReplicaId, silence: timedelta | None = None) -> bool:
         peer = self._leader.peers.get(voter)
-        silence: timedelta = self._state.settings.lease
+        silence = self._state.settings.lease if silence is None else silence
         return voter == self._state.id or (
             peer is not None and self._state.now - peer.last_contact <= silence
         )
--- a/src/rhubarbfield/replication/joining.py
+++ b/src/rhubarbfield/replication/joining.py
@@ -41,12 +41,20 @@
         The replica's state.
     bootstrap
         The voters that form the group.
+    may_form
+        Whether a group may be formed at all; if not, the replica only looks
+        for one that exists.
     """
 
     def __init__(
-        self, state: ReplicaState, bootstrap: tuple[InstanceName, ...]
+        self,
+        state: ReplicaState,
+        bootstrap: tuple[InstanceName, ...],
+        *,
+        may_form: bool = True,
     ) -> None:
         self._state = state
+        self._may_form = may_form
         self._bootstrap = tuple(sorted(bootstrap))
         self._contacts = set(bootstrap)
         self._invited: set[InstanceName] = set()
@@ -62,6 +70,10 @@
                 self._probe_contacts()
             await state.clock.sleep(pause)
 
+    def add_contacts(self, names: tuple[InstanceName, ...]) -> None:
+        """Ask these instances too when the group has to be found."""
+        self._contacts.update(names)
+
     def invite(self, name: InstanceName) -> None:
         """Ask one instance who it is, so that it can be taken as learner."""
         self._invited.add(name)
@@ -130,7 +142,8 @@
 
     def _form_if_all_empty(self) -> None:
         state = self._state
-        if self._bootstrap[0] != state.id.name or not state.log.is_empty:
+        is_first = self._bootstrap[0] == state.id.name
+        if not self._may_form or not is_first or not state.log.is_empty:
             return
         oldest = state.now - state.settings.heartbeat * BEATS_AN_ANSWER_LASTS
         voters = [state.id]
--- a/src/rhubarbfield/replication/parts.py
+++ b/src/rhubarbfield/replication/parts.py
@@ -44,6 +44,8 @@
         The commands on their way.
     bootstrap
         The voters that form the group.
+    may_form
+        Whether this replica may form a group.
 
     Attributes
     ----------
@@ -57,13 +59,15 @@
         machine: Machine,
         proposals: Proposals,
         bootstrap: tuple[InstanceName, ...],
+        *,
+        may_form: bool = True,
     ) -> None:
         self.state = state
         self.proposals = proposals
         self.applier = Applier(state, machine, proposals)
         self.follower = Follower(state, self.applier)
         self.election = Election(state)
-        self.joining = Joining(state, bootstrap)
+        self.joining = Joining(state, bootstrap, may_form=may_form)
         self.leader: Leader | None = None
         self.changes: MembershipChanges | None = None
         self._handlers: dict[type[ReplicationMessage], Callable[[Any], None]] = {
--- a/src/rhubarbfield/replication/replica.py
+++ b/src/rhubarbfield/replication/replica.py
@@ -71,6 +71,9 @@
     reluctant
         Leads only if no other voter can, and only until one has caught up:
         for a witness that votes from outside.
+    may_form
+        Whether a new group may be formed. False for a replica that is started
+        where a group is known to exist: with an empty store it looks for it.
 
     Raises
     ------
@@ -91,6 +94,7 @@
         random: Random,
         settings: GroupSettings,
         reluctant: bool = False,
+        may_form: bool = True,
     ) -> None:
         if not bootstrap:
             raise UsageError(f"group {group} names no instance to form it")
@@ -104,6 +108,7 @@
         self._random = random
         self._settings = settings
         self._reluctant = reluctant
+        self._may_form = may_form
         self._proposals = Proposals(settings.max_pending)
         self._parts: ReplicaParts | None = None
         self._opened = trio.Event()
@@ -228,6 +233,12 @@
         if self._parts is not None:
             await self._parts.applier.wait_applied(index)
 
+    def add_contacts(self, names: tuple[InstanceName, ...]) -> None:
+        """Look for the group at these instances too."""
+        self._bootstrap = tuple(dict.fromkeys((*self._bootstrap, *names)))
+        if self._parts is not None:
+            self._parts.joining.add_contacts(names)
+
     async def replace_voter(
         self, old: InstanceName, new: InstanceName
     ) -> Result[None, ChangeError]:
@@ -307,4 +318,10 @@
             settings=self._settings,
             reluctant=self._reluctant,
         )
-        return ReplicaParts(state, self._machine, self._proposals, self._bootstrap)
+        return ReplicaParts(
+            state,
+            self._machine,
+            self._proposals,
+            self._bootstrap,
+            may_form=self._may_form,
+        )
--- a/src/rhubarbfield/replication/settings.py
+++ b/src/rhubarbfield/replication/settings.py
@@ -44,6 +44,12 @@
         How long a proposal waits to be committed.
     max_learners
         Learners that a leader takes.
+    replace_after
+        How long a voter is silent before a learner that has caught up votes
+        in its place; None leaves that to operators.
+    wanted_voters
+        Learners are made voters until there are this many; 0 leaves that to
+        operators.
 
     Raises
     ------
@@ -64,6 +70,8 @@
     max_pending: int = 4096
     propose_timeout: timedelta = timedelta(seconds=5)
     max_learners: int = 64
+    replace_after: timedelta | None = None
+    wanted_voters: int = 0
 
     def __post_init__(self) -> None:
         """Check that the settings agree with each other."""
--- /dev/null
+++ b/src/rhubarbfield/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs of steps, placed on workers that the system calls."""
--- /dev/null
+++ b/src/rhubarbfield/scheduling/appliers.py
@@ -0,0 +1,262 @@
+"""How each command changes the replicated state."""
+
+from __future__ import annotations
+
+import msgspec
+
+from rhubarbfield.exceptions import check_invariant
+from rhubarbfield.machine import Done, Refused, Reply, SectionedMachine
+from rhubarbfield.scheduling.commands import (
+    AcceptJob,
+    CancelJob,
+    EndedRun,
+    EndRuns,
+    ForgetJobs,
+    OpenOccurrences,
+    PutConfiguration,
+    RemoveWorker,
+    RunsRecorded,
+    RunStart,
+    StartRuns,
+    UpdateWorkers,
+    WorkerReport,
+    scheduling_commands,
+)
+from rhubarbfield.scheduling.model import NO_CHECKPOINT, RunNumber
+from rhubarbfield.scheduling.state import (
+    Job,
+    JobPhase,
+    RunEnd,
+    SchedulingState,
+    Task,
+    TaskPhase,
+    Worker,
+)
+
+
+class WholeSchedulingState(msgspec.Struct):
+    """The state of the machine: one section."""
+
+    scheduling: SchedulingState = msgspec.field(default_factory=SchedulingState)
+
+
+def make_scheduling_machine() -> SectionedMachine[WholeSchedulingState]:
+    """Return the state machine of a deployment's log."""
+    return SectionedMachine(
+        WholeSchedulingState, {"scheduling": scheduling_commands}, (RunsRecorded,)
+    )
+
+
+@scheduling_commands.applies(PutConfiguration)
+def _put_configuration(state: SchedulingState, command: PutConfiguration) -> Reply:
+    held = state.configuration
+    offered = command.configuration
+    if held is not None and offered.version == held.version:
+        if offered.document != held.document:
+            return Refused(reason=f"version {held.version} has other content")
+        return Done()
+    if held is None or offered.version > held.version:
+        state.configuration = offered
+    return Done()
+
+
+@scheduling_commands.applies(AcceptJob)
+def _accept_job(state: SchedulingState, command: AcceptJob) -> Reply:
+    if command.job in state.jobs:
+        return Done()
+    state.accepted += 1
+    job = Job(
+        job=command.job,
+        queue=command.queue,
+        order=state.accepted,
+        submission=command.submission,
+    )
+    if command.submission.recurrence is None:
+        job.open_occurrence(0)
+    state.jobs[command.job] = job
+    return Done()
+
+
+@scheduling_commands.applies(CancelJob)
+def _cancel_job(state: SchedulingState, command: CancelJob) -> Reply:
+    job = state.jobs.get(command.job)
+    if job is None:
+        return Refused(reason=f"job {command.job} is not known")
+    if job.is_open:
+        job.phase = JobPhase.CANCELLED
+    return Done()
+
+
+@scheduling_commands.applies(ForgetJobs)
+def _forget_jobs(state: SchedulingState, command: ForgetJobs) -> Reply:
+    for name in command.jobs:
+        job = state.jobs.get(name)
+        if job is not None and not job.is_open and not _has_live_runs(job):
+            del state.jobs[name]
+    return Done()
+
+
+@scheduling_commands.applies(OpenOccurrences)
+def _open_occurrences(state: SchedulingState, command: OpenOccurrences) -> Reply:
+    for name, number in command.due:
+        job = state.jobs.get(name)
+        if job is not None and job.is_open:
+            job.open_occurrence(number)
+    return Done()
+
+
+@scheduling_commands.applies(UpdateWorkers)
+def _update_workers(state: SchedulingState, command: UpdateWorkers) -> Reply:
+    for report in command.reports:
+        _update_worker(state, report)
+    return Done()
+
+
+def _update_worker(state: SchedulingState, report: WorkerReport) -> None:
+    worker = state.workers.get(report.worker)
+    if worker is None:
+        state.workers[report.worker] = Worker(
+            worker=report.worker,
+            machine=report.machine,
+            service=report.service,
+            address=report.address,
+            zone=report.zone,
+            capacity=report.capacity,
+            labels=report.labels,
+            draining=report.draining,
+        )
+        return
+    worker.service = report.service
+    worker.address = report.address
+    worker.capacity = report.capacity
+    worker.labels = report.labels
+    worker.draining = report.draining
+
+
+@scheduling_commands.applies(RemoveWorker)
+def _remove_worker(state: SchedulingState, command: RemoveWorker) -> Reply:
+    worker = state.workers.pop(command.worker, None)
+    if worker is None:
+        return Done()
+    for task, run in list(worker.runs.items()):
+        checkpoint = command.checkpoints.get(task, NO_CHECKPOINT)
+        _end_run(state, worker, EndedRun(task, run, RunEnd.LOST, checkpoint))
+    return Done()
+
+
+@scheduling_commands.applies(StartRuns)
+def _start_runs(state: SchedulingState, command: StartRuns) -> Reply:
+    recorded = tuple(
+        position
+        for position, start in enumerate(command.starts)
+        if _start_run(state, start)
+    )
+    return RunsRecorded(recorded=recorded)
+
+
+def _start_run(state: SchedulingState, start: RunStart) -> bool:
+    worker = state.workers.get(start.worker)
+    found = state.find_task(start.task)
+    if worker is None or worker.draining or found is None:
+        return False
+    job, occurrence, step, task = found
+    if not _may_start(job, occurrence, step, task, start):
+        return False
+    check_invariant(start.run > task.last_run, "run-numbers-grow", (start, task))
+    check_invariant(start.task not in worker.runs, "one-run-a-worker", start)
+    task.phase = TaskPhase.LIVE
+    task.last_run = start.run
+    task.live[start.run] = start.worker
+    worker.runs[start.task] = start.run
+    job.started = True
+    job.phase = JobPhase.RUNNING
+    return True
+
+
+def _may_start(
+    job: Job, occurrence: int, step: int, task: Task, start: RunStart
+) -> bool:
+    if not job.is_open or not job.is_step_ready(occurrence, step):
+        return False
+    if task.phase is TaskPhase.LIVE:
+        is_copy = job.get_step(step).copies_allowed
+        return is_copy and start.worker not in task.live.values()
+    return task.phase is TaskPhase.WAITING
+
+
+@scheduling_commands.applies(EndRuns)
+def _end_runs(state: SchedulingState, command: EndRuns) -> Reply:
+    for report in command.workers:
+        worker = state.workers.get(report.worker)
+        if worker is None:
+            continue
+        for ended in report.ends:
+            _end_run(state, worker, ended)
+        worker.recorded_ends = max(worker.recorded_ends, report.recorded_ends)
+    return Done()
+
+
+def _end_run(state: SchedulingState, worker: Worker, ended: EndedRun) -> None:
+    """Record one end; an end of a run that is not live changes nothing."""
+    if worker.runs.get(ended.task) == ended.run:
+        del worker.runs[ended.task]
+    found = state.find_task(ended.task)
+    if found is None:
+        return
+    job, occurrence, step, task = found
+    if task.live.get(ended.run) != worker.worker:
+        return
+    del task.live[ended.run]
+    if ended.checkpoint:
+        task.checkpoint = ended.checkpoint
+    if task.phase is not TaskPhase.LIVE:
+        return
+    if ended.end is RunEnd.DONE and not job.get_step(step).standing:
+        _finish_task(job, occurrence, step, task)
+    elif ended.end is RunEnd.FAILED and _count_failure(state, found, ended.run):
+        task.phase = TaskPhase.FAILED
+        if job.is_open:
+            job.phase = JobPhase.FAILED
+    elif not task.live:
+        task.phase = TaskPhase.WAITING
+
+
+def _count_failure(
+    state: SchedulingState, found: tuple[Job, int, int, Task], run: RunNumber
+) -> bool:
+    """Count a failed run; say whether that was the last one allowed."""
+    job, occurrence, step, task = found
+    task.failures += 1
+    failures = task.failures
+    if job.get_step(step).gang:
+        progress = job.occurrences[occurrence][step]
+        if run not in progress.failed_runs:
+            progress.failed_runs.append(run)
+        failures = len(progress.failed_runs)
+    queue = state.find_queue(job.queue)
+    if job.get_step(step).standing or queue is None:
+        return False
+    return failures >= queue.max_attempts
+
+
+def _finish_task(job: Job, occurrence: int, step: int, task: Task) -> None:
+    steps = job.occurrences[occurrence]
+    progress = steps[step]
+    # One member's success stands for its whole gang.
+    finished = progress.tasks if job.get_step(step).gang else [task]
+    for each in finished:
+        each.phase = TaskPhase.DONE
+    progress.done += len(finished)
+    if job.is_open and all(each.is_done for each in steps):
+        job.finished += 1
+        if job.finished >= job.wanted_occurrences:
+            job.phase = JobPhase.COMPLETED
+
+
+def _has_live_runs(job: Job) -> bool:
+    return any(
+        task.live
+        for steps in job.occurrences.values()
+        for step in steps
+        for task in step.tasks
+    )
--- /dev/null
+++ b/src/rhubarbfield/scheduling/controller.py
@@ -0,0 +1,139 @@
+"""A controller of a deployment whose workers are called."""
+
+from __future__ import annotations
+
+import random
+from pathlib import Path
+
+import trio
+from returns.result import Failure
+
+from rhubarbfield.clock import Clock
+from rhubarbfield.groups import (
+    REPLICATION_LINK,
+    Packet,
+    PacketSender,
+    ReplicatedLog,
+    StoreLostError,
+    run_while_leading,
+)
+from rhubarbfield.peering import MessageStream, PeerLinks, Transport, serve_link
+from rhubarbfield.replication import Replica
+from rhubarbfield.scheduling.appliers import make_scheduling_machine
+from rhubarbfield.scheduling.deployment import SCHEDULING_GROUP, DeploymentSettings
+from rhubarbfield.scheduling.leader import SchedulingLeader
+from rhubarbfield.scheduling.ports import WorkerCalls
+from rhubarbfield.scheduling.service import JOB_CALL, SchedulingService
+from rhubarbfield.storage import FileStore, LogStore, MemoryStore
+from rhubarbfield.types import InstanceName
+
+
+class SchedulingController:
+    """One replica of the log, and what leads the deployment when it leads.
+
+    Parameters
+    ----------
+    settings
+        Of the instance.
+    transport
+        The way to other instances.
+    store
+        Where the log is kept.
+    calls
+        The way to workers.
+    clock, rng
+        The time and the random source.
+    """
+
+    def __init__(
+        self,
+        settings: DeploymentSettings,
+        *,
+        transport: Transport,
+        store: LogStore,
+        calls: WorkerCalls,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self._settings = settings
+        self._transport = transport
+        self._calls = calls
+        self._clock = clock
+        self._links = PeerLinks(
+            settings.name, {}, REPLICATION_LINK, transport, settings.locate
+        )
+        machine = make_scheduling_machine()
+        self._replica = Replica(
+            group=SCHEDULING_GROUP,
+            name=settings.name,
+            bootstrap=settings.seed_names,
+            machine=machine,
+            store=store,
+            sender=PacketSender(self._links),
+            clock=clock,
+            random=rng,
+            settings=settings.make_group_settings(),
+            may_form=settings.may_form_group,
+        )
+        self.log = ReplicatedLog(self._replica, machine)
+        self._leader: SchedulingLeader | None = None
+        self.service = SchedulingService(self.log, lambda: self._leader)
+
+    async def run(
+        self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Run until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._links.run)
+            await nursery.start(self._run_replica)
+            await nursery.start(self._serve_peers)
+            nursery.start_soon(run_while_leading, self.log, self._lead, self._clock)
+            task_status.started()
+
+    def add_seeds(self, settings: DeploymentSettings) -> None:
+        """Look for the group at the seeds of changed settings too."""
+        self._replica.add_contacts(settings.seed_names)
+
+    async def _run_replica(
+        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        result = await self._replica.run(task_status=task_status)
+        if isinstance(result, Failure):
+            raise StoreLostError(SCHEDULING_GROUP, result.failure())
+
+    async def _serve_peers(
+        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        await self._transport.serve(
+            self._settings.host,
+            self._settings.peer_port,
+            streams={REPLICATION_LINK: self._serve_link},
+            calls={JOB_CALL: self.service.answer},
+            task_status=task_status,
+        )
+
+    async def _serve_link(self, stream: MessageStream) -> None:
+        await serve_link(stream, self._deliver)
+
+    def _deliver(self, sender: InstanceName, packet: Packet) -> None:
+        if packet.group == SCHEDULING_GROUP:
+            self._replica.deliver(sender, packet.message)
+
+    async def _lead(self) -> None:
+        self._leader = SchedulingLeader(
+            self.log,
+            calls=self._calls,
+            clock=self._clock,
+            settings=self._settings.make_scheduling_settings(),
+        )
+        try:
+            await self._leader.run()
+        finally:
+            self._leader = None
+
+
+def open_log_store(settings: DeploymentSettings) -> LogStore:
+    """Return the store of the log; in memory on an instance without a disk."""
+    if not settings.data_folder:
+        return MemoryStore()
+    return FileStore(Path(settings.data_folder) / SCHEDULING_GROUP)
--- /dev/null
+++ b/src/rhubarbfield/scheduling/gateway.py
@@ -0,0 +1,146 @@
+"""Passing callers' requests from an entry to the controller that leads."""
+
+from __future__ import annotations
+
+import logging
+from datetime import timedelta
+
+import msgspec
+from returns.result import Failure, Success
+
+from rhubarbfield.clock import Clock
+from rhubarbfield.groups import LeaderCalls
+from rhubarbfield.logs import log_event
+from rhubarbfield.peering import Transport
+from rhubarbfield.scheduling.deployment import DeploymentSettings
+from rhubarbfield.scheduling.service import (
+    JOB_CALL,
+    AreYouLeading,
+    JobReply,
+    JobRequest,
+)
+
+logger = logging.getLogger(__name__)
+
+ATTEMPT_TIMEOUT = timedelta(milliseconds=800)  # a commit takes 20 ms, a slow disk 300
+READINESS_INTERVAL = timedelta(seconds=1)  # the balancer asks as often
+READINESS_PATIENCE = timedelta(milliseconds=2500)  # outlives a change of leader
+LONGEST_SEARCH = timedelta(milliseconds=1500)  # a leader is elected within 2 s
+MIN_SEARCH = timedelta(milliseconds=300)
+
+
+class Undecided(msgspec.Struct, frozen=True):
+    """No controller decided about a request.
+
+    Attributes
+    ----------
+    in_doubt
+        Whether it may still have its effect.
+    retry_after
+        When it is worth asking again.
+    """
+
+    in_doubt: bool
+    retry_after: timedelta
+
+
+class Gateway:
+    """The way from an entry to the controller that leads.
+
+    Parameters
+    ----------
+    settings
+        Of the instance.
+    transport
+        The way to controllers.
+    clock
+        The time.
+    """
+
+    def __init__(
+        self, settings: DeploymentSettings, transport: Transport, clock: Clock
+    ) -> None:
+        self._clock = clock
+        self._settings = settings
+        members = {name: settings.locate(name) for name in settings.seed_names}
+        self._calls, self._probes = (
+            LeaderCalls(
+                JOB_CALL,
+                members,
+                transport,
+                clock,
+                locate=settings.locate,
+                attempt_timeout=ATTEMPT_TIMEOUT,
+            )
+            for _ in range(2)
+        )
+        self._reached_at: timedelta | None = None
+        self._stopping = False
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers should be sent here."""
+        if self._stopping or self._reached_at is None:
+            return False
+        return self._clock.monotonic() - self._reached_at < READINESS_PATIENCE
+
+    @property
+    def is_stopping(self) -> bool:
+        """Whether a planned stop has begun."""
+        return self._stopping
+
+    def begin_stop(self) -> None:
+        """Be no longer ready."""
+        self._stopping = True
+
+    def add_seeds(self, settings: DeploymentSettings) -> None:
+        """Ask the seeds of changed settings too."""
+        members = {name: settings.locate(name) for name in settings.seed_names}
+        self._calls.add_members(members)
+        self._probes.add_members(members)
+
+    async def run(self) -> None:
+        """Keep watch over the way to the leader until cancelled."""
+        while True:
+            was_ready = self.is_ready
+            result = await self._probes.call(AreYouLeading(), READINESS_INTERVAL)
+            if isinstance(result, Success):
+                self._reached_at = self._clock.monotonic()
+            if self.is_ready != was_ready:
+                log_event(
+                    logger,
+                    logging.INFO,
+                    "controllers-regained" if self.is_ready else "controllers-lost",
+                )
+            await self._clock.sleep(READINESS_INTERVAL)
+
+    async def ask(
+        self, request: JobRequest, patience: timedelta
+    ) -> JobReply | Undecided:
+        """Return the leader's reply to ``request``.
+
+        Parameters
+        ----------
+        request
+            What the caller wants.
+        patience
+            How long the caller waits.
+        """
+        search = max(MIN_SEARCH, min(LONGEST_SEARCH, patience / 2))
+        result = await self._calls.call(request, search)
+        match result:
+            case Success(reply):
+                self._reached_at = self._clock.monotonic()
+                return reply
+            case Failure(failure):
+                log_event(
+                    logger,
+                    logging.WARNING,
+                    "request-undecided",
+                    verb=request.verb,
+                    path=request.path,
+                    in_doubt=failure.in_doubt,
+                    detail=failure.detail,
+                )
+                return Undecided(failure.in_doubt, READINESS_INTERVAL)
+        raise AssertionError
--- /dev/null
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -0,0 +1,430 @@
+"""Leading a deployment: placing work and keeping watch over workers."""
+
+from __future__ import annotations
+
+import logging
+import math
+from collections.abc import Callable
+from datetime import timedelta
+
+import trio
+from returns.result import Success
+
+from rhubarbfield.clock import Clock
+from rhubarbfield.groups import ReplicatedLog
+from rhubarbfield.logs import log_event
+from rhubarbfield.machine import Command, Reply
+from rhubarbfield.scheduling.appliers import WholeSchedulingState
+from rhubarbfield.scheduling.commands import (
+    EndRuns,
+    ForgetJobs,
+    OpenOccurrences,
+    RemoveWorker,
+    RunsRecorded,
+    RunStart,
+    StartRuns,
+    UpdateWorkers,
+    WorkerEnds,
+    WorkerReport,
+)
+from rhubarbfield.scheduling.model import CheckpointToken, TaskName
+from rhubarbfield.scheduling.placing import Placer, measure_rooms
+from rhubarbfield.scheduling.ports import WorkerAddress, WorkerCalls
+from rhubarbfield.scheduling.session import RunKey, Start, WorkerSession
+from rhubarbfield.scheduling.settings import SchedulingSettings
+from rhubarbfield.scheduling.state import (
+    Job,
+    RunEnd,
+    SchedulingState,
+    TaskPhase,
+    Worker,
+)
+from rhubarbfield.scheduling.trust import Trust
+from rhubarbfield.types import JobId, LogIndex, Term, WorkerId
+
+logger = logging.getLogger(__name__)
+
+PROPOSE_PAUSE = timedelta(milliseconds=100)  # before a proposal is repeated
+IDLE_ROUND = timedelta(milliseconds=250)  # due times and distrust are looked at
+MILLISECOND = timedelta(milliseconds=1)
+
+
+class Batcher:
+    """Joins what several tasks want to record into one proposal.
+
+    Parameters
+    ----------
+    propose
+        Commits the ends of runs; repeats until it has.
+    """
+
+    def __init__(self, propose: Callable[[tuple[WorkerEnds, ...]], object]) -> None:
+        self._propose = propose
+        self._pending: list[WorkerEnds] = []
+        self._recorded = trio.Event()
+        self._filled = trio.Event()
+
+    async def record(self, ends: WorkerEnds) -> None:
+        """Return once ``ends`` are committed."""
+        self._pending.append(ends)
+        recorded = self._recorded
+        self._filled.set()
+        await recorded.wait()
+
+    async def run(self) -> None:
+        """Commit what is pending, until cancelled."""
+        while True:
+            await self._filled.wait()
+            self._filled = trio.Event()
+            pending, self._pending = self._pending, []
+            recorded, self._recorded = self._recorded, trio.Event()
+            await self._propose(tuple(pending))  # type: ignore[misc]
+            recorded.set()
+
+
+class SchedulingLeader:
+    """What the leader does in one term.
+
+    Parameters
+    ----------
+    log
+        The deployment's log, which this instance leads.
+    calls
+        The way to workers.
+    clock
+        The time.
+    settings
+        Times and limits.
+    """
+
+    def __init__(
+        self,
+        log: ReplicatedLog[WholeSchedulingState],
+        *,
+        calls: WorkerCalls,
+        clock: Clock,
+        settings: SchedulingSettings,
+    ) -> None:
+        self._log = log
+        self._calls = calls
+        self._clock = clock
+        self._settings = settings
+        self._trust = Trust(settings)
+        self._sessions: dict[WorkerId, WorkerSession] = {}
+        self._scopes: dict[WorkerId, trio.CancelScope] = {}
+        self._nursery: trio.Nursery | None = None
+        self._wake = trio.Event()
+        self._avoided: dict[TaskName, set[WorkerId]] = {}
+        self._ended_at: dict[JobId, timedelta] = {}
+        self._ends = Batcher(self._commit_ends)
+        leadership = log.replica.leadership
+        self._term = leadership.term if leadership is not None else Term(0)
+        self._reported_clocks: dict[WorkerId, timedelta] = {}
+
+    @property
+    def state(self) -> SchedulingState:
+        """The replicated state."""
+        return self._log.state.scheduling
+
+    async def run(self) -> None:
+        """Lead until cancelled."""
+        log_event(logger, logging.INFO, "leading-started", term=self._term)
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            nursery.start_soon(self._ends.run)
+            nursery.start_soon(self._follow_state)
+            nursery.start_soon(self._wake_regularly)
+            nursery.start_soon(self._place_work)
+
+    # What sessions need of their leader.
+
+    def find_worker(self, worker: WorkerId) -> Worker | None:
+        """Return the replicated record of a worker."""
+        return self.state.workers.get(worker)
+
+    def get_term(self) -> Term | None:
+        """Return the term in which orders may be given now, or None."""
+        leadership = self._log.replica.leadership
+        if leadership is None or leadership.term != self._term:
+            return None
+        return self._term
+
+    async def record_ends(self, ends: WorkerEnds) -> None:
+        """Record ends; returns once they are committed."""
+        await self._ends.record(ends)
+
+    async def remove_worker(
+        self, worker: WorkerId, checkpoints: dict[TaskName, CheckpointToken]
+    ) -> None:
+        """Record that a life of a machine is over."""
+        log_event(logger, logging.INFO, "worker-gone", worker=worker)
+        await self._propose_until_done(
+            RemoveWorker(worker=worker, checkpoints=checkpoints)
+        )
+
+    def note_view(self, worker: WorkerId) -> None:
+        """Learn that a worker has just been seen."""
+        del worker
+        self._wake.set()
+
+    # What others ask of the leader.
+
+    async def take_report(self, report: WorkerReport, clock: timedelta | None) -> bool:
+        """Take in what a worker says of itself; return whether it is recorded."""
+        if clock is not None:
+            self._reported_clocks[report.worker] = clock
+        session = self._sessions.get(report.worker)
+        if session is not None:
+            session.note_report(clock)
+        if _is_known(self.state, report):
+            return True
+        self._wake_former_lives(report)
+        result = await self._log.propose(UpdateWorkers(reports=(report,)))
+        if not isinstance(result, Success):
+            return False
+        log_event(
+            logger,
+            logging.INFO,
+            "worker-reported",
+            worker=report.worker,
+            machine=report.machine,
+            draining=report.draining,
+        )
+        return True
+
+    async def forget_worker(self, worker: WorkerId) -> bool:
+        """Take in that a worker ends; return whether it is recorded."""
+        session = self._sessions.get(worker)
+        if session is not None:
+            session.wake()
+        return True
+
+    def _wake_former_lives(self, report: WorkerReport) -> None:
+        for worker in self.state.workers.values():
+            is_same = worker.machine == report.machine or (
+                worker.address == report.address
+            )
+            if is_same and worker.worker in self._sessions:
+                self._sessions[worker.worker].wake()
+
+    # Loops.
+
+    async def _wake_regularly(self) -> None:
+        while True:
+            await self._clock.sleep(IDLE_ROUND)
+            self._wake.set()
+
+    async def _follow_state(self) -> None:
+        """Keep a session with each worker, and wake placing at each change."""
+        while True:
+            seen = self._log.changes
+            self._match_sessions()
+            self._wake.set()
+            await self._log.wait_change(seen)
+
+    def _match_sessions(self) -> None:
+        for worker in self.state.workers.values():
+            session = self._sessions.get(worker.worker)
+            if session is None or session.address.address != worker.address:
+                self._open_session(worker)
+        for gone in self._sessions.keys() - self.state.workers.keys():
+            self._close_session(gone)
+
+    def _open_session(self, worker: Worker) -> None:
+        assert self._nursery is not None
+        if worker.worker in self._sessions:
+            self._close_session(worker.worker)
+        session = WorkerSession(
+            WorkerAddress(worker.worker, worker.address),
+            host=self,
+            calls=self._calls,
+            clock=self._clock,
+            settings=self._settings,
+        )
+        session.note_report(self._reported_clocks.get(worker.worker))
+        self._sessions[worker.worker] = session
+        scope = self._scopes[worker.worker] = trio.CancelScope()
+        self._nursery.start_soon(self._run_session, session, scope)
+
+    async def _run_session(
+        self, session: WorkerSession, scope: trio.CancelScope
+    ) -> None:
+        with scope:
+            await session.run()
+
+    def _close_session(self, worker: WorkerId) -> None:
+        del self._sessions[worker]
+        self._scopes.pop(worker).cancel()
+        self._trust.forget(worker)
+        self._reported_clocks.pop(worker, None)
+
+    async def _place_work(self) -> None:
+        while True:
+            await self._wake.wait()
+            self._wake = trio.Event()
+            if self.get_term() is None:
+                continue
+            self._stop_unwanted()
+            await self._open_due()
+            await self._forget_old()
+            await self._start_some()
+
+    async def _start_some(self) -> None:
+        rooms = measure_rooms(self.state, self._is_usable)
+        for worker, room in rooms.items():
+            room.failures = self._trust.count_failures(worker)
+            if self._trust.is_on_probation(worker):
+                room.limit = 1
+        starts = Placer(self.state, rooms, self._avoided).choose()
+        if not starts:
+            return
+        result = await self._log.propose(StartRuns(starts=starts))
+        match result:
+            case Success(RunsRecorded(recorded=recorded)):
+                for position in recorded:
+                    self._order(starts[position])
+            case _:
+                log_event(
+                    logger, logging.WARNING, "starts-not-recorded", count=len(starts)
+                )
+                await self._clock.sleep(PROPOSE_PAUSE)
+
+    def _order(self, start: RunStart) -> None:
+        session = self._sessions.get(start.worker)
+        found = self.state.find_task(start.task)
+        if session is None or found is None:
+            return
+        job, _, _, task = found
+        log_event(
+            logger,
+            logging.INFO,
+            "run-placed",
+            task=start.task,
+            run=start.run,
+            worker=start.worker,
+        )
+        session.start(
+            Start(
+                RunKey(start.task, start.run),
+                job.submission.payload,
+                task.checkpoint,
+            )
+        )
+
+    def _is_usable(self, worker: Worker) -> bool:
+        session = self._sessions.get(worker.worker)
+        now = self._clock.monotonic()
+        return (
+            session is not None
+            and session.is_usable
+            and self._trust.is_trusted(worker.worker, now)
+        )
+
+    def _stop_unwanted(self) -> None:
+        for worker in self.state.workers.values():
+            session = self._sessions.get(worker.worker)
+            if session is None:
+                continue
+            for name, run in worker.runs.items():
+                if self._is_unwanted(name):
+                    session.stop(RunKey(name, run))
+
+    def _is_unwanted(self, name: TaskName) -> bool:
+        found = self.state.find_task(name)
+        if found is None:
+            return True
+        job, _, _, task = found
+        return not job.is_open or task.phase in (TaskPhase.DONE, TaskPhase.FAILED)
+
+    async def _open_due(self) -> None:
+        now_ms = self._clock.now().timestamp() * 1000
+        due = [
+            (job.job, number)
+            for job in self.state.jobs.values()
+            for number in _list_due(job, now_ms)
+        ]
+        if due:
+            await self._log.propose(OpenOccurrences(due=tuple(due)))
+
+    async def _forget_old(self) -> None:
+        now = self._clock.monotonic()
+        old = []
+        for job in self.state.jobs.values():
+            if not job.is_open:
+                ended = self._ended_at.setdefault(job.job, now)
+                if now - ended > self._settings.remember_ended:
+                    old.append(job.job)
+        if old:
+            await self._log.propose(ForgetJobs(jobs=tuple(old)))
+            for name in old:
+                self._ended_at.pop(name, None)
+
+    async def _commit_ends(self, ends: tuple[WorkerEnds, ...]) -> None:
+        for report in ends:
+            self._learn_outcomes(report)
+        await self._propose_until_done(EndRuns(workers=ends))
+
+    def _learn_outcomes(self, report: WorkerEnds) -> None:
+        now = self._clock.monotonic()
+        for ended in report.ends:
+            log_event(
+                logger,
+                logging.INFO,
+                "run-ended",
+                task=ended.task,
+                run=ended.run,
+                worker=report.worker,
+                end=ended.end.value,
+            )
+            if ended.end is RunEnd.DONE:
+                self._trust.note_success(report.worker)
+                self._avoided.pop(ended.task, None)
+            elif ended.end is RunEnd.FAILED:
+                job = JobId(ended.task.split(".", 1)[0])
+                self._trust.note_failure(report.worker, job, now)
+                self._avoided.setdefault(ended.task, set()).add(report.worker)
+
+    async def _propose_until_done(self, command: Command) -> Reply:
+        """Commit a command that may safely be proposed again."""
+        while True:
+            result = await self._log.propose(command)
+            if isinstance(result, Success):
+                return result.unwrap()
+            log_event(
+                logger,
+                logging.WARNING,
+                "proposal-repeated",
+                command=type(command).__name__,
+                reason=str(result.failure()),
+            )
+            await self._clock.sleep(PROPOSE_PAUSE)
+
+    @property
+    def position(self) -> LogIndex:
+        """Up to where the log is applied here."""
+        return self._log.position
+
+
+def _is_known(state: SchedulingState, report: WorkerReport) -> bool:
+    worker = state.workers.get(report.worker)
+    return (
+        worker is not None
+        and worker.address == report.address
+        and worker.draining == report.draining
+        and worker.capacity == report.capacity
+        and worker.labels == report.labels
+        and worker.service == report.service
+    )
+
+
+def _list_due(job: Job, now_ms: float) -> list[int]:
+    recurrence = job.submission.recurrence
+    if recurrence is None or not job.is_open:
+        return []
+    if now_ms < recurrence.first_ms:
+        return []
+    passed = recurrence.times
+    if recurrence.interval_ms > 0:
+        elapsed = (now_ms - recurrence.first_ms) / recurrence.interval_ms
+        passed = min(passed, math.floor(elapsed) + 1)
+    return [number for number in range(passed) if number not in job.occurrences]
--- /dev/null
+++ b/src/rhubarbfield/scheduling/placing.py
@@ -0,0 +1,311 @@
+"""Choosing which waiting tasks start now, and on which workers.
+
+A pure decision over the replicated state and what the leader knows of the
+workers; it neither waits nor sends.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator, Mapping
+
+import msgspec
+
+from rhubarbfield.scheduling.commands import RunStart
+from rhubarbfield.scheduling.model import (
+    Demand,
+    Queue,
+    RunNumber,
+    Step,
+    TaskName,
+    name_task,
+)
+from rhubarbfield.scheduling.ordering import rank_job
+from rhubarbfield.scheduling.state import (
+    Job,
+    SchedulingState,
+    Task,
+    TaskPhase,
+    Worker,
+)
+from rhubarbfield.types import ServiceName, WorkerId
+
+MAX_STARTS_A_ROUND = 256  # keeps a command below the size of one log entry
+
+
+class WorkerRoom(msgspec.Struct):
+    """What a worker can take, as this round goes on.
+
+    Attributes
+    ----------
+    worker
+        Its record.
+    free
+        Capacity that is not reserved.
+    spare_millicores
+        Unreserved processor that no task of spare cores wants yet.
+    serving
+        Standing tasks with a tail goal on it.
+    filling
+        Tasks of spare cores on it.
+    tasks
+        All tasks on it.
+    limit
+        Most tasks it may have; 1 while it is on probation.
+    failures
+        Runs that failed there since the last success.
+    """
+
+    worker: Worker
+    free: Demand
+    spare_millicores: int
+    serving: int = 0
+    filling: int = 0
+    tasks: int = 0
+    limit: int = 1_000_000
+    failures: int = 0
+
+    def take(self, step: Step) -> None:
+        """Count a task of ``step`` on this worker."""
+        self.free = self.free.minus(step.reserved)
+        self.tasks += 1
+        self.spare_millicores -= step.demand.millicores
+        if step.uses_spare_cores:
+            self.filling += 1
+        if step.tail_goal_ms:
+            self.serving += 1
+
+
+class WaitingStep(msgspec.Struct, frozen=True):
+    """A step whose tasks may start."""
+
+    job: Job
+    queue: Queue
+    occurrence: int
+    number: int
+
+    @property
+    def step(self) -> Step:
+        """What was asked for."""
+        return self.job.get_step(self.number)
+
+    @property
+    def tasks(self) -> list[Task]:
+        """All tasks of the step."""
+        return self.job.occurrences[self.occurrence][self.number].tasks
+
+
+class Placer:
+    """One round of placing.
+
+    Parameters
+    ----------
+    state
+        The replicated state.
+    rooms
+        The workers that may take work.
+    avoided
+        Workers on which a task has failed already, by task.
+    """
+
+    def __init__(
+        self,
+        state: SchedulingState,
+        rooms: Mapping[WorkerId, WorkerRoom],
+        avoided: Mapping[TaskName, set[WorkerId]],
+    ) -> None:
+        self._state = state
+        self._avoided = avoided
+        self._starts: list[RunStart] = []
+        self._by_service: dict[ServiceName, list[WorkerRoom]] = {}
+        for room in rooms.values():
+            self._by_service.setdefault(room.worker.service, []).append(room)
+
+    def choose(self) -> tuple[RunStart, ...]:
+        """Return the runs to start, the most urgent first."""
+        for waiting in sorted(iterate_waiting(self._state), key=_rank):
+            if len(self._starts) >= MAX_STARTS_A_ROUND:
+                break
+            if waiting.step.gang:
+                self._place_gang(waiting)
+            else:
+                self._place_step(waiting)
+        return tuple(self._starts)
+
+    def _place_step(self, waiting: WaitingStep) -> None:
+        step = waiting.step
+        candidates = self._list_candidates(waiting)
+        used = _count_live(waiting.tasks) if step.max_per_worker else {}
+        for index, task in enumerate(waiting.tasks):
+            if task.phase is not TaskPhase.WAITING:
+                continue
+            name = name_task(waiting.job.job, waiting.occurrence, waiting.number, index)
+            room = self._choose_room(step, name, candidates, used)
+            if room is None:
+                if name in self._avoided:
+                    continue
+                return
+            self._take(name, task, room, step, used)
+
+    def _place_gang(self, waiting: WaitingStep) -> None:
+        """Place all members or none, all with the same run number."""
+        step = waiting.step
+        tasks = waiting.tasks
+        if any(task.phase is not TaskPhase.WAITING for task in tasks):
+            return
+        candidates = self._list_candidates(waiting)
+        if step.same_rack:
+            candidates = _choose_rack(step, len(tasks), candidates) or candidates
+        before = [(room, msgspec.structs.astuple(room)) for room in candidates]
+        chosen: list[WorkerRoom] = []
+        used: dict[WorkerId, int] = {}
+        for _ in tasks:
+            room = self._choose_room(step, None, candidates, used)
+            if room is None:
+                _restore(before)
+                return
+            room.take(step)
+            used[room.worker.worker] = used.get(room.worker.worker, 0) + 1
+            chosen.append(room)
+        run = RunNumber(max(task.last_run for task in tasks) + 1)
+        for index, room in enumerate(chosen):
+            name = name_task(waiting.job.job, waiting.occurrence, waiting.number, index)
+            self._starts.append(RunStart(name, run, room.worker.worker))
+
+    def _list_candidates(self, waiting: WaitingStep) -> list[WorkerRoom]:
+        step = waiting.step
+        rooms = self._by_service.get(waiting.queue.service, [])
+        if step.required_label:
+            rooms = [
+                room for room in rooms if step.required_label in room.worker.labels
+            ]
+        return [room for room in rooms if step.reserved.fits(room.free)]
+
+    def _choose_room(
+        self,
+        step: Step,
+        name: TaskName | None,
+        candidates: list[WorkerRoom],
+        used: Mapping[WorkerId, int],
+    ) -> WorkerRoom | None:
+        avoided = self._avoided.get(name, set()) if name is not None else set()
+        best: WorkerRoom | None = None
+        best_cost: tuple[float, ...] = ()
+        for room in candidates:
+            worker = room.worker.worker
+            if room.tasks >= room.limit or not step.reserved.fits(room.free):
+                continue
+            if step.max_per_worker and used.get(worker, 0) >= step.max_per_worker:
+                continue
+            if step.uses_spare_cores and room.spare_millicores <= 0:
+                continue
+            cost = (worker in avoided, *rate_room(step, room))
+            if best is None or cost < best_cost:
+                best, best_cost = room, cost
+        return best
+
+    def _take(
+        self,
+        name: TaskName,
+        task: Task,
+        room: WorkerRoom,
+        step: Step,
+        used: dict[WorkerId, int],
+    ) -> None:
+        room.take(step)
+        worker = room.worker.worker
+        used[worker] = used.get(worker, 0) + 1
+        self._starts.append(RunStart(name, RunNumber(task.last_run + 1), worker))
+
+
+def rate_room(step: Step, room: WorkerRoom) -> tuple[float, ...]:
+    """Return how badly a worker suits a task; the lowest is best.
+
+    Tasks that serve and tasks of spare cores are kept apart while there is
+    another place, since the latter disturb the former.
+    """
+    conflict = 0
+    if step.uses_spare_cores:
+        conflict = room.serving
+    elif step.tail_goal_ms:
+        conflict = room.filling
+    is_far = step.preferred_rack != "" and (
+        step.preferred_rack not in room.worker.labels
+    )
+    load = 1 - room.spare_millicores / max(room.worker.capacity.millicores, 1)
+    return (is_far, conflict, room.failures, load)
+
+
+def measure_rooms(
+    state: SchedulingState, is_usable: Callable[[Worker], bool]
+) -> dict[WorkerId, WorkerRoom]:
+    """Return the room of each worker that may take work."""
+    rooms: dict[WorkerId, WorkerRoom] = {}
+    for worker in state.workers.values():
+        if worker.draining or not is_usable(worker):
+            continue
+        room = WorkerRoom(worker, worker.capacity, worker.capacity.millicores)
+        for task in worker.runs:
+            found = state.find_task(task)
+            if found is not None:
+                job, _, step, _ = found
+                room.take(job.get_step(step))
+        rooms[worker.worker] = room
+    return rooms
+
+
+def iterate_waiting(state: SchedulingState) -> Iterator[WaitingStep]:
+    """Yield the steps that have tasks to start."""
+    for job in state.jobs.values():
+        queue = state.find_queue(job.queue) if job.is_open else None
+        if queue is None:
+            continue
+        for occurrence, steps in job.occurrences.items():
+            for number, progress in enumerate(steps):
+                if not progress.is_done and job.is_step_ready(occurrence, number):
+                    yield WaitingStep(job, queue, occurrence, number)
+
+
+def _rank(waiting: WaitingStep) -> tuple[float, ...]:
+    return rank_job(waiting.job, waiting.queue)
+
+
+def _count_live(tasks: list[Task]) -> dict[WorkerId, int]:
+    counts: dict[WorkerId, int] = {}
+    for task in tasks:
+        for worker in task.live.values():
+            counts[worker] = counts.get(worker, 0) + 1
+    return counts
+
+
+def _choose_rack(
+    step: Step, members: int, candidates: list[WorkerRoom]
+) -> list[WorkerRoom] | None:
+    """Return the workers of a rack that could hold the whole gang, if any."""
+    racks: dict[str, list[WorkerRoom]] = {}
+    for room in candidates:
+        for label in room.worker.labels[1:]:
+            racks.setdefault(label, []).append(room)
+    for rooms in sorted(racks.values(), key=len, reverse=True):
+        if sum(_count_fitting(step, room) for room in rooms) >= members:
+            return rooms
+    return None
+
+
+def _count_fitting(step: Step, room: WorkerRoom) -> int:
+    need, free = step.reserved, room.free
+    counts = [
+        have // want
+        for have, want in (
+            (free.millicores, need.millicores),
+            (free.memory_mb, need.memory_mb),
+            (free.accelerators, need.accelerators),
+        )
+        if want
+    ]
+    return min([*counts, room.limit - room.tasks])
+
+
+def _restore(before: list[tuple[WorkerRoom, tuple[object, ...]]]) -> None:
+    for room, values in before:
+        for name, value in zip(room.__struct_fields__, values, strict=True):
+            setattr(room, name, value)
--- /dev/null
+++ b/src/rhubarbfield/scheduling/service.py
@@ -0,0 +1,294 @@
+"""What callers, operators and workers may ask of a controller."""
+
+from __future__ import annotations
+
+import logging
+import re
+from collections.abc import Callable
+from datetime import timedelta
+from enum import StrEnum
+
+import msgspec
+from returns.result import Failure, Success
+
+from rhubarbfield.groups import NotLeading, ReplicatedLog, Unavailable
+from rhubarbfield.logs import log_event
+from rhubarbfield.machine import Command, Done, Refused, Reply
+from rhubarbfield.peering import CallMethod
+from rhubarbfield.scheduling.appliers import WholeSchedulingState
+from rhubarbfield.scheduling.commands import (
+    AcceptJob,
+    CancelJob,
+    PutConfiguration,
+    WorkerReport,
+)
+from rhubarbfield.scheduling.leader import SchedulingLeader
+from rhubarbfield.scheduling.model import (
+    JobSubmission,
+    Queue,
+    QueueConfiguration,
+    QueueName,
+)
+from rhubarbfield.scheduling.state import JobPhase, SchedulingState
+from rhubarbfield.types import InstanceName, JobId, WorkerId
+
+logger = logging.getLogger(__name__)
+
+LONGEST_JOB_ID = 64
+_JOB_ID = re.compile(rf"[0-9A-Za-z_-]{{1,{LONGEST_JOB_ID}}}")
+
+
+class JobVerb(StrEnum):
+    """What a caller wants of a job."""
+
+    SUBMIT = "submit"
+    READ = "read"
+    CANCEL = "cancel"
+
+
+class JobRequest(
+    msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True, tag=True
+):
+    """A caller's request, as an entry passes it on.
+
+    Attributes
+    ----------
+    verb
+        What is wanted.
+    host, path
+        They decide about the queue; what follows its prefix is the job's id.
+    submission
+        The job that is handed in.
+    """
+
+    verb: JobVerb
+    host: str
+    path: str
+    submission: JobSubmission | None = None
+
+
+class Accepted(msgspec.Struct, frozen=True, tag=True):
+    """The job is stored, or its cancelling is."""
+
+
+class JobStatus(msgspec.Struct, frozen=True, tag=True):
+    """Where a job stands."""
+
+    phase: JobPhase
+
+
+class WaitingJobs(msgspec.Struct, frozen=True, tag=True):
+    """How many jobs of a queue have not started."""
+
+    count: int
+
+
+class NoSuchQueue(msgspec.Struct, frozen=True, tag=True):
+    """No queue of the configuration in force takes the request."""
+
+
+class NoSuchJob(msgspec.Struct, frozen=True, tag=True):
+    """The queue has no such job."""
+
+
+class NotConfigured(msgspec.Struct, frozen=True, tag=True):
+    """No configuration has been accepted yet; nothing was done."""
+
+
+class BadJob(msgspec.Struct, frozen=True, tag=True):
+    """The request is wrong and would be wrong again.
+
+    Attributes
+    ----------
+    reason
+        What is wrong with it.
+    """
+
+    reason: str
+
+
+class Ready(msgspec.Struct, frozen=True, tag=True):
+    """The controller leads, and decides now."""
+
+
+class AreYouLeading(msgspec.Struct, frozen=True, tag=True):
+    """Asks a controller whether it leads."""
+
+
+JobReply = (
+    Accepted
+    | JobStatus
+    | WaitingJobs
+    | NoSuchQueue
+    | NoSuchJob
+    | NotConfigured
+    | BadJob
+    | Ready
+    | NotLeading
+    | Unavailable
+)
+
+
+class VersionConflict(msgspec.Struct, frozen=True):
+    """Another configuration is held under the same version."""
+
+    reason: str
+
+
+class SchedulingService:
+    """Answers on behalf of the log, or names who can.
+
+    Parameters
+    ----------
+    log
+        The deployment's log.
+    get_leader
+        Returns what leads on this instance, or None.
+    """
+
+    def __init__(
+        self,
+        log: ReplicatedLog[WholeSchedulingState],
+        get_leader: Callable[[], SchedulingLeader | None],
+    ) -> None:
+        self._log = log
+        self._get_leader = get_leader
+
+    @property
+    def leader_hint(self) -> InstanceName | None:
+        """The instance that leads, as far as is known."""
+        return self._log.replica.leader_hint
+
+    def leads(self) -> bool:
+        """Return whether this controller decides at this moment."""
+        return self._log.leads()
+
+    async def answer(self, request: JobRequest | AreYouLeading) -> JobReply:
+        """Answer a caller's request."""
+        if not self._log.leads():
+            return NotLeading(self.leader_hint)
+        if isinstance(request, AreYouLeading):
+            return Ready()
+        if self._state.configuration is None:
+            return NotConfigured()
+        queue = self._find_queue(request.host, request.path)
+        if queue is None:
+            return NoSuchQueue()
+        rest = request.path[len(queue.prefix) :].strip("/")
+        if not rest:
+            return WaitingJobs(self._count_waiting(queue.name))
+        if _JOB_ID.fullmatch(rest) is None:
+            return BadJob(f"{rest[:LONGEST_JOB_ID]!r} is no job id")
+        job = JobId(rest)
+        if request.verb is JobVerb.SUBMIT and request.submission is not None:
+            return await self._submit(job, queue, request.submission)
+        if request.verb is JobVerb.CANCEL:
+            return await self._cancel(job)
+        return self._read(job)
+
+    async def put_configuration(
+        self, configuration: QueueConfiguration
+    ) -> Accepted | VersionConflict | NotLeading | Unavailable:
+        """Put a configuration in force unless a higher version is."""
+        reply = await self._propose(PutConfiguration(configuration=configuration))
+        match reply:
+            case Refused(reason=reason):
+                return VersionConflict(reason)
+            case Done():
+                log_event(
+                    logger,
+                    logging.INFO,
+                    "configuration-accepted",
+                    version=configuration.version,
+                )
+                return Accepted()
+            case NotLeading() | Unavailable():
+                return reply
+        return Unavailable("the outcome is not known", in_doubt=True)
+
+    def read_configuration(
+        self,
+    ) -> QueueConfiguration | NotConfigured | NotLeading:
+        """Return the configuration in force."""
+        if not self._log.leads():
+            return NotLeading(self.leader_hint)
+        return self._state.configuration or NotConfigured()
+
+    async def take_report(
+        self, report: WorkerReport, clock: timedelta | None
+    ) -> bool | NotLeading:
+        """Take in a worker's report; return whether it is recorded."""
+        leader = self._get_leader()
+        if leader is None or not self._log.leads():
+            return NotLeading(self.leader_hint)
+        return await leader.take_report(report, clock)
+
+    async def forget_worker(self, worker: WorkerId) -> bool | NotLeading:
+        """Take in that a worker ends; return whether it is recorded."""
+        leader = self._get_leader()
+        if leader is None or not self._log.leads():
+            return NotLeading(self.leader_hint)
+        return await leader.forget_worker(worker)
+
+    @property
+    def _state(self) -> SchedulingState:
+        return self._log.state.scheduling
+
+    def _find_queue(self, host: str, path: str) -> Queue | None:
+        configuration = self._state.configuration
+        if configuration is None:
+            return None
+        matching = [
+            queue
+            for queue in configuration.queues
+            if queue.host == host and path.startswith(queue.prefix)
+        ]
+        return max(matching, key=lambda queue: len(queue.prefix), default=None)
+
+    def _count_waiting(self, queue: QueueName) -> int:
+        return sum(
+            job.queue == queue and job.is_open and not job.started
+            for job in self._state.jobs.values()
+        )
+
+    async def _submit(
+        self, job: JobId, queue: Queue, submission: JobSubmission
+    ) -> JobReply:
+        command = AcceptJob(job=job, queue=queue.name, submission=submission)
+        reply = await self._propose(command)
+        if isinstance(reply, NotLeading | Unavailable):
+            log_event(
+                logger, logging.WARNING, "job-not-accepted", job=job, reason=str(reply)
+            )
+            return reply
+        log_event(logger, logging.INFO, "job-accepted", job=job, queue=queue.name)
+        return Accepted()
+
+    async def _cancel(self, job: JobId) -> JobReply:
+        if job not in self._state.jobs:
+            return NoSuchJob()
+        reply = await self._propose(CancelJob(job=job))
+        match reply:
+            case Refused():
+                return NoSuchJob()
+            case NotLeading() | Unavailable():
+                return reply
+        log_event(logger, logging.INFO, "job-cancelled", job=job)
+        return Accepted()
+
+    def _read(self, job: JobId) -> JobReply:
+        found = self._state.jobs.get(job)
+        return NoSuchJob() if found is None else JobStatus(found.phase)
+
+    async def _propose(self, command: Command) -> Reply | NotLeading | Unavailable:
+        match await self._log.propose(command):
+            case Success(reply):
+                return reply
+            case Failure(failure):
+                return failure
+        raise AssertionError
+
+
+JOB_CALL = CallMethod(
+    "/rhubarbfield.Scheduling/Job", JobRequest | AreYouLeading, JobReply
+)
--- /dev/null
+++ b/src/rhubarbfield/scheduling/session.py
@@ -0,0 +1,519 @@
+"""What a leader knows of one worker and does with it."""
+
+from __future__ import annotations
+
+import logging
+from collections import deque
+from datetime import timedelta
+from enum import Enum
+from typing import Protocol
+
+import msgspec
+import trio
+from returns.result import Failure, Success
+
+from rhubarbfield.clock import Clock
+from rhubarbfield.logs import log_event
+from rhubarbfield.scheduling.commands import EndedRun, WorkerEnds
+from rhubarbfield.scheduling.model import (
+    NO_CHECKPOINT,
+    CheckpointToken,
+    RunNumber,
+    TaskName,
+)
+from rhubarbfield.scheduling.ports import (
+    ActiveRun,
+    CallFailure,
+    ListedEnd,
+    NoReply,
+    OtherLife,
+    Refusal,
+    Refused,
+    StartOrder,
+    WorkerAddress,
+    WorkerCalls,
+    WorkerView,
+)
+from rhubarbfield.scheduling.settings import SchedulingSettings
+from rhubarbfield.scheduling.state import RunEnd, Worker
+from rhubarbfield.types import Term, WorkerId
+
+logger = logging.getLogger(__name__)
+
+LATENCY_SLACK = timedelta(milliseconds=200)  # an order on its way when power goes
+RETRY_PAUSE = timedelta(milliseconds=250)  # between two tries of a silent worker
+DEPOSED_PAUSE = timedelta(seconds=1)  # until the lease of a deposed leader is over
+ROOM_PAUSE = timedelta(milliseconds=400)  # a view shows the real room by then
+
+
+class RunKey(msgspec.Struct, frozen=True):
+    """One run of a task."""
+
+    task: TaskName
+    run: RunNumber
+
+
+class Start(msgspec.Struct, frozen=True):
+    """A recorded run that the worker has to be told of."""
+
+    key: RunKey
+    payload: str
+    checkpoint: CheckpointToken
+    ticket: str = ""
+
+
+class Stop(msgspec.Struct, frozen=True):
+    """A run that must not go on."""
+
+    key: RunKey
+
+
+class Pace(msgspec.Struct, frozen=True):
+    """A run that has to work at a share of its speed."""
+
+    key: RunKey
+    percent: int
+
+
+Order = Start | Stop | Pace
+
+
+class StartState(Enum):
+    """How far an order to start has come."""
+
+    QUEUED = "queued"
+    SETTLED = "settled"
+
+
+class SessionHost(Protocol):
+    """What a session needs of the leader that it belongs to."""
+
+    def find_worker(self, worker: WorkerId) -> Worker | None:
+        """Return the replicated record of a worker."""
+
+    def get_term(self) -> Term | None:
+        """Return the term in which orders may be given now, or None."""
+
+    async def record_ends(self, ends: WorkerEnds) -> None:
+        """Record ends; returns once they are committed."""
+
+    async def remove_worker(
+        self, worker: WorkerId, checkpoints: dict[TaskName, CheckpointToken]
+    ) -> None:
+        """Record that a life of a machine is over."""
+
+    def note_view(self, worker: WorkerId) -> None:
+        """Learn that the worker has just been seen."""
+
+
+class WorkerSession:
+    """A leader's dealings with one worker, from its first report to its end.
+
+    Parameters
+    ----------
+    address
+        The worker.
+    host
+        The leader.
+    calls
+        The way to workers.
+    clock
+        The time.
+    settings
+        Times and limits.
+    """
+
+    def __init__(
+        self,
+        address: WorkerAddress,
+        *,
+        host: SessionHost,
+        calls: WorkerCalls,
+        clock: Clock,
+        settings: SchedulingSettings,
+    ) -> None:
+        self.address = address
+        self._host = host
+        self._calls = calls
+        self._clock = clock
+        self._settings = settings
+        self._orders: deque[Order] = deque()
+        self._ordered = trio.Event()
+        self._watched = trio.Event()
+        self._starts: dict[RunKey, StartState] = {}
+        self._stopping: set[RunKey] = set()
+        self._pacing: dict[RunKey, int] = {}
+        self._reading: tuple[timedelta, timedelta] | None = None
+        opened = clock.monotonic()
+        drift = 1 - settings.clock_drift
+        # An earlier leader may have extended the lease until just now.
+        self._lapses_at = opened + settings.longest_lease / drift + LATENCY_SLACK
+        self._lease_end = timedelta()
+        self._silent_since: timedelta | None = None
+        self._rejects_until = timedelta()
+        self._acknowledged = 0
+        self._reported_at = opened
+        self.active: dict[TaskName, ActiveRun] = {}
+        self.viewed_at: timedelta | None = None
+
+    @property
+    def worker(self) -> WorkerId:
+        """The worker's id."""
+        return self.address.worker
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether new work may be given to the worker now."""
+        now = self._clock.monotonic()
+        if self._reading is None or now < self._rejects_until:
+            return False
+        heard_at = max(self._reported_at, self._reading[1])
+        is_recent = now - heard_at <= self._settings.silence_limit
+        return self._silent_since is None and is_recent
+
+    def note_report(self, worker_clock: timedelta | None) -> None:
+        """Learn that the worker reported itself; the report may be late."""
+        self._reported_at = self._clock.monotonic()
+        if self._reading is None and worker_clock is not None:
+            self._reading = (worker_clock, self._clock.monotonic())
+        if self._silent_since is not None:
+            self._watched.set()
+
+    def start(self, start: Start) -> None:
+        """Tell the worker to start a run that is recorded."""
+        self._starts[start.key] = StartState.QUEUED
+        self._put(start)
+        self._watched.set()
+
+    def stop(self, key: RunKey) -> None:
+        """Tell the worker to stop a run; told again it changes nothing."""
+        if key not in self._stopping:
+            self._stopping.add(key)
+            self._put(Stop(key))
+            self._watched.set()
+
+    def pace(self, key: RunKey, percent: int) -> None:
+        """Tell the worker to let a run work at ``percent`` of its speed."""
+        if self._pacing.get(key, 100) != percent:
+            self._pacing[key] = percent
+            self._put(Pace(key, percent))
+
+    def get_pace(self, key: RunKey) -> int:
+        """Return the share of its speed, in percent, that a run was set to."""
+        return self._pacing.get(key, 100)
+
+    def is_stopping(self, key: RunKey) -> bool:
+        """Say whether a run has been told to stop."""
+        return key in self._stopping
+
+    def wake(self) -> None:
+        """Look at the worker now."""
+        self._watched.set()
+
+    async def run(self) -> None:
+        """Give orders and watch the worker until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._give_orders)
+            nursery.start_soon(self._watch)
+
+    def _put(self, order: Order) -> None:
+        self._orders.append(order)
+        self._ordered.set()
+
+    async def _give_orders(self) -> None:
+        while True:
+            await self._ordered.wait()
+            self._ordered = trio.Event()
+            while self._orders:
+                order = self._orders.popleft()
+                if isinstance(order, Start):
+                    await self._order_start(order)
+                elif isinstance(order, Stop):
+                    await self._order_stop(order.key)
+                else:
+                    await self._order_pace(order)
+
+    async def _order_start(self, start: Start) -> None:
+        for _ in range(self._settings.order_attempts):
+            term = self._host.get_term()
+            if term is None:
+                return
+            if self._is_void(start.key):
+                break
+            order = StartOrder(
+                task=start.key.task,
+                run=start.key.run,
+                payload=start.payload,
+                checkpoint=start.checkpoint,
+                lease_end=self._extend_lease(),
+                term=term,
+                ticket=start.ticket,
+            )
+            result = await self._calls.start(self.address, order)
+            match result:
+                case Success(worker_clock):
+                    self._note_reply(worker_clock)
+                    self._starts[start.key] = StartState.SETTLED
+                    return
+                case Failure(failure):
+                    if await self._settle_refused(start, failure):
+                        return
+            await self._clock.sleep(RETRY_PAUSE)
+        # Once the stop is answered, the run can no longer start there.
+        self.stop(start.key)
+
+    def _is_void(self, key: RunKey) -> bool:
+        """Say whether a run was given up before the worker was told of it."""
+        return key in self._stopping
+
+    async def _settle_refused(self, start: Start, failure: CallFailure) -> bool:
+        """Act on a failed order to start; return whether it is settled."""
+        self._log_failure("start-failed", start.key, failure)
+        match failure:
+            case OtherLife():
+                await self._end_life()
+                return True
+            case Refused(refusal=refusal, clock=worker_clock):
+                if worker_clock is not None:
+                    self._note_reply(worker_clock)
+                if refusal is Refusal.DEPOSED:
+                    await self._clock.sleep(DEPOSED_PAUSE)
+                    return False
+                self._starts[start.key] = StartState.SETTLED
+                if refusal is Refusal.SUPERSEDED:
+                    return True
+                self._rejects_until = self._clock.monotonic() + ROOM_PAUSE
+                await self._record(start.key, RunEnd.REJECTED)
+                return True
+            case NoReply():
+                self._note_silence()
+                return False
+        raise AssertionError
+
+    async def _order_stop(self, key: RunKey) -> None:
+        while (term := self._host.get_term()) is not None:
+            result = await self._calls.stop(self.address, key.task, key.run, term)
+            match result:
+                case Success(worker_clock):
+                    self._note_reply(worker_clock)
+                    self._starts[key] = StartState.SETTLED
+                    self._watched.set()
+                    return
+                case Failure(failure):
+                    self._log_failure("stop-failed", key, failure)
+                    if isinstance(failure, OtherLife):
+                        await self._end_life()
+                        return
+                    if isinstance(failure, Refused):
+                        self._note_stop_refused(key, failure)
+                        return
+                    self._note_silence()
+            if self._host.find_worker(self.worker) is None or self._is_over(key):
+                return
+            await self._clock.sleep(RETRY_PAUSE)
+
+    def _note_stop_refused(self, key: RunKey, failure: Refused) -> None:
+        """Tell a run that can no longer start from a leader that is deposed."""
+        if failure.refusal is Refusal.SUPERSEDED:
+            self._starts[key] = StartState.SETTLED
+        else:
+            self._stopping.discard(key)
+
+    def _is_over(self, key: RunKey) -> bool:
+        worker = self._host.find_worker(self.worker)
+        return worker is None or worker.runs.get(key.task) != key.run
+
+    async def _order_pace(self, order: Pace) -> None:
+        term = self._host.get_term()
+        key = order.key
+        if term is None or self._is_over(key):
+            return
+        result = await self._calls.pace(
+            self.address, key.task, key.run, order.percent, term
+        )
+        match result:
+            case Success(worker_clock):
+                self._note_reply(worker_clock)
+            case Failure(failure):
+                self._log_failure("pace-failed", key, failure)
+                self._pacing.pop(key, None)
+
+    async def _watch(self) -> None:
+        while True:
+            if not self._has_to_watch():
+                self._watched = trio.Event()
+                await self._watched.wait()
+            await self._view_once()
+            await self._clock.sleep(self._settings.view_pause)
+
+    def _has_to_watch(self) -> bool:
+        worker = self._host.find_worker(self.worker)
+        if worker is None:
+            return False
+        return bool(worker.runs) or worker.recorded_ends > self._acknowledged
+
+    async def _view_once(self) -> None:
+        worker = self._host.find_worker(self.worker)
+        term = self._host.get_term()
+        if worker is None or term is None:
+            return
+        known = dict(worker.runs)
+        recorded_ends = worker.recorded_ends
+        settled = {key for key, at in self._starts.items() if at is StartState.SETTLED}
+        lease_end = self._extend_lease() if self._reading is not None else None
+        result = await self._calls.view(
+            self.address,
+            recorded_ends=recorded_ends,
+            lease_end=lease_end,
+            patience=self._choose_patience(),
+            term=term,
+        )
+        match result:
+            case Success(view):
+                self._note_reply(view.clock)
+                self._acknowledged = recorded_ends
+                await self._take_view(view, known, settled)
+            case Failure(OtherLife()):
+                await self._end_life()
+            case Failure(failure):
+                self._log_failure("view-failed", None, failure)
+                self._note_silence()
+                await self._check_lapse()
+                await self._clock.sleep(RETRY_PAUSE)
+
+    def _choose_patience(self) -> timedelta:
+        if self._silent_since is not None or self._reading is None:
+            return timedelta()
+        return self._settings.view_patience
+
+    async def _take_view(
+        self,
+        view: WorkerView,
+        known: dict[TaskName, RunNumber],
+        settled: set[RunKey],
+    ) -> None:
+        self.active = {run.task: run for run in view.active}
+        self.viewed_at = self._clock.monotonic()
+        worker = self._host.find_worker(self.worker)
+        if worker is None:
+            return
+        listed = [end for end in view.ends if end.number > worker.recorded_ends]
+        ends = [_copy_end(end) for end in listed]
+        if not view.truncated:
+            ends.extend(self._find_vanished(view, known, settled))
+        self._stop_strangers(view, worker)
+        self._host.note_view(self.worker)
+        if ends:
+            last = max((end.number for end in listed), default=0)
+            for end in ends:
+                self._forget_run(RunKey(end.task, end.run))
+            report = WorkerEnds(self.worker, tuple(ends), last)
+            await self._host.record_ends(report)
+
+    def _find_vanished(
+        self,
+        view: WorkerView,
+        known: dict[TaskName, RunNumber],
+        settled: set[RunKey],
+    ) -> list[EndedRun]:
+        """Return runs that were recorded but are neither there nor ended."""
+        present = {(run.task, run.run) for run in view.active}
+        present |= {(end.task, end.run) for end in view.ends}
+        vanished = []
+        for task, run in known.items():
+            key = RunKey(task, run)
+            # Orders of earlier leaders are void once this term was seen there.
+            is_certain = key in settled or key not in self._starts
+            if is_certain and (task, run) not in present:
+                log_event(
+                    logger,
+                    logging.INFO,
+                    "run-vanished",
+                    worker=self.worker,
+                    task=task,
+                    run=run,
+                )
+                vanished.append(EndedRun(task, run, RunEnd.LOST))
+        return vanished
+
+    def _stop_strangers(self, view: WorkerView, worker: Worker) -> None:
+        """Stop what runs there without a record."""
+        for run in view.active:
+            key = RunKey(run.task, run.run)
+            if worker.runs.get(run.task) != run.run and key not in self._starts:
+                self.stop(key)
+
+    def _forget_run(self, key: RunKey) -> None:
+        self._starts.pop(key, None)
+        self._stopping.discard(key)
+        self._pacing.pop(key, None)
+
+    async def _record(self, key: RunKey, end: RunEnd) -> None:
+        self._forget_run(key)
+        ended = EndedRun(key.task, key.run, end)
+        await self._host.record_ends(WorkerEnds(self.worker, (ended,)))
+
+    async def _end_life(self) -> None:
+        await self._host.remove_worker(self.worker, self._list_checkpoints())
+
+    async def _check_lapse(self) -> None:
+        """Record runs as lost once the worker's lease has surely lapsed."""
+        if self._clock.monotonic() < self._lapses_at:
+            return
+        worker = self._host.find_worker(self.worker)
+        if worker is None or not worker.runs:
+            return
+        log_event(logger, logging.WARNING, "lease-lapsed", worker=self.worker)
+        saved = self._list_checkpoints()
+        ends = tuple(
+            EndedRun(task, run, RunEnd.LOST, saved.get(task, NO_CHECKPOINT))
+            for task, run in worker.runs.items()
+        )
+        for end in ends:
+            self._forget_run(RunKey(end.task, end.run))
+        await self._host.record_ends(WorkerEnds(self.worker, ends))
+
+    def _list_checkpoints(self) -> dict[TaskName, CheckpointToken]:
+        return {
+            task: run.checkpoint for task, run in self.active.items() if run.checkpoint
+        }
+
+    def _extend_lease(self) -> timedelta:
+        """Return a new lease end on the worker's clock, and count on it."""
+        assert self._reading is not None
+        worker_clock, read_at = self._reading
+        now = self._clock.monotonic()
+        offered = worker_clock + (now - read_at) + self._settings.lease
+        self._lease_end = max(self._lease_end, offered)
+        drift = 1 - self._settings.clock_drift
+        left = (self._lease_end - worker_clock) / drift
+        self._lapses_at = max(self._lapses_at, read_at + left + LATENCY_SLACK)
+        return self._lease_end
+
+    def _note_reply(self, worker_clock: timedelta) -> None:
+        if self._silent_since is not None:
+            log_event(logger, logging.INFO, "worker-regained", worker=self.worker)
+        self._silent_since = None
+        self._reading = (worker_clock, self._clock.monotonic())
+
+    def _note_silence(self) -> None:
+        if self._silent_since is None:
+            self._silent_since = self._clock.monotonic()
+            log_event(logger, logging.WARNING, "worker-silent", worker=self.worker)
+
+    def _log_failure(
+        self, event: str, key: RunKey | None, failure: CallFailure
+    ) -> None:
+        log_event(
+            logger,
+            logging.INFO,
+            event,
+            worker=self.worker,
+            task=key.task if key else None,
+            run=key.run if key else None,
+            failure=str(failure),
+        )
+
+
+def _copy_end(end: ListedEnd) -> EndedRun:
+    return EndedRun(end.task, end.run, end.end, end.checkpoint)
--- /dev/null
+++ b/src/rhubarbfield/scheduling/settings.py
@@ -0,0 +1,57 @@
+"""Times and limits of scheduling, as settings."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+import msgspec
+
+
+class SchedulingSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """What the leader of a deployment goes by.
+
+    Attributes
+    ----------
+    lease
+        How long a worker goes on without hearing from a leader; outlives the
+        restart of all controllers.
+    longest_lease
+        The longest lease that workers grant, from their platform.
+    clock_drift
+        By what fraction a worker's clock may be slow.
+    order_timeout
+        How long an order may stay without a reply; ten times what a reply
+        takes under load.
+    order_attempts
+        How often an unanswered order is repeated before the run is stopped.
+    view_patience
+        How long a view of a worker waits for an end.
+    view_pause
+        Least time between two views of one worker; ends that come together
+        are recorded together.
+    watch_patience
+        The same as ``view_patience`` where standing tasks have goals to be
+        watched.
+    silence_limit
+        A worker without a reply for this long gets no new work.
+    distrust_after
+        Failed runs in a row, of different jobs, after which a worker is
+        distrusted.
+    distrust_for
+        For how long.
+    remember_ended
+        How long ended jobs can be asked for.
+    """
+
+    lease: timedelta = timedelta(seconds=6)
+    longest_lease: timedelta = timedelta(seconds=10)
+    clock_drift: float = 0.02
+    order_timeout: timedelta = timedelta(milliseconds=700)
+    order_attempts: int = 3
+    view_patience: timedelta = timedelta(milliseconds=1500)
+    view_pause: timedelta = timedelta(milliseconds=100)
+    watch_patience: timedelta = timedelta(milliseconds=700)
+    silence_limit: timedelta = timedelta(milliseconds=2500)
+    distrust_after: int = 2
+    distrust_for: timedelta = timedelta(seconds=6)
+    remember_ended: timedelta = timedelta(seconds=300)
--- /dev/null
+++ b/src/rhubarbfield/scheduling/trust.py
@@ -0,0 +1,97 @@
+"""Which workers are believed to carry out what they start.
+
+Answers the load of days on which some workers fail, or never finish, all that
+they start: such a worker is always free, and would attract every task.
+"""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+import msgspec
+
+from rhubarbfield.scheduling.settings import SchedulingSettings
+from rhubarbfield.types import JobId, WorkerId
+
+REMEMBERED_FAILURES = 8
+
+
+class WorkerRecord(msgspec.Struct):
+    """The latest outcomes on one worker.
+
+    Attributes
+    ----------
+    failed_jobs
+        Jobs with a failed run since the last success, oldest first.
+    failures
+        Failed runs since the last success.
+    succeeded
+        Whether anything was done there by this leader's knowledge.
+    distrusted_until
+        When it is given work again, and then one task first.
+    """
+
+    failed_jobs: list[JobId] = msgspec.field(default_factory=list)
+    failures: int = 0
+    succeeded: bool = False
+    distrusted_until: timedelta | None = None
+
+
+class Trust:
+    """The record of all workers, in the leader's memory.
+
+    Parameters
+    ----------
+    settings
+        When a worker is distrusted, and for how long.
+    """
+
+    def __init__(self, settings: SchedulingSettings) -> None:
+        self._settings = settings
+        self._records: dict[WorkerId, WorkerRecord] = {}
+
+    def note_success(self, worker: WorkerId) -> None:
+        """Learn that a run was done."""
+        record = self._get(worker)
+        record.failed_jobs.clear()
+        record.failures = 0
+        record.succeeded = True
+        record.distrusted_until = None
+
+    def note_failure(self, worker: WorkerId, job: JobId, now: timedelta) -> None:
+        """Learn that a run failed by its own fault or the worker's."""
+        record = self._get(worker)
+        record.failures += 1
+        if job not in record.failed_jobs:
+            record.failed_jobs.append(job)
+            del record.failed_jobs[:-REMEMBERED_FAILURES]
+        if record.failures >= self._settings.distrust_after:
+            record.distrusted_until = now + self._settings.distrust_for
+
+    def note_stall(self, worker: WorkerId, now: timedelta) -> None:
+        """Learn that runs on the worker make no progress."""
+        self._get(worker).distrusted_until = now + self._settings.distrust_for
+
+    def forget(self, worker: WorkerId) -> None:
+        """Drop the record of a worker that is gone."""
+        self._records.pop(worker, None)
+
+    def is_trusted(self, worker: WorkerId, now: timedelta) -> bool:
+        """Say whether any work may be given to the worker."""
+        record = self._records.get(worker)
+        if record is None or record.distrusted_until is None:
+            return True
+        return now >= record.distrusted_until
+
+    def is_on_probation(self, worker: WorkerId) -> bool:
+        """Say whether the worker was distrusted and has done nothing since."""
+        record = self._records.get(worker)
+        return record is not None and record.distrusted_until is not None
+
+    def count_failures(self, worker: WorkerId) -> int:
+        """Return the failures since the last success."""
+        record = self._records.get(worker)
+        return record.failures if record is not None else 0
+
+    def _get(self, worker: WorkerId) -> WorkerRecord:
+        return self._records.setdefault(worker, WorkerRecord())
--- a/tests/controller/solo.py
+++ b/tests/controller/solo.py
@@ -7,7 +7,7 @@
 import trio
 from returns.result import Failure, Result, Success
 
-from rhubarbfield.controller.replicated import ReplicatedLog
+from rhubarbfield.groups import ReplicatedLog
 from rhubarbfield.machine import SectionedMachine
 from rhubarbfield.replication import NotLeader, Replica
 from rhubarbfield.types import LogIndex
