--- /dev/null
+++ b/src/rhubarbfield/scheduling/backlog.py
@@ -0,0 +1,74 @@
+"""How long jobs have waited, and what they have left."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+from rhubarbfield.clock import Clock
+from rhubarbfield.scheduling.model import Queue, QueueName
+from rhubarbfield.scheduling.ordering import (
+    RemainingWork,
+    find_goal,
+    measure_work,
+    rank_job,
+)
+from rhubarbfield.scheduling.state import Job
+from rhubarbfield.types import JobId
+
+MEAN_WEIGHT = 0.05  # of a new job in the running mean of its queue's work
+
+
+class Backlog:
+    """What the leader knows of open jobs beyond the replicated state.
+
+    Parameters
+    ----------
+    clock
+        The time.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._seen_at: dict[JobId, timedelta] = {}
+        self._work: dict[JobId, tuple[tuple[int, ...], RemainingWork]] = {}
+        self._means: dict[QueueName, float] = {}
+
+    def rank(self, job: Job, queue: Queue) -> tuple[float, ...]:
+        """Return the rank of a job; the lowest goes first."""
+        work = self.measure(job)
+        age = self._find_age(job)
+        return rank_job(work, queue, age, self._means.get(job.queue, 0.0))
+
+    def find_slack(self, job: Job, queue: Queue) -> timedelta:
+        """Return how much later a job could go on and still be on time."""
+        work = self.measure(job)
+        return find_goal(work, queue) - self._find_age(job) - work.chain
+
+    def measure(self, job: Job) -> RemainingWork:
+        """Return what a job has left."""
+        version = tuple(
+            step.done for steps in job.occurrences.values() for step in steps
+        )
+        known = self._work.get(job.job)
+        if known is not None and known[0] == version:
+            return known[1]
+        work = measure_work(job)
+        self._work[job.job] = (version, work)
+        return work
+
+    def forget(self, job: JobId) -> None:
+        """Drop a job that has ended."""
+        self._seen_at.pop(job, None)
+        self._work.pop(job, None)
+
+    def _find_age(self, job: Job) -> timedelta:
+        now = self._clock.monotonic()
+        if job.job not in self._seen_at:
+            self._seen_at[job.job] = now
+            self._learn_mean(job)
+        return now - self._seen_at[job.job]
+
+    def _learn_mean(self, job: Job) -> None:
+        whole = self.measure(job).whole_core_ms
+        mean = self._means.get(job.queue, whole)
+        self._means[job.queue] = mean + MEAN_WEIGHT * (whole - mean)
--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -15,6 +15,7 @@
 from rhubarbfield.logs import log_event
 from rhubarbfield.machine import Command, Reply
 from rhubarbfield.scheduling.appliers import WholeSchedulingState
+from rhubarbfield.scheduling.backlog import Backlog
 from rhubarbfield.scheduling.commands import (
     EndRuns,
     ForgetJobs,
@@ -27,7 +28,9 @@
     WorkerEnds,
     WorkerReport,
 )
-from rhubarbfield.scheduling.model import CheckpointToken, TaskName
+from rhubarbfield.scheduling.interference import Interference
+from rhubarbfield.scheduling.model import CheckpointToken, Queue, TaskName
+from rhubarbfield.scheduling.neighbours import Neighbours
 from rhubarbfield.scheduling.placing import Placer, measure_rooms
 from rhubarbfield.scheduling.ports import WorkerAddress, WorkerCalls
 from rhubarbfield.scheduling.session import RunKey, Start, WorkerSession
@@ -45,6 +48,7 @@
 logger = logging.getLogger(__name__)
 
 PROPOSE_PAUSE = timedelta(milliseconds=100)  # before a proposal is repeated
+ROUND_PAUSE = timedelta(milliseconds=10)  # changes that come together share a round
 IDLE_ROUND = timedelta(milliseconds=250)  # due times and distrust are looked at
 MILLISECOND = timedelta(milliseconds=1)
 
@@ -110,6 +114,9 @@
         self._clock = clock
         self._settings = settings
         self._trust = Trust(settings)
+        self._interference = Interference()
+        self._neighbours = Neighbours(self, self._interference)
+        self._backlog = Backlog(clock)
         self._sessions: dict[WorkerId, WorkerSession] = {}
         self._scopes: dict[WorkerId, trio.CancelScope] = {}
         self._nursery: trio.Nursery | None = None
@@ -164,9 +171,16 @@
 
     def note_view(self, worker: WorkerId) -> None:
         """Learn that a worker has just been seen."""
-        del worker
+        record = self.find_worker(worker)
+        session = self._sessions.get(worker)
+        if record is not None and session is not None:
+            self._neighbours.note_view(record, session)
         self._wake.set()
 
+    def has_to_watch_closely(self, worker: Worker) -> bool:
+        """Return whether tasks there are harmed by their neighbours at once."""
+        return self._neighbours.has_both(worker)
+
     # What others ask of the leader.
 
     async def take_report(self, report: WorkerReport, clock: timedelta | None) -> bool:
@@ -256,6 +270,7 @@
         del self._sessions[worker]
         self._scopes.pop(worker).cancel()
         self._trust.forget(worker)
+        self._neighbours.forget(worker)
         self._reported_clocks.pop(worker, None)
 
     async def _place_work(self) -> None:
@@ -268,14 +283,19 @@
             await self._open_due()
             await self._forget_old()
             await self._start_some()
+            await self._clock.sleep(ROUND_PAUSE)
 
     async def _start_some(self) -> None:
         rooms = measure_rooms(self.state, self._is_usable)
         for worker, room in rooms.items():
+            room.exposures = self._neighbours.list_exposures(room.worker)
             room.failures = self._trust.count_failures(worker)
             if self._trust.is_on_probation(worker):
                 room.limit = 1
-        starts = Placer(self.state, rooms, self._avoided).choose()
+        placer = Placer(
+            self.state, rooms, self._avoided, self._interference, self._rank
+        )
+        starts = placer.choose()
         if not starts:
             return
         result = await self._log.propose(StartRuns(starts=starts))
@@ -311,6 +331,9 @@
             )
         )
 
+    def _rank(self, job: Job, queue: Queue) -> tuple[float, ...]:
+        return self._backlog.rank(job, queue)
+
     def _is_usable(self, worker: Worker) -> bool:
         session = self._sessions.get(worker.worker)
         now = self._clock.monotonic()
@@ -354,6 +377,7 @@
                 ended = self._ended_at.setdefault(job.job, now)
                 if now - ended > self._settings.remember_ended:
                     old.append(job.job)
+                self._backlog.forget(job.job)
         if old:
             await self._log.propose(ForgetJobs(jobs=tuple(old)))
             for name in old:
--- a/src/rhubarbfield/scheduling/ordering.py
+++ b/src/rhubarbfield/scheduling/ordering.py
@@ -1,15 +1,112 @@
-"""In which order waiting work is served."""
+"""In which order waiting work is served.
+
+Answers the load in which more work is handed in than the workers can do: what
+can still be on time goes before what can only be late, and what is worth most
+for the work that is left goes first, so that few jobs are late by much instead
+of all by a little.
+"""
 
 from __future__ import annotations
 
+from datetime import timedelta
+from enum import IntEnum
+
+import msgspec
+
 from rhubarbfield.scheduling.model import Queue
 from rhubarbfield.scheduling.state import Job
 
+LATE_LIMIT = 3  # multiples of its goal after which a job earns nothing
+ESTIMATE_MARGIN = 1.1  # on top of the chain: commits, calls and views on the way
+BASE_VALUE = 0.3  # of a job, however small; the rest grows with its work
+MILLISECOND = timedelta(milliseconds=1)
+
+
+class Outlook(IntEnum):
+    """What a job can still reach."""
+
+    ON_TIME = 0
+    LATE = 1
+    TOO_LATE = 2
+
+
+class RemainingWork(msgspec.Struct, frozen=True):
+    """What a job has left, by its estimates.
+
+    Attributes
+    ----------
+    chain
+        The longest chain of its steps that are not done.
+    whole_chain
+        The longest chain of all its steps.
+    core_ms
+        Millicores times ms of all tasks that are not done.
+    whole_core_ms
+        The same of all its tasks.
+    """
+
+    chain: timedelta
+    whole_chain: timedelta
+    core_ms: float
+    whole_core_ms: float
+
+
+def measure_work(job: Job) -> RemainingWork:
+    """Return what a job has left; of a recurring job, in one occurrence."""
+    steps = job.submission.steps
+    progress = next(reversed(job.occurrences.values()), None)
+    left: list[float] = []
+    whole: list[float] = []
+    core_ms = 0.0
+    whole_core_ms = 0.0
+    for number, step in enumerate(steps):
+        before_left = max((left[other] for other in step.after), default=0.0)
+        before_whole = max((whole[other] for other in step.after), default=0.0)
+        done = progress[number].done if progress is not None else 0
+        open_ms = 0 if done >= step.tasks else step.estimate_ms
+        left.append(before_left + open_ms)
+        whole.append(before_whole + step.estimate_ms)
+        each = float(step.estimate_ms * max(step.demand.millicores, 1))
+        core_ms += each * (step.tasks - done)
+        whole_core_ms += each * step.tasks
+    return RemainingWork(
+        chain=max(left) * MILLISECOND,
+        whole_chain=max(whole) * MILLISECOND,
+        core_ms=core_ms,
+        whole_core_ms=whole_core_ms,
+    )
+
+
+def find_goal(work: RemainingWork, queue: Queue) -> timedelta:
+    """Return how long a job of ``queue`` should take."""
+    return work.whole_chain * queue.slowdown_goal + queue.latency_goal_ms * MILLISECOND
+
+
+def find_outlook(work: RemainingWork, queue: Queue, age: timedelta) -> Outlook:
+    """Return what a job can reach that was handed in ``age`` ago."""
+    goal = find_goal(work, queue)
+    end = age + work.chain * ESTIMATE_MARGIN
+    if end <= goal:
+        return Outlook.ON_TIME
+    return Outlook.LATE if end <= goal * LATE_LIMIT else Outlook.TOO_LATE
+
 
-def rank_job(job: Job, queue: Queue) -> tuple[float, ...]:
+def rank_job(
+    work: RemainingWork, queue: Queue, age: timedelta, mean_core_ms: float
+) -> tuple[float, ...]:
     """Return the rank of a job among the waiting; the lowest goes first.
 
-    Urgent queues first; within a queue jobs that have started are finished
-    before others begin, oldest first.
+    Parameters
+    ----------
+    work
+        What the job has left.
+    queue
+        Its queue.
+    age
+        Since it was handed in.
+    mean_core_ms
+        The mean work of a job of this queue.
     """
-    return (queue.priority, not job.started, job.order)
+    value = BASE_VALUE + (1 - BASE_VALUE) * work.whole_core_ms / max(mean_core_ms, 1)
+    density = value / max(work.core_ms, 1)
+    return (queue.priority, find_outlook(work, queue, age), -density)
--- a/src/rhubarbfield/scheduling/placing.py
+++ b/src/rhubarbfield/scheduling/placing.py
@@ -11,15 +11,16 @@
 import msgspec
 
 from rhubarbfield.scheduling.commands import RunStart
+from rhubarbfield.scheduling.interference import Exposure, Interference
 from rhubarbfield.scheduling.model import (
     Demand,
+    ImageName,
     Queue,
     RunNumber,
     Step,
     TaskName,
     name_task,
 )
-from rhubarbfield.scheduling.ordering import rank_job
 from rhubarbfield.scheduling.state import (
     Job,
     SchedulingState,
@@ -29,6 +30,9 @@
 )
 from rhubarbfield.types import ServiceName, WorkerId
 
+MIN_SPARE_SHARE = 0.7  # with less of its cores a task lasts half as long again
+MIN_MARGIN = 0.35  # of the log latency: a tail at 70% of its goal
+SERVING_USE = 0.8  # of their reserved cores, that standing tasks were seen to use
 MAX_STARTS_A_ROUND = 256  # keeps a command below the size of one log entry
 
 
@@ -42,9 +46,11 @@
     free
         Capacity that is not reserved.
     spare_millicores
-        Unreserved processor that no task of spare cores wants yet.
-    serving
+        Processor that nothing is expected to use.
+    exposures
         Standing tasks with a tail goal on it.
+    shares
+        Share of its processors that each image of spare cores wants.
     filling
         Tasks of spare cores on it.
     tasks
@@ -58,7 +64,8 @@
     worker: Worker
     free: Demand
     spare_millicores: int
-    serving: int = 0
+    exposures: list[Exposure] = msgspec.field(default_factory=list)
+    shares: dict[ImageName, float] = msgspec.field(default_factory=dict)
     filling: int = 0
     tasks: int = 0
     limit: int = 1_000_000
@@ -68,11 +75,18 @@
         """Count a task of ``step`` on this worker."""
         self.free = self.free.minus(step.reserved)
         self.tasks += 1
-        self.spare_millicores -= step.demand.millicores
+        cores = step.demand.millicores
         if step.uses_spare_cores:
             self.filling += 1
-        if step.tail_goal_ms:
-            self.serving += 1
+            self.shares[step.image] = self.shares.get(step.image, 0.0) + (
+                cores / max(self.worker.capacity.millicores, 1)
+            )
+        self.spare_millicores -= int(cores * (SERVING_USE if step.standing else 1))
+
+    def add_share(self, step: Step) -> dict[ImageName, float]:
+        """Return the shares with one more task of ``step``."""
+        share = step.demand.millicores / max(self.worker.capacity.millicores, 1)
+        return {**self.shares, step.image: self.shares.get(step.image, 0.0) + share}
 
 
 class WaitingStep(msgspec.Struct, frozen=True):
@@ -105,6 +119,10 @@
         The workers that may take work.
     avoided
         Workers on which a task has failed already, by task.
+    interference
+        What tasks do to their neighbours.
+    rank
+        Returns the rank of a job; the lowest goes first.
     """
 
     def __init__(
@@ -112,9 +130,13 @@
         state: SchedulingState,
         rooms: Mapping[WorkerId, WorkerRoom],
         avoided: Mapping[TaskName, set[WorkerId]],
+        interference: Interference,
+        rank: Callable[[Job, Queue], tuple[float, ...]],
     ) -> None:
         self._state = state
         self._avoided = avoided
+        self._interference = interference
+        self._rank = rank
         self._starts: list[RunStart] = []
         self._by_service: dict[ServiceName, list[WorkerRoom]] = {}
         for room in rooms.values():
@@ -122,7 +144,10 @@
 
     def choose(self) -> tuple[RunStart, ...]:
         """Return the runs to start, the most urgent first."""
-        for waiting in sorted(iterate_waiting(self._state), key=_rank):
+        for waiting in sorted(
+            iterate_waiting(self._state),
+            key=lambda each: self._rank(each.job, each.queue),
+        ):
             if len(self._starts) >= MAX_STARTS_A_ROUND:
                 break
             if waiting.step.gang:
@@ -196,13 +221,43 @@
                 continue
             if step.max_per_worker and used.get(worker, 0) >= step.max_per_worker:
                 continue
-            if step.uses_spare_cores and room.spare_millicores <= 0:
+            if not self._admits(step, room):
                 continue
-            cost = (worker in avoided, *rate_room(step, room))
+            cost = (worker in avoided, *self._rate(step, room))
             if best is None or cost < best_cost:
                 best, best_cost = room, cost
         return best
 
+    def _admits(self, step: Step, room: WorkerRoom) -> bool:
+        """Say whether a worker may take a task, apart from its capacity."""
+        if not step.uses_spare_cores:
+            return True
+        wanted = step.demand.millicores * MIN_SPARE_SHARE
+        if room.spare_millicores < wanted:
+            return False
+        margin = self._interference.find_worst_margin(
+            room.exposures, room.add_share(step)
+        )
+        return margin >= MIN_MARGIN
+
+    def _rate(self, step: Step, room: WorkerRoom) -> tuple[float, ...]:
+        """Return how badly a worker suits a task; the lowest is best.
+
+        Standing tasks with tail goals are packed on few workers, so that
+        others stay free for tasks of spare cores.
+        """
+        is_far = step.preferred_rack != "" and (
+            step.preferred_rack not in room.worker.labels
+        )
+        capacity = max(room.worker.capacity.millicores, 1)
+        load = 1 - room.spare_millicores / capacity
+        serves = bool(room.exposures)
+        if step.tail_goal_ms:
+            return (is_far, room.filling, room.failures, not serves, -load)
+        if step.uses_spare_cores:
+            return (is_far, room.failures, load)
+        return (is_far, room.failures, not serves, load)
+
     def _take(
         self,
         name: TaskName,
@@ -217,24 +272,6 @@
         self._starts.append(RunStart(name, RunNumber(task.last_run + 1), worker))
 
 
-def rate_room(step: Step, room: WorkerRoom) -> tuple[float, ...]:
-    """Return how badly a worker suits a task; the lowest is best.
-
-    Tasks that serve and tasks of spare cores are kept apart while there is
-    another place, since the latter disturb the former.
-    """
-    conflict = 0
-    if step.uses_spare_cores:
-        conflict = room.serving
-    elif step.tail_goal_ms:
-        conflict = room.filling
-    is_far = step.preferred_rack != "" and (
-        step.preferred_rack not in room.worker.labels
-    )
-    load = 1 - room.spare_millicores / max(room.worker.capacity.millicores, 1)
-    return (is_far, conflict, room.failures, load)
-
-
 def measure_rooms(
     state: SchedulingState, is_usable: Callable[[Worker], bool]
 ) -> dict[WorkerId, WorkerRoom]:
@@ -265,10 +302,6 @@
                     yield WaitingStep(job, queue, occurrence, number)
 
 
-def _rank(waiting: WaitingStep) -> tuple[float, ...]:
-    return rank_job(waiting.job, waiting.queue)
-
-
 def _count_live(tasks: list[Task]) -> dict[WorkerId, int]:
     counts: dict[WorkerId, int] = {}
     for task in tasks:
--- a/src/rhubarbfield/scheduling/session.py
+++ b/src/rhubarbfield/scheduling/session.py
@@ -105,6 +105,9 @@
     def note_view(self, worker: WorkerId) -> None:
         """Learn that the worker has just been seen."""
 
+    def has_to_watch_closely(self, worker: Worker) -> bool:
+        """Return whether tasks there are harmed by their neighbours at once."""
+
 
 class WorkerSession:
     """A leader's dealings with one worker, from its first report to its end.
@@ -384,6 +387,9 @@
     def _choose_patience(self) -> timedelta:
         if self._silent_since is not None or self._reading is None:
             return timedelta()
+        worker = self._host.find_worker(self.worker)
+        if worker is not None and self._host.has_to_watch_closely(worker):
+            return self._settings.watch_patience
         return self._settings.view_patience
 
     async def _take_view(
--- a/src/rhubarbfield/scheduling/settings.py
+++ b/src/rhubarbfield/scheduling/settings.py
@@ -49,8 +49,8 @@
     order_timeout: timedelta = timedelta(milliseconds=700)
     order_attempts: int = 3
     view_patience: timedelta = timedelta(milliseconds=1500)
-    view_pause: timedelta = timedelta(milliseconds=100)
-    watch_patience: timedelta = timedelta(milliseconds=700)
+    view_pause: timedelta = timedelta(milliseconds=150)
+    watch_patience: timedelta = timedelta(milliseconds=500)
     silence_limit: timedelta = timedelta(milliseconds=2500)
     distrust_after: int = 2
     distrust_for: timedelta = timedelta(seconds=6)
