--- a/src/rhubarbfield/platform/control.py
+++ b/src/rhubarbfield/platform/control.py
@@ -10,7 +10,7 @@
 from quart_trio import QuartTrio
 from returns.result import Failure, Success
 
-from rhubarbfield.groups import NotLeading
+from rhubarbfield.groups import NotLeading, Unavailable
 from rhubarbfield.platform.wire import decode_configuration, decode_heartbeat
 from rhubarbfield.scheduling.model import QueueConfiguration
 from rhubarbfield.scheduling.service import Accepted, SchedulingService, VersionConflict
@@ -22,8 +22,8 @@
 MAX_BODY_BYTES = 4 * 1024 * 1024
 
 
-def create_control_app(service: SchedulingService, control_port: int) -> Quart:
-    """Return the app of a controller.
+class ControlInterface:
+    """Answers runners and the operator on behalf of one controller.
 
     Parameters
     ----------
@@ -32,72 +32,105 @@
     control_port
         The port of this interface on every controller.
     """
-    app = QuartTrio(__name__)
-    app.config["MAX_CONTENT_LENGTH"] = MAX_BODY_BYTES
-
-    def redirect(leader: InstanceName | None) -> Response:
-        if leader is None:
-            return _make_json(HTTPStatus.SERVICE_UNAVAILABLE, {"Error": "no leader"})
-        response = _make_json(HTTPStatus.TEMPORARY_REDIRECT, {})
-        response.headers["Location"] = f"http://{leader}:{control_port}{request.path}"
-        return response
 
-    @app.put("/instances/<worker>")
-    async def take_heartbeat(worker: str) -> Response:
-        if not service.leads():
-            return redirect(service.leader_hint)
+    def __init__(self, service: SchedulingService, control_port: int) -> None:
+        self._service = service
+        self._control_port = control_port
+
+    def register(self, app: Quart) -> None:
+        """Add the calls to an app."""
+        app.add_url_rule(
+            "/instances/<worker>", view_func=self.take_heartbeat, methods=["PUT"]
+        )
+        app.add_url_rule(
+            "/instances/<worker>", view_func=self.take_leave, methods=["DELETE"]
+        )
+        app.add_url_rule("/config", view_func=self.put_configuration, methods=["PUT"])
+        app.add_url_rule("/config", view_func=self.get_configuration, methods=["GET"])
+
+    async def take_heartbeat(self, worker: str) -> Response:
+        """Take in a runner's report about itself."""
+        if not self._service.leads():
+            return self._redirect(self._service.leader_hint)
         match decode_heartbeat(worker, await _read_body()):
             case Success(beat):
-                taken = await service.take_report(beat.report, beat.clock)
+                taken = await self._service.take_report(beat)
+                return self._confirm(taken)
             case Failure(complaint):
                 logger.warning(
                     "heartbeat-refused worker=%s reason=%s", worker, complaint
                 )
                 return _make_json(HTTPStatus.BAD_REQUEST, {"Error": complaint})
-        if isinstance(taken, NotLeading):
-            return redirect(taken.leader)
-        if not taken:
-            return _make_json(HTTPStatus.SERVICE_UNAVAILABLE, {"Error": "not recorded"})
-        return _make_json(HTTPStatus.OK, {})
+        raise AssertionError
 
-    @app.delete("/instances/<worker>")
-    async def take_leave(worker: str) -> Response:
-        taken = await service.forget_worker(WorkerId(worker))
-        if isinstance(taken, NotLeading):
-            return redirect(taken.leader)
-        return _make_json(HTTPStatus.OK, {})
+    async def take_leave(self, worker: str) -> Response:
+        """Take in that a runner ends."""
+        return self._confirm(await self._service.forget_worker(WorkerId(worker)))
 
-    @app.put("/config")
-    async def put_configuration() -> Response:
-        if not service.leads():
-            return redirect(service.leader_hint)
+    async def put_configuration(self) -> Response:
+        """Put a configuration in force."""
+        if not self._service.leads():
+            return self._redirect(self._service.leader_hint)
         match decode_configuration(await _read_body()):
             case Success(configuration):
-                return await _put(configuration)
+                return self._answer_operator(
+                    await self._service.put_configuration(configuration)
+                )
             case Failure(complaint):
                 logger.warning("configuration-refused reason=%s", complaint)
                 return _make_json(HTTPStatus.BAD_REQUEST, {"Error": complaint})
         raise AssertionError
 
-    async def _put(configuration: QueueConfiguration) -> Response:
-        match await service.put_configuration(configuration):
+    async def get_configuration(self) -> Response:
+        """Return the configuration in force."""
+        match self._service.read_configuration():
+            case NotLeading(leader=leader):
+                return self._redirect(leader)
+            case QueueConfiguration(document=document):
+                return Response(document, content_type=JSON_TYPE)
+        return _make_json(HTTPStatus.SERVICE_UNAVAILABLE, {"Error": "none accepted"})
+
+    def _answer_operator(
+        self, reply: Accepted | VersionConflict | NotLeading | Unavailable
+    ) -> Response:
+        match reply:
             case Accepted():
                 return _make_json(HTTPStatus.OK, {})
             case VersionConflict(reason=reason):
                 return _make_json(HTTPStatus.CONFLICT, {"Error": reason})
             case NotLeading(leader=leader):
-                return redirect(leader)
+                return self._redirect(leader)
         return _make_json(HTTPStatus.SERVICE_UNAVAILABLE, {"Error": "undecided"})
 
-    @app.get("/config")
-    async def get_configuration() -> Response:
-        match service.read_configuration():
-            case NotLeading(leader=leader):
-                return redirect(leader)
-            case QueueConfiguration(document=document):
-                return Response(document, content_type=JSON_TYPE)
-        return _make_json(HTTPStatus.SERVICE_UNAVAILABLE, {"Error": "none accepted"})
+    def _confirm(self, taken: bool | NotLeading) -> Response:
+        if isinstance(taken, NotLeading):
+            return self._redirect(taken.leader)
+        if not taken:
+            return _make_json(HTTPStatus.SERVICE_UNAVAILABLE, {"Error": "not recorded"})
+        return _make_json(HTTPStatus.OK, {})
+
+    def _redirect(self, leader: InstanceName | None) -> Response:
+        if leader is None:
+            return _make_json(HTTPStatus.SERVICE_UNAVAILABLE, {"Error": "no leader"})
+        response = _make_json(HTTPStatus.TEMPORARY_REDIRECT, {})
+        place = f"http://{leader}:{self._control_port}{request.path}"
+        response.headers["Location"] = place
+        return response
+
 
+def create_control_app(service: SchedulingService, control_port: int) -> Quart:
+    """Return the app of a controller.
+
+    Parameters
+    ----------
+    service
+        What answers.
+    control_port
+        The port of this interface on every controller.
+    """
+    app = QuartTrio(__name__)
+    app.config["MAX_CONTENT_LENGTH"] = MAX_BODY_BYTES
+    ControlInterface(service, control_port).register(app)
     return app
 
 
--- a/src/rhubarbfield/platform/ingress.py
+++ b/src/rhubarbfield/platform/ingress.py
@@ -11,6 +11,7 @@
 from quart_trio import QuartTrio
 from returns.result import Failure, Success
 
+from rhubarbfield.platform.wire import decode_job
 from rhubarbfield.scheduling.gateway import Gateway, Undecided
 from rhubarbfield.scheduling.model import JobSubmission
 from rhubarbfield.scheduling.service import (
@@ -22,7 +23,6 @@
     JobVerb,
     NoSuchJob,
     NoSuchQueue,
-    NotConfigured,
     WaitingJobs,
 )
 
@@ -64,8 +64,6 @@
     verb = VERBS[request.method]
     submission: JobSubmission | None = None
     if verb is JobVerb.SUBMIT:
-        from rhubarbfield.platform.wire import decode_job
-
         body = await request.get_data(as_text=False)
         match decode_job(body if isinstance(body, bytes) else body.encode()):
             case Success(job):
@@ -83,31 +81,37 @@
 
 def make_response(verb: JobVerb, reply: JobReply | Undecided) -> Response:
     """Return what clients are told of a reply."""
+    if isinstance(reply, Undecided):
+        # A client may take 503 as proof that its job never runs.
+        is_open = reply.in_doubt and verb is JobVerb.SUBMIT
+        status = (
+            HTTPStatus.GATEWAY_TIMEOUT if is_open else HTTPStatus.SERVICE_UNAVAILABLE
+        )
+        return _make_retry(status, reply.retry_after)
+    known = _describe_reply(reply)
+    if known is None:
+        return _make_retry(HTTPStatus.SERVICE_UNAVAILABLE, RETRY_SOON)
+    return _make_json(*known)
+
+
+def _describe_reply(reply: JobReply) -> tuple[HTTPStatus, dict[str, object]] | None:
+    """Return status and content of a reply that is final, else None."""
     match reply:
         case Accepted():
-            return _make_json(HTTPStatus.OK, {})
+            described: tuple[HTTPStatus, dict[str, object]] = (HTTPStatus.OK, {})
         case JobStatus(phase=phase):
-            return _make_json(HTTPStatus.OK, {"State": phase.value})
+            described = (HTTPStatus.OK, {"State": phase.value})
         case WaitingJobs(count=count):
-            return _make_json(HTTPStatus.OK, {"WaitingCount": count})
+            described = (HTTPStatus.OK, {"WaitingCount": count})
         case NoSuchQueue():
-            return _make_json(HTTPStatus.NOT_FOUND, {"Error": "no such queue"})
+            described = (HTTPStatus.NOT_FOUND, {"Error": "no such queue"})
         case NoSuchJob():
-            return _make_json(HTTPStatus.GONE, {"Error": "no such job"})
+            described = (HTTPStatus.GONE, {"Error": "no such job"})
         case BadJob(reason=reason):
-            return _make_json(HTTPStatus.BAD_REQUEST, {"Error": reason})
-        case NotConfigured():
-            return _make_retry(HTTPStatus.SERVICE_UNAVAILABLE, RETRY_SOON)
-        case Undecided(in_doubt=in_doubt, retry_after=retry_after):
-            # A client may take 503 as proof that its job never runs.
-            is_open = in_doubt and verb is JobVerb.SUBMIT
-            status = (
-                HTTPStatus.GATEWAY_TIMEOUT
-                if is_open
-                else HTTPStatus.SERVICE_UNAVAILABLE
-            )
-            return _make_retry(status, retry_after)
-    return _make_retry(HTTPStatus.SERVICE_UNAVAILABLE, RETRY_SOON)
+            described = (HTTPStatus.BAD_REQUEST, {"Error": reason})
+        case _:
+            return None
+    return described
 
 
 def _read_deadline() -> timedelta:
--- a/src/rhubarbfield/platform/wire.py
+++ b/src/rhubarbfield/platform/wire.py
@@ -9,6 +9,7 @@
 from returns.result import Failure, Result, Success
 
 from rhubarbfield.scheduling.commands import WorkerReport
+from rhubarbfield.scheduling.leader import Heartbeat
 from rhubarbfield.scheduling.model import (
     CheckpointToken,
     Demand,
@@ -275,14 +276,6 @@
     )
 
 
-class Heartbeat(msgspec.Struct, frozen=True):
-    """A report, its place among the worker's reports, and the worker's clock."""
-
-    report: WorkerReport
-    sequence: int
-    clock: timedelta | None
-
-
 def decode_heartbeat(worker: str, body: bytes) -> Result[Heartbeat, str]:
     """Read a heartbeat; the failure says what is wrong with it."""
     try:
@@ -305,8 +298,18 @@
         labels=tuple(Label(label) for label in wire.labels),
         draining=draining,
     )
-    clock = None if wire.clock_ms is None else wire.clock_ms * MILLISECOND
-    return Success(Heartbeat(report, wire.sequence, clock))
+    return Success(
+        Heartbeat(
+            report=report,
+            sequence=wire.sequence,
+            clock=_to_duration(wire.clock_ms),
+            remaining=_to_duration(wire.remaining_ms),
+        )
+    )
+
+
+def _to_duration(milliseconds: int | None) -> timedelta | None:
+    return None if milliseconds is None else milliseconds * MILLISECOND
 
 
 def _read_active(row: tuple[Any, ...]) -> ActiveRun:
--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from datetime import timedelta
 
+import msgspec
 import trio
 from returns.result import Success
 
@@ -31,7 +32,13 @@
 from rhubarbfield.scheduling.interference import Interference
 from rhubarbfield.scheduling.model import CheckpointToken, Queue, TaskName
 from rhubarbfield.scheduling.neighbours import Neighbours
-from rhubarbfield.scheduling.placing import Placer, measure_rooms
+from rhubarbfield.scheduling.placing import (
+    Placer,
+    WaitingStep,
+    WorkerRoom,
+    may_hold,
+    measure_rooms,
+)
 from rhubarbfield.scheduling.ports import WorkerAddress, WorkerCalls
 from rhubarbfield.scheduling.session import RunKey, Start, WorkerSession
 from rhubarbfield.scheduling.settings import SchedulingSettings
@@ -53,6 +60,27 @@
 MILLISECOND = timedelta(milliseconds=1)
 
 
+class Heartbeat(msgspec.Struct, frozen=True):
+    """What a worker sends from time to time.
+
+    Attributes
+    ----------
+    report
+        What it says of itself.
+    sequence
+        Grows with each heartbeat of this life.
+    clock
+        Its own clock, if it told.
+    remaining
+        At least so long it goes on, if it is draining and told.
+    """
+
+    report: WorkerReport
+    sequence: int
+    clock: timedelta | None = None
+    remaining: timedelta | None = None
+
+
 class Batcher:
     """Joins what several tasks want to record into one proposal.
 
@@ -127,6 +155,7 @@
         leadership = log.replica.leadership
         self._term = leadership.term if leadership is not None else Term(0)
         self._reported_clocks: dict[WorkerId, timedelta] = {}
+        self._sequences: dict[WorkerId, int] = {}
 
     @property
     def state(self) -> SchedulingState:
@@ -183,13 +212,25 @@
 
     # What others ask of the leader.
 
-    async def take_report(self, report: WorkerReport, clock: timedelta | None) -> bool:
-        """Take in what a worker says of itself; return whether it is recorded."""
+    async def take_report(self, beat: Heartbeat) -> bool:
+        """Take in what a worker says of itself; return whether it is recorded.
+
+        One that was overtaken by a later one changes nothing.
+        """
+        report, clock = beat.report, beat.clock
+        if beat.sequence <= self._sequences.get(report.worker, -1):
+            return report.worker in self.state.workers
         if clock is not None:
             self._reported_clocks[report.worker] = clock
         session = self._sessions.get(report.worker)
         if session is not None:
             session.note_report(clock)
+        if not await self._record_report(report):
+            return False
+        self._sequences[report.worker] = beat.sequence
+        return True
+
+    async def _record_report(self, report: WorkerReport) -> bool:
         if _is_known(self.state, report):
             return True
         self._wake_former_lives(report)
@@ -210,7 +251,7 @@
         """Take in that a worker ends; return whether it is recorded."""
         session = self._sessions.get(worker)
         if session is not None:
-            session.wake()
+            session.note_leave()
         return True
 
     def _wake_former_lives(self, report: WorkerReport) -> None:
@@ -272,6 +313,7 @@
         self._trust.forget(worker)
         self._neighbours.forget(worker)
         self._reported_clocks.pop(worker, None)
+        self._sequences.pop(worker, None)
 
     async def _place_work(self) -> None:
         while True:
@@ -280,8 +322,10 @@
             if self.get_term() is None:
                 continue
             self._stop_unwanted()
+            self._evacuate()
             await self._open_due()
             await self._forget_old()
+            await self._forget_silent()
             await self._start_some()
             await self._clock.sleep(ROUND_PAUSE)
 
@@ -359,6 +403,53 @@
         job, _, _, task = found
         return not job.is_open or task.phase in (TaskPhase.DONE, TaskPhase.FAILED)
 
+    def _evacuate(self) -> None:
+        """Stop standing tasks on workers that leave, while there is other room."""
+        rooms = measure_rooms(self.state, self._is_usable)
+        for worker in self.state.workers.values():
+            session = self._sessions.get(worker.worker)
+            if session is None or not worker.draining:
+                continue
+            for name, run in worker.runs.items():
+                key = RunKey(name, run)
+                if not session.is_stopping(key) and self._has_place(name, rooms):
+                    log_event(
+                        logger,
+                        logging.INFO,
+                        "run-evacuated",
+                        task=name,
+                        run=run,
+                        worker=worker.worker,
+                    )
+                    session.stop(key)
+
+    def _has_place(self, name: TaskName, rooms: dict[WorkerId, WorkerRoom]) -> bool:
+        """Take a place for a standing task on another worker, if there is one."""
+        found = self.state.find_task(name)
+        if found is None:
+            return False
+        job, occurrence, number, _ = found
+        step = job.get_step(number)
+        queue = self.state.find_queue(job.queue)
+        if queue is None or not step.standing:
+            return False
+        waiting = WaitingStep(job, queue, occurrence, number)
+        for room in rooms.values():
+            if may_hold(waiting, room):
+                room.take(step)
+                return True
+        return False
+
+    async def _forget_silent(self) -> None:
+        """Drop workers without runs that have not been heard for long."""
+        now = self._clock.monotonic()
+        for worker in list(self.state.workers.values()):
+            session = self._sessions.get(worker.worker)
+            if session is None or worker.runs:
+                continue
+            if now - session.heard_at > self._settings.forget_silent:
+                await self.remove_worker(worker.worker, {})
+
     async def _open_due(self) -> None:
         now_ms = self._clock.now().timestamp() * 1000
         due = [
--- a/src/rhubarbfield/scheduling/placing.py
+++ b/src/rhubarbfield/scheduling/placing.py
@@ -272,6 +272,21 @@
         self._starts.append(RunStart(name, RunNumber(task.last_run + 1), worker))
 
 
+def may_hold(waiting: WaitingStep, room: WorkerRoom) -> bool:
+    """Say whether a worker has the label and the room for a task of a step."""
+    step = waiting.step
+    worker = room.worker
+    if worker.service != waiting.queue.service or room.tasks >= room.limit:
+        return False
+    if step.required_label and step.required_label not in worker.labels:
+        return False
+    if step.max_per_worker:
+        live = _count_live(waiting.tasks).get(worker.worker, 0)
+        if live >= step.max_per_worker:
+            return False
+    return step.reserved.fits(room.free)
+
+
 def measure_rooms(
     state: SchedulingState, is_usable: Callable[[Worker], bool]
 ) -> dict[WorkerId, WorkerRoom]:
--- a/src/rhubarbfield/scheduling/service.py
+++ b/src/rhubarbfield/scheduling/service.py
@@ -5,7 +5,6 @@
 import logging
 import re
 from collections.abc import Callable
-from datetime import timedelta
 from enum import StrEnum
 
 import msgspec
@@ -20,9 +19,8 @@
     AcceptJob,
     CancelJob,
     PutConfiguration,
-    WorkerReport,
 )
-from rhubarbfield.scheduling.leader import SchedulingLeader
+from rhubarbfield.scheduling.leader import Heartbeat, SchedulingLeader
 from rhubarbfield.scheduling.model import (
     JobSubmission,
     Queue,
@@ -163,7 +161,9 @@
         """Return whether this controller decides at this moment."""
         return self._log.leads()
 
-    async def answer(self, request: JobRequest | AreYouLeading) -> JobReply:
+    async def answer(  # noqa: PLR0911 (one return for each answer)
+        self, request: JobRequest | AreYouLeading
+    ) -> JobReply:
         """Answer a caller's request."""
         if not self._log.leads():
             return NotLeading(self.leader_hint)
@@ -179,8 +179,14 @@
             return WaitingJobs(self._count_waiting(queue.name))
         if _JOB_ID.fullmatch(rest) is None:
             return BadJob(f"{rest[:LONGEST_JOB_ID]!r} is no job id")
-        job = JobId(rest)
-        if request.verb is JobVerb.SUBMIT and request.submission is not None:
+        return await self._answer_for_job(JobId(rest), queue, request)
+
+    async def _answer_for_job(
+        self, job: JobId, queue: Queue, request: JobRequest
+    ) -> JobReply:
+        if request.verb is JobVerb.SUBMIT:
+            if request.submission is None:
+                return BadJob("the job is missing")
             return await self._submit(job, queue, request.submission)
         if request.verb is JobVerb.CANCEL:
             return await self._cancel(job)
@@ -214,14 +220,12 @@
             return NotLeading(self.leader_hint)
         return self._state.configuration or NotConfigured()
 
-    async def take_report(
-        self, report: WorkerReport, clock: timedelta | None
-    ) -> bool | NotLeading:
+    async def take_report(self, beat: Heartbeat) -> bool | NotLeading:
         """Take in a worker's report; return whether it is recorded."""
         leader = self._get_leader()
         if leader is None or not self._log.leads():
             return NotLeading(self.leader_hint)
-        return await leader.take_report(report, clock)
+        return await leader.take_report(beat)
 
     async def forget_worker(self, worker: WorkerId) -> bool | NotLeading:
         """Take in that a worker ends; return whether it is recorded."""
--- a/src/rhubarbfield/scheduling/session.py
+++ b/src/rhubarbfield/scheduling/session.py
@@ -41,6 +41,7 @@
 logger = logging.getLogger(__name__)
 
 LATENCY_SLACK = timedelta(milliseconds=200)  # an order on its way when power goes
+LEAVE_SILENCE = timedelta(seconds=3)  # a worker that got no reply ends by then
 RETRY_PAUSE = timedelta(milliseconds=250)  # between two tries of a silent worker
 DEPOSED_PAUSE = timedelta(seconds=1)  # until the lease of a deposed leader is over
 ROOM_PAUSE = timedelta(milliseconds=400)  # a view shows the real room by then
@@ -156,6 +157,7 @@
         self._rejects_until = timedelta()
         self._acknowledged = 0
         self._reported_at = opened
+        self._left_at: timedelta | None = None
         self.active: dict[TaskName, ActiveRun] = {}
         self.viewed_at: timedelta | None = None
 
@@ -170,10 +172,17 @@
         now = self._clock.monotonic()
         if self._reading is None or now < self._rejects_until:
             return False
-        heard_at = max(self._reported_at, self._reading[1])
-        is_recent = now - heard_at <= self._settings.silence_limit
+        is_recent = now - self.heard_at <= self._settings.silence_limit
+        if self._left_at is not None:
+            return False
         return self._silent_since is None and is_recent
 
+    @property
+    def heard_at(self) -> timedelta:
+        """When the worker was last heard, by a report or a reply."""
+        replied_at = self._reading[1] if self._reading is not None else timedelta()
+        return max(self._reported_at, replied_at)
+
     def note_report(self, worker_clock: timedelta | None) -> None:
         """Learn that the worker reported itself; the report may be late."""
         self._reported_at = self._clock.monotonic()
@@ -209,6 +218,12 @@
         """Say whether a run has been told to stop."""
         return key in self._stopping
 
+    def note_leave(self) -> None:
+        """Learn that the worker said it ends."""
+        if self._left_at is None:
+            self._left_at = self._clock.monotonic()
+        self._watched.set()
+
     def wake(self) -> None:
         """Look at the worker now."""
         self._watched.set()
@@ -353,6 +368,8 @@
         worker = self._host.find_worker(self.worker)
         if worker is None:
             return False
+        if self._left_at is not None:
+            return True
         return bool(worker.runs) or worker.recorded_ends > self._acknowledged
 
     async def _view_once(self) -> None:
@@ -363,7 +380,7 @@
         known = dict(worker.runs)
         recorded_ends = worker.recorded_ends
         settled = {key for key, at in self._starts.items() if at is StartState.SETTLED}
-        lease_end = self._extend_lease() if self._reading is not None else None
+        lease_end = self._extend_lease() if self._may_extend() else None
         result = await self._calls.view(
             self.address,
             recorded_ends=recorded_ends,
@@ -463,8 +480,12 @@
         await self._host.remove_worker(self.worker, self._list_checkpoints())
 
     async def _check_lapse(self) -> None:
-        """Record runs as lost once the worker's lease has surely lapsed."""
-        if self._clock.monotonic() < self._lapses_at:
+        """Record runs as lost once they have surely ended."""
+        now = self._clock.monotonic()
+        if self._has_left(now):
+            await self._end_life()
+            return
+        if now < self._lapses_at:
             return
         worker = self._host.find_worker(self.worker)
         if worker is None or not worker.runs:
@@ -479,11 +500,25 @@
             self._forget_run(RunKey(end.task, end.run))
         await self._host.record_ends(WorkerEnds(self.worker, ends))
 
+    def _has_left(self, now: timedelta) -> bool:
+        """Say whether a worker that said it ends has been silent ever since."""
+        if self._left_at is None or self._silent_since is None:
+            return False
+        return now - max(self._left_at, self._silent_since) > LEAVE_SILENCE
+
     def _list_checkpoints(self) -> dict[TaskName, CheckpointToken]:
         return {
             task: run.checkpoint for task, run in self.active.items() if run.checkpoint
         }
 
+    def _may_extend(self) -> bool:
+        """Say whether a view should extend the lease.
+
+        An unanswered order may have extended it all the same: asked again and
+        again, a silent worker would never be known to have lapsed.
+        """
+        return self._reading is not None and self._silent_since is None
+
     def _extend_lease(self) -> timedelta:
         """Return a new lease end on the worker's clock, and count on it."""
         assert self._reading is not None
--- a/src/rhubarbfield/scheduling/settings.py
+++ b/src/rhubarbfield/scheduling/settings.py
@@ -41,6 +41,8 @@
         For how long.
     remember_ended
         How long ended jobs can be asked for.
+    forget_silent
+        How long a worker that runs nothing may be silent before it is dropped.
     """
 
     lease: timedelta = timedelta(seconds=6)
@@ -55,3 +57,4 @@
     distrust_after: int = 2
     distrust_for: timedelta = timedelta(seconds=6)
     remember_ended: timedelta = timedelta(seconds=300)
+    forget_silent: timedelta = timedelta(seconds=30)
--- /dev/null
+++ b/src/rhubarbfield/testing/calledworkers.py
@@ -0,0 +1,327 @@
+"""Stand-in workers that a leader calls, in one process, on any clock.
+
+They keep the contract of the port: fencing tokens, leases on a clock of their
+own, ends listed until acknowledged. Told to, they misbehave.
+"""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+import msgspec
+import trio
+from returns.result import Failure, Result, Success
+
+from rhubarbfield.clock import Clock
+from rhubarbfield.scheduling.commands import WorkerReport
+from rhubarbfield.scheduling.leader import Heartbeat
+from rhubarbfield.scheduling.model import (
+    NO_CHECKPOINT,
+    CheckpointToken,
+    Demand,
+    Label,
+    MachineName,
+    RunNumber,
+    TaskName,
+)
+from rhubarbfield.scheduling.ports import (
+    ActiveRun,
+    CallFailure,
+    ListedEnd,
+    NoReply,
+    OtherLife,
+    Refusal,
+    Refused,
+    StartOrder,
+    WorkerAddress,
+    WorkerView,
+)
+from rhubarbfield.scheduling.state import RunEnd
+from rhubarbfield.types import ServiceName, Term, WorkerId
+
+CALL_TIME = timedelta(milliseconds=2)
+SILENCE = timedelta(milliseconds=700)
+LIST_LIMIT = 500
+CAPACITY = Demand(8000, 32000)
+
+
+class StandInRun(msgspec.Struct):
+    """A run that is present.
+
+    Attributes
+    ----------
+    ends_at
+        When it ends by itself, on the worker's clock; None for never.
+    end
+        How.
+    measure
+        What the worker reports of it.
+    percent
+        Its pace.
+    """
+
+    run: RunNumber
+    ends_at: timedelta | None
+    end: RunEnd = RunEnd.DONE
+    measure: float | None = None
+    percent: int = 100
+
+
+class StandInWorker:
+    """One worker.
+
+    Parameters
+    ----------
+    worker
+        The id of this life.
+    clock
+        The time.
+    capacity
+        What it holds; guarded.
+    duration
+        How long each run takes; None for ever.
+    """
+
+    def __init__(
+        self,
+        worker: WorkerId,
+        clock: Clock,
+        *,
+        capacity: Demand = CAPACITY,
+        duration: timedelta | None = timedelta(seconds=1),
+    ) -> None:
+        self.worker = worker
+        self.capacity = capacity
+        self.duration = duration
+        self.end = RunEnd.DONE
+        self.runs: dict[TaskName, StandInRun] = {}
+        self.ends: list[ListedEnd] = []
+        self.lease_end = timedelta()
+        self.term = Term(0)
+        self.is_silent = False
+        self.started: list[tuple[TaskName, RunNumber, timedelta]] = []
+        self.demands: dict[TaskName, Demand] = {}
+        self.unanswered_starts = 0
+        self._ended_runs: dict[TaskName, RunNumber] = {}
+        self._count = 0
+        self._sequence = 0
+        self._clock = clock
+        self._changed = trio.Event()
+
+    @property
+    def address(self) -> str:
+        """Where it is reached."""
+        return f"{self.worker}:1"
+
+    def make_report(self, *, draining: bool = False) -> WorkerReport:
+        """Return what it says of itself."""
+        return WorkerReport(
+            worker=self.worker,
+            machine=MachineName(f"m-{self.worker}"),
+            service=ServiceName("s"),
+            address=self.address,
+            zone="z",
+            capacity=self.capacity,
+            labels=(Label("a"), Label("r1")),
+            draining=draining,
+        )
+
+    def make_heartbeat(self, *, draining: bool = False) -> Heartbeat:
+        """Return its next heartbeat."""
+        self._sequence += 1
+        report = self.make_report(draining=draining)
+        return Heartbeat(report, self._sequence, self.read_clock())
+
+    def read_clock(self) -> timedelta:
+        """Return its own clock."""
+        return self._clock.monotonic() + timedelta(seconds=100)
+
+    def settle(self) -> None:
+        """End what has ended by now, by itself or with the lease."""
+        now = self.read_clock()
+        for task, run in list(self.runs.items()):
+            if run.ends_at is not None and run.ends_at <= min(now, self.lease_end):
+                self._end(task, run.end)
+            elif now >= self.lease_end:
+                self._end(task, RunEnd.LAPSED)
+
+    def start(self, order: StartOrder) -> Result[timedelta, CallFailure]:
+        """Carry out an order to start."""
+        self.settle()
+        refusal = self._find_refusal(order)
+        if order.term >= self.term:
+            self.term = order.term
+            self.lease_end = max(self.lease_end, order.lease_end)
+        if refusal is not None:
+            return Failure(Refused(refusal, self.read_clock()))
+        if order.task not in self.runs:
+            now = self.read_clock()
+            ends_at = None if self.duration is None else now + self.duration
+            self.runs[order.task] = StandInRun(order.run, ends_at, self.end)
+            self.started.append((order.task, order.run, self._clock.monotonic()))
+        return Success(self.read_clock())
+
+    def stop(
+        self, task: TaskName, run: RunNumber, term: Term
+    ) -> Result[timedelta, CallFailure]:
+        """Carry out an order to stop."""
+        self.settle()
+        if term < self.term:
+            return Failure(Refused(Refusal.DEPOSED, self.read_clock()))
+        self._ended_runs[task] = max(self._ended_runs.get(task, run), run)
+        present = self.runs.get(task)
+        if present is not None and present.run <= run:
+            self._end(task, RunEnd.STOPPED)
+        return Success(self.read_clock())
+
+    async def view(
+        self,
+        *,
+        recorded_ends: int,
+        lease_end: timedelta | None,
+        patience: timedelta,
+        term: Term,
+    ) -> Result[WorkerView, CallFailure]:
+        """Answer a view, at the latest after ``patience``."""
+        self.settle()
+        if term < self.term:
+            return Failure(Refused(Refusal.DEPOSED, self.read_clock()))
+        self.term = term
+        if lease_end is not None:
+            self.lease_end = max(self.lease_end, lease_end)
+        self.ends = [end for end in self.ends if end.number > recorded_ends]
+        deadline = self._clock.monotonic() + patience
+        while not self.ends and self._clock.monotonic() < deadline:
+            await self._clock.sleep(timedelta(milliseconds=10))
+            self.settle()
+        active = tuple(
+            ActiveRun(task, run.run, NO_CHECKPOINT, run.percent, run.measure)
+            for task, run in self.runs.items()
+        )
+        listed = tuple(self.ends[:LIST_LIMIT])
+        is_cut = len(self.ends) > LIST_LIMIT
+        return Success(WorkerView(self.read_clock(), active, listed, is_cut))
+
+    def _find_refusal(self, order: StartOrder) -> Refusal | None:
+        present = self.runs.get(order.task)
+        rules = (
+            (order.term < self.term, Refusal.DEPOSED),
+            (order.lease_end <= self.read_clock(), Refusal.EXPIRED),
+            (order.run <= self._ended_runs.get(order.task, 0), Refusal.SUPERSEDED),
+            (present is not None and present.run != order.run, Refusal.SUPERSEDED),
+            (present is None and not self._has_room(order.task), Refusal.NO_ROOM),
+        )
+        return next((refusal for holds, refusal in rules if holds), None)
+
+    def _has_room(self, task: TaskName) -> bool:
+        free = self.capacity
+        for other in self.runs:
+            free = free.minus(self.demands.get(other, Demand()))
+        return self.demands.get(task, Demand()).fits(free)
+
+    def _end(self, task: TaskName, end: RunEnd) -> None:
+        run = self.runs.pop(task)
+        self._ended_runs[task] = run.run
+        self._count += 1
+        self.ends.append(
+            ListedEnd(self._count, task, run.run, end, CheckpointToken("saved"))
+        )
+
+
+class StandInFleet:
+    """Several workers, reached as the port says.
+
+    Parameters
+    ----------
+    clock
+        The time.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self.workers: dict[str, StandInWorker] = {}
+        self.late: list[tuple[StandInWorker, StartOrder]] = []
+
+    def add(self, worker: StandInWorker, address: str | None = None) -> None:
+        """Put a worker at an address, in place of what was there."""
+        self.workers[address or worker.address] = worker
+
+    async def start(
+        self, to: WorkerAddress, order: StartOrder
+    ) -> Result[timedelta, CallFailure]:
+        """Start a run."""
+        found = await self._reach(to)
+        if not isinstance(found, StandInWorker):
+            return Failure(found)
+        if found.unanswered_starts:
+            found.unanswered_starts -= 1
+            self.late.append((found, order))
+            await self._clock.sleep(SILENCE)
+            return Failure(NoReply("no answer in time"))
+        return found.start(order)
+
+    async def stop(
+        self, to: WorkerAddress, task: TaskName, run: RunNumber, term: Term
+    ) -> Result[timedelta, CallFailure]:
+        """Stop a run."""
+        found = await self._reach(to)
+        if not isinstance(found, StandInWorker):
+            return Failure(found)
+        return found.stop(task, run, term)
+
+    async def pace(
+        self,
+        to: WorkerAddress,
+        task: TaskName,
+        run: RunNumber,
+        percent: int,
+        term: Term,
+    ) -> Result[timedelta, CallFailure]:
+        """Let a run work at a share of its speed."""
+        found = await self._reach(to)
+        if not isinstance(found, StandInWorker):
+            return Failure(found)
+        present = found.runs.get(task)
+        if present is not None and present.run == run and term >= found.term:
+            present.percent = percent
+        return Success(found.read_clock())
+
+    async def view(
+        self,
+        to: WorkerAddress,
+        *,
+        recorded_ends: int,
+        lease_end: timedelta | None,
+        patience: timedelta,
+        term: Term,
+    ) -> Result[WorkerView, CallFailure]:
+        """Return what a worker runs."""
+        found = await self._reach(to)
+        if not isinstance(found, StandInWorker):
+            return Failure(found)
+        return await found.view(
+            recorded_ends=recorded_ends,
+            lease_end=lease_end,
+            patience=patience,
+            term=term,
+        )
+
+    async def forget(self, address: str) -> None:
+        """Close nothing: there are no connections."""
+        del address
+
+    def carry_out_late(self) -> None:
+        """Carry out the orders to start that got no answer."""
+        for worker, order in self.late:
+            worker.start(order)
+        self.late.clear()
+
+    async def _reach(self, to: WorkerAddress) -> StandInWorker | CallFailure:
+        await self._clock.sleep(CALL_TIME)
+        found = self.workers.get(to.address)
+        if found is None or found.is_silent:
+            await self._clock.sleep(SILENCE)
+            return NoReply("no answer in time")
+        if found.worker != to.worker:
+            return OtherLife()
+        return found
--- /dev/null
+++ b/tests/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of scheduling on workers that the system calls."""
--- /dev/null
+++ b/tests/scheduling/deployments.py
@@ -0,0 +1,140 @@
+"""A leader with stand-in workers, on a virtual clock."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from datetime import timedelta
+from typing import Any, cast
+
+import msgspec
+import trio
+
+from rhubarbfield.clock import TrioClock
+from rhubarbfield.groups import ReplicatedLog
+from rhubarbfield.replication import Leadership
+from rhubarbfield.scheduling.appliers import (
+    WholeSchedulingState,
+    make_scheduling_machine,
+)
+from rhubarbfield.scheduling.commands import (
+    AcceptJob,
+    CancelJob,
+    PutConfiguration,
+)
+from rhubarbfield.scheduling.leader import SchedulingLeader
+from rhubarbfield.scheduling.model import (
+    Demand,
+    JobSubmission,
+    Queue,
+    QueueConfiguration,
+    QueueName,
+    Step,
+    WorkerService,
+)
+from rhubarbfield.scheduling.settings import SchedulingSettings
+from rhubarbfield.scheduling.state import Job, SchedulingState
+from rhubarbfield.testing.calledworkers import StandInFleet, StandInWorker
+from rhubarbfield.types import JobId, ServiceName, Term, WorkerId
+from tests.controller.solo import SoloReplica, make_solo
+
+QUEUE = Queue(
+    name=QueueName("q"),
+    host="h",
+    prefix="/q/",
+    service=ServiceName("s"),
+    max_attempts=2,
+    slowdown_goal=2.0,
+    latency_goal_ms=1000,
+    timeout_ms=3000,
+)
+CONFIGURATION = QueueConfiguration(
+    version=1,
+    queues=(QUEUE,),
+    services=(WorkerService(name=ServiceName("s"), workers_guard_capacity=True),),
+    document=b"{}",
+)
+ONE_CORE = Demand(1000, 1000)
+FOREVER = timedelta(days=1)
+
+
+class Deployment:
+    """A leader over a solo log, and its workers."""
+
+    def __init__(self, settings: SchedulingSettings | None = None) -> None:
+        self.clock = TrioClock()
+        self.fleet = StandInFleet(self.clock)
+        self.settings = settings or SchedulingSettings()
+        log, self.replica = make_solo(make_scheduling_machine())
+        self.log = cast(ReplicatedLog[WholeSchedulingState], log)
+        self.elect(1)
+        self.reporting: list[StandInWorker] = []
+
+    @property
+    def state(self) -> SchedulingState:
+        return self.log.state.scheduling
+
+    @property
+    def solo(self) -> SoloReplica:
+        return self.replica
+
+    def elect(self, term: int) -> None:
+        self.replica.leadership = Leadership(Term(term), FOREVER)
+
+    def make_leader(self) -> SchedulingLeader:
+        return SchedulingLeader(
+            self.log, calls=self.fleet, clock=self.clock, settings=self.settings
+        )
+
+    def add_worker(self, name: str, **options: Any) -> StandInWorker:
+        worker = StandInWorker(WorkerId(name), self.clock, **options)
+        self.fleet.add(worker)
+        self.reporting.append(worker)
+        return worker
+
+    async def propose(self, command: Any) -> Any:
+        return (await self.log.propose(command)).unwrap()
+
+    async def submit(self, name: str, *steps: Step) -> None:
+        submission = JobSubmission(payload="p", steps=steps)
+        command = AcceptJob(job=JobId(name), queue=QUEUE.name, submission=submission)
+        await self.propose(command)
+
+    async def cancel(self, name: str) -> None:
+        await self.propose(CancelJob(job=JobId(name)))
+
+    def get_job(self, name: str) -> Job:
+        return self.state.jobs[JobId(name)]
+
+    @asynccontextmanager
+    async def lead(self) -> AsyncIterator[SchedulingLeader]:
+        """Lead while the block runs, with workers that report each second."""
+        leader = self.make_leader()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(leader.run)
+            nursery.start_soon(self._report, leader)
+            await trio.sleep(0.1)
+            yield leader
+            nursery.cancel_scope.cancel()
+
+    async def _report(self, leader: SchedulingLeader) -> None:
+        while True:
+            for worker in self.reporting:
+                if not worker.is_silent:
+                    await leader.take_report(worker.make_heartbeat())
+            await trio.sleep(1)
+
+    async def configure(self, **changes: Any) -> None:
+        queue = msgspec.structs.replace(QUEUE, **changes)
+        configuration = msgspec.structs.replace(CONFIGURATION, queues=(queue,))
+        await self.propose(PutConfiguration(configuration=configuration))
+
+
+def count_runs_at_once(deployment: Deployment) -> int:
+    """Return the most workers that run one task now."""
+    counts: dict[str, int] = {}
+    for worker in deployment.fleet.workers.values():
+        worker.settle()
+        for task in worker.runs:
+            counts[task] = counts.get(task, 0) + 1
+    return max(counts.values(), default=0)
