Give batch the cores that serving tasks leave unused; move what harms

Cause of late batch: serving tasks were taken to use 0.8 of their cores, while batch beside them ran at 0.85 of its wish at any density (views dumped in a trial), and paused batch (a third) kept its job waiting. Serving use is now 0.5; what harms is moved where it harms nobody, if it saves its work; a serving task is taken at the worse of its last and its learned tail.

--- a/src/rhubarbfield/scheduling/interference.py
+++ b/src/rhubarbfield/scheduling/interference.py
@@ -87,16 +87,15 @@
     ) -> Exposure:
         """Return the margin that a task would have without its neighbours.
 
-        Its own load moves within seconds, so that its last measurement says
-        more than what was learned of its image.
+        Its own load moves within seconds: the last measurement shows when it
+        is high, and when it is low it will soon be what was learned of it.
         """
+        base = self._model.find_base(ServiceName(task.image), ONLY_BAND)
+        goal = math.log(task.goal_ms / MS_PER_SECOND)
+        own = math.log(ASSUMED_RATIO) if base is None else base - goal
         if task.tail_ms:
             seen = math.log(task.tail_ms / task.goal_ms)
-            own = seen - self.add_up(task.image, shares)
-        else:
-            base = self._model.find_base(ServiceName(task.image), ONLY_BAND)
-            goal = math.log(task.goal_ms / MS_PER_SECOND)
-            own = math.log(ASSUMED_RATIO) if base is None else base - goal
+            own = max(own, seen - self.add_up(task.image, shares))
         return Exposure(task.image, -own)
 
     def add_up(self, serving: ImageName, shares: Mapping[ImageName, float]) -> float:
--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -36,6 +36,7 @@
     Placer,
     WaitingStep,
     WorkerRoom,
+    admits,
     may_hold,
     measure_rooms,
 )
@@ -210,6 +211,23 @@
         """Return whether tasks there are harmed by their neighbours at once."""
         return self._neighbours.has_both(worker)
 
+    def find_other_place(self, task: TaskName, worker: WorkerId) -> bool:
+        """Say whether a task could go on elsewhere without harm, right now."""
+        found = self.state.find_task(task)
+        if found is None:
+            return False
+        job, occurrence, number, _ = found
+        queue = self.state.find_queue(job.queue)
+        if queue is None:
+            return False
+        waiting = WaitingStep(job, queue, occurrence, number)
+        rooms = self._measure_rooms()
+        rooms.pop(worker, None)
+        return any(
+            may_hold(waiting, room) and admits(waiting.step, room, self._interference)
+            for room in rooms.values()
+        )
+
     # What others ask of the leader.
 
     async def take_report(self, beat: Heartbeat) -> bool:
@@ -329,13 +347,17 @@
             await self._start_some()
             await self._clock.sleep(ROUND_PAUSE)
 
-    async def _start_some(self) -> None:
+    def _measure_rooms(self) -> dict[WorkerId, WorkerRoom]:
         rooms = measure_rooms(self.state, self._is_usable)
         for worker, room in rooms.items():
             room.exposures = self._neighbours.list_exposures(room.worker)
             room.failures = self._trust.count_failures(worker)
             if self._trust.is_on_probation(worker):
                 room.limit = 1
+        return rooms
+
+    async def _start_some(self) -> None:
+        rooms = self._measure_rooms()
         placer = Placer(
             self.state, rooms, self._avoided, self._interference, self._rank
         )
@@ -405,7 +427,7 @@
 
     def _evacuate(self) -> None:
         """Stop standing tasks on workers that leave, while there is other room."""
-        rooms = measure_rooms(self.state, self._is_usable)
+        rooms = self._measure_rooms()
         for worker in self.state.workers.values():
             session = self._sessions.get(worker.worker)
             if session is None or not worker.draining:
--- a/src/rhubarbfield/scheduling/neighbours.py
+++ b/src/rhubarbfield/scheduling/neighbours.py
@@ -28,13 +28,16 @@
 HARMLESS = 0.05  # growth of log latency that is not worth a pause
 
 
-class HasState(Protocol):
-    """Whoever holds the replicated state."""
+class NeighboursHost(Protocol):
+    """What this part needs of the leader."""
 
     @property
     def state(self) -> SchedulingState:
         """The replicated state."""
 
+    def find_other_place(self, task: TaskName, worker: WorkerId) -> bool:
+        """Say whether a task could go on elsewhere without harm, right now."""
+
 
 class Neighbour(msgspec.Struct, frozen=True):
     """A run of spare cores beside tasks that serve."""
@@ -50,12 +53,12 @@
     Parameters
     ----------
     host
-        Holds the replicated state.
+        The leader.
     interference
         What is learned of images.
     """
 
-    def __init__(self, host: HasState, interference: Interference) -> None:
+    def __init__(self, host: NeighboursHost, interference: Interference) -> None:
         self._host = host
         self._interference = interference
         self._serving: dict[WorkerId, list[ServingTask]] = {}
@@ -131,7 +134,7 @@
         ]
         if suffering:
             for neighbour in self._choose_guilty(suffering, neighbours):
-                self._set_pace(worker, session, neighbour, PAUSED)
+                self._move_or_pause(worker, session, neighbour)
         elif all(
             task.tail_ms is None or task.tail_ms <= task.goal_ms * RESUME_RATIO
             for task in serving
@@ -139,6 +142,29 @@
             for neighbour in neighbours:
                 self._set_pace(worker, session, neighbour, FULL_SPEED)
 
+    def _move_or_pause(
+        self, worker: Worker, session: WorkerSession, neighbour: Neighbour
+    ) -> None:
+        """Let a task go on elsewhere if that loses no work, or pause it."""
+        key = neighbour.key
+        if session.is_stopping(key):
+            return
+        may_move = neighbour.step.checkpoints and self._host.find_other_place(
+            key.task, worker.worker
+        )
+        if not may_move:
+            self._set_pace(worker, session, neighbour, PAUSED)
+            return
+        log_event(
+            logger,
+            logging.INFO,
+            "run-moved",
+            task=key.task,
+            run=key.run,
+            worker=worker.worker,
+        )
+        session.stop(key)
+
     def _choose_guilty(
         self, suffering: list[ServingTask], neighbours: list[Neighbour]
     ) -> list[Neighbour]:
--- a/src/rhubarbfield/scheduling/placing.py
+++ b/src/rhubarbfield/scheduling/placing.py
@@ -32,7 +32,7 @@
 
 MIN_SPARE_SHARE = 0.7  # with less of its cores a task lasts half as long again
 MIN_MARGIN = 0.35  # of the log latency: a tail at 70% of its goal
-SERVING_USE = 0.8  # of their reserved cores, that standing tasks were seen to use
+SERVING_USE = 0.5  # of their reserved cores; batch beside them ran at full speed
 MAX_STARTS_A_ROUND = 256  # keeps a command below the size of one log entry
 
 
@@ -221,25 +221,13 @@
                 continue
             if step.max_per_worker and used.get(worker, 0) >= step.max_per_worker:
                 continue
-            if not self._admits(step, room):
+            if not admits(step, room, self._interference):
                 continue
             cost = (worker in avoided, *self._rate(step, room))
             if best is None or cost < best_cost:
                 best, best_cost = room, cost
         return best
 
-    def _admits(self, step: Step, room: WorkerRoom) -> bool:
-        """Say whether a worker may take a task, apart from its capacity."""
-        if not step.uses_spare_cores:
-            return True
-        wanted = step.demand.millicores * MIN_SPARE_SHARE
-        if room.spare_millicores < wanted:
-            return False
-        margin = self._interference.find_worst_margin(
-            room.exposures, room.add_share(step)
-        )
-        return margin >= MIN_MARGIN
-
     def _rate(self, step: Step, room: WorkerRoom) -> tuple[float, ...]:
         """Return how badly a worker suits a task; the lowest is best.
 
@@ -272,6 +260,17 @@
         self._starts.append(RunStart(name, RunNumber(task.last_run + 1), worker))
 
 
+def admits(step: Step, room: WorkerRoom, interference: Interference) -> bool:
+    """Say whether a task harms nobody on a worker, and has the cores to work."""
+    if not step.uses_spare_cores:
+        return True
+    wanted = step.demand.millicores * MIN_SPARE_SHARE
+    if room.spare_millicores < wanted:
+        return False
+    margin = interference.find_worst_margin(room.exposures, room.add_share(step))
+    return margin >= MIN_MARGIN
+
+
 def may_hold(waiting: WaitingStep, room: WorkerRoom) -> bool:
     """Say whether a worker has the label and the room for a task of a step."""
     step = waiting.step
