--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapter to the users' platform."""
--- /dev/null
+++ b/tests/platform/test_wire.py
@@ -0,0 +1,160 @@
+"""Tests of the platform's messages."""
+
+from __future__ import annotations
+
+import unittest
+from datetime import timedelta
+
+import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from returns.result import Failure, Success
+
+from rhubarbfield.platform.wire import (
+    WireView,
+    decode_configuration,
+    decode_heartbeat,
+    decode_job,
+)
+from rhubarbfield.scheduling.model import Demand
+from rhubarbfield.scheduling.state import RunEnd
+
+HEARTBEAT = {
+    "Service": "s",
+    "Address": "10.0.0.1:80",
+    "Zone": "z",
+    "Slots": 8,
+    "State": "ready",
+    "Capacity": {"Cpu": 16000, "MemMb": 32768, "Gpu": 0},
+    "Labels": ["a", "r1-3"],
+    "ClockMs": 482113,
+    "Sequence": 4,
+    "Machine": "m-1",
+}
+ROUTE = {
+    "Name": "r",
+    "Hostname": "h.example",
+    "PathPrefix": "/p/",
+    "TimeoutMs": 3000,
+    "Service": "s",
+    "MaxAttempts": 3,
+    "Stretch": 1.5,
+}
+CONFIGURATION = {
+    "Version": 7,
+    "Routes": [ROUTE],
+    "Services": [{"Name": "s", "EnforcesCapacity": True}],
+    "Limits": {"MaxBodyBytes": 262144},
+}
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=8,
+)
+
+
+def encode(content: object) -> bytes:
+    return msgspec.json.encode(content)
+
+
+class JobTest(unittest.TestCase):
+    def test_fields_that_are_left_out_are_zero(self) -> None:
+        body = b'{"Spec":"x","Steps":[{"Count":4,"Cpu":500,"MemMb":256}]}'
+        job = decode_job(body).unwrap()
+        self.assertEqual(job.steps[0].tasks, 4)
+        self.assertEqual(job.steps[0].demand, Demand(500, 256, 0))
+        self.assertIsNone(job.recurrence)
+
+    def test_wrong_jobs_are_refused_with_a_reason(self) -> None:
+        for body in (
+            b"",
+            b"{",
+            b"[]",
+            b'{"Spec":"x"}',
+            b'{"Spec":"x","Steps":[]}',
+            b'{"Spec":1,"Steps":[{"Count":1}]}',
+            b'{"Spec":"x","Steps":[{"Count":-1}]}',
+            b'{"Spec":"x","Steps":[{"Count":1,"StartAfter":[0]}]}',
+            b'{"Spec":"\xff","Steps":[{"Count":1}]}',
+            encode({"Spec": "x" * 4001, "Steps": [{"Count": 1}]}),
+        ):
+            with self.subTest(body=body[:40]):
+                refused = decode_job(body)
+                self.assertIsInstance(refused, Failure)
+                self.assertTrue(refused.failure())
+
+    @settings(max_examples=200, derandomize=True, deadline=None)
+    @given(JSON)
+    def test_no_body_raises(self, content: object) -> None:
+        for decode in (decode_job, decode_configuration):
+            self.assertIsInstance(decode(encode(content)), Success | Failure)
+        self.assertIsInstance(decode_heartbeat("i", encode(content)), Failure)
+
+
+class ConfigurationTest(unittest.TestCase):
+    def refuse(self, **changes: object) -> str:
+        return decode_configuration(encode({**CONFIGURATION, **changes})).failure()
+
+    def test_queues_are_read(self) -> None:
+        configuration = decode_configuration(encode(CONFIGURATION)).unwrap()
+        queue = configuration.queues[0]
+        self.assertEqual((queue.name, queue.max_attempts), ("r", 3))
+        self.assertTrue(configuration.services[0].workers_guard_capacity)
+
+    def test_document_is_the_same_for_the_same_content(self) -> None:
+        turned = dict(reversed(list(CONFIGURATION.items())))
+        self.assertEqual(
+            decode_configuration(encode(CONFIGURATION)).unwrap().document,
+            decode_configuration(encode(turned)).unwrap().document,
+        )
+
+    def test_invalid_configurations_are_refused(self) -> None:
+        self.assertIn("unknown service", self.refuse(Services=[]))
+        self.assertIn("share host", self.refuse(Routes=[ROUTE, ROUTE]))
+        self.assertIn("TimeoutMs", self.refuse(Routes=[{**ROUTE, "TimeoutMs": 0}]))
+        self.assertIn("Version", self.refuse(Version="seven"))
+        whole = encode(CONFIGURATION)
+        self.assertIsInstance(decode_configuration(whole[:-9]), Failure)
+
+
+class HeartbeatTest(unittest.TestCase):
+    def test_heartbeat_is_read(self) -> None:
+        beat = decode_heartbeat("i-1", encode(HEARTBEAT)).unwrap()
+        self.assertEqual(beat.report.worker, "i-1")
+        self.assertEqual(beat.report.labels, ("a", "r1-3"))
+        self.assertEqual(beat.clock, timedelta(milliseconds=482113))
+        self.assertFalse(beat.report.draining)
+
+    def test_heartbeats_of_other_writers_are_refused(self) -> None:
+        for changes in (
+            {"State": "resting"},
+            {"Sequence": None},
+            {"Capacity": 3},
+            {"Address": "nowhere"},
+            {"Labels": "a"},
+        ):
+            with self.subTest(changes=changes):
+                body = encode({**HEARTBEAT, **changes})
+                self.assertIsInstance(decode_heartbeat("i-1", body), Failure)
+        missing = {name: HEARTBEAT[name] for name in HEARTBEAT if name != "Service"}
+        self.assertIsInstance(decode_heartbeat("i-1", encode(missing)), Failure)
+
+
+class ViewTest(unittest.TestCase):
+    def test_rows_are_read(self) -> None:
+        body = (
+            b'{"ClockMs":5,"ActiveRuns":[["j.0.0.1",2,"c",41,17]],'
+            b'"EndedRuns":[[58,"j.0.0.2",1,"done",""]]}'
+        )
+        view = msgspec.json.decode(body, type=WireView).to_view()
+        self.assertEqual((view.active[0].task, view.active[0].measure), ("j.0.0.1", 17))
+        self.assertEqual((view.ends[0].number, view.ends[0].end), (58, RunEnd.DONE))
+
+    def test_unknown_ends_are_refused(self) -> None:
+        body = b'{"ClockMs":5,"EndedRuns":[[58,"j.0.0.2",1,"vanished",""]]}'
+        with self.assertRaises(ValueError):
+            msgspec.json.decode(body, type=WireView).to_view()
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/scheduling/test_appliers.py
@@ -0,0 +1,232 @@
+"""Tests of the replicated state of jobs, by random interleavings."""
+
+from __future__ import annotations
+
+import unittest
+from typing import Any
+
+import msgspec
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from rhubarbfield.machine import Command, Reply
+from rhubarbfield.scheduling.appliers import make_scheduling_machine
+from rhubarbfield.scheduling.commands import (
+    AcceptJob,
+    CancelJob,
+    EndedRun,
+    EndRuns,
+    PutConfiguration,
+    RemoveWorker,
+    RunsRecorded,
+    RunStart,
+    StartRuns,
+    UpdateWorkers,
+    WorkerEnds,
+    WorkerReport,
+)
+from rhubarbfield.scheduling.model import (
+    Demand,
+    JobSubmission,
+    MachineName,
+    RunNumber,
+    Step,
+    name_task,
+)
+from rhubarbfield.scheduling.state import (
+    JobPhase,
+    RunEnd,
+    SchedulingState,
+    TaskPhase,
+)
+from rhubarbfield.types import JobId, LogIndex, ServiceName, WorkerId
+from tests.scheduling.deployments import CONFIGURATION, QUEUE
+
+MAX_ATTEMPTS = QUEUE.max_attempts
+WORKERS = [WorkerId(f"w{number}") for number in range(3)]
+JOBS = [JobId(f"j{number}") for number in range(2)]
+STEPS = (Step(tasks=2), Step(tasks=2, after=(0,)))
+
+
+class Log:
+    """Applies commands as a log does, over encoded bytes."""
+
+    def __init__(self) -> None:
+        self.machine = make_scheduling_machine()
+        self.index = 0
+
+    @property
+    def state(self) -> SchedulingState:
+        return self.machine.state.scheduling
+
+    def apply(self, command: Command) -> Reply:
+        self.index += 1
+        encoded = self.machine.encode_command(command)
+        reply = self.machine.apply(LogIndex(self.index), encoded)
+        return self.machine.decode_reply(reply)
+
+    def restart(self) -> None:
+        snapshot = self.machine.take_snapshot()
+        self.machine = make_scheduling_machine()
+        self.machine.restore(snapshot)
+
+
+def make_report(worker: WorkerId, *, draining: bool = False) -> WorkerReport:
+    return WorkerReport(
+        worker=worker,
+        machine=MachineName(f"m-{worker}"),
+        service=ServiceName("s"),
+        address=f"{worker}:1",
+        zone="z",
+        capacity=Demand(8000, 8000),
+        labels=(),
+        draining=draining,
+    )
+
+
+class Interleavings(RuleBasedStateMachine):
+    """Any order of starts, ends, losses, cancels and restarts."""
+
+    @initialize()
+    def begin(self) -> None:
+        self.log = Log()
+        self.done: set[str] = set()
+        self.failures: dict[str, int] = {}
+        self.log.apply(PutConfiguration(configuration=CONFIGURATION))
+        for worker in WORKERS:
+            self.log.apply(UpdateWorkers(reports=(make_report(worker),)))
+
+    @rule(job=st.sampled_from(JOBS))
+    def accept(self, job: JobId) -> None:
+        submission = JobSubmission(payload="", steps=STEPS)
+        self.log.apply(AcceptJob(job=job, queue=QUEUE.name, submission=submission))
+
+    @rule(job=st.sampled_from(JOBS))
+    def cancel(self, job: JobId) -> None:
+        self.log.apply(CancelJob(job=job))
+
+    @rule(
+        job=st.sampled_from(JOBS),
+        step=st.integers(0, 1),
+        index=st.integers(0, 1),
+        worker=st.sampled_from(WORKERS),
+    )
+    def start(self, job: JobId, step: int, index: int, worker: WorkerId) -> None:
+        name = name_task(job, 0, step, index)
+        found = self.log.state.find_task(name)
+        last = found[3].last_run if found else 0
+        was_live = bool(found and found[3].live)
+        was_open = bool(found and found[0].is_open)
+        before = found[0].occurrences[0][0].is_done if found else False
+        reply = self.log.apply(
+            StartRuns(starts=(RunStart(name, RunNumber(last + 1), worker),))
+        )
+        assert isinstance(reply, RunsRecorded)
+        if reply.recorded:
+            assert was_open, "a task of a job that has ended was started"
+            assert not was_live, "a task was started twice at the same time"
+            assert name not in self.done, "a task that is done was started"
+            assert step == 0 or before, "a task was started before its step"
+            assert self.failures.get(name, 0) < MAX_ATTEMPTS, "too many attempts"
+
+    @precondition(lambda self: self._list_live())
+    @rule(data=st.data(), end=st.sampled_from(list(RunEnd)), repeat=st.booleans())
+    def end(self, data: Any, end: RunEnd, repeat: bool) -> None:
+        worker, name, run = data.draw(st.sampled_from(self._list_live()))
+        ended = EndedRun(name, run, end)
+        command = EndRuns(workers=(WorkerEnds(worker, (ended,), 1),))
+        for _ in range(1 + repeat):
+            self.log.apply(command)
+        if end is RunEnd.DONE:
+            self.done.add(name)
+        if end is RunEnd.FAILED:
+            self.failures[name] = self.failures.get(name, 0) + 1
+
+    @rule(worker=st.sampled_from(WORKERS))
+    def lose(self, worker: WorkerId) -> None:
+        self.log.apply(RemoveWorker(worker=worker))
+        self.log.apply(UpdateWorkers(reports=(make_report(worker),)))
+
+    @rule()
+    def restart(self) -> None:
+        self.log.restart()
+
+    def _list_live(self) -> list[tuple[WorkerId, Any, RunNumber]]:
+        return [
+            (worker.worker, task, run)
+            for worker in self.log.state.workers.values()
+            for task, run in worker.runs.items()
+        ]
+
+    @invariant()
+    def agrees(self) -> None:
+        """Both sides of a run agree, and final phases have a cause."""
+        live = {(worker, task, run) for worker, task, run in self._list_live()}
+        for job in self.log.state.jobs.values():
+            tasks = [
+                (name_task(job.job, 0, step, index), task)
+                for step, progress in enumerate(job.occurrences[0])
+                for index, task in enumerate(progress.tasks)
+            ]
+            for name, task in tasks:
+                assert len(task.live) <= 1
+                for run, worker in task.live.items():
+                    assert (worker, name, run) in live
+                assert (task.phase is TaskPhase.DONE) == (name in self.done)
+            if job.phase is JobPhase.COMPLETED:
+                assert all(task.phase is TaskPhase.DONE for _, task in tasks)
+            if job.phase is JobPhase.FAILED:
+                assert any(
+                    self.failures.get(name, 0) >= MAX_ATTEMPTS for name, _ in tasks
+                )
+
+
+InterleavingsTest = Interleavings.TestCase
+InterleavingsTest.settings = settings(
+    max_examples=60, stateful_step_count=40, derandomize=True, deadline=None
+)
+
+
+class ConfigurationTest(unittest.TestCase):
+    def put(self, log: Log, version: int, document: bytes) -> Reply:
+        changed = msgspec.structs.replace(
+            CONFIGURATION, version=version, document=document
+        )
+        return log.apply(PutConfiguration(configuration=changed))
+
+    def test_highest_version_stays_and_older_ones_change_nothing(self) -> None:
+        log = Log()
+        self.put(log, 5, b"five")
+        self.assertEqual(type(self.put(log, 3, b"three")).__name__, "Done")
+        assert log.state.configuration is not None
+        self.assertEqual(log.state.configuration.document, b"five")
+
+    def test_other_content_under_the_held_version_is_refused(self) -> None:
+        log = Log()
+        self.put(log, 5, b"five")
+        self.assertEqual(type(self.put(log, 5, b"other")).__name__, "Refused")
+        self.assertEqual(type(self.put(log, 5, b"five")).__name__, "Done")
+
+
+class DrainingTest(unittest.TestCase):
+    def test_nothing_starts_on_a_draining_worker(self) -> None:
+        log = Log()
+        log.apply(PutConfiguration(configuration=CONFIGURATION))
+        log.apply(UpdateWorkers(reports=(make_report(WORKERS[0], draining=True),)))
+        submission = JobSubmission(payload="", steps=STEPS)
+        log.apply(AcceptJob(job=JOBS[0], queue=QUEUE.name, submission=submission))
+        start = RunStart(name_task(JOBS[0], 0, 0, 0), RunNumber(1), WORKERS[0])
+        self.assertEqual(
+            log.apply(StartRuns(starts=(start,))), RunsRecorded(recorded=())
+        )
+
+
+if __name__ == "__main__":
+    unittest.main()
