Hand leadership over at a planned stop; know an unanswered job's fate before answering

An entry goes on asking about a job that may be stored, and refuses within 0.6 s what certainly is not.

--- a/src/rhubarbfield/groups/leaders.py
+++ b/src/rhubarbfield/groups/leaders.py
@@ -82,15 +82,29 @@
         self._members.update(members)
 
     async def call(
-        self, request: Any, timeout: timedelta
+        self,
+        request: Any,
+        timeout: timedelta,
+        doubt_timeout: timedelta | None = None,
     ) -> Result[Any, LeaderFailure]:
         """Return the leader's reply to ``request``.
 
         A request is repeated only while it certainly had no effect, or when
         repeating it is harmless because every command this is used for is
         idempotent; a failure says whether it may have had one.
+
+        Parameters
+        ----------
+        request
+            What is asked.
+        timeout
+            How long to look for a leader.
+        doubt_timeout
+            How long to go on, from the beginning, once the request may have
+            had its effect; the same as ``timeout`` if None.
         """
-        ends = self._clock.monotonic() + timeout
+        began = self._clock.monotonic()
+        ends = began + timeout
         in_doubt = False
         detail = "no leader was found"
         while (left := ends - self._clock.monotonic()) > timedelta():
@@ -104,11 +118,15 @@
                 case Success(Unavailable(reason=reason, in_doubt=doubt)):
                     detail = reason
                     in_doubt = in_doubt or doubt
+                    if in_doubt and doubt_timeout is not None:
+                        ends = max(ends, began + doubt_timeout)
                 case Success(answer):
                     return Success(answer)
                 case Failure(failure):
                     detail = failure.detail
                     in_doubt = in_doubt or _is_in_doubt(failure)
+                    if in_doubt and doubt_timeout is not None:
+                        ends = max(ends, began + doubt_timeout)
                     self._pool.retire(self._leader, connection)
                     self._follow(None)
             await self._clock.sleep(min(left, RETRY_DELAY))
--- a/src/rhubarbfield/platform/daemons.py
+++ b/src/rhubarbfield/platform/daemons.py
@@ -11,7 +11,6 @@
 import trio
 from hypercorn.config import Config
 from hypercorn.trio import serve as serve_app
-from quart import Quart
 
 from rhubarbfield.clock import TrioClock
 from rhubarbfield.exceptions import UsageError
@@ -30,6 +29,7 @@
 logger = logging.getLogger(__name__)
 
 LOOK_AWAY = timedelta(seconds=3)  # the balancer misses two checks, one a second
+HAND_OVER_TIME = timedelta(milliseconds=700)  # an election, and calls on their way
 IDLE_CONNECTION = timedelta(seconds=15)
 
 
@@ -81,42 +81,44 @@
 ) -> None:
     """Keep the log, and lead when elected, until told to stop."""
     scheduling = settings.make_scheduling_settings()
+    stop = trio.Event()
+    clock = TrioClock()
     async with open_bridge():
         controller = SchedulingController(
             settings,
             transport=GrpcTransport(Credentials(secret=settings.secret)),
             store=open_log_store(settings),
             calls=RunnerCalls(scheduling.order_timeout),
-            clock=TrioClock(),
+            clock=clock,
             rng=random.SystemRandom(),
         )
 
+        async def wait_for_stop() -> None:
+            await stop.wait()
+            controller.hand_over()
+            await clock.sleep(HAND_OVER_TIME)
+
         async def run(
             *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
         ) -> None:
             async with trio.open_nursery() as nursery:
                 await nursery.start(controller.run)
                 app = create_control_app(controller.service, settings.control_port)
-                await nursery.start(_serve, app, settings)
-                task_status.started()
+                config = _make_config(settings, settings.control)
+                serve = partial(serve_app, app, config, shutdown_trigger=wait_for_stop)
+                async with trio.open_nursery() as serving:
+                    await serving.start(serve)
+                    task_status.started()
+                nursery.cancel_scope.cancel()
 
         await run_until_signal(
             run,
             reload=partial(_reload, path, controller.add_seeds),
+            stop=stop,
             task_status=task_status,
         )
 
 
-async def _serve(
-    app: Quart,
-    settings: DeploymentSettings,
-    *,
-    task_status: trio.TaskStatus[list[str]] = trio.TASK_STATUS_IGNORED,
-) -> None:
-    config = _make_config(settings, settings.control)
-    await serve_app(app, config, task_status=task_status)
-
-
 def _reload(path: Path, apply: object) -> None:
     try:
         settings = load_deployment_settings(path)
--- a/src/rhubarbfield/replication/election.py
+++ b/src/rhubarbfield/replication/election.py
@@ -9,6 +9,7 @@
 from rhubarbfield.replication.messages import (
     PreVote,
     PreVoteAnswer,
+    Release,
     Vote,
     VoteAnswer,
 )
@@ -40,7 +41,9 @@
         """Watch the leader until cancelled."""
         state = self._state
         while True:
-            await state.clock.sleep(max(state.election_due - state.now, timedelta()))
+            # A leader that is released brings the election forward meanwhile.
+            wait = min(state.election_due - state.now, state.settings.heartbeat)
+            await state.clock.sleep(max(wait, timedelta()))
             if state.now < state.election_due:
                 continue
             if state.now < state.refuse_votes_until:
@@ -163,6 +166,29 @@
         else:
             state.observe_term(message.term)
 
+    def on_release(self, message: Release) -> None:
+        """Stand for election soon: the leader has given up its lease."""
+        state = self._state
+        if message.term != state.term or message.source != state.leader:
+            return
+        state.leader = None
+        state.refuse_votes_until = state.now
+        wait = state.settings.heartbeat * state.random.random()
+        state.election_due = state.now + wait
+
+    def hand_over(self) -> None:
+        """Give up leadership, so that another voter is elected at once."""
+        state = self._state
+        if not state.is_leader:
+            return
+        term = state.term
+        state.step_down()
+        state.refuse_votes_until = state.now
+        logger.info("leadership-released group=%s term=%d", state.group, term)
+        for voter in self._iterate_others():
+            release = Release(source=state.id, target=voter.incarnation, term=term)
+            state.send(voter.name, release)
+
     def _is_bound(self) -> bool:
         state = self._state
         return state.is_leader or state.now < state.refuse_votes_until
--- a/src/rhubarbfield/replication/messages.py
+++ b/src/rhubarbfield/replication/messages.py
@@ -190,6 +190,13 @@
     sent: Microseconds
 
 
+class Release(Message, frozen=True):
+    """Gives up the leadership of the sender's term, and its lease with it.
+
+    The sender has stepped down before; it acts as leader of this term no more.
+    """
+
+
 class Probe(Message, frozen=True):
     """Asks what the receiver knows of the group, and to be taken as learner.
 
@@ -231,6 +238,7 @@
     | AppendAnswer
     | InstallSnapshot
     | InstallSnapshotAnswer
+    | Release
     | Probe
     | ProbeAnswer
 )
--- a/src/rhubarbfield/replication/parts.py
+++ b/src/rhubarbfield/replication/parts.py
@@ -22,6 +22,7 @@
     PreVoteAnswer,
     Probe,
     ProbeAnswer,
+    Release,
     ReplicationMessage,
     Vote,
     VoteAnswer,
@@ -79,6 +80,7 @@
             InstallSnapshot: self.follower.on_install_snapshot,
             AppendAnswer: self._on_append_answer,
             InstallSnapshotAnswer: self._on_install_answer,
+            Release: self.election.on_release,
             Probe: self._on_probe,
             ProbeAnswer: self._on_probe_answer,
         }
--- a/src/rhubarbfield/replication/replica.py
+++ b/src/rhubarbfield/replication/replica.py
@@ -233,6 +233,11 @@
         if self._parts is not None:
             await self._parts.applier.wait_applied(index)
 
+    def hand_over(self) -> None:
+        """Stop leading, before a planned stop, and let another voter lead now."""
+        if self._parts is not None:
+            self._parts.election.hand_over()
+
     def add_contacts(self, names: tuple[InstanceName, ...]) -> None:
         """Look for the group at these instances too."""
         self._bootstrap = tuple(dict.fromkeys((*self._bootstrap, *names)))
--- a/src/rhubarbfield/scheduling/controller.py
+++ b/src/rhubarbfield/scheduling/controller.py
@@ -90,6 +90,10 @@
             nursery.start_soon(run_while_leading, self.log, self._lead, self._clock)
             task_status.started()
 
+    def hand_over(self) -> None:
+        """Let another controller lead, before a planned stop."""
+        self._replica.hand_over()
+
     def add_seeds(self, settings: DeploymentSettings) -> None:
         """Look for the group at the seeds of changed settings too."""
         self._replica.add_contacts(settings.seed_names)
--- a/src/rhubarbfield/scheduling/gateway.py
+++ b/src/rhubarbfield/scheduling/gateway.py
@@ -25,8 +25,8 @@
 ATTEMPT_TIMEOUT = timedelta(milliseconds=800)  # a commit takes 20 ms, a slow disk 300
 READINESS_INTERVAL = timedelta(seconds=1)  # the balancer asks as often
 READINESS_PATIENCE = timedelta(milliseconds=2500)  # outlives a change of leader
-LONGEST_SEARCH = timedelta(milliseconds=1500)  # a leader is elected within 2 s
-MIN_SEARCH = timedelta(milliseconds=300)
+SEARCH = timedelta(milliseconds=600)  # a change of leader takes longer: come back then
+REPLY_MARGIN = timedelta(milliseconds=300)  # to answer before the caller gives up
 
 
 class Undecided(msgspec.Struct, frozen=True):
@@ -126,8 +126,13 @@
         patience
             How long the caller waits.
         """
-        search = max(MIN_SEARCH, min(LONGEST_SEARCH, patience / 2))
-        result = await self._calls.call(request, search)
+        # What may have been stored is asked again until it is known, since the
+        # caller could not tell; what was not is refused while it can return.
+        result = await self._calls.call(
+            request,
+            timeout=min(SEARCH, patience / 2),
+            doubt_timeout=patience - REPLY_MARGIN,
+        )
         match result:
             case Success(reply):
                 self._reached_at = self._clock.monotonic()
--- /dev/null
+++ b/tests/replication/test_handover.py
@@ -0,0 +1,75 @@
+"""Tests of giving leadership up, and of voters that are replaced by themselves."""
+
+from __future__ import annotations
+
+import unittest
+from datetime import timedelta
+
+import trio
+
+from rhubarbfield.replication import GroupSettings
+from tests.replication.group import Group
+from tests.replication.test_replica import run_group
+
+SEEDS = range(10)
+HAND_OVER_SECONDS = 1.0  # an election alone waits for two
+REPLACING = GroupSettings(replace_after=timedelta(seconds=3), wanted_voters=3)
+
+
+class HandOverTest(unittest.TestCase):
+    def test_another_voter_leads_at_once(self) -> None:
+        async def play(group: Group) -> None:
+            await group.propose_many("x", 5)
+            before = await group.wait_leader()
+            began = trio.current_time()
+            before.replica.hand_over()
+            self.assertIsNone(before.replica.leadership)
+            with trio.fail_after(HAND_OVER_SECONDS):
+                after = await group.wait_leader()
+            self.assertNotEqual(after.name, before.name)
+            self.assertLess(trio.current_time() - began, HAND_OVER_SECONDS)
+            await group.propose_many("y", 5)
+
+        for seed in SEEDS:
+            run_group(play, seed=seed)
+
+    def test_a_follower_has_nothing_to_hand_over(self) -> None:
+        async def play(group: Group) -> None:
+            leader = await group.wait_leader()
+            for node in group.nodes.values():
+                if node is not leader:
+                    node.replica.hand_over()
+            await trio.sleep(5)
+            self.assertEqual((await group.wait_leader()).name, leader.name)
+
+        run_group(play)
+
+
+class ReplacementTest(unittest.TestCase):
+    def test_a_learner_votes_in_place_of_a_voter_that_is_gone(self) -> None:
+        async def play(group: Group) -> None:
+            await group.propose_many("x", 5)
+            leader = await group.wait_leader()
+            gone = next(n for n in "abc" if n != leader.name)
+            await group.get(gone).crash()
+            await trio.sleep(20)
+            membership = (await group.wait_leader()).replica.status().members
+            voters = {member.id.name for member in membership if member.is_voter}
+            self.assertEqual(voters, {*"abcd"} - {gone})
+
+        for seed in SEEDS:
+            run_group(play, seed=seed, learners="d", settings=REPLACING)
+
+    def test_learners_are_promoted_until_there_are_enough_voters(self) -> None:
+        async def play(group: Group) -> None:
+            await trio.sleep(20)
+            membership = (await group.wait_leader()).replica.status().members
+            voters = [member for member in membership if member.is_voter]
+            self.assertEqual(len(voters), 5)
+
+        wanted = GroupSettings(wanted_voters=5)
+        run_group(play, learners="def", settings=wanted)
+
+
+if __name__ == "__main__":
+    unittest.main()
