Replicate what is learned of images, and ages of jobs; margin by what a task adds

Also: standing tasks go after short ones of their priority, a lease of 9 s where the platform grants it, starved jobs of a calm service start where they harm least.

--- a/src/rhubarbfield/scheduling/appliers.py
+++ b/src/rhubarbfield/scheduling/appliers.py
@@ -17,6 +17,7 @@
     RemoveWorker,
     RunsRecorded,
     RunStart,
+    SaveHarm,
     StartRuns,
     UpdateWorkers,
     WorkerReport,
@@ -33,6 +34,8 @@
     Worker,
 )
 
+MAX_HARM_ESTIMATES = 10_000  # a megabyte of snapshot
+
 
 class WholeSchedulingState(msgspec.Struct):
     """The state of the machine: one section."""
@@ -70,6 +73,7 @@
         queue=command.queue,
         order=state.accepted,
         submission=command.submission,
+        accepted_ms=command.accepted_ms,
     )
     if command.submission.recurrence is None:
         job.open_occurrence(0)
@@ -91,7 +95,7 @@
 def _forget_jobs(state: SchedulingState, command: ForgetJobs) -> Reply:
     for name in command.jobs:
         job = state.jobs.get(name)
-        if job is not None and not job.is_open and not _has_live_runs(job):
+        if job is not None and not job.is_open and not job.has_live_runs:
             del state.jobs[name]
     return Done()
 
@@ -184,6 +188,15 @@
     return task.phase is TaskPhase.WAITING
 
 
+@scheduling_commands.applies(SaveHarm)
+def _save_harm(state: SchedulingState, command: SaveHarm) -> Reply:
+    for estimate in command.estimates:
+        key = f"{estimate.service}/{estimate.batch_kind}/{estimate.band}"
+        if key in state.harm or len(state.harm) < MAX_HARM_ESTIMATES:
+            state.harm[key] = estimate
+    return Done()
+
+
 @scheduling_commands.applies(EndRuns)
 def _end_runs(state: SchedulingState, command: EndRuns) -> Reply:
     for report in command.workers:
@@ -251,12 +264,3 @@
         job.finished += 1
         if job.finished >= job.wanted_occurrences:
             job.phase = JobPhase.COMPLETED
-
-
-def _has_live_runs(job: Job) -> bool:
-    return any(
-        task.live
-        for steps in job.occurrences.values()
-        for step in steps
-        for task in step.tasks
-    )
--- a/src/rhubarbfield/scheduling/backlog.py
+++ b/src/rhubarbfield/scheduling/backlog.py
@@ -15,6 +15,8 @@
 from rhubarbfield.scheduling.state import Job
 from rhubarbfield.types import JobId
 
+MS_PER_SECOND = 1000
+LONGEST_HINT_SECONDS = 60.0  # beyond it a stepped clock is likelier than an old job
 MEAN_WEIGHT = 0.05  # of a new job in the running mean of its queue's work
 
 
@@ -31,6 +33,7 @@
         self._clock = clock
         self._seen_at: dict[JobId, timedelta] = {}
         self._work: dict[JobId, tuple[tuple[int, ...], RemainingWork]] = {}
+        self._idle_since: dict[JobId, timedelta] = {}
         self._means: dict[QueueName, float] = {}
 
     def rank(self, job: Job, queue: Queue) -> tuple[float, ...]:
@@ -44,6 +47,14 @@
         work = self.measure(job)
         return find_goal(work, queue) - self._find_age(job) - work.chain
 
+    def is_idle(self, job: Job, limit: timedelta) -> bool:
+        """Say whether nothing of a job has run for longer than ``limit``."""
+        now = self._clock.monotonic()
+        if job.has_live_runs:
+            self._idle_since.pop(job.job, None)
+            return False
+        return now - self._idle_since.setdefault(job.job, now) > limit
+
     def measure(self, job: Job) -> RemainingWork:
         """Return what a job has left."""
         version = tuple(
@@ -60,14 +71,23 @@
         """Drop a job that has ended."""
         self._seen_at.pop(job, None)
         self._work.pop(job, None)
+        self._idle_since.pop(job, None)
 
     def _find_age(self, job: Job) -> timedelta:
         now = self._clock.monotonic()
         if job.job not in self._seen_at:
-            self._seen_at[job.job] = now
+            self._seen_at[job.job] = now - self._find_first_age(job)
             self._learn_mean(job)
         return now - self._seen_at[job.job]
 
+    def _find_first_age(self, job: Job) -> timedelta:
+        """Return the age of a job that an earlier leader may have accepted.
+
+        The time of day may have stepped since; it is only a hint.
+        """
+        elapsed = self._clock.now().timestamp() - job.accepted_ms / MS_PER_SECOND
+        return timedelta(seconds=min(max(elapsed, 0.0), LONGEST_HINT_SECONDS))
+
     def _learn_mean(self, job: Job) -> None:
         whole = self.measure(job).whole_core_ms
         mean = self._means.get(job.queue, whole)
--- a/src/rhubarbfield/scheduling/commands.py
+++ b/src/rhubarbfield/scheduling/commands.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from rhubarbfield.machine import Command, CommandRegistry, Reply
+from rhubarbfield.placement.state import HarmEstimate
 from rhubarbfield.scheduling.model import (
     NO_CHECKPOINT,
     CheckpointToken,
@@ -38,6 +39,7 @@
     job: JobId
     queue: QueueName
     submission: JobSubmission
+    accepted_ms: int = 0
 
 
 class CancelJob(Command, frozen=True):
@@ -138,6 +140,12 @@
     recorded_ends: int = 0
 
 
+class SaveHarm(Command, frozen=True):
+    """Keep what was learned of images for the next leader."""
+
+    estimates: tuple[HarmEstimate, ...]
+
+
 class EndRuns(Command, frozen=True):
     """Record the ends of runs."""
 
--- a/src/rhubarbfield/scheduling/controller.py
+++ b/src/rhubarbfield/scheduling/controller.py
@@ -77,7 +77,7 @@
         )
         self.log = ReplicatedLog(self._replica, machine)
         self._leader: SchedulingLeader | None = None
-        self.service = SchedulingService(self.log, lambda: self._leader)
+        self.service = SchedulingService(self.log, lambda: self._leader, clock)
 
     async def run(
         self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
--- a/src/rhubarbfield/scheduling/deployment.py
+++ b/src/rhubarbfield/scheduling/deployment.py
@@ -14,7 +14,7 @@
 from rhubarbfield.types import FailureDomain, GroupId, InstanceName
 
 SCHEDULING_GROUP = GroupId("scheduling")
-DEFAULT_LEASE = timedelta(seconds=6)  # outlives a stop of all controllers
+DEFAULT_LEASE = timedelta(seconds=9)  # all controllers dark for 5 s, and an election
 
 
 class WorkerTimes(
--- a/src/rhubarbfield/scheduling/interference.py
+++ b/src/rhubarbfield/scheduling/interference.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from rhubarbfield.placement.harm import HarmModel
-from rhubarbfield.placement.state import BatchKind
+from rhubarbfield.placement.state import BatchKind, HarmEstimate
 from rhubarbfield.scheduling.model import ImageName
 from rhubarbfield.types import ServiceName
 
@@ -82,6 +82,16 @@
                     task.tail_ms / MS_PER_SECOND,
                 )
 
+    def restore(self, estimates: Iterable[HarmEstimate]) -> None:
+        """Start from what an earlier leader has learned."""
+        self._model.restore(estimates)
+
+    def take_changes(self) -> tuple[HarmEstimate, ...]:
+        """Return what was learned since the last time."""
+        changed = tuple(self._model.list_changed())
+        self._model.forget_changes()
+        return changed
+
     def find_exposure(
         self, task: ServingTask, shares: Mapping[ImageName, float]
     ) -> Exposure:
--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -24,6 +24,7 @@
     RemoveWorker,
     RunsRecorded,
     RunStart,
+    SaveHarm,
     StartRuns,
     UpdateWorkers,
     WorkerEnds,
@@ -144,6 +145,7 @@
         self._settings = settings
         self._trust = Trust(settings)
         self._interference = Interference()
+        self._interference.restore(self.state.harm.values())
         self._neighbours = Neighbours(self, self._interference)
         self._backlog = Backlog(clock)
         self._sessions: dict[WorkerId, WorkerSession] = {}
@@ -172,6 +174,7 @@
             nursery.start_soon(self._follow_state)
             nursery.start_soon(self._wake_regularly)
             nursery.start_soon(self._place_work)
+            nursery.start_soon(self._save_harm)
 
     # What sessions need of their leader.
 
@@ -333,6 +336,14 @@
         self._reported_clocks.pop(worker, None)
         self._sequences.pop(worker, None)
 
+    async def _save_harm(self) -> None:
+        """Leave what is learned of images to the next leader."""
+        while True:
+            await self._clock.sleep(self._settings.save_harm_every)
+            changed = self._interference.take_changes()
+            if changed:
+                await self._propose_until_done(SaveHarm(estimates=changed))
+
     async def _place_work(self) -> None:
         while True:
             await self._wake.wait()
@@ -359,7 +370,12 @@
     async def _start_some(self) -> None:
         rooms = self._measure_rooms()
         placer = Placer(
-            self.state, rooms, self._avoided, self._interference, self._rank
+            self.state,
+            rooms,
+            avoided=self._avoided,
+            interference=self._interference,
+            rank=self._rank,
+            is_starved=self._is_starved,
         )
         starts = placer.choose()
         if not starts:
@@ -400,6 +416,9 @@
     def _rank(self, job: Job, queue: Queue) -> tuple[float, ...]:
         return self._backlog.rank(job, queue)
 
+    def _is_starved(self, job: Job) -> bool:
+        return self._backlog.is_idle(job, self._settings.starved_after)
+
     def _is_usable(self, worker: Worker) -> bool:
         session = self._sessions.get(worker.worker)
         now = self._clock.monotonic()
--- a/src/rhubarbfield/scheduling/ordering.py
+++ b/src/rhubarbfield/scheduling/ordering.py
@@ -23,11 +23,18 @@
 
 
 class Outlook(IntEnum):
-    """What a job can still reach."""
+    """What a job can still reach.
+
+    Attributes
+    ----------
+    STANDING
+        It has no end; its tasks go after what is short and can be on time.
+    """
 
     ON_TIME = 0
-    LATE = 1
-    TOO_LATE = 2
+    STANDING = 1
+    LATE = 2
+    TOO_LATE = 3
 
 
 class RemainingWork(msgspec.Struct, frozen=True):
@@ -43,12 +50,15 @@
         Millicores times ms of all tasks that are not done.
     whole_core_ms
         The same of all its tasks.
+    is_standing
+        Whether the job lasts until it is cancelled.
     """
 
     chain: timedelta
     whole_chain: timedelta
     core_ms: float
     whole_core_ms: float
+    is_standing: bool = False
 
 
 def measure_work(job: Job) -> RemainingWork:
@@ -74,6 +84,7 @@
         whole_chain=max(whole) * MILLISECOND,
         core_ms=core_ms,
         whole_core_ms=whole_core_ms,
+        is_standing=any(step.standing for step in steps),
     )
 
 
@@ -84,6 +95,8 @@
 
 def find_outlook(work: RemainingWork, queue: Queue, age: timedelta) -> Outlook:
     """Return what a job can reach that was handed in ``age`` ago."""
+    if work.is_standing:
+        return Outlook.STANDING
     goal = find_goal(work, queue)
     end = age + work.chain * ESTIMATE_MARGIN
     if end <= goal:
--- a/src/rhubarbfield/scheduling/placing.py
+++ b/src/rhubarbfield/scheduling/placing.py
@@ -31,7 +31,9 @@
 from rhubarbfield.types import ServiceName, WorkerId
 
 MIN_SPARE_SHARE = 0.7  # with less of its cores a task lasts half as long again
-MIN_MARGIN = 0.35  # of the log latency: a tail at 70% of its goal
+MAX_MARGIN = 0.5  # of the log latency: a tail at 60% of its goal
+MARGIN_A_GROWTH = 4.0  # the load of what serves moves by as much within a run
+CALM_USE = 0.6  # of the reserved cores; above it waiting is no fault
 SERVING_USE = 0.5  # of their reserved cores; batch beside them ran at full speed
 MAX_STARTS_A_ROUND = 256  # keeps a command below the size of one log entry
 
@@ -123,30 +125,41 @@
         What tasks do to their neighbours.
     rank
         Returns the rank of a job; the lowest goes first.
+    is_starved
+        Says whether a job has waited so long, with nothing running, that it
+        starts where it harms least.
     """
 
     def __init__(
         self,
         state: SchedulingState,
         rooms: Mapping[WorkerId, WorkerRoom],
+        *,
         avoided: Mapping[TaskName, set[WorkerId]],
         interference: Interference,
         rank: Callable[[Job, Queue], tuple[float, ...]],
+        is_starved: Callable[[Job], bool],
     ) -> None:
         self._state = state
         self._avoided = avoided
         self._interference = interference
-        self._rank = rank
+        self._rank_job = rank
+        self._is_starved = is_starved
         self._starts: list[RunStart] = []
         self._by_service: dict[ServiceName, list[WorkerRoom]] = {}
         for room in rooms.values():
             self._by_service.setdefault(room.worker.service, []).append(room)
+        self._calm = {
+            service
+            for service, members in self._by_service.items()
+            if _measure_use(members) < CALM_USE
+        }
 
     def choose(self) -> tuple[RunStart, ...]:
         """Return the runs to start, the most urgent first."""
         for waiting in sorted(
             iterate_waiting(self._state),
-            key=lambda each: self._rank(each.job, each.queue),
+            key=lambda each: self._rank_job(each.job, each.queue),
         ):
             if len(self._starts) >= MAX_STARTS_A_ROUND:
                 break
@@ -165,6 +178,11 @@
                 continue
             name = name_task(waiting.job.job, waiting.occurrence, waiting.number, index)
             room = self._choose_room(step, name, candidates, used)
+            if room is None and self._may_force(waiting):
+                room = self._choose_least_harmed(step, candidates, used)
+                if room is not None:
+                    self._take(name, task, room, step, used)
+                return
             if room is None:
                 if name in self._avoided:
                     continue
@@ -228,6 +246,33 @@
                 best, best_cost = room, cost
         return best
 
+    def _may_force(self, waiting: WaitingStep) -> bool:
+        """Say whether a task may start where it harms, rather than wait."""
+        is_calm = waiting.queue.service in self._calm
+        return is_calm and self._is_starved(waiting.job)
+
+    def _choose_least_harmed(
+        self, step: Step, candidates: list[WorkerRoom], used: Mapping[WorkerId, int]
+    ) -> WorkerRoom | None:
+        """Return the worker on which a task of spare cores harms least."""
+        fitting = [
+            room
+            for room in candidates
+            if room.tasks < room.limit
+            and step.reserved.fits(room.free)
+            and not (
+                step.max_per_worker
+                and used.get(room.worker.worker, 0) >= step.max_per_worker
+            )
+        ]
+        return max(
+            fitting,
+            key=lambda room: self._interference.find_worst_margin(
+                room.exposures, room.add_share(step)
+            ),
+            default=None,
+        )
+
     def _rate(self, step: Step, room: WorkerRoom) -> tuple[float, ...]:
         """Return how badly a worker suits a task; the lowest is best.
 
@@ -267,8 +312,15 @@
     wanted = step.demand.millicores * MIN_SPARE_SHARE
     if room.spare_millicores < wanted:
         return False
-    margin = interference.find_worst_margin(room.exposures, room.add_share(step))
-    return margin >= MIN_MARGIN
+    shares = room.add_share(step)
+    added = shares[step.image] - room.shares.get(step.image, 0.0)
+    for exposure in room.exposures:
+        growth = interference.get_rate(exposure.image, step.image) * added
+        # What hardly disturbs may go where the tail is near its goal already.
+        wanted = min(MAX_MARGIN, growth * MARGIN_A_GROWTH)
+        if exposure.margin - interference.add_up(exposure.image, shares) < wanted:
+            return False
+    return True
 
 
 def may_hold(waiting: WaitingStep, room: WorkerRoom) -> bool:
@@ -316,6 +368,13 @@
                     yield WaitingStep(job, queue, occurrence, number)
 
 
+def _measure_use(rooms: list[WorkerRoom]) -> float:
+    """Return the share of the workers' cores that is reserved."""
+    capacity = sum(room.worker.capacity.millicores for room in rooms)
+    free = sum(room.free.millicores for room in rooms)
+    return 1 - free / max(capacity, 1)
+
+
 def _count_live(tasks: list[Task]) -> dict[WorkerId, int]:
     counts: dict[WorkerId, int] = {}
     for task in tasks:
--- a/src/rhubarbfield/scheduling/service.py
+++ b/src/rhubarbfield/scheduling/service.py
@@ -10,6 +10,7 @@
 import msgspec
 from returns.result import Failure, Success
 
+from rhubarbfield.clock import Clock
 from rhubarbfield.groups import NotLeading, ReplicatedLog, Unavailable
 from rhubarbfield.logs import log_event
 from rhubarbfield.machine import Command, Done, Refused, Reply
@@ -33,6 +34,7 @@
 logger = logging.getLogger(__name__)
 
 LONGEST_JOB_ID = 64
+MS_PER_SECOND = 1000
 _JOB_ID = re.compile(rf"[0-9A-Za-z_-]{{1,{LONGEST_JOB_ID}}}")
 
 
@@ -142,14 +144,18 @@
         The deployment's log.
     get_leader
         Returns what leads on this instance, or None.
+    clock
+        The time.
     """
 
     def __init__(
         self,
         log: ReplicatedLog[WholeSchedulingState],
         get_leader: Callable[[], SchedulingLeader | None],
+        clock: Clock,
     ) -> None:
         self._log = log
+        self._clock = clock
         self._get_leader = get_leader
 
     @property
@@ -258,7 +264,12 @@
     async def _submit(
         self, job: JobId, queue: Queue, submission: JobSubmission
     ) -> JobReply:
-        command = AcceptJob(job=job, queue=queue.name, submission=submission)
+        command = AcceptJob(
+            job=job,
+            queue=queue.name,
+            submission=submission,
+            accepted_ms=int(self._clock.now().timestamp() * MS_PER_SECOND),
+        )
         reply = await self._propose(command)
         if isinstance(reply, NotLeading | Unavailable):
             log_event(
--- a/src/rhubarbfield/scheduling/settings.py
+++ b/src/rhubarbfield/scheduling/settings.py
@@ -41,6 +41,11 @@
         For how long.
     remember_ended
         How long ended jobs can be asked for.
+    starved_after
+        How long a job may have nothing running while its next step could run
+        only where it harms others; the platform bears 3 s.
+    save_harm_every
+        How often what is learned of images is replicated.
     forget_silent
         How long a worker that runs nothing may be silent before it is dropped.
     """
@@ -57,4 +62,6 @@
     distrust_after: int = 2
     distrust_for: timedelta = timedelta(seconds=6)
     remember_ended: timedelta = timedelta(seconds=300)
+    starved_after: timedelta = timedelta(seconds=2)
+    save_harm_every: timedelta = timedelta(seconds=3)
     forget_silent: timedelta = timedelta(seconds=30)
--- a/src/rhubarbfield/scheduling/state.py
+++ b/src/rhubarbfield/scheduling/state.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from rhubarbfield.placement.state import HarmEstimate
 from rhubarbfield.scheduling.model import (
     NO_CHECKPOINT,
     CheckpointToken,
@@ -130,6 +131,8 @@
         The progress of each occurrence that has come due, by number.
     finished
         How many occurrences are complete.
+    accepted_ms
+        The time of day at which it was handed in, in ms since 1970; a hint.
     started
         Whether any task has started.
     """
@@ -141,6 +144,7 @@
     phase: JobPhase = JobPhase.QUEUED
     occurrences: dict[int, list[StepProgress]] = msgspec.field(default_factory=dict)
     finished: int = 0
+    accepted_ms: int = 0
     started: bool = False
 
     @property
@@ -154,6 +158,16 @@
         recurrence = self.submission.recurrence
         return 1 if recurrence is None else recurrence.times
 
+    @property
+    def has_live_runs(self) -> bool:
+        """Whether any run of it has no recorded end."""
+        return any(
+            task.live
+            for steps in self.occurrences.values()
+            for step in steps
+            for task in step.tasks
+        )
+
     def open_occurrence(self, number: int) -> None:
         """Create the tasks of an occurrence; harmless if they exist."""
         if number not in self.occurrences:
@@ -216,12 +230,15 @@
         All that are known.
     accepted
         How many jobs were ever accepted.
+    harm
+        What was learned of images, for the next leader.
     """
 
     configuration: QueueConfiguration | None = None
     jobs: dict[JobId, Job] = msgspec.field(default_factory=dict)
     workers: dict[WorkerId, Worker] = msgspec.field(default_factory=dict)
     accepted: int = 0
+    harm: dict[str, HarmEstimate] = msgspec.field(default_factory=dict)
 
     def find_queue(self, name: QueueName) -> Queue | None:
         """Return a queue of the configuration in force."""
