Pause all neighbours of a task that stays over its goal; move what stands still

After 1.2 s over the goal all are paused (test failed before). Runs without progress for 2.5 s are stopped and given to another worker.

--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -42,7 +42,8 @@
     measure_rooms,
 )
 from rhubarbfield.scheduling.ports import WorkerAddress, WorkerCalls
-from rhubarbfield.scheduling.session import RunKey, Start, WorkerSession
+from rhubarbfield.scheduling.progress import RunKey
+from rhubarbfield.scheduling.session import Start, WorkerSession
 from rhubarbfield.scheduling.settings import SchedulingSettings
 from rhubarbfield.scheduling.state import (
     Job,
@@ -146,7 +147,7 @@
         self._trust = Trust(settings)
         self._interference = Interference()
         self._interference.restore(self.state.harm.values())
-        self._neighbours = Neighbours(self, self._interference)
+        self._neighbours = Neighbours(self, self._interference, clock)
         self._backlog = Backlog(clock)
         self._sessions: dict[WorkerId, WorkerSession] = {}
         self._scopes: dict[WorkerId, trio.CancelScope] = {}
@@ -351,6 +352,7 @@
             if self.get_term() is None:
                 continue
             self._stop_unwanted()
+            self._stop_stalled()
             self._evacuate()
             await self._open_due()
             await self._forget_old()
@@ -444,6 +446,30 @@
         job, _, _, task = found
         return not job.is_open or task.phase in (TaskPhase.DONE, TaskPhase.FAILED)
 
+    def _stop_stalled(self) -> None:
+        """Give tasks that make no progress to other workers."""
+        now = self._clock.monotonic()
+        for worker, session in self._sessions.items():
+            stalled = session.list_stalled(self._settings.stalled_after)
+            for key in stalled:
+                found = self.state.find_task(key.task)
+                step = found[0].get_step(found[2]) if found is not None else None
+                if step is None or step.standing:
+                    continue
+                log_event(
+                    logger,
+                    logging.WARNING,
+                    "run-stalled",
+                    task=key.task,
+                    run=key.run,
+                    worker=worker,
+                )
+                # One task of spare cores may only be short of cores.
+                if len(stalled) > 1 or not step.uses_spare_cores:
+                    self._trust.note_stall(worker, now)
+                self._avoided.setdefault(key.task, set()).add(worker)
+                session.stop(key)
+
     def _evacuate(self) -> None:
         """Stop standing tasks on workers that leave, while there is other room."""
         rooms = self._measure_rooms()
--- a/src/rhubarbfield/scheduling/neighbours.py
+++ b/src/rhubarbfield/scheduling/neighbours.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import logging
+from datetime import timedelta
 from typing import Protocol
 
 import msgspec
 
+from rhubarbfield.clock import Clock
 from rhubarbfield.logs import log_event
 from rhubarbfield.scheduling.interference import (
     Exposure,
@@ -14,17 +16,18 @@
     ServingTask,
 )
 from rhubarbfield.scheduling.model import ImageName, Step, TaskName
-from rhubarbfield.scheduling.session import RunKey, WorkerSession
+from rhubarbfield.scheduling.progress import RunKey
+from rhubarbfield.scheduling.session import FULL_SPEED, WorkerSession
 from rhubarbfield.scheduling.state import SchedulingState, Worker
 from rhubarbfield.types import WorkerId
 
 logger = logging.getLogger(__name__)
 
 AT_WORK = 100  # percent that a standing task shows once it serves
-FULL_SPEED = 100  # percent
 PAUSED = 0  # percent; a task that is slowed goes on disturbing
-EASE_RATIO = 0.95  # of the goal, from which neighbours are paused
+EASE_RATIO = 0.9  # of the goal, as measures are rough; neighbours are paused
 RESUME_RATIO = 0.6  # of the goal, below which they go on
+PATIENCE = timedelta(milliseconds=1200)  # two views; 4 s of harm are a fault
 HARMLESS = 0.05  # growth of log latency that is not worth a pause
 
 
@@ -56,11 +59,17 @@
         The leader.
     interference
         What is learned of images.
+    clock
+        The time.
     """
 
-    def __init__(self, host: NeighboursHost, interference: Interference) -> None:
+    def __init__(
+        self, host: NeighboursHost, interference: Interference, clock: Clock
+    ) -> None:
         self._host = host
         self._interference = interference
+        self._clock = clock
+        self._suffering_since: dict[WorkerId, timedelta] = {}
         self._serving: dict[WorkerId, list[ServingTask]] = {}
         self._shares: dict[WorkerId, dict[ImageName, float]] = {}
 
@@ -108,6 +117,7 @@
     def forget(self, worker: WorkerId) -> None:
         """Drop what is known of a worker that is gone."""
         self._serving.pop(worker, None)
+        self._suffering_since.pop(worker, None)
         self._shares.pop(worker, None)
 
     def _list_serving(self, worker: Worker) -> list[ServingTask]:
@@ -133,9 +143,11 @@
             if task.tail_ms is not None and task.tail_ms >= task.goal_ms * EASE_RATIO
         ]
         if suffering:
-            for neighbour in self._choose_guilty(suffering, neighbours):
+            for neighbour in self._choose_guilty(worker, suffering, neighbours):
                 self._move_or_pause(worker, session, neighbour)
-        elif all(
+            return
+        self._suffering_since.pop(worker.worker, None)
+        if all(
             task.tail_ms is None or task.tail_ms <= task.goal_ms * RESUME_RATIO
             for task in serving
         ):
@@ -166,9 +178,19 @@
         session.stop(key)
 
     def _choose_guilty(
-        self, suffering: list[ServingTask], neighbours: list[Neighbour]
+        self,
+        worker: Worker,
+        suffering: list[ServingTask],
+        neighbours: list[Neighbour],
     ) -> list[Neighbour]:
-        """Return the neighbours that harm, or all if none is known to."""
+        """Return the neighbours that harm, or all if none is known to.
+
+        What was learned may be wrong: if the tail stays high, all are guilty.
+        """
+        now = self._clock.monotonic()
+        since = self._suffering_since.setdefault(worker.worker, now)
+        if now - since >= PATIENCE:
+            return neighbours
         guilty = [
             neighbour
             for neighbour in neighbours
--- a/src/rhubarbfield/scheduling/session.py
+++ b/src/rhubarbfield/scheduling/session.py
@@ -34,6 +34,7 @@
     WorkerCalls,
     WorkerView,
 )
+from rhubarbfield.scheduling.progress import Progress, RunKey
 from rhubarbfield.scheduling.settings import SchedulingSettings
 from rhubarbfield.scheduling.state import RunEnd, Worker
 from rhubarbfield.types import Term, WorkerId
@@ -44,16 +45,10 @@
 LEAVE_SILENCE = timedelta(seconds=3)  # a worker that got no reply ends by then
 RETRY_PAUSE = timedelta(milliseconds=250)  # between two tries of a silent worker
 DEPOSED_PAUSE = timedelta(seconds=1)  # until the lease of a deposed leader is over
+FULL_SPEED = 100  # percent
 ROOM_PAUSE = timedelta(milliseconds=400)  # a view shows the real room by then
 
 
-class RunKey(msgspec.Struct, frozen=True):
-    """One run of a task."""
-
-    task: TaskName
-    run: RunNumber
-
-
 class Start(msgspec.Struct, frozen=True):
     """A recorded run that the worker has to be told of."""
 
@@ -158,6 +153,7 @@
         self._acknowledged = 0
         self._reported_at = opened
         self._left_at: timedelta | None = None
+        self._progress = Progress()
         self.active: dict[TaskName, ActiveRun] = {}
         self.viewed_at: timedelta | None = None
 
@@ -206,13 +202,14 @@
 
     def pace(self, key: RunKey, percent: int) -> None:
         """Tell the worker to let a run work at ``percent`` of its speed."""
-        if self._pacing.get(key, 100) != percent:
+        if self._pacing.get(key, FULL_SPEED) != percent:
             self._pacing[key] = percent
+            self._progress.restart(key, self._clock.monotonic())
             self._put(Pace(key, percent))
 
     def get_pace(self, key: RunKey) -> int:
         """Return the share of its speed, in percent, that a run was set to."""
-        return self._pacing.get(key, 100)
+        return self._pacing.get(key, FULL_SPEED)
 
     def is_stopping(self, key: RunKey) -> bool:
         """Say whether a run has been told to stop."""
@@ -224,6 +221,14 @@
             self._left_at = self._clock.monotonic()
         self._watched.set()
 
+    def list_stalled(self, limit: timedelta) -> list[RunKey]:
+        """Return runs at full speed that made no progress for ``limit``."""
+        return [
+            key
+            for key in self._progress.list_stalled(limit)
+            if self.get_pace(key) == FULL_SPEED and key not in self._stopping
+        ]
+
     def wake(self) -> None:
         """Look at the worker now."""
         self._watched.set()
@@ -417,6 +422,7 @@
     ) -> None:
         self.active = {run.task: run for run in view.active}
         self.viewed_at = self._clock.monotonic()
+        self._progress.note(view.active, self.viewed_at)
         worker = self._host.find_worker(self.worker)
         if worker is None:
             return
--- a/src/rhubarbfield/scheduling/settings.py
+++ b/src/rhubarbfield/scheduling/settings.py
@@ -41,6 +41,9 @@
         For how long.
     remember_ended
         How long ended jobs can be asked for.
+    stalled_after
+        How long a run may make no progress at full speed; the slowest task
+        of both deployments shows one percent each 70 ms.
     starved_after
         How long a job may have nothing running while its next step could run
         only where it harms others; the platform bears 3 s.
@@ -62,6 +65,7 @@
     distrust_after: int = 2
     distrust_for: timedelta = timedelta(seconds=6)
     remember_ended: timedelta = timedelta(seconds=300)
+    stalled_after: timedelta = timedelta(milliseconds=2500)
     starved_after: timedelta = timedelta(seconds=2)
     save_harm_every: timedelta = timedelta(seconds=3)
     forget_silent: timedelta = timedelta(seconds=30)
--- a/src/rhubarbfield/testing/calledworkers.py
+++ b/src/rhubarbfield/testing/calledworkers.py
@@ -56,15 +56,18 @@
         How.
     measure
         What the worker reports of it.
-    percent
-        Its pace.
+    pace
+        The share of its speed, in percent.
+    started_at
+        When it started, on the worker's clock.
     """
 
     run: RunNumber
     ends_at: timedelta | None
     end: RunEnd = RunEnd.DONE
     measure: float | None = None
-    percent: int = 100
+    pace: int = 100
+    started_at: timedelta = timedelta()
 
 
 class StandInWorker:
@@ -99,6 +102,7 @@
         self.lease_end = timedelta()
         self.term = Term(0)
         self.is_silent = False
+        self.is_stuck = False
         self.started: list[tuple[TaskName, RunNumber, timedelta]] = []
         self.demands: dict[TaskName, Demand] = {}
         self.unanswered_starts = 0
@@ -156,8 +160,11 @@
             return Failure(Refused(refusal, self.read_clock()))
         if order.task not in self.runs:
             now = self.read_clock()
-            ends_at = None if self.duration is None else now + self.duration
-            self.runs[order.task] = StandInRun(order.run, ends_at, self.end)
+            endless = self.duration is None or self.is_stuck
+            ends_at = None if endless else now + (self.duration or timedelta())
+            self.runs[order.task] = StandInRun(
+                order.run, ends_at, self.end, started_at=now
+            )
             self.started.append((order.task, order.run, self._clock.monotonic()))
         return Success(self.read_clock())
 
@@ -195,7 +202,9 @@
             await self._clock.sleep(timedelta(milliseconds=10))
             self.settle()
         active = tuple(
-            ActiveRun(task, run.run, NO_CHECKPOINT, run.percent, run.measure)
+            ActiveRun(
+                task, run.run, NO_CHECKPOINT, self._find_percent(run), run.measure
+            )
             for task, run in self.runs.items()
         )
         listed = tuple(self.ends[:LIST_LIMIT])
@@ -213,6 +222,11 @@
         )
         return next((refusal for holds, refusal in rules if holds), None)
 
+    def _find_percent(self, run: StandInRun) -> float:
+        if self.is_stuck:
+            return 0.0
+        return (self.read_clock() - run.started_at).total_seconds()
+
     def _has_room(self, task: TaskName) -> bool:
         free = self.capacity
         for other in self.runs:
@@ -283,7 +297,7 @@
             return Failure(found)
         present = found.runs.get(task)
         if present is not None and present.run == run and term >= found.term:
-            present.percent = percent
+            present.pace = percent
         return Success(found.read_clock())
 
     async def view(
--- a/tests/scheduling/test_leader.py
+++ b/tests/scheduling/test_leader.py
@@ -167,6 +167,24 @@
         run(check)
 
 
+class StalledRunsTest(unittest.TestCase):
+    def test_task_that_stands_still_goes_on_elsewhere(self) -> None:
+        async def check() -> None:
+            deployment = Deployment()
+            await deployment.configure()
+            stuck = deployment.add_worker("w1")
+            stuck.is_stuck = True
+            async with deployment.lead():
+                await deployment.submit("j", Step(demand=ONE_CORE))
+                await trio.sleep(1)
+                self.assertEqual(len(stuck.runs), 1)
+                deployment.add_worker("w2")
+                await trio.sleep(6)
+                self.assertEqual(deployment.get_job("j").phase, JobPhase.COMPLETED)
+
+        run(check)
+
+
 class UnansweredOrdersTest(unittest.TestCase):
     def test_start_carried_out_late_does_not_double_the_task(self) -> None:
         async def check() -> None:
--- /dev/null
+++ b/tests/scheduling/test_neighbours.py
@@ -0,0 +1,163 @@
+"""Tests of easing what tasks do to those that serve beside them."""
+
+from __future__ import annotations
+
+import unittest
+from datetime import timedelta
+from typing import cast
+
+from rhubarbfield.clock import ManualClock
+from rhubarbfield.scheduling.commands import (
+    AcceptJob,
+    PutConfiguration,
+    RunStart,
+    StartRuns,
+    UpdateWorkers,
+)
+from rhubarbfield.scheduling.interference import Interference, ServingTask
+from rhubarbfield.scheduling.model import (
+    NO_CHECKPOINT,
+    Demand,
+    ImageName,
+    JobSubmission,
+    RunNumber,
+    Step,
+    TaskName,
+    name_task,
+)
+from rhubarbfield.scheduling.neighbours import Neighbours
+from rhubarbfield.scheduling.ports import ActiveRun
+from rhubarbfield.scheduling.progress import RunKey
+from rhubarbfield.scheduling.session import WorkerSession
+from rhubarbfield.scheduling.state import SchedulingState, Worker
+from rhubarbfield.types import JobId, WorkerId
+from tests.scheduling.deployments import CONFIGURATION, QUEUE
+from tests.scheduling.test_appliers import WORKERS, Log, make_report
+
+SERVING, LIGHT, HEAVY = ImageName("serving"), ImageName("light"), ImageName("heavy")
+GOAL_MS = 50
+VIEW_PAUSE = timedelta(milliseconds=650)
+HARM_LIMIT = timedelta(seconds=4)  # what the platform bears
+
+
+class FakeSession:
+    """Remembers what was paced and stopped."""
+
+    def __init__(self) -> None:
+        self.active: dict[TaskName, ActiveRun] = {}
+        self.paces: dict[RunKey, int] = {}
+        self.stopped: set[RunKey] = set()
+
+    def pace(self, key: RunKey, percent: int) -> None:
+        self.paces[key] = percent
+
+    def get_pace(self, key: RunKey) -> int:
+        return self.paces.get(key, 100)
+
+    def stop(self, key: RunKey) -> None:
+        self.stopped.add(key)
+
+    def is_stopping(self, key: RunKey) -> bool:
+        return key in self.stopped
+
+
+class Host:
+    """A worker with one task that serves and two of spare cores."""
+
+    def __init__(self, *, has_place: bool = False) -> None:
+        self.log = Log()
+        self.has_place = has_place
+        self.log.apply(PutConfiguration(configuration=CONFIGURATION))
+        self.log.apply(UpdateWorkers(reports=(make_report(WORKERS[0]),)))
+        serving = Step(
+            image=SERVING, tail_goal_ms=GOAL_MS, standing=True, demand=Demand(4000)
+        )
+        steps = [serving] + [
+            Step(
+                image=image,
+                uses_spare_cores=True,
+                demand=Demand(2000),
+                checkpoints=True,
+            )
+            for image in (LIGHT, HEAVY)
+        ]
+        submission = JobSubmission(payload="", steps=tuple(steps))
+        job = JobId("j")
+        self.log.apply(AcceptJob(job=job, queue=QUEUE.name, submission=submission))
+        self.names = [name_task(job, 0, step, 0) for step in range(3)]
+        starts = [RunStart(name, RunNumber(1), WORKERS[0]) for name in self.names]
+        self.log.apply(StartRuns(starts=tuple(starts)))
+
+    @property
+    def state(self) -> SchedulingState:
+        return self.log.state
+
+    @property
+    def worker(self) -> Worker:
+        return self.state.workers[WORKERS[0]]
+
+    def find_other_place(self, task: TaskName, worker: WorkerId) -> bool:
+        return self.has_place
+
+
+class NeighboursTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = ManualClock(timedelta(seconds=100))
+        self.interference = Interference()
+        for _ in range(40):
+            for image, tail in ((LIGHT, 20.0), (HEAVY, 100.0)):
+                task = ServingTask(SERVING, GOAL_MS, tail)
+                self.interference.learn([task], {image: 0.25})
+        self.host = Host()
+        self.session = FakeSession()
+
+    def watch(self, tail_ms: float, views: int = 1) -> None:
+        neighbours = self.neighbours
+        measures = (tail_ms, 2000.0, 2000.0)
+        for _ in range(views):
+            self.clock.advance(VIEW_PAUSE)
+            self.session.active = {
+                name: ActiveRun(name, RunNumber(1), NO_CHECKPOINT, 100, measure)
+                for name, measure in zip(self.host.names, measures, strict=True)
+            }
+            neighbours.note_view(self.host.worker, cast(WorkerSession, self.session))
+
+    @property
+    def neighbours(self) -> Neighbours:
+        if not hasattr(self, "_neighbours"):
+            self._neighbours = Neighbours(self.host, self.interference, self.clock)
+        return self._neighbours
+
+    def get_pace(self, step: int) -> int:
+        return self.session.get_pace(RunKey(self.host.names[step], RunNumber(1)))
+
+    def test_only_what_harms_is_paused_first(self) -> None:
+        self.watch(60)
+        self.assertEqual((self.get_pace(1), self.get_pace(2)), (100, 0))
+
+    def test_all_are_paused_well_before_the_limit_if_that_was_not_enough(self) -> None:
+        began = self.clock.monotonic()
+        while self.get_pace(1) != 0:
+            self.watch(60)
+            self.assertLess(self.clock.monotonic() - began, HARM_LIMIT * 0.75)
+
+    def test_all_go_on_once_the_tail_is_low(self) -> None:
+        self.watch(60, views=5)
+        self.watch(20)
+        self.assertEqual((self.get_pace(1), self.get_pace(2)), (100, 100))
+
+    def test_what_saves_its_work_is_moved_if_there_is_another_place(self) -> None:
+        self.host.has_place = True
+        self.watch(60)
+        self.assertEqual(
+            self.session.stopped, {RunKey(self.host.names[2], RunNumber(1))}
+        )
+        self.assertEqual(self.session.paces, {})
+
+    def test_nothing_is_done_while_the_tail_is_low(self) -> None:
+        self.watch(10)
+        self.assertEqual(self.session.stopped, set())
+
+
+if __name__ == "__main__":
+    unittest.main()
