--- /dev/null
+++ b/tests/platform/test_runners.py
@@ -0,0 +1,125 @@
+"""Tests of calling runners over real connections."""
+
+from __future__ import annotations
+
+import unittest
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+
+import trio
+from returns.result import Failure, Success
+
+from rhubarbfield.platform.runners import RunnerCalls
+from rhubarbfield.scheduling.model import NO_CHECKPOINT, RunNumber, TaskName
+from rhubarbfield.scheduling.ports import (
+    NoReply,
+    OtherLife,
+    Refusal,
+    Refused,
+    StartOrder,
+    WorkerAddress,
+)
+from rhubarbfield.types import Term, WorkerId
+from tests.platform.runner import StandInRunner
+
+HOST, PORT = "127.0.0.21", 17741
+TASK, RUN = TaskName("j.0.0.0"), RunNumber(1)
+TIMEOUT = timedelta(milliseconds=500)
+Test = Callable[[StandInRunner, RunnerCalls, WorkerAddress], Awaitable[None]]
+
+
+def make_order(term: int = 1) -> StartOrder:
+    return StartOrder(
+        task=TASK,
+        run=RUN,
+        payload="p",
+        checkpoint=NO_CHECKPOINT,
+        lease_end=timedelta(hours=10),
+        term=Term(term),
+    )
+
+
+def run(test: Test) -> None:
+    async def body() -> None:
+        runner = StandInRunner(HOST, PORT)
+        calls = RunnerCalls(TIMEOUT)
+        async with trio.open_nursery() as nursery:
+            await nursery.start(runner.run, [])
+            with trio.fail_after(10):
+                address = WorkerAddress(WorkerId("i-1"), runner.address)
+                await test(runner, calls, address)
+            await calls.forget(runner.address)
+            nursery.cancel_scope.cancel()
+
+    trio.run(body)
+
+
+class RunnerCallsTest(unittest.TestCase):
+    def test_run_is_started_once_and_its_end_is_listed(self) -> None:
+        async def check(
+            runner: StandInRunner, calls: RunnerCalls, to: WorkerAddress
+        ) -> None:
+            for _ in range(2):
+                self.assertIsInstance(await calls.start(to, make_order()), Success)
+            view = (
+                await calls.view(
+                    to,
+                    recorded_ends=0,
+                    lease_end=timedelta(hours=1),
+                    patience=timedelta(seconds=1),
+                    term=Term(1),
+                )
+            ).unwrap()
+            self.assertEqual([end.task for end in view.ends], [TASK])
+            self.assertEqual(len(runner.started), 1)
+
+        run(check)
+
+    def test_refusals_are_told_apart(self) -> None:
+        async def check(
+            runner: StandInRunner, calls: RunnerCalls, to: WorkerAddress
+        ) -> None:
+            for reason, refusal in (
+                ("room", Refusal.NO_ROOM),
+                ("old", Refusal.SUPERSEDED),
+                ("late", Refusal.EXPIRED),
+            ):
+                runner.refuse_with = reason
+                failure = (await calls.start(to, make_order())).failure()
+                assert isinstance(failure, Refused)
+                self.assertEqual(failure.refusal, refusal)
+            runner.fence = 5
+            failure = (await calls.start(to, make_order(term=4))).failure()
+            assert isinstance(failure, Refused)
+            self.assertEqual(failure.refusal, Refusal.DEPOSED)
+
+        run(check)
+
+    def test_other_life_and_unreadable_bytes_are_no_reply_of_this_one(self) -> None:
+        async def check(
+            runner: StandInRunner, calls: RunnerCalls, to: WorkerAddress
+        ) -> None:
+            other = WorkerAddress(WorkerId("i-0"), to.address)
+            self.assertEqual(
+                await calls.start(other, make_order()), Failure(OtherLife())
+            )
+            runner.unreadable_replies = 1
+            failure = (await calls.start(to, make_order())).failure()
+            self.assertIsInstance(failure, NoReply)
+
+        run(check)
+
+    def test_nobody_listening_is_no_reply(self) -> None:
+        async def check(
+            runner: StandInRunner, calls: RunnerCalls, to: WorkerAddress
+        ) -> None:
+            nobody = WorkerAddress(to.worker, f"{HOST}:{PORT + 1}")
+            failure = (await calls.start(nobody, make_order())).failure()
+            self.assertIsInstance(failure, NoReply)
+            await calls.forget(nobody.address)
+
+        run(check)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/platform/test_whole_path.py
@@ -0,0 +1,212 @@
+"""Tests of the two programs as real processes, with a stand-in runner."""
+
+from __future__ import annotations
+
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+import httpx
+import trio
+import yaml
+
+from tests.platform.runner import StandInRunner
+
+CONTROLLERS = ("127.0.0.31", "127.0.0.32", "127.0.0.33")
+ENTRY = "127.0.0.34"
+PEER_PORT, CONTROL_PORT, CALLERS_PORT, READY_PORT = 17751, 17752, 17753, 17754
+CONTROLS = [f"{host}:{CONTROL_PORT}" for host in CONTROLLERS]
+LIMIT_SECONDS = 60.0
+CONFIGURATION = {
+    "Version": 3,
+    "Routes": [
+        {
+            "Name": "r",
+            "Hostname": "h.example",
+            "PathPrefix": "/p/",
+            "TimeoutMs": 3000,
+            "Service": "s",
+            "MaxAttempts": 2,
+            "Stretch": 2.0,
+        }
+    ],
+    "Services": [{"Name": "s", "EnforcesCapacity": True}],
+    "Limits": {},
+}
+JOB = {
+    "Spec": "x",
+    "Steps": [
+        {"Count": 2, "Cpu": 1000, "MemMb": 100, "EstimatedMs": 300},
+        {"Count": 1, "Cpu": 1000, "MemMb": 100, "StartAfter": [0]},
+    ],
+}
+
+
+class Programs:
+    """Three controllers and an entry on loopback addresses."""
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+
+    def start(self, program: str, host: str, *, may_form: bool = True) -> None:
+        is_entry = program == "job-entry"
+        settings = {
+            "instance": f"{program}-{host}",
+            "failure_domain": "z1",
+            "host": host,
+            "peer_port": PEER_PORT,
+            "callers": f"{host}:{CALLERS_PORT}" if is_entry else "",
+            "readiness": f"{host}:{READY_PORT}" if is_entry else "",
+            "control": "" if is_entry else f"{host}:{CONTROL_PORT}",
+            "seeds": CONTROLS,
+            "may_form_group": may_form,
+            "data_folder": "" if is_entry else str(self._folder / host),
+            "workers": {"report_ms": 500, "longest_lease_ms": 6000},
+        }
+        path = self._folder / f"{host}.yaml"
+        path.write_text(yaml.safe_dump(settings), encoding="utf-8")
+        with (self._folder / f"{host}.log").open("ab") as log:
+            self.processes[host] = subprocess.Popen(
+                [sys.executable, "-m", "rhubarbfield", program, "--settings", path],
+                stdout=log,
+                stderr=log,
+                env={**os.environ, "PYTHONPATH": ":".join(sys.path)},
+            )
+
+    def kill(self, host: str) -> None:
+        process = self.processes.pop(host)
+        process.send_signal(signal.SIGKILL)
+        process.wait()
+
+    def stop(self, host: str) -> int:
+        process = self.processes.pop(host)
+        process.send_signal(signal.SIGTERM)
+        return process.wait(timeout=20)
+
+    def end(self) -> None:
+        for host in list(self.processes):
+            self.kill(host)
+
+    def read_log(self, host: str) -> str:
+        return (self._folder / f"{host}.log").read_text(encoding="utf-8")
+
+
+async def put_configuration(client: httpx.AsyncClient) -> None:
+    while True:
+        for control in CONTROLS:
+            try:
+                response = await client.put(
+                    f"http://{control}/config", json=CONFIGURATION
+                )
+            except httpx.HTTPError:
+                continue
+            if response.status_code == httpx.codes.OK:
+                return
+        await trio.sleep(0.2)
+
+
+async def call_job(
+    client: httpx.AsyncClient, method: str, job: str, body: object = None
+) -> httpx.Response:
+    """Call until the entry answers for certain."""
+    while True:
+        try:
+            response = await client.request(
+                method,
+                f"http://{ENTRY}:{CALLERS_PORT}/p/{job}",
+                headers={"Host": "h.example", "X-Deadline-Ms": "3000"},
+                json=body,
+            )
+        except httpx.HTTPError:
+            await trio.sleep(0.2)
+            continue
+        if response.status_code < httpx.codes.INTERNAL_SERVER_ERROR:
+            return response
+        await trio.sleep(0.3)
+
+
+async def run_job(client: httpx.AsyncClient, job: str) -> None:
+    response = await call_job(client, "POST", job, JOB)
+    assert response.status_code == httpx.codes.OK, response.text
+    while True:
+        state = (await call_job(client, "GET", job)).json()["State"]
+        if state == "completed":
+            return
+        await trio.sleep(0.2)
+
+
+async def find_leader(client: httpx.AsyncClient) -> str:
+    while True:
+        for host in CONTROLLERS:
+            try:
+                response = await client.get(
+                    f"http://{host}:{CONTROL_PORT}/config", follow_redirects=False
+                )
+            except httpx.HTTPError:
+                continue
+            if response.status_code == httpx.codes.OK:
+                return host
+        await trio.sleep(0.2)
+
+
+class WholePathTest(unittest.TestCase):
+    def test_jobs_complete_over_kills_and_stops_of_the_leader(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            programs = Programs(Path(folder))
+            try:
+                trio.run(self._play, programs)
+            except BaseException:
+                for host in (*CONTROLLERS, ENTRY):
+                    print(programs.read_log(host)[-3000:])
+                raise
+            finally:
+                programs.end()
+
+    async def _play(self, programs: Programs) -> None:
+        for host in CONTROLLERS:
+            programs.start("job-controller", host)
+        programs.start("job-entry", ENTRY)
+        runner = StandInRunner("127.0.0.35", 17755)
+        timeout = httpx.Timeout(4.0)
+        async with (
+            httpx.AsyncClient(follow_redirects=True, timeout=timeout) as client,
+            trio.open_nursery() as nursery,
+        ):
+            with trio.fail_after(LIMIT_SECONDS):
+                await put_configuration(client)
+                await nursery.start(runner.run, CONTROLS)
+                await run_job(client, "00000000000000a1")
+                await self._check_answers(client)
+                killed = await find_leader(client)
+                programs.kill(killed)
+                await run_job(client, "00000000000000a2")
+                programs.start("job-controller", killed, may_form=False)
+                stopped = await find_leader(client)
+                self.assertEqual(
+                    await trio.to_thread.run_sync(programs.stop, stopped), 0
+                )
+                await run_job(client, "00000000000000a3")
+            nursery.cancel_scope.cancel()
+        self.assertEqual(len(runner.started), 9)
+        self.assertEqual(len(set(runner.started)), 9)
+
+    async def _check_answers(self, client: httpx.AsyncClient) -> None:
+        gone = await call_job(client, "GET", "00000000000000ff")
+        self.assertEqual(gone.status_code, httpx.codes.GONE)
+        again = await call_job(client, "POST", "00000000000000a1", JOB)
+        self.assertEqual(again.status_code, httpx.codes.OK)
+        bad = await call_job(client, "POST", "00000000000000a9", {"Spec": 1})
+        self.assertEqual(bad.status_code, httpx.codes.BAD_REQUEST)
+        waiting = await call_job(client, "GET", "")
+        self.assertEqual(waiting.json(), {"WaitingCount": 0})
+        ready = await client.get(f"http://{ENTRY}:{READY_PORT}/readyz")
+        self.assertEqual(ready.status_code, httpx.codes.OK)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/scheduling/test_events.py
@@ -0,0 +1,32 @@
+"""Tests that the page of events lists what the programs log."""
+
+from __future__ import annotations
+
+import re
+import unittest
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parents[2]
+PARTS = ("scheduling", "platform")
+EVENT = re.compile(
+    r"(?:log_event\(\s*\w+,\s*logging\.\w+,\s*|logger\.\w+\(\s*|_log_failure\(\s*)"
+    r"\"([a-z]+(?:-[a-z]+)+)"
+)
+
+
+class EventsTest(unittest.TestCase):
+    def test_every_event_is_listed(self) -> None:
+        page = (ROOT / "docs" / "OPERATIONS.md").read_text(encoding="utf-8")
+        listed = set(re.findall(r"`([a-z]+(?:-[a-z]+)+)`", page))
+        logged = {
+            event
+            for part in PARTS
+            for path in (ROOT / "src" / "rhubarbfield" / part).glob("*.py")
+            for event in EVENT.findall(path.read_text(encoding="utf-8"))
+        }
+        self.assertGreater(len(logged), 15)
+        self.assertEqual(logged - listed, set())
+
+
+if __name__ == "__main__":
+    unittest.main()
