--- a/src/rhubarbfield/platform/wire.py
+++ b/src/rhubarbfield/platform/wire.py
@@ -9,7 +9,7 @@
 from returns.result import Failure, Result, Success
 
 from rhubarbfield.scheduling.commands import WorkerReport
-from rhubarbfield.scheduling.leader import Heartbeat
+from rhubarbfield.scheduling.heartbeats import Heartbeat
 from rhubarbfield.scheduling.model import (
     CheckpointToken,
     Demand,
--- a/src/rhubarbfield/scheduling/appliers.py
+++ b/src/rhubarbfield/scheduling/appliers.py
@@ -134,7 +134,8 @@
     worker.address = report.address
     worker.capacity = report.capacity
     worker.labels = report.labels
-    worker.draining = report.draining
+    # A report may arrive late; a worker that leaves does not come back.
+    worker.draining = worker.draining or report.draining
 
 
 @scheduling_commands.applies(RemoveWorker)
--- /dev/null
+++ b/src/rhubarbfield/scheduling/housekeeping.py
@@ -0,0 +1,220 @@
+"""What a leader puts in order before each round of placing."""
+
+from __future__ import annotations
+
+import logging
+import math
+from collections.abc import Mapping
+from datetime import timedelta
+from typing import Protocol
+
+from rhubarbfield.clock import Clock
+from rhubarbfield.groups import ReplicatedLog
+from rhubarbfield.logs import log_event
+from rhubarbfield.scheduling.appliers import WholeSchedulingState
+from rhubarbfield.scheduling.backlog import Backlog
+from rhubarbfield.scheduling.commands import ForgetJobs, OpenOccurrences
+from rhubarbfield.scheduling.model import CheckpointToken, TaskName
+from rhubarbfield.scheduling.progress import RunKey
+from rhubarbfield.scheduling.rooms import WaitingStep, WorkerRoom, may_hold
+from rhubarbfield.scheduling.session import WorkerSession
+from rhubarbfield.scheduling.settings import SchedulingSettings
+from rhubarbfield.scheduling.state import Job, SchedulingState, TaskPhase
+from rhubarbfield.scheduling.trust import Trust
+from rhubarbfield.types import JobId, WorkerId
+
+logger = logging.getLogger(__name__)
+
+MS_PER_SECOND = 1000
+
+
+class HousekeepingHost(Protocol):
+    """What this part needs of the leader."""
+
+    def measure_rooms(self) -> dict[WorkerId, WorkerRoom]:
+        """Return the room of each worker that may take work."""
+
+    async def remove_worker(
+        self, worker: WorkerId, checkpoints: dict[TaskName, CheckpointToken]
+    ) -> None:
+        """Record that a life of a machine is over."""
+
+    def avoid(self, task: TaskName, worker: WorkerId) -> None:
+        """Start a task elsewhere, if there is another place."""
+
+
+class Housekeeping:
+    """Stops what must not go on, opens what is due, forgets what is over.
+
+    Parameters
+    ----------
+    log
+        The deployment's log.
+    host
+        The leader.
+    sessions
+        The leader's dealings with each worker.
+    trust, backlog
+        What the leader knows of workers and jobs.
+    clock
+        The time.
+    settings
+        Times and limits.
+    """
+
+    def __init__(
+        self,
+        log: ReplicatedLog[WholeSchedulingState],
+        *,
+        host: HousekeepingHost,
+        sessions: Mapping[WorkerId, WorkerSession],
+        trust: Trust,
+        backlog: Backlog,
+        clock: Clock,
+        settings: SchedulingSettings,
+    ) -> None:
+        self._log = log
+        self._host = host
+        self._sessions = sessions
+        self._trust = trust
+        self._backlog = backlog
+        self._clock = clock
+        self._settings = settings
+        self._ended_at: dict[JobId, timedelta] = {}
+
+    @property
+    def _state(self) -> SchedulingState:
+        return self._log.state.scheduling
+
+    async def keep(self) -> None:
+        """Put everything in order once."""
+        self._stop_unwanted()
+        self._stop_stalled()
+        self._evacuate()
+        await self._open_due()
+        await self._forget_old()
+        await self._forget_silent()
+
+    def _stop_unwanted(self) -> None:
+        for worker in self._state.workers.values():
+            session = self._sessions.get(worker.worker)
+            if session is None:
+                continue
+            for name, run in worker.runs.items():
+                if self._is_unwanted(name):
+                    session.stop(RunKey(name, run))
+
+    def _is_unwanted(self, name: TaskName) -> bool:
+        found = self._state.find_task(name)
+        if found is None:
+            return True
+        job, _, _, task = found
+        return not job.is_open or task.phase in (TaskPhase.DONE, TaskPhase.FAILED)
+
+    def _stop_stalled(self) -> None:
+        """Give tasks that make no progress to other workers."""
+        now = self._clock.monotonic()
+        for worker, session in self._sessions.items():
+            stalled = session.list_stalled(self._settings.stalled_after)
+            for key in stalled:
+                found = self._state.find_task(key.task)
+                step = found[0].get_step(found[2]) if found is not None else None
+                if step is None or step.standing:
+                    continue
+                log_event(
+                    logger,
+                    logging.WARNING,
+                    "run-stalled",
+                    task=key.task,
+                    run=key.run,
+                    worker=worker,
+                )
+                # One task of spare cores may only be short of cores.
+                if len(stalled) > 1 or not step.uses_spare_cores:
+                    self._trust.note_stall(worker, now)
+                self._host.avoid(key.task, worker)
+                session.stop(key)
+
+    def _evacuate(self) -> None:
+        """Stop standing tasks on workers that leave, while there is other room."""
+        rooms = self._host.measure_rooms()
+        for worker in self._state.workers.values():
+            session = self._sessions.get(worker.worker)
+            if session is None or not worker.draining:
+                continue
+            for name, run in worker.runs.items():
+                key = RunKey(name, run)
+                if not session.is_stopping(key) and self._has_place(name, rooms):
+                    log_event(
+                        logger,
+                        logging.INFO,
+                        "run-evacuated",
+                        task=name,
+                        run=run,
+                        worker=worker.worker,
+                    )
+                    session.stop(key)
+
+    def _has_place(self, name: TaskName, rooms: dict[WorkerId, WorkerRoom]) -> bool:
+        """Take a place for a standing task on another worker, if there is one."""
+        found = self._state.find_task(name)
+        if found is None:
+            return False
+        job, occurrence, number, _ = found
+        step = job.get_step(number)
+        queue = self._state.find_queue(job.queue)
+        if queue is None or not step.standing:
+            return False
+        waiting = WaitingStep(job, queue, occurrence, number)
+        for room in rooms.values():
+            if may_hold(waiting, room):
+                room.take(step)
+                return True
+        return False
+
+    async def _forget_silent(self) -> None:
+        """Drop workers without runs that have not been heard for long."""
+        now = self._clock.monotonic()
+        for worker in list(self._state.workers.values()):
+            session = self._sessions.get(worker.worker)
+            if session is None or worker.runs:
+                continue
+            if now - session.heard_at > self._settings.forget_silent:
+                await self._host.remove_worker(worker.worker, {})
+
+    async def _open_due(self) -> None:
+        now_ms = self._clock.now().timestamp() * MS_PER_SECOND
+        due = [
+            (job.job, number)
+            for job in self._state.jobs.values()
+            for number in _list_due(job, now_ms)
+        ]
+        if due:
+            await self._log.propose(OpenOccurrences(due=tuple(due)))
+
+    async def _forget_old(self) -> None:
+        now = self._clock.monotonic()
+        old = []
+        for job in self._state.jobs.values():
+            if not job.is_open:
+                ended = self._ended_at.setdefault(job.job, now)
+                if now - ended > self._settings.remember_ended:
+                    old.append(job.job)
+                self._backlog.forget(job.job)
+        if old:
+            await self._log.propose(ForgetJobs(jobs=tuple(old)))
+            for name in old:
+                self._ended_at.pop(name, None)
+
+
+def _list_due(job: Job, now_ms: float) -> list[int]:
+    recurrence = job.submission.recurrence
+    if recurrence is None or not job.is_open:
+        return []
+    if now_ms < recurrence.first_ms:
+        return []
+    passed = recurrence.times
+    if recurrence.interval_ms > 0:
+        elapsed = (now_ms - recurrence.first_ms) / recurrence.interval_ms
+        passed = min(passed, math.floor(elapsed) + 1)
+    return [number for number in range(passed) if number not in job.occurrences]
--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -3,24 +3,19 @@
 from __future__ import annotations
 
 import logging
-import math
-from collections.abc import Callable
 from datetime import timedelta
 
-import msgspec
 import trio
 from returns.result import Success
 
 from rhubarbfield.clock import Clock
 from rhubarbfield.groups import ReplicatedLog
 from rhubarbfield.logs import log_event
-from rhubarbfield.machine import Command, Reply
+from rhubarbfield.machine import Command
 from rhubarbfield.scheduling.appliers import WholeSchedulingState
 from rhubarbfield.scheduling.backlog import Backlog
 from rhubarbfield.scheduling.commands import (
     EndRuns,
-    ForgetJobs,
-    OpenOccurrences,
     RemoveWorker,
     RunsRecorded,
     RunStart,
@@ -30,91 +25,41 @@
     WorkerEnds,
     WorkerReport,
 )
+from rhubarbfield.scheduling.heartbeats import Heartbeat, is_known
+from rhubarbfield.scheduling.housekeeping import Housekeeping
 from rhubarbfield.scheduling.interference import Interference
 from rhubarbfield.scheduling.model import CheckpointToken, Queue, TaskName
 from rhubarbfield.scheduling.neighbours import Neighbours
-from rhubarbfield.scheduling.placing import (
-    Placer,
+from rhubarbfield.scheduling.placing import Placer
+from rhubarbfield.scheduling.ports import WorkerAddress, WorkerCalls
+from rhubarbfield.scheduling.progress import RunKey
+from rhubarbfield.scheduling.recording import (
+    PROPOSE_PAUSE,
+    Batcher,
+    propose_until_done,
+)
+from rhubarbfield.scheduling.rooms import (
     WaitingStep,
     WorkerRoom,
     admits,
     may_hold,
     measure_rooms,
 )
-from rhubarbfield.scheduling.ports import WorkerAddress, WorkerCalls
-from rhubarbfield.scheduling.progress import RunKey
 from rhubarbfield.scheduling.session import Start, WorkerSession
 from rhubarbfield.scheduling.settings import SchedulingSettings
 from rhubarbfield.scheduling.state import (
     Job,
     RunEnd,
     SchedulingState,
-    TaskPhase,
     Worker,
 )
 from rhubarbfield.scheduling.trust import Trust
-from rhubarbfield.types import JobId, LogIndex, Term, WorkerId
+from rhubarbfield.types import JobId, Term, WorkerId
 
 logger = logging.getLogger(__name__)
 
-PROPOSE_PAUSE = timedelta(milliseconds=100)  # before a proposal is repeated
 ROUND_PAUSE = timedelta(milliseconds=10)  # changes that come together share a round
 IDLE_ROUND = timedelta(milliseconds=250)  # due times and distrust are looked at
-MILLISECOND = timedelta(milliseconds=1)
-
-
-class Heartbeat(msgspec.Struct, frozen=True):
-    """What a worker sends from time to time.
-
-    Attributes
-    ----------
-    report
-        What it says of itself.
-    sequence
-        Grows with each heartbeat of this life.
-    clock
-        Its own clock, if it told.
-    remaining
-        At least so long it goes on, if it is draining and told.
-    """
-
-    report: WorkerReport
-    sequence: int
-    clock: timedelta | None = None
-    remaining: timedelta | None = None
-
-
-class Batcher:
-    """Joins what several tasks want to record into one proposal.
-
-    Parameters
-    ----------
-    propose
-        Commits the ends of runs; repeats until it has.
-    """
-
-    def __init__(self, propose: Callable[[tuple[WorkerEnds, ...]], object]) -> None:
-        self._propose = propose
-        self._pending: list[WorkerEnds] = []
-        self._recorded = trio.Event()
-        self._filled = trio.Event()
-
-    async def record(self, ends: WorkerEnds) -> None:
-        """Return once ``ends`` are committed."""
-        self._pending.append(ends)
-        recorded = self._recorded
-        self._filled.set()
-        await recorded.wait()
-
-    async def run(self) -> None:
-        """Commit what is pending, until cancelled."""
-        while True:
-            await self._filled.wait()
-            self._filled = trio.Event()
-            pending, self._pending = self._pending, []
-            recorded, self._recorded = self._recorded, trio.Event()
-            await self._propose(tuple(pending))  # type: ignore[misc]
-            recorded.set()
 
 
 class SchedulingLeader:
@@ -154,8 +99,16 @@
         self._nursery: trio.Nursery | None = None
         self._wake = trio.Event()
         self._avoided: dict[TaskName, set[WorkerId]] = {}
-        self._ended_at: dict[JobId, timedelta] = {}
         self._ends = Batcher(self._commit_ends)
+        self._housekeeping = Housekeeping(
+            log,
+            host=self,
+            sessions=self._sessions,
+            trust=self._trust,
+            backlog=self._backlog,
+            clock=clock,
+            settings=settings,
+        )
         leadership = log.replica.leadership
         self._term = leadership.term if leadership is not None else Term(0)
         self._reported_clocks: dict[WorkerId, timedelta] = {}
@@ -199,9 +152,7 @@
     ) -> None:
         """Record that a life of a machine is over."""
         log_event(logger, logging.INFO, "worker-gone", worker=worker)
-        await self._propose_until_done(
-            RemoveWorker(worker=worker, checkpoints=checkpoints)
-        )
+        await self._propose(RemoveWorker(worker=worker, checkpoints=checkpoints))
 
     def note_view(self, worker: WorkerId) -> None:
         """Learn that a worker has just been seen."""
@@ -225,7 +176,7 @@
         if queue is None:
             return False
         waiting = WaitingStep(job, queue, occurrence, number)
-        rooms = self._measure_rooms()
+        rooms = self.measure_rooms()
         rooms.pop(worker, None)
         return any(
             may_hold(waiting, room) and admits(waiting.step, room, self._interference)
@@ -253,7 +204,7 @@
         return True
 
     async def _record_report(self, report: WorkerReport) -> bool:
-        if _is_known(self.state, report):
+        if is_known(self.state, report):
             return True
         self._wake_former_lives(report)
         result = await self._log.propose(UpdateWorkers(reports=(report,)))
@@ -343,7 +294,7 @@
             await self._clock.sleep(self._settings.save_harm_every)
             changed = self._interference.take_changes()
             if changed:
-                await self._propose_until_done(SaveHarm(estimates=changed))
+                await self._propose(SaveHarm(estimates=changed))
 
     async def _place_work(self) -> None:
         while True:
@@ -351,16 +302,12 @@
             self._wake = trio.Event()
             if self.get_term() is None:
                 continue
-            self._stop_unwanted()
-            self._stop_stalled()
-            self._evacuate()
-            await self._open_due()
-            await self._forget_old()
-            await self._forget_silent()
+            await self._housekeeping.keep()
             await self._start_some()
             await self._clock.sleep(ROUND_PAUSE)
 
-    def _measure_rooms(self) -> dict[WorkerId, WorkerRoom]:
+    def measure_rooms(self) -> dict[WorkerId, WorkerRoom]:
+        """Return the room of each worker that may take work."""
         rooms = measure_rooms(self.state, self._is_usable)
         for worker, room in rooms.items():
             room.exposures = self._neighbours.list_exposures(room.worker)
@@ -370,7 +317,7 @@
         return rooms
 
     async def _start_some(self) -> None:
-        rooms = self._measure_rooms()
+        rooms = self.measure_rooms()
         placer = Placer(
             self.state,
             rooms,
@@ -430,121 +377,17 @@
             and self._trust.is_trusted(worker.worker, now)
         )
 
-    def _stop_unwanted(self) -> None:
-        for worker in self.state.workers.values():
-            session = self._sessions.get(worker.worker)
-            if session is None:
-                continue
-            for name, run in worker.runs.items():
-                if self._is_unwanted(name):
-                    session.stop(RunKey(name, run))
-
-    def _is_unwanted(self, name: TaskName) -> bool:
-        found = self.state.find_task(name)
-        if found is None:
-            return True
-        job, _, _, task = found
-        return not job.is_open or task.phase in (TaskPhase.DONE, TaskPhase.FAILED)
-
-    def _stop_stalled(self) -> None:
-        """Give tasks that make no progress to other workers."""
-        now = self._clock.monotonic()
-        for worker, session in self._sessions.items():
-            stalled = session.list_stalled(self._settings.stalled_after)
-            for key in stalled:
-                found = self.state.find_task(key.task)
-                step = found[0].get_step(found[2]) if found is not None else None
-                if step is None or step.standing:
-                    continue
-                log_event(
-                    logger,
-                    logging.WARNING,
-                    "run-stalled",
-                    task=key.task,
-                    run=key.run,
-                    worker=worker,
-                )
-                # One task of spare cores may only be short of cores.
-                if len(stalled) > 1 or not step.uses_spare_cores:
-                    self._trust.note_stall(worker, now)
-                self._avoided.setdefault(key.task, set()).add(worker)
-                session.stop(key)
-
-    def _evacuate(self) -> None:
-        """Stop standing tasks on workers that leave, while there is other room."""
-        rooms = self._measure_rooms()
-        for worker in self.state.workers.values():
-            session = self._sessions.get(worker.worker)
-            if session is None or not worker.draining:
-                continue
-            for name, run in worker.runs.items():
-                key = RunKey(name, run)
-                if not session.is_stopping(key) and self._has_place(name, rooms):
-                    log_event(
-                        logger,
-                        logging.INFO,
-                        "run-evacuated",
-                        task=name,
-                        run=run,
-                        worker=worker.worker,
-                    )
-                    session.stop(key)
-
-    def _has_place(self, name: TaskName, rooms: dict[WorkerId, WorkerRoom]) -> bool:
-        """Take a place for a standing task on another worker, if there is one."""
-        found = self.state.find_task(name)
-        if found is None:
-            return False
-        job, occurrence, number, _ = found
-        step = job.get_step(number)
-        queue = self.state.find_queue(job.queue)
-        if queue is None or not step.standing:
-            return False
-        waiting = WaitingStep(job, queue, occurrence, number)
-        for room in rooms.values():
-            if may_hold(waiting, room):
-                room.take(step)
-                return True
-        return False
-
-    async def _forget_silent(self) -> None:
-        """Drop workers without runs that have not been heard for long."""
-        now = self._clock.monotonic()
-        for worker in list(self.state.workers.values()):
-            session = self._sessions.get(worker.worker)
-            if session is None or worker.runs:
-                continue
-            if now - session.heard_at > self._settings.forget_silent:
-                await self.remove_worker(worker.worker, {})
-
-    async def _open_due(self) -> None:
-        now_ms = self._clock.now().timestamp() * 1000
-        due = [
-            (job.job, number)
-            for job in self.state.jobs.values()
-            for number in _list_due(job, now_ms)
-        ]
-        if due:
-            await self._log.propose(OpenOccurrences(due=tuple(due)))
-
-    async def _forget_old(self) -> None:
-        now = self._clock.monotonic()
-        old = []
-        for job in self.state.jobs.values():
-            if not job.is_open:
-                ended = self._ended_at.setdefault(job.job, now)
-                if now - ended > self._settings.remember_ended:
-                    old.append(job.job)
-                self._backlog.forget(job.job)
-        if old:
-            await self._log.propose(ForgetJobs(jobs=tuple(old)))
-            for name in old:
-                self._ended_at.pop(name, None)
-
     async def _commit_ends(self, ends: tuple[WorkerEnds, ...]) -> None:
         for report in ends:
             self._learn_outcomes(report)
-        await self._propose_until_done(EndRuns(workers=ends))
+        await self._propose(EndRuns(workers=ends))
+
+    async def _propose(self, command: Command) -> None:
+        await propose_until_done(self._log, command, self._clock)
+
+    def avoid(self, task: TaskName, worker: WorkerId) -> None:
+        """Start a task elsewhere, if there is another place."""
+        self._avoided.setdefault(task, set()).add(worker)
 
     def _learn_outcomes(self, report: WorkerEnds) -> None:
         now = self._clock.monotonic()
@@ -564,49 +407,4 @@
             elif ended.end is RunEnd.FAILED:
                 job = JobId(ended.task.split(".", 1)[0])
                 self._trust.note_failure(report.worker, job, now)
-                self._avoided.setdefault(ended.task, set()).add(report.worker)
-
-    async def _propose_until_done(self, command: Command) -> Reply:
-        """Commit a command that may safely be proposed again."""
-        while True:
-            result = await self._log.propose(command)
-            if isinstance(result, Success):
-                return result.unwrap()
-            log_event(
-                logger,
-                logging.WARNING,
-                "proposal-repeated",
-                command=type(command).__name__,
-                reason=str(result.failure()),
-            )
-            await self._clock.sleep(PROPOSE_PAUSE)
-
-    @property
-    def position(self) -> LogIndex:
-        """Up to where the log is applied here."""
-        return self._log.position
-
-
-def _is_known(state: SchedulingState, report: WorkerReport) -> bool:
-    worker = state.workers.get(report.worker)
-    return (
-        worker is not None
-        and worker.address == report.address
-        and worker.draining == report.draining
-        and worker.capacity == report.capacity
-        and worker.labels == report.labels
-        and worker.service == report.service
-    )
-
-
-def _list_due(job: Job, now_ms: float) -> list[int]:
-    recurrence = job.submission.recurrence
-    if recurrence is None or not job.is_open:
-        return []
-    if now_ms < recurrence.first_ms:
-        return []
-    passed = recurrence.times
-    if recurrence.interval_ms > 0:
-        elapsed = (now_ms - recurrence.first_ms) / recurrence.interval_ms
-        passed = min(passed, math.floor(elapsed) + 1)
-    return [number for number in range(passed) if number not in job.occurrences]
+                self.avoid(ended.task, report.worker)
--- a/src/rhubarbfield/scheduling/placing.py
+++ b/src/rhubarbfield/scheduling/placing.py
@@ -11,105 +11,33 @@
 import msgspec
 
 from rhubarbfield.scheduling.commands import RunStart
-from rhubarbfield.scheduling.interference import Exposure, Interference
+from rhubarbfield.scheduling.interference import Interference
 from rhubarbfield.scheduling.model import (
-    Demand,
-    ImageName,
     Queue,
     RunNumber,
     Step,
     TaskName,
     name_task,
 )
+from rhubarbfield.scheduling.rooms import (
+    WaitingStep,
+    WorkerRoom,
+    admits,
+    count_live,
+    measure_use,
+)
 from rhubarbfield.scheduling.state import (
     Job,
     SchedulingState,
     Task,
     TaskPhase,
-    Worker,
 )
 from rhubarbfield.types import ServiceName, WorkerId
 
-MIN_SPARE_SHARE = 0.7  # with less of its cores a task lasts half as long again
-MAX_MARGIN = 0.5  # of the log latency: a tail at 60% of its goal
-MARGIN_A_GROWTH = 4.0  # the load of what serves moves by as much within a run
 CALM_USE = 0.6  # of the reserved cores; above it waiting is no fault
-SERVING_USE = 0.5  # of their reserved cores; batch beside them ran at full speed
 MAX_STARTS_A_ROUND = 256  # keeps a command below the size of one log entry
 
 
-class WorkerRoom(msgspec.Struct):
-    """What a worker can take, as this round goes on.
-
-    Attributes
-    ----------
-    worker
-        Its record.
-    free
-        Capacity that is not reserved.
-    spare_millicores
-        Processor that nothing is expected to use.
-    exposures
-        Standing tasks with a tail goal on it.
-    shares
-        Share of its processors that each image of spare cores wants.
-    filling
-        Tasks of spare cores on it.
-    tasks
-        All tasks on it.
-    limit
-        Most tasks it may have; 1 while it is on probation.
-    failures
-        Runs that failed there since the last success.
-    """
-
-    worker: Worker
-    free: Demand
-    spare_millicores: int
-    exposures: list[Exposure] = msgspec.field(default_factory=list)
-    shares: dict[ImageName, float] = msgspec.field(default_factory=dict)
-    filling: int = 0
-    tasks: int = 0
-    limit: int = 1_000_000
-    failures: int = 0
-
-    def take(self, step: Step) -> None:
-        """Count a task of ``step`` on this worker."""
-        self.free = self.free.minus(step.reserved)
-        self.tasks += 1
-        cores = step.demand.millicores
-        if step.uses_spare_cores:
-            self.filling += 1
-            self.shares[step.image] = self.shares.get(step.image, 0.0) + (
-                cores / max(self.worker.capacity.millicores, 1)
-            )
-        self.spare_millicores -= int(cores * (SERVING_USE if step.standing else 1))
-
-    def add_share(self, step: Step) -> dict[ImageName, float]:
-        """Return the shares with one more task of ``step``."""
-        share = step.demand.millicores / max(self.worker.capacity.millicores, 1)
-        return {**self.shares, step.image: self.shares.get(step.image, 0.0) + share}
-
-
-class WaitingStep(msgspec.Struct, frozen=True):
-    """A step whose tasks may start."""
-
-    job: Job
-    queue: Queue
-    occurrence: int
-    number: int
-
-    @property
-    def step(self) -> Step:
-        """What was asked for."""
-        return self.job.get_step(self.number)
-
-    @property
-    def tasks(self) -> list[Task]:
-        """All tasks of the step."""
-        return self.job.occurrences[self.occurrence][self.number].tasks
-
-
 class Placer:
     """One round of placing.
 
@@ -152,7 +80,7 @@
         self._calm = {
             service
             for service, members in self._by_service.items()
-            if _measure_use(members) < CALM_USE
+            if measure_use(members) < CALM_USE
         }
 
     def choose(self) -> tuple[RunStart, ...]:
@@ -172,7 +100,7 @@
     def _place_step(self, waiting: WaitingStep) -> None:
         step = waiting.step
         candidates = self._list_candidates(waiting)
-        used = _count_live(waiting.tasks) if step.max_per_worker else {}
+        used = count_live(waiting.tasks) if step.max_per_worker else {}
         for index, task in enumerate(waiting.tasks):
             if task.phase is not TaskPhase.WAITING:
                 continue
@@ -305,57 +233,6 @@
         self._starts.append(RunStart(name, RunNumber(task.last_run + 1), worker))
 
 
-def admits(step: Step, room: WorkerRoom, interference: Interference) -> bool:
-    """Say whether a task harms nobody on a worker, and has the cores to work."""
-    if not step.uses_spare_cores:
-        return True
-    wanted = step.demand.millicores * MIN_SPARE_SHARE
-    if room.spare_millicores < wanted:
-        return False
-    shares = room.add_share(step)
-    added = shares[step.image] - room.shares.get(step.image, 0.0)
-    for exposure in room.exposures:
-        growth = interference.get_rate(exposure.image, step.image) * added
-        # What hardly disturbs may go where the tail is near its goal already.
-        wanted = min(MAX_MARGIN, growth * MARGIN_A_GROWTH)
-        if exposure.margin - interference.add_up(exposure.image, shares) < wanted:
-            return False
-    return True
-
-
-def may_hold(waiting: WaitingStep, room: WorkerRoom) -> bool:
-    """Say whether a worker has the label and the room for a task of a step."""
-    step = waiting.step
-    worker = room.worker
-    if worker.service != waiting.queue.service or room.tasks >= room.limit:
-        return False
-    if step.required_label and step.required_label not in worker.labels:
-        return False
-    if step.max_per_worker:
-        live = _count_live(waiting.tasks).get(worker.worker, 0)
-        if live >= step.max_per_worker:
-            return False
-    return step.reserved.fits(room.free)
-
-
-def measure_rooms(
-    state: SchedulingState, is_usable: Callable[[Worker], bool]
-) -> dict[WorkerId, WorkerRoom]:
-    """Return the room of each worker that may take work."""
-    rooms: dict[WorkerId, WorkerRoom] = {}
-    for worker in state.workers.values():
-        if worker.draining or not is_usable(worker):
-            continue
-        room = WorkerRoom(worker, worker.capacity, worker.capacity.millicores)
-        for task in worker.runs:
-            found = state.find_task(task)
-            if found is not None:
-                job, _, step, _ = found
-                room.take(job.get_step(step))
-        rooms[worker.worker] = room
-    return rooms
-
-
 def iterate_waiting(state: SchedulingState) -> Iterator[WaitingStep]:
     """Yield the steps that have tasks to start."""
     for job in state.jobs.values():
@@ -368,21 +245,6 @@
                     yield WaitingStep(job, queue, occurrence, number)
 
 
-def _measure_use(rooms: list[WorkerRoom]) -> float:
-    """Return the share of the workers' cores that is reserved."""
-    capacity = sum(room.worker.capacity.millicores for room in rooms)
-    free = sum(room.free.millicores for room in rooms)
-    return 1 - free / max(capacity, 1)
-
-
-def _count_live(tasks: list[Task]) -> dict[WorkerId, int]:
-    counts: dict[WorkerId, int] = {}
-    for task in tasks:
-        for worker in task.live.values():
-            counts[worker] = counts.get(worker, 0) + 1
-    return counts
-
-
 def _choose_rack(
     step: Step, members: int, candidates: list[WorkerRoom]
 ) -> list[WorkerRoom] | None:
--- /dev/null
+++ b/src/rhubarbfield/scheduling/recording.py
@@ -0,0 +1,77 @@
+"""Committing what may safely be proposed again."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+
+import trio
+from returns.result import Success
+
+from rhubarbfield.clock import Clock
+from rhubarbfield.groups import ReplicatedLog
+from rhubarbfield.logs import log_event
+from rhubarbfield.machine import Command, Reply
+from rhubarbfield.scheduling.appliers import WholeSchedulingState
+from rhubarbfield.scheduling.commands import WorkerEnds
+
+logger = logging.getLogger(__name__)
+
+PROPOSE_PAUSE = timedelta(milliseconds=100)  # before a proposal is repeated
+
+
+async def propose_until_done(
+    log: ReplicatedLog[WholeSchedulingState], command: Command, clock: Clock
+) -> Reply:
+    """Commit a command that may safely be proposed again.
+
+    Repeats until it is committed, or the caller is cancelled with its term.
+    """
+    while True:
+        result = await log.propose(command)
+        if isinstance(result, Success):
+            return result.unwrap()
+        log_event(
+            logger,
+            logging.WARNING,
+            "proposal-repeated",
+            command=type(command).__name__,
+            reason=str(result.failure()),
+        )
+        await clock.sleep(PROPOSE_PAUSE)
+
+
+class Batcher:
+    """Joins what several tasks want to record into one proposal.
+
+    Parameters
+    ----------
+    propose
+        Commits the ends of runs; repeats until it has.
+    """
+
+    def __init__(
+        self, propose: Callable[[tuple[WorkerEnds, ...]], Awaitable[None]]
+    ) -> None:
+        self._propose = propose
+        self._pending: list[WorkerEnds] = []
+        self._recorded = trio.Event()
+        self._filled = trio.Event()
+
+    async def record(self, ends: WorkerEnds) -> None:
+        """Return once ``ends`` are committed."""
+        self._pending.append(ends)
+        recorded = self._recorded
+        self._filled.set()
+        await recorded.wait()
+
+    async def run(self) -> None:
+        """Commit what is pending, until cancelled."""
+        while True:
+            await self._filled.wait()
+            self._filled = trio.Event()
+            pending, self._pending = self._pending, []
+            recorded, self._recorded = self._recorded, trio.Event()
+            await self._propose(tuple(pending))
+            recorded.set()
--- a/src/rhubarbfield/scheduling/service.py
+++ b/src/rhubarbfield/scheduling/service.py
@@ -21,7 +21,8 @@
     CancelJob,
     PutConfiguration,
 )
-from rhubarbfield.scheduling.leader import Heartbeat, SchedulingLeader
+from rhubarbfield.scheduling.heartbeats import Heartbeat
+from rhubarbfield.scheduling.leader import SchedulingLeader
 from rhubarbfield.scheduling.model import (
     JobSubmission,
     Queue,
--- a/src/rhubarbfield/scheduling/session.py
+++ b/src/rhubarbfield/scheduling/session.py
@@ -5,22 +5,22 @@
 import logging
 from collections import deque
 from datetime import timedelta
-from enum import Enum
-from typing import Protocol
 
-import msgspec
 import trio
 from returns.result import Failure, Success
 
 from rhubarbfield.clock import Clock
 from rhubarbfield.logs import log_event
 from rhubarbfield.scheduling.commands import EndedRun, WorkerEnds
+from rhubarbfield.scheduling.hosts import SessionHost
+from rhubarbfield.scheduling.leases import WorkerLease
 from rhubarbfield.scheduling.model import (
     NO_CHECKPOINT,
     CheckpointToken,
     RunNumber,
     TaskName,
 )
+from rhubarbfield.scheduling.orders import Order, Pace, Start, StartState, Stop
 from rhubarbfield.scheduling.ports import (
     ActiveRun,
     CallFailure,
@@ -37,11 +37,10 @@
 from rhubarbfield.scheduling.progress import Progress, RunKey
 from rhubarbfield.scheduling.settings import SchedulingSettings
 from rhubarbfield.scheduling.state import RunEnd, Worker
-from rhubarbfield.types import Term, WorkerId
+from rhubarbfield.types import WorkerId
 
 logger = logging.getLogger(__name__)
 
-LATENCY_SLACK = timedelta(milliseconds=200)  # an order on its way when power goes
 LEAVE_SILENCE = timedelta(seconds=3)  # a worker that got no reply ends by then
 RETRY_PAUSE = timedelta(milliseconds=250)  # between two tries of a silent worker
 DEPOSED_PAUSE = timedelta(seconds=1)  # until the lease of a deposed leader is over
@@ -49,62 +48,6 @@
 ROOM_PAUSE = timedelta(milliseconds=400)  # a view shows the real room by then
 
 
-class Start(msgspec.Struct, frozen=True):
-    """A recorded run that the worker has to be told of."""
-
-    key: RunKey
-    payload: str
-    checkpoint: CheckpointToken
-    ticket: str = ""
-
-
-class Stop(msgspec.Struct, frozen=True):
-    """A run that must not go on."""
-
-    key: RunKey
-
-
-class Pace(msgspec.Struct, frozen=True):
-    """A run that has to work at a share of its speed."""
-
-    key: RunKey
-    percent: int
-
-
-Order = Start | Stop | Pace
-
-
-class StartState(Enum):
-    """How far an order to start has come."""
-
-    QUEUED = "queued"
-    SETTLED = "settled"
-
-
-class SessionHost(Protocol):
-    """What a session needs of the leader that it belongs to."""
-
-    def find_worker(self, worker: WorkerId) -> Worker | None:
-        """Return the replicated record of a worker."""
-
-    def get_term(self) -> Term | None:
-        """Return the term in which orders may be given now, or None."""
-
-    async def record_ends(self, ends: WorkerEnds) -> None:
-        """Record ends; returns once they are committed."""
-
-    async def remove_worker(
-        self, worker: WorkerId, checkpoints: dict[TaskName, CheckpointToken]
-    ) -> None:
-        """Record that a life of a machine is over."""
-
-    def note_view(self, worker: WorkerId) -> None:
-        """Learn that the worker has just been seen."""
-
-    def has_to_watch_closely(self, worker: Worker) -> bool:
-        """Return whether tasks there are harmed by their neighbours at once."""
-
-
 class WorkerSession:
     """A leader's dealings with one worker, from its first report to its end.
 
@@ -142,12 +85,8 @@
         self._starts: dict[RunKey, StartState] = {}
         self._stopping: set[RunKey] = set()
         self._pacing: dict[RunKey, int] = {}
-        self._reading: tuple[timedelta, timedelta] | None = None
         opened = clock.monotonic()
-        drift = 1 - settings.clock_drift
-        # An earlier leader may have extended the lease until just now.
-        self._lapses_at = opened + settings.longest_lease / drift + LATENCY_SLACK
-        self._lease_end = timedelta()
+        self._lease = WorkerLease(clock, settings)
         self._silent_since: timedelta | None = None
         self._rejects_until = timedelta()
         self._acknowledged = 0
@@ -166,7 +105,7 @@
     def is_usable(self) -> bool:
         """Whether new work may be given to the worker now."""
         now = self._clock.monotonic()
-        if self._reading is None or now < self._rejects_until:
+        if not self._lease.has_clock or now < self._rejects_until:
             return False
         is_recent = now - self.heard_at <= self._settings.silence_limit
         if self._left_at is not None:
@@ -176,14 +115,13 @@
     @property
     def heard_at(self) -> timedelta:
         """When the worker was last heard, by a report or a reply."""
-        replied_at = self._reading[1] if self._reading is not None else timedelta()
-        return max(self._reported_at, replied_at)
+        return max(self._reported_at, self._lease.read_at)
 
     def note_report(self, worker_clock: timedelta | None) -> None:
         """Learn that the worker reported itself; the report may be late."""
         self._reported_at = self._clock.monotonic()
-        if self._reading is None and worker_clock is not None:
-            self._reading = (worker_clock, self._clock.monotonic())
+        if not self._lease.has_clock and worker_clock is not None:
+            self._lease.note_clock(worker_clock)
         if self._silent_since is not None:
             self._watched.set()
 
@@ -268,7 +206,7 @@
                 run=start.key.run,
                 payload=start.payload,
                 checkpoint=start.checkpoint,
-                lease_end=self._extend_lease(),
+                lease_end=self._lease.extend(),
                 term=term,
                 ticket=start.ticket,
             )
@@ -385,7 +323,7 @@
         known = dict(worker.runs)
         recorded_ends = worker.recorded_ends
         settled = {key for key, at in self._starts.items() if at is StartState.SETTLED}
-        lease_end = self._extend_lease() if self._may_extend() else None
+        lease_end = self._lease.extend() if self._may_extend() else None
         result = await self._calls.view(
             self.address,
             recorded_ends=recorded_ends,
@@ -407,7 +345,7 @@
                 await self._clock.sleep(RETRY_PAUSE)
 
     def _choose_patience(self) -> timedelta:
-        if self._silent_since is not None or self._reading is None:
+        if self._silent_since is not None or not self._lease.has_clock:
             return timedelta()
         worker = self._host.find_worker(self.worker)
         if worker is not None and self._host.has_to_watch_closely(worker):
@@ -491,7 +429,7 @@
         if self._has_left(now):
             await self._end_life()
             return
-        if now < self._lapses_at:
+        if now < self._lease.lapses_at:
             return
         worker = self._host.find_worker(self.worker)
         if worker is None or not worker.runs:
@@ -523,25 +461,13 @@
         An unanswered order may have extended it all the same: asked again and
         again, a silent worker would never be known to have lapsed.
         """
-        return self._reading is not None and self._silent_since is None
-
-    def _extend_lease(self) -> timedelta:
-        """Return a new lease end on the worker's clock, and count on it."""
-        assert self._reading is not None
-        worker_clock, read_at = self._reading
-        now = self._clock.monotonic()
-        offered = worker_clock + (now - read_at) + self._settings.lease
-        self._lease_end = max(self._lease_end, offered)
-        drift = 1 - self._settings.clock_drift
-        left = (self._lease_end - worker_clock) / drift
-        self._lapses_at = max(self._lapses_at, read_at + left + LATENCY_SLACK)
-        return self._lease_end
+        return self._lease.has_clock and self._silent_since is None
 
     def _note_reply(self, worker_clock: timedelta) -> None:
         if self._silent_since is not None:
             log_event(logger, logging.INFO, "worker-regained", worker=self.worker)
         self._silent_since = None
-        self._reading = (worker_clock, self._clock.monotonic())
+        self._lease.note_clock(worker_clock)
 
     def _note_silence(self) -> None:
         if self._silent_since is None:
--- a/src/rhubarbfield/testing/calledworkers.py
+++ b/src/rhubarbfield/testing/calledworkers.py
@@ -14,7 +14,7 @@
 
 from rhubarbfield.clock import Clock
 from rhubarbfield.scheduling.commands import WorkerReport
-from rhubarbfield.scheduling.leader import Heartbeat
+from rhubarbfield.scheduling.heartbeats import Heartbeat
 from rhubarbfield.scheduling.model import (
     NO_CHECKPOINT,
     CheckpointToken,
--- a/tests/scheduling/test_appliers.py
+++ b/tests/scheduling/test_appliers.py
@@ -227,6 +227,12 @@
             log.apply(StartRuns(starts=(start,))), RunsRecorded(recorded=())
         )
 
+    def test_late_report_does_not_bring_a_leaving_worker_back(self) -> None:
+        log = Log()
+        log.apply(UpdateWorkers(reports=(make_report(WORKERS[0], draining=True),)))
+        log.apply(UpdateWorkers(reports=(make_report(WORKERS[0]),)))
+        self.assertTrue(log.state.workers[WORKERS[0]].draining)
+
 
 if __name__ == "__main__":
     unittest.main()
