--- a/src/rhubarbfield/scheduling/appliers.py
+++ b/src/rhubarbfield/scheduling/appliers.py
@@ -151,22 +151,42 @@
 
 @scheduling_commands.applies(StartRuns)
 def _start_runs(state: SchedulingState, command: StartRuns) -> Reply:
-    recorded = tuple(
-        position
-        for position, start in enumerate(command.starts)
-        if _start_run(state, start)
-    )
-    return RunsRecorded(recorded=recorded)
+    broken = {
+        _name_gang(start) for start in command.starts if not _is_startable(state, start)
+    }
+    recorded = []
+    for position, start in enumerate(command.starts):
+        # A gang of which one member can't start would wait in vain.
+        is_broken = _is_gang(state, start) and _name_gang(start) in broken
+        if not is_broken and _is_startable(state, start):
+            _record_run(state, start)
+            recorded.append(position)
+    return RunsRecorded(recorded=tuple(recorded))
+
+
+def _name_gang(start: RunStart) -> tuple[str, RunNumber]:
+    return start.task.rpartition(".")[0], start.run
+
+
+def _is_gang(state: SchedulingState, start: RunStart) -> bool:
+    found = state.find_task(start.task)
+    return found is not None and found[0].get_step(found[2]).gang
 
 
-def _start_run(state: SchedulingState, start: RunStart) -> bool:
+def _is_startable(state: SchedulingState, start: RunStart) -> bool:
     worker = state.workers.get(start.worker)
     found = state.find_task(start.task)
     if worker is None or worker.draining or found is None:
         return False
     job, occurrence, step, task = found
-    if not _may_start(job, occurrence, step, task, start):
-        return False
+    return _may_start(job, occurrence, step, task, start)
+
+
+def _record_run(state: SchedulingState, start: RunStart) -> None:
+    worker = state.workers[start.worker]
+    found = state.find_task(start.task)
+    assert found is not None
+    job, _, _, task = found
     check_invariant(start.run > task.last_run, "run-numbers-grow", (start, task))
     check_invariant(start.task not in worker.runs, "one-run-a-worker", start)
     task.phase = TaskPhase.LIVE
@@ -175,7 +195,6 @@
     worker.runs[start.task] = start.run
     job.started = True
     job.phase = JobPhase.RUNNING
-    return True
 
 
 def _may_start(
--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -185,6 +185,10 @@
 
     # What others ask of the leader.
 
+    def get_session(self, worker: WorkerId) -> WorkerSession | None:
+        """Return the dealings with a worker, if it is known."""
+        return self._sessions.get(worker)
+
     async def take_report(self, beat: Heartbeat) -> bool:
         """Take in what a worker says of itself; return whether it is recorded.
 
--- a/src/rhubarbfield/scheduling/session.py
+++ b/src/rhubarbfield/scheduling/session.py
@@ -94,7 +94,6 @@
         self._left_at: timedelta | None = None
         self._progress = Progress()
         self.active: dict[TaskName, ActiveRun] = {}
-        self.viewed_at: timedelta | None = None
 
     @property
     def worker(self) -> WorkerId:
@@ -195,11 +194,12 @@
                     await self._order_pace(order)
 
     async def _order_start(self, start: Start) -> None:
+        in_doubt = False
         for _ in range(self._settings.order_attempts):
             term = self._host.get_term()
-            if term is None:
+            if term is None or self._is_over(start.key):
                 return
-            if self._is_void(start.key):
+            if start.key in self._stopping:
                 break
             order = StartOrder(
                 task=start.key.task,
@@ -217,18 +217,27 @@
                     self._starts[start.key] = StartState.SETTLED
                     return
                 case Failure(failure):
-                    if await self._settle_refused(start, failure):
+                    if await self._settle_refused(start, failure, in_doubt):
                         return
+                    in_doubt = in_doubt or isinstance(failure, NoReply)
             await self._clock.sleep(RETRY_PAUSE)
         # Once the stop is answered, the run can no longer start there.
         self.stop(start.key)
 
-    def _is_void(self, key: RunKey) -> bool:
-        """Say whether a run was given up before the worker was told of it."""
-        return key in self._stopping
-
-    async def _settle_refused(self, start: Start, failure: CallFailure) -> bool:
-        """Act on a failed order to start; return whether it is settled."""
+    async def _settle_refused(
+        self, start: Start, failure: CallFailure, in_doubt: bool
+    ) -> bool:
+        """Act on a failed order to start; return whether it is settled.
+
+        Parameters
+        ----------
+        start
+            What was ordered.
+        failure
+            What came of it.
+        in_doubt
+            Whether an earlier order without a reply may still be carried out.
+        """
         self._log_failure("start-failed", start.key, failure)
         match failure:
             case OtherLife():
@@ -240,11 +249,13 @@
                 if refusal is Refusal.DEPOSED:
                     await self._clock.sleep(DEPOSED_PAUSE)
                     return False
-                self._starts[start.key] = StartState.SETTLED
-                if refusal is Refusal.SUPERSEDED:
-                    return True
                 self._rejects_until = self._clock.monotonic() + ROOM_PAUSE
-                await self._record(start.key, RunEnd.REJECTED)
+                if in_doubt and refusal is not Refusal.SUPERSEDED:
+                    self.stop(start.key)
+                    return True
+                self._starts[start.key] = StartState.SETTLED
+                if refusal is not Refusal.SUPERSEDED:
+                    await self._record(start.key, RunEnd.REJECTED)
                 return True
             case NoReply():
                 self._note_silence()
@@ -359,8 +370,7 @@
         settled: set[RunKey],
     ) -> None:
         self.active = {run.task: run for run in view.active}
-        self.viewed_at = self._clock.monotonic()
-        self._progress.note(view.active, self.viewed_at)
+        self._progress.note(view.active, self._clock.monotonic())
         worker = self._host.find_worker(self.worker)
         if worker is None:
             return
--- a/src/rhubarbfield/testing/calledworkers.py
+++ b/src/rhubarbfield/testing/calledworkers.py
@@ -106,6 +106,7 @@
         self.started: list[tuple[TaskName, RunNumber, timedelta]] = []
         self.demands: dict[TaskName, Demand] = {}
         self.unanswered_starts = 0
+        self.rejected_starts = 0
         self._ended_runs: dict[TaskName, RunNumber] = {}
         self._count = 0
         self._sequence = 0
@@ -153,6 +154,9 @@
         """Carry out an order to start."""
         self.settle()
         refusal = self._find_refusal(order)
+        if self.rejected_starts:
+            self.rejected_starts -= 1
+            refusal = Refusal.NO_ROOM
         if order.term >= self.term:
             self.term = order.term
             self.lease_end = max(self.lease_end, order.lease_end)
@@ -181,6 +185,10 @@
             self._end(task, RunEnd.STOPPED)
         return Success(self.read_clock())
 
+    def stopped_at(self, task: TaskName) -> bool:
+        """Say whether a run of a task has ended or was stopped here."""
+        return task in self._ended_runs
+
     async def view(
         self,
         *,
--- a/tests/scheduling/test_appliers.py
+++ b/tests/scheduling/test_appliers.py
@@ -215,6 +215,51 @@
         self.assertEqual(type(self.put(log, 5, b"five")).__name__, "Done")
 
 
+class GangTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.log = Log()
+        self.log.apply(PutConfiguration(configuration=CONFIGURATION))
+        for worker in WORKERS:
+            self.log.apply(UpdateWorkers(reports=(make_report(worker),)))
+        gang = Step(tasks=3, gang=True)
+        submission = JobSubmission(payload="", steps=(gang,))
+        self.log.apply(AcceptJob(job=JOBS[0], queue=QUEUE.name, submission=submission))
+        self.names = [name_task(JOBS[0], 0, 0, index) for index in range(3)]
+
+    def start(self, run: int) -> Reply:
+        starts = zip(self.names, WORKERS, strict=True)
+        return self.log.apply(
+            StartRuns(
+                starts=tuple(
+                    RunStart(name, RunNumber(run), worker) for name, worker in starts
+                )
+            )
+        )
+
+    def end(self, index: int, run: int, end: RunEnd) -> None:
+        ended = EndedRun(self.names[index], RunNumber(run), end)
+        self.log.apply(EndRuns(workers=(WorkerEnds(WORKERS[index], (ended,)),)))
+
+    def test_all_members_start_or_none(self) -> None:
+        leaving = make_report(WORKERS[2], draining=True)
+        self.log.apply(UpdateWorkers(reports=(leaving,)))
+        self.assertEqual(self.start(1), RunsRecorded(recorded=()))
+
+    def test_one_success_stands_for_all(self) -> None:
+        self.assertEqual(self.start(1), RunsRecorded(recorded=(0, 1, 2)))
+        self.end(0, 1, RunEnd.DONE)
+        self.assertEqual(self.log.state.jobs[JOBS[0]].phase, JobPhase.COMPLETED)
+
+    def test_failures_of_one_run_count_once(self) -> None:
+        self.start(1)
+        for index, end in enumerate((RunEnd.FAILED, RunEnd.FAILED, RunEnd.BROKEN)):
+            self.end(index, 1, end)
+        self.assertEqual(self.log.state.jobs[JOBS[0]].phase, JobPhase.RUNNING)
+        self.start(2)
+        self.end(0, 2, RunEnd.FAILED)
+        self.assertEqual(self.log.state.jobs[JOBS[0]].phase, JobPhase.FAILED)
+
+
 class DrainingTest(unittest.TestCase):
     def test_nothing_starts_on_a_draining_worker(self) -> None:
         log = Log()
--- a/tests/scheduling/test_leader.py
+++ b/tests/scheduling/test_leader.py
@@ -8,7 +8,10 @@
 
 import trio
 
-from rhubarbfield.scheduling.model import Step
+from rhubarbfield.scheduling.commands import RunStart, StartRuns
+from rhubarbfield.scheduling.model import NO_CHECKPOINT, RunNumber, Step, TaskName
+from rhubarbfield.scheduling.orders import Start
+from rhubarbfield.scheduling.progress import RunKey
 from rhubarbfield.scheduling.state import JobPhase, RunEnd
 from rhubarbfield.testing.calledworkers import StandInWorker
 from rhubarbfield.types import WorkerId
@@ -206,6 +209,57 @@
 
         run(check)
 
+    def test_start_rejected_after_one_in_doubt_is_stopped_before_it_goes_elsewhere(
+        self,
+    ) -> None:
+        async def check() -> None:
+            deployment = Deployment()
+            await deployment.configure()
+            first = deployment.add_worker("w1", duration=None)
+            first.unanswered_starts = 1
+            first.rejected_starts = 1
+            async with deployment.lead():
+                await deployment.submit("j", Step(demand=ONE_CORE, standing=True))
+                await trio.sleep(0.5)
+                second = deployment.add_worker("w2", duration=None)
+                for _ in range(30):
+                    await trio.sleep(0.1)
+                    if second.runs or first.stopped_at(TaskName("j.0.0.0")):
+                        deployment.fleet.carry_out_late()
+                    self.assertLessEqual(count_runs_at_once(deployment), 1)
+
+        run(check)
+
+    def test_start_that_waited_behind_a_silence_is_not_sent_once_given_up(
+        self,
+    ) -> None:
+        async def check() -> None:
+            deployment = Deployment()
+            await deployment.configure()
+            first = deployment.add_worker("w1", duration=None)
+            async with deployment.lead() as leader:
+                await deployment.submit("a", Step(demand=ONE_CORE))
+                await trio.sleep(1)
+                first.is_silent = True
+                await deployment.cancel("a")
+                await trio.sleep(0.3)
+                session = leader.get_session(first.worker)
+                assert session is not None
+                key = RunKey(TaskName("b.0.0.0"), RunNumber(1))
+                await deployment.submit("b", Step(demand=ONE_CORE, standing=True))
+                start = RunStart(key.task, key.run, first.worker)
+                await deployment.propose(StartRuns(starts=(start,)))
+                session.start(Start(key, "p", NO_CHECKPOINT))
+                second = deployment.add_worker("w2", duration=None)
+                await trio.sleep(LONGEST_LAPSE_SECONDS)
+                self.assertEqual(len(second.runs), 1)
+                first.is_silent = False
+                for _ in range(30):
+                    await trio.sleep(0.1)
+                    self.assertLessEqual(count_runs_at_once(deployment), 1)
+
+        run(check)
+
     def test_next_leader_takes_over_what_runs(self) -> None:
         async def check() -> None:
             deployment = Deployment()
