--- a/tests/platform/runner.py
+++ b/tests/platform/runner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from functools import partial
 from typing import Any
 
@@ -48,7 +49,8 @@
         app.add_url_rule("/<call>", view_func=self.answer, methods=["POST"])
         config = Config()
         config.bind = [self.address]
-        config.loglevel = "ERROR"
+        # The library would set the level of its own logger for the whole process.
+        config.errorlog = logging.getLogger("tests.runner")
         async with trio.open_nursery() as nursery:
             await nursery.start(partial(serve, app, config))
             nursery.start_soon(self._beat, controls)
