--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -312,12 +312,13 @@
 
     def measure_rooms(self) -> dict[WorkerId, WorkerRoom]:
         """Return the room of each worker that may take work."""
+        now = self._clock.monotonic()
         rooms = measure_rooms(self.state, self._is_usable)
         for worker, room in rooms.items():
             room.exposures = self._neighbours.list_exposures(room.worker)
             room.failures = self._trust.count_failures(worker)
-            if self._trust.is_on_probation(worker):
-                room.limit = 1
+            if self._trust.is_on_probation(worker, now):
+                room.limit = room.tasks + int(self._trust.may_probe(worker))
         return rooms
 
     async def _start_some(self) -> None:
@@ -350,6 +351,7 @@
         if session is None or found is None:
             return
         job, _, _, task = found
+        self._trust.note_probe(start.worker, self._clock.monotonic())
         log_event(
             logger,
             logging.INFO,
--- a/src/rhubarbfield/scheduling/rooms.py
+++ b/src/rhubarbfield/scheduling/rooms.py
@@ -37,7 +37,7 @@
     tasks
         All tasks on it.
     limit
-        Most tasks it may have; 1 while it is on probation.
+        Most tasks it may have; one more than now while it is on probation.
     failures
         Runs that failed there since the last success.
     """
--- a/src/rhubarbfield/scheduling/settings.py
+++ b/src/rhubarbfield/scheduling/settings.py
@@ -39,6 +39,9 @@
         distrusted.
     distrust_for
         For how long.
+    probe_time
+        How long one task goes on without failing on a worker that is then
+        trusted again; workers that fail do so within 50 ms.
     remember_ended
         How long ended jobs can be asked for.
     stalled_after
@@ -64,6 +67,7 @@
     silence_limit: timedelta = timedelta(milliseconds=2500)
     distrust_after: int = 2
     distrust_for: timedelta = timedelta(seconds=6)
+    probe_time: timedelta = timedelta(seconds=2)
     remember_ended: timedelta = timedelta(seconds=300)
     stalled_after: timedelta = timedelta(milliseconds=2500)
     starved_after: timedelta = timedelta(seconds=2)
--- a/src/rhubarbfield/scheduling/trust.py
+++ b/src/rhubarbfield/scheduling/trust.py
@@ -29,12 +29,15 @@
         Whether anything was done there by this leader's knowledge.
     distrusted_until
         When it is given work again, and then one task first.
+    probed_at
+        When it was given that task.
     """
 
     failed_jobs: list[JobId] = msgspec.field(default_factory=list)
     failures: int = 0
     succeeded: bool = False
     distrusted_until: timedelta | None = None
+    probed_at: timedelta | None = None
 
 
 class Trust:
@@ -57,6 +60,7 @@
         record.failures = 0
         record.succeeded = True
         record.distrusted_until = None
+        record.probed_at = None
 
     def note_failure(self, worker: WorkerId, job: JobId, now: timedelta) -> None:
         """Learn that a run failed by its own fault or the worker's."""
@@ -66,11 +70,16 @@
             record.failed_jobs.append(job)
             del record.failed_jobs[:-REMEMBERED_FAILURES]
         if record.failures >= self._settings.distrust_after:
-            record.distrusted_until = now + self._settings.distrust_for
+            self._distrust(record, now)
 
     def note_stall(self, worker: WorkerId, now: timedelta) -> None:
         """Learn that runs on the worker make no progress."""
-        self._get(worker).distrusted_until = now + self._settings.distrust_for
+        self._distrust(self._get(worker), now)
+
+    def note_probe(self, worker: WorkerId, now: timedelta) -> None:
+        """Learn that a worker on probation was given a task."""
+        if self.is_on_probation(worker, now):
+            self._get(worker).probed_at = now
 
     def forget(self, worker: WorkerId) -> None:
         """Drop the record of a worker that is gone."""
@@ -83,15 +92,33 @@
             return True
         return now >= record.distrusted_until
 
-    def is_on_probation(self, worker: WorkerId) -> bool:
-        """Say whether the worker was distrusted and has done nothing since."""
+    def is_on_probation(self, worker: WorkerId, now: timedelta) -> bool:
+        """Say whether the worker was distrusted and has not been proved since.
+
+        Standing tasks never succeed; one that goes on for a while is proof.
+        """
         record = self._records.get(worker)
-        return record is not None and record.distrusted_until is not None
+        if record is None or record.distrusted_until is None:
+            return False
+        probed_at = record.probed_at
+        if probed_at is not None and now - probed_at > self._settings.probe_time:
+            self.note_success(worker)
+            return False
+        return True
+
+    def may_probe(self, worker: WorkerId) -> bool:
+        """Say whether a worker on probation may be given its one task."""
+        record = self._records.get(worker)
+        return record is None or record.probed_at is None
 
     def count_failures(self, worker: WorkerId) -> int:
         """Return the failures since the last success."""
         record = self._records.get(worker)
         return record.failures if record is not None else 0
 
+    def _distrust(self, record: WorkerRecord, now: timedelta) -> None:
+        record.distrusted_until = now + self._settings.distrust_for
+        record.probed_at = None
+
     def _get(self, worker: WorkerId) -> WorkerRecord:
         return self._records.setdefault(worker, WorkerRecord())
--- a/tests/scheduling/test_leader.py
+++ b/tests/scheduling/test_leader.py
@@ -170,6 +170,43 @@
         run(check)
 
 
+class DistrustTest(unittest.TestCase):
+    def test_worker_that_recovers_gets_work_beside_what_it_runs(self) -> None:
+        """Standing tasks that stayed on it must not keep it on probation."""
+
+        async def check() -> None:
+            deployment = Deployment()
+            await deployment.configure()
+            worker = deployment.add_worker("w1", duration=None)
+            async with deployment.lead():
+                await deployment.submit("a", Step(demand=ONE_CORE, standing=True))
+                await trio.sleep(1)
+                worker.duration, worker.end = timedelta(seconds=0.03), RunEnd.FAILED
+                await deployment.submit("b", Step(demand=ONE_CORE, standing=True))
+                await trio.sleep(3)
+                worker.duration = None
+                await trio.sleep(9)
+                self.assertEqual(len(worker.runs), 2)
+
+        run(check)
+
+    def test_worker_that_fails_all_is_tried_now_and_then_only(self) -> None:
+        async def check() -> None:
+            deployment = Deployment()
+            await deployment.configure()
+            worker = deployment.add_worker("w1", duration=timedelta(seconds=0.03))
+            worker.end = RunEnd.FAILED
+            async with deployment.lead():
+                step = Step(tasks=8, demand=ONE_CORE, standing=True)
+                await deployment.submit("a", step)
+                await trio.sleep(2)
+                before = len(worker.started)
+                await trio.sleep(20)
+                self.assertLessEqual(len(worker.started) - before, 4)
+
+        run(check)
+
+
 class StalledRunsTest(unittest.TestCase):
     def test_task_that_stands_still_goes_on_elsewhere(self) -> None:
         async def check() -> None:
