One copy of bodies, answers, serving and step look-ups in scheduling and platform

Behaviour stays: rooms are measured for leaving workers only when there are any, queues are mapped once a round instead of searched for each job, state that nothing read is gone (failed jobs of a worker, slack of a job).

--- a/src/rhubarbfield/platform/control.py
+++ b/src/rhubarbfield/platform/control.py
@@ -5,12 +5,12 @@
 import logging
 from http import HTTPStatus
 
-import msgspec
 from quart import Quart, Response, request
 from quart_trio import QuartTrio
 from returns.result import Failure, Success
 
 from rhubarbfield.groups import NotLeading, Unavailable
+from rhubarbfield.platform.bodies import JSON_TYPE, make_json, read_body
 from rhubarbfield.platform.wire import decode_configuration, decode_heartbeat
 from rhubarbfield.scheduling.model import QueueConfiguration
 from rhubarbfield.scheduling.service import Accepted, SchedulingService, VersionConflict
@@ -18,7 +18,6 @@
 
 logger = logging.getLogger(__name__)
 
-JSON_TYPE = "application/json"
 MAX_BODY_BYTES = 4 * 1024 * 1024
 
 
@@ -52,7 +51,7 @@
         """Take in a runner's report about itself."""
         if not self._service.leads():
             return self._redirect(self._service.leader_hint)
-        match decode_heartbeat(worker, await _read_body()):
+        match decode_heartbeat(worker, await read_body()):
             case Success(beat):
                 taken = await self._service.take_report(beat)
                 return self._confirm(taken)
@@ -60,7 +59,7 @@
                 logger.warning(
                     "heartbeat-refused worker=%s reason=%s", worker, complaint
                 )
-                return _make_json(HTTPStatus.BAD_REQUEST, {"Error": complaint})
+                return make_json(HTTPStatus.BAD_REQUEST, {"Error": complaint})
         raise AssertionError
 
     async def take_leave(self, worker: str) -> Response:
@@ -71,14 +70,14 @@
         """Put a configuration in force."""
         if not self._service.leads():
             return self._redirect(self._service.leader_hint)
-        match decode_configuration(await _read_body()):
+        match decode_configuration(await read_body()):
             case Success(configuration):
                 return self._answer_operator(
                     await self._service.put_configuration(configuration)
                 )
             case Failure(complaint):
                 logger.warning("configuration-refused reason=%s", complaint)
-                return _make_json(HTTPStatus.BAD_REQUEST, {"Error": complaint})
+                return make_json(HTTPStatus.BAD_REQUEST, {"Error": complaint})
         raise AssertionError
 
     async def get_configuration(self) -> Response:
@@ -88,31 +87,31 @@
                 return self._redirect(leader)
             case QueueConfiguration(document=document):
                 return Response(document, content_type=JSON_TYPE)
-        return _make_json(HTTPStatus.SERVICE_UNAVAILABLE, {"Error": "none accepted"})
+        return make_json(HTTPStatus.SERVICE_UNAVAILABLE, {"Error": "none accepted"})
 
     def _answer_operator(
         self, reply: Accepted | VersionConflict | NotLeading | Unavailable
     ) -> Response:
         match reply:
             case Accepted():
-                return _make_json(HTTPStatus.OK, {})
+                return make_json(HTTPStatus.OK, {})
             case VersionConflict(reason=reason):
-                return _make_json(HTTPStatus.CONFLICT, {"Error": reason})
+                return make_json(HTTPStatus.CONFLICT, {"Error": reason})
             case NotLeading(leader=leader):
                 return self._redirect(leader)
-        return _make_json(HTTPStatus.SERVICE_UNAVAILABLE, {"Error": "undecided"})
+        return make_json(HTTPStatus.SERVICE_UNAVAILABLE, {"Error": "undecided"})
 
     def _confirm(self, taken: bool | NotLeading) -> Response:
         if isinstance(taken, NotLeading):
             return self._redirect(taken.leader)
         if not taken:
-            return _make_json(HTTPStatus.SERVICE_UNAVAILABLE, {"Error": "not recorded"})
-        return _make_json(HTTPStatus.OK, {})
+            return make_json(HTTPStatus.SERVICE_UNAVAILABLE, {"Error": "not recorded"})
+        return make_json(HTTPStatus.OK, {})
 
     def _redirect(self, leader: InstanceName | None) -> Response:
         if leader is None:
-            return _make_json(HTTPStatus.SERVICE_UNAVAILABLE, {"Error": "no leader"})
-        response = _make_json(HTTPStatus.TEMPORARY_REDIRECT, {})
+            return make_json(HTTPStatus.SERVICE_UNAVAILABLE, {"Error": "no leader"})
+        response = make_json(HTTPStatus.TEMPORARY_REDIRECT, {})
         place = f"http://{leader}:{self._control_port}{request.path}"
         response.headers["Location"] = place
         return response
@@ -132,12 +131,3 @@
     app.config["MAX_CONTENT_LENGTH"] = MAX_BODY_BYTES
     ControlInterface(service, control_port).register(app)
     return app
-
-
-async def _read_body() -> bytes:
-    body = await request.get_data(as_text=False)
-    return body if isinstance(body, bytes) else body.encode()
-
-
-def _make_json(status: HTTPStatus, content: dict[str, object]) -> Response:
-    return Response(msgspec.json.encode(content), status=status, content_type=JSON_TYPE)
--- a/src/rhubarbfield/platform/daemons.py
+++ b/src/rhubarbfield/platform/daemons.py
@@ -4,6 +4,7 @@
 
 import logging
 import random
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from functools import partial
 from pathlib import Path
@@ -11,6 +12,7 @@
 import trio
 from hypercorn.config import Config
 from hypercorn.trio import serve as serve_app
+from quart import Quart
 
 from rhubarbfield.clock import TrioClock
 from rhubarbfield.exceptions import UsageError
@@ -59,10 +61,7 @@
                 nursery.start_soon(gateway.run)
                 app = create_ingress_app(gateway)
                 config = _make_config(settings, settings.callers, settings.readiness)
-                serve = partial(serve_app, app, config, shutdown_trigger=wait_for_stop)
-                async with trio.open_nursery() as serving:
-                    await serving.start(serve)
-                    task_status.started()
+                await _serve(app, config, wait_for_stop, task_status)
                 nursery.cancel_scope.cancel()
 
         await run_until_signal(
@@ -105,10 +104,7 @@
                 await nursery.start(controller.run)
                 app = create_control_app(controller.service, settings.control_port)
                 config = _make_config(settings, settings.control)
-                serve = partial(serve_app, app, config, shutdown_trigger=wait_for_stop)
-                async with trio.open_nursery() as serving:
-                    await serving.start(serve)
-                    task_status.started()
+                await _serve(app, config, wait_for_stop, task_status)
                 nursery.cancel_scope.cancel()
 
         await run_until_signal(
@@ -119,14 +115,27 @@
         )
 
 
-def _reload(path: Path, apply: object) -> None:
+async def _serve(
+    app: Quart,
+    config: Config,
+    wait_for_stop: Callable[[], Awaitable[None]],
+    task_status: trio.TaskStatus[None],
+) -> None:
+    """Serve until told to stop and the last request is answered."""
+    serve = partial(serve_app, app, config, shutdown_trigger=wait_for_stop)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(serve)
+        task_status.started()
+
+
+def _reload(path: Path, apply: Callable[[DeploymentSettings], None]) -> None:
     try:
         settings = load_deployment_settings(path)
     except UsageError as error:
         logger.error("settings-refused %s", error.format_message())
         return
     logger.info("settings-reloaded")
-    apply(settings)  # type: ignore[operator]
+    apply(settings)
 
 
 def _make_config(settings: DeploymentSettings, *binds: str) -> Config:
--- a/src/rhubarbfield/platform/ingress.py
+++ b/src/rhubarbfield/platform/ingress.py
@@ -6,11 +6,11 @@
 from datetime import timedelta
 from http import HTTPStatus
 
-import msgspec
 from quart import Quart, Response, request
 from quart_trio import QuartTrio
 from returns.result import Failure, Success
 
+from rhubarbfield.platform.bodies import make_json, read_body
 from rhubarbfield.platform.wire import decode_job
 from rhubarbfield.scheduling.gateway import Gateway, Undecided
 from rhubarbfield.scheduling.model import JobSubmission
@@ -26,7 +26,6 @@
     WaitingJobs,
 )
 
-JSON_TYPE = "application/json"
 READY_PATH = "readyz"
 DEFAULT_DEADLINE = timedelta(seconds=3)  # what clients of both sites wait
 VERBS = {"POST": JobVerb.SUBMIT, "GET": JobVerb.READ, "DELETE": JobVerb.CANCEL}
@@ -64,12 +63,11 @@
     verb = VERBS[request.method]
     submission: JobSubmission | None = None
     if verb is JobVerb.SUBMIT:
-        body = await request.get_data(as_text=False)
-        match decode_job(body if isinstance(body, bytes) else body.encode()):
+        match decode_job(await read_body()):
             case Success(job):
                 submission = job
             case Failure(complaint):
-                return _make_json(HTTPStatus.BAD_REQUEST, {"Error": complaint})
+                return make_json(HTTPStatus.BAD_REQUEST, {"Error": complaint})
     wanted = JobRequest(
         verb=verb,
         host=request.host.partition(":")[0],
@@ -91,7 +89,7 @@
     known = _describe_reply(reply)
     if known is None:
         return _make_retry(HTTPStatus.SERVICE_UNAVAILABLE, RETRY_SOON)
-    return _make_json(*known)
+    return make_json(*known)
 
 
 def _describe_reply(reply: JobReply) -> tuple[HTTPStatus, dict[str, object]] | None:
@@ -120,10 +118,6 @@
 
 
 def _make_retry(status: HTTPStatus, after: timedelta) -> Response:
-    response = _make_json(status, {"Error": "no controller can decide now"})
+    response = make_json(status, {"Error": "no controller can decide now"})
     response.headers["Retry-After"] = str(math.ceil(after.total_seconds()))
     return response
-
-
-def _make_json(status: HTTPStatus, content: dict[str, object]) -> Response:
-    return Response(msgspec.json.encode(content), status=status, content_type=JSON_TYPE)
--- a/src/rhubarbfield/scheduling/appliers.py
+++ b/src/rhubarbfield/scheduling/appliers.py
@@ -169,8 +169,8 @@
 
 
 def _is_gang(state: SchedulingState, start: RunStart) -> bool:
-    found = state.find_task(start.task)
-    return found is not None and found[0].get_step(found[2]).gang
+    step = state.find_step(start.task)
+    return step is not None and step.gang
 
 
 def _is_startable(state: SchedulingState, start: RunStart) -> bool:
--- a/src/rhubarbfield/scheduling/backlog.py
+++ b/src/rhubarbfield/scheduling/backlog.py
@@ -8,7 +8,6 @@
 from rhubarbfield.scheduling.model import Queue, QueueName
 from rhubarbfield.scheduling.ordering import (
     RemainingWork,
-    find_goal,
     measure_work,
     rank_job,
 )
@@ -42,11 +41,6 @@
         age = self._find_age(job)
         return rank_job(work, queue, age, self._means.get(job.queue, 0.0))
 
-    def find_slack(self, job: Job, queue: Queue) -> timedelta:
-        """Return how much later a job could go on and still be on time."""
-        work = self.measure(job)
-        return find_goal(work, queue) - self._find_age(job) - work.chain
-
     def is_idle(self, job: Job, limit: timedelta) -> bool:
         """Say whether nothing of a job has run for longer than ``limit``."""
         now = self._clock.monotonic()
--- a/src/rhubarbfield/scheduling/housekeeping.py
+++ b/src/rhubarbfield/scheduling/housekeeping.py
@@ -16,7 +16,7 @@
 from rhubarbfield.scheduling.commands import ForgetJobs, OpenOccurrences
 from rhubarbfield.scheduling.model import CheckpointToken, TaskName
 from rhubarbfield.scheduling.progress import RunKey
-from rhubarbfield.scheduling.rooms import WaitingStep, WorkerRoom, may_hold
+from rhubarbfield.scheduling.rooms import WorkerRoom, find_step_of, may_hold
 from rhubarbfield.scheduling.session import WorkerSession
 from rhubarbfield.scheduling.settings import SchedulingSettings
 from rhubarbfield.scheduling.state import Job, SchedulingState, TaskPhase
@@ -117,8 +117,7 @@
         for worker, session in self._sessions.items():
             stalled = session.list_stalled(self._settings.stalled_after)
             for key in stalled:
-                found = self._state.find_task(key.task)
-                step = found[0].get_step(found[2]) if found is not None else None
+                step = self._state.find_step(key.task)
                 if step is None or step.standing:
                     continue
                 log_event(
@@ -137,10 +136,13 @@
 
     def _evacuate(self) -> None:
         """Stop standing tasks on workers that leave, while there is other room."""
+        leaving = [each for each in self._state.workers.values() if each.draining]
+        if not leaving:
+            return
         rooms = self._host.measure_rooms()
-        for worker in self._state.workers.values():
+        for worker in leaving:
             session = self._sessions.get(worker.worker)
-            if session is None or not worker.draining:
+            if session is None:
                 continue
             for name, run in worker.runs.items():
                 key = RunKey(name, run)
@@ -157,18 +159,12 @@
 
     def _has_place(self, name: TaskName, rooms: dict[WorkerId, WorkerRoom]) -> bool:
         """Take a place for a standing task on another worker, if there is one."""
-        found = self._state.find_task(name)
-        if found is None:
-            return False
-        job, occurrence, number, _ = found
-        step = job.get_step(number)
-        queue = self._state.find_queue(job.queue)
-        if queue is None or not step.standing:
+        waiting = find_step_of(self._state, name)
+        if waiting is None or not waiting.step.standing:
             return False
-        waiting = WaitingStep(job, queue, occurrence, number)
         for room in rooms.values():
             if may_hold(waiting, room):
-                room.take(step)
+                room.take(waiting.step)
                 return True
         return False
 
--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -30,6 +30,7 @@
 from rhubarbfield.scheduling.interference import Interference
 from rhubarbfield.scheduling.model import CheckpointToken, Queue, TaskName
 from rhubarbfield.scheduling.neighbours import Neighbours
+from rhubarbfield.scheduling.orders import Start
 from rhubarbfield.scheduling.placing import Placer
 from rhubarbfield.scheduling.ports import WorkerAddress, WorkerCalls
 from rhubarbfield.scheduling.progress import RunKey
@@ -39,13 +40,13 @@
     propose_until_done,
 )
 from rhubarbfield.scheduling.rooms import (
-    WaitingStep,
     WorkerRoom,
     admits,
+    find_step_of,
     may_hold,
     measure_rooms,
 )
-from rhubarbfield.scheduling.session import Start, WorkerSession
+from rhubarbfield.scheduling.session import WorkerSession
 from rhubarbfield.scheduling.settings import SchedulingSettings
 from rhubarbfield.scheduling.state import (
     Job,
@@ -54,7 +55,7 @@
     Worker,
 )
 from rhubarbfield.scheduling.trust import Trust
-from rhubarbfield.types import JobId, Term, WorkerId
+from rhubarbfield.types import Term, WorkerId
 
 logger = logging.getLogger(__name__)
 
@@ -168,14 +169,9 @@
 
     def find_other_place(self, task: TaskName, worker: WorkerId) -> bool:
         """Say whether a task could go on elsewhere without harm, right now."""
-        found = self.state.find_task(task)
-        if found is None:
+        waiting = find_step_of(self.state, task)
+        if waiting is None:
             return False
-        job, occurrence, number, _ = found
-        queue = self.state.find_queue(job.queue)
-        if queue is None:
-            return False
-        waiting = WaitingStep(job, queue, occurrence, number)
         rooms = self.measure_rooms()
         rooms.pop(worker, None)
         return any(
@@ -411,6 +407,5 @@
                 self._trust.note_success(report.worker)
                 self._avoided.pop(ended.task, None)
             elif ended.end is RunEnd.FAILED:
-                job = JobId(ended.task.split(".", 1)[0])
-                self._trust.note_failure(report.worker, job, now)
+                self._trust.note_failure(report.worker, now)
                 self.avoid(ended.task, report.worker)
--- a/src/rhubarbfield/scheduling/neighbours.py
+++ b/src/rhubarbfield/scheduling/neighbours.py
@@ -88,7 +88,7 @@
         shares: dict[ImageName, float] = {}
         capacity = max(worker.capacity.millicores, 1)
         for task, run in worker.runs.items():
-            step = self._find_step(task)
+            step = self._host.state.find_step(task)
             active = session.active.get(task)
             if step is None or active is None or active.run != run:
                 continue
@@ -109,7 +109,11 @@
 
     def has_both(self, worker: Worker) -> bool:
         """Say whether tasks that serve and tasks of spare cores share a worker."""
-        steps = [step for step in map(self._find_step, worker.runs) if step is not None]
+        steps = [
+            step
+            for step in map(self._host.state.find_step, worker.runs)
+            if step is not None
+        ]
         return any(step.tail_goal_ms for step in steps) and any(
             step.uses_spare_cores for step in steps
         )
@@ -125,7 +129,7 @@
         measured = self._serving.get(worker.worker, [])
         recorded = [
             ServingTask(step.image, step.tail_goal_ms, None)
-            for step in map(self._find_step, worker.runs)
+            for step in map(self._host.state.find_step, worker.runs)
             if step is not None and step.tail_goal_ms
         ]
         return measured + recorded[len(measured) :]
@@ -224,7 +228,3 @@
             percent=percent,
         )
         session.pace(neighbour.key, percent)
-
-    def _find_step(self, task: TaskName) -> Step | None:
-        found = self._host.state.find_task(task)
-        return None if found is None else found[0].get_step(found[2])
--- a/src/rhubarbfield/scheduling/placing.py
+++ b/src/rhubarbfield/scheduling/placing.py
@@ -235,8 +235,9 @@
 
 def iterate_waiting(state: SchedulingState) -> Iterator[WaitingStep]:
     """Yield the steps that have tasks to start."""
+    queues = state.map_queues()
     for job in state.jobs.values():
-        queue = state.find_queue(job.queue) if job.is_open else None
+        queue = queues.get(job.queue) if job.is_open else None
         if queue is None:
             continue
         for occurrence, steps in job.occurrences.items():
--- a/src/rhubarbfield/scheduling/rooms.py
+++ b/src/rhubarbfield/scheduling/rooms.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from rhubarbfield.scheduling.interference import Exposure, Interference
-from rhubarbfield.scheduling.model import Demand, ImageName, Queue, Step
+from rhubarbfield.scheduling.model import Demand, ImageName, Queue, Step, TaskName
 from rhubarbfield.scheduling.state import Job, SchedulingState, Task, Worker
 from rhubarbfield.types import WorkerId
 
@@ -59,9 +59,7 @@
         cores = step.demand.millicores
         if step.uses_spare_cores:
             self.filling += 1
-            self.shares[step.image] = self.shares.get(step.image, 0.0) + (
-                cores / max(self.worker.capacity.millicores, 1)
-            )
+            self.shares = self.add_share(step)
         self.spare_millicores -= int(cores * (SERVING_USE if step.standing else 1))
 
     def add_share(self, step: Step) -> dict[ImageName, float]:
@@ -89,6 +87,16 @@
         return self.job.occurrences[self.occurrence][self.number].tasks
 
 
+def find_step_of(state: SchedulingState, name: TaskName) -> WaitingStep | None:
+    """Return the step of a task, if its job and its queue are known."""
+    found = state.find_task(name)
+    if found is None:
+        return None
+    job, occurrence, number, _ = found
+    queue = state.find_queue(job.queue)
+    return None if queue is None else WaitingStep(job, queue, occurrence, number)
+
+
 def admits(step: Step, room: WorkerRoom, interference: Interference) -> bool:
     """Say whether a task harms nobody on a worker, and has the cores to work."""
     if not step.uses_spare_cores:
@@ -132,10 +140,9 @@
             continue
         room = WorkerRoom(worker, worker.capacity, worker.capacity.millicores)
         for task in worker.runs:
-            found = state.find_task(task)
-            if found is not None:
-                job, _, step, _ = found
-                room.take(job.get_step(step))
+            step = state.find_step(task)
+            if step is not None:
+                room.take(step)
         rooms[worker.worker] = room
     return rooms
 
--- a/src/rhubarbfield/scheduling/state.py
+++ b/src/rhubarbfield/scheduling/state.py
@@ -242,10 +242,14 @@
 
     def find_queue(self, name: QueueName) -> Queue | None:
         """Return a queue of the configuration in force."""
+        return self.map_queues().get(name)
+
+    def map_queues(self) -> dict[QueueName, Queue]:
+        """Return the queues of the configuration in force, by name."""
         if self.configuration is None:
-            return None
-        queues = self.configuration.queues
-        return next((queue for queue in queues if queue.name == name), None)
+            return {}
+        # The first of two queues with one name stands.
+        return {queue.name: queue for queue in reversed(self.configuration.queues)}
 
     def find_task(self, name: TaskName) -> tuple[Job, int, int, Task] | None:
         """Return the job, occurrence, step and task that ``name`` names."""
@@ -255,3 +259,8 @@
             return None
         occurrence, step, index = (int(part) for part in parts[1:])
         return job, occurrence, step, job.occurrences[occurrence][step].tasks[index]
+
+    def find_step(self, name: TaskName) -> Step | None:
+        """Return what was asked for in the step of a task."""
+        found = self.find_task(name)
+        return None if found is None else found[0].get_step(found[2])
--- a/src/rhubarbfield/scheduling/trust.py
+++ b/src/rhubarbfield/scheduling/trust.py
@@ -11,9 +11,7 @@
 import msgspec
 
 from rhubarbfield.scheduling.settings import SchedulingSettings
-from rhubarbfield.types import JobId, WorkerId
-
-REMEMBERED_FAILURES = 8
+from rhubarbfield.types import WorkerId
 
 
 class WorkerRecord(msgspec.Struct):
@@ -21,21 +19,15 @@
 
     Attributes
     ----------
-    failed_jobs
-        Jobs with a failed run since the last success, oldest first.
     failures
         Failed runs since the last success.
-    succeeded
-        Whether anything was done there by this leader's knowledge.
     distrusted_until
         When it is given work again, and then one task first.
     probed_at
         When it was given that task.
     """
 
-    failed_jobs: list[JobId] = msgspec.field(default_factory=list)
     failures: int = 0
-    succeeded: bool = False
     distrusted_until: timedelta | None = None
     probed_at: timedelta | None = None
 
@@ -56,19 +48,14 @@
     def note_success(self, worker: WorkerId) -> None:
         """Learn that a run was done."""
         record = self._get(worker)
-        record.failed_jobs.clear()
         record.failures = 0
-        record.succeeded = True
         record.distrusted_until = None
         record.probed_at = None
 
-    def note_failure(self, worker: WorkerId, job: JobId, now: timedelta) -> None:
+    def note_failure(self, worker: WorkerId, now: timedelta) -> None:
         """Learn that a run failed by its own fault or the worker's."""
         record = self._get(worker)
         record.failures += 1
-        if job not in record.failed_jobs:
-            record.failed_jobs.append(job)
-            del record.failed_jobs[:-REMEMBERED_FAILURES]
         if record.failures >= self._settings.distrust_after:
             self._distrust(record, now)
 
