Close the connections of workers that are gone

Cause: the leader never called WorkerCalls.forget, so that each life of a machine left a connection pool behind for the life of the process. Seen by reading; the new test failed before.

--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -277,8 +277,20 @@
     async def _run_session(
         self, session: WorkerSession, scope: trio.CancelScope
     ) -> None:
-        with scope:
-            await session.run()
+        try:
+            with scope:
+                await session.run()
+        finally:
+            await self._drop_connections(session)
+
+    async def _drop_connections(self, session: WorkerSession) -> None:
+        """Close the connections to a worker, unless another life took its address."""
+        if self._sessions.get(session.worker) is session:  # the term has ended
+            del self._sessions[session.worker]
+        address = session.address.address
+        if all(other.address.address != address for other in self._sessions.values()):
+            with trio.CancelScope(shield=True):
+                await self._calls.forget(address)
 
     def _close_session(self, worker: WorkerId) -> None:
         del self._sessions[worker]
--- a/src/rhubarbfield/testing/calledworkers.py
+++ b/src/rhubarbfield/testing/calledworkers.py
@@ -263,6 +263,7 @@
         self._clock = clock
         self.workers: dict[str, StandInWorker] = {}
         self.late: list[tuple[StandInWorker, StartOrder]] = []
+        self.forgotten: list[str] = []
 
     def add(self, worker: StandInWorker, address: str | None = None) -> None:
         """Put a worker at an address, in place of what was there."""
@@ -329,8 +330,8 @@
         )
 
     async def forget(self, address: str) -> None:
-        """Close nothing: there are no connections."""
-        del address
+        """Note that the connections to an address are no longer needed."""
+        self.forgotten.append(address)
 
     def carry_out_late(self) -> None:
         """Carry out the orders to start that got no answer."""
--- a/tests/scheduling/test_leader.py
+++ b/tests/scheduling/test_leader.py
@@ -134,6 +134,24 @@
 
         run(check)
 
+    def test_connections_to_a_worker_that_is_gone_are_closed(self) -> None:
+        async def check() -> None:
+            deployment = Deployment()
+            await deployment.configure()
+            first = deployment.add_worker("w1")
+            second = deployment.add_worker("w2")
+            async with deployment.lead() as leader:
+                await trio.sleep(1)
+                deployment.reporting.remove(first)
+                await leader.remove_worker(first.worker, {})
+                await trio.sleep(1)
+                self.assertEqual(deployment.fleet.forgotten, [first.address])
+            self.assertEqual(
+                deployment.fleet.forgotten, [first.address, second.address]
+            )
+
+        run(check)
+
     def test_worker_that_said_it_ends_is_given_up_before_its_lease(self) -> None:
         async def check() -> None:
             deployment = Deployment()
