Send entries to peers while the leader's disk works

A leader now writes entries, wakes its peers and syncs in a thread; its own vote counts once the sync has ended. What comes meanwhile shares the next. The test of a failed sync expected an unknown outcome although two peers had stored the entry; it is replaced by one for each of the two cases.

--- a/src/rhubarbfield/platform/daemons.py
+++ b/src/rhubarbfield/platform/daemons.py
@@ -20,6 +20,7 @@
 from rhubarbfield.platform.control import create_control_app
 from rhubarbfield.platform.ingress import create_ingress_app
 from rhubarbfield.platform.runners import RunnerCalls
+from rhubarbfield.replication import run_in_thread
 from rhubarbfield.scheduling.controller import SchedulingController, open_log_store
 from rhubarbfield.scheduling.deployment import (
     DeploymentSettings,
@@ -90,6 +91,7 @@
             calls=RunnerCalls(scheduling.order_timeout),
             clock=clock,
             rng=random.SystemRandom(),
+            run_blocking=run_in_thread,
         )
 
         async def wait_for_stop() -> None:
--- a/src/rhubarbfield/replication/__init__.py
+++ b/src/rhubarbfield/replication/__init__.py
@@ -20,7 +20,12 @@
 )
 from rhubarbfield.replication.replica import Replica
 from rhubarbfield.replication.settings import GroupSettings
-from rhubarbfield.replication.state import MessageSender, Role
+from rhubarbfield.replication.state import (
+    MessageSender,
+    Role,
+    RunBlocking,
+    run_in_thread,
+)
 from rhubarbfield.replication.status import MemberStatus, ReplicaStatus
 from rhubarbfield.storage import ReplicaId
 
@@ -33,6 +38,8 @@
     "Leadership",
     "Membership",
     "Role",
+    "RunBlocking",
+    "run_in_thread",
     "ReplicaStatus",
     "MemberStatus",
     "ProposeError",
--- a/src/rhubarbfield/replication/follower.py
+++ b/src/rhubarbfield/replication/follower.py
@@ -108,6 +108,11 @@
         self, message: Append | InstallSnapshot, matched: bool, index: LogIndex
     ) -> None:
         state = self._state
+        check_invariant(
+            not matched or index <= state.log.synced,
+            "answered-after-durable",
+            (index, state.log.synced),
+        )
         answer = AppendAnswer(
             source=state.id,
             target=message.source.incarnation,
--- a/src/rhubarbfield/replication/leader.py
+++ b/src/rhubarbfield/replication/leader.py
@@ -3,20 +3,21 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from datetime import timedelta
 
 import msgspec
 import trio
-from returns.result import Failure
+from returns.result import Failure, Result
 
 from rhubarbfield.replication.applier import Applier
 from rhubarbfield.replication.failures import NotLeader, OutcomeUnknown, ProposeError
 from rhubarbfield.replication.messages import AppendAnswer, InstallSnapshotAnswer
 from rhubarbfield.replication.peer import Peer
 from rhubarbfield.replication.proposals import Proposal, Proposals
+from rhubarbfield.replication.signal import Signal
 from rhubarbfield.replication.state import LONG_AGO, ReplicaState
-from rhubarbfield.storage import Entry, EntryKind, ReplicaId
+from rhubarbfield.storage import Entry, EntryKind, ReplicaId, StoreFailure
 from rhubarbfield.types import InstanceName, LogIndex, Term
 
 logger = logging.getLogger(__name__)
@@ -61,6 +62,7 @@
         self._elected_at = state.now
         self._term = state.term
         self._settled_at = LogIndex(state.log.last.index + 1)
+        self._written = Signal()
         self._scopes: dict[ReplicaId, trio.CancelScope] = {}
         self._nursery: trio.Nursery | None = None
         self.peers: dict[ReplicaId, Peer] = {}
@@ -74,6 +76,7 @@
                 self._resign()
                 return
             nursery.start_soon(self._append_proposals)
+            nursery.start_soon(self._sync_written)
             nursery.start_soon(self._beat)
 
     @property
@@ -102,7 +105,21 @@
         return self.get_leadership() is not None
 
     def append(self, proposals: Sequence[Proposal]) -> bool:
-        """Append proposals to the log and start to replicate them."""
+        """Append proposals to the log, durably, and start to replicate them."""
+        return self._store(proposals, self._state.log.append)
+
+    def write(self, proposals: Sequence[Proposal]) -> bool:
+        """Append proposals, and replicate them while they become durable here."""
+        if not self._store(proposals, self._state.log.write):
+            return False
+        self._written.set()
+        return True
+
+    def _store(
+        self,
+        proposals: Sequence[Proposal],
+        store: Callable[[Sequence[Entry]], Result[None, StoreFailure]],
+    ) -> bool:
         state = self._state
         if not self.is_active:
             return False
@@ -111,7 +128,7 @@
             Entry(LogIndex(index), state.term, proposal.kind, proposal.data)
             for index, proposal in enumerate(proposals, first)
         ]
-        if not state.persist(state.log.append(entries)):
+        if not state.persist(store(entries)):
             return False
         for entry, proposal in zip(entries, proposals, strict=True):
             self._proposals.track(entry, proposal)
@@ -186,10 +203,24 @@
         while True:
             await self._proposals.queued.wait()
             taken = self._proposals.take()
-            if taken and not self.append(taken):
+            if taken and not self.write(taken):
                 self._fail(taken)
                 self._resign()
 
+    async def _sync_written(self) -> None:
+        """Make durable what was written; what comes meanwhile shares a sync."""
+        state = self._state
+        while True:
+            await self._written.wait()
+            # Peers are sent the entries before a sync that blocks this thread.
+            await trio.lowlevel.checkpoint()
+            until = state.log.last.index
+            if not state.persist(await state.run_blocking(state.log.sync)):
+                return
+            state.log.note_synced(until)
+            if self.is_active:
+                self._advance_commit()
+
     def _resign(self) -> None:
         if self.is_active:
             self._state.step_down()
@@ -247,7 +278,7 @@
 
     def _get_match(self, voter: ReplicaId) -> LogIndex:
         if voter == self._state.id:
-            return self._state.log.last.index
+            return self._state.log.synced
         peer = self.peers.get(voter)
         return LogIndex(0) if peer is None else peer.match_index
 
--- a/src/rhubarbfield/replication/log.py
+++ b/src/rhubarbfield/replication/log.py
@@ -39,8 +39,8 @@
 class ReplicatedLog:
     """Entries, snapshot, votes and memberships of one replica.
 
-    Every change is durable when the method that makes it returns a success;
-    on a failure nothing has changed.
+    Every change, but for what :meth:`write` added, is durable when the method
+    that makes it returns a success; on a failure nothing has changed.
 
     Parameters
     ----------
@@ -54,6 +54,8 @@
     recovered
         The last entry found when the store was loaded that was not
         overwritten since.
+    synced
+        Up to where the entries are durable.
     """
 
     def __init__(self, store: LogStore, stored: StoredLog) -> None:
@@ -67,6 +69,7 @@
         self._placed = self._collect_memberships()
         # Nothing was shown before a restart that was not durable here.
         self.recovered = self.last.index
+        self.synced = self.last.index
         check_invariant(
             self.commit <= self.last.index, "commit-within-log", stored.hard_state
         )
@@ -169,10 +172,36 @@
         entries = [Entry(LogIndex(1), term, EntryKind.MEMBERSHIP, data)]
         new = HardState(self.hard_state.incarnation, term, vote)
         result = self._store.append(new, entries)
-        return result.map(lambda _: self._add_entries(new, entries))
+        return result.map(lambda _: self._add_entries(new, entries)).map(
+            lambda _: self.note_synced(self.last.index)
+        )
 
     def append(self, entries: Sequence[Entry]) -> Result[None, StoreFailure]:
         """Append entries, dropping those stored at or after the first."""
+        new = self._prepare_append(entries)
+        result = self._store.append(new, entries)
+        return result.map(lambda _: self._add_entries(new, entries)).map(
+            lambda _: self.note_synced(self.last.index)
+        )
+
+    def write(self, entries: Sequence[Entry]) -> Result[None, StoreFailure]:
+        """Append entries that are durable only after a sync."""
+        new = self._prepare_append(entries)
+        result = self._store.write(new, entries)
+        return result.map(lambda _: self._add_entries(new, entries))
+
+    def sync(self) -> Result[None, StoreFailure]:
+        """Make the entries written so far durable; may run in a thread.
+
+        The caller tells :meth:`note_synced` afterwards.
+        """
+        return self._store.sync()
+
+    def note_synced(self, index: LogIndex) -> None:
+        """Learn that the entries up to ``index`` are durable."""
+        self.synced = LogIndex(max(self.synced, min(index, self.last.index)))
+
+    def _prepare_append(self, entries: Sequence[Entry]) -> HardState:
         first = entries[0].index
         check_invariant(
             self.commit < first <= self.last.index + 1,
@@ -180,9 +209,7 @@
             (self.commit, first, self.last),
         )
         old = self.hard_state
-        new = HardState(old.incarnation, old.term, old.vote, self.commit)
-        result = self._store.append(new, entries)
-        return result.map(lambda _: self._add_entries(new, entries))
+        return HardState(old.incarnation, old.term, old.vote, self.commit)
 
     def compact(
         self, snapshot: Snapshot, base: LogPosition
@@ -226,11 +253,13 @@
 
     def _set_hard_state(self, hard_state: HardState) -> None:
         self.hard_state = hard_state
+        self.note_synced(self.last.index)
 
     def _add_entries(self, hard_state: HardState, entries: Sequence[Entry]) -> None:
         self.hard_state = hard_state
         first = entries[0].index
         if first <= self.last.index:
+            self.synced = LogIndex(min(self.synced, first - 1))
             self.recovered = LogIndex(min(self.recovered, first - 1))
         del self._entries[first - self.base.index - 1 :]
         self._entries.extend(entries)
@@ -259,6 +288,7 @@
         self.snapshot = snapshot
         self.base = base
         self._entries = entries
+        self.synced = self.last.index
         self._placed = self._collect_memberships()
 
     def _collect_memberships(self) -> list[PlacedMembership]:
--- a/src/rhubarbfield/replication/replica.py
+++ b/src/rhubarbfield/replication/replica.py
@@ -25,7 +25,11 @@
 from rhubarbfield.replication.parts import ReplicaParts
 from rhubarbfield.replication.proposals import Proposals
 from rhubarbfield.replication.settings import GroupSettings
-from rhubarbfield.replication.state import MessageSender, ReplicaState
+from rhubarbfield.replication.state import (
+    MessageSender,
+    ReplicaState,
+    RunBlocking,
+)
 from rhubarbfield.replication.status import ReplicaStatus, describe_status
 from rhubarbfield.storage import (
     HardState,
@@ -74,6 +78,8 @@
     may_form
         Whether a new group may be formed. False for a replica that is started
         where a group is known to exist: with an empty store it looks for it.
+    run_blocking
+        How a leader waits for its disk; by default nothing else goes on.
 
     Raises
     ------
@@ -95,6 +101,7 @@
         settings: GroupSettings,
         reluctant: bool = False,
         may_form: bool = True,
+        run_blocking: RunBlocking | None = None,
     ) -> None:
         if not bootstrap:
             raise UsageError(f"group {group} names no instance to form it")
@@ -109,6 +116,7 @@
         self._settings = settings
         self._reluctant = reluctant
         self._may_form = may_form
+        self._run_blocking = run_blocking
         self._proposals = Proposals(settings.max_pending)
         self._parts: ReplicaParts | None = None
         self._opened = trio.Event()
@@ -322,6 +330,7 @@
             random=self._random,
             settings=self._settings,
             reluctant=self._reluctant,
+            run_blocking=self._run_blocking,
         )
         return ReplicaParts(
             state,
--- a/src/rhubarbfield/replication/state.py
+++ b/src/rhubarbfield/replication/state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Callable
 from datetime import timedelta
 from enum import Enum
 from random import Random
@@ -39,6 +40,29 @@
         """
 
 
+class RunBlocking(Protocol):
+    """Calls a function that waits for the disk."""
+
+    async def __call__(
+        self, function: Callable[[], Result[None, StoreFailure]], /
+    ) -> Result[None, StoreFailure]:
+        """Return what ``function`` returns."""
+
+
+async def run_inline(
+    function: Callable[[], Result[None, StoreFailure]], /
+) -> Result[None, StoreFailure]:
+    """Call ``function`` here, where all else waits for it."""
+    return function()
+
+
+async def run_in_thread(
+    function: Callable[[], Result[None, StoreFailure]], /
+) -> Result[None, StoreFailure]:
+    """Call ``function`` in a thread, while all else goes on."""
+    return await trio.to_thread.run_sync(function)
+
+
 class Role(Enum):
     """What a replica does in its term."""
 
@@ -61,7 +85,7 @@
         Its log.
     sender
         The way to the peers.
-    clock, random, settings, reluctant
+    clock, random, settings, reluctant, run_blocking
         As the replica was given them.
     """
 
@@ -76,8 +100,10 @@
         random: Random,
         settings: GroupSettings,
         reluctant: bool = False,
+        run_blocking: RunBlocking | None = None,
     ) -> None:
         self.group = group
+        self.run_blocking = run_blocking or run_inline
         self.id = replica_id
         self.log = log
         self.clock = clock
--- a/src/rhubarbfield/scheduling/controller.py
+++ b/src/rhubarbfield/scheduling/controller.py
@@ -18,7 +18,7 @@
     run_while_leading,
 )
 from rhubarbfield.peering import MessageStream, PeerLinks, Transport, serve_link
-from rhubarbfield.replication import Replica
+from rhubarbfield.replication import Replica, RunBlocking
 from rhubarbfield.scheduling.appliers import make_scheduling_machine
 from rhubarbfield.scheduling.deployment import SCHEDULING_GROUP, DeploymentSettings
 from rhubarbfield.scheduling.leader import SchedulingLeader
@@ -43,6 +43,8 @@
         The way to workers.
     clock, rng
         The time and the random source.
+    run_blocking
+        How the leader waits for its disk; by default all else waits too.
     """
 
     def __init__(
@@ -54,6 +56,7 @@
         calls: WorkerCalls,
         clock: Clock,
         rng: random.Random,
+        run_blocking: RunBlocking | None = None,
     ) -> None:
         self._settings = settings
         self._transport = transport
@@ -74,6 +77,7 @@
             random=rng,
             settings=settings.make_group_settings(),
             may_form=settings.may_form_group,
+            run_blocking=run_blocking,
         )
         self.log = ReplicatedLog(self._replica, machine)
         self._leader: SchedulingLeader | None = None
--- a/src/rhubarbfield/storage/file.py
+++ b/src/rhubarbfield/storage/file.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import threading
 from collections.abc import Callable, Sequence
 from pathlib import Path
 
@@ -160,7 +161,8 @@
 class FileStore:
     """Keeps a log in one file and the latest snapshot in another.
 
-    Each append is one record and one ``fdatasync``. Files that are replaced
+    Each append is one record and one ``fdatasync``; records that are written
+    one after the other may share one. Files that are replaced
     are written beside, synced, and renamed. After an error that leaves open
     what is durable, every call fails with :class:`SyncFailed`; opening the
     folder anew writes all that can be read into a new, synced file.
@@ -178,6 +180,8 @@
         self._files = files if files is not None else SystemFiles(folder)
         self._size = 0
         self._stopped: SyncFailed | None = None
+        # Held while a thread syncs a file that others may replace or close.
+        self._file_lock = threading.RLock()
 
     def load(self) -> Result[StoredLog, StoreFailure]:
         """Return all that is stored; a torn last record is cut."""
@@ -223,8 +227,20 @@
             return self._guard(
                 lambda: self._rewrite_log(hard_state, LogPosition(), entries)
             )
+        return self.write(hard_state, entries).bind(lambda _: self.sync())
+
+    def write(
+        self, hard_state: HardState, entries: Sequence[Entry]
+    ) -> Result[None, StoreFailure]:
+        """Write the hard state and entries, as one record."""
+        if self._size == 0:
+            return self.append(hard_state, entries)
         record = _encoder.encode(LogRecord(hard_state, tuple(entries)))
-        return self._guard(lambda: self._append_record(frame_payload(record)))
+        return self._attempt(lambda: self._write_record(frame_payload(record)))
+
+    def sync(self) -> Result[None, StoreFailure]:
+        """Make durable what was written."""
+        return self._guard(lambda: self._sync(LOG_FILE))
 
     def save_snapshot(
         self,
@@ -260,9 +276,15 @@
 
     def close(self) -> None:
         """Close the files."""
-        self._files.close()
+        with self._file_lock:
+            self._files.close()
 
     def _guard(self, action: Callable[[], None]) -> Result[None, StoreFailure]:
+        """Do what must not meet the sync of another thread."""
+        with self._file_lock:
+            return self._attempt(action)
+
+    def _attempt(self, action: Callable[[], None]) -> Result[None, StoreFailure]:
         if self._stopped is not None:
             return Failure(self._stopped)
         try:
@@ -285,9 +307,8 @@
             return False
         return True
 
-    def _append_record(self, record: bytes) -> None:
+    def _write_record(self, record: bytes) -> None:
         self._files.append(LOG_FILE, record)
-        self._sync(LOG_FILE)
         self._size += len(record)
 
     def _rewrite_log(
--- a/src/rhubarbfield/storage/memory.py
+++ b/src/rhubarbfield/storage/memory.py
@@ -47,6 +47,16 @@
             self._entries.extend(entries)
         return Success(None)
 
+    def write(
+        self, hard_state: HardState, entries: Sequence[Entry]
+    ) -> Result[None, StoreFailure]:
+        """Save the hard state and entries."""
+        return self.append(hard_state, entries)
+
+    def sync(self) -> Result[None, StoreFailure]:
+        """Do nothing: what was written lasts as long as the process."""
+        return Success(None)
+
     def save_snapshot(
         self,
         hard_state: HardState,
--- a/src/rhubarbfield/storage/store.py
+++ b/src/rhubarbfield/storage/store.py
@@ -71,8 +71,10 @@
 class LogStore(Protocol):
     """Durable storage of one replica of one group.
 
-    Every method returns only once its effect is durable. Methods block: a
-    replica must not answer a message before what it answers is durable.
+    Every method but ``write`` returns only once its effect, and that of all
+    writes before it, is durable. Methods block: a replica must not answer a
+    message before what it answers is durable. Only ``sync`` may run in a
+    thread of its own; other calls wait for it, but for ``write``.
     """
 
     def load(self) -> Result[StoredLog, StoreFailure]:
@@ -92,6 +94,14 @@
             dropped.
         """
 
+    def write(
+        self, hard_state: HardState, entries: Sequence[Entry]
+    ) -> Result[None, StoreFailure]:
+        """Do what ``append`` does, durable only after the next ``sync``."""
+
+    def sync(self) -> Result[None, StoreFailure]:
+        """Make durable what was written."""
+
     def save_snapshot(
         self,
         hard_state: HardState,
--- a/tests/replication/group.py
+++ b/tests/replication/group.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+from collections.abc import Callable
 from datetime import timedelta
 from pathlib import Path
 from random import Random
@@ -12,12 +13,13 @@
 from returns.result import Result, Success
 
 from rhubarbfield.replication import GroupSettings, ProposeError, Replica
-from rhubarbfield.storage import FileStore, LogStore, MemoryStore
+from rhubarbfield.storage import FileStore, LogStore, MemoryStore, StoreFailure
 from rhubarbfield.types import GroupId, InstanceName, LogIndex
 from tests.replication.network import Network, NetworkSender, SimulatedClock
 from tests.storage.simulated_files import SimulatedCrashError, SimulatedFiles
 
 GROUP = GroupId("fleet")
+DISK_TIME = 0.006  # seconds a sync takes
 
 
 class Observer:
@@ -91,8 +93,19 @@
         self.replica: Replica | None = None
         self.machine: ChainMachine | None = None
         self.highest_shown = LogIndex(0)
+        self.disk_time = DISK_TIME
         self._scope = trio.CancelScope()
 
+    async def run_blocking(
+        self, function: Callable[[], Result[None, StoreFailure]], /
+    ) -> Result[None, StoreFailure]:
+        """Take the disk's time; what is written has effect some time in it."""
+        before = self.group.random.uniform(0, self.disk_time)
+        await trio.sleep(before)
+        result = function()
+        await trio.sleep(self.disk_time - before)
+        return result
+
     def make_store(self) -> LogStore:
         if self.has_disk:
             return FileStore(Path("unused"), self.files)
@@ -114,6 +127,7 @@
             random=Random(group.random.random()),
             settings=group.settings,
             reluctant=self.name in group.reluctant,
+            run_blocking=self.run_blocking,
         )
         group.network.attach(self.name, self.clock, self.replica.deliver)
         group.nursery.start_soon(self._run, self.replica, self._scope)
--- a/tests/replication/test_losses.py
+++ b/tests/replication/test_losses.py
@@ -5,7 +5,7 @@
 import unittest
 
 import trio
-from returns.result import Failure
+from returns.result import Failure, Success
 
 from rhubarbfield.replication import NotLeader, OutcomeUnknown
 from rhubarbfield.storage import StoreDamaged, SyncFailed
@@ -127,10 +127,26 @@
             leader = await group.wait_leader()
             replica = leader.replica
             leader.files.fail_syncs = True
+            # Two peers have it before the leader's disk has refused it.
+            result = await group.propose(leader, b"x")
+            self.assertIsInstance(result, Success)
+            await trio.sleep(1)
+            self.assertIsInstance(replica.status().halted, SyncFailed)
+            await group.propose_many("y", 1)
+
+        run_group(play)
+
+    def test_a_failed_sync_that_a_quorum_needs_leaves_the_outcome_open(self) -> None:
+        async def play(group: Group) -> None:
+            leader = await group.wait_leader()
+            replica = leader.replica
+            group.network.isolate(group.list_others(leader)[0].name)
+            leader.files.fail_syncs = True
             result = await group.propose(leader, b"x")
             self.assertEqual(result, Failure(OutcomeUnknown()))
             await trio.sleep(1)
             self.assertIsInstance(replica.status().halted, SyncFailed)
+            group.network.heal()
             await group.propose_many("y", 1)
 
         run_group(play)
--- /dev/null
+++ b/tests/replication/test_syncs.py
@@ -0,0 +1,71 @@
+"""Tests of what a leader does while its disk works."""
+
+from __future__ import annotations
+
+import math
+import unittest
+
+import trio
+from returns.result import Success
+
+from tests.replication.group import Group
+from tests.replication.test_replica import run_group
+
+DISK_SECONDS = 0.3  # of one sync of a slow disk
+
+
+class SlowDiskTest(unittest.TestCase):
+    def test_peers_commit_while_the_leaders_disk_hangs(self) -> None:
+        async def play(group: Group) -> None:
+            leader = await group.wait_leader()
+            leader.disk_time = math.inf
+            with trio.fail_after(DISK_SECONDS):
+                result = await group.propose(leader, b"x")
+            self.assertIsInstance(result, Success)
+
+        run_group(play)
+
+    def test_a_leader_with_one_peer_waits_for_its_disk(self) -> None:
+        async def play(group: Group) -> None:
+            leader = await group.wait_leader()
+            await group.propose_many("x", 1)
+            group.network.isolate(group.list_others(leader)[0].name)
+            leader.disk_time = DISK_SECONDS
+            began = trio.current_time()
+            result = await group.propose(leader, b"y")
+            self.assertIsInstance(result, Success)
+            self.assertGreaterEqual(trio.current_time() - began, DISK_SECONDS)
+
+        run_group(play)
+
+    def test_proposals_that_come_during_a_sync_share_the_next(self) -> None:
+        async def play(group: Group) -> None:
+            leader = await group.wait_leader()
+            group.network.isolate(group.list_others(leader)[0].name)
+            leader.disk_time = DISK_SECONDS
+            began = trio.current_time()
+            async with trio.open_nursery() as nursery:
+                for number in range(20):
+                    nursery.start_soon(group.propose, leader, b"%d" % number)
+                    await trio.sleep(0.01)
+            self.assertLess(trio.current_time() - began, 3 * DISK_SECONDS)
+
+        run_group(play)
+
+    def test_what_was_not_synced_before_a_loss_of_power_was_not_promised(self) -> None:
+        """All nodes lose power at once while the leader's disk hangs."""
+
+        async def play(group: Group) -> None:
+            leader = await group.wait_leader()
+            leader.disk_time = math.inf
+            await group.propose_many("x", 5)
+            for node in group.nodes.values():
+                await node.crash()
+            for node in group.nodes.values():
+                await node.start()
+            leader.disk_time = 0.0
+            await group.wait_leader()
+            await group.propose_many("y", 5)
+
+        for seed in range(5):
+            run_group(play, seed=seed)
--- a/tests/storage/test_file.py
+++ b/tests/storage/test_file.py
@@ -4,6 +4,8 @@
 
 import errno
 import tempfile
+import threading
+import time
 import unittest
 from pathlib import Path
 from random import Random
@@ -31,6 +33,7 @@
 from rhubarbfield.types import Incarnation, LogIndex, Term
 from tests.storage.simulated_files import SimulatedCrashError, SimulatedFiles
 
+SYNC_SECONDS = 0.05  # of a thread that syncs while others call
 STATE = HardState(Incarnation("one"), Term(3))
 
 
@@ -77,6 +80,53 @@
         self.assertEqual(self.files.syncs - before, 1)
         self.assert_entries(make_entries(1, 202))
 
+    def test_written_batches_share_one_sync(self) -> None:
+        self.append(make_entries(1, 1))
+        before = self.files.syncs
+        for first in range(2, 10):
+            written = self.store.write(STATE, make_entries(first, 1))
+            self.assertEqual(written, Success(None))
+        self.assertEqual(self.store.sync(), Success(None))
+        self.assertEqual(self.files.syncs - before, 1)
+        self.files.lose_unsynced()
+        self.assert_entries(make_entries(1, 9))
+
+    def test_what_was_only_written_may_be_lost_from_its_end(self) -> None:
+        self.append(make_entries(1, 1))
+        for first in range(2, 10):
+            self.store.write(STATE, make_entries(first, 1))
+        self.files.lose_unsynced()
+        self.open()
+        kept = self.loaded.unwrap().entries
+        self.assertEqual(kept, make_entries(1, len(kept)))
+
+    def test_other_calls_wait_for_a_sync_in_a_thread(self) -> None:
+        """A file must not be replaced or closed while it is synced."""
+        self.append(make_entries(1, 3))
+        events: list[str] = []
+        sync = self.files.sync
+        began = threading.Event()
+
+        def sync_slowly(name: str) -> None:
+            if threading.current_thread() is not threading.main_thread():
+                began.set()
+                time.sleep(SYNC_SECONDS)
+                events.append("synced")
+            sync(name)
+
+        with mock.patch.object(self.files, "sync", sync_slowly):
+            thread = threading.Thread(target=self.store.sync)
+            thread.start()
+            began.wait()
+            self.store.write(STATE, make_entries(4, 1))
+            events.append("written")
+            self.store.save_snapshot(
+                STATE, make_snapshot(2), LogPosition(LogIndex(2), Term(1)), ()
+            )
+            events.append("replaced")
+            thread.join()
+        self.assertEqual(events, ["written", "synced", "replaced"])
+
     def test_later_entries_replace_those_at_their_index(self) -> None:
         self.append(make_entries(1, 5), make_entries(3, 1, term=2))
         self.assert_entries(make_entries(1, 2) + make_entries(3, 1, term=2))
