Learn each task's own load, and place what serves by image

Cause: tails were learned as one base an image plus rates. With one base, load was taken for harm and harm for load: a fifth of all runs were moved or stopped, and rates were off by several times. Ruled out: reciprocal and root instead of the logarithm (same or worse fit); a joint filter of levels and rates (diverged on the recorded views).

Rates are now learned from how a tail changes when neighbours change, levels follow each task, and what is tried for the first time is tried with care. A tail that is high by its own load moves nobody.

--- a/src/rhubarbfield/scheduling/interference.py
+++ b/src/rhubarbfield/scheduling/interference.py
@@ -2,24 +2,27 @@
 
 Answers the load in which standing tasks fill the workers' capacity and batch
 work lives on the cores that they leave unused: whom a batch image slows, and
-by how much, is learned from the workers' own measurements.
+by how much, is learned from the workers' own measurements, and so is how near
+each task that serves is to its goal by its own load.
 """
 
 from __future__ import annotations
 
 import math
 from collections.abc import Iterable, Mapping
+from datetime import timedelta
 
 import msgspec
 
-from rhubarbfield.placement.harm import HarmModel
-from rhubarbfield.placement.state import BatchKind, HarmEstimate
-from rhubarbfield.scheduling.model import ImageName
-from rhubarbfield.types import ServiceName
+from rhubarbfield.placement.state import HarmEstimate
+from rhubarbfield.scheduling.model import ImageName, TaskName
+from rhubarbfield.scheduling.tails import MS_PER_SECOND, TailModel
 
-ONLY_BAND = 0  # workers do not report the load of what serves
 ASSUMED_RATIO = 0.4  # of the goal, for an image that was never measured
-MS_PER_SECOND = 1000
+RISE_SECONDS = 1.5  # a load that rises goes on rising for as long; a run lasts 1 to 3 s
+PEAK_SPREADS = 1.5  # above the mean; a load that swings evenly stays below 1.42
+RESERVE = 0.15  # of log latency: measures scatter by as much
+NEGLIGIBLE_GROWTH = 0.03  # of log latency, by one task
 
 
 class ServingTask(msgspec.Struct, frozen=True):
@@ -27,14 +30,15 @@
 
     Attributes
     ----------
-    image
-        What it runs.
+    task, image
+        The task and what it runs.
     goal_ms
         Bound of its tail latency.
     tail_ms
         The tail latency, or None if it was not measured yet.
     """
 
+    task: TaskName
     image: ImageName
     goal_ms: float
     tail_ms: float | None
@@ -48,7 +52,7 @@
     image
         What it runs.
     margin
-        Logarithm of the goal over its own tail latency.
+        Logarithm of the goal over its own tail latency, as it will soon be.
     """
 
     image: ImageName
@@ -56,13 +60,16 @@
 
 
 class Interference:
-    """What is learned of images, in the leader's memory."""
+    """What is learned of images and of the tasks that serve, in memory."""
 
     def __init__(self) -> None:
-        self._model = HarmModel()
+        self._model = TailModel()
 
     def learn(
-        self, serving: Iterable[ServingTask], shares: Mapping[ImageName, float]
+        self,
+        serving: Iterable[ServingTask],
+        shares: Mapping[ImageName, float],
+        now: timedelta,
     ) -> None:
         """Learn from one view of a worker.
 
@@ -72,15 +79,16 @@
             The tasks that serve there.
         shares
             Share of the worker's processors that each image beside them uses.
+        now
+            The monotonic time.
         """
         for task in serving:
             if task.tail_ms:
-                self._model.learn(
-                    ServiceName(task.image),
-                    ONLY_BAND,
-                    {BatchKind(image): share for image, share in shares.items()},
-                    task.tail_ms / MS_PER_SECOND,
-                )
+                self._model.learn(task.task, task.image, shares, task.tail_ms, now)
+
+    def forget(self, task: TaskName) -> None:
+        """Drop a task that no longer serves."""
+        self._model.forget(task)
 
     def restore(self, estimates: Iterable[HarmEstimate]) -> None:
         """Start from what an earlier leader has learned."""
@@ -88,33 +96,41 @@
 
     def take_changes(self) -> tuple[HarmEstimate, ...]:
         """Return what was learned since the last time."""
-        changed = tuple(self._model.list_changed())
-        self._model.forget_changes()
-        return changed
+        return self._model.take_changes()
 
-    def find_exposure(
-        self, task: ServingTask, shares: Mapping[ImageName, float]
-    ) -> Exposure:
-        """Return the margin that a task would have without its neighbours.
-
-        Its own load moves within seconds: the last measurement shows when it
-        is high, and when it is low it will soon be what was learned of it.
-        """
-        base = self._model.find_base(ServiceName(task.image), ONLY_BAND)
+    def find_exposure(self, task: ServingTask) -> Exposure:
+        """Return the margin that a task will soon have without its neighbours."""
         goal = math.log(task.goal_ms / MS_PER_SECOND)
-        own = math.log(ASSUMED_RATIO) if base is None else base - goal
-        if task.tail_ms:
-            seen = math.log(task.tail_ms / task.goal_ms)
-            own = max(own, seen - self.add_up(task.image, shares))
-        return Exposure(task.image, -own)
+        return Exposure(task.image, goal - self._expect_level(task, goal))
+
+    def _expect_level(self, task: ServingTask, goal: float) -> float:
+        level = self._model.find_level(task.task)
+        base = self._model.find_base(task.image)
+        if level is None:
+            if base is None:
+                return goal + math.log(ASSUMED_RATIO)
+            return base[0] + base[1]
+        risen = level.mean + max(0.0, level.slope) * RISE_SECONDS
+        if base is None:
+            return risen
+        peak = base[0] + PEAK_SPREADS * base[1]
+        return min(risen, max(level.mean, peak))
 
     def add_up(self, serving: ImageName, shares: Mapping[ImageName, float]) -> float:
         """Return the growth of the log latency of ``serving`` beside ``shares``."""
         return sum(self.get_rate(serving, image) * x for image, x in shares.items())
 
+    def _add_up_cautiously(
+        self, serving: ImageName, shares: Mapping[ImageName, float]
+    ) -> float:
+        return sum(
+            self._model.get_cautious_rate(serving, image) * x
+            for image, x in shares.items()
+        )
+
     def get_rate(self, serving: ImageName, image: ImageName) -> float:
         """Return the growth of log latency if ``image`` used the whole worker."""
-        return self._model.find_rate(ServiceName(serving), BatchKind(image), ONLY_BAND)
+        return self._model.get_rate(serving, image)
 
     def find_worst_margin(
         self, exposures: Iterable[Exposure], shares: Mapping[ImageName, float]
@@ -124,3 +140,38 @@
             (each.margin - self.add_up(each.image, shares) for each in exposures),
             default=math.inf,
         )
+
+    def find_growth(
+        self, exposures: Iterable[Exposure], image: ImageName, share: float
+    ) -> float:
+        """Return by how much a share of ``image`` raises the tail it raises most."""
+        return max(
+            (self.get_rate(each.image, image) * share for each in exposures),
+            default=0.0,
+        )
+
+    def admits(
+        self,
+        exposures: Iterable[Exposure],
+        image: ImageName,
+        added: float,
+        shares: Mapping[ImageName, float],
+    ) -> bool:
+        """Say whether a share of ``image`` leaves all tails within their goals.
+
+        Parameters
+        ----------
+        exposures
+            The tasks that serve.
+        image, added
+            What is added, and its share of the processors.
+        shares
+            All shares beside them, with what is added.
+        """
+        for each in exposures:
+            growth = self._model.get_cautious_rate(each.image, image) * added
+            left = each.margin - self._add_up_cautiously(each.image, shares)
+            # What hardly disturbs needs no reserve: the load decides by itself.
+            if left < (0.0 if growth <= NEGLIGIBLE_GROWTH else RESERVE):
+                return False
+        return True
--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -164,8 +164,8 @@
         self._wake.set()
 
     def has_to_watch_closely(self, worker: Worker) -> bool:
-        """Return whether tasks there are harmed by their neighbours at once."""
-        return self._neighbours.has_both(worker)
+        """Return whether neighbours that start there can harm at once."""
+        return self._neighbours.has_serving(worker)
 
     def find_other_place(self, task: TaskName, worker: WorkerId) -> bool:
         """Say whether a task could go on elsewhere without harm, right now."""
--- a/src/rhubarbfield/scheduling/neighbours.py
+++ b/src/rhubarbfield/scheduling/neighbours.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import logging
+import math
+from collections.abc import Iterable
 from datetime import timedelta
 from typing import Protocol
 
@@ -25,9 +27,9 @@
 
 AT_WORK = 100  # percent that a standing task shows once it serves
 PAUSED = 0  # percent; a task that is slowed goes on disturbing
-EASE_RATIO = 0.9  # of the goal, as measures are rough; neighbours are paused
-RESUME_RATIO = 0.6  # of the goal, below which they go on
-PATIENCE = timedelta(milliseconds=1200)  # two views; 4 s of harm are a fault
+EASE_RATIO = 0.95  # of the goal, as measured; what harms is taken away from there
+EASED_RATIO = 0.8  # of the goal, that taking neighbours away should lead to
+PATIENCE = timedelta(milliseconds=1800)  # three views; 4 s of harm are a fault
 HARMLESS = 0.05  # growth of log latency that is not worth a pause
 
 
@@ -71,13 +73,11 @@
         self._clock = clock
         self._suffering_since: dict[WorkerId, timedelta] = {}
         self._serving: dict[WorkerId, list[ServingTask]] = {}
-        self._shares: dict[WorkerId, dict[ImageName, float]] = {}
 
     def list_exposures(self, worker: Worker) -> list[Exposure]:
         """Return how near each task that serves on a worker is to its goal."""
-        shares = self._shares.get(worker.worker, {})
         return [
-            self._interference.find_exposure(task, shares)
+            self._interference.find_exposure(task)
             for task in self._list_serving(worker)
         ]
 
@@ -94,45 +94,48 @@
                 continue
             if step.tail_goal_ms and active.percent >= AT_WORK:
                 serving.append(
-                    ServingTask(step.image, step.tail_goal_ms, active.measure)
+                    ServingTask(task, step.image, step.tail_goal_ms, active.measure)
                 )
             elif step.uses_spare_cores:
                 share = (active.measure or 0.0) / capacity
                 wanted = step.demand.millicores / capacity
                 shares[step.image] = shares.get(step.image, 0.0) + share
                 neighbours.append(Neighbour(RunKey(task, run), step, wanted))
-        self._interference.learn(serving, shares)
+        self._interference.learn(serving, shares, self._clock.monotonic())
+        self._forget_others(worker.worker, serving)
         self._serving[worker.worker] = serving
-        self._shares[worker.worker] = shares
         if serving and neighbours:
             self._ease(worker, session, serving, neighbours)
 
-    def has_both(self, worker: Worker) -> bool:
-        """Say whether tasks that serve and tasks of spare cores share a worker."""
-        steps = [
-            step
-            for step in map(self._host.state.find_step, worker.runs)
-            if step is not None
-        ]
-        return any(step.tail_goal_ms for step in steps) and any(
-            step.uses_spare_cores for step in steps
-        )
+    def _forget_others(
+        self, worker: WorkerId, serving: Iterable[ServingTask] = ()
+    ) -> None:
+        kept = {task.task for task in serving}
+        for task in self._serving.get(worker, ()):
+            if task.task not in kept:
+                self._interference.forget(task.task)
+
+    def has_serving(self, worker: Worker) -> bool:
+        """Say whether tasks of spare cores would disturb others on a worker."""
+        steps = map(self._host.state.find_step, worker.runs)
+        return any(step is not None and step.tail_goal_ms for step in steps)
 
     def forget(self, worker: WorkerId) -> None:
         """Drop what is known of a worker that is gone."""
+        self._forget_others(worker)
         self._serving.pop(worker, None)
         self._suffering_since.pop(worker, None)
-        self._shares.pop(worker, None)
 
     def _list_serving(self, worker: Worker) -> list[ServingTask]:
         """Return what serves on a worker, measured or only recorded."""
-        measured = self._serving.get(worker.worker, [])
-        recorded = [
-            ServingTask(step.image, step.tail_goal_ms, None)
-            for step in map(self._host.state.find_step, worker.runs)
-            if step is not None and step.tail_goal_ms
-        ]
-        return measured + recorded[len(measured) :]
+        measured = {task.task: task for task in self._serving.get(worker.worker, [])}
+        found = []
+        for name in worker.runs:
+            step = self._host.state.find_step(name)
+            if step is not None and step.tail_goal_ms:
+                recorded = ServingTask(name, step.image, step.tail_goal_ms, None)
+                found.append(measured.get(name, recorded))
+        return found
 
     def _ease(
         self,
@@ -146,17 +149,33 @@
             for task in serving
             if task.tail_ms is not None and task.tail_ms >= task.goal_ms * EASE_RATIO
         ]
+        running = [each for each in neighbours if session.get_pace(each.key) != PAUSED]
         if suffering:
-            for neighbour in self._choose_guilty(worker, suffering, neighbours):
+            for neighbour in self._choose_guilty(worker, suffering, running):
                 self._move_or_pause(worker, session, neighbour)
             return
         self._suffering_since.pop(worker.worker, None)
-        if all(
-            task.tail_ms is None or task.tail_ms <= task.goal_ms * RESUME_RATIO
-            for task in serving
-        ):
-            for neighbour in neighbours:
+        paused = [each for each in neighbours if each not in running]
+        self._resume(worker, session, running, paused)
+
+    def _resume(
+        self,
+        worker: Worker,
+        session: WorkerSession,
+        running: list[Neighbour],
+        paused: list[Neighbour],
+    ) -> None:
+        """Let paused tasks go on where that harms nobody, here or elsewhere."""
+        exposures = self.list_exposures(worker)
+        shares = _add_shares(running)
+        for neighbour in paused:
+            image = neighbour.step.image
+            after = {**shares, image: shares.get(image, 0.0) + neighbour.share}
+            if self._interference.admits(exposures, image, neighbour.share, after):
                 self._set_pace(worker, session, neighbour, FULL_SPEED)
+                shares = after
+            else:
+                self._move_or_pause(worker, session, neighbour)
 
     def _move_or_pause(
         self, worker: Worker, session: WorkerSession, neighbour: Neighbour
@@ -187,25 +206,29 @@
         suffering: list[ServingTask],
         neighbours: list[Neighbour],
     ) -> list[Neighbour]:
-        """Return the neighbours that harm, or all if none is known to.
+        """Return the neighbours to take away, the most harmful first.
 
-        What was learned may be wrong: if the tail stays high, all are guilty.
+        A tail that is high by its own load is left alone. What was learned may
+        be wrong: if the tail stays high, all are taken away.
         """
         now = self._clock.monotonic()
         since = self._suffering_since.setdefault(worker.worker, now)
         if now - since >= PATIENCE:
             return neighbours
-        guilty = [
-            neighbour
-            for neighbour in neighbours
-            if any(
-                self._interference.get_rate(task.image, neighbour.step.image)
-                * neighbour.share
-                > HARMLESS
-                for task in suffering
-            )
-        ]
-        return guilty or neighbours
+        guilty: dict[RunKey, Neighbour] = {}
+        for task in suffering:
+            excess = math.log((task.tail_ms or 0.0) / (task.goal_ms * EASED_RATIO))
+            harm = {
+                each.key: self._interference.get_rate(task.image, each.step.image)
+                * each.share
+                for each in neighbours
+            }
+            for neighbour in sorted(neighbours, key=lambda each: -harm[each.key]):
+                if excess <= 0 or harm[neighbour.key] <= HARMLESS:
+                    break
+                excess -= harm[neighbour.key]
+                guilty[neighbour.key] = neighbour
+        return list(guilty.values())
 
     def _set_pace(
         self,
@@ -228,3 +251,11 @@
             percent=percent,
         )
         session.pace(neighbour.key, percent)
+
+
+def _add_shares(neighbours: Iterable[Neighbour]) -> dict[ImageName, float]:
+    shares: dict[ImageName, float] = {}
+    for each in neighbours:
+        image = each.step.image
+        shares[image] = shares.get(image, 0.0) + each.share
+    return shares
--- a/src/rhubarbfield/scheduling/placing.py
+++ b/src/rhubarbfield/scheduling/placing.py
@@ -34,6 +34,7 @@
 )
 from rhubarbfield.types import ServiceName, WorkerId
 
+HARM_DIGITS = 1  # growth of a tail that is no smaller than its measures scatter
 CALM_USE = 0.6  # of the reserved cores; above it waiting is no fault
 MAX_STARTS_A_ROUND = 256  # keeps a command below the size of one log entry
 
@@ -204,8 +205,9 @@
     def _rate(self, step: Step, room: WorkerRoom) -> tuple[float, ...]:
         """Return how badly a worker suits a task; the lowest is best.
 
-        Standing tasks with tail goals are packed on few workers, so that
-        others stay free for tasks of spare cores.
+        Standing tasks with tail goals share workers with those of their own
+        image, packed on few: few images of spare cores harm one image, but
+        nearly all harm some image of a mixture.
         """
         is_far = step.preferred_rack != "" and (
             step.preferred_rack not in room.worker.labels
@@ -214,9 +216,14 @@
         load = 1 - room.spare_millicores / capacity
         serves = bool(room.exposures)
         if step.tail_goal_ms:
-            return (is_far, room.filling, room.failures, not serves, -load)
+            images = len(room.serving | {step.image})
+            is_new = step.image not in room.serving
+            return (is_far, room.failures, images, is_new, room.filling, -load)
         if step.uses_spare_cores:
-            return (is_far, room.failures, load)
+            harm = self._interference.find_growth(
+                room.exposures, step.image, room.find_share(step)
+            )
+            return (is_far, room.failures, round(harm, HARM_DIGITS), load)
         return (is_far, room.failures, not serves, load)
 
     def _take(
--- a/src/rhubarbfield/scheduling/rooms.py
+++ b/src/rhubarbfield/scheduling/rooms.py
@@ -12,8 +12,6 @@
 from rhubarbfield.types import WorkerId
 
 MIN_SPARE_SHARE = 0.7  # with less of its cores a task lasts half as long again
-MAX_MARGIN = 0.5  # of the log latency: a tail at 60% of its goal
-MARGIN_A_GROWTH = 4.0  # the load of what serves moves by as much within a run
 SERVING_USE = 0.5  # of their reserved cores; batch beside them ran at full speed
 
 
@@ -30,6 +28,8 @@
         Processor that nothing is expected to use.
     exposures
         Standing tasks with a tail goal on it.
+    serving
+        Images of the standing tasks with a tail goal.
     shares
         Share of its processors that each image of spare cores wants.
     filling
@@ -46,6 +46,7 @@
     free: Demand
     spare_millicores: int
     exposures: list[Exposure] = msgspec.field(default_factory=list)
+    serving: frozenset[ImageName] = frozenset()
     shares: dict[ImageName, float] = msgspec.field(default_factory=dict)
     filling: int = 0
     tasks: int = 0
@@ -57,15 +58,21 @@
         self.free = self.free.minus(step.reserved)
         self.tasks += 1
         cores = step.demand.millicores
+        if step.tail_goal_ms:
+            self.serving |= {step.image}
         if step.uses_spare_cores:
             self.filling += 1
             self.shares = self.add_share(step)
         self.spare_millicores -= int(cores * (SERVING_USE if step.standing else 1))
 
+    def find_share(self, step: Step) -> float:
+        """Return the share of the processors that a task of ``step`` wants."""
+        return step.demand.millicores / max(self.worker.capacity.millicores, 1)
+
     def add_share(self, step: Step) -> dict[ImageName, float]:
         """Return the shares with one more task of ``step``."""
-        share = step.demand.millicores / max(self.worker.capacity.millicores, 1)
-        return {**self.shares, step.image: self.shares.get(step.image, 0.0) + share}
+        before = self.shares.get(step.image, 0.0)
+        return {**self.shares, step.image: before + self.find_share(step)}
 
 
 class WaitingStep(msgspec.Struct, frozen=True):
@@ -104,15 +111,9 @@
     wanted = step.demand.millicores * MIN_SPARE_SHARE
     if room.spare_millicores < wanted:
         return False
-    shares = room.add_share(step)
-    added = shares[step.image] - room.shares.get(step.image, 0.0)
-    for exposure in room.exposures:
-        growth = interference.get_rate(exposure.image, step.image) * added
-        # What hardly disturbs may go where the tail is near its goal already.
-        wanted = min(MAX_MARGIN, growth * MARGIN_A_GROWTH)
-        if exposure.margin - interference.add_up(exposure.image, shares) < wanted:
-            return False
-    return True
+    return interference.admits(
+        room.exposures, step.image, room.find_share(step), room.add_share(step)
+    )
 
 
 def may_hold(waiting: WaitingStep, room: WorkerRoom) -> bool:
