Bound what the job daemons log, and never wait for its reader

Each event has a budget of lines a second, warnings and errors one of their own; lines go out through a thread and a bounded queue, and what is left out is counted in a line. Tests: a pipe that nobody reads, a burst at twenty times the usual load, what failed before what went well.

--- a/src/rhubarbfield/cli/scheduling.py
+++ b/src/rhubarbfield/cli/scheduling.py
@@ -55,7 +55,8 @@
 def _run(name: str, daemon: Daemon, call: Call) -> int:
     import trio
 
-    from rhubarbfield.logs import configure_logging, get_logger, log_event
+    from rhubarbfield.logoutput import LogBudget, configure_bounded_logging
+    from rhubarbfield.logs import get_logger, log_event
     from rhubarbfield.scheduling.deployment import load_deployment_settings
 
     given = call.flags.settings or os.environ.get(SETTINGS_VARIABLE)
@@ -63,7 +64,8 @@
         raise UsageError("--settings is missing", "give the file of an instance")
     path = Path(given)
     settings = load_deployment_settings(path)
-    configure_logging(settings.log_level, sys.stdout)
+    budget = LogBudget(lines_a_second=settings.log_lines_a_second)
+    output = configure_bounded_logging(settings.log_level, sys.stdout.fileno(), budget)
     logger = get_logger("daemon")
     log_event(
         logger,
@@ -77,5 +79,8 @@
     except Exception as error:
         logger.error("daemon-failed", exc_info=error)
         raise
-    log_event(logger, logging.INFO, "daemon-stopped", instance=settings.instance)
+    else:
+        log_event(logger, logging.INFO, "daemon-stopped", instance=settings.instance)
+    finally:
+        output.close()
     return 0
--- a/src/rhubarbfield/logs.py
+++ b/src/rhubarbfield/logs.py
@@ -9,6 +9,8 @@
 import logging
 import re
 import sys
+import time
+from collections.abc import Mapping
 from datetime import UTC, datetime, timedelta
 from enum import Enum
 from typing import TextIO
@@ -35,20 +37,25 @@
     def format(self, record: logging.LogRecord) -> str:
         """Return the line of ``record``, without its line end."""
         name, ids = _split_event(record)
-        event: dict[str, object] = {
-            "at": _format_time(record.created),
-            "level": record.levelname.lower(),
-            "area": record.name.removeprefix(f"{ROOT_LOGGER}."),
-            "event": name,
-        }
-        for name, value in ids.items():
-            event[name if name not in event else f"{name}_"] = _present(name, value)
+        area = record.name.removeprefix(f"{ROOT_LOGGER}.")
+        event = _describe(record.created, record.levelname, area, name, ids)
         if record.exc_info and record.exc_info[1] is not None:
             event["error"] = _cut(repr(record.exc_info[1]))
             event["trace"] = _cut(self.formatException(record.exc_info))
         return msgspec.json.encode(event).decode()
 
 
+def format_event(area: str, level: int, event: str, /, **ids: LogValue) -> str:
+    """Return the line of an event that passes no logger."""
+    name = logging.getLevelName(level)
+    return msgspec.json.encode(_describe(time.time(), name, area, event, ids)).decode()
+
+
+def find_event(record: logging.LogRecord) -> str:
+    """Return the name of the event of a record."""
+    return _split_event(record)[0]
+
+
 def configure_logging(level: str = "info", stream: TextIO | None = None) -> None:
     """Send the events of the whole program to ``stream``.
 
@@ -100,6 +107,20 @@
         logger.log(level, "%s", event, extra={_IDS_ATTRIBUTE: ids})
 
 
+def _describe(
+    at: float, level: str, area: str, name: str, ids: Mapping[str, object]
+) -> dict[str, object]:
+    event: dict[str, object] = {
+        "at": _format_time(at),
+        "level": level.lower(),
+        "area": area,
+        "event": name,
+    }
+    for field, value in ids.items():
+        event[field if field not in event else f"{field}_"] = _present(field, value)
+    return event
+
+
 def _split_event(record: logging.LogRecord) -> tuple[str, dict[str, object]]:
     """Return the name of an event, and its ids.
 
--- a/src/rhubarbfield/scheduling/deployment.py
+++ b/src/rhubarbfield/scheduling/deployment.py
@@ -70,6 +70,8 @@
         Bounds of the workers.
     log_level
         ``debug``, ``info``, ``warning`` or ``error``.
+    log_lines_a_second
+        Most lines of one event; what exceeds it is counted.
     secret
         What peers present to each other.
     """
@@ -89,6 +91,7 @@
     grace_ms: int = 6000
     workers: WorkerTimes
     log_level: str = "info"
+    log_lines_a_second: int = 200
     secret: str = "rhubarbfield"
 
     @property
--- /dev/null
+++ b/tests/test_logoutput.py
@@ -0,0 +1,118 @@
+"""Tests of log output that is bounded and never blocks."""
+
+from __future__ import annotations
+
+import json
+import logging
+import os
+import threading
+import time
+import unittest
+from collections import Counter
+
+from rhubarbfield.logoutput import BURST_SECONDS, BoundedOutput, LogBudget
+from rhubarbfield.logs import get_logger, log_event
+
+LINES = 20_000  # far more than a pipe holds
+USUAL_LINES_A_SECOND = 50
+READ_SIZE = 1 << 16
+MOST_SECONDS_A_LINE = 0.001  # a line that is written costs a twentieth
+
+
+class LogOutputTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.reader, self.writer = os.pipe()
+        self.open_ends = {self.reader, self.writer}
+        self.addCleanup(lambda: [os.close(each) for each in self.open_ends])
+        self.received = bytearray()
+        self.now = 100.0
+        self.logger = get_logger("logoutput-test")
+        self.logger.propagate = False
+        self.logger.setLevel(logging.INFO)
+
+    def close_end(self, end: int) -> None:
+        self.open_ends.remove(end)
+        os.close(end)
+
+    def read_all(self) -> None:
+        while part := os.read(self.reader, READ_SIZE):
+            self.received += part
+
+    def start_reading(self) -> threading.Thread:
+        thread = threading.Thread(target=self.read_all)
+        thread.start()
+        return thread
+
+    def open(self, **budget: float) -> BoundedOutput:
+        output = BoundedOutput(
+            self.writer,
+            LogBudget(**budget),  # type: ignore[arg-type]
+            lambda: self.now,
+        )
+        self.logger.handlers[:] = [output]
+        return output
+
+    def finish(
+        self, output: BoundedOutput, reading: threading.Thread
+    ) -> list[dict[str, object]]:
+        output.close()
+        self.close_end(self.writer)
+        reading.join()
+        return [json.loads(line) for line in self.received.splitlines()]
+
+    def test_lines_come_in_order(self) -> None:
+        output, reading = self.open(), self.start_reading()
+        for number in range(100):
+            log_event(self.logger, logging.INFO, "run-placed", number=number)
+        events = self.finish(output, reading)
+        self.assertEqual([event["number"] for event in events], list(range(100)))
+
+    def test_a_pipe_that_nobody_reads_costs_lines_and_no_time(self) -> None:
+        output = self.open(lines_a_second=1e9, queued_lines=1000)
+        began = time.monotonic()
+        for _ in range(LINES):
+            log_event(self.logger, logging.INFO, "run-placed", task="t" * 50)
+        self.assertLess((time.monotonic() - began) / LINES, MOST_SECONDS_A_LINE)
+        events = self.finish(output, self.start_reading())
+        names = Counter(str(event["event"]) for event in events)
+        missing = [event for event in events if event["event"] == "lines-left-out"]
+        self.assertGreater(len(missing), 0)
+        left_out = sum(int(str(each["total"])) for each in missing)
+        self.assertEqual(left_out + names["run-placed"], LINES)
+
+    def test_a_burst_at_twenty_times_the_usual_load_keeps_to_the_budget(self) -> None:
+        output = self.open(lines_a_second=2 * USUAL_LINES_A_SECOND)
+        reading = self.start_reading()
+        seconds = 10
+        for _ in range(seconds * 20 * USUAL_LINES_A_SECOND):
+            self.now += 1 / (20 * USUAL_LINES_A_SECOND)
+            log_event(self.logger, logging.INFO, "run-placed")
+        events = self.finish(output, reading)
+        written = sum(event["event"] == "run-placed" for event in events)
+        most = (seconds + BURST_SECONDS) * 2 * USUAL_LINES_A_SECOND
+        self.assertLessEqual(written, most)
+        self.assertGreater(written, most * 0.9)
+
+    def test_what_failed_is_kept_before_what_went_well(self) -> None:
+        output, reading = self.open(lines_a_second=10), self.start_reading()
+        for number in range(1000):
+            log_event(self.logger, logging.INFO, "request-answered", number=number)
+        for number in range(5):
+            log_event(self.logger, logging.WARNING, "request-answered", number=number)
+        events = self.finish(output, reading)
+        kept = [e for e in events if e["level"] == "warning" and "number" in e]
+        self.assertEqual([event["number"] for event in kept], [0, 1, 2, 3, 4])
+        left_out = [event for event in events if event["event"] == "lines-left-out"]
+        total = sum(int(str(each["request-answered"])) for each in left_out)
+        self.assertEqual(total, 1000 - 10 * BURST_SECONDS)
+
+    def test_a_reader_that_is_gone_does_not_end_the_program(self) -> None:
+        output = self.open()
+        self.close_end(self.reader)
+        for _ in range(LINES):
+            log_event(self.logger, logging.INFO, "run-placed")
+        output.close()
+
+
+if __name__ == "__main__":
+    unittest.main()
