Show metrics of the job daemons; know no pace after a change of leader

Paces set by an earlier leader, or ordered without an answer, are now unknown until set; a restored rate is as certain as its samples.

Counters and histograms on the metrics address; lines carry how long a job waited, how old the view of a worker was, tails, versions.

--- a/src/rhubarbfield/groups/replicated.py
+++ b/src/rhubarbfield/groups/replicated.py
@@ -7,6 +7,7 @@
 from typing import Generic, TypeVar
 
 import trio
+from prometheus_client import Histogram
 from returns.result import Failure, Result, Success
 
 from rhubarbfield.clock import Clock
@@ -23,6 +24,12 @@
 )
 from rhubarbfield.types import LogIndex
 
+COMMIT_SECONDS = Histogram(
+    "rhubarbfield_commit_seconds",
+    "Time from a proposal to its application, by the kind of command.",
+    ["command", "outcome"],
+    buckets=(0.005, 0.01, 0.02, 0.03, 0.05, 0.1, 0.3, 1.0, 3.0, 10.0),
+)
 LEADERSHIP_POLL = timedelta(milliseconds=250)
 
 StateT = TypeVar("StateT")
@@ -65,7 +72,12 @@
         self, command: Command
     ) -> Result[Reply, NotLeading | Unavailable]:
         """Commit ``command`` and return what applying it answered."""
+        began = trio.current_time()
         proposed = await self.replica.propose(self.machine.encode_command(command))
+        outcome = "done" if isinstance(proposed, Success) else "failed"
+        COMMIT_SECONDS.labels(type(command).__name__, outcome).observe(
+            trio.current_time() - began
+        )
         match proposed:
             case Success(reply):
                 return Success(self.machine.decode_reply(reply))
--- /dev/null
+++ b/src/rhubarbfield/metricspage.py
@@ -0,0 +1,21 @@
+"""The page on which a program shows its counters."""
+
+from __future__ import annotations
+
+from prometheus_client import REGISTRY, CollectorRegistry, generate_latest
+from prometheus_client.exposition import CONTENT_TYPE_LATEST
+from quart import Quart, Response
+from quart_trio import QuartTrio
+
+METRICS_PATH = "/metrics"
+
+
+def create_metrics_app(registry: CollectorRegistry = REGISTRY) -> Quart:
+    """Return an app that shows what ``registry`` has counted."""
+    app = QuartTrio(__name__)
+
+    @app.get(METRICS_PATH)
+    async def show_metrics() -> Response:
+        return Response(generate_latest(registry), content_type=CONTENT_TYPE_LATEST)
+
+    return app
--- a/src/rhubarbfield/platform/daemons.py
+++ b/src/rhubarbfield/platform/daemons.py
@@ -16,6 +16,7 @@
 
 from rhubarbfield.clock import TrioClock
 from rhubarbfield.exceptions import UsageError
+from rhubarbfield.metricspage import create_metrics_app
 from rhubarbfield.peering import Credentials, GrpcTransport, open_bridge
 from rhubarbfield.platform.control import create_control_app
 from rhubarbfield.platform.ingress import create_ingress_app
@@ -62,6 +63,7 @@
                 nursery.start_soon(gateway.run)
                 app = create_ingress_app(gateway)
                 config = _make_config(settings, settings.callers, settings.readiness)
+                await nursery.start(_serve_metrics, settings)
                 await _serve(app, config, wait_for_stop, task_status)
                 nursery.cancel_scope.cancel()
 
@@ -106,6 +108,7 @@
                 await nursery.start(controller.run)
                 app = create_control_app(controller.service, settings.control_port)
                 config = _make_config(settings, settings.control)
+                await nursery.start(_serve_metrics, settings)
                 await _serve(app, config, wait_for_stop, task_status)
                 nursery.cancel_scope.cancel()
 
@@ -130,6 +133,20 @@
         task_status.started()
 
 
+async def _serve_metrics(
+    settings: DeploymentSettings,
+    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Show the counters of the process until cancelled."""
+    if settings.metrics:
+        config = _make_config(settings, settings.metrics)
+        async with trio.open_nursery() as nursery:
+            await nursery.start(partial(serve_app, create_metrics_app(), config))
+            task_status.started()
+    else:
+        task_status.started()
+
+
 def _reload(path: Path, apply: Callable[[DeploymentSettings], None]) -> None:
     try:
         settings = load_deployment_settings(path)
--- a/src/rhubarbfield/platform/ingress.py
+++ b/src/rhubarbfield/platform/ingress.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import math
 from datetime import timedelta
 from http import HTTPStatus
@@ -26,6 +27,8 @@
     WaitingJobs,
 )
 
+logger = logging.getLogger(__name__)
+
 READY_PATH = "readyz"
 DEFAULT_DEADLINE = timedelta(seconds=3)  # what clients of both sites wait
 VERBS = {"POST": JobVerb.SUBMIT, "GET": JobVerb.READ, "DELETE": JobVerb.CANCEL}
@@ -67,6 +70,7 @@
             case Success(job):
                 submission = job
             case Failure(complaint):
+                logger.warning("job-malformed path=%s reason=%s", path, complaint)
                 return make_json(HTTPStatus.BAD_REQUEST, {"Error": complaint})
     wanted = JobRequest(
         verb=verb,
--- a/src/rhubarbfield/replication/leader.py
+++ b/src/rhubarbfield/replication/leader.py
@@ -13,6 +13,7 @@
 from rhubarbfield.replication.applier import Applier
 from rhubarbfield.replication.failures import NotLeader, OutcomeUnknown, ProposeError
 from rhubarbfield.replication.messages import AppendAnswer, InstallSnapshotAnswer
+from rhubarbfield.replication.metrics import LAG_ENTRIES, SYNC_SECONDS
 from rhubarbfield.replication.peer import Peer
 from rhubarbfield.replication.proposals import Proposal, Proposals
 from rhubarbfield.replication.signal import Signal
@@ -215,8 +216,12 @@
             # Peers are sent the entries before a sync that blocks this thread.
             await trio.lowlevel.checkpoint()
             until = state.log.last.index
+            began = state.now
             if not state.persist(await state.run_blocking(state.log.sync)):
                 return
+            SYNC_SECONDS.labels(state.group).observe(
+                (state.now - began).total_seconds()
+            )
             state.log.note_synced(until)
             if self.is_active:
                 self._advance_commit()
@@ -242,6 +247,7 @@
             self._proposals.expire(state.now)
             self._leave_if_removed()
             self._drop_silent_learners()
+            LAG_ENTRIES.labels(state.group).set(self._find_lag())
             if state.reluctant and self.is_settled and self._find_successor():
                 logger.info("leadership-yielded group=%s", state.group)
                 state.step_down()
@@ -254,6 +260,11 @@
                 logger.warning("quorum-lost group=%s term=%d", state.group, state.term)
                 state.step_down()
 
+    def _find_lag(self) -> int:
+        """Return how many entries the voter furthest behind lacks."""
+        log = self._state.log
+        return max(log.last.index - self._get_match(v) for v in log.quorum.voters)
+
     def _find_successor(self) -> ReplicaId | None:
         """Return a voter in contact that has all that is committed, if any."""
         others = [peer for peer in self.peers if peer in self._state.log.quorum.voters]
--- a/src/rhubarbfield/replication/state.py
+++ b/src/rhubarbfield/replication/state.py
@@ -16,6 +16,7 @@
 from rhubarbfield.exceptions import check_invariant
 from rhubarbfield.replication.log import ReplicatedLog
 from rhubarbfield.replication.messages import ReplicationMessage
+from rhubarbfield.replication.metrics import ELECTIONS_WON, LEADERSHIP_LOST
 from rhubarbfield.replication.settings import GroupSettings
 from rhubarbfield.replication.signal import Signal
 from rhubarbfield.storage import DiskFull, ReplicaId, StoreFailure
@@ -222,12 +223,14 @@
         """Become the leader of the current term."""
         self._note_leader(self.id)
         self.role = Role.LEADER
+        ELECTIONS_WON.labels(self.group).inc()
         self.leading_scope = trio.CancelScope()
         self.elected.set()
 
     def step_down(self) -> None:
         """Become a follower that knows no leader."""
         if self.is_leader:
+            LEADERSHIP_LOST.labels(self.group).inc()
             self.leader = None
             self.leading_scope.cancel()
         self.role = Role.FOLLOWER
--- a/src/rhubarbfield/scheduling/controller.py
+++ b/src/rhubarbfield/scheduling/controller.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 
 import trio
+from prometheus_client import Gauge
 from returns.result import Failure
 
 from rhubarbfield.clock import Clock
@@ -22,8 +25,17 @@
 from rhubarbfield.scheduling.appliers import make_scheduling_machine
 from rhubarbfield.scheduling.deployment import SCHEDULING_GROUP, DeploymentSettings
 from rhubarbfield.scheduling.leader import SchedulingLeader
+from rhubarbfield.scheduling.measuring import MeasuredCalls
+from rhubarbfield.scheduling.metrics import (
+    CONFIGURATION_VERSION,
+    LEADING,
+    OPEN_JOBS,
+    WAITING_JOBS,
+    WORKERS,
+)
 from rhubarbfield.scheduling.ports import WorkerCalls
 from rhubarbfield.scheduling.service import JOB_CALL, SchedulingService
+from rhubarbfield.scheduling.state import SchedulingState
 from rhubarbfield.storage import FileStore, LogStore, MemoryStore
 from rhubarbfield.types import InstanceName
 
@@ -81,6 +93,7 @@
         )
         self.log = ReplicatedLog(self._replica, machine)
         self._leader: SchedulingLeader | None = None
+        self._show_state()
         self.service = SchedulingService(self.log, lambda: self._leader, clock)
 
     async def run(
@@ -127,10 +140,25 @@
         if packet.group == SCHEDULING_GROUP:
             self._replica.deliver(sender, packet.message)
 
+    def _show_state(self) -> None:
+        """Let gauges show the state as it is when they are read."""
+        gauges: tuple[tuple[Gauge, Callable[[SchedulingState], float]], ...] = (
+            (OPEN_JOBS, lambda state: sum(j.is_open for j in state.jobs.values())),
+            (WAITING_JOBS, _count_waiting),
+            (WORKERS, lambda state: len(state.workers)),
+            (CONFIGURATION_VERSION, _read_version),
+        )
+        for gauge, read in gauges:
+            gauge.set_function(partial(self._read_gauge, read))
+        LEADING.set_function(lambda: float(self.log.leads()))
+
+    def _read_gauge(self, read: Callable[[SchedulingState], float]) -> float:
+        return float(read(self.log.state.scheduling))
+
     async def _lead(self) -> None:
         self._leader = SchedulingLeader(
             self.log,
-            calls=self._calls,
+            calls=MeasuredCalls(self._calls, self._clock),
             clock=self._clock,
             settings=self._settings.make_scheduling_settings(),
         )
@@ -140,6 +168,14 @@
             self._leader = None
 
 
+def _count_waiting(state: SchedulingState) -> int:
+    return sum(job.is_open and not job.started for job in state.jobs.values())
+
+
+def _read_version(state: SchedulingState) -> int:
+    return 0 if state.configuration is None else state.configuration.version
+
+
 def open_log_store(settings: DeploymentSettings) -> LogStore:
     """Return the store of the log; in memory on an instance without a disk."""
     if not settings.data_folder:
--- a/src/rhubarbfield/scheduling/deployment.py
+++ b/src/rhubarbfield/scheduling/deployment.py
@@ -52,10 +52,8 @@
         Its own address.
     peer_port
         Where controllers listen for each other and for entries, on every host.
-    callers, readiness, control
+    callers, readiness, control, metrics
         ``host:port`` that the instance serves, or "".
-    metrics_port
-        Where counters are shown.
     seeds
         Hosts of some controllers.
     may_form_group
@@ -83,7 +81,7 @@
     callers: str = ""
     readiness: str = ""
     control: str = ""
-    metrics_port: int = 0
+    metrics: str = ""
     seeds: tuple[str, ...]
     may_form_group: bool = False
     data_folder: str = ""
--- a/src/rhubarbfield/scheduling/gateway.py
+++ b/src/rhubarbfield/scheduling/gateway.py
@@ -13,11 +13,13 @@
 from rhubarbfield.logs import log_event
 from rhubarbfield.peering import Transport
 from rhubarbfield.scheduling.deployment import DeploymentSettings
+from rhubarbfield.scheduling.metrics import REQUEST_SECONDS
 from rhubarbfield.scheduling.service import (
     JOB_CALL,
     AreYouLeading,
     JobReply,
     JobRequest,
+    JobVerb,
 )
 
 logger = logging.getLogger(__name__)
@@ -126,6 +128,35 @@
         patience
             How long the caller waits.
         """
+        began = self._clock.monotonic()
+        answer = await self._ask(request, patience)
+        elapsed = self._clock.monotonic() - began
+        outcome = _name_outcome(answer)
+        REQUEST_SECONDS.labels(request.verb.value, outcome).observe(
+            elapsed.total_seconds()
+        )
+        if request.verb is not JobVerb.READ:
+            log_event(
+                logger,
+                logging.INFO,
+                "request-answered",
+                verb=request.verb,
+                path=request.path,
+                outcome=outcome,
+                took=elapsed,
+                leader_heard=self._find_silence(),
+            )
+        return answer
+
+    def _find_silence(self) -> timedelta | None:
+        """Return since when no leader has answered, or None if none ever has."""
+        if self._reached_at is None:
+            return None
+        return self._clock.monotonic() - self._reached_at
+
+    async def _ask(
+        self, request: JobRequest, patience: timedelta
+    ) -> JobReply | Undecided:
         # What may have been stored is asked again until it is known, since the
         # caller could not tell; what was not is refused while it can return.
         result = await self._calls.call(
@@ -146,6 +177,13 @@
                     path=request.path,
                     in_doubt=failure.in_doubt,
                     detail=failure.detail,
+                    leader_heard=self._find_silence(),
                 )
                 return Undecided(failure.in_doubt, READINESS_INTERVAL)
         raise AssertionError
+
+
+def _name_outcome(answer: JobReply | Undecided) -> str:
+    if isinstance(answer, Undecided):
+        return "in-doubt" if answer.in_doubt else "refused"
+    return type(answer).__name__.lower()
--- a/src/rhubarbfield/scheduling/housekeeping.py
+++ b/src/rhubarbfield/scheduling/housekeeping.py
@@ -14,12 +14,18 @@
 from rhubarbfield.scheduling.appliers import WholeSchedulingState
 from rhubarbfield.scheduling.backlog import Backlog
 from rhubarbfield.scheduling.commands import ForgetJobs, OpenOccurrences
+from rhubarbfield.scheduling.metrics import JOBS, RUNS_DISTURBED
 from rhubarbfield.scheduling.model import CheckpointToken, TaskName
 from rhubarbfield.scheduling.progress import RunKey
 from rhubarbfield.scheduling.rooms import WorkerRoom, find_step_of, may_hold
 from rhubarbfield.scheduling.session import WorkerSession
 from rhubarbfield.scheduling.settings import SchedulingSettings
-from rhubarbfield.scheduling.state import Job, SchedulingState, TaskPhase
+from rhubarbfield.scheduling.state import (
+    Job,
+    JobPhase,
+    SchedulingState,
+    TaskPhase,
+)
 from rhubarbfield.scheduling.trust import Trust
 from rhubarbfield.types import JobId, WorkerId
 
@@ -81,6 +87,7 @@
         self._clock = clock
         self._settings = settings
         self._ended_at: dict[JobId, timedelta] = {}
+        self._knows_ended = False
 
     @property
     def _state(self) -> SchedulingState:
@@ -127,7 +134,9 @@
                     task=key.task,
                     run=key.run,
                     worker=worker,
+                    view_age=session.view_age,
                 )
+                RUNS_DISTURBED.labels("stalled").inc()
                 # One task of spare cores may only be short of cores.
                 if len(stalled) > 1 or not step.uses_spare_cores:
                     self._trust.note_stall(worker, now)
@@ -155,6 +164,7 @@
                         run=run,
                         worker=worker.worker,
                     )
+                    RUNS_DISTURBED.labels("evacuated").inc()
                     session.stop(key)
 
     def _has_place(self, name: TaskName, rooms: dict[WorkerId, WorkerRoom]) -> bool:
@@ -188,15 +198,33 @@
         if due:
             await self._log.propose(OpenOccurrences(due=tuple(due)))
 
+    def _note_end(self, job: Job) -> None:
+        if not self._knows_ended:  # it ended under an earlier leader
+            return
+        level = logging.WARNING if job.phase is JobPhase.FAILED else logging.INFO
+        log_event(
+            logger,
+            level,
+            "job-ended",
+            job=job.job,
+            queue=job.queue,
+            phase=job.phase.value,
+            age=self._backlog.find_age(job),
+        )
+        JOBS.labels(job.phase.value).inc()
+
     async def _forget_old(self) -> None:
         now = self._clock.monotonic()
         old = []
         for job in self._state.jobs.values():
             if not job.is_open:
+                if job.job not in self._ended_at:
+                    self._note_end(job)
                 ended = self._ended_at.setdefault(job.job, now)
                 if now - ended > self._settings.remember_ended:
                     old.append(job.job)
                 self._backlog.forget(job.job)
+        self._knows_ended = True
         if old:
             await self._log.propose(ForgetJobs(jobs=tuple(old)))
             for name in old:
--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -28,6 +28,12 @@
 from rhubarbfield.scheduling.heartbeats import Heartbeat, is_known
 from rhubarbfield.scheduling.housekeeping import Housekeeping
 from rhubarbfield.scheduling.interference import Interference
+from rhubarbfield.scheduling.metrics import (
+    FIRST_START_SECONDS,
+    ROUND_SECONDS,
+    RUNS_ENDED,
+    RUNS_PLACED,
+)
 from rhubarbfield.scheduling.model import CheckpointToken, Queue, TaskName
 from rhubarbfield.scheduling.neighbours import Neighbours
 from rhubarbfield.scheduling.orders import Start
@@ -330,6 +336,7 @@
         return rooms
 
     async def _start_some(self) -> None:
+        began = self._clock.monotonic()
         rooms = self.measure_rooms()
         placer = Placer(
             self.state,
@@ -340,6 +347,8 @@
             is_starved=self._is_starved,
         )
         starts = placer.choose()
+        elapsed = self._clock.monotonic() - began
+        ROUND_SECONDS.observe(elapsed.total_seconds())
         if not starts:
             return
         result = await self._log.propose(StartRuns(starts=starts))
@@ -367,7 +376,11 @@
             task=start.task,
             run=start.run,
             worker=start.worker,
+            waited=self._backlog.find_age(job),
+            view_age=session.view_age,
         )
+        RUNS_PLACED.inc()
+        self._note_first_start(job)
         session.start(
             Start(
                 RunKey(start.task, start.run),
@@ -376,6 +389,11 @@
             )
         )
 
+    def _note_first_start(self, job: Job) -> None:
+        if self._backlog.note_started(job):
+            age = self._backlog.find_age(job)
+            FIRST_START_SECONDS.observe(age.total_seconds())
+
     def _rank(self, job: Job, queue: Queue) -> tuple[float, ...]:
         return self._backlog.rank(job, queue)
 
@@ -415,6 +433,7 @@
                 worker=report.worker,
                 end=ended.end.value,
             )
+            RUNS_ENDED.labels(ended.end.value).inc()
             if ended.end is RunEnd.DONE:
                 self._trust.note_success(report.worker)
                 self._avoided.pop(ended.task, None)
--- /dev/null
+++ b/src/rhubarbfield/scheduling/measuring.py
@@ -0,0 +1,108 @@
+"""Calls to workers, with their times and outcomes counted."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+from datetime import timedelta
+from typing import TypeVar
+
+from returns.result import Failure, Result
+
+from rhubarbfield.clock import Clock
+from rhubarbfield.scheduling.metrics import WORKER_CALL_SECONDS
+from rhubarbfield.scheduling.model import RunNumber, TaskName
+from rhubarbfield.scheduling.ports import (
+    CallFailure,
+    Refused,
+    StartOrder,
+    WorkerAddress,
+    WorkerCalls,
+    WorkerView,
+)
+from rhubarbfield.types import Term
+
+ValueT = TypeVar("ValueT")
+
+SUCCESS = "success"
+
+
+class MeasuredCalls:
+    """A :class:`~rhubarbfield.scheduling.ports.WorkerCalls` around another.
+
+    Parameters
+    ----------
+    calls
+        The calls that are made.
+    clock
+        The time.
+    """
+
+    def __init__(self, calls: WorkerCalls, clock: Clock) -> None:
+        self._calls = calls
+        self._clock = clock
+
+    async def start(
+        self, to: WorkerAddress, order: StartOrder
+    ) -> Result[timedelta, CallFailure]:
+        """Start a run."""
+        return await self._measure("start", self._calls.start(to, order))
+
+    async def stop(
+        self, to: WorkerAddress, task: TaskName, run: RunNumber, term: Term
+    ) -> Result[timedelta, CallFailure]:
+        """Stop a run."""
+        return await self._measure("stop", self._calls.stop(to, task, run, term))
+
+    async def pace(
+        self,
+        to: WorkerAddress,
+        task: TaskName,
+        run: RunNumber,
+        percent: int,
+        term: Term,
+    ) -> Result[timedelta, CallFailure]:
+        """Let a run work at a share of its speed."""
+        call = self._calls.pace(to, task, run, percent, term)
+        return await self._measure("pace", call)
+
+    async def view(
+        self,
+        to: WorkerAddress,
+        *,
+        recorded_ends: int,
+        lease_end: timedelta | None,
+        patience: timedelta,
+        term: Term,
+    ) -> Result[WorkerView, CallFailure]:
+        """Return what a worker runs, and what ended there."""
+        call = self._calls.view(
+            to,
+            recorded_ends=recorded_ends,
+            lease_end=lease_end,
+            patience=patience,
+            term=term,
+        )
+        return await self._measure("view", call)
+
+    async def forget(self, address: str) -> None:
+        """Close the connections to an address."""
+        await self._calls.forget(address)
+
+    async def _measure(
+        self, name: str, call: Awaitable[Result[ValueT, CallFailure]]
+    ) -> Result[ValueT, CallFailure]:
+        began = self._clock.monotonic()
+        result = await call
+        elapsed = self._clock.monotonic() - began
+        outcome = _name_outcome(result)
+        WORKER_CALL_SECONDS.labels(name, outcome).observe(elapsed.total_seconds())
+        return result
+
+
+def _name_outcome(result: Result[ValueT, CallFailure]) -> str:
+    if not isinstance(result, Failure):
+        return SUCCESS
+    failure = result.failure()
+    if isinstance(failure, Refused):
+        return failure.refusal.name.lower()
+    return type(failure).__name__.lower()
--- a/src/rhubarbfield/scheduling/neighbours.py
+++ b/src/rhubarbfield/scheduling/neighbours.py
@@ -17,6 +17,7 @@
     Interference,
     ServingTask,
 )
+from rhubarbfield.scheduling.metrics import RUNS_DISTURBED
 from rhubarbfield.scheduling.model import ImageName, Step, TaskName
 from rhubarbfield.scheduling.progress import RunKey
 from rhubarbfield.scheduling.session import FULL_SPEED, WorkerSession
@@ -104,7 +105,7 @@
         self._interference.learn(serving, shares, self._clock.monotonic())
         self._forget_others(worker.worker, serving)
         self._serving[worker.worker] = serving
-        if serving and neighbours:
+        if neighbours:
             self._ease(worker, session, serving, neighbours)
 
     def _forget_others(
@@ -149,7 +150,10 @@
             for task in serving
             if task.tail_ms is not None and task.tail_ms >= task.goal_ms * EASE_RATIO
         ]
-        running = [each for each in neighbours if session.get_pace(each.key) != PAUSED]
+        # What an earlier leader may have paused is taken for paused.
+        running = [
+            each for each in neighbours if session.get_pace(each.key) == FULL_SPEED
+        ]
         if suffering:
             for neighbour in self._choose_guilty(worker, suffering, running):
                 self._move_or_pause(worker, session, neighbour)
@@ -197,7 +201,9 @@
             task=key.task,
             run=key.run,
             worker=worker.worker,
+            tails=self._describe_tails(worker),
         )
+        RUNS_DISTURBED.labels("moved").inc()
         session.stop(key)
 
     def _choose_guilty(
@@ -230,6 +236,14 @@
                 guilty[neighbour.key] = neighbour
         return list(guilty.values())
 
+    def _describe_tails(self, worker: Worker) -> str:
+        """Return the tails just measured, in percent of their goals, by image."""
+        return " ".join(
+            f"{task.image}:{100 * task.tail_ms / task.goal_ms:.0f}"
+            for task in self._serving.get(worker.worker, ())
+            if task.tail_ms is not None
+        )
+
     def _set_pace(
         self,
         worker: Worker,
@@ -249,7 +263,9 @@
             run=neighbour.key.run,
             worker=worker.worker,
             percent=percent,
+            tails=self._describe_tails(worker),
         )
+        RUNS_DISTURBED.labels("paced").inc()
         session.pace(neighbour.key, percent)
 
 
--- a/src/rhubarbfield/scheduling/service.py
+++ b/src/rhubarbfield/scheduling/service.py
@@ -23,6 +23,7 @@
 )
 from rhubarbfield.scheduling.heartbeats import Heartbeat
 from rhubarbfield.scheduling.leader import SchedulingLeader
+from rhubarbfield.scheduling.metrics import HEARTBEATS, JOBS
 from rhubarbfield.scheduling.model import (
     JobSubmission,
     Queue,
@@ -206,6 +207,14 @@
         reply = await self._propose(PutConfiguration(configuration=configuration))
         match reply:
             case Refused(reason=reason):
+                log_event(
+                    logger,
+                    logging.WARNING,
+                    "configuration-refused",
+                    version=configuration.version,
+                    held=self._read_version(),
+                    reason=reason,
+                )
                 return VersionConflict(reason)
             case Done():
                 log_event(
@@ -231,8 +240,11 @@
         """Take in a worker's report; return whether it is recorded."""
         leader = self._get_leader()
         if leader is None or not self._log.leads():
+            HEARTBEATS.labels("not-leading").inc()
             return NotLeading(self.leader_hint)
-        return await leader.take_report(beat)
+        taken = await leader.take_report(beat)
+        HEARTBEATS.labels("taken" if taken else "not-recorded").inc()
+        return taken
 
     async def forget_worker(self, worker: WorkerId) -> bool | NotLeading:
         """Take in that a worker ends; return whether it is recorded."""
@@ -276,10 +288,23 @@
             log_event(
                 logger, logging.WARNING, "job-not-accepted", job=job, reason=str(reply)
             )
+            JOBS.labels("not-accepted").inc()
             return reply
-        log_event(logger, logging.INFO, "job-accepted", job=job, queue=queue.name)
+        log_event(
+            logger,
+            logging.INFO,
+            "job-accepted",
+            job=job,
+            queue=queue.name,
+            configuration=self._read_version(),
+        )
+        JOBS.labels("accepted").inc()
         return Accepted()
 
+    def _read_version(self) -> int:
+        configuration = self._state.configuration
+        return 0 if configuration is None else configuration.version
+
     async def _cancel(self, job: JobId) -> JobReply:
         if job not in self._state.jobs:
             return NoSuchJob()
@@ -290,6 +315,7 @@
             case NotLeading() | Unavailable():
                 return reply
         log_event(logger, logging.INFO, "job-cancelled", job=job)
+        JOBS.labels("cancelled").inc()
         return Accepted()
 
     def _read(self, job: JobId) -> JobReply:
--- a/src/rhubarbfield/scheduling/session.py
+++ b/src/rhubarbfield/scheduling/session.py
@@ -14,6 +14,7 @@
 from rhubarbfield.scheduling.commands import EndedRun, WorkerEnds
 from rhubarbfield.scheduling.hosts import SessionHost
 from rhubarbfield.scheduling.leases import WorkerLease
+from rhubarbfield.scheduling.metrics import LEASES_LAPSED
 from rhubarbfield.scheduling.model import (
     NO_CHECKPOINT,
     CheckpointToken,
@@ -84,7 +85,7 @@
         self._watched = trio.Event()
         self._starts: dict[RunKey, StartState] = {}
         self._stopping: set[RunKey] = set()
-        self._pacing: dict[RunKey, int] = {}
+        self._pacing: dict[RunKey, int | None] = {}
         opened = clock.monotonic()
         self._lease = WorkerLease(clock, settings)
         self._silent_since: timedelta | None = None
@@ -92,6 +93,7 @@
         self._acknowledged = 0
         self._reported_at = opened
         self._left_at: timedelta | None = None
+        self._viewed_at: timedelta | None = None
         self._progress = Progress()
         self.active: dict[TaskName, ActiveRun] = {}
 
@@ -111,6 +113,13 @@
             return False
         return self._silent_since is None and is_recent
 
+    @property
+    def view_age(self) -> timedelta | None:
+        """How old the latest view of the worker is; None before the first."""
+        if self._viewed_at is None:
+            return None
+        return self._clock.monotonic() - self._viewed_at
+
     @property
     def heard_at(self) -> timedelta:
         """When the worker was last heard, by a report or a reply."""
@@ -139,14 +148,20 @@
 
     def pace(self, key: RunKey, percent: int) -> None:
         """Tell the worker to let a run work at ``percent`` of its speed."""
-        if self._pacing.get(key, FULL_SPEED) != percent:
+        if self.get_pace(key) != percent:
             self._pacing[key] = percent
             self._progress.restart(key, self._clock.monotonic())
             self._put(Pace(key, percent))
 
-    def get_pace(self, key: RunKey) -> int:
-        """Return the share of its speed, in percent, that a run was set to."""
-        return self._pacing.get(key, FULL_SPEED)
+    def get_pace(self, key: RunKey) -> int | None:
+        """Return the share of its speed, in percent, that a run was set to.
+
+        It is None where it is not known: an earlier leader may have set it, or
+        an order got no answer.
+        """
+        if key in self._pacing:
+            return self._pacing[key]
+        return FULL_SPEED if key in self._starts else None
 
     def is_stopping(self, key: RunKey) -> bool:
         """Say whether a run has been told to stop."""
@@ -159,11 +174,11 @@
         self._watched.set()
 
     def list_stalled(self, limit: timedelta) -> list[RunKey]:
-        """Return runs at full speed that made no progress for ``limit``."""
+        """Return runs that made no progress for ``limit``, but for paused ones."""
         return [
             key
             for key in self._progress.list_stalled(limit)
-            if self.get_pace(key) == FULL_SPEED and key not in self._stopping
+            if self.get_pace(key) != 0 and key not in self._stopping
         ]
 
     def wake(self) -> None:
@@ -308,7 +323,7 @@
                 self._note_reply(worker_clock)
             case Failure(failure):
                 self._log_failure("pace-failed", key, failure)
-                self._pacing.pop(key, None)
+                self._pacing[key] = None
 
     async def _watch(self) -> None:
         while True:
@@ -370,6 +385,7 @@
         settled: set[RunKey],
     ) -> None:
         self.active = {run.task: run for run in view.active}
+        self._viewed_at = self._clock.monotonic()
         self._progress.note(view.active, self._clock.monotonic())
         worker = self._host.find_worker(self.worker)
         if worker is None:
@@ -444,7 +460,15 @@
         worker = self._host.find_worker(self.worker)
         if worker is None or not worker.runs:
             return
-        log_event(logger, logging.WARNING, "lease-lapsed", worker=self.worker)
+        LEASES_LAPSED.inc()
+        log_event(
+            logger,
+            logging.WARNING,
+            "lease-lapsed",
+            worker=self.worker,
+            runs=len(worker.runs),
+            silent=self._clock.monotonic() - self.heard_at,
+        )
         saved = self._list_checkpoints()
         ends = tuple(
             EndedRun(task, run, RunEnd.LOST, saved.get(task, NO_CHECKPOINT))
--- a/src/rhubarbfield/scheduling/tails.py
+++ b/src/rhubarbfield/scheduling/tails.py
@@ -32,7 +32,7 @@
 FIRST_LEVEL_VARIANCE = 0.25
 FIRST_RATE = 0.8
 FIRST_RATE_VARIANCE = 6.0
-RESTORED_RATE_VARIANCE = 0.5
+LEAST_RESTORED_VARIANCE = 0.1  # of a rate with many samples behind it
 CAUTION = 0.7  # standard deviations above what is believed of a rate
 RATE_DRIFT = 0.004  # variance a sample; rates change over minutes
 OUTLIER_DEVIATIONS = 3.0
@@ -242,7 +242,9 @@
             if image == BASE_IMAGE:
                 rates.base = entry.rate
             else:
-                rates.set(image, entry.rate, RESTORED_RATE_VARIANCE, entry.samples)
+                variance = FIRST_RATE_VARIANCE / (1 + entry.samples)
+                variance = max(variance, LEAST_RESTORED_VARIANCE)
+                rates.set(image, entry.rate, variance, entry.samples)
 
     def take_changes(self) -> tuple[HarmEstimate, ...]:
         """Return the estimates of images that were measured since the last time."""
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -13,12 +13,14 @@
 import httpx
 import trio
 import yaml
+from prometheus_client.parser import text_string_to_metric_families
 
 from tests.platform.runner import StandInRunner
 
 CONTROLLERS = ("127.0.0.31", "127.0.0.32", "127.0.0.33")
 ENTRY = "127.0.0.34"
 PEER_PORT, CONTROL_PORT, CALLERS_PORT, READY_PORT = 17751, 17752, 17753, 17754
+METRICS_PORT = 17756
 CONTROLS = [f"{host}:{CONTROL_PORT}" for host in CONTROLLERS]
 LIMIT_SECONDS = 60.0
 CONFIGURATION = {
@@ -63,6 +65,7 @@
             "callers": f"{host}:{CALLERS_PORT}" if is_entry else "",
             "readiness": f"{host}:{READY_PORT}" if is_entry else "",
             "control": "" if is_entry else f"{host}:{CONTROL_PORT}",
+            "metrics": f"{host}:{METRICS_PORT}",
             "seeds": CONTROLS,
             "may_form_group": may_form,
             "data_folder": "" if is_entry else str(self._folder / host),
@@ -140,6 +143,31 @@
         await trio.sleep(0.2)
 
 
+class Samples:
+    """The samples of a page of metrics."""
+
+    def __init__(self, text: str) -> None:
+        self._samples = [
+            sample
+            for family in text_string_to_metric_families(text)
+            for sample in family.samples
+        ]
+
+    def __getitem__(self, key: tuple[str, dict[str, str]]) -> float:
+        name, labels = key
+        return sum(
+            sample.value
+            for sample in self._samples
+            if sample.name == name and sample.labels == labels
+        )
+
+
+async def read_metrics(client: httpx.AsyncClient, host: str) -> Samples:
+    response = await client.get(f"http://{host}:{METRICS_PORT}/metrics")
+    assert response.status_code == httpx.codes.OK, response.text
+    return Samples(response.text)
+
+
 async def find_leader(client: httpx.AsyncClient) -> str:
     while True:
         for host in CONTROLLERS:
@@ -182,6 +210,7 @@
                 await nursery.start(runner.run, CONTROLS)
                 await run_job(client, "00000000000000a1")
                 await self._check_answers(client)
+                await self._check_metrics(client)
                 killed = await find_leader(client)
                 programs.kill(killed)
                 await run_job(client, "00000000000000a2")
@@ -195,6 +224,26 @@
         self.assertEqual(len(runner.started), 9)
         self.assertEqual(len(set(runner.started)), 9)
 
+    async def _check_metrics(self, client: httpx.AsyncClient) -> None:
+        """Check what the job just played has left on the pages of metrics."""
+        entry = await read_metrics(client, ENTRY)
+        submitted = {"verb": "submit", "outcome": "accepted"}
+        self.assertEqual(
+            entry["rhubarbfield_scheduling_request_seconds_count", submitted], 2
+        )
+        leader = await read_metrics(client, await find_leader(client))
+        for name, labels, expected in (
+            ("runs_placed_total", {}, 3),
+            ("runs_ended_total", {"end": "done"}, 3),
+            ("jobs_total", {"decision": "completed"}, 1),
+            ("first_start_seconds_count", {}, 1),
+            ("leading", {}, 1),
+            ("workers", {}, 1),
+            ("configuration_version", {}, CONFIGURATION["Version"]),
+        ):
+            found = leader[f"rhubarbfield_scheduling_{name}", labels]
+            self.assertEqual(found, expected, name)
+
     async def _check_answers(self, client: httpx.AsyncClient) -> None:
         gone = await call_job(client, "GET", "00000000000000ff")
         self.assertEqual(gone.status_code, httpx.codes.GONE)
--- a/tests/scheduling/test_events.py
+++ b/tests/scheduling/test_events.py
@@ -9,7 +9,7 @@
 ROOT = Path(__file__).resolve().parents[2]
 PARTS = ("scheduling", "platform")
 EVENT = re.compile(
-    r"(?:log_event\(\s*\w+,\s*logging\.\w+,\s*|logger\.\w+\(\s*|_log_failure\(\s*)"
+    r"(?:log_event\(\s*\w+,\s*[\w.]+,\s*|logger\.\w+\(\s*|_log_failure\(\s*)"
     r"\"([a-z]+(?:-[a-z]+)+)"
 )
 
--- a/tests/scheduling/test_neighbours.py
+++ b/tests/scheduling/test_neighbours.py
@@ -47,12 +47,13 @@
         self.active: dict[TaskName, ActiveRun] = {}
         self.paces: dict[RunKey, int] = {}
         self.stopped: set[RunKey] = set()
+        self.is_new = False
 
     def pace(self, key: RunKey, percent: int) -> None:
         self.paces[key] = percent
 
-    def get_pace(self, key: RunKey) -> int:
-        return self.paces.get(key, 100)
+    def get_pace(self, key: RunKey) -> int | None:
+        return self.paces.get(key, None if self.is_new else 100)
 
     def stop(self, key: RunKey) -> None:
         self.stopped.add(key)
@@ -117,7 +118,7 @@
         neighbours = self.neighbours
         for _ in range(views):
             self.clock.advance(VIEW_PAUSE)
-            used = [2000.0 * self.get_pace(step) / 100 for step in (1, 2)]
+            used = [2000.0 * (self.get_pace(step) or 0) / 100 for step in (1, 2)]
             measures = (tail_ms, *used)
             self.session.active = {
                 name: ActiveRun(name, RunNumber(1), NO_CHECKPOINT, 100, measure)
@@ -131,7 +132,7 @@
             self._neighbours = Neighbours(self.host, self.interference, self.clock)
         return self._neighbours
 
-    def get_pace(self, step: int) -> int:
+    def get_pace(self, step: int) -> int | None:
         return self.session.get_pace(RunKey(self.host.names[step], RunNumber(1)))
 
     def test_only_what_harms_is_paused_first(self) -> None:
@@ -175,6 +176,18 @@
         )
         self.assertEqual(self.session.paces, {})
 
+    def test_what_an_earlier_leader_may_have_paused_goes_on(self) -> None:
+        self.session.is_new = True
+        self.watch(20, views=2)
+        self.watch(5, views=8)
+        self.assertEqual((self.get_pace(1), self.get_pace(2)), (100, 100))
+
+    def test_what_is_paused_goes_on_once_nothing_serves_there(self) -> None:
+        self.watch(60, views=5)
+        del self.host.worker.runs[self.host.names[0]]
+        self.watch(60)
+        self.assertEqual((self.get_pace(1), self.get_pace(2)), (100, 100))
+
     def test_nothing_is_done_while_the_tail_is_low(self) -> None:
         self.watch(10)
         self.assertEqual(self.session.stopped, set())
