--- a/src/rhubarbfield/cli/program.py
+++ b/src/rhubarbfield/cli/program.py
@@ -27,7 +27,15 @@
 
 EXIT_INTERRUPTED = 130
 ErrorT = TypeVar("ErrorT", bound=BaseException)
-_MODULES = ("daemons", "scheduling", "asking", "checking", "proving", "standins")
+_MODULES = (
+    "daemons",
+    "scheduling",
+    "asking",
+    "checking",
+    "explaining",
+    "proving",
+    "standins",
+)
 
 
 def main() -> NoReturn:
--- a/tests/cli/test_program.py
+++ b/tests/cli/test_program.py
@@ -48,6 +48,8 @@
                 (("entry",), "--settings is missing"),
                 (("controller", "--settings", folder), "cannot be read"),
                 (("check-settings",), "a file is missing"),
+                (("explain-log", "id"), "an id and a file are missing"),
+                (("explain-log", "id", "/none/x"), "/none/x can't be read"),
                 (("replay",), "a trace is missing"),
                 (("measure", "speed"), "there is no measurement"),
                 (("stand-in", "x"), "backend, worker"),
