--- a/src/rhubarbfield/scheduling/interference.py
+++ b/src/rhubarbfield/scheduling/interference.py
@@ -19,9 +19,9 @@
 from rhubarbfield.scheduling.tails import MS_PER_SECOND, TailModel
 
 ASSUMED_RATIO = 0.4  # of the goal, for an image that was never measured
-RISE_SECONDS = 1.5  # a load that rises goes on rising for as long; a run lasts 1 to 3 s
+RISE_SECONDS = 2.5  # a load that rises goes on rising for as long; a run lasts 1 to 3 s
 PEAK_SPREADS = 1.5  # above the mean; a load that swings evenly stays below 1.42
-RESERVE = 0.15  # of log latency: measures scatter by as much
+RESERVE = 0.3  # of log latency: twice as far as measures scatter
 NEGLIGIBLE_GROWTH = 0.03  # of log latency, by one task
 
 
