End long pauses of tasks that nothing else could end

A run that was paused for 1.5 s now resumes without a reserve, or is moved though it loses its work; a run whose pace is not known is paused too when tails are high.

--- a/src/rhubarbfield/platform/daemons.py
+++ b/src/rhubarbfield/platform/daemons.py
@@ -165,6 +165,8 @@
     grace = timedelta(milliseconds=settings.grace_ms) - LOOK_AWAY
     config.graceful_timeout = max(grace.total_seconds() - 1, 1)
     config.include_server_header = False
-    config.errorlog = logging.getLogger("rhubarbfield.http")
+    http_logger = logging.getLogger("rhubarbfield.http")
+    http_logger.setLevel(logging.WARNING)  # where it listens stands in the settings
+    config.errorlog = http_logger
     config.loglevel = "WARNING"
     return config
--- a/src/rhubarbfield/scheduling/interference.py
+++ b/src/rhubarbfield/scheduling/interference.py
@@ -156,6 +156,7 @@
         image: ImageName,
         added: float,
         shares: Mapping[ImageName, float],
+        reserve: float = RESERVE,
     ) -> bool:
         """Say whether a share of ``image`` leaves all tails within their goals.
 
@@ -167,11 +168,13 @@
             What is added, and its share of the processors.
         shares
             All shares beside them, with what is added.
+        reserve
+            Of log latency, that is left beside what disturbs.
         """
         for each in exposures:
             growth = self._model.get_cautious_rate(each.image, image) * added
             left = each.margin - self._add_up_cautiously(each.image, shares)
             # What hardly disturbs needs no reserve: the load decides by itself.
-            if left < (0.0 if growth <= NEGLIGIBLE_GROWTH else RESERVE):
+            if left < (0.0 if growth <= NEGLIGIBLE_GROWTH else reserve):
                 return False
         return True
--- a/src/rhubarbfield/scheduling/neighbours.py
+++ b/src/rhubarbfield/scheduling/neighbours.py
@@ -13,6 +13,7 @@
 from rhubarbfield.clock import Clock
 from rhubarbfield.logs import log_event
 from rhubarbfield.scheduling.interference import (
+    RESERVE,
     Exposure,
     Interference,
     ServingTask,
@@ -31,6 +32,7 @@
 EASE_RATIO = 0.95  # of the goal, as measured; what harms is taken away from there
 EASED_RATIO = 0.8  # of the goal, that taking neighbours away should lead to
 PATIENCE = timedelta(milliseconds=1800)  # three views; 4 s of harm are a fault
+LONGEST_PAUSE = timedelta(milliseconds=1500)  # as long as most tasks last
 HARMLESS = 0.05  # growth of log latency that is not worth a pause
 
 
@@ -74,6 +76,7 @@
         self._clock = clock
         self._suffering_since: dict[WorkerId, timedelta] = {}
         self._serving: dict[WorkerId, list[ServingTask]] = {}
+        self._paused_since: dict[WorkerId, dict[RunKey, timedelta]] = {}
 
     def list_exposures(self, worker: Worker) -> list[Exposure]:
         """Return how near each task that serves on a worker is to its goal."""
@@ -126,6 +129,7 @@
         self._forget_others(worker)
         self._serving.pop(worker, None)
         self._suffering_since.pop(worker, None)
+        self._paused_since.pop(worker, None)
 
     def _list_serving(self, worker: Worker) -> list[ServingTask]:
         """Return what serves on a worker, measured or only recorded."""
@@ -150,18 +154,37 @@
             for task in serving
             if task.tail_ms is not None and task.tail_ms >= task.goal_ms * EASE_RATIO
         ]
-        # What an earlier leader may have paused is taken for paused.
-        running = [
-            each for each in neighbours if session.get_pace(each.key) == FULL_SPEED
-        ]
         if suffering:
-            for neighbour in self._choose_guilty(worker, suffering, running):
+            self._paused_since.pop(worker.worker, None)
+            working = [
+                each for each in neighbours if session.get_pace(each.key) != PAUSED
+            ]
+            for neighbour in self._choose_guilty(worker, suffering, working):
                 self._move_or_pause(worker, session, neighbour)
             return
         self._suffering_since.pop(worker.worker, None)
+        # What an earlier leader may have paused is taken for paused.
+        running = [
+            each for each in neighbours if session.get_pace(each.key) == FULL_SPEED
+        ]
         paused = [each for each in neighbours if each not in running]
+        self._note_paused(worker, paused)
         self._resume(worker, session, running, paused)
 
+    def _note_paused(self, worker: Worker, paused: list[Neighbour]) -> None:
+        """Remember since when each run has been paused."""
+        now = self._clock.monotonic()
+        known = self._paused_since.get(worker.worker, {})
+        self._paused_since[worker.worker] = {
+            each.key: known.get(each.key, now) for each in paused
+        }
+
+    def _is_overdue(self, worker: Worker, neighbour: Neighbour) -> bool:
+        """Say whether a run has been paused for longer than it is worth waiting."""
+        now = self._clock.monotonic()
+        since = self._paused_since.get(worker.worker, {}).get(neighbour.key, now)
+        return now - since >= LONGEST_PAUSE
+
     def _resume(
         self,
         worker: Worker,
@@ -169,31 +192,51 @@
         running: list[Neighbour],
         paused: list[Neighbour],
     ) -> None:
-        """Let paused tasks go on where that harms nobody, here or elsewhere."""
+        """Let paused tasks go on where that harms nobody, here or elsewhere.
+
+        One that has waited too long needs no reserve, and may lose its work.
+        """
         exposures = self.list_exposures(worker)
         shares = _add_shares(running)
         for neighbour in paused:
+            is_overdue = self._is_overdue(worker, neighbour)
             image = neighbour.step.image
             after = {**shares, image: shares.get(image, 0.0) + neighbour.share}
-            if self._interference.admits(exposures, image, neighbour.share, after):
+            reserve = 0.0 if is_overdue else RESERVE
+            if self._interference.admits(
+                exposures, image, neighbour.share, after, reserve
+            ):
                 self._set_pace(worker, session, neighbour, FULL_SPEED)
                 shares = after
-            else:
-                self._move_or_pause(worker, session, neighbour)
+            elif not self._move(worker, session, neighbour, may_lose=is_overdue):
+                self._set_pace(worker, session, neighbour, PAUSED)
 
     def _move_or_pause(
         self, worker: Worker, session: WorkerSession, neighbour: Neighbour
     ) -> None:
         """Let a task go on elsewhere if that loses no work, or pause it."""
+        if not self._move(worker, session, neighbour):
+            self._set_pace(worker, session, neighbour, PAUSED)
+
+    def _move(
+        self,
+        worker: Worker,
+        session: WorkerSession,
+        neighbour: Neighbour,
+        *,
+        may_lose: bool = False,
+    ) -> bool:
+        """Stop a run that can go on elsewhere; say whether it is stopped.
+
+        One that saves no work is only moved if it may lose what it has done.
+        """
         key = neighbour.key
         if session.is_stopping(key):
-            return
-        may_move = neighbour.step.checkpoints and self._host.find_other_place(
-            key.task, worker.worker
-        )
-        if not may_move:
-            self._set_pace(worker, session, neighbour, PAUSED)
-            return
+            return True
+        if not (neighbour.step.checkpoints or may_lose):
+            return False
+        if not self._host.find_other_place(key.task, worker.worker):
+            return False
         log_event(
             logger,
             logging.INFO,
@@ -205,6 +248,7 @@
         )
         RUNS_DISTURBED.labels("moved").inc()
         session.stop(key)
+        return True
 
     def _choose_guilty(
         self,
