Log why steps wait, each line in a write of its own

Lines that shared a write got one mark of the collector, so that others were taken for another process's.

--- a/src/rhubarbfield/logoutput.py
+++ b/src/rhubarbfield/logoutput.py
@@ -26,7 +26,7 @@
     set_level,
 )
 
-LINGER = timedelta(milliseconds=20)  # lines that come together share a write
+LINGER = timedelta(milliseconds=20)  # lines that come together share a turn
 REPORT_INTERVAL = timedelta(seconds=1)  # between two counts of what was left out
 CLOSE_PATIENCE = timedelta(seconds=1)  # for a reader, when the program ends
 BURST_SECONDS = 2.0  # of its budget that an event may use at once
@@ -151,7 +151,8 @@
             if self._left_out and (is_due or self._closing.is_set()):
                 taken.append(self._report_left_out())
                 reported = now
-            if taken and not self._write("".join(f"{line}\n" for line in taken)):
+            # A line for each write: collectors put their mark before each.
+            if not all(self._write(f"{line}\n") for line in taken):
                 return
 
     def _report_left_out(self) -> str:
--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -66,6 +66,8 @@
 logger = logging.getLogger(__name__)
 
 ROUND_PAUSE = timedelta(milliseconds=10)  # changes that come together share a round
+TELL_WAITING_EVERY = timedelta(seconds=1)
+WAITING_TOLD = 20  # of those that wait; more are only counted
 IDLE_ROUND = timedelta(milliseconds=250)  # due times and distrust are looked at
 
 
@@ -120,6 +122,7 @@
         self._term = leadership.term if leadership is not None else Term(0)
         self._reported_clocks: dict[WorkerId, timedelta] = {}
         self._sequences: dict[WorkerId, int] = {}
+        self._told_waiting_at = timedelta()
 
     @property
     def state(self) -> SchedulingState:
@@ -349,6 +352,7 @@
         starts = placer.choose()
         elapsed = self._clock.monotonic() - began
         ROUND_SECONDS.observe(elapsed.total_seconds())
+        self._tell_waiting(placer)
         if not starts:
             return
         result = await self._log.propose(StartRuns(starts=starts))
@@ -362,6 +366,25 @@
                 )
                 await self._clock.sleep(PROPOSE_PAUSE)
 
+    def _tell_waiting(self, placer: Placer) -> None:
+        """Log why the most urgent of those that wait are not placed."""
+        now = self._clock.monotonic()
+        if not placer.unplaced or now - self._told_waiting_at < TELL_WAITING_EVERY:
+            return
+        self._told_waiting_at = now
+        for waiting in list(placer.unplaced.values())[:WAITING_TOLD]:
+            log_event(
+                logger,
+                logging.INFO,
+                "step-waiting",
+                job=waiting.job.job,
+                step=waiting.number,
+                reason=placer.explain_wait(waiting).value,
+                image=waiting.step.image,
+                age=self._backlog.find_age(waiting.job),
+                waiting=len(placer.unplaced),
+            )
+
     def _order(self, start: RunStart) -> None:
         session = self._sessions.get(start.worker)
         found = self.state.find_task(start.task)
--- a/src/rhubarbfield/scheduling/placing.py
+++ b/src/rhubarbfield/scheduling/placing.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator, Mapping
+from enum import Enum
 
 import msgspec
 
@@ -24,6 +25,7 @@
     WorkerRoom,
     admits,
     count_live,
+    has_spare_cores,
     measure_use,
 )
 from rhubarbfield.scheduling.state import (
@@ -32,13 +34,34 @@
     Task,
     TaskPhase,
 )
-from rhubarbfield.types import ServiceName, WorkerId
+from rhubarbfield.types import JobId, ServiceName, WorkerId
 
 HARM_DIGITS = 1  # growth of a tail that is no smaller than its measures scatter
 CALM_USE = 0.6  # of the reserved cores; above it waiting is no fault
 MAX_STARTS_A_ROUND = 256  # keeps a command below the size of one log entry
 
 
+class WaitReason(Enum):
+    """Why a task is not placed.
+
+    Attributes
+    ----------
+    NO_CAPACITY
+        No usable worker has room that is not reserved.
+    SPREAD
+        Those with room run as many tasks of the step as it allows.
+    NO_SPARE_CORES
+        Those with room use their processors.
+    INTERFERENCE
+        On those with spare cores it would harm what serves.
+    """
+
+    NO_CAPACITY = "no-capacity"
+    SPREAD = "spread"
+    NO_SPARE_CORES = "no-spare-cores"
+    INTERFERENCE = "interference"
+
+
 class Placer:
     """One round of placing.
 
@@ -57,6 +80,11 @@
     is_starved
         Says whether a job has waited so long, with nothing running, that it
         starts where it harms least.
+
+    Attributes
+    ----------
+    unplaced
+        Steps of which a task found no worker, the most urgent first.
     """
 
     def __init__(
@@ -75,6 +103,7 @@
         self._rank_job = rank
         self._is_starved = is_starved
         self._starts: list[RunStart] = []
+        self.unplaced: dict[tuple[JobId, int], WaitingStep] = {}
         self._by_service: dict[ServiceName, list[WorkerRoom]] = {}
         for room in rooms.values():
             self._by_service.setdefault(room.worker.service, []).append(room)
@@ -113,11 +142,25 @@
                     self._take(name, task, room, step, used)
                 return
             if room is None:
+                self.unplaced.setdefault((waiting.job.job, waiting.number), waiting)
                 if name in self._avoided:
                     continue
                 return
             self._take(name, task, room, step, used)
 
+    def explain_wait(self, waiting: WaitingStep) -> WaitReason:
+        """Return what the tasks of a step lacked in this round."""
+        candidates = [
+            room for room in self._list_candidates(waiting) if room.tasks < room.limit
+        ]
+        if not candidates:
+            return WaitReason.NO_CAPACITY
+        if not waiting.step.uses_spare_cores:
+            return WaitReason.SPREAD
+        if not any(has_spare_cores(waiting.step, room) for room in candidates):
+            return WaitReason.NO_SPARE_CORES
+        return WaitReason.INTERFERENCE
+
     def _place_gang(self, waiting: WaitingStep) -> None:
         """Place all members or none, all with the same run number."""
         step = waiting.step
--- a/src/rhubarbfield/scheduling/rooms.py
+++ b/src/rhubarbfield/scheduling/rooms.py
@@ -104,12 +104,16 @@
     return None if queue is None else WaitingStep(job, queue, occurrence, number)
 
 
+def has_spare_cores(step: Step, room: WorkerRoom) -> bool:
+    """Say whether a task of spare cores would get on at a worker."""
+    return room.spare_millicores >= step.demand.millicores * MIN_SPARE_SHARE
+
+
 def admits(step: Step, room: WorkerRoom, interference: Interference) -> bool:
     """Say whether a task harms nobody on a worker, and has the cores to work."""
     if not step.uses_spare_cores:
         return True
-    wanted = step.demand.millicores * MIN_SPARE_SHARE
-    if room.spare_millicores < wanted:
+    if not has_spare_cores(step, room):
         return False
     return interference.admits(
         room.exposures, step.image, room.find_share(step), room.add_share(step)
--- a/tests/scheduling/test_leader.py
+++ b/tests/scheduling/test_leader.py
@@ -8,8 +8,15 @@
 
 import trio
 
+from rhubarbfield.logs import find_event
 from rhubarbfield.scheduling.commands import RunStart, StartRuns
-from rhubarbfield.scheduling.model import NO_CHECKPOINT, RunNumber, Step, TaskName
+from rhubarbfield.scheduling.model import (
+    NO_CHECKPOINT,
+    Demand,
+    RunNumber,
+    Step,
+    TaskName,
+)
 from rhubarbfield.scheduling.orders import Start
 from rhubarbfield.scheduling.progress import RunKey
 from rhubarbfield.scheduling.state import JobPhase, RunEnd
@@ -188,6 +195,36 @@
         run(check)
 
 
+class WaitingTest(unittest.TestCase):
+    def find_reason(self, step: Step) -> str:
+        reasons: list[str] = []
+
+        async def check() -> None:
+            deployment = Deployment()
+            await deployment.configure()
+            deployment.add_worker("w1", duration=None)
+            async with deployment.lead():
+                await deployment.submit("j", step)
+                await trio.sleep(1.5)
+
+        with self.assertLogs("rhubarbfield.scheduling.leader", "INFO") as logs:
+            run(check)
+        for record in logs.records:
+            if find_event(record) == "step-waiting":
+                reasons.append(vars(record)["rhubarbfield_ids"]["reason"])
+        self.assertEqual(len(set(reasons)), 1)
+        return reasons[0]
+
+    def test_log_tells_why_a_step_waits(self) -> None:
+        huge = Demand(10**6, 1000)
+        reserved = Step(demand=huge)
+        filling = Step(demand=huge, uses_spare_cores=True)
+        spread = Step(tasks=2, demand=ONE_CORE, max_per_worker=1)
+        self.assertEqual(self.find_reason(reserved), "no-capacity")
+        self.assertEqual(self.find_reason(filling), "no-spare-cores")
+        self.assertEqual(self.find_reason(spread), "spread")
+
+
 class DistrustTest(unittest.TestCase):
     def test_worker_that_recovers_gets_work_beside_what_it_runs(self) -> None:
         """Standing tasks that stayed on it must not keep it on probation."""
