Do the work of easing and placing once: rooms a view, exposures an image

For each run that might move, the rooms of all workers were measured again within one view; they can't change in between. Margins were compared for every task that serves, though neighbours act on all tasks of an image alike: the tightest decides. The checks of a fitting worker stood twice in placing, the share of a worker's processors in two modules. Decisions stay as they were.

--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -45,13 +45,7 @@
     Batcher,
     propose_until_done,
 )
-from rhubarbfield.scheduling.rooms import (
-    WorkerRoom,
-    admits,
-    find_step_of,
-    may_hold,
-    measure_rooms,
-)
+from rhubarbfield.scheduling.rooms import WorkerRoom, measure_rooms
 from rhubarbfield.scheduling.session import WorkerSession
 from rhubarbfield.scheduling.settings import SchedulingSettings
 from rhubarbfield.scheduling.state import (
@@ -176,18 +170,6 @@
         """Return whether neighbours that start there can harm at once."""
         return self._neighbours.has_serving(worker)
 
-    def find_other_place(self, task: TaskName, worker: WorkerId) -> bool:
-        """Say whether a task could go on elsewhere without harm, right now."""
-        waiting = find_step_of(self.state, task)
-        if waiting is None:
-            return False
-        rooms = self.measure_rooms()
-        rooms.pop(worker, None)
-        return any(
-            may_hold(waiting, room) and admits(waiting.step, room, self._interference)
-            for room in rooms.values()
-        )
-
     # What others ask of the leader.
 
     def get_session(self, worker: WorkerId) -> WorkerSession | None:
--- a/src/rhubarbfield/scheduling/neighbours.py
+++ b/src/rhubarbfield/scheduling/neighbours.py
@@ -21,6 +21,12 @@
 from rhubarbfield.scheduling.metrics import RUNS_DISTURBED
 from rhubarbfield.scheduling.model import ImageName, Step, TaskName
 from rhubarbfield.scheduling.progress import RunKey
+from rhubarbfield.scheduling.rooms import (
+    WorkerRoom,
+    admits,
+    find_step_of,
+    may_hold,
+)
 from rhubarbfield.scheduling.session import FULL_SPEED, WorkerSession
 from rhubarbfield.scheduling.state import SchedulingState, Worker
 from rhubarbfield.types import WorkerId
@@ -43,8 +49,8 @@
     def state(self) -> SchedulingState:
         """The replicated state."""
 
-    def find_other_place(self, task: TaskName, worker: WorkerId) -> bool:
-        """Say whether a task could go on elsewhere without harm, right now."""
+    def measure_rooms(self) -> dict[WorkerId, WorkerRoom]:
+        """Return the room of each worker that may take work."""
 
 
 class Neighbour(msgspec.Struct, frozen=True):
@@ -77,13 +83,22 @@
         self._suffering_since: dict[WorkerId, timedelta] = {}
         self._serving: dict[WorkerId, list[ServingTask]] = {}
         self._paused_since: dict[WorkerId, dict[RunKey, timedelta]] = {}
+        # Measured for the first run of a view that may move; the others see it too.
+        self._rooms: dict[WorkerId, WorkerRoom] | None = None
 
     def list_exposures(self, worker: Worker) -> list[Exposure]:
-        """Return how near each task that serves on a worker is to its goal."""
-        return [
-            self._interference.find_exposure(task)
-            for task in self._list_serving(worker)
-        ]
+        """Return how near what serves on a worker is to its goals.
+
+        Neighbours act on all tasks of an image alike, so that the one nearest
+        to its goal stands for them.
+        """
+        tightest: dict[ImageName, Exposure] = {}
+        for task in self._list_serving(worker):
+            found = self._interference.find_exposure(task)
+            known = tightest.get(found.image)
+            if known is None or found.margin < known.margin:
+                tightest[found.image] = found
+        return list(tightest.values())
 
     def note_view(self, worker: Worker, session: WorkerSession) -> None:
         """Learn from a view of a worker, and pause or resume neighbours."""
@@ -102,12 +117,13 @@
                 )
             elif step.uses_spare_cores:
                 share = (active.measure or 0.0) / capacity
-                wanted = step.demand.millicores / capacity
                 shares[step.image] = shares.get(step.image, 0.0) + share
-                neighbours.append(Neighbour(RunKey(task, run), step, wanted))
+                key = RunKey(task, run)
+                neighbours.append(Neighbour(key, step, worker.find_share(step)))
         self._interference.learn(serving, shares, self._clock.monotonic())
         self._forget_others(worker.worker, serving)
         self._serving[worker.worker] = serving
+        self._rooms = None
         if neighbours:
             self._ease(worker, session, serving, neighbours)
 
@@ -235,7 +251,7 @@
             return True
         if not (neighbour.step.checkpoints or may_lose):
             return False
-        if not self._host.find_other_place(key.task, worker.worker):
+        if not self._has_other_place(key.task, worker):
             return False
         log_event(
             logger,
@@ -250,6 +266,19 @@
         session.stop(key)
         return True
 
+    def _has_other_place(self, task: TaskName, worker: Worker) -> bool:
+        """Say whether a task could go on elsewhere without harm, right now."""
+        waiting = find_step_of(self._host.state, task)
+        if waiting is None:
+            return False
+        if self._rooms is None:
+            self._rooms = self._host.measure_rooms()
+        return any(
+            may_hold(waiting, room) and admits(waiting.step, room, self._interference)
+            for place, room in self._rooms.items()
+            if place != worker.worker
+        )
+
     def _choose_guilty(
         self,
         worker: Worker,
--- a/src/rhubarbfield/scheduling/placing.py
+++ b/src/rhubarbfield/scheduling/placing.py
@@ -205,15 +205,10 @@
         avoided = self._avoided.get(name, set()) if name is not None else set()
         best: WorkerRoom | None = None
         best_cost: tuple[float, ...] = ()
-        for room in candidates:
-            worker = room.worker.worker
-            if room.tasks >= room.limit or not step.reserved.fits(room.free):
-                continue
-            if step.max_per_worker and used.get(worker, 0) >= step.max_per_worker:
-                continue
+        for room in _iterate_fitting(step, candidates, used):
             if not admits(step, room, self._interference):
                 continue
-            cost = (worker in avoided, *self._rate(step, room))
+            cost = (room.worker.worker in avoided, *self._rate(step, room))
             if best is None or cost < best_cost:
                 best, best_cost = room, cost
         return best
@@ -227,18 +222,8 @@
         self, step: Step, candidates: list[WorkerRoom], used: Mapping[WorkerId, int]
     ) -> WorkerRoom | None:
         """Return the worker on which a task of spare cores harms least."""
-        fitting = [
-            room
-            for room in candidates
-            if room.tasks < room.limit
-            and step.reserved.fits(room.free)
-            and not (
-                step.max_per_worker
-                and used.get(room.worker.worker, 0) >= step.max_per_worker
-            )
-        ]
         return max(
-            fitting,
+            _iterate_fitting(step, candidates, used),
             key=lambda room: self._interference.find_worst_margin(
                 room.exposures, room.add_share(step)
             ),
@@ -264,7 +249,7 @@
             return (is_far, room.failures, images, is_new, room.filling, -load)
         if step.uses_spare_cores:
             harm = self._interference.find_growth(
-                room.exposures, step.image, room.find_share(step)
+                room.exposures, step.image, room.worker.find_share(step)
             )
             return (is_far, room.failures, round(harm, HARM_DIGITS), load)
         return (is_far, room.failures, not serves, load)
@@ -296,6 +281,18 @@
                     yield WaitingStep(job, queue, occurrence, number)
 
 
+def _iterate_fitting(
+    step: Step, candidates: list[WorkerRoom], used: Mapping[WorkerId, int]
+) -> Iterator[WorkerRoom]:
+    """Yield the candidates with room for one more task of ``step``."""
+    for room in candidates:
+        if room.tasks >= room.limit or not step.reserved.fits(room.free):
+            continue
+        most = step.max_per_worker
+        if not most or used.get(room.worker.worker, 0) < most:
+            yield room
+
+
 def _choose_rack(
     step: Step, members: int, candidates: list[WorkerRoom]
 ) -> list[WorkerRoom] | None:
--- a/src/rhubarbfield/scheduling/rooms.py
+++ b/src/rhubarbfield/scheduling/rooms.py
@@ -27,7 +27,7 @@
     spare_millicores
         Processor that nothing is expected to use.
     exposures
-        Standing tasks with a tail goal on it.
+        Of the standing tasks with a tail goal on it, the tightest of each image.
     serving
         Images of the standing tasks with a tail goal.
     shares
@@ -65,14 +65,10 @@
             self.shares = self.add_share(step)
         self.spare_millicores -= int(cores * (SERVING_USE if step.standing else 1))
 
-    def find_share(self, step: Step) -> float:
-        """Return the share of the processors that a task of ``step`` wants."""
-        return step.demand.millicores / max(self.worker.capacity.millicores, 1)
-
     def add_share(self, step: Step) -> dict[ImageName, float]:
         """Return the shares with one more task of ``step``."""
         before = self.shares.get(step.image, 0.0)
-        return {**self.shares, step.image: before + self.find_share(step)}
+        return {**self.shares, step.image: before + self.worker.find_share(step)}
 
 
 class WaitingStep(msgspec.Struct, frozen=True):
@@ -115,9 +111,8 @@
         return True
     if not has_spare_cores(step, room):
         return False
-    return interference.admits(
-        room.exposures, step.image, room.find_share(step), room.add_share(step)
-    )
+    share = room.worker.find_share(step)
+    return interference.admits(room.exposures, step.image, share, room.add_share(step))
 
 
 def may_hold(waiting: WaitingStep, room: WorkerRoom) -> bool:
--- a/src/rhubarbfield/scheduling/state.py
+++ b/src/rhubarbfield/scheduling/state.py
@@ -218,6 +218,10 @@
     recorded_ends: int = 0
     runs: dict[TaskName, RunNumber] = msgspec.field(default_factory=dict)
 
+    def find_share(self, step: Step) -> float:
+        """Return the share of its processors that a task of ``step`` wants."""
+        return step.demand.millicores / max(self.capacity.millicores, 1)
+
 
 class SchedulingState(msgspec.Struct):
     """All that the log of a deployment holds.
--- a/tests/scheduling/test_neighbours.py
+++ b/tests/scheduling/test_neighbours.py
@@ -6,6 +6,8 @@
 from datetime import timedelta
 from typing import cast
 
+import msgspec
+
 from rhubarbfield.clock import ManualClock
 from rhubarbfield.scheduling.commands import (
     AcceptJob,
@@ -28,6 +30,7 @@
 from rhubarbfield.scheduling.neighbours import Neighbours
 from rhubarbfield.scheduling.ports import ActiveRun
 from rhubarbfield.scheduling.progress import RunKey
+from rhubarbfield.scheduling.rooms import WorkerRoom
 from rhubarbfield.scheduling.session import WorkerSession
 from rhubarbfield.scheduling.state import SchedulingState, Worker
 from rhubarbfield.types import JobId, WorkerId
@@ -69,6 +72,7 @@
     def __init__(self, *, has_place: bool = False, checkpoints: bool = True) -> None:
         self.log = Log()
         self.has_place = has_place
+        self.measured = 0
         self.log.apply(PutConfiguration(configuration=CONFIGURATION))
         self.log.apply(UpdateWorkers(reports=(make_report(WORKERS[0]),)))
         serving = Step(
@@ -98,8 +102,13 @@
     def worker(self) -> Worker:
         return self.state.workers[WORKERS[0]]
 
-    def find_other_place(self, task: TaskName, worker: WorkerId) -> bool:
-        return self.has_place
+    def measure_rooms(self) -> dict[WorkerId, WorkerRoom]:
+        self.measured += 1
+        if not self.has_place:
+            return {}
+        other = msgspec.structs.replace(self.worker, worker=WORKERS[1], runs={})
+        capacity = other.capacity
+        return {WORKERS[1]: WorkerRoom(other, capacity, capacity.millicores)}
 
 
 class NeighboursTest(unittest.TestCase):
@@ -210,6 +219,14 @@
         self.watch(TAIL_WITHOUT_RESERVE_MS, views=3)
         self.assertEqual(self.get_pace(2), 100)
 
+    def test_rooms_are_measured_once_a_view(self) -> None:
+        self.watch(60, views=5)
+        paused = [step for step in (1, 2) if self.get_pace(step) == 0]
+        self.assertEqual(len(paused), 2)
+        before = self.host.measured
+        self.watch(40)
+        self.assertEqual(self.host.measured, before + 1)
+
     def test_nothing_is_done_while_the_tail_is_low(self) -> None:
         self.watch(10)
         self.assertEqual(self.session.stopped, set())
