One copy of serving a program, of the metrics page, handlers and units

The two programs of the platform were wired by the same thirty lines; a page of metrics was made in three places, the root logger set up in two, an append with its mark of what is synced written twice, and ms in a second defined four times. The line planned-stop-begun comes from the gateway that begins the stop.

--- a/src/rhubarbfield/callers/app.py
+++ b/src/rhubarbfield/callers/app.py
@@ -8,7 +8,6 @@
 
 import msgspec
 from prometheus_client import CollectorRegistry
-from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
 from quart import Quart, Response, request
 from quart_trio import QuartTrio
 from returns.result import Success
@@ -29,6 +28,7 @@
     refuse_size,
 )
 from rhubarbfield.callers.readiness import Readiness
+from rhubarbfield.metricspage import make_metrics_response
 from rhubarbfield.routing.requests import Header
 from rhubarbfield.routing.router import Router
 from rhubarbfield.types import RequestId
@@ -117,8 +117,7 @@
 
     @app.get("/-/metrics")
     async def show_metrics() -> Response:
-        shown = b"".join(generate_latest(each) for each in registries)
-        return Response(shown, content_type=CONTENT_TYPE_LATEST)
+        return make_metrics_response(*registries)
 
 
 def _add_error_handlers(app: Quart, router: Router, rng: random.Random) -> None:
--- a/src/rhubarbfield/clock.py
+++ b/src/rhubarbfield/clock.py
@@ -12,6 +12,9 @@
 
 import trio
 
+MILLISECOND = timedelta(milliseconds=1)
+MS_PER_SECOND = 1000
+
 
 class Clock(Protocol):
     """What the program needs of time."""
--- a/src/rhubarbfield/logoutput.py
+++ b/src/rhubarbfield/logoutput.py
@@ -23,7 +23,7 @@
     JsonFormatter,
     find_event,
     format_event,
-    set_level,
+    install_handler,
 )
 
 LINGER = timedelta(milliseconds=20)  # lines that come together share a turn
@@ -191,8 +191,5 @@
         To be closed when the program ends.
     """
     output = BoundedOutput(descriptor, budget)
-    root = logging.getLogger()
-    root.handlers[:] = [output]
-    root.setLevel(logging.WARNING)
-    set_level(level)
+    install_handler(output, level)
     return output
--- a/src/rhubarbfield/logs.py
+++ b/src/rhubarbfield/logs.py
@@ -71,6 +71,11 @@
     """
     handler = logging.StreamHandler(stream or sys.stderr)
     handler.setFormatter(JsonFormatter())
+    install_handler(handler, level)
+
+
+def install_handler(handler: logging.Handler, level: str) -> None:
+    """Send the events of the whole program to ``handler`` alone."""
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(logging.WARNING)
--- a/src/rhubarbfield/metricspage.py
+++ b/src/rhubarbfield/metricspage.py
@@ -10,12 +10,18 @@
 METRICS_PATH = "/metrics"
 
 
+def make_metrics_response(*registries: CollectorRegistry) -> Response:
+    """Return the page that shows what the registries have counted."""
+    shown = b"".join(generate_latest(each) for each in registries)
+    return Response(shown, content_type=CONTENT_TYPE_LATEST)
+
+
 def create_metrics_app(registry: CollectorRegistry = REGISTRY) -> Quart:
     """Return an app that shows what ``registry`` has counted."""
     app = QuartTrio(__name__)
 
     @app.get(METRICS_PATH)
     async def show_metrics() -> Response:
-        return Response(generate_latest(registry), content_type=CONTENT_TYPE_LATEST)
+        return make_metrics_response(registry)
 
     return app
--- a/src/rhubarbfield/operators/app.py
+++ b/src/rhubarbfield/operators/app.py
@@ -10,8 +10,7 @@
 
 import msgspec
 import trio
-from prometheus_client import CollectorRegistry, generate_latest
-from prometheus_client.exposition import CONTENT_TYPE_LATEST
+from prometheus_client import CollectorRegistry
 from quart import Response, request
 from quart_trio import QuartTrio
 from returns.result import Result, Success
@@ -31,6 +30,7 @@
     select_rows,
 )
 from rhubarbfield.logs import get_logger, log_event
+from rhubarbfield.metricspage import make_metrics_response
 from rhubarbfield.operators.answers import (
     STATUS_NOT_FOUND,
     STATUS_UNAVAILABLE,
@@ -164,8 +164,7 @@
 
     async def show_metrics(self) -> Response:
         """Expose the metrics of the process."""
-        data = generate_latest(self._metrics)
-        return Response(data, content_type=CONTENT_TYPE_LATEST)
+        return make_metrics_response(self._metrics)
 
     async def answer_http_error(self, error: HTTPException) -> Response:
         """Answer a request that has no handler or can't be read."""
--- a/src/rhubarbfield/platform/daemons.py
+++ b/src/rhubarbfield/platform/daemons.py
@@ -9,12 +9,13 @@
 from functools import partial
 from pathlib import Path
 
+import msgspec
 import trio
 from hypercorn.config import Config
 from hypercorn.trio import serve as serve_app
 from quart import Quart
 
-from rhubarbfield.clock import TrioClock
+from rhubarbfield.clock import Clock, TrioClock
 from rhubarbfield.exceptions import UsageError
 from rhubarbfield.metricspage import create_metrics_app
 from rhubarbfield.peering import Credentials, GrpcTransport, open_bridge
@@ -37,6 +38,31 @@
 IDLE_CONNECTION = timedelta(seconds=15)
 
 
+class Program(msgspec.Struct, frozen=True):
+    """What runs on an instance, and how it is served and stopped.
+
+    Attributes
+    ----------
+    run
+        Runs it until cancelled; started with a task status.
+    app, binds
+        What it serves, at which ``host:port``.
+    begin_stop
+        Called when a planned stop begins.
+    stop_time
+        How long it is served on from there.
+    add_seeds
+        Takes in settings that were read again.
+    """
+
+    run: Callable[..., Awaitable[None]]
+    app: Quart
+    binds: tuple[str, ...]
+    begin_stop: Callable[[], None]
+    stop_time: timedelta
+    add_seeds: Callable[[DeploymentSettings], None]
+
+
 async def run_entry(
     settings: DeploymentSettings,
     path: Path,
@@ -45,34 +71,18 @@
 ) -> None:
     """Serve clients until told to stop."""
     clock = TrioClock()
-    stop = trio.Event()
     async with open_bridge():
         transport = GrpcTransport(Credentials(secret=settings.secret))
         gateway = Gateway(settings, transport, clock)
-
-        async def wait_for_stop() -> None:
-            await stop.wait()
-            gateway.begin_stop()
-            logger.info("planned-stop-begun")
-            await clock.sleep(LOOK_AWAY)
-
-        async def run(
-            *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
-        ) -> None:
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(gateway.run)
-                app = create_ingress_app(gateway)
-                config = _make_config(settings, settings.callers, settings.readiness)
-                await nursery.start(_serve_metrics, settings)
-                await _serve(app, config, wait_for_stop, task_status)
-                nursery.cancel_scope.cancel()
-
-        await run_until_signal(
-            run,
-            reload=partial(_reload, path, gateway.add_seeds),
-            stop=stop,
-            task_status=task_status,
+        program = Program(
+            run=gateway.run,
+            app=create_ingress_app(gateway),
+            binds=(settings.callers, settings.readiness),
+            begin_stop=gateway.begin_stop,
+            stop_time=LOOK_AWAY,
+            add_seeds=gateway.add_seeds,
         )
+        await _run_program(program, settings, path, clock, task_status)
 
 
 async def run_controller(
@@ -83,7 +93,6 @@
 ) -> None:
     """Keep the log, and lead when elected, until told to stop."""
     scheduling = settings.make_scheduling_settings()
-    stop = trio.Event()
     clock = TrioClock()
     async with open_bridge():
         controller = SchedulingController(
@@ -95,38 +104,60 @@
             rng=random.SystemRandom(),
             run_blocking=run_in_thread,
         )
-
-        async def wait_for_stop() -> None:
-            await stop.wait()
-            controller.hand_over()
-            await clock.sleep(HAND_OVER_TIME)
-
-        async def run(
-            *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
-        ) -> None:
-            async with trio.open_nursery() as nursery:
-                await nursery.start(controller.run)
-                app = create_control_app(controller.service, settings.control_port)
-                config = _make_config(settings, settings.control)
-                await nursery.start(_serve_metrics, settings)
-                await _serve(app, config, wait_for_stop, task_status)
-                nursery.cancel_scope.cancel()
-
-        await run_until_signal(
-            run,
-            reload=partial(_reload, path, controller.add_seeds),
-            stop=stop,
-            task_status=task_status,
+        program = Program(
+            run=controller.run,
+            app=create_control_app(controller.service, settings.control_port),
+            binds=(settings.control,),
+            begin_stop=controller.hand_over,
+            stop_time=HAND_OVER_TIME,
+            add_seeds=controller.add_seeds,
         )
+        await _run_program(program, settings, path, clock, task_status)
+
+
+async def _run_program(
+    program: Program,
+    settings: DeploymentSettings,
+    path: Path,
+    clock: Clock,
+    task_status: trio.TaskStatus[None],
+) -> None:
+    """Run and serve a program until a signal has stopped it."""
+    stop = trio.Event()
+
+    async def wait_for_stop() -> None:
+        await stop.wait()
+        program.begin_stop()
+        await clock.sleep(program.stop_time)
+
+    async def run(
+        *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        async with trio.open_nursery() as nursery:
+            await nursery.start(program.run)
+            await nursery.start(_serve_metrics, settings)
+            config = _make_config(settings, *program.binds)
+            await _serve(program.app, config, wait_for_stop, task_status)
+            nursery.cancel_scope.cancel()
+
+    await run_until_signal(
+        run,
+        reload=partial(_reload, path, program.add_seeds),
+        stop=stop,
+        task_status=task_status,
+    )
 
 
 async def _serve(
     app: Quart,
     config: Config,
-    wait_for_stop: Callable[[], Awaitable[None]],
+    wait_for_stop: Callable[[], Awaitable[None]] | None,
     task_status: trio.TaskStatus[None],
 ) -> None:
-    """Serve until told to stop and the last request is answered."""
+    """Serve until told to stop and the last request is answered.
+
+    Without ``wait_for_stop`` it is served until cancelled.
+    """
     serve = partial(serve_app, app, config, shutdown_trigger=wait_for_stop)
     async with trio.open_nursery() as nursery:
         await nursery.start(serve)
@@ -140,9 +171,7 @@
     """Show the counters of the process until cancelled."""
     if settings.metrics:
         config = _make_config(settings, settings.metrics)
-        async with trio.open_nursery() as nursery:
-            await nursery.start(partial(serve_app, create_metrics_app(), config))
-            task_status.started()
+        await _serve(create_metrics_app(), config, None, task_status)
     else:
         task_status.started()
 
--- a/src/rhubarbfield/platform/runners.py
+++ b/src/rhubarbfield/platform/runners.py
@@ -11,7 +11,8 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from rhubarbfield.platform.wire import MILLISECOND, REFUSALS, WireReply, WireView
+from rhubarbfield.clock import MILLISECOND
+from rhubarbfield.platform.wire import REFUSALS, WireReply, WireView
 from rhubarbfield.scheduling.model import RunNumber, TaskName
 from rhubarbfield.scheduling.ports import (
     CallFailure,
--- a/src/rhubarbfield/platform/wire.py
+++ b/src/rhubarbfield/platform/wire.py
@@ -8,6 +8,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from rhubarbfield.clock import MILLISECOND
 from rhubarbfield.scheduling.commands import WorkerReport
 from rhubarbfield.scheduling.heartbeats import Heartbeat
 from rhubarbfield.scheduling.model import (
@@ -30,7 +31,6 @@
 from rhubarbfield.scheduling.state import RunEnd
 from rhubarbfield.types import FailureDomain, RackName, ServiceName, WorkerId
 
-MILLISECOND = timedelta(milliseconds=1)
 MAX_PAYLOAD_CHARACTERS = 4_000
 MAX_ENDS_LISTED = 500
 MAX_STEPS = 256
--- a/src/rhubarbfield/replication/log.py
+++ b/src/rhubarbfield/replication/log.py
@@ -171,18 +171,11 @@
         data = encode_membership(membership)
         entries = [Entry(LogIndex(1), term, EntryKind.MEMBERSHIP, data)]
         new = HardState(self.hard_state.incarnation, term, vote)
-        result = self._store.append(new, entries)
-        return result.map(lambda _: self._add_entries(new, entries)).map(
-            lambda _: self.note_synced(self.last.index)
-        )
+        return self._append_synced(new, entries)
 
     def append(self, entries: Sequence[Entry]) -> Result[None, StoreFailure]:
         """Append entries, dropping those stored at or after the first."""
-        new = self._prepare_append(entries)
-        result = self._store.append(new, entries)
-        return result.map(lambda _: self._add_entries(new, entries)).map(
-            lambda _: self.note_synced(self.last.index)
-        )
+        return self._append_synced(self._prepare_append(entries), entries)
 
     def write(self, entries: Sequence[Entry]) -> Result[None, StoreFailure]:
         """Append entries that are durable only after a sync."""
@@ -201,6 +194,14 @@
         """Learn that the entries up to ``index`` are durable."""
         self.synced = LogIndex(max(self.synced, min(index, self.last.index)))
 
+    def _append_synced(
+        self, hard_state: HardState, entries: Sequence[Entry]
+    ) -> Result[None, StoreFailure]:
+        result = self._store.append(hard_state, entries)
+        return result.map(lambda _: self._add_entries(hard_state, entries)).map(
+            lambda _: self.note_synced(self.last.index)
+        )
+
     def _prepare_append(self, entries: Sequence[Entry]) -> HardState:
         first = entries[0].index
         check_invariant(
--- a/src/rhubarbfield/scheduling/backlog.py
+++ b/src/rhubarbfield/scheduling/backlog.py
@@ -4,7 +4,7 @@
 
 from datetime import timedelta
 
-from rhubarbfield.clock import Clock
+from rhubarbfield.clock import MS_PER_SECOND, Clock
 from rhubarbfield.scheduling.model import Queue, QueueName
 from rhubarbfield.scheduling.ordering import (
     RemainingWork,
@@ -14,7 +14,6 @@
 from rhubarbfield.scheduling.state import Job
 from rhubarbfield.types import JobId
 
-MS_PER_SECOND = 1000
 LONGEST_HINT_SECONDS = 60.0  # beyond it a stepped clock is likelier than an old job
 MEAN_WEIGHT = 0.05  # of a new job in the running mean of its queue's work
 
--- a/src/rhubarbfield/scheduling/gateway.py
+++ b/src/rhubarbfield/scheduling/gateway.py
@@ -6,6 +6,7 @@
 from datetime import timedelta
 
 import msgspec
+import trio
 from returns.result import Failure, Success
 
 from rhubarbfield.clock import Clock
@@ -94,6 +95,7 @@
     def begin_stop(self) -> None:
         """Be no longer ready."""
         self._stopping = True
+        log_event(logger, logging.INFO, "planned-stop-begun")
 
     def add_seeds(self, settings: DeploymentSettings) -> None:
         """Ask the seeds of changed settings too."""
@@ -101,8 +103,11 @@
         self._calls.add_members(members)
         self._probes.add_members(members)
 
-    async def run(self) -> None:
+    async def run(
+        self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
         """Keep watch over the way to the leader until cancelled."""
+        task_status.started()
         while True:
             was_ready = self.is_ready
             result = await self._probes.call(AreYouLeading(), READINESS_INTERVAL)
--- a/src/rhubarbfield/scheduling/housekeeping.py
+++ b/src/rhubarbfield/scheduling/housekeeping.py
@@ -8,7 +8,7 @@
 from datetime import timedelta
 from typing import Protocol
 
-from rhubarbfield.clock import Clock
+from rhubarbfield.clock import MS_PER_SECOND, Clock
 from rhubarbfield.groups import ReplicatedLog
 from rhubarbfield.logs import log_event
 from rhubarbfield.scheduling.appliers import WholeSchedulingState
@@ -31,8 +31,6 @@
 
 logger = logging.getLogger(__name__)
 
-MS_PER_SECOND = 1000
-
 
 class HousekeepingHost(Protocol):
     """What this part needs of the leader."""
--- a/src/rhubarbfield/scheduling/interference.py
+++ b/src/rhubarbfield/scheduling/interference.py
@@ -14,9 +14,10 @@
 
 import msgspec
 
+from rhubarbfield.clock import MS_PER_SECOND
 from rhubarbfield.placement.state import HarmEstimate
 from rhubarbfield.scheduling.model import ImageName, TaskName
-from rhubarbfield.scheduling.tails import MS_PER_SECOND, TailModel
+from rhubarbfield.scheduling.tails import TailModel
 
 ASSUMED_RATIO = 0.4  # of the goal, for an image that was never measured
 RISE_SECONDS = 2.5  # a load that rises goes on rising for as long; a run lasts 1 to 3 s
--- a/src/rhubarbfield/scheduling/ordering.py
+++ b/src/rhubarbfield/scheduling/ordering.py
@@ -13,13 +13,13 @@
 
 import msgspec
 
+from rhubarbfield.clock import MILLISECOND
 from rhubarbfield.scheduling.model import Queue
 from rhubarbfield.scheduling.state import Job
 
 LATE_LIMIT = 3  # multiples of its goal after which a job earns nothing
 ESTIMATE_MARGIN = 1.1  # on top of the chain: commits, calls and views on the way
 BASE_VALUE = 0.3  # of a job, however small; the rest grows with its work
-MILLISECOND = timedelta(milliseconds=1)
 
 
 class Outlook(IntEnum):
--- a/src/rhubarbfield/scheduling/service.py
+++ b/src/rhubarbfield/scheduling/service.py
@@ -10,7 +10,7 @@
 import msgspec
 from returns.result import Failure, Success
 
-from rhubarbfield.clock import Clock
+from rhubarbfield.clock import MS_PER_SECOND, Clock
 from rhubarbfield.groups import NotLeading, ReplicatedLog, Unavailable
 from rhubarbfield.logs import log_event
 from rhubarbfield.machine import Command, Done, Refused, Reply
@@ -36,7 +36,6 @@
 logger = logging.getLogger(__name__)
 
 LONGEST_JOB_ID = 64
-MS_PER_SECOND = 1000
 _JOB_ID = re.compile(rf"[0-9A-Za-z_-]{{1,{LONGEST_JOB_ID}}}")
 
 
--- a/src/rhubarbfield/scheduling/tails.py
+++ b/src/rhubarbfield/scheduling/tails.py
@@ -15,12 +15,12 @@
 
 import msgspec
 
+from rhubarbfield.clock import MS_PER_SECOND
 from rhubarbfield.placement.state import BatchKind, HarmEstimate
 from rhubarbfield.scheduling.model import ImageName, TaskName
 from rhubarbfield.types import ServiceName
 
 ONLY_BAND = 0  # levels take the place of load bands
-MS_PER_SECOND = 1000
 MAX_IMAGES = 24  # beside one image; the one seen least is forgotten
 BASE_IMAGE = ImageName("")  # stands for the mean level of an image's tasks
 
