--- a/src/rhubarbfield/scheduling/backlog.py
+++ b/src/rhubarbfield/scheduling/backlog.py
@@ -32,7 +32,6 @@
         self._seen_at: dict[JobId, timedelta] = {}
         self._work: dict[JobId, tuple[tuple[int, ...], RemainingWork]] = {}
         self._idle_since: dict[JobId, timedelta] = {}
-        self._started: set[JobId] = set()
         self._means: dict[QueueName, float] = {}
 
     def rank(self, job: Job, queue: Queue) -> tuple[float, ...]:
@@ -66,18 +65,6 @@
         self._seen_at.pop(job, None)
         self._work.pop(job, None)
         self._idle_since.pop(job, None)
-        self._started.discard(job)
-
-    def note_started(self, job: Job) -> bool:
-        """Note that a run of a job is ordered; say whether it is the first one."""
-        is_first = job.job in self._seen_at and job.job not in self._started
-        self._started.add(job.job)
-        return is_first and all(
-            task.last_run <= 1
-            for steps in job.occurrences.values()
-            for step in steps
-            for task in step.tasks
-        )
 
     def find_age(self, job: Job) -> timedelta:
         """Return how long ago a job was accepted, as far as is known here."""
--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Iterable
 from datetime import timedelta
 
 import trio
@@ -337,17 +338,31 @@
         self._tell_waiting(placer)
         if not starts:
             return
+        unstarted = self._list_unstarted(starts)
         result = await self._log.propose(StartRuns(starts=starts))
         match result:
             case Success(RunsRecorded(recorded=recorded)):
                 for position in recorded:
                     self._order(starts[position])
+                self._note_first_starts(unstarted)
             case _:
                 log_event(
                     logger, logging.WARNING, "starts-not-recorded", count=len(starts)
                 )
                 await self._clock.sleep(PROPOSE_PAUSE)
 
+    def _list_unstarted(self, starts: Iterable[RunStart]) -> list[Job]:
+        """Return the jobs of ``starts`` of which no task has ever started."""
+        found = (self.state.find_task(start.task) for start in starts)
+        jobs = {each[0].job: each[0] for each in found if each is not None}
+        return [job for job in jobs.values() if not job.started]
+
+    def _note_first_starts(self, jobs: Iterable[Job]) -> None:
+        for job in jobs:
+            if job.started:
+                age = self._backlog.find_age(job)
+                FIRST_START_SECONDS.observe(age.total_seconds())
+
     def _tell_waiting(self, placer: Placer) -> None:
         """Log why the most urgent of those that wait are not placed."""
         now = self._clock.monotonic()
@@ -385,7 +400,6 @@
             view_age=session.view_age,
         )
         RUNS_PLACED.inc()
-        self._note_first_start(job)
         session.start(
             Start(
                 RunKey(start.task, start.run),
@@ -394,11 +408,6 @@
             )
         )
 
-    def _note_first_start(self, job: Job) -> None:
-        if self._backlog.note_started(job):
-            age = self._backlog.find_age(job)
-            FIRST_START_SECONDS.observe(age.total_seconds())
-
     def _rank(self, job: Job, queue: Queue) -> tuple[float, ...]:
         return self._backlog.rank(job, queue)
 
