--- a/src/rhubarbfield/platform/runners.py
+++ b/src/rhubarbfield/platform/runners.py
@@ -13,18 +13,19 @@
 
 from rhubarbfield.clock import MILLISECOND
 from rhubarbfield.platform.wire import REFUSALS, WireReply, WireView
-from rhubarbfield.scheduling.model import RunNumber, TaskName
 from rhubarbfield.scheduling.ports import (
     CallFailure,
     NoReply,
     OtherLife,
+    PaceOrder,
     Refusal,
     Refused,
     StartOrder,
+    StopOrder,
+    ViewRequest,
     WorkerAddress,
     WorkerView,
 )
-from rhubarbfield.types import Term
 
 logger = logging.getLogger(__name__)
 
@@ -70,38 +71,35 @@
         return await self._order(to, "/run-start", body)
 
     async def stop(
-        self, to: WorkerAddress, task: TaskName, run: RunNumber, term: Term
+        self, to: WorkerAddress, order: StopOrder
     ) -> Result[timedelta, CallFailure]:
         """Stop a run."""
-        body = {"Task": task, "Run": run, "FencingToken": term}
+        body = {"Task": order.task, "Run": order.run, "FencingToken": order.term}
         return await self._order(to, "/run-stop", body)
 
     async def pace(
-        self,
-        to: WorkerAddress,
-        task: TaskName,
-        run: RunNumber,
-        percent: int,
-        term: Term,
+        self, to: WorkerAddress, order: PaceOrder
     ) -> Result[timedelta, CallFailure]:
         """Let a run work at a share of its speed."""
-        body = {"Task": task, "Run": run, "Percent": percent, "FencingToken": term}
+        body = {
+            "Task": order.task,
+            "Run": order.run,
+            "Percent": order.percent,
+            "FencingToken": order.term,
+        }
         return await self._order(to, "/pace", body)
 
     async def view(
-        self,
-        to: WorkerAddress,
-        *,
-        recorded_ends: int,
-        lease_end: timedelta | None,
-        patience: timedelta,
-        term: Term,
+        self, to: WorkerAddress, request: ViewRequest
     ) -> Result[WorkerView, CallFailure]:
         """Return what the runner runs, and what ended there."""
-        wait = min(patience, LONGEST_WAIT)
-        body: dict[str, Any] = {"FencingToken": term, "AckedUpto": recorded_ends}
-        if lease_end is not None:
-            body["DeadlineMs"] = int(lease_end / MILLISECOND)
+        wait = min(request.patience, LONGEST_WAIT)
+        body: dict[str, Any] = {
+            "FencingToken": request.term,
+            "AckedUpto": request.recorded_ends,
+        }
+        if request.lease_end is not None:
+            body["DeadlineMs"] = int(request.lease_end / MILLISECOND)
         if wait > timedelta():
             body["WaitMs"] = int(wait / MILLISECOND)
         result = await self._post(to, "/hold", body, wait + self._order_timeout)
--- a/src/rhubarbfield/scheduling/measuring.py
+++ b/src/rhubarbfield/scheduling/measuring.py
@@ -10,16 +10,17 @@
 
 from rhubarbfield.clock import Clock
 from rhubarbfield.scheduling.metrics import WORKER_CALL_SECONDS
-from rhubarbfield.scheduling.model import RunNumber, TaskName
 from rhubarbfield.scheduling.ports import (
     CallFailure,
+    PaceOrder,
     Refused,
     StartOrder,
+    StopOrder,
+    ViewRequest,
     WorkerAddress,
     WorkerCalls,
     WorkerView,
 )
-from rhubarbfield.types import Term
 
 ValueT = TypeVar("ValueT")
 
@@ -48,41 +49,22 @@
         return await self._measure("start", self._calls.start(to, order))
 
     async def stop(
-        self, to: WorkerAddress, task: TaskName, run: RunNumber, term: Term
+        self, to: WorkerAddress, order: StopOrder
     ) -> Result[timedelta, CallFailure]:
         """Stop a run."""
-        return await self._measure("stop", self._calls.stop(to, task, run, term))
+        return await self._measure("stop", self._calls.stop(to, order))
 
     async def pace(
-        self,
-        to: WorkerAddress,
-        task: TaskName,
-        run: RunNumber,
-        percent: int,
-        term: Term,
+        self, to: WorkerAddress, order: PaceOrder
     ) -> Result[timedelta, CallFailure]:
         """Let a run work at a share of its speed."""
-        call = self._calls.pace(to, task, run, percent, term)
-        return await self._measure("pace", call)
+        return await self._measure("pace", self._calls.pace(to, order))
 
     async def view(
-        self,
-        to: WorkerAddress,
-        *,
-        recorded_ends: int,
-        lease_end: timedelta | None,
-        patience: timedelta,
-        term: Term,
+        self, to: WorkerAddress, request: ViewRequest
     ) -> Result[WorkerView, CallFailure]:
         """Return what a worker runs, and what ended there."""
-        call = self._calls.view(
-            to,
-            recorded_ends=recorded_ends,
-            lease_end=lease_end,
-            patience=patience,
-            term=term,
-        )
-        return await self._measure("view", call)
+        return await self._measure("view", self._calls.view(to, request))
 
     async def forget(self, address: str) -> None:
         """Close the connections to an address."""
--- a/src/rhubarbfield/scheduling/ports.py
+++ b/src/rhubarbfield/scheduling/ports.py
@@ -165,6 +165,62 @@
     ticket: str = ""
 
 
+class StopOrder(msgspec.Struct, frozen=True, kw_only=True):
+    """An order to stop a run.
+
+    Attributes
+    ----------
+    task, run
+        What to stop.
+    term
+        Of the leader.
+    """
+
+    task: TaskName
+    run: RunNumber
+    term: Term
+
+
+class PaceOrder(msgspec.Struct, frozen=True, kw_only=True):
+    """An order to let a run work at a share of its speed.
+
+    Attributes
+    ----------
+    task, run
+        Which run.
+    percent
+        Of its speed.
+    term
+        Of the leader.
+    """
+
+    task: TaskName
+    run: RunNumber
+    percent: int
+    term: Term
+
+
+class ViewRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """Asks what a worker runs, and what ended there.
+
+    Attributes
+    ----------
+    recorded_ends
+        Ends up to this number are recorded and may be forgotten.
+    lease_end
+        Extends the lease of all that runs there; on the worker's clock.
+    patience
+        How long to wait for an end.
+    term
+        Of the leader.
+    """
+
+    recorded_ends: int
+    lease_end: timedelta | None
+    patience: timedelta
+    term: Term
+
+
 class WorkerAddress(msgspec.Struct, frozen=True):
     """One life of a worker, and where it listens."""
 
@@ -181,44 +237,19 @@
         """Start a run; a run that is present already is a success."""
 
     async def stop(
-        self, to: WorkerAddress, task: TaskName, run: RunNumber, term: Term
+        self, to: WorkerAddress, order: StopOrder
     ) -> Result[timedelta, CallFailure]:
         """Stop a run; afterwards neither it nor an earlier one can start."""
 
     async def pace(
-        self,
-        to: WorkerAddress,
-        task: TaskName,
-        run: RunNumber,
-        percent: int,
-        term: Term,
+        self, to: WorkerAddress, order: PaceOrder
     ) -> Result[timedelta, CallFailure]:
         """Let a run work at a share of its speed."""
 
     async def view(
-        self,
-        to: WorkerAddress,
-        *,
-        recorded_ends: int,
-        lease_end: timedelta | None,
-        patience: timedelta,
-        term: Term,
+        self, to: WorkerAddress, request: ViewRequest
     ) -> Result[WorkerView, CallFailure]:
-        """Return what is there, at the latest after ``patience`` if nothing ends.
-
-        Parameters
-        ----------
-        to
-            The worker.
-        recorded_ends
-            Ends up to this number are recorded and may be forgotten.
-        lease_end
-            Extends the lease of all that runs there; on the worker's clock.
-        patience
-            How long to wait for an end.
-        term
-            Of the leader.
-        """
+        """Return what is there, at the latest after its patience if nothing ends."""
 
     async def forget(self, address: str) -> None:
         """Close the connections to an address."""
--- a/src/rhubarbfield/scheduling/session.py
+++ b/src/rhubarbfield/scheduling/session.py
@@ -28,9 +28,12 @@
     ListedEnd,
     NoReply,
     OtherLife,
+    PaceOrder,
     Refusal,
     Refused,
     StartOrder,
+    StopOrder,
+    ViewRequest,
     WorkerAddress,
     WorkerCalls,
     WorkerView,
@@ -279,7 +282,8 @@
 
     async def _order_stop(self, key: RunKey) -> None:
         while (term := self._host.get_term()) is not None:
-            result = await self._calls.stop(self.address, key.task, key.run, term)
+            order = StopOrder(task=key.task, run=key.run, term=term)
+            result = await self._calls.stop(self.address, order)
             match result:
                 case Success(worker_clock):
                     self._note_reply(worker_clock)
@@ -315,9 +319,8 @@
         key = order.key
         if term is None or self._is_over(key):
             return
-        result = await self._calls.pace(
-            self.address, key.task, key.run, order.percent, term
-        )
+        wanted = PaceOrder(task=key.task, run=key.run, percent=order.percent, term=term)
+        result = await self._calls.pace(self.address, wanted)
         match result:
             case Success(worker_clock):
                 self._note_reply(worker_clock)
@@ -349,14 +352,13 @@
         known = dict(worker.runs)
         recorded_ends = worker.recorded_ends
         settled = {key for key, at in self._starts.items() if at is StartState.SETTLED}
-        lease_end = self._lease.extend() if self._may_extend() else None
-        result = await self._calls.view(
-            self.address,
+        request = ViewRequest(
             recorded_ends=recorded_ends,
-            lease_end=lease_end,
+            lease_end=self._lease.extend() if self._may_extend() else None,
             patience=self._choose_patience(),
             term=term,
         )
+        result = await self._calls.view(self.address, request)
         match result:
             case Success(view):
                 self._note_reply(view.clock)
--- a/src/rhubarbfield/testing/calledworkers.py
+++ b/src/rhubarbfield/testing/calledworkers.py
@@ -30,9 +30,12 @@
     ListedEnd,
     NoReply,
     OtherLife,
+    PaceOrder,
     Refusal,
     Refused,
     StartOrder,
+    StopOrder,
+    ViewRequest,
     WorkerAddress,
     WorkerView,
 )
@@ -172,13 +175,12 @@
             self.started.append((order.task, order.run, self._clock.monotonic()))
         return Success(self.read_clock())
 
-    def stop(
-        self, task: TaskName, run: RunNumber, term: Term
-    ) -> Result[timedelta, CallFailure]:
+    def stop(self, order: StopOrder) -> Result[timedelta, CallFailure]:
         """Carry out an order to stop."""
         self.settle()
-        if term < self.term:
+        if order.term < self.term:
             return Failure(Refused(Refusal.DEPOSED, self.read_clock()))
+        task, run = order.task, order.run
         self._ended_runs[task] = max(self._ended_runs.get(task, run), run)
         present = self.runs.get(task)
         if present is not None and present.run <= run:
@@ -189,23 +191,16 @@
         """Say whether a run of a task has ended or was stopped here."""
         return task in self._ended_runs
 
-    async def view(
-        self,
-        *,
-        recorded_ends: int,
-        lease_end: timedelta | None,
-        patience: timedelta,
-        term: Term,
-    ) -> Result[WorkerView, CallFailure]:
-        """Answer a view, at the latest after ``patience``."""
+    async def view(self, request: ViewRequest) -> Result[WorkerView, CallFailure]:
+        """Answer a view, at the latest after its patience."""
         self.settle()
-        if term < self.term:
+        if request.term < self.term:
             return Failure(Refused(Refusal.DEPOSED, self.read_clock()))
-        self.term = term
-        if lease_end is not None:
-            self.lease_end = max(self.lease_end, lease_end)
-        self.ends = [end for end in self.ends if end.number > recorded_ends]
-        deadline = self._clock.monotonic() + patience
+        self.term = request.term
+        if request.lease_end is not None:
+            self.lease_end = max(self.lease_end, request.lease_end)
+        self.ends = [end for end in self.ends if end.number > request.recorded_ends]
+        deadline = self._clock.monotonic() + request.patience
         while not self.ends and self._clock.monotonic() < deadline:
             await self._clock.sleep(timedelta(milliseconds=10))
             self.settle()
@@ -284,50 +279,35 @@
         return found.start(order)
 
     async def stop(
-        self, to: WorkerAddress, task: TaskName, run: RunNumber, term: Term
+        self, to: WorkerAddress, order: StopOrder
     ) -> Result[timedelta, CallFailure]:
         """Stop a run."""
         found = await self._reach(to)
         if not isinstance(found, StandInWorker):
             return Failure(found)
-        return found.stop(task, run, term)
+        return found.stop(order)
 
     async def pace(
-        self,
-        to: WorkerAddress,
-        task: TaskName,
-        run: RunNumber,
-        percent: int,
-        term: Term,
+        self, to: WorkerAddress, order: PaceOrder
     ) -> Result[timedelta, CallFailure]:
         """Let a run work at a share of its speed."""
         found = await self._reach(to)
         if not isinstance(found, StandInWorker):
             return Failure(found)
-        present = found.runs.get(task)
-        if present is not None and present.run == run and term >= found.term:
-            present.pace = percent
+        present = found.runs.get(order.task)
+        obeys = order.term >= found.term
+        if present is not None and present.run == order.run and obeys:
+            present.pace = order.percent
         return Success(found.read_clock())
 
     async def view(
-        self,
-        to: WorkerAddress,
-        *,
-        recorded_ends: int,
-        lease_end: timedelta | None,
-        patience: timedelta,
-        term: Term,
+        self, to: WorkerAddress, request: ViewRequest
     ) -> Result[WorkerView, CallFailure]:
         """Return what a worker runs."""
         found = await self._reach(to)
         if not isinstance(found, StandInWorker):
             return Failure(found)
-        return await found.view(
-            recorded_ends=recorded_ends,
-            lease_end=lease_end,
-            patience=patience,
-            term=term,
-        )
+        return await found.view(request)
 
     async def forget(self, address: str) -> None:
         """Note that the connections to an address are no longer needed."""
--- a/tests/platform/test_runners.py
+++ b/tests/platform/test_runners.py
@@ -17,6 +17,7 @@
     Refusal,
     Refused,
     StartOrder,
+    ViewRequest,
     WorkerAddress,
 )
 from rhubarbfield.types import Term, WorkerId
@@ -61,15 +62,13 @@
         ) -> None:
             for _ in range(2):
                 self.assertIsInstance(await calls.start(to, make_order()), Success)
-            view = (
-                await calls.view(
-                    to,
-                    recorded_ends=0,
-                    lease_end=timedelta(hours=1),
-                    patience=timedelta(seconds=1),
-                    term=Term(1),
-                )
-            ).unwrap()
+            request = ViewRequest(
+                recorded_ends=0,
+                lease_end=timedelta(hours=1),
+                patience=timedelta(seconds=1),
+                term=Term(1),
+            )
+            view = (await calls.view(to, request)).unwrap()
             self.assertEqual([end.task for end in view.ends], [TASK])
             self.assertEqual(len(runner.started), 1)
 
