--- a/tests/scheduling/deployments.py
+++ b/tests/scheduling/deployments.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from datetime import timedelta
+from functools import wraps
 from typing import Any, cast
 
 import msgspec
@@ -37,6 +38,7 @@
 from rhubarbfield.testing.calledworkers import StandInFleet, StandInWorker
 from rhubarbfield.types import JobId, ServiceName, Term, WorkerId
 from tests.controller.solo import SoloReplica, make_solo
+from tests.replication.determinism import run_deterministic
 
 QUEUE = Queue(
     name=QueueName("q"),
@@ -130,6 +132,34 @@
         await self.propose(PutConfiguration(configuration=configuration))
 
 
+def play(
+    **changes: Any,
+) -> Callable[[Callable[[Any, Deployment], Awaitable[None]]], Callable[[Any], None]]:
+    """Return a decorator that plays a test on a deployment of its own.
+
+    Parameters
+    ----------
+    **changes
+        Of the queue that is configured.
+    """
+
+    def decorate(
+        test: Callable[[Any, Deployment], Awaitable[None]],
+    ) -> Callable[[Any], None]:
+        @wraps(test)
+        def run(case: Any) -> None:
+            async def check() -> None:
+                deployment = Deployment()
+                await deployment.configure(**changes)
+                await test(case, deployment)
+
+            run_deterministic(check, seed=1)
+
+        return run
+
+    return decorate
+
+
 def count_runs_at_once(deployment: Deployment) -> int:
     """Return the most workers that run one task now."""
     counts: dict[str, int] = {}
--- a/tests/scheduling/test_leader.py
+++ b/tests/scheduling/test_leader.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import unittest
-from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
 import trio
@@ -22,193 +21,171 @@
 from rhubarbfield.scheduling.state import JobPhase, RunEnd
 from rhubarbfield.testing.calledworkers import StandInWorker
 from rhubarbfield.types import WorkerId
-from tests.replication.determinism import run_deterministic
-from tests.scheduling.deployments import ONE_CORE, Deployment, count_runs_at_once
+from tests.scheduling.deployments import (
+    ONE_CORE,
+    Deployment,
+    count_runs_at_once,
+    play,
+)
 
 LONGEST_LAPSE_SECONDS = 11.0  # the longest lease on a slow clock, and a call
 
 
-def run(test: Callable[[], Awaitable[None]]) -> None:
-    run_deterministic(test, seed=1)
-
-
 class RunningJobsTest(unittest.TestCase):
-    def test_steps_run_in_order_and_complete_the_job(self) -> None:
-        async def check() -> None:
-            deployment = Deployment()
-            await deployment.configure()
-            worker = deployment.add_worker("w1")
-            async with deployment.lead():
-                first = Step(tasks=3, demand=ONE_CORE, estimate_ms=1000)
-                second = Step(tasks=2, demand=ONE_CORE, estimate_ms=1000, after=(0,))
-                await deployment.submit("j", first, second)
-                await trio.sleep(3)
-                self.assertEqual(deployment.get_job("j").phase, JobPhase.COMPLETED)
-            steps = [task.split(".")[2] for task, _, _ in worker.started]
-            self.assertEqual(steps, ["0", "0", "0", "1", "1"])
-
-        run(check)
-
-    def test_cancelled_job_is_stopped_and_stays_stopped(self) -> None:
-        async def check() -> None:
-            deployment = Deployment()
-            await deployment.configure()
-            worker = deployment.add_worker("w1", duration=None)
-            async with deployment.lead():
-                await deployment.submit("j", Step(tasks=4, demand=ONE_CORE))
-                await trio.sleep(1)
-                self.assertEqual(len(worker.runs), 4)
-                await deployment.cancel("j")
-                await trio.sleep(1)
-                self.assertEqual(len(worker.runs), 0)
-                started = len(worker.started)
-                await trio.sleep(5)
-                self.assertEqual(len(worker.started), started)
-
-        run(check)
-
-    def test_failed_tasks_use_up_their_attempts(self) -> None:
-        async def check() -> None:
-            deployment = Deployment()
-            await deployment.configure(max_attempts=2)
-            for name in ("w1", "w2", "w3"):
-                deployment.add_worker(name).end = RunEnd.FAILED
-            async with deployment.lead():
-                await deployment.submit("j", Step(demand=ONE_CORE))
-                await trio.sleep(30)
-                self.assertEqual(deployment.get_job("j").phase, JobPhase.FAILED)
-            started = [
-                each
-                for worker in deployment.fleet.workers.values()
-                for each in worker.started
-            ]
-            self.assertEqual(len(started), 2)
-
-        run(check)
-
-    def test_standing_tasks_are_restarted_however_they_end(self) -> None:
-        async def check() -> None:
-            deployment = Deployment()
-            await deployment.configure(max_attempts=1)
-            worker = deployment.add_worker("w1", duration=timedelta(seconds=2))
-            worker.end = RunEnd.FAILED
-            async with deployment.lead():
-                await deployment.submit("j", Step(demand=ONE_CORE, standing=True))
-                await trio.sleep(20)
-                self.assertEqual(deployment.get_job("j").phase, JobPhase.RUNNING)
-            self.assertGreater(len(worker.started), 3)
-
-        run(check)
+    @play()
+    async def test_steps_run_in_order_and_complete_the_job(
+        self, deployment: Deployment
+    ) -> None:
+        worker = deployment.add_worker("w1")
+        async with deployment.lead():
+            first = Step(tasks=3, demand=ONE_CORE, estimate_ms=1000)
+            second = Step(tasks=2, demand=ONE_CORE, estimate_ms=1000, after=(0,))
+            await deployment.submit("j", first, second)
+            await trio.sleep(3)
+            self.assertEqual(deployment.get_job("j").phase, JobPhase.COMPLETED)
+        steps = [task.split(".")[2] for task, _, _ in worker.started]
+        self.assertEqual(steps, ["0", "0", "0", "1", "1"])
+
+    @play()
+    async def test_cancelled_job_is_stopped_and_stays_stopped(
+        self, deployment: Deployment
+    ) -> None:
+        worker = deployment.add_worker("w1", duration=None)
+        async with deployment.lead():
+            await deployment.submit("j", Step(tasks=4, demand=ONE_CORE))
+            await trio.sleep(1)
+            self.assertEqual(len(worker.runs), 4)
+            await deployment.cancel("j")
+            await trio.sleep(1)
+            self.assertEqual(len(worker.runs), 0)
+            started = len(worker.started)
+            await trio.sleep(5)
+            self.assertEqual(len(worker.started), started)
+
+    @play(max_attempts=2)
+    async def test_failed_tasks_use_up_their_attempts(
+        self, deployment: Deployment
+    ) -> None:
+        for name in ("w1", "w2", "w3"):
+            deployment.add_worker(name).end = RunEnd.FAILED
+        async with deployment.lead():
+            await deployment.submit("j", Step(demand=ONE_CORE))
+            await trio.sleep(30)
+            self.assertEqual(deployment.get_job("j").phase, JobPhase.FAILED)
+        started = [
+            each
+            for worker in deployment.fleet.workers.values()
+            for each in worker.started
+        ]
+        self.assertEqual(len(started), 2)
+
+    @play(max_attempts=1)
+    async def test_standing_tasks_are_restarted_however_they_end(
+        self, deployment: Deployment
+    ) -> None:
+        worker = deployment.add_worker("w1", duration=timedelta(seconds=2))
+        worker.end = RunEnd.FAILED
+        async with deployment.lead():
+            await deployment.submit("j", Step(demand=ONE_CORE, standing=True))
+            await trio.sleep(20)
+            self.assertEqual(deployment.get_job("j").phase, JobPhase.RUNNING)
+        self.assertGreater(len(worker.started), 3)
 
 
 class LostWorkersTest(unittest.TestCase):
-    def test_silent_worker_is_given_up_once_its_lease_has_lapsed(self) -> None:
+    @play()
+    async def test_silent_worker_is_given_up_once_its_lease_has_lapsed(
+        self, deployment: Deployment
+    ) -> None:
         """A view that is asked again must not extend the lease it waits for."""
-
-        async def check() -> None:
-            deployment = Deployment()
-            await deployment.configure()
-            first = deployment.add_worker("w1", duration=None)
-            async with deployment.lead():
-                await deployment.submit("j", Step(demand=ONE_CORE, standing=True))
-                await trio.sleep(1)
-                self.assertEqual(len(first.runs), 1)
-                second = deployment.add_worker("w2", duration=None)
-                first.is_silent = True
-                for _ in range(int(LONGEST_LAPSE_SECONDS * 10)):
-                    await trio.sleep(0.1)
-                    self.assertLessEqual(count_runs_at_once(deployment), 1)
-                self.assertEqual(len(second.runs), 1)
-
-        run(check)
-
-    def test_other_life_at_the_address_frees_the_tasks_at_once(self) -> None:
-        async def check() -> None:
-            deployment = Deployment()
-            await deployment.configure()
-            first = deployment.add_worker("w1", duration=None)
-            async with deployment.lead():
-                await deployment.submit("j", Step(demand=ONE_CORE, standing=True))
-                await trio.sleep(1)
-                deployment.reporting.remove(first)
-                again = StandInWorker(WorkerId("w2"), deployment.clock, duration=None)
-                deployment.fleet.add(again, first.address)
-                await trio.sleep(3)
-                self.assertNotIn(WorkerId("w1"), deployment.state.workers)
-                again_elsewhere = deployment.add_worker("w3", duration=None)
-                await trio.sleep(1.5)
-                self.assertEqual(len(again_elsewhere.runs), 1)
-
-        run(check)
-
-    def test_connections_to_a_worker_that_is_gone_are_closed(self) -> None:
-        async def check() -> None:
-            deployment = Deployment()
-            await deployment.configure()
-            first = deployment.add_worker("w1")
-            second = deployment.add_worker("w2")
-            async with deployment.lead() as leader:
-                await trio.sleep(1)
-                deployment.reporting.remove(first)
-                await leader.remove_worker(first.worker, {})
-                await trio.sleep(1)
-                self.assertEqual(deployment.fleet.forgotten, [first.address])
-            self.assertEqual(
-                deployment.fleet.forgotten, [first.address, second.address]
-            )
-
-        run(check)
-
-    def test_worker_that_said_it_ends_is_given_up_before_its_lease(self) -> None:
-        async def check() -> None:
-            deployment = Deployment()
-            await deployment.configure()
-            first = deployment.add_worker("w1", duration=None)
-            async with deployment.lead() as leader:
-                await deployment.submit("j", Step(demand=ONE_CORE, standing=True))
-                await trio.sleep(1)
-                second = deployment.add_worker("w2", duration=None)
-                await leader.forget_worker(first.worker)
-                first.is_silent = True
-                first.runs.clear()
-                await trio.sleep(5.5)
-                self.assertEqual(len(second.runs), 1)
-
-        run(check)
-
-    def test_standing_task_leaves_a_draining_worker_while_there_is_room(self) -> None:
-        async def check() -> None:
-            deployment = Deployment()
-            await deployment.configure()
-            first = deployment.add_worker("w1", duration=None)
-            async with deployment.lead() as leader:
-                await deployment.submit("j", Step(demand=ONE_CORE, standing=True))
-                await trio.sleep(1)
-                deployment.reporting.remove(first)
-                await leader.take_report(first.make_heartbeat(draining=True))
-                await trio.sleep(1)
-                self.assertEqual(len(first.runs), 1)
-                second = deployment.add_worker("w2", duration=None)
-                await trio.sleep(3)
-                self.assertEqual((len(first.runs), len(second.runs)), (0, 1))
-
-        run(check)
+        first = deployment.add_worker("w1", duration=None)
+        async with deployment.lead():
+            await deployment.submit("j", Step(demand=ONE_CORE, standing=True))
+            await trio.sleep(1)
+            self.assertEqual(len(first.runs), 1)
+            second = deployment.add_worker("w2", duration=None)
+            first.is_silent = True
+            for _ in range(int(LONGEST_LAPSE_SECONDS * 10)):
+                await trio.sleep(0.1)
+                self.assertLessEqual(count_runs_at_once(deployment), 1)
+            self.assertEqual(len(second.runs), 1)
+
+    @play()
+    async def test_other_life_at_the_address_frees_the_tasks_at_once(
+        self, deployment: Deployment
+    ) -> None:
+        first = deployment.add_worker("w1", duration=None)
+        async with deployment.lead():
+            await deployment.submit("j", Step(demand=ONE_CORE, standing=True))
+            await trio.sleep(1)
+            deployment.reporting.remove(first)
+            again = StandInWorker(WorkerId("w2"), deployment.clock, duration=None)
+            deployment.fleet.add(again, first.address)
+            await trio.sleep(3)
+            self.assertNotIn(WorkerId("w1"), deployment.state.workers)
+            again_elsewhere = deployment.add_worker("w3", duration=None)
+            await trio.sleep(1.5)
+            self.assertEqual(len(again_elsewhere.runs), 1)
+
+    @play()
+    async def test_connections_to_a_worker_that_is_gone_are_closed(
+        self, deployment: Deployment
+    ) -> None:
+        first = deployment.add_worker("w1")
+        second = deployment.add_worker("w2")
+        async with deployment.lead() as leader:
+            await trio.sleep(1)
+            deployment.reporting.remove(first)
+            await leader.remove_worker(first.worker, {})
+            await trio.sleep(1)
+            self.assertEqual(deployment.fleet.forgotten, [first.address])
+        self.assertEqual(deployment.fleet.forgotten, [first.address, second.address])
+
+    @play()
+    async def test_worker_that_said_it_ends_is_given_up_before_its_lease(
+        self, deployment: Deployment
+    ) -> None:
+        first = deployment.add_worker("w1", duration=None)
+        async with deployment.lead() as leader:
+            await deployment.submit("j", Step(demand=ONE_CORE, standing=True))
+            await trio.sleep(1)
+            second = deployment.add_worker("w2", duration=None)
+            await leader.forget_worker(first.worker)
+            first.is_silent = True
+            first.runs.clear()
+            await trio.sleep(5.5)
+            self.assertEqual(len(second.runs), 1)
+
+    @play()
+    async def test_standing_task_leaves_a_draining_worker_while_there_is_room(
+        self, deployment: Deployment
+    ) -> None:
+        first = deployment.add_worker("w1", duration=None)
+        async with deployment.lead() as leader:
+            await deployment.submit("j", Step(demand=ONE_CORE, standing=True))
+            await trio.sleep(1)
+            deployment.reporting.remove(first)
+            await leader.take_report(first.make_heartbeat(draining=True))
+            await trio.sleep(1)
+            self.assertEqual(len(first.runs), 1)
+            second = deployment.add_worker("w2", duration=None)
+            await trio.sleep(3)
+            self.assertEqual((len(first.runs), len(second.runs)), (0, 1))
 
 
 class WaitingTest(unittest.TestCase):
     def find_reason(self, step: Step) -> str:
         reasons: list[str] = []
 
-        async def check() -> None:
-            deployment = Deployment()
-            await deployment.configure()
+        @play()
+        async def wait(_case: WaitingTest, deployment: Deployment) -> None:
             deployment.add_worker("w1", duration=None)
             async with deployment.lead():
                 await deployment.submit("j", step)
                 await trio.sleep(1.5)
 
         with self.assertLogs("rhubarbfield.scheduling.leader", "INFO") as logs:
-            run(check)
+            wait(self)
         for record in logs.records:
             if find_event(record) == "step-waiting":
                 reasons.append(vars(record)["rhubarbfield_ids"]["reason"])
@@ -226,163 +203,142 @@
 
 
 class DistrustTest(unittest.TestCase):
-    def test_worker_that_recovers_gets_work_beside_what_it_runs(self) -> None:
+    @play()
+    async def test_worker_that_recovers_gets_work_beside_what_it_runs(
+        self, deployment: Deployment
+    ) -> None:
         """Standing tasks that stayed on it must not keep it on probation."""
-
-        async def check() -> None:
-            deployment = Deployment()
-            await deployment.configure()
-            worker = deployment.add_worker("w1", duration=None)
-            async with deployment.lead():
-                await deployment.submit("a", Step(demand=ONE_CORE, standing=True))
-                await trio.sleep(1)
-                worker.duration, worker.end = timedelta(seconds=0.03), RunEnd.FAILED
-                await deployment.submit("b", Step(demand=ONE_CORE, standing=True))
-                await trio.sleep(3)
-                worker.duration = None
-                await trio.sleep(9)
-                self.assertEqual(len(worker.runs), 2)
-
-        run(check)
-
-    def test_worker_that_fails_all_is_tried_now_and_then_only(self) -> None:
-        async def check() -> None:
-            deployment = Deployment()
-            await deployment.configure()
-            worker = deployment.add_worker("w1", duration=timedelta(seconds=0.03))
-            worker.end = RunEnd.FAILED
-            async with deployment.lead():
-                step = Step(tasks=8, demand=ONE_CORE, standing=True)
-                await deployment.submit("a", step)
-                await trio.sleep(2)
-                before = len(worker.started)
-                await trio.sleep(20)
-                self.assertLessEqual(len(worker.started) - before, 4)
-
-        run(check)
+        worker = deployment.add_worker("w1", duration=None)
+        async with deployment.lead():
+            await deployment.submit("a", Step(demand=ONE_CORE, standing=True))
+            await trio.sleep(1)
+            worker.duration, worker.end = timedelta(seconds=0.03), RunEnd.FAILED
+            await deployment.submit("b", Step(demand=ONE_CORE, standing=True))
+            await trio.sleep(3)
+            worker.duration = None
+            await trio.sleep(9)
+            self.assertEqual(len(worker.runs), 2)
+
+    @play()
+    async def test_worker_that_fails_all_is_tried_now_and_then_only(
+        self, deployment: Deployment
+    ) -> None:
+        worker = deployment.add_worker("w1", duration=timedelta(seconds=0.03))
+        worker.end = RunEnd.FAILED
+        async with deployment.lead():
+            step = Step(tasks=8, demand=ONE_CORE, standing=True)
+            await deployment.submit("a", step)
+            await trio.sleep(2)
+            before = len(worker.started)
+            await trio.sleep(20)
+            self.assertLessEqual(len(worker.started) - before, 4)
 
 
 class StalledRunsTest(unittest.TestCase):
-    def test_task_that_stands_still_goes_on_elsewhere(self) -> None:
-        async def check() -> None:
-            deployment = Deployment()
-            await deployment.configure()
-            stuck = deployment.add_worker("w1")
-            stuck.is_stuck = True
-            async with deployment.lead():
-                await deployment.submit("j", Step(demand=ONE_CORE))
-                await trio.sleep(1)
-                self.assertEqual(len(stuck.runs), 1)
-                deployment.add_worker("w2")
-                await trio.sleep(6)
-                self.assertEqual(deployment.get_job("j").phase, JobPhase.COMPLETED)
-
-        run(check)
+    @play()
+    async def test_task_that_stands_still_goes_on_elsewhere(
+        self, deployment: Deployment
+    ) -> None:
+        stuck = deployment.add_worker("w1")
+        stuck.is_stuck = True
+        async with deployment.lead():
+            await deployment.submit("j", Step(demand=ONE_CORE))
+            await trio.sleep(1)
+            self.assertEqual(len(stuck.runs), 1)
+            deployment.add_worker("w2")
+            await trio.sleep(6)
+            self.assertEqual(deployment.get_job("j").phase, JobPhase.COMPLETED)
 
 
 class UnansweredOrdersTest(unittest.TestCase):
-    def test_start_carried_out_late_does_not_double_the_task(self) -> None:
-        async def check() -> None:
-            deployment = Deployment()
-            await deployment.configure()
-            first = deployment.add_worker("w1", duration=None)
-            deployment.add_worker("w2", duration=None)
-            first.unanswered_starts = 3
-            async with deployment.lead():
-                for number in range(4):
-                    await deployment.submit(f"j{number}", Step(demand=ONE_CORE))
-                for _ in range(60):
-                    await trio.sleep(0.1)
-                    self.assertLessEqual(count_runs_at_once(deployment), 1)
-                deployment.fleet.carry_out_late()
-                for _ in range(60):
-                    await trio.sleep(0.1)
-                    self.assertLessEqual(count_runs_at_once(deployment), 1)
-
-        run(check)
-
-    def test_start_rejected_after_one_in_doubt_is_stopped_before_it_goes_elsewhere(
-        self,
+    @play()
+    async def test_start_carried_out_late_does_not_double_the_task(
+        self, deployment: Deployment
     ) -> None:
-        async def check() -> None:
-            deployment = Deployment()
-            await deployment.configure()
-            first = deployment.add_worker("w1", duration=None)
-            first.unanswered_starts = 1
-            first.rejected_starts = 1
-            async with deployment.lead():
-                await deployment.submit("j", Step(demand=ONE_CORE, standing=True))
-                await trio.sleep(0.5)
-                second = deployment.add_worker("w2", duration=None)
-                for _ in range(30):
-                    await trio.sleep(0.1)
-                    if second.runs or first.stopped_at(TaskName("j.0.0.0")):
-                        deployment.fleet.carry_out_late()
-                    self.assertLessEqual(count_runs_at_once(deployment), 1)
-
-        run(check)
-
-    def test_start_that_waited_behind_a_silence_is_not_sent_once_given_up(
-        self,
+        first = deployment.add_worker("w1", duration=None)
+        deployment.add_worker("w2", duration=None)
+        first.unanswered_starts = 3
+        async with deployment.lead():
+            for number in range(4):
+                await deployment.submit(f"j{number}", Step(demand=ONE_CORE))
+            for _ in range(60):
+                await trio.sleep(0.1)
+                self.assertLessEqual(count_runs_at_once(deployment), 1)
+            deployment.fleet.carry_out_late()
+            for _ in range(60):
+                await trio.sleep(0.1)
+                self.assertLessEqual(count_runs_at_once(deployment), 1)
+
+    @play()
+    async def test_start_rejected_after_one_in_doubt_is_stopped_before_it_moves(
+        self, deployment: Deployment
     ) -> None:
-        async def check() -> None:
-            deployment = Deployment()
-            await deployment.configure()
-            first = deployment.add_worker("w1", duration=None)
-            async with deployment.lead() as leader:
-                await deployment.submit("a", Step(demand=ONE_CORE))
-                await trio.sleep(1)
-                first.is_silent = True
-                await deployment.cancel("a")
-                await trio.sleep(0.3)
-                session = leader.get_session(first.worker)
-                assert session is not None
-                key = RunKey(TaskName("b.0.0.0"), RunNumber(1))
-                await deployment.submit("b", Step(demand=ONE_CORE, standing=True))
-                start = RunStart(key.task, key.run, first.worker)
-                await deployment.propose(StartRuns(starts=(start,)))
-                session.start(Start(key, "p", NO_CHECKPOINT))
-                second = deployment.add_worker("w2", duration=None)
-                await trio.sleep(LONGEST_LAPSE_SECONDS)
-                self.assertEqual(len(second.runs), 1)
-                first.is_silent = False
-                for _ in range(30):
-                    await trio.sleep(0.1)
-                    self.assertLessEqual(count_runs_at_once(deployment), 1)
-
-        run(check)
-
-    def test_next_leader_takes_over_what_runs(self) -> None:
-        async def check() -> None:
-            deployment = Deployment()
-            await deployment.configure()
-            worker = deployment.add_worker("w1", duration=None)
-            async with deployment.lead():
-                await deployment.submit("j", Step(tasks=3, demand=ONE_CORE))
-                await trio.sleep(1)
-            deployment.elect(2)
-            async with deployment.lead():
-                await trio.sleep(5)
-                self.assertEqual(len(worker.started), 3)
-                self.assertEqual(len(worker.runs), 3)
-
-        run(check)
-
-    def test_start_that_no_leader_sent_is_given_out_again(self) -> None:
-        async def check() -> None:
-            deployment = Deployment()
-            await deployment.configure()
-            worker = deployment.add_worker("w1")
-            worker.unanswered_starts = 1
-            async with deployment.lead():
-                await deployment.submit("j", Step(demand=ONE_CORE))
-                await trio.sleep(0.3)
-            deployment.elect(2)
-            async with deployment.lead():
-                await trio.sleep(4)
-                self.assertEqual(deployment.get_job("j").phase, JobPhase.COMPLETED)
-
-        run(check)
+        first = deployment.add_worker("w1", duration=None)
+        first.unanswered_starts = 1
+        first.rejected_starts = 1
+        async with deployment.lead():
+            await deployment.submit("j", Step(demand=ONE_CORE, standing=True))
+            await trio.sleep(0.5)
+            second = deployment.add_worker("w2", duration=None)
+            for _ in range(30):
+                await trio.sleep(0.1)
+                if second.runs or first.stopped_at(TaskName("j.0.0.0")):
+                    deployment.fleet.carry_out_late()
+                self.assertLessEqual(count_runs_at_once(deployment), 1)
+
+    @play()
+    async def test_start_that_waited_behind_a_silence_is_not_sent_once_given_up(
+        self, deployment: Deployment
+    ) -> None:
+        first = deployment.add_worker("w1", duration=None)
+        async with deployment.lead() as leader:
+            await deployment.submit("a", Step(demand=ONE_CORE))
+            await trio.sleep(1)
+            first.is_silent = True
+            await deployment.cancel("a")
+            await trio.sleep(0.3)
+            session = leader.get_session(first.worker)
+            assert session is not None
+            key = RunKey(TaskName("b.0.0.0"), RunNumber(1))
+            await deployment.submit("b", Step(demand=ONE_CORE, standing=True))
+            start = RunStart(key.task, key.run, first.worker)
+            await deployment.propose(StartRuns(starts=(start,)))
+            session.start(Start(key, "p", NO_CHECKPOINT))
+            second = deployment.add_worker("w2", duration=None)
+            await trio.sleep(LONGEST_LAPSE_SECONDS)
+            self.assertEqual(len(second.runs), 1)
+            first.is_silent = False
+            for _ in range(30):
+                await trio.sleep(0.1)
+                self.assertLessEqual(count_runs_at_once(deployment), 1)
+
+    @play()
+    async def test_next_leader_takes_over_what_runs(
+        self, deployment: Deployment
+    ) -> None:
+        worker = deployment.add_worker("w1", duration=None)
+        async with deployment.lead():
+            await deployment.submit("j", Step(tasks=3, demand=ONE_CORE))
+            await trio.sleep(1)
+        deployment.elect(2)
+        async with deployment.lead():
+            await trio.sleep(5)
+            self.assertEqual(len(worker.started), 3)
+            self.assertEqual(len(worker.runs), 3)
+
+    @play()
+    async def test_start_that_no_leader_sent_is_given_out_again(
+        self, deployment: Deployment
+    ) -> None:
+        worker = deployment.add_worker("w1")
+        worker.unanswered_starts = 1
+        async with deployment.lead():
+            await deployment.submit("j", Step(demand=ONE_CORE))
+            await trio.sleep(0.3)
+        deployment.elect(2)
+        async with deployment.lead():
+            await trio.sleep(4)
+            self.assertEqual(deployment.get_job("j").phase, JobPhase.COMPLETED)
 
 
 if __name__ == "__main__":
