--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -39,7 +39,7 @@
 from rhubarbfield.scheduling.neighbours import Neighbours
 from rhubarbfield.scheduling.orders import Start
 from rhubarbfield.scheduling.placing import Placer
-from rhubarbfield.scheduling.ports import WorkerAddress, WorkerCalls
+from rhubarbfield.scheduling.ports import WorkerCalls
 from rhubarbfield.scheduling.progress import RunKey
 from rhubarbfield.scheduling.recording import (
     PROPOSE_PAUSE,
@@ -47,6 +47,7 @@
     propose_until_done,
 )
 from rhubarbfield.scheduling.rooms import WorkerRoom, measure_rooms
+from rhubarbfield.scheduling.roster import Roster
 from rhubarbfield.scheduling.session import WorkerSession
 from rhubarbfield.scheduling.settings import SchedulingSettings
 from rhubarbfield.scheduling.state import (
@@ -90,7 +91,6 @@
         settings: SchedulingSettings,
     ) -> None:
         self._log = log
-        self._calls = calls
         self._clock = clock
         self._settings = settings
         self._trust = Trust(settings)
@@ -98,16 +98,20 @@
         self._interference.restore(self.state.harm.values())
         self._neighbours = Neighbours(self, self._interference, clock)
         self._backlog = Backlog(clock)
-        self._sessions: dict[WorkerId, WorkerSession] = {}
-        self._scopes: dict[WorkerId, trio.CancelScope] = {}
-        self._nursery: trio.Nursery | None = None
+        self._roster = Roster(
+            self,
+            calls=calls,
+            clock=clock,
+            settings=settings,
+            on_gone=self._forget_learned,
+        )
         self._wake = trio.Event()
         self._avoided: dict[TaskName, set[WorkerId]] = {}
         self._ends = Batcher(self._commit_ends)
         self._housekeeping = Housekeeping(
             log,
             host=self,
-            sessions=self._sessions,
+            sessions=self._roster.sessions,
             trust=self._trust,
             backlog=self._backlog,
             clock=clock,
@@ -115,8 +119,6 @@
         )
         leadership = log.replica.leadership
         self._term = leadership.term if leadership is not None else Term(0)
-        self._reported_clocks: dict[WorkerId, timedelta] = {}
-        self._sequences: dict[WorkerId, int] = {}
         self._told_waiting_at = timedelta()
 
     @property
@@ -128,9 +130,8 @@
         """Lead until cancelled."""
         log_event(logger, logging.INFO, "leading-started", term=self._term)
         async with trio.open_nursery() as nursery:
-            self._nursery = nursery
             nursery.start_soon(self._ends.run)
-            nursery.start_soon(self._follow_state)
+            nursery.start_soon(self._follow_state, nursery)
             nursery.start_soon(self._wake_regularly)
             nursery.start_soon(self._place_work)
             nursery.start_soon(self._save_harm)
@@ -162,7 +163,7 @@
     def note_view(self, worker: WorkerId) -> None:
         """Learn that a worker has just been seen."""
         record = self.find_worker(worker)
-        session = self._sessions.get(worker)
+        session = self.get_session(worker)
         if record is not None and session is not None:
             self._neighbours.note_view(record, session)
         self._wake.set()
@@ -175,24 +176,19 @@
 
     def get_session(self, worker: WorkerId) -> WorkerSession | None:
         """Return the dealings with a worker, if it is known."""
-        return self._sessions.get(worker)
+        return self._roster.sessions.get(worker)
 
     async def take_report(self, beat: Heartbeat) -> bool:
         """Take in what a worker says of itself; return whether it is recorded.
 
         One that was overtaken by a later one changes nothing.
         """
-        report, clock = beat.report, beat.clock
-        if beat.sequence <= self._sequences.get(report.worker, -1):
-            return report.worker in self.state.workers
-        if clock is not None:
-            self._reported_clocks[report.worker] = clock
-        session = self._sessions.get(report.worker)
-        if session is not None:
-            session.note_report(clock)
-        if not await self._record_report(report):
+        if self._roster.is_overtaken(beat):
+            return beat.report.worker in self.state.workers
+        self._roster.note_report(beat)
+        if not await self._record_report(beat.report):
             return False
-        self._sequences[report.worker] = beat.sequence
+        self._roster.note_recorded(beat)
         return True
 
     async def _record_report(self, report: WorkerReport) -> bool:
@@ -214,7 +210,7 @@
 
     async def forget_worker(self, worker: WorkerId) -> bool:
         """Take in that a worker ends; return whether it is recorded."""
-        session = self._sessions.get(worker)
+        session = self.get_session(worker)
         if session is not None:
             session.note_leave()
         return True
@@ -224,8 +220,9 @@
             is_same = worker.machine == report.machine or (
                 worker.address == report.address
             )
-            if is_same and worker.worker in self._sessions:
-                self._sessions[worker.worker].wake()
+            session = self.get_session(worker.worker)
+            if is_same and session is not None:
+                session.wake()
 
     # Loops.
 
@@ -234,63 +231,17 @@
             await self._clock.sleep(IDLE_ROUND)
             self._wake.set()
 
-    async def _follow_state(self) -> None:
+    async def _follow_state(self, nursery: trio.Nursery) -> None:
         """Keep a session with each worker, and wake placing at each change."""
         while True:
             seen = self._log.changes
-            self._match_sessions()
+            self._roster.match(self.state.workers, nursery)
             self._wake.set()
             await self._log.wait_change(seen)
 
-    def _match_sessions(self) -> None:
-        for worker in self.state.workers.values():
-            session = self._sessions.get(worker.worker)
-            if session is None or session.address.address != worker.address:
-                self._open_session(worker)
-        for gone in self._sessions.keys() - self.state.workers.keys():
-            self._close_session(gone)
-
-    def _open_session(self, worker: Worker) -> None:
-        assert self._nursery is not None
-        if worker.worker in self._sessions:
-            self._close_session(worker.worker)
-        session = WorkerSession(
-            WorkerAddress(worker.worker, worker.address),
-            host=self,
-            calls=self._calls,
-            clock=self._clock,
-            settings=self._settings,
-        )
-        session.note_report(self._reported_clocks.get(worker.worker))
-        self._sessions[worker.worker] = session
-        scope = self._scopes[worker.worker] = trio.CancelScope()
-        self._nursery.start_soon(self._run_session, session, scope)
-
-    async def _run_session(
-        self, session: WorkerSession, scope: trio.CancelScope
-    ) -> None:
-        try:
-            with scope:
-                await session.run()
-        finally:
-            await self._drop_connections(session)
-
-    async def _drop_connections(self, session: WorkerSession) -> None:
-        """Close the connections to a worker, unless another life took its address."""
-        if self._sessions.get(session.worker) is session:  # the term has ended
-            del self._sessions[session.worker]
-        address = session.address.address
-        if all(other.address.address != address for other in self._sessions.values()):
-            with trio.CancelScope(shield=True):
-                await self._calls.forget(address)
-
-    def _close_session(self, worker: WorkerId) -> None:
-        del self._sessions[worker]
-        self._scopes.pop(worker).cancel()
+    def _forget_learned(self, worker: WorkerId) -> None:
         self._trust.forget(worker)
         self._neighbours.forget(worker)
-        self._reported_clocks.pop(worker, None)
-        self._sequences.pop(worker, None)
 
     async def _save_harm(self) -> None:
         """Leave what is learned of images to the next leader."""
@@ -383,7 +334,7 @@
             )
 
     def _order(self, start: RunStart) -> None:
-        session = self._sessions.get(start.worker)
+        session = self.get_session(start.worker)
         found = self.state.find_task(start.task)
         if session is None or found is None:
             return
@@ -415,7 +366,7 @@
         return self._backlog.is_idle(job, self._settings.starved_after)
 
     def _is_usable(self, worker: Worker) -> bool:
-        session = self._sessions.get(worker.worker)
+        session = self.get_session(worker.worker)
         now = self._clock.monotonic()
         return (
             session is not None
--- /dev/null
+++ b/src/rhubarbfield/scheduling/roster.py
@@ -0,0 +1,123 @@
+"""The leader's dealings with each worker, from its first report to its end."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from datetime import timedelta
+
+import trio
+
+from rhubarbfield.clock import Clock
+from rhubarbfield.scheduling.heartbeats import Heartbeat
+from rhubarbfield.scheduling.hosts import SessionHost
+from rhubarbfield.scheduling.ports import WorkerAddress, WorkerCalls
+from rhubarbfield.scheduling.session import WorkerSession
+from rhubarbfield.scheduling.settings import SchedulingSettings
+from rhubarbfield.scheduling.state import Worker
+from rhubarbfield.types import WorkerId
+
+
+class Roster:
+    """A session with each worker that is recorded.
+
+    Parameters
+    ----------
+    host
+        The leader.
+    calls
+        The way to workers.
+    clock
+        The time.
+    settings
+        Times and limits.
+    on_gone
+        Called with each worker whose session is closed.
+
+    Attributes
+    ----------
+    sessions
+        By worker; changed here only.
+    """
+
+    def __init__(
+        self,
+        host: SessionHost,
+        *,
+        calls: WorkerCalls,
+        clock: Clock,
+        settings: SchedulingSettings,
+        on_gone: Callable[[WorkerId], None],
+    ) -> None:
+        self._host = host
+        self._calls = calls
+        self._clock = clock
+        self._settings = settings
+        self._on_gone = on_gone
+        self._scopes: dict[WorkerId, trio.CancelScope] = {}
+        self._reported_clocks: dict[WorkerId, timedelta] = {}
+        self._sequences: dict[WorkerId, int] = {}
+        self.sessions: dict[WorkerId, WorkerSession] = {}
+
+    def match(self, workers: Mapping[WorkerId, Worker], nursery: trio.Nursery) -> None:
+        """Have a session with each of ``workers``, and with no other."""
+        for worker in workers.values():
+            session = self.sessions.get(worker.worker)
+            if session is None or session.address.address != worker.address:
+                self._open(worker, nursery)
+        for gone in self.sessions.keys() - workers.keys():
+            self._close(gone)
+
+    def is_overtaken(self, beat: Heartbeat) -> bool:
+        """Say whether a later report of the worker is recorded already."""
+        return beat.sequence <= self._sequences.get(beat.report.worker, -1)
+
+    def note_report(self, beat: Heartbeat) -> None:
+        """Learn that a worker reported itself."""
+        worker = beat.report.worker
+        if beat.clock is not None:
+            self._reported_clocks[worker] = beat.clock
+        session = self.sessions.get(worker)
+        if session is not None:
+            session.note_report(beat.clock)
+
+    def note_recorded(self, beat: Heartbeat) -> None:
+        """Learn that what a worker reported is recorded."""
+        self._sequences[beat.report.worker] = beat.sequence
+
+    def _open(self, worker: Worker, nursery: trio.Nursery) -> None:
+        if worker.worker in self.sessions:
+            self._close(worker.worker)
+        session = WorkerSession(
+            WorkerAddress(worker.worker, worker.address),
+            host=self._host,
+            calls=self._calls,
+            clock=self._clock,
+            settings=self._settings,
+        )
+        session.note_report(self._reported_clocks.get(worker.worker))
+        self.sessions[worker.worker] = session
+        scope = self._scopes[worker.worker] = trio.CancelScope()
+        nursery.start_soon(self._run, session, scope)
+
+    async def _run(self, session: WorkerSession, scope: trio.CancelScope) -> None:
+        try:
+            with scope:
+                await session.run()
+        finally:
+            await self._drop_connections(session)
+
+    async def _drop_connections(self, session: WorkerSession) -> None:
+        """Close the connections to a worker, unless another life took its address."""
+        if self.sessions.get(session.worker) is session:  # the term has ended
+            del self.sessions[session.worker]
+        address = session.address.address
+        if all(other.address.address != address for other in self.sessions.values()):
+            with trio.CancelScope(shield=True):
+                await self._calls.forget(address)
+
+    def _close(self, worker: WorkerId) -> None:
+        del self.sessions[worker]
+        self._scopes.pop(worker).cancel()
+        self._reported_clocks.pop(worker, None)
+        self._sequences.pop(worker, None)
+        self._on_gone(worker)
