Measure passes of the event loop, and name the tasks of a long one

A saturated loop could not be told from a slow disk or a dead link: no metric or line showed how long a message waits for the loop. Now rhubarbfield_loop_pass_seconds has the length of each pass in both job daemons, and a pass of 250 ms or more is logged as loop-delayed with its length, its steps and the functions whose tasks took most of it. Such passes are at most four a second, so the line needs no limit besides its budget.

--- a/src/rhubarbfield/cli/job_daemons.py
+++ b/src/rhubarbfield/cli/job_daemons.py
@@ -5,6 +5,7 @@
 import logging
 import os
 import sys
+import time
 from functools import partial
 from pathlib import Path
 from typing import TYPE_CHECKING
@@ -61,6 +62,7 @@
 
     from rhubarbfield.logoutput import LogBudget, configure_bounded_logging
     from rhubarbfield.logs import get_logger, log_event
+    from rhubarbfield.loopmonitor import LoopMonitor
     from rhubarbfield.scheduling.deployment import load_deployment_settings
 
     given = invocation.flags.settings or os.environ.get(SETTINGS_VARIABLE)
@@ -79,7 +81,9 @@
         instance=settings.instance,
     )
     try:
-        trio.run(partial(daemon, settings, path))
+        trio.run(
+            partial(daemon, settings, path), instruments=[LoopMonitor(time.monotonic)]
+        )
     except Exception as error:
         logger.error("daemon-failed", exc_info=error)
         raise
--- a/tests/scheduling/test_events.py
+++ b/tests/scheduling/test_events.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parents[2]
-PARTS = ("scheduling", "platform")
+SOURCES = ("scheduling/*.py", "platform/*.py", "loopmonitor.py")
 EVENT = re.compile(
     r"(?:log_event\(\s*\w+,\s*[\w.]+,\s*|logger\.\w+\(\s*|_log_failure\(\s*)"
     r"\"([a-z]+(?:-[a-z]+)+)"
@@ -20,8 +20,8 @@
         listed = set(re.findall(r"`([a-z]+(?:-[a-z]+)+)`", page))
         logged = {
             event
-            for part in PARTS
-            for path in (ROOT / "src" / "rhubarbfield" / part).glob("*.py")
+            for source in SOURCES
+            for path in (ROOT / "src" / "rhubarbfield").glob(source)
             for event in EVENT.findall(path.read_text(encoding="utf-8"))
         }
         self.assertGreater(len(logged), 15)
--- a/tests/scheduling/test_metrics.py
+++ b/tests/scheduling/test_metrics.py
@@ -8,6 +8,7 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 SOURCES = (
+    "loopmonitor.py",
     "scheduling/metrics.py",
     "replication/metrics.py",
     "groups/replicated.py",
