Say at quorum-lost who answered when, and at elected who was silent

quorum-lost named only the group and the term, so a starved leader looked like one whose links were cut. It now has the time since each voter's last answer, the age of the latest message that each has answered, and the time since the leader last sent to any. elected names the former leader and the time since its last message, which tells a silent leader from a released or a repeated term.

--- a/src/rhubarbfield/replication/__init__.py
+++ b/src/rhubarbfield/replication/__init__.py
@@ -10,7 +10,7 @@
     ProposeError,
     Unsafe,
 )
-from rhubarbfield.replication.leader import Leadership
+from rhubarbfield.replication.leadership import Leadership
 from rhubarbfield.replication.membership import Membership
 from rhubarbfield.replication.messages import (
     MalformedMessage,
--- a/src/rhubarbfield/replication/election.py
+++ b/src/rhubarbfield/replication/election.py
@@ -93,7 +93,13 @@
             check_invariant(
                 state.role is Role.CANDIDATE, "only-candidates-win", state.role
             )
-            logger.info("elected group=%s term=%d", state.group, state.term)
+            logger.info(
+                "elected group=%s term=%d former=%s silence=%s",
+                state.group,
+                state.term,
+                state.latest_leader and state.latest_leader.name,
+                state.find_leader_silence(),
+            )
             state.become_leader()
 
     def _request_votes(self) -> None:
--- a/src/rhubarbfield/replication/leader.py
+++ b/src/rhubarbfield/replication/leader.py
@@ -6,12 +6,14 @@
 from collections.abc import Callable, Sequence
 from datetime import timedelta
 
-import msgspec
 import trio
 from returns.result import Failure, Result
 
+from rhubarbfield.logs import log_event
 from rhubarbfield.replication.applier import Applier
+from rhubarbfield.replication.contacts import describe_quorum, find_unreachable
 from rhubarbfield.replication.failures import NotLeader, OutcomeUnknown, ProposeError
+from rhubarbfield.replication.leadership import Leadership
 from rhubarbfield.replication.messages import AppendAnswer, InstallSnapshotAnswer
 from rhubarbfield.replication.metrics import LAG_ENTRIES, SYNC_SECONDS
 from rhubarbfield.replication.peer import Peer
@@ -19,27 +21,10 @@
 from rhubarbfield.replication.signal import Signal
 from rhubarbfield.replication.state import NEVER, ReplicaState
 from rhubarbfield.storage import Entry, EntryKind, ReplicaId, StoreFailure
-from rhubarbfield.types import InstanceName, LogIndex, Term
+from rhubarbfield.types import InstanceName, LogIndex
 
 logger = logging.getLogger(__name__)
 
-LEARNER_CONTACT_TIMEOUT = timedelta(seconds=30)
-
-
-class Leadership(msgspec.Struct, frozen=True):
-    """A leader's lease: the right to act as leader for a limited time.
-
-    Attributes
-    ----------
-    term
-        The leader's term, which serves as the epoch of every effect.
-    valid_until
-        The monotonic time at which the lease ends unless it is renewed.
-    """
-
-    term: Term
-    valid_until: timedelta
-
 
 class Leader:
     """Appends proposals, replicates them to the peers and keeps the lease.
@@ -266,7 +251,8 @@
             await state.clock.sleep(interval - state.now % interval)
             grace_end = self._elected_at + state.settings.lease
             if self.is_active and state.now > max(grace_end, self._find_lease_end()):
-                logger.warning("quorum-lost group=%s term=%d", state.group, state.term)
+                fields = describe_quorum(state, self.peers)
+                log_event(logger, logging.WARNING, "quorum-lost", **fields)
                 state.step_down()
 
     def _find_lag(self) -> int:
@@ -349,13 +335,5 @@
         self._scopes.pop(replica_id).cancel()
 
     def _drop_unreachable_learners(self) -> None:
-        voters = self._state.log.quorum.voters
-        now = self._state.now
-        unreachable = [
-            peer.id
-            for peer in self.peers.values()
-            if peer.id not in voters
-            and now - max(peer.last_contact_at, peer.added_at) > LEARNER_CONTACT_TIMEOUT
-        ]
-        for replica_id in unreachable:
+        for replica_id in find_unreachable(self._state, self.peers):
             self._stop_peer(replica_id)
--- /dev/null
+++ b/src/rhubarbfield/replication/leadership.py
@@ -0,0 +1,24 @@
+"""The lease under which a leader may act."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+import msgspec
+
+from rhubarbfield.types import Term
+
+
+class Leadership(msgspec.Struct, frozen=True):
+    """A leader's lease: the right to act as leader for a limited time.
+
+    Attributes
+    ----------
+    term
+        The leader's term, which serves as the epoch of every effect.
+    valid_until
+        The monotonic time at which the lease ends unless it is renewed.
+    """
+
+    term: Term
+    valid_until: timedelta
--- a/src/rhubarbfield/replication/peer.py
+++ b/src/rhubarbfield/replication/peer.py
@@ -63,6 +63,7 @@
         self.match_index = LogIndex(0)
         self.acknowledged_sent_at = NEVER
         self.last_contact_at = NEVER
+        self.last_sent_at = NEVER
         self.added_at = state.now
         self._has_lease = has_lease
         self._next_index = LogIndex(state.log.last.index + 1)
@@ -183,7 +184,7 @@
             sent=self._get_now_microseconds(),
         )
         self._is_heartbeat_due = False
-        state.send(self.id.name, message)
+        self._send(message)
 
     def _send_chunk(self) -> None:
         state = self._state
@@ -211,4 +212,8 @@
             data=snapshot.data[transfer.received : end],
             sent=self._get_now_microseconds(),
         )
-        state.send(self.id.name, message)
+        self._send(message)
+
+    def _send(self, message: Append | InstallSnapshot) -> None:
+        self._state.send(self.id.name, message)
+        self.last_sent_at = self._state.now
--- a/src/rhubarbfield/replication/replica.py
+++ b/src/rhubarbfield/replication/replica.py
@@ -20,16 +20,13 @@
     ProposeError,
     Unsafe,
 )
-from rhubarbfield.replication.leader import Leader, Leadership
+from rhubarbfield.replication.leader import Leader
+from rhubarbfield.replication.leadership import Leadership
 from rhubarbfield.replication.log import ReplicaLog
 from rhubarbfield.replication.messages import ReplicationMessage
 from rhubarbfield.replication.proposals import Proposals
 from rhubarbfield.replication.settings import GroupSettings
-from rhubarbfield.replication.state import (
-    MessageSender,
-    ReplicaState,
-    RunBlocking,
-)
+from rhubarbfield.replication.state import MessageSender, ReplicaState, RunBlocking
 from rhubarbfield.replication.status import ReplicaStatus, describe_status
 from rhubarbfield.storage import (
     HardState,
--- a/src/rhubarbfield/replication/state.py
+++ b/src/rhubarbfield/replication/state.py
@@ -115,7 +115,7 @@
         self._sender = sender
         self.role = Role.FOLLOWER
         self.leader: ReplicaId | None = None
-        self._latest_leader: ReplicaId | None = None
+        self.latest_leader: ReplicaId | None = None
         self._latest_leader_term = Term(0)
         self.last_contact_at = NEVER
         # A voter may have answered a leader just before it restarted.
@@ -199,14 +199,23 @@
         self.last_contact_at = self.now
         self.reset_election_timer()
 
+    def find_leader_silence(self) -> timedelta | None:
+        """Return the time since the latest leader's last message.
+
+        None if there was no leader, or if it was this replica.
+        """
+        if self.latest_leader in {None, self.id}:
+            return None
+        return self.now - self.last_contact_at
+
     def _record_leader(self, leader: ReplicaId) -> None:
         check_invariant(
-            self._latest_leader_term < self.term or self._latest_leader == leader,
+            self._latest_leader_term < self.term or self.latest_leader == leader,
             "one-leader-a-term",
-            (self.term, self._latest_leader, leader),
+            (self.term, self.latest_leader, leader),
         )
         self._latest_leader_term = self.term
-        self._latest_leader = leader
+        self.latest_leader = leader
         self.leader = leader
 
     def refuse_votes_before(self, until: timedelta) -> None:
