Check that both job daemons measure their event loop

The whole-path test reads rhubarbfield_loop_pass_seconds of the entry and of the leader; a daemon that runs without the monitor would go unseen.

--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -232,6 +232,8 @@
             entry["rhubarbfield_scheduling_request_seconds_count", submitted], 2
         )
         leader = await read_metrics(client, await find_leader(client))
+        for program in (entry, leader):
+            self.assertGreater(program["rhubarbfield_loop_pass_seconds_count", {}], 0)
         for name, labels, expected in (
             ("runs_placed_total", {}, 3),
             ("runs_ended_total", {"end": "done"}, 3),
