Measure the disks of followers, and log a slow operation

rhubarbfield_replication_sync_seconds covers the leader only, and includes the wait for a thread and for the event loop, so that a slow disk of a follower was not seen and a saturated loop looked like a slow disk. Now rhubarbfield_replication_store_seconds has every operation of a replica's store by kind, measured in the thread that waits for the disk, and one of 200 ms or more is logged as sync-slow.

--- a/src/rhubarbfield/replication/metrics.py
+++ b/src/rhubarbfield/replication/metrics.py
@@ -12,6 +12,12 @@
     ["group"],
     buckets=SYNC_BUCKETS,
 )
+STORE_SECONDS = Histogram(
+    "rhubarbfield_replication_store_seconds",
+    "Time that the store of a replica took, by operation, at leaders and followers.",
+    ["group", "operation"],
+    buckets=SYNC_BUCKETS,
+)
 ELECTIONS_WON = Counter(
     "rhubarbfield_replication_elections_won", "Terms that this replica led.", ["group"]
 )
--- a/src/rhubarbfield/replication/replica.py
+++ b/src/rhubarbfield/replication/replica.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import time
 from random import Random
 
 import trio
@@ -23,6 +24,7 @@
 from rhubarbfield.replication.leader import Leader
 from rhubarbfield.replication.leadership import Leadership
 from rhubarbfield.replication.log import ReplicaLog
+from rhubarbfield.replication.measuredstore import MeasuredStore
 from rhubarbfield.replication.messages import ReplicationMessage
 from rhubarbfield.replication.proposals import Proposals
 from rhubarbfield.replication.settings import GroupSettings
@@ -107,7 +109,8 @@
         self.name = name
         self._bootstrap = bootstrap
         self._machine = machine
-        self._store = store
+        # The clock of the event loop can't be read in the thread of a sync.
+        self._store = MeasuredStore(store, group, time.monotonic)
         self._sender = sender
         self._clock = clock
         self._random = random
