Show that a run number used twice ends every controller (known red)

A proposal of starts that times out may commit later. The next round proposes the same task under the same number for another worker; the state machine accepts it (a copy beside a live run, or a waiting task whose first run has ended) and breaks `run-numbers-grow` in every replica and at each replay.

At the state machine: a used number for a copy, for a waiting task and for a gang; members of one gang under two numbers; names of tasks that a job does not have, which end `find_task` with an IndexError. At the leader: a log whose first proposal of starts times out and commits before the next one. There, a start that was recorded after all is never sent either, as no view looks for it on an idle worker.

--- a/tests/controller/single_member.py
+++ b/tests/controller/single_member.py
@@ -4,20 +4,38 @@
 
 from typing import Any, TypeVar, cast
 
+import msgspec
 import trio
 from returns.result import Failure, Result, Success
 
 from rhubarbfield.groups import ReplicatedLog
 from rhubarbfield.machine import SectionedMachine
-from rhubarbfield.replication import NotLeader, Replica
+from rhubarbfield.replication import (
+    NotLeader,
+    OutcomeUnknown,
+    ProposeError,
+    Replica,
+)
 from rhubarbfield.types import LogIndex
 
 StateT = TypeVar("StateT")
 COMMIT_SECONDS = 0.002
+PROPOSE_TIMEOUT_SECONDS = 2.5
 
 
 class SingleMemberReplica:
-    """Applies a command at once and answers after a delay, as a real replica does."""
+    """Applies a command at once and answers after a delay, as a real replica does.
+
+    Attributes
+    ----------
+    commands
+        Number of applied commands.
+    commit_seconds
+        Time from the application of a command to the answer.
+    unanswered
+        Types of commands, by name. The next proposal of each listed one gets no
+        answer in time; it is applied just before the next one that is answered.
+    """
 
     def __init__(self, machine: SectionedMachine[Any]) -> None:
         self._machine = machine
@@ -25,18 +43,33 @@
         self.leadership: object | None = object()
         self.leader_hint = None
         self.commands = 0
+        self.commit_seconds = COMMIT_SECONDS
+        self.unanswered: list[str] = []
+        self._late: list[bytes] = []
 
     async def wait_current(self) -> None:
         await trio.lowlevel.checkpoint()
 
-    async def propose(self, command: bytes) -> Result[bytes, NotLeader]:
+    async def propose(self, command: bytes) -> Result[bytes, ProposeError]:
         if self.leadership is None:
             return Failure(NotLeader(None))
+        name = msgspec.msgpack.decode(command)["type"]
+        if name in self.unanswered:
+            self.unanswered.remove(name)
+            self._late.append(command)
+            await trio.sleep(PROPOSE_TIMEOUT_SECONDS)
+            return Failure(OutcomeUnknown())
+        late, self._late = self._late, []
+        for earlier in late:
+            self._apply(earlier)
+        reply = self._apply(command)
+        await trio.sleep(self.commit_seconds)
+        return Success(reply)
+
+    def _apply(self, command: bytes) -> bytes:
         self.applied = LogIndex(self.applied + 1)
         self.commands += 1
-        reply = self._machine.apply(self.applied, command)
-        await trio.sleep(COMMIT_SECONDS)
-        return Success(reply)
+        return self._machine.apply(self.applied, command)
 
 
 def make_single_member_log(
--- a/tests/scheduling/test_appliers.py
+++ b/tests/scheduling/test_appliers.py
@@ -38,6 +38,7 @@
     MachineName,
     RunNumber,
     Step,
+    TaskName,
     name_task,
 )
 from rhubarbfield.scheduling.state import (
@@ -245,6 +246,24 @@
         self.log.apply(UpdateWorkers(reports=(leaving,)))
         self.assertEqual(self.start(1), RunsRecorded(recorded=()))
 
+    def test_gang_starts_as_a_whole_or_not_at_all_under_a_used_number(self) -> None:
+        self.start(1)
+        for index in range(3):
+            self.end(index, 1, RunEnd.BROKEN)
+        self.assertEqual(self.start(1), RunsRecorded(recorded=()))
+        self.assertEqual(self.start(2), RunsRecorded(recorded=(0, 1, 2)))
+
+    def test_gang_does_not_start_if_one_member_has_a_higher_number(self) -> None:
+        self.start(2)
+        for index in range(3):
+            self.end(index, 2, RunEnd.BROKEN)
+        starts = [
+            RunStart(name, RunNumber(run), worker)
+            for name, worker, run in zip(self.names, WORKERS, (3, 3, 4), strict=True)
+        ]
+        reply = self.log.apply(StartRuns(starts=tuple(starts)))
+        self.assertEqual(reply, RunsRecorded(recorded=()))
+
     def test_success_of_one_member_completes_the_gang(self) -> None:
         self.assertEqual(self.start(1), RunsRecorded(recorded=(0, 1, 2)))
         self.end(0, 1, RunEnd.DONE)
@@ -260,6 +279,57 @@
         self.assertEqual(self.log.state.jobs[JOBS[0]].phase, JobPhase.FAILED)
 
 
+class RepeatedProposalsTest(unittest.TestCase):
+    """A leader may propose anew what it does not know to be committed."""
+
+    def setUp(self) -> None:
+        self.log = Log()
+        self.log.apply(PutConfiguration(configuration=CONFIGURATION))
+        for worker in WORKERS:
+            self.log.apply(UpdateWorkers(reports=(make_report(worker),)))
+        self.name = name_task(JOBS[0], 0, 0, 0)
+        self.accept(Step(copies_allowed=True))
+
+    def accept(self, *steps: Step) -> None:
+        submission = JobSubmission(payload="", steps=steps)
+        self.log.apply(AcceptJob(job=JOBS[0], queue=QUEUE.name, submission=submission))
+
+    def start(self, run: int, worker: WorkerId) -> Reply:
+        start = RunStart(self.name, RunNumber(run), worker)
+        return self.log.apply(StartRuns(starts=(start,)))
+
+    def test_copy_with_a_used_run_number_is_not_recorded(self) -> None:
+        self.assertEqual(self.start(1, WORKERS[0]), RunsRecorded(recorded=(0,)))
+        self.assertEqual(self.start(1, WORKERS[1]), RunsRecorded(recorded=()))
+        self.assertEqual(self.start(2, WORKERS[1]), RunsRecorded(recorded=(0,)))
+
+    def test_start_with_the_number_of_an_ended_run_is_not_recorded(self) -> None:
+        self.start(1, WORKERS[0])
+        ended = EndedRun(self.name, RunNumber(1), RunEnd.STOPPED)
+        self.log.apply(EndRuns(workers=(WorkerEnds(WORKERS[0], (ended,)),)))
+        self.assertEqual(self.start(1, WORKERS[1]), RunsRecorded(recorded=()))
+        self.assertEqual(self.start(2, WORKERS[1]), RunsRecorded(recorded=(0,)))
+
+    def test_commands_about_tasks_that_a_job_does_not_have_change_nothing(self) -> None:
+        """A worker may list runs of an earlier job with the same id, or of nobody."""
+        job = JOBS[0]
+        for name in (
+            name_task(job, 0, 0, 7),
+            name_task(job, 0, 7, 0),
+            name_task(job, 7, 0, 0),
+            name_task(job, 0, 0, -1),
+            TaskName(job),
+            TaskName(f"{job}.0.0"),
+            TaskName(f"{job}.0.0.x"),
+        ):
+            start = RunStart(name, RunNumber(1), WORKERS[0])
+            reply = self.log.apply(StartRuns(starts=(start,)))
+            self.assertEqual(reply, RunsRecorded(recorded=()), name)
+            ended = EndedRun(name, RunNumber(1), RunEnd.DONE)
+            self.log.apply(EndRuns(workers=(WorkerEnds(WORKERS[0], (ended,)),)))
+        self.assertEqual(self.log.state.jobs[job].phase, JobPhase.QUEUED)
+
+
 class DrainingTest(unittest.TestCase):
     def test_nothing_starts_on_a_draining_worker(self) -> None:
         log = Log()
--- a/tests/scheduling/test_leader.py
+++ b/tests/scheduling/test_leader.py
@@ -252,6 +252,39 @@
             self.assertEqual(deployment.get_job("j").phase, JobPhase.COMPLETED)
 
 
+class UnknownOutcomeTest(unittest.TestCase):
+    """The log commits starts whose proposal timed out."""
+
+    @with_deployment()
+    async def test_run_number_is_not_given_to_two_workers(
+        self, deployment: Deployment
+    ) -> None:
+        first = deployment.add_worker("w1", duration=None)
+        second = deployment.add_worker("w2", duration=None)
+        async with deployment.lead() as leader:
+            deployment.replica.unanswered = ["StartRuns"]
+            await deployment.submit("j", Step(demand=ONE_CORE, copies_allowed=True))
+            await trio.sleep(1)
+            await leader.handle_departure(first.worker)
+            for _ in range(100):
+                await trio.sleep(0.1)
+                self.assertLessEqual(count_runs_at_once(deployment), 1)
+            self.assertEqual(len(first.runs) + len(second.runs), 1)
+
+    @with_deployment()
+    async def test_start_is_sent_once_it_is_known_to_be_recorded(
+        self, deployment: Deployment
+    ) -> None:
+        """An idle worker is not viewed, so that no view would find its run."""
+        worker = deployment.add_worker("w1")
+        async with deployment.lead():
+            deployment.replica.unanswered = ["StartRuns"]
+            await deployment.submit("j", Step(demand=ONE_CORE))
+            await trio.sleep(5)
+            self.assertEqual(deployment.get_job("j").phase, JobPhase.COMPLETED)
+        self.assertEqual([run for _, run, _ in worker.started], [1])
+
+
 class UnansweredOrdersTest(unittest.TestCase):
     @with_deployment()
     async def test_start_carried_out_late_does_not_duplicate_the_task(
