Refuse a start whose run number is used; repeat proposals in doubt

Cause: after a proposal of starts with an unknown outcome, the next round proposed the same numbers for other workers. The state machine let the second one pass where the step allows copies, or where the first run had ended meanwhile, and then broke `run-numbers-grow`, in each replica.

The state machine now leaves such a start out, as one that may not start. A gang starts only if all members are there, startable, and have one number. `find_task` has no task for a name that the job does not have (an IndexError before): a worker may list ends of an earlier job.

The leader repeats a proposal in doubt, which is harmless now, and then reads from the state which runs are recorded. Before, a run that was recorded after all was never sent, and an idle worker is not viewed. A session does not start a run whose end it is about to record, since a view may have found it missing.

--- a/src/rhubarbfield/scheduling/appliers.py
+++ b/src/rhubarbfield/scheduling/appliers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import NewType
+
 import msgspec
 
 from rhubarbfield.exceptions import check_invariant
@@ -34,6 +36,8 @@
     Worker,
 )
 
+StepName = NewType("StepName", str)  # the name of a task without its index
+
 MAX_HARM_ESTIMATES = 10_000  # about 1 MB of a snapshot
 
 
@@ -151,21 +155,43 @@
 
 @scheduling_commands.applies(StartRuns)
 def _start_runs(state: SchedulingState, command: StartRuns) -> Reply:
-    broken = {
-        _name_gang(start) for start in command.starts if not _is_startable(state, start)
-    }
+    broken = _find_broken_gangs(state, command.starts)
     recorded = []
     for position, start in enumerate(command.starts):
-        # The other members of a gang would wait forever for one that can't start.
-        is_broken = _is_gang(state, start) and _name_gang(start) in broken
-        if not is_broken and _is_startable(state, start):
+        if _name_step(start) not in broken and _is_startable(state, start):
             _record_run(state, start)
             recorded.append(position)
     return RunsRecorded(recorded=tuple(recorded))
 
 
-def _name_gang(start: RunStart) -> tuple[str, RunNumber]:
-    return start.task.rpartition(".")[0], start.run
+def _find_broken_gangs(
+    state: SchedulingState, starts: tuple[RunStart, ...]
+) -> set[StepName]:
+    """Return the steps whose gang can't start as a whole under one number.
+
+    The other members would wait forever for one that can't start.
+    """
+    gangs: dict[StepName, list[RunStart]] = {}
+    for start in starts:
+        if _is_gang(state, start):
+            gangs.setdefault(_name_step(start), []).append(start)
+    return {
+        name for name, members in gangs.items() if not _is_whole_gang(state, members)
+    }
+
+
+def _is_whole_gang(state: SchedulingState, members: list[RunStart]) -> bool:
+    step = state.find_step(members[0].task)
+    assert step is not None
+    return (
+        len({member.task for member in members}) == step.tasks
+        and len({member.run for member in members}) == 1
+        and all(_is_startable(state, member) for member in members)
+    )
+
+
+def _name_step(start: RunStart) -> StepName:
+    return StepName(start.task.rpartition(".")[0])
 
 
 def _is_gang(state: SchedulingState, start: RunStart) -> bool:
@@ -179,6 +205,10 @@
     if worker is None or worker.draining or found is None:
         return False
     job, occurrence, step, task = found
+    # A proposal that got no answer in time may be followed by another one with the
+    # same numbers, and both may be committed.
+    if start.run <= task.last_run:
+        return False
     return _may_start(job, occurrence, step, task, start)
 
 
--- a/src/rhubarbfield/scheduling/commands.py
+++ b/src/rhubarbfield/scheduling/commands.py
@@ -100,7 +100,9 @@
 class StartRuns(Command, frozen=True):
     """Record runs before the orders to start them are sent.
 
-    Answered by :class:`RunsRecorded`; runs that may no longer start are left out.
+    Answered by :class:`RunsRecorded`; runs that may not start are left out, among
+    them those whose number is not higher than the last one of their task. Applied
+    twice, the command records nothing the second time.
     """
 
     starts: tuple[RunStart, ...]
--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -7,10 +7,10 @@
 from datetime import timedelta
 
 import trio
-from returns.result import Success
+from returns.result import Failure, Success
 
 from rhubarbfield.clock import Clock
-from rhubarbfield.groups import ReplicatedLog
+from rhubarbfield.groups import ReplicatedLog, Unavailable
 from rhubarbfield.logs import log_event
 from rhubarbfield.machine import Command
 from rhubarbfield.scheduling.appliers import SchedulingLogState
@@ -294,17 +294,38 @@
         if not starts:
             return
         unstarted = self._list_unstarted(starts)
-        result = await self._log.propose(StartRuns(starts=starts))
-        match result:
-            case Success(RunsRecorded(recorded=recorded)):
-                for position in recorded:
-                    self._send_start(starts[position])
-                self._measure_first_starts(unstarted)
-            case _:
-                log_event(
-                    logger, logging.WARNING, "starts-not-recorded", count=len(starts)
-                )
-                await self._clock.sleep(PROPOSE_RETRY_DELAY)
+        for start in await self._record_starts(starts):
+            self._send_start(start)
+        self._measure_first_starts(unstarted)
+
+    async def _record_starts(self, starts: tuple[RunStart, ...]) -> list[RunStart]:
+        """Record runs that are to start; return those that are recorded.
+
+        A proposal with an unknown outcome is repeated until it is committed. The
+        state then shows which runs are recorded, whichever proposal did it.
+        """
+        is_in_doubt = False
+        while True:
+            result = await self._log.propose(StartRuns(starts=starts))
+            match result:
+                case Success(RunsRecorded()):
+                    return [start for start in starts if self._is_recorded(start)]
+                case Failure(Unavailable(in_doubt=True)):
+                    is_in_doubt = True
+            log_event(
+                logger,
+                logging.WARNING,
+                "starts-not-recorded",
+                count=len(starts),
+                in_doubt=is_in_doubt,
+            )
+            await self._clock.sleep(PROPOSE_RETRY_DELAY)
+            if not is_in_doubt:
+                return []
+
+    def _is_recorded(self, start: RunStart) -> bool:
+        found = self.state.find_task(start.task)
+        return found is not None and found[3].live.get(start.run) == start.worker
 
     def _list_unstarted(self, starts: Iterable[RunStart]) -> list[Job]:
         """Return the jobs of ``starts`` that have not started any task yet."""
--- a/src/rhubarbfield/scheduling/session.py
+++ b/src/rhubarbfield/scheduling/session.py
@@ -94,6 +94,7 @@
         self._view_requested = trio.Event()
         self._starts: dict[RunKey, StartState] = {}
         self._stopping: set[RunKey] = set()
+        self._ending: set[RunKey] = set()  # their ends are not committed yet
         self._paces: dict[RunKey, int | None] = {}
         opened = clock.monotonic()
         self._lease = WorkerLease(clock, settings)
@@ -143,7 +144,12 @@
             self._view_requested.set()
 
     def start(self, start: Start) -> None:
-        """Queue an order to start a run that is recorded."""
+        """Queue an order to start a run that is recorded.
+
+        A run that a view has already shown to be missing is not started.
+        """
+        if start.key in self._ending:
+            return
         self._starts[start.key] = StartState.QUEUED
         self._enqueue(start)
         self._view_requested.set()
@@ -279,7 +285,9 @@
                     return True
                 self._starts[start.key] = StartState.SETTLED
                 if refusal is not Refusal.SUPERSEDED:
-                    await self._record_end(start.key, RunEnd.REJECTED)
+                    await self._record_ends(
+                        (EndedRun(start.key.task, start.key.run, RunEnd.REJECTED),)
+                    )
                 return True
             case NoReply():
                 self._handle_no_reply()
@@ -411,10 +419,7 @@
         self._host.handle_view(self.worker)
         if ends:
             last = max((end.number for end in listed), default=0)
-            for end in ends:
-                self._forget_run(RunKey(end.task, end.run))
-            report = WorkerEnds(self.worker, tuple(ends), last)
-            await self._host.record_ends(report)
+            await self._record_ends(tuple(ends), last)
 
     def _find_missing(
         self,
@@ -454,10 +459,15 @@
         self._stopping.discard(key)
         self._paces.pop(key, None)
 
-    async def _record_end(self, key: RunKey, end: RunEnd) -> None:
-        self._forget_run(key)
-        ended = EndedRun(key.task, key.run, end)
-        await self._host.record_ends(WorkerEnds(self.worker, (ended,)))
+    async def _record_ends(
+        self, ends: tuple[EndedRun, ...], recorded_ends: int = 0
+    ) -> None:
+        keys = {RunKey(end.task, end.run) for end in ends}
+        for key in keys:
+            self._forget_run(key)
+        self._ending |= keys
+        await self._host.record_ends(WorkerEnds(self.worker, ends, recorded_ends))
+        self._ending -= keys
 
     async def _remove_worker(self) -> None:
         await self._host.remove_worker(self.worker, self._list_checkpoints())
@@ -487,9 +497,7 @@
             EndedRun(task, run, RunEnd.LOST, saved.get(task, NO_CHECKPOINT))
             for task, run in worker.runs.items()
         )
-        for end in ends:
-            self._forget_run(RunKey(end.task, end.run))
-        await self._host.record_ends(WorkerEnds(self.worker, ends))
+        await self._record_ends(ends)
 
     def _has_exited(self, now: timedelta) -> bool:
         """Return whether the worker announced its exit and has not replied since."""
--- a/src/rhubarbfield/scheduling/state.py
+++ b/src/rhubarbfield/scheduling/state.py
@@ -257,15 +257,25 @@
         return {queue.name: queue for queue in reversed(self.configuration.queues)}
 
     def find_task(self, name: TaskName) -> tuple[Job, int, int, Task] | None:
-        """Return job, occurrence, step and task by the name of the task."""
+        """Return job, occurrence, step and task by the name of the task.
+
+        Returns None if there is no such task. A worker may list tasks of an earlier
+        job with the same id, or names that nobody gave.
+        """
         parts = name.split(".")
         job = self.jobs.get(JobId(parts[0]))
         if job is None:
             return None
-        occurrence, step, index = (int(part) for part in parts[1:])
-        return job, occurrence, step, job.occurrences[occurrence][step].tasks[index]
+        try:
+            occurrence, step, index = (int(part) for part in parts[1:])
+            task = job.occurrences[occurrence][step].tasks[index]
+        except (ValueError, LookupError):
+            return None
+        if step < 0 or index < 0:
+            return None
+        return job, occurrence, step, task
 
     def find_step(self, name: TaskName) -> Step | None:
-        """Return the step of a task, or None if its job is unknown."""
+        """Return the step of a task, or None if there is no such task."""
         found = self.find_task(name)
         return None if found is None else found[0].get_step(found[2])
--- a/tests/scheduling/test_appliers.py
+++ b/tests/scheduling/test_appliers.py
@@ -118,19 +118,27 @@
         step=st.integers(0, 1),
         index=st.integers(0, 1),
         worker=st.sampled_from(WORKERS),
+        is_number_used=st.booleans(),
     )
-    def start(self, job: JobId, step: int, index: int, worker: WorkerId) -> None:
+    def start(
+        self,
+        job: JobId,
+        step: int,
+        index: int,
+        worker: WorkerId,
+        is_number_used: bool,
+    ) -> None:
         name = name_task(job, 0, step, index)
         found = self.log.state.find_task(name)
         last = found[3].last_run if found else 0
         was_live = bool(found and found[3].live)
         was_open = bool(found and found[0].is_open)
         before = found[0].occurrences[0][0].is_done if found else False
-        reply = self.log.apply(
-            StartRuns(starts=(RunStart(name, RunNumber(last + 1), worker),))
-        )
+        run = RunNumber(last + 1 - is_number_used)
+        reply = self.log.apply(StartRuns(starts=(RunStart(name, run, worker),)))
         assert isinstance(reply, RunsRecorded)
         if reply.recorded:
+            assert not is_number_used, "a run number was used twice"
             assert was_open, "a task of an ended job was started"
             assert not was_live, "a task was started twice at the same time"
             assert name not in self.done, "a finished task was started again"
@@ -253,6 +261,12 @@
         self.assertEqual(self.start(1), RunsRecorded(recorded=()))
         self.assertEqual(self.start(2), RunsRecorded(recorded=(0, 1, 2)))
 
+    def test_part_of_a_gang_does_not_start(self) -> None:
+        starts = zip(self.names[:2], WORKERS, strict=False)
+        part = tuple(RunStart(name, RunNumber(1), worker) for name, worker in starts)
+        reply = self.log.apply(StartRuns(starts=part))
+        self.assertEqual(reply, RunsRecorded(recorded=()))
+
     def test_gang_does_not_start_if_one_member_has_a_higher_number(self) -> None:
         self.start(2)
         for index in range(3):
