Show that starts follow a cancellation and stops wait (known red)

What workers see, with orders and commits that get no answer in time: a start that waits for another order, that is repeated, or whose record is in doubt, is sent after its job was cancelled; a stop waits for the starts and stops before it (up to 2.9 s for each start) and for the commits of a placement round.

Stand-in workers can lose or refuse stops and note the orders sent; the log with a single member can answer a kind of command late.

--- a/src/rhubarbfield/testing/scheduling_workers.py
+++ b/src/rhubarbfield/testing/scheduling_workers.py
@@ -76,6 +76,24 @@
     started_at: timedelta = timedelta()
 
 
+class SentOrder(msgspec.Struct, frozen=True):
+    """An order that a leader sent, whether or not it reached the worker.
+
+    Attributes
+    ----------
+    at
+        Monotonic time at which the call began.
+    worker
+        Id of the worker that was called.
+    order
+        The order.
+    """
+
+    at: timedelta
+    worker: WorkerId
+    order: StartOrder | StopOrder
+
+
 class StandInWorker:
     """One incarnation of a worker.
 
@@ -106,6 +124,10 @@
         Number of upcoming starts that get no reply and are carried out later.
     rejected_starts
         Number of upcoming starts that are refused.
+    lost_stops
+        Number of upcoming stops that get no reply and are not carried out.
+    unhealthy_stops
+        Number of upcoming stops that are refused by an unhealthy worker.
     """
 
     def __init__(
@@ -130,6 +152,8 @@
         self.demands: dict[TaskName, Demand] = {}
         self.unanswered_starts = 0
         self.rejected_starts = 0
+        self.lost_stops = 0
+        self.unhealthy_stops = 0
         self._ended_runs: dict[TaskName, RunNumber] = {}
         self._last_end_number = 0
         self._sequence = 0
@@ -284,6 +308,8 @@
         Orders to start that got no reply and aren't carried out yet.
     forgotten
         Addresses whose connections are no longer needed.
+    sent
+        Orders to start and to stop, in the order in which they were sent.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -291,6 +317,7 @@
         self.workers: dict[str, StandInWorker] = {}
         self.delayed_starts: list[tuple[StandInWorker, StartOrder]] = []
         self.forgotten: list[str] = []
+        self.sent: list[SentOrder] = []
 
     def add(self, worker: StandInWorker, address: str | None = None) -> None:
         """Put a worker at an address, in place of the previous one."""
@@ -300,6 +327,7 @@
         self, to: WorkerAddress, order: StartOrder
     ) -> Result[timedelta, CallFailure]:
         """Start a run."""
+        self.sent.append(SentOrder(self._clock.monotonic(), to.worker, order))
         found = await self._find_worker(to)
         if not isinstance(found, StandInWorker):
             return Failure(found)
@@ -314,9 +342,17 @@
         self, to: WorkerAddress, order: StopOrder
     ) -> Result[timedelta, CallFailure]:
         """Stop a run."""
+        self.sent.append(SentOrder(self._clock.monotonic(), to.worker, order))
         found = await self._find_worker(to)
         if not isinstance(found, StandInWorker):
             return Failure(found)
+        if found.lost_stops:
+            found.lost_stops -= 1
+            await self._clock.sleep(NO_REPLY_DELAY)
+            return Failure(NoReply("no reply in time"))
+        if found.unhealthy_stops:
+            found.unhealthy_stops -= 1
+            return Failure(Refused(Refusal.UNHEALTHY))
         return found.stop(order)
 
     async def pace(
--- a/tests/controller/single_member.py
+++ b/tests/controller/single_member.py
@@ -21,6 +21,7 @@
 StateT = TypeVar("StateT")
 COMMIT_SECONDS = 0.002
 PROPOSE_TIMEOUT_SECONDS = 2.5
+SLOW_COMMIT_SECONDS = 2.0
 
 
 class SingleMemberReplica:
@@ -30,8 +31,8 @@
     ----------
     commands
         Number of applied commands.
-    commit_seconds
-        Time from the application of a command to the answer.
+    slow
+        Types of commands, by name, that are applied at once but answered late.
     unanswered
         Types of commands, by name. The next proposal of each listed one gets no
         answer in time; it is applied just before the next one that is answered.
@@ -43,7 +44,7 @@
         self.leadership: object | None = object()
         self.leader_hint = None
         self.commands = 0
-        self.commit_seconds = COMMIT_SECONDS
+        self.slow: set[str] = set()
         self.unanswered: list[str] = []
         self._late: list[bytes] = []
 
@@ -63,7 +64,8 @@
         for earlier in late:
             self._apply(earlier)
         reply = self._apply(command)
-        await trio.sleep(self.commit_seconds)
+        is_slow = name in self.slow
+        await trio.sleep(SLOW_COMMIT_SECONDS if is_slow else COMMIT_SECONDS)
         return Success(reply)
 
     def _apply(self, command: bytes) -> bytes:
--- a/tests/scheduling/deployments.py
+++ b/tests/scheduling/deployments.py
@@ -33,9 +33,14 @@
     Step,
     WorkerService,
 )
+from rhubarbfield.scheduling.ports import StartOrder, StopOrder
 from rhubarbfield.scheduling.settings import SchedulingSettings
 from rhubarbfield.scheduling.state import Job, SchedulingState
-from rhubarbfield.testing.scheduling_workers import StandInFleet, StandInWorker
+from rhubarbfield.testing.scheduling_workers import (
+    SentOrder,
+    StandInFleet,
+    StandInWorker,
+)
 from rhubarbfield.types import JobId, ServiceName, Term, WorkerId
 from tests.controller.single_member import make_single_member_log
 from tests.replication.determinism import run_deterministic
@@ -101,6 +106,16 @@
     async def cancel(self, name: str) -> None:
         await self.propose(CancelJob(job=JobId(name)))
 
+    def list_sent(
+        self, kind: type[StartOrder | StopOrder], job: str
+    ) -> list[SentOrder]:
+        """Return the orders of a kind that were sent about a job's tasks."""
+        return [
+            each
+            for each in self.fleet.sent
+            if isinstance(each.order, kind) and each.order.task.startswith(f"{job}.")
+        ]
+
     def get_job(self, name: str) -> Job:
         return self.state.jobs[JobId(name)]
 
