Split a worker's session into contact, orders and views

Contact (reports, replies, lease, silence) and the dispatch of orders have modules of their own; the session keeps the views. Log events keep their area.

--- /dev/null
+++ b/src/rhubarbfield/scheduling/contact.py
@@ -0,0 +1,136 @@
+"""Contact of the leader with one worker: address, lease and silence."""
+
+from __future__ import annotations
+
+import logging
+from datetime import timedelta
+
+from rhubarbfield.clock import Clock
+from rhubarbfield.logs import log_event
+from rhubarbfield.scheduling.leases import WorkerLease
+from rhubarbfield.scheduling.ports import CallFailure, WorkerAddress
+from rhubarbfield.scheduling.progress import RunKey
+from rhubarbfield.scheduling.settings import SchedulingSettings
+from rhubarbfield.types import WorkerId
+
+# A fixed log area, independent of the module's name.
+logger = logging.getLogger("rhubarbfield.scheduling.session")
+
+# A worker that announced its exit ends within this time, even if it gets no reply.
+EXIT_CONFIRMATION_DELAY = timedelta(seconds=3)
+REJECTION_BACKOFF = timedelta(milliseconds=400)  # by then a view shows actual headroom
+
+
+class WorkerContact:
+    """What the leader knows from a worker's reports and replies.
+
+    Parameters
+    ----------
+    address
+        Id and address of the worker.
+    clock
+        Source of time.
+    settings
+        Timeouts and limits.
+
+    Attributes
+    ----------
+    lease
+        The lease of the worker's runs.
+    exit_announced_at
+        Monotonic time at which the worker announced its exit, or None.
+    """
+
+    def __init__(
+        self, address: WorkerAddress, clock: Clock, settings: SchedulingSettings
+    ) -> None:
+        self.address = address
+        self.lease = WorkerLease(clock, settings)
+        self.exit_announced_at: timedelta | None = None
+        self._clock = clock
+        self._settings = settings
+        self._unresponsive_since: timedelta | None = None
+        self._no_starts_until = timedelta()
+        self._reported_at = clock.monotonic()
+
+    @property
+    def worker(self) -> WorkerId:
+        """Id of the worker."""
+        return self.address.worker
+
+    @property
+    def is_responsive(self) -> bool:
+        """Whether the latest call got a reply."""
+        return self._unresponsive_since is None
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether new runs may be started on the worker now."""
+        now = self._clock.monotonic()
+        if not self.lease.has_clock or now < self._no_starts_until:
+            return False
+        is_recent = now - self.last_contact_at <= self._settings.silence_timeout
+        return self.exit_announced_at is None and self.is_responsive and is_recent
+
+    @property
+    def last_contact_at(self) -> timedelta:
+        """Monotonic time of the last report or reply of the worker."""
+        return max(self._reported_at, self.lease.clock_read_at)
+
+    @property
+    def has_exited(self) -> bool:
+        """Whether the worker announced its exit and has not replied since."""
+        if self.exit_announced_at is None or self._unresponsive_since is None:
+            return False
+        silent_since = max(self.exit_announced_at, self._unresponsive_since)
+        return self._clock.monotonic() - silent_since > EXIT_CONFIRMATION_DELAY
+
+    @property
+    def may_extend_lease(self) -> bool:
+        """Whether a view should extend the lease.
+
+        A call without a reply may still have extended the lease. If repeated
+        calls to an unresponsive worker did so, its lease would never be known to
+        have lapsed.
+        """
+        return self.lease.has_clock and self.is_responsive
+
+    def handle_report(self, worker_clock: timedelta | None) -> None:
+        """Record that the worker reported itself; the report may be late."""
+        self._reported_at = self._clock.monotonic()
+        if not self.lease.has_clock and worker_clock is not None:
+            self.lease.update_clock(worker_clock)
+
+    def handle_exit_announcement(self) -> None:
+        """Record that the worker announced its exit."""
+        if self.exit_announced_at is None:
+            self.exit_announced_at = self._clock.monotonic()
+
+    def handle_reply(self, worker_clock: timedelta) -> None:
+        """Record a reply of the worker."""
+        if self._unresponsive_since is not None:
+            log_event(logger, logging.INFO, "worker-regained", worker=self.worker)
+        self._unresponsive_since = None
+        self.lease.update_clock(worker_clock)
+
+    def handle_no_reply(self) -> None:
+        """Record that a call got no reply."""
+        if self._unresponsive_since is None:
+            self._unresponsive_since = self._clock.monotonic()
+            log_event(logger, logging.WARNING, "worker-silent", worker=self.worker)
+
+    def handle_rejection(self) -> None:
+        """Record that the worker rejected a start."""
+        self._no_starts_until = self._clock.monotonic() + REJECTION_BACKOFF
+
+    def log_failure(self, event: str, key: RunKey | None, failure: CallFailure) -> None:
+        """Log an unsuccessful call to the worker."""
+        log_event(
+            logger,
+            logging.INFO,
+            event,
+            worker=self.worker,
+            task=key.task if key else None,
+            run=key.run if key else None,
+            failure=str(failure),
+        )
--- a/src/rhubarbfield/scheduling/mitigation.py
+++ b/src/rhubarbfield/scheduling/mitigation.py
@@ -12,6 +12,7 @@
 
 from rhubarbfield.clock import Clock
 from rhubarbfield.logs import log_event
+from rhubarbfield.scheduling.dispatch import FULL_SPEED
 from rhubarbfield.scheduling.headroom import (
     WorkerHeadroom,
     admits,
@@ -27,7 +28,7 @@
 from rhubarbfield.scheduling.metrics import RUNS_DISTURBED
 from rhubarbfield.scheduling.model import ImageName, Step, TaskName
 from rhubarbfield.scheduling.progress import RunKey
-from rhubarbfield.scheduling.session import FULL_SPEED, WorkerSession
+from rhubarbfield.scheduling.session import WorkerSession
 from rhubarbfield.scheduling.state import SchedulingState, Worker
 from rhubarbfield.types import WorkerId
 
--- a/src/rhubarbfield/scheduling/session.py
+++ b/src/rhubarbfield/scheduling/session.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-from collections import deque
 from datetime import timedelta
 
 import trio
@@ -11,8 +10,9 @@
 
 from rhubarbfield.clock import Clock
 from rhubarbfield.logs import log_event
-from rhubarbfield.scheduling.commands import EndedRun, WorkerEnds
-from rhubarbfield.scheduling.leases import WorkerLease
+from rhubarbfield.scheduling.commands import EndedRun
+from rhubarbfield.scheduling.contact import WorkerContact
+from rhubarbfield.scheduling.dispatch import RETRY_DELAY, OrderDispatcher
 from rhubarbfield.scheduling.metrics import LEASES_LAPSED
 from rhubarbfield.scheduling.model import (
     NO_CHECKPOINT,
@@ -20,18 +20,11 @@
     RunNumber,
     TaskName,
 )
-from rhubarbfield.scheduling.orders import Order, Pace, Start, StartState, Stop
+from rhubarbfield.scheduling.orders import Start
 from rhubarbfield.scheduling.ports import (
     ActiveRun,
-    CallFailure,
     ListedEnd,
-    NoReply,
     OtherLife,
-    PaceOrder,
-    Refusal,
-    Refused,
-    StartOrder,
-    StopOrder,
     ViewRequest,
     WorkerAddress,
     WorkerCalls,
@@ -45,13 +38,6 @@
 
 logger = logging.getLogger(__name__)
 
-# A worker that announced its exit ends within this time, even if it gets no reply.
-EXIT_CONFIRMATION_DELAY = timedelta(seconds=3)
-RETRY_DELAY = timedelta(milliseconds=250)  # between calls to an unresponsive worker
-DEPOSED_RETRY_DELAY = timedelta(seconds=1)  # by then a deposed leader's lease is over
-FULL_SPEED = 100  # percent
-REJECTION_BACKOFF = timedelta(milliseconds=400)  # by then a view shows actual headroom
-
 
 class WorkerSession:
     """Sends orders to one worker and polls its state while the leader leads.
@@ -84,44 +70,40 @@
         clock: Clock,
         settings: SchedulingSettings,
     ) -> None:
-        self.address = address
         self._host = host
         self._calls = calls
         self._clock = clock
         self._settings = settings
-        self._orders: deque[Order] = deque()
-        self._orders_available = trio.Event()
+        self._contact = WorkerContact(address, clock, settings)
+        self._orders = OrderDispatcher(
+            self._contact,
+            host=host,
+            calls=calls,
+            clock=clock,
+            settings=settings,
+            request_view=self.request_view,
+            remove_worker=self._remove_worker,
+        )
         self._view_requested = trio.Event()
-        self._starts: dict[RunKey, StartState] = {}
-        self._stopping: set[RunKey] = set()
-        self._ending: set[RunKey] = set()  # their ends are not committed yet
-        self._paces: dict[RunKey, int | None] = {}
-        opened = clock.monotonic()
-        self._lease = WorkerLease(clock, settings)
-        self._unresponsive_since: timedelta | None = None
-        self._no_starts_until = timedelta()
         self._acknowledged_ends = 0
-        self._reported_at = opened
-        self._exit_announced_at: timedelta | None = None
         self._viewed_at: timedelta | None = None
         self._progress = Progress()
         self.active: dict[TaskName, ActiveRun] = {}
 
+    @property
+    def address(self) -> WorkerAddress:
+        """Id and address of the worker."""
+        return self._contact.address
+
     @property
     def worker(self) -> WorkerId:
         """Id of the worker."""
-        return self.address.worker
+        return self._contact.worker
 
     @property
     def is_usable(self) -> bool:
         """Whether new runs may be started on the worker now."""
-        now = self._clock.monotonic()
-        if not self._lease.has_clock or now < self._no_starts_until:
-            return False
-        is_recent = now - self.last_contact_at <= self._settings.silence_timeout
-        if self._exit_announced_at is not None:
-            return False
-        return self._unresponsive_since is None and is_recent
+        return self._contact.is_usable
 
     @property
     def view_age(self) -> timedelta | None:
@@ -133,40 +115,38 @@
     @property
     def last_contact_at(self) -> timedelta:
         """Monotonic time of the last report or reply of the worker."""
-        return max(self._reported_at, self._lease.clock_read_at)
+        return self._contact.last_contact_at
 
     def handle_report(self, worker_clock: timedelta | None) -> None:
         """Record that the worker reported itself; the report may be late."""
-        self._reported_at = self._clock.monotonic()
-        if not self._lease.has_clock and worker_clock is not None:
-            self._lease.update_clock(worker_clock)
-        if self._unresponsive_since is not None:
-            self._view_requested.set()
+        self._contact.handle_report(worker_clock)
+        if not self._contact.is_responsive:
+            self.request_view()
+
+    def handle_exit_announcement(self) -> None:
+        """Record that the worker announced its exit."""
+        self._contact.handle_exit_announcement()
+        self.request_view()
 
     def start(self, start: Start) -> None:
         """Queue an order to start a run that is recorded.
 
         A run that a view has already shown to be missing is not started.
         """
-        if start.key in self._ending:
-            return
-        self._starts[start.key] = StartState.QUEUED
-        self._enqueue(start)
-        self._view_requested.set()
+        self._orders.start(start)
 
     def stop(self, key: RunKey) -> None:
         """Queue an order to stop a run, unless one was queued before."""
-        if key not in self._stopping:
-            self._stopping.add(key)
-            self._enqueue(Stop(key))
-            self._view_requested.set()
+        self._orders.stop(key)
+
+    def is_stopping(self, key: RunKey) -> bool:
+        """Return whether an order to stop the run was queued."""
+        return self._orders.is_stopping(key)
 
     def pace(self, key: RunKey, percent: int) -> None:
         """Queue an order to let a run work at ``percent`` of its full speed."""
-        if self.get_pace(key) != percent:
-            self._paces[key] = percent
+        if self._orders.pace(key, percent):
             self._progress.reset(key, self._clock.monotonic())
-            self._enqueue(Pace(key, percent))
 
     def get_pace(self, key: RunKey) -> int | None:
         """Return the pace that was ordered for a run, in percent of full speed.
@@ -174,26 +154,14 @@
         None if it is unknown: an earlier leader may have set it, or an order got
         no reply.
         """
-        if key in self._paces:
-            return self._paces[key]
-        return FULL_SPEED if key in self._starts else None
-
-    def is_stopping(self, key: RunKey) -> bool:
-        """Return whether an order to stop the run was queued."""
-        return key in self._stopping
-
-    def handle_exit_announcement(self) -> None:
-        """Record that the worker announced its exit."""
-        if self._exit_announced_at is None:
-            self._exit_announced_at = self._clock.monotonic()
-        self._view_requested.set()
+        return self._orders.get_pace(key)
 
     def list_stalled(self, limit: timedelta) -> list[RunKey]:
         """Return runs without progress for ``limit``, unless paused or stopping."""
         return [
             key
             for key in self._progress.list_stalled(limit)
-            if self.get_pace(key) != 0 and key not in self._stopping
+            if self.get_pace(key) != 0 and not self.is_stopping(key)
         ]
 
     def request_view(self) -> None:
@@ -203,148 +171,9 @@
     async def run(self) -> None:
         """Send orders and poll the worker until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._send_orders)
+            nursery.start_soon(self._orders.run)
             nursery.start_soon(self._poll_views)
 
-    def _enqueue(self, order: Order) -> None:
-        self._orders.append(order)
-        self._orders_available.set()
-
-    async def _send_orders(self) -> None:
-        while True:
-            await self._orders_available.wait()
-            self._orders_available = trio.Event()
-            while self._orders:
-                order = self._orders.popleft()
-                if isinstance(order, Start):
-                    await self._send_start(order)
-                elif isinstance(order, Stop):
-                    await self._send_stop(order.key)
-                else:
-                    await self._send_pace(order)
-
-    async def _send_start(self, start: Start) -> None:
-        in_doubt = False
-        for _ in range(self._settings.order_attempts):
-            term = self._host.get_term()
-            if term is None or self._has_ended(start.key):
-                return
-            if start.key in self._stopping:
-                break
-            order = StartOrder(
-                task=start.key.task,
-                run=start.key.run,
-                payload=start.payload,
-                checkpoint=start.checkpoint,
-                lease_end=self._lease.extend(),
-                term=term,
-                ticket=start.ticket,
-            )
-            result = await self._calls.start(self.address, order)
-            match result:
-                case Success(worker_clock):
-                    self._handle_reply(worker_clock)
-                    self._starts[start.key] = StartState.SETTLED
-                    return
-                case Failure(failure):
-                    if await self._handle_start_failure(start, failure, in_doubt):
-                        return
-                    in_doubt = in_doubt or isinstance(failure, NoReply)
-            await self._clock.sleep(RETRY_DELAY)
-        # Once the worker confirms the stop, the run can no longer start there.
-        self.stop(start.key)
-
-    async def _handle_start_failure(
-        self, start: Start, failure: CallFailure, in_doubt: bool
-    ) -> bool:
-        """Handle a failed order to start; return whether it is settled.
-
-        Parameters
-        ----------
-        start
-            The order.
-        failure
-            How the call failed.
-        in_doubt
-            Whether an earlier order without a reply may still be carried out.
-        """
-        self._log_failure("start-failed", start.key, failure)
-        match failure:
-            case OtherLife():
-                await self._remove_worker()
-                return True
-            case Refused(refusal=refusal, clock=worker_clock):
-                if worker_clock is not None:
-                    self._handle_reply(worker_clock)
-                if refusal is Refusal.DEPOSED:
-                    await self._clock.sleep(DEPOSED_RETRY_DELAY)
-                    return False
-                self._no_starts_until = self._clock.monotonic() + REJECTION_BACKOFF
-                if in_doubt and refusal is not Refusal.SUPERSEDED:
-                    self.stop(start.key)
-                    return True
-                self._starts[start.key] = StartState.SETTLED
-                if refusal is not Refusal.SUPERSEDED:
-                    await self._record_ends(
-                        (EndedRun(start.key.task, start.key.run, RunEnd.REJECTED),)
-                    )
-                return True
-            case NoReply():
-                self._handle_no_reply()
-                return False
-        raise AssertionError
-
-    async def _send_stop(self, key: RunKey) -> None:
-        while (term := self._host.get_term()) is not None:
-            order = StopOrder(task=key.task, run=key.run, term=term)
-            result = await self._calls.stop(self.address, order)
-            match result:
-                case Success(worker_clock):
-                    self._handle_reply(worker_clock)
-                    self._starts[key] = StartState.SETTLED
-                    self._view_requested.set()
-                    return
-                case Failure(failure):
-                    self._log_failure("stop-failed", key, failure)
-                    if isinstance(failure, OtherLife):
-                        await self._remove_worker()
-                        return
-                    if isinstance(failure, Refused):
-                        self._handle_stop_refusal(key, failure)
-                        return
-                    self._handle_no_reply()
-            if self._host.find_worker(self.worker) is None or self._has_ended(key):
-                return
-            await self._clock.sleep(RETRY_DELAY)
-
-    def _handle_stop_refusal(self, key: RunKey, failure: Refused) -> None:
-        """Settle the run if it can no longer start; else allow another stop order.
-
-        Any other refusal means that this leader may be deposed.
-        """
-        if failure.refusal is Refusal.SUPERSEDED:
-            self._starts[key] = StartState.SETTLED
-        else:
-            self._stopping.discard(key)
-
-    def _has_ended(self, key: RunKey) -> bool:
-        worker = self._host.find_worker(self.worker)
-        return worker is None or worker.runs.get(key.task) != key.run
-
-    async def _send_pace(self, order: Pace) -> None:
-        term = self._host.get_term()
-        key = order.key
-        if term is None or self._has_ended(key):
-            return
-        wanted = PaceOrder(task=key.task, run=key.run, percent=order.percent, term=term)
-        result = await self._calls.pace(self.address, wanted)
-        match result:
-            case Success(worker_clock):
-                self._handle_reply(worker_clock)
-            case Failure(failure):
-                self._log_failure("pace-failed", key, failure)
-                self._paces[key] = None
-
     async def _poll_views(self) -> None:
         while True:
             if not self._needs_view():
@@ -357,7 +186,7 @@
         worker = self._host.find_worker(self.worker)
         if worker is None:
             return False
-        if self._exit_announced_at is not None:
+        if self._contact.exit_announced_at is not None:
             return True
         return bool(worker.runs) or worker.recorded_ends > self._acknowledged_ends
 
@@ -368,31 +197,30 @@
             return
         recorded_runs = dict(worker.runs)
         recorded_ends = worker.recorded_ends
-        settled = {
-            key for key, state in self._starts.items() if state is StartState.SETTLED
-        }
+        settled = self._orders.settled
+        contact = self._contact
         request = ViewRequest(
             recorded_ends=recorded_ends,
-            lease_end=self._lease.extend() if self._may_extend_lease() else None,
+            lease_end=contact.lease.extend() if contact.may_extend_lease else None,
             wait_timeout=self._choose_wait_timeout(),
             term=term,
         )
-        result = await self._calls.view(self.address, request)
+        result = await self._calls.view(contact.address, request)
         match result:
             case Success(view):
-                self._handle_reply(view.clock)
+                contact.handle_reply(view.clock)
                 self._acknowledged_ends = recorded_ends
                 await self._apply_view(view, recorded_runs, settled)
             case Failure(OtherLife()):
                 await self._remove_worker()
             case Failure(failure):
-                self._log_failure("view-failed", None, failure)
-                self._handle_no_reply()
+                contact.log_failure("view-failed", None, failure)
+                contact.handle_no_reply()
                 await self._check_lapse()
                 await self._clock.sleep(RETRY_DELAY)
 
     def _choose_wait_timeout(self) -> timedelta:
-        if self._unresponsive_since is not None or not self._lease.has_clock:
+        if not self._contact.may_extend_lease:
             return timedelta()
         worker = self._host.find_worker(self.worker)
         if worker is not None and self._host.needs_frequent_views(worker):
@@ -419,7 +247,7 @@
         self._host.handle_view(self.worker)
         if ends:
             last = max((end.number for end in listed), default=0)
-            await self._record_ends(tuple(ends), last)
+            await self._orders.record_ends(tuple(ends), last)
 
     def _find_missing(
         self,
@@ -434,7 +262,7 @@
         for task, run in recorded_runs.items():
             key = RunKey(task, run)
             # The worker rejects orders of earlier leaders once it has seen this term.
-            is_certain = key in settled or key not in self._starts
+            is_certain = key in settled or not self._orders.has_ordered(key)
             if is_certain and (task, run) not in present:
                 log_event(
                     logger,
@@ -451,34 +279,19 @@
         """Stop runs on the worker that are not recorded."""
         for run in view.active:
             key = RunKey(run.task, run.run)
-            if worker.runs.get(run.task) != run.run and key not in self._starts:
+            is_recorded = worker.runs.get(run.task) == run.run
+            if not is_recorded and not self._orders.has_ordered(key):
                 self.stop(key)
 
-    def _forget_run(self, key: RunKey) -> None:
-        self._starts.pop(key, None)
-        self._stopping.discard(key)
-        self._paces.pop(key, None)
-
-    async def _record_ends(
-        self, ends: tuple[EndedRun, ...], recorded_ends: int = 0
-    ) -> None:
-        keys = {RunKey(end.task, end.run) for end in ends}
-        for key in keys:
-            self._forget_run(key)
-        self._ending |= keys
-        await self._host.record_ends(WorkerEnds(self.worker, ends, recorded_ends))
-        self._ending -= keys
-
     async def _remove_worker(self) -> None:
         await self._host.remove_worker(self.worker, self._list_checkpoints())
 
     async def _check_lapse(self) -> None:
         """Record runs as lost once their lease has certainly lapsed."""
-        now = self._clock.monotonic()
-        if self._has_exited(now):
+        if self._contact.has_exited:
             await self._remove_worker()
             return
-        if now < self._lease.lapses_at:
+        if self._clock.monotonic() < self._contact.lease.lapses_at:
             return
         worker = self._host.find_worker(self.worker)
         if worker is None or not worker.runs:
@@ -497,55 +310,13 @@
             EndedRun(task, run, RunEnd.LOST, saved.get(task, NO_CHECKPOINT))
             for task, run in worker.runs.items()
         )
-        await self._record_ends(ends)
-
-    def _has_exited(self, now: timedelta) -> bool:
-        """Return whether the worker announced its exit and has not replied since."""
-        if self._exit_announced_at is None or self._unresponsive_since is None:
-            return False
-        return (
-            now - max(self._exit_announced_at, self._unresponsive_since)
-            > EXIT_CONFIRMATION_DELAY
-        )
+        await self._orders.record_ends(ends)
 
     def _list_checkpoints(self) -> dict[TaskName, CheckpointToken]:
         return {
             task: run.checkpoint for task, run in self.active.items() if run.checkpoint
         }
 
-    def _may_extend_lease(self) -> bool:
-        """Return whether a view should extend the lease.
-
-        A call without a reply may still have extended the lease. If repeated
-        calls to an unresponsive worker did so, its lease would never be known to
-        have lapsed.
-        """
-        return self._lease.has_clock and self._unresponsive_since is None
-
-    def _handle_reply(self, worker_clock: timedelta) -> None:
-        if self._unresponsive_since is not None:
-            log_event(logger, logging.INFO, "worker-regained", worker=self.worker)
-        self._unresponsive_since = None
-        self._lease.update_clock(worker_clock)
-
-    def _handle_no_reply(self) -> None:
-        if self._unresponsive_since is None:
-            self._unresponsive_since = self._clock.monotonic()
-            log_event(logger, logging.WARNING, "worker-silent", worker=self.worker)
-
-    def _log_failure(
-        self, event: str, key: RunKey | None, failure: CallFailure
-    ) -> None:
-        log_event(
-            logger,
-            logging.INFO,
-            event,
-            worker=self.worker,
-            task=key.task if key else None,
-            run=key.run if key else None,
-            failure=str(failure),
-        )
-
 
 def _convert_end(end: ListedEnd) -> EndedRun:
     return EndedRun(end.task, end.run, end.end, end.checkpoint)
