Show that orders get lost with a lease or a session (known red)

A leader whose lease lapses for a moment drops the stop, or the start, that it was about to repeat, and never sends it again in this term. A run that no log entry knows is stopped once at most, even if that order is lost. A session with a new address sends stops one after the other, behind those without a reply.

--- a/tests/scheduling/test_cancelling.py
+++ b/tests/scheduling/test_cancelling.py
@@ -5,9 +5,11 @@
 import unittest
 from datetime import timedelta
 
+import msgspec
 import trio
 
-from rhubarbfield.scheduling.model import Step
+from rhubarbfield.scheduling.commands import UpdateWorkers
+from rhubarbfield.scheduling.model import Step, TaskName
 from rhubarbfield.scheduling.ports import StartOrder, StopOrder
 from rhubarbfield.scheduling.state import JobPhase, RunEnd
 from rhubarbfield.testing.scheduling_workers import SentOrder
@@ -175,6 +177,80 @@
             self.assertGreaterEqual(len(stopped), 3)
 
 
+class LapsedLeadershipTest(CancellingTestCase):
+    """A leader whose lease lapses may have it again in the same term."""
+
+    @with_deployment()
+    async def test_stop_is_repeated_once_the_leader_has_its_lease_again(
+        self, deployment: Deployment
+    ) -> None:
+        worker = deployment.add_worker("w1", duration=None)
+        async with deployment.lead():
+            await deployment.submit("a", Step(demand=ONE_CORE))
+            await trio.sleep(0.5)
+            worker.lost_stops = 1
+            await deployment.cancel("a")
+            await self.lapse(deployment)
+            self.assertEqual(len(worker.runs), 0)
+
+    @with_deployment()
+    async def test_start_is_repeated_once_the_leader_has_its_lease_again(
+        self, deployment: Deployment
+    ) -> None:
+        worker = deployment.add_worker("w1", duration=None)
+        worker.unanswered_starts = 1
+        async with deployment.lead():
+            await deployment.submit("a", Step(demand=ONE_CORE))
+            await self.lapse(deployment)
+            self.assertEqual(len(worker.runs), 1)
+
+    async def lapse(self, deployment: Deployment) -> None:
+        await trio.sleep(0.3)
+        deployment.replica.leadership = None
+        await trio.sleep(1)
+        deployment.elect(1)
+        await trio.sleep(1)
+
+
+class SessionsTest(CancellingTestCase):
+    @with_deployment()
+    async def test_run_that_is_not_recorded_is_stopped_although_a_stop_is_lost(
+        self, deployment: Deployment
+    ) -> None:
+        worker = deployment.add_worker("w1", duration=None)
+        async with deployment.lead():
+            await deployment.submit("a", Step(demand=ONE_CORE))
+            await trio.sleep(0.5)
+            worker.lost_stops = 1
+            order = deployment.list_sent(StartOrder, "a")[0].order
+            assert isinstance(order, StartOrder)
+            unknown = msgspec.structs.replace(order, task=TaskName("b.0.0.0"))
+            worker.start(unknown)
+            self.assertEqual(len(worker.runs), 2)
+            await trio.sleep(4)
+            self.assertEqual(list(worker.runs), [TaskName("a.0.0.0")])
+
+    @with_deployment()
+    async def test_new_session_with_a_worker_stops_what_the_former_one_did_not(
+        self, deployment: Deployment
+    ) -> None:
+        worker = deployment.add_worker("w1", duration=None)
+        async with deployment.lead():
+            await deployment.submit("a", Step(tasks=3, demand=ONE_CORE))
+            await trio.sleep(0.5)
+            worker.lost_stops = 2
+            await deployment.cancel("a")
+            await trio.sleep(0.1)
+            self.assertEqual(len(worker.runs), 3)
+            deployment.reporting.remove(worker)
+            deployment.fleet.add(worker, "w1:2")
+            report = msgspec.structs.replace(worker.make_report(), address="w1:2")
+            changed = deployment.clock.monotonic()
+            await deployment.propose(UpdateWorkers(reports=(report,)))
+            await trio.sleep(0.5)
+            self.check_stopped(deployment, "a", changed, runs=3)
+
+
 class SlowLogTest(CancellingTestCase):
     @with_deployment()
     async def test_stop_does_not_wait_for_the_commit_of_starts(
