Check starts before each attempt, and give stops their own path

Causes, each shown by a test that failed before: a start in a session's queue, its repetitions, and one whose record was in doubt were sent without a look at the job; a stop waited for the starts and stops before it (up to 2.9 s for each start without an answer) and for the commits of a placement round; a stop or start whose repetition met a lapsed lease was dropped for the rest of the term; a lost stop of an unrecorded run was not repeated.

A start is now checked just before each attempt: the run is recorded and unsettled, no stop or end of it is known, its job and task are open. Stops go out beside starts, two at a time for each worker, and are repeated until they are settled, also when an unhealthy worker refuses them. The stop of a run whose start was never sent withdraws the start and records the end; no call is made. A stop that overtakes a start in flight makes the worker reject the start; the start is not repeated meanwhile, and only a confirmed stop or a view settles it, as before.

Obsolete runs are found from the commands that cancel jobs or end tasks as they are applied, and ordered to stop by the task that follows the state, which waits for no commit. A new session examines the runs of its worker. Housekeeping no longer scans all runs for this.

`run-stopped` gives reason, outcome, attempts and times of each stop.

--- a/src/rhubarbfield/machine.py
+++ b/src/rhubarbfield/machine.py
@@ -127,6 +127,10 @@
         """Call ``watcher`` after each command applied from now on."""
         self._watchers.append(watcher)
 
+    def unwatch(self, watcher: Watcher) -> None:
+        """Undo one call of :meth:`watch`."""
+        self._watchers.remove(watcher)
+
     def watch_restore(self, watcher: Callable[[], None]) -> None:
         """Call ``watcher`` after each restore from now on."""
         self._restore_watchers.append(watcher)
--- a/src/rhubarbfield/scheduling/dispatch.py
+++ b/src/rhubarbfield/scheduling/dispatch.py
@@ -10,9 +10,9 @@
 from returns.result import Failure, Success
 
 from rhubarbfield.clock import Clock
-from rhubarbfield.scheduling.commands import EndedRun, WorkerEnds
 from rhubarbfield.scheduling.contact import WorkerContact
-from rhubarbfield.scheduling.orders import Order, Pace, Start, StartState, Stop
+from rhubarbfield.scheduling.ledger import OrderLedger
+from rhubarbfield.scheduling.orders import Order, Pace, Start, StartState, StopReason
 from rhubarbfield.scheduling.ports import (
     CallFailure,
     NoReply,
@@ -21,26 +21,31 @@
     Refusal,
     Refused,
     StartOrder,
-    StopOrder,
     WorkerCalls,
 )
 from rhubarbfield.scheduling.progress import RunKey
 from rhubarbfield.scheduling.session_host import SessionHost
 from rhubarbfield.scheduling.settings import SchedulingSettings
 from rhubarbfield.scheduling.state import RunEnd
+from rhubarbfield.scheduling.stops import RETRY_DELAY, StopDispatcher
+from rhubarbfield.types import Term
 
-RETRY_DELAY = timedelta(milliseconds=250)  # between calls to an unresponsive worker
 DEPOSED_RETRY_DELAY = timedelta(seconds=1)  # by then a deposed leader's lease is over
-FULL_SPEED = 100  # percent
+# A leader without a lease has it again after a heartbeat, or is cancelled.
+TERM_RETRY_DELAY = timedelta(milliseconds=50)
 
 
 class OrderDispatcher:
-    """Sends orders to one worker, in turn.
+    """Sends orders to one worker.
+
+    Starts and paces are sent in turn; stops do not wait for them.
 
     Parameters
     ----------
     contact
         The contact with the worker.
+    ledger
+        The orders that the worker was given.
     host
         The leader.
     calls
@@ -58,6 +63,7 @@
     def __init__(
         self,
         contact: WorkerContact,
+        ledger: OrderLedger,
         *,
         host: SessionHost,
         calls: WorkerCalls,
@@ -67,86 +73,59 @@
         remove_worker: Callable[[], Awaitable[None]],
     ) -> None:
         self._contact = contact
+        self._ledger = ledger
         self._host = host
         self._calls = calls
         self._clock = clock
         self._settings = settings
         self._request_view = request_view
         self._remove_worker = remove_worker
+        self._stops = StopDispatcher(
+            contact,
+            ledger,
+            host=host,
+            calls=calls,
+            clock=clock,
+            request_view=request_view,
+            remove_worker=remove_worker,
+        )
         self._orders: deque[Order] = deque()
         self._orders_available = trio.Event()
-        self._starts: dict[RunKey, StartState] = {}
-        self._stopping: set[RunKey] = set()
-        self._ending: set[RunKey] = set()  # their ends are not committed yet
-        self._paces: dict[RunKey, int | None] = {}
-
-    @property
-    def settled(self) -> set[RunKey]:
-        """Runs that were ordered here and have started or can't start any more."""
-        return {
-            key for key, state in self._starts.items() if state is StartState.SETTLED
-        }
-
-    def has_ordered(self, key: RunKey) -> bool:
-        """Return whether the run was ordered here and its end is not known."""
-        return key in self._starts
 
     def start(self, start: Start) -> None:
         """Queue an order to start a run that is recorded.
 
-        A run that a view has already shown to be missing is not started.
+        A run that is stopping, or that a view has shown to be missing, is not
+        started.
         """
-        if start.key in self._ending:
-            return
-        self._starts[start.key] = StartState.QUEUED
-        self._enqueue(start)
-        self._request_view()
-
-    def stop(self, key: RunKey) -> None:
-        """Queue an order to stop a run, unless one was queued before."""
-        if key not in self._stopping:
-            self._stopping.add(key)
-            self._enqueue(Stop(key))
+        if self._ledger.may_order(start.key):
+            self._ledger.starts[start.key] = StartState.QUEUED
+            self._enqueue(start)
             self._request_view()
 
+    def stop(self, key: RunKey, reason: StopReason) -> None:
+        """Order a run to stop, unless that was ordered before."""
+        self._stops.stop(key, reason)
+
     def pace(self, key: RunKey, percent: int) -> bool:
         """Queue an order to change a run's pace; return whether it differs."""
-        if self.get_pace(key) == percent:
+        if self._ledger.get_pace(key) == percent:
             return False
-        self._paces[key] = percent
+        self._ledger.set_pace(key, percent)
         self._enqueue(Pace(key, percent))
         return True
 
-    def get_pace(self, key: RunKey) -> int | None:
-        """Return the pace that was ordered for a run, in percent of full speed.
-
-        None if it is unknown: an earlier leader may have set it, or an order got
-        no reply.
-        """
-        if key in self._paces:
-            return self._paces[key]
-        return FULL_SPEED if key in self._starts else None
-
-    def is_stopping(self, key: RunKey) -> bool:
-        """Return whether an order to stop the run was queued."""
-        return key in self._stopping
-
-    async def record_ends(
-        self, ends: tuple[EndedRun, ...], recorded_ends: int = 0
-    ) -> None:
-        """Forget the orders about ended runs; returns once the ends are committed."""
-        keys = {RunKey(end.task, end.run) for end in ends}
-        for key in keys:
-            self._starts.pop(key, None)
-            self._stopping.discard(key)
-            self._paces.pop(key, None)
-        self._ending |= keys
-        report = WorkerEnds(self._contact.worker, ends, recorded_ends)
-        await self._host.record_ends(report)
-        self._ending -= keys
-
     async def run(self) -> None:
         """Send orders until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._stops.run)
+            nursery.start_soon(self._send_in_turn)
+
+    def _enqueue(self, order: Order) -> None:
+        self._orders.append(order)
+        self._orders_available.set()
+
+    async def _send_in_turn(self) -> None:
         while True:
             await self._orders_available.wait()
             self._orders_available = trio.Event()
@@ -154,45 +133,56 @@
                 order = self._orders.popleft()
                 if isinstance(order, Start):
                     await self._send_start(order)
-                elif isinstance(order, Stop):
-                    await self._send_stop(order.key)
                 else:
                     await self._send_pace(order)
 
-    def _enqueue(self, order: Order) -> None:
-        self._orders.append(order)
-        self._orders_available.set()
-
     async def _send_start(self, start: Start) -> None:
+        key = start.key
+        attempts = 0
         in_doubt = False
-        for _ in range(self._settings.order_attempts):
+        while attempts < self._settings.order_attempts and self._may_start(key):
             term = self._host.get_term()
-            if term is None or self._has_ended(start.key):
-                return
-            if start.key in self._stopping:
-                break
-            order = StartOrder(
-                task=start.key.task,
-                run=start.key.run,
-                payload=start.payload,
-                checkpoint=start.checkpoint,
-                lease_end=self._contact.lease.extend(),
-                term=term,
-                ticket=start.ticket,
-            )
+            if term is None:
+                await self._clock.sleep(TERM_RETRY_DELAY)
+                continue
+            attempts += 1
+            self._ledger.starts[key] = StartState.SENT
+            order = self._make_start_order(start, term)
             result = await self._calls.start(self._contact.address, order)
             match result:
                 case Success(worker_clock):
                     self._contact.handle_reply(worker_clock)
-                    self._starts[start.key] = StartState.SETTLED
+                    self._ledger.settle(key)
                     return
                 case Failure(failure):
                     if await self._handle_start_failure(start, failure, in_doubt):
                         return
                     in_doubt = in_doubt or isinstance(failure, NoReply)
             await self._clock.sleep(RETRY_DELAY)
-        # Once the worker confirms the stop, the run can no longer start there.
-        self.stop(start.key)
+        if self._ledger.is_unsettled(key):
+            # Once the worker confirms the stop, the run can no longer start there.
+            is_wanted = self._host.is_wanted(key.task)
+            reason = StopReason.UNANSWERED if is_wanted else StopReason.OBSOLETE
+            self.stop(key, reason)
+
+    def _may_start(self, key: RunKey) -> bool:
+        """Return whether an order to start a run may be sent now."""
+        return (
+            self._ledger.is_unsettled(key)
+            and self._ledger.may_order(key)
+            and self._host.is_wanted(key.task)
+        )
+
+    def _make_start_order(self, start: Start, term: Term) -> StartOrder:
+        return StartOrder(
+            task=start.key.task,
+            run=start.key.run,
+            payload=start.payload,
+            checkpoint=start.checkpoint,
+            lease_end=self._contact.lease.extend(),
+            term=term,
+            ticket=start.ticket,
+        )
 
     async def _handle_start_failure(
         self, start: Start, failure: CallFailure, in_doubt: bool
@@ -221,58 +211,21 @@
                     return False
                 self._contact.handle_rejection()
                 if in_doubt and refusal is not Refusal.SUPERSEDED:
-                    self.stop(start.key)
+                    self.stop(start.key, StopReason.UNANSWERED)
                     return True
-                self._starts[start.key] = StartState.SETTLED
+                self._ledger.settle(start.key)
                 if refusal is not Refusal.SUPERSEDED:
-                    await self._record_end(start.key, RunEnd.REJECTED)
+                    await self._ledger.record_end(start.key, RunEnd.REJECTED)
                 return True
             case NoReply():
                 self._contact.handle_no_reply()
                 return False
         raise AssertionError
 
-    async def _send_stop(self, key: RunKey) -> None:
-        while (term := self._host.get_term()) is not None:
-            order = StopOrder(task=key.task, run=key.run, term=term)
-            result = await self._calls.stop(self._contact.address, order)
-            match result:
-                case Success(worker_clock):
-                    self._contact.handle_reply(worker_clock)
-                    self._starts[key] = StartState.SETTLED
-                    self._request_view()
-                    return
-                case Failure(failure):
-                    self._contact.log_failure("stop-failed", key, failure)
-                    if isinstance(failure, OtherLife):
-                        await self._remove_worker()
-                        return
-                    if isinstance(failure, Refused):
-                        self._handle_stop_refusal(key, failure)
-                        return
-                    self._contact.handle_no_reply()
-            if self._has_ended(key):
-                return
-            await self._clock.sleep(RETRY_DELAY)
-
-    def _handle_stop_refusal(self, key: RunKey, failure: Refused) -> None:
-        """Settle the run if it can no longer start; else allow another stop order.
-
-        Any other refusal means that this leader may be deposed.
-        """
-        if failure.refusal is Refusal.SUPERSEDED:
-            self._starts[key] = StartState.SETTLED
-        else:
-            self._stopping.discard(key)
-
-    def _has_ended(self, key: RunKey) -> bool:
-        worker = self._host.find_worker(self._contact.worker)
-        return worker is None or worker.runs.get(key.task) != key.run
-
     async def _send_pace(self, order: Pace) -> None:
         term = self._host.get_term()
         key = order.key
-        if term is None or self._has_ended(key):
+        if term is None or self._ledger.has_ended(key):
             return
         wanted = PaceOrder(task=key.task, run=key.run, percent=order.percent, term=term)
         result = await self._calls.pace(self._contact.address, wanted)
@@ -281,7 +234,4 @@
                 self._contact.handle_reply(worker_clock)
             case Failure(failure):
                 self._contact.log_failure("pace-failed", key, failure)
-                self._paces[key] = None
-
-    async def _record_end(self, key: RunKey, end: RunEnd) -> None:
-        await self.record_ends((EndedRun(key.task, key.run, end),))
+                self._ledger.set_pace(key, None)
--- a/src/rhubarbfield/scheduling/housekeeping.py
+++ b/src/rhubarbfield/scheduling/housekeeping.py
@@ -17,6 +17,7 @@
 from rhubarbfield.scheduling.headroom import WorkerHeadroom, find_task_step, is_feasible
 from rhubarbfield.scheduling.metrics import JOBS, RUNS_DISTURBED
 from rhubarbfield.scheduling.model import CheckpointToken, TaskName
+from rhubarbfield.scheduling.orders import StopReason
 from rhubarbfield.scheduling.progress import RunKey
 from rhubarbfield.scheduling.quarantine import WorkerQuarantine
 from rhubarbfield.scheduling.session import WorkerSession
@@ -25,7 +26,6 @@
     Job,
     JobPhase,
     SchedulingState,
-    TaskPhase,
 )
 from rhubarbfield.types import JobId, WorkerId
 
@@ -48,7 +48,7 @@
 
 
 class Housekeeping:
-    """Stops obsolete and stalled runs, opens due occurrences, drops old records.
+    """Stops stalled runs, evacuates workers, opens occurrences, drops old records.
 
     Parameters
     ----------
@@ -95,29 +95,12 @@
 
     async def run_once(self) -> None:
         """Do all housekeeping once."""
-        self._stop_obsolete()
         self._stop_stalled()
         self._evacuate()
         await self._open_due_occurrences()
         await self._forget_ended_jobs()
         await self._remove_silent_workers()
 
-    def _stop_obsolete(self) -> None:
-        for worker in self._state.workers.values():
-            session = self._sessions.get(worker.worker)
-            if session is None:
-                continue
-            for name, run in worker.runs.items():
-                if self._is_obsolete(name):
-                    session.stop(RunKey(name, run))
-
-    def _is_obsolete(self, name: TaskName) -> bool:
-        found = self._state.find_task(name)
-        if found is None:
-            return True
-        job, _, _, task = found
-        return not job.is_open or task.phase in (TaskPhase.DONE, TaskPhase.FAILED)
-
     def _stop_stalled(self) -> None:
         """Stop runs without progress, so that other workers take their tasks."""
         now = self._clock.monotonic()
@@ -141,7 +124,7 @@
                 if len(stalled) > 1 or not step.uses_spare_cores:
                     self._quarantine.record_stall(worker, now)
                 self._host.avoid(key.task, worker)
-                session.stop(key)
+                session.stop(key, StopReason.STALLED)
 
     def _evacuate(self) -> None:
         """Stop standing tasks on draining workers if others have headroom for them."""
@@ -169,7 +152,7 @@
                         worker=worker.worker,
                     )
                     RUNS_DISTURBED.labels("evacuated").inc()
-                    session.stop(key)
+                    session.stop(key, StopReason.EVACUATED)
 
     def _reserve_place(
         self, name: TaskName, headrooms: dict[WorkerId, WorkerHeadroom]
--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -57,6 +57,7 @@
     SchedulingState,
     Worker,
 )
+from rhubarbfield.scheduling.terminations import Terminations
 from rhubarbfield.types import Term, WorkerId
 
 logger = logging.getLogger(__name__)
@@ -105,8 +106,10 @@
             calls=calls,
             clock=clock,
             settings=settings,
+            on_opened=self._examine_worker,
             on_removed=self._forget_worker,
         )
+        self._terminations = Terminations(lambda: self.state, self._registry.sessions)
         self._round_requested = trio.Event()
         self._avoided: dict[TaskName, set[WorkerId]] = {}
         self._ends = Batcher(self._commit_ends)
@@ -131,12 +134,16 @@
     async def run(self) -> None:
         """Lead until cancelled."""
         log_event(logger, logging.INFO, "leading-started", term=self._term)
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._ends.run)
-            nursery.start_soon(self._follow_state, nursery)
-            nursery.start_soon(self._request_rounds)
-            nursery.start_soon(self._run_rounds)
-            nursery.start_soon(self._save_harm)
+        self._log.machine.watch(self._terminations.watch_command)
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._ends.run)
+                nursery.start_soon(self._follow_state, nursery)
+                nursery.start_soon(self._request_rounds)
+                nursery.start_soon(self._run_rounds)
+                nursery.start_soon(self._save_harm)
+        finally:
+            self._log.machine.unwatch(self._terminations.watch_command)
 
     # Interface for sessions and the other parts of the leader.
 
@@ -151,6 +158,10 @@
             return None
         return self._term
 
+    def is_wanted(self, task: TaskName) -> bool:
+        """Return whether runs of a task may work: neither it nor its job has ended."""
+        return self.state.is_wanted(task)
+
     async def record_ends(self, ends: WorkerEnds) -> None:
         """Record ends of runs; returns once they are committed."""
         await self._ends.record(ends)
@@ -234,13 +245,20 @@
             self._round_requested.set()
 
     async def _follow_state(self, nursery: trio.Nursery) -> None:
-        """Keep a session with each worker, and request a round at each change."""
+        """Follow each change of the state, without waiting for commits.
+
+        Keeps a session with each worker, stops obsolete runs and requests rounds.
+        """
         while True:
             seen = self._log.changes
             self._registry.synchronize(self.state.workers, nursery)
+            self._terminations.stop_obsolete()
             self._round_requested.set()
             await self._log.wait_change(seen)
 
+    def _examine_worker(self, worker: WorkerId) -> None:
+        self._terminations.add_worker(worker)
+
     def _forget_worker(self, worker: WorkerId) -> None:
         self._quarantine.forget(worker)
         self._mitigator.forget(worker)
@@ -361,7 +379,7 @@
     def _send_start(self, start: RunStart) -> None:
         session = self.get_session(start.worker)
         found = self.state.find_task(start.task)
-        if session is None or found is None:
+        if session is None or found is None or not self.is_wanted(start.task):
             return
         job, _, _, task = found
         self._quarantine.record_probe(start.worker, self._clock.monotonic())
--- /dev/null
+++ b/src/rhubarbfield/scheduling/ledger.py
@@ -0,0 +1,107 @@
+"""Ledger of the orders that one worker was given in this term."""
+
+from __future__ import annotations
+
+from rhubarbfield.scheduling.commands import EndedRun, WorkerEnds
+from rhubarbfield.scheduling.orders import StartState, Stop
+from rhubarbfield.scheduling.progress import RunKey
+from rhubarbfield.scheduling.session_host import SessionHost
+from rhubarbfield.scheduling.state import RunEnd
+from rhubarbfield.types import WorkerId
+
+FULL_SPEED = 100  # percent
+
+
+class OrderLedger:
+    """What one worker was ordered to do, until the ends of the runs are recorded.
+
+    Parameters
+    ----------
+    worker
+        The worker.
+    host
+        The leader.
+
+    Attributes
+    ----------
+    starts
+        State of the orders to start, by run.
+    stops
+        Orders to stop, by run.
+    """
+
+    def __init__(self, worker: WorkerId, host: SessionHost) -> None:
+        self._worker = worker
+        self._host = host
+        self._ending: set[RunKey] = set()  # their ends are not committed yet
+        self._paces: dict[RunKey, int | None] = {}
+        self.starts: dict[RunKey, StartState] = {}
+        self.stops: dict[RunKey, Stop] = {}
+
+    @property
+    def settled(self) -> set[RunKey]:
+        """Runs that were ordered here and have started or can't start any more."""
+        return {
+            key for key, state in self.starts.items() if state is StartState.SETTLED
+        }
+
+    def may_order(self, key: RunKey) -> bool:
+        """Return whether a recorded run may be ordered to start.
+
+        It may not once it is to stop, or once a view has shown it to be missing.
+        """
+        return key not in self._ending and key not in self.stops
+
+    def is_unsettled(self, key: RunKey) -> bool:
+        """Return whether a run is recorded and may still start by an order."""
+        is_open = self.starts.get(key) in (StartState.QUEUED, StartState.SENT)
+        return is_open and not self.has_ended(key)
+
+    def settle(self, key: RunKey) -> None:
+        """Record that a run has started or can no longer start."""
+        if key in self.starts:
+            self.starts[key] = StartState.SETTLED
+
+    def set_pace(self, key: RunKey, percent: int | None) -> None:
+        """Record the pace of a run, in percent of full speed; None if unknown."""
+        self._paces[key] = percent
+
+    def get_pace(self, key: RunKey) -> int | None:
+        """Return the pace that was ordered for a run, in percent of full speed.
+
+        None if it is unknown: an earlier leader may have set it, or an order got
+        no reply.
+        """
+        if key in self._paces:
+            return self._paces[key]
+        return FULL_SPEED if key in self.starts else None
+
+    def has_ended(self, key: RunKey) -> bool:
+        """Return whether the run is not recorded as live on the worker."""
+        worker = self._host.find_worker(self._worker)
+        return worker is None or worker.runs.get(key.task) != key.run
+
+    async def record_end(self, key: RunKey, end: RunEnd) -> None:
+        """Drop a run and record its end; returns once the end is committed."""
+        await self.record_ends((EndedRun(key.task, key.run, end),))
+
+    async def record_ends(
+        self, ends: tuple[EndedRun, ...], recorded_ends: int = 0
+    ) -> None:
+        """Drop ended runs and record their ends; returns once they are committed.
+
+        Parameters
+        ----------
+        ends
+            The ends.
+        recorded_ends
+            Number of the last of them that the worker listed; 0 for none.
+        """
+        keys = {RunKey(end.task, end.run) for end in ends}
+        for key in keys:
+            self.starts.pop(key, None)
+            self.stops.pop(key, None)
+            self._paces.pop(key, None)
+        self._ending |= keys
+        await self._host.record_ends(WorkerEnds(self._worker, ends, recorded_ends))
+        self._ending -= keys
--- a/src/rhubarbfield/scheduling/mitigation.py
+++ b/src/rhubarbfield/scheduling/mitigation.py
@@ -12,7 +12,6 @@
 
 from rhubarbfield.clock import Clock
 from rhubarbfield.logs import log_event
-from rhubarbfield.scheduling.dispatch import FULL_SPEED
 from rhubarbfield.scheduling.headroom import (
     WorkerHeadroom,
     admits,
@@ -25,8 +24,10 @@
     LatencyMargin,
     ServingTask,
 )
+from rhubarbfield.scheduling.ledger import FULL_SPEED
 from rhubarbfield.scheduling.metrics import RUNS_DISTURBED
 from rhubarbfield.scheduling.model import ImageName, Step, TaskName
+from rhubarbfield.scheduling.orders import StopReason
 from rhubarbfield.scheduling.progress import RunKey
 from rhubarbfield.scheduling.session import WorkerSession
 from rhubarbfield.scheduling.state import SchedulingState, Worker
@@ -277,7 +278,7 @@
             tails=self._format_tail_latencies(worker),
         )
         RUNS_DISTURBED.labels("moved").inc()
-        session.stop(key)
+        session.stop(key, StopReason.MOVED)
         return True
 
     def _can_run_elsewhere(self, task: TaskName, worker: Worker) -> bool:
--- a/src/rhubarbfield/scheduling/orders.py
+++ b/src/rhubarbfield/scheduling/orders.py
@@ -1,7 +1,8 @@
-"""Orders that are queued for a worker."""
+"""Orders to a worker, and what is known of their effect."""
 
 from __future__ import annotations
 
+from datetime import timedelta
 from enum import Enum
 
 import msgspec
@@ -19,12 +20,6 @@
     ticket: str = ""
 
 
-class Stop(msgspec.Struct, frozen=True):
-    """Stop a run."""
-
-    key: RunKey
-
-
 class Pace(msgspec.Struct, frozen=True):
     """Let a run work at a percentage of its full speed."""
 
@@ -32,7 +27,7 @@
     percent: int
 
 
-Order = Start | Stop | Pace
+Order = Start | Pace
 
 
 class StartState(Enum):
@@ -41,10 +36,78 @@
     Attributes
     ----------
     QUEUED
-        Not sent yet, or its outcome is unknown.
+        Not sent yet.
+    SENT
+        Sent, and its outcome is unknown.
     SETTLED
         The worker has started the run, or can no longer start it.
     """
 
     QUEUED = "queued"
+    SENT = "sent"
     SETTLED = "settled"
+
+
+class StopReason(Enum):
+    """Why a run is stopped.
+
+    Attributes
+    ----------
+    OBSOLETE
+        Its job was cancelled or has ended, or its task has.
+    UNRECORDED
+        The worker lists it, and it is not recorded.
+    UNANSWERED
+        No order to start it got a clear answer.
+    STALLED, EVACUATED, MOVED
+        Another worker is to take the task.
+    """
+
+    OBSOLETE = "obsolete"
+    UNRECORDED = "unrecorded"
+    UNANSWERED = "unanswered"
+    STALLED = "stalled"
+    EVACUATED = "evacuated"
+    MOVED = "moved"
+
+
+class StopOutcome(Enum):
+    """How the attempts to stop a run ended.
+
+    Attributes
+    ----------
+    CONFIRMED
+        The worker confirmed the stop, or that the run can't start any more.
+    WITHDRAWN
+        The order to start it had not been sent, and never will be.
+    ENDED
+        Its end became known otherwise, or its worker has ended.
+    """
+
+    CONFIRMED = "confirmed"
+    WITHDRAWN = "withdrawn"
+    ENDED = "ended"
+
+
+class Stop(msgspec.Struct):
+    """An order to stop a run, and its attempts.
+
+    Attributes
+    ----------
+    key
+        The run.
+    reason
+        Why it is stopped.
+    ordered_at
+        Monotonic time of the order.
+    sent_at
+        Monotonic time of the first attempt; None before.
+    attempts
+        Number of attempts so far.
+    """
+
+    key: RunKey
+    reason: StopReason
+    ordered_at: timedelta
+    sent_at: timedelta | None = None
+    attempts: int = 0
--- a/src/rhubarbfield/scheduling/registry.py
+++ b/src/rhubarbfield/scheduling/registry.py
@@ -30,6 +30,8 @@
         Source of time.
     settings
         Timeouts and limits.
+    on_opened
+        Called with the id of each worker with which a session is opened.
     on_removed
         Called with the id of each worker whose session is closed.
 
@@ -46,12 +48,14 @@
         calls: WorkerCalls,
         clock: Clock,
         settings: SchedulingSettings,
+        on_opened: Callable[[WorkerId], None],
         on_removed: Callable[[WorkerId], None],
     ) -> None:
         self._host = host
         self._calls = calls
         self._clock = clock
         self._settings = settings
+        self._on_opened = on_opened
         self._on_removed = on_removed
         self._scopes: dict[WorkerId, trio.CancelScope] = {}
         self._reported_clocks: dict[WorkerId, timedelta] = {}
@@ -98,6 +102,7 @@
         )
         session.handle_report(self._reported_clocks.get(worker.worker))
         self.sessions[worker.worker] = session
+        self._on_opened(worker.worker)
         scope = self._scopes[worker.worker] = trio.CancelScope()
         nursery.start_soon(self._run, session, scope)
 
--- a/src/rhubarbfield/scheduling/session.py
+++ b/src/rhubarbfield/scheduling/session.py
@@ -12,7 +12,8 @@
 from rhubarbfield.logs import log_event
 from rhubarbfield.scheduling.commands import EndedRun
 from rhubarbfield.scheduling.contact import WorkerContact
-from rhubarbfield.scheduling.dispatch import RETRY_DELAY, OrderDispatcher
+from rhubarbfield.scheduling.dispatch import OrderDispatcher
+from rhubarbfield.scheduling.ledger import OrderLedger
 from rhubarbfield.scheduling.metrics import LEASES_LAPSED
 from rhubarbfield.scheduling.model import (
     NO_CHECKPOINT,
@@ -20,7 +21,7 @@
     RunNumber,
     TaskName,
 )
-from rhubarbfield.scheduling.orders import Start
+from rhubarbfield.scheduling.orders import Start, StopReason
 from rhubarbfield.scheduling.ports import (
     ActiveRun,
     ListedEnd,
@@ -34,6 +35,7 @@
 from rhubarbfield.scheduling.session_host import SessionHost
 from rhubarbfield.scheduling.settings import SchedulingSettings
 from rhubarbfield.scheduling.state import RunEnd, Worker
+from rhubarbfield.scheduling.stops import RETRY_DELAY
 from rhubarbfield.types import WorkerId
 
 logger = logging.getLogger(__name__)
@@ -75,8 +77,10 @@
         self._clock = clock
         self._settings = settings
         self._contact = WorkerContact(address, clock, settings)
+        self._ledger = OrderLedger(address.worker, host)
         self._orders = OrderDispatcher(
             self._contact,
+            self._ledger,
             host=host,
             calls=calls,
             clock=clock,
@@ -131,17 +135,22 @@
     def start(self, start: Start) -> None:
         """Queue an order to start a run that is recorded.
 
-        A run that a view has already shown to be missing is not started.
+        A run that is stopping, or that a view has shown to be missing, is not
+        started.
         """
         self._orders.start(start)
 
-    def stop(self, key: RunKey) -> None:
-        """Queue an order to stop a run, unless one was queued before."""
-        self._orders.stop(key)
+    def stop(self, key: RunKey, reason: StopReason) -> None:
+        """Order a run to stop, unless that was ordered before.
+
+        The order does not wait for others. It is repeated until the worker confirms
+        it; a start that is still queued is not sent.
+        """
+        self._orders.stop(key, reason)
 
     def is_stopping(self, key: RunKey) -> bool:
-        """Return whether an order to stop the run was queued."""
-        return self._orders.is_stopping(key)
+        """Return whether the run was ordered to stop."""
+        return key in self._ledger.stops
 
     def pace(self, key: RunKey, percent: int) -> None:
         """Queue an order to let a run work at ``percent`` of its full speed."""
@@ -154,7 +163,7 @@
         None if it is unknown: an earlier leader may have set it, or an order got
         no reply.
         """
-        return self._orders.get_pace(key)
+        return self._ledger.get_pace(key)
 
     def list_stalled(self, limit: timedelta) -> list[RunKey]:
         """Return runs without progress for ``limit``, unless paused or stopping."""
@@ -197,7 +206,7 @@
             return
         recorded_runs = dict(worker.runs)
         recorded_ends = worker.recorded_ends
-        settled = self._orders.settled
+        settled = self._ledger.settled
         contact = self._contact
         request = ViewRequest(
             recorded_ends=recorded_ends,
@@ -247,7 +256,7 @@
         self._host.handle_view(self.worker)
         if ends:
             last = max((end.number for end in listed), default=0)
-            await self._orders.record_ends(tuple(ends), last)
+            await self._ledger.record_ends(tuple(ends), last)
 
     def _find_missing(
         self,
@@ -262,7 +271,7 @@
         for task, run in recorded_runs.items():
             key = RunKey(task, run)
             # The worker rejects orders of earlier leaders once it has seen this term.
-            is_certain = key in settled or not self._orders.has_ordered(key)
+            is_certain = key in settled or key not in self._ledger.starts
             if is_certain and (task, run) not in present:
                 log_event(
                     logger,
@@ -280,8 +289,8 @@
         for run in view.active:
             key = RunKey(run.task, run.run)
             is_recorded = worker.runs.get(run.task) == run.run
-            if not is_recorded and not self._orders.has_ordered(key):
-                self.stop(key)
+            if not is_recorded and key not in self._ledger.starts:
+                self.stop(key, StopReason.UNRECORDED)
 
     async def _remove_worker(self) -> None:
         await self._host.remove_worker(self.worker, self._list_checkpoints())
@@ -310,7 +319,7 @@
             EndedRun(task, run, RunEnd.LOST, saved.get(task, NO_CHECKPOINT))
             for task, run in worker.runs.items()
         )
-        await self._orders.record_ends(ends)
+        await self._ledger.record_ends(ends)
 
     def _list_checkpoints(self) -> dict[TaskName, CheckpointToken]:
         return {
--- a/src/rhubarbfield/scheduling/session_host.py
+++ b/src/rhubarbfield/scheduling/session_host.py
@@ -19,6 +19,9 @@
     def get_term(self) -> Term | None:
         """Return the term if the leader may send orders now, else None."""
 
+    def is_wanted(self, task: TaskName) -> bool:
+        """Return whether runs of a task may work: neither it nor its job has ended."""
+
     async def record_ends(self, ends: WorkerEnds) -> None:
         """Record ends of runs; returns once they are committed."""
 
--- a/src/rhubarbfield/scheduling/state.py
+++ b/src/rhubarbfield/scheduling/state.py
@@ -45,6 +45,11 @@
     DONE = 2
     FAILED = 3
 
+    @property
+    def is_final(self) -> bool:
+        """Whether the task has ended."""
+        return self in (TaskPhase.DONE, TaskPhase.FAILED)
+
 
 class RunEnd(Enum):
     """How a run ended.
@@ -275,6 +280,11 @@
             return None
         return job, occurrence, step, task
 
+    def is_wanted(self, name: TaskName) -> bool:
+        """Return whether runs of a task may work: neither it nor its job has ended."""
+        found = self.find_task(name)
+        return found is not None and found[0].is_open and not found[3].phase.is_final
+
     def find_step(self, name: TaskName) -> Step | None:
         """Return the step of a task, or None if there is no such task."""
         found = self.find_task(name)
--- /dev/null
+++ b/tests/scheduling/test_ledger.py
@@ -0,0 +1,63 @@
+"""Tests of the ledger of a worker's orders."""
+
+from __future__ import annotations
+
+import unittest
+from typing import cast
+
+import trio
+import trio.testing
+
+from rhubarbfield.scheduling.commands import UpdateWorkers, WorkerEnds
+from rhubarbfield.scheduling.ledger import OrderLedger
+from rhubarbfield.scheduling.model import RunNumber, TaskName
+from rhubarbfield.scheduling.orders import StartState
+from rhubarbfield.scheduling.progress import RunKey
+from rhubarbfield.scheduling.session_host import SessionHost
+from rhubarbfield.scheduling.state import RunEnd, Worker
+from rhubarbfield.types import WorkerId
+from tests.scheduling.test_appliers import WORKERS, Log, make_report
+
+KEY = RunKey(TaskName("j.0.0.0"), RunNumber(1))
+
+
+class FakeHost:
+    """A leader whose log commits ends only once it may."""
+
+    def __init__(self, worker: Worker) -> None:
+        self.worker = worker
+        self.may_commit = trio.Event()
+
+    def find_worker(self, worker: WorkerId) -> Worker | None:
+        return self.worker
+
+    async def record_ends(self, ends: WorkerEnds) -> None:
+        await self.may_commit.wait()
+        del self.worker.runs[KEY.task]
+
+
+class OrderLedgerTest(unittest.TestCase):
+    def test_run_whose_end_is_being_committed_is_not_started(self) -> None:
+        """Its task may be on another worker as soon as the end is committed."""
+        trio.run(self.check_run_that_ends)
+
+    async def check_run_that_ends(self) -> None:
+        log = Log()
+        log.apply(UpdateWorkers(reports=(make_report(WORKERS[0]),)))
+        worker = log.state.workers[WORKERS[0]]
+        worker.runs[KEY.task] = KEY.run
+        host = FakeHost(worker)
+        ledger = OrderLedger(worker.worker, cast(SessionHost, host))
+        ledger.starts[KEY] = StartState.QUEUED
+        self.assertTrue(ledger.is_unsettled(KEY) and ledger.may_order(KEY))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ledger.record_end, KEY, RunEnd.LOST)
+            await trio.testing.wait_all_tasks_blocked()
+            self.assertFalse(ledger.is_unsettled(KEY))
+            self.assertFalse(ledger.may_order(KEY))
+            host.may_commit.set()
+        self.assertFalse(ledger.is_unsettled(KEY))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/scheduling/test_mitigation.py
+++ b/tests/scheduling/test_mitigation.py
@@ -29,6 +29,7 @@
     TaskName,
     name_task,
 )
+from rhubarbfield.scheduling.orders import StopReason
 from rhubarbfield.scheduling.ports import ActiveRun
 from rhubarbfield.scheduling.progress import RunKey
 from rhubarbfield.scheduling.session import WorkerSession
@@ -60,7 +61,7 @@
     def get_pace(self, key: RunKey) -> int | None:
         return self.paces.get(key, None if self.is_new else 100)
 
-    def stop(self, key: RunKey) -> None:
+    def stop(self, key: RunKey, reason: StopReason) -> None:
         self.stopped.add(key)
 
     def is_stopping(self, key: RunKey) -> bool:
