Show that cancels and reads are refused early (known red)

While leaders change, an entry refuses a cancel or a read after 0.6 s, though it may be repeated until the caller's deadline. A repeated cancel or submission of a job that the leader knows waits for another commit, which takes longer than the 0.8 s of an attempt when the leader is busy. A cancel in doubt gets 503. A call that never connects counts as one that may have arrived, so that its submission is held until the deadline and gets 504.

--- a/tests/peering/test_grpc.py
+++ b/tests/peering/test_grpc.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import gc
 import socket
 import unittest
@@ -109,6 +110,26 @@
             reply = await connection.call(CALL, Question(1))
         self.assertEqual(reply.failure().kind, CallFailureKind.UNREACHABLE)
 
+    def test_a_call_that_never_connects_has_certainly_not_arrived(self) -> None:
+        run_with_loop(self.call_a_host_that_does_not_connect)
+
+    async def call_a_host_that_does_not_connect(self) -> None:
+        with contextlib.ExitStack() as stack:
+            server = stack.enter_context(socket.socket())
+            server.bind((HOST, 0))
+            server.listen(0)
+            port = server.getsockname()[1]
+            # Later connections wait, once these fill the queue of the listener.
+            for _ in range(4):
+                waiting = stack.enter_context(socket.socket())
+                waiting.setblocking(False)
+                waiting.connect_ex((HOST, port))
+            async with connect(TRANSPORT, HOST, port) as connection:
+                reply = await connection.call(
+                    CALL, Question(1), timedelta(milliseconds=200)
+                )
+        self.assertEqual(reply.failure().kind, CallFailureKind.UNREACHABLE)
+
     def test_a_silent_server_times_out(self) -> None:
         run_with_loop(self.call_a_silent_server)
 
--- /dev/null
+++ b/tests/platform/test_ingress.py
@@ -0,0 +1,32 @@
+"""Tests of the responses to clients."""
+
+from __future__ import annotations
+
+import unittest
+from datetime import timedelta
+from http import HTTPStatus
+
+from rhubarbfield.platform.ingress import make_response
+from rhubarbfield.scheduling.gateway import Undecided
+from rhubarbfield.scheduling.service import JobVerb
+
+
+class ResponsesTest(unittest.TestCase):
+    def test_only_what_may_have_taken_effect_gets_504(self) -> None:
+        """A refusal by 503 tells the caller that nothing was done."""
+        for verb, in_doubt, status in (
+            (JobVerb.SUBMIT, True, HTTPStatus.GATEWAY_TIMEOUT),
+            (JobVerb.SUBMIT, False, HTTPStatus.SERVICE_UNAVAILABLE),
+            (JobVerb.CANCEL, True, HTTPStatus.GATEWAY_TIMEOUT),
+            (JobVerb.CANCEL, False, HTTPStatus.SERVICE_UNAVAILABLE),
+            (JobVerb.READ, True, HTTPStatus.SERVICE_UNAVAILABLE),
+            (JobVerb.READ, False, HTTPStatus.SERVICE_UNAVAILABLE),
+        ):
+            undecided = Undecided(in_doubt, timedelta(seconds=1))
+            response = make_response(verb, undecided)
+            self.assertEqual(response.status_code, status, (verb, in_doubt))
+            self.assertEqual(response.headers["Retry-After"], "1")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/scheduling/test_gateway.py
@@ -0,0 +1,120 @@
+"""Tests of the answers of an entry while controllers are busy or change leaders."""
+
+from __future__ import annotations
+
+import unittest
+from collections.abc import Callable
+from datetime import timedelta
+from typing import cast
+
+import trio
+from returns.result import Success
+
+from rhubarbfield.clock import TrioClock
+from rhubarbfield.groups import NotLeading, Unavailable
+from rhubarbfield.peering import Transport
+from rhubarbfield.scheduling.deployment import DeploymentSettings, WorkerTimes
+from rhubarbfield.scheduling.gateway import Gateway, Undecided
+from rhubarbfield.scheduling.model import JobSubmission, Step
+from rhubarbfield.scheduling.service import (
+    Accepted,
+    JobReply,
+    JobRequest,
+    JobStatus,
+    JobVerb,
+)
+from rhubarbfield.scheduling.state import JobPhase
+from tests.protocol.test_leaders import TIMED_OUT, Reply, ScriptedTransport
+from tests.replication.determinism import run_deterministic
+
+SETTINGS = DeploymentSettings(
+    instance="e1",
+    failure_domain="z",
+    host="e1",
+    peer_port=2,
+    seeds=("c1:1", "c2:1", "c3:1"),
+    workers=WorkerTimes(report_ms=500, longest_lease_ms=6000),
+)
+CALLER_TIMEOUT = timedelta(seconds=3)
+GAP_SECONDS = 2.0  # without a leader
+
+
+def answer_during_gap(reply: JobReply) -> Callable[[str, int], Reply]:
+    """Return answers of controllers that have no leader at first."""
+
+    def answer(_host: str, _number: int) -> Reply:
+        has_leader = trio.current_time() >= GAP_SECONDS
+        return Success(reply if has_leader else NotLeading())
+
+    return answer
+
+
+class GatewayTest(unittest.TestCase):
+    def forward(
+        self,
+        verb: JobVerb,
+        answer: Callable[[str, int], Reply],
+        timeout: timedelta = CALLER_TIMEOUT,
+    ) -> tuple[JobReply | Undecided, float]:
+        submission = JobSubmission(payload="", steps=(Step(),))
+        request = JobRequest(
+            verb=verb,
+            host="h",
+            path="/q/j",
+            submission=submission if verb is JobVerb.SUBMIT else None,
+        )
+
+        async def body() -> tuple[JobReply | Undecided, float]:
+            transport = cast(Transport, ScriptedTransport(answer))
+            gateway = Gateway(SETTINGS, transport, TrioClock())
+            began = trio.current_time()
+            reply = await gateway.forward(request, timeout)
+            return reply, trio.current_time() - began
+
+        return run_deterministic(body, seed=1)
+
+    def test_cancel_waits_for_the_next_leader(self) -> None:
+        reply, _ = self.forward(JobVerb.CANCEL, answer_during_gap(Accepted()))
+        self.assertEqual(reply, Accepted())
+
+    def test_read_waits_for_the_next_leader(self) -> None:
+        status = JobStatus(JobPhase.RUNNING)
+        reply, _ = self.forward(JobVerb.READ, answer_during_gap(status))
+        self.assertEqual(reply, status)
+
+    def test_submission_that_nobody_takes_is_refused_early(self) -> None:
+        reply, took = self.forward(JobVerb.SUBMIT, answer_during_gap(Accepted()))
+        assert isinstance(reply, Undecided)
+        self.assertFalse(reply.in_doubt)
+        self.assertLess(took, 0.8)
+
+    def test_cancel_without_any_leader_is_answered_before_the_caller_gives_up(
+        self,
+    ) -> None:
+        reply, took = self.forward(JobVerb.CANCEL, lambda *_: Success(NotLeading()))
+        assert isinstance(reply, Undecided)
+        self.assertGreater(took, 2.5)
+        self.assertLess(took, 2.9)
+
+    def test_cancel_with_a_short_deadline_is_tried(self) -> None:
+        reply, took = self.forward(
+            JobVerb.CANCEL,
+            lambda *_: Success(Accepted()),
+            timeout=timedelta(milliseconds=200),
+        )
+        self.assertEqual(reply, Accepted())
+        self.assertLess(took, 0.1)
+
+    def test_cancel_in_doubt_is_repeated_until_it_is_decided(self) -> None:
+        def answer(_host: str, number: int) -> Reply:
+            if number == 1:
+                return TIMED_OUT
+            late = Success(Unavailable("late", in_doubt=True))
+            return late if trio.current_time() < GAP_SECONDS else Success(Accepted())
+
+        reply, _ = self.forward(JobVerb.CANCEL, answer)
+        self.assertEqual(reply, Accepted())
+
+
+if __name__ == "__main__":
+    unittest.main()
