Let cancels and reads wait for the next leader

Causes in the code, each shown by a test that failed before: the entry refused cancels like submissions. A repeated cancel or submission proposed another commit, although the leader already held the first one; when a commit takes longer than the 0.8 s of an attempt, no attempt gets an answer. A call that had not even connected counted as one that may have arrived: its submission was held until the deadline and got 504. A cancel in doubt got 503, which says that nothing was done.

Cancels and reads now wait for the next leader until 0.3 s before the caller's deadline. They wait for the entry's own probes, which do not pause while there is no leader: 100 requests make fewer than 8 calls each in a gap of 3 s (test). The leader answers from its state about a job that it holds already or that has ended; a cancel of a completed job is no longer logged and counted as one. Submissions are refused after 0.6 s as before.

--- a/src/rhubarbfield/peering/client.py
+++ b/src/rhubarbfield/peering/client.py
@@ -46,12 +46,17 @@
         self, method: CallMethod, request: Any, timeout: timedelta = CALL_TIMEOUT
     ) -> Result[Any, CallFailure]:
         """Send ``request`` and return its reply within ``timeout``."""
+        is_connected = False
         with trio.move_on_after(timeout.total_seconds()) as scope:
             failure = await self._connect()
             if failure is not None:
                 return Failure(failure)
+            is_connected = True
             return await self._call(method, request)
         assert scope.cancelled_caught
+        if not is_connected:
+            detail = f"not connected in {timeout}"
+            return Failure(CallFailure(CallFailureKind.UNREACHABLE, detail))
         return Failure(CallFailure(CallFailureKind.TIMEOUT, f"no reply in {timeout}"))
 
     async def _connect(self) -> CallFailure | None:
--- a/src/rhubarbfield/platform/ingress.py
+++ b/src/rhubarbfield/platform/ingress.py
@@ -84,10 +84,12 @@
 def make_response(verb: JobVerb, reply: JobReply | Undecided) -> Response:
     """Return the response to a client for a reply of the controllers."""
     if isinstance(reply, Undecided):
-        # Clients may treat 503 as proof that the job never runs.
-        may_run = reply.in_doubt and verb is JobVerb.SUBMIT
+        # Clients may treat 503 as proof that nothing was done.
+        may_take_effect = reply.in_doubt and verb is not JobVerb.READ
         status = (
-            HTTPStatus.GATEWAY_TIMEOUT if may_run else HTTPStatus.SERVICE_UNAVAILABLE
+            HTTPStatus.GATEWAY_TIMEOUT
+            if may_take_effect
+            else HTTPStatus.SERVICE_UNAVAILABLE
         )
         return _make_retry_response(status, reply.retry_after)
     described = _describe_reply(reply)
--- a/src/rhubarbfield/scheduling/gateway.py
+++ b/src/rhubarbfield/scheduling/gateway.py
@@ -10,7 +10,7 @@
 from returns.result import Failure, Success
 
 from rhubarbfield.clock import Clock
-from rhubarbfield.groups import LeaderCalls
+from rhubarbfield.groups import LeaderCalls, LeaderFailure
 from rhubarbfield.logs import log_event
 from rhubarbfield.peering import Transport
 from rhubarbfield.scheduling.deployment import DeploymentSettings
@@ -29,7 +29,8 @@
 ATTEMPT_TIMEOUT = timedelta(milliseconds=800)
 READINESS_INTERVAL = timedelta(seconds=1)  # the interval of the balancer's checks
 READINESS_TIMEOUT = timedelta(milliseconds=2500)  # longer than a change of leader
-# A change of leader takes longer than this; the caller retries afterwards.
+# A change of leader takes longer than this; a submission is refused then, and its
+# caller retries afterwards.
 LEADER_SEARCH_TIMEOUT = timedelta(milliseconds=600)
 REPLY_MARGIN = timedelta(milliseconds=300)  # to answer before the caller times out
 
@@ -80,6 +81,7 @@
             for _ in range(2)
         )
         self._last_leader_contact_at: timedelta | None = None
+        self._leader_contacted = trio.Event()
         self._stopping = False
 
     @property
@@ -110,20 +112,24 @@
     async def run(
         self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
-        """Probe the leader periodically until cancelled, to determine readiness."""
+        """Probe the leader periodically until cancelled, to determine readiness.
+
+        While there is no leader, the probes go on without a pause.
+        """
         task_status.started()
         while True:
             was_ready = self.is_ready
             result = await self._probes.call(LeadershipQuery(), READINESS_INTERVAL)
             if isinstance(result, Success):
-                self._last_leader_contact_at = self._clock.monotonic()
+                self._record_contact()
             if self.is_ready != was_ready:
                 log_event(
                     logger,
                     logging.INFO,
                     "controllers-regained" if self.is_ready else "controllers-lost",
                 )
-            await self._clock.sleep(READINESS_INTERVAL)
+            if isinstance(result, Success):
+                await self._clock.sleep(READINESS_INTERVAL)
 
     async def forward(
         self, request: JobRequest, timeout: timedelta
@@ -166,31 +172,61 @@
     async def _call_leader(
         self, request: JobRequest, timeout: timedelta
     ) -> JobReply | Undecided:
-        # A request that may have been stored is retried until its outcome is known,
-        # since the caller can't find out. One that was not stored is refused early
-        # enough for the caller to retry.
-        result = await self._calls.call(
-            request,
-            timeout=min(LEADER_SEARCH_TIMEOUT, timeout / 2),
-            in_doubt_timeout=timeout - REPLY_MARGIN,
+        # A submission that may have been stored is repeated until its outcome is
+        # known, since the caller can't find out. One that was not stored is refused
+        # early enough for the caller to retry. Cancels and reads wait for the next
+        # leader, since a later request would be no different.
+        answer_by = self._clock.monotonic() + max(timeout - REPLY_MARGIN, timeout / 2)
+        while True:
+            contacted = self._leader_contacted
+            remaining = answer_by - self._clock.monotonic()
+            result = await self._calls.call(
+                request,
+                timeout=min(LEADER_SEARCH_TIMEOUT, timeout / 2, remaining),
+                in_doubt_timeout=remaining,
+            )
+            match result:
+                case Success(reply):
+                    self._record_contact()
+                    return reply
+                case Failure(failure):
+                    is_final = failure.in_doubt or request.verb is JobVerb.SUBMIT
+                    if not is_final and await self._wait(contacted, answer_by):
+                        continue
+                    self._log_undecided(request, failure)
+                    return Undecided(failure.in_doubt, READINESS_INTERVAL)
+            raise AssertionError
+
+    async def _wait(self, contacted: trio.Event, until: timedelta) -> bool:
+        """Wait for contact with a leader; return whether there was any by ``until``.
+
+        All requests wait for the same probes, so that a gap without a leader costs
+        the controllers no calls for each of them.
+        """
+        remaining = until - self._clock.monotonic()
+        if remaining <= timedelta():
+            return False
+        with trio.move_on_after(remaining.total_seconds()):
+            await contacted.wait()
+            return True
+        return False
+
+    def _record_contact(self) -> None:
+        self._last_leader_contact_at = self._clock.monotonic()
+        self._leader_contacted.set()
+        self._leader_contacted = trio.Event()
+
+    def _log_undecided(self, request: JobRequest, failure: LeaderFailure) -> None:
+        log_event(
+            logger,
+            logging.WARNING,
+            "request-undecided",
+            verb=request.verb,
+            path=request.path,
+            in_doubt=failure.in_doubt,
+            detail=failure.detail,
+            leader_heard=self._measure_contact_age(),
         )
-        match result:
-            case Success(reply):
-                self._last_leader_contact_at = self._clock.monotonic()
-                return reply
-            case Failure(failure):
-                log_event(
-                    logger,
-                    logging.WARNING,
-                    "request-undecided",
-                    verb=request.verb,
-                    path=request.path,
-                    in_doubt=failure.in_doubt,
-                    detail=failure.detail,
-                    leader_heard=self._measure_contact_age(),
-                )
-                return Undecided(failure.in_doubt, READINESS_INTERVAL)
-        raise AssertionError
 
 
 def _name_outcome(answer: JobReply | Undecided) -> str:
--- a/src/rhubarbfield/scheduling/service.py
+++ b/src/rhubarbfield/scheduling/service.py
@@ -276,19 +276,27 @@
     async def _submit(
         self, job: JobId, queue: Queue, submission: JobSubmission
     ) -> JobReply:
-        command = AcceptJob(
-            job=job,
-            queue=queue.name,
-            submission=submission,
-            accepted_ms=int(self._clock.now().timestamp() * MS_PER_SECOND),
-        )
-        reply = await self._propose(command)
-        if isinstance(reply, NotLeading | Unavailable):
-            log_event(
-                logger, logging.WARNING, "job-not-accepted", job=job, reason=str(reply)
+        # The state holds only what is committed. An earlier attempt, whose answer was
+        # late or lost, needs no further commit.
+        if job not in self._state.jobs:
+            reply = await self._propose(
+                AcceptJob(
+                    job=job,
+                    queue=queue.name,
+                    submission=submission,
+                    accepted_ms=int(self._clock.now().timestamp() * MS_PER_SECOND),
+                )
             )
-            JOBS.labels("not-accepted").inc()
-            return reply
+            if isinstance(reply, NotLeading | Unavailable):
+                log_event(
+                    logger,
+                    logging.WARNING,
+                    "job-not-accepted",
+                    job=job,
+                    reason=str(reply),
+                )
+                JOBS.labels("not-accepted").inc()
+                return reply
         log_event(
             logger,
             logging.INFO,
@@ -305,16 +313,19 @@
         return 0 if configuration is None else configuration.version
 
     async def _cancel(self, job: JobId) -> JobReply:
-        if job not in self._state.jobs:
+        found = self._state.jobs.get(job)
+        if found is None:
             return NoSuchJob()
-        reply = await self._propose(CancelJob(job=job))
-        match reply:
-            case Refused():
-                return NoSuchJob()
-            case NotLeading() | Unavailable():
-                return reply
-        log_event(logger, logging.INFO, "job-cancelled", job=job)
-        JOBS.labels("cancelled").inc()
+        if found.is_open:
+            reply = await self._propose(CancelJob(job=job))
+            match reply:
+                case Refused():
+                    return NoSuchJob()
+                case NotLeading() | Unavailable():
+                    return reply
+        if found.phase is JobPhase.CANCELLED:
+            log_event(logger, logging.INFO, "job-cancelled", job=job)
+            JOBS.labels("cancelled").inc()
         return Accepted()
 
     def _read(self, job: JobId) -> JobReply:
--- a/tests/scheduling/test_gateway.py
+++ b/tests/scheduling/test_gateway.py
@@ -37,6 +37,8 @@
 )
 CALLER_TIMEOUT = timedelta(seconds=3)
 GAP_SECONDS = 2.0  # without a leader
+REQUESTS = 100
+MAX_CALLS_EACH = 8  # a search of 0.6 s, and a share of the probes
 
 
 def answer_during_gap(reply: JobReply) -> Callable[[str, int], Reply]:
@@ -67,9 +69,13 @@
         async def body() -> tuple[JobReply | Undecided, float]:
             transport = cast(Transport, ScriptedTransport(answer))
             gateway = Gateway(SETTINGS, transport, TrioClock())
-            began = trio.current_time()
-            reply = await gateway.forward(request, timeout)
-            return reply, trio.current_time() - began
+            async with trio.open_nursery() as nursery:
+                await nursery.start(gateway.run)
+                began = trio.current_time()
+                reply = await gateway.forward(request, timeout)
+                took = trio.current_time() - began
+                nursery.cancel_scope.cancel()
+            return reply, took
 
         return run_deterministic(body, seed=1)
 
@@ -82,6 +88,29 @@
         reply, _ = self.forward(JobVerb.READ, answer_during_gap(status))
         self.assertEqual(reply, status)
 
+    def test_requests_that_wait_for_a_leader_do_not_flood_the_controllers(self) -> None:
+        """The controllers need their time to elect a leader."""
+        calls = 0
+
+        def answer(_host: str, _number: int) -> Reply:
+            nonlocal calls
+            calls += 1
+            return Success(NotLeading())
+
+        async def body() -> None:
+            transport = cast(Transport, ScriptedTransport(answer))
+            gateway = Gateway(SETTINGS, transport, TrioClock())
+            request = JobRequest(verb=JobVerb.READ, host="h", path="/q/j")
+            async with trio.open_nursery() as nursery:
+                await nursery.start(gateway.run)
+                async with trio.open_nursery() as requests:
+                    for _ in range(REQUESTS):
+                        requests.start_soon(gateway.forward, request, CALLER_TIMEOUT)
+                nursery.cancel_scope.cancel()
+
+        run_deterministic(body, seed=1)
+        self.assertLess(calls, REQUESTS * MAX_CALLS_EACH)
+
     def test_submission_that_nobody_takes_is_refused_early(self) -> None:
         reply, took = self.forward(JobVerb.SUBMIT, answer_during_gap(Accepted()))
         assert isinstance(reply, Undecided)
