Show that a pace gets lost with a lease (known red)

A pace whose order meets a lapsed lease of the leader is not sent, but counts as ordered, so that a run may stay paused, or harmful, for the rest of the term.

--- a/tests/scheduling/test_cancelling.py
+++ b/tests/scheduling/test_cancelling.py
@@ -9,8 +9,9 @@
 import trio
 
 from rhubarbfield.scheduling.commands import UpdateWorkers
-from rhubarbfield.scheduling.model import Step, TaskName
+from rhubarbfield.scheduling.model import RunNumber, Step, TaskName
 from rhubarbfield.scheduling.ports import StartOrder, StopOrder
+from rhubarbfield.scheduling.progress import RunKey
 from rhubarbfield.scheduling.state import JobPhase, RunEnd
 from rhubarbfield.testing.scheduling_workers import SentOrder
 from tests.scheduling.deployments import ONE_CORE, Deployment, with_deployment
@@ -204,6 +205,27 @@
             await self.lapse(deployment)
             self.assertEqual(len(worker.runs), 1)
 
+    @with_deployment()
+    async def test_pace_that_could_not_be_ordered_counts_as_unknown(
+        self, deployment: Deployment
+    ) -> None:
+        """Else the same pace would never be ordered again."""
+        worker = deployment.add_worker("w1", duration=None)
+        async with deployment.lead() as leader:
+            await deployment.submit("a", Step(demand=ONE_CORE))
+            await trio.sleep(0.5)
+            session = leader.get_session(worker.worker)
+            assert session is not None
+            key = RunKey(TaskName("a.0.0.0"), RunNumber(1))
+            deployment.replica.leadership = None
+            session.pace(key, 0)
+            await trio.sleep(0.1)
+            deployment.elect(1)
+            self.assertIsNone(session.get_pace(key))
+            session.pace(key, 0)
+            await trio.sleep(0.1)
+            self.assertEqual(worker.runs[key.task].pace, 0)
+
     async def lapse(self, deployment: Deployment) -> None:
         await trio.sleep(0.3)
         deployment.replica.leadership = None
