Treat a pace that could not be ordered as unknown

Found while looking for other orders that a lapsed lease drops: the pace counted as ordered and was not ordered again in this term. As for an order without a reply, the pace is unknown now, and the next view orders it anew.

--- a/src/rhubarbfield/scheduling/dispatch.py
+++ b/src/rhubarbfield/scheduling/dispatch.py
@@ -225,7 +225,10 @@
     async def _send_pace(self, order: Pace) -> None:
         term = self._host.get_term()
         key = order.key
-        if term is None or self._ledger.has_ended(key):
+        if self._ledger.has_ended(key):
+            return
+        if term is None:
+            self._ledger.set_pace(key, None)
             return
         wanted = PaceOrder(task=key.task, run=key.run, percent=order.percent, term=term)
         result = await self._calls.pace(self._contact.address, wanted)
