--- /dev/null
+++ b/src/rhubarbfield/scheduling/dispatch.py
@@ -0,0 +1,240 @@
+"""Dispatch of orders to one worker."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+
+import trio
+from returns.result import Failure, Success
+
+from rhubarbfield.clock import Clock
+from rhubarbfield.scheduling.contact import WorkerContact
+from rhubarbfield.scheduling.ledger import OrderLedger
+from rhubarbfield.scheduling.orders import Order, Pace, Start, StartState, StopReason
+from rhubarbfield.scheduling.ports import (
+    CallFailure,
+    NoReply,
+    OtherLife,
+    PaceOrder,
+    Refusal,
+    Refused,
+    StartOrder,
+    WorkerCalls,
+)
+from rhubarbfield.scheduling.progress import RunKey
+from rhubarbfield.scheduling.session_host import SessionHost
+from rhubarbfield.scheduling.settings import SchedulingSettings
+from rhubarbfield.scheduling.state import RunEnd
+from rhubarbfield.scheduling.stops import RETRY_DELAY, StopDispatcher
+from rhubarbfield.types import Term
+
+DEPOSED_RETRY_DELAY = timedelta(seconds=1)  # by then a deposed leader's lease is over
+# A leader without a lease has it again after a heartbeat, or is cancelled.
+TERM_RETRY_DELAY = timedelta(milliseconds=50)
+
+
+class OrderDispatcher:
+    """Sends orders to one worker.
+
+    Starts and paces are sent in turn; stops do not wait for them.
+
+    Parameters
+    ----------
+    contact
+        The contact with the worker.
+    ledger
+        The orders that the worker was given.
+    host
+        The leader.
+    calls
+        Client for calls to workers.
+    clock
+        Source of time.
+    settings
+        Timeouts and limits.
+    request_view
+        Requests a view of the worker.
+    remove_worker
+        Records that this incarnation of the worker has ended.
+    """
+
+    def __init__(
+        self,
+        contact: WorkerContact,
+        ledger: OrderLedger,
+        *,
+        host: SessionHost,
+        calls: WorkerCalls,
+        clock: Clock,
+        settings: SchedulingSettings,
+        request_view: Callable[[], None],
+        remove_worker: Callable[[], Awaitable[None]],
+    ) -> None:
+        self._contact = contact
+        self._ledger = ledger
+        self._host = host
+        self._calls = calls
+        self._clock = clock
+        self._settings = settings
+        self._request_view = request_view
+        self._remove_worker = remove_worker
+        self._stops = StopDispatcher(
+            contact,
+            ledger,
+            host=host,
+            calls=calls,
+            clock=clock,
+            request_view=request_view,
+            remove_worker=remove_worker,
+        )
+        self._orders: deque[Order] = deque()
+        self._orders_available = trio.Event()
+
+    def start(self, start: Start) -> None:
+        """Queue an order to start a run that is recorded.
+
+        A run that is stopping, or that a view has shown to be missing, is not
+        started.
+        """
+        if self._ledger.may_order(start.key):
+            self._ledger.starts[start.key] = StartState.QUEUED
+            self._enqueue(start)
+            self._request_view()
+
+    def stop(self, key: RunKey, reason: StopReason) -> None:
+        """Order a run to stop, unless that was ordered before."""
+        self._stops.stop(key, reason)
+
+    def pace(self, key: RunKey, percent: int) -> bool:
+        """Queue an order to change a run's pace; return whether it differs."""
+        if self._ledger.get_pace(key) == percent:
+            return False
+        self._ledger.set_pace(key, percent)
+        self._enqueue(Pace(key, percent))
+        return True
+
+    async def run(self) -> None:
+        """Send orders until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._stops.run)
+            nursery.start_soon(self._send_in_turn)
+
+    def _enqueue(self, order: Order) -> None:
+        self._orders.append(order)
+        self._orders_available.set()
+
+    async def _send_in_turn(self) -> None:
+        while True:
+            await self._orders_available.wait()
+            self._orders_available = trio.Event()
+            while self._orders:
+                order = self._orders.popleft()
+                if isinstance(order, Start):
+                    await self._send_start(order)
+                else:
+                    await self._send_pace(order)
+
+    async def _send_start(self, start: Start) -> None:
+        key = start.key
+        attempts = 0
+        in_doubt = False
+        while attempts < self._settings.order_attempts and self._may_start(key):
+            term = self._host.get_term()
+            if term is None:
+                await self._clock.sleep(TERM_RETRY_DELAY)
+                continue
+            attempts += 1
+            self._ledger.starts[key] = StartState.SENT
+            order = self._make_start_order(start, term)
+            result = await self._calls.start(self._contact.address, order)
+            match result:
+                case Success(worker_clock):
+                    self._contact.handle_reply(worker_clock)
+                    self._ledger.settle(key)
+                    return
+                case Failure(failure):
+                    if await self._handle_start_failure(start, failure, in_doubt):
+                        return
+                    in_doubt = in_doubt or isinstance(failure, NoReply)
+            await self._clock.sleep(RETRY_DELAY)
+        if self._ledger.is_unsettled(key):
+            # Once the worker confirms the stop, the run can no longer start there.
+            is_wanted = self._host.is_wanted(key.task)
+            reason = StopReason.UNANSWERED if is_wanted else StopReason.OBSOLETE
+            self.stop(key, reason)
+
+    def _may_start(self, key: RunKey) -> bool:
+        """Return whether an order to start a run may be sent now."""
+        return (
+            self._ledger.is_unsettled(key)
+            and self._ledger.may_order(key)
+            and self._host.is_wanted(key.task)
+        )
+
+    def _make_start_order(self, start: Start, term: Term) -> StartOrder:
+        return StartOrder(
+            task=start.key.task,
+            run=start.key.run,
+            payload=start.payload,
+            checkpoint=start.checkpoint,
+            lease_end=self._contact.lease.extend(),
+            term=term,
+            ticket=start.ticket,
+        )
+
+    async def _handle_start_failure(
+        self, start: Start, failure: CallFailure, in_doubt: bool
+    ) -> bool:
+        """Handle a failed order to start; return whether it is settled.
+
+        Parameters
+        ----------
+        start
+            The order.
+        failure
+            How the call failed.
+        in_doubt
+            Whether an earlier order without a reply may still be carried out.
+        """
+        self._contact.log_failure("start-failed", start.key, failure)
+        match failure:
+            case OtherLife():
+                await self._remove_worker()
+                return True
+            case Refused(refusal=refusal, clock=worker_clock):
+                if worker_clock is not None:
+                    self._contact.handle_reply(worker_clock)
+                if refusal is Refusal.DEPOSED:
+                    await self._clock.sleep(DEPOSED_RETRY_DELAY)
+                    return False
+                self._contact.handle_rejection()
+                if in_doubt and refusal is not Refusal.SUPERSEDED:
+                    self.stop(start.key, StopReason.UNANSWERED)
+                    return True
+                self._ledger.settle(start.key)
+                if refusal is not Refusal.SUPERSEDED:
+                    await self._ledger.record_end(start.key, RunEnd.REJECTED)
+                return True
+            case NoReply():
+                self._contact.handle_no_reply()
+                return False
+        raise AssertionError
+
+    async def _send_pace(self, order: Pace) -> None:
+        term = self._host.get_term()
+        key = order.key
+        if self._ledger.has_ended(key):
+            return
+        if term is None:
+            self._ledger.set_pace(key, None)
+            return
+        wanted = PaceOrder(task=key.task, run=key.run, percent=order.percent, term=term)
+        result = await self._calls.pace(self._contact.address, wanted)
+        match result:
+            case Success(worker_clock):
+                self._contact.handle_reply(worker_clock)
+            case Failure(failure):
+                self._contact.log_failure("pace-failed", key, failure)
+                self._ledger.set_pace(key, None)
--- a/src/rhubarbfield/scheduling/state.py
+++ b/src/rhubarbfield/scheduling/state.py
@@ -45,6 +45,11 @@
     DONE = 2
     FAILED = 3
 
+    @property
+    def is_final(self) -> bool:
+        """Whether the task has ended."""
+        return self in (TaskPhase.DONE, TaskPhase.FAILED)
+
 
 class RunEnd(Enum):
     """How a run ended.
@@ -257,15 +262,30 @@
         return {queue.name: queue for queue in reversed(self.configuration.queues)}
 
     def find_task(self, name: TaskName) -> tuple[Job, int, int, Task] | None:
-        """Return job, occurrence, step and task by the name of the task."""
+        """Return job, occurrence, step and task by the name of the task.
+
+        Returns None if there is no such task. A worker may list tasks of an earlier
+        job with the same id, or names that nobody gave.
+        """
         parts = name.split(".")
         job = self.jobs.get(JobId(parts[0]))
         if job is None:
             return None
-        occurrence, step, index = (int(part) for part in parts[1:])
-        return job, occurrence, step, job.occurrences[occurrence][step].tasks[index]
+        try:
+            occurrence, step, index = (int(part) for part in parts[1:])
+            task = job.occurrences[occurrence][step].tasks[index]
+        except (ValueError, LookupError):
+            return None
+        if step < 0 or index < 0:
+            return None
+        return job, occurrence, step, task
+
+    def is_wanted(self, name: TaskName) -> bool:
+        """Return whether runs of a task may work: neither it nor its job has ended."""
+        found = self.find_task(name)
+        return found is not None and found[0].is_open and not found[3].phase.is_final
 
     def find_step(self, name: TaskName) -> Step | None:
-        """Return the step of a task, or None if its job is unknown."""
+        """Return the step of a task, or None if there is no such task."""
         found = self.find_task(name)
         return None if found is None else found[0].get_step(found[2])
