Add failing tests of heartbeats at controllers that do not lead

Three controllers over the simulated network. The seven tests state what a follower should do instead: answer what is recorded, forward news and departures, tell the leader who was heard, and acknowledge nothing while it is cut off.

--- /dev/null
+++ b/tests/scheduling/test_reception.py
@@ -0,0 +1,124 @@
+"""Tests of heartbeats at controllers that do not lead."""
+
+from __future__ import annotations
+
+import unittest
+
+import trio
+from prometheus_client import REGISTRY
+
+from tests.scheduling.controllers import (
+    REPORT_SECONDS,
+    Controllers,
+    report,
+    with_controllers,
+)
+
+COMMIT_SECONDS = 0.5  # a commit, and its application at followers
+CONTACT_SECONDS = 1.1  # a follower without contact acknowledges for up to 1 s
+
+
+def count_heartbeats(outcome: str) -> float:
+    name = "rhubarbfield_scheduling_heartbeats_total"
+    return REGISTRY.get_sample_value(name, {"outcome": outcome}) or 0
+
+
+class FollowerTest(unittest.TestCase):
+    @with_controllers
+    async def test_worker_registers_at_a_follower(
+        self, controllers: Controllers
+    ) -> None:
+        worker = controllers.add_worker("w1")
+        self.assertIs(await report(controllers.followers[0], worker), True)
+        self.assertIsNotNone(controllers.find_worker(worker))
+
+    @with_controllers
+    async def test_heartbeat_without_news_is_not_passed_on_to_the_leader(
+        self, controllers: Controllers
+    ) -> None:
+        worker = controllers.add_worker("w1")
+        await report(controllers.leader, worker)
+        await trio.sleep(COMMIT_SECONDS)
+        before = count_heartbeats("taken")
+        for _ in range(10):
+            self.assertIs(await report(controllers.followers[0], worker), True)
+            await trio.sleep(REPORT_SECONDS)
+        self.assertEqual(count_heartbeats("taken"), before)
+
+    @with_controllers
+    async def test_worker_that_reports_to_followers_receives_tasks(
+        self, controllers: Controllers
+    ) -> None:
+        worker = controllers.add_worker("w1")
+        await report(controllers.leader, worker)
+        for number in range(10):
+            await trio.sleep(REPORT_SECONDS)
+            await report(controllers.followers[number % 2], worker)
+        await trio.sleep(COMMIT_SECONDS)
+        await controllers.submit("j")
+        await trio.sleep(COMMIT_SECONDS)
+        self.assertEqual(len(worker.started), 1)
+
+    @with_controllers
+    async def test_draining_is_committed_before_a_follower_acknowledges_it(
+        self, controllers: Controllers
+    ) -> None:
+        worker = controllers.add_worker("w1")
+        await report(controllers.leader, worker)
+        await trio.sleep(COMMIT_SECONDS)
+        follower = controllers.followers[0]
+        self.assertIs(await report(follower, worker, draining=True), True)
+        record = controllers.find_worker(worker)
+        assert record is not None
+        self.assertTrue(record.draining)
+
+    @with_controllers
+    async def test_departure_at_a_follower_ends_placement_on_the_worker(
+        self, controllers: Controllers
+    ) -> None:
+        worker = controllers.add_worker("w1")
+        await report(controllers.leader, worker)
+        await trio.sleep(COMMIT_SECONDS)
+        service = controllers.followers[0].service
+        self.assertIs(await service.handle_departure(worker.worker), True)
+        await controllers.submit("j")
+        await trio.sleep(COMMIT_SECONDS)
+        self.assertEqual(worker.started, [])
+
+
+class CutOffFollowerTest(unittest.TestCase):
+    @with_controllers
+    async def test_heartbeats_are_not_acknowledged(
+        self, controllers: Controllers
+    ) -> None:
+        known, unknown = (controllers.add_worker(name) for name in ("w1", "w2"))
+        follower = controllers.followers[0]
+        await report(controllers.leader, known)
+        await trio.sleep(COMMIT_SECONDS)
+        controllers.cut_off(follower)
+        await trio.sleep(CONTACT_SECONDS)
+        self.assertIs(await report(follower, known), False)
+        self.assertIs(await report(follower, known, draining=True), False)
+        self.assertIs(await report(follower, unknown), False)
+
+    @with_controllers
+    async def test_worker_goes_on_receiving_tasks(
+        self, controllers: Controllers
+    ) -> None:
+        """At most one heartbeat is lost, after which the worker reports elsewhere."""
+        worker = controllers.add_worker("w1")
+        cut_off, other = controllers.followers
+        await report(controllers.leader, worker)
+        await trio.sleep(COMMIT_SECONDS)
+        controllers.cut_off(cut_off)
+        for _ in range(4):
+            if await report(cut_off, worker) is not True:
+                await report(other, worker)
+            await trio.sleep(REPORT_SECONDS)
+        await controllers.submit("j")
+        await trio.sleep(COMMIT_SECONDS)
+        self.assertEqual(len(worker.started), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
