Answer heartbeats at every controller, and tell the leader in digests

Workers that called a controller which does not lead were redirected, so that the leader handled the heartbeats of all workers over HTTP, with a new connection for each.

A controller that does not lead now answers a heartbeat itself if it has applied what the worker reports: that is committed, so that draining is acknowledged no earlier than before. New workers, news and departures are forwarded to the leader over gRPC and answered by its result. Each 250 ms a follower tells the leader in one call which workers it heard, with the age of each heartbeat, so that a worker which only reports to followers is not silent. A follower whose digests were not accepted for 1 s answers 503; it can swallow at most one heartbeat of a worker, and the leader waits for two and a half. The leader names the workers that it does not have, whose next heartbeat a follower that lags behind then forwards.

The clock in a digest may be a second old.

Versions side by side: a leader that has accepted no digest gets heartbeats by 307 as before, since it may not know the call; gRPC does not tell a missing method from other failures here. Followers of the former version answer 307 as before. Stored data are unchanged.

The calls go to the leader that the replica knows, not through LeaderCalls, which would search for another one for longer than a worker waits.

--- a/src/rhubarbfield/platform/control.py
+++ b/src/rhubarbfield/platform/control.py
@@ -49,8 +49,6 @@
 
     async def handle_heartbeat(self, worker: str) -> Response:
         """Handle a heartbeat of a runner."""
-        if not self._service.leads():
-            return self._redirect(self._service.leader_hint)
         match decode_heartbeat(worker, await read_body()):
             case Success(heartbeat):
                 is_recorded = await self._service.handle_heartbeat(heartbeat)
--- a/src/rhubarbfield/scheduling/controller.py
+++ b/src/rhubarbfield/scheduling/controller.py
@@ -24,6 +24,7 @@
 from rhubarbfield.replication import Replica, RunBlocking
 from rhubarbfield.scheduling.appliers import make_scheduling_machine
 from rhubarbfield.scheduling.deployment import SCHEDULING_GROUP, DeploymentSettings
+from rhubarbfield.scheduling.heartbeats import HEARTBEAT_CALL
 from rhubarbfield.scheduling.leader import SchedulingLeader
 from rhubarbfield.scheduling.measuring import MeasuredCalls
 from rhubarbfield.scheduling.metrics import (
@@ -34,6 +35,7 @@
     WORKERS,
 )
 from rhubarbfield.scheduling.ports import WorkerCalls
+from rhubarbfield.scheduling.reception import Reception
 from rhubarbfield.scheduling.service import JOB_CALL, SchedulingService
 from rhubarbfield.scheduling.state import SchedulingState
 from rhubarbfield.storage import FileStore, LogStore, MemoryStore
@@ -94,7 +96,14 @@
         self.log = ReplicatedLog(self._replica, machine)
         self._leader: SchedulingLeader | None = None
         self._register_gauges()
-        self.service = SchedulingService(self.log, lambda: self._leader, clock)
+        self._reception = Reception(
+            self.log,
+            lambda: self._leader,
+            transport=transport,
+            clock=clock,
+            locate=settings.locate,
+        )
+        self.service = SchedulingService(self.log, self._reception, clock)
 
     async def run(
         self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
@@ -105,6 +114,7 @@
             await nursery.start(self._run_replica)
             await nursery.start(self._serve_peers)
             nursery.start_soon(run_while_leading, self.log, self._lead, self._clock)
+            nursery.start_soon(self._reception.run)
             task_status.started()
 
     def release_leadership(self) -> None:
@@ -129,7 +139,10 @@
             self._settings.host,
             self._settings.peer_port,
             streams={REPLICATION_LINK: self._serve_link},
-            calls={JOB_CALL: self.service.answer},
+            calls={
+                JOB_CALL: self.service.answer,
+                HEARTBEAT_CALL: self._reception.answer,
+            },
             task_status=task_status,
         )
 
--- a/src/rhubarbfield/scheduling/heartbeats.py
+++ b/src/rhubarbfield/scheduling/heartbeats.py
@@ -6,11 +6,14 @@
 
 import msgspec
 
+from rhubarbfield.groups import NotLeading
+from rhubarbfield.peering import CallMethod
 from rhubarbfield.scheduling.commands import WorkerReport
 from rhubarbfield.scheduling.state import SchedulingState
+from rhubarbfield.types import WorkerId
 
 
-class Heartbeat(msgspec.Struct, frozen=True):
+class Heartbeat(msgspec.Struct, frozen=True, tag=True):
     """A periodic message of a worker.
 
     Attributes
@@ -31,6 +34,67 @@
     remaining: timedelta | None = None
 
 
+class Departure(msgspec.Struct, frozen=True, tag=True):
+    """A worker's announcement of its exit."""
+
+    worker: WorkerId
+
+
+class Sighting(msgspec.Struct, frozen=True, array_like=True):
+    """A heartbeat that was answered without the leader.
+
+    Attributes
+    ----------
+    worker, sequence, clock
+        As in the heartbeat.
+    age
+        Time since the heartbeat was received.
+    """
+
+    worker: WorkerId
+    sequence: int
+    clock: timedelta | None
+    age: timedelta
+
+
+class HeartbeatDigest(msgspec.Struct, frozen=True, tag=True):
+    """The heartbeats that a controller has answered since its last digest."""
+
+    sightings: tuple[Sighting, ...]
+
+
+class HeartbeatHandled(msgspec.Struct, frozen=True, tag=True):
+    """The leader has handled a heartbeat or a departure.
+
+    Attributes
+    ----------
+    is_recorded
+        Whether what the worker reported is committed.
+    """
+
+    is_recorded: bool
+
+
+class DigestHandled(msgspec.Struct, frozen=True, tag=True):
+    """The leader has handled a digest.
+
+    Attributes
+    ----------
+    unknown
+        Workers of the digest that have no record.
+    """
+
+    unknown: tuple[WorkerId, ...]
+
+
+HeartbeatRequest = Heartbeat | Departure | HeartbeatDigest
+HeartbeatReply = HeartbeatHandled | DigestHandled | NotLeading
+
+HEARTBEAT_CALL = CallMethod(
+    "/rhubarbfield.Scheduling/Heartbeat", HeartbeatRequest, HeartbeatReply
+)
+
+
 def is_recorded(state: SchedulingState, report: WorkerReport) -> bool:
     """Return whether a report would not change the worker's record."""
     worker = state.workers.get(report.worker)
--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -27,7 +27,11 @@
     WorkerReport,
 )
 from rhubarbfield.scheduling.headroom import WorkerHeadroom, measure_headroom
-from rhubarbfield.scheduling.heartbeats import Heartbeat, is_recorded
+from rhubarbfield.scheduling.heartbeats import (
+    Heartbeat,
+    HeartbeatDigest,
+    is_recorded,
+)
 from rhubarbfield.scheduling.housekeeping import Housekeeping
 from rhubarbfield.scheduling.interference import InterferenceModel
 from rhubarbfield.scheduling.metrics import (
@@ -185,7 +189,7 @@
 
         A heartbeat with an outdated sequence number changes nothing.
         """
-        if self._registry.is_stale(heartbeat):
+        if self._registry.is_stale(heartbeat.report.worker, heartbeat.sequence):
             return heartbeat.report.worker in self.state.workers
         self._registry.forward_heartbeat(heartbeat)
         if not await self._record_report(heartbeat.report):
@@ -193,6 +197,16 @@
         self._registry.mark_recorded(heartbeat)
         return True
 
+    def handle_digest(self, digest: HeartbeatDigest) -> tuple[WorkerId, ...]:
+        """Process heartbeats answered elsewhere; return workers without a record."""
+        workers = self.state.workers
+        for sighting in digest.sightings:
+            if sighting.worker in workers:
+                self._registry.record_sighting(sighting)
+        return tuple(
+            each.worker for each in digest.sightings if each.worker not in workers
+        )
+
     async def _record_report(self, report: WorkerReport) -> bool:
         if is_recorded(self.state, report):
             return True
--- /dev/null
+++ b/src/rhubarbfield/scheduling/reception.py
@@ -0,0 +1,189 @@
+"""Reception of workers' heartbeats and departures at a controller."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from datetime import timedelta
+from enum import StrEnum
+
+from returns.result import Result, Success
+
+from rhubarbfield.clock import Clock
+from rhubarbfield.groups import NotLeading, ReplicatedLog
+from rhubarbfield.peering import CallFailure, ConnectionPool, Transport
+from rhubarbfield.scheduling.appliers import SchedulingLogState
+from rhubarbfield.scheduling.digests import DIGEST_INTERVAL, DigestSender
+from rhubarbfield.scheduling.heartbeats import (
+    HEARTBEAT_CALL,
+    Departure,
+    DigestHandled,
+    Heartbeat,
+    HeartbeatDigest,
+    HeartbeatHandled,
+    HeartbeatReply,
+    HeartbeatRequest,
+    is_recorded,
+)
+from rhubarbfield.scheduling.leader import SchedulingLeader
+from rhubarbfield.scheduling.metrics import HEARTBEATS
+from rhubarbfield.types import InstanceName, WorkerId
+
+# Workers wait a second for an answer, then call another controller.
+FORWARD_TIMEOUT = timedelta(milliseconds=800)
+
+
+class HeartbeatOutcome(StrEnum):
+    """What became of a heartbeat, as a label of the metric."""
+
+    TAKEN = "taken"
+    NOT_RECORDED = "not-recorded"
+    NOT_LEADING = "not-leading"
+    ANSWERED = "answered"
+    FORWARDED = "forwarded"
+    UNREACHED = "unreached"
+
+
+class Reception:
+    """Handles heartbeats and departures, whether this controller leads or not.
+
+    The leader handles them itself. Other controllers answer a heartbeat that
+    contains nothing new, of which they only tell the leader that it came, and
+    forward the others to the leader.
+
+    Parameters
+    ----------
+    log
+        The deployment's log.
+    get_leader
+        Returns the scheduling leader of this instance, or None.
+    transport
+        Transport to other controllers.
+    clock
+        Source of time.
+    locate
+        Returns host and port of a controller.
+    """
+
+    def __init__(
+        self,
+        log: ReplicatedLog[SchedulingLogState],
+        get_leader: Callable[[], SchedulingLeader | None],
+        *,
+        transport: Transport,
+        clock: Clock,
+        locate: Callable[[InstanceName], tuple[str, int]],
+    ) -> None:
+        self._log = log
+        self._get_leader = get_leader
+        self._clock = clock
+        self._pool: ConnectionPool[InstanceName] = ConnectionPool(
+            {}, transport, clock, locate
+        )
+        self._digests = DigestSender(self._call, clock)
+        self._unknown: set[WorkerId] = set()
+
+    async def run(self) -> None:
+        """Send digests to the leader until cancelled."""
+        while True:
+            began = self._clock.monotonic()
+            if self._log.leads():
+                self._digests.clear()
+            else:
+                unknown = await self._digests.send(self._leader_hint)
+                recorded = self._log.state.scheduling.workers.keys()
+                self._unknown = (self._unknown | set(unknown)) & recorded
+            await self._clock.sleep(began + DIGEST_INTERVAL - self._clock.monotonic())
+
+    async def handle_heartbeat(self, heartbeat: Heartbeat) -> bool | NotLeading:
+        """Record a worker's report; return whether it is recorded."""
+        leader = self._find_leader()
+        if leader is not None:
+            return await _record(leader, heartbeat)
+        if self._has_news(heartbeat):
+            outcome, reply = await self._forward(heartbeat)
+            if outcome is HeartbeatOutcome.FORWARDED:
+                self._unknown.discard(heartbeat.report.worker)
+        elif self._digests.has_contact:
+            self._digests.add(heartbeat)
+            outcome, reply = HeartbeatOutcome.ANSWERED, True
+        else:
+            outcome, reply = self._refer()
+        HEARTBEATS.labels(outcome.value).inc()
+        return reply
+
+    async def handle_departure(self, worker: WorkerId) -> bool | NotLeading:
+        """Handle a worker's announcement of its exit; return whether it was handled."""
+        leader = self._find_leader()
+        if leader is not None:
+            return await leader.handle_departure(worker)
+        _, reply = await self._forward(Departure(worker))
+        return reply
+
+    async def answer(self, request: HeartbeatRequest) -> HeartbeatReply:
+        """Answer another controller, if this one leads."""
+        leader = self._find_leader()
+        if leader is None:
+            return NotLeading(self._leader_hint)
+        match request:
+            case Heartbeat():
+                return HeartbeatHandled(await _record(leader, request))
+            case Departure(worker=worker):
+                return HeartbeatHandled(await leader.handle_departure(worker))
+            case HeartbeatDigest():
+                return DigestHandled(leader.handle_digest(request))
+        raise AssertionError
+
+    @property
+    def _leader_hint(self) -> InstanceName | None:
+        return self._log.replica.leader_hint
+
+    def _find_leader(self) -> SchedulingLeader | None:
+        return self._get_leader() if self._log.leads() else None
+
+    def _has_news(self, heartbeat: Heartbeat) -> bool:
+        """Return whether the leader must see a heartbeat before it is answered.
+
+        What this controller has applied is committed, even if it lags behind; a
+        worker that the leader has removed since must register again.
+        """
+        report = heartbeat.report
+        return report.worker in self._unknown or not is_recorded(
+            self._log.state.scheduling, report
+        )
+
+    async def _forward(
+        self, request: Heartbeat | Departure
+    ) -> tuple[HeartbeatOutcome, bool | NotLeading]:
+        leader = self._leader_hint
+        if leader is None or not self._digests.was_accepted_by(leader):
+            return self._refer()
+        match await self._call(leader, request, FORWARD_TIMEOUT):
+            case Success(HeartbeatHandled(is_recorded=reply)):
+                return HeartbeatOutcome.FORWARDED, reply
+        return HeartbeatOutcome.UNREACHED, False
+
+    def _refer(self) -> tuple[HeartbeatOutcome, bool | NotLeading]:
+        """Refer a worker to the leader, or to any other controller.
+
+        A leader that has accepted no digest yet may be of a version that can't.
+        """
+        leader = self._leader_hint
+        if leader is None or self._digests.was_accepted_by(leader):
+            return HeartbeatOutcome.UNREACHED, False
+        return HeartbeatOutcome.NOT_LEADING, NotLeading(leader)
+
+    async def _call(
+        self, leader: InstanceName, request: HeartbeatRequest, timeout: timedelta
+    ) -> Result[HeartbeatReply, CallFailure]:
+        connection = self._pool.get(leader)
+        result = await connection.call(HEARTBEAT_CALL, request, timeout)
+        if not isinstance(result, Success):
+            self._pool.retire(leader, connection)
+        return result
+
+
+async def _record(leader: SchedulingLeader, heartbeat: Heartbeat) -> bool:
+    is_recorded = await leader.handle_heartbeat(heartbeat)
+    outcome = HeartbeatOutcome.TAKEN if is_recorded else HeartbeatOutcome.NOT_RECORDED
+    HEARTBEATS.labels(outcome.value).inc()
+    return is_recorded
--- a/src/rhubarbfield/scheduling/registry.py
+++ b/src/rhubarbfield/scheduling/registry.py
@@ -8,7 +8,7 @@
 import trio
 
 from rhubarbfield.clock import Clock
-from rhubarbfield.scheduling.heartbeats import Heartbeat
+from rhubarbfield.scheduling.heartbeats import Heartbeat, Sighting
 from rhubarbfield.scheduling.ports import WorkerAddress, WorkerCalls
 from rhubarbfield.scheduling.session import WorkerSession
 from rhubarbfield.scheduling.session_host import SessionHost
@@ -69,23 +69,34 @@
         for removed in self.sessions.keys() - workers.keys():
             self._close(removed)
 
-    def is_stale(self, heartbeat: Heartbeat) -> bool:
+    def is_stale(self, worker: WorkerId, sequence: int) -> bool:
         """Return whether this or a later heartbeat of the worker was recorded."""
-        return heartbeat.sequence <= self._sequences.get(heartbeat.report.worker, -1)
+        return sequence <= self._sequences.get(worker, -1)
 
     def forward_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Pass a heartbeat on to the session with the worker, if there is one."""
-        worker = heartbeat.report.worker
-        if heartbeat.clock is not None:
-            self._reported_clocks[worker] = heartbeat.clock
-        session = self.sessions.get(worker)
-        if session is not None:
-            session.handle_report(heartbeat.clock)
+        self._forward_report(heartbeat.report.worker, heartbeat.clock, timedelta())
+
+    def record_sighting(self, sighting: Sighting) -> None:
+        """Record a heartbeat that another controller answered, unless it is stale."""
+        worker = sighting.worker
+        if not self.is_stale(worker, sighting.sequence):
+            self._sequences[worker] = sighting.sequence
+            self._forward_report(worker, sighting.clock, sighting.age)
 
     def mark_recorded(self, heartbeat: Heartbeat) -> None:
         """Record that the report of a heartbeat is committed."""
         self._sequences[heartbeat.report.worker] = heartbeat.sequence
 
+    def _forward_report(
+        self, worker: WorkerId, worker_clock: timedelta | None, age: timedelta
+    ) -> None:
+        if worker_clock is not None:
+            self._reported_clocks[worker] = worker_clock
+        session = self.sessions.get(worker)
+        if session is not None:
+            session.handle_report(worker_clock, age)
+
     def _open(self, worker: Worker, nursery: trio.Nursery) -> None:
         if worker.worker in self.sessions:
             self._close(worker.worker)
--- a/src/rhubarbfield/scheduling/service.py
+++ b/src/rhubarbfield/scheduling/service.py
@@ -4,7 +4,6 @@
 
 import logging
 import re
-from collections.abc import Callable
 from enum import StrEnum
 
 import msgspec
@@ -22,14 +21,14 @@
     PutConfiguration,
 )
 from rhubarbfield.scheduling.heartbeats import Heartbeat
-from rhubarbfield.scheduling.leader import SchedulingLeader
-from rhubarbfield.scheduling.metrics import HEARTBEATS, JOBS
+from rhubarbfield.scheduling.metrics import JOBS
 from rhubarbfield.scheduling.model import (
     JobSubmission,
     Queue,
     QueueConfiguration,
     QueueName,
 )
+from rhubarbfield.scheduling.reception import Reception
 from rhubarbfield.scheduling.state import JobPhase, SchedulingState
 from rhubarbfield.types import InstanceName, JobId, WorkerId
 
@@ -143,8 +142,8 @@
     ----------
     log
         The deployment's log.
-    get_leader
-        Returns the scheduling leader of this instance, or None.
+    reception
+        Handles heartbeats and departures of workers.
     clock
         Source of time.
     """
@@ -152,12 +151,12 @@
     def __init__(
         self,
         log: ReplicatedLog[SchedulingLogState],
-        get_leader: Callable[[], SchedulingLeader | None],
+        reception: Reception,
         clock: Clock,
     ) -> None:
         self._log = log
         self._clock = clock
-        self._get_leader = get_leader
+        self._reception = reception
 
     @property
     def leader_hint(self) -> InstanceName | None:
@@ -237,20 +236,11 @@
 
     async def handle_heartbeat(self, heartbeat: Heartbeat) -> bool | NotLeading:
         """Record a worker's report; return whether it is recorded."""
-        leader = self._get_leader()
-        if leader is None or not self._log.leads():
-            HEARTBEATS.labels("not-leading").inc()
-            return NotLeading(self.leader_hint)
-        is_recorded = await leader.handle_heartbeat(heartbeat)
-        HEARTBEATS.labels("taken" if is_recorded else "not-recorded").inc()
-        return is_recorded
+        return await self._reception.handle_heartbeat(heartbeat)
 
     async def handle_departure(self, worker: WorkerId) -> bool | NotLeading:
         """Handle a worker's announcement of its exit; return whether it was handled."""
-        leader = self._get_leader()
-        if leader is None or not self._log.leads():
-            return NotLeading(self.leader_hint)
-        return await leader.handle_departure(worker)
+        return await self._reception.handle_departure(worker)
 
     @property
     def _state(self) -> SchedulingState:
--- a/src/rhubarbfield/scheduling/session.py
+++ b/src/rhubarbfield/scheduling/session.py
@@ -134,10 +134,22 @@
         """Monotonic time of the last report or reply of the worker."""
         return max(self._reported_at, self._lease.clock_read_at)
 
-    def handle_report(self, worker_clock: timedelta | None) -> None:
-        """Record that the worker reported itself; the report may be late."""
-        self._reported_at = self._clock.monotonic()
+    def handle_report(
+        self, worker_clock: timedelta | None, age: timedelta = timedelta()
+    ) -> None:
+        """Record that the worker reported itself; the report may be late.
+
+        Parameters
+        ----------
+        worker_clock
+            The worker's clock in the report, if it has one.
+        age
+            Time since the report was received.
+        """
+        self._reported_at = max(self._reported_at, self._clock.monotonic() - age)
         if not self._lease.has_clock and worker_clock is not None:
+            # The worker's clock has advanced since. A lease counted from the
+            # reading ends earlier on the worker, and counts as lapsed later here.
             self._lease.update_clock(worker_clock)
         if self._unresponsive_since is not None:
             self._view_requested.set()
--- a/src/rhubarbfield/testing/memory_transport.py
+++ b/src/rhubarbfield/testing/memory_transport.py
@@ -206,6 +206,10 @@
             return Failure(
                 CallFailure(CallFailureKind.UNREACHABLE, "no server at the address")
             )
+        if method not in served.calls:
+            return Failure(
+                CallFailure(CallFailureKind.TIMEOUT, "the method is not served")
+            )
         data = msgspec.msgpack.encode(request)
         decoded = msgspec.msgpack.decode(data, type=method.request)
         done = trio.Event()
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -210,6 +210,7 @@
                 await nursery.start(runner.run, CONTROLS)
                 await run_job(client, "00000000000000a1")
                 await self._check_answers(client)
+                await self._check_heartbeats(runner)
                 await self._check_metrics(client)
                 killed = await find_leader(client)
                 programs.kill(killed)
@@ -244,6 +245,13 @@
             found = leader[f"rhubarbfield_scheduling_{name}", labels]
             self.assertEqual(found, expected, name)
 
+    async def _check_heartbeats(self, runner: StandInRunner) -> None:
+        """Check that each controller acknowledges heartbeats itself."""
+        async with httpx.AsyncClient(follow_redirects=False) as client:
+            for control in CONTROLS:
+                while not await runner.send_heartbeat(client, [control]):
+                    await trio.sleep(0.2)
+
     async def _check_answers(self, client: httpx.AsyncClient) -> None:
         unknown = await call_job(client, "GET", "00000000000000ff")
         self.assertEqual(unknown.status_code, httpx.codes.GONE)
--- a/tests/scheduling/controllers.py
+++ b/tests/scheduling/controllers.py
@@ -117,17 +117,28 @@
 
 
 def with_controllers(
-    test: Callable[[Any, Controllers], Awaitable[None]],
-) -> Callable[[Any], None]:
-    """Run a test with new controllers, one of which leads."""
-
-    @wraps(test)
-    def run(case: Any) -> None:
-        async def check() -> None:
-            controllers = Controllers()
-            async with controllers.run():
-                await test(case, controllers)
-
-        run_deterministic(check, seed=1)
-
-    return run
+    transport: Callable[..., Any] = MemoryTransport,
+) -> Callable[[Callable[[Any, Controllers], Awaitable[None]]], Callable[[Any], None]]:
+    """Return a decorator that runs a test with new controllers, one of which leads.
+
+    Parameters
+    ----------
+    transport
+        Makes each controller's transport from the network and its name.
+    """
+
+    def decorate(
+        test: Callable[[Any, Controllers], Awaitable[None]],
+    ) -> Callable[[Any], None]:
+        @wraps(test)
+        def run(case: Any) -> None:
+            async def check() -> None:
+                controllers = Controllers(transport)
+                async with controllers.run():
+                    await test(case, controllers)
+
+            run_deterministic(check, seed=1)
+
+        return run
+
+    return decorate
--- a/tests/scheduling/test_reception.py
+++ b/tests/scheduling/test_reception.py
@@ -3,10 +3,16 @@
 from __future__ import annotations
 
 import unittest
+from typing import Any
 
+import msgspec
 import trio
 from prometheus_client import REGISTRY
 
+from rhubarbfield.groups import NotLeading
+from rhubarbfield.scheduling.heartbeats import HEARTBEAT_CALL
+from rhubarbfield.testing.memory_transport import MemoryTransport
+from rhubarbfield.types import InstanceName
 from tests.scheduling.controllers import (
     REPORT_SECONDS,
     Controllers,
@@ -23,8 +29,17 @@
     return REGISTRY.get_sample_value(name, {"outcome": outcome}) or 0
 
 
+class FormerTransport(MemoryTransport):
+    """Transport of a version that doesn't know the call for heartbeats."""
+
+    async def serve(self, host: str, port: int, **options: Any) -> None:
+        calls = dict(options.pop("calls"))
+        del calls[HEARTBEAT_CALL]
+        await super().serve(host, port, calls=calls, **options)
+
+
 class FollowerTest(unittest.TestCase):
-    @with_controllers
+    @with_controllers()
     async def test_worker_registers_at_a_follower(
         self, controllers: Controllers
     ) -> None:
@@ -32,7 +47,7 @@
         self.assertIs(await report(controllers.followers[0], worker), True)
         self.assertIsNotNone(controllers.find_worker(worker))
 
-    @with_controllers
+    @with_controllers()
     async def test_heartbeat_without_news_is_not_passed_on_to_the_leader(
         self, controllers: Controllers
     ) -> None:
@@ -45,7 +60,7 @@
             await trio.sleep(REPORT_SECONDS)
         self.assertEqual(count_heartbeats("taken"), before)
 
-    @with_controllers
+    @with_controllers()
     async def test_worker_that_reports_to_followers_receives_tasks(
         self, controllers: Controllers
     ) -> None:
@@ -59,7 +74,7 @@
         await trio.sleep(COMMIT_SECONDS)
         self.assertEqual(len(worker.started), 1)
 
-    @with_controllers
+    @with_controllers()
     async def test_draining_is_committed_before_a_follower_acknowledges_it(
         self, controllers: Controllers
     ) -> None:
@@ -72,7 +87,7 @@
         assert record is not None
         self.assertTrue(record.draining)
 
-    @with_controllers
+    @with_controllers()
     async def test_departure_at_a_follower_ends_placement_on_the_worker(
         self, controllers: Controllers
     ) -> None:
@@ -85,9 +100,59 @@
         await trio.sleep(COMMIT_SECONDS)
         self.assertEqual(worker.started, [])
 
+    @with_controllers()
+    async def test_worker_unknown_to_the_leader_registers_again(
+        self, controllers: Controllers
+    ) -> None:
+        """A follower that lags behind may still have a worker that was removed."""
+        worker = controllers.add_worker("w1")
+        follower = controllers.followers[0]
+        await report(controllers.leader, worker)
+        await trio.sleep(COMMIT_SECONDS)
+        removed = controllers.find_worker(worker)
+        assert removed is not None
+        outdated = msgspec.structs.replace(removed)
+        leader_state = controllers.leader.log.state.scheduling
+        del leader_state.workers[worker.worker]
+        follower.log.state.scheduling.workers[worker.worker] = outdated
+        for _ in range(2):
+            self.assertIs(await report(follower, worker), True)
+            await trio.sleep(REPORT_SECONDS)
+        self.assertIsNotNone(controllers.find_worker(worker))
+
+    @with_controllers()
+    async def test_worker_keeps_receiving_tasks_after_a_change_of_leader(
+        self, controllers: Controllers
+    ) -> None:
+        worker = controllers.add_worker("w1")
+        await report(controllers.leader, worker)
+        follower, next_follower = controllers.followers
+        controllers.leader.release_leadership()
+        for _ in range(6):
+            if await report(follower, worker) is not True:
+                await report(next_follower, worker)
+            await trio.sleep(REPORT_SECONDS)
+        await controllers.submit("j")
+        await trio.sleep(COMMIT_SECONDS)
+        self.assertEqual(len(worker.started), 1)
+
+    @with_controllers(transport=FormerTransport)
+    async def test_former_leader_gets_all_heartbeats(
+        self, controllers: Controllers
+    ) -> None:
+        worker = controllers.add_worker("w1")
+        await report(controllers.leader, worker)
+        await trio.sleep(COMMIT_SECONDS)
+        leader = NotLeading(InstanceName(controllers.get_name(controllers.leader)))
+        follower = controllers.followers[0]
+        self.assertEqual(await report(follower, worker), leader)
+        self.assertEqual(await report(follower, worker, draining=True), leader)
+        departure = await follower.service.handle_departure(worker.worker)
+        self.assertEqual(departure, leader)
+
 
 class CutOffFollowerTest(unittest.TestCase):
-    @with_controllers
+    @with_controllers()
     async def test_heartbeats_are_not_acknowledged(
         self, controllers: Controllers
     ) -> None:
@@ -101,7 +166,7 @@
         self.assertIs(await report(follower, known, draining=True), False)
         self.assertIs(await report(follower, unknown), False)
 
-    @with_controllers
+    @with_controllers()
     async def test_worker_goes_on_receiving_tasks(
         self, controllers: Controllers
     ) -> None:
