--- a/src/rhubarbfield/scheduling/session.py
+++ b/src/rhubarbfield/scheduling/session.py
@@ -121,9 +121,19 @@
         """Monotonic time of the last report or reply of the worker."""
         return self._contact.last_contact_at
 
-    def handle_report(self, worker_clock: timedelta | None) -> None:
-        """Record that the worker reported itself; the report may be late."""
-        self._contact.handle_report(worker_clock)
+    def handle_report(
+        self, worker_clock: timedelta | None, age: timedelta = timedelta()
+    ) -> None:
+        """Record that the worker reported itself; the report may be late.
+
+        Parameters
+        ----------
+        worker_clock
+            The worker's clock in the report, if it has one.
+        age
+            Time since the report was received.
+        """
+        self._contact.handle_report(worker_clock, age)
         if not self._contact.is_responsive:
             self.request_view()
 
