--- /dev/null
+++ b/tests/scheduling/reference_placing.py
@@ -0,0 +1,254 @@
+"""Placement recomputed in full for each task, for comparison with the placer."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator, Mapping
+
+import msgspec
+
+from rhubarbfield.scheduling.commands import RunStart
+from rhubarbfield.scheduling.headroom import (
+    WaitingStep,
+    WorkerHeadroom,
+    admits,
+    count_live,
+    measure_utilization,
+)
+from rhubarbfield.scheduling.interference import InterferenceModel
+from rhubarbfield.scheduling.model import Queue, RunNumber, Step, TaskName, name_task
+from rhubarbfield.scheduling.placing import (
+    FORCED_START_MAX_UTILIZATION,
+    GROWTH_DIGITS,
+    MAX_STARTS_PER_ROUND,
+)
+from rhubarbfield.scheduling.state import Job, SchedulingState, TaskPhase, Worker
+from rhubarbfield.types import WorkerId
+
+Cost = tuple[float, ...]
+
+
+def measure_all(
+    state: SchedulingState, is_usable: Callable[[Worker], bool]
+) -> dict[WorkerId, WorkerHeadroom]:
+    """Return the headroom of each worker, without margins."""
+    headrooms = {}
+    for worker in state.workers.values():
+        if worker.draining or not is_usable(worker):
+            continue
+        headroom = WorkerHeadroom(worker, worker.capacity, worker.capacity.millicores)
+        for task in worker.runs:
+            step = state.find_step(task)
+            if step is not None:
+                headroom.add_task(step)
+        headrooms[worker.worker] = headroom
+    return headrooms
+
+
+def iterate_all_waiting(state: SchedulingState) -> Iterator[WaitingStep]:
+    queues = state.map_queues()
+    for job in state.jobs.values():
+        queue = queues.get(job.queue) if job.is_open else None
+        if queue is None:
+            continue
+        for occurrence, steps in job.occurrences.items():
+            for number, progress in enumerate(steps):
+                if not progress.is_done and job.is_step_ready(occurrence, number):
+                    yield WaitingStep(job, queue, occurrence, number)
+
+
+class ReferencePlacer:
+    """Evaluates every candidate anew for each task."""
+
+    def __init__(
+        self,
+        state: SchedulingState,
+        headrooms: dict[WorkerId, WorkerHeadroom],
+        *,
+        avoided: Mapping[TaskName, set[WorkerId]],
+        interference: InterferenceModel,
+        rank: Callable[[Job, Queue], Cost],
+        is_starved: Callable[[Job], bool],
+    ) -> None:
+        self.state = state
+        self.headrooms = list(headrooms.values())
+        self.avoided = avoided
+        self.interference = interference
+        self.rank = rank
+        self.is_starved = is_starved
+        self.starts: list[RunStart] = []
+        self.unplaced: list[tuple[str, int]] = []
+        self.underutilized = {
+            headroom.worker.service
+            for headroom in self.headrooms
+            if measure_utilization(
+                [
+                    other
+                    for other in self.headrooms
+                    if other.worker.service == headroom.worker.service
+                ]
+            )
+            < FORCED_START_MAX_UTILIZATION
+        }
+
+    def choose(self) -> tuple[RunStart, ...]:
+        ranked = sorted(
+            iterate_all_waiting(self.state),
+            key=lambda each: self.rank(each.job, each.queue),
+        )
+        for waiting in ranked:
+            if len(self.starts) >= MAX_STARTS_PER_ROUND:
+                break
+            if waiting.step.gang:
+                self.place_gang(waiting)
+            else:
+                self.place_step(waiting)
+        return tuple(self.starts)
+
+    def place_step(self, waiting: WaitingStep) -> None:
+        step = waiting.step
+        counts = count_live(waiting.tasks)
+        for index, task in enumerate(waiting.tasks):
+            if task.phase is not TaskPhase.WAITING:
+                continue
+            name = name_task(waiting.job.job, waiting.occurrence, waiting.number, index)
+            run = RunNumber(task.last_run + 1)
+            fitting = self.list_fitting(waiting, counts)
+            chosen = self.choose_best(step, fitting, self.avoided.get(name, set()))
+            is_forced = False
+            if (
+                chosen is None
+                and waiting.queue.service in self.underutilized
+                and self.is_starved(waiting.job)
+            ):
+                is_forced = True
+                chosen = self.choose_least_harmful(step, fitting)
+            if chosen is not None:
+                self.add(step, chosen, counts)
+                self.starts.append(RunStart(name, run, chosen.worker.worker))
+            if is_forced:
+                return
+            if chosen is None:
+                key = (waiting.job.job, waiting.number)
+                if key not in self.unplaced:
+                    self.unplaced.append(key)
+                if name not in self.avoided:
+                    return
+
+    def place_gang(self, waiting: WaitingStep) -> None:
+        step, tasks = waiting.step, waiting.tasks
+        if any(task.phase is not TaskPhase.WAITING for task in tasks):
+            return
+        counts: dict[WorkerId, int] = {}
+        rack = self.find_rack(waiting) if step.same_rack else None
+        saved = [msgspec.structs.astuple(each) for each in self.headrooms]
+        chosen: list[WorkerId] = []
+        for _ in tasks:
+            fitting = [
+                each
+                for each in self.list_fitting(waiting, counts)
+                if rack is None or rack in each.worker.labels[1:]
+            ]
+            best = self.choose_best(step, fitting, set())
+            if best is None:
+                for headroom, values in zip(self.headrooms, saved, strict=True):
+                    for field, value in zip(
+                        headroom.__struct_fields__, values, strict=True
+                    ):
+                        setattr(headroom, field, value)
+                return
+            self.add(step, best, counts)
+            chosen.append(best.worker.worker)
+        run = RunNumber(max(task.last_run for task in tasks) + 1)
+        for index, worker in enumerate(chosen):
+            name = name_task(waiting.job.job, waiting.occurrence, waiting.number, index)
+            self.starts.append(RunStart(name, run, worker))
+
+    def find_rack(self, waiting: WaitingStep) -> str | None:
+        """Return the rack with most workers among those that hold the gang."""
+        need = waiting.step.reserved
+        sizes: dict[str, list[int]] = {}
+        for each in self.list_fitting(waiting, {}, is_limited=False):
+            counts = [
+                have // want
+                for have, want in zip(
+                    msgspec.structs.astuple(each.free),
+                    msgspec.structs.astuple(need),
+                    strict=True,
+                )
+                if want
+            ]
+            fits = min([*counts, each.task_limit - each.task_count])
+            for label in each.worker.labels[1:]:
+                sizes.setdefault(label, []).append(fits)
+        large = [
+            rack for rack, fits in sizes.items() if sum(fits) >= len(waiting.tasks)
+        ]
+        return max(large, key=lambda rack: len(sizes[rack]), default=None)
+
+    def list_fitting(
+        self,
+        waiting: WaitingStep,
+        counts: Mapping[WorkerId, int],
+        *,
+        is_limited: bool = True,
+    ) -> list[WorkerHeadroom]:
+        step = waiting.step
+        return [
+            each
+            for each in self.headrooms
+            if each.worker.service == waiting.queue.service
+            and (not step.required_label or step.required_label in each.worker.labels)
+            and (not is_limited or each.task_count < each.task_limit)
+            and step.reserved.fits(each.free)
+            and not 0 < step.max_per_worker <= counts.get(each.worker.worker, 0)
+        ]
+
+    def choose_best(
+        self, step: Step, fitting: list[WorkerHeadroom], avoided: set[WorkerId]
+    ) -> WorkerHeadroom | None:
+        return min(
+            (each for each in fitting if admits(step, each, self.interference)),
+            key=lambda each: (
+                each.worker.worker in avoided,
+                *self.compute_cost(step, each),
+            ),
+            default=None,
+        )
+
+    def choose_least_harmful(
+        self, step: Step, fitting: list[WorkerHeadroom]
+    ) -> WorkerHeadroom | None:
+        return max(
+            fitting,
+            key=lambda each: self.interference.find_smallest_margin(
+                each.margins, each.add_share(step)
+            ),
+            default=None,
+        )
+
+    def compute_cost(self, step: Step, headroom: WorkerHeadroom) -> Cost:
+        worker = headroom.worker
+        is_far = bool(step.preferred_rack) and step.preferred_rack not in worker.labels
+        load = 1 - headroom.spare_millicores / max(worker.capacity.millicores, 1)
+        if step.tail_goal_ms:
+            return (
+                is_far,
+                headroom.failures,
+                len(headroom.serving_images | {step.image}),
+                step.image not in headroom.serving_images,
+                headroom.spare_core_tasks,
+                -load,
+            )
+        if step.uses_spare_cores:
+            harm = self.interference.find_largest_growth(
+                headroom.margins, step.image, worker.find_share(step)
+            )
+            return (is_far, headroom.failures, round(harm, GROWTH_DIGITS), load)
+        return (is_far, headroom.failures, not headroom.margins, load)
+
+    def add(
+        self, step: Step, headroom: WorkerHeadroom, counts: dict[WorkerId, int]
+    ) -> None:
+        headroom.add_task(step)
+        worker = headroom.worker.worker
+        counts[worker] = counts.get(worker, 0) + 1
--- /dev/null
+++ b/tests/scheduling/test_rounds.py
@@ -0,0 +1,277 @@
+"""Tests of what placement rounds, housekeeping and views cost and decide."""
+
+from __future__ import annotations
+
+import unittest
+from collections.abc import Iterator
+from contextlib import contextmanager
+from datetime import timedelta
+from typing import Any, cast
+from unittest import mock
+
+import trio
+
+from rhubarbfield.clock import ManualClock
+from rhubarbfield.scheduling.commands import RunStart, StartRuns
+from rhubarbfield.scheduling.interference import InterferenceModel
+from rhubarbfield.scheduling.model import (
+    Demand,
+    ImageName,
+    RunNumber,
+    Step,
+    name_task,
+)
+from rhubarbfield.scheduling.session import WorkerSession
+from rhubarbfield.scheduling.state import Job, SchedulingState
+from rhubarbfield.types import WorkerId
+from tests.replication.determinism import run_deterministic
+from tests.scheduling.deployments import ONE_CORE, Deployment, with_deployment
+from tests.scheduling.fleets import BATCH_IMAGES, GOAL_MS, SERVING_IMAGES, Fleet
+
+WORKERS = 246
+ROUNDS = 25
+
+
+class Calls:
+    """Number of calls of a function."""
+
+    def __init__(self) -> None:
+        self.count = 0
+
+
+@contextmanager
+def count_calls(owner: type, name: str) -> Iterator[Calls]:
+    """Count the calls of a method, or the reads of a property, in the block."""
+    calls = Calls()
+    original: Any = owner.__dict__[name]
+    function = original.fget if isinstance(original, property) else original
+
+    def count(*arguments: Any, **options: Any) -> Any:
+        calls.count += 1
+        return function(*arguments, **options)
+
+    replacement = property(count) if isinstance(original, property) else count
+    with mock.patch.object(owner, name, replacement):
+        yield calls
+
+
+def make_spare_core_step(**changes: Any) -> Step:
+    options = {
+        "tasks": 40,
+        "demand": Demand(1000, 500),
+        "estimate_ms": 1000,
+        "image": BATCH_IMAGES[0],
+        "uses_spare_cores": True,
+    }
+    return Step(**{**options, **changes})
+
+
+class DecisionsTest(unittest.TestCase):
+    def test_rounds_start_what_a_full_recomputation_starts(self) -> None:
+        for seed in range(6):
+            with self.subTest(seed=seed):
+                run_deterministic(lambda seed=seed: self._compare(seed), seed=1)
+
+    async def _compare(self, seed: int) -> None:
+        fleet, reference = Fleet(seed, 40), Fleet(seed, 40)
+        started = 0
+        for each in (fleet, reference):
+            each.submit_serving(30)
+            for _ in range(30):
+                each.submit_batch()
+        for _ in range(ROUNDS):
+            starts = await fleet.run_round()
+            self.assertEqual(starts, await reference.run_reference_round())
+            started += len(starts)
+            fleet.disturb()
+            reference.disturb()
+        self.assertGreater(started, 400)
+
+    def test_headroom_is_what_a_full_recomputation_finds(self) -> None:
+        async def compare() -> None:
+            fleet = Fleet(3, 40)
+            fleet.submit_serving(30)
+            for _ in range(ROUNDS):
+                fleet.submit_batch()
+                await fleet.run_round()
+                fleet.disturb()
+                measured = fleet.leader.measure_headroom()
+                self.assertEqual(measured, fleet.measure_reference())
+
+        run_deterministic(compare, seed=1)
+
+
+class CostTest(unittest.TestCase):
+    def test_alike_tasks_are_compared_once_for_each_worker(self) -> None:
+        async def check() -> None:
+            fleet = Fleet(1, WORKERS)
+            fleet.submit(make_spare_core_step())
+            with count_calls(InterferenceModel, "admits") as calls:
+                starts = await fleet.run_round()
+            self.assertEqual(len(starts), 40)
+            self.assertLessEqual(calls.count, WORKERS + 2 * len(starts))
+
+        run_deterministic(check, seed=1)
+
+    def test_alike_steps_that_fit_nowhere_are_compared_once(self) -> None:
+        async def check() -> None:
+            fleet = Fleet(1, WORKERS)
+            for _ in range(100):
+                fleet.submit(make_spare_core_step())
+            with mock.patch.object(InterferenceModel, "admits", return_value=False):
+                self.assertEqual(await fleet.run_round(), ())
+                calls = cast(mock.Mock, InterferenceModel.admits).call_count
+            self.assertLessEqual(calls, WORKERS)
+
+        run_deterministic(check, seed=1)
+
+    def test_ended_jobs_are_not_examined(self) -> None:
+        async def count(ended: int) -> int:
+            fleet = Fleet(1, 20)
+            fleet.submit_serving(10)
+            for _ in range(ended):
+                fleet.cancel(fleet.submit_batch())
+            await fleet.leader._housekeeping.run_once()
+            await fleet.run_round()
+            with count_calls(Job, "is_open") as calls:
+                await fleet.leader._housekeeping.run_once()
+                await fleet.run_round()
+            return calls.count
+
+        async def check() -> None:
+            self.assertEqual(await count(400), await count(0))
+
+        run_deterministic(check, seed=1)
+
+    def test_headroom_is_measured_again_only_where_runs_changed(self) -> None:
+        async def check() -> None:
+            fleet = Fleet(1, WORKERS)
+            fleet.submit_serving(250)
+            for _ in range(4):
+                await fleet.run_round()
+            fleet.leader.measure_headroom()
+            fleet.end_runs(3)
+            with count_calls(SchedulingState, "find_step") as calls:
+                fleet.leader.measure_headroom()
+            changed = sum(
+                len(worker.runs)
+                for worker in sorted(
+                    fleet.state.workers.values(), key=lambda each: -len(each.runs)
+                )[:3]
+            )
+            self.assertLessEqual(calls.count, changed)
+
+        run_deterministic(check, seed=1)
+
+
+class TickingClock(ManualClock):
+    """Clock of a machine on which each reading takes a millisecond."""
+
+    def monotonic(self) -> timedelta:
+        self.advance(timedelta(milliseconds=1))
+        return super().monotonic()
+
+
+class SlicesTest(unittest.TestCase):
+    def test_other_tasks_run_between_the_parts_of_a_long_round(self) -> None:
+        async def check() -> None:
+            fleet = Fleet(1, 20)
+            for number in range(300):
+                fleet.submit(
+                    make_spare_core_step(
+                        tasks=2, image=ImageName(f"image-{number}"), demand=ONE_CORE
+                    )
+                )
+            fleet.leader._clock = TickingClock(fleet.clock.monotonic())
+            fleet.leader._backlog._clock = fleet.leader._clock
+            turns = 0
+            scope = trio.CancelScope()
+            propose = fleet.log.propose
+
+            async def take_turns() -> None:
+                nonlocal turns
+                with scope:
+                    while True:
+                        turns += 1
+                        await trio.lowlevel.checkpoint()
+
+            async def stop_turns(command: Any) -> Any:
+                scope.cancel()
+                return await propose(command)
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(take_turns)
+                with mock.patch.object(fleet.log, "propose", stop_turns):
+                    starts = await fleet.run_round()
+            self.assertGreater(len(starts), 100)
+            self.assertGreater(turns, 5)
+
+        run_deterministic(check, seed=1)
+
+    @with_deployment()
+    async def test_stops_do_not_wait_for_the_commit_of_starts(
+        self, deployment: Deployment
+    ) -> None:
+        worker = deployment.add_worker("w1", duration=None)
+        propose = deployment.log.propose
+
+        async def hold_starts(command: Any) -> Any:
+            if isinstance(command, StartRuns):
+                await trio.sleep(2)
+            return await propose(command)
+
+        async with deployment.lead():
+            await deployment.submit("j1", Step(tasks=2, demand=ONE_CORE))
+            await trio.sleep(1)
+            self.assertEqual(len(worker.runs), 2)
+            with mock.patch.object(deployment.log, "propose", hold_starts):
+                await deployment.submit("j2", Step(demand=ONE_CORE))
+                await trio.sleep(0.1)
+                await deployment.cancel("j1")
+                await trio.sleep(0.5)
+                self.assertEqual(len(worker.runs), 0)
+
+
+class FullFleetViewTest(unittest.TestCase):
+    def test_view_with_harm_measures_only_changed_workers(self) -> None:
+        """A task that is over its goal makes the leader look for other workers."""
+
+        async def check() -> None:
+            fleet = Fleet(1, WORKERS)
+            serving = fleet.submit(
+                Step(
+                    demand=ONE_CORE,
+                    standing=True,
+                    image=SERVING_IMAGES[0],
+                    tail_goal_ms=GOAL_MS,
+                )
+            )
+            batch = fleet.submit(make_spare_core_step(tasks=6, checkpoints=True))
+            first = next(iter(fleet.state.workers))
+            tasks = [name_task(serving, 0, 0, 0)]
+            tasks += [name_task(batch, 0, 0, index) for index in range(6)]
+            fleet.start(tuple(RunStart(task, RunNumber(1), first) for task in tasks))
+            for _ in range(20):
+                fleet.submit_batch()
+            await fleet.run_round()
+            fleet.leader.measure_headroom()
+            with count_calls(WorkerSession, "stop") as stops:
+                steps_found = sum(self._count(fleet, first) for _ in range(2))
+            self.assertGreater(stops.count, 0)
+            runs = len(fleet.state.workers[first].runs)
+            self.assertLessEqual(steps_found, 12 * runs)
+
+        run_deterministic(check, seed=1)
+
+    def _count(self, fleet: Fleet, worker: WorkerId) -> int:
+        fleet.clock.advance(timedelta(seconds=1))
+        with (
+            mock.patch.object(fleet.random, "uniform", lambda low, high: high),
+            count_calls(SchedulingState, "find_step") as calls,
+        ):
+            fleet.view(worker)
+        return calls.count
+
+
+if __name__ == "__main__":
+    unittest.main()
