Parse the name of each task once

Seen: find_task is called for every live run in each round (obsolete runs, headroom) and splits and converts the name each time (cProfile). The position that a name denotes never changes, so it is cached; the stored form of the state is unchanged.

--- a/src/rhubarbfield/scheduling/state.py
+++ b/src/rhubarbfield/scheduling/state.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import functools
 from enum import Enum, IntEnum, StrEnum
 
 import msgspec
@@ -26,6 +27,9 @@
 )
 from rhubarbfield.types import JobId, ServiceName, WorkerId
 
+# Tasks that are live or waiting on the largest site.
+MAX_CACHED_NAMES = 32_768
+
 
 class JobPhase(StrEnum):
     """Phase of a job; the last three are final."""
@@ -258,14 +262,20 @@
 
     def find_task(self, name: TaskName) -> tuple[Job, int, int, Task] | None:
         """Return job, occurrence, step and task by the name of the task."""
-        parts = name.split(".")
-        job = self.jobs.get(JobId(parts[0]))
+        job = self.jobs.get(JobId(name.partition(".")[0]))
         if job is None:
             return None
-        occurrence, step, index = (int(part) for part in parts[1:])
+        occurrence, step, index = _find_position(name)
         return job, occurrence, step, job.occurrences[occurrence][step].tasks[index]
 
     def find_step(self, name: TaskName) -> Step | None:
         """Return the step of a task, or None if its job is unknown."""
         found = self.find_task(name)
         return None if found is None else found[0].get_step(found[2])
+
+
+@functools.lru_cache(maxsize=MAX_CACHED_NAMES)
+def _find_position(name: TaskName) -> tuple[int, int, int]:
+    """Return occurrence, step and index from the name of a task."""
+    occurrence, step, index = (int(part) for part in name.split(".")[1:])
+    return occurrence, step, index
