Add up the headroom of a worker only when its runs change

Seen: measure_headroom takes 27 ms for 246 workers and runs in each round, for each view that may move a run, and while a worker drains. Cause: it looks up the step of every live run of the fleet, and list_margins does so once more. Now the sums are kept and compared with the worker's recorded runs, so that nothing needs to invalidate them.

The constructor of the mitigator gets the index, also in its tests.

--- a/src/rhubarbfield/scheduling/headroom.py
+++ b/src/rhubarbfield/scheduling/headroom.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-
 import msgspec
 
 from rhubarbfield.scheduling.interference import InterferenceModel, LatencyMargin
@@ -144,23 +142,6 @@
     return step.reserved.fits(headroom.free)
 
 
-def measure_headroom(
-    state: SchedulingState, is_usable: Callable[[Worker], bool]
-) -> dict[WorkerId, WorkerHeadroom]:
-    """Return the headroom of each worker that may receive tasks."""
-    headrooms: dict[WorkerId, WorkerHeadroom] = {}
-    for worker in state.workers.values():
-        if worker.draining or not is_usable(worker):
-            continue
-        headroom = WorkerHeadroom(worker, worker.capacity, worker.capacity.millicores)
-        for task in worker.runs:
-            step = state.find_step(task)
-            if step is not None:
-                headroom.add_task(step)
-        headrooms[worker.worker] = headroom
-    return headrooms
-
-
 def measure_utilization(headrooms: list[WorkerHeadroom]) -> float:
     """Return the fraction of the workers' cores that is reserved."""
     capacity = sum(headroom.worker.capacity.millicores for headroom in headrooms)
--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -26,7 +26,8 @@
     WorkerEnds,
     WorkerReport,
 )
-from rhubarbfield.scheduling.headroom import WorkerHeadroom, measure_headroom
+from rhubarbfield.scheduling.headroom import WorkerHeadroom
+from rhubarbfield.scheduling.headroom_index import HeadroomIndex
 from rhubarbfield.scheduling.heartbeats import Heartbeat, is_recorded
 from rhubarbfield.scheduling.housekeeping import Housekeeping
 from rhubarbfield.scheduling.interference import InterferenceModel
@@ -98,7 +99,10 @@
         self._quarantine = WorkerQuarantine(settings)
         self._interference = InterferenceModel()
         self._interference.restore(self.state.harm.values())
-        self._mitigator = InterferenceMitigator(self, self._interference, clock)
+        self._headrooms = HeadroomIndex()
+        self._mitigator = InterferenceMitigator(
+            self, self._interference, self._headrooms, clock
+        )
         self._backlog = Backlog(clock)
         self._registry = SessionRegistry(
             self,
@@ -244,6 +248,7 @@
     def _forget_worker(self, worker: WorkerId) -> None:
         self._quarantine.forget(worker)
         self._mitigator.forget(worker)
+        self._headrooms.forget(worker)
 
     async def _save_harm(self) -> None:
         """Replicate the learned estimates for the next leader."""
@@ -266,7 +271,7 @@
     def measure_headroom(self) -> dict[WorkerId, WorkerHeadroom]:
         """Return the headroom of each worker that may receive tasks."""
         now = self._clock.monotonic()
-        headrooms = measure_headroom(self.state, self._is_usable)
+        headrooms = self._headrooms.measure(self.state, self._is_usable)
         for worker, headroom in headrooms.items():
             headroom.margins = self._mitigator.list_margins(headroom.worker)
             headroom.failures = self._quarantine.count_failures(worker)
--- a/src/rhubarbfield/scheduling/mitigation.py
+++ b/src/rhubarbfield/scheduling/mitigation.py
@@ -18,6 +18,7 @@
     find_task_step,
     is_feasible,
 )
+from rhubarbfield.scheduling.headroom_index import HeadroomIndex
 from rhubarbfield.scheduling.interference import (
     MARGIN_RESERVE,
     InterferenceModel,
@@ -77,15 +78,22 @@
         The leader.
     interference
         The model of how images slow each other.
+    headroom_index
+        The use of each worker.
     clock
         Source of time.
     """
 
     def __init__(
-        self, host: MitigationHost, interference: InterferenceModel, clock: Clock
+        self,
+        host: MitigationHost,
+        interference: InterferenceModel,
+        headroom_index: HeadroomIndex,
+        clock: Clock,
     ) -> None:
         self._host = host
         self._interference = interference
+        self._headroom_index = headroom_index
         self._clock = clock
         self._over_threshold_since: dict[WorkerId, timedelta] = {}
         self._serving: dict[WorkerId, list[ServingTask]] = {}
@@ -100,7 +108,7 @@
         with the smallest margin is listed.
         """
         smallest: dict[ImageName, LatencyMargin] = {}
-        for task in self._list_serving(worker):
+        for task in self._headroom_index.list_serving(self._host.state, worker):
             found = self._interference.predict_margin(task)
             known = smallest.get(found.image)
             if known is None or found.margin < known.margin:
@@ -144,8 +152,7 @@
 
     def has_serving(self, worker: Worker) -> bool:
         """Return whether a worker runs tasks with a tail-latency goal."""
-        steps = map(self._host.state.find_step, worker.runs)
-        return any(step is not None and step.tail_goal_ms for step in steps)
+        return bool(self._headroom_index.list_serving(self._host.state, worker))
 
     def forget(self, worker: WorkerId) -> None:
         """Drop the state of a worker that was removed."""
@@ -154,17 +161,6 @@
         self._over_threshold_since.pop(worker, None)
         self._paused_since.pop(worker, None)
 
-    def _list_serving(self, worker: Worker) -> list[ServingTask]:
-        """Return the serving tasks on a worker, with the latest measurement if any."""
-        measured = {task.task: task for task in self._serving.get(worker.worker, [])}
-        found = []
-        for name in worker.runs:
-            step = self._host.state.find_step(name)
-            if step is not None and step.tail_goal_ms:
-                recorded = ServingTask(name, step.image, step.tail_goal_ms, None)
-                found.append(measured.get(name, recorded))
-        return found
-
     def _mitigate(
         self,
         worker: Worker,
--- a/tests/scheduling/test_mitigation.py
+++ b/tests/scheduling/test_mitigation.py
@@ -17,6 +17,7 @@
     UpdateWorkers,
 )
 from rhubarbfield.scheduling.headroom import WorkerHeadroom
+from rhubarbfield.scheduling.headroom_index import HeadroomIndex
 from rhubarbfield.scheduling.interference import InterferenceModel, ServingTask
 from rhubarbfield.scheduling.mitigation import InterferenceMitigator
 from rhubarbfield.scheduling.model import (
@@ -143,7 +144,7 @@
     def mitigator(self) -> InterferenceMitigator:
         if not hasattr(self, "_mitigator"):
             self._mitigator = InterferenceMitigator(
-                self.host, self.interference, self.clock
+                self.host, self.interference, HeadroomIndex(), self.clock
             )
         return self._mitigator
 
