Let other tasks run while a long placement round chooses

Seen: rounds hold the leader's loop for up to 200 ms on the grown sites, while each acknowledgement of a follower needs several turns of the loop. What changes in between is caught where starts are recorded, as for changes during a commit; jobs that end in between are passed over.

--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -53,6 +53,7 @@
 from rhubarbfield.scheduling.registry import SessionRegistry
 from rhubarbfield.scheduling.session import WorkerSession
 from rhubarbfield.scheduling.settings import SchedulingSettings
+from rhubarbfield.scheduling.slicing import choose_starts
 from rhubarbfield.scheduling.state import (
     Job,
     RunEnd,
@@ -297,7 +298,7 @@
             rank=self._rank,
             is_starved=self._is_starved,
         )
-        starts = placer.choose()
+        starts = await choose_starts(placer, self._clock)
         elapsed = self._clock.monotonic() - began
         ROUND_SECONDS.observe(elapsed.total_seconds())
         self._log_waiting(placer)
--- a/src/rhubarbfield/scheduling/placing.py
+++ b/src/rhubarbfield/scheduling/placing.py
@@ -110,19 +110,26 @@
         self._starts: list[RunStart] = []
         self.unplaced: dict[tuple[JobId, int], WaitingStep] = {}
 
-    def choose(self) -> tuple[RunStart, ...]:
-        """Return the runs to start, the most urgent first."""
+    @property
+    def starts(self) -> tuple[RunStart, ...]:
+        """The runs that were chosen so far, the most urgent first."""
+        return tuple(self._starts)
+
+    def iterate_steps(self) -> Iterator[WaitingStep]:
+        """Choose runs of one step after the other, and yield each step."""
         for waiting in sorted(
             iterate_waiting(self._jobs, self._queues),
             key=lambda each: self._rank_job(each.job, each.queue),
         ):
             if len(self._starts) >= MAX_STARTS_PER_ROUND:
                 break
+            if not waiting.job.is_open:  # it ended while the caller did other work
+                continue
             if waiting.step.gang:
                 self._place_gang(waiting)
             else:
                 self._place_step(waiting)
-        return tuple(self._starts)
+            yield waiting
 
     def _place_step(self, waiting: WaitingStep) -> None:
         step = waiting.step
--- a/tests/scheduling/measure_rounds.py
+++ b/tests/scheduling/measure_rounds.py
@@ -17,6 +17,7 @@
 
 import trio
 
+from rhubarbfield.scheduling.commands import RunStart
 from rhubarbfield.scheduling.placing import Placer
 from tests.scheduling.fleets import Fleet
 
@@ -71,12 +72,18 @@
     )
 
 
+def choose(placer: Placer) -> tuple[RunStart, ...]:
+    for _ in placer.iterate_steps():
+        pass
+    return placer.starts
+
+
 def make_fleet(workers: int) -> Fleet:
     """Return a fleet with many live runs, open jobs and ended jobs."""
     fleet = Fleet(SEED, workers)
     fleet.submit_serving(SERVING_TASKS)
     while True:
-        fleet.start(make_placer(fleet).choose())
+        fleet.start(choose(make_placer(fleet)))
         for worker in list(fleet.state.workers):
             fleet.view(worker)
         live = sum(len(worker.runs) for worker in fleet.state.workers.values())
@@ -104,7 +111,7 @@
         await timings.measure_async("housekeeping", leader._housekeeping.run_once)
         timings.measure("headroom", leader.measure_headroom)
         placer = timings.measure("headroom and placer", lambda: make_placer(fleet))
-        fleet.start(timings.measure("choice", placer.choose))
+        fleet.start(timings.measure("choice", lambda p=placer: choose(p)))
 
 
 def main() -> None:
