Stop runs and update records beside placement rounds

Seen: housekeeping and placement run in one task, so that obsolete and stalled runs are not stopped while a round waits for the commit of its starts, which takes up to 2.5 s on the grown sites, and no round begins while housekeeping waits for its own commits. Now stops have a task, and occurrences, ended jobs and silent workers another one. A round still stops obsolete and stalled runs and evacuates first, so that it decides on the same state as before; stops are not looked for twice for one request.

--- a/src/rhubarbfield/scheduling/housekeeping.py
+++ b/src/rhubarbfield/scheduling/housekeeping.py
@@ -1,4 +1,4 @@
-"""Housekeeping of the leader before each placement round."""
+"""Housekeeping of the leader beside its placement rounds."""
 
 from __future__ import annotations
 
@@ -9,6 +9,8 @@
 from itertools import takewhile
 from typing import Protocol
 
+import trio
+
 from rhubarbfield.clock import MS_PER_SECOND, Clock
 from rhubarbfield.groups import ReplicatedLog
 from rhubarbfield.logs import log_event
@@ -29,14 +31,19 @@
     SchedulingState,
     TaskPhase,
 )
-from rhubarbfield.types import JobId, WorkerId
+from rhubarbfield.types import JobId, Term, WorkerId
 
 logger = logging.getLogger(__name__)
 
+REQUEST_DELAY = timedelta(milliseconds=10)  # requests within this time are one
+
 
 class HousekeepingHost(Protocol):
     """Interface of the leader that housekeeping uses."""
 
+    def get_term(self) -> Term | None:
+        """Return the term if the leader may send orders now, else None."""
+
     def measure_headroom(self) -> dict[WorkerId, WorkerHeadroom]:
         """Return the headroom of each worker that may receive tasks."""
 
@@ -94,17 +101,55 @@
         self._jobs = jobs
         self._ended_at: dict[JobId, timedelta] = {}
         self._has_scanned_jobs = False
+        self._is_stop_due = False
+        self._stops_requested = trio.Event()
+        self._updates_requested = trio.Event()
 
     @property
     def _state(self) -> SchedulingState:
         return self._log.state.scheduling
 
-    async def run_once(self) -> None:
-        """Do all housekeeping once."""
-        self._jobs.synchronize(self._state)
+    def request(self) -> None:
+        """Request housekeeping, since the state or a view has changed."""
+        self._is_stop_due = True
+        self._stops_requested.set()
+        self._updates_requested.set()
+
+    async def run(self) -> None:
+        """Do what is requested until cancelled; stops do not wait for commits."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._stop_on_request)
+            nursery.start_soon(self._update_on_request)
+
+    async def _stop_on_request(self) -> None:
+        while True:
+            await self._stops_requested.wait()
+            self._stops_requested = trio.Event()
+            # Unless a round has done it in the meantime.
+            if self._is_stop_due and self._host.get_term() is not None:
+                self.stop_runs()
+            await self._clock.sleep(REQUEST_DELAY)
+
+    async def _update_on_request(self) -> None:
+        while True:
+            await self._updates_requested.wait()
+            self._updates_requested = trio.Event()
+            if self._host.get_term() is not None:
+                await self.update_records()
+            await self._clock.sleep(REQUEST_DELAY)
+
+    def stop_runs(self) -> None:
+        """Stop obsolete and stalled runs.
+
+        It is called before each round, so that the round avoids their workers.
+        """
+        self._is_stop_due = False
         self._stop_obsolete()
         self._stop_stalled()
-        self._evacuate()
+
+    async def update_records(self) -> None:
+        """Open due occurrences, and drop ended jobs and silent workers."""
+        self._jobs.synchronize(self._state)
         await self._open_due_occurrences()
         await self._forget_ended_jobs()
         await self._remove_silent_workers()
@@ -150,8 +195,11 @@
                 self._host.avoid(key.task, worker)
                 session.stop(key)
 
-    def _evacuate(self) -> None:
-        """Stop standing tasks on draining workers if others have headroom for them."""
+    def evacuate(self) -> None:
+        """Stop standing tasks on draining workers if others have headroom for them.
+
+        It is called before each round, as a round takes the same headroom.
+        """
         draining_workers = [
             each for each in self._state.workers.values() if each.draining
         ]
--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -144,6 +144,7 @@
             nursery.start_soon(self._follow_state, nursery)
             nursery.start_soon(self._request_rounds)
             nursery.start_soon(self._run_rounds)
+            nursery.start_soon(self._housekeeping.run)
             nursery.start_soon(self._save_harm)
 
     # Interface for sessions and the other parts of the leader.
@@ -176,7 +177,7 @@
         session = self.get_session(worker)
         if record is not None and session is not None:
             self._mitigator.handle_view(record, session)
-        self._round_requested.set()
+        self._request_round()
 
     def needs_frequent_views(self, worker: Worker) -> bool:
         """Return whether new co-located runs can harm serving tasks on the worker."""
@@ -239,16 +240,20 @@
     async def _request_rounds(self) -> None:
         while True:
             await self._clock.sleep(IDLE_ROUND_INTERVAL)
-            self._round_requested.set()
+            self._request_round()
 
     async def _follow_state(self, nursery: trio.Nursery) -> None:
         """Keep a session with each worker, and request a round at each change."""
         while True:
             seen = self._log.changes
             self._registry.synchronize(self.state.workers, nursery)
-            self._round_requested.set()
+            self._request_round()
             await self._log.wait_change(seen)
 
+    def _request_round(self) -> None:
+        self._round_requested.set()
+        self._housekeeping.request()
+
     def _forget_worker(self, worker: WorkerId) -> None:
         self._quarantine.forget(worker)
         self._mitigator.forget(worker)
@@ -268,7 +273,8 @@
             self._round_requested = trio.Event()
             if self.get_term() is None:
                 continue
-            await self._housekeeping.run_once()
+            self._housekeeping.stop_runs()
+            self._housekeeping.evacuate()
             await self._run_round()
             await self._clock.sleep(ROUND_DELAY)
 
--- a/tests/scheduling/fleets.py
+++ b/tests/scheduling/fleets.py
@@ -219,6 +219,13 @@
         session._progress.update(session.active.values(), self.clock.monotonic())
         self.leader.handle_view(worker)
 
+    async def keep_house(self) -> None:
+        """Do all housekeeping of the leader once."""
+        housekeeping = self.leader._housekeeping
+        housekeeping.stop_runs()
+        housekeeping.evacuate()
+        await housekeeping.update_records()
+
     async def run_round(self) -> tuple[RunStart, ...]:
         """Run a placement round of the leader; return the starts it proposed."""
         proposed: list[RunStart] = []
--- a/tests/scheduling/measure_rounds.py
+++ b/tests/scheduling/measure_rounds.py
@@ -100,7 +100,7 @@
 
 async def run_rounds(fleet: Fleet, timings: Timings) -> None:
     leader = fleet.leader
-    await leader._housekeeping.run_once()
+    await fleet.keep_house()
     for _ in range(ROUNDS):
         fleet.clock.advance(ROUND_INTERVAL)
         for worker in fleet.random.sample(list(fleet.state.workers), VIEWS_PER_ROUND):
@@ -108,7 +108,7 @@
         fleet.end_runs(RUNS_ENDED_PER_ROUND)
         for session in fleet.sessions.values():
             session.handle_report(None)
-        await timings.measure_async("housekeeping", leader._housekeeping.run_once)
+        await timings.measure_async("housekeeping", fleet.keep_house)
         timings.measure("headroom", leader.measure_headroom)
         placer = timings.measure("headroom and placer", lambda: make_placer(fleet))
         fleet.start(timings.measure("choice", lambda p=placer: choose(p)))
--- a/tests/scheduling/test_job_index.py
+++ b/tests/scheduling/test_job_index.py
@@ -36,18 +36,17 @@
     def test_ended_jobs_are_forgotten_after_their_retention(self) -> None:
         async def check() -> None:
             fleet = Fleet(1, 4)
-            housekeeping = fleet.leader._housekeeping
             retention = fleet.settings.ended_job_retention
             first, second, third = (fleet.submit_batch() for _ in range(3))
             for job in (first, second):
                 fleet.cancel(job)
-                await housekeeping.run_once()
+                await fleet.keep_house()
                 fleet.clock.advance(timedelta(seconds=10))
             fleet.clock.advance(retention - timedelta(seconds=15))
-            await housekeeping.run_once()
+            await fleet.keep_house()
             self.assertEqual(list(fleet.state.jobs), [second, third])
             fleet.clock.advance(retention)
-            await housekeeping.run_once()
+            await fleet.keep_house()
             self.assertEqual(list(fleet.state.jobs), [third])
 
         run_deterministic(check, seed=1)
--- a/tests/scheduling/test_rounds.py
+++ b/tests/scheduling/test_rounds.py
@@ -131,10 +131,10 @@
             fleet.submit_serving(10)
             for _ in range(ended):
                 fleet.cancel(fleet.submit_batch())
-            await fleet.leader._housekeeping.run_once()
+            await fleet.keep_house()
             await fleet.run_round()
             with count_calls(Job, "is_open") as calls:
-                await fleet.leader._housekeeping.run_once()
+                await fleet.keep_house()
                 await fleet.run_round()
             return calls.count
 
