--- a/src/rhubarbfield/scheduling/progress.py
+++ b/src/rhubarbfield/scheduling/progress.py
@@ -31,6 +31,8 @@
     def __init__(self) -> None:
         self._marks: dict[RunKey, ProgressMark] = {}
         self._viewed_at = timedelta()
+        # No run is without progress for longer; a reset only shortens the time.
+        self._earliest = timedelta()
 
     def update(self, active: Iterable[ActiveRun], now: timedelta) -> None:
         """Update from a view; runs that it does not list are dropped."""
@@ -43,6 +45,7 @@
             marks[key] = mark
         self._marks = marks
         self._viewed_at = now
+        self._earliest = min((mark.since for mark in marks.values()), default=now)
 
     def reset(self, key: RunKey, now: timedelta) -> None:
         """Restart the stall timer of a run, after its pace was changed."""
@@ -52,6 +55,8 @@
 
     def list_stalled(self, limit: timedelta) -> list[RunKey]:
         """Return runs without progress for longer than ``limit`` at the last view."""
+        if self._viewed_at - self._earliest <= limit:
+            return []
         return [
             key
             for key, mark in self._marks.items()
