--- a/src/rhubarbfield/scheduling/latency_model.py
+++ b/src/rhubarbfield/scheduling/latency_model.py
@@ -36,6 +36,7 @@
 FIRST_RATE_VARIANCE = 6.0
 MIN_RESTORED_VARIANCE = 0.1  # variance of a restored rate with many samples
 UPPER_BOUND_DEVIATIONS = 0.7  # standard deviations above the mean of a rate
+FIRST_UPPER_BOUND = FIRST_RATE + UPPER_BOUND_DEVIATIONS * math.sqrt(FIRST_RATE_VARIANCE)
 RATE_DRIFT = 0.004  # variance per sample; rates change over minutes
 OUTLIER_DEVIATIONS = 3.0
 MIN_SHARE = 0.003  # share of the processors; smaller ones have no measurable effect
@@ -169,6 +170,16 @@
             self.covariance[image][image] += RATE_DRIFT
             self.samples[image] += 1
 
+    def compute_upper_bounds(self) -> dict[ImageName, float]:
+        """Return an upper bound of the rate of each image."""
+        bounds = {}
+        for image, mean in self.means.items():
+            variance = max(self.covariance[image][image], 0.0)
+            bounds[image] = max(
+                0.0, mean + UPPER_BOUND_DEVIATIONS * math.sqrt(variance)
+            )
+        return bounds
+
     def predict_growth(self, shares: Mapping[ImageName, float]) -> float:
         """Return the growth of log latency that ``shares`` cause."""
         return sum(self.means.get(image, 0.0) * x for image, x in shares.items())
@@ -181,6 +192,8 @@
         self._rates: dict[ImageName, InterferenceRates] = {}
         self._levels: dict[TaskName, Level] = {}
         self._changed: set[ImageName] = set()
+        # By serving image and co-located image; dropped when rates are learned.
+        self._upper_bounds: dict[ImageName, dict[ImageName, float]] = {}
 
     def learn(
         self,
@@ -204,6 +217,7 @@
             Monotonic time of the measurement.
         """
         log_latency = math.log(tail_ms / MS_PER_SECOND)
+        self._upper_bounds.pop(image, None)
         rates = self._rates.setdefault(image, InterferenceRates())
         rates.ensure_estimates(other for other, x in shares.items() if x > MIN_SHARE)
         level = self._levels.get(task)
@@ -243,16 +257,16 @@
 
     def get_rate_upper_bound(self, serving: ImageName, image: ImageName) -> float:
         """Return an upper bound of the rate; it falls as samples are added."""
-        rates = self._rates.get(serving)
-        if rates is None or image not in rates.means:
-            return FIRST_RATE + UPPER_BOUND_DEVIATIONS * math.sqrt(FIRST_RATE_VARIANCE)
-        variance = max(rates.covariance[image][image], 0.0)
-        return max(
-            0.0, rates.means[image] + UPPER_BOUND_DEVIATIONS * math.sqrt(variance)
-        )
+        bounds = self._upper_bounds.get(serving)
+        if bounds is None:
+            rates = self._rates.get(serving)
+            bounds = {} if rates is None else rates.compute_upper_bounds()
+            self._upper_bounds[serving] = bounds
+        return bounds.get(image, FIRST_UPPER_BOUND)
 
     def restore(self, estimates: Iterable[HarmEstimate]) -> None:
         """Restore the estimates that an earlier leader saved."""
+        self._upper_bounds.clear()
         for entry in estimates:
             rates = self._rates.setdefault(
                 ImageName(entry.service), InterferenceRates()
--- a/tests/scheduling/test_latency_model.py
+++ b/tests/scheduling/test_latency_model.py
@@ -7,7 +7,11 @@
 import unittest
 from datetime import timedelta
 
-from rhubarbfield.scheduling.latency_model import MAX_IMAGES, TailLatencyModel
+from rhubarbfield.scheduling.latency_model import (
+    FIRST_UPPER_BOUND,
+    MAX_IMAGES,
+    TailLatencyModel,
+)
 from rhubarbfield.scheduling.model import ImageName, TaskName
 
 SERVING = ImageName("serving")
@@ -61,6 +65,24 @@
                 found = simulation.model.get_rate(SERVING, image)
                 self.assertAlmostEqual(found, rate, delta=1.5, msg=f"{seed} {image}")
 
+    def test_upper_bounds_follow_each_measurement(self) -> None:
+        simulation = SimulatedTasks(tasks=3, seed=1)
+        model = simulation.model
+        images = [*TRUE_RATES, ImageName("never seen")]
+        found = set()
+        for _ in range(20):
+            before = [model.get_rate_upper_bound(SERVING, each) for each in images]
+            simulation.run(1)
+            rates = model._rates[SERVING]
+            for image in images:
+                bound = model.get_rate_upper_bound(SERVING, image)
+                self.assertEqual(
+                    bound, rates.compute_upper_bounds().get(image, FIRST_UPPER_BOUND)
+                )
+                found.add(bound)
+            self.assertEqual(before[-1], FIRST_UPPER_BOUND)
+        self.assertGreater(len(found), 20)
+
     def test_level_follows_the_load(self) -> None:
         simulation = SimulatedTasks(tasks=10, seed=1)
         simulation.run(60)
