Rest after a placement round for as long as it chose

Now a round is followed by a rest of at least the time it took, so that placement takes at most half of the loop. Rounds decide the same, less often while they are long; stops have their own task.

--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -130,6 +130,7 @@
         leadership = log.replica.leadership
         self._term = leadership.term if leadership is not None else Term(0)
         self._waiting_logged_at = timedelta()
+        self._choice_took = timedelta()
 
     @property
     def state(self) -> SchedulingState:
@@ -276,7 +277,8 @@
             self._housekeeping.stop_runs()
             self._housekeeping.evacuate()
             await self._run_round()
-            await self._clock.sleep(ROUND_DELAY)
+            # Placement takes at most half of the loop's time.
+            await self._clock.sleep(max(ROUND_DELAY, self._choice_took))
 
     def measure_headroom(self) -> dict[WorkerId, WorkerHeadroom]:
         """Return the headroom of each worker that may receive tasks."""
@@ -305,8 +307,8 @@
             is_starved=self._is_starved,
         )
         starts = await choose_starts(placer, self._clock)
-        elapsed = self._clock.monotonic() - began
-        ROUND_SECONDS.observe(elapsed.total_seconds())
+        self._choice_took = self._clock.monotonic() - began
+        ROUND_SECONDS.observe(self._choice_took.total_seconds())
         self._log_waiting(placer)
         if not starts:
             return
--- a/tests/scheduling/test_rounds.py
+++ b/tests/scheduling/test_rounds.py
@@ -210,6 +210,27 @@
 
         run_deterministic(check, seed=1)
 
+    def test_rounds_rest_for_as_long_as_they_chose(self) -> None:
+        async def check() -> None:
+            fleet = Fleet(1, 20)
+            for _ in range(50):
+                fleet.submit(make_spare_core_step(demand=Demand(1000, 90_000)))
+            clock = fleet.leader._clock = TickingClock(fleet.clock.monotonic())
+            fleet.leader._backlog._clock = clock
+            rests: list[timedelta] = []
+
+            async def rest(duration: timedelta) -> None:
+                rests.append(duration)
+                await trio.sleep_forever()
+
+            with trio.move_on_after(1), mock.patch.object(clock, "sleep", rest):
+                fleet.leader._request_round()
+                await fleet.leader._run_rounds()
+            self.assertEqual(rests, [fleet.leader._choice_took])
+            self.assertGreater(rests[0], timedelta(milliseconds=100))
+
+        run_deterministic(check, seed=1)
+
     @with_deployment()
     async def test_stops_do_not_wait_for_the_commit_of_starts(
         self, deployment: Deployment
