--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -60,13 +60,12 @@
     SchedulingState,
     Worker,
 )
+from rhubarbfield.scheduling.waiting_log import WaitingLog
 from rhubarbfield.types import Term, WorkerId
 
 logger = logging.getLogger(__name__)
 
 ROUND_DELAY = timedelta(milliseconds=10)  # changes within this time share a round
-WAITING_LOG_INTERVAL = timedelta(seconds=1)
-MAX_WAITING_LOGGED = 20  # waiting steps logged at a time; the others are only counted
 # Rounds also run without a change of state, since occurrences come due and
 # quarantines end.
 IDLE_ROUND_INTERVAL = timedelta(milliseconds=250)
@@ -129,7 +128,7 @@
         )
         leadership = log.replica.leadership
         self._term = leadership.term if leadership is not None else Term(0)
-        self._waiting_logged_at = timedelta()
+        self._waiting_log = WaitingLog(self._backlog, clock)
         self._choice_took = timedelta()
 
     @property
@@ -309,7 +308,7 @@
         starts = await choose_starts(placer, self._clock)
         self._choice_took = self._clock.monotonic() - began
         ROUND_SECONDS.observe(self._choice_took.total_seconds())
-        self._log_waiting(placer)
+        self._waiting_log.write(placer)
         if not starts:
             return
         unstarted = self._list_unstarted(starts)
@@ -337,25 +336,6 @@
                 age = self._backlog.find_age(job)
                 FIRST_START_SECONDS.observe(age.total_seconds())
 
-    def _log_waiting(self, placer: Placer) -> None:
-        """Log why the most urgent waiting steps are not placed."""
-        now = self._clock.monotonic()
-        if not placer.unplaced or now - self._waiting_logged_at < WAITING_LOG_INTERVAL:
-            return
-        self._waiting_logged_at = now
-        for waiting in list(placer.unplaced.values())[:MAX_WAITING_LOGGED]:
-            log_event(
-                logger,
-                logging.INFO,
-                "step-waiting",
-                job=waiting.job.job,
-                step=waiting.number,
-                reason=placer.explain_wait(waiting).value,
-                image=waiting.step.image,
-                age=self._backlog.find_age(waiting.job),
-                waiting=len(placer.unplaced),
-            )
-
     def _send_start(self, start: RunStart) -> None:
         session = self.get_session(start.worker)
         found = self.state.find_task(start.task)
