--- a/src/rhubarbfield/scheduling/housekeeping.py
+++ b/src/rhubarbfield/scheduling/housekeeping.py
@@ -1,4 +1,4 @@
-"""Housekeeping of the leader before each placement round."""
+"""Housekeeping of the leader beside its placement rounds."""
 
 from __future__ import annotations
 
@@ -6,8 +6,11 @@
 import math
 from collections.abc import Mapping
 from datetime import timedelta
+from itertools import takewhile
 from typing import Protocol
 
+import trio
+
 from rhubarbfield.clock import MS_PER_SECOND, Clock
 from rhubarbfield.groups import ReplicatedLog
 from rhubarbfield.logs import log_event
@@ -15,6 +18,7 @@
 from rhubarbfield.scheduling.backlog import Backlog
 from rhubarbfield.scheduling.commands import ForgetJobs, OpenOccurrences
 from rhubarbfield.scheduling.headroom import WorkerHeadroom, find_task_step, is_feasible
+from rhubarbfield.scheduling.job_index import JobIndex
 from rhubarbfield.scheduling.metrics import JOBS, RUNS_DISTURBED
 from rhubarbfield.scheduling.model import CheckpointToken, TaskName
 from rhubarbfield.scheduling.orders import StopReason
@@ -27,14 +31,19 @@
     JobPhase,
     SchedulingState,
 )
-from rhubarbfield.types import JobId, WorkerId
+from rhubarbfield.types import JobId, Term, WorkerId
 
 logger = logging.getLogger(__name__)
 
+REQUEST_DELAY = timedelta(milliseconds=25)  # requests within this time are one
+
 
 class HousekeepingHost(Protocol):
     """Interface of the leader that housekeeping uses."""
 
+    def get_term(self) -> Term | None:
+        """Return the term if the leader may send orders now, else None."""
+
     def measure_headroom(self) -> dict[WorkerId, WorkerHeadroom]:
         """Return the headroom of each worker that may receive tasks."""
 
@@ -58,6 +67,8 @@
         The leader.
     sessions
         The leader's session with each worker.
+    jobs
+        The open jobs, which housekeeping keeps up to date.
     quarantine
         The quarantine of workers.
     backlog
@@ -74,6 +85,7 @@
         *,
         host: HousekeepingHost,
         sessions: Mapping[WorkerId, WorkerSession],
+        jobs: JobIndex,
         quarantine: WorkerQuarantine,
         backlog: Backlog,
         clock: Clock,
@@ -86,17 +98,57 @@
         self._backlog = backlog
         self._clock = clock
         self._settings = settings
+        self._jobs = jobs
         self._ended_at: dict[JobId, timedelta] = {}
         self._has_scanned_jobs = False
+        self._is_stop_due = False
+        self._stops_requested = trio.Event()
+        self._updates_requested = trio.Event()
 
     @property
     def _state(self) -> SchedulingState:
         return self._log.state.scheduling
 
-    async def run_once(self) -> None:
-        """Do all housekeeping once."""
+    def request(self) -> None:
+        """Request housekeeping, since the state or a view has changed."""
+        self._is_stop_due = True
+        self._stops_requested.set()
+        self._updates_requested.set()
+
+    async def run(self) -> None:
+        """Do what is requested until cancelled; stops do not wait for commits."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._stop_on_request)
+            nursery.start_soon(self._update_on_request)
+
+    async def _stop_on_request(self) -> None:
+        while True:
+            await self._stops_requested.wait()
+            self._stops_requested = trio.Event()
+            # Unless a round has done it in the meantime.
+            if self._is_stop_due and self._host.get_term() is not None:
+                self.stop_runs()
+            await self._clock.sleep(REQUEST_DELAY)
+
+    async def _update_on_request(self) -> None:
+        while True:
+            await self._updates_requested.wait()
+            self._updates_requested = trio.Event()
+            if self._host.get_term() is not None:
+                await self.update_records()
+            await self._clock.sleep(REQUEST_DELAY)
+
+    def stop_runs(self) -> None:
+        """Stop stalled runs.
+
+        It is called before each round, so that the round avoids their workers.
+        """
+        self._is_stop_due = False
         self._stop_stalled()
-        self._evacuate()
+
+    async def update_records(self) -> None:
+        """Open due occurrences, and drop ended jobs and silent workers."""
+        self._jobs.synchronize(self._state)
         await self._open_due_occurrences()
         await self._forget_ended_jobs()
         await self._remove_silent_workers()
@@ -126,8 +178,11 @@
                 self._host.avoid(key.task, worker)
                 session.stop(key, StopReason.STALLED)
 
-    def _evacuate(self) -> None:
-        """Stop standing tasks on draining workers if others have headroom for them."""
+    def evacuate(self) -> None:
+        """Stop standing tasks on draining workers if others have headroom for them.
+
+        It is called before each round, as a round takes the same headroom.
+        """
         draining_workers = [
             each for each in self._state.workers.values() if each.draining
         ]
@@ -181,7 +236,7 @@
         now_ms = self._clock.now().timestamp() * MS_PER_SECOND
         due = [
             (job.job, number)
-            for job in self._state.jobs.values()
+            for job in self._jobs.open.values()
             for number in _list_due(job, now_ms)
         ]
         if due:
@@ -204,20 +259,27 @@
 
     async def _forget_ended_jobs(self) -> None:
         now = self._clock.monotonic()
-        old = []
-        for job in self._state.jobs.values():
-            if not job.is_open:
-                if job.job not in self._ended_at:
-                    self._report_end(job)
-                ended = self._ended_at.setdefault(job.job, now)
-                if now - ended > self._settings.ended_job_retention:
-                    old.append(job.job)
-                self._backlog.forget(job.job)
+        for job in self._jobs.take_ended():
+            if job.job in self._ended_at:  # the state was read again
+                continue
+            self._report_end(job)
+            self._ended_at[job.job] = now
+            self._backlog.forget(job.job)
         self._has_scanned_jobs = True
+        retention = self._settings.ended_job_retention
+        # The job that ended first comes first.
+        old = list(
+            takewhile(
+                lambda name: now - self._ended_at[name] > retention, self._ended_at
+            )
+        )
         if old:
             await self._log.propose(ForgetJobs(jobs=tuple(old)))
             for name in old:
-                self._ended_at.pop(name, None)
+                del self._ended_at[name]
+                self._backlog.forget(name)
+                if name in self._state.jobs:  # not committed, or it has live runs
+                    self._ended_at[name] = now
 
 
 def _list_due(job: Job, now_ms: float) -> list[int]:
--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -26,7 +26,8 @@
     WorkerEnds,
     WorkerReport,
 )
-from rhubarbfield.scheduling.headroom import WorkerHeadroom, measure_headroom
+from rhubarbfield.scheduling.headroom import WorkerHeadroom
+from rhubarbfield.scheduling.headroom_index import HeadroomIndex
 from rhubarbfield.scheduling.heartbeats import (
     Heartbeat,
     HeartbeatDigest,
@@ -34,6 +35,7 @@
 )
 from rhubarbfield.scheduling.housekeeping import Housekeeping
 from rhubarbfield.scheduling.interference import InterferenceModel
+from rhubarbfield.scheduling.job_index import JobIndex
 from rhubarbfield.scheduling.metrics import (
     FIRST_START_SECONDS,
     ROUND_SECONDS,
@@ -55,6 +57,7 @@
 from rhubarbfield.scheduling.registry import SessionRegistry
 from rhubarbfield.scheduling.session import WorkerSession
 from rhubarbfield.scheduling.settings import SchedulingSettings
+from rhubarbfield.scheduling.slicing import choose_starts
 from rhubarbfield.scheduling.state import (
     Job,
     RunEnd,
@@ -62,13 +65,12 @@
     Worker,
 )
 from rhubarbfield.scheduling.terminations import Terminations
+from rhubarbfield.scheduling.waiting_log import WaitingLog
 from rhubarbfield.types import Term, WorkerId
 
 logger = logging.getLogger(__name__)
 
 ROUND_DELAY = timedelta(milliseconds=10)  # changes within this time share a round
-WAITING_LOG_INTERVAL = timedelta(seconds=1)
-MAX_WAITING_LOGGED = 20  # waiting steps logged at a time; the others are only counted
 # Rounds also run without a change of state, since occurrences come due and
 # quarantines end.
 IDLE_ROUND_INTERVAL = timedelta(milliseconds=250)
@@ -103,8 +105,12 @@
         self._quarantine = WorkerQuarantine(settings)
         self._interference = InterferenceModel()
         self._interference.restore(self.state.harm.values())
-        self._mitigator = InterferenceMitigator(self, self._interference, clock)
+        self._headrooms = HeadroomIndex()
+        self._mitigator = InterferenceMitigator(
+            self, self._interference, self._headrooms, clock
+        )
         self._backlog = Backlog(clock)
+        self._jobs = JobIndex()
         self._registry = SessionRegistry(
             self,
             calls=calls,
@@ -121,6 +127,7 @@
             log,
             host=self,
             sessions=self._registry.sessions,
+            jobs=self._jobs,
             quarantine=self._quarantine,
             backlog=self._backlog,
             clock=clock,
@@ -128,7 +135,8 @@
         )
         leadership = log.replica.leadership
         self._term = leadership.term if leadership is not None else Term(0)
-        self._waiting_logged_at = timedelta()
+        self._waiting_log = WaitingLog(self._backlog, clock)
+        self._choice_took = timedelta()
 
     @property
     def state(self) -> SchedulingState:
@@ -145,6 +153,7 @@
                 nursery.start_soon(self._follow_state, nursery)
                 nursery.start_soon(self._request_rounds)
                 nursery.start_soon(self._run_rounds)
+                nursery.start_soon(self._housekeeping.run)
                 nursery.start_soon(self._save_harm)
         finally:
             self._log.machine.unwatch(self._terminations.watch_command)
@@ -183,7 +192,7 @@
         session = self.get_session(worker)
         if record is not None and session is not None:
             self._mitigator.handle_view(record, session)
-        self._round_requested.set()
+        self._request_round()
 
     def needs_frequent_views(self, worker: Worker) -> bool:
         """Return whether new co-located runs can harm serving tasks on the worker."""
@@ -256,7 +265,7 @@
     async def _request_rounds(self) -> None:
         while True:
             await self._clock.sleep(IDLE_ROUND_INTERVAL)
-            self._round_requested.set()
+            self._request_round()
 
     async def _follow_state(self, nursery: trio.Nursery) -> None:
         """Follow each change of the state, without waiting for commits.
@@ -267,15 +276,20 @@
             seen = self._log.changes
             self._registry.synchronize(self.state.workers, nursery)
             self._terminations.stop_obsolete()
-            self._round_requested.set()
+            self._request_round()
             await self._log.wait_change(seen)
 
+    def _request_round(self) -> None:
+        self._round_requested.set()
+        self._housekeeping.request()
+
     def _examine_worker(self, worker: WorkerId) -> None:
         self._terminations.add_worker(worker)
 
     def _forget_worker(self, worker: WorkerId) -> None:
         self._quarantine.forget(worker)
         self._mitigator.forget(worker)
+        self._headrooms.forget(worker)
 
     async def _save_harm(self) -> None:
         """Replicate the learned estimates for the next leader."""
@@ -291,14 +305,16 @@
             self._round_requested = trio.Event()
             if self.get_term() is None:
                 continue
-            await self._housekeeping.run_once()
+            self._housekeeping.stop_runs()
+            self._housekeeping.evacuate()
             await self._run_round()
-            await self._clock.sleep(ROUND_DELAY)
+            # Placement takes at most half of the loop's time.
+            await self._clock.sleep(max(ROUND_DELAY, self._choice_took))
 
     def measure_headroom(self) -> dict[WorkerId, WorkerHeadroom]:
         """Return the headroom of each worker that may receive tasks."""
         now = self._clock.monotonic()
-        headrooms = measure_headroom(self.state, self._is_usable)
+        headrooms = self._headrooms.measure(self.state, self._is_usable)
         for worker, headroom in headrooms.items():
             headroom.margins = self._mitigator.list_margins(headroom.worker)
             headroom.failures = self._quarantine.count_failures(worker)
@@ -311,18 +327,20 @@
     async def _run_round(self) -> None:
         began = self._clock.monotonic()
         headrooms = self.measure_headroom()
+        self._jobs.synchronize(self.state)
         placer = Placer(
-            self.state,
+            self._jobs.open.values(),
+            self.state.map_queues(),
             headrooms,
             avoided=self._avoided,
             interference=self._interference,
             rank=self._rank,
             is_starved=self._is_starved,
         )
-        starts = placer.choose()
-        elapsed = self._clock.monotonic() - began
-        ROUND_SECONDS.observe(elapsed.total_seconds())
-        self._log_waiting(placer)
+        starts = await choose_starts(placer, self._clock)
+        self._choice_took = self._clock.monotonic() - began
+        ROUND_SECONDS.observe(self._choice_took.total_seconds())
+        self._waiting_log.write(placer)
         if not starts:
             return
         unstarted = self._list_unstarted(starts)
@@ -371,25 +389,6 @@
                 age = self._backlog.find_age(job)
                 FIRST_START_SECONDS.observe(age.total_seconds())
 
-    def _log_waiting(self, placer: Placer) -> None:
-        """Log why the most urgent waiting steps are not placed."""
-        now = self._clock.monotonic()
-        if not placer.unplaced or now - self._waiting_logged_at < WAITING_LOG_INTERVAL:
-            return
-        self._waiting_logged_at = now
-        for waiting in list(placer.unplaced.values())[:MAX_WAITING_LOGGED]:
-            log_event(
-                logger,
-                logging.INFO,
-                "step-waiting",
-                job=waiting.job.job,
-                step=waiting.number,
-                reason=placer.explain_wait(waiting).value,
-                image=waiting.step.image,
-                age=self._backlog.find_age(waiting.job),
-                waiting=len(placer.unplaced),
-            )
-
     def _send_start(self, start: RunStart) -> None:
         session = self.get_session(start.worker)
         found = self.state.find_task(start.task)
--- a/src/rhubarbfield/scheduling/state.py
+++ b/src/rhubarbfield/scheduling/state.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import functools
 from enum import Enum, IntEnum, StrEnum
 
 import msgspec
@@ -26,6 +27,9 @@
 )
 from rhubarbfield.types import JobId, ServiceName, WorkerId
 
+# Tasks that are live or waiting on the largest site.
+MAX_CACHED_NAMES = 32_768
+
 
 class JobPhase(StrEnum):
     """Phase of a job; the last three are final."""
@@ -267,12 +271,11 @@
         Returns None if there is no such task. A worker may list tasks of an earlier
         job with the same id, or names that nobody gave.
         """
-        parts = name.split(".")
-        job = self.jobs.get(JobId(parts[0]))
+        job = self.jobs.get(JobId(name.partition(".")[0]))
         if job is None:
             return None
         try:
-            occurrence, step, index = (int(part) for part in parts[1:])
+            occurrence, step, index = _find_position(name)
             task = job.occurrences[occurrence][step].tasks[index]
         except (ValueError, LookupError):
             return None
@@ -289,3 +292,10 @@
         """Return the step of a task, or None if there is no such task."""
         found = self.find_task(name)
         return None if found is None else found[0].get_step(found[2])
+
+
+@functools.lru_cache(maxsize=MAX_CACHED_NAMES)
+def _find_position(name: TaskName) -> tuple[int, int, int]:
+    """Return occurrence, step and index from the name of a task."""
+    occurrence, step, index = (int(part) for part in name.split(".")[1:])
+    return occurrence, step, index
