Test gangs that give back workers, and steps that differ in one preference

Two changes of the rankings on a trial copy were not noticed by the comparison with a full recomputation: headrooms that are restored after a gang without ranking their workers again, and rankings shared by steps that prefer different racks. Both fail now, as do rankings shared by steps with and without spare cores and rejections shared by images.

--- a/tests/scheduling/test_rounds.py
+++ b/tests/scheduling/test_rounds.py
@@ -9,6 +9,7 @@
 from typing import Any
 from unittest import mock
 
+import msgspec
 import trio
 
 from rhubarbfield.clock import ManualClock
@@ -18,6 +19,7 @@
 from rhubarbfield.scheduling.model import (
     Demand,
     ImageName,
+    Label,
     RunNumber,
     Step,
     name_task,
@@ -27,7 +29,14 @@
 from rhubarbfield.types import WorkerId
 from tests.replication.determinism import run_deterministic
 from tests.scheduling.deployments import ONE_CORE, Deployment, with_deployment
-from tests.scheduling.fleets import BATCH_IMAGES, GOAL_MS, SERVING_IMAGES, Fleet
+from tests.scheduling.fleets import (
+    BATCH_IMAGES,
+    GOAL_MS,
+    LATE_QUEUE,
+    RACKS,
+    SERVING_IMAGES,
+    Fleet,
+)
 
 WORKERS = 246
 ROUNDS = 25
@@ -88,6 +97,46 @@
             reference.disturb()
         self.assertGreater(started, 400)
 
+    def test_gang_takes_what_a_larger_one_could_not_use(self) -> None:
+        async def check() -> None:
+            fleet = Fleet(1, 4)  # with two accelerators each
+            gang = Step(tasks=10, demand=Demand(1000, 1000, 1), gang=True)
+            fleet.submit(gang)
+            smaller = msgspec.structs.replace(gang, tasks=6)
+            job = fleet.submit(smaller, queue=LATE_QUEUE.name)
+            starts = await fleet.run_round()
+            self.assertEqual(
+                [start.task for start in starts],
+                [name_task(job, 0, 0, index) for index in range(6)],
+            )
+
+        run_deterministic(check, seed=1)
+
+    def test_steps_that_differ_in_one_preference_get_their_own_workers(self) -> None:
+        for rack in RACKS:
+            with self.subTest(rack=rack):
+                run_deterministic(lambda rack=rack: self._compare_racks(rack), seed=1)
+
+    async def _compare_racks(self, rack: Label) -> None:
+        fleet, reference = Fleet(1, 40), Fleet(1, 40)
+        for each in (fleet, reference):
+            each.submit_serving(20)
+            step = make_spare_core_step(tasks=2)
+            for changes in (
+                {},
+                {"preferred_rack": rack},
+                {"required_label": rack},
+                {"image": BATCH_IMAGES[1]},
+                {"demand": Demand(2000, 500)},
+                {"uses_spare_cores": False},
+                {"uses_spare_cores": False, "preferred_rack": rack},
+                {"max_per_worker": 1},
+            ):
+                each.submit(msgspec.structs.replace(step, **changes))
+        starts = await fleet.run_round()
+        self.assertEqual(starts, await reference.run_reference_round())
+        self.assertEqual(len(starts), 3 * 20 + 8 * 2)
+
     def test_headroom_is_what_a_full_recomputation_finds(self) -> None:
         async def compare() -> None:
             fleet = Fleet(3, 40)
