Let other controllers carry the leader's calls to workers

RelayedCalls is a second implementation of WorkerCalls. It keeps one stream to each other controller and sends orders in numbered batches; WorkerRelay at the other end carries them out through its own client and returns the results. No task exists for a call at the leader beside its caller.

- A worker has one relay while that is connected and gets replies; the least loaded one is chosen, and one that connects later takes over its share.
- A lost stream fails its calls with NoReply at once.
A relay that answers no ping for 1.5 s is lost.
A call that gets no reply moves its worker to another relay.
Without a relay calls are direct.
- A relay drops orders that were under way 0.5 s longer than usual, orders that are cancelled or whose stream has ended, and those of an earlier term.

The orders and results of the port are encoded by position, with tags; they were on no wire before.

Tests run on the virtual clock and over loopback.

Nothing uses the new client yet.

--- a/src/rhubarbfield/scheduling/metrics.py
+++ b/src/rhubarbfield/scheduling/metrics.py
@@ -49,6 +49,11 @@
     ["call", "outcome"],
     buckets=SECONDS_BUCKETS,
 )
+WORKER_CALLS_ROUTED = Counter(
+    f"{_PREFIX}_worker_calls_routed",
+    "Calls to workers, direct or relayed by another controller.",
+    ["route"],
+)
 RUNS_ENDED = Counter(f"{_PREFIX}_runs_ended", "Ends of runs.", ["end"])
 RUNS_PLACED = Counter(f"{_PREFIX}_runs_placed", "Runs that were given a worker.")
 RUNS_DISTURBED = Counter(
--- a/src/rhubarbfield/scheduling/ports.py
+++ b/src/rhubarbfield/scheduling/ports.py
@@ -1,4 +1,8 @@
-"""Interface to the workers that scheduling calls."""
+"""Interface to the workers that scheduling calls.
+
+Controllers exchange the orders and their results, with fields encoded by
+position: new fields go last and have a default.
+"""
 
 from __future__ import annotations
 
@@ -44,11 +48,11 @@
     MALFORMED = "malformed"
 
 
-class OtherLife(msgspec.Struct, frozen=True):
+class OtherLife(msgspec.Struct, frozen=True, array_like=True, tag="other-life"):
     """The address belongs to another incarnation; the one addressed has ended."""
 
 
-class NoReply(msgspec.Struct, frozen=True):
+class NoReply(msgspec.Struct, frozen=True, array_like=True, tag="no-reply"):
     """No reply arrived; the order may be carried out now, later or never.
 
     Attributes
@@ -60,7 +64,7 @@
     detail: str
 
 
-class Refused(msgspec.Struct, frozen=True):
+class Refused(msgspec.Struct, frozen=True, array_like=True, tag="refused"):
     """The worker refused the order; at most it extended the lease.
 
     Attributes
@@ -78,7 +82,7 @@
 CallFailure = OtherLife | NoReply | Refused
 
 
-class ActiveRun(msgspec.Struct, frozen=True):
+class ActiveRun(msgspec.Struct, frozen=True, array_like=True):
     """A run that is present on a worker.
 
     Attributes
@@ -100,7 +104,7 @@
     measure: float | None = None
 
 
-class ListedEnd(msgspec.Struct, frozen=True):
+class ListedEnd(msgspec.Struct, frozen=True, array_like=True):
     """The end of a run, which a worker lists until it is acknowledged.
 
     Attributes
@@ -122,7 +126,7 @@
     checkpoint: CheckpointToken
 
 
-class WorkerView(msgspec.Struct, frozen=True):
+class WorkerView(msgspec.Struct, frozen=True, array_like=True, tag="view"):
     """Active and ended runs of a worker.
 
     Attributes
@@ -141,7 +145,9 @@
     truncated: bool
 
 
-class StartOrder(msgspec.Struct, frozen=True, kw_only=True):
+class StartOrder(
+    msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag="start"
+):
     """An order to start a run.
 
     Attributes
@@ -165,7 +171,7 @@
     ticket: str = ""
 
 
-class StopOrder(msgspec.Struct, frozen=True, kw_only=True):
+class StopOrder(msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag="stop"):
     """An order to stop a run.
 
     Attributes
@@ -181,7 +187,7 @@
     term: Term
 
 
-class PaceOrder(msgspec.Struct, frozen=True, kw_only=True):
+class PaceOrder(msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag="pace"):
     """An order to let a run work at a percentage of its full speed.
 
     Attributes
@@ -200,7 +206,9 @@
     term: Term
 
 
-class ViewRequest(msgspec.Struct, frozen=True, kw_only=True):
+class ViewRequest(
+    msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag="view"
+):
     """A request for the active and ended runs of a worker.
 
     Attributes
@@ -221,7 +229,10 @@
     term: Term
 
 
-class WorkerAddress(msgspec.Struct, frozen=True):
+WorkerOrder = StartOrder | StopOrder | PaceOrder | ViewRequest
+
+
+class WorkerAddress(msgspec.Struct, frozen=True, array_like=True):
     """Id of one incarnation of a worker, and the address it listens on."""
 
     worker: WorkerId
--- a/tests/scheduling/controllers.py
+++ b/tests/scheduling/controllers.py
@@ -10,13 +10,14 @@
 from typing import Any
 
 import trio
-from returns.result import Result
+from returns.result import Failure, Result
 
 from rhubarbfield.clock import TrioClock
 from rhubarbfield.scheduling.controller import SchedulingController
 from rhubarbfield.scheduling.deployment import DeploymentSettings, WorkerTimes
 from rhubarbfield.scheduling.ports import (
     CallFailure,
+    NoReply,
     PaceOrder,
     StartOrder,
     StopOrder,
@@ -45,45 +46,54 @@
         Address and order of each call, in order.
     kinds
         Number of calls by type of order.
+    unreachable
+        Addresses that calls through this client do not reach.
     """
 
     def __init__(self, calls: WorkerCalls) -> None:
         self._calls = calls
         self.orders: list[tuple[str, Any]] = []
         self.kinds: Counter[type] = Counter()
+        self.unreachable: set[str] = set()
         self.forgotten: list[str] = []
 
     async def start(
         self, to: WorkerAddress, order: StartOrder
     ) -> Result[timedelta, CallFailure]:
-        self._record(to, order)
+        if not self._record(to, order):
+            return Failure(NoReply("cut off"))
         return await self._calls.start(to, order)
 
     async def stop(
         self, to: WorkerAddress, order: StopOrder
     ) -> Result[timedelta, CallFailure]:
-        self._record(to, order)
+        if not self._record(to, order):
+            return Failure(NoReply("cut off"))
         return await self._calls.stop(to, order)
 
     async def pace(
         self, to: WorkerAddress, order: PaceOrder
     ) -> Result[timedelta, CallFailure]:
-        self._record(to, order)
+        if not self._record(to, order):
+            return Failure(NoReply("cut off"))
         return await self._calls.pace(to, order)
 
     async def view(
         self, to: WorkerAddress, request: ViewRequest
     ) -> Result[WorkerView, CallFailure]:
-        self._record(to, request)
+        if not self._record(to, request):
+            return Failure(NoReply("cut off"))
         return await self._calls.view(to, request)
 
     async def forget(self, address: str) -> None:
         self.forgotten.append(address)
         await self._calls.forget(address)
 
-    def _record(self, to: WorkerAddress, order: Any) -> None:
+    def _record(self, to: WorkerAddress, order: Any) -> bool:
+        """Record a call; return whether it reaches the worker."""
         self.orders.append((to.address, order))
         self.kinds[type(order)] += 1
+        return to.address not in self.unreachable
 
 
 class Controllers:
