Relay the leader's calls to workers through the other controllers

The controllers now serve the relays' stream beside the replication link, and a leader sends its calls through the other members of the log. It takes no share itself, as its loop is the one that saturates.

The test over real processes also checks that calls were relayed.

--- a/src/rhubarbfield/scheduling/controller.py
+++ b/src/rhubarbfield/scheduling/controller.py
@@ -34,6 +34,9 @@
     WORKERS,
 )
 from rhubarbfield.scheduling.ports import WorkerCalls
+from rhubarbfield.scheduling.relay import WorkerRelay
+from rhubarbfield.scheduling.relay_messages import RELAY_STREAM
+from rhubarbfield.scheduling.relayed_calls import RelayedCalls
 from rhubarbfield.scheduling.service import JOB_CALL, SchedulingService
 from rhubarbfield.scheduling.state import SchedulingState
 from rhubarbfield.storage import FileStore, LogStore, MemoryStore
@@ -93,6 +96,7 @@
         )
         self.log = ReplicatedLog(self._replica, machine)
         self._leader: SchedulingLeader | None = None
+        self._relay = WorkerRelay(calls, clock, lambda: self._leader is not None)
         self._register_gauges()
         self.service = SchedulingService(self.log, lambda: self._leader, clock)
 
@@ -128,7 +132,10 @@
         await self._transport.serve(
             self._settings.host,
             self._settings.peer_port,
-            streams={REPLICATION_LINK: self._serve_link},
+            streams={
+                REPLICATION_LINK: self._serve_link,
+                RELAY_STREAM: self._relay.serve,
+            },
             calls={JOB_CALL: self.service.answer},
             task_status=task_status,
         )
@@ -156,16 +163,33 @@
         return float(read(self.log.state.scheduling))
 
     async def _lead(self) -> None:
-        self._leader = SchedulingLeader(
+        settings = self._settings.make_scheduling_settings()
+        calls = RelayedCalls(
+            self._calls,
+            list_relays=self._list_relays,
+            locate=self._settings.locate,
+            transport=self._transport,
+            clock=self._clock,
+            order_timeout=settings.order_timeout,
+        )
+        leader = SchedulingLeader(
             self.log,
-            calls=MeasuredCalls(self._calls, self._clock),
+            calls=MeasuredCalls(calls, self._clock),
             clock=self._clock,
-            settings=self._settings.make_scheduling_settings(),
+            settings=settings,
         )
-        try:
-            await self._leader.run()
-        finally:
-            self._leader = None
+        async with trio.open_nursery() as nursery:
+            await nursery.start(calls.run)
+            self._leader = leader
+            try:
+                await leader.run()
+            finally:
+                self._leader = None
+            nursery.cancel_scope.cancel()
+
+    def _list_relays(self) -> set[InstanceName]:
+        members = {member.id.name for member in self._replica.status().members}
+        return members - {self._settings.name}
 
 
 def _count_waiting(state: SchedulingState) -> int:
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -243,6 +243,8 @@
         ):
             found = leader[f"rhubarbfield_scheduling_{name}", labels]
             self.assertEqual(found, expected, name)
+        routed = "rhubarbfield_scheduling_worker_calls_routed_total"
+        self.assertGreater(leader[routed, {"route": "relayed"}], 0)
 
     async def _check_answers(self, client: httpx.AsyncClient) -> None:
         unknown = await call_job(client, "GET", "00000000000000ff")
