--- a/tests/scheduling/relays.py
+++ b/tests/scheduling/relays.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import random
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from datetime import timedelta
+from functools import wraps
+from typing import Any
 
 import trio
 
@@ -26,6 +28,7 @@
 from rhubarbfield.testing.memory_transport import MemoryTransport, SimulatedNetwork
 from rhubarbfield.testing.scheduling_workers import StandInFleet, StandInWorker
 from rhubarbfield.types import InstanceName, Term, WorkerId
+from tests.replication.determinism import run_deterministic
 from tests.scheduling.controllers import RecordedCalls
 from tests.scheduling.deployments import Deployment
 
@@ -178,6 +181,25 @@
         )
 
 
+Test = Callable[[Any, Relays], Awaitable[None]]
+
+
+def with_relays(*names: str) -> Callable[[Test], Callable[[Any], None]]:
+    """Return a decorator that runs a test with relays that are not started."""
+
+    def decorate(test: Test) -> Callable[[Any], None]:
+        @wraps(test)
+        def run(case: Any) -> None:
+            async def check() -> None:
+                await test(case, Relays(*names))
+
+            run_deterministic(check, seed=1)
+
+        return run
+
+    return decorate
+
+
 async def wait_until(holds: Callable[[], bool], seconds: float) -> None:
     """Wait until a condition holds; fail after a time."""
     with trio.fail_after(seconds):
