--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -246,6 +246,8 @@
         ):
             found = leader[f"rhubarbfield_scheduling_{name}", labels]
             self.assertEqual(found, expected, name)
+        routed = "rhubarbfield_scheduling_worker_calls_routed_total"
+        self.assertGreater(leader[routed, {"route": "relayed"}], 0)
 
     async def _check_heartbeats(self, runner: StandInRunner) -> None:
         """Check that each controller acknowledges heartbeats itself."""
