Propose the removal of a silent worker once

Two live runs of one task could follow from a removal whose outcome was unknown: its first proposal was committed late, the worker came back, registered and received a run, and the repeated proposal then recorded that run as lost, so that another worker started the task. Housekeeping now proposes the removal once and asks again at its next turn; the order of the log keeps a removal before any later start.

The test failed before: two workers ran a.0.0.0 at once.

--- a/src/rhubarbfield/scheduling/housekeeping.py
+++ b/src/rhubarbfield/scheduling/housekeeping.py
@@ -16,7 +16,11 @@
 from rhubarbfield.logs import log_event
 from rhubarbfield.scheduling.appliers import SchedulingLogState
 from rhubarbfield.scheduling.backlog import Backlog
-from rhubarbfield.scheduling.commands import ForgetJobs, OpenOccurrences
+from rhubarbfield.scheduling.commands import (
+    ForgetJobs,
+    OpenOccurrences,
+    RemoveWorker,
+)
 from rhubarbfield.scheduling.headroom import WorkerHeadroom, find_task_step, is_feasible
 from rhubarbfield.scheduling.job_index import JobIndex
 from rhubarbfield.scheduling.metrics import JOBS, RUNS_DISTURBED
@@ -230,7 +234,12 @@
             if session is None or worker.runs:
                 continue
             if now - session.last_contact_at > self._settings.silent_worker_retention:
-                await self._host.remove_worker(worker.worker, {})
+                log_event(logger, logging.INFO, "worker-gone", worker=worker.worker)
+                # Proposed once: a repetition might come after the worker's return,
+                # and end runs that it has received since.
+                await self._log.propose(
+                    RemoveWorker(worker=worker.worker, checkpoints={})
+                )
 
     async def _open_due_occurrences(self) -> None:
         now_ms = self._clock.now().timestamp() * MS_PER_SECOND
--- a/tests/scheduling/test_leader.py
+++ b/tests/scheduling/test_leader.py
@@ -93,6 +93,29 @@
 
 
 class LostWorkersTest(unittest.TestCase):
+    @with_deployment()
+    async def test_removal_in_doubt_ends_no_run_of_a_worker_that_came_back(
+        self, deployment: Deployment
+    ) -> None:
+        """A repeated removal would free a task that has started since."""
+        first = deployment.add_worker("w1", duration=None)
+        async with deployment.lead() as leader:
+            await trio.sleep(0.5)
+            first.is_unreachable = True
+            deployment.replica.unanswered.append("RemoveWorker")
+            while deployment.replica.unanswered:
+                await trio.sleep(0.02)
+            first.is_unreachable = False
+            await leader.handle_heartbeat(first.make_heartbeat())
+            await deployment.submit("a", Step(demand=ONE_CORE))
+            await trio.sleep(0.6)
+            deployment.add_worker("w2", duration=None)
+            ends_at = trio.current_time() + 5
+            while trio.current_time() < ends_at:
+                await trio.sleep(0.01)
+                self.assertLessEqual(count_runs_at_once(deployment), 1)
+            self.assertEqual(len(first.runs), 1)
+
     @with_deployment()
     async def test_tasks_of_unresponsive_worker_restart_once_its_lease_lapses(
         self, deployment: Deployment
@@ -338,7 +361,7 @@
             await deployment.submit("b", Step(demand=ONE_CORE, standing=True))
             start = RunStart(key.task, key.run, first.worker)
             await deployment.propose(StartRuns(starts=(start,)))
-            session.start(Start(key, "p", NO_CHECKPOINT))
+            session.start(Start(key, "p", NO_CHECKPOINT, deployment.clock.monotonic()))
             second = deployment.add_worker("w2", duration=None)
             await trio.sleep(MAX_LAPSE_SECONDS)
             self.assertEqual(len(second.runs), 1)
