Do not send old starts to a worker that has begun to drain

A start that waited in a session behind orders without a reply, or for a proposal in doubt, was sent although the worker's draining had been acknowledged long ago: in the test tasks began 4.7 s after it, where workers accept them for 2 s. A start carries the time at which its worker was chosen, and is dropped once the worker drains and more than a second has passed; the run is then stopped, which withdraws it. The test failed before.

--- a/src/rhubarbfield/scheduling/dispatch.py
+++ b/src/rhubarbfield/scheduling/dispatch.py
@@ -33,6 +33,9 @@
 DEPOSED_RETRY_DELAY = timedelta(seconds=1)  # by then a deposed leader's lease is over
 # A leader without a lease has it again after a heartbeat, or is cancelled.
 TERM_RETRY_DELAY = timedelta(milliseconds=50)
+# A worker that drains may be given tasks for this long after it was chosen, half of
+# the time for which it goes on to accept them.
+MAX_START_DELAY_ON_DRAINING = timedelta(seconds=1)
 
 
 class OrderDispatcher:
@@ -140,7 +143,7 @@
         key = start.key
         attempts = 0
         in_doubt = False
-        while attempts < self._settings.order_attempts and self._may_start(key):
+        while attempts < self._settings.order_attempts and self._may_start(start):
             term = self._host.get_term()
             if term is None:
                 await self._clock.sleep(TERM_RETRY_DELAY)
@@ -165,14 +168,24 @@
             reason = StopReason.UNANSWERED if is_wanted else StopReason.OBSOLETE
             self.stop(key, reason)
 
-    def _may_start(self, key: RunKey) -> bool:
+    def _may_start(self, start: Start) -> bool:
         """Return whether an order to start a run may be sent now."""
+        key = start.key
         return (
             self._ledger.is_unsettled(key)
             and self._ledger.may_order(key)
             and self._host.is_wanted(key.task)
+            and not self._is_late_on_draining(start)
         )
 
+    def _is_late_on_draining(self, start: Start) -> bool:
+        """Return whether the worker has begun to drain since it was chosen long ago."""
+        worker = self._host.find_worker(self._contact.worker)
+        if worker is None or not worker.draining:
+            return False
+        age = self._clock.monotonic() - start.chosen_at
+        return age > MAX_START_DELAY_ON_DRAINING
+
     def _make_start_order(self, start: Start, term: Term) -> StartOrder:
         return StartOrder(
             task=start.key.task,
--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -344,8 +344,9 @@
         if not starts:
             return
         unstarted = self._list_unstarted(starts)
+        chosen_at = self._clock.monotonic()
         for start in await self._record_starts(starts):
-            self._send_start(start)
+            self._send_start(start, chosen_at)
         self._measure_first_starts(unstarted)
 
     async def _record_starts(self, starts: tuple[RunStart, ...]) -> list[RunStart]:
@@ -389,7 +390,7 @@
                 age = self._backlog.find_age(job)
                 FIRST_START_SECONDS.observe(age.total_seconds())
 
-    def _send_start(self, start: RunStart) -> None:
+    def _send_start(self, start: RunStart, chosen_at: timedelta) -> None:
         session = self.get_session(start.worker)
         found = self.state.find_task(start.task)
         if session is None or found is None or not self.is_wanted(start.task):
@@ -412,6 +413,7 @@
                 RunKey(start.task, start.run),
                 job.submission.payload,
                 task.checkpoint,
+                chosen_at,
             )
         )
 
--- a/src/rhubarbfield/scheduling/orders.py
+++ b/src/rhubarbfield/scheduling/orders.py
@@ -12,11 +12,22 @@
 
 
 class Start(msgspec.Struct, frozen=True):
-    """Start a run that is recorded."""
+    """Start a run that is recorded.
+
+    Attributes
+    ----------
+    key, payload, checkpoint
+        The run to start, its payload, and the checkpoint it resumes from.
+    chosen_at
+        Monotonic time at which the worker was chosen, before the run was recorded.
+    ticket
+        Ticket of the adviser, for advised queues.
+    """
 
     key: RunKey
     payload: str
     checkpoint: CheckpointToken
+    chosen_at: timedelta
     ticket: str = ""
 
 
--- a/tests/scheduling/test_leader.py
+++ b/tests/scheduling/test_leader.py
@@ -28,6 +28,7 @@
     with_deployment,
 )
 
+DRAINING_TIME = timedelta(seconds=2)  # workers that drain accept tasks for so long
 MAX_LAPSE_SECONDS = 11.0  # the longest lease on a slow clock, plus a call
 
 
@@ -116,6 +117,23 @@
                 self.assertLessEqual(count_runs_at_once(deployment), 1)
             self.assertEqual(len(first.runs), 1)
 
+    @with_deployment()
+    async def test_queued_starts_are_not_sent_long_after_draining_began(
+        self, deployment: Deployment
+    ) -> None:
+        worker = deployment.add_worker("w1", duration=None)
+        async with deployment.lead() as leader:
+            await trio.sleep(0.3)
+            worker.unanswered_starts = 5
+            await deployment.submit("a", Step(tasks=3, demand=ONE_CORE))
+            await trio.sleep(0.1)
+            await leader.handle_heartbeat(worker.make_heartbeat(draining=True))
+            acknowledged_at = deployment.clock.monotonic()
+            await trio.sleep(10)
+            limit = acknowledged_at + DRAINING_TIME
+            late = [at for _, _, at in worker.started if at > limit]
+            self.assertEqual(late, [])
+
     @with_deployment()
     async def test_tasks_of_unresponsive_worker_restart_once_its_lease_lapses(
         self, deployment: Deployment
