Count the wait of an order at the leader as lateness, too

The relay drops orders that took more than half a second longer than usual, measured from the time at which the leader took them from its queue. An order that had waited in that queue, after a freeze of the leader for instance, counted as fresh and was carried out. A batch now carries the time at which its oldest entry was queued. Found by the reviewer; the test failed before: a start that had waited a second at the leader was carried out.

--- a/src/rhubarbfield/scheduling/relay_links.py
+++ b/src/rhubarbfield/scheduling/relay_links.py
@@ -184,7 +184,8 @@
     async def _send_calls(self, stream: MessageStream) -> None:
         while True:
             entries = await self._outbox.take()
-            batch = CallBatch(self._clock.monotonic(), entries)
+            # The relay counts the wait here, too, as lateness.
+            batch = CallBatch(self._outbox.taken_since, entries)
             if entries and not await stream.send(batch):
                 return
 
--- a/src/rhubarbfield/scheduling/relay_messages.py
+++ b/src/rhubarbfield/scheduling/relay_messages.py
@@ -67,7 +67,7 @@
     Attributes
     ----------
     sent_at
-        Reading of the leader's monotonic clock.
+        Reading of the leader's monotonic clock when the oldest entry was queued.
     entries
         Calls, and what became of earlier ones.
     """
@@ -101,17 +101,23 @@
     ----------
     clock
         Source of time.
+
+    Attributes
+    ----------
+    taken_since
+        Monotonic time at which the oldest of the entries last taken was queued.
     """
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._entries: deque[EntryT] = deque()
+        self._entries: deque[tuple[timedelta, EntryT]] = deque()
         self._filled = trio.Event()
         self._next_batch_at = clock.monotonic()
+        self.taken_since = clock.monotonic()
 
     def put(self, entry: EntryT) -> None:
         """Queue an entry without waiting."""
-        self._entries.append(entry)
+        self._entries.append((self._clock.monotonic(), entry))
         self._filled.set()
 
     async def take(self) -> list[EntryT]:
@@ -123,7 +129,9 @@
         taken = [self._entries.popleft() for _ in range(count)]
         if not self._entries:
             self._filled = trio.Event()
-        return taken
+        if taken:
+            self.taken_since = taken[0][0]
+        return [entry for _, entry in taken]
 
     def clear(self) -> None:
         """Remove all entries."""
--- a/tests/scheduling/test_lost_relays.py
+++ b/tests/scheduling/test_lost_relays.py
@@ -16,7 +16,9 @@
     StartOrder,
     WorkerAddress,
 )
+from rhubarbfield.scheduling.relay import MAX_ORDER_WAIT
 from rhubarbfield.scheduling.state import JobPhase
+from rhubarbfield.types import InstanceName
 from tests.replication.determinism import run_deterministic
 from tests.scheduling.deployments import ONE_CORE, count_runs_at_once
 from tests.scheduling.relaying_controllers import RecordedCalls
@@ -132,6 +134,20 @@
         self.assertEqual(len(relays.made[first].orders), 2)
         self.assertEqual(relays.direct.orders, [])
 
+    @with_relays("r1")
+    async def test_order_that_waited_long_at_the_leader_is_not_carried_out(
+        self, relays: Relays
+    ) -> None:
+        to = relays.add_worker("w1")
+        async with relays.run():
+            await relays.relayed.view(to, make_view_request())
+            link = relays.relayed._links[InstanceName("r1")]
+            held_until = relays.clock.monotonic() + 2 * MAX_ORDER_WAIT
+            link._outbox._next_batch_at = held_until
+            result = await relays.relayed.start(to, make_start())
+            self.assertIsInstance(result.failure(), NoReply)
+        self.assertEqual(relays.get_worker(to).started, [])
+
     def test_lost_relay_causes_no_second_start(self) -> None:
         run_deterministic(self._check_single_start, seed=1)
 
