Call a worker directly if the only relay does not reach it

With one relay connected, a worker that this relay could not reach was never called again, although the leader might reach it; its runs lapsed. And a relay that was removed just when it had answered for the first time could leave no relay to balance, a division by zero that would have ended the leader's process.

--- a/src/rhubarbfield/scheduling/relayed_calls.py
+++ b/src/rhubarbfield/scheduling/relayed_calls.py
@@ -5,6 +5,7 @@
 import math
 from collections.abc import Callable, Iterable
 from datetime import timedelta
+from typing import TypeVar
 
 import trio
 from returns.result import Failure, Result, Success
@@ -35,6 +36,8 @@
 SUSPICIOUS_PINGS = 2  # missed ones, after which a relay gets no further workers
 MEMBERS_POLL_INTERVAL = timedelta(seconds=1)
 
+ValueT = TypeVar("ValueT")
+
 _relayed = WORKER_CALLS_ROUTED.labels("relayed")
 _direct = WORKER_CALLS_ROUTED.labels("direct")
 
@@ -80,6 +83,8 @@
         self._links: dict[InstanceName, RelayLink] = {}
         self._scopes: dict[InstanceName, trio.CancelScope] = {}
         self._assigned: dict[str, RelayLink] = {}
+        # Workers that the only connected relay did not reach.
+        self._unrelayed: set[str] = set()
 
     async def run(
         self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
@@ -105,7 +110,7 @@
         """Start a run."""
         link = self._choose_link(to.address)
         if link is None:
-            return await self._calls.start(to, order)
+            return self._note_direct(to, await self._calls.start(to, order))
         return _read_clock(await self._call(link, to, order, self._timeout))
 
     async def stop(
@@ -114,7 +119,7 @@
         """Stop a run."""
         link = self._choose_link(to.address)
         if link is None:
-            return await self._calls.stop(to, order)
+            return self._note_direct(to, await self._calls.stop(to, order))
         return _read_clock(await self._call(link, to, order, self._timeout))
 
     async def pace(
@@ -123,7 +128,7 @@
         """Let a run work at a percentage of its full speed."""
         link = self._choose_link(to.address)
         if link is None:
-            return await self._calls.pace(to, order)
+            return self._note_direct(to, await self._calls.pace(to, order))
         return _read_clock(await self._call(link, to, order, self._timeout))
 
     async def view(
@@ -132,7 +137,7 @@
         """Return the active and ended runs of a worker."""
         link = self._choose_link(to.address)
         if link is None:
-            return await self._calls.view(to, request)
+            return self._note_direct(to, await self._calls.view(to, request))
         timeout = self._timeout + request.wait_timeout
         return _read_view(await self._call(link, to, request, timeout))
 
@@ -141,6 +146,7 @@
         link = self._assigned.pop(address, None)
         if link is not None:
             link.workers.pop(address, None)
+        self._unrelayed.discard(address)
         # The worker may have had other relays before.
         for each in self._links.values():
             each.forget(address)
@@ -149,7 +155,9 @@
     def _choose_link(self, address: str) -> RelayLink | None:
         """Return the link that carries the calls to an address; None if direct."""
         link = self._assigned.get(address)
-        if link is None or address not in link.workers:
+        if address in self._unrelayed:
+            link = None
+        elif link is None or address not in link.workers:
             link = self._assign(address)
         (_direct if link is None else _relayed).inc()
         return link
@@ -159,8 +167,21 @@
     ) -> CallResult:
         result = await link.call(to, order, timeout)
         if isinstance(result, NoReply) and to.address in link.workers:
-            # The relay may be cut off from the worker; another may reach it.
-            self._assign(to.address, avoided=link)
+            # The relay may be cut off from the worker; another, or this controller,
+            # may reach it.
+            if self._list_connected() == [link]:
+                del link.workers[to.address]
+                self._unrelayed.add(to.address)
+            else:
+                self._assign(to.address, avoided=link)
+        return result
+
+    def _note_direct(
+        self, to: WorkerAddress, result: Result[ValueT, CallFailure]
+    ) -> Result[ValueT, CallFailure]:
+        """Let a relay try again after a direct call without a reply."""
+        if isinstance(result, Failure) and isinstance(result.failure(), NoReply):
+            self._unrelayed.discard(to.address)
         return result
 
     def _assign(
@@ -190,6 +211,9 @@
         The next call to each of them goes through another relay.
         """
         connected = self._list_connected()
+        if not connected:  # the controller that has just answered was removed
+            return
+        self._unrelayed.clear()
         workers = sum(len(link.workers) for link in connected)
         share = math.ceil(workers / len(connected))
         for link in connected:
--- a/tests/scheduling/test_lost_relays.py
+++ b/tests/scheduling/test_lost_relays.py
@@ -134,6 +134,26 @@
         self.assertEqual(len(relays.made[first].orders), 2)
         self.assertEqual(relays.direct.orders, [])
 
+    @with_relays("r1")
+    async def test_worker_that_the_only_relay_does_not_reach_is_called_directly(
+        self, relays: Relays
+    ) -> None:
+        to = relays.add_worker("w1")
+        async with relays.run():
+            await relays.relayed.view(to, make_view_request())
+            relays.cut_off("r1", to)
+            lost = await relays.relayed.start(to, make_start())
+            self.assertIsInstance(lost.failure(), NoReply)
+            for _ in range(3):
+                result = await relays.relayed.view(to, make_view_request())
+                self.assertIsInstance(result, Success)
+            relays.direct.unreachable.add(to.address)
+            relays.made["r1"].unreachable.clear()
+            lost = await relays.relayed.start(to, make_start())
+            self.assertIsInstance(lost.failure(), NoReply)
+            result = await relays.relayed.view(to, make_view_request())
+            self.assertIsInstance(result, Success)
+
     @with_relays("r1")
     async def test_order_that_waited_long_at_the_leader_is_not_carried_out(
         self, relays: Relays
@@ -148,6 +168,14 @@
             self.assertIsInstance(result.failure(), NoReply)
         self.assertEqual(relays.get_worker(to).started, [])
 
+    @with_relays()
+    async def test_balance_without_a_connected_relay_changes_nothing(
+        self, relays: Relays
+    ) -> None:
+        """A relay may be removed between its first answer and the balance."""
+        relays.relayed._balance()
+        self.assertEqual(relays.relayed._assigned, {})
+
     def test_lost_relay_causes_no_second_start(self) -> None:
         run_deterministic(self._check_single_start, seed=1)
 
