--- a/src/rhubarbfield/scheduling/ledger.py
+++ b/src/rhubarbfield/scheduling/ledger.py
@@ -52,6 +52,10 @@
         """
         return key not in self._ending and key not in self.stops
 
+    def is_ending(self, key: RunKey) -> bool:
+        """Return whether the end of a run is about to be recorded."""
+        return key in self._ending
+
     def is_unsettled(self, key: RunKey) -> bool:
         """Return whether a run is recorded and may still start by an order."""
         is_open = self.starts.get(key) in (StartState.QUEUED, StartState.SENT)
--- a/src/rhubarbfield/scheduling/session.py
+++ b/src/rhubarbfield/scheduling/session.py
@@ -282,6 +282,8 @@
             key = RunKey(task, run)
             # The worker rejects orders of earlier leaders once it has seen this term.
             is_certain = key in settled or key not in self._ledger.starts
+            if self._ledger.is_ending(key):
+                continue
             if is_certain and (task, run) not in present:
                 log_event(
                     logger,
