--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Iterable
 from datetime import timedelta
 
 import trio
-from returns.result import Failure, Success
+from returns.result import Success
 
 from rhubarbfield.clock import Clock
-from rhubarbfield.groups import ReplicatedLog, Unavailable
+from rhubarbfield.groups import ReplicatedLog
 from rhubarbfield.logs import log_event
 from rhubarbfield.machine import Command
 from rhubarbfield.scheduling.appliers import SchedulingLogState
@@ -18,10 +17,7 @@
 from rhubarbfield.scheduling.commands import (
     EndRuns,
     RemoveWorker,
-    RunsRecorded,
-    RunStart,
     SaveHarm,
-    StartRuns,
     UpdateWorkers,
     WorkerEnds,
     WorkerReport,
@@ -37,20 +33,15 @@
 from rhubarbfield.scheduling.interference import InterferenceModel
 from rhubarbfield.scheduling.job_index import JobIndex
 from rhubarbfield.scheduling.metrics import (
-    FIRST_START_SECONDS,
     ROUND_SECONDS,
     RUNS_ENDED,
-    RUNS_PLACED,
 )
 from rhubarbfield.scheduling.mitigation import InterferenceMitigator
 from rhubarbfield.scheduling.model import CheckpointToken, Queue, TaskName
-from rhubarbfield.scheduling.orders import Start
 from rhubarbfield.scheduling.placing import Placer
 from rhubarbfield.scheduling.ports import WorkerCalls
-from rhubarbfield.scheduling.progress import RunKey
 from rhubarbfield.scheduling.quarantine import WorkerQuarantine
 from rhubarbfield.scheduling.recording import (
-    PROPOSE_RETRY_DELAY,
     Batcher,
     propose_until_committed,
 )
@@ -58,6 +49,7 @@
 from rhubarbfield.scheduling.session import WorkerSession
 from rhubarbfield.scheduling.settings import SchedulingSettings
 from rhubarbfield.scheduling.slicing import choose_starts
+from rhubarbfield.scheduling.starting import RunStarter
 from rhubarbfield.scheduling.state import (
     Job,
     RunEnd,
@@ -135,6 +127,13 @@
         )
         leadership = log.replica.leadership
         self._term = leadership.term if leadership is not None else Term(0)
+        self._starter = RunStarter(
+            log,
+            sessions=self._registry.sessions,
+            quarantine=self._quarantine,
+            backlog=self._backlog,
+            clock=clock,
+        )
         self._waiting_log = WaitingLog(self._backlog, clock)
         self._choice_took = timedelta()
 
@@ -343,79 +342,7 @@
         self._waiting_log.write(placer)
         if not starts:
             return
-        unstarted = self._list_unstarted(starts)
-        chosen_at = self._clock.monotonic()
-        for start in await self._record_starts(starts):
-            self._send_start(start, chosen_at)
-        self._measure_first_starts(unstarted)
-
-    async def _record_starts(self, starts: tuple[RunStart, ...]) -> list[RunStart]:
-        """Record runs that are to start; return those that are recorded.
-
-        A proposal with an unknown outcome is repeated until it is committed. The
-        state then shows which runs are recorded, whichever proposal did it.
-        """
-        is_in_doubt = False
-        while True:
-            result = await self._log.propose(StartRuns(starts=starts))
-            match result:
-                case Success(RunsRecorded()):
-                    return [start for start in starts if self._is_recorded(start)]
-                case Failure(Unavailable(in_doubt=True)):
-                    is_in_doubt = True
-            log_event(
-                logger,
-                logging.WARNING,
-                "starts-not-recorded",
-                count=len(starts),
-                in_doubt=is_in_doubt,
-            )
-            await self._clock.sleep(PROPOSE_RETRY_DELAY)
-            if not is_in_doubt:
-                return []
-
-    def _is_recorded(self, start: RunStart) -> bool:
-        found = self.state.find_task(start.task)
-        return found is not None and found[3].live.get(start.run) == start.worker
-
-    def _list_unstarted(self, starts: Iterable[RunStart]) -> list[Job]:
-        """Return the jobs of ``starts`` that have not started any task yet."""
-        found = (self.state.find_task(start.task) for start in starts)
-        jobs = {each[0].job: each[0] for each in found if each is not None}
-        return [job for job in jobs.values() if not job.started]
-
-    def _measure_first_starts(self, jobs: Iterable[Job]) -> None:
-        for job in jobs:
-            if job.started:
-                age = self._backlog.find_age(job)
-                FIRST_START_SECONDS.observe(age.total_seconds())
-
-    def _send_start(self, start: RunStart, chosen_at: timedelta) -> None:
-        session = self.get_session(start.worker)
-        found = self.state.find_task(start.task)
-        if session is None or found is None or not self.is_wanted(start.task):
-            return
-        job, _, _, task = found
-        self._quarantine.record_probe(start.worker, self._clock.monotonic())
-        log_event(
-            logger,
-            logging.INFO,
-            "run-placed",
-            task=start.task,
-            run=start.run,
-            worker=start.worker,
-            waited=self._backlog.find_age(job),
-            view_age=session.view_age,
-        )
-        RUNS_PLACED.inc()
-        session.start(
-            Start(
-                RunKey(start.task, start.run),
-                job.submission.payload,
-                task.checkpoint,
-                chosen_at,
-            )
-        )
+        await self._starter.start(starts)
 
     def _rank(self, job: Job, queue: Queue) -> tuple[float, ...]:
         return self._backlog.rank(job, queue)
--- a/tests/scheduling/fleets.py
+++ b/tests/scheduling/fleets.py
@@ -256,7 +256,7 @@
         if starts:
             reply = (await self.log.propose(StartRuns(starts=starts))).unwrap()
             for position in cast(RunsRecorded, reply).recorded:
-                leader._send_start(starts[position], self.clock.monotonic())
+                leader._starter.send(starts[position], self.clock.monotonic())
         return starts
 
     def measure_reference(self) -> dict[WorkerId, WorkerHeadroom]:
