--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -17,8 +17,11 @@
 
 from tests.platform.runner import StandInRunner
 
-CONTROLLERS = ("127.0.0.31", "127.0.0.32", "127.0.0.33")
-ENTRY = "127.0.0.34"
+# Addresses of this process alone, as other checkouts may run the test meanwhile.
+NETWORK = f"127.{1 + os.getpid() // 254 % 254}.{1 + os.getpid() % 254}"
+CONTROLLERS = tuple(f"{NETWORK}.{number}" for number in (31, 32, 33))
+ENTRY = f"{NETWORK}.34"
+RUNNER = f"{NETWORK}.35"
 PEER_PORT, CONTROL_PORT, CALLERS_PORT, READY_PORT = 17751, 17752, 17753, 17754
 METRICS_PORT = 17756
 CONTROLS = [f"{host}:{CONTROL_PORT}" for host in CONTROLLERS]
@@ -199,7 +202,7 @@
         for host in CONTROLLERS:
             programs.start("job-controller", host)
         programs.start("job-entry", ENTRY)
-        runner = StandInRunner("127.0.0.35", 17755)
+        runner = StandInRunner(RUNNER, 17755)
         timeout = httpx.Timeout(4.0)
         async with (
             httpx.AsyncClient(follow_redirects=True, timeout=timeout) as client,
