Open an entry's readiness only once it knows which services exist

Cause: an entry was ready as soon as it listened. Read in the code, brought about by the two new checks, which failed before: a listening entry without a directory was ready.

Change: readiness also asks whether a directory was ever received. It stays open when the leader is lost later, since the last directory is kept.

--- a/src/rhubarbfield/callers/serving.py
+++ b/src/rhubarbfield/callers/serving.py
@@ -66,7 +66,7 @@
     stop
         Set to begin the planned stop.
     readiness
-        Set to ready once the entry listens.
+        Told once the entry listens.
     task_status
         Started with the bound addresses, including the chosen port.
     """
@@ -82,7 +82,7 @@
 
     async with trio.open_nursery() as nursery:
         binds = await nursery.start(_serve_app, app, config, wait_for_stop)
-        readiness.set_ready()
+        readiness.set_listening()
         task_status.started(binds)
     _logger.info("planned stop: finished")
 
--- a/src/rhubarbfield/entry/daemon.py
+++ b/src/rhubarbfield/entry/daemon.py
@@ -124,6 +124,10 @@
             await nursery.start(self._serve_backend_servers)
             task_status.started()
 
+    def knows_services(self) -> bool:
+        """Return whether the failure domain's directory has been received."""
+        return self._session.has_directory
+
     async def hand_over(self) -> None:
         """Finish the requests in flight, then hand the backend servers over."""
         self._peer_entries.stop()
@@ -229,7 +233,7 @@
     task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serve callers over HTTP until ``stop`` is set and the last one is answered."""
-    readiness = Readiness()
+    readiness = Readiness(entry.knows_services)
     app = create_app(
         entry.router,
         readiness=readiness,
--- a/src/rhubarbfield/entry/session.py
+++ b/src/rhubarbfield/entry/session.py
@@ -102,6 +102,7 @@
         self._renewed = trio.Event()
         self._in_force = in_force
         self._directory_is_stale = True
+        self._has_directory = False
         self.directory: dict[BackendServerId, DirectoryEntry] = {}
 
     @property
@@ -109,6 +110,11 @@
         """The epoch of the session; zero before the first session."""
         return self._lease.epoch
 
+    @property
+    def has_directory(self) -> bool:
+        """Whether a directory has ever been received, even an empty one."""
+        return self._has_directory
+
     def holds(self) -> bool:
         """Return whether the lease of the session is valid now."""
         return self._lease.holds()
@@ -218,6 +224,7 @@
         if self._directory_is_stale:
             self.directory.clear()
             self._directory_is_stale = False
+        self._has_directory = True
         self.directory.update({entry.server: entry for entry in update.changed})
         for server in update.removed:
             self.directory.pop(server, None)
--- a/tests/callers/test_serving.py
+++ b/tests/callers/test_serving.py
@@ -35,6 +35,19 @@
         self.stopped = trio.Event()
 
 
+class ReadinessTest(unittest.TestCase):
+    def test_an_entry_is_ready_once_it_listens_and_knows_the_services(self) -> None:
+        """A listening entry without a directory refused known services by 404."""
+        informed: list[bool] = []
+        readiness = Readiness(lambda: bool(informed))
+        readiness.set_listening()
+        self.assertFalse(readiness.is_ready())
+        informed.append(True)
+        self.assertTrue(readiness.is_ready())
+        readiness.begin_stop()
+        self.assertFalse(readiness.is_ready())
+
+
 class ServeTest(unittest.TestCase):
     def run_served(self, scenario: Callable[[ServedEntry], Awaitable[None]]) -> None:
         async def run() -> None:
--- a/tests/entry/test_session.py
+++ b/tests/entry/test_session.py
@@ -59,8 +59,12 @@
                 on_lease=lambda: None,
             )
             kept, gone, new = describe("kept"), describe("gone"), describe("new")
+            self.assertFalse(session.has_directory)
+            await self.connect(session)
+            self.assertFalse(session.has_directory)
             await self.connect(session, (kept, gone))
             self.assertEqual(sorted(session.directory), ["gone", "kept"])
+            self.assertTrue(session.has_directory)
             await self.connect(session, (kept,), (new,))
             self.assertEqual(sorted(session.directory), ["kept", "new"])
 
--- a/tests/testing/test_backend.py
+++ b/tests/testing/test_backend.py
@@ -39,6 +39,11 @@
 
         trio.run(run)
 
+    async def wait_for_running(self, stand_in: StandInBackend, count: int) -> None:
+        with trio.fail_after(5):
+            while stand_in.observe().running != count:
+                await trio.sleep(0.005)
+
     @scenario("run_stand_in")
     async def test_requests_without_a_free_slot_are_counted(
         self, _: StandInBackend, client: httpx.AsyncClient
@@ -56,12 +61,19 @@
         self, stand_in: StandInBackend, client: httpx.AsyncClient
     ) -> None:
         headers = {"Idempotency-Key": "k", "Rhubarbfield-Tenant": "casa"}
-        with trio.move_on_after(0.1):
-            await client.post("/reserve", headers=headers)
+        abandoned = trio.CancelScope()
+
+        async def call() -> None:
+            with abandoned:
+                await client.post("/reserve", headers=headers)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(call)
+            await self.wait_for_running(stand_in, 1)
+            abandoned.cancel()
         await trio.sleep(0.02)
         self.assertEqual(stand_in.observe().running, 1)
-        await trio.sleep(0.2)
-        self.assertEqual(stand_in.observe().running, 0)
+        await self.wait_for_running(stand_in, 0)
         self.assertEqual(stand_in.observe().runs_by_key, {"casa/k": 1})
 
     @scenario("run_stand_in")
