Serve HTTP in the platform's programs by h11, and import only what a program runs

Change: httpserver.py, a server of whole requests on h11; the adapter's interfaces are plain handlers. The programs have a module each; messages of entries, calls to a leader and the wire types of jobs have modules that import no log. quart and hypercorn stay where callers and operators of the product's own programs use them.

--- a/src/rhubarbfield/callers/app.py
+++ b/src/rhubarbfield/callers/app.py
@@ -28,7 +28,7 @@
     parse_request,
 )
 from rhubarbfield.callers.readiness import Readiness
-from rhubarbfield.metricspage import make_metrics_response
+from rhubarbfield.metricspage import METRICS_TYPE, format_metrics
 from rhubarbfield.routing.requests import Header
 from rhubarbfield.routing.router import Router
 from rhubarbfield.types import RequestId
@@ -117,7 +117,7 @@
 
     @app.get("/-/metrics")
     async def show_metrics() -> Response:
-        return make_metrics_response(*registries)
+        return Response(format_metrics(*registries), content_type=METRICS_TYPE)
 
 
 def _add_error_handlers(app: Quart, router: Router, rng: random.Random) -> None:
--- a/src/rhubarbfield/cli/job_daemons.py
+++ b/src/rhubarbfield/cli/job_daemons.py
@@ -39,7 +39,7 @@
 )
 def run_job_entry(invocation: Invocation) -> int:
     """Run the entry of job queues until a signal stops it."""
-    return _run("job-entry", load_function("platform.daemons", "run_entry"), invocation)
+    return _run("job-entry", load_function("platform.entry", "run_entry"), invocation)
 
 
 @subcommand(
@@ -52,7 +52,7 @@
     """Run the controller of jobs until a signal stops it."""
     return _run(
         "job-controller",
-        load_function("platform.daemons", "run_controller"),
+        load_function("platform.controller", "run_controller"),
         invocation,
     )
 
--- a/src/rhubarbfield/groups/replicated.py
+++ b/src/rhubarbfield/groups/replicated.py
@@ -12,7 +12,7 @@
 
 from rhubarbfield.clock import Clock
 from rhubarbfield.exceptions import check_invariant
-from rhubarbfield.groups.answers import NotLeading, Unavailable
+from rhubarbfield.leadercalls import NotLeading, Unavailable
 from rhubarbfield.machine import Command, Reply, SectionedMachine
 from rhubarbfield.replication import (
     NoQuorum,
--- /dev/null
+++ b/src/rhubarbfield/leadercalls/__init__.py
@@ -0,0 +1,9 @@
+"""Calls to the leader of a group, and the answers of members that don't lead.
+
+Importing it doesn't import the replicated log, which entries don't run.
+"""
+
+from rhubarbfield.leadercalls.answers import NotLeading, Unavailable
+from rhubarbfield.leadercalls.calls import LeaderCalls, LeaderFailure
+
+__all__ = ["LeaderCalls", "LeaderFailure", "NotLeading", "Unavailable"]
--- a/src/rhubarbfield/groups/leaders.py
+++ b/src/rhubarbfield/leadercalls/calls.py
@@ -10,7 +10,7 @@
 from returns.result import Failure, Result, Success
 
 from rhubarbfield.clock import Clock
-from rhubarbfield.groups.answers import NotLeading, Unavailable
+from rhubarbfield.leadercalls.answers import NotLeading, Unavailable
 from rhubarbfield.peering import (
     CallFailure,
     CallFailureKind,
--- a/src/rhubarbfield/metricspage.py
+++ b/src/rhubarbfield/metricspage.py
@@ -1,27 +1,25 @@
-"""HTTP endpoint for Prometheus metrics."""
+"""Page with the metrics of a process, in Prometheus text format."""
 
 from __future__ import annotations
 
+from http import HTTPStatus
+
 from prometheus_client import REGISTRY, CollectorRegistry, generate_latest
 from prometheus_client.exposition import CONTENT_TYPE_LATEST
-from quart import Quart, Response
-from quart_trio import QuartTrio
+
+from rhubarbfield.httpserver import HttpRequest, HttpResponse
 
 METRICS_PATH = "/metrics"
+METRICS_TYPE = CONTENT_TYPE_LATEST
 
 
-def make_metrics_response(*registries: CollectorRegistry) -> Response:
+def format_metrics(*registries: CollectorRegistry) -> bytes:
     """Return the metrics of all ``registries`` in Prometheus text format."""
-    page = b"".join(generate_latest(each) for each in registries)
-    return Response(page, content_type=CONTENT_TYPE_LATEST)
-
-
-def create_metrics_app(registry: CollectorRegistry = REGISTRY) -> Quart:
-    """Return an app that serves the metrics of ``registry``."""
-    app = QuartTrio(__name__)
+    return b"".join(generate_latest(each) for each in registries)
 
-    @app.get(METRICS_PATH)
-    async def show_metrics() -> Response:
-        return make_metrics_response(registry)
 
-    return app
+async def show_metrics(request: HttpRequest) -> HttpResponse:
+    """Answer a request for the metrics of this process."""
+    if request.path != METRICS_PATH:
+        return HttpResponse(HTTPStatus.NOT_FOUND)
+    return HttpResponse(HTTPStatus.OK, format_metrics(REGISTRY), METRICS_TYPE)
--- a/src/rhubarbfield/operators/app.py
+++ b/src/rhubarbfield/operators/app.py
@@ -30,7 +30,7 @@
     select_rows,
 )
 from rhubarbfield.logs import get_logger, log_event
-from rhubarbfield.metricspage import make_metrics_response
+from rhubarbfield.metricspage import METRICS_TYPE, format_metrics
 from rhubarbfield.operators.answers import (
     STATUS_NOT_FOUND,
     STATUS_UNAVAILABLE,
@@ -164,7 +164,7 @@
 
     async def show_metrics(self) -> Response:
         """Return the metrics of the process."""
-        return make_metrics_response(self._metrics)
+        return Response(format_metrics(self._metrics), content_type=METRICS_TYPE)
 
     async def handle_http_error(self, error: HTTPException) -> Response:
         """Answer a request that has no route or is malformed."""
--- a/src/rhubarbfield/platform/bodies.py
+++ b/src/rhubarbfield/platform/bodies.py
@@ -1,21 +1,19 @@
-"""Request and response bodies of the platform's HTTP interface."""
+"""Responses of the platform's HTTP interface."""
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from http import HTTPStatus
 
 import msgspec
-from quart import Response, request
 
-JSON_TYPE = "application/json"
+from rhubarbfield.httpserver import JSON_TYPE, HttpResponse
 
 
-async def read_body() -> bytes:
-    """Return the body of the current request."""
-    body = await request.get_data(as_text=False)
-    return body if isinstance(body, bytes) else body.encode()
-
-
-def make_json(status: HTTPStatus, content: dict[str, object]) -> Response:
+def make_json(
+    status: HTTPStatus,
+    content: dict[str, object],
+    headers: Mapping[str, str] | None = None,
+) -> HttpResponse:
     """Return a response with a JSON body."""
-    return Response(msgspec.json.encode(content), status=status, content_type=JSON_TYPE)
+    return HttpResponse(status, msgspec.json.encode(content), JSON_TYPE, headers or {})
--- /dev/null
+++ b/src/rhubarbfield/platform/entry.py
@@ -0,0 +1,41 @@
+"""Entry program for the users' platform."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import trio
+
+from rhubarbfield.clock import TrioClock
+from rhubarbfield.peering import Credentials, GrpcTransport, open_bridge
+from rhubarbfield.platform.ingress import MAX_BODY_BYTES, create_ingress_handler
+from rhubarbfield.scheduling.deployment import DeploymentSettings
+from rhubarbfield.scheduling.gateway import Gateway
+from rhubarbfield.scheduling.serving import (
+    READINESS_PROPAGATION_DELAY,
+    Program,
+    run_program,
+)
+
+
+async def run_entry(
+    settings: DeploymentSettings,
+    path: Path,
+    *,
+    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Run an entry: serve clients until a stop is requested."""
+    clock = TrioClock()
+    async with open_bridge():
+        transport = GrpcTransport(Credentials(secret=settings.secret))
+        gateway = Gateway(settings, transport, clock)
+        program = Program(
+            run=gateway.run,
+            handler=create_ingress_handler(gateway),
+            binds=(settings.callers, settings.readiness),
+            max_body_bytes=MAX_BODY_BYTES,
+            begin_stop=gateway.begin_stop,
+            stop_delay=READINESS_PROPAGATION_DELAY,
+            add_seeds=gateway.add_seeds,
+        )
+        await run_program(program, settings, path, clock, task_status)
--- a/src/rhubarbfield/platform/ingress.py
+++ b/src/rhubarbfield/platform/ingress.py
@@ -7,15 +7,15 @@
 from datetime import timedelta
 from http import HTTPStatus
 
-from quart import Quart, Response, request
-from quart_trio import QuartTrio
+import msgspec
 from returns.result import Failure, Success
 
-from rhubarbfield.platform.bodies import make_json, read_body
-from rhubarbfield.platform.wire import decode_job
+from rhubarbfield.httpserver import Handler, HttpRequest, HttpResponse
+from rhubarbfield.platform.bodies import make_json
+from rhubarbfield.platform.jobwire import decode_job
 from rhubarbfield.scheduling.gateway import Gateway, Undecided
 from rhubarbfield.scheduling.model import JobSubmission
-from rhubarbfield.scheduling.service import (
+from rhubarbfield.scheduling.requests import (
     Accepted,
     BadJob,
     JobReply,
@@ -29,59 +29,54 @@
 
 logger = logging.getLogger(__name__)
 
-READY_PATH = "readyz"
+READY_PATH = "/readyz"
 DEFAULT_DEADLINE = timedelta(seconds=3)  # the timeout of clients at both sites
 VERBS = {"POST": JobVerb.SUBMIT, "GET": JobVerb.READ, "DELETE": JobVerb.CANCEL}
 MAX_BODY_BYTES = 262_144
 RETRY_DELAY = timedelta(seconds=1)
 
 
-def create_ingress_app(gateway: Gateway) -> Quart:
-    """Return the HTTP app for clients and the platform's load balancer."""
-    app = QuartTrio(__name__)
-    app.config["MAX_CONTENT_LENGTH"] = MAX_BODY_BYTES
-    app.config["PROVIDE_AUTOMATIC_OPTIONS"] = False
-    app.url_map.merge_slashes = False
+def create_ingress_handler(gateway: Gateway) -> Handler:
+    """Return the handler of clients and the platform's load balancer."""
 
-    @app.route("/", methods=list(VERBS), defaults={"path": ""})
-    @app.route("/<path:path>", methods=list(VERBS))
-    async def answer(path: str) -> Response:
-        if path == READY_PATH:
+    async def answer(request: HttpRequest) -> HttpResponse:
+        if request.path == READY_PATH:
             ready = gateway.is_ready
-            return Response(
-                "", HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE
+            return HttpResponse(
+                HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE
             )
-        return await _answer_client(gateway, f"/{path}")
-
-    @app.after_request
-    async def close_connection(response: Response) -> Response:
+        response = await _answer_client(gateway, request)
         if gateway.is_stopping:
-            response.headers["Connection"] = "close"
+            headers = {**response.headers, "Connection": "close"}
+            return msgspec.structs.replace(response, headers=headers)
         return response
 
-    return app
+    return answer
 
 
-async def _answer_client(gateway: Gateway, path: str) -> Response:
-    verb = VERBS[request.method]
+async def _answer_client(gateway: Gateway, request: HttpRequest) -> HttpResponse:
+    verb = VERBS.get(request.method)
+    if verb is None:
+        return make_json(HTTPStatus.METHOD_NOT_ALLOWED, {"Error": "no such method"})
     submission: JobSubmission | None = None
     if verb is JobVerb.SUBMIT:
-        match decode_job(await read_body()):
+        match decode_job(request.body):
             case Success(job):
                 submission = job
             case Failure(reason):
-                logger.warning("job-malformed path=%s reason=%s", path, reason)
+                logger.warning("job-malformed path=%s reason=%s", request.path, reason)
                 return make_json(HTTPStatus.BAD_REQUEST, {"Error": reason})
     job_request = JobRequest(
         verb=verb,
-        host=request.host.partition(":")[0],
-        path=path,
+        host=request.headers.get("host", "").partition(":")[0],
+        path=request.path,
         submission=submission,
     )
-    return make_response(verb, await gateway.forward(job_request, _read_deadline()))
+    timeout = _read_deadline(request)
+    return make_response(verb, await gateway.forward(job_request, timeout))
 
 
-def make_response(verb: JobVerb, reply: JobReply | Undecided) -> Response:
+def make_response(verb: JobVerb, reply: JobReply | Undecided) -> HttpResponse:
     """Return the response to a client for a reply of the controllers."""
     if isinstance(reply, Undecided):
         # Clients may treat 503 as proof that nothing was done.
@@ -118,12 +113,11 @@
     return described
 
 
-def _read_deadline() -> timedelta:
-    text = request.headers.get("X-Deadline-Ms", "")
+def _read_deadline(request: HttpRequest) -> timedelta:
+    text = request.headers.get("x-deadline-ms", "")
     return timedelta(milliseconds=int(text)) if text.isdecimal() else DEFAULT_DEADLINE
 
 
-def _make_retry_response(status: HTTPStatus, after: timedelta) -> Response:
-    response = make_json(status, {"Error": "no controller can decide now"})
-    response.headers["Retry-After"] = str(math.ceil(after.total_seconds()))
-    return response
+def _make_retry_response(status: HTTPStatus, after: timedelta) -> HttpResponse:
+    headers = {"Retry-After": str(math.ceil(after.total_seconds()))}
+    return make_json(status, {"Error": "no controller can decide now"}, headers)
--- a/src/rhubarbfield/platform/wire.py
+++ b/src/rhubarbfield/platform/wire.py
@@ -1,4 +1,4 @@
-"""Messages of the platform and their translation to the scheduler's types."""
+"""Messages of runners and operators, and the scheduler's types for them."""
 
 from __future__ import annotations
 
@@ -9,118 +9,29 @@
 from returns.result import Failure, Result, Success
 
 from rhubarbfield.clock import MILLISECOND
+from rhubarbfield.platform.jobwire import Count, Message
 from rhubarbfield.scheduling.commands import WorkerReport
 from rhubarbfield.scheduling.heartbeats import Heartbeat
 from rhubarbfield.scheduling.model import (
     CheckpointToken,
     Demand,
-    ImageName,
-    JobSubmission,
     Label,
     MachineName,
     Queue,
     QueueConfiguration,
     QueueName,
-    Recurrence,
     RunNumber,
-    Step,
     TaskName,
     WorkerService,
 )
 from rhubarbfield.scheduling.ports import ActiveRun, ListedEnd, Refusal, WorkerView
 from rhubarbfield.scheduling.state import RunEnd
-from rhubarbfield.types import FailureDomain, RackName, ServiceName, WorkerId
+from rhubarbfield.types import FailureDomain, ServiceName, WorkerId
 
-MAX_PAYLOAD_CHARACTERS = 4_000
 MAX_ENDS_LISTED = 500  # ends in one reply of a runner
-MAX_STEPS = 256
-MAX_TASKS = 4_096
 
-Count = Annotated[int, msgspec.Meta(ge=0)]
 
-
-class _Message(msgspec.Struct, frozen=True, kw_only=True, rename="pascal"):
-    """Base of all messages; unknown fields are ignored."""
-
-
-class WireStep(_Message, frozen=True):
-    """A step of a job; fields left out are zero, false or empty."""
-
-    # Number of tasks.
-    count: Annotated[int, msgspec.Meta(ge=1, le=MAX_TASKS)] = 1
-    # Demand of each task, the processor in millicores.
-    cpu: Count = 0
-    mem_mb: Count = 0
-    gpu: Count = 0
-    estimated_ms: Count = 0
-    # Earlier steps, counted from 0, that must be complete first.
-    start_after: tuple[Count, ...] = ()
-    saves_progress: bool = False
-    gang: bool = False
-    same_rack: bool = False
-    # A single label that the runner must have, despite the plural.
-    requirements: str = ""
-    # Preferred rack: the one that holds the data.
-    affinity: str = ""
-    # Maximum number of tasks of the step on one runner; 0 means no limit.
-    anti_affinity: Count = 0
-    allow_duplicates: bool = False
-    # Standing work: the tasks run until the job is cancelled.
-    long_running: bool = False
-    image: str = ""
-    # Goal for the tail latency of the tasks; 0 for none.
-    target_ms: Count = 0
-    # The tasks use spare cores: their processor demand isn't reserved.
-    fills: bool = False
-    # Disruption budget: standing tasks that the scheduler may disrupt at a time.
-    may_miss: Count | None = None
-
-    def to_step(self) -> Step:
-        """Return the step as the scheduler's type."""
-        return Step(
-            tasks=self.count,
-            demand=Demand(self.cpu, self.mem_mb, self.gpu),
-            estimate_ms=self.estimated_ms,
-            after=self.start_after,
-            checkpoints=self.saves_progress,
-            gang=self.gang,
-            same_rack=self.same_rack,
-            required_label=Label(self.requirements),
-            preferred_rack=RackName(self.affinity),
-            max_per_worker=self.anti_affinity,
-            copies_allowed=self.allow_duplicates,
-            standing=self.long_running,
-            image=ImageName(self.image),
-            tail_goal_ms=self.target_ms,
-            uses_spare_cores=self.fills,
-            disruption_budget=self.may_miss,
-        )
-
-
-class WireJob(_Message, frozen=True):
-    """A job as submitted by a client."""
-
-    # Opaque payload that is passed to the runners.
-    spec: Annotated[str, msgspec.Meta(max_length=MAX_PAYLOAD_CHARACTERS)]
-    steps: Annotated[
-        tuple[WireStep, ...], msgspec.Meta(min_length=1, max_length=MAX_STEPS)
-    ]
-    repeat_count: Count = 0
-    start_at_ms: int = 0
-    interval_ms: Count = 0
-
-    def to_submission(self) -> JobSubmission:
-        """Return the job as the scheduler's type."""
-        recurrence = None
-        if self.repeat_count:
-            recurrence = Recurrence(
-                self.repeat_count, self.start_at_ms, self.interval_ms
-            )
-        steps = tuple(step.to_step() for step in self.steps)
-        return JobSubmission(payload=self.spec, steps=steps, recurrence=recurrence)
-
-
-class WireRoute(_Message, frozen=True):
+class WireRoute(Message, frozen=True):
     """A route, which the scheduler treats as a queue of jobs."""
 
     name: str
@@ -152,7 +63,7 @@
         )
 
 
-class WireService(_Message, frozen=True):
+class WireService(Message, frozen=True):
     """A service, which is a pool of runners that run the tasks of its routes."""
 
     name: str
@@ -160,7 +71,7 @@
     standby: bool = False
 
 
-class WireConfiguration(_Message, frozen=True):
+class WireConfiguration(Message, frozen=True):
     """A complete configuration."""
 
     version: Annotated[int, msgspec.Meta(ge=0)]
@@ -169,7 +80,7 @@
     limits: dict[str, Any]
 
 
-class WireCapacity(_Message, frozen=True):
+class WireCapacity(Message, frozen=True):
     """Total resources of a runner, the processor in millicores."""
 
     cpu: Count
@@ -177,7 +88,7 @@
     gpu: Count = 0
 
 
-class WireHeartbeat(_Message, frozen=True):
+class WireHeartbeat(Message, frozen=True):
     """A periodic report of a runner about itself."""
 
     service: str
@@ -196,14 +107,14 @@
     remaining_ms: int | None = None
 
 
-class WireReply(_Message, frozen=True):
+class WireReply(Message, frozen=True):
     """Reply of a runner to an order; a refusal gives a reason."""
 
     clock_ms: int | None = None
     reason: str = ""
 
 
-class WireView(_Message, frozen=True):
+class WireView(Message, frozen=True):
     """Reply of a runner to ``/hold``.
 
     A row of active runs is task, run, checkpoint, percent and, optionally, a
@@ -239,23 +150,10 @@
 }
 DRAINING_BY_STATE = {"ready": False, "draining": True}
 
-_job_decoder = msgspec.json.Decoder(WireJob)
 _configuration_decoder = msgspec.json.Decoder(WireConfiguration)
 _heartbeat_decoder = msgspec.json.Decoder(WireHeartbeat)
 
 
-def decode_job(body: bytes) -> Result[JobSubmission, str]:
-    """Decode a job, or return why it is invalid."""
-    try:
-        job = _job_decoder.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        return Failure(f"the job can't be read: {error}")
-    for number, step in enumerate(job.steps):
-        if any(earlier >= number for earlier in step.start_after):
-            return Failure(f"step {number} starts after a step that is not before it")
-    return Success(job.to_submission())
-
-
 def decode_configuration(body: bytes) -> Result[QueueConfiguration, str]:
     """Decode a configuration, or return why it is invalid."""
     try:
--- a/src/rhubarbfield/scheduling/controller.py
+++ b/src/rhubarbfield/scheduling/controller.py
@@ -4,6 +4,7 @@
 
 import random
 from collections.abc import Callable
+from datetime import timedelta
 from functools import partial
 from pathlib import Path
 
@@ -21,7 +22,7 @@
     run_while_leading,
 )
 from rhubarbfield.peering import MessageStream, PeerLinks, Transport, serve_link
-from rhubarbfield.replication import Replica, RunBlocking
+from rhubarbfield.replication import GroupSettings, Replica, RunBlocking
 from rhubarbfield.scheduling.appliers import make_scheduling_machine
 from rhubarbfield.scheduling.deployment import SCHEDULING_GROUP, DeploymentSettings
 from rhubarbfield.scheduling.heartbeats import HEARTBEAT_CALL
@@ -39,7 +40,8 @@
 from rhubarbfield.scheduling.relay import WorkerRelay
 from rhubarbfield.scheduling.relay_messages import RELAY_STREAM
 from rhubarbfield.scheduling.relayed_calls import RelayedCalls
-from rhubarbfield.scheduling.service import JOB_CALL, SchedulingService
+from rhubarbfield.scheduling.requests import JOB_CALL
+from rhubarbfield.scheduling.service import SchedulingService
 from rhubarbfield.scheduling.state import SchedulingState
 from rhubarbfield.storage import FileStore, LogStore, MemoryStore
 from rhubarbfield.types import InstanceName
@@ -92,7 +94,7 @@
             sender=PacketSender(self._links),
             clock=clock,
             random=rng,
-            settings=settings.make_group_settings(),
+            settings=make_group_settings(settings),
             may_form_group=settings.may_form_group,
             run_blocking=run_blocking,
         )
@@ -218,3 +220,18 @@
     if not settings.data_folder:
         return MemoryStore()
     return FileStore(Path(settings.data_folder) / SCHEDULING_GROUP)
+
+
+def make_group_settings(settings: DeploymentSettings) -> GroupSettings:
+    """Return the settings of a deployment's replicated log."""
+    return GroupSettings(
+        heartbeat=timedelta(milliseconds=200),
+        lease=timedelta(milliseconds=900),
+        election_min=timedelta(milliseconds=1100),
+        election_max=timedelta(milliseconds=1800),
+        snapshot_after=2000,
+        kept_entries=1000,
+        propose_timeout=timedelta(milliseconds=2500),
+        replace_after=timedelta(milliseconds=2500),
+        wanted_voters=2 * settings.tolerated_losses + 1,
+    )
--- a/src/rhubarbfield/scheduling/deployment.py
+++ b/src/rhubarbfield/scheduling/deployment.py
@@ -9,7 +9,6 @@
 import yaml
 
 from rhubarbfield.exceptions import UsageError
-from rhubarbfield.replication import GroupSettings
 from rhubarbfield.scheduling.settings import SchedulingSettings
 from rhubarbfield.types import FailureDomain, GroupId, InstanceName
 
@@ -112,20 +111,6 @@
         """Return host and peer port of an instance."""
         return name, self.peer_port
 
-    def make_group_settings(self) -> GroupSettings:
-        """Return the settings of the replicated log."""
-        return GroupSettings(
-            heartbeat=timedelta(milliseconds=200),
-            lease=timedelta(milliseconds=900),
-            election_min=timedelta(milliseconds=1100),
-            election_max=timedelta(milliseconds=1800),
-            snapshot_after=2000,
-            kept_entries=1000,
-            propose_timeout=timedelta(milliseconds=2500),
-            replace_after=timedelta(milliseconds=2500),
-            wanted_voters=2 * self.tolerated_losses + 1,
-        )
-
     def make_scheduling_settings(self) -> SchedulingSettings:
         """Return the settings of scheduling."""
         longest = timedelta(milliseconds=self.workers.longest_lease_ms)
--- a/src/rhubarbfield/scheduling/gateway.py
+++ b/src/rhubarbfield/scheduling/gateway.py
@@ -10,12 +10,12 @@
 from returns.result import Failure, Success
 
 from rhubarbfield.clock import Clock
-from rhubarbfield.groups import LeaderCalls, LeaderFailure
+from rhubarbfield.leadercalls import LeaderCalls, LeaderFailure
 from rhubarbfield.logs import log_event
 from rhubarbfield.peering import Transport
 from rhubarbfield.scheduling.deployment import DeploymentSettings
 from rhubarbfield.scheduling.metrics import REQUEST_SECONDS
-from rhubarbfield.scheduling.service import (
+from rhubarbfield.scheduling.requests import (
     JOB_CALL,
     JobReply,
     JobRequest,
--- a/src/rhubarbfield/scheduling/model.py
+++ b/src/rhubarbfield/scheduling/model.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from enum import StrEnum
 from typing import NewType
 
 import msgspec
@@ -23,6 +24,16 @@
 NO_CHECKPOINT = CheckpointToken("")
 
 
+class JobPhase(StrEnum):
+    """Phase of a job; the last three are final."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    COMPLETED = "completed"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+
 class Demand(msgspec.Struct, frozen=True, array_like=True):
     """Resources of one task, or of a worker.
 
--- /dev/null
+++ b/src/rhubarbfield/scheduling/requests.py
@@ -0,0 +1,107 @@
+"""Messages with which entries forward callers' requests to the leader."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+import msgspec
+
+from rhubarbfield.leadercalls import NotLeading, Unavailable
+from rhubarbfield.peering import CallMethod
+from rhubarbfield.scheduling.model import JobPhase, JobSubmission
+
+
+class JobVerb(StrEnum):
+    """Operation that a caller requests."""
+
+    SUBMIT = "submit"
+    READ = "read"
+    CANCEL = "cancel"
+
+
+class JobRequest(
+    msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True, tag=True
+):
+    """A caller's request, as an entry forwards it.
+
+    Attributes
+    ----------
+    verb
+        Requested operation.
+    host, path
+        They determine the queue; the path after the queue's prefix is the job id.
+    submission
+        Submitted job, if any.
+    """
+
+    verb: JobVerb
+    host: str
+    path: str
+    submission: JobSubmission | None = None
+
+
+class Accepted(msgspec.Struct, frozen=True, tag=True):
+    """The command is committed."""
+
+
+class JobStatus(msgspec.Struct, frozen=True, tag=True):
+    """Phase of a job."""
+
+    phase: JobPhase
+
+
+class WaitingJobs(msgspec.Struct, frozen=True, tag=True):
+    """Number of open jobs of a queue that have not started."""
+
+    count: int
+
+
+class NoSuchQueue(msgspec.Struct, frozen=True, tag=True):
+    """No queue of the configuration in force matches the request."""
+
+
+class NoSuchJob(msgspec.Struct, frozen=True, tag=True):
+    """The queue has no such job."""
+
+
+class NotConfigured(msgspec.Struct, frozen=True, tag=True):
+    """No configuration has been accepted yet; nothing was done."""
+
+
+class BadJob(msgspec.Struct, frozen=True, tag=True):
+    """The request is invalid; retrying it can't succeed.
+
+    Attributes
+    ----------
+    reason
+        Why the request is invalid.
+    """
+
+    reason: str
+
+
+class Ready(msgspec.Struct, frozen=True, tag=True):
+    """The controller leads and can decide about requests."""
+
+
+class LeadershipQuery(msgspec.Struct, frozen=True, tag="AreYouLeading"):
+    """Asks a controller whether it leads."""
+
+
+JobReply = (
+    Accepted
+    | JobStatus
+    | WaitingJobs
+    | NoSuchQueue
+    | NoSuchJob
+    | NotConfigured
+    | BadJob
+    | Ready
+    | NotLeading
+    | Unavailable
+)
+
+
+JOB_CALL = CallMethod(
+    "/rhubarbfield.Scheduling/Job", JobRequest | LeadershipQuery, JobReply
+)
--- a/src/rhubarbfield/scheduling/service.py
+++ b/src/rhubarbfield/scheduling/service.py
@@ -4,7 +4,6 @@
 
 import logging
 import re
-from enum import StrEnum
 
 import msgspec
 from returns.result import Failure, Success
@@ -13,7 +12,6 @@
 from rhubarbfield.groups import NotLeading, ReplicatedLog, Unavailable
 from rhubarbfield.logs import log_event
 from rhubarbfield.machine import Command, Done, Refused, Reply
-from rhubarbfield.peering import CallMethod
 from rhubarbfield.scheduling.appliers import SchedulingLogState
 from rhubarbfield.scheduling.commands import (
     AcceptJob,
@@ -23,13 +21,28 @@
 from rhubarbfield.scheduling.heartbeats import Heartbeat
 from rhubarbfield.scheduling.metrics import JOBS
 from rhubarbfield.scheduling.model import (
+    JobPhase,
     JobSubmission,
     Queue,
     QueueConfiguration,
     QueueName,
 )
 from rhubarbfield.scheduling.reception import Reception
-from rhubarbfield.scheduling.state import JobPhase, SchedulingState
+from rhubarbfield.scheduling.requests import (
+    Accepted,
+    BadJob,
+    JobReply,
+    JobRequest,
+    JobStatus,
+    JobVerb,
+    LeadershipQuery,
+    NoSuchJob,
+    NoSuchQueue,
+    NotConfigured,
+    Ready,
+    WaitingJobs,
+)
+from rhubarbfield.scheduling.state import SchedulingState
 from rhubarbfield.types import InstanceName, JobId, WorkerId
 
 logger = logging.getLogger(__name__)
@@ -38,97 +51,6 @@
 _JOB_ID = re.compile(rf"[0-9A-Za-z_-]{{1,{MAX_JOB_ID_LENGTH}}}")
 
 
-class JobVerb(StrEnum):
-    """Operation that a caller requests."""
-
-    SUBMIT = "submit"
-    READ = "read"
-    CANCEL = "cancel"
-
-
-class JobRequest(
-    msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True, tag=True
-):
-    """A caller's request, as an entry forwards it.
-
-    Attributes
-    ----------
-    verb
-        Requested operation.
-    host, path
-        They determine the queue; the path after the queue's prefix is the job id.
-    submission
-        Submitted job, if any.
-    """
-
-    verb: JobVerb
-    host: str
-    path: str
-    submission: JobSubmission | None = None
-
-
-class Accepted(msgspec.Struct, frozen=True, tag=True):
-    """The command is committed."""
-
-
-class JobStatus(msgspec.Struct, frozen=True, tag=True):
-    """Phase of a job."""
-
-    phase: JobPhase
-
-
-class WaitingJobs(msgspec.Struct, frozen=True, tag=True):
-    """Number of open jobs of a queue that have not started."""
-
-    count: int
-
-
-class NoSuchQueue(msgspec.Struct, frozen=True, tag=True):
-    """No queue of the configuration in force matches the request."""
-
-
-class NoSuchJob(msgspec.Struct, frozen=True, tag=True):
-    """The queue has no such job."""
-
-
-class NotConfigured(msgspec.Struct, frozen=True, tag=True):
-    """No configuration has been accepted yet; nothing was done."""
-
-
-class BadJob(msgspec.Struct, frozen=True, tag=True):
-    """The request is invalid; retrying it can't succeed.
-
-    Attributes
-    ----------
-    reason
-        Why the request is invalid.
-    """
-
-    reason: str
-
-
-class Ready(msgspec.Struct, frozen=True, tag=True):
-    """The controller leads and can decide about requests."""
-
-
-class LeadershipQuery(msgspec.Struct, frozen=True, tag="AreYouLeading"):
-    """Asks a controller whether it leads."""
-
-
-JobReply = (
-    Accepted
-    | JobStatus
-    | WaitingJobs
-    | NoSuchQueue
-    | NoSuchJob
-    | NotConfigured
-    | BadJob
-    | Ready
-    | NotLeading
-    | Unavailable
-)
-
-
 class VersionConflict(msgspec.Struct, frozen=True):
     """The configuration in force has the same version and other content."""
 
@@ -329,8 +251,3 @@
             case Failure(failure):
                 return failure
         raise AssertionError
-
-
-JOB_CALL = CallMethod(
-    "/rhubarbfield.Scheduling/Job", JobRequest | LeadershipQuery, JobReply
-)
--- a/src/rhubarbfield/scheduling/serving.py
+++ b/src/rhubarbfield/scheduling/serving.py
@@ -10,13 +10,11 @@
 
 import msgspec
 import trio
-from hypercorn.config import Config
-from hypercorn.trio import serve as serve_app
-from quart import Quart
 
 from rhubarbfield.clock import Clock
 from rhubarbfield.exceptions import UsageError
-from rhubarbfield.metricspage import create_metrics_app
+from rhubarbfield.httpserver import Handler, HttpLimits, HttpServer
+from rhubarbfield.metricspage import show_metrics
 from rhubarbfield.scheduling.deployment import (
     DeploymentSettings,
     load_deployment_settings,
@@ -27,7 +25,8 @@
 
 # The balancer checks readiness once a second, and may miss two checks.
 READINESS_PROPAGATION_DELAY = timedelta(seconds=3)
-IDLE_CONNECTION_TIMEOUT = timedelta(seconds=15)
+# Left of the grace period when connections are cut, to end the process in time.
+EXIT_MARGIN = timedelta(seconds=1)
 
 
 class Program(msgspec.Struct, frozen=True):
@@ -37,8 +36,10 @@
     ----------
     run
         Runs the program until cancelled; accepts a task status.
-    app, binds
-        The HTTP app, and the ``host:port`` addresses it is served at.
+    handler, binds
+        Answers HTTP requests, at these ``host:port`` addresses.
+    max_body_bytes
+        Largest content of a request.
     begin_stop
         Called when a planned stop begins.
     stop_delay
@@ -48,8 +49,9 @@
     """
 
     run: Callable[..., Awaitable[None]]
-    app: Quart
+    handler: Handler
     binds: tuple[str, ...]
+    max_body_bytes: int
     begin_stop: Callable[[], None]
     stop_delay: timedelta
     add_seeds: Callable[[DeploymentSettings], None]
@@ -88,8 +90,11 @@
         async with trio.open_nursery() as nursery:
             await nursery.start(program.run)
             await nursery.start(_serve_metrics, settings)
-            config = _make_config(settings, *program.binds)
-            await _serve(program.app, config, wait_for_stop, task_status)
+            server = HttpServer(program.handler, _make_limits(program, settings))
+            binds = [bind for bind in program.binds if bind]
+            async with trio.open_nursery() as serving:
+                await serving.start(server.serve, binds, wait_for_stop)
+                task_status.started()
             nursery.cancel_scope.cancel()
 
     await run_until_signal(
@@ -100,32 +105,14 @@
     )
 
 
-async def _serve(
-    app: Quart,
-    config: Config,
-    wait_for_stop: Callable[[], Awaitable[None]] | None,
-    task_status: trio.TaskStatus[None],
-) -> None:
-    """Serve until ``wait_for_stop`` returns and the last request is answered.
-
-    Without ``wait_for_stop`` the app is served until cancelled.
-    """
-    serve = partial(serve_app, app, config, shutdown_trigger=wait_for_stop)
-    async with trio.open_nursery() as nursery:
-        await nursery.start(serve)
-        task_status.started()
-
-
 async def _serve_metrics(
     settings: DeploymentSettings,
-    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    task_status: trio.TaskStatus[list[str]] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serve the metrics of the process until cancelled."""
-    if settings.metrics:
-        config = _make_config(settings, settings.metrics)
-        await _serve(create_metrics_app(), config, None, task_status)
-    else:
-        task_status.started()
+    server = HttpServer(show_metrics, HttpLimits())
+    binds = [settings.metrics] if settings.metrics else []
+    await server.serve(binds, trio.sleep_forever, task_status=task_status)
 
 
 def _reload(path: Path, apply: Callable[[DeploymentSettings], None]) -> None:
@@ -138,17 +125,9 @@
     apply(settings)
 
 
-def _make_config(settings: DeploymentSettings, *binds: str) -> Config:
-    config = Config()
-    config.bind = [bind for bind in binds if bind]
-    config.backlog = 1024
-    config.keep_alive_timeout = IDLE_CONNECTION_TIMEOUT.total_seconds()
-    grace = timedelta(milliseconds=settings.grace_ms) - READINESS_PROPAGATION_DELAY
-    config.graceful_timeout = max(grace.total_seconds() - 1, 1)
-    config.include_server_header = False
-    http_logger = logging.getLogger("rhubarbfield.http")
-    # INFO only lists the bind addresses, which are in the settings.
-    http_logger.setLevel(logging.WARNING)
-    config.errorlog = http_logger
-    config.loglevel = "WARNING"
-    return config
+def _make_limits(program: Program, settings: DeploymentSettings) -> HttpLimits:
+    grace = timedelta(milliseconds=settings.grace_ms) - program.stop_delay
+    return HttpLimits(
+        body_bytes=program.max_body_bytes,
+        drain_timeout=max(grace - EXIT_MARGIN, EXIT_MARGIN),
+    )
--- a/src/rhubarbfield/scheduling/state.py
+++ b/src/rhubarbfield/scheduling/state.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import functools
-from enum import Enum, IntEnum, StrEnum
+from enum import Enum, IntEnum
 
 import msgspec
 
@@ -15,6 +15,7 @@
     NO_CHECKPOINT,
     CheckpointToken,
     Demand,
+    JobPhase,
     JobSubmission,
     Label,
     MachineName,
@@ -31,16 +32,6 @@
 MAX_CACHED_NAMES = 32_768
 
 
-class JobPhase(StrEnum):
-    """Phase of a job; the last three are final."""
-
-    QUEUED = "queued"
-    RUNNING = "running"
-    COMPLETED = "completed"
-    FAILED = "failed"
-    CANCELLED = "cancelled"
-
-
 class TaskPhase(IntEnum):
     """Phase of a task over all its runs; the last two are final."""
 
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -8,7 +8,7 @@
 
 from rhubarbfield.platform.ingress import make_response
 from rhubarbfield.scheduling.gateway import Undecided
-from rhubarbfield.scheduling.service import JobVerb
+from rhubarbfield.scheduling.requests import JobVerb
 
 
 class ResponsesTest(unittest.TestCase):
@@ -24,7 +24,7 @@
         ):
             undecided = Undecided(in_doubt, timedelta(seconds=1))
             response = make_response(verb, undecided)
-            self.assertEqual(response.status_code, status, (verb, in_doubt))
+            self.assertEqual(response.status, status, (verb, in_doubt))
             self.assertEqual(response.headers["Retry-After"], "1")
 
 
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -10,11 +10,11 @@
 from hypothesis import strategies as st
 from returns.result import Failure, Success
 
+from rhubarbfield.platform.jobwire import decode_job
 from rhubarbfield.platform.wire import (
     WireView,
     decode_configuration,
     decode_heartbeat,
-    decode_job,
 )
 from rhubarbfield.scheduling.model import Demand
 from rhubarbfield.scheduling.state import RunEnd
--- a/tests/scheduling/controllers.py
+++ b/tests/scheduling/controllers.py
@@ -15,7 +15,7 @@
 from rhubarbfield.scheduling.controller import SchedulingController
 from rhubarbfield.scheduling.deployment import DeploymentSettings, WorkerTimes
 from rhubarbfield.scheduling.model import JobSubmission, Step
-from rhubarbfield.scheduling.service import Accepted, JobRequest, JobVerb
+from rhubarbfield.scheduling.requests import Accepted, JobRequest, JobVerb
 from rhubarbfield.scheduling.state import Worker
 from rhubarbfield.storage import MemoryStore
 from rhubarbfield.testing.memory_transport import MemoryTransport, SimulatedNetwork
--- a/tests/scheduling/test_gateway.py
+++ b/tests/scheduling/test_gateway.py
@@ -15,15 +15,14 @@
 from rhubarbfield.peering import Transport
 from rhubarbfield.scheduling.deployment import DeploymentSettings, WorkerTimes
 from rhubarbfield.scheduling.gateway import Gateway, Undecided
-from rhubarbfield.scheduling.model import JobSubmission, Step
-from rhubarbfield.scheduling.service import (
+from rhubarbfield.scheduling.model import JobPhase, JobSubmission, Step
+from rhubarbfield.scheduling.requests import (
     Accepted,
     JobReply,
     JobRequest,
     JobStatus,
     JobVerb,
 )
-from rhubarbfield.scheduling.state import JobPhase
 from tests.protocol.test_leaders import TIMED_OUT, Reply, ScriptedTransport
 from tests.replication.determinism import run_deterministic
 
--- a/tests/scheduling/test_service.py
+++ b/tests/scheduling/test_service.py
@@ -7,15 +7,14 @@
 import trio
 
 from rhubarbfield.logs import find_event
-from rhubarbfield.scheduling.model import JobSubmission, Step
-from rhubarbfield.scheduling.service import (
+from rhubarbfield.scheduling.model import JobPhase, JobSubmission, Step
+from rhubarbfield.scheduling.requests import (
     Accepted,
     JobRequest,
     JobVerb,
     NoSuchJob,
-    SchedulingService,
 )
-from rhubarbfield.scheduling.state import JobPhase
+from rhubarbfield.scheduling.service import SchedulingService
 from tests.scheduling.deployments import ONE_CORE, QUEUE, Deployment, with_deployment
 
 PATH = f"{QUEUE.prefix}j"
