Don't take the silence of a worker for a lack of progress of its runs

Cause, found by looking for a fault that operators of similar systems told of: the stall timer of a run compared local times of views. A worker that was silent or frozen for longer than 2.5 s and came back with the same percentage had its runs stopped and started elsewhere, and was quarantined, before it could show progress in a second view. A view that arrives late looked the same (by reading: calls end after 2.2 s at the most, so that a late view alone cannot reach the limit).

Runs that stand still are stopped as before (test_a_run_that_stands_still_on_a_returned_worker).

--- a/src/rhubarbfield/scheduling/session.py
+++ b/src/rhubarbfield/scheduling/session.py
@@ -165,7 +165,7 @@
     def pace(self, key: RunKey, percent: int) -> None:
         """Queue an order to let a run work at ``percent`` of its full speed."""
         if self._orders.pace(key, percent):
-            self._progress.reset(key, self._clock.monotonic())
+            self._progress.reset(key, self.view_age or timedelta())
 
     def get_pace(self, key: RunKey) -> int | None:
         """Return the pace that was ordered for a run, in percent of full speed.
@@ -254,7 +254,7 @@
     ) -> None:
         self.active = {run.task: run for run in view.active}
         self._viewed_at = self._clock.monotonic()
-        self._progress.update(view.active, self._clock.monotonic())
+        self._progress.update(view.active, view.clock)
         worker = self._host.find_worker(self.worker)
         if worker is None:
             return
