--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -8,6 +8,7 @@
 from http import HTTPStatus
 
 import httpx
+import msgspec
 import trio
 
 from rhubarbfield.httpserver import HttpLimits, HttpRequest, HttpResponse, HttpServer
@@ -16,7 +17,7 @@
 LIMITS = HttpLimits(
     body_bytes=1000,
     header_bytes=4000,
-    idle_timeout=timedelta(seconds=0.3),
+    idle_timeout=timedelta(seconds=30),
     drain_timeout=timedelta(seconds=1),
 )
 PIPELINED = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -58,13 +59,15 @@
         return b"".join([part async for part in stream])
 
 
-class HttpServerTest(unittest.TestCase):
+class ServedTestCase(unittest.TestCase):
+    limits = LIMITS
+
     def run_served(self, scenario: Callable[[Served], Awaitable[None]]) -> None:
         async def run() -> None:
             served = Served()
 
             async def serve(task_status: trio.TaskStatus[list[str]]) -> None:
-                server = HttpServer(served.answer, LIMITS)
+                server = HttpServer(served.answer, self.limits)
                 await server.serve(
                     ["127.0.0.1:0"], served.stop.wait, task_status=task_status
                 )
@@ -79,6 +82,8 @@
 
         trio.run(run)
 
+
+class HttpServerTest(ServedTestCase):
     @scenario("run_served")
     async def test_a_handler_gets_the_whole_request(self, served: Served) -> None:
         async with httpx.AsyncClient(base_url=served.url) as client:
@@ -152,14 +157,6 @@
                 self.assertEqual((await client.get("/fault")).status_code, 500)
             self.assertEqual((await client.get("/a")).status_code, 200)
 
-    @scenario("run_served")
-    async def test_silent_connections_are_closed(self, served: Served) -> None:
-        for content in (b"", b"GET /a HT", b"PUT /a HTTP/1.1\r\nContent-Length: 9\r\n"):
-            stream = await served.connect()
-            await stream.send_all(content)
-            self.assertEqual(await read_all(stream), b"")
-        self.assertEqual(served.requests, [])
-
     @scenario("run_served")
     async def test_a_handler_can_end_its_connection(self, served: Served) -> None:
         stream = await served.connect()
@@ -196,5 +193,17 @@
             await served.stopped.wait()
 
 
+class SilentConnectionsTest(ServedTestCase):
+    limits = msgspec.structs.replace(LIMITS, idle_timeout=timedelta(seconds=0.3))
+
+    @scenario("run_served")
+    async def test_silent_connections_are_closed(self, served: Served) -> None:
+        for content in (b"", b"GET /a HT", b"PUT /a HTTP/1.1\r\nContent-Length: 9\r\n"):
+            stream = await served.connect()
+            await stream.send_all(content)
+            self.assertEqual(await read_all(stream), b"")
+        self.assertEqual(served.requests, [])
+
+
 if __name__ == "__main__":
     unittest.main()
