Follow the first hint to the leader without a delay

Cause, read: a call that was answered by 'not leading, b leads' slept 100 ms before it called b. Each entry pays that after a change of leader, in the way of its callers' requests.

Change: the first hint of a call is followed at once, later ones after the delay, as members may name each other during an election.

Evidence: test_a_first_hint_is_followed_without_a_delay failed before; with contradicting hints there are no more calls than before (test_contradicting_hints_are_not_followed_without_a_delay).

--- a/src/rhubarbfield/leadercalls/calls.py
+++ b/src/rhubarbfield/leadercalls/calls.py
@@ -106,6 +106,7 @@
         started_at = self._clock.monotonic()
         deadline = started_at + timeout
         in_doubt = False
+        was_redirected = False
         detail = "no leader was found"
         while (remaining := deadline - self._clock.monotonic()) > timedelta():
             connection = self._pool.get(self._leader)
@@ -114,7 +115,10 @@
             )
             match reply:
                 case Success(NotLeading(leader=leader)):
-                    self._switch_target(leader)
+                    # Only once: during an election members may name each other.
+                    if self._switch_target(leader) and not was_redirected:
+                        was_redirected = True
+                        continue
                 case Success(Unavailable(reason=reason, in_doubt=doubt)):
                     detail = reason
                     in_doubt = in_doubt or doubt
@@ -132,14 +136,16 @@
             await self._clock.sleep(min(remaining, RETRY_DELAY))
         return Failure(LeaderFailure(detail=detail, in_doubt=in_doubt))
 
-    def _switch_target(self, leader: InstanceName | None) -> None:
+    def _switch_target(self, leader: InstanceName | None) -> bool:
+        """Call ``leader`` next, or else another member; return whether it is known."""
         if leader is not None and self._locate is not None:
             self._members.setdefault(leader, self._locate(leader))
         if leader in self._members and leader != self._leader:
             self._leader = leader
-            return
+            return True
         names = list(self._members)
         self._leader = names[(names.index(self._leader) + 1) % len(names)]
+        return False
 
 
 def _is_in_doubt(failure: CallFailure) -> bool:
--- a/tests/protocol/test_leaders.py
+++ b/tests/protocol/test_leaders.py
@@ -72,6 +72,24 @@
         result, called_hosts, _ = self.run_call(answer)
         self.assertEqual((result, called_hosts), (Success(Done()), ["a", "c"]))
 
+    def test_a_first_hint_is_followed_without_a_delay(self) -> None:
+        """After a change of leader each entry paid 100 ms in its next call."""
+
+        def answer(host: str, number: int) -> Reply:
+            return Success(Done() if host == "c" else NotLeading(NAMES[2]))
+
+        _, _, took = self.run_call(answer)
+        self.assertLess(took, 0.01)
+
+    def test_contradicting_hints_are_not_followed_without_a_delay(self) -> None:
+        """Two instances that name each other get ten calls a second, not more."""
+
+        def answer(host: str, number: int) -> Reply:
+            return Success(NotLeading(NAMES[1] if host == "a" else NAMES[0]))
+
+        _, called_hosts, took = self.run_call(answer)
+        self.assertLessEqual(len(called_hosts), took * 10 + 2)
+
     def test_without_a_hint_all_members_are_called_until_the_timeout(self) -> None:
         result, called_hosts, took = self.run_call(
             lambda host, number: Success(NotLeading())
