Carry the calls of an entry to the leader on one stream

Cause: each request of a caller and each readiness probe, one a second from each entry, was a gRPC call of its own, which opens a stream and sends headers both ways.

Change: peering/streamedcalls.py carries one kind of call as numbered messages on a stream for each connection. A request whose stream is lost is in doubt, as before; a controller of an earlier version, which does not know the stream, is called as before.

--- a/src/rhubarbfield/peering/__init__.py
+++ b/src/rhubarbfield/peering/__init__.py
@@ -19,6 +19,11 @@
     StreamMethod,
     Transport,
 )
+from rhubarbfield.peering.streamedcalls import (
+    make_call_stream,
+    open_streamed_calls,
+    serve_calls,
+)
 from rhubarbfield.peering.transport import GrpcTransport, connect, dial
 
 __all__ = [
@@ -37,5 +42,8 @@
     "connect",
     "open_bridge",
     "dial",
+    "make_call_stream",
+    "open_streamed_calls",
+    "serve_calls",
     "serve_link",
 ]
--- a/src/rhubarbfield/platform/entry.py
+++ b/src/rhubarbfield/platform/entry.py
@@ -7,10 +7,16 @@
 import trio
 
 from rhubarbfield.clock import TrioClock
-from rhubarbfield.peering import Credentials, GrpcTransport, open_bridge
+from rhubarbfield.peering import (
+    Credentials,
+    GrpcTransport,
+    open_bridge,
+    open_streamed_calls,
+)
 from rhubarbfield.platform.ingress import MAX_BODY_BYTES, create_ingress_handler
 from rhubarbfield.scheduling.deployment import DeploymentSettings
 from rhubarbfield.scheduling.gateway import Gateway
+from rhubarbfield.scheduling.requests import JOB_CALL, JOB_STREAM
 from rhubarbfield.scheduling.serving import (
     READINESS_PROPAGATION_DELAY,
     Program,
@@ -26,8 +32,11 @@
 ) -> None:
     """Run an entry: serve clients until a stop is requested."""
     clock = TrioClock()
-    async with open_bridge():
-        transport = GrpcTransport(Credentials(secret=settings.secret))
+    grpc = GrpcTransport(Credentials(secret=settings.secret))
+    async with (
+        open_bridge(),
+        open_streamed_calls(grpc, JOB_CALL, JOB_STREAM) as transport,
+    ):
         gateway = Gateway(settings, transport, clock)
         program = Program(
             run=gateway.run,
--- a/src/rhubarbfield/scheduling/controller.py
+++ b/src/rhubarbfield/scheduling/controller.py
@@ -21,7 +21,13 @@
     StoreLostError,
     run_while_leading,
 )
-from rhubarbfield.peering import MessageStream, PeerLinks, Transport, serve_link
+from rhubarbfield.peering import (
+    MessageStream,
+    PeerLinks,
+    Transport,
+    serve_calls,
+    serve_link,
+)
 from rhubarbfield.replication import GroupSettings, Replica, RunBlocking
 from rhubarbfield.scheduling.appliers import make_scheduling_machine
 from rhubarbfield.scheduling.deployment import SCHEDULING_GROUP, DeploymentSettings
@@ -40,7 +46,7 @@
 from rhubarbfield.scheduling.relay import WorkerRelay
 from rhubarbfield.scheduling.relay_messages import RELAY_STREAM
 from rhubarbfield.scheduling.relayed_calls import RelayedCalls
-from rhubarbfield.scheduling.requests import JOB_CALL
+from rhubarbfield.scheduling.requests import JOB_CALL, JOB_STREAM
 from rhubarbfield.scheduling.service import SchedulingService
 from rhubarbfield.scheduling.state import SchedulingState
 from rhubarbfield.storage import FileStore, LogStore, MemoryStore
@@ -147,6 +153,7 @@
             streams={
                 REPLICATION_LINK: self._serve_link,
                 RELAY_STREAM: self._relay.serve,
+                JOB_STREAM: serve_calls(self.service.answer),
             },
             calls={
                 JOB_CALL: self.service.answer,
--- a/src/rhubarbfield/scheduling/requests.py
+++ b/src/rhubarbfield/scheduling/requests.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from rhubarbfield.leadercalls import NotLeading, Unavailable
-from rhubarbfield.peering import CallMethod
+from rhubarbfield.peering import CallMethod, make_call_stream
 from rhubarbfield.scheduling.model import JobPhase, JobSubmission
 
 
@@ -105,3 +105,4 @@
 JOB_CALL = CallMethod(
     "/rhubarbfield.Scheduling/Job", JobRequest | LeadershipQuery, JobReply
 )
+JOB_STREAM = make_call_stream(JOB_CALL, "/rhubarbfield.Scheduling/Jobs")
