Pace placement rounds by what asks for them

Each of 390 views a second, each commit of ends and each commit of the round's own starts asked for the next round; rounds took up to half of the loop's time, and commits, orders and callers' requests waited for the rest.

The test of a round's rest now looks at the pacer, whose wait is at least what the round took, as before.

--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -11,7 +11,7 @@
 from rhubarbfield.clock import Clock
 from rhubarbfield.groups import ReplicatedLog
 from rhubarbfield.logs import log_event
-from rhubarbfield.machine import Command
+from rhubarbfield.machine import Command, Reply
 from rhubarbfield.scheduling.appliers import SchedulingLogState
 from rhubarbfield.scheduling.backlog import Backlog
 from rhubarbfield.scheduling.commands import (
@@ -38,7 +38,8 @@
 )
 from rhubarbfield.scheduling.mitigation import InterferenceMitigator
 from rhubarbfield.scheduling.model import CheckpointToken, Queue, TaskName
-from rhubarbfield.scheduling.placing import Placer
+from rhubarbfield.scheduling.pacing import RoundPacer, Urgency, find_urgency
+from rhubarbfield.scheduling.placing import MAX_STARTS_PER_ROUND, Placer
 from rhubarbfield.scheduling.ports import WorkerCalls
 from rhubarbfield.scheduling.quarantine import WorkerQuarantine
 from rhubarbfield.scheduling.recording import (
@@ -58,11 +59,10 @@
 )
 from rhubarbfield.scheduling.terminations import Terminations
 from rhubarbfield.scheduling.waiting_log import WaitingLog
-from rhubarbfield.types import Term, WorkerId
+from rhubarbfield.types import LogIndex, Term, WorkerId
 
 logger = logging.getLogger(__name__)
 
-ROUND_DELAY = timedelta(milliseconds=10)  # changes within this time share a round
 # Rounds also run without a change of state, since occurrences come due and
 # quarantines end.
 IDLE_ROUND_INTERVAL = timedelta(milliseconds=250)
@@ -112,7 +112,7 @@
             on_removed=self._forget_worker,
         )
         self._terminations = Terminations(lambda: self.state, self._registry.sessions)
-        self._round_requested = trio.Event()
+        self._pacer = RoundPacer(clock)
         self._avoided: dict[TaskName, set[WorkerId]] = {}
         self._ends = Batcher(self._commit_ends)
         self._housekeeping = Housekeeping(
@@ -135,7 +135,6 @@
             clock=clock,
         )
         self._waiting_log = WaitingLog(self._backlog, clock)
-        self._choice_took = timedelta()
 
     @property
     def state(self) -> SchedulingState:
@@ -146,6 +145,7 @@
         """Lead until cancelled."""
         log_event(logger, logging.INFO, "leading-started", term=self._term)
         self._log.machine.watch(self._terminations.watch_command)
+        self._log.machine.watch(self._request_round_after)
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._ends.run)
@@ -156,6 +156,7 @@
                 nursery.start_soon(self._save_harm)
         finally:
             self._log.machine.unwatch(self._terminations.watch_command)
+            self._log.machine.unwatch(self._request_round_after)
 
     # Interface for sessions and the other parts of the leader.
 
@@ -278,10 +279,15 @@
             self._request_round()
             await self._log.wait_change(seen)
 
-    def _request_round(self) -> None:
-        self._round_requested.set()
+    def _request_round(self, urgency: Urgency = Urgency.ROUTINE) -> None:
+        self._pacer.request(urgency)
         self._housekeeping.request()
 
+    def _request_round_after(
+        self, _index: LogIndex, command: Command, _reply: Reply
+    ) -> None:
+        self._pacer.request(find_urgency(self.state, command))
+
     def _examine_worker(self, worker: WorkerId) -> None:
         self._terminations.add_worker(worker)
 
@@ -300,15 +306,12 @@
 
     async def _run_rounds(self) -> None:
         while True:
-            await self._round_requested.wait()
-            self._round_requested = trio.Event()
+            await self._pacer.wait()
             if self.get_term() is None:
                 continue
             self._housekeeping.stop_runs()
             self._housekeeping.evacuate()
             await self._run_round()
-            # Placement takes at most half of the loop's time.
-            await self._clock.sleep(max(ROUND_DELAY, self._choice_took))
 
     def measure_headroom(self) -> dict[WorkerId, WorkerHeadroom]:
         """Return the headroom of each worker that may receive tasks."""
@@ -337,12 +340,14 @@
             is_starved=self._is_starved,
         )
         starts = await choose_starts(placer, self._clock)
-        self._choice_took = self._clock.monotonic() - began
-        ROUND_SECONDS.observe(self._choice_took.total_seconds())
+        took = self._clock.monotonic() - began
+        ROUND_SECONDS.observe(took.total_seconds())
         self._waiting_log.write(placer)
-        if not starts:
-            return
-        await self._starter.start(starts)
+        if starts:
+            await self._starter.start(starts)
+        self._pacer.record_round(took)
+        if len(starts) >= MAX_STARTS_PER_ROUND:
+            self._pacer.request(Urgency.URGENT)
 
     def _rank(self, job: Job, queue: Queue) -> tuple[float, ...]:
         return self._backlog.rank(job, queue)
--- a/tests/scheduling/test_rounds.py
+++ b/tests/scheduling/test_rounds.py
@@ -12,7 +12,7 @@
 import msgspec
 import trio
 
-from rhubarbfield.clock import ManualClock
+from rhubarbfield.clock import ManualClock, TrioClock
 from rhubarbfield.scheduling import candidates
 from rhubarbfield.scheduling.commands import RunStart, StartRuns
 from rhubarbfield.scheduling.headroom import admits
@@ -24,6 +24,7 @@
     Step,
     name_task,
 )
+from rhubarbfield.scheduling.pacing import RoundPacer, Urgency
 from rhubarbfield.scheduling.session import WorkerSession
 from rhubarbfield.scheduling.state import Job, SchedulingState
 from rhubarbfield.types import WorkerId
@@ -266,17 +267,25 @@
                 fleet.submit(make_spare_core_step(demand=Demand(1000, 90_000)))
             clock = fleet.leader._clock = TickingClock(fleet.clock.monotonic())
             fleet.leader._backlog._clock = clock
-            rests: list[timedelta] = []
+            pacer = fleet.leader._pacer = RoundPacer(TrioClock())
+            durations: list[timedelta] = []
 
-            async def rest(duration: timedelta) -> None:
-                rests.append(duration)
-                await trio.sleep_forever()
+            def record(took: timedelta) -> None:
+                durations.append(took)
 
-            with trio.move_on_after(1), mock.patch.object(clock, "sleep", rest):
+            with (
+                trio.move_on_after(0.05),
+                mock.patch.object(pacer, "record_round", record),
+            ):
                 fleet.leader._request_round()
                 await fleet.leader._run_rounds()
-            self.assertEqual(rests, [fleet.leader._choice_took])
-            self.assertGreater(rests[0], timedelta(milliseconds=100))
+            (took,) = durations
+            self.assertGreater(took, timedelta(milliseconds=100))
+            pacer.record_round(took)
+            pacer.request(Urgency.URGENT)
+            began = trio.current_time()
+            await pacer.wait()
+            self.assertGreaterEqual(trio.current_time() - began, took.total_seconds())
 
         run_deterministic(check, seed=1)
 
