--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -194,6 +194,11 @@
             self._mitigator.handle_view(record, session)
         self._request_round()
 
+    def is_standing(self, task: TaskName) -> bool:
+        """Return whether a task runs until its job is cancelled."""
+        step = self.state.find_step(task)
+        return step is not None and step.standing
+
     def needs_frequent_views(self, worker: Worker) -> bool:
         """Return whether new co-located runs can harm serving tasks on the worker."""
         return self._mitigator.has_serving(worker)
--- a/src/rhubarbfield/scheduling/progress.py
+++ b/src/rhubarbfield/scheduling/progress.py
@@ -50,7 +50,8 @@
         Parameters
         ----------
         active
-            The active runs in the view.
+            The active runs in the view, without those of standing tasks, whose
+            percentage stays the same while they serve.
         worker_clock
             The worker's clock in the view.
         """
--- a/src/rhubarbfield/scheduling/session.py
+++ b/src/rhubarbfield/scheduling/session.py
@@ -254,7 +254,8 @@
     ) -> None:
         self.active = {run.task: run for run in view.active}
         self._viewed_at = self._clock.monotonic()
-        self._progress.update(view.active, view.clock)
+        finite = [run for run in view.active if not self._host.is_standing(run.task)]
+        self._progress.update(finite, view.clock)
         worker = self._host.find_worker(self.worker)
         if worker is None:
             return
--- a/src/rhubarbfield/scheduling/session_host.py
+++ b/src/rhubarbfield/scheduling/session_host.py
@@ -33,5 +33,8 @@
     def handle_view(self, worker: WorkerId) -> None:
         """Process a new view of the worker."""
 
+    def is_standing(self, task: TaskName) -> bool:
+        """Return whether a task runs until its job is cancelled."""
+
     def needs_frequent_views(self, worker: Worker) -> bool:
         """Return whether new co-located runs can harm serving tasks on the worker."""
--- a/tests/scheduling/test_leader.py
+++ b/tests/scheduling/test_leader.py
@@ -278,6 +278,20 @@
 
 
 class StalledRunsTest(unittest.TestCase):
+    @with_deployment()
+    async def test_standing_tasks_do_not_count_as_stalled(
+        self, deployment: Deployment
+    ) -> None:
+        """Each round looked at every standing task, whose percentage never changes."""
+        worker = deployment.add_worker("w1", duration=None)
+        worker.is_stuck = True  # keeps the percentage
+        async with deployment.lead() as leader:
+            await deployment.submit("j1", Step(demand=ONE_CORE, standing=True))
+            await trio.sleep(6)
+            session = leader.get_session(WorkerId("w1"))
+            self.assertEqual(len(session.active), 1)
+            self.assertEqual(session.list_stalled(timedelta(seconds=2)), [])
+
     @with_deployment()
     async def test_stalled_task_restarts_on_another_worker(
         self, deployment: Deployment
