Collect garbage seldom in the platform's programs

Cause: with Python's defaults the collector runs after 700 net allocations, and again and again through the leader's whole state; docs/findings.md had its pauses, up to 60 ms, as open.

--- a/src/rhubarbfield/cli/job_daemons.py
+++ b/src/rhubarbfield/cli/job_daemons.py
@@ -60,6 +60,7 @@
 def _run(name: str, daemon: Daemon, invocation: Invocation) -> int:
     import trio
 
+    from rhubarbfield.collector import tune_collector
     from rhubarbfield.logoutput import LogBudget, configure_bounded_logging
     from rhubarbfield.logs import get_logger, log_event
     from rhubarbfield.loopmonitor import LoopMonitor
@@ -80,6 +81,7 @@
         program=name,
         instance=settings.instance,
     )
+    tune_collector()
     try:
         trio.run(
             partial(daemon, settings, path), instruments=[LoopMonitor(time.monotonic)]
