Let no data of a worker end a controller

Cause, found by looking for a fault that operators of similar systems told of (one malformed message took a whole process down): a heartbeat may come from another writer. One with port 99999 was recorded; each call to that worker raised ValueError, which ended the session, the leader's tasks and the process, and the next leader's in turn. A negative tail latency in a view raised 'math domain error' in the model, 'nan' would have spoiled it, and a clock above 2^62 ms raised OverflowError.

Change: such heartbeats are refused with a reason, such measures are left out, such views are unreadable; and an unexpected error of one call is logged with its trace (call-broken) and counts as no reply.

--- a/src/rhubarbfield/platform/runners.py
+++ b/src/rhubarbfield/platform/runners.py
@@ -158,6 +158,10 @@
             httpcore.ProtocolError,
         ) as error:
             return Failure(NoReply(repr(error)))
+        except Exception as error:
+            # One worker with unusable data must not end the calls to the others.
+            logger.exception("call-broken worker=%s", to.worker)
+            return Failure(NoReply(repr(error)))
         if response.status == HTTPStatus.OK:
             return Success(response.content)
         return Failure(_read_failure(response.status, response.content))
@@ -205,5 +209,6 @@
         ValueError,
         TypeError,
         IndexError,
+        OverflowError,
     ) as error:
         return Failure(NoReply(f"unreadable lists of runs: {error}"))
--- a/src/rhubarbfield/platform/wire.py
+++ b/src/rhubarbfield/platform/wire.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from datetime import timedelta
 from typing import Annotated, Any
 
@@ -130,8 +131,8 @@
 
         Raises
         ------
-        ValueError, IndexError, TypeError
-            If a row does not have the expected entries.
+        ValueError, IndexError, TypeError, OverflowError
+            If a row does not have the expected entries, or a number is too large.
         """
         return WorkerView(
             clock=self.clock_ms * MILLISECOND,
@@ -148,6 +149,7 @@
     "room": Refusal.NO_ROOM,
     "ticket": Refusal.NO_TICKET,
 }
+MAX_PORT = 65_535
 DRAINING_BY_STATE = {"ready": False, "draining": True}
 
 _configuration_decoder = msgspec.json.Decoder(WireConfiguration)
@@ -199,8 +201,12 @@
     if draining is None:
         return Failure(f"state {wire.state!r} is not known")
     host, _, port = wire.address.rpartition(":")
-    if not host or not port.isdecimal():
+    if not host or not port.isdecimal() or not 0 < int(port) <= MAX_PORT:
         return Failure(f"address {wire.address!r} is not host:port")
+    try:
+        clock, remaining = map(_to_duration, (wire.clock_ms, wire.remaining_ms))
+    except OverflowError:
+        return Failure("the clock or the remaining time is too large")
     report = WorkerReport(
         worker=WorkerId(worker),
         machine=MachineName(wire.machine),
@@ -215,8 +221,8 @@
         Heartbeat(
             report=report,
             sequence=wire.sequence,
-            clock=_to_duration(wire.clock_ms),
-            remaining=_to_duration(wire.remaining_ms),
+            clock=clock,
+            remaining=remaining,
         )
     )
 
@@ -232,10 +238,18 @@
         run=RunNumber(int(run)),
         checkpoint=CheckpointToken(str(checkpoint)),
         percent=float(percent),
-        measure=float(rest[0]) if rest and rest[0] is not None else None,
+        measure=_read_measure(rest[0]) if rest else None,
     )
 
 
+def _read_measure(value: Any) -> float | None:
+    """Return a measure; None if there is none, or it is negative or not finite."""
+    if value is None:
+        return None
+    measure = float(value)
+    return measure if math.isfinite(measure) and measure >= 0 else None
+
+
 def _read_end(row: tuple[Any, ...]) -> ListedEnd:
     number, task, run, end, checkpoint = row
     return ListedEnd(
--- a/tests/platform/test_runners.py
+++ b/tests/platform/test_runners.py
@@ -108,6 +108,20 @@
 
         run(check)
 
+    def test_an_unusable_address_is_no_reply(self) -> None:
+        """A port out of range ended the process of the leader."""
+
+        async def check(
+            runner: StandInRunner, calls: RunnerCalls, to: WorkerAddress
+        ) -> None:
+            unusable = WorkerAddress(to.worker, f"{HOST}:99999")
+            with self.assertLogs("rhubarbfield.platform.runners", "ERROR"):
+                failure = (await calls.start(unusable, make_order())).failure()
+            self.assertIsInstance(failure, NoReply)
+            self.assertIsInstance(await calls.start(to, make_order()), Success)
+
+        run(check)
+
     def test_closed_port_is_no_reply(self) -> None:
         async def check(
             runner: StandInRunner, calls: RunnerCalls, to: WorkerAddress
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -11,6 +11,7 @@
 from returns.result import Failure, Success
 
 from rhubarbfield.platform.jobwire import decode_job
+from rhubarbfield.platform.runners import _read_view
 from rhubarbfield.platform.wire import (
     WireView,
     decode_configuration,
@@ -150,6 +151,27 @@
         self.assertEqual((view.active[0].task, view.active[0].measure), ("j.0.0.1", 17))
         self.assertEqual((view.ends[0].number, view.ends[0].end), (58, RunEnd.DONE))
 
+    def test_measures_that_cannot_be_are_left_out(self) -> None:
+        """A negative tail latency ended the process of the leader."""
+        for measure in (-1, "nan", "inf", None):
+            row = ("t.0.0.0", 1, "", 100, measure)
+            view = WireView(clock_ms=1, active_runs=(row,)).to_view()
+            self.assertIsNone(view.active[0].measure, measure)
+
+    def test_a_view_with_a_clock_that_is_too_large_is_unreadable(self) -> None:
+        content = msgspec.json.encode({"ClockMs": 2**63})
+        self.assertIsInstance(_read_view(content), Failure)
+
+    def test_heartbeats_that_cannot_be_used_are_refused(self) -> None:
+        for changes in (
+            {"Address": "10.0.0.1:99999"},
+            {"Address": "10.0.0.1:0"},
+            {"ClockMs": 2**62},
+            {"RemainingMs": 2**62},
+        ):
+            body = msgspec.json.encode({**HEARTBEAT, **changes})
+            self.assertIsInstance(decode_heartbeat("i", body), Failure, changes)
+
     def test_unknown_ends_are_invalid(self) -> None:
         body = b'{"ClockMs":5,"EndedRuns":[[58,"j.0.0.2",1,"vanished",""]]}'
         with self.assertRaises(ValueError):
