Don't wait for ever for a client that does not read its response

Found by reading the diff: the HTTP server of the platform's programs bounded each wait for a client but the one in which it sends. Such a client kept its connection and its response for as long as it liked.

Evidence: test_a_client_that_does_not_read_is_not_waited_for failed before.

--- a/src/rhubarbfield/httpserver.py
+++ b/src/rhubarbfield/httpserver.py
@@ -78,7 +78,8 @@
     body_bytes, header_bytes
         Largest content and headers of a request.
     idle_timeout
-        Longest wait for more bytes of a request or for the next request.
+        Longest wait for more bytes of a request, for the next request, and for a
+        client to read a response.
     drain_timeout
         How long requests in progress may take after a stop was requested.
     """
@@ -266,11 +267,10 @@
         if content and self._method != "HEAD":
             message.append(self._protocol.send(h11.Data(data=content)))
         message.append(self._protocol.send(h11.EndOfMessage()))
-        await self._stream.send_all(b"".join(part or b"" for part in message))
-        if (
-            self._protocol.our_state is not h11.DONE
-            or self._protocol.their_state is not h11.DONE
-        ):
+        with trio.move_on_after(self._limits.idle_timeout.total_seconds()) as scope:
+            await self._stream.send_all(b"".join(part or b"" for part in message))
+        states = {self._protocol.our_state, self._protocol.their_state}
+        if scope.cancelled_caught or states != {h11.DONE}:
             return False
         self._protocol.start_next_cycle()
         return True
@@ -283,7 +283,7 @@
                 pass
 
     async def _receive_event(self) -> object:
-        """Return the next event; the connection's end if none comes in time."""
+        """Return the next event, or None if none comes in time."""
         while (event := self._protocol.next_event()) is h11.NEED_DATA:
             with trio.move_on_after(self._limits.idle_timeout.total_seconds()):
                 self._protocol.receive_data(await self._stream.receive_some(READ_BYTES))
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import unittest
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
@@ -20,6 +21,7 @@
     idle_timeout=timedelta(seconds=30),
     drain_timeout=timedelta(seconds=1),
 )
+LARGE_BYTES = 64 << 20  # more than the buffers of a connection hold
 PIPELINED = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n"
 
 
@@ -44,6 +46,8 @@
                 raise RuntimeError("told to fail")
             case "/wait":
                 await self.release.wait()
+            case "/large":
+                return HttpResponse(HTTPStatus.OK, bytes(LARGE_BYTES))
             case "/last":
                 return HttpResponse(
                     HTTPStatus.OK, b"last", headers={"Connection": "close"}
@@ -204,6 +208,19 @@
             self.assertEqual(await read_all(stream), b"")
         self.assertEqual(served.requests, [])
 
+    @scenario("run_served")
+    async def test_a_client_that_does_not_read_is_not_waited_for(
+        self, served: Served
+    ) -> None:
+        stream = await served.connect()
+        await stream.send_all(b"GET /large HTTP/1.1\r\nHost: h\r\n\r\n")
+        await trio.sleep(1)
+        received = 0
+        with trio.fail_after(5), contextlib.suppress(trio.BrokenResourceError):
+            async for part in stream:
+                received += len(part)
+        self.assertLess(received, LARGE_BYTES)
+
 
 if __name__ == "__main__":
     unittest.main()
