Count an answered request as a probe of the leader

Cause: each entry probed the leader each second, 97 calls a second on the large site, also while the leader answered its requests.

Evidence: test_an_entry_whose_requests_are_answered_does_not_probe failed before (11 probes in 10 s, now at most 1; once requests stop the entry probes each second and stays ready).

--- a/src/rhubarbfield/scheduling/gateway.py
+++ b/src/rhubarbfield/scheduling/gateway.py
@@ -112,9 +112,10 @@
     async def run(
         self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
-        """Probe the leader periodically until cancelled, to determine readiness.
+        """Probe the leader until cancelled, to determine readiness.
 
-        While there is no leader, the probes go on without a pause.
+        A request that the leader answered counts as a probe. While there is no
+        leader, the probes go on without a pause.
         """
         task_status.started()
         while True:
@@ -128,8 +129,13 @@
                     logging.INFO,
                     "controllers-regained" if self.is_ready else "controllers-lost",
                 )
-            if isinstance(result, Success):
-                await self._clock.sleep(READINESS_INTERVAL)
+            while (rest := self._find_probe_delay()) > timedelta():
+                await self._clock.sleep(rest)
+
+    def _find_probe_delay(self) -> timedelta:
+        """Return the time until the next probe is due."""
+        age = self._measure_contact_age()
+        return timedelta() if age is None else READINESS_INTERVAL - age
 
     async def forward(
         self, request: JobRequest, timeout: timedelta
--- a/tests/scheduling/test_gateway.py
+++ b/tests/scheduling/test_gateway.py
@@ -87,6 +87,29 @@
         reply, _ = self.forward(JobVerb.READ, answer_during_gap(status))
         self.assertEqual(reply, status)
 
+    def test_an_entry_whose_requests_are_answered_does_not_probe(self) -> None:
+        """Each entry probed each second, which cost the leader as much as requests."""
+        requests = 50
+
+        async def body() -> int:
+            transport = ScriptedTransport(lambda _host, _number: Success(Accepted()))
+            gateway = Gateway(SETTINGS, cast(Transport, transport), TrioClock())
+            request = JobRequest(verb=JobVerb.READ, host="h", path="/q/j")
+            async with trio.open_nursery() as nursery:
+                await nursery.start(gateway.run)
+                for _ in range(requests):
+                    await gateway.forward(request, CALLER_TIMEOUT)
+                    await trio.sleep(0.2)
+                    self.assertTrue(gateway.is_ready)
+                probes = len(transport.called_hosts) - requests
+                await trio.sleep(10)
+                self.assertTrue(gateway.is_ready)
+                self.assertGreaterEqual(len(transport.called_hosts) - requests, 9)
+                nursery.cancel_scope.cancel()
+            return probes
+
+        self.assertLessEqual(run_deterministic(body, seed=1), 1)
+
     def test_requests_that_wait_for_a_leader_do_not_flood_the_controllers(self) -> None:
         """The controllers need their time to elect a leader."""
         calls = 0
