--- a/tests/scheduling/test_cancelling.py
+++ b/tests/scheduling/test_cancelling.py
@@ -9,10 +9,10 @@
 import trio
 
 from rhubarbfield.scheduling.commands import UpdateWorkers
-from rhubarbfield.scheduling.model import RunNumber, Step, TaskName
+from rhubarbfield.scheduling.model import JobPhase, RunNumber, Step, TaskName
 from rhubarbfield.scheduling.ports import StartOrder, StopOrder
 from rhubarbfield.scheduling.progress import RunKey
-from rhubarbfield.scheduling.state import JobPhase, RunEnd
+from rhubarbfield.scheduling.state import RunEnd
 from rhubarbfield.testing.scheduling_workers import SentOrder
 from tests.scheduling.deployments import ONE_CORE, Deployment, with_deployment
 
--- a/tests/scheduling/test_leader.py
+++ b/tests/scheduling/test_leader.py
@@ -12,13 +12,14 @@
 from rhubarbfield.scheduling.model import (
     NO_CHECKPOINT,
     Demand,
+    JobPhase,
     RunNumber,
     Step,
     TaskName,
 )
 from rhubarbfield.scheduling.orders import Start
 from rhubarbfield.scheduling.progress import RunKey
-from rhubarbfield.scheduling.state import JobPhase, RunEnd
+from rhubarbfield.scheduling.state import RunEnd
 from rhubarbfield.testing.scheduling_workers import StandInWorker
 from rhubarbfield.types import WorkerId
 from tests.scheduling.deployments import (
--- a/tests/scheduling/test_lost_relays.py
+++ b/tests/scheduling/test_lost_relays.py
@@ -9,7 +9,7 @@
 import trio
 from returns.result import Failure, Result, Success
 
-from rhubarbfield.scheduling.model import Step
+from rhubarbfield.scheduling.model import JobPhase, Step
 from rhubarbfield.scheduling.ports import (
     CallFailure,
     NoReply,
@@ -17,7 +17,6 @@
     WorkerAddress,
 )
 from rhubarbfield.scheduling.relay import MAX_ORDER_WAIT
-from rhubarbfield.scheduling.state import JobPhase
 from rhubarbfield.types import InstanceName
 from tests.replication.determinism import run_deterministic
 from tests.scheduling.deployments import ONE_CORE, count_runs_at_once
