Measure leases by a clock that counts the suspension of a machine

A leader that woke up held its lease of 0.9 s for what was left of it, and answered reads and sent orders beside its successor.

Change: HostClock reads CLOCK_BOOTTIME; the four programs use it. Under a mock clock nothing changes.

--- a/src/rhubarbfield/clock.py
+++ b/src/rhubarbfield/clock.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import time
 from datetime import UTC, datetime, timedelta
 from typing import Protocol
 
@@ -49,6 +50,18 @@
         await trio.sleep(max(0.0, duration.total_seconds()))
 
 
+class HostClock(TrioClock):
+    """Clock of a process whose machine may be suspended.
+
+    The clock of the event loop stands still meanwhile, so that a lease would seem
+    to hold after others have taken over. This one counts that time.
+    """
+
+    def monotonic(self) -> timedelta:
+        """Return the time since the machine was started, suspended or not."""
+        return timedelta(seconds=time.clock_gettime(time.CLOCK_BOOTTIME))
+
+
 class ManualClock:
     """Clock that only advances on request, for tests.
 
--- a/src/rhubarbfield/controller/program.py
+++ b/src/rhubarbfield/controller/program.py
@@ -12,7 +12,7 @@
 from hypercorn.trio import serve as serve_app
 from prometheus_client import REGISTRY
 
-from rhubarbfield.clock import TrioClock
+from rhubarbfield.clock import HostClock
 from rhubarbfield.controller.daemon import Controller
 from rhubarbfield.daemons import load_credentials
 from rhubarbfield.exceptions import BrokenInvariantError
@@ -95,7 +95,7 @@
             settings,
             transport=GrpcTransport(credentials),
             open_store=partial(open_store, settings),
-            clock=TrioClock(),
+            clock=HostClock(),
             rng=random.SystemRandom(),
         )
 
--- a/src/rhubarbfield/entry/daemon.py
+++ b/src/rhubarbfield/entry/daemon.py
@@ -13,7 +13,7 @@
 from rhubarbfield.announcements import AnnouncementSessions
 from rhubarbfield.backends import HttpBackends
 from rhubarbfield.callers import Readiness, create_app, serve
-from rhubarbfield.clock import Clock, TrioClock
+from rhubarbfield.clock import Clock, HostClock
 from rhubarbfield.controller.groups import list_domain_groups, map_member_addresses
 from rhubarbfield.controller.options import make_entry_lease_terms
 from rhubarbfield.daemons import (
@@ -275,7 +275,7 @@
         Started once the entry serves callers.
     """
     _, credentials = load_credentials(settings)
-    clock = TrioClock()
+    clock = HostClock()
     limits = LiveSettings(make_routing_settings(settings))
     stop = trio.Event()
     async with open_bridge():
--- a/src/rhubarbfield/platform/controller.py
+++ b/src/rhubarbfield/platform/controller.py
@@ -8,7 +8,7 @@
 
 import trio
 
-from rhubarbfield.clock import TrioClock
+from rhubarbfield.clock import HostClock
 from rhubarbfield.peering import Credentials, GrpcTransport, open_bridge
 from rhubarbfield.platform.control import MAX_BODY_BYTES, ControlInterface
 from rhubarbfield.platform.runners import RunnerCalls
@@ -29,7 +29,7 @@
 ) -> None:
     """Run a controller: replicate the log, and lead when elected, until stopped."""
     scheduling = settings.make_scheduling_settings()
-    clock = TrioClock()
+    clock = HostClock()
     async with open_bridge():
         controller = SchedulingController(
             settings,
--- a/src/rhubarbfield/platform/entry.py
+++ b/src/rhubarbfield/platform/entry.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from rhubarbfield.clock import TrioClock
+from rhubarbfield.clock import HostClock
 from rhubarbfield.peering import (
     Credentials,
     GrpcTransport,
@@ -31,7 +31,7 @@
     task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Run an entry: serve clients until a stop is requested."""
-    clock = TrioClock()
+    clock = HostClock()
     grpc = GrpcTransport(Credentials(secret=settings.secret))
     async with (
         open_bridge(),
