Log what the event loop was busy with, and how long a start took

Once in 10 s each process logs loop-usage: the time that its loop was busy and the functions whose tasks took most of it, also counted as rhubarbfield_loop_task_seconds_total. daemon-starting gives the time that imports and settings took.

--- a/src/rhubarbfield/cli/job_daemons.py
+++ b/src/rhubarbfield/cli/job_daemons.py
@@ -39,7 +39,7 @@
 )
 def run_job_entry(invocation: Invocation) -> int:
     """Run the entry of job queues until a signal stops it."""
-    return _run("job-entry", load_function("platform.entry", "run_entry"), invocation)
+    return _run("job-entry", "platform.entry", "run_entry", invocation)
 
 
 @subcommand(
@@ -50,14 +50,11 @@
 )
 def run_job_controller(invocation: Invocation) -> int:
     """Run the controller of jobs until a signal stops it."""
-    return _run(
-        "job-controller",
-        load_function("platform.controller", "run_controller"),
-        invocation,
-    )
+    return _run("job-controller", "platform.controller", "run_controller", invocation)
 
 
-def _run(name: str, daemon: Daemon, invocation: Invocation) -> int:
+def _run(name: str, module: str, function: str, invocation: Invocation) -> int:
+    started_at = time.monotonic()
     import trio
 
     from rhubarbfield.collector import tune_collector
@@ -69,6 +66,7 @@
     given = invocation.flags.settings or os.environ.get(SETTINGS_VARIABLE)
     if not given:
         raise UsageError("--settings is missing", "give the file of an instance")
+    daemon: Daemon = load_function(module, function)
     path = Path(given)
     settings = load_deployment_settings(path)
     budget = LogBudget(lines_per_second=settings.log_lines_a_second)
@@ -80,6 +78,7 @@
         "daemon-starting",
         program=name,
         instance=settings.instance,
+        startup=round(time.monotonic() - started_at, 3),
     )
     tune_collector()
     try:
--- a/tests/test_loopmonitor.py
+++ b/tests/test_loopmonitor.py
@@ -4,13 +4,20 @@
 
 import logging
 import unittest
+from types import SimpleNamespace
+from typing import Any
 
 import trio
 import trio.testing
 from prometheus_client import REGISTRY
 
 from rhubarbfield.logs import JsonFormatter
-from rhubarbfield.loopmonitor import DELAYED_PASS, MAX_NAMED_TASKS, LoopMonitor
+from rhubarbfield.loopmonitor import (
+    DELAYED_PASS,
+    MAX_NAMED_TASKS,
+    USAGE_INTERVAL,
+    LoopMonitor,
+)
 
 DELAY_SECONDS = DELAYED_PASS.total_seconds()
 
@@ -109,6 +116,42 @@
         self.assertAlmostEqual(read_metric("sum") - seconds, 0.02)
         self.assertEqual(read_metric("count") - passes, 2)
 
+    def test_usage_is_logged_once_an_interval_with_the_tasks_that_took_most(
+        self,
+    ) -> None:
+        interval = USAGE_INTERVAL.total_seconds()
+        now = 0.0
+        monitor = LoopMonitor(lambda: now)
+        coroutines = [self.take(0.0), self.take_longer(0.0)]
+        tasks: list[Any] = [SimpleNamespace(coro=coroutine) for coroutine in coroutines]
+        names = [
+            f"{type(self).__qualname__}.{name}" for name in ("take", "take_longer")
+        ]
+        counted = [self.read_task_seconds(name) for name in names]
+        with self.assertLogs("rhubarbfield.loopmonitor", "INFO") as logs:
+            for _ in range(4):
+                now += interval / 3
+                monitor.after_io_wait(1.0)
+                for seconds, task in zip((0.01, 0.02), tasks, strict=True):
+                    now += seconds
+                    monitor.after_task_step(task)
+                monitor.before_io_wait(1.0)
+        (line,) = [JsonFormatter().format(record) for record in logs.records]
+        self.assertIn('"event":"loop-usage","elapsed":10.09,"busy":0.09', line)
+        self.assertIn('"passes":3,"steps":6', line)
+        listed = f"{names[1]} 0.060 s in 3 steps, {names[0]} 0.030 s in 3 steps"
+        self.assertIn(f'"tasks":"{listed}"', line)
+        self.assertAlmostEqual(self.read_task_seconds(names[0]) - counted[0], 0.03)
+        self.assertAlmostEqual(self.read_task_seconds(names[1]) - counted[1], 0.06)
+        for coroutine in coroutines:
+            coroutine.close()
+
+    def read_task_seconds(self, function: str) -> float:
+        value = REGISTRY.get_sample_value(
+            "rhubarbfield_loop_task_seconds_total", {"function": function}
+        )
+        return value or 0.0
+
 
 if __name__ == "__main__":
     unittest.main()
