Call workers with an HTTP client of h11 and trio

Controllers make several hundred calls to workers a second, each through httpcore's pool. A connection that is expired, was closed by the worker, or whose request timed out is not used again, as before; the timeout now covers the whole exchange. tests.platform.test_imports failed before (httpcore).

--- a/src/rhubarbfield/platform/runners.py
+++ b/src/rhubarbfield/platform/runners.py
@@ -7,11 +7,11 @@
 from http import HTTPStatus
 from typing import Any
 
-import httpcore
 import msgspec
 from returns.result import Failure, Result, Success
 
 from rhubarbfield.clock import MILLISECOND
+from rhubarbfield.httpclient import HttpClient, HttpReply
 from rhubarbfield.platform.wire import REFUSALS, WireReply, WireView
 from rhubarbfield.scheduling.ports import (
     CallFailure,
@@ -31,7 +31,7 @@
 
 MAX_CONNECTIONS_PER_RUNNER = 4  # for orders, a view and one hanging call
 KEEP_ALIVE_EXPIRY = timedelta(seconds=1.8)  # runners close idle connections after 2 s
-EXPECTED_INSTANCE_HEADER = b"X-Expected-Instance"
+EXPECTED_INSTANCE_HEADER = "X-Expected-Instance"
 # Runners accept waits of whole milliseconds up to this; longer ones are cut to it.
 MAX_VIEW_WAIT = timedelta(seconds=2)
 UNHEALTHY_STATUSES = (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
@@ -51,7 +51,7 @@
 
     def __init__(self, order_timeout: timedelta) -> None:
         self._order_timeout = order_timeout
-        self._pools: dict[str, httpcore.AsyncConnectionPool] = {}
+        self._clients: dict[str, HttpClient] = {}
 
     async def start(
         self, to: WorkerAddress, order: StartOrder
@@ -112,9 +112,9 @@
 
     async def forget(self, address: str) -> None:
         """Close the connections to an address."""
-        pool = self._pools.pop(address, None)
-        if pool is not None:
-            await pool.aclose()
+        client = self._clients.pop(address, None)
+        if client is not None:
+            await client.close()
 
     async def _send_order(
         self, to: WorkerAddress, path: str, body: dict[str, Any]
@@ -137,43 +137,41 @@
         body: dict[str, Any],
         timeout: timedelta,
     ) -> Result[bytes, CallFailure]:
-        seconds = timeout.total_seconds()
-        timeouts = dict.fromkeys(("connect", "read", "write", "pool"), seconds)
-        timeouts["connect"] = self._order_timeout.total_seconds()
-        content = msgspec.json.encode(body)
         try:
-            response = await self._get_pool(to.address).request(
-                "POST",
-                f"http://{to.address}{path}",
-                headers=[
-                    (b"Content-Type", b"application/json"),
-                    (EXPECTED_INSTANCE_HEADER, to.worker.encode()),
-                ],
-                content=content,
-                extensions={"timeout": timeouts},
+            result = await self._get_client(to.address).post(
+                path,
+                msgspec.json.encode(body),
+                headers=(
+                    ("Content-Type", "application/json"),
+                    (EXPECTED_INSTANCE_HEADER, to.worker),
+                ),
+                timeout=timeout,
             )
-        except (
-            httpcore.TimeoutException,
-            httpcore.NetworkError,
-            httpcore.ProtocolError,
-        ) as error:
-            return Failure(NoReply(repr(error)))
         except Exception as error:
             # One worker with unusable data must not end the calls to the others.
             logger.exception("call-broken worker=%s", to.worker)
             return Failure(NoReply(repr(error)))
-        if response.status == HTTPStatus.OK:
-            return Success(response.content)
-        return Failure(_read_failure(response.status, response.content))
-
-    def _get_pool(self, address: str) -> httpcore.AsyncConnectionPool:
-        pool = self._pools.get(address)
-        if pool is None:
-            pool = self._pools[address] = httpcore.AsyncConnectionPool(
+        match result:
+            case Success(HttpReply(status=HTTPStatus.OK, body=content)):
+                return Success(content)
+            case Success(reply):
+                return Failure(_read_failure(reply.status, reply.body))
+            case Failure(failure):
+                return Failure(NoReply(failure.detail))
+        raise AssertionError
+
+    def _get_client(self, address: str) -> HttpClient:
+        client = self._clients.get(address)
+        if client is None:
+            host, _, port = address.rpartition(":")
+            client = self._clients[address] = HttpClient(
+                host,
+                int(port),
                 max_connections=MAX_CONNECTIONS_PER_RUNNER,
-                keepalive_expiry=KEEP_ALIVE_EXPIRY.total_seconds(),
+                connect_timeout=self._order_timeout,
+                keep_alive_expiry=KEEP_ALIVE_EXPIRY,
             )
-        return pool
+        return client
 
 
 def _read_failure(status: int, content: bytes) -> CallFailure:
--- a/tests/platform/test_imports.py
+++ b/tests/platform/test_imports.py
@@ -9,7 +9,7 @@
 import sys
 import unittest
 
-# Templates, a debugger, a console and a second HTTP stack.
+# Templates, a debugger, a console, and other HTTP stacks than h11.
 UNUSED_LIBRARIES = {
     "quart",
     "flask",
@@ -18,6 +18,7 @@
     "hypercorn",
     "wsproto",
     "httpx",
+    "httpcore",
     "pydantic",
     "lark",
     "pdb",
@@ -26,7 +27,7 @@
 }
 # Parts that only controllers run.
 CONTROLLER_PARTS = {
-    "httpcore",
+    "rhubarbfield.httpclient",
     "rhubarbfield.replication",
     "rhubarbfield.storage",
     "rhubarbfield.groups",
