Measure the headroom of only those workers that have cores for a run that may move

Now room and cores are compared first, the margins of a worker are computed only if both suffice, and the search ends at the first worker that fits. The test that counted one measurement of the whole fleet for each view is replaced by two that count the measurements of each worker.

--- a/src/rhubarbfield/scheduling/headroom.py
+++ b/src/rhubarbfield/scheduling/headroom.py
@@ -105,8 +105,10 @@
     return None if queue is None else WaitingStep(job, queue, occurrence, number)
 
 
-def has_spare_cores(step: Step, headroom: WorkerHeadroom) -> bool:
-    """Return whether a worker has enough spare cores for a spare-core task."""
+def has_cores(step: Step, headroom: WorkerHeadroom) -> bool:
+    """Return whether a worker has enough spare cores, if the task works on these."""
+    if not step.uses_spare_cores:
+        return True
     return headroom.spare_millicores >= step.demand.millicores * MIN_SPARE_CORE_FRACTION
 
 
@@ -114,11 +116,9 @@
     step: Step, headroom: WorkerHeadroom, interference: InterferenceModel
 ) -> bool:
     """Return whether a task has the cores it needs and harms no serving task."""
-    if not step.uses_spare_cores:
-        return True
-    if not has_spare_cores(step, headroom):
+    if not has_cores(step, headroom):
         return False
-    if not headroom.margins:
+    if not step.uses_spare_cores or not headroom.margins:
         return True
     share = headroom.worker.find_share(step)
     return interference.admits(
--- a/src/rhubarbfield/scheduling/headroom_index.py
+++ b/src/rhubarbfield/scheduling/headroom_index.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import copy
-from collections.abc import Callable
 
 import msgspec
 
@@ -44,18 +43,13 @@
     def __init__(self) -> None:
         self._uses: dict[WorkerId, WorkerUse] = {}
 
-    def measure(
-        self, state: SchedulingState, is_usable: Callable[[Worker], bool]
-    ) -> dict[WorkerId, WorkerHeadroom]:
-        """Return the headroom of each worker that may receive tasks.
-
-        The caller may change what is returned.
-        """
-        return {
-            worker.worker: copy.copy(self._find_use(state, worker).headroom)
-            for worker in state.workers.values()
-            if not worker.draining and is_usable(worker)
-        }
+    def measure(self, state: SchedulingState, worker: Worker) -> WorkerHeadroom:
+        """Return the headroom of a worker; the caller may change it."""
+        return copy.copy(self._find_use(state, worker).headroom)
+
+    def find_headroom(self, state: SchedulingState, worker: Worker) -> WorkerHeadroom:
+        """Return the headroom of a worker, which must not be changed."""
+        return self._find_use(state, worker).headroom
 
     def list_serving(
         self, state: SchedulingState, worker: Worker
--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -320,16 +320,21 @@
 
     def measure_headroom(self) -> dict[WorkerId, WorkerHeadroom]:
         """Return the headroom of each worker that may receive tasks."""
-        now = self._clock.monotonic()
-        headrooms = self._headrooms.measure(self.state, self._is_usable)
-        for worker, headroom in headrooms.items():
-            headroom.margins = self._mitigator.list_margins(headroom.worker)
-            headroom.failures = self._quarantine.count_failures(worker)
-            if self._quarantine.is_on_probation(worker, now):
-                headroom.task_limit = headroom.task_count + int(
-                    self._quarantine.may_probe(worker)
-                )
-        return headrooms
+        measured = map(self.measure_worker, self.state.workers.values())
+        return {each.worker.worker: each for each in measured if each is not None}
+
+    def measure_worker(self, worker: Worker) -> WorkerHeadroom | None:
+        """Return the headroom of a worker, or None if it may not receive tasks."""
+        if worker.draining or not self._is_usable(worker):
+            return None
+        headroom = self._headrooms.measure(self.state, worker)
+        headroom.margins = self._mitigator.list_margins(worker)
+        headroom.failures = self._quarantine.count_failures(worker.worker)
+        if self._quarantine.is_on_probation(worker.worker, self._clock.monotonic()):
+            headroom.task_limit = headroom.task_count + int(
+                self._quarantine.may_probe(worker.worker)
+            )
+        return headroom
 
     async def _run_round(self) -> None:
         began = self._clock.monotonic()
--- a/src/rhubarbfield/scheduling/mitigation.py
+++ b/src/rhubarbfield/scheduling/mitigation.py
@@ -13,9 +13,11 @@
 from rhubarbfield.clock import Clock
 from rhubarbfield.logs import log_event
 from rhubarbfield.scheduling.headroom import (
+    WaitingStep,
     WorkerHeadroom,
     admits,
     find_task_step,
+    has_cores,
     is_feasible,
 )
 from rhubarbfield.scheduling.headroom_index import HeadroomIndex
@@ -57,8 +59,8 @@
     def state(self) -> SchedulingState:
         """The replicated state."""
 
-    def measure_headroom(self) -> dict[WorkerId, WorkerHeadroom]:
-        """Return the headroom of each worker that may receive tasks."""
+    def measure_worker(self, worker: Worker) -> WorkerHeadroom | None:
+        """Return the headroom of a worker, or None if it may not receive tasks."""
 
 
 class ColocatedRun(msgspec.Struct, frozen=True):
@@ -100,8 +102,8 @@
         self._over_threshold_since: dict[WorkerId, timedelta] = {}
         self._serving: dict[WorkerId, list[ServingTask]] = {}
         self._paused_since: dict[WorkerId, dict[RunKey, timedelta]] = {}
-        # Measured once per view, for the first run that may be moved.
-        self._headrooms: dict[WorkerId, WorkerHeadroom] | None = None
+        # Measured once per view, for the first run that may be moved there.
+        self._headrooms: dict[WorkerId, WorkerHeadroom | None] = {}
 
     def list_margins(self, worker: Worker) -> list[LatencyMargin]:
         """Return the latency margins on a worker, one for each serving image.
@@ -140,7 +142,7 @@
         self._interference.learn(serving, shares, self._clock.monotonic())
         self._forget_absent_tasks(worker.worker, serving)
         self._serving[worker.worker] = serving
-        self._headrooms = None
+        self._headrooms.clear()
         if colocated_runs:
             self._mitigate(worker, session, serving, colocated_runs)
 
@@ -282,13 +284,24 @@
         waiting = find_task_step(self._host.state, task)
         if waiting is None:
             return False
-        if self._headrooms is None:
-            self._headrooms = self._host.measure_headroom()
         return any(
-            is_feasible(waiting, headroom)
+            self._could_move(waiting, place)
+            for place in self._host.state.workers.values()
+            if place is not worker
+        )
+
+    def _could_move(self, waiting: WaitingStep, place: Worker) -> bool:
+        # Margins are measured last, since they cost most.
+        room = self._headroom_index.find_headroom(self._host.state, place)
+        if not (is_feasible(waiting, room) and has_cores(waiting.step, room)):
+            return False
+        if place.worker not in self._headrooms:
+            self._headrooms[place.worker] = self._host.measure_worker(place)
+        headroom = self._headrooms[place.worker]
+        return (
+            headroom is not None
+            and is_feasible(waiting, headroom)
             and admits(waiting.step, headroom, self._interference)
-            for place, headroom in self._headrooms.items()
-            if place != worker.worker
         )
 
     def _choose_runs_to_mitigate(
--- a/src/rhubarbfield/scheduling/placing.py
+++ b/src/rhubarbfield/scheduling/placing.py
@@ -20,7 +20,7 @@
     WaitingStep,
     WorkerHeadroom,
     count_live,
-    has_spare_cores,
+    has_cores,
 )
 from rhubarbfield.scheduling.interference import InterferenceModel
 from rhubarbfield.scheduling.model import (
@@ -166,7 +166,7 @@
             return WaitReason.NO_CAPACITY
         if not waiting.step.uses_spare_cores:
             return WaitReason.SPREAD
-        if not any(has_spare_cores(waiting.step, headroom) for headroom in candidates):
+        if not any(has_cores(waiting.step, headroom) for headroom in candidates):
             return WaitReason.NO_SPARE_CORES
         return WaitReason.INTERFERENCE
 
--- a/tests/scheduling/test_mitigation.py
+++ b/tests/scheduling/test_mitigation.py
@@ -6,8 +6,6 @@
 from datetime import timedelta
 from typing import cast
 
-import msgspec
-
 from rhubarbfield.clock import ManualClock
 from rhubarbfield.scheduling.commands import (
     AcceptJob,
@@ -72,12 +70,9 @@
 class FakeLeader:
     """State with one worker that runs a serving task and two spare-core tasks."""
 
-    def __init__(
-        self, *, has_other_worker: bool = False, checkpoints: bool = True
-    ) -> None:
+    def __init__(self, *, checkpoints: bool = True) -> None:
         self.log = Log()
-        self.has_other_worker = has_other_worker
-        self.headroom_measurements = 0
+        self.measured: list[WorkerId] = []
         self.log.apply(PutConfiguration(configuration=CONFIGURATION))
         self.log.apply(UpdateWorkers(reports=(make_report(WORKERS[0]),)))
         serving = Step(
@@ -107,13 +102,23 @@
     def worker(self) -> Worker:
         return self.state.workers[WORKERS[0]]
 
-    def measure_headroom(self) -> dict[WorkerId, WorkerHeadroom]:
-        self.headroom_measurements += 1
-        if not self.has_other_worker:
-            return {}
-        other = msgspec.structs.replace(self.worker, worker=WORKERS[1], runs={})
-        capacity = other.capacity
-        return {WORKERS[1]: WorkerHeadroom(other, capacity, capacity.millicores)}
+    def measure_worker(self, worker: Worker) -> WorkerHeadroom | None:
+        self.measured.append(worker.worker)
+        return HeadroomIndex().measure(self.state, worker)
+
+    def add_other_worker(self) -> None:
+        self.log.apply(UpdateWorkers(reports=(make_report(WORKERS[1]),)))
+
+    def fill_other_worker(self) -> None:
+        """Let a task use all cores of the other worker."""
+        submission = JobSubmission(
+            payload="",
+            steps=(Step(image=HEAVY, uses_spare_cores=True, demand=Demand(8000)),),
+        )
+        job = JobId("k")
+        self.log.apply(AcceptJob(job=job, queue=QUEUE.name, submission=submission))
+        start = RunStart(name_task(job, 0, 0, 0), RunNumber(1), WORKERS[1])
+        self.log.apply(StartRuns(starts=(start,)))
 
 
 class InterferenceMitigatorTest(unittest.TestCase):
@@ -186,7 +191,7 @@
         self.assertEqual(self.get_pace(1), 100)
 
     def test_run_with_checkpoints_is_moved_if_another_worker_fits(self) -> None:
-        self.host.has_other_worker = True
+        self.host.add_other_worker()
         self.show_views(60)
         self.assertEqual(
             self.session.stopped, {RunKey(self.host.names[2], RunNumber(1))}
@@ -210,7 +215,7 @@
         self.host = FakeLeader(checkpoints=False)
         self.show_views(60)
         self.assertEqual(self.get_pace(2), 0)
-        self.host.has_other_worker = True
+        self.host.add_other_worker()
         self.show_views(20, views=2)
         self.assertEqual(self.session.stopped, set())
         self.show_views(20, views=3)
@@ -226,13 +231,21 @@
         self.show_views(TAIL_WITHOUT_RESERVE_MS, views=3)
         self.assertEqual(self.get_pace(2), 100)
 
-    def test_headroom_is_measured_once_per_view(self) -> None:
+    def test_each_worker_is_measured_once_per_view(self) -> None:
         self.show_views(60, views=5)
         paused = [step for step in (1, 2) if self.get_pace(step) == 0]
         self.assertEqual(len(paused), 2)
-        before = self.host.headroom_measurements
-        self.show_views(40)
-        self.assertEqual(self.host.headroom_measurements, before + 1)
+        self.host.add_other_worker()
+        self.show_views(47)
+        self.assertEqual(len(self.session.stopped), 2)
+        self.assertEqual(self.host.measured, [WORKERS[1]])
+
+    def test_a_worker_without_spare_cores_is_not_measured(self) -> None:
+        self.host.add_other_worker()
+        self.host.fill_other_worker()
+        self.show_views(60, views=5)
+        self.assertEqual([self.get_pace(step) for step in (1, 2)], [0, 0])
+        self.assertEqual(self.host.measured, [])
 
     def test_nothing_is_stopped_while_latency_is_low(self) -> None:
         self.show_views(10)
