--- a/src/rhubarbfield/scheduling/service.py
+++ b/src/rhubarbfield/scheduling/service.py
@@ -27,6 +27,7 @@
     QueueConfiguration,
     QueueName,
 )
+from rhubarbfield.scheduling.queue_index import index_queues
 from rhubarbfield.scheduling.reception import Reception
 from rhubarbfield.scheduling.requests import (
     Accepted,
@@ -169,15 +170,7 @@
         return self._log.state.scheduling
 
     def _find_queue(self, host: str, path: str) -> Queue | None:
-        configuration = self._state.configuration
-        if configuration is None:
-            return None
-        matching = [
-            queue
-            for queue in configuration.queues
-            if queue.host == host and path.startswith(queue.prefix)
-        ]
-        return max(matching, key=lambda queue: len(queue.prefix), default=None)
+        return index_queues(self._state.configuration).find(host, path)
 
     def _count_waiting(self, queue: QueueName) -> int:
         return sum(
--- a/src/rhubarbfield/scheduling/state.py
+++ b/src/rhubarbfield/scheduling/state.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import functools
+from collections.abc import Mapping
 from enum import Enum, IntEnum
 
 import msgspec
@@ -26,6 +27,7 @@
     Step,
     TaskName,
 )
+from rhubarbfield.scheduling.queue_index import index_queues
 from rhubarbfield.types import JobId, ServiceName, WorkerId
 
 # Tasks that are live or waiting on the largest site.
@@ -249,12 +251,9 @@
         """Return a queue of the configuration in force."""
         return self.map_queues().get(name)
 
-    def map_queues(self) -> dict[QueueName, Queue]:
+    def map_queues(self) -> Mapping[QueueName, Queue]:
         """Return the queues of the configuration in force, by name."""
-        if self.configuration is None:
-            return {}
-        # The first of two queues with the same name takes precedence.
-        return {queue.name: queue for queue in reversed(self.configuration.queues)}
+        return index_queues(self.configuration).by_name
 
     def find_task(self, name: TaskName) -> tuple[Job, int, int, Task] | None:
         """Return job, occurrence, step and task by the name of the task.
