Use no more relays than the workers need

Now a relay is used once those before it have 96 workers each; when one is lost, its workers move to others as before. Relays are not taken in the order of their names, since neighbours by name are often in one failure domain.

--- a/src/rhubarbfield/scheduling/relayed_calls.py
+++ b/src/rhubarbfield/scheduling/relayed_calls.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import zlib
 from collections.abc import Callable, Iterable
 from datetime import timedelta
 from typing import TypeVar
@@ -33,6 +34,8 @@
 HOP_ALLOWANCE = timedelta(milliseconds=600)
 # The first calls of a term are a view of every worker; they should be relayed too.
 CONNECT_WAIT = timedelta(milliseconds=150)
+# What waits for a relay shares a message, so that fewer relays cost fewer messages.
+WORKERS_PER_RELAY = 96
 SUSPICIOUS_PINGS = 2  # missed ones, after which a relay gets no further workers
 MEMBERS_POLL_INTERVAL = timedelta(seconds=1)
 
@@ -46,7 +49,8 @@
     """A :class:`~rhubarbfield.scheduling.ports.WorkerCalls` through other controllers.
 
     Each worker is called through one relay for as long as that is connected and
-    gets replies. Calls are direct while no relay is connected.
+    gets replies. A relay is used once those before it have ``workers_per_relay``
+    workers each. Calls are direct while no relay is connected.
 
     Parameters
     ----------
@@ -62,6 +66,8 @@
         Source of time.
     order_timeout
         Longest time that a relay waits for the reply to an order.
+    workers_per_relay
+        Number of workers of a relay above which others are used as well.
     """
 
     def __init__(
@@ -73,6 +79,7 @@
         transport: Transport,
         clock: Clock,
         order_timeout: timedelta,
+        workers_per_relay: int = WORKERS_PER_RELAY,
     ) -> None:
         self._calls = direct
         self._list_relays = list_relays
@@ -80,6 +87,7 @@
         self._transport = transport
         self._clock = clock
         self._timeout = order_timeout + HOP_ALLOWANCE
+        self._workers_per_relay = workers_per_relay
         self._links: dict[InstanceName, RelayLink] = {}
         self._scopes: dict[InstanceName, trio.CancelScope] = {}
         self._assigned: dict[str, RelayLink] = {}
@@ -198,24 +206,30 @@
             key=lambda each: (
                 each is avoided,
                 each.missed_pings >= SUSPICIOUS_PINGS,
-                len(each.workers),
+                self._rank_load(len(each.workers)),
             ),
         )
         link.workers[address] = None
         self._assigned[address] = link
         return link
 
+    def _rank_load(self, workers: int) -> tuple[bool, int]:
+        """Rank relays by load: the fullest one with room, or else the emptiest."""
+        is_full = workers >= self._workers_per_relay
+        return is_full, workers if is_full else -workers
+
     def _balance(self) -> None:
-        """Take workers from relays that have more than an even share of them.
+        """Take workers from relays that have too many.
 
-        The next call to each of them goes through another relay.
+        That is more than ``workers_per_relay`` and than an even share. The next call
+        to each of them goes through another relay.
         """
         connected = self._list_connected()
         if not connected:  # the controller that has just answered was removed
             return
         self._unrelayed.clear()
         workers = sum(len(link.workers) for link in connected)
-        share = math.ceil(workers / len(connected))
+        share = max(math.ceil(workers / len(connected)), self._workers_per_relay)
         for link in connected:
             while len(link.workers) > share:
                 link.workers.popitem()
@@ -229,7 +243,8 @@
         for removed in self._links.keys() - relays:
             del self._links[removed]
             self._scopes.pop(removed).cancel()
-        for relay in sorted(relays - self._links.keys()):
+        # Not by name: neighbours by name are often in one failure domain.
+        for relay in sorted(relays - self._links.keys(), key=_hash_name):
             link = self._links[relay] = RelayLink(
                 relay,
                 self._locate(relay),
@@ -241,6 +256,10 @@
             nursery.start_soon(_run_in_scope, link, scope)
 
 
+def _hash_name(relay: InstanceName) -> int:
+    return zlib.crc32(relay.encode())
+
+
 async def _run_in_scope(link: RelayLink, scope: trio.CancelScope) -> None:
     with scope:
         await link.run()
--- a/tests/scheduling/test_relayed_calls.py
+++ b/tests/scheduling/test_relayed_calls.py
@@ -55,6 +55,35 @@
         self.assertEqual(len(set().union(*called)), 12)
         self.assertEqual(relays.direct.orders, [])
 
+    @with_relays("r1", "r2", "r3", workers_per_relay=4)
+    async def test_no_more_relays_are_used_than_the_workers_need(
+        self, relays: Relays
+    ) -> None:
+        workers = [relays.add_worker(f"w{number}") for number in range(6)]
+        async with relays.run():
+            for _ in range(3):
+                for to in workers:
+                    await relays.relayed.view(to, make_view_request())
+            called = self.list_called(relays)
+            self.assertEqual(sorted(map(len, called.values())), [0, 2, 4])
+            fullest = max(called, key=lambda name: len(called[name]))
+            relays.kill(fullest)
+            await trio.sleep(0.1)
+            for to in workers:
+                result = await relays.relayed.view(to, make_view_request())
+                self.assertIsInstance(result, Success)
+            moved = self.list_called(relays)
+            del moved[fullest]
+            self.assertEqual(sorted(map(len, moved.values())), [2, 4])
+        self.assertEqual(relays.direct.orders, [])
+
+    def list_called(self, relays: Relays) -> dict[str, set[str]]:
+        """Return the workers that each relay has called."""
+        return {
+            name: {address for address, _ in calls.orders}
+            for name, calls in relays.made.items()
+        }
+
     @with_relays("r1", "r2")
     async def test_relay_that_connects_later_takes_over_its_share(
         self, relays: Relays
