Don't repeat a search for another worker that has just found none

For 250 ms after a search found none, runs that need no less are not searched one. The search moves to a module of its own.

--- a/src/rhubarbfield/scheduling/mitigation.py
+++ b/src/rhubarbfield/scheduling/mitigation.py
@@ -6,20 +6,11 @@
 import math
 from collections.abc import Iterable
 from datetime import timedelta
-from typing import Protocol
 
 import msgspec
 
 from rhubarbfield.clock import Clock
 from rhubarbfield.logs import log_event
-from rhubarbfield.scheduling.headroom import (
-    WaitingStep,
-    WorkerHeadroom,
-    admits,
-    find_task_step,
-    has_cores,
-    is_feasible,
-)
 from rhubarbfield.scheduling.headroom_index import HeadroomIndex
 from rhubarbfield.scheduling.interference import (
     MARGIN_RESERVE,
@@ -29,11 +20,12 @@
 )
 from rhubarbfield.scheduling.ledger import FULL_SPEED
 from rhubarbfield.scheduling.metrics import RUNS_DISTURBED
-from rhubarbfield.scheduling.model import ImageName, Step, TaskName
+from rhubarbfield.scheduling.model import ImageName, Step
 from rhubarbfield.scheduling.orders import StopReason
 from rhubarbfield.scheduling.progress import RunKey
+from rhubarbfield.scheduling.relocation import RelocationHost, RelocationSearch
 from rhubarbfield.scheduling.session import WorkerSession
-from rhubarbfield.scheduling.state import SchedulingState, Worker
+from rhubarbfield.scheduling.state import Worker
 from rhubarbfield.types import WorkerId
 
 # A fixed log area, independent of the module's name.
@@ -52,17 +44,6 @@
 NEGLIGIBLE_HARM = 0.05  # growth of log latency that does not justify a pause
 
 
-class MitigationHost(Protocol):
-    """Interface of the leader that the mitigator uses."""
-
-    @property
-    def state(self) -> SchedulingState:
-        """The replicated state."""
-
-    def measure_worker(self, worker: Worker) -> WorkerHeadroom | None:
-        """Return the headroom of a worker, or None if it may not receive tasks."""
-
-
 class ColocatedRun(msgspec.Struct, frozen=True):
     """A spare-core run on a worker, and the share of its processors it wants."""
 
@@ -90,7 +71,7 @@
 
     def __init__(
         self,
-        host: MitigationHost,
+        host: RelocationHost,
         interference: InterferenceModel,
         headroom_index: HeadroomIndex,
         clock: Clock,
@@ -102,8 +83,7 @@
         self._over_threshold_since: dict[WorkerId, timedelta] = {}
         self._serving: dict[WorkerId, list[ServingTask]] = {}
         self._paused_since: dict[WorkerId, dict[RunKey, timedelta]] = {}
-        # Measured once per view, for the first run that may be moved there.
-        self._headrooms: dict[WorkerId, WorkerHeadroom | None] = {}
+        self._relocation = RelocationSearch(host, interference, headroom_index, clock)
 
     def list_margins(self, worker: Worker) -> list[LatencyMargin]:
         """Return the latency margins on a worker, one for each serving image.
@@ -142,7 +122,7 @@
         self._interference.learn(serving, shares, self._clock.monotonic())
         self._forget_absent_tasks(worker.worker, serving)
         self._serving[worker.worker] = serving
-        self._headrooms.clear()
+        self._relocation.begin_view()
         if colocated_runs:
             self._mitigate(worker, session, serving, colocated_runs)
 
@@ -264,7 +244,7 @@
             return True
         if not (colocated_run.step.checkpoints or may_lose_progress):
             return False
-        if not self._can_run_elsewhere(key.task, worker):
+        if not self._relocation.is_possible(key.task, worker):
             return False
         log_event(
             logger,
@@ -279,31 +259,6 @@
         session.stop(key, StopReason.MOVED)
         return True
 
-    def _can_run_elsewhere(self, task: TaskName, worker: Worker) -> bool:
-        """Return whether a task would fit on another worker now without harm."""
-        waiting = find_task_step(self._host.state, task)
-        if waiting is None:
-            return False
-        return any(
-            self._could_move(waiting, place)
-            for place in self._host.state.workers.values()
-            if place is not worker
-        )
-
-    def _could_move(self, waiting: WaitingStep, place: Worker) -> bool:
-        # Margins are measured last, since they cost most.
-        room = self._headroom_index.find_headroom(self._host.state, place)
-        if not (is_feasible(waiting, room) and has_cores(waiting.step, room)):
-            return False
-        if place.worker not in self._headrooms:
-            self._headrooms[place.worker] = self._host.measure_worker(place)
-        headroom = self._headrooms[place.worker]
-        return (
-            headroom is not None
-            and is_feasible(waiting, headroom)
-            and admits(waiting.step, headroom, self._interference)
-        )
-
     def _choose_runs_to_mitigate(
         self,
         worker: Worker,
--- a/tests/scheduling/test_mitigation.py
+++ b/tests/scheduling/test_mitigation.py
@@ -5,6 +5,7 @@
 import unittest
 from datetime import timedelta
 from typing import cast
+from unittest import mock
 
 from rhubarbfield.clock import ManualClock
 from rhubarbfield.scheduling.commands import (
@@ -31,6 +32,7 @@
 from rhubarbfield.scheduling.orders import StopReason
 from rhubarbfield.scheduling.ports import ActiveRun
 from rhubarbfield.scheduling.progress import RunKey
+from rhubarbfield.scheduling.relocation import REJECTION_LIFETIME
 from rhubarbfield.scheduling.session import WorkerSession
 from rhubarbfield.scheduling.state import SchedulingState, Worker
 from rhubarbfield.types import JobId, WorkerId
@@ -43,6 +45,7 @@
 # Near the goal once the heavy image runs on the same worker.
 TAIL_WITHOUT_RESERVE_MS = 7.7
 HARM_LIMIT = timedelta(seconds=4)  # the platform counts longer harm as a fault
+find_headroom = HeadroomIndex.find_headroom
 
 
 class FakeSession:
@@ -247,6 +250,26 @@
         self.assertEqual([self.get_pace(step) for step in (1, 2)], [0, 0])
         self.assertEqual(self.host.measured, [])
 
+    def test_a_search_that_found_no_worker_is_not_repeated_at_once(self) -> None:
+        """Each view of a worker with paused runs searched all workers for them."""
+        self.show_views(60, views=5)
+        self.host.add_other_worker()
+        self.host.fill_other_worker()
+        with mock.patch.object(
+            HeadroomIndex, "find_headroom", autospec=True, side_effect=find_headroom
+        ) as search:
+            self.show_views(47)
+            self.assertEqual(search.call_count, 2)
+            self.repeat_view()
+            self.assertEqual(search.call_count, 2)
+            self.clock.advance(REJECTION_LIFETIME)
+            self.repeat_view()
+            self.assertGreater(search.call_count, 2)
+
+    def repeat_view(self) -> None:
+        session = cast(WorkerSession, self.session)
+        self.mitigator.handle_view(self.host.worker, session)
+
     def test_nothing_is_stopped_while_latency_is_low(self) -> None:
         self.show_views(10)
         self.assertEqual(self.session.stopped, set())
