Store configurations of thousands of routes, and refuse larger ones for good

A command may have 256 KiB; a configuration is stored as its document and as its queues, about 500 bytes a route, so that from some 500 routes on each proposal was refused, as if for overload and without a line in the log. A command may have 2 MiB now, which takes 4,000 routes; what can never be stored is answered 413 with the limit, and a configuration that was not committed is logged with the reason.

--- a/src/rhubarbfield/groups/replicated.py
+++ b/src/rhubarbfield/groups/replicated.py
@@ -114,8 +114,8 @@
             return NotLeading(leader)
         case NoQuorum():
             return Unavailable("too few voters answer", in_doubt=False)
-        case Overloaded(reason=reason):
-            return Unavailable(reason, in_doubt=False)
+        case Overloaded(reason=reason, permanent=permanent):
+            return Unavailable(reason, in_doubt=False, permanent=permanent)
         case OutcomeUnknown():
             return Unavailable("the outcome is not known", in_doubt=True)
     check_invariant(False, "propose-error-known", error)
--- a/src/rhubarbfield/leadercalls/answers.py
+++ b/src/rhubarbfield/leadercalls/answers.py
@@ -28,7 +28,10 @@
         A human-readable explanation.
     in_doubt
         Whether the command may still take effect.
+    permanent
+        Whether it would not be committed at any other time either.
     """
 
     reason: str
     in_doubt: bool
+    permanent: bool = False
--- a/src/rhubarbfield/platform/control.py
+++ b/src/rhubarbfield/platform/control.py
@@ -105,6 +105,8 @@
                 return make_json(HTTPStatus.CONFLICT, {"Error": reason})
             case NotLeading(leader=leader):
                 return self._redirect(leader, CONFIGURATION_PATH)
+            case Unavailable(permanent=True, reason=reason):
+                return make_json(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, {"Error": reason})
         return make_json(HTTPStatus.SERVICE_UNAVAILABLE, {"Error": "undecided"})
 
     def _confirm(self, worker: str, is_recorded: bool | NotLeading) -> HttpResponse:
--- a/src/rhubarbfield/replication/failures.py
+++ b/src/rhubarbfield/replication/failures.py
@@ -34,9 +34,12 @@
     ----------
     reason
         The limit that was exceeded.
+    permanent
+        Whether the command would be refused at any time.
     """
 
     reason: str
+    permanent: bool = False
 
 
 class Unsafe(msgspec.Struct, frozen=True, tag=True):
--- a/src/rhubarbfield/replication/proposals.py
+++ b/src/rhubarbfield/replication/proposals.py
@@ -68,7 +68,7 @@
         proposal = Proposal(EntryKind.COMMAND, data, deadline)
         if len(data) > MAX_COMMAND_BYTES:
             limit = f"a command may have {MAX_COMMAND_BYTES} bytes at most"
-            proposal.finish(Failure(Overloaded(limit)))
+            proposal.finish(Failure(Overloaded(limit, permanent=True)))
         elif len(self._queue) + len(self._appended) >= self._max_pending:
             limit = f"{self._max_pending} proposals are pending"
             proposal.finish(Failure(Overloaded(limit)))
--- a/src/rhubarbfield/replication/settings.py
+++ b/src/rhubarbfield/replication/settings.py
@@ -7,12 +7,11 @@
 import msgspec
 
 from rhubarbfield.exceptions import UsageError
-from rhubarbfield.storage import MAX_COMMAND_BYTES
 
 MIN_HEARTBEATS_IN_LEASE = 3
 MAX_CLOCK_DRIFT = 0.25
 MAX_BATCH_ENTRIES = 4096
-MAX_BATCH_BYTES = 2 * MAX_COMMAND_BYTES
+MAX_BATCH_BYTES = 512 * 1024
 
 
 class GroupSettings(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/rhubarbfield/scheduling/service.py
+++ b/src/rhubarbfield/scheduling/service.py
@@ -145,7 +145,16 @@
                     version=configuration.version,
                 )
                 return Accepted()
-            case NotLeading() | Unavailable():
+            case Unavailable(reason=reason):
+                log_event(
+                    logger,
+                    logging.WARNING,
+                    "configuration-not-accepted",
+                    version=configuration.version,
+                    reason=reason,
+                )
+                return reply
+            case NotLeading():
                 return reply
         return Unavailable("the outcome is not known", in_doubt=True)
 
--- /dev/null
+++ b/tests/platform/test_control.py
@@ -0,0 +1,79 @@
+"""Tests of the interface for operators, on controllers in memory."""
+
+from __future__ import annotations
+
+import unittest
+from http import HTTPStatus
+
+import msgspec
+
+from rhubarbfield.httpserver import HttpRequest, HttpResponse
+from rhubarbfield.platform.control import ControlInterface
+from tests.scheduling.controllers import Controllers, with_controllers
+
+CONTROL_PORT = 2
+MANY_ROUTES = 4000
+TOO_MANY_ROUTES = 20_000
+
+
+def make_body(version: int, routes: int) -> bytes:
+    """Return a configuration as operators of the platform send it."""
+    return msgspec.json.encode(
+        {
+            "Version": version,
+            "Routes": [
+                {
+                    "Name": f"r-{number:07}",
+                    "Hostname": f"host-{number}.example",
+                    "PathPrefix": f"/path-{number}/",
+                    "Type": "unsafe",
+                    "TimeoutMs": 3000,
+                    "TargetLatencyMs": 250,
+                    "Priority": 2,
+                    "Service": "service",
+                    "MaxAttempts": 3,
+                    "Stretch": 1.5,
+                }
+                for number in range(routes)
+            ],
+            "Services": [{"Name": "service", "EnforcesCapacity": True}],
+            "Limits": {},
+        }
+    )
+
+
+async def send(
+    controllers: Controllers, method: str, body: bytes = b""
+) -> HttpResponse:
+    interface = ControlInterface(controllers.leader.service, CONTROL_PORT)
+    request = HttpRequest(method=method, path="/config", headers={}, body=body)
+    return await interface.answer(request)
+
+
+class ConfigurationTest(unittest.TestCase):
+    @with_controllers()
+    async def test_a_configuration_of_thousands_of_routes_is_accepted(
+        self, controllers: Controllers
+    ) -> None:
+        """From about 900 routes on it was answered 503 without end."""
+        body = make_body(1000, MANY_ROUTES)
+        response = await send(controllers, "PUT", body)
+        self.assertEqual(response.status, HTTPStatus.OK)
+        read = await send(controllers, "GET")
+        self.assertEqual(msgspec.json.decode(read.body), msgspec.json.decode(body))
+
+    @with_controllers()
+    async def test_a_configuration_that_can_never_be_stored_is_refused(
+        self, controllers: Controllers
+    ) -> None:
+        before = await send(controllers, "GET")
+        body = make_body(1000, TOO_MANY_ROUTES)
+        with self.assertLogs("rhubarbfield.scheduling.service", "WARNING"):
+            response = await send(controllers, "PUT", body)
+        self.assertEqual(response.status, HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+        self.assertIn(b"a command may have 2097152 bytes at most", response.body)
+        self.assertEqual(await send(controllers, "GET"), before)
+
+
+if __name__ == "__main__":
+    unittest.main()
