Let proposals that follow each other closely share an append

With an interval of 15 ms proposals that arrive within it share one append; a single proposal does not wait.

--- a/src/rhubarbfield/replication/leader.py
+++ b/src/rhubarbfield/replication/leader.py
@@ -190,8 +190,13 @@
         return self.is_active and message.asked_term == message.term == self._term
 
     async def _append_proposals(self) -> None:
+        state = self._state
+        next_append_at = state.now
         while True:
             await self._proposals.queued.wait()
+            if next_append_at > state.now:
+                await state.clock.sleep(next_append_at - state.now)
+            next_append_at = state.now + state.settings.append_interval
             taken = self._proposals.take()
             if taken and not self.write(taken):
                 self._fail(taken)
--- a/src/rhubarbfield/replication/settings.py
+++ b/src/rhubarbfield/replication/settings.py
@@ -37,6 +37,9 @@
         Size limits of the entries in one message.
     batches_in_flight
         Maximum number of unacknowledged messages with entries per peer.
+    append_interval
+        Shortest time from the leader's append of proposals to the next one; those
+        that arrive meanwhile share a message to each peer, and a sync.
     max_pending
         Maximum number of unfinished proposals at a leader.
     propose_timeout
@@ -66,6 +69,7 @@
     batch_bytes: int = 256 * 1024
     batch_entries: int = 512
     batches_in_flight: int = 4
+    append_interval: timedelta = timedelta()
     max_pending: int = 4096
     propose_timeout: timedelta = timedelta(seconds=5)
     max_learners: int = 64
@@ -105,6 +109,10 @@
                 "election_max must be above election_min",
             ),
             (min(counts) > 0, "counts must be above zero"),
+            (
+                timedelta() <= self.append_interval < self.heartbeat,
+                "append_interval must not be negative, and below heartbeat",
+            ),
             (self.kept_entries >= 0, "kept_entries must not be negative"),
             (
                 self.batch_entries <= MAX_BATCH_ENTRIES,
--- a/src/rhubarbfield/scheduling/controller.py
+++ b/src/rhubarbfield/scheduling/controller.py
@@ -239,6 +239,7 @@
         election_max=timedelta(milliseconds=1800),
         snapshot_after=2000,
         kept_entries=1000,
+        append_interval=timedelta(milliseconds=15),
         propose_timeout=timedelta(milliseconds=2500),
         replace_after=timedelta(milliseconds=2500),
         wanted_voters=2 * settings.tolerated_losses + 1,
