Let the workers of a test report all at once

They reported one after the other, each after the commit of the one before, so that with an append interval the last of 200 registered after the jobs of the test.

--- a/tests/scheduling/relaying_controllers.py
+++ b/tests/scheduling/relaying_controllers.py
@@ -154,10 +154,14 @@
         return worker
 
     async def _report(self) -> None:
-        """Let each worker report to the leader."""
+        """Let each worker report to all controllers, all workers at once."""
         while True:
-            for worker in self.workers:
-                heartbeat = worker.make_heartbeat()
-                for controller in self.controllers.values():
-                    await controller.service.handle_heartbeat(heartbeat)
+            async with trio.open_nursery() as nursery:
+                for worker in self.workers:
+                    nursery.start_soon(self._report_one, worker)
             await trio.sleep(REPORT_SECONDS)
+
+    async def _report_one(self, worker: StandInWorker) -> None:
+        heartbeat = worker.make_heartbeat()
+        for controller in self.controllers.values():
+            await controller.service.handle_heartbeat(heartbeat)
