Start a standing task that has stopped before jobs that can be on time

A task that has worked and does not work now goes first of its priority; first starts of standing work still wait for jobs that can be on time.

--- a/src/rhubarbfield/scheduling/backlog.py
+++ b/src/rhubarbfield/scheduling/backlog.py
@@ -8,6 +8,7 @@
 from rhubarbfield.scheduling.model import Queue, QueueName
 from rhubarbfield.scheduling.ordering import (
     RemainingWork,
+    is_interrupted,
     measure_work,
     rank_job,
 )
@@ -39,7 +40,13 @@
         """Return the rank of a job; the lowest goes first."""
         work = self.measure(job)
         age = self.find_age(job)
-        return rank_job(work, queue, age, self._mean_work.get(job.queue, 0.0))
+        return rank_job(
+            work,
+            queue,
+            age,
+            self._mean_work.get(job.queue, 0.0),
+            interrupted=work.is_standing and is_interrupted(job),
+        )
 
     def is_idle(self, job: Job, limit: timedelta) -> bool:
         """Return whether no run of a job has been live for longer than ``limit``."""
--- a/src/rhubarbfield/scheduling/ordering.py
+++ b/src/rhubarbfield/scheduling/ordering.py
@@ -15,7 +15,7 @@
 
 from rhubarbfield.clock import MILLISECOND
 from rhubarbfield.scheduling.model import Queue
-from rhubarbfield.scheduling.state import Job
+from rhubarbfield.scheduling.state import Job, TaskPhase
 
 LATE_GOAL_MULTIPLE = 3  # a job that takes this many times its goal has no value
 ESTIMATE_MARGIN = 1.1  # factor on the critical path that covers commits, calls, views
@@ -27,10 +27,15 @@
 
     Attributes
     ----------
+    INTERRUPTED
+        The job has no end, and a task of it that has worked does not work now. It
+        goes first: jobs that can be on time come without end, too, and would leave
+        it no room.
     STANDING
         The job has no end; it goes after jobs that can be on time.
     """
 
+    INTERRUPTED = -1
     ON_TIME = 0
     STANDING = 1
     LATE = 2
@@ -96,10 +101,23 @@
     )
 
 
-def find_outlook(work: RemainingWork, queue: Queue, age: timedelta) -> Outlook:
+def is_interrupted(job: Job) -> bool:
+    """Return whether a standing task that has worked waits to be started again."""
+    return any(
+        task.last_run > 0 and task.phase is TaskPhase.WAITING
+        for steps in job.occurrences.values()
+        for number, progress in enumerate(steps)
+        if job.get_step(number).standing
+        for task in progress.tasks
+    )
+
+
+def find_outlook(
+    work: RemainingWork, queue: Queue, age: timedelta, *, interrupted: bool = False
+) -> Outlook:
     """Return the outlook of a job that was submitted ``age`` ago."""
     if work.is_standing:
-        return Outlook.STANDING
+        return Outlook.INTERRUPTED if interrupted else Outlook.STANDING
     goal = find_goal(work, queue)
     end = age + work.critical_path * ESTIMATE_MARGIN
     if end <= goal:
@@ -108,7 +126,12 @@
 
 
 def rank_job(
-    work: RemainingWork, queue: Queue, age: timedelta, mean_millicore_ms: float
+    work: RemainingWork,
+    queue: Queue,
+    age: timedelta,
+    mean_millicore_ms: float,
+    *,
+    interrupted: bool = False,
 ) -> tuple[float, ...]:
     """Return the rank of a job among the waiting ones; the lowest goes first.
 
@@ -122,9 +145,12 @@
         Time since the job was submitted.
     mean_millicore_ms
         Mean of ``total_millicore_ms`` of the jobs in this queue.
+    interrupted
+        Whether a standing task of the job is to be started again.
     """
     value = BASE_VALUE + (1 - BASE_VALUE) * work.total_millicore_ms / max(
         mean_millicore_ms, 1
     )
     density = value / max(work.millicore_ms, 1)
-    return (queue.priority, find_outlook(work, queue, age), -density)
+    outlook = find_outlook(work, queue, age, interrupted=interrupted)
+    return (queue.priority, outlook, -density)
--- a/tests/scheduling/test_ordering.py
+++ b/tests/scheduling/test_ordering.py
@@ -7,17 +7,28 @@
 
 import msgspec
 
-from rhubarbfield.scheduling.model import Demand, JobSubmission, Step
+from rhubarbfield.clock import MS_PER_SECOND
+from rhubarbfield.scheduling.commands import AcceptJob, EndedRun, EndRuns, WorkerEnds
+from rhubarbfield.scheduling.model import (
+    Demand,
+    JobSubmission,
+    RunNumber,
+    Step,
+    name_task,
+)
 from rhubarbfield.scheduling.ordering import (
     Outlook,
     find_goal,
     find_outlook,
+    is_interrupted,
     measure_work,
     rank_job,
 )
-from rhubarbfield.scheduling.state import Job
+from rhubarbfield.scheduling.state import Job, RunEnd, TaskPhase
 from rhubarbfield.types import JobId
+from tests.replication.determinism import run_deterministic
 from tests.scheduling.deployments import QUEUE
+from tests.scheduling.fleets import Fleet
 
 
 def make_job(*steps: Step) -> Job:
@@ -75,5 +86,59 @@
         self.assertLess(late, rank_job(work, bulk, timedelta(), 1e6))
 
 
+class InterruptedTest(unittest.TestCase):
+    def test_standing_task_is_restarted_before_jobs_that_can_be_on_time(self) -> None:
+        """Short jobs that went first left it no room for 13 s."""
+
+        async def check() -> None:
+            fleet = Fleet(1, 1)
+            (worker,) = fleet.state.workers.values()
+            cores = worker.capacity.millicores // 2
+            standing = fleet.submit(Step(standing=True, demand=Demand(cores)))
+            await fleet.run_round()
+            task = name_task(standing, 0, 0, 0)
+            self.assertEqual(list(worker.runs), [task])
+            short = Step(tasks=4, demand=Demand(cores), estimate_ms=1000)
+            now_ms = int(fleet.clock.now().timestamp() * MS_PER_SECOND)
+            for number in range(3):
+                fleet.apply(
+                    AcceptJob(
+                        job=JobId(f"short-{number}"),
+                        queue=QUEUE.name,
+                        submission=JobSubmission(payload="p", steps=(short,)),
+                        accepted_ms=now_ms,
+                    )
+                )
+            failed = EndedRun(task, RunNumber(1), RunEnd.FAILED)
+            fleet.apply(EndRuns(workers=(WorkerEnds(worker.worker, (failed,)),)))
+            starts = await fleet.run_round()
+            self.assertEqual(starts[0].task, task)
+            self.assertEqual(len(starts), 2)
+
+        run_deterministic(check, seed=1)
+
+    def test_first_start_of_a_standing_task_waits_for_jobs_on_time(self) -> None:
+        job = make_job(Step(standing=True, tasks=2))
+        self.assertFalse(is_interrupted(job))
+        first, second = job.occurrences[0][0].tasks
+        first.last_run, first.phase = RunNumber(1), TaskPhase.LIVE
+        self.assertFalse(is_interrupted(job))
+        second.last_run = RunNumber(1)
+        self.assertTrue(is_interrupted(job))
+        work = measure_work(job)
+        rank = rank_job(work, QUEUE, timedelta(), 0.0, interrupted=True)
+        on_time = measure_work(make_job(make_step()))
+        self.assertLess(rank, rank_job(on_time, QUEUE, timedelta(), 0.0))
+        self.assertLess(
+            rank_job(on_time, QUEUE, timedelta(), 0.0),
+            rank_job(work, QUEUE, timedelta(), 0.0),
+        )
+
+    def test_finite_tasks_are_never_interrupted(self) -> None:
+        job = make_job(make_step())
+        job.occurrences[0][0].tasks[0].last_run = RunNumber(1)
+        self.assertFalse(is_interrupted(job))
+
+
 if __name__ == "__main__":
     unittest.main()
