--- a/tests/platform/test_runners.py
+++ b/tests/platform/test_runners.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import unittest
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
@@ -23,7 +24,9 @@
 from rhubarbfield.types import Term, WorkerId
 from tests.platform.runner import StandInRunner
 
-HOST, PORT = "127.0.0.21", 17741
+# An address of this process alone, as other checkouts may run the test meanwhile.
+HOST = f"127.{1 + os.getpid() // 254 % 254}.{1 + os.getpid() % 254}.21"
+PORT = 17741
 TASK, RUN = TaskName("j.0.0.0"), RunNumber(1)
 TIMEOUT = timedelta(milliseconds=500)
 Test = Callable[[StandInRunner, RunnerCalls, WorkerAddress], Awaitable[None]]
