Remember rejected steps in one class

RelocationSearch repeated what Candidates had: which constraints and demands found no worker, and whether a step needs no less than one of them. Both use Rejections now.

--- a/src/rhubarbfield/scheduling/candidates.py
+++ b/src/rhubarbfield/scheduling/candidates.py
@@ -15,6 +15,7 @@
 from rhubarbfield.scheduling.interference import InterferenceModel
 from rhubarbfield.scheduling.model import Demand, Step
 from rhubarbfield.scheduling.ranking import CandidateRanking, Cost
+from rhubarbfield.scheduling.rejections import Rejections
 from rhubarbfield.types import ServiceName, WorkerId
 
 GROWTH_DIGITS = 1  # decimals of log latency; smaller differences are measurement noise
@@ -48,7 +49,7 @@
         self._interference = interference
         self._changes: list[WorkerId] = []
         self._rankings: dict[tuple[object, ...], CandidateRanking] = {}
-        self._rejected: dict[tuple[object, ...], list[Demand]] = {}
+        self._rejected = Rejections()
         self._by_service: dict[ServiceName, list[WorkerHeadroom]] = {}
         for headroom in headrooms.values():
             self._by_service.setdefault(headroom.worker.service, []).append(headroom)
@@ -88,8 +89,7 @@
             return None
         ranking = self.find_ranking(waiting)
         if ranking.is_empty:
-            constraints = _get_constraints(waiting)
-            self._rejected.setdefault(constraints, []).append(waiting.step.demand)
+            self._rejected.add(waiting)
             return None
         return ranking.choose(list_full(waiting.step, tasks_per_worker), avoided)
 
@@ -110,9 +110,7 @@
 
         Within a round workers only fill up, so that none can take this one.
         """
-        rejected = self._rejected.get(_get_constraints(waiting), ())
-        demand = waiting.step.demand
-        return any(smaller.fits(demand) for smaller in rejected)
+        return self._rejected.covers(waiting)
 
     def find_ranking(self, waiting: WaitingStep) -> CandidateRanking:
         """Return the ranking of all workers for tasks of a step."""
@@ -221,13 +219,6 @@
     return headroom.task_count < headroom.task_limit and reserved.fits(headroom.free)
 
 
-def _get_constraints(waiting: WaitingStep) -> tuple[object, ...]:
-    """Return what decides besides the demand whether a worker can take a task."""
-    step = waiting.step
-    image = step.image if step.uses_spare_cores else None
-    return (waiting.queue.service, step.required_label, image)
-
-
 def _get_preferences(waiting: WaitingStep) -> tuple[object, ...]:
     """Return what decides besides the demand which worker suits a task best."""
     step = waiting.step
--- a/src/rhubarbfield/scheduling/relocation.py
+++ b/src/rhubarbfield/scheduling/relocation.py
@@ -20,16 +20,14 @@
 )
 from rhubarbfield.scheduling.headroom_index import HeadroomIndex
 from rhubarbfield.scheduling.interference import InterferenceModel
-from rhubarbfield.scheduling.model import Demand, ImageName, Label, TaskName
+from rhubarbfield.scheduling.model import TaskName
+from rhubarbfield.scheduling.rejections import Rejections
 from rhubarbfield.scheduling.state import SchedulingState, Worker
-from rhubarbfield.types import ServiceName, WorkerId
+from rhubarbfield.types import WorkerId
 
 # After a search found no worker for a run, alike runs are not searched for that long.
 REJECTION_LIFETIME = timedelta(milliseconds=250)
 
-# Service, required label, and the image of a task that works on spare cores.
-Constraints = tuple[ServiceName, Label, ImageName | None]
-
 
 class RelocationHost(Protocol):
     """Interface of the leader that the search uses."""
@@ -69,8 +67,7 @@
         self._headroom_index = headroom_index
         self._clock = clock
         self._headrooms: dict[WorkerId, WorkerHeadroom | None] = {}
-        # Demands for which no worker was found.
-        self._rejected: dict[Constraints, list[Demand]] = {}
+        self._rejected = Rejections()
         self._rejected_since = clock.monotonic()
 
     def begin_view(self) -> None:
@@ -93,8 +90,7 @@
         ):
             return True
         if not waiting.step.max_per_worker:  # such limits differ from step to step
-            rejected = self._rejected.setdefault(_get_constraints(waiting), [])
-            rejected.append(waiting.step.demand)
+            self._rejected.add(waiting)
         return False
 
     def _is_place_for(self, waiting: WaitingStep, place: Worker) -> bool:
@@ -116,12 +112,4 @@
         if now - self._rejected_since >= REJECTION_LIFETIME:
             self._rejected.clear()
             self._rejected_since = now
-        demand = waiting.step.demand
-        rejected = self._rejected.get(_get_constraints(waiting), ())
-        return any(smaller.fits(demand) for smaller in rejected)
-
-
-def _get_constraints(waiting: WaitingStep) -> Constraints:
-    step = waiting.step
-    image = step.image if step.uses_spare_cores else None
-    return waiting.queue.service, step.required_label, image
+        return self._rejected.covers(waiting)
