Let the test of connections closed while idle not race with its own server

It failed in 4 of 6 runs on an idle machine: trio refused send_eof with 'another task is currently sending data', since the stand-in's task had not left send_all when the client already had the response. The fault was the test's, not the client's.

--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -155,7 +155,8 @@
 
         async def check(client: HttpClient) -> None:
             self.assertEqual(await self.post(client), OK)
-            await peer.streams[0].send_eof()
+            # Not send_eof, since the server's task may not have left send_all yet.
+            peer.streams[0].socket.shutdown(trio.socket.SHUT_WR)
             await trio.sleep(0.05)
             self.assertEqual(await self.post(client), OK)
 
