--- a/src/rhubarbfield/announcements/messages.py
+++ b/src/rhubarbfield/announcements/messages.py
@@ -9,6 +9,7 @@
 from returns.result import Result
 
 from rhubarbfield.types import (
+    MAX_PORT,
     BackendServerId,
     BackendServerState,
     Epoch,
@@ -29,7 +30,6 @@
 MAX_ADDRESS_LENGTH = MAX_HOST_LENGTH + 6
 MAX_SLOTS = 4096
 MAX_CONNECTIONS = 65536
-MAX_PORT = 65535
 MAX_NUMBER = 2**53
 
 _ID = Meta(min_length=1, max_length=MAX_ID_LENGTH)
--- a/src/rhubarbfield/httpclient.py
+++ b/src/rhubarbfield/httpclient.py
@@ -18,8 +18,9 @@
 import trio
 from returns.result import Failure, Result, Success
 
+from rhubarbfield.types import MAX_PORT
+
 READ_BYTES = 65_536
-MAX_PORT = 65_535
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 
 
--- a/src/rhubarbfield/platform/wire.py
+++ b/src/rhubarbfield/platform/wire.py
@@ -27,7 +27,7 @@
 )
 from rhubarbfield.scheduling.ports import ActiveRun, ListedEnd, Refusal, WorkerView
 from rhubarbfield.scheduling.state import RunEnd
-from rhubarbfield.types import FailureDomain, ServiceName, WorkerId
+from rhubarbfield.types import MAX_PORT, FailureDomain, ServiceName, WorkerId
 
 MAX_ENDS_LISTED = 500  # ends in one reply of a runner
 
@@ -149,7 +149,6 @@
     "room": Refusal.NO_ROOM,
     "ticket": Refusal.NO_TICKET,
 }
-MAX_PORT = 65_535
 DRAINING_BY_STATE = {"ready": False, "draining": True}
 
 _configuration_decoder = msgspec.json.Decoder(WireConfiguration)
--- a/src/rhubarbfield/settings/fields.py
+++ b/src/rhubarbfield/settings/fields.py
@@ -7,7 +7,8 @@
 
 from pydantic import BaseModel, BeforeValidator, ConfigDict, Field
 
-MAX_PORT = 65_535
+from rhubarbfield.types import MAX_PORT
+
 NAME_PATTERN = r"^[a-z0-9](?:[a-z0-9.-]{0,61}[a-z0-9])?$"
 HOST_PATTERN = r"^[0-9A-Fa-f:.]{2,45}$"
 
--- a/src/rhubarbfield/types.py
+++ b/src/rhubarbfield/types.py
@@ -5,6 +5,8 @@
 from enum import Enum, StrEnum
 from typing import NewType
 
+MAX_PORT = 65_535
+
 InstanceName = NewType("InstanceName", str)
 FailureDomain = NewType("FailureDomain", str)
 Region = NewType("Region", str)
