Log what the backlog holds and how free capacity is distributed

The logs could not tell a backlog that delays new work from fragmented capacity or wrong estimates: they showed neither what the runs of late jobs reserve, nor the largest free piece, nor a job's estimate beside its duration. Each second the leader now writes backlog-surveyed and capacity-surveyed; job-ended and step-waiting have the figures of their job.

--- a/src/rhubarbfield/scheduling/backlog.py
+++ b/src/rhubarbfield/scheduling/backlog.py
@@ -7,7 +7,9 @@
 from rhubarbfield.clock import MS_PER_SECOND, Clock
 from rhubarbfield.scheduling.model import Queue, QueueName
 from rhubarbfield.scheduling.ordering import (
+    Outlook,
     RemainingWork,
+    find_outlook,
     is_interrupted,
     measure_work,
     rank_job,
@@ -48,6 +50,12 @@
             interrupted=work.is_standing and is_interrupted(job),
         )
 
+    def find_outlook(self, job: Job, queue: Queue) -> Outlook:
+        """Return whether a job can still reach its goal."""
+        work = self.measure(job)
+        interrupted = work.is_standing and is_interrupted(job)
+        return find_outlook(work, queue, self.find_age(job), interrupted=interrupted)
+
     def is_idle(self, job: Job, limit: timedelta) -> bool:
         """Return whether no run of a job has been live for longer than ``limit``."""
         now = self._clock.monotonic()
--- a/src/rhubarbfield/scheduling/housekeeping.py
+++ b/src/rhubarbfield/scheduling/housekeeping.py
@@ -263,6 +263,8 @@
             queue=job.queue,
             phase=job.phase.value,
             age=self._backlog.find_age(job),
+            tasks=sum(step.tasks for step in job.submission.steps),
+            estimate=self._backlog.measure(job).total_critical_path,
         )
         JOBS.labels(job.phase.value).inc()
 
--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -58,6 +58,7 @@
     SchedulingState,
     Worker,
 )
+from rhubarbfield.scheduling.survey import BacklogLog
 from rhubarbfield.scheduling.terminations import Terminations
 from rhubarbfield.scheduling.waiting_log import WaitingLog
 from rhubarbfield.types import LogIndex, Term, WorkerId
@@ -136,6 +137,7 @@
             clock=clock,
         )
         self._waiting_log = WaitingLog(self._backlog, clock)
+        self._backlog_log = BacklogLog(self._backlog, clock)
 
     @property
     def state(self) -> SchedulingState:
@@ -354,6 +356,9 @@
         took = self._clock.monotonic() - began
         ROUND_SECONDS.observe(took.total_seconds())
         self._waiting_log.write(placer)
+        self._backlog_log.write(
+            self._jobs.open.values(), self.state.map_queues(), headrooms.values()
+        )
         if starts:
             await self._starter.start(starts)
         self._pacer.record_round(took)
--- a/src/rhubarbfield/scheduling/metrics.py
+++ b/src/rhubarbfield/scheduling/metrics.py
@@ -66,6 +66,11 @@
 LEADING = Gauge(f"{_PREFIX}_leading", "1 while this instance leads.")
 OPEN_JOBS = Gauge(f"{_PREFIX}_open_jobs", "Jobs that have not ended.")
 WAITING_JOBS = Gauge(f"{_PREFIX}_waiting_jobs", "Open jobs of which nothing has run.")
+JOBS_BY_OUTLOOK = Gauge(
+    f"{_PREFIX}_jobs_by_outlook",
+    "Open jobs by whether they can still reach their goal, at the leader.",
+    ["outlook"],
+)
 WORKERS = Gauge(f"{_PREFIX}_workers", "Workers in the state.")
 CONFIGURATION_VERSION = Gauge(
     f"{_PREFIX}_configuration_version", "Version of the configuration applied here."
--- a/src/rhubarbfield/scheduling/waiting_log.py
+++ b/src/rhubarbfield/scheduling/waiting_log.py
@@ -48,6 +48,10 @@
                 step=waiting.number,
                 reason=placer.explain_wait(waiting).value,
                 image=waiting.step.image,
+                outlook=self._backlog.find_outlook(
+                    waiting.job, waiting.queue
+                ).name.lower(),
+                millicores=waiting.step.reserved.millicores,
                 age=self._backlog.find_age(waiting.job),
                 waiting=len(placer.unplaced),
             )
