Reject standing work that would leave finite jobs no capacity

Now standing work is accepted only up to a share of the capacity, which leaves at least 16% to finite work, and more if the finite work of the last 20 s needs it. A job beyond that is rejected at once, with a time to return, instead of waiting. A proposal counts until its outcome is known, and an entry with an attempt in doubt answers 504, so that a job that is reported as not accepted is not.

--- a/src/rhubarbfield/leadercalls/__init__.py
+++ b/src/rhubarbfield/leadercalls/__init__.py
@@ -3,7 +3,7 @@
 Importing it doesn't import the replicated log, which entries don't run.
 """
 
-from rhubarbfield.leadercalls.answers import NotLeading, Unavailable
+from rhubarbfield.leadercalls.answers import NotAdmitted, NotLeading, Unavailable
 from rhubarbfield.leadercalls.calls import LeaderCalls, LeaderFailure
 
-__all__ = ["LeaderCalls", "LeaderFailure", "NotLeading", "Unavailable"]
+__all__ = ["LeaderCalls", "LeaderFailure", "NotAdmitted", "NotLeading", "Unavailable"]
--- a/src/rhubarbfield/leadercalls/answers.py
+++ b/src/rhubarbfield/leadercalls/answers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from datetime import timedelta
+
 import msgspec
 
 from rhubarbfield.types import InstanceName
@@ -35,3 +37,18 @@
     reason: str
     in_doubt: bool
     permanent: bool = False
+
+
+class NotAdmitted(msgspec.Struct, frozen=True, tag=True):
+    """The leader rejects the command, since it could not be served; nothing was done.
+
+    Attributes
+    ----------
+    reason
+        A human-readable explanation.
+    retry_after
+        Time after which the caller should retry.
+    """
+
+    reason: str
+    retry_after: timedelta
--- a/src/rhubarbfield/leadercalls/calls.py
+++ b/src/rhubarbfield/leadercalls/calls.py
@@ -10,7 +10,7 @@
 from returns.result import Failure, Result, Success
 
 from rhubarbfield.clock import Clock
-from rhubarbfield.leadercalls.answers import NotLeading, Unavailable
+from rhubarbfield.leadercalls.answers import NotAdmitted, NotLeading, Unavailable
 from rhubarbfield.peering import (
     CallFailure,
     CallFailureKind,
@@ -124,6 +124,9 @@
                     in_doubt = in_doubt or doubt
                     if in_doubt and in_doubt_timeout is not None:
                         deadline = max(deadline, started_at + in_doubt_timeout)
+                case Success(NotAdmitted(reason=reason)) if in_doubt:
+                    # An earlier attempt may still take effect.
+                    detail = reason
                 case Success(answer):
                     return Success(answer)
                 case Failure(failure):
--- a/src/rhubarbfield/platform/ingress.py
+++ b/src/rhubarbfield/platform/ingress.py
@@ -11,6 +11,7 @@
 from returns.result import Failure, Success
 
 from rhubarbfield.httpserver import Handler, HttpRequest, HttpResponse
+from rhubarbfield.leadercalls import NotAdmitted
 from rhubarbfield.platform.bodies import make_json
 from rhubarbfield.platform.jobwire import decode_job
 from rhubarbfield.scheduling.gateway import Gateway, Undecided
@@ -34,6 +35,7 @@
 VERBS = {"POST": JobVerb.SUBMIT, "GET": JobVerb.READ, "DELETE": JobVerb.CANCEL}
 MAX_BODY_BYTES = 262_144
 RETRY_DELAY = timedelta(seconds=1)
+UNDECIDED = "no controller can decide now"
 
 
 def create_ingress_handler(gateway: Gateway) -> Handler:
@@ -71,6 +73,7 @@
         host=request.headers.get("host", "").partition(":")[0],
         path=request.path,
         submission=submission,
+        knows_rejection=True,
     )
     timeout = _read_deadline(request)
     return make_response(verb, await gateway.forward(job_request, timeout))
@@ -86,10 +89,18 @@
             if may_take_effect
             else HTTPStatus.SERVICE_UNAVAILABLE
         )
-        return _make_retry_response(status, reply.retry_after)
+        return _make_retry_response(status, UNDECIDED, reply.retry_after)
+    if isinstance(reply, NotAdmitted):
+        return _make_retry_response(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            reply.reason,
+            reply.retry_after,
+        )
     described = _describe_reply(reply)
     if described is None:
-        return _make_retry_response(HTTPStatus.SERVICE_UNAVAILABLE, RETRY_DELAY)
+        return _make_retry_response(
+            HTTPStatus.SERVICE_UNAVAILABLE, UNDECIDED, RETRY_DELAY
+        )
     return make_json(*described)
 
 
@@ -118,6 +129,8 @@
     return timedelta(milliseconds=int(text)) if text.isdecimal() else DEFAULT_DEADLINE
 
 
-def _make_retry_response(status: HTTPStatus, after: timedelta) -> HttpResponse:
+def _make_retry_response(
+    status: HTTPStatus, reason: str, after: timedelta
+) -> HttpResponse:
     headers = {"Retry-After": str(math.ceil(after.total_seconds()))}
-    return make_json(status, {"Error": "no controller can decide now"}, headers)
+    return make_json(status, {"Error": reason}, headers)
--- a/src/rhubarbfield/scheduling/model.py
+++ b/src/rhubarbfield/scheduling/model.py
@@ -71,6 +71,12 @@
             self.accelerators - other.accelerators,
         )
 
+    def times(self, count: int) -> Demand:
+        """Return the demand of ``count`` tasks."""
+        return Demand(
+            self.millicores * count, self.memory_mb * count, self.accelerators * count
+        )
+
 
 class Step(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """A step of a job: a number of identical tasks.
--- a/src/rhubarbfield/scheduling/requests.py
+++ b/src/rhubarbfield/scheduling/requests.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from rhubarbfield.leadercalls import NotLeading, Unavailable
+from rhubarbfield.leadercalls import NotAdmitted, NotLeading, Unavailable
 from rhubarbfield.peering import CallMethod, make_call_stream
 from rhubarbfield.scheduling.model import JobPhase, JobSubmission
 
@@ -32,12 +32,15 @@
         They determine the queue; the path after the queue's prefix is the job id.
     submission
         Submitted job, if any.
+    knows_rejection
+        Whether the caller knows ``NotAdmitted``; entries of earlier versions don't.
     """
 
     verb: JobVerb
     host: str
     path: str
     submission: JobSubmission | None = None
+    knows_rejection: bool = False
 
 
 class Accepted(msgspec.Struct, frozen=True, tag=True):
@@ -96,6 +99,7 @@
     | NoSuchJob
     | NotConfigured
     | BadJob
+    | NotAdmitted
     | Ready
     | NotLeading
     | Unavailable
--- a/src/rhubarbfield/scheduling/service.py
+++ b/src/rhubarbfield/scheduling/service.py
@@ -12,11 +12,13 @@
 from rhubarbfield.groups import NotLeading, ReplicatedLog, Unavailable
 from rhubarbfield.logs import log_event
 from rhubarbfield.machine import Command, Done, Refused, Reply
+from rhubarbfield.scheduling.admission import Admission, Rejection
 from rhubarbfield.scheduling.appliers import SchedulingLogState
 from rhubarbfield.scheduling.commands import (
     AcceptJob,
     CancelJob,
     PutConfiguration,
+    UpdateWorkers,
 )
 from rhubarbfield.scheduling.heartbeats import Heartbeat
 from rhubarbfield.scheduling.metrics import JOBS
@@ -39,12 +41,13 @@
     LeadershipQuery,
     NoSuchJob,
     NoSuchQueue,
+    NotAdmitted,
     NotConfigured,
     Ready,
     WaitingJobs,
 )
 from rhubarbfield.scheduling.state import SchedulingState
-from rhubarbfield.types import InstanceName, JobId, WorkerId
+from rhubarbfield.types import InstanceName, JobId, LogIndex, Term, WorkerId
 
 logger = logging.getLogger(__name__)
 
@@ -80,6 +83,14 @@
         self._log = log
         self._clock = clock
         self._reception = reception
+        self._admission = Admission(clock)
+        log.machine.watch(self._observe_command)
+
+    def _observe_command(
+        self, _index: LogIndex, command: Command, _reply: Reply
+    ) -> None:
+        if isinstance(command, UpdateWorkers):
+            self._admission.observe_workers(self._state)
 
     @property
     def leader_hint(self) -> InstanceName | None:
@@ -116,7 +127,10 @@
         if request.verb is JobVerb.SUBMIT:
             if request.submission is None:
                 return BadJob("the job is missing")
-            return await self._submit(job, queue, request.submission)
+            reply = await self._submit(job, queue, request.submission)
+            if isinstance(reply, NotAdmitted) and not request.knows_rejection:
+                return Unavailable(reply.reason, in_doubt=False)
+            return reply
         if request.verb is JobVerb.CANCEL:
             return await self._cancel(job)
         return self._read(job)
@@ -193,6 +207,13 @@
         # The state holds only what is committed. An earlier attempt, whose answer was
         # late or lost, needs no further commit.
         if job not in self._state.jobs:
+            term = self._get_term()
+            rejection = self._admission.decide(
+                job, queue, submission, state=self._state, term=term
+            )
+            if rejection is not None:
+                return self._reject(job, queue, rejection)
+            self._admission.begin(job, queue, submission, term)
             reply = await self._propose(
                 AcceptJob(
                     job=job,
@@ -201,6 +222,8 @@
                     accepted_ms=int(self._clock.now().timestamp() * MS_PER_SECOND),
                 )
             )
+            if _is_without_effect(reply):
+                self._admission.withdraw(job)
             if isinstance(reply, NotLeading | Unavailable):
                 log_event(
                     logger,
@@ -222,6 +245,23 @@
         JOBS.labels("accepted").inc()
         return Accepted()
 
+    def _get_term(self) -> Term:
+        leadership = self._log.replica.leadership
+        return Term(0) if leadership is None else leadership.term
+
+    def _reject(self, job: JobId, queue: Queue, rejection: Rejection) -> NotAdmitted:
+        log_event(
+            logger,
+            logging.WARNING,
+            "job-rejected",
+            job=job,
+            queue=queue.name,
+            detail=rejection.detail,
+            retry_after=rejection.retry_after,
+        )
+        JOBS.labels("rejected").inc()
+        return NotAdmitted(rejection.reason, rejection.retry_after)
+
     def _read_version(self) -> int:
         configuration = self._state.configuration
         return 0 if configuration is None else configuration.version
@@ -253,3 +293,13 @@
             case Failure(failure):
                 return failure
         raise AssertionError
+
+
+def _is_without_effect(reply: Reply | NotLeading | Unavailable) -> bool:
+    """Return whether a proposal was certainly not committed."""
+    match reply:
+        case NotLeading():
+            return True
+        case Unavailable(in_doubt=in_doubt):
+            return not in_doubt
+    return False
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -6,6 +6,7 @@
 from datetime import timedelta
 from http import HTTPStatus
 
+from rhubarbfield.leadercalls import NotAdmitted
 from rhubarbfield.platform.ingress import make_response
 from rhubarbfield.scheduling.gateway import Undecided
 from rhubarbfield.scheduling.requests import JobVerb
@@ -27,6 +28,14 @@
             self.assertEqual(response.status, status, (verb, in_doubt))
             self.assertEqual(response.headers["Retry-After"], "1")
 
+    def test_rejected_job_gets_503_and_the_time_to_return(self) -> None:
+        response = make_response(
+            JobVerb.SUBMIT, NotAdmitted("no capacity", timedelta(seconds=9.5))
+        )
+        self.assertEqual(response.status, HTTPStatus.SERVICE_UNAVAILABLE)
+        self.assertEqual(response.headers["Retry-After"], "10")
+        self.assertIn(b"no capacity", response.body)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/scheduling/overloads.py
+++ b/tests/scheduling/overloads.py
@@ -200,6 +200,7 @@
                 host=QUEUE.host,
                 path=f"{QUEUE.prefix}{timed.job}",
                 submission=JobSubmission(payload="p", steps=timed.steps),
+                knows_rejection=True,
             )
         )
         timed.answered_at = trio.current_time()
--- a/tests/scheduling/oversubscription.py
+++ b/tests/scheduling/oversubscription.py
@@ -228,6 +228,7 @@
                 host=queue.host,
                 path=f"{queue.prefix}{job}",
                 submission=JobSubmission(payload="p", steps=steps),
+                knows_rejection=True,
             )
         )
         request.answered_at = clock.monotonic()
@@ -308,6 +309,7 @@
     site = Site(seed, WORKERS)
     await site.configure()
     async with site.deployment.lead(), trio.open_nursery() as nursery:
+        await trio.sleep(SETTLING_SECONDS)
         await site.submit_standing()
         await trio.sleep(SETTLING_SECONDS)
         nursery.start_soon(site.watch_finite)
--- a/tests/scheduling/test_finite_work.py
+++ b/tests/scheduling/test_finite_work.py
@@ -98,6 +98,7 @@
         site = Site(seed=1, workers=6)
         await site.configure()
         async with site.deployment.lead():
+            await trio.sleep(SETTLING_SECONDS)
             await site.submit_standing()
             await trio.sleep(SETTLING_SECONDS)
             step = Step(demand=Demand(21_000, TASK_MEMORY_MB), estimate_ms=500)
--- a/tests/scheduling/test_gateway.py
+++ b/tests/scheduling/test_gateway.py
@@ -12,6 +12,7 @@
 
 from rhubarbfield.clock import TrioClock
 from rhubarbfield.groups import NotLeading, Unavailable
+from rhubarbfield.leadercalls import NotAdmitted
 from rhubarbfield.peering import Transport
 from rhubarbfield.scheduling.deployment import DeploymentSettings, WorkerTimes
 from rhubarbfield.scheduling.gateway import Gateway, Undecided
@@ -166,6 +167,24 @@
         reply, _ = self.forward(JobVerb.CANCEL, answer)
         self.assertEqual(reply, Accepted())
 
+    def test_rejected_submission_is_answered_at_once(self) -> None:
+        rejected = NotAdmitted("no capacity", timedelta(seconds=10))
+        reply, took = self.forward(JobVerb.SUBMIT, lambda *_: Success(rejected))
+        self.assertEqual(reply, rejected)
+        self.assertLess(took, 0.1)
+
+    def test_submission_in_doubt_is_not_reported_as_rejected(self) -> None:
+        """The attempt that got no answer may still be committed."""
+
+        def answer(_host: str, number: int) -> Reply:
+            if number <= 2:  # the first is a probe
+                return TIMED_OUT
+            return Success(NotAdmitted("no capacity", timedelta(seconds=10)))
+
+        reply, _ = self.forward(JobVerb.SUBMIT, answer)
+        assert isinstance(reply, Undecided)
+        self.assertTrue(reply.in_doubt)
+
 
 if __name__ == "__main__":
     unittest.main()
