Keep pieces of capacity that large finite tasks fit in

Cause: standing tasks were started on all workers, and finite ones on the least loaded, so that 300 to 530 free cores lay in pieces of 9 cores at most, where a task of reserva asks for 8.1 in the mean and 24 at most. Of the jobs that had to wait 7 of 7 were completed with tasks below 6 cores, 1 of 26 above 14.

Now a tenth of the workers gets standing tasks only when no other can take one, standing tasks without a goal are packed, and finite tasks first use what standing tasks leave, then the workers without any, the least loaded first. Tasks without accelerators avoid workers that have them. Rankings of standing and finite steps are no longer shared.

test_finite_work.SingleTaskTest failed before, as did two tests of test_candidates (none of 40 workers left without standing tasks; 0 of 30 left whole by small tasks). The reference of test_rounds computes the same costs anew.

--- a/src/rhubarbfield/scheduling/candidates.py
+++ b/src/rhubarbfield/scheduling/candidates.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Collection, Iterable, Mapping, Sequence
 
 import msgspec
 
+from rhubarbfield.scheduling.admission import MIN_FINITE_SHARE
 from rhubarbfield.scheduling.headroom import (
     WaitingStep,
     WorkerHeadroom,
@@ -21,6 +23,9 @@
 GROWTH_DIGITS = 1  # decimals of log latency; smaller differences are measurement noise
 # Fraction of reserved cores above which waiting does not count as a fault.
 FORCED_START_MAX_UTILIZATION = 0.6
+# Share of the workers that standing tasks use only when no other has capacity. What
+# they leave on the others is too fragmented for large finite tasks.
+RESERVED_WORKERS_SHARE = MIN_FINITE_SHARE * 0.6
 
 Saved = tuple[WorkerHeadroom, tuple[object, ...]]
 
@@ -53,6 +58,8 @@
         self._by_service: dict[ServiceName, list[WorkerHeadroom]] = {}
         for headroom in headrooms.values():
             self._by_service.setdefault(headroom.worker.service, []).append(headroom)
+        for members in self._by_service.values():
+            reserve_workers(members)
         self.underutilized = {
             service
             for service, members in self._by_service.items()
@@ -176,7 +183,8 @@
 
         Standing tasks with tail-latency goals are packed on few workers, together
         with tasks of their own image: few batch images harm a single serving
-        image, but nearly all harm some image of a mixture.
+        image, but nearly all harm some image of a mixture. Finite tasks first use
+        what standing tasks leave, so that the largest pieces stay free.
         """
         is_far = step.preferred_rack != "" and (
             step.preferred_rack not in headroom.worker.labels
@@ -189,6 +197,7 @@
             return (
                 is_far,
                 headroom.failures,
+                headroom.is_reserved,
                 images,
                 is_new,
                 headroom.spare_core_tasks,
@@ -199,7 +208,29 @@
                 headroom.margins, step.image, headroom.worker.find_share(step)
             )
             return (is_far, headroom.failures, round(harm, GROWTH_DIGITS), load)
-        return (is_far, headroom.failures, not headroom.serves, load)
+        wastes = bool(headroom.free.accelerators and not step.demand.accelerators)
+        if step.standing:
+            return (
+                is_far,
+                headroom.failures,
+                headroom.is_reserved,
+                wastes,
+                headroom.free.millicores,
+            )
+        is_unused = not headroom.standing_tasks
+        left_over = load if is_unused else headroom.free.millicores
+        return (is_far, headroom.failures, wastes, is_unused, left_over)
+
+
+def reserve_workers(members: Sequence[WorkerHeadroom]) -> None:
+    """Mark the workers of a service that standing tasks use last.
+
+    They are the same in each round, until standing tasks start on them.
+    """
+    unused = [each for each in members if not each.standing_tasks]
+    unused.sort(key=lambda each: each.worker.worker)
+    for headroom in unused[: math.ceil(len(members) * RESERVED_WORKERS_SHARE)]:
+        headroom.is_reserved = True
 
 
 def list_full(step: Step, tasks_per_worker: Mapping[WorkerId, int]) -> set[WorkerId]:
@@ -229,4 +260,5 @@
         step.image,
         step.uses_spare_cores,
         bool(step.tail_goal_ms),
+        step.standing,
     )
--- a/src/rhubarbfield/scheduling/headroom.py
+++ b/src/rhubarbfield/scheduling/headroom.py
@@ -38,8 +38,10 @@
     shares
         Share of the worker's processors that each image of spare-core tasks
         wants.
-    spare_core_tasks
-        Number of spare-core tasks on the worker.
+    spare_core_tasks, standing_tasks
+        Number of spare-core tasks and of standing tasks on the worker.
+    is_reserved
+        Whether standing tasks start on the worker only if there is no other.
     task_count
         Number of all tasks on the worker.
     task_limit
@@ -58,6 +60,8 @@
     serving_images: frozenset[ImageName] = frozenset()
     shares: dict[ImageName, float] = msgspec.field(default_factory=dict)
     spare_core_tasks: int = 0
+    standing_tasks: int = 0
+    is_reserved: bool = False
     task_count: int = 0
     task_limit: int = 1_000_000
     failures: int = 0
@@ -80,6 +84,8 @@
         cores = step.demand.millicores
         if step.tail_goal_ms:
             self.serving_images |= {step.image}
+        if step.standing:
+            self.standing_tasks += 1
         if step.uses_spare_cores:
             self.spare_core_tasks += 1
             self.shares = self.add_share(step)
--- a/tests/scheduling/reference_placing.py
+++ b/tests/scheduling/reference_placing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Iterator, Mapping
 
 import msgspec
@@ -9,6 +10,7 @@
 from rhubarbfield.scheduling.candidates import (
     FORCED_START_MAX_UTILIZATION,
     GROWTH_DIGITS,
+    RESERVED_WORKERS_SHARE,
 )
 from rhubarbfield.scheduling.commands import RunStart
 from rhubarbfield.scheduling.headroom import (
@@ -75,6 +77,7 @@
         self.interference = interference
         self.rank = rank
         self.is_starved = is_starved
+        self.reserve_workers()
         self.starts: list[RunStart] = []
         self.unplaced: list[tuple[str, int]] = []
         self.underutilized = {
@@ -90,6 +93,20 @@
             < FORCED_START_MAX_UTILIZATION
         }
 
+    def reserve_workers(self) -> None:
+        for service in {each.worker.service for each in self.headrooms}:
+            members = [
+                each for each in self.headrooms if each.worker.service == service
+            ]
+            count = math.ceil(len(members) * RESERVED_WORKERS_SHARE)
+            empty = [each for each in members if not self.count_standing(each.worker)]
+            for each in sorted(empty, key=lambda each: each.worker.worker)[:count]:
+                each.is_reserved = True
+
+    def count_standing(self, worker: Worker) -> int:
+        steps = (self.state.find_step(task) for task in worker.runs)
+        return sum(step is not None and step.standing for step in steps)
+
     def choose(self) -> tuple[RunStart, ...]:
         ranked = sorted(
             iterate_all_waiting(self.state),
@@ -234,6 +251,7 @@
             return (
                 is_far,
                 headroom.failures,
+                headroom.is_reserved,
                 len(headroom.serving_images | {step.image}),
                 step.image not in headroom.serving_images,
                 headroom.spare_core_tasks,
@@ -244,7 +262,19 @@
                 headroom.margins, step.image, worker.find_share(step)
             )
             return (is_far, headroom.failures, round(harm, GROWTH_DIGITS), load)
-        return (is_far, headroom.failures, not headroom.margins, load)
+        wastes = headroom.free.accelerators > 0 and step.demand.accelerators == 0
+        if step.standing:
+            return (
+                is_far,
+                headroom.failures,
+                headroom.is_reserved,
+                wastes,
+                headroom.free.millicores,
+            )
+        if headroom.standing_tasks:
+            left_over = float(headroom.free.millicores)
+            return (is_far, headroom.failures, wastes, False, left_over)
+        return (is_far, headroom.failures, wastes, True, load)
 
     def add(
         self, step: Step, headroom: WorkerHeadroom, counts: dict[WorkerId, int]
--- /dev/null
+++ b/tests/scheduling/test_candidates.py
@@ -0,0 +1,143 @@
+"""Tests of which worker is chosen for a task."""
+
+from __future__ import annotations
+
+import math
+import unittest
+
+from rhubarbfield.scheduling.candidates import RESERVED_WORKERS_SHARE
+from rhubarbfield.scheduling.commands import RunStart
+from rhubarbfield.scheduling.model import Demand, ImageName, Step
+from tests.replication.determinism import run_deterministic
+from tests.scheduling.deployments import QUEUE
+from tests.scheduling.fleets import GOAL_MS, LATE_QUEUE, Fleet
+
+WORKERS = 40
+CAPACITY = Demand(16000, 64000)
+
+
+class ReservedWorkersTest(unittest.TestCase):
+    def make_fleet(self) -> Fleet:
+        fleet = Fleet(1, WORKERS)
+        for worker in fleet.state.workers.values():
+            worker.service = QUEUE.service
+            worker.capacity = CAPACITY
+        return fleet
+
+    def count_reserved(self) -> int:
+        return math.ceil(WORKERS * RESERVED_WORKERS_SHARE)
+
+    async def run_rounds(self, fleet: Fleet) -> list[RunStart]:
+        starts: list[RunStart] = []
+        while new := await fleet.run_round():
+            starts.extend(new)
+        return starts
+
+    def list_unused(self, fleet: Fleet) -> list[str]:
+        return [each.worker for each in fleet.state.workers.values() if not each.runs]
+
+    def submit_standing(self, fleet: Fleet, tasks: int) -> None:
+        """Submit tasks of as many images as there are workers."""
+        for number in range(WORKERS):
+            fleet.submit(
+                Step(
+                    tasks=tasks,
+                    demand=Demand(2000, 1000),
+                    standing=True,
+                    image=ImageName(f"image-{number}"),
+                    tail_goal_ms=GOAL_MS,
+                )
+            )
+
+    def test_large_finite_task_fits_beside_standing_work(self) -> None:
+        async def check() -> None:
+            fleet = self.make_fleet()
+            self.submit_standing(fleet, tasks=4)
+            await self.run_rounds(fleet)
+            kept = self.count_reserved()
+            self.assertGreaterEqual(len(self.list_unused(fleet)), kept)
+            fleet.submit(Step(tasks=kept, demand=Demand(12000), estimate_ms=1000))
+            self.assertEqual(len(await fleet.run_round()), kept)
+
+        run_deterministic(check, seed=1)
+
+    def test_standing_task_uses_a_reserved_worker_if_no_other_has_capacity(
+        self,
+    ) -> None:
+        async def check() -> None:
+            fleet = self.make_fleet()
+            self.submit_standing(fleet, tasks=8)
+            self.assertEqual(len(await self.run_rounds(fleet)), 8 * WORKERS)
+            self.assertEqual(self.list_unused(fleet), [])
+
+        run_deterministic(check, seed=1)
+
+    def test_small_finite_tasks_leave_unused_workers_to_large_ones(self) -> None:
+        async def check() -> None:
+            fleet = self.make_fleet()
+            self.submit_standing(fleet, tasks=4)
+            await self.run_rounds(fleet)
+            unused = self.list_unused(fleet)
+            fleet.submit(Step(tasks=WORKERS, demand=Demand(4000), estimate_ms=1000))
+            await self.run_rounds(fleet)
+            self.assertEqual(self.list_unused(fleet), unused)
+
+        run_deterministic(check, seed=1)
+
+    def test_finite_tasks_do_not_gather_on_one_unused_worker(self) -> None:
+        """A worker receives its orders one after the other."""
+
+        async def check() -> None:
+            fleet = self.make_fleet()
+            fleet.submit(Step(tasks=WORKERS, demand=Demand(1000), estimate_ms=1000))
+            await self.run_rounds(fleet)
+            self.assertEqual(self.list_unused(fleet), [])
+
+        run_deterministic(check, seed=1)
+
+    def test_order_of_steps_does_not_decide_who_uses_reserved_workers(self) -> None:
+        """A finite and a standing step of the same demand shared one ranking."""
+
+        async def check() -> None:
+            fleet = self.make_fleet()
+            demand = Demand(2000, 1000)
+            finite = fleet.submit(Step(tasks=1, demand=demand, estimate_ms=1000))
+            standing = fleet.submit(
+                Step(tasks=20, demand=demand, standing=True), queue=LATE_QUEUE.name
+            )
+            starts = await self.run_rounds(fleet)
+            reserved = sorted(fleet.state.workers)[: self.count_reserved()]
+            used = {start.worker for start in starts if start.task.startswith(standing)}
+            self.assertEqual(len(starts), 21)
+            self.assertTrue(starts[0].task.startswith(finite))
+            self.assertFalse(used & set(reserved))
+
+        run_deterministic(check, seed=1)
+
+    def test_standing_work_without_goals_leaves_large_pieces(self) -> None:
+        """It was spread by load, so that each worker kept a small piece."""
+
+        async def check() -> None:
+            fleet = self.make_fleet()
+            for _ in range(WORKERS):
+                fleet.submit(Step(tasks=4, demand=Demand(2000, 1000), standing=True))
+            await self.run_rounds(fleet)
+            self.assertEqual(len(self.list_unused(fleet)), WORKERS // 2)
+
+        run_deterministic(check, seed=1)
+
+    def test_tasks_without_accelerators_leave_them_to_others(self) -> None:
+        async def check() -> None:
+            fleet = self.make_fleet()
+            for number, worker in enumerate(fleet.state.workers.values()):
+                accelerators = int(number < 2)
+                worker.capacity = Demand(16000, 64000, accelerators)
+            fleet.submit(Step(tasks=20, demand=Demand(8000), estimate_ms=1000))
+            fleet.submit(Step(tasks=2, demand=Demand(16000, 0, 1), estimate_ms=1000))
+            self.assertEqual(len(await self.run_rounds(fleet)), 22)
+
+        run_deterministic(check, seed=1)
+
+
+if __name__ == "__main__":
+    unittest.main()
