Reject finite jobs that would end too late because of the backlog

Cause: every job of a known queue was accepted, whatever waited.

A finite job on reserved cores is now rejected at once, with a time to return, while the open finite work takes longer than 2 s with the capacity that standing work leaves. The size of the job does not matter, so that large jobs are not rejected first.

--- a/src/rhubarbfield/scheduling/admission.py
+++ b/src/rhubarbfield/scheduling/admission.py
@@ -5,19 +5,24 @@
 accepted, finite jobs, which come and go, would find only pieces of capacity that
 are too small for their tasks. A share of the capacity is therefore left to finite
 jobs; standing work beyond the rest is rejected when it is submitted, since it could
-only wait.
+only wait. Finite jobs, too, may come faster than the workers can do them: beyond a
+backlog that is worked off within the goal of most jobs they are rejected, since they
+would end when their callers have no use for them any more.
 """
 
 from __future__ import annotations
 
 import functools
+import itertools
+import math
 from collections import Counter
 from collections.abc import Iterable, Mapping
 from datetime import timedelta
 
 import msgspec
 
-from rhubarbfield.clock import MS_PER_SECOND, Clock
+from rhubarbfield.clock import MILLISECOND, MS_PER_SECOND, Clock
+from rhubarbfield.scheduling.job_index import JobIndex
 from rhubarbfield.scheduling.model import (
     Demand,
     JobSubmission,
@@ -33,6 +38,9 @@
 # Finite work comes in bursts, and its tasks use a worker's capacity only in part.
 FINITE_HEADROOM = 3.0
 FINITE_WINDOW = timedelta(seconds=20)
+# Finite work that may be open, as the time that the capacity left to it needs for it.
+MAX_FINITE_BACKLOG = timedelta(seconds=2)
+MIN_FINITE_RETRY_AFTER = timedelta(seconds=1)
 # Standing jobs last minutes, so that capacity seldom becomes free sooner.
 STANDING_RETRY_AFTER = timedelta(seconds=10)
 # While new workers still report themselves, the capacity is not known yet.
@@ -66,6 +74,10 @@
         Service whose workers would run it.
     standing
         What its standing tasks reserve.
+    finite
+        Millicores times ms of its finite tasks.
+    priority
+        Priority of its queue.
     term
         Term of the leader that proposed it; no other one can still commit it.
     attempts
@@ -74,6 +86,8 @@
 
     service: ServiceName
     standing: Demand
+    finite: float
+    priority: int
     term: Term
     attempts: int = 0
 
@@ -93,6 +107,7 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._pending: dict[JobId, PendingJob] = {}
+        self._jobs = JobIndex()
         self._worker_counts: Counter[ServiceName] = Counter()
         self._grown_at: dict[ServiceName, timedelta] = {}
 
@@ -111,9 +126,13 @@
         """Count a job as accepted, as it is about to be proposed."""
         pending = self._pending.get(job)
         if pending is None or pending.term != term:
-            standing = measure_standing(submission)
-            pending = PendingJob(queue.service, standing, term)
-            self._pending[job] = pending
+            pending = self._pending[job] = PendingJob(
+                queue.service,
+                measure_standing(submission),
+                _measure_finite(submission),
+                queue.priority,
+                term,
+            )
         pending.attempts += 1
 
     def withdraw(self, job: JobId) -> None:
@@ -139,18 +158,33 @@
         A job that may already be accepted is never rejected.
         """
         self._forget_settled(state, term)
-        wanted = measure_standing(submission)
-        if wanted == Demand() or job in self._pending:
+        if job in self._pending or self._are_reporting(queue.service):
             return None
         capacities = [
             worker.capacity
             for worker in state.workers.values()
             if worker.service == queue.service and not worker.draining
         ]
-        if not capacities or self._are_reporting(queue.service):
+        if not capacities:
             return None
-        limit = self._find_standing_limit(state, queue.service, capacities)
-        held = self._measure_accepted(state, queue.service)
+        self._jobs.synchronize(state)
+        self._jobs.take_ended()
+        wanted = measure_standing(submission)
+        if wanted != Demand():
+            return self._decide_standing(wanted, queue.service, state, capacities)
+        if _measure_finite(submission):
+            return self._decide_finite(queue, state, capacities)
+        return None
+
+    def _decide_standing(
+        self,
+        wanted: Demand,
+        service: ServiceName,
+        state: SchedulingState,
+        capacities: list[Demand],
+    ) -> Rejection | None:
+        limit = self._find_standing_limit(state, service, capacities)
+        held = self._measure_standing_held(state, service)
         if _fits(wanted, held, limit):
             return None
         return Rejection(
@@ -159,6 +193,22 @@
             STANDING_RETRY_AFTER,
         )
 
+    def _decide_finite(
+        self, queue: Queue, state: SchedulingState, capacities: list[Demand]
+    ) -> Rejection | None:
+        capacity = _add_up(capacities).millicores
+        held = self._measure_standing_held(state, queue.service).millicores
+        room = max(capacity - held, capacity * MIN_FINITE_SHARE)
+        backlog = self._measure_finite_backlog(state, queue) / max(room, 1)
+        excess = backlog * MILLISECOND - MAX_FINITE_BACKLOG
+        if excess <= timedelta():
+            return None
+        return Rejection(
+            "more work waits than can be done in time",
+            f"the open work takes {backlog:.0f} ms with {room:.0f} millicores",
+            max(excess, MIN_FINITE_RETRY_AFTER),
+        )
+
     def _forget_settled(self, state: SchedulingState, term: Term) -> None:
         """Drop pending jobs that the state shows, or that can't be committed."""
         self._pending = {
@@ -174,19 +224,37 @@
             return False
         return self._clock.monotonic() - grown_at < REPORTING_PERIOD
 
-    def _measure_accepted(self, state: SchedulingState, service: ServiceName) -> Demand:
+    def _measure_standing_held(
+        self, state: SchedulingState, service: ServiceName
+    ) -> Demand:
         """Return what accepted standing work reserves, running or not."""
         queues = state.map_queues()
         accepted = (
             measure_standing(job.submission)
-            for job in state.jobs.values()
-            if job.is_open and _is_of_service(job, queues, service)
+            for job in self._jobs.open.values()
+            if _is_of_service(job, queues, service)
         )
         pending = (
             each.standing for each in self._pending.values() if each.service == service
         )
         return _add_up(accepted).plus(_add_up(pending))
 
+    def _measure_finite_backlog(self, state: SchedulingState, queue: Queue) -> float:
+        """Return the open finite work that goes before new jobs of a queue."""
+        queues = state.map_queues()
+        accepted = sum(
+            _measure_remaining(job)
+            for job in self._jobs.open.values()
+            if _is_of_service(job, queues, queue.service)
+            and queues[job.queue].priority <= queue.priority
+        )
+        pending = sum(
+            each.finite
+            for each in self._pending.values()
+            if each.service == queue.service and each.priority <= queue.priority
+        )
+        return accepted + pending
+
     def _find_standing_limit(
         self, state: SchedulingState, service: ServiceName, capacities: list[Demand]
     ) -> Demand:
@@ -212,11 +280,14 @@
         now_ms = self._clock.now().timestamp() * MS_PER_SECOND
         window_ms = FINITE_WINDOW.total_seconds() * MS_PER_SECOND
         queues = state.map_queues()
+        recent = itertools.takewhile(
+            lambda job: now_ms - job.accepted_ms <= window_ms,
+            reversed(state.jobs.values()),
+        )
         work = sum(
-            _measure_finite_work(job.submission, window_ms)
-            for job in state.jobs.values()
-            if 0 <= now_ms - job.accepted_ms <= window_ms
-            and _is_of_service(job, queues, service)
+            _measure_finite(job.submission, window_ms)
+            for job in recent
+            if _is_of_service(job, queues, service)
         )
         mean_millicores = work / window_ms
         share = FINITE_HEADROOM * mean_millicores / max(capacity.millicores, 1)
@@ -230,15 +301,28 @@
     )
 
 
-def _measure_finite_work(submission: JobSubmission, window_ms: float) -> float:
-    """Return millicores times ms that finite tasks reserve within a time window."""
+def _measure_finite(submission: JobSubmission, limit_ms: float = math.inf) -> float:
+    """Return millicores times ms that the finite tasks of a job reserve.
+
+    A task counts for at most ``limit_ms``.
+    """
     return sum(
-        step.reserved.millicores * min(step.estimate_ms, window_ms) * step.tasks
+        step.reserved.millicores * min(step.estimate_ms, limit_ms) * step.tasks
         for step in submission.steps
         if not step.standing
     )
 
 
+def _measure_remaining(job: Job) -> float:
+    """Return millicores times ms of the finite tasks of a job that are not done."""
+    return sum(
+        step.reserved.millicores * step.estimate_ms * (step.tasks - progress.done)
+        for steps in job.occurrences.values()
+        for step, progress in zip(job.submission.steps, steps, strict=True)
+        if not step.standing
+    )
+
+
 def _fits(wanted: Demand, held: Demand, limit: Demand) -> bool:
     """Return whether the limits hold for each resource that is wanted."""
     after = held.plus(wanted)
--- a/tests/scheduling/test_admission.py
+++ b/tests/scheduling/test_admission.py
@@ -15,12 +15,14 @@
     REPORTING_PERIOD,
     STANDING_RETRY_AFTER,
     Admission,
+    Rejection,
 )
 from rhubarbfield.scheduling.model import (
     Demand,
     JobPhase,
     JobSubmission,
     MachineName,
+    Queue,
     Step,
 )
 from rhubarbfield.scheduling.requests import (
@@ -54,7 +56,7 @@
     return JobSubmission(payload="p", steps=(step,))
 
 
-class AdmissionTest(unittest.TestCase):
+class AdmissionCase(unittest.TestCase):
     def setUp(self) -> None:
         self.clock = ManualClock(timedelta(seconds=100))
         self.admission = Admission(self.clock)
@@ -65,13 +67,14 @@
             self.add_worker()
 
     def accept(self, name: str, submission: JobSubmission) -> None:
-        self.state.jobs[JobId(name)] = Job(
+        job = self.state.jobs[JobId(name)] = Job(
             job=JobId(name),
             queue=QUEUE.name,
             order=len(self.state.jobs) + 1,
             submission=submission,
             accepted_ms=int(self.clock.now().timestamp() * MS_PER_SECOND),
         )
+        job.open_occurrence(0)
 
     def is_accepted(self, submission: JobSubmission, name: str = "new") -> bool:
         rejection = self.admission.decide(
@@ -95,6 +98,10 @@
             capacity=capacity,
         )
 
+
+class StandingWorkTest(AdmissionCase):
+    """Standing jobs that together ask for more than the workers have."""
+
     def test_standing_work_leaves_a_share_to_finite_work(self) -> None:
         self.accept("held", make_standing(STANDING_LIMIT // 10, tasks=9))
         self.assertTrue(self.is_accepted(make_standing(STANDING_LIMIT // 10)))
@@ -183,6 +190,51 @@
         self.assertTrue(self.is_accepted(make_standing(1)))
 
 
+class FiniteBacklogTest(AdmissionCase):
+    """Finite jobs that arrive faster than the workers can do them."""
+
+    SECOND_OF_WORK = WORKERS * CORES  # core-seconds
+
+    def decide(self, queue: Queue = QUEUE) -> Rejection | None:
+        return self.admission.decide(
+            JobId("new"), queue, make_finite(1, 1.0), state=self.state, term=self.term
+        )
+
+    def test_jobs_are_rejected_beyond_a_backlog(self) -> None:
+        self.accept("open", make_finite(2 * self.SECOND_OF_WORK, 1.0))
+        self.assertIsNone(self.decide())
+        self.accept("more", make_finite(self.SECOND_OF_WORK * 3, 1.0))
+        rejection = self.decide()
+        assert rejection is not None
+        self.assertEqual(rejection.retry_after, timedelta(seconds=3))
+
+    def test_standing_work_reduces_what_a_backlog_may_be(self) -> None:
+        self.accept("open", make_finite(self.SECOND_OF_WORK, 1.0))
+        self.assertIsNone(self.decide())
+        self.accept("held", make_standing(STANDING_LIMIT))
+        self.assertIsNotNone(self.decide())
+
+    def test_done_tasks_leave_the_backlog(self) -> None:
+        self.accept("open", make_finite(3 * self.SECOND_OF_WORK, 1.0))
+        self.assertIsNotNone(self.decide())
+        self.state.jobs[JobId("open")].occurrences[0][0].done = 1
+        self.assertIsNone(self.decide())
+
+    def test_work_of_lower_priority_does_not_count(self) -> None:
+        self.accept("open", make_finite(3 * self.SECOND_OF_WORK, 1.0))
+        urgent = msgspec.structs.replace(QUEUE, priority=QUEUE.priority - 1)
+        self.assertIsNone(self.decide(urgent))
+
+    def test_proposed_jobs_count(self) -> None:
+        self.begin("first", make_finite(3 * self.SECOND_OF_WORK, 1.0))
+        self.assertIsNotNone(self.decide())
+
+    def test_jobs_on_spare_cores_are_accepted(self) -> None:
+        self.accept("open", make_finite(3 * self.SECOND_OF_WORK, 1.0))
+        step = Step(demand=Demand(1000), estimate_ms=1000, uses_spare_cores=True)
+        self.assertTrue(self.is_accepted(JobSubmission(payload="p", steps=(step,))))
+
+
 class RejectionTest(unittest.TestCase):
     async def submit(
         self, deployment: Deployment, *, knows_rejection: bool = True
