--- a/src/rhubarbfield/scheduling/headroom.py
+++ b/src/rhubarbfield/scheduling/headroom.py
@@ -29,8 +29,6 @@
         Capacity that is not reserved.
     spare_millicores
         Processor capacity that no task is expected to use.
-    serves
-        Whether tasks with a tail-latency goal ran on it when the round began.
     predict_margins, known_margins
         Predicts the latency margins, and what it has returned, if it was called.
     serving_images
@@ -54,7 +52,6 @@
     worker: Worker
     free: Demand
     spare_millicores: int
-    serves: bool = False
     predict_margins: Callable[[], list[LatencyMargin]] = list
     known_margins: list[LatencyMargin] | None = None
     serving_images: frozenset[ImageName] = frozenset()
--- a/src/rhubarbfield/scheduling/headroom_index.py
+++ b/src/rhubarbfield/scheduling/headroom_index.py
@@ -89,7 +89,6 @@
         headroom.add_task(step)
         if step.tail_goal_ms:
             serving.append(ServingTask(name, step.image, step.tail_goal_ms, None))
-    headroom.serves = bool(serving)
     return WorkerUse(
         dict(worker.runs), worker.capacity, headroom, tuple(serving), is_complete
     )
--- a/tests/scheduling/fleets.py
+++ b/tests/scheduling/fleets.py
@@ -265,7 +265,6 @@
         headrooms = measure_all(self.state, leader._is_usable)
         for worker, headroom in headrooms.items():
             headroom.known_margins = self.list_reference_margins(headroom.worker)
-            headroom.serves = bool(headroom.known_margins)
             headroom.failures = leader._quarantine.count_failures(worker)
             if leader._quarantine.is_on_probation(worker, now):
                 may_probe = leader._quarantine.may_probe(worker)
