Compare the backlog of finite work with the goal of the job that waits for it

A caller with a short job would have been rejected for hours on a site with long finite jobs: one task of two hours on a single core counted as 7,200 core-seconds, more than two seconds of 2,000 cores (by reading; no play has such jobs). A task now counts for at most the goal of the job that is decided about, for which it occupies its cores, and a job with a later goal tolerates a longer backlog. test_long_tasks_on_some_workers_do_not_keep_short_jobs_out failed before; the tests of overload and of the oversubscribed site pass as before.

--- a/src/rhubarbfield/scheduling/admission.py
+++ b/src/rhubarbfield/scheduling/admission.py
@@ -5,16 +5,15 @@
 accepted, finite jobs, which come and go, would find only pieces of capacity that
 are too small for their tasks. A share of the capacity is therefore left to finite
 jobs; standing work beyond the rest is rejected when it is submitted, since it could
-only wait. Finite jobs, too, may come faster than the workers can do them: beyond a
-backlog that is worked off within the goal of most jobs they are rejected, since they
-would end when their callers have no use for them any more.
+only wait. Finite jobs, too, may come faster than the workers can do them: a job is
+rejected while the open work would occupy the workers for longer than its goal, since
+it would end when its caller has no use for it any more.
 """
 
 from __future__ import annotations
 
 import functools
 import itertools
-import math
 from collections import Counter
 from collections.abc import Iterable, Mapping
 from datetime import timedelta
@@ -29,6 +28,7 @@
     Queue,
     QueueName,
 )
+from rhubarbfield.scheduling.ordering import find_goal, measure_submission
 from rhubarbfield.scheduling.state import Job, SchedulingState
 from rhubarbfield.types import JobId, ServiceName, Term
 
@@ -38,8 +38,8 @@
 # Finite work comes in bursts, and its tasks use a worker's capacity only in part.
 FINITE_HEADROOM = 3.0
 FINITE_WINDOW = timedelta(seconds=20)
-# Finite work that may be open, as the time that the capacity left to it needs for it.
-MAX_FINITE_BACKLOG = timedelta(seconds=2)
+# A job is not rejected for a shorter wait, whatever its goal.
+MIN_REJECTED_WAIT = timedelta(seconds=2)
 MIN_FINITE_RETRY_AFTER = timedelta(seconds=1)
 # Standing jobs last minutes, so that capacity seldom becomes free sooner.
 STANDING_RETRY_AFTER = timedelta(seconds=10)
@@ -72,10 +72,8 @@
     ----------
     service
         Service whose workers would run it.
-    standing
-        What its standing tasks reserve.
-    finite
-        Millicores times ms of its finite tasks.
+    submission
+        The job.
     priority
         Priority of its queue.
     term
@@ -85,8 +83,7 @@
     """
 
     service: ServiceName
-    standing: Demand
-    finite: float
+    submission: JobSubmission
     priority: int
     term: Term
     attempts: int = 0
@@ -127,11 +124,7 @@
         pending = self._pending.get(job)
         if pending is None or pending.term != term:
             pending = self._pending[job] = PendingJob(
-                queue.service,
-                measure_standing(submission),
-                _measure_finite(submission),
-                queue.priority,
-                term,
+                queue.service, submission, queue.priority, term
             )
         pending.attempts += 1
 
@@ -172,8 +165,8 @@
         wanted = measure_standing(submission)
         if wanted != Demand():
             return self._decide_standing(wanted, queue.service, state, capacities)
-        if _measure_finite(submission):
-            return self._decide_finite(queue, state, capacities)
+        if any(step.reserved.millicores for step in submission.steps):
+            return self._decide_finite(queue, submission, state, capacities)
         return None
 
     def _decide_standing(
@@ -194,19 +187,26 @@
         )
 
     def _decide_finite(
-        self, queue: Queue, state: SchedulingState, capacities: list[Demand]
+        self,
+        queue: Queue,
+        submission: JobSubmission,
+        state: SchedulingState,
+        capacities: list[Demand],
     ) -> Rejection | None:
+        goal = find_goal(measure_submission(submission), queue)
+        tolerated = max(goal, MIN_REJECTED_WAIT)
+        tolerated_ms = tolerated / MILLISECOND
         capacity = _add_up(capacities).millicores
         held = self._measure_standing_held(state, queue.service).millicores
         room = max(capacity - held, capacity * MIN_FINITE_SHARE)
-        backlog = self._measure_finite_backlog(state, queue) / max(room, 1)
-        excess = backlog * MILLISECOND - MAX_FINITE_BACKLOG
-        if excess <= timedelta():
+        backlog = self._measure_finite_backlog(state, queue, tolerated_ms)
+        wait_ms = backlog / max(room, 1)
+        if wait_ms <= tolerated_ms:
             return None
         return Rejection(
             "more work waits than can be done in time",
-            f"the open work takes {backlog:.0f} ms with {room:.0f} millicores",
-            max(excess, MIN_FINITE_RETRY_AFTER),
+            f"open work of {wait_ms:.0f} ms with {room:.0f} millicores",
+            max((wait_ms - tolerated_ms) * MILLISECOND, MIN_FINITE_RETRY_AFTER),
         )
 
     def _forget_settled(self, state: SchedulingState, term: Term) -> None:
@@ -235,21 +235,28 @@
             if _is_of_service(job, queues, service)
         )
         pending = (
-            each.standing for each in self._pending.values() if each.service == service
+            measure_standing(each.submission)
+            for each in self._pending.values()
+            if each.service == service
         )
         return _add_up(accepted).plus(_add_up(pending))
 
-    def _measure_finite_backlog(self, state: SchedulingState, queue: Queue) -> float:
-        """Return the open finite work that goes before new jobs of a queue."""
+    def _measure_finite_backlog(
+        self, state: SchedulingState, queue: Queue, horizon_ms: float
+    ) -> float:
+        """Return the open finite work that may delay a new job of a queue.
+
+        Each task counts for at most ``horizon_ms``, for which it occupies its cores.
+        """
         queues = state.map_queues()
         accepted = sum(
-            _measure_remaining(job)
+            _measure_remaining(job, horizon_ms)
             for job in self._jobs.open.values()
             if _is_of_service(job, queues, queue.service)
             and queues[job.queue].priority <= queue.priority
         )
         pending = sum(
-            each.finite
+            _measure_finite(each.submission, horizon_ms)
             for each in self._pending.values()
             if each.service == queue.service and each.priority <= queue.priority
         )
@@ -301,22 +308,27 @@
     )
 
 
-def _measure_finite(submission: JobSubmission, limit_ms: float = math.inf) -> float:
+def _measure_finite(submission: JobSubmission, horizon_ms: float) -> float:
     """Return millicores times ms that the finite tasks of a job reserve.
 
-    A task counts for at most ``limit_ms``.
+    A task counts for at most ``horizon_ms``.
     """
     return sum(
-        step.reserved.millicores * min(step.estimate_ms, limit_ms) * step.tasks
+        step.reserved.millicores * min(step.estimate_ms, horizon_ms) * step.tasks
         for step in submission.steps
         if not step.standing
     )
 
 
-def _measure_remaining(job: Job) -> float:
-    """Return millicores times ms of the finite tasks of a job that are not done."""
+def _measure_remaining(job: Job, horizon_ms: float) -> float:
+    """Return millicores times ms of the finite tasks of a job that are not done.
+
+    A task counts for at most ``horizon_ms``.
+    """
     return sum(
-        step.reserved.millicores * step.estimate_ms * (step.tasks - progress.done)
+        step.reserved.millicores
+        * min(step.estimate_ms, horizon_ms)
+        * (step.tasks - progress.done)
         for steps in job.occurrences.values()
         for step, progress in zip(job.submission.steps, steps, strict=True)
         if not step.standing
--- a/src/rhubarbfield/scheduling/ordering.py
+++ b/src/rhubarbfield/scheduling/ordering.py
@@ -8,13 +8,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from datetime import timedelta
 from enum import IntEnum
 
 import msgspec
 
 from rhubarbfield.clock import MILLISECOND
-from rhubarbfield.scheduling.model import Queue
+from rhubarbfield.scheduling.model import JobSubmission, Queue
 from rhubarbfield.scheduling.state import Job, TaskPhase
 
 LATE_GOAL_MULTIPLE = 3  # a job that takes this many times its goal has no value
@@ -68,21 +69,36 @@
 
 def measure_work(job: Job) -> RemainingWork:
     """Return the work of a job; of a recurring job, that of its latest occurrence."""
-    steps = job.submission.steps
     progress = next(reversed(job.occurrences.values()), None)
+    done = None if progress is None else [step.done for step in progress]
+    return measure_submission(job.submission, done)
+
+
+def measure_submission(
+    submission: JobSubmission, done: Sequence[int] | None = None
+) -> RemainingWork:
+    """Return the work of a job.
+
+    Parameters
+    ----------
+    submission
+        The job.
+    done
+        Number of tasks that are done, by step; by default none.
+    """
+    steps = submission.steps
     left: list[float] = []
     whole: list[float] = []
     millicore_ms = 0.0
     total_millicore_ms = 0.0
-    for number, step in enumerate(steps):
+    for step, done_tasks in zip(steps, done or [0] * len(steps), strict=True):
         before_left = max((left[other] for other in step.after), default=0.0)
         before_whole = max((whole[other] for other in step.after), default=0.0)
-        done = progress[number].done if progress is not None else 0
-        open_ms = 0 if done >= step.tasks else step.estimate_ms
+        open_ms = 0 if done_tasks >= step.tasks else step.estimate_ms
         left.append(before_left + open_ms)
         whole.append(before_whole + step.estimate_ms)
         each = float(step.estimate_ms * max(step.demand.millicores, 1))
-        millicore_ms += each * (step.tasks - done)
+        millicore_ms += each * (step.tasks - done_tasks)
         total_millicore_ms += each * step.tasks
     return RemainingWork(
         critical_path=max(left) * MILLISECOND,
