Limit the estimates that durations of jobs are computed from

A single job with an estimate of 2^62 ms ended each leader in its next round: OverflowError, as the sum is no valid duration (run on a fleet of two workers). Found while reading what rejections depend on. The limit of 30 days holds where estimates are added up, so that jobs which are already in the log are covered. test_largest_estimate_does_not_end_the_leader failed before.

--- a/src/rhubarbfield/scheduling/ordering.py
+++ b/src/rhubarbfield/scheduling/ordering.py
@@ -20,6 +20,8 @@
 
 LATE_GOAL_MULTIPLE = 3  # a job that takes this many times its goal has no value
 ESTIMATE_MARGIN = 1.1  # factor on the critical path that covers commits, calls, views
+# Estimates have no bound of their own; sums of larger ones are not valid durations.
+MAX_ESTIMATE_MS = timedelta(days=30) // MILLISECOND
 BASE_VALUE = 0.3  # value that every job has; the rest grows with its work
 
 
@@ -94,10 +96,10 @@
     for step, done_tasks in zip(steps, done or [0] * len(steps), strict=True):
         before_left = max((left[other] for other in step.after), default=0.0)
         before_whole = max((whole[other] for other in step.after), default=0.0)
-        open_ms = 0 if done_tasks >= step.tasks else step.estimate_ms
-        left.append(before_left + open_ms)
-        whole.append(before_whole + step.estimate_ms)
-        each = float(step.estimate_ms * max(step.demand.millicores, 1))
+        estimate_ms = min(step.estimate_ms, MAX_ESTIMATE_MS)
+        left.append(before_left + (0 if done_tasks >= step.tasks else estimate_ms))
+        whole.append(before_whole + estimate_ms)
+        each = float(estimate_ms * max(step.demand.millicores, 1))
         millicore_ms += each * (step.tasks - done_tasks)
         total_millicore_ms += each * step.tasks
     return RemainingWork(
--- a/tests/scheduling/test_ordering.py
+++ b/tests/scheduling/test_ordering.py
@@ -57,6 +57,11 @@
         self.assertEqual(after.critical_path, timedelta(seconds=1))
         self.assertEqual(before.millicore_ms - after.millicore_ms, 4 * 1000 * 1000)
 
+    def test_largest_estimate_does_not_end_the_leader(self) -> None:
+        largest = 2**63 - 1
+        work = measure_work(make_job(make_step(ms=largest), make_step(ms=largest)))
+        self.assertEqual(find_outlook(work, QUEUE, timedelta()), Outlook.ON_TIME)
+
 
 class RankTest(unittest.TestCase):
     def test_outlook_worsens_with_age(self) -> None:
