--- a/src/rhubarbfield/scheduling/admission.py
+++ b/src/rhubarbfield/scheduling/admission.py
@@ -12,10 +12,9 @@
 
 from __future__ import annotations
 
-import functools
 import itertools
 from collections import Counter
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from datetime import timedelta
 
 import msgspec
@@ -30,6 +29,13 @@
 )
 from rhubarbfield.scheduling.ordering import find_goal, measure_submission
 from rhubarbfield.scheduling.state import Job, SchedulingState
+from rhubarbfield.scheduling.workload import (
+    add_up,
+    fits_limit,
+    measure_finite,
+    measure_remaining,
+    measure_standing,
+)
 from rhubarbfield.types import JobId, ServiceName, Term
 
 # Share of the capacity that standing work leaves to finite work.
@@ -178,7 +184,7 @@
     ) -> Rejection | None:
         limit = self._find_standing_limit(state, service, capacities)
         held = self._measure_standing_held(state, service)
-        if _fits(wanted, held, limit):
+        if fits_limit(wanted, held, limit):
             return None
         return Rejection(
             "the workers have no capacity left for work without an end",
@@ -196,7 +202,7 @@
         goal = find_goal(measure_submission(submission), queue)
         tolerated = max(goal, MIN_REJECTED_WAIT)
         tolerated_ms = tolerated / MILLISECOND
-        capacity = _add_up(capacities).millicores
+        capacity = add_up(capacities).millicores
         held = self._measure_standing_held(state, queue.service).millicores
         room = max(capacity - held, capacity * MIN_FINITE_SHARE)
         backlog = self._measure_finite_backlog(state, queue, tolerated_ms)
@@ -239,7 +245,7 @@
             for each in self._pending.values()
             if each.service == service
         )
-        return _add_up(accepted).plus(_add_up(pending))
+        return add_up(accepted).plus(add_up(pending))
 
     def _measure_finite_backlog(
         self, state: SchedulingState, queue: Queue, horizon_ms: float
@@ -250,13 +256,13 @@
         """
         queues = state.map_queues()
         accepted = sum(
-            _measure_remaining(job, horizon_ms)
+            measure_remaining(job, horizon_ms)
             for job in self._jobs.open.values()
             if _is_of_service(job, queues, queue.service)
             and queues[job.queue].priority <= queue.priority
         )
         pending = sum(
-            _measure_finite(each.submission, horizon_ms)
+            measure_finite(each.submission, horizon_ms)
             for each in self._pending.values()
             if each.service == queue.service and each.priority <= queue.priority
         )
@@ -266,7 +272,7 @@
         self, state: SchedulingState, service: ServiceName, capacities: list[Demand]
     ) -> Demand:
         """Return what standing work may reserve; a single worker in any case."""
-        capacity = _add_up(capacities)
+        capacity = add_up(capacities)
         share = 1 - self._find_finite_share(state, service, capacity)
         return Demand(
             max(int(capacity.millicores * share), *(c.millicores for c in capacities)),
@@ -292,7 +298,7 @@
             reversed(state.jobs.values()),
         )
         work = sum(
-            _measure_finite(job.submission, window_ms)
+            measure_finite(job.submission, window_ms)
             for job in recent
             if _is_of_service(job, queues, service)
         )
@@ -301,59 +307,8 @@
         return min(max(share, MIN_FINITE_SHARE), MAX_FINITE_SHARE)
 
 
-def measure_standing(submission: JobSubmission) -> Demand:
-    """Return what the standing tasks of a job reserve together."""
-    return _add_up(
-        step.reserved.times(step.tasks) for step in submission.steps if step.standing
-    )
-
-
-def _measure_finite(submission: JobSubmission, horizon_ms: float) -> float:
-    """Return millicores times ms that the finite tasks of a job reserve.
-
-    A task counts for at most ``horizon_ms``.
-    """
-    return sum(
-        step.reserved.millicores * min(step.estimate_ms, horizon_ms) * step.tasks
-        for step in submission.steps
-        if not step.standing
-    )
-
-
-def _measure_remaining(job: Job, horizon_ms: float) -> float:
-    """Return millicores times ms of the finite tasks of a job that are not done.
-
-    A task counts for at most ``horizon_ms``.
-    """
-    return sum(
-        step.reserved.millicores
-        * min(step.estimate_ms, horizon_ms)
-        * (step.tasks - progress.done)
-        for steps in job.occurrences.values()
-        for step, progress in zip(job.submission.steps, steps, strict=True)
-        if not step.standing
-    )
-
-
-def _fits(wanted: Demand, held: Demand, limit: Demand) -> bool:
-    """Return whether the limits hold for each resource that is wanted."""
-    after = held.plus(wanted)
-    return all(
-        not want or total <= most
-        for want, total, most in (
-            (wanted.millicores, after.millicores, limit.millicores),
-            (wanted.memory_mb, after.memory_mb, limit.memory_mb),
-            (wanted.accelerators, after.accelerators, limit.accelerators),
-        )
-    )
-
-
 def _is_of_service(
     job: Job, queues: Mapping[QueueName, Queue], service: ServiceName
 ) -> bool:
     queue = queues.get(job.queue)
     return queue is not None and queue.service == service
-
-
-def _add_up(demands: Iterable[Demand]) -> Demand:
-    return functools.reduce(Demand.plus, demands, Demand())
