Let the tests of a backlog's cost fill each worker by itself

Three of these tests, which are listed as failing, failed for another reason since standing tasks are packed: the fleet that they set up had room for the steps.

--- a/tests/scheduling/test_backlog_cost.py
+++ b/tests/scheduling/test_backlog_cost.py
@@ -36,7 +36,9 @@
     members = sum(
         worker.service == QUEUE.service for worker in fleet.state.workers.values()
     )
-    fleet.submit(Step(tasks=members, demand=HALF_WORKER, standing=True))
+    fleet.submit(
+        Step(tasks=members, demand=HALF_WORKER, standing=True, max_per_worker=1)
+    )
     fleet.submit(Step(tasks=40, demand=ONE_CORE, estimate_ms=5000))
     for _ in range(members // 100):
         await fleet.run_round()
