Let jobs on spare cores through before anything is measured

Most submissions reserve no cores and are never rejected, but the capacities of all workers were listed and the open jobs synchronized before that was looked at. Found in the last reading of the change; what is decided stays the same.

--- a/src/rhubarbfield/scheduling/admission.py
+++ b/src/rhubarbfield/scheduling/admission.py
@@ -156,6 +156,12 @@
 
         A job that may already be accepted is never rejected.
         """
+        wanted = measure_standing(submission)
+        is_standing = wanted != Demand()
+        if not is_standing and not any(
+            step.reserved.millicores for step in submission.steps
+        ):
+            return None
         self._forget_settled(state, term)
         if job in self._pending or self._are_reporting(queue.service):
             return None
@@ -168,12 +174,9 @@
             return None
         self._jobs.synchronize(state)
         self._jobs.take_ended()
-        wanted = measure_standing(submission)
-        if wanted != Demand():
+        if is_standing:
             return self._decide_standing(wanted, queue.service, state, capacities)
-        if any(step.reserved.millicores for step in submission.steps):
-            return self._decide_finite(queue, submission, state, capacities)
-        return None
+        return self._decide_finite(queue, submission, state, capacities)
 
     def _decide_standing(
         self,
