Log what is lost with a worker, and how it fell silent

Callers saw: jobs whose tasks ran again and again, and others beside them, with nothing in the logs between `run-placed` and the next `run-placed`. `worker-gone` now names the cause, how long ago the worker was heard, and how many others may have fallen silent at the same moment; `run-lost` tells for each run how long the worker is known to have worked with it. No decision uses them yet. The stand-in workers can crash and come back as other incarnations.

--- a/src/rhubarbfield/scheduling/contact.py
+++ b/src/rhubarbfield/scheduling/contact.py
@@ -11,6 +11,7 @@
 from rhubarbfield.scheduling.ports import CallFailure, WorkerAddress
 from rhubarbfield.scheduling.progress import RunKey
 from rhubarbfield.scheduling.settings import SchedulingSettings
+from rhubarbfield.scheduling.silences import Silence
 from rhubarbfield.types import WorkerId
 
 # A fixed log area, independent of the module's name.
@@ -77,6 +78,13 @@
         """Monotonic time of the last report or reply of the worker."""
         return max(self._reported_at, self.lease.clock_read_at)
 
+    @property
+    def silence(self) -> Silence | None:
+        """When the worker fell silent; None if the latest call got a reply."""
+        if self._unresponsive_since is None:
+            return None
+        return Silence(self.last_contact_at, self._unresponsive_since)
+
     @property
     def has_exited(self) -> bool:
         """Whether the worker announced its exit and has not replied since."""
--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -17,7 +17,6 @@
 from rhubarbfield.scheduling.backlog import Backlog
 from rhubarbfield.scheduling.commands import (
     EndRuns,
-    RemoveWorker,
     SaveHarm,
     UpdateWorkers,
     WorkerEnds,
@@ -48,6 +47,7 @@
     propose_until_committed,
 )
 from rhubarbfield.scheduling.registry import SessionRegistry
+from rhubarbfield.scheduling.removals import Removals
 from rhubarbfield.scheduling.session import WorkerSession
 from rhubarbfield.scheduling.settings import SchedulingSettings
 from rhubarbfield.scheduling.slicing import choose_starts
@@ -116,6 +116,7 @@
         self._terminations = Terminations(lambda: self.state, self._registry.sessions)
         self._pacer = RoundPacer(clock)
         self._avoided: dict[TaskName, set[WorkerId]] = {}
+        self._removals = Removals(log, self._registry, clock)
         self._ends = Batcher(self._commit_ends)
         self._housekeeping = Housekeeping(
             log,
@@ -186,8 +187,7 @@
         self, worker: WorkerId, checkpoints: dict[TaskName, CheckpointToken]
     ) -> None:
         """Record that an incarnation of a machine has ended."""
-        log_event(logger, logging.INFO, "worker-gone", worker=worker)
-        await self._propose(RemoveWorker(worker=worker, checkpoints=checkpoints))
+        await self._removals.remove(worker, checkpoints)
 
     def handle_view(self, worker: WorkerId) -> None:
         """Process a new view of a worker."""
--- a/src/rhubarbfield/scheduling/ledger.py
+++ b/src/rhubarbfield/scheduling/ledger.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from datetime import timedelta
+
 from rhubarbfield.scheduling.commands import EndedRun, WorkerEnds
 from rhubarbfield.scheduling.orders import StartState, Stop
 from rhubarbfield.scheduling.progress import RunKey
@@ -35,6 +37,7 @@
         self._host = host
         self._ending: set[RunKey] = set()  # their ends are not committed yet
         self._paces: dict[RunKey, int | None] = {}
+        self._known_since: dict[RunKey, timedelta] = {}
         self.starts: dict[RunKey, StartState] = {}
         self.stops: dict[RunKey, Stop] = {}
 
@@ -61,6 +64,17 @@
         is_open = self.starts.get(key) in (StartState.QUEUED, StartState.SENT)
         return is_open and not self.has_ended(key)
 
+    def record_presence(self, key: RunKey, now: timedelta) -> None:
+        """Record that a run was ordered to start now, or that a view lists it."""
+        self._known_since.setdefault(key, now)
+
+    def find_presence(self, key: RunKey) -> timedelta | None:
+        """Return since when a run may be on the worker; None if it is not known.
+
+        An order of an earlier leader may have started it, and no view has listed it.
+        """
+        return self._known_since.get(key)
+
     def settle(self, key: RunKey) -> None:
         """Record that a run has started or can no longer start."""
         if key in self.starts:
@@ -106,6 +120,7 @@
             self.starts.pop(key, None)
             self.stops.pop(key, None)
             self._paces.pop(key, None)
+            self._known_since.pop(key, None)
         self._ending |= keys
         await self._host.record_ends(WorkerEnds(self._worker, ends, recorded_ends))
         self._ending -= keys
--- a/src/rhubarbfield/scheduling/metrics.py
+++ b/src/rhubarbfield/scheduling/metrics.py
@@ -62,6 +62,9 @@
 LEASES_LAPSED = Counter(
     f"{_PREFIX}_leases_lapsed", "Workers whose lease ended unheard."
 )
+WORKERS_GONE = Counter(
+    f"{_PREFIX}_workers_gone", "Incarnations of workers that ended.", ["cause"]
+)
 HEARTBEATS = Counter(f"{_PREFIX}_heartbeats", "Reports of workers.", ["outcome"])
 LEADING = Gauge(f"{_PREFIX}_leading", "1 while this instance leads.")
 OPEN_JOBS = Gauge(f"{_PREFIX}_open_jobs", "Jobs that have not ended.")
--- a/src/rhubarbfield/scheduling/registry.py
+++ b/src/rhubarbfield/scheduling/registry.py
@@ -13,6 +13,7 @@
 from rhubarbfield.scheduling.session import WorkerSession
 from rhubarbfield.scheduling.session_host import SessionHost
 from rhubarbfield.scheduling.settings import SchedulingSettings
+from rhubarbfield.scheduling.silences import Silence
 from rhubarbfield.scheduling.state import Worker
 from rhubarbfield.types import WorkerId
 
@@ -73,6 +74,11 @@
         for removed in self.sessions.keys() - workers.keys():
             self._close(removed)
 
+    def map_silences(self) -> dict[WorkerId, Silence]:
+        """Return the silences of the workers that are silent now."""
+        silences = {name: each.silence for name, each in self.sessions.items()}
+        return {name: each for name, each in silences.items() if each is not None}
+
     def is_stale(self, worker: WorkerId, sequence: int) -> bool:
         """Return whether this or a later heartbeat of the worker was recorded."""
         return sequence <= self._sequences.get(worker, -1)
--- a/src/rhubarbfield/scheduling/session.py
+++ b/src/rhubarbfield/scheduling/session.py
@@ -5,6 +5,7 @@
 import logging
 from datetime import timedelta
 
+import msgspec
 import trio
 from returns.result import Failure, Success
 
@@ -21,7 +22,7 @@
     RunNumber,
     TaskName,
 )
-from rhubarbfield.scheduling.orders import Start, StopReason
+from rhubarbfield.scheduling.orders import Start, StartState, StopReason
 from rhubarbfield.scheduling.ports import (
     ActiveRun,
     ListedEnd,
@@ -34,6 +35,7 @@
 from rhubarbfield.scheduling.progress import Progress, RunKey
 from rhubarbfield.scheduling.session_host import SessionHost
 from rhubarbfield.scheduling.settings import SchedulingSettings
+from rhubarbfield.scheduling.silences import Silence
 from rhubarbfield.scheduling.state import RunEnd, Worker
 from rhubarbfield.scheduling.stops import RETRY_DELAY
 from rhubarbfield.types import WorkerId
@@ -41,6 +43,23 @@
 logger = logging.getLogger(__name__)
 
 
+class PresentRun(msgspec.Struct, frozen=True):
+    """A recorded run that a worker has, or may have, started.
+
+    Attributes
+    ----------
+    key
+        The run.
+    worked
+        For how long the worker is known to have worked since it started the run;
+        zero if it may just have started it, None if an earlier leader started it and
+        nothing was heard of it since.
+    """
+
+    key: RunKey
+    worked: timedelta | None
+
+
 class WorkerSession:
     """Sends orders to one worker and polls its state while the leader leads.
 
@@ -109,6 +128,13 @@
         """Whether new runs may be started on the worker now."""
         return self._contact.is_usable
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the worker drains or has announced its exit."""
+        worker = self._host.find_worker(self.worker)
+        is_draining = worker is not None and worker.draining
+        return is_draining or self._contact.exit_announced_at is not None
+
     @property
     def view_age(self) -> timedelta | None:
         """Age of the latest view of the worker; None before the first."""
@@ -183,6 +209,32 @@
             if self.get_pace(key) != 0 and not self.is_stopping(key)
         ]
 
+    @property
+    def silence(self) -> Silence | None:
+        """When the worker fell silent; None if the latest call got a reply."""
+        return self._contact.silence
+
+    def list_present_runs(self) -> list[PresentRun]:
+        """Return the recorded runs that the worker has, or may have, started."""
+        worker = self._host.find_worker(self.worker)
+        if worker is None:
+            return []
+        keys = (RunKey(task, run) for task, run in worker.runs.items())
+        return [
+            PresentRun(key, self._measure_work(key))
+            for key in keys
+            if self._ledger.starts.get(key) is not StartState.QUEUED
+        ]
+
+    def _measure_work(self, key: RunKey) -> timedelta | None:
+        """Return for how long the worker is known to have worked with a run."""
+        since = self._ledger.find_presence(key)
+        if since is None:
+            return None
+        if self._ledger.is_unsettled(key):  # it may have started at any time
+            return timedelta()
+        return max(self.last_contact_at - since, timedelta())
+
     def request_view(self) -> None:
         """Request a view of the worker now."""
         self._view_requested.set()
@@ -254,6 +306,8 @@
     ) -> None:
         self.active = {run.task: run for run in view.active}
         self._viewed_at = self._clock.monotonic()
+        for run in view.active:
+            self._ledger.record_presence(RunKey(run.task, run.run), self._viewed_at)
         finite = [run for run in view.active if not self._host.is_standing(run.task)]
         self._progress.update(finite, view.clock)
         worker = self._host.find_worker(self.worker)
--- /dev/null
+++ b/src/rhubarbfield/testing/crashing_workers.py
@@ -0,0 +1,141 @@
+"""Stand-in workers that crash, and come back as other incarnations."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+import msgspec
+from returns.result import Result
+
+from rhubarbfield.clock import Clock
+from rhubarbfield.scheduling.model import TaskName
+from rhubarbfield.scheduling.ports import (
+    CallFailure,
+    NoReply,
+    StartOrder,
+    WorkerAddress,
+)
+from rhubarbfield.testing.scheduling_workers import (
+    CALL_DURATION,
+    StandInFleet,
+    StandInWorker,
+)
+from rhubarbfield.types import WorkerId
+
+CRASH_DELAY = timedelta(milliseconds=10)
+RESTART_DELAY = timedelta(seconds=3.3)
+
+
+class Crash(msgspec.Struct, frozen=True):
+    """The end of an incarnation.
+
+    Attributes
+    ----------
+    at
+        Monotonic time of the crash.
+    worker
+        Id of the incarnation.
+    tasks
+        Tasks that ran there.
+    """
+
+    at: timedelta
+    worker: WorkerId
+    tasks: frozenset[TaskName]
+
+
+class CrashingFleet(StandInFleet):
+    """Worker port whose workers may crash.
+
+    Parameters
+    ----------
+    clock
+        Clock for the durations of calls.
+
+    Attributes
+    ----------
+    deadly
+        Tasks that crash each worker that starts them.
+    crash_delay
+        Time from the start of a deadly task to the crash.
+    restart_delay
+        Time from a crash until the next incarnation answers.
+    crashes
+        Crashes so far.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        super().__init__(clock)
+        self._time = clock
+        self._successors: dict[WorkerId, StandInWorker] = {}
+        self._crashing: list[StandInWorker] = []
+        self.deadly: set[TaskName] = set()
+        self.crash_delay = CRASH_DELAY
+        self.restart_delay = RESTART_DELAY
+        self.crashes: list[Crash] = []
+
+    def crash(self, worker: StandInWorker, delay: timedelta = timedelta()) -> None:
+        """Crash an incarnation after a delay, unless it crashes anyway."""
+        if worker.crash_at is None:
+            worker.crash_at = self._time.monotonic() + delay
+            self._crashing.append(worker)
+        self._restart_due()
+
+    def find_latest(self, worker: StandInWorker) -> StandInWorker:
+        """Return the latest incarnation of a worker's machine."""
+        self._restart_due()
+        while worker.worker in self._successors:
+            worker = self._successors[worker.worker]
+        return worker
+
+    def count_crashes(self, task: TaskName) -> int:
+        """Return the number of crashes of workers that ran a task."""
+        self._restart_due()
+        return sum(task in crash.tasks for crash in self.crashes)
+
+    async def start(
+        self, to: WorkerAddress, order: StartOrder
+    ) -> Result[timedelta, CallFailure]:
+        """Start a run."""
+        result = await super().start(to, order)
+        worker = self.workers.get(to.address)
+        if worker is not None and order.task in self.deadly & worker.runs.keys():
+            self.crash(worker, self.crash_delay)
+        return result
+
+    async def find_worker(self, to: WorkerAddress) -> StandInWorker | CallFailure:
+        """Return the worker that a call reaches, or how the call fails."""
+        self._restart_due()
+        worker = self.workers.get(to.address)
+        if worker is not None and worker.is_down:
+            await self._time.sleep(CALL_DURATION)
+            return NoReply("connection refused")
+        return await super().find_worker(to)
+
+    def _restart_due(self) -> None:
+        for worker in list(self._crashing):
+            if worker.is_down and worker.runs:
+                self._record_crash(worker)
+            crash_at = worker.crash_at
+            assert crash_at is not None
+            if self._time.monotonic() >= crash_at + self.restart_delay:
+                self._crashing.remove(worker)
+                self._restart(worker)
+
+    def _record_crash(self, worker: StandInWorker) -> None:
+        assert worker.crash_at is not None
+        tasks = frozenset(worker.runs)
+        self.crashes.append(Crash(worker.crash_at, worker.worker, tasks))
+        worker.runs.clear()
+
+    def _restart(self, worker: StandInWorker) -> None:
+        successor = StandInWorker(
+            WorkerId(f"{worker.worker}'"),
+            self._time,
+            capacity=worker.capacity,
+            duration=worker.duration,
+            machine=worker.machine,
+        )
+        successor.demands = worker.demands
+        self._successors[worker.worker] = successor
+        self.add(successor)
--- a/src/rhubarbfield/testing/scheduling_workers.py
+++ b/src/rhubarbfield/testing/scheduling_workers.py
@@ -107,9 +107,13 @@
         Capacity of the worker; starts beyond it are refused.
     duration
         How long each run takes; None for forever.
+    machine
+        Name of the machine that this is a life of; by default ``worker``.
 
     Attributes
     ----------
+    crash_at
+        Monotonic time at which this incarnation ends without notice, or None.
     end
         How runs end by themselves.
     demands
@@ -137,8 +141,11 @@
         *,
         capacity: Demand = CAPACITY,
         duration: timedelta | None = timedelta(seconds=1),
+        machine: str = "",
     ) -> None:
         self.worker = worker
+        self.machine = machine or worker
+        self.crash_at: timedelta | None = None
         self.capacity = capacity
         self.duration = duration
         self.end = RunEnd.DONE
@@ -163,13 +170,18 @@
     @property
     def address(self) -> str:
         """Address of the worker."""
-        return f"{self.worker}:1"
+        return f"{self.machine}:1"
+
+    @property
+    def is_down(self) -> bool:
+        """Whether this incarnation has ended."""
+        return self.crash_at is not None and self._clock.monotonic() >= self.crash_at
 
     def make_report(self, *, draining: bool = False) -> WorkerReport:
         """Return the worker's description of itself."""
         return WorkerReport(
             worker=self.worker,
-            machine=MachineName(f"m-{self.worker}"),
+            machine=MachineName(f"m-{self.machine}"),
             service=ServiceName("s"),
             address=self.address,
             zone="z",
@@ -247,6 +259,8 @@
         deadline = self._clock.monotonic() + request.wait_timeout
         while not self.ends and self._clock.monotonic() < deadline:
             await self._clock.sleep(timedelta(milliseconds=10))
+            if self.is_down:
+                return Failure(NoReply("the connection was closed"))
             self.end_due_runs()
         active = tuple(
             ActiveRun(
@@ -328,7 +342,7 @@
     ) -> Result[timedelta, CallFailure]:
         """Start a run."""
         self.sent.append(SentOrder(self._clock.monotonic(), to.worker, order))
-        found = await self._find_worker(to)
+        found = await self.find_worker(to)
         if not isinstance(found, StandInWorker):
             return Failure(found)
         if found.unanswered_starts:
@@ -343,7 +357,7 @@
     ) -> Result[timedelta, CallFailure]:
         """Stop a run."""
         self.sent.append(SentOrder(self._clock.monotonic(), to.worker, order))
-        found = await self._find_worker(to)
+        found = await self.find_worker(to)
         if not isinstance(found, StandInWorker):
             return Failure(found)
         if found.lost_stops:
@@ -359,7 +373,7 @@
         self, to: WorkerAddress, order: PaceOrder
     ) -> Result[timedelta, CallFailure]:
         """Set the share of its speed at which a run works."""
-        found = await self._find_worker(to)
+        found = await self.find_worker(to)
         if not isinstance(found, StandInWorker):
             return Failure(found)
         present = found.runs.get(order.task)
@@ -372,7 +386,7 @@
         self, to: WorkerAddress, request: ViewRequest
     ) -> Result[WorkerView, CallFailure]:
         """Return a worker's view of its runs."""
-        found = await self._find_worker(to)
+        found = await self.find_worker(to)
         if not isinstance(found, StandInWorker):
             return Failure(found)
         return await found.view(request)
@@ -387,7 +401,8 @@
             worker.start(order)
         self.delayed_starts.clear()
 
-    async def _find_worker(self, to: WorkerAddress) -> StandInWorker | CallFailure:
+    async def find_worker(self, to: WorkerAddress) -> StandInWorker | CallFailure:
+        """Return the worker that a call reaches, or how the call fails."""
         await self._clock.sleep(CALL_DURATION)
         found = self.workers.get(to.address)
         if found is None or found.is_unreachable:
--- a/tests/scheduling/deployments.py
+++ b/tests/scheduling/deployments.py
@@ -36,11 +36,8 @@
 from rhubarbfield.scheduling.ports import StartOrder, StopOrder
 from rhubarbfield.scheduling.settings import SchedulingSettings
 from rhubarbfield.scheduling.state import Job, SchedulingState
-from rhubarbfield.testing.scheduling_workers import (
-    SentOrder,
-    StandInFleet,
-    StandInWorker,
-)
+from rhubarbfield.testing.crashing_workers import CrashingFleet
+from rhubarbfield.testing.scheduling_workers import SentOrder, StandInWorker
 from rhubarbfield.types import JobId, ServiceName, Term, WorkerId
 from tests.controller.single_member import make_single_member_log
 from tests.replication.determinism import run_deterministic
@@ -70,7 +67,7 @@
 
     def __init__(self, settings: SchedulingSettings | None = None) -> None:
         self.clock = TrioClock()
-        self.fleet = StandInFleet(self.clock)
+        self.fleet = CrashingFleet(self.clock)
         self.settings = settings or SchedulingSettings()
         log, self.replica = make_single_member_log(make_scheduling_machine())
         self.log = cast(ReplicatedLog[SchedulingLogState], log)
@@ -132,8 +129,9 @@
 
     async def _report(self, leader: SchedulingLeader) -> None:
         while True:
-            for worker in self.reporting:
-                if not worker.is_unreachable:
+            for first in self.reporting:
+                worker = self.fleet.find_latest(first)
+                if not worker.is_unreachable and not worker.is_down:
                     await leader.handle_heartbeat(worker.make_heartbeat())
             await trio.sleep(1)
 
--- /dev/null
+++ b/tests/scheduling/test_removals.py
@@ -0,0 +1,63 @@
+"""Tests of the removal of workers that have ended."""
+
+from __future__ import annotations
+
+import logging
+import unittest
+from typing import Any
+
+import msgspec
+import trio
+
+from rhubarbfield.logs import JsonFormatter, find_event
+from rhubarbfield.scheduling.model import Step
+from tests.scheduling.deployments import ONE_CORE, Deployment, with_deployment
+
+LEADER_LOG = "rhubarbfield.scheduling.leader"
+
+
+def find_events(records: list[logging.LogRecord], name: str) -> list[dict[str, Any]]:
+    """Return the events with a name, as they are logged."""
+    formatter = JsonFormatter()
+    lines = (formatter.format(each) for each in records if find_event(each) == name)
+    return [msgspec.json.decode(line) for line in lines]
+
+
+class LostRunsTest(unittest.TestCase):
+    @with_deployment()
+    async def test_log_tells_a_run_that_had_just_started_from_one_that_had_worked(
+        self, deployment: Deployment
+    ) -> None:
+        worker = deployment.add_worker("w1", duration=None)
+        async with deployment.lead():
+            await deployment.submit("old", Step(demand=ONE_CORE))
+            await trio.sleep(3)
+            await deployment.submit("new", Step(demand=ONE_CORE))
+            await trio.sleep(0.2)
+            with self.assertLogs(LEADER_LOG, "INFO") as logs:
+                deployment.fleet.crash(worker)
+                await trio.sleep(5)
+        lost = {e["task"]: e["worked"] for e in find_events(logs.records, "run-lost")}
+        self.assertGreater(lost["old.0.0.0"], 2)
+        self.assertLess(lost["new.0.0.0"], 0.5)
+        (gone,) = find_events(logs.records, "worker-gone")
+        self.assertEqual((gone["cause"], gone["simultaneous"]), ("crashed", 0))
+
+    @with_deployment()
+    async def test_log_counts_the_workers_that_fell_silent_at_the_same_moment(
+        self, deployment: Deployment
+    ) -> None:
+        workers = [deployment.add_worker(name, duration=None) for name in "abc"]
+        async with deployment.lead():
+            await deployment.submit("j", Step(tasks=3, demand=ONE_CORE))
+            await trio.sleep(1)
+            with self.assertLogs(LEADER_LOG, "INFO") as logs:
+                for worker in workers:
+                    deployment.fleet.crash(worker)
+                await trio.sleep(5)
+        gone = find_events(logs.records, "worker-gone")
+        self.assertEqual([each["simultaneous"] for each in gone], [2, 2, 2])
+
+
+if __name__ == "__main__":
+    unittest.main()
