--- a/src/rhubarbfield/testing/crashing_workers.py
+++ b/src/rhubarbfield/testing/crashing_workers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from datetime import timedelta
 
 import msgspec
@@ -15,6 +16,7 @@
     StartOrder,
     WorkerAddress,
 )
+from rhubarbfield.scheduling.state import RunEnd
 from rhubarbfield.testing.scheduling_workers import (
     CALL_DURATION,
     StandInFleet,
@@ -56,12 +58,16 @@
     ----------
     deadly
         Tasks that crash each worker that starts them.
+    gang_steps
+        Steps (``JOB.OCCURRENCE.STEP``) whose other members end with a lost one.
     crash_delay
         Time from the start of a deadly task to the crash.
     restart_delay
         Time from a crash until the next incarnation answers.
     crashes
         Crashes so far.
+    starts
+        Number of runs that were started, by task.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -70,9 +76,11 @@
         self._successors: dict[WorkerId, StandInWorker] = {}
         self._crashing: list[StandInWorker] = []
         self.deadly: set[TaskName] = set()
+        self.gang_steps: set[str] = set()
         self.crash_delay = CRASH_DELAY
         self.restart_delay = RESTART_DELAY
         self.crashes: list[Crash] = []
+        self.starts: Counter[TaskName] = Counter()
 
     def crash(self, worker: StandInWorker, delay: timedelta = timedelta()) -> None:
         """Crash an incarnation after a delay, unless it crashes anyway."""
@@ -97,10 +105,16 @@
         self, to: WorkerAddress, order: StartOrder
     ) -> Result[timedelta, CallFailure]:
         """Start a run."""
+        before = self.workers.get(to.address)
+        known = 0 if before is None else len(before.started)
         result = await super().start(to, order)
         worker = self.workers.get(to.address)
-        if worker is not None and order.task in self.deadly & worker.runs.keys():
-            self.crash(worker, self.crash_delay)
+        if worker is None or worker is not before or len(worker.started) == known:
+            return result
+        for task, _, _ in worker.started[known:]:
+            self.starts[task] += 1
+            if task in self.deadly:
+                self.crash(worker, self.crash_delay)
         return result
 
     async def find_worker(self, to: WorkerAddress) -> StandInWorker | CallFailure:
@@ -127,6 +141,12 @@
         tasks = frozenset(worker.runs)
         self.crashes.append(Crash(worker.crash_at, worker.worker, tasks))
         worker.runs.clear()
+        self._break_gangs({_get_step(task) for task in tasks} & self.gang_steps)
+
+    def _break_gangs(self, steps: set[str]) -> None:
+        for worker in self.workers.values():
+            for task in [each for each in worker.runs if _get_step(each) in steps]:
+                worker.end_run(task, RunEnd.BROKEN)
 
     def _restart(self, worker: StandInWorker) -> None:
         successor = StandInWorker(
@@ -139,3 +159,7 @@
         successor.demands = worker.demands
         self._successors[worker.worker] = successor
         self.add(successor)
+
+
+def _get_step(task: TaskName) -> str:
+    return task.rpartition(".")[0]
--- a/src/rhubarbfield/testing/scheduling_workers.py
+++ b/src/rhubarbfield/testing/scheduling_workers.py
@@ -205,9 +205,9 @@
         now = self.read_clock()
         for task, run in list(self.runs.items()):
             if run.ends_at is not None and run.ends_at <= min(now, self.lease_end):
-                self._end(task, run.end)
+                self.end_run(task, run.end)
             elif now >= self.lease_end:
-                self._end(task, RunEnd.LAPSED)
+                self.end_run(task, RunEnd.LAPSED)
 
     def start(self, order: StartOrder) -> Result[timedelta, CallFailure]:
         """Carry out an order to start."""
@@ -240,7 +240,7 @@
         self._ended_runs[task] = max(self._ended_runs.get(task, run), run)
         present = self.runs.get(task)
         if present is not None and present.run <= run:
-            self._end(task, RunEnd.STOPPED)
+            self.end_run(task, RunEnd.STOPPED)
         return Success(self.read_clock())
 
     def has_ended(self, task: TaskName) -> bool:
@@ -295,7 +295,8 @@
             headroom = headroom.minus(self.demands.get(other, Demand()))
         return self.demands.get(task, Demand()).fits(headroom)
 
-    def _end(self, task: TaskName, end: RunEnd) -> None:
+    def end_run(self, task: TaskName, end: RunEnd) -> None:
+        """End a run, and list its end."""
         run = self.runs.pop(task)
         self._ended_runs[task] = run.run
         self._last_end_number += 1
--- /dev/null
+++ b/tests/scheduling/test_deadly_tasks.py
@@ -0,0 +1,224 @@
+"""Tests of tasks that crash each worker that starts them."""
+
+from __future__ import annotations
+
+import itertools
+import unittest
+from datetime import timedelta
+
+import trio
+
+from rhubarbfield.scheduling.model import JobPhase, Step, TaskName
+from rhubarbfield.types import JobId
+from tests.scheduling.deployments import ONE_CORE, Deployment, with_deployment
+
+# The users' limit: no third start after three workers have crashed.
+MAX_STARTS = 3 + 2
+DEADLY = TaskName("deadly.0.0.0")
+WORKERS = 6
+
+
+async def submit_bystanders(deployment: Deployment) -> None:
+    """Submit a job of two tasks each fifth of a second, without end."""
+    for number in itertools.count():
+        await deployment.submit(f"b{number}", Step(tasks=2, demand=ONE_CORE))
+        await trio.sleep(0.2)
+
+
+def add_workers(deployment: Deployment) -> None:
+    for number in range(WORKERS):
+        deployment.add_worker(f"w{number}")
+
+
+def count_starts(deployment: Deployment, task: TaskName) -> int:
+    """Return the number of runs of a task that workers have started."""
+    return deployment.fleet.starts[task]
+
+
+def list_phases(deployment: Deployment, prefix: str) -> set[JobPhase]:
+    """Return the phases of the jobs whose names begin alike."""
+    jobs = deployment.state.jobs.values()
+    return {job.phase for job in jobs if job.job.startswith(prefix)}
+
+
+class DeadlyTaskTest(unittest.TestCase):
+    async def check_given_up(self, deployment: Deployment, *steps: Step) -> None:
+        """Check that a deadly task is given up, and that nothing else is."""
+        add_workers(deployment)
+        deployment.fleet.deadly.add(DEADLY)
+        async with deployment.lead():
+            with trio.move_on_after(6):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(submit_bystanders, deployment)
+                    await trio.sleep(1)
+                    await deployment.submit("deadly", *steps)
+            await trio.sleep(40)
+        self.assertEqual(deployment.get_job("deadly").phase, JobPhase.FAILED)
+        self.assertLessEqual(count_starts(deployment, DEADLY), MAX_STARTS)
+        self.assertEqual(list_phases(deployment, "b"), {JobPhase.COMPLETED})
+
+    @with_deployment()
+    async def test_task_that_crashes_each_worker_is_started_too_often(
+        self, deployment: Deployment
+    ) -> None:
+        await self.check_given_up(deployment, Step(tasks=3, demand=ONE_CORE))
+
+    @with_deployment()
+    async def test_standing_task_that_crashes_each_worker_is_started_too_often(
+        self, deployment: Deployment
+    ) -> None:
+        step = Step(tasks=2, demand=ONE_CORE, standing=True)
+        await self.check_given_up(deployment, step)
+
+    @with_deployment()
+    async def test_gang_that_crashes_workers_is_started_too_often(
+        self, deployment: Deployment
+    ) -> None:
+        deployment.fleet.gang_steps.add("deadly.0.0")
+        step = Step(tasks=3, demand=ONE_CORE, gang=True)
+        await self.check_given_up(deployment, step)
+
+    @with_deployment()
+    async def test_task_that_crashes_workers_late_is_started_too_often(
+        self, deployment: Deployment
+    ) -> None:
+        deployment.fleet.crash_delay = timedelta(milliseconds=800)
+        await self.check_given_up(deployment, Step(tasks=3, demand=ONE_CORE))
+
+    @with_deployment()
+    async def test_task_whose_workers_return_after_their_lease_is_started_too_often(
+        self, deployment: Deployment
+    ) -> None:
+        deployment.fleet.restart_delay = timedelta(seconds=9)
+        await self.check_given_up(deployment, Step(tasks=3, demand=ONE_CORE))
+
+    @with_deployment()
+    async def test_several_deadly_tasks_hide_each_other(
+        self, deployment: Deployment
+    ) -> None:
+        others = [TaskName(f"other{number}.0.0.0") for number in range(3)]
+        deployment.fleet.deadly.update(others)
+        for number in range(3):
+            await deployment.submit(f"other{number}", Step(demand=ONE_CORE))
+        await self.check_given_up(deployment, Step(demand=ONE_CORE))
+        for task in others:
+            self.assertLessEqual(count_starts(deployment, task), MAX_STARTS)
+
+    @with_deployment()
+    async def test_count_of_crashes_is_lost_with_the_leader(
+        self, deployment: Deployment
+    ) -> None:
+        """Each crash is followed by another leader, which has seen nothing."""
+        add_workers(deployment)
+        deployment.fleet.deadly.add(DEADLY)
+        await deployment.submit("deadly", Step(demand=ONE_CORE))
+        for term in range(2, 20):
+            async with deployment.lead():
+                with trio.move_on_after(4):
+                    await submit_bystanders(deployment)
+            deployment.elect(term)
+        self.assertEqual(deployment.get_job("deadly").phase, JobPhase.FAILED)
+        self.assertLessEqual(count_starts(deployment, DEADLY), MAX_STARTS)
+
+    @with_deployment()
+    async def test_count_of_crashes_is_lost_with_a_restart_from_a_snapshot(
+        self, deployment: Deployment
+    ) -> None:
+        add_workers(deployment)
+        deployment.fleet.deadly.add(DEADLY)
+        await deployment.submit("deadly", Step(demand=ONE_CORE))
+        for term in range(2, 12):
+            async with deployment.lead():
+                await trio.sleep(4)
+            machine = deployment.log.machine
+            machine.restore(machine.take_snapshot())
+            deployment.elect(term)
+        self.assertEqual(deployment.get_job("deadly").phase, JobPhase.FAILED)
+        self.assertLessEqual(count_starts(deployment, DEADLY), MAX_STARTS)
+
+
+class BystanderTest(unittest.TestCase):
+    @with_deployment()
+    async def test_jobs_survive_workers_that_crash_together_again_and_again(
+        self, deployment: Deployment
+    ) -> None:
+        add_workers(deployment)
+        async with deployment.lead():
+            for number in range(8):
+                await deployment.submit(f"j{number}", Step(tasks=4, demand=ONE_CORE))
+                await trio.sleep(0.3)
+                for worker in list(deployment.fleet.workers.values())[:3]:
+                    deployment.fleet.crash(worker)
+                await trio.sleep(4)
+            await trio.sleep(20)
+        self.assertEqual(list_phases(deployment, "j"), {JobPhase.COMPLETED})
+
+    @with_deployment()
+    async def test_task_survives_a_worker_that_crashes_once_right_after_its_start(
+        self, deployment: Deployment
+    ) -> None:
+        worker = deployment.add_worker("w0")
+        async with deployment.lead():
+            await deployment.submit("j", Step(demand=ONE_CORE))
+            await trio.sleep(0.05)
+            deployment.fleet.crash(worker)
+            await trio.sleep(10)
+        self.assertEqual(deployment.get_job("j").phase, JobPhase.COMPLETED)
+
+    @with_deployment()
+    async def test_standing_tasks_survive_rare_crashes_of_their_workers(
+        self, deployment: Deployment
+    ) -> None:
+        add_workers(deployment)
+        for first in deployment.reporting:
+            first.duration = None
+        step = Step(tasks=4, demand=ONE_CORE, standing=True)
+        async with deployment.lead():
+            await deployment.submit("j", step)
+            for _ in range(10):
+                await trio.sleep(40)
+                for worker in list(deployment.fleet.workers.values()):
+                    if worker.runs:
+                        deployment.fleet.crash(worker)
+                        break
+        self.assertEqual(deployment.get_job("j").phase, JobPhase.RUNNING)
+
+    @with_deployment()
+    async def test_tasks_survive_workers_that_leave_as_announced(
+        self, deployment: Deployment
+    ) -> None:
+        """What ends with a worker that left did not end it."""
+        deployment.add_worker("w0", duration=None)
+        deployment.fleet.restart_delay = timedelta(seconds=1)
+        async with deployment.lead() as leader:
+            await deployment.submit("j", Step(demand=ONE_CORE))
+            for _ in range(8):
+                await trio.sleep(0.5)
+                worker = deployment.fleet.find_latest(deployment.reporting[0])
+                await leader.handle_heartbeat(worker.make_heartbeat(draining=True))
+                deployment.fleet.crash(worker)
+                await trio.sleep(4)
+        self.assertNotEqual(deployment.get_job("j").phase, JobPhase.FAILED)
+
+    @with_deployment()
+    async def test_suspect_is_tried_beside_nothing_that_has_just_started(
+        self, deployment: Deployment
+    ) -> None:
+        add_workers(deployment)
+        deployment.fleet.deadly.add(DEADLY)
+        async with deployment.lead():
+            with trio.move_on_after(12):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(submit_bystanders, deployment)
+                    await trio.sleep(1)
+                    await deployment.submit("deadly", Step(demand=ONE_CORE))
+        first, second, *_ = (
+            crash for crash in deployment.fleet.crashes if DEADLY in crash.tasks
+        )
+        self.assertLessEqual(len(second.tasks), len(first.tasks))
+        self.assertEqual(deployment.fleet.count_crashes(DEADLY), 2)
+        self.assertEqual(deployment.state.jobs[JobId("deadly")].phase, JobPhase.FAILED)
+
+
+if __name__ == "__main__":
+    unittest.main()
