--- a/src/rhubarbfield/scheduling/state.py
+++ b/src/rhubarbfield/scheduling/state.py
@@ -81,8 +81,8 @@
     RECENT
         It had just started, as had others.
     EARLIER
-        It had worked for a while, or other workers fell silent at the same moment,
-        or it is not known when it started.
+        It had worked for a while, or it is not known when it started; or it had just
+        started, but other workers fell silent at the same moment.
     CLEARED
         It has no end and had worked for long.
     """
--- a/src/rhubarbfield/scheduling/suspicion.py
+++ b/src/rhubarbfield/scheduling/suspicion.py
@@ -37,7 +37,9 @@
     has_common_cause: bool,
     find_step: Callable[[TaskName], Step | None],
 ) -> list[CrashedRun]:
-    """Return what the crash of a worker says about each of its runs.
+    """Return what the crash of a worker says about its runs.
+
+    A run that had worked for a while is left out if the crash had a common cause.
 
     Parameters
     ----------
@@ -48,20 +50,28 @@
     find_step
         Returns the step of a task, or None if it is not known.
     """
-    fresh = {run.key for run in runs if run.is_fresh}
-    units = {_find_unit(key.task, find_step(key.task)) for key in fresh}
+    fresh = (run.key.task for run in runs if run.is_fresh)
+    units = {_find_unit(task, find_step(task)) for task in fresh}
     is_only_one = len(units) == 1 and all(run.worked is not None for run in runs)
 
-    def assess(run: PresentRun) -> CrashEvidence:
+    def assess(run: PresentRun) -> CrashEvidence | None:
         step = find_step(run.key.task)
-        if run.key in fresh and not has_common_cause:
-            return CrashEvidence.ALONE if is_only_one else CrashEvidence.RECENT
-        if run.worked is None or step is None or not step.standing:
+        if run.worked is None:
             return CrashEvidence.EARLIER
-        is_cleared = run.worked >= CLEARING_TIME
-        return CrashEvidence.CLEARED if is_cleared else CrashEvidence.EARLIER
-
-    return [CrashedRun(run.key.task, run.key.run, assess(run)) for run in runs]
+        if run.is_fresh:
+            if has_common_cause:
+                return CrashEvidence.EARLIER
+            return CrashEvidence.ALONE if is_only_one else CrashEvidence.RECENT
+        if step is not None and step.standing and run.worked >= CLEARING_TIME:
+            return CrashEvidence.CLEARED
+        return None if has_common_cause else CrashEvidence.EARLIER
+
+    assessed = ((run.key, assess(run)) for run in runs)
+    return [
+        CrashedRun(key.task, key.run, evidence)
+        for key, evidence in assessed
+        if evidence is not None
+    ]
 
 
 def has_common_cause(simultaneous: int, without_start: int) -> bool:
