Keep suspects away from runs that are about to start

Cause: a run whose order waits to be sent counted as proven, so that in the moments between two rounds others were placed beside a suspect, and a suspect beside others. The preferred rack also went before an undisturbed trial. A run is now proven only if the worker is known to have worked with it; test_run_is_taken_for_proven_before_its_ order_is_sent failed before (is_proven was true).

--- a/src/rhubarbfield/scheduling/candidates.py
+++ b/src/rhubarbfield/scheduling/candidates.py
@@ -251,8 +251,8 @@
     others it does the least harm.
     """
     return (
+        headroom.count_unproven() + headroom.new_tasks,
         _is_far(step, headroom),
-        headroom.count_fresh_runs() + headroom.new_tasks,
         headroom.standing_tasks,
         headroom.task_count,
     )
--- a/src/rhubarbfield/scheduling/headroom.py
+++ b/src/rhubarbfield/scheduling/headroom.py
@@ -47,8 +47,8 @@
         than the present count until its probe has started.
     failures
         Runs that failed on the worker since the last success.
-    count_fresh_runs
-        Counts the runs with which the worker has hardly worked yet.
+    count_unproven
+        Counts the runs with which the worker is not known to have worked for a while.
     new_tasks
         Number of tasks that this round has added.
     """
@@ -66,7 +66,7 @@
     task_count: int = 0
     task_limit: int = 1_000_000
     failures: int = 0
-    count_fresh_runs: Callable[[], int] = int
+    count_unproven: Callable[[], int] = int
     new_tasks: int = 0
 
     @property
--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -345,7 +345,7 @@
         headroom.predict_margins = partial(self._mitigator.list_margins, worker)
         headroom.failures = self._quarantine.count_failures(worker.worker)
         session = self._registry.sessions[worker.worker]
-        headroom.count_fresh_runs = session.count_fresh
+        headroom.count_unproven = session.count_unproven
         if self._quarantine.is_on_probation(worker.worker, self._clock.monotonic()):
             headroom.task_limit = headroom.task_count + int(
                 self._quarantine.may_probe(worker.worker)
--- a/src/rhubarbfield/scheduling/session.py
+++ b/src/rhubarbfield/scheduling/session.py
@@ -34,7 +34,7 @@
 from rhubarbfield.scheduling.progress import Progress, RunKey
 from rhubarbfield.scheduling.session_host import SessionHost
 from rhubarbfield.scheduling.settings import SchedulingSettings
-from rhubarbfield.scheduling.silences import PresentRun, Silence
+from rhubarbfield.scheduling.silences import PROOF_TIME, PresentRun, Silence
 from rhubarbfield.scheduling.state import RunEnd, Worker
 from rhubarbfield.scheduling.stops import RETRY_DELAY
 from rhubarbfield.types import WorkerId
@@ -215,12 +215,18 @@
         ]
 
     def is_proven(self, key: RunKey) -> bool:
-        """Return whether the worker is known to have worked with a run for a while."""
-        return not PresentRun(key, self._measure_work(key)).is_fresh
+        """Return whether the worker is known to have worked with a run for a while.
 
-    def count_fresh(self) -> int:
-        """Return the number of runs with which the worker has hardly worked yet."""
-        return sum(run.is_fresh for run in self.list_present_runs())
+        A run whose order is not sent yet is not proven.
+        """
+        worked = self._measure_work(key)
+        return worked is not None and worked >= PROOF_TIME
+
+    def count_unproven(self) -> int:
+        """Return the number of recorded runs that are not proven."""
+        worker = self._host.find_worker(self.worker)
+        runs = {} if worker is None else worker.runs
+        return sum(not self.is_proven(RunKey(*each)) for each in runs.items())
 
     def _measure_work(self, key: RunKey) -> timedelta | None:
         """Return for how long the worker is known to have worked with a run."""
--- a/tests/scheduling/test_deadly_tasks.py
+++ b/tests/scheduling/test_deadly_tasks.py
@@ -8,7 +8,8 @@
 
 import trio
 
-from rhubarbfield.scheduling.model import JobPhase, Step, TaskName
+from rhubarbfield.scheduling.model import JobPhase, RunNumber, Step, TaskName
+from rhubarbfield.scheduling.progress import RunKey
 from rhubarbfield.scheduling.silences import PROOF_TIME
 from tests.scheduling.deployments import ONE_CORE, Deployment, with_deployment
 
@@ -218,5 +219,28 @@
         self.assertEqual(deployment.get_job("deadly").phase, JobPhase.FAILED)
 
 
+class TrialTest(unittest.TestCase):
+    @with_deployment()
+    async def test_run_is_taken_for_proven_before_its_order_is_sent(
+        self, deployment: Deployment
+    ) -> None:
+        """A start without an answer holds up the orders behind it."""
+        worker = deployment.add_worker("w0", duration=None)
+        worker.unanswered_starts = 1
+        async with deployment.lead() as leader:
+            await deployment.submit("slow", Step(demand=ONE_CORE))
+            await deployment.submit("queued", Step(demand=ONE_CORE))
+            await trio.sleep(0.3)
+            session = leader.get_session(worker.worker)
+            assert session is not None
+            self.assertEqual(len(worker.started), 0)
+            key = RunKey(TaskName("queued.0.0.0"), RunNumber(1))
+            self.assertFalse(session.is_proven(key))
+            self.assertEqual(session.count_unproven(), 2)
+            await trio.sleep(5)
+            self.assertTrue(session.is_proven(key))
+            self.assertEqual(session.count_unproven(), 0)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/scheduling/test_rounds.py
+++ b/tests/scheduling/test_rounds.py
@@ -151,7 +151,7 @@
                 for headroom in measured.values():
                     self.assertIsNotNone(headroom.margins)  # predicts them
                     headroom.predict_margins = list
-                    headroom.count_fresh_runs = int  # of the session, not the state
+                    headroom.count_unproven = int  # of the session, not the state
                 self.assertEqual(measured, fleet.measure_reference())
 
         run_deterministic(compare, seed=1)
