Give the task of a start that was never sent to another worker at once

Cause: a call without a reply did not tell whether anything had been sent, so that a start was always in doubt. A request for which no connection was opened has been carried out nowhere; its run now ends as rejected, and counts for nothing.

Evidence: test_start_that_reached_no_worker_goes_to_another_at_once failed before (running, not completed, after 1.5 s); test_request_without_a_connection_was_not_sent. The new field of a reply has a default for relays of earlier versions: in doubt.

--- a/src/rhubarbfield/httpclient.py
+++ b/src/rhubarbfield/httpclient.py
@@ -44,9 +44,25 @@
     ----------
     detail
         What went wrong.
+    was_sent
+        Whether any of the request was sent. If not, the server has done nothing.
     """
 
     detail: str
+    was_sent: bool = True
+
+
+class _Progress:
+    """How far a request has come.
+
+    Attributes
+    ----------
+    is_sending
+        Whether any of it may have been sent.
+    """
+
+    def __init__(self) -> None:
+        self.is_sending = False
 
 
 class HttpClient:
@@ -116,18 +132,20 @@
                 *headers,
             ],
         )
+        progress = _Progress()
+        detail = "no response in time"
         with trio.move_on_after(timeout.total_seconds()):
             try:
                 await self._wait_for_turn()
                 try:
-                    return Success(await self._exchange(request, content))
+                    return Success(await self._exchange(request, content, progress))
                 finally:
                     self._free.release()
             except (OSError, trio.BrokenResourceError, h11.ProtocolError) as error:
-                return Failure(HttpFailure(repr(error)))
+                detail = repr(error)
             except trio.ClosedResourceError:
-                return Failure(HttpFailure("the client was closed"))
-        return Failure(HttpFailure("no response in time"))
+                detail = "the client was closed"
+        return Failure(HttpFailure(detail, progress.is_sending))
 
     async def close(self) -> None:
         """Close all connections; requests in progress fail."""
@@ -142,8 +160,11 @@
         except trio.WouldBlock:
             await self._free.acquire()
 
-    async def _exchange(self, request: h11.Request, content: bytes) -> HttpReply:
+    async def _exchange(
+        self, request: h11.Request, content: bytes, progress: _Progress
+    ) -> HttpReply:
         connection = await self._take_idle() or await self._connect()
+        progress.is_sending = True
         try:
             reply = await connection.exchange(request, content)
         except BaseException:
--- a/src/rhubarbfield/platform/runners.py
+++ b/src/rhubarbfield/platform/runners.py
@@ -157,7 +157,7 @@
             case Success(reply):
                 return Failure(_read_failure(reply.status, reply.body))
             case Failure(failure):
-                return Failure(NoReply(failure.detail))
+                return Failure(NoReply(failure.detail, failure.was_sent))
         raise AssertionError
 
     def _get_client(self, address: str) -> HttpClient:
--- a/src/rhubarbfield/scheduling/dispatch.py
+++ b/src/rhubarbfield/scheduling/dispatch.py
@@ -161,7 +161,7 @@
                 case Failure(failure):
                     if await self._handle_start_failure(start, failure, in_doubt):
                         return
-                    in_doubt = in_doubt or isinstance(failure, NoReply)
+                    in_doubt = in_doubt or _may_be_carried_out(failure)
             await self._clock.sleep(RETRY_DELAY)
         if self._ledger.is_unsettled(key):
             # Once the worker confirms the stop, the run can no longer start there.
@@ -231,9 +231,12 @@
                 if refusal is not Refusal.SUPERSEDED:
                     await self._ledger.record_end(start.key, RunEnd.REJECTED)
                 return True
-            case NoReply():
+            case NoReply(was_sent=was_sent):
                 self._contact.handle_no_reply()
-                return False
+                if was_sent or in_doubt:
+                    return False
+                await self._ledger.record_end(start.key, RunEnd.REJECTED)
+                return True
         raise AssertionError
 
     async def _send_pace(self, order: Pace) -> None:
@@ -252,3 +255,7 @@
             case Failure(failure):
                 self._contact.log_failure("pace-failed", key, failure)
                 self._ledger.set_pace(key, None)
+
+
+def _may_be_carried_out(failure: CallFailure) -> bool:
+    return isinstance(failure, NoReply) and failure.was_sent
--- a/src/rhubarbfield/scheduling/ports.py
+++ b/src/rhubarbfield/scheduling/ports.py
@@ -59,9 +59,12 @@
     ----------
     detail
         Description of the failure.
+    was_sent
+        Whether any of the order was sent. If not, it will never be carried out.
     """
 
     detail: str
+    was_sent: bool = True
 
 
 class Refused(msgspec.Struct, frozen=True, array_like=True, tag="refused"):
--- a/src/rhubarbfield/scheduling/state.py
+++ b/src/rhubarbfield/scheduling/state.py
@@ -56,7 +56,7 @@
     Attributes
     ----------
     REJECTED
-        The worker refused to start it; it never ran.
+        The worker refused to start it, or was never reached; it never ran.
     LOST
         Its worker was removed, or its lease lapsed without a report of its end.
     """
--- a/src/rhubarbfield/testing/crashing_workers.py
+++ b/src/rhubarbfield/testing/crashing_workers.py
@@ -127,7 +127,7 @@
         worker = self.workers.get(to.address)
         if worker is not None and worker.is_down:
             await self._time.sleep(CALL_DURATION)
-            return NoReply("connection refused")
+            return NoReply("connection refused", was_sent=False)
         return await super().find_worker(to)
 
     def _restart_due(self) -> None:
--- a/tests/scheduling/test_leader.py
+++ b/tests/scheduling/test_leader.py
@@ -18,6 +18,7 @@
     TaskName,
 )
 from rhubarbfield.scheduling.orders import Start
+from rhubarbfield.scheduling.ports import StartOrder
 from rhubarbfield.scheduling.progress import RunKey
 from rhubarbfield.scheduling.state import RunEnd
 from rhubarbfield.testing.scheduling_workers import StandInWorker
@@ -95,6 +96,22 @@
 
 
 class LostWorkersTest(unittest.TestCase):
+    @with_deployment()
+    async def test_start_that_reached_no_worker_goes_to_another_at_once(
+        self, deployment: Deployment
+    ) -> None:
+        """The crash of an idle worker is noticed by the next order only."""
+        first = deployment.add_worker("w1")
+        deployment.add_worker("w2")
+        async with deployment.lead():
+            await trio.sleep(0.5)
+            deployment.fleet.crash(first)
+            await deployment.submit("j", Step(demand=ONE_CORE))
+            await trio.sleep(1.5)
+            self.assertEqual(deployment.get_job("j").phase, JobPhase.COMPLETED)
+        sent = deployment.list_sent(StartOrder, "j")
+        self.assertEqual([each.worker for each in sent], ["w1", "w2"])
+
     @with_deployment()
     async def test_removal_in_doubt_ends_no_run_of_a_worker_that_came_back(
         self, deployment: Deployment
--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 import unittest
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
@@ -197,6 +198,22 @@
         self.run_with(peer, check)
         self.assertEqual(peer.accepted, 2)
 
+    def test_request_without_a_connection_was_not_sent(self) -> None:
+        async def check() -> None:
+            with socket.socket() as unused:
+                unused.bind(("127.0.0.1", 0))  # bound and not listening: refused
+                client = HttpClient(
+                    "127.0.0.1",
+                    unused.getsockname()[1],
+                    max_connections=1,
+                    connect_timeout=TIMEOUT,
+                    keep_alive_expiry=TIMEOUT,
+                )
+                failure = (await self.post(client)).failure()
+            self.assertFalse(failure.was_sent, failure.detail)
+
+        trio.run(check)
+
     def test_closing_fails_requests_in_progress_and_leaves_no_connection(self) -> None:
         peer = Peer(REPLY, delay=5.0)
         results = []
