Share the blame for a crash among the runs that had just started

And an innocent one of many that had just started at one crash would have been given up at its next.

The blame is now divided by the number of runs that had just started; a suspect waits up to 1.5 s for a worker on which nothing has; a worker that has worked with a run for 0.3 s clears its start; only starts that certainly happened count for an early end.

--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -119,7 +119,7 @@
         self._pacer = RoundPacer(clock)
         self._avoided: dict[TaskName, set[WorkerId]] = {}
         self._removals = Removals(log, self._registry, clock)
-        self._suspects = Suspects(lambda: self.state)
+        self._suspects = Suspects(lambda: self.state, clock)
         self._ends = Batcher(self._commit_ends)
         self._housekeeping = Housekeeping(
             log,
@@ -366,6 +366,7 @@
             interference=self._interference,
             rank=self._rank,
             is_starved=self._is_starved,
+            may_wait=self._suspects.may_wait,
         )
         starts = await choose_starts(placer, self._clock)
         took = self._clock.monotonic() - began
--- a/src/rhubarbfield/scheduling/placing.py
+++ b/src/rhubarbfield/scheduling/placing.py
@@ -55,12 +55,16 @@
         Workers with capacity have no spare cores.
     INTERFERENCE
         On the workers with spare cores the task would harm serving tasks.
+    TRIAL
+        The task is suspected of crashing workers, and waits for one on which no
+        other run has just started.
     """
 
     NO_CAPACITY = "no-capacity"
     SPREAD = "spread"
     NO_SPARE_CORES = "no-spare-cores"
     INTERFERENCE = "interference"
+    TRIAL = "trial"
 
 
 class Placer:
@@ -83,11 +87,16 @@
     is_starved
         Returns whether nothing of a job has run for so long that its tasks may
         start where they harm least.
+    may_wait
+        Returns whether a task, whose last run is given, may wait although it has
+        capacity, since it is suspected of crashing workers.
 
     Attributes
     ----------
     unplaced
         Steps with a task that no worker could take, the most urgent first.
+    trials
+        Steps with a suspected task for which no worker is undisturbed enough.
     """
 
     def __init__(
@@ -100,6 +109,7 @@
         interference: InterferenceModel,
         rank: Callable[[Job, Queue], tuple[float, ...]],
         is_starved: Callable[[Job], bool],
+        may_wait: Callable[[TaskName, RunNumber], bool] = lambda *_: False,
     ) -> None:
         self._jobs = jobs
         self._queues = queues
@@ -107,8 +117,10 @@
         self._candidates = Candidates(headrooms, interference)
         self._rank_job = rank
         self._is_starved = is_starved
+        self._may_wait = may_wait
         self._starts: list[RunStart] = []
         self.unplaced: dict[tuple[JobId, int], WaitingStep] = {}
+        self.trials: dict[tuple[JobId, int], WaitingStep] = {}
 
     @property
     def starts(self) -> tuple[RunStart, ...]:
@@ -156,10 +168,19 @@
                 if name in self._avoided:
                     continue
                 return
+            if (
+                task.is_suspect
+                and headroom.count_unproven() + headroom.new_tasks > 0
+                and self._may_wait(name, task.last_run)
+            ):
+                self.trials.setdefault((waiting.job.job, waiting.number), waiting)
+                continue
             self._start_task(name, task, headroom, step, tasks_per_worker)
 
     def explain_wait(self, waiting: WaitingStep) -> WaitReason:
         """Return why tasks of a step found no worker in this round."""
+        if (waiting.job.job, waiting.number) in self.trials:
+            return WaitReason.TRIAL
         candidates = [
             headroom
             for headroom in self._candidates.list_fitting(waiting)
--- a/src/rhubarbfield/scheduling/removals.py
+++ b/src/rhubarbfield/scheduling/removals.py
@@ -154,8 +154,9 @@
         )
         WORKERS_GONE.labels(cause.value).inc()
         self._past_silences.add(worker, silence)
-        evidence = {each.task: each.evidence.value for each in crashed}
+        assessed = {each.task: each for each in crashed}
         for run in session.list_present_runs():
+            found = assessed.get(run.key.task)
             log_event(
                 logger,
                 logging.INFO,
@@ -164,7 +165,9 @@
                 run=run.key.run,
                 worker=worker,
                 worked=run.worked,
-                evidence=evidence.get(run.key.task),
+                is_certain=run.is_certain,
+                evidence=None if found is None else found.evidence.value,
+                recent=None if found is None else found.recent,
             )
             RUNS_ENDED.labels(RunEnd.LOST.value).inc()
 
@@ -182,7 +185,8 @@
                 task=each.task,
                 run=each.run,
                 crashes=task.crashes,
-                suspicions=task.suspicions,
+                certain_crashes=task.certain_crashes,
+                blame=task.blame,
                 evidence=each.evidence.value,
             )
             TASKS_GIVEN_UP.inc()
--- a/src/rhubarbfield/scheduling/session.py
+++ b/src/rhubarbfield/scheduling/session.py
@@ -209,7 +209,7 @@
             return []
         keys = (RunKey(task, run) for task, run in worker.runs.items())
         return [
-            PresentRun(key, self._measure_work(key))
+            PresentRun(key, self._measure_work(key), self._has_started(key))
             for key in keys
             if self._ledger.starts.get(key) is not StartState.QUEUED
         ]
@@ -228,6 +228,11 @@
         runs = {} if worker is None else worker.runs
         return sum(not self.is_proven(RunKey(*each)) for each in runs.items())
 
+    def _has_started(self, key: RunKey) -> bool:
+        """Return whether the worker has answered the start of a run, or listed it."""
+        is_known = self._ledger.find_presence(key) is not None
+        return is_known and not self._ledger.is_unsettled(key)
+
     def _measure_work(self, key: RunKey) -> timedelta | None:
         """Return for how long the worker is known to have worked with a run."""
         since = self._ledger.find_presence(key)
--- a/src/rhubarbfield/scheduling/silences.py
+++ b/src/rhubarbfield/scheduling/silences.py
@@ -18,7 +18,7 @@
 MAX_PAST_SILENCES = 64
 PAST_SILENCE_RETENTION = timedelta(seconds=30)
 # A worker that has worked with a run for so long was not crashed by its start.
-PROOF_TIME = timedelta(milliseconds=500)
+PROOF_TIME = timedelta(milliseconds=300)
 # Difference between two workers that are noticed by calls at different times.
 SIMULTANEITY_SLACK = timedelta(milliseconds=100)
 
@@ -34,10 +34,13 @@
         For how long the worker is known to have worked since it started the run;
         zero if it may just have started it, None if an earlier leader started it and
         nothing was heard of it since.
+    is_certain
+        Whether the worker has certainly started it.
     """
 
     key: RunKey
     worked: timedelta | None
+    is_certain: bool = True
 
     @property
     def is_fresh(self) -> bool:
--- a/src/rhubarbfield/scheduling/state.py
+++ b/src/rhubarbfield/scheduling/state.py
@@ -94,11 +94,25 @@
 
 
 class CrashedRun(msgspec.Struct, frozen=True, array_like=True):
-    """A run that was lost with its worker, and what that says about its task."""
+    """A run that was lost with its worker, and what that says about its task.
+
+    Attributes
+    ----------
+    task, run
+        The run.
+    evidence
+        What the crash says about it.
+    recent
+        Number of runs, or gangs, that had just started on the worker.
+    is_certain
+        Whether the worker had certainly started the run.
+    """
 
     task: TaskName
     run: RunNumber
     evidence: CrashEvidence
+    recent: int = 0
+    is_certain: bool = True
 
 
 class Task(msgspec.Struct, array_like=True):
@@ -118,8 +132,11 @@
         Worker of each run whose end is not recorded, by run number.
     crashes
         Number of workers that crashed with a run of the task.
-    suspicions
-        Number of these that had just started the run.
+    certain_crashes
+        Number of these that had certainly started it.
+    blame
+        Sum over the crashes right after the start of a run, of 100 divided by the
+        number of runs that had just started there.
     crashed_run
         Highest run number that was counted in ``crashes``.
     """
@@ -130,13 +147,14 @@
     checkpoint: CheckpointToken = NO_CHECKPOINT
     live: dict[RunNumber, WorkerId] = msgspec.field(default_factory=dict)
     crashes: int = 0
-    suspicions: int = 0
+    certain_crashes: int = 0
+    blame: int = 0
     crashed_run: RunNumber = RunNumber(0)
 
     @property
     def is_suspect(self) -> bool:
         """Whether the task may crash the workers that start it."""
-        return self.suspicions > 0 or self.crashes >= SUSPECT_CRASHES
+        return self.blame > 0 or self.crashes >= SUSPECT_CRASHES
 
 
 class StepProgress(msgspec.Struct, array_like=True):
--- a/src/rhubarbfield/scheduling/suspects.py
+++ b/src/rhubarbfield/scheduling/suspects.py
@@ -3,15 +3,20 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from datetime import timedelta
 
+from rhubarbfield.clock import Clock
 from rhubarbfield.machine import Command, Reply
 from rhubarbfield.scheduling.commands import RemoveWorker
-from rhubarbfield.scheduling.model import TaskName, name_task
+from rhubarbfield.scheduling.model import RunNumber, TaskName, name_task
 from rhubarbfield.scheduling.progress import RunKey
 from rhubarbfield.scheduling.session import WorkerSession
 from rhubarbfield.scheduling.state import Job, SchedulingState, Task
 from rhubarbfield.types import LogIndex, WorkerId
 
+# How long a suspect waits for a worker on which no other run has just started.
+MAX_TRIAL_DELAY = timedelta(seconds=1.5)
+
 
 class Suspects:
     """The tasks that may crash the workers that start them.
@@ -22,10 +27,14 @@
     ----------
     get_state
         Returns the replicated state.
+    clock
+        Source of time.
     """
 
-    def __init__(self, get_state: Callable[[], SchedulingState]) -> None:
+    def __init__(self, get_state: Callable[[], SchedulingState], clock: Clock) -> None:
         self._get_state = get_state
+        self._clock = clock
+        self._waiting_since: dict[TaskName, tuple[RunNumber, timedelta]] = {}
         # A set in the order of insertion, so that each run of a test is alike.
         self._names: dict[TaskName, None] = {}
         self._runs: dict[WorkerId, list[RunKey]] | None = None
@@ -58,6 +67,23 @@
         runs = self._list_runs(session.worker)
         return any(not session.is_proven(key) for key in runs)
 
+    def may_wait(self, name: TaskName, last_run: RunNumber) -> bool:
+        """Return whether a suspect may wait for a worker to itself.
+
+        Parameters
+        ----------
+        name
+            The task, which has capacity elsewhere.
+        last_run
+            Its last run; a later one begins to wait anew.
+        """
+        now = self._clock.monotonic()
+        run, since = self._waiting_since.get(name, (None, now))
+        if run != last_run:
+            since = now
+        self._waiting_since[name] = last_run, since
+        return now - since < MAX_TRIAL_DELAY
+
     def _list_runs(self, worker: WorkerId) -> list[RunKey]:
         if not self._names:
             return []
@@ -73,6 +99,7 @@
             found = state.find_task(name)
             if found is None or not _is_open_suspect(found[0], found[3]):
                 del self._names[name]
+                self._waiting_since.pop(name, None)
                 continue
             for run, worker in found[3].live.items():
                 runs.setdefault(worker, []).append(RunKey(name, run))
--- a/src/rhubarbfield/scheduling/suspicion.py
+++ b/src/rhubarbfield/scheduling/suspicion.py
@@ -3,9 +3,10 @@
 A worker that crashes takes all its runs with it, and only one of them may be the
 cause. The load it answers: a few tasks that end each worker within moments of their
 start, among many others that are lost with it. A run is suspected if the worker is
-not known to have worked with it for a while. A task that was the only one, and was
-suspected before, is given up; a suspect is therefore started where no other run has
-just started (:mod:`rhubarbfield.scheduling.candidates`).
+not known to have worked with it for a while, the more the fewer others had just
+started. A task that was the only one, and was suspected before, is given up; a
+suspect is therefore started where no other run has just started
+(:mod:`rhubarbfield.scheduling.candidates`).
 """
 
 from __future__ import annotations
@@ -21,13 +22,15 @@
 CLEARING_TIME = timedelta(seconds=30)
 # Others that fell silent at the same moment, from which on the cause is a common one;
 # a single one is enough if no run had just started there, and there are two at least.
-COMMON_CAUSE_WORKERS = 4
+COMMON_CAUSE_WORKERS = 3
 MIN_COMMON_CAUSE_WORKERS = 2
 
-MIN_CRASHES_TO_GIVE_UP = 2
-# The users allow two starts after the third crash. One is kept for an order that is
-# carried out late.
-MAX_SUSPICIONS = 4
+WHOLE_BLAME = 100
+# Two crashes decide if four runs at most had just started at the first, and none but
+# the suspect at the second.
+BLAME_TO_GIVE_UP = WHOLE_BLAME + WHOLE_BLAME // 4
+MIN_CERTAIN_CRASHES = 2
+# The users allow two starts after the third crash.
 MAX_CRASHES = 5
 
 
@@ -52,7 +55,8 @@
     """
     fresh = (run.key.task for run in runs if run.is_fresh)
     units = {_find_unit(task, find_step(task)) for task in fresh}
-    is_only_one = len(units) == 1 and all(run.worked is not None for run in runs)
+    unknown = sum(run.worked is None for run in runs)
+    recent = len(units) + unknown
 
     def assess(run: PresentRun) -> CrashEvidence | None:
         step = find_step(run.key.task)
@@ -61,15 +65,15 @@
         if run.is_fresh:
             if has_common_cause:
                 return CrashEvidence.EARLIER
-            return CrashEvidence.ALONE if is_only_one else CrashEvidence.RECENT
+            return CrashEvidence.ALONE if recent == 1 else CrashEvidence.RECENT
         if step is not None and step.standing and run.worked >= CLEARING_TIME:
             return CrashEvidence.CLEARED
         return None if has_common_cause else CrashEvidence.EARLIER
 
-    assessed = ((run.key, assess(run)) for run in runs)
+    assessed = ((run, assess(run)) for run in runs)
     return [
-        CrashedRun(key.task, key.run, evidence)
-        for key, evidence in assessed
+        CrashedRun(run.key.task, run.key.run, evidence, recent, run.is_certain)
+        for run, evidence in assessed
         if evidence is not None
     ]
 
@@ -98,16 +102,18 @@
         return False
     task.crashed_run = crashed.run
     if crashed.evidence is CrashEvidence.CLEARED:
-        task.crashes = task.suspicions = 0
+        task.crashes = task.certain_crashes = task.blame = 0
         return False
     task.crashes += 1
-    task.suspicions += crashed.evidence is not CrashEvidence.EARLIER
-    is_only_one = crashed.evidence is CrashEvidence.ALONE
-    return (
-        (is_only_one and task.suspicions >= MIN_CRASHES_TO_GIVE_UP)
-        or task.suspicions >= MAX_SUSPICIONS
-        or task.crashes >= MAX_CRASHES
+    task.certain_crashes += crashed.is_certain
+    if crashed.evidence is not CrashEvidence.EARLIER:
+        task.blame += WHOLE_BLAME // max(crashed.recent, 1)
+    is_convincing = (
+        crashed.evidence is CrashEvidence.ALONE
+        and task.blame >= BLAME_TO_GIVE_UP
+        and task.certain_crashes >= MIN_CERTAIN_CRASHES
     )
+    return is_convincing or task.crashes >= MAX_CRASHES
 
 
 def _find_unit(task: TaskName, step: Step | None) -> str:
--- a/src/rhubarbfield/scheduling/waiting_log.py
+++ b/src/rhubarbfield/scheduling/waiting_log.py
@@ -36,10 +36,11 @@
     def write(self, placer: Placer) -> None:
         """Log steps that a round left waiting, unless it was done just before."""
         now = self._clock.monotonic()
-        if not placer.unplaced or now - self._written_at < WAITING_LOG_INTERVAL:
+        steps = placer.unplaced | placer.trials
+        if not steps or now - self._written_at < WAITING_LOG_INTERVAL:
             return
         self._written_at = now
-        for waiting in list(placer.unplaced.values())[:MAX_WAITING_LOGGED]:
+        for waiting in list(steps.values())[:MAX_WAITING_LOGGED]:
             log_event(
                 logger,
                 logging.INFO,
@@ -53,5 +54,5 @@
                 ).name.lower(),
                 millicores=waiting.step.reserved.millicores,
                 age=self._backlog.find_age(waiting.job),
-                waiting=len(placer.unplaced),
+                waiting=len(steps),
             )
