Follow the capacity of workers that do not guard it

- a late report of a larger capacity took effect after a leader change, and a report that overtook a later one replaced it: the number of the heartbeat is now part of the replicated record;
- a worker whose heartbeats reach nobody, or that no leader has heard yet in its term, got starts by a capacity of long ago: where capacity is not guarded a report must be as recent as contact has to be;
- an order was repeated after the capacity it needed was gone: it is checked before each attempt, as is whether the job is still open;
- runs that the state does not hold, which are being stopped, took no capacity.

The class: a decision is carried out later than what it was based on is true. The fleet of test_rounds now declares both of its services, as a service that is not configured does not guard anything.

--- a/src/rhubarbfield/scheduling/appliers.py
+++ b/src/rhubarbfield/scheduling/appliers.py
@@ -134,14 +134,18 @@
             capacity=report.capacity,
             labels=report.labels,
             draining=report.draining,
+            sequence=report.sequence,
         )
         return
+    # A report may arrive late; draining is never undone.
+    worker.draining = worker.draining or report.draining
+    if report.sequence and report.sequence < worker.sequence:
+        return
+    worker.sequence = report.sequence
     worker.service = report.service
     worker.address = report.address
     worker.capacity = report.capacity
     worker.labels = report.labels
-    # A report may arrive late; draining is never undone.
-    worker.draining = worker.draining or report.draining
 
 
 @scheduling_commands.applies(RemoveWorker)
--- a/src/rhubarbfield/scheduling/commands.py
+++ b/src/rhubarbfield/scheduling/commands.py
@@ -66,7 +66,15 @@
 
 
 class WorkerReport(msgspec.Struct, frozen=True, array_like=True):
-    """A worker's description of itself."""
+    """A worker's description of itself.
+
+    Attributes
+    ----------
+    worker, machine, service, address, zone, capacity, labels, draining
+        As in the worker's record.
+    sequence
+        Number of the heartbeat, which grows; 0 if it is not known.
+    """
 
     worker: WorkerId
     machine: MachineName
@@ -76,6 +84,7 @@
     capacity: Demand
     labels: tuple[Label, ...]
     draining: bool
+    sequence: int = 0
 
 
 class UpdateWorkers(Command, frozen=True):
--- a/src/rhubarbfield/scheduling/contact.py
+++ b/src/rhubarbfield/scheduling/contact.py
@@ -39,6 +39,8 @@
         The lease of the worker's runs.
     exit_announced_at
         Monotonic time at which the worker announced its exit, or None.
+    reported_at
+        Monotonic time of the latest report, or None.
     """
 
     def __init__(
@@ -51,7 +53,8 @@
         self._settings = settings
         self._unresponsive_since: timedelta | None = None
         self._no_starts_until = timedelta()
-        self._reported_at = clock.monotonic()
+        self.reported_at: timedelta | None = None
+        self._created_at = clock.monotonic()
 
     @property
     def worker(self) -> WorkerId:
@@ -75,7 +78,8 @@
     @property
     def last_contact_at(self) -> timedelta:
         """Monotonic time of the last report or reply of the worker."""
-        return max(self._reported_at, self.lease.clock_read_at)
+        reported_at = self.reported_at or self._created_at
+        return max(reported_at, self._created_at, self.lease.clock_read_at)
 
     @property
     def unresponsive_since(self) -> timedelta | None:
@@ -110,7 +114,8 @@
         age
             Time since the report was received.
         """
-        self._reported_at = max(self._reported_at, self._clock.monotonic() - age)
+        reported_at = self._clock.monotonic() - age
+        self.reported_at = max(self.reported_at or reported_at, reported_at)
         if not self.lease.has_clock and worker_clock is not None:
             # The worker's clock has advanced since. A lease counted from the
             # reading ends earlier on the worker, and counts as lapsed later here.
--- a/src/rhubarbfield/scheduling/dispatch.py
+++ b/src/rhubarbfield/scheduling/dispatch.py
@@ -177,8 +177,16 @@
             and self._ledger.may_order(key)
             and self._host.is_wanted(key.task)
             and not self._is_late_on_draining(start)
+            and self._fits_worker()
         )
 
+    def _fits_worker(self) -> bool:
+        """Return whether the worker's capacity, as last reported, holds its runs."""
+        worker = self._host.find_worker(self._contact.worker)
+        if worker is None:
+            return True
+        return self._host.knows_capacity(worker) and self._host.has_capacity(worker)
+
     def _is_late_on_draining(self, start: Start) -> bool:
         """Return whether the worker has begun to drain since it was chosen long ago."""
         worker = self._host.find_worker(self._contact.worker)
--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -6,6 +6,7 @@
 from datetime import timedelta
 from functools import partial
 
+import msgspec
 import trio
 from returns.result import Success
 
@@ -37,7 +38,7 @@
     RUNS_ENDED,
 )
 from rhubarbfield.scheduling.mitigation import InterferenceMitigator
-from rhubarbfield.scheduling.model import CheckpointToken, Queue, TaskName
+from rhubarbfield.scheduling.model import CheckpointToken, Demand, Queue, TaskName
 from rhubarbfield.scheduling.pacing import RoundPacer, Urgency, find_urgency
 from rhubarbfield.scheduling.placing import MAX_STARTS_PER_ROUND, Placer
 from rhubarbfield.scheduling.ports import WorkerCalls
@@ -63,6 +64,7 @@
 from rhubarbfield.scheduling.suspects import Suspects
 from rhubarbfield.scheduling.terminations import Terminations
 from rhubarbfield.scheduling.waiting_log import WaitingLog
+from rhubarbfield.scheduling.workload import add_up
 from rhubarbfield.types import LogIndex, Term, WorkerId
 
 logger = logging.getLogger(__name__)
@@ -217,6 +219,36 @@
         is_trying = self._suspects.runs_on(worker.worker)
         return is_trying or self._mitigator.has_serving(worker)
 
+    def knows_capacity(self, worker: Worker) -> bool:
+        """Return whether starts may rely on the recorded capacity of a worker.
+
+        One that does not guard its capacity must have reported it lately.
+        """
+        if self.state.guards_capacity(worker.service):
+            return True
+        session = self.get_session(worker.worker)
+        age = None if session is None else session.report_age
+        return age is not None and age <= self._settings.silence_timeout
+
+    def has_capacity(self, worker: Worker) -> bool:
+        """Return whether all runs on a worker fit its capacity."""
+        free = self._headrooms.find_headroom(self.state, worker).free
+        return self._measure_unrecorded(worker).fits(free)
+
+    def _measure_unrecorded(self, worker: Worker) -> Demand:
+        """Return what runs reserve that a worker has and the state has not.
+
+        They are being stopped. Workers that guard their capacity count them.
+        """
+        session = self.get_session(worker.worker)
+        if session is None or self.state.guards_capacity(worker.service):
+            return Demand()
+        steps = map(self.state.find_step, session.list_unrecorded())
+        # Nothing is known of a task of a job that has been forgotten.
+        return add_up(
+            worker.capacity if step is None else step.reserved for step in steps
+        )
+
     # Interface for the scheduling service.
 
     def get_session(self, worker: WorkerId) -> WorkerSession | None:
@@ -231,7 +263,8 @@
         if self._registry.is_stale(heartbeat.report.worker, heartbeat.sequence):
             return heartbeat.report.worker in self.state.workers
         self._registry.forward_heartbeat(heartbeat)
-        if not await self._record_report(heartbeat.report):
+        report = msgspec.structs.replace(heartbeat.report, sequence=heartbeat.sequence)
+        if not await self._record_report(report):
             return False
         self._registry.mark_recorded(heartbeat)
         return True
@@ -342,6 +375,7 @@
         if worker.draining or not self._is_usable(worker):
             return None
         headroom = self._headrooms.measure(self.state, worker)
+        headroom.free = headroom.free.minus(self._measure_unrecorded(worker))
         headroom.predict_margins = partial(self._mitigator.list_margins, worker)
         headroom.failures = self._quarantine.count_failures(worker.worker)
         session = self._registry.sessions[worker.worker]
@@ -393,6 +427,7 @@
         return (
             session is not None
             and session.is_usable
+            and self.knows_capacity(worker)
             and self._quarantine.is_eligible(worker.worker, now)
         )
 
--- a/src/rhubarbfield/scheduling/registry.py
+++ b/src/rhubarbfield/scheduling/registry.py
@@ -59,7 +59,7 @@
         self._on_opened = on_opened
         self._on_removed = on_removed
         self._scopes: dict[WorkerId, trio.CancelScope] = {}
-        self._reported_clocks: dict[WorkerId, timedelta] = {}
+        self._reported_clocks: dict[WorkerId, timedelta | None] = {}
         self._sequences: dict[WorkerId, int] = {}
         self.sessions: dict[WorkerId, WorkerSession] = {}
 
@@ -101,8 +101,8 @@
     def _forward_report(
         self, worker: WorkerId, worker_clock: timedelta | None, age: timedelta
     ) -> None:
-        if worker_clock is not None:
-            self._reported_clocks[worker] = worker_clock
+        known = self._reported_clocks.get(worker)
+        self._reported_clocks[worker] = known if worker_clock is None else worker_clock
         session = self.sessions.get(worker)
         if session is not None:
             session.handle_report(worker_clock, age)
@@ -117,7 +117,8 @@
             clock=self._clock,
             settings=self._settings,
         )
-        session.handle_report(self._reported_clocks.get(worker.worker))
+        if worker.worker in self._reported_clocks:
+            session.handle_report(self._reported_clocks[worker.worker])
         self.sessions[worker.worker] = session
         self._on_opened(worker.worker)
         scope = self._scopes[worker.worker] = trio.CancelScope()
--- a/src/rhubarbfield/scheduling/session.py
+++ b/src/rhubarbfield/scheduling/session.py
@@ -124,6 +124,12 @@
             return None
         return self._clock.monotonic() - self._viewed_at
 
+    @property
+    def report_age(self) -> timedelta | None:
+        """Age of the worker's latest report; None before the first in this term."""
+        reported_at = self._contact.reported_at
+        return None if reported_at is None else self._clock.monotonic() - reported_at
+
     @property
     def last_contact_at(self) -> timedelta:
         """Monotonic time of the last report or reply of the worker."""
@@ -214,6 +220,12 @@
             if self._ledger.starts.get(key) is not StartState.QUEUED
         ]
 
+    def list_unrecorded(self) -> list[TaskName]:
+        """Return the tasks of runs in the latest view that are not recorded here."""
+        worker = self._host.find_worker(self.worker)
+        runs = {} if worker is None else worker.runs
+        return [run.task for run in self.active.values() if run.task not in runs]
+
     def is_proven(self, key: RunKey) -> bool:
         """Return whether the worker is known to have worked with a run for a while.
 
--- a/src/rhubarbfield/scheduling/session_host.py
+++ b/src/rhubarbfield/scheduling/session_host.py
@@ -36,6 +36,12 @@
     def assess_runs(self, session: WorkerSession) -> list[CrashedRun]:
         """Return what a crash of a worker, which is silent, says about its runs."""
 
+    def knows_capacity(self, worker: Worker) -> bool:
+        """Return whether starts may rely on the recorded capacity of a worker."""
+
+    def has_capacity(self, worker: Worker) -> bool:
+        """Return whether all runs on a worker fit its capacity."""
+
     def handle_view(self, worker: WorkerId) -> None:
         """Process a new view of the worker."""
 
--- a/src/rhubarbfield/scheduling/state.py
+++ b/src/rhubarbfield/scheduling/state.py
@@ -273,6 +273,8 @@
         Resources and labels of the worker.
     draining
         Whether the worker is about to leave.
+    sequence
+        Number of the heartbeat that is recorded here; 0 if it is not known.
     recorded_ends
         Number of the last end that is recorded here.
     runs
@@ -290,6 +292,7 @@
     capacity: Demand
     labels: tuple[Label, ...] = ()
     draining: bool = False
+    sequence: int = 0
     recorded_ends: int = 0
     runs: dict[TaskName, RunNumber] = msgspec.field(default_factory=dict)
     lapsed: list[CrashedRun] = msgspec.field(default_factory=list)
@@ -328,6 +331,15 @@
         """Return the queues of the configuration in force, by name."""
         return index_queues(self.configuration).by_name
 
+    def guards_capacity(self, service: ServiceName) -> bool:
+        """Return whether the workers of a service refuse tasks without room."""
+        if self.configuration is None:
+            return False
+        return any(
+            each.name == service and each.workers_guard_capacity
+            for each in self.configuration.services
+        )
+
     def find_task(self, name: TaskName) -> tuple[Job, int, int, Task] | None:
         """Return job, occurrence, step and task by the name of the task.
 
--- a/src/rhubarbfield/testing/scheduling_workers.py
+++ b/src/rhubarbfield/testing/scheduling_workers.py
@@ -118,6 +118,14 @@
         How runs end by themselves.
     demands
         Demand of each task, for the check of the capacity.
+    guards_capacity
+        Whether starts that exceed the capacity are refused.
+    tolerated_delay
+        For how long a larger capacity of before still counts for
+        ``exceeding_starts``.
+    exceeding_starts
+        Tasks that were started beyond the capacity, on a worker that doesn't guard
+        it.
     is_unreachable
         Whether calls get no reply.
     is_stuck
@@ -157,6 +165,10 @@
         self.is_stuck = False
         self.started: list[tuple[TaskName, RunNumber, timedelta]] = []
         self.demands: dict[TaskName, Demand] = {}
+        self.guards_capacity = True
+        self.tolerated_delay = timedelta()
+        self.exceeding_starts: list[TaskName] = []
+        self._former_capacities: list[tuple[timedelta, Demand]] = []
         self.unanswered_starts = 0
         self.rejected_starts = 0
         self.lost_stops = 0
@@ -200,6 +212,11 @@
         """Return the reading of the worker's own clock."""
         return self._clock.monotonic() + timedelta(seconds=100)
 
+    def set_capacity(self, capacity: Demand) -> None:
+        """Change the capacity; what runs goes on."""
+        self._former_capacities.append((self._clock.monotonic(), self.capacity))
+        self.capacity = capacity
+
     def end_due_runs(self) -> None:
         """End the runs whose time or lease has ended by now."""
         now = self.read_clock()
@@ -222,6 +239,8 @@
         if refusal is not None:
             return Failure(Refused(refusal, self.read_clock()))
         if order.task not in self.runs:
+            if not self._fits(order.task, self._list_counted_capacities()):
+                self.exceeding_starts.append(order.task)
             now = self.read_clock()
             is_endless = self.duration is None or self.is_stuck
             ends_at = None if is_endless else now + (self.duration or timedelta())
@@ -279,7 +298,12 @@
             (order.lease_end <= self.read_clock(), Refusal.EXPIRED),
             (order.run <= self._ended_runs.get(order.task, 0), Refusal.SUPERSEDED),
             (present is not None and present.run != order.run, Refusal.SUPERSEDED),
-            (present is None and not self._has_headroom(order.task), Refusal.NO_ROOM),
+            (
+                present is None
+                and self.guards_capacity
+                and not self._fits(order.task, [self.capacity]),
+                Refusal.NO_ROOM,
+            ),
         )
         return next((refusal for holds, refusal in rules if holds), None)
 
@@ -289,11 +313,17 @@
             return 0.0
         return (self.read_clock() - run.started_at).total_seconds()
 
-    def _has_headroom(self, task: TaskName) -> bool:
-        headroom = self.capacity
+    def _fits(self, task: TaskName, capacities: list[Demand]) -> bool:
+        """Return whether one of some capacities holds a task beside the others."""
+        wanted = self.demands.get(task, Demand())
         for other in self.runs:
-            headroom = headroom.minus(self.demands.get(other, Demand()))
-        return self.demands.get(task, Demand()).fits(headroom)
+            wanted = wanted.plus(self.demands.get(other, Demand()))
+        return any(wanted.fits(capacity) for capacity in capacities)
+
+    def _list_counted_capacities(self) -> list[Demand]:
+        since = self._clock.monotonic() - self.tolerated_delay
+        former = [each for until, each in self._former_capacities if until >= since]
+        return [self.capacity, *former]
 
     def end_run(self, task: TaskName, end: RunEnd) -> None:
         """End a run, and list its end."""
--- a/tests/scheduling/deployments.py
+++ b/tests/scheduling/deployments.py
@@ -52,10 +52,11 @@
     latency_goal_ms=1000,
     timeout_ms=3000,
 )
+SERVICES = (WorkerService(name=ServiceName("s"), workers_guard_capacity=True),)
 CONFIGURATION = QueueConfiguration(
     version=1,
     queues=(QUEUE,),
-    services=(WorkerService(name=ServiceName("s"), workers_guard_capacity=True),),
+    services=SERVICES,
     document=b"{}",
 )
 ONE_CORE = Demand(1000, 1000)
@@ -135,9 +136,13 @@
                     await leader.handle_heartbeat(worker.make_heartbeat())
             await trio.sleep(1)
 
-    async def configure(self, **changes: Any) -> None:
+    async def configure(
+        self, services: tuple[WorkerService, ...] = SERVICES, **changes: Any
+    ) -> None:
         queue = msgspec.structs.replace(QUEUE, **changes)
-        configuration = msgspec.structs.replace(CONFIGURATION, queues=(queue,))
+        configuration = msgspec.structs.replace(
+            CONFIGURATION, queues=(queue,), services=services
+        )
         await self.propose(PutConfiguration(configuration=configuration))
 
 
@@ -149,7 +154,7 @@
     Parameters
     ----------
     **changes
-        Changes of the configured queue.
+        Changes of the configured queue; ``services`` replaces the services.
     """
 
     def decorate(
--- a/tests/scheduling/fleets.py
+++ b/tests/scheduling/fleets.py
@@ -42,6 +42,7 @@
     MachineName,
     QueueName,
     Step,
+    WorkerService,
 )
 from rhubarbfield.scheduling.ports import ActiveRun, WorkerAddress, WorkerCalls
 from rhubarbfield.scheduling.session import WorkerSession
@@ -56,6 +57,9 @@
     QUEUE, name=QueueName("low"), priority=1, latency_goal_ms=200
 )
 SERVICES = (QUEUE.service, ServiceName("other"))
+WORKER_SERVICES = tuple(
+    WorkerService(name=name, workers_guard_capacity=True) for name in SERVICES
+)
 OTHER_QUEUE = msgspec.structs.replace(
     QUEUE, name=QueueName("other"), service=SERVICES[1]
 )
@@ -87,7 +91,9 @@
         self.jobs = 0
         self.apply(
             PutConfiguration(
-                configuration=msgspec.structs.replace(CONFIGURATION, queues=QUEUES)
+                configuration=msgspec.structs.replace(
+                    CONFIGURATION, queues=QUEUES, services=WORKER_SERVICES
+                )
             )
         )
         self.add_workers(workers)
