Split what is known of runs, capacities and crashes from the leader and its sessions

No behaviour changes: presence.py has what a leader has heard of the runs of a worker, capacities.py what it knows of its capacity, crashes.py the replicated structs.

--- a/src/rhubarbfield/scheduling/appliers.py
+++ b/src/rhubarbfield/scheduling/appliers.py
@@ -25,9 +25,9 @@
     WorkerReport,
     scheduling_commands,
 )
+from rhubarbfield.scheduling.crashes import CrashedRun
 from rhubarbfield.scheduling.model import NO_CHECKPOINT, RunNumber
 from rhubarbfield.scheduling.state import (
-    CrashedRun,
     Job,
     JobPhase,
     RunEnd,
--- a/src/rhubarbfield/scheduling/commands.py
+++ b/src/rhubarbfield/scheduling/commands.py
@@ -6,6 +6,7 @@
 
 from rhubarbfield.machine import Command, CommandRegistry, Reply
 from rhubarbfield.placement.state import HarmEstimate
+from rhubarbfield.scheduling.crashes import CrashedRun, CrashEvidence
 from rhubarbfield.scheduling.model import (
     NO_CHECKPOINT,
     CheckpointToken,
@@ -19,8 +20,6 @@
     TaskName,
 )
 from rhubarbfield.scheduling.state import (
-    CrashedRun,
-    CrashEvidence,
     RunEnd,
     SchedulingState,
 )
--- a/src/rhubarbfield/scheduling/dispatch.py
+++ b/src/rhubarbfield/scheduling/dispatch.py
@@ -183,9 +183,7 @@
     def _fits_worker(self) -> bool:
         """Return whether the worker's capacity, as last reported, holds its runs."""
         worker = self._host.find_worker(self._contact.worker)
-        if worker is None:
-            return True
-        return self._host.knows_capacity(worker) and self._host.has_capacity(worker)
+        return worker is None or self._host.fits_capacity(worker)
 
     def _is_late_on_draining(self, start: Start) -> bool:
         """Return whether the worker has begun to drain since it was chosen long ago."""
--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -16,6 +16,7 @@
 from rhubarbfield.machine import Command, Reply
 from rhubarbfield.scheduling.appliers import SchedulingLogState
 from rhubarbfield.scheduling.backlog import Backlog
+from rhubarbfield.scheduling.capacities import WorkerCapacities
 from rhubarbfield.scheduling.commands import (
     EndRuns,
     SaveHarm,
@@ -23,6 +24,7 @@
     WorkerEnds,
     WorkerReport,
 )
+from rhubarbfield.scheduling.crashes import CrashedRun
 from rhubarbfield.scheduling.headroom import WorkerHeadroom
 from rhubarbfield.scheduling.headroom_index import HeadroomIndex
 from rhubarbfield.scheduling.heartbeats import (
@@ -38,7 +40,7 @@
     RUNS_ENDED,
 )
 from rhubarbfield.scheduling.mitigation import InterferenceMitigator
-from rhubarbfield.scheduling.model import CheckpointToken, Demand, Queue, TaskName
+from rhubarbfield.scheduling.model import CheckpointToken, Queue, TaskName
 from rhubarbfield.scheduling.pacing import RoundPacer, Urgency, find_urgency
 from rhubarbfield.scheduling.placing import MAX_STARTS_PER_ROUND, Placer
 from rhubarbfield.scheduling.ports import WorkerCalls
@@ -54,7 +56,6 @@
 from rhubarbfield.scheduling.slicing import choose_starts
 from rhubarbfield.scheduling.starting import RunStarter
 from rhubarbfield.scheduling.state import (
-    CrashedRun,
     Job,
     RunEnd,
     SchedulingState,
@@ -64,7 +65,6 @@
 from rhubarbfield.scheduling.suspects import Suspects
 from rhubarbfield.scheduling.terminations import Terminations
 from rhubarbfield.scheduling.waiting_log import WaitingLog
-from rhubarbfield.scheduling.workload import add_up
 from rhubarbfield.types import LogIndex, Term, WorkerId
 
 logger = logging.getLogger(__name__)
@@ -117,6 +117,9 @@
             on_opened=self._examine_worker,
             on_removed=self._forget_worker,
         )
+        self._capacities = WorkerCapacities(
+            lambda: self.state, self._registry.sessions, self._headrooms, settings
+        )
         self._terminations = Terminations(lambda: self.state, self._registry.sessions)
         self._pacer = RoundPacer(clock)
         self._avoided: dict[TaskName, set[WorkerId]] = {}
@@ -219,35 +222,9 @@
         is_trying = self._suspects.runs_on(worker.worker)
         return is_trying or self._mitigator.has_serving(worker)
 
-    def knows_capacity(self, worker: Worker) -> bool:
-        """Return whether starts may rely on the recorded capacity of a worker.
-
-        One that does not guard its capacity must have reported it lately.
-        """
-        if self.state.guards_capacity(worker.service):
-            return True
-        session = self.get_session(worker.worker)
-        age = None if session is None else session.report_age
-        return age is not None and age <= self._settings.silence_timeout
-
-    def has_capacity(self, worker: Worker) -> bool:
-        """Return whether all runs on a worker fit its capacity."""
-        free = self._headrooms.find_headroom(self.state, worker).free
-        return self._measure_unrecorded(worker).fits(free)
-
-    def _measure_unrecorded(self, worker: Worker) -> Demand:
-        """Return what runs reserve that a worker has and the state has not.
-
-        They are being stopped. Workers that guard their capacity count them.
-        """
-        session = self.get_session(worker.worker)
-        if session is None or self.state.guards_capacity(worker.service):
-            return Demand()
-        steps = map(self.state.find_step, session.list_unrecorded())
-        # Nothing is known of a task of a job that has been forgotten.
-        return add_up(
-            worker.capacity if step is None else step.reserved for step in steps
-        )
+    def fits_capacity(self, worker: Worker) -> bool:
+        """Return whether a worker's capacity is known, and holds all its runs."""
+        return self._capacities.is_known(worker) and self._capacities.holds_runs(worker)
 
     # Interface for the scheduling service.
 
@@ -375,11 +352,11 @@
         if worker.draining or not self._is_usable(worker):
             return None
         headroom = self._headrooms.measure(self.state, worker)
-        headroom.free = headroom.free.minus(self._measure_unrecorded(worker))
+        headroom.free = headroom.free.minus(self._capacities.measure_unrecorded(worker))
         headroom.predict_margins = partial(self._mitigator.list_margins, worker)
         headroom.failures = self._quarantine.count_failures(worker.worker)
         session = self._registry.sessions[worker.worker]
-        headroom.count_unproven = session.count_unproven
+        headroom.count_unproven = session.presence.count_unproven
         if self._quarantine.is_on_probation(worker.worker, self._clock.monotonic()):
             headroom.task_limit = headroom.task_count + int(
                 self._quarantine.may_probe(worker.worker)
@@ -427,7 +404,7 @@
         return (
             session is not None
             and session.is_usable
-            and self.knows_capacity(worker)
+            and self._capacities.is_known(worker)
             and self._quarantine.is_eligible(worker.worker, now)
         )
 
--- a/src/rhubarbfield/scheduling/registry.py
+++ b/src/rhubarbfield/scheduling/registry.py
@@ -76,7 +76,7 @@
 
     def map_silences(self) -> dict[WorkerId, Silence]:
         """Return the silences of the workers that are silent now."""
-        silences = {name: each.silence for name, each in self.sessions.items()}
+        silences = {name: each.presence.silence for name, each in self.sessions.items()}
         return {name: each for name, each in silences.items() if each is not None}
 
     def is_stale(self, worker: WorkerId, sequence: int) -> bool:
--- a/src/rhubarbfield/scheduling/removals.py
+++ b/src/rhubarbfield/scheduling/removals.py
@@ -10,6 +10,7 @@
 from rhubarbfield.logs import log_event
 from rhubarbfield.scheduling.appliers import SchedulingLogState
 from rhubarbfield.scheduling.commands import RemoveWorker
+from rhubarbfield.scheduling.crashes import CrashedRun
 from rhubarbfield.scheduling.metrics import (
     RUNS_ENDED,
     TASKS_GIVEN_UP,
@@ -21,7 +22,6 @@
 from rhubarbfield.scheduling.session import WorkerSession
 from rhubarbfield.scheduling.silences import PastSilences, Silence
 from rhubarbfield.scheduling.state import (
-    CrashedRun,
     RunEnd,
     SchedulingState,
     TaskPhase,
@@ -98,7 +98,7 @@
     def assess_runs(self, session: WorkerSession) -> list[CrashedRun]:
         """Return what a crash of a worker says about the runs it has."""
         return assess_runs(
-            session.list_present_runs(),
+            session.presence.list_runs(),
             has_common_cause=self._judge_cause(session),
             find_step=self._state.find_step,
         )
@@ -128,7 +128,9 @@
         )
 
     def _find_silence(self, session: WorkerSession) -> Silence:
-        return session.silence or session.describe_silence(self._clock.monotonic())
+        return session.presence.silence or session.presence.describe_silence(
+            self._clock.monotonic()
+        )
 
     def _report(self, session: WorkerSession, crashed: tuple[CrashedRun, ...]) -> None:
         """Log what is lost with a worker, and how it fell silent."""
@@ -155,7 +157,7 @@
         WORKERS_GONE.labels(cause.value).inc()
         self._past_silences.add(worker, silence)
         assessed = {each.task: each for each in crashed}
-        for run in session.list_present_runs():
+        for run in session.presence.list_runs():
             found = assessed.get(run.key.task)
             log_event(
                 logger,
--- a/src/rhubarbfield/scheduling/session.py
+++ b/src/rhubarbfield/scheduling/session.py
@@ -21,7 +21,7 @@
     RunNumber,
     TaskName,
 )
-from rhubarbfield.scheduling.orders import Start, StartState, StopReason
+from rhubarbfield.scheduling.orders import Start, StopReason
 from rhubarbfield.scheduling.ports import (
     ActiveRun,
     ListedEnd,
@@ -31,10 +31,10 @@
     WorkerCalls,
     WorkerView,
 )
+from rhubarbfield.scheduling.presence import RunPresence
 from rhubarbfield.scheduling.progress import Progress, RunKey
 from rhubarbfield.scheduling.session_host import SessionHost
 from rhubarbfield.scheduling.settings import SchedulingSettings
-from rhubarbfield.scheduling.silences import PROOF_TIME, PresentRun, Silence
 from rhubarbfield.scheduling.state import RunEnd, Worker
 from rhubarbfield.scheduling.stops import RETRY_DELAY
 from rhubarbfield.types import WorkerId
@@ -62,6 +62,8 @@
     ----------
     active
         Runs on the worker, from the latest view.
+    presence
+        Since when the worker has had its recorded runs.
     """
 
     def __init__(
@@ -79,6 +81,7 @@
         self._settings = settings
         self._contact = WorkerContact(address, clock, settings)
         self._ledger = OrderLedger(address.worker, host)
+        self.presence = RunPresence(self._contact, self._ledger, host)
         self._orders = OrderDispatcher(
             self._contact,
             self._ledger,
@@ -197,63 +200,12 @@
             if self.get_pace(key) != 0 and not self.is_stopping(key)
         ]
 
-    @property
-    def silence(self) -> Silence | None:
-        """When the worker fell silent; None if the latest call got a reply."""
-        missed_at = self._contact.unresponsive_since
-        return None if missed_at is None else self.describe_silence(missed_at)
-
-    def describe_silence(self, missed_at: timedelta) -> Silence:
-        """Return the silence of a worker that misses calls since ``missed_at``."""
-        follows_start = any(run.is_fresh for run in self.list_present_runs())
-        return Silence(self.last_contact_at, missed_at, follows_start)
-
-    def list_present_runs(self) -> list[PresentRun]:
-        """Return the recorded runs that the worker has, or may have, started."""
-        worker = self._host.find_worker(self.worker)
-        if worker is None:
-            return []
-        keys = (RunKey(task, run) for task, run in worker.runs.items())
-        return [
-            PresentRun(key, self._measure_work(key), self._has_started(key))
-            for key in keys
-            if self._ledger.starts.get(key) is not StartState.QUEUED
-        ]
-
     def list_unrecorded(self) -> list[TaskName]:
         """Return the tasks of runs in the latest view that are not recorded here."""
         worker = self._host.find_worker(self.worker)
         runs = {} if worker is None else worker.runs
         return [run.task for run in self.active.values() if run.task not in runs]
 
-    def is_proven(self, key: RunKey) -> bool:
-        """Return whether the worker is known to have worked with a run for a while.
-
-        A run whose order is not sent yet is not proven.
-        """
-        worked = self._measure_work(key)
-        return worked is not None and worked >= PROOF_TIME
-
-    def count_unproven(self) -> int:
-        """Return the number of recorded runs that are not proven."""
-        worker = self._host.find_worker(self.worker)
-        runs = {} if worker is None else worker.runs
-        return sum(not self.is_proven(RunKey(*each)) for each in runs.items())
-
-    def _has_started(self, key: RunKey) -> bool:
-        """Return whether the worker has answered the start of a run, or listed it."""
-        is_known = self._ledger.find_presence(key) is not None
-        return is_known and not self._ledger.is_unsettled(key)
-
-    def _measure_work(self, key: RunKey) -> timedelta | None:
-        """Return for how long the worker is known to have worked with a run."""
-        since = self._ledger.find_presence(key)
-        if since is None:
-            return None
-        if self._ledger.is_unsettled(key):  # it may have started at any time
-            return timedelta()
-        return max(self.last_contact_at - since, timedelta())
-
     def request_view(self) -> None:
         """Request a view of the worker now."""
         self._view_requested.set()
--- a/src/rhubarbfield/scheduling/session_host.py
+++ b/src/rhubarbfield/scheduling/session_host.py
@@ -5,8 +5,9 @@
 from typing import TYPE_CHECKING, Protocol
 
 from rhubarbfield.scheduling.commands import WorkerEnds
+from rhubarbfield.scheduling.crashes import CrashedRun
 from rhubarbfield.scheduling.model import CheckpointToken, TaskName
-from rhubarbfield.scheduling.state import CrashedRun, Worker
+from rhubarbfield.scheduling.state import Worker
 from rhubarbfield.types import Term, WorkerId
 
 if TYPE_CHECKING:
@@ -36,11 +37,8 @@
     def assess_runs(self, session: WorkerSession) -> list[CrashedRun]:
         """Return what a crash of a worker, which is silent, says about its runs."""
 
-    def knows_capacity(self, worker: Worker) -> bool:
-        """Return whether starts may rely on the recorded capacity of a worker."""
-
-    def has_capacity(self, worker: Worker) -> bool:
-        """Return whether all runs on a worker fit its capacity."""
+    def fits_capacity(self, worker: Worker) -> bool:
+        """Return whether a worker's capacity is known, and holds all its runs."""
 
     def handle_view(self, worker: WorkerId) -> None:
         """Process a new view of the worker."""
--- a/src/rhubarbfield/scheduling/silences.py
+++ b/src/rhubarbfield/scheduling/silences.py
@@ -11,43 +11,15 @@
 
 import msgspec
 
-from rhubarbfield.scheduling.progress import RunKey
 from rhubarbfield.types import WorkerId
 
 # Silences of removed workers that are remembered, and for how long.
 MAX_PAST_SILENCES = 64
 PAST_SILENCE_RETENTION = timedelta(seconds=30)
-# A worker that has worked with a run for so long was not crashed by its start.
-PROOF_TIME = timedelta(milliseconds=300)
 # Difference between two workers that are noticed by calls at different times.
 SIMULTANEITY_SLACK = timedelta(milliseconds=100)
 
 
-class PresentRun(msgspec.Struct, frozen=True):
-    """A recorded run that a worker has, or may have, started.
-
-    Attributes
-    ----------
-    key
-        The run.
-    worked
-        For how long the worker is known to have worked since it started the run;
-        zero if it may just have started it, None if an earlier leader started it and
-        nothing was heard of it since.
-    is_certain
-        Whether the worker has certainly started it.
-    """
-
-    key: RunKey
-    worked: timedelta | None
-    is_certain: bool = True
-
-    @property
-    def is_fresh(self) -> bool:
-        """Whether the start of the run may be what ended its worker."""
-        return self.worked is not None and self.worked < PROOF_TIME
-
-
 class Silence(msgspec.Struct, frozen=True):
     """The time in which a worker fell silent.
 
--- a/src/rhubarbfield/scheduling/suspects.py
+++ b/src/rhubarbfield/scheduling/suspects.py
@@ -65,7 +65,7 @@
     def is_trying(self, session: WorkerSession) -> bool:
         """Return whether a worker has not worked with a suspect for a while yet."""
         runs = self._list_runs(session.worker)
-        return any(not session.is_proven(key) for key in runs)
+        return any(not session.presence.is_proven(key) for key in runs)
 
     def may_wait(self, name: TaskName, last_run: RunNumber) -> bool:
         """Return whether a suspect may wait for a worker to itself.
--- a/src/rhubarbfield/scheduling/suspicion.py
+++ b/src/rhubarbfield/scheduling/suspicion.py
@@ -14,9 +14,10 @@
 from collections.abc import Callable, Sequence
 from datetime import timedelta
 
+from rhubarbfield.scheduling.crashes import CrashedRun, CrashEvidence
 from rhubarbfield.scheduling.model import Step, TaskName
-from rhubarbfield.scheduling.silences import PresentRun
-from rhubarbfield.scheduling.state import CrashedRun, CrashEvidence, Task
+from rhubarbfield.scheduling.presence import PresentRun
+from rhubarbfield.scheduling.state import Task
 
 # A standing task that has worked for so long is cleared of earlier crashes.
 CLEARING_TIME = timedelta(seconds=30)
--- a/tests/scheduling/test_deadly_tasks.py
+++ b/tests/scheduling/test_deadly_tasks.py
@@ -9,8 +9,8 @@
 import trio
 
 from rhubarbfield.scheduling.model import JobPhase, RunNumber, Step, TaskName
+from rhubarbfield.scheduling.presence import PROOF_TIME
 from rhubarbfield.scheduling.progress import RunKey
-from rhubarbfield.scheduling.silences import PROOF_TIME
 from tests.scheduling.deployments import ONE_CORE, Deployment, with_deployment
 
 # The users' limit: no third start after three workers have crashed.
@@ -235,11 +235,11 @@
             assert session is not None
             self.assertEqual(len(worker.started), 0)
             key = RunKey(TaskName("queued.0.0.0"), RunNumber(1))
-            self.assertFalse(session.is_proven(key))
-            self.assertEqual(session.count_unproven(), 2)
+            self.assertFalse(session.presence.is_proven(key))
+            self.assertEqual(session.presence.count_unproven(), 2)
             await trio.sleep(5)
-            self.assertTrue(session.is_proven(key))
-            self.assertEqual(session.count_unproven(), 0)
+            self.assertTrue(session.presence.is_proven(key))
+            self.assertEqual(session.presence.count_unproven(), 0)
 
 
 if __name__ == "__main__":
--- a/tests/scheduling/test_suspicion.py
+++ b/tests/scheduling/test_suspicion.py
@@ -5,10 +5,11 @@
 import unittest
 from datetime import timedelta
 
+from rhubarbfield.scheduling.crashes import CrashedRun, CrashEvidence
 from rhubarbfield.scheduling.model import RunNumber, Step, TaskName
+from rhubarbfield.scheduling.presence import PROOF_TIME, PresentRun
 from rhubarbfield.scheduling.progress import RunKey
-from rhubarbfield.scheduling.silences import PROOF_TIME, PresentRun
-from rhubarbfield.scheduling.state import CrashedRun, CrashEvidence, Task
+from rhubarbfield.scheduling.state import Task
 from rhubarbfield.scheduling.suspicion import (
     CLEARING_TIME,
     COMMON_CAUSE_WORKERS,
