Delay tasks of the product's own workers that lose one worker after the other

A second loss in a row now delays the next attempt by 1 s, each further one by twice as long, up to 5 min; an attempt of 10 min starts anew. Nothing is given up: a worker whose lease lapses may only be cut off. test_task_that_ends_its_workers_is_started_again_at_once_each_time failed before in that there was no delay to ask for; a log of an earlier version is replayed as it was (test_losses_in_a_log_of_an_earlier_version_delay_nothing).

--- a/src/rhubarbfield/controller/worklog.py
+++ b/src/rhubarbfield/controller/worklog.py
@@ -214,6 +214,7 @@
                 worker=worker,
                 epoch=self._log.state.work.workers[worker].epoch,
                 reason="its lease has lapsed",
+                delays_restarts=True,
             )
         )
         return proposed.map(lambda _: None)
--- a/src/rhubarbfield/placement/_workers.py
+++ b/src/rhubarbfield/placement/_workers.py
@@ -33,6 +33,8 @@
     WorkState,
 )
 from rhubarbfield.placement.transitions import (
+    NO_BACKOFF,
+    count_loss,
     end_attempt,
     evict_live,
     finish_job_if_done,
@@ -106,8 +108,13 @@
     lost = [state.tasks[task_id] for task_id in worker.live.values()]
     stopping: list[Eviction] = []
     for task in lost:
-        end_attempt(state, task, AttemptState.LOST, command.at, command.reason)
-        requeue_task(state, task, command.at)
+        attempt = end_attempt(
+            state, task, AttemptState.LOST, command.at, command.reason
+        )
+        backoff = count_loss(task, attempt, command.at)
+        if not command.delays_restarts:
+            backoff = NO_BACKOFF
+        requeue_task(state, task, command.at, backoff)
         job = state.jobs[task.job]
         if job.spec.gang:
             stopping += evict_live(state, job, "another task of its gang was lost")
--- a/src/rhubarbfield/placement/commands.py
+++ b/src/rhubarbfield/placement/commands.py
@@ -79,12 +79,25 @@
 
     To be proposed only once the worker's lease has lapsed by the grantor's clock
     and margin, or the worker itself has reported a restart.
+
+    Attributes
+    ----------
+    at
+        Time of the loss.
+    worker, epoch
+        The worker, and the epoch under which it is lost.
+    reason
+        Human-readable reason.
+    delays_restarts
+        Whether tasks that have lost several workers in a row wait before their next
+        attempt. Commands of earlier versions do not ask for it.
     """
 
     at: datetime
     worker: WorkerId
     epoch: Epoch
     reason: str
+    delays_restarts: bool = False
 
 
 class RemoveWorker(Command, frozen=True):
--- a/src/rhubarbfield/placement/state.py
+++ b/src/rhubarbfield/placement/state.py
@@ -166,6 +166,8 @@
         The checkpoint from which the next attempt resumes.
     failed_on
         Distinct workers, not in quarantine at the time, on which it failed.
+    losses
+        Number of workers that were lost in a row with an attempt of it.
     queued_at
         When it was last queued.
     not_before
@@ -182,6 +184,7 @@
     checkpoint: CheckpointId | None = None
     failed_on: list[WorkerId] = msgspec.field(default_factory=list)
     failures: int = 0
+    losses: int = 0
     not_before: datetime = UNIX_EPOCH
 
 
--- a/src/rhubarbfield/placement/transitions.py
+++ b/src/rhubarbfield/placement/transitions.py
@@ -49,6 +49,18 @@
     return min(FIRST_BACKOFF * 2**doublings, MAX_BACKOFF)
 
 
+def count_loss(task: Task, attempt: Attempt, at: datetime) -> timedelta:
+    """Count a lost worker for a task; return the delay before its next attempt.
+
+    A task that ends the workers that start it must not end one after the other; one
+    loss may have any cause, and delays nothing.
+    """
+    if at - attempt.started_at >= STABLE_RUN_TIME:
+        task.losses = 0
+    task.losses += 1
+    return find_backoff(task.losses - 1) if task.losses > 1 else NO_BACKOFF
+
+
 def update_capacity(worker: Worker) -> None:
     """Set a worker's capacity to what it announced, but not below commitments."""
     worker.capacity = worker.announced.enlarge(worker.committed)
--- a/tests/placement/test_workers.py
+++ b/tests/placement/test_workers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from datetime import timedelta
 
 from rhubarbfield.machine import Done, Refused
 from rhubarbfield.placement import (
@@ -50,6 +51,37 @@
         self.assertEqual(bench.apply(remove), Done())
         self.assertEqual(bench.apply(remove), Done())
 
+    def lose_attempts(self, bench: Bench, runs: int, *, delays: bool) -> list[float]:
+        """Lose each worker that starts a task; return the delays between attempts."""
+        bench.accept()
+        delays_s = []
+        for number in range(runs):
+            lost_at = bench.now
+            while bench.state.tasks[TaskId("j/0")].not_before > bench.now:
+                bench.now += timedelta(seconds=1)
+            delays_s.append((bench.now - lost_at).total_seconds())
+            bench.begin("j/0", f"w{number}")
+            bench.apply(
+                LoseWorker(
+                    at=bench.now,
+                    worker=WorkerId(f"w{number}"),
+                    epoch=Epoch(1),
+                    reason="x",
+                    delays_restarts=delays,
+                )
+            )
+        return delays_s
+
+    def test_task_that_ends_its_workers_is_started_again_at_once_each_time(
+        self,
+    ) -> None:
+        delays = self.lose_attempts(Bench(workers=7), 6, delays=True)
+        self.assertEqual(delays, [0, 0, 1, 2, 4, 8])
+
+    def test_losses_in_a_log_of_an_earlier_version_delay_nothing(self) -> None:
+        delays = self.lose_attempts(Bench(workers=7), 6, delays=False)
+        self.assertEqual(delays, [0] * 6)
+
     def test_attempts_are_evicted_from_a_shrunk_worker(self) -> None:
         bench = Bench(workers=1)
         bench.accept(tasks=2)
