Bound what is computed from a capacity that has shrunk

The share of a worker's processors that a task wants or uses is at most 1, so that what is learned of images on a shrunken worker stays in its range.

--- a/src/rhubarbfield/scheduling/admission.py
+++ b/src/rhubarbfield/scheduling/admission.py
@@ -47,6 +47,8 @@
 # A job is not rejected for a shorter wait, whatever its goal.
 MIN_REJECTED_WAIT = timedelta(seconds=2)
 MIN_FINITE_RETRY_AFTER = timedelta(seconds=1)
+# Workers' capacity may grow again at any time.
+MAX_FINITE_RETRY_AFTER = timedelta(seconds=30)
 # Standing jobs last minutes, so that capacity seldom becomes free sooner.
 STANDING_RETRY_AFTER = timedelta(seconds=10)
 # While new workers still report themselves, the capacity is not known yet.
@@ -215,7 +217,7 @@
         return Rejection(
             "more work waits than can be done in time",
             f"open work of {wait_ms:.0f} ms with {room:.0f} millicores",
-            max((wait_ms - tolerated_ms) * MILLISECOND, MIN_FINITE_RETRY_AFTER),
+            _limit_retry_after(wait_ms - tolerated_ms),
         )
 
     def _forget_settled(self, state: SchedulingState, term: Term) -> None:
@@ -315,3 +317,8 @@
 ) -> bool:
     queue = queues.get(job.queue)
     return queue is not None and queue.service == service
+
+
+def _limit_retry_after(excess_ms: float) -> timedelta:
+    limit_ms = MAX_FINITE_RETRY_AFTER / MILLISECOND
+    return max(min(excess_ms, limit_ms) * MILLISECOND, MIN_FINITE_RETRY_AFTER)
--- a/src/rhubarbfield/scheduling/mitigation.py
+++ b/src/rhubarbfield/scheduling/mitigation.py
@@ -115,7 +115,7 @@
                     ServingTask(task, step.image, step.tail_goal_ms, active.measure)
                 )
             elif step.uses_spare_cores:
-                share = (active.measure or 0.0) / capacity
+                share = min((active.measure or 0.0) / capacity, 1.0)
                 shares[step.image] = shares.get(step.image, 0.0) + share
                 key = RunKey(task, run)
                 colocated_runs.append(ColocatedRun(key, step, worker.find_share(step)))
--- a/src/rhubarbfield/scheduling/state.py
+++ b/src/rhubarbfield/scheduling/state.py
@@ -255,8 +255,11 @@
     lapsed: list[CrashedRun] = msgspec.field(default_factory=list)
 
     def find_share(self, step: Step) -> float:
-        """Return the share of the worker's processors that a task of ``step`` wants."""
-        return step.demand.millicores / max(self.capacity.millicores, 1)
+        """Return the share of the worker's processors that a task of ``step`` wants.
+
+        It is at most 1, also on a worker whose capacity has shrunk.
+        """
+        return min(step.demand.millicores / max(self.capacity.millicores, 1), 1.0)
 
 
 class SchedulingState(msgspec.Struct):
--- a/tests/scheduling/test_admission.py
+++ b/tests/scheduling/test_admission.py
@@ -11,6 +11,7 @@
 from rhubarbfield.leadercalls import NotAdmitted, Unavailable
 from rhubarbfield.scheduling.admission import (
     FINITE_HEADROOM,
+    MAX_FINITE_RETRY_AFTER,
     MIN_FINITE_SHARE,
     REPORTING_PERIOD,
     STANDING_RETRY_AFTER,
@@ -215,6 +216,14 @@
         assert rejection is not None
         self.assertEqual(rejection.retry_after, timedelta(seconds=2))
 
+    def test_caller_is_sent_away_for_days_by_workers_that_have_shrunk(self) -> None:
+        self.accept_seconds("open", self.GOAL_SECONDS)
+        for worker in self.state.workers.values():
+            worker.capacity = Demand()
+        rejection = self.decide()
+        assert rejection is not None
+        self.assertEqual(rejection.retry_after, MAX_FINITE_RETRY_AFTER)
+
     def test_job_with_a_later_goal_tolerates_a_longer_backlog(self) -> None:
         self.accept_seconds("open", self.GOAL_SECONDS + 2)
         self.assertIsNotNone(self.decide())
