--- a/tests/scheduling/test_candidates.py
+++ b/tests/scheduling/test_candidates.py
@@ -7,7 +7,7 @@
 
 from rhubarbfield.scheduling.candidates import RESERVED_WORKERS_SHARE
 from rhubarbfield.scheduling.commands import RunStart
-from rhubarbfield.scheduling.model import Demand, ImageName, Step
+from rhubarbfield.scheduling.model import Demand, ImageName, Step, TaskName
 from tests.replication.determinism import run_deterministic
 from tests.scheduling.deployments import QUEUE
 from tests.scheduling.fleets import GOAL_MS, LATE_QUEUE, Fleet
@@ -16,14 +16,56 @@
 CAPACITY = Demand(16000, 64000)
 
 
-class ReservedWorkersTest(unittest.TestCase):
-    def make_fleet(self) -> Fleet:
-        fleet = Fleet(1, WORKERS)
-        for worker in fleet.state.workers.values():
-            worker.service = QUEUE.service
-            worker.capacity = CAPACITY
-        return fleet
+def make_fleet() -> Fleet:
+    """Return a fleet of alike workers of one service."""
+    fleet = Fleet(1, WORKERS)
+    for worker in fleet.state.workers.values():
+        worker.service = QUEUE.service
+        worker.capacity = CAPACITY
+    return fleet
+
+
+class TrialTest(unittest.TestCase):
+    """The workers have answered no start, so that any of their runs may be fresh."""
+
+    def submit_suspect(self, fleet: Fleet) -> str:
+        job = fleet.submit(Step(demand=Demand(1000), estimate_ms=1000))
+        fleet.state.jobs[job].occurrences[0][0].tasks[0].blame = 100
+        return f"{job}.0.0.0"
+
+    def test_suspect_starts_beside_runs_that_have_just_started(self) -> None:
+        async def check() -> None:
+            fleet = make_fleet()
+            small = Step(tasks=WORKERS - 1, demand=Demand(500), estimate_ms=1000)
+            fleet.submit(small)
+            used = {start.worker for start in await fleet.run_round()}
+            (unused,) = fleet.state.workers.keys() - used
+            # By load alone the other workers would suit better.
+            fleet.submit(Step(demand=Demand(500), estimate_ms=1, standing=True))
+            suspect = self.submit_suspect(fleet)
+            starts = {each.task: each.worker for each in await fleet.run_round()}
+            self.assertEqual(starts[TaskName(suspect)], unused)
+
+        run_deterministic(check, seed=1)
+
+    def test_others_start_beside_a_suspect_before_it_is_proven(self) -> None:
+        async def check() -> None:
+            fleet = make_fleet()
+            suspect = self.submit_suspect(fleet)
+            small = Step(tasks=3 * WORKERS, demand=Demand(500), estimate_ms=1000)
+            fleet.submit(small)
+            starts = list(await fleet.run_round())
+            fleet.leader._suspects.find_all()
+            fleet.submit(small)
+            starts += await fleet.run_round()
+            (tried_on,) = (each.worker for each in starts if each.task == suspect)
+            beside = [each.task for each in starts if each.worker == tried_on]
+            self.assertEqual(beside, [suspect])
 
+        run_deterministic(check, seed=1)
+
+
+class ReservedWorkersTest(unittest.TestCase):
     def count_reserved(self) -> int:
         return math.ceil(WORKERS * RESERVED_WORKERS_SHARE)
 
@@ -51,7 +93,7 @@
 
     def test_large_finite_task_fits_beside_standing_work(self) -> None:
         async def check() -> None:
-            fleet = self.make_fleet()
+            fleet = make_fleet()
             self.submit_standing(fleet, tasks=4)
             await self.run_rounds(fleet)
             kept = self.count_reserved()
@@ -65,7 +107,7 @@
         self,
     ) -> None:
         async def check() -> None:
-            fleet = self.make_fleet()
+            fleet = make_fleet()
             self.submit_standing(fleet, tasks=8)
             self.assertEqual(len(await self.run_rounds(fleet)), 8 * WORKERS)
             self.assertEqual(self.list_unused(fleet), [])
@@ -74,7 +116,7 @@
 
     def test_small_finite_tasks_leave_unused_workers_to_large_ones(self) -> None:
         async def check() -> None:
-            fleet = self.make_fleet()
+            fleet = make_fleet()
             self.submit_standing(fleet, tasks=4)
             await self.run_rounds(fleet)
             unused = self.list_unused(fleet)
@@ -88,7 +130,7 @@
         """A worker receives its orders one after the other."""
 
         async def check() -> None:
-            fleet = self.make_fleet()
+            fleet = make_fleet()
             fleet.submit(Step(tasks=WORKERS, demand=Demand(1000), estimate_ms=1000))
             await self.run_rounds(fleet)
             self.assertEqual(self.list_unused(fleet), [])
@@ -99,7 +141,7 @@
         """A finite and a standing step of the same demand shared one ranking."""
 
         async def check() -> None:
-            fleet = self.make_fleet()
+            fleet = make_fleet()
             demand = Demand(2000, 1000)
             finite = fleet.submit(Step(tasks=1, demand=demand, estimate_ms=1000))
             standing = fleet.submit(
@@ -118,7 +160,7 @@
         """It was spread by load, so that each worker kept a small piece."""
 
         async def check() -> None:
-            fleet = self.make_fleet()
+            fleet = make_fleet()
             for _ in range(WORKERS):
                 fleet.submit(Step(tasks=4, demand=Demand(2000, 1000), standing=True))
             await self.run_rounds(fleet)
@@ -128,7 +170,7 @@
 
     def test_tasks_without_accelerators_leave_them_to_others(self) -> None:
         async def check() -> None:
-            fleet = self.make_fleet()
+            fleet = make_fleet()
             for number, worker in enumerate(fleet.state.workers.values()):
                 accelerators = int(number < 2)
                 worker.capacity = Demand(16000, 64000, accelerators)
