Stop the other members of a gang of which one can't start

Callers would see a gang whose members wait for one that was refused or withdrawn, and end alone after 3 s (GANG), while they reserve capacity; capacities that shrink make that likely. Cause: only the end of a task or a job stopped other runs, not the end of one member's run. A run that was stopped before its worker had started it was also noticed only by the view after next, up to 3.2 s later, as views wait for an end that never comes.

A removal that several calls ask for is proposed once, with what the crash says. Workers that are cut off for longer than their lease are shown not to count as crashed.

--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -123,7 +123,9 @@
         self._terminations = Terminations(lambda: self.state, self._registry.sessions)
         self._pacer = RoundPacer(clock)
         self._avoided: dict[TaskName, set[WorkerId]] = {}
-        self._removals = Removals(log, self._registry, clock)
+        self._removals = Removals(
+            log, self._registry, clock, on_lost=self._terminations.add_ended_run
+        )
         self._suspects = Suspects(lambda: self.state, clock)
         self._ends = Batcher(self._commit_ends)
         self._housekeeping = Housekeeping(
@@ -352,7 +354,8 @@
         if worker.draining or not self._is_usable(worker):
             return None
         headroom = self._headrooms.measure(self.state, worker)
-        headroom.free = headroom.free.minus(self._capacities.measure_unrecorded(worker))
+        unrecorded = self._capacities.measure_unrecorded(worker)
+        headroom.free = headroom.free.minus(unrecorded)
         headroom.predict_margins = partial(self._mitigator.list_margins, worker)
         headroom.failures = self._quarantine.count_failures(worker.worker)
         session = self._registry.sessions[worker.worker]
--- a/src/rhubarbfield/scheduling/orders.py
+++ b/src/rhubarbfield/scheduling/orders.py
@@ -70,6 +70,8 @@
         The worker lists it, and it is not recorded.
     UNANSWERED
         No order to start it got a clear answer.
+    GANG
+        Another member of its gang has ended, or can't start.
     STALLED, EVACUATED, MOVED
         Another worker is to take the task.
     """
@@ -77,6 +79,7 @@
     OBSOLETE = "obsolete"
     UNRECORDED = "unrecorded"
     UNANSWERED = "unanswered"
+    GANG = "gang"
     STALLED = "stalled"
     EVACUATED = "evacuated"
     MOVED = "moved"
--- a/src/rhubarbfield/scheduling/removals.py
+++ b/src/rhubarbfield/scheduling/removals.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Callable
 from enum import Enum
 
+import trio
+
 from rhubarbfield.clock import Clock
 from rhubarbfield.groups import ReplicatedLog
 from rhubarbfield.logs import log_event
@@ -17,6 +20,7 @@
     WORKERS_GONE,
 )
 from rhubarbfield.scheduling.model import CheckpointToken, TaskName
+from rhubarbfield.scheduling.progress import RunKey
 from rhubarbfield.scheduling.recording import propose_until_committed
 from rhubarbfield.scheduling.registry import SessionRegistry
 from rhubarbfield.scheduling.session import WorkerSession
@@ -59,6 +63,8 @@
         The leader's sessions with the workers.
     clock
         Source of time.
+    on_lost
+        Called with each run that ended with its worker.
     """
 
     def __init__(
@@ -66,12 +72,14 @@
         log: ReplicatedLog[SchedulingLogState],
         registry: SessionRegistry,
         clock: Clock,
+        on_lost: Callable[[RunKey], None],
     ) -> None:
         self._log = log
         self._registry = registry
         self._clock = clock
+        self._on_lost = on_lost
         self._past_silences = PastSilences()
-        self._in_progress: set[WorkerId] = set()
+        self._in_progress: dict[WorkerId, trio.Event] = {}
 
     async def remove(
         self, worker: WorkerId, checkpoints: dict[TaskName, CheckpointToken]
@@ -80,20 +88,32 @@
 
         Several calls to one worker may show that at the same time.
         """
-        session = self._registry.sessions.get(worker)
-        if worker in self._in_progress or session is None:
-            await self._propose(RemoveWorker(worker=worker, checkpoints=checkpoints))
+        if worker in self._in_progress:
+            await self._in_progress[worker].wait()
             return
-        self._in_progress.add(worker)
+        removed = self._in_progress[worker] = trio.Event()
         try:
-            crashed = () if session.is_leaving else tuple(self._list_crashed(session))
-            self._report(session, crashed)
-            await self._propose(
-                RemoveWorker(worker=worker, checkpoints=checkpoints, crashed=crashed)
-            )
-            self._report_given_up(crashed)
+            await self._remove(worker, checkpoints)
         finally:
-            self._in_progress.discard(worker)
+            removed.set()
+            del self._in_progress[worker]
+
+    async def _remove(
+        self, worker: WorkerId, checkpoints: dict[TaskName, CheckpointToken]
+    ) -> None:
+        session = self._registry.sessions.get(worker)
+        record = self._state.workers.get(worker)
+        runs = {} if record is None else dict(record.runs)
+        crashed: tuple[CrashedRun, ...] = ()
+        if session is not None:
+            if not session.is_leaving:
+                crashed = tuple(self._list_crashed(session))
+            self._report(session, crashed)
+        command = RemoveWorker(worker=worker, checkpoints=checkpoints, crashed=crashed)
+        await propose_until_committed(self._log, command, self._clock)
+        self._report_given_up(crashed)
+        for task, run in runs.items():
+            self._on_lost(RunKey(task, run))
 
     def assess_runs(self, session: WorkerSession) -> list[CrashedRun]:
         """Return what a crash of a worker says about the runs it has."""
@@ -107,9 +127,6 @@
     def _state(self) -> SchedulingState:
         return self._log.state.scheduling
 
-    async def _propose(self, command: RemoveWorker) -> None:
-        await propose_until_committed(self._log, command, self._clock)
-
     def _list_crashed(self, session: WorkerSession) -> list[CrashedRun]:
         """Return the runs that a crash ended, among them those of a lapsed lease."""
         record = self._state.workers.get(session.worker)
--- a/src/rhubarbfield/scheduling/session.py
+++ b/src/rhubarbfield/scheduling/session.py
@@ -21,7 +21,7 @@
     RunNumber,
     TaskName,
 )
-from rhubarbfield.scheduling.orders import Start, StopReason
+from rhubarbfield.scheduling.orders import Start, StartState, StopReason
 from rhubarbfield.scheduling.ports import (
     ActiveRun,
     ListedEnd,
@@ -262,13 +262,25 @@
                 await self._clock.sleep(RETRY_DELAY)
 
     def _choose_wait_timeout(self) -> timedelta:
-        if not self._contact.may_extend_lease:
+        if not self._contact.may_extend_lease or self._expects_no_end():
             return timedelta()
         worker = self._host.find_worker(self.worker)
         if worker is not None and self._host.needs_frequent_views(worker):
             return self._settings.watched_view_timeout
         return self._settings.view_timeout
 
+    def _expects_no_end(self) -> bool:
+        """Return whether a run that was stopped may never have started.
+
+        A view that lists neither it nor its end shows that; a worker that waits for
+        an end before it replies would hold that up.
+        """
+        starts = self._ledger.starts
+        return any(
+            starts.get(key) is StartState.SETTLED and key.task not in self.active
+            for key in self._ledger.stops
+        )
+
     async def _apply_view(
         self,
         view: WorkerView,
--- a/src/rhubarbfield/scheduling/terminations.py
+++ b/src/rhubarbfield/scheduling/terminations.py
@@ -1,4 +1,4 @@
-"""Stops of runs whose job or task has ended."""
+"""Stops of runs whose job, task or gang has ended."""
 
 from __future__ import annotations
 
@@ -22,6 +22,9 @@
 class Terminations:
     """Orders runs to stop once their job or task has ended.
 
+    Members of a gang that lacks one are stopped, too: they would wait for it, and then
+    end for want of it.
+
     It examines only what the applied commands may have ended, so that its cost
     does not grow with the number of jobs.
 
@@ -44,6 +47,7 @@
         self._jobs: dict[JobId, None] = {}
         self._tasks: dict[TaskName, None] = {}
         self._workers: dict[WorkerId, None] = {}
+        self._ended_runs: dict[RunKey, None] = {}
 
     def watch_command(self, _index: LogIndex, command: Command, _reply: Reply) -> None:
         """Note which jobs and tasks an applied command may have ended."""
@@ -55,10 +59,16 @@
                     for ended in report.ends:
                         if ended.end in (RunEnd.DONE, RunEnd.FAILED):
                             self._tasks[ended.task] = None
+                        if ended.end is not RunEnd.DONE:
+                            self.add_ended_run(RunKey(ended.task, ended.run))
             case RemoveWorker(crashed=crashed):
                 for each in crashed:
                     self._tasks[each.task] = None
 
+    def add_ended_run(self, key: RunKey) -> None:
+        """Examine the gang of a run that has ended without success, if it has one."""
+        self._ended_runs[key] = None
+
     def add_worker(self, worker: WorkerId) -> None:
         """Examine all runs of a worker, whose session is new."""
         self._workers[worker] = None
@@ -74,6 +84,9 @@
             found = state.jobs.get(job)
             if found is not None and not found.is_open:
                 self._stop_job(found)
+        ended_runs, self._ended_runs = self._ended_runs, {}
+        for key in ended_runs:
+            self._stop_gang(state, key)
         workers, self._workers = self._workers, {}
         for worker in workers:
             record = state.workers.get(worker)
@@ -97,6 +110,20 @@
             for index, sibling in enumerate(tasks):
                 self._stop_runs(name_task(job.job, occurrence, step, index), sibling)
 
+    def _stop_gang(self, state: SchedulingState, key: RunKey) -> None:
+        """Stop the other members of a gang's run, of which one has ended."""
+        found = state.find_task(key.task)
+        if found is None:
+            return
+        job, occurrence, step, _ = found
+        if not job.get_step(step).gang:
+            return
+        for index, member in enumerate(job.occurrences[occurrence][step].tasks):
+            worker = member.live.get(key.run)
+            if worker is not None:
+                name = name_task(job.job, occurrence, step, index)
+                self._stop(worker, RunKey(name, key.run), StopReason.GANG)
+
     def _stop_job(self, job: Job) -> None:
         for occurrence, steps in job.occurrences.items():
             for step, progress in enumerate(steps):
@@ -109,7 +136,9 @@
         for run, worker in task.live.items():
             self._stop(worker, RunKey(name, run))
 
-    def _stop(self, worker: WorkerId, key: RunKey) -> None:
+    def _stop(
+        self, worker: WorkerId, key: RunKey, reason: StopReason = StopReason.OBSOLETE
+    ) -> None:
         session = self._sessions.get(worker)
         if session is not None:
-            session.stop(key, StopReason.OBSOLETE)
+            session.stop(key, reason)
--- a/tests/scheduling/test_deadly_tasks.py
+++ b/tests/scheduling/test_deadly_tasks.py
@@ -184,6 +184,34 @@
                         break
         self.assertEqual(deployment.get_job("j").phase, JobPhase.RUNNING)
 
+    @with_deployment()
+    async def test_tasks_survive_workers_that_are_cut_off_again_and_again(
+        self, deployment: Deployment
+    ) -> None:
+        """A worker that is silent for longer than its lease has not crashed."""
+        add_workers(deployment)
+        async with deployment.lead():
+            for number in range(8):
+                await deployment.submit(f"j{number}", Step(tasks=4, demand=ONE_CORE))
+                await trio.sleep(0.05)
+                cut_off = [each for each in deployment.reporting if each.runs]
+                for worker in cut_off:
+                    worker.is_unreachable = True
+                await trio.sleep(12)
+                for worker in cut_off:
+                    worker.is_unreachable = False
+                await trio.sleep(2)
+            await trio.sleep(20)
+        self.assertEqual(list_phases(deployment, "j"), {JobPhase.COMPLETED})
+        tasks = [
+            task
+            for job in deployment.state.jobs.values()
+            for task in job.occurrences[0][0].tasks
+        ]
+        self.assertEqual({task.crashes for task in tasks}, {0})
+        workers = deployment.state.workers.values()
+        self.assertEqual([each.lapsed for each in workers], [[]] * WORKERS)
+
     @with_deployment()
     async def test_tasks_survive_workers_that_leave_as_announced(
         self, deployment: Deployment
--- a/tests/scheduling/test_job_index.py
+++ b/tests/scheduling/test_job_index.py
@@ -11,7 +11,7 @@
 from rhubarbfield.scheduling.model import RunNumber, Step
 from rhubarbfield.scheduling.progress import RunKey
 from rhubarbfield.scheduling.session import WorkerSession
-from rhubarbfield.scheduling.state import TaskPhase
+from rhubarbfield.scheduling.state import Job, Task, TaskPhase
 from tests.replication.determinism import run_deterministic
 from tests.scheduling.deployments import ONE_CORE
 from tests.scheduling.fleets import Fleet
@@ -79,7 +79,10 @@
                     for task, run in worker.runs.items():
                         found = fleet.state.find_task(task)
                         assert found is not None
-                        if found[0].is_open and found[3].phase is TaskPhase.LIVE:
+                        is_wanted = (
+                            found[0].is_open and found[3].phase is TaskPhase.LIVE
+                        )
+                        if is_wanted and not lacks_member(found, run):
                             continue
                         expected.add(RunKey(task, run))
                         shared += found[0].is_open
@@ -91,6 +94,15 @@
         run_deterministic(check, seed=1)
 
 
+def lacks_member(found: tuple[Job, int, int, Task], run: RunNumber) -> bool:
+    """Return whether another member of a gang does not run under the same number."""
+    job, occurrence, step, _ = found
+    if not job.get_step(step).gang:
+        return False
+    members = job.occurrences[occurrence][step].tasks
+    return any(run not in member.live for member in members)
+
+
 def start_copies(fleet: Fleet) -> None:
     """Start a copy of each task that allows one."""
     workers = list(fleet.state.workers)
--- a/tests/scheduling/test_leader.py
+++ b/tests/scheduling/test_leader.py
@@ -31,6 +31,7 @@
 )
 
 DRAINING_TIME = timedelta(seconds=2)  # workers that drain accept tasks for so long
+GANG_WAIT_SECONDS = 3.0  # members that wait for longer end alone
 MAX_LAPSE_SECONDS = 11.0  # the longest lease on a slow clock, plus a call
 
 
@@ -95,6 +96,41 @@
         self.assertGreater(len(worker.started), 3)
 
 
+class GangsTest(unittest.TestCase):
+    @with_deployment()
+    async def test_members_wait_alone_for_one_that_was_refused(
+        self, deployment: Deployment
+    ) -> None:
+        workers = [
+            deployment.add_worker(f"w{number}", duration=None, capacity=ONE_CORE)
+            for number in range(3)
+        ]
+        workers[2].rejected_starts = 1
+        async with deployment.lead():
+            await deployment.submit("j", Step(tasks=3, demand=ONE_CORE, gang=True))
+            await trio.sleep(0.2)
+            self.assertEqual([len(each.runs) for each in workers], [0, 0, 0])
+            await trio.sleep(2)
+            runs = {run.run for each in workers for run in each.runs.values()}
+            self.assertEqual(runs, {2})
+
+    @with_deployment()
+    async def test_members_wait_alone_for_one_whose_worker_has_shrunk(
+        self, deployment: Deployment
+    ) -> None:
+        first = deployment.add_worker("w0", duration=None, capacity=ONE_CORE)
+        second = deployment.add_worker("w1", duration=None, capacity=ONE_CORE)
+        async with deployment.lead() as leader:
+            await trio.sleep(0.3)
+            second.unanswered_starts = 1
+            await deployment.submit("j", Step(tasks=2, demand=ONE_CORE, gang=True))
+            await trio.sleep(0.1)
+            second.capacity = Demand()
+            await leader.handle_heartbeat(second.make_heartbeat())
+            await trio.sleep(GANG_WAIT_SECONDS)
+            self.assertEqual(len(first.runs), 0)
+
+
 class LostWorkersTest(unittest.TestCase):
     @with_deployment()
     async def test_start_that_reached_no_worker_goes_to_another_at_once(
