Judge a common cause without looking at the runs of every silent worker

Callers would see a leader that is busy for a second and more when a zone of 178 workers falls silent: for each removal the runs of all silent workers were examined. The decisions are the same: from three workers on their runs do not matter, and below that there are two.

--- a/src/rhubarbfield/scheduling/presence.py
+++ b/src/rhubarbfield/scheduling/presence.py
@@ -66,12 +66,14 @@
     def silence(self) -> Silence | None:
         """When the worker fell silent; None if the latest call got a reply."""
         missed_at = self._contact.unresponsive_since
-        return None if missed_at is None else self.describe_silence(missed_at)
+        if missed_at is None:
+            return None
+        return Silence(self._contact.last_contact_at, missed_at)
 
-    def describe_silence(self, missed_at: timedelta) -> Silence:
-        """Return the silence of a worker that misses calls since ``missed_at``."""
-        follows_start = any(run.is_fresh for run in self.list_runs())
-        return Silence(self._contact.last_contact_at, missed_at, follows_start)
+    @property
+    def has_fresh_runs(self) -> bool:
+        """Whether the start of a run may be what ended the worker."""
+        return any(run.is_fresh for run in self.list_runs())
 
     def list_runs(self) -> list[PresentRun]:
         """Return the recorded runs that the worker has, or may have, started."""
--- a/src/rhubarbfield/scheduling/removals.py
+++ b/src/rhubarbfield/scheduling/removals.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections import deque
 from collections.abc import Callable
 from enum import Enum
 
@@ -24,7 +25,11 @@
 from rhubarbfield.scheduling.recording import propose_until_committed
 from rhubarbfield.scheduling.registry import SessionRegistry
 from rhubarbfield.scheduling.session import WorkerSession
-from rhubarbfield.scheduling.silences import PastSilences, Silence
+from rhubarbfield.scheduling.silences import (
+    MAX_PAST_SILENCES,
+    PastSilences,
+    Silence,
+)
 from rhubarbfield.scheduling.state import (
     RunEnd,
     SchedulingState,
@@ -79,6 +84,8 @@
         self._clock = clock
         self._on_lost = on_lost
         self._past_silences = PastSilences()
+        # Removed workers on which a run had just started.
+        self._ended_by_start: deque[WorkerId] = deque(maxlen=MAX_PAST_SILENCES)
         self._in_progress: dict[WorkerId, trio.Event] = {}
 
     async def remove(
@@ -119,7 +126,7 @@
         """Return what a crash of a worker says about the runs it has."""
         return assess_runs(
             session.presence.list_runs(),
-            has_common_cause=self._judge_cause(session),
+            has_common_cause=self._judge_cause(self._list_simultaneous(session)),
             find_step=self._state.find_step,
         )
 
@@ -133,21 +140,27 @@
         lapsed = [] if record is None else record.lapsed
         return [*lapsed, *self.assess_runs(session)]
 
-    def _judge_cause(self, session: WorkerSession) -> bool:
-        """Return whether a worker fell silent for a reason that others share."""
-        others = self._list_simultaneous(session)
-        without_start = sum(not each.follows_start for each in others)
-        return has_common_cause(len(others), without_start)
+    def _judge_cause(self, simultaneous: list[WorkerId]) -> bool:
+        """Return whether workers that fell silent together had a common cause."""
+        return has_common_cause(
+            len(simultaneous),
+            lambda: sum(not self._had_fresh_runs(worker) for worker in simultaneous),
+        )
 
-    def _list_simultaneous(self, session: WorkerSession) -> list[Silence]:
+    def _had_fresh_runs(self, worker: WorkerId) -> bool:
+        session = self._registry.sessions.get(worker)
+        if session is not None:
+            return session.presence.has_fresh_runs
+        return worker in self._ended_by_start
+
+    def _list_simultaneous(self, session: WorkerSession) -> list[WorkerId]:
         return self._past_silences.list_simultaneous(
             session.worker, self._find_silence(session), self._registry.map_silences()
         )
 
     def _find_silence(self, session: WorkerSession) -> Silence:
-        return session.presence.silence or session.presence.describe_silence(
-            self._clock.monotonic()
-        )
+        now = self._clock.monotonic()
+        return session.presence.silence or Silence(session.last_contact_at, now)
 
     def _report(self, session: WorkerSession, crashed: tuple[CrashedRun, ...]) -> None:
         """Log what is lost with a worker, and how it fell silent."""
@@ -157,6 +170,7 @@
             return
         now = self._clock.monotonic()
         silence = self._find_silence(session)
+        simultaneous = self._list_simultaneous(session)
         cause = RemovalCause.LEFT if session.is_leaving else RemovalCause.CRASHED
         log_event(
             logger,
@@ -167,12 +181,14 @@
             cause=cause.value,
             heard=now - silence.heard_at,
             missed=now - silence.missed_at,
-            simultaneous=len(self._list_simultaneous(session)),
-            common_cause=self._judge_cause(session),
+            simultaneous=len(simultaneous),
+            common_cause=self._judge_cause(simultaneous),
             runs=len(record.runs),
         )
         WORKERS_GONE.labels(cause.value).inc()
         self._past_silences.add(worker, silence)
+        if session.presence.has_fresh_runs:
+            self._ended_by_start.append(worker)
         assessed = {each.task: each for each in crashed}
         for run in session.presence.list_runs():
             found = assessed.get(run.key.task)
--- a/src/rhubarbfield/scheduling/silences.py
+++ b/src/rhubarbfield/scheduling/silences.py
@@ -29,13 +29,10 @@
         Monotonic time of its last report or reply.
     missed_at
         Monotonic time of the first call without a reply after that.
-    follows_start
-        Whether a run had just started there.
     """
 
     heard_at: timedelta
     missed_at: timedelta
-    follows_start: bool = False
 
     def may_coincide(self, other: Silence) -> bool:
         """Return whether two workers may have fallen silent at the same moment."""
@@ -59,8 +56,8 @@
 
     def list_simultaneous(
         self, worker: WorkerId, silence: Silence, present: Mapping[WorkerId, Silence]
-    ) -> list[Silence]:
-        """Return the other silences that may have begun at the same moment.
+    ) -> list[WorkerId]:
+        """Return the other workers that may have fallen silent at the same moment.
 
         Parameters
         ----------
@@ -71,7 +68,7 @@
         """
         oldest = silence.missed_at - PAST_SILENCE_RETENTION
         return [
-            each
+            name
             for name, each in {**self._silences, **present}.items()
             if name != worker
             and each.missed_at >= oldest
--- a/src/rhubarbfield/scheduling/suspicion.py
+++ b/src/rhubarbfield/scheduling/suspicion.py
@@ -79,19 +79,19 @@
     ]
 
 
-def has_common_cause(simultaneous: int, without_start: int) -> bool:
+def has_common_cause(simultaneous: int, count_without_start: Callable[[], int]) -> bool:
     """Return whether a worker fell silent for a reason that others share.
 
     Parameters
     ----------
     simultaneous
         Number of other workers that may have fallen silent at the same moment.
-    without_start
-        Number of these on which no run had just started.
+    count_without_start
+        Returns the number of these on which no run had just started.
     """
     if simultaneous >= COMMON_CAUSE_WORKERS:
         return True
-    return simultaneous >= MIN_COMMON_CAUSE_WORKERS and without_start > 0
+    return simultaneous >= MIN_COMMON_CAUSE_WORKERS and count_without_start() > 0
 
 
 def record_crash(task: Task, crashed: CrashedRun) -> bool:
--- a/tests/scheduling/test_removals.py
+++ b/tests/scheduling/test_removals.py
@@ -5,12 +5,14 @@
 import logging
 import unittest
 from typing import Any
+from unittest import mock
 
 import msgspec
 import trio
 
 from rhubarbfield.logs import JsonFormatter, find_event
 from rhubarbfield.scheduling.model import Step
+from rhubarbfield.scheduling.presence import RunPresence
 from tests.scheduling.deployments import ONE_CORE, Deployment, with_deployment
 
 LEADER_LOG = "rhubarbfield.scheduling.leader"
@@ -59,5 +61,29 @@
         self.assertEqual([each["simultaneous"] for each in gone], [2, 2, 2])
 
 
+class CostTest(unittest.TestCase):
+    @with_deployment()
+    async def test_loss_of_all_workers_examines_the_runs_of_each_for_each_other(
+        self, deployment: Deployment
+    ) -> None:
+        workers = [
+            deployment.add_worker(f"w{number}", duration=None) for number in range(40)
+        ]
+        async with deployment.lead():
+            await deployment.submit("j", Step(tasks=40, demand=ONE_CORE))
+            await trio.sleep(2)
+            with mock.patch.object(
+                RunPresence,
+                "list_runs",
+                autospec=True,
+                side_effect=RunPresence.list_runs,
+            ) as list_runs:
+                for worker in workers:
+                    deployment.fleet.crash(worker)
+                await trio.sleep(6)
+        # A few times for each worker, whatever the number of others.
+        self.assertLess(list_runs.call_count, 6 * len(workers))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/scheduling/test_suspicion.py
+++ b/tests/scheduling/test_suspicion.py
@@ -83,14 +83,14 @@
 
 class CommonCauseTest(unittest.TestCase):
     def test_two_deadly_tasks_at_once_are_no_common_cause(self) -> None:
-        self.assertFalse(has_common_cause(1, 1))
-        self.assertFalse(has_common_cause(2, 0))
+        self.assertFalse(has_common_cause(1, lambda: 1))
+        self.assertFalse(has_common_cause(2, lambda: 0))
 
     def test_workers_that_had_started_nothing_show_a_common_cause(self) -> None:
-        self.assertTrue(has_common_cause(2, 1))
+        self.assertTrue(has_common_cause(2, lambda: 1))
 
     def test_many_workers_show_a_common_cause(self) -> None:
-        self.assertTrue(has_common_cause(COMMON_CAUSE_WORKERS, 0))
+        self.assertTrue(has_common_cause(COMMON_CAUSE_WORKERS, lambda: 0))
 
 
 class CountTest(unittest.TestCase):
