--- a/tests/scheduling/test_deadly_tasks.py
+++ b/tests/scheduling/test_deadly_tasks.py
@@ -11,6 +11,8 @@
 from rhubarbfield.scheduling.model import JobPhase, RunNumber, Step, TaskName
 from rhubarbfield.scheduling.presence import PROOF_TIME
 from rhubarbfield.scheduling.progress import RunKey
+from rhubarbfield.types import JobId
+from tests.scheduling.controllers import Controllers, with_controllers
 from tests.scheduling.deployments import ONE_CORE, Deployment, with_deployment
 
 # The users' limit: no third start after three workers have crashed.
@@ -138,6 +140,31 @@
         self.assertLessEqual(count_starts(deployment, DEADLY), MAX_STARTS)
 
 
+class ControllersTest(unittest.TestCase):
+    @with_controllers()
+    async def test_task_is_started_too_often_by_leaders_that_are_cut_off_in_turn(
+        self, controllers: Controllers
+    ) -> None:
+        """Each leader is cut off after a crash, and comes back as a follower."""
+        workers = [controllers.add_worker(f"w{number}") for number in range(WORKERS)]
+        controllers.fleet.deadly.add(DEADLY)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(controllers.report_all, workers)
+            await trio.sleep(2)
+            await controllers.submit("deadly")
+            for _ in range(6):
+                await trio.sleep(4)
+                controllers.cut_off(controllers.leader)
+                await trio.sleep(5)
+                controllers.network.heal_all()
+                await trio.sleep(3)
+            nursery.cancel_scope.cancel()
+        job = controllers.leader.log.state.scheduling.jobs[JobId("deadly")]
+        self.assertEqual(job.phase, JobPhase.FAILED)
+        self.assertLessEqual(controllers.fleet.starts[DEADLY], MAX_STARTS)
+        self.assertGreaterEqual(controllers.fleet.starts[DEADLY], 2)
+
+
 class BystanderTest(unittest.TestCase):
     @with_deployment()
     async def test_jobs_survive_workers_that_crash_together_again_and_again(
