Count crashes that are proved late, and hold a task while one may still be proved

The crash of its first run was proved after those of later runs, and dropped, as the highest run number stood for all; and until the proof it counted for nothing, although the lease had lapsed. Counted are now the runs themselves, and a worker that is silent since its lease lapsed counts for the limit until it is heard: the task waits, and is not given up. What a lapsed lease says is kept whole, with how many runs had just started.

--- a/src/rhubarbfield/scheduling/appliers.py
+++ b/src/rhubarbfield/scheduling/appliers.py
@@ -278,9 +278,7 @@
             worker.lapsed.clear()  # it was only cut off, and lists its ends
         for ended in report.ends:
             _end_run(state, worker, ended)
-            if ended.evidence is not None:
-                crashed = CrashedRun(ended.task, ended.run, ended.evidence)
-                worker.lapsed.append(crashed)
+        worker.lapsed.extend(report.lapsed)
         worker.recorded_ends = max(worker.recorded_ends, report.recorded_ends)
     return Done()
 
--- a/src/rhubarbfield/scheduling/commands.py
+++ b/src/rhubarbfield/scheduling/commands.py
@@ -6,7 +6,7 @@
 
 from rhubarbfield.machine import Command, CommandRegistry, Reply
 from rhubarbfield.placement.state import HarmEstimate
-from rhubarbfield.scheduling.crashes import CrashedRun, CrashEvidence
+from rhubarbfield.scheduling.crashes import CrashedRun
 from rhubarbfield.scheduling.model import (
     NO_CHECKPOINT,
     CheckpointToken,
@@ -145,16 +145,12 @@
     ----------
     task, run, end, checkpoint
         The run, how it ended, and its last saved progress.
-    evidence
-        What it says about the task if the worker turns out to have crashed; None
-        unless the run was lost with its lease.
     """
 
     task: TaskName
     run: RunNumber
     end: RunEnd
     checkpoint: CheckpointToken = NO_CHECKPOINT
-    evidence: CrashEvidence | None = None
 
 
 class WorkerEnds(msgspec.Struct, frozen=True, array_like=True):
@@ -169,11 +165,14 @@
     recorded_ends
         Number of the last of these ends that the worker listed; 0 if it listed
         none of them.
+    lapsed
+        Runs that are lost with the worker's lease, for the case that it has crashed.
     """
 
     worker: WorkerId
     ends: tuple[EndedRun, ...]
     recorded_ends: int = 0
+    lapsed: tuple[CrashedRun, ...] = ()
 
 
 class SaveHarm(Command, frozen=True):
--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -381,6 +381,7 @@
             rank=self._rank,
             is_starved=self._is_starved,
             may_wait=self._suspects.may_wait,
+            unresolved=self._suspects.count_unresolved(),
         )
         starts = await choose_starts(placer, self._clock)
         took = self._clock.monotonic() - began
--- a/src/rhubarbfield/scheduling/ledger.py
+++ b/src/rhubarbfield/scheduling/ledger.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 
 from rhubarbfield.scheduling.commands import EndedRun, WorkerEnds
+from rhubarbfield.scheduling.crashes import CrashedRun
 from rhubarbfield.scheduling.orders import StartState, Stop
 from rhubarbfield.scheduling.progress import RunKey
 from rhubarbfield.scheduling.session_host import SessionHost
@@ -104,7 +105,10 @@
         await self.record_ends((EndedRun(key.task, key.run, end),))
 
     async def record_ends(
-        self, ends: tuple[EndedRun, ...], recorded_ends: int = 0
+        self,
+        ends: tuple[EndedRun, ...],
+        recorded_ends: int = 0,
+        lapsed: tuple[CrashedRun, ...] = (),
     ) -> None:
         """Drop ended runs and record their ends; returns once they are committed.
 
@@ -114,6 +118,8 @@
             The ends.
         recorded_ends
             Number of the last of them that the worker listed; 0 for none.
+        lapsed
+            Runs that are lost with the worker's lease.
         """
         keys = {RunKey(end.task, end.run) for end in ends}
         for key in keys:
@@ -122,5 +128,7 @@
             self._paces.pop(key, None)
             self._known_since.pop(key, None)
         self._ending |= keys
-        await self._host.record_ends(WorkerEnds(self._worker, ends, recorded_ends))
+        await self._host.record_ends(
+            WorkerEnds(self._worker, ends, recorded_ends, lapsed)
+        )
         self._ending -= keys
--- a/src/rhubarbfield/scheduling/placing.py
+++ b/src/rhubarbfield/scheduling/placing.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Callable, Iterable, Iterator, Mapping
 from enum import Enum
+from types import MappingProxyType
 
 from rhubarbfield.scheduling.candidates import (
     Candidates,
@@ -37,6 +38,7 @@
     Task,
     TaskPhase,
 )
+from rhubarbfield.scheduling.suspicion import MAX_CRASHES
 from rhubarbfield.types import JobId, WorkerId
 
 MAX_STARTS_PER_ROUND = 256  # keeps a command within the size limit of a log entry
@@ -57,7 +59,7 @@
         On the workers with spare cores the task would harm serving tasks.
     TRIAL
         The task is suspected of crashing workers, and waits for one on which no
-        other run has just started.
+        other run has just started, or for a proof that an earlier one was cut off.
     """
 
     NO_CAPACITY = "no-capacity"
@@ -90,6 +92,8 @@
     may_wait
         Returns whether a task, whose last run is given, may wait although it has
         capacity, since it is suspected of crashing workers.
+    unresolved
+        Number of workers that each task may have crashed, without a proof yet.
 
     Attributes
     ----------
@@ -110,6 +114,7 @@
         rank: Callable[[Job, Queue], tuple[float, ...]],
         is_starved: Callable[[Job], bool],
         may_wait: Callable[[TaskName, RunNumber], bool] = lambda *_: False,
+        unresolved: Mapping[TaskName, int] = MappingProxyType({}),
     ) -> None:
         self._jobs = jobs
         self._queues = queues
@@ -118,6 +123,7 @@
         self._rank_job = rank
         self._is_starved = is_starved
         self._may_wait = may_wait
+        self._unresolved = unresolved
         self._starts: list[RunStart] = []
         self.unplaced: dict[tuple[JobId, int], WaitingStep] = {}
         self.trials: dict[tuple[JobId, int], WaitingStep] = {}
@@ -150,6 +156,9 @@
             if task.phase is not TaskPhase.WAITING:
                 continue
             name = name_task(waiting.job.job, waiting.occurrence, waiting.number, index)
+            if self._is_held(name, task):
+                self.trials.setdefault((waiting.job.job, waiting.number), waiting)
+                continue
             headroom = self._candidates.choose(
                 waiting,
                 self._avoided.get(name, ()),
@@ -177,6 +186,10 @@
                 continue
             self._start_task(name, task, headroom, step, tasks_per_worker)
 
+    def _is_held(self, name: TaskName, task: Task) -> bool:
+        """Return whether a task may have crashed as many workers as is allowed."""
+        return task.crashes + self._unresolved.get(name, 0) >= MAX_CRASHES
+
     def explain_wait(self, waiting: WaitingStep) -> WaitReason:
         """Return why tasks of a step found no worker in this round."""
         if (waiting.job.job, waiting.number) in self.trials:
@@ -200,6 +213,15 @@
         tasks = waiting.tasks
         if any(task.phase is not TaskPhase.WAITING for task in tasks):
             return
+        if any(
+            self._is_held(
+                name_task(waiting.job.job, waiting.occurrence, waiting.number, index),
+                task,
+            )
+            for index, task in enumerate(tasks)
+        ):
+            self.trials.setdefault((waiting.job.job, waiting.number), waiting)
+            return
         if self._candidates.is_rejected(waiting):
             return
         ranking = self._rank_for_gang(waiting)
--- a/src/rhubarbfield/scheduling/session.py
+++ b/src/rhubarbfield/scheduling/session.py
@@ -365,18 +365,12 @@
             silent=self._clock.monotonic() - self.last_contact_at,
         )
         saved = self._list_checkpoints()
-        evidence = {each.task: each.evidence for each in self._host.assess_runs(self)}
+        lapsed = tuple(self._host.assess_runs(self))
         ends = tuple(
-            EndedRun(
-                task,
-                run,
-                RunEnd.LOST,
-                saved.get(task, NO_CHECKPOINT),
-                evidence.get(task),
-            )
+            EndedRun(task, run, RunEnd.LOST, saved.get(task, NO_CHECKPOINT))
             for task, run in worker.runs.items()
         )
-        await self._ledger.record_ends(ends)
+        await self._ledger.record_ends(ends, lapsed=lapsed)
 
     def _list_checkpoints(self) -> dict[TaskName, CheckpointToken]:
         return {
--- a/src/rhubarbfield/scheduling/state.py
+++ b/src/rhubarbfield/scheduling/state.py
@@ -87,15 +87,13 @@
         Checkpoint from which the next run resumes.
     live
         Worker of each run whose end is not recorded, by run number.
-    crashes
-        Number of workers that crashed with a run of the task.
+    crashed_runs
+        Runs with which a worker crashed; of a gang once for each run.
     certain_crashes
-        Number of these that had certainly started it.
+        Number of these that their worker had certainly started.
     blame
         Sum over the crashes right after the start of a run, of 100 divided by the
         number of runs that had just started there.
-    crashed_run
-        Highest run number that was counted in ``crashes``.
     """
 
     phase: TaskPhase = TaskPhase.WAITING
@@ -103,10 +101,14 @@
     failures: int = 0
     checkpoint: CheckpointToken = NO_CHECKPOINT
     live: dict[RunNumber, WorkerId] = msgspec.field(default_factory=dict)
-    crashes: int = 0
+    crashed_runs: list[RunNumber] = msgspec.field(default_factory=list)
     certain_crashes: int = 0
     blame: int = 0
-    crashed_run: RunNumber = RunNumber(0)
+
+    @property
+    def crashes(self) -> int:
+        """Number of workers that crashed with a run of the task."""
+        return len(self.crashed_runs)
 
     @property
     def is_suspect(self) -> bool:
--- a/src/rhubarbfield/scheduling/suspects.py
+++ b/src/rhubarbfield/scheduling/suspects.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable
 from datetime import timedelta
 
@@ -16,6 +17,8 @@
 
 # How long a suspect waits for a worker on which no other run has just started.
 MAX_TRIAL_DELAY = timedelta(seconds=1.5)
+# Share of the workers on which suspects may keep others from starting.
+MAX_TRIAL_SHARE = 0.5
 
 
 class Suspects:
@@ -63,8 +66,14 @@
         return bool(self._list_runs(worker))
 
     def is_trying(self, session: WorkerSession) -> bool:
-        """Return whether a worker has not worked with a suspect for a while yet."""
+        """Return whether nothing else may start on a worker that tries a suspect.
+
+        It may once the worker has worked with the suspect for a while, or if so many
+        workers have suspects that little would be left to others.
+        """
         runs = self._list_runs(session.worker)
+        if not runs or self._has_too_many_trials():
+            return False
         return any(not session.presence.is_proven(key) for key in runs)
 
     def may_wait(self, name: TaskName, last_run: RunNumber) -> bool:
@@ -84,6 +93,17 @@
         self._waiting_since[name] = last_run, since
         return now - since < MAX_TRIAL_DELAY
 
+    def count_unresolved(self) -> Counter[TaskName]:
+        """Return how many workers each task may have crashed without a proof yet.
+
+        They are silent since its run was lost with their lease.
+        """
+        return Counter(
+            each.task
+            for worker in self._get_state().workers.values()
+            for each in worker.lapsed
+        )
+
     def _list_runs(self, worker: WorkerId) -> list[RunKey]:
         if not self._names:
             return []
@@ -91,6 +111,10 @@
             self._runs = self._map_runs()
         return self._runs.get(worker, [])
 
+    def _has_too_many_trials(self) -> bool:
+        workers = len(self._get_state().workers)
+        return len(self._runs or ()) > workers * MAX_TRIAL_SHARE
+
     def _map_runs(self) -> dict[WorkerId, list[RunKey]]:
         """Return the live runs of the suspects by worker; forget those that ended."""
         state = self._get_state()
--- a/src/rhubarbfield/scheduling/suspicion.py
+++ b/src/rhubarbfield/scheduling/suspicion.py
@@ -97,15 +97,16 @@
 def record_crash(task: Task, crashed: CrashedRun) -> bool:
     """Count a crash for a task; return whether the task is to be given up.
 
-    It counts once for each run: several members of a gang share the number.
+    It counts once for each run: several members of a gang share the number, and a
+    crash may be proved long after later ones.
     """
-    if crashed.run <= task.crashed_run:
+    if crashed.run in task.crashed_runs:
         return False
-    task.crashed_run = crashed.run
     if crashed.evidence is CrashEvidence.CLEARED:
-        task.crashes = task.certain_crashes = task.blame = 0
+        task.crashed_runs.clear()
+        task.certain_crashes = task.blame = 0
         return False
-    task.crashes += 1
+    task.crashed_runs.append(crashed.run)
     task.certain_crashes += crashed.is_certain
     if crashed.evidence is not CrashEvidence.EARLIER:
         task.blame += WHOLE_BLAME // max(crashed.recent, 1)
--- a/src/rhubarbfield/testing/crashing_workers.py
+++ b/src/rhubarbfield/testing/crashing_workers.py
@@ -62,6 +62,8 @@
     ----------
     deadly
         Tasks that crash each worker that starts them.
+    endless
+        Tasks whose runs do not end by themselves.
     gang_steps
         Steps (``JOB.OCCURRENCE.STEP``) whose other members end with a lost one.
     crash_delay
@@ -80,6 +82,7 @@
         self._successors: dict[WorkerId, StandInWorker] = {}
         self._crashing: list[StandInWorker] = []
         self.deadly: set[TaskName] = set()
+        self.endless: set[TaskName] = set()
         self.gang_steps: set[str] = set()
         self.crash_delay = CRASH_DELAY
         self.restart_delay = RESTART_DELAY
@@ -117,6 +120,8 @@
             return result
         for task, _, _ in worker.started[known:]:
             self.starts[task] += 1
+            if task in self.endless and task in worker.runs:
+                worker.runs[task].ends_at = None
             if task in self.deadly:
                 self.crash(worker, self.crash_delay)
         return result
--- /dev/null
+++ b/tests/scheduling/longrun.py
@@ -0,0 +1,213 @@
+"""Random days with deadly tasks, crashes, cuts and changing capacities.
+
+``python -m tests.scheduling.longrun --seeds 50`` plays that many days on a virtual
+clock, each with other luck, and prints what went wrong. The same seed gives the same
+day.
+"""
+
+from __future__ import annotations
+
+import random
+import sys
+from collections.abc import Sequence
+from datetime import timedelta
+
+import trio
+from absl import app, flags
+
+from rhubarbfield.scheduling.model import (
+    Demand,
+    JobPhase,
+    ServiceName,
+    Step,
+    TaskName,
+    WorkerService,
+)
+from rhubarbfield.scheduling.state import Job
+from rhubarbfield.testing.scheduling_workers import CAPACITY, StandInWorker
+from tests.replication.determinism import run_deterministic
+from tests.scheduling.deployments import ONE_CORE, Deployment, count_runs_at_once
+
+# The users' limits: two starts after the third crash, and a smaller capacity counts
+# after 3 s and an interval of heartbeats.
+MAX_STARTS = 3 + 2
+TOLERATED_DELAY = timedelta(seconds=3 + 1)
+MIN_CRASHES = 2
+WORKERS = 10
+TERM_SECONDS = 25
+TERMS = 3
+RECOVERY_SECONDS = 60
+SIZES = (Demand(2000, 8000), Demand(4000, 16000), CAPACITY)
+
+
+class RandomDay:
+    """One day and what was seen to go wrong on it.
+
+    Parameters
+    ----------
+    seed
+        Seed of the day.
+    """
+
+    def __init__(self, seed: int) -> None:
+        self.random = random.Random(seed)
+        self.deployment = Deployment()
+        self.guards = self.random.random() < 0.5
+        self.faults: list[str] = []
+        self.jobs = 0
+
+    async def play(self) -> None:
+        """Play the day; jobs have time to end after the disturbances."""
+        deployment = self.deployment
+        service = WorkerService(
+            name=ServiceName("s"), workers_guard_capacity=self.guards
+        )
+        await deployment.configure(services=(service,), max_attempts=3)
+        for number in range(WORKERS):
+            worker = deployment.add_worker(f"w{number}")
+            worker.guards_capacity = self.guards
+            worker.tolerated_delay = TOLERATED_DELAY
+        for term in range(1, TERMS + 1):
+            deployment.elect(term)
+            async with deployment.lead():
+                with trio.move_on_after(TERM_SECONDS * self.random.uniform(0.3, 1)):
+                    async with trio.open_nursery() as nursery:
+                        nursery.start_soon(self._submit)
+                        nursery.start_soon(self._disturb)
+                        nursery.start_soon(self._watch)
+            if self.random.random() < 0.5:
+                machine = deployment.log.machine
+                machine.restore(machine.take_snapshot())
+            await trio.sleep(self.random.uniform(0, 4))  # no leader
+        deployment.elect(TERMS + 1)
+        async with deployment.lead():
+            for worker in self._list_workers():
+                worker.is_unreachable = False
+                worker.set_capacity(CAPACITY)
+            await trio.sleep(RECOVERY_SECONDS)
+        self._check_end()
+
+    def _list_workers(self) -> list[StandInWorker]:
+        fleet = self.deployment.fleet
+        return [fleet.find_latest(first) for first in self.deployment.reporting]
+
+    async def _submit(self) -> None:
+        draw = self.random
+        while True:
+            self.jobs += 1
+            name = f"j{self.jobs}"
+            is_gang = draw.random() < 0.1
+            step = Step(
+                tasks=draw.randint(1, 4),
+                demand=ONE_CORE,
+                estimate_ms=1000,
+                gang=is_gang,
+                standing=not is_gang and draw.random() < 0.05,
+            )
+            tasks = [TaskName(f"{name}.0.0.{index}") for index in range(step.tasks)]
+            for worker in self.deployment.fleet.workers.values():
+                worker.demands.update(dict.fromkeys(tasks, ONE_CORE))
+            if step.standing:
+                self.deployment.fleet.endless.update(tasks)
+            if is_gang:
+                self.deployment.fleet.gang_steps.add(f"{name}.0.0")
+            if draw.random() < 0.06:
+                self.deployment.fleet.deadly.add(draw.choice(tasks))
+            await self.deployment.submit(name, step)
+            await trio.sleep(draw.uniform(0, 0.4))
+
+    async def _disturb(self) -> None:
+        draw = self.random
+        while True:
+            await trio.sleep(draw.uniform(0.5, 5))
+            workers = self._list_workers()
+            chosen = draw.sample(workers, draw.randint(1, 4))
+            match draw.randint(0, 3):
+                case 0:
+                    for worker in chosen:
+                        self.deployment.fleet.crash(worker)
+                case 1:
+                    for worker in chosen:
+                        worker.is_unreachable = not worker.is_unreachable
+                case 2:
+                    for worker in chosen:
+                        worker.set_capacity(draw.choice(SIZES))
+                case _:
+                    chosen[0].unanswered_starts = draw.randint(1, 3)
+
+    async def _watch(self) -> None:
+        while True:
+            await trio.sleep(0.05)
+            if count_runs_at_once(self.deployment) > 1:
+                self.faults.append("a task ran twice at once")
+
+    def _check_end(self) -> None:
+        fleet = self.deployment.fleet
+        for task in fleet.deadly:
+            if fleet.starts[task] > MAX_STARTS:
+                self.faults.append(f"{task} was started {fleet.starts[task]} times")
+        for worker in fleet.workers.values():
+            if not self.guards and worker.exceeding_starts:
+                self.faults.append(f"{worker.worker} exceeded its capacity")
+        for job in self.deployment.state.jobs.values():
+            self._check_job(job)
+
+    def _check_job(self, job: Job) -> None:
+        names = [
+            TaskName(f"{job.job}.0.0.{index}")
+            for index in range(len(job.occurrences[0][0].tasks))
+        ]
+        fleet = self.deployment.fleet
+        is_deadly = any(fleet.starts[name] and name in fleet.deadly for name in names)
+        crashes = max(fleet.count_crashes(name) for name in names)
+        is_standing = job.get_step(0).standing
+        if job.phase is JobPhase.FAILED and crashes < MIN_CRASHES:
+            self.faults.append(f"{job.job} was failed after {crashes} crashes")
+        if not is_deadly and not is_standing and job.is_open:
+            self.faults.append(f"{job.job} is {job.phase} at the end")
+
+
+def play_day(seed: int) -> RandomDay:
+    """Play the day of a seed and return it."""
+    days: list[RandomDay] = []
+
+    async def play() -> None:
+        day = RandomDay(seed)
+        days.append(day)
+        await day.play()
+
+    run_deterministic(play, seed=seed)
+    return days[0]
+
+
+def main(_: Sequence[str]) -> None:
+    """Play days and print those on which something went wrong."""
+    failed = 0
+    crashes = given_up = bystanders = 0
+    for seed in range(FLAGS.first, FLAGS.first + FLAGS.seeds):
+        day = play_day(seed)
+        fleet = day.deployment.fleet
+        ended = [
+            job.job
+            for job in day.deployment.state.jobs.values()
+            if job.phase is JobPhase.FAILED
+        ]
+        deadly = {task.partition(".")[0] for task in fleet.deadly}
+        crashes += len(fleet.crashes)
+        given_up += len(ended)
+        bystanders += sum(job not in deadly for job in ended)
+        failed += bool(day.faults)
+        if day.faults:
+            print(f"seed {seed}: {'; '.join(dict.fromkeys(day.faults))}")
+    print(
+        f"{FLAGS.seeds} days, {failed} with faults; {crashes} crashes, "
+        f"{given_up} jobs given up, {bystanders} of them without a deadly task"
+    )
+    sys.exit(1 if failed else 0)
+
+
+FLAGS = flags.FLAGS
+if __name__ == "__main__":
+    flags.DEFINE_integer("seeds", 50, "Number of days to play.")
+    flags.DEFINE_integer("first", 1, "Seed of the first day.")
+    app.run(main)
--- a/tests/scheduling/test_appliers.py
+++ b/tests/scheduling/test_appliers.py
@@ -190,11 +190,10 @@
 
     @rule(worker=st.sampled_from(WORKERS), data=st.data())
     def lapse(self, worker: WorkerId, data: Any) -> None:
-        ends = []
-        for task, run in self.log.state.workers[worker].runs.items():
-            evidence = self._draw_crashed(data, task, run).evidence
-            ends.append(EndedRun(task, run, RunEnd.LOST, evidence=evidence))
-        self.log.apply(EndRuns(workers=(WorkerEnds(worker, tuple(ends)),)))
+        runs = self.log.state.workers[worker].runs.items()
+        ends = tuple(EndedRun(task, run, RunEnd.LOST) for task, run in runs)
+        lapsed = tuple(self._draw_crashed(data, task, run) for task, run in runs)
+        self.log.apply(EndRuns(workers=(WorkerEnds(worker, ends, 0, lapsed),)))
 
     def _draw_crashed(self, data: Any, task: TaskName, run: RunNumber) -> CrashedRun:
         evidence = data.draw(st.sampled_from(list(CrashEvidence)))
--- a/tests/scheduling/test_candidates.py
+++ b/tests/scheduling/test_candidates.py
@@ -48,6 +48,18 @@
 
         run_deterministic(check, seed=1)
 
+    def test_nothing_starts_any_more_where_suspects_are_everywhere(self) -> None:
+        async def check() -> None:
+            fleet = make_fleet()
+            for _ in range(WORKERS):
+                self.submit_suspect(fleet)
+            self.assertEqual(len(await fleet.run_round()), WORKERS)
+            fleet.leader._suspects.find_all()
+            fleet.submit(Step(tasks=WORKERS, demand=Demand(500), estimate_ms=1000))
+            self.assertEqual(len(await fleet.run_round()), WORKERS)
+
+        run_deterministic(check, seed=1)
+
     def test_others_start_beside_a_suspect_before_it_is_proven(self) -> None:
         async def check() -> None:
             fleet = make_fleet()
--- a/tests/scheduling/test_earlier_versions.py
+++ b/tests/scheduling/test_earlier_versions.py
@@ -15,6 +15,7 @@
     RunStart,
     StartRuns,
     UpdateWorkers,
+    WorkerEnds,
 )
 from rhubarbfield.scheduling.crashes import CrashedRun, CrashEvidence
 from rhubarbfield.scheduling.model import JobSubmission, RunNumber, Step, TaskName
@@ -118,10 +119,11 @@
         log.machine.apply(LogIndex(99), msgspec.msgpack.encode(encoded))
         self.assertIn(WORKERS[1], log.state.workers)
 
-    def test_end_of_an_earlier_version_is_read(self) -> None:
-        encoded = msgspec.msgpack.encode([TASK, 1, "lost", ""])
-        ended = msgspec.msgpack.decode(encoded, type=EndedRun)
-        self.assertEqual((ended.end, ended.evidence), (RunEnd.LOST, None))
+    def test_ends_of_an_earlier_version_are_read(self) -> None:
+        encoded = msgspec.msgpack.encode([WORKERS[0], [[TASK, 1, "lost", ""]], 2])
+        report = msgspec.msgpack.decode(encoded, type=WorkerEnds)
+        ended = EndedRun(TASK, RunNumber(1), RunEnd.LOST)
+        self.assertEqual(report, WorkerEnds(WORKERS[0], (ended,), 2))
 
 
 class RelayedRepliesTest(unittest.TestCase):
--- a/tests/scheduling/test_suspicion.py
+++ b/tests/scheduling/test_suspicion.py
@@ -145,6 +145,14 @@
         self.assertFalse(record_crash(task, crashed))
         self.assertEqual((task.crashes, task.blame), (1, 50))
 
+    def test_crash_that_is_proved_after_later_ones_is_forgotten(self) -> None:
+        task = Task()
+        given_up = [
+            record_crash(task, CrashedRun(TaskName("j.0.0.0"), RunNumber(run), EARLIER))
+            for run in (2, 3, 4, 5, 1)
+        ]
+        self.assertEqual(given_up, [False, False, False, False, True])
+
     def test_cleared_task_starts_from_zero(self) -> None:
         crashes = ((RECENT, 2), (RECENT, 2), (CLEARED, 0), (ALONE, 1))
         given_up, task = self.count(*crashes)
