--- a/src/rhubarbfield/scheduling/dispatch.py
+++ b/src/rhubarbfield/scheduling/dispatch.py
@@ -150,7 +150,7 @@
                 continue
             attempts += 1
             self._ledger.starts[key] = StartState.SENT
-            self._ledger.record_presence(key, self._clock.monotonic())
+            self._ledger.record_order(key, self._clock.monotonic())
             order = self._make_start_order(start, term)
             result = await self._calls.start(self._contact.address, order)
             match result:
--- a/src/rhubarbfield/scheduling/ledger.py
+++ b/src/rhubarbfield/scheduling/ledger.py
@@ -65,8 +65,12 @@
         is_open = self.starts.get(key) in (StartState.QUEUED, StartState.SENT)
         return is_open and not self.has_ended(key)
 
+    def record_order(self, key: RunKey, now: timedelta) -> None:
+        """Record that a run is ordered to start now; it may not have started before."""
+        self._known_since[key] = now
+
     def record_presence(self, key: RunKey, now: timedelta) -> None:
-        """Record that a run was ordered to start now, or that a view lists it."""
+        """Record that a view lists a run, unless it was ordered to start."""
         self._known_since.setdefault(key, now)
 
     def find_presence(self, key: RunKey) -> timedelta | None:
--- a/src/rhubarbfield/scheduling/session.py
+++ b/src/rhubarbfield/scheduling/session.py
@@ -289,13 +289,14 @@
     ) -> None:
         self.active = {run.task: run for run in view.active}
         self._viewed_at = self._clock.monotonic()
-        for run in view.active:
-            self._ledger.record_presence(RunKey(run.task, run.run), self._viewed_at)
         finite = [run for run in view.active if not self._host.is_standing(run.task)]
         self._progress.update(finite, view.clock)
         worker = self._host.find_worker(self.worker)
         if worker is None:
             return
+        for run in view.active:
+            if worker.runs.get(run.task) == run.run:
+                self._ledger.record_presence(RunKey(run.task, run.run), self._viewed_at)
         listed = [end for end in view.ends if end.number > worker.recorded_ends]
         ends = [_convert_end(end) for end in listed]
         if not view.truncated:
--- a/tests/scheduling/test_deadly_tasks.py
+++ b/tests/scheduling/test_deadly_tasks.py
@@ -275,6 +275,22 @@
 
 
 class TrialTest(unittest.TestCase):
+    @with_deployment()
+    async def test_run_is_taken_for_proven_since_an_order_that_was_lost(
+        self, deployment: Deployment
+    ) -> None:
+        worker = deployment.add_worker("w0", duration=None)
+        worker.unanswered_starts = 2
+        async with deployment.lead() as leader:
+            await deployment.submit("j", Step(demand=ONE_CORE))
+            while not worker.started:
+                await trio.sleep(0.001)
+            session = leader.get_session(worker.worker)
+            assert session is not None
+            (run,) = session.presence.list_runs()
+            assert run.worked is not None
+            self.assertLess(run.worked, PROOF_TIME)
+
     @with_deployment()
     async def test_run_is_taken_for_proven_before_its_order_is_sent(
         self, deployment: Deployment
