--- a/src/rhubarbfield/scheduling/ledger.py
+++ b/src/rhubarbfield/scheduling/ledger.py
@@ -2,16 +2,24 @@
 
 from __future__ import annotations
 
+import logging
+from collections.abc import Container, Mapping
 from datetime import timedelta
 
+from rhubarbfield.logs import log_event
 from rhubarbfield.scheduling.commands import EndedRun, WorkerEnds
 from rhubarbfield.scheduling.crashes import CrashedRun
+from rhubarbfield.scheduling.model import RunNumber, TaskName
 from rhubarbfield.scheduling.orders import StartState, Stop
+from rhubarbfield.scheduling.ports import WorkerView
 from rhubarbfield.scheduling.progress import RunKey
 from rhubarbfield.scheduling.session_host import SessionHost
 from rhubarbfield.scheduling.state import RunEnd
 from rhubarbfield.types import WorkerId
 
+# A fixed log area, independent of the module's name.
+logger = logging.getLogger("rhubarbfield.scheduling.session")
+
 FULL_SPEED = 100  # percent
 
 
@@ -104,6 +112,58 @@
         worker = self._host.find_worker(self._worker)
         return worker is None or worker.runs.get(key.task) != key.run
 
+    def expects_no_end(self, active: Container[TaskName]) -> bool:
+        """Return whether a run that was stopped may never have started.
+
+        A view that lists neither it nor its end shows that; a worker that waits for
+        an end before it replies would hold that up.
+
+        Parameters
+        ----------
+        active
+            Tasks of the runs in the latest view.
+        """
+        return any(
+            self.starts.get(key) is StartState.SETTLED and key.task not in active
+            for key in self.stops
+        )
+
+    def find_missing(
+        self,
+        view: WorkerView,
+        recorded_runs: Mapping[TaskName, RunNumber],
+        settled: Container[RunKey],
+    ) -> list[EndedRun]:
+        """Return recorded runs that a view lists neither as active nor as ended.
+
+        Parameters
+        ----------
+        view
+            The view.
+        recorded_runs, settled
+            Recorded runs and settled orders when the view was requested.
+        """
+        present = {(run.task, run.run) for run in view.active}
+        present |= {(end.task, end.run) for end in view.ends}
+        missing = []
+        for task, run in recorded_runs.items():
+            key = RunKey(task, run)
+            # The worker rejects orders of earlier leaders once it has seen this term.
+            is_certain = key in settled or key not in self.starts
+            if self.is_ending(key):
+                continue
+            if is_certain and (task, run) not in present:
+                log_event(
+                    logger,
+                    logging.INFO,
+                    "run-vanished",
+                    worker=self._worker,
+                    task=task,
+                    run=run,
+                )
+                missing.append(EndedRun(task, run, RunEnd.LOST))
+        return missing
+
     async def record_end(self, key: RunKey, end: RunEnd) -> None:
         """Drop a run and record its end; returns once the end is committed."""
         await self.record_ends((EndedRun(key.task, key.run, end),))
--- a/src/rhubarbfield/scheduling/session.py
+++ b/src/rhubarbfield/scheduling/session.py
@@ -21,7 +21,7 @@
     RunNumber,
     TaskName,
 )
-from rhubarbfield.scheduling.orders import Start, StartState, StopReason
+from rhubarbfield.scheduling.orders import Start, StopReason
 from rhubarbfield.scheduling.ports import (
     ActiveRun,
     ListedEnd,
@@ -262,25 +262,15 @@
                 await self._clock.sleep(RETRY_DELAY)
 
     def _choose_wait_timeout(self) -> timedelta:
-        if not self._contact.may_extend_lease or self._expects_no_end():
+        if not self._contact.may_extend_lease or self._ledger.expects_no_end(
+            self.active
+        ):
             return timedelta()
         worker = self._host.find_worker(self.worker)
         if worker is not None and self._host.needs_frequent_views(worker):
             return self._settings.watched_view_timeout
         return self._settings.view_timeout
 
-    def _expects_no_end(self) -> bool:
-        """Return whether a run that was stopped may never have started.
-
-        A view that lists neither it nor its end shows that; a worker that waits for
-        an end before it replies would hold that up.
-        """
-        starts = self._ledger.starts
-        return any(
-            starts.get(key) is StartState.SETTLED and key.task not in self.active
-            for key in self._ledger.stops
-        )
-
     async def _apply_view(
         self,
         view: WorkerView,
@@ -300,41 +290,13 @@
         listed = [end for end in view.ends if end.number > worker.recorded_ends]
         ends = [_convert_end(end) for end in listed]
         if not view.truncated:
-            ends.extend(self._find_missing(view, recorded_runs, settled))
+            ends.extend(self._ledger.find_missing(view, recorded_runs, settled))
         self._stop_unrecorded(view, worker)
         self._host.handle_view(self.worker)
         if ends:
             last = max((end.number for end in listed), default=0)
             await self._ledger.record_ends(tuple(ends), last)
 
-    def _find_missing(
-        self,
-        view: WorkerView,
-        recorded_runs: dict[TaskName, RunNumber],
-        settled: set[RunKey],
-    ) -> list[EndedRun]:
-        """Return recorded runs that the view lists neither as active nor as ended."""
-        present = {(run.task, run.run) for run in view.active}
-        present |= {(end.task, end.run) for end in view.ends}
-        missing = []
-        for task, run in recorded_runs.items():
-            key = RunKey(task, run)
-            # The worker rejects orders of earlier leaders once it has seen this term.
-            is_certain = key in settled or key not in self._ledger.starts
-            if self._ledger.is_ending(key):
-                continue
-            if is_certain and (task, run) not in present:
-                log_event(
-                    logger,
-                    logging.INFO,
-                    "run-vanished",
-                    worker=self.worker,
-                    task=task,
-                    run=run,
-                )
-                missing.append(EndedRun(task, run, RunEnd.LOST))
-        return missing
-
     def _stop_unrecorded(self, view: WorkerView, worker: Worker) -> None:
         """Stop runs on the worker that are not recorded."""
         for run in view.active:
--- a/src/rhubarbfield/testing/crashing_workers.py
+++ b/src/rhubarbfield/testing/crashing_workers.py
@@ -17,11 +17,8 @@
     WorkerAddress,
 )
 from rhubarbfield.scheduling.state import RunEnd
-from rhubarbfield.testing.scheduling_workers import (
-    CALL_DURATION,
-    StandInFleet,
-    StandInWorker,
-)
+from rhubarbfield.testing.scheduling_fleet import CALL_DURATION, StandInFleet
+from rhubarbfield.testing.scheduling_workers import StandInWorker
 from rhubarbfield.types import WorkerId
 
 CRASH_DELAY = timedelta(milliseconds=10)
--- a/tests/scheduling/deployments.py
+++ b/tests/scheduling/deployments.py
@@ -37,7 +37,8 @@
 from rhubarbfield.scheduling.settings import SchedulingSettings
 from rhubarbfield.scheduling.state import Job, SchedulingState
 from rhubarbfield.testing.crashing_workers import CrashingFleet
-from rhubarbfield.testing.scheduling_workers import SentOrder, StandInWorker
+from rhubarbfield.testing.scheduling_fleet import SentOrder
+from rhubarbfield.testing.scheduling_workers import StandInWorker
 from rhubarbfield.types import JobId, ServiceName, Term, WorkerId
 from tests.controller.single_member import make_single_member_log
 from tests.replication.determinism import run_deterministic
--- a/tests/scheduling/relaying_controllers.py
+++ b/tests/scheduling/relaying_controllers.py
@@ -28,7 +28,8 @@
 )
 from rhubarbfield.storage import MemoryStore
 from rhubarbfield.testing.memory_transport import MemoryTransport, SimulatedNetwork
-from rhubarbfield.testing.scheduling_workers import StandInFleet, StandInWorker
+from rhubarbfield.testing.scheduling_fleet import StandInFleet
+from rhubarbfield.testing.scheduling_workers import StandInWorker
 from rhubarbfield.types import FailureDomain, WorkerId
 from tests.scheduling.deployments import CONFIGURATION
 
--- a/tests/scheduling/relays.py
+++ b/tests/scheduling/relays.py
@@ -26,7 +26,8 @@
 from rhubarbfield.scheduling.relay_messages import RELAY_STREAM
 from rhubarbfield.scheduling.relayed_calls import RelayedCalls
 from rhubarbfield.testing.memory_transport import MemoryTransport, SimulatedNetwork
-from rhubarbfield.testing.scheduling_workers import StandInFleet, StandInWorker
+from rhubarbfield.testing.scheduling_fleet import StandInFleet
+from rhubarbfield.testing.scheduling_workers import StandInWorker
 from rhubarbfield.types import InstanceName, Term, WorkerId
 from tests.replication.determinism import run_deterministic
 from tests.scheduling.deployments import Deployment
--- a/tests/scheduling/test_cancelling.py
+++ b/tests/scheduling/test_cancelling.py
@@ -13,7 +13,7 @@
 from rhubarbfield.scheduling.ports import StartOrder, StopOrder
 from rhubarbfield.scheduling.progress import RunKey
 from rhubarbfield.scheduling.state import RunEnd
-from rhubarbfield.testing.scheduling_workers import SentOrder
+from rhubarbfield.testing.scheduling_fleet import SentOrder
 from tests.scheduling.deployments import ONE_CORE, Deployment, with_deployment
 
 # The platform allows a task of a cancelled job to start for 3 s, and to work for
--- a/tests/scheduling/test_relay.py
+++ b/tests/scheduling/test_relay.py
@@ -32,7 +32,8 @@
     Cancel,
     ReplyBatch,
 )
-from rhubarbfield.testing.scheduling_workers import StandInFleet, StandInWorker
+from rhubarbfield.testing.scheduling_fleet import StandInFleet
+from rhubarbfield.testing.scheduling_workers import StandInWorker
 from rhubarbfield.testing.streams import MemoryStream, memory_stream_pair
 from rhubarbfield.types import WorkerId
 from tests.replication.determinism import run_deterministic
--- a/tests/scheduling/test_relays_over_grpc.py
+++ b/tests/scheduling/test_relays_over_grpc.py
@@ -29,7 +29,8 @@
 from rhubarbfield.scheduling.relay import WorkerRelay
 from rhubarbfield.scheduling.relay_messages import RELAY_STREAM
 from rhubarbfield.scheduling.relayed_calls import RelayedCalls
-from rhubarbfield.testing.scheduling_workers import StandInFleet, StandInWorker
+from rhubarbfield.testing.scheduling_fleet import StandInFleet
+from rhubarbfield.testing.scheduling_workers import StandInWorker
 from rhubarbfield.types import InstanceName, WorkerId
 from tests.scheduling.relaying_controllers import RecordedCalls
 from tests.scheduling.relays import make_start, make_stop, make_view_request
