--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -221,8 +221,8 @@
 
     def needs_frequent_views(self, worker: Worker) -> bool:
         """Return whether new runs can harm serving tasks, or the worker itself."""
-        is_trying = self._suspects.runs_on(worker.worker)
-        return is_trying or self._mitigator.has_serving(worker)
+        has_suspect = self._suspects.has_suspect(worker.worker)
+        return has_suspect or self._mitigator.has_serving(worker)
 
     def fits_capacity(self, worker: Worker) -> bool:
         """Return whether a worker's capacity is known, and holds all its runs."""
--- a/src/rhubarbfield/scheduling/removals.py
+++ b/src/rhubarbfield/scheduling/removals.py
@@ -35,7 +35,7 @@
     SchedulingState,
     TaskPhase,
 )
-from rhubarbfield.scheduling.suspicion import assess_runs, has_common_cause
+from rhubarbfield.scheduling.suspicion import assess_runs, is_common_cause
 from rhubarbfield.types import WorkerId
 
 # A fixed log area, independent of the module's name.
@@ -142,7 +142,7 @@
 
     def _judge_cause(self, simultaneous: list[WorkerId]) -> bool:
         """Return whether workers that fell silent together had a common cause."""
-        return has_common_cause(
+        return is_common_cause(
             len(simultaneous),
             lambda: sum(not self._had_fresh_runs(worker) for worker in simultaneous),
         )
--- a/src/rhubarbfield/scheduling/suspects.py
+++ b/src/rhubarbfield/scheduling/suspects.py
@@ -61,7 +61,7 @@
             for each in command.crashed:
                 self._names[each.task] = None
 
-    def runs_on(self, worker: WorkerId) -> bool:
+    def has_suspect(self, worker: WorkerId) -> bool:
         """Return whether a worker has a run of a suspect."""
         return bool(self._list_runs(worker))
 
--- a/src/rhubarbfield/scheduling/suspicion.py
+++ b/src/rhubarbfield/scheduling/suspicion.py
@@ -21,8 +21,8 @@
 
 # A standing task that has worked for so long is cleared of earlier crashes.
 CLEARING_TIME = timedelta(seconds=30)
-# Others that fell silent at the same moment, from which on the cause is a common one;
-# a single one is enough if no run had just started there, and there are two at least.
+# Number of other workers that fell silent at the same moment, from which on the cause
+# is a common one; with the smaller number, if no run had just started on one of them.
 COMMON_CAUSE_WORKERS = 3
 MIN_COMMON_CAUSE_WORKERS = 2
 
@@ -79,7 +79,7 @@
     ]
 
 
-def has_common_cause(simultaneous: int, count_without_start: Callable[[], int]) -> bool:
+def is_common_cause(simultaneous: int, count_without_start: Callable[[], int]) -> bool:
     """Return whether a worker fell silent for a reason that others share.
 
     Parameters
--- a/tests/scheduling/test_appliers.py
+++ b/tests/scheduling/test_appliers.py
@@ -52,8 +52,7 @@
 from tests.scheduling.deployments import CONFIGURATION, QUEUE
 
 MAX_ATTEMPTS = QUEUE.max_attempts
-# Of the users: after two crashes a task may be given up; after three it may be started
-# twice more.
+# The users: given up after two crashes, started twice after the third at most.
 MIN_CRASHES = 2
 MAX_CRASHES = 3 + 2
 WORKERS = [WorkerId(f"w{number}") for number in range(3)]
--- a/tests/scheduling/test_suspicion.py
+++ b/tests/scheduling/test_suspicion.py
@@ -14,7 +14,7 @@
     CLEARING_TIME,
     COMMON_CAUSE_WORKERS,
     assess_runs,
-    has_common_cause,
+    is_common_cause,
     record_crash,
 )
 
@@ -36,7 +36,7 @@
 ) -> dict[str, CrashEvidence]:
     """Return the evidence by task; the names of tasks begin with those of steps."""
     runs = [
-        PresentRun(RunKey(TaskName(f"{name}"), RunNumber(1)), time)
+        PresentRun(RunKey(TaskName(name), RunNumber(1)), time)
         for name, time in worked.items()
     ]
     assessed = assess_runs(
@@ -83,14 +83,14 @@
 
 class CommonCauseTest(unittest.TestCase):
     def test_two_deadly_tasks_at_once_are_no_common_cause(self) -> None:
-        self.assertFalse(has_common_cause(1, lambda: 1))
-        self.assertFalse(has_common_cause(2, lambda: 0))
+        self.assertFalse(is_common_cause(1, lambda: 1))
+        self.assertFalse(is_common_cause(2, lambda: 0))
 
     def test_workers_that_had_started_nothing_show_a_common_cause(self) -> None:
-        self.assertTrue(has_common_cause(2, lambda: 1))
+        self.assertTrue(is_common_cause(2, lambda: 1))
 
     def test_many_workers_show_a_common_cause(self) -> None:
-        self.assertTrue(has_common_cause(COMMON_CAUSE_WORKERS, lambda: 0))
+        self.assertTrue(is_common_cause(COMMON_CAUSE_WORKERS, lambda: 0))
 
 
 class CountTest(unittest.TestCase):
