--- a/src/rhubarbfield/placement/_workers.py
+++ b/src/rhubarbfield/placement/_workers.py
@@ -111,9 +111,9 @@
         attempt = end_attempt(
             state, task, AttemptState.LOST, command.at, command.reason
         )
-        backoff = count_loss(task, attempt, command.at)
-        if not command.delays_restarts:
-            backoff = NO_BACKOFF
+        # A log of an earlier version must leave what its snapshots hold.
+        delays = command.delays_restarts
+        backoff = count_loss(task, attempt, command.at) if delays else NO_BACKOFF
         requeue_task(state, task, command.at, backoff)
         job = state.jobs[task.job]
         if job.spec.gang:
--- a/tests/placement/test_workers.py
+++ b/tests/placement/test_workers.py
@@ -79,8 +79,11 @@
         self.assertEqual(delays, [0, 0, 1, 2, 4, 8])
 
     def test_losses_in_a_log_of_an_earlier_version_delay_nothing(self) -> None:
-        delays = self.lose_attempts(Bench(workers=7), 6, delays=False)
+        bench = Bench(workers=7)
+        delays = self.lose_attempts(bench, 6, delays=False)
         self.assertEqual(delays, [0] * 6)
+        # A replica restored from a snapshot of that version counts none, either.
+        self.assertEqual(bench.state.tasks[TaskId("j/0")].losses, 0)
 
     def test_attempts_are_evicted_from_a_shrunk_worker(self) -> None:
         bench = Bench(workers=1)
