Derive the name of a task's step in one place

The state machine, the assessment of crashes and the stand-in fleet each cut it from the task's name.

--- a/src/rhubarbfield/scheduling/appliers.py
+++ b/src/rhubarbfield/scheduling/appliers.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from typing import NewType
-
 import msgspec
 
 from rhubarbfield.exceptions import check_invariant
@@ -26,7 +24,12 @@
     scheduling_commands,
 )
 from rhubarbfield.scheduling.crashes import CrashedRun
-from rhubarbfield.scheduling.model import NO_CHECKPOINT, RunNumber
+from rhubarbfield.scheduling.model import (
+    NO_CHECKPOINT,
+    RunNumber,
+    StepName,
+    name_step,
+)
 from rhubarbfield.scheduling.state import (
     Job,
     JobPhase,
@@ -38,8 +41,6 @@
 )
 from rhubarbfield.scheduling.suspicion import record_crash
 
-StepName = NewType("StepName", str)  # the name of a task without its index
-
 MAX_HARM_ESTIMATES = 10_000  # about 1 MB of a snapshot
 
 
@@ -178,7 +179,7 @@
     broken = _find_broken_gangs(state, command.starts)
     recorded = []
     for position, start in enumerate(command.starts):
-        if _name_step(start) not in broken and _is_startable(state, start):
+        if name_step(start.task) not in broken and _is_startable(state, start):
             _record_run(state, start)
             recorded.append(position)
     return RunsRecorded(recorded=tuple(recorded))
@@ -194,7 +195,7 @@
     gangs: dict[StepName, list[RunStart]] = {}
     for start in starts:
         if _is_gang(state, start):
-            gangs.setdefault(_name_step(start), []).append(start)
+            gangs.setdefault(name_step(start.task), []).append(start)
     return {
         name for name, members in gangs.items() if not _is_whole_gang(state, members)
     }
@@ -210,10 +211,6 @@
     )
 
 
-def _name_step(start: RunStart) -> StepName:
-    return StepName(start.task.rpartition(".")[0])
-
-
 def _is_gang(state: SchedulingState, start: RunStart) -> bool:
     step = state.find_step(start.task)
     return step is not None and step.gang
--- a/src/rhubarbfield/scheduling/model.py
+++ b/src/rhubarbfield/scheduling/model.py
@@ -18,6 +18,7 @@
 ImageName = NewType("ImageName", str)
 Label = NewType("Label", str)
 TaskName = NewType("TaskName", str)
+StepName = NewType("StepName", str)  # the name of a task without its index
 RunNumber = NewType("RunNumber", int)
 CheckpointToken = NewType("CheckpointToken", str)
 
@@ -257,3 +258,8 @@
 def name_task(job: JobId, occurrence: int, step: int, index: int) -> TaskName:
     """Return the name of a task, unique in the deployment."""
     return TaskName(f"{job}.{occurrence}.{step}.{index}")
+
+
+def name_step(task: TaskName) -> StepName:
+    """Return the name of the step, in its occurrence, that a task belongs to."""
+    return StepName(task.rpartition(".")[0])
--- a/src/rhubarbfield/scheduling/suspicion.py
+++ b/src/rhubarbfield/scheduling/suspicion.py
@@ -15,7 +15,7 @@
 from datetime import timedelta
 
 from rhubarbfield.scheduling.crashes import CrashedRun, CrashEvidence
-from rhubarbfield.scheduling.model import Step, TaskName
+from rhubarbfield.scheduling.model import Step, TaskName, name_step
 from rhubarbfield.scheduling.presence import PresentRun
 from rhubarbfield.scheduling.state import Task
 
@@ -121,4 +121,4 @@
 def _find_unit(task: TaskName, step: Step | None) -> str:
     """Return the name of what starts and ends together: a task, or a whole gang."""
     is_gang = step is not None and step.gang
-    return task.rpartition(".")[0] if is_gang else task
+    return name_step(task) if is_gang else task
--- a/src/rhubarbfield/testing/crashing_workers.py
+++ b/src/rhubarbfield/testing/crashing_workers.py
@@ -9,7 +9,7 @@
 from returns.result import Result
 
 from rhubarbfield.clock import Clock
-from rhubarbfield.scheduling.model import TaskName
+from rhubarbfield.scheduling.model import StepName, TaskName, name_step
 from rhubarbfield.scheduling.ports import (
     CallFailure,
     NoReply,
@@ -80,7 +80,7 @@
         self._crashing: list[StandInWorker] = []
         self.deadly: set[TaskName] = set()
         self.endless: set[TaskName] = set()
-        self.gang_steps: set[str] = set()
+        self.gang_steps: set[StepName] = set()
         self.crash_delay = CRASH_DELAY
         self.restart_delay = RESTART_DELAY
         self.crashes: list[Crash] = []
@@ -147,11 +147,11 @@
         tasks = {task: at for task, _, at in worker.started if task in worker.runs}
         self.crashes.append(Crash(worker.crash_at, worker.worker, tasks))
         worker.runs.clear()
-        self._break_gangs({_get_step(task) for task in tasks} & self.gang_steps)
+        self._break_gangs({name_step(task) for task in tasks} & self.gang_steps)
 
-    def _break_gangs(self, steps: set[str]) -> None:
+    def _break_gangs(self, steps: set[StepName]) -> None:
         for worker in self.workers.values():
-            for task in [each for each in worker.runs if _get_step(each) in steps]:
+            for task in [each for each in worker.runs if name_step(each) in steps]:
                 worker.end_run(task, RunEnd.BROKEN)
 
     def _restart(self, worker: StandInWorker) -> None:
@@ -165,7 +165,3 @@
         successor.demands = worker.demands
         self._successors[worker.worker] = successor
         self.add(successor)
-
-
-def _get_step(task: TaskName) -> str:
-    return task.rpartition(".")[0]
--- a/tests/scheduling/longrun.py
+++ b/tests/scheduling/longrun.py
@@ -22,6 +22,7 @@
     Step,
     TaskName,
     WorkerService,
+    name_step,
 )
 from rhubarbfield.scheduling.state import Job
 from rhubarbfield.testing.scheduling_workers import CAPACITY, StandInWorker
@@ -110,7 +111,7 @@
             if step.standing:
                 self.deployment.fleet.endless.update(tasks)
             if is_gang:
-                self.deployment.fleet.gang_steps.add(f"{name}.0.0")
+                self.deployment.fleet.gang_steps.add(name_step(tasks[0]))
             if draw.random() < 0.06:
                 self.deployment.fleet.deadly.add(draw.choice(tasks))
             await self.deployment.submit(name, step)
--- a/tests/scheduling/test_deadly_tasks.py
+++ b/tests/scheduling/test_deadly_tasks.py
@@ -8,7 +8,13 @@
 
 import trio
 
-from rhubarbfield.scheduling.model import JobPhase, RunNumber, Step, TaskName
+from rhubarbfield.scheduling.model import (
+    JobPhase,
+    RunNumber,
+    Step,
+    TaskName,
+    name_step,
+)
 from rhubarbfield.scheduling.presence import PROOF_TIME
 from rhubarbfield.scheduling.progress import RunKey
 from rhubarbfield.types import JobId
@@ -77,7 +83,7 @@
     async def test_gang_that_crashes_workers_is_started_too_often(
         self, deployment: Deployment
     ) -> None:
-        deployment.fleet.gang_steps.add("deadly.0.0")
+        deployment.fleet.gang_steps.add(name_step(DEADLY))
         step = Step(tasks=3, demand=ONE_CORE, gang=True)
         await self.check_given_up(deployment, step)
 
