Log and count how long each stage of a start takes

Callers saw layout-render answered late on the large site; logs had only the time to the first start as a whole, so that slow rounds, commits and orders could not be told apart. No decision changes.

--- a/src/rhubarbfield/scheduling/dispatch.py
+++ b/src/rhubarbfield/scheduling/dispatch.py
@@ -157,6 +157,7 @@
                 case Success(worker_clock):
                     self._contact.handle_reply(worker_clock)
                     self._ledger.settle(key)
+                    self._host.record_answer(start)
                     return
                 case Failure(failure):
                     if await self._handle_start_failure(start, failure, in_doubt):
--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -41,6 +41,7 @@
 )
 from rhubarbfield.scheduling.mitigation import InterferenceMitigator
 from rhubarbfield.scheduling.model import CheckpointToken, Queue, TaskName
+from rhubarbfield.scheduling.orders import Start
 from rhubarbfield.scheduling.pacing import RoundPacer, Urgency, find_urgency
 from rhubarbfield.scheduling.placing import MAX_STARTS_PER_ROUND, Placer
 from rhubarbfield.scheduling.ports import WorkerCalls
@@ -54,6 +55,7 @@
 from rhubarbfield.scheduling.session import WorkerSession
 from rhubarbfield.scheduling.settings import SchedulingSettings
 from rhubarbfield.scheduling.slicing import choose_starts
+from rhubarbfield.scheduling.start_stages import StageTimes, StartStage
 from rhubarbfield.scheduling.starting import RunStarter
 from rhubarbfield.scheduling.state import (
     Job,
@@ -140,11 +142,14 @@
         )
         leadership = log.replica.leadership
         self._term = leadership.term if leadership is not None else Term(0)
+        self._stages = StageTimes(clock)
+        self._round_ended_at: timedelta | None = None
         self._starter = RunStarter(
             log,
             sessions=self._registry.sessions,
             quarantine=self._quarantine,
             backlog=self._backlog,
+            stages=self._stages,
             clock=clock,
         )
         self._waiting_log = WaitingLog(self._backlog, clock)
@@ -194,7 +199,14 @@
 
     async def record_ends(self, ends: WorkerEnds) -> None:
         """Record ends of runs; returns once they are committed."""
+        began = self._clock.monotonic()
         await self._ends.record(ends)
+        self._stages.record(StartStage.END, self._clock.monotonic() - began)
+
+    def record_answer(self, start: Start) -> None:
+        """Record that a worker has answered the order to start a run."""
+        age = self._clock.monotonic() - start.recorded_at
+        self._stages.record(StartStage.ORDER, age)
 
     async def remove_worker(
         self, worker: WorkerId, checkpoints: dict[TaskName, CheckpointToken]
@@ -384,8 +396,15 @@
             unresolved=self._suspects.count_unresolved(),
         )
         starts = await choose_starts(placer, self._clock)
-        took = self._clock.monotonic() - began
+        ended_at = self._clock.monotonic()
+        took = ended_at - began
         ROUND_SECONDS.observe(took.total_seconds())
+        if self._round_ended_at is not None:
+            self._stages.record(StartStage.PAUSE, began - self._round_ended_at)
+        self._round_ended_at = ended_at
+        if starts:
+            self._stages.record(StartStage.ROUND, took)
+        self._stages.report_when_due()
         self._waiting_log.write(placer)
         self._backlog_log.write(
             self._jobs.open.values(), self.state.map_queues(), headrooms.values()
--- a/src/rhubarbfield/scheduling/metrics.py
+++ b/src/rhubarbfield/scheduling/metrics.py
@@ -43,6 +43,12 @@
     "Time that one round of placing took, without its commit.",
     buckets=SECONDS_BUCKETS,
 )
+START_STAGE_SECONDS = Histogram(
+    f"{_PREFIX}_start_stage_seconds",
+    "Time that the stages of a start took, at the leader.",
+    ["stage"],
+    buckets=SECONDS_BUCKETS,
+)
 WORKER_CALL_SECONDS = Histogram(
     f"{_PREFIX}_worker_call_seconds",
     "Time of calls to workers; a view waits for ends.",
--- a/src/rhubarbfield/scheduling/orders.py
+++ b/src/rhubarbfield/scheduling/orders.py
@@ -18,8 +18,8 @@
     ----------
     key, payload, checkpoint
         The run to start, its payload, and the checkpoint it resumes from.
-    chosen_at
-        Monotonic time at which the worker was chosen, before the run was recorded.
+    chosen_at, recorded_at
+        Monotonic times at which the worker was chosen, and the run was recorded.
     ticket
         Ticket of the adviser, for advised queues.
     """
@@ -28,6 +28,7 @@
     payload: str
     checkpoint: CheckpointToken
     chosen_at: timedelta
+    recorded_at: timedelta
     ticket: str = ""
 
 
--- a/src/rhubarbfield/scheduling/session_host.py
+++ b/src/rhubarbfield/scheduling/session_host.py
@@ -7,6 +7,7 @@
 from rhubarbfield.scheduling.commands import WorkerEnds
 from rhubarbfield.scheduling.crashes import CrashedRun
 from rhubarbfield.scheduling.model import CheckpointToken, TaskName
+from rhubarbfield.scheduling.orders import Start
 from rhubarbfield.scheduling.state import Worker
 from rhubarbfield.types import Term, WorkerId
 
@@ -26,6 +27,9 @@
     def is_wanted(self, task: TaskName) -> bool:
         """Return whether runs of a task may work: neither it nor its job has ended."""
 
+    def record_answer(self, start: Start) -> None:
+        """Record that the worker has answered the order to start a run."""
+
     async def record_ends(self, ends: WorkerEnds) -> None:
         """Record ends of runs; returns once they are committed."""
 
--- a/src/rhubarbfield/scheduling/starting.py
+++ b/src/rhubarbfield/scheduling/starting.py
@@ -20,6 +20,7 @@
 from rhubarbfield.scheduling.quarantine import WorkerQuarantine
 from rhubarbfield.scheduling.recording import PROPOSE_RETRY_DELAY
 from rhubarbfield.scheduling.session import WorkerSession
+from rhubarbfield.scheduling.start_stages import StageTimes, StartStage
 from rhubarbfield.scheduling.state import Job, SchedulingState
 from rhubarbfield.types import WorkerId
 
@@ -40,6 +41,8 @@
         The quarantine of workers.
     backlog
         Ages of open jobs.
+    stages
+        Durations of the stages of starts.
     clock
         Source of time.
     """
@@ -51,12 +54,14 @@
         sessions: Mapping[WorkerId, WorkerSession],
         quarantine: WorkerQuarantine,
         backlog: Backlog,
+        stages: StageTimes,
         clock: Clock,
     ) -> None:
         self._log = log
         self._sessions = sessions
         self._quarantine = quarantine
         self._backlog = backlog
+        self._stages = stages
         self._clock = clock
 
     @property
@@ -67,7 +72,9 @@
         """Record runs and order those that are recorded to start."""
         unstarted = self._list_unstarted(starts)
         chosen_at = self._clock.monotonic()
-        for start in await self._record_starts(starts):
+        recorded = await self._record_starts(starts)
+        self._stages.record(StartStage.RECORD, self._clock.monotonic() - chosen_at)
+        for start in recorded:
             self.send(start, chosen_at)
         self._measure_first_starts(unstarted)
 
@@ -111,6 +118,7 @@
             if job.started:
                 age = self._backlog.find_age(job)
                 FIRST_START_SECONDS.observe(age.total_seconds())
+                self._stages.record(StartStage.FIRST, age)
 
     def send(self, start: RunStart, chosen_at: timedelta) -> None:
         """Order a worker to start a recorded run.
@@ -145,5 +153,6 @@
                 job.submission.payload,
                 task.checkpoint,
                 chosen_at,
+                recorded_at=self._clock.monotonic(),
             )
         )
