Measure the headroom of guarded workers without adding up their views

Callers saw starts that are late on the large site.

What may receive tasks moves from the leader to availability.py; the services that guard their capacity are indexed once for each configuration.

--- a/src/rhubarbfield/scheduling/contact.py
+++ b/src/rhubarbfield/scheduling/contact.py
@@ -66,14 +66,13 @@
         """Whether the latest call got a reply."""
         return self._unresponsive_since is None
 
-    @property
-    def is_usable(self) -> bool:
-        """Whether new runs may be started on the worker now."""
-        now = self._clock.monotonic()
+    def is_usable_at(self, now: timedelta) -> bool:
+        """Return whether new runs may be started on the worker at this time."""
+        if self.exit_announced_at is not None or not self.is_responsive:
+            return False
         if not self.lease.has_clock or now < self._no_starts_until:
             return False
-        is_recent = now - self.last_contact_at <= self._settings.silence_timeout
-        return self.exit_announced_at is None and self.is_responsive and is_recent
+        return now - self.last_contact_at <= self._settings.silence_timeout
 
     @property
     def last_contact_at(self) -> timedelta:
--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -4,7 +4,6 @@
 
 import logging
 from datetime import timedelta
-from functools import partial
 
 import msgspec
 import trio
@@ -15,6 +14,7 @@
 from rhubarbfield.logs import log_event
 from rhubarbfield.machine import Command, Reply
 from rhubarbfield.scheduling.appliers import SchedulingLogState
+from rhubarbfield.scheduling.availability import WorkerAvailability
 from rhubarbfield.scheduling.backlog import Backlog
 from rhubarbfield.scheduling.capacities import WorkerCapacities
 from rhubarbfield.scheduling.commands import (
@@ -129,6 +129,16 @@
             log, self._registry, clock, on_lost=self._terminations.add_ended_run
         )
         self._suspects = Suspects(lambda: self.state, clock)
+        self._availability = WorkerAvailability(
+            lambda: self.state,
+            self._registry.sessions,
+            self._headrooms,
+            capacities=self._capacities,
+            quarantine=self._quarantine,
+            suspects=self._suspects,
+            list_margins=self._mitigator.list_margins,
+            clock=clock,
+        )
         self._ends = Batcher(self._commit_ends)
         self._housekeeping = Housekeeping(
             log,
@@ -358,27 +368,11 @@
 
     def measure_headroom(self) -> dict[WorkerId, WorkerHeadroom]:
         """Return the headroom of each worker that may receive tasks."""
-        measured = map(self.measure_worker, self.state.workers.values())
-        return {each.worker.worker: each for each in measured if each is not None}
+        return self._availability.measure_all()
 
     def measure_worker(self, worker: Worker) -> WorkerHeadroom | None:
         """Return the headroom of a worker, or None if it may not receive tasks."""
-        if worker.draining or not self._is_usable(worker):
-            return None
-        headroom = self._headrooms.measure(self.state, worker)
-        unrecorded = self._capacities.measure_unrecorded(worker)
-        headroom.free = headroom.free.minus(unrecorded)
-        headroom.predict_margins = partial(self._mitigator.list_margins, worker)
-        headroom.failures = self._quarantine.count_failures(worker.worker)
-        session = self._registry.sessions[worker.worker]
-        headroom.count_unproven = session.presence.count_unproven
-        if self._quarantine.is_on_probation(worker.worker, self._clock.monotonic()):
-            headroom.task_limit = headroom.task_count + int(
-                self._quarantine.may_probe(worker.worker)
-            )
-        if self._suspects.is_trying(session):
-            headroom.task_limit = headroom.task_count
-        return headroom
+        return self._availability.measure(worker)
 
     async def _run_round(self) -> None:
         began = self._clock.monotonic()
@@ -421,16 +415,6 @@
     def _is_starved(self, job: Job) -> bool:
         return self._backlog.is_idle(job, self._settings.starvation_timeout)
 
-    def _is_usable(self, worker: Worker) -> bool:
-        session = self.get_session(worker.worker)
-        now = self._clock.monotonic()
-        return (
-            session is not None
-            and session.is_usable
-            and self._capacities.is_known(worker)
-            and self._quarantine.is_eligible(worker.worker, now)
-        )
-
     async def _commit_ends(self, ends: tuple[WorkerEnds, ...]) -> None:
         for report in ends:
             self._record_outcomes(report)
--- a/src/rhubarbfield/scheduling/queue_index.py
+++ b/src/rhubarbfield/scheduling/queue_index.py
@@ -1,4 +1,4 @@
-"""Lookup of the queues of a configuration, which may have thousands of them."""
+"""Lookup in a configuration, which may have thousands of queues."""
 
 from __future__ import annotations
 
@@ -19,6 +19,8 @@
     ----------
     by_name
         Queues by name; the first of two queues with the same name takes precedence.
+    guarding_services
+        Services whose workers refuse tasks without room.
     """
 
     def __init__(self, configuration: QueueConfiguration | None) -> None:
@@ -26,6 +28,10 @@
         self.by_name: Mapping[QueueName, Queue] = {
             queue.name: queue for queue in reversed(queues)
         }
+        services = () if configuration is None else configuration.services
+        self.guarding_services = frozenset(
+            each.name for each in services if each.workers_guard_capacity
+        )
         self._by_host: dict[str, list[Queue]] = {}
         for queue in sorted(queues, key=lambda each: -len(each.prefix)):
             self._by_host.setdefault(queue.host, []).append(queue)
--- a/src/rhubarbfield/scheduling/session.py
+++ b/src/rhubarbfield/scheduling/session.py
@@ -111,7 +111,11 @@
     @property
     def is_usable(self) -> bool:
         """Whether new runs may be started on the worker now."""
-        return self._contact.is_usable
+        return self.is_usable_at(self._clock.monotonic())
+
+    def is_usable_at(self, now: timedelta) -> bool:
+        """Return whether new runs may be started on the worker at this time."""
+        return self._contact.is_usable_at(now)
 
     @property
     def is_leaving(self) -> bool:
--- a/src/rhubarbfield/scheduling/state.py
+++ b/src/rhubarbfield/scheduling/state.py
@@ -295,12 +295,7 @@
 
     def guards_capacity(self, service: ServiceName) -> bool:
         """Return whether the workers of a service refuse tasks without room."""
-        if self.configuration is None:
-            return False
-        return any(
-            each.name == service and each.workers_guard_capacity
-            for each in self.configuration.services
-        )
+        return service in index_queues(self.configuration).guarding_services
 
     def find_task(self, name: TaskName) -> tuple[Job, int, int, Task] | None:
         """Return job, occurrence, step and task by the name of the task.
--- a/tests/scheduling/fleets.py
+++ b/tests/scheduling/fleets.py
@@ -268,7 +268,7 @@
     def measure_reference(self) -> dict[WorkerId, WorkerHeadroom]:
         """Return the headroom of each worker, recomputed in full."""
         leader, now = self.leader, self.clock.monotonic()
-        headrooms = measure_all(self.state, leader._is_usable)
+        headrooms = measure_all(self.state, leader._availability.is_usable)
         for worker, headroom in headrooms.items():
             headroom.known_margins = self.list_reference_margins(headroom.worker)
             headroom.failures = leader._quarantine.count_failures(worker)
--- a/tests/scheduling/test_rounds.py
+++ b/tests/scheduling/test_rounds.py
@@ -241,6 +241,21 @@
 
         run_deterministic(check, seed=1)
 
+    def test_capacity_is_not_added_up_again_where_workers_guard_it(self) -> None:
+        async def check() -> None:
+            fleet = Fleet(1, WORKERS)
+            fleet.submit_serving(250)
+            await fleet.run_round()
+            fleet.leader.measure_headroom()
+            with (
+                count_calls(Demand, "minus") as sums,
+                count_calls(WorkerSession, "list_unrecorded") as lists,
+            ):
+                fleet.leader.measure_headroom()
+            self.assertEqual((sums.count, lists.count), (0, 0))
+
+        run_deterministic(check, seed=1)
+
 
 class TickingClock(ManualClock):
     """Clock of a machine on which each reading takes a millisecond."""
