Do not compare waiting steps with workers that have not changed

Callers saw starts that are late on the large site: each round compared every waiting step with all workers again, 445 there, although some tens of workers change from one round to the next. A start waits for the rest of the present round, for a pause as long as that, and for its own round.

The leader now remembers the steps that no worker could take. A step that would harm serving tasks also depends on the interference model, which changes with each view: it is compared with all workers again after 250 ms (margin_lifetime), as the search for another worker already did. What co-located tasks leave of a worker's margins is added up once for each worker, not for each task.

--- a/src/rhubarbfield/scheduling/candidates.py
+++ b/src/rhubarbfield/scheduling/candidates.py
@@ -12,11 +12,13 @@
     WaitingStep,
     WorkerHeadroom,
     admits,
+    has_room,
     measure_utilization,
 )
 from rhubarbfield.scheduling.interference import InterferenceModel
-from rhubarbfield.scheduling.model import Demand, Step
+from rhubarbfield.scheduling.model import Label, Step
 from rhubarbfield.scheduling.ranking import CandidateRanking, Cost
+from rhubarbfield.scheduling.rejected_steps import RejectedSteps
 from rhubarbfield.scheduling.rejections import Rejections
 from rhubarbfield.types import ServiceName, WorkerId
 
@@ -39,6 +41,8 @@
         Headroom of the workers that may receive tasks.
     interference
         The model of how images slow each other.
+    rejected
+        Steps that earlier rounds could not place.
 
     Attributes
     ----------
@@ -50,8 +54,10 @@
         self,
         headrooms: Mapping[WorkerId, WorkerHeadroom],
         interference: InterferenceModel,
+        rejected: RejectedSteps,
     ) -> None:
         self._interference = interference
+        self._rejected_before = rejected
         self._changes: list[WorkerId] = []
         self._rankings: dict[tuple[object, ...], CandidateRanking] = {}
         self._rejected = Rejections()
@@ -126,12 +132,17 @@
     def find_ranking(
         self, waiting: WaitingStep, *, is_suspect: bool = False
     ) -> CandidateRanking:
-        """Return the ranking of all workers for tasks of a step."""
+        """Return the ranking of the workers that may take tasks of a step."""
         step = waiting.step
-        key = (*_get_preferences(waiting), step.demand, is_suspect)
+        limited_to = self._rejected_before.list_candidates(waiting)
+        is_limited = limited_to is not None
+        key = (*_get_preferences(waiting), step.demand, is_suspect, is_limited)
         ranking = self._rankings.get(key)
         if ranking is None:
-            candidates = self._list_by_label(waiting)
+            candidates = _filter_by_label(
+                self._list_members(waiting) if limited_to is None else limited_to,
+                step.required_label,
+            )
             ranking = self._rankings[key] = self.rank(
                 step, candidates, is_suspect=is_suspect
             )
@@ -149,7 +160,7 @@
         compute_cost = _compute_risk if is_suspect else self._compute_cost
 
         def evaluate(headroom: WorkerHeadroom) -> Cost | None:
-            if not _has_room(reserved, headroom):
+            if not has_room(reserved, headroom):
                 return None
             if not admits(step, headroom, self._interference):
                 return None
@@ -181,7 +192,7 @@
         reserved = step.reserved
 
         def evaluate(headroom: WorkerHeadroom) -> Cost | None:
-            if not _has_room(reserved, headroom):
+            if not has_room(reserved, headroom):
                 return None
             margin = self._interference.find_smallest_margin(
                 headroom.margins, headroom.add_share(step)
@@ -190,12 +201,12 @@
 
         return CandidateRanking(candidates, evaluate, self._changes)
 
-    def _list_by_label(self, waiting: WaitingStep) -> list[WorkerHeadroom]:
-        headrooms = self._by_service.get(waiting.queue.service, [])
-        label = waiting.step.required_label
-        if not label:
-            return headrooms
-        return [each for each in headrooms if label in each.worker.labels]
+    def _list_by_label(self, waiting: WaitingStep) -> Sequence[WorkerHeadroom]:
+        members = self._list_members(waiting)
+        return _filter_by_label(members, waiting.step.required_label)
+
+    def _list_members(self, waiting: WaitingStep) -> list[WorkerHeadroom]:
+        return self._by_service.get(waiting.queue.service, [])
 
     def _compute_cost(self, step: Step, headroom: WorkerHeadroom) -> Cost:
         """Return the cost of placing a task on a worker; the lowest is best.
@@ -239,6 +250,14 @@
         return (is_far, headroom.failures, wastes, is_unused, left_over)
 
 
+def _filter_by_label(
+    headrooms: Sequence[WorkerHeadroom], label: Label
+) -> Sequence[WorkerHeadroom]:
+    if not label:
+        return headrooms
+    return [each for each in headrooms if label in each.worker.labels]
+
+
 def _is_far(step: Step, headroom: WorkerHeadroom) -> bool:
     """Return whether a worker is not on the rack that a step prefers."""
     return step.preferred_rack not in ("", *headroom.worker.labels)
@@ -282,10 +301,6 @@
     return headroom, msgspec.structs.astuple(headroom)
 
 
-def _has_room(reserved: Demand, headroom: WorkerHeadroom) -> bool:
-    return headroom.task_count < headroom.task_limit and reserved.fits(headroom.free)
-
-
 def _get_preferences(waiting: WaitingStep) -> tuple[object, ...]:
     """Return what decides besides the demand which worker suits a task best."""
     step = waiting.step
--- a/src/rhubarbfield/scheduling/headroom.py
+++ b/src/rhubarbfield/scheduling/headroom.py
@@ -6,7 +6,12 @@
 
 import msgspec
 
-from rhubarbfield.scheduling.interference import InterferenceModel, LatencyMargin
+from rhubarbfield.scheduling.interference import (
+    InterferenceModel,
+    LatencyMargin,
+    LatencySlack,
+    admits_share,
+)
 from rhubarbfield.scheduling.model import Demand, ImageName, Queue, Step, TaskName
 from rhubarbfield.scheduling.state import Job, SchedulingState, Task, Worker
 from rhubarbfield.types import WorkerId
@@ -31,6 +36,8 @@
         Processor capacity that no task is expected to use.
     predict_margins, known_margins
         Predicts the latency margins, and what it has returned, if it was called.
+    known_slacks
+        What the tasks on the worker leave of the margins, if it was measured.
     serving_images
         Images of the standing tasks with a tail-latency goal.
     shares
@@ -58,6 +65,7 @@
     spare_millicores: int
     predict_margins: Callable[[], list[LatencyMargin]] = list
     known_margins: list[LatencyMargin] | None = None
+    known_slacks: list[LatencySlack] | None = None
     serving_images: frozenset[ImageName] = frozenset()
     shares: dict[ImageName, float] = msgspec.field(default_factory=dict)
     spare_core_tasks: int = 0
@@ -80,8 +88,15 @@
             self.known_margins = self.predict_margins()
         return self.known_margins
 
+    def measure_slacks(self, interference: InterferenceModel) -> list[LatencySlack]:
+        """Return what the tasks on the worker leave of the margins."""
+        if self.known_slacks is None:
+            self.known_slacks = interference.measure_slacks(self.margins, self.shares)
+        return self.known_slacks
+
     def add_task(self, step: Step) -> None:
         """Account for one more task of ``step`` on this worker."""
+        self.known_slacks = None
         self.free = self.free.minus(step.reserved)
         self.task_count += 1
         cores = step.demand.millicores
@@ -131,6 +146,11 @@
     return None if queue is None else WaitingStep(job, queue, occurrence, number)
 
 
+def has_room(reserved: Demand, headroom: WorkerHeadroom) -> bool:
+    """Return whether a worker may take one more task that reserves so much."""
+    return headroom.task_count < headroom.task_limit and reserved.fits(headroom.free)
+
+
 def has_cores(step: Step, headroom: WorkerHeadroom) -> bool:
     """Return whether a worker has enough spare cores, if the task works on these."""
     if not step.uses_spare_cores:
@@ -147,9 +167,7 @@
     if not step.uses_spare_cores or not headroom.margins:
         return True
     share = headroom.worker.find_share(step)
-    return interference.admits(
-        headroom.margins, step.image, share, headroom.add_share(step)
-    )
+    return admits_share(headroom.measure_slacks(interference), step.image, share)
 
 
 def is_feasible(waiting: WaitingStep, headroom: WorkerHeadroom) -> bool:
--- a/src/rhubarbfield/scheduling/interference.py
+++ b/src/rhubarbfield/scheduling/interference.py
@@ -64,11 +64,33 @@
     margin: float
 
 
+class LatencySlack(msgspec.Struct, frozen=True):
+    """What co-located tasks leave of the latency margin of a serving image.
+
+    Attributes
+    ----------
+    left
+        The margin without the growth that co-located tasks cause at most.
+    upper_bounds
+        Upper bounds of the rates at which other images slow the serving one.
+    """
+
+    left: float
+    upper_bounds: Mapping[ImageName, float]
+
+
 class InterferenceModel:
-    """Predicts how spare-core tasks change the tail latency of serving tasks."""
+    """Predicts how spare-core tasks change the tail latency of serving tasks.
+
+    Attributes
+    ----------
+    version
+        Number of changes so far; predictions are the same until the next one.
+    """
 
     def __init__(self) -> None:
         self._model = TailLatencyModel()
+        self.version = 0
 
     def learn(
         self,
@@ -89,14 +111,17 @@
         """
         for task in serving:
             if task.tail_ms:
+                self.version += 1
                 self._model.learn(task.task, task.image, shares, task.tail_ms, now)
 
     def forget(self, task: TaskName) -> None:
         """Drop the state of a task that no longer serves."""
+        self.version += 1
         self._model.forget(task)
 
     def restore(self, estimates: Iterable[HarmEstimate]) -> None:
         """Restore the estimates that an earlier leader saved."""
+        self.version += 1
         self._model.restore(estimates)
 
     def take_changes(self) -> tuple[HarmEstimate, ...]:
@@ -149,35 +174,40 @@
             default=0.0,
         )
 
-    def admits(
-        self,
-        margins: Iterable[LatencyMargin],
-        image: ImageName,
-        added: float,
-        shares: Mapping[ImageName, float],
-        reserve: float = MARGIN_RESERVE,
-    ) -> bool:
-        """Return whether all goals hold after a share of ``image`` is added.
-
-        Parameters
-        ----------
-        margins
-            Margins of the serving tasks.
-        image, added
-            The image that is added, and its share of the processors.
-        shares
-            Shares of all co-located images, including what is added.
-        reserve
-            Margin of log latency that must be left if the growth is not
-            negligible.
-        """
+    def measure_slacks(
+        self, margins: Iterable[LatencyMargin], shares: Mapping[ImageName, float]
+    ) -> list[LatencySlack]:
+        """Return what ``shares`` of co-located images leave of each margin."""
+        slacks = []
         for each in margins:
             bounds = self._model.get_rate_upper_bounds(each.image)
-            growth = bounds.get(image, FIRST_UPPER_BOUND) * added
-            left = each.margin - sum(
+            growth = sum(
                 [bounds.get(name, FIRST_UPPER_BOUND) * x for name, x in shares.items()]
             )
-            # Negligible growth needs no reserve: load alone decides about the goal.
-            if left < (0.0 if growth <= NEGLIGIBLE_GROWTH else reserve):
-                return False
-        return True
+            slacks.append(LatencySlack(each.margin - growth, bounds))
+        return slacks
+
+
+def admits_share(
+    slacks: Iterable[LatencySlack],
+    image: ImageName,
+    added: float,
+    reserve: float = MARGIN_RESERVE,
+) -> bool:
+    """Return whether all goals hold after a share of an image is added.
+
+    Parameters
+    ----------
+    slacks
+        What is left of the margins of the serving tasks.
+    image, added
+        The image that is added, and its share of the processors.
+    reserve
+        Margin of log latency that must be left if the growth is not negligible.
+    """
+    for slack in slacks:
+        growth = slack.upper_bounds.get(image, FIRST_UPPER_BOUND) * added
+        # Negligible growth needs no reserve: load alone decides about the goal.
+        if slack.left - growth < (0.0 if growth <= NEGLIGIBLE_GROWTH else reserve):
+            return False
+    return True
--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -51,6 +51,7 @@
     propose_until_committed,
 )
 from rhubarbfield.scheduling.registry import SessionRegistry
+from rhubarbfield.scheduling.rejected_steps import RejectedSteps
 from rhubarbfield.scheduling.removals import Removals
 from rhubarbfield.scheduling.session import WorkerSession
 from rhubarbfield.scheduling.settings import SchedulingSettings
@@ -154,6 +155,7 @@
         self._term = leadership.term if leadership is not None else Term(0)
         self._stages = StageTimes(clock)
         self._round_ended_at: timedelta | None = None
+        self._rejected = RejectedSteps(settings.margin_lifetime)
         self._starter = RunStarter(
             log,
             sessions=self._registry.sessions,
@@ -377,6 +379,7 @@
     async def _run_round(self) -> None:
         began = self._clock.monotonic()
         headrooms = self.measure_headroom()
+        self._rejected.begin_round(headrooms, self._interference, began)
         self._jobs.synchronize(self.state)
         placer = Placer(
             self._jobs.open.values(),
@@ -388,6 +391,7 @@
             is_starved=self._is_starved,
             may_wait=self._suspects.may_wait,
             unresolved=self._suspects.count_unresolved(),
+            rejected=self._rejected,
         )
         starts = await choose_starts(placer, self._clock)
         ended_at = self._clock.monotonic()
--- a/src/rhubarbfield/scheduling/mitigation.py
+++ b/src/rhubarbfield/scheduling/mitigation.py
@@ -17,6 +17,7 @@
     InterferenceModel,
     LatencyMargin,
     ServingTask,
+    admits_share,
 )
 from rhubarbfield.scheduling.ledger import FULL_SPEED
 from rhubarbfield.scheduling.metrics import RUNS_DISTURBED
@@ -208,13 +209,11 @@
         for colocated_run in paused:
             is_overdue = self._is_pause_overdue(worker, colocated_run)
             image = colocated_run.step.image
-            after = {**shares, image: shares.get(image, 0.0) + colocated_run.share}
             reserve = 0.0 if is_overdue else MARGIN_RESERVE
-            if self._interference.admits(
-                margins, image, colocated_run.share, after, reserve
-            ):
+            slacks = self._interference.measure_slacks(margins, shares)
+            if admits_share(slacks, image, colocated_run.share, reserve):
                 self._set_pace(worker, session, colocated_run, FULL_SPEED)
-                shares = after
+                shares[image] = shares.get(image, 0.0) + colocated_run.share
             elif not self._try_to_move(
                 worker, session, colocated_run, may_lose_progress=is_overdue
             ):
--- a/src/rhubarbfield/scheduling/placing.py
+++ b/src/rhubarbfield/scheduling/placing.py
@@ -33,6 +33,7 @@
     name_task,
 )
 from rhubarbfield.scheduling.ranking import CandidateRanking
+from rhubarbfield.scheduling.rejected_steps import RejectedSteps
 from rhubarbfield.scheduling.state import (
     Job,
     Task,
@@ -94,11 +95,13 @@
         capacity, since it is suspected of crashing workers.
     unresolved
         Number of workers that each task may have crashed, without a proof yet.
+    rejected
+        Steps that earlier rounds could not place; its round must have begun.
 
     Attributes
     ----------
     unplaced
-        Steps with a task that no worker could take, the most urgent first.
+        Steps with a task that no worker could take.
     trials
         Steps with a suspected task for which no worker is undisturbed enough.
     """
@@ -115,11 +118,13 @@
         is_starved: Callable[[Job], bool],
         may_wait: Callable[[TaskName, RunNumber], bool] = lambda *_: False,
         unresolved: Mapping[TaskName, int] = MappingProxyType({}),
+        rejected: RejectedSteps | None = None,
     ) -> None:
         self._jobs = jobs
         self._queues = queues
         self._avoided = avoided
-        self._candidates = Candidates(headrooms, interference)
+        self._rejected = RejectedSteps() if rejected is None else rejected
+        self._candidates = Candidates(headrooms, interference, self._rejected)
         self._rank_job = rank
         self._is_starved = is_starved
         self._may_wait = may_wait
@@ -135,10 +140,7 @@
 
     def iterate_steps(self) -> Iterator[WaitingStep]:
         """Choose runs of one step after the other, and yield each step."""
-        for waiting in sorted(
-            iterate_waiting(self._jobs, self._queues),
-            key=lambda each: self._rank_job(each.job, each.queue),
-        ):
+        for waiting in self._sort(self._list_placeable()):
             if len(self._starts) >= MAX_STARTS_PER_ROUND:
                 break
             if not waiting.job.is_open:  # it ended while the caller did other work
@@ -149,6 +151,25 @@
                 self._place_step(waiting)
             yield waiting
 
+    def list_unplaced(self) -> list[WaitingStep]:
+        """Return the steps with a task that was not placed, the most urgent first."""
+        return self._sort((self.unplaced | self.trials).values())
+
+    def _sort(self, steps: Iterable[WaitingStep]) -> list[WaitingStep]:
+        return sorted(steps, key=lambda each: self._rank_job(each.job, each.queue))
+
+    def _list_placeable(self) -> list[WaitingStep]:
+        """Return the waiting steps but those that no worker can take as before."""
+        placeable = []
+        for waiting in iterate_waiting(self._jobs, self._queues):
+            if self._rejected.holds(waiting) and not (
+                waiting.step.uses_spare_cores and self._may_force(waiting)
+            ):
+                self.unplaced[waiting.job.job, waiting.number] = waiting
+            else:
+                placeable.append(waiting)
+        return placeable
+
     def _place_step(self, waiting: WaitingStep) -> None:
         step = waiting.step
         tasks_per_worker = count_live(waiting.tasks) if step.max_per_worker else {}
@@ -173,7 +194,7 @@
                     self._start_task(name, task, headroom, step, tasks_per_worker)
                 return
             if headroom is None:
-                self.unplaced.setdefault((waiting.job.job, waiting.number), waiting)
+                self._note_unplaced(waiting)
                 if name in self._avoided:
                     continue
                 return
@@ -186,6 +207,13 @@
                 continue
             self._start_task(name, task, headroom, step, tasks_per_worker)
 
+    def _note_unplaced(self, waiting: WaitingStep) -> None:
+        """Note a step of which no worker could take a task."""
+        key = waiting.job.job, waiting.number
+        self.unplaced.setdefault(key, waiting)
+        if key not in self.trials and self._candidates.is_rejected(waiting):
+            self._rejected.add(waiting)
+
     def _is_held(self, name: TaskName, task: Task) -> bool:
         """Return whether a task may have crashed as many workers as is allowed."""
         return task.crashes + self._unresolved.get(name, 0) >= MAX_CRASHES
--- a/src/rhubarbfield/scheduling/settings.py
+++ b/src/rhubarbfield/scheduling/settings.py
@@ -49,6 +49,9 @@
         it harms serving tasks; the platform tolerates 3 s.
     harm_save_interval
         Interval at which learned interference estimates are replicated.
+    margin_lifetime
+        For how long a task that would harm serving tasks is compared only with
+        workers whose runs have changed.
     silent_worker_retention
         Time without contact after which a worker without runs is removed.
     """
@@ -69,4 +72,5 @@
     stall_timeout: timedelta = timedelta(milliseconds=2500)
     starvation_timeout: timedelta = timedelta(seconds=2)
     harm_save_interval: timedelta = timedelta(seconds=3)
+    margin_lifetime: timedelta = timedelta(milliseconds=250)
     silent_worker_retention: timedelta = timedelta(seconds=30)
--- a/src/rhubarbfield/scheduling/waiting_log.py
+++ b/src/rhubarbfield/scheduling/waiting_log.py
@@ -36,11 +36,13 @@
     def write(self, placer: Placer) -> None:
         """Log steps that a round left waiting, unless it was done just before."""
         now = self._clock.monotonic()
-        steps = placer.unplaced | placer.trials
-        if not steps or now - self._written_at < WAITING_LOG_INTERVAL:
+        if now - self._written_at < WAITING_LOG_INTERVAL:
+            return
+        steps = placer.list_unplaced()
+        if not steps:
             return
         self._written_at = now
-        for waiting in list(steps.values())[:MAX_WAITING_LOGGED]:
+        for waiting in steps[:MAX_WAITING_LOGGED]:
             log_event(
                 logger,
                 logging.INFO,
--- a/tests/scheduling/test_interference.py
+++ b/tests/scheduling/test_interference.py
@@ -6,7 +6,11 @@
 import unittest
 from datetime import timedelta
 
-from rhubarbfield.scheduling.interference import InterferenceModel, ServingTask
+from rhubarbfield.scheduling.interference import (
+    InterferenceModel,
+    ServingTask,
+    admits_share,
+)
 from rhubarbfield.scheduling.model import ImageName, TaskName
 
 SERVING, HEAVY, LIGHT = ImageName("serving"), ImageName("heavy"), ImageName("light")
@@ -51,7 +55,8 @@
 
     def admits(self, image: ImageName, share: float, tail_ms: float = 20.0) -> bool:
         margins = [self.interference.predict_margin(make_task(tail_ms))]
-        return self.interference.admits(margins, image, share, {image: share})
+        slacks = self.interference.measure_slacks(margins, {})
+        return admits_share(slacks, image, share)
 
     def test_only_the_harmless_image_is_admitted(self) -> None:
         self.assertTrue(self.admits(LIGHT, 0.2))
