--- a/tests/storage/simulated_files.py
+++ b/tests/storage/simulated_files.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+from enum import Enum
 from random import Random
 
 
@@ -10,6 +11,16 @@
     """A simulated crash of the process in the middle of a file operation."""
 
 
+class FileOperation(Enum):
+    """Operations that a full disk may refuse."""
+
+    APPEND = "append"
+    TRUNCATE = "truncate"
+    SYNC = "sync"
+    RENAME = "rename"
+    SYNC_FOLDER = "sync-folder"
+
+
 class SimulatedFile:
     def __init__(self) -> None:
         self.data = bytearray()
@@ -25,6 +36,7 @@
         self._durable_names: dict[str, SimulatedFile] = {}
         self.capacity: int | None = None
         self.fail_syncs = False
+        self.refused: frozenset[FileOperation] = frozenset()  # as the disk is full
         self.operations_until_crash: int | None = None
         self.syncs = 0
 
@@ -38,6 +50,8 @@
     def append(self, name: str, data: bytes) -> None:
         file = self._names.setdefault(name, SimulatedFile())
         writable = len(data)
+        if FileOperation.APPEND in self.refused:
+            writable = self._random.randint(0, len(data) - 1)
         if self.capacity is not None:
             used = sum(len(each.data) for each in self._names.values())
             writable = max(0, self.capacity - used)
@@ -48,12 +62,14 @@
 
     def truncate(self, name: str, size: int) -> None:
         self._count_operation()
+        self._require_room(FileOperation.TRUNCATE)
         file = self._names[name]
         del file.data[size:]
         file.synced = file.synced[:size]
 
     def sync(self, name: str) -> None:
         self._count_operation()
+        self._require_room(FileOperation.SYNC)
         if self.fail_syncs:
             raise OSError(errno.EIO, "sync refused")
         self.syncs += 1
@@ -62,6 +78,7 @@
 
     def rename(self, old: str, new: str) -> None:
         self._count_operation()
+        self._require_room(FileOperation.RENAME)
         self._names[new] = self._names.pop(old)
 
     def remove(self, name: str) -> None:
@@ -69,6 +86,7 @@
 
     def sync_folder(self) -> None:
         self._count_operation()
+        self._require_room(FileOperation.SYNC_FOLDER)
         if self.fail_syncs:
             raise OSError(errno.EIO, "sync refused")
         self._durable_names = dict(self._names)
@@ -104,6 +122,10 @@
         self.operations_until_crash = None
         self.fail_syncs = False
 
+    def _require_room(self, operation: FileOperation) -> None:
+        if operation in self.refused:
+            raise OSError(errno.ENOSPC, "no space left")
+
     def _count_operation(self) -> None:
         if self.operations_until_crash is None:
             return
