Predict the margins of a worker without an object for each task

The usual level of an image is computed once for each version of the model, and only the smallest margin of each image becomes an object. Margins are the same: test_rounds compares them with those of a full recomputation.

--- a/src/rhubarbfield/scheduling/interference.py
+++ b/src/rhubarbfield/scheduling/interference.py
@@ -21,6 +21,7 @@
 
 # Assumed ratio of tail latency to its goal for an image that was never measured.
 UNMEASURED_LATENCY_RATIO = 0.4
+_UNMEASURED_LOG_RATIO = math.log(UNMEASURED_LATENCY_RATIO)
 # Rising load is expected to go on rising for this long; a run lasts 1 to 3 s.
 TREND_HORIZON_SECONDS = 2.5
 # Standard deviations from the mean to the peak; a sinusoidal load stays below 1.42.
@@ -64,6 +65,21 @@
     margin: float
 
 
+class UsualLevel(msgspec.Struct, frozen=True):
+    """Levels of log latency that the tasks of an image usually have.
+
+    Attributes
+    ----------
+    expected
+        Level of a task that was not measured yet.
+    peak
+        Level that the load of a task seldom exceeds.
+    """
+
+    expected: float
+    peak: float
+
+
 class LatencySlack(msgspec.Struct, frozen=True):
     """What co-located tasks leave of the latency margin of a serving image.
 
@@ -90,6 +106,8 @@
 
     def __init__(self) -> None:
         self._model = TailLatencyModel()
+        self._usual: dict[ImageName, UsualLevel | None] = {}
+        self._usual_version = 0
         self.version = 0
 
     def learn(
@@ -130,21 +148,43 @@
 
     def predict_margin(self, task: ServingTask) -> LatencyMargin:
         """Return the predicted margin of a task without its co-located tasks."""
+        return LatencyMargin(task.image, self._predict_margin(task))
+
+    def find_smallest_margins(
+        self, tasks: Iterable[ServingTask]
+    ) -> list[LatencyMargin]:
+        """Return the smallest predicted margin of each image among the tasks."""
+        smallest: dict[ImageName, float] = {}
+        for task in tasks:
+            margin = self._predict_margin(task)
+            if margin < smallest.get(task.image, math.inf):
+                smallest[task.image] = margin
+        return [LatencyMargin(image, margin) for image, margin in smallest.items()]
+
+    def _predict_margin(self, task: ServingTask) -> float:
         goal = math.log(task.goal_ms / MS_PER_SECOND)
-        return LatencyMargin(task.image, goal - self._predict_level(task, goal))
-
-    def _predict_level(self, task: ServingTask, goal: float) -> float:
+        usual = self._find_usual_level(task.image)
         level = self._model.find_level(task.task)
-        base = self._model.find_base(task.image)
         if level is None:
-            if base is None:
-                return goal + math.log(UNMEASURED_LATENCY_RATIO)
-            return base[0] + base[1]
-        extrapolated = level.mean + max(0.0, level.slope) * TREND_HORIZON_SECONDS
-        if base is None:
-            return extrapolated
-        peak = base[0] + PEAK_DEVIATIONS * base[1]
-        return min(extrapolated, max(level.mean, peak))
+            if usual is None:
+                return -_UNMEASURED_LOG_RATIO
+            return goal - usual.expected
+        predicted = level.mean
+        if level.slope > 0.0:
+            predicted += level.slope * TREND_HORIZON_SECONDS
+            if usual is not None and predicted > usual.peak:
+                predicted = max(level.mean, usual.peak)
+        return goal - predicted
+
+    def _find_usual_level(self, image: ImageName) -> UsualLevel | None:
+        """Return the usual level of an image's tasks, computed once a version."""
+        if self._usual_version != self.version:
+            self._usual.clear()
+            self._usual_version = self.version
+        if image not in self._usual:
+            base = self._model.find_base(image)
+            self._usual[image] = None if base is None else _make_usual_level(*base)
+        return self._usual[image]
 
     def predict_growth(
         self, serving: ImageName, shares: Mapping[ImageName, float]
@@ -188,6 +228,10 @@
         return slacks
 
 
+def _make_usual_level(mean: float, deviation: float) -> UsualLevel:
+    return UsualLevel(mean + deviation, mean + PEAK_DEVIATIONS * deviation)
+
+
 def admits_share(
     slacks: Iterable[LatencySlack],
     image: ImageName,
--- a/src/rhubarbfield/scheduling/mitigation.py
+++ b/src/rhubarbfield/scheduling/mitigation.py
@@ -92,13 +92,8 @@
         Co-located runs affect all tasks of an image alike, so only the task
         with the smallest margin is listed.
         """
-        smallest: dict[ImageName, LatencyMargin] = {}
-        for task in self._headroom_index.list_serving(self._host.state, worker):
-            found = self._interference.predict_margin(task)
-            known = smallest.get(found.image)
-            if known is None or found.margin < known.margin:
-                smallest[found.image] = found
-        return list(smallest.values())
+        serving = self._headroom_index.list_serving(self._host.state, worker)
+        return self._interference.find_smallest_margins(serving)
 
     def handle_view(self, worker: Worker, session: WorkerSession) -> None:
         """Update the model from a view of a worker, and pause or resume runs."""
