Do not look at every worker and open job after each commit

After each applied command the leader compared its sessions with all recorded workers, and each 25 ms it looked for due occurrences in all open jobs and for workers that have been silent for 30 s among all: work for each event that is needed for few, in the loop that starts wait for. Sessions are now compared after commands that change workers, silent workers are looked for once in a second, and due occurrences only in jobs that recur.

--- a/src/rhubarbfield/scheduling/housekeeping.py
+++ b/src/rhubarbfield/scheduling/housekeeping.py
@@ -40,6 +40,8 @@
 logger = logging.getLogger(__name__)
 
 REQUEST_DELAY = timedelta(milliseconds=25)  # requests within this time are one
+# Short beside the time without contact after which a worker is removed.
+SILENCE_CHECK_INTERVAL = timedelta(seconds=1)
 
 
 class HousekeepingHost(Protocol):
@@ -105,6 +107,7 @@
         self._jobs = jobs
         self._ended_at: dict[JobId, timedelta] = {}
         self._has_scanned_jobs = False
+        self._silence_check_due = timedelta()
         self._is_stop_due = False
         self._stops_requested = trio.Event()
         self._updates_requested = trio.Event()
@@ -229,6 +232,9 @@
     async def _remove_silent_workers(self) -> None:
         """Remove workers that run nothing and had no contact for a long time."""
         now = self._clock.monotonic()
+        if now < self._silence_check_due:
+            return
+        self._silence_check_due = now + SILENCE_CHECK_INTERVAL
         for worker in list(self._state.workers.values()):
             session = self._sessions.get(worker.worker)
             if session is None or worker.runs:
@@ -245,7 +251,7 @@
         now_ms = self._clock.now().timestamp() * MS_PER_SECOND
         due = [
             (job.job, number)
-            for job in self._jobs.open.values()
+            for job in self._jobs.recurring.values()
             for number in _list_due(job, now_ms)
         ]
         if due:
--- a/src/rhubarbfield/scheduling/job_index.py
+++ b/src/rhubarbfield/scheduling/job_index.py
@@ -18,10 +18,13 @@
     ----------
     open
         Open jobs in the order in which they were accepted.
+    recurring
+        Those of them that have occurrences in time.
     """
 
     def __init__(self) -> None:
         self.open: dict[JobId, Job] = {}
+        self.recurring: dict[JobId, Job] = {}
         self._ended: list[Job] = []
         self._state: SchedulingState | None = None
         self._last_order = 0
@@ -32,8 +35,10 @@
             self._state = state
             self._last_order = 0
             self.open.clear()
+            self.recurring.clear()
         for job in [job for job in self.open.values() if not job.is_open]:
             del self.open[job.job]
+            self.recurring.pop(job.job, None)
             self._ended.append(job)
         new = takewhile(
             lambda job: job.order > self._last_order, reversed(state.jobs.values())
@@ -42,6 +47,8 @@
             self._last_order = job.order
             if job.is_open:
                 self.open[job.job] = job
+                if job.submission.recurrence is not None:
+                    self.recurring[job.job] = job
             else:
                 self._ended.append(job)
 
--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -176,6 +176,7 @@
         """Lead until cancelled."""
         log_event(logger, logging.INFO, "leading-started", term=self._term)
         self._suspects.find_all()
+        self._log.machine.watch(self._registry.watch_command)
         self._log.machine.watch(self._suspects.watch_command)
         self._log.machine.watch(self._terminations.watch_command)
         self._log.machine.watch(self._request_round_after)
@@ -188,6 +189,7 @@
                 nursery.start_soon(self._housekeeping.run)
                 nursery.start_soon(self._save_harm)
         finally:
+            self._log.machine.unwatch(self._registry.watch_command)
             self._log.machine.unwatch(self._suspects.watch_command)
             self._log.machine.unwatch(self._terminations.watch_command)
             self._log.machine.unwatch(self._request_round_after)
--- a/src/rhubarbfield/scheduling/registry.py
+++ b/src/rhubarbfield/scheduling/registry.py
@@ -8,6 +8,8 @@
 import trio
 
 from rhubarbfield.clock import Clock
+from rhubarbfield.machine import Command, Reply
+from rhubarbfield.scheduling.commands import RemoveWorker, UpdateWorkers
 from rhubarbfield.scheduling.heartbeats import Heartbeat, Sighting
 from rhubarbfield.scheduling.ports import WorkerAddress, WorkerCalls
 from rhubarbfield.scheduling.session import WorkerSession
@@ -15,7 +17,7 @@
 from rhubarbfield.scheduling.settings import SchedulingSettings
 from rhubarbfield.scheduling.silences import Silence
 from rhubarbfield.scheduling.state import Worker
-from rhubarbfield.types import WorkerId
+from rhubarbfield.types import LogIndex, WorkerId
 
 
 class SessionRegistry:
@@ -62,11 +64,23 @@
         self._reported_clocks: dict[WorkerId, timedelta | None] = {}
         self._sequences: dict[WorkerId, int] = {}
         self.sessions: dict[WorkerId, WorkerSession] = {}
+        self._is_outdated = True
+
+    def watch_command(self, _index: LogIndex, command: Command, _reply: Reply) -> None:
+        """Note whether an applied command may have changed which workers there are."""
+        if isinstance(command, UpdateWorkers | RemoveWorker):
+            self._is_outdated = True
 
     def synchronize(
         self, workers: Mapping[WorkerId, Worker], nursery: trio.Nursery
     ) -> None:
-        """Open sessions with new workers, and close those with removed ones."""
+        """Open sessions with new workers, and close those with removed ones.
+
+        Does nothing if no worker has changed since the last call.
+        """
+        if not self._is_outdated:
+            return
+        self._is_outdated = False
         for worker in workers.values():
             session = self.sessions.get(worker.worker)
             if session is None or session.address.address != worker.address:
--- a/tests/scheduling/test_rounds.py
+++ b/tests/scheduling/test_rounds.py
@@ -13,7 +13,7 @@
 import trio
 
 from rhubarbfield.clock import ManualClock, TrioClock
-from rhubarbfield.scheduling import candidates
+from rhubarbfield.scheduling import candidates, housekeeping
 from rhubarbfield.scheduling.commands import RunStart, StartRuns
 from rhubarbfield.scheduling.headroom import admits, has_cores
 from rhubarbfield.scheduling.mitigation import InterferenceMitigator
@@ -256,6 +256,36 @@
 
         run_deterministic(check, seed=1)
 
+    @with_deployment()
+    async def test_commit_without_a_worker_looks_at_no_session(
+        self, deployment: Deployment
+    ) -> None:
+        for number in range(WORKERS):
+            deployment.add_worker(f"w{number}")
+        async with deployment.lead():
+            await trio.sleep(1)
+            with count_calls(WorkerSession, "address") as looks:
+                await deployment.submit("j1", Step(demand=Demand(9000)))
+                await deployment.cancel("j1")
+                await trio.sleep(0.1)
+            self.assertEqual(looks.count, 0)
+
+    def test_records_without_a_change_are_not_examined_again(self) -> None:
+        async def check() -> None:
+            fleet = Fleet(1, WORKERS)
+            for _ in range(20):
+                fleet.submit_batch()
+            await fleet.keep_house()
+            with (
+                count_calls(WorkerSession, "last_contact_at") as contacts,
+                mock.patch.object(housekeeping, "_list_due") as due,
+            ):
+                fleet.clock.advance(timedelta(milliseconds=100))
+                await fleet.keep_house()
+            self.assertEqual((contacts.count, due.call_count), (0, 0))
+
+        run_deterministic(check, seed=1)
+
 
 class TickingClock(ManualClock):
     """Clock of a machine on which each reading takes a millisecond."""
