Compare a rejected step anew when its queue gets another service

Found by reading: a step that fitted on no worker of the old service would have been compared with none of the new one until one of these had more room. The test failed before.

--- a/src/rhubarbfield/scheduling/rejected_steps.py
+++ b/src/rhubarbfield/scheduling/rejected_steps.py
@@ -22,7 +22,9 @@
 from rhubarbfield.scheduling.model import Demand
 from rhubarbfield.types import JobId, ServiceName, WorkerId
 
-StepKey = tuple[JobId, int, int]  # job, occurrence, number of the step
+# Job, occurrence, number of the step, and the service of its queue, which a new
+# configuration may change.
+StepKey = tuple[JobId, int, int, ServiceName]
 
 
 class Rejection(msgspec.Struct, frozen=True):
@@ -152,7 +154,8 @@
 
 
 def _get_key(waiting: WaitingStep) -> StepKey:
-    return waiting.job.job, waiting.occurrence, waiting.number
+    service = waiting.queue.service
+    return waiting.job.job, waiting.occurrence, waiting.number, service
 
 
 def _has_grown(before: WorkerHeadroom, now: WorkerHeadroom) -> bool:
--- a/tests/scheduling/test_rejected_steps.py
+++ b/tests/scheduling/test_rejected_steps.py
@@ -9,15 +9,23 @@
 from typing import Any
 from unittest import mock
 
+import msgspec
+
 from rhubarbfield.scheduling import candidates, rejected_steps
-from rhubarbfield.scheduling.commands import EndedRun, EndRuns, RunStart, WorkerEnds
+from rhubarbfield.scheduling.commands import (
+    EndedRun,
+    EndRuns,
+    PutConfiguration,
+    RunStart,
+    WorkerEnds,
+)
 from rhubarbfield.scheduling.headroom import WorkerHeadroom
 from rhubarbfield.scheduling.model import Demand, Step, name_task
 from rhubarbfield.scheduling.state import RunEnd
 from rhubarbfield.types import WorkerId
 from tests.replication.determinism import run_deterministic
 from tests.scheduling.deployments import QUEUE
-from tests.scheduling.fleets import Fleet
+from tests.scheduling.fleets import SERVICES, Fleet
 from tests.scheduling.test_rounds import make_spare_core_step
 
 WORKERS = 30
@@ -111,6 +119,21 @@
 
         run_deterministic(check, seed=1)
 
+    def test_step_starts_on_workers_of_another_service_of_its_queue(self) -> None:
+        async def check() -> None:
+            fleet = Fleet(1, WORKERS)
+            await fill(fleet)
+            fleet.submit(LARGE)
+            self.assertEqual(await fleet.run_round(), ())
+            moved = msgspec.structs.replace(QUEUE, service=SERVICES[1])
+            configuration = msgspec.structs.replace(
+                fleet.state.configuration, version=2, queues=(moved,)
+            )
+            fleet.apply(PutConfiguration(configuration=configuration))
+            self.assertEqual(len(await fleet.run_round()), LARGE.tasks)
+
+        run_deterministic(check, seed=1)
+
 
 class SpareCoresTest(unittest.TestCase):
     def test_step_that_would_harm_is_compared_again_after_a_while(self) -> None:
