Leave 22% of the capacity to finite work, so that it outlasts a loss of workers

Standing jobs reserved 83% of the cores then; those of the lost workers started on the workers that are kept for finite work, too, and held 91% of what was left. 750 cores were free, in pieces of 9.5 at most, where the class's tasks take 11 on average (capacity-surveyed, backlog-surveyed). Admission bounded standing work for the workers there are, not for those that are left after a loss; accepted work is not taken back.

--- a/src/rhubarbfield/scheduling/admission.py
+++ b/src/rhubarbfield/scheduling/admission.py
@@ -38,7 +38,8 @@
 )
 from rhubarbfield.types import JobId, ServiceName, Term
 
-# Share of the capacity that standing work leaves to finite work.
+# Share of the capacity that standing work leaves to finite work. What it holds stays
+# accepted when a tenth of the workers is lost, and finite work needs large pieces.
 MIN_FINITE_SHARE = 0.22
 MAX_FINITE_SHARE = 0.35
 # Finite work comes in bursts, and its tasks use a worker's capacity only in part.
