--- a/tests/scheduling/controllers.py
+++ b/tests/scheduling/controllers.py
@@ -17,7 +17,7 @@
 from rhubarbfield.scheduling.model import JobSubmission, Step
 from rhubarbfield.scheduling.requests import Accepted, JobRequest, JobVerb
 from rhubarbfield.scheduling.state import Worker
-from rhubarbfield.storage import MemoryStore
+from rhubarbfield.storage import LogStore, MemoryStore
 from rhubarbfield.testing.crashing_workers import CrashingFleet
 from rhubarbfield.testing.memory_transport import MemoryTransport, SimulatedNetwork
 from rhubarbfield.testing.scheduling_workers import StandInWorker
@@ -32,9 +32,22 @@
 
 
 class Controllers:
-    """Controllers that replicate one log over a simulated network."""
+    """Controllers that replicate one log over a simulated network.
 
-    def __init__(self, transport: Callable[..., Any] = MemoryTransport) -> None:
+    Parameters
+    ----------
+    transport
+        Makes each controller's transport from the network and its name.
+    make_store
+        Makes the store of a controller's log from its name.
+    """
+
+    def __init__(
+        self,
+        transport: Callable[..., Any] = MemoryTransport,
+        make_store: Callable[[str], LogStore] = lambda _: MemoryStore(),
+    ) -> None:
+        self._make_store = make_store
         self.clock = TrioClock()
         self.network = SimulatedNetwork(random.Random(1))
         self.fleet = CrashingFleet(self.clock)
@@ -53,7 +66,7 @@
         return SchedulingController(
             settings,
             transport=transport(self.network, name),
-            store=MemoryStore(),
+            store=self._make_store(name),
             calls=self.fleet,
             clock=self.clock,
             rng=random.Random(name),
@@ -75,6 +88,10 @@
     def leader(self) -> SchedulingController:
         return next(each for each in self._members.values() if each.service.leads())
 
+    def list_leaders(self) -> list[SchedulingController]:
+        """Return the controller that leads now, if there is one."""
+        return [each for each in self._members.values() if each.service.leads()]
+
     @property
     def followers(self) -> list[SchedulingController]:
         return [each for each in self._members.values() if not each.service.leads()]
