--- a/src/rhubarbfield/scheduling/candidates.py
+++ b/src/rhubarbfield/scheduling/candidates.py
@@ -57,7 +57,7 @@
         rejected: RejectedSteps,
     ) -> None:
         self._interference = interference
-        self._rejected_before = rejected
+        self._rejected_earlier = rejected
         self._changes: list[WorkerId] = []
         self._rankings: dict[tuple[object, ...], CandidateRanking] = {}
         self._rejected = Rejections()
@@ -134,7 +134,7 @@
     ) -> CandidateRanking:
         """Return the ranking of the workers that may take tasks of a step."""
         step = waiting.step
-        limited_to = self._rejected_before.list_candidates(waiting)
+        limited_to = self._rejected_earlier.list_candidates(waiting)
         is_limited = limited_to is not None
         key = (*_get_preferences(waiting), step.demand, is_suspect, is_limited)
         ranking = self._rankings.get(key)
--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -154,7 +154,6 @@
         leadership = log.replica.leadership
         self._term = leadership.term if leadership is not None else Term(0)
         self._stages = StageTimes(clock)
-        self._round_ended_at: timedelta | None = None
         self._rejected = RejectedSteps(settings.margin_lifetime)
         self._starter = RunStarter(
             log,
@@ -396,15 +395,9 @@
             rejected=self._rejected,
         )
         starts = await choose_starts(placer, self._clock)
-        ended_at = self._clock.monotonic()
-        took = ended_at - began
+        took = self._clock.monotonic() - began
         ROUND_SECONDS.observe(took.total_seconds())
-        if self._round_ended_at is not None:
-            self._stages.record(StartStage.PAUSE, began - self._round_ended_at)
-        self._round_ended_at = ended_at
-        if starts:
-            self._stages.record(StartStage.ROUND, took)
-        self._stages.report_when_due()
+        self._stages.record_round(began, took, has_starts=bool(starts))
         self._waiting_log.write(placer)
         self._backlog_log.write(
             self._jobs.open.values(), self.state.map_queues(), headrooms.values()
--- a/src/rhubarbfield/scheduling/start_stages.py
+++ b/src/rhubarbfield/scheduling/start_stages.py
@@ -80,6 +80,7 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._reported_at = clock.monotonic()
+        self._round_ended_at: timedelta | None = None
         self._samples: dict[StartStage, _Samples] = {}
 
     def record(self, stage: StartStage, duration: timedelta) -> None:
@@ -87,6 +88,27 @@
         START_STAGE_SECONDS.labels(stage.value).observe(duration.total_seconds())
         self._samples.setdefault(stage, _Samples()).add(duration)
 
+    def record_round(
+        self, began: timedelta, took: timedelta, *, has_starts: bool
+    ) -> None:
+        """Record a placement round and the pause before it, and report when due.
+
+        Parameters
+        ----------
+        began
+            Monotonic time at which it began.
+        took
+            Its duration.
+        has_starts
+            Whether it chose any run.
+        """
+        if self._round_ended_at is not None:
+            self.record(StartStage.PAUSE, began - self._round_ended_at)
+        self._round_ended_at = began + took
+        if has_starts:
+            self.record(StartStage.ROUND, took)
+        self.report_when_due()
+
     def report_when_due(self) -> None:
         """Log the durations since the last report if that is old enough."""
         now = self._clock.monotonic()
