Let a rejection by earlier margins say nothing about alike steps

Found by rereading: a step that would harm, compared only with a worker that had changed and that was full by then, counted as a proof for all alike steps of the round. One whose own 250 ms were over was then not compared with the other workers, and waited anew. The new test failed before.

--- a/src/rhubarbfield/scheduling/candidates.py
+++ b/src/rhubarbfield/scheduling/candidates.py
@@ -106,7 +106,8 @@
             return None
         ranking = self.find_ranking(waiting, is_suspect=is_suspect)
         if ranking.is_empty:
-            self._rejected.add(waiting)
+            if not self._rejected_earlier.may_be_outdated(waiting):
+                self._rejected.add(waiting)
             return None
         return ranking.choose(list_full(waiting.step, tasks_per_worker), avoided)
 
@@ -122,6 +123,10 @@
             ranking = self._rankings[key] = self._rank_by_harm(step, candidates)
         return ranking.choose(list_full(step, tasks_per_worker), ())
 
+    def is_without_worker(self, waiting: WaitingStep) -> bool:
+        """Return whether no worker can take a task of a step now."""
+        return self.is_rejected(waiting) or self.find_ranking(waiting).is_empty
+
     def is_rejected(self, waiting: WaitingStep) -> bool:
         """Return whether no worker could take a task that needs no more.
 
--- a/src/rhubarbfield/scheduling/placing.py
+++ b/src/rhubarbfield/scheduling/placing.py
@@ -211,7 +211,7 @@
         """Note a step of which no worker could take a task."""
         key = waiting.job.job, waiting.number
         self.unplaced.setdefault(key, waiting)
-        if key not in self.trials and self._candidates.is_rejected(waiting):
+        if key not in self.trials and self._candidates.is_without_worker(waiting):
             self._rejected.add(waiting)
 
     def _is_held(self, name: TaskName, task: Task) -> bool:
--- a/src/rhubarbfield/scheduling/rejected_steps.py
+++ b/src/rhubarbfield/scheduling/rejected_steps.py
@@ -106,6 +106,15 @@
         grown = self._grown.get(waiting.queue.service)
         return () if grown is None else grown.members
 
+    def may_be_outdated(self, waiting: WaitingStep) -> bool:
+        """Return whether a rejection that holds rests on earlier margins.
+
+        It then says nothing about alike steps.
+        """
+        known = self._find(waiting)
+        is_earlier = known is not None and known.version != self._interference.version
+        return waiting.step.uses_spare_cores and is_earlier
+
     def _find(self, waiting: WaitingStep) -> Rejection | None:
         """Return the rejection of a step in the last round, unless it is outdated."""
         known = self._known.get(_get_key(waiting))
--- a/tests/scheduling/test_rejected_steps.py
+++ b/tests/scheduling/test_rejected_steps.py
@@ -25,7 +25,7 @@
 from rhubarbfield.types import WorkerId
 from tests.replication.determinism import run_deterministic
 from tests.scheduling.deployments import QUEUE
-from tests.scheduling.fleets import SERVICES, Fleet
+from tests.scheduling.fleets import LATE_QUEUE, SERVICES, Fleet
 from tests.scheduling.test_rounds import make_spare_core_step
 
 WORKERS = 30
@@ -154,6 +154,32 @@
 
         run_deterministic(check, seed=1)
 
+    def test_step_that_would_harm_does_not_wait_longer_beside_an_alike_one(
+        self,
+    ) -> None:
+        async def check() -> None:
+            fleet = Fleet(1, WORKERS)
+            harmed = set(fleet.state.workers)
+            half = fleet.settings.margin_lifetime / 2
+            with simulate_harm(harmed):
+                fleet.submit(Step(demand=Demand(1000, 1000)))
+                (changed,) = list_workers(await fleet.run_round())
+                step = make_spare_core_step(tasks=1)
+                job = fleet.submit(step, queue=LATE_QUEUE.name)
+                await fleet.run_round()
+                fleet.clock.advance(half)
+                # It is ranked first, and fills the only worker that has changed.
+                fleet.submit(msgspec.structs.replace(step, tasks=200))
+                await fleet.run_round()
+                harmed.clear()
+                fleet.leader._interference.version += 1  # as after a view
+                end_runs(fleet, changed)
+                fleet.clock.advance(half)
+                starts = await fleet.run_round()
+            self.assertIn(name_task(job, 0, 0, 0), [each.task for each in starts])
+
+        run_deterministic(check, seed=1)
+
     def test_step_that_would_harm_is_compared_at_once_with_a_changed_worker(
         self,
     ) -> None:
