Share the checks of room and label, and simplify what the rereading found

- is_feasible, the candidates of a step and the workers with more room asked for room and label each in words of their own; they share has_room and has_label.
- The predicted level is a bound of a bound again, not nested conditions.
- predict_smallest_margins no longer differs from find_smallest_margin by an s.
- WorkerSession.is_usable had no caller but a test.
- StageTimes looked up the histogram and made a list for each of 1,700 durations a second; both are made once.
- Two tests of full disks get names that stand by themselves; their checks and all others are the same.

--- a/src/rhubarbfield/scheduling/candidates.py
+++ b/src/rhubarbfield/scheduling/candidates.py
@@ -12,11 +12,12 @@
     WaitingStep,
     WorkerHeadroom,
     admits,
+    has_label,
     has_room,
     measure_utilization,
 )
 from rhubarbfield.scheduling.interference import InterferenceModel
-from rhubarbfield.scheduling.model import Label, Step
+from rhubarbfield.scheduling.model import Step
 from rhubarbfield.scheduling.ranking import CandidateRanking, Cost
 from rhubarbfield.scheduling.rejected_steps import RejectedSteps
 from rhubarbfield.scheduling.rejections import Rejections
@@ -144,10 +145,7 @@
         key = (*_get_preferences(waiting), step.demand, is_suspect, is_limited)
         ranking = self._rankings.get(key)
         if ranking is None:
-            candidates = _filter_by_label(
-                self._list_members(waiting) if limited_to is None else limited_to,
-                step.required_label,
-            )
+            candidates = self._list_by_label(waiting, limited_to)
             ranking = self._rankings[key] = self.rank(
                 step, candidates, is_suspect=is_suspect
             )
@@ -206,12 +204,15 @@
 
         return CandidateRanking(candidates, evaluate, self._changes)
 
-    def _list_by_label(self, waiting: WaitingStep) -> Sequence[WorkerHeadroom]:
-        members = self._list_members(waiting)
-        return _filter_by_label(members, waiting.step.required_label)
-
-    def _list_members(self, waiting: WaitingStep) -> list[WorkerHeadroom]:
-        return self._by_service.get(waiting.queue.service, [])
+    def _list_by_label(
+        self, waiting: WaitingStep, among: Sequence[WorkerHeadroom] | None = None
+    ) -> Sequence[WorkerHeadroom]:
+        """Return the workers with the label of a step, of its service by default."""
+        if among is None:
+            among = self._by_service.get(waiting.queue.service, [])
+        if not waiting.step.required_label:
+            return among
+        return [each for each in among if has_label(waiting.step, each)]
 
     def _compute_cost(self, step: Step, headroom: WorkerHeadroom) -> Cost:
         """Return the cost of placing a task on a worker; the lowest is best.
@@ -255,14 +256,6 @@
         return (is_far, headroom.failures, wastes, is_unused, left_over)
 
 
-def _filter_by_label(
-    headrooms: Sequence[WorkerHeadroom], label: Label
-) -> Sequence[WorkerHeadroom]:
-    if not label:
-        return headrooms
-    return [each for each in headrooms if label in each.worker.labels]
-
-
 def _is_far(step: Step, headroom: WorkerHeadroom) -> bool:
     """Return whether a worker is not on the rack that a step prefers."""
     return step.preferred_rack not in ("", *headroom.worker.labels)
--- a/src/rhubarbfield/scheduling/headroom.py
+++ b/src/rhubarbfield/scheduling/headroom.py
@@ -146,6 +146,12 @@
     return None if queue is None else WaitingStep(job, queue, occurrence, number)
 
 
+def has_label(step: Step, headroom: WorkerHeadroom) -> bool:
+    """Return whether a worker has the label that a step requires, if it does."""
+    label = step.required_label
+    return not label or label in headroom.worker.labels
+
+
 def has_room(reserved: Demand, headroom: WorkerHeadroom) -> bool:
     """Return whether a worker may take one more task that reserves so much."""
     return headroom.task_count < headroom.task_limit and reserved.fits(headroom.free)
@@ -174,18 +180,13 @@
     """Return whether a worker has the service, label and headroom for a task."""
     step = waiting.step
     worker = headroom.worker
-    if (
-        worker.service != waiting.queue.service
-        or headroom.task_count >= headroom.task_limit
-    ):
+    if worker.service != waiting.queue.service or not has_label(step, headroom):
         return False
-    if step.required_label and step.required_label not in worker.labels:
+    if not has_room(step.reserved, headroom):
         return False
-    if step.max_per_worker:
-        live = count_live(waiting.tasks).get(worker.worker, 0)
-        if live >= step.max_per_worker:
-            return False
-    return step.reserved.fits(headroom.free)
+    if not step.max_per_worker:
+        return True
+    return count_live(waiting.tasks).get(worker.worker, 0) < step.max_per_worker
 
 
 def measure_utilization(headrooms: list[WorkerHeadroom]) -> float:
--- a/src/rhubarbfield/scheduling/interference.py
+++ b/src/rhubarbfield/scheduling/interference.py
@@ -150,7 +150,7 @@
         """Return the predicted margin of a task without its co-located tasks."""
         return LatencyMargin(task.image, self._predict_margin(task))
 
-    def find_smallest_margins(
+    def predict_smallest_margins(
         self, tasks: Iterable[ServingTask]
     ) -> list[LatencyMargin]:
         """Return the smallest predicted margin of each image among the tasks."""
@@ -169,11 +169,9 @@
             if usual is None:
                 return -_UNMEASURED_LOG_RATIO
             return goal - usual.expected
-        predicted = level.mean
-        if level.slope > 0.0:
-            predicted += level.slope * TREND_HORIZON_SECONDS
-            if usual is not None and predicted > usual.peak:
-                predicted = max(level.mean, usual.peak)
+        predicted = level.mean + max(0.0, level.slope) * TREND_HORIZON_SECONDS
+        if usual is not None:
+            predicted = min(predicted, max(level.mean, usual.peak))
         return goal - predicted
 
     def _find_usual_level(self, image: ImageName) -> UsualLevel | None:
--- a/src/rhubarbfield/scheduling/mitigation.py
+++ b/src/rhubarbfield/scheduling/mitigation.py
@@ -93,7 +93,7 @@
         with the smallest margin is listed.
         """
         serving = self._headroom_index.list_serving(self._host.state, worker)
-        return self._interference.find_smallest_margins(serving)
+        return self._interference.predict_smallest_margins(serving)
 
     def handle_view(self, worker: Worker, session: WorkerSession) -> None:
         """Update the model from a view of a worker, and pause or resume runs."""
--- a/src/rhubarbfield/scheduling/rejected_steps.py
+++ b/src/rhubarbfield/scheduling/rejected_steps.py
@@ -16,6 +16,7 @@
     WaitingStep,
     WorkerHeadroom,
     admits,
+    has_label,
     has_room,
 )
 from rhubarbfield.scheduling.interference import InterferenceModel
@@ -156,7 +157,7 @@
             return False
         return any(
             has_room(reserved, headroom)
-            and step.required_label in ("", *headroom.worker.labels)
+            and has_label(step, headroom)
             and admits(step, headroom, interference)
             for headroom in self.members
         )
--- a/src/rhubarbfield/scheduling/session.py
+++ b/src/rhubarbfield/scheduling/session.py
@@ -108,11 +108,6 @@
         """Id of the worker."""
         return self._contact.worker
 
-    @property
-    def is_usable(self) -> bool:
-        """Whether new runs may be started on the worker now."""
-        return self.is_usable_at(self._clock.monotonic())
-
     def is_usable_at(self, now: timedelta) -> bool:
         """Return whether new runs may be started on the worker at this time."""
         return self._contact.is_usable_at(now)
--- a/src/rhubarbfield/scheduling/start_stages.py
+++ b/src/rhubarbfield/scheduling/start_stages.py
@@ -81,12 +81,15 @@
         self._clock = clock
         self._reported_at = clock.monotonic()
         self._round_ended_at: timedelta | None = None
-        self._samples: dict[StartStage, _Samples] = {}
+        self._samples = {stage: _Samples() for stage in StartStage}
+        self._histograms = {
+            stage: START_STAGE_SECONDS.labels(stage.value) for stage in StartStage
+        }
 
     def record(self, stage: StartStage, duration: timedelta) -> None:
         """Record the duration of one stage of a start."""
-        START_STAGE_SECONDS.labels(stage.value).observe(duration.total_seconds())
-        self._samples.setdefault(stage, _Samples()).add(duration)
+        self._histograms[stage].observe(duration.total_seconds())
+        self._samples[stage].add(duration)
 
     def record_round(
         self, began: timedelta, took: timedelta, *, has_starts: bool
@@ -116,6 +119,9 @@
             return
         self._reported_at = now
         for stage, samples in self._samples.items():
+            if not samples.count:
+                continue
+            self._samples[stage] = _Samples()
             log_event(
                 logger,
                 logging.INFO,
@@ -125,4 +131,3 @@
                 median=samples.find_quantile(MEDIAN),
                 high=samples.find_quantile(HIGH_QUANTILE),
             )
-        self._samples.clear()
--- a/tests/replication/test_full_disks.py
+++ b/tests/replication/test_full_disks.py
@@ -105,12 +105,12 @@
             with self.subTest(seed=seed):
                 self._check(seed, learners="", crashes=False)
 
-    def test_also_with_learners_that_may_replace_voters(self) -> None:
+    def test_commands_are_accepted_where_learners_may_replace_voters(self) -> None:
         for seed in SEEDS:
             with self.subTest(seed=seed):
                 self._check(seed, learners="de", crashes=False)
 
-    def test_also_beside_crashes(self) -> None:
+    def test_commands_are_accepted_beside_crashes(self) -> None:
         for seed in SEEDS:
             with self.subTest(seed=seed):
                 self._check(seed, learners="de", crashes=True)
--- a/tests/scheduling/controllers.py
+++ b/tests/scheduling/controllers.py
@@ -86,7 +86,7 @@
 
     @property
     def leader(self) -> SchedulingController:
-        return next(each for each in self._members.values() if each.service.leads())
+        return self.list_leaders()[0]
 
     def list_leaders(self) -> list[SchedulingController]:
         """Return the controller that leads now, if there is one."""
--- a/tests/scheduling/test_digests.py
+++ b/tests/scheduling/test_digests.py
@@ -47,7 +47,7 @@
 def is_usable(leader: SchedulingLeader, worker: StandInWorker) -> bool:
     session = leader.get_session(worker.worker)
     assert session is not None
-    return session.is_usable
+    return session.is_usable_at(leader._clock.monotonic())
 
 
 class DigestTest(unittest.TestCase):
