Show that a scheduled job with many due occurrences stops the work of others

10,000 occurrences of one small task are due. Each placement round ranks each of them by the whole job, which takes the square of their number and blocks the event loop of each leader in turn for longer than its lease.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec python3 "$(dirname "$0")/case.py"
