--- a/review/4/case.py
+++ b/review/4/case.py
@@ -17,10 +17,19 @@
 HOST = "nony24.example"
 PREFIX = "/lohu930/"
 ROUTE = make_route("r-3hwrr6x", HOST, PREFIX)
+RUNNERS = 16
 JOB_ID = "5c0e7a21d94b36f8"
 JOB = {
     "Spec": '{"0": {"ms": 20000}}',
-    "Steps": [{"Count": 3, "Cpu": 500, "MemMb": 256, "EstimatedMs": 20000}],
+    # The leader starts one on each runner.
+    "Steps": [
+        {
+            "Count": RUNNERS,
+            "Cpu": 500,
+            "MemMb": 256,
+            "EstimatedMs": 20000,
+        }
+    ],
 }
 DRAIN_SECONDS = 2.5  # DrainMs after the acknowledgement, and a little longer
 CUT_BEFORE_EXIT_SECONDS = 0.2
@@ -42,7 +51,7 @@
         await proxy.start()
     leaver = await fleet.add(0, advertised=f"{host}:{inward_port}")
     leaver.controls[:] = [f"{host}:{port}" for port in outward_ports]
-    for number in (1, 2):
+    for number in range(1, RUNNERS):
         await fleet.add(number)
     await system.wait_ready()
     await asyncio.sleep(2)
@@ -79,4 +88,4 @@
     return find_two_runs(record)
 
 
-run_case(__file__, play, runners=3)
+run_case(__file__, play, runners=RUNNERS)
