Let a leader's work last as long as its term

Cause: the leader's work was cancelled as soon as a poll found no valid lease, and began again when the lease was regained in the same term. It had then forgotten its orders, but had the fencing token of before, so that it took its own unanswered start for one of an earlier term, which workers reject.

The work now goes on until the replica no longer leads the term. Orders and answers check the lease by themselves, as before.

The tests of groups and of scheduling.test_leader that are added failed before.

--- a/src/rhubarbfield/groups/replicated.py
+++ b/src/rhubarbfield/groups/replicated.py
@@ -125,9 +125,12 @@
 async def run_while_leading(
     log: ReplicatedLog[StateT], body: Callable[[], Awaitable[None]], clock: Clock
 ) -> None:
-    """Run ``body`` in each term in which this instance leads ``log``.
+    """Run ``body`` once in each term in which this instance leads ``log``.
 
-    ``body`` is cancelled when the term ends and started again in the next one.
+    ``body`` is cancelled when this instance no longer leads the term, and started
+    again in the next one that it leads. It goes on while the lease has lapsed and may
+    be regained: fencing by the term relies on a single ``body`` that knows all that
+    was ordered in it. So ``body`` has to check the lease before each effect.
 
     Parameters
     ----------
@@ -145,8 +148,6 @@
             continue
         async with trio.open_nursery() as nursery:
             nursery.start_soon(body)
-            term = leadership.term
-            while leadership is not None and leadership.term == term:
+            while log.replica.led_term == leadership.term:
                 await clock.sleep(LEADERSHIP_POLL_INTERVAL)
-                leadership = log.replica.leadership
             nursery.cancel_scope.cancel()
--- a/src/rhubarbfield/replication/leader.py
+++ b/src/rhubarbfield/replication/leader.py
@@ -21,7 +21,7 @@
 from rhubarbfield.replication.signal import Signal
 from rhubarbfield.replication.state import NEVER, ReplicaState
 from rhubarbfield.storage import Entry, EntryKind, ReplicaId, StoreFailure
-from rhubarbfield.types import InstanceName, LogIndex
+from rhubarbfield.types import InstanceName, LogIndex, Term
 
 logger = logging.getLogger(__name__)
 
@@ -65,6 +65,11 @@
             nursery.start_soon(self._sync_written)
             nursery.start_soon(self._run_heartbeats)
 
+    @property
+    def term(self) -> Term:
+        """The term in which the replica was elected."""
+        return self._term
+
     @property
     def is_active(self) -> bool:
         """Whether the replica is still the leader of this term."""
--- a/src/rhubarbfield/replication/replica.py
+++ b/src/rhubarbfield/replication/replica.py
@@ -37,7 +37,7 @@
     StoreDamaged,
     StoreFailure,
 )
-from rhubarbfield.types import GroupId, Incarnation, InstanceName, LogIndex
+from rhubarbfield.types import GroupId, Incarnation, InstanceName, LogIndex, Term
 
 logger = logging.getLogger(__name__)
 
@@ -199,6 +199,16 @@
         """
         return self._leader.get_leadership() if self._leader is not None else None
 
+    @property
+    def led_term(self) -> Term | None:
+        """The term that this replica leads, whether or not its lease is valid.
+
+        A lease that lapses may be regained in the same term; :attr:`leadership` is
+        None in between.
+        """
+        leader = self._leader
+        return leader.term if leader is not None and leader.is_active else None
+
     async def confirm_read(self) -> Result[LogIndex, NotLeader]:
         """Return an index that covers every command acknowledged before the call.
 
--- a/tests/controller/single_member.py
+++ b/tests/controller/single_member.py
@@ -16,7 +16,7 @@
     ProposeError,
     Replica,
 )
-from rhubarbfield.types import LogIndex
+from rhubarbfield.types import LogIndex, Term
 
 StateT = TypeVar("StateT")
 COMMIT_SECONDS = 0.002
@@ -31,6 +31,10 @@
     ----------
     commands
         Number of applied commands.
+    leadership
+        The leadership while the lease is valid, else None.
+    led_term
+        The term that the replica leads, whether or not its lease is valid.
     slow
         Types of commands, by name, that are applied at once but answered late.
     unanswered
@@ -42,6 +46,7 @@
         self._machine = machine
         self.applied = LogIndex(0)
         self.leadership: object | None = object()
+        self.led_term: Term | None = Term(1)
         self.leader_hint = None
         self.commands = 0
         self.slow: set[str] = set()
--- /dev/null
+++ b/tests/groups/test_replicated.py
@@ -0,0 +1,68 @@
+"""Tests of the work that an instance does while it leads a log."""
+
+from __future__ import annotations
+
+import unittest
+from datetime import timedelta
+
+import trio
+
+from rhubarbfield.clock import TrioClock
+from rhubarbfield.groups import run_while_leading
+from rhubarbfield.replication import Leadership
+from rhubarbfield.scheduling.appliers import make_scheduling_machine
+from rhubarbfield.types import Term
+from tests.controller.single_member import SingleMemberReplica, make_single_member_log
+from tests.replication.determinism import run_deterministic
+
+FOREVER = timedelta(days=1)
+LAPSE_SECONDS = 0.6  # several polls of the leadership
+
+
+class RunWhileLeadingTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.log, self.replica = make_single_member_log(make_scheduling_machine())
+        self.began: list[Term | None] = []
+
+    async def work(self) -> None:
+        self.began.append(self.replica.led_term)
+        await trio.sleep_forever()
+
+    def test_work_goes_on_while_the_lease_lapses_within_a_term(self) -> None:
+        """Work that began again in the term would not know the orders it gave."""
+
+        async def check() -> None:
+            async with trio.open_nursery() as nursery:
+                elect(self.replica, 1)
+                nursery.start_soon(run_while_leading, self.log, self.work, TrioClock())
+                await trio.sleep(1)
+                self.replica.leadership = None
+                await trio.sleep(LAPSE_SECONDS)
+                elect(self.replica, 1)
+                await trio.sleep(1)
+                nursery.cancel_scope.cancel()
+
+        run_deterministic(check, seed=1)
+        self.assertEqual(self.began, [1])
+
+    def test_work_ends_with_the_term_and_begins_again_in_the_next(self) -> None:
+        async def check() -> None:
+            async with trio.open_nursery() as nursery:
+                elect(self.replica, 1)
+                nursery.start_soon(run_while_leading, self.log, self.work, TrioClock())
+                await trio.sleep(1)
+                self.replica.leadership = self.replica.led_term = None
+                await trio.sleep(1)
+                elect(self.replica, 3)
+                await trio.sleep(1)
+                elect(self.replica, 4)
+                await trio.sleep(1)
+                nursery.cancel_scope.cancel()
+
+        run_deterministic(check, seed=1)
+        self.assertEqual(self.began, [1, 3, 4])
+
+
+def elect(replica: SingleMemberReplica, term: int) -> None:
+    replica.leadership = Leadership(Term(term), FOREVER)
+    replica.led_term = Term(term)
--- a/tests/scheduling/deployments.py
+++ b/tests/scheduling/deployments.py
@@ -12,7 +12,7 @@
 import trio
 
 from rhubarbfield.clock import TrioClock
-from rhubarbfield.groups import ReplicatedLog
+from rhubarbfield.groups import ReplicatedLog, run_while_leading
 from rhubarbfield.replication import Leadership
 from rhubarbfield.scheduling.appliers import (
     SchedulingLogState,
@@ -82,6 +82,7 @@
 
     def elect(self, term: int) -> None:
         self.replica.leadership = Leadership(Term(term), FOREVER)
+        self.replica.led_term = Term(term)
 
     def make_leader(self) -> SchedulingLeader:
         return SchedulingLeader(
@@ -129,6 +130,21 @@
             yield leader
             nursery.cancel_scope.cancel()
 
+    @asynccontextmanager
+    async def lead_while_leading(self) -> AsyncIterator[None]:
+        """Run a leader during the block in each term that the replica leads."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(run_while_leading, self.log, self._lead_term, self.clock)
+            await trio.sleep(0.1)
+            yield
+            nursery.cancel_scope.cancel()
+
+    async def _lead_term(self) -> None:
+        leader = self.make_leader()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(leader.run)
+            nursery.start_soon(self._report, leader)
+
     async def _report(self, leader: SchedulingLeader) -> None:
         while True:
             for first in self.reporting:
--- a/tests/scheduling/test_leader.py
+++ b/tests/scheduling/test_leader.py
@@ -413,6 +413,27 @@
                 await trio.sleep(0.1)
                 self.assertLessEqual(count_runs_at_once(deployment), 1)
 
+    @with_deployment()
+    async def test_late_start_does_not_duplicate_a_task_after_a_lapse_within_a_term(
+        self, deployment: Deployment
+    ) -> None:
+        """The fencing token of the term can't exclude an order of the same term."""
+        first = deployment.add_worker("w1", duration=None)
+        first.unanswered_starts = 1
+        async with deployment.lead_while_leading():
+            await deployment.submit("j", Step(demand=ONE_CORE, standing=True))
+            await trio.sleep(0.3)
+            deployment.add_worker("w2", duration=None)
+            deployment.replica.leadership = None
+            await trio.sleep(0.6)
+            deployment.elect(1)
+            await trio.sleep(3)
+            deployment.fleet.deliver_delayed_starts()
+            for _ in range(30):
+                self.assertLessEqual(count_runs_at_once(deployment), 1)
+                await trio.sleep(0.1)
+            self.assertEqual(count_runs_at_once(deployment), 1)
+
     @with_deployment()
     async def test_start_rejected_after_one_in_doubt_is_stopped_before_it_moves(
         self, deployment: Deployment
