Wait for the lease of a worker that announced its exit

Cause: an announced exit and 3 s of silence counted as the worker's end. A worker that gets no answer to its announcement goes on for a while, and a cut in one direction hides that. Only another incarnation at its address, or the lapse of its lease, proves that its runs have ended.

The worker is now removed once its lease has lapsed, still as one that left; and it gets no more starts, which would extend that lease.

test_worker_that_announced_its_exit_is_removed_before_its_lease asked for the fault: its worker ended its runs as it announced its exit. In its place two tests let the worker work on, and bound the restart by the lease; a third one is on starts.

--- a/src/rhubarbfield/scheduling/contact.py
+++ b/src/rhubarbfield/scheduling/contact.py
@@ -16,8 +16,6 @@
 # A fixed log area, independent of the module's name.
 logger = logging.getLogger("rhubarbfield.scheduling.session")
 
-# A worker that announced its exit ends within this time, even if it gets no reply.
-EXIT_CONFIRMATION_DELAY = timedelta(seconds=3)
 REJECTION_BACKOFF = timedelta(milliseconds=400)  # by then a view shows actual headroom
 
 
@@ -85,14 +83,6 @@
         """Time of the first call without a reply; None if the latest one got one."""
         return self._unresponsive_since
 
-    @property
-    def has_exited(self) -> bool:
-        """Whether the worker announced its exit and has not replied since."""
-        if self.exit_announced_at is None or self._unresponsive_since is None:
-            return False
-        silent_since = max(self.exit_announced_at, self._unresponsive_since)
-        return self._clock.monotonic() - silent_since > EXIT_CONFIRMATION_DELAY
-
     @property
     def may_extend_lease(self) -> bool:
         """Whether a view should extend the lease.
--- a/src/rhubarbfield/scheduling/dispatch.py
+++ b/src/rhubarbfield/scheduling/dispatch.py
@@ -177,6 +177,7 @@
             self._ledger.is_unsettled(key)
             and self._ledger.may_order(key)
             and self._host.is_wanted(key.task)
+            and self._contact.exit_announced_at is None
             and not self._is_late_on_draining(start)
             and self._fits_worker()
         )
--- a/src/rhubarbfield/scheduling/session.py
+++ b/src/rhubarbfield/scheduling/session.py
@@ -308,12 +308,16 @@
         await self._host.remove_worker(self.worker, self._list_checkpoints())
 
     async def _check_lapse(self) -> None:
-        """Record runs as lost once their lease has certainly lapsed."""
-        if self._contact.has_exited:
-            await self._remove_worker()
-            return
+        """Record runs as lost once their lease has certainly lapsed.
+
+        A worker that announced its exit is then removed. The announcement alone proves
+        nothing: it may work on for a while, cut off from the leader.
+        """
         if self._clock.monotonic() < self._contact.lease.lapses_at:
             return
+        if self._contact.exit_announced_at is not None:
+            await self._remove_worker()
+            return
         worker = self._host.find_worker(self.worker)
         if worker is None or not worker.runs:
             return
--- a/tests/scheduling/test_leader.py
+++ b/tests/scheduling/test_leader.py
@@ -33,6 +33,9 @@
 DRAINING_TIME = timedelta(seconds=2)  # workers that drain accept tasks for so long
 GANG_WAIT_SECONDS = 3.0  # members that wait for longer end alone
 MAX_LAPSE_SECONDS = 11.0  # the longest lease on a slow clock, plus a call
+VIEW_SECONDS = 1.6  # a view that is in progress ends within this time
+# What a clock that is 2% slow adds to a lease of 6 s, an order in flight, and a call.
+LAPSE_DELAY_SECONDS = 0.13 + 0.2 + 1.2
 
 
 class RunningJobsTest(unittest.TestCase):
@@ -239,9 +242,10 @@
         self.assertEqual(deployment.fleet.forgotten, [first.address, second.address])
 
     @with_deployment()
-    async def test_worker_that_announced_its_exit_is_removed_before_its_lease(
+    async def test_worker_that_announced_its_exit_may_work_until_its_lease_lapses(
         self, deployment: Deployment
     ) -> None:
+        """An announcement is no end: the worker may be cut off, and work on."""
         first = deployment.add_worker("w1", duration=None)
         async with deployment.lead() as leader:
             await deployment.submit("j", Step(demand=ONE_CORE, standing=True))
@@ -249,10 +253,46 @@
             second = deployment.add_worker("w2", duration=None)
             await leader.handle_departure(first.worker)
             first.is_unreachable = True
+            for _ in range(int(MAX_LAPSE_SECONDS * 10)):
+                await trio.sleep(0.1)
+                self.assertLessEqual(count_runs_at_once(deployment), 1)
+            self.assertEqual(len(second.runs), 1)
+            self.assertNotIn(first.worker, deployment.state.workers)
+
+    @with_deployment()
+    async def test_task_of_a_worker_that_left_restarts_once_its_lease_has_lapsed(
+        self, deployment: Deployment
+    ) -> None:
+        first = deployment.add_worker("w1", duration=None)
+        async with deployment.lead() as leader:
+            await deployment.submit("j", Step(demand=ONE_CORE, standing=True))
+            await trio.sleep(MAX_LAPSE_SECONDS)  # of a lease of an earlier leader
+            second = deployment.add_worker("w2", duration=None)
+            await leader.handle_departure(first.worker)
+            first.is_unreachable = True
+            await trio.sleep(VIEW_SECONDS)
             first.runs.clear()
-            await trio.sleep(5.5)
+            left = first.lease_end - first.read_clock()
+            await trio.sleep(left.total_seconds())
+            self.assertEqual(len(second.runs), 0)
+            # A call without a reply may have extended the lease after that view.
+            longest = deployment.settings.lease - left
+            await trio.sleep(longest.total_seconds() + LAPSE_DELAY_SECONDS)
             self.assertEqual(len(second.runs), 1)
 
+    @with_deployment()
+    async def test_no_start_is_sent_to_a_worker_that_announced_its_exit(
+        self, deployment: Deployment
+    ) -> None:
+        first = deployment.add_worker("w1", duration=None)
+        first.unanswered_starts = 1
+        async with deployment.lead() as leader:
+            await deployment.submit("j", Step(demand=ONE_CORE, standing=True))
+            await trio.sleep(0.3)
+            await leader.handle_departure(first.worker)
+            await trio.sleep(3)
+        self.assertEqual(len(deployment.list_sent(StartOrder, "j")), 1)
+
     @with_deployment()
     async def test_standing_task_leaves_a_draining_worker_if_another_fits(
         self, deployment: Deployment
