Keep the orders of a session when its worker reports another address

The new session takes over the starts, and stops those without an answer, and what the former one had not stopped yet. Nobody has seen this in operation.

test_late_start_does_not_duplicate_a_task_of_a_worker_that_moved failed before: two runs at once.

--- a/src/rhubarbfield/scheduling/ledger.py
+++ b/src/rhubarbfield/scheduling/ledger.py
@@ -10,7 +10,7 @@
 from rhubarbfield.scheduling.commands import EndedRun, WorkerEnds
 from rhubarbfield.scheduling.crashes import CrashedRun
 from rhubarbfield.scheduling.model import RunNumber, TaskName
-from rhubarbfield.scheduling.orders import StartState, Stop
+from rhubarbfield.scheduling.orders import StartState, Stop, StopReason
 from rhubarbfield.scheduling.ports import WorkerView
 from rhubarbfield.scheduling.progress import RunKey
 from rhubarbfield.scheduling.session_host import SessionHost
@@ -57,6 +57,21 @@
             key for key, state in self.starts.items() if state is StartState.SETTLED
         }
 
+    def adopt(self, former: OrderLedger) -> list[tuple[RunKey, StopReason]]:
+        """Adopt the starts in a former ledger of the worker in this term.
+
+        Returns
+        -------
+        list[tuple[RunKey, StopReason]]
+            Runs that have to be stopped here, since the former orders to start or to
+            stop them have no answer.
+        """
+        self.starts = dict(former.starts)
+        self._known_since = dict(former._known_since)
+        stops = {key: stop.reason for key, stop in former.stops.items()}
+        unsettled = [key for key in self.starts if former.is_unsettled(key)]
+        return list((dict.fromkeys(unsettled, StopReason.UNANSWERED) | stops).items())
+
     def may_order(self, key: RunKey) -> bool:
         """Return whether a recorded run may be ordered to start.
 
--- a/src/rhubarbfield/scheduling/registry.py
+++ b/src/rhubarbfield/scheduling/registry.py
@@ -122,7 +122,8 @@
             session.handle_report(worker_clock, age)
 
     def _open(self, worker: Worker, nursery: trio.Nursery) -> None:
-        if worker.worker in self.sessions:
+        former = self.sessions.get(worker.worker)
+        if former is not None:  # at another address
             self._close(worker.worker)
         session = WorkerSession(
             WorkerAddress(worker.worker, worker.address),
@@ -133,6 +134,8 @@
         )
         if worker.worker in self._reported_clocks:
             session.handle_report(self._reported_clocks[worker.worker])
+        if former is not None:
+            session.take_over(former)
         self.sessions[worker.worker] = session
         self._on_opened(worker.worker)
         scope = self._scopes[worker.worker] = trio.CancelScope()
--- a/src/rhubarbfield/scheduling/session.py
+++ b/src/rhubarbfield/scheduling/session.py
@@ -174,6 +174,15 @@
         """
         self._orders.stop(key, reason)
 
+    def take_over(self, former: WorkerSession) -> None:
+        """Settle the orders of a former session with the worker in this term.
+
+        Starts without an answer may still be carried out, so their runs are stopped
+        before they can count as missing.
+        """
+        for key, reason in self._ledger.adopt(former._ledger):
+            self.stop(key, reason)
+
     def is_stopping(self, key: RunKey) -> bool:
         """Return whether the run was ordered to stop."""
         return key in self._ledger.stops
--- a/tests/scheduling/test_leader.py
+++ b/tests/scheduling/test_leader.py
@@ -474,6 +474,27 @@
                 await trio.sleep(0.1)
             self.assertEqual(count_runs_at_once(deployment), 1)
 
+    @with_deployment()
+    async def test_late_start_does_not_duplicate_a_task_of_a_worker_that_moved(
+        self, deployment: Deployment
+    ) -> None:
+        """A session at a new address must know the orders of the one before it."""
+        first = deployment.add_worker("w1", duration=None)
+        first.unanswered_starts = 1
+        async with deployment.lead():
+            await deployment.submit("j", Step(demand=ONE_CORE, standing=True))
+            await trio.sleep(0.3)
+            deployment.add_worker("w2", duration=None)
+            del deployment.fleet.workers[first.address]
+            first.machine = "elsewhere"
+            deployment.fleet.add(first)
+            await trio.sleep(1.5)
+            deployment.fleet.deliver_delayed_starts()
+            for _ in range(30):
+                self.assertLessEqual(count_runs_at_once(deployment), 1)
+                await trio.sleep(0.1)
+            self.assertEqual(count_runs_at_once(deployment), 1)
+
     @with_deployment()
     async def test_start_rejected_after_one_in_doubt_is_stopped_before_it_moves(
         self, deployment: Deployment
