Serve accepted jobs when their queue is renamed or removed

Cause: all that concerns an accepted job looked its queue up by name in the configuration in force, and left the job out if there was none.

The replicated state now keeps the queues of open jobs that are not configured under their names any more. The queue with the same host and prefix serves their jobs, or else their own as last configured.

--- a/src/rhubarbfield/scheduling/admission.py
+++ b/src/rhubarbfield/scheduling/admission.py
@@ -240,7 +240,7 @@
         self, state: SchedulingState, service: ServiceName
     ) -> Demand:
         """Return what accepted standing work reserves, running or not."""
-        queues = state.map_queues()
+        queues = state.map_serving_queues()
         accepted = (
             measure_standing(job.submission)
             for job in self._jobs.open.values()
@@ -260,7 +260,7 @@
 
         Each task counts for at most ``horizon_ms``, for which it occupies its cores.
         """
-        queues = state.map_queues()
+        queues = state.map_serving_queues()
         accepted = sum(
             measure_remaining(job, horizon_ms)
             for job in self._jobs.open.values()
@@ -298,7 +298,7 @@
         """
         now_ms = self._clock.now().timestamp() * MS_PER_SECOND
         window_ms = FINITE_WINDOW.total_seconds() * MS_PER_SECOND
-        queues = state.map_queues()
+        queues = state.map_serving_queues()
         recent = itertools.takewhile(
             lambda job: now_ms - job.accepted_ms <= window_ms,
             reversed(state.jobs.values()),
--- a/src/rhubarbfield/scheduling/appliers.py
+++ b/src/rhubarbfield/scheduling/appliers.py
@@ -24,12 +24,14 @@
     scheduling_commands,
 )
 from rhubarbfield.scheduling.crashes import CrashedRun
+from rhubarbfield.scheduling.former_queues import find_former_queues
 from rhubarbfield.scheduling.model import (
     NO_CHECKPOINT,
     RunNumber,
     StepName,
     name_step,
 )
+from rhubarbfield.scheduling.queue_index import index_queues
 from rhubarbfield.scheduling.state import (
     Job,
     JobPhase,
@@ -66,7 +68,16 @@
             return Refused(reason=f"version {held.version} has other content")
         return Done()
     if held is None or offered.version > held.version:
+        removed = {} if held is None else state.map_queues()
         state.configuration = offered
+        state.configurations += 1
+        state.former_queues = find_former_queues(
+            state.former_queues,
+            removed,
+            configured=index_queues(offered),
+            number=state.configurations,
+            used={job.queue for job in state.jobs.values() if job.is_open},
+        )
     return Done()
 
 
@@ -317,7 +328,7 @@
         if run not in progress.failed_runs:
             progress.failed_runs.append(run)
         failures = len(progress.failed_runs)
-    queue = state.find_queue(job.queue)
+    queue = state.find_serving_queue(job.queue)
     if job.get_step(step).standing or queue is None:
         return False
     return failures >= queue.max_attempts
--- a/src/rhubarbfield/scheduling/headroom.py
+++ b/src/rhubarbfield/scheduling/headroom.py
@@ -142,7 +142,7 @@
     if found is None:
         return None
     job, occurrence, number, _ = found
-    queue = state.find_queue(job.queue)
+    queue = state.find_serving_queue(job.queue)
     return None if queue is None else WaitingStep(job, queue, occurrence, number)
 
 
--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -384,7 +384,7 @@
         self._jobs.synchronize(self.state)
         placer = Placer(
             self._jobs.open.values(),
-            self.state.map_queues(),
+            self.state.map_serving_queues(),
             headrooms,
             avoided=self._avoided,
             interference=self._interference,
@@ -400,7 +400,9 @@
         self._stages.record_round(began, took, has_starts=bool(starts))
         self._waiting_log.write(placer)
         self._backlog_log.write(
-            self._jobs.open.values(), self.state.map_queues(), headrooms.values()
+            self._jobs.open.values(),
+            self.state.map_serving_queues(),
+            headrooms.values(),
         )
         if starts:
             await self._starter.start(starts)
--- a/src/rhubarbfield/scheduling/queue_index.py
+++ b/src/rhubarbfield/scheduling/queue_index.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
-
 from rhubarbfield.scheduling.model import Queue, QueueConfiguration, QueueName
 
 
@@ -25,7 +23,7 @@
 
     def __init__(self, configuration: QueueConfiguration | None) -> None:
         queues = () if configuration is None else configuration.queues
-        self.by_name: Mapping[QueueName, Queue] = {
+        self.by_name: dict[QueueName, Queue] = {
             queue.name: queue for queue in reversed(queues)
         }
         services = () if configuration is None else configuration.services
@@ -36,6 +34,11 @@
         for queue in sorted(queues, key=lambda each: -len(each.prefix)):
             self._by_host.setdefault(queue.host, []).append(queue)
 
+    def get(self, host: str, prefix: str) -> Queue | None:
+        """Return the queue of a host with just this prefix."""
+        queues = self._by_host.get(host, ())
+        return next((each for each in queues if each.prefix == prefix), None)
+
     def find(self, host: str, path: str) -> Queue | None:
         """Return the queue of a host with the longest prefix of ``path``."""
         for queue in self._by_host.get(host, ()):
--- a/src/rhubarbfield/scheduling/service.py
+++ b/src/rhubarbfield/scheduling/service.py
@@ -196,8 +196,11 @@
         return index_queues(self._state.configuration).find(host, path)
 
     def _count_waiting(self, queue: QueueName) -> int:
+        former = self._state.former_queues
+        names = {name for name, each in former.items() if each.queue.name == queue}
+        names.add(queue)
         return sum(
-            job.queue == queue and job.is_open and not job.started
+            job.queue in names and job.is_open and not job.started
             for job in self._state.jobs.values()
         )
 
--- a/src/rhubarbfield/scheduling/state.py
+++ b/src/rhubarbfield/scheduling/state.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import functools
+from collections import ChainMap
 from collections.abc import Mapping
 from enum import Enum, IntEnum
 
@@ -13,6 +14,7 @@
 
 from rhubarbfield.placement.state import HarmEstimate
 from rhubarbfield.scheduling.crashes import CrashedRun
+from rhubarbfield.scheduling.former_queues import FormerQueue
 from rhubarbfield.scheduling.model import (
     NO_CHECKPOINT,
     CheckpointToken,
@@ -277,6 +279,10 @@
         Number of jobs accepted so far.
     harm
         Learned interference estimates, for the next leader.
+    configurations
+        Number of configurations that were in force so far.
+    former_queues
+        Queues of open jobs that are no longer configured under their names.
     """
 
     configuration: QueueConfiguration | None = None
@@ -284,15 +290,29 @@
     workers: dict[WorkerId, Worker] = msgspec.field(default_factory=dict)
     accepted: int = 0
     harm: dict[str, HarmEstimate] = msgspec.field(default_factory=dict)
+    configurations: int = 0
+    former_queues: dict[QueueName, FormerQueue] = msgspec.field(default_factory=dict)
 
     def find_queue(self, name: QueueName) -> Queue | None:
         """Return a queue of the configuration in force."""
         return self.map_queues().get(name)
 
-    def map_queues(self) -> Mapping[QueueName, Queue]:
+    def map_queues(self) -> dict[QueueName, Queue]:
         """Return the queues of the configuration in force, by name."""
         return index_queues(self.configuration).by_name
 
+    def find_serving_queue(self, name: QueueName) -> Queue | None:
+        """Return the queue that serves jobs which a queue of this name accepted."""
+        former = self.former_queues.get(name)
+        return self.find_queue(name) if former is None else former.queue
+
+    def map_serving_queues(self) -> Mapping[QueueName, Queue]:
+        """Return the queues that serve jobs, by the name of the accepting queue."""
+        if not self.former_queues:
+            return self.map_queues()
+        former = {name: each.queue for name, each in self.former_queues.items()}
+        return ChainMap(former, self.map_queues())
+
     def guards_capacity(self, service: ServiceName) -> bool:
         """Return whether the workers of a service refuse tasks without room."""
         return service in index_queues(self.configuration).guarding_services
--- a/tests/scheduling/measure_rounds.py
+++ b/tests/scheduling/measure_rounds.py
@@ -63,7 +63,7 @@
     leader._jobs.synchronize(fleet.state)
     return Placer(
         leader._jobs.open.values(),
-        fleet.state.map_queues(),
+        fleet.state.map_serving_queues(),
         leader.measure_headroom(),
         avoided=leader._avoided,
         interference=leader._interference,
--- a/tests/scheduling/reference_placing.py
+++ b/tests/scheduling/reference_placing.py
@@ -47,7 +47,7 @@
 
 
 def iterate_all_waiting(state: SchedulingState) -> Iterator[WaitingStep]:
-    queues = state.map_queues()
+    queues = state.map_serving_queues()
     for job in state.jobs.values():
         queue = queues.get(job.queue) if job.is_open else None
         if queue is None:
