Open due occurrences a few at a time, and rank each once in a round

Cause: all due occurrences were opened at once, and each round ranked each waiting step by a tuple over all of them, in one step of the leader's loop: the square of their number. The loop stood still for longer than the lease.

--- a/src/rhubarbfield/scheduling/appliers.py
+++ b/src/rhubarbfield/scheduling/appliers.py
@@ -298,14 +298,22 @@
     found = state.find_task(ended.task)
     if found is None:
         return
-    job, occurrence, step, task = found
+    job, occurrence, _, task = found
     if task.live.get(ended.run) != worker.worker:
         return
     del task.live[ended.run]
     if ended.checkpoint:
         task.checkpoint = ended.checkpoint
-    if task.phase is not TaskPhase.LIVE:
-        return
+    if task.phase is TaskPhase.LIVE:
+        _record_outcome(state, found, ended)
+    job.close_occurrence(occurrence)
+
+
+def _record_outcome(
+    state: SchedulingState, found: tuple[Job, int, int, Task], ended: EndedRun
+) -> None:
+    """Record what the end of a run means for its live task, and for its job."""
+    job, occurrence, step, task = found
     if ended.end is RunEnd.DONE and not job.get_step(step).standing:
         _finish_task(job, occurrence, step, task)
     elif ended.end is RunEnd.FAILED and _count_failure(state, found, ended.run):
--- a/src/rhubarbfield/scheduling/backlog.py
+++ b/src/rhubarbfield/scheduling/backlog.py
@@ -4,11 +4,12 @@
 
 from datetime import timedelta
 
-from rhubarbfield.clock import MS_PER_SECOND, Clock
+from rhubarbfield.clock import MILLISECOND, MS_PER_SECOND, Clock
 from rhubarbfield.scheduling.model import Queue, QueueName
 from rhubarbfield.scheduling.ordering import (
     Outlook,
     RemainingWork,
+    find_latest,
     find_outlook,
     is_interrupted,
     measure_work,
@@ -19,6 +20,8 @@
 
 # An older job is less likely than a clock that was stepped.
 MAX_INITIAL_AGE_SECONDS = 60.0
+# Times of callers have no bound of their own; longer ones are not valid durations.
+MAX_OCCURRENCE_AGE_MS = timedelta(days=30) // MILLISECOND
 MEAN_WEIGHT = 0.05  # weight of a new job in its queue's running mean of work
 
 
@@ -38,10 +41,10 @@
         self._idle_since: dict[JobId, timedelta] = {}
         self._mean_work: dict[QueueName, float] = {}
 
-    def rank(self, job: Job, queue: Queue) -> tuple[float, ...]:
-        """Return the rank of a job; the lowest goes first."""
+    def rank(self, job: Job, queue: Queue, occurrence: int) -> tuple[float, ...]:
+        """Return the rank of an occurrence of a job; the lowest goes first."""
         work = self.measure(job)
-        age = self.find_age(job)
+        age = self._find_occurrence_age(job, occurrence)
         return rank_job(
             work,
             queue,
@@ -66,9 +69,7 @@
 
     def measure(self, job: Job) -> RemainingWork:
         """Return the remaining and total work of a job."""
-        version = tuple(
-            step.done for steps in job.occurrences.values() for step in steps
-        )
+        version = tuple(step.done for step in find_latest(job))
         known = self._work.get(job.job)
         if known is not None and known[0] == version:
             return known[1]
@@ -90,6 +91,15 @@
             self._update_mean(job)
         return now - self._accepted_at[job.job]
 
+    def _find_occurrence_age(self, job: Job, occurrence: int) -> timedelta:
+        """Return the time since an occurrence was due; else the age of its job."""
+        recurrence = job.submission.recurrence
+        if recurrence is None:
+            return self.find_age(job)
+        due_ms = recurrence.first_ms + occurrence * recurrence.interval_ms
+        age_ms = self._clock.now().timestamp() * MS_PER_SECOND - due_ms
+        return min(max(age_ms, 0), MAX_OCCURRENCE_AGE_MS) * MILLISECOND
+
     def _estimate_initial_age(self, job: Job) -> timedelta:
         """Return the age of a job when this leader first sees it.
 
--- a/src/rhubarbfield/scheduling/headroom.py
+++ b/src/rhubarbfield/scheduling/headroom.py
@@ -130,10 +130,16 @@
         """The step as it was submitted."""
         return self.job.get_step(self.number)
 
+    @property
+    def is_open(self) -> bool:
+        """Whether tasks of the step may still start."""
+        return self.job.is_open and bool(self.tasks)
+
     @property
     def tasks(self) -> list[Task]:
-        """All tasks of the step."""
-        return self.job.occurrences[self.occurrence][self.number].tasks
+        """All tasks of the step; none once its occurrence has ended."""
+        steps = self.job.occurrences[self.occurrence]
+        return steps[self.number].tasks if steps else []
 
 
 def find_task_step(state: SchedulingState, name: TaskName) -> WaitingStep | None:
--- a/src/rhubarbfield/scheduling/housekeeping.py
+++ b/src/rhubarbfield/scheduling/housekeeping.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-import math
 from collections.abc import Mapping
 from datetime import timedelta
 from itertools import takewhile
@@ -25,6 +24,7 @@
 from rhubarbfield.scheduling.job_index import JobIndex
 from rhubarbfield.scheduling.metrics import JOBS, RUNS_DISTURBED
 from rhubarbfield.scheduling.model import CheckpointToken, TaskName
+from rhubarbfield.scheduling.occurrences import choose_due
 from rhubarbfield.scheduling.orders import StopReason
 from rhubarbfield.scheduling.progress import RunKey
 from rhubarbfield.scheduling.quarantine import WorkerQuarantine
@@ -248,14 +248,12 @@
                 )
 
     async def _open_due_occurrences(self) -> None:
+        if not self._jobs.recurring:
+            return
         now_ms = self._clock.now().timestamp() * MS_PER_SECOND
-        due = [
-            (job.job, number)
-            for job in self._jobs.recurring.values()
-            for number in _list_due(job, now_ms)
-        ]
+        due = choose_due(self._jobs.recurring.values(), now_ms)
         if due:
-            await self._log.propose(OpenOccurrences(due=tuple(due)))
+            await self._log.propose(OpenOccurrences(due=due))
 
     def _report_end(self, job: Job) -> None:
         if not self._has_scanned_jobs:  # the job ended under an earlier leader
@@ -297,16 +295,3 @@
                 self._backlog.forget(name)
                 if name in self._state.jobs:  # not committed, or it has live runs
                     self._ended_at[name] = now
-
-
-def _list_due(job: Job, now_ms: float) -> list[int]:
-    recurrence = job.submission.recurrence
-    if recurrence is None or not job.is_open:
-        return []
-    if now_ms < recurrence.first_ms:
-        return []
-    passed = recurrence.times
-    if recurrence.interval_ms > 0:
-        elapsed = (now_ms - recurrence.first_ms) / recurrence.interval_ms
-        passed = min(passed, math.floor(elapsed) + 1)
-    return [number for number in range(passed) if number not in job.occurrences]
--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -25,7 +25,7 @@
     WorkerReport,
 )
 from rhubarbfield.scheduling.crashes import CrashedRun
-from rhubarbfield.scheduling.headroom import WorkerHeadroom
+from rhubarbfield.scheduling.headroom import WaitingStep, WorkerHeadroom
 from rhubarbfield.scheduling.headroom_index import HeadroomIndex
 from rhubarbfield.scheduling.heartbeats import (
     Heartbeat,
@@ -40,7 +40,7 @@
     RUNS_ENDED,
 )
 from rhubarbfield.scheduling.mitigation import InterferenceMitigator
-from rhubarbfield.scheduling.model import CheckpointToken, Queue, TaskName
+from rhubarbfield.scheduling.model import CheckpointToken, TaskName
 from rhubarbfield.scheduling.orders import Start
 from rhubarbfield.scheduling.pacing import RoundPacer, Urgency, find_urgency
 from rhubarbfield.scheduling.placing import MAX_STARTS_PER_ROUND, Placer
@@ -410,8 +410,8 @@
         if len(starts) >= MAX_STARTS_PER_ROUND:
             self._pacer.request(Urgency.URGENT)
 
-    def _rank(self, job: Job, queue: Queue) -> tuple[float, ...]:
-        return self._backlog.rank(job, queue)
+    def _rank(self, waiting: WaitingStep) -> tuple[float, ...]:
+        return self._backlog.rank(waiting.job, waiting.queue, waiting.occurrence)
 
     def _is_starved(self, job: Job) -> bool:
         return self._backlog.is_idle(job, self._settings.starvation_timeout)
--- a/src/rhubarbfield/scheduling/ordering.py
+++ b/src/rhubarbfield/scheduling/ordering.py
@@ -16,7 +16,7 @@
 
 from rhubarbfield.clock import MILLISECOND
 from rhubarbfield.scheduling.model import JobSubmission, Queue
-from rhubarbfield.scheduling.state import Job, TaskPhase
+from rhubarbfield.scheduling.state import Job, StepProgress, TaskPhase
 
 LATE_GOAL_MULTIPLE = 3  # a job that takes this many times its goal has no value
 ESTIMATE_MARGIN = 1.1  # factor on the critical path that covers commits, calls, views
@@ -71,9 +71,12 @@
 
 def measure_work(job: Job) -> RemainingWork:
     """Return the work of a job; of a recurring job, that of its latest occurrence."""
-    progress = next(reversed(job.occurrences.values()), None)
-    done = None if progress is None else [step.done for step in progress]
-    return measure_submission(job.submission, done)
+    return measure_submission(job.submission, [step.done for step in find_latest(job)])
+
+
+def find_latest(job: Job) -> Sequence[StepProgress]:
+    """Return the progress of the latest occurrence that has not ended, if any."""
+    return next(reversed(job.unfinished.values()), ())
 
 
 def measure_submission(
@@ -123,7 +126,7 @@
     """Return whether a standing task that has worked waits to be started again."""
     return any(
         task.last_run > 0 and task.phase is TaskPhase.WAITING
-        for steps in job.occurrences.values()
+        for steps in job.unfinished.values()
         for number, progress in enumerate(steps)
         if job.get_step(number).standing
         for task in progress.tasks
--- a/src/rhubarbfield/scheduling/placing.py
+++ b/src/rhubarbfield/scheduling/placing.py
@@ -86,7 +86,8 @@
     interference
         The model of how images slow each other.
     rank
-        Returns the rank of a job; the lowest goes first.
+        Returns the rank of a step, the same for all steps of an occurrence; the
+        lowest goes first.
     is_starved
         Returns whether nothing of a job has run for so long that its tasks may
         start where they harm least.
@@ -114,7 +115,7 @@
         *,
         avoided: Mapping[TaskName, set[WorkerId]],
         interference: InterferenceModel,
-        rank: Callable[[Job, Queue], tuple[float, ...]],
+        rank: Callable[[WaitingStep], tuple[float, ...]],
         is_starved: Callable[[Job], bool],
         may_wait: Callable[[TaskName, RunNumber], bool] = lambda *_: False,
         unresolved: Mapping[TaskName, int] = MappingProxyType({}),
@@ -125,11 +126,12 @@
         self._avoided = avoided
         self._rejected = RejectedSteps() if rejected is None else rejected
         self._candidates = Candidates(headrooms, interference, self._rejected)
-        self._rank_job = rank
+        self._rank_step = rank
         self._is_starved = is_starved
         self._may_wait = may_wait
         self._unresolved = unresolved
         self._starts: list[RunStart] = []
+        self._starved: dict[JobId, bool] = {}
         self.unplaced: dict[tuple[JobId, int], WaitingStep] = {}
         self.trials: dict[tuple[JobId, int], WaitingStep] = {}
 
@@ -143,7 +145,7 @@
         for waiting in self._sort(self._list_placeable()):
             if len(self._starts) >= MAX_STARTS_PER_ROUND:
                 break
-            if not waiting.job.is_open:  # it ended while the caller did other work
+            if not waiting.is_open:  # it ended while the caller did other work
                 continue
             if waiting.step.gang:
                 self._place_gang(waiting)
@@ -156,7 +158,16 @@
         return self._sort((self.unplaced | self.trials).values())
 
     def _sort(self, steps: Iterable[WaitingStep]) -> list[WaitingStep]:
-        return sorted(steps, key=lambda each: self._rank_job(each.job, each.queue))
+        """Sort steps by their ranks, each of which serves all steps of a job."""
+        ranks: dict[tuple[JobId, int], tuple[float, ...]] = {}
+
+        def rank(waiting: WaitingStep) -> tuple[float, ...]:
+            key = waiting.job.job, waiting.occurrence
+            if key not in ranks:
+                ranks[key] = self._rank_step(waiting)
+            return ranks[key]
+
+        return sorted(steps, key=rank)
 
     def _list_placeable(self) -> list[WaitingStep]:
         """Return the waiting steps but those that no worker can take as before."""
@@ -285,8 +296,12 @@
 
     def _may_force(self, waiting: WaitingStep) -> bool:
         """Return whether a task may start although it harms serving tasks."""
-        is_underutilized = waiting.queue.service in self._candidates.underutilized
-        return is_underutilized and self._is_starved(waiting.job)
+        if waiting.queue.service not in self._candidates.underutilized:
+            return False
+        job = waiting.job
+        if job.job not in self._starved:
+            self._starved[job.job] = self._is_starved(job)
+        return self._starved[job.job]
 
     def _start_task(
         self,
@@ -321,7 +336,7 @@
         queue = queues.get(job.queue)
         if queue is None:
             continue
-        for occurrence, steps in job.occurrences.items():
+        for occurrence, steps in job.unfinished.items():
             for number, progress in enumerate(steps):
                 if progress.has_waiting and job.is_step_ready(occurrence, number):
                     yield WaitingStep(job, queue, occurrence, number)
--- a/src/rhubarbfield/scheduling/state.py
+++ b/src/rhubarbfield/scheduling/state.py
@@ -146,7 +146,7 @@
         return any(task.phase is TaskPhase.WAITING for task in self.tasks)
 
 
-class Job(msgspec.Struct, kw_only=True):
+class Job(msgspec.Struct, kw_only=True, dict=True):
     """A job and all its tasks.
 
     Attributes
@@ -160,7 +160,8 @@
     phase
         Phase of the job.
     occurrences
-        Progress of each occurrence that has come due, by number.
+        Progress of each occurrence that was opened, by number; empty for one of a
+        recurring job that has ended. They are opened in the order of their numbers.
     finished
         Number of complete occurrences.
     accepted_ms
@@ -194,21 +195,46 @@
     @property
     def has_live_runs(self) -> bool:
         """Whether any run of the job has no recorded end."""
-        return any(
-            task.live
-            for steps in self.occurrences.values()
-            for step in steps
-            for task in step.tasks
-        )
+        return any(_has_live_runs(steps) for steps in self.unfinished.values())
+
+    @functools.cached_property
+    def unfinished(self) -> dict[int, list[StepProgress]]:
+        """Progress of the occurrences with tasks that have not ended, by number.
+
+        Only these need to be looked at; a recurring job may have ended many others.
+        """
+        return {
+            number: steps
+            for number, steps in self.occurrences.items()
+            if not self._is_over(steps)
+        }
+
+    @property
+    def next_occurrence(self) -> int:
+        """Number of the occurrence that is opened next."""
+        return next(reversed(self.occurrences), -1) + 1
 
     def open_occurrence(self, number: int) -> None:
         """Create the tasks of an occurrence, unless they exist."""
         if number not in self.occurrences:
-            self.occurrences[number] = [
+            unfinished = self.unfinished  # before the occurrence counts as one
+            unfinished[number] = self.occurrences[number] = [
                 StepProgress([Task() for _ in range(step.tasks)])
                 for step in self.submission.steps
             ]
 
+    def close_occurrence(self, number: int) -> None:
+        """Drop the tasks of an occurrence of a recurring job once all have ended."""
+        if self._is_over(self.occurrences[number]):
+            self.unfinished.pop(number, None)
+            self.occurrences[number] = []
+
+    def _is_over(self, steps: list[StepProgress]) -> bool:
+        """Return whether an occurrence of a recurring job has ended."""
+        if self.submission.recurrence is None:
+            return False
+        return all(step.is_done for step in steps) and not _has_live_runs(steps)
+
     def is_step_ready(self, occurrence: int, step: int) -> bool:
         """Return whether all steps that ``step`` depends on are done."""
         progress = self.occurrences[occurrence]
@@ -219,6 +245,10 @@
         return self.submission.steps[step]
 
 
+def _has_live_runs(steps: list[StepProgress]) -> bool:
+    return any(task.live for step in steps for task in step.tasks)
+
+
 class Worker(msgspec.Struct, kw_only=True):
     """One incarnation of a machine that runs tasks.
 
--- a/src/rhubarbfield/scheduling/survey.py
+++ b/src/rhubarbfield/scheduling/survey.py
@@ -52,7 +52,7 @@
     def add(self, job: Job) -> None:
         """Include a job."""
         self.jobs += 1
-        for occurrence, steps in job.occurrences.items():
+        for occurrence, steps in job.unfinished.items():
             for number, progress in enumerate(steps):
                 if progress.is_done or not job.is_step_ready(occurrence, number):
                     continue
--- a/src/rhubarbfield/scheduling/suspects.py
+++ b/src/rhubarbfield/scheduling/suspects.py
@@ -47,7 +47,7 @@
         for job in self._get_state().jobs.values():
             if not job.is_open:
                 continue
-            for occurrence, steps in job.occurrences.items():
+            for occurrence, steps in job.unfinished.items():
                 for number, step in enumerate(steps):
                     for index, task in enumerate(step.tasks):
                         if task.is_suspect:
--- a/src/rhubarbfield/scheduling/terminations.py
+++ b/src/rhubarbfield/scheduling/terminations.py
@@ -125,7 +125,7 @@
                 self._stop(worker, RunKey(name, key.run), StopReason.GANG)
 
     def _stop_job(self, job: Job) -> None:
-        for occurrence, steps in job.occurrences.items():
+        for occurrence, steps in job.unfinished.items():
             for step, progress in enumerate(steps):
                 for index, task in enumerate(progress.tasks):
                     if task.live:
--- a/src/rhubarbfield/scheduling/workload.py
+++ b/src/rhubarbfield/scheduling/workload.py
@@ -37,7 +37,7 @@
         step.reserved.millicores
         * min(step.estimate_ms, horizon_ms)
         * (step.tasks - progress.done)
-        for steps in job.occurrences.values()
+        for steps in job.unfinished.values()
         for step, progress in zip(job.submission.steps, steps, strict=True)
         if not step.standing
     )
--- a/tests/scheduling/reference_placing.py
+++ b/tests/scheduling/reference_placing.py
@@ -21,7 +21,7 @@
     measure_utilization,
 )
 from rhubarbfield.scheduling.interference import InterferenceModel
-from rhubarbfield.scheduling.model import Queue, RunNumber, Step, TaskName, name_task
+from rhubarbfield.scheduling.model import RunNumber, Step, TaskName, name_task
 from rhubarbfield.scheduling.placing import MAX_STARTS_PER_ROUND
 from rhubarbfield.scheduling.state import Job, SchedulingState, TaskPhase, Worker
 from rhubarbfield.types import WorkerId
@@ -68,7 +68,7 @@
         *,
         avoided: Mapping[TaskName, set[WorkerId]],
         interference: InterferenceModel,
-        rank: Callable[[Job, Queue], Cost],
+        rank: Callable[[WaitingStep], Cost],
         is_starved: Callable[[Job], bool],
     ) -> None:
         self.state = state
@@ -110,7 +110,7 @@
     def choose(self) -> tuple[RunStart, ...]:
         ranked = sorted(
             iterate_all_waiting(self.state),
-            key=lambda each: self.rank(each.job, each.queue),
+            key=self.rank,
         )
         for waiting in ranked:
             if len(self.starts) >= MAX_STARTS_PER_ROUND:
--- a/tests/scheduling/test_rounds.py
+++ b/tests/scheduling/test_rounds.py
@@ -281,7 +281,7 @@
             await fleet.keep_house()
             with (
                 count_calls(WorkerSession, "last_contact_at") as contacts,
-                mock.patch.object(housekeeping, "_list_due") as due,
+                mock.patch.object(housekeeping, "choose_due") as due,
             ):
                 fleet.clock.advance(timedelta(milliseconds=100))
                 await fleet.keep_house()
