Refuse jobs with more tasks than a replica creates within a lease

Nobody has seen this in operation.

Jobs may have 16,384 tasks in all; entries answer 400 with both figures. The new test of platform.test_wire accepted such a job before.

--- a/src/rhubarbfield/platform/jobwire.py
+++ b/src/rhubarbfield/platform/jobwire.py
@@ -23,7 +23,8 @@
 
 MAX_PAYLOAD_CHARACTERS = 4_000
 MAX_STEPS = 256
-MAX_TASKS = 4_096
+MAX_TASKS = 4_096  # of a step
+MAX_JOB_TASKS = 16_384  # each replica creates them at once, within a lease
 
 Count = Annotated[int, msgspec.Meta(ge=0)]
 
@@ -121,4 +122,7 @@
     for number, step in enumerate(job.steps):
         if any(earlier >= number for earlier in step.start_after):
             return Failure(f"step {number} starts after a step that is not before it")
+    tasks = sum(step.count for step in job.steps)
+    if tasks > MAX_JOB_TASKS:
+        return Failure(f"the job has {tasks} tasks, and {MAX_JOB_TASKS} are allowed")
     return Success(job.to_submission())
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 from returns.result import Failure, Success
 
-from rhubarbfield.platform.jobwire import decode_job
+from rhubarbfield.platform.jobwire import MAX_JOB_TASKS, MAX_TASKS, decode_job
 from rhubarbfield.platform.runners import _read_view
 from rhubarbfield.platform.wire import (
     WireView,
@@ -84,6 +84,16 @@
                 self.assertIsInstance(refused, Failure)
                 self.assertTrue(refused.failure())
 
+    def test_job_with_more_tasks_than_a_replica_creates_at_once_is_refused(
+        self,
+    ) -> None:
+        """A million tasks held the loop of each replica for longer than a lease."""
+        wide = {"Count": MAX_TASKS}
+        most = MAX_JOB_TASKS // MAX_TASKS
+        decode_job(encode({"Spec": "x", "Steps": [wide] * most})).unwrap()
+        refused = decode_job(encode({"Spec": "x", "Steps": [wide] * (most + 1)}))
+        self.assertIn(str(MAX_JOB_TASKS), refused.failure())
+
     @settings(max_examples=200, derandomize=True, deadline=None)
     @given(JSON)
     def test_decoders_never_raise(self, content: object) -> None:
