Send no start to a silent worker for the first time, nor extend its lease

Starts that were placed on a worker before it was known to be silent were sent in turn, three attempts each, and each attempt extended the lease whose lapse frees the tasks of that worker.

A start that was never sent is now withdrawn if the worker gives no reply, so that another one takes it at once; one in doubt is repeated under the lease that was offered before.

--- a/src/rhubarbfield/scheduling/contact.py
+++ b/src/rhubarbfield/scheduling/contact.py
@@ -85,7 +85,7 @@
 
     @property
     def may_extend_lease(self) -> bool:
-        """Whether a view should extend the lease.
+        """Whether an order should extend the lease.
 
         A call without a reply may still have extended the lease. If repeated
         calls to an unresponsive worker did so, its lease would never be known to
@@ -93,6 +93,10 @@
         """
         return self.lease.has_clock and self.is_responsive
 
+    def offer_lease(self) -> timedelta:
+        """Return the lease end for an order, a new one only if it may be extended."""
+        return self.lease.extend() if self.may_extend_lease else self.lease.offered_end
+
     def handle_report(self, worker_clock: timedelta | None, age: timedelta) -> None:
         """Record that the worker reported itself; the report may be late.
 
--- a/src/rhubarbfield/scheduling/dispatch.py
+++ b/src/rhubarbfield/scheduling/dispatch.py
@@ -171,11 +171,16 @@
             self.stop(key, reason)
 
     def _may_start(self, start: Start) -> bool:
-        """Return whether an order to start a run may be sent now."""
+        """Return whether an order to start a run may be sent now.
+
+        One that was never sent goes to another worker if this one gives no reply.
+        """
         key = start.key
+        is_sent = self._ledger.starts.get(key) is StartState.SENT
         return (
             self._ledger.is_unsettled(key)
             and self._ledger.may_order(key)
+            and (is_sent or self._contact.is_responsive)
             and self._host.is_wanted(key.task)
             and self._contact.exit_announced_at is None
             and not self._is_late_on_draining(start)
@@ -201,7 +206,7 @@
             run=start.key.run,
             payload=start.payload,
             checkpoint=start.checkpoint,
-            lease_end=self._contact.lease.extend(),
+            lease_end=self._contact.offer_lease(),
             term=term,
             ticket=start.ticket,
         )
--- a/src/rhubarbfield/scheduling/leases.py
+++ b/src/rhubarbfield/scheduling/leases.py
@@ -43,6 +43,11 @@
         """Whether the worker's clock is known."""
         return self._worker_clock is not None
 
+    @property
+    def offered_end(self) -> timedelta:
+        """The latest lease end that was offered, on the worker's clock."""
+        return self._lease_end
+
     def update_clock(self, worker_clock: timedelta) -> None:
         """Record the worker's clock from a reply or report; it may be outdated."""
         self._worker_clock = worker_clock
--- a/tests/scheduling/test_leader.py
+++ b/tests/scheduling/test_leader.py
@@ -208,6 +208,38 @@
                 self.assertLessEqual(count_runs_at_once(deployment), 1)
             self.assertEqual(len(second.runs), 1)
 
+    @with_deployment()
+    async def test_starts_queued_for_a_silent_worker_do_not_extend_its_lease(
+        self, deployment: Deployment
+    ) -> None:
+        """A standing task waited for several starts, of which each extended it."""
+        first = deployment.add_worker("w1", duration=None)
+        async with deployment.lead():
+            await deployment.submit("j", Step(demand=ONE_CORE, standing=True))
+            await trio.sleep(MAX_LAPSE_SECONDS)  # of a lease of an earlier leader
+            first.is_unreachable = True
+            await deployment.submit("k", Step(tasks=6, demand=ONE_CORE))
+            second = deployment.add_worker("w2", duration=None)
+            lease = deployment.settings.lease.total_seconds()
+            await trio.sleep(VIEW_SECONDS + lease + LAPSE_DELAY_SECONDS)
+            self.assertIn(TaskName("j.0.0.0"), second.runs)
+            self.assertEqual(count_runs_at_once(deployment), 1)
+
+    @with_deployment()
+    async def test_starts_queued_for_a_silent_worker_go_to_another(
+        self, deployment: Deployment
+    ) -> None:
+        first = deployment.add_worker("w1", duration=None)
+        async with deployment.lead():
+            await trio.sleep(1)
+            first.is_unreachable = True
+            await deployment.submit("k", Step(tasks=6, demand=ONE_CORE))
+            second = deployment.add_worker("w2", duration=None)
+            attempts = deployment.settings.order_attempts
+            await trio.sleep(attempts + 1)  # each takes less than a second
+            # The first order may have arrived.
+            self.assertEqual(len(second.runs), 5)
+
     @with_deployment()
     async def test_other_incarnation_at_the_address_frees_tasks_at_once(
         self, deployment: Deployment
