Let the wait for a lost worker go on across changes of leader

Cause: a worker that gives no reply keeps its runs until its lease has certainly lapsed. A new leader did not know since when the lease had not been extended, and counted 10.4 s from its own election, whatever the silence before.

A worker that is silent for 0.5 s is now marked in the log, and no leader extends its lease until the removal of the mark is committed, so that each controller knows since when it can't have been extended. Without a mark a new leader waits for the longest lease that controllers give, and the age of the clock reading it rests on is bounded.

--- a/src/rhubarbfield/scheduling/appliers.py
+++ b/src/rhubarbfield/scheduling/appliers.py
@@ -288,6 +288,13 @@
             _end_run(state, worker, ended)
         worker.lapsed.extend(report.lapsed)
         worker.recorded_ends = max(worker.recorded_ends, report.recorded_ends)
+    for name, is_silent in [
+        *((name, True) for name in command.silent),
+        *((name, False) for name in command.heard),
+    ]:
+        marked = state.workers.get(name)
+        if marked is not None:
+            marked.silent = is_silent
     return Done()
 
 
--- a/src/rhubarbfield/scheduling/commands.py
+++ b/src/rhubarbfield/scheduling/commands.py
@@ -182,6 +182,18 @@
 
 
 class EndRuns(Command, frozen=True):
-    """Record the ends of runs."""
+    """Record the ends of runs, and which workers give no reply.
+
+    Attributes
+    ----------
+    workers
+        The ends, by worker.
+    silent
+        Workers whose lease is not extended from now on.
+    heard
+        Workers whose lease may be extended again.
+    """
 
     workers: tuple[WorkerEnds, ...]
+    silent: tuple[WorkerId, ...] = ()
+    heard: tuple[WorkerId, ...] = ()
--- a/src/rhubarbfield/scheduling/contact.py
+++ b/src/rhubarbfield/scheduling/contact.py
@@ -30,11 +30,16 @@
         Source of time.
     settings
         Timeouts and limits.
+    marked_at
+        Monotonic time since which the worker is marked as silent; None if it isn't.
 
     Attributes
     ----------
     lease
         The lease of the worker's runs.
+    is_suspended
+        Whether the lease is not extended, since the worker is marked as silent or
+        about to be.
     exit_announced_at
         Monotonic time at which the worker announced its exit, or None.
     reported_at
@@ -42,14 +47,20 @@
     """
 
     def __init__(
-        self, address: WorkerAddress, clock: Clock, settings: SchedulingSettings
+        self,
+        address: WorkerAddress,
+        clock: Clock,
+        settings: SchedulingSettings,
+        marked_at: timedelta | None = None,
     ) -> None:
         self.address = address
-        self.lease = WorkerLease(clock, settings)
+        self.lease = WorkerLease(clock, settings, marked_at)
+        self.is_suspended = marked_at is not None
         self.exit_announced_at: timedelta | None = None
         self._clock = clock
         self._settings = settings
         self._unresponsive_since: timedelta | None = None
+        self._has_replied = False
         self._no_starts_until = timedelta()
         self.reported_at: timedelta | None = None
         self._created_at = clock.monotonic()
@@ -64,11 +75,16 @@
         """Whether the latest call got a reply."""
         return self._unresponsive_since is None
 
+    @property
+    def has_replied(self) -> bool:
+        """Whether the latest call got a reply, and there was one in this term."""
+        return self._has_replied and self.is_responsive
+
     def is_usable_at(self, now: timedelta) -> bool:
         """Return whether new runs may be started on the worker at this time."""
-        if self.exit_announced_at is not None or not self.is_responsive:
+        if self.exit_announced_at is not None or not self.may_extend_lease:
             return False
-        if not self.lease.has_clock or now < self._no_starts_until:
+        if now < self._no_starts_until:
             return False
         return now - self.last_contact_at <= self._settings.silence_timeout
 
@@ -91,7 +107,7 @@
         calls to an unresponsive worker did so, its lease would never be known to
         have lapsed.
         """
-        return self.lease.has_clock and self.is_responsive
+        return self.lease.has_clock and self.is_responsive and not self.is_suspended
 
     def offer_lease(self) -> timedelta:
         """Return the lease end for an order, a new one only if it may be extended."""
@@ -109,10 +125,10 @@
         """
         reported_at = self._clock.monotonic() - age
         self.reported_at = max(self.reported_at or reported_at, reported_at)
-        if not self.lease.has_clock and worker_clock is not None:
+        if worker_clock is not None:
             # The worker's clock has advanced since. A lease counted from the
             # reading ends earlier on the worker, and counts as lapsed later here.
-            self.lease.update_clock(worker_clock)
+            self.lease.update_reported_clock(worker_clock, age)
 
     def handle_exit_announcement(self) -> None:
         """Record that the worker announced its exit."""
@@ -124,6 +140,7 @@
         if self._unresponsive_since is not None:
             log_event(logger, logging.INFO, "worker-regained", worker=self.worker)
         self._unresponsive_since = None
+        self._has_replied = True
         self.lease.update_clock(worker_clock)
 
     def handle_no_reply(self) -> None:
--- a/src/rhubarbfield/scheduling/controller.py
+++ b/src/rhubarbfield/scheduling/controller.py
@@ -48,6 +48,7 @@
 from rhubarbfield.scheduling.relayed_calls import RelayedCalls
 from rhubarbfield.scheduling.requests import JOB_CALL, JOB_STREAM
 from rhubarbfield.scheduling.service import SchedulingService
+from rhubarbfield.scheduling.silence_marks import MarkTimes
 from rhubarbfield.scheduling.state import SchedulingState
 from rhubarbfield.storage import FileStore, LogStore, MemoryStore
 from rhubarbfield.types import InstanceName
@@ -105,6 +106,7 @@
             run_blocking=run_blocking,
         )
         self.log = ReplicatedLog(self._replica, machine)
+        self._marks = MarkTimes(self.log, clock)
         self._leader: SchedulingLeader | None = None
         self._relay = WorkerRelay(calls, clock, lambda: self._leader is not None)
         self._register_gauges()
@@ -200,6 +202,7 @@
             calls=MeasuredCalls(calls, self._clock),
             clock=self._clock,
             settings=settings,
+            marks=self._marks,
         )
         async with trio.open_nursery() as nursery:
             await nursery.start(calls.run)
--- a/src/rhubarbfield/scheduling/dispatch.py
+++ b/src/rhubarbfield/scheduling/dispatch.py
@@ -180,7 +180,7 @@
         return (
             self._ledger.is_unsettled(key)
             and self._ledger.may_order(key)
-            and (is_sent or self._contact.is_responsive)
+            and (is_sent or self._contact.may_extend_lease)
             and self._host.is_wanted(key.task)
             and self._contact.exit_announced_at is None
             and not self._is_late_on_draining(start)
--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -55,6 +55,7 @@
 from rhubarbfield.scheduling.removals import Removals
 from rhubarbfield.scheduling.session import WorkerSession
 from rhubarbfield.scheduling.settings import SchedulingSettings
+from rhubarbfield.scheduling.silence_marks import MarkTimes, SilenceMarker
 from rhubarbfield.scheduling.slicing import choose_starts
 from rhubarbfield.scheduling.start_stages import StageTimes, StartStage
 from rhubarbfield.scheduling.starting import RunStarter
@@ -90,6 +91,8 @@
         Source of time.
     settings
         Timeouts and limits.
+    marks
+        When this controller learned that workers were marked as silent.
     """
 
     def __init__(
@@ -99,6 +102,7 @@
         calls: WorkerCalls,
         clock: Clock,
         settings: SchedulingSettings,
+        marks: MarkTimes,
     ) -> None:
         self._log = log
         self._clock = clock
@@ -117,6 +121,7 @@
             calls=calls,
             clock=clock,
             settings=settings,
+            find_mark=marks.find,
             on_opened=self._examine_worker,
             on_removed=self._forget_worker,
         )
@@ -124,6 +129,7 @@
             lambda: self.state, self._registry.sessions, self._headrooms, settings
         )
         self._terminations = Terminations(lambda: self.state, self._registry.sessions)
+        self._marker = SilenceMarker(log, self._registry.sessions, clock)
         self._pacer = RoundPacer(clock)
         self._avoided: dict[TaskName, set[WorkerId]] = {}
         self._removals = Removals(
@@ -187,6 +193,7 @@
                 nursery.start_soon(self._run_rounds)
                 nursery.start_soon(self._housekeeping.run)
                 nursery.start_soon(self._save_harm)
+                nursery.start_soon(self._marker.run)
         finally:
             self._log.machine.unwatch(self._registry.watch_command)
             self._log.machine.unwatch(self._suspects.watch_command)
--- a/src/rhubarbfield/scheduling/leases.py
+++ b/src/rhubarbfield/scheduling/leases.py
@@ -7,6 +7,11 @@
 from rhubarbfield.clock import Clock
 from rhubarbfield.scheduling.settings import SchedulingSettings
 
+# A lease end rests on a reading of the worker's clock of this age at most, or is
+# shorter: a clock may be slow, and the next leader does not know when it was read.
+MAX_CLOCK_AGE = timedelta(seconds=10)
+# By how much a clock in a report may exceed the one expected from the last reading.
+CLOCK_TOLERANCE = timedelta(seconds=1)
 LATENCY_SLACK = timedelta(milliseconds=200)  # for an order in flight at a power loss
 
 
@@ -19,6 +24,8 @@
         Source of the leader's time.
     settings
         Timeouts and limits.
+    unextended_since
+        Monotonic time since which no leader has extended the lease; by default now.
 
     Attributes
     ----------
@@ -28,15 +35,24 @@
         Monotonic time from which the lease has certainly lapsed.
     """
 
-    def __init__(self, clock: Clock, settings: SchedulingSettings) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        settings: SchedulingSettings,
+        unextended_since: timedelta | None = None,
+    ) -> None:
         self._clock = clock
         self._settings = settings
         self._worker_clock: timedelta | None = None
         self._lease_end = timedelta()
         self.clock_read_at = timedelta()
-        # An earlier leader may have extended the lease until just now.
-        longest = settings.longest_lease / self._slowest_rate
-        self.lapses_at = clock.monotonic() + longest + LATENCY_SLACK
+        # An earlier leader may have extended the lease until then.
+        since = clock.monotonic() if unextended_since is None else unextended_since
+        longest = min(
+            settings.longest_lease,
+            settings.lease + MAX_CLOCK_AGE * settings.clock_drift,
+        )
+        self.lapses_at = since + longest / self._slowest_rate + LATENCY_SLACK
 
     @property
     def has_clock(self) -> bool:
@@ -53,6 +69,26 @@
         self._worker_clock = worker_clock
         self.clock_read_at = self._clock.monotonic()
 
+    def update_reported_clock(self, worker_clock: timedelta, age: timedelta) -> None:
+        """Record the worker's clock from a report, unless it was delayed.
+
+        Parameters
+        ----------
+        worker_clock
+            The worker's clock in the report.
+        age
+            Time since the report was received.
+        """
+        read_at = self._clock.monotonic() - age
+        if self._worker_clock is not None:
+            passed = read_at - self.clock_read_at
+            earliest = self._worker_clock + passed * self._slowest_rate
+            latest = self._worker_clock + passed + CLOCK_TOLERANCE
+            if passed <= timedelta() or not earliest <= worker_clock <= latest:
+                return
+        self._worker_clock = worker_clock
+        self.clock_read_at = read_at
+
     def extend(self) -> timedelta:
         """Return a new lease end on the worker's clock.
 
@@ -61,6 +97,8 @@
         """
         assert self._worker_clock is not None
         passed = self._clock.monotonic() - self.clock_read_at
+        slow_time = max(passed - MAX_CLOCK_AGE, timedelta())
+        passed -= slow_time * self._settings.clock_drift
         offered = self._worker_clock + passed + self._settings.lease
         self._lease_end = max(self._lease_end, offered)
         left = (self._lease_end - self._worker_clock) / self._slowest_rate
--- a/src/rhubarbfield/scheduling/registry.py
+++ b/src/rhubarbfield/scheduling/registry.py
@@ -33,6 +33,8 @@
         Source of time.
     settings
         Timeouts and limits.
+    find_mark
+        Returns since when a worker is marked as silent, or None.
     on_opened
         Called with the id of each worker with which a session is opened.
     on_removed
@@ -51,6 +53,7 @@
         calls: WorkerCalls,
         clock: Clock,
         settings: SchedulingSettings,
+        find_mark: Callable[[WorkerId], timedelta | None],
         on_opened: Callable[[WorkerId], None],
         on_removed: Callable[[WorkerId], None],
     ) -> None:
@@ -58,6 +61,7 @@
         self._calls = calls
         self._clock = clock
         self._settings = settings
+        self._find_mark = find_mark
         self._on_opened = on_opened
         self._on_removed = on_removed
         self._scopes: dict[WorkerId, trio.CancelScope] = {}
@@ -131,6 +135,7 @@
             calls=self._calls,
             clock=self._clock,
             settings=self._settings,
+            marked_at=self._find_mark(worker.worker),
         )
         if worker.worker in self._reported_clocks:
             session.handle_report(self._reported_clocks[worker.worker])
--- a/src/rhubarbfield/scheduling/session.py
+++ b/src/rhubarbfield/scheduling/session.py
@@ -41,6 +41,8 @@
 
 logger = logging.getLogger(__name__)
 
+MARK_DELAY = timedelta(milliseconds=500)  # most silences are shorter
+
 
 class WorkerSession:
     """Sends orders to one worker and polls its state while the leader leads.
@@ -57,6 +59,8 @@
         Source of time.
     settings
         Timeouts and limits.
+    marked_at
+        Monotonic time since which the worker is marked as silent; None if it isn't.
 
     Attributes
     ----------
@@ -74,12 +78,13 @@
         calls: WorkerCalls,
         clock: Clock,
         settings: SchedulingSettings,
+        marked_at: timedelta | None = None,
     ) -> None:
         self._host = host
         self._calls = calls
         self._clock = clock
         self._settings = settings
-        self._contact = WorkerContact(address, clock, settings)
+        self._contact = WorkerContact(address, clock, settings, marked_at)
         self._ledger = OrderLedger(address.worker, host)
         self.presence = RunPresence(self._contact, self._ledger, host)
         self._orders = OrderDispatcher(
@@ -150,7 +155,7 @@
             Time since the report was received.
         """
         self._contact.handle_report(worker_clock, age)
-        if not self._contact.is_responsive:
+        if not self._contact.is_responsive or self._contact.is_suspended:
             self.request_view()
 
     def handle_exit_announcement(self) -> None:
@@ -180,9 +185,32 @@
         Starts without an answer may still be carried out, so their runs are stopped
         before they can count as missing.
         """
+        self._contact.is_suspended |= former._contact.is_suspended
         for key, reason in self._ledger.adopt(former._ledger):
             self.stop(key, reason)
 
+    @property
+    def needs_mark(self) -> bool:
+        """Whether the worker has been silent for a while without being marked."""
+        since = self._contact.unresponsive_since
+        if since is None or self._contact.is_suspended:
+            return False
+        return self._clock.monotonic() - since >= MARK_DELAY
+
+    @property
+    def has_outdated_mark(self) -> bool:
+        """Whether the worker is marked as silent although it replied."""
+        return self._contact.is_suspended and self._contact.has_replied
+
+    def suspend_lease(self) -> None:
+        """Stop extending the lease, since the worker is to be marked as silent."""
+        self._contact.is_suspended = True
+
+    def resume_lease(self) -> None:
+        """Extend the lease again, since the mark is certainly removed."""
+        self._contact.is_suspended = False
+        self.request_view()
+
     def is_stopping(self, key: RunKey) -> bool:
         """Return whether the run was ordered to stop."""
         return key in self._ledger.stops
--- /dev/null
+++ b/src/rhubarbfield/scheduling/silence_marks.py
@@ -0,0 +1,105 @@
+"""Marks in the log of the workers that give no reply.
+
+No leader extends the lease of a marked worker until the mark is committed to be
+removed. So each controller knows since when a lease can't have been extended, and
+the next leader does not have to wait for it anew.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from datetime import timedelta
+
+from rhubarbfield.clock import Clock
+from rhubarbfield.groups import ReplicatedLog
+from rhubarbfield.machine import Command, Reply
+from rhubarbfield.scheduling.appliers import SchedulingLogState
+from rhubarbfield.scheduling.commands import EndRuns
+from rhubarbfield.scheduling.recording import propose_until_committed
+from rhubarbfield.scheduling.session import WorkerSession
+from rhubarbfield.types import LogIndex, WorkerId
+
+CHECK_INTERVAL = timedelta(milliseconds=100)  # short beside what is left of a lease
+
+
+class MarkTimes:
+    """When this controller learned that workers were marked as silent.
+
+    Parameters
+    ----------
+    log
+        The deployment's log, which it follows from now on.
+    clock
+        Source of time.
+    """
+
+    def __init__(self, log: ReplicatedLog[SchedulingLogState], clock: Clock) -> None:
+        self._log = log
+        self._clock = clock
+        self._marked_at: dict[WorkerId, timedelta] = {}
+        log.machine.watch(self._watch_command)
+        # A mark may have been removed and set again in what a snapshot covers.
+        log.machine.watch_restore(lambda: self._update({}))
+
+    def find(self, worker: WorkerId) -> timedelta | None:
+        """Return since when a worker's lease was certainly not extended, if known."""
+        return self._marked_at.get(worker)
+
+    def _watch_command(self, _index: LogIndex, command: Command, _reply: Reply) -> None:
+        if isinstance(command, EndRuns) and (command.silent or command.heard):
+            self._update(self._marked_at)
+
+    def _update(self, known: Mapping[WorkerId, timedelta]) -> None:
+        now = self._clock.monotonic()
+        workers = self._log.state.scheduling.workers.values()
+        self._marked_at = {
+            each.worker: known.get(each.worker, now) for each in workers if each.silent
+        }
+
+
+class SilenceMarker:
+    """Marks the workers that give no reply, and removes the marks of others.
+
+    Parameters
+    ----------
+    log
+        The deployment's log.
+    sessions
+        The leader's session with each worker.
+    clock
+        Source of time.
+    """
+
+    def __init__(
+        self,
+        log: ReplicatedLog[SchedulingLogState],
+        sessions: Mapping[WorkerId, WorkerSession],
+        clock: Clock,
+    ) -> None:
+        self._log = log
+        self._sessions = sessions
+        self._clock = clock
+
+    async def run(self) -> None:
+        """Mark workers until cancelled."""
+        while True:
+            await self._clock.sleep(CHECK_INTERVAL)
+            silent = [each for each in self._sessions.values() if each.needs_mark]
+            heard = [each for each in self._sessions.values() if each.has_outdated_mark]
+            if silent or heard:
+                await self._commit(silent, heard)
+
+    async def _commit(
+        self, silent: list[WorkerSession], heard: list[WorkerSession]
+    ) -> None:
+        for session in silent:
+            # Before the proposal: the lease must not be extended after a commit.
+            session.suspend_lease()
+        command = EndRuns(
+            workers=(),
+            silent=tuple(each.worker for each in silent),
+            heard=tuple(each.worker for each in heard),
+        )
+        await propose_until_committed(self._log, command, self._clock)
+        for session in heard:
+            session.resume_lease()
--- a/src/rhubarbfield/scheduling/state.py
+++ b/src/rhubarbfield/scheduling/state.py
@@ -273,6 +273,8 @@
     lapsed
         Runs that were lost with its lease, until it is heard again: it may have
         crashed.
+    silent
+        Whether its lease is not extended, since it gave no reply.
     """
 
     worker: WorkerId
@@ -287,6 +289,7 @@
     recorded_ends: int = 0
     runs: dict[TaskName, RunNumber] = msgspec.field(default_factory=dict)
     lapsed: list[CrashedRun] = msgspec.field(default_factory=list)
+    silent: bool = False
 
     def find_share(self, step: Step) -> float:
         """Return the share of the worker's processors that a task of ``step`` wants.
--- a/tests/scheduling/deployments.py
+++ b/tests/scheduling/deployments.py
@@ -35,6 +35,7 @@
 )
 from rhubarbfield.scheduling.ports import StartOrder, StopOrder
 from rhubarbfield.scheduling.settings import SchedulingSettings
+from rhubarbfield.scheduling.silence_marks import MarkTimes
 from rhubarbfield.scheduling.state import Job, SchedulingState
 from rhubarbfield.testing.crashing_workers import CrashingFleet
 from rhubarbfield.testing.scheduling_fleet import SentOrder
@@ -73,6 +74,7 @@
         self.settings = settings or SchedulingSettings()
         log, self.replica = make_single_member_log(make_scheduling_machine())
         self.log = cast(ReplicatedLog[SchedulingLogState], log)
+        self.marks = MarkTimes(self.log, self.clock)
         self.elect(1)
         self.reporting: list[StandInWorker] = []
 
@@ -86,7 +88,11 @@
 
     def make_leader(self) -> SchedulingLeader:
         return SchedulingLeader(
-            self.log, calls=self.fleet, clock=self.clock, settings=self.settings
+            self.log,
+            calls=self.fleet,
+            clock=self.clock,
+            settings=self.settings,
+            marks=self.marks,
         )
 
     def add_worker(self, name: str, **options: Any) -> StandInWorker:
--- a/tests/scheduling/fleets.py
+++ b/tests/scheduling/fleets.py
@@ -47,6 +47,7 @@
 from rhubarbfield.scheduling.ports import ActiveRun, WorkerAddress, WorkerCalls
 from rhubarbfield.scheduling.session import WorkerSession
 from rhubarbfield.scheduling.settings import SchedulingSettings
+from rhubarbfield.scheduling.silence_marks import MarkTimes
 from rhubarbfield.scheduling.state import RunEnd, SchedulingState, Worker
 from rhubarbfield.types import JobId, LogIndex, RackName, ServiceName, Term, WorkerId
 from tests.controller.single_member import make_single_member_log
@@ -106,6 +107,7 @@
             calls=cast(WorkerCalls, None),
             clock=self.clock,
             settings=self.settings,
+            marks=MarkTimes(self.log, self.clock),
         )
         self.sessions = cast(
             dict[WorkerId, WorkerSession], self.leader._registry.sessions
--- a/tests/scheduling/relays.py
+++ b/tests/scheduling/relays.py
@@ -185,6 +185,7 @@
             calls=self.relays.relayed,
             clock=self.clock,
             settings=self.settings,
+            marks=self.marks,
         )
 
 
--- a/tests/scheduling/test_leader.py
+++ b/tests/scheduling/test_leader.py
@@ -208,6 +208,26 @@
                 self.assertLessEqual(count_runs_at_once(deployment), 1)
             self.assertEqual(len(second.runs), 1)
 
+    @with_deployment()
+    async def test_next_leader_waits_for_a_lost_worker_no_longer_than_its_lease(
+        self, deployment: Deployment
+    ) -> None:
+        """A standing task stood still for 18 s around a change of leader."""
+        first = deployment.add_worker("w1", duration=None)
+        async with deployment.lead():
+            await deployment.submit("j", Step(demand=ONE_CORE, standing=True))
+            await trio.sleep(MAX_LAPSE_SECONDS)
+            second = deployment.add_worker("w2", duration=None)
+            first.is_unreachable = True
+            await trio.sleep(5)
+        deployment.elect(2)
+        async with deployment.lead():
+            lease = deployment.settings.lease.total_seconds()
+            for _ in range(int((lease + LAPSE_DELAY_SECONDS) * 10)):
+                await trio.sleep(0.1)
+                self.assertLessEqual(count_runs_at_once(deployment), 1)
+            self.assertEqual(len(second.runs), 1)
+
     @with_deployment()
     async def test_starts_queued_for_a_silent_worker_do_not_extend_its_lease(
         self, deployment: Deployment
