Drop the time of a mark together with its worker

A worker that is removed and reports itself again has no mark. A controller still had the time of the former one, and would have counted a lease as lapsed by it once the worker was marked again.

test_mark_of_a_removed_worker_says_nothing_once_it_is_back failed before.

--- a/src/rhubarbfield/scheduling/appliers.py
+++ b/src/rhubarbfield/scheduling/appliers.py
@@ -42,6 +42,7 @@
     Worker,
 )
 from rhubarbfield.scheduling.suspicion import record_crash
+from rhubarbfield.types import WorkerId
 
 MAX_HARM_ESTIMATES = 10_000  # about 1 MB of a snapshot
 
@@ -288,16 +289,20 @@
             _end_run(state, worker, ended)
         worker.lapsed.extend(report.lapsed)
         worker.recorded_ends = max(worker.recorded_ends, report.recorded_ends)
-    for name, is_silent in [
-        *((name, True) for name in command.silent),
-        *((name, False) for name in command.heard),
-    ]:
-        marked = state.workers.get(name)
-        if marked is not None:
-            marked.silent = is_silent
+    _mark_workers(state, command.silent, is_silent=True)
+    _mark_workers(state, command.heard, is_silent=False)
     return Done()
 
 
+def _mark_workers(
+    state: SchedulingState, workers: tuple[WorkerId, ...], *, is_silent: bool
+) -> None:
+    for name in workers:
+        worker = state.workers.get(name)
+        if worker is not None:
+            worker.silent = is_silent
+
+
 def _end_run(state: SchedulingState, worker: Worker, ended: EndedRun) -> None:
     """Record the end of a run; for a run that is not live it changes nothing."""
     if worker.runs.get(ended.task) == ended.run:
--- a/src/rhubarbfield/scheduling/silence_marks.py
+++ b/src/rhubarbfield/scheduling/silence_marks.py
@@ -14,7 +14,7 @@
 from rhubarbfield.groups import ReplicatedLog
 from rhubarbfield.machine import Command, Reply
 from rhubarbfield.scheduling.appliers import SchedulingLogState
-from rhubarbfield.scheduling.commands import EndRuns
+from rhubarbfield.scheduling.commands import EndRuns, RemoveWorker
 from rhubarbfield.scheduling.recording import propose_until_committed
 from rhubarbfield.scheduling.session import WorkerSession
 from rhubarbfield.types import LogIndex, WorkerId
@@ -46,8 +46,11 @@
         return self._marked_at.get(worker)
 
     def _watch_command(self, _index: LogIndex, command: Command, _reply: Reply) -> None:
-        if isinstance(command, EndRuns) and (command.silent or command.heard):
-            self._update(self._marked_at)
+        match command:
+            case RemoveWorker():
+                self._marked_at.pop(command.worker, None)
+            case EndRuns() if command.silent or command.heard:
+                self._update(self._marked_at)
 
     def _update(self, known: Mapping[WorkerId, timedelta]) -> None:
         now = self._clock.monotonic()
--- a/tests/scheduling/test_silence_marks.py
+++ b/tests/scheduling/test_silence_marks.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from rhubarbfield.scheduling.commands import EndRuns, UpdateWorkers
+from rhubarbfield.scheduling.commands import EndRuns, RemoveWorker, UpdateWorkers
 from rhubarbfield.scheduling.model import Step
 from rhubarbfield.scheduling.state import Worker
 from rhubarbfield.testing.scheduling_workers import StandInWorker
@@ -23,6 +23,7 @@
 
 NAME = WorkerId("w1")
 LEASE_SECONDS = 6.0
+MARK_AGE = timedelta(seconds=0.1)  # of a mark that has just been committed
 # Until the mark is committed: a view in progress, a call, and the delay of the mark.
 MARK_SECONDS = 1.6 + 0.7 + 0.6
 # A slow clock and an old reading of it, an order in flight, and a call.
@@ -176,6 +177,22 @@
         deployment.log.machine.restore(snapshot)
         self.assertEqual(marks.find(NAME), now())
 
+    @with_deployment()
+    async def test_mark_of_a_removed_worker_says_nothing_once_it_is_back(
+        self, deployment: Deployment
+    ) -> None:
+        """Its lease may have been extended since the first mark."""
+        marks = deployment.marks
+        for _ in range(2):
+            await deployment.propose(UpdateWorkers(reports=(make_report(NAME),)))
+            self.assertIsNone(marks.find(NAME))
+            await trio.sleep(1)
+            await deployment.propose(EndRuns(workers=(), silent=(NAME,)))
+            marked_at = marks.find(NAME)
+            assert marked_at is not None
+            self.assertLess(deployment.clock.monotonic() - marked_at, MARK_AGE)
+            await deployment.propose(RemoveWorker(worker=NAME))
+
     def test_marks_outlast_a_restart(self) -> None:
         log = Log()
         log.apply(UpdateWorkers(reports=(make_report(NAME),)))
