--- a/src/rhubarbfield/scheduling/placing.py
+++ b/src/rhubarbfield/scheduling/placing.py
@@ -158,7 +158,7 @@
         return self._sort((self.unplaced | self.trials).values())
 
     def _sort(self, steps: Iterable[WaitingStep]) -> list[WaitingStep]:
-        """Sort steps by their ranks, each of which serves all steps of a job."""
+        """Sort steps by their ranks; all steps of an occurrence share one."""
         ranks: dict[tuple[JobId, int], tuple[float, ...]] = {}
 
         def rank(waiting: WaitingStep) -> tuple[float, ...]:
