Follow the settings file when it changes without a signal

Cause: only SIGHUP made a program read its settings again, so that an entry knew the seeds of its start and whoever a controller had named since. Now each program compares its file once a second, and applies settings that differ. That serves controllers, too: one that was away for the whole change finds its group again. The new test test_seeds_that_change_without_a_signal_are_applied can't pass before, as nothing watched the file.

--- a/src/rhubarbfield/scheduling/serving.py
+++ b/src/rhubarbfield/scheduling/serving.py
@@ -5,7 +5,6 @@
 import logging
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
-from functools import partial
 from pathlib import Path
 
 import msgspec
@@ -25,6 +24,8 @@
 
 # The balancer checks readiness once a second, and may miss two checks.
 READINESS_PROPAGATION_DELAY = timedelta(seconds=3)
+# Short beside the time for which a replaced controller stays among the seeds.
+SETTINGS_CHECK_INTERVAL = timedelta(seconds=1)
 # Left of the grace period when connections are cut, to end the process in time.
 EXIT_MARGIN = timedelta(seconds=1)
 
@@ -57,6 +58,60 @@
     add_seeds: Callable[[DeploymentSettings], None]
 
 
+class SettingsFile:
+    """The settings file of a running program, which may change without a signal.
+
+    Parameters
+    ----------
+    path
+        The file.
+    settings
+        The settings that the program was started with.
+    apply
+        Called with settings that differ from the last ones.
+    """
+
+    def __init__(
+        self,
+        path: Path,
+        settings: DeploymentSettings,
+        apply: Callable[[DeploymentSettings], None],
+    ) -> None:
+        self._path = path
+        self._settings = settings
+        self._apply = apply
+        self._content: bytes | None = None
+
+    async def watch(self, clock: Clock) -> None:
+        """Reload the settings whenever the file has changed, until cancelled."""
+        while True:
+            await clock.sleep(SETTINGS_CHECK_INTERVAL)
+            content = self._read()
+            if content is not None and content != self._content:
+                self._content = content
+                self.reload()
+
+    def reload(self) -> None:
+        """Read the file, and apply its settings if they are valid and differ."""
+        try:
+            settings = load_deployment_settings(self._path)
+        except UsageError as error:
+            logger.error("settings-refused %s", error.format_message())
+            return
+        if settings == self._settings:
+            return
+        self._settings = settings
+        logger.info("settings-reloaded")
+        self._apply(settings)
+
+    def _read(self) -> bytes | None:
+        """Return the content of the file; None while it can't be read."""
+        try:
+            return self._path.read_bytes()
+        except OSError:
+            return None
+
+
 async def run_program(
     program: Program,
     settings: DeploymentSettings,
@@ -78,6 +133,7 @@
         Started once the app is served.
     """
     stop = trio.Event()
+    file = SettingsFile(path, settings, program.add_seeds)
 
     async def wait_for_stop() -> None:
         await stop.wait()
@@ -90,6 +146,7 @@
         async with trio.open_nursery() as nursery:
             await nursery.start(program.run)
             await nursery.start(_serve_metrics, settings)
+            nursery.start_soon(file.watch, clock)
             server = HttpServer(program.handler, _make_limits(program, settings))
             binds = [bind for bind in program.binds if bind]
             async with trio.open_nursery() as serving:
@@ -99,7 +156,7 @@
 
     await run_until_signal(
         run,
-        reload=partial(_reload, path, program.add_seeds),
+        reload=file.reload,
         stop=stop,
         task_status=task_status,
     )
@@ -115,16 +172,6 @@
     await server.serve(binds, trio.sleep_forever, task_status=task_status)
 
 
-def _reload(path: Path, apply: Callable[[DeploymentSettings], None]) -> None:
-    try:
-        settings = load_deployment_settings(path)
-    except UsageError as error:
-        logger.error("settings-refused %s", error.format_message())
-        return
-    logger.info("settings-reloaded")
-    apply(settings)
-
-
 def _make_limits(program: Program, settings: DeploymentSettings) -> HttpLimits:
     grace = timedelta(milliseconds=settings.grace_ms) - program.stop_delay
     return HttpLimits(
--- /dev/null
+++ b/tests/scheduling/test_serving.py
@@ -0,0 +1,65 @@
+"""Tests of the settings file of a running program."""
+
+from __future__ import annotations
+
+import tempfile
+import unittest
+from pathlib import Path
+
+import trio
+
+from rhubarbfield.clock import TrioClock
+from rhubarbfield.scheduling.deployment import (
+    DeploymentSettings,
+    load_deployment_settings,
+)
+from rhubarbfield.scheduling.serving import SettingsFile
+from tests.replication.determinism import run_deterministic
+
+SEED_LAG_SECONDS = 3.0  # the seeds in the file are this old at most
+
+
+def write_settings(path: Path, seeds: str) -> None:
+    path.write_text(
+        f"instance: e1\nfailure_domain: z\nhost: e1\npeer_port: 2\nseeds: [{seeds}]\n"
+        "workers: {report_ms: 500, longest_lease_ms: 6000}\n",
+        encoding="utf-8",
+    )
+
+
+class SettingsFileTest(unittest.TestCase):
+    def play(self, contents: list[str]) -> list[tuple[str, ...]]:
+        """Return the seeds that are applied while the file's seeds change."""
+        applied: list[DeploymentSettings] = []
+
+        async def body() -> None:
+            with tempfile.TemporaryDirectory() as folder:
+                path = Path(folder) / "settings.yaml"
+                write_settings(path, '"c1:1"')
+                settings = load_deployment_settings(path)
+                file = SettingsFile(path, settings, applied.append)
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(file.watch, TrioClock())
+                    for content in contents:
+                        await trio.sleep(SEED_LAG_SECONDS)
+                        write_settings(path, content)
+                    await trio.sleep(SEED_LAG_SECONDS)
+                    nursery.cancel_scope.cancel()
+
+        run_deterministic(body, seed=1)
+        return [settings.seeds for settings in applied]
+
+    def test_seeds_that_change_without_a_signal_are_applied(self) -> None:
+        seeds = self.play(['"c2:1"', '"c3:1", "c4:1"'])
+        self.assertEqual(seeds, [("c2:1",), ("c3:1", "c4:1")])
+
+    def test_invalid_settings_keep_the_earlier_ones_in_force(self) -> None:
+        seeds = self.play(['"c2:1', '"c3:1"'])
+        self.assertEqual(seeds, [("c3:1",)])
+
+    def test_settings_that_do_not_differ_are_not_applied(self) -> None:
+        self.assertEqual(self.play(['"c1:1"', ' "c1:1" ']), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
