Show that an entry stays without a leader that answers

Callers of such an entry get 503 or no answer, and the balancer takes it out of rotation, while another entry is served by the same leader. Two causes, a test each:

- Once the former leader has gone dark and the next one is the member before it in the entry's list, a probe spends 0.8 of its 1.0 s on the dark one, is referred to the leader, and has less than 0.1 s left to connect.
That attempt ends with the probe; its connection is retired and the target moves on, to the dark one again.
- An attempt that gets no reply in 0.8 s is abandoned with its connection.
A leader that takes longer to connect and reply is called on a new connection each time, which costs it six times the processor time of a call on an open one.

--- /dev/null
+++ b/tests/leadercalls/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of rhubarbfield.leadercalls."""
--- a/tests/scheduling/test_gateway.py
+++ b/tests/scheduling/test_gateway.py
@@ -23,7 +23,10 @@
     JobRequest,
     JobStatus,
     JobVerb,
+    Ready,
 )
+from rhubarbfield.types import InstanceName
+from tests.leadercalls.members import Members
 from tests.protocol.test_leaders import TIMED_OUT, Reply, ScriptedTransport
 from tests.replication.determinism import run_deterministic
 
@@ -185,6 +188,53 @@
         assert isinstance(reply, Undecided)
         self.assertTrue(reply.in_doubt)
 
+    def test_entry_finds_the_next_leader_while_the_former_is_dark(self) -> None:
+        """Each probe ended while a connection to the leader was being opened."""
+        members = Members("c3", Ready())
+        members.connect_times["c2"] = timedelta(milliseconds=150)
+        unready = 0
+
+        async def body() -> None:
+            nonlocal unready
+            gateway = Gateway(SETTINGS, cast(Transport, members), TrioClock())
+            async with trio.open_nursery() as nursery:
+                await nursery.start(gateway.run)
+                await trio.sleep(5)
+                self.assertTrue(gateway.is_ready)
+                members.dark.add("c3")
+                members.leader = InstanceName("c2")
+                for _ in range(30):
+                    await trio.sleep(1)
+                    unready += not gateway.is_ready
+                nursery.cancel_scope.cancel()
+
+        run_deterministic(body, seed=1)
+        self.assertLessEqual(unready, 2)
+
+    def test_slow_leader_is_waited_for_as_long_as_the_caller_waits(self) -> None:
+        """Each attempt was abandoned, with its connection, before the reply came."""
+        status = JobStatus(JobPhase.RUNNING)
+        members = Members("c2", status)
+        members.connect_times["c2"] = timedelta(milliseconds=500)
+        members.reply_times["c2"] = timedelta(milliseconds=500)
+        request = JobRequest(verb=JobVerb.READ, host="h", path="/q/j")
+        replies: list[JobReply | Undecided] = []
+        connections: list[int] = []
+
+        async def body() -> None:
+            gateway = Gateway(SETTINGS, cast(Transport, members), TrioClock())
+            async with trio.open_nursery() as nursery:
+                await nursery.start(gateway.run)
+                for _ in range(6):
+                    replies.append(await gateway.forward(request, CALLER_TIMEOUT))
+                    await trio.sleep(3)
+                    connections.append(members.connections["c2"])
+                nursery.cancel_scope.cancel()
+
+        run_deterministic(body, seed=1)
+        self.assertEqual(replies, [status] * 6)
+        self.assertEqual(connections[0], connections[-1])
+
 
 if __name__ == "__main__":
     unittest.main()
