Do not give a controller up because the caller's time is over

Callers saw entries that found no leader for as long as a former leader was dark, and were out of rotation for it, while other entries were served.

A call of 1 s to a dark controller leaves 0.1 s for the referral and for the leader, which may have just been elected and has as many connections to accept as there are entries. The attempt was cut off by the end of the call, yet counted as a failure of the leader: its connection was retired half open, and the next call began at the next member. Where that is the dark one, the next calls repeat this.

An attempt that ends with the call now leaves connection and target as they are, and only the time that it took counts: a member is given up after a whole attempt timeout without a reply, over as many calls as that takes. The failure of a call to an earlier target no longer moves the target, and a call no longer sleeps past its end.

--- a/src/rhubarbfield/leadercalls/calls.py
+++ b/src/rhubarbfield/leadercalls/calls.py
@@ -15,6 +15,7 @@
     CallFailure,
     CallFailureKind,
     CallMethod,
+    Connection,
     ConnectionPool,
     Transport,
 )
@@ -22,6 +23,7 @@
 
 RETRY_DELAY = timedelta(milliseconds=100)
 ATTEMPT_TIMEOUT = timedelta(milliseconds=1500)
+TIMER_TOLERANCE = timedelta(milliseconds=1)
 
 
 class LeaderFailure(msgspec.Struct, frozen=True, kw_only=True):
@@ -76,6 +78,7 @@
         self._attempt_timeout = attempt_timeout
         self._pool = ConnectionPool(self._members, transport, clock, locate)
         self._leader = next(iter(self._members))
+        self._unanswered: dict[InstanceName, timedelta] = {}
 
     def add_members(self, members: Mapping[InstanceName, tuple[str, int]]) -> None:
         """Add instances that may lead."""
@@ -109,10 +112,7 @@
         was_redirected = False
         detail = "no leader was found"
         while (remaining := deadline - self._clock.monotonic()) > timedelta():
-            connection = self._pool.get(self._leader)
-            reply = await connection.call(
-                self._method, request, min(remaining, self._attempt_timeout)
-            )
+            reply = await self._attempt(request, remaining)
             match reply:
                 case Success(NotLeading(leader=leader)):
                     # Only once: during an election members may name each other.
@@ -134,11 +134,38 @@
                     in_doubt = in_doubt or _is_in_doubt(failure)
                     if in_doubt and in_doubt_timeout is not None:
                         deadline = max(deadline, started_at + in_doubt_timeout)
-                    self._pool.retire(self._leader, connection)
-                    self._switch_target(None)
-            await self._clock.sleep(min(remaining, RETRY_DELAY))
+            rest = deadline - self._clock.monotonic()
+            await self._clock.sleep(min(rest, RETRY_DELAY))
         return Failure(LeaderFailure(detail=detail, in_doubt=in_doubt))
 
+    async def _attempt(
+        self, request: Any, remaining: timedelta
+    ) -> Result[Any, CallFailure]:
+        """Call the member that probably leads, and give it up if it fails.
+
+        An attempt that ends with the call says nothing about the member: the time
+        that it took is counted, and the next call goes on with the same connection.
+        """
+        member = self._leader
+        connection = self._pool.get(member)
+        unanswered = self._unanswered.pop(member, timedelta())
+        patience = self._attempt_timeout - unanswered
+        began = self._clock.monotonic()
+        reply = await connection.call(self._method, request, min(remaining, patience))
+        waited = self._clock.monotonic() - began
+        if isinstance(reply, Failure):
+            if remaining - TIMER_TOLERANCE <= waited < patience:
+                self._unanswered[member] = unanswered + waited
+            else:
+                self._give_up(member, connection)
+        return reply
+
+    def _give_up(self, member: InstanceName, connection: Connection) -> None:
+        """Call another member next, and ``member`` over another connection."""
+        self._pool.retire(member, connection)
+        if member == self._leader:
+            self._switch_target(None)
+
     def _switch_target(self, leader: InstanceName | None) -> bool:
         """Call ``leader`` next, or else another member; return whether it is known."""
         if leader is not None and self._locate is not None:
