Search only changed jobs for waiting tasks

Each placement round looked at all tasks of all open jobs to find the steps of which one waits, although most of them run for minutes: work that grows with the open tasks, in one turn of the leader's loop.

A job now keeps its waiting steps until an occurrence is opened or a task changes its phase, which the applied commands do through one method. Which steps a round sees, and in which order, is unchanged: checked against a scan after random commands, and by the comparison of rounds with a full recomputation.

The new test of the cost failed before: 101 searches instead of 4.

--- a/src/rhubarbfield/scheduling/appliers.py
+++ b/src/rhubarbfield/scheduling/appliers.py
@@ -182,7 +182,7 @@
     if not job.is_open or task.phase.is_final:
         return
     if record_crash(task, crashed):
-        task.phase = TaskPhase.FAILED
+        job.set_phase(task, TaskPhase.FAILED)
         job.phase = JobPhase.FAILED
 
 
@@ -248,7 +248,7 @@
     job, _, _, task = found
     check_invariant(start.run > task.last_run, "run-numbers-grow", (start, task))
     check_invariant(start.task not in worker.runs, "one-run-a-worker", start)
-    task.phase = TaskPhase.LIVE
+    job.set_phase(task, TaskPhase.LIVE)
     task.last_run = start.run
     task.live[start.run] = start.worker
     worker.runs[start.task] = start.run
@@ -329,11 +329,11 @@
     if ended.end is RunEnd.DONE and not job.get_step(step).standing:
         _finish_task(job, occurrence, step, task)
     elif ended.end is RunEnd.FAILED and _count_failure(state, found, ended.run):
-        task.phase = TaskPhase.FAILED
+        job.set_phase(task, TaskPhase.FAILED)
         if job.is_open:
             job.phase = JobPhase.FAILED
     elif not task.live:
-        task.phase = TaskPhase.WAITING
+        job.set_phase(task, TaskPhase.WAITING)
 
 
 def _count_failure(
@@ -360,7 +360,7 @@
     # The success of one member completes the whole gang.
     finished = progress.tasks if job.get_step(step).gang else [task]
     for each in finished:
-        each.phase = TaskPhase.DONE
+        job.set_phase(each, TaskPhase.DONE)
     progress.done += len(finished)
     if job.is_open and all(each.is_done for each in steps):
         job.finished += 1
--- a/src/rhubarbfield/scheduling/placing.py
+++ b/src/rhubarbfield/scheduling/placing.py
@@ -336,10 +336,8 @@
         queue = queues.get(job.queue)
         if queue is None:
             continue
-        for occurrence, steps in job.unfinished.items():
-            for number, progress in enumerate(steps):
-                if progress.has_waiting and job.is_step_ready(occurrence, number):
-                    yield WaitingStep(job, queue, occurrence, number)
+        for occurrence, number in job.waiting_steps:
+            yield WaitingStep(job, queue, occurrence, number)
 
 
 def _choose_rack(
--- a/src/rhubarbfield/scheduling/state.py
+++ b/src/rhubarbfield/scheduling/state.py
@@ -209,6 +209,24 @@
             if not self._is_over(steps)
         }
 
+    @functools.cached_property
+    def waiting_steps(self) -> tuple[tuple[int, int], ...]:
+        """Occurrence and number of each step of which a task may start now.
+
+        It is kept until an occurrence is opened or a task changes its phase.
+        """
+        return tuple(
+            (occurrence, number)
+            for occurrence, steps in self.unfinished.items()
+            for number, progress in enumerate(steps)
+            if progress.has_waiting and self.is_step_ready(occurrence, number)
+        )
+
+    def set_phase(self, task: Task, phase: TaskPhase) -> None:
+        """Change the phase of a task of the job."""
+        task.phase = phase
+        self.__dict__.pop("waiting_steps", None)
+
     @property
     def next_occurrence(self) -> int:
         """Number of the occurrence that is opened next."""
@@ -217,6 +235,7 @@
     def open_occurrence(self, number: int) -> None:
         """Create the tasks of an occurrence, unless they exist."""
         if number not in self.occurrences:
+            self.__dict__.pop("waiting_steps", None)
             unfinished = self.unfinished  # before the occurrence counts as one
             unfinished[number] = self.occurrences[number] = [
                 StepProgress([Task() for _ in range(step.tasks)])
--- a/tests/scheduling/test_backlog_cost.py
+++ b/tests/scheduling/test_backlog_cost.py
@@ -13,7 +13,7 @@
 from rhubarbfield.scheduling.commands import EndedRun, EndRuns, WorkerEnds
 from rhubarbfield.scheduling.headroom import WorkerHeadroom
 from rhubarbfield.scheduling.model import Demand, ImageName, Step
-from rhubarbfield.scheduling.state import RunEnd
+from rhubarbfield.scheduling.state import RunEnd, StepProgress
 from tests.replication.determinism import run_deterministic
 from tests.scheduling.deployments import ONE_CORE, QUEUE
 from tests.scheduling.fleets import Fleet
@@ -158,6 +158,21 @@
 
         run_deterministic(check, seed=1)
 
+    def test_only_steps_of_changed_jobs_are_searched_for_waiting_tasks(self) -> None:
+        async def check() -> None:
+            fleet = Fleet(1, WORKERS)
+            for number in range(100):
+                fleet.submit(Step(tasks=24, demand=ONE_CORE, standing=number % 2 == 0))
+            while await fleet.run_round():
+                pass
+            end_short_runs(fleet, CHANGED_WORKERS)
+            fleet.submit(Step(tasks=2, demand=ONE_CORE, estimate_ms=800))
+            with count_calls(StepProgress, "has_waiting") as searches:
+                await fleet.run_round()
+            self.assertLessEqual(searches.count, CHANGED_WORKERS + 1)
+
+        run_deterministic(check, seed=1)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/scheduling/test_job_index.py
+++ b/tests/scheduling/test_job_index.py
@@ -39,6 +39,28 @@
             )
             self.assertLessEqual({job.job for job in jobs if not job.is_open}, ended)
 
+    def test_waiting_steps_agree_with_a_scan(self) -> None:
+        async def check() -> None:
+            fleet = Fleet(1, 12)
+            waiting = 0
+            for _ in range(60):
+                fleet.submit_gang()
+                await fleet.run_round()
+                fleet.disturb()
+                for job in fleet.state.jobs.values():
+                    scanned = [
+                        (occurrence, number)
+                        for occurrence, steps in job.occurrences.items()
+                        for number, progress in enumerate(steps)
+                        if progress.has_waiting
+                        and job.is_step_ready(occurrence, number)
+                    ]
+                    self.assertEqual(list(job.waiting_steps), scanned)
+                    waiting += len(scanned)
+            self.assertGreater(waiting, 1000)
+
+        run_deterministic(check, seed=1)
+
     def test_ended_jobs_are_forgotten_after_their_retention(self) -> None:
         async def check() -> None:
             fleet = Fleet(1, 4)
