--- a/src/rhubarbfield/scheduling/suspects.py
+++ b/src/rhubarbfield/scheduling/suspects.py
@@ -63,7 +63,7 @@
 
     def has_suspect(self, worker: WorkerId) -> bool:
         """Return whether a worker has a run of a suspect."""
-        return bool(self._list_runs(worker))
+        return bool(self._names) and bool(self._list_runs(worker))
 
     def is_trying(self, session: WorkerSession) -> bool:
         """Return whether nothing else may start on a worker that tries a suspect.
@@ -71,6 +71,8 @@
         It may once the worker has worked with the suspect for a while, or if so many
         workers have suspects that little would be left to others.
         """
+        if not self._names:
+            return False
         runs = self._list_runs(session.worker)
         if not runs or self._has_too_many_trials():
             return False
@@ -105,8 +107,6 @@
         )
 
     def _list_runs(self, worker: WorkerId) -> list[RunKey]:
-        if not self._names:
-            return []
         if self._runs is None:
             self._runs = self._map_runs()
         return self._runs.get(worker, [])
--- a/tests/scheduling/test_rounds.py
+++ b/tests/scheduling/test_rounds.py
@@ -259,6 +259,18 @@
 
         run_deterministic(check, seed=1)
 
+    def test_suspects_are_not_looked_for_on_each_worker_when_there_are_none(
+        self,
+    ) -> None:
+        async def check() -> None:
+            fleet = Fleet(1, WORKERS)
+            fleet.leader.measure_headroom()
+            with count_calls(WorkerSession, "worker") as looks:
+                fleet.leader.measure_headroom()
+            self.assertEqual(looks.count, 0)
+
+        run_deterministic(check, seed=1)
+
     @with_deployment()
     async def test_commit_without_a_worker_looks_at_no_session(
         self, deployment: Deployment
