Look up only the steps of new runs to measure a changed worker

When a run started or ended, a round looked up the steps of all runs on its worker again and made four objects for each of them. The step of a run never changes, so the known ones are kept, and the sums are made without objects in between. Headrooms are the same as those of a full recomputation, which an existing test compares.

The new test failed before: 5 lookups and 5 differences for 3 new runs, now 3 and none.

--- a/src/rhubarbfield/scheduling/headroom.py
+++ b/src/rhubarbfield/scheduling/headroom.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import msgspec
 
@@ -99,7 +99,6 @@
         self.known_slacks = None
         self.free = self.free.minus(step.reserved)
         self.task_count += 1
-        cores = step.demand.millicores
         if step.tail_goal_ms:
             self.serving_images |= {step.image}
         if step.standing:
@@ -107,9 +106,7 @@
         if step.uses_spare_cores:
             self.spare_core_tasks += 1
             self.shares = self.add_share(step)
-        self.spare_millicores -= int(
-            cores * (SERVING_UTILIZATION if step.standing else 1)
-        )
+        self.spare_millicores -= _expect_use(step)
 
     def add_share(self, step: Step) -> dict[ImageName, float]:
         """Return the shares including one more task of ``step``."""
@@ -117,6 +114,42 @@
         return {**self.shares, step.image: before + self.worker.find_share(step)}
 
 
+def measure_steps(worker: Worker, steps: Iterable[Step]) -> WorkerHeadroom:
+    """Return what one task of each step leaves of a worker that has no others.
+
+    It is the same as ``WorkerHeadroom.add_task`` for each, without the objects in
+    between.
+    """
+    capacity = worker.capacity
+    millicores, memory_mb, accelerators = msgspec.structs.astuple(capacity)
+    headroom = WorkerHeadroom(worker, capacity, millicores)
+    images: set[ImageName] = set()
+    for step in steps:
+        demand = step.demand
+        memory_mb -= demand.memory_mb
+        accelerators -= demand.accelerators
+        headroom.task_count += 1
+        headroom.spare_millicores -= _expect_use(step)
+        if step.tail_goal_ms:
+            images.add(step.image)
+        if step.standing:
+            headroom.standing_tasks += 1
+        if step.uses_spare_cores:
+            headroom.spare_core_tasks += 1
+            share = headroom.shares.get(step.image, 0.0) + worker.find_share(step)
+            headroom.shares[step.image] = share
+        else:
+            millicores -= demand.millicores
+    headroom.free = Demand(millicores, memory_mb, accelerators)
+    headroom.serving_images = frozenset(images)
+    return headroom
+
+
+def _expect_use(step: Step) -> int:
+    """Return the processor capacity that a task is expected to use."""
+    return int(step.demand.millicores * (SERVING_UTILIZATION if step.standing else 1))
+
+
 class WaitingStep(msgspec.Struct, frozen=True):
     """A step whose tasks may start."""
 
--- a/src/rhubarbfield/scheduling/headroom_index.py
+++ b/src/rhubarbfield/scheduling/headroom_index.py
@@ -6,9 +6,9 @@
 
 import msgspec
 
-from rhubarbfield.scheduling.headroom import WorkerHeadroom
+from rhubarbfield.scheduling.headroom import WorkerHeadroom, measure_steps
 from rhubarbfield.scheduling.interference import ServingTask
-from rhubarbfield.scheduling.model import Demand, RunNumber, TaskName
+from rhubarbfield.scheduling.model import Demand, RunNumber, Step, TaskName
 from rhubarbfield.scheduling.state import SchedulingState, Worker
 from rhubarbfield.types import WorkerId
 
@@ -20,21 +20,21 @@
     ----------
     runs
         Copy of the runs that are added up.
+    steps
+        The steps of their tasks, as far as they are known.
     capacity
         Capacity from which they are subtracted.
     headroom
         What they leave; it has no margins.
     serving
         The tasks with a tail-latency goal, without measurements.
-    is_complete
-        Whether the steps of all runs are known.
     """
 
     runs: dict[TaskName, RunNumber]
+    steps: dict[TaskName, Step]
     capacity: Demand
     headroom: WorkerHeadroom
     serving: tuple[ServingTask, ...]
-    is_complete: bool
 
 
 class HeadroomIndex:
@@ -63,32 +63,34 @@
 
     def _find_use(self, state: SchedulingState, worker: Worker) -> WorkerUse:
         use = self._uses.get(worker.worker)
-        if use is None or not _is_current(use, worker):
-            use = self._uses[worker.worker] = _add_up(state, worker)
+        if use is None or use.headroom.worker is not worker:
+            use = self._uses[worker.worker] = _add_up(state, worker, {})
+        elif not _is_current(use, worker):
+            use = self._uses[worker.worker] = _add_up(state, worker, use.steps)
         return use
 
 
 def _is_current(use: WorkerUse, worker: Worker) -> bool:
     return (
-        use.is_complete
-        and use.headroom.worker is worker
+        len(use.steps) == len(use.runs)
         and use.capacity == worker.capacity
         and use.runs == worker.runs
     )
 
 
-def _add_up(state: SchedulingState, worker: Worker) -> WorkerUse:
-    headroom = WorkerHeadroom(worker, worker.capacity, worker.capacity.millicores)
-    serving = []
-    is_complete = True
+def _add_up(
+    state: SchedulingState, worker: Worker, known: dict[TaskName, Step]
+) -> WorkerUse:
+    """Add up the runs of a worker; ``known`` has the steps of earlier ones."""
+    steps: dict[TaskName, Step] = {}
     for name in worker.runs:
-        step = state.find_step(name)
-        if step is None:
-            is_complete = False
-            continue
-        headroom.add_task(step)
-        if step.tail_goal_ms:
-            serving.append(ServingTask(name, step.image, step.tail_goal_ms, None))
-    return WorkerUse(
-        dict(worker.runs), worker.capacity, headroom, tuple(serving), is_complete
+        step = known.get(name) or state.find_step(name)
+        if step is not None:
+            steps[name] = step
+    serving = tuple(
+        ServingTask(name, step.image, step.tail_goal_ms, None)
+        for name, step in steps.items()
+        if step.tail_goal_ms
     )
+    headroom = measure_steps(worker, steps.values())
+    return WorkerUse(dict(worker.runs), steps, worker.capacity, headroom, serving)
--- a/tests/scheduling/test_rounds.py
+++ b/tests/scheduling/test_rounds.py
@@ -244,6 +244,25 @@
 
         run_deterministic(check, seed=1)
 
+    def test_steps_of_earlier_runs_are_not_looked_up_for_a_new_one(self) -> None:
+        async def check() -> None:
+            fleet = Fleet(1, WORKERS)
+            fleet.submit_serving(250)
+            for _ in range(4):
+                await fleet.run_round()
+            fleet.leader.measure_headroom()
+            fleet.submit(Step(tasks=3, demand=ONE_CORE, estimate_ms=800))
+            starts = await fleet.run_round()
+            self.assertEqual(len(starts), 3)
+            with (
+                count_calls(SchedulingState, "find_step") as lookups,
+                count_calls(Demand, "minus") as sums,
+            ):
+                fleet.leader.measure_headroom()
+            self.assertEqual((lookups.count, sums.count), (3, 0))
+
+        run_deterministic(check, seed=1)
+
     def test_capacity_is_not_added_up_again_where_workers_guard_it(self) -> None:
         async def check() -> None:
             fleet = Fleet(1, WORKERS)
