Read only the covariances of changed images to learn from a view

Views are the dearest part of the leader's loop on a large fleet, and learning from the tail latency of each serving task the dearest part of a view. For each sample all covariances of the serving image were read, one generator for each of up to 24 images, although two or three images have changed; small changes, which teach nothing, were first collected the same way.

Covariance is symmetric, so the rows of the changed images hold all that is needed. The sums have the same terms in the same order.

The new test failed before: 24 rows read for one changed image, now one.

--- a/src/rhubarbfield/scheduling/latency_model.py
+++ b/src/rhubarbfield/scheduling/latency_model.py
@@ -142,17 +142,14 @@
         Load changes little between the samples, so the level of the task cancels
         out and need not be known.
         """
-        images = (earlier.shares.keys() | later.shares.keys()) & self.means.keys()
-        change = {
-            image: later.shares.get(image, 0.0) - earlier.shares.get(image, 0.0)
-            for image in images
-        }
-        if not any(abs(x) > MIN_SHARE_CHANGE for x in change.values()):
+        change = self._find_change(earlier.shares, later.shares)
+        if not change:
             return
-        leverage = {
-            image: sum(row.get(other, 0.0) * x for other, x in change.items())
-            for image, row in self.covariance.items()
-        }
+        leverage = dict.fromkeys(self.covariance, 0.0)
+        for other, x in change.items():
+            # A row has the covariances of its image with the others in both orders.
+            for image, value in self.covariance[other].items():
+                leverage[image] += value * x
         elapsed = (later.at - earlier.at).total_seconds()
         error_variance = 2 * NOISE_VARIANCE + (LOAD_SLOPE * elapsed) ** 2
         error_variance += sum(leverage[image] * x for image, x in change.items())
@@ -178,6 +175,18 @@
             self.covariance[image][image] += RATE_DRIFT
             self.samples[image] += 1
 
+    def _find_change(
+        self, earlier: Mapping[ImageName, float], later: Mapping[ImageName, float]
+    ) -> dict[ImageName, float]:
+        """Return by how much shares have changed; nothing if all changes are small."""
+        change: dict[ImageName, float] = {}
+        largest = 0.0
+        for image in earlier.keys() | later.keys():
+            if image in self.means:
+                x = change[image] = later.get(image, 0.0) - earlier.get(image, 0.0)
+                largest = max(largest, abs(x))
+        return change if largest > MIN_SHARE_CHANGE else {}
+
     def compute_upper_bounds(self) -> dict[ImageName, float]:
         """Return an upper bound of the rate of each image."""
         bounds = {}
@@ -226,8 +235,10 @@
         """
         log_latency = math.log(tail_ms / MS_PER_SECOND)
         self._upper_bounds.pop(image, None)
-        rates = self._rates.setdefault(image, InterferenceRates())
-        rates.ensure_estimates(other for other, x in shares.items() if x > MIN_SHARE)
+        rates = self._rates.get(image)
+        if rates is None:
+            rates = self._rates[image] = InterferenceRates()
+        rates.ensure_estimates([name for name, x in shares.items() if x > MIN_SHARE])
         level = self._levels.get(task)
         if level is None:
             first = log_latency - rates.predict_growth(shares)
--- a/tests/scheduling/test_latency_model.py
+++ b/tests/scheduling/test_latency_model.py
@@ -6,6 +6,7 @@
 import random
 import unittest
 from datetime import timedelta
+from typing import Any
 
 from rhubarbfield.scheduling.latency_model import (
     FIRST_UPPER_BOUND,
@@ -122,6 +123,40 @@
             model.learn(TaskName("t"), SERVING, shares, 20.0, now)
         self.assertLessEqual(len(model.take_changes()), MAX_IMAGES + 1)
 
+    def test_a_change_reads_only_the_covariances_of_changed_images(self) -> None:
+        model = TailLatencyModel()
+        now = timedelta(seconds=100)
+        images = [ImageName(f"i{number}") for number in range(MAX_IMAGES)]
+        for image in images:
+            for shares in ({}, {image: 0.1}, {}):
+                now += VIEW_INTERVAL
+                model.learn(TaskName("t"), SERVING, shares, 20.0, now)
+        rates = model._rates[SERVING]
+        rows = {image: CountedRow(row) for image, row in rates.covariance.items()}
+        rates.covariance = {**rows}
+        now += VIEW_INTERVAL
+        model.learn(TaskName("t"), SERVING, {images[0]: 0.1}, 20.0, now)
+        read = [image for image, row in rows.items() if row.reads]
+        self.assertEqual(read, [images[0]])
+
+
+class CountedRow(dict[ImageName, float]):
+    """Row of a matrix that counts how often it is read."""
+
+    reads = 0
+
+    def __getitem__(self, key: ImageName) -> float:
+        self.reads += 1
+        return super().__getitem__(key)
+
+    def get(self, key: ImageName, default: Any = None) -> Any:
+        self.reads += 1
+        return super().get(key, default)
+
+    def items(self) -> Any:
+        self.reads += 1
+        return super().items()
+
 
 if __name__ == "__main__":
     unittest.main()
