Do not add images that would be dropped at once

A serving image keeps estimates for 24 co-located images and drops the least sampled beyond. With 30 images on a site, each view of a worker that runs a 25th one added it and dropped it again, after a search among all and a change of each row of the covariance.

Once all 24 have samples an image without any is not added.

The new test failed before: 2 estimates added by two samples, now none.

--- a/src/rhubarbfield/scheduling/latency_model.py
+++ b/src/rhubarbfield/scheduling/latency_model.py
@@ -110,15 +110,19 @@
         self.covariance: dict[ImageName, dict[ImageName, float]] = {}
         self.base: float | None = None
         self.base_variance = 0.0
+        self._fewest_samples = 0  # no image has fewer; they only become more
 
     def set(self, image: ImageName, mean: float, variance: float, samples: int) -> None:
         """Set the estimate for one image, and its variance."""
         self.means[image] = mean
         self.samples[image] = samples
         self.covariance[image] = {image: variance}
+        self._fewest_samples = 0
 
     def ensure_estimates(self, images: Iterable[ImageName]) -> None:
         """Add missing estimates, and drop the least sampled above ``MAX_IMAGES``."""
+        if len(self.means) == MAX_IMAGES and self._fewest_samples > 0:
+            return  # what is missing would be dropped at once
         for image in images:
             if image not in self.means:
                 self.set(image, FIRST_RATE, FIRST_RATE_VARIANCE, 0)
@@ -127,6 +131,8 @@
             del self.means[dropped], self.samples[dropped], self.covariance[dropped]
             for row in self.covariance.values():
                 row.pop(dropped, None)
+        if len(self.means) == MAX_IMAGES:
+            self._fewest_samples = min(self.samples.values())
 
     def update_base(self, level: float) -> None:
         """Update the running mean and variance of the levels of the image's tasks."""
--- a/tests/scheduling/test_latency_model.py
+++ b/tests/scheduling/test_latency_model.py
@@ -11,9 +11,11 @@
 from rhubarbfield.scheduling.latency_model import (
     FIRST_UPPER_BOUND,
     MAX_IMAGES,
+    InterferenceRates,
     TailLatencyModel,
 )
 from rhubarbfield.scheduling.model import ImageName, TaskName
+from tests.scheduling.test_rounds import count_calls
 
 SERVING = ImageName("serving")
 VIEW_INTERVAL = timedelta(milliseconds=600)
@@ -123,6 +125,24 @@
             model.learn(TaskName("t"), SERVING, shares, 20.0, now)
         self.assertLessEqual(len(model.take_changes()), MAX_IMAGES + 1)
 
+    def test_images_above_the_limit_are_not_added_and_dropped_again(self) -> None:
+        model = TailLatencyModel()
+        now = timedelta(seconds=100)
+        images = [ImageName(f"i{number}") for number in range(MAX_IMAGES + 1)]
+        for image in images:
+            for shares in ({}, {image: 0.1}, {}):
+                now += VIEW_INTERVAL
+                model.learn(TaskName("t"), SERVING, shares, 20.0, now)
+        known = dict(model._rates[SERVING].samples)
+        self.assertEqual(list(known), images[:MAX_IMAGES])
+        with count_calls(InterferenceRates, "set") as added:
+            for shares in ({images[-1]: 0.1}, {images[0]: 0.1, images[-1]: 0.1}):
+                now += VIEW_INTERVAL
+                model.learn(TaskName("t"), SERVING, shares, 20.0, now)
+        self.assertEqual(added.count, 0)
+        known[images[0]] += 1
+        self.assertEqual(model._rates[SERVING].samples, known)
+
     def test_a_change_reads_only_the_covariances_of_changed_images(self) -> None:
         model = TailLatencyModel()
         now = timedelta(seconds=100)
