Find the usual level of an image only for a rising load

A round predicts the latency margins of all workers with room for tasks on spare cores. For each serving task it looked up the usual level of its image, which limits how far a rising load is expected to go on; a load that does not rise needs no limit. The margins are the same.

The new test failed before: one level found for a falling load, now none.

--- a/src/rhubarbfield/scheduling/interference.py
+++ b/src/rhubarbfield/scheduling/interference.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import functools
 import math
 from collections.abc import Iterable, Mapping
 from datetime import timedelta
@@ -162,17 +163,18 @@
         return [LatencyMargin(image, margin) for image, margin in smallest.items()]
 
     def _predict_margin(self, task: ServingTask) -> float:
-        goal = math.log(task.goal_ms / MS_PER_SECOND)
-        usual = self._find_usual_level(task.image)
         level = self._model.find_level(task.task)
+        if level is not None and level.slope <= 0:
+            return _find_log_goal(task.goal_ms) - level.mean
+        usual = self._find_usual_level(task.image)
         if level is None:
             if usual is None:
                 return -_UNMEASURED_LOG_RATIO
-            return goal - usual.expected
-        predicted = level.mean + max(0.0, level.slope) * TREND_HORIZON_SECONDS
+            return _find_log_goal(task.goal_ms) - usual.expected
+        predicted = level.mean + level.slope * TREND_HORIZON_SECONDS
         if usual is not None:
             predicted = min(predicted, max(level.mean, usual.peak))
-        return goal - predicted
+        return _find_log_goal(task.goal_ms) - predicted
 
     def _find_usual_level(self, image: ImageName) -> UsualLevel | None:
         """Return the usual level of an image's tasks, computed once a version."""
@@ -226,6 +228,11 @@
         return slacks
 
 
+@functools.lru_cache
+def _find_log_goal(goal_ms: float) -> float:
+    return math.log(goal_ms / MS_PER_SECOND)
+
+
 def _make_usual_level(mean: float, deviation: float) -> UsualLevel:
     return UsualLevel(mean + deviation, mean + PEAK_DEVIATIONS * deviation)
 
--- a/tests/scheduling/test_interference.py
+++ b/tests/scheduling/test_interference.py
@@ -12,6 +12,7 @@
     admits_share,
 )
 from rhubarbfield.scheduling.model import ImageName, TaskName
+from tests.scheduling.test_rounds import count_calls
 
 SERVING, HEAVY, LIGHT = ImageName("serving"), ImageName("heavy"), ImageName("light")
 NEW = ImageName("new")
@@ -77,6 +78,16 @@
         rising, falling = margins[RISING_STEP], margins[FALLING_STEP]
         self.assertLess(rising, falling - 0.05)
 
+    def test_usual_level_is_found_only_for_a_load_that_rises(self) -> None:
+        self.views.add_view({}, 10.0)  # less than before
+        with count_calls(InterferenceModel, "_find_usual_level") as calls:
+            self.interference.predict_smallest_margins([make_task(10.0)])
+            self.assertEqual(calls.count, 0)
+            for _ in range(3):
+                self.views.add_view({}, 40.0)
+            self.interference.predict_smallest_margins([make_task(40.0)])
+            self.assertEqual(calls.count, 1)
+
     def test_unmeasured_task_gets_the_margin_of_its_image(self) -> None:
         fresh = make_task(None, TaskName("j.0.0.1"))
         margin = self.interference.predict_margin(fresh).margin
