Refuse the numbers of a job that a controller can't be sent

Class: a number from outside without a range. Each number of a job has one now, which belongs to the product (`scheduling/ranges.py`) and is checked where the job is decoded; the answer is 400 with the field and the bound. It is what the encoding of the log takes. Sums, products and due times of such numbers are integers and floats of any size, and are not stored.

A body that nests too deeply raised in the decoder and was answered 500, now 400.

Both new tests of numbers failed before (the job was decoded and sent on), and so did the one of nesting. tests.platform.test_wire and test_ingress pass.

--- a/src/rhubarbfield/platform/jobwire.py
+++ b/src/rhubarbfield/platform/jobwire.py
@@ -19,6 +19,13 @@
     Recurrence,
     Step,
 )
+from rhubarbfield.scheduling.ranges import (
+    Count,
+    Megabytes,
+    Millicores,
+    Milliseconds,
+    TimeOfDay,
+)
 from rhubarbfield.types import RackName
 
 MAX_PAYLOAD_CHARACTERS = 4_000
@@ -26,7 +33,8 @@
 MAX_TASKS = 4_096  # of a step
 MAX_JOB_TASKS = 16_384  # each replica creates them at once, within a lease
 
-Count = Annotated[int, msgspec.Meta(ge=0)]
+# A body that nests too deeply ends the decoder's recursion.
+DECODE_ERRORS = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
 
 
 class Message(msgspec.Struct, frozen=True, kw_only=True, rename="pascal"):
@@ -39,10 +47,10 @@
     # Number of tasks.
     count: Annotated[int, msgspec.Meta(ge=1, le=MAX_TASKS)] = 1
     # Demand of each task, the processor in millicores.
-    cpu: Count = 0
-    mem_mb: Count = 0
+    cpu: Millicores = 0
+    mem_mb: Megabytes = 0
     gpu: Count = 0
-    estimated_ms: Count = 0
+    estimated_ms: Milliseconds = 0
     # Earlier steps, counted from 0, that must be complete first.
     start_after: tuple[Count, ...] = ()
     saves_progress: bool = False
@@ -59,7 +67,7 @@
     long_running: bool = False
     image: str = ""
     # Goal for the tail latency of the tasks; 0 for none.
-    target_ms: Count = 0
+    target_ms: Milliseconds = 0
     # The tasks use spare cores: their processor demand isn't reserved.
     fills: bool = False
     # Disruption budget: standing tasks that the scheduler may disrupt at a time.
@@ -96,8 +104,8 @@
         tuple[WireStep, ...], msgspec.Meta(min_length=1, max_length=MAX_STEPS)
     ]
     repeat_count: Count = 0
-    start_at_ms: int = 0
-    interval_ms: Count = 0
+    start_at_ms: TimeOfDay = 0
+    interval_ms: Milliseconds = 0
 
     def to_submission(self) -> JobSubmission:
         """Return the job as the scheduler's type."""
@@ -117,7 +125,7 @@
     """Decode a job, or return why it is invalid."""
     try:
         job = _job_decoder.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         return Failure(f"the job can't be read: {error}")
     for number, step in enumerate(job.steps):
         if any(earlier >= number for earlier in step.start_after):
--- a/src/rhubarbfield/platform/wire.py
+++ b/src/rhubarbfield/platform/wire.py
@@ -10,7 +10,7 @@
 from returns.result import Failure, Result, Success
 
 from rhubarbfield.clock import MILLISECOND
-from rhubarbfield.platform.jobwire import Count, Message
+from rhubarbfield.platform.jobwire import Message
 from rhubarbfield.scheduling.commands import WorkerReport
 from rhubarbfield.scheduling.heartbeats import Heartbeat
 from rhubarbfield.scheduling.model import (
@@ -26,6 +26,7 @@
     WorkerService,
 )
 from rhubarbfield.scheduling.ports import ActiveRun, ListedEnd, Refusal, WorkerView
+from rhubarbfield.scheduling.ranges import Count
 from rhubarbfield.scheduling.state import RunEnd
 from rhubarbfield.types import MAX_PORT, FailureDomain, ServiceName, WorkerId
 
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -5,10 +5,14 @@
 import unittest
 from datetime import timedelta
 from http import HTTPStatus
+from unittest.mock import Mock
 
+import trio
+
+from rhubarbfield.httpserver import HttpRequest
 from rhubarbfield.leadercalls import NotAdmitted
-from rhubarbfield.platform.ingress import make_response
-from rhubarbfield.scheduling.gateway import Undecided
+from rhubarbfield.platform.ingress import create_ingress_handler, make_response
+from rhubarbfield.scheduling.gateway import Gateway, Undecided
 from rhubarbfield.scheduling.requests import JobVerb
 
 
@@ -36,6 +40,17 @@
         self.assertEqual(response.headers["Retry-After"], "10")
         self.assertIn(b"no capacity", response.body)
 
+    def test_job_with_a_number_out_of_range_is_not_sent_to_a_controller(self) -> None:
+        """The number could not be encoded, which ended the entry."""
+        body = b'{"Spec":"x","Steps":[{"Count":1,"Cpu":100000000000000000000}]}'
+        request = HttpRequest(method="POST", path="/q/j", headers={}, body=body)
+        gateway = Mock(Gateway, is_stopping=False)
+        with self.assertLogs("rhubarbfield.platform.ingress", "WARNING"):
+            response = trio.run(create_ingress_handler(gateway), request)
+        self.assertEqual(response.status, HTTPStatus.BAD_REQUEST)
+        self.assertIn(b"<= 9223372036854775807 - at `$.Steps[0].Cpu`", response.body)
+        gateway.forward.assert_not_called()
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import unittest
 from datetime import timedelta
 
@@ -17,7 +18,8 @@
     decode_configuration,
     decode_heartbeat,
 )
-from rhubarbfield.scheduling.model import Demand
+from rhubarbfield.scheduling.model import Demand, JobSubmission
+from rhubarbfield.scheduling.ranges import MAX_INTEGER
 from rhubarbfield.scheduling.state import RunEnd
 
 HEARTBEAT = {
@@ -47,6 +49,16 @@
     "Services": [{"Name": "s", "EnforcesCapacity": True}],
     "Limits": {"MaxBodyBytes": 262144},
 }
+STEP_NUMBERS = (
+    "Cpu",
+    "MemMb",
+    "Gpu",
+    "EstimatedMs",
+    "AntiAffinity",
+    "TargetMs",
+    "MayMiss",
+)
+TOO_LARGE = 10**20  # more than 64 bits
 JSON = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
     lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
@@ -55,7 +67,11 @@
 
 
 def encode(content: object) -> bytes:
-    return msgspec.json.encode(content)
+    return json.dumps(content).encode()
+
+
+def make_job(step: dict[str, int], **fields: object) -> bytes:
+    return encode({"Spec": "x", "Steps": [{"Count": 1, **step}], **fields})
 
 
 class JobTest(unittest.TestCase):
@@ -94,6 +110,38 @@
         refused = decode_job(encode({"Spec": "x", "Steps": [wide] * (most + 1)}))
         self.assertIn(str(MAX_JOB_TASKS), refused.failure())
 
+    def test_numbers_of_a_job_that_a_controller_cannot_be_sent_are_refused(
+        self,
+    ) -> None:
+        """A processor demand of 65 bits ended each entry that received it."""
+        for name in STEP_NUMBERS:
+            for number in (TOO_LARGE, -TOO_LARGE, MAX_INTEGER + 1):
+                reason = decode_job(make_job({name: number})).failure()
+                self.assertIn(f"$.Steps[0].{name}`", reason)
+                self.assertRegex(reason, r"[<>]= -?\d+")
+        for name in ("RepeatCount", "StartAtMs", "IntervalMs"):
+            for number in (TOO_LARGE, -TOO_LARGE):
+                reason = decode_job(make_job({}, **{name: number})).failure()
+                self.assertIn(f"$.{name}`", reason)
+                self.assertRegex(reason, r"[<>]= -?\d+")
+
+    def test_largest_numbers_of_a_job_can_be_sent_to_a_controller(self) -> None:
+        step = {name: MAX_INTEGER for name in STEP_NUMBERS}
+        largest = make_job(
+            {**step, "Count": MAX_TASKS},
+            RepeatCount=MAX_INTEGER,
+            StartAtMs=MAX_INTEGER,
+            IntervalMs=MAX_INTEGER,
+        )
+        job = decode_job(largest).unwrap()
+        encoded = msgspec.msgpack.encode(job)
+        self.assertEqual(msgspec.msgpack.decode(encoded, type=JobSubmission), job)
+
+    def test_job_that_nests_too_deeply_is_refused(self) -> None:
+        nested = b"[" * 100_000 + b"]" * 100_000
+        body = b'{"Spec":"x","Steps":[{"Count":1}],"More":' + nested + b"}"
+        self.assertIn("recursion", decode_job(body).failure())
+
     @settings(max_examples=200, derandomize=True, deadline=None)
     @given(JSON)
     def test_decoders_never_raise(self, content: object) -> None:
