Let work that no worker can run keep no job out

One task of a millicore more than the largest worker has, a label that no worker has, or a gang larger than the service did the same.

Class: work that occupies nothing is counted as load. Finite steps now count only if idle workers of the service could run them, and so do the steps that start after them; the job itself is accepted and shown as queued, as before. Workers without any cores, which have shrunk, tell nothing, and all steps count. The finite work that standing jobs leave room for is counted so, too.

Not changed: standing tasks larger than any worker, but within what standing work may reserve together, still reserve it until they are cancelled.

--- a/src/rhubarbfield/scheduling/admission.py
+++ b/src/rhubarbfield/scheduling/admission.py
@@ -28,7 +28,8 @@
     QueueName,
 )
 from rhubarbfield.scheduling.ordering import find_goal, measure_submission
-from rhubarbfield.scheduling.state import Job, SchedulingState
+from rhubarbfield.scheduling.state import Job, SchedulingState, Worker
+from rhubarbfield.scheduling.worker_kinds import KindsIndex, WorkerKinds
 from rhubarbfield.scheduling.workload import (
     add_up,
     fits_limit,
@@ -116,6 +117,7 @@
         self._jobs = JobIndex()
         self._worker_counts: Counter[ServiceName] = Counter()
         self._grown_at: dict[ServiceName, timedelta] = {}
+        self._kinds = KindsIndex()
 
     def observe_workers(self, state: SchedulingState) -> None:
         """Observe the workers, after a report of one was applied to the state."""
@@ -168,27 +170,27 @@
         self._forget_settled(state, term)
         if job in self._pending or self._are_reporting(queue.service):
             return None
-        capacities = [
-            worker.capacity
+        workers = [
+            worker
             for worker in state.workers.values()
             if worker.service == queue.service and not worker.draining
         ]
-        if not capacities:
+        if not workers:
             return None
         self._jobs.synchronize(state)
         self._jobs.take_ended()
         if is_standing:
-            return self._decide_standing(wanted, queue.service, state, capacities)
-        return self._decide_finite(queue, submission, state, capacities)
+            return self._decide_standing(wanted, queue.service, state, workers)
+        return self._decide_finite(queue, submission, state, workers)
 
     def _decide_standing(
         self,
         wanted: Demand,
         service: ServiceName,
         state: SchedulingState,
-        capacities: list[Demand],
+        workers: list[Worker],
     ) -> Rejection | None:
-        limit = self._find_standing_limit(state, service, capacities)
+        limit = self._find_standing_limit(state, service, workers)
         held = self._measure_standing_held(state, service)
         if fits_limit(wanted, held, limit):
             return None
@@ -203,15 +205,17 @@
         queue: Queue,
         submission: JobSubmission,
         state: SchedulingState,
-        capacities: list[Demand],
+        workers: list[Worker],
     ) -> Rejection | None:
         goal = find_goal(measure_submission(submission), queue)
         tolerated = max(goal, MIN_REJECTED_WAIT)
         tolerated_ms = tolerated / MILLISECOND
-        capacity = add_up(capacities).millicores
+        capacity = add_up(worker.capacity for worker in workers).millicores
         held = self._measure_standing_held(state, queue.service).millicores
         room = max(capacity - held, capacity * MIN_FINITE_SHARE)
-        backlog = self._measure_finite_backlog(state, queue, tolerated_ms)
+        backlog = self._measure_finite_backlog(
+            state, queue, tolerated_ms, self._kinds.find(queue.service, workers)
+        )
         wait_ms = backlog / max(room, 1)
         if wait_ms <= tolerated_ms:
             return None
@@ -254,32 +258,43 @@
         return add_up(accepted).plus(add_up(pending))
 
     def _measure_finite_backlog(
-        self, state: SchedulingState, queue: Queue, horizon_ms: float
+        self,
+        state: SchedulingState,
+        queue: Queue,
+        horizon_ms: float,
+        kinds: WorkerKinds,
     ) -> float:
         """Return the open finite work that may delay a new job of a queue.
 
-        Each task counts for at most ``horizon_ms``, for which it occupies its cores.
+        Each task counts for at most ``horizon_ms``, for which it occupies its cores;
+        one that no worker can run occupies none.
         """
         queues = state.map_serving_queues()
         accepted = sum(
-            measure_remaining(job, horizon_ms)
+            measure_remaining(
+                job, horizon_ms, kinds.list_possible(job.job, job.submission)
+            )
             for job in self._jobs.open.values()
             if _is_of_service(job, queues, queue.service)
             and queues[job.queue].priority <= queue.priority
         )
         pending = sum(
-            measure_finite(each.submission, horizon_ms)
-            for each in self._pending.values()
+            measure_finite(
+                each.submission, horizon_ms, kinds.list_possible(name, each.submission)
+            )
+            for name, each in self._pending.items()
             if each.service == queue.service and each.priority <= queue.priority
         )
         return accepted + pending
 
     def _find_standing_limit(
-        self, state: SchedulingState, service: ServiceName, capacities: list[Demand]
+        self, state: SchedulingState, service: ServiceName, workers: list[Worker]
     ) -> Demand:
         """Return what standing work may reserve; a single worker in any case."""
+        capacities = [worker.capacity for worker in workers]
         capacity = add_up(capacities)
-        share = 1 - self._find_finite_share(state, service, capacity)
+        kinds = self._kinds.find(service, workers)
+        share = 1 - self._find_finite_share(state, service, capacity, kinds)
         return Demand(
             max(int(capacity.millicores * share), *(c.millicores for c in capacities)),
             max(int(capacity.memory_mb * share), *(c.memory_mb for c in capacities)),
@@ -290,7 +305,11 @@
         )
 
     def _find_finite_share(
-        self, state: SchedulingState, service: ServiceName, capacity: Demand
+        self,
+        state: SchedulingState,
+        service: ServiceName,
+        capacity: Demand,
+        kinds: WorkerKinds,
     ) -> float:
         """Return the share of the capacity that is left to finite work.
 
@@ -304,7 +323,11 @@
             reversed(state.jobs.values()),
         )
         work = sum(
-            measure_finite(job.submission, window_ms)
+            measure_finite(
+                job.submission,
+                window_ms,
+                kinds.list_possible(job.job, job.submission),
+            )
             for job in recent
             if _is_of_service(job, queues, service)
         )
--- /dev/null
+++ b/src/rhubarbfield/scheduling/worker_kinds.py
@@ -0,0 +1,94 @@
+"""Which steps the workers of a service could run if they were idle."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable, Sequence
+
+from rhubarbfield.scheduling.model import Demand, JobSubmission, Step
+from rhubarbfield.scheduling.state import Worker
+from rhubarbfield.types import JobId, ServiceName
+
+MAX_KNOWN_JOBS = 10_000
+
+
+class WorkerKinds:
+    """The different capacities and labels of a service's workers.
+
+    Parameters
+    ----------
+    workers
+        Workers of the service. Those without any cores, which tell nothing about
+        what can be done, are left out.
+    """
+
+    def __init__(self, workers: Iterable[Worker]) -> None:
+        self._counts = Counter(
+            (worker.capacity, worker.labels)
+            for worker in workers
+            if worker.capacity.millicores
+        )
+        self._known: dict[JobId, tuple[JobSubmission, Sequence[bool]]] = {}
+
+    def is_like(self, other: WorkerKinds) -> bool:
+        """Return whether as many workers of each kind are in the other one."""
+        return self._counts == other._counts
+
+    def list_possible(self, job: JobId, submission: JobSubmission) -> Sequence[bool]:
+        """Return of each step of a job whether idle workers could run its tasks.
+
+        A step that starts after an impossible one is impossible, too.
+        """
+        known = self._known.get(job)
+        if known is not None and known[0] is submission:
+            return known[1]
+        if len(self._known) >= MAX_KNOWN_JOBS:
+            self._known.clear()
+        possible = self._find_possible(submission)
+        self._known[job] = submission, possible
+        return possible
+
+    def _find_possible(self, submission: JobSubmission) -> Sequence[bool]:
+        possible: list[bool] = []
+        for step in submission.steps:
+            is_reachable = all(possible[earlier] for earlier in step.after)
+            possible.append(is_reachable and self._can_run(step))
+        return possible
+
+    def _can_run(self, step: Step) -> bool:
+        missing = step.tasks if step.gang else 1
+        for (capacity, labels), workers in self._counts.items():
+            if not step.required_label or step.required_label in labels:
+                missing -= workers * _count_fitting(step, capacity)
+                if missing <= 0:
+                    return True
+        return not self._counts
+
+
+def _count_fitting(step: Step, capacity: Demand) -> int:
+    """Return how many tasks of a step an idle worker can run at a time."""
+    need = step.reserved
+    limits = [
+        have // want
+        for have, want in (
+            (capacity.millicores, need.millicores),
+            (capacity.memory_mb, need.memory_mb),
+            (capacity.accelerators, need.accelerators),
+        )
+        if want
+    ]
+    return min([*limits, step.max_per_worker or step.tasks])
+
+
+class KindsIndex:
+    """The kinds of the workers of each service, and what is known of jobs there."""
+
+    def __init__(self) -> None:
+        self._kinds: dict[ServiceName, WorkerKinds] = {}
+
+    def find(self, service: ServiceName, workers: Iterable[Worker]) -> WorkerKinds:
+        """Return the kinds of a service's workers; the last ones if none changed."""
+        kinds, last = WorkerKinds(workers), self._kinds.get(service)
+        if last is None or not kinds.is_like(last):
+            last = self._kinds[service] = kinds
+        return last
--- a/src/rhubarbfield/scheduling/workload.py
+++ b/src/rhubarbfield/scheduling/workload.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import functools
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 from rhubarbfield.scheduling.model import Demand, JobSubmission
 from rhubarbfield.scheduling.state import Job
@@ -16,30 +16,34 @@
     )
 
 
-def measure_finite(submission: JobSubmission, horizon_ms: float) -> float:
+def measure_finite(
+    submission: JobSubmission, horizon_ms: float, possible: Sequence[bool]
+) -> float:
     """Return millicores times ms that the finite tasks of a job reserve.
 
-    A task counts for at most ``horizon_ms``.
+    A task counts for at most ``horizon_ms``, and only if its step is possible.
     """
     return sum(
         step.reserved.millicores * min(step.estimate_ms, horizon_ms) * step.tasks
-        for step in submission.steps
-        if not step.standing
+        for step, is_possible in zip(submission.steps, possible, strict=True)
+        if is_possible and not step.standing
     )
 
 
-def measure_remaining(job: Job, horizon_ms: float) -> float:
+def measure_remaining(job: Job, horizon_ms: float, possible: Sequence[bool]) -> float:
     """Return millicores times ms of the finite tasks of a job that are not done.
 
-    A task counts for at most ``horizon_ms``.
+    A task counts for at most ``horizon_ms``, and only if its step is possible.
     """
     return sum(
         step.reserved.millicores
         * min(step.estimate_ms, horizon_ms)
         * (step.tasks - progress.done)
         for steps in job.unfinished.values()
-        for step, progress in zip(job.submission.steps, steps, strict=True)
-        if not step.standing
+        for step, progress, is_possible in zip(
+            job.submission.steps, steps, possible, strict=True
+        )
+        if is_possible and not step.standing
     )
 
 
--- a/tests/scheduling/test_admission.py
+++ b/tests/scheduling/test_admission.py
@@ -22,6 +22,7 @@
     Demand,
     JobPhase,
     JobSubmission,
+    Label,
     MachineName,
     Queue,
     Step,
@@ -53,7 +54,10 @@
 
 
 def make_finite(cores: int, seconds: float) -> JobSubmission:
-    step = Step(demand=Demand(cores * 1000), estimate_ms=int(seconds * MS_PER_SECOND))
+    """Return a job of finite tasks, each of which needs a core."""
+    step = Step(
+        tasks=cores, demand=Demand(1000), estimate_ms=int(seconds * MS_PER_SECOND)
+    )
     return JobSubmission(payload="p", steps=(step,))
 
 
@@ -245,7 +249,8 @@
     def test_done_tasks_leave_the_backlog(self) -> None:
         self.accept_seconds("open", self.GOAL_SECONDS + 1)
         self.assertIsNotNone(self.decide())
-        self.state.jobs[JobId("open")].occurrences[0][0].done = 1
+        progress = self.state.jobs[JobId("open")].occurrences[0][0]
+        progress.done = len(progress.tasks)
         self.assertIsNone(self.decide())
 
     def test_work_of_lower_priority_does_not_count(self) -> None:
@@ -258,6 +263,27 @@
         self.begin("first", make_finite(work, 1.0))
         self.assertIsNotNone(self.decide())
 
+    def test_work_that_no_worker_can_run_keeps_nobody_out(self) -> None:
+        """A job that asked for 10**18 millicores had all others rejected."""
+        hour = {"tasks": 4000, "estimate_ms": 3_600_000}
+        for first in (
+            Step(demand=Demand(10**18), **hour),
+            Step(demand=Demand(CORES * 1000 + 1), **hour),
+            Step(demand=Demand(1000, CAPACITY.memory_mb + 1), **hour),
+            Step(demand=Demand(1000), required_label=Label("none"), **hour),
+            Step(demand=Demand(1000), gang=True, max_per_worker=1, **hour),
+        ):
+            later = Step(demand=Demand(1000), after=(0,), **hour)
+            impossible = JobSubmission(payload="p", steps=(first, later))
+            with self.subTest(step=first):
+                self.setUp()
+                self.accept("impossible", impossible)
+                self.begin("proposed", impossible)
+                self.assertIsNone(self.decide())
+                possible = JobSubmission(payload="p", steps=(Step(**hour), later))
+                self.accept("possible", possible)
+                self.assertIsNotNone(self.decide())
+
     def test_jobs_on_spare_cores_are_accepted(self) -> None:
         self.accept_seconds("open", self.GOAL_SECONDS + 1)
         step = Step(demand=Demand(1000), estimate_ms=1000, uses_spare_cores=True)
--- /dev/null
+++ b/tests/scheduling/test_ranges.py
@@ -0,0 +1,85 @@
+"""Tests that a leader bears every number that is in range."""
+
+from __future__ import annotations
+
+import unittest
+
+import msgspec
+import trio
+
+from rhubarbfield.scheduling.model import (
+    Demand,
+    JobPhase,
+    JobSubmission,
+    Recurrence,
+    Step,
+)
+from rhubarbfield.scheduling.ranges import MAX_INTEGER
+from rhubarbfield.scheduling.requests import Accepted, JobReply, JobRequest, JobVerb
+from rhubarbfield.scheduling.service import SchedulingService
+from rhubarbfield.scheduling.state import SchedulingState
+from tests.scheduling.deployments import ONE_CORE, QUEUE, Deployment, with_deployment
+
+LARGEST = Demand(MAX_INTEGER, MAX_INTEGER, MAX_INTEGER)
+MOST_TASKS = 16
+# Each of them may be submitted; none keeps ordinary work from being done.
+EXTREME_STEPS = (
+    Step(tasks=MOST_TASKS, demand=LARGEST, estimate_ms=MAX_INTEGER),
+    Step(demand=ONE_CORE, estimate_ms=MAX_INTEGER, tail_goal_ms=MAX_INTEGER),
+    Step(demand=LARGEST, uses_spare_cores=True, estimate_ms=MAX_INTEGER),
+    Step(demand=LARGEST, gang=True, same_rack=True, tasks=MOST_TASKS),
+    Step(max_per_worker=MAX_INTEGER, disruption_budget=MAX_INTEGER, standing=True),
+)
+EXTREME_RECURRENCES = (
+    Recurrence(MAX_INTEGER, -MAX_INTEGER, MAX_INTEGER),
+    Recurrence(MAX_INTEGER, MAX_INTEGER, MAX_INTEGER),
+    Recurrence(MAX_INTEGER, -MAX_INTEGER, 0),
+    Recurrence(1, 0, MAX_INTEGER),
+)
+
+
+def list_extreme_jobs() -> list[JobSubmission]:
+    jobs = [JobSubmission(payload="p", steps=(step,)) for step in EXTREME_STEPS]
+    jobs.append(JobSubmission(payload="p", steps=EXTREME_STEPS[:4]))
+    return jobs + [
+        JobSubmission(payload="p", steps=(EXTREME_STEPS[0],), recurrence=each)
+        for each in EXTREME_RECURRENCES
+    ]
+
+
+class LargestNumbersTest(unittest.TestCase):
+    async def submit(
+        self, service: SchedulingService, name: str, submission: JobSubmission
+    ) -> JobReply:
+        path = f"{QUEUE.prefix}{name}"
+        request = JobRequest(
+            verb=JobVerb.SUBMIT, host=QUEUE.host, path=path, submission=submission
+        )
+        return await service.answer(request)
+
+    @with_deployment()
+    async def test_work_goes_on_beside_jobs_with_the_largest_numbers(
+        self, deployment: Deployment
+    ) -> None:
+        for name in ("w1", "w2"):
+            deployment.add_worker(name)
+        service = SchedulingService(deployment.log, lambda: None, deployment.clock)
+        ordinary = JobSubmission(
+            payload="p", steps=(Step(demand=ONE_CORE, estimate_ms=100),)
+        )
+        async with deployment.lead():
+            for number, extreme in enumerate(list_extreme_jobs()):
+                await self.submit(service, f"x{number}", extreme)
+                await trio.sleep(1)
+            await trio.sleep(5)
+            reply = await self.submit(service, "ordinary", ordinary)
+            self.assertEqual(reply, Accepted())
+            await trio.sleep(5)
+            self.assertIs(deployment.get_job("ordinary").phase, JobPhase.COMPLETED)
+        snapshot = msgspec.msgpack.encode(deployment.state)
+        restored = msgspec.msgpack.decode(snapshot, type=SchedulingState)
+        self.assertEqual(restored, deployment.state)
+
+
+if __name__ == "__main__":
+    unittest.main()
