Ignore heartbeats and replies with a number out of range

Class: a number from outside without a range. The clock and the remaining time of a worker may now be a hundredth of the longest duration; capacity, sequence, slots, and the numbers in lists of runs what the log's encoding takes. A heartbeat out of range is ignored, answered 400, counted (`rhubarbfield_scheduling_heartbeats`, outcome `refused`), and logged at most once in 10 s with the number of those before it; until now each wrote a line. A reply out of range counts as unreadable, like other unreadable ones. The lease ignores such a clock, too, since a controller of an earlier version may pass it on in a digest or through a relay.

`ColdRemainingMs` is not read, and has no range.

--- a/src/rhubarbfield/platform/control.py
+++ b/src/rhubarbfield/platform/control.py
@@ -63,7 +63,7 @@
                 is_recorded = await self._service.handle_heartbeat(heartbeat)
                 return self._confirm(worker, is_recorded)
             case Failure(reason):
-                logger.warning("heartbeat-refused worker=%s reason=%s", worker, reason)
+                self._service.refuse_heartbeat(WorkerId(worker), reason)
                 return make_json(HTTPStatus.BAD_REQUEST, {"Error": reason})
         raise AssertionError
 
--- a/src/rhubarbfield/platform/runners.py
+++ b/src/rhubarbfield/platform/runners.py
@@ -12,6 +12,7 @@
 
 from rhubarbfield.clock import MILLISECOND
 from rhubarbfield.httpclient import HttpClient, HttpReply
+from rhubarbfield.platform.jobwire import DECODE_ERRORS
 from rhubarbfield.platform.wire import REFUSALS, WireReply, WireView
 from rhubarbfield.scheduling.ports import (
     CallFailure,
@@ -193,7 +194,7 @@
 def _read_reply(content: bytes) -> WireReply | None:
     try:
         return _reply_decoder.decode(content)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         logger.warning("reply-unreadable error=%s", error)
         return None
 
@@ -202,8 +203,7 @@
     try:
         return Success(_view_decoder.decode(content).to_view())
     except (
-        msgspec.MsgspecError,
-        UnicodeDecodeError,
+        *DECODE_ERRORS,
         ValueError,
         TypeError,
         IndexError,
--- a/src/rhubarbfield/platform/wire.py
+++ b/src/rhubarbfield/platform/wire.py
@@ -10,7 +10,7 @@
 from returns.result import Failure, Result, Success
 
 from rhubarbfield.clock import MILLISECOND
-from rhubarbfield.platform.jobwire import Message
+from rhubarbfield.platform.jobwire import DECODE_ERRORS, Message
 from rhubarbfield.scheduling.commands import WorkerReport
 from rhubarbfield.scheduling.heartbeats import Heartbeat
 from rhubarbfield.scheduling.model import (
@@ -26,7 +26,13 @@
     WorkerService,
 )
 from rhubarbfield.scheduling.ports import ActiveRun, ListedEnd, Refusal, WorkerView
-from rhubarbfield.scheduling.ranges import Count
+from rhubarbfield.scheduling.ranges import (
+    MAX_INTEGER,
+    Count,
+    Megabytes,
+    Millicores,
+    WorkerMilliseconds,
+)
 from rhubarbfield.scheduling.state import RunEnd
 from rhubarbfield.types import MAX_PORT, FailureDomain, ServiceName, WorkerId
 
@@ -85,8 +91,8 @@
 class WireCapacity(Message, frozen=True):
     """Total resources of a runner, the processor in millicores."""
 
-    cpu: Count
-    mem_mb: Count
+    cpu: Millicores
+    mem_mb: Megabytes
     gpu: Count = 0
 
 
@@ -98,21 +104,22 @@
     # Failure domain of the runner.
     zone: str
     state: str
-    sequence: int
+    sequence: Count
     capacity: WireCapacity
+    slots: Count = 0
     machine: str = ""
     # Kind of the runner, then its rack.
     labels: tuple[str, ...] = ()
     # Monotonic clock of the runner, not a time of day.
-    clock_ms: int | None = None
+    clock_ms: WorkerMilliseconds | None = None
     # Minimum time that a draining runner keeps running.
-    remaining_ms: int | None = None
+    remaining_ms: WorkerMilliseconds | None = None
 
 
 class WireReply(Message, frozen=True):
     """Reply of a runner to an order; a refusal gives a reason."""
 
-    clock_ms: int | None = None
+    clock_ms: WorkerMilliseconds | None = None
     reason: str = ""
 
 
@@ -123,7 +130,7 @@
     measure; a row of ended runs is number, task, run, end and checkpoint.
     """
 
-    clock_ms: int
+    clock_ms: WorkerMilliseconds
     active_runs: tuple[tuple[Any, ...], ...] = ()
     ended_runs: tuple[tuple[Any, ...], ...] = ()
 
@@ -133,7 +140,7 @@
         Raises
         ------
         ValueError, IndexError, TypeError, OverflowError
-            If a row does not have the expected entries, or a number is too large.
+            If a row does not have the expected entries, or a number is out of range.
         """
         return WorkerView(
             clock=self.clock_ms * MILLISECOND,
@@ -195,7 +202,7 @@
     """Decode a heartbeat, or return why it is invalid."""
     try:
         wire = _heartbeat_decoder.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         return Failure(f"the heartbeat can't be read: {error}")
     draining = DRAINING_BY_STATE.get(wire.state)
     if draining is None:
@@ -203,10 +210,6 @@
     host, _, port = wire.address.rpartition(":")
     if not host or not port.isdecimal() or not 0 < int(port) <= MAX_PORT:
         return Failure(f"address {wire.address!r} is not host:port")
-    try:
-        clock, remaining = map(_to_duration, (wire.clock_ms, wire.remaining_ms))
-    except OverflowError:
-        return Failure("the clock or the remaining time is too large")
     report = WorkerReport(
         worker=WorkerId(worker),
         machine=MachineName(wire.machine),
@@ -221,8 +224,8 @@
         Heartbeat(
             report=report,
             sequence=wire.sequence,
-            clock=clock,
-            remaining=remaining,
+            clock=_to_duration(wire.clock_ms),
+            remaining=_to_duration(wire.remaining_ms),
         )
     )
 
@@ -235,13 +238,27 @@
     task, run, checkpoint, percent, *rest = row
     return ActiveRun(
         task=TaskName(str(task)),
-        run=RunNumber(int(run)),
+        run=RunNumber(_read_number(run)),
         checkpoint=CheckpointToken(str(checkpoint)),
-        percent=float(percent),
+        percent=_read_percent(percent),
         measure=_read_measure(rest[0]) if rest else None,
     )
 
 
+def _read_number(value: Any) -> int:
+    number = int(value)
+    if not 0 <= number <= MAX_INTEGER:
+        raise ValueError(f"a number of a run or an end is not 0 to {MAX_INTEGER}")
+    return number
+
+
+def _read_percent(value: Any) -> float:
+    percent = float(value)
+    if not math.isfinite(percent):
+        raise ValueError(f"{percent} is no percent")
+    return percent
+
+
 def _read_measure(value: Any) -> float | None:
     """Return a measure; None if there is none, or it is negative or not finite."""
     if value is None:
@@ -253,9 +270,9 @@
 def _read_end(row: tuple[Any, ...]) -> ListedEnd:
     number, task, run, end, checkpoint = row
     return ListedEnd(
-        number=int(number),
+        number=_read_number(number),
         task=TaskName(str(task)),
-        run=RunNumber(int(run)),
+        run=RunNumber(_read_number(run)),
         end=RunEnd(end),
         checkpoint=CheckpointToken(str(checkpoint)),
     )
--- a/src/rhubarbfield/scheduling/leases.py
+++ b/src/rhubarbfield/scheduling/leases.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 
 from rhubarbfield.clock import Clock
+from rhubarbfield.scheduling.ranges import MAX_WORKER_MS
 from rhubarbfield.scheduling.settings import SchedulingSettings
 
 # A lease end rests on a reading of the worker's clock of this age at most, or is
@@ -12,6 +13,8 @@
 MAX_CLOCK_AGE = timedelta(seconds=10)
 # By how much a clock in a report may exceed the one expected from the last reading.
 CLOCK_TOLERANCE = timedelta(seconds=1)
+# Another controller, of an earlier version, may pass on readings that are larger.
+MAX_CLOCK = timedelta(milliseconds=MAX_WORKER_MS)
 LATENCY_SLACK = timedelta(milliseconds=200)  # for an order in flight at a power loss
 
 
@@ -65,13 +68,20 @@
         return self._lease_end
 
     def update_clock(self, worker_clock: timedelta) -> None:
-        """Record the worker's clock from a reply or report; it may be outdated."""
+        """Record the worker's clock from a reply or report; it may be outdated.
+
+        A reading that is out of range is ignored.
+        """
+        if abs(worker_clock) > MAX_CLOCK:
+            return
         self._worker_clock = worker_clock
         self.clock_read_at = self._clock.monotonic()
 
     def update_reported_clock(self, worker_clock: timedelta, age: timedelta) -> None:
         """Record the worker's clock from a report, unless it was delayed.
 
+        A reading that is out of range is ignored.
+
         Parameters
         ----------
         worker_clock
@@ -79,6 +89,8 @@
         age
             Time since the report was received.
         """
+        if abs(worker_clock) > MAX_CLOCK:
+            return
         read_at = self._clock.monotonic() - age
         if self._worker_clock is not None:
             passed = read_at - self.clock_read_at
--- a/src/rhubarbfield/scheduling/ranges.py
+++ b/src/rhubarbfield/scheduling/ranges.py
@@ -22,5 +22,9 @@
 Count = Annotated[int, Meta(ge=0, le=MAX_INTEGER)]
 # Durations in ms that are compared as numbers, or limited before they become one.
 Milliseconds = Annotated[int, Meta(ge=0, le=MAX_INTEGER)]
+# Readings of a worker's own clock, and durations by it, in ms. Leases and ages are
+# added to them, and the longest valid duration is almost a hundred times this one.
+MAX_WORKER_MS = 10**15
+WorkerMilliseconds = Annotated[int, Meta(ge=-MAX_WORKER_MS, le=MAX_WORKER_MS)]
 # In ms since 1970; earlier times are negative.
 TimeOfDay = Annotated[int, Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
--- a/src/rhubarbfield/scheduling/reception.py
+++ b/src/rhubarbfield/scheduling/reception.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Callable
 from datetime import timedelta
 from enum import StrEnum
@@ -10,6 +11,7 @@
 
 from rhubarbfield.clock import Clock
 from rhubarbfield.groups import NotLeading, ReplicatedLog
+from rhubarbfield.logs import log_event
 from rhubarbfield.peering import (
     CallFailure,
     ConnectionPool,
@@ -36,6 +38,9 @@
 
 # Workers wait a second for an answer, then call another controller.
 FORWARD_TIMEOUT = timedelta(milliseconds=800)
+REFUSAL_LOG_INTERVAL = timedelta(seconds=10)
+
+logger = logging.getLogger(__name__)
 
 
 class HeartbeatOutcome(StrEnum):
@@ -47,6 +52,7 @@
     ANSWERED = "answered"
     FORWARDED = "forwarded"
     UNREACHED = "unreached"
+    REFUSED = "refused"
 
 
 class Reception:
@@ -87,6 +93,8 @@
         self._pool = self._make_pool(transport)
         self._digests = DigestSender(self._call, clock)
         self._unknown: set[WorkerId] = set()
+        self._refused = 0  # since the last line about it
+        self._refusal_logged_at: timedelta | None = None
 
     async def run(self) -> None:
         """Send digests to the leader until cancelled."""
@@ -127,6 +135,24 @@
         HEARTBEATS.labels(outcome.value).inc()
         return reply
 
+    def refuse(self, worker: WorkerId, reason: str) -> None:
+        """Count a heartbeat that can't be used, and log one from time to time."""
+        HEARTBEATS.labels(HeartbeatOutcome.REFUSED.value).inc()
+        self._refused += 1
+        now, logged_at = self._clock.monotonic(), self._refusal_logged_at
+        if logged_at is not None and now - logged_at < REFUSAL_LOG_INTERVAL:
+            return
+        log_event(
+            logger,
+            logging.WARNING,
+            "heartbeat-refused",
+            worker=worker,
+            reason=reason,
+            refused=self._refused,
+        )
+        self._refused = 0
+        self._refusal_logged_at = now
+
     async def handle_departure(self, worker: WorkerId) -> bool | NotLeading:
         """Handle a worker's announcement of its exit; return whether it was handled."""
         leader = self._find_leader()
--- a/src/rhubarbfield/scheduling/service.py
+++ b/src/rhubarbfield/scheduling/service.py
@@ -184,6 +184,10 @@
         """Record a worker's report; return whether it is recorded."""
         return await self._reception.handle_heartbeat(heartbeat)
 
+    def refuse_heartbeat(self, worker: WorkerId, reason: str) -> None:
+        """Count a heartbeat that can't be used."""
+        self._reception.refuse(worker, reason)
+
     async def handle_departure(self, worker: WorkerId) -> bool | NotLeading:
         """Handle a worker's announcement of its exit; return whether it was handled."""
         return await self._reception.handle_departure(worker)
--- a/tests/platform/test_control.py
+++ b/tests/platform/test_control.py
@@ -6,12 +6,16 @@
 from http import HTTPStatus
 
 import msgspec
+import trio
 
 from rhubarbfield.httpserver import HttpRequest, HttpResponse
 from rhubarbfield.platform.control import ControlInterface
+from tests.platform.test_wire import HEARTBEAT
 from tests.scheduling.controllers import Controllers, with_controllers
+from tests.scheduling.test_reception import count_heartbeats
 
 CONTROL_PORT = 2
+REFUSED = 20
 MANY_ROUTES = 5000
 TOO_MANY_ROUTES = 20_000
 
@@ -75,5 +79,30 @@
         self.assertEqual(await send(controllers, "GET"), before)
 
 
+class HeartbeatTest(unittest.TestCase):
+    @with_controllers()
+    async def test_heartbeats_out_of_range_are_counted_and_logged_from_time_to_time(
+        self, controllers: Controllers
+    ) -> None:
+        """Two with a clock near the longest duration ended the leader."""
+        interface = ControlInterface(controllers.leader.service, CONTROL_PORT)
+        body = msgspec.json.encode({**HEARTBEAT, "ClockMs": 86_399_999_999_999_999})
+        request = HttpRequest(
+            method="PUT", path="/instances/i-1", headers={}, body=body
+        )
+        before = count_heartbeats("refused")
+        with self.assertLogs("rhubarbfield.scheduling.reception") as logs:
+            for _ in range(REFUSED):
+                response = await interface.answer(request)
+                self.assertEqual(response.status, HTTPStatus.BAD_REQUEST)
+                self.assertIn(b"$.ClockMs", response.body)
+                await trio.sleep(0.1)
+            await trio.sleep(10)
+            await interface.answer(request)
+        self.assertEqual(count_heartbeats("refused") - before, REFUSED + 1)
+        self.assertEqual(len(logs.records), 2)
+        self.assertEqual(controllers.leader.log.state.scheduling.workers, {})
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -59,6 +59,7 @@
     "MayMiss",
 )
 TOO_LARGE = 10**20  # more than 64 bits
+LONGEST_MS = 86_399_999_999_999_999  # of a duration
 JSON = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
     lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
@@ -198,6 +199,27 @@
         missing = {name: HEARTBEAT[name] for name in HEARTBEAT if name != "Service"}
         self.assertIsInstance(decode_heartbeat("i-1", encode(missing)), Failure)
 
+    def test_numbers_of_a_heartbeat_that_are_out_of_range_are_refused(self) -> None:
+        for changes in (
+            {"ClockMs": LONGEST_MS},
+            {"ClockMs": -LONGEST_MS},
+            {"RemainingMs": LONGEST_MS},
+            {"Sequence": TOO_LARGE},
+            {"Slots": TOO_LARGE},
+            {"Capacity": {"Cpu": TOO_LARGE, "MemMb": 1}},
+            {"Capacity": {"Cpu": 1, "MemMb": TOO_LARGE}},
+            {"Capacity": {"Cpu": 1, "MemMb": 1, "Gpu": -1}},
+        ):
+            body = encode({**HEARTBEAT, **changes})
+            reason = decode_heartbeat("i-1", body).failure()
+            self.assertIn(f"$.{next(iter(changes))}", reason)
+            self.assertRegex(reason, r"[<>]= -?\d+")
+
+    def test_heartbeat_that_nests_too_deeply_is_refused(self) -> None:
+        nested = b"[" * 100_000 + b"]" * 100_000
+        body = encode(HEARTBEAT)[:-1] + b', "More":' + nested + b"}"
+        self.assertIn("recursion", decode_heartbeat("i-1", body).failure())
+
 
 class ViewTest(unittest.TestCase):
     def test_rows_are_decoded(self) -> None:
@@ -230,6 +252,16 @@
             body = msgspec.json.encode({**HEARTBEAT, **changes})
             self.assertIsInstance(decode_heartbeat("i", body), Failure, changes)
 
+    def test_numbers_that_cannot_be_stored_make_a_view_unreadable(self) -> None:
+        for content in (
+            {"ClockMs": LONGEST_MS},
+            {"ClockMs": 1, "ActiveRuns": [["j.0.0.0", TOO_LARGE, "", 1]]},
+            {"ClockMs": 1, "ActiveRuns": [["j.0.0.0", 1, "", "nan"]]},
+            {"ClockMs": 1, "EndedRuns": [[TOO_LARGE, "j.0.0.0", 1, "done", ""]]},
+            {"ClockMs": 1, "EndedRuns": [[1, "j.0.0.0", -1, "done", ""]]},
+        ):
+            self.assertIsInstance(_read_view(encode(content)), Failure, content)
+
     def test_unknown_ends_are_invalid(self) -> None:
         body = b'{"ClockMs":5,"EndedRuns":[[58,"j.0.0.2",1,"vanished",""]]}'
         with self.assertRaises(ValueError):
--- a/tests/scheduling/test_ranges.py
+++ b/tests/scheduling/test_ranges.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import unittest
+from contextlib import suppress
+from datetime import timedelta
 
 import msgspec
 import trio
@@ -22,6 +24,7 @@
 
 LARGEST = Demand(MAX_INTEGER, MAX_INTEGER, MAX_INTEGER)
 MOST_TASKS = 16
+LONGEST = timedelta(milliseconds=86_399_999_999_999_999)
 # Each of them may be submitted; none keeps ordinary work from being done.
 EXTREME_STEPS = (
     Step(tasks=MOST_TASKS, demand=LARGEST, estimate_ms=MAX_INTEGER),
@@ -80,6 +83,26 @@
         restored = msgspec.msgpack.decode(snapshot, type=SchedulingState)
         self.assertEqual(restored, deployment.state)
 
+    @with_deployment()
+    async def test_clocks_near_the_longest_duration_do_not_end_the_leader(
+        self, deployment: Deployment
+    ) -> None:
+        """The leader ended as it added a lease to the clock."""
+        deployment.add_worker("w1")
+        odd = deployment.add_worker("w2")
+        deployment.reporting.remove(odd)
+        async with deployment.lead() as leader:
+            for clock in (LONGEST, timedelta.min, LONGEST):
+                heartbeat = odd.make_heartbeat()
+                with suppress(OverflowError):  # the server answers it 500
+                    await leader.handle_heartbeat(
+                        msgspec.structs.replace(heartbeat, clock=clock)
+                    )
+                await trio.sleep(1)
+            await deployment.submit("j", Step(tasks=MOST_TASKS, demand=ONE_CORE))
+            await trio.sleep(10)
+            self.assertIs(deployment.get_job("j").phase, JobPhase.COMPLETED)
+
 
 if __name__ == "__main__":
     unittest.main()
