Refuse goals of a queue that are no valid durations

A configuration with `Stretch` 10^18 or `TargetLatencyMs` 2^62 was acknowledged. A job that its queue had accepted before ended the leader in its next round, and each one after it, as ranking computes the goal as well.

Class: a number from outside without a range. The numbers of a configuration have one now; out of range it is invalid, 400 with the field and the bound. A goal of three times the longest chain of steps stays a valid duration. Goals that an earlier version has stored are limited where the goal is computed. A document that nests too deeply is invalid, 400 instead of 500.

Failed before: the tests of numbers out of range and of nesting in test_wire (accepted; raised), and test_jobs_are_served_under_goals_that_an_earlier_version_took (OverflowError in the round, which ended the leader). The tests of the largest numbers and of unused ones passed before.

--- a/src/rhubarbfield/platform/wire.py
+++ b/src/rhubarbfield/platform/wire.py
@@ -4,7 +4,7 @@
 
 import math
 from datetime import timedelta
-from typing import Annotated, Any
+from typing import Any
 
 import msgspec
 from returns.result import Failure, Result, Success
@@ -29,8 +29,12 @@
 from rhubarbfield.scheduling.ranges import (
     MAX_INTEGER,
     Count,
+    LatencyGoal,
     Megabytes,
     Millicores,
+    Priority,
+    Slowdown,
+    Timeout,
     WorkerMilliseconds,
 )
 from rhubarbfield.scheduling.state import RunEnd
@@ -45,13 +49,13 @@
     name: str
     hostname: str
     path_prefix: str
-    timeout_ms: Annotated[int, msgspec.Meta(gt=0)]
+    timeout_ms: Timeout
     service: str
-    target_latency_ms: Count = 0
-    priority: int = 0
+    target_latency_ms: LatencyGoal = 0
+    priority: Priority = 0
     max_attempts: Count = 1
     # Slowdown goal: a job's duration as a multiple of its longest chain of work.
-    stretch: float = 1.0
+    stretch: Slowdown = 1.0
     # If not empty, runners need a ticket. The times in it are for the adviser.
     advice: dict[str, Any] | None = None
 
@@ -82,7 +86,7 @@
 class WireConfiguration(Message, frozen=True):
     """A complete configuration."""
 
-    version: Annotated[int, msgspec.Meta(ge=0)]
+    version: Count
     routes: tuple[WireRoute, ...]
     services: tuple[WireService, ...]
     limits: dict[str, Any]
@@ -168,7 +172,7 @@
     try:
         document = msgspec.json.decode(body)
         wire = _configuration_decoder.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         return Failure(f"the configuration can't be read: {error}")
     services = {service.name for service in wire.services}
     prefixes: set[tuple[str, str]] = set()
--- a/src/rhubarbfield/scheduling/ordering.py
+++ b/src/rhubarbfield/scheduling/ordering.py
@@ -16,6 +16,7 @@
 
 from rhubarbfield.clock import MILLISECOND
 from rhubarbfield.scheduling.model import JobSubmission, Queue
+from rhubarbfield.scheduling.ranges import MAX_LATENCY_GOAL_MS, MAX_SLOWDOWN
 from rhubarbfield.scheduling.state import Job, StepProgress, TaskPhase
 
 LATE_GOAL_MULTIPLE = 3  # a job that takes this many times its goal has no value
@@ -116,10 +117,10 @@
 
 def find_goal(work: RemainingWork, queue: Queue) -> timedelta:
     """Return how long a job of ``queue`` should take at most."""
-    return (
-        work.total_critical_path * queue.slowdown_goal
-        + queue.latency_goal_ms * MILLISECOND
-    )
+    # An earlier version accepted goals that are no valid durations.
+    slowdown = min(max(queue.slowdown_goal, 0), MAX_SLOWDOWN)
+    latency_ms = min(queue.latency_goal_ms, MAX_LATENCY_GOAL_MS)
+    return work.total_critical_path * slowdown + latency_ms * MILLISECOND
 
 
 def is_interrupted(job: Job) -> bool:
--- a/src/rhubarbfield/scheduling/ranges.py
+++ b/src/rhubarbfield/scheduling/ranges.py
@@ -26,5 +26,14 @@
 # added to them, and the longest valid duration is almost a hundred times this one.
 MAX_WORKER_MS = 10**15
 WorkerMilliseconds = Annotated[int, Meta(ge=-MAX_WORKER_MS, le=MAX_WORKER_MS)]
+# Goals are a multiple of a job's critical path, of 256 steps of 30 days at most, and a
+# time added to that. Three times such a goal is still a valid duration.
+MAX_SLOWDOWN = 10_000
+MAX_LATENCY_GOAL_MS = 10**15
+Slowdown = Annotated[float, Meta(ge=0, le=MAX_SLOWDOWN)]
+LatencyGoal = Annotated[int, Meta(ge=0, le=MAX_LATENCY_GOAL_MS)]
+# Of a call, in ms; it is stored and not used.
+Timeout = Annotated[int, Meta(gt=0, le=MAX_INTEGER)]
+Priority = Annotated[int, Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
 # In ms since 1970; earlier times are negative.
 TimeOfDay = Annotated[int, Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -18,8 +18,12 @@
     decode_configuration,
     decode_heartbeat,
 )
-from rhubarbfield.scheduling.model import Demand, JobSubmission
-from rhubarbfield.scheduling.ranges import MAX_INTEGER
+from rhubarbfield.scheduling.model import Demand, JobSubmission, QueueConfiguration
+from rhubarbfield.scheduling.ranges import (
+    MAX_INTEGER,
+    MAX_LATENCY_GOAL_MS,
+    MAX_SLOWDOWN,
+)
 from rhubarbfield.scheduling.state import RunEnd
 
 HEARTBEAT = {
@@ -176,6 +180,52 @@
         whole = encode(CONFIGURATION)
         self.assertIsInstance(decode_configuration(whole[:-9]), Failure)
 
+    def test_numbers_of_a_configuration_that_are_out_of_range_are_refused(
+        self,
+    ) -> None:
+        """A goal that is no valid duration was taken, and submissions got 504."""
+        for name, number in (
+            ("Stretch", 10**18),
+            ("Stretch", -1),
+            ("TargetLatencyMs", 2**62),
+            ("TargetLatencyMs", -1),
+            ("TimeoutMs", TOO_LARGE),
+            ("Priority", TOO_LARGE),
+            ("Priority", -TOO_LARGE),
+            ("MaxAttempts", TOO_LARGE),
+        ):
+            reason = self.refuse(Routes=[{**ROUTE, name: number}])
+            self.assertIn(f"$.Routes[0].{name}`", reason)
+            self.assertRegex(reason, r"[<>]= -?\d+")
+        self.assertIn("$.Version`", self.refuse(Version=TOO_LARGE))
+
+    def test_largest_numbers_of_a_configuration_can_be_stored(self) -> None:
+        route = {
+            **ROUTE,
+            "Stretch": MAX_SLOWDOWN,
+            "TargetLatencyMs": MAX_LATENCY_GOAL_MS,
+            "TimeoutMs": MAX_INTEGER,
+            "Priority": -MAX_INTEGER,
+            "MaxAttempts": MAX_INTEGER,
+        }
+        content = {**CONFIGURATION, "Version": MAX_INTEGER, "Routes": [route]}
+        decoded = decode_configuration(encode(content)).unwrap()
+        stored = msgspec.msgpack.encode(decoded)
+        self.assertEqual(
+            msgspec.msgpack.decode(stored, type=QueueConfiguration), decoded
+        )
+
+    def test_numbers_that_are_not_used_are_read_back_whatever_their_size(self) -> None:
+        content = {**CONFIGURATION, "Limits": {"MaxBodyBytes": TOO_LARGE}}
+        document = decode_configuration(encode(content)).unwrap().document
+        self.assertEqual(json.loads(document), content)
+
+    def test_configuration_that_nests_too_deeply_is_refused(self) -> None:
+        nested = b"[" * 100_000 + b"]" * 100_000
+        body = encode(CONFIGURATION)[:-1] + b', "More":' + nested + b"}"
+        refused = decode_configuration(body)
+        self.assertIn("recursion", refused.failure())
+
 
 class HeartbeatTest(unittest.TestCase):
     def test_heartbeat_is_decoded(self) -> None:
--- a/tests/scheduling/test_ranges.py
+++ b/tests/scheduling/test_ranges.py
@@ -9,6 +9,7 @@
 import msgspec
 import trio
 
+from rhubarbfield.platform.jobwire import MAX_STEPS
 from rhubarbfield.scheduling.model import (
     Demand,
     JobPhase,
@@ -16,7 +17,16 @@
     Recurrence,
     Step,
 )
-from rhubarbfield.scheduling.ranges import MAX_INTEGER
+from rhubarbfield.scheduling.ordering import (
+    Outlook,
+    find_outlook,
+    measure_submission,
+)
+from rhubarbfield.scheduling.ranges import (
+    MAX_INTEGER,
+    MAX_LATENCY_GOAL_MS,
+    MAX_SLOWDOWN,
+)
 from rhubarbfield.scheduling.requests import Accepted, JobReply, JobRequest, JobVerb
 from rhubarbfield.scheduling.service import SchedulingService
 from rhubarbfield.scheduling.state import SchedulingState
@@ -103,6 +113,33 @@
             await trio.sleep(10)
             self.assertIs(deployment.get_job("j").phase, JobPhase.COMPLETED)
 
+    @with_deployment(slowdown_goal=1e18, latency_goal_ms=2**62)
+    async def test_jobs_are_served_under_goals_that_an_earlier_version_took(
+        self, deployment: Deployment
+    ) -> None:
+        """Each submission to the queue got 504, and a round ended the leader."""
+        deployment.add_worker("w1")
+        service = SchedulingService(deployment.log, lambda: None, deployment.clock)
+        ordinary = JobSubmission(payload="p", steps=(Step(demand=ONE_CORE),))
+        async with deployment.lead():
+            reply = await self.submit(service, "j", ordinary)
+            self.assertEqual(reply, Accepted())
+            await trio.sleep(5)
+            self.assertIs(deployment.get_job("j").phase, JobPhase.COMPLETED)
+
+    def test_goal_of_the_longest_job_is_a_valid_duration(self) -> None:
+        steps = tuple(
+            Step(after=(number - 1,) if number else (), estimate_ms=MAX_INTEGER)
+            for number in range(MAX_STEPS)
+        )
+        work = measure_submission(JobSubmission(payload="p", steps=steps))
+        queue = msgspec.structs.replace(
+            QUEUE, slowdown_goal=MAX_SLOWDOWN, latency_goal_ms=MAX_LATENCY_GOAL_MS
+        )
+        self.assertIs(find_outlook(work, queue, timedelta()), Outlook.ON_TIME)
+        strict = msgspec.structs.replace(QUEUE, slowdown_goal=0, latency_goal_ms=0)
+        self.assertIs(find_outlook(work, strict, timedelta()), Outlook.TOO_LATE)
+
 
 if __name__ == "__main__":
     unittest.main()
