Let a message that can't be encoded fail alone

Class: an error of one unit of work in a task that works for all. A message is now encoded where it is sent. A reply costs itself only. A message for which nobody waits (links between controllers, relays) is logged as `message-dropped`, like one that is lost.

--- a/src/rhubarbfield/leadercalls/attempts.py
+++ b/src/rhubarbfield/leadercalls/attempts.py
@@ -45,6 +45,8 @@
         The member that decided.
     in_doubt
         Whether an attempt that has ended may still take effect.
+    is_unsendable
+        Whether the request can't be sent to any member.
     detail
         Why there is no answer yet.
     """
@@ -68,6 +70,7 @@
         self.answer: Result[Any, Any] | None = None
         self.answered_by: InstanceName | None = None
         self.in_doubt = False
+        self.is_unsendable = False
         self.detail = "no leader was found"
 
     def begin(self, attempt: Attempt, timeout: timedelta) -> None:
@@ -119,6 +122,7 @@
             case Failure(failure):
                 self.detail = failure.detail
                 self.in_doubt = self.in_doubt or _is_in_doubt(failure)
+                self.is_unsendable = failure.kind is CallFailureKind.UNSENDABLE
         # An earlier attempt may still take effect.
         if self._rejection is not None and not (self.in_doubt or self._in_progress):
             self.answer = self._rejection
--- a/src/rhubarbfield/leadercalls/calls.py
+++ b/src/rhubarbfield/leadercalls/calls.py
@@ -128,6 +128,8 @@
                     continue
                 return
             reply = await self._attempt(attempts, remaining)
+            if attempts.is_unsendable:
+                return
             match reply:
                 case Success(NotLeading(leader=leader)):
                     # Only once: during an election members may name each other.
--- a/src/rhubarbfield/peering/__init__.py
+++ b/src/rhubarbfield/peering/__init__.py
@@ -18,13 +18,14 @@
     MessageStream,
     StreamMethod,
     Transport,
+    UnsendableMessageError,
 )
 from rhubarbfield.peering.streamedcalls import (
     make_call_stream,
     open_streamed_calls,
     serve_calls,
 )
-from rhubarbfield.peering.transport import GrpcTransport, connect, dial
+from rhubarbfield.peering.transport import GrpcTransport, connect, dial, send_or_drop
 
 __all__ = [
     "CallFailure",
@@ -38,6 +39,7 @@
     "PeerLinks",
     "StreamMethod",
     "Transport",
+    "UnsendableMessageError",
     "GrpcTransport",
     "connect",
     "open_bridge",
@@ -45,5 +47,6 @@
     "make_call_stream",
     "open_streamed_calls",
     "serve_calls",
+    "send_or_drop",
     "serve_link",
 ]
--- a/src/rhubarbfield/peering/_grpclib.py
+++ b/src/rhubarbfield/peering/_grpclib.py
@@ -17,7 +17,7 @@
 from trio_asyncio import aio_as_trio
 
 from rhubarbfield.peering.metrics import count_received, count_sent
-from rhubarbfield.peering.ports import Encoding
+from rhubarbfield.peering.ports import Encoding, UnsendableMessageError
 
 SEND_TIMEOUT = timedelta(seconds=2)
 CLOSE_TIMEOUT = timedelta(milliseconds=200)
@@ -36,6 +36,12 @@
 )
 
 
+class EncodedMessage(msgspec.Struct, frozen=True):
+    """A message that a stream has encoded already."""
+
+    data: bytes
+
+
 class MessageCodec(CodecBase):
     """Base of grpclib codecs for msgspec structs; see :func:`make_codec`."""
 
@@ -46,8 +52,20 @@
         self._decoders: dict[Any, Any] = {}
 
     def encode(self, message: Any, message_type: Any) -> bytes:
-        """Return the encoded ``message``."""
-        data = bytes(self._module.encode(message))
+        """Return the encoded ``message``.
+
+        Raises
+        ------
+        UnsendableMessageError
+            If it holds something that the encoding can't represent.
+        """
+        if isinstance(message, EncodedMessage):
+            return message.data
+        try:
+            data = bytes(self._module.encode(message))
+        except (ValueError, TypeError, OverflowError, RecursionError) as error:
+            name = type(message).__name__
+            raise UnsendableMessageError(f"{name} can't be encoded: {error}") from error
         count_sent(len(data))
         return data
 
@@ -92,8 +110,9 @@
 
     def __init__(self, stream: Any) -> None:
         self._stream = stream
+        self._codec: MessageCodec = stream._codec
         self._open = True
-        self._outbox: deque[msgspec.Struct] = deque()
+        self._outbox: deque[EncodedMessage] = deque()
         self._outbox_filled = asyncio.Event()
         self._outbox_drained = trio.Event()
         self._inbox_sender, self._inbox = trio.open_memory_channel[Any](math.inf)
@@ -108,10 +127,16 @@
             nursery.cancel_scope.cancel()
 
     async def send(self, message: msgspec.Struct) -> bool:
-        """Send ``message``; return False if the stream has ended or is too slow."""
+        """Send ``message``; return False if the stream has ended or is too slow.
+
+        Raises
+        ------
+        UnsendableMessageError
+            If the message can't be encoded; the stream stays usable.
+        """
         if not self._open:
             return False
-        self._outbox.append(message)
+        self._outbox.append(EncodedMessage(self._codec.encode(message, None)))
         self._outbox_filled.set()
         if len(self._outbox) <= OUTBOX_MESSAGES:
             await trio.lowlevel.checkpoint()
--- a/src/rhubarbfield/peering/client.py
+++ b/src/rhubarbfield/peering/client.py
@@ -24,6 +24,7 @@
     CallMethod,
     MessageStream,
     StreamMethod,
+    UnsendableMessageError,
 )
 
 
@@ -77,6 +78,8 @@
         )
         try:
             reply = await aio_as_trio(remote)(request, metadata=self._metadata)
+        except UnsendableMessageError as error:
+            return Failure(CallFailure(CallFailureKind.UNSENDABLE, error.message))
         except GRPCError as error:
             refused = error.status in (Status.UNAUTHENTICATED, Status.INVALID_ARGUMENT)
             kind = CallFailureKind.REFUSED if refused else CallFailureKind.TIMEOUT
--- a/src/rhubarbfield/peering/links.py
+++ b/src/rhubarbfield/peering/links.py
@@ -18,7 +18,7 @@
 import trio
 
 from rhubarbfield.peering.ports import MessageStream, StreamMethod, Transport
-from rhubarbfield.peering.transport import connect
+from rhubarbfield.peering.transport import connect, send_or_drop
 from rhubarbfield.types import InstanceName
 
 QUEUE_MESSAGES = 512
@@ -99,7 +99,7 @@
             batch = [self._queue.popleft() for _ in range(count)]
             if not self._queue:
                 self._filled = trio.Event()
-            if batch and not await stream.send(Batch(self._sender, batch)):
+            if batch and not await send_or_drop(stream, Batch(self._sender, batch)):
                 return
 
     async def _send_pings(self, stream: MessageStream) -> None:
--- a/src/rhubarbfield/peering/ports.py
+++ b/src/rhubarbfield/peering/ports.py
@@ -12,6 +12,8 @@
 import trio
 from returns.result import Result
 
+from rhubarbfield.exceptions import RhubarbfieldError
+
 
 class Encoding(StrEnum):
     """Encoding of messages; part of the gRPC content type."""
@@ -20,9 +22,16 @@
     JSON = "json"
 
 
+class UnsendableMessageError(RhubarbfieldError):
+    """A message can't be encoded; nothing was sent, and the connection is as before."""
+
+
 class MessageStream(Protocol):
     """Bidirectional stream of typed messages.
 
+    ``send`` raises :class:`UnsendableMessageError` for a message that can't be
+    encoded.
+
     ``receive`` may raise :class:`msgspec.MsgspecError` if the other side sent
     something that can't be decoded.
     """
@@ -43,6 +52,7 @@
     UNREACHABLE = "unreachable"
     TIMEOUT = "timeout"
     REFUSED = "refused"
+    UNSENDABLE = "unsendable"
 
 
 class CallFailure(msgspec.Struct, frozen=True):
@@ -51,8 +61,9 @@
     Attributes
     ----------
     kind
-        ``UNREACHABLE`` if no connection was made and the request certainly did
-        not arrive. In all other cases it may have arrived.
+        ``UNREACHABLE`` if no connection was made, and ``UNSENDABLE`` if the request
+        can't be encoded: it certainly did not arrive. In all other cases it may have
+        arrived.
     detail
         Human-readable description.
     """
--- a/src/rhubarbfield/peering/streamedcalls.py
+++ b/src/rhubarbfield/peering/streamedcalls.py
@@ -29,6 +29,7 @@
     StreamHandler,
     StreamMethod,
     Transport,
+    UnsendableMessageError,
 )
 
 logger = logging.getLogger(__name__)
@@ -81,13 +82,12 @@
         async def answer_one(request: Numbered[Any], scope: trio.CancelScope) -> None:
             try:
                 reply = await answer(request.content)
+                await stream.send(Numbered(request.number, reply))
             except BrokenInvariantError as error:
                 broken.append(error)
                 scope.cancel()
             except Exception:
                 logger.exception("request-failed")
-            else:
-                await stream.send(Numbered(request.number, reply))
 
         async with trio.open_nursery() as nursery:
             await _for_each(
@@ -241,6 +241,8 @@
             with trio.move_on_at(deadline):
                 await stream.send(Numbered(number, request))
                 await pending.settled.wait()
+        except UnsendableMessageError as error:
+            return Failure(CallFailure(CallFailureKind.UNSENDABLE, error.message))
         finally:
             self._pending.pop(number, None)
         return pending.result
--- a/src/rhubarbfield/peering/transport.py
+++ b/src/rhubarbfield/peering/transport.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager
 
+import msgspec
 import trio
 from grpclib.client import Channel
 
+from rhubarbfield.logs import log_event
 from rhubarbfield.peering._grpclib import make_codec
 from rhubarbfield.peering.client import GrpcConnection
 from rhubarbfield.peering.credentials import Credentials
@@ -20,9 +23,12 @@
     StreamHandler,
     StreamMethod,
     Transport,
+    UnsendableMessageError,
 )
 from rhubarbfield.peering.server import serve_methods
 
+logger = logging.getLogger(__name__)
+
 
 class GrpcTransport:
     """A :class:`Transport` over gRPC; runs inside :func:`open_bridge`.
@@ -71,6 +77,18 @@
         )
 
 
+async def send_or_drop(stream: MessageStream, message: msgspec.Struct) -> bool:
+    """Send a message for which nobody waits; return False if the stream has ended.
+
+    One that can't be encoded is logged and dropped, like one that is lost.
+    """
+    try:
+        return await stream.send(message)
+    except UnsendableMessageError as error:
+        log_event(logger, logging.ERROR, "message-dropped", error=error.message)
+        return True
+
+
 @asynccontextmanager
 async def connect(
     transport: Transport,
--- a/src/rhubarbfield/scheduling/relay.py
+++ b/src/rhubarbfield/scheduling/relay.py
@@ -13,7 +13,7 @@
 
 from rhubarbfield.clock import Clock
 from rhubarbfield.logs import log_event
-from rhubarbfield.peering import MessageStream
+from rhubarbfield.peering import MessageStream, send_or_drop
 from rhubarbfield.scheduling.ports import (
     CallFailure,
     NoReply,
@@ -247,6 +247,6 @@
     async def _send_replies(self, scope: trio.CancelScope) -> None:
         while True:
             replies = await self._outbox.take()
-            if replies and not await self._stream.send(ReplyBatch(replies)):
+            if replies and not await send_or_drop(self._stream, ReplyBatch(replies)):
                 scope.cancel()
                 return
--- a/src/rhubarbfield/scheduling/relay_links.py
+++ b/src/rhubarbfield/scheduling/relay_links.py
@@ -11,7 +11,7 @@
 
 from rhubarbfield.clock import Clock
 from rhubarbfield.logs import log_event
-from rhubarbfield.peering import MessageStream, Transport, connect
+from rhubarbfield.peering import MessageStream, Transport, connect, send_or_drop
 from rhubarbfield.scheduling.ports import NoReply, WorkerAddress, WorkerOrder
 from rhubarbfield.scheduling.relay_messages import (
     RELAY_STREAM,
@@ -186,7 +186,7 @@
             entries = await self._outbox.take()
             # The relay counts the wait here, too, as lateness.
             batch = CallBatch(self._outbox.taken_since, entries)
-            if entries and not await stream.send(batch):
+            if entries and not await send_or_drop(stream, batch):
                 return
 
     async def _send_pings(self, stream: MessageStream) -> None:
--- a/tests/peering/test_grpc.py
+++ b/tests/peering/test_grpc.py
@@ -102,6 +102,19 @@
             self.assertEqual(reply.failure().kind, CallFailureKind.REFUSED)
             nursery.cancel_scope.cancel()
 
+    def test_a_request_that_cannot_be_encoded_is_not_sent(self) -> None:
+        run_with_loop(self.call_with_what_cannot_be_encoded)
+
+    async def call_with_what_cannot_be_encoded(self) -> None:
+        async with trio.open_nursery() as nursery:
+            port = find_port()
+            await nursery.start(serve_with_calls, port, Encoding.MSGPACK)
+            async with connect(TRANSPORT, HOST, port) as connection:
+                refused = await connection.call(CALL, Question(2**64))
+                self.assertIs(refused.failure().kind, CallFailureKind.UNSENDABLE)
+                self.assertIsInstance(await connection.call(CALL, Question(1)), Success)
+            nursery.cancel_scope.cancel()
+
     def test_a_closed_port_is_unreachable(self) -> None:
         run_with_loop(self.call_a_closed_port)
 
@@ -203,6 +216,30 @@
             nursery.cancel_scope.cancel()
         self.assertEqual(received, [(sender, Question(n)) for n in range(5)])
 
+    def test_a_message_that_cannot_be_encoded_is_dropped(self) -> None:
+        run_with_loop(self.send_what_cannot_be_encoded)
+
+    async def send_what_cannot_be_encoded(self) -> None:
+        sender, receiver = InstanceName("a"), InstanceName("b")
+        received: list[Question] = []
+
+        async def handle(stream: MessageStream) -> None:
+            await serve_link(stream, lambda _, message: received.append(message))
+
+        port = find_port()
+        links = PeerLinks(sender, {receiver: (HOST, port)}, LINK, TRANSPORT)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(links.run)
+            await nursery.start(serve_linked, port, handle)
+            with self.assertLogs("rhubarbfield.peering", "ERROR"):
+                links.send(receiver, Question(2**64))
+                await trio.sleep(0.5)
+            links.send(receiver, Question(1))
+            while not received:
+                await trio.sleep(0.01)
+            nursery.cancel_scope.cancel()
+        self.assertEqual(received, [Question(1)])
+
 
 async def serve_linked(
     port: int,
--- a/tests/peering/test_streamedcalls.py
+++ b/tests/peering/test_streamedcalls.py
@@ -35,7 +35,7 @@
 )
 
 STREAM = make_call_stream(CALL, "/test.Test/Calls")
-SLOW, FAILING = Question(100), Question(200)
+SLOW, FAILING, UNSENDABLE = Question(100), Question(200), Question(2**64)
 
 
 class Answerer:
@@ -210,6 +210,45 @@
 
         self.run_calls(body)
 
+    def test_a_request_that_cannot_be_encoded_ends_neither_stream_nor_process(
+        self,
+    ) -> None:
+        """The task that sends for all requests raised, which ended the process."""
+
+        async def body(connection: Connection) -> None:
+            replies = []
+
+            async def call_slowly() -> None:
+                replies.append(await connection.call(CALL, SLOW))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(call_slowly)
+                await trio.sleep(0.05)
+                refused = await connection.call(CALL, UNSENDABLE)
+                self.assertIs(refused.failure().kind, CallFailureKind.UNSENDABLE)
+                self.assertIn("can't be encoded", refused.failure().detail)
+                self.assertIsInstance(await connection.call(CALL, Question(1)), Success)
+                self.answerer.release.set()
+            self.assertEqual(replies, [Success(Reply(101))])
+
+        self.run_calls(body)
+        self.assertEqual((self.transport.streams, self.transport.calls), (1, 0))
+
+    def test_a_reply_that_cannot_be_encoded_costs_one_reply(self) -> None:
+        async def answer(question: Question) -> Reply:
+            return Reply(question.number * 2**62)
+
+        async def body(connection: Connection) -> None:
+            with self.assertLogs("rhubarbfield.peering", "ERROR"):
+                reply = await connection.call(
+                    CALL, Question(8), timedelta(milliseconds=100)
+                )
+            self.assertIs(reply.failure().kind, CallFailureKind.TIMEOUT)
+            self.assertIsInstance(await connection.call(CALL, Question(0)), Success)
+
+        self.run_calls(body, answer=answer)
+        self.assertEqual(self.transport.streams, 1)
+
     def test_a_broken_invariant_ends_the_server(self) -> None:
         async def answer(question: Question) -> Reply:
             raise BrokenInvariantError("short-name", question.number)
--- a/tests/protocol/test_leaders.py
+++ b/tests/protocol/test_leaders.py
@@ -21,6 +21,7 @@
 NAMES = tuple(InstanceName(name) for name in ("a", "b", "c"))
 TIMEOUT = timedelta(seconds=4)
 TIMED_OUT = Failure(CallFailure(CallFailureKind.TIMEOUT, "no reply"))
+UNSENDABLE = Failure(CallFailure(CallFailureKind.UNSENDABLE, "too large"))
 UNREACHABLE = Failure(CallFailure(CallFailureKind.UNREACHABLE, "connection refused"))
 
 
@@ -72,6 +73,14 @@
         result, called_hosts, _ = self.run_call(answer)
         self.assertEqual((result, called_hosts), (Success(Done()), ["a", "c"]))
 
+    def test_a_request_that_cannot_be_encoded_is_tried_once_and_not_in_doubt(
+        self,
+    ) -> None:
+        result, called_hosts, took = self.run_call(lambda *_: UNSENDABLE)
+        self.assertFalse(result.failure().in_doubt)
+        self.assertEqual(called_hosts, ["a"])
+        self.assertLess(took, 0.1)
+
     def test_a_first_hint_is_followed_without_a_delay(self) -> None:
         """After a change of leader each entry paid 100 ms in its next call."""
 
