Answer a request or heartbeat that raises, and let no other pay

A heartbeat that raised at the leader was answered 500 there and cost its sender 0.8 s at another controller; one in a digest cost all that came after it. An invariant that broke while an HTTP request was answered was logged as a failed request, and the process went on.

Class: an error of one unit of work that others pay for, or that nobody is told. A request is now answered: 503 if admission raised, before anything was proposed, or if it only reads; else as in doubt. A heartbeat is not acknowledged, 503. Each writes `work-failed` with its id and the place of the error and is counted, and so are HTTP requests that are answered 500. A broken invariant ends the process from an HTTP request as it does from a call.

--- a/src/rhubarbfield/containment.py
+++ b/src/rhubarbfield/containment.py
@@ -29,6 +29,8 @@
 class Unit(StrEnum):
     """Unit of work, as a label of the metric."""
 
+    REQUEST = "request"
+    HEARTBEAT = "heartbeat"
     COMMAND = "command"
     OBSERVER = "observer"
 
--- a/src/rhubarbfield/httpserver.py
+++ b/src/rhubarbfield/httpserver.py
@@ -19,6 +19,8 @@
 import msgspec
 import trio
 
+from rhubarbfield.containment import CONTAINED_ERRORS, FATAL_ERRORS, Unit
+
 logger = logging.getLogger(__name__)
 
 READ_BYTES = 65_536
@@ -94,7 +96,8 @@
     """Serves one handler at several addresses until a stop.
 
     A malformed request is answered 400 and ends its connection; a handler that
-    raises is logged and answered 500. Neither affects other connections.
+    raises is logged and answered 500. Neither affects other connections. Only an
+    error after which the process can't go on ends the server.
 
     Parameters
     ----------
@@ -164,6 +167,8 @@
             await self._refuse(connection, error)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             logger.debug("http-connection-lost")
+        except FATAL_ERRORS:
+            raise
         except Exception:
             logger.exception("http-connection-failed")
         finally:
@@ -186,10 +191,13 @@
     async def _answer(self, request: HttpRequest) -> HttpResponse:
         try:
             return await self._handler(request)
+        except FATAL_ERRORS:
+            raise
         except Exception:
             logger.exception(
                 "http-request-failed method=%s path=%r", request.method, request.path
             )
+            CONTAINED_ERRORS.labels(Unit.REQUEST.value).inc()
             return HttpResponse(HTTPStatus.INTERNAL_SERVER_ERROR)
 
     async def _refuse(
--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -10,6 +10,7 @@
 from returns.result import Success
 
 from rhubarbfield.clock import Clock
+from rhubarbfield.containment import Unit, contain
 from rhubarbfield.groups import ReplicatedLog
 from rhubarbfield.logs import log_event
 from rhubarbfield.machine import Command, Reply
@@ -284,8 +285,12 @@
         """Process heartbeats answered elsewhere; return workers without a record."""
         workers = self.state.workers
         for sighting in digest.sightings:
-            if sighting.worker in workers:
+            if sighting.worker not in workers:
+                continue
+            try:
                 self._registry.record_sighting(sighting)
+            except Exception as error:
+                contain(Unit.HEARTBEAT, error, worker=sighting.worker)
         return tuple(
             each.worker for each in digest.sightings if each.worker not in workers
         )
--- a/src/rhubarbfield/scheduling/reception.py
+++ b/src/rhubarbfield/scheduling/reception.py
@@ -10,6 +10,7 @@
 from returns.result import Result, Success
 
 from rhubarbfield.clock import Clock
+from rhubarbfield.containment import Unit, contain
 from rhubarbfield.groups import NotLeading, ReplicatedLog
 from rhubarbfield.logs import log_event
 from rhubarbfield.peering import (
@@ -225,7 +226,11 @@
 
 
 async def _record(leader: SchedulingLeader, heartbeat: Heartbeat) -> bool:
-    is_recorded = await leader.handle_heartbeat(heartbeat)
+    try:
+        is_recorded = await leader.handle_heartbeat(heartbeat)
+    except Exception as error:
+        contain(Unit.HEARTBEAT, error, worker=heartbeat.report.worker)
+        is_recorded = False
     outcome = HeartbeatOutcome.TAKEN if is_recorded else HeartbeatOutcome.NOT_RECORDED
     HEARTBEATS.labels(outcome.value).inc()
     return is_recorded
--- a/src/rhubarbfield/scheduling/service.py
+++ b/src/rhubarbfield/scheduling/service.py
@@ -9,6 +9,7 @@
 from returns.result import Failure, Success
 
 from rhubarbfield.clock import MS_PER_SECOND, Clock
+from rhubarbfield.containment import Unit, contain
 from rhubarbfield.groups import NotLeading, ReplicatedLog, Unavailable
 from rhubarbfield.logs import log_event
 from rhubarbfield.machine import Command, Done, Refused, Reply
@@ -52,6 +53,7 @@
 logger = logging.getLogger(__name__)
 
 MAX_JOB_ID_LENGTH = 64
+UNEXPECTED = "the request raised an unexpected error"
 _JOB_ID = re.compile(rf"[0-9A-Za-z_-]{{1,{MAX_JOB_ID_LENGTH}}}")
 
 
@@ -101,10 +103,22 @@
         """Return whether this controller leads at this moment."""
         return self._log.leads()
 
-    async def answer(  # noqa: PLR0911 (one return for each answer)
+    async def answer(self, request: JobRequest | LeadershipQuery) -> JobReply:
+        """Answer a caller's request; an unexpected error costs only this one."""
+        try:
+            return await self._answer(request)
+        except Exception as error:
+            if isinstance(request, LeadershipQuery):
+                contain(Unit.REQUEST, error)
+                return Unavailable(UNEXPECTED, in_doubt=False)
+            contain(Unit.REQUEST, error, verb=request.verb, path=request.path)
+            # The error may have been raised after a proposal.
+            in_doubt = request.verb is not JobVerb.READ
+            return Unavailable(UNEXPECTED, in_doubt=in_doubt)
+
+    async def _answer(  # noqa: PLR0911 (one return for each answer)
         self, request: JobRequest | LeadershipQuery
     ) -> JobReply:
-        """Answer a caller's request."""
         if not self._log.leads():
             return NotLeading(self.leader_hint)
         if isinstance(request, LeadershipQuery):
@@ -215,9 +229,13 @@
         # late or lost, needs no further commit.
         if job not in self._state.jobs:
             term = self._get_term()
-            rejection = self._admission.decide(
-                job, queue, submission, state=self._state, term=term
-            )
+            try:
+                rejection = self._admission.decide(
+                    job, queue, submission, state=self._state, term=term
+                )
+            except Exception as error:
+                contain(Unit.REQUEST, error, verb=JobVerb.SUBMIT, job=job)
+                return Unavailable(UNEXPECTED, in_doubt=False)
             if rejection is not None:
                 return self._reject(job, queue, rejection)
             self._admission.begin(job, queue, submission, term)
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -12,6 +12,7 @@
 import msgspec
 import trio
 
+from rhubarbfield.exceptions import BrokenInvariantError
 from rhubarbfield.httpserver import HttpLimits, HttpRequest, HttpResponse, HttpServer
 from tests.routing.fakes import scenario
 
@@ -44,6 +45,8 @@
         match request.path:
             case "/fault":
                 raise RuntimeError("told to fail")
+            case "/broken":
+                raise BrokenInvariantError("short-name", "told to break")
             case "/wait":
                 await self.release.wait()
             case "/large":
@@ -161,6 +164,17 @@
                 self.assertEqual((await client.get("/fault")).status_code, 500)
             self.assertEqual((await client.get("/a")).status_code, 200)
 
+    def test_a_broken_invariant_ends_the_server(self) -> None:
+        async def request(served: Served) -> None:
+            stream = await served.connect()
+            await stream.send_all(b"GET /broken HTTP/1.1\r\nHost: h\r\n\r\n")
+            await read_all(stream)
+            await trio.sleep(1)
+
+        with self.assertRaises(BaseExceptionGroup) as caught:
+            self.run_served(request)
+        self.assertIsNotNone(caught.exception.subgroup(BrokenInvariantError))
+
     @scenario("run_served")
     async def test_a_handler_can_end_its_connection(self, served: Served) -> None:
         stream = await served.connect()
