Answer clients with a deadline of any length

A request with `X-Deadline-Ms` 10^18 raised in the entry before anything was done, and was answered 500; one of more than 4,300 digits as well. Class: a number from outside without a range. The deadline is limited to an hour, as no client can be refused for its patience.

The new test failed before with the OverflowError.

--- a/src/rhubarbfield/platform/ingress.py
+++ b/src/rhubarbfield/platform/ingress.py
@@ -32,6 +32,7 @@
 
 READY_PATH = "/readyz"
 DEFAULT_DEADLINE = timedelta(seconds=3)  # the timeout of clients at both sites
+MAX_DEADLINE_MS = 3_600_000  # no client waits for longer
 VERBS = {"POST": JobVerb.SUBMIT, "GET": JobVerb.READ, "DELETE": JobVerb.CANCEL}
 MAX_BODY_BYTES = 262_144
 RETRY_DELAY = timedelta(seconds=1)
@@ -126,7 +127,11 @@
 
 def _read_deadline(request: HttpRequest) -> timedelta:
     text = request.headers.get("x-deadline-ms", "")
-    return timedelta(milliseconds=int(text)) if text.isdecimal() else DEFAULT_DEADLINE
+    if not text.isdecimal():
+        return DEFAULT_DEADLINE
+    is_long = len(text) > len(str(MAX_DEADLINE_MS))  # too long to read, perhaps
+    milliseconds = MAX_DEADLINE_MS if is_long else min(int(text), MAX_DEADLINE_MS)
+    return timedelta(milliseconds=milliseconds)
 
 
 def _make_retry_response(
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -5,15 +5,21 @@
 import unittest
 from datetime import timedelta
 from http import HTTPStatus
-from unittest.mock import Mock
+from unittest.mock import AsyncMock, Mock
 
 import trio
 
+from rhubarbfield.clock import MILLISECOND
 from rhubarbfield.httpserver import HttpRequest
 from rhubarbfield.leadercalls import NotAdmitted
-from rhubarbfield.platform.ingress import create_ingress_handler, make_response
+from rhubarbfield.platform.ingress import (
+    DEFAULT_DEADLINE,
+    MAX_DEADLINE_MS,
+    create_ingress_handler,
+    make_response,
+)
 from rhubarbfield.scheduling.gateway import Gateway, Undecided
-from rhubarbfield.scheduling.requests import JobVerb
+from rhubarbfield.scheduling.requests import Accepted, JobVerb
 
 
 class ResponsesTest(unittest.TestCase):
@@ -51,6 +57,27 @@
         self.assertIn(b"<= 9223372036854775807 - at `$.Steps[0].Cpu`", response.body)
         gateway.forward.assert_not_called()
 
+    def test_client_may_wait_for_as_long_as_it_likes(self) -> None:
+        """A deadline that is no valid duration got 500."""
+        for header, expected in (
+            ("250", 250),
+            ("9" * 18, MAX_DEADLINE_MS),
+            ("9" * 5000, MAX_DEADLINE_MS),
+            ("-1", DEFAULT_DEADLINE / MILLISECOND),
+        ):
+            gateway = Mock(Gateway, is_stopping=False)
+            gateway.forward = AsyncMock(return_value=Accepted())
+            request = HttpRequest(
+                method="DELETE",
+                path="/q/j",
+                headers={"x-deadline-ms": header},
+                body=b"",
+            )
+            response = trio.run(create_ingress_handler(gateway), request)
+            self.assertEqual(response.status, HTTPStatus.OK)
+            timeout = gateway.forward.call_args.args[1]
+            self.assertEqual(timeout / MILLISECOND, expected)
+
 
 if __name__ == "__main__":
     unittest.main()
