Keep the leader going when one job, worker or activity raises

An unexpected error about one job in a round, one worker in its session, or in housekeeping ended the leader's process.

Class: an error of one unit of work in a task that works for all. A job that can't be ranked or placed is left out of that round, with what was chosen for it. A session that raised is replaced after 1 s by a new one, which settles its orders as after a change of address, and knows nothing that the worker has reported before. An activity of the leader goes on after 1 s. Each writes `work-failed` and is counted. Broken invariants end the process as before, and so does the task that records ends, whose callers must not learn that an end was recorded when it was not.

The three new tests failed before: the error ended the leader.

--- a/src/rhubarbfield/containment.py
+++ b/src/rhubarbfield/containment.py
@@ -31,6 +31,9 @@
 
     REQUEST = "request"
     HEARTBEAT = "heartbeat"
+    JOB = "job"
+    SESSION = "session"
+    ACTIVITY = "activity"
     COMMAND = "command"
     OBSERVER = "observer"
 
--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Awaitable, Callable, Mapping
 from datetime import timedelta
+from functools import partial
 
 import msgspec
 import trio
@@ -77,6 +79,7 @@
 # Rounds also run without a change of state, since occurrences come due and
 # quarantines end.
 IDLE_ROUND_INTERVAL = timedelta(milliseconds=250)
+RESUMPTION_DELAY = timedelta(seconds=1)
 
 
 class SchedulingLeader:
@@ -189,12 +192,16 @@
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._ends.run)
-                nursery.start_soon(self._follow_state, nursery)
-                nursery.start_soon(self._request_rounds)
-                nursery.start_soon(self._run_rounds)
-                nursery.start_soon(self._housekeeping.run)
-                nursery.start_soon(self._save_harm)
-                nursery.start_soon(self._marker.run)
+                follow_state = partial(self._follow_state, nursery)
+                for name, work in (
+                    ("state", follow_state),
+                    ("requests", self._request_rounds),
+                    ("rounds", self._run_rounds),
+                    ("housekeeping", self._housekeeping.run),
+                    ("interference", self._save_harm),
+                    ("marks", self._marker.run),
+                ):
+                    nursery.start_soon(self._keep_running, name, work)
         finally:
             self._log.machine.unwatch(self._registry.watch_command)
             self._log.machine.unwatch(self._suspects.watch_command)
@@ -330,6 +337,17 @@
 
     # Tasks of ``run``.
 
+    async def _keep_running(
+        self, name: str, work: Callable[[], Awaitable[None]]
+    ) -> None:
+        """Do work that goes on for the whole term, again after an error."""
+        while True:
+            try:
+                await work()
+            except Exception as error:
+                contain(Unit.ACTIVITY, error, activity=name)
+            await self._clock.sleep(RESUMPTION_DELAY)
+
     async def _request_rounds(self) -> None:
         while True:
             await self._clock.sleep(IDLE_ROUND_INTERVAL)
@@ -410,17 +428,25 @@
         took = self._clock.monotonic() - began
         ROUND_SECONDS.observe(took.total_seconds())
         self._stages.record_round(began, took, has_starts=bool(starts))
+        try:
+            self._survey(placer, headrooms)
+        except Exception as error:
+            contain(Unit.ACTIVITY, error, activity="survey")
+        if starts:
+            await self._starter.start(starts)
+        self._pacer.record_round(took)
+        if len(starts) >= MAX_STARTS_PER_ROUND:
+            self._pacer.request(Urgency.URGENT)
+
+    def _survey(
+        self, placer: Placer, headrooms: Mapping[WorkerId, WorkerHeadroom]
+    ) -> None:
         self._waiting_log.write(placer)
         self._backlog_log.write(
             self._jobs.open.values(),
             self.state.map_serving_queues(),
             headrooms.values(),
         )
-        if starts:
-            await self._starter.start(starts)
-        self._pacer.record_round(took)
-        if len(starts) >= MAX_STARTS_PER_ROUND:
-            self._pacer.request(Urgency.URGENT)
 
     def _rank(self, waiting: WaitingStep) -> tuple[float, ...]:
         return self._backlog.rank(waiting.job, waiting.queue, waiting.occurrence)
@@ -430,7 +456,10 @@
 
     async def _commit_ends(self, ends: tuple[WorkerEnds, ...]) -> None:
         for report in ends:
-            self._record_outcomes(report)
+            try:
+                self._record_outcomes(report)
+            except Exception as error:
+                contain(Unit.SESSION, error, worker=report.worker)
         await self._propose(EndRuns(workers=ends))
 
     async def _propose(self, command: Command) -> None:
--- a/src/rhubarbfield/scheduling/placing.py
+++ b/src/rhubarbfield/scheduling/placing.py
@@ -8,8 +8,10 @@
 
 from collections.abc import Callable, Iterable, Iterator, Mapping
 from enum import Enum
+from operator import itemgetter
 from types import MappingProxyType
 
+from rhubarbfield.containment import Unit, contain
 from rhubarbfield.scheduling.candidates import (
     Candidates,
     Saved,
@@ -147,10 +149,15 @@
                 break
             if not waiting.is_open:  # it ended while the caller did other work
                 continue
-            if waiting.step.gang:
-                self._place_gang(waiting)
-            else:
-                self._place_step(waiting)
+            chosen = len(self._starts)
+            try:
+                if waiting.step.gang:
+                    self._place_gang(waiting)
+                else:
+                    self._place_step(waiting)
+            except Exception as error:
+                contain(Unit.JOB, error, job=waiting.job.job)
+                del self._starts[chosen:]
             yield waiting
 
     def list_unplaced(self) -> list[WaitingStep]:
@@ -158,16 +165,28 @@
         return self._sort((self.unplaced | self.trials).values())
 
     def _sort(self, steps: Iterable[WaitingStep]) -> list[WaitingStep]:
-        """Sort steps by their ranks; all steps of an occurrence share one."""
-        ranks: dict[tuple[JobId, int], tuple[float, ...]] = {}
+        """Sort steps by their ranks; all steps of an occurrence share one.
 
-        def rank(waiting: WaitingStep) -> tuple[float, ...]:
+        Those of a job that can't be ranked are left out.
+        """
+        ranks: dict[tuple[JobId, int], tuple[float, ...] | None] = {}
+        ranked: list[tuple[tuple[float, ...], WaitingStep]] = []
+        for waiting in steps:
             key = waiting.job.job, waiting.occurrence
             if key not in ranks:
-                ranks[key] = self._rank_step(waiting)
-            return ranks[key]
-
-        return sorted(steps, key=rank)
+                ranks[key] = self._find_rank(waiting)
+            rank = ranks[key]
+            if rank is not None:
+                ranked.append((rank, waiting))
+        ranked.sort(key=itemgetter(0))
+        return [waiting for _, waiting in ranked]
+
+    def _find_rank(self, waiting: WaitingStep) -> tuple[float, ...] | None:
+        try:
+            return self._rank_step(waiting)
+        except Exception as error:
+            contain(Unit.JOB, error, job=waiting.job.job)
+            return None
 
     def _list_placeable(self) -> list[WaitingStep]:
         """Return the waiting steps but those that no worker can take as before."""
--- a/src/rhubarbfield/scheduling/registry.py
+++ b/src/rhubarbfield/scheduling/registry.py
@@ -8,6 +8,7 @@
 import trio
 
 from rhubarbfield.clock import Clock
+from rhubarbfield.containment import Unit, contain
 from rhubarbfield.machine import Command, Reply
 from rhubarbfield.scheduling.commands import RemoveWorker, UpdateWorkers
 from rhubarbfield.scheduling.heartbeats import Heartbeat, Sighting
@@ -19,6 +20,8 @@
 from rhubarbfield.scheduling.state import Worker
 from rhubarbfield.types import LogIndex, WorkerId
 
+REOPEN_DELAY = timedelta(seconds=1)
+
 
 class SessionRegistry:
     """Keeps one session with each recorded worker.
@@ -144,15 +147,31 @@
         self.sessions[worker.worker] = session
         self._on_opened(worker.worker)
         scope = self._scopes[worker.worker] = trio.CancelScope()
-        nursery.start_soon(self._run, session, scope)
+        nursery.start_soon(self._run, session, scope, nursery)
 
-    async def _run(self, session: WorkerSession, scope: trio.CancelScope) -> None:
+    async def _run(
+        self, session: WorkerSession, scope: trio.CancelScope, nursery: trio.Nursery
+    ) -> None:
         try:
             with scope:
-                await session.run()
+                try:
+                    await session.run()
+                except Exception as error:
+                    contain(Unit.SESSION, error, worker=session.worker)
+                    await self._clock.sleep(REOPEN_DELAY)
+                    self._reopen(session, nursery)
         finally:
             await self._drop_connections(session)
 
+    def _reopen(self, failed: WorkerSession, nursery: trio.Nursery) -> None:
+        """Open a new session with a worker, which settles the orders of a failed one.
+
+        It does not use what the worker has reported until now.
+        """
+        worker = self._host.find_worker(failed.worker)
+        if worker is not None:
+            self._open(worker, nursery)
+
     async def _drop_connections(self, session: WorkerSession) -> None:
         """Close connections to a worker, unless another incarnation has its address."""
         if self.sessions.get(session.worker) is session:  # the term has ended
--- a/tests/test_containment.py
+++ b/tests/test_containment.py
@@ -10,15 +10,27 @@
 import trio
 
 from rhubarbfield.leadercalls import Unavailable
+from rhubarbfield.scheduling.availability import WorkerAvailability
+from rhubarbfield.scheduling.backlog import Backlog
 from rhubarbfield.scheduling.heartbeats import HeartbeatDigest, Sighting
+from rhubarbfield.scheduling.housekeeping import Housekeeping
 from rhubarbfield.scheduling.leader import SchedulingLeader
-from rhubarbfield.scheduling.model import JobSubmission, Step
+from rhubarbfield.scheduling.model import JobPhase, JobSubmission, Step
+from rhubarbfield.scheduling.placing import Placer
 from rhubarbfield.scheduling.registry import SessionRegistry
 from rhubarbfield.scheduling.requests import Accepted, JobReply, JobRequest, JobVerb
 from rhubarbfield.scheduling.service import SchedulingService
+from rhubarbfield.scheduling.session import WorkerSession
+from rhubarbfield.scheduling.terminations import Terminations
 from rhubarbfield.types import WorkerId
 from tests.scheduling.controllers import Controllers, report, with_controllers
-from tests.scheduling.deployments import ONE_CORE, QUEUE, Deployment, with_deployment
+from tests.scheduling.deployments import (
+    ONE_CORE,
+    QUEUE,
+    Deployment,
+    count_runs_at_once,
+    with_deployment,
+)
 
 LOGGER = "rhubarbfield.containment"
 
@@ -106,5 +118,83 @@
         self.assertEqual(seen, ["w2"])
 
 
+class LeaderTest(unittest.TestCase):
+    async def check_work_goes_on(self, deployment: Deployment) -> None:
+        name = f"ordinary-{len(deployment.state.jobs)}"
+        await deployment.submit(name, Step(demand=ONE_CORE))
+        await trio.sleep(5)
+        self.assertIs(deployment.get_job(name).phase, JobPhase.COMPLETED)
+
+    @with_deployment()
+    async def test_job_that_raises_in_rounds_keeps_no_other_from_a_worker(
+        self, deployment: Deployment
+    ) -> None:
+        """Any such error ended the leader, and the next one in its first round."""
+        deployment.add_worker("w1")
+        for owner, name in (
+            (Backlog, "rank"),
+            (Backlog, "find_outlook"),
+            (Placer, "_place_step"),
+        ):
+            work = getattr(owner, name)
+
+            def fail_for_odd(
+                self: Any, first: Any, *rest: Any, _work: Any = work
+            ) -> Any:
+                if getattr(first.job, "job", first.job).startswith("odd"):
+                    raise RuntimeError("told to fail")
+                return _work(self, first, *rest)
+
+            with (
+                mock.patch.object(owner, name, fail_for_odd),
+                self.assertLogs(LOGGER, "ERROR") as logs,
+            ):
+                async with deployment.lead():
+                    await deployment.submit(f"odd-{name}", Step(demand=ONE_CORE))
+                    await self.check_work_goes_on(deployment)
+            failure = list_failures(logs)[0]
+            expected = ("job", f"odd-{name}")
+            if name == "find_outlook":
+                expected = ("activity", None)
+            self.assertEqual((failure["unit"], failure.get("job")), expected)
+            await deployment.cancel(f"odd-{name}")
+
+    @with_deployment()
+    async def test_activity_of_the_leader_goes_on_after_an_error(
+        self, deployment: Deployment
+    ) -> None:
+        deployment.add_worker("w1")
+        for owner, name in (
+            (WorkerAvailability, "measure_all"),
+            (Housekeeping, "update_records"),
+            (Terminations, "stop_obsolete"),
+        ):
+            failing = mock.patch.object(owner, name, side_effect=RuntimeError)
+            async with deployment.lead():
+                with failing, self.assertLogs(LOGGER, "ERROR") as logs:
+                    await deployment.submit(f"{name}-before", Step(demand=ONE_CORE))
+                    await trio.sleep(2)
+                await self.check_work_goes_on(deployment)
+            self.assertEqual(list_failures(logs)[0]["unit"], "activity", name)
+
+    @with_deployment()
+    async def test_session_that_raises_is_opened_again(
+        self, deployment: Deployment
+    ) -> None:
+        """One worker's data ended the calls to all others, and the leader."""
+        deployment.add_worker("w1")
+        deployment.add_worker("w2")
+        failing = mock.patch.object(WorkerSession, "_apply_view", side_effect=TypeError)
+        async with deployment.lead():
+            with failing, self.assertLogs(LOGGER, "ERROR") as logs:
+                await deployment.submit("j", Step(tasks=20, demand=ONE_CORE))
+                await trio.sleep(3)
+            failed = {each["worker"] for each in list_failures(logs)}
+            self.assertEqual(failed, {"w1", "w2"})
+            await trio.sleep(20)
+            self.assertIs(deployment.get_job("j").phase, JobPhase.COMPLETED)
+            self.assertLessEqual(count_runs_at_once(deployment), 1)
+
+
 if __name__ == "__main__":
     unittest.main()
