--- a/tests/groups/test_replicated.py
+++ b/tests/groups/test_replicated.py
@@ -17,7 +17,7 @@
 from rhubarbfield.scheduling.commands import CancelJob, OpenOccurrences
 from rhubarbfield.types import JobId, Term
 from tests.controller.single_member import SingleMemberReplica, make_single_member_log
-from tests.replication.determinism import run_deterministic
+from tests.replication.determinism import expect_contained_errors, run_deterministic
 
 FOREVER = timedelta(days=1)
 LAPSE_SECONDS = 0.6  # several polls of the leadership
@@ -26,6 +26,7 @@
 class ProposeTest(unittest.TestCase):
     def setUp(self) -> None:
         self.log, self.replica = make_single_member_log(make_scheduling_machine())
+        self.enterContext(expect_contained_errors())
 
     def propose(self, command: Command) -> Unavailable:
         async def check() -> Result[Reply, NotLeading | Unavailable]:
--- a/tests/scheduling/test_ranges.py
+++ b/tests/scheduling/test_ranges.py
@@ -120,7 +120,8 @@
         """Each submission to the queue got 504, and a round ended the leader."""
         deployment.add_worker("w1")
         service = SchedulingService(deployment.log, lambda: None, deployment.clock)
-        ordinary = JobSubmission(payload="p", steps=(Step(demand=ONE_CORE),))
+        step = Step(demand=ONE_CORE, estimate_ms=100)
+        ordinary = JobSubmission(payload="p", steps=(step,))
         async with deployment.lead():
             reply = await self.submit(service, "j", ordinary)
             self.assertEqual(reply, Accepted())
--- a/tests/test_containment.py
+++ b/tests/test_containment.py
@@ -23,6 +23,7 @@
 from rhubarbfield.scheduling.session import WorkerSession
 from rhubarbfield.scheduling.terminations import Terminations
 from rhubarbfield.types import WorkerId
+from tests.replication.determinism import expect_contained_errors
 from tests.scheduling.controllers import Controllers, report, with_controllers
 from tests.scheduling.deployments import (
     ONE_CORE,
@@ -50,7 +51,12 @@
     )
 
 
-class RequestTest(unittest.TestCase):
+class ContainmentCase(unittest.TestCase):
+    def setUp(self) -> None:
+        self.enterContext(expect_contained_errors())
+
+
+class RequestTest(ContainmentCase):
     @with_deployment()
     async def test_request_that_raises_gets_its_true_answer(
         self, deployment: Deployment
@@ -72,7 +78,7 @@
         self.assertEqual(await submit(service, "j"), Accepted())
 
 
-class HeartbeatTest(unittest.TestCase):
+class HeartbeatTest(ContainmentCase):
     @with_controllers()
     async def test_heartbeat_that_raises_is_not_acknowledged(
         self, controllers: Controllers
@@ -118,7 +124,7 @@
         self.assertEqual(seen, ["w2"])
 
 
-class LeaderTest(unittest.TestCase):
+class LeaderTest(ContainmentCase):
     async def check_work_goes_on(self, deployment: Deployment) -> None:
         name = f"ordinary-{len(deployment.state.jobs)}"
         await deployment.submit(name, Step(demand=ONE_CORE))
