--- /dev/null
+++ b/tests/scheduling/test_standstills.py
@@ -0,0 +1,145 @@
+"""Tests of how long a standing task stands still, until it works elsewhere."""
+
+from __future__ import annotations
+
+import unittest
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from datetime import timedelta
+
+import trio
+
+from rhubarbfield.scheduling.leader import SchedulingLeader
+from rhubarbfield.scheduling.model import Demand, Step
+from rhubarbfield.scheduling.ports import StartOrder
+from rhubarbfield.scheduling.settings import SchedulingSettings
+from rhubarbfield.scheduling.silence_marks import MarkTimes
+from rhubarbfield.testing.scheduling_workers import StandInWorker
+from tests.scheduling.deployments import (
+    ONE_CORE,
+    Deployment,
+    count_runs_at_once,
+    with_deployment,
+)
+
+# As on the users' platform, which tolerates a standstill of 6 s and then 3 s.
+SETTINGS = SchedulingSettings(lease=timedelta(seconds=9))
+TOLERATED_SECONDS = 9.0
+# After a restart of all controllers: 10 s, less an election.
+TOLERATED_SECONDS_OF_LEADER = 10.0 - 2.0
+REPORT_SECONDS = 1.0
+RESTART_SECONDS = 0.3  # from a lapse: a commit, a round and a call
+LIMIT_SECONDS = 20.0
+TIME_STEP = 0.02
+SMALL = Demand(2000, 2000)
+
+
+@asynccontextmanager
+async def report(
+    leader: SchedulingLeader, worker: StandInWorker
+) -> AsyncIterator[None]:
+    """Let a worker report during the block, whether or not calls reach it."""
+
+    async def run() -> None:
+        while True:
+            await leader.handle_heartbeat(worker.make_heartbeat())
+            await trio.sleep(REPORT_SECONDS)
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(run)
+        yield
+        nursery.cancel_scope.cancel()
+
+
+async def measure_standstill(deployment: Deployment) -> float:
+    """Return the time until a worker runs a task, at most ``LIMIT_SECONDS``."""
+    began = trio.current_time()
+    while trio.current_time() - began < LIMIT_SECONDS:
+        if count_runs_at_once(deployment):
+            break
+        await trio.sleep(TIME_STEP)
+    return trio.current_time() - began
+
+
+class StandstillTest(unittest.TestCase):
+    @with_deployment()
+    async def test_new_leader_starts_nothing_on_a_worker_that_only_reports(
+        self, deployment: Deployment
+    ) -> None:
+        deployment.settings = SETTINGS
+        deployment.add_worker("w1", duration=None)
+        # Standing tasks go first where the least capacity is left.
+        deaf = deployment.add_worker("w9", duration=None, capacity=SMALL)
+        async with deployment.lead():
+            await trio.sleep(1)
+        deaf.is_unreachable = True
+        deployment.elect(2)
+        async with deployment.lead() as leader, report(leader, deaf):
+            await trio.sleep(1)
+            await deployment.submit("j", Step(demand=ONE_CORE, standing=True))
+            took = await measure_standstill(deployment)
+        self.assertLess(took, TOLERATED_SECONDS)
+        starts = deployment.list_sent(StartOrder, "j")
+        self.assertNotIn(deaf.worker, [each.worker for each in starts])
+
+    @with_deployment()
+    async def test_start_without_an_answer_on_an_idle_worker_is_not_held_for_long(
+        self, deployment: Deployment
+    ) -> None:
+        deployment.settings = SETTINGS
+        deployment.add_worker("w1", duration=None)
+        deaf = deployment.add_worker("w9", duration=None, capacity=SMALL)
+        async with deployment.lead() as leader:
+            await trio.sleep(LIMIT_SECONDS)
+            deaf.is_unreachable = True
+            async with report(leader, deaf):
+                await trio.sleep(3)
+                await deployment.submit("j", Step(demand=ONE_CORE, standing=True))
+                took = await measure_standstill(deployment)
+        self.assertLess(took, TOLERATED_SECONDS)
+
+    @with_deployment()
+    async def test_lapses_are_noticed_while_calls_wait_for_replies(
+        self, _: Deployment
+    ) -> None:
+        for lease_seconds in (8.4, 8.7, 9.0, 9.3):
+            lease = timedelta(seconds=lease_seconds)
+            deployment = Deployment(SchedulingSettings(lease=lease))
+            await deployment.configure()
+            first = deployment.add_worker("w1", duration=None)
+            async with deployment.lead() as leader:
+                await deployment.submit("j", Step(demand=ONE_CORE, standing=True))
+                await trio.sleep(LIMIT_SECONDS)
+                session = leader.get_session(first.worker)
+                assert session is not None
+                first.is_unreachable = True
+                while deployment.state.workers[first.worker].runs:
+                    await trio.sleep(TIME_STEP)
+                late = deployment.clock.monotonic() - session._contact.lease.lapses_at
+            self.assertGreaterEqual(late, timedelta())
+            self.assertLess(late.total_seconds(), RESTART_SECONDS)
+
+    @with_deployment()
+    async def test_restarted_controllers_do_not_wait_anew_for_a_lease_that_has_lapsed(
+        self, deployment: Deployment
+    ) -> None:
+        """Tasks of a worker lost beside a restart of all controllers stood still."""
+        deployment.settings = SETTINGS
+        first = deployment.add_worker("w1", duration=None)
+        async with deployment.lead():
+            await deployment.submit("j", Step(demand=ONE_CORE, standing=True))
+            await trio.sleep(12)
+            for name in ("w2", "w3", "w4"):
+                deployment.add_worker(name, duration=None)
+            await trio.sleep(3)
+            first.is_unreachable = True
+        await trio.sleep(2 * deployment.settings.lease.total_seconds())
+        deployment.marks = MarkTimes(deployment.log, deployment.clock)
+        deployment.elect(2)
+        async with deployment.lead():
+            took = await measure_standstill(deployment)
+        self.assertLess(took, TOLERATED_SECONDS_OF_LEADER)
+
+
+if __name__ == "__main__":
+    unittest.main()
