Start nothing on a worker that has not answered a call in this term

Callers saw standing tasks stand still: a worker whose reports arrive, but which no call reaches (a cut of one direction, a program that hangs), counted as usable for a new leader from its first report on. A start that got no answer held its task until the lease that it had offered had lapsed, 9.4 s with a lease of 9 s, on top of the wait that came before. A worker without runs was not called at all before its first start.

A session now asks each worker for a view at once, and the worker is usable once it has answered. That view does not wait for ends. The test failed before: 9.5 s, and now the start goes to another worker.

--- a/src/rhubarbfield/scheduling/contact.py
+++ b/src/rhubarbfield/scheduling/contact.py
@@ -80,10 +80,21 @@
         """Whether the latest call got a reply, and there was one in this term."""
         return self._has_replied and self.is_responsive
 
+    @property
+    def is_untried(self) -> bool:
+        """Whether no call to the worker has ended in this term."""
+        return self.is_responsive and not self._has_replied
+
     def is_usable_at(self, now: timedelta) -> bool:
-        """Return whether new runs may be started on the worker at this time."""
+        """Return whether new runs may be started on the worker at this time.
+
+        A worker that only reports may not be reached by calls. A start that is lost
+        on the way holds its task until the lease that it offered has lapsed.
+        """
         if self.exit_announced_at is not None or not self.may_extend_lease:
             return False
+        if not self.has_replied:
+            return False
         if now < self._no_starts_until:
             return False
         return now - self.last_contact_at <= self._settings.silence_timeout
--- a/src/rhubarbfield/scheduling/session.py
+++ b/src/rhubarbfield/scheduling/session.py
@@ -264,7 +264,7 @@
         worker = self._host.find_worker(self.worker)
         if worker is None:
             return False
-        if self._contact.exit_announced_at is not None:
+        if self._contact.exit_announced_at is not None or self._contact.is_untried:
             return True
         return bool(worker.runs) or worker.recorded_ends > self._acknowledged_ends
 
@@ -298,9 +298,9 @@
                 await self._clock.sleep(RETRY_DELAY)
 
     def _choose_wait_timeout(self) -> timedelta:
-        if not self._contact.may_extend_lease or self._ledger.expects_no_end(
-            self.active
-        ):
+        contact = self._contact
+        is_awaited = contact.may_extend_lease and contact.has_replied
+        if not is_awaited or self._ledger.expects_no_end(self.active):
             return timedelta()
         worker = self._host.find_worker(self.worker)
         if worker is not None and self._host.needs_frequent_views(worker):
--- a/tests/scheduling/fleets.py
+++ b/tests/scheduling/fleets.py
@@ -120,7 +120,7 @@
                 clock=self.clock,
                 settings=self.settings,
             )
-            session.handle_report(timedelta(seconds=5))
+            session._contact.handle_reply(timedelta(seconds=5))
 
     @property
     def state(self) -> SchedulingState:
