Notice the lapse of a lease while a call waits for its reply

Whether the lease of a silent worker had lapsed was looked at only when a view had failed, each 1.1 s (1.7 s through a relay that gives no answer), so that its standing tasks stood still for up to as much longer. A task of the session now waits for the time of the lapse. The test failed before: the lapse was noticed 0.76 s late.

--- a/src/rhubarbfield/scheduling/session.py
+++ b/src/rhubarbfield/scheduling/session.py
@@ -98,6 +98,7 @@
             remove_worker=self._remove_worker,
         )
         self._view_requested = trio.Event()
+        self._silence_noticed = trio.Event()
         self._acknowledged_ends = 0
         self._viewed_at: timedelta | None = None
         self._progress = Progress()
@@ -251,6 +252,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._orders.run)
             nursery.start_soon(self._poll_views)
+            nursery.start_soon(self._await_lapses)
 
     async def _poll_views(self) -> None:
         while True:
@@ -294,7 +296,7 @@
             case Failure(failure):
                 contact.log_failure("view-failed", None, failure)
                 contact.handle_no_reply()
-                await self._check_lapse()
+                self._silence_noticed.set()
                 await self._clock.sleep(RETRY_DELAY)
 
     def _choose_wait_timeout(self) -> timedelta:
@@ -344,6 +346,18 @@
     async def _remove_worker(self) -> None:
         await self._host.remove_worker(self.worker, self._list_checkpoints())
 
+    async def _await_lapses(self) -> None:
+        """Handle the lapse of the lease when it is due, whatever calls wait for."""
+        while True:
+            await self._silence_noticed.wait()
+            self._silence_noticed = trio.Event()
+            while not self._contact.is_responsive:
+                left = self._contact.lease.lapses_at - self._clock.monotonic()
+                if left <= timedelta():
+                    await self._check_lapse()
+                    break
+                await self._clock.sleep(left)
+
     async def _check_lapse(self) -> None:
         """Record runs as lost once their lease has certainly lapsed.
 
