Offer a short lease until a worker has replied lately

A worker that has not been called for a while may be beyond reach without that being known: only its reports arrive, or it has just died. The first start on it, and the view beside that, offered the whole lease of 9 s, so that a task whose start got no answer stood still for 9.4 s. They now offer 3 s, and do not wait for ends; the view after the reply extends the lease. A lease that is longer stays as it is.

--- a/src/rhubarbfield/scheduling/contact.py
+++ b/src/rhubarbfield/scheduling/contact.py
@@ -17,6 +17,10 @@
 logger = logging.getLogger("rhubarbfield.scheduling.session")
 
 REJECTION_BACKOFF = timedelta(milliseconds=400)  # by then a view shows actual headroom
+# Longer than a view that waits for an end, and its reply.
+RECENT_REPLY = timedelta(seconds=3)
+# Covers an order and the view after it, which extends the lease.
+FIRST_LEASE = timedelta(seconds=3)
 
 
 class WorkerContact:
@@ -60,7 +64,7 @@
         self._clock = clock
         self._settings = settings
         self._unresponsive_since: timedelta | None = None
-        self._has_replied = False
+        self._replied_at: timedelta | None = None
         self._no_starts_until = timedelta()
         self.reported_at: timedelta | None = None
         self._created_at = clock.monotonic()
@@ -78,12 +82,19 @@
     @property
     def has_replied(self) -> bool:
         """Whether the latest call got a reply, and there was one in this term."""
-        return self._has_replied and self.is_responsive
+        return self._replied_at is not None and self.is_responsive
+
+    @property
+    def has_replied_lately(self) -> bool:
+        """Whether the latest call got a reply a short time ago."""
+        if self._replied_at is None or not self.is_responsive:
+            return False
+        return self._clock.monotonic() - self._replied_at <= RECENT_REPLY
 
     @property
     def is_untried(self) -> bool:
         """Whether no call to the worker has ended in this term."""
-        return self.is_responsive and not self._has_replied
+        return self.is_responsive and self._replied_at is None
 
     def is_usable_at(self, now: timedelta) -> bool:
         """Return whether new runs may be started on the worker at this time.
@@ -122,7 +133,15 @@
 
     def offer_lease(self) -> timedelta:
         """Return the lease end for an order, a new one only if it may be extended."""
-        return self.lease.extend() if self.may_extend_lease else self.lease.offered_end
+        return self.extend_lease() if self.may_extend_lease else self.lease.offered_end
+
+    def extend_lease(self) -> timedelta:
+        """Return a new lease end on the worker's clock.
+
+        The lease is short until the worker has replied, since an order without a
+        reply holds its task until the lease has lapsed.
+        """
+        return self.lease.extend(None if self.has_replied_lately else FIRST_LEASE)
 
     def handle_report(self, worker_clock: timedelta | None, age: timedelta) -> None:
         """Record that the worker reported itself; the report may be late.
@@ -151,7 +170,7 @@
         if self._unresponsive_since is not None:
             log_event(logger, logging.INFO, "worker-regained", worker=self.worker)
         self._unresponsive_since = None
-        self._has_replied = True
+        self._replied_at = self._clock.monotonic()
         self.lease.update_clock(worker_clock)
 
     def handle_no_reply(self) -> None:
--- a/src/rhubarbfield/scheduling/leases.py
+++ b/src/rhubarbfield/scheduling/leases.py
@@ -101,17 +101,26 @@
         self._worker_clock = worker_clock
         self.clock_read_at = read_at
 
-    def extend(self) -> timedelta:
-        """Return a new lease end on the worker's clock.
+    def extend(self, duration: timedelta | None = None) -> timedelta:
+        """Return a new lease end on the worker's clock, or the present one if later.
 
         The lease counts as extended at once, since the order that carries it may
         arrive although no reply comes.
+
+        Parameters
+        ----------
+        duration
+            Duration of the lease from now on, no longer than that of the settings,
+            which is the default.
         """
+        wanted = self._settings.lease
+        if duration is not None:
+            wanted = min(duration, wanted)
         assert self._worker_clock is not None
         passed = self._clock.monotonic() - self.clock_read_at
         slow_time = max(passed - MAX_CLOCK_AGE, timedelta())
         passed -= slow_time * self._settings.clock_drift
-        offered = self._worker_clock + passed + self._settings.lease
+        offered = self._worker_clock + passed + wanted
         self._lease_end = max(self._lease_end, offered)
         left = (self._lease_end - self._worker_clock) / self._slowest_rate
         self.lapses_at = max(self.lapses_at, self.clock_read_at + left + LATENCY_SLACK)
--- a/src/rhubarbfield/scheduling/session.py
+++ b/src/rhubarbfield/scheduling/session.py
@@ -281,7 +281,7 @@
         contact = self._contact
         request = ViewRequest(
             recorded_ends=recorded_ends,
-            lease_end=contact.lease.extend() if contact.may_extend_lease else None,
+            lease_end=contact.extend_lease() if contact.may_extend_lease else None,
             wait_timeout=self._choose_wait_timeout(),
             term=term,
         )
@@ -301,7 +301,7 @@
 
     def _choose_wait_timeout(self) -> timedelta:
         contact = self._contact
-        is_awaited = contact.may_extend_lease and contact.has_replied
+        is_awaited = contact.may_extend_lease and contact.has_replied_lately
         if not is_awaited or self._ledger.expects_no_end(self.active):
             return timedelta()
         worker = self._host.find_worker(self.worker)
