Add a failing test of an interrupted task that finds no room among smaller ones

Its worker is lost, and short tasks with a third of its demand wait without end: each piece of room that becomes free goes to one of them, as it is too small for the interrupted task.

--- a/tests/scheduling/test_standstills.py
+++ b/tests/scheduling/test_standstills.py
@@ -10,7 +10,7 @@
 import trio
 
 from rhubarbfield.scheduling.leader import SchedulingLeader
-from rhubarbfield.scheduling.model import Demand, Step
+from rhubarbfield.scheduling.model import Demand, Step, TaskName
 from rhubarbfield.scheduling.ports import StartOrder
 from rhubarbfield.scheduling.settings import SchedulingSettings
 from rhubarbfield.scheduling.silence_marks import MarkTimes
@@ -32,6 +32,10 @@
 LIMIT_SECONDS = 20.0
 TIME_STEP = 0.02
 SMALL = Demand(2000, 2000)
+LARGE = Demand(6000, 1000)  # of the 8 cores that a worker has
+TWO_CORES = Demand(2000, 100)
+SHORT = timedelta(seconds=1.05)
+TASK = TaskName("j.0.0.0")
 
 
 @asynccontextmanager
@@ -140,6 +144,36 @@
             took = await measure_standstill(deployment)
         self.assertLess(took, TOLERATED_SECONDS_OF_LEADER)
 
+    @with_deployment(slowdown_goal=100.0)
+    async def test_smaller_tasks_do_not_take_all_room_that_becomes_free(
+        self, deployment: Deployment
+    ) -> None:
+        """Short tasks on time took each piece, and none was large enough."""
+        deployment.settings = SETTINGS
+        first = deployment.add_worker("w9", duration=None, capacity=LARGE)
+        async with deployment.lead():
+            await deployment.submit("j", Step(demand=LARGE, standing=True))
+            await trio.sleep(1)
+            workers = [
+                deployment.add_worker(f"w{number}", duration=SHORT)
+                for number in range(3)
+            ]
+            await trio.sleep(0.5)
+            for name in ("k1", "k2", "k3", "k4"):
+                await deployment.submit(name, Step(tasks=3, demand=TWO_CORES))
+                await trio.sleep(SHORT.total_seconds() / 4)
+            for number in range(40):
+                step = Step(tasks=20, demand=TWO_CORES, estimate_ms=1000)
+                await deployment.submit(f"l{number}", step)
+            first.capacity = ONE_CORE  # of its next life
+            deployment.fleet.restart_delay = timedelta(seconds=0.1)
+            deployment.fleet.crash(first)
+            began = trio.current_time()
+            while not any(TASK in worker.runs for worker in workers):
+                await trio.sleep(TIME_STEP)
+                took = trio.current_time() - began
+                self.assertLess(took, TOLERATED_SECONDS)
+
 
 if __name__ == "__main__":
     unittest.main()
