Keep room for a standing task that was interrupted

Callers saw a standing task stand still for 18 s while short jobs were served: it went first of its priority, but where each piece of room that became free was smaller than its demand, tasks of other jobs took it at once, for as long as any waited.

A round now starts nothing else on the worker where such a task will have room soonest, on a tenth of the workers at most. The test failed before: the task stood still for as long as the trial lasted, 30 s. What it costs finite work under load is not measured yet.

--- a/src/rhubarbfield/scheduling/candidates.py
+++ b/src/rhubarbfield/scheduling/candidates.py
@@ -4,6 +4,7 @@
 
 import math
 from collections.abc import Collection, Iterable, Mapping, Sequence
+from functools import partial
 
 import msgspec
 
@@ -17,12 +18,14 @@
     measure_utilization,
 )
 from rhubarbfield.scheduling.interference import InterferenceModel
-from rhubarbfield.scheduling.model import Step
+from rhubarbfield.scheduling.model import Demand, Step
 from rhubarbfield.scheduling.ranking import CandidateRanking, Cost
 from rhubarbfield.scheduling.rejected_steps import RejectedSteps
 from rhubarbfield.scheduling.rejections import Rejections
 from rhubarbfield.types import ServiceName, WorkerId
 
+# Share of the workers on which a round keeps room for interrupted tasks at most.
+MAX_KEPT_SHARE = 0.1
 GROWTH_DIGITS = 1  # decimals of log latency; smaller differences are measurement noise
 # Fraction of reserved cores above which waiting does not count as a fault.
 FORCED_START_MAX_UTILIZATION = 0.6
@@ -62,6 +65,8 @@
         self._changes: list[WorkerId] = []
         self._rankings: dict[tuple[object, ...], CandidateRanking] = {}
         self._rejected = Rejections()
+        self._kept_workers = 0
+        self._max_kept_workers = math.ceil(len(headrooms) * MAX_KEPT_SHARE)
         self._by_service: dict[ServiceName, list[WorkerHeadroom]] = {}
         for headroom in headrooms.values():
             self._by_service.setdefault(headroom.worker.service, []).append(headroom)
@@ -182,6 +187,29 @@
         headroom.task_limit = headroom.task_count
         self._changes.append(headroom.worker.worker)
 
+    def keep_room(
+        self, waiting: WaitingStep, tasks_per_worker: Mapping[WorkerId, int]
+    ) -> None:
+        """Start nothing else in this round where a task will have room soonest.
+
+        A task that needs more than most would otherwise never find it, as each
+        piece of room goes to smaller tasks as soon as it is free.
+        """
+        if self._kept_workers >= self._max_kept_workers:
+            return
+        reserved = waiting.step.reserved
+        full = list_full(waiting.step, tasks_per_worker)
+        possible = [
+            headroom
+            for headroom in self._list_by_label(waiting)
+            if headroom.worker.worker not in full
+            and headroom.task_count < headroom.task_limit
+            and reserved.fits(headroom.worker.capacity.minus(headroom.held_by_standing))
+        ]
+        if possible:
+            self._kept_workers += 1
+            self.close(max(possible, key=partial(_measure_fit, reserved)))
+
     def restore(self, saved: Iterable[Saved]) -> None:
         """Set headrooms to what they were when they were saved."""
         for headroom, values in saved:
@@ -256,6 +284,21 @@
         return (is_far, headroom.failures, wastes, is_unused, left_over)
 
 
+def _measure_fit(reserved: Demand, headroom: WorkerHeadroom) -> tuple[float, WorkerId]:
+    """Return how much of a demand a worker has free, and the worker to break ties."""
+    free = headroom.free
+    shares = [
+        have / want
+        for have, want in (
+            (free.millicores, reserved.millicores),
+            (free.memory_mb, reserved.memory_mb),
+            (free.accelerators, reserved.accelerators),
+        )
+        if want
+    ]
+    return min(shares, default=1.0), headroom.worker.worker
+
+
 def _is_far(step: Step, headroom: WorkerHeadroom) -> bool:
     """Return whether a worker is not on the rack that a step prefers."""
     return step.preferred_rack not in ("", *headroom.worker.labels)
