--- a/tests/scheduling/test_latency_model.py
+++ b/tests/scheduling/test_latency_model.py
@@ -143,6 +143,14 @@
         known[images[0]] += 1
         self.assertEqual(model._rates[SERVING].samples, known)
 
+    def test_an_image_without_samples_gives_way_to_another(self) -> None:
+        model = TailLatencyModel()
+        images = [ImageName(f"i{number:02}") for number in range(MAX_IMAGES + 1)]
+        for moment, image in enumerate(images):
+            now = timedelta(seconds=100 + moment)
+            model.learn(TaskName("t"), SERVING, {image: 0.01}, 20.0, now)
+        self.assertEqual(list(model._rates[SERVING].samples), images[1:])
+
     def test_a_change_reads_only_the_covariances_of_changed_images(self) -> None:
         model = TailLatencyModel()
         now = timedelta(seconds=100)
