Count a crash right after the end of a run as evidence about its task

Callers' jobs shared their workers with a task that crashed one after the other without an end: a deadly member of a gang was started 90 times in 60 s (BUDGET allows five starts) where another member had no room.

Cause: what a crash says about a task was read from the runs that are recorded as live. A run that is stopped right after its start, or ends for want of a lost member, is no longer among them when its worker crashes some milliseconds later.

It counts for the limit of five and for the blame, but not as a crash that certainly happened with the task. A task that may have crashed its worker in this way waits at the limit as one does behind a lapsed lease. A worker that works on clears the record; runs of tasks that can't start again are left out. Fields are new with defaults: commands of earlier versions record no brief run.

--- a/src/rhubarbfield/scheduling/appliers.py
+++ b/src/rhubarbfield/scheduling/appliers.py
@@ -20,6 +20,7 @@
     SaveHarm,
     StartRuns,
     UpdateWorkers,
+    WorkerEnds,
     WorkerReport,
     scheduling_commands,
 )
@@ -288,12 +289,25 @@
         for ended in report.ends:
             _end_run(state, worker, ended)
         worker.lapsed.extend(report.lapsed)
+        _record_brief(worker, report)
         worker.recorded_ends = max(worker.recorded_ends, report.recorded_ends)
     _mark_workers(state, command.silent, is_silent=True)
     _mark_workers(state, command.heard, is_silent=False)
     return Done()
 
 
+def _record_brief(worker: Worker, report: WorkerEnds) -> None:
+    """Replace the worker's former run of each task that is reported."""
+    dropped = set(report.proven)
+    replaced = {each.task for each in report.brief}
+    worker.brief = [
+        each
+        for each in worker.brief
+        if each not in dropped and each.task not in replaced
+    ]
+    worker.brief.extend(report.brief)
+
+
 def _mark_workers(
     state: SchedulingState, workers: tuple[WorkerId, ...], *, is_silent: bool
 ) -> None:
--- a/src/rhubarbfield/scheduling/commands.py
+++ b/src/rhubarbfield/scheduling/commands.py
@@ -167,12 +167,18 @@
         none of them.
     lapsed
         Runs that are lost with the worker's lease, for the case that it has crashed.
+    brief
+        Ended runs whose start may crash the worker yet, for the same case.
+    proven
+        Earlier ones of these with which the worker has worked on for a while.
     """
 
     worker: WorkerId
     ends: tuple[EndedRun, ...]
     recorded_ends: int = 0
     lapsed: tuple[CrashedRun, ...] = ()
+    brief: tuple[CrashedRun, ...] = ()
+    proven: tuple[CrashedRun, ...] = ()
 
 
 class SaveHarm(Command, frozen=True):
--- a/src/rhubarbfield/scheduling/contact.py
+++ b/src/rhubarbfield/scheduling/contact.py
@@ -116,6 +116,11 @@
         reported_at = self.reported_at or self._created_at
         return max(reported_at, self._created_at, self.lease.clock_read_at)
 
+    @property
+    def worked(self) -> timedelta:
+        """For how long the worker is known to have worked since the contact began."""
+        return self.last_contact_at - self._created_at
+
     @property
     def unresponsive_since(self) -> timedelta | None:
         """Time of the first call without a reply; None if the latest one got one."""
--- a/src/rhubarbfield/scheduling/ledger.py
+++ b/src/rhubarbfield/scheduling/ledger.py
@@ -39,6 +39,8 @@
         State of the orders to start, by run.
     stops
         Orders to stop, by run.
+    brief
+        Since when runs may have been on the worker that ended soon after that.
     """
 
     def __init__(self, worker: WorkerId, host: SessionHost) -> None:
@@ -49,6 +51,7 @@
         self._known_since: dict[RunKey, timedelta] = {}
         self.starts: dict[RunKey, StartState] = {}
         self.stops: dict[RunKey, Stop] = {}
+        self.brief: dict[RunKey, timedelta] = {}
 
     @property
     def settled(self) -> set[RunKey]:
@@ -68,6 +71,7 @@
         """
         self.starts = dict(former.starts)
         self._known_since = dict(former._known_since)
+        self.brief = dict(former.brief)
         stops = {key: stop.reason for key, stop in former.stops.items()}
         unsettled = [key for key in self.starts if former.is_unsettled(key)]
         return list((dict.fromkeys(unsettled, StopReason.UNANSWERED) | stops).items())
@@ -96,12 +100,22 @@
         """Record that a view lists a run, unless it was ordered to start."""
         self._known_since.setdefault(key, now)
 
+    def record_listed_end(self, key: RunKey, now: timedelta) -> None:
+        """Record that a view lists the end of a run, which may have just started."""
+        if self.is_unsettled(key):
+            self._known_since[key] = now
+        self._known_since.setdefault(key, now)
+
+    def drop_brief(self, before: timedelta) -> None:
+        """Forget the brief runs that were on the worker before a time."""
+        self.brief = {key: since for key, since in self.brief.items() if since > before}
+
     def find_presence(self, key: RunKey) -> timedelta | None:
         """Return since when a run may be on the worker; None if it is not known.
 
         An order of an earlier leader may have started it, and no view has listed it.
         """
-        return self._known_since.get(key)
+        return self._known_since.get(key, self.brief.get(key))
 
     def settle(self, key: RunKey) -> None:
         """Record that a run has started or can no longer start."""
@@ -188,6 +202,7 @@
         ends: tuple[EndedRun, ...],
         recorded_ends: int = 0,
         lapsed: tuple[CrashedRun, ...] = (),
+        brief: tuple[CrashedRun, ...] = (),
     ) -> None:
         """Drop ended runs and record their ends; returns once they are committed.
 
@@ -199,7 +214,12 @@
             Number of the last of them that the worker listed; 0 for none.
         lapsed
             Runs that are lost with the worker's lease.
+        brief
+            Those of the ended runs whose start may crash the worker yet.
         """
+        for each in brief:
+            key = RunKey(each.task, each.run)
+            self.brief[key] = self._known_since[key]
         keys = {RunKey(end.task, end.run) for end in ends}
         for key in keys:
             self.starts.pop(key, None)
@@ -208,6 +228,6 @@
             self._known_since.pop(key, None)
         self._ending |= keys
         await self._host.record_ends(
-            WorkerEnds(self._worker, ends, recorded_ends, lapsed)
+            WorkerEnds(self._worker, ends, recorded_ends, lapsed, brief)
         )
         self._ending -= keys
--- a/src/rhubarbfield/scheduling/removals.py
+++ b/src/rhubarbfield/scheduling/removals.py
@@ -138,7 +138,9 @@
         """Return the runs that a crash ended, among them those of a lapsed lease."""
         record = self._state.workers.get(session.worker)
         lapsed = [] if record is None else record.lapsed
-        return [*lapsed, *self.assess_runs(session)]
+        counted = {each.task for each in lapsed}
+        assessed = self.assess_runs(session)
+        return [*lapsed, *(each for each in assessed if each.task not in counted)]
 
     def _judge_cause(self, simultaneous: list[WorkerId]) -> bool:
         """Return whether workers that fell silent together had a common cause."""
@@ -195,7 +197,7 @@
             log_event(
                 logger,
                 logging.INFO,
-                "run-lost",
+                "ended-run-assessed" if run.has_ended else "run-lost",
                 task=run.key.task,
                 run=run.key.run,
                 worker=worker,
@@ -204,7 +206,8 @@
                 evidence=None if found is None else found.evidence.value,
                 recent=None if found is None else found.recent,
             )
-            RUNS_ENDED.labels(RunEnd.LOST.value).inc()
+            if not run.has_ended:
+                RUNS_ENDED.labels(RunEnd.LOST.value).inc()
 
     def _report_given_up(self, crashed: tuple[CrashedRun, ...]) -> None:
         """Log the tasks that the crash of a worker has ended for good."""
--- a/src/rhubarbfield/scheduling/session.py
+++ b/src/rhubarbfield/scheduling/session.py
@@ -31,7 +31,7 @@
     WorkerCalls,
     WorkerView,
 )
-from rhubarbfield.scheduling.presence import RunPresence
+from rhubarbfield.scheduling.presence import PROOF_TIME, RunPresence
 from rhubarbfield.scheduling.progress import Progress, RunKey
 from rhubarbfield.scheduling.session_host import SessionHost
 from rhubarbfield.scheduling.settings import SchedulingSettings
@@ -326,6 +326,11 @@
             if worker.runs.get(run.task) == run.run:
                 self._ledger.record_presence(RunKey(run.task, run.run), self._viewed_at)
         listed = [end for end in view.ends if end.number > worker.recorded_ends]
+        recorded = [end for end in listed if worker.runs.get(end.task) == end.run]
+        for end in recorded:
+            self._ledger.record_listed_end(RunKey(end.task, end.run), self._viewed_at)
+        brief = self.presence.select_brief(recorded)
+        self._ledger.drop_brief(self._contact.last_contact_at - PROOF_TIME)
         ends = [_convert_end(end) for end in listed]
         if not view.truncated:
             ends.extend(self._ledger.find_missing(view, recorded_runs, settled))
@@ -333,7 +338,7 @@
         self._host.handle_view(self.worker)
         if ends:
             last = max((end.number for end in listed), default=0)
-            await self._ledger.record_ends(tuple(ends), last)
+            await self._ledger.record_ends(tuple(ends), last, brief=brief)
 
     def _stop_unrecorded(self, view: WorkerView, worker: Worker) -> None:
         """Stop runs on the worker that are not recorded."""
@@ -382,7 +387,11 @@
             silent=self._clock.monotonic() - self.last_contact_at,
         )
         saved = self._list_checkpoints()
-        lapsed = tuple(self._host.assess_runs(self))
+        lapsed = tuple(
+            each
+            for each in self._host.assess_runs(self)
+            if worker.runs.get(each.task) == each.run
+        )
         ends = tuple(
             EndedRun(task, run, RunEnd.LOST, saved.get(task, NO_CHECKPOINT))
             for task, run in worker.runs.items()
--- a/src/rhubarbfield/scheduling/silence_marks.py
+++ b/src/rhubarbfield/scheduling/silence_marks.py
@@ -14,7 +14,7 @@
 from rhubarbfield.groups import ReplicatedLog
 from rhubarbfield.machine import Command, Reply
 from rhubarbfield.scheduling.appliers import SchedulingLogState
-from rhubarbfield.scheduling.commands import EndRuns, RemoveWorker
+from rhubarbfield.scheduling.commands import EndRuns, RemoveWorker, WorkerEnds
 from rhubarbfield.scheduling.recording import propose_until_committed
 from rhubarbfield.scheduling.session import WorkerSession
 from rhubarbfield.types import LogIndex, WorkerId
@@ -63,6 +63,8 @@
 class SilenceMarker:
     """Marks the workers that give no reply, and removes the marks of others.
 
+    It also drops the records of brief runs that a worker has outlived.
+
     Parameters
     ----------
     log
@@ -89,17 +91,30 @@
             await self._clock.sleep(CHECK_INTERVAL)
             silent = [each for each in self._sessions.values() if each.needs_mark]
             heard = [each for each in self._sessions.values() if each.has_outdated_mark]
-            if silent or heard:
-                await self._commit(silent, heard)
+            proven = self._list_proven()
+            if silent or heard or proven:
+                await self._commit(silent, heard, proven)
+
+    def _list_proven(self) -> tuple[WorkerEnds, ...]:
+        found = (
+            (worker, session.presence.list_proven())
+            for worker, session in self._sessions.items()
+        )
+        return tuple(
+            WorkerEnds(worker, (), proven=proven) for worker, proven in found if proven
+        )
 
     async def _commit(
-        self, silent: list[WorkerSession], heard: list[WorkerSession]
+        self,
+        silent: list[WorkerSession],
+        heard: list[WorkerSession],
+        proven: tuple[WorkerEnds, ...],
     ) -> None:
         for session in silent:
             # Before the proposal: the lease must not be extended after a commit.
             session.suspend_lease()
         command = EndRuns(
-            workers=(),
+            workers=proven,
             silent=tuple(each.worker for each in silent),
             heard=tuple(each.worker for each in heard),
         )
--- a/src/rhubarbfield/scheduling/state.py
+++ b/src/rhubarbfield/scheduling/state.py
@@ -294,6 +294,9 @@
         crashed.
     silent
         Whether its lease is not extended, since it gave no reply.
+    brief
+        Runs that ended right after their start, until the worker has worked on for a
+        while: their start may crash it yet.
     """
 
     worker: WorkerId
@@ -309,6 +312,19 @@
     runs: dict[TaskName, RunNumber] = msgspec.field(default_factory=dict)
     lapsed: list[CrashedRun] = msgspec.field(default_factory=list)
     silent: bool = False
+    brief: list[CrashedRun] = msgspec.field(default_factory=list)
+
+    @property
+    def unresolved(self) -> list[CrashedRun]:
+        """Runs that have ended, and of which one may have crashed the worker.
+
+        Each task is listed once, since the worker crashes once.
+        """
+        lapsed = {each.task for each in self.lapsed}
+        return [
+            *self.lapsed,
+            *(each for each in self.brief if each.task not in lapsed),
+        ]
 
     def find_share(self, step: Step) -> float:
         """Return the share of the worker's processors that a task of ``step`` wants.
--- a/src/rhubarbfield/scheduling/suspects.py
+++ b/src/rhubarbfield/scheduling/suspects.py
@@ -96,14 +96,11 @@
         return now - since < MAX_TRIAL_DELAY
 
     def count_unresolved(self) -> Counter[TaskName]:
-        """Return how many workers each task may have crashed without a proof yet.
-
-        They are silent since its run was lost with their lease.
-        """
+        """Return how many workers each task may have crashed without a proof yet."""
         return Counter(
             each.task
             for worker in self._get_state().workers.values()
-            for each in worker.lapsed
+            for each in worker.unresolved
         )
 
     def _list_runs(self, worker: WorkerId) -> list[RunKey]:
--- a/tests/scheduling/test_earlier_versions.py
+++ b/tests/scheduling/test_earlier_versions.py
@@ -10,6 +10,7 @@
 from rhubarbfield.scheduling.commands import (
     AcceptJob,
     EndedRun,
+    EndRuns,
     PutConfiguration,
     RemoveWorker,
     RunStart,
@@ -29,7 +30,7 @@
 # Number of fields of a task, and of a worker's report, before crashes were counted.
 EARLIER_TASK_FIELDS = 5
 EARLIER_REPORT_FIELDS = 8
-NEW_WORKER_FIELDS = ("sequence", "lapsed")
+NEW_WORKER_FIELDS = ("sequence", "lapsed", "brief")
 
 
 class EarlierTask(msgspec.Struct, array_like=True):
@@ -125,6 +126,19 @@
         ended = EndedRun(TASK, RunNumber(1), RunEnd.LOST)
         self.assertEqual(report, WorkerEnds(WORKERS[0], (ended,), 2))
 
+    def test_ends_of_an_earlier_version_keep_their_effect(self) -> None:
+        log = make_running_log()
+        ended = EndedRun(TASK, RunNumber(1), RunEnd.STOPPED)
+        encoded = msgspec.msgpack.decode(
+            log.machine.encode_command(EndRuns(workers=(WorkerEnds(WORKERS[0], ()),)))
+        )
+        encoded["workers"] = [[WORKERS[0], [msgspec.to_builtins(ended)], 1, []]]
+        log.machine.apply(LogIndex(99), msgspec.msgpack.encode(encoded))
+        found = log.state.find_task(TASK)
+        assert found is not None
+        self.assertEqual((found[3].phase, found[3].crashes), (TaskPhase.WAITING, 0))
+        self.assertEqual(log.state.workers[WORKERS[0]].unresolved, [])
+
 
 class RelayedRepliesTest(unittest.TestCase):
     def test_failure_at_a_relay_of_an_earlier_version_is_in_doubt(self) -> None:
