Count no crash as certain for a run that may have been stopped by then

Cause: a crash counts as certain for a run whose start was answered, whether or not the worker has answered its stop. Now it doesn't if the worker has confirmed the stop, or may have carried it out. The crash still counts for the limit of five and for the blame, so that a deadly task gets at most one start more; a stop that certainly never reached its worker changes nothing.

--- a/src/rhubarbfield/scheduling/ledger.py
+++ b/src/rhubarbfield/scheduling/ledger.py
@@ -92,6 +92,11 @@
         is_open = self.starts.get(key) in (StartState.QUEUED, StartState.SENT)
         return is_open and not self.has_ended(key)
 
+    def may_have_ended(self, key: RunKey) -> bool:
+        """Return whether a run is brief, or an order to stop it may be carried out."""
+        stop = self.stops.get(key)
+        return key in self.brief or (stop is not None and stop.may_be_done)
+
     def record_order(self, key: RunKey, now: timedelta) -> None:
         """Record that a run is ordered to start now; it may not have started before."""
         self._known_since[key] = now
--- a/src/rhubarbfield/scheduling/orders.py
+++ b/src/rhubarbfield/scheduling/orders.py
@@ -119,6 +119,8 @@
         Monotonic time of the first attempt; None before.
     attempts
         Number of attempts so far.
+    may_be_done
+        Whether the worker may have carried it out.
     """
 
     key: RunKey
@@ -126,3 +128,4 @@
     ordered_at: timedelta
     sent_at: timedelta | None = None
     attempts: int = 0
+    may_be_done: bool = False
--- a/src/rhubarbfield/scheduling/presence.py
+++ b/src/rhubarbfield/scheduling/presence.py
@@ -33,7 +33,7 @@
         zero if it may just have started it, None if an earlier leader started it and
         nothing was heard of it since.
     is_certain
-        Whether the worker has certainly started it, and not ended it.
+        Whether the worker has certainly started it, and not been told to stop it.
     has_ended
         Whether its end is recorded: it was stopped, or failed, right after its start.
     """
@@ -167,11 +167,11 @@
     def _has_started(self, key: RunKey) -> bool:
         """Return whether the worker has answered the start of a run, or listed it.
 
-        Not for a run whose end is known.
+        Not for a run that may have ended there since.
         """
-        is_known = self._ledger.find_presence(key) is not None
-        has_ended = key in self._ledger.brief
-        return is_known and not has_ended and not self._ledger.is_unsettled(key)
+        if self._ledger.is_unsettled(key) or self._ledger.may_have_ended(key):
+            return False
+        return self._ledger.find_presence(key) is not None
 
     def _measure_work(self, key: RunKey) -> timedelta | None:
         """Return for how long the worker is known to have worked with a run."""
--- a/src/rhubarbfield/scheduling/stops.py
+++ b/src/rhubarbfield/scheduling/stops.py
@@ -128,30 +128,33 @@
         match result:
             case Success(worker_clock):
                 self._contact.handle_reply(worker_clock)
+                stop.may_be_done = True
                 self._ledger.settle(stop.key)
                 self._request_view()
                 return StopOutcome.CONFIRMED
             case Failure(failure):
-                return await self._handle_failure(stop.key, failure)
+                return await self._handle_failure(stop, failure)
         raise AssertionError
 
     async def _handle_failure(
-        self, key: RunKey, failure: CallFailure
+        self, stop: Stop, failure: CallFailure
     ) -> StopOutcome | None:
         """Handle a failed order; return its outcome, None if unknown.
 
         Refused orders are repeated, too: an unhealthy worker may recover, and the
         sessions of a deposed leader are closed soon.
         """
-        self._contact.log_failure("stop-failed", key, failure)
+        self._contact.log_failure("stop-failed", stop.key, failure)
         match failure:
             case OtherLife():
                 await self._remove_worker()
                 return StopOutcome.ENDED
             case Refused(refusal=Refusal.SUPERSEDED):
-                self._ledger.settle(key)
+                stop.may_be_done = True
+                self._ledger.settle(stop.key)
                 return StopOutcome.CONFIRMED
-            case NoReply():
+            case NoReply(was_sent=was_sent):
+                stop.may_be_done = stop.may_be_done or was_sent
                 self._contact.handle_no_reply()
         return None
 
