Test what a crash counts for before and after a worker has outlived a brief run

The second of the two tests didn't see whether the record of a brief run is dropped, as the gang had started again by then. Now nothing can start again. Each of three changes of the code fails one of them: no run is ever outlived; no time is kept in the ledger; the record is never dropped.

--- a/tests/scheduling/test_presence.py
+++ b/tests/scheduling/test_presence.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from rhubarbfield.scheduling.model import JobPhase, Step, TaskName, name_step
+from rhubarbfield.scheduling.model import Demand, JobPhase, Step, TaskName, name_step
 from rhubarbfield.scheduling.state import Task
 from tests.scheduling.deployments import ONE_CORE, Deployment, with_deployment
 from tests.scheduling.test_deadly_tasks import (
@@ -27,38 +27,47 @@
 class BriefRunTest(unittest.TestCase):
     """A gang that is stopped at once, as its second member has no room."""
 
-    async def stop_and_crash(self, deployment: Deployment, delay: float) -> Task:
-        """Crash the worker of the first member ``delay`` seconds after its end."""
+    async def stop_and_crash(
+        self, deployment: Deployment, delay: float
+    ) -> tuple[Task, list[int]]:
+        """Crash the worker of the first member ``delay`` seconds after its end.
+
+        Returns the member, and the number of brief runs of each worker at the crash.
+        """
         workers = [deployment.add_worker(f"w{number}") for number in range(2)]
         for worker in workers:
             worker.capacity = ONE_CORE
+            worker.demands[FIRST] = ONE_CORE
             worker.demands[TaskName("j.0.0.1")] = ONE_CORE.plus(ONE_CORE)
         async with deployment.lead():
             await deployment.submit("j", Step(tasks=2, demand=ONE_CORE, gang=True))
             while not any(worker.has_ended(FIRST) for worker in workers):
                 await trio.sleep(0.001)
-            first, other = sorted(workers, key=lambda each: not each.has_ended(FIRST))
-            other.is_unreachable = True  # so that nothing is started again
+            for worker in workers:
+                worker.set_capacity(Demand())  # so that nothing starts again
             await trio.sleep(delay)
-            deployment.fleet.crash(first)
+            brief = [len(each.brief) for each in deployment.state.workers.values()]
+            for worker in workers:
+                if worker.has_ended(FIRST):
+                    deployment.fleet.crash(worker)
             await trio.sleep(5)
-        return deployment.get_job("j").occurrences[0][0].tasks[0]
+        return deployment.get_job("j").occurrences[0][0].tasks[0], brief
 
     @with_deployment()
     async def test_crash_right_after_a_run_has_ended_counts_as_uncertain(
         self, deployment: Deployment
     ) -> None:
-        task = await self.stop_and_crash(deployment, 0.05)
+        task, brief = await self.stop_and_crash(deployment, 0.05)
+        self.assertEqual(sum(brief), 1)
         self.assertEqual((task.crashes, task.blame, task.certain_crashes), (1, 100, 0))
 
     @with_deployment()
     async def test_crash_after_a_worker_has_outlived_a_run_counts_for_nothing(
         self, deployment: Deployment
     ) -> None:
-        task = await self.stop_and_crash(deployment, 2)
+        task, brief = await self.stop_and_crash(deployment, 2)
+        self.assertEqual(sum(brief), 0)
         self.assertEqual((task.crashes, task.blame), (0, 0))
-        workers = deployment.state.workers.values()
-        self.assertEqual([each.brief for each in workers], [[], []])
 
 
 class StoppedRunTest(unittest.TestCase):
