--- a/src/rhubarbfield/scheduling/headroom.py
+++ b/src/rhubarbfield/scheduling/headroom.py
@@ -138,6 +138,8 @@
             images.add(step.image)
         if step.standing:
             headroom.standing_tasks += 1
+            held = headroom.held_by_standing
+            headroom.held_by_standing = held.plus(step.reserved)
         if step.uses_spare_cores:
             headroom.spare_core_tasks += 1
             share = headroom.shares.get(step.image, 0.0) + worker.find_share(step)
