Show that referrals and requests that can't be sent move calls off the leader

Callers wait for a dark member although the leader was named to them. Two causes, a test each:

- Of two calls that are referred to the same leader, the second finds the target there already, and moves it to the member after it.
While the leader takes 300 ms for the first reply and that member is dark, the call takes 1.2 s.
- A request that can't be encoded counts as a failure of the member: its connection is retired and the target moves.

--- a/tests/leadercalls/members.py
+++ b/tests/leadercalls/members.py
@@ -33,6 +33,8 @@
         Members that answer nothing, neither calls nor new connections.
     connect_times, reply_times
         How long each member takes to accept a connection, and to reply.
+    is_unsendable
+        Whether requests can't be encoded.
     connections
         Number of connections opened to each member.
     """
@@ -44,6 +46,7 @@
         self.connect_times: dict[str, timedelta] = {}
         self.reply_times: dict[str, timedelta] = {}
         self.connections: Counter[str] = Counter()
+        self.is_unsendable = False
         self._resets: Counter[str] = Counter()
         self._silences: Counter[str] = Counter()
 
@@ -87,6 +90,9 @@
         with trio.move_on_after(timeout.total_seconds()):
             await self._open()
             is_open = True
+            if members.is_unsendable:
+                kind = CallFailureKind.UNSENDABLE
+                return Failure(CallFailure(kind, "too large"))
             if members.count_resets(host) != self._resets:
                 return Failure(CallFailure(CallFailureKind.TIMEOUT, "reset"))
             await trio.sleep(members.reply_times.get(host, REPLY_TIME).total_seconds())
--- a/tests/leadercalls/test_calls.py
+++ b/tests/leadercalls/test_calls.py
@@ -135,6 +135,41 @@
 
         self.assertEqual(self.run_calls(members, body), Success(rejection))
 
+    def test_referrals_of_calls_made_together_name_one_target(self) -> None:
+        members = Members("a", Done())
+        took: list[float] = []
+
+        async def body(call: Callable[[], Awaitable[Any]]) -> None:
+            async def measure() -> None:
+                began = trio.current_time()
+                await call()
+                took.append(trio.current_time() - began)
+
+            await call()
+            members.leader = InstanceName("b")
+            members.reply_times["b"] = timedelta(milliseconds=300)
+            members.dark.add("c")
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(measure)
+                nursery.start_soon(measure)
+            await measure()
+
+        self.run_calls(members, body)
+        self.assertLess(max(took), 0.5)
+
+    def test_request_that_cannot_be_sent_costs_no_connection(self) -> None:
+        members = Members("a", Done())
+
+        async def body(call: Callable[[], Awaitable[Any]]) -> int:
+            await call()
+            members.is_unsendable = True
+            await call()
+            members.is_unsendable = False
+            await call()
+            return members.connections.total()
+
+        self.assertEqual(self.run_calls(members, body), 1)
+
 
 if __name__ == "__main__":
     unittest.main()
