Move calls off a member only for what that member did

Callers waited for a dark member although the leader had been named to them: the second of two calls that were referred to one leader found the target there already, and moved it to the next member. A request that can't be encoded cost the leader its connection and its place as the target as well.

A referral now changes the target only if no other call has changed it since the request was sent, and a request that was never sent says nothing about the member.

--- a/src/rhubarbfield/leadercalls/calls.py
+++ b/src/rhubarbfield/leadercalls/calls.py
@@ -127,13 +127,16 @@
                 if attempts.in_doubt and deadline < last_deadline:
                     continue
                 return
+            member = self._leader
             reply = await self._attempt(attempts, remaining)
             if attempts.is_unsendable:
                 return
             match reply:
                 case Success(NotLeading(leader=leader)):
+                    # Another call may have been referred, or answered, before.
+                    is_moved = member != self._leader
                     # Only once: during an election members may name each other.
-                    if self._switch_target(leader) and not was_redirected:
+                    if (is_moved or self._switch_target(leader)) and not was_redirected:
                         was_redirected = True
                         continue
                 case None:
@@ -162,6 +165,8 @@
         if attempts.answer is not None:
             if attempts.answered_by is not None:
                 self._leader = attempts.answered_by
+        elif attempts.is_unsendable:
+            pass
         elif reply is None or isinstance(reply, Failure):
             if remaining - TIMER_TOLERANCE <= waited < patience:
                 self._unanswered[attempt.member] = unanswered + waited
