Show that room is kept on all workers of a small service, or in vain

Callers of finite work get nothing started on a service of four workers in a fleet of 40 while four interrupted tasks wait: the tenth is taken of all services together. A task that lacks spare cores, and has room, keeps a worker closed for as long as it lacks them.

--- a/tests/scheduling/test_candidates.py
+++ b/tests/scheduling/test_candidates.py
@@ -7,10 +7,17 @@
 
 from rhubarbfield.scheduling.candidates import RESERVED_WORKERS_SHARE
 from rhubarbfield.scheduling.commands import RunStart
-from rhubarbfield.scheduling.model import Demand, ImageName, Step, TaskName
+from rhubarbfield.scheduling.model import (
+    Demand,
+    ImageName,
+    QueueName,
+    RunNumber,
+    Step,
+    TaskName,
+)
 from tests.replication.determinism import run_deterministic
 from tests.scheduling.deployments import QUEUE
-from tests.scheduling.fleets import GOAL_MS, LATE_QUEUE, Fleet
+from tests.scheduling.fleets import GOAL_MS, LATE_QUEUE, OTHER_QUEUE, Fleet
 
 WORKERS = 40
 CAPACITY = Demand(16000, 64000)
@@ -77,6 +84,54 @@
         run_deterministic(check, seed=1)
 
 
+class KeptRoomTest(unittest.TestCase):
+    def submit_interrupted(self, fleet: Fleet, step: Step, queue: QueueName) -> None:
+        job = fleet.submit(step, queue=queue)
+        fleet.state.jobs[job].occurrences[0][0].tasks[0].last_run = RunNumber(1)
+
+    def test_room_is_kept_on_few_workers_of_a_small_service(self) -> None:
+        async def check() -> None:
+            fleet = make_fleet()
+            small = list(fleet.state.workers.values())[:4]
+            for worker in small:
+                worker.service = OTHER_QUEUE.service
+            used = Step(tasks=4, demand=Demand(2000), max_per_worker=1)
+            fleet.submit(used, queue=OTHER_QUEUE.name)
+            self.assertEqual(len(await fleet.run_round()), 4)
+            large = Step(demand=Demand(15000), standing=True)
+            for _ in small:
+                self.submit_interrupted(fleet, large, OTHER_QUEUE.name)
+            fleet.submit(Step(tasks=4, demand=Demand(1000)), queue=OTHER_QUEUE.name)
+            self.assertEqual(len(await fleet.run_round()), 4)
+
+        run_deterministic(check, seed=1)
+
+    def test_no_room_is_kept_for_a_task_that_needs_spare_cores(self) -> None:
+        async def check() -> None:
+            fleet = make_fleet()
+            serving = Step(
+                tasks=WORKERS,
+                demand=Demand(14000),
+                standing=True,
+                image=ImageName("serving"),
+                tail_goal_ms=GOAL_MS,
+                max_per_worker=1,
+            )
+            fleet.submit(serving)
+            self.assertEqual(len(await fleet.run_round()), WORKERS)
+            spare = Step(
+                demand=Demand(16000, 1000),
+                standing=True,
+                image=ImageName("batch"),
+                uses_spare_cores=True,
+            )
+            self.submit_interrupted(fleet, spare, QUEUE.name)
+            fleet.submit(Step(tasks=2 * WORKERS, demand=Demand(1000)))
+            self.assertEqual(len(await fleet.run_round()), 2 * WORKERS)
+
+        run_deterministic(check, seed=1)
+
+
 class ReservedWorkersTest(unittest.TestCase):
     def count_reserved(self) -> int:
         return math.ceil(WORKERS * RESERVED_WORKERS_SHARE)
