Keep room on a tenth of a service's workers, and none for tasks that lack spare cores

Callers got no finite work started on a small service while a few interrupted tasks waited for room there, and one worker stayed closed for a task that could not use it. The share is now taken of each service, and room is kept only for tasks that lack room.

--- a/src/rhubarbfield/scheduling/candidates.py
+++ b/src/rhubarbfield/scheduling/candidates.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 from collections.abc import Collection, Iterable, Mapping, Sequence
 from functools import partial
 
@@ -24,7 +25,7 @@
 from rhubarbfield.scheduling.rejections import Rejections
 from rhubarbfield.types import ServiceName, WorkerId
 
-# Share of the workers on which a round keeps room for interrupted tasks at most.
+# Share of a service's workers on which a round keeps room at most.
 MAX_KEPT_SHARE = 0.1
 GROWTH_DIGITS = 1  # decimals of log latency; smaller differences are measurement noise
 # Fraction of reserved cores above which waiting does not count as a fault.
@@ -65,8 +66,7 @@
         self._changes: list[WorkerId] = []
         self._rankings: dict[tuple[object, ...], CandidateRanking] = {}
         self._rejected = Rejections()
-        self._kept_workers = 0
-        self._max_kept_workers = math.ceil(len(headrooms) * MAX_KEPT_SHARE)
+        self._kept_workers: Counter[ServiceName] = Counter()
         self._by_service: dict[ServiceName, list[WorkerHeadroom]] = {}
         for headroom in headrooms.values():
             self._by_service.setdefault(headroom.worker.service, []).append(headroom)
@@ -195,7 +195,11 @@
         A task that needs more than most would otherwise never find it, as each
         piece of room goes to smaller tasks as soon as it is free.
         """
-        if self._kept_workers >= self._max_kept_workers:
+        if waiting.step.uses_spare_cores:  # it lacks cores that are not kept
+            return
+        service = waiting.queue.service
+        members = len(self._by_service.get(service, ()))
+        if self._kept_workers[service] >= math.ceil(members * MAX_KEPT_SHARE):
             return
         reserved = waiting.step.reserved
         full = list_full(waiting.step, tasks_per_worker)
@@ -207,7 +211,7 @@
             and reserved.fits(headroom.worker.capacity.minus(headroom.held_by_standing))
         ]
         if possible:
-            self._kept_workers += 1
+            self._kept_workers[service] += 1
             self.close(max(possible, key=partial(_measure_fit, reserved)))
 
     def restore(self, saved: Iterable[Saved]) -> None:
