Show two errors that are contained and cost others their work

- Where opening one session raises, the registry has forgotten already that workers have changed: those after it get no session until another worker reports or leaves, even if the error was a single one.
Their tasks wait, and their runs are not looked at.
- Where recording one crash raises, the worker is removed but its runs are not ended; the repeated command finds no worker and counts as done.
All tasks on it stay live on a worker that is gone, for good, with nothing in the log but one line.

--- a/tests/test_containment.py
+++ b/tests/test_containment.py
@@ -10,6 +10,7 @@
 import trio
 
 from rhubarbfield.leadercalls import Unavailable
+from rhubarbfield.scheduling import appliers
 from rhubarbfield.scheduling.availability import WorkerAvailability
 from rhubarbfield.scheduling.backlog import Backlog
 from rhubarbfield.scheduling.heartbeats import HeartbeatDigest, Sighting
@@ -201,6 +202,53 @@
             self.assertIs(deployment.get_job("j").phase, JobPhase.COMPLETED)
             self.assertLessEqual(count_runs_at_once(deployment), 1)
 
+    @with_deployment()
+    async def test_session_that_cannot_be_opened_costs_no_other(
+        self, deployment: Deployment
+    ) -> None:
+        work = SessionRegistry._open
+
+        def fail_for_odd(self: Any, worker: Any, nursery: Any) -> None:
+            if worker.worker == "odd":
+                raise RuntimeError("told to fail")
+            work(self, worker, nursery)
+
+        async with deployment.lead():
+            with (
+                mock.patch.object(SessionRegistry, "_open", fail_for_odd),
+                self.assertLogs(LOGGER, "ERROR"),
+            ):
+                deployment.add_worker("odd")
+                await trio.sleep(3)
+            # The worker itself is called once its session can be opened.
+            await self.check_work_goes_on(deployment)
+
+    @with_deployment()
+    async def test_crash_that_cannot_be_recorded_costs_no_other(
+        self, deployment: Deployment
+    ) -> None:
+        worker = deployment.add_worker("w1", duration=None)
+        deployment.fleet.restart_delay = timedelta(seconds=0.1)
+        work = appliers._record_crash
+
+        def fail_for_odd(state: Any, crashed: Any) -> None:
+            if crashed.task.startswith("odd"):
+                raise RuntimeError("told to fail")
+            work(state, crashed)
+
+        async with deployment.lead():
+            with (
+                mock.patch.object(appliers, "_record_crash", fail_for_odd),
+                self.assertLogs(LOGGER, "ERROR"),
+            ):
+                for name in ("odd", "ordinary"):
+                    await deployment.submit(name, Step(demand=ONE_CORE, standing=True))
+                await trio.sleep(0.2)
+                deployment.fleet.crash(worker)
+                await trio.sleep(3)
+            restarted = deployment.fleet.find_latest(worker)
+            self.assertIn("ordinary.0.0.0", restarted.runs)
+
 
 if __name__ == "__main__":
     unittest.main()
