Open the other sessions where one can't be opened

Tasks waited on workers without a session. The error is contained per worker, and the next change of the state tries again.

--- a/src/rhubarbfield/scheduling/registry.py
+++ b/src/rhubarbfield/scheduling/registry.py
@@ -91,7 +91,11 @@
         for worker in workers.values():
             session = self.sessions.get(worker.worker)
             if session is None or session.address.address != worker.address:
-                self._open(worker, nursery)
+                try:
+                    self._open(worker, nursery)
+                except Exception as error:
+                    contain(Unit.SESSION, error, worker=worker.worker)
+                    self._is_outdated = True
         for removed in self.sessions.keys() - workers.keys():
             self._close(removed)
 
