Show that a settings file with an impossible date ends the program

The file is followed without a signal, so that what is half written in it, or wrong, is read in each running program. YAML raises ValueError for it, which is not refused but ends entry and controller.

--- a/tests/scheduling/test_serving.py
+++ b/tests/scheduling/test_serving.py
@@ -57,6 +57,10 @@
         seeds = self.play(['"c2:1', '"c3:1"'])
         self.assertEqual(seeds, [("c3:1",)])
 
+    def test_values_that_yaml_cannot_convert_do_not_end_the_program(self) -> None:
+        seeds = self.play(["2026-99-99", '"c3:1"'])
+        self.assertEqual(seeds, [("c3:1",)])
+
     def test_settings_that_do_not_differ_are_not_applied(self) -> None:
         self.assertEqual(self.play(['"c1:1"', ' "c1:1" ']), [])
 
