--- a/src/rhubarbfield/scheduling/deployment.py
+++ b/src/rhubarbfield/scheduling/deployment.py
@@ -135,7 +135,7 @@
         return msgspec.convert(yaml.safe_load(text), DeploymentSettings)
     except (OSError, UnicodeDecodeError) as error:
         raise UsageError(f"settings {path} can't be read: {error}") from None
-    except yaml.YAMLError as error:
-        raise UsageError(f"settings {path} are not YAML: {error}") from None
     except msgspec.ValidationError as error:
         raise UsageError(f"settings {path}: {error}") from None
+    except (yaml.YAMLError, ValueError, RecursionError) as error:
+        raise UsageError(f"settings {path} are not YAML: {error}") from None
