--- a/src/rhubarbfield/scheduling/candidates.py
+++ b/src/rhubarbfield/scheduling/candidates.py
@@ -67,6 +67,7 @@
         self._rankings: dict[tuple[object, ...], CandidateRanking] = {}
         self._rejected = Rejections()
         self._kept_workers: Counter[ServiceName] = Counter()
+        self._fitting: dict[tuple[object, ...], list[WorkerHeadroom]] = {}
         self._by_service: dict[ServiceName, list[WorkerHeadroom]] = {}
         for headroom in headrooms.values():
             self._by_service.setdefault(headroom.worker.service, []).append(headroom)
@@ -201,18 +202,29 @@
         members = len(self._by_service.get(service, ()))
         if self._kept_workers[service] >= math.ceil(members * MAX_KEPT_SHARE):
             return
-        reserved = waiting.step.reserved
         full = list_full(waiting.step, tasks_per_worker)
-        possible = [
-            headroom
-            for headroom in self._list_by_label(waiting)
-            if headroom.worker.worker not in full
-            and headroom.task_count < headroom.task_limit
-            and reserved.fits(headroom.worker.capacity.minus(headroom.held_by_standing))
-        ]
-        if possible:
-            self._kept_workers[service] += 1
-            self.close(max(possible, key=partial(_measure_fit, reserved)))
+        for headroom in self._rank_by_fit(waiting):
+            is_open = headroom.task_count < headroom.task_limit
+            if is_open and headroom.worker.worker not in full:
+                self._kept_workers[service] += 1
+                self.close(headroom)
+                return
+
+    def _rank_by_fit(self, waiting: WaitingStep) -> list[WorkerHeadroom]:
+        """Return the workers that could hold a task, by the room they have now."""
+        reserved = waiting.step.reserved
+        key = (waiting.queue.service, waiting.step.required_label, reserved)
+        found = self._fitting.get(key)
+        if found is None:
+            found = self._fitting[key] = [
+                headroom
+                for headroom in self._list_by_label(waiting)
+                if reserved.plus(headroom.held_by_standing).fits(
+                    headroom.worker.capacity
+                )
+            ]
+            found.sort(key=partial(_measure_fit, reserved), reverse=True)
+        return found
 
     def restore(self, saved: Iterable[Saved]) -> None:
         """Set headrooms to what they were when they were saved."""
