Show that a leader that takes 0.6 to 0.8 s loses its connection with each call

An entry searches for a leader for 0.6 s, then goes on in doubt. The search cuts the first attempt off; its time counts against the second attempt of the same call, which is given up after 0.2 s.

--- a/tests/leadercalls/test_calls.py
+++ b/tests/leadercalls/test_calls.py
@@ -29,6 +29,8 @@
         self,
         members: Members,
         body: Callable[[Callable[[], Awaitable[Any]]], Awaitable[Any]],
+        search_timeout: timedelta = TIMEOUT,
+        in_doubt_timeout: timedelta | None = None,
     ) -> Any:
         async def run() -> Any:
             calls = LeaderCalls(
@@ -38,7 +40,9 @@
                 TrioClock(),
                 attempt_timeout=ATTEMPT_TIMEOUT,
             )
-            return await body(lambda: calls.call(Done(), TIMEOUT))
+            return await body(
+                lambda: calls.call(Done(), search_timeout, in_doubt_timeout)
+            )
 
         return run_deterministic(run, seed=1)
 
@@ -68,6 +72,19 @@
 
         self.assertLess(self.run_calls(members, body), 0.1)
 
+    def test_leader_slower_than_the_search_keeps_its_connection(self) -> None:
+        members = Members("a", Done())
+
+        async def body(call: Callable[[], Awaitable[Any]]) -> Any:
+            await call()
+            members.reply_times["a"] = timedelta(milliseconds=700)
+            return await call()
+
+        search_timeout = timedelta(milliseconds=600)
+        result = self.run_calls(members, body, search_timeout, TIMEOUT)
+        self.assertEqual(result, Success(Done()))
+        self.assertEqual(members.connections.total(), 1)
+
     def test_silent_connection_is_replaced(self) -> None:
         members = Members("a", Done())
 
