Count a member's silence for all calls that wait for it

Calls that were made together waited for a dark member for 1.4 s, where they had for 0.7 s on: the search cuts each off after 0.6 s, and only the first of their next attempts was told that the member had been silent for so long. Each now takes that into account, until the member replies or is given up.

--- a/src/rhubarbfield/leadercalls/calls.py
+++ b/src/rhubarbfield/leadercalls/calls.py
@@ -156,7 +156,7 @@
             None if there was no reply in time, or another attempt was answered.
         """
         attempt = Attempt(self._leader, self._pool.get(self._leader))
-        unanswered = self._unanswered.pop(attempt.member, timedelta())
+        unanswered = self._unanswered.get(attempt.member, timedelta())
         patience = self._attempt_timeout - unanswered
         began = self._clock.monotonic()
         attempts.begin(attempt, remaining)
@@ -180,6 +180,7 @@
 
     def _give_up(self, attempt: Attempt) -> None:
         """Call another member next, and the same one over another connection."""
+        self._unanswered.pop(attempt.member, None)
         self._pool.retire(attempt.member, attempt.connection)
         if attempt.member == self._leader:
             self._switch_target(None)
--- a/tests/leadercalls/test_calls.py
+++ b/tests/leadercalls/test_calls.py
@@ -85,6 +85,27 @@
         self.assertEqual(result, Success(Done()))
         self.assertEqual(members.connections.total(), 1)
 
+    def test_calls_made_together_give_a_dark_member_up_together(self) -> None:
+        members = Members("a", Done())
+        took: list[float] = []
+
+        async def body(call: Callable[[], Awaitable[Any]]) -> None:
+            async def measure() -> None:
+                began = trio.current_time()
+                await call()
+                took.append(trio.current_time() - began)
+
+            await call()
+            members.leader = InstanceName("b")
+            members.dark.add("a")
+            async with trio.open_nursery() as nursery:
+                for _ in range(10):
+                    nursery.start_soon(measure)
+
+        search_timeout = timedelta(milliseconds=600)
+        self.run_calls(members, body, search_timeout, TIMEOUT)
+        self.assertLess(max(took), 1)
+
     def test_silent_connection_is_replaced(self) -> None:
         members = Members("a", Done())
 
