--- a/src/rhubarbfield/scheduling/gateway.py
+++ b/src/rhubarbfield/scheduling/gateway.py
@@ -10,6 +10,7 @@
 from returns.result import Failure, Success
 
 from rhubarbfield.clock import Clock
+from rhubarbfield.containment import Unit, contain
 from rhubarbfield.leadercalls import LeaderCalls, LeaderFailure
 from rhubarbfield.logs import log_event
 from rhubarbfield.peering import Transport
@@ -120,9 +121,7 @@
         task_status.started()
         while True:
             was_ready = self.is_ready
-            result = await self._probes.call(LeadershipQuery(), READINESS_INTERVAL)
-            if isinstance(result, Success):
-                self._record_contact()
+            await self._probe()
             if self.is_ready != was_ready:
                 log_event(
                     logger,
@@ -132,6 +131,16 @@
             while (rest := self._find_probe_delay()) > timedelta():
                 await self._clock.sleep(rest)
 
+    async def _probe(self) -> None:
+        try:
+            result = await self._probes.call(LeadershipQuery(), READINESS_INTERVAL)
+        except Exception as error:
+            contain(Unit.ACTIVITY, error, activity="probes")
+            await self._clock.sleep(READINESS_INTERVAL)
+            return
+        if isinstance(result, Success):
+            self._record_contact()
+
     def _find_probe_delay(self) -> timedelta:
         """Return the time until the next probe is due."""
         age = self._measure_contact_age()
--- a/tests/scheduling/test_gateway.py
+++ b/tests/scheduling/test_gateway.py
@@ -28,7 +28,10 @@
 from rhubarbfield.types import InstanceName
 from tests.leadercalls.members import Members
 from tests.protocol.test_leaders import TIMED_OUT, Reply, ScriptedTransport
-from tests.replication.determinism import run_deterministic
+from tests.replication.determinism import (
+    expect_contained_errors,
+    run_deterministic,
+)
 
 SETTINGS = DeploymentSettings(
     instance="e1",
@@ -114,6 +117,24 @@
 
         self.assertLessEqual(run_deterministic(body, seed=1), 1)
 
+    def test_probe_that_raises_does_not_end_the_entry(self) -> None:
+        def answer(_host: str, number: int) -> Reply:
+            if number == 1:
+                raise RuntimeError("probe")
+            return Success(Ready())
+
+        async def body() -> bool:
+            transport = cast(Transport, ScriptedTransport(answer))
+            gateway = Gateway(SETTINGS, transport, TrioClock())
+            async with trio.open_nursery() as nursery:
+                await nursery.start(gateway.run)
+                await trio.sleep(3)
+                nursery.cancel_scope.cancel()
+            return gateway.is_ready
+
+        with expect_contained_errors():
+            self.assertTrue(run_deterministic(body, seed=1))
+
     def test_requests_that_wait_for_a_leader_do_not_flood_the_controllers(self) -> None:
         """The controllers need their time to elect a leader."""
         calls = 0
