--- a/src/rhubarbfield/scheduling/candidates.py
+++ b/src/rhubarbfield/scheduling/candidates.py
@@ -3,9 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections import Counter
 from collections.abc import Collection, Iterable, Mapping, Sequence
-from functools import partial
 
 import msgspec
 
@@ -19,14 +17,12 @@
     measure_utilization,
 )
 from rhubarbfield.scheduling.interference import InterferenceModel
-from rhubarbfield.scheduling.model import Demand, Step
+from rhubarbfield.scheduling.model import Step
 from rhubarbfield.scheduling.ranking import CandidateRanking, Cost
 from rhubarbfield.scheduling.rejected_steps import RejectedSteps
 from rhubarbfield.scheduling.rejections import Rejections
 from rhubarbfield.types import ServiceName, WorkerId
 
-# Share of a service's workers on which a round keeps room at most.
-MAX_KEPT_SHARE = 0.1
 GROWTH_DIGITS = 1  # decimals of log latency; smaller differences are measurement noise
 # Fraction of reserved cores above which waiting does not count as a fault.
 FORCED_START_MAX_UTILIZATION = 0.6
@@ -66,8 +62,6 @@
         self._changes: list[WorkerId] = []
         self._rankings: dict[tuple[object, ...], CandidateRanking] = {}
         self._rejected = Rejections()
-        self._kept_workers: Counter[ServiceName] = Counter()
-        self._fitting: dict[tuple[object, ...], list[WorkerHeadroom]] = {}
         self._by_service: dict[ServiceName, list[WorkerHeadroom]] = {}
         for headroom in headrooms.values():
             self._by_service.setdefault(headroom.worker.service, []).append(headroom)
@@ -188,44 +182,6 @@
         headroom.task_limit = headroom.task_count
         self._changes.append(headroom.worker.worker)
 
-    def keep_room(
-        self, waiting: WaitingStep, tasks_per_worker: Mapping[WorkerId, int]
-    ) -> None:
-        """Start nothing else in this round where a task will have room soonest.
-
-        A task that needs more than most would otherwise never find it, as each
-        piece of room goes to smaller tasks as soon as it is free.
-        """
-        if waiting.step.uses_spare_cores:  # it lacks cores that are not kept
-            return
-        service = waiting.queue.service
-        members = len(self._by_service.get(service, ()))
-        if self._kept_workers[service] >= math.ceil(members * MAX_KEPT_SHARE):
-            return
-        full = list_full(waiting.step, tasks_per_worker)
-        for headroom in self._rank_by_fit(waiting):
-            is_open = headroom.task_count < headroom.task_limit
-            if is_open and headroom.worker.worker not in full:
-                self._kept_workers[service] += 1
-                self.close(headroom)
-                return
-
-    def _rank_by_fit(self, waiting: WaitingStep) -> list[WorkerHeadroom]:
-        """Return the workers that could hold a task, by the room they have now."""
-        reserved = waiting.step.reserved
-        key = (waiting.queue.service, waiting.step.required_label, reserved)
-        found = self._fitting.get(key)
-        if found is None:
-            found = self._fitting[key] = [
-                headroom
-                for headroom in self._list_by_label(waiting)
-                if reserved.plus(headroom.held_by_standing).fits(
-                    headroom.worker.capacity
-                )
-            ]
-            found.sort(key=partial(_measure_fit, reserved), reverse=True)
-        return found
-
     def restore(self, saved: Iterable[Saved]) -> None:
         """Set headrooms to what they were when they were saved."""
         for headroom, values in saved:
@@ -300,21 +256,6 @@
         return (is_far, headroom.failures, wastes, is_unused, left_over)
 
 
-def _measure_fit(reserved: Demand, headroom: WorkerHeadroom) -> tuple[float, WorkerId]:
-    """Return how much of a demand a worker has free, and the worker to break ties."""
-    free = headroom.free
-    shares = [
-        have / want
-        for have, want in (
-            (free.millicores, reserved.millicores),
-            (free.memory_mb, reserved.memory_mb),
-            (free.accelerators, reserved.accelerators),
-        )
-        if want
-    ]
-    return min(shares, default=1.0), headroom.worker.worker
-
-
 def _is_far(step: Step, headroom: WorkerHeadroom) -> bool:
     """Return whether a worker is not on the rack that a step prefers."""
     return step.preferred_rack not in ("", *headroom.worker.labels)
--- a/src/rhubarbfield/scheduling/headroom.py
+++ b/src/rhubarbfield/scheduling/headroom.py
@@ -45,8 +45,6 @@
         wants.
     spare_core_tasks, standing_tasks
         Number of spare-core tasks and of standing tasks on the worker.
-    held_by_standing
-        Capacity that the standing tasks reserve.
     is_reserved
         Whether standing tasks start on the worker only if there is no other.
     task_count
@@ -72,7 +70,6 @@
     shares: dict[ImageName, float] = msgspec.field(default_factory=dict)
     spare_core_tasks: int = 0
     standing_tasks: int = 0
-    held_by_standing: Demand = Demand()
     is_reserved: bool = False
     task_count: int = 0
     task_limit: int = 1_000_000
@@ -106,7 +103,6 @@
             self.serving_images |= {step.image}
         if step.standing:
             self.standing_tasks += 1
-            self.held_by_standing = self.held_by_standing.plus(step.reserved)
         if step.uses_spare_cores:
             self.spare_core_tasks += 1
             self.shares = self.add_share(step)
@@ -138,8 +134,6 @@
             images.add(step.image)
         if step.standing:
             headroom.standing_tasks += 1
-            held = headroom.held_by_standing
-            headroom.held_by_standing = held.plus(step.reserved)
         if step.uses_spare_cores:
             headroom.spare_core_tasks += 1
             share = headroom.shares.get(step.image, 0.0) + worker.find_share(step)
--- a/src/rhubarbfield/scheduling/placing.py
+++ b/src/rhubarbfield/scheduling/placing.py
@@ -192,10 +192,8 @@
         """Return the waiting steps but those that no worker can take as before."""
         placeable = []
         for waiting in iterate_waiting(self._jobs, self._queues):
-            if (
-                self._rejected.holds(waiting)
-                and not (waiting.step.uses_spare_cores and self._may_force(waiting))
-                and not _has_interrupted(waiting)
+            if self._rejected.holds(waiting) and not (
+                waiting.step.uses_spare_cores and self._may_force(waiting)
             ):
                 self.unplaced[waiting.job.job, waiting.number] = waiting
             else:
@@ -226,8 +224,6 @@
                     self._start_task(name, task, headroom, step, tasks_per_worker)
                 return
             if headroom is None:
-                if step.standing and task.last_run:
-                    self._candidates.keep_room(waiting, tasks_per_worker)
                 self._note_unplaced(waiting)
                 if name in self._avoided:
                     continue
@@ -363,13 +359,6 @@
             yield WaitingStep(job, queue, occurrence, number)
 
 
-def _has_interrupted(waiting: WaitingStep) -> bool:
-    """Return whether a standing task of a step waits to be started again."""
-    return waiting.step.standing and any(
-        task.last_run > 0 and task.phase is TaskPhase.WAITING for task in waiting.tasks
-    )
-
-
 def _choose_rack(
     step: Step, members: int, candidates: list[WorkerHeadroom]
 ) -> list[WorkerHeadroom] | None:
