--- a/src/rhubarbfield/__init__.py
+++ b/src/rhubarbfield/__init__.py
@@ -3,6 +3,12 @@
 The most used names of the package are re-exported here.
 """
 
+import os
+
+# What is imported later comes from the version that was started, also after another
+# one has been installed.
+__path__ = [os.path.realpath(folder) for folder in __path__]
+
 from rhubarbfield.clock import Clock, TrioClock
 from rhubarbfield.exceptions import BrokenInvariantError, RhubarbfieldError, UsageError
 from rhubarbfield.types import FailureDomain, InstanceName, Outcome, ServiceName, Tenant
