Record the end of each run of a lost worker, whatever another one's record raises

Seen by a test: once recording one run of a crashed worker raised, the worker was removed and none of its other runs ended; their tasks stayed live for good and were never started again.

Cause: RemoveWorker took the worker out of the state first, so that its repetition found nothing left to do. Now each run's record is a unit of work of its own, the same on every replica that applies the command with this version.

--- a/src/rhubarbfield/containment.py
+++ b/src/rhubarbfield/containment.py
@@ -8,6 +8,8 @@
 
 import logging
 import traceback
+from collections.abc import Iterator
+from contextlib import contextmanager
 from enum import StrEnum
 
 from prometheus_client import Counter
@@ -66,6 +68,15 @@
     )
 
 
+@contextmanager
+def contained(unit: Unit, /, **ids: LogValue) -> Iterator[None]:
+    """Contain an error that the block raises; see :func:`contain`."""
+    try:
+        yield
+    except Exception as error:
+        contain(unit, error, **ids)
+
+
 def _find_place(error: BaseException) -> str:
     """Return module, line and function in which an error was raised."""
     while isinstance(error, BaseExceptionGroup):
--- a/src/rhubarbfield/scheduling/appliers.py
+++ b/src/rhubarbfield/scheduling/appliers.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from rhubarbfield.containment import Unit, contained
 from rhubarbfield.exceptions import check_invariant
 from rhubarbfield.machine import Done, Refused, Reply, SectionedMachine
 from rhubarbfield.scheduling.commands import (
@@ -167,11 +168,14 @@
     worker = state.workers.pop(command.worker, None)
     if worker is None:
         return Done()
+    # A task whose record raises must not keep those of the others: the worker is gone.
     for crashed in command.crashed:
-        _record_crash(state, crashed)
+        with contained(Unit.JOB, task=crashed.task):
+            _record_crash(state, crashed)
     for task, run in list(worker.runs.items()):
         checkpoint = command.checkpoints.get(task, NO_CHECKPOINT)
-        _end_run(state, worker, EndedRun(task, run, RunEnd.LOST, checkpoint))
+        with contained(Unit.JOB, task=task):
+            _end_run(state, worker, EndedRun(task, run, RunEnd.LOST, checkpoint))
     return Done()
 
 
