--- a/tests/platform/programs.py
+++ b/tests/platform/programs.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import random
 import signal
 import subprocess
 import sys
@@ -111,6 +112,16 @@
         path.write_text(yaml.safe_dump(settings), encoding="utf-8")
         return path
 
+    async def rewrite_settings_slowly(self, host: str, rng: random.Random) -> None:
+        """Write the settings of a started host again, first only in part."""
+        path = self._folder / f"{host}.yaml"
+        if not path.exists():
+            return
+        text = path.read_text(encoding="utf-8")
+        path.write_text(text[: rng.randrange(len(text))], encoding="utf-8")
+        await trio.sleep(rng.uniform(0.1, 1))
+        path.write_text(text, encoding="utf-8")
+
     def describe(self, host: str, *, may_form_group: bool) -> dict[str, Any]:
         """Return the settings of a host."""
         network = self.network
--- a/tests/platform/starts.py
+++ b/tests/platform/starts.py
@@ -159,23 +159,40 @@
     start.absent.add(start.random.choice(start.network.list_controllers()))
 
 
-async def run_seed(seed: int) -> tuple[list[str], list[str]]:
-    """Run the start of a seed; return its troubles and what went wrong."""
-    rng = random.Random(seed)
+@trouble("freezes")
+async def freeze_processes(start: FirstStart) -> None:
+    """Stop processes for a while and let them go on, one after another."""
+    for host in start.random.sample(start.network.list_hosts(), 2):
+        await start.pause(1.0)
+        start.deployment.signal(host, signal.SIGSTOP)
+        await start.pause(3.0)
+        start.deployment.signal(host, signal.SIGCONT)
+
+
+@trouble("settings")
+async def cut_settings(start: FirstStart) -> None:
+    """Write a settings file only in part at first, and whole within a second."""
+    for host in start.random.sample(start.network.list_hosts(), 2):
+        await start.pause(0.5)
+        await start.deployment.rewrite_settings_slowly(host, start.random)
+
+
+def pick_troubles(rng: random.Random) -> list[str]:
+    """Return the troubles of one start; no more is lost than may be lost at once."""
     troubles = rng.sample(sorted(TROUBLES), rng.choice((1, 1, 2, 3)))
-    if "lost" in troubles:  # a second controller away is more than may be lost
-        troubles = [
-            name
-            for name in troubles
-            if name not in ("late", "kills", "signals", "ports")
-        ]
+    if "lost" in troubles:
+        troubles = [name for name in troubles if name in ("lost", "hangups")]
+    return troubles
+
+
+async def run_start(seed: int, troubles: Sequence[str]) -> list[str]:
+    """Start a deployment amid troubles; return what went wrong."""
     with tempfile.TemporaryDirectory() as folder:
         deployment = Deployment(Path(folder), pick_network(seed))
         try:
-            faults = await FirstStart(deployment, rng).run(troubles)
+            return await FirstStart(deployment, random.Random(seed)).run(troubles)
         finally:
             deployment.stop()
-    return troubles, faults
 
 
 def main(_: list[str]) -> None:
@@ -184,7 +201,8 @@
     first, count = flags.FLAGS.first, flags.FLAGS.seeds
     failed = 0
     for seed in range(first, first + count):
-        troubles, faults = trio.run(run_seed, seed)
+        troubles = pick_troubles(random.Random(seed))
+        faults = trio.run(run_start, seed, troubles)
         failed += bool(faults)
         print(
             f"seed {seed} ({', '.join(troubles)}): {'; '.join(faults) or 'up'}",
