--- a/tests/replication/group.py
+++ b/tests/replication/group.py
@@ -112,7 +112,7 @@
         self.memory = MemoryStore()
         return self.memory
 
-    async def start(self) -> None:
+    async def start(self, *, may_form_group: bool = True) -> None:
         group = self.group
         self._scope = trio.CancelScope()
         self.machine = ChainMachine(group.observer)
@@ -127,6 +127,7 @@
             random=Random(group.random.random()),
             settings=group.settings,
             avoid_leadership=self.name in group.avoid_leadership,
+            may_form_group=may_form_group,
             run_blocking=self.run_blocking,
         )
         group.network.attach(self.name, self.clock, self.replica.deliver)
