--- a/src/rhubarbfield/replication/joining.py
+++ b/src/rhubarbfield/replication/joining.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from rhubarbfield.replication.groupwait import GroupWait
 from rhubarbfield.replication.membership import Membership
 from rhubarbfield.replication.messages import MAX_CONTACTS, Probe, ProbeAnswer
 from rhubarbfield.replication.state import ReplicaState
@@ -16,15 +17,16 @@
 logger = logging.getLogger(__name__)
 
 PROBE_INTERVAL_HEARTBEATS = 2
-EMPTY_ANSWER_VALID_HEARTBEATS = 5
+ANSWER_VALID_HEARTBEATS = 5
 VOTER_SEARCH_DELAY_FACTOR = 10
 
 
-class EmptyPeer(msgspec.Struct, frozen=True):
-    """A peer that answered that its log is empty."""
+class PeerAnswer(msgspec.Struct, frozen=True):
+    """The latest answer of a peer to a probe."""
 
     replica_id: ReplicaId
-    last_contact_at: timedelta
+    is_empty: bool
+    received_at: timedelta
 
 
 class Joining:
@@ -58,7 +60,8 @@
         self._bootstrap = tuple(sorted(bootstrap))
         self._contacts = set(bootstrap)
         self._invited: set[InstanceName] = set()
-        self._empty_peers: dict[InstanceName, EmptyPeer] = {}
+        self._answers: dict[InstanceName, PeerAnswer] = {}
+        self._wait = GroupWait(state.group)
 
     async def run(self) -> None:
         """Probe for the group while there is no contact with a leader."""
@@ -67,6 +70,7 @@
         while True:
             if self._should_search():
                 self._form_if_all_empty()
+                self._report_wait()
                 self._probe_contacts()
             await state.clock.sleep(pause)
 
@@ -107,10 +111,7 @@
                 self._contacts.add(name)
         name = message.source.name
         self._invited.discard(name)
-        if message.empty:
-            self._empty_peers[name] = EmptyPeer(message.source, self._state.now)
-        else:
-            self._empty_peers.pop(name, None)
+        self._answers[name] = PeerAnswer(message.source, message.empty, self._state.now)
 
     def _should_search(self) -> bool:
         state = self._state
@@ -145,15 +146,37 @@
         is_first = self._bootstrap[0] == state.id.name
         if not self._may_form_group or not is_first or not state.log.is_empty:
             return
-        oldest = state.now - state.settings.heartbeat * EMPTY_ANSWER_VALID_HEARTBEATS
         voters = [state.id]
         for name in self._bootstrap[1:]:
-            peer = self._empty_peers.get(name)
-            if peer is None or peer.last_contact_at < oldest:
+            answer = self._find_recent(name)
+            if answer is None or not answer.is_empty:
                 return
-            voters.append(peer.replica_id)
+            voters.append(answer.replica_id)
         self._form(Membership(tuple(sorted(voters))))
 
+    def _find_recent(self, name: InstanceName) -> PeerAnswer | None:
+        """Return the answer of a peer unless it is too old."""
+        age = self._state.settings.heartbeat * ANSWER_VALID_HEARTBEATS
+        answer = self._answers.get(name)
+        if answer is None or self._state.now - answer.received_at > age:
+            return None
+        return answer
+
+    def _report_wait(self) -> None:
+        state = self._state
+        if state.log.last.index:
+            return
+        others = [name for name in self._bootstrap if name != state.id.name]
+        recent = {name: self._find_recent(name) for name in others}
+        found = [answer for answer in recent.values() if answer is not None]
+        self._wait.report(
+            state.now,
+            may_form=self._may_form_group,
+            answered=[each.replica_id.name for each in found if each.is_empty],
+            silent=[name for name in others if recent[name] is None],
+            non_empty=[each.replica_id.name for each in found if not each.is_empty],
+        )
+
     def _form(self, membership: Membership) -> None:
         state = self._state
         if state.persist(state.log.save_first_entry(state.id, membership)):
