--- a/tests/replication/network.py
+++ b/tests/replication/network.py
@@ -36,7 +36,8 @@
         return not self._thawed.is_set()
 
     def freeze(self) -> None:
-        self._thawed = trio.Event()
+        if not self.is_frozen:  # those that wait already are woken by the same thaw
+            self._thawed = trio.Event()
 
     def thaw(self) -> None:
         self._thawed.set()
