Found a group by an election among its first voters, by name

Cause: only the first voter by name could form the group, by a setting of one process that is false once it is started again, and only after all others had answered. So a first voter that ended before that, a voter that came late, or one that never came, prevented the group.

Why this works: an initial voter that starts empty with may_form_group saves the names of the founding voters with its incarnation and keeps them until its log has an entry. A founder needs the votes of a majority of the names in one term (pledges, on probes), and writes the first entry in that term. Pledges are votes, once a term and not once for good: a founder that is lost after it got a pledge would otherwise hold the others up for as long as it is away. A voter that has not answered is named with an incarnation that no replica has, and is replaced when it appears.

--- a/src/rhubarbfield/replication/components.py
+++ b/src/rhubarbfield/replication/components.py
@@ -45,8 +45,6 @@
         The replica's unfinished proposals.
     bootstrap
         The initial voters of the group.
-    may_form_group
-        Whether this replica may form a new group.
 
     Attributes
     ----------
@@ -60,15 +58,13 @@
         machine: StateMachine,
         proposals: Proposals,
         bootstrap: tuple[InstanceName, ...],
-        *,
-        may_form_group: bool = True,
     ) -> None:
         self.state = state
         self.proposals = proposals
         self.applier = Applier(state, machine, proposals)
         self.follower = Follower(state, self.applier)
         self.election = Election(state)
-        self.joining = Joining(state, bootstrap, may_form_group=may_form_group)
+        self.joining = Joining(state, bootstrap)
         self.leader: Leader | None = None
         self.changes: MembershipChanges | None = None
         self._handlers: dict[type[ReplicationMessage], Callable[[Any], None]] = {
--- /dev/null
+++ b/src/rhubarbfield/replication/founding.py
@@ -0,0 +1,200 @@
+"""Founding a group: which of its initial voters writes the first entry."""
+
+from __future__ import annotations
+
+import logging
+from datetime import timedelta
+
+import msgspec
+
+from rhubarbfield.logs import log_event
+from rhubarbfield.replication.groupwait import GroupWait
+from rhubarbfield.replication.membership import Membership
+from rhubarbfield.replication.messages import Probe, ProbeAnswer
+from rhubarbfield.replication.state import ReplicaState
+from rhubarbfield.storage import ReplicaId
+from rhubarbfield.types import Incarnation, InstanceName, Term
+
+logger = logging.getLogger(__name__)
+
+ANSWER_VALID_HEARTBEATS = 5
+ABSENT = Incarnation("")  # no replica has it, so it never votes
+
+
+class PeerAnswer(msgspec.Struct, frozen=True):
+    """The latest answer of a peer to a probe."""
+
+    replica_id: ReplicaId
+    is_empty: bool
+    may_found: bool
+    term: Term
+    received_at: timedelta
+
+
+class Founding:
+    """Takes part in founding a replica's group.
+
+    A replica that holds the names of the founding voters in its hard state may
+    take part while its log has no entry. A pledge to a founder is a vote in the
+    founder's term. The founder that a majority of the names has pledged to in
+    one term, itself included, writes the first entry, in that term: the voters
+    with their incarnations, or :data:`ABSENT` for one that has not answered,
+    which is replaced once it appears. So founding is an election whose voters
+    are known by name, and the terms and logs decide between two founders.
+
+    The first voter by name asks for pledges once all others have answered that
+    their logs are empty; the others, and the first if some don't answer, ask
+    one after another, ``replace_after`` apart.
+
+    Parameters
+    ----------
+    state
+        The replica's state.
+    bootstrap
+        The initial voters, for a replica that may not take part.
+    """
+
+    def __init__(
+        self, state: ReplicaState, bootstrap: tuple[InstanceName, ...]
+    ) -> None:
+        self._state = state
+        self.voters = state.log.hard_state.founders or tuple(sorted(set(bootstrap)))
+        self._answers: dict[InstanceName, PeerAnswer] = {}
+        self._waiting_since = state.now
+        self._asked_term: Term | None = None
+        self._pledges: dict[InstanceName, ReplicaId] = {}
+        self._wait = GroupWait(state.group)
+
+    def restart_wait(self) -> None:
+        """Let the others go first again, as there is contact with a leader."""
+        self._waiting_since = self._state.now
+
+    def ask(self) -> tuple[InstanceName, ...]:
+        """Return the founding voters if pledges are to be asked for now, or ``()``."""
+        log = self._state.log
+        if not log.last.index:
+            self._report_wait()
+        if not log.may_found or not self._is_turn() or not self._open_term():
+            return ()
+        self._form_if_pledged()
+        return self.voters if log.may_found else ()
+
+    def on_probe(self, message: Probe) -> None:
+        """Pledge durably to a founder that asks, unless pledged in its term."""
+        state = self._state
+        name = message.source.name
+        asks_here = message.founders == self.voters and name in self.voters
+        if not asks_here or not state.log.may_found or name == state.id.name:
+            return
+        # Without a term, no leader can have been answered.
+        if state.term and state.now < state.refuse_votes_until:
+            return
+        if message.term < state.term or not state.observe_term(message.term):
+            return
+        if state.log.hard_state.vote is None and state.persist(
+            state.log.save_vote(message.term, message.source)
+        ):
+            self._waiting_since = state.now
+
+    def on_probe_answer(self, message: ProbeAnswer) -> None:
+        """Record what a founding voter answered, and form the group if pledged."""
+        state = self._state
+        name = message.source.name
+        if name not in self.voters:
+            return
+        self._answers[name] = PeerAnswer(
+            message.source, message.empty, message.may_found, message.term, state.now
+        )
+        if message.may_found and message.pledge == state.id:
+            if message.term == self._asked_term:
+                self._pledges[name] = message.source
+            self._form_if_pledged()
+
+    def _is_turn(self) -> bool:
+        state = self._state
+        rank = self.voters.index(state.id.name)
+        recent = self._list_recent()
+        if not all(answer.is_empty for answer in recent):
+            return False
+        has_pledged = state.log.hard_state.vote not in {None, state.id}
+        if rank == 0 and len(recent) == len(self.voters) - 1 and not has_pledged:
+            return True
+        patience = state.settings.replace_after
+        if patience is None or state.now - self._waiting_since < patience * (rank + 1):
+            return False
+        able = [answer.replica_id.name for answer in recent if answer.may_found]
+        return not any(name < state.id.name for name in able) and self._is_majority(
+            len(able) + 1
+        )
+
+    def _open_term(self) -> bool:
+        """Pledge to itself in a term that no other has been seen in."""
+        state = self._state
+        terms = [answer.term for answer in self._list_recent()]
+        highest = max([state.term, *terms])
+        if state.log.hard_state.vote != state.id or state.term < highest:
+            term = Term(highest + 1)
+            if not state.persist(state.log.save_vote(term, state.id)):
+                return False
+            state.leader = None
+        if self._asked_term != state.term:
+            self._asked_term = state.term
+            self._pledges = {}
+        return True
+
+    def _form_if_pledged(self) -> None:
+        state = self._state
+        log = state.log
+        is_asking = state.term == self._asked_term and log.hard_state.vote == state.id
+        if not log.may_found or not is_asking:
+            return
+        if not self._is_majority(len(self._pledges) + 1):
+            return
+        membership = Membership(tuple(sorted(map(self._identify, self.voters))))
+        if state.persist(log.save_first_entry(membership)):
+            log_event(
+                logger,
+                logging.INFO,
+                "group-formed",
+                group=state.group,
+                term=state.term,
+                voters=" ".join(self.voters),
+                pledged=" ".join(sorted((state.id.name, *self._pledges))),
+            )
+            state.election_due = state.now
+
+    def _identify(self, name: InstanceName) -> ReplicaId:
+        """Return the voter called ``name`` in the incarnation that may found."""
+        if name == self._state.id.name:
+            return self._state.id
+        answer = self._answers.get(name)
+        if name in self._pledges:
+            return self._pledges[name]
+        if answer is not None and answer.may_found:
+            return answer.replica_id
+        return ReplicaId(name, ABSENT)
+
+    def _is_majority(self, count: int) -> bool:
+        return 2 * count > len(self.voters)
+
+    def _list_recent(self) -> list[PeerAnswer]:
+        """Return the answers that are not too old."""
+        state = self._state
+        oldest = state.now - state.settings.heartbeat * ANSWER_VALID_HEARTBEATS
+        answers = self._answers.values()
+        return [answer for answer in answers if answer.received_at >= oldest]
+
+    def _report_wait(self) -> None:
+        state = self._state
+        recent = self._list_recent()
+        heard = {answer.replica_id.name for answer in recent}
+        vote = state.log.hard_state.vote
+        self._wait.report(
+            state.now,
+            may_form=state.log.may_found,
+            answered=[each.replica_id.name for each in recent if each.is_empty],
+            silent=set(self.voters) - heard - {state.id.name},
+            non_empty=[each.replica_id.name for each in recent if not each.is_empty],
+            term=state.term,
+            pledge=None if vote is None else vote.name,
+        )
--- a/src/rhubarbfield/replication/log.py
+++ b/src/rhubarbfield/replication/log.py
@@ -88,8 +88,13 @@
 
     @property
     def is_empty(self) -> bool:
-        """Whether the log has neither a term nor an entry, so no group is known."""
-        return self.term == 0 and self.last.index == 0
+        """Whether the log has no entry, and no term but one of a founding."""
+        return self.last.index == 0 and (self.term == 0 or self.may_found)
+
+    @property
+    def may_found(self) -> bool:
+        """Whether this replica may take part in founding its group."""
+        return self.last.index == 0 and bool(self.hard_state.founders)
 
     @property
     def quorum(self) -> Quorum:
@@ -142,7 +147,7 @@
         return until[-1].membership if until else None
 
     def save_incarnation(self, hard_state: HardState) -> Result[None, StoreFailure]:
-        """Save the first hard state of an empty store."""
+        """Save the first hard state of an empty store, or the right to found."""
         check_invariant(self.is_empty, "incarnation-saved-once", self.hard_state)
         return self._store.append(hard_state).map(
             lambda _: self._set_hard_state(hard_state)
@@ -159,18 +164,17 @@
             "one-vote-a-term",
             (old, vote),
         )
-        new = HardState(old.incarnation, term, vote, self.commit)
+        founders = old.founders if self.last.index == 0 else ()
+        new = HardState(old.incarnation, term, vote, self.commit, founders)
         return self._store.append(new).map(lambda _: self._set_hard_state(new))
 
-    def save_first_entry(
-        self, vote: ReplicaId, membership: Membership
-    ) -> Result[None, StoreFailure]:
-        """Save the first entry, term and vote of a new group in one write."""
-        check_invariant(self.is_empty, "group-formed-once", self.hard_state)
-        term = Term(1)
+    def save_first_entry(self, membership: Membership) -> Result[None, StoreFailure]:
+        """Save the first entry of a new group, in the term of its founding."""
+        old = self.hard_state
+        check_invariant(self.may_found and old.term > 0, "group-formed-once", old)
         data = encode_membership(membership)
-        entries = [Entry(LogIndex(1), term, EntryKind.MEMBERSHIP, data)]
-        new = HardState(self.hard_state.incarnation, term, vote)
+        entries = [Entry(LogIndex(1), old.term, EntryKind.MEMBERSHIP, data)]
+        new = HardState(old.incarnation, old.term, old.vote)
         return self._append_synced(new, entries)
 
     def append(self, entries: Sequence[Entry]) -> Result[None, StoreFailure]:
--- a/src/rhubarbfield/replication/messages.py
+++ b/src/rhubarbfield/replication/messages.py
@@ -205,9 +205,13 @@
     ----------
     empty
         Whether the sender's log is empty, so that it belongs to no group yet.
+    founders
+        Names of the founding voters, if the sender asks for a pledge to found
+        the group in its term.
     """
 
     empty: bool
+    founders: Annotated[tuple[Name, ...], msgspec.Meta(max_length=MAX_VOTERS)] = ()
 
 
 class ProbeAnswer(Message, frozen=True):
@@ -221,6 +225,10 @@
         The leader, if known.
     contacts
         Instances that may know the leader.
+    may_found
+        Whether the sender may take part in founding the group.
+    pledge
+        If so, the founder that it has pledged to in its term.
     """
 
     empty: bool
@@ -228,6 +236,8 @@
     contacts: Annotated[
         tuple[InstanceName, ...], msgspec.Meta(max_length=MAX_CONTACTS)
     ] = ()
+    may_found: bool = False
+    pledge: ReplicaId | None = None
 
 
 ReplicationMessage = (
--- a/src/rhubarbfield/replication/replica.py
+++ b/src/rhubarbfield/replication/replica.py
@@ -75,8 +75,10 @@
         Whether to lead only if no other voter can, and only until another one
         has caught up, as a witness outside the failure domain does.
     may_form_group
-        Whether a new group may be formed. False for a replica that is started
-        where a group is known to exist: with an empty store it searches for it.
+        Whether a new group may be formed. An initial voter with an empty log
+        then saves the right to take part in it, and keeps it in later starts.
+        False for any start but the first one: with an empty store the replica
+        searches for its group.
     run_blocking
         Runs the blocking syncs of a leader's disk; by default they block the
         event loop.
@@ -116,7 +118,8 @@
         self._random = random
         self._settings = settings
         self._avoid_leadership = avoid_leadership
-        self._may_form_group = may_form_group
+        takes_part = may_form_group and name in bootstrap
+        self._founders = tuple(sorted(set(bootstrap))) if takes_part else ()
         self._run_blocking = run_blocking
         self._proposals = Proposals(settings.max_pending)
         self._components: ReplicaComponents | None = None
@@ -332,10 +335,14 @@
         if isinstance(loaded, Failure):
             return loaded
         log = ReplicaLog(self._store, loaded.unwrap())
-        if log.hard_state.incarnation:
+        old = log.hard_state
+        gains_right = log.is_empty and bool(self._founders) and not old.founders
+        if old.incarnation and not gains_right:
             return Success(log)
-        incarnation = Incarnation(f"{self._random.getrandbits(INCARNATION_BITS):016x}")
-        return log.save_incarnation(HardState(incarnation)).map(lambda _: log)
+        new = f"{self._random.getrandbits(INCARNATION_BITS):016x}"
+        incarnation = old.incarnation or Incarnation(new)
+        first = HardState(incarnation, founders=self._founders)
+        return log.save_incarnation(first).map(lambda _: log)
 
     def _build_components(self, log: ReplicaLog) -> ReplicaComponents:
         state = ReplicaState(
@@ -354,5 +361,4 @@
             self._machine,
             self._proposals,
             self._bootstrap,
-            may_form_group=self._may_form_group,
         )
--- a/src/rhubarbfield/storage/records.py
+++ b/src/rhubarbfield/storage/records.py
@@ -86,12 +86,16 @@
         Candidate that received this replica's vote in ``term``.
     commit
         Index known to be committed; may be lower than the actual commit index.
+    founders
+        Names of the founding voters, on one that may take part in founding its
+        group; empty on any other, and once the log has an entry.
     """
 
     incarnation: IncarnationText = Incarnation("")
     term: TermNumber = Term(0)
     vote: ReplicaId | None = None
     commit: Index = LogIndex(0)
+    founders: tuple[Name, ...] = ()
 
 
 class Snapshot(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/replication/test_founding.py
+++ b/tests/replication/test_founding.py
@@ -9,7 +9,7 @@
 
 from rhubarbfield.scheduling.controller import make_group_settings
 from rhubarbfield.scheduling.deployment import DeploymentSettings, WorkerTimes
-from rhubarbfield.types import FailureDomain
+from rhubarbfield.types import FailureDomain, InstanceName
 from tests.replication.determinism import run_deterministic
 from tests.replication.group import Group
 
@@ -155,6 +155,36 @@
 
         run_founding(scenario)
 
+    def test_minority_forms_no_group(self) -> None:
+        async def scenario(group: Group) -> None:
+            await start(group, "ab")
+            await trio.sleep(60)
+            for name in "ab":
+                self.assertEqual(group.get(name).replica.status().last, 0)
+            await start(group, "c")
+            await check_formed(group)
+
+        run_founding(scenario, "abcde")
+
+    def test_voters_that_were_told_other_names_give_no_pledge(self) -> None:
+        async def scenario(group: Group) -> None:
+            await start(group, "b")
+            group.bootstrap = tuple(InstanceName(name) for name in "bcd")
+            await start(group, "c")
+            await trio.sleep(30)
+            for name in "bc":
+                self.assertEqual(group.get(name).replica.status().last, 0)
+
+        run_founding(scenario)
+
+    def test_small_groups_form(self) -> None:
+        async def scenario(group: Group) -> None:
+            await group.start()
+            await check_formed(group)
+
+        for names in ("a", "ab"):
+            run_founding(scenario, names)
+
 
 if __name__ == "__main__":
     unittest.main()
