Found a group although a majority ended before it could save the right

Cause: they had not saved their right to found, and are started again with may_form_group false; the third alone is no majority.

Why this works: where no majority can pledge, a founder also counts voters without the right, if all voters answered in its term: all with the right pledged to it, all others have empty logs. A group with a committed entry would have lost the storage of a majority, which is more than may be lost.

--- a/src/rhubarbfield/replication/founding.py
+++ b/src/rhubarbfield/replication/founding.py
@@ -42,6 +42,11 @@
     which is replaced once it appears. So founding is an election whose voters
     are known by name, and the terms and logs decide between two founders.
 
+    A voter that ended before it could save the right has an empty log like one
+    that lost its storage. If a majority has not pledged, but every voter that
+    has the right has, and all others answer that their logs are empty, they are
+    counted: a group with a committed entry would have lost a majority.
+
     The first voter by name asks for pledges once all others have answered that
     their logs are empty; the others, and the first if some don't answer, ask
     one after another, ``replace_after`` apart.
@@ -63,6 +68,7 @@
         self._waiting_since = state.now
         self._asked_term: Term | None = None
         self._pledges: dict[InstanceName, ReplicaId] = {}
+        self._lacking: dict[InstanceName, ReplicaId] = {}
         self._wait = GroupWait(state.group)
 
     def restart_wait(self) -> None:
@@ -105,27 +111,31 @@
         self._answers[name] = PeerAnswer(
             message.source, message.empty, message.may_found, message.term, state.now
         )
-        if message.may_found and message.pledge == state.id:
-            if message.term == self._asked_term:
+        self._lacking.pop(name, None)
+        if message.may_found:
+            if message.pledge == state.id and message.term == self._asked_term:
                 self._pledges[name] = message.source
-            self._form_if_pledged()
+        elif message.empty and message.asked_term == self._asked_term:
+            self._lacking[name] = message.source
+        self._form_if_pledged()
 
     def _is_turn(self) -> bool:
         state = self._state
-        rank = self.voters.index(state.id.name)
         recent = self._list_recent()
         if not all(answer.is_empty for answer in recent):
             return False
+        able = [answer.replica_id.name for answer in recent if answer.may_found]
+        if any(name < state.id.name for name in able):
+            return False
+        have_all_answered = len(recent) == len(self.voters) - 1
         has_pledged = state.log.hard_state.vote not in {None, state.id}
-        if rank == 0 and len(recent) == len(self.voters) - 1 and not has_pledged:
+        if have_all_answered and not has_pledged:
             return True
         patience = state.settings.replace_after
+        rank = self.voters.index(state.id.name)
         if patience is None or state.now - self._waiting_since < patience * (rank + 1):
             return False
-        able = [answer.replica_id.name for answer in recent if answer.may_found]
-        return not any(name < state.id.name for name in able) and self._is_majority(
-            len(able) + 1
-        )
+        return have_all_answered or self._is_majority(len(able) + 1)
 
     def _open_term(self) -> bool:
         """Pledge to itself in a term that no other has been seen in."""
@@ -140,6 +150,7 @@
         if self._asked_term != state.term:
             self._asked_term = state.term
             self._pledges = {}
+            self._lacking = {}
         return True
 
     def _form_if_pledged(self) -> None:
@@ -148,7 +159,10 @@
         is_asking = state.term == self._asked_term and log.hard_state.vote == state.id
         if not log.may_found or not is_asking:
             return
-        if not self._is_majority(len(self._pledges) + 1):
+        is_majority = self._is_majority(len(self._pledges) + 1)
+        recent = {answer.replica_id.name for answer in self._list_recent()}
+        known = {state.id.name, *self._pledges, *(recent & self._lacking.keys())}
+        if not is_majority and len(known) < len(self.voters):
             return
         membership = Membership(tuple(sorted(map(self._identify, self.voters))))
         if state.persist(log.save_first_entry(membership)):
@@ -170,6 +184,8 @@
         answer = self._answers.get(name)
         if name in self._pledges:
             return self._pledges[name]
+        if not self._is_majority(len(self._pledges) + 1):
+            return self._lacking[name]
         if answer is not None and answer.may_found:
             return answer.replica_id
         return ReplicaId(name, ABSENT)
--- a/src/rhubarbfield/replication/joining.py
+++ b/src/rhubarbfield/replication/joining.py
@@ -73,6 +73,7 @@
             contacts=self._list_contacts(),
             may_found=may_found,
             pledge=state.log.hard_state.vote if may_found else None,
+            asked_term=message.term,
         )
         state.send(message.source.name, answer)
 
--- a/src/rhubarbfield/replication/messages.py
+++ b/src/rhubarbfield/replication/messages.py
@@ -11,7 +11,7 @@
 from rhubarbfield.replication.settings import MAX_BATCH_ENTRIES
 from rhubarbfield.storage import Entry, LogPosition, ReplicaId
 from rhubarbfield.storage.records import IncarnationText, Index, Name, TermNumber
-from rhubarbfield.types import InstanceName
+from rhubarbfield.types import InstanceName, Term
 
 MAX_CHUNK_BYTES = 256 * 1024
 MAX_SNAPSHOT_BYTES = 256 * 1024 * 1024
@@ -229,6 +229,8 @@
         Whether the sender may take part in founding the group.
     pledge
         If so, the founder that it has pledged to in its term.
+    asked_term
+        The term of the probe that is answered.
     """
 
     empty: bool
@@ -238,6 +240,7 @@
     ] = ()
     may_found: bool = False
     pledge: ReplicaId | None = None
+    asked_term: TermNumber = Term(0)
 
 
 ReplicationMessage = (
--- a/tests/replication/founding.py
+++ b/tests/replication/founding.py
@@ -40,6 +40,11 @@
         tolerated = (len(nodes) - 1) // 2
         troubled = random.sample(nodes, random.randint(0, tolerated))
         self.losses = {node: random.choice((late, never, wipe)) for node in troubled}
+        # Killed before they could save anything, when all disks are still there.
+        self.unsaved: set[Node] = set()
+        if not troubled and random.random() < 0.5:
+            self.unsaved = set(random.sample(nodes, random.randint(0, len(nodes) - 1)))
+        self.counts["unsaved"] = len(self.unsaved)
         self._commands = 0
 
     async def run(self) -> None:
@@ -59,7 +64,7 @@
     async def start(self, node: Node) -> None:
         """Start a node; only its first start may form the group."""
         if node.replica is None:
-            is_first = node not in self.started
+            is_first = node not in self.started | self.unsaved
             self.started.add(node)
             await node.start(may_form_group=is_first)
 
--- a/tests/replication/test_founding.py
+++ b/tests/replication/test_founding.py
@@ -177,6 +177,31 @@
 
         run_founding(scenario)
 
+    def test_voters_killed_before_they_saved_the_right(self) -> None:
+        async def scenario(group: Group) -> None:
+            for name in "abc":
+                await group.get(name).start(may_form_group=name == able)
+                await trio.sleep(0.2)
+            await check_formed(group)
+            await group.get(able).lose_disk()
+            await group.get(able).start(may_form_group=False)
+            await trio.sleep(6)
+            await group.wait_until_all_at(await group.propose_many("y", 3))
+
+        for able in "abc":
+            with self.subTest(able=able):
+                run_founding(scenario)
+
+    def test_voter_without_the_right_does_not_replace_an_absent_one(self) -> None:
+        async def scenario(group: Group) -> None:
+            await start(group, "a")
+            await group.get("b").start(may_form_group=False)
+            await trio.sleep(30)
+            for name in "ab":
+                self.assertEqual(group.get(name).replica.status().last, 0)
+
+        run_founding(scenario)
+
     def test_small_groups_form(self) -> None:
         async def scenario(group: Group) -> None:
             await group.start()
