--- a/src/rhubarbfield/replication/joining.py
+++ b/src/rhubarbfield/replication/joining.py
@@ -1,38 +1,20 @@
-"""Forming a group once and finding an existing group."""
+"""Finding a replica's group."""
 
 from __future__ import annotations
 
-import logging
-from datetime import timedelta
-
-import msgspec
-
-from rhubarbfield.replication.membership import Membership
+from rhubarbfield.replication.founding import Founding
 from rhubarbfield.replication.messages import MAX_CONTACTS, Probe, ProbeAnswer
 from rhubarbfield.replication.state import ReplicaState
-from rhubarbfield.storage import ReplicaId
 from rhubarbfield.types import Incarnation, InstanceName
 
-logger = logging.getLogger(__name__)
-
 PROBE_INTERVAL_HEARTBEATS = 2
-EMPTY_ANSWER_VALID_HEARTBEATS = 5
 VOTER_SEARCH_DELAY_FACTOR = 10
 
 
-class EmptyPeer(msgspec.Struct, frozen=True):
-    """A peer that answered that its log is empty."""
-
-    replica_id: ReplicaId
-    last_contact_at: timedelta
-
-
 class Joining:
-    """Forms a replica's group or finds an existing one.
+    """Finds a replica's group, or founds it with the other initial voters.
 
-    A group is formed only by the first of the bootstrap voters, and only
-    after all the others answered recently that their logs are empty. A
-    replica that is not a voter of the group it finds stays a learner until
+    A replica that is not a voter of the group it finds stays a learner until
     the leader makes it a voter.
 
     Parameters
@@ -41,24 +23,16 @@
         The replica's state.
     bootstrap
         The initial voters of the group.
-    may_form_group
-        Whether a group may be formed; if False, the replica only searches for
-        an existing one.
     """
 
     def __init__(
-        self,
-        state: ReplicaState,
-        bootstrap: tuple[InstanceName, ...],
-        *,
-        may_form_group: bool = True,
+        self, state: ReplicaState, bootstrap: tuple[InstanceName, ...]
     ) -> None:
         self._state = state
-        self._may_form_group = may_form_group
-        self._bootstrap = tuple(sorted(bootstrap))
-        self._contacts = set(bootstrap)
+        self._founding = Founding(state, bootstrap)
+        self._bootstrap = tuple(sorted({*bootstrap, *self._founding.voters}))
+        self._contacts = set(self._bootstrap)
         self._invited: set[InstanceName] = set()
-        self._empty_peers: dict[InstanceName, EmptyPeer] = {}
 
     async def run(self) -> None:
         """Probe for the group while there is no contact with a leader."""
@@ -66,8 +40,9 @@
         pause = state.settings.heartbeat * PROBE_INTERVAL_HEARTBEATS
         while True:
             if self._should_search():
-                self._form_if_all_empty()
-                self._probe_contacts()
+                self._probe_contacts(self._founding.ask())
+            else:
+                self._founding.restart_wait()
             await state.clock.sleep(pause)
 
     def add_contacts(self, names: tuple[InstanceName, ...]) -> None:
@@ -84,8 +59,10 @@
         return name in self._invited
 
     def on_probe(self, message: Probe) -> None:
-        """Answer with the leader and the contacts of the group."""
+        """Answer with the leader, the contacts of the group and a pledge."""
+        self._founding.on_probe(message)
         state = self._state
+        may_found = state.log.may_found
         leader = state.leader.name if state.leader is not None else None
         answer = ProbeAnswer(
             source=state.id,
@@ -94,6 +71,9 @@
             empty=state.log.is_empty,
             leader=leader,
             contacts=self._list_contacts(),
+            may_found=may_found,
+            pledge=state.log.hard_state.vote if may_found else None,
+            asked_term=message.term,
         )
         state.send(message.source.name, answer)
 
@@ -105,12 +85,8 @@
         for name in known:
             if len(self._contacts) < MAX_CONTACTS:
                 self._contacts.add(name)
-        name = message.source.name
-        self._invited.discard(name)
-        if message.empty:
-            self._empty_peers[name] = EmptyPeer(message.source, self._state.now)
-        else:
-            self._empty_peers.pop(name, None)
+        self._invited.discard(message.source.name)
+        self._founding.on_probe_answer(message)
 
     def _should_search(self) -> bool:
         state = self._state
@@ -125,37 +101,20 @@
         voters = {voter.name for voter in self._state.log.quorum.voters}
         return tuple(sorted(voters | set(self._bootstrap)))[:MAX_CONTACTS]
 
-    def _probe_contacts(self) -> None:
+    def _probe_contacts(self, founders: tuple[InstanceName, ...]) -> None:
         for name in sorted(self._contacts.union(self._list_contacts())):
             if name != self._state.id.name:
-                self._probe(name)
+                self._probe(name, founders)
 
-    def _probe(self, name: InstanceName) -> None:
+    def _probe(
+        self, name: InstanceName, founders: tuple[InstanceName, ...] = ()
+    ) -> None:
         state = self._state
         probe = Probe(
             source=state.id,
             target=Incarnation(""),
             term=state.term,
             empty=state.log.is_empty,
+            founders=founders,
         )
         state.send(name, probe)
-
-    def _form_if_all_empty(self) -> None:
-        state = self._state
-        is_first = self._bootstrap[0] == state.id.name
-        if not self._may_form_group or not is_first or not state.log.is_empty:
-            return
-        oldest = state.now - state.settings.heartbeat * EMPTY_ANSWER_VALID_HEARTBEATS
-        voters = [state.id]
-        for name in self._bootstrap[1:]:
-            peer = self._empty_peers.get(name)
-            if peer is None or peer.last_contact_at < oldest:
-                return
-            voters.append(peer.replica_id)
-        self._form(Membership(tuple(sorted(voters))))
-
-    def _form(self, membership: Membership) -> None:
-        state = self._state
-        if state.persist(state.log.save_first_entry(state.id, membership)):
-            logger.info("formed group=%s voters=%s", state.group, membership.voters)
-            state.election_due = state.now
--- a/src/rhubarbfield/replication/messages.py
+++ b/src/rhubarbfield/replication/messages.py
@@ -11,7 +11,7 @@
 from rhubarbfield.replication.settings import MAX_BATCH_ENTRIES
 from rhubarbfield.storage import Entry, LogPosition, ReplicaId
 from rhubarbfield.storage.records import IncarnationText, Index, Name, TermNumber
-from rhubarbfield.types import InstanceName
+from rhubarbfield.types import InstanceName, Term
 
 MAX_CHUNK_BYTES = 256 * 1024
 MAX_SNAPSHOT_BYTES = 256 * 1024 * 1024
@@ -205,9 +205,13 @@
     ----------
     empty
         Whether the sender's log is empty, so that it belongs to no group yet.
+    founders
+        Names of the founding voters, if the sender asks for a pledge to found
+        the group in its term.
     """
 
     empty: bool
+    founders: Annotated[tuple[Name, ...], msgspec.Meta(max_length=MAX_VOTERS)] = ()
 
 
 class ProbeAnswer(Message, frozen=True):
@@ -221,6 +225,12 @@
         The leader, if known.
     contacts
         Instances that may know the leader.
+    may_found
+        Whether the sender may take part in founding the group.
+    pledge
+        If so, the founder that it has pledged to in its term.
+    asked_term
+        The term of the probe that is answered.
     """
 
     empty: bool
@@ -228,6 +238,9 @@
     contacts: Annotated[
         tuple[InstanceName, ...], msgspec.Meta(max_length=MAX_CONTACTS)
     ] = ()
+    may_found: bool = False
+    pledge: ReplicaId | None = None
+    asked_term: TermNumber = Term(0)
 
 
 ReplicationMessage = (
