--- a/tests/scheduling/test_serving.py
+++ b/tests/scheduling/test_serving.py
@@ -4,6 +4,7 @@
 
 import tempfile
 import unittest
+from collections.abc import Callable
 from pathlib import Path
 
 import trio
@@ -28,16 +29,22 @@
 
 
 class SettingsFileTest(unittest.TestCase):
-    def play(self, contents: list[str]) -> list[tuple[str, ...]]:
+    def play(
+        self,
+        contents: list[str],
+        apply: Callable[[DeploymentSettings], None] | None = None,
+        applied: list[DeploymentSettings] | None = None,
+    ) -> list[tuple[str, ...]]:
         """Return the seeds that are applied while the file's seeds change."""
-        applied: list[DeploymentSettings] = []
+        applied = [] if applied is None else applied
+        apply = apply or applied.append
 
         async def body() -> None:
             with tempfile.TemporaryDirectory() as folder:
                 path = Path(folder) / "settings.yaml"
                 write_settings(path, '"c1:1"')
                 settings = load_deployment_settings(path)
-                file = SettingsFile(path, settings, applied.append)
+                file = SettingsFile(path, settings, apply)
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(file.watch, TrioClock())
                     for content in contents:
@@ -61,6 +68,18 @@
         seeds = self.play(["2026-99-99", '"c3:1"'])
         self.assertEqual(seeds, [("c3:1",)])
 
+    def test_settings_that_cannot_be_applied_do_not_end_the_program(self) -> None:
+        applied: list[DeploymentSettings] = []
+
+        def apply(settings: DeploymentSettings) -> None:
+            applied.append(settings)
+            if len(applied) == 1:
+                raise ZeroDivisionError
+
+        self.assertEqual(
+            self.play(['"c2:1"', '"c3:1"'], apply, applied), [("c2:1",), ("c3:1",)]
+        )
+
     def test_settings_that_do_not_differ_are_not_applied(self) -> None:
         self.assertEqual(self.play(['"c1:1"', ' "c1:1" ']), [])
 
