Record signals from a daemon's first statement on

Callers saw daemons end with -1 and no line in a log: a SIGHUP that came before the event loop had opened its signal receiver had its default effect; a SIGTERM or SIGINT ended the process likewise, SIGINT with a traceback.

Cause: handlers are installed only inside the loop, and 'import rhubarbfield' alone imported trio (166 to 174 ms by -X importtime) before a line of the program ran.

Once the receiver is open, a recorded SIGHUP is handled once; a recorded stop ends the program before it opens its log, a port or its disk, with a line.

--- a/src/rhubarbfield/__main__.py
+++ b/src/rhubarbfield/__main__.py
@@ -1,6 +1,23 @@
-"""Run the program as ``python -m rhubarbfield``."""
+"""Run the program as ``python -m rhubarbfield``, or as an installed command."""
+
+from __future__ import annotations
+
+import sys
+
+from rhubarbfield.earlysignals import record_signals
+
+TYPE_CHECKING = False  # true for type checkers; typing takes long to import
+if TYPE_CHECKING:
+    from typing import NoReturn
+
+
+def main() -> NoReturn:
+    """Run the program with the arguments of the process."""
+    record_signals(sys.argv[1:])
+    from rhubarbfield.cli import main as run_command_line
+
+    run_command_line()
 
-from rhubarbfield.cli import main
 
 if __name__ == "__main__":
     main()
--- a/src/rhubarbfield/cli/daemons.py
+++ b/src/rhubarbfield/cli/daemons.py
@@ -73,6 +73,7 @@
     import trio
 
     from rhubarbfield.logs import configure_logging, get_logger, log_event
+    from rhubarbfield.signals import report_early_stop
 
     if invocation.arguments:
         raise UsageError(
@@ -83,7 +84,8 @@
     ids = {"instance": settings.instance.name}
     log_event(logger, logging.INFO, "daemon-starting", **ids)
     try:
-        trio.run(partial(daemon, settings, task_status=trio.TASK_STATUS_IGNORED))
+        if not report_early_stop():
+            trio.run(partial(daemon, settings, task_status=trio.TASK_STATUS_IGNORED))
     except Exception as error:
         broken = find_error(error, BrokenInvariantError)
         if broken is not None:
--- a/src/rhubarbfield/cli/job_daemons.py
+++ b/src/rhubarbfield/cli/job_daemons.py
@@ -62,6 +62,7 @@
     from rhubarbfield.logs import get_logger, log_event
     from rhubarbfield.loopmonitor import LoopMonitor
     from rhubarbfield.scheduling.deployment import load_deployment_settings
+    from rhubarbfield.signals import report_early_stop
 
     given = invocation.flags.settings or os.environ.get(SETTINGS_VARIABLE)
     if not given:
@@ -82,9 +83,9 @@
     )
     tune_collector()
     try:
-        trio.run(
-            partial(daemon, settings, path), instruments=[LoopMonitor(time.monotonic)]
-        )
+        if not report_early_stop():
+            monitor = LoopMonitor(time.monotonic)
+            trio.run(partial(daemon, settings, path), instruments=[monitor])
     except Exception as error:
         logger.error("daemon-failed", exc_info=error)
         raise
--- a/src/rhubarbfield/signals.py
+++ b/src/rhubarbfield/signals.py
@@ -9,6 +9,8 @@
 
 import trio
 
+from rhubarbfield.earlysignals import HANDLED_SIGNALS, find_stop, take_signals
+
 logger = logging.getLogger(__name__)
 
 
@@ -21,6 +23,9 @@
 ) -> None:
     """Run a daemon until SIGTERM or SIGINT.
 
+    Signals that were recorded before are handled as if they came now; a recorded stop
+    means that the daemon is not run.
+
     Parameters
     ----------
     run
@@ -33,8 +38,11 @@
     task_status
         Reported as started once the daemon has started.
     """
-    handled_signals = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-    with trio.open_signal_receiver(*handled_signals) as signals:
+    with trio.open_signal_receiver(*HANDLED_SIGNALS) as signals:
+        if report_early_stop():
+            return
+        for number in take_signals():
+            _reload(number, reload)
         async with trio.open_nursery() as nursery:
             handle = partial(_handle_signals, signals, reload, stop)
             nursery.start_soon(handle, nursery.cancel_scope)
@@ -42,6 +50,18 @@
             task_status.started()
 
 
+def report_early_stop() -> bool:
+    """Log a stop that was requested before the loop ran; return whether there was one.
+
+    A daemon asks before it opens anything.
+    """
+    number = find_stop()
+    if number is None:
+        return False
+    logger.info("stopped-while-starting number=%d", number)
+    return True
+
+
 async def _run_then_cancel(
     run: Callable[..., Awaitable[None]],
     scope: trio.CancelScope,
@@ -58,11 +78,16 @@
     scope: trio.CancelScope,
 ) -> None:
     async for number in signals:
-        logger.info("signal-received number=%d", number)
         if number == signal.SIGHUP:
-            reload()
+            _reload(number, reload)
             continue
+        logger.info("signal-received number=%d", number)
         if stop is None or stop.is_set():
             scope.cancel()
             return
         stop.set()
+
+
+def _reload(number: int, reload: Callable[[], None]) -> None:
+    logger.info("signal-received number=%d", number)
+    reload()
--- a/tests/scheduling/test_events.py
+++ b/tests/scheduling/test_events.py
@@ -11,7 +11,10 @@
     "scheduling/*.py",
     "platform/*.py",
     "replication/*.py",
+    "cli/*daemons.py",
     "loopmonitor.py",
+    "signals.py",
+    "standins.py",
     "containment.py",
 )
 EVENT = re.compile(
