End a daemon at once that is stopped while it starts

Callers saw a SIGTERM or SIGINT wait until the program served: it set the event of a planned stop, and nothing waits for that during a start (a bind that takes long, a log that is read). A second one was needed.

The program counts as started when it says so itself. Until then the first signal cancels it, with 'stopped-while-starting' and exit code 0; later signals act as before. test_a_stop_while_starting_ends_the_daemon_at_once failed before ('the daemon goes on' after 60 s of virtual time).

--- a/src/rhubarbfield/signals.py
+++ b/src/rhubarbfield/signals.py
@@ -5,7 +5,6 @@
 import logging
 import signal
 from collections.abc import AsyncIterator, Awaitable, Callable
-from functools import partial
 
 import trio
 
@@ -34,19 +33,20 @@
         Called on each SIGHUP.
     stop
         Set by the first signal to request a graceful stop; a second signal
-        cancels the daemon. If None, the first signal cancels it.
+        cancels the daemon. If None, or while the daemon starts, the first signal
+        cancels it.
     task_status
         Reported as started once the daemon has started.
     """
     with trio.open_signal_receiver(*HANDLED_SIGNALS) as signals:
         if report_early_stop():
             return
-        for number in take_signals():
-            _reload(number, reload)
         async with trio.open_nursery() as nursery:
-            handle = partial(_handle_signals, signals, reload, stop)
-            nursery.start_soon(handle, nursery.cancel_scope)
-            await nursery.start(_run_then_cancel, run, nursery.cancel_scope)
+            handling = _Handling(reload, stop, nursery.cancel_scope)
+            for number in take_signals():
+                handling.handle(number)
+            nursery.start_soon(handling.run, signals)
+            await nursery.start(_run_then_cancel, run, handling, nursery.cancel_scope)
             task_status.started()
 
 
@@ -58,36 +58,73 @@
     number = find_stop()
     if number is None:
         return False
-    logger.info("stopped-while-starting number=%d", number)
+    _report_stop_while_starting(number)
     return True
 
 
 async def _run_then_cancel(
     run: Callable[..., Awaitable[None]],
+    handling: _Handling,
     scope: trio.CancelScope,
     task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
 ) -> None:
-    await run(task_status=task_status)
+    await run(task_status=_Started(handling, task_status))
     scope.cancel()
 
 
-async def _handle_signals(
-    signals: AsyncIterator[int],
-    reload: Callable[[], None],
-    stop: trio.Event | None,
-    scope: trio.CancelScope,
-) -> None:
-    async for number in signals:
-        if number == signal.SIGHUP:
-            _reload(number, reload)
-            continue
+class _Handling:
+    """How signals act on a daemon.
+
+    Parameters
+    ----------
+    reload, stop
+        As of :func:`run_until_signal`.
+    scope
+        Cancelled to end the daemon at once.
+    """
+
+    def __init__(
+        self,
+        reload: Callable[[], None],
+        stop: trio.Event | None,
+        scope: trio.CancelScope,
+    ) -> None:
+        self._reload = reload
+        self._stop = stop
+        self._scope = scope
+        self.has_started = False
+
+    async def run(self, signals: AsyncIterator[int]) -> None:
+        """Handle signals until cancelled."""
+        async for number in signals:
+            self.handle(number)
+
+    def handle(self, number: int) -> None:
+        """Handle one signal."""
         logger.info("signal-received number=%d", number)
-        if stop is None or stop.is_set():
-            scope.cancel()
-            return
-        stop.set()
+        if number == signal.SIGHUP:
+            self._reload()
+        elif not self.has_started:
+            _report_stop_while_starting(number)
+            self._scope.cancel()
+        elif self._stop is None or self._stop.is_set():
+            self._scope.cancel()
+        else:
+            self._stop.set()
+
 
+class _Started(trio.TaskStatus[None]):
+    """Marks a daemon as started at the moment when it says so."""
 
-def _reload(number: int, reload: Callable[[], None]) -> None:
-    logger.info("signal-received number=%d", number)
-    reload()
+    def __init__(self, handling: _Handling, task_status: trio.TaskStatus[None]) -> None:
+        self._handling = handling
+        self._task_status = task_status
+
+    def started(self, value: None = None) -> None:
+        """Report the daemon as started."""
+        self._handling.has_started = True
+        self._task_status.started()
+
+
+def _report_stop_while_starting(number: int) -> None:
+    logger.info("stopped-while-starting number=%d", number)
