Keep a daemon running when a reload of its settings raises

Callers saw the process end with an internal error when a reload raised anything but a refusal of the file: the reload runs in the task that handles signals, or in the one that watches the file (an error in add_seeds, say).

Both now contain it: one line 'work-failed' of the activity 'reload', and the program goes on.

--- a/src/rhubarbfield/scheduling/serving.py
+++ b/src/rhubarbfield/scheduling/serving.py
@@ -11,6 +11,7 @@
 import trio
 
 from rhubarbfield.clock import Clock
+from rhubarbfield.containment import Unit, contain
 from rhubarbfield.exceptions import UsageError
 from rhubarbfield.httpserver import Handler, HttpLimits, HttpServer
 from rhubarbfield.metricspage import show_metrics
@@ -89,7 +90,10 @@
             content = self._read()
             if content is not None and content != self._content:
                 self._content = content
-                self.reload()
+                try:
+                    self.reload()
+                except Exception as error:
+                    contain(Unit.ACTIVITY, error, activity="reload")
 
     def reload(self) -> None:
         """Read the file, and apply its settings if they are valid and differ."""
--- a/src/rhubarbfield/signals.py
+++ b/src/rhubarbfield/signals.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from rhubarbfield.containment import Unit, contain
 from rhubarbfield.earlysignals import HANDLED_SIGNALS, find_stop, take_signals
 
 logger = logging.getLogger(__name__)
@@ -30,7 +31,7 @@
     run
         The daemon; takes ``task_status``.
     reload
-        Called on each SIGHUP.
+        Called on each SIGHUP; an error that it raises is logged.
     stop
         Set by the first signal to request a graceful stop; a second signal
         cancels the daemon. If None, or while the daemon starts, the first signal
@@ -103,7 +104,10 @@
         """Handle one signal."""
         logger.info("signal-received number=%d", number)
         if number == signal.SIGHUP:
-            self._reload()
+            try:
+                self._reload()
+            except Exception as error:
+                contain(Unit.ACTIVITY, error, activity="reload")
         elif not self.has_started:
             _report_stop_while_starting(number)
             self._scope.cancel()
--- a/tests/scheduling/test_serving.py
+++ b/tests/scheduling/test_serving.py
@@ -15,7 +15,7 @@
     load_deployment_settings,
 )
 from rhubarbfield.scheduling.serving import SettingsFile
-from tests.replication.determinism import run_deterministic
+from tests.replication.determinism import expect_contained_errors, run_deterministic
 
 SEED_LAG_SECONDS = 3.0  # the seeds in the file are this old at most
 
@@ -76,9 +76,9 @@
             if len(applied) == 1:
                 raise ZeroDivisionError
 
-        self.assertEqual(
-            self.play(['"c2:1"', '"c3:1"'], apply, applied), [("c2:1",), ("c3:1",)]
-        )
+        with expect_contained_errors():
+            seeds = self.play(['"c2:1"', '"c3:1"'], apply, applied)
+        self.assertEqual(seeds, [("c2:1",), ("c3:1",)])
 
     def test_settings_that_do_not_differ_are_not_applied(self) -> None:
         self.assertEqual(self.play(['"c1:1"', ' "c1:1" ']), [])
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -11,7 +11,7 @@
 
 from rhubarbfield.exceptions import BrokenInvariantError
 from rhubarbfield.signals import run_until_signal
-from tests.replication.determinism import run_deterministic
+from tests.replication.determinism import expect_contained_errors, run_deterministic
 
 Run = Callable[..., Awaitable[None]]
 
@@ -92,7 +92,8 @@
             raise ZeroDivisionError
 
         daemon = Daemon(starts=True)
-        events = self.play(daemon, signal.SIGHUP, signal.SIGTERM, reload=fail)
+        with expect_contained_errors():
+            events = self.play(daemon, signal.SIGHUP, signal.SIGTERM, reload=fail)
         self.assertIn("work-failed", events)
         self.assertEqual(daemon.ended, "stopped")
 
