Keep the exit code of a daemon that gets a signal as it ends

Callers saw -1 or -15 instead of the exit code, without a line: while Python ends it gives each signal that has a handler its default effect again, and tears down the modules after that.

--- a/src/rhubarbfield/__main__.py
+++ b/src/rhubarbfield/__main__.py
@@ -4,7 +4,7 @@
 
 import sys
 
-from rhubarbfield.earlysignals import record_signals
+from rhubarbfield.earlysignals import ignore_signals, record_signals
 
 TYPE_CHECKING = False  # true for type checkers; typing takes long to import
 if TYPE_CHECKING:
@@ -14,9 +14,12 @@
 def main() -> NoReturn:
     """Run the program with the arguments of the process."""
     record_signals(sys.argv[1:])
-    from rhubarbfield.cli import main as run_command_line
+    try:
+        from rhubarbfield.cli import main as run_command_line
 
-    run_command_line()
+        run_command_line()
+    finally:
+        ignore_signals()
 
 
 if __name__ == "__main__":
--- a/src/rhubarbfield/earlysignals.py
+++ b/src/rhubarbfield/earlysignals.py
@@ -29,6 +29,17 @@
             signal.signal(number, _record)
 
 
+def ignore_signals() -> None:
+    """Ignore further signals if the program records them.
+
+    Its exit code is certain by now, and the interpreter gives signals with a handler
+    their default effect while it ends.
+    """
+    for number in HANDLED_SIGNALS:
+        if signal.getsignal(number) is _record:
+            signal.signal(number, signal.SIG_IGN)
+
+
 def take_signals() -> list[int]:
     """Return the recorded signals, each once, in order; they are handled by then."""
     taken = list(_recorded)
