Log why a daemon's start is refused, and with which exit code

Callers saw processes end with 2 or 70 and no event: settings that can't be read, and modules that can't be imported, were told on standard error only, since the log is configured by the settings. 'daemon-failed' named no code.

A start that fails is now an event, 'daemon-refused' or 'daemon-failed', with the code and, but for a wrong setting, the trace; the message on standard error stays. test_a_refused_start_is_an_event_with_its_exit_code failed before ('0 != 1' lines). test_events reads all modules of the command line.

--- a/src/rhubarbfield/cli/daemons.py
+++ b/src/rhubarbfield/cli/daemons.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
+from rhubarbfield.cli.failures import log_failed_start, log_failure
 from rhubarbfield.cli.options import define_settings_flag, load_function, read_settings
 from rhubarbfield.cli.program import find_error
 from rhubarbfield.cli.registry import Invocation, subcommand
@@ -30,10 +31,8 @@
 )
 def run_entry_daemon(invocation: Invocation) -> int:
     """Run the entry until a signal stops it."""
-    settings = read_settings(invocation)
-    return run_daemon(
-        "entry", load_function("entry", "run_entry"), settings, invocation
-    )
+    settings, daemon = _load("entry", "run_entry", invocation)
+    return run_daemon("entry", daemon, settings, invocation)
 
 
 @subcommand(
@@ -44,11 +43,17 @@
 )
 def run_controller_daemon(invocation: Invocation) -> int:
     """Run the controller until a signal stops it."""
-    settings = read_settings(invocation)
-    daemon = load_function("controller", "run_controller")
+    settings, daemon = _load("controller", "run_controller", invocation)
     return run_daemon("controller", daemon, settings, invocation)
 
 
+def _load(name: str, function: str, invocation: Invocation) -> tuple[Settings, Daemon]:
+    from rhubarbfield.logs import configure_logging
+
+    with log_failed_start(name, lambda: configure_logging("info", invocation.stderr)):
+        return read_settings(invocation), load_function(name, function)
+
+
 def run_daemon(
     name: str, daemon: Daemon, settings: Settings, invocation: Invocation
 ) -> int:
@@ -90,11 +95,7 @@
         broken = find_error(error, BrokenInvariantError)
         if broken is not None:
             _save_broken_invariant(broken, name, settings)
-        expected = find_error(error, UsageError) or find_error(error, OSError)
-        if expected is None:
-            logger.error("daemon-failed", exc_info=error)
-        else:
-            log_event(logger, logging.ERROR, "daemon-refused", error=str(expected))
+        log_failure(name, error)
         raise
     log_event(logger, logging.INFO, "daemon-stopped", **ids)
     return 0
--- a/src/rhubarbfield/cli/job_daemons.py
+++ b/src/rhubarbfield/cli/job_daemons.py
@@ -12,6 +12,7 @@
 
 from absl import flags
 
+from rhubarbfield.cli.failures import log_failed_start, log_failure
 from rhubarbfield.cli.options import load_function
 from rhubarbfield.cli.registry import Invocation, subcommand
 from rhubarbfield.exceptions import UsageError
@@ -64,14 +65,15 @@
     from rhubarbfield.scheduling.deployment import load_deployment_settings
     from rhubarbfield.signals import report_early_stop
 
-    given = invocation.flags.settings or os.environ.get(SETTINGS_VARIABLE)
-    if not given:
-        raise UsageError("--settings is missing", "give the file of an instance")
-    daemon: Daemon = load_function(module, function)
-    path = Path(given)
-    settings = load_deployment_settings(path)
+    descriptor = sys.stdout.fileno()
+    with log_failed_start(
+        "daemon", lambda: configure_bounded_logging("info", descriptor)
+    ):
+        path = _find_settings(invocation)
+        daemon: Daemon = load_function(module, function)
+        settings = load_deployment_settings(path)
     budget = LogBudget(lines_per_second=settings.log_lines_a_second)
-    output = configure_bounded_logging(settings.log_level, sys.stdout.fileno(), budget)
+    output = configure_bounded_logging(settings.log_level, descriptor, budget)
     logger = get_logger("daemon")
     log_event(
         logger,
@@ -87,10 +89,17 @@
             monitor = LoopMonitor(time.monotonic)
             trio.run(partial(daemon, settings, path), instruments=[monitor])
     except Exception as error:
-        logger.error("daemon-failed", exc_info=error)
+        log_failure("daemon", error)
         raise
     else:
         log_event(logger, logging.INFO, "daemon-stopped", instance=settings.instance)
     finally:
         output.close()
     return 0
+
+
+def _find_settings(invocation: Invocation) -> Path:
+    given = invocation.flags.settings or os.environ.get(SETTINGS_VARIABLE)
+    if not given:
+        raise UsageError("--settings is missing", "give the file of an instance")
+    return Path(given)
--- a/src/rhubarbfield/cli/program.py
+++ b/src/rhubarbfield/cli/program.py
@@ -91,6 +91,18 @@
     return next((one for one in found if one is not None), None)
 
 
+def find_exit_code(error: BaseException) -> int:
+    """Return the exit code of a program that ends by ``error``."""
+    known = find_error(error, RhubarbfieldError)
+    if known is not None:
+        return known.exit_code
+    if find_error(error, KeyboardInterrupt) is not None:
+        return EXIT_INTERRUPTED
+    if find_error(error, OSError) is not None:
+        return EXIT_FAILURE
+    return EXIT_BROKEN_INVARIANT
+
+
 def _register_subcommands() -> None:
     for name in _MODULES:
         importlib.import_module(f"rhubarbfield.cli.{name}")
@@ -149,19 +161,20 @@
 
 
 def _report(error: BaseException, stderr: TextIO) -> int:
+    code = find_exit_code(error)
     known = find_error(error, RhubarbfieldError)
     if known is not None:
         stderr.write(f"rhubarbfield: {known.format_message()}\n")
-        return known.exit_code
+        return code
     if find_error(error, KeyboardInterrupt) is not None:
-        return EXIT_INTERRUPTED
+        return code
     os_error = find_error(error, OSError)
     if os_error is not None:
         stderr.write(f"rhubarbfield: operating system error: {os_error}\n")
-        return EXIT_FAILURE
+        return code
     frame = traceback.extract_tb(error.__traceback__)[-1]
     location = f"{frame.name}, line {frame.lineno}"
     stderr.write(
         f"rhubarbfield: internal error in {location}: {type(error).__name__}: {error}\n"
     )
-    return EXIT_BROKEN_INVARIANT
+    return code
--- a/src/rhubarbfield/logs.py
+++ b/src/rhubarbfield/logs.py
@@ -58,7 +58,9 @@
     return _split_event(record)[0]
 
 
-def configure_logging(level: str = "info", stream: TextIO | None = None) -> None:
+def configure_logging(
+    level: str = "info", stream: TextIO | None = None
+) -> logging.Handler:
     """Write all log events of the program to ``stream``.
 
     Calling it again replaces the previous configuration.
@@ -69,10 +71,16 @@
         ``debug``, ``info``, ``warning`` or ``error``.
     stream
         Stream to write to; standard error if None.
+
+    Returns
+    -------
+    logging.Handler
+        The handler.
     """
     handler = logging.StreamHandler(stream or sys.stderr)
     handler.setFormatter(JsonFormatter())
     install_handler(handler, level)
+    return handler
 
 
 def install_handler(handler: logging.Handler, level: str) -> None:
--- a/tests/scheduling/test_events.py
+++ b/tests/scheduling/test_events.py
@@ -11,7 +11,7 @@
     "scheduling/*.py",
     "platform/*.py",
     "replication/*.py",
-    "cli/*daemons.py",
+    "cli/*.py",
     "loopmonitor.py",
     "signals.py",
     "standins.py",
