--- a/src/rhubarbfield/replication/replica.py
+++ b/src/rhubarbfield/replication/replica.py
@@ -26,23 +26,21 @@
 from rhubarbfield.replication.log import ReplicaLog
 from rhubarbfield.replication.measuredstore import MeasuredStore
 from rhubarbfield.replication.messages import ReplicationMessage
+from rhubarbfield.replication.opening import open_log
 from rhubarbfield.replication.proposals import Proposals
 from rhubarbfield.replication.settings import GroupSettings
 from rhubarbfield.replication.state import MessageSender, ReplicaState, RunBlocking
 from rhubarbfield.replication.status import ReplicaStatus, describe_status
 from rhubarbfield.storage import (
-    HardState,
     LogStore,
     ReplicaId,
-    StoreDamaged,
     StoreFailure,
 )
-from rhubarbfield.types import GroupId, Incarnation, InstanceName, LogIndex, Term
+from rhubarbfield.types import GroupId, InstanceName, LogIndex, Term
 
 logger = logging.getLogger(__name__)
 
 INBOX_MESSAGES = 1024
-INCARNATION_BITS = 64
 READ_CHECKS_PER_HEARTBEAT = 4
 
 
@@ -141,7 +139,9 @@
             A failure once the store has failed. The process should then be
             restarted.
         """
-        opened = self._open_log()
+        outcome = open_log(self._store, self.group, self._random, self._founders)
+        self._store_note = outcome.damage
+        opened = outcome.log
         if isinstance(opened, Failure):
             self._halted = opened.failure()
             task_status.started()
@@ -326,24 +326,6 @@
         async for message in self._inbox:
             components.handle(message)
 
-    def _open_log(self) -> Result[ReplicaLog, StoreFailure]:
-        loaded = self._store.load()
-        if isinstance(loaded, Failure) and isinstance(loaded.failure(), StoreDamaged):
-            logger.error("store-damaged group=%s %s", self.group, loaded.failure())
-            self._store_note = loaded.failure()
-            loaded = self._store.discard().bind(lambda _: self._store.load())
-        if isinstance(loaded, Failure):
-            return loaded
-        log = ReplicaLog(self._store, loaded.unwrap())
-        old = log.hard_state
-        gains_right = log.is_empty and bool(self._founders) and not old.founders
-        if old.incarnation and not gains_right:
-            return Success(log)
-        new = f"{self._random.getrandbits(INCARNATION_BITS):016x}"
-        incarnation = old.incarnation or Incarnation(new)
-        first = HardState(incarnation, founders=self._founders)
-        return log.save_incarnation(first).map(lambda _: log)
-
     def _build_components(self, log: ReplicaLog) -> ReplicaComponents:
         state = ReplicaState(
             group=self.group,
