Run programs that are started without standard streams

Callers saw exit code 70 ('NoneType' object has no attribute 'fileno', or 'flush' after a clean stop), or 1 without any word, of programs that were started with standard output or error closed. The numbers of the closed streams went to the event loop's descriptor or to a socket, which then could be what log lines and messages are written to.

The null device is opened in place of a missing stream before anything else is. Both tests of cli.test_streams failed before ('1 != 0', '0 not greater than 2'). With each of >&-, 2>&- and both, job-entry, job-controller, entry and a stand-in ran 1.5 s and ended with 0 at SIGTERM; before, 8 of these 12 ended with 70 or 1. With a reader that is gone they ended with 0 before, too.

--- a/src/rhubarbfield/__main__.py
+++ b/src/rhubarbfield/__main__.py
@@ -15,6 +15,9 @@
     """Run the program with the arguments of the process."""
     record_signals(sys.argv[1:])
     try:
+        from rhubarbfield.standardstreams import open_missing_streams
+
+        open_missing_streams()
         from rhubarbfield.cli import main as run_command_line
 
         run_command_line()
