Contain what grpclib raises at the connection that it concerns

Seen: a peer that resets a connection right after it was accepted, sends bytes that are no HTTP/2, half a message, a compressed one, or headers without a status, and a host name that none can have, ended PeerLinks, calls or streams by an exception, and with it the controller or entry (exit code 70).

Cause: only the errors that grpclib declares were caught. When a connection ends between its creation and the first request, grpclib raises AttributeError ('Connection' object has no attribute '_transport'); AssertionError, NotImplementedError and KeyError for what a server sends; UnicodeError for a host. Each left its task, and so the nursery of the program.

Why it works: errors that aren't declared are contained at the connection (work-failed, unit connection), and its streams and calls fail as if it were lost. Broken invariants and lack of memory still stop the process. A connection that is closed at once, or a host that can't be, is a plain failure to connect.

--- a/src/rhubarbfield/containment.py
+++ b/src/rhubarbfield/containment.py
@@ -36,6 +36,7 @@
     ACTIVITY = "activity"
     COMMAND = "command"
     OBSERVER = "observer"
+    CONNECTION = "connection"
 
 
 def contain(unit: Unit, error: Exception, /, **ids: LogValue) -> None:
--- a/src/rhubarbfield/peering/_grpclib.py
+++ b/src/rhubarbfield/peering/_grpclib.py
@@ -5,8 +5,8 @@
 import asyncio
 import math
 from collections import deque
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Iterator
+from contextlib import asynccontextmanager, contextmanager
 from datetime import timedelta
 from typing import Any
 
@@ -16,6 +16,7 @@
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 from trio_asyncio import aio_as_trio
 
+from rhubarbfield.containment import Unit, contain
 from rhubarbfield.peering.metrics import count_received, count_sent
 from rhubarbfield.peering.ports import Encoding, UnsendableMessageError
 
@@ -36,6 +37,21 @@
 )
 
 
+@contextmanager
+def contain_faults() -> Iterator[None]:
+    """Ignore the loss of a connection in the block, and contain any other error.
+
+    grpclib raises errors of many types for what the other side sends, or when a
+    connection ends while it is being opened.
+    """
+    try:
+        yield
+    except TRANSPORT_ERRORS:
+        pass
+    except Exception as error:
+        contain(Unit.CONNECTION, error)
+
+
 class EncodedMessage(msgspec.Struct, frozen=True):
     """A message that a stream has encoded already."""
 
@@ -179,7 +195,7 @@
 
     async def _pump_out(self) -> None:
         """Send the messages in the outbox; runs on the asyncio loop."""
-        try:
+        with contain_faults():
             while self._open:
                 await self._outbox_filled.wait()
                 while self._outbox:
@@ -187,25 +203,26 @@
                     self._outbox.popleft()
                 self._outbox_filled.clear()
                 self._outbox_drained.set()
-        except TRANSPORT_ERRORS:
-            self._end()
+        self._end()
 
     async def _pump_in(self) -> None:
         """Put received messages into the inbox; runs on the asyncio loop."""
-        try:
-            while (message := await self._stream.recv_message()) is not None:
-                self._inbox_sender.send_nowait(message)
-                while self._inbox.statistics().current_buffer_used > INBOX_MESSAGES:
-                    await asyncio.sleep(FULL_INBOX_POLL_INTERVAL.total_seconds())
-        except msgspec.MsgspecError as error:
-            # Sending stays possible, to report the error to the other side.
-            self._inbox_sender.send_nowait(error)
-            self._inbox_sender.close()
-            return
-        except TRANSPORT_ERRORS:
-            pass
+        with contain_faults():
+            try:
+                await self._receive_all()
+            except msgspec.MsgspecError as error:
+                # Sending stays possible, to report the error to the other side.
+                self._inbox_sender.send_nowait(error)
+                self._inbox_sender.close()
+                return
         self._end()
 
+    async def _receive_all(self) -> None:
+        while (message := await self._stream.recv_message()) is not None:
+            self._inbox_sender.send_nowait(message)
+            while self._inbox.statistics().current_buffer_used > INBOX_MESSAGES:
+                await asyncio.sleep(FULL_INBOX_POLL_INTERVAL.total_seconds())
+
     def _end(self) -> None:
         self._open = False
         self._inbox_sender.close()
--- a/src/rhubarbfield/peering/client.py
+++ b/src/rhubarbfield/peering/client.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager, suppress
+from contextlib import asynccontextmanager
 from datetime import timedelta
 from typing import Any
 
@@ -14,7 +14,12 @@
 from returns.result import Failure, Result, Success
 from trio_asyncio import aio_as_trio
 
-from rhubarbfield.peering._grpclib import TRANSPORT_ERRORS, GrpcStream
+from rhubarbfield.containment import Unit, contain
+from rhubarbfield.peering._grpclib import (
+    TRANSPORT_ERRORS,
+    GrpcStream,
+    contain_faults,
+)
 from rhubarbfield.peering.credentials import Credentials
 from rhubarbfield.peering.ports import (
     CALL_TIMEOUT,
@@ -68,8 +73,15 @@
         except trio.TooSlowError:
             detail = f"not connected in {CONNECT_TIMEOUT}"
             return CallFailure(CallFailureKind.UNREACHABLE, detail)
-        except (TimeoutError, OSError) as error:
+        except (OSError, ValueError, OverflowError) as error:
+            # The latter two are of hosts and ports that none can have.
             return CallFailure(CallFailureKind.UNREACHABLE, str(error))
+        except Exception as error:
+            contain(Unit.CONNECTION, error)
+            return CallFailure(CallFailureKind.UNREACHABLE, repr(error))
+        if not self._channel._connected:
+            detail = "the connection was closed at once"
+            return CallFailure(CallFailureKind.UNREACHABLE, detail)
         return None
 
     async def _call(self, method: CallMethod, request: Any) -> Result[Any, CallFailure]:
@@ -86,6 +98,9 @@
             return Failure(CallFailure(kind, str(error.message)))
         except TRANSPORT_ERRORS as error:
             return Failure(CallFailure(CallFailureKind.TIMEOUT, str(error)))
+        except Exception as error:
+            contain(Unit.CONNECTION, error)
+            return Failure(CallFailure(CallFailureKind.TIMEOUT, repr(error)))
         return Success(reply)
 
     @asynccontextmanager
@@ -111,19 +126,19 @@
 
 @asynccontextmanager
 async def _run_stream(stream: GrpcStream) -> AsyncIterator[None]:
-    """Keep the grpclib stream open, and ignore transport errors at its end."""
+    """Keep the grpclib stream open, and contain errors of the connection."""
     grpclib_stream = stream._stream
     await aio_as_trio(grpclib_stream.__aenter__)()
     try:
         # Send the headers first, as one task may receive before another sends.
-        with suppress(*TRANSPORT_ERRORS):
+        with contain_faults():
             await aio_as_trio(grpclib_stream.send_request)()
         async with stream.pump():
             yield
             await stream.close()
     finally:
         with trio.CancelScope(shield=True):
-            with suppress(*TRANSPORT_ERRORS):
+            with contain_faults():
                 await aio_as_trio(grpclib_stream.cancel)()
-            with suppress(*TRANSPORT_ERRORS):
+            with contain_faults():
                 await aio_as_trio(grpclib_stream.__aexit__)(None, None, None)
