Keep the store of the log when the process has no free descriptor

Cause: EMFILE counted as a failed sync, after which the store never works again.

Evidence: three new tests in tests.storage.test_file failed with SyncFailed('[Errno 24] Too many open files'); now 20 of its 20 pass, and 69 of 69 in tests.replication.

Why it works: the folder stays open, and so does a file that is renamed, so that descriptors are needed for new files only. One that can't be opened is like a full disk: nothing was replaced, and it is tried again.

--- a/src/rhubarbfield/storage/file.py
+++ b/src/rhubarbfield/storage/file.py
@@ -32,7 +32,8 @@
 NEW_SUFFIX = ".new"
 DAMAGED_SUFFIX = ".damaged"
 FORMAT_VERSION = 1
-FULL_DISK_ERRORS = frozenset({errno.ENOSPC, errno.EDQUOT})
+# Without a free descriptor no new file can be opened, which is like no room for it.
+FULL_DISK_ERRORS = frozenset({errno.ENOSPC, errno.EDQUOT, errno.EMFILE, errno.ENFILE})
 
 
 class LogHeader(msgspec.Struct, frozen=True, array_like=True):
--- a/src/rhubarbfield/storage/files.py
+++ b/src/rhubarbfield/storage/files.py
@@ -64,9 +64,11 @@
         self._folder = folder
         self._folder.mkdir(parents=True, exist_ok=True)
         self._open: dict[str, int] = {}
+        self._folder_descriptor: int | None = None
 
     def lock(self) -> None:
         """Lock the folder until it is closed or the process ends."""
+        self._get_folder()
         fcntl.flock(self._get_descriptor(LOCK_FILE), fcntl.LOCK_EX | fcntl.LOCK_NB)
 
     def read(self, name: str) -> bytes | None:
@@ -92,10 +94,15 @@
         os.fdatasync(self._get_descriptor(name))
 
     def rename(self, old: str, new: str) -> None:
-        """Rename a file, replacing any file with the new name."""
-        self._close_file(old)
-        self._close_file(new)
+        """Rename a file, replacing any file with the new name.
+
+        It stays open, since opening it again fails if other files and connections
+        take all descriptors.
+        """
         (self._folder / old).replace(self._folder / new)
+        self._close_file(new)
+        if old in self._open:
+            self._open[new] = self._open.pop(old)
 
     def remove(self, name: str) -> None:
         """Remove a file if it exists."""
@@ -104,16 +111,21 @@
 
     def sync_folder(self) -> None:
         """Make the directory entries of the folder durable."""
-        descriptor = os.open(self._folder, os.O_RDONLY | os.O_DIRECTORY)
-        try:
-            os.fsync(descriptor)
-        finally:
-            os.close(descriptor)
+        os.fsync(self._get_folder())
 
     def close(self) -> None:
         """Close all open files and release the lock."""
         for name in list(self._open):
             self._close_file(name)
+        if self._folder_descriptor is not None:
+            os.close(self._folder_descriptor)
+            self._folder_descriptor = None
+
+    def _get_folder(self) -> int:
+        if self._folder_descriptor is None:
+            flags = os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC
+            self._folder_descriptor = os.open(self._folder, flags)
+        return self._folder_descriptor
 
     def _get_descriptor(self, name: str) -> int:
         if name not in self._open:
--- a/tests/storage/test_file.py
+++ b/tests/storage/test_file.py
@@ -3,17 +3,20 @@
 from __future__ import annotations
 
 import errno
+import os
 import tempfile
 import threading
 import time
 import unittest
+from contextlib import AbstractContextManager
 from pathlib import Path
 from random import Random
+from typing import Any
 from unittest import mock
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from returns.result import Failure, Success
+from returns.result import Failure, Result, Success
 
 from rhubarbfield.storage import (
     DiskFull,
@@ -25,6 +28,7 @@
     Snapshot,
     StoreDamaged,
     StoredLog,
+    StoreFailure,
     StoreInUse,
     SyncFailed,
     SystemFiles,
@@ -266,6 +270,65 @@
             files.close()
 
 
+class OpenFilesTest(unittest.TestCase):
+    """A process whose connections take all its file descriptors."""
+
+    def setUp(self) -> None:
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+        self.folder = Path(folder) / "group"
+        self.store = FileStore(self.folder)
+        self.store.load().unwrap()
+        self.append(1, 2).unwrap()
+        self.addCleanup(self.close)
+
+    def close(self) -> None:
+        self.store.close()
+
+    def append(self, first: int, count: int) -> Result[None, StoreFailure]:
+        return self.store.append(STATE, make_entries(first, count))
+
+    def save_snapshot(self, index: int) -> Result[None, StoreFailure]:
+        snapshot = make_snapshot(index)
+        return self.store.save_snapshot(STATE, snapshot, snapshot.position, ())
+
+    def test_a_snapshot_without_a_free_descriptor_does_not_stop_the_store(
+        self,
+    ) -> None:
+        with self.leave_descriptors(0):
+            self.assertEqual(self.save_snapshot(2), Failure(DiskFull()))
+            self.assertIsInstance(self.append(3, 1), Success)
+        self.assertIsInstance(self.save_snapshot(3), Success)
+
+    def test_a_log_is_appended_to_without_a_free_descriptor_after_a_snapshot(
+        self,
+    ) -> None:
+        self.save_snapshot(2).unwrap()
+        with self.leave_descriptors(0):
+            self.assertIsInstance(self.append(3, 1), Success)
+        self.store.close()
+        self.store = FileStore(self.folder)
+        self.assertEqual(self.store.load().unwrap().entries, make_entries(3, 1))
+
+    def test_descriptors_that_run_out_amid_a_snapshot_do_not_stop_the_store(
+        self,
+    ) -> None:
+        for opened in range(4):
+            with self.leave_descriptors(opened):
+                self.save_snapshot(2)
+                first = 3 + opened
+                self.assertIsInstance(self.append(first, 1), Success, opened)
+
+    def leave_descriptors(self, count: int) -> AbstractContextManager[object]:
+        real, left = os.open, iter(range(count))
+
+        def open_while_left(*arguments: Any) -> int:
+            if next(left, None) is None:
+                raise OSError(errno.EMFILE, "Too many open files")
+            return real(*arguments)
+
+        return mock.patch("os.open", open_while_left)
+
+
 class DecoderTest(unittest.TestCase):
     @settings(max_examples=200, derandomize=True)
     @given(st.binary(max_size=300), st.integers(0, 400), st.binary(max_size=4))
