Refuse settings with a tag whose value YAML can't convert

Cause: PyYAML raises IndexError, KeyError or AttributeError for such a tag, which the reload didn't expect; the error left the task that watches the file.

Evidence: the new test in tests.scheduling.test_serving had 4 errors, one for each tag, and now passes.

Why it works: the file is refused as any other that is no YAML, and the settings in effect stay.

--- a/src/rhubarbfield/scheduling/deployment.py
+++ b/src/rhubarbfield/scheduling/deployment.py
@@ -137,5 +137,12 @@
         raise UsageError(f"settings {path} can't be read: {error}") from None
     except msgspec.ValidationError as error:
         raise UsageError(f"settings {path}: {error}") from None
-    except (yaml.YAMLError, ValueError, RecursionError) as error:
+    except (
+        yaml.YAMLError,
+        ValueError,
+        RecursionError,
+        # PyYAML raises these for a tag whose value it can't convert.
+        AttributeError,
+        LookupError,
+    ) as error:
         raise UsageError(f"settings {path} are not YAML: {error}") from None
--- a/tests/scheduling/test_serving.py
+++ b/tests/scheduling/test_serving.py
@@ -61,6 +61,11 @@
         seeds = self.play(["2026-99-99", '"c3:1"'])
         self.assertEqual(seeds, [("c3:1",)])
 
+    def test_tags_that_yaml_cannot_convert_do_not_end_the_program(self) -> None:
+        for value in ("!!int ''", "!!float ''", "!!bool maybe", "!!timestamp never"):
+            with self.subTest(value):
+                self.assertEqual(self.play([value, '"c3:1"']), [("c3:1",)])
+
     def test_settings_that_do_not_differ_are_not_applied(self) -> None:
         self.assertEqual(self.play(['"c1:1"', ' "c1:1" ']), [])
 
