Sync the log inline when no thread can be started

Cause: trio starts a thread when its idle ones have ended, after 10 s without work, and passes on what the start raises.

Evidence: tests.replication.test_syncs.ThreadTest (new) failed with that error; now 5 passed, 0 failed.

Why it works: the sync didn't begin, so it is done on the loop, which a program without threads does anyway.

--- a/src/rhubarbfield/replication/state.py
+++ b/src/rhubarbfield/replication/state.py
@@ -61,8 +61,23 @@
 async def run_in_thread(
     function: Callable[[], Result[None, StoreFailure]], /
 ) -> Result[None, StoreFailure]:
-    """Call ``function`` in a worker thread without blocking the event loop."""
-    return await trio.to_thread.run_sync(function)
+    """Call ``function`` in a worker thread without blocking the event loop.
+
+    It blocks the loop if the system has no room for a thread.
+    """
+    began = False
+
+    def run() -> Result[None, StoreFailure]:
+        nonlocal began
+        began = True
+        return function()
+
+    try:
+        return await trio.to_thread.run_sync(run)
+    except RuntimeError:
+        if began:
+            raise
+        return function()
 
 
 class Role(Enum):
--- a/tests/replication/test_syncs.py
+++ b/tests/replication/test_syncs.py
@@ -4,14 +4,38 @@
 
 import math
 import unittest
+from unittest import mock
 
 import trio
-from returns.result import Success
+from returns.result import Result, Success
 
+from rhubarbfield.replication import run_in_thread
+from rhubarbfield.storage import StoreFailure
 from tests.replication.group import Group
 from tests.replication.test_replica import run_group
 
 SLOW_SYNC_SECONDS = 0.3
+SYNCS = 30
+
+
+class ThreadTest(unittest.TestCase):
+    def test_a_sync_without_a_free_thread_does_not_end_the_process(self) -> None:
+        refusal = RuntimeError("can't start new thread")
+        with mock.patch("threading.Thread.start", side_effect=refusal):
+            result = trio.run(self.run_many)
+        self.assertEqual(result, [Success(None)] * SYNCS)
+
+    async def run_many(self) -> list[Result[None, StoreFailure]]:
+        """Run more syncs at once than threads may be left of earlier tests."""
+        results: list[Result[None, StoreFailure]] = []
+
+        async def run_one() -> None:
+            results.append(await run_in_thread(lambda: Success(None)))
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(SYNCS):
+                nursery.start_soon(run_one)
+        return results
 
 
 class SlowDiskTest(unittest.TestCase):
