Go on with the log after its pipe was full, if it doesn't block

Seen: with a pipe for output that another process has made non-blocking, all lines after the pipe was full once were lost, also those that would tell why the process ended. Found by reading.

Cause: os.write raises BlockingIOError then, which was taken for a reader that has closed, and the thread that writes ended.

Evidence: the new test in tests.test_logoutput failed (its last line didn't come); now 6 passed, 0 failed.

Why it works: the thread waits until the pipe takes more, as it does for one that blocks.

--- a/src/rhubarbfield/logoutput.py
+++ b/src/rhubarbfield/logoutput.py
@@ -11,6 +11,7 @@
 
 import logging
 import os
+import select
 import threading
 import time
 from collections import Counter, deque
@@ -102,6 +103,8 @@
         super().__init__()
         self.setFormatter(JsonFormatter())
         self._descriptor = descriptor
+        self._writable = select.poll()
+        self._writable.register(descriptor, select.POLLOUT)
         self._budget = budget if budget is not None else LogBudget()
         self._monotonic = monotonic
         self._buckets: dict[tuple[str, bool], TokenBucket] = {}
@@ -180,6 +183,8 @@
         while rest:
             try:
                 rest = rest[os.write(self._descriptor, rest) :]
+            except BlockingIOError:  # another process made the pipe non-blocking
+                self._writable.poll()
             except OSError:  # the reader has closed, so this can't be logged either
                 return False
         return True
--- a/tests/test_logoutput.py
+++ b/tests/test_logoutput.py
@@ -4,6 +4,7 @@
 
 import json
 import logging
+import math
 import os
 import threading
 import time
@@ -15,6 +16,7 @@
 
 LINES = 20_000  # far more than a pipe buffers
 USUAL_LINES_PER_SECOND = 50
+FULL_PIPE_SECONDS = 0.3  # the thread has filled the pipe by then
 READ_BYTES = 1 << 16
 MAX_SECONDS_PER_LINE = 0.001  # writing a line takes a twentieth of this
 
@@ -106,6 +108,17 @@
         total = sum(int(str(each["request-answered"])) for each in dropped)
         self.assertEqual(total, 1000 - 10 * BURST_SECONDS)
 
+    def test_a_full_pipe_that_does_not_block_loses_no_later_lines(self) -> None:
+        os.set_blocking(self.writer, False)
+        output = self.open(lines_per_second=math.inf, queued_lines=LINES)
+        for number in range(LINES // 4):
+            log_event(self.logger, logging.INFO, "line", number=number)
+        time.sleep(FULL_PIPE_SECONDS)
+        reading = self.start_reading()
+        log_event(self.logger, logging.INFO, "last")
+        lines = self.finish(output, reading)
+        self.assertEqual(lines[-1]["event"], "last")
+
     def test_a_closed_reader_does_not_stop_the_program(self) -> None:
         output = self.open()
         self.close_end(self.reader)
