Go on sending digests of heartbeats after an error

Seen by a test: an error in the digest of a controller that doesn't lead left its task, and ended the controller.

Why it works: the error costs the digest; the next one is sent, and without one the leader hears of the workers from themselves.

--- a/src/rhubarbfield/scheduling/reception.py
+++ b/src/rhubarbfield/scheduling/reception.py
@@ -111,14 +111,20 @@
     async def _send_digests(self) -> None:
         while True:
             began = self._clock.monotonic()
-            if self._log.leads():
-                self._digests.clear()
-            else:
-                unknown = await self._digests.send(self._leader_hint)
-                recorded = self._log.state.scheduling.workers.keys()
-                self._unknown = (self._unknown | set(unknown)) & recorded
+            try:
+                await self._send_digest()
+            except Exception as error:
+                contain(Unit.ACTIVITY, error, activity="digests")
             await self._clock.sleep(began + DIGEST_INTERVAL - self._clock.monotonic())
 
+    async def _send_digest(self) -> None:
+        if self._log.leads():
+            self._digests.clear()
+            return
+        unknown = await self._digests.send(self._leader_hint)
+        recorded = self._log.state.scheduling.workers.keys()
+        self._unknown = (self._unknown | set(unknown)) & recorded
+
     async def handle_heartbeat(self, heartbeat: Heartbeat) -> bool | NotLeading:
         """Record a worker's report; return whether it is recorded."""
         leader = self._find_leader()
--- a/tests/test_containment.py
+++ b/tests/test_containment.py
@@ -13,6 +13,7 @@
 from rhubarbfield.scheduling import appliers
 from rhubarbfield.scheduling.availability import WorkerAvailability
 from rhubarbfield.scheduling.backlog import Backlog
+from rhubarbfield.scheduling.digests import DigestSender
 from rhubarbfield.scheduling.heartbeats import HeartbeatDigest, Sighting
 from rhubarbfield.scheduling.housekeeping import Housekeeping
 from rhubarbfield.scheduling.leader import SchedulingLeader
@@ -96,6 +97,19 @@
             self.assertEqual((failure["unit"], failure["worker"]), ("heartbeat", "w1"))
         self.assertIs(await report(controllers.leader, worker), True)
 
+    @with_controllers()
+    async def test_digest_that_raises_does_not_end_the_controller(
+        self, controllers: Controllers
+    ) -> None:
+        worker = controllers.add_worker("w1")
+        failing = mock.patch.object(DigestSender, "send", side_effect=RuntimeError)
+        with failing, self.assertLogs(LOGGER, "ERROR") as logs:
+            await trio.sleep(2)
+        failures = {(each["unit"], each["activity"]) for each in list_failures(logs)}
+        self.assertEqual(failures, {("activity", "digests")})
+        await trio.sleep(2)
+        self.assertIs(await report(controllers.followers[0], worker), True)
+
     @with_deployment()
     async def test_sighting_that_raises_costs_no_other(
         self, deployment: Deployment
