End a stream whose peer reads nothing

Seen by a test: a link to a peer that is frozen, with more sent than the buffers hold, couldn't be ended: neither to connect anew, nor by a stop of the process, before the peer read on or TCP gave it up.

Cause: at its end, a stream is reset, for which grpclib waits until the transport takes more; the wait is shielded from cancellation.

The stream's block releases it even if it is cancelled, and links close the connection next.

--- a/src/rhubarbfield/peering/client.py
+++ b/src/rhubarbfield/peering/client.py
@@ -5,6 +5,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from datetime import timedelta
+from functools import partial
 from typing import Any
 
 import trio
@@ -16,6 +17,7 @@
 
 from rhubarbfield.containment import Unit, contain
 from rhubarbfield.peering._grpclib import (
+    CLOSE_TIMEOUT,
     TRANSPORT_ERRORS,
     GrpcStream,
     contain_faults,
@@ -137,8 +139,13 @@
             yield
             await stream.close()
     finally:
-        with trio.CancelScope(shield=True):
-            with contain_faults():
-                await aio_as_trio(grpclib_stream.cancel)()
-            with contain_faults():
-                await aio_as_trio(grpclib_stream.__aexit__)(None, None, None)
+        # A peer that reads nothing would let each of them wait.
+        for end in (
+            grpclib_stream.cancel,
+            partial(grpclib_stream.__aexit__, None, None, None),
+        ):
+            with (
+                trio.move_on_after(CLOSE_TIMEOUT.total_seconds(), shield=True),
+                contain_faults(),
+            ):
+                await aio_as_trio(end)()
--- a/tests/peering/hostile.py
+++ b/tests/peering/hostile.py
@@ -13,6 +13,8 @@
 from h2.settings import SettingCodes
 
 READ_BYTES = 65_536
+LARGEST_WINDOW = 2**31 - 1
+FREEZE_SECONDS = 5.0
 GRPC_HEADERS = [(":status", "200"), ("content-type", "application/grpc+msgpack")]
 OK_TRAILERS = [("grpc-status", "0")]
 LINGER_NONE = struct.pack("ii", 1, 0)
@@ -132,6 +134,15 @@
         pass
 
 
+async def read_nothing(stream: trio.SocketStream) -> None:
+    """Let the other side send all that it wants, and read none of it for a while."""
+    server = _open_server()
+    server.update_settings({SettingCodes.INITIAL_WINDOW_SIZE: LARGEST_WINDOW})
+    server.increment_flow_control_window(LARGEST_WINDOW // 2)
+    await stream.send_all(server.data_to_send())
+    await trio.sleep(FREEZE_SECONDS)
+
+
 @_reaction("ends without a message")
 def end_without_message(server: H2Connection, stream: int) -> None:
     """Report success, without a reply."""
