--- a/src/rhubarbfield/containment.py
+++ b/src/rhubarbfield/containment.py
@@ -38,6 +38,7 @@
     ACTIVITY = "activity"
     COMMAND = "command"
     OBSERVER = "observer"
+    CONNECTION = "connection"
 
 
 def contain(unit: Unit, error: Exception, /, **ids: LogValue) -> None:
