--- a/tests/platform/programs.py
+++ b/tests/platform/programs.py
@@ -159,6 +159,10 @@
             self._awaited_ends.add(host)
         process.send_signal(number)
 
+    def find_exit_code(self, host: str) -> int | None:
+        """Return the exit code of a host's process, or None while it runs."""
+        return self._processes[host].poll()
+
     def stop(self) -> None:
         """Kill all processes."""
         self._stopping = True
