Start and go on without the metrics port

A metrics port in use ended the program with exit code 1, again and again, though nothing needs the port: nursery.start waited for it before the program was served.

--- a/src/rhubarbfield/scheduling/serving.py
+++ b/src/rhubarbfield/scheduling/serving.py
@@ -144,8 +144,8 @@
         *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(_serve_metrics, settings)
             await nursery.start(program.run)
-            await nursery.start(_serve_metrics, settings)
             nursery.start_soon(file.watch, clock)
             server = HttpServer(program.handler, _make_limits(program, settings))
             binds = [bind for bind in program.binds if bind]
@@ -162,14 +162,14 @@
     )
 
 
-async def _serve_metrics(
-    settings: DeploymentSettings,
-    task_status: trio.TaskStatus[list[str]] = trio.TASK_STATUS_IGNORED,
-) -> None:
-    """Serve the metrics of the process until cancelled."""
+async def _serve_metrics(settings: DeploymentSettings) -> None:
+    """Serve the metrics of the process until cancelled, or log why it can't."""
     server = HttpServer(show_metrics, HttpLimits())
     binds = [settings.metrics] if settings.metrics else []
-    await server.serve(binds, trio.sleep_forever, task_status=task_status)
+    try:
+        await server.serve(binds, trio.sleep_forever)
+    except* (OSError, ValueError, OverflowError) as errors:
+        logger.error("metrics-not-served", exc_info=errors)
 
 
 def _make_limits(program: Program, settings: DeploymentSettings) -> HttpLimits:
