Wait for a store that is in use, or whose disk is full, at a start

A store whose lock another process held (StoreInUse) and a disk that was full at the first start (DiskFull of the first hard state, also ENOSPC at the lock file or its folder) ended the replica, and so its process, with exit code 1. The replica tries again every 250 ms now, logs store-in-use or disk-full at first and every 10 s, and reports itself started meanwhile, so that a stop is not held up. Failed syncs still end it. FileStore.load may be repeated after a failure.

--- a/src/rhubarbfield/replication/replica.py
+++ b/src/rhubarbfield/replication/replica.py
@@ -21,6 +21,7 @@
     ProposeError,
     Unsafe,
 )
+from rhubarbfield.replication.lateopening import may_open_later, open_later
 from rhubarbfield.replication.leader import Leader
 from rhubarbfield.replication.leadership import Leadership
 from rhubarbfield.replication.log import ReplicaLog
@@ -139,6 +140,10 @@
             restarted.
         """
         opened = self._open_log()
+        if may_open_later(opened):
+            task_status.started()
+            opened = await open_later(self._open_log, opened, self.group, self._clock)
+            task_status = trio.TASK_STATUS_IGNORED
         if isinstance(opened, Failure):
             self._halted = opened.failure()
             task_status.started()
--- a/src/rhubarbfield/storage/file.py
+++ b/src/rhubarbfield/storage/file.py
@@ -195,7 +195,8 @@
         except OSError as error:
             if error.errno == errno.EIO:
                 return Failure(StoreDamaged(LOG_FILE, 0, str(error)))
-            return Failure(SyncFailed(str(error)))
+            full = error.errno in FULL_DISK_ERRORS
+            return Failure(DiskFull() if full else SyncFailed(str(error)))
         if isinstance(stored, Failure) or stored.unwrap() == StoredLog():
             return stored
         # The data read may so far be in the page cache only.
--- a/src/rhubarbfield/storage/files.py
+++ b/src/rhubarbfield/storage/files.py
@@ -57,16 +57,16 @@
     Parameters
     ----------
     folder
-        Created if missing.
+        Created by :meth:`lock` if missing.
     """
 
     def __init__(self, folder: Path) -> None:
         self._folder = folder
-        self._folder.mkdir(parents=True, exist_ok=True)
         self._open: dict[str, int] = {}
 
     def lock(self) -> None:
         """Lock the folder until it is closed or the process ends."""
+        self._folder.mkdir(parents=True, exist_ok=True)
         fcntl.flock(self._get_descriptor(LOCK_FILE), fcntl.LOCK_EX | fcntl.LOCK_NB)
 
     def read(self, name: str) -> bytes | None:
--- a/src/rhubarbfield/storage/store.py
+++ b/src/rhubarbfield/storage/store.py
@@ -79,7 +79,7 @@
     """
 
     def load(self) -> Result[StoredLog, StoreFailure]:
-        """Return all stored data; called once, before any other method."""
+        """Return all stored data; called first, and again only after it failed."""
 
     def append(
         self, hard_state: HardState, entries: Sequence[Entry] = ()
--- a/tests/replication/test_late_stores.py
+++ b/tests/replication/test_late_stores.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import unittest
 from pathlib import Path
 from random import Random
@@ -63,7 +64,7 @@
                         await trio.sleep(0.1)
                 nursery.cancel_scope.cancel()
 
-        with self.assertLogs("rhubarbfield", "WARNING") as logs:
+        with self.assertLogs("rhubarbfield.replication", "WARNING") as logs:
             run_deterministic(body, seed=1)
         return [record.getMessage() for record in logs.records]
 
@@ -81,6 +82,13 @@
         )
         self.assertEqual(self.play(store), ["store-in-use"] * 3)
 
+    def test_replica_waits_for_room_for_the_lock_of_its_store(self) -> None:
+        store = LateStore()
+        store.files.lock = mock.Mock(  # type: ignore[method-assign]
+            side_effect=OSError(errno.ENOSPC, "no space left")
+        )
+        self.assertEqual(self.play(store), ["disk-full"] * 3)
+
     def test_replica_ends_with_a_disk_that_fails_at_its_first_start(self) -> None:
         store = LateStore()
         store.files.fail_syncs = True
