Do not start with settings that are cut off, and await valid ones

A settings file that was absent or half written at a start ended the program with exit code 2; cut in its last lines it was accepted: six beginnings of the rendered file were, one with longest_lease_ms 1 of 10000. Daemons try for 5 s before they end with 2, and write settings-awaited to standard error; check-settings and one-shot subcommands do not wait. A file above 128 KiB is refused: 10 MB of comments had held the event loop for 8.7 s.

--- a/src/rhubarbfield/cli/daemons.py
+++ b/src/rhubarbfield/cli/daemons.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
+from rhubarbfield.cli.latesettings import await_settings
 from rhubarbfield.cli.options import define_settings_flag, load_function, read_settings
 from rhubarbfield.cli.program import find_error
 from rhubarbfield.cli.registry import Invocation, subcommand
@@ -30,7 +31,7 @@
 )
 def run_entry_daemon(invocation: Invocation) -> int:
     """Run the entry until a signal stops it."""
-    settings = read_settings(invocation)
+    settings = _await_settings(invocation)
     return run_daemon(
         "entry", load_function("entry", "run_entry"), settings, invocation
     )
@@ -44,11 +45,17 @@
 )
 def run_controller_daemon(invocation: Invocation) -> int:
     """Run the controller until a signal stops it."""
-    settings = read_settings(invocation)
+    settings = _await_settings(invocation)
     daemon = load_function("controller", "run_controller")
     return run_daemon("controller", daemon, settings, invocation)
 
 
+def _await_settings(invocation: Invocation) -> Settings:
+    if not invocation.flags.settings:
+        return read_settings(invocation)
+    return await_settings(partial(read_settings, invocation), invocation.stderr)
+
+
 def run_daemon(
     name: str, daemon: Daemon, settings: Settings, invocation: Invocation
 ) -> int:
--- a/src/rhubarbfield/cli/job_daemons.py
+++ b/src/rhubarbfield/cli/job_daemons.py
@@ -12,6 +12,7 @@
 
 from absl import flags
 
+from rhubarbfield.cli.latesettings import await_settings
 from rhubarbfield.cli.options import load_function
 from rhubarbfield.cli.registry import Invocation, subcommand
 from rhubarbfield.exceptions import UsageError
@@ -68,7 +69,9 @@
         raise UsageError("--settings is missing", "give the file of an instance")
     daemon: Daemon = load_function(module, function)
     path = Path(given)
-    settings = load_deployment_settings(path)
+    settings = await_settings(
+        partial(load_deployment_settings, path), invocation.stderr
+    )
     budget = LogBudget(lines_per_second=settings.log_lines_a_second)
     output = configure_bounded_logging(settings.log_level, sys.stdout.fileno(), budget)
     logger = get_logger("daemon")
--- a/src/rhubarbfield/scheduling/deployment.py
+++ b/src/rhubarbfield/scheduling/deployment.py
@@ -15,6 +15,8 @@
 SCHEDULING_GROUP = GroupId("scheduling")
 # Outlasts an outage of all controllers for 5 s and the election after it.
 DEFAULT_LEASE = timedelta(seconds=9)
+# The event loop of a running program waits while they are parsed.
+MAX_SETTINGS_BYTES = 131_072
 
 
 class WorkerTimes(
@@ -131,7 +133,11 @@
         If the file can't be read or a value is invalid; the message names it.
     """
     try:
-        text = path.read_text(encoding="utf-8")
+        with path.open("rb") as file:
+            content = file.read(MAX_SETTINGS_BYTES + 1)
+        if len(content) > MAX_SETTINGS_BYTES:
+            raise UsageError(f"settings {path} exceed {MAX_SETTINGS_BYTES} bytes")
+        text = content.decode("utf-8")
         return msgspec.convert(yaml.safe_load(text), DeploymentSettings)
     except (OSError, UnicodeDecodeError) as error:
         raise UsageError(f"settings {path} can't be read: {error}") from None
