Let the product's daemons wait for an address that is in use too

A port in use ended entry and controller with exit code 1: hypercorn binds by itself and does not retry, so its sockets are bound before it and handed over as descriptors. A stop of an entry ends the wait for its ports; it had been heeded only once the entry served.

--- a/src/rhubarbfield/callers/serving.py
+++ b/src/rhubarbfield/callers/serving.py
@@ -5,6 +5,7 @@
 import logging
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
+from functools import partial
 
 import msgspec
 import trio
@@ -12,8 +13,10 @@
 from hypercorn.trio import serve as serve_app
 from quart import Quart
 
+from rhubarbfield.appsockets import bind_app
 from rhubarbfield.callers.readiness import Readiness
 from rhubarbfield.clock import Clock
+from rhubarbfield.waits import finish_unless
 
 _logger = logging.getLogger(__name__)
 
@@ -68,10 +71,14 @@
     readiness
         Told once the entry listens.
     task_status
-        Started with the bound addresses, including the chosen port.
+        Started with the bound addresses, including the chosen port; with none
+        if ``stop`` was set before the address was free.
     """
     serving_settings = settings if settings is not None else ServingSettings()
     config = _make_config(address, serving_settings)
+    if not await finish_unless(stop, partial(bind_app, config)):
+        task_status.started([])
+        return
 
     async def wait_for_stop() -> None:
         await stop.wait()
--- a/src/rhubarbfield/controller/program.py
+++ b/src/rhubarbfield/controller/program.py
@@ -12,6 +12,7 @@
 from hypercorn.trio import serve as serve_app
 from prometheus_client import REGISTRY
 
+from rhubarbfield.appsockets import bind_app
 from rhubarbfield.clock import HostClock
 from rhubarbfield.controller.daemon import Controller
 from rhubarbfield.daemons import load_credentials
@@ -61,6 +62,7 @@
     config.graceful_timeout = GRACEFUL_TIMEOUT_SECONDS
     config.include_server_header = False
     config.loglevel = "WARNING"
+    await bind_app(config)
     async with trio.open_nursery() as nursery:
         await nursery.start(serve_app, app, config)
         task_status.started()
--- a/src/rhubarbfield/entry/daemon.py
+++ b/src/rhubarbfield/entry/daemon.py
@@ -37,6 +37,7 @@
 from rhubarbfield.settings import Settings
 from rhubarbfield.signals import run_until_signal
 from rhubarbfield.types import FailureDomain, Incarnation, InstanceName, ServiceName
+from rhubarbfield.waits import finish_unless
 
 logger = logging.getLogger(__name__)
 
@@ -292,9 +293,11 @@
             *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
         ) -> None:
             async with trio.open_nursery() as nursery:
-                await nursery.start(entry.run)
-                await serve_callers(entry, stop, clock, task_status=task_status)
-                await entry.hand_over()
+                if await finish_unless(stop, partial(nursery.start, entry.run)):
+                    await serve_callers(entry, stop, clock, task_status=task_status)
+                    await entry.hand_over()
+                else:
+                    task_status.started()
                 nursery.cancel_scope.cancel()
 
         await run_until_signal(
--- a/src/rhubarbfield/waits.py
+++ b/src/rhubarbfield/waits.py
@@ -93,3 +93,19 @@
 
 def _read_time() -> timedelta:
     return timedelta(seconds=trio.current_time())
+
+
+async def finish_unless(stop: trio.Event, run: Callable[[], Awaitable[object]]) -> bool:
+    """Run ``run``, or cancel it at a stop; return whether it finished."""
+    is_finished = False
+
+    async def cancel(scope: trio.CancelScope) -> None:
+        await stop.wait()
+        scope.cancel()
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(cancel, nursery.cancel_scope)
+        await run()
+        is_finished = True
+        nursery.cancel_scope.cancel()
+    return is_finished
--- a/tests/test_late_addresses.py
+++ b/tests/test_late_addresses.py
@@ -2,16 +2,23 @@
 
 from __future__ import annotations
 
+import errno
 import socket
 import unittest
+from datetime import timedelta
 from functools import partial
 from http import HTTPStatus
+from unittest import mock
 
 import trio
+from quart import Quart
 from returns.result import Success
 from trio_asyncio import open_loop
 
+from rhubarbfield.callers import Readiness, serve
+from rhubarbfield.callers.serving import ServingSettings
 from rhubarbfield.cli.program import find_error
+from rhubarbfield.clock import TrioClock
 from rhubarbfield.httpserver import HttpLimits, HttpRequest, HttpResponse, HttpServer
 from rhubarbfield.peering import CallMethod, Credentials, GrpcTransport, connect
 from tests.peering.test_grpc import HOST, Question, Reply, answer
@@ -104,14 +111,43 @@
 
     def test_address_that_cannot_be_bound_is_refused(self) -> None:
         server = HttpServer(answer_http, HttpLimits())
-        for port in ("x", "99999"):
-            with self.subTest(port=port), self.assertRaises(Exception) as raised:
-                trio.run(server.serve, [f"{HOST}:{port}"], trio.sleep_forever)
-            errors = [
-                find_error(raised.exception, kind)
-                for kind in (ValueError, OSError, OverflowError)
-            ]
-            self.assertTrue(any(errors), raised.exception)
+        refusal = PermissionError(errno.EACCES, "not permitted")
+        for port, kind in (("x", ValueError), ("80", PermissionError)):
+
+            async def body(port: str = port) -> None:
+                with trio.fail_after(TIMEOUT_SECONDS):
+                    await server.serve([f"{HOST}:{port}"], trio.sleep_forever)
+
+            with (
+                self.subTest(port=port),
+                mock.patch("trio.open_tcp_listeners", side_effect=refusal),
+                self.assertRaises(BaseExceptionGroup) as raised,
+            ):
+                trio.run(body)
+            self.assertIsNotNone(find_error(raised.exception, kind))
+
+    def test_server_for_callers_of_the_entry_waits_for_an_address_in_use(self) -> None:
+        async def body() -> None:
+            occupied, stop = occupy(), trio.Event()
+            address = name_address(occupied)
+            stop_soon = ServingSettings(readiness_propagation_delay=timedelta())
+            serve_callers = partial(
+                serve,
+                Quart("test"),
+                address,
+                stop=stop,
+                readiness=Readiness(),
+                clock=TrioClock(),
+                settings=stop_soon,
+            )
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(free_later, occupied)
+                with trio.fail_after(TIMEOUT_SECONDS):
+                    bound = await nursery.start(serve_callers)
+                stop.set()
+            self.assertEqual(bound, [f"http://{address}"])
+
+        trio.run(body)
 
     def test_peer_server_waits_for_a_port_in_use(self) -> None:
         async def body() -> None:
