--- a/src/rhubarbfield/cli/daemons.py
+++ b/src/rhubarbfield/cli/daemons.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING, Any
 
 from rhubarbfield.cli.failures import log_failed_start, log_failure
+from rhubarbfield.cli.latesettings import await_settings
 from rhubarbfield.cli.options import define_settings_flag, load_function, read_settings
 from rhubarbfield.cli.program import find_error
 from rhubarbfield.cli.registry import Invocation, subcommand
@@ -51,7 +52,13 @@
     from rhubarbfield.logs import configure_logging
 
     with log_failed_start(name, lambda: configure_logging("info", invocation.stderr)):
-        return read_settings(invocation), load_function(name, function)
+        return _await_settings(invocation), load_function(name, function)
+
+
+def _await_settings(invocation: Invocation) -> Settings:
+    if not invocation.flags.settings:
+        return read_settings(invocation)
+    return await_settings(partial(read_settings, invocation), invocation.stderr)
 
 
 def run_daemon(
--- a/src/rhubarbfield/cli/job_daemons.py
+++ b/src/rhubarbfield/cli/job_daemons.py
@@ -13,6 +13,7 @@
 from absl import flags
 
 from rhubarbfield.cli.failures import log_failed_start, log_failure
+from rhubarbfield.cli.latesettings import await_settings
 from rhubarbfield.cli.options import load_function
 from rhubarbfield.cli.registry import Invocation, subcommand
 from rhubarbfield.exceptions import UsageError
@@ -71,7 +72,8 @@
     ):
         path = _find_settings(invocation)
         daemon: Daemon = load_function(module, function)
-        settings = load_deployment_settings(path)
+        load = partial(load_deployment_settings, path)
+        settings = await_settings(load, invocation.stderr)
     budget = LogBudget(lines_per_second=settings.log_lines_a_second)
     output = configure_bounded_logging(settings.log_level, descriptor, budget)
     logger = get_logger("daemon")
--- a/src/rhubarbfield/replication/replica.py
+++ b/src/rhubarbfield/replication/replica.py
@@ -21,6 +21,7 @@
     ProposeError,
     Unsafe,
 )
+from rhubarbfield.replication.lateopening import may_open_later, open_later
 from rhubarbfield.replication.leader import Leader
 from rhubarbfield.replication.leadership import Leadership
 from rhubarbfield.replication.log import ReplicaLog
@@ -139,9 +140,11 @@
             A failure once the store has failed. The process should then be
             restarted.
         """
-        outcome = open_log(self._store, self.group, self._random, self._founders)
-        self._store_note = outcome.damage
-        opened = outcome.log
+        opened = self._open_log()
+        if may_open_later(opened):
+            task_status.started()
+            opened = await open_later(self._open_log, opened, self.group, self._clock)
+            task_status = trio.TASK_STATUS_IGNORED
         if isinstance(opened, Failure):
             self._halted = opened.failure()
             task_status.started()
@@ -326,6 +329,11 @@
         async for message in self._inbox:
             components.handle(message)
 
+    def _open_log(self) -> Result[ReplicaLog, StoreFailure]:
+        outcome = open_log(self._store, self.group, self._random, self._founders)
+        self._store_note = outcome.damage or self._store_note
+        return outcome.log
+
     def _build_components(self, log: ReplicaLog) -> ReplicaComponents:
         state = ReplicaState(
             group=self.group,
