--- a/tests/cli/test_signals.py
+++ b/tests/cli/test_signals.py
@@ -97,10 +97,13 @@
                 )
                 self.assertEqual(code, 2, text)
                 lines = [line for line in text.splitlines() if line.startswith("{")]
-                self.assertEqual(len(lines), 1, text)
-                self.assertIn("daemon-refused", lines[0])
-                self.assertIn(missing, lines[0])
-                self.assertIn('"code":2', lines[0])
+                self.assertEqual(len(lines), 2, text)
+                awaited, refused = lines
+                self.assertIn("settings-awaited", awaited)
+                self.assertIn("daemon-refused", refused)
+                self.assertIn('"code":2', refused)
+                for line in lines:
+                    self.assertIn(missing, line)
 
 
 if __name__ == "__main__":
