Sync the folder in which a store's folder is created

Only the store's own folder was synced. After a loss of power the entry of that folder in its parent could be gone, and with it the right to found a group and all that was acknowledged.

--- a/src/rhubarbfield/storage/files.py
+++ b/src/rhubarbfield/storage/files.py
@@ -67,7 +67,7 @@
 
     def lock(self) -> None:
         """Lock the folder until it is closed or the process ends."""
-        self._folder.mkdir(parents=True, exist_ok=True)
+        self._make_folder()
         self._get_folder()
         fcntl.flock(self._get_descriptor(LOCK_FILE), fcntl.LOCK_EX | fcntl.LOCK_NB)
 
@@ -121,10 +121,24 @@
             os.close(self._folder_descriptor)
             self._folder_descriptor = None
 
+    def _make_folder(self) -> None:
+        """Create the folder so that a power loss can't remove it with its files."""
+        # One found here too: the process that made it may have ended before its sync.
+        unsynced = [
+            self._folder,
+            *(it for it in self._folder.parents if not it.exists()),
+        ]
+        self._folder.mkdir(parents=True, exist_ok=True)
+        for folder in unsynced:
+            descriptor = _open_folder(folder.parent)
+            try:
+                os.fsync(descriptor)
+            finally:
+                os.close(descriptor)
+
     def _get_folder(self) -> int:
         if self._folder_descriptor is None:
-            flags = os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC
-            self._folder_descriptor = os.open(self._folder, flags)
+            self._folder_descriptor = _open_folder(self._folder)
         return self._folder_descriptor
 
     def _get_descriptor(self, name: str) -> int:
@@ -137,3 +151,7 @@
         descriptor = self._open.pop(name, None)
         if descriptor is not None:
             os.close(descriptor)
+
+
+def _open_folder(folder: Path) -> int:
+    return os.open(folder, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
--- a/tests/storage/test_file.py
+++ b/tests/storage/test_file.py
@@ -269,6 +269,28 @@
             other.close()
             files.close()
 
+    def test_a_created_folder_is_durable_before_its_data_is(self) -> None:
+        synced: list[Path] = []
+        real = os.fsync
+
+        def sync(descriptor: int) -> None:
+            synced.append(Path(f"/proc/self/fd/{descriptor}").readlink())
+            real(descriptor)
+
+        with (
+            tempfile.TemporaryDirectory() as name,
+            mock.patch("os.fsync", sync),
+        ):
+            data = Path(name).resolve()
+            for made in (data / "new", data / "found"):
+                if made.name == "found":
+                    (made / "group").mkdir(parents=True)
+                store = FileStore(made / "group")
+                store.load().unwrap()
+                self.assertIn(made, synced)
+                store.close()
+            self.assertIn(data, synced)
+
 
 class OpenFilesTest(unittest.TestCase):
     """A process whose connections take all its file descriptors."""
