Let a voter that was absent when its group was founded vote as soon as it appears

Seen by the review's tests: one of three voters came late or was cut off during the first start, the two others founded the group and acknowledged commands, and one of them lost its disk. All were back, and no leader ever came: what was acknowledged was out of reach for good, with one lost disk.

Cause: an absent voter was named by an incarnation that nobody has, and had to be replaced through the log first, for which both others were needed.

The store of a replica that is known to start for the first time now has a known incarnation, 'first'; a founder names an absent voter by it. A lost store gets a random one as before, so that no name votes twice. Groups of the product that may form whenever a store is empty keep random incarnations.

--- a/src/rhubarbfield/replication/founding.py
+++ b/src/rhubarbfield/replication/founding.py
@@ -11,6 +11,7 @@
 from rhubarbfield.replication.groupwait import GroupWait
 from rhubarbfield.replication.membership import Membership
 from rhubarbfield.replication.messages import Probe, ProbeAnswer
+from rhubarbfield.replication.opening import FIRST_INCARNATION
 from rhubarbfield.replication.state import ReplicaState
 from rhubarbfield.storage import ReplicaId
 from rhubarbfield.types import Incarnation, InstanceName, Term
@@ -38,8 +39,9 @@
     take part while its log has no entry. A pledge to a founder is a vote in the
     founder's term. The founder that a majority of the names has pledged to in
     one term, itself included, writes the first entry, in that term: the voters
-    with their incarnations, or :data:`ABSENT` for one that has not answered,
-    which is replaced once it appears. So founding is an election whose voters
+    with their incarnations. One that has not answered is named by the incarnation of
+    a first start, where the founder has that too, and votes once it appears; or else
+    by :data:`ABSENT`, and is replaced. So founding is an election whose voters
     are known by name, and the terms and logs decide between two founders.
 
     A voter that ended before it could save the right has an empty log like one
@@ -188,7 +190,8 @@
             return self._lacking[name]
         if answer is not None and answer.may_found:
             return answer.replica_id
-        return ReplicaId(name, ABSENT)
+        is_known = self._state.id.incarnation == FIRST_INCARNATION
+        return ReplicaId(name, FIRST_INCARNATION if is_known else ABSENT)
 
     def _is_majority(self, count: int) -> bool:
         return 2 * count > len(self.voters)
--- a/src/rhubarbfield/replication/opening.py
+++ b/src/rhubarbfield/replication/opening.py
@@ -15,6 +15,9 @@
 logger = logging.getLogger(__name__)
 
 INCARNATION_BITS = 64
+# A store that is known to be used for the first time has this incarnation, so that
+# its replica can be made a voter before it has answered.
+FIRST_INCARNATION = Incarnation("first")
 
 
 class OpenedLog(msgspec.Struct, frozen=True):
@@ -37,6 +40,8 @@
     group: GroupId,
     random: Random,
     founders: tuple[InstanceName, ...],
+    *,
+    is_first_start: bool = False,
 ) -> OpenedLog:
     """Load a log; save an incarnation, and the right to found, in an empty one.
 
@@ -51,6 +56,8 @@
     founders
         The founding voters if this replica may gain the right to be one of them,
         otherwise empty.
+    is_first_start
+        Whether a replica that gains the right has never had a store before.
     """
     damage: StoreFailure | None = None
     loaded = store.load()
@@ -59,17 +66,18 @@
         logger.error("store-damaged group=%s %s", group, damage)
         loaded = store.discard().bind(lambda _: store.load())
     log = loaded.map(lambda stored: ReplicaLog(store, stored))
-    return OpenedLog(log.bind(lambda it: _identify(it, random, founders)), damage)
+    new = Incarnation(f"{random.getrandbits(INCARNATION_BITS):016x}")
+    if founders and is_first_start and damage is None:
+        new = FIRST_INCARNATION
+    return OpenedLog(log.bind(lambda it: _identify(it, new, founders)), damage)
 
 
 def _identify(
-    log: ReplicaLog, random: Random, founders: tuple[InstanceName, ...]
+    log: ReplicaLog, new: Incarnation, founders: tuple[InstanceName, ...]
 ) -> Result[ReplicaLog, StoreFailure]:
     old = log.hard_state
     gains_right = log.is_empty and bool(founders) and not old.founders
     if old.incarnation and not gains_right:
         return Success(log)
-    new = f"{random.getrandbits(INCARNATION_BITS):016x}"
-    incarnation = old.incarnation or Incarnation(new)
-    first = HardState(incarnation, founders=founders)
+    first = HardState(old.incarnation or new, founders=founders)
     return log.save_incarnation(first).map(lambda _: log)
--- a/src/rhubarbfield/replication/replica.py
+++ b/src/rhubarbfield/replication/replica.py
@@ -78,6 +78,9 @@
         then saves the right to take part in it, and keeps it in later starts.
         False for any start but the first one: with an empty store the replica
         searches for its group.
+    is_first_start
+        Whether ``may_form_group`` is true at the first start alone, so that a replica
+        whose storage was lost never has it.
     run_blocking
         Runs the blocking syncs of a leader's disk; by default they block the
         event loop.
@@ -102,6 +105,7 @@
         settings: GroupSettings,
         avoid_leadership: bool = False,
         may_form_group: bool = True,
+        is_first_start: bool = False,
         run_blocking: RunBlocking | None = None,
     ) -> None:
         if not bootstrap:
@@ -119,6 +123,7 @@
         self._avoid_leadership = avoid_leadership
         takes_part = may_form_group and name in bootstrap
         self._founders = tuple(sorted(set(bootstrap))) if takes_part else ()
+        self._is_first_start = is_first_start
         self._run_blocking = run_blocking
         self._proposals = Proposals(settings.max_pending)
         self._components: ReplicaComponents | None = None
@@ -330,7 +335,13 @@
             components.handle(message)
 
     def _open_log(self) -> Result[ReplicaLog, StoreFailure]:
-        outcome = open_log(self._store, self.group, self._random, self._founders)
+        outcome = open_log(
+            self._store,
+            self.group,
+            self._random,
+            self._founders,
+            is_first_start=self._is_first_start,
+        )
         self._store_note = outcome.damage or self._store_note
         return outcome.log
 
--- a/src/rhubarbfield/scheduling/controller.py
+++ b/src/rhubarbfield/scheduling/controller.py
@@ -103,6 +103,7 @@
             random=rng,
             settings=make_group_settings(settings),
             may_form_group=settings.may_form_group,
+            is_first_start=settings.may_form_group and bool(settings.data_folder),
             run_blocking=run_blocking,
         )
         self.log = ReplicatedLog(self._replica, machine)
--- a/tests/replication/founding.py
+++ b/tests/replication/founding.py
@@ -22,6 +22,7 @@
 from tests.replication.group import Group, Node
 from tests.replication.test_founding import SETTINGS, START_SECONDS
 
+FIRST_START_SHARE = 0.8  # of the groups; others don't know first starts
 CLOCK_DRIFT = 0.05
 RESTART_SECONDS = 0.5
 REPAIR_SECONDS = 40.0
@@ -223,7 +224,12 @@
     async def run() -> Counter[str]:
         async with trio.open_nursery() as nursery:
             group = Group(
-                nursery, seed, names=names, settings=SETTINGS, drift=CLOCK_DRIFT
+                nursery,
+                seed,
+                names=names,
+                settings=SETTINGS,
+                drift=CLOCK_DRIFT,
+                has_first_start=random.random() < FIRST_START_SHARE,
             )
             founding = FoundingRun(group, random)
             await founding.run()
--- a/tests/replication/group.py
+++ b/tests/replication/group.py
@@ -128,6 +128,7 @@
             settings=group.settings,
             avoid_leadership=self.name in group.avoid_leadership,
             may_form_group=may_form_group,
+            is_first_start=may_form_group and group.has_first_start,
             run_blocking=self.run_blocking,
         )
         group.network.attach(self.name, self.clock, self.replica.deliver)
@@ -175,7 +176,9 @@
         settings: GroupSettings | None = None,
         drift: float = 0.0,
         avoid_leadership: str = "",
+        has_first_start: bool = False,
     ) -> None:
+        self.has_first_start = has_first_start
         self.avoid_leadership = avoid_leadership
         self.nursery = nursery
         self.random = Random(seed)
--- a/tests/replication/test_founding.py
+++ b/tests/replication/test_founding.py
@@ -32,7 +32,9 @@
 
     async def run() -> None:
         async with trio.open_nursery() as nursery:
-            group = Group(nursery, seed, names=names, settings=SETTINGS)
+            group = Group(
+                nursery, seed, names=names, settings=SETTINGS, has_first_start=True
+            )
             await scenario(group)
             group.observer.check_outcomes()
             nursery.cancel_scope.cancel()
