--- a/src/rhubarbfield/cli/latesettings.py
+++ b/src/rhubarbfield/cli/latesettings.py
@@ -10,7 +10,7 @@
 
 from rhubarbfield.earlysignals import find_stop
 from rhubarbfield.exceptions import UsageError
-from rhubarbfield.logs import format_event
+from rhubarbfield.logs import LogValue, format_event
 
 SETTINGS_PATIENCE = timedelta(seconds=5)
 SETTINGS_INTERVAL = timedelta(milliseconds=100)
@@ -31,7 +31,9 @@
     Raises
     ------
     UsageError
-        If they are still not valid after a few seconds, or when a stop is requested.
+        If they are still not valid after a few seconds.
+    SystemExit
+        If a stop is requested before.
     """
     deadline = time.monotonic() + SETTINGS_PATIENCE.total_seconds()
     is_told = False
@@ -39,14 +41,19 @@
         try:
             return load()
         except UsageError as error:
-            if time.monotonic() >= deadline or find_stop() is not None:
+            if time.monotonic() >= deadline:
                 raise
             if not is_told:
                 is_told = True
                 reason = error.format_message()
-                event = format_event(
-                    "daemon", logging.WARNING, "settings-awaited", error=reason
-                )
-                stderr.write(f"{event}\n")
-                stderr.flush()
+                _write_event(stderr, logging.WARNING, "settings-awaited", error=reason)
+        stop = find_stop()
+        if stop is not None:
+            _write_event(stderr, logging.INFO, "stopped-while-starting", number=stop)
+            raise SystemExit(0)
         time.sleep(SETTINGS_INTERVAL.total_seconds())
+
+
+def _write_event(stderr: TextIO, level: int, event: str, /, **ids: LogValue) -> None:
+    stderr.write(f"{format_event('daemon', level, event, **ids)}\n")
+    stderr.flush()
--- a/tests/platform/programs.py
+++ b/tests/platform/programs.py
@@ -88,7 +88,7 @@
         self.network = network
         self._folder = folder
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
-        self._awaited_ends: set[str] = set()
+        self._awaited_codes: dict[int, set[int]] = {}
         self._stopping = False
         self.ends: list[End] = []
 
@@ -154,20 +154,25 @@
                     self.start(host)
 
     def _record_end(self, host: str, code: int) -> None:
-        if host in self._awaited_ends:
-            self._awaited_ends.discard(host)
+        if code in self._awaited_codes.get(self._processes[host].pid, ()):
             return
         lines = self.read_log(host).splitlines()
         others = [line for line in lines if not line.startswith("{")]
         self.ends.append(End(host, code, others[-1] if others else ""))
 
     def signal(self, host: str, number: signal.Signals) -> None:
-        """Send a signal to the process of a host, if it is there."""
+        """Send a signal to the process of a host, if it is there.
+
+        Before its first statement a program can't handle any: it ends by them.
+        """
         process = self._processes.get(host)
         if process is None or process.poll() is not None:
             return
-        if number in (signal.SIGKILL, signal.SIGTERM):
-            self._awaited_ends.add(host)
+        awaited = self._awaited_codes.setdefault(process.pid, set())
+        if number is signal.SIGTERM:
+            awaited.add(0)
+        if number is not signal.SIGCONT and not _catches(process.pid, number):
+            awaited.add(-number)
         process.send_signal(number)
 
     def find_exit_code(self, host: str) -> int | None:
@@ -203,6 +208,13 @@
                     await trio.sleep(POLL_SECONDS)
 
 
+def _catches(pid: int, number: signal.Signals) -> bool:
+    """Return whether a process has a handler for a signal."""
+    status = Path(f"/proc/{pid}/status").read_text(encoding="ascii")
+    line = next(line for line in status.splitlines() if line.startswith("SigCgt"))
+    return bool(int(line.split()[1], 16) >> (number - 1) & 1)
+
+
 async def _is_ok(client: httpx.AsyncClient, url: str) -> bool:
     try:
         return (await client.get(url)).is_success
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -98,8 +98,6 @@
         self._nursery.start_soon(pipe.run)
 
     def _record_end(self, host: str, code: int) -> None:
-        if code not in ENDS_BY_SIGNAL:
-            self._awaited_ends.discard(host)
         super()._record_end(host, code)
         # A process that is started while its settings are spoilt refuses them.
         if self.ends and self.ends[-1].code == EXIT_USAGE:
--- a/tests/scheduling/test_late_settings.py
+++ b/tests/scheduling/test_late_settings.py
@@ -49,6 +49,27 @@
     return re.sub(r"\{\{(.+?)\}\}", lambda match: VALUES[match[1]], text).encode()
 
 
+class AwaitedSettingsTest(unittest.TestCase):
+    def test_stop_while_settings_are_awaited_ends_a_daemon_at_once(self) -> None:
+        for program in ("job-entry", "job-controller", "entry", "controller"):
+            command = [sys.executable, "-m", "rhubarbfield", program]
+            with (
+                self.subTest(program),
+                subprocess.Popen(
+                    [*command, "--settings", "missing.yaml"],
+                    stdout=subprocess.DEVNULL,
+                    stderr=subprocess.PIPE,
+                    text=True,
+                ) as process,
+            ):
+                assert process.stderr is not None
+                self.assertIn("settings-awaited", process.stderr.readline())
+                process.terminate()
+                rest = process.stderr.read()
+                self.assertEqual(process.wait(), 0, rest)
+                self.assertIn("stopped-while-starting", rest)
+
+
 class CutSettingsTest(unittest.TestCase):
     def setUp(self) -> None:
         folder = tempfile.TemporaryDirectory()
