Let interrupted standing tasks return to workers that failed before

Callers of standing work saw tasks that did not run beside sound workers with capacity. Two failures quarantine a worker for 6 s, a probe that fails starts the 6 s anew, and the next probe had to run for 2 s before a second task could follow: a worker that fails its runs until just after a probe is left out for 8.2 s although it is sound, where the platform tolerates 4 s and then 3 s. In a full service that is the only capacity, as the tasks that failed on it are the ones that wait.

An interrupted standing task that no other worker can take may now be the probe 5 s after the last failure, and others may follow when a probe has run for 0.5 s; failing workers fail runs within 50 ms, and a standing task has no attempts to lose. Finite and new tasks wait as before, and a worker that fails all still gets four runs in 20 s at most.

Whether this is the cause of the users' record is not shown.

--- a/src/rhubarbfield/scheduling/availability.py
+++ b/src/rhubarbfield/scheduling/availability.py
@@ -74,17 +74,36 @@
         """Return the headroom of a worker, or None if it may not receive tasks."""
         return self._measure(self._get_state(), worker, self._clock.monotonic())
 
+    def measure_quarantined(self) -> list[WorkerHeadroom]:
+        """Return what workers have left for interrupted standing tasks alone."""
+        state, now = self._get_state(), self._clock.monotonic()
+        measured = []
+        for worker in state.workers.values():
+            starts = self._quarantine.count_standing_starts(worker.worker, now)
+            session = self._find_reachable(worker, now)
+            if worker.draining or not starts or session is None:
+                continue
+            headroom = self._measure_session(state, worker, session)
+            limit = headroom.task_count + starts
+            headroom.task_limit = min(headroom.task_limit, limit)
+            measured.append(headroom)
+        return measured
+
     def is_usable(self, worker: Worker) -> bool:
         """Return whether a worker may receive tasks if it does not drain."""
         return self._find_usable(worker, self._clock.monotonic()) is not None
 
     def _find_usable(self, worker: Worker, now: timedelta) -> WorkerSession | None:
         """Return the session with a worker, or None if it may not receive tasks."""
+        if not self._quarantine.is_eligible(worker.worker, now):
+            return None
+        return self._find_reachable(worker, now)
+
+    def _find_reachable(self, worker: Worker, now: timedelta) -> WorkerSession | None:
+        """Return the session with a worker that answers and whose capacity is known."""
         session = self._sessions.get(worker.worker)
         if session is None or not session.is_usable_at(now):
             return None
-        if not self._quarantine.is_eligible(worker.worker, now):
-            return None
         return session if self._capacities.is_known(worker) else None
 
     def _measure(
@@ -95,20 +114,24 @@
         session = self._find_usable(worker, now)
         if session is None:
             return None
+        headroom = self._measure_session(state, worker, session)
+        if self._quarantine.is_on_probation(worker.worker, now):
+            may_probe = self._quarantine.may_probe(worker.worker)
+            limit = headroom.task_count + int(may_probe)
+            headroom.task_limit = min(headroom.task_limit, limit)
+        return headroom
+
+    def _measure_session(
+        self, state: SchedulingState, worker: Worker, session: WorkerSession
+    ) -> WorkerHeadroom:
+        """Return the headroom of a worker, whether or not it is on probation."""
         headroom = self._headrooms.measure(state, worker)
         if not state.guards_capacity(worker.service):
             unrecorded = self._capacities.measure_unrecorded(worker)
             headroom.free = headroom.free.minus(unrecorded)
         headroom.predict_margins = partial(self._list_margins, worker)
         headroom.count_unproven = session.presence.count_unproven
-        self._apply_quarantine(headroom, now)
+        headroom.failures = self._quarantine.count_failures(worker.worker)
         if self._suspects.is_trying(session):
             headroom.task_limit = headroom.task_count
         return headroom
-
-    def _apply_quarantine(self, headroom: WorkerHeadroom, now: timedelta) -> None:
-        worker, quarantine = headroom.worker.worker, self._quarantine
-        headroom.failures = quarantine.count_failures(worker)
-        if quarantine.is_on_probation(worker, now):
-            may_probe = quarantine.may_probe(worker)
-            headroom.task_limit = headroom.task_count + int(may_probe)
--- a/src/rhubarbfield/scheduling/candidates.py
+++ b/src/rhubarbfield/scheduling/candidates.py
@@ -44,6 +44,8 @@
         The model of how images slow each other.
     rejected
         Steps that earlier rounds could not place.
+    quarantined
+        Headroom of the workers that only an interrupted standing task may probe.
 
     Attributes
     ----------
@@ -56,15 +58,15 @@
         headrooms: Mapping[WorkerId, WorkerHeadroom],
         interference: InterferenceModel,
         rejected: RejectedSteps,
+        quarantined: Iterable[WorkerHeadroom] = (),
     ) -> None:
         self._interference = interference
         self._rejected_earlier = rejected
         self._changes: list[WorkerId] = []
         self._rankings: dict[tuple[object, ...], CandidateRanking] = {}
         self._rejected = Rejections()
-        self._by_service: dict[ServiceName, list[WorkerHeadroom]] = {}
-        for headroom in headrooms.values():
-            self._by_service.setdefault(headroom.worker.service, []).append(headroom)
+        self._by_service = _group_by_service(headrooms.values())
+        self._quarantined = _group_by_service(quarantined)
         for members in self._by_service.values():
             reserve_workers(members)
         self.underutilized = {
@@ -112,6 +114,33 @@
             return None
         return ranking.choose(list_full(waiting.step, tasks_per_worker), avoided)
 
+    def list_quarantined(self, waiting: WaitingStep) -> list[WorkerHeadroom]:
+        """Return the quarantined workers that a standing task of a step may probe."""
+        step = waiting.step
+        return [
+            headroom
+            for headroom in self._quarantined.get(waiting.queue.service, ())
+            if has_room(step.reserved, headroom) and has_label(step, headroom)
+        ]
+
+    def choose_quarantined(
+        self,
+        waiting: WaitingStep,
+        avoided: Collection[WorkerId],
+        tasks_per_worker: Mapping[WorkerId, int],
+    ) -> WorkerHeadroom | None:
+        """Return the quarantined worker that a standing task of a step should probe."""
+        full = list_full(waiting.step, tasks_per_worker)
+        return min(
+            (
+                headroom
+                for headroom in self.list_quarantined(waiting)
+                if headroom.worker.worker not in full
+            ),
+            key=lambda each: (each.worker.worker in avoided, each.failures),
+            default=None,
+        )
+
     def choose_least_harmful(
         self, waiting: WaitingStep, tasks_per_worker: Mapping[WorkerId, int]
     ) -> WorkerHeadroom | None:
@@ -256,6 +285,15 @@
         return (is_far, headroom.failures, wastes, is_unused, left_over)
 
 
+def _group_by_service(
+    headrooms: Iterable[WorkerHeadroom],
+) -> dict[ServiceName, list[WorkerHeadroom]]:
+    grouped: dict[ServiceName, list[WorkerHeadroom]] = {}
+    for headroom in headrooms:
+        grouped.setdefault(headroom.worker.service, []).append(headroom)
+    return grouped
+
+
 def _is_far(step: Step, headroom: WorkerHeadroom) -> bool:
     """Return whether a worker is not on the rack that a step prefers."""
     return step.preferred_rack not in ("", *headroom.worker.labels)
--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -423,6 +423,7 @@
             may_wait=self._suspects.may_wait,
             unresolved=self._suspects.count_unresolved(),
             rejected=self._rejected,
+            quarantined=self._availability.measure_quarantined(),
         )
         starts = await choose_starts(placer, self._clock)
         took = self._clock.monotonic() - began
--- a/src/rhubarbfield/scheduling/ordering.py
+++ b/src/rhubarbfield/scheduling/ordering.py
@@ -15,9 +15,9 @@
 import msgspec
 
 from rhubarbfield.clock import MILLISECOND
-from rhubarbfield.scheduling.model import JobSubmission, Queue
+from rhubarbfield.scheduling.model import JobSubmission, Queue, Step
 from rhubarbfield.scheduling.ranges import MAX_LATENCY_GOAL_MS, MAX_SLOWDOWN
-from rhubarbfield.scheduling.state import Job, StepProgress, TaskPhase
+from rhubarbfield.scheduling.state import Job, StepProgress, Task, TaskPhase
 
 LATE_GOAL_MULTIPLE = 3  # a job that takes this many times its goal has no value
 ESTIMATE_MARGIN = 1.1  # factor on the critical path that covers commits, calls, views
@@ -126,14 +126,18 @@
 def is_interrupted(job: Job) -> bool:
     """Return whether a standing task that has worked waits to be started again."""
     return any(
-        task.last_run > 0 and task.phase is TaskPhase.WAITING
+        awaits_restart(job.get_step(number), task)
         for steps in job.unfinished.values()
         for number, progress in enumerate(steps)
-        if job.get_step(number).standing
         for task in progress.tasks
     )
 
 
+def awaits_restart(step: Step, task: Task) -> bool:
+    """Return whether a task of a step is standing, has worked and does not now."""
+    return step.standing and task.last_run > 0 and task.phase is TaskPhase.WAITING
+
+
 def find_outlook(
     work: RemainingWork, queue: Queue, age: timedelta, *, interrupted: bool = False
 ) -> Outlook:
--- a/src/rhubarbfield/scheduling/placing.py
+++ b/src/rhubarbfield/scheduling/placing.py
@@ -34,6 +34,7 @@
     TaskName,
     name_task,
 )
+from rhubarbfield.scheduling.ordering import awaits_restart
 from rhubarbfield.scheduling.ranking import CandidateRanking
 from rhubarbfield.scheduling.rejected_steps import RejectedSteps
 from rhubarbfield.scheduling.state import (
@@ -100,6 +101,8 @@
         Number of workers that each task may have crashed, without a proof yet.
     rejected
         Steps that earlier rounds could not place; its round must have begun.
+    quarantined
+        Headroom of the workers that only an interrupted standing task may probe.
 
     Attributes
     ----------
@@ -122,12 +125,15 @@
         may_wait: Callable[[TaskName, RunNumber], bool] = lambda *_: False,
         unresolved: Mapping[TaskName, int] = MappingProxyType({}),
         rejected: RejectedSteps | None = None,
+        quarantined: Iterable[WorkerHeadroom] = (),
     ) -> None:
         self._jobs = jobs
         self._queues = queues
         self._avoided = avoided
         self._rejected = RejectedSteps() if rejected is None else rejected
-        self._candidates = Candidates(headrooms, interference, self._rejected)
+        self._candidates = Candidates(
+            headrooms, interference, self._rejected, quarantined
+        )
         self._rank_step = rank
         self._is_starved = is_starved
         self._may_wait = may_wait
@@ -192,14 +198,21 @@
         """Return the waiting steps but those that no worker can take as before."""
         placeable = []
         for waiting in iterate_waiting(self._jobs, self._queues):
-            if self._rejected.holds(waiting) and not (
-                waiting.step.uses_spare_cores and self._may_force(waiting)
-            ):
-                self.unplaced[waiting.job.job, waiting.number] = waiting
-            else:
+            is_rejected = self._rejected.holds(waiting)
+            if not is_rejected or self._has_last_resort(waiting):
                 placeable.append(waiting)
+            else:
+                self.unplaced[waiting.job.job, waiting.number] = waiting
         return placeable
 
+    def _has_last_resort(self, waiting: WaitingStep) -> bool:
+        """Return whether a step may start where other steps may not."""
+        if waiting.step.uses_spare_cores and self._may_force(waiting):
+            return True
+        if not (waiting.step.standing and self._candidates.list_quarantined(waiting)):
+            return False
+        return any(awaits_restart(waiting.step, task) for task in waiting.tasks)
+
     def _place_step(self, waiting: WaitingStep) -> None:
         step = waiting.step
         tasks_per_worker = count_live(waiting.tasks) if step.max_per_worker else {}
@@ -216,6 +229,10 @@
                 tasks_per_worker,
                 is_suspect=task.is_suspect,
             )
+            if headroom is None and awaits_restart(step, task):
+                headroom = self._candidates.choose_quarantined(
+                    waiting, self._avoided.get(name, ()), tasks_per_worker
+                )
             if headroom is None and self._may_force(waiting):
                 headroom = self._candidates.choose_least_harmful(
                     waiting, tasks_per_worker
--- a/src/rhubarbfield/scheduling/quarantine.py
+++ b/src/rhubarbfield/scheduling/quarantine.py
@@ -13,6 +13,8 @@
 from rhubarbfield.scheduling.settings import SchedulingSettings
 from rhubarbfield.types import WorkerId
 
+MAX_STANDING_STARTS = 1_000_000  # capacity alone limits the tasks of a proven worker
+
 
 class WorkerOutcomes(msgspec.Struct):
     """Latest outcomes of runs on one worker.
@@ -24,12 +26,16 @@
     quarantined_until
         When the quarantine ends; until then the worker receives no task, and
         afterwards one task first, the probe.
+    probed_from
+        When an interrupted standing task may be the probe, although the quarantine
+        has not ended; None if the worker is not quarantined for failures.
     probed_at
         When the probe was started.
     """
 
     failures: int = 0
     quarantined_until: timedelta | None = None
+    probed_from: timedelta | None = None
     probed_at: timedelta | None = None
 
 
@@ -53,6 +59,7 @@
         record = self._get(worker)
         record.failures = 0
         record.quarantined_until = None
+        record.probed_from = None
         record.probed_at = None
 
     def record_failure(self, worker: WorkerId, now: timedelta) -> None:
@@ -61,6 +68,7 @@
         record.failures += 1
         if record.failures >= self._settings.quarantine_failures:
             self._quarantine_worker(record, now)
+            record.probed_from = now + self._settings.standing_probe_delay
 
     def record_stall(self, worker: WorkerId, now: timedelta) -> None:
         """Record that runs on the worker make no progress; starts a quarantine."""
@@ -77,10 +85,27 @@
 
     def is_eligible(self, worker: WorkerId, now: timedelta) -> bool:
         """Return whether the worker may receive tasks, if only a probe."""
-        record = self._records.get(worker)
-        if record is None or record.quarantined_until is None:
+        if not self.is_on_probation(worker, now):
             return True
-        return now >= record.quarantined_until
+        until = self._records[worker].quarantined_until
+        return until is not None and now >= until
+
+    def count_standing_starts(self, worker: WorkerId, now: timedelta) -> int:
+        """Return how many interrupted standing tasks may start, but no other tasks.
+
+        One may be the probe shortly before the quarantine ends, and others may follow
+        as soon as a probe has outlasted the moments in which faulty workers fail runs.
+        """
+        if not self.is_on_probation(worker, now):
+            return 0
+        record = self._records[worker]
+        if record.probed_from is None:
+            return 0
+        if record.probed_at is not None:
+            probed_for = now - record.probed_at
+            is_proven = probed_for >= self._settings.standing_probe_duration
+            return MAX_STANDING_STARTS if is_proven else 0
+        return int(now >= record.probed_from and not self.is_eligible(worker, now))
 
     def is_on_probation(self, worker: WorkerId, now: timedelta) -> bool:
         """Return whether the worker has had no successful probe since quarantine.
@@ -109,6 +134,7 @@
 
     def _quarantine_worker(self, record: WorkerOutcomes, now: timedelta) -> None:
         record.quarantined_until = now + self._settings.quarantine_duration
+        record.probed_from = None
         record.probed_at = None
 
     def _get(self, worker: WorkerId) -> WorkerOutcomes:
--- a/src/rhubarbfield/scheduling/settings.py
+++ b/src/rhubarbfield/scheduling/settings.py
@@ -36,6 +36,13 @@
         Consecutive failed runs after which a worker is quarantined.
     quarantine_duration
         How long a quarantine lasts.
+    standing_probe_delay
+        Time after the last failure from which a standing task that was interrupted,
+        and that no other worker can take, may probe a quarantined worker.
+    standing_probe_duration
+        How long a probe has to run without failing until standing tasks that were
+        interrupted may follow. With ``standing_probe_delay`` it is less than the 7 s
+        for which the platform tolerates a standstill beside a worker that works again.
     probe_duration
         How long a probe has to run without failing to end probation; faulty
         workers fail runs within 50 ms.
@@ -67,6 +74,8 @@
     silence_timeout: timedelta = timedelta(milliseconds=2500)
     quarantine_failures: int = 2
     quarantine_duration: timedelta = timedelta(seconds=6)
+    standing_probe_delay: timedelta = timedelta(seconds=5)
+    standing_probe_duration: timedelta = timedelta(seconds=0.5)
     probe_duration: timedelta = timedelta(seconds=2)
     ended_job_retention: timedelta = timedelta(seconds=300)
     stall_timeout: timedelta = timedelta(milliseconds=2500)
--- a/tests/scheduling/test_standstills.py
+++ b/tests/scheduling/test_standstills.py
@@ -23,9 +23,10 @@
 )
 from rhubarbfield.scheduling.settings import SchedulingSettings
 from rhubarbfield.scheduling.silence_marks import MarkTimes
+from rhubarbfield.scheduling.state import RunEnd
 from rhubarbfield.testing.crashing_workers import CrashingFleet
 from rhubarbfield.testing.scheduling_fleet import NO_REPLY_DELAY
-from rhubarbfield.testing.scheduling_workers import StandInWorker
+from rhubarbfield.testing.scheduling_workers import CAPACITY, StandInWorker
 from tests.scheduling.deployments import (
     ONE_CORE,
     Deployment,
@@ -38,6 +39,8 @@
 TOLERATED_SECONDS = 9.0
 # After a restart of all controllers: 10 s, less an election.
 TOLERATED_SECONDS_OF_LEADER = 10.0 - 2.0
+# Beside a worker that was disturbed and works again: 4 s and then 3 s.
+TOLERATED_SECONDS_OF_RECOVERY = 4.0 + 3.0
 REPORT_SECONDS = 1.0
 RESTART_SECONDS = 0.3  # from a lapse: a commit, a round and a call
 LIMIT_SECONDS = 20.0
@@ -46,6 +49,7 @@
 LARGE = Demand(6000, 1000)  # of the 8 cores that a worker has
 TWO_CORES = Demand(2000, 100)
 SHORT = timedelta(seconds=1.05)
+FAILING_DURATION = timedelta(milliseconds=30)
 TASK = TaskName("j.0.0.0")
 
 
@@ -66,6 +70,14 @@
         nursery.cancel_scope.cancel()
 
 
+def fail_runs(worker: StandInWorker) -> None:
+    """Let a worker fail its runs, and each new one within moments."""
+    worker.end = RunEnd.FAILED
+    worker.duration = FAILING_DURATION
+    for task in list(worker.runs):
+        worker.end_run(task, RunEnd.FAILED)
+
+
 async def measure_standstill(deployment: Deployment) -> float:
     """Return the time until a worker runs a task, at most ``LIMIT_SECONDS``."""
     began = trio.current_time()
@@ -217,6 +229,48 @@
                 took = trio.current_time() - began
                 self.assertLess(took, TOLERATED_SECONDS)
 
+    @with_deployment()
+    async def test_tasks_do_not_stand_still_beside_a_worker_that_failed_before(
+        self, _: Deployment
+    ) -> None:
+        """Its probe failed just before, and one more worked for 2 s by itself."""
+        for seconds in (1.0, 5.9, 6.5, 12.0, 12.5):
+            with self.subTest(seconds=seconds):
+                deployment = Deployment(SETTINGS)
+                await deployment.configure()
+                worker = deployment.add_worker("w1", duration=None)
+                async with deployment.lead():
+                    step = Step(tasks=4, demand=TWO_CORES, standing=True)
+                    await deployment.submit("j", step)
+                    await trio.sleep(1)
+                    deployment.add_worker("w2", duration=None)
+                    await trio.sleep(1)
+                    await deployment.submit("k", Step(demand=CAPACITY, standing=True))
+                    await trio.sleep(1)
+                    fail_runs(worker)
+                    await trio.sleep(seconds)
+                    worker.end, worker.duration = RunEnd.DONE, None
+                    await trio.sleep(TOLERATED_SECONDS_OF_RECOVERY)
+                    worker.end_due_runs()
+                self.assertEqual(len(worker.runs), step.tasks)
+
+    @with_deployment()
+    async def test_only_interrupted_standing_tasks_probe_before_the_quarantine_ends(
+        self, deployment: Deployment
+    ) -> None:
+        deployment.settings = SETTINGS
+        worker = deployment.add_worker("w1", duration=None)
+        async with deployment.lead():
+            await deployment.submit("j", Step(demand=TWO_CORES, standing=True))
+            await trio.sleep(1)
+            fail_runs(worker)
+            await trio.sleep(RESTART_SECONDS)
+            before = len(worker.started)
+            await deployment.submit("k", Step(demand=TWO_CORES, estimate_ms=100))
+            await deployment.submit("l", Step(demand=TWO_CORES, standing=True))
+            await trio.sleep(LIMIT_SECONDS)
+        self.assertEqual({task for task, _, _ in worker.started[before:]}, {TASK})
+
 
 if __name__ == "__main__":
     unittest.main()
