Let all members of a gang be the probe of a worker on probation

Callers saw gangs that never started again: a worker on probation takes one task until a probe has worked, and a gang starts with all members or none. A gang that needs two tasks of such a worker waited until another job probed it, which in a service without other waiting work is never, although the worker was sound and empty. The first failure of a gang was enough, as its members alone are the two failures that quarantine a worker.

The members now probe together: none of them works without the others, so they are one unit of work at risk. Nothing else starts on the worker beside them, and a gang that can't start as a whole leaves the probe to others.

--- a/src/rhubarbfield/scheduling/availability.py
+++ b/src/rhubarbfield/scheduling/availability.py
@@ -116,8 +116,8 @@
             return None
         headroom = self._measure_session(state, worker, session)
         if self._quarantine.is_on_probation(worker.worker, now):
-            may_probe = self._quarantine.may_probe(worker.worker)
-            limit = headroom.task_count + int(may_probe)
+            headroom.awaits_probe = self._quarantine.may_probe(worker.worker)
+            limit = headroom.task_count + int(headroom.awaits_probe)
             headroom.task_limit = min(headroom.task_limit, limit)
         return headroom
 
--- a/src/rhubarbfield/scheduling/headroom.py
+++ b/src/rhubarbfield/scheduling/headroom.py
@@ -52,6 +52,9 @@
     task_limit
         Upper limit of ``task_count``; while the worker is on probation, one more
         than the present count until its probe has started.
+    awaits_probe
+        Whether the worker is on probation and its probe has not started. All members
+        of a gang may be the probe together, as none of them works without the others.
     failures
         Runs that failed on the worker since the last success.
     count_unproven
@@ -73,6 +76,7 @@
     is_reserved: bool = False
     task_count: int = 0
     task_limit: int = 1_000_000
+    awaits_probe: bool = False
     failures: int = 0
     count_unproven: Callable[[], int] = int
     new_tasks: int = 0
--- a/src/rhubarbfield/scheduling/placing.py
+++ b/src/rhubarbfield/scheduling/placing.py
@@ -309,10 +309,12 @@
                 self._candidates.restore(saved.values())
                 return
             saved.setdefault(headroom.worker.worker, save_headroom(headroom))
+            if headroom.awaits_probe:
+                headroom.task_limit += 1
             self._add_task(headroom, step, tasks_per_worker)
             chosen.append(headroom)
         for task, headroom in zip(tasks, chosen, strict=True):
-            if task.is_suspect:
+            if task.is_suspect or headroom.awaits_probe:
                 self._candidates.close(headroom)
         run = RunNumber(max(task.last_run for task in tasks) + 1)
         for index, headroom in enumerate(chosen):
@@ -401,4 +403,7 @@
         )
         if want
     ]
-    return min([*counts, headroom.task_limit - headroom.task_count])
+    limit = headroom.task_limit - headroom.task_count
+    if headroom.awaits_probe and limit > 0:
+        return min(counts, default=limit)
+    return min([*counts, limit])
--- a/tests/scheduling/fleets.py
+++ b/tests/scheduling/fleets.py
@@ -279,8 +279,8 @@
             headroom.known_margins = self.list_reference_margins(headroom.worker)
             headroom.failures = leader._quarantine.count_failures(worker)
             if leader._quarantine.is_on_probation(worker, now):
-                may_probe = leader._quarantine.may_probe(worker)
-                headroom.task_limit = headroom.task_count + int(may_probe)
+                headroom.awaits_probe = leader._quarantine.may_probe(worker)
+                headroom.task_limit = headroom.task_count + headroom.awaits_probe
         return headrooms
 
     def list_reference_margins(self, worker: Worker) -> list[LatencyMargin]:
--- a/tests/scheduling/reference_placing.py
+++ b/tests/scheduling/reference_placing.py
@@ -158,7 +158,7 @@
         counts: dict[WorkerId, int] = {}
         rack = self.find_rack(waiting) if step.same_rack else None
         saved = [msgspec.structs.astuple(each) for each in self.headrooms]
-        chosen: list[WorkerId] = []
+        chosen: list[WorkerHeadroom] = []
         for _ in tasks:
             fitting = [
                 each
@@ -173,12 +173,15 @@
                     ):
                         setattr(headroom, field, value)
                 return
+            best.task_limit += best.awaits_probe
             self.add(step, best, counts)
-            chosen.append(best.worker.worker)
+            chosen.append(best)
         run = RunNumber(max(task.last_run for task in tasks) + 1)
-        for index, worker in enumerate(chosen):
+        for index, best in enumerate(chosen):
+            if best.awaits_probe:
+                best.task_limit = best.task_count
             name = name_task(waiting.job.job, waiting.occurrence, waiting.number, index)
-            self.starts.append(RunStart(name, run, worker))
+            self.starts.append(RunStart(name, run, best.worker.worker))
 
     def find_rack(self, waiting: WaitingStep) -> str | None:
         """Return the rack with most workers among those that hold the gang."""
@@ -194,7 +197,10 @@
                 )
                 if want
             ]
-            fits = min([*counts, each.task_limit - each.task_count])
+            fits = each.task_limit - each.task_count
+            if not (each.awaits_probe and fits):
+                counts.append(fits)
+            fits = min(counts)
             for label in each.worker.labels[1:]:
                 sizes.setdefault(label, []).append(fits)
         large = [
--- a/tests/scheduling/test_leader.py
+++ b/tests/scheduling/test_leader.py
@@ -30,6 +30,7 @@
     with_deployment,
 )
 
+FAILING_DURATION = timedelta(milliseconds=30)
 DRAINING_TIME = timedelta(seconds=2)  # workers that drain accept tasks for so long
 GANG_WAIT_SECONDS = 3.0  # members that wait for longer end alone
 MAX_LAPSE_SECONDS = 11.0  # the longest lease on a slow clock, plus a call
@@ -422,6 +423,54 @@
             await trio.sleep(20)
             self.assertLessEqual(len(worker.started) - before, 4)
 
+    @with_deployment()
+    async def test_gang_returns_to_a_recovered_worker(self, _: Deployment) -> None:
+        """A gang that needs several tasks of a worker on probation waited for ever."""
+        for same_rack in (False, True):
+            with self.subTest(same_rack=same_rack):
+                deployment = Deployment()
+                await deployment.configure()
+                worker = deployment.add_worker("w1", duration=FAILING_DURATION)
+                worker.end = RunEnd.FAILED
+                step = Step(tasks=3, demand=ONE_CORE, gang=True, same_rack=same_rack)
+                async with deployment.lead():
+                    await deployment.submit("j", step)
+                    await trio.sleep(1)
+                    worker.end = RunEnd.DONE
+                    await trio.sleep(10)
+                self.assertEqual(deployment.get_job("j").phase, JobPhase.COMPLETED)
+
+    @with_deployment(max_attempts=3)
+    async def test_nothing_else_starts_beside_a_gang_that_is_the_probe(
+        self, deployment: Deployment
+    ) -> None:
+        worker = deployment.add_worker("w1", duration=FAILING_DURATION)
+        worker.end = RunEnd.FAILED
+        async with deployment.lead():
+            await deployment.submit("a", Step(tasks=3, demand=ONE_CORE, gang=True))
+            await trio.sleep(1)
+            before = len(worker.started)
+            await deployment.submit("b", Step(tasks=4, demand=ONE_CORE, estimate_ms=99))
+            await trio.sleep(6)
+        started = [task for task, _, _ in worker.started[before:]]
+        self.assertEqual(started, ["a.0.0.0", "a.0.0.1", "a.0.0.2"])
+
+    @with_deployment()
+    async def test_gang_that_can_not_start_leaves_the_probe_to_others(
+        self, deployment: Deployment
+    ) -> None:
+        worker = deployment.add_worker("w1", duration=FAILING_DURATION)
+        worker.end = RunEnd.FAILED
+        async with deployment.lead():
+            await deployment.submit("a", Step(tasks=2, demand=ONE_CORE, gang=True))
+            await trio.sleep(0.5)
+            await deployment.submit("b", Step(tasks=99, demand=ONE_CORE, gang=True))
+            await deployment.submit("c", Step(tasks=4, demand=ONE_CORE, standing=True))
+            await deployment.cancel("a")
+            before = len(worker.started)
+            await trio.sleep(6.5)
+            self.assertEqual(len(worker.started) - before, 1)
+
 
 class StalledRunsTest(unittest.TestCase):
     @with_deployment()
