Take only the first run of a probation for the probe

Since interrupted standing tasks may follow a probe, callers could wait for a sound worker for longer than its probation: each start on it took the place of the probe, so that tasks that followed one by one kept all other tasks away until 2 s after the last of them. A run chosen just before the quarantine began and sent just after also counted as the probe. As eligibility now asks whether the probation has ended, the quarantine of 6 s then ended after 2 s.

A start now counts as the probe only if there is none yet and the worker may receive one.

Evidence: two tests of test_quarantine failed before. Whether a deployment has met either fault is not shown.

--- a/src/rhubarbfield/scheduling/quarantine.py
+++ b/src/rhubarbfield/scheduling/quarantine.py
@@ -75,8 +75,14 @@
         self._quarantine_worker(self._get(worker), now)
 
     def record_probe(self, worker: WorkerId, now: timedelta) -> None:
-        """Record that a run was started; on probation it is the probe."""
-        if self.is_on_probation(worker, now):
+        """Record that a run was started; the first on probation is the probe.
+
+        A run that was chosen before the quarantine began proves nothing, and those
+        that follow the probe must not prolong the probation.
+        """
+        if not self.is_on_probation(worker, now) or not self.may_probe(worker):
+            return
+        if self.is_eligible(worker, now) or self.count_standing_starts(worker, now):
             self._get(worker).probed_at = now
 
     def forget(self, worker: WorkerId) -> None:
--- /dev/null
+++ b/tests/scheduling/test_quarantine.py
@@ -0,0 +1,64 @@
+"""Tests of when quarantine and probation of a worker end."""
+
+from __future__ import annotations
+
+import unittest
+from datetime import timedelta
+
+from rhubarbfield.scheduling.quarantine import WorkerQuarantine
+from rhubarbfield.scheduling.settings import SchedulingSettings
+from rhubarbfield.types import WorkerId
+
+SETTINGS = SchedulingSettings()
+WORKER = WorkerId("w1")
+BEGAN = timedelta(hours=1)
+MOMENT = timedelta(milliseconds=10)
+
+
+def make_quarantine() -> WorkerQuarantine:
+    """Return a quarantine with a worker whose last run failed at ``BEGAN``."""
+    quarantine = WorkerQuarantine(SETTINGS)
+    for _ in range(SETTINGS.quarantine_failures):
+        quarantine.record_failure(WORKER, BEGAN)
+    return quarantine
+
+
+class ProbationTest(unittest.TestCase):
+    def test_starts_that_follow_the_probe_do_not_prolong_the_probation(self) -> None:
+        """Standing tasks that followed one by one kept other tasks from a worker."""
+        quarantine = make_quarantine()
+        now = probed_at = BEGAN + SETTINGS.standing_probe_delay
+        while now <= probed_at + SETTINGS.probe_duration:
+            self.assertTrue(quarantine.is_on_probation(WORKER, now))
+            quarantine.record_probe(WORKER, now)
+            now += SETTINGS.standing_probe_duration
+        self.assertFalse(quarantine.is_on_probation(WORKER, now))
+
+    def test_run_chosen_before_the_quarantine_began_is_no_probe(self) -> None:
+        """The quarantine ended 2 s after the order of the run was sent."""
+        stalled = WorkerQuarantine(SETTINGS)
+        stalled.record_stall(WORKER, BEGAN)
+        for quarantine in (make_quarantine(), stalled):
+            quarantine.record_probe(WORKER, BEGAN + MOMENT)
+            now = BEGAN + SETTINGS.standing_probe_delay - MOMENT
+            self.assertFalse(quarantine.is_eligible(WORKER, now))
+            self.assertEqual(quarantine.count_standing_starts(WORKER, now), 0)
+            now = BEGAN + SETTINGS.quarantine_duration
+            self.assertTrue(quarantine.is_on_probation(WORKER, now))
+            self.assertTrue(quarantine.may_probe(WORKER))
+
+    def test_probe_that_fails_starts_the_quarantine_anew(self) -> None:
+        quarantine = make_quarantine()
+        probed_at = BEGAN + SETTINGS.standing_probe_delay
+        self.assertEqual(quarantine.count_standing_starts(WORKER, probed_at), 1)
+        quarantine.record_probe(WORKER, probed_at)
+        failed_at = probed_at + MOMENT
+        self.assertEqual(quarantine.count_standing_starts(WORKER, failed_at), 0)
+        quarantine.record_failure(WORKER, failed_at)
+        now = failed_at + SETTINGS.standing_probe_delay - MOMENT
+        self.assertEqual(quarantine.count_standing_starts(WORKER, now), 0)
+        self.assertFalse(quarantine.is_eligible(WORKER, now))
+
+
+if __name__ == "__main__":
+    unittest.main()
