Test the return of tasks to a worker at the worst moment

The new test lets the worker work again right after a failed probe, whatever the delay is, and takes two starts off the time that the platform tolerates.

--- a/tests/scheduling/test_standstills.py
+++ b/tests/scheduling/test_standstills.py
@@ -78,6 +78,14 @@
         worker.end_run(task, RunEnd.FAILED)
 
 
+async def sleep_until_failed(worker: StandInWorker) -> None:
+    """Sleep until a worker has failed one more run."""
+    before = len(worker.started)
+    while len(worker.started) == before:
+        await trio.sleep(TIME_STEP)
+    await trio.sleep(2 * FAILING_DURATION.total_seconds())
+
+
 async def measure_standstill(deployment: Deployment) -> float:
     """Return the time until a worker runs a task, at most ``LIMIT_SECONDS``."""
     began = trio.current_time()
@@ -254,6 +262,33 @@
                     worker.end_due_runs()
                 self.assertEqual(len(worker.runs), step.tasks)
 
+    @with_deployment()
+    async def test_tasks_return_in_time_to_a_worker_that_has_just_failed_a_probe(
+        self, _: Deployment
+    ) -> None:
+        """The worst moment for it to work again, whatever the delay of a probe is."""
+        # The probe and those that follow it each need a commit, a round and a call.
+        limit = TOLERATED_SECONDS_OF_RECOVERY - 2 * RESTART_SECONDS
+        for probes in (0, 1, 2, 3):
+            with self.subTest(probes=probes):
+                deployment = Deployment(SETTINGS)
+                await deployment.configure()
+                worker = deployment.add_worker("w1", duration=None)
+                async with deployment.lead():
+                    step = Step(tasks=8, demand=ONE_CORE, standing=True)
+                    await deployment.submit("j", step)
+                    await trio.sleep(1)
+                    fail_runs(worker)
+                    await trio.sleep(RESTART_SECONDS)
+                    for _ in range(probes):
+                        await sleep_until_failed(worker)
+                    worker.end, worker.duration = RunEnd.DONE, None
+                    began = trio.current_time()
+                    while len(worker.runs) < step.tasks:
+                        await trio.sleep(TIME_STEP)
+                        took = trio.current_time() - began
+                        self.assertLess(took, limit)
+
     @with_deployment()
     async def test_only_interrupted_standing_tasks_probe_before_the_quarantine_ends(
         self, deployment: Deployment
