Look for the session of quarantined workers alone

Each round looked up the session and capacity of every worker for measure_quarantined, and then dropped all but the few that are quarantined. A call on 445 workers of which none is quarantined took 1.00 ms of processor time, beside 3.0 ms for measure_all, and takes 0.09 ms now (medians of 60 calls, a trial); with all of them quarantined it takes 3.4 ms as before.

--- a/src/rhubarbfield/scheduling/availability.py
+++ b/src/rhubarbfield/scheduling/availability.py
@@ -80,8 +80,10 @@
         measured = []
         for worker in state.workers.values():
             starts = self._quarantine.count_standing_starts(worker.worker, now)
+            if worker.draining or not starts:  # all but a few
+                continue
             session = self._find_reachable(worker, now)
-            if worker.draining or not starts or session is None:
+            if session is None:
                 continue
             headroom = self._measure_session(state, worker, session)
             limit = headroom.task_count + starts
