Do not start a quarantine anew for runs from before it

Callers of standing work saw tasks stand still beside a sound worker: a run that had begun before the quarantine of its worker and failed later by its own fault started the 6 s anew, as each failure after the second did. Until the probe starts, a quarantined worker receives no run, so that such a failure says nothing about whether it works again; it is now counted only. A probe that fails starts the quarantine anew as before.

Whether users have met it is not shown.

--- a/src/rhubarbfield/scheduling/quarantine.py
+++ b/src/rhubarbfield/scheduling/quarantine.py
@@ -63,9 +63,15 @@
         record.probed_at = None
 
     def record_failure(self, worker: WorkerId, now: timedelta) -> None:
-        """Record a failed run, whether the task or the worker is at fault."""
+        """Record a failed run, whether the task or the worker is at fault.
+
+        Until the probe starts only runs from before the quarantine can fail; they
+        don't start it anew.
+        """
         record = self._get(worker)
         record.failures += 1
+        if self.is_on_probation(worker, now) and self.may_probe(worker):
+            return
         if record.failures >= self._settings.quarantine_failures:
             self._quarantine_worker(record, now)
             record.probed_from = now + self._settings.standing_probe_delay
--- a/tests/scheduling/test_quarantine.py
+++ b/tests/scheduling/test_quarantine.py
@@ -59,6 +59,16 @@
         self.assertEqual(quarantine.count_standing_starts(WORKER, now), 0)
         self.assertFalse(quarantine.is_eligible(WORKER, now))
 
+    def test_run_from_before_the_quarantine_does_not_start_it_anew(self) -> None:
+        quarantine = make_quarantine()
+        now = BEGAN + SETTINGS.standing_probe_delay
+        quarantine.record_failure(WORKER, now - MOMENT)
+        self.assertEqual(quarantine.count_standing_starts(WORKER, now), 1)
+        now = BEGAN + SETTINGS.quarantine_duration
+        quarantine.record_failure(WORKER, now)
+        self.assertTrue(quarantine.is_eligible(WORKER, now))
+        self.assertTrue(quarantine.may_probe(WORKER))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/scheduling/test_standstills.py
+++ b/tests/scheduling/test_standstills.py
@@ -70,12 +70,13 @@
         nursery.cancel_scope.cancel()
 
 
-def fail_runs(worker: StandInWorker) -> None:
-    """Let a worker fail its runs, and each new one within moments."""
+def fail_runs(worker: StandInWorker, but: str = "") -> None:
+    """Let a worker fail its runs but one, and each new one within moments."""
     worker.end = RunEnd.FAILED
     worker.duration = FAILING_DURATION
     for task in list(worker.runs):
-        worker.end_run(task, RunEnd.FAILED)
+        if task != but:
+            worker.end_run(task, RunEnd.FAILED)
 
 
 async def sleep_until_failed(worker: StandInWorker) -> None:
@@ -289,6 +290,30 @@
                         took = trio.current_time() - began
                         self.assertLess(took, limit)
 
+    @with_deployment()
+    async def test_run_that_fails_by_itself_does_not_keep_tasks_from_its_worker(
+        self, deployment: Deployment
+    ) -> None:
+        """It began before the quarantine, and its end started the quarantine anew."""
+        deployment.settings = SETTINGS
+        worker = deployment.add_worker("w1", duration=None)
+        async with deployment.lead():
+            step = Step(tasks=4, demand=ONE_CORE, standing=True)
+            await deployment.submit("j", step)
+            await trio.sleep(1)
+            await deployment.submit("k", Step(demand=ONE_CORE, estimate_ms=9000))
+            await trio.sleep(1)
+            fail_runs(worker, but="k.0.0.0")
+            await trio.sleep(RESTART_SECONDS)
+            worker.end, worker.duration = RunEnd.DONE, None
+            began = trio.current_time()
+            await trio.sleep(4)
+            worker.end_run(TaskName("k.0.0.0"), RunEnd.FAILED)
+            while len(worker.runs) < step.tasks:
+                await trio.sleep(TIME_STEP)
+                took = trio.current_time() - began
+                self.assertLess(took, TOLERATED_SECONDS_OF_RECOVERY)
+
     @with_deployment()
     async def test_only_interrupted_standing_tasks_probe_before_the_quarantine_ends(
         self, deployment: Deployment
