List a probe that is never answered and ends the probation

Callers see standing tasks that wait for a lease on a worker that has started none of them: two seconds after the order of the probe was sent, whether or not it was answered, the probation ends and all tasks follow. The quarantine knows only when the probe was sent; the session knows whether the worker has shown its run. The test fails each time: 8 tasks are recorded of at most 1.

--- a/tests/scheduling/test_standstills.py
+++ b/tests/scheduling/test_standstills.py
@@ -314,6 +314,28 @@
                 took = trio.current_time() - began
                 self.assertLess(took, TOLERATED_SECONDS_OF_RECOVERY)
 
+    @with_deployment()
+    async def test_probe_without_an_answer_does_not_end_the_probation(
+        self, deployment: Deployment
+    ) -> None:
+        """All tasks were recorded on a worker that had started none of them."""
+        deployment.settings = SETTINGS
+        worker = deployment.add_worker("w1", duration=None)
+        async with deployment.lead():
+            step = Step(tasks=8, demand=ONE_CORE, standing=True)
+            await deployment.submit("j", step)
+            await trio.sleep(1)
+            fail_runs(worker)
+            await trio.sleep(RESTART_SECONDS)
+            worker.unanswered_starts = 99
+            recorded = deployment.state.workers[worker.worker].runs
+            while not recorded:
+                await trio.sleep(TIME_STEP)
+                recorded = deployment.state.workers[worker.worker].runs
+            await trio.sleep(SETTINGS.probe_duration.total_seconds() + 1)
+            recorded = deployment.state.workers[worker.worker].runs
+            self.assertLessEqual(len(recorded), 1)
+
     @with_deployment()
     async def test_only_interrupted_standing_tasks_probe_before_the_quarantine_ends(
         self, deployment: Deployment
