Reserve a worker for an interrupted standing task that finds no room

Callers of standing work saw a task stand still for as long as smaller tasks waited. It goes first, but where each piece of room that becomes free is smaller than it needs, smaller tasks took every piece.

A task that has found no worker for 2 s now gets one reserved, the one that is expected to have room soonest by the starts and estimates of its finite runs, and keeps it until it runs, ends or the worker can't hold it; a twentieth of a service's workers at a time, one at least. Its pieces add up there, since other tasks start on that worker only if they fit beside it, or, for 2 s more, if they are expected to end before it has room. All other decisions, and all while no task has waited that long, are as before: a reserved worker leaves the headrooms of the round and is compared by itself, last.

Gangs do not use reserved workers. None is reserved for gangs, spare-core tasks and tasks suspected of crashing workers.

--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -56,6 +56,7 @@
 from rhubarbfield.scheduling.registry import SessionRegistry
 from rhubarbfield.scheduling.rejected_steps import RejectedSteps
 from rhubarbfield.scheduling.removals import Removals
+from rhubarbfield.scheduling.reservations import Reservations
 from rhubarbfield.scheduling.session import WorkerSession
 from rhubarbfield.scheduling.settings import SchedulingSettings
 from rhubarbfield.scheduling.silence_marks import MarkTimes, SilenceMarker
@@ -165,6 +166,9 @@
         self._term = leadership.term if leadership is not None else Term(0)
         self._stages = StageTimes(clock)
         self._rejected = RejectedSteps(settings.margin_lifetime)
+        self._reservations = Reservations(
+            lambda: self.state, self._registry.sessions, clock
+        )
         self._starter = RunStarter(
             log,
             sessions=self._registry.sessions,
@@ -400,8 +404,8 @@
             await self._run_round()
 
     def measure_headroom(self) -> dict[WorkerId, WorkerHeadroom]:
-        """Return the headroom of each worker that may receive tasks."""
-        return self._availability.measure_all()
+        """Return the headroom of each worker that may receive any tasks."""
+        return self._reservations.exclude(self._availability.measure_all())
 
     def measure_worker(self, worker: Worker) -> WorkerHeadroom | None:
         """Return the headroom of a worker, or None if it may not receive tasks."""
@@ -409,7 +413,8 @@
 
     async def _run_round(self) -> None:
         began = self._clock.monotonic()
-        headrooms = self.measure_headroom()
+        headrooms = self._availability.measure_all()
+        reserved = self._reservations.take(headrooms, self._interference)
         self._rejected.begin_round(headrooms, self._interference, began)
         self._jobs.synchronize(self.state)
         placer = Placer(
@@ -424,8 +429,10 @@
             unresolved=self._suspects.count_unresolved(),
             rejected=self._rejected,
             quarantined=self._availability.measure_quarantined(),
+            reserved=reserved,
         )
         starts = await choose_starts(placer, self._clock)
+        self._reservations.record_unplaced(placer.unplaced.values())
         took = self._clock.monotonic() - began
         ROUND_SECONDS.observe(took.total_seconds())
         self._stages.record_round(began, took, has_starts=bool(starts))
--- a/src/rhubarbfield/scheduling/model.py
+++ b/src/rhubarbfield/scheduling/model.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from enum import StrEnum
 from typing import NewType
 
@@ -79,6 +80,18 @@
         )
 
 
+def find_largest(demands: Iterable[Demand]) -> Demand:
+    """Return the largest of each resource among some demands."""
+    largest = Demand()
+    for each in demands:
+        largest = Demand(
+            max(largest.millicores, each.millicores),
+            max(largest.memory_mb, each.memory_mb),
+            max(largest.accelerators, each.accelerators),
+        )
+    return largest
+
+
 class Step(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """A step of a job: a number of identical tasks.
 
--- a/src/rhubarbfield/scheduling/placing.py
+++ b/src/rhubarbfield/scheduling/placing.py
@@ -12,6 +12,7 @@
 from types import MappingProxyType
 
 from rhubarbfield.containment import Unit, contain
+from rhubarbfield.scheduling.backfilling import ReservedWorkers
 from rhubarbfield.scheduling.candidates import (
     Candidates,
     Saved,
@@ -103,6 +104,8 @@
         Steps that earlier rounds could not place; its round must have begun.
     quarantined
         Headroom of the workers that only an interrupted standing task may probe.
+    reserved
+        Workers that are reserved for interrupted standing tasks.
 
     Attributes
     ----------
@@ -126,6 +129,7 @@
         unresolved: Mapping[TaskName, int] = MappingProxyType({}),
         rejected: RejectedSteps | None = None,
         quarantined: Iterable[WorkerHeadroom] = (),
+        reserved: ReservedWorkers | None = None,
     ) -> None:
         self._jobs = jobs
         self._queues = queues
@@ -134,6 +138,7 @@
         self._candidates = Candidates(
             headrooms, interference, self._rejected, quarantined
         )
+        self._reserved = ReservedWorkers() if reserved is None else reserved
         self._rank_step = rank
         self._is_starved = is_starved
         self._may_wait = may_wait
@@ -209,6 +214,8 @@
         """Return whether a step may start where other steps may not."""
         if waiting.step.uses_spare_cores and self._may_force(waiting):
             return True
+        if not waiting.step.gang and self._reserved.may_take(waiting):
+            return True
         if not (waiting.step.standing and self._candidates.list_quarantined(waiting)):
             return False
         return any(awaits_restart(waiting.step, task) for task in waiting.tasks)
@@ -229,9 +236,9 @@
                 tasks_per_worker,
                 is_suspect=task.is_suspect,
             )
-            if headroom is None and awaits_restart(step, task):
-                headroom = self._candidates.choose_quarantined(
-                    waiting, self._avoided.get(name, ()), tasks_per_worker
+            if headroom is None:
+                headroom = self._choose_restricted(
+                    waiting, name, task, tasks_per_worker
                 )
             if headroom is None and self._may_force(waiting):
                 headroom = self._candidates.choose_least_harmful(
@@ -254,6 +261,23 @@
                 continue
             self._start_task(name, task, headroom, step, tasks_per_worker)
 
+    def _choose_restricted(
+        self,
+        waiting: WaitingStep,
+        name: TaskName,
+        task: Task,
+        tasks_per_worker: Mapping[WorkerId, int],
+    ) -> WorkerHeadroom | None:
+        """Return a worker that is reserved or quarantined, if one may take a task."""
+        headroom = None
+        if not task.is_suspect:
+            headroom = self._reserved.choose(waiting, tasks_per_worker)
+        if headroom is None and awaits_restart(waiting.step, task):
+            headroom = self._candidates.choose_quarantined(
+                waiting, self._avoided.get(name, ()), tasks_per_worker
+            )
+        return headroom
+
     def _note_unplaced(self, waiting: WaitingStep) -> None:
         """Note a step of which no worker could take a task."""
         key = waiting.job.job, waiting.number
--- a/src/rhubarbfield/scheduling/presence.py
+++ b/src/rhubarbfield/scheduling/presence.py
@@ -132,6 +132,10 @@
         worked = self._measure_work(key)
         return worked is not None and worked >= PROOF_TIME
 
+    def find_start(self, key: RunKey) -> timedelta | None:
+        """Return when a run started, or was first listed; None if it is not known."""
+        return self._ledger.find_presence(key)
+
     def count_unproven(self) -> int:
         """Return the number of runs, recorded or brief, that are not proven."""
         unproven = sum(not self.is_proven(key) for key in self._list_recorded())
--- a/src/rhubarbfield/scheduling/rejected_steps.py
+++ b/src/rhubarbfield/scheduling/rejected_steps.py
@@ -20,7 +20,7 @@
     has_room,
 )
 from rhubarbfield.scheduling.interference import InterferenceModel
-from rhubarbfield.scheduling.model import Demand
+from rhubarbfield.scheduling.model import Demand, find_largest
 from rhubarbfield.types import JobId, ServiceName, WorkerId
 
 # Job, occurrence, number of the step, and the service of its queue, which a new
@@ -142,12 +142,7 @@
     def add(self, headroom: WorkerHeadroom) -> None:
         """Add a worker."""
         self.members.append(headroom)
-        largest, free = self._largest, headroom.free
-        self._largest = Demand(
-            max(largest.millicores, free.millicores),
-            max(largest.memory_mb, free.memory_mb),
-            max(largest.accelerators, free.accelerators),
-        )
+        self._largest = find_largest((self._largest, headroom.free))
 
     def may_take(self, waiting: WaitingStep, interference: InterferenceModel) -> bool:
         """Return whether any of them can take a task of a step."""
--- /dev/null
+++ b/src/rhubarbfield/scheduling/reservations.py
@@ -0,0 +1,335 @@
+"""Reservations of workers for standing tasks that were interrupted and find no room.
+
+Such a task goes first, but where each piece of room that becomes free is smaller than
+it needs, smaller tasks would take it, for as long as any of them wait.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections import Counter
+from collections.abc import Callable, Iterable, Mapping
+from datetime import timedelta
+from operator import itemgetter
+
+import msgspec
+
+from rhubarbfield.clock import MILLISECOND, Clock
+from rhubarbfield.logs import log_event
+from rhubarbfield.scheduling.backfilling import (
+    ExpectedEnd,
+    Forecast,
+    ReservedWorker,
+    ReservedWorkers,
+    StepKey,
+    forecast_room,
+    get_key,
+)
+from rhubarbfield.scheduling.candidates import list_full
+from rhubarbfield.scheduling.headroom import (
+    WaitingStep,
+    WorkerHeadroom,
+    count_live,
+    find_task_step,
+    has_label,
+)
+from rhubarbfield.scheduling.interference import InterferenceModel
+from rhubarbfield.scheduling.model import RunNumber, TaskName, name_task
+from rhubarbfield.scheduling.ordering import MAX_ESTIMATE_MS, awaits_restart
+from rhubarbfield.scheduling.progress import RunKey
+from rhubarbfield.scheduling.session import WorkerSession
+from rhubarbfield.scheduling.state import SchedulingState, Worker
+from rhubarbfield.types import WorkerId
+
+# A fixed log area, independent of the module's name.
+logger = logging.getLogger("rhubarbfield.scheduling.leader")
+
+# The platform tolerates a standstill of 6 s, and then 3 s with capacity.
+RESERVATION_DELAY = timedelta(seconds=2)
+# Estimates are often too low, so that a backfilled task may end late.
+BACKFILLING_PERIOD = timedelta(seconds=2)
+# Share of the workers of a service that are reserved at a time, but at least one.
+MAX_RESERVED_SHARE = 0.05
+# A worker that has room only later is of no use.
+MAX_RESERVATION_WAIT = timedelta(seconds=10)
+# A search looks at the runs of all workers.
+SEARCH_INTERVAL = timedelta(milliseconds=250)
+# A round may leave a thousand steps without a worker.
+RECORD_INTERVAL = timedelta(milliseconds=100)
+MAX_STEPS_PER_SEARCH = 4
+
+
+class Wait(msgspec.Struct, frozen=True):
+    """A standing task for which no worker was found.
+
+    Attributes
+    ----------
+    last_run
+        Its last run.
+    since
+        Monotonic time of the first round that found no worker.
+    """
+
+    last_run: RunNumber
+    since: timedelta
+
+
+class Claim(msgspec.Struct, frozen=True):
+    """A task that has waited long enough for a reservation."""
+
+    task: TaskName
+    waiting: WaitingStep
+    since: timedelta
+
+
+class Reservations:
+    """The workers that a leader reserves, one for each task.
+
+    Parameters
+    ----------
+    get_state
+        Returns the replicated state.
+    sessions
+        The leader's session with each worker.
+    clock
+        Source of time.
+    """
+
+    def __init__(
+        self,
+        get_state: Callable[[], SchedulingState],
+        sessions: Mapping[WorkerId, WorkerSession],
+        clock: Clock,
+    ) -> None:
+        self._get_state = get_state
+        self._sessions = sessions
+        self._clock = clock
+        self._waits: dict[TaskName, Wait] = {}
+        self._reserved: dict[WorkerId, ReservedWorker] = {}
+        self._search_due = timedelta()
+        self._record_due = timedelta()
+
+    def record_unplaced(self, unplaced: Iterable[WaitingStep]) -> None:
+        """Record the steps for which a round has found no worker."""
+        now = self._clock.monotonic()
+        if now < self._record_due:
+            return
+        self._record_due = now + RECORD_INTERVAL
+        for waiting in unplaced:
+            step = waiting.step
+            # Room alone does not help a task that lacks spare cores, or a gang.
+            if not step.standing or step.uses_spare_cores or step.gang:
+                continue
+            for index, task in enumerate(waiting.tasks):
+                if awaits_restart(step, task) and not task.is_suspect:
+                    key = get_key(waiting)
+                    wait = Wait(task.last_run, now)
+                    self._waits.setdefault(name_task(*key, index), wait)
+
+    def exclude(
+        self, headrooms: dict[WorkerId, WorkerHeadroom]
+    ) -> dict[WorkerId, WorkerHeadroom]:
+        """Return the headrooms of the workers that are not reserved."""
+        if not self._reserved:
+            return headrooms
+        return {
+            worker: headroom
+            for worker, headroom in headrooms.items()
+            if worker not in self._reserved
+        }
+
+    def take(
+        self,
+        headrooms: dict[WorkerId, WorkerHeadroom],
+        interference: InterferenceModel,
+    ) -> ReservedWorkers:
+        """Take the reserved workers of a round out of all ``headrooms``."""
+        now = self._clock.monotonic()
+        claims = self._list_claims(now)
+        if claims or self._reserved:
+            claims = self._renew(claims, headrooms, now)
+        if claims and now >= self._search_due:
+            self._search_due = now + SEARCH_INTERVAL
+            self._reserve(claims, headrooms, now)
+        for worker in self._reserved:
+            del headrooms[worker]
+        return ReservedWorkers(self._reserved.values(), interference, now)
+
+    def _list_claims(self, now: timedelta) -> list[Claim]:
+        """Return the tasks that have waited for long, the most urgent first."""
+        state = self._get_state()
+        claims = []
+        for name, wait in list(self._waits.items()):
+            waiting = find_task_step(state, name)
+            if waiting is None or not _is_waiting(state, name, waiting, wait):
+                del self._waits[name]
+            elif now - wait.since >= RESERVATION_DELAY:
+                claims.append(Claim(name, waiting, wait.since))
+        claims.sort(key=lambda each: (each.waiting.queue.priority, each.since))
+        return claims
+
+    def _renew(
+        self,
+        claims: list[Claim],
+        headrooms: Mapping[WorkerId, WorkerHeadroom],
+        now: timedelta,
+    ) -> list[Claim]:
+        """Keep the reservations that are still of use; return the other claims."""
+        before, self._reserved = self._reserved, {}
+        left = list(claims)
+        for worker, reserved in before.items():
+            claim = _find_claim(left, reserved.holder)
+            headroom = headrooms.get(worker)
+            if claim is None or headroom is None or reserved.is_used:
+                continue
+            if not _may_hold(claim.waiting, headroom):
+                continue
+            forecast = self._forecast(claim, headroom, now)
+            if forecast is not None:
+                self._reserved[worker] = _make(claim, headroom, forecast, now)
+                left.remove(claim)
+        return left
+
+    def _reserve(
+        self,
+        claims: Iterable[Claim],
+        headrooms: Mapping[WorkerId, WorkerHeadroom],
+        now: timedelta,
+    ) -> None:
+        """Reserve the worker that has room soonest for each of the first claims."""
+        members = Counter(each.worker.service for each in headrooms.values())
+        counts = Counter(
+            each.headroom.worker.service for each in self._reserved.values()
+        )
+        found: dict[StepKey, list[tuple[Forecast, WorkerHeadroom]]] = {}
+        known: dict[WorkerId, list[ExpectedEnd]] = {}
+        for claim in claims:
+            service = claim.waiting.queue.service
+            key = get_key(claim.waiting)
+            if counts[service] >= max(1, int(members[service] * MAX_RESERVED_SHARE)):
+                continue
+            if key not in found:
+                if len(found) >= MAX_STEPS_PER_SEARCH:
+                    continue
+                found[key] = self._rank(claim, headrooms, known, now)
+            for forecast, headroom in found[key]:
+                worker = headroom.worker.worker
+                if worker not in self._reserved:
+                    self._reserved[worker] = _make(claim, headroom, forecast, now)
+                    counts[service] += 1
+                    _log(claim, worker, forecast, now)
+                    break
+
+    def _rank(
+        self,
+        claim: Claim,
+        headrooms: Mapping[WorkerId, WorkerHeadroom],
+        known: dict[WorkerId, list[ExpectedEnd]],
+        now: timedelta,
+    ) -> list[tuple[Forecast, WorkerHeadroom]]:
+        """Return the workers that will have room for a task, the best first."""
+        found = []
+        for worker, headroom in headrooms.items():
+            is_open = headroom.task_count < headroom.task_limit
+            if not is_open or not _may_hold(claim.waiting, headroom):
+                continue
+            if worker not in known:
+                known[worker] = self._list_ends(headroom.worker, now)
+            forecast = self._forecast(claim, headroom, now, known[worker])
+            if forecast is not None and forecast.due - now <= MAX_RESERVATION_WAIT:
+                found.append((forecast, headroom))
+        found.sort(key=lambda each: _measure_cost(*each))
+        return found
+
+    def _forecast(
+        self,
+        claim: Claim,
+        headroom: WorkerHeadroom,
+        now: timedelta,
+        ends: list[ExpectedEnd] | None = None,
+    ) -> Forecast | None:
+        if ends is None:
+            ends = self._list_ends(headroom.worker, now)
+        return forecast_room(claim.waiting.step.reserved, headroom.free, ends, now)
+
+    def _list_ends(self, worker: Worker, now: timedelta) -> list[ExpectedEnd]:
+        """Return when the finite runs of a worker are expected to end, in order."""
+        state, session = self._get_state(), self._sessions.get(worker.worker)
+        ends = []
+        for name, run in worker.runs.items():
+            step = state.find_step(name)
+            if step is None or step.standing:
+                continue
+            key = RunKey(name, run)
+            began = None if session is None else session.presence.find_start(key)
+            estimate = min(step.estimate_ms, MAX_ESTIMATE_MS) * MILLISECOND
+            ends.append(((now if began is None else began) + estimate, step.reserved))
+        ends.sort(key=itemgetter(0))
+        return ends
+
+
+def _is_waiting(
+    state: SchedulingState, name: TaskName, waiting: WaitingStep, wait: Wait
+) -> bool:
+    """Return whether a task still waits for the run after the one that is known."""
+    found = state.find_task(name)
+    if found is None or not waiting.job.is_open:
+        return False
+    task = found[3]
+    return (
+        awaits_restart(waiting.step, task)
+        and task.last_run == wait.last_run
+        and not task.is_suspect
+    )
+
+
+def _find_claim(claims: Iterable[Claim], holder: StepKey) -> Claim | None:
+    """Return the first claim of a task of a step."""
+    return next((each for each in claims if get_key(each.waiting) == holder), None)
+
+
+def _may_hold(waiting: WaitingStep, headroom: WorkerHeadroom) -> bool:
+    """Return whether a worker may run a task of a step once it has room."""
+    step, worker = waiting.step, headroom.worker
+    return (
+        worker.service == waiting.queue.service
+        and step.reserved.fits(worker.capacity)
+        and has_label(step, headroom)
+        and worker.worker not in list_full(step, count_live(waiting.tasks))
+    )
+
+
+def _make(
+    claim: Claim, headroom: WorkerHeadroom, forecast: Forecast, now: timedelta
+) -> ReservedWorker:
+    waiting = claim.waiting
+    reserved_for = now - claim.since - RESERVATION_DELAY
+    return ReservedWorker(
+        headroom,
+        get_key(waiting),
+        waiting.queue.priority,
+        forecast.due,
+        forecast.free.minus(waiting.step.reserved),
+        may_backfill=reserved_for < BACKFILLING_PERIOD,
+    )
+
+
+def _measure_cost(
+    forecast: Forecast, headroom: WorkerHeadroom
+) -> tuple[int, timedelta, int, WorkerId]:
+    """Return how ill a worker suits a task that waits; the lowest is best."""
+    worker = headroom.worker.worker
+    return headroom.failures, forecast.due, forecast.ends, worker
+
+
+def _log(claim: Claim, worker: WorkerId, forecast: Forecast, now: timedelta) -> None:
+    log_event(
+        logger,
+        logging.INFO,
+        "room-reserved",
+        task=claim.task,
+        worker=worker,
+        waited=now - claim.since,
+        due_in=forecast.due - now,
+        ends=forecast.ends,
+    )
