--- a/tests/scheduling/fleets.py
+++ b/tests/scheduling/fleets.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from rhubarbfield.clock import ManualClock
+from rhubarbfield.clock import Clock, ManualClock
 from rhubarbfield.groups import ReplicatedLog
 from rhubarbfield.replication import Leadership
 from rhubarbfield.scheduling.appliers import (
@@ -82,13 +82,19 @@
         Number of workers.
     settings
         Settings of the leader.
+    clock
+        Clock of the leader and its sessions; one that tests advance by default.
     """
 
     def __init__(
-        self, seed: int, workers: int, settings: SchedulingSettings | None = None
+        self,
+        seed: int,
+        workers: int,
+        settings: SchedulingSettings | None = None,
+        clock: Clock | None = None,
     ) -> None:
         self.random = random.Random(seed)
-        self.clock = ManualClock(timedelta(seconds=100))
+        self.clock = cast(ManualClock, clock or ManualClock(timedelta(seconds=100)))
         self.settings = settings or SchedulingSettings()
         log, self.replica = make_single_member_log(make_scheduling_machine())
         self.log = cast(ReplicatedLog[SchedulingLogState], log)
--- a/tests/scheduling/measure_rounds.py
+++ b/tests/scheduling/measure_rounds.py
@@ -17,6 +17,7 @@
 
 import trio
 
+from rhubarbfield.clock import Clock
 from rhubarbfield.scheduling.commands import RunStart
 from rhubarbfield.scheduling.placing import Placer
 from tests.scheduling.fleets import Fleet
@@ -78,9 +79,9 @@
     return placer.starts
 
 
-def make_fleet(workers: int) -> Fleet:
+def make_fleet(workers: int, clock: Clock | None = None) -> Fleet:
     """Return a fleet with many live runs, open jobs and ended jobs."""
-    fleet = Fleet(SEED, workers)
+    fleet = Fleet(SEED, workers, clock=clock)
     fleet.submit_serving(SERVING_TASKS)
     while True:
         fleet.start(choose(make_placer(fleet)))
