Take the steps of a view's runs from the index of headrooms

Each view looked up the step of each run twice by the name of its task. The index has the steps of all recorded runs already, compares them with the record before it is used, and keeps them in the order of the runs. A step belongs to the name of its task as long as a run of it is recorded, so that measurements, progress and pauses stay as they were. Runs that aren't recorded are looked up as before.

--- a/src/rhubarbfield/scheduling/headroom_index.py
+++ b/src/rhubarbfield/scheduling/headroom_index.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import copy
+from collections.abc import Mapping
 
 import msgspec
 
@@ -57,6 +58,15 @@
         """Return the tasks with a tail-latency goal that are recorded on a worker."""
         return self._find_use(state, worker).serving
 
+    def find_steps(
+        self, state: SchedulingState, worker: Worker
+    ) -> Mapping[TaskName, Step]:
+        """Return the steps of the tasks that are recorded on a worker.
+
+        They are in the order of its runs; a task that is not known has none.
+        """
+        return self._find_use(state, worker).steps
+
     def forget(self, worker: WorkerId) -> None:
         """Drop the data of a worker that was removed."""
         self._uses.pop(worker, None)
--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -43,7 +43,7 @@
     RUNS_ENDED,
 )
 from rhubarbfield.scheduling.mitigation import InterferenceMitigator
-from rhubarbfield.scheduling.model import CheckpointToken, TaskName
+from rhubarbfield.scheduling.model import CheckpointToken, Step, TaskName
 from rhubarbfield.scheduling.orders import Start
 from rhubarbfield.scheduling.pacing import RoundPacer, Urgency, find_urgency
 from rhubarbfield.scheduling.placing import MAX_STARTS_PER_ROUND, Placer
@@ -259,6 +259,10 @@
         step = self.state.find_step(task)
         return step is not None and step.standing
 
+    def find_steps(self, worker: Worker) -> Mapping[TaskName, Step]:
+        """Return the steps of the tasks that are recorded on a worker."""
+        return self._headrooms.find_steps(self.state, worker)
+
     def needs_frequent_views(self, worker: Worker) -> bool:
         """Return whether new runs can harm serving tasks, or the worker itself."""
         has_suspect = self._suspects.has_suspect(worker.worker)
--- a/src/rhubarbfield/scheduling/mitigation.py
+++ b/src/rhubarbfield/scheduling/mitigation.py
@@ -101,10 +101,11 @@
         colocated_runs: list[ColocatedRun] = []
         shares: dict[ImageName, float] = {}
         capacity = max(worker.capacity.millicores, 1)
-        for task, run in worker.runs.items():
-            step = self._host.state.find_step(task)
+        steps = self._headroom_index.find_steps(self._host.state, worker)
+        for task, step in steps.items():
             active = session.active.get(task)
-            if step is None or active is None or active.run != run:
+            run = worker.runs[task]
+            if active is None or active.run != run:
                 continue
             if step.tail_goal_ms and active.percent >= SERVING_PERCENT:
                 serving.append(
--- a/src/rhubarbfield/scheduling/session.py
+++ b/src/rhubarbfield/scheduling/session.py
@@ -317,9 +317,8 @@
     ) -> None:
         self.active = {run.task: run for run in view.active}
         self._viewed_at = self._clock.monotonic()
-        finite = [run for run in view.active if not self._host.is_standing(run.task)]
-        self._progress.update(finite, view.clock)
         worker = self._host.find_worker(self.worker)
+        self._progress.update(self._select_finite(view, worker), view.clock)
         if worker is None:
             return
         for run in view.active:
@@ -340,6 +339,22 @@
             last = max((end.number for end in listed), default=0)
             await self._ledger.record_ends(tuple(ends), last, brief=brief)
 
+    def _select_finite(
+        self, view: WorkerView, worker: Worker | None
+    ) -> list[ActiveRun]:
+        """Return the runs in a view whose tasks end by themselves."""
+        steps = {} if worker is None else self._host.find_steps(worker)
+        finite = []
+        for run in view.active:
+            step = steps.get(run.task)
+            if step is None:
+                is_standing = self._host.is_standing(run.task)
+            else:
+                is_standing = step.standing
+            if not is_standing:
+                finite.append(run)
+        return finite
+
     def _stop_unrecorded(self, view: WorkerView, worker: Worker) -> None:
         """Stop runs on the worker that are not recorded."""
         for run in view.active:
--- a/src/rhubarbfield/scheduling/session_host.py
+++ b/src/rhubarbfield/scheduling/session_host.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from typing import TYPE_CHECKING, Protocol
 
 from rhubarbfield.scheduling.commands import WorkerEnds
 from rhubarbfield.scheduling.crashes import CrashedRun
-from rhubarbfield.scheduling.model import CheckpointToken, TaskName
+from rhubarbfield.scheduling.model import CheckpointToken, Step, TaskName
 from rhubarbfield.scheduling.orders import Start
 from rhubarbfield.scheduling.state import Worker
 from rhubarbfield.types import Term, WorkerId
@@ -50,5 +51,8 @@
     def is_standing(self, task: TaskName) -> bool:
         """Return whether a task runs until its job is cancelled."""
 
+    def find_steps(self, worker: Worker) -> Mapping[TaskName, Step]:
+        """Return the steps of the tasks that are recorded on a worker."""
+
     def needs_frequent_views(self, worker: Worker) -> bool:
         """Return whether new runs can harm serving tasks, or the worker itself."""
--- a/tests/scheduling/test_rounds.py
+++ b/tests/scheduling/test_rounds.py
@@ -26,6 +26,7 @@
     name_task,
 )
 from rhubarbfield.scheduling.pacing import RoundPacer, Urgency
+from rhubarbfield.scheduling.ports import WorkerView
 from rhubarbfield.scheduling.session import WorkerSession
 from rhubarbfield.scheduling.settings import SchedulingSettings
 from rhubarbfield.scheduling.state import Job, SchedulingState
@@ -224,6 +225,23 @@
 
         run_deterministic(check, seed=1)
 
+    def test_view_looks_up_no_step_while_the_runs_are_the_same(self) -> None:
+        async def check() -> None:
+            fleet = Fleet(1, WORKERS)
+            fleet.submit_serving(250)
+            fleet.submit(make_spare_core_step())
+            await fleet.run_round()
+            worker = next(each for each in fleet.state.workers.values() if each.runs)
+            fleet.view(worker.worker)
+            active = tuple(fleet.sessions[worker.worker].active.values())
+            view = WorkerView(fleet.clock.monotonic(), active, (), truncated=False)
+            with count_calls(SchedulingState, "find_step") as calls:
+                session = fleet.sessions[worker.worker]
+                await session._apply_view(view, dict(worker.runs), set())
+            self.assertEqual(calls.count, 0)
+
+        run_deterministic(check, seed=1)
+
     def test_headroom_is_measured_again_only_where_runs_changed(self) -> None:
         async def check() -> None:
             fleet = Fleet(1, WORKERS)
