End calls to relays that are due from one task for each relay

Each call had a cancel scope of its own, with a deadline that trio keeps in order and that hardly any call reaches. Deadlines are now in a heap; those of calls that have ended leave it when they come first. A call ends at the same time as before, and with the same result, which the new test shows for calls with different times; before, it fails only where it looks into the heap.

--- a/src/rhubarbfield/scheduling/relay_links.py
+++ b/src/rhubarbfield/scheduling/relay_links.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import heapq
 import logging
+import math
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
@@ -94,6 +96,9 @@
         self._on_connected = on_connected
         self._outbox: Outbox[Call | Cancel | Forget] = Outbox(clock)
         self._pending: dict[CallNumber, _PendingCall] = {}
+        # A heap; calls that have ended stay in it until they are the first.
+        self._deadlines: list[tuple[float, CallNumber]] = []
+        self._first_changed = trio.Event()
         self._last_number = 0
         self._was_heard = False
         self.is_connected = False
@@ -108,10 +113,10 @@
         self._last_number += 1
         number = CallNumber(self._last_number)
         call = self._pending[number] = _PendingCall()
+        self._add_deadline(number, trio.current_time() + timeout.total_seconds())
         self._outbox.put(Call(number, to, order))
         try:
-            with trio.move_on_after(timeout.total_seconds()):
-                await call.settled.wait()
+            await call.settled.wait()
         finally:
             if self._pending.pop(number, None) is not None:
                 self._outbox.put(Cancel(number))
@@ -124,6 +129,39 @@
 
     async def run(self) -> None:
         """Keep a stream to the relay until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._expire_calls)
+            await self._keep_stream()
+
+    def _add_deadline(self, number: CallNumber, deadline: float) -> None:
+        heapq.heappush(self._deadlines, (deadline, number))
+        if self._deadlines[0][1] == number:
+            self._first_changed.set()
+
+    async def _expire_calls(self) -> None:
+        """End calls whose time has passed.
+
+        A cancel scope for each call would cost more than the rest of the call.
+        """
+        while True:
+            self._first_changed = trio.Event()
+            with trio.move_on_at(self._expire_due()):
+                await self._first_changed.wait()
+
+    def _expire_due(self) -> float:
+        """End the calls that are due; return when the next one is."""
+        now = trio.current_time()
+        while self._deadlines:
+            deadline, number = self._deadlines[0]
+            call = self._pending.get(number)
+            if call is not None and deadline > now:
+                return deadline
+            heapq.heappop(self._deadlines)
+            if call is not None:
+                call.settled.set()
+        return math.inf
+
+    async def _keep_stream(self) -> None:
         host, port = self._address
         delay = RECONNECT_DELAY
         while True:
--- a/tests/scheduling/test_relayed_calls.py
+++ b/tests/scheduling/test_relayed_calls.py
@@ -6,6 +6,7 @@
 from datetime import timedelta
 
 import trio
+import trio.testing
 from returns.result import Failure, Result, Success
 
 from rhubarbfield.scheduling.metrics import WORKER_CALLS_ROUTED
@@ -19,7 +20,7 @@
     WorkerAddress,
 )
 from rhubarbfield.scheduling.relayed_calls import HOP_ALLOWANCE
-from rhubarbfield.types import WorkerId
+from rhubarbfield.types import InstanceName, WorkerId
 from tests.scheduling.relaying_controllers import RecordedCalls
 from tests.scheduling.relays import (
     ORDER_TIMEOUT,
@@ -221,6 +222,32 @@
                 await relays.relayed.view(to, make_view_request()), Success
             )
 
+    @with_relays("r1")
+    async def test_each_call_ends_at_its_own_time(self, relays: Relays) -> None:
+        """A view that may take long is followed by orders that may not."""
+        to = relays.add_worker("w1")
+        ended: list[tuple[str, float]] = []
+        async with relays.run(), trio.open_nursery() as nursery:
+            link = relays.relayed._links[InstanceName("r1")]
+
+            async def call(name: str, seconds: float) -> None:
+                began = trio.current_time()
+                timeout = timedelta(seconds=seconds)
+                # The relay waits for the end of the view for longer than that.
+                result = await link.call(to, make_view_request(30), timeout)
+                self.assertEqual(result, NoReply("no reply in time"))
+                ended.append((name, round(trio.current_time() - began, 6)))
+
+            for name, seconds in (("a", 2.0), ("b", 0.7), ("c", 0.9), ("d", 0.6)):
+                nursery.start_soon(call, name, seconds)
+                await trio.testing.wait_all_tasks_blocked()
+            await trio.sleep(0.8)
+            nursery.start_soon(call, "e", 0.05)
+        self.assertEqual(
+            ended, [("d", 0.6), ("b", 0.7), ("e", 0.05), ("c", 0.9), ("a", 2.0)]
+        )
+        self.assertEqual(link._deadlines, [])
+
 
 class HangingCalls(RecordedCalls):
     """Calls whose starts never end.
