Add up less for each submission

A submission added up the capacities of all workers, counted their kinds, and measured the standing work of all open jobs. What standing jobs reserve is now kept in the index of open jobs from their acceptance to their end, kinds are counted again only once a capacity or a label differs, and only millicores are added up for a finite job. All sums are of integers, so that decisions are the same.

--- a/src/rhubarbfield/scheduling/admission.py
+++ b/src/rhubarbfield/scheduling/admission.py
@@ -210,7 +210,7 @@
         goal = find_goal(measure_submission(submission), queue)
         tolerated = max(goal, MIN_REJECTED_WAIT)
         tolerated_ms = tolerated / MILLISECOND
-        capacity = add_up(worker.capacity for worker in workers).millicores
+        capacity = sum(worker.capacity.millicores for worker in workers)
         held = self._measure_standing_held(state, queue.service).millicores
         room = max(capacity - held, capacity * MIN_FINITE_SHARE)
         backlog = self._measure_finite_backlog(
@@ -246,9 +246,9 @@
         """Return what accepted standing work reserves, running or not."""
         queues = state.map_serving_queues()
         accepted = (
-            measure_standing(job.submission)
-            for job in self._jobs.open.values()
-            if _is_of_service(job, queues, service)
+            reserved
+            for name, reserved in self._jobs.standing.items()
+            if _is_of_service(self._jobs.open[name], queues, service)
         )
         pending = (
             measure_standing(each.submission)
--- a/src/rhubarbfield/scheduling/job_index.py
+++ b/src/rhubarbfield/scheduling/job_index.py
@@ -4,7 +4,9 @@
 
 from itertools import takewhile
 
+from rhubarbfield.scheduling.model import Demand
 from rhubarbfield.scheduling.state import Job, SchedulingState
+from rhubarbfield.scheduling.workload import measure_standing
 from rhubarbfield.types import JobId
 
 
@@ -20,11 +22,14 @@
         Open jobs in the order in which they were accepted.
     recurring
         Those of them that have occurrences in time.
+    standing
+        What the standing tasks of those that have any reserve together.
     """
 
     def __init__(self) -> None:
         self.open: dict[JobId, Job] = {}
         self.recurring: dict[JobId, Job] = {}
+        self.standing: dict[JobId, Demand] = {}
         self._ended: list[Job] = []
         self._state: SchedulingState | None = None
         self._last_order = 0
@@ -36,9 +41,11 @@
             self._last_order = 0
             self.open.clear()
             self.recurring.clear()
+            self.standing.clear()
         for job in [job for job in self.open.values() if not job.is_open]:
             del self.open[job.job]
             self.recurring.pop(job.job, None)
+            self.standing.pop(job.job, None)
             self._ended.append(job)
         new = takewhile(
             lambda job: job.order > self._last_order, reversed(state.jobs.values())
@@ -49,6 +56,8 @@
                 self.open[job.job] = job
                 if job.submission.recurrence is not None:
                     self.recurring[job.job] = job
+                if any(step.standing for step in job.submission.steps):
+                    self.standing[job.job] = measure_standing(job.submission)
             else:
                 self._ended.append(job)
 
--- a/src/rhubarbfield/scheduling/worker_kinds.py
+++ b/src/rhubarbfield/scheduling/worker_kinds.py
@@ -5,12 +5,14 @@
 from collections import Counter
 from collections.abc import Iterable, Sequence
 
-from rhubarbfield.scheduling.model import Demand, JobSubmission, Step
+from rhubarbfield.scheduling.model import Demand, JobSubmission, Label, Step
 from rhubarbfield.scheduling.state import Worker
 from rhubarbfield.types import JobId, ServiceName
 
 MAX_KNOWN_JOBS = 10_000
 
+_Kind = tuple[Demand, tuple[Label, ...]]
+
 
 class WorkerKinds:
     """The different capacities and labels of a service's workers.
@@ -85,10 +87,18 @@
 
     def __init__(self) -> None:
         self._kinds: dict[ServiceName, WorkerKinds] = {}
+        self._counted: dict[ServiceName, list[_Kind]] = {}
 
     def find(self, service: ServiceName, workers: Iterable[Worker]) -> WorkerKinds:
         """Return the kinds of a service's workers; the last ones if none changed."""
-        kinds, last = WorkerKinds(workers), self._kinds.get(service)
+        workers = list(workers)
+        last = self._kinds.get(service)
+        # Comparing the same objects costs a fraction of counting them.
+        listed = [(worker.capacity, worker.labels) for worker in workers]
+        if last is not None and listed == self._counted[service]:
+            return last
+        self._counted[service] = listed
+        kinds = WorkerKinds(workers)
         if last is None or not kinds.is_like(last):
             last = self._kinds[service] = kinds
         return last
--- a/tests/scheduling/test_admission.py
+++ b/tests/scheduling/test_admission.py
@@ -34,6 +34,7 @@
 )
 from rhubarbfield.scheduling.service import SchedulingService
 from rhubarbfield.scheduling.state import Job, SchedulingState, Worker
+from rhubarbfield.scheduling.worker_kinds import KindsIndex, WorkerKinds
 from rhubarbfield.types import JobId, Term, WorkerId
 from tests.scheduling.deployments import (
     CONFIGURATION,
@@ -41,6 +42,7 @@
     Deployment,
     with_deployment,
 )
+from tests.scheduling.test_rounds import count_calls
 
 WORKERS = 10
 CORES = 100
@@ -290,6 +292,43 @@
         self.assertTrue(self.is_accepted(JobSubmission(payload="p", steps=(step,))))
 
 
+class CostTest(AdmissionCase):
+    """Submissions while hundreds of jobs are open on hundreds of workers."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        for number in range(200):
+            self.accept(f"f{number}", make_finite(1, 1.0))
+        for number in range(5):
+            self.accept(f"s{number}", make_standing(1))
+
+    def test_capacities_and_finite_jobs_are_not_added_up_again(self) -> None:
+        self.assertTrue(self.is_accepted(make_finite(1, 1.0)))
+        with (
+            count_calls(Demand, "plus") as sums,
+            count_calls(WorkerKinds, "__init__") as kinds,
+        ):
+            self.assertTrue(self.is_accepted(make_finite(1, 1.0)))
+        self.assertLessEqual(sums.count, 5 + 1)
+        self.assertEqual(kinds.count, 0)
+
+    def test_changed_workers_are_noticed(self) -> None:
+        large = Step(demand=Demand(CAPACITY.millicores + 1), estimate_ms=1000)
+        submission = JobSubmission(payload="p", steps=(large,))
+        index = KindsIndex()
+
+        def is_possible() -> bool:
+            kinds = index.find(QUEUE.service, self.state.workers.values())
+            return kinds.list_possible(JobId("j"), submission)[0]
+
+        self.assertFalse(is_possible())
+        worker = next(iter(self.state.workers.values()))
+        worker.capacity = Demand(CAPACITY.millicores + 1, CAPACITY.memory_mb)
+        self.assertTrue(is_possible())
+        worker.capacity = CAPACITY
+        self.assertFalse(is_possible())
+
+
 class RejectionTest(unittest.TestCase):
     async def submit(
         self, deployment: Deployment, *, knows_rejection: bool = True
