Measure views of workers with serving and spare-core tasks

The fleet had either kind of task on a worker, never both, so that nothing was mitigated, and its runs counted as started by an earlier leader.

--- a/tests/scheduling/measure_views.py
+++ b/tests/scheduling/measure_views.py
@@ -23,14 +23,15 @@
 import trio
 import trio.testing
 
-from rhubarbfield.clock import TrioClock
+from rhubarbfield.clock import Clock, TrioClock
 from rhubarbfield.collector import tune_collector
 from rhubarbfield.peering import MessageStream, StreamMethod, Transport
 from rhubarbfield.peering._grpclib import make_codec
 from rhubarbfield.peering.ports import Encoding
 from rhubarbfield.scheduling.leader import SchedulingLeader
 from rhubarbfield.scheduling.mitigation import SERVING_PERCENT, InterferenceMitigator
-from rhubarbfield.scheduling.model import NO_CHECKPOINT, TaskName
+from rhubarbfield.scheduling.model import NO_CHECKPOINT, Demand, Step, TaskName
+from rhubarbfield.scheduling.orders import StartState
 from rhubarbfield.scheduling.ports import (
     ActiveRun,
     ListedEnd,
@@ -40,6 +41,7 @@
     WorkerCalls,
     WorkerView,
 )
+from rhubarbfield.scheduling.progress import RunKey
 from rhubarbfield.scheduling.relay_messages import (
     BATCH_INTERVAL,
     Call,
@@ -52,10 +54,14 @@
 from rhubarbfield.scheduling.session import WorkerSession
 from rhubarbfield.scheduling.state import RunEnd
 from rhubarbfield.types import InstanceName, WorkerId
-from tests.scheduling.fleets import GOAL_MS, Fleet
-from tests.scheduling.measure_rounds import make_fleet
+from tests.scheduling.fleets import GOAL_MS, SERVING_IMAGES, Fleet
+from tests.scheduling.measure_rounds import choose, make_placer
 
+SEED = 1
 WORKERS = 445
+SERVING_TASKS = 300  # for each of three images
+BATCH_JOBS = 100
+ROUNDS = 30
 RELAYS = 5
 WARM_UP_SECONDS = 3
 MEASURED_SECONDS = 10
@@ -96,6 +102,29 @@
         self.stand_ins = 0.0
 
 
+def make_mixed_fleet(clock: Clock) -> Fleet:
+    """Return a fleet whose workers run serving tasks beside spare-core tasks."""
+    fleet = Fleet(SEED, WORKERS, clock=clock)
+    for image in SERVING_IMAGES:
+        fleet.submit(
+            Step(
+                tasks=SERVING_TASKS,
+                demand=Demand(2000, 4000),
+                standing=True,
+                image=image,
+                tail_goal_ms=GOAL_MS,
+                max_per_worker=1,
+            )
+        )
+    for _ in range(BATCH_JOBS):
+        fleet.submit_batch()
+    for _ in range(ROUNDS):
+        fleet.start(choose(make_placer(fleet)))
+        for worker in list(fleet.state.workers):
+            fleet.view(worker)
+    return fleet
+
+
 class StandInWorkers:
     """Workers that list the recorded runs, with measurements that scatter."""
 
@@ -238,7 +267,7 @@
 
 async def run_views(timings: Timings, profile: cProfile.Profile | None) -> float:
     """Poll all workers for a while; return the processor time by view in seconds."""
-    fleet = make_fleet(WORKERS, TrioClock())
+    fleet = make_mixed_fleet(TrioClock())
     workers = StandInWorkers(fleet)
     relayed = RelayedCalls(
         cast(WorkerCalls, None),
@@ -254,6 +283,8 @@
         for session in fleet.sessions.values():
             session._calls = session._orders._calls = relayed
             session._orders._stops._calls = relayed
+            for task, run in fleet.state.workers[session.worker].runs.items():
+                session._ledger.starts[RunKey(task, run)] = StartState.SETTLED
             nursery.start_soon(session.run)
         await trio.sleep(WARM_UP_SECONDS)
         timings.clear()
