Let an attempt that was sent outlast the search for the leader

A call searches for a leader for 0.6 s, and goes on in doubt after that. The search cut off the attempt that the leader was about to answer, and the request was sent anew, with what was left of the member's 0.8 s: a leader that takes 0.6 to 0.8 s got each request several times, and lost its connection with each call.

The search now limits only the time to connect (`connect_timeout` of a call): an attempt without a connection ends with it and leaves no doubt, one that was sent goes on for as long as the member is given. Five calls to a leader that replies in 600, 650 or 750 ms make five requests over one connection.

Calls made together to a dark member no longer share their time by cut attempts when it was connected; where it was not, they do, and a test of its own shows it.

--- a/src/rhubarbfield/leadercalls/attempts.py
+++ b/src/rhubarbfield/leadercalls/attempts.py
@@ -73,10 +73,17 @@
         self.is_unsendable = False
         self.detail = "no leader was found"
 
-    def begin(self, attempt: Attempt, timeout: timedelta) -> None:
-        """Send the request, and wait for the reply until ``timeout``."""
+    @property
+    def is_in_progress(self) -> bool:
+        """Whether an attempt has not ended."""
+        return self._in_progress > 0
+
+    def begin(
+        self, attempt: Attempt, timeout: timedelta, connect_timeout: timedelta
+    ) -> None:
+        """Send the request within ``connect_timeout``, and wait until ``timeout``."""
         self._in_progress += 1
-        self._nursery.start_soon(self._run, attempt, timeout)
+        self._nursery.start_soon(self._run, attempt, timeout, connect_timeout)
 
     async def wait(self, attempt: Attempt | None, timeout: timedelta) -> Reply | None:
         """Wait for the call's answer, or the reply to ``attempt``.
@@ -96,13 +103,18 @@
                     return reply
         return None
 
-    async def wait_for_all(self) -> None:
+    async def wait_for_all(self, timeout: timedelta = timedelta.max) -> None:
         """Wait for the end of the attempts in progress, or for the call's answer."""
-        while self._in_progress and self.answer is None:
-            self._process(*await self._ended.receive())
+        with trio.move_on_after(max(0.0, timeout.total_seconds())):
+            while self._in_progress and self.answer is None:
+                self._process(*await self._ended.receive())
 
-    async def _run(self, attempt: Attempt, timeout: timedelta) -> None:
-        reply = await attempt.connection.call(self._method, self._request, timeout)
+    async def _run(
+        self, attempt: Attempt, timeout: timedelta, connect_timeout: timedelta
+    ) -> None:
+        reply = await attempt.connection.call(
+            self._method, self._request, timeout, connect_timeout
+        )
         self._sender.send_nowait((attempt, reply))
 
     def _process(self, attempt: Attempt, reply: Reply) -> None:
--- a/src/rhubarbfield/leadercalls/calls.py
+++ b/src/rhubarbfield/leadercalls/calls.py
@@ -13,7 +13,13 @@
 from rhubarbfield.clock import Clock
 from rhubarbfield.leadercalls.answers import NotLeading
 from rhubarbfield.leadercalls.attempts import Attempt, Attempts, Reply
-from rhubarbfield.peering import CallMethod, ConnectionPool, Transport
+from rhubarbfield.peering import (
+    CallFailure,
+    CallFailureKind,
+    CallMethod,
+    ConnectionPool,
+    Transport,
+)
 from rhubarbfield.types import InstanceName
 
 RETRY_DELAY = timedelta(milliseconds=100)
@@ -114,21 +120,30 @@
     async def _search(
         self, attempts: Attempts, timeout: timedelta, in_doubt_timeout: timedelta
     ) -> None:
-        """Call members until there is an answer, or no time left."""
+        """Call members until there is an answer, or no time left.
+
+        An attempt that has sent the request by the end of the search goes on, as the
+        request is in doubt by then.
+        """
         deadline = self._clock.monotonic() + timeout
         last_deadline = max(deadline, deadline - timeout + in_doubt_timeout)
         was_redirected = False
         while attempts.answer is None:
             if attempts.in_doubt:
                 deadline = last_deadline
-            remaining = deadline - self._clock.monotonic()
-            if remaining <= timedelta():
-                await attempts.wait_for_all()
-                if attempts.in_doubt and deadline < last_deadline:
-                    continue
-                return
+            now = self._clock.monotonic()
+            if now >= deadline:
+                if deadline == last_deadline:
+                    await attempts.wait_for_all()
+                    return
+                # Those without a connection end at the deadline.
+                await attempts.wait_for_all(deadline + RETRY_DELAY - now)
+                if not (attempts.in_doubt or attempts.is_in_progress):
+                    return
+                deadline = last_deadline
+                continue
             member = self._leader
-            reply = await self._attempt(attempts, remaining)
+            reply = await self._attempt(attempts, deadline - now, last_deadline - now)
             if attempts.is_unsendable:
                 return
             match reply:
@@ -144,11 +159,14 @@
             rest = deadline - self._clock.monotonic()
             await attempts.wait(None, min(rest, RETRY_DELAY))
 
-    async def _attempt(self, attempts: Attempts, remaining: timedelta) -> Reply | None:
+    async def _attempt(
+        self, attempts: Attempts, search_left: timedelta, call_left: timedelta
+    ) -> Reply | None:
         """Call the member that probably leads, and give it up if it fails.
 
-        An attempt that ends with the call says nothing about the member: the time
-        that it took is counted, and the next call goes on with the same connection.
+        An attempt that ends with the search, without a connection, or with the call
+        says nothing about the member: the time that it took is counted, and the next
+        call goes on with the same connection.
 
         Returns
         -------
@@ -159,8 +177,8 @@
         unanswered = self._unanswered.get(attempt.member, timedelta())
         patience = self._attempt_timeout - unanswered
         began = self._clock.monotonic()
-        attempts.begin(attempt, remaining)
-        reply = await attempts.wait(attempt, min(remaining, patience))
+        attempts.begin(attempt, call_left, search_left)
+        reply = await attempts.wait(attempt, min(call_left, patience))
         waited = self._clock.monotonic() - began
         if attempts.answer is not None:
             if attempts.answered_by is not None:
@@ -168,7 +186,8 @@
         elif attempts.is_unsendable:
             pass
         elif reply is None or isinstance(reply, Failure):
-            if remaining - TIMER_TOLERANCE <= waited < patience:
+            left = search_left if _is_unreachable(reply) else call_left
+            if left - TIMER_TOLERANCE <= waited < patience:
                 self._unanswered[attempt.member] = unanswered + waited
             else:
                 self._give_up(attempt)
@@ -195,3 +214,10 @@
         names = list(self._members)
         self._leader = names[(names.index(self._leader) + 1) % len(names)]
         return False
+
+
+def _is_unreachable(reply: Reply | None) -> bool:
+    match reply:
+        case Failure(CallFailure(kind=CallFailureKind.UNREACHABLE)):
+            return True
+    return False
--- a/src/rhubarbfield/peering/client.py
+++ b/src/rhubarbfield/peering/client.py
@@ -51,12 +51,16 @@
         self._metadata = credentials.make_metadata()
 
     async def call(
-        self, method: CallMethod, request: Any, timeout: timedelta = CALL_TIMEOUT
+        self,
+        method: CallMethod,
+        request: Any,
+        timeout: timedelta = CALL_TIMEOUT,
+        connect_timeout: timedelta = CONNECT_TIMEOUT,
     ) -> Result[Any, CallFailure]:
         """Send ``request`` and return its reply within ``timeout``."""
         is_connected = False
         with trio.move_on_after(timeout.total_seconds()) as scope:
-            failure = await self._connect()
+            failure = await self._connect(min(connect_timeout, CONNECT_TIMEOUT))
             if failure is not None:
                 return Failure(failure)
             is_connected = True
@@ -67,13 +71,15 @@
             return Failure(CallFailure(CallFailureKind.UNREACHABLE, detail))
         return Failure(CallFailure(CallFailureKind.TIMEOUT, f"no reply in {timeout}"))
 
-    async def _connect(self) -> CallFailure | None:
+    async def _connect(
+        self, timeout: timedelta = CONNECT_TIMEOUT
+    ) -> CallFailure | None:
         """Connect, so that a failure before any request was sent is recognised."""
         try:
-            with trio.fail_after(CONNECT_TIMEOUT.total_seconds()):
+            with trio.fail_after(max(0.0, timeout.total_seconds())):
                 await aio_as_trio(self._channel.__connect__)()
         except trio.TooSlowError:
-            detail = f"not connected in {CONNECT_TIMEOUT}"
+            detail = f"not connected in {timeout}"
             return CallFailure(CallFailureKind.UNREACHABLE, detail)
         except (OSError, ValueError, OverflowError) as error:
             # The latter two are of hosts and ports that none can have.
--- a/src/rhubarbfield/peering/ports.py
+++ b/src/rhubarbfield/peering/ports.py
@@ -118,9 +118,24 @@
     """Connection to one address, opened on first use."""
 
     async def call(
-        self, method: CallMethod, request: Any, timeout: timedelta = CALL_TIMEOUT
+        self,
+        method: CallMethod,
+        request: Any,
+        timeout: timedelta = CALL_TIMEOUT,
+        connect_timeout: timedelta = CONNECT_TIMEOUT,
     ) -> Result[Any, CallFailure]:
-        """Send ``request`` and return its reply within ``timeout``."""
+        """Send ``request`` and return its reply within ``timeout``.
+
+        Parameters
+        ----------
+        method, request
+            The method to call, and the request to send.
+        timeout
+            Time to wait for the reply, connecting included.
+        connect_timeout
+            Time after which the call fails as ``UNREACHABLE`` if the connection is
+            not open by then, so that the request was not sent.
+        """
 
     def open(
         self, method: StreamMethod
--- a/src/rhubarbfield/peering/streamedcalls.py
+++ b/src/rhubarbfield/peering/streamedcalls.py
@@ -19,6 +19,7 @@
 from rhubarbfield.exceptions import BrokenInvariantError
 from rhubarbfield.peering.ports import (
     CALL_TIMEOUT,
+    CONNECT_TIMEOUT,
     CallFailure,
     CallFailureKind,
     CallHandler,
@@ -185,16 +186,23 @@
         self._last_number = 0
 
     async def call(
-        self, method: CallMethod, request: Any, timeout: timedelta = CALL_TIMEOUT
+        self,
+        method: CallMethod,
+        request: Any,
+        timeout: timedelta = CALL_TIMEOUT,
+        connect_timeout: timedelta = CONNECT_TIMEOUT,
     ) -> Result[Any, CallFailure]:
         """Send ``request`` and return its reply within ``timeout``."""
         if method != self._call or self._is_unsupported:
-            return await self._connection.call(method, request, timeout)
-        deadline = trio.current_time() + timeout.total_seconds()
+            return await self._connection.call(
+                method, request, timeout, connect_timeout
+            )
+        began = trio.current_time()
+        deadline = began + timeout.total_seconds()
         if not self._is_running:
             self._is_running = True
             self._nursery.start_soon(self._run)
-        with trio.move_on_at(deadline):
+        with trio.move_on_at(min(deadline, began + connect_timeout.total_seconds())):
             await self._attempted.wait()
         if self._stream is None:
             return Failure(
--- a/src/rhubarbfield/testing/memory_transport.py
+++ b/src/rhubarbfield/testing/memory_transport.py
@@ -25,7 +25,12 @@
     MessageStream,
     StreamMethod,
 )
-from rhubarbfield.peering.ports import CALL_TIMEOUT, CallHandler, StreamHandler
+from rhubarbfield.peering.ports import (
+    CALL_TIMEOUT,
+    CONNECT_TIMEOUT,
+    CallHandler,
+    StreamHandler,
+)
 from rhubarbfield.testing.streams import MemoryStream, memory_stream_pair
 
 MIN_DELAY = timedelta(milliseconds=1)
@@ -189,9 +194,16 @@
         self._address = address
 
     async def call(
-        self, method: CallMethod, request: Any, timeout: timedelta = CALL_TIMEOUT
+        self,
+        method: CallMethod,
+        request: Any,
+        timeout: timedelta = CALL_TIMEOUT,
+        connect_timeout: timedelta = CONNECT_TIMEOUT,
     ) -> Result[Any, CallFailure]:
-        """Send ``request`` and return its reply within ``timeout``."""
+        """Send ``request`` and return its reply within ``timeout``.
+
+        A cut loses the request, as on a connection that was open before.
+        """
         with trio.move_on_after(timeout.total_seconds()):
             return await self._call(method, request)
         return Failure(CallFailure(CallFailureKind.TIMEOUT, "no reply in time"))
--- a/tests/leadercalls/members.py
+++ b/tests/leadercalls/members.py
@@ -33,10 +33,14 @@
         Members that answer nothing, neither calls nor new connections.
     connect_times, reply_times
         How long each member takes to accept a connection, and to reply.
+    reset_times
+        After how long a request on a connection that was reset fails.
     is_unsendable
         Whether requests can't be encoded.
     connections
         Number of connections opened to each member.
+    requests
+        Number of requests sent to each member.
     """
 
     def __init__(self, leader: str, reply: Any) -> None:
@@ -45,7 +49,9 @@
         self.dark: set[str] = set()
         self.connect_times: dict[str, timedelta] = {}
         self.reply_times: dict[str, timedelta] = {}
+        self.reset_times: dict[str, timedelta] = {}
         self.connections: Counter[str] = Counter()
+        self.requests: Counter[str] = Counter()
         self.is_unsendable = False
         self._resets: Counter[str] = Counter()
         self._silences: Counter[str] = Counter()
@@ -82,18 +88,29 @@
         self._silences = members.count_silences(host)
 
     async def call(
-        self, method: Any, request: Any, timeout: timedelta
+        self,
+        method: Any,
+        request: Any,
+        timeout: timedelta,
+        connect_timeout: timedelta,
     ) -> Result[Any, CallFailure]:
         """Return the member's reply within ``timeout``."""
         members, host = self._members, self._host
         is_open = False
         with trio.move_on_after(timeout.total_seconds()):
-            await self._open()
-            is_open = True
+            with trio.move_on_after(connect_timeout.total_seconds()):
+                await self._open()
+                is_open = True
+            if not is_open:
+                return Failure(CallFailure(CallFailureKind.UNREACHABLE, "not open"))
+            members.requests[host] += 1
             if members.is_unsendable:
                 kind = CallFailureKind.UNSENDABLE
                 return Failure(CallFailure(kind, "too large"))
             if members.count_resets(host) != self._resets:
+                await trio.sleep(
+                    members.reset_times.get(host, timedelta()).total_seconds()
+                )
                 return Failure(CallFailure(CallFailureKind.TIMEOUT, "reset"))
             await trio.sleep(members.reply_times.get(host, REPLY_TIME).total_seconds())
             is_silent = members.count_silences(host) != self._silences
--- a/tests/leadercalls/test_calls.py
+++ b/tests/leadercalls/test_calls.py
@@ -111,6 +111,63 @@
         result = self.run_calls(members, body, search_timeout, TIMEOUT)
         self.assertEqual(result, Success(Done()))
         self.assertEqual(members.connections.total(), 1)
+        self.assertEqual(members.requests.total(), 2)
+
+    def test_slow_leader_gets_each_request_once_from_the_first_call_on(self) -> None:
+        for milliseconds in (600, 650, 750):
+            members = Members("a", Done())
+            members.reply_times["a"] = timedelta(milliseconds=milliseconds)
+
+            async def body(call: Callable[[], Awaitable[Any]]) -> None:
+                for _ in range(5):
+                    self.assertEqual(await call(), Success(Done()))
+
+            search_timeout = timedelta(milliseconds=600)
+            self.run_calls(members, body, search_timeout, TIMEOUT)
+            self.assertEqual(members.requests.total(), 5)
+            self.assertEqual(members.connections.total(), 1)
+
+    def test_search_without_a_connection_ends_on_time_and_without_doubt(self) -> None:
+        members = Members("a", Done())
+        members.dark.update(NAMES)
+
+        async def body(call: Callable[[], Awaitable[Any]]) -> tuple[Any, float]:
+            return await call(), trio.current_time()
+
+        search_timeout = timedelta(milliseconds=600)
+        result, took = self.run_calls(members, body, search_timeout, TIMEOUT)
+        self.assertFalse(result.failure().in_doubt)
+        self.assertLess(took, 0.62)
+
+    def test_connection_that_opens_after_the_search_leaves_no_doubt(self) -> None:
+        members = Members("a", Done())
+        members.connect_times["a"] = timedelta(milliseconds=700)
+
+        async def body(call: Callable[[], Awaitable[Any]]) -> Any:
+            return await call()
+
+        search_timeout = timedelta(milliseconds=600)
+        result = self.run_calls(members, body, search_timeout, TIMEOUT)
+        self.assertFalse(result.failure().in_doubt)
+        self.assertEqual(members.requests.total(), 0)
+
+    def test_late_failure_of_a_sent_request_moves_the_target(self) -> None:
+        """The search is over by then, and the call goes on in doubt."""
+        members = Members("a", Done())
+
+        async def body(call: Callable[[], Awaitable[Any]]) -> tuple[Any, float]:
+            await call()
+            members.reset_times["a"] = timedelta(milliseconds=650)
+            members.reset("a")
+            members.leader = InstanceName("b")
+            began = trio.current_time()
+            return await call(), trio.current_time() - began
+
+        search_timeout = timedelta(milliseconds=600)
+        result, took = self.run_calls(members, body, search_timeout, TIMEOUT)
+        self.assertEqual(result, Success(Done()))
+        self.assertLess(took, 0.8)
+        self.assertEqual(members.requests["a"], 2)
 
     def test_calls_made_together_give_a_dark_member_up_together(self) -> None:
         members = Members("a", Done())
@@ -133,6 +190,27 @@
         self.run_calls(members, body, search_timeout, TIMEOUT)
         self.assertLess(max(took), 1)
 
+    def test_searches_that_ended_together_count_for_all_next_calls(self) -> None:
+        members = Members("b", Done())
+        members.dark.add("a")
+        took: list[float] = []
+
+        async def body(call: Callable[[], Awaitable[Any]]) -> None:
+            async def measure() -> None:
+                began = trio.current_time()
+                await call()
+                took.append(trio.current_time() - began)
+
+            for _ in range(2):
+                took.clear()
+                async with trio.open_nursery() as nursery:
+                    for _ in range(10):
+                        nursery.start_soon(measure)
+
+        search_timeout = timedelta(milliseconds=600)
+        self.run_calls(members, body, search_timeout, TIMEOUT)
+        self.assertLess(max(took), 0.3)
+
     def test_silent_connection_is_replaced(self) -> None:
         members = Members("a", Done())
 
--- a/tests/peering/test_grpc.py
+++ b/tests/peering/test_grpc.py
@@ -24,7 +24,9 @@
     PeerLinks,
     StreamMethod,
     connect,
+    make_call_stream,
     open_bridge,
+    open_streamed_calls,
     serve_link,
 )
 from rhubarbfield.peering.links import make_link_method
@@ -128,21 +130,33 @@
 
     async def call_a_host_that_does_not_connect(self) -> None:
         with contextlib.ExitStack() as stack:
-            server = stack.enter_context(socket.socket())
-            server.bind((HOST, 0))
-            server.listen(0)
-            port = server.getsockname()[1]
-            # Later connections wait, once these fill the queue of the listener.
-            for _ in range(4):
-                waiting = stack.enter_context(socket.socket())
-                waiting.setblocking(False)
-                waiting.connect_ex((HOST, port))
+            port = fill_listener(stack)
             async with connect(TRANSPORT, HOST, port) as connection:
                 reply = await connection.call(
                     CALL, Question(1), timedelta(milliseconds=200)
                 )
         self.assertEqual(reply.failure().kind, CallFailureKind.UNREACHABLE)
 
+    def test_a_call_gives_up_connecting_before_its_timeout(self) -> None:
+        run_with_loop(self.call_with_a_connect_timeout)
+
+    async def call_with_a_connect_timeout(self) -> None:
+        stream = make_call_stream(CALL, "/test.Service/Calls")
+        with contextlib.ExitStack() as stack:
+            port = fill_listener(stack)
+            async with open_streamed_calls(TRANSPORT, CALL, stream) as streamed:
+                for transport in (TRANSPORT, streamed):
+                    async with connect(transport, HOST, port) as connection:
+                        with trio.fail_after(0.9):  # less than CONNECT_TIMEOUT
+                            reply = await connection.call(
+                                CALL,
+                                Question(1),
+                                timedelta(seconds=3),
+                                timedelta(milliseconds=100),
+                            )
+                    kind = reply.failure().kind
+                    self.assertEqual(kind, CallFailureKind.UNREACHABLE)
+
     def test_a_silent_server_times_out(self) -> None:
         run_with_loop(self.call_a_silent_server)
 
@@ -157,6 +171,20 @@
         await listeners[0].aclose()
 
 
+def fill_listener(stack: contextlib.ExitStack) -> int:
+    """Return the port of a listener that accepts no further connection."""
+    server = stack.enter_context(socket.socket())
+    server.bind((HOST, 0))
+    server.listen(0)
+    port: int = server.getsockname()[1]
+    # Later connections wait, once these fill the queue of the listener.
+    for _ in range(4):
+        waiting = stack.enter_context(socket.socket())
+        waiting.setblocking(False)
+        waiting.connect_ex((HOST, port))
+    return port
+
+
 async def serve_with_calls(
     port: int,
     encoding: Encoding,
--- a/tests/protocol/test_leaders.py
+++ b/tests/protocol/test_leaders.py
@@ -36,7 +36,9 @@
         transport = self
 
         class Connection:
-            async def call(self, method: Any, request: Any, timeout: Any) -> Reply:
+            async def call(
+                self, method: Any, request: Any, timeout: Any, connect_timeout: Any
+            ) -> Reply:
                 transport.called_hosts.append(host)
                 reply = transport._answer(host, len(transport.called_hosts))
                 waits = reply == TIMED_OUT
