Compare the harm of a standing task that probes a quarantined worker

A standing task on spare cores that was interrupted started on a quarantined worker without spare cores, or where it harms serving tasks, as only room and label were compared. Clients may submit such steps.

Evidence: test_task_on_spare_cores_probes_only_where_there_are_any failed before.

--- a/src/rhubarbfield/scheduling/candidates.py
+++ b/src/rhubarbfield/scheduling/candidates.py
@@ -120,7 +120,9 @@
         return [
             headroom
             for headroom in self._quarantined.get(waiting.queue.service, ())
-            if has_room(step.reserved, headroom) and has_label(step, headroom)
+            if has_room(step.reserved, headroom)
+            and has_label(step, headroom)
+            and admits(step, headroom, self._interference)
         ]
 
     def choose_quarantined(
--- a/tests/scheduling/test_candidates.py
+++ b/tests/scheduling/test_candidates.py
@@ -5,8 +5,10 @@
 import math
 import unittest
 
-from rhubarbfield.scheduling.candidates import RESERVED_WORKERS_SHARE
+from rhubarbfield.scheduling.candidates import RESERVED_WORKERS_SHARE, Candidates
 from rhubarbfield.scheduling.commands import RunStart
+from rhubarbfield.scheduling.headroom import WaitingStep, WorkerHeadroom
+from rhubarbfield.scheduling.interference import InterferenceModel
 from rhubarbfield.scheduling.model import (
     Demand,
     ImageName,
@@ -15,6 +17,7 @@
     Step,
     TaskName,
 )
+from rhubarbfield.scheduling.rejected_steps import RejectedSteps
 from tests.replication.determinism import run_deterministic
 from tests.scheduling.deployments import QUEUE
 from tests.scheduling.fleets import GOAL_MS, LATE_QUEUE, OTHER_QUEUE, Fleet
@@ -248,5 +251,26 @@
         run_deterministic(check, seed=1)
 
 
+class QuarantinedTest(unittest.TestCase):
+    def test_task_on_spare_cores_probes_only_where_there_are_any(self) -> None:
+        """It reserves no cores, so that room alone admitted it."""
+
+        async def check() -> None:
+            fleet = make_fleet()
+            step = Step(demand=Demand(1000), standing=True, uses_spare_cores=True)
+            job = fleet.state.jobs[fleet.submit(step)]
+            waiting = WaitingStep(job, QUEUE, 0, 0)
+            worker = next(iter(fleet.state.workers.values()))
+            for spare_millicores, is_chosen in ((0, False), (1000, True)):
+                headroom = WorkerHeadroom(worker, CAPACITY, spare_millicores)
+                candidates = Candidates(
+                    {}, InterferenceModel(), RejectedSteps(), [headroom]
+                )
+                chosen = candidates.choose_quarantined(waiting, (), {})
+                self.assertEqual(chosen is headroom, is_chosen)
+
+        run_deterministic(check, seed=1)
+
+
 if __name__ == "__main__":
     unittest.main()
