Accept no command in a new group before a voter that came back can vote

A voter that ends before it saves its right is named in the first entry by an incarnation that no longer exists, and replaced once the lease of that one is over. Meanwhile the group acknowledged commands with a quorum that needs all other voters: the loss of one disk left no leader after acknowledgements.

The leader of a group without commands now accepts none, and shows no leadership, until the replacement is committed, for three leases at most; a voter that is away is not waited for. Founding and elections are as before. To name the returned incarnation in the first entry would let a founder in a lower term, with late pledges, form a second group with it, if it had pledged before it lost its storage.

With two such voters of five, the replacement of the first dropped the other as a learner by its name, for the time of a search: only what a change has replaced is dropped now.

--- a/src/rhubarbfield/replication/components.py
+++ b/src/rhubarbfield/replication/components.py
@@ -13,6 +13,7 @@
 from rhubarbfield.replication.follower import Follower
 from rhubarbfield.replication.joining import Joining
 from rhubarbfield.replication.leader import Leader
+from rhubarbfield.replication.leadership import Leadership
 from rhubarbfield.replication.messages import (
     Append,
     AppendAnswer,
@@ -28,6 +29,7 @@
     VoteAnswer,
 )
 from rhubarbfield.replication.proposals import Proposals
+from rhubarbfield.replication.settling import Settling
 from rhubarbfield.replication.state import ReplicaState
 from rhubarbfield.types import InstanceName
 
@@ -67,6 +69,7 @@
         self.joining = Joining(state, bootstrap)
         self.leader: Leader | None = None
         self.changes: MembershipChanges | None = None
+        self._settling: Settling | None = None
         self._handlers: dict[type[ReplicationMessage], Callable[[Any], None]] = {
             PreVote: self._on_pre_vote,
             PreVoteAnswer: self.election.on_pre_vote_answer,
@@ -81,6 +84,13 @@
             ProbeAnswer: self._on_probe_answer,
         }
 
+    def get_leadership(self) -> Leadership | None:
+        """Return the leadership as of now, or None if commands can't be accepted."""
+        leadership = self.leader.get_leadership() if self.leader is not None else None
+        if leadership is None or self._settling is None:
+            return None
+        return leadership if self._settling.is_settled() else None
+
     async def run(self) -> None:
         """Take part in the group until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -105,6 +115,7 @@
                 continue
             leader = self.leader = Leader(state, self.applier, self.proposals)
             changes = self.changes = MembershipChanges(state, leader)
+            self._settling = Settling(state, leader, self.joining.list_answered)
             try:
                 with state.leading_scope:
                     async with trio.open_nursery() as nursery:
@@ -113,6 +124,7 @@
             finally:
                 self.leader = None
                 self.changes = None
+                self._settling = None
                 self.proposals.fail_all(state.leader.name if state.leader else None)
 
     def _on_append_answer(self, message: AppendAnswer) -> None:
--- a/src/rhubarbfield/replication/founding.py
+++ b/src/rhubarbfield/replication/founding.py
@@ -77,6 +77,10 @@
         """Let the others go first again, as there is contact with a leader."""
         self._waiting_since = self._state.now
 
+    def list_answered(self) -> list[ReplicaId]:
+        """Return the founding voters that answered lately, as they are now."""
+        return [answer.replica_id for answer in self._list_recent()]
+
     def ask(self) -> tuple[InstanceName, ...]:
         """Return the founding voters if pledges are to be asked for now, or ``()``."""
         log = self._state.log
--- a/src/rhubarbfield/replication/joining.py
+++ b/src/rhubarbfield/replication/joining.py
@@ -5,6 +5,7 @@
 from rhubarbfield.replication.founding import Founding
 from rhubarbfield.replication.messages import MAX_CONTACTS, Probe, ProbeAnswer
 from rhubarbfield.replication.state import ReplicaState
+from rhubarbfield.storage import ReplicaId
 from rhubarbfield.types import Incarnation, InstanceName
 
 PROBE_INTERVAL_HEARTBEATS = 2
@@ -45,6 +46,10 @@
                 self._founding.restart_wait()
             await state.clock.sleep(pause)
 
+    def list_answered(self) -> list[ReplicaId]:
+        """Return the founding voters that answered a probe lately."""
+        return self._founding.list_answered()
+
     def add_contacts(self, names: tuple[InstanceName, ...]) -> None:
         """Add instances to probe when searching for the group."""
         self._contacts.update(names)
--- a/src/rhubarbfield/replication/leader.py
+++ b/src/rhubarbfield/replication/leader.py
@@ -304,22 +304,23 @@
         agreed = log.quorum.find_quorum_rank(self._get_match_index)
         if agreed <= log.commit or log.find_term(agreed) != state.term:
             return
-        had_change = log.has_uncommitted_change
+        former = log.quorum.voters if log.has_uncommitted_change else ()
         log.advance_commit(agreed)
         state.commit_advanced.set()
         if self.has_committed_in_term:
             self._applier.record_leader_commit(log.commit)
-        if had_change and not log.has_uncommitted_change:
-            self._finish_change()
+        if former and not log.has_uncommitted_change:
+            self._finish_change(former)
 
-    def _finish_change(self) -> None:
+    def _finish_change(self, former: Sequence[ReplicaId]) -> None:
         """Save a committed membership change and notify the peers at once."""
         state = self._state
         state.persist(state.log.save_commit())
         voters = state.log.quorum.voters
-        names = {voter.name for voter in voters}
+        replaced = {voter.name for voter in former if voter not in voters}
+        replaced &= {voter.name for voter in voters}
         for replica_id in list(self.peers):
-            if replica_id not in voters and replica_id.name in names:
+            if replica_id not in voters and replica_id.name in replaced:
                 self._stop_peer(replica_id)
         for peer in self.peers.values():
             peer.request_heartbeat()
--- a/src/rhubarbfield/replication/replica.py
+++ b/src/rhubarbfield/replication/replica.py
@@ -196,7 +196,7 @@
         leader = self._leader
         if leader is None or not leader.is_active:
             return Failure(NotLeader(self.leader_hint))
-        if leader.get_leadership() is None:
+        if self.leadership is None:
             return Failure(NoQuorum())
         deadline = self._clock.monotonic() + self._settings.propose_timeout
         return await self._proposals.enqueue(command, deadline).wait()
@@ -208,7 +208,7 @@
         Check it again just before each effect, since the process may have been
         stopped after the previous check.
         """
-        return self._leader.get_leadership() if self._leader is not None else None
+        return self._components.get_leadership() if self._components else None
 
     @property
     def led_term(self) -> Term | None:
@@ -228,10 +228,7 @@
         pause = self._settings.heartbeat / READ_CHECKS_PER_HEARTBEAT
         deadline = self._clock.monotonic() + self._settings.lease
         while self._leader is not None and self._clock.monotonic() < deadline:
-            if (
-                self._leader.get_leadership() is not None
-                and self._components is not None
-            ):
+            if self.leadership is not None and self._components is not None:
                 return Success(self._components.state.log.commit)
             await self._clock.sleep(pause)
         return Failure(NotLeader(self.leader_hint))
--- a/src/rhubarbfield/replication/status.py
+++ b/src/rhubarbfield/replication/status.py
@@ -95,9 +95,7 @@
         The damage found in its store when it was opened, if any.
     """
     state = components.state
-    has_lease = (
-        components.leader is not None and components.leader.get_leadership() is not None
-    )
+    has_lease = components.get_leadership() is not None
     has_leader_contact = (
         state.now - state.last_contact_at <= state.settings.election_max
     )
--- a/tests/replication/test_founding_losses.py
+++ b/tests/replication/test_founding_losses.py
@@ -62,3 +62,42 @@
             await check_goes_on(group)
 
         run_founding(scenario)
+
+    def test_other_voter_loses_its_disk_after_one_ended_before_it_began(self) -> None:
+        async def scenario(group: Group) -> None:
+            await start(group, "ab")
+            await group.get("c").start(may_form_group=False)
+            await check_formed(group)
+            await lose_disk(group, "b")
+            await check_goes_on(group)
+
+        run_founding(scenario)
+
+    def test_two_of_five_lose_their_disks_after_two_ended_before_they_began(
+        self,
+    ) -> None:
+        async def scenario(group: Group) -> None:
+            await start(group, "abc")
+            for name in "de":
+                await group.get(name).start(may_form_group=False)
+            await check_formed(group)
+            await group.get("a").lose_disk()
+            await lose_disk(group, "b")
+            await group.get("a").start(may_form_group=False)
+            await check_goes_on(group)
+
+        run_founding(scenario, names="abcde")
+
+    def test_voter_that_ends_again_does_not_hold_the_group_up(self) -> None:
+        async def scenario(group: Group) -> None:
+            await start(group, "ab")
+            await group.get("c").start(may_form_group=False)
+            founder = group.get("a").replica
+            assert founder is not None
+            with trio.fail_after(30):
+                while all(member.is_voter for member in founder.status().members):
+                    await trio.sleep(0.0005)
+            await group.get("c").crash()
+            await check_formed(group)
+
+        run_founding(scenario)
