--- a/tests/scheduling/longrun.py
+++ b/tests/scheduling/longrun.py
@@ -26,6 +26,7 @@
 )
 from rhubarbfield.scheduling.state import Job
 from rhubarbfield.testing.scheduling_workers import CAPACITY, StandInWorker
+from rhubarbfield.types import WorkerId
 from tests.replication.determinism import run_deterministic
 from tests.scheduling.deployments import ONE_CORE, Deployment, count_runs_at_once
 
@@ -38,6 +39,12 @@
 TERM_SECONDS = 25
 TERMS = 3
 RECOVERY_SECONDS = 60
+# Time of it in which a worker had a free core for a while although work was left. A
+# restarted worker is used after its next report and an answer.
+ROOM_DELAY = 2.0
+MAX_SECONDS_WITH_ROOM = 20
+MAX_LOADED_SECONDS = 300
+RECOVERY_STEP = 0.1
 SIZES = (Demand(2000, 8000), Demand(4000, 16000), CAPACITY)
 
 
@@ -56,6 +63,8 @@
         self.guards = self.random.random() < 0.5
         self.faults: list[str] = []
         self.jobs = 0
+        self.seconds_with_room = 0.0
+        self._room_since: dict[WorkerId, float] = {}
 
     async def play(self) -> None:
         """Play the day; jobs have time to end after the disturbances."""
@@ -85,9 +94,41 @@
             for worker in self._list_workers():
                 worker.is_unreachable = False
                 worker.set_capacity(CAPACITY)
-            await trio.sleep(RECOVERY_SECONDS)
+            await self._recover()
         self._check_end()
 
+    async def _recover(self) -> None:
+        """Wait for all work to end, for a limited time in which there was room for it.
+
+        On a day with more work than the workers can do, no core is free for most of
+        it: that says nothing about the scheduler.
+        """
+        began = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch)
+            while True:
+                passed = trio.current_time() - began
+                may_wait = self.seconds_with_room < MAX_SECONDS_WITH_ROOM
+                is_late = not may_wait or passed >= MAX_LOADED_SECONDS
+                if passed >= RECOVERY_SECONDS and (is_late or not self._list_open()):
+                    break
+                await trio.sleep(RECOVERY_STEP)
+                if self._list_open() and may_wait:
+                    self.seconds_with_room += RECOVERY_STEP * self._has_lasting_room()
+            nursery.cancel_scope.cancel()
+
+    def _has_lasting_room(self) -> bool:
+        """Return whether a worker could have run one more task for a while."""
+        now = trio.current_time()
+        since: dict[WorkerId, float] = {}
+        for worker in self._list_workers():
+            worker.end_due_runs()
+            wanted = (len(worker.runs) + 1) * ONE_CORE.millicores
+            if not worker.is_down and wanted <= worker.capacity.millicores:
+                since[worker.worker] = self._room_since.get(worker.worker, now)
+        self._room_since = since
+        return any(now - began >= ROOM_DELAY for began in since.values())
+
     def _list_workers(self) -> list[StandInWorker]:
         fleet = self.deployment.fleet
         return [fleet.find_latest(first) for first in self.deployment.reporting]
@@ -152,20 +193,37 @@
                 self.faults.append(f"{worker.worker} exceeded its capacity")
         for job in self.deployment.state.jobs.values():
             self._check_job(job)
+        if self.seconds_with_room >= MAX_SECONDS_WITH_ROOM:
+            self.faults.append("work had room for too long without an end")
+        for job in self._list_open():
+            self.faults.append(f"{job.job} is {job.phase} at the end")
 
-    def _check_job(self, job: Job) -> None:
-        names = [
-            TaskName(f"{job.job}.0.0.{index}")
-            for index in range(len(job.occurrences[0][0].tasks))
+    def _list_open(self) -> list[Job]:
+        """Return the open jobs that have to end."""
+        return [
+            job
+            for job in self.deployment.state.jobs.values()
+            if job.is_open
+            and not job.get_step(0).standing
+            and not self._has_deadly_run(job)
         ]
+
+    def _has_deadly_run(self, job: Job) -> bool:
         fleet = self.deployment.fleet
-        is_deadly = any(fleet.starts[name] and name in fleet.deadly for name in names)
-        crashes = max(fleet.count_crashes(name) for name in names)
-        is_standing = job.get_step(0).standing
+        names = list_tasks(job)
+        return any(fleet.starts[name] and name in fleet.deadly for name in names)
+
+    def _check_job(self, job: Job) -> None:
+        fleet = self.deployment.fleet
+        crashes = max(fleet.count_crashes(name) for name in list_tasks(job))
         if job.phase is JobPhase.FAILED and crashes < MIN_CRASHES:
             self.faults.append(f"{job.job} was failed after {crashes} crashes")
-        if not is_deadly and not is_standing and job.is_open:
-            self.faults.append(f"{job.job} is {job.phase} at the end")
+
+
+def list_tasks(job: Job) -> list[TaskName]:
+    """Return the names of the tasks of a job's only step."""
+    count = len(job.occurrences[0][0].tasks)
+    return [TaskName(f"{job.job}.0.0.{index}") for index in range(count)]
 
 
 def play_day(seed: int) -> RandomDay:
--- a/tests/scheduling/test_longrun.py
+++ b/tests/scheduling/test_longrun.py
@@ -4,7 +4,9 @@
 
 import unittest
 
-from tests.scheduling.longrun import play_day
+from rhubarbfield.scheduling.model import TaskName
+from tests.replication.determinism import run_deterministic
+from tests.scheduling.longrun import RandomDay, play_day
 
 # 2 and 3: a crash behind a cut was proved after five later ones, and not counted.
 # 25: the work of a run was counted from an order that had not reached its worker.
@@ -17,6 +19,18 @@
             with self.subTest(seed=seed):
                 self.assertEqual(play_day(seed).faults, [])
 
+    def test_job_that_does_not_end_beside_free_cores_is_a_fault(self) -> None:
+        days: list[RandomDay] = []
+
+        async def play() -> None:
+            day = RandomDay(2)
+            day.deployment.fleet.endless.add(TaskName("j3.0.0.0"))
+            days.append(day)
+            await day.play()
+
+        run_deterministic(play, seed=2)
+        self.assertIn("j3 is running at the end", days[0].faults)
+
 
 if __name__ == "__main__":
     unittest.main()
