Let standing tasks that never ran follow a proven probe

What callers saw: accepted standing tasks that had never run did not start beside a worker with capacity for them twice over, for more than the 7 s after the worker had become sound that the users allow.

Cause: on a worker on probation after failures only interrupted standing tasks may start before the probation ends. Others waited for the next probe, and then for the 2 s that it has to run: 7.46 s if an interrupted task of their step was the probe, more if a finite task was it, since those on time go first.

Why it works: a probe that outlasts the moments in which faulty workers fail runs says the same whichever task it is, and whichever standing task follows. Being the probe before the quarantine ends stays with interrupted tasks. Jobs still wait for the whole probation.

--- a/src/rhubarbfield/scheduling/availability.py
+++ b/src/rhubarbfield/scheduling/availability.py
@@ -75,7 +75,7 @@
         return self._measure(self._get_state(), worker, self._clock.monotonic())
 
     def measure_quarantined(self) -> list[WorkerHeadroom]:
-        """Return what workers have left for interrupted standing tasks alone."""
+        """Return what workers on probation have left for standing tasks alone."""
         state, now = self._get_state(), self._clock.monotonic()
         measured = []
         for worker in state.workers.values():
@@ -84,6 +84,9 @@
             if worker.draining or not starts or session is None:
                 continue
             headroom = self._measure_session(state, worker, session)
+            headroom.has_proven_probe = self._quarantine.has_proven_probe(
+                worker.worker, now
+            )
             limit = headroom.task_count + starts
             headroom.task_limit = min(headroom.task_limit, limit)
             measured.append(headroom)
--- a/src/rhubarbfield/scheduling/candidates.py
+++ b/src/rhubarbfield/scheduling/candidates.py
@@ -45,7 +45,7 @@
     rejected
         Steps that earlier rounds could not place.
     quarantined
-        Headroom of the workers that only an interrupted standing task may probe.
+        Headroom of the workers on probation, on which only standing tasks may start.
 
     Attributes
     ----------
@@ -114,13 +114,20 @@
             return None
         return ranking.choose(list_full(waiting.step, tasks_per_worker), avoided)
 
-    def list_quarantined(self, waiting: WaitingStep) -> list[WorkerHeadroom]:
-        """Return the quarantined workers that a standing task of a step may probe."""
+    def list_quarantined(
+        self, waiting: WaitingStep, *, is_interrupted: bool
+    ) -> list[WorkerHeadroom]:
+        """Return the workers on probation that a standing task of a step may start on.
+
+        Only one that was interrupted may be the probe.
+        """
         step = waiting.step
         return [
             headroom
             for headroom in self._quarantined.get(waiting.queue.service, ())
-            if has_room(step.reserved, headroom) and has_label(step, headroom)
+            if has_room(step.reserved, headroom)
+            and has_label(step, headroom)
+            and (is_interrupted or headroom.has_proven_probe)
         ]
 
     def choose_quarantined(
@@ -128,13 +135,17 @@
         waiting: WaitingStep,
         avoided: Collection[WorkerId],
         tasks_per_worker: Mapping[WorkerId, int],
+        *,
+        is_interrupted: bool,
     ) -> WorkerHeadroom | None:
-        """Return the quarantined worker that a standing task of a step should probe."""
+        """Return the best worker on probation for a standing task of a step."""
         full = list_full(waiting.step, tasks_per_worker)
         return min(
             (
                 headroom
-                for headroom in self.list_quarantined(waiting)
+                for headroom in self.list_quarantined(
+                    waiting, is_interrupted=is_interrupted
+                )
                 if headroom.worker.worker not in full
             ),
             key=lambda each: (each.worker.worker in avoided, each.failures),
--- a/src/rhubarbfield/scheduling/headroom.py
+++ b/src/rhubarbfield/scheduling/headroom.py
@@ -54,6 +54,8 @@
         than the present count until its probe has started.
     failures
         Runs that failed on the worker since the last success.
+    has_proven_probe
+        Whether the worker is on probation, and standing tasks may follow its probe.
     count_unproven
         Counts the runs with which the worker is not known to have worked for a while.
     new_tasks
@@ -74,6 +76,7 @@
     task_count: int = 0
     task_limit: int = 1_000_000
     failures: int = 0
+    has_proven_probe: bool = False
     count_unproven: Callable[[], int] = int
     new_tasks: int = 0
 
--- a/src/rhubarbfield/scheduling/placing.py
+++ b/src/rhubarbfield/scheduling/placing.py
@@ -102,7 +102,7 @@
     rejected
         Steps that earlier rounds could not place; its round must have begun.
     quarantined
-        Headroom of the workers that only an interrupted standing task may probe.
+        Headroom of the workers on probation, on which only standing tasks may start.
 
     Attributes
     ----------
@@ -209,9 +209,14 @@
         """Return whether a step may start where other steps may not."""
         if waiting.step.uses_spare_cores and self._may_force(waiting):
             return True
-        if not (waiting.step.standing and self._candidates.list_quarantined(waiting)):
+        if not waiting.step.standing:
             return False
-        return any(awaits_restart(waiting.step, task) for task in waiting.tasks)
+        is_interrupted = any(
+            awaits_restart(waiting.step, task) for task in waiting.tasks
+        )
+        return bool(
+            self._candidates.list_quarantined(waiting, is_interrupted=is_interrupted)
+        )
 
     def _place_step(self, waiting: WaitingStep) -> None:
         step = waiting.step
@@ -229,9 +234,12 @@
                 tasks_per_worker,
                 is_suspect=task.is_suspect,
             )
-            if headroom is None and awaits_restart(step, task):
+            if headroom is None and step.standing:
                 headroom = self._candidates.choose_quarantined(
-                    waiting, self._avoided.get(name, ()), tasks_per_worker
+                    waiting,
+                    self._avoided.get(name, ()),
+                    tasks_per_worker,
+                    is_interrupted=awaits_restart(step, task),
                 )
             if headroom is None and self._may_force(waiting):
                 headroom = self._candidates.choose_least_harmful(
--- a/src/rhubarbfield/scheduling/quarantine.py
+++ b/src/rhubarbfield/scheduling/quarantine.py
@@ -91,21 +91,31 @@
         return until is not None and now >= until
 
     def count_standing_starts(self, worker: WorkerId, now: timedelta) -> int:
-        """Return how many interrupted standing tasks may start, but no other tasks.
+        """Return how many standing tasks may start, but no other tasks.
 
-        One may be the probe shortly before the quarantine ends, and others may follow
-        as soon as a probe has outlasted the moments in which faulty workers fail runs.
+        An interrupted one may be the probe shortly before the quarantine ends, and
+        others may follow as soon as a probe is proven.
         """
-        if not self.is_on_probation(worker, now):
+        if self.has_proven_probe(worker, now):
+            return MAX_STANDING_STARTS
+        if not self.is_on_probation(worker, now) or not self.may_probe(worker):
             return 0
-        record = self._records[worker]
-        if record.probed_from is None:
+        probed_from = self._records[worker].probed_from
+        if probed_from is None:
             return 0
-        if record.probed_at is not None:
-            probed_for = now - record.probed_at
-            is_proven = probed_for >= self._settings.standing_probe_duration
-            return MAX_STANDING_STARTS if is_proven else 0
-        return int(now >= record.probed_from and not self.is_eligible(worker, now))
+        return int(now >= probed_from and not self.is_eligible(worker, now))
+
+    def has_proven_probe(self, worker: WorkerId, now: timedelta) -> bool:
+        """Return whether a probe after failures has outlasted those of faulty workers.
+
+        Standing tasks may then start, even before probation ends.
+        """
+        if not self.is_on_probation(worker, now):
+            return False
+        record = self._records[worker]
+        if record.probed_from is None or record.probed_at is None:
+            return False
+        return now - record.probed_at >= self._settings.standing_probe_duration
 
     def is_on_probation(self, worker: WorkerId, now: timedelta) -> bool:
         """Return whether the worker has had no successful probe since quarantine.
