Show that standing tasks wait for the probation after a stall

Cause: stalls quarantine a worker like failures do, but only failures let interrupted standing tasks return before the quarantine has ended, and follow a probe before the probation has. It is not mended: a standing probe makes no progress that could be seen, so it does not tell a stuck worker from a sound one.

--- a/tests/scheduling/test_probation.py
+++ b/tests/scheduling/test_probation.py
@@ -11,6 +11,7 @@
 from rhubarbfield.scheduling.state import RunEnd
 from rhubarbfield.testing.scheduling_workers import CAPACITY, StandInWorker
 from tests.scheduling.deployments import (
+    FOREVER,
     ONE_CORE,
     Deployment,
     with_deployment,
@@ -99,6 +100,31 @@
             nursery.cancel_scope.cancel()
         self.assertLess(took, TOLERATED_SECONDS_OF_RECOVERY)
 
+    @with_deployment()
+    async def test_interrupted_tasks_do_not_wait_for_the_probation_after_a_stall(
+        self, deployment: Deployment
+    ) -> None:
+        """Only failed runs let them return before the quarantine had ended."""
+        deployment.settings = SETTINGS
+        first = deployment.add_worker("w1", duration=None)
+        deployment.fleet.restart_delay = FOREVER
+        async with deployment.lead():
+            step = Step(tasks=4, demand=TWO_CORES, standing=True)
+            await deployment.submit("l", step)
+            await trio.sleep(1)
+            worker = deployment.add_worker("w2", duration=None)
+            worker.is_stuck = True
+            await trio.sleep(1)
+            await deployment.submit("s", Step(tasks=4, demand=TWO_CORES))
+            await trio.sleep(0.2)
+            self.assertEqual(len(worker.runs), step.tasks)
+            deployment.fleet.crash(first)
+            while worker.runs:
+                await trio.sleep(TIME_STEP)
+            worker.is_stuck = False
+            took = await measure_wait(worker, ["l.0.0.1", "l.0.0.2"])
+        self.assertLess(took, TOLERATED_SECONDS_OF_RECOVERY)
+
 
 if __name__ == "__main__":
     unittest.main()
