--- a/src/rhubarbfield/testing/scheduling_workers.py
+++ b/src/rhubarbfield/testing/scheduling_workers.py
@@ -107,6 +107,10 @@
         Whether calls get no reply.
     is_stuck
         Whether new runs never end and no run makes progress.
+    is_draining
+        Whether the worker reports that it drains.
+    labels
+        Labels that the worker reports.
     started
         Task, run and time of each start.
     unanswered_starts
@@ -140,6 +144,8 @@
         self.term = Term(0)
         self.is_unreachable = False
         self.is_stuck = False
+        self.is_draining = False
+        self.labels: tuple[Label, ...] = (Label("a"), Label("r1"))
         self.started: list[tuple[TaskName, RunNumber, timedelta]] = []
         self.demands: dict[TaskName, Demand] = {}
         self.guards_capacity = True
@@ -175,8 +181,8 @@
             address=self.address,
             zone="z",
             capacity=self.capacity,
-            labels=(Label("a"), Label("r1")),
-            draining=draining,
+            labels=self.labels,
+            draining=draining or self.is_draining,
         )
 
     def make_heartbeat(self, *, draining: bool = False) -> Heartbeat:
