--- a/src/rhubarbfield/scheduling/headroom.py
+++ b/src/rhubarbfield/scheduling/headroom.py
@@ -57,6 +57,8 @@
         of a gang may be the probe together, as none of them works without the others.
     failures
         Runs that failed on the worker since the last success.
+    has_proven_probe
+        Whether the worker is on probation, and standing tasks may follow its probe.
     count_unproven
         Counts the runs with which the worker is not known to have worked for a while.
     new_tasks
@@ -78,6 +80,7 @@
     task_limit: int = 1_000_000
     awaits_probe: bool = False
     failures: int = 0
+    has_proven_probe: bool = False
     count_unproven: Callable[[], int] = int
     new_tasks: int = 0
 
--- a/src/rhubarbfield/scheduling/placing.py
+++ b/src/rhubarbfield/scheduling/placing.py
@@ -103,7 +103,7 @@
     rejected
         Steps that earlier rounds could not place; its round must have begun.
     quarantined
-        Headroom of the workers that only an interrupted standing task may probe.
+        Headroom of the workers on probation, on which only standing tasks may start.
     reserved
         Workers that are reserved for interrupted standing tasks.
 
@@ -216,8 +216,11 @@
             return True
         if not waiting.step.gang and self._reserved.may_take(waiting):
             return True
-        if not (waiting.step.standing and self._candidates.list_quarantined(waiting)):
+        find = self._candidates.list_quarantined
+        if not waiting.step.standing or not find(waiting, is_interrupted=True):
             return False
+        if find(waiting, is_interrupted=False):
+            return True
         return any(awaits_restart(waiting.step, task) for task in waiting.tasks)
 
     def _place_step(self, waiting: WaitingStep) -> None:
@@ -272,9 +275,12 @@
         headroom = None
         if not task.is_suspect:
             headroom = self._reserved.choose(waiting, tasks_per_worker)
-        if headroom is None and awaits_restart(waiting.step, task):
+        if headroom is None and waiting.step.standing:
             headroom = self._candidates.choose_quarantined(
-                waiting, self._avoided.get(name, ()), tasks_per_worker
+                waiting,
+                self._avoided.get(name, ()),
+                tasks_per_worker,
+                is_interrupted=awaits_restart(waiting.step, task),
             )
         return headroom
 
