Look in a view only for runs that are not as recorded

Keys were made and looked up for each run that a view lists as recorded, to find missing and unrecorded ones, and brief runs were selected where there are none. Runs that are listed as recorded are now passed over first; what is found about the others, and the order in which it is handled, is the same.

--- a/src/rhubarbfield/scheduling/ledger.py
+++ b/src/rhubarbfield/scheduling/ledger.py
@@ -113,7 +113,10 @@
 
     def drop_brief(self, before: timedelta) -> None:
         """Forget the brief runs that were on the worker before a time."""
-        self.brief = {key: since for key, since in self.brief.items() if since > before}
+        if self.brief:
+            self.brief = {
+                key: since for key, since in self.brief.items() if since > before
+            }
 
     def find_presence(self, key: RunKey) -> timedelta | None:
         """Return since when a run may be on the worker; None if it is not known.
@@ -181,12 +184,12 @@
         present |= {(end.task, end.run) for end in view.ends}
         missing = []
         for task, run in recorded_runs.items():
+            if (task, run) in present:
+                continue
             key = RunKey(task, run)
             # The worker rejects orders of earlier leaders once it has seen this term.
             is_certain = key in settled or key not in self.starts
-            if self.is_ending(key):
-                continue
-            if is_certain and (task, run) not in present:
+            if is_certain and not self.is_ending(key):
                 log_event(
                     logger,
                     logging.INFO,
--- a/src/rhubarbfield/scheduling/session.py
+++ b/src/rhubarbfield/scheduling/session.py
@@ -328,7 +328,7 @@
         recorded = [end for end in listed if worker.runs.get(end.task) == end.run]
         for end in recorded:
             self._ledger.record_listed_end(RunKey(end.task, end.run), self._viewed_at)
-        brief = self.presence.select_brief(recorded)
+        brief = self.presence.select_brief(recorded) if recorded else ()
         self._ledger.drop_brief(self._contact.last_contact_at - PROOF_TIME)
         ends = [_convert_end(end) for end in listed]
         if not view.truncated:
@@ -358,9 +358,10 @@
     def _stop_unrecorded(self, view: WorkerView, worker: Worker) -> None:
         """Stop runs on the worker that are not recorded."""
         for run in view.active:
+            if worker.runs.get(run.task) == run.run:
+                continue
             key = RunKey(run.task, run.run)
-            is_recorded = worker.runs.get(run.task) == run.run
-            if not is_recorded and key not in self._ledger.starts:
+            if key not in self._ledger.starts:
                 self.stop(key, StopReason.UNRECORDED)
 
     async def _remove_worker(self) -> None:
