Count the probation of a worker from its probe alone

What callers can see, not observed yet: jobs find no room on a sound worker for longer than the 2 s after its probe, and standing tasks that come later wait anew for 0.5 s.

Cause: each start on a worker on probation was noted as its probe. Since others may follow a proven probe, each of them began the probation again.

Why it works: only a start without a probe before it is the probe. A failure begins a new quarantine, and forgets the probe, as before.

--- a/src/rhubarbfield/scheduling/quarantine.py
+++ b/src/rhubarbfield/scheduling/quarantine.py
@@ -75,8 +75,8 @@
         self._quarantine_worker(self._get(worker), now)
 
     def record_probe(self, worker: WorkerId, now: timedelta) -> None:
-        """Record that a run was started; on probation it is the probe."""
-        if self.is_on_probation(worker, now):
+        """Record that a run was started; the first on probation is the probe."""
+        if self.is_on_probation(worker, now) and self.may_probe(worker):
             self._get(worker).probed_at = now
 
     def forget(self, worker: WorkerId) -> None:
--- a/tests/scheduling/test_probation.py
+++ b/tests/scheduling/test_probation.py
@@ -7,9 +7,12 @@
 
 import trio
 
+from rhubarbfield.clock import MILLISECOND
 from rhubarbfield.scheduling.model import Step, TaskName
+from rhubarbfield.scheduling.quarantine import WorkerQuarantine
 from rhubarbfield.scheduling.state import RunEnd
 from rhubarbfield.testing.scheduling_workers import CAPACITY, StandInWorker
+from rhubarbfield.types import WorkerId
 from tests.scheduling.deployments import (
     FOREVER,
     ONE_CORE,
@@ -125,6 +128,19 @@
             took = await measure_wait(worker, ["l.0.0.1", "l.0.0.2"])
         self.assertLess(took, TOLERATED_SECONDS_OF_RECOVERY)
 
+    def test_tasks_that_follow_a_probe_do_not_prolong_the_probation(self) -> None:
+        quarantine, worker = WorkerQuarantine(SETTINGS), WorkerId("w1")
+        for _ in range(SETTINGS.quarantine_failures):
+            quarantine.record_failure(worker, timedelta())
+        probed_at = SETTINGS.standing_probe_delay
+        quarantine.record_probe(worker, probed_at)
+        followed_at = probed_at + SETTINGS.standing_probe_duration
+        self.assertTrue(quarantine.has_proven_probe(worker, followed_at))
+        quarantine.record_probe(worker, followed_at)
+        self.assertTrue(quarantine.has_proven_probe(worker, followed_at))
+        ended_at = probed_at + SETTINGS.probe_duration + MILLISECOND
+        self.assertFalse(quarantine.is_on_probation(worker, ended_at))
+
 
 if __name__ == "__main__":
     unittest.main()
