--- a/src/rhubarbfield/backends/pools.py
+++ b/src/rhubarbfield/backends/pools.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import encodings.idna  # noqa: F401  (or the first request imports it)
 import socket
 import ssl
 import struct
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
+import httpcore  # noqa: F401  (or the first request imports it)
 import httpx
 import trio
 
--- a/tests/backends/test_http.py
+++ b/tests/backends/test_http.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import subprocess
+import sys
 import unittest
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
@@ -158,6 +160,30 @@
         self.assert_failed(result, DeliveryState.NOT_SENT, FailureReason.CONNECT)
 
 
+# Prints the modules that the first exchange of a process imports.
+FIRST_EXCHANGE = """
+import sys
+import trio
+from tests.backends.test_http import AdapterFixture
+
+before = set(sys.modules)
+fixture = AdapterFixture(1)
+trio.run(fixture.exchange)
+print(*sorted(set(sys.modules) - before))
+"""
+
+
+class FirstExchangeTest(unittest.TestCase):
+    def test_first_exchange_imports_nothing_within_its_time(self) -> None:
+        ended = subprocess.run(
+            [sys.executable, "-c", FIRST_EXCHANGE],
+            capture_output=True,
+            text=True,
+            check=True,
+        )
+        self.assertEqual(ended.stdout.split(), [])
+
+
 class RawRequestTest(unittest.TestCase):
     def receive(self, **changes: Any) -> tuple[bytes, type[Exception] | None]:
         received: list[bytes] = []
