--- a/tests/scheduling/test_candidates.py
+++ b/tests/scheduling/test_candidates.py
@@ -266,7 +266,9 @@
                 candidates = Candidates(
                     {}, InterferenceModel(), RejectedSteps(), [headroom]
                 )
-                chosen = candidates.choose_quarantined(waiting, (), {})
+                chosen = candidates.choose_quarantined(
+                    waiting, (), {}, is_interrupted=True
+                )
                 self.assertEqual(chosen is headroom, is_chosen)
 
         run_deterministic(check, seed=1)
