--- a/src/rhubarbfield/scheduling/quarantine.py
+++ b/src/rhubarbfield/scheduling/quarantine.py
@@ -6,13 +6,18 @@
 
 from __future__ import annotations
 
+import logging
 from datetime import timedelta
 
 import msgspec
 
+from rhubarbfield.logs import log_event
 from rhubarbfield.scheduling.settings import SchedulingSettings
 from rhubarbfield.types import WorkerId
 
+# A fixed log area, independent of the module's name.
+logger = logging.getLogger("rhubarbfield.scheduling.leader")
+
 MAX_STANDING_STARTS = 1_000_000  # capacity alone limits the tasks of a proven worker
 
 
@@ -57,6 +62,8 @@
     def record_success(self, worker: WorkerId) -> None:
         """Record that a run succeeded; ends quarantine and probation."""
         record = self._get(worker)
+        if record.quarantined_until is not None:
+            log_event(logger, logging.INFO, "quarantine-ended", worker=worker)
         record.failures = 0
         record.quarantined_until = None
         record.probed_from = None
@@ -73,12 +80,12 @@
         if self.is_on_probation(worker, now) and self.may_probe(worker):
             return
         if record.failures >= self._settings.quarantine_failures:
-            self._quarantine_worker(record, now)
+            self._quarantine_worker(worker, now, "failures")
             record.probed_from = now + self._settings.standing_probe_delay
 
     def record_stall(self, worker: WorkerId, now: timedelta) -> None:
         """Record that runs on the worker make no progress; starts a quarantine."""
-        self._quarantine_worker(self._get(worker), now)
+        self._quarantine_worker(worker, now, "stall")
 
     def record_probe(self, worker: WorkerId, now: timedelta) -> None:
         """Record that a run was started; the first on probation is the probe.
@@ -90,6 +97,7 @@
             return
         if self.is_eligible(worker, now) or self.count_standing_starts(worker, now):
             self._get(worker).probed_at = now
+            log_event(logger, logging.INFO, "worker-probed", worker=worker)
 
     def forget(self, worker: WorkerId) -> None:
         """Drop the record of a worker that was removed."""
@@ -154,10 +162,19 @@
         record = self._records.get(worker)
         return record.failures if record is not None else 0
 
-    def _quarantine_worker(self, record: WorkerOutcomes, now: timedelta) -> None:
+    def _quarantine_worker(self, worker: WorkerId, now: timedelta, cause: str) -> None:
+        record = self._get(worker)
         record.quarantined_until = now + self._settings.quarantine_duration
         record.probed_from = None
         record.probed_at = None
+        log_event(
+            logger,
+            logging.INFO,
+            "worker-quarantined",
+            worker=worker,
+            cause=cause,
+            failures=record.failures,
+        )
 
     def _get(self, worker: WorkerId) -> WorkerOutcomes:
         return self._records.setdefault(worker, WorkerOutcomes())
