Cancel jobs whose submission is still on the way

What callers saw: a submission that got no answer was cancelled through another entry, the cancel was answered 410, and the job ran all the same: when the first entry had been frozen and sent it on afterwards, and also, without any freeze, when the cancel came while the submission was being committed.

Cause: a cancel of a job that the state does not show was answered from the state alone, without a commit, so that nothing ordered it before or after the submission.

A cancel of an unknown job is now committed and leaves a mark (the latest 4,096 are kept); a submission that arrives later is accepted as cancelled. A second cancel of the same id needs no commit.

Evidence: test_job_that_is_cancelled_before_its_submission_arrives_does_not_run (COMPLETED before, CANCELLED now) and test_job_that_is_cancelled_while_it_is_committed_does_not_run (NoSuchJob() before, Accepted() now). Ruled out: a wait at the entry, as an entry cannot know of a submission that another one holds. A controller of an earlier version applies the cancel without the mark; a submission that follows during a rolling upgrade would then differ between the replicas.

--- a/src/rhubarbfield/scheduling/appliers.py
+++ b/src/rhubarbfield/scheduling/appliers.py
@@ -44,9 +44,10 @@
     Worker,
 )
 from rhubarbfield.scheduling.suspicion import record_crash
-from rhubarbfield.types import WorkerId
+from rhubarbfield.types import JobId, WorkerId
 
 MAX_HARM_ESTIMATES = 10_000  # about 1 MB of a snapshot
+MAX_WITHDRAWN_JOBS = 4096  # at most 300 KB of a snapshot
 
 
 class SchedulingLogState(msgspec.Struct):
@@ -98,6 +99,9 @@
     )
     if command.submission.recurrence is None:
         job.open_occurrence(0)
+    if command.job in state.withdrawn:
+        del state.withdrawn[command.job]
+        job.phase = JobPhase.CANCELLED
     state.jobs[command.job] = job
     return Done()
 
@@ -106,12 +110,21 @@
 def _cancel_job(state: SchedulingState, command: CancelJob) -> Reply:
     job = state.jobs.get(command.job)
     if job is None:
+        _withdraw_job(state, command.job)
         return Refused(reason=f"job {command.job} is not known")
     if job.is_open:
         job.phase = JobPhase.CANCELLED
     return Done()
 
 
+def _withdraw_job(state: SchedulingState, job: JobId) -> None:
+    """Note that a job is cancelled, whose submission may still be on the way."""
+    state.withdrawn.pop(job, None)
+    state.withdrawn[job] = None
+    while len(state.withdrawn) > MAX_WITHDRAWN_JOBS:
+        del state.withdrawn[next(iter(state.withdrawn))]
+
+
 @scheduling_commands.applies(ForgetJobs)
 def _forget_jobs(state: SchedulingState, command: ForgetJobs) -> Reply:
     for name in command.jobs:
--- a/src/rhubarbfield/scheduling/commands.py
+++ b/src/rhubarbfield/scheduling/commands.py
@@ -38,7 +38,10 @@
 
 
 class AcceptJob(Command, frozen=True):
-    """Accept a job; a job that is known already stays unchanged."""
+    """Accept a job; a job that is known already stays unchanged.
+
+    One that was cancelled before is accepted as cancelled.
+    """
 
     job: JobId
     queue: QueueName
@@ -47,7 +50,7 @@
 
 
 class CancelJob(Command, frozen=True):
-    """Cancel a job; refused if it is not known."""
+    """Cancel a job; refused if it is not known, and then cancelled once it is."""
 
     job: JobId
 
--- a/src/rhubarbfield/scheduling/service.py
+++ b/src/rhubarbfield/scheduling/service.py
@@ -292,21 +292,25 @@
         return 0 if configuration is None else configuration.version
 
     async def _cancel(self, job: JobId) -> JobReply:
+        if self._needs_cancel(job):
+            reply = await self._propose(CancelJob(job=job))
+            if isinstance(reply, NotLeading | Unavailable):
+                return reply
         found = self._state.jobs.get(job)
         if found is None:
             return NoSuchJob()
-        if found.is_open:
-            reply = await self._propose(CancelJob(job=job))
-            match reply:
-                case Refused():
-                    return NoSuchJob()
-                case NotLeading() | Unavailable():
-                    return reply
         if found.phase is JobPhase.CANCELLED:
             log_event(logger, logging.INFO, "job-cancelled", job=job)
             JOBS.labels("cancelled").inc()
         return Accepted()
 
+    def _needs_cancel(self, job: JobId) -> bool:
+        """Return whether a job is open, or its submission may still be on the way."""
+        found = self._state.jobs.get(job)
+        if found is None:
+            return job not in self._state.withdrawn
+        return found.is_open
+
     def _read(self, job: JobId) -> JobReply:
         found = self._state.jobs.get(job)
         return NoSuchJob() if found is None else JobStatus(found.phase)
--- a/src/rhubarbfield/scheduling/state.py
+++ b/src/rhubarbfield/scheduling/state.py
@@ -351,6 +351,8 @@
         Number of configurations that were in force so far.
     former_queues
         Queues of open jobs that are no longer configured under their names.
+    withdrawn
+        The latest jobs that were cancelled before they were accepted, oldest first.
     """
 
     configuration: QueueConfiguration | None = None
@@ -360,6 +362,7 @@
     harm: dict[str, HarmEstimate] = msgspec.field(default_factory=dict)
     configurations: int = 0
     former_queues: dict[QueueName, FormerQueue] = msgspec.field(default_factory=dict)
+    withdrawn: dict[JobId, None] = msgspec.field(default_factory=dict)
 
     def find_queue(self, name: QueueName) -> Queue | None:
         """Return a queue of the configuration in force."""
--- a/tests/scheduling/test_appliers.py
+++ b/tests/scheduling/test_appliers.py
@@ -16,8 +16,11 @@
     rule,
 )
 
-from rhubarbfield.machine import Command, Reply
-from rhubarbfield.scheduling.appliers import make_scheduling_machine
+from rhubarbfield.machine import Command, Refused, Reply
+from rhubarbfield.scheduling.appliers import (
+    MAX_WITHDRAWN_JOBS,
+    make_scheduling_machine,
+)
 from rhubarbfield.scheduling.commands import (
     AcceptJob,
     CancelJob,
@@ -382,6 +385,26 @@
         self.assertEqual(self.log.state.jobs[job].phase, JobPhase.QUEUED)
 
 
+class WithdrawnJobsTest(unittest.TestCase):
+    def test_cancelled_jobs_are_accepted_as_cancelled_after_a_restart(self) -> None:
+        log, job = Log(), JOBS[0]
+        self.assertIsInstance(log.apply(CancelJob(job=job)), Refused)
+        log.restart()
+        submission = JobSubmission(payload="", steps=STEPS)
+        log.apply(AcceptJob(job=job, queue=QUEUE.name, submission=submission))
+        self.assertEqual(log.state.jobs[job].phase, JobPhase.CANCELLED)
+        self.assertEqual(log.state.withdrawn, {})
+
+    def test_cancels_of_unknown_jobs_take_bounded_room(self) -> None:
+        log = Log()
+        for number in range(MAX_WITHDRAWN_JOBS + 2):
+            log.apply(CancelJob(job=JobId(f"j{number}")))
+            log.apply(CancelJob(job=JobId("j1")))
+        self.assertEqual(len(log.state.withdrawn), MAX_WITHDRAWN_JOBS)
+        self.assertNotIn(JobId("j0"), log.state.withdrawn)
+        self.assertIn(JobId("j1"), log.state.withdrawn)
+
+
 class DrainingTest(unittest.TestCase):
     def test_nothing_starts_on_a_draining_worker(self) -> None:
         log = Log()
--- a/tests/scheduling/test_earlier_versions.py
+++ b/tests/scheduling/test_earlier_versions.py
@@ -72,6 +72,7 @@
         for worker in snapshot["scheduling"]["workers"].values():
             for name in NEW_WORKER_FIELDS:
                 del worker[name]
+        del snapshot["scheduling"]["withdrawn"]
         expected = msgspec.to_builtins(log.state)
         log.machine.restore(msgspec.msgpack.encode(snapshot))
         self.assertEqual(msgspec.to_builtins(log.state), expected)
--- a/tests/scheduling/test_service.py
+++ b/tests/scheduling/test_service.py
@@ -8,6 +8,7 @@
 
 from rhubarbfield.logs import find_event
 from rhubarbfield.scheduling.model import JobPhase, JobSubmission, Step
+from rhubarbfield.scheduling.ports import StartOrder
 from rhubarbfield.scheduling.requests import (
     Accepted,
     JobRequest,
@@ -81,6 +82,46 @@
         events = [find_event(record) for record in logs.records]
         self.assertEqual(events, ["job-cancelled"])
 
+    @with_deployment()
+    async def test_job_that_is_cancelled_before_its_submission_arrives_does_not_run(
+        self, deployment: Deployment
+    ) -> None:
+        """Its entry was frozen; the caller cancelled it through another one."""
+        deployment.add_worker("w1")
+        async with deployment.lead():
+            cancelled = await self.request(deployment, JobVerb.CANCEL)
+            submitted = await self.request(deployment, JobVerb.SUBMIT)
+            await trio.sleep(3)
+        self.assertEqual((cancelled, submitted), (NoSuchJob(), Accepted()))
+        self.assertEqual(deployment.get_job("j").phase, JobPhase.CANCELLED)
+        self.assertEqual(deployment.list_sent(StartOrder, "j"), [])
+
+    @with_deployment()
+    async def test_job_that_is_cancelled_while_it_is_committed_does_not_run(
+        self, deployment: Deployment
+    ) -> None:
+        deployment.add_worker("w1")
+        async with deployment.lead():
+            deployment.replica.unanswered = ["AcceptJob"]
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.request, deployment, JobVerb.SUBMIT)
+                await trio.sleep(AT_ONCE_SECONDS)
+                reply = await self.request(deployment, JobVerb.CANCEL)
+            await trio.sleep(3)
+        self.assertEqual(reply, Accepted())
+        self.assertEqual(deployment.get_job("j").phase, JobPhase.CANCELLED)
+        self.assertEqual(deployment.list_sent(StartOrder, "j"), [])
+
+    @with_deployment()
+    async def test_repeated_cancel_of_an_unknown_job_needs_one_commit(
+        self, deployment: Deployment
+    ) -> None:
+        before = deployment.replica.commands
+        for _ in range(3):
+            reply = await self.request(deployment, JobVerb.CANCEL)
+            self.assertEqual(reply, NoSuchJob())
+        self.assertEqual(deployment.replica.commands, before + 1)
+
     @with_deployment()
     async def test_unknown_job_is_not_cancelled(self, deployment: Deployment) -> None:
         reply = await self.request(deployment, JobVerb.CANCEL)
