Place tasks of a step although one before them is suspected

What callers would see: an interrupted standing task stands still beside a whole worker that is reserved for it. A suspected task of the same step comes first in its order, and may use no reserved worker. A round left the step at the first task that found no worker, so that the task for which the worker is reserved was never tried, and the reservation kept all others away from it for as long as the task waited.

A task that finds no worker now hides only those of its kind: suspects, or the others.

Ruled out by reading: that a task that never ran hides interrupted ones of its step in this way (a probe is open to the latter alone). Tasks start in the order of their numbers, so that it would have to come before them.

--- a/src/rhubarbfield/scheduling/placing.py
+++ b/src/rhubarbfield/scheduling/placing.py
@@ -226,8 +226,11 @@
     def _place_step(self, waiting: WaitingStep) -> None:
         step = waiting.step
         tasks_per_worker = count_live(waiting.tasks) if step.max_per_worker else {}
+        # Whether a suspect and whether any other task found no worker: some workers
+        # take only the others.
+        refused: set[bool] = set()
         for index, task in enumerate(waiting.tasks):
-            if task.phase is not TaskPhase.WAITING:
+            if task.phase is not TaskPhase.WAITING or task.is_suspect in refused:
                 continue
             name = name_task(waiting.job.job, waiting.occurrence, waiting.number, index)
             if self._is_held(name, task):
@@ -252,9 +255,9 @@
                 return
             if headroom is None:
                 self._note_unplaced(waiting)
-                if name in self._avoided:
-                    continue
-                return
+                if name not in self._avoided:
+                    refused.add(task.is_suspect)
+                continue
             if (
                 task.is_suspect
                 and headroom.count_unproven() + headroom.new_tasks > 0
