Let an interrupted task use a worker that is reserved in vain

What callers would see: an interrupted standing task stands still beside a worker that could take it several times over. The worker is reserved for a larger one, whose room comes much later than the estimates say: runs that are overdue count as about to end, so that the reservation goes on for as long as they do. Only finite tasks were meant to be kept away.

Where the holder has no room yet, a task that has waited as long as a reservation takes, and has none of its own, may now start there. Such tasks are few and do not end, so that they do not bring back what reservations prevent, a stream of short tasks that takes each piece of room.

Standing tasks that have never run, and suspects, still wait for the reservation.

--- a/src/rhubarbfield/scheduling/backfilling.py
+++ b/src/rhubarbfield/scheduling/backfilling.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from datetime import timedelta
 
 import msgspec
@@ -82,6 +82,8 @@
         Step of the task.
     priority
         Priority of its queue.
+    needed
+        What the task reserves.
     due
         Monotonic time at which the task is expected to have room there.
     left_over
@@ -95,6 +97,7 @@
     headroom: WorkerHeadroom
     holder: StepKey
     priority: int
+    needed: Demand
     due: timedelta
     left_over: Demand
     may_backfill: bool
@@ -112,6 +115,8 @@
         The model of how images slow each other.
     now
         Monotonic time of the round.
+    claimants
+        Steps with a task that has waited as long, without a worker of its own.
     """
 
     def __init__(
@@ -119,6 +124,7 @@
         members: Iterable[ReservedWorker] = (),
         interference: InterferenceModel | None = None,
         now: timedelta = timedelta(),
+        claimants: Collection[StepKey] = (),
     ) -> None:
         self._by_service: dict[ServiceName, list[ReservedWorker]] = {}
         for each in members:
@@ -130,6 +136,7 @@
         }
         self._interference = interference or InterferenceModel()
         self._now = now
+        self._claimants = claimants
 
     def may_take(self, waiting: WaitingStep) -> bool:
         """Return whether any of them can take a task of a step now."""
@@ -171,10 +178,16 @@
             or reserved.holder == get_key(waiting)
             or waiting.queue.priority < reserved.priority
             or step.reserved.fits(reserved.left_over)
+            or self._goes_before(waiting, reserved)
             or self._ends_before(step, reserved)
         )
         return may_use and admits(step, headroom, self._interference)
 
+    def _goes_before(self, waiting: WaitingStep, reserved: ReservedWorker) -> bool:
+        """Return whether a step has waited as long, and the holder has no room now."""
+        has_room_now = reserved.needed.fits(reserved.headroom.free)
+        return not has_room_now and get_key(waiting) in self._claimants
+
     def _ends_before(self, step: Step, reserved: ReservedWorker) -> bool:
         """Return whether a task is expected to end before a reservation is due."""
         if step.standing or not step.estimate_ms or not reserved.may_backfill:
--- a/src/rhubarbfield/scheduling/reservations.py
+++ b/src/rhubarbfield/scheduling/reservations.py
@@ -153,7 +153,9 @@
             self._reserve(claims, headrooms, now)
         for worker in self._reserved:
             del headrooms[worker]
-        return ReservedWorkers(self._reserved.values(), interference, now)
+        claimants = {get_key(each.waiting) for each in claims}
+        members = self._reserved.values()
+        return ReservedWorkers(members, interference, now, claimants)
 
     def _list_claims(self, now: timedelta) -> list[Claim]:
         """Return the tasks that have waited for long, the most urgent first."""
@@ -308,6 +310,7 @@
         headroom,
         get_key(waiting),
         waiting.queue.priority,
+        waiting.step.reserved,
         forecast.due,
         forecast.free.minus(waiting.step.reserved),
         may_backfill=reserved_for < BACKFILLING_PERIOD,
