Count a quarantine from when runs may have failed, not from their view

What callers would see: standing tasks whose runs failed on a worker that was out of contact, or while no controller led, stand still for 5.9 s after contact is back, and longer by an election: 7.9 s for one of 2 s, where 7 s are tolerated. The worker has been sound for long, and the service has no other room.

A quarantine began when the leader learned of the failures, as if the worker had failed just then. It says nothing about whether the worker fails now.

An end that may be old (the worker was silent just before, no view of it came for 3 s, or the first view of a term lists it, and the run was not started since) now counts from the beginning of that time, and an interrupted standing task may be the probe at once. All others wait for what is left of the quarantine, and one probe comes first as before.

--- a/src/rhubarbfield/scheduling/contact.py
+++ b/src/rhubarbfield/scheduling/contact.py
@@ -48,6 +48,8 @@
         Monotonic time at which the worker announced its exit, or None.
     reported_at
         Monotonic time of the latest report, or None.
+    created_at
+        Monotonic time since which there is the contact.
     """
 
     def __init__(
@@ -67,7 +69,7 @@
         self._replied_at: timedelta | None = None
         self._no_starts_until = timedelta()
         self.reported_at: timedelta | None = None
-        self._created_at = clock.monotonic()
+        self.created_at = clock.monotonic()
 
     @property
     def worker(self) -> WorkerId:
@@ -113,13 +115,13 @@
     @property
     def last_contact_at(self) -> timedelta:
         """Monotonic time of the last report or reply of the worker."""
-        reported_at = self.reported_at or self._created_at
-        return max(reported_at, self._created_at, self.lease.clock_read_at)
+        reported_at = self.reported_at or self.created_at
+        return max(reported_at, self.created_at, self.lease.clock_read_at)
 
     @property
     def worked(self) -> timedelta:
         """For how long the worker is known to have worked since the contact began."""
-        return self.last_contact_at - self._created_at
+        return self.last_contact_at - self.created_at
 
     @property
     def unresponsive_since(self) -> timedelta | None:
--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -152,6 +152,7 @@
             clock=clock,
         )
         self._ends = Batcher(self._commit_ends)
+        self._late_ends: dict[int, timedelta] = {}
         self._housekeeping = Housekeeping(
             log,
             host=self,
@@ -229,10 +230,17 @@
         """Return whether runs of a task may work: neither it nor its job has ended."""
         return self.state.is_wanted(task)
 
-    async def record_ends(self, ends: WorkerEnds) -> None:
+    async def record_ends(
+        self, ends: WorkerEnds, since: timedelta | None = None
+    ) -> None:
         """Record ends of runs; returns once they are committed."""
         began = self._clock.monotonic()
-        await self._ends.record(ends)
+        if since is not None:
+            self._late_ends[id(ends)] = since
+        try:
+            await self._ends.record(ends)
+        finally:
+            self._late_ends.pop(id(ends), None)
         self._stages.record(StartStage.END, self._clock.monotonic() - began)
 
     def record_answer(self, start: Start) -> None:
@@ -483,6 +491,7 @@
 
     def _record_outcomes(self, report: WorkerEnds) -> None:
         now = self._clock.monotonic()
+        since = self._late_ends.get(id(report))
         for ended in report.ends:
             log_event(
                 logger,
@@ -498,5 +507,5 @@
                 self._quarantine.record_success(report.worker)
                 self._avoided.pop(ended.task, None)
             elif ended.end is RunEnd.FAILED:
-                self._quarantine.record_failure(report.worker, now)
+                self._quarantine.record_failure(report.worker, now, since)
                 self.avoid(ended.task, report.worker)
--- a/src/rhubarbfield/scheduling/ledger.py
+++ b/src/rhubarbfield/scheduling/ledger.py
@@ -211,6 +211,7 @@
         recorded_ends: int = 0,
         lapsed: tuple[CrashedRun, ...] = (),
         brief: tuple[CrashedRun, ...] = (),
+        since: timedelta | None = None,
     ) -> None:
         """Drop ended runs and record their ends; returns once they are committed.
 
@@ -224,6 +225,8 @@
             Runs that are lost with the worker's lease.
         brief
             Those of the ended runs whose start may crash the worker yet.
+        since
+            When they may have ended, if that is long ago.
         """
         for each in brief:
             key = RunKey(each.task, each.run)
@@ -236,6 +239,6 @@
             self._known_since.pop(key, None)
         self._ending |= keys
         await self._host.record_ends(
-            WorkerEnds(self._worker, ends, recorded_ends, lapsed, brief)
+            WorkerEnds(self._worker, ends, recorded_ends, lapsed, brief), since
         )
         self._ending -= keys
--- a/src/rhubarbfield/scheduling/quarantine.py
+++ b/src/rhubarbfield/scheduling/quarantine.py
@@ -69,19 +69,31 @@
         record.probed_from = None
         record.probed_at = None
 
-    def record_failure(self, worker: WorkerId, now: timedelta) -> None:
+    def record_failure(
+        self, worker: WorkerId, now: timedelta, since: timedelta | None = None
+    ) -> None:
         """Record a failed run, whether the task or the worker is at fault.
 
         Until the probe starts only runs from before the quarantine can fail; they
         don't start it anew.
+
+        Parameters
+        ----------
+        worker, now
+            The worker, and the monotonic time.
+        since
+            Time since which the run may have ended, if that is long ago. The worker
+            may be sound by now, so that an interrupted standing task may find out.
         """
         record = self._get(worker)
         record.failures += 1
         if self.is_on_probation(worker, now) and self.may_probe(worker):
             return
         if record.failures >= self._settings.quarantine_failures:
-            self._quarantine_worker(worker, now, "failures")
-            record.probed_from = now + self._settings.standing_probe_delay
+            began = now if since is None else since
+            self._quarantine_worker(worker, began, "failures")
+            delay = self._settings.standing_probe_delay
+            record.probed_from = now + delay if since is None else now
 
     def record_stall(self, worker: WorkerId, now: timedelta) -> None:
         """Record that runs on the worker make no progress; starts a quarantine."""
--- a/src/rhubarbfield/scheduling/session.py
+++ b/src/rhubarbfield/scheduling/session.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Iterable
 from datetime import timedelta
 
 import trio
@@ -11,7 +12,7 @@
 from rhubarbfield.clock import Clock
 from rhubarbfield.logs import log_event
 from rhubarbfield.scheduling.commands import EndedRun
-from rhubarbfield.scheduling.contact import WorkerContact
+from rhubarbfield.scheduling.contact import RECENT_REPLY, WorkerContact
 from rhubarbfield.scheduling.dispatch import OrderDispatcher
 from rhubarbfield.scheduling.ledger import OrderLedger
 from rhubarbfield.scheduling.metrics import LEASES_LAPSED
@@ -288,9 +289,12 @@
         result = await self._calls.view(contact.address, request)
         match result:
             case Success(view):
+                was_silent = not contact.is_responsive
                 contact.handle_reply(view.clock)
                 self._acknowledged_ends = recorded_ends
-                await self._apply_view(view, recorded_runs, settled)
+                await self._apply_view(
+                    view, recorded_runs, settled, was_silent=was_silent
+                )
             case Failure(OtherLife()):
                 await self._remove_worker()
             case Failure(failure):
@@ -314,9 +318,11 @@
         view: WorkerView,
         recorded_runs: dict[TaskName, RunNumber],
         settled: set[RunKey],
+        *,
+        was_silent: bool = False,
     ) -> None:
         self.active = {run.task: run for run in view.active}
-        self._viewed_at = self._clock.monotonic()
+        viewed_before, self._viewed_at = self._viewed_at, self._clock.monotonic()
         worker = self._host.find_worker(self.worker)
         self._progress.update(self._select_finite(view, worker), view.clock)
         if worker is None:
@@ -326,6 +332,7 @@
                 self._ledger.record_presence(RunKey(run.task, run.run), self._viewed_at)
         listed = [end for end in view.ends if end.number > worker.recorded_ends]
         recorded = [end for end in listed if worker.runs.get(end.task) == end.run]
+        since = self._find_late_time(recorded, viewed_before, was_silent=was_silent)
         for end in recorded:
             self._ledger.record_listed_end(RunKey(end.task, end.run), self._viewed_at)
         brief = self.presence.select_brief(recorded) if recorded else ()
@@ -337,7 +344,25 @@
         self._host.handle_view(self.worker)
         if ends:
             last = max((end.number for end in listed), default=0)
-            await self._ledger.record_ends(tuple(ends), last, brief=brief)
+            await self._ledger.record_ends(tuple(ends), last, brief=brief, since=since)
+
+    def _find_late_time(
+        self,
+        ends: Iterable[ListedEnd],
+        viewed_before: timedelta | None,
+        *,
+        was_silent: bool,
+    ) -> timedelta | None:
+        """Return when runs may have ended, if that is long before their view."""
+        now = self._clock.monotonic()
+        unknown = self._contact.created_at
+        known = viewed_before or unknown
+        starts = [self._ledger.find_presence(RunKey(end.task, end.run)) for end in ends]
+        times = [max(start or unknown, known) for start in starts]
+        is_first = viewed_before is None and None in starts
+        since = min(times, default=now)
+        is_late = is_first or was_silent or now - since > RECENT_REPLY
+        return since if is_late else None
 
     def _select_finite(
         self, view: WorkerView, worker: Worker | None
--- a/src/rhubarbfield/scheduling/session_host.py
+++ b/src/rhubarbfield/scheduling/session_host.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from datetime import timedelta
 from typing import TYPE_CHECKING, Protocol
 
 from rhubarbfield.scheduling.commands import WorkerEnds
@@ -31,8 +32,13 @@
     def record_answer(self, start: Start) -> None:
         """Record that the worker has answered the order to start a run."""
 
-    async def record_ends(self, ends: WorkerEnds) -> None:
-        """Record ends of runs; returns once they are committed."""
+    async def record_ends(
+        self, ends: WorkerEnds, since: timedelta | None = None
+    ) -> None:
+        """Record ends of runs; returns once they are committed.
+
+        ``since`` is when they may have occurred, if that is long ago.
+        """
 
     async def remove_worker(
         self, worker: WorkerId, checkpoints: dict[TaskName, CheckpointToken]
--- a/tests/scheduling/test_ledger.py
+++ b/tests/scheduling/test_ledger.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from datetime import timedelta
 from typing import cast
 
 import trio
@@ -31,7 +32,9 @@
     def find_worker(self, worker: WorkerId) -> Worker | None:
         return self.worker
 
-    async def record_ends(self, ends: WorkerEnds) -> None:
+    async def record_ends(
+        self, ends: WorkerEnds, since: timedelta | None = None
+    ) -> None:
         await self.may_commit.wait()
         del self.worker.runs[KEY.task]
 
