--- a/tests/scheduling/test_hidden_tasks.py
+++ b/tests/scheduling/test_hidden_tasks.py
@@ -70,6 +70,29 @@
             took = await measure_wait(last, "s.0.0.0")
         self.assertLess(took, CAPACITY_SECONDS)
 
+    @with_deployment()
+    async def test_standing_task_that_never_ran_does_not_wait_for_a_reservation(
+        self, deployment: Deployment
+    ) -> None:
+        """It was noticed by random days, beside six free cores of eight."""
+        deployment.settings = SETTINGS
+        lost = deployment.add_worker("w1", duration=None)
+        deployment.fleet.restart_delay = FOREVER
+        async with deployment.lead():
+            await deployment.submit("l", Step(demand=CAPACITY, standing=True))
+            await trio.sleep(1)
+            last = deployment.add_worker("w2", duration=TASK_SECONDS)
+            await trio.sleep(0.5)
+            for name in ("k1", "k2"):
+                await deployment.submit(name, Step(demand=HALF, estimate_ms=1000))
+            await trio.sleep(1)
+            deployment.fleet.crash(lost)
+            await trio.sleep(2 * TOLERATED_SECONDS)
+            await deployment.submit("s", Step(demand=ONE_CORE, standing=True))
+            last.end_run(TaskName("k1.0.0.0"), RunEnd.DONE)
+            took = await measure_wait(last, "s.0.0.0")
+        self.assertLess(took, TOLERATED_SECONDS)
+
     @with_deployment()
     async def test_suspected_task_does_not_hide_others_of_its_step(
         self, deployment: Deployment
