--- a/tests/scheduling/failing_fleets.py
+++ b/tests/scheduling/failing_fleets.py
@@ -6,13 +6,21 @@
 from datetime import timedelta
 
 import trio
-from returns.result import Result
+from returns.result import Failure, Result
 
 from rhubarbfield.clock import Clock
 from rhubarbfield.scheduling.model import Label
-from rhubarbfield.scheduling.ports import CallFailure, StartOrder, WorkerAddress
+from rhubarbfield.scheduling.ports import (
+    CallFailure,
+    NoReply,
+    StartOrder,
+    ViewRequest,
+    WorkerAddress,
+    WorkerView,
+)
 from rhubarbfield.scheduling.state import RunEnd
 from rhubarbfield.testing.crashing_workers import CrashingFleet
+from rhubarbfield.testing.scheduling_fleet import NO_REPLY_DELAY
 from rhubarbfield.testing.scheduling_workers import StandInWorker
 
 FAILING_DURATION = timedelta(milliseconds=30)
@@ -32,6 +40,8 @@
     ----------
     failing_shares
         Share of the runs that fail within moments of their start, by machine.
+    lost_views
+        Share of the views that get no reply although they reach the worker, by machine.
     labels
         Labels of each machine.
     guards_capacity
@@ -42,6 +52,7 @@
         super().__init__(clock)
         self._draw = draw
         self.failing_shares: dict[str, float] = {}
+        self.lost_views: dict[str, float] = {}
         self.labels: dict[str, tuple[Label, ...]] = {}
         self.guards_capacity = True
 
@@ -61,6 +72,18 @@
             self._prepare_run(worker, order)
         return result
 
+    async def view(
+        self, to: WorkerAddress, request: ViewRequest
+    ) -> Result[WorkerView, CallFailure]:
+        """Return a worker's view of its runs, unless the reply is lost."""
+        result = await super().view(to, request)
+        worker = self.workers.get(to.address)
+        share = 0.0 if worker is None else self.lost_views.get(worker.machine, 0.0)
+        if share and self._draw.random() < share:
+            await trio.sleep(NO_REPLY_DELAY.total_seconds())
+            return Failure(NoReply("the reply was lost"))
+        return result
+
     def deliver_delayed_starts(self) -> None:
         """Carry out the orders to start that got no reply."""
         for worker, order in self.delayed_starts:
