--- a/tests/scheduling/test_standstill_run.py
+++ b/tests/scheduling/test_standstill_run.py
@@ -10,6 +10,7 @@
 from rhubarbfield.scheduling.model import Step, TaskName
 from tests.scheduling.deployments import ONE_CORE, Deployment, with_deployment
 from tests.scheduling.failing_fleets import FailingFleet
+from tests.scheduling.full_days import FullDay
 from tests.scheduling.standstill_run import play_day
 from tests.scheduling.standstills import (
     CALM_SECONDS,
@@ -20,6 +21,8 @@
 
 # 5: tasks that had never run waited beside a worker with a proven probe.
 SEEDS = (5,)
+# 101: ends from a cut, as new, kept tasks away from a worker that was sound again.
+FULL_SEEDS = (101,)
 SPELLS = 4
 TASK = TaskName("j.0.0.0")
 MANY = 1_000_000
@@ -32,6 +35,13 @@
                 faults = play_day(seed, SPELLS).watch.faults
                 self.assertEqual([str(fault) for fault in faults], [])
 
+    def test_random_days_in_full_services_have_no_standstill(self) -> None:
+        for seed in FULL_SEEDS:
+            with self.subTest(seed=seed):
+                watch = play_day(seed, SPELLS, FullDay).watch
+                self.assertEqual([str(fault) for fault in watch.faults], [])
+                self.assertNotEqual(watch.judged_standstills, set())
+
     @with_deployment()
     async def test_standstills_are_faults_only_after_a_calm(
         self, deployment: Deployment
