Count a probe from when its worker has answered or shown it

Callers of standing work saw none of their tasks run on a worker that had failed and then answered no start, while it held them all: a probe counted from when its order was recorded, so that after 0.5 s all standing tasks were recorded there and after 2 s the probation ended, whether or not the worker had started anything. On a virtual clock: one order at 4.85 s without an answer, eight tasks recorded at 6.82 s, the probation over at 6.86 s, none on the worker at 12 s.

The leader now knows which runs are the probe (all members of a gang), and counts them from when the worker has answered the last start or a view lists the run. A probe that ends without a failure or a success (not answered, rejected, stopped, lost) proves nothing, and the next one follows at once; a run that is not ordered is none. A new leader knows of no quarantine, as before.

The tests of the worst moments (an order is lost just before the worker answers again, the probe's job is cancelled) passed before, too; without the note of the probe's end the former does not end, as no probe follows. Ruled out: counting from the ledger's presence, which begins when the order is sent.

--- a/src/rhubarbfield/scheduling/dispatch.py
+++ b/src/rhubarbfield/scheduling/dispatch.py
@@ -95,16 +95,18 @@
         self._orders: deque[Order] = deque()
         self._orders_available = trio.Event()
 
-    def start(self, start: Start) -> None:
-        """Queue an order to start a run that is recorded.
+    def start(self, start: Start) -> bool:
+        """Queue an order to start a run that is recorded; return whether it was.
 
         A run that is stopping, or that a view has shown to be missing, is not
         started.
         """
-        if self._ledger.may_order(start.key):
-            self._ledger.starts[start.key] = StartState.QUEUED
-            self._enqueue(start)
-            self._request_view()
+        if not self._ledger.may_order(start.key):
+            return False
+        self._ledger.starts[start.key] = StartState.QUEUED
+        self._enqueue(start)
+        self._request_view()
+        return True
 
     def stop(self, key: RunKey, reason: StopReason) -> None:
         """Order a run to stop, unless that was ordered before."""
@@ -157,7 +159,7 @@
                 case Success(worker_clock):
                     self._contact.handle_reply(worker_clock)
                     self._ledger.settle(key)
-                    self._host.record_answer(start)
+                    self._host.record_answer(self._contact.worker, start)
                     return
                 case Failure(failure):
                     if await self._handle_start_failure(start, failure, in_doubt):
--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -48,6 +48,7 @@
 from rhubarbfield.scheduling.pacing import RoundPacer, Urgency, find_urgency
 from rhubarbfield.scheduling.placing import MAX_STARTS_PER_ROUND, Placer
 from rhubarbfield.scheduling.ports import WorkerCalls
+from rhubarbfield.scheduling.progress import RunKey
 from rhubarbfield.scheduling.quarantine import WorkerQuarantine
 from rhubarbfield.scheduling.recording import (
     Batcher,
@@ -235,10 +236,11 @@
         await self._ends.record(ends)
         self._stages.record(StartStage.END, self._clock.monotonic() - began)
 
-    def record_answer(self, start: Start) -> None:
+    def record_answer(self, worker: WorkerId, start: Start) -> None:
         """Record that a worker has answered the order to start a run."""
-        age = self._clock.monotonic() - start.recorded_at
-        self._stages.record(StartStage.ORDER, age)
+        now = self._clock.monotonic()
+        self._quarantine.record_presence(worker, start.key, now)
+        self._stages.record(StartStage.ORDER, now - start.recorded_at)
 
     async def remove_worker(
         self, worker: WorkerId, checkpoints: dict[TaskName, CheckpointToken]
@@ -255,6 +257,10 @@
         record = self.find_worker(worker)
         session = self.get_session(worker)
         if record is not None and session is not None:
+            for key in self._quarantine.list_unseen(worker):
+                if session.has_run(key):
+                    now = self._clock.monotonic()
+                    self._quarantine.record_presence(worker, key, now)
             self._mitigator.handle_view(record, session)
         self._request_round()
 
@@ -500,3 +506,6 @@
             elif ended.end is RunEnd.FAILED:
                 self._quarantine.record_failure(report.worker, now)
                 self.avoid(ended.task, report.worker)
+            else:
+                key = RunKey(ended.task, ended.run)
+                self._quarantine.record_end(report.worker, key)
--- a/src/rhubarbfield/scheduling/quarantine.py
+++ b/src/rhubarbfield/scheduling/quarantine.py
@@ -7,11 +7,13 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Collection
 from datetime import timedelta
 
 import msgspec
 
 from rhubarbfield.logs import log_event
+from rhubarbfield.scheduling.progress import RunKey
 from rhubarbfield.scheduling.settings import SchedulingSettings
 from rhubarbfield.types import WorkerId
 
@@ -34,14 +36,20 @@
     probed_from
         When an interrupted standing task may be the probe, although the quarantine
         has not ended; None if the worker is not quarantined for failures.
-    probed_at
-        When the probe was started.
+    probes
+        The runs of the probe, more than one if it is a gang, and since when each is
+        known to be on the worker; None if it is not known yet.
     """
 
     failures: int = 0
     quarantined_until: timedelta | None = None
     probed_from: timedelta | None = None
-    probed_at: timedelta | None = None
+    probes: dict[RunKey, timedelta | None] = msgspec.field(default_factory=dict)
+
+    def find_presence(self) -> timedelta | None:
+        """Return since when the whole probe is on the worker; None if it isn't."""
+        known = [since for since in self.probes.values() if since is not None]
+        return max(known) if known and len(known) == len(self.probes) else None
 
 
 class WorkerQuarantine:
@@ -67,7 +75,7 @@
         record.failures = 0
         record.quarantined_until = None
         record.probed_from = None
-        record.probed_at = None
+        record.probes.clear()
 
     def record_failure(self, worker: WorkerId, now: timedelta) -> None:
         """Record a failed run, whether the task or the worker is at fault.
@@ -87,8 +95,10 @@
         """Record that runs on the worker make no progress; starts a quarantine."""
         self._quarantine_worker(worker, now, "stall")
 
-    def record_probe(self, worker: WorkerId, now: timedelta) -> None:
-        """Record that a run was started; the first on probation is the probe.
+    def record_probe(
+        self, worker: WorkerId, runs: Collection[RunKey], now: timedelta
+    ) -> None:
+        """Record that runs were ordered; the first on probation are the probe.
 
         A run that was chosen before the quarantine began proves nothing, and those
         that follow the probe must not prolong the probation.
@@ -96,9 +106,30 @@
         if not self.is_on_probation(worker, now) or not self.may_probe(worker):
             return
         if self.is_eligible(worker, now) or self.count_standing_starts(worker, now):
-            self._get(worker).probed_at = now
+            self._get(worker).probes = dict.fromkeys(runs)
             log_event(logger, logging.INFO, "worker-probed", worker=worker)
 
+    def record_presence(self, worker: WorkerId, run: RunKey, now: timedelta) -> None:
+        """Record that the worker has answered the start of a run, or shown the run."""
+        record = self._records.get(worker)
+        if record is not None and record.probes.get(run, now) is None:
+            record.probes[run] = now
+
+    def record_end(self, worker: WorkerId, run: RunKey) -> None:
+        """Record that a run has ended, which neither failed nor succeeded.
+
+        A probe of which nothing is left proves nothing; the next one may follow.
+        """
+        record = self._records.get(worker)
+        if record is not None:
+            record.probes.pop(run, None)
+
+    def list_unseen(self, worker: WorkerId) -> list[RunKey]:
+        """Return the runs of the probe that are not known to be on the worker."""
+        record = self._records.get(worker)
+        probes = {} if record is None else record.probes
+        return [run for run, since in probes.items() if since is None]
+
     def forget(self, worker: WorkerId) -> None:
         """Drop the record of a worker that was removed."""
         self._records.pop(worker, None)
@@ -133,9 +164,10 @@
         if not self.is_on_probation(worker, now):
             return False
         record = self._records[worker]
-        if record.probed_from is None or record.probed_at is None:
+        since = record.find_presence()
+        if record.probed_from is None or since is None:
             return False
-        return now - record.probed_at >= self._settings.standing_probe_duration
+        return now - since >= self._settings.standing_probe_duration
 
     def is_on_probation(self, worker: WorkerId, now: timedelta) -> bool:
         """Return whether the worker has had no successful probe since quarantine.
@@ -146,8 +178,8 @@
         record = self._records.get(worker)
         if record is None or record.quarantined_until is None:
             return False
-        probed_at = record.probed_at
-        if probed_at is not None and now - probed_at > self._settings.probe_duration:
+        since = record.find_presence()
+        if since is not None and now - since > self._settings.probe_duration:
             self.record_success(worker)
             return False
         return True
@@ -155,7 +187,7 @@
     def may_probe(self, worker: WorkerId) -> bool:
         """Return whether a worker on probation may receive its probe."""
         record = self._records.get(worker)
-        return record is None or record.probed_at is None
+        return record is None or not record.probes
 
     def count_failures(self, worker: WorkerId) -> int:
         """Return the number of failures since the last success."""
@@ -166,7 +198,7 @@
         record = self._get(worker)
         record.quarantined_until = now + self._settings.quarantine_duration
         record.probed_from = None
-        record.probed_at = None
+        record.probes.clear()
         log_event(
             logger,
             logging.INFO,
--- a/src/rhubarbfield/scheduling/session.py
+++ b/src/rhubarbfield/scheduling/session.py
@@ -164,13 +164,13 @@
         self._contact.handle_exit_announcement()
         self.request_view()
 
-    def start(self, start: Start) -> None:
-        """Queue an order to start a run that is recorded.
+    def start(self, start: Start) -> bool:
+        """Queue an order to start a run that is recorded; return whether it was.
 
         A run that is stopping, or that a view has shown to be missing, is not
         started.
         """
-        self._orders.start(start)
+        return self._orders.start(start)
 
     def stop(self, key: RunKey, reason: StopReason) -> None:
         """Order a run to stop, unless that was ordered before.
@@ -237,6 +237,11 @@
             if self.get_pace(key) != 0 and not self.is_stopping(key)
         ]
 
+    def has_run(self, key: RunKey) -> bool:
+        """Return whether the latest view lists a run as active."""
+        run = self.active.get(key.task)
+        return run is not None and run.run == key.run
+
     def list_unrecorded(self) -> list[TaskName]:
         """Return the tasks of runs in the latest view that are not recorded here."""
         worker = self._host.find_worker(self.worker)
--- a/src/rhubarbfield/scheduling/session_host.py
+++ b/src/rhubarbfield/scheduling/session_host.py
@@ -28,8 +28,8 @@
     def is_wanted(self, task: TaskName) -> bool:
         """Return whether runs of a task may work: neither it nor its job has ended."""
 
-    def record_answer(self, start: Start) -> None:
-        """Record that the worker has answered the order to start a run."""
+    def record_answer(self, worker: WorkerId, start: Start) -> None:
+        """Record that a worker has answered the order to start a run."""
 
     async def record_ends(self, ends: WorkerEnds) -> None:
         """Record ends of runs; returns once they are committed."""
--- a/src/rhubarbfield/scheduling/starting.py
+++ b/src/rhubarbfield/scheduling/starting.py
@@ -74,8 +74,7 @@
         chosen_at = self._clock.monotonic()
         recorded = await self._record_starts(starts)
         self._stages.record(StartStage.RECORD, self._clock.monotonic() - chosen_at)
-        for start in recorded:
-            self.send(start, chosen_at)
+        self.order(recorded, chosen_at)
         self._measure_first_starts(unstarted)
 
     async def _record_starts(self, starts: tuple[RunStart, ...]) -> list[RunStart]:
@@ -120,22 +119,31 @@
                 FIRST_START_SECONDS.observe(age.total_seconds())
                 self._stages.record(StartStage.FIRST, age)
 
-    def send(self, start: RunStart, chosen_at: timedelta) -> None:
-        """Order a worker to start a recorded run.
+    def order(self, starts: Iterable[RunStart], chosen_at: timedelta) -> None:
+        """Order workers to start recorded runs.
 
         Parameters
         ----------
-        start
-            The run.
+        starts
+            The runs that a round has chosen.
         chosen_at
-            Monotonic time at which the worker was chosen.
+            Monotonic time at which the workers were chosen.
         """
+        ordered: dict[WorkerId, list[RunKey]] = {}
+        for start in starts:
+            if self._send(start, chosen_at):
+                key = RunKey(start.task, start.run)
+                ordered.setdefault(start.worker, []).append(key)
+        for worker, runs in ordered.items():
+            self._quarantine.record_probe(worker, runs, self._clock.monotonic())
+
+    def _send(self, start: RunStart, chosen_at: timedelta) -> bool:
+        """Order a worker to start a recorded run; return whether it was ordered."""
         session = self._sessions.get(start.worker)
         found = self._state.find_task(start.task)
         if session is None or found is None or not self._state.is_wanted(start.task):
-            return
+            return False
         job, _, _, task = found
-        self._quarantine.record_probe(start.worker, self._clock.monotonic())
         log_event(
             logger,
             logging.INFO,
@@ -147,7 +155,7 @@
             view_age=session.view_age,
         )
         RUNS_PLACED.inc()
-        session.start(
+        return session.start(
             Start(
                 RunKey(start.task, start.run),
                 job.submission.payload,
--- a/tests/scheduling/fleets.py
+++ b/tests/scheduling/fleets.py
@@ -273,8 +273,8 @@
         starts = placer.choose()
         if starts:
             reply = (await self.log.propose(StartRuns(starts=starts))).unwrap()
-            for position in cast(RunsRecorded, reply).recorded:
-                leader._starter.send(starts[position], self.clock.monotonic())
+            recorded = [starts[each] for each in cast(RunsRecorded, reply).recorded]
+            leader._starter.order(recorded, self.clock.monotonic())
         return starts
 
     def measure_reference(self) -> dict[WorkerId, WorkerHeadroom]:
--- a/tests/scheduling/test_probation.py
+++ b/tests/scheduling/test_probation.py
@@ -8,7 +8,8 @@
 import trio
 
 from rhubarbfield.clock import MILLISECOND
-from rhubarbfield.scheduling.model import Step, TaskName
+from rhubarbfield.scheduling.model import RunNumber, Step, TaskName
+from rhubarbfield.scheduling.progress import RunKey
 from rhubarbfield.scheduling.quarantine import WorkerQuarantine
 from rhubarbfield.scheduling.state import RunEnd
 from rhubarbfield.testing.scheduling_workers import CAPACITY, StandInWorker
@@ -21,14 +22,17 @@
 )
 from tests.scheduling.test_standstills import (
     LIMIT_SECONDS,
+    RESTART_SECONDS,
     SETTINGS,
     TIME_STEP,
     TOLERATED_SECONDS_OF_RECOVERY,
     TWO_CORES,
     fail_runs,
+    measure_return,
 )
 
 LONG = timedelta(seconds=4)
+LOST = 99  # orders
 
 
 async def measure_wait(worker: StandInWorker, names: list[str]) -> float:
@@ -128,15 +132,93 @@
             took = await measure_wait(worker, ["l.0.0.1", "l.0.0.2"])
         self.assertLess(took, TOLERATED_SECONDS_OF_RECOVERY)
 
+    @with_deployment()
+    async def test_tasks_return_in_time_after_a_probe_without_an_answer(
+        self, _: Deployment
+    ) -> None:
+        """The worst moments: it works again just after an order was lost."""
+        limit = TOLERATED_SECONDS_OF_RECOVERY - 2 * RESTART_SECONDS
+        for lost in (1, 2, 3, 4):
+            with self.subTest(lost=lost):
+                deployment = Deployment(SETTINGS)
+                await deployment.configure()
+                worker = deployment.add_worker("w1", duration=None)
+                async with deployment.lead():
+                    step = Step(tasks=8, demand=ONE_CORE, standing=True)
+                    await deployment.submit("j", step)
+                    await trio.sleep(1)
+                    fail_runs(worker)
+                    await trio.sleep(RESTART_SECONDS)
+                    worker.end, worker.duration = RunEnd.DONE, None
+                    worker.unanswered_starts = lost
+                    with trio.fail_after(LIMIT_SECONDS):
+                        while worker.unanswered_starts:
+                            await trio.sleep(TIME_STEP)
+                    took = await measure_return(worker, step.tasks, limit)
+                    self.assertLess(took, limit)
+
+    @with_deployment()
+    async def test_tasks_return_in_time_after_the_job_of_the_probe_is_cancelled(
+        self, deployment: Deployment
+    ) -> None:
+        """Nothing may follow a probe whose end is never noticed."""
+        deployment.settings = SETTINGS
+        limit = TOLERATED_SECONDS_OF_RECOVERY - 2 * RESTART_SECONDS
+        worker = deployment.add_worker("w1", duration=None)
+        async with deployment.lead():
+            await deployment.submit("j", Step(demand=ONE_CORE, standing=True))
+            await trio.sleep(0.5)
+            step = Step(tasks=6, demand=ONE_CORE, standing=True)
+            await deployment.submit("l", step)
+            await trio.sleep(1)
+            fail_runs(worker)
+            await trio.sleep(RESTART_SECONDS)
+            worker.end, worker.duration = RunEnd.DONE, None
+            while not worker.runs:
+                await trio.sleep(TIME_STEP)
+            self.assertEqual(list(worker.runs), ["j.0.0.0"])
+            await deployment.cancel("j")
+            took = await measure_return(worker, step.tasks, limit)
+        self.assertLess(took, 2.0)
+
+    @with_deployment()
+    async def test_probe_whose_answers_are_lost_counts_once_a_view_shows_it(
+        self, deployment: Deployment
+    ) -> None:
+        """Only an answer to the order would tell that it runs."""
+        deployment.settings = SETTINGS
+        worker = deployment.add_worker("w1", duration=None)
+        async with deployment.lead() as leader:
+            step = Step(tasks=4, demand=ONE_CORE, standing=True)
+            await deployment.submit("l", step)
+            await trio.sleep(1)
+            fail_runs(worker)
+            await trio.sleep(RESTART_SECONDS)
+            worker.end, worker.duration = RunEnd.DONE, None
+            worker.unanswered_starts = LOST
+            while worker.unanswered_starts == LOST:
+                await trio.sleep(TIME_STEP)
+            quarantine = leader._quarantine
+            self.assertEqual(len(quarantine.list_unseen(worker.worker)), 1)
+            deployment.fleet.deliver_delayed_starts()
+            await trio.sleep(SETTINGS.view_timeout.total_seconds() + RESTART_SECONDS)
+            self.assertEqual(worker.unanswered_starts, LOST - 2)
+            self.assertEqual(quarantine.list_unseen(worker.worker), [])
+            self.assertFalse(quarantine.may_probe(worker.worker))
+
     def test_tasks_that_follow_a_probe_do_not_prolong_the_probation(self) -> None:
         quarantine, worker = WorkerQuarantine(SETTINGS), WorkerId("w1")
         for _ in range(SETTINGS.quarantine_failures):
             quarantine.record_failure(worker, timedelta())
         probed_at = SETTINGS.standing_probe_delay
-        quarantine.record_probe(worker, probed_at)
+        probe = RunKey(TaskName("j.0.0.0"), RunNumber(2))
+        quarantine.record_probe(worker, [probe], probed_at)
+        quarantine.record_presence(worker, probe, probed_at)
         followed_at = probed_at + SETTINGS.standing_probe_duration
         self.assertTrue(quarantine.has_proven_probe(worker, followed_at))
-        quarantine.record_probe(worker, followed_at)
+        follower = RunKey(TaskName("j.0.0.1"), RunNumber(2))
+        quarantine.record_probe(worker, [follower], followed_at)
+        quarantine.record_presence(worker, follower, followed_at)
         self.assertTrue(quarantine.has_proven_probe(worker, followed_at))
         ended_at = probed_at + SETTINGS.probe_duration + MILLISECOND
         self.assertFalse(quarantine.is_on_probation(worker, ended_at))
--- a/tests/scheduling/test_quarantine.py
+++ b/tests/scheduling/test_quarantine.py
@@ -5,6 +5,8 @@
 import unittest
 from datetime import timedelta
 
+from rhubarbfield.scheduling.model import RunNumber, TaskName
+from rhubarbfield.scheduling.progress import RunKey
 from rhubarbfield.scheduling.quarantine import WorkerQuarantine
 from rhubarbfield.scheduling.settings import SchedulingSettings
 from rhubarbfield.types import WorkerId
@@ -13,6 +15,14 @@
 WORKER = WorkerId("w1")
 BEGAN = timedelta(hours=1)
 MOMENT = timedelta(milliseconds=10)
+PROBE = RunKey(TaskName("j.0.0.0"), RunNumber(2))
+MEMBER = RunKey(TaskName("j.0.0.1"), RunNumber(2))
+
+
+def start_run(quarantine: WorkerQuarantine, run: RunKey, now: timedelta) -> None:
+    """Record that a run was ordered, and that the worker answered at once."""
+    quarantine.record_probe(WORKER, [run], now)
+    quarantine.record_presence(WORKER, run, now)
 
 
 def make_quarantine() -> WorkerQuarantine:
@@ -28,9 +38,11 @@
         """Standing tasks that followed one by one kept other tasks from a worker."""
         quarantine = make_quarantine()
         now = probed_at = BEGAN + SETTINGS.standing_probe_delay
+        run = PROBE.run
         while now <= probed_at + SETTINGS.probe_duration:
             self.assertTrue(quarantine.is_on_probation(WORKER, now))
-            quarantine.record_probe(WORKER, now)
+            start_run(quarantine, RunKey(PROBE.task, run), now)
+            run = RunNumber(run + 1)
             now += SETTINGS.standing_probe_duration
         self.assertFalse(quarantine.is_on_probation(WORKER, now))
 
@@ -39,7 +51,7 @@
         stalled = WorkerQuarantine(SETTINGS)
         stalled.record_stall(WORKER, BEGAN)
         for quarantine in (make_quarantine(), stalled):
-            quarantine.record_probe(WORKER, BEGAN + MOMENT)
+            start_run(quarantine, PROBE, BEGAN + MOMENT)
             now = BEGAN + SETTINGS.standing_probe_delay - MOMENT
             self.assertFalse(quarantine.is_eligible(WORKER, now))
             self.assertEqual(quarantine.count_standing_starts(WORKER, now), 0)
@@ -51,7 +63,7 @@
         quarantine = make_quarantine()
         probed_at = BEGAN + SETTINGS.standing_probe_delay
         self.assertEqual(quarantine.count_standing_starts(WORKER, probed_at), 1)
-        quarantine.record_probe(WORKER, probed_at)
+        start_run(quarantine, PROBE, probed_at)
         failed_at = probed_at + MOMENT
         self.assertEqual(quarantine.count_standing_starts(WORKER, failed_at), 0)
         quarantine.record_failure(WORKER, failed_at)
@@ -69,6 +81,43 @@
         self.assertTrue(quarantine.is_eligible(WORKER, now))
         self.assertTrue(quarantine.may_probe(WORKER))
 
+    def test_probe_counts_from_when_all_its_runs_are_on_the_worker(self) -> None:
+        """The probation ended 2 s after the order, whether or not it was answered."""
+        quarantine = make_quarantine()
+        now = BEGAN + SETTINGS.standing_probe_delay
+        quarantine.record_probe(WORKER, [PROBE, MEMBER], now)
+        now += 2 * SETTINGS.probe_duration
+        quarantine.record_presence(WORKER, PROBE, now)
+        now += 2 * SETTINGS.probe_duration
+        self.assertEqual(quarantine.list_unseen(WORKER), [MEMBER])
+        self.assertEqual(quarantine.count_standing_starts(WORKER, now), 0)
+        self.assertTrue(quarantine.is_on_probation(WORKER, now))
+        quarantine.record_presence(WORKER, MEMBER, now)
+        followed_at = now + SETTINGS.standing_probe_duration
+        self.assertFalse(quarantine.has_proven_probe(WORKER, followed_at - MOMENT))
+        self.assertTrue(quarantine.has_proven_probe(WORKER, followed_at))
+        quarantine.record_presence(WORKER, PROBE, followed_at)
+        ended_at = now + SETTINGS.probe_duration
+        self.assertTrue(quarantine.is_on_probation(WORKER, ended_at))
+        self.assertFalse(quarantine.is_on_probation(WORKER, ended_at + MOMENT))
+
+    def test_probe_that_is_stopped_lets_the_next_one_follow(self) -> None:
+        """Its order counted as a success, or kept all other tasks away."""
+        for has_answered in (False, True):
+            quarantine = make_quarantine()
+            now = BEGAN + SETTINGS.standing_probe_delay
+            quarantine.record_probe(WORKER, [PROBE], now)
+            if has_answered:
+                quarantine.record_presence(WORKER, PROBE, now)
+            quarantine.record_end(WORKER, MEMBER)
+            self.assertFalse(quarantine.may_probe(WORKER))
+            now += SETTINGS.quarantine_duration - SETTINGS.standing_probe_delay
+            quarantine.record_end(WORKER, PROBE)
+            now += SETTINGS.probe_duration
+            self.assertTrue(quarantine.is_on_probation(WORKER, now))
+            self.assertTrue(quarantine.is_eligible(WORKER, now))
+            self.assertTrue(quarantine.may_probe(WORKER))
+
 
 if __name__ == "__main__":
     unittest.main()
