Let standing tasks return sooner to a worker that stalled, and finite ones only by progress

Callers of standing work saw interrupted tasks stand still for 8.3 s beside a worker that had stalled and worked again, where the platform tolerates 7 s: after failures an interrupted task may be the probe after 5 s and others follow after 0.5 s, after a stall one task was the probe after 6 s and others followed 2 s later. The wait had no use: a standing probe shows no progress, so that after 8 s its success said as little as after 5. For finite work that success was wrong: all of it followed to a worker that stalled still. The same held for a finite probe, as 2 s are less than the 2.5 s after which a run counts as stalled.

Standing tasks now return after a stall as after failures, as they risk no more there than by waiting and no other worker can take them. What ends the probation for finite work is progress: a finite probe has to have made some (two views; a worker with a probe is viewed as often as one with serving tasks), a standing one after a stall is only followed by the next. A probe that fails while one failure is no quarantine is followed by the next as well; it counted as a success 2 s later, since a stall resets nothing and counts no failure.

--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -257,10 +257,7 @@
         record = self.find_worker(worker)
         session = self.get_session(worker)
         if record is not None and session is not None:
-            for key in self._quarantine.list_unseen(worker):
-                if session.has_run(key):
-                    now = self._clock.monotonic()
-                    self._quarantine.record_presence(worker, key, now)
+            self._examine_probes(worker, session)
             self._mitigator.handle_view(record, session)
         self._request_round()
 
@@ -276,7 +273,9 @@
     def needs_frequent_views(self, worker: Worker) -> bool:
         """Return whether new runs can harm serving tasks, or the worker itself."""
         has_suspect = self._suspects.has_suspect(worker.worker)
-        return has_suspect or self._mitigator.has_serving(worker)
+        if has_suspect or self._quarantine.list_probes(worker.worker):
+            return True
+        return self._mitigator.has_serving(worker)
 
     def fits_capacity(self, worker: Worker) -> bool:
         """Return whether a worker's capacity is known, and holds all its runs."""
@@ -388,6 +387,17 @@
     ) -> None:
         self._pacer.request(find_urgency(self.state, command))
 
+    def _examine_probes(self, worker: WorkerId, session: WorkerSession) -> None:
+        """Record what the latest view tells of the probe of a worker."""
+        for key in self._quarantine.list_probes(worker):
+            if session.has_run(key):
+                self._quarantine.record_presence(
+                    worker,
+                    key,
+                    self._clock.monotonic(),
+                    has_advanced=session.has_advanced(key),
+                )
+
     def _examine_worker(self, worker: WorkerId) -> None:
         self._terminations.add_worker(worker)
 
@@ -506,6 +516,6 @@
             elif ended.end is RunEnd.FAILED:
                 self._quarantine.record_failure(report.worker, now)
                 self.avoid(ended.task, report.worker)
-            else:
+            if ended.end is not RunEnd.DONE:
                 key = RunKey(ended.task, ended.run)
                 self._quarantine.record_end(report.worker, key)
--- a/src/rhubarbfield/scheduling/progress.py
+++ b/src/rhubarbfield/scheduling/progress.py
@@ -22,10 +22,14 @@
 
 
 class ProgressMark(msgspec.Struct, frozen=True):
-    """Latest progress of a run, and the observed time since which it is unchanged."""
+    """Latest progress of a run, and the observed time since which it is unchanged.
+
+    It may have been unchanged since the first view of the run.
+    """
 
     percent: float
     since: timedelta
+    has_advanced: bool = False
 
 
 class Progress:
@@ -65,7 +69,10 @@
             key = RunKey(run.task, run.run)
             mark = self._marks.get(key)
             if mark is None or mark.percent != run.percent:
-                mark = ProgressMark(run.percent, now)
+                has_advanced = mark is not None and (
+                    mark.has_advanced or run.percent > mark.percent
+                )
+                mark = ProgressMark(run.percent, now, has_advanced)
             marks[key] = mark
         self._marks = marks
         self._earliest = min((mark.since for mark in marks.values()), default=now)
@@ -83,7 +90,12 @@
         mark = self._marks.get(key)
         if mark is not None:
             now = self._observed + min(view_age, MAX_COUNTED_GAP)
-            self._marks[key] = ProgressMark(mark.percent, now)
+            self._marks[key] = msgspec.structs.replace(mark, since=now)
+
+    def has_advanced(self, key: RunKey) -> bool:
+        """Return whether the progress of a run has grown since its first view."""
+        mark = self._marks.get(key)
+        return mark is not None and mark.has_advanced
 
     def list_stalled(self, limit: timedelta) -> list[RunKey]:
         """Return runs without progress for longer than ``limit`` at the last view."""
--- a/src/rhubarbfield/scheduling/quarantine.py
+++ b/src/rhubarbfield/scheduling/quarantine.py
@@ -35,22 +35,43 @@
         afterwards one task first, the probe.
     probed_from
         When an interrupted standing task may be the probe, although the quarantine
-        has not ended; None if the worker is not quarantined for failures.
+        has not ended; None if the worker is not quarantined.
+    has_stalled
+        Whether runs on the worker have stalled since the last success.
+    is_probe_standing
+        Whether the probe is a standing task, of which progress is not known.
     probes
         The runs of the probe, more than one if it is a gang, and since when each is
         known to be on the worker; None if it is not known yet.
+    advanced
+        Those of them that are known to have made progress.
     """
 
     failures: int = 0
     quarantined_until: timedelta | None = None
     probed_from: timedelta | None = None
+    has_stalled: bool = False
+    is_probe_standing: bool = False
     probes: dict[RunKey, timedelta | None] = msgspec.field(default_factory=dict)
+    advanced: set[RunKey] = msgspec.field(default_factory=set)
 
     def find_presence(self) -> timedelta | None:
         """Return since when the whole probe is on the worker; None if it isn't."""
         known = [since for since in self.probes.values() if since is not None]
         return max(known) if known and len(known) == len(self.probes) else None
 
+    @property
+    def is_probe_sound(self) -> bool:
+        """Whether nothing speaks against the worker once the probe has run."""
+        if self.is_probe_standing:
+            return not self.has_stalled
+        return len(self.advanced) == len(self.probes)
+
+    def drop_probe(self) -> None:
+        """Let the next probe follow."""
+        self.probes.clear()
+        self.advanced.clear()
+
 
 class WorkerQuarantine:
     """Outcomes of runs by worker, and the quarantine that follows from them.
@@ -75,7 +96,8 @@
         record.failures = 0
         record.quarantined_until = None
         record.probed_from = None
-        record.probes.clear()
+        record.has_stalled = False
+        record.drop_probe()
 
     def record_failure(self, worker: WorkerId, now: timedelta) -> None:
         """Record a failed run, whether the task or the worker is at fault.
@@ -89,14 +111,19 @@
             return
         if record.failures >= self._settings.quarantine_failures:
             self._quarantine_worker(worker, now, "failures")
-            record.probed_from = now + self._settings.standing_probe_delay
 
     def record_stall(self, worker: WorkerId, now: timedelta) -> None:
         """Record that runs on the worker make no progress; starts a quarantine."""
+        self._get(worker).has_stalled = True
         self._quarantine_worker(worker, now, "stall")
 
     def record_probe(
-        self, worker: WorkerId, runs: Collection[RunKey], now: timedelta
+        self,
+        worker: WorkerId,
+        runs: Collection[RunKey],
+        now: timedelta,
+        *,
+        is_standing: bool,
     ) -> None:
         """Record that runs were ordered; the first on probation are the probe.
 
@@ -106,29 +133,42 @@
         if not self.is_on_probation(worker, now) or not self.may_probe(worker):
             return
         if self.is_eligible(worker, now) or self.count_standing_starts(worker, now):
-            self._get(worker).probes = dict.fromkeys(runs)
+            record = self._get(worker)
+            record.probes = dict.fromkeys(runs)
+            record.is_probe_standing = is_standing
             log_event(logger, logging.INFO, "worker-probed", worker=worker)
 
-    def record_presence(self, worker: WorkerId, run: RunKey, now: timedelta) -> None:
+    def record_presence(
+        self,
+        worker: WorkerId,
+        run: RunKey,
+        now: timedelta,
+        *,
+        has_advanced: bool = False,
+    ) -> None:
         """Record that the worker has answered the start of a run, or shown the run."""
         record = self._records.get(worker)
-        if record is not None and record.probes.get(run, now) is None:
+        if record is None or run not in record.probes:
+            return
+        if record.probes[run] is None:
             record.probes[run] = now
+        if has_advanced:
+            record.advanced.add(run)
 
     def record_end(self, worker: WorkerId, run: RunKey) -> None:
-        """Record that a run has ended, which neither failed nor succeeded.
+        """Record that a run has ended without success.
 
         A probe of which nothing is left proves nothing; the next one may follow.
         """
         record = self._records.get(worker)
         if record is not None:
             record.probes.pop(run, None)
+            record.advanced.discard(run)
 
-    def list_unseen(self, worker: WorkerId) -> list[RunKey]:
-        """Return the runs of the probe that are not known to be on the worker."""
+    def list_probes(self, worker: WorkerId) -> dict[RunKey, timedelta | None]:
+        """Return the runs of the probe, and since when each is on the worker."""
         record = self._records.get(worker)
-        probes = {} if record is None else record.probes
-        return [run for run, since in probes.items() if since is None]
+        return {} if record is None else dict(record.probes)
 
     def forget(self, worker: WorkerId) -> None:
         """Drop the record of a worker that was removed."""
@@ -157,7 +197,7 @@
         return int(now >= probed_from and not self.is_eligible(worker, now))
 
     def has_proven_probe(self, worker: WorkerId, now: timedelta) -> bool:
-        """Return whether a probe after failures has outlasted those of faulty workers.
+        """Return whether a probe has outlasted those of faulty workers.
 
         Standing tasks may then start, even before probation ends.
         """
@@ -172,16 +212,20 @@
     def is_on_probation(self, worker: WorkerId, now: timedelta) -> bool:
         """Return whether the worker has had no successful probe since quarantine.
 
-        Standing tasks never succeed, so a probe that runs for ``probe_duration``
-        counts as a success. The first call after that time records it.
+        A probe that runs for ``probe_duration`` counts as a success, a finite one if
+        it has made progress. A standing one, which shows none, doesn't after a stall;
+        the next one may follow it. The first call after that time records it.
         """
         record = self._records.get(worker)
         if record is None or record.quarantined_until is None:
             return False
         since = record.find_presence()
         if since is not None and now - since > self._settings.probe_duration:
-            self.record_success(worker)
-            return False
+            if record.is_probe_sound:
+                self.record_success(worker)
+                return False
+            if record.is_probe_standing:
+                record.drop_probe()
         return True
 
     def may_probe(self, worker: WorkerId) -> bool:
@@ -197,8 +241,8 @@
     def _quarantine_worker(self, worker: WorkerId, now: timedelta, cause: str) -> None:
         record = self._get(worker)
         record.quarantined_until = now + self._settings.quarantine_duration
-        record.probed_from = None
-        record.probes.clear()
+        record.probed_from = now + self._settings.standing_probe_delay
+        record.drop_probe()
         log_event(
             logger,
             logging.INFO,
--- a/src/rhubarbfield/scheduling/session.py
+++ b/src/rhubarbfield/scheduling/session.py
@@ -242,6 +242,10 @@
         run = self.active.get(key.task)
         return run is not None and run.run == key.run
 
+    def has_advanced(self, key: RunKey) -> bool:
+        """Return whether views have shown that a finite run makes progress."""
+        return self._progress.has_advanced(key)
+
     def list_unrecorded(self) -> list[TaskName]:
         """Return the tasks of runs in the latest view that are not recorded here."""
         worker = self._host.find_worker(self.worker)
--- a/src/rhubarbfield/scheduling/settings.py
+++ b/src/rhubarbfield/scheduling/settings.py
@@ -44,8 +44,8 @@
         interrupted may follow. With ``standing_probe_delay`` it is less than the 7 s
         for which the platform tolerates a standstill beside a worker that works again.
     probe_duration
-        How long a probe has to run without failing to end probation; faulty
-        workers fail runs within 50 ms.
+        How long a probe has to run without failing to end probation, with progress
+        if it is finite; faulty workers fail runs within 50 ms.
     ended_job_retention
         How long ended jobs can be read.
     stall_timeout
--- a/src/rhubarbfield/scheduling/starting.py
+++ b/src/rhubarbfield/scheduling/starting.py
@@ -134,8 +134,11 @@
             if self._send(start, chosen_at):
                 key = RunKey(start.task, start.run)
                 ordered.setdefault(start.worker, []).append(key)
+        now = self._clock.monotonic()
         for worker, runs in ordered.items():
-            self._quarantine.record_probe(worker, runs, self._clock.monotonic())
+            steps = (self._state.find_step(key.task) for key in runs)
+            is_standing = any(step is not None and step.standing for step in steps)
+            self._quarantine.record_probe(worker, runs, now, is_standing=is_standing)
 
     def _send(self, start: RunStart, chosen_at: timedelta) -> bool:
         """Order a worker to start a recorded run; return whether it was ordered."""
--- a/tests/scheduling/test_probation.py
+++ b/tests/scheduling/test_probation.py
@@ -199,12 +199,14 @@
             while worker.unanswered_starts == LOST:
                 await trio.sleep(TIME_STEP)
             quarantine = leader._quarantine
-            self.assertEqual(len(quarantine.list_unseen(worker.worker)), 1)
+            probes = quarantine.list_probes(worker.worker)
+            self.assertEqual(list(probes.values()), [None])
             deployment.fleet.deliver_delayed_starts()
             await trio.sleep(SETTINGS.view_timeout.total_seconds() + RESTART_SECONDS)
             self.assertEqual(worker.unanswered_starts, LOST - 2)
-            self.assertEqual(quarantine.list_unseen(worker.worker), [])
-            self.assertFalse(quarantine.may_probe(worker.worker))
+            shown = quarantine.list_probes(worker.worker)
+            self.assertEqual(list(shown), list(probes))
+            self.assertNotIn(None, shown.values())
 
     def test_tasks_that_follow_a_probe_do_not_prolong_the_probation(self) -> None:
         quarantine, worker = WorkerQuarantine(SETTINGS), WorkerId("w1")
@@ -212,12 +214,12 @@
             quarantine.record_failure(worker, timedelta())
         probed_at = SETTINGS.standing_probe_delay
         probe = RunKey(TaskName("j.0.0.0"), RunNumber(2))
-        quarantine.record_probe(worker, [probe], probed_at)
+        quarantine.record_probe(worker, [probe], probed_at, is_standing=True)
         quarantine.record_presence(worker, probe, probed_at)
         followed_at = probed_at + SETTINGS.standing_probe_duration
         self.assertTrue(quarantine.has_proven_probe(worker, followed_at))
         follower = RunKey(TaskName("j.0.0.1"), RunNumber(2))
-        quarantine.record_probe(worker, [follower], followed_at)
+        quarantine.record_probe(worker, [follower], followed_at, is_standing=True)
         quarantine.record_presence(worker, follower, followed_at)
         self.assertTrue(quarantine.has_proven_probe(worker, followed_at))
         ended_at = probed_at + SETTINGS.probe_duration + MILLISECOND
--- a/tests/scheduling/test_quarantine.py
+++ b/tests/scheduling/test_quarantine.py
@@ -21,7 +21,7 @@
 
 def start_run(quarantine: WorkerQuarantine, run: RunKey, now: timedelta) -> None:
     """Record that a run was ordered, and that the worker answered at once."""
-    quarantine.record_probe(WORKER, [run], now)
+    quarantine.record_probe(WORKER, [run], now, is_standing=True)
     quarantine.record_presence(WORKER, run, now)
 
 
@@ -85,11 +85,11 @@
         """The probation ended 2 s after the order, whether or not it was answered."""
         quarantine = make_quarantine()
         now = BEGAN + SETTINGS.standing_probe_delay
-        quarantine.record_probe(WORKER, [PROBE, MEMBER], now)
+        quarantine.record_probe(WORKER, [PROBE, MEMBER], now, is_standing=True)
         now += 2 * SETTINGS.probe_duration
         quarantine.record_presence(WORKER, PROBE, now)
         now += 2 * SETTINGS.probe_duration
-        self.assertEqual(quarantine.list_unseen(WORKER), [MEMBER])
+        self.assertIsNone(quarantine.list_probes(WORKER)[MEMBER])
         self.assertEqual(quarantine.count_standing_starts(WORKER, now), 0)
         self.assertTrue(quarantine.is_on_probation(WORKER, now))
         quarantine.record_presence(WORKER, MEMBER, now)
@@ -106,7 +106,7 @@
         for has_answered in (False, True):
             quarantine = make_quarantine()
             now = BEGAN + SETTINGS.standing_probe_delay
-            quarantine.record_probe(WORKER, [PROBE], now)
+            quarantine.record_probe(WORKER, [PROBE], now, is_standing=True)
             if has_answered:
                 quarantine.record_presence(WORKER, PROBE, now)
             quarantine.record_end(WORKER, MEMBER)
@@ -118,6 +118,50 @@
             self.assertTrue(quarantine.is_eligible(WORKER, now))
             self.assertTrue(quarantine.may_probe(WORKER))
 
+    def test_standing_probe_does_not_end_the_probation_after_a_stall(self) -> None:
+        """All finite tasks followed it to a worker that stalled still."""
+        quarantine = WorkerQuarantine(SETTINGS)
+        quarantine.record_stall(WORKER, BEGAN)
+        now = BEGAN + SETTINGS.standing_probe_delay
+        self.assertEqual(quarantine.count_standing_starts(WORKER, now), 1)
+        start_run(quarantine, PROBE, now)
+        now += SETTINGS.standing_probe_duration
+        self.assertTrue(quarantine.has_proven_probe(WORKER, now))
+        now += SETTINGS.probe_duration
+        self.assertTrue(quarantine.is_on_probation(WORKER, now))
+        self.assertTrue(quarantine.may_probe(WORKER))
+        quarantine.record_probe(WORKER, [MEMBER], now, is_standing=False)
+        quarantine.record_presence(WORKER, MEMBER, now, has_advanced=True)
+        now += SETTINGS.probe_duration + MOMENT
+        self.assertFalse(quarantine.is_on_probation(WORKER, now))
+
+    def test_finite_probe_without_progress_does_not_end_the_probation(self) -> None:
+        """It was a success after 2 s, and a run counts as stalled after 2.5 s."""
+        stalled = WorkerQuarantine(SETTINGS)
+        stalled.record_stall(WORKER, BEGAN)
+        for quarantine in (make_quarantine(), stalled):
+            now = BEGAN + SETTINGS.quarantine_duration
+            quarantine.record_probe(WORKER, [PROBE, MEMBER], now, is_standing=False)
+            quarantine.record_presence(WORKER, PROBE, now, has_advanced=True)
+            quarantine.record_presence(WORKER, MEMBER, now)
+            now += SETTINGS.stall_timeout
+            self.assertTrue(quarantine.is_on_probation(WORKER, now))
+            self.assertFalse(quarantine.may_probe(WORKER))
+            quarantine.record_presence(WORKER, MEMBER, now, has_advanced=True)
+            self.assertFalse(quarantine.is_on_probation(WORKER, now))
+
+    def test_probe_that_fails_after_a_stall_does_not_end_the_probation(self) -> None:
+        """One failure is no quarantine, and 2 s later the probe was a success."""
+        quarantine = WorkerQuarantine(SETTINGS)
+        quarantine.record_stall(WORKER, BEGAN)
+        now = BEGAN + SETTINGS.quarantine_duration
+        start_run(quarantine, PROBE, now)
+        quarantine.record_failure(WORKER, now)
+        quarantine.record_end(WORKER, PROBE)
+        now += SETTINGS.probe_duration + MOMENT
+        self.assertTrue(quarantine.is_on_probation(WORKER, now))
+        self.assertTrue(quarantine.may_probe(WORKER))
+
 
 if __name__ == "__main__":
     unittest.main()
