Do not add up failures that are far apart

Callers of standing work lost a worker for some 5 s when one of its runs failed an hour after another: failures counted until a run succeeded, and standing tasks never do. On a worker with standing tasks only, two failures at any distance were a quarantine.

Failures more than a minute apart no longer add up. During a probation they do, so that a late probe that fails starts the quarantine anew as before; workers that fail all runs fail them within moments.

--- a/src/rhubarbfield/scheduling/quarantine.py
+++ b/src/rhubarbfield/scheduling/quarantine.py
@@ -29,7 +29,10 @@
     Attributes
     ----------
     failures
-        Failed runs since the last success.
+        Failed runs since the last success; without probation, also since a gap of
+        ``failure_retention`` between two of them.
+    failed_at
+        When the latest of them failed.
     quarantined_until
         When the quarantine ends; until then the worker receives no task, and
         afterwards one task first, the probe.
@@ -48,6 +51,7 @@
     """
 
     failures: int = 0
+    failed_at: timedelta = timedelta()
     quarantined_until: timedelta | None = None
     probed_from: timedelta | None = None
     has_stalled: bool = False
@@ -106,8 +110,13 @@
         don't start it anew.
         """
         record = self._get(worker)
+        is_on_probation = self.is_on_probation(worker, now)
+        age = now - record.failed_at
+        if not is_on_probation and age > self._settings.failure_retention:
+            record.failures = 0
         record.failures += 1
-        if self.is_on_probation(worker, now) and self.may_probe(worker):
+        record.failed_at = now
+        if is_on_probation and self.may_probe(worker):
             return
         if record.failures >= self._settings.quarantine_failures:
             self._quarantine_worker(worker, now, "failures")
--- a/src/rhubarbfield/scheduling/settings.py
+++ b/src/rhubarbfield/scheduling/settings.py
@@ -34,6 +34,8 @@
         Time without contact after which a worker receives no new runs.
     quarantine_failures
         Consecutive failed runs after which a worker is quarantined.
+    failure_retention
+        Time after which a failed run no longer counts towards the next quarantine.
     quarantine_duration
         How long a quarantine lasts.
     standing_probe_delay
@@ -73,6 +75,7 @@
     watched_view_timeout: timedelta = timedelta(milliseconds=500)
     silence_timeout: timedelta = timedelta(milliseconds=2500)
     quarantine_failures: int = 2
+    failure_retention: timedelta = timedelta(seconds=60)
     quarantine_duration: timedelta = timedelta(seconds=6)
     standing_probe_delay: timedelta = timedelta(seconds=5)
     standing_probe_duration: timedelta = timedelta(seconds=0.5)
--- a/tests/scheduling/test_quarantine.py
+++ b/tests/scheduling/test_quarantine.py
@@ -150,6 +150,25 @@
             quarantine.record_presence(WORKER, MEMBER, now, has_advanced=True)
             self.assertFalse(quarantine.is_on_probation(WORKER, now))
 
+    def test_failures_that_are_far_apart_do_not_start_a_quarantine(self) -> None:
+        """Nothing reset them on a worker with standing tasks only."""
+        quarantine = WorkerQuarantine(SETTINGS)
+        apart = SETTINGS.failure_retention + MOMENT
+        for number in range(3 * SETTINGS.quarantine_failures):
+            now = BEGAN + number * apart
+            quarantine.record_failure(WORKER, now)
+            self.assertFalse(quarantine.is_on_probation(WORKER, now))
+            self.assertEqual(quarantine.count_failures(WORKER), 1)
+        quarantine.record_failure(WORKER, now + SETTINGS.failure_retention)
+        self.assertTrue(quarantine.is_on_probation(WORKER, now + apart))
+
+    def test_probe_that_fails_late_starts_the_quarantine_anew(self) -> None:
+        quarantine = make_quarantine()
+        now = BEGAN + 2 * SETTINGS.failure_retention
+        start_run(quarantine, PROBE, now)
+        quarantine.record_failure(WORKER, now + MOMENT)
+        self.assertFalse(quarantine.is_eligible(WORKER, now + 2 * MOMENT))
+
     def test_probe_that_fails_after_a_stall_does_not_end_the_probation(self) -> None:
         """One failure is no quarantine, and 2 s later the probe was a success."""
         quarantine = WorkerQuarantine(SETTINGS)
