Scan the workers on probation less often in a round

A waiting standing step scanned them twice to tell whether it may start there, and each of them was asked twice whether its probe is proven. Decisions are unchanged; no rate was measured.

--- a/src/rhubarbfield/scheduling/availability.py
+++ b/src/rhubarbfield/scheduling/availability.py
@@ -11,7 +11,7 @@
 from rhubarbfield.scheduling.headroom import WorkerHeadroom
 from rhubarbfield.scheduling.headroom_index import HeadroomIndex
 from rhubarbfield.scheduling.interference import LatencyMargin
-from rhubarbfield.scheduling.quarantine import WorkerQuarantine
+from rhubarbfield.scheduling.quarantine import MAX_STANDING_STARTS, WorkerQuarantine
 from rhubarbfield.scheduling.session import WorkerSession
 from rhubarbfield.scheduling.state import SchedulingState, Worker
 from rhubarbfield.scheduling.suspects import Suspects
@@ -86,9 +86,7 @@
             if session is None:
                 continue
             headroom = self._measure_session(state, worker, session)
-            headroom.has_proven_probe = self._quarantine.has_proven_probe(
-                worker.worker, now
-            )
+            headroom.has_proven_probe = starts == MAX_STANDING_STARTS
             limit = headroom.task_count + starts
             headroom.task_limit = min(headroom.task_limit, limit)
             measured.append(headroom)
--- a/src/rhubarbfield/scheduling/placing.py
+++ b/src/rhubarbfield/scheduling/placing.py
@@ -216,10 +216,12 @@
             return True
         if not waiting.step.gang and self._reserved.may_take(waiting):
             return True
-        find = self._candidates.list_quarantined
-        if not waiting.step.standing or not find(waiting, is_interrupted=True):
+        if not waiting.step.standing:
             return False
-        if find(waiting, is_interrupted=False):
+        quarantined = self._candidates.list_quarantined(waiting, is_interrupted=True)
+        if not quarantined:
+            return False
+        if any(headroom.has_proven_probe for headroom in quarantined):
             return True
         return any(awaits_restart(waiting.step, task) for task in waiting.tasks)
 
