--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -48,6 +48,7 @@
 from rhubarbfield.scheduling.pacing import RoundPacer, Urgency, find_urgency
 from rhubarbfield.scheduling.placing import MAX_STARTS_PER_ROUND, Placer
 from rhubarbfield.scheduling.ports import WorkerCalls
+from rhubarbfield.scheduling.progress import RunKey
 from rhubarbfield.scheduling.quarantine import WorkerQuarantine
 from rhubarbfield.scheduling.recording import (
     Batcher,
@@ -243,10 +244,11 @@
             self._late_ends.pop(id(ends), None)
         self._stages.record(StartStage.END, self._clock.monotonic() - began)
 
-    def record_answer(self, start: Start) -> None:
+    def record_answer(self, worker: WorkerId, start: Start) -> None:
         """Record that a worker has answered the order to start a run."""
-        age = self._clock.monotonic() - start.recorded_at
-        self._stages.record(StartStage.ORDER, age)
+        now = self._clock.monotonic()
+        self._quarantine.record_presence(worker, start.key, now)
+        self._stages.record(StartStage.ORDER, now - start.recorded_at)
 
     async def remove_worker(
         self, worker: WorkerId, checkpoints: dict[TaskName, CheckpointToken]
@@ -263,6 +265,7 @@
         record = self.find_worker(worker)
         session = self.get_session(worker)
         if record is not None and session is not None:
+            self._examine_probes(worker, session)
             self._mitigator.handle_view(record, session)
         self._request_round()
 
@@ -278,7 +281,9 @@
     def needs_frequent_views(self, worker: Worker) -> bool:
         """Return whether new runs can harm serving tasks, or the worker itself."""
         has_suspect = self._suspects.has_suspect(worker.worker)
-        return has_suspect or self._mitigator.has_serving(worker)
+        if has_suspect or self._quarantine.list_probes(worker.worker):
+            return True
+        return self._mitigator.has_serving(worker)
 
     def fits_capacity(self, worker: Worker) -> bool:
         """Return whether a worker's capacity is known, and holds all its runs."""
@@ -390,6 +395,17 @@
     ) -> None:
         self._pacer.request(find_urgency(self.state, command))
 
+    def _examine_probes(self, worker: WorkerId, session: WorkerSession) -> None:
+        """Record what the latest view tells of the probe of a worker."""
+        for key in self._quarantine.list_probes(worker):
+            if session.has_run(key):
+                self._quarantine.record_presence(
+                    worker,
+                    key,
+                    self._clock.monotonic(),
+                    has_advanced=session.has_advanced(key),
+                )
+
     def _examine_worker(self, worker: WorkerId) -> None:
         self._terminations.add_worker(worker)
 
@@ -509,3 +525,6 @@
             elif ended.end is RunEnd.FAILED:
                 self._quarantine.record_failure(report.worker, now, since)
                 self.avoid(ended.task, report.worker)
+            if ended.end is not RunEnd.DONE:
+                key = RunKey(ended.task, ended.run)
+                self._quarantine.record_end(report.worker, key)
--- a/src/rhubarbfield/scheduling/quarantine.py
+++ b/src/rhubarbfield/scheduling/quarantine.py
@@ -7,11 +7,13 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Collection
 from datetime import timedelta
 
 import msgspec
 
 from rhubarbfield.logs import log_event
+from rhubarbfield.scheduling.progress import RunKey
 from rhubarbfield.scheduling.settings import SchedulingSettings
 from rhubarbfield.types import WorkerId
 
@@ -27,21 +29,52 @@
     Attributes
     ----------
     failures
-        Failed runs since the last success.
+        Failed runs since the last success; without probation, also since a gap of
+        ``failure_retention`` between two of them.
+    failed_at
+        When the latest of them failed.
     quarantined_until
         When the quarantine ends; until then the worker receives no task, and
         afterwards one task first, the probe.
     probed_from
         When an interrupted standing task may be the probe, although the quarantine
-        has not ended; None if the worker is not quarantined for failures.
-    probed_at
-        When the probe was started.
+        has not ended; None if the worker is not quarantined.
+    has_stalled
+        Whether runs on the worker have stalled since the last success.
+    is_probe_standing
+        Whether the probe is a standing task, of which progress is not known.
+    probes
+        The runs of the probe, more than one if it is a gang, and since when each is
+        known to be on the worker; None if it is not known yet.
+    advanced
+        Those of them that are known to have made progress.
     """
 
     failures: int = 0
+    failed_at: timedelta = timedelta()
     quarantined_until: timedelta | None = None
     probed_from: timedelta | None = None
-    probed_at: timedelta | None = None
+    has_stalled: bool = False
+    is_probe_standing: bool = False
+    probes: dict[RunKey, timedelta | None] = msgspec.field(default_factory=dict)
+    advanced: set[RunKey] = msgspec.field(default_factory=set)
+
+    def find_presence(self) -> timedelta | None:
+        """Return since when the whole probe is on the worker; None if it isn't."""
+        known = [since for since in self.probes.values() if since is not None]
+        return max(known) if known and len(known) == len(self.probes) else None
+
+    @property
+    def is_probe_sound(self) -> bool:
+        """Whether nothing speaks against the worker once the probe has run."""
+        if self.is_probe_standing:
+            return not self.has_stalled
+        return len(self.advanced) == len(self.probes)
+
+    def drop_probe(self) -> None:
+        """Let the next probe follow."""
+        self.probes.clear()
+        self.advanced.clear()
 
 
 class WorkerQuarantine:
@@ -67,7 +100,8 @@
         record.failures = 0
         record.quarantined_until = None
         record.probed_from = None
-        record.probed_at = None
+        record.has_stalled = False
+        record.drop_probe()
 
     def record_failure(
         self, worker: WorkerId, now: timedelta, since: timedelta | None = None
@@ -86,21 +120,34 @@
             may be sound by now, so that an interrupted standing task may find out.
         """
         record = self._get(worker)
+        is_on_probation = self.is_on_probation(worker, now)
+        age = now - record.failed_at
+        if not is_on_probation and age > self._settings.failure_retention:
+            record.failures = 0
         record.failures += 1
-        if self.is_on_probation(worker, now) and self.may_probe(worker):
+        record.failed_at = now
+        if is_on_probation and self.may_probe(worker):
             return
         if record.failures >= self._settings.quarantine_failures:
             began = now if since is None else since
             self._quarantine_worker(worker, began, "failures")
-            delay = self._settings.standing_probe_delay
-            record.probed_from = now + delay if since is None else now
+            if since is not None:
+                record.probed_from = now
 
     def record_stall(self, worker: WorkerId, now: timedelta) -> None:
         """Record that runs on the worker make no progress; starts a quarantine."""
+        self._get(worker).has_stalled = True
         self._quarantine_worker(worker, now, "stall")
 
-    def record_probe(self, worker: WorkerId, now: timedelta) -> None:
-        """Record that a run was started; the first on probation is the probe.
+    def record_probe(
+        self,
+        worker: WorkerId,
+        runs: Collection[RunKey],
+        now: timedelta,
+        *,
+        is_standing: bool,
+    ) -> None:
+        """Record that runs were ordered; the first on probation are the probe.
 
         A run that was chosen before the quarantine began proves nothing, and those
         that follow the probe must not prolong the probation.
@@ -108,9 +155,43 @@
         if not self.is_on_probation(worker, now) or not self.may_probe(worker):
             return
         if self.is_eligible(worker, now) or self.count_standing_starts(worker, now):
-            self._get(worker).probed_at = now
+            record = self._get(worker)
+            record.probes = dict.fromkeys(runs)
+            record.is_probe_standing = is_standing
             log_event(logger, logging.INFO, "worker-probed", worker=worker)
 
+    def record_presence(
+        self,
+        worker: WorkerId,
+        run: RunKey,
+        now: timedelta,
+        *,
+        has_advanced: bool = False,
+    ) -> None:
+        """Record that the worker has answered the start of a run, or shown the run."""
+        record = self._records.get(worker)
+        if record is None or run not in record.probes:
+            return
+        if record.probes[run] is None:
+            record.probes[run] = now
+        if has_advanced:
+            record.advanced.add(run)
+
+    def record_end(self, worker: WorkerId, run: RunKey) -> None:
+        """Record that a run has ended without success.
+
+        A probe of which nothing is left proves nothing; the next one may follow.
+        """
+        record = self._records.get(worker)
+        if record is not None:
+            record.probes.pop(run, None)
+            record.advanced.discard(run)
+
+    def list_probes(self, worker: WorkerId) -> dict[RunKey, timedelta | None]:
+        """Return the runs of the probe, and since when each is on the worker."""
+        record = self._records.get(worker)
+        return {} if record is None else dict(record.probes)
+
     def forget(self, worker: WorkerId) -> None:
         """Drop the record of a worker that was removed."""
         self._records.pop(worker, None)
@@ -138,36 +219,41 @@
         return int(now >= probed_from and not self.is_eligible(worker, now))
 
     def has_proven_probe(self, worker: WorkerId, now: timedelta) -> bool:
-        """Return whether a probe after failures has outlasted those of faulty workers.
+        """Return whether a probe has outlasted those of faulty workers.
 
         Standing tasks may then start, even before probation ends.
         """
         if not self.is_on_probation(worker, now):
             return False
         record = self._records[worker]
-        if record.probed_from is None or record.probed_at is None:
+        since = record.find_presence()
+        if record.probed_from is None or since is None:
             return False
-        return now - record.probed_at >= self._settings.standing_probe_duration
+        return now - since >= self._settings.standing_probe_duration
 
     def is_on_probation(self, worker: WorkerId, now: timedelta) -> bool:
         """Return whether the worker has had no successful probe since quarantine.
 
-        Standing tasks never succeed, so a probe that runs for ``probe_duration``
-        counts as a success. The first call after that time records it.
+        A probe that runs for ``probe_duration`` counts as a success, a finite one if
+        it has made progress. A standing one, which shows none, doesn't after a stall;
+        the next one may follow it. The first call after that time records it.
         """
         record = self._records.get(worker)
         if record is None or record.quarantined_until is None:
             return False
-        probed_at = record.probed_at
-        if probed_at is not None and now - probed_at > self._settings.probe_duration:
-            self.record_success(worker)
-            return False
+        since = record.find_presence()
+        if since is not None and now - since > self._settings.probe_duration:
+            if record.is_probe_sound:
+                self.record_success(worker)
+                return False
+            if record.is_probe_standing:
+                record.drop_probe()
         return True
 
     def may_probe(self, worker: WorkerId) -> bool:
         """Return whether a worker on probation may receive its probe."""
         record = self._records.get(worker)
-        return record is None or record.probed_at is None
+        return record is None or not record.probes
 
     def count_failures(self, worker: WorkerId) -> int:
         """Return the number of failures since the last success."""
@@ -177,8 +263,8 @@
     def _quarantine_worker(self, worker: WorkerId, now: timedelta, cause: str) -> None:
         record = self._get(worker)
         record.quarantined_until = now + self._settings.quarantine_duration
-        record.probed_from = None
-        record.probed_at = None
+        record.probed_from = now + self._settings.standing_probe_delay
+        record.drop_probe()
         log_event(
             logger,
             logging.INFO,
