Keep a block of ports claimed while the processes of a test run

Tests of processes looked for a hundred free ports before they bound them, and nothing kept another run from finding the same ones: two searches in a row gave 30000 both times, and so did runs whose process ids differ by a multiple of 120 (20500 twice). From the last block on, the search ended without trying the earlier ones.

A block is now claimed by a datagram socket bound on its first port, which the kernel refuses to a second process and closes with the first, killed or not. The blocks lie below the range from which the machine takes ports for outgoing connections.

This was suspected as the cause of `test_a_replica_with_a_lost_data_folder_is_repaired`, and is not shown to be: both of its failures were of the operators' port of a2, the replica that the test restarts, of six ports that are awaited.

--- a/tests/cli/interruptions.py
+++ b/tests/cli/interruptions.py
@@ -15,7 +15,7 @@
 
 from rhubarbfield.testing.fleet import FleetPlan, write_fleet
 from tests.platform.programs import Deployment, pick_network
-from tests.processes.fleet import find_port_block
+from tests.processes.fleet import PortBlock
 
 TIMEOUT_SECONDS = 30.0
 POLL_SECONDS = 0.02
@@ -61,7 +61,8 @@
         self.folder = folder
         network = pick_network()
         deployment = Deployment(folder, network)
-        plan = FleetPlan(domains={"north": ("a1",)}, first_port=find_port_block())
+        self._ports = PortBlock()
+        plan = FleetPlan(domains={"north": ("a1",)}, first_port=self._ports.first)
         instance = write_fleet(folder, plan)["a1"].settings_file
         controller, entry = network.list_controllers()[0], network.list_entries()[0]
         self.data_folder = folder / controller
@@ -87,6 +88,10 @@
         (hook / "sitecustomize.py").write_text(HOOK, encoding="utf-8")
         self._path = ":".join([str(hook), *sys.path])
 
+    def close(self) -> None:
+        """Give the ports of the programs back."""
+        self._ports.close()
+
     def start(
         self, *arguments: str, number: int = 0, at: str = "", stdout: IO[bytes] | None
     ) -> subprocess.Popen[bytes]:
--- a/tests/cli/test_signals.py
+++ b/tests/cli/test_signals.py
@@ -20,6 +20,7 @@
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         self.programs = Programs(Path(folder.name))
+        self.addCleanup(self.programs.close)
 
 
 class StartTest(ProcessCase):
--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -42,13 +42,43 @@
 }
 
 
-def find_port_block() -> int:
-    """Return the first port of a block of a hundred free ports."""
-    start = FIRST_PORT + os.getpid() * PORT_BLOCK_SIZE % (LAST_PORT - FIRST_PORT)
-    for first in range(start, LAST_PORT, PORT_BLOCK_SIZE):
-        if all(_is_free(port) for port in range(first, first + PORT_BLOCK_SIZE)):
-            return first
-    raise AssertionError("no block of free ports")
+class PortBlock:
+    """A block of a hundred free ports that no other test takes until it is closed.
+
+    The kernel keeps the claim, a bound datagram socket on the first port, and ends it
+    with the process.
+
+    Attributes
+    ----------
+    first
+        The first port.
+    """
+
+    def __init__(self) -> None:
+        start = FIRST_PORT + os.getpid() * PORT_BLOCK_SIZE % (LAST_PORT - FIRST_PORT)
+        later = range(start, LAST_PORT, PORT_BLOCK_SIZE)
+        earlier = range(FIRST_PORT, start, PORT_BLOCK_SIZE)
+        for self.first in (*later, *earlier):
+            self._claim = socket.socket(type=socket.SOCK_DGRAM)
+            try:
+                self._claim.bind((LOOPBACK, self.first))
+            except OSError:
+                self._claim.close()
+                continue
+            if all(map(_is_free, range(self.first, self.first + PORT_BLOCK_SIZE))):
+                return
+            self._claim.close()
+        raise AssertionError("no block of free ports")
+
+    def __enter__(self) -> int:
+        return self.first
+
+    def __exit__(self, *_: object) -> None:
+        self.close()
+
+    def close(self) -> None:
+        """Give the ports back."""
+        self._claim.close()
 
 
 def _is_free(port: int) -> bool:
@@ -259,10 +289,10 @@
     timing: dict[str, float] | None = None,
 ) -> Iterator[ProcessFleet]:
     """Yield a fleet whose daemons are all ready; kill its processes afterwards."""
-    with tempfile.TemporaryDirectory() as folder:
+    with tempfile.TemporaryDirectory() as folder, PortBlock() as first_port:
         plan = FleetPlan(
             domains=domains,
-            first_port=find_port_block(),
+            first_port=first_port,
             diskless=diskless,
             timing=SHORT_TIMING if timing is None else timing,
         )
--- a/tests/processes/test_binary.py
+++ b/tests/processes/test_binary.py
@@ -11,7 +11,7 @@
 
 from rhubarbfield import __version__
 from rhubarbfield.testing.fleet import FleetPlan, write_fleet
-from tests.processes.fleet import find_port_block, wait_until
+from tests.processes.fleet import PortBlock, wait_until
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 BUILD_TIMEOUT_SECONDS = 300
@@ -25,7 +25,7 @@
 
 class BinaryTest(unittest.TestCase):
     def test_daemons_start_no_child_processes(self) -> None:
-        with tempfile.TemporaryDirectory() as name:
+        with tempfile.TemporaryDirectory() as name, PortBlock() as first_port:
             folder = Path(name)
             binary = folder / "rhubarbfield"
             built = subprocess.run(
@@ -37,10 +37,10 @@
                 env=dict(os.environ, SHIV_ROOT=str(folder / "unpacked")),
             )
             self.assertIn(f"rhubarbfield {__version__}", built.stdout, built.stderr)
-            self.check_daemons(folder, binary)
+            self.check_daemons(folder, binary, first_port)
 
-    def check_daemons(self, folder: Path, binary: Path) -> None:
-        plan = FleetPlan(domains={"north": ("a1",)}, first_port=find_port_block())
+    def check_daemons(self, folder: Path, binary: Path, first_port: int) -> None:
+        plan = FleetPlan(domains={"north": ("a1",)}, first_port=first_port)
         instance = write_fleet(folder, plan)["a1"]
         environment = dict(os.environ, SHIV_ROOT=str(folder / "unpacked"))
         for daemon in ("controller", "entry"):
