Give each misbehaviour of a backend server time to be seen, and hold the loop in a test of what was sent

The adapter told the truth: it is asked for what it sent, not for what it had time for. A new test holds the loop for longer than the request has, before each step of its tasks in turn: NOT_SENT is never returned for a request of which a byte arrived. It fails if the request is marked as sent after its body instead of before its headers.

--- a/tests/backends/test_http.py
+++ b/tests/backends/test_http.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import contextlib
 import subprocess
 import sys
+import time
 import unittest
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
@@ -36,6 +38,7 @@
 from tests.routing.fakes import MS, SECOND, make_request, scenario
 
 POST = {"method": "POST", "idempotent": False}
+MOST_STEPS = 100
 
 
 class AdapterFixture:
@@ -120,7 +123,7 @@
         for misbehaviour, (delivery, reason) in failures.items():
             stand_in.misbehave(misbehaviour)
             for changes in ({}, POST):
-                result = await fixture.exchange(100 * MS, **changes)
+                result = await fixture.exchange(**changes)
                 self.assert_failed(result, delivery, reason)
 
     @scenario("run_with_server")
@@ -218,6 +221,56 @@
         self.assertTrue(sent.startswith(b"GET /a%2Fb?c=%C3%A3 HTTP/1.1\r\n"))
 
 
+class LoopHolder(trio.abc.Instrument):
+    """Holds the loop once, before a chosen step of its tasks."""
+
+    def __init__(self, step: int, held: timedelta) -> None:
+        self.steps_left = step
+        self._held = held
+
+    def before_task_step(self, task: trio.lowlevel.Task) -> None:
+        self.steps_left -= 1
+        if self.steps_left == 0:
+            time.sleep(self._held.total_seconds())
+
+
+class HeldLoopTest(unittest.TestCase):
+    def exchange(self, holder: LoopHolder) -> tuple[DeliveryState, bytes]:
+        received: list[bytes] = []
+
+        async def listen(stream: trio.SocketStream) -> None:
+            with contextlib.suppress(trio.BrokenResourceError):
+                while data := await stream.receive_some(65536):
+                    received.append(data)
+
+        async def run() -> DeliveryState:
+            async with trio.open_nursery() as nursery:
+                listeners = await nursery.start(trio.serve_tcp, listen, 0)
+                fixture = AdapterFixture(listeners[0].socket.getsockname()[1])
+                trio.lowlevel.add_instrument(holder)
+                result = await fixture.exchange(30 * MS, body=b"sander", **POST)
+                trio.lowlevel.remove_instrument(holder)
+                await trio.sleep(0.02)
+                nursery.cancel_scope.cancel()
+            return result.failure().delivery
+
+        return trio.run(run), b"".join(received)
+
+    def test_a_request_that_may_have_arrived_never_counts_as_not_sent(self) -> None:
+        unsent = 0
+        for step in range(1, MOST_STEPS):
+            holder = LoopHolder(step, 40 * MS)
+            delivery, received = self.exchange(holder)
+            if holder.steps_left > 0:
+                break
+            if delivery is DeliveryState.NOT_SENT:
+                unsent += 1
+                self.assertEqual(received, b"", step)
+        else:
+            self.fail("the exchange takes too many steps")
+        self.assertGreater(unsent, 0)
+
+
 class RawAnswerTest(unittest.TestCase):
     def exchange(
         self, answer: bytes, **target: Any
