Count an offered lease from before the leader's right to act is checked

What callers would see: two runs of one task at once.

Cause: the leader checked its term, and read its clock for the lease end after that. A process that was stopped between the two (a freeze, a collection of garbage, a busy machine) offered a lease from after the stop, when another leader may have been elected. That one counts the lease from its own election.

Why it works: the clock is read before the term is checked, so that no lease counts from a time at which the leader may not have acted.

--- a/src/rhubarbfield/scheduling/contact.py
+++ b/src/rhubarbfield/scheduling/contact.py
@@ -136,16 +136,22 @@
         """
         return self.lease.has_clock and self.is_responsive and not self.is_suspended
 
-    def offer_lease(self) -> timedelta | None:
+    def offer_lease(self, now: timedelta) -> timedelta | None:
         """Return the lease end for an order; None if none was offered in this term.
 
         It is a new one only if the lease may be extended. The latest one may be
         offered again: it counts as given, and its order may have been lost. A new
         one is short until the worker has replied, since an order without a reply
         holds its task until the lease has lapsed.
+
+        Parameters
+        ----------
+        now
+            Monotonic time read before it was checked that the leader may act.
         """
         if self.may_extend_lease:
-            return self.lease.extend(None if self.has_replied_lately else FIRST_LEASE)
+            duration = None if self.has_replied_lately else FIRST_LEASE
+            return self.lease.extend(now, duration)
         return self.lease.offered_end
 
     def handle_report(self, worker_clock: timedelta | None, age: timedelta) -> None:
--- a/src/rhubarbfield/scheduling/dispatch.py
+++ b/src/rhubarbfield/scheduling/dispatch.py
@@ -144,6 +144,7 @@
         attempts = 0
         in_doubt = False
         while attempts < self._settings.order_attempts and self._may_start(start):
+            now = self._clock.monotonic()
             term = self._host.get_term()
             if term is None:
                 await self._clock.sleep(TERM_RETRY_DELAY)
@@ -151,7 +152,7 @@
             attempts += 1
             self._ledger.starts[key] = StartState.SENT
             self._ledger.record_order(key, self._clock.monotonic())
-            order = self._make_start_order(start, term)
+            order = self._make_start_order(start, term, now)
             result = await self._calls.start(self._contact.address, order)
             match result:
                 case Success(worker_clock):
@@ -200,13 +201,13 @@
         age = self._clock.monotonic() - start.chosen_at
         return age > MAX_START_DELAY_ON_DRAINING
 
-    def _make_start_order(self, start: Start, term: Term) -> StartOrder:
+    def _make_start_order(self, start: Start, term: Term, now: timedelta) -> StartOrder:
         return StartOrder(
             task=start.key.task,
             run=start.key.run,
             payload=start.payload,
             checkpoint=start.checkpoint,
-            lease_end=self._contact.offer_lease() or timedelta(),
+            lease_end=self._contact.offer_lease(now) or timedelta(),
             term=term,
             ticket=start.ticket,
         )
--- a/src/rhubarbfield/scheduling/leases.py
+++ b/src/rhubarbfield/scheduling/leases.py
@@ -101,7 +101,7 @@
         self._worker_clock = worker_clock
         self.clock_read_at = read_at
 
-    def extend(self, duration: timedelta | None = None) -> timedelta:
+    def extend(self, now: timedelta, duration: timedelta | None = None) -> timedelta:
         """Return a new lease end on the worker's clock, or the present one if later.
 
         The lease counts as extended at once, since the order that carries it may
@@ -109,6 +109,9 @@
 
         Parameters
         ----------
+        now
+            Monotonic time at which the leader may certainly act; the process may have
+            been stopped since.
         duration
             Duration of the lease from now on, no longer than that of the settings,
             which is the default.
@@ -117,7 +120,7 @@
         if duration is not None:
             wanted = min(duration, wanted)
         assert self._worker_clock is not None
-        passed = self._clock.monotonic() - self.clock_read_at
+        passed = now - self.clock_read_at
         slow_time = max(passed - MAX_CLOCK_AGE, timedelta())
         passed -= slow_time * self._settings.clock_drift
         offered = self._worker_clock + passed + wanted
--- a/src/rhubarbfield/scheduling/session.py
+++ b/src/rhubarbfield/scheduling/session.py
@@ -272,6 +272,7 @@
 
     async def _view_once(self) -> None:
         worker = self._host.find_worker(self.worker)
+        now = self._clock.monotonic()
         term = self._host.get_term()
         if worker is None or term is None:
             return
@@ -281,7 +282,7 @@
         contact = self._contact
         request = ViewRequest(
             recorded_ends=recorded_ends,
-            lease_end=contact.offer_lease(),
+            lease_end=contact.offer_lease(now),
             wait_timeout=self._choose_wait_timeout(),
             term=term,
         )
--- a/tests/platform/test_fuzzing.py
+++ b/tests/platform/test_fuzzing.py
@@ -211,7 +211,7 @@
         lease = WorkerLease(clock, SchedulingSettings())
         for _ in range(2):
             lease.update_reported_clock(heartbeat.clock, timedelta())
-            lease.extend()
+            lease.extend(clock.monotonic())
             clock.advance(HOUR)
 
 
