Count the leases of lost workers from the end of the former leadership

Cause: a leader knew only that no other led at its election. Its voters know more: each promised the former leader its vote until some time, and grants it later.

Change: a vote tells for how long its voter has been free of its promise. Each earlier leader's lease rests on the answers of a majority, and one of these voters elects the next, so that the latest end of a promise among the electing voters, by the slowest clock, is after the end of each earlier lease. Leases without a silence mark count from then, in the sessions that are opened as the term begins. Later ones may follow a session that extended the lease in the same term, and count from when they are opened, as before.

Voters of earlier versions don't tell, and count as bound until they answer.

The observer of the replication tests now checks, at each delivery and on clocks with 5% of drift, that no earlier leader held its lease after the time that a leader assumes.

--- a/src/rhubarbfield/replication/election.py
+++ b/src/rhubarbfield/replication/election.py
@@ -13,7 +13,7 @@
     Vote,
     VoteAnswer,
 )
-from rhubarbfield.replication.state import ReplicaState, Role
+from rhubarbfield.replication.state import MICROSECOND, ReplicaState, Role
 from rhubarbfield.storage import LogPosition, ReplicaId
 from rhubarbfield.types import Term
 
@@ -36,6 +36,7 @@
     def __init__(self, state: ReplicaState) -> None:
         self._state = state
         self._granted: set[ReplicaId] = set()
+        self._promised_until = timedelta()
 
     async def run(self) -> None:
         """Start an election whenever the election timer expires, until cancelled."""
@@ -93,14 +94,16 @@
             check_invariant(
                 state.role is Role.CANDIDATE, "only-candidates-win", state.role
             )
+            former_until = min(self._promised_until, state.now)
             logger.info(
-                "elected group=%s term=%d former=%s silence=%s",
+                "elected group=%s term=%d former=%s silence=%s unled=%s",
                 state.group,
                 state.term,
                 state.latest_leader and state.latest_leader.name,
                 state.find_leader_silence(),
+                state.now - former_until,
             )
-            state.become_leader()
+            state.become_leader(former_until)
 
     def _request_votes(self) -> None:
         state = self._state
@@ -110,6 +113,7 @@
             return
         state.role = Role.CANDIDATE
         self._granted = {state.id}
+        self._promised_until = state.refuse_votes_until
         self._schedule_retry()
         for voter in self._list_other_voters():
             request = Vote(
@@ -159,9 +163,15 @@
             term=state.term,
             asked_term=message.term,
             granted=granted,
+            unpromised=self._measure_unpromised() if granted else 0,
         )
         state.send(message.source.name, answer)
 
+    def _measure_unpromised(self) -> int:
+        """Return the microseconds since the promise to an earlier leader ended."""
+        state = self._state
+        return max(0, (state.now - state.refuse_votes_until) // MICROSECOND)
+
     def on_vote_answer(self, message: VoteAnswer) -> None:
         """Count a vote."""
         state = self._state
@@ -169,10 +179,21 @@
             return
         if message.granted:
             self._granted.add(message.source)
+            self._record_promise(message.unpromised * MICROSECOND)
             self._count_votes()
         else:
             state.observe_term(message.term)
 
+    def _record_promise(self, unpromised: timedelta) -> None:
+        """Record until when a voter may have been bound to an earlier leader.
+
+        Each earlier leader was answered by one of the voters that grant their vote
+        now, and none knows by which, so that the latest end of a promise counts.
+        """
+        state = self._state
+        promised_until = state.now - unpromised * state.settings.rate_ratio
+        self._promised_until = max(self._promised_until, promised_until)
+
     def on_release(self, message: Release) -> None:
         """Schedule an early election because the leader has released its lease."""
         state = self._state
--- a/src/rhubarbfield/replication/leader.py
+++ b/src/rhubarbfield/replication/leader.py
@@ -91,7 +91,7 @@
         # The caller may rely on the lease until then, so this replica must not
         # vote for another one before.
         state.refuse_votes_before(until)
-        return Leadership(state.term, until)
+        return Leadership(state.term, until, state.former_until)
 
     def _has_lease(self) -> bool:
         return self.get_leadership() is not None
--- a/src/rhubarbfield/replication/leadership.py
+++ b/src/rhubarbfield/replication/leadership.py
@@ -18,7 +18,11 @@
         The leader's term, which serves as the epoch of every effect.
     valid_until
         The monotonic time at which the lease ends unless it is renewed.
+    former_until
+        The monotonic time by which the leases of all earlier leaders had ended, if
+        known; it is before the election.
     """
 
     term: Term
     valid_until: timedelta
+    former_until: timedelta | None = None
--- a/src/rhubarbfield/replication/messages.py
+++ b/src/rhubarbfield/replication/messages.py
@@ -89,10 +89,13 @@
         The term of the vote request.
     granted
         Whether the vote was granted.
+    unpromised
+        Time since the voter's promise to an earlier leader ended; 0 if unknown.
     """
 
     asked_term: TermNumber
     granted: bool
+    unpromised: Microseconds = 0
 
 
 class Append(Message, frozen=True):
--- a/src/rhubarbfield/replication/settings.py
+++ b/src/rhubarbfield/replication/settings.py
@@ -134,4 +134,9 @@
 
         Shorter than ``lease`` by the drift of two clocks.
         """
-        return self.lease * ((1 - self.clock_drift) / (1 + self.clock_drift))
+        return self.lease * self.rate_ratio
+
+    @property
+    def rate_ratio(self) -> float:
+        """Least ratio of the rates of two clocks."""
+        return (1 - self.clock_drift) / (1 + self.clock_drift)
--- a/src/rhubarbfield/replication/state.py
+++ b/src/rhubarbfield/replication/state.py
@@ -135,6 +135,7 @@
         self.last_contact_at = NEVER
         # A voter may have answered a leader just before it restarted.
         self.refuse_votes_until = clock.monotonic() + settings.lease
+        self.former_until: timedelta | None = None  # see Leadership
         self.election_due = timedelta()
         self.commit_advanced = Signal()
         self.elected = Signal()
@@ -246,8 +247,15 @@
             wait * AVOID_LEADERSHIP_WAIT_FACTOR if self.avoid_leadership else wait
         )
 
-    def become_leader(self) -> None:
-        """Become the leader of the current term."""
+    def become_leader(self, former_until: timedelta) -> None:
+        """Become the leader of the current term.
+
+        Parameters
+        ----------
+        former_until
+            Time by which the leases of all earlier leaders had ended.
+        """
+        self.former_until = former_until
         self._record_leader(self.id)
         self.role = Role.LEADER
         ELECTIONS_WON.labels(self.group).inc()
--- a/src/rhubarbfield/scheduling/contact.py
+++ b/src/rhubarbfield/scheduling/contact.py
@@ -36,6 +36,9 @@
         Timeouts and limits.
     marked_at
         Monotonic time since which the worker is marked as silent; None if it isn't.
+    former_until
+        Monotonic time by which all earlier leaders had ended, if known, and if this
+        one has not extended the lease.
 
     Attributes
     ----------
@@ -56,9 +59,11 @@
         clock: Clock,
         settings: SchedulingSettings,
         marked_at: timedelta | None = None,
+        former_until: timedelta | None = None,
     ) -> None:
         self.address = address
-        self.lease = WorkerLease(clock, settings, marked_at)
+        known = [each for each in (marked_at, former_until) if each is not None]
+        self.lease = WorkerLease(clock, settings, min(known, default=None))
         self.is_suspended = marked_at is not None
         self.exit_announced_at: timedelta | None = None
         self._clock = clock
--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -113,6 +113,9 @@
         self._clock = clock
         self._settings = settings
         self._quarantine = WorkerQuarantine(settings)
+        leadership = log.replica.leadership
+        self._term = leadership.term if leadership is not None else Term(0)
+        self._former_until = leadership.former_until if leadership is not None else None
         self._interference = InterferenceModel()
         self._interference.restore(self.state.harm.values())
         self._headrooms = HeadroomIndex()
@@ -127,6 +130,7 @@
             clock=clock,
             settings=settings,
             find_mark=marks.find,
+            former_until=self._former_until,
             on_opened=self._examine_worker,
             on_removed=self._forget_worker,
         )
@@ -162,8 +166,6 @@
             clock=clock,
             settings=settings,
         )
-        leadership = log.replica.leadership
-        self._term = leadership.term if leadership is not None else Term(0)
         self._stages = StageTimes(clock)
         self._rejected = RejectedSteps(settings.margin_lifetime)
         self._reservations = Reservations(
@@ -187,7 +189,14 @@
 
     async def run(self) -> None:
         """Lead until cancelled."""
-        log_event(logger, logging.INFO, "leading-started", term=self._term)
+        former_until = self._former_until
+        log_event(
+            logger,
+            logging.INFO,
+            "leading-started",
+            term=self._term,
+            unled=former_until and self._clock.monotonic() - former_until,
+        )
         self._suspects.find_all()
         self._log.machine.watch(self._registry.watch_command)
         self._log.machine.watch(self._suspects.watch_command)
--- a/src/rhubarbfield/scheduling/registry.py
+++ b/src/rhubarbfield/scheduling/registry.py
@@ -38,6 +38,8 @@
         Timeouts and limits.
     find_mark
         Returns since when a worker is marked as silent, or None.
+    former_until
+        Monotonic time by which all earlier leaders had ended, if known.
     on_opened
         Called with the id of each worker with which a session is opened.
     on_removed
@@ -57,6 +59,7 @@
         clock: Clock,
         settings: SchedulingSettings,
         find_mark: Callable[[WorkerId], timedelta | None],
+        former_until: timedelta | None,
         on_opened: Callable[[WorkerId], None],
         on_removed: Callable[[WorkerId], None],
     ) -> None:
@@ -65,6 +68,7 @@
         self._clock = clock
         self._settings = settings
         self._find_mark = find_mark
+        self._former_until = former_until
         self._on_opened = on_opened
         self._on_removed = on_removed
         self._scopes: dict[WorkerId, trio.CancelScope] = {}
@@ -96,6 +100,8 @@
                 except Exception as error:
                     contain(Unit.SESSION, error, worker=worker.worker)
                     self._is_outdated = True
+        # A session that is opened later may follow one that extended the lease.
+        self._former_until = None
         for removed in self.sessions.keys() - workers.keys():
             self._close(removed)
 
@@ -143,6 +149,7 @@
             clock=self._clock,
             settings=self._settings,
             marked_at=self._find_mark(worker.worker),
+            former_until=self._former_until,
         )
         if worker.worker in self._reported_clocks:
             session.handle_report(self._reported_clocks[worker.worker])
--- a/src/rhubarbfield/scheduling/session.py
+++ b/src/rhubarbfield/scheduling/session.py
@@ -61,6 +61,9 @@
         Timeouts and limits.
     marked_at
         Monotonic time since which the worker is marked as silent; None if it isn't.
+    former_until
+        Monotonic time by which all earlier leaders had ended, if known, and if this
+        one has not extended the lease.
 
     Attributes
     ----------
@@ -79,12 +82,13 @@
         clock: Clock,
         settings: SchedulingSettings,
         marked_at: timedelta | None = None,
+        former_until: timedelta | None = None,
     ) -> None:
         self._host = host
         self._calls = calls
         self._clock = clock
         self._settings = settings
-        self._contact = WorkerContact(address, clock, settings, marked_at)
+        self._contact = WorkerContact(address, clock, settings, marked_at, former_until)
         self._ledger = OrderLedger(address.worker, host)
         self.presence = RunPresence(self._contact, self._ledger, host)
         self._orders = OrderDispatcher(
--- a/tests/replication/group.py
+++ b/tests/replication/group.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+import math
 from collections.abc import Callable
 from datetime import timedelta
 from pathlib import Path
@@ -14,12 +15,13 @@
 
 from rhubarbfield.replication import GroupSettings, ProposeError, Replica
 from rhubarbfield.storage import FileStore, LogStore, MemoryStore, StoreFailure
-from rhubarbfield.types import GroupId, InstanceName, LogIndex
+from rhubarbfield.types import GroupId, InstanceName, LogIndex, Term
 from tests.replication.network import Network, NetworkSender, SimulatedClock
 from tests.storage.simulated_files import SimulatedCrashError, SimulatedFiles
 
 GROUP = GroupId("fleet")
 SYNC_SECONDS = 0.006
+ROUNDING_SECONDS = 1e-5
 
 
 class Observer:
@@ -193,6 +195,8 @@
             for name in names + learners
         }
         self.network.on_delivery = self.check
+        self._led_term = Term(0)
+        self._led_at = self._former_led_at = -math.inf
 
     async def start(self) -> None:
         for node in self.nodes.values():
@@ -214,9 +218,24 @@
     def check(self) -> None:
         holders = self.list_lease_holders()
         assert len(holders) <= 1, [node.name for node in holders]
+        for node in holders:
+            self._check_former_leaders(node)
         for node in self.nodes.values():
             node.check_progress()
 
+    def _check_former_leaders(self, holder: Node) -> None:
+        """Check that earlier leases had ended by the time that the leader assumes."""
+        leadership = holder.replica and holder.replica.leadership
+        if leadership is None:
+            return
+        if leadership.term != self._led_term:
+            assert leadership.term > self._led_term, leadership
+            self._led_term, self._former_led_at = leadership.term, self._led_at
+        self._led_at = trio.current_time()
+        assert leadership.former_until is not None
+        former_until = holder.clock.find_true_time(leadership.former_until)
+        assert self._former_led_at <= former_until + ROUNDING_SECONDS, holder.name
+
     async def wait_leader(self, timeout_seconds: float = 60) -> Node:
         """Wait for a leader that holds its lease and is not frozen."""
         with trio.fail_after(timeout_seconds):
--- a/tests/replication/network.py
+++ b/tests/replication/network.py
@@ -48,6 +48,10 @@
     def monotonic(self) -> timedelta:
         return timedelta(seconds=self._offset + trio.current_time() * self._rate)
 
+    def find_true_time(self, reading: timedelta) -> float:
+        """Return the time in seconds at which the clock shows a reading."""
+        return (reading.total_seconds() - self._offset) / self._rate
+
     def now(self) -> datetime:
         return datetime.fromtimestamp(0, UTC) + self.monotonic()
 
--- a/tests/replication/test_faults.py
+++ b/tests/replication/test_faults.py
@@ -89,6 +89,25 @@
         for seed in range(1, 7):
             run_group(scenario, seed=seed)
 
+    def test_next_leader_counts_what_its_voters_promised_to_the_former_one(
+        self,
+    ) -> None:
+        async def scenario(group: Group) -> None:
+            leader = await group.wait_leader()
+            _, candidate = group.list_others(leader)
+            group.network.cut(leader.name, candidate.name)
+            group.network.cut(candidate.name, leader.name)
+            await trio.sleep(4)
+            self.assertIsNotNone(leader.replica.leadership)
+            await leader.crash()
+            # Group.check fails the run if the former lease ended later than assumed.
+            elected.append(await group.wait_leader() is candidate)
+
+        elected: list[bool] = []
+        for seed in range(1, 9):
+            run_group(scenario, seed=seed, drift=0.05)
+        self.assertIn(True, elected)
+
     def test_a_restarted_voter_refuses_votes_for_one_lease(self) -> None:
         async def scenario(group: Group) -> None:
             leader = await group.wait_leader()
--- a/tests/replication/test_leader.py
+++ b/tests/replication/test_leader.py
@@ -4,6 +4,7 @@
 
 import unittest
 from collections.abc import Awaitable, Callable
+from datetime import timedelta
 from random import Random
 
 import trio
@@ -25,6 +26,7 @@
     Vote,
     VoteAnswer,
 )
+from rhubarbfield.replication.state import MICROSECOND
 from rhubarbfield.storage import (
     Entry,
     EntryKind,
@@ -74,6 +76,7 @@
         self.replica: Replica | None = None
         self.appends: list[Append] = []
         self.votes: list[bool] = []
+        self.unpromised: dict[InstanceName, timedelta] = {}
 
     def send(
         self, to: InstanceName, group: GroupId, message: ReplicationMessage
@@ -83,7 +86,15 @@
         if isinstance(message, PreVote):
             self.answer(PreVoteAnswer(asked_term=message.term, granted=True, **common))
         elif isinstance(message, Vote):
-            self.answer(VoteAnswer(asked_term=message.term, granted=True, **common))
+            unpromised = self.unpromised.get(to, timedelta()) // MICROSECOND
+            self.answer(
+                VoteAnswer(
+                    asked_term=message.term,
+                    granted=True,
+                    unpromised=unpromised,
+                    **common,
+                )
+            )
         elif isinstance(message, VoteAnswer):
             self.votes.append(message.granted)
         elif isinstance(message, Append) and to == B.name:
@@ -151,6 +162,30 @@
         entries = make_entry(1, 1, OLD), make_entry(2, 2)
         run_scripted(make_store(*entries, term=3, commit=1), scenario)
 
+    def test_promise_of_a_voter_counts_by_the_slowest_clock(self) -> None:
+        """A voter of an earlier version does not tell, and counts as bound so far."""
+        ratio = GroupSettings().rate_ratio
+        for age in (timedelta(), timedelta(seconds=0.25)):
+
+            async def scenario(
+                replica: Replica, peers: ScriptedPeers, age: timedelta = age
+            ) -> None:
+                peers.unpromised = {B.name: age, C.name: age}
+                while not peers.appends:
+                    await trio.sleep(0.001)
+                elected_at = trio.current_time()
+                peers.acknowledge(3)
+                await trio.sleep(0.01)
+                leadership = replica.leadership
+                assert leadership is not None and leadership.former_until is not None
+                counted = elected_at - leadership.former_until.total_seconds()
+                self.assertAlmostEqual(
+                    counted, age.total_seconds() * ratio, delta=0.002
+                )
+
+            entries = make_entry(1, 1, OLD), make_entry(2, 2)
+            run_scripted(make_store(*entries, term=3, commit=1), scenario)
+
     def test_a_deposed_leader_sends_nothing_in_the_new_term(self) -> None:
         async def scenario(replica: Replica, peers: ScriptedPeers) -> None:
             while not peers.appends:
--- a/tests/replication/test_leadership_release.py
+++ b/tests/replication/test_leadership_release.py
@@ -12,6 +12,7 @@
 from tests.replication.test_replica import run_group
 
 SEEDS = range(10)
+MAX_DELAY_SECONDS = 0.2  # of a vote, and by the drift of clocks
 MAX_RELEASE_SECONDS = 1.0  # an election timeout alone takes at least 2 s
 REPLACEMENT_SETTINGS = GroupSettings(
     replace_after=timedelta(seconds=3), wanted_voters=3
@@ -35,6 +36,24 @@
         for seed in SEEDS:
             run_group(scenario, seed=seed)
 
+    def test_voters_tell_the_next_leader_since_when_none_has_led(self) -> None:
+        """A worker lost beside the leader was waited for from the election on."""
+
+        async def scenario(group: Group) -> None:
+            before = await group.wait_leader()
+            await trio.sleep(3)
+            await before.crash()
+            crashed_at = trio.current_time()
+            after = await group.wait_leader()
+            leadership = after.replica.leadership
+            former_until = after.clock.find_true_time(leadership.former_until)
+            lease = group.settings.lease.total_seconds()
+            self.assertGreaterEqual(former_until, crashed_at)
+            self.assertLess(former_until, crashed_at + lease + MAX_DELAY_SECONDS)
+
+        for seed in SEEDS:
+            run_group(scenario, seed=seed, drift=0.05)
+
     def test_a_follower_has_no_leadership_to_release(self) -> None:
         async def scenario(group: Group) -> None:
             leader = await group.wait_leader()
--- a/tests/scheduling/deployments.py
+++ b/tests/scheduling/deployments.py
@@ -82,8 +82,8 @@
     def state(self) -> SchedulingState:
         return self.log.state.scheduling
 
-    def elect(self, term: int) -> None:
-        self.replica.leadership = Leadership(Term(term), FOREVER)
+    def elect(self, term: int, former_until: timedelta | None = None) -> None:
+        self.replica.leadership = Leadership(Term(term), FOREVER, former_until)
         self.replica.led_term = Term(term)
 
     def make_leader(self) -> SchedulingLeader:
--- a/tests/scheduling/test_silence_marks.py
+++ b/tests/scheduling/test_silence_marks.py
@@ -5,6 +5,7 @@
 import unittest
 from datetime import timedelta
 
+import msgspec
 import trio
 
 from rhubarbfield.scheduling.commands import EndRuns, RemoveWorker, UpdateWorkers
@@ -23,6 +24,7 @@
 
 NAME = WorkerId("w1")
 LEASE_SECONDS = 6.0
+UNLED_SECONDS = 2.0
 MARK_AGE = timedelta(seconds=0.1)  # of a mark that has just been committed
 # Until the mark is committed: a view in progress, a call, and the delay of the mark.
 MARK_SECONDS = 1.6 + 0.7 + 0.6
@@ -59,6 +61,58 @@
                 self.assertLessEqual(count_runs_at_once(deployment), 1)
             self.assertEqual(len(second.runs), 1)
 
+    @with_deployment()
+    async def test_wait_for_a_lost_worker_counts_from_the_end_of_the_former_leader(
+        self, deployment: Deployment
+    ) -> None:
+        """It began with the election, when nobody had led for a while."""
+        first = deployment.add_worker("w1", duration=None)
+        async with deployment.lead():
+            await deployment.submit("j", Step(demand=ONE_CORE, standing=True))
+            await trio.sleep(3)
+            deployment.add_worker("w2", duration=None)
+            await trio.sleep(3)
+            first.is_unreachable = True
+        ended_at = deployment.clock.monotonic()
+        await trio.sleep(UNLED_SECONDS)
+        deployment.elect(2, former_until=ended_at)
+        async with deployment.lead() as leader:
+            session = leader.get_session(first.worker)
+            assert session is not None
+            wait = session._contact.lease.lapses_at - ended_at
+            self.assertLess(wait.total_seconds(), LEASE_SECONDS + UNLED_SECONDS / 2)
+            for _ in range(int(LEASE_SECONDS + LAPSE_DELAY_SECONDS) * 20):
+                await trio.sleep(0.05)
+                self.assertLessEqual(count_runs_at_once(deployment), 1)
+            self.assertNotIn("j.0.0.0", deployment.state.workers[NAME].runs)
+
+    @with_deployment()
+    async def test_lease_of_a_worker_met_later_does_not_count_from_the_former_leader(
+        self, deployment: Deployment
+    ) -> None:
+        """A session that is opened again may have extended it in this term."""
+        first = deployment.add_worker("w1", duration=None)
+        async with deployment.lead():
+            await trio.sleep(1)
+        ended_at = deployment.clock.monotonic()
+        await trio.sleep(UNLED_SECONDS)
+        deployment.elect(2, former_until=ended_at)
+        async with deployment.lead() as leader:
+            failed = leader.get_session(first.worker)
+            assert failed is not None
+            await trio.sleep(1)
+            moved_at = deployment.clock.monotonic()
+            report = msgspec.structs.replace(
+                first.make_heartbeat().report, address="elsewhere"
+            )
+            await deployment.propose(UpdateWorkers(reports=(report,)))
+            await trio.sleep(0.1)
+            session = leader.get_session(first.worker)
+            assert session is not None
+            self.assertIsNot(session, failed)
+            wait = session._contact.lease.lapses_at - moved_at
+            self.assertGreater(wait.total_seconds(), LEASE_SECONDS)
+
     @with_deployment()
     async def test_lease_that_a_later_leader_extended_is_waited_for(
         self, deployment: Deployment
