--- a/tests/replication/test_messages.py
+++ b/tests/replication/test_messages.py
@@ -4,12 +4,13 @@
 
 import unittest
 
+import msgspec
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from returns.result import Failure, Success
 
 from rhubarbfield.replication import ReplicaId, decode_message, encode_message
-from rhubarbfield.replication.messages import Append
+from rhubarbfield.replication.messages import Append, VoteAnswer
 from rhubarbfield.storage import Entry, EntryKind, LogPosition
 from rhubarbfield.types import Incarnation, InstanceName, LogIndex, Term
 
@@ -29,6 +30,22 @@
     def test_a_message_round_trips(self) -> None:
         self.assertEqual(decode_message(encode_message(MESSAGE)), Success(MESSAGE))
 
+    def test_vote_of_an_earlier_version_tells_of_no_time_without_a_promise(
+        self,
+    ) -> None:
+        answer = VoteAnswer(
+            source=MESSAGE.source,
+            target=MESSAGE.target,
+            term=MESSAGE.term,
+            asked_term=MESSAGE.term,
+            granted=True,
+            unpromised=5,
+        )
+        fields = msgspec.msgpack.decode(encode_message(answer))
+        del fields["unpromised"]
+        earlier = decode_message(msgspec.msgpack.encode(fields)).unwrap()
+        self.assertEqual(earlier, msgspec.structs.replace(answer, unpromised=0))
+
     def test_a_bad_field_is_named(self) -> None:
         data = encode_message(MESSAGE).replace(b"\xa4term\x04", b"\xa4term\xff")
         result = decode_message(data)
--- a/tests/scheduling/longrun.py
+++ b/tests/scheduling/longrun.py
@@ -77,19 +77,21 @@
             worker = deployment.add_worker(f"w{number}")
             worker.guards_capacity = self.guards
             worker.tolerated_delay = TOLERATED_DELAY
+        led_until = None
         for term in range(1, TERMS + 1):
-            deployment.elect(term)
+            deployment.elect(term, led_until)
             async with deployment.lead():
                 with trio.move_on_after(TERM_SECONDS * self.random.uniform(0.3, 1)):
                     async with trio.open_nursery() as nursery:
                         nursery.start_soon(self._submit)
                         nursery.start_soon(self._disturb)
                         nursery.start_soon(self._watch)
+            led_until = deployment.clock.monotonic()
             if self.random.random() < 0.5:
                 machine = deployment.log.machine
                 machine.restore(machine.take_snapshot())
             await trio.sleep(self.random.uniform(0, 4))  # no leader
-        deployment.elect(TERMS + 1)
+        deployment.elect(TERMS + 1, led_until)
         async with deployment.lead():
             for worker in self._list_workers():
                 worker.is_unreachable = False
--- a/tests/scheduling/standstill_run.py
+++ b/tests/scheduling/standstill_run.py
@@ -108,13 +108,15 @@
             nursery.cancel_scope.cancel()
 
     async def _lead(self) -> None:
+        led_until = None
         for term in itertools.count(1):
             self._deposed = trio.Event()
-            self.deployment.elect(term)
+            self.deployment.elect(term, led_until)
             async with self.deployment.lead() as leader:
                 self.watch.leader = leader
                 await self._deposed.wait()
                 self.watch.leader = None
+            led_until = self.deployment.clock.monotonic()
             await trio.sleep(self.random.uniform(0, 3))
             if self.random.random() < 0.5:  # other controllers, too
                 log, clock = self.deployment.log, self.deployment.clock
