--- a/src/rhubarbfield/scheduling/contact.py
+++ b/src/rhubarbfield/scheduling/contact.py
@@ -36,6 +36,9 @@
         Timeouts and limits.
     marked_at
         Monotonic time since which the worker is marked as silent; None if it isn't.
+    former_until
+        Monotonic time by which all earlier leaders had ended, if known, and if this
+        one has not extended the lease.
 
     Attributes
     ----------
@@ -58,9 +61,11 @@
         clock: Clock,
         settings: SchedulingSettings,
         marked_at: timedelta | None = None,
+        former_until: timedelta | None = None,
     ) -> None:
         self.address = address
-        self.lease = WorkerLease(clock, settings, marked_at)
+        known = [each for each in (marked_at, former_until) if each is not None]
+        self.lease = WorkerLease(clock, settings, min(known, default=None))
         self.is_suspended = marked_at is not None
         self.exit_announced_at: timedelta | None = None
         self._clock = clock
@@ -138,16 +143,22 @@
         """
         return self.lease.has_clock and self.is_responsive and not self.is_suspended
 
-    def offer_lease(self) -> timedelta | None:
+    def offer_lease(self, now: timedelta) -> timedelta | None:
         """Return the lease end for an order; None if none was offered in this term.
 
         It is a new one only if the lease may be extended. The latest one may be
         offered again: it counts as given, and its order may have been lost. A new
         one is short until the worker has replied, since an order without a reply
         holds its task until the lease has lapsed.
+
+        Parameters
+        ----------
+        now
+            Monotonic time read before it was checked that the leader may act.
         """
         if self.may_extend_lease:
-            return self.lease.extend(None if self.has_replied_lately else FIRST_LEASE)
+            duration = None if self.has_replied_lately else FIRST_LEASE
+            return self.lease.extend(now, duration)
         return self.lease.offered_end
 
     def handle_report(self, worker_clock: timedelta | None, age: timedelta) -> None:
--- a/src/rhubarbfield/scheduling/session.py
+++ b/src/rhubarbfield/scheduling/session.py
@@ -62,6 +62,9 @@
         Timeouts and limits.
     marked_at
         Monotonic time since which the worker is marked as silent; None if it isn't.
+    former_until
+        Monotonic time by which all earlier leaders had ended, if known, and if this
+        one has not extended the lease.
 
     Attributes
     ----------
@@ -80,12 +83,13 @@
         clock: Clock,
         settings: SchedulingSettings,
         marked_at: timedelta | None = None,
+        former_until: timedelta | None = None,
     ) -> None:
         self._host = host
         self._calls = calls
         self._clock = clock
         self._settings = settings
-        self._contact = WorkerContact(address, clock, settings, marked_at)
+        self._contact = WorkerContact(address, clock, settings, marked_at, former_until)
         self._ledger = OrderLedger(address.worker, host)
         self.presence = RunPresence(self._contact, self._ledger, host)
         self._orders = OrderDispatcher(
@@ -282,6 +286,7 @@
 
     async def _view_once(self) -> None:
         worker = self._host.find_worker(self.worker)
+        now = self._clock.monotonic()
         term = self._host.get_term()
         if worker is None or term is None:
             return
@@ -291,7 +296,7 @@
         contact = self._contact
         request = ViewRequest(
             recorded_ends=recorded_ends,
-            lease_end=contact.offer_lease(),
+            lease_end=contact.offer_lease(now),
             wait_timeout=self._choose_wait_timeout(),
             term=term,
         )
