Let a worker's late failures open it to one early probe only

Each failure that followed a moment without a reply counted as one that may be old, so that the next probe went at once.

A failure during the probation is never old news: its run began after contact was back.

--- a/src/rhubarbfield/scheduling/quarantine.py
+++ b/src/rhubarbfield/scheduling/quarantine.py
@@ -117,7 +117,8 @@
             The worker, and the monotonic time.
         since
             Time since which the run may have ended, if that is long ago. The worker
-            may be sound by now, so that an interrupted standing task may find out.
+            may be sound by now, so that an interrupted standing task may find out;
+            once, until a run succeeds.
         """
         record = self._get(worker)
         is_on_probation = self.is_on_probation(worker, now)
@@ -129,9 +130,10 @@
         if is_on_probation and self.may_probe(worker):
             return
         if record.failures >= self._settings.quarantine_failures:
-            began = now if since is None else since
-            self._quarantine_worker(worker, began, "failures")
-            if since is not None:
+            if since is None or is_on_probation:  # a failed probe is no old news
+                self._quarantine_worker(worker, now, "failures")
+            else:
+                self._quarantine_worker(worker, since, "failures")
                 record.probed_from = now
 
     def record_stall(self, worker: WorkerId, now: timedelta) -> None:
