--- a/src/rhubarbfield/scheduling/reservations.py
+++ b/src/rhubarbfield/scheduling/reservations.py
@@ -46,8 +46,6 @@
 
 # The platform tolerates a standstill of 6 s, and then 3 s with capacity.
 RESERVATION_DELAY = timedelta(seconds=2)
-# For how long a standing task without a reservation keeps off reserved workers.
-MAX_DEFERENCE = timedelta(seconds=6)
 # Estimates are often too low, so that a backfilled task may end late.
 BACKFILLING_PERIOD = timedelta(seconds=2)
 # Share of the workers of a service that are reserved at a time, but at least one.
@@ -107,7 +105,6 @@
         self._sessions = sessions
         self._clock = clock
         self._waits: dict[TaskName, Wait] = {}
-        self._unplaced_since: dict[StepKey, timedelta] = {}
         self._reserved: dict[WorkerId, ReservedWorker] = {}
         self._search_due = timedelta()
         self._record_due = timedelta()
@@ -118,16 +115,14 @@
         if now < self._record_due:
             return
         self._record_due = now + RECORD_INTERVAL
-        before, self._unplaced_since = self._unplaced_since, {}
         for waiting in unplaced:
             step = waiting.step
             # Room alone does not help a task that lacks spare cores, or a gang.
             if not step.standing or step.uses_spare_cores or step.gang:
                 continue
-            key = get_key(waiting)
-            self._unplaced_since[key] = before.get(key, now)
             for index, task in enumerate(waiting.tasks):
                 if awaits_restart(step, task) and not task.is_suspect:
+                    key = get_key(waiting)
                     wait = Wait(task.last_run, now)
                     self._waits.setdefault(name_task(*key, index), wait)
 
@@ -159,11 +154,6 @@
         for worker in self._reserved:
             del headrooms[worker]
         claimants = {get_key(each.waiting) for each in claims}
-        claimants.update(
-            key
-            for key, since in self._unplaced_since.items()
-            if now - since >= MAX_DEFERENCE
-        )
         members = self._reserved.values()
         return ReservedWorkers(members, interference, now, claimants)
 
