Release the leaderships of a controller at its planned stop

Beside a load of 17 to 27, 4 runs of 8 of `RollingRestartTest.test_no_request_is_cut_off` got "503 not-run: ... can't be answered within 5 s". A kept log showed, besides stores that took 0.2 to 1.0 s with a lease of 0.8 s, that a planned stop of the leading controller was followed by 3.2 s without a leader; two others by 1.2 and 1.3 s.

`job-controller` tells the other voters when it stops; `controller` was cancelled at once and never did, though OPERATIONS.md says so. It now releases all its groups and serves for 700 ms more, as `job-controller` does.

A witness answered a release as soon as the others did. Elected, it yielded by a release to the controller that was about to stop, so that the group had no leader after all: the new test failed so before the second part of this change. A witness now waits for one heartbeat more.

Run: the tests of released leadership, witnesses and founding, of entries and controllers together, and both of rolling restarts with processes (once, load of 17 to 20).

--- a/src/rhubarbfield/controller/daemon.py
+++ b/src/rhubarbfield/controller/daemon.py
@@ -36,9 +36,7 @@
 )
 from rhubarbfield.controller.tables import DomainView
 from rhubarbfield.controller.worklog import DomainWorkLog
-from rhubarbfield.daemons import (
-    SettingsInForce,
-)
+from rhubarbfield.daemons import SettingsInForce
 from rhubarbfield.fleet import FleetState
 from rhubarbfield.groups import (
     REPLICATION_LINK,
@@ -72,8 +70,6 @@
 
 logger = logging.getLogger(__name__)
 
-GRACEFUL_TIMEOUT_SECONDS = 5.0
-
 
 class Controller:
     """A controller: its replicas, links to peers, and leaderships.
@@ -168,6 +164,11 @@
             logger.info("controller-serving port=%d", addresses.controller_peer_port)
             task_status.started()
 
+    def release_leadership(self) -> None:
+        """Let another voter of each group lead at once, before a planned stop."""
+        for replica in self._replicas.values():
+            replica.release_leadership()
+
     @property
     def fleet_state(self) -> FleetState:
         """The fleet's state as applied on this instance."""
--- a/src/rhubarbfield/controller/program.py
+++ b/src/rhubarbfield/controller/program.py
@@ -4,6 +4,7 @@
 
 import logging
 import random
+from datetime import timedelta
 from functools import partial
 from pathlib import Path
 
@@ -26,6 +27,8 @@
 from rhubarbfield.types import GroupId
 
 GRACEFUL_TIMEOUT_SECONDS = 5.0
+# Time in which the other voters learn of the release and elect one of them.
+LEADERSHIP_RELEASE_DELAY = timedelta(milliseconds=700)
 
 
 async def serve_operators(
@@ -82,7 +85,7 @@
     *,
     task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
 ) -> None:
-    """Run a controller until SIGTERM or SIGINT.
+    """Run a controller until SIGTERM or SIGINT; another leads once it stops.
 
     Parameters
     ----------
@@ -92,15 +95,18 @@
         Reported as started once the controller serves.
     """
     secret, credentials = load_credentials(settings)
+    clock = HostClock()
     async with open_bridge():
         controller = Controller(
             settings,
             transport=GrpcTransport(credentials),
             open_store=partial(open_store, settings),
-            clock=HostClock(),
+            clock=clock,
             rng=random.SystemRandom(),
         )
 
+        stop = trio.Event()
+
         async def run(
             *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
         ) -> None:
@@ -108,7 +114,14 @@
                 await nursery.start(controller.run)
                 await nursery.start(serve_operators, controller, settings, secret)
                 task_status.started()
+                await stop.wait()
+                controller.release_leadership()
+                await clock.sleep(LEADERSHIP_RELEASE_DELAY)
+                nursery.cancel_scope.cancel()
 
         await run_until_signal(
-            run, reload=controller.in_force.reload, task_status=task_status
+            run,
+            reload=controller.in_force.reload,
+            stop=stop,
+            task_status=task_status,
         )
--- a/src/rhubarbfield/replication/election.py
+++ b/src/rhubarbfield/replication/election.py
@@ -181,6 +181,9 @@
         state.leader = None
         state.refuse_votes_until = state.now
         wait = state.settings.heartbeat * state.random.random()
+        if state.avoid_leadership:
+            # Or it yields to one that released as it stops.
+            wait += state.settings.heartbeat
         state.election_due = state.now + wait
 
     def release_leadership(self) -> None:
--- a/tests/entry/test_fleet.py
+++ b/tests/entry/test_fleet.py
@@ -9,7 +9,9 @@
 import trio
 from returns.result import Success
 
+from rhubarbfield.controller.groups import FLEET_GROUP
 from rhubarbfield.controller.options import make_entry_lease_terms
+from rhubarbfield.controller.program import LEADERSHIP_RELEASE_DELAY
 from rhubarbfield.entry.records import find_home_domain
 from rhubarbfield.ownership import EndEntrySession, OwnershipEndProof
 from rhubarbfield.peering import Encoding
@@ -30,6 +32,7 @@
     ConfigurationVersion,
     Epoch,
     FailureDomain,
+    GroupId,
     Incarnation,
     InstanceName,
     Outcome,
@@ -161,6 +164,16 @@
             )
 
 
+def list_led_groups(fleet: MemoryFleet) -> dict[GroupId, str]:
+    """Return which controller leads each group that is led."""
+    return {
+        group: name
+        for name, controller in fleet.controllers.items()
+        for group, replica in controller._replicas.items()
+        if replica.leadership is not None
+    }
+
+
 class PlannedStopTest(unittest.TestCase):
     def test_a_stopping_entry_finishes_forwarded_requests_and_hands_over(self) -> None:
         async def body(fleet: MemoryFleet) -> None:
@@ -194,6 +207,23 @@
 
         run_fleet(body)
 
+    def test_another_controller_leads_at_once_when_the_leading_one_stops(self) -> None:
+        async def body(fleet: MemoryFleet) -> None:
+            for _ in range(3):
+                before = list_led_groups(fleet)
+                name = before[FLEET_GROUP]
+                fleet.controllers[name].release_leadership()
+                await trio.sleep(LEADERSHIP_RELEASE_DELAY.total_seconds())
+                await fleet.kill_process(f"controller {name}")
+                after = list_led_groups(fleet)
+                for group in before:
+                    self.assertNotEqual(after[group], name, group)
+                await fleet.start_process(f"controller {name}")
+                await trio.sleep(10)
+
+        for seed in range(1, 4):
+            run_fleet(body, seed)
+
     async def forward(self, fleet: MemoryFleet, owner: str) -> Refusal:
         addresses = fleet.entries[owner].settings.addresses
         transport = MemoryTransport(fleet.network, "127.0.0.1")
--- a/tests/processes/test_failures.py
+++ b/tests/processes/test_failures.py
@@ -143,3 +143,13 @@
             self.assertEqual(set(callers.outcomes), {"answered"})
             self.assertGreater(callers.outcomes["answered"], 100)
             self.assertEqual(fleet.observe(port)["over_slots"], 0)
+
+    def test_a_stopped_controller_releases_its_leadership(self) -> None:
+        with run_fleet(DOMAIN) as fleet:
+            leader = fleet.find_leader("north")
+            self.assertEqual(fleet.stop(f"controller-{leader}"), 0)
+            log = (fleet.folder / f"controller-{leader}.log").read_text("utf-8")
+            self.assertIn('"leadership-released"', log)
+            wait_until(
+                lambda: fleet.find_leader("north") != leader, "another controller leads"
+            )
