Count a probe until its worker was last heard

What the review saw: a worker answered the order of a probe, lost contact and failed the run; 2 s later the probe counted as a success, although nobody had heard of it. The failures before were forgotten, and four runs started there once contact was back, where one may.

A probe now counts for as long as the worker has shown it.

The unit tests of the quarantine say when the probe is shown; their assertions are as before.

--- a/src/rhubarbfield/scheduling/availability.py
+++ b/src/rhubarbfield/scheduling/availability.py
@@ -85,22 +85,13 @@
             session = self._find_reachable(worker, now)
             if session is None:
                 continue
-            has_proven_probe = starts == MAX_STANDING_STARTS
-            if has_proven_probe and not self._shows_probe(session):
-                continue
             headroom = self._measure_session(state, worker, session)
-            headroom.has_proven_probe = has_proven_probe
+            headroom.has_proven_probe = starts == MAX_STANDING_STARTS
             limit = headroom.task_count + starts
             headroom.task_limit = min(headroom.task_limit, limit)
             measured.append(headroom)
         return measured
 
-    def _shows_probe(self, session: WorkerSession) -> bool:
-        """Return whether the latest view lists the probe; it may have failed since."""
-        probes = self._quarantine.list_probes(session.worker)
-        is_silent = session.presence.silence is not None
-        return not is_silent and all(map(session.has_run, probes))
-
     def is_usable(self, worker: Worker) -> bool:
         """Return whether a worker may receive tasks if it does not drain."""
         return self._find_usable(worker, self._clock.monotonic()) is not None
@@ -127,7 +118,7 @@
         if session is None:
             return None
         headroom = self._measure_session(state, worker, session)
-        if self._quarantine.is_on_probation(worker.worker, now):
+        if self._quarantine.is_on_probation(worker.worker):
             headroom.awaits_probe = self._quarantine.may_probe(worker.worker)
             limit = headroom.task_count + int(headroom.awaits_probe)
             headroom.task_limit = min(headroom.task_limit, limit)
--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -287,12 +287,14 @@
         """Return the steps of the tasks that are recorded on a worker."""
         return self._headrooms.find_steps(self.state, worker)
 
-    def needs_frequent_views(self, worker: Worker) -> bool:
-        """Return whether new runs can harm serving tasks, or the worker itself."""
+    def choose_view_timeout(self, worker: Worker) -> timedelta:
+        """Return how long a view of a worker may wait for a run to end."""
+        if self._quarantine.list_probes(worker.worker):
+            return timedelta()
         has_suspect = self._suspects.has_suspect(worker.worker)
-        if has_suspect or self._quarantine.list_probes(worker.worker):
-            return True
-        return self._mitigator.has_serving(worker)
+        if has_suspect or self._mitigator.has_serving(worker):
+            return self._settings.watched_view_timeout
+        return self._settings.view_timeout
 
     def fits_capacity(self, worker: Worker) -> bool:
         """Return whether a worker's capacity is known, and holds all its runs."""
--- a/src/rhubarbfield/scheduling/quarantine.py
+++ b/src/rhubarbfield/scheduling/quarantine.py
@@ -46,6 +46,8 @@
     probes
         The runs of the probe, more than one if it is a gang, and since when each is
         known to be on the worker; None if it is not known yet.
+    shown_at
+        When the worker last answered the start of one of them, or showed it.
     advanced
         Those of them that are known to have made progress.
     """
@@ -57,12 +59,18 @@
     has_stalled: bool = False
     is_probe_standing: bool = False
     probes: dict[RunKey, timedelta | None] = msgspec.field(default_factory=dict)
+    shown_at: timedelta = timedelta()
     advanced: set[RunKey] = msgspec.field(default_factory=set)
 
-    def find_presence(self) -> timedelta | None:
-        """Return since when the whole probe is on the worker; None if it isn't."""
+    def measure_presence(self) -> timedelta | None:
+        """Return for how long the whole probe was on the worker; None if it wasn't.
+
+        What became of it since the worker was last heard is not known.
+        """
         known = [since for since in self.probes.values() if since is not None]
-        return max(known) if known and len(known) == len(self.probes) else None
+        if not known or len(known) < len(self.probes):
+            return None
+        return self.shown_at - max(known)
 
     @property
     def is_probe_sound(self) -> bool:
@@ -121,7 +129,7 @@
             once, until a run succeeds.
         """
         record = self._get(worker)
-        is_on_probation = self.is_on_probation(worker, now)
+        is_on_probation = self.is_on_probation(worker)
         age = now - record.failed_at
         if not is_on_probation and age > self._settings.failure_retention:
             record.failures = 0
@@ -154,7 +162,7 @@
         A run that was chosen before the quarantine began proves nothing, and those
         that follow the probe must not prolong the probation.
         """
-        if not self.is_on_probation(worker, now) or not self.may_probe(worker):
+        if not self.is_on_probation(worker) or not self.may_probe(worker):
             return
         if self.is_eligible(worker, now) or self.count_standing_starts(worker, now):
             record = self._get(worker)
@@ -176,6 +184,7 @@
             return
         if record.probes[run] is None:
             record.probes[run] = now
+        record.shown_at = now
         if has_advanced:
             record.advanced.add(run)
 
@@ -200,7 +209,7 @@
 
     def is_eligible(self, worker: WorkerId, now: timedelta) -> bool:
         """Return whether the worker may receive tasks, if only a probe."""
-        if not self.is_on_probation(worker, now):
+        if not self.is_on_probation(worker):
             return True
         until = self._records[worker].quarantined_until
         return until is not None and now >= until
@@ -211,29 +220,29 @@
         An interrupted one may be the probe shortly before the quarantine ends, and
         others may follow as soon as a probe is proven.
         """
-        if self.has_proven_probe(worker, now):
+        if self.has_proven_probe(worker):
             return MAX_STANDING_STARTS
-        if not self.is_on_probation(worker, now) or not self.may_probe(worker):
+        if not self.is_on_probation(worker) or not self.may_probe(worker):
             return 0
         probed_from = self._records[worker].probed_from
         if probed_from is None:
             return 0
         return int(now >= probed_from and not self.is_eligible(worker, now))
 
-    def has_proven_probe(self, worker: WorkerId, now: timedelta) -> bool:
+    def has_proven_probe(self, worker: WorkerId) -> bool:
         """Return whether a probe has outlasted those of faulty workers.
 
         Standing tasks may then start, even before probation ends.
         """
-        if not self.is_on_probation(worker, now):
+        if not self.is_on_probation(worker):
             return False
         record = self._records[worker]
-        since = record.find_presence()
-        if record.probed_from is None or since is None:
+        present = record.measure_presence()
+        if record.probed_from is None or present is None:
             return False
-        return now - since >= self._settings.standing_probe_duration
+        return present >= self._settings.standing_probe_duration
 
-    def is_on_probation(self, worker: WorkerId, now: timedelta) -> bool:
+    def is_on_probation(self, worker: WorkerId) -> bool:
         """Return whether the worker has had no successful probe since quarantine.
 
         A probe that runs for ``probe_duration`` counts as a success, a finite one if
@@ -243,8 +252,8 @@
         record = self._records.get(worker)
         if record is None or record.quarantined_until is None:
             return False
-        since = record.find_presence()
-        if since is not None and now - since > self._settings.probe_duration:
+        present = record.measure_presence()
+        if present is not None and present > self._settings.probe_duration:
             if record.is_probe_sound:
                 self.record_success(worker)
                 return False
--- a/src/rhubarbfield/scheduling/session.py
+++ b/src/rhubarbfield/scheduling/session.py
@@ -323,9 +323,9 @@
         if not is_awaited or self._ledger.expects_no_end(self.active):
             return timedelta()
         worker = self._host.find_worker(self.worker)
-        if worker is not None and self._host.needs_frequent_views(worker):
-            return self._settings.watched_view_timeout
-        return self._settings.view_timeout
+        if worker is None:
+            return self._settings.view_timeout
+        return self._host.choose_view_timeout(worker)
 
     async def _apply_view(
         self,
--- a/src/rhubarbfield/scheduling/session_host.py
+++ b/src/rhubarbfield/scheduling/session_host.py
@@ -60,5 +60,8 @@
     def find_steps(self, worker: Worker) -> Mapping[TaskName, Step]:
         """Return the steps of the tasks that are recorded on a worker."""
 
-    def needs_frequent_views(self, worker: Worker) -> bool:
-        """Return whether new runs can harm serving tasks, or the worker itself."""
+    def choose_view_timeout(self, worker: Worker) -> timedelta:
+        """Return how long a view of a worker may wait for a run to end.
+
+        Short if new runs can harm serving tasks, or the worker itself.
+        """
--- a/tests/scheduling/fleets.py
+++ b/tests/scheduling/fleets.py
@@ -279,12 +279,12 @@
 
     def measure_reference(self) -> dict[WorkerId, WorkerHeadroom]:
         """Return the headroom of each worker, recomputed in full."""
-        leader, now = self.leader, self.clock.monotonic()
+        leader = self.leader
         headrooms = measure_all(self.state, leader._availability.is_usable)
         for worker, headroom in headrooms.items():
             headroom.known_margins = self.list_reference_margins(headroom.worker)
             headroom.failures = leader._quarantine.count_failures(worker)
-            if leader._quarantine.is_on_probation(worker, now):
+            if leader._quarantine.is_on_probation(worker):
                 headroom.awaits_probe = leader._quarantine.may_probe(worker)
                 headroom.task_limit = headroom.task_count + headroom.awaits_probe
         return headrooms
--- a/tests/scheduling/test_probation.py
+++ b/tests/scheduling/test_probation.py
@@ -217,13 +217,15 @@
         quarantine.record_probe(worker, [probe], probed_at, is_standing=True)
         quarantine.record_presence(worker, probe, probed_at)
         followed_at = probed_at + SETTINGS.standing_probe_duration
-        self.assertTrue(quarantine.has_proven_probe(worker, followed_at))
+        quarantine.record_presence(worker, probe, followed_at)
+        self.assertTrue(quarantine.has_proven_probe(worker))
         follower = RunKey(TaskName("j.0.0.1"), RunNumber(2))
         quarantine.record_probe(worker, [follower], followed_at, is_standing=True)
         quarantine.record_presence(worker, follower, followed_at)
-        self.assertTrue(quarantine.has_proven_probe(worker, followed_at))
+        self.assertTrue(quarantine.has_proven_probe(worker))
         ended_at = probed_at + SETTINGS.probe_duration + MILLISECOND
-        self.assertFalse(quarantine.is_on_probation(worker, ended_at))
+        quarantine.record_presence(worker, probe, ended_at)
+        self.assertFalse(quarantine.is_on_probation(worker))
 
 
 if __name__ == "__main__":
--- a/tests/scheduling/test_quarantine.py
+++ b/tests/scheduling/test_quarantine.py
@@ -40,11 +40,13 @@
         now = probed_at = BEGAN + SETTINGS.standing_probe_delay
         run = PROBE.run
         while now <= probed_at + SETTINGS.probe_duration:
-            self.assertTrue(quarantine.is_on_probation(WORKER, now))
+            quarantine.record_presence(WORKER, PROBE, now)
+            self.assertTrue(quarantine.is_on_probation(WORKER))
             start_run(quarantine, RunKey(PROBE.task, run), now)
             run = RunNumber(run + 1)
             now += SETTINGS.standing_probe_duration
-        self.assertFalse(quarantine.is_on_probation(WORKER, now))
+        quarantine.record_presence(WORKER, PROBE, now)
+        self.assertFalse(quarantine.is_on_probation(WORKER))
 
     def test_run_chosen_before_the_quarantine_began_is_no_probe(self) -> None:
         """The quarantine ended 2 s after the order of the run was sent."""
@@ -56,7 +58,7 @@
             self.assertFalse(quarantine.is_eligible(WORKER, now))
             self.assertEqual(quarantine.count_standing_starts(WORKER, now), 0)
             now = BEGAN + SETTINGS.quarantine_duration
-            self.assertTrue(quarantine.is_on_probation(WORKER, now))
+            self.assertTrue(quarantine.is_on_probation(WORKER))
             self.assertTrue(quarantine.may_probe(WORKER))
 
     def test_probe_that_fails_starts_the_quarantine_anew(self) -> None:
@@ -89,17 +91,31 @@
         now += 2 * SETTINGS.probe_duration
         quarantine.record_presence(WORKER, PROBE, now)
         now += 2 * SETTINGS.probe_duration
+        quarantine.record_presence(WORKER, PROBE, now)
         self.assertIsNone(quarantine.list_probes(WORKER)[MEMBER])
         self.assertEqual(quarantine.count_standing_starts(WORKER, now), 0)
-        self.assertTrue(quarantine.is_on_probation(WORKER, now))
+        self.assertTrue(quarantine.is_on_probation(WORKER))
         quarantine.record_presence(WORKER, MEMBER, now)
         followed_at = now + SETTINGS.standing_probe_duration
-        self.assertFalse(quarantine.has_proven_probe(WORKER, followed_at - MOMENT))
-        self.assertTrue(quarantine.has_proven_probe(WORKER, followed_at))
+        quarantine.record_presence(WORKER, MEMBER, followed_at - MOMENT)
+        self.assertFalse(quarantine.has_proven_probe(WORKER))
         quarantine.record_presence(WORKER, PROBE, followed_at)
+        self.assertTrue(quarantine.has_proven_probe(WORKER))
         ended_at = now + SETTINGS.probe_duration
-        self.assertTrue(quarantine.is_on_probation(WORKER, ended_at))
-        self.assertFalse(quarantine.is_on_probation(WORKER, ended_at + MOMENT))
+        quarantine.record_presence(WORKER, PROBE, ended_at)
+        self.assertTrue(quarantine.is_on_probation(WORKER))
+        quarantine.record_presence(WORKER, PROBE, ended_at + MOMENT)
+        self.assertFalse(quarantine.is_on_probation(WORKER))
+
+    def test_probe_counts_until_its_worker_was_last_heard(self) -> None:
+        quarantine = make_quarantine()
+        now = BEGAN + SETTINGS.standing_probe_delay
+        start_run(quarantine, PROBE, now)
+        now += 2 * SETTINGS.probe_duration
+        self.assertEqual(quarantine.count_standing_starts(WORKER, now), 0)
+        self.assertTrue(quarantine.is_on_probation(WORKER))
+        quarantine.record_failure(WORKER, now)
+        self.assertFalse(quarantine.is_eligible(WORKER, now))
 
     def test_probe_that_is_stopped_lets_the_next_one_follow(self) -> None:
         """Its order counted as a success, or kept all other tasks away."""
@@ -114,7 +130,7 @@
             now += SETTINGS.quarantine_duration - SETTINGS.standing_probe_delay
             quarantine.record_end(WORKER, PROBE)
             now += SETTINGS.probe_duration
-            self.assertTrue(quarantine.is_on_probation(WORKER, now))
+            self.assertTrue(quarantine.is_on_probation(WORKER))
             self.assertTrue(quarantine.is_eligible(WORKER, now))
             self.assertTrue(quarantine.may_probe(WORKER))
 
@@ -126,14 +142,17 @@
         self.assertEqual(quarantine.count_standing_starts(WORKER, now), 1)
         start_run(quarantine, PROBE, now)
         now += SETTINGS.standing_probe_duration
-        self.assertTrue(quarantine.has_proven_probe(WORKER, now))
+        quarantine.record_presence(WORKER, PROBE, now)
+        self.assertTrue(quarantine.has_proven_probe(WORKER))
         now += SETTINGS.probe_duration
-        self.assertTrue(quarantine.is_on_probation(WORKER, now))
+        quarantine.record_presence(WORKER, PROBE, now)
+        self.assertTrue(quarantine.is_on_probation(WORKER))
         self.assertTrue(quarantine.may_probe(WORKER))
         quarantine.record_probe(WORKER, [MEMBER], now, is_standing=False)
         quarantine.record_presence(WORKER, MEMBER, now, has_advanced=True)
         now += SETTINGS.probe_duration + MOMENT
-        self.assertFalse(quarantine.is_on_probation(WORKER, now))
+        quarantine.record_presence(WORKER, MEMBER, now, has_advanced=True)
+        self.assertFalse(quarantine.is_on_probation(WORKER))
 
     def test_finite_probe_without_progress_does_not_end_the_probation(self) -> None:
         """It was a success after 2 s, and a run counts as stalled after 2.5 s."""
@@ -145,10 +164,11 @@
             quarantine.record_presence(WORKER, PROBE, now, has_advanced=True)
             quarantine.record_presence(WORKER, MEMBER, now)
             now += SETTINGS.stall_timeout
-            self.assertTrue(quarantine.is_on_probation(WORKER, now))
+            quarantine.record_presence(WORKER, MEMBER, now)
+            self.assertTrue(quarantine.is_on_probation(WORKER))
             self.assertFalse(quarantine.may_probe(WORKER))
             quarantine.record_presence(WORKER, MEMBER, now, has_advanced=True)
-            self.assertFalse(quarantine.is_on_probation(WORKER, now))
+            self.assertFalse(quarantine.is_on_probation(WORKER))
 
     def test_failures_that_are_far_apart_do_not_start_a_quarantine(self) -> None:
         """Nothing reset them on a worker with standing tasks only."""
@@ -157,10 +177,10 @@
         for number in range(3 * SETTINGS.quarantine_failures):
             now = BEGAN + number * apart
             quarantine.record_failure(WORKER, now)
-            self.assertFalse(quarantine.is_on_probation(WORKER, now))
+            self.assertFalse(quarantine.is_on_probation(WORKER))
             self.assertEqual(quarantine.count_failures(WORKER), 1)
         quarantine.record_failure(WORKER, now + SETTINGS.failure_retention)
-        self.assertTrue(quarantine.is_on_probation(WORKER, now + apart))
+        self.assertTrue(quarantine.is_on_probation(WORKER))
 
     def test_probe_that_fails_late_starts_the_quarantine_anew(self) -> None:
         quarantine = make_quarantine()
@@ -178,7 +198,7 @@
         quarantine.record_failure(WORKER, now)
         quarantine.record_end(WORKER, PROBE)
         now += SETTINGS.probe_duration + MOMENT
-        self.assertTrue(quarantine.is_on_probation(WORKER, now))
+        self.assertTrue(quarantine.is_on_probation(WORKER))
         self.assertTrue(quarantine.may_probe(WORKER))
 
 
