Let another probe follow one that is paused

What the review saw: a finite probe has to make progress, and one that is paused makes none and does not count as stalled either. No other finite task started on its worker within 20 s, for as long as the pause lasted.

A paused probe proves nothing, so that the next one may follow, as after one that is stopped.

--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -409,7 +409,9 @@
     def _examine_probes(self, worker: WorkerId, session: WorkerSession) -> None:
         """Record what the latest view tells of the probe of a worker."""
         for key in self._quarantine.list_probes(worker):
-            if session.has_run(key):
+            if session.get_pace(key) == 0:  # it makes no progress, and proves nothing
+                self._quarantine.record_end(worker, key)
+            elif session.has_run(key):
                 self._quarantine.record_presence(
                     worker,
                     key,
--- a/src/rhubarbfield/scheduling/quarantine.py
+++ b/src/rhubarbfield/scheduling/quarantine.py
@@ -189,7 +189,7 @@
             record.advanced.add(run)
 
     def record_end(self, worker: WorkerId, run: RunKey) -> None:
-        """Record that a run has ended without success.
+        """Record that a run has ended without success, or is paused.
 
         A probe of which nothing is left proves nothing; the next one may follow.
         """
