--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -157,7 +157,7 @@
             clock=clock,
         )
         self._ends = Batcher(self._commit_ends)
-        self._late_ends: dict[int, timedelta] = {}
+        self._late_since: dict[WorkerId, timedelta] = {}  # ends being recorded
         self._housekeeping = Housekeeping(
             log,
             host=self,
@@ -245,12 +245,14 @@
     ) -> None:
         """Record ends of runs; returns once they are committed."""
         began = self._clock.monotonic()
-        if since is not None:
-            self._late_ends[id(ends)] = since
-        try:
+        if since is None:
             await self._ends.record(ends)
-        finally:
-            self._late_ends.pop(id(ends), None)
+        else:
+            self._late_since[ends.worker] = since
+            try:
+                await self._ends.record(ends)
+            finally:
+                self._late_since.pop(ends.worker, None)
         self._stages.record(StartStage.END, self._clock.monotonic() - began)
 
     def record_answer(self, worker: WorkerId, start: Start) -> None:
@@ -520,7 +522,7 @@
 
     def _record_outcomes(self, report: WorkerEnds) -> None:
         now = self._clock.monotonic()
-        since = self._late_ends.get(id(report))
+        since = self._late_since.get(report.worker)
         for ended in report.ends:
             log_event(
                 logger,
