--- a/src/rhubarbfield/controller/program.py
+++ b/src/rhubarbfield/controller/program.py
@@ -4,7 +4,6 @@
 
 import logging
 import random
-from datetime import timedelta
 from functools import partial
 from pathlib import Path
 
@@ -20,6 +19,7 @@
 from rhubarbfield.exceptions import BrokenInvariantError
 from rhubarbfield.operators import create_operators_app
 from rhubarbfield.peering import GrpcTransport, open_bridge
+from rhubarbfield.replication import LEADERSHIP_RELEASE_DELAY
 from rhubarbfield.settings import Settings
 from rhubarbfield.settings.secrets import Secret
 from rhubarbfield.signals import run_until_signal
@@ -27,8 +27,6 @@
 from rhubarbfield.types import GroupId
 
 GRACEFUL_TIMEOUT_SECONDS = 5.0
-# Time in which the other voters learn of the release and elect one of them.
-LEADERSHIP_RELEASE_DELAY = timedelta(milliseconds=700)
 
 
 async def serve_operators(
--- a/src/rhubarbfield/platform/controller.py
+++ b/src/rhubarbfield/platform/controller.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-from datetime import timedelta
 from pathlib import Path
 
 import trio
@@ -12,14 +11,11 @@
 from rhubarbfield.peering import Credentials, GrpcTransport, open_bridge
 from rhubarbfield.platform.control import MAX_BODY_BYTES, ControlInterface
 from rhubarbfield.platform.runners import RunnerCalls
-from rhubarbfield.replication import run_in_thread
+from rhubarbfield.replication import LEADERSHIP_RELEASE_DELAY, run_in_thread
 from rhubarbfield.scheduling.controller import SchedulingController, open_log_store
 from rhubarbfield.scheduling.deployment import DeploymentSettings
 from rhubarbfield.scheduling.serving import Program, run_program
 
-# Covers an election and the calls in flight.
-LEADERSHIP_RELEASE_DELAY = timedelta(milliseconds=700)
-
 
 async def run_controller(
     settings: DeploymentSettings,
--- a/src/rhubarbfield/replication/__init__.py
+++ b/src/rhubarbfield/replication/__init__.py
@@ -10,7 +10,7 @@
     ProposeError,
     Unsafe,
 )
-from rhubarbfield.replication.leadership import Leadership
+from rhubarbfield.replication.leadership import LEADERSHIP_RELEASE_DELAY, Leadership
 from rhubarbfield.replication.membership import Membership
 from rhubarbfield.replication.messages import (
     MalformedMessage,
@@ -36,6 +36,7 @@
     "StateMachine",
     "MessageSender",
     "Leadership",
+    "LEADERSHIP_RELEASE_DELAY",
     "Membership",
     "Role",
     "RunBlocking",
--- a/src/rhubarbfield/replication/leadership.py
+++ b/src/rhubarbfield/replication/leadership.py
@@ -8,6 +8,9 @@
 
 from rhubarbfield.types import Term
 
+# After a release: covers an election and the calls in flight.
+LEADERSHIP_RELEASE_DELAY = timedelta(milliseconds=700)
+
 
 class Leadership(msgspec.Struct, frozen=True):
     """A leader's lease: the right to act as leader for a limited time.
--- a/src/rhubarbfield/scheduling/contact.py
+++ b/src/rhubarbfield/scheduling/contact.py
@@ -52,7 +52,7 @@
     reported_at
         Monotonic time of the latest report, or None.
     created_at
-        Monotonic time since which there is the contact.
+        Monotonic time at which the contact began.
     """
 
     def __init__(
--- a/tests/entry/test_fleet.py
+++ b/tests/entry/test_fleet.py
@@ -11,7 +11,6 @@
 
 from rhubarbfield.controller.groups import FLEET_GROUP
 from rhubarbfield.controller.options import make_entry_lease_terms
-from rhubarbfield.controller.program import LEADERSHIP_RELEASE_DELAY
 from rhubarbfield.entry.records import find_home_domain
 from rhubarbfield.ownership import EndEntrySession, OwnershipEndProof
 from rhubarbfield.peering import Encoding
@@ -26,6 +25,7 @@
 )
 from rhubarbfield.protocol.workers import WORKER_STREAM
 from rhubarbfield.replay.fleet import MemoryFleet
+from rhubarbfield.replication import LEADERSHIP_RELEASE_DELAY
 from rhubarbfield.routing import Refusal
 from rhubarbfield.testing.memory_transport import MemoryTransport
 from rhubarbfield.types import (
