--- a/tests/scheduling/test_probes_after_silences.py
+++ b/tests/scheduling/test_probes_after_silences.py
@@ -5,41 +5,27 @@
 import unittest
 
 import trio
-from returns.result import Failure, Result
 
-from rhubarbfield.clock import Clock
 from rhubarbfield.scheduling.model import Step
-from rhubarbfield.scheduling.ports import (
-    CallFailure,
-    NoReply,
-    ViewRequest,
-    WorkerAddress,
-    WorkerView,
-)
-from rhubarbfield.testing.crashing_workers import CrashingFleet
+from rhubarbfield.scheduling.ports import ViewRequest
 from tests.scheduling.deployments import Deployment, with_deployment
-from tests.scheduling.test_standstills import SETTINGS, TWO_CORES, fail_runs
+from tests.scheduling.test_standstills import (
+    SETTINGS,
+    TWO_CORES,
+    LossyFleet,
+    fail_runs,
+)
 
 RESET_SECONDS = 0.01
 LONG_SECONDS = 20.0
 
 
-class ResettingFleet(CrashingFleet):
+class ResettingFleet(LossyFleet):
     """Worker port on which the connection of every other view is reset at once."""
 
-    def __init__(self, clock: Clock) -> None:
-        super().__init__(clock)
-        self.views = 0
-
-    async def view(
-        self, to: WorkerAddress, request: ViewRequest
-    ) -> Result[WorkerView, CallFailure]:
-        """Return a worker's view of its runs, or none."""
-        self.views += 1
-        if self.views % 2:
-            return await super().view(to, request)
+    async def await_no_reply(self, request: ViewRequest) -> None:
+        """Sleep until the connection is reset."""
         await trio.sleep(RESET_SECONDS)
-        return Failure(NoReply("the connection was reset"))
 
 
 class ProbesAfterSilencesTest(unittest.TestCase):
--- a/tests/scheduling/test_standstills.py
+++ b/tests/scheduling/test_standstills.py
@@ -119,9 +119,13 @@
         self.views += 1
         if self.views % 2:
             return await super().view(to, request)
-        await trio.sleep((request.wait_timeout + NO_REPLY_DELAY).total_seconds())
+        await self.await_no_reply(request)
         return Failure(NoReply("no reply in time"))
 
+    async def await_no_reply(self, request: ViewRequest) -> None:
+        """Sleep until a view counts as lost."""
+        await trio.sleep((request.wait_timeout + NO_REPLY_DELAY).total_seconds())
+
 
 class StandstillTest(unittest.TestCase):
     @with_deployment()
