--- a/review/standins-2/runner.py
+++ b/review/standins-2/runner.py
@@ -1,7 +1,7 @@
 """Stand-in runners, which follow the users' page on running tasks.
 
 What a task is and needs is in the job's `Spec`, as JSON: a list with one object a
-step: `cpu`, `mem`, `ms` (work), `lasts`, `gang` (number of members), `saves`.
+step: `cpu`, `mem`, `ms` (work), `lasts`, `gang` (number of members), `saves`, `fails`.
 """
 
 from __future__ import annotations
@@ -199,7 +199,7 @@
                     if step and step * SAVE_S * 1000 > run.resumed_ms:
                         run.saved = str(int(step * SAVE_S * 1000))
                 if not spec.get("lasts") and run.worked_ms >= spec["ms"]:
-                    self.end(run, "done")
+                    self.end(run, "failed" if spec.get("fails") else "done")
 
     def end(self, run: Run, how: str) -> None:
         """End a run and list it."""
