--- a/review/standins-2/system.py
+++ b/review/standins-2/system.py
@@ -145,14 +145,18 @@
 
     async def watch(self) -> None:
         """Restart processes that have ended, until cancelled."""
+        await asyncio.gather(*(self._watch_host(host) for host in self._commands))
+
+    async def _watch_host(self, host: str) -> None:
         while True:
             await asyncio.sleep(0.05)
-            for host, process in list(self._processes.items()):
-                if process.poll() is not None and not self._stopping:
-                    self._record.write(f"system ended {host} code {process.returncode}")
-                    self.ends.append(f"{host} {process.returncode}")
-                    await asyncio.sleep(RESTART_S)
-                    self.start(host)
+            process = self._processes.get(host)
+            if process is None or process.poll() is None or self._stopping:
+                continue
+            self._record.write(f"system ended {host} code {process.returncode}")
+            self.ends.append(f"{host} {process.returncode}")
+            await asyncio.sleep(RESTART_S)
+            self.start(host)
 
     def stop(self) -> None:
         """Kill all processes."""
