Count failures of a step that fails on most workers against the step

Cause: two failed runs without a success between them quarantined a worker, also if they were of one step that failed everywhere.

Now failures of one finite step count against it once its runs have failed on two workers or more without a success, and work on on fewer others. They quarantine no worker and end the quarantine of one that failed nothing else; beside a failure of another step they count as before.

--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -28,6 +28,7 @@
     WorkerReport,
 )
 from rhubarbfield.scheduling.crashes import CrashedRun
+from rhubarbfield.scheduling.failing_steps import find_running
 from rhubarbfield.scheduling.headroom import WaitingStep, WorkerHeadroom
 from rhubarbfield.scheduling.headroom_index import HeadroomIndex
 from rhubarbfield.scheduling.heartbeats import (
@@ -43,7 +44,12 @@
     RUNS_ENDED,
 )
 from rhubarbfield.scheduling.mitigation import InterferenceMitigator
-from rhubarbfield.scheduling.model import CheckpointToken, Step, TaskName
+from rhubarbfield.scheduling.model import (
+    CheckpointToken,
+    Step,
+    TaskName,
+    name_step,
+)
 from rhubarbfield.scheduling.orders import Start
 from rhubarbfield.scheduling.pacing import RoundPacer, Urgency, find_urgency
 from rhubarbfield.scheduling.placing import MAX_STARTS_PER_ROUND, Placer
@@ -113,7 +119,9 @@
         self._log = log
         self._clock = clock
         self._settings = settings
-        self._quarantine = WorkerQuarantine(settings)
+        self._quarantine = WorkerQuarantine(
+            settings, lambda step: find_running(self.state.workers.values(), step)
+        )
         leadership = log.replica.leadership
         self._term = leadership.term if leadership is not None else Term(0)
         self._former_until = leadership.former_until if leadership is not None else None
@@ -534,11 +542,12 @@
                 end=ended.end.value,
             )
             RUNS_ENDED.labels(ended.end.value).inc()
+            step = None if self.is_standing(ended.task) else name_step(ended.task)
             if ended.end is RunEnd.DONE:
-                self._quarantine.record_success(report.worker)
+                self._quarantine.record_success(report.worker, step)
                 self._avoided.pop(ended.task, None)
             elif ended.end is RunEnd.FAILED:
-                self._quarantine.record_failure(report.worker, now, since)
+                self._quarantine.record_failure(report.worker, now, since, step)
                 self.avoid(ended.task, report.worker)
             if ended.end is not RunEnd.DONE:
                 key = RunKey(ended.task, ended.run)
--- a/src/rhubarbfield/scheduling/quarantine.py
+++ b/src/rhubarbfield/scheduling/quarantine.py
@@ -7,12 +7,14 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Collection
+from collections.abc import Callable, Collection, Set
 from datetime import timedelta
 
 import msgspec
 
 from rhubarbfield.logs import log_event
+from rhubarbfield.scheduling.failing_steps import FailingSteps
+from rhubarbfield.scheduling.model import StepName
 from rhubarbfield.scheduling.progress import RunKey
 from rhubarbfield.scheduling.settings import SchedulingSettings
 from rhubarbfield.types import WorkerId
@@ -33,6 +35,8 @@
         ``failure_retention`` between two of them.
     failed_at
         When the latest of them failed.
+    failed_steps
+        The steps that they belong to; None for standing steps.
     quarantined_until
         When the quarantine ends; until then the worker receives no task, and
         afterwards one task first, the probe.
@@ -54,6 +58,7 @@
 
     failures: int = 0
     failed_at: timedelta = timedelta()
+    failed_steps: set[StepName | None] = msgspec.field(default_factory=set)
     quarantined_until: timedelta | None = None
     probed_from: timedelta | None = None
     has_stalled: bool = False
@@ -94,30 +99,59 @@
     ----------
     settings
         When a worker is quarantined, and for how long.
+    find_running
+        Returns the workers that have runs of a step.
     """
 
-    def __init__(self, settings: SchedulingSettings) -> None:
+    def __init__(
+        self,
+        settings: SchedulingSettings,
+        find_running: Callable[[StepName], Set[WorkerId]],
+    ) -> None:
         self._settings = settings
         self._records: dict[WorkerId, WorkerOutcomes] = {}
+        self._failing_steps = FailingSteps(settings.failure_retention, find_running)
+
+    def record_success(self, worker: WorkerId, step: StepName | None = None) -> None:
+        """Record that a run succeeded; ends quarantine and probation.
+
+        Parameters
+        ----------
+        worker
+            The worker.
+        step
+            The step of the run; None for a standing one.
+        """
+        if step is not None:
+            self._failing_steps.record_success(step)
+        self._clear_failures(worker)
 
-    def record_success(self, worker: WorkerId) -> None:
-        """Record that a run succeeded; ends quarantine and probation."""
+    def _clear_failures(self, worker: WorkerId) -> None:
+        self._end_quarantine(worker)
+        record = self._get(worker)
+        record.failures = 0
+        record.failed_steps.clear()
+        record.has_stalled = False
+
+    def _end_quarantine(self, worker: WorkerId) -> None:
         record = self._get(worker)
         if record.quarantined_until is not None:
             log_event(logger, logging.INFO, "quarantine-ended", worker=worker)
-        record.failures = 0
         record.quarantined_until = None
         record.probed_from = None
-        record.has_stalled = False
         record.drop_probe()
 
     def record_failure(
-        self, worker: WorkerId, now: timedelta, since: timedelta | None = None
+        self,
+        worker: WorkerId,
+        now: timedelta,
+        since: timedelta | None = None,
+        step: StepName | None = None,
     ) -> None:
         """Record a failed run, whether the task or the worker is at fault.
 
         Until the probe starts only runs from before the quarantine can fail; they
-        don't start it anew.
+        don't start it anew. Nor do those of one step whose runs fail on most workers.
 
         Parameters
         ----------
@@ -127,14 +161,22 @@
             Time since which the run may have ended, if that is long ago. The worker
             may be sound by now, so that an interrupted standing task may find out;
             once, until a run succeeds.
+        step
+            The step of the run; None for a standing one, whose runs do not succeed.
         """
         record = self._get(worker)
         is_on_probation = self.is_on_probation(worker)
         age = now - record.failed_at
         if not is_on_probation and age > self._settings.failure_retention:
             record.failures = 0
+            record.failed_steps.clear()
         record.failures += 1
         record.failed_at = now
+        record.failed_steps.add(step)
+        if step is not None:
+            self._failing_steps.record_failure(step, worker, now)
+            if worker in self._absolve_workers(step):
+                return
         if is_on_probation and self.may_probe(worker):
             return
         if record.failures >= self._settings.quarantine_failures:
@@ -144,6 +186,24 @@
                 self._quarantine_worker(worker, since, "failures")
                 record.probed_from = now
 
+    def _absolve_workers(self, step: StepName) -> list[WorkerId]:
+        """End the quarantine of workers that failed only runs of a faulty step.
+
+        Returns
+        -------
+        list[WorkerId]
+            Those workers. Their failures go on to count beside one of another step.
+        """
+        absolved = [
+            worker
+            for worker in self._failing_steps.list_workers(step)
+            if self._get(worker).failed_steps == {step}
+            and not self._get(worker).has_stalled
+        ]
+        for worker in absolved:
+            self._end_quarantine(worker)
+        return absolved
+
     def record_stall(self, worker: WorkerId, now: timedelta) -> None:
         """Record that runs on the worker make no progress; starts a quarantine."""
         self._get(worker).has_stalled = True
@@ -255,7 +315,7 @@
         present = record.measure_presence()
         if present is not None and present > self._settings.probe_duration:
             if record.is_probe_sound:
-                self.record_success(worker)
+                self._clear_failures(worker)
                 return False
             if record.is_probe_standing:
                 record.drop_probe()
