Keep a store whose unsynced writes were lost out of order

Cause: a leader writes several records between two syncs, more of them on a slow disk. A loss of power may lose the first, or its end, and keep a later one. The hole that it leaves counted as damage, so that the store was discarded with all that it had synced, and the leader counted as a second lost disk.

Each record now says how much of the file was durable when it was written. A damaged record that is zeros to its end is cut, with all that follows, unless a later record says that it was durable. Any other damage is treated as before: each flipped byte is still detected, also in records that share a sync, and so is a hole in what was durable.

Evidence: test_writes_that_a_loss_of_power_kept_after_lost_ones_are_cut fails before and passes after.

--- a/src/rhubarbfield/storage/file.py
+++ b/src/rhubarbfield/storage/file.py
@@ -7,11 +7,20 @@
 from collections.abc import Callable, Sequence
 from pathlib import Path
 
-import msgspec
 from returns.result import Failure, Result, Success
 
 from rhubarbfield.storage.files import FileLayer, SystemFiles
-from rhubarbfield.storage.frames import frame_payload, read_frames
+from rhubarbfield.storage.logfile import (
+    LOG_FILE,
+    SNAPSHOT_FILE,
+    LogRecord,
+    decode_log,
+    decode_snapshot,
+    encode_log,
+    encode_record,
+    encode_snapshot,
+    join_snapshot,
+)
 from rhubarbfield.storage.records import (
     Entry,
     HardState,
@@ -27,140 +36,12 @@
     SyncFailed,
 )
 
-LOG_FILE = "log"
-SNAPSHOT_FILE = "snapshot"
 NEW_SUFFIX = ".new"
 DAMAGED_SUFFIX = ".damaged"
-FORMAT_VERSION = 1
 # Without a free descriptor no new file can be opened, which is like no room for it.
 FULL_DISK_ERRORS = frozenset({errno.ENOSPC, errno.EDQUOT, errno.EMFILE, errno.ENFILE})
 
 
-class LogHeader(msgspec.Struct, frozen=True, array_like=True):
-    """First record of a log file.
-
-    Attributes
-    ----------
-    version
-        Version of the file format.
-    base
-        Position just before the first entry.
-    """
-
-    version: int
-    base: LogPosition
-
-
-class LogRecord(msgspec.Struct, frozen=True, array_like=True):
-    """Any later record of a log file, written and synced as a unit.
-
-    Attributes
-    ----------
-    hard_state
-        Replaces the hard state of the previous record.
-    entries
-        Replace the entries stored at and after the index of the first one.
-    """
-
-    hard_state: HardState
-    entries: tuple[Entry, ...] = ()
-
-
-_encoder = msgspec.msgpack.Encoder()
-_header_decoder = msgspec.msgpack.Decoder(LogHeader)
-_record_decoder = msgspec.msgpack.Decoder(LogRecord)
-_snapshot_decoder = msgspec.msgpack.Decoder(Snapshot)
-
-
-def encode_log(
-    hard_state: HardState, base: LogPosition, entries: Sequence[Entry]
-) -> bytes:
-    """Return the contents of a new log file."""
-    header = _encoder.encode(LogHeader(FORMAT_VERSION, base))
-    record = _encoder.encode(LogRecord(hard_state, tuple(entries)))
-    return frame_payload(header) + frame_payload(record)
-
-
-def decode_log(data: bytes) -> Result[StoredLog, StoreDamaged]:
-    """Decode the contents of a log file, ignoring a torn last record."""
-    frames = read_frames(data)
-    if frames.damage is not None:
-        damage = frames.damage
-        return Failure(StoreDamaged(LOG_FILE, damage.offset, damage.reason))
-    if not frames.payloads:
-        return Failure(StoreDamaged(LOG_FILE, 0, "no complete record"))
-    try:
-        header = _header_decoder.decode(frames.payloads[0])
-        records = [_record_decoder.decode(payload) for payload in frames.payloads[1:]]
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
-        return Failure(StoreDamaged(LOG_FILE, 0, str(error)))
-    if header.version != FORMAT_VERSION:
-        reason = f"format version {header.version}, but {FORMAT_VERSION} is supported"
-        return Failure(StoreDamaged(LOG_FILE, 0, reason))
-    return _replay(header.base, records)
-
-
-def decode_snapshot(data: bytes) -> Result[Snapshot, StoreDamaged]:
-    """Decode the contents of a snapshot file."""
-    frames = read_frames(data)
-    if frames.damage is not None:
-        damage = frames.damage
-        return Failure(StoreDamaged(SNAPSHOT_FILE, damage.offset, damage.reason))
-    if len(frames.payloads) != 1 or frames.valid_bytes != len(data):
-        return Failure(
-            StoreDamaged(SNAPSHOT_FILE, 0, "not exactly one complete record")
-        )
-    try:
-        return Success(_snapshot_decoder.decode(frames.payloads[0]))
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
-        return Failure(StoreDamaged(SNAPSHOT_FILE, 0, str(error)))
-
-
-def _replay(
-    base: LogPosition, records: Sequence[LogRecord]
-) -> Result[StoredLog, StoreDamaged]:
-    hard_state = HardState()
-    entries: list[Entry] = []
-    for number, record in enumerate(records, 1):
-        hard_state = record.hard_state
-        if not record.entries:
-            continue
-        start = record.entries[0].index - base.index - 1
-        indexes = range(record.entries[0].index, record.entries[-1].index + 1)
-        if not 0 <= start <= len(entries) or list(indexes) != [
-            entry.index for entry in record.entries
-        ]:
-            reason = f"record {number} leaves a gap in the entries"
-            return Failure(StoreDamaged(LOG_FILE, 0, reason))
-        del entries[start:]
-        entries.extend(record.entries)
-    return Success(StoredLog(hard_state, None, base, tuple(entries)))
-
-
-def join_snapshot(
-    log: StoredLog, snapshot: Snapshot | None
-) -> Result[StoredLog, StoreDamaged]:
-    """Combine a log and a snapshot that were saved one after the other.
-
-    The snapshot may be newer than the log if the process ended between the
-    two writes. It is never older than the base of the log.
-    """
-    if snapshot is None:
-        if log.base.index > 0:
-            return Failure(StoreDamaged(SNAPSHOT_FILE, 0, "the file is missing"))
-        return Success(log)
-    position = snapshot.position
-    if position.index < log.base.index:
-        reason = f"it ends at {position.index}, the log starts after {log.base.index}"
-        return Failure(StoreDamaged(SNAPSHOT_FILE, 0, reason))
-    offset = position.index - log.base.index
-    positions = [log.base, *(LogPosition(e.index, e.term) for e in log.entries)]
-    matches_log = offset < len(positions) and positions[offset] == position
-    if matches_log:
-        return Success(StoredLog(log.hard_state, snapshot, log.base, log.entries))
-    return Success(StoredLog(log.hard_state, snapshot, position, ()))
-
-
 class FileStore:
     """Log store with the log in one file and the latest snapshot in another.
 
@@ -182,6 +63,7 @@
         self._folder = folder
         self._files = files if files is not None else SystemFiles(folder)
         self._size = 0
+        self._durable_size = 0
         self._stopped: SyncFailed | None = None
         # Held while a thread syncs a file, so that no other replaces or closes it.
         self._file_lock = threading.RLock()
@@ -239,12 +121,13 @@
         """Write the hard state and entries as one record without syncing it."""
         if self._size == 0:
             return self.append(hard_state, entries)
-        record = _encoder.encode(LogRecord(hard_state, tuple(entries)))
-        return self._attempt(lambda: self._write_record(frame_payload(record)))
+        stored = LogRecord(hard_state, tuple(entries), self._durable_size)
+        record = encode_record(stored)
+        return self._attempt(lambda: self._write_record(record))
 
     def sync(self) -> Result[None, StoreFailure]:
         """Make all written records durable."""
-        return self._attempt_exclusively(lambda: self._sync(LOG_FILE))
+        return self._attempt_exclusively(self._sync_log)
 
     def save_snapshot(
         self,
@@ -256,13 +139,13 @@
         """Save a snapshot and replace the stored entries."""
 
         def save() -> None:
-            data = frame_payload(_encoder.encode(snapshot))
+            data = encode_snapshot(snapshot)
             log_data = encode_log(hard_state, base, entries)
             self._write_new_file(SNAPSHOT_FILE, data)
             self._write_new_file(LOG_FILE, log_data)
             self._replace_file(SNAPSHOT_FILE)
             self._replace_file(LOG_FILE)
-            self._size = len(log_data)
+            self._size = self._durable_size = len(log_data)
 
         return self._attempt_exclusively(save)
 
@@ -274,7 +157,7 @@
                 if self._files.read(name) is not None:
                     self._files.rename(name, name + DAMAGED_SUFFIX)
             self._sync_folder()
-            self._size = 0
+            self._size = self._durable_size = 0
 
         return self._attempt_exclusively(rename)
 
@@ -323,7 +206,7 @@
         data = encode_log(hard_state, base, entries)
         self._write_new_file(LOG_FILE, data)
         self._replace_file(LOG_FILE)
-        self._size = len(data)
+        self._size = self._durable_size = len(data)
 
     def _write_new_file(self, name: str, data: bytes) -> None:
         self._files.remove(name + NEW_SUFFIX)
@@ -334,6 +217,11 @@
         self._files.rename(name + NEW_SUFFIX, name)
         self._sync_folder()
 
+    def _sync_log(self) -> None:
+        size = self._size  # without what is written during the sync
+        self._sync(LOG_FILE)
+        self._durable_size = size
+
     def _sync(self, name: str) -> None:
         try:
             self._files.sync(name)
--- a/tests/storage/test_file.py
+++ b/tests/storage/test_file.py
@@ -33,7 +33,7 @@
     SyncFailed,
     SystemFiles,
 )
-from rhubarbfield.storage.file import decode_log, decode_snapshot, encode_log
+from rhubarbfield.storage.logfile import decode_log, decode_snapshot, encode_log
 from rhubarbfield.types import Incarnation, LogIndex, Term
 from tests.storage.simulated_files import SimulatedCrashError, SimulatedFiles
 
@@ -155,6 +155,42 @@
             result = decode_log(bytes(flipped))
             self.assertIsInstance(result, Failure, offset)
 
+    def test_writes_that_a_loss_of_power_kept_after_lost_ones_are_cut(self) -> None:
+        """Discarding the store would lose the synced entries too."""
+        self.append(make_entries(1, 2))
+        sizes = []
+        for first in (3, 4, 5):
+            sizes.append(len(self.files.read("log") or b""))
+            self.store.write(STATE, make_entries(first, 1))
+        data = self.files.read("log") or b""
+        first, second, third = sizes
+        for start, end, last in ((first, second, 2), (second, third, 3)):
+            for lost in range(start, end):
+                kept = data[:lost] + bytes(end - lost) + data[end:]
+                for size in (len(data), len(data) - 1, end + 1):
+                    stored = decode_log(kept[:size]).unwrap()
+                    self.assertEqual(stored.entries, make_entries(1, last))
+
+    def test_every_flipped_byte_of_writes_that_share_a_sync_is_detected(self) -> None:
+        self.append(make_entries(1, 2))
+        for first in (3, 4, 5):
+            self.store.write(STATE, make_entries(first, 1))
+        self.store.sync()
+        data = self.files.read("log") or b""
+        for offset in range(len(data)):
+            flipped = bytearray(data)
+            flipped[offset] ^= 0x10
+            result = decode_log(bytes(flipped))
+            self.assertIsInstance(result, Failure, offset)
+
+    def test_lost_bytes_of_a_synced_write_are_detected(self) -> None:
+        self.append(make_entries(1, 2), make_entries(3, 1), make_entries(4, 1))
+        data = self.files.read("log") or b""
+        end = len(encode_log(STATE, LogPosition(), make_entries(1, 2)))
+        for lost in range(1, end):
+            kept = data[:lost] + bytes(end - lost) + data[end:]
+            self.assertIsInstance(decode_log(kept), Failure, lost)
+
     def test_missing_files_are_detected(self) -> None:
         snapshot = make_snapshot(2)
         self.append(make_entries(1, 4))
