Keep the data of a disk that refuses to lock its folder

What callers saw: nothing traced to it. A controller whose disk refuses writes for a while comes back without its log, and counts as a lost disk beside another one.

Cause: an input/output error of any step of opening a store counted as damage, also that of creating, locking and syncing its folder, after which the files were set aside. Only an error of reading them says that they can't be read.

Evidence: by reading; test_disk_that_refuses_to_lock_the_folder_does_not_lose_its_data failed before (StoreDamaged) and passes now (SyncFailed, and the data is there at the next start).

--- a/src/rhubarbfield/storage/file.py
+++ b/src/rhubarbfield/storage/file.py
@@ -72,14 +72,16 @@
         """Return all stored data without a torn last record."""
         try:
             self._files.lock()
-            stored = self._read_files()
         except BlockingIOError:
             return Failure(StoreInUse(f"another process uses {self._folder}"))
+        except OSError as error:
+            return _describe_refusal(error)
+        try:
+            stored = self._read_files()
         except OSError as error:
             if error.errno == errno.EIO:
                 return Failure(StoreDamaged(LOG_FILE, 0, str(error)))
-            full = error.errno in FULL_DISK_ERRORS
-            return Failure(DiskFull() if full else SyncFailed(str(error)))
+            return _describe_refusal(error)
         if isinstance(stored, Failure) or stored.unwrap() == StoredLog():
             return stored
         # The data read may so far be in the page cache only.
@@ -235,6 +237,11 @@
             raise _make_permanent_error(error) from error
 
 
+def _describe_refusal(error: OSError) -> Failure[StoreFailure]:
+    is_full = error.errno in FULL_DISK_ERRORS
+    return Failure(DiskFull() if is_full else SyncFailed(str(error)))
+
+
 def _make_permanent_error(error: OSError) -> OSError:
     """Return an error that is not treated as a full disk.
 
--- a/tests/storage/test_file.py
+++ b/tests/storage/test_file.py
@@ -284,6 +284,14 @@
         self.assertIsInstance(self.loaded.failure(), SyncFailed)
         self.assert_entries(make_entries(1, 2))
 
+    def test_disk_that_refuses_to_lock_the_folder_does_not_lose_its_data(self) -> None:
+        self.append(make_entries(1, 2))
+        refusal = OSError(errno.EIO, "refused")
+        with mock.patch.object(self.files, "lock", side_effect=refusal):
+            self.open()
+        self.assertIsInstance(self.loaded.failure(), SyncFailed)
+        self.assert_entries(make_entries(1, 2))
+
     def test_real_files_keep_written_data(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             for first in (1, 3):
