--- a/src/rhubarbfield/replication/follower.py
+++ b/src/rhubarbfield/replication/follower.py
@@ -16,7 +16,7 @@
 )
 from rhubarbfield.replication.state import ReplicaState
 from rhubarbfield.storage import Entry, LogPosition, Snapshot
-from rhubarbfield.types import LogIndex
+from rhubarbfield.types import LogIndex, Term
 
 
 class Matched(msgspec.Struct, frozen=True):
@@ -36,11 +36,15 @@
 
     Parameters
     ----------
+    term
+        The term of the leader that sends it. Another leader may have encoded the
+        same state differently.
     position
         The position of the snapshot.
     """
 
-    def __init__(self, position: LogPosition) -> None:
+    def __init__(self, term: Term, position: LogPosition) -> None:
+        self.term = term
         self.position = position
         self.data = bytearray()
 
@@ -167,8 +171,9 @@
         if message.position.index <= log.commit:
             return message.total
         incoming = self._incoming
-        if incoming is None or incoming.position != message.position:
-            incoming = self._incoming = IncomingSnapshot(message.position)
+        wanted = (message.term, message.position)
+        if incoming is None or (incoming.term, incoming.position) != wanted:
+            incoming = self._incoming = IncomingSnapshot(*wanted)
         if message.offset == len(incoming.data):
             incoming.data += message.data
         if len(incoming.data) < message.total:
