Give all members of a gang one checkpoint, the newest that one has shown

Cause: the checkpoint was kept by task. The end of a run stored it for the member that ended, and a start gave each member its own, so that a save which the lost member's last view did not show tore the gang for good. Stops, moves, lapses and removals did the same by other values, under any leader, since the values are in the log.

A gang has one checkpoint in the replicated state now. Checkpoints are opaque: the newer one is of the later run, and within a run of the later source (a view, an end, a stop); the first of equal rank stays. A lost run is credited with the latest view of any member, and only of that run: a view of an earlier run of the task counted before, also without a gang. Records of members are kept for earlier versions, and read as one.

The stand-in workers list what a run has saved, in views and ends.

--- a/src/rhubarbfield/scheduling/appliers.py
+++ b/src/rhubarbfield/scheduling/appliers.py
@@ -27,6 +27,7 @@
 )
 from rhubarbfield.scheduling.crashes import CrashedRun
 from rhubarbfield.scheduling.former_queues import find_former_queues
+from rhubarbfield.scheduling.gang_checkpoints import CheckpointSource
 from rhubarbfield.scheduling.model import (
     NO_CHECKPOINT,
     RunNumber,
@@ -341,17 +342,29 @@
     found = state.find_task(ended.task)
     if found is None:
         return
-    job, occurrence, _, task = found
+    job, occurrence, step, task = found
     if task.live.get(ended.run) != worker.worker:
         return
     del task.live[ended.run]
     if ended.checkpoint:
+        if job.get_step(step).gang:
+            progress = job.occurrences[occurrence][step]
+            source = _find_source(ended.end)
+            progress.save_gang_checkpoint(ended.checkpoint, ended.run, source)
+        # Earlier versions read it of a gang, too.
         task.checkpoint = ended.checkpoint
     if task.phase is TaskPhase.LIVE:
         _record_outcome(state, found, ended)
     job.close_occurrence(occurrence)
 
 
+def _find_source(end: RunEnd) -> CheckpointSource:
+    """Return where the checkpoint of an ended run comes from."""
+    if end is RunEnd.STOPPED:
+        return CheckpointSource.STOP
+    return CheckpointSource.VIEW if end is RunEnd.LOST else CheckpointSource.END
+
+
 def _record_outcome(
     state: SchedulingState, found: tuple[Job, int, int, Task], ended: EndedRun
 ) -> None:
--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -60,6 +60,7 @@
 from rhubarbfield.scheduling.reservations import Reservations
 from rhubarbfield.scheduling.session import WorkerSession
 from rhubarbfield.scheduling.settings import SchedulingSettings
+from rhubarbfield.scheduling.shown_checkpoints import list_shown_checkpoints
 from rhubarbfield.scheduling.silence_marks import MarkTimes, SilenceMarker
 from rhubarbfield.scheduling.slicing import choose_starts
 from rhubarbfield.scheduling.start_stages import StageTimes, StartStage
@@ -267,6 +268,10 @@
         """Record that an incarnation of a machine has ended."""
         await self._removals.remove(worker, checkpoints)
 
+    def list_checkpoints(self, worker: WorkerId) -> dict[TaskName, CheckpointToken]:
+        """Return the newest checkpoint that views show of each run on a worker."""
+        return list_shown_checkpoints(self.state, self._registry.sessions, worker)
+
     def assess_runs(self, session: WorkerSession) -> list[CrashedRun]:
         """Return what a crash of a worker, which is silent, says about its runs."""
         return self._removals.assess_runs(session)
--- a/src/rhubarbfield/scheduling/session.py
+++ b/src/rhubarbfield/scheduling/session.py
@@ -18,7 +18,6 @@
 from rhubarbfield.scheduling.metrics import LEASES_LAPSED
 from rhubarbfield.scheduling.model import (
     NO_CHECKPOINT,
-    CheckpointToken,
     RunNumber,
     TaskName,
 )
@@ -404,7 +403,8 @@
                 self.stop(key, StopReason.UNRECORDED)
 
     async def _remove_worker(self) -> None:
-        await self._host.remove_worker(self.worker, self._list_checkpoints())
+        saved = self._host.list_checkpoints(self.worker)
+        await self._host.remove_worker(self.worker, saved)
 
     async def _await_lapses(self) -> None:
         """Handle the lapse of the lease when it is due, whatever calls wait for."""
@@ -441,7 +441,7 @@
             runs=len(worker.runs),
             silent=self._clock.monotonic() - self.last_contact_at,
         )
-        saved = self._list_checkpoints()
+        saved = self._host.list_checkpoints(self.worker)
         lapsed = tuple(
             each
             for each in self._host.assess_runs(self)
@@ -453,11 +453,6 @@
         )
         await self._ledger.record_ends(ends, lapsed=lapsed)
 
-    def _list_checkpoints(self) -> dict[TaskName, CheckpointToken]:
-        return {
-            task: run.checkpoint for task, run in self.active.items() if run.checkpoint
-        }
-
 
 def _convert_end(end: ListedEnd) -> EndedRun:
     return EndedRun(end.task, end.run, end.end, end.checkpoint)
--- a/src/rhubarbfield/scheduling/session_host.py
+++ b/src/rhubarbfield/scheduling/session_host.py
@@ -45,6 +45,9 @@
     ) -> None:
         """Record that an incarnation of a machine has ended."""
 
+    def list_checkpoints(self, worker: WorkerId) -> dict[TaskName, CheckpointToken]:
+        """Return the newest checkpoint that views show of each run on a worker."""
+
     def assess_runs(self, session: WorkerSession) -> list[CrashedRun]:
         """Return what a crash of a worker, which is silent, says about its runs."""
 
--- a/src/rhubarbfield/scheduling/starting.py
+++ b/src/rhubarbfield/scheduling/starting.py
@@ -146,7 +146,7 @@
         found = self._state.find_task(start.task)
         if session is None or found is None or not self._state.is_wanted(start.task):
             return False
-        job, _, _, task = found
+        job, occurrence, step, task = found
         log_event(
             logger,
             logging.INFO,
@@ -162,7 +162,7 @@
             Start(
                 RunKey(start.task, start.run),
                 job.submission.payload,
-                task.checkpoint,
+                job.find_checkpoint(occurrence, step, task),
                 chosen_at,
                 recorded_at=self._clock.monotonic(),
             )
--- a/src/rhubarbfield/scheduling/state.py
+++ b/src/rhubarbfield/scheduling/state.py
@@ -15,6 +15,7 @@
 from rhubarbfield.placement.state import HarmEstimate
 from rhubarbfield.scheduling.crashes import CrashedRun
 from rhubarbfield.scheduling.former_queues import FormerQueue
+from rhubarbfield.scheduling.gang_checkpoints import CheckpointSource, GangCheckpoint
 from rhubarbfield.scheduling.model import (
     NO_CHECKPOINT,
     CheckpointToken,
@@ -86,7 +87,7 @@
     failures
         Number of runs that failed.
     checkpoint
-        Checkpoint from which the next run resumes.
+        Checkpoint from which the next run resumes, unless the task is of a gang.
     live
         Worker of each run whose end is not recorded, by run number.
     crashed_runs
@@ -129,11 +130,15 @@
         Number of tasks that are done.
     failed_runs
         Runs of a gang in which a member failed.
+    checkpoint
+        Checkpoint of a gang; None before a member has shown one, or if only an
+        earlier version recorded them.
     """
 
     tasks: list[Task]
     done: int = 0
     failed_runs: list[RunNumber] = msgspec.field(default_factory=list)
+    checkpoint: GangCheckpoint | None = None
 
     @property
     def is_done(self) -> bool:
@@ -145,6 +150,23 @@
         """Whether any task waits to be started."""
         return any(task.phase is TaskPhase.WAITING for task in self.tasks)
 
+    def find_gang_checkpoint(self) -> CheckpointToken:
+        """Return the checkpoint from which all members of the gang resume."""
+        if self.checkpoint is not None:
+            return self.checkpoint.token
+        tokens = (task.checkpoint for task in self.tasks if task.checkpoint)
+        return next(tokens, NO_CHECKPOINT)
+
+    def save_gang_checkpoint(
+        self, token: CheckpointToken, run: RunNumber, source: CheckpointSource
+    ) -> None:
+        """Keep a checkpoint that a member has shown, if it is newer."""
+        if self.checkpoint is None:
+            given = self.find_gang_checkpoint()
+            self.checkpoint = GangCheckpoint(token, run, source, given)
+        else:
+            self.checkpoint = self.checkpoint.replace(token, run, source)
+
 
 class Job(msgspec.Struct, kw_only=True, dict=True):
     """A job and all its tasks.
@@ -263,6 +285,14 @@
         """Return a step as it was submitted."""
         return self.submission.steps[step]
 
+    def find_checkpoint(
+        self, occurrence: int, step: int, task: Task
+    ) -> CheckpointToken:
+        """Return the checkpoint from which the next run of a task resumes."""
+        if self.get_step(step).gang:
+            return self.occurrences[occurrence][step].find_gang_checkpoint()
+        return task.checkpoint
+
 
 def _has_live_runs(steps: list[StepProgress]) -> bool:
     return any(task.live for step in steps for task in step.tasks)
--- a/src/rhubarbfield/testing/scheduling_workers.py
+++ b/src/rhubarbfield/testing/scheduling_workers.py
@@ -61,6 +61,8 @@
         Share of its speed at which the run works, in percent.
     started_at
         Reading of the worker's clock at the start of the run.
+    checkpoint
+        Progress that the run has saved.
     """
 
     run: RunNumber
@@ -69,6 +71,7 @@
     measure: float | None = None
     pace: int = 100
     started_at: timedelta = timedelta()
+    checkpoint: CheckpointToken = NO_CHECKPOINT
 
 
 class StandInWorker:
@@ -266,7 +269,7 @@
             self.end_due_runs()
         active = tuple(
             ActiveRun(
-                task, run.run, NO_CHECKPOINT, self._find_percent(run), run.measure
+                task, run.run, run.checkpoint, self._find_percent(run), run.measure
             )
             for task, run in self.runs.items()
         )
@@ -313,8 +316,5 @@
         run = self.runs.pop(task)
         self._ended_runs[task] = run.run
         self._last_end_number += 1
-        self.ends.append(
-            ListedEnd(
-                self._last_end_number, task, run.run, end, CheckpointToken("saved")
-            )
-        )
+        saved = run.checkpoint or CheckpointToken("saved")
+        self.ends.append(ListedEnd(self._last_end_number, task, run.run, end, saved))
--- a/tests/scheduling/test_earlier_versions.py
+++ b/tests/scheduling/test_earlier_versions.py
@@ -30,6 +30,7 @@
 # Number of fields of a task, and of a worker's report, before crashes were counted.
 EARLIER_TASK_FIELDS = 5
 EARLIER_REPORT_FIELDS = 8
+EARLIER_STEP_FIELDS = 3  # before gangs had a checkpoint
 NEW_WORKER_FIELDS = ("sequence", "lapsed", "brief")
 
 
@@ -54,13 +55,17 @@
     return log
 
 
-def find_tasks(snapshot: Any) -> list[list[Any]]:
-    """Return the encoded tasks of a decoded snapshot."""
+def find_steps(snapshot: Any) -> list[list[Any]]:
+    """Return the encoded steps of a decoded snapshot."""
     jobs = snapshot["scheduling"]["jobs"].values()
-    steps = (
+    return [
         step for job in jobs for steps in job["occurrences"].values() for step in steps
-    )
-    return [task for step in steps for task in step[0]]
+    ]
+
+
+def find_tasks(snapshot: Any) -> list[list[Any]]:
+    """Return the encoded tasks of a decoded snapshot."""
+    return [task for step in find_steps(snapshot) for task in step[0]]
 
 
 class SnapshotsTest(unittest.TestCase):
@@ -69,6 +74,8 @@
         snapshot = msgspec.msgpack.decode(log.machine.take_snapshot(), strict=False)
         for task in find_tasks(snapshot):
             del task[EARLIER_TASK_FIELDS:]
+        for step in find_steps(snapshot):
+            del step[EARLIER_STEP_FIELDS:]
         for worker in snapshot["scheduling"]["workers"].values():
             for name in NEW_WORKER_FIELDS:
                 del worker[name]
