Open and compact a log in parts, not in several copies of its size

Cause: a file was read as a whole, cut into records, decoded, and all entries were then encoded again as one record, each a copy; compacting encoded the kept entries in the same way. What a killed process left of a replacement is removed when the log is opened, not before the next replacement.

--- a/src/rhubarbfield/storage/file.py
+++ b/src/rhubarbfield/storage/file.py
@@ -4,14 +4,22 @@
 
 import errno
 import threading
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from pathlib import Path
 
-import msgspec
 from returns.result import Failure, Result, Success
 
 from rhubarbfield.storage.files import FileLayer, SystemFiles
-from rhubarbfield.storage.frames import frame_payload, read_frames
+from rhubarbfield.storage.logfile import (
+    LOG_FILE,
+    SNAPSHOT_FILE,
+    decode_log,
+    decode_snapshot,
+    encode_log,
+    encode_record,
+    encode_snapshot,
+    join_snapshot,
+)
 from rhubarbfield.storage.records import (
     Entry,
     HardState,
@@ -27,140 +35,14 @@
     SyncFailed,
 )
 
-LOG_FILE = "log"
-SNAPSHOT_FILE = "snapshot"
 NEW_SUFFIX = ".new"
 DAMAGED_SUFFIX = ".damaged"
-FORMAT_VERSION = 1
+# Read at once, of a file that may have many times this size.
+PART_BYTES = 1024 * 1024
 # Without a free descriptor no new file can be opened, which is like no room for it.
 FULL_DISK_ERRORS = frozenset({errno.ENOSPC, errno.EDQUOT, errno.EMFILE, errno.ENFILE})
 
 
-class LogHeader(msgspec.Struct, frozen=True, array_like=True):
-    """First record of a log file.
-
-    Attributes
-    ----------
-    version
-        Version of the file format.
-    base
-        Position just before the first entry.
-    """
-
-    version: int
-    base: LogPosition
-
-
-class LogRecord(msgspec.Struct, frozen=True, array_like=True):
-    """Any later record of a log file, written and synced as a unit.
-
-    Attributes
-    ----------
-    hard_state
-        Replaces the hard state of the previous record.
-    entries
-        Replace the entries stored at and after the index of the first one.
-    """
-
-    hard_state: HardState
-    entries: tuple[Entry, ...] = ()
-
-
-_encoder = msgspec.msgpack.Encoder()
-_header_decoder = msgspec.msgpack.Decoder(LogHeader)
-_record_decoder = msgspec.msgpack.Decoder(LogRecord)
-_snapshot_decoder = msgspec.msgpack.Decoder(Snapshot)
-
-
-def encode_log(
-    hard_state: HardState, base: LogPosition, entries: Sequence[Entry]
-) -> bytes:
-    """Return the contents of a new log file."""
-    header = _encoder.encode(LogHeader(FORMAT_VERSION, base))
-    record = _encoder.encode(LogRecord(hard_state, tuple(entries)))
-    return frame_payload(header) + frame_payload(record)
-
-
-def decode_log(data: bytes) -> Result[StoredLog, StoreDamaged]:
-    """Decode the contents of a log file, ignoring a torn last record."""
-    frames = read_frames(data)
-    if frames.damage is not None:
-        damage = frames.damage
-        return Failure(StoreDamaged(LOG_FILE, damage.offset, damage.reason))
-    if not frames.payloads:
-        return Failure(StoreDamaged(LOG_FILE, 0, "no complete record"))
-    try:
-        header = _header_decoder.decode(frames.payloads[0])
-        records = [_record_decoder.decode(payload) for payload in frames.payloads[1:]]
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
-        return Failure(StoreDamaged(LOG_FILE, 0, str(error)))
-    if header.version != FORMAT_VERSION:
-        reason = f"format version {header.version}, but {FORMAT_VERSION} is supported"
-        return Failure(StoreDamaged(LOG_FILE, 0, reason))
-    return _replay(header.base, records)
-
-
-def decode_snapshot(data: bytes) -> Result[Snapshot, StoreDamaged]:
-    """Decode the contents of a snapshot file."""
-    frames = read_frames(data)
-    if frames.damage is not None:
-        damage = frames.damage
-        return Failure(StoreDamaged(SNAPSHOT_FILE, damage.offset, damage.reason))
-    if len(frames.payloads) != 1 or frames.valid_bytes != len(data):
-        return Failure(
-            StoreDamaged(SNAPSHOT_FILE, 0, "not exactly one complete record")
-        )
-    try:
-        return Success(_snapshot_decoder.decode(frames.payloads[0]))
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
-        return Failure(StoreDamaged(SNAPSHOT_FILE, 0, str(error)))
-
-
-def _replay(
-    base: LogPosition, records: Sequence[LogRecord]
-) -> Result[StoredLog, StoreDamaged]:
-    hard_state = HardState()
-    entries: list[Entry] = []
-    for number, record in enumerate(records, 1):
-        hard_state = record.hard_state
-        if not record.entries:
-            continue
-        start = record.entries[0].index - base.index - 1
-        indexes = range(record.entries[0].index, record.entries[-1].index + 1)
-        if not 0 <= start <= len(entries) or list(indexes) != [
-            entry.index for entry in record.entries
-        ]:
-            reason = f"record {number} leaves a gap in the entries"
-            return Failure(StoreDamaged(LOG_FILE, 0, reason))
-        del entries[start:]
-        entries.extend(record.entries)
-    return Success(StoredLog(hard_state, None, base, tuple(entries)))
-
-
-def join_snapshot(
-    log: StoredLog, snapshot: Snapshot | None
-) -> Result[StoredLog, StoreDamaged]:
-    """Combine a log and a snapshot that were saved one after the other.
-
-    The snapshot may be newer than the log if the process ended between the
-    two writes. It is never older than the base of the log.
-    """
-    if snapshot is None:
-        if log.base.index > 0:
-            return Failure(StoreDamaged(SNAPSHOT_FILE, 0, "the file is missing"))
-        return Success(log)
-    position = snapshot.position
-    if position.index < log.base.index:
-        reason = f"it ends at {position.index}, the log starts after {log.base.index}"
-        return Failure(StoreDamaged(SNAPSHOT_FILE, 0, reason))
-    offset = position.index - log.base.index
-    positions = [log.base, *(LogPosition(e.index, e.term) for e in log.entries)]
-    matches_log = offset < len(positions) and positions[offset] == position
-    if matches_log:
-        return Success(StoredLog(log.hard_state, snapshot, log.base, log.entries))
-    return Success(StoredLog(log.hard_state, snapshot, position, ()))
-
-
 class FileStore:
     """Log store with the log in one file and the latest snapshot in another.
 
@@ -190,6 +72,7 @@
         """Return all stored data without a torn last record."""
         try:
             self._files.lock()
+            self._remove_replacements()
             stored = self._read_files()
         except BlockingIOError:
             return Failure(StoreInUse(f"another process uses {self._folder}"))
@@ -208,21 +91,32 @@
         return saved.map(lambda _: found)
 
     def _read_files(self) -> Result[StoredLog, StoreFailure]:
-        log_data = self._files.read(LOG_FILE)
-        snapshot_data = self._files.read(SNAPSHOT_FILE)
-        if log_data is None and snapshot_data is None:
+        log_parts = self._read_parts(LOG_FILE)
+        snapshot_parts = self._read_parts(SNAPSHOT_FILE)
+        if log_parts is None and snapshot_parts is None:
             return Success(StoredLog())
-        if log_data is None:
+        if log_parts is None:
             return Failure(StoreDamaged(LOG_FILE, 0, "the file is missing"))
         snapshot: Result[Snapshot | None, StoreDamaged] = Success(None)
-        if snapshot_data is not None:
-            snapshot = decode_snapshot(snapshot_data)
+        if snapshot_parts is not None:
+            snapshot = decode_snapshot(snapshot_parts)
         if isinstance(snapshot, Failure):
             return snapshot
-        return decode_log(log_data).bind(
+        return decode_log(log_parts).bind(
             lambda log: join_snapshot(log, snapshot.unwrap())
         )
 
+    def _read_parts(self, name: str) -> Iterator[bytes] | None:
+        first = self._files.read(name, 0, PART_BYTES)
+        return None if first is None else self._continue_reading(name, first)
+
+    def _continue_reading(self, name: str, part: bytes) -> Iterator[bytes]:
+        offset = 0
+        while part:
+            yield part
+            offset += len(part)
+            part = self._files.read(name, offset, PART_BYTES) or b""
+
     def append(
         self, hard_state: HardState, entries: Sequence[Entry] = ()
     ) -> Result[None, StoreFailure]:
@@ -239,8 +133,8 @@
         """Write the hard state and entries as one record without syncing it."""
         if self._size == 0:
             return self.append(hard_state, entries)
-        record = _encoder.encode(LogRecord(hard_state, tuple(entries)))
-        return self._attempt(lambda: self._write_record(frame_payload(record)))
+        record = encode_record(hard_state, entries)
+        return self._attempt(lambda: self._write_record(record))
 
     def sync(self) -> Result[None, StoreFailure]:
         """Make all written records durable."""
@@ -256,13 +150,11 @@
         """Save a snapshot and replace the stored entries."""
 
         def save() -> None:
-            data = frame_payload(_encoder.encode(snapshot))
-            log_data = encode_log(hard_state, base, entries)
-            self._write_new_file(SNAPSHOT_FILE, data)
-            self._write_new_file(LOG_FILE, log_data)
+            self._write_new_file(SNAPSHOT_FILE, (encode_snapshot(snapshot),))
+            size = self._write_new_file(LOG_FILE, encode_log(hard_state, base, entries))
             self._replace_file(SNAPSHOT_FILE)
             self._replace_file(LOG_FILE)
-            self._size = len(log_data)
+            self._size = size
 
         return self._attempt_exclusively(save)
 
@@ -271,7 +163,7 @@
 
         def rename() -> None:
             for name in (LOG_FILE, SNAPSHOT_FILE):
-                if self._files.read(name) is not None:
+                if self._files.read(name, 0, 0) is not None:
                     self._files.rename(name, name + DAMAGED_SUFFIX)
             self._sync_folder()
             self._size = 0
@@ -305,14 +197,17 @@
     def _remove_partial_writes(self) -> bool:
         """Remove the partial writes that a full disk left; return whether it worked."""
         try:
-            self._files.remove(LOG_FILE + NEW_SUFFIX)
-            self._files.remove(SNAPSHOT_FILE + NEW_SUFFIX)
+            self._remove_replacements()
             if self._size:
                 self._files.truncate(LOG_FILE, self._size)
         except OSError:
             return False
         return True
 
+    def _remove_replacements(self) -> None:
+        self._files.remove(LOG_FILE + NEW_SUFFIX)
+        self._files.remove(SNAPSHOT_FILE + NEW_SUFFIX)
+
     def _write_record(self, record: bytes) -> None:
         self._files.append(LOG_FILE, record)
         self._size += len(record)
@@ -320,15 +215,19 @@
     def _rewrite_log(
         self, hard_state: HardState, base: LogPosition, entries: Sequence[Entry]
     ) -> None:
-        data = encode_log(hard_state, base, entries)
-        self._write_new_file(LOG_FILE, data)
+        size = self._write_new_file(LOG_FILE, encode_log(hard_state, base, entries))
         self._replace_file(LOG_FILE)
-        self._size = len(data)
+        self._size = size
 
-    def _write_new_file(self, name: str, data: bytes) -> None:
+    def _write_new_file(self, name: str, parts: Iterable[bytes]) -> int:
+        """Write and sync the replacement of a file; return its size."""
         self._files.remove(name + NEW_SUFFIX)
-        self._files.append(name + NEW_SUFFIX, data)
+        size = 0
+        for part in parts:
+            self._files.append(name + NEW_SUFFIX, part)
+            size += len(part)
         self._sync(name + NEW_SUFFIX)
+        return size
 
     def _replace_file(self, name: str) -> None:
         self._files.rename(name + NEW_SUFFIX, name)
--- a/src/rhubarbfield/storage/files.py
+++ b/src/rhubarbfield/storage/files.py
@@ -26,8 +26,19 @@
             If another process holds the lock.
         """
 
-    def read(self, name: str) -> bytes | None:
-        """Return the contents of a file, or None if it does not exist."""
+    def read(self, name: str, offset: int = 0, size: int | None = None) -> bytes | None:
+        """Return a part of a file, or None if it does not exist.
+
+        Parameters
+        ----------
+        name
+            Name of the file.
+        offset
+            Start of the part, in bytes.
+        size
+            Length of the part, or None for all the rest; less is returned only at
+            the end of the file.
+        """
 
     def append(self, name: str, data: bytes) -> None:
         """Append to a file, which is created if missing."""
@@ -71,10 +82,12 @@
         self._get_folder()
         fcntl.flock(self._get_descriptor(LOCK_FILE), fcntl.LOCK_EX | fcntl.LOCK_NB)
 
-    def read(self, name: str) -> bytes | None:
-        """Return the contents of a file, or None if it does not exist."""
+    def read(self, name: str, offset: int = 0, size: int | None = None) -> bytes | None:
+        """Return a part of a file, or None if it does not exist."""
         try:
-            return (self._folder / name).read_bytes()
+            with (self._folder / name).open("rb") as file:
+                file.seek(offset)
+                return file.read(size)
         except FileNotFoundError:
             return None
 
--- a/src/rhubarbfield/storage/frames.py
+++ b/src/rhubarbfield/storage/frames.py
@@ -9,6 +9,7 @@
 
 import struct
 import zlib
+from collections.abc import Iterable, Iterator
 
 import msgspec
 
@@ -32,56 +33,78 @@
     reason: str
 
 
-class Frames(msgspec.Struct, frozen=True):
-    """Records that were read from a file.
-
-    Attributes
-    ----------
-    payloads
-        Payloads of the complete records.
-    valid_bytes
-        Size of the file up to the end of the last complete record.
-    damage
-        Damage at which reading stopped; None if it stopped at the end of the
-        file or at a torn write.
-    """
-
-    payloads: list[bytes]
-    valid_bytes: int
-    damage: Damage | None = None
-
-
 def frame_payload(payload: bytes) -> bytes:
     """Return ``payload`` as a record with its header."""
     fields = _HEADER_FIELDS.pack(len(payload), zlib.crc32(payload))
     return fields + _HEADER_CHECKSUM.pack(zlib.crc32(fields)) + payload
 
 
-def read_frames(data: bytes) -> Frames:
-    """Split the contents of a file into its records.
+class FrameReader:
+    """Splits the contents of a file into its records, one in memory at a time.
 
     An incomplete record at the end of the file and zeros after the last record
     are the result of a write that was interrupted before it became durable;
     they are ignored. Anything else that is invalid counts as damage.
+
+    Parameters
+    ----------
+    parts
+        The contents of the file, in parts of any size.
+
+    Attributes
+    ----------
+    offset
+        End of the last complete record, in bytes.
+    damage
+        Damage at which reading stopped; None if it stopped at the end of the
+        file or at a torn write.
     """
-    payloads: list[bytes] = []
-    offset = 0
-    while len(data) - offset >= HEADER_BYTES:
-        start = offset + HEADER_BYTES
-        fields = data[offset : offset + _HEADER_FIELDS.size]
-        size, checksum = _HEADER_FIELDS.unpack(fields)
-        (header_checksum,) = _HEADER_CHECKSUM.unpack_from(
-            data, offset + _HEADER_FIELDS.size
-        )
-        if header_checksum != zlib.crc32(fields):
-            if not any(data[offset:]):
-                break
-            return Frames(payloads, offset, Damage(offset, "bad header checksum"))
-        if len(data) - start < size:
-            break
-        payload = data[start : start + size]
-        if zlib.crc32(payload) != checksum:
-            return Frames(payloads, offset, Damage(offset, "bad record checksum"))
-        payloads.append(payload)
-        offset = start + size
-    return Frames(payloads, offset)
+
+    def __init__(self, parts: Iterable[bytes]) -> None:
+        self._parts = iter(parts)
+        self._buffer = bytearray()
+        self.offset = 0
+        self.damage: Damage | None = None
+
+    @property
+    def is_at_end(self) -> bool:
+        """Whether all that was read is part of a complete record."""
+        return not self._buffer
+
+    def read(self) -> Iterator[memoryview]:
+        """Yield the payload of each complete record, valid until the next one."""
+        while self._fill(HEADER_BYTES):
+            fields = bytes(self._buffer[: _HEADER_FIELDS.size])
+            size, checksum = _HEADER_FIELDS.unpack(fields)
+            (header_checksum,) = _HEADER_CHECKSUM.unpack_from(
+                self._buffer, _HEADER_FIELDS.size
+            )
+            if header_checksum != zlib.crc32(fields):
+                if not self._has_only_zeros():
+                    self.damage = Damage(self.offset, "bad header checksum")
+                return
+            end = HEADER_BYTES + size
+            if not self._fill(end):
+                return
+            with (
+                memoryview(self._buffer) as content,
+                content[HEADER_BYTES:end] as payload,
+            ):
+                if zlib.crc32(payload) != checksum:
+                    self.damage = Damage(self.offset, "bad record checksum")
+                    return
+                yield payload
+            del self._buffer[:end]
+            self.offset += end
+
+    def _fill(self, size: int) -> bool:
+        while len(self._buffer) < size:
+            part = next(self._parts, None)
+            if part is None:
+                return False
+            self._buffer += part
+        return True
+
+    def _has_only_zeros(self) -> bool:
+        is_zero = not any(self._buffer)
+        return is_zero and all(part.count(0) == len(part) for part in self._parts)
--- a/tests/replication/test_founding_records.py
+++ b/tests/replication/test_founding_records.py
@@ -10,7 +10,7 @@
 from rhubarbfield.replication.log import ReplicaLog
 from rhubarbfield.replication.messages import Probe, ProbeAnswer
 from rhubarbfield.storage import HardState, MemoryStore
-from rhubarbfield.storage.file import LogRecord
+from rhubarbfield.storage.logfile import LogRecord
 from rhubarbfield.storage.records import IncarnationText, Index, TermNumber
 from rhubarbfield.types import Incarnation, InstanceName, LogIndex, Term
 
--- a/tests/storage/simulated_files.py
+++ b/tests/storage/simulated_files.py
@@ -43,9 +43,10 @@
     def lock(self) -> None:
         pass
 
-    def read(self, name: str) -> bytes | None:
+    def read(self, name: str, offset: int = 0, size: int | None = None) -> bytes | None:
         file = self._names.get(name)
-        return bytes(file.data) if file is not None else None
+        end = None if size is None else offset + size
+        return bytes(file.data[offset:end]) if file is not None else None
 
     def append(self, name: str, data: bytes) -> None:
         file = self._names.setdefault(name, SimulatedFile())
--- a/tests/storage/test_file.py
+++ b/tests/storage/test_file.py
@@ -33,7 +33,7 @@
     SyncFailed,
     SystemFiles,
 )
-from rhubarbfield.storage.file import decode_log, decode_snapshot, encode_log
+from rhubarbfield.storage.logfile import decode_log, decode_snapshot, encode_log
 from rhubarbfield.types import Incarnation, LogIndex, Term
 from tests.storage.simulated_files import SimulatedCrashError, SimulatedFiles
 
@@ -141,9 +141,9 @@
         self.append(make_entries(3, 2))
         data = self.files.read("log") or b""
         for size in range(complete_size, len(data)):
-            stored = decode_log(data[:size]).unwrap()
+            stored = decode_log([data[:size]]).unwrap()
             self.assertEqual(stored.entries, make_entries(1, 2), size)
-        zeros = decode_log(data + bytes(100)).unwrap()
+        zeros = decode_log([data + bytes(100)]).unwrap()
         self.assertEqual(zeros.entries, make_entries(1, 4))
 
     def test_every_flipped_byte_is_detected(self) -> None:
@@ -152,7 +152,7 @@
         for offset in range(len(data)):
             flipped = bytearray(data)
             flipped[offset] ^= 0x10
-            result = decode_log(bytes(flipped))
+            result = decode_log([bytes(flipped)])
             self.assertIsInstance(result, Failure, offset)
 
     def test_missing_files_are_detected(self) -> None:
@@ -357,8 +357,8 @@
     def test_decoders_never_raise(
         self, noise: bytes, offset: int, patch: bytes
     ) -> None:
-        data = bytearray(encode_log(STATE, LogPosition(), make_entries(1, 5)))
+        data = bytearray(b"".join(encode_log(STATE, LogPosition(), make_entries(1, 5))))
         data[offset : offset + len(patch)] = patch
         for sample in (noise, bytes(data), bytes(data) + noise):
-            decode_log(sample)
-            decode_snapshot(sample)
+            decode_log([sample])
+            decode_snapshot([sample])
