--- a/src/rhubarbfield/replication/applier.py
+++ b/src/rhubarbfield/replication/applier.py
@@ -17,6 +17,7 @@
 
 APPLY_BATCH_ENTRIES = 128
 SNAPSHOT_RETRY_ENTRIES = 100
+SNAPSHOT_RETRIES_IN_BOUND = 8
 
 
 class StateMachine(Protocol):
@@ -54,8 +55,9 @@
         self._waiting: list[tuple[LogIndex, int, trio.Event]] = []
         self._sequence = itertools.count()
         self._current_index: LogIndex | None = None
-        self._snapshot_due = state.settings.snapshot_after
         self.applied = LogIndex(0)
+        self._bytes_applied = 0
+        self._plan_snapshot()
         self.is_current = False
         self.became_current = trio.Event()
         if state.log.snapshot is not None:
@@ -79,7 +81,7 @@
         )
         self._machine.restore(snapshot.data)
         self._set_applied(index)
-        self._snapshot_due = index + self._state.settings.snapshot_after
+        self._plan_snapshot()
 
     def record_leader_commit(self, commit: LogIndex) -> None:
         """Record the commit index of a leader that holds its lease.
@@ -102,7 +104,7 @@
     def _apply_batch(self) -> None:
         log = self._state.log
         until = min(log.commit, self.applied + APPLY_BATCH_ENTRIES)
-        while self.applied < until:
+        while self.applied < until and not self._is_snapshot_due:
             entry = log.get_entry(LogIndex(self.applied + 1))
             check_invariant(
                 entry.index == self.applied + 1,
@@ -111,10 +113,29 @@
             )
             reply = self._apply(entry)
             self._set_applied(entry.index)
+            self._bytes_applied += len(entry.data)
             self._proposals.finish_applied(entry, reply)
-        if self.applied >= self._snapshot_due:
+        if self._is_snapshot_due:
             self._take_snapshot()
 
+    @property
+    def _is_snapshot_due(self) -> bool:
+        return self.applied >= self._due_index or self._bytes_applied >= self._due_bytes
+
+    def _plan_snapshot(self) -> None:
+        """Take the next snapshot once enough is applied from now on."""
+        settings = self._state.settings
+        last = self._state.log.snapshot
+        self._bytes_applied = 0
+        self._due_index = self.applied + settings.snapshot_after
+        # Otherwise a snapshot larger than the bound would be written every few entries.
+        self._due_bytes = max(settings.snapshot_bytes, len(last.data) if last else 0)
+
+    def _plan_retry(self) -> None:
+        self._due_index = self.applied + SNAPSHOT_RETRY_ENTRIES
+        bound = self._state.settings.snapshot_bytes
+        self._due_bytes = self._bytes_applied + bound // SNAPSHOT_RETRIES_IN_BOUND + 1
+
     def _apply(self, entry: Entry) -> bytes:
         if entry.kind is EntryKind.COMMAND:
             return self._machine.apply(entry.index, entry.data)
@@ -134,6 +155,7 @@
             self.became_current.set()
 
     def _take_snapshot(self) -> None:
+        self._plan_retry()
         state = self._state
         log = state.log
         term = log.find_term(self.applied)
@@ -148,11 +170,13 @@
         position = LogPosition(self.applied, term)
         data = self._machine.take_snapshot()
         snapshot = Snapshot(position, encode_membership(membership), data)
-        first_kept = max(log.base.index, self.applied - state.settings.kept_entries)
-        base_term = log.find_term(LogIndex(first_kept))
+        settings = state.settings
+        first_kept = log.find_first_kept(
+            self.applied, settings.kept_entries, settings.kept_bytes
+        )
+        base_term = log.find_term(first_kept)
         if base_term is None:
             return
-        base = LogPosition(LogIndex(first_kept), base_term)
-        saved = state.persist(log.compact(snapshot, base))
-        wait = state.settings.snapshot_after if saved else SNAPSHOT_RETRY_ENTRIES
-        self._snapshot_due = self.applied + wait
+        base = LogPosition(first_kept, base_term)
+        if state.persist(log.compact(snapshot, base)):
+            self._plan_snapshot()
--- a/src/rhubarbfield/replication/log.py
+++ b/src/rhubarbfield/replication/log.py
@@ -8,6 +8,7 @@
 from returns.result import Result
 
 from rhubarbfield.exceptions import check_invariant
+from rhubarbfield.replication.entries import EntryList
 from rhubarbfield.replication.membership import IndexedMembership, Membership, Quorum
 from rhubarbfield.storage import (
     Entry,
@@ -62,8 +63,7 @@
         self._store = store
         self.hard_state = stored.hard_state
         self.snapshot = stored.snapshot
-        self.base = stored.base
-        self._entries = list(stored.entries)
+        self._entries = EntryList(stored.base, stored.entries)
         snapshot_index = stored.snapshot.position.index if stored.snapshot else 0
         self.commit = LogIndex(max(stored.hard_state.commit, snapshot_index))
         self._memberships = self._collect_memberships()
@@ -79,12 +79,20 @@
         """The current term, which is the highest one seen."""
         return self.hard_state.term
 
+    @property
+    def base(self) -> LogPosition:
+        """The position just before the first entry kept."""
+        return self._entries.base
+
     @property
     def last(self) -> LogPosition:
         """The position of the last entry."""
-        if not self._entries:
-            return self.base
-        return LogPosition(self._entries[-1].index, self._entries[-1].term)
+        return self._entries.last
+
+    @property
+    def uncommitted_bytes(self) -> int:
+        """Bytes of the entries that are not known to be committed."""
+        return self._entries.measure_bytes(self.commit, self.last.index)
 
     @property
     def is_empty(self) -> bool:
@@ -120,18 +128,23 @@
             return self.base.term
         if not self.base.index < index <= self.last.index:
             return None
-        return self._entries[index - self.base.index - 1].term
+        return self._entries.get(index).term
 
     def get_entry(self, index: LogIndex) -> Entry:
         """Return the entry at ``index``, which must be kept."""
-        return self._entries[index - self.base.index - 1]
+        return self._entries.get(index)
+
+    def find_first_kept(
+        self, until: LogIndex, max_entries: int, max_bytes: int
+    ) -> LogIndex:
+        """Return the index after which the entries up to ``until`` are in bounds."""
+        return self._entries.find_first_kept(until, max_entries, max_bytes)
 
     def get_batch(
         self, first: LogIndex, max_entries: int, max_bytes: int
     ) -> tuple[Entry, ...]:
         """Return entries from ``first`` on within the limits, but at least one."""
-        start = first - self.base.index - 1
-        candidates = self._entries[start : start + max_entries]
+        candidates = self._entries.list_after(LogIndex(first - 1), max_entries)
         taken = 0
         size = 0
         for entry in candidates:
@@ -229,7 +242,7 @@
             The position after which entries are kept; at or before that of
             the snapshot.
         """
-        kept = self._entries[base.index - self.base.index :]
+        kept = self._entries.list_after(base.index)
         return self._replace(snapshot, base, kept)
 
     def install(self, snapshot: Snapshot) -> Result[None, StoreFailure]:
@@ -241,7 +254,7 @@
             (position, self.commit),
         )
         agrees = self.find_term(position.index) == position.term
-        kept = self._entries[position.index - self.base.index :] if agrees else []
+        kept = self._entries.list_after(position.index) if agrees else []
         return self._replace(snapshot, position, kept)
 
     def advance_commit(self, index: LogIndex) -> None:
@@ -267,7 +280,7 @@
         if first <= self.last.index:
             self.synced = LogIndex(min(self.synced, first - 1))
             self.recovered = LogIndex(min(self.recovered, first - 1))
-        del self._entries[first - self.base.index - 1 :]
+        self._entries.drop_from(first)
         self._entries.extend(entries)
         while self._memberships and self._memberships[-1].index >= first:
             self._memberships.pop()
@@ -292,8 +305,7 @@
         self.hard_state = hard_state
         self.commit = hard_state.commit
         self.snapshot = snapshot
-        self.base = base
-        self._entries = entries
+        self._entries = EntryList(base, entries)
         self.synced = self.last.index
         self._memberships = self._collect_memberships()
 
@@ -304,7 +316,7 @@
             covered = self.snapshot.position.index
             membership = decode_membership(self.snapshot.membership)
             indexed.append(IndexedMembership(LogIndex(covered), membership))
-        later = [entry for entry in self._entries if entry.index > covered]
+        later = self._entries.list_after(LogIndex(max(covered, self.base.index)))
         return indexed + _decode_memberships(later)
 
 
--- a/src/rhubarbfield/replication/peer.py
+++ b/src/rhubarbfield/replication/peer.py
@@ -189,11 +189,13 @@
     def _send_chunk(self) -> None:
         state = self._state
         transfer = self._transfer
-        if transfer is None:
-            snapshot = state.log.snapshot
-            check_invariant(snapshot is not None, "snapshot-kept", state.log.base)
-            if snapshot is None:
-                return
+        snapshot = state.log.snapshot
+        check_invariant(snapshot is not None, "snapshot-kept", state.log.base)
+        if snapshot is None:
+            return
+        if transfer is None or (
+            transfer.received == 0 and transfer.snapshot is not snapshot
+        ):
             transfer = self._transfer = SnapshotTransfer(snapshot)
         if transfer.received == transfer.sent_until and not self._is_heartbeat_due:
             return
--- a/src/rhubarbfield/replication/proposals.py
+++ b/src/rhubarbfield/replication/proposals.py
@@ -55,28 +55,51 @@
     ----------
     max_pending
         The maximum number of unfinished proposals.
+    max_bytes
+        The maximum bytes of proposals that are not committed.
     """
 
-    def __init__(self, max_pending: int) -> None:
+    def __init__(self, max_pending: int, max_bytes: int) -> None:
         self._max_pending = max_pending
+        self._max_bytes = max_bytes
         self._queue: list[Proposal] = []
         self._appended: dict[LogIndex, tuple[Term, Proposal]] = {}
         self.queued = Signal()
 
-    def enqueue(self, data: bytes, deadline: timedelta) -> Proposal:
-        """Queue a command; the proposal fails at once if a limit is exceeded."""
+    def enqueue(
+        self, data: bytes, deadline: timedelta, appended_bytes: int = 0
+    ) -> Proposal:
+        """Queue a command; the proposal fails at once if a limit is exceeded.
+
+        Parameters
+        ----------
+        data
+            The command.
+        deadline
+            The monotonic time at which the proposal expires.
+        appended_bytes
+            Bytes that were appended and are not committed.
+        """
         proposal = Proposal(EntryKind.COMMAND, data, deadline)
-        if len(data) > MAX_COMMAND_BYTES:
-            limit = f"a command may have {MAX_COMMAND_BYTES} bytes at most"
-            proposal.finish(Failure(Overloaded(limit, permanent=True)))
-        elif len(self._queue) + len(self._appended) >= self._max_pending:
-            limit = f"{self._max_pending} proposals are pending"
-            proposal.finish(Failure(Overloaded(limit)))
+        limit = self._find_exceeded_limit(len(data), appended_bytes)
+        if limit is not None:
+            is_permanent = len(data) > MAX_COMMAND_BYTES
+            proposal.finish(Failure(Overloaded(limit, permanent=is_permanent)))
         else:
             self._queue.append(proposal)
             self.queued.set()
         return proposal
 
+    def _find_exceeded_limit(self, size: int, appended_bytes: int) -> str | None:
+        if size > MAX_COMMAND_BYTES:
+            return f"a command may have {MAX_COMMAND_BYTES} bytes at most"
+        if len(self._queue) + len(self._appended) >= self._max_pending:
+            return f"{self._max_pending} proposals are pending"
+        pending = appended_bytes + sum(len(each.data) for each in self._queue)
+        if pending + size > self._max_bytes:
+            return f"{pending} bytes of proposals are pending"
+        return None
+
     def take(self) -> list[Proposal]:
         """Return the queued proposals and empty the queue."""
         taken, self._queue = self._queue, []
--- a/src/rhubarbfield/replication/replica.py
+++ b/src/rhubarbfield/replication/replica.py
@@ -32,11 +32,7 @@
 from rhubarbfield.replication.settings import GroupSettings
 from rhubarbfield.replication.state import MessageSender, ReplicaState, RunBlocking
 from rhubarbfield.replication.status import ReplicaStatus, describe_status
-from rhubarbfield.storage import (
-    LogStore,
-    ReplicaId,
-    StoreFailure,
-)
+from rhubarbfield.storage import LogStore, ReplicaId, StoreFailure
 from rhubarbfield.types import GroupId, InstanceName, LogIndex, Term
 
 logger = logging.getLogger(__name__)
@@ -125,7 +121,7 @@
         self._founders = tuple(sorted(set(bootstrap))) if takes_part else ()
         self._is_first_start = is_first_start
         self._run_blocking = run_blocking
-        self._proposals = Proposals(settings.max_pending)
+        self._proposals = Proposals(settings.max_pending, settings.max_pending_bytes)
         self._components: ReplicaComponents | None = None
         self._opened = trio.Event()
         self._store_note: StoreFailure | None = None
@@ -194,12 +190,13 @@
             other failure it will not be.
         """
         leader = self._leader
-        if leader is None or not leader.is_active:
+        if self._components is None or leader is None or not leader.is_active:
             return Failure(NotLeader(self.leader_hint))
         if self.leadership is None:
             return Failure(NoQuorum())
         deadline = self._clock.monotonic() + self._settings.propose_timeout
-        return await self._proposals.enqueue(command, deadline).wait()
+        appended = self._components.state.log.uncommitted_bytes
+        return await self._proposals.enqueue(command, deadline, appended).wait()
 
     @property
     def leadership(self) -> Leadership | None:
--- a/src/rhubarbfield/replication/settings.py
+++ b/src/rhubarbfield/replication/settings.py
@@ -7,11 +7,13 @@
 import msgspec
 
 from rhubarbfield.exceptions import UsageError
+from rhubarbfield.storage import MAX_COMMAND_BYTES
 
 MIN_HEARTBEATS_IN_LEASE = 3
 MAX_CLOCK_DRIFT = 0.25
 MAX_BATCH_ENTRIES = 4096
 MAX_BATCH_BYTES = 512 * 1024
+MIB = 1024 * 1024
 
 
 class GroupSettings(msgspec.Struct, frozen=True, kw_only=True):
@@ -30,9 +32,12 @@
         Largest relative error of any clock's rate.
     snapshot_after
         Number of entries applied between two snapshots.
-    kept_entries
-        Number of entries kept before a snapshot, so that a replica that lags
-        slightly needs no snapshot.
+    snapshot_bytes
+        Bytes of entries applied between two snapshots, if that is reached first; where
+        the last snapshot is larger, as many bytes as it has.
+    kept_entries, kept_bytes
+        Number and bytes of the entries kept before a snapshot, so that a replica that
+        lags slightly needs no snapshot.
     batch_bytes, batch_entries
         Size limits of the entries in one message.
     batches_in_flight
@@ -42,6 +47,8 @@
         that arrive meanwhile share a message to each peer, and a sync.
     max_pending
         Maximum number of unfinished proposals at a leader.
+    max_pending_bytes
+        Maximum bytes of proposals that are not committed at a leader.
     propose_timeout
         Time within which a proposal must be committed.
     max_learners
@@ -65,12 +72,15 @@
     election_max: timedelta = timedelta(seconds=3)
     clock_drift: float = 0.05
     snapshot_after: int = 1000
+    snapshot_bytes: int = 8 * MIB
     kept_entries: int = 500
+    kept_bytes: int = 4 * MIB
     batch_bytes: int = 256 * 1024
     batch_entries: int = 512
     batches_in_flight: int = 4
     append_interval: timedelta = timedelta()
     max_pending: int = 4096
+    max_pending_bytes: int = 8 * MIB
     propose_timeout: timedelta = timedelta(seconds=5)
     max_learners: int = 64
     replace_after: timedelta | None = None
@@ -85,6 +95,7 @@
     def _list_rules(self) -> tuple[tuple[bool, str], ...]:
         counts = (
             self.snapshot_after,
+            self.snapshot_bytes,
             self.batch_entries,
             self.batches_in_flight,
             self.max_pending,
@@ -113,7 +124,14 @@
                 timedelta() <= self.append_interval < self.heartbeat,
                 "append_interval must not be negative, and below heartbeat",
             ),
-            (self.kept_entries >= 0, "kept_entries must not be negative"),
+            (
+                min(self.kept_entries, self.kept_bytes) >= 0,
+                "kept_entries and kept_bytes must not be negative",
+            ),
+            (
+                self.max_pending_bytes >= MAX_COMMAND_BYTES,
+                f"max_pending_bytes must be at least {MAX_COMMAND_BYTES}",
+            ),
             (
                 self.batch_entries <= MAX_BATCH_ENTRIES,
                 f"batch_entries must be at most {MAX_BATCH_ENTRIES}",
--- a/src/rhubarbfield/scheduling/controller.py
+++ b/src/rhubarbfield/scheduling/controller.py
@@ -50,9 +50,22 @@
 from rhubarbfield.scheduling.service import SchedulingService
 from rhubarbfield.scheduling.silence_marks import MarkTimes
 from rhubarbfield.scheduling.state import SchedulingState
-from rhubarbfield.storage import FileStore, LogStore, MemoryStore
+from rhubarbfield.storage import (
+    MAX_COMMAND_BYTES,
+    FileStore,
+    LogStore,
+    MemoryStore,
+)
 from rhubarbfield.types import InstanceName
 
+MIB = 1024 * 1024
+# The log may hold 2.5 times its bytes between two snapshots; a disk holds it two or
+# three times while a file is replaced, beside two snapshots and a damaged store.
+LOG_SHARE_OF_MEMORY = 1 / 32
+LOG_SHARE_OF_DISK = 1 / 16
+MIN_LOG_BYTES = 1 * MIB
+MAX_LOG_BYTES = 8 * MIB
+
 
 class SchedulingController:
     """A replica of the log, and the scheduling leader while the replica leads.
@@ -225,6 +238,16 @@
     return 0 if state.configuration is None else state.configuration.version
 
 
+def _find_log_bytes(settings: DeploymentSettings) -> int:
+    """Return the bytes of the log between two snapshots, by the instance's limits."""
+    shares = (
+        (settings.memory_mb, LOG_SHARE_OF_MEMORY),
+        (settings.disk_mb, LOG_SHARE_OF_DISK),
+    )
+    limits = [int(limit * share * MIB) for limit, share in shares if limit]
+    return max(min((MAX_LOG_BYTES, *limits)), MIN_LOG_BYTES)
+
+
 def open_log_store(settings: DeploymentSettings) -> LogStore:
     """Return the store of the log; in memory if the instance has no data folder."""
     if not settings.data_folder:
@@ -234,13 +257,17 @@
 
 def make_group_settings(settings: DeploymentSettings) -> GroupSettings:
     """Return the settings of a deployment's replicated log."""
+    log_bytes = _find_log_bytes(settings)
     return GroupSettings(
         heartbeat=timedelta(milliseconds=200),
         lease=timedelta(milliseconds=900),
         election_min=timedelta(milliseconds=1100),
         election_max=timedelta(milliseconds=1800),
         snapshot_after=2000,
+        snapshot_bytes=log_bytes,
         kept_entries=1000,
+        kept_bytes=log_bytes // 2,
+        max_pending_bytes=max(log_bytes, MAX_COMMAND_BYTES),
         append_interval=timedelta(milliseconds=15),
         propose_timeout=timedelta(milliseconds=2500),
         replace_after=timedelta(milliseconds=2500),
--- a/src/rhubarbfield/scheduling/deployment.py
+++ b/src/rhubarbfield/scheduling/deployment.py
@@ -66,6 +66,9 @@
         Number of controllers that may be lost at once.
     grace_ms
         Longest duration of a planned stop.
+    memory_mb, disk_mb
+        Memory of a process and size of its disk; 0 or absent without a limit. The log
+        keeps within a share of both.
     workers
         Times of the workers' platform.
     log_level
@@ -89,6 +92,8 @@
     data_folder: str = ""
     tolerated_losses: int = 1
     grace_ms: int = 6000
+    memory_mb: float | None = None
+    disk_mb: float | None = None
     workers: WorkerTimes
     log_level: str = "info"
     log_lines_a_second: int = 200
--- a/tests/scheduling/test_late_settings.py
+++ b/tests/scheduling/test_late_settings.py
@@ -35,6 +35,8 @@
     "DataDir": "/data",
     "FaultTolerance.Machines": "1",
     "HeartbeatMs": "1100",
+    "Limits.MemoryMb": "300",
+    "Limits.DiskMb": "0",
     "Bounds.MaxHoldMs": "10000",
 }
 SEEDS = '"10.1.0.16:8166","10.2.0.32:8166","10.3.0.38:8166"'
