Tell operators why a change of the configuration was not taken

A change that was certainly not run was answered 503 with "undecided", as one whose outcome is not known. It now has the reason, such as the bytes that are pending; what was accepted stays. tests.platform.test_control: eight changes of 5,000 routes at once.

--- a/src/rhubarbfield/platform/control.py
+++ b/src/rhubarbfield/platform/control.py
@@ -107,6 +107,8 @@
                 return self._redirect(leader, CONFIGURATION_PATH)
             case Unavailable(permanent=True, reason=reason):
                 return make_json(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, {"Error": reason})
+            case Unavailable(in_doubt=False, reason=reason):
+                return make_json(HTTPStatus.SERVICE_UNAVAILABLE, {"Error": reason})
         return make_json(HTTPStatus.SERVICE_UNAVAILABLE, {"Error": "undecided"})
 
     def _confirm(self, worker: str, is_recorded: bool | NotLeading) -> HttpResponse:
--- a/tests/platform/test_control.py
+++ b/tests/platform/test_control.py
@@ -17,6 +17,7 @@
 CONTROL_PORT = 2
 REFUSED = 20
 MANY_ROUTES = 5000
+MANY_ORDERS = 8
 TOO_MANY_ROUTES = 20_000
 
 
@@ -78,6 +79,30 @@
         self.assertIn(b"a command may have 2097152 bytes at most", response.body)
         self.assertEqual(await send(controllers, "GET"), before)
 
+    @with_controllers()
+    async def test_configurations_beyond_the_room_of_the_log_are_refused_by_reason(
+        self, controllers: Controllers
+    ) -> None:
+        responses: dict[int, HttpResponse] = {}
+
+        async def put(version: int) -> None:
+            body = make_body(version, MANY_ROUTES)
+            responses[version] = await send(controllers, "PUT", body)
+
+        with self.assertLogs("rhubarbfield.scheduling.service", "WARNING"):
+            async with trio.open_nursery() as nursery:
+                for version in range(1000, 1000 + MANY_ORDERS):
+                    nursery.start_soon(put, version)
+        answered = {each.status for each in responses.values()}
+        refusal = HTTPStatus.SERVICE_UNAVAILABLE
+        self.assertEqual(answered, {HTTPStatus.OK, refusal})
+        for each in responses.values():
+            if each.status == refusal:
+                self.assertIn(b"bytes of proposals are pending", each.body)
+        highest = max(v for v, r in responses.items() if r.status == HTTPStatus.OK)
+        read = await send(controllers, "GET")
+        self.assertEqual(msgspec.json.decode(read.body)["Version"], highest)
+
 
 class HeartbeatTest(unittest.TestCase):
     @with_controllers()
