--- a/src/rhubarbfield/storage/file.py
+++ b/src/rhubarbfield/storage/file.py
@@ -4,7 +4,7 @@
 
 import errno
 import threading
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from pathlib import Path
 
 from returns.result import Failure, Result, Success
@@ -38,6 +38,8 @@
 
 NEW_SUFFIX = ".new"
 DAMAGED_SUFFIX = ".damaged"
+# Read at once, of a file that may have many times this size.
+PART_BYTES = 1024 * 1024
 # Without a free descriptor no new file can be opened, which is like no room for it.
 FULL_DISK_ERRORS = frozenset({errno.ENOSPC, errno.EDQUOT, errno.EMFILE, errno.ENFILE})
 
@@ -72,6 +74,7 @@
         """Return all stored data without a torn last record."""
         try:
             self._files.lock()
+            self._remove_replacements()
         except BlockingIOError:
             return Failure(StoreInUse(f"another process uses {self._folder}"))
         except OSError as error:
@@ -92,21 +95,32 @@
         return saved.map(lambda _: found)
 
     def _read_files(self) -> Result[StoredLog, StoreFailure]:
-        log_data = self._files.read(LOG_FILE)
-        snapshot_data = self._files.read(SNAPSHOT_FILE)
-        if log_data is None and snapshot_data is None:
+        log_parts = self._read_parts(LOG_FILE)
+        snapshot_parts = self._read_parts(SNAPSHOT_FILE)
+        if log_parts is None and snapshot_parts is None:
             return Success(StoredLog())
-        if log_data is None:
+        if log_parts is None:
             return Failure(StoreDamaged(LOG_FILE, 0, "the file is missing"))
         snapshot: Result[Snapshot | None, StoreDamaged] = Success(None)
-        if snapshot_data is not None:
-            snapshot = decode_snapshot(snapshot_data)
+        if snapshot_parts is not None:
+            snapshot = decode_snapshot(snapshot_parts)
         if isinstance(snapshot, Failure):
             return snapshot
-        return decode_log(log_data).bind(
+        return decode_log(log_parts).bind(
             lambda log: join_snapshot(log, snapshot.unwrap())
         )
 
+    def _read_parts(self, name: str) -> Iterator[bytes] | None:
+        first = self._files.read(name, 0, PART_BYTES)
+        return None if first is None else self._continue_reading(name, first)
+
+    def _continue_reading(self, name: str, part: bytes) -> Iterator[bytes]:
+        offset = 0
+        while part:
+            yield part
+            offset += len(part)
+            part = self._files.read(name, offset, PART_BYTES) or b""
+
     def append(
         self, hard_state: HardState, entries: Sequence[Entry] = ()
     ) -> Result[None, StoreFailure]:
@@ -141,13 +155,11 @@
         """Save a snapshot and replace the stored entries."""
 
         def save() -> None:
-            data = encode_snapshot(snapshot)
-            log_data = encode_log(hard_state, base, entries)
-            self._write_new_file(SNAPSHOT_FILE, data)
-            self._write_new_file(LOG_FILE, log_data)
+            self._write_new_file(SNAPSHOT_FILE, (encode_snapshot(snapshot),))
+            size = self._write_new_file(LOG_FILE, encode_log(hard_state, base, entries))
             self._replace_file(SNAPSHOT_FILE)
             self._replace_file(LOG_FILE)
-            self._size = self._durable_size = len(log_data)
+            self._size = self._durable_size = size
 
         return self._attempt_exclusively(save)
 
@@ -156,7 +168,7 @@
 
         def rename() -> None:
             for name in (LOG_FILE, SNAPSHOT_FILE):
-                if self._files.read(name) is not None:
+                if self._files.read(name, 0, 0) is not None:
                     self._files.rename(name, name + DAMAGED_SUFFIX)
             self._sync_folder()
             self._size = self._durable_size = 0
@@ -190,14 +202,17 @@
     def _remove_partial_writes(self) -> bool:
         """Remove the partial writes that a full disk left; return whether it worked."""
         try:
-            self._files.remove(LOG_FILE + NEW_SUFFIX)
-            self._files.remove(SNAPSHOT_FILE + NEW_SUFFIX)
+            self._remove_replacements()
             if self._size:
                 self._files.truncate(LOG_FILE, self._size)
         except OSError:
             return False
         return True
 
+    def _remove_replacements(self) -> None:
+        self._files.remove(LOG_FILE + NEW_SUFFIX)
+        self._files.remove(SNAPSHOT_FILE + NEW_SUFFIX)
+
     def _write_record(self, record: bytes) -> None:
         self._files.append(LOG_FILE, record)
         self._size += len(record)
@@ -205,15 +220,19 @@
     def _rewrite_log(
         self, hard_state: HardState, base: LogPosition, entries: Sequence[Entry]
     ) -> None:
-        data = encode_log(hard_state, base, entries)
-        self._write_new_file(LOG_FILE, data)
+        size = self._write_new_file(LOG_FILE, encode_log(hard_state, base, entries))
         self._replace_file(LOG_FILE)
-        self._size = self._durable_size = len(data)
+        self._size = self._durable_size = size
 
-    def _write_new_file(self, name: str, data: bytes) -> None:
+    def _write_new_file(self, name: str, parts: Iterable[bytes]) -> int:
+        """Write and sync the replacement of a file; return its size."""
         self._files.remove(name + NEW_SUFFIX)
-        self._files.append(name + NEW_SUFFIX, data)
+        size = 0
+        for part in parts:
+            self._files.append(name + NEW_SUFFIX, part)
+            size += len(part)
         self._sync(name + NEW_SUFFIX)
+        return size
 
     def _replace_file(self, name: str) -> None:
         self._files.rename(name + NEW_SUFFIX, name)
--- a/src/rhubarbfield/storage/logfile.py
+++ b/src/rhubarbfield/storage/logfile.py
@@ -1,17 +1,17 @@
-"""Contents of the files of a log store."""
+"""Format of the files of a log store."""
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Iterator, Sequence
 
 import msgspec
 from returns.result import Failure, Result, Success
 
 from rhubarbfield.storage.frames import (
     Damage,
+    FrameReader,
     ends_in_hole,
     frame_payload,
-    read_frames,
     search_frames,
 )
 from rhubarbfield.storage.records import (
@@ -26,6 +26,9 @@
 LOG_FILE = "log"
 SNAPSHOT_FILE = "snapshot"
 FORMAT_VERSION = 1
+# Limits what is encoded at once; a larger entry has a record of its own.
+RECORD_BYTES = 256 * 1024
+DECODE_ERRORS = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
 
 
 class LogHeader(msgspec.Struct, frozen=True, array_like=True):
@@ -73,76 +76,93 @@
     return frame_payload(_encoder.encode(record))
 
 
+def encode_log(
+    hard_state: HardState, base: LogPosition, entries: Sequence[Entry]
+) -> Iterator[bytes]:
+    """Yield the contents of a new log file in parts."""
+    yield frame_payload(_encoder.encode(LogHeader(FORMAT_VERSION, base)))
+    record: list[Entry] = []
+    size = 0
+    for entry in entries:
+        if record and size + len(entry.data) > RECORD_BYTES:
+            yield encode_record(LogRecord(hard_state, tuple(record)))
+            record, size = [], 0
+        record.append(entry)
+        size += len(entry.data)
+    yield encode_record(LogRecord(hard_state, tuple(record)))
+
+
 def encode_snapshot(snapshot: Snapshot) -> bytes:
     """Return the contents of a snapshot file."""
     return frame_payload(_encoder.encode(snapshot))
 
 
-def encode_log(
-    hard_state: HardState, base: LogPosition, entries: Sequence[Entry]
-) -> bytes:
-    """Return the contents of a new log file."""
-    header = frame_payload(_encoder.encode(LogHeader(FORMAT_VERSION, base)))
-    return header + encode_record(LogRecord(hard_state, tuple(entries)))
-
-
-def decode_log(data: bytes) -> Result[StoredLog, StoreDamaged]:
+def decode_log(parts: Iterable[bytes]) -> Result[StoredLog, StoreDamaged]:
     """Decode the contents of a log file up to the first write that was interrupted."""
-    frames = read_frames(data)
-    damage = frames.damage
-    if damage is not None and not _is_interrupted_write(data, damage):
-        return Failure(StoreDamaged(LOG_FILE, damage.offset, damage.reason))
-    if not frames.payloads:
-        return Failure(StoreDamaged(LOG_FILE, 0, "no complete record"))
+    reader = FrameReader(parts)
     try:
-        header = _header_decoder.decode(frames.payloads[0])
-        records = [_record_decoder.decode(payload) for payload in frames.payloads[1:]]
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
-        return Failure(StoreDamaged(LOG_FILE, 0, str(error)))
-    if header.version != FORMAT_VERSION:
-        reason = f"format version {header.version}, but {FORMAT_VERSION} is supported"
-        return Failure(StoreDamaged(LOG_FILE, 0, reason))
-    return _replay(header.base, records)
+        decoded = _replay(reader.read())
+    except DECODE_ERRORS as error:
+        decoded = Failure(StoreDamaged(LOG_FILE, reader.offset, str(error)))
+    damage = reader.damage
+    if damage is not None and not _is_interrupted_write(reader.read_rest(), damage):
+        return Failure(StoreDamaged(LOG_FILE, damage.offset, damage.reason))
+    return decoded
 
 
-def _is_interrupted_write(data: bytes, damage: Damage) -> bool:
+def _is_interrupted_write(rest: bytes, damage: Damage) -> bool:
     """Return whether a loss of power explains a damaged record before the end.
 
     Of the writes since the last sync it may lose any, or their ends, and keep later
     ones.
+
+    Parameters
+    ----------
+    rest
+        The file from the damaged record on.
+    damage
+        The damage.
     """
-    for payload in search_frames(data, damage.offset + 1):
+    for payload in search_frames(rest, 1):
         try:
             durable = _record_decoder.decode(payload).durable
-        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+        except DECODE_ERRORS:
             return False
         if durable is None or durable > damage.offset:
             return False
-    return ends_in_hole(data, damage)
+    return ends_in_hole(rest, damage)
 
 
-def decode_snapshot(data: bytes) -> Result[Snapshot, StoreDamaged]:
+def decode_snapshot(parts: Iterable[bytes]) -> Result[Snapshot, StoreDamaged]:
     """Decode the contents of a snapshot file."""
-    frames = read_frames(data)
-    if frames.damage is not None:
-        damage = frames.damage
+    reader = FrameReader(parts)
+    try:
+        snapshots = [_snapshot_decoder.decode(payload) for payload in reader.read()]
+    except DECODE_ERRORS as error:
+        return Failure(StoreDamaged(SNAPSHOT_FILE, 0, str(error)))
+    if reader.damage is not None:
+        damage = reader.damage
         return Failure(StoreDamaged(SNAPSHOT_FILE, damage.offset, damage.reason))
-    if len(frames.payloads) != 1 or frames.valid_bytes != len(data):
+    if len(snapshots) != 1 or not reader.is_at_end:
         return Failure(
             StoreDamaged(SNAPSHOT_FILE, 0, "not exactly one complete record")
         )
-    try:
-        return Success(_snapshot_decoder.decode(frames.payloads[0]))
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
-        return Failure(StoreDamaged(SNAPSHOT_FILE, 0, str(error)))
+    return Success(snapshots[0])
 
 
-def _replay(
-    base: LogPosition, records: Sequence[LogRecord]
-) -> Result[StoredLog, StoreDamaged]:
+def _replay(payloads: Iterator[memoryview]) -> Result[StoredLog, StoreDamaged]:
+    first = next(payloads, None)
+    if first is None:
+        return Failure(StoreDamaged(LOG_FILE, 0, "no complete record"))
+    header = _header_decoder.decode(first)
+    if header.version != FORMAT_VERSION:
+        reason = f"format version {header.version}, but {FORMAT_VERSION} is supported"
+        return Failure(StoreDamaged(LOG_FILE, 0, reason))
+    base = header.base
     hard_state = HardState()
     entries: list[Entry] = []
-    for number, record in enumerate(records, 1):
+    for number, payload in enumerate(payloads, 1):
+        record = _record_decoder.decode(payload)
         hard_state = record.hard_state
         if not record.entries:
             continue
--- a/tests/storage/test_file.py
+++ b/tests/storage/test_file.py
@@ -141,9 +141,9 @@
         self.append(make_entries(3, 2))
         data = self.files.read("log") or b""
         for size in range(complete_size, len(data)):
-            stored = decode_log(data[:size]).unwrap()
+            stored = decode_log([data[:size]]).unwrap()
             self.assertEqual(stored.entries, make_entries(1, 2), size)
-        zeros = decode_log(data + bytes(100)).unwrap()
+        zeros = decode_log([data + bytes(100)]).unwrap()
         self.assertEqual(zeros.entries, make_entries(1, 4))
 
     def test_every_flipped_byte_is_detected(self) -> None:
@@ -152,7 +152,7 @@
         for offset in range(len(data)):
             flipped = bytearray(data)
             flipped[offset] ^= 0x10
-            result = decode_log(bytes(flipped))
+            result = decode_log([bytes(flipped)])
             self.assertIsInstance(result, Failure, offset)
 
     def test_writes_that_a_loss_of_power_kept_after_lost_ones_are_cut(self) -> None:
@@ -168,7 +168,7 @@
             for lost in range(start, end):
                 kept = data[:lost] + bytes(end - lost) + data[end:]
                 for size in (len(data), len(data) - 1, end + 1):
-                    stored = decode_log(kept[:size]).unwrap()
+                    stored = decode_log([kept[:size]]).unwrap()
                     self.assertEqual(stored.entries, make_entries(1, last))
 
     def test_every_flipped_byte_of_writes_that_share_a_sync_is_detected(self) -> None:
@@ -180,16 +180,16 @@
         for offset in range(len(data)):
             flipped = bytearray(data)
             flipped[offset] ^= 0x10
-            result = decode_log(bytes(flipped))
+            result = decode_log([bytes(flipped)])
             self.assertIsInstance(result, Failure, offset)
 
     def test_lost_bytes_of_a_synced_write_are_detected(self) -> None:
         self.append(make_entries(1, 2), make_entries(3, 1), make_entries(4, 1))
         data = self.files.read("log") or b""
-        end = len(encode_log(STATE, LogPosition(), make_entries(1, 2)))
+        end = len(b"".join(encode_log(STATE, LogPosition(), make_entries(1, 2))))
         for lost in range(1, end):
             kept = data[:lost] + bytes(end - lost) + data[end:]
-            self.assertIsInstance(decode_log(kept), Failure, lost)
+            self.assertIsInstance(decode_log([kept]), Failure, lost)
 
     def test_missing_files_are_detected(self) -> None:
         snapshot = make_snapshot(2)
@@ -401,8 +401,8 @@
     def test_decoders_never_raise(
         self, noise: bytes, offset: int, patch: bytes
     ) -> None:
-        data = bytearray(encode_log(STATE, LogPosition(), make_entries(1, 5)))
+        data = bytearray(b"".join(encode_log(STATE, LogPosition(), make_entries(1, 5))))
         data[offset : offset + len(patch)] = patch
         for sample in (noise, bytes(data), bytes(data) + noise):
-            decode_log(sample)
-            decode_snapshot(sample)
+            decode_log([sample])
+            decode_snapshot([sample])
