Tell candidates up to where the log is committed

Cause: a leader replaced itself, and was cut off before any other voter heard that the change was committed. The others needed majorities of the former and of the new voters. One voter had lost its disk, so that the former majority needed the removed leader, which refused its vote: it had appended more than they had. It knew that the change was committed, and was no voter itself.

Now an answer to a pre-vote has the position up to which its sender's log is committed. A replica that has that entry counts it as committed: a committed entry is the same everywhere. Only replicas that are elected with this knowledge gain by it; votes are granted as before. Earlier versions ignore the field, and its default says nothing.

--- a/src/rhubarbfield/replication/election.py
+++ b/src/rhubarbfield/replication/election.py
@@ -139,12 +139,14 @@
             term=state.term,
             asked_term=message.term,
             granted=granted,
+            commit=state.log.commit_position,
         )
         state.send(message.source.name, answer)
 
     def on_pre_vote_answer(self, message: PreVoteAnswer) -> None:
         """Count a pre-vote."""
         state = self._state
+        self._learn_commit(message.commit)
         if state.role is not Role.PRE_CANDIDATE or message.asked_term != state.term:
             return
         if message.term > state.term:
@@ -153,6 +155,19 @@
             self._granted.add(message.source)
             self._count_votes()
 
+    def _learn_commit(self, position: LogPosition) -> None:
+        """Mark entries as committed that another replica knows to be.
+
+        The latest membership may be among them, and the former voters lost or unable
+        to vote for this replica.
+        """
+        state = self._state
+        is_kept = state.log.find_term(position.index) == position.term
+        if is_kept and position.index > state.log.commit and not state.is_leader:
+            state.log.advance_commit(position.index)
+            state.commit_advanced.set()
+            state.save_committed_change()
+
     def on_vote(self, message: Vote) -> None:
         """Grant or refuse a vote."""
         state = self._state
--- a/src/rhubarbfield/replication/log.py
+++ b/src/rhubarbfield/replication/log.py
@@ -120,6 +120,12 @@
         saved = self.hard_state.commit
         return any(saved < each.index <= self.commit for each in self._memberships)
 
+    @property
+    def commit_position(self) -> LogPosition:
+        """The position of the last entry known to be committed, if it is kept."""
+        term = self.find_term(self.commit)
+        return LogPosition() if term is None else LogPosition(self.commit, term)
+
     def find_term(self, index: LogIndex) -> Term | None:
         """Return the term of the entry at ``index``, or None if not kept."""
         if index == self.base.index:
--- a/src/rhubarbfield/replication/messages.py
+++ b/src/rhubarbfield/replication/messages.py
@@ -62,10 +62,13 @@
         The term of the pre-vote request.
     granted
         Whether the vote would be granted.
+    commit
+        The last position that the sender knows to be committed.
     """
 
     asked_term: TermNumber
     granted: bool
+    commit: LogPosition = LogPosition()
 
 
 class Vote(Message, frozen=True):
--- a/tests/replication/test_membership.py
+++ b/tests/replication/test_membership.py
@@ -62,6 +62,31 @@
 
         run_group(scenario, learners="d")
 
+    def test_group_goes_on_without_a_leader_whose_removal_the_others_have_not_learnt(
+        self,
+    ) -> None:
+        async def scenario(group: Group) -> None:
+            await group.propose_many("x", 5)
+            leader = await group.wait_leader()
+            await trio.sleep(5)
+            lost, *others = group.list_others(leader)
+            for node in (lost, *others):
+                group.network.slow(node.name, leader.name, 0.2)
+            async with trio.open_nursery() as nursery:
+                change = leader.replica.replace_voter
+                nursery.start_soon(change, leader.name, InstanceName("d"))
+                await trio.sleep(0.05)
+                for node in (lost, *others):
+                    group.network.cut(leader.name, node.name)
+                nursery.start_soon(group.propose, leader, b"y")
+                await trio.sleep(2)
+                await lost.lose_disk()
+                group.network.heal()
+                await lost.start(may_form_group=False)
+                await group.propose_many("z", 3)
+
+        run_group(scenario, learners="d")
+
 
 class CatchUpTest(unittest.TestCase):
     def test_a_restart_after_many_changes_takes_few_round_trips(self) -> None:
