--- a/tests/replication/group.py
+++ b/tests/replication/group.py
@@ -102,10 +102,11 @@
         self, function: Callable[[], Result[None, StoreFailure]], /
     ) -> Result[None, StoreFailure]:
         """Call ``function`` at a random time within the duration of a sync."""
-        before = self.group.random.uniform(0, self.sync_seconds)
+        seconds = self.sync_seconds
+        before = self.group.random.uniform(0, seconds)
         await trio.sleep(before)
         result = function()
-        await trio.sleep(self.sync_seconds - before)
+        await trio.sleep(seconds - before)
         return result
 
     def make_store(self) -> LogStore:
--- a/tests/storage/simulated_files.py
+++ b/tests/storage/simulated_files.py
@@ -25,6 +25,7 @@
     def __init__(self) -> None:
         self.data = bytearray()
         self.synced = b""
+        self.unsynced_sizes: list[int] = []  # of the writes since the last sync
 
 
 class SimulatedFiles:
@@ -39,6 +40,8 @@
         self.refused: frozenset[FileOperation] = frozenset()  # as the disk is full
         self.operations_until_crash: int | None = None
         self.syncs = 0
+        # Whether a loss of power keeps any of the writes since the last sync.
+        self.reorders_lost_writes = False
 
     def lock(self) -> None:
         pass
@@ -56,6 +59,7 @@
             used = sum(len(each.data) for each in self._names.values())
             writable = max(0, self.capacity - used)
         file.data += data[:writable]
+        file.unsynced_sizes.append(writable)
         self._count_operation()
         if writable < len(data):
             raise OSError(errno.ENOSPC, "no space left")
@@ -66,6 +70,7 @@
         file = self._names[name]
         del file.data[size:]
         file.synced = file.synced[:size]
+        file.unsynced_sizes = [size - len(file.synced)]
 
     def sync(self, name: str) -> None:
         self._count_operation()
@@ -75,6 +80,7 @@
         self.syncs += 1
         file = self._names[name]
         file.synced = bytes(file.data)
+        file.unsynced_sizes = []
 
     def rename(self, old: str, new: str) -> None:
         self._count_operation()
@@ -108,8 +114,12 @@
             self._names = dict(self._durable_names)
         for file in self._names.values():
             tail = bytes(file.data[len(file.synced) :])
-            kept = self._random.randint(0, len(tail))
-            file.data = bytearray(file.synced + tail[:kept])
+            if self.reorders_lost_writes:
+                kept = self._lose_writes(tail, file.unsynced_sizes)
+            else:
+                kept = tail[: self._random.randint(0, len(tail))]
+            file.data = bytearray(file.synced + kept)
+            file.unsynced_sizes = []
             file.synced = bytes(file.data)
         self._durable_names = dict(self._names)
         self.operations_until_crash = None
@@ -122,6 +132,19 @@
         self.operations_until_crash = None
         self.fail_syncs = False
 
+    def _lose_writes(self, tail: bytes, sizes: list[int]) -> bytes:
+        """Return ``tail`` with each of its writes present, missing or torn."""
+        if self._random.random() < 0.2:
+            return b""
+        kept = bytearray()
+        start = 0
+        for size in sizes:
+            part = self._random.choice((0, self._random.randint(0, size), size))
+            if part:
+                kept += bytes(start - len(kept)) + tail[start : start + part]
+            start += size
+        return bytes(kept)
+
     def _require_room(self, operation: FileOperation) -> None:
         if operation in self.refused:
             raise OSError(errno.ENOSPC, "no space left")
