Let a scheduling leader keep its term though the lease lapses as it starts

What callers saw: nothing traced to it. Jobs would be accepted and none started, for as long as a leader leads its term.

Cause: the leader's work begins when a poll finds the lease valid, and read its term from the lease once more a few steps later. If the lease had lapsed in between, as on a controller that is frozen or without processor time just then, the term was taken for 0. The lease may be regained in the same term, and then each order was held back, as for a leader of another term.

The work is now given the leadership under which it begins.

--- a/src/rhubarbfield/controller/daemon.py
+++ b/src/rhubarbfield/controller/daemon.py
@@ -62,7 +62,7 @@
     SUMMARY_CALL,
 )
 from rhubarbfield.protocol.workers import WORKER_STREAM
-from rhubarbfield.replication import GroupSettings, Replica
+from rhubarbfield.replication import GroupSettings, Leadership, Replica
 from rhubarbfield.settings import Settings
 from rhubarbfield.storage import LogStore
 from rhubarbfield.types import FailureDomain, GroupId, InstanceName
@@ -288,7 +288,7 @@
             task_status=task_status,
         )
 
-    async def _lead_domain(self) -> None:
+    async def _lead_domain(self, _: Leadership) -> None:
         self._domain_leader = DomainLeader(
             self._domain,
             log=self._domain_log,
@@ -308,7 +308,7 @@
         finally:
             self._domain_leader = None
 
-    async def _lead_fleet(self) -> None:
+    async def _lead_fleet(self, _: Leadership) -> None:
         self._fleet_leader = FleetLeader(self._fleet_log, self._clock)
         try:
             await self._fleet_leader.run()
--- a/src/rhubarbfield/groups/replicated.py
+++ b/src/rhubarbfield/groups/replicated.py
@@ -22,6 +22,7 @@
     UnencodableCommandError,
 )
 from rhubarbfield.replication import (
+    Leadership,
     NoQuorum,
     NotLeader,
     OutcomeUnknown,
@@ -141,7 +142,9 @@
 
 
 async def run_while_leading(
-    log: ReplicatedLog[StateT], body: Callable[[], Awaitable[None]], clock: Clock
+    log: ReplicatedLog[StateT],
+    body: Callable[[Leadership], Awaitable[None]],
+    clock: Clock,
 ) -> None:
     """Run ``body`` once in each term in which this instance leads ``log``.
 
@@ -155,7 +158,8 @@
     log
         The log that this instance must lead.
     body
-        The leader's work, which runs until it is cancelled.
+        The leader's work, which runs until it is cancelled. It is given the leadership
+        as it was found, since the lease may have lapsed when it begins.
     clock
         Provides the time.
     """
@@ -165,7 +169,7 @@
             await clock.sleep(LEADERSHIP_POLL_INTERVAL)
             continue
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(body)
+            nursery.start_soon(body, leadership)
             while log.replica.led_term == leadership.term:
                 await clock.sleep(LEADERSHIP_POLL_INTERVAL)
             nursery.cancel_scope.cancel()
--- a/src/rhubarbfield/scheduling/controller.py
+++ b/src/rhubarbfield/scheduling/controller.py
@@ -28,7 +28,12 @@
     serve_calls,
     serve_link,
 )
-from rhubarbfield.replication import GroupSettings, Replica, RunBlocking
+from rhubarbfield.replication import (
+    GroupSettings,
+    Leadership,
+    Replica,
+    RunBlocking,
+)
 from rhubarbfield.scheduling.appliers import make_scheduling_machine
 from rhubarbfield.scheduling.deployment import SCHEDULING_GROUP, DeploymentSettings
 from rhubarbfield.scheduling.heartbeats import HEARTBEAT_CALL, HEARTBEAT_STREAM
@@ -186,7 +191,7 @@
     def _read_gauge(self, read: Callable[[SchedulingState], float]) -> float:
         return float(read(self.log.state.scheduling))
 
-    async def _lead(self) -> None:
+    async def _lead(self, leadership: Leadership) -> None:
         settings = self._settings.make_scheduling_settings()
         calls = RelayedCalls(
             self._calls,
@@ -202,6 +207,7 @@
             clock=self._clock,
             settings=settings,
             marks=self._marks,
+            leadership=leadership,
         )
         async with trio.open_nursery() as nursery:
             await nursery.start(calls.run)
--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -16,6 +16,7 @@
 from rhubarbfield.groups import ReplicatedLog
 from rhubarbfield.logs import log_event
 from rhubarbfield.machine import Command, Reply
+from rhubarbfield.replication import Leadership
 from rhubarbfield.scheduling.appliers import SchedulingLogState
 from rhubarbfield.scheduling.availability import WorkerAvailability
 from rhubarbfield.scheduling.backlog import Backlog
@@ -99,6 +100,8 @@
         Timeouts and limits.
     marks
         When this controller learned that workers were marked as silent.
+    leadership
+        Leadership of the term in which it leads.
     """
 
     def __init__(
@@ -109,14 +112,14 @@
         clock: Clock,
         settings: SchedulingSettings,
         marks: MarkTimes,
+        leadership: Leadership,
     ) -> None:
         self._log = log
         self._clock = clock
         self._settings = settings
         self._quarantine = WorkerQuarantine(settings)
-        leadership = log.replica.leadership
-        self._term = leadership.term if leadership is not None else Term(0)
-        self._former_until = leadership.former_until if leadership is not None else None
+        self._term = leadership.term
+        self._former_until = leadership.former_until
         self._interference = InterferenceModel()
         self._interference.restore(self.state.harm.values())
         self._headrooms = HeadroomIndex()
--- a/tests/groups/test_replicated.py
+++ b/tests/groups/test_replicated.py
@@ -55,7 +55,7 @@
         self.log, self.replica = make_single_member_log(make_scheduling_machine())
         self.began: list[Term | None] = []
 
-    async def work(self) -> None:
+    async def work(self, _: Leadership) -> None:
         self.began.append(self.replica.led_term)
         await trio.sleep_forever()
 
--- a/tests/scheduling/deployments.py
+++ b/tests/scheduling/deployments.py
@@ -86,13 +86,14 @@
         self.replica.leadership = Leadership(Term(term), FOREVER, former_until)
         self.replica.led_term = Term(term)
 
-    def make_leader(self) -> SchedulingLeader:
+    def make_leader(self, leadership: Leadership) -> SchedulingLeader:
         return SchedulingLeader(
             self.log,
             calls=self.fleet,
             clock=self.clock,
             settings=self.settings,
             marks=self.marks,
+            leadership=leadership,
         )
 
     def add_worker(self, name: str, **options: Any) -> StandInWorker:
@@ -128,7 +129,8 @@
     @asynccontextmanager
     async def lead(self) -> AsyncIterator[SchedulingLeader]:
         """Run a leader during the block; workers report to it each second."""
-        leader = self.make_leader()
+        assert self.replica.leadership is not None
+        leader = self.make_leader(self.replica.leadership)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(leader.run)
             nursery.start_soon(self._report, leader)
@@ -145,8 +147,8 @@
             yield
             nursery.cancel_scope.cancel()
 
-    async def _lead_term(self) -> None:
-        leader = self.make_leader()
+    async def _lead_term(self, leadership: Leadership) -> None:
+        leader = self.make_leader(leadership)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(leader.run)
             nursery.start_soon(self._report, leader)
--- a/tests/scheduling/fleets.py
+++ b/tests/scheduling/fleets.py
@@ -98,7 +98,7 @@
         self.settings = settings or SchedulingSettings()
         log, self.replica = make_single_member_log(make_scheduling_machine())
         self.log = cast(ReplicatedLog[SchedulingLogState], log)
-        self.replica.leadership = Leadership(Term(1), FOREVER)
+        leadership = self.replica.leadership = Leadership(Term(1), FOREVER)
         self.jobs = 0
         self.apply(
             PutConfiguration(
@@ -114,6 +114,7 @@
             clock=self.clock,
             settings=self.settings,
             marks=MarkTimes(self.log, self.clock),
+            leadership=leadership,
         )
         self.sessions = cast(
             dict[WorkerId, WorkerSession], self.leader._registry.sessions
--- a/tests/scheduling/relays.py
+++ b/tests/scheduling/relays.py
@@ -13,6 +13,7 @@
 
 from rhubarbfield.clock import TrioClock
 from rhubarbfield.peering import MessageStream
+from rhubarbfield.replication import Leadership
 from rhubarbfield.scheduling.leader import SchedulingLeader
 from rhubarbfield.scheduling.model import NO_CHECKPOINT, RunNumber, TaskName
 from rhubarbfield.scheduling.ports import (
@@ -179,13 +180,14 @@
         super().__init__()
         self.relays = Relays(*names, fleet=self.fleet)
 
-    def make_leader(self) -> SchedulingLeader:
+    def make_leader(self, leadership: Leadership) -> SchedulingLeader:
         return SchedulingLeader(
             self.log,
             calls=self.relays.relayed,
             clock=self.clock,
             settings=self.settings,
             marks=self.marks,
+            leadership=leadership,
         )
 
 
