Answer a call in doubt only by a reply that holds for all its attempts

Cause: an entry held only rejections back while an earlier attempt of the call was in doubt. Every other reply ended the call, although it says nothing of the earlier attempt.

A reply ends a call now if it also answers for the earlier attempts: a confirmation, any reply to a read, and to a cancel that there is no such job, since the cancel is committed then. Any other is the answer only if no attempt is in doubt or under way; else the entry answers 504 in the end. "Not configured" beside doubt was answered 503, which clients take for proof; it follows the same rule.

--- a/src/rhubarbfield/leadercalls/attempts.py
+++ b/src/rhubarbfield/leadercalls/attempts.py
@@ -11,11 +11,12 @@
 import trio
 from returns.result import Failure, Result, Success
 
-from rhubarbfield.leadercalls.answers import NotAdmitted, NotLeading, Unavailable
+from rhubarbfield.leadercalls.answers import NotLeading, Unavailable
 from rhubarbfield.peering import CallFailure, CallFailureKind, CallMethod, Connection
 from rhubarbfield.types import InstanceName
 
 Reply = Result[Any, CallFailure]
+Settles = Callable[[Any, Any], bool]
 
 
 class Attempt(msgspec.Struct, frozen=True, eq=False):
@@ -36,6 +37,9 @@
         Runs the attempts.
     handle_reply
         Called with each attempt that is replied to.
+    settles
+        Returns whether a reply to a request also answers for earlier attempts of it,
+        whatever became of them.
 
     Attributes
     ----------
@@ -57,16 +61,18 @@
         request: Any,
         nursery: trio.Nursery,
         handle_reply: Callable[[Attempt], None],
+        settles: Settles,
     ) -> None:
         self._method = method
         self._request = request
         self._nursery = nursery
         self._handle_reply = handle_reply
+        self._settles = settles
         self._sender, self._ended = trio.open_memory_channel[tuple[Attempt, Reply]](
             math.inf
         )
         self._in_progress = 0
-        self._rejection: Success[NotAdmitted] | None = None
+        self._held: tuple[Attempt, Reply] | None = None
         self.answer: Result[Any, Any] | None = None
         self.answered_by: InstanceName | None = None
         self.in_doubt = False
@@ -127,19 +133,23 @@
             case Success(Unavailable(reason=reason, in_doubt=doubt)):
                 self.detail = reason
                 self.in_doubt = self.in_doubt or doubt
-            case Success(NotAdmitted(reason=reason)):
-                self.detail = reason
-                self._rejection = reply
-            case Success():
-                self.answer = reply
-                self.answered_by = attempt.member
+            case Success(value) if self._settles(self._request, value):
+                self._decide(attempt, reply)
+            case Success(value):
+                self.detail = f"{type(value).__name__} says nothing of other attempts"
+                self._held = attempt, reply
             case Failure(failure):
                 self.detail = failure.detail
                 self.in_doubt = self.in_doubt or _is_in_doubt(failure)
                 self.is_unsendable = failure.kind is CallFailureKind.UNSENDABLE
-        # An earlier attempt may still take effect.
-        if self._rejection is not None and not (self.in_doubt or self._in_progress):
-            self.answer = self._rejection
+        # An earlier attempt may have taken effect, or take it later.
+        is_certain = not (self.in_doubt or self._in_progress)
+        if self.answer is None and self._held is not None and is_certain:
+            self._decide(*self._held)
+
+    def _decide(self, attempt: Attempt, reply: Reply) -> None:
+        self.answer = reply
+        self.answered_by = attempt.member
 
 
 def _is_in_doubt(failure: CallFailure) -> bool:
--- a/src/rhubarbfield/leadercalls/calls.py
+++ b/src/rhubarbfield/leadercalls/calls.py
@@ -11,8 +11,8 @@
 from returns.result import Failure, Result, Success
 
 from rhubarbfield.clock import Clock
-from rhubarbfield.leadercalls.answers import NotLeading
-from rhubarbfield.leadercalls.attempts import Attempt, Attempts, Reply
+from rhubarbfield.leadercalls.answers import NotAdmitted, NotLeading
+from rhubarbfield.leadercalls.attempts import Attempt, Attempts, Reply, Settles
 from rhubarbfield.peering import (
     CallFailure,
     CallFailureKind,
@@ -60,6 +60,10 @@
         for groups whose members may be replaced while the program runs.
     attempt_timeout
         Timeout of the call to one instance.
+    settles
+        Returns whether a reply to a request also answers for earlier attempts of it,
+        whatever became of them. Any other reply answers only a call of which no
+        attempt may have taken effect. By default only a rejection is such a reply.
     """
 
     def __init__(
@@ -71,12 +75,14 @@
         *,
         locate: Callable[[InstanceName], tuple[str, int]] | None = None,
         attempt_timeout: timedelta = ATTEMPT_TIMEOUT,
+        settles: Settles | None = None,
     ) -> None:
         self._method = method
         self._members = dict(members)
         self._clock = clock
         self._locate = locate
         self._attempt_timeout = attempt_timeout
+        self._settles = settles or _is_no_rejection
         self._pool = ConnectionPool(self._members, transport, clock, locate)
         self._leader = next(iter(self._members))
         self._unanswered: dict[InstanceName, timedelta] = {}
@@ -108,7 +114,9 @@
             request may have taken effect; ``timeout`` if None.
         """
         async with trio.open_nursery() as nursery:
-            attempts = Attempts(self._method, request, nursery, self._handle_reply)
+            attempts = Attempts(
+                self._method, request, nursery, self._handle_reply, self._settles
+            )
             await self._search(attempts, timeout, in_doubt_timeout or timeout)
             nursery.cancel_scope.cancel()
         if attempts.answer is not None:
@@ -216,6 +224,10 @@
         return False
 
 
+def _is_no_rejection(_request: Any, reply: Any) -> bool:
+    return not isinstance(reply, NotAdmitted)
+
+
 def _is_unreachable(reply: Reply | None) -> bool:
     match reply:
         case Failure(CallFailure(kind=CallFailureKind.UNREACHABLE)):
--- a/src/rhubarbfield/scheduling/gateway.py
+++ b/src/rhubarbfield/scheduling/gateway.py
@@ -22,6 +22,7 @@
     JobRequest,
     JobVerb,
     LeadershipQuery,
+    settles_attempts,
 )
 
 logger = logging.getLogger(__name__)
@@ -78,6 +79,7 @@
                 clock,
                 locate=settings.locate,
                 attempt_timeout=ATTEMPT_TIMEOUT,
+                settles=settles_attempts,
             )
             for _ in range(2)
         )
--- a/src/rhubarbfield/scheduling/requests.py
+++ b/src/rhubarbfield/scheduling/requests.py
@@ -106,6 +106,22 @@
 )
 
 
+def settles_attempts(request: JobRequest | LeadershipQuery, reply: JobReply) -> bool:
+    """Return whether a reply also answers for earlier attempts of a request.
+
+    An attempt in doubt may have taken effect, or take it after the reply. That does
+    not contradict the confirmation of a submission or a cancel, and a read has no
+    effect. That there is no such job answers a cancel, since it is committed then,
+    and applies to a submission that arrives later. Every other reply says only what
+    became of its own attempt.
+    """
+    if isinstance(request, LeadershipQuery) or request.verb is JobVerb.READ:
+        return True
+    if request.verb is JobVerb.CANCEL and isinstance(reply, NoSuchJob):
+        return True
+    return isinstance(reply, Accepted)
+
+
 JOB_CALL = CallMethod(
     "/rhubarbfield.Scheduling/Job", JobRequest | LeadershipQuery, JobReply
 )
--- a/tests/scheduling/test_gateway.py
+++ b/tests/scheduling/test_gateway.py
@@ -19,11 +19,16 @@
 from rhubarbfield.scheduling.model import JobPhase, JobSubmission, Step
 from rhubarbfield.scheduling.requests import (
     Accepted,
+    BadJob,
     JobReply,
     JobRequest,
     JobStatus,
     JobVerb,
+    NoSuchJob,
+    NoSuchQueue,
+    NotConfigured,
     Ready,
+    WaitingJobs,
 )
 from rhubarbfield.types import InstanceName
 from tests.leadercalls.members import Members
@@ -44,6 +49,15 @@
 CALLER_TIMEOUT = timedelta(seconds=3)
 GAP_SECONDS = 2.0  # without a leader
 REQUESTS = 100
+SILENCE_SECONDS = 1.0  # a silent connection is given up, and another opened
+REFUSALS: tuple[JobReply, ...] = (
+    NoSuchQueue(),
+    BadJob("submitted with other content"),
+    NotAdmitted("no capacity", timedelta(seconds=1)),
+    NotConfigured(),
+    NoSuchJob(),
+    WaitingJobs(1),
+)
 MAX_CALLS_EACH = 8  # a search of 0.6 s, and a share of the probes
 
 
@@ -257,5 +271,62 @@
         self.assertEqual(connections[0], connections[-1])
 
 
+class AttemptsInDoubtTest(unittest.TestCase):
+    """The answer of a call with an attempt whose connection fell silent."""
+
+    def forward(
+        self, verb: JobVerb, reply: JobReply, *, is_silent: bool = True
+    ) -> tuple[JobReply | Undecided, float]:
+        request = JobRequest(verb=verb, host="h", path="/q/j", knows_rejection=True)
+
+        async def body() -> tuple[JobReply | Undecided, float]:
+            members = Members("c1", Accepted())
+            gateway = Gateway(SETTINGS, cast(Transport, members), TrioClock())
+            await gateway.forward(request, CALLER_TIMEOUT)
+            if is_silent:
+                members.silence("c1")
+            members.reply = reply
+            began = trio.current_time()
+            answer = await gateway.forward(request, CALLER_TIMEOUT)
+            return answer, trio.current_time() - began
+
+        return run_deterministic(body, seed=1)
+
+    def test_submission_that_may_be_stored_is_not_answered_as_refused(self) -> None:
+        for reply in REFUSALS:
+            with self.subTest(reply=reply):
+                answer, _ = self.forward(JobVerb.SUBMIT, reply)
+                assert isinstance(answer, Undecided)
+                self.assertTrue(answer.in_doubt)
+
+    def test_cancel_that_may_take_effect_is_not_answered_as_refused(self) -> None:
+        for reply in (NoSuchQueue(), BadJob("no job id"), NotConfigured()):
+            with self.subTest(reply=reply):
+                answer, _ = self.forward(JobVerb.CANCEL, reply)
+                assert isinstance(answer, Undecided)
+                self.assertTrue(answer.in_doubt)
+
+    def test_confirmations_and_reads_are_answered_at_once(self) -> None:
+        for verb, reply in (
+            (JobVerb.SUBMIT, Accepted()),
+            (JobVerb.CANCEL, Accepted()),
+            (JobVerb.CANCEL, NoSuchJob()),
+            (JobVerb.READ, NoSuchQueue()),
+            (JobVerb.READ, NoSuchJob()),
+            (JobVerb.READ, JobStatus(JobPhase.RUNNING)),
+        ):
+            with self.subTest(verb=verb, reply=reply):
+                answer, took = self.forward(verb, reply)
+                self.assertEqual(answer, reply)
+                self.assertLess(took, SILENCE_SECONDS)
+
+    def test_refusal_of_the_only_attempt_is_answered_at_once(self) -> None:
+        for reply in REFUSALS:
+            with self.subTest(reply=reply):
+                answer, took = self.forward(JobVerb.SUBMIT, reply, is_silent=False)
+                self.assertEqual(answer, reply)
+                self.assertLess(took, 0.1)
+
+
 if __name__ == "__main__":
     unittest.main()
