Let jobs keep the host and prefix of their queue in place of its name

Cause: a job knows its queue by name, and the name was the one that operators give, which may be given again. Two routes of one configuration may share it as well: jobs of the second were served by the first's service (found while looking for the same cause).

The leader puts the identity of each queue, its host and prefix, in place of its name when it proposes a configuration. The commands, the state and the functions that apply them are unchanged, so that replicas of this and of the last version apply all entries alike, and what is stored is read. A job accepted under an operators' name finds its host and prefix as a former queue from the next configuration on.

--- a/src/rhubarbfield/scheduling/commands.py
+++ b/src/rhubarbfield/scheduling/commands.py
@@ -31,7 +31,9 @@
 class PutConfiguration(Command, frozen=True):
     """Put a configuration in force, if its version is higher.
 
-    Refused if the configuration in force has the same version and other content.
+    Refused if the configuration in force has the same version and other content. Its
+    queues have their identities as names; those that an earlier version proposed have
+    the names that operators gave them.
     """
 
     configuration: QueueConfiguration
--- a/src/rhubarbfield/scheduling/former_queues.py
+++ b/src/rhubarbfield/scheduling/former_queues.py
@@ -1,7 +1,9 @@
 """Queues that are no longer configured, and what serves their jobs instead.
 
 An accepted job is served to its end, whatever becomes of its queue: by the queue that
-has the same host and prefix now, or else as its own was last configured.
+has the same host and prefix now, or else as its own was last configured. Names are the
+identities of queues, so that the former is found under the same name; jobs that an
+earlier version accepted know their queue by the name that operators gave it.
 """
 
 from __future__ import annotations
--- a/src/rhubarbfield/scheduling/service.py
+++ b/src/rhubarbfield/scheduling/service.py
@@ -29,6 +29,7 @@
     Queue,
     QueueConfiguration,
     QueueName,
+    identify_queues,
 )
 from rhubarbfield.scheduling.queue_index import index_queues
 from rhubarbfield.scheduling.reception import Reception
@@ -152,8 +153,12 @@
     async def put_configuration(
         self, configuration: QueueConfiguration
     ) -> Accepted | VersionConflict | NotLeading | Unavailable:
-        """Put a configuration in force, unless a higher version is in force."""
-        reply = await self._propose(PutConfiguration(configuration=configuration))
+        """Put a configuration in force, unless a higher version is in force.
+
+        Its queues get their identities as names, whatever they are called in it.
+        """
+        identified = identify_queues(configuration)
+        reply = await self._propose(PutConfiguration(configuration=identified))
         match reply:
             case Refused(reason=reason):
                 log_event(
