--- a/src/rhubarbfield/testing/scheduling_workers.py
+++ b/src/rhubarbfield/testing/scheduling_workers.py
@@ -62,7 +62,7 @@
     started_at
         Reading of the worker's clock at the start of the run.
     checkpoint
-        Progress that the run has saved.
+        Progress that the run has saved; if none, it saves some as it ends.
     """
 
     run: RunNumber
@@ -316,5 +316,5 @@
         run = self.runs.pop(task)
         self._ended_runs[task] = run.run
         self._last_end_number += 1
-        saved = run.checkpoint or CheckpointToken("saved")
+        saved = run.checkpoint or CheckpointToken(f"{task}/{run.run}")
         self.ends.append(ListedEnd(self._last_end_number, task, run.run, end, saved))
--- a/tests/scheduling/longrun.py
+++ b/tests/scheduling/longrun.py
@@ -16,15 +16,20 @@
 from absl import app, flags
 
 from rhubarbfield.scheduling.model import (
+    CheckpointToken,
     Demand,
     JobPhase,
+    RunNumber,
     ServiceName,
     Step,
+    StepName,
     TaskName,
     WorkerService,
     name_step,
 )
+from rhubarbfield.scheduling.ports import StartOrder
 from rhubarbfield.scheduling.state import Job
+from rhubarbfield.testing.crashing_workers import CrashingFleet
 from rhubarbfield.testing.scheduling_workers import CAPACITY, StandInWorker
 from rhubarbfield.types import WorkerId
 from tests.replication.determinism import run_deterministic
@@ -195,6 +200,7 @@
                 self.faults.append(f"{worker.worker} exceeded its capacity")
         for job in self.deployment.state.jobs.values():
             self._check_job(job)
+        self.faults.extend(find_torn_gangs(fleet))
         if self.seconds_with_room >= MAX_SECONDS_WITH_ROOM:
             self.faults.append("work had room for too long without an end")
         for job in self._list_open():
@@ -228,6 +234,22 @@
     return [TaskName(f"{job.job}.0.0.{index}") for index in range(count)]
 
 
+def find_torn_gangs(fleet: CrashingFleet) -> list[str]:
+    """Return the runs of gangs whose members were given different checkpoints."""
+    given: dict[tuple[StepName, RunNumber], set[CheckpointToken]] = {}
+    for sent in fleet.sent:
+        if isinstance(sent.order, StartOrder):
+            step = name_step(sent.order.task)
+            if step in fleet.gang_steps:
+                checkpoints = given.setdefault((step, sent.order.run), set())
+                checkpoints.add(sent.order.checkpoint)
+    return [
+        f"run {run} of {step} has members with different checkpoints"
+        for (step, run), checkpoints in given.items()
+        if len(checkpoints) > 1
+    ]
+
+
 def play_day(seed: int) -> RandomDay:
     """Play the day of a seed and return it."""
     days: list[RandomDay] = []
--- a/tests/scheduling/test_earlier_versions.py
+++ b/tests/scheduling/test_earlier_versions.py
@@ -19,9 +19,16 @@
     WorkerEnds,
 )
 from rhubarbfield.scheduling.crashes import CrashedRun, CrashEvidence
-from rhubarbfield.scheduling.model import JobSubmission, RunNumber, Step, TaskName
+from rhubarbfield.scheduling.gang_checkpoints import CheckpointSource
+from rhubarbfield.scheduling.model import (
+    CheckpointToken,
+    JobSubmission,
+    RunNumber,
+    Step,
+    TaskName,
+)
 from rhubarbfield.scheduling.ports import CallFailure, NoReply
-from rhubarbfield.scheduling.state import RunEnd, TaskPhase
+from rhubarbfield.scheduling.state import RunEnd, StepProgress, Task, TaskPhase
 from rhubarbfield.types import JobId, LogIndex
 from tests.scheduling.deployments import CONFIGURATION, QUEUE
 from tests.scheduling.test_appliers import WORKERS, Log, make_report
@@ -44,6 +51,14 @@
     live: dict[int, str]
 
 
+class EarlierStep(msgspec.Struct, array_like=True):
+    """The progress of a step as an earlier version reads it."""
+
+    tasks: list[EarlierTask]
+    done: int
+    failed_runs: list[int]
+
+
 def make_running_log() -> Log:
     """Return a log with a run on the first worker."""
     log = Log()
@@ -92,6 +107,15 @@
             read = msgspec.msgpack.decode(encoded, type=EarlierTask)
             self.assertEqual((read.phase, read.last_run), (TaskPhase.LIVE, 1))
 
+    def test_earlier_version_reads_the_steps_of_gangs(self) -> None:
+        checkpoint = CheckpointToken("saved")
+        progress = StepProgress([Task(checkpoint=checkpoint)])
+        run = RunNumber(1)
+        progress.save_gang_checkpoint(checkpoint, run, CheckpointSource.END)
+        encoded = msgspec.msgpack.encode(progress)
+        read = msgspec.msgpack.decode(encoded, type=EarlierStep)
+        self.assertEqual((read.done, read.tasks[0].checkpoint), (0, "saved"))
+
 
 class CommandsTest(unittest.TestCase):
     def apply_without(self, log: Log, command: Any, *names: str) -> None:
