Absolve workers of all steps at fault, and only of those that fail on three

Steps of one task, whose attempts met two faulty workers, could absolve these.

A worker is absolved if each step that it failed is at fault, and a step is if it failed on three workers or more. Where a step has runs is read from the step, not from all workers.

--- a/src/rhubarbfield/scheduling/failing_steps.py
+++ b/src/rhubarbfield/scheduling/failing_steps.py
@@ -2,16 +2,17 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Set
+from collections.abc import Callable, Set
 from datetime import timedelta
 
 import msgspec
 
-from rhubarbfield.scheduling.model import StepName, name_step
-from rhubarbfield.scheduling.state import Worker
+from rhubarbfield.scheduling.model import StepName
 from rhubarbfield.types import WorkerId
 
-MIN_WORKERS = 2  # on which runs of a step fail that is at fault itself
+# On which runs of a step fail that is at fault itself: a task that fails on two may
+# have met two faulty workers, and few have attempts for more.
+MIN_WORKERS = 3
 
 
 class StepFailures(msgspec.Struct):
@@ -62,16 +63,19 @@
         self._failures.pop(step, None)
 
     def list_workers(self, step: StepName) -> Set[WorkerId]:
-        """Return the workers on which runs failed of a step that is at fault itself.
+        """Return the workers on which runs of a step have failed since a success."""
+        failures = self._failures.get(step)
+        return frozenset() if failures is None else failures.workers
+
+    def is_at_fault(self, step: StepName) -> bool:
+        """Return whether a step fails on most workers, so that it is at fault itself.
 
-        There are none if its runs have failed on a single worker, or still work on as
-        many others: the workers may as well be at fault.
+        It is not if its runs have failed on few, or still work on as many others.
         """
-        failures = self._failures.get(step)
-        if failures is None or len(failures.workers) < MIN_WORKERS:
-            return frozenset()
-        others = self._find_running(step) - failures.workers
-        return failures.workers if len(failures.workers) > len(others) else frozenset()
+        failed = self.list_workers(step)
+        if len(failed) < MIN_WORKERS:
+            return False
+        return len(failed) > len(self._find_running(step) - failed)
 
     def _drop_old(self, now: timedelta) -> None:
         while self._failures:
@@ -79,12 +83,3 @@
             if now - failures.failed_at <= self._retention:
                 return
             del self._failures[step]
-
-
-def find_running(workers: Iterable[Worker], step: StepName) -> set[WorkerId]:
-    """Return those of some workers that have runs of a step."""
-    return {
-        worker.worker
-        for worker in workers
-        if any(name_step(task) == step for task in worker.runs)
-    }
--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping, Set
 from datetime import timedelta
 from functools import partial
 
@@ -29,7 +29,6 @@
     WorkerReport,
 )
 from rhubarbfield.scheduling.crashes import CrashedRun
-from rhubarbfield.scheduling.failing_steps import find_running
 from rhubarbfield.scheduling.headroom import WaitingStep, WorkerHeadroom
 from rhubarbfield.scheduling.headroom_index import HeadroomIndex
 from rhubarbfield.scheduling.heartbeats import (
@@ -48,6 +47,7 @@
 from rhubarbfield.scheduling.model import (
     CheckpointToken,
     Step,
+    StepName,
     TaskName,
     name_step,
 )
@@ -124,9 +124,7 @@
         self._log = log
         self._clock = clock
         self._settings = settings
-        self._quarantine = WorkerQuarantine(
-            settings, lambda step: find_running(self.state.workers.values(), step)
-        )
+        self._quarantine = WorkerQuarantine(settings, self._find_step_workers)
         self._term = leadership.term
         self._former_until = leadership.former_until
         self._interference = InterferenceModel()
@@ -536,6 +534,9 @@
         """Prefer other workers when ``task`` is started again."""
         self._avoided.setdefault(task, set()).add(worker)
 
+    def _find_step_workers(self, step: StepName) -> Set[WorkerId]:
+        return self.state.find_step_workers(step)
+
     def _record_outcomes(self, report: WorkerEnds) -> None:
         now = self._clock.monotonic()
         since = self._late_since.get(report.worker)
--- a/src/rhubarbfield/scheduling/quarantine.py
+++ b/src/rhubarbfield/scheduling/quarantine.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import functools
 import logging
 from collections.abc import Callable, Collection, Set
 from datetime import timedelta
@@ -151,7 +152,7 @@
         """Record a failed run, whether the task or the worker is at fault.
 
         Until the probe starts only runs from before the quarantine can fail; they
-        don't start it anew. Nor do those of one step whose runs fail on most workers.
+        don't start it anew. Nor do those of steps whose runs fail on most workers.
 
         Parameters
         ----------
@@ -187,21 +188,25 @@
                 record.probed_from = now
 
     def _absolve_workers(self, step: StepName) -> list[WorkerId]:
-        """End the quarantine of workers that failed only runs of a faulty step.
+        """End the quarantine of workers that failed only runs of faulty steps.
 
         Returns
         -------
         list[WorkerId]
-            Those workers. Their failures go on to count beside one of another step.
+            Those of them on which the step failed. Their failures go on to count
+            beside one of a step that is not at fault.
         """
-        absolved = [
-            worker
-            for worker in self._failing_steps.list_workers(step)
-            if self._get(worker).failed_steps == {step}
-            and not self._get(worker).has_stalled
-        ]
-        for worker in absolved:
-            self._end_quarantine(worker)
+        is_at_fault = functools.cache(self._failing_steps.is_at_fault)
+        if not is_at_fault(step):
+            return []
+        absolved = []
+        for worker in self._failing_steps.list_workers(step):
+            record = self._records.get(worker)
+            if record is None or record.has_stalled:
+                continue
+            if all(each and is_at_fault(each) for each in record.failed_steps):
+                self._end_quarantine(worker)
+                absolved.append(worker)
         return absolved
 
     def record_stall(self, worker: WorkerId, now: timedelta) -> None:
--- a/src/rhubarbfield/scheduling/state.py
+++ b/src/rhubarbfield/scheduling/state.py
@@ -29,6 +29,7 @@
     QueueName,
     RunNumber,
     Step,
+    StepName,
     TaskName,
 )
 from rhubarbfield.scheduling.queue_index import index_queues
@@ -446,6 +447,15 @@
         found = self.find_task(name)
         return None if found is None else found[0].get_step(found[2])
 
+    def find_step_workers(self, name: StepName) -> set[WorkerId]:
+        """Return the workers that have runs of a step, in one of its occurrences."""
+        found = self.find_task(TaskName(f"{name}.0"))
+        if found is None:
+            return set()
+        job, occurrence, step, _ = found
+        tasks = job.occurrences[occurrence][step].tasks
+        return {worker for task in tasks for worker in task.live.values()}
+
 
 @functools.lru_cache(maxsize=MAX_CACHED_NAMES)
 def _find_position(name: TaskName) -> tuple[int, int, int]:
--- a/tests/scheduling/test_failing_steps.py
+++ b/tests/scheduling/test_failing_steps.py
@@ -28,14 +28,14 @@
 class FailingStepsTest(unittest.TestCase):
     def test_failures_are_forgotten_in_the_order_of_the_latest(self) -> None:
         steps = FailingSteps(timedelta(seconds=10), lambda _step: set())
-        for worker in WORKERS[:2]:
+        for worker in WORKERS:
             steps.record_failure(HOPELESS, worker, timedelta())
-        for worker in WORKERS[:2]:
+        for worker in WORKERS:
             steps.record_failure(OTHER, worker, timedelta(seconds=5))
-        self.assertEqual(steps.list_workers(HOPELESS), set(WORKERS[:2]))
+        self.assertTrue(steps.is_at_fault(HOPELESS))
         steps.record_failure(StepName("l.0.0"), WORKERS[0], timedelta(seconds=12))
-        self.assertFalse(steps.list_workers(HOPELESS))
-        self.assertEqual(steps.list_workers(OTHER), set(WORKERS[:2]))
+        self.assertFalse(steps.is_at_fault(HOPELESS))
+        self.assertTrue(steps.is_at_fault(OTHER))
 
 
 class HopelessStepTest(unittest.TestCase):
@@ -90,10 +90,22 @@
 
     def test_worker_that_stalled_is_not_absolved(self) -> None:
         self.quarantine.record_stall(WORKERS[0], self.now)
-        for worker in WORKERS[:2]:
-            self.fail_runs(worker, HOPELESS)
+        for worker in WORKERS:
+            self.fail_runs(worker, HOPELESS, 2)
         self.assertEqual(self.list_quarantined(), [WORKERS[0]])
 
+    def test_two_steps_that_fail_everywhere_quarantine_no_worker(self) -> None:
+        for step in (HOPELESS, OTHER):
+            for worker in WORKERS:
+                self.fail_runs(worker, step, 2)
+        self.assertEqual(self.list_quarantined(), [])
+
+    def test_tasks_that_met_two_faulty_workers_do_not_absolve_them(self) -> None:
+        for number in range(3):
+            for worker in WORKERS[:2]:
+                self.fail_runs(worker, StepName(f"{number}.0.0"))
+        self.assertEqual(self.list_quarantined(), list(WORKERS[:2]))
+
 
 class HopelessJobTest(unittest.TestCase):
     @with_deployment()
@@ -119,6 +131,27 @@
         took = trio.current_time() - began
         self.assertLess(took, TOLERATED_SECONDS)
 
+    @with_deployment(max_attempts=3)
+    async def test_hopeless_jobs_do_not_take_sound_workers_out_of_use_together(
+        self, deployment: Deployment
+    ) -> None:
+        workers = [deployment.add_worker(f"w{number}") for number in range(6)]
+        for worker in workers:
+            worker.end = RunEnd.FAILED
+        async with deployment.lead():
+            for name in "jk":
+                await deployment.submit(name, Step(tasks=16, demand=Demand(2000, 1000)))
+            while any(deployment.get_job(name).is_open for name in "jk"):
+                await trio.sleep(TIME_STEP)
+            for worker in workers:
+                worker.end, worker.duration = RunEnd.DONE, timedelta(seconds=0.5)
+            began = trio.current_time()
+            await deployment.submit("l", Step(tasks=24, demand=Demand(2000, 1000)))
+            while deployment.get_job("l").is_open:
+                await trio.sleep(TIME_STEP)
+        took = trio.current_time() - began
+        self.assertLess(took, TOLERATED_SECONDS)
+
 
 if __name__ == "__main__":
     unittest.main()
