Give a damaged store no incarnation of a first start after a full disk

The damage was found by the first attempt to open the store, and the second, which found it empty, took it for one never used: the replica could vote again as the voter whose votes it had lost.

--- a/src/rhubarbfield/replication/replica.py
+++ b/src/rhubarbfield/replication/replica.py
@@ -334,7 +334,8 @@
             self.group,
             self._random,
             self._founders,
-            is_first_start=self._is_first_start,
+            # An earlier attempt may have discarded the contents of the store.
+            is_first_start=self._is_first_start and self._store_note is None,
         )
         self._store_note = outcome.damage or self._store_note
         return outcome.log
--- a/tests/replication/test_late_stores.py
+++ b/tests/replication/test_late_stores.py
@@ -11,7 +11,8 @@
 import trio
 from returns.result import Failure, Result
 
-from rhubarbfield.replication import GroupSettings, Replica
+from rhubarbfield.replication import GroupSettings, Replica, ReplicaStatus
+from rhubarbfield.replication.opening import FIRST_INCARNATION
 from rhubarbfield.storage import FileStore, StoreFailure, SyncFailed
 from rhubarbfield.types import InstanceName
 from tests.replication.determinism import run_deterministic
@@ -29,6 +30,7 @@
     def __init__(self) -> None:
         self.files = SimulatedFiles()
         self.ended: list[Result[None, StoreFailure]] = []
+        self.opened: ReplicaStatus | None = None
         self.replica = Replica(
             group=GROUP,
             name=NAME,
@@ -39,6 +41,7 @@
             clock=SimulatedClock(1.0, 0.0),
             random=Random(1),
             settings=GroupSettings(),
+            is_first_start=True,
         )
 
     async def run(
@@ -62,6 +65,7 @@
                 with trio.fail_after(LATE_SECONDS):
                     while store.replica.leadership is None:
                         await trio.sleep(0.1)
+                store.opened = store.replica.status()
                 nursery.cancel_scope.cancel()
 
         with self.assertLogs("rhubarbfield.replication", "WARNING") as logs:
@@ -75,6 +79,18 @@
         store.files.refused = frozenset({FileOperation.APPEND})
         self.assertEqual(self.play(store), ["disk-full"] * 3)
 
+    def test_damaged_store_is_not_one_of_a_first_start_after_its_disk_was_full(
+        self,
+    ) -> None:
+        """Its replica would vote again as the voter whose votes it lost."""
+        store = LateStore()
+        store.files.append("log", b"no record, but long enough for one")
+        store.files.refused = frozenset({FileOperation.APPEND})
+        self.play(store)
+        status = store.opened
+        assert status is not None and status.id is not None
+        self.assertNotEqual(status.id.incarnation, FIRST_INCARNATION)
+
     def test_replica_waits_for_a_store_that_another_process_uses(self) -> None:
         store = LateStore()
         store.files.lock = mock.Mock(  # type: ignore[method-assign]
