--- a/tests/scheduling/test_failing_steps.py
+++ b/tests/scheduling/test_failing_steps.py
@@ -74,11 +74,12 @@
     def test_workers_that_fail_a_step_are_quarantined_while_as_many_run_it(
         self,
     ) -> None:
-        self.running = set(WORKERS)
-        for worker in WORKERS[:2]:
+        others = {WorkerId(f"x{number}") for number in range(3)}
+        self.running = {*WORKERS[:3], *others}
+        for worker in WORKERS[:3]:
             self.fail_runs(worker, HOPELESS, 2)
-        self.assertEqual(self.list_quarantined(), list(WORKERS[:2]))
-        self.fail_runs(WORKERS[2], HOPELESS)
+        self.assertEqual(self.list_quarantined(), list(WORKERS[:3]))
+        self.fail_runs(WORKERS[3], HOPELESS)
         self.assertEqual(self.list_quarantined(), [])
 
     def test_failures_of_a_step_that_succeeds_elsewhere_count(self) -> None:
