--- a/src/rhubarbfield/storage/logfile.py
+++ b/src/rhubarbfield/storage/logfile.py
@@ -123,7 +123,7 @@
     damage
         The damage.
     """
-    for payload in search_frames(rest, 1):
+    for payload in search_frames(rest, damage.size or 1):
         try:
             durable = _record_decoder.decode(payload).durable
         except DECODE_ERRORS:
