--- a/tests/replication/sitefaults.py
+++ b/tests/replication/sitefaults.py
@@ -89,7 +89,6 @@
         self._next_name += 1
         rate = 1 + self.random.uniform(-CLOCK_DRIFT, CLOCK_DRIFT)
         node = self.group.nodes[name] = Node(self.group, name, rate)
-        node.files.reorders_lost_writes = True
         self.group.bootstrap = tuple(self.group.nodes)
         return node
 
--- a/tests/replication/siterun.py
+++ b/tests/replication/siterun.py
@@ -93,8 +93,6 @@
                 drift=CLOCK_DRIFT,
                 has_first_start=True,
             )
-            for node in group.nodes.values():
-                node.files.reorders_lost_writes = True
             await group.start()
             site = Site(group, Random(seed))
             await SiteRun(site).run(rounds)
--- a/tests/storage/simulated_files.py
+++ b/tests/storage/simulated_files.py
@@ -6,6 +6,8 @@
 from enum import Enum
 from random import Random
 
+ALL_LOST_SHARE = 0.2  # of the losses of power
+
 
 class SimulatedCrashError(Exception):
     """A simulated crash of the process in the middle of a file operation."""
@@ -25,7 +27,19 @@
     def __init__(self) -> None:
         self.data = bytearray()
         self.synced = b""
-        self.unsynced_sizes: list[int] = []  # of the writes since the last sync
+        self.writes: list[tuple[int, int]] = []  # begin and end of each since a sync
+
+    def keep_some_writes(self, random: Random) -> None:
+        """Keep, lose or tear each write since the last sync, or lose all of them."""
+        kept = bytearray(self.synced)
+        if random.random() < ALL_LOST_SHARE:
+            self.writes.clear()
+        for begin, end in self.writes:
+            until = random.choice((begin, end, random.randint(begin, end)))
+            if until > begin:
+                kept.extend(bytes(max(0, until - len(kept))))
+                kept[begin:until] = self.data[begin:until]
+        self.data = kept
 
 
 class SimulatedFiles:
@@ -40,8 +54,6 @@
         self.refused: frozenset[FileOperation] = frozenset()  # as the disk is full
         self.operations_until_crash: int | None = None
         self.syncs = 0
-        # Whether a loss of power keeps any of the writes since the last sync.
-        self.reorders_lost_writes = False
 
     def lock(self) -> None:
         pass
@@ -59,8 +71,9 @@
         if self.capacity is not None:
             used = sum(len(each.data) for each in self._names.values())
             writable = max(0, self.capacity - used)
+        begin = len(file.data)
         file.data += data[:writable]
-        file.unsynced_sizes.append(writable)
+        file.writes.append((begin, len(file.data)))
         self._count_operation()
         if writable < len(data):
             raise OSError(errno.ENOSPC, "no space left")
@@ -71,7 +84,7 @@
         file = self._names[name]
         del file.data[size:]
         file.synced = file.synced[:size]
-        file.unsynced_sizes = [size - len(file.synced)]
+        file.writes = [(begin, min(end, size)) for begin, end in file.writes]
 
     def sync(self, name: str) -> None:
         self._count_operation()
@@ -81,7 +94,7 @@
         self.syncs += 1
         file = self._names[name]
         file.synced = bytes(file.data)
-        file.unsynced_sizes = []
+        file.writes = []
 
     def rename(self, old: str, new: str) -> None:
         self._count_operation()
@@ -110,18 +123,20 @@
         del self._names[name].data[size:]
 
     def lose_unsynced(self) -> None:
-        """Keep the durable data and a random part of the rest."""
-        if self._random.random() < 0.5:
-            self._names = dict(self._durable_names)
+        """Keep the durable data and a random part of the rest.
+
+        Of the writes and names since a sync each is kept or lost by itself.
+        """
+        names: dict[str, SimulatedFile] = {}
+        for name in sorted({*self._names, *self._durable_names}):
+            found = self._random.choice((self._names, self._durable_names))
+            if name in found:
+                names[name] = found[name]
+        self._names = names
         for file in self._names.values():
-            tail = bytes(file.data[len(file.synced) :])
-            if self.reorders_lost_writes:
-                kept = self._lose_writes(tail, file.unsynced_sizes)
-            else:
-                kept = tail[: self._random.randint(0, len(tail))]
-            file.data = bytearray(file.synced + kept)
-            file.unsynced_sizes = []
+            file.keep_some_writes(self._random)
             file.synced = bytes(file.data)
+            file.writes = []
         self._durable_names = dict(self._names)
         self.operations_until_crash = None
         self.fail_syncs = False
@@ -133,19 +148,6 @@
         self.operations_until_crash = None
         self.fail_syncs = False
 
-    def _lose_writes(self, tail: bytes, sizes: list[int]) -> bytes:
-        """Return ``tail`` with each of its writes present, missing or torn."""
-        if self._random.random() < 0.2:
-            return b""
-        kept = bytearray()
-        start = 0
-        for size in sizes:
-            part = self._random.choice((0, self._random.randint(0, size), size))
-            if part:
-                kept += bytes(start - len(kept)) + tail[start : start + part]
-            start += size
-        return bytes(kept)
-
     def _require_room(self, operation: FileOperation) -> None:
         if operation in self.refused:
             raise OSError(errno.ENOSPC, "no space left")
