--- a/tests/replication/fault_injection.py
+++ b/tests/replication/fault_injection.py
@@ -11,6 +11,7 @@
 from returns.result import Success
 
 from tests.replication.group import Group, Node
+from tests.storage.simulated_files import SimulatedCrashError
 
 Fault = Callable[["FaultInjector"], Awaitable[None]]
 _faults: dict[str, Fault] = {}
@@ -216,12 +217,17 @@
     others = [n.name for n in injector.group.nodes.values() if n.has_disk]
     learners = [name for name in others if name not in voters]
     old = injector.random.choice(voters)
-    if len(voters) > len(injector.group.bootstrap):
-        result = await replica.remove_member(old)
-    elif injector.random.random() < 0.3:
-        result = await replica.add_voter(injector.random.choice(learners))
-    else:
-        result = await replica.replace_voter(old, injector.random.choice(learners))
+    try:
+        if len(voters) > len(injector.group.bootstrap):
+            result = await replica.remove_member(old)
+        elif injector.random.random() < 0.3:
+            result = await replica.add_voter(injector.random.choice(learners))
+        else:
+            result = await replica.replace_voter(old, injector.random.choice(learners))
+    except SimulatedCrashError:  # the call writes in this task, not in the node's
+        await leader.crash()
+        await restart_later(injector, leader)
+        return
     outcome = result if isinstance(result, Success) else result.failure()
     injector.counts[f"change {type(outcome).__name__}"] += 1
 
