Keep an order without an answer beyond the lease of its run

Cause: an order to start gets no answer, its worker is silent, its lease lapses and the run is recorded as lost. With that the ledger forgot the order and the stop that was to follow it. The worker is heard again in the same term and gets a new lease, and the order is carried out seconds later. Only the lease end in the order stood against that. The protocol does not say whether a start is `late` by that time or by the lease that the worker has by then ("it applies to everything that runs on that runner", "it never shortens"); by the second reading the task runs twice, or again after it was done.

Change: a lost run whose order has no answer stays in the ledger as doubtful. Its worker is offered no lease and gets no starts until it has confirmed the stop of the run. A session that is opened again takes such runs over. The next leader's fencing token excludes the order anyway.

Cost: one call to a worker that is heard again after such an order.

--- a/src/rhubarbfield/scheduling/contact.py
+++ b/src/rhubarbfield/scheduling/contact.py
@@ -8,6 +8,7 @@
 from rhubarbfield.clock import Clock
 from rhubarbfield.logs import log_event
 from rhubarbfield.scheduling.leases import WorkerLease
+from rhubarbfield.scheduling.ledger import OrderLedger
 from rhubarbfield.scheduling.ports import CallFailure, WorkerAddress
 from rhubarbfield.scheduling.progress import RunKey
 from rhubarbfield.scheduling.settings import SchedulingSettings
@@ -30,6 +31,8 @@
     ----------
     address
         Id and address of the worker.
+    ledger
+        The orders that the worker was given.
     clock
         Source of time.
     settings
@@ -58,6 +61,8 @@
     def __init__(
         self,
         address: WorkerAddress,
+        ledger: OrderLedger,
+        *,
         clock: Clock,
         settings: SchedulingSettings,
         marked_at: timedelta | None = None,
@@ -68,6 +73,7 @@
         self.lease = WorkerLease(clock, settings, min(known, default=None))
         self.is_suspended = marked_at is not None
         self.exit_announced_at: timedelta | None = None
+        self._ledger = ledger
         self._clock = clock
         self._settings = settings
         self._unresponsive_since: timedelta | None = None
@@ -141,7 +147,8 @@
         calls to an unresponsive worker did so, its lease would never be known to
         have lapsed.
         """
-        return self.lease.has_clock and self.is_responsive and not self.is_suspended
+        is_withheld = self.is_suspended or bool(self._ledger.doubtful)
+        return self.lease.has_clock and self.is_responsive and not is_withheld
 
     def offer_lease(self, now: timedelta) -> timedelta | None:
         """Return the lease end for an order; None if none was offered in this term.
--- a/src/rhubarbfield/scheduling/ledger.py
+++ b/src/rhubarbfield/scheduling/ledger.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Container, Mapping
+from collections.abc import Container, Iterable, Mapping
 from datetime import timedelta
 
 from rhubarbfield.logs import log_event
@@ -39,6 +39,10 @@
         State of the orders to start, by run.
     stops
         Orders to stop, by run.
+    doubtful
+        Runs that are recorded as lost although an order to start them may still be
+        carried out. The worker may take a later lease for theirs, so none is offered
+        until it has confirmed that they can't start.
     brief
         Since when runs may have been on the worker that ended soon after that.
     """
@@ -51,6 +55,7 @@
         self._known_since: dict[RunKey, timedelta] = {}
         self.starts: dict[RunKey, StartState] = {}
         self.stops: dict[RunKey, Stop] = {}
+        self.doubtful: set[RunKey] = set()
         self.brief: dict[RunKey, timedelta] = {}
 
     @property
@@ -71,6 +76,7 @@
         """
         self.starts = dict(former.starts)
         self._known_since = dict(former._known_since)
+        self.doubtful = set(former.doubtful)
         self.brief = dict(former.brief)
         stops = {key: stop.reason for key, stop in former.stops.items()}
         unsettled = [key for key in self.starts if former.is_unsettled(key)]
@@ -130,6 +136,11 @@
         if key in self.starts:
             self.starts[key] = StartState.SETTLED
 
+    def confirm_stop(self, key: RunKey) -> None:
+        """Record that the worker has confirmed that a run can no longer start."""
+        self.settle(key)
+        self.doubtful.discard(key)
+
     def set_pace(self, key: RunKey, percent: int | None) -> None:
         """Record the pace of a run, in percent of full speed; None if unknown."""
         self._paces[key] = percent
@@ -232,6 +243,7 @@
             key = RunKey(each.task, each.run)
             self.brief[key] = self._known_since[key]
         keys = {RunKey(end.task, end.run) for end in ends}
+        self.doubtful |= self._find_doubtful(ends)
         for key in keys:
             self.starts.pop(key, None)
             self.stops.pop(key, None)
@@ -242,3 +254,8 @@
             WorkerEnds(self._worker, ends, recorded_ends, lapsed, brief), since
         )
         self._ending -= keys
+
+    def _find_doubtful(self, ends: Iterable[EndedRun]) -> set[RunKey]:
+        """Return the lost runs that an order without an answer may still start."""
+        lost = (RunKey(end.task, end.run) for end in ends if end.end is RunEnd.LOST)
+        return {key for key in lost if self.starts.get(key) is StartState.SENT}
--- a/src/rhubarbfield/scheduling/session.py
+++ b/src/rhubarbfield/scheduling/session.py
@@ -89,8 +89,15 @@
         self._calls = calls
         self._clock = clock
         self._settings = settings
-        self._contact = WorkerContact(address, clock, settings, marked_at, former_until)
         self._ledger = OrderLedger(address.worker, host)
+        self._contact = WorkerContact(
+            address,
+            self._ledger,
+            clock=clock,
+            settings=settings,
+            marked_at=marked_at,
+            former_until=former_until,
+        )
         self.presence = RunPresence(self._contact, self._ledger, host)
         self._orders = OrderDispatcher(
             self._contact,
@@ -161,7 +168,8 @@
             Time since the report was received.
         """
         self._contact.handle_report(worker_clock, age)
-        if not self._contact.is_responsive or self._contact.is_suspended:
+        is_withheld = self._contact.is_suspended or self._ledger.doubtful
+        if not self._contact.is_responsive or is_withheld:
             self.request_view()
 
     def handle_exit_announcement(self) -> None:
@@ -282,6 +290,8 @@
             return False
         if self._contact.exit_announced_at is not None or self._contact.is_untried:
             return True
+        if self._ledger.doubtful and self._contact.is_responsive:
+            return True
         return bool(worker.runs) or worker.recorded_ends > self._acknowledged_ends
 
     async def _view_once(self) -> None:
@@ -354,6 +364,9 @@
         ends = [_convert_end(end) for end in listed]
         if not view.truncated:
             ends.extend(self._ledger.find_missing(view, recorded_runs, settled))
+        for key in self._ledger.doubtful:
+            if not self._ledger.is_ending(key):
+                self.stop(key, StopReason.UNANSWERED)
         self._stop_unrecorded(view, worker)
         self._host.handle_view(self.worker)
         if ends:
--- a/src/rhubarbfield/scheduling/stops.py
+++ b/src/rhubarbfield/scheduling/stops.py
@@ -129,7 +129,7 @@
             case Success(worker_clock):
                 self._contact.handle_reply(worker_clock)
                 stop.may_be_done = True
-                self._ledger.settle(stop.key)
+                self._ledger.confirm_stop(stop.key)
                 self._request_view()
                 return StopOutcome.CONFIRMED
             case Failure(failure):
@@ -151,7 +151,7 @@
                 return StopOutcome.ENDED
             case Refused(refusal=Refusal.SUPERSEDED):
                 stop.may_be_done = True
-                self._ledger.settle(stop.key)
+                self._ledger.confirm_stop(stop.key)
                 return StopOutcome.CONFIRMED
             case NoReply(was_sent=was_sent):
                 stop.may_be_done = stop.may_be_done or was_sent
--- a/src/rhubarbfield/testing/crashing_workers.py
+++ b/src/rhubarbfield/testing/crashing_workers.py
@@ -155,13 +155,16 @@
                 worker.end_run(task, RunEnd.BROKEN)
 
     def _restart(self, worker: StandInWorker) -> None:
-        successor = StandInWorker(
+        successor = self._make_successor(worker)
+        successor.demands = worker.demands
+        self._successors[worker.worker] = successor
+        self.add(successor)
+
+    def _make_successor(self, worker: StandInWorker) -> StandInWorker:
+        return StandInWorker(
             WorkerId(f"{worker.worker}'"),
             self._time,
             capacity=worker.capacity,
             duration=worker.duration,
             machine=worker.machine,
         )
-        successor.demands = worker.demands
-        self._successors[worker.worker] = successor
-        self.add(successor)
--- a/src/rhubarbfield/testing/scheduling_workers.py
+++ b/src/rhubarbfield/testing/scheduling_workers.py
@@ -115,6 +115,9 @@
         Task, run and time of each start.
     unanswered_starts
         Number of upcoming starts that get no reply and are carried out later.
+    has_single_lease
+        Whether a start is late by the worker's lease, which the order extends, instead
+        of by the lease end in the order.
     rejected_starts
         Number of upcoming starts that are refused.
     lost_stops
@@ -149,6 +152,7 @@
         self.started: list[tuple[TaskName, RunNumber, timedelta]] = []
         self.demands: dict[TaskName, Demand] = {}
         self.guards_capacity = True
+        self.has_single_lease = False
         self.tolerated_delay = timedelta()
         self.exceeding_starts: list[TaskName] = []
         self._former_capacities: list[tuple[timedelta, Demand]] = []
@@ -276,9 +280,12 @@
 
     def _find_refusal(self, order: StartOrder) -> Refusal | None:
         present = self.runs.get(order.task)
+        lease_end = order.lease_end
+        if self.has_single_lease:
+            lease_end = max(lease_end, self.lease_end)
         rules = (
             (order.term < self.term, Refusal.DEPOSED),
-            (order.lease_end <= self.read_clock(), Refusal.EXPIRED),
+            (lease_end <= self.read_clock(), Refusal.EXPIRED),
             (order.run <= self._ended_runs.get(order.task, 0), Refusal.SUPERSEDED),
             (present is not None and present.run != order.run, Refusal.SUPERSEDED),
             (
--- a/tests/scheduling/controllers.py
+++ b/tests/scheduling/controllers.py
@@ -10,7 +10,7 @@
 
 import trio
 
-from rhubarbfield.clock import TrioClock
+from rhubarbfield.clock import Clock, TrioClock
 from rhubarbfield.groups import NotLeading
 from rhubarbfield.scheduling.controller import SchedulingController
 from rhubarbfield.scheduling.deployment import DeploymentSettings, WorkerTimes
@@ -40,20 +40,24 @@
         Makes each controller's transport from the network and its name.
     make_store
         Makes the store of a controller's log from its name.
+    make_fleet
+        Makes the port to the workers.
     """
 
     def __init__(
         self,
         transport: Callable[..., Any] = MemoryTransport,
         make_store: Callable[[str], LogStore] = lambda _: MemoryStore(),
+        make_fleet: Callable[[Clock], CrashingFleet] = CrashingFleet,
     ) -> None:
         self._make_store = make_store
         self.clock = TrioClock()
         self.network = SimulatedNetwork(random.Random(1))
-        self.fleet = CrashingFleet(self.clock)
-        self._members = {name: self._make(name, transport) for name in NAMES}
+        self.fleet = make_fleet(self.clock)
+        self._members = {name: self.make(name, transport) for name in NAMES}
 
-    def _make(self, name: str, transport: Callable[..., Any]) -> SchedulingController:
+    def make(self, name: str, transport: Callable[..., Any]) -> SchedulingController:
+        """Return a controller that does not run yet."""
         settings = DeploymentSettings(
             instance=name,
             failure_domain=FailureDomain(f"z-{name}"),
--- /dev/null
+++ b/tests/scheduling/late_controllers_run.py
@@ -0,0 +1,266 @@
+"""Random days of three controllers whose workers carry out orders late.
+
+``python -m tests.scheduling.late_controllers_run --seeds 50`` plays that many days on
+a virtual clock, each with other luck, and prints what went wrong. The same seed gives
+the same day.
+"""
+
+from __future__ import annotations
+
+import random
+import sys
+from collections import Counter
+from collections.abc import Sequence
+
+import trio
+from absl import app, flags, logging
+
+from rhubarbfield.scheduling.model import JobSubmission, Step, TaskName
+from rhubarbfield.scheduling.requests import JobRequest, JobVerb
+from rhubarbfield.storage import LogStore, MemoryStore
+from rhubarbfield.testing.memory_transport import MemoryTransport
+from rhubarbfield.types import WorkerId
+from tests.replication.determinism import run_deterministic
+from tests.scheduling.controllers import NAMES, SETTLING_SECONDS, Controllers
+from tests.scheduling.deployments import CONFIGURATION, ONE_CORE, QUEUE
+from tests.scheduling.late_orders import LateFleet, LateWorker, Trouble
+
+WORKERS = 6
+DAY_SECONDS = 90.0
+SUBMIT_SECONDS = (0.0, 0.8)
+TROUBLE_SECONDS = (0.5, 13.0)
+CALM_SECONDS = (0.2, 4.0)
+CUT_SECONDS = (0.3, 6.0)
+DOWN_SECONDS = (0.3, 5.0)
+SLOWNESS = (50.0, 1500.0)  # factor of the delay of messages between controllers
+WATCH_SECONDS = 0.05
+REPORT_SECONDS = 1.0
+KINDS = (
+    *("late", "late", "late", "deaf", "mute", "lossy", "crash", "leave"),
+    *("cut", "cut one way", "slow", "kill", "release"),
+)
+
+
+class ControllersDay:
+    """One day and what was seen to go wrong on it.
+
+    Parameters
+    ----------
+    seed
+        Seed of the day.
+    has_single_lease
+        Whether a start is late by its worker's lease, instead of by its own.
+    """
+
+    def __init__(self, seed: int, *, has_single_lease: bool = False) -> None:
+        self.random = random.Random(seed)
+        self.has_single_lease = has_single_lease
+        self.faults: list[str] = []
+        self.counts: Counter[str] = Counter()
+        self.controllers: Controllers
+        self.fleet: LateFleet
+        self._workers: list[LateWorker] = []
+        self._stores: dict[str, LogStore] = {name: MemoryStore() for name in NAMES}
+        self._scopes: dict[str, trio.CancelScope] = {}
+
+    async def play(self) -> None:
+        """Play the day."""
+        async with trio.open_nursery() as nursery:
+            self.controllers = Controllers(
+                make_store=self._stores.__getitem__,
+                make_fleet=lambda clock: LateFleet(clock, self.random, nursery),
+            )
+            fleet = self.controllers.fleet
+            assert isinstance(fleet, LateFleet)
+            self.fleet = fleet
+            self.fleet.has_single_lease = self.has_single_lease
+            for number in range(WORKERS):
+                worker = LateWorker(WorkerId(f"w{number}"), self.controllers.clock)
+                self.fleet.add(worker)
+                self._workers.append(worker)
+            for name in NAMES:
+                nursery.start_soon(self._run_member, name)
+            await trio.sleep(SETTLING_SECONDS)
+            await self.controllers.leader.service.put_configuration(CONFIGURATION)
+            for work in (self._submit, self._disturb, self._watch, self._report):
+                nursery.start_soon(work)
+            await trio.sleep(DAY_SECONDS)
+            nursery.cancel_scope.cancel()
+        self.faults.extend(self.fleet.list_repeated_starts())
+        self.counts += self.fleet.count_runs()
+
+    async def _run_member(self, name: str) -> None:
+        """Run a controller, again with the same store each time it is killed."""
+        members = self.controllers._members
+        while True:
+            self._scopes[name] = trio.CancelScope()
+            with self._scopes[name]:
+                await members[name].run()
+            self.controllers.network.disconnect_host(name)
+            await trio.sleep(self.random.uniform(*DOWN_SECONDS))
+            members[name] = self.controllers.make(name, MemoryTransport)
+
+    def _list_workers(self) -> list[LateWorker]:
+        latest = map(self.fleet.find_latest, self._workers)
+        return [each for each in latest if isinstance(each, LateWorker)]
+
+    def _is_heard(self, worker: LateWorker) -> bool:
+        if worker.is_down or worker.trouble is Trouble.MUTE:
+            return False
+        return worker.trouble is not Trouble.LOSSY or self.random.random() < 0.5
+
+    async def _report(self) -> None:
+        async with trio.open_nursery() as nursery:
+            while True:
+                for worker in self._list_workers():
+                    if self._is_heard(worker):
+                        nursery.start_soon(self._report_one, worker)
+                await trio.sleep(REPORT_SECONDS)
+
+    async def _report_one(self, worker: LateWorker) -> None:
+        heartbeat = worker.make_heartbeat()
+        for name in self.random.sample(NAMES, len(NAMES)):
+            member = self.controllers._members[name]
+            with trio.move_on_after(1):
+                if await member.service.handle_heartbeat(heartbeat) is True:
+                    return
+
+    async def _submit(self) -> None:
+        draw = self.random
+        number = 0
+        while True:
+            number += 1
+            is_standing = draw.random() < 0.05
+            step = Step(
+                tasks=draw.randint(1, 3),
+                demand=ONE_CORE,
+                estimate_ms=1000,
+                standing=is_standing,
+            )
+            name = f"j{number}"
+            tasks = [TaskName(f"{name}.0.0.{index}") for index in range(step.tasks)]
+            for worker in self.fleet.lives:
+                worker.demands.update(dict.fromkeys(tasks, ONE_CORE))
+            if is_standing:
+                self.fleet.endless.update(tasks)
+            request = JobRequest(
+                verb=JobVerb.SUBMIT,
+                host=QUEUE.host,
+                path=f"{QUEUE.prefix}{name}",
+                submission=JobSubmission(payload="p", steps=(step,)),
+            )
+            for leader in self.controllers.list_leaders():
+                with trio.move_on_after(1):
+                    await leader.service.answer(request)
+            await trio.sleep(draw.uniform(*SUBMIT_SECONDS))
+
+    async def _disturb(self) -> None:
+        async with trio.open_nursery() as nursery:
+            while True:
+                await trio.sleep(self.random.uniform(*CALM_SECONDS))
+                kind = self.random.choice(KINDS)
+                self.counts[kind] += 1
+                worker = self.random.choice(self._list_workers())
+                name = self.random.choice(NAMES)
+                match kind:
+                    case "cut":
+                        nursery.start_soon(self._cut, name, (True, True))
+                    case "cut one way":
+                        ways = self.random.choice(((True, False), (False, True)))
+                        nursery.start_soon(self._cut, name, ways)
+                    case "slow":
+                        nursery.start_soon(self._slow_down)
+                    case "kill":
+                        self._scopes[name].cancel()
+                    case "release":
+                        self.controllers._members[name].release_leadership()
+                    case "crash":
+                        self.fleet.crash(worker)
+                    case "leave":
+                        nursery.start_soon(self._leave, worker)
+                    case _:
+                        nursery.start_soon(self._trouble, worker, Trouble(kind))
+
+    async def _trouble(self, worker: LateWorker, trouble: Trouble) -> None:
+        worker.trouble = trouble
+        await trio.sleep(self.random.uniform(*TROUBLE_SECONDS))
+        for each in (worker, *self._list_workers()):
+            if each.machine == worker.machine:
+                each.trouble = Trouble.NONE
+
+    async def _leave(self, worker: LateWorker) -> None:
+        """Let a worker drain and announce its exit, and work on for a while."""
+        worker.is_draining = True
+        await trio.sleep(self.random.uniform(*DOWN_SECONDS))
+        name = self.random.choice(NAMES)
+        if self._is_heard(worker):
+            with trio.move_on_after(1):
+                service = self.controllers._members[name].service
+                await service.handle_departure(worker.worker)
+        await trio.sleep(self.random.uniform(*DOWN_SECONDS))
+        self.fleet.crash(worker)
+
+    async def _cut(self, name: str, ways: tuple[bool, bool]) -> None:
+        """Cut a controller off from one other or both, in one way or both."""
+        network = self.controllers.network
+        others = [each for each in NAMES if each != name]
+        for other in self.random.sample(others, self.random.randint(1, 2)):
+            if ways[0]:
+                network.cut(name, other)
+            if ways[1]:
+                network.cut(other, name)
+        await trio.sleep(self.random.uniform(*CUT_SECONDS))
+        for other in others:
+            network.heal(name, other)
+            network.heal(other, name)
+
+    async def _slow_down(self) -> None:
+        """Let messages between controllers arrive late for a while."""
+        network = self.controllers.network
+        network.delay_factor = self.random.uniform(*SLOWNESS)
+        await trio.sleep(self.random.uniform(*CUT_SECONDS))
+        network.delay_factor = 1.0
+
+    async def _watch(self) -> None:
+        while True:
+            await trio.sleep(WATCH_SECONDS)
+            if self.fleet.count_runs_at_once() > 1:
+                self.faults.append(f"a task runs twice at {trio.current_time():.2f}")
+
+
+def play_day(seed: int, *, has_single_lease: bool = False) -> ControllersDay:
+    """Play the day of a seed and return it."""
+    days: list[ControllersDay] = []
+
+    async def play() -> None:
+        day = ControllersDay(seed, has_single_lease=has_single_lease)
+        days.append(day)
+        await day.play()
+
+    run_deterministic(play, seed=seed)
+    return days[0]
+
+
+def main(_: Sequence[str]) -> None:
+    """Play days and print those on which something went wrong."""
+    logging.set_verbosity(logging.FATAL)
+    failed = 0
+    counts: Counter[str] = Counter()
+    for seed in range(FLAGS.first, FLAGS.first + FLAGS.seeds):
+        day = play_day(seed, has_single_lease=FLAGS.single_lease)
+        counts += day.counts
+        failed += bool(day.faults)
+        if day.faults:
+            print(f"seed {seed}: {'; '.join(day.faults[:3])}", flush=True)
+    print(f"{FLAGS.seeds} days, {failed} with faults; {dict(counts)}")
+    sys.exit(1 if failed else 0)
+
+
+FLAGS = flags.FLAGS
+if __name__ == "__main__":
+    flags.DEFINE_integer("seeds", 50, "Number of days to play.")
+    flags.DEFINE_integer("first", 1, "Seed of the first day.")
+    flags.DEFINE_bool(
+        "single_lease", False, "Whether a start is late by its worker's lease."
+    )
+    app.run(main)
--- /dev/null
+++ b/tests/scheduling/late_orders.py
@@ -0,0 +1,270 @@
+"""Stand-in workers that are cut off in part, and carry out orders seconds late."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+from enum import Enum
+from typing import Any, TypeVar
+
+import msgspec
+import trio
+from returns.result import Failure, Result
+
+from rhubarbfield.clock import Clock
+from rhubarbfield.scheduling.model import RunNumber, TaskName
+from rhubarbfield.scheduling.ports import (
+    CallFailure,
+    ListedEnd,
+    NoReply,
+    PaceOrder,
+    StartOrder,
+    StopOrder,
+    ViewRequest,
+    WorkerAddress,
+    WorkerView,
+)
+from rhubarbfield.scheduling.state import RunEnd
+from rhubarbfield.testing.crashing_workers import CrashingFleet
+from rhubarbfield.testing.scheduling_fleet import NO_REPLY_DELAY
+from rhubarbfield.testing.scheduling_workers import StandInWorker
+from rhubarbfield.types import WorkerId
+
+LATE_SECONDS = (2.0, 12.0)
+LOSS = 0.4  # share of the requests, and of the replies, on a lossy link
+RUN_SECONDS = (0.1, 4.0)
+SLOW_RATE = 0.98
+
+ValueT = TypeVar("ValueT")
+
+
+class Trouble(Enum):
+    """What becomes of the calls to a worker.
+
+    Attributes
+    ----------
+    LATE
+        They get no reply, and are carried out seconds later.
+    DEAF
+        They do not arrive.
+    MUTE
+        They are carried out, and the replies are lost.
+    LOSSY
+        Some do not arrive, and some replies are lost.
+    """
+
+    NONE = "none"
+    LATE = "late"
+    DEAF = "deaf"
+    MUTE = "mute"
+    LOSSY = "lossy"
+
+
+class DoneRun(msgspec.Struct):
+    """A run that ended as done.
+
+    Attributes
+    ----------
+    task, run, worker
+        The run, and where it ended.
+    number
+        Number of the end in the worker's list.
+    ended_at
+        Monotonic time of the end.
+    counts
+        Whether the end was acknowledged before the worker's lease lapsed; None before
+        either.
+    """
+
+    task: TaskName
+    run: RunNumber
+    worker: WorkerId
+    number: int
+    ended_at: timedelta
+    counts: bool | None = None
+
+
+class LateWorker(StandInWorker):
+    """A worker whose clock may be slow, and which knows what became of its ends.
+
+    Attributes
+    ----------
+    rate
+        Rate of its clock.
+    trouble
+        What becomes of the calls to the worker.
+    done
+        Runs that ended as done.
+    """
+
+    def __init__(self, *args: Any, **options: Any) -> None:
+        super().__init__(*args, **options)
+        self.rate = 1.0
+        self.trouble = Trouble.NONE
+        self.done: list[DoneRun] = []
+        self.random = random.Random(str(self.worker))
+
+    def read_clock(self) -> timedelta:
+        return self._clock.monotonic() * self.rate + timedelta(seconds=100)
+
+    def start(self, order: StartOrder) -> Result[timedelta, CallFailure]:
+        self._note_lapse()
+        self.duration = timedelta(seconds=self.random.uniform(*RUN_SECONDS))
+        return super().start(order)
+
+    async def view(self, request: ViewRequest) -> Result[WorkerView, CallFailure]:
+        self._note_lapse()
+        if request.term >= self.term:
+            for each in self.done:
+                if each.counts is None and each.number <= request.recorded_ends:
+                    each.counts = True
+        return await super().view(request)
+
+    def end_run(self, task: TaskName, end: RunEnd) -> None:
+        run = self.runs[task]
+        super().end_run(task, end)
+        if end is RunEnd.DONE:
+            listed: ListedEnd = self.ends[-1]
+            at = self._clock.monotonic()
+            if run.ends_at is not None:
+                late = (self.read_clock() - run.ends_at) / self.rate
+                at -= max(late, timedelta())
+            done = DoneRun(task, run.run, self.worker, listed.number, at)
+            self.done.append(done)
+
+    def _note_lapse(self) -> None:
+        """Let ends that were not acknowledged before the lease lapsed not count."""
+        self.end_due_runs()
+        if self.read_clock() >= self.lease_end:
+            for each in self.done:
+                if each.counts is None:
+                    each.counts = False
+
+
+class LateFleet(CrashingFleet):
+    """Worker port whose calls are lost, or carried out late.
+
+    Parameters
+    ----------
+    clock
+        Clock for the durations of calls.
+    rng
+        Source of luck.
+    nursery
+        Runs the calls that are carried out late.
+
+    Attributes
+    ----------
+    lives
+        All incarnations of all workers.
+    has_single_lease
+        As of the workers.
+    """
+
+    def __init__(self, clock: Clock, rng: random.Random, nursery: trio.Nursery) -> None:
+        super().__init__(clock)
+        self._random = rng
+        self._nursery = nursery
+        self.lives: list[LateWorker] = []
+        self.has_single_lease = False
+
+    def add(self, worker: StandInWorker, address: str | None = None) -> None:
+        assert isinstance(worker, LateWorker)
+        worker.has_single_lease = self.has_single_lease
+        worker.rate = self._random.choice((1.0, SLOW_RATE))
+        self.lives.append(worker)
+        super().add(worker, address)
+
+    async def start(
+        self, to: WorkerAddress, order: StartOrder
+    ) -> Result[timedelta, CallFailure]:
+        return await self._call(to, lambda: super(LateFleet, self).start(to, order))
+
+    async def stop(
+        self, to: WorkerAddress, order: StopOrder
+    ) -> Result[timedelta, CallFailure]:
+        return await self._call(to, lambda: super(LateFleet, self).stop(to, order))
+
+    async def pace(
+        self, to: WorkerAddress, order: PaceOrder
+    ) -> Result[timedelta, CallFailure]:
+        return await self._call(to, lambda: super(LateFleet, self).pace(to, order))
+
+    async def view(
+        self, to: WorkerAddress, request: ViewRequest
+    ) -> Result[WorkerView, CallFailure]:
+        return await self._call(to, lambda: super(LateFleet, self).view(to, request))
+
+    def count_runs_at_once(self) -> int:
+        """Return the highest number of workers that run the same task now."""
+        counts: Counter[TaskName] = Counter()
+        for worker in self.lives:
+            if not worker.is_down:
+                worker.end_due_runs()
+                counts.update(worker.runs.keys())
+        return max(counts.values(), default=0)
+
+    def count_runs(self) -> Counter[str]:
+        """Return the number of starts, and of ends as done that count or do not."""
+        counts: Counter[str] = Counter()
+        for worker in self.lives:
+            counts["starts"] += len(worker.started)
+            counts["done"] += sum(each.counts is True for each in worker.done)
+            counts["lapsed"] += sum(each.counts is False for each in worker.done)
+        return counts
+
+    def list_repeated_starts(self) -> list[str]:
+        """Return the starts of tasks of which a run had ended as done, and counts."""
+        starts: dict[TaskName, list[timedelta]] = {}
+        for worker in self.lives:
+            for task, _, at in worker.started:
+                starts.setdefault(task, []).append(at)
+        return [
+            f"{done.task} starts after run {done.run} on {done.worker} was done"
+            f" at {done.ended_at}"
+            for worker in self.lives
+            for done in worker.done
+            if done.counts and done.task not in self.endless
+            if any(at > done.ended_at for at in starts[done.task])
+        ]
+
+    async def _call(
+        self,
+        to: WorkerAddress,
+        call: Callable[[], Awaitable[Result[ValueT, CallFailure]]],
+    ) -> Result[ValueT, CallFailure]:
+        worker = self.workers.get(to.address)
+        trouble = Trouble.NONE
+        if isinstance(worker, LateWorker) and not worker.is_down:
+            trouble = worker.trouble
+        if trouble is Trouble.LOSSY:
+            kinds = (Trouble.DEAF, Trouble.MUTE)
+            is_lost = self._random.random() < LOSS
+            trouble = self._random.choice(kinds) if is_lost else Trouble.NONE
+        match trouble:
+            case Trouble.NONE:
+                return await call()
+            case Trouble.LATE:
+                self._nursery.start_soon(self._call_late, call)
+            case Trouble.MUTE:
+                self._nursery.start_soon(call)
+        await trio.sleep(NO_REPLY_DELAY.total_seconds())
+        return Failure(NoReply("no reply in time"))
+
+    async def _call_late(self, call: Callable[[], Awaitable[object]]) -> None:
+        await trio.sleep(self._random.uniform(*LATE_SECONDS))
+        await call()
+
+    def _make_successor(self, worker: StandInWorker) -> StandInWorker:
+        successor = LateWorker(
+            WorkerId(f"{worker.worker}'"),
+            self._time,
+            capacity=worker.capacity,
+            duration=worker.duration,
+            machine=worker.machine,
+        )
+        assert isinstance(worker, LateWorker)
+        successor.trouble = worker.trouble  # behind the same cut
+        return successor
--- a/tests/scheduling/test_leader.py
+++ b/tests/scheduling/test_leader.py
@@ -596,6 +596,32 @@
                 await trio.sleep(0.1)
             self.assertEqual(count_runs_at_once(deployment), 1)
 
+    @with_deployment()
+    async def test_late_start_does_not_duplicate_a_task_after_the_lease_has_lapsed(
+        self, deployment: Deployment
+    ) -> None:
+        """A worker may take the lease that it has now for that of an old order."""
+        first = deployment.add_worker("w1", duration=None)
+        first.has_single_lease = True
+        first.unanswered_starts = 3
+        async with deployment.lead():
+            await deployment.submit("j", Step(demand=ONE_CORE, standing=True))
+            await trio.sleep(0.3)
+            second = deployment.add_worker("w2", duration=None)
+            first.is_unreachable = True
+            while not second.runs:
+                await trio.sleep(0.1)
+            first.lost_stops = 2
+            first.is_unreachable = False
+            others = Step(tasks=2, demand=ONE_CORE, standing=True, max_per_worker=1)
+            await deployment.submit("k", others)
+            for _ in range(80):
+                await trio.sleep(0.05)
+                if first.lease_end > first.read_clock():
+                    deployment.fleet.deliver_delayed_starts()
+                self.assertLessEqual(count_runs_at_once(deployment), 1)
+            self.assertEqual(deployment.fleet.delayed_starts, [])
+
     @with_deployment()
     async def test_start_rejected_after_one_in_doubt_is_stopped_before_it_moves(
         self, deployment: Deployment
--- a/tests/scheduling/test_ledger.py
+++ b/tests/scheduling/test_ledger.py
@@ -61,6 +61,26 @@
             host.may_commit.set()
         self.assertFalse(ledger.is_unsettled(KEY))
 
+    def test_order_without_an_answer_is_not_forgotten_with_its_session(self) -> None:
+        """Its run is lost with the lease, and the worker may be heard again."""
+        trio.run(self.check_lost_run)
+
+    async def check_lost_run(self) -> None:
+        log = Log()
+        log.apply(UpdateWorkers(reports=(make_report(WORKERS[0]),)))
+        worker = log.state.workers[WORKERS[0]]
+        worker.runs[KEY.task] = KEY.run
+        host = FakeHost(worker)
+        host.may_commit.set()
+        ledger = OrderLedger(worker.worker, cast(SessionHost, host))
+        ledger.starts[KEY] = StartState.SENT
+        await ledger.record_end(KEY, RunEnd.LOST)
+        successor = OrderLedger(worker.worker, cast(SessionHost, host))
+        self.assertEqual(successor.adopt(ledger), [])
+        self.assertEqual(successor.doubtful, {KEY})
+        successor.confirm_stop(KEY)
+        self.assertEqual(successor.doubtful, set())
+
 
 if __name__ == "__main__":
     unittest.main()
