--- a/tests/scheduling/late_controllers_run.py
+++ b/tests/scheduling/late_controllers_run.py
@@ -10,11 +10,13 @@
 import random
 import sys
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Awaitable, Callable, Sequence
+from functools import partial
 
 import trio
 from absl import app, flags, logging
 
+from rhubarbfield.scheduling.controller import SchedulingController
 from rhubarbfield.scheduling.model import JobSubmission, Step, TaskName
 from rhubarbfield.scheduling.requests import JobRequest, JobVerb
 from rhubarbfield.storage import LogStore, MemoryStore
@@ -35,6 +37,7 @@
 SLOWNESS = (50.0, 1500.0)  # factor of the delay of messages between controllers
 WATCH_SECONDS = 0.05
 REPORT_SECONDS = 1.0
+ANSWER_SECONDS = 1.0
 KINDS = (
     *("late", "late", "late", "deaf", "mute", "lossy", "crash", "leave"),
     *("cut", "cut one way", "slow", "kill", "release"),
@@ -61,7 +64,7 @@
         self.fleet: LateFleet
         self._workers: list[LateWorker] = []
         self._stores: dict[str, LogStore] = {name: MemoryStore() for name in NAMES}
-        self._scopes: dict[str, trio.CancelScope] = {}
+        self._nurseries: dict[str, trio.Nursery] = {}  # of the controllers that run
 
     async def play(self) -> None:
         """Play the day."""
@@ -93,13 +96,35 @@
         """Run a controller, again with the same store each time it is killed."""
         members = self.controllers._members
         while True:
-            self._scopes[name] = trio.CancelScope()
-            with self._scopes[name]:
-                await members[name].run()
+            async with trio.open_nursery() as nursery:
+                self._nurseries[name] = nursery
+                nursery.start_soon(members[name].run)
+            del self._nurseries[name]
             self.controllers.network.disconnect_host(name)
             await trio.sleep(self.random.uniform(*DOWN_SECONDS))
             members[name] = self.controllers.make(name, MemoryTransport)
 
+    async def _ask(
+        self, name: str, call: Callable[[SchedulingController], Awaitable[object]]
+    ) -> object:
+        """Return the answer of a controller; None if it is killed, or too slow."""
+        nursery = self._nurseries.get(name)
+        if nursery is None:
+            return None
+        answers: list[object] = []
+        has_ended = trio.Event()
+
+        async def ask() -> None:
+            try:
+                with trio.move_on_after(ANSWER_SECONDS):
+                    answers.append(await call(self.controllers._members[name]))
+            finally:
+                has_ended.set()
+
+        nursery.start_soon(ask)
+        await has_ended.wait()
+        return answers[0] if answers else None
+
     def _list_workers(self) -> list[LateWorker]:
         latest = map(self.fleet.find_latest, self._workers)
         return [each for each in latest if isinstance(each, LateWorker)]
@@ -120,10 +145,11 @@
     async def _report_one(self, worker: LateWorker) -> None:
         heartbeat = worker.make_heartbeat()
         for name in self.random.sample(NAMES, len(NAMES)):
-            member = self.controllers._members[name]
-            with trio.move_on_after(1):
-                if await member.service.handle_heartbeat(heartbeat) is True:
-                    return
+            reply = await self._ask(
+                name, lambda member: member.service.handle_heartbeat(heartbeat)
+            )
+            if reply is True:
+                return
 
     async def _submit(self) -> None:
         draw = self.random
@@ -150,8 +176,8 @@
                 submission=JobSubmission(payload="p", steps=(step,)),
             )
             for leader in self.controllers.list_leaders():
-                with trio.move_on_after(1):
-                    await leader.service.answer(request)
+                name = self.controllers.get_name(leader)
+                await self._ask(name, partial(_submit_to, request=request))
             await trio.sleep(draw.uniform(*SUBMIT_SECONDS))
 
     async def _disturb(self) -> None:
@@ -171,7 +197,8 @@
                     case "slow":
                         nursery.start_soon(self._slow_down)
                     case "kill":
-                        self._scopes[name].cancel()
+                        if name in self._nurseries:
+                            self._nurseries[name].cancel_scope.cancel()
                     case "release":
                         self.controllers._members[name].release_leadership()
                     case "crash":
@@ -194,9 +221,9 @@
         await trio.sleep(self.random.uniform(*DOWN_SECONDS))
         name = self.random.choice(NAMES)
         if self._is_heard(worker):
-            with trio.move_on_after(1):
-                service = self.controllers._members[name].service
-                await service.handle_departure(worker.worker)
+            await self._ask(
+                name, lambda member: member.service.handle_departure(worker.worker)
+            )
         await trio.sleep(self.random.uniform(*DOWN_SECONDS))
         self.fleet.crash(worker)
 
@@ -228,6 +255,10 @@
                 self.faults.append(f"a task runs twice at {trio.current_time():.2f}")
 
 
+async def _submit_to(member: SchedulingController, request: JobRequest) -> object:
+    return await member.service.answer(request)
+
+
 def play_day(seed: int, *, has_single_lease: bool = False) -> ControllersDay:
     """Play the day of a seed and return it."""
     days: list[ControllersDay] = []
