--- a/tests/scheduling/late_run.py
+++ b/tests/scheduling/late_run.py
@@ -94,8 +94,10 @@
         self.counts += self.fleet.count_runs()
 
     async def _lead(self) -> None:
+        leadership = self.deployment.replica.leadership
+        assert leadership is not None
         async with trio.open_nursery() as nursery:
-            self._leader = self.deployment.make_leader()
+            self._leader = self.deployment.make_leader(leadership)
             nursery.start_soon(self._leader.run)
             await trio.sleep(self.random.uniform(*TERM_SECONDS))
             self._leader = None
