Keep orders without an answer of a removed worker that reports itself again

A worker that announced its exit is removed once its lease has lapsed.

test_late_start_does_not_duplicate_a_task_after_its_worker_came_back: two runs at once before, none after.

--- a/src/rhubarbfield/scheduling/ledger.py
+++ b/src/rhubarbfield/scheduling/ledger.py
@@ -65,6 +65,12 @@
             key for key, state in self.starts.items() if state is StartState.SETTLED
         }
 
+    @property
+    def unanswered(self) -> set[RunKey]:
+        """Runs that an order without an answer may still start, recorded or not."""
+        sent = {key for key, state in self.starts.items() if state is StartState.SENT}
+        return self.doubtful | sent
+
     def adopt(self, former: OrderLedger) -> list[tuple[RunKey, StopReason]]:
         """Adopt the starts in a former ledger of the worker in this term.
 
--- a/src/rhubarbfield/scheduling/registry.py
+++ b/src/rhubarbfield/scheduling/registry.py
@@ -13,6 +13,7 @@
 from rhubarbfield.scheduling.commands import RemoveWorker, UpdateWorkers
 from rhubarbfield.scheduling.heartbeats import Heartbeat, Sighting
 from rhubarbfield.scheduling.ports import WorkerAddress, WorkerCalls
+from rhubarbfield.scheduling.progress import RunKey
 from rhubarbfield.scheduling.session import WorkerSession
 from rhubarbfield.scheduling.session_host import SessionHost
 from rhubarbfield.scheduling.settings import SchedulingSettings
@@ -74,6 +75,8 @@
         self._scopes: dict[WorkerId, trio.CancelScope] = {}
         self._reported_clocks: dict[WorkerId, timedelta | None] = {}
         self._sequences: dict[WorkerId, int] = {}
+        # Of removed workers: one that only announced its exit may report itself again.
+        self._unanswered: dict[WorkerId, set[RunKey]] = {}
         self.sessions: dict[WorkerId, WorkerSession] = {}
         self._is_outdated = True
 
@@ -103,6 +106,8 @@
         # A session that is opened later may follow one that extended the lease.
         self._former_until = None
         for removed in self.sessions.keys() - workers.keys():
+            if unanswered := self.sessions[removed].unanswered:
+                self._unanswered[removed] = unanswered
             self._close(removed)
 
     def map_silences(self) -> dict[WorkerId, Silence]:
@@ -155,6 +160,7 @@
             session.handle_report(self._reported_clocks[worker.worker])
         if former is not None:
             session.take_over(former)
+        session.doubt(self._unanswered.pop(worker.worker, ()))
         self.sessions[worker.worker] = session
         self._on_opened(worker.worker)
         scope = self._scopes[worker.worker] = trio.CancelScope()
--- a/src/rhubarbfield/scheduling/session.py
+++ b/src/rhubarbfield/scheduling/session.py
@@ -202,6 +202,15 @@
         for key, reason in self._ledger.adopt(former._ledger):
             self.stop(key, reason)
 
+    @property
+    def unanswered(self) -> set[RunKey]:
+        """Runs that an order without an answer may still start, recorded or not."""
+        return self._ledger.unanswered
+
+    def doubt(self, keys: Iterable[RunKey]) -> None:
+        """Offer no lease until the worker has confirmed that lost runs can't start."""
+        self._ledger.doubtful.update(keys)
+
     @property
     def needs_mark(self) -> bool:
         """Whether the worker has been silent for a while without being marked."""
--- a/tests/scheduling/test_leader.py
+++ b/tests/scheduling/test_leader.py
@@ -622,6 +622,30 @@
                 self.assertLessEqual(count_runs_at_once(deployment), 1)
             self.assertEqual(deployment.fleet.delayed_starts, [])
 
+    @with_deployment()
+    async def test_late_start_does_not_duplicate_a_task_after_its_worker_came_back(
+        self, deployment: Deployment
+    ) -> None:
+        """A worker that announced its exit is removed, works on and reports again."""
+        first = deployment.add_worker("w1", duration=None)
+        first.has_single_lease = True
+        first.unanswered_starts = 3
+        async with deployment.lead() as leader:
+            await deployment.submit("j", Step(demand=ONE_CORE, standing=True))
+            await trio.sleep(0.3)
+            second = deployment.add_worker("w2", duration=None)
+            first.is_unreachable = True
+            await leader.handle_departure(first.worker)
+            while not second.runs:
+                await trio.sleep(0.1)
+            first.is_unreachable = False
+            for _ in range(80):
+                await trio.sleep(0.05)
+                if first.lease_end > first.read_clock():
+                    deployment.fleet.deliver_delayed_starts()
+                self.assertLessEqual(count_runs_at_once(deployment), 1)
+            self.assertIn(first.worker, leader.state.workers)
+
     @with_deployment()
     async def test_start_rejected_after_one_in_doubt_is_stopped_before_it_moves(
         self, deployment: Deployment
