--- a/src/rhubarbfield/scheduling/session.py
+++ b/src/rhubarbfield/scheduling/session.py
@@ -298,8 +298,6 @@
             return False
         if self._contact.exit_announced_at is not None or self._contact.is_untried:
             return True
-        if self._ledger.doubtful and self._contact.is_responsive:
-            return True
         return bool(worker.runs) or worker.recorded_ends > self._acknowledged_ends
 
     async def _view_once(self) -> None:
