--- a/src/rhubarbfield/scheduling/ledger.py
+++ b/src/rhubarbfield/scheduling/ledger.py
@@ -68,8 +68,7 @@
     @property
     def unanswered(self) -> set[RunKey]:
         """Runs that an order without an answer may still start, recorded or not."""
-        sent = {key for key, state in self.starts.items() if state is StartState.SENT}
-        return self.doubtful | sent
+        return self.doubtful | self._find_unanswered(self.starts)
 
     def adopt(self, former: OrderLedger) -> list[tuple[RunKey, StopReason]]:
         """Adopt the starts in a former ledger of the worker in this term.
@@ -249,7 +248,7 @@
             key = RunKey(each.task, each.run)
             self.brief[key] = self._known_since[key]
         keys = {RunKey(end.task, end.run) for end in ends}
-        self.doubtful |= self._find_doubtful(ends)
+        self.doubtful |= self._find_unanswered(_list_lost(ends))
         for key in keys:
             self.starts.pop(key, None)
             self.stops.pop(key, None)
@@ -261,7 +260,10 @@
         )
         self._ending -= keys
 
-    def _find_doubtful(self, ends: Iterable[EndedRun]) -> set[RunKey]:
-        """Return the lost runs that an order without an answer may still start."""
-        lost = (RunKey(end.task, end.run) for end in ends if end.end is RunEnd.LOST)
-        return {key for key in lost if self.starts.get(key) is StartState.SENT}
+    def _find_unanswered(self, keys: Iterable[RunKey]) -> set[RunKey]:
+        """Return those of some runs whose order to start has no answer."""
+        return {key for key in keys if self.starts.get(key) is StartState.SENT}
+
+
+def _list_lost(ends: Iterable[EndedRun]) -> list[RunKey]:
+    return [RunKey(end.task, end.run) for end in ends if end.end is RunEnd.LOST]
--- a/src/rhubarbfield/scheduling/session.py
+++ b/src/rhubarbfield/scheduling/session.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable
 from datetime import timedelta
 
+import msgspec
 import trio
 from returns.result import Failure, Success
 
@@ -370,9 +371,7 @@
         ends = [_convert_end(end) for end in listed]
         if not view.truncated:
             ends.extend(self._ledger.find_missing(view, recorded_runs, settled))
-        for key in self._ledger.doubtful:
-            if not self._ledger.is_ending(key):
-                self.stop(key, StopReason.UNANSWERED)
+        self._stop_doubtful()
         self._stop_unrecorded(view, worker)
         self._host.handle_view(self.worker)
         if ends:
@@ -422,6 +421,12 @@
             if key not in self._ledger.starts:
                 self.stop(key, StopReason.UNRECORDED)
 
+    def _stop_doubtful(self) -> None:
+        """Stop lost runs that an order without an answer may still start."""
+        for key in sorted(self._ledger.doubtful, key=msgspec.structs.astuple):
+            if not self._ledger.is_ending(key):
+                self.stop(key, StopReason.UNANSWERED)
+
     async def _remove_worker(self) -> None:
         saved = self._host.list_checkpoints(self.worker)
         await self._host.remove_worker(self.worker, saved)
