--- a/tests/scheduling/late_controllers_run.py
+++ b/tests/scheduling/late_controllers_run.py
@@ -8,13 +8,11 @@
 from __future__ import annotations
 
 import random
-import sys
 from collections import Counter
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable
 from functools import partial
 
 import trio
-from absl import app, flags, logging
 
 from rhubarbfield.scheduling.controller import SchedulingController
 from rhubarbfield.scheduling.model import JobSubmission, Step, TaskName
@@ -22,9 +20,10 @@
 from rhubarbfield.storage import LogStore, MemoryStore
 from rhubarbfield.testing.memory_transport import MemoryTransport
 from rhubarbfield.types import WorkerId
-from tests.replication.determinism import run_deterministic
+from tests.scheduling import late_days
 from tests.scheduling.controllers import NAMES, SETTLING_SECONDS, Controllers
 from tests.scheduling.deployments import CONFIGURATION, ONE_CORE, QUEUE
+from tests.scheduling.late_days import RandomDay
 from tests.scheduling.late_orders import LateFleet, LateWorker, Trouble
 
 WORKERS = 6
@@ -259,39 +258,11 @@
     return await member.service.answer(request)
 
 
-def play_day(seed: int, *, has_single_lease: bool = False) -> ControllersDay:
+def play_day(seed: int, *, has_single_lease: bool = False) -> RandomDay:
     """Play the day of a seed and return it."""
-    days: list[ControllersDay] = []
+    make_day = partial(ControllersDay, seed, has_single_lease=has_single_lease)
+    return late_days.play_day(make_day, seed)
 
-    async def play() -> None:
-        day = ControllersDay(seed, has_single_lease=has_single_lease)
-        days.append(day)
-        await day.play()
 
-    run_deterministic(play, seed=seed)
-    return days[0]
-
-
-def main(_: Sequence[str]) -> None:
-    """Play days and print those on which something went wrong."""
-    logging.set_verbosity(logging.FATAL)
-    failed = 0
-    counts: Counter[str] = Counter()
-    for seed in range(FLAGS.first, FLAGS.first + FLAGS.seeds):
-        day = play_day(seed, has_single_lease=FLAGS.single_lease)
-        counts += day.counts
-        failed += bool(day.faults)
-        if day.faults:
-            print(f"seed {seed}: {'; '.join(day.faults[:3])}", flush=True)
-    print(f"{FLAGS.seeds} days, {failed} with faults; {dict(counts)}")
-    sys.exit(1 if failed else 0)
-
-
-FLAGS = flags.FLAGS
 if __name__ == "__main__":
-    flags.DEFINE_integer("seeds", 50, "Number of days to play.")
-    flags.DEFINE_integer("first", 1, "Seed of the first day.")
-    flags.DEFINE_bool(
-        "single_lease", False, "Whether a start is late by its worker's lease."
-    )
-    app.run(main)
+    late_days.run_days(play_day)
--- a/tests/scheduling/late_run.py
+++ b/tests/scheduling/late_run.py
@@ -8,21 +8,20 @@
 from __future__ import annotations
 
 import random
-import sys
 from collections import Counter
-from collections.abc import Sequence
 from datetime import timedelta
+from functools import partial
 
 import trio
-from absl import app, flags, logging
 
 from rhubarbfield.scheduling.heartbeats import Heartbeat, HeartbeatDigest, Sighting
 from rhubarbfield.scheduling.leader import SchedulingLeader
 from rhubarbfield.scheduling.model import Step, TaskName
 from rhubarbfield.scheduling.settings import SchedulingSettings
 from rhubarbfield.types import Term, WorkerId
-from tests.replication.determinism import run_deterministic
+from tests.scheduling import late_days
 from tests.scheduling.deployments import ONE_CORE, Deployment
+from tests.scheduling.late_days import RandomDay
 from tests.scheduling.late_orders import LateFleet, LateWorker, Trouble
 
 SETTINGS = SchedulingSettings(lease=timedelta(seconds=9))
@@ -216,39 +215,11 @@
                 self.faults.append(f"a task runs twice at {trio.current_time():.2f}")
 
 
-def play_day(seed: int, *, has_single_lease: bool = False) -> LateDay:
+def play_day(seed: int, *, has_single_lease: bool = False) -> RandomDay:
     """Play the day of a seed and return it."""
-    days: list[LateDay] = []
+    make_day = partial(LateDay, seed, has_single_lease=has_single_lease)
+    return late_days.play_day(make_day, seed)
 
-    async def play() -> None:
-        day = LateDay(seed, has_single_lease=has_single_lease)
-        days.append(day)
-        await day.play()
 
-    run_deterministic(play, seed=seed)
-    return days[0]
-
-
-def main(_: Sequence[str]) -> None:
-    """Play days and print those on which something went wrong."""
-    logging.set_verbosity(logging.FATAL)
-    failed = 0
-    counts: Counter[str] = Counter()
-    for seed in range(FLAGS.first, FLAGS.first + FLAGS.seeds):
-        day = play_day(seed, has_single_lease=FLAGS.single_lease)
-        counts += day.counts
-        failed += bool(day.faults)
-        if day.faults:
-            print(f"seed {seed}: {'; '.join(day.faults[:3])}", flush=True)
-    print(f"{FLAGS.seeds} days, {failed} with faults; {dict(counts)}")
-    sys.exit(1 if failed else 0)
-
-
-FLAGS = flags.FLAGS
 if __name__ == "__main__":
-    flags.DEFINE_integer("seeds", 50, "Number of days to play.")
-    flags.DEFINE_integer("first", 1, "Seed of the first day.")
-    flags.DEFINE_bool(
-        "single_lease", False, "Whether a start is late by its worker's lease."
-    )
-    app.run(main)
+    late_days.run_days(play_day)
--- a/tests/storage/test_file.py
+++ b/tests/storage/test_file.py
@@ -72,6 +72,14 @@
         self.assertEqual(self.loaded.unwrap().entries, expected)
         self.assertEqual(self.loaded.unwrap().hard_state, STATE)
 
+    def assert_every_flip_detected(self) -> None:
+        data = self.files.read("log") or b""
+        for offset in range(len(data)):
+            flipped = bytearray(data)
+            flipped[offset] ^= 0x10
+            result = decode_log([bytes(flipped)])
+            self.assertIsInstance(result, Failure, offset)
+
     def assert_damaged(self) -> None:
         self.open()
         self.assertIsInstance(self.loaded, Failure)
@@ -148,12 +156,7 @@
 
     def test_every_flipped_byte_is_detected(self) -> None:
         self.append(make_entries(1, 2), make_entries(3, 2))
-        data = self.files.read("log") or b""
-        for offset in range(len(data)):
-            flipped = bytearray(data)
-            flipped[offset] ^= 0x10
-            result = decode_log([bytes(flipped)])
-            self.assertIsInstance(result, Failure, offset)
+        self.assert_every_flip_detected()
 
     def test_writes_that_a_loss_of_power_kept_after_lost_ones_are_cut(self) -> None:
         """Discarding the store would lose the synced entries too."""
@@ -176,12 +179,7 @@
         for first in (3, 4, 5):
             self.store.write(STATE, make_entries(first, 1))
         self.store.sync()
-        data = self.files.read("log") or b""
-        for offset in range(len(data)):
-            flipped = bytearray(data)
-            flipped[offset] ^= 0x10
-            result = decode_log([bytes(flipped)])
-            self.assertIsInstance(result, Failure, offset)
+        self.assert_every_flip_detected()
 
     def test_lost_bytes_of_a_synced_write_are_detected(self) -> None:
         self.append(make_entries(1, 2), make_entries(3, 1), make_entries(4, 1))
