--- a/src/rhubarbfield/scheduling/contact.py
+++ b/src/rhubarbfield/scheduling/contact.py
@@ -147,8 +147,13 @@
         calls to an unresponsive worker did so, its lease would never be known to
         have lapsed.
         """
-        is_withheld = self.is_suspended or bool(self._ledger.doubtful)
-        return self.lease.has_clock and self.is_responsive and not is_withheld
+        may_offer = self.is_responsive and not self.is_lease_withheld
+        return self.lease.has_clock and may_offer
+
+    @property
+    def is_lease_withheld(self) -> bool:
+        """Whether no lease is offered although the worker may be responsive."""
+        return self.is_suspended or bool(self._ledger.doubtful)
 
     def offer_lease(self, now: timedelta) -> timedelta | None:
         """Return the lease end for an order; None if none was offered in this term.
--- a/src/rhubarbfield/scheduling/session.py
+++ b/src/rhubarbfield/scheduling/session.py
@@ -168,8 +168,7 @@
             Time since the report was received.
         """
         self._contact.handle_report(worker_clock, age)
-        is_withheld = self._contact.is_suspended or self._ledger.doubtful
-        if not self._contact.is_responsive or is_withheld:
+        if not self._contact.is_responsive or self._contact.is_lease_withheld:
             self.request_view()
 
     def handle_exit_announcement(self) -> None:
