End the process for an invariant that a stream's handler breaks

A broken invariant has to stop the process, also in a request. A handler of a stream raised it inside a nursery, so that the server saw an exception group, logged it and went on. Most requests to a leader arrive on streams.

It was hidden: the client repeated the request as a single call, which broke the invariant once more, and that one ended the process.

BrokenHandlerTest failed before: the server went on.

--- a/src/rhubarbfield/peering/server.py
+++ b/src/rhubarbfield/peering/server.py
@@ -39,6 +39,16 @@
         raise asyncio.CancelledError
 
 
+def _find_broken_invariant(error: Exception) -> BrokenInvariantError | None:
+    """Return the broken invariant that a handler raised, in a nursery or outside."""
+    while isinstance(error, ExceptionGroup):
+        broken = error.subgroup(BrokenInvariantError)
+        if broken is None:
+            return None
+        error = broken.exceptions[0]
+    return error if isinstance(error, BrokenInvariantError) else None
+
+
 class _Service:
     """grpclib service with trio functions as methods."""
 
@@ -87,8 +97,11 @@
                 raise GRPCError(Status.UNAUTHENTICATED, "the shared secret is wrong")
             try:
                 await trio_as_aio(run)(stream)
-            except BrokenInvariantError as error:
-                self.invariant_error = error
+            except (BrokenInvariantError, ExceptionGroup) as error:
+                broken = _find_broken_invariant(error)
+                if broken is None:
+                    raise
+                self.invariant_error = broken
                 self.invariant_broken.set()
                 raise GRPCError(Status.INTERNAL, "an invariant is broken") from error
             except msgspec.MsgspecError as error:
--- a/tests/peering/test_grpc.py
+++ b/tests/peering/test_grpc.py
@@ -15,6 +15,7 @@
 import trio_asyncio
 from returns.result import Failure, Success
 
+from rhubarbfield.exceptions import BrokenInvariantError
 from rhubarbfield.peering import (
     CallFailureKind,
     CallMethod,
@@ -172,6 +173,36 @@
         await listeners[0].aclose()
 
 
+class BrokenHandlerTest(unittest.TestCase):
+    """Handlers that raise."""
+
+    def test_invariant_broken_on_a_stream_ends_the_server(self) -> None:
+        """The process went on: the error was inside the group of a nursery."""
+        with self.assertRaises(BaseExceptionGroup) as caught:
+            run_with_loop(self.break_an_invariant)
+        self.assertIsNotNone(caught.exception.subgroup(BrokenInvariantError))
+
+    async def break_an_invariant(self) -> None:
+        async def handle(stream: MessageStream) -> None:
+            await stream.receive()
+            raise BrokenInvariantError("short-name", 1)
+
+        port = find_port()
+        async with trio.open_nursery() as nursery:
+            await nursery.start(
+                partial(TRANSPORT.serve, HOST, port, streams={STREAM: handle})
+            )
+            async with (
+                connect(TRANSPORT, HOST, port) as connection,
+                connection.open(STREAM) as stream,
+            ):
+                assert stream is not None
+                await stream.send(Question(1))
+                self.assertIsNone(await stream.receive())
+            await trio.sleep(1)
+            nursery.cancel_scope.cancel()
+
+
 def fill_listener(stack: contextlib.ExitStack) -> int:
     """Return the port of a listener that accepts no further connection."""
     server = stack.enter_context(socket.socket())
