Leave a call in doubt whose handler can't read a value

A call that is answered as refused has certainly done nothing.

Only a request that can't be decoded is refused now. The test failed before.

--- a/src/rhubarbfield/peering/server.py
+++ b/src/rhubarbfield/peering/server.py
@@ -78,7 +78,13 @@
     def add_call(self, method: CallMethod, handle: CallHandler) -> None:
         async def run(stream: Any) -> None:
             request = await aio_as_trio(stream.recv_message)()
-            reply = await handle(request)
+            try:
+                reply = await handle(request)
+            except msgspec.MsgspecError as error:
+                # Refused is only a request that was not read; this one may have
+                # taken effect.
+                logger.exception("request-failed")
+                raise GRPCError(Status.INTERNAL, str(error)) from error
             await aio_as_trio(stream.send_message)(reply)
 
         self._handlers[method.path] = Handler(
--- a/tests/peering/test_grpc.py
+++ b/tests/peering/test_grpc.py
@@ -182,6 +182,25 @@
             run_with_loop(self.break_an_invariant)
         self.assertIsNotNone(caught.exception.subgroup(BrokenInvariantError))
 
+    def test_call_whose_handler_raises_may_have_taken_effect(self) -> None:
+        """REFUSED: an unreadable value in the handler was told as a refusal."""
+        run_with_loop(self.call_a_handler_that_reads_an_invalid_value)
+
+    async def call_a_handler_that_reads_an_invalid_value(self) -> None:
+        async def handle(question: Question) -> Reply:
+            return msgspec.json.decode(b"{}", type=Reply)
+
+        port = find_port()
+        async with trio.open_nursery() as nursery:
+            await nursery.start(
+                partial(TRANSPORT.serve, HOST, port, calls={CALL: handle})
+            )
+            async with connect(TRANSPORT, HOST, port) as connection:
+                with self.assertLogs("rhubarbfield.peering", "ERROR"):
+                    reply = await connection.call(CALL, Question(1))
+            self.assertIs(reply.failure().kind, CallFailureKind.TIMEOUT)
+            nursery.cancel_scope.cancel()
+
     async def break_an_invariant(self) -> None:
         async def handle(stream: MessageStream) -> None:
             await stream.receive()
