Leave a request in doubt whose stream is lost before its first reply

Cause: a stream that ended before anything was received on it was taken for one that the server does not serve. The request was sent again as a call of its own within the same attempt, so that the refusal of the second sending was passed on for both. The first request on each new connection is at risk.

A server without the stream says so (UNIMPLEMENTED, in headers that grpclib drops when a reset follows them); only then is the request sent again. Any other loss leaves the attempt in doubt, and the entry goes on as after each other lost stream.

The test failed before: the reply of the second sending.

--- a/src/rhubarbfield/peering/_grpclib.py
+++ b/src/rhubarbfield/peering/_grpclib.py
@@ -12,6 +12,7 @@
 
 import msgspec
 import trio
+from grpclib.const import Status
 from grpclib.encoding.base import CodecBase
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 from trio_asyncio import aio_as_trio
@@ -133,6 +134,14 @@
         self._outbox_drained = trio.Event()
         self._inbox_sender, self._inbox = trio.open_memory_channel[Any](math.inf)
 
+    @property
+    def is_unsupported(self) -> bool:
+        """See :class:`~rhubarbfield.peering.ports.MessageStream`."""
+        # grpclib raises no status for a stream that is reset right after its headers.
+        http_stream = getattr(self._stream, "_stream", None)
+        headers = dict(getattr(http_stream, "headers", None) or ())
+        return headers.get("grpc-status") == str(Status.UNIMPLEMENTED.value)
+
     @asynccontextmanager
     async def pump(self) -> AsyncIterator[None]:
         """Transfer messages in both directions while the block runs."""
--- a/src/rhubarbfield/peering/ports.py
+++ b/src/rhubarbfield/peering/ports.py
@@ -36,6 +36,13 @@
     something that can't be decoded.
     """
 
+    @property
+    def is_unsupported(self) -> bool:
+        """Whether the other side does not serve the method, and so read nothing.
+
+        Known once the stream has ended.
+        """
+
     async def send(self, message: msgspec.Struct) -> bool:
         """Send ``message``; return False if the stream has ended or is too slow."""
 
--- a/src/rhubarbfield/peering/streamedcalls.py
+++ b/src/rhubarbfield/peering/streamedcalls.py
@@ -180,7 +180,6 @@
         self._stream: MessageStream | None = None
         self._is_running = False
         self._attempted = trio.Event()
-        self._was_heard = False
         self._has_ended = False
         self._pending: dict[int, _PendingCall] = {}
         self._last_number = 0
@@ -215,16 +214,15 @@
             and self._is_unsupported
             and remaining > timedelta()
         ):
-            return _keep_doubt(await self._connection.call(method, request, remaining))
+            return await self._connection.call(method, request, remaining)
         return result
 
     @property
     def _is_unsupported(self) -> bool:
-        """Whether the stream ended before anything was received on it.
-
-        A server of an earlier version ends it at once.
-        """
-        return self._has_ended and self._stream is not None and not self._was_heard
+        """Whether the server is of an earlier version, which serves no such stream."""
+        return self._has_ended and (
+            self._stream is not None and self._stream.is_unsupported
+        )
 
     def open(
         self, method: StreamMethod
@@ -271,7 +269,6 @@
                 pending.settle(Failure(_STREAM_ENDED))
 
     def _handle_reply(self, reply: Numbered[Any]) -> None:
-        self._was_heard = True
         pending = self._pending.pop(reply.number, None)
         if pending is not None:
             pending.settle(Success(reply.content))
@@ -281,14 +278,6 @@
 _STREAM_ENDED = CallFailure(CallFailureKind.TIMEOUT, "the stream has ended")
 
 
-def _keep_doubt(result: Result[Any, CallFailure]) -> Result[Any, CallFailure]:
-    """Return the result of a repeated call, whose first attempt may have arrived."""
-    match result:
-        case Failure(CallFailure(kind=CallFailureKind.UNREACHABLE, detail=detail)):
-            return Failure(CallFailure(CallFailureKind.TIMEOUT, detail))
-    return result
-
-
 async def _for_each(
     stream: MessageStream, handle: Callable[[Numbered[Any]], None]
 ) -> None:
--- a/src/rhubarbfield/testing/memory_transport.py
+++ b/src/rhubarbfield/testing/memory_transport.py
@@ -251,6 +251,7 @@
             return
         async with network.open_stream(self._host, target, method) as stream:
             handler = served.streams.get(method, _end_at_once)
+            stream.opener_end.is_unsupported = handler is _end_at_once
             served.nursery.start_soon(_handle_stream, handler, stream.server_end)
             yield stream.opener_end
 
--- a/src/rhubarbfield/testing/streams.py
+++ b/src/rhubarbfield/testing/streams.py
@@ -92,9 +92,15 @@
         The two directions, as seen from this end.
     receives
         Type of the messages that this end receives, often a union.
+
+    Attributes
+    ----------
+    is_unsupported
+        Whether the server does not serve the method of the stream.
     """
 
     def __init__(self, outgoing: Direction, incoming: Direction, receives: Any) -> None:
+        self.is_unsupported = False
         self.outgoing = outgoing
         self.incoming = incoming
         self._encoder = msgspec.json.Encoder()
--- a/tests/peering/test_streamedcalls.py
+++ b/tests/peering/test_streamedcalls.py
@@ -9,7 +9,7 @@
 
 import trio
 import trio_asyncio
-from returns.result import Success
+from returns.result import Failure, Success
 
 from rhubarbfield.exceptions import BrokenInvariantError
 from rhubarbfield.peering import (
@@ -179,6 +179,23 @@
         self.run_calls(body, handle_stream=answer_two)
         self.assertEqual(self.transport.calls, 0)
 
+    def test_request_on_a_stream_lost_before_any_reply_is_in_doubt(self) -> None:
+        """REFUSED: it was sent again as a call, whose refusal ended the first, too."""
+        taken: list[Question] = []
+
+        async def take_one(stream: MessageStream) -> None:
+            request: Any = await stream.receive()
+            taken.append(request.content)
+
+        async def body(connection: Connection) -> None:
+            reply = await connection.call(CALL, Question(1))
+            self.assertEqual(taken, [Question(1)])
+            self.assertIsInstance(reply, Failure)
+            self.assertIs(reply.failure().kind, CallFailureKind.TIMEOUT)
+
+        self.run_calls(body, handle_stream=take_one)
+        self.assertEqual(self.answerer.questions, [])
+
     def test_a_server_without_the_stream_is_called_as_before(self) -> None:
         async def body(connection: Connection) -> None:
             for number in range(3):
