Hold the answer that records are full while an earlier attempt is in doubt

A caller with an idempotency key was told that its request was not run, as there was no room for its record; an earlier attempt of the same call could still write the record, which then counted as a running request until it expired.

The reply is the answer only if no attempt is in doubt; else the entry gives up as for unreachable records, and clears the record.

--- a/src/rhubarbfield/entry/daemon.py
+++ b/src/rhubarbfield/entry/daemon.py
@@ -31,7 +31,11 @@
 from rhubarbfield.entry.records import HomeRecords
 from rhubarbfield.entry.session import EntrySession
 from rhubarbfield.peering import Encoding, GrpcTransport, Transport, open_bridge
-from rhubarbfield.protocol import DOMAIN_CALL, LeaderCalls
+from rhubarbfield.protocol import (
+    DOMAIN_CALL,
+    LeaderCalls,
+    settles_domain_attempts,
+)
 from rhubarbfield.protocol.workers import BACKEND_SERVER_STREAM
 from rhubarbfield.routing import BackendPort, LiveSettings, OwnedServers, Router
 from rhubarbfield.settings import Settings
@@ -176,6 +180,7 @@
                 map_member_addresses(self.settings, group.controllers),
                 self._transport,
                 self._clock,
+                settles=settles_domain_attempts,
             )
             for group in list_domain_groups(self.settings)
         }
--- a/src/rhubarbfield/protocol/__init__.py
+++ b/src/rhubarbfield/protocol/__init__.py
@@ -20,6 +20,7 @@
     DomainRequest,
     QueryAnswer,
     QueryRequest,
+    settles_domain_attempts,
 )
 from rhubarbfield.protocol.entries import (
     ENTRY_STREAM,
@@ -47,6 +48,7 @@
     "NotLeading",
     "Unavailable",
     "QueryRequest",
+    "settles_domain_attempts",
     "QueryAnswer",
     "ENTRY_STREAM",
     "EntryHello",
--- a/src/rhubarbfield/protocol/calls.py
+++ b/src/rhubarbfield/protocol/calls.py
@@ -24,6 +24,7 @@
     BeginRequest,
     ClearRequest,
     FinishRequest,
+    RecordsFull,
 )
 from rhubarbfield.types import FailureDomain
 
@@ -92,6 +93,17 @@
     DomainRequest,
     join_types(_DOMAIN_REPLIES),
 )
+
+
+def settles_domain_attempts(_request: DomainRequest, reply: object) -> bool:
+    """Return whether a reply also answers for earlier attempts of a request.
+
+    Each reply tells what is stored, so that a later attempt is told the same, but
+    one: an earlier attempt may begin a record once there is room again.
+    """
+    return not isinstance(reply, RecordsFull)
+
+
 FLEET_CALL = CallMethod(
     "/rhubarbfield.Controller/Fleet",
     join_types(fleet_commands.command_types),
@@ -110,4 +122,5 @@
     "QueryAnswer",
     "QueryRequest",
     "Unavailable",
+    "settles_domain_attempts",
 ]
