Bound the queues that are kept for proposals under way by bytes

A proposal can only be behind what is pending, which is bounded by 8 MiB on each instance. The state keeps the sizes of the latest configurations, and a queue without open jobs only until those since its removal exceed that.

test_replaced_queues_do_not_outgrow_the_log_of_an_instance failed before: 19,109,689 bytes of 8,388,608. A job whose proposal is behind all that may be pending is still served.

--- a/src/rhubarbfield/scheduling/appliers.py
+++ b/src/rhubarbfield/scheduling/appliers.py
@@ -26,7 +26,10 @@
     scheduling_commands,
 )
 from rhubarbfield.scheduling.crashes import CrashedRun
-from rhubarbfield.scheduling.former_queues import find_former_queues
+from rhubarbfield.scheduling.former_queues import (
+    KEPT_CONFIGURATIONS,
+    find_former_queues,
+)
 from rhubarbfield.scheduling.gang_checkpoints import CheckpointSource
 from rhubarbfield.scheduling.model import (
     NO_CHECKPOINT,
@@ -76,11 +79,14 @@
         removed = {} if held is None else state.map_queues()
         state.configuration = offered
         state.configurations += 1
+        sizes = [*state.configuration_sizes, len(msgspec.msgpack.encode(offered))]
+        state.configuration_sizes = sizes[-KEPT_CONFIGURATIONS:]
         state.former_queues = find_former_queues(
             state.former_queues,
             removed,
             configured=index_queues(offered),
             number=state.configurations,
+            sizes=state.configuration_sizes,
             used={job.queue for job in state.jobs.values() if job.is_open},
         )
     return Done()
--- a/src/rhubarbfield/scheduling/controller.py
+++ b/src/rhubarbfield/scheduling/controller.py
@@ -36,6 +36,7 @@
 )
 from rhubarbfield.scheduling.appliers import make_scheduling_machine
 from rhubarbfield.scheduling.deployment import SCHEDULING_GROUP, DeploymentSettings
+from rhubarbfield.scheduling.former_queues import MAX_PENDING_BYTES
 from rhubarbfield.scheduling.heartbeats import HEARTBEAT_CALL, HEARTBEAT_STREAM
 from rhubarbfield.scheduling.leader import SchedulingLeader
 from rhubarbfield.scheduling.measuring import MeasuredCalls
@@ -273,7 +274,7 @@
         snapshot_bytes=log_bytes,
         kept_entries=1000,
         kept_bytes=log_bytes // 2,
-        max_pending_bytes=max(log_bytes, MAX_COMMAND_BYTES),
+        max_pending_bytes=min(max(log_bytes, MAX_COMMAND_BYTES), MAX_PENDING_BYTES),
         append_interval=timedelta(milliseconds=15),
         propose_timeout=timedelta(milliseconds=2500),
         replace_after=timedelta(milliseconds=2500),
--- a/src/rhubarbfield/scheduling/state.py
+++ b/src/rhubarbfield/scheduling/state.py
@@ -380,6 +380,8 @@
         Learned interference estimates, for the next leader.
     configurations
         Number of configurations that were in force so far.
+    configuration_sizes
+        Bytes of the latest of them, the one in force last; the earlier ones may miss.
     former_queues
         Queues of open jobs that are no longer configured under their names.
     withdrawn
@@ -392,6 +394,7 @@
     accepted: int = 0
     harm: dict[str, HarmEstimate] = msgspec.field(default_factory=dict)
     configurations: int = 0
+    configuration_sizes: list[int] = msgspec.field(default_factory=list)
     former_queues: dict[QueueName, FormerQueue] = msgspec.field(default_factory=dict)
     withdrawn: dict[JobId, None] = msgspec.field(default_factory=dict)
 
--- a/tests/scheduling/test_appliers.py
+++ b/tests/scheduling/test_appliers.py
@@ -69,6 +69,7 @@
     def __init__(self) -> None:
         self.machine = make_scheduling_machine()
         self.index = 0
+        self.encoded_bytes = 0
 
     @property
     def state(self) -> SchedulingState:
@@ -77,6 +78,7 @@
     def apply(self, command: Command) -> Reply:
         self.index += 1
         encoded = self.machine.encode_command(command)
+        self.encoded_bytes += len(encoded)
         reply = self.machine.apply(LogIndex(self.index), encoded)
         return self.machine.decode_reply(reply)
 
--- a/tests/scheduling/test_former_queues.py
+++ b/tests/scheduling/test_former_queues.py
@@ -9,6 +9,7 @@
 import trio
 
 from rhubarbfield.scheduling.commands import AcceptJob, PutConfiguration
+from rhubarbfield.scheduling.controller import MAX_LOG_BYTES
 from rhubarbfield.scheduling.former_queues import KEPT_CONFIGURATIONS
 from rhubarbfield.scheduling.model import (
     JobPhase,
@@ -17,6 +18,7 @@
     QueueConfiguration,
     QueueName,
     Step,
+    identify_queues,
 )
 from rhubarbfield.scheduling.requests import JobRequest, JobVerb, WaitingJobs
 from rhubarbfield.scheduling.state import RunEnd
@@ -35,6 +37,8 @@
 OTHER = msgspec.structs.replace(QUEUE, name=QueueName("other"), prefix="/other/")
 TWO_STEPS = (Step(demand=ONE_CORE), Step(demand=ONE_CORE, after=(0,)))
 MANY_CONFIGURATIONS = 100
+LARGE_QUEUES = 5000  # as many as a command may hold
+ROUTE_BYTES = 240  # of a document
 
 
 def make_configuration(version: int, *queues: Queue) -> QueueConfiguration:
@@ -143,6 +147,44 @@
         self.assertIn(QUEUE.name, former)
         self.assertLessEqual(len(former), KEPT_CONFIGURATIONS + 1)
 
+    def replace_all_queues(self, number: int) -> None:
+        """Configure as many queues as there may be, all with other hosts."""
+        host = f"host{number}.example"
+        self.version += 1
+        queues = tuple(
+            msgspec.structs.replace(QUEUE, host=host, prefix=f"/path{index}/")
+            for index in range(LARGE_QUEUES)
+        )
+        configuration = identify_queues(make_configuration(self.version, *queues))
+        document = bytes(LARGE_QUEUES * ROUTE_BYTES)
+        self.log.apply(
+            PutConfiguration(
+                configuration=msgspec.structs.replace(configuration, document=document)
+            )
+        )
+
+    def test_replaced_queues_do_not_outgrow_the_log_of_an_instance(self) -> None:
+        """LOST: the queues of 16 configurations were kept, whatever their number."""
+        for number in range(2 * KEPT_CONFIGURATIONS):
+            self.replace_all_queues(number)
+        snapshot = self.log.machine.take_snapshot()
+        self.assertLessEqual(len(snapshot), MAX_LOG_BYTES)
+
+    def test_job_is_served_whose_proposal_was_behind_all_that_may_be_pending(
+        self,
+    ) -> None:
+        self.configure(RENAMED, OTHER)
+        before = self.log.encoded_bytes
+        number = 0
+        while True:
+            self.replace_all_queues(number)
+            number += 1
+            size = (self.log.encoded_bytes - before) // number
+            if self.log.encoded_bytes - before + size > MAX_LOG_BYTES:
+                break
+        self.accept(queue=RENAMED.name)
+        self.assertEqual(self.find(RENAMED.name), RENAMED)
+
     def test_older_configuration_changes_nothing(self) -> None:
         self.configure(RENAMED)
         before = self.log.machine.take_snapshot()
