Read and cancel a job where it was accepted, whatever became of its route

Cause: a read or a cancel was resolved by the configuration in force before the job was looked for. A held job is now looked for first, by the host and prefix at which it was accepted; jobs of earlier versions, which know only the operators' name of their queue, by the queue that serves them.

Submissions, counts and ids that are not held are decided by the configuration in force alone, as before; the same submission again was weighed and stays 404 (docs/design/platform.md).

--- a/src/rhubarbfield/scheduling/model.py
+++ b/src/rhubarbfield/scheduling/model.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable
 from enum import StrEnum
 from typing import NewType
-from urllib.parse import quote
+from urllib.parse import quote, unquote
 
 import msgspec
 
@@ -25,6 +25,7 @@
 CheckpointToken = NewType("CheckpointToken", str)
 
 NO_CHECKPOINT = CheckpointToken("")
+MAX_JOB_ID_LENGTH = 64
 
 
 class JobPhase(StrEnum):
@@ -280,6 +281,12 @@
     return QueueName(f"{quote(host, safe='')} {prefix}")
 
 
+def split_identity(name: QueueName) -> tuple[str, str]:
+    """Return host and prefix of a queue from :func:`identify_queue`."""
+    host, _, prefix = name.partition(" ")
+    return unquote(host), prefix
+
+
 def identify_queues(configuration: QueueConfiguration) -> QueueConfiguration:
     """Return a configuration whose queues have their identities as names."""
     queues = tuple(
--- a/src/rhubarbfield/scheduling/service.py
+++ b/src/rhubarbfield/scheduling/service.py
@@ -22,8 +22,10 @@
     UpdateWorkers,
 )
 from rhubarbfield.scheduling.heartbeats import Heartbeat
+from rhubarbfield.scheduling.job_addresses import find_job_at
 from rhubarbfield.scheduling.metrics import JOBS
 from rhubarbfield.scheduling.model import (
+    MAX_JOB_ID_LENGTH,
     JobPhase,
     JobSubmission,
     Queue,
@@ -53,7 +55,6 @@
 
 logger = logging.getLogger(__name__)
 
-MAX_JOB_ID_LENGTH = 64
 UNEXPECTED = "the request raised an unexpected error"
 _JOB_ID = re.compile(rf"[0-9A-Za-z_-]{{1,{MAX_JOB_ID_LENGTH}}}")
 
@@ -117,38 +118,45 @@
             in_doubt = request.verb is not JobVerb.READ
             return Unavailable(UNEXPECTED, in_doubt=in_doubt)
 
-    async def _answer(  # noqa: PLR0911 (one return for each answer)
-        self, request: JobRequest | LeadershipQuery
-    ) -> JobReply:
+    async def _answer(self, request: JobRequest | LeadershipQuery) -> JobReply:
         if not self._log.leads():
             return NotLeading(self.leader_hint)
         if isinstance(request, LeadershipQuery):
             return Ready()
         if self._state.configuration is None:
             return NotConfigured()
+        return await self._answer_caller(request)
+
+    async def _answer_caller(self, request: JobRequest) -> JobReply:
         queue = self._find_queue(request.host, request.path)
+        rest = "" if queue is None else request.path[len(queue.prefix) :].strip("/")
+        if queue is not None and not rest:
+            return WaitingJobs(self._count_waiting(queue.name))
+        if request.verb is not JobVerb.SUBMIT:
+            # What became of its route does not concern a job that is held.
+            held = find_job_at(self._state, request.host, request.path)
+            if held is not None:
+                return await self._read_or_cancel(held.job, request.verb)
         if queue is None:
             return NoSuchQueue()
-        rest = request.path[len(queue.prefix) :].strip("/")
-        if not rest:
-            return WaitingJobs(self._count_waiting(queue.name))
         if _JOB_ID.fullmatch(rest) is None:
             return BadJob(f"{rest[:MAX_JOB_ID_LENGTH]!r} is no job id")
-        return await self._answer_for_job(JobId(rest), queue, request)
+        if request.verb is JobVerb.SUBMIT:
+            return await self._answer_submission(JobId(rest), queue, request)
+        return await self._read_or_cancel(JobId(rest), request.verb)
 
-    async def _answer_for_job(
+    async def _answer_submission(
         self, job: JobId, queue: Queue, request: JobRequest
     ) -> JobReply:
-        if request.verb is JobVerb.SUBMIT:
-            if request.submission is None:
-                return BadJob("the job is missing")
-            reply = await self._submit(job, queue, request.submission)
-            if isinstance(reply, NotAdmitted) and not request.knows_rejection:
-                return Unavailable(reply.reason, in_doubt=False)
-            return reply
-        if request.verb is JobVerb.CANCEL:
-            return await self._cancel(job)
-        return self._read(job)
+        if request.submission is None:
+            return BadJob("the job is missing")
+        reply = await self._submit(job, queue, request.submission)
+        if isinstance(reply, NotAdmitted) and not request.knows_rejection:
+            return Unavailable(reply.reason, in_doubt=False)
+        return reply
+
+    async def _read_or_cancel(self, job: JobId, verb: JobVerb) -> JobReply:
+        return await self._cancel(job) if verb is JobVerb.CANCEL else self._read(job)
 
     async def put_configuration(
         self, configuration: QueueConfiguration
