--- a/tests/replication/test_large_commands.py
+++ b/tests/replication/test_large_commands.py
@@ -41,6 +41,8 @@
 
 class LargeCommandsTest(unittest.TestCase):
     def test_log_of_large_commands_outgrows_neither_memory_nor_disk(self) -> None:
+        """LOST (review 6): planned changes of a big configuration ended all members."""
+
         async def scenario(group: Group) -> None:
             leader = await group.wait_leader()
             for number in range(COMMANDS):
@@ -53,6 +55,8 @@
         run_group(scenario)
 
     def test_log_of_large_commands_stays_in_bounds_after_restarts(self) -> None:
+        """LOST (review 6): members that restarted exceeded their memory again."""
+
         async def scenario(group: Group) -> None:
             for number in range(COMMANDS):
                 leader = await group.wait_leader()
--- a/tests/scheduling/test_gateway.py
+++ b/tests/scheduling/test_gateway.py
@@ -293,6 +293,7 @@
         return run_deterministic(body, seed=1)
 
     def test_submission_that_may_be_stored_is_not_answered_as_refused(self) -> None:
+        """REFUSED (review 9): 404 for a job that an earlier attempt had stored."""
         for reply in REFUSALS:
             with self.subTest(reply=reply):
                 answer, _ = self.forward(JobVerb.SUBMIT, reply)
--- a/tests/scheduling/test_queue_identity.py
+++ b/tests/scheduling/test_queue_identity.py
@@ -72,6 +72,7 @@
     async def test_job_does_not_move_to_a_queue_that_gets_the_name_of_its_own(
         self, controllers: Controllers
     ) -> None:
+        """ROUTE (review 10): its next step ran on workers of that queue's service."""
         await controllers.submit("j")
         service = controllers.leader.service
         await service.put_configuration(make_configuration(2, SAME_NAME))
