--- a/src/rhubarbfield/testing/scheduling_workers.py
+++ b/src/rhubarbfield/testing/scheduling_workers.py
@@ -112,8 +112,8 @@
         Whether new runs never end and no run makes progress.
     is_draining
         Whether the worker reports that it drains.
-    labels
-        Labels that the worker reports.
+    service, labels
+        Service and labels that the worker reports.
     started
         Task, run and time of each start.
     unanswered_starts
@@ -151,6 +151,7 @@
         self.is_unreachable = False
         self.is_stuck = False
         self.is_draining = False
+        self.service = ServiceName("s")
         self.labels: tuple[Label, ...] = (Label("a"), Label("r1"))
         self.started: list[tuple[TaskName, RunNumber, timedelta]] = []
         self.demands: dict[TaskName, Demand] = {}
@@ -184,7 +185,7 @@
         return WorkerReport(
             worker=self.worker,
             machine=MachineName(f"m-{self.machine}"),
-            service=ServiceName("s"),
+            service=self.service,
             address=self.address,
             zone="z",
             capacity=self.capacity,
--- a/tests/scheduling/late_controllers_run.py
+++ b/tests/scheduling/late_controllers_run.py
@@ -19,7 +19,7 @@
 from rhubarbfield.scheduling.requests import JobRequest, JobVerb
 from rhubarbfield.storage import LogStore, MemoryStore
 from rhubarbfield.testing.memory_transport import MemoryTransport
-from rhubarbfield.types import WorkerId
+from rhubarbfield.types import ServiceName, WorkerId
 from tests.scheduling import late_days
 from tests.scheduling.controllers import NAMES, SETTLING_SECONDS, Controllers
 from tests.scheduling.deployments import CONFIGURATION, ONE_CORE, QUEUE
@@ -52,8 +52,18 @@
         Seed of the day.
     has_single_lease
         Whether a start is late by its worker's lease, instead of by its own.
+
+    Attributes
+    ----------
+    kinds
+        Kinds of disturbances, each as often as it is to be drawn.
+    services
+        Services of the workers, in turn.
     """
 
+    kinds: tuple[str, ...] = KINDS
+    services: tuple[ServiceName, ...] = (ServiceName("s"),)
+
     def __init__(self, seed: int, *, has_single_lease: bool = False) -> None:
         self.random = random.Random(seed)
         self.has_single_lease = has_single_lease
@@ -78,19 +88,24 @@
             self.fleet.has_single_lease = self.has_single_lease
             for number in range(WORKERS):
                 worker = LateWorker(WorkerId(f"w{number}"), self.controllers.clock)
+                worker.service = self.services[number % len(self.services)]
                 self.fleet.add(worker)
                 self._workers.append(worker)
             for name in NAMES:
                 nursery.start_soon(self._run_member, name)
             await trio.sleep(SETTLING_SECONDS)
             await self.controllers.leader.service.put_configuration(CONFIGURATION)
-            for work in (self._submit, self._disturb, self._watch, self._report):
+            for work in self.list_activities():
                 nursery.start_soon(work)
             await trio.sleep(DAY_SECONDS)
             nursery.cancel_scope.cancel()
         self.faults.extend(self.fleet.list_repeated_starts())
         self.counts += self.fleet.count_runs()
 
+    def list_activities(self) -> list[Callable[[], Awaitable[None]]]:
+        """Return what goes on during the day."""
+        return [self._submit, self._disturb, self._watch, self._report]
+
     async def _run_member(self, name: str) -> None:
         """Run a controller, again with the same store each time it is killed."""
         members = self.controllers._members
@@ -183,29 +198,33 @@
         async with trio.open_nursery() as nursery:
             while True:
                 await trio.sleep(self.random.uniform(*CALM_SECONDS))
-                kind = self.random.choice(KINDS)
+                kind = self.random.choice(self.kinds)
                 self.counts[kind] += 1
-                worker = self.random.choice(self._list_workers())
-                name = self.random.choice(NAMES)
-                match kind:
-                    case "cut":
-                        nursery.start_soon(self._cut, name, (True, True))
-                    case "cut one way":
-                        ways = self.random.choice(((True, False), (False, True)))
-                        nursery.start_soon(self._cut, name, ways)
-                    case "slow":
-                        nursery.start_soon(self._slow_down)
-                    case "kill":
-                        if name in self._nurseries:
-                            self._nurseries[name].cancel_scope.cancel()
-                    case "release":
-                        self.controllers._members[name].release_leadership()
-                    case "crash":
-                        self.fleet.crash(worker)
-                    case "leave":
-                        nursery.start_soon(self._leave, worker)
-                    case _:
-                        nursery.start_soon(self._trouble, worker, Trouble(kind))
+                self.disturb_once(kind, nursery)
+
+    def disturb_once(self, kind: str, nursery: trio.Nursery) -> None:
+        """Begin a disturbance of a kind, of which ``nursery`` runs the rest."""
+        worker = self.random.choice(self._list_workers())
+        name = self.random.choice(NAMES)
+        match kind:
+            case "cut":
+                nursery.start_soon(self._cut, name, (True, True))
+            case "cut one way":
+                ways = self.random.choice(((True, False), (False, True)))
+                nursery.start_soon(self._cut, name, ways)
+            case "slow":
+                nursery.start_soon(self._slow_down)
+            case "kill":
+                if name in self._nurseries:
+                    self._nurseries[name].cancel_scope.cancel()
+            case "release":
+                self.controllers._members[name].release_leadership()
+            case "crash":
+                self.fleet.crash(worker)
+            case "leave":
+                nursery.start_soon(self._leave, worker)
+            case _:
+                nursery.start_soon(self._trouble, worker, Trouble(kind))
 
     async def _trouble(self, worker: LateWorker, trouble: Trouble) -> None:
         worker.trouble = trouble
--- a/tests/scheduling/late_orders.py
+++ b/tests/scheduling/late_orders.py
@@ -266,5 +266,6 @@
             machine=worker.machine,
         )
         assert isinstance(worker, LateWorker)
+        successor.service = worker.service
         successor.trouble = worker.trouble  # behind the same cut
         return successor
