--- a/src/rhubarbfield/peering/server.py
+++ b/src/rhubarbfield/peering/server.py
@@ -81,8 +81,7 @@
             try:
                 reply = await handle(request)
             except msgspec.MsgspecError as error:
-                # Refused is only a request that was not read; this one may have
-                # taken effect.
+                # Only a request that was not read is refused.
                 logger.exception("request-failed")
                 raise GRPCError(Status.INTERNAL, str(error)) from error
             await aio_as_trio(stream.send_message)(reply)
--- a/src/rhubarbfield/scheduling/former_queues.py
+++ b/src/rhubarbfield/scheduling/former_queues.py
@@ -76,7 +76,7 @@
 
 
 def _count_kept(sizes: Sequence[int]) -> int:
-    """Return how many configurations a proposal under way may be behind of."""
+    """Return how many of the latest configurations a proposal under way may follow."""
     total = 0
     for kept, size in enumerate(reversed(sizes)):
         total += size
--- a/src/rhubarbfield/scheduling/job_addresses.py
+++ b/src/rhubarbfield/scheduling/job_addresses.py
@@ -20,13 +20,13 @@
     longest = min(MAX_JOB_ID_LENGTH, len(path))
     for length in range(1, longest + 1):
         job = state.jobs.get(JobId(path[-length:]))
-        if job is not None and _is_below(state, job, host, path[:-length]):
+        if job is not None and _is_accepted_at(state, job, host, path[:-length]):
             return job
     return None
 
 
-def _is_below(state: SchedulingState, job: Job, host: str, before: str) -> bool:
-    """Return whether a job was accepted at a host, and the part of a path before it."""
+def _is_accepted_at(state: SchedulingState, job: Job, host: str, before: str) -> bool:
+    """Return whether the queue of a host and the path before an id accepted a job."""
     queue = state.find_serving_queue(job.queue)  # has the job's own host and prefix
     own_host, prefix = (
         split_identity(job.queue) if queue is None else (queue.host, queue.prefix)
--- a/src/rhubarbfield/scheduling/state.py
+++ b/src/rhubarbfield/scheduling/state.py
@@ -381,7 +381,7 @@
     configurations
         Number of configurations that were in force so far.
     configuration_sizes
-        Bytes of the latest of them, the one in force last; the earlier ones may miss.
+        Bytes of the latest of them, the one in force last; earlier ones may be missing.
     former_queues
         Queues of open jobs that are no longer configured under their names.
     withdrawn
