--- a/tests/cli/test_signals.py
+++ b/tests/cli/test_signals.py
@@ -21,6 +21,9 @@
         self.addCleanup(folder.cleanup)
         self.programs = Programs(Path(folder.name))
         self.addCleanup(self.programs.close)
+        # The programs would inherit it from a caller that ignores it, such as nohup.
+        before = signal.signal(signal.SIGHUP, signal.SIG_DFL)
+        self.addCleanup(signal.signal, signal.SIGHUP, before)
 
 
 class StartTest(ProcessCase):
