--- a/tests/scheduling/controllers.py
+++ b/tests/scheduling/controllers.py
@@ -31,6 +31,19 @@
 SETTLING_SECONDS = 5  # an election, and the first contact of followers
 
 
+def make_settings(name: str) -> DeploymentSettings:
+    """Return the settings of a controller or an entry."""
+    return DeploymentSettings(
+        instance=name,
+        failure_domain=FailureDomain(f"z-{name}"),
+        host=name,
+        peer_port=1,
+        seeds=tuple(f"{each}:2" for each in NAMES),
+        may_form_group=True,
+        workers=WorkerTimes(report_ms=REPORT_MS, longest_lease_ms=10000),
+    )
+
+
 class Controllers:
     """Controllers that replicate one log over a simulated network.
 
@@ -58,17 +71,8 @@
 
     def make(self, name: str, transport: Callable[..., Any]) -> SchedulingController:
         """Return a controller that does not run yet."""
-        settings = DeploymentSettings(
-            instance=name,
-            failure_domain=FailureDomain(f"z-{name}"),
-            host=name,
-            peer_port=1,
-            seeds=tuple(f"{each}:2" for each in NAMES),
-            may_form_group=True,
-            workers=WorkerTimes(report_ms=REPORT_MS, longest_lease_ms=10000),
-        )
         return SchedulingController(
-            settings,
+            make_settings(name),
             transport=transport(self.network, name),
             store=self._make_store(name),
             calls=self.fleet,
--- a/tests/scheduling/route_run.py
+++ b/tests/scheduling/route_run.py
@@ -12,12 +12,10 @@
 from datetime import timedelta
 from functools import partial
 
-import msgspec
 import trio
 
 from rhubarbfield.peering import open_streamed_calls
 from rhubarbfield.scheduling.controller import SchedulingController
-from rhubarbfield.scheduling.deployment import DeploymentSettings, WorkerTimes
 from rhubarbfield.scheduling.gateway import Gateway, Undecided
 from rhubarbfield.scheduling.model import (
     JobSubmission,
@@ -39,12 +37,13 @@
     NoSuchQueue,
 )
 from rhubarbfield.testing.memory_transport import MemoryTransport
-from rhubarbfield.types import FailureDomain, ServiceName
+from rhubarbfield.types import ServiceName
 from tests.scheduling import late_days
-from tests.scheduling.controllers import NAMES, REPORT_MS
+from tests.scheduling.controllers import NAMES, make_settings
 from tests.scheduling.deployments import CONFIGURATION, ONE_CORE
 from tests.scheduling.late_controllers_run import DAY_SECONDS, ControllersDay
 from tests.scheduling.late_days import RandomDay
+from tests.scheduling.route_records import Change, Handed
 
 ENTRIES = ("e1", "e2")
 SERVICES = (ServiceName("s"), ServiceName("t"))
@@ -72,65 +71,6 @@
 KINDS = ("cut", "cut one way", "slow", "kill", "release", "crash", "silent", "reset")
 
 
-class Change(msgspec.Struct):
-    """A configuration that an operator sent.
-
-    Attributes
-    ----------
-    configuration
-        The configuration.
-    sent_at
-        Time at which it was first sent.
-    acknowledged_at
-        Time of its first acknowledgement, or None.
-    """
-
-    configuration: QueueConfiguration
-    sent_at: float
-    acknowledged_at: float | None = None
-
-    def finds(self, host: str, path: str) -> bool:
-        """Return whether a route matches."""
-        return QueueIndex(self.configuration).find(host, path) is not None
-
-
-class Handed(msgspec.Struct):
-    """A job that a client hands in.
-
-    Attributes
-    ----------
-    name, host, prefix
-        The job, and the route that it is handed in on.
-    attempts
-        The answer of each attempt.
-    accepted
-        Whether one was answered with success.
-    cancelled
-        Whether a cancel was sent.
-    """
-
-    name: str
-    host: str
-    prefix: str
-    attempts: list[JobReply | Undecided] = []
-    accepted: bool = False
-    cancelled: bool = False
-
-    @property
-    def path(self) -> str:
-        """Path of the job."""
-        return self.prefix.rstrip("/") + "/" + self.name
-
-    @property
-    def is_rejected(self) -> bool:
-        """Whether each attempt was answered as not run."""
-        return bool(self.attempts) and not any(
-            isinstance(each, Accepted)
-            or (isinstance(each, Undecided) and each.in_doubt)
-            for each in self.attempts
-        )
-
-
 class RouteDay(ControllersDay):
     """One day of changing routes, and what was seen to go wrong on it."""
 
@@ -159,17 +99,9 @@
             self._judge(job)
 
     async def _run_entry(self, name: str) -> None:
-        settings = DeploymentSettings(
-            instance=name,
-            failure_domain=FailureDomain(f"z-{name}"),
-            host=name,
-            peer_port=1,
-            seeds=tuple(f"{each}:2" for each in NAMES),
-            workers=WorkerTimes(report_ms=REPORT_MS, longest_lease_ms=10000),
-        )
         plain = MemoryTransport(self.controllers.network, name)
         async with open_streamed_calls(plain, JOB_CALL, JOB_STREAM) as transport:
-            gateway = Gateway(settings, transport, self.controllers.clock)
+            gateway = Gateway(make_settings(name), transport, self.controllers.clock)
             self._gateways[name] = gateway
             await gateway.run()
 
--- a/tests/scheduling/test_job_addresses.py
+++ b/tests/scheduling/test_job_addresses.py
@@ -12,7 +12,6 @@
 
 from rhubarbfield.clock import TrioClock
 from rhubarbfield.scheduling.commands import AcceptJob, PutConfiguration
-from rhubarbfield.scheduling.deployment import DeploymentSettings, WorkerTimes
 from rhubarbfield.scheduling.former_queues import KEPT_CONFIGURATIONS
 from rhubarbfield.scheduling.gateway import Gateway, Undecided
 from rhubarbfield.scheduling.job_addresses import find_job_at
@@ -36,12 +35,11 @@
     WaitingJobs,
 )
 from rhubarbfield.testing.memory_transport import MemoryTransport
-from rhubarbfield.types import FailureDomain, JobId, ServiceName
+from rhubarbfield.types import JobId, ServiceName
 from tests.scheduling.controllers import (
-    NAMES,
-    REPORT_MS,
     SETTLING_SECONDS,
     Controllers,
+    make_settings,
     with_controllers,
 )
 from tests.scheduling.deployments import QUEUE
@@ -97,16 +95,8 @@
 @asynccontextmanager
 async def open_entry(controllers: Controllers) -> AsyncIterator[Caller]:
     """Run an entry in the block, and yield a caller of it."""
-    settings = DeploymentSettings(
-        instance="e1",
-        failure_domain=FailureDomain("z-e1"),
-        host="e1",
-        peer_port=1,
-        seeds=tuple(f"{each}:2" for each in NAMES),
-        workers=WorkerTimes(report_ms=REPORT_MS, longest_lease_ms=10000),
-    )
     transport = MemoryTransport(controllers.network, "e1")
-    gateway = Gateway(settings, transport, TrioClock())
+    gateway = Gateway(make_settings("e1"), transport, TrioClock())
     async with trio.open_nursery() as nursery:
         await nursery.start(gateway.run)
         yield Caller(gateway)
