--- a/tests/scheduling/route_records.py
+++ b/tests/scheduling/route_records.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from rhubarbfield.scheduling.gateway import Undecided
-from rhubarbfield.scheduling.model import QueueConfiguration
+from rhubarbfield.scheduling.model import Queue, QueueConfiguration
 from rhubarbfield.scheduling.queue_index import QueueIndex
 from rhubarbfield.scheduling.requests import Accepted, JobReply
 
@@ -17,19 +17,16 @@
     ----------
     configuration
         The configuration.
-    sent_at
-        Time at which it was first sent.
     acknowledged_at
         Time of its first acknowledgement, or None.
     """
 
     configuration: QueueConfiguration
-    sent_at: float
     acknowledged_at: float | None = None
 
-    def finds(self, host: str, path: str) -> bool:
-        """Return whether a route matches."""
-        return QueueIndex(self.configuration).find(host, path) is not None
+    def find(self, host: str, path: str) -> Queue | None:
+        """Return the queue that takes a request."""
+        return QueueIndex(self.configuration).find(host, path)
 
 
 class Handed(msgspec.Struct):
--- a/tests/scheduling/route_run.py
+++ b/tests/scheduling/route_run.py
@@ -25,7 +25,6 @@
     Step,
     WorkerService,
 )
-from rhubarbfield.scheduling.queue_index import QueueIndex
 from rhubarbfield.scheduling.requests import (
     JOB_CALL,
     JOB_STREAM,
@@ -80,7 +79,7 @@
     def __init__(self, seed: int, *, has_single_lease: bool = False) -> None:
         super().__init__(seed, has_single_lease=has_single_lease)
         self._gateways: dict[str, Gateway] = {}
-        self._changes = [Change(CONFIGURATION, 0.0, 0.0)]
+        self._changes = [Change(CONFIGURATION, 0.0)]
         self._jobs: list[Handed] = []
         self._ends_at = 0.0
 
@@ -155,7 +154,7 @@
             services=services,
             document=str(version).encode(),
         )
-        change = Change(configuration, trio.current_time())
+        change = Change(configuration)
         self._changes.append(change)
         self.counts["changes"] += 1
         while change.acknowledged_at is None:
@@ -268,7 +267,7 @@
             and each.acknowledged_at <= sent_at - APPLY_SECONDS
         ]
         possible = self._changes[max(obeyed, default=0) :]
-        found = [each.finds(job.host, job.path) for each in possible]
+        found = [each.find(job.host, job.path) is not None for each in possible]
         if isinstance(reply, Accepted) and not any(found):
             self.faults.append(f"CONFIG: {job.path} is accepted without a route")
         if isinstance(reply, NoSuchQueue) and all(found):
@@ -285,7 +284,7 @@
             self.faults.append(f"REFUSED: {job.path} ran: {job.attempts}")
         routed = set()
         for change in self._changes:
-            queue = QueueIndex(change.configuration).find(job.host, job.path)
+            queue = change.find(job.host, job.path)
             if queue is not None:
                 routed.add(queue.service)
         if not started <= routed:
