Remove a worker only after the ends that are known of its runs

A task could start again although the leader had been told that it was done: the ends that views list wait for the commit of those before them, and a removal was proposed at once. When another call found a new incarnation at the worker's address meanwhile, the removal came first in the log. It recorded the run as lost, the task started elsewhere, and the end was then dropped, since its worker had no record any more.

A removal now waits until the ends that were passed on before are committed. Commands and state are as before.

Evidence: the test failed before: two starts of a task whose end had been listed 0.3 s before its worker ended, beside a commit that took 2 s.

--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -152,8 +152,13 @@
         self._marker = SilenceMarker(log, self._registry.sessions, clock)
         self._pacer = RoundPacer(clock)
         self._avoided: dict[TaskName, set[WorkerId]] = {}
+        self._ends = Batcher(self._commit_ends)
         self._removals = Removals(
-            log, self._registry, clock, on_lost=self._terminations.add_ended_run
+            log,
+            self._registry,
+            clock,
+            settle_ends=self._ends.settle,
+            on_lost=self._terminations.add_ended_run,
         )
         self._suspects = Suspects(lambda: self.state, clock)
         self._availability = WorkerAvailability(
@@ -166,7 +171,6 @@
             list_margins=self._mitigator.list_margins,
             clock=clock,
         )
-        self._ends = Batcher(self._commit_ends)
         self._late_since: dict[WorkerId, timedelta] = {}  # ends being recorded
         self._housekeeping = Housekeeping(
             log,
--- a/src/rhubarbfield/scheduling/recording.py
+++ b/src/rhubarbfield/scheduling/recording.py
@@ -58,6 +58,8 @@
         self._propose = propose
         self._pending: list[WorkerEnds] = []
         self._recorded = trio.Event()
+        self._committed = trio.Event()  # of the batch that is proposed
+        self._committed.set()
         self._added = trio.Event()
 
     async def record(self, ends: WorkerEnds) -> None:
@@ -67,12 +69,17 @@
         self._added.set()
         await recorded.wait()
 
+    async def settle(self) -> None:
+        """Return once all ends that were passed on before are committed."""
+        settled = self._recorded if self._pending else self._committed
+        await settled.wait()
+
     async def run(self) -> None:
         """Commit pending ends until cancelled."""
         while True:
             await self._added.wait()
             self._added = trio.Event()
             pending, self._pending = self._pending, []
-            recorded, self._recorded = self._recorded, trio.Event()
+            self._committed, self._recorded = self._recorded, trio.Event()
             await self._propose(tuple(pending))
-            recorded.set()
+            self._committed.set()
--- a/src/rhubarbfield/scheduling/removals.py
+++ b/src/rhubarbfield/scheduling/removals.py
@@ -4,7 +4,7 @@
 
 import logging
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from enum import Enum
 
 import trio
@@ -68,6 +68,8 @@
         The leader's sessions with the workers.
     clock
         Source of time.
+    settle_ends
+        Returns once all ends that are known so far are committed.
     on_lost
         Called with each run that ended with its worker.
     """
@@ -77,11 +79,14 @@
         log: ReplicatedLog[SchedulingLogState],
         registry: SessionRegistry,
         clock: Clock,
+        *,
+        settle_ends: Callable[[], Awaitable[None]],
         on_lost: Callable[[RunKey], None],
     ) -> None:
         self._log = log
         self._registry = registry
         self._clock = clock
+        self._settle_ends = settle_ends
         self._on_lost = on_lost
         self._past_silences = PastSilences()
         # Removed workers on which a run had just started.
@@ -108,6 +113,8 @@
     async def _remove(
         self, worker: WorkerId, checkpoints: dict[TaskName, CheckpointToken]
     ) -> None:
+        # The removal makes lost what is not recorded as ended before.
+        await self._settle_ends()
         session = self._registry.sessions.get(worker)
         record = self._state.workers.get(worker)
         runs = {} if record is None else dict(record.runs)
--- a/tests/scheduling/test_removals.py
+++ b/tests/scheduling/test_removals.py
@@ -4,6 +4,7 @@
 
 import logging
 import unittest
+from datetime import timedelta
 from typing import Any
 from unittest import mock
 
@@ -11,7 +12,7 @@
 import trio
 
 from rhubarbfield.logs import JsonFormatter, find_event
-from rhubarbfield.scheduling.model import Step
+from rhubarbfield.scheduling.model import JobPhase, Label, Step, TaskName
 from rhubarbfield.scheduling.presence import RunPresence
 from tests.scheduling.deployments import ONE_CORE, Deployment, with_deployment
 
@@ -61,6 +62,40 @@
         self.assertEqual([each["simultaneous"] for each in gone], [2, 2, 2])
 
 
+class RemovalOrderTest(unittest.TestCase):
+    @with_deployment()
+    async def test_task_does_not_start_again_after_its_end_was_listed(
+        self, deployment: Deployment
+    ) -> None:
+        """A removal must not be recorded before ends that the leader knows of."""
+        fleet, task = deployment.fleet, TaskName("a.0.0.0")
+        fleet.restart_delay = timedelta(seconds=0.1)
+        fleet.endless.add(TaskName("s.0.0.0"))
+        first = deployment.add_worker("w1", duration=timedelta(seconds=0.5))
+        first.labels = (*first.labels, Label("c"))
+        second = deployment.add_worker("w2", duration=timedelta(seconds=0.8))
+        second.labels = (*second.labels, Label("d"))
+        on_first, on_second = (
+            Step(demand=ONE_CORE, required_label=Label(label)) for label in "cd"
+        )
+        async with deployment.lead():
+            await deployment.submit("b", on_first)
+            await deployment.submit("a", on_second)
+            await deployment.submit("s", on_second)
+            await trio.sleep(0.2)
+            deployment.replica.slow.add("EndRuns")
+            await trio.sleep(0.8)
+            self.assertTrue(second.has_ended(task))
+            fleet.crash(second)
+            third = deployment.add_worker("w3")
+            third.labels = second.labels
+            await trio.sleep(0.2)
+            await deployment.cancel("s")
+            await trio.sleep(8)
+        self.assertEqual(fleet.starts[task], 1)
+        self.assertEqual(deployment.get_job("a").phase, JobPhase.COMPLETED)
+
+
 class CostTest(unittest.TestCase):
     @with_deployment()
     async def test_loss_of_all_workers_examines_the_runs_of_each_for_each_other(
