Guard repeated removals of workers that come back

A removal whose outcome is unknown is proposed again. It must end no run that its worker was given since, if the first proposal was committed and the worker has registered again. Only the removal of silent workers had such a test.

--- a/tests/scheduling/test_removals.py
+++ b/tests/scheduling/test_removals.py
@@ -14,7 +14,12 @@
 from rhubarbfield.logs import JsonFormatter, find_event
 from rhubarbfield.scheduling.model import JobPhase, Label, Step, TaskName
 from rhubarbfield.scheduling.presence import RunPresence
-from tests.scheduling.deployments import ONE_CORE, Deployment, with_deployment
+from tests.scheduling.deployments import (
+    ONE_CORE,
+    Deployment,
+    count_runs_at_once,
+    with_deployment,
+)
 
 LEADER_LOG = "rhubarbfield.scheduling.leader"
 
@@ -95,6 +100,29 @@
         self.assertEqual(fleet.starts[task], 1)
         self.assertEqual(deployment.get_job("a").phase, JobPhase.COMPLETED)
 
+    @with_deployment()
+    async def test_repeated_removal_ends_no_run_of_a_worker_that_came_back(
+        self, deployment: Deployment
+    ) -> None:
+        first = deployment.add_worker("w1", duration=None)
+        async with deployment.lead() as leader:
+            await trio.sleep(0.5)
+            await leader.handle_departure(first.worker)
+            first.is_unreachable = True
+            deployment.replica.unanswered.append("RemoveWorker")
+            while deployment.replica.unanswered:
+                await trio.sleep(0.02)
+            first.is_unreachable = False
+            await deployment.submit("a", Step(demand=ONE_CORE))
+            await leader.handle_heartbeat(first.make_heartbeat())
+            await trio.sleep(1)
+            self.assertEqual(len(first.runs), 1)
+            deployment.add_worker("w2", duration=None)
+            for _ in range(500):
+                await trio.sleep(0.01)
+                self.assertLessEqual(count_runs_at_once(deployment), 1)
+            self.assertEqual(len(first.runs), 1)
+
 
 class CostTest(unittest.TestCase):
     @with_deployment()
