Let standing tasks use reserved room that stays unused

What callers saw: a standing task that waits for its first run, for one core of eight, stands still beside a worker with four free cores for as long as that is reserved for a larger one, whose room comes later than estimated: 20 s in the test, where 6 s and then 3 s beside capacity are tolerated.

Of the standing tasks only those that had worked before could go before a holder that has no room yet. Now the time counts for which a reserved worker has had room for the step: after 2 s the step goes before a holder that still has none, as an interrupted task does. Room that completes within that time is the holder's, however long others have waited. This answers finite runs that outlast their estimates beside standing work that waits for small pieces. The price: where pieces come more than 2 s apart, a holder that needs the whole worker is overtaken by standing tasks of its queue, and looks for another worker. A step of a lower queue is kept off as before.

--- a/src/rhubarbfield/scheduling/backfilling.py
+++ b/src/rhubarbfield/scheduling/backfilling.py
@@ -116,7 +116,8 @@
     now
         Monotonic time of the round.
     claimants
-        Steps with a task that has waited as long, without a worker of its own.
+        Steps with a task that has waited as long, without a worker of its own, or that
+        a reservation has kept off room for long.
     """
 
     def __init__(
@@ -184,7 +185,7 @@
         return may_use and admits(step, headroom, self._interference)
 
     def _goes_before(self, waiting: WaitingStep, reserved: ReservedWorker) -> bool:
-        """Return whether a step has waited as long, and the holder has no room now."""
+        """Return whether a step has waited long, and the holder has no room now."""
         if waiting.queue.priority > reserved.priority:
             return False
         has_room_now = reserved.needed.fits(reserved.headroom.free)
--- /dev/null
+++ b/src/rhubarbfield/scheduling/deferrals.py
@@ -0,0 +1,63 @@
+"""Standing steps that reservations keep off room which no holder can use yet."""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Iterator
+from datetime import timedelta
+
+from rhubarbfield.scheduling.backfilling import ReservedWorker, StepKey, get_key
+from rhubarbfield.scheduling.candidates import list_full
+from rhubarbfield.scheduling.headroom import (
+    WaitingStep,
+    WorkerHeadroom,
+    count_live,
+    has_label,
+    has_room,
+)
+
+# The platform tolerates 3 s without a run beside room.
+MAX_DEFERRAL = timedelta(seconds=2)
+
+
+class Deferrals:
+    """Since when each standing step has been kept off the reserved workers' room."""
+
+    def __init__(self) -> None:
+        self._since: dict[StepKey, timedelta] = {}
+        self._before: dict[StepKey, timedelta] = {}
+
+    def begin_round(self) -> None:
+        """Forget the steps that are not recorded again in this round."""
+        self._before, self._since = self._since, {}
+
+    def record(
+        self,
+        waiting: WaitingStep,
+        reserved: Collection[ReservedWorker],
+        now: timedelta,
+    ) -> None:
+        """Record a step that a round has not placed, if a reserved worker has room."""
+        if any(
+            has_room(waiting.step.reserved, each.headroom)
+            and may_hold(waiting, each.headroom)
+            for each in reserved
+        ):
+            key = get_key(waiting)
+            self._since[key] = self._before.get(key, now)
+
+    def iterate_due(self, now: timedelta) -> Iterator[StepKey]:
+        """Yield the steps that no reservation may keep off any longer."""
+        for key, since in self._since.items():
+            if now - since >= MAX_DEFERRAL:
+                yield key
+
+
+def may_hold(waiting: WaitingStep, headroom: WorkerHeadroom) -> bool:
+    """Return whether a worker may run a task of a step once it has room."""
+    step, worker = waiting.step, headroom.worker
+    return (
+        worker.service == waiting.queue.service
+        and step.reserved.fits(worker.capacity)
+        and has_label(step, headroom)
+        and worker.worker not in list_full(step, count_live(waiting.tasks))
+    )
--- a/src/rhubarbfield/scheduling/reservations.py
+++ b/src/rhubarbfield/scheduling/reservations.py
@@ -25,13 +25,11 @@
     forecast_room,
     get_key,
 )
-from rhubarbfield.scheduling.candidates import list_full
+from rhubarbfield.scheduling.deferrals import Deferrals, may_hold
 from rhubarbfield.scheduling.headroom import (
     WaitingStep,
     WorkerHeadroom,
-    count_live,
     find_task_step,
-    has_label,
 )
 from rhubarbfield.scheduling.interference import InterferenceModel
 from rhubarbfield.scheduling.model import RunNumber, TaskName, name_task
@@ -105,6 +103,7 @@
         self._sessions = sessions
         self._clock = clock
         self._waits: dict[TaskName, Wait] = {}
+        self._deferrals = Deferrals()
         self._reserved: dict[WorkerId, ReservedWorker] = {}
         self._search_due = timedelta()
         self._record_due = timedelta()
@@ -115,11 +114,13 @@
         if now < self._record_due:
             return
         self._record_due = now + RECORD_INTERVAL
+        self._deferrals.begin_round()
         for waiting in unplaced:
             step = waiting.step
             # Room alone does not help a task that lacks spare cores, or a gang.
             if not step.standing or step.uses_spare_cores or step.gang:
                 continue
+            self._deferrals.record(waiting, self._reserved.values(), now)
             for index, task in enumerate(waiting.tasks):
                 if awaits_restart(step, task) and not task.is_suspect:
                     key = get_key(waiting)
@@ -154,6 +155,7 @@
         for worker in self._reserved:
             del headrooms[worker]
         claimants = {get_key(each.waiting) for each in claims}
+        claimants.update(self._deferrals.iterate_due(now))
         members = self._reserved.values()
         return ReservedWorkers(members, interference, now, claimants)
 
@@ -184,7 +186,7 @@
             headroom = headrooms.get(worker)
             if claim is None or headroom is None or reserved.is_used:
                 continue
-            if not _may_hold(claim.waiting, headroom):
+            if not may_hold(claim.waiting, headroom):
                 continue
             forecast = self._forecast(claim, headroom, now)
             if forecast is not None:
@@ -233,7 +235,7 @@
         found = []
         for worker, headroom in headrooms.items():
             is_open = headroom.task_count < headroom.task_limit
-            if not is_open or not _may_hold(claim.waiting, headroom):
+            if not is_open or not may_hold(claim.waiting, headroom):
                 continue
             if worker not in known:
                 known[worker] = self._list_ends(headroom.worker, now)
@@ -290,17 +292,6 @@
     return next((each for each in claims if get_key(each.waiting) == holder), None)
 
 
-def _may_hold(waiting: WaitingStep, headroom: WorkerHeadroom) -> bool:
-    """Return whether a worker may run a task of a step once it has room."""
-    step, worker = waiting.step, headroom.worker
-    return (
-        worker.service == waiting.queue.service
-        and step.reserved.fits(worker.capacity)
-        and has_label(step, headroom)
-        and worker.worker not in list_full(step, count_live(waiting.tasks))
-    )
-
-
 def _make(
     claim: Claim, headroom: WorkerHeadroom, forecast: Forecast, now: timedelta
 ) -> ReservedWorker:
--- /dev/null
+++ b/tests/scheduling/test_deferrals.py
@@ -0,0 +1,86 @@
+"""Tests of standing tasks that a reservation keeps off room for a while."""
+
+from __future__ import annotations
+
+import unittest
+from collections.abc import Sequence
+
+from rhubarbfield.scheduling.commands import RunStart
+from rhubarbfield.scheduling.model import Demand, Step
+from rhubarbfield.types import WorkerId
+from tests.scheduling.deployments import QUEUE
+from tests.scheduling.fleets import LATE_QUEUE
+from tests.scheduling.test_reservations import (
+    LONG,
+    PIECES,
+    WAITING_SECONDS,
+    BusyFleet,
+    list_workers,
+    with_fleet,
+)
+
+SMALL = Step(demand=Demand(1000), standing=True)
+DEFERRED_SECONDS = 1.75
+TOLERATED_SECONDS = 3.0
+
+
+class DeferralTest(unittest.TestCase):
+    async def free_piece(
+        self, busy: BusyFleet, steps: Sequence[Step], waited: float = 0.0
+    ) -> WorkerId:
+        """Let steps wait for room on a reserved worker, and give it a free piece."""
+        busy.interrupt()
+        await busy.run_rounds(WAITING_SECONDS)
+        reserved = busy.get_reserved()
+        for step in steps:
+            busy.submit(step, 1)
+        self.assertEqual(await busy.run_rounds(waited), [])
+        busy.end_runs(reserved, 1)
+        return reserved
+
+    @with_fleet()
+    async def test_wait_without_room_does_not_count(self, busy: BusyFleet) -> None:
+        await self.free_piece(busy, [SMALL], waited=TOLERATED_SECONDS)
+        self.assertEqual(await busy.run_rounds(DEFERRED_SECONDS), [])
+
+    @with_fleet()
+    async def test_standing_tasks_use_room_that_stays_unused(
+        self, busy: BusyFleet
+    ) -> None:
+        reserved = await self.free_piece(busy, [SMALL, SMALL])
+        starts = await busy.run_rounds(TOLERATED_SECONDS)
+        self.assertEqual(list_workers(starts), [reserved, reserved])
+
+    @with_fleet()
+    async def test_finite_task_does_not_use_room_that_stays_unused(
+        self, busy: BusyFleet
+    ) -> None:
+        await self.free_piece(busy, [LONG])
+        self.assertEqual(await busy.run_rounds(TOLERATED_SECONDS), [])
+
+    @with_fleet()
+    async def test_holder_goes_before_tasks_that_were_kept_off(
+        self, busy: BusyFleet
+    ) -> None:
+        """Its room and the end of their wait come in the same round."""
+        reserved = await self.free_piece(busy, [SMALL])
+        (holder,) = busy.fleet.leader._reservations._reserved.values()
+        self.assertEqual(await busy.run_rounds(DEFERRED_SECONDS), [])
+        busy.end_runs(reserved, PIECES - 1)
+        starts = await busy.run_rounds(1)
+        self.assertEqual(_list_jobs(starts), [holder.holder[0]])
+
+    @with_fleet()
+    async def test_step_of_a_lower_queue_is_kept_off(self, busy: BusyFleet) -> None:
+        await self.free_piece(busy, [])
+        busy.submit(SMALL, 1, LATE_QUEUE.name)
+        self.assertGreater(LATE_QUEUE.priority, QUEUE.priority)
+        self.assertEqual(await busy.run_rounds(TOLERATED_SECONDS), [])
+
+
+def _list_jobs(starts: Sequence[RunStart]) -> list[str]:
+    return [start.task.split(".")[0] for start in starts]
+
+
+if __name__ == "__main__":
+    unittest.main()
