--- a/tests/scheduling/fleets.py
+++ b/tests/scheduling/fleets.py
@@ -249,14 +249,15 @@
     async def run_round(self) -> tuple[RunStart, ...]:
         """Run a placement round of the leader; return the starts it proposed."""
         proposed: list[RunStart] = []
-        propose = self.log.propose
+        log = self.leader._log
+        propose = log.propose
 
         async def record(command: Any) -> Any:
             if isinstance(command, StartRuns):
                 proposed.extend(command.starts)
             return await propose(command)
 
-        with mock.patch.object(self.log, "propose", record):
+        with mock.patch.object(log, "propose", record):
             await self.leader._run_round()
         return tuple(proposed)
 
--- a/tests/scheduling/test_rounds.py
+++ b/tests/scheduling/test_rounds.py
@@ -361,7 +361,8 @@
             fleet.leader._backlog._clock = fleet.leader._clock
             turns = 0
             scope = trio.CancelScope()
-            propose = fleet.log.propose
+            log = fleet.leader._log
+            propose = log.propose
 
             async def take_turns() -> None:
                 nonlocal turns
@@ -376,7 +377,7 @@
 
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(take_turns)
-                with mock.patch.object(fleet.log, "propose", stop_turns):
+                with mock.patch.object(log, "propose", stop_turns):
                     starts = await fleet.run_round()
             self.assertGreater(len(starts), 100)
             self.assertGreater(turns, 5)
@@ -417,18 +418,19 @@
         self, deployment: Deployment
     ) -> None:
         worker = deployment.add_worker("w1", duration=None)
-        propose = deployment.log.propose
 
-        async def hold_starts(command: Any) -> Any:
-            if isinstance(command, StartRuns):
-                await trio.sleep(2)
-            return await propose(command)
+        async with deployment.lead() as leader:
+            propose = leader._log.propose
+
+            async def hold_starts(command: Any) -> Any:
+                if isinstance(command, StartRuns):
+                    await trio.sleep(2)
+                return await propose(command)
 
-        async with deployment.lead():
             await deployment.submit("j1", Step(tasks=2, demand=ONE_CORE))
             await trio.sleep(1)
             self.assertEqual(len(worker.runs), 2)
-            with mock.patch.object(deployment.log, "propose", hold_starts):
+            with mock.patch.object(leader._log, "propose", hold_starts):
                 await deployment.submit("j2", Step(demand=ONE_CORE))
                 await trio.sleep(0.1)
                 await deployment.cancel("j1")
