Log what shows that the state lacks ends that workers were told are recorded

- `ends-missing`: a gap between the recorded ends and those that a view lists; a warning, unless the worker has registered again and is counted from 0
- `run-vanished` tells whether the view before had listed the run; then it is a warning
- `removed-worker-reported`, `removed-worker-answered`: a worker that was removed as crashed is heard of again

Each view costs a comparison of numbers that were already read.

--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -291,6 +291,7 @@
 
     def handle_view(self, worker: WorkerId) -> None:
         """Process a new view of a worker."""
+        self._removals.check_view(worker)
         record = self.find_worker(worker)
         session = self.get_session(worker)
         if record is not None and session is not None:
@@ -357,6 +358,7 @@
     async def _record_report(self, report: WorkerReport) -> bool:
         if is_recorded(self.state, report):
             return True
+        self._removals.check_report(report.worker)
         self._check_former_incarnations(report)
         result = await self._log.propose(UpdateWorkers(reports=(report,)))
         if not isinstance(result, Success):
--- a/src/rhubarbfield/scheduling/ledger.py
+++ b/src/rhubarbfield/scheduling/ledger.py
@@ -11,7 +11,7 @@
 from rhubarbfield.scheduling.crashes import CrashedRun
 from rhubarbfield.scheduling.model import RunNumber, TaskName
 from rhubarbfield.scheduling.orders import StartState, Stop, StopReason
-from rhubarbfield.scheduling.ports import WorkerView
+from rhubarbfield.scheduling.ports import ActiveRun, ListedEnd, WorkerView
 from rhubarbfield.scheduling.progress import RunKey
 from rhubarbfield.scheduling.session_host import SessionHost
 from rhubarbfield.scheduling.state import RunEnd
@@ -186,6 +186,7 @@
         view: WorkerView,
         recorded_runs: Mapping[TaskName, RunNumber],
         settled: Container[RunKey],
+        active_before: Mapping[TaskName, ActiveRun],
     ) -> list[EndedRun]:
         """Return recorded runs that a view lists neither as active nor as ended.
 
@@ -195,6 +196,9 @@
             The view.
         recorded_runs, settled
             Recorded runs and settled orders when the view was requested.
+        active_before
+            Runs that the view before listed as active. A worker lists the end of each
+            of them until it is acknowledged.
         """
         present = {(run.task, run.run) for run in view.active}
         present |= {(end.task, end.run) for end in view.ends}
@@ -206,17 +210,45 @@
             # The worker rejects orders of earlier leaders once it has seen this term.
             is_certain = key in settled or key not in self.starts
             if is_certain and not self.is_ending(key):
+                before = active_before.get(task)
+                was_listed = before is not None and before.run == run
                 log_event(
                     logger,
-                    logging.INFO,
+                    logging.WARNING if was_listed else logging.INFO,
                     "run-vanished",
                     worker=self._worker,
                     task=task,
                     run=run,
+                    listed=was_listed,
                 )
                 missing.append(EndedRun(task, run, RunEnd.LOST))
         return missing
 
+    def check_numbers(self, ends: Iterable[ListedEnd], recorded_ends: int) -> None:
+        """Log a gap between the recorded ends and those that a view lists.
+
+        The worker was told that the ends in the gap are recorded. A worker that has
+        registered again counts from 0; in any other case the state lacks them.
+
+        Parameters
+        ----------
+        ends
+            Listed ends that are not recorded.
+        recorded_ends
+            Number of the last end that is recorded.
+        """
+        first = min((end.number for end in ends), default=recorded_ends + 1)
+        if first <= recorded_ends + 1:
+            return
+        log_event(
+            logger,
+            logging.WARNING if recorded_ends else logging.INFO,
+            "ends-missing",
+            worker=self._worker,
+            recorded=recorded_ends,
+            first=first,
+        )
+
     async def record_end(self, key: RunKey, end: RunEnd) -> None:
         """Drop a run and record its end; returns once the end is committed."""
         await self.record_ends((EndedRun(key.task, key.run, end),))
--- a/src/rhubarbfield/scheduling/removals.py
+++ b/src/rhubarbfield/scheduling/removals.py
@@ -5,6 +5,7 @@
 import logging
 from collections import deque
 from collections.abc import Awaitable, Callable
+from datetime import timedelta
 from enum import Enum
 
 import trio
@@ -41,6 +42,8 @@
 # A fixed log area, independent of the module's name.
 logger = logging.getLogger("rhubarbfield.scheduling.leader")
 
+MAX_CRASHED_WORKERS = 1024  # that are remembered
+
 
 class RemovalCause(Enum):
     """Why an incarnation of a machine ended.
@@ -92,6 +95,26 @@
         # Removed workers on which a run had just started.
         self._ended_by_start: deque[WorkerId] = deque(maxlen=MAX_PAST_SILENCES)
         self._in_progress: dict[WorkerId, trio.Event] = {}
+        # When workers were removed as crashed, the latest last.
+        self._crashed_at: dict[WorkerId, timedelta] = {}
+
+    def check_report(self, worker: WorkerId) -> None:
+        """Log the report of a worker that was removed as crashed.
+
+        It may have been under way since before the crash.
+        """
+        self._check_life("removed-worker-reported", logging.INFO, worker)
+
+    def check_view(self, worker: WorkerId) -> None:
+        """Log the first view of a worker after it was removed as crashed."""
+        self._check_life("removed-worker-answered", logging.WARNING, worker)
+        self._crashed_at.pop(worker, None)
+
+    def _check_life(self, event: str, level: int, worker: WorkerId) -> None:
+        crashed_at = self._crashed_at.get(worker)
+        if crashed_at is not None:
+            age = self._clock.monotonic() - crashed_at
+            log_event(logger, level, event, worker=worker, age=age)
 
     async def remove(
         self, worker: WorkerId, checkpoints: dict[TaskName, CheckpointToken]
@@ -195,6 +218,10 @@
             runs=len(record.runs),
         )
         WORKERS_GONE.labels(cause.value).inc()
+        if cause is RemovalCause.CRASHED:
+            self._crashed_at[worker] = now
+            if len(self._crashed_at) > MAX_CRASHED_WORKERS:
+                del self._crashed_at[next(iter(self._crashed_at))]
         self._past_silences.add(worker, silence)
         if session.presence.has_fresh_runs:
             self._ended_by_start.append(worker)
--- a/src/rhubarbfield/scheduling/session.py
+++ b/src/rhubarbfield/scheduling/session.py
@@ -351,6 +351,7 @@
         *,
         was_silent: bool = False,
     ) -> None:
+        active_before = self.active
         self.active = {run.task: run for run in view.active}
         viewed_before, self._viewed_at = self._viewed_at, self._clock.monotonic()
         worker = self._host.find_worker(self.worker)
@@ -361,6 +362,7 @@
             if worker.runs.get(run.task) == run.run:
                 self._ledger.record_presence(RunKey(run.task, run.run), self._viewed_at)
         listed = [end for end in view.ends if end.number > worker.recorded_ends]
+        self._ledger.check_numbers(listed, worker.recorded_ends)
         recorded = [end for end in listed if worker.runs.get(end.task) == end.run]
         since = self._find_late_time(recorded, viewed_before, was_silent=was_silent)
         for end in recorded:
@@ -369,7 +371,9 @@
         self._ledger.drop_brief(self._contact.last_contact_at - PROOF_TIME)
         ends = [_convert_end(end) for end in listed]
         if not view.truncated:
-            ends.extend(self._ledger.find_missing(view, recorded_runs, settled))
+            ends.extend(
+                self._ledger.find_missing(view, recorded_runs, settled, active_before)
+            )
         self._stop_doubtful()
         self._stop_unrecorded(view, worker)
         self._host.handle_view(self.worker)
