--- a/src/rhubarbfield/testing/scheduling_fleet.py
+++ b/src/rhubarbfield/testing/scheduling_fleet.py
@@ -69,6 +69,7 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self.workers: dict[str, StandInWorker] = {}
+        self._added: dict[WorkerId, StandInWorker] = {}
         self.delayed_starts: list[tuple[StandInWorker, StartOrder]] = []
         self.forgotten: list[str] = []
         self.sent: list[SentOrder] = []
@@ -76,6 +77,15 @@
     def add(self, worker: StandInWorker, address: str | None = None) -> None:
         """Put a worker at an address, in place of the previous one."""
         self.workers[address or worker.address] = worker
+        self._added[worker.worker] = worker
+
+    def list_early_acknowledgements(self) -> list[str]:
+        """Return the ends that workers were to forget before they had listed them."""
+        return [
+            f"end {number} of {worker.worker} is acknowledged and was not listed"
+            for worker in self._added.values()
+            for number in worker.early_acknowledgements
+        ]
 
     async def start(
         self, to: WorkerAddress, order: StartOrder
--- a/src/rhubarbfield/testing/scheduling_workers.py
+++ b/src/rhubarbfield/testing/scheduling_workers.py
@@ -127,6 +127,8 @@
         Number of upcoming stops that get no reply and are not carried out.
     unhealthy_stops
         Number of upcoming stops that are refused by an unhealthy worker.
+    early_acknowledgements
+        Numbers that were acknowledged before a view had listed the end.
     """
 
     def __init__(
@@ -166,6 +168,8 @@
         self.unhealthy_stops = 0
         self._ended_runs: dict[TaskName, RunNumber] = {}
         self._last_end_number = 0
+        self._last_listed_number = 0
+        self.early_acknowledgements: list[int] = []
         self._sequence = 0
         self._clock = clock
         self._changed = trio.Event()
@@ -265,6 +269,8 @@
         self.term = request.term
         if request.lease_end is not None:
             self.lease_end = max(self.lease_end, request.lease_end)
+        if request.recorded_ends > self._last_listed_number:
+            self.early_acknowledgements.append(request.recorded_ends)
         self.ends = [end for end in self.ends if end.number > request.recorded_ends]
         deadline = self._clock.monotonic() + request.wait_timeout
         while not self.ends and self._clock.monotonic() < deadline:
@@ -280,6 +286,8 @@
         )
         listed = tuple(self.ends[:MAX_LISTED_ENDS])
         is_cut = len(self.ends) > MAX_LISTED_ENDS
+        numbers = (end.number for end in listed)
+        self._last_listed_number = max(numbers, default=self._last_listed_number)
         return Success(WorkerView(self.read_clock(), active, listed, is_cut))
 
     def _find_refusal(self, order: StartOrder) -> Refusal | None:
--- a/tests/scheduling/late_controllers_run.py
+++ b/tests/scheduling/late_controllers_run.py
@@ -100,6 +100,7 @@
             await trio.sleep(DAY_SECONDS)
             nursery.cancel_scope.cancel()
         self.faults.extend(self.fleet.list_repeated_starts())
+        self.faults.extend(self.fleet.list_early_acknowledgements())
         self.counts += self.fleet.count_runs()
 
     def list_activities(self) -> list[Callable[[], Awaitable[None]]]:
--- a/tests/scheduling/late_days.py
+++ b/tests/scheduling/late_days.py
@@ -10,6 +10,7 @@
 from absl import app, flags, logging
 
 from tests.replication.determinism import run_deterministic
+from tests.scheduling.lost_state_signs import collect_signs
 
 
 class RandomDay(Protocol):
@@ -31,7 +32,9 @@
         days.append(day)
         await day.play()
 
-    run_deterministic(play, seed=seed)
+    with collect_signs() as signs:
+        run_deterministic(play, seed=seed)
+    days[0].faults.extend(signs)
     return days[0]
 
 
--- a/tests/scheduling/late_run.py
+++ b/tests/scheduling/late_run.py
@@ -90,6 +90,7 @@
                 await trio.sleep(self.random.uniform(*UNLED_SECONDS))
             nursery.cancel_scope.cancel()
         self.faults.extend(self.fleet.list_repeated_starts())
+        self.faults.extend(self.fleet.list_early_acknowledgements())
         self.counts += self.fleet.count_runs()
 
     async def _lead(self) -> None:
--- a/tests/scheduling/longrun.py
+++ b/tests/scheduling/longrun.py
@@ -34,6 +34,7 @@
 from rhubarbfield.types import WorkerId
 from tests.replication.determinism import run_deterministic
 from tests.scheduling.deployments import ONE_CORE, Deployment, count_runs_at_once
+from tests.scheduling.lost_state_signs import collect_signs
 
 # The users' limits: two starts after the third crash, and a smaller capacity counts
 # after 3 s and an interval of heartbeats.
@@ -201,6 +202,7 @@
         for job in self.deployment.state.jobs.values():
             self._check_job(job)
         self.faults.extend(find_torn_gangs(fleet))
+        self.faults.extend(fleet.list_early_acknowledgements())
         if self.seconds_with_room >= MAX_SECONDS_WITH_ROOM:
             self.faults.append("work had room for too long without an end")
         for job in self._list_open():
@@ -259,7 +261,9 @@
         days.append(day)
         await day.play()
 
-    run_deterministic(play, seed=seed)
+    with collect_signs() as signs:
+        run_deterministic(play, seed=seed)
+    days[0].faults.extend(signs)
     return days[0]
 
 
