Let the wall time of a replay pass with its virtual time

What was seen: test_traces.ShippedTracesTest.test_failing_worker failed in about every other run, jobs 2 to 4 "came out as running" at 150 s; a replay of one trace with one seed differed from run to run.

Cause: the processes of a replay read the machine's wall time, which nearly stands still there: 150 s of the loop take 3 s. What placement compares with wall time (the backoff after a failure, the interval of probes) was due after so many real seconds, some 50 times as long in virtual time, and the more the faster the machine. It was not the worker that held the jobs up: after its failures their retries, on the sound worker as well, were not due. Programs are not affected, as both clocks pass alike there.

The clock of a replay now derives its wall time from the loop.

--- a/src/rhubarbfield/clock.py
+++ b/src/rhubarbfield/clock.py
@@ -15,6 +15,7 @@
 
 MILLISECOND = timedelta(milliseconds=1)
 MS_PER_SECOND = 1000
+VIRTUAL_EPOCH = datetime(2026, 1, 1, tzinfo=UTC)
 
 
 class Clock(Protocol):
@@ -50,6 +51,18 @@
         await trio.sleep(max(0.0, duration.total_seconds()))
 
 
+class VirtualClock(TrioClock):
+    """Clock of an event loop whose time is virtual, as under trio's ``MockClock``.
+
+    The wall time of :class:`TrioClock` nearly stands still there: an hour of the
+    loop takes seconds.
+    """
+
+    def now(self) -> datetime:
+        """Return the time of the event loop as wall time since ``VIRTUAL_EPOCH``."""
+        return VIRTUAL_EPOCH + self.monotonic()
+
+
 class HostClock(TrioClock):
     """Clock of a process whose machine may be suspended.
 
--- a/src/rhubarbfield/replay/fleet.py
+++ b/src/rhubarbfield/replay/fleet.py
@@ -12,7 +12,7 @@
 import yaml
 from returns.result import Success
 
-from rhubarbfield.clock import TrioClock
+from rhubarbfield.clock import VirtualClock
 from rhubarbfield.controller.daemon import Controller
 from rhubarbfield.entry.daemon import Entry
 from rhubarbfield.entry.options import make_routing_settings
@@ -85,7 +85,7 @@
         self._traced = traced
         self._nursery = nursery
         self._rng = random.Random(traced.seed)
-        self._clock = TrioClock()
+        self._clock = VirtualClock()
         self.network = SimulatedNetwork(self._make_rng("network"))
         self.observer = Observer()
         self.controllers: dict[str, Controller] = {}
--- a/tests/replay/test_player.py
+++ b/tests/replay/test_player.py
@@ -7,6 +7,8 @@
 from pathlib import Path
 from tempfile import TemporaryDirectory
 
+import msgspec
+
 from rhubarbfield.exceptions import UsageError
 from rhubarbfield.replay import (
     Trace,
@@ -15,7 +17,15 @@
     replay_traces,
     write_trace,
 )
-from rhubarbfield.replay.events import Ask, Command, Cut, HealAll, Kill
+from rhubarbfield.replay.events import (
+    Ask,
+    CheckJob,
+    Command,
+    Cut,
+    FailEverything,
+    HealAll,
+    Kill,
+)
 from tests.replay.longrun import replay_deterministically
 
 FLEET = TracedFleet(
@@ -24,6 +34,8 @@
     workers_each=1,
     servers_each=1,
 )
+PAIR = msgspec.structs.replace(FLEET, workers_each=2)
+SUBMIT = "create batch night for tenant t tasks 4 cores 2 memory 2000 mb domain north"
 CONFIGURE = "configure routing.retry_budget_fraction = 0.2"
 MISMATCHING_TRACE = Trace(FLEET, (Ask(at=0, entry="a1", outcome="not-run|unknown"),))
 
@@ -52,6 +64,16 @@
         self.assertEqual(result.violations, ())
         self.assertFalse(result.passed)
 
+    def test_retries_are_due_in_virtual_time(self) -> None:
+        """Those on a sound worker waited for as long as the replay really took."""
+        events = (
+            FailEverything(at=0, worker="w-north-0"),
+            Command(at=1, controller="a1", operator="ana", number=1, text=SUBMIT),
+            CheckJob(at=100, controller="b1", job="1-night", outcome="succeeded"),
+        )
+        result = replay_deterministically(Trace(PAIR, events))
+        self.assertEqual(result.differences, ())
+
 
 class CommandTest(unittest.TestCase):
     def test_a_difference_is_printed_and_recorded(self) -> None:
--- a/tests/test_clock.py
+++ b/tests/test_clock.py
@@ -11,7 +11,7 @@
 import trio
 import trio.testing
 
-from rhubarbfield.clock import HostClock, ManualClock, TrioClock
+from rhubarbfield.clock import HostClock, ManualClock, TrioClock, VirtualClock
 from rhubarbfield.leases import HeldLease, Lease
 from rhubarbfield.types import Epoch
 
@@ -30,6 +30,20 @@
         self.assertEqual(trio.run(sleep_an_hour, clock=mock), HOUR)
 
 
+class VirtualClockTest(unittest.TestCase):
+    def test_wall_time_passes_with_virtual_time(self) -> None:
+        """It nearly stood still, and with it all that is due at a wall time."""
+
+        async def sleep_an_hour() -> timedelta:
+            clock = VirtualClock()
+            before = clock.now()
+            await clock.sleep(HOUR)
+            return clock.now() - before
+
+        mock = trio.testing.MockClock(autojump_threshold=0)
+        self.assertEqual(trio.run(sleep_an_hour, clock=mock), HOUR)
+
+
 class HostClockTest(unittest.TestCase):
     def hold_over_suspension(self, clock: TrioClock) -> bool:
         """Return whether a lease of 3 s holds after its machine was suspended for 5 s.
