Replay a trace with the same order of tasks each time

What was seen: two replays of one trace could come out differently, and a failure could not be repeated to be traced: three commands with one number at three controllers at once were answered in two ways in four replays.

Cause: trio orders the tasks that are ready at random.

--- a/src/rhubarbfield/replay/command.py
+++ b/src/rhubarbfield/replay/command.py
@@ -4,17 +4,17 @@
 
 import logging
 from collections.abc import Sequence
+from functools import partial
 from typing import TextIO
 
 import msgspec
-import trio
 from returns.result import Failure, Success
-from trio.testing import MockClock
 
 from rhubarbfield.exceptions import EXIT_FAILURE, UsageError
 from rhubarbfield.replay.events import Trace
 from rhubarbfield.replay.file import load_trace, write_trace
 from rhubarbfield.replay.player import ReplayResult, play_trace
+from rhubarbfield.testing.determinism import run_seeded
 
 
 def replay_traces(
@@ -22,6 +22,8 @@
 ) -> int:
     """Replay each trace and print the differences from its expected outcomes.
 
+    Equal traces give equal outcomes: a trace's seed decides the order of tasks, too.
+
     Parameters
     ----------
     files
@@ -49,7 +51,7 @@
     traces = [(file, _load(file)) for file in files]
     all_passed = True
     for file, trace in traces:
-        result = trio.run(play_trace, trace, clock=MockClock(autojump_threshold=0))
+        result = run_seeded(partial(play_trace, trace), trace.fleet.seed)
         _print_result(file, trace, result, output)
         all_passed = all_passed and result.passed
         if record is not None:
--- a/tests/replay/test_player.py
+++ b/tests/replay/test_player.py
@@ -37,6 +37,14 @@
 PAIR = msgspec.structs.replace(FLEET, workers_each=2)
 SUBMIT = "create batch night for tenant t tasks 4 cores 2 memory 2000 mb domain north"
 CONFIGURE = "configure routing.retry_budget_fraction = 0.2"
+REPETITIONS = 4
+RACING_TRACE = Trace(
+    FLEET,
+    tuple(
+        Command(at=1, controller=name, operator="ana", number=1, text=CONFIGURE + digit)
+        for name, digit in (("a1", "1"), ("b1", "2"), ("c1", "3"))
+    ),
+)
 MISMATCHING_TRACE = Trace(FLEET, (Ask(at=0, entry="a1", outcome="not-run|unknown"),))
 
 
@@ -74,6 +82,16 @@
         result = replay_deterministically(Trace(PAIR, events))
         self.assertEqual(result.differences, ())
 
+    def test_a_trace_is_replayed_alike_each_time(self) -> None:
+        with TemporaryDirectory() as folder:
+            file, record = Path(folder) / "t", Path(folder) / "r"
+            write_trace(file, RACING_TRACE)
+            recorded = set()
+            for _ in range(REPETITIONS):
+                replay_traces([str(file)], StringIO(), record=str(record))
+                recorded.add(record.read_bytes())
+        self.assertEqual(len(recorded), 1)
+
 
 class CommandTest(unittest.TestCase):
     def test_a_difference_is_printed_and_recorded(self) -> None:
--- a/tests/replication/test_replica.py
+++ b/tests/replication/test_replica.py
@@ -12,8 +12,9 @@
 from rhubarbfield.exceptions import UsageError
 from rhubarbfield.replication import GroupSettings, NotLeader, Overloaded
 from rhubarbfield.storage import MAX_COMMAND_BYTES
+from rhubarbfield.testing.determinism import check_private_names
 from rhubarbfield.types import Term
-from tests.replication.determinism import check_private_names, run_deterministic
+from tests.replication.determinism import run_deterministic
 from tests.replication.group import Group
 
 VIRTUAL_TIMEOUT = 600.0
