--- a/tests/announcements/domain.py
+++ b/tests/announcements/domain.py
@@ -14,7 +14,7 @@
     FromBackendServer,
     ToBackendServer,
 )
-from rhubarbfield.clock import TrioClock
+from rhubarbfield.clock import VirtualClock
 from rhubarbfield.ownership import OwnershipState
 from rhubarbfield.testing.announcer import Announcer
 from rhubarbfield.testing.ownership import MemoryOwnership, RecordingGrantSink
@@ -68,7 +68,7 @@
 class Domain:
     def __init__(self, nursery: trio.Nursery) -> None:
         self.nursery = nursery
-        self.clock = TrioClock()
+        self.clock = VirtualClock()
         self.state = OwnershipState()
         self.double_owned: list[str] = []
         self.network = MemoryNetwork(
--- a/tests/scheduling/controllers.py
+++ b/tests/scheduling/controllers.py
@@ -10,7 +10,7 @@
 
 import trio
 
-from rhubarbfield.clock import Clock, TrioClock
+from rhubarbfield.clock import Clock, VirtualClock
 from rhubarbfield.groups import NotLeading
 from rhubarbfield.scheduling.controller import SchedulingController
 from rhubarbfield.scheduling.deployment import DeploymentSettings, WorkerTimes
@@ -64,7 +64,7 @@
         make_fleet: Callable[[Clock], CrashingFleet] = CrashingFleet,
     ) -> None:
         self._make_store = make_store
-        self.clock = TrioClock()
+        self.clock = VirtualClock()
         self.network = SimulatedNetwork(random.Random(1))
         self.fleet = make_fleet(self.clock)
         self._members = {name: self.make(name, transport) for name in NAMES}
--- a/tests/scheduling/deployments.py
+++ b/tests/scheduling/deployments.py
@@ -11,7 +11,7 @@
 import msgspec
 import trio
 
-from rhubarbfield.clock import TrioClock
+from rhubarbfield.clock import VirtualClock
 from rhubarbfield.groups import ReplicatedLog, run_while_leading
 from rhubarbfield.replication import Leadership
 from rhubarbfield.scheduling.appliers import (
@@ -69,7 +69,7 @@
     """A log with a single member, a scheduling leader and stand-in workers."""
 
     def __init__(self, settings: SchedulingSettings | None = None) -> None:
-        self.clock = TrioClock()
+        self.clock = VirtualClock()
         self.fleet = CrashingFleet(self.clock)
         self.settings = settings or SchedulingSettings()
         log, self.replica = make_single_member_log(make_scheduling_machine())
--- a/tests/scheduling/relaying_controllers.py
+++ b/tests/scheduling/relaying_controllers.py
@@ -12,7 +12,7 @@
 import trio
 from returns.result import Failure, Result
 
-from rhubarbfield.clock import TrioClock
+from rhubarbfield.clock import VirtualClock
 from rhubarbfield.scheduling.controller import SchedulingController
 from rhubarbfield.scheduling.deployment import DeploymentSettings, WorkerTimes
 from rhubarbfield.scheduling.ports import (
@@ -101,7 +101,7 @@
     """Controllers that replicate one log and call the same stand-in workers."""
 
     def __init__(self, *names: str) -> None:
-        self.clock = TrioClock()
+        self.clock = VirtualClock()
         self.network = SimulatedNetwork(random.Random(1))
         self.fleet = StandInFleet(self.clock)
         self.calls = {name: RecordedCalls(self.fleet) for name in names}
--- a/tests/scheduling/relays.py
+++ b/tests/scheduling/relays.py
@@ -11,7 +11,7 @@
 
 import trio
 
-from rhubarbfield.clock import TrioClock
+from rhubarbfield.clock import VirtualClock
 from rhubarbfield.peering import MessageStream
 from rhubarbfield.replication import Leadership
 from rhubarbfield.scheduling.leader import SchedulingLeader
@@ -85,7 +85,7 @@
         fleet: StandInFleet | None = None,
         workers_per_relay: int = 1,
     ) -> None:
-        self.clock = TrioClock()
+        self.clock = VirtualClock()
         self.network = SimulatedNetwork(random.Random(1))
         self.fleet = fleet or StandInFleet(self.clock)
         self.names = list(names)
--- a/tests/workers/fleet.py
+++ b/tests/workers/fleet.py
@@ -8,7 +8,7 @@
 
 import trio
 
-from rhubarbfield.clock import Clock, TrioClock
+from rhubarbfield.clock import Clock, VirtualClock
 from rhubarbfield.testing.attempts import TaskBehaviour
 from rhubarbfield.testing.observer import Observer
 from rhubarbfield.testing.streams import MemoryNetwork
@@ -95,7 +95,7 @@
     ) -> None:
         self.seed = seed
         self.nursery = nursery
-        self.clock: Clock = TrioClock()
+        self.clock: Clock = VirtualClock()
         self.run_time = run_time
         self.log = MemoryWorkLog()
         self.observer = Observer()
