Compare steps with the largest reserved room first

A round may leave a thousand standing steps without a worker, and each was compared with each of the reserved workers to see whether these keep it off room. Now one comparison with the largest room among them rules most steps out.

--- a/src/rhubarbfield/scheduling/deferrals.py
+++ b/src/rhubarbfield/scheduling/deferrals.py
@@ -14,6 +14,7 @@
     has_label,
     has_room,
 )
+from rhubarbfield.scheduling.model import Demand, find_largest
 
 # The platform tolerates 3 s without a run beside room.
 MAX_DEFERRAL = timedelta(seconds=2)
@@ -25,22 +26,28 @@
     def __init__(self) -> None:
         self._since: dict[StepKey, timedelta] = {}
         self._before: dict[StepKey, timedelta] = {}
+        self._reserved: Collection[ReservedWorker] = ()
+        self._largest = Demand()
 
-    def begin_round(self) -> None:
-        """Forget the steps that are not recorded again in this round."""
+    def begin_round(self, reserved: Collection[ReservedWorker]) -> None:
+        """Forget the steps that are not recorded again in this round.
+
+        Parameters
+        ----------
+        reserved
+            The reserved workers, with what the round has left free on them.
+        """
         self._before, self._since = self._since, {}
+        self._reserved = reserved
+        # A round may leave a thousand steps; most need more than is free anywhere.
+        self._largest = find_largest(each.headroom.free for each in reserved)
 
-    def record(
-        self,
-        waiting: WaitingStep,
-        reserved: Collection[ReservedWorker],
-        now: timedelta,
-    ) -> None:
+    def record(self, waiting: WaitingStep, now: timedelta) -> None:
         """Record a step that a round has not placed, if a reserved worker has room."""
-        if any(
-            has_room(waiting.step.reserved, each.headroom)
-            and may_hold(waiting, each.headroom)
-            for each in reserved
+        needed = waiting.step.reserved
+        if needed.fits(self._largest) and any(
+            has_room(needed, each.headroom) and may_hold(waiting, each.headroom)
+            for each in self._reserved
         ):
             key = get_key(waiting)
             self._since[key] = self._before.get(key, now)
--- a/src/rhubarbfield/scheduling/reservations.py
+++ b/src/rhubarbfield/scheduling/reservations.py
@@ -114,13 +114,13 @@
         if now < self._record_due:
             return
         self._record_due = now + RECORD_INTERVAL
-        self._deferrals.begin_round()
+        self._deferrals.begin_round(self._reserved.values())
         for waiting in unplaced:
             step = waiting.step
             # Room alone does not help a task that lacks spare cores, or a gang.
             if not step.standing or step.uses_spare_cores or step.gang:
                 continue
-            self._deferrals.record(waiting, self._reserved.values(), now)
+            self._deferrals.record(waiting, now)
             for index, task in enumerate(waiting.tasks):
                 if awaits_restart(step, task) and not task.is_suspect:
                     key = get_key(waiting)
