--- a/src/rhubarbfield/scheduling/survey.py
+++ b/src/rhubarbfield/scheduling/survey.py
@@ -125,7 +125,9 @@
 
 def _log_capacity(headrooms: Iterable[WorkerHeadroom]) -> None:
     """Log the capacity that is not reserved, and how it is distributed."""
-    free = [each.free for each in headrooms]
+    members = list(headrooms)
+    free = [each.free for each in members]
+    unshared = [each for each in members if not each.serving_images]
     log_event(
         logger,
         logging.INFO,
@@ -134,4 +136,6 @@
         free_millicores=sum(max(each.millicores, 0) for each in free),
         largest_millicores=max((each.millicores for each in free), default=0),
         free_memory_mb=sum(max(each.memory_mb, 0) for each in free),
+        without_serving=len(unshared),
+        spare_without_serving=sum(max(each.spare_millicores, 0) for each in unshared),
     )
