Keep a starved job going: no pause after each of its forced runs

Cause: `starvation_timeout` began anew with each run; it did not begin at all while more than 60% of the cores were reserved, so that a further 2 s passed once they no longer were; and a job whose only run was paused counted as running. A job that has starved once is now starved whenever it has no run; one whose runs are all paused starves again after the timeout; and waiting counts however much is reserved. Of the workers without serving tasks a forced task takes the one with the fewest spare cores, and not one on which it has failed, if there is another.

Evidence: of the six tests of test_starvation five fail without the change (job not completed within 15 s and 20 s; standstills of 2.12 s after each run; no run 0.5 s after standing jobs ended; 6.38 s beside a paused run); the sixth guards the goals of serving tasks. The two of LeastHarmfulTest fail without the choice of worker.

The reference of test_rounds makes the same choice of forced starts as the placer.

--- a/src/rhubarbfield/scheduling/backlog.py
+++ b/src/rhubarbfield/scheduling/backlog.py
@@ -15,6 +15,7 @@
     measure_work,
     rank_job,
 )
+from rhubarbfield.scheduling.starvation import Starvation
 from rhubarbfield.scheduling.state import Job
 from rhubarbfield.types import JobId
 
@@ -32,13 +33,15 @@
     ----------
     clock
         Source of time.
+    starvation
+        Which of them stand still.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, starvation: Starvation) -> None:
         self._clock = clock
+        self._starvation = starvation
         self._accepted_at: dict[JobId, timedelta] = {}
         self._work: dict[JobId, tuple[tuple[int, ...], RemainingWork]] = {}
-        self._idle_since: dict[JobId, timedelta] = {}
         self._mean_work: dict[QueueName, float] = {}
 
     def rank(self, job: Job, queue: Queue, occurrence: int) -> tuple[float, ...]:
@@ -59,13 +62,9 @@
         interrupted = work.is_standing and is_interrupted(job)
         return find_outlook(work, queue, self.find_age(job), interrupted=interrupted)
 
-    def is_idle(self, job: Job, limit: timedelta) -> bool:
-        """Return whether no run of a job has been live for longer than ``limit``."""
-        now = self._clock.monotonic()
-        if job.has_live_runs:
-            self._idle_since.pop(job.job, None)
-            return False
-        return now - self._idle_since.setdefault(job.job, now) > limit
+    def record_start(self, job: JobId) -> None:
+        """Record that a run of a job was started."""
+        self._starvation.record_start(job)
 
     def measure(self, job: Job) -> RemainingWork:
         """Return the remaining and total work of a job."""
@@ -81,7 +80,7 @@
         """Drop the data of a job that has ended."""
         self._accepted_at.pop(job, None)
         self._work.pop(job, None)
-        self._idle_since.pop(job, None)
+        self._starvation.forget(job)
 
     def find_age(self, job: Job) -> timedelta:
         """Return the time since a job was accepted, as far as this leader knows."""
--- a/src/rhubarbfield/scheduling/candidates.py
+++ b/src/rhubarbfield/scheduling/candidates.py
@@ -154,16 +154,23 @@
         )
 
     def choose_least_harmful(
-        self, waiting: WaitingStep, tasks_per_worker: Mapping[WorkerId, int]
+        self,
+        waiting: WaitingStep,
+        avoided: Collection[WorkerId],
+        tasks_per_worker: Mapping[WorkerId, int],
     ) -> WorkerHeadroom | None:
-        """Return the worker on which a spare-core task harms least."""
+        """Return the worker on which a spare-core task harms least.
+
+        Of those without serving tasks it is the one with the fewest spare cores, so
+        that tasks that can be placed otherwise find the others.
+        """
         step = waiting.step
         key = (*_get_preferences(waiting), step.demand, "least-harmful")
         ranking = self._rankings.get(key)
         if ranking is None:
             candidates = self._list_by_label(waiting)
             ranking = self._rankings[key] = self._rank_by_harm(step, candidates)
-        return ranking.choose(list_full(step, tasks_per_worker), ())
+        return ranking.choose(list_full(step, tasks_per_worker), avoided)
 
     def is_without_worker(self, waiting: WaitingStep) -> bool:
         """Return whether no worker can take a task of a step now."""
@@ -241,7 +248,7 @@
             margin = self._interference.find_smallest_margin(
                 headroom.margins, headroom.add_share(step)
             )
-            return (-margin,)
+            return (-margin, -_measure_load(headroom))
 
         return CandidateRanking(candidates, evaluate, self._changes)
 
@@ -264,8 +271,7 @@
         what standing tasks leave, so that the largest pieces stay free.
         """
         is_far = _is_far(step, headroom)
-        capacity = max(headroom.worker.capacity.millicores, 1)
-        load = 1 - headroom.spare_millicores / capacity
+        load = _measure_load(headroom)
         if step.tail_goal_ms:
             images = len(headroom.serving_images | {step.image})
             is_new = step.image not in headroom.serving_images
@@ -311,6 +317,12 @@
     return step.preferred_rack not in ("", *headroom.worker.labels)
 
 
+def _measure_load(headroom: WorkerHeadroom) -> float:
+    """Return the share of a worker's cores that its tasks are expected to use."""
+    capacity = max(headroom.worker.capacity.millicores, 1)
+    return 1 - headroom.spare_millicores / capacity
+
+
 def _compute_risk(step: Step, headroom: WorkerHeadroom) -> Cost:
     """Return the cost of placing a task that may crash its worker.
 
--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -43,7 +43,7 @@
     ROUND_SECONDS,
     RUNS_ENDED,
 )
-from rhubarbfield.scheduling.mitigation import InterferenceMitigator
+from rhubarbfield.scheduling.mitigation import PAUSED, InterferenceMitigator
 from rhubarbfield.scheduling.model import (
     CheckpointToken,
     Step,
@@ -72,8 +72,8 @@
 from rhubarbfield.scheduling.slicing import choose_starts
 from rhubarbfield.scheduling.start_stages import StageTimes, StartStage
 from rhubarbfield.scheduling.starting import RunStarter
+from rhubarbfield.scheduling.starvation import Starvation
 from rhubarbfield.scheduling.state import (
-    Job,
     RunEnd,
     SchedulingState,
     Worker,
@@ -133,7 +133,10 @@
         self._mitigator = InterferenceMitigator(
             self, self._interference, self._headrooms, clock
         )
-        self._backlog = Backlog(clock)
+        self._starvation = Starvation(
+            settings.starvation_timeout, self._is_paused, clock
+        )
+        self._backlog = Backlog(clock, self._starvation)
         self._jobs = JobIndex()
         self._registry = SessionRegistry(
             self,
@@ -431,7 +434,9 @@
     def _examine_probes(self, worker: WorkerId, session: WorkerSession) -> None:
         """Record what the latest view tells of the probe of a worker."""
         for key in self._quarantine.list_probes(worker):
-            if session.get_pace(key) == 0:  # it makes no progress, and proves nothing
+            if (
+                session.get_pace(key) == PAUSED
+            ):  # it makes no progress, and proves nothing
                 self._quarantine.record_end(worker, key)
             elif session.has_run(key):
                 self._quarantine.record_presence(
@@ -487,7 +492,7 @@
             avoided=self._avoided,
             interference=self._interference,
             rank=self._rank,
-            is_starved=self._is_starved,
+            is_starved=self._starvation.is_starved,
             may_wait=self._suspects.may_wait,
             unresolved=self._suspects.count_unresolved(),
             rejected=self._rejected,
@@ -522,8 +527,9 @@
     def _rank(self, waiting: WaitingStep) -> tuple[float, ...]:
         return self._backlog.rank(waiting.job, waiting.queue, waiting.occurrence)
 
-    def _is_starved(self, job: Job) -> bool:
-        return self._backlog.is_idle(job, self._settings.starvation_timeout)
+    def _is_paused(self, worker: WorkerId, key: RunKey) -> bool:
+        session = self.get_session(worker)
+        return session is not None and session.get_pace(key) == PAUSED
 
     async def _commit_ends(self, ends: tuple[WorkerEnds, ...]) -> None:
         for report in ends:
--- a/src/rhubarbfield/scheduling/placing.py
+++ b/src/rhubarbfield/scheduling/placing.py
@@ -93,8 +93,8 @@
         Returns the rank of a step, the same for all steps of an occurrence; the
         lowest goes first.
     is_starved
-        Returns whether nothing of a job has run for so long that its tasks may
-        start where they harm least.
+        Returns whether nothing of a job works, and has not for so long that a task
+        may start where it harms least.
     may_wait
         Returns whether a task, whose last run is given, may wait although it has
         capacity, since it is suspected of crashing workers.
@@ -250,10 +250,10 @@
                 )
             if headroom is None and self._may_force(waiting):
                 headroom = self._candidates.choose_least_harmful(
-                    waiting, tasks_per_worker
+                    waiting, self._avoided.get(name, ()), tasks_per_worker
                 )
                 if headroom is not None:
-                    self._start_task(name, task, headroom, step, tasks_per_worker)
+                    self._start_task(waiting, name, task, headroom, tasks_per_worker)
                 return
             if headroom is None:
                 self._note_unplaced(waiting)
@@ -267,7 +267,7 @@
             ):
                 self.trials.setdefault((waiting.job.job, waiting.number), waiting)
                 continue
-            self._start_task(name, task, headroom, step, tasks_per_worker)
+            self._start_task(waiting, name, task, headroom, tasks_per_worker)
 
     def _choose_restricted(
         self,
@@ -369,22 +369,23 @@
 
     def _may_force(self, waiting: WaitingStep) -> bool:
         """Return whether a task may start although it harms serving tasks."""
-        if waiting.queue.service not in self._candidates.underutilized:
-            return False
         job = waiting.job
         if job.job not in self._starved:
             self._starved[job.job] = self._is_starved(job)
-        return self._starved[job.job]
+        if not self._starved[job.job]:
+            return False
+        return waiting.queue.service in self._candidates.underutilized
 
     def _start_task(
         self,
+        waiting: WaitingStep,
         name: TaskName,
         task: Task,
         headroom: WorkerHeadroom,
-        step: Step,
         tasks_per_worker: dict[WorkerId, int],
     ) -> None:
-        self._add_task(headroom, step, tasks_per_worker)
+        self._starved[waiting.job.job] = False
+        self._add_task(headroom, waiting.step, tasks_per_worker)
         if task.is_suspect:
             self._candidates.close(headroom)
         run = RunNumber(task.last_run + 1)
--- a/src/rhubarbfield/scheduling/starting.py
+++ b/src/rhubarbfield/scheduling/starting.py
@@ -158,6 +158,7 @@
             view_age=session.view_age,
         )
         RUNS_PLACED.inc()
+        self._backlog.record_start(job.job)
         return session.start(
             Start(
                 RunKey(start.task, start.run),
--- a/tests/scheduling/reference_placing.py
+++ b/tests/scheduling/reference_placing.py
@@ -134,11 +134,14 @@
             is_forced = False
             if (
                 chosen is None
-                and waiting.queue.service in self.underutilized
+                and not self.has_start(waiting.job)
                 and self.is_starved(waiting.job)
+                and waiting.queue.service in self.underutilized
             ):
                 is_forced = True
-                chosen = self.choose_least_harmful(step, fitting)
+                chosen = self.choose_least_harmful(
+                    step, fitting, self.avoided.get(name, set())
+                )
             if chosen is not None:
                 self.add(step, chosen, counts)
                 self.starts.append(RunStart(name, run, chosen.worker.worker))
@@ -238,16 +241,20 @@
             default=None,
         )
 
+    def has_start(self, job: Job) -> bool:
+        return any(start.task.startswith(f"{job.job}.") for start in self.starts)
+
     def choose_least_harmful(
-        self, step: Step, fitting: list[WorkerHeadroom]
+        self, step: Step, fitting: list[WorkerHeadroom], avoided: set[WorkerId]
     ) -> WorkerHeadroom | None:
-        return max(
-            fitting,
-            key=lambda each: self.interference.find_smallest_margin(
+        def measure_harm(each: WorkerHeadroom) -> Cost:
+            margin = self.interference.find_smallest_margin(
                 each.margins, each.add_share(step)
-            ),
-            default=None,
-        )
+            )
+            load = 1 - each.spare_millicores / max(each.worker.capacity.millicores, 1)
+            return (each.worker.worker in avoided, -margin, -load)
+
+        return min(fitting, key=measure_harm, default=None)
 
     def compute_cost(self, step: Step, headroom: WorkerHeadroom) -> Cost:
         worker = headroom.worker
--- a/tests/scheduling/test_candidates.py
+++ b/tests/scheduling/test_candidates.py
@@ -4,11 +4,12 @@
 
 import math
 import unittest
+from collections.abc import Collection
 
 from rhubarbfield.scheduling.candidates import RESERVED_WORKERS_SHARE, Candidates
 from rhubarbfield.scheduling.commands import RunStart
 from rhubarbfield.scheduling.headroom import WaitingStep, WorkerHeadroom
-from rhubarbfield.scheduling.interference import InterferenceModel
+from rhubarbfield.scheduling.interference import InterferenceModel, LatencyMargin
 from rhubarbfield.scheduling.model import (
     Demand,
     ImageName,
@@ -18,6 +19,7 @@
     TaskName,
 )
 from rhubarbfield.scheduling.rejected_steps import RejectedSteps
+from rhubarbfield.types import WorkerId
 from tests.replication.determinism import run_deterministic
 from tests.scheduling.deployments import QUEUE
 from tests.scheduling.fleets import GOAL_MS, LATE_QUEUE, OTHER_QUEUE, Fleet
@@ -274,5 +276,38 @@
         run_deterministic(check, seed=1)
 
 
+class LeastHarmfulTest(unittest.TestCase):
+    def choose(self, avoided: Collection[WorkerId]) -> WorkerId | None:
+        """Choose among workers with 9, 0 and 4 spare cores, and a serving one."""
+        fleet = make_fleet()
+        step = Step(demand=Demand(1000, 1000), uses_spare_cores=True)
+        job = fleet.state.jobs[fleet.submit(step)]
+        workers = [fleet.state.workers[WorkerId(f"w{number}")] for number in range(4)]
+        headrooms = {
+            worker.worker: WorkerHeadroom(worker, CAPACITY, spare)
+            for worker, spare in zip(workers, (9000, 0, 4000, 9000), strict=True)
+        }
+        margin = LatencyMargin(ImageName("serving"), 0.1)
+        headrooms[workers[3].worker].known_margins = [margin]
+        candidates = Candidates(headrooms, InterferenceModel(), RejectedSteps())
+        waiting = WaitingStep(job, QUEUE, 0, 0)
+        chosen = candidates.choose_least_harmful(waiting, avoided, {})
+        return None if chosen is None else chosen.worker.worker
+
+    def test_forced_task_takes_spare_cores_that_others_could_use(self) -> None:
+        async def check() -> None:
+            self.assertEqual(self.choose(()), WorkerId("w1"))
+
+        run_deterministic(check, seed=1)
+
+    def test_forced_task_fails_on_the_same_worker_again(self) -> None:
+        async def check() -> None:
+            self.assertEqual(self.choose({WorkerId("w1")}), WorkerId("w2"))
+            unshared = [WorkerId(f"w{number}") for number in range(3)]
+            self.assertEqual(self.choose(unshared), WorkerId("w3"))
+
+        run_deterministic(check, seed=1)
+
+
 if __name__ == "__main__":
     unittest.main()
--- /dev/null
+++ b/tests/scheduling/test_starvation.py
@@ -0,0 +1,104 @@
+"""Tests of batch jobs that would harm serving tasks on every worker."""
+
+from __future__ import annotations
+
+import unittest
+
+import trio
+
+from rhubarbfield.scheduling.model import JobPhase
+from rhubarbfield.types import JobId
+from tests.scheduling.deployments import Deployment, with_deployment
+from tests.scheduling.disturbed_serving import GOAL_MS, DisturbedServing
+
+# The users' rule: a job with nothing running beside room for it twice over.
+TOLERATED_SECONDS = 3.0
+# An end is viewed, recorded and followed by a round and the next start.
+TURNAROUND_SECONDS = 0.5
+HARM_LIMIT_SECONDS = 4.0
+# Growth of log tail latency that leaves a reserve, less than it, and none.
+REFUSED_GROWTH = 0.7
+HARMFUL_GROWTH = 1.2
+
+
+class StarvationTest(unittest.TestCase):
+    @with_deployment()
+    async def test_job_that_disturbs_all_serving_tasks_pauses_after_each_task(
+        self, deployment: Deployment
+    ) -> None:
+        site = DisturbedServing(deployment, REFUSED_GROWTH)
+        async with site.lead():
+            await site.submit_batch("b", 3, 1, 2, 1)
+            await trio.sleep(15)
+        first, *others = site.standstills[JobId("b")]
+        self.assertEqual(deployment.get_job("b").phase, JobPhase.COMPLETED)
+        self.assertLess(first, TOLERATED_SECONDS)
+        self.assertLess(max(others), TURNAROUND_SECONDS)
+
+    @with_deployment()
+    async def test_tasks_of_a_wide_step_wait_for_each_other_beside_free_workers(
+        self, deployment: Deployment
+    ) -> None:
+        site = DisturbedServing(deployment, REFUSED_GROWTH)
+        async with site.lead():
+            await site.submit_batch("b", 14)
+            await trio.sleep(20)
+        _, *others = site.standstills[JobId("b")]
+        self.assertEqual(deployment.get_job("b").phase, JobPhase.COMPLETED)
+        self.assertLess(max(others, default=0.0), TURNAROUND_SECONDS)
+
+    @with_deployment()
+    async def test_several_jobs_that_disturb_all_serving_tasks_pause(
+        self, deployment: Deployment
+    ) -> None:
+        site = DisturbedServing(deployment, REFUSED_GROWTH)
+        jobs = [JobId(f"b{number}") for number in range(4)]
+        async with site.lead():
+            for job in jobs:
+                await site.submit_batch(job, 6, 2)
+            await trio.sleep(30)
+        for job in jobs:
+            first, *others = site.standstills[job]
+            self.assertEqual(deployment.get_job(job).phase, JobPhase.COMPLETED)
+            self.assertLess(first, TOLERATED_SECONDS)
+            self.assertLess(max(others, default=0.0), TURNAROUND_SECONDS)
+
+    @with_deployment()
+    async def test_job_starves_anew_once_other_serving_jobs_are_cancelled(
+        self, deployment: Deployment
+    ) -> None:
+        site = DisturbedServing(deployment, REFUSED_GROWTH)
+        async with site.lead():
+            await site.submit_serving("s2")
+            await trio.sleep(1)
+            await site.submit_batch("b", 2)
+            await trio.sleep(5)
+            await deployment.cancel("s2")
+            await trio.sleep(TURNAROUND_SECONDS)
+            self.assertGreater(site.count_working(JobId("b")), 0)
+
+    @with_deployment()
+    async def test_tasks_wait_for_the_only_run_of_their_job_which_is_paused(
+        self, deployment: Deployment
+    ) -> None:
+        site = DisturbedServing(deployment, REFUSED_GROWTH)
+        async with site.lead():
+            await site.submit_batch("b", 9)
+            await trio.sleep(2.5)
+            for worker in site.workers:
+                if len(worker.runs) > 1:
+                    worker.own_tail_ms = GOAL_MS - 1.0
+            await trio.sleep(7)
+        self.assertLess(max(site.standstills[JobId("b")]), TOLERATED_SECONDS)
+
+    @with_deployment()
+    async def test_forced_runs_keep_serving_tasks_over_their_goal(
+        self, deployment: Deployment
+    ) -> None:
+        site = DisturbedServing(deployment, HARMFUL_GROWTH)
+        async with site.lead():
+            for number in range(4):
+                await site.submit_batch(f"b{number}", 8)
+            await trio.sleep(40)
+        harm = max(each.longest_harm for each in site.workers)
+        self.assertLess(harm, HARM_LIMIT_SECONDS)
