Look for starved jobs only where they may start

With a backlog at a high load each waiting job was examined in each round, for a start that could not follow.

--- a/src/rhubarbfield/scheduling/placing.py
+++ b/src/rhubarbfield/scheduling/placing.py
@@ -369,12 +369,12 @@
 
     def _may_force(self, waiting: WaitingStep) -> bool:
         """Return whether a task may start although it harms serving tasks."""
+        if waiting.queue.service not in self._candidates.underutilized:
+            return False
         job = waiting.job
         if job.job not in self._starved:
             self._starved[job.job] = self._is_starved(job)
-        if not self._starved[job.job]:
-            return False
-        return waiting.queue.service in self._candidates.underutilized
+        return self._starved[job.job]
 
     def _start_task(
         self,
--- a/src/rhubarbfield/scheduling/starvation.py
+++ b/src/rhubarbfield/scheduling/starvation.py
@@ -50,11 +50,13 @@
         does not pause after each of its runs. While it has some, and all are paused,
         it is starved after ``limit`` again: each of them has just done harm.
         """
-        runs = list(_iterate_runs(job))
-        if not all(self._is_paused(worker, key) for worker, key in runs):
-            self._idle_since.pop(job.job, None)
-            return False
-        if not runs and job.job in self._starved:
+        has_runs = False
+        for worker, key in _iterate_runs(job):
+            if not self._is_paused(worker, key):
+                self._idle_since.pop(job.job, None)
+                return False
+            has_runs = True
+        if not has_runs and job.job in self._starved:
             return True
         now = self._clock.monotonic()
         if now - self._idle_since.setdefault(job.job, now) <= self._limit:
@@ -76,7 +78,11 @@
     """Yield the worker and the key of each run of a job that is live."""
     for occurrence, steps in job.unfinished.items():
         for number, progress in enumerate(steps):
+            if progress.is_done:
+                continue
             for index, task in enumerate(progress.tasks):
+                if not task.live:
+                    continue
+                name = name_task(job.job, occurrence, number, index)
                 for run, worker in task.live.items():
-                    name = name_task(job.job, occurrence, number, index)
                     yield worker, RunKey(name, run)
--- a/tests/scheduling/reference_placing.py
+++ b/tests/scheduling/reference_placing.py
@@ -134,9 +134,9 @@
             is_forced = False
             if (
                 chosen is None
+                and waiting.queue.service in self.underutilized
                 and not self.has_start(waiting.job)
                 and self.is_starved(waiting.job)
-                and waiting.queue.service in self.underutilized
             ):
                 is_forced = True
                 chosen = self.choose_least_harmful(
