--- a/tests/faults/__main__.py
+++ b/tests/faults/__main__.py
@@ -39,6 +39,8 @@
         Text to put in its place.
     test
         Pattern of the tests, at least one of which must fail with the fault.
+    random_runs
+        Random runs, with their flags, whose play reaches the code of the fault.
     """
 
     name: str
@@ -46,6 +48,11 @@
     find: str
     replace: str
     test: str
+    random_runs: tuple[str, ...] = ()
+
+
+class StaleFaultError(Exception):
+    """The text that a fault replaces doesn't occur once in its file."""
 
 
 def list_faults(word: str) -> list[Fault]:
@@ -62,15 +69,28 @@
 def try_fault(fault: Fault) -> str:
     """Return ``caught``, ``missed`` or the reason why the fault couldn't be tried."""
     with tempfile.TemporaryDirectory() as folder:
-        copy = Path(folder)
-        for part in ("src", "tests", "examples", "docs"):
-            shutil.copytree(ROOT / part, copy / part)
-        target = copy / fault.file
-        text = target.read_text(encoding="utf-8")
-        if text.count(fault.find) != 1:
-            return f"stale: the text occurs {text.count(fault.find)} times"
-        target.write_text(text.replace(fault.find, fault.replace), encoding="utf-8")
-        return run_test(copy, fault.test)
+        try:
+            inject_fault(fault, Path(folder))
+        except StaleFaultError as error:
+            return str(error)
+        return run_test(Path(folder), fault.test)
+
+
+def inject_fault(fault: Fault, copy: Path) -> None:
+    """Copy the code to a folder, and put a fault in.
+
+    Raises
+    ------
+    StaleFaultError
+        If the text to replace does not occur exactly once.
+    """
+    for part in ("src", "tests", "examples", "docs"):
+        shutil.copytree(ROOT / part, copy / part)
+    target = copy / fault.file
+    text = target.read_text(encoding="utf-8")
+    if text.count(fault.find) != 1:
+        raise StaleFaultError(f"stale: the text occurs {text.count(fault.find)} times")
+    target.write_text(text.replace(fault.find, fault.replace), encoding="utf-8")
 
 
 def run_test(copy: Path, pattern: str) -> str:
