--- a/tests/scheduling/late_controllers_run.py
+++ b/tests/scheduling/late_controllers_run.py
@@ -15,16 +15,20 @@
 import trio
 
 from rhubarbfield.scheduling.controller import SchedulingController
-from rhubarbfield.scheduling.model import JobSubmission, Step, TaskName
+from rhubarbfield.scheduling.model import JobSubmission
 from rhubarbfield.scheduling.requests import JobRequest, JobVerb
 from rhubarbfield.storage import LogStore, MemoryStore
 from rhubarbfield.testing.memory_transport import MemoryTransport
 from rhubarbfield.types import ServiceName, WorkerId
-from tests.scheduling import late_days
+from tests.scheduling import inputs, late_days
 from tests.scheduling.controllers import NAMES, SETTLING_SECONDS, Controllers
-from tests.scheduling.deployments import CONFIGURATION, ONE_CORE, QUEUE
+from tests.scheduling.deployments import CONFIGURATION, QUEUE
+from tests.scheduling.inputs import Dimension, Inputs
+from tests.scheduling.late_checks import list_early_starts
 from tests.scheduling.late_days import RandomDay
+from tests.scheduling.late_jobs import LateJobs
 from tests.scheduling.late_orders import LateFleet, LateWorker, Trouble
+from tests.scheduling.longrun import find_torn_gangs
 
 WORKERS = 6
 DAY_SECONDS = 90.0
@@ -52,6 +56,8 @@
         Seed of the day.
     has_single_lease
         Whether a start is late by its worker's lease, instead of by its own.
+    is_wide
+        Whether all dimensions of :mod:`tests.scheduling.inputs` are drawn.
 
     Attributes
     ----------
@@ -64,8 +70,11 @@
     kinds: tuple[str, ...] = KINDS
     services: tuple[ServiceName, ...] = (ServiceName("s"),)
 
-    def __init__(self, seed: int, *, has_single_lease: bool = False) -> None:
+    def __init__(
+        self, seed: int, *, has_single_lease: bool = False, is_wide: bool = False
+    ) -> None:
         self.random = random.Random(seed)
+        self.drawn = Inputs(self.random) if is_wide else None
         self.has_single_lease = has_single_lease
         self.faults: list[str] = []
         self.counts: Counter[str] = Counter()
@@ -86,6 +95,7 @@
             assert isinstance(fleet, LateFleet)
             self.fleet = fleet
             self.fleet.has_single_lease = self.has_single_lease
+            self.fleet.drawn = self.drawn
             for number in range(WORKERS):
                 worker = LateWorker(WorkerId(f"w{number}"), self.controllers.clock)
                 worker.service = self.services[number % len(self.services)]
@@ -101,6 +111,8 @@
             nursery.cancel_scope.cancel()
         self.faults.extend(self.fleet.list_repeated_starts())
         self.faults.extend(self.fleet.list_early_acknowledgements())
+        self.faults.extend(list_early_starts(self.fleet))
+        self.faults.extend(find_torn_gangs(self.fleet))
         self.counts += self.fleet.count_runs()
 
     def list_activities(self) -> list[Callable[[], Awaitable[None]]]:
@@ -167,33 +179,39 @@
                 return
 
     async def _submit(self) -> None:
-        draw = self.random
+        jobs = LateJobs(self.fleet, self.random, self.drawn)
         number = 0
-        while True:
-            number += 1
-            is_standing = draw.random() < 0.05
-            step = Step(
-                tasks=draw.randint(1, 3),
-                demand=ONE_CORE,
-                estimate_ms=1000,
-                standing=is_standing,
-            )
-            name = f"j{number}"
-            tasks = [TaskName(f"{name}.0.0.{index}") for index in range(step.tasks)]
-            for worker in self.fleet.lives:
-                worker.demands.update(dict.fromkeys(tasks, ONE_CORE))
-            if is_standing:
-                self.fleet.endless.update(tasks)
-            request = JobRequest(
-                verb=JobVerb.SUBMIT,
-                host=QUEUE.host,
-                path=f"{QUEUE.prefix}{name}",
-                submission=JobSubmission(payload="p", steps=(step,)),
-            )
-            for leader in self.controllers.list_leaders():
-                name = self.controllers.get_name(leader)
-                await self._ask(name, partial(_submit_to, request=request))
-            await trio.sleep(draw.uniform(*SUBMIT_SECONDS))
+        async with trio.open_nursery() as nursery:
+            while True:
+                number += 1
+                name = f"j{number}"
+                submission = JobSubmission(payload="p", steps=jobs.make(name))
+                await self._request(name, JobVerb.SUBMIT, submission)
+                if (delay := jobs.draw_cancel()) is not None:
+                    nursery.start_soon(self._cancel, name, delay)
+                await trio.sleep(self.random.uniform(*SUBMIT_SECONDS))
+
+    async def _cancel(self, job: str, delay: float) -> None:
+        await trio.sleep(delay)
+        await self._request(job, JobVerb.CANCEL)
+
+    async def _request(
+        self, job: str, verb: JobVerb, submission: JobSubmission | None = None
+    ) -> None:
+        request = JobRequest(
+            verb=verb,
+            host=QUEUE.host,
+            path=f"{QUEUE.prefix}{job}",
+            submission=submission,
+        )
+        for leader in self.controllers.list_leaders():
+            name = self.controllers.get_name(leader)
+            await self._ask(name, partial(_submit_to, request=request))
+
+    def _draw(self, wide: Dimension, narrow: tuple[float, float]) -> float:
+        if self.drawn is None:
+            return self.random.uniform(*narrow)
+        return self.drawn.draw(wide)
 
     async def _disturb(self) -> None:
         async with trio.open_nursery() as nursery:
@@ -223,27 +241,33 @@
             case "crash":
                 self.fleet.crash(worker)
             case "leave":
-                nursery.start_soon(self._leave, worker)
+                nursery.start_soon(self._leave, worker, nursery)
             case _:
                 nursery.start_soon(self._trouble, worker, Trouble(kind))
 
     async def _trouble(self, worker: LateWorker, trouble: Trouble) -> None:
         worker.trouble = trouble
-        await trio.sleep(self.random.uniform(*TROUBLE_SECONDS))
+        if self.drawn is not None:
+            worker.troubled_calls = self.drawn.choose_calls(trouble.value)
+        await trio.sleep(self._draw(inputs.TROUBLE_SECONDS, TROUBLE_SECONDS))
         for each in (worker, *self._list_workers()):
             if each.machine == worker.machine:
                 each.trouble = Trouble.NONE
 
-    async def _leave(self, worker: LateWorker) -> None:
+    async def _leave(self, worker: LateWorker, nursery: trio.Nursery) -> None:
         """Let a worker drain and announce its exit, and work on for a while."""
         worker.is_draining = True
         await trio.sleep(self.random.uniform(*DOWN_SECONDS))
+        if self.drawn is not None:
+            trouble = Trouble(self.drawn.choose(inputs.EXIT_TROUBLE))
+            if trouble is not Trouble.NONE:
+                nursery.start_soon(self._trouble, worker, trouble)
         name = self.random.choice(NAMES)
         if self._is_heard(worker):
             await self._ask(
                 name, lambda member: member.service.handle_departure(worker.worker)
             )
-        await trio.sleep(self.random.uniform(*DOWN_SECONDS))
+        await trio.sleep(self._draw(inputs.EXIT_SECONDS, DOWN_SECONDS))
         self.fleet.crash(worker)
 
     async def _cut(self, name: str, ways: tuple[bool, bool]) -> None:
@@ -278,11 +302,15 @@
     return await member.service.answer(request)
 
 
-def play_day(seed: int, *, has_single_lease: bool = False) -> RandomDay:
+def play_day(
+    seed: int, *, has_single_lease: bool = False, is_wide: bool = False
+) -> RandomDay:
     """Play the day of a seed and return it."""
-    make_day = partial(ControllersDay, seed, has_single_lease=has_single_lease)
+    make_day = partial(
+        ControllersDay, seed, has_single_lease=has_single_lease, is_wide=is_wide
+    )
     return late_days.play_day(make_day, seed)
 
 
 if __name__ == "__main__":
-    late_days.run_days(play_day)
+    late_days.run_days(play_day, has_wide_days=True)
--- a/tests/scheduling/late_orders.py
+++ b/tests/scheduling/late_orders.py
@@ -4,7 +4,7 @@
 
 import random
 from collections import Counter
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from datetime import timedelta
 from enum import Enum
 from typing import Any, TypeVar
@@ -14,7 +14,7 @@
 from returns.result import Failure, Result
 
 from rhubarbfield.clock import Clock
-from rhubarbfield.scheduling.model import RunNumber, TaskName
+from rhubarbfield.scheduling.model import RunNumber, StepName, TaskName, name_step
 from rhubarbfield.scheduling.ports import (
     CallFailure,
     ListedEnd,
@@ -31,6 +31,9 @@
 from rhubarbfield.testing.scheduling_fleet import NO_REPLY_DELAY
 from rhubarbfield.testing.scheduling_workers import StandInWorker
 from rhubarbfield.types import WorkerId
+from tests.scheduling import inputs
+from tests.scheduling.inputs import Call, Inputs
+from tests.scheduling.late_gangs import Gangs, StepPlan
 
 LATE_SECONDS = (2.0, 12.0)
 LOSS = 0.4  # share of the requests, and of the replies, on a lossy link
@@ -95,15 +98,24 @@
         Rate of its clock.
     trouble
         What becomes of the calls to the worker.
+    troubled_calls
+        The calls that the trouble is for.
     done
         Runs that ended as done.
+    plans
+        What the runs of steps do; others have a random duration.
+    gangs
+        The gangs whose members run here.
     """
 
     def __init__(self, *args: Any, **options: Any) -> None:
         super().__init__(*args, **options)
         self.rate = 1.0
         self.trouble = Trouble.NONE
+        self.troubled_calls = frozenset(Call)
         self.done: list[DoneRun] = []
+        self.plans: Mapping[StepName, StepPlan] = {}
+        self.gangs: Gangs
         self.random = random.Random(str(self.worker))
 
     def read_clock(self) -> timedelta:
@@ -111,8 +123,17 @@
 
     def start(self, order: StartOrder) -> Result[timedelta, CallFailure]:
         self._note_lapse()
-        self.duration = timedelta(seconds=self.random.uniform(*RUN_SECONDS))
-        return super().start(order)
+        plan = self.plans.get(name_step(order.task))
+        if plan is None:
+            self.duration = timedelta(seconds=self.random.uniform(*RUN_SECONDS))
+            return super().start(order)
+        self.duration = None if plan.is_gang else plan.duration
+        self.end = plan.end
+        known = len(self.started)
+        result = super().start(order)
+        if plan.is_gang and len(self.started) > known:
+            self.gangs.join(self, order.task, order.run, order.checkpoint)
+        return result
 
     async def view(self, request: ViewRequest) -> Result[WorkerView, CallFailure]:
         self._note_lapse()
@@ -161,6 +182,10 @@
         All incarnations of all workers.
     has_single_lease
         As of the workers.
+    drawn
+        Draws of a wide day; None on a narrow one.
+    plans
+        What the runs of steps do.
     """
 
     def __init__(self, clock: Clock, rng: random.Random, nursery: trio.Nursery) -> None:
@@ -169,36 +194,55 @@
         self._nursery = nursery
         self.lives: list[LateWorker] = []
         self.has_single_lease = False
+        self.drawn: Inputs | None = None
+        self.plans: dict[StepName, StepPlan] = {}
+        self._gangs = Gangs(clock, self.plans)
 
     def add(self, worker: StandInWorker, address: str | None = None) -> None:
         assert isinstance(worker, LateWorker)
         worker.has_single_lease = self.has_single_lease
-        worker.rate = self._random.choice((1.0, SLOW_RATE))
+        worker.plans = self.plans
+        worker.gangs = self._gangs
+        if self.drawn is None:
+            worker.rate = self._random.choice((1.0, SLOW_RATE))
+        else:
+            reading = self.drawn.choose(inputs.LEASE_READING)
+            worker.has_single_lease |= reading == "of the worker"
+            worker.rate = self.drawn.draw(inputs.CLOCK_RATE)
         self.lives.append(worker)
         super().add(worker, address)
 
     async def start(
         self, to: WorkerAddress, order: StartOrder
     ) -> Result[timedelta, CallFailure]:
-        return await self._call(to, lambda: super(LateFleet, self).start(to, order))
+        return await self._call(
+            Call.START, to, lambda: super(LateFleet, self).start(to, order)
+        )
 
     async def stop(
         self, to: WorkerAddress, order: StopOrder
     ) -> Result[timedelta, CallFailure]:
-        return await self._call(to, lambda: super(LateFleet, self).stop(to, order))
+        return await self._call(
+            Call.STOP, to, lambda: super(LateFleet, self).stop(to, order)
+        )
 
     async def pace(
         self, to: WorkerAddress, order: PaceOrder
     ) -> Result[timedelta, CallFailure]:
-        return await self._call(to, lambda: super(LateFleet, self).pace(to, order))
+        return await self._call(
+            Call.PACE, to, lambda: super(LateFleet, self).pace(to, order)
+        )
 
     async def view(
         self, to: WorkerAddress, request: ViewRequest
     ) -> Result[WorkerView, CallFailure]:
-        return await self._call(to, lambda: super(LateFleet, self).view(to, request))
+        return await self._call(
+            Call.VIEW, to, lambda: super(LateFleet, self).view(to, request)
+        )
 
     def count_runs_at_once(self) -> int:
         """Return the highest number of workers that run the same task now."""
+        self._gangs.advance()
         counts: Counter[TaskName] = Counter()
         for worker in self.lives:
             if not worker.is_down:
@@ -212,33 +256,46 @@
         for worker in self.lives:
             counts["starts"] += len(worker.started)
             counts["done"] += sum(each.counts is True for each in worker.done)
+            counts["gang members done"] += sum(
+                name_step(each.task) in self.gang_steps for each in worker.done
+            )
             counts["lapsed"] += sum(each.counts is False for each in worker.done)
         return counts
 
     def list_repeated_starts(self) -> list[str]:
-        """Return the starts of tasks of which a run had ended as done, and counts."""
-        starts: dict[TaskName, list[timedelta]] = {}
+        """Return the starts of tasks of which a run had ended as done, and counts.
+
+        The end of one member of a gang stands for all.
+        """
+        starts: dict[TaskName | StepName, list[timedelta]] = {}
         for worker in self.lives:
             for task, _, at in worker.started:
-                starts.setdefault(task, []).append(at)
+                starts.setdefault(self.name_whole(task), []).append(at)
         return [
             f"{done.task} starts after run {done.run} on {done.worker} was done"
             f" at {done.ended_at}"
             for worker in self.lives
             for done in worker.done
             if done.counts and done.task not in self.endless
-            if any(at > done.ended_at for at in starts[done.task])
+            if any(at > done.ended_at for at in starts[self.name_whole(done.task)])
         ]
 
+    def name_whole(self, task: TaskName) -> TaskName | StepName:
+        """Return the name of what ends together: a task, or a whole gang."""
+        step = name_step(task)
+        return step if step in self.gang_steps else task
+
     async def _call(
         self,
+        kind: Call,
         to: WorkerAddress,
         call: Callable[[], Awaitable[Result[ValueT, CallFailure]]],
     ) -> Result[ValueT, CallFailure]:
         worker = self.workers.get(to.address)
         trouble = Trouble.NONE
         if isinstance(worker, LateWorker) and not worker.is_down:
-            trouble = worker.trouble
+            is_troubled = kind in worker.troubled_calls
+            trouble = worker.trouble if is_troubled else Trouble.NONE
         if trouble is Trouble.LOSSY:
             kinds = (Trouble.DEAF, Trouble.MUTE)
             is_lost = self._random.random() < LOSS
@@ -254,7 +311,10 @@
         return Failure(NoReply("no reply in time"))
 
     async def _call_late(self, call: Callable[[], Awaitable[object]]) -> None:
-        await trio.sleep(self._random.uniform(*LATE_SECONDS))
+        if self.drawn is None:
+            await trio.sleep(self._random.uniform(*LATE_SECONDS))
+        else:
+            await trio.sleep(self.drawn.draw(inputs.LATE_SECONDS))
         await call()
 
     def _make_successor(self, worker: StandInWorker) -> StandInWorker:
@@ -268,4 +328,5 @@
         assert isinstance(worker, LateWorker)
         successor.service = worker.service
         successor.trouble = worker.trouble  # behind the same cut
+        successor.troubled_calls = worker.troubled_calls
         return successor
--- a/tests/scheduling/late_run.py
+++ b/tests/scheduling/late_run.py
@@ -16,17 +16,21 @@
 
 from rhubarbfield.scheduling.heartbeats import Heartbeat, HeartbeatDigest, Sighting
 from rhubarbfield.scheduling.leader import SchedulingLeader
-from rhubarbfield.scheduling.model import Step, TaskName
 from rhubarbfield.scheduling.settings import SchedulingSettings
 from rhubarbfield.types import Term, WorkerId
-from tests.scheduling import late_days
-from tests.scheduling.deployments import ONE_CORE, Deployment
+from tests.scheduling import inputs, late_days
+from tests.scheduling.deployments import Deployment
+from tests.scheduling.inputs import Dimension, Inputs
+from tests.scheduling.late_checks import list_early_starts
 from tests.scheduling.late_days import RandomDay
+from tests.scheduling.late_jobs import LateJobs
 from tests.scheduling.late_orders import LateFleet, LateWorker, Trouble
+from tests.scheduling.longrun import find_torn_gangs
 
 SETTINGS = SchedulingSettings(lease=timedelta(seconds=9))
 WORKERS = 6
 TERMS = 4
+WIDE_TERMS = 8
 TERM_SECONDS = (8.0, 35.0)
 UNLED_SECONDS = (0.0, 4.0)
 SUBMIT_SECONDS = (0.0, 0.6)
@@ -53,10 +57,15 @@
         Seed of the day.
     has_single_lease
         Whether a start is late by its worker's lease, instead of by its own.
+    is_wide
+        Whether all dimensions of :mod:`tests.scheduling.inputs` are drawn.
     """
 
-    def __init__(self, seed: int, *, has_single_lease: bool = False) -> None:
+    def __init__(
+        self, seed: int, *, has_single_lease: bool = False, is_wide: bool = False
+    ) -> None:
         self.random = random.Random(seed)
+        self.drawn = Inputs(self.random) if is_wide else None
         self.has_single_lease = has_single_lease
         self.deployment = Deployment(SETTINGS)
         self.fleet: LateFleet
@@ -70,6 +79,7 @@
         async with trio.open_nursery() as nursery:
             self.fleet = LateFleet(deployment.clock, self.random, nursery)
             self.fleet.has_single_lease = self.has_single_lease
+            self.fleet.drawn = self.drawn
             deployment.fleet = self.fleet
             await deployment.configure(max_attempts=3)
             for number in range(WORKERS):
@@ -79,7 +89,8 @@
             for work in (self._submit, self._disturb, self._watch, self._report):
                 nursery.start_soon(work)
             led_until = None
-            for term in range(1, TERMS + 1):
+            terms = TERMS if self.drawn is None else WIDE_TERMS
+            for term in range(1, terms + 1):
                 deployment.elect(term, led_until)
                 await self._lead()
                 led_until = deployment.clock.monotonic()
@@ -87,19 +98,26 @@
                 if self.random.random() < 0.3:
                     machine = deployment.log.machine
                     machine.restore(machine.take_snapshot())
-                await trio.sleep(self.random.uniform(*UNLED_SECONDS))
+                await trio.sleep(self._draw(inputs.UNLED_SECONDS, UNLED_SECONDS))
             nursery.cancel_scope.cancel()
         self.faults.extend(self.fleet.list_repeated_starts())
         self.faults.extend(self.fleet.list_early_acknowledgements())
+        self.faults.extend(list_early_starts(self.fleet))
+        self.faults.extend(find_torn_gangs(self.fleet))
         self.counts += self.fleet.count_runs()
 
+    def _draw(self, wide: Dimension, narrow: tuple[float, float]) -> float:
+        if self.drawn is None:
+            return self.random.uniform(*narrow)
+        return self.drawn.draw(wide)
+
     async def _lead(self) -> None:
         leadership = self.deployment.replica.leadership
         assert leadership is not None
         async with trio.open_nursery() as nursery:
             self._leader = self.deployment.make_leader(leadership)
             nursery.start_soon(self._leader.run)
-            await trio.sleep(self.random.uniform(*TERM_SECONDS))
+            await trio.sleep(self._draw(inputs.TERM_SECONDS, TERM_SECONDS))
             self._leader = None
             nursery.cancel_scope.cancel()
 
@@ -137,26 +155,23 @@
         leader.handle_digest(HeartbeatDigest((sighting,)))
 
     async def _submit(self) -> None:
-        draw = self.random
+        jobs = LateJobs(self.fleet, self.random, self.drawn)
         number = 0
-        while True:
-            number += 1
-            is_standing = draw.random() < 0.05
-            step = Step(
-                tasks=draw.randint(1, 3),
-                demand=ONE_CORE,
-                estimate_ms=1000,
-                standing=is_standing,
-            )
-            name = f"j{number}"
-            tasks = [TaskName(f"{name}.0.0.{index}") for index in range(step.tasks)]
-            for worker in self.fleet.lives:
-                worker.demands.update(dict.fromkeys(tasks, ONE_CORE))
-            if is_standing:
-                self.fleet.endless.update(tasks)
-            if self.deployment.replica.leadership is not None:
-                await self.deployment.submit(name, step)
-            await trio.sleep(draw.uniform(*SUBMIT_SECONDS))
+        async with trio.open_nursery() as nursery:
+            while True:
+                number += 1
+                name = f"j{number}"
+                steps = jobs.make(name)
+                if self.deployment.replica.leadership is not None:
+                    await self.deployment.submit(name, *steps)
+                    if (delay := jobs.draw_cancel()) is not None:
+                        nursery.start_soon(self._cancel, name, delay)
+                await trio.sleep(self.random.uniform(*SUBMIT_SECONDS))
+
+    async def _cancel(self, name: str, delay: float) -> None:
+        await trio.sleep(delay)
+        if self.deployment.replica.leadership is not None:
+            await self.deployment.cancel(name)
 
     async def _disturb(self) -> None:
         async with trio.open_nursery() as nursery:
@@ -172,7 +187,7 @@
                         chosen = self.random.choice(UNANSWERED)
                         self.deployment.replica.unanswered.append(chosen)
                     case "leave":
-                        nursery.start_soon(self._leave, worker)
+                        nursery.start_soon(self._leave, worker, nursery)
                     case "crash":
                         self.fleet.crash(worker)
                     case "stuck":
@@ -182,7 +197,9 @@
 
     async def _trouble(self, worker: LateWorker, trouble: Trouble) -> None:
         worker.trouble = trouble
-        await trio.sleep(self.random.uniform(*TROUBLE_SECONDS))
+        if self.drawn is not None:
+            worker.troubled_calls = self.drawn.choose_calls(trouble.value)
+        await trio.sleep(self._draw(inputs.TROUBLE_SECONDS, TROUBLE_SECONDS))
         for each in self._list_workers():
             if each.machine == worker.machine:
                 each.trouble = Trouble.NONE
@@ -200,13 +217,17 @@
             former_until = leader._former_until
             self.deployment.elect(Term(replica.led_term), former_until)
 
-    async def _leave(self, worker: LateWorker) -> None:
+    async def _leave(self, worker: LateWorker, nursery: trio.Nursery) -> None:
         """Let a worker drain and announce its exit, and work on for a while."""
         worker.is_draining = True
         await trio.sleep(self.random.uniform(*LEAVING_SECONDS))
+        if self.drawn is not None:
+            trouble = Trouble(self.drawn.choose(inputs.EXIT_TROUBLE))
+            if trouble is not Trouble.NONE:
+                nursery.start_soon(self._trouble, worker, trouble)
         if self._leader is not None and self._is_heard(worker):
             await self._leader.handle_departure(worker.worker)
-        await trio.sleep(self.random.uniform(*LEAVING_SECONDS))
+        await trio.sleep(self._draw(inputs.EXIT_SECONDS, LEAVING_SECONDS))
         self.fleet.crash(worker)
 
     async def _watch(self) -> None:
@@ -216,11 +237,15 @@
                 self.faults.append(f"a task runs twice at {trio.current_time():.2f}")
 
 
-def play_day(seed: int, *, has_single_lease: bool = False) -> RandomDay:
+def play_day(
+    seed: int, *, has_single_lease: bool = False, is_wide: bool = False
+) -> RandomDay:
     """Play the day of a seed and return it."""
-    make_day = partial(LateDay, seed, has_single_lease=has_single_lease)
+    make_day = partial(
+        LateDay, seed, has_single_lease=has_single_lease, is_wide=is_wide
+    )
     return late_days.play_day(make_day, seed)
 
 
 if __name__ == "__main__":
-    late_days.run_days(play_day)
+    late_days.run_days(play_day, has_wide_days=True)
--- a/tests/scheduling/test_late_run.py
+++ b/tests/scheduling/test_late_run.py
@@ -4,6 +4,7 @@
 
 import unittest
 
+from tests.scheduling import late_controllers_run
 from tests.scheduling.late_run import play_day
 
 # 92: an order that was given up with its lease was carried out under the next one.
@@ -21,6 +22,16 @@
         day = play_day(SINGLE_LEASE_SEED, has_single_lease=True)
         self.assertEqual(day.faults, [])
 
+    def test_no_task_starts_again_on_a_wide_day(self) -> None:
+        day = play_day(SEED, is_wide=True)
+        self.assertEqual(day.faults, [])
+        self.assertGreater(day.counts["gang members done"], 0)
+
+    def test_no_task_starts_again_on_a_wide_day_of_three_controllers(self) -> None:
+        day = late_controllers_run.play_day(SEED, is_wide=True)
+        self.assertEqual(day.faults, [])
+        self.assertGreater(day.counts["gang members done"], 0)
+
 
 if __name__ == "__main__":
     unittest.main()
