--- a/tests/scheduling/inputs.py
+++ b/tests/scheduling/inputs.py
@@ -142,7 +142,7 @@
 LATE_SECONDS = Dimension(
     "seconds until a late call is carried out",
     '"It may also be executed seconds later, after newer calls."',
-    (0.8, 3.0, 9.0, 9.4, 12.0),  # after a time-out, and around the leases
+    (0.8, 3.0, 9.4, 11.0, 12.0),  # after a time-out, and around the leases
     2.0,
     12.0,
 )
@@ -153,6 +153,26 @@
     0.5,
     13.0,
 )
+PAIR_SECONDS = Dimension(
+    "seconds from late starts to silence",
+    '"A call that receives no response may have been executed." "Workers are cut off'
+    ' and run on."',
+    (0.0, 1.0),
+    0.0,
+    1.0,
+)
+PAIR_SILENCE = Dimension(
+    "silence after late starts",
+    "cuts are in one direction, too",
+    ("deaf", "mute"),
+)
+SILENCE_SECONDS = Dimension(
+    "seconds of silence after late starts",
+    '"When the lease expires, everything is killed."',
+    (3.4, 9.4, 10.0),  # after the leases
+    2.0,
+    13.0,
+)
 EXIT_SECONDS = Dimension(
     "seconds from an announced exit to the end",
     '"If it receives no acknowledgement, it ends anyway, some seconds later."',
@@ -183,6 +203,7 @@
     *(WIDTH, CORES, STEP_KIND, GANG_WIDTH, STEPS, RUN_SECONDS, RUN_END),
     *(IS_CANCELLED, CANCEL_SECONDS, LEASE_READING, CLOCK_RATE),
     *(DISTURBED_CALL, DISTURBANCE, LATE_SECONDS),
+    *(PAIR_SECONDS, PAIR_SILENCE, SILENCE_SECONDS),
     *(TROUBLE_SECONDS, EXIT_SECONDS, EXIT_TROUBLE, TERM_SECONDS, UNLED_SECONDS),
 )
 
--- a/tests/scheduling/late_controllers_run.py
+++ b/tests/scheduling/late_controllers_run.py
@@ -28,6 +28,7 @@
 from tests.scheduling.late_days import RandomDay
 from tests.scheduling.late_jobs import LateJobs
 from tests.scheduling.late_orders import LateFleet, LateWorker, Trouble
+from tests.scheduling.late_pairs import silence_after_late_starts
 from tests.scheduling.longrun import find_torn_gangs
 
 WORKERS = 6
@@ -45,6 +46,7 @@
     *("late", "late", "late", "deaf", "mute", "lossy", "crash", "leave"),
     *("cut", "cut one way", "slow", "kill", "release"),
 )
+WIDE_KINDS = ("pair", "pair", "pair")
 
 
 class ControllersDay:
@@ -217,7 +219,8 @@
         async with trio.open_nursery() as nursery:
             while True:
                 await trio.sleep(self.random.uniform(*CALM_SECONDS))
-                kind = self.random.choice(self.kinds)
+                kinds = self.kinds if self.drawn is None else (*self.kinds, *WIDE_KINDS)
+                kind = self.random.choice(kinds)
                 self.counts[kind] += 1
                 self.disturb_once(kind, nursery)
 
@@ -238,6 +241,9 @@
                     self._nurseries[name].cancel_scope.cancel()
             case "release":
                 self.controllers._members[name].release_leadership()
+            case "pair":
+                assert self.drawn is not None
+                nursery.start_soon(silence_after_late_starts, worker, self.drawn)
             case "crash":
                 self.fleet.crash(worker)
             case "leave":
--- a/tests/scheduling/late_run.py
+++ b/tests/scheduling/late_run.py
@@ -25,6 +25,7 @@
 from tests.scheduling.late_days import RandomDay
 from tests.scheduling.late_jobs import LateJobs
 from tests.scheduling.late_orders import LateFleet, LateWorker, Trouble
+from tests.scheduling.late_pairs import silence_after_late_starts
 from tests.scheduling.longrun import find_torn_gangs
 
 SETTINGS = SchedulingSettings(lease=timedelta(seconds=9))
@@ -46,6 +47,7 @@
     *("late", "late", "late", "deaf", "mute", "lossy"),
     *("crash", "leave", "leaseless", "uncommitted", "stuck"),
 )
+WIDE_KINDS = (*KINDS, "pair", "pair", "pair")
 
 
 class LateDay:
@@ -177,7 +179,7 @@
         async with trio.open_nursery() as nursery:
             while True:
                 await trio.sleep(self.random.uniform(*CALM_SECONDS))
-                kind = self.random.choice(KINDS)
+                kind = self.random.choice(KINDS if self.drawn is None else WIDE_KINDS)
                 self.counts[kind] += 1
                 worker = self.random.choice(self._list_workers())
                 match kind:
@@ -188,6 +190,11 @@
                         self.deployment.replica.unanswered.append(chosen)
                     case "leave":
                         nursery.start_soon(self._leave, worker, nursery)
+                    case "pair":
+                        assert self.drawn is not None
+                        nursery.start_soon(
+                            silence_after_late_starts, worker, self.drawn
+                        )
                     case "crash":
                         self.fleet.crash(worker)
                     case "stuck":
