Let a replaced session send no start that its successor withdraws

Cause: a session is replaced (its worker has another address) in the tick in which its dispatcher is about to send a queued start. The cancelled task goes on until its next checkpoint, the new session has adopted the start as queued and withdraws it. A relay link queues the call before its first checkpoint, and the cancel may leave in a later batch.

Fix: a ledger that was adopted orders no further start.

Evidence: test_start_that_a_new_session_withdraws_is_not_sent_by_the_former_one failed before (one start was sent).

--- a/src/rhubarbfield/scheduling/ledger.py
+++ b/src/rhubarbfield/scheduling/ledger.py
@@ -53,6 +53,7 @@
         self._ending: set[RunKey] = set()  # their ends are not committed yet
         self._paces: dict[RunKey, int | None] = {}
         self._known_since: dict[RunKey, timedelta] = {}
+        self._is_replaced = False
         self.starts: dict[RunKey, StartState] = {}
         self.stops: dict[RunKey, Stop] = {}
         self.doubtful: set[RunKey] = set()
@@ -73,12 +74,15 @@
     def adopt(self, former: OrderLedger) -> list[tuple[RunKey, StopReason]]:
         """Adopt the starts in a former ledger of the worker in this term.
 
+        Those that are queued can't be sent by the former ledger's session any more.
+
         Returns
         -------
         list[tuple[RunKey, StopReason]]
             Runs that have to be stopped here, since the former orders to start or to
             stop them have no answer.
         """
+        former._is_replaced = True
         self.starts = dict(former.starts)
         self._known_since = dict(former._known_since)
         self.doubtful = set(former.doubtful)
@@ -90,9 +94,11 @@
     def may_order(self, key: RunKey) -> bool:
         """Return whether a recorded run may be ordered to start.
 
-        It may not once it is to stop, or once a view has shown it to be missing.
+        It may not once it is to stop, once a view has shown it to be missing, or once
+        another ledger has adopted it.
         """
-        return key not in self._ending and key not in self.stops
+        is_open = key not in self._ending and key not in self.stops
+        return is_open and not self._is_replaced
 
     def is_ending(self, key: RunKey) -> bool:
         """Return whether the end of a run is about to be recorded."""
