Let work of a former term not count as leading in a later one

Cause: the work of a term outlasts it by up to a poll. Its proposals fail in a later term since they are tied to theirs, but leads() of the same log told it that it leads, so that sessions of workers and entries went on renewing leases that the work of the later term does not know.

Fix: leads() of a log that is tied to a term is true in this term only.

Evidence: test_work_of_a_former_term_does_not_lead_in_a_later_one failed before ("True is not false").

--- a/src/rhubarbfield/groups/replicated.py
+++ b/src/rhubarbfield/groups/replicated.py
@@ -90,8 +90,8 @@
     def in_term(self, term: Term) -> ReplicatedLog[StateT]:
         """Return this log for a leader's work in one term.
 
-        Its proposals fail in any other term that this instance leads: what the work
-        knows may be outdated by a leader in between.
+        In any other term that this instance leads its proposals fail, and it does not
+        lead: what the work knows may be outdated by a leader in between.
         """
         log = copy.copy(self)
         log._term = term
@@ -109,7 +109,10 @@
 
     def leads(self) -> bool:
         """Return whether this instance leads with a lease, so that no other can."""
-        return self.replica.leadership is not None
+        leadership = self.replica.leadership
+        if leadership is None:
+            return False
+        return self._term is None or self._term == leadership.term
 
     async def propose(
         self, command: Command
--- a/tests/groups/test_replicated.py
+++ b/tests/groups/test_replicated.py
@@ -64,6 +64,15 @@
         run_deterministic(check, seed=1)
         self.assertEqual(self.replica.commands, 2)
 
+    def test_work_of_a_former_term_does_not_lead_in_a_later_one(self) -> None:
+        """It would renew leases that the work of the later term does not know."""
+        elect(self.replica, 1)
+        log = self.log.in_term(Term(1))
+        self.assertTrue(log.leads())
+        elect(self.replica, 3)
+        self.assertFalse(log.leads())
+        self.assertTrue(self.log.leads())
+
 
 class RunWhileLeadingTest(unittest.TestCase):
     def setUp(self) -> None:
