Take no view before a removal is committed for an answer after it

Cause: a worker counts as removed from when its removal is proposed. A view that was on the way, or that comes while the outcome is in doubt, logged removed-worker-answered and used up the entry, so that a later, true answer was not logged.

Fix: views during a removal are not examined.

Evidence: test_view_before_a_removal_is_committed_is_no_answer_after_it failed before (one event, none expected).

--- a/src/rhubarbfield/scheduling/removals.py
+++ b/src/rhubarbfield/scheduling/removals.py
@@ -107,6 +107,8 @@
 
     def check_view(self, worker: WorkerId) -> None:
         """Log the first view of a worker after it was removed as crashed."""
+        if worker in self._in_progress:  # the view may be older than the crash
+            return
         self._check_life("removed-worker-answered", logging.WARNING, worker)
         self._crashed_at.pop(worker, None)
 
--- a/tests/scheduling/test_lost_state.py
+++ b/tests/scheduling/test_lost_state.py
@@ -103,6 +103,22 @@
         (event,) = find_events(logs.records, "removed-worker-answered")
         self.assertEqual((event["level"], event["worker"]), ("warning", "w1"))
 
+    @with_deployment()
+    async def test_view_before_a_removal_is_committed_is_no_answer_after_it(
+        self, deployment: Deployment
+    ) -> None:
+        worker = deployment.add_worker("w1", duration=None)
+        async with deployment.lead() as leader, trio.open_nursery() as nursery:
+            await deployment.submit("a", Step(demand=ONE_CORE))
+            await trio.sleep(1)
+            deployment.replica.unanswered.append("RemoveWorker")
+            with self.assertLogs(LEADER_LOG, "INFO") as logs:
+                nursery.start_soon(leader.remove_worker, worker.worker, {})
+                await trio.sleep(2)
+            self.assertEqual(len(find_events(logs.records, "worker-gone")), 1)
+            self.assertEqual(find_events(logs.records, "removed-worker-answered"), [])
+            self.assertIn(worker.worker, deployment.state.workers)
+
 
 if __name__ == "__main__":
     unittest.main()
