Tell a gang of a lost member before the removal of its worker is committed

Cause: the gang was told after the removal's commit, by a task of the worker's session. The commit closes the session. If the first proposal is committed while its outcome is in doubt, the task is cancelled before it gets there.

Fix: the gang is told before the proposal; nothing of it is undone by a repetition.

Evidence: test_gang_does_not_wait_for_a_member_whose_worker_was_removed_in_doubt failed before ([1] != [2]: the old run is still there after 5 s).

--- a/src/rhubarbfield/scheduling/removals.py
+++ b/src/rhubarbfield/scheduling/removals.py
@@ -148,11 +148,12 @@
             if not session.is_leaving:
                 crashed = tuple(self._list_crashed(session))
             self._report(session, crashed)
+        # The commit closes the session, and may so end this task.
+        for task, run in runs.items():
+            self._on_lost(RunKey(task, run))
         command = RemoveWorker(worker=worker, checkpoints=checkpoints, crashed=crashed)
         await propose_until_committed(self._log, command, self._clock)
         self._report_given_up(crashed)
-        for task, run in runs.items():
-            self._on_lost(RunKey(task, run))
 
     def assess_runs(self, session: WorkerSession) -> list[CrashedRun]:
         """Return what a crash of a worker says about the runs it has."""
--- a/tests/scheduling/test_removals.py
+++ b/tests/scheduling/test_removals.py
@@ -123,6 +123,25 @@
                 self.assertLessEqual(count_runs_at_once(deployment), 1)
             self.assertEqual(len(first.runs), 1)
 
+    @with_deployment()
+    async def test_gang_does_not_wait_for_a_member_whose_worker_was_removed_in_doubt(
+        self, deployment: Deployment
+    ) -> None:
+        deployment.fleet.restart_delay = timedelta(seconds=0.2)
+        first = deployment.add_worker("w1", duration=None)
+        second = deployment.add_worker("w2", duration=None)
+        gang = Step(tasks=2, demand=ONE_CORE, gang=True, max_per_worker=1)
+        async with deployment.lead():
+            await trio.sleep(1)
+            await deployment.submit("g", gang)
+            await trio.sleep(1.5)
+            self.assertEqual([len(first.runs), len(second.runs)], [1, 1])
+            deployment.replica.unanswered.append("RemoveWorker")
+            deployment.fleet.crash(first)
+            await trio.sleep(5)
+            runs = [run.run for run in second.runs.values()]
+        self.assertEqual(runs, [2])
+
 
 class CostTest(unittest.TestCase):
     @with_deployment()
