Let no run vanish whose end was recorded while a view was under way

Cause: a view is compared with the runs that were recorded when it was requested. A run whose start was withdrawn meanwhile is in that list, and in no list of the view.

Fix: a run that is no longer recorded does not count as missing.

Evidence: test_run_that_was_recorded_as_ended_during_a_view_did_not_vanish failed before (one run was missing).

--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -434,9 +434,7 @@
     def _examine_probes(self, worker: WorkerId, session: WorkerSession) -> None:
         """Record what the latest view tells of the probe of a worker."""
         for key in self._quarantine.list_probes(worker):
-            if (
-                session.get_pace(key) == PAUSED
-            ):  # it makes no progress, and proves nothing
+            if session.get_pace(key) == PAUSED:  # it proves nothing without progress
                 self._quarantine.record_end(worker, key)
             elif session.has_run(key):
                 self._quarantine.record_presence(
--- a/src/rhubarbfield/scheduling/ledger.py
+++ b/src/rhubarbfield/scheduling/ledger.py
@@ -215,7 +215,8 @@
             key = RunKey(task, run)
             # The worker rejects orders of earlier leaders once it has seen this term.
             is_certain = key in settled or key not in self.starts
-            if is_certain and not self.is_ending(key):
+            is_open = not self.is_ending(key) and not self.has_ended(key)
+            if is_certain and is_open:
                 before = active_before.get(task)
                 was_listed = before is not None and before.run == run
                 log_event(
--- a/tests/scheduling/test_ledger.py
+++ b/tests/scheduling/test_ledger.py
@@ -13,6 +13,7 @@
 from rhubarbfield.scheduling.ledger import OrderLedger
 from rhubarbfield.scheduling.model import RunNumber, TaskName
 from rhubarbfield.scheduling.orders import StartState
+from rhubarbfield.scheduling.ports import WorkerView
 from rhubarbfield.scheduling.progress import RunKey
 from rhubarbfield.scheduling.session_host import SessionHost
 from rhubarbfield.scheduling.state import RunEnd, Worker
@@ -81,6 +82,20 @@
         successor.confirm_stop(KEY)
         self.assertEqual(successor.doubtful, set())
 
+    def test_run_that_was_recorded_as_ended_during_a_view_did_not_vanish(self) -> None:
+        log = Log()
+        log.apply(UpdateWorkers(reports=(make_report(WORKERS[0]),)))
+        worker = log.state.workers[WORKERS[0]]
+        ledger = OrderLedger(worker.worker, cast(SessionHost, FakeHost(worker)))
+        view = WorkerView(timedelta(), active=(), ends=(), truncated=False)
+        worker.runs[KEY.task] = KEY.run
+        recorded = dict(worker.runs)
+        with self.assertLogs("rhubarbfield.scheduling.session", "INFO"):
+            missing = ledger.find_missing(view, recorded, set(), {})
+        self.assertEqual([each.task for each in missing], [KEY.task])
+        del worker.runs[KEY.task]
+        self.assertEqual(ledger.find_missing(view, recorded, set(), {}), [])
+
 
 if __name__ == "__main__":
     unittest.main()
