Let a starved job pause between its runs while half of the cores are reserved

Cause: a forced run takes cores from jobs that are still in time. The platform tolerates no standstill only while less than half of a service's capacity is in use; forced starts come up to 60%.

Fix: between half and 60% a starved job waits for `starvation_timeout` after each run, as before; below half it goes on without a pause.

--- a/src/rhubarbfield/scheduling/candidates.py
+++ b/src/rhubarbfield/scheduling/candidates.py
@@ -26,6 +26,8 @@
 GROWTH_DIGITS = 1  # decimals of log latency; smaller differences are measurement noise
 # Fraction of reserved cores above which waiting does not count as a fault.
 FORCED_START_MAX_UTILIZATION = 0.6
+# Fraction of reserved cores below which the platform tolerates no standstill of a job.
+STANDSTILL_MAX_UTILIZATION = 0.5
 # Share of the workers that standing tasks use only when no other has capacity. What
 # they leave on the others is too fragmented for large finite tasks.
 RESERVED_WORKERS_SHARE = MIN_FINITE_SHARE * 0.6
@@ -51,6 +53,8 @@
     ----------
     underutilized
         Services whose workers have many cores that are not reserved.
+    mostly_free
+        Those of them of whose cores less than half is reserved.
     """
 
     def __init__(
@@ -69,10 +73,19 @@
         self._quarantined = _group_by_service(quarantined)
         for members in self._by_service.values():
             reserve_workers(members)
+        utilization = {
+            service: measure_utilization(members)
+            for service, members in self._by_service.items()
+        }
         self.underutilized = {
             service
-            for service, members in self._by_service.items()
-            if measure_utilization(members) < FORCED_START_MAX_UTILIZATION
+            for service, used in utilization.items()
+            if used < FORCED_START_MAX_UTILIZATION
+        }
+        self.mostly_free = {
+            service
+            for service, used in utilization.items()
+            if used < STANDSTILL_MAX_UTILIZATION
         }
 
     def list_fitting(self, waiting: WaitingStep) -> list[WorkerHeadroom]:
--- a/src/rhubarbfield/scheduling/placing.py
+++ b/src/rhubarbfield/scheduling/placing.py
@@ -94,7 +94,8 @@
         lowest goes first.
     is_starved
         Returns whether nothing of a job works, and has not for so long that a task
-        may start where it harms least.
+        may start where it harms least; the second argument tells whether most cores of
+        its service are free.
     may_wait
         Returns whether a task, whose last run is given, may wait although it has
         capacity, since it is suspected of crashing workers.
@@ -124,7 +125,7 @@
         avoided: Mapping[TaskName, set[WorkerId]],
         interference: InterferenceModel,
         rank: Callable[[WaitingStep], tuple[float, ...]],
-        is_starved: Callable[[Job], bool],
+        is_starved: Callable[[Job, bool], bool],
         may_wait: Callable[[TaskName, RunNumber], bool] = lambda *_: False,
         unresolved: Mapping[TaskName, int] = MappingProxyType({}),
         rejected: RejectedSteps | None = None,
@@ -373,7 +374,8 @@
             return False
         job = waiting.job
         if job.job not in self._starved:
-            self._starved[job.job] = self._is_starved(job)
+            is_mostly_free = waiting.queue.service in self._candidates.mostly_free
+            self._starved[job.job] = self._is_starved(job, is_mostly_free)
         return self._starved[job.job]
 
     def _start_task(
--- a/src/rhubarbfield/scheduling/starvation.py
+++ b/src/rhubarbfield/scheduling/starvation.py
@@ -43,12 +43,20 @@
         self._idle_since: dict[JobId, timedelta] = {}
         self._starved: set[JobId] = set()
 
-    def is_starved(self, job: Job) -> bool:
+    def is_starved(self, job: Job, is_mostly_free: bool) -> bool:
         """Return whether a job, of which a task found no worker, has starved.
 
-        A job that has starved once is starved whenever it has no live run, so that it
-        does not pause after each of its runs. While it has some, and all are paused,
-        it is starved after ``limit`` again: each of them has just done harm.
+        While most cores are free, a job that has starved once is starved whenever it
+        has no live run, so that it does not pause after each of its runs. At a higher
+        load its runs would slow jobs that are still in time. While it has some, and
+        all are paused, it is starved after ``limit`` again: each has just done harm.
+
+        Parameters
+        ----------
+        job
+            The job.
+        is_mostly_free
+            Whether less than half of its service's cores is reserved.
         """
         has_runs = False
         for worker, key in _iterate_runs(job):
@@ -56,7 +64,7 @@
                 self._idle_since.pop(job.job, None)
                 return False
             has_runs = True
-        if not has_runs and job.job in self._starved:
+        if not has_runs and is_mostly_free and job.job in self._starved:
             return True
         now = self._clock.monotonic()
         if now - self._idle_since.setdefault(job.job, now) <= self._limit:
--- a/tests/scheduling/reference_placing.py
+++ b/tests/scheduling/reference_placing.py
@@ -11,6 +11,7 @@
     FORCED_START_MAX_UTILIZATION,
     GROWTH_DIGITS,
     RESERVED_WORKERS_SHARE,
+    STANDSTILL_MAX_UTILIZATION,
 )
 from rhubarbfield.scheduling.commands import RunStart
 from rhubarbfield.scheduling.headroom import (
@@ -24,7 +25,7 @@
 from rhubarbfield.scheduling.model import RunNumber, Step, TaskName, name_task
 from rhubarbfield.scheduling.placing import MAX_STARTS_PER_ROUND
 from rhubarbfield.scheduling.state import Job, SchedulingState, TaskPhase, Worker
-from rhubarbfield.types import WorkerId
+from rhubarbfield.types import ServiceName, WorkerId
 
 Cost = tuple[float, ...]
 
@@ -69,7 +70,7 @@
         avoided: Mapping[TaskName, set[WorkerId]],
         interference: InterferenceModel,
         rank: Callable[[WaitingStep], Cost],
-        is_starved: Callable[[Job], bool],
+        is_starved: Callable[[Job, bool], bool],
     ) -> None:
         self.state = state
         self.headrooms = list(headrooms.values())
@@ -80,7 +81,11 @@
         self.reserve_workers()
         self.starts: list[RunStart] = []
         self.unplaced: list[tuple[str, int]] = []
-        self.underutilized = {
+        self.underutilized = self.list_used_less(FORCED_START_MAX_UTILIZATION)
+        self.mostly_free = self.list_used_less(STANDSTILL_MAX_UTILIZATION)
+
+    def list_used_less(self, limit: float) -> set[ServiceName]:
+        return {
             headroom.worker.service
             for headroom in self.headrooms
             if measure_utilization(
@@ -90,7 +95,7 @@
                     if other.worker.service == headroom.worker.service
                 ]
             )
-            < FORCED_START_MAX_UTILIZATION
+            < limit
         }
 
     def reserve_workers(self) -> None:
@@ -136,7 +141,9 @@
                 chosen is None
                 and waiting.queue.service in self.underutilized
                 and not self.has_start(waiting.job)
-                and self.is_starved(waiting.job)
+                and self.is_starved(
+                    waiting.job, waiting.queue.service in self.mostly_free
+                )
             ):
                 is_forced = True
                 chosen = self.choose_least_harmful(
--- a/tests/scheduling/test_occurrences.py
+++ b/tests/scheduling/test_occurrences.py
@@ -176,7 +176,7 @@
             avoided={},
             interference=InterferenceModel(),
             rank=rank,
-            is_starved=lambda _: False,
+            is_starved=lambda *_: False,
         )
         placed = list(placer.iterate_steps())
         self.assertEqual(len(placed), 2 * MAX_WAITING_TASKS)
--- a/tests/scheduling/test_starvation.py
+++ b/tests/scheduling/test_starvation.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import unittest
+from unittest import mock
 
 import trio
 
 from rhubarbfield.scheduling.model import JobPhase
 from rhubarbfield.types import JobId
+from tests.scheduling import disturbed_serving
 from tests.scheduling.deployments import Deployment, with_deployment
 from tests.scheduling.disturbed_serving import GOAL_MS, DisturbedServing
 
@@ -63,6 +65,19 @@
             self.assertLess(first, TOLERATED_SECONDS)
             self.assertLess(max(others, default=0.0), TURNAROUND_SECONDS)
 
+    @with_deployment()
+    async def test_starved_job_goes_on_without_a_pause_beside_little_room(
+        self, deployment: Deployment
+    ) -> None:
+        """Its runs would slow jobs that are still in time."""
+        site = DisturbedServing(deployment, REFUSED_GROWTH)
+        with mock.patch.object(disturbed_serving, "SERVING_MILLICORES", 4400):
+            async with site.lead():
+                await site.submit_batch("b", 3)
+                await trio.sleep(15)
+        starvation = deployment.settings.starvation_timeout.total_seconds()
+        self.assertGreater(min(site.standstills[JobId("b")]), starvation)
+
     @with_deployment()
     async def test_job_waits_on_once_other_serving_jobs_are_cancelled(
         self, deployment: Deployment
