--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -248,10 +248,7 @@
 
     def get_term(self) -> Term | None:
         """Return the term if the leader may send orders now, else None."""
-        leadership = self._log.replica.leadership
-        if leadership is None or leadership.term != self._term:
-            return None
-        return self._term
+        return self._term if self._log.leads() else None
 
     def is_wanted(self, task: TaskName) -> bool:
         """Return whether runs of a task may work: neither it nor its job has ended."""
