--- a/src/rhubarbfield/scheduling/settings.py
+++ b/src/rhubarbfield/scheduling/settings.py
@@ -54,9 +54,9 @@
         How long a run at full speed may make no progress; the slowest task of
         both deployments gains one percent every 70 ms.
     starvation_timeout
-        How long nothing of a job may work, while its next step can run only where it
-        harms serving tasks, until it is never without a run again; the platform
-        tolerates 3 s.
+        How long nothing of a job may work while its next step can run only where it
+        harms serving tasks; then a task starts there all the same. While most cores
+        are free the job does not wait for it again; the platform tolerates 3 s.
     harm_save_interval
         Interval at which learned interference estimates are replicated.
     margin_lifetime
