Let standing tasks of lower queues use reserved room that stays unused

A worker that is reserved for an interrupted standing task kept standing tasks of lower queues off for as long as the reservation lasted, however much of it was idle and however long the holder lacked room. Callers of such a queue see a standing task that does not run beside capacity for it, which the platform tolerates for 3 s whatever the priority (LOST). The holder still goes first in the round in which it has room.

--- a/src/rhubarbfield/scheduling/backfilling.py
+++ b/src/rhubarbfield/scheduling/backfilling.py
@@ -186,8 +186,6 @@
 
     def _goes_before(self, waiting: WaitingStep, reserved: ReservedWorker) -> bool:
         """Return whether a step has waited long, and the holder has no room now."""
-        if waiting.queue.priority > reserved.priority:
-            return False
         has_room_now = reserved.needed.fits(reserved.headroom.free)
         return not has_room_now and get_key(waiting) in self._claimants
 
