Let suspected standing tasks use reserved room that stays unused

A standing task that is suspected of crashing workers (one lost run that had just started is enough) never started on a worker that is reserved for another task, however long room for it stayed idle there. It may now use such room after 2 s, as other standing tasks do.

Its wait for a worker on which no other run has just started ended the record of the room's disuse, so that it would have waited for 2 s anew after each look: steps with a suspect that waits for a trial are recorded, too.

Evidence: on a fleet of 40 full workers an interrupted suspect had no start in 20 s beside a free piece of the reserved worker; it starts within 3 s now, and within 4 s where the worker has runs without an answer.

--- a/src/rhubarbfield/scheduling/backfilling.py
+++ b/src/rhubarbfield/scheduling/backfilling.py
@@ -148,11 +148,25 @@
         return any(self._admits(waiting, each) for each in self._by_service[service])
 
     def choose(
-        self, waiting: WaitingStep, tasks_per_worker: Mapping[WorkerId, int]
+        self,
+        waiting: WaitingStep,
+        tasks_per_worker: Mapping[WorkerId, int],
+        *,
+        is_suspect: bool = False,
     ) -> WorkerHeadroom | None:
         """Return the worker on which a task of a step is to start, if any.
 
         The caller starts it there: what it takes is accounted for.
+
+        Parameters
+        ----------
+        waiting
+            The step.
+        tasks_per_worker
+            Number of live tasks of the step by worker.
+        is_suspect
+            Whether the task may crash its worker. It then starts only where the
+            holder's room has stayed unused for long.
         """
         members = self._by_service.get(waiting.queue.service)
         if not members:
@@ -162,6 +176,8 @@
         for each in sorted(members, key=lambda each: each.holder != key):
             if each.headroom.worker.worker in full or not self._admits(waiting, each):
                 continue
+            if is_suspect and not self._goes_before(waiting, each):
+                continue
             if each.holder == key:
                 each.is_used = True
             elif not self._ends_before(waiting.step, each):
--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -495,7 +495,9 @@
             reserved=reserved,
         )
         starts = await choose_starts(placer, self._clock)
-        self._reservations.record_unplaced(placer.unplaced.values())
+        self._reservations.record_unplaced(
+            placer.unplaced.values(), placer.trials.values()
+        )
         took = self._clock.monotonic() - began
         ROUND_SECONDS.observe(took.total_seconds())
         self._stages.record_round(began, took, has_starts=bool(starts))
--- a/src/rhubarbfield/scheduling/placing.py
+++ b/src/rhubarbfield/scheduling/placing.py
@@ -278,9 +278,9 @@
         tasks_per_worker: Mapping[WorkerId, int],
     ) -> WorkerHeadroom | None:
         """Return a worker that is reserved or quarantined, if one may take a task."""
-        headroom = None
-        if not task.is_suspect:
-            headroom = self._reserved.choose(waiting, tasks_per_worker)
+        headroom = self._reserved.choose(
+            waiting, tasks_per_worker, is_suspect=task.is_suspect
+        )
         if headroom is None and waiting.step.standing:
             headroom = self._candidates.choose_quarantined(
                 waiting,
--- a/src/rhubarbfield/scheduling/reservations.py
+++ b/src/rhubarbfield/scheduling/reservations.py
@@ -108,8 +108,18 @@
         self._search_due = timedelta()
         self._record_due = timedelta()
 
-    def record_unplaced(self, unplaced: Iterable[WaitingStep]) -> None:
-        """Record the steps for which a round has found no worker."""
+    def record_unplaced(
+        self, unplaced: Iterable[WaitingStep], trials: Iterable[WaitingStep] = ()
+    ) -> None:
+        """Record the steps for which a round has found no worker.
+
+        Parameters
+        ----------
+        unplaced
+            The steps.
+        trials
+            Steps with a suspected task that waits for a worker to itself.
+        """
         now = self._clock.monotonic()
         if now < self._record_due:
             return
@@ -126,6 +136,9 @@
                     key = get_key(waiting)
                     wait = Wait(task.last_run, now)
                     self._waits.setdefault(name_task(*key, index), wait)
+        for waiting in trials:
+            if waiting.step.standing and not waiting.step.gang:
+                self._deferrals.record(waiting, now)
 
     def exclude(
         self, headrooms: dict[WorkerId, WorkerHeadroom]
--- a/tests/scheduling/test_deferrals.py
+++ b/tests/scheduling/test_deferrals.py
@@ -6,13 +6,17 @@
 from collections.abc import Sequence
 
 from rhubarbfield.scheduling.commands import RunStart
+from rhubarbfield.scheduling.deferrals import MAX_DEFERRAL
 from rhubarbfield.scheduling.model import Demand, Step
+from rhubarbfield.scheduling.orders import StartState
+from rhubarbfield.scheduling.suspects import MAX_TRIAL_DELAY
 from rhubarbfield.types import WorkerId
 from tests.scheduling.deployments import QUEUE
 from tests.scheduling.fleets import LATE_QUEUE
 from tests.scheduling.test_reservations import (
     LONG,
     PIECES,
+    ROUND_INTERVAL,
     WAITING_SECONDS,
     BusyFleet,
     list_workers,
@@ -82,6 +86,37 @@
         starts = await busy.run_rounds(TOLERATED_SECONDS - DEFERRED_SECONDS)
         self.assertEqual(list_workers(starts), [reserved])
 
+    def interrupt_suspect(self, busy: BusyFleet) -> None:
+        job = busy.interrupt(SMALL)
+        (suspect,) = busy.fleet.state.jobs[job].occurrences[0][0].tasks
+        suspect.blame = 1
+        self.assertTrue(suspect.is_suspect)
+
+    @with_fleet()
+    async def test_suspected_task_is_not_kept_off_for_long(
+        self, busy: BusyFleet
+    ) -> None:
+        """No suspect started on a reserved worker, however long its room stayed."""
+        reserved = await self.free_piece(busy, [])
+        ledger = busy.fleet.sessions[reserved]._ledger
+        ledger.starts = dict.fromkeys(ledger.starts, StartState.SETTLED)
+        self.interrupt_suspect(busy)
+        self.assertEqual(await busy.run_rounds(DEFERRED_SECONDS), [])
+        starts = await busy.run_rounds(TOLERATED_SECONDS - DEFERRED_SECONDS)
+        self.assertEqual(list_workers(starts), [reserved])
+
+    @with_fleet()
+    async def test_wait_of_a_suspect_for_a_worker_to_itself_is_not_added_twice(
+        self, busy: BusyFleet
+    ) -> None:
+        """The worker has runs whose starts have no answer, so that they are recent."""
+        reserved = await self.free_piece(busy, [])
+        self.interrupt_suspect(busy)
+        waited = MAX_DEFERRAL + MAX_TRIAL_DELAY
+        rounds = waited.total_seconds() + 2 * ROUND_INTERVAL
+        starts = await busy.run_rounds(rounds)
+        self.assertEqual(list_workers(starts), [reserved])
+
 
 def _list_jobs(starts: Sequence[RunStart]) -> list[str]:
     return [start.task.split(".")[0] for start in starts]
