Let a starved job go on under a new leader

Cause: since when nothing of a job has worked is in the leader's memory, so that each new leader lets it wait for starvation_timeout again. With leaders that follow each other within less than it, the job never starts.

Fix: an open job that a leader inherits counts as idle since it was accepted, by its age as the ranking estimates it, until the leader starts a run of it. A job that is older than starvation_timeout counts as starved once.

--- a/src/rhubarbfield/scheduling/backlog.py
+++ b/src/rhubarbfield/scheduling/backlog.py
@@ -62,6 +62,10 @@
         interrupted = work.is_standing and is_interrupted(job)
         return find_outlook(work, queue, self.find_age(job), interrupted=interrupted)
 
+    def is_starved(self, job: Job, is_mostly_free: bool) -> bool:
+        """Return whether a job may start a task although it harms serving tasks."""
+        return self._starvation.is_starved(job, self.find_age(job), is_mostly_free)
+
     def record_start(self, job: JobId) -> None:
         """Record that a run of a job was started."""
         self._starvation.record_start(job)
--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -134,7 +134,10 @@
             self, self._interference, self._headrooms, clock
         )
         self._starvation = Starvation(
-            settings.starvation_timeout, self._is_paused, clock
+            settings.starvation_timeout,
+            self._is_paused,
+            clock,
+            inherited=(each.job for each in self.state.jobs.values() if each.is_open),
         )
         self._backlog = Backlog(clock, self._starvation)
         self._jobs = JobIndex()
@@ -487,7 +490,7 @@
             avoided=self._avoided,
             interference=self._interference,
             rank=self._rank,
-            is_starved=self._starvation.is_starved,
+            is_starved=self._backlog.is_starved,
             may_wait=self._suspects.may_wait,
             unresolved=self._suspects.count_unresolved(),
             rejected=self._rejected,
--- a/src/rhubarbfield/scheduling/starvation.py
+++ b/src/rhubarbfield/scheduling/starvation.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from datetime import timedelta
 
 from rhubarbfield.clock import Clock
@@ -29,6 +29,8 @@
         Returns whether a run on a worker is paused.
     clock
         Source of time.
+    inherited
+        Jobs that earlier leaders have accepted.
     """
 
     def __init__(
@@ -36,14 +38,16 @@
         limit: timedelta,
         is_paused: Callable[[WorkerId, RunKey], bool],
         clock: Clock,
+        inherited: Iterable[JobId] = (),
     ) -> None:
         self._limit = limit
         self._is_paused = is_paused
         self._clock = clock
         self._idle_since: dict[JobId, timedelta] = {}
         self._starved: set[JobId] = set()
+        self._inherited = set(inherited)
 
-    def is_starved(self, job: Job, is_mostly_free: bool) -> bool:
+    def is_starved(self, job: Job, age: timedelta, is_mostly_free: bool) -> bool:
         """Return whether a job, of which a task found no worker, has starved.
 
         While most cores are free, a job that has starved once is starved whenever it
@@ -51,13 +55,24 @@
         load its runs would slow jobs that are still in time. While it has some, and
         all are paused, it is starved after ``limit`` again: each has just done harm.
 
+        When the last run of an inherited job ended is not known, so that it counts as
+        idle since it was accepted.
+
         Parameters
         ----------
         job
             The job.
+        age
+            Time since it was accepted.
         is_mostly_free
             Whether less than half of its service's cores is reserved.
         """
+        now = self._clock.monotonic()
+        if job.job in self._inherited:
+            self._inherited.remove(job.job)
+            self._idle_since[job.job] = now - age
+            if age > self._limit:
+                self._starved.add(job.job)
         has_runs = False
         for worker, key in _iterate_runs(job):
             if not self._is_paused(worker, key):
@@ -66,7 +81,6 @@
             has_runs = True
         if not has_runs and is_mostly_free and job.job in self._starved:
             return True
-        now = self._clock.monotonic()
         if now - self._idle_since.setdefault(job.job, now) <= self._limit:
             return False
         self._starved.add(job.job)
@@ -75,11 +89,13 @@
     def record_start(self, job: JobId) -> None:
         """Record that a run of a job was started."""
         self._idle_since.pop(job, None)
+        self._inherited.discard(job)
 
     def forget(self, job: JobId) -> None:
         """Drop the data of a job that has ended."""
         self._idle_since.pop(job, None)
         self._starved.discard(job)
+        self._inherited.discard(job)
 
 
 def _iterate_runs(job: Job) -> Iterator[tuple[WorkerId, RunKey]]:
--- a/tests/scheduling/disturbed_serving.py
+++ b/tests/scheduling/disturbed_serving.py
@@ -120,6 +120,13 @@
         self.deployment = deployment
         self.standstills: dict[JobId, list[float]] = {}
         self._rate = growth / BATCH_SHARE
+        self._estimate = HarmEstimate(
+            ServiceName(SERVING_IMAGE),
+            BatchKind(BATCH_IMAGE),
+            ONLY_BAND,
+            self._rate,
+            MANY_SAMPLES,
+        )
         self._idle_since: dict[JobId, float] = {}
         self.workers: list[ServingWorker] = []
         for number in range(WORKERS):
@@ -133,15 +140,29 @@
     @asynccontextmanager
     async def lead(self) -> AsyncIterator[None]:
         """Run a leader during the block, beside serving tasks that are measured."""
-        estimate = HarmEstimate(
-            ServiceName(SERVING_IMAGE),
-            BatchKind(BATCH_IMAGE),
-            ONLY_BAND,
-            self._rate,
-            MANY_SAMPLES,
-        )
-        await self.deployment.propose(SaveHarm(estimates=(estimate,)))
-        async with self.deployment.lead(), trio.open_nursery() as nursery:
+        await self.deployment.propose(SaveHarm(estimates=(self._estimate,)))
+        async with self.deployment.lead(), self._serve():
+            yield
+
+    @asynccontextmanager
+    async def lead_while_leading(self) -> AsyncIterator[None]:
+        """Do as ``lead`` does, with a new leader in each term."""
+        await self.deployment.propose(SaveHarm(estimates=(self._estimate,)))
+        async with self.deployment.lead_while_leading(), self._serve():
+            yield
+
+    async def depose(self, without_leader: float) -> None:
+        """Let the leader's term end, and the next one begin some seconds later."""
+        replica = self.deployment.replica
+        assert replica.leadership is not None
+        term = replica.leadership.term
+        replica.leadership = None
+        await trio.sleep(without_leader)
+        self.deployment.elect(term + 1)
+
+    @asynccontextmanager
+    async def _serve(self) -> AsyncIterator[None]:
+        async with trio.open_nursery() as nursery:
             nursery.start_soon(self._watch)
             await self.submit_serving(SERVING_JOB)
             await trio.sleep(SETTLING_SECONDS)
--- a/tests/scheduling/fleets.py
+++ b/tests/scheduling/fleets.py
@@ -270,7 +270,7 @@
             avoided=leader._avoided,
             interference=leader._interference,
             rank=leader._rank,
-            is_starved=leader._starvation.is_starved,
+            is_starved=leader._backlog.is_starved,
         )
         starts = placer.choose()
         if starts:
--- a/tests/scheduling/measure_rounds.py
+++ b/tests/scheduling/measure_rounds.py
@@ -69,7 +69,7 @@
         avoided=leader._avoided,
         interference=leader._interference,
         rank=leader._rank,
-        is_starved=leader._starvation.is_starved,
+        is_starved=leader._backlog.is_starved,
     )
 
 
--- a/tests/scheduling/test_starvation.py
+++ b/tests/scheduling/test_starvation.py
@@ -18,6 +18,9 @@
 # An end is viewed, recorded and followed by a round and the next start.
 TURNAROUND_SECONDS = 0.5
 HARM_LIMIT_SECONDS = 4.0
+CHANGES_OF_LEADER = 4
+WITHOUT_LEADER_SECONDS = 0.7
+LEADING_SECONDS = 1.8  # less than the time after which a job has starved
 # Growth of log tail latency that leaves a reserve, less than it, and none.
 REFUSED_GROWTH = 0.7
 HARMFUL_GROWTH = 1.2
@@ -117,3 +120,32 @@
             await trio.sleep(40)
         harm = max(each.longest_harm for each in site.workers)
         self.assertLess(harm, HARM_LIMIT_SECONDS)
+
+    @with_deployment()
+    async def test_new_leaders_let_a_starved_job_wait_anew(
+        self, deployment: Deployment
+    ) -> None:
+        site = DisturbedServing(deployment, REFUSED_GROWTH)
+        job = JobId("b")
+        async with site.lead_while_leading():
+            await site.submit_batch(job, 40)
+            await trio.sleep(5)
+            for _ in range(CHANGES_OF_LEADER):
+                await site.depose(WITHOUT_LEADER_SECONDS)
+                await trio.sleep(LEADING_SECONDS)
+        self.assertLess(max(site.standstills[job]), TOLERATED_SECONDS)
+        self.assertGreater(len(site.standstills[job]), CHANGES_OF_LEADER)
+
+    @with_deployment()
+    async def test_new_leaders_keep_a_job_from_its_first_run(
+        self, deployment: Deployment
+    ) -> None:
+        site = DisturbedServing(deployment, REFUSED_GROWTH)
+        job = JobId("b")
+        async with site.lead_while_leading():
+            await site.submit_batch(job, 1)
+            for _ in range(CHANGES_OF_LEADER):
+                await trio.sleep(LEADING_SECONDS)
+                await site.depose(WITHOUT_LEADER_SECONDS)
+            await trio.sleep(LEADING_SECONDS)
+        self.assertLess(max(site.standstills[job]), TOLERATED_SECONDS)
