Use a backend server again after it was silent for a while

Callers saw "503 not-run: it can't be answered within 5 s" for every request to a service, each after the whole 5 s, from the moment its backend server had been silent once until the server's owner changed.

Cause: the owner marks a silent server as leaving in the router, and takes this back by a grant when the next heartbeat arrives. So the server kept its owner, its lease was renewed with each heartbeat, and all its slots stayed closed. The stand-in for the router in the tests of announcements clears the mark with each grant, so no test had seen it. The requests waited because the slots still counted in the estimate of the wait.

A grant now states whether the server is leaving, also within an epoch.

Ruled out: ownership (the owner and its epoch didn't change), elections (one leader led throughout), and inherited or abandoned requests (there were none).

--- a/src/rhubarbfield/routing/ledger.py
+++ b/src/rhubarbfield/routing/ledger.py
@@ -107,8 +107,7 @@
             self._inherit(grant, now)
             self.lease.end()
             self.lease = Lease(grant.valid_until)
-            self.leaving = False
-        self.leaving = self.leaving or grant.leaving
+        self.leaving = grant.leaving
         self.grant = grant
         self.lease.valid_until = grant.valid_until
 
--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -192,6 +192,9 @@
                 process.kill()
                 process.wait()
 
+    def read_log(self, name: str) -> str:
+        return (self.folder / f"{name}.log").read_text(encoding="utf-8")
+
     def print_warnings(self) -> None:
         """Print the last lines of each log that are above the level ``info``."""
         for log in sorted(self.folder.glob("*.log")):
--- a/tests/processes/test_failures.py
+++ b/tests/processes/test_failures.py
@@ -130,6 +130,25 @@
             self.assertEqual(list(fleet.observe(port)["runs_by_key"].values()), [1])
 
 
+class BackendServerFailureTest(unittest.TestCase):
+    def test_a_server_that_was_frozen_is_used_again(self) -> None:
+        with run_fleet(DOMAIN) as fleet:
+            start_service(fleet)
+            owner = find_owner(fleet)
+            fleet.signal("s-1", signal.SIGSTOP)
+            wait_until(
+                lambda: "server-silent" in fleet.read_log(f"entry-{owner}"),
+                "its owner notices the silence",
+                RECOVERY_TIMEOUT_SECONDS,
+            )
+            fleet.signal("s-1", signal.SIGCONT)
+            wait_until(
+                lambda: fleet.send_request(owner).is_success,
+                "the service answers again",
+                RECOVERY_TIMEOUT_SECONDS,
+            )
+
+
 class RollingRestartTest(unittest.TestCase):
     def test_no_request_is_cut_off(self) -> None:
         with run_fleet(DOMAIN) as fleet:
@@ -148,7 +167,7 @@
         with run_fleet(DOMAIN) as fleet:
             leader = fleet.find_leader("north")
             self.assertEqual(fleet.stop(f"controller-{leader}"), 0)
-            log = (fleet.folder / f"controller-{leader}.log").read_text("utf-8")
+            log = fleet.read_log(f"controller-{leader}")
             self.assertIn('"leadership-released"', log)
             wait_until(
                 lambda: fleet.find_leader("north") != leader, "another controller leads"
--- a/tests/routing/test_ledger.py
+++ b/tests/routing/test_ledger.py
@@ -184,6 +184,14 @@
         self.servers.renew(SERVER, Epoch(1), 2 * LEASE)
         self.assertIsNone(self.reserve())
 
+    def test_a_server_that_is_not_leaving_any_more_takes_requests(self) -> None:
+        self.servers.grant(make_grant())
+        self.servers.mark_leaving(SERVER)
+        self.servers.grant(make_grant())
+        self.assertIsNotNone(self.reserve())
+        self.servers.grant(make_grant(leaving=True))
+        self.assertIsNone(self.reserve())
+
     def test_a_slot_is_released_once(self) -> None:
         self.servers.grant(make_grant())
         reservation = self.reserve()
