Don't wait for the slots of a backend server that is leaving

A caller whose request reached an entry that owns only a leaving server of the service waited until its time ran out and got "503 not-run", although another entry had free slots.

Cause: the estimate of the wait counted the slots of servers under a valid lease, also of one that is leaving. With a mean latency below 10 ms and two slots the wait seemed shorter than 5 ms (`max_local_wait`), so the request was not forwarded; a longer queue made the estimate too short likewise. Only servers that take requests count now.

--- a/src/rhubarbfield/routing/servers.py
+++ b/src/rhubarbfield/routing/servers.py
@@ -144,10 +144,10 @@
         return sum(ledger.count_free_slots(now) for ledger in self.iterate(service))
 
     def count_slots(self, service: ServiceName) -> int:
-        """Return the slots of ``service`` under valid leases."""
+        """Return the slots of the servers of ``service`` that take requests."""
         now = self._clock.monotonic()
         ledgers = self.iterate(service)
-        return sum(each.limit for each in ledgers if each.lease.is_valid(now))
+        return sum(each.limit for each in ledgers if each.is_serving(now))
 
     def make_target(
         self, ledger: SlotLedger, reservation: Reservation
--- a/tests/routing/test_peer_selection.py
+++ b/tests/routing/test_peer_selection.py
@@ -14,6 +14,7 @@
 )
 from tests.routing.cases import MAX_REQUEST_TIME, Routed
 from tests.routing.fakes import (
+    MS,
     SECOND,
     Entry,
     FakeBackends,
@@ -54,6 +55,18 @@
         self.assertEqual(result.unwrap().body, b"r0")
         self.assertEqual(server.most_running, 1)
 
+    @scenario("run_pair")
+    async def test_a_leaving_server_holds_no_request_back_from_a_peer_entry(
+        self, first: Entry, _: Entry, server: FakeServer
+    ) -> None:
+        own = first.backends.add("s1", 2, latency=MS)
+        first.grant(own)
+        (await first.router.route(make_request(0))).unwrap()
+        first.servers.mark_leaving(own.id)
+        with trio.fail_after(2):
+            result = await first.router.route(make_request(1))
+        self.assertIsInstance(result, Success)
+
     @scenario("run_pair")
     async def test_requests_wait_at_the_first_entry_while_all_are_full(
         self, first: Entry, second: Entry, server: FakeServer
