Let only interrupted tasks of lower queues use a holder's unused room

A task that has worked and does not stands still for callers (LOST counts from its last run); one that never ran has no such claim, so that it is kept off as before. Interrupted tasks are few and each takes one piece, once.

--- a/src/rhubarbfield/scheduling/backfilling.py
+++ b/src/rhubarbfield/scheduling/backfilling.py
@@ -21,7 +21,11 @@
 )
 from rhubarbfield.scheduling.interference import InterferenceModel
 from rhubarbfield.scheduling.model import Demand, Step, find_largest
-from rhubarbfield.scheduling.ordering import ESTIMATE_MARGIN, MAX_ESTIMATE_MS
+from rhubarbfield.scheduling.ordering import (
+    ESTIMATE_MARGIN,
+    MAX_ESTIMATE_MS,
+    awaits_restart,
+)
 from rhubarbfield.types import JobId, ServiceName, WorkerId
 
 StepKey = tuple[JobId, int, int]  # job, occurrence, number of the step
@@ -203,7 +207,12 @@
     def _goes_before(self, waiting: WaitingStep, reserved: ReservedWorker) -> bool:
         """Return whether a step has waited long, and the holder has no room now."""
         has_room_now = reserved.needed.fits(reserved.headroom.free)
-        return not has_room_now and get_key(waiting) in self._claimants
+        if has_room_now or get_key(waiting) not in self._claimants:
+            return False
+        # New tasks of lower queues would take each piece for good, one after the other.
+        return waiting.queue.priority <= reserved.priority or any(
+            awaits_restart(waiting.step, task) for task in waiting.tasks
+        )
 
     def _ends_before(self, step: Step, reserved: ReservedWorker) -> bool:
         """Return whether a task is expected to end before a reservation is due."""
--- a/tests/scheduling/test_deferrals.py
+++ b/tests/scheduling/test_deferrals.py
@@ -75,12 +75,19 @@
         self.assertEqual(_list_jobs(starts), [holder.holder[0]])
 
     @with_fleet()
-    async def test_step_of_a_lower_queue_is_not_kept_off_for_long(
+    async def test_step_of_a_lower_queue_is_kept_off(self, busy: BusyFleet) -> None:
+        await self.free_piece(busy, [])
+        busy.submit(SMALL, 1, LATE_QUEUE.name)
+        self.assertGreater(LATE_QUEUE.priority, QUEUE.priority)
+        self.assertEqual(await busy.run_rounds(TOLERATED_SECONDS), [])
+
+    @with_fleet()
+    async def test_interrupted_step_of_a_lower_queue_is_not_kept_off_for_long(
         self, busy: BusyFleet
     ) -> None:
         """Room for which it waited stayed unused for as long as the holder waited."""
         reserved = await self.free_piece(busy, [])
-        busy.submit(SMALL, 1, LATE_QUEUE.name)
+        busy.interrupt(SMALL, LATE_QUEUE.name)
         self.assertGreater(LATE_QUEUE.priority, QUEUE.priority)
         self.assertEqual(await busy.run_rounds(DEFERRED_SECONDS), [])
         starts = await busy.run_rounds(TOLERATED_SECONDS - DEFERRED_SECONDS)
