Count leases of marked workers by other workers' clocks

Callers saw tasks of lost workers, standing ones among them, stand still for 17.5 s and longer beside free workers, when all controllers were restarted while the workers had been silent and marked for seconds.

Only the memory of a controller had the time of a mark.

The mark now carries up to five readings of other workers' clocks, each from the reply to a view that was requested after the lease had been extended last, with the time between the two. No leader extends the lease of a marked worker until the removal of the mark is committed. The second earliest of the times counts that the readings tell, so that one clock that jumps does not end a lease too early; without two of them the wait is a whole lease, as before.

Workers without runs are asked for a view when another falls silent, since nothing else is sent to them.

A mark whose proposal was refused and repeated names only workers whose present session extends nothing: one that was removed and came back meanwhile may have a longer lease.

--- a/src/rhubarbfield/scheduling/appliers.py
+++ b/src/rhubarbfield/scheduling/appliers.py
@@ -48,6 +48,7 @@
     Worker,
 )
 from rhubarbfield.scheduling.suspicion import record_crash
+from rhubarbfield.scheduling.witnesses import Witness
 from rhubarbfield.types import JobId, WorkerId
 
 MAX_HARM_ESTIMATES = 10_000  # about 1 MB of a snapshot
@@ -188,6 +189,11 @@
     worker = state.workers.pop(command.worker, None)
     if worker is None:
         return Done()
+    for other in state.workers.values():
+        if any(each.worker == command.worker for each in other.witnesses):
+            other.witnesses = tuple(
+                each for each in other.witnesses if each.worker != command.worker
+            )
     # A task whose record raises must not keep those of the others: the worker is gone.
     for crashed in command.crashed:
         with contained(Unit.JOB, task=crashed.task):
@@ -315,8 +321,10 @@
         worker.lapsed.extend(report.lapsed)
         _record_brief(worker, report)
         worker.recorded_ends = max(worker.recorded_ends, report.recorded_ends)
-    _mark_workers(state, command.silent, is_silent=True)
-    _mark_workers(state, command.heard, is_silent=False)
+    for name in command.silent:
+        _mark_worker(state, name, command.witnesses.get(name, ()), is_silent=True)
+    for name in command.heard:
+        _mark_worker(state, name, (), is_silent=False)
     return Done()
 
 
@@ -332,13 +340,20 @@
     worker.brief.extend(report.brief)
 
 
-def _mark_workers(
-    state: SchedulingState, workers: tuple[WorkerId, ...], *, is_silent: bool
+def _mark_worker(
+    state: SchedulingState,
+    name: WorkerId,
+    witnesses: tuple[Witness, ...],
+    *,
+    is_silent: bool,
 ) -> None:
-    for name in workers:
-        worker = state.workers.get(name)
-        if worker is not None:
-            worker.silent = is_silent
+    worker = state.workers.get(name)
+    if worker is not None:
+        worker.silent = is_silent
+        # Those of a worker that is removed say nothing about a later one of its name.
+        worker.witnesses = tuple(
+            each for each in witnesses if each.worker in state.workers
+        )
 
 
 def _end_run(state: SchedulingState, worker: Worker, ended: EndedRun) -> None:
--- a/src/rhubarbfield/scheduling/commands.py
+++ b/src/rhubarbfield/scheduling/commands.py
@@ -23,6 +23,7 @@
     RunEnd,
     SchedulingState,
 )
+from rhubarbfield.scheduling.witnesses import Witness
 from rhubarbfield.types import JobId, ServiceName, WorkerId
 
 scheduling_commands: CommandRegistry[SchedulingState] = CommandRegistry()
@@ -203,8 +204,11 @@
         Workers whose lease is not extended from now on.
     heard
         Workers whose lease may be extended again.
+    witnesses
+        Clocks of other workers that were read since these leases were extended last.
     """
 
     workers: tuple[WorkerEnds, ...]
     silent: tuple[WorkerId, ...] = ()
     heard: tuple[WorkerId, ...] = ()
+    witnesses: dict[WorkerId, tuple[Witness, ...]] = msgspec.field(default_factory=dict)
--- a/src/rhubarbfield/scheduling/contact.py
+++ b/src/rhubarbfield/scheduling/contact.py
@@ -7,11 +7,12 @@
 
 from rhubarbfield.clock import Clock
 from rhubarbfield.logs import log_event
-from rhubarbfield.scheduling.leases import WorkerLease
+from rhubarbfield.scheduling.leases import MAX_CLOCK, WorkerLease
 from rhubarbfield.scheduling.ledger import OrderLedger
 from rhubarbfield.scheduling.ports import CallFailure, WorkerAddress
 from rhubarbfield.scheduling.progress import RunKey
 from rhubarbfield.scheduling.settings import SchedulingSettings
+from rhubarbfield.scheduling.witnesses import ClockReading
 from rhubarbfield.types import WorkerId
 
 # A fixed log area, independent of the module's name.
@@ -56,6 +57,10 @@
         Monotonic time of the latest report, or None.
     created_at
         Monotonic time at which the contact began.
+    reading
+        The worker's clock in the latest view, or None.
+    lease_basis
+        What the lease counts from at first: ``mark``, ``former-term`` or ``session``.
     """
 
     def __init__(
@@ -69,8 +74,11 @@
         former_until: timedelta | None = None,
     ) -> None:
         self.address = address
-        known = [each for each in (marked_at, former_until) if each is not None]
-        self.lease = WorkerLease(clock, settings, min(known, default=None))
+        times = {"mark": marked_at, "former-term": former_until}
+        known = {name: each for name, each in times.items() if each is not None}
+        self.lease_basis = min(known, key=known.__getitem__, default="session")
+        self.lease = WorkerLease(clock, settings, known.get(self.lease_basis))
+        self.reading: ClockReading | None = None
         self.is_suspended = marked_at is not None
         self.exit_announced_at: timedelta | None = None
         self._ledger = ledger
@@ -203,6 +211,13 @@
         self._replied_at = self._clock.monotonic()
         self.lease.update_clock(worker_clock)
 
+    def handle_view(self, worker_clock: timedelta, sent_at: timedelta) -> None:
+        """Record the reply to a request for a view, which was sent then or later."""
+        self.handle_reply(worker_clock)
+        if abs(worker_clock) <= MAX_CLOCK:
+            received_at = self._clock.monotonic()
+            self.reading = ClockReading(sent_at, received_at, worker_clock)
+
     def handle_no_reply(self) -> None:
         """Record that a call got no reply."""
         if self._unresponsive_since is None:
--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -82,6 +82,7 @@
 from rhubarbfield.scheduling.suspects import Suspects
 from rhubarbfield.scheduling.terminations import Terminations
 from rhubarbfield.scheduling.waiting_log import WaitingLog
+from rhubarbfield.scheduling.witnessed_leases import WitnessedLeases
 from rhubarbfield.types import LogIndex, Term, WorkerId
 
 logger = logging.getLogger(__name__)
@@ -152,7 +153,14 @@
             lambda: self.state, self._registry.sessions, self._headrooms, settings
         )
         self._terminations = Terminations(lambda: self.state, self._registry.sessions)
-        self._marker = SilenceMarker(log, self._registry.sessions, clock)
+        leases = WitnessedLeases(
+            self.find_worker,
+            self._registry.sessions,
+            clock=clock,
+            settings=settings,
+            term=self._term,
+        )
+        self._marker = SilenceMarker(log, self._registry.sessions, leases, clock)
         self._pacer = RoundPacer(clock)
         self._avoided: dict[TaskName, set[WorkerId]] = {}
         self._ends = Batcher(self._commit_ends)
--- a/src/rhubarbfield/scheduling/leases.py
+++ b/src/rhubarbfield/scheduling/leases.py
@@ -36,6 +36,10 @@
         Monotonic time at which the worker's clock was last received.
     lapses_at
         Monotonic time from which the lease has certainly lapsed.
+    unextended_since
+        Monotonic time since which no leader has extended the lease.
+    saved
+        By how much :meth:`shorten` has moved ``lapses_at``.
     """
 
     def __init__(
@@ -51,11 +55,9 @@
         self.clock_read_at = timedelta()
         # An earlier leader may have extended the lease until then.
         since = clock.monotonic() if unextended_since is None else unextended_since
-        longest = min(
-            settings.longest_lease,
-            settings.lease + MAX_CLOCK_AGE * settings.clock_drift,
-        )
-        self.lapses_at = since + longest / self._slowest_rate + LATENCY_SLACK
+        self.unextended_since = since
+        self.lapses_at = self._find_lapse(since)
+        self.saved = timedelta()
 
     @property
     def has_clock(self) -> bool:
@@ -67,6 +69,25 @@
         """The latest lease end that was offered, on the worker's clock, if any."""
         return self._lease_end
 
+    @property
+    def is_former(self) -> bool:
+        """Whether the lease was not extended here, but perhaps by earlier leaders."""
+        return self._lease_end is None
+
+    def shorten(self, since: timedelta) -> None:
+        """Count from an earlier time, unless the lease was extended here.
+
+        Parameters
+        ----------
+        since
+            Monotonic time since which no leader has extended the lease.
+        """
+        if not self.is_former or since >= self.unextended_since:
+            return
+        lapses_at = min(self.lapses_at, self._find_lapse(since))
+        self.saved += self.lapses_at - lapses_at
+        self.unextended_since, self.lapses_at = since, lapses_at
+
     def update_clock(self, worker_clock: timedelta) -> None:
         """Record the worker's clock from a reply or report; it may be outdated.
 
@@ -120,6 +141,7 @@
         if duration is not None:
             wanted = min(duration, wanted)
         assert self._worker_clock is not None
+        self.unextended_since = max(self.unextended_since, now)
         passed = now - self.clock_read_at
         slow_time = max(passed - MAX_CLOCK_AGE, timedelta())
         passed -= slow_time * self._settings.clock_drift
@@ -129,6 +151,14 @@
         self.lapses_at = max(self.lapses_at, self.clock_read_at + left + LATENCY_SLACK)
         return self._lease_end
 
+    def _find_lapse(self, since: timedelta) -> timedelta:
+        """Return when a lease has lapsed that any leader extended until ``since``."""
+        longest = min(
+            self._settings.longest_lease,
+            self._settings.lease + MAX_CLOCK_AGE * self._settings.clock_drift,
+        )
+        return since + longest / self._slowest_rate + LATENCY_SLACK
+
     @property
     def _slowest_rate(self) -> float:
         return 1 - self._settings.clock_drift
--- a/src/rhubarbfield/scheduling/recording.py
+++ b/src/rhubarbfield/scheduling/recording.py
@@ -22,22 +22,34 @@
 
 
 async def propose_until_committed(
-    log: ReplicatedLog[SchedulingLogState], command: Command, clock: Clock
+    log: ReplicatedLog[SchedulingLogState],
+    command: Command | Callable[[], Command],
+    clock: Clock,
 ) -> Reply:
     """Commit a command that may safely be proposed again.
 
     Repeats the proposal until it is committed, or until the caller is cancelled
     at the end of its term.
+
+    Parameters
+    ----------
+    log
+        The deployment's log.
+    command
+        The command, or a function that returns what to propose each time.
+    clock
+        Source of time.
     """
     while True:
-        result = await log.propose(command)
+        proposed = command if isinstance(command, Command) else command()
+        result = await log.propose(proposed)
         if isinstance(result, Success):
             return result.unwrap()
         log_event(
             logger,
             logging.WARNING,
             "proposal-repeated",
-            command=type(command).__name__,
+            command=type(proposed).__name__,
             reason=str(result.failure()),
         )
         await clock.sleep(PROPOSE_RETRY_DELAY)
--- a/src/rhubarbfield/scheduling/session.py
+++ b/src/rhubarbfield/scheduling/session.py
@@ -38,6 +38,7 @@
 from rhubarbfield.scheduling.settings import SchedulingSettings
 from rhubarbfield.scheduling.state import RunEnd, Worker
 from rhubarbfield.scheduling.stops import RETRY_DELAY
+from rhubarbfield.scheduling.witnesses import ClockReading
 from rhubarbfield.types import WorkerId
 
 logger = logging.getLogger(__name__)
@@ -111,6 +112,7 @@
         )
         self._view_requested = trio.Event()
         self._silence_noticed = trio.Event()
+        self._lease_shortened = trio.Event()
         self._acknowledged_ends = 0
         self._viewed_at: timedelta | None = None
         self._progress = Progress()
@@ -211,11 +213,16 @@
         """Offer no lease until the worker has confirmed that lost runs can't start."""
         self._ledger.doubtful.update(keys)
 
+    @property
+    def awaits_mark(self) -> bool:
+        """Whether the worker is silent without being marked."""
+        return not (self._contact.is_responsive or self._contact.is_suspended)
+
     @property
     def needs_mark(self) -> bool:
         """Whether the worker has been silent for a while without being marked."""
         since = self._contact.unresponsive_since
-        if since is None or self._contact.is_suspended:
+        if since is None or not self.awaits_mark:
             return False
         return self._clock.monotonic() - since >= MARK_DELAY
 
@@ -224,6 +231,48 @@
         """Whether the worker is marked as silent although it replied."""
         return self._contact.is_suspended and self._contact.has_replied
 
+    @property
+    def is_witness(self) -> bool:
+        """Whether the worker replies without a mark, so that its clock may count."""
+        return self._contact.has_replied and not self._contact.is_suspended
+
+    @property
+    def reading(self) -> ClockReading | None:
+        """The worker's clock in the latest view of this term, or None."""
+        return self._contact.reading
+
+    @property
+    def is_former_lease(self) -> bool:
+        """Whether the lease is not extended, and was not in this session."""
+        return self._contact.is_suspended and self._contact.lease.is_former
+
+    @property
+    def lease_basis(self) -> str:
+        """What the lease counts from, unless witnesses tell of an earlier time."""
+        return self._contact.lease_basis
+
+    @property
+    def unextended_since(self) -> timedelta:
+        """Monotonic time since which no leader has extended the lease."""
+        return self._contact.lease.unextended_since
+
+    def shorten_lease(self, since: timedelta) -> timedelta:
+        """Let a lease that is not extended count from an earlier time.
+
+        Returns by how much earlier it counts as lapsed than without this.
+        """
+        lease = self._contact.lease
+        before = lease.lapses_at
+        lease.shorten(since)
+        if lease.lapses_at < before:
+            self._lease_shortened.set()
+        return lease.saved
+
+    @property
+    def is_suspended(self) -> bool:
+        """Whether the lease is not extended, for a mark that is set or about to be."""
+        return self._contact.is_suspended
+
     def suspend_lease(self) -> None:
         """Stop extending the lease, since the worker is to be marked as silent."""
         self._contact.is_suspended = True
@@ -320,7 +369,7 @@
         match result:
             case Success(view):
                 was_silent = not contact.is_responsive
-                contact.handle_reply(view.clock)
+                contact.handle_view(view.clock, now)
                 self._acknowledged_ends = recorded_ends
                 await self._apply_view(
                     view, recorded_runs, settled, was_silent=was_silent
@@ -444,7 +493,9 @@
                 if left <= timedelta():
                     await self._check_lapse()
                     break
-                await self._clock.sleep(left)
+                self._lease_shortened = trio.Event()
+                with trio.move_on_after(left.total_seconds()):
+                    await self._lease_shortened.wait()
 
     async def _check_lapse(self) -> None:
         """Record runs as lost once their lease has certainly lapsed.
--- a/src/rhubarbfield/scheduling/silence_marks.py
+++ b/src/rhubarbfield/scheduling/silence_marks.py
@@ -17,6 +17,7 @@
 from rhubarbfield.scheduling.commands import EndRuns, RemoveWorker, WorkerEnds
 from rhubarbfield.scheduling.recording import propose_until_committed
 from rhubarbfield.scheduling.session import WorkerSession
+from rhubarbfield.scheduling.witnessed_leases import WitnessedLeases
 from rhubarbfield.types import LogIndex, WorkerId
 
 CHECK_INTERVAL = timedelta(milliseconds=100)  # short beside what is left of a lease
@@ -40,6 +41,7 @@
         log.machine.watch(self._watch_command)
         # A mark may have been removed and set again in what a snapshot covers.
         log.machine.watch_restore(lambda: self._update({}))
+        self._update({})
 
     def find(self, worker: WorkerId) -> timedelta | None:
         """Return since when a worker's lease was certainly not extended, if known."""
@@ -71,6 +73,8 @@
         The deployment's log.
     sessions
         The leader's session with each worker.
+    leases
+        Tells since when the leases of marked workers are not extended.
     clock
         Source of time.
     """
@@ -79,16 +83,20 @@
         self,
         log: ReplicatedLog[SchedulingLogState],
         sessions: Mapping[WorkerId, WorkerSession],
+        leases: WitnessedLeases,
         clock: Clock,
     ) -> None:
         self._log = log
         self._sessions = sessions
+        self._leases = leases
         self._clock = clock
 
     async def run(self) -> None:
         """Mark workers until cancelled."""
         while True:
             await self._clock.sleep(CHECK_INTERVAL)
+            self._leases.prepare()
+            self._leases.count()
             silent = [each for each in self._sessions.values() if each.needs_mark]
             heard = [each for each in self._sessions.values() if each.has_outdated_mark]
             proven = self._list_proven()
@@ -113,11 +121,23 @@
         for session in silent:
             # Before the proposal: the lease must not be extended after a commit.
             session.suspend_lease()
-        command = EndRuns(
-            workers=proven,
-            silent=tuple(each.worker for each in silent),
-            heard=tuple(each.worker for each in heard),
-        )
-        await propose_until_committed(self._log, command, self._clock)
+        witnesses = self._leases.choose(silent)
+
+        def make_command() -> EndRuns:
+            # A worker that was removed may be back, under a lease that is extended.
+            marked = [each.worker for each in silent if self._is_suspended(each)]
+            return EndRuns(
+                workers=proven,
+                silent=tuple(marked),
+                heard=tuple(each.worker for each in heard),
+                witnesses={worker: witnesses[worker] for worker in marked},
+            )
+
+        await propose_until_committed(self._log, make_command, self._clock)
         for session in heard:
             session.resume_lease()
+
+    def _is_suspended(self, marked: WorkerSession) -> bool:
+        """Return whether the present session with a worker extends no lease either."""
+        session = self._sessions.get(marked.worker)
+        return session is not None and session.is_suspended
--- a/src/rhubarbfield/scheduling/state.py
+++ b/src/rhubarbfield/scheduling/state.py
@@ -33,6 +33,7 @@
     TaskName,
 )
 from rhubarbfield.scheduling.queue_index import index_queues
+from rhubarbfield.scheduling.witnesses import Witness
 from rhubarbfield.types import JobId, ServiceName, WorkerId
 
 # Tasks that are live or waiting on the largest site.
@@ -325,6 +326,9 @@
         crashed.
     silent
         Whether its lease is not extended, since it gave no reply.
+    witnesses
+        Clocks of other workers that were read since the lease was extended last; empty
+        if it is not silent, or if none was read.
     brief
         Runs that ended right after their start, until the worker has worked on for a
         while: their start may crash it yet.
@@ -344,6 +348,7 @@
     lapsed: list[CrashedRun] = msgspec.field(default_factory=list)
     silent: bool = False
     brief: list[CrashedRun] = msgspec.field(default_factory=list)
+    witnesses: tuple[Witness, ...] = ()
 
     @property
     def unresolved(self) -> list[CrashedRun]:
--- a/tests/scheduling/test_earlier_versions.py
+++ b/tests/scheduling/test_earlier_versions.py
@@ -38,7 +38,7 @@
 EARLIER_TASK_FIELDS = 5
 EARLIER_REPORT_FIELDS = 8
 EARLIER_STEP_FIELDS = 3  # before gangs had a checkpoint
-NEW_WORKER_FIELDS = ("sequence", "lapsed", "brief")
+NEW_WORKER_FIELDS = ("sequence", "lapsed", "brief", "witnesses")
 
 
 class EarlierTask(msgspec.Struct, array_like=True):
