--- a/tests/scheduling/late_orders.py
+++ b/tests/scheduling/late_orders.py
@@ -96,6 +96,8 @@
     ----------
     rate
         Rate of its clock.
+    jumped
+        By how much its clock has jumped ahead.
     trouble
         What becomes of the calls to the worker.
     troubled_calls
@@ -111,6 +113,7 @@
     def __init__(self, *args: Any, **options: Any) -> None:
         super().__init__(*args, **options)
         self.rate = 1.0
+        self.jumped = timedelta()
         self.trouble = Trouble.NONE
         self.troubled_calls = frozenset(Call)
         self.done: list[DoneRun] = []
@@ -119,7 +122,16 @@
         self.random = random.Random(str(self.worker))
 
     def read_clock(self) -> timedelta:
-        return self._clock.monotonic() * self.rate + timedelta(seconds=100)
+        true_time = self._clock.monotonic() * self.rate
+        return true_time + timedelta(seconds=100) + self.jumped
+
+    def jump(self, by: timedelta) -> None:
+        """Let the clock jump ahead; the lease lapses by it, and runs take as long."""
+        self._note_lapse()
+        self.jumped += by
+        for run in self.runs.values():
+            if run.ends_at is not None:
+                run.ends_at += by
 
     def start(self, order: StartOrder) -> Result[timedelta, CallFailure]:
         self._note_lapse()
