Test that no lease is extended before the removal of its mark is certain

A leader that let the lease go on once it had proposed to remove the mark, and not once that was committed, passed all tests: in the test of a removal that was not committed the leader had no right to lead, so that it called nobody. The next leader would count the lease by witnesses from before it was extended, and a task may run twice.

--- a/tests/scheduling/test_restarts.py
+++ b/tests/scheduling/test_restarts.py
@@ -6,11 +6,16 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from functools import partial
+from unittest.mock import patch
 
+import msgspec
 import trio
+from returns.result import Failure
 
+from rhubarbfield.replication import OutcomeUnknown
 from rhubarbfield.storage import MemoryStore
 from rhubarbfield.testing.memory_transport import MemoryTransport
+from rhubarbfield.types import Term
 from tests.replication.determinism import run_deterministic
 from tests.scheduling.controllers import NAMES, Controllers
 from tests.scheduling.deployments import Deployment, with_deployment
@@ -86,6 +91,34 @@
         async with loss.restart():
             self.assertLess(await loss.measure(), LIMIT_SECONDS)
 
+    @with_deployment()
+    async def test_lease_is_extended_before_the_mark_is_removed(
+        self, deployment: Deployment
+    ) -> None:
+        """The worker answered again, and the controllers were killed at once."""
+        loss = Loss(deployment, rate=1 - DRIFT)
+        propose = deployment.replica.propose
+
+        async def refuse_removals(command: bytes, term: Term | None = None) -> object:
+            if msgspec.msgpack.decode(command).get("heard"):
+                return Failure(OutcomeUnknown())
+            return await propose(command, term)
+
+        async with deployment.lead() as leader:
+            await loss.begin()
+            await trio.sleep(MARKED_SECONDS)
+            session = leader.get_session(loss.lost.worker)
+            assert session is not None
+            extended_at = session.unextended_since
+            with patch.object(deployment.replica, "propose", refuse_removals):
+                loss.lost.is_unreachable = False
+                await trio.sleep(UNREACHED_SECONDS)
+                loss.lost.is_unreachable = True
+        self.assertTrue(loss.is_marked)
+        self.assertEqual(session.unextended_since, extended_at)
+        async with loss.restart(down=0.5):
+            self.assertLess(await loss.measure(), LIMIT_SECONDS)
+
     @with_deployment()
     async def test_lease_that_was_extended_after_a_mark_is_waited_for(
         self, deployment: Deployment
