Record clocks that are read after a worker was marked

Tasks of a marked worker could wait for a second lease after a restart of all controllers although many other workers had been read in time.

Cause: witnesses were chosen once, when the mark was proposed. A view that waits for an end takes up to 1.5 s, so that the latest readings of most others may be older than the last extension of the lease by then, and don't count.

While a mark has fewer than two witnesses the leader now proposes it again once there are two. The lease is not extended in between, each reading counts from the last extension as before, and a mark replaces the one before.

The new test fails before and passes after.

--- a/src/rhubarbfield/scheduling/silence_marks.py
+++ b/src/rhubarbfield/scheduling/silence_marks.py
@@ -98,6 +98,7 @@
             self._leases.prepare()
             self._leases.count()
             silent = [each for each in self._sessions.values() if each.needs_mark]
+            silent += self._leases.list_incomplete()
             heard = [each for each in self._sessions.values() if each.has_outdated_mark]
             proven = self._list_proven()
             if silent or heard or proven:
--- a/src/rhubarbfield/scheduling/witnessed_leases.py
+++ b/src/rhubarbfield/scheduling/witnessed_leases.py
@@ -14,6 +14,7 @@
 from rhubarbfield.scheduling.state import Worker
 from rhubarbfield.scheduling.witnesses import (
     MAX_WITNESSES,
+    MIN_WITNESSES,
     Witness,
     find_unextended_since,
 )
@@ -86,6 +87,23 @@
         usable = self._list_usable() if marked else []
         return {each.worker: self._select(each, usable) for each in marked}
 
+    def list_incomplete(self) -> list[WorkerSession]:
+        """Return the marked workers with too few witnesses, for which there are enough.
+
+        When they were marked, views of the others were still in progress.
+        """
+        incomplete = []
+        for name, session in self._sessions.items():
+            if not session.is_suspended or session.has_outdated_mark:
+                continue
+            worker = self._find_worker(name)
+            if worker is None or not worker.silent:
+                continue
+            if len(worker.witnesses) < MIN_WITNESSES:
+                incomplete.append(session)
+        chosen = self.choose(incomplete)
+        return [s for s in incomplete if len(chosen[s.worker]) >= MIN_WITNESSES]
+
     def count(self) -> None:
         """Count the leases that this leader has not extended, by their witnesses."""
         for name, session in self._sessions.items():
--- a/tests/scheduling/losses.py
+++ b/tests/scheduling/losses.py
@@ -12,6 +12,7 @@
 from rhubarbfield.scheduling.model import Step
 from rhubarbfield.scheduling.settings import SchedulingSettings
 from rhubarbfield.scheduling.silence_marks import MarkTimes
+from rhubarbfield.scheduling.witnesses import Witness
 from rhubarbfield.testing.scheduling_workers import StandInWorker
 from rhubarbfield.types import WorkerId
 from tests.scheduling.deployments import ONE_CORE, Deployment, count_runs_at_once
@@ -101,6 +102,9 @@
     def is_marked(self) -> bool:
         return self.deployment.state.workers[self.lost.worker].silent
 
+    def read_witnesses(self) -> tuple[Witness, ...]:
+        return self.deployment.state.workers[self.lost.worker].witnesses
+
     @asynccontextmanager
     async def restart(
         self, down: float = DOWN_SECONDS
--- a/tests/scheduling/test_witnesses.py
+++ b/tests/scheduling/test_witnesses.py
@@ -218,6 +218,26 @@
             self.assertGreater(witness.clock, extended_at)
             self.assertGreaterEqual(witness.age, timedelta())
 
+    @with_deployment()
+    async def test_readings_that_come_after_the_mark_are_recorded(
+        self, deployment: Deployment
+    ) -> None:
+        """Each was older than the last extension when the worker was marked."""
+        loss = Loss(deployment, rate=1 - DRIFT)
+        async with deployment.lead():
+            await loss.begin()
+            for worker in loss.others:
+                worker.is_unreachable = True
+            while not loss.is_marked:
+                await trio.sleep(0.02)
+            self.assertEqual(loss.read_witnesses(), ())
+            for worker in loss.others:
+                worker.is_unreachable = False
+            await trio.sleep(MARKED_SECONDS / 2)
+            self.assertGreater(len(loss.read_witnesses()), 1)
+        async with loss.restart():
+            self.assertLess(await loss.measure(), LIMIT_SECONDS)
+
     @with_deployment()
     async def test_worker_that_is_back_under_a_lease_is_not_marked_by_a_late_commit(
         self, deployment: Deployment
