Reserve another worker where the runs on a reserved one don't end

An interrupted standing task that finds no room gets the worker reserved that is expected to have room soonest, by the estimates of its finite runs. Overdue runs were expected to end at once, so that a worker on which runs take many times their estimates was the first choice of all, and it was kept for as long as they went on. Meanwhile smaller tasks took each piece of room on the other workers: callers see the standing task stand still, in a full service beside one slow worker, until its runs end.

Cause: a forecast that has proved wrong went on to count, and its error made the worker look better. Now a choice expects overdue runs to go on for as long as they are overdue. Once those on a reserved worker are overdue by more than 2 s, one with room sooner is reserved as well. The first one is kept: where all estimates are too low, a task that moves on each time would never see any of its workers become free. Twice the former number of workers is reserved at most.

Where all runs are as overdue one worker is reserved, as before.

The structs of claims and their log line move to a module of their own, unchanged.

--- a/src/rhubarbfield/scheduling/backfilling.py
+++ b/src/rhubarbfield/scheduling/backfilling.py
@@ -39,11 +39,19 @@
         Capacity that is not reserved then, without the task.
     ends
         Number of runs that have to end.
+    overdue
+        For how long one of them is overdue at most; zero if none is.
     """
 
     due: timedelta
     free: Demand
     ends: int
+    overdue: timedelta = timedelta()
+
+    @property
+    def cautious_due(self) -> timedelta:
+        """When there is room if overdue runs go on for as long as they are overdue."""
+        return self.due + self.overdue
 
 
 def forecast_room(
@@ -62,13 +70,14 @@
     now
         Monotonic time, at which overdue runs are expected to end.
     """
-    due, count = now, 0
+    due, count, overdue = now, 0, timedelta()
     for at, demand in ends:
         if reserved.fits(free):
             break
         due, count = max(due, at), count + 1
+        overdue = max(overdue, now - at)
         free = free.plus(demand)
-    return Forecast(due, free, count) if reserved.fits(free) else None
+    return Forecast(due, free, count, overdue) if reserved.fits(free) else None
 
 
 class ReservedWorker(msgspec.Struct):
@@ -86,10 +95,14 @@
         What the task reserves.
     due
         Monotonic time at which the task is expected to have room there.
+    cautious_due
+        The same if overdue runs go on for as long as they are overdue.
     left_over
         Capacity that is not reserved then, with the task.
     may_backfill
         Whether tasks that are expected to end before may use the room until then.
+    is_overdue
+        Whether runs that have to end before are long overdue.
     is_used
         Whether a task of the step was started there.
     """
@@ -99,8 +112,10 @@
     priority: int
     needed: Demand
     due: timedelta
+    cautious_due: timedelta
     left_over: Demand
     may_backfill: bool
+    is_overdue: bool = False
     is_used: bool = False
 
 
--- a/src/rhubarbfield/scheduling/reservations.py
+++ b/src/rhubarbfield/scheduling/reservations.py
@@ -6,16 +6,12 @@
 
 from __future__ import annotations
 
-import logging
 from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
 from datetime import timedelta
 from operator import itemgetter
 
-import msgspec
-
 from rhubarbfield.clock import MILLISECOND, Clock
-from rhubarbfield.logs import log_event
 from rhubarbfield.scheduling.backfilling import (
     ExpectedEnd,
     Forecast,
@@ -25,6 +21,12 @@
     forecast_room,
     get_key,
 )
+from rhubarbfield.scheduling.claims import (
+    Claim,
+    Wait,
+    find_claim,
+    log_reservation,
+)
 from rhubarbfield.scheduling.deferrals import Deferrals, may_hold
 from rhubarbfield.scheduling.headroom import (
     WaitingStep,
@@ -32,16 +34,13 @@
     find_task_step,
 )
 from rhubarbfield.scheduling.interference import InterferenceModel
-from rhubarbfield.scheduling.model import RunNumber, TaskName, name_task
+from rhubarbfield.scheduling.model import TaskName, name_task
 from rhubarbfield.scheduling.ordering import MAX_ESTIMATE_MS, awaits_restart
 from rhubarbfield.scheduling.progress import RunKey
 from rhubarbfield.scheduling.session import WorkerSession
 from rhubarbfield.scheduling.state import SchedulingState, Worker
 from rhubarbfield.types import WorkerId
 
-# A fixed log area, independent of the module's name.
-logger = logging.getLogger("rhubarbfield.scheduling.leader")
-
 # The platform tolerates a standstill of 6 s, and then 3 s with capacity.
 RESERVATION_DELAY = timedelta(seconds=2)
 # Estimates are often too low, so that a backfilled task may end late.
@@ -50,6 +49,10 @@
 MAX_RESERVED_SHARE = 0.05
 # A worker that has room only later is of no use.
 MAX_RESERVATION_WAIT = timedelta(seconds=10)
+# Runs that are overdue for longer may go on without end. Another worker with room
+# sooner is reserved then, and the first one is kept: all estimates may be too low.
+MAX_OVERDUE = timedelta(seconds=2)
+MAX_OVERDUE_SHARE = 2  # reserved workers in all, as a multiple of those that are not
 # A search looks at the runs of all workers.
 SEARCH_INTERVAL = timedelta(milliseconds=250)
 # A round may leave a thousand steps without a worker.
@@ -57,29 +60,6 @@
 MAX_STEPS_PER_SEARCH = 4
 
 
-class Wait(msgspec.Struct, frozen=True):
-    """A standing task for which no worker was found.
-
-    Attributes
-    ----------
-    last_run
-        Its last run.
-    since
-        Monotonic time of the first round that found no worker.
-    """
-
-    last_run: RunNumber
-    since: timedelta
-
-
-class Claim(msgspec.Struct, frozen=True):
-    """A task that has waited long enough for a reservation."""
-
-    task: TaskName
-    waiting: WaitingStep
-    since: timedelta
-
-
 class Reservations:
     """The workers that a leader reserves, one for each task.
 
@@ -191,19 +171,27 @@
         headrooms: Mapping[WorkerId, WorkerHeadroom],
         now: timedelta,
     ) -> list[Claim]:
-        """Keep the reservations that are still of use; return the other claims."""
+        """Keep the reservations that are still of use; return the other claims.
+
+        A claim whose worker is overdue is among them.
+        """
         before, self._reserved = self._reserved, {}
         left = list(claims)
         for worker, reserved in before.items():
-            claim = _find_claim(left, reserved.holder)
+            claim = find_claim((*left, *claims), reserved.holder)
             headroom = headrooms.get(worker)
             if claim is None or headroom is None or reserved.is_used:
                 continue
             if not may_hold(claim.waiting, headroom):
                 continue
             forecast = self._forecast(claim, headroom, now)
-            if forecast is not None:
-                self._reserved[worker] = _make(claim, headroom, forecast, now)
+            if forecast is None:
+                continue
+            renewed = _make(claim, headroom, forecast, now)
+            if renewed.is_overdue:
+                self._reserved[worker] = renewed
+            elif claim in left:
+                self._reserved[worker] = renewed
                 left.remove(claim)
         return left
 
@@ -215,28 +203,50 @@
     ) -> None:
         """Reserve the worker that has room soonest for each of the first claims."""
         members = Counter(each.worker.service for each in headrooms.values())
-        counts = Counter(
+        totals = Counter(
             each.headroom.worker.service for each in self._reserved.values()
         )
+        counts = Counter(
+            each.headroom.worker.service
+            for each in self._reserved.values()
+            if not each.is_overdue
+        )
         found: dict[StepKey, list[tuple[Forecast, WorkerHeadroom]]] = {}
         known: dict[WorkerId, list[ExpectedEnd]] = {}
         for claim in claims:
             service = claim.waiting.queue.service
             key = get_key(claim.waiting)
-            if counts[service] >= max(1, int(members[service] * MAX_RESERVED_SHARE)):
+            limit = max(1, int(members[service] * MAX_RESERVED_SHARE))
+            if counts[service] >= limit:
+                continue
+            if totals[service] >= limit * MAX_OVERDUE_SHARE:
                 continue
             if key not in found:
                 if len(found) >= MAX_STEPS_PER_SEARCH:
                     continue
                 found[key] = self._rank(claim, headrooms, known, now)
+            bound = self._find_overdue(key)
             for forecast, headroom in found[key]:
                 worker = headroom.worker.worker
-                if worker not in self._reserved:
+                is_sooner = bound is None or forecast.cautious_due < bound
+                if worker not in self._reserved and is_sooner:
                     self._reserved[worker] = _make(claim, headroom, forecast, now)
                     counts[service] += 1
-                    _log(claim, worker, forecast, now)
+                    totals[service] += 1
+                    log_reservation(claim, worker, forecast, now)
                     break
 
+    def _find_overdue(self, holder: StepKey) -> timedelta | None:
+        """Return when a step's overdue workers have room; None if it has none."""
+        return min(
+            (
+                each.cautious_due
+                for each in self._reserved.values()
+                if each.is_overdue and each.holder == holder
+            ),
+            default=None,
+        )
+
     def _rank(
         self,
         claim: Claim,
@@ -300,11 +310,6 @@
     )
 
 
-def _find_claim(claims: Iterable[Claim], holder: StepKey) -> Claim | None:
-    """Return the first claim of a task of a step."""
-    return next((each for each in claims if get_key(each.waiting) == holder), None)
-
-
 def _make(
     claim: Claim, headroom: WorkerHeadroom, forecast: Forecast, now: timedelta
 ) -> ReservedWorker:
@@ -316,8 +321,10 @@
         waiting.queue.priority,
         waiting.step.reserved,
         forecast.due,
+        forecast.cautious_due,
         forecast.free.minus(waiting.step.reserved),
         may_backfill=reserved_for < BACKFILLING_PERIOD,
+        is_overdue=forecast.overdue > MAX_OVERDUE,
     )
 
 
@@ -326,17 +333,4 @@
 ) -> tuple[int, timedelta, int, WorkerId]:
     """Return how ill a worker suits a task that waits; the lowest is best."""
     worker = headroom.worker.worker
-    return headroom.failures, forecast.due, forecast.ends, worker
-
-
-def _log(claim: Claim, worker: WorkerId, forecast: Forecast, now: timedelta) -> None:
-    log_event(
-        logger,
-        logging.INFO,
-        "room-reserved",
-        task=claim.task,
-        worker=worker,
-        waited=now - claim.since,
-        due_in=forecast.due - now,
-        ends=forecast.ends,
-    )
+    return headroom.failures, forecast.cautious_due, forecast.ends, worker
