Let standing gangs use reserved room that stays unused

Steps that waited in vain for room were recorded but for gangs, so that their wait did not count. It counts now, and after 2 s a gang is placed on the reserved workers' unused room, too, all members or none. No worker is reserved for a gang, as before. A gang without room is listed by step-waiting as well.

--- a/src/rhubarbfield/scheduling/backfilling.py
+++ b/src/rhubarbfield/scheduling/backfilling.py
@@ -162,6 +162,16 @@
             return False
         return any(self._admits(waiting, each) for each in self._by_service[service])
 
+    def list_unused(self, waiting: WaitingStep) -> list[WorkerHeadroom]:
+        """Return the workers with room for a step that has stayed unused for long."""
+        if get_key(waiting) not in self._claimants:
+            return []
+        return [
+            each.headroom
+            for each in self._by_service.get(waiting.queue.service, ())
+            if self._goes_before(waiting, each) and self._admits(waiting, each)
+        ]
+
     def choose(
         self,
         waiting: WaitingStep,
--- a/src/rhubarbfield/scheduling/placing.py
+++ b/src/rhubarbfield/scheduling/placing.py
@@ -333,9 +333,11 @@
         ):
             self.trials.setdefault((waiting.job.job, waiting.number), waiting)
             return
-        if self._candidates.is_rejected(waiting):
+        unused = self._reserved.list_unused(waiting)
+        if self._candidates.is_rejected(waiting) and not unused:
+            self._note_unplaced_gang(waiting)
             return
-        ranking = self._rank_for_gang(waiting)
+        ranking = self._rank_for_gang(waiting, unused)
         saved: dict[WorkerId, Saved] = {}
         chosen: list[WorkerHeadroom] = []
         tasks_per_worker: dict[WorkerId, int] = {}
@@ -343,6 +345,7 @@
             headroom = ranking.choose(list_full(step, tasks_per_worker), ())
             if headroom is None:
                 self._candidates.restore(saved.values())
+                self._note_unplaced_gang(waiting)
                 return
             saved.setdefault(headroom.worker.worker, save_headroom(headroom))
             if headroom.awaits_probe:
@@ -357,15 +360,31 @@
             name = name_task(waiting.job.job, waiting.occurrence, waiting.number, index)
             self._starts.append(RunStart(name, run, headroom.worker.worker))
 
-    def _rank_for_gang(self, waiting: WaitingStep) -> CandidateRanking:
-        """Return a ranking of the workers of one rack, if a gang should have one."""
+    def _note_unplaced_gang(self, waiting: WaitingStep) -> None:
+        self.unplaced.setdefault((waiting.job.job, waiting.number), waiting)
+
+    def _rank_for_gang(
+        self, waiting: WaitingStep, unused: list[WorkerHeadroom]
+    ) -> CandidateRanking:
+        """Return a ranking of the workers of one rack, if a gang should have one.
+
+        Parameters
+        ----------
+        waiting
+            The step of the gang.
+        unused
+            Reserved workers whose room the gang may use.
+        """
         step = waiting.step
         is_suspect = any(task.is_suspect for task in waiting.tasks)
         if step.same_rack:
-            candidates = self._candidates.list_fitting(waiting)
+            candidates = [*self._candidates.list_fitting(waiting), *unused]
             rack = _choose_rack(step, len(waiting.tasks), candidates)
             if rack is not None:
                 return self._candidates.rank(step, rack, is_suspect=is_suspect)
+        if unused:
+            candidates = [*self._candidates.list_fitting(waiting), *unused]
+            return self._candidates.rank(step, candidates, is_suspect=is_suspect)
         return self._candidates.find_ranking(waiting, is_suspect=is_suspect)
 
     def _may_force(self, waiting: WaitingStep) -> bool:
--- a/src/rhubarbfield/scheduling/reservations.py
+++ b/src/rhubarbfield/scheduling/reservations.py
@@ -107,10 +107,12 @@
         self._deferrals.begin_round(self._reserved.values())
         for waiting in unplaced:
             step = waiting.step
-            # Room alone does not help a task that lacks spare cores, or a gang.
-            if not step.standing or step.uses_spare_cores or step.gang:
+            # Room alone does not help a task that lacks spare cores.
+            if not step.standing or step.uses_spare_cores:
                 continue
             self._deferrals.record(waiting, now)
+            if step.gang:  # one worker with room does not help it
+                continue
             for index, task in enumerate(waiting.tasks):
                 if awaits_restart(step, task) and not task.is_suspect:
                     key = get_key(waiting)
--- a/tests/scheduling/test_deferrals.py
+++ b/tests/scheduling/test_deferrals.py
@@ -5,6 +5,8 @@
 import unittest
 from collections.abc import Sequence
 
+import msgspec
+
 from rhubarbfield.scheduling.commands import RunStart
 from rhubarbfield.scheduling.deferrals import MAX_DEFERRAL
 from rhubarbfield.scheduling.model import Demand, Step
@@ -15,6 +17,7 @@
 from tests.scheduling.fleets import LATE_QUEUE
 from tests.scheduling.test_reservations import (
     LONG,
+    PIECE,
     PIECES,
     ROUND_INTERVAL,
     WAITING_SECONDS,
@@ -24,6 +27,7 @@
 )
 
 SMALL = Step(demand=Demand(1000), standing=True)
+GANG = Step(tasks=2, demand=Demand(1000), standing=True, gang=True)
 DEFERRED_SECONDS = 1.75
 TOLERATED_SECONDS = 3.0
 
@@ -117,6 +121,32 @@
         starts = await busy.run_rounds(rounds)
         self.assertEqual(list_workers(starts), [reserved])
 
+    @with_fleet()
+    async def test_gang_is_not_kept_off_for_long(self, busy: BusyFleet) -> None:
+        """No gang used a reserved worker, however long its room stayed unused."""
+        reserved = await self.free_piece(busy, [])
+        busy.interrupt(GANG, count=GANG.tasks)
+        self.assertEqual(await busy.run_rounds(DEFERRED_SECONDS), [])
+        starts = await busy.run_rounds(TOLERATED_SECONDS - DEFERRED_SECONDS)
+        self.assertEqual(list_workers(starts), [reserved] * GANG.tasks)
+
+    @with_fleet()
+    async def test_gang_that_does_not_fit_uses_no_reserved_room(
+        self, busy: BusyFleet
+    ) -> None:
+        await self.free_piece(busy, [])
+        large = msgspec.structs.replace(GANG, tasks=PIECE.millicores // 1000 + 1)
+        busy.submit(large, 1)
+        self.assertEqual(await busy.run_rounds(TOLERATED_SECONDS), [])
+
+    @with_fleet()
+    async def test_no_worker_is_reserved_for_members_of_a_gang(
+        self, busy: BusyFleet
+    ) -> None:
+        busy.interrupt(GANG, count=GANG.tasks)
+        await busy.run_rounds(2 * WAITING_SECONDS)
+        self.assertEqual(busy.list_reserved(), [])
+
 
 def _list_jobs(starts: Sequence[RunStart]) -> list[str]:
     return [start.task.split(".")[0] for start in starts]
