Log a starved step that finds no worker

What operators saw: once a job on spare cores had starved, step-waiting no longer told of its step while no worker had room for it, nor in the round of a forced start that its other tasks wait.

Cause: after a forced choice, with or without a worker, the placement went on with the next step and did not note the step.

Fix: it is noted unless all of its tasks are started.

--- a/src/rhubarbfield/scheduling/placing.py
+++ b/src/rhubarbfield/scheduling/placing.py
@@ -250,11 +250,7 @@
                     waiting, name, task, tasks_per_worker
                 )
             if headroom is None and self._may_force(waiting):
-                headroom = self._candidates.choose_least_harmful(
-                    waiting, self._avoided.get(name, ()), tasks_per_worker
-                )
-                if headroom is not None:
-                    self._start_task(waiting, name, task, headroom, tasks_per_worker)
+                self._force_start(waiting, name, task, tasks_per_worker)
                 return
             if headroom is None:
                 self._note_unplaced(waiting)
@@ -270,6 +266,22 @@
                 continue
             self._start_task(waiting, name, task, headroom, tasks_per_worker)
 
+    def _force_start(
+        self,
+        waiting: WaitingStep,
+        name: TaskName,
+        task: Task,
+        tasks_per_worker: dict[WorkerId, int],
+    ) -> None:
+        """Start a task of a starved job where it harms least, if any has room."""
+        headroom = self._candidates.choose_least_harmful(
+            waiting, self._avoided.get(name, ()), tasks_per_worker
+        )
+        if headroom is not None:
+            self._start_task(waiting, name, task, headroom, tasks_per_worker)
+        if headroom is None or _count_waiting(waiting) > 1:
+            self._note_unplaced(waiting)
+
     def _choose_restricted(
         self,
         waiting: WaitingStep,
@@ -416,6 +428,10 @@
             yield WaitingStep(job, queue, occurrence, number)
 
 
+def _count_waiting(waiting: WaitingStep) -> int:
+    return sum(task.phase is TaskPhase.WAITING for task in waiting.tasks)
+
+
 def _choose_rack(
     step: Step, members: int, candidates: list[WorkerHeadroom]
 ) -> list[WorkerHeadroom] | None:
--- a/tests/scheduling/test_starvation.py
+++ b/tests/scheduling/test_starvation.py
@@ -7,11 +7,17 @@
 
 import trio
 
-from rhubarbfield.scheduling.model import JobPhase
+from rhubarbfield.scheduling.model import Demand, JobPhase, Step
+from rhubarbfield.testing.scheduling_workers import CAPACITY
 from rhubarbfield.types import JobId
 from tests.scheduling import disturbed_serving
 from tests.scheduling.deployments import Deployment, with_deployment
-from tests.scheduling.disturbed_serving import GOAL_MS, DisturbedServing
+from tests.scheduling.disturbed_serving import (
+    BATCH_DEMAND,
+    BATCH_IMAGE,
+    GOAL_MS,
+    DisturbedServing,
+)
 
 # The users' rule: a job with nothing running beside room for it twice over.
 TOLERATED_SECONDS = 3.0
@@ -149,3 +155,18 @@
                 await site.depose(WITHOUT_LEADER_SECONDS)
             await trio.sleep(LEADING_SECONDS)
         self.assertLess(max(site.standstills[job]), TOLERATED_SECONDS)
+
+    @with_deployment()
+    async def test_starved_step_without_room_is_missing_in_the_log(
+        self, deployment: Deployment
+    ) -> None:
+        site = DisturbedServing(deployment, REFUSED_GROWTH)
+        demand = Demand(BATCH_DEMAND.millicores, CAPACITY.memory_mb)
+        step = Step(demand=demand, image=BATCH_IMAGE, uses_spare_cores=True)
+        async with site.lead():
+            await deployment.submit("b", step)
+            await trio.sleep(TOLERATED_SECONDS)
+            with self.assertLogs("rhubarbfield.scheduling.leader") as logs:
+                await trio.sleep(TOLERATED_SECONDS)
+        waiting = [each for each in logs.output if "step-waiting" in each]
+        self.assertGreaterEqual(len(waiting), TOLERATED_SECONDS - 1)
