--- a/src/rhubarbfield/scheduling/candidates.py
+++ b/src/rhubarbfield/scheduling/candidates.py
@@ -51,6 +51,8 @@
 
     Attributes
     ----------
+    utilization
+        Fraction of the cores that is reserved, by service.
     underutilized
         Services whose workers have many cores that are not reserved.
     mostly_free
@@ -73,18 +75,18 @@
         self._quarantined = _group_by_service(quarantined)
         for members in self._by_service.values():
             reserve_workers(members)
-        utilization = {
+        self.utilization = {
             service: measure_utilization(members)
             for service, members in self._by_service.items()
         }
         self.underutilized = {
             service
-            for service, used in utilization.items()
+            for service, used in self.utilization.items()
             if used < FORCED_START_MAX_UTILIZATION
         }
         self.mostly_free = {
             service
-            for service, used in utilization.items()
+            for service, used in self.utilization.items()
             if used < STANDSTILL_MAX_UTILIZATION
         }
 
--- a/src/rhubarbfield/scheduling/interference.py
+++ b/src/rhubarbfield/scheduling/interference.py
@@ -260,3 +260,15 @@
         if slack.left - growth < (0.0 if growth <= NEGLIGIBLE_GROWTH else reserve):
             return False
     return True
+
+
+def measure_least_left(
+    slacks: Iterable[LatencySlack], image: ImageName, added: float
+) -> float:
+    """Return what is left of the margins after a share of an image and the reserve."""
+    left = math.inf
+    for slack in slacks:
+        growth = slack.upper_bounds.get(image, FIRST_UPPER_BOUND) * added
+        reserve = 0.0 if growth <= NEGLIGIBLE_GROWTH else MARGIN_RESERVE
+        left = min(left, slack.left - growth - reserve)
+    return left
--- a/src/rhubarbfield/scheduling/placing.py
+++ b/src/rhubarbfield/scheduling/placing.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable, Iterator, Mapping
-from enum import Enum
 from operator import itemgetter
 from types import MappingProxyType
 
@@ -24,7 +23,6 @@
     WaitingStep,
     WorkerHeadroom,
     count_live,
-    has_cores,
 )
 from rhubarbfield.scheduling.interference import InterferenceModel
 from rhubarbfield.scheduling.model import (
@@ -44,36 +42,12 @@
     TaskPhase,
 )
 from rhubarbfield.scheduling.suspicion import MAX_CRASHES
+from rhubarbfield.scheduling.wait_reasons import Wait, WaitReason, explain_wait
 from rhubarbfield.types import JobId, WorkerId
 
 MAX_STARTS_PER_ROUND = 256  # keeps a command within the size limit of a log entry
 
 
-class WaitReason(Enum):
-    """Why a task is not placed.
-
-    Attributes
-    ----------
-    NO_CAPACITY
-        No usable worker has enough capacity that is not reserved.
-    SPREAD
-        Workers with capacity already run as many tasks of the step as it allows.
-    NO_SPARE_CORES
-        Workers with capacity have no spare cores.
-    INTERFERENCE
-        On the workers with spare cores the task would harm serving tasks.
-    TRIAL
-        The task is suspected of crashing workers, and waits for one on which no
-        other run has just started, or for a proof that an earlier one was cut off.
-    """
-
-    NO_CAPACITY = "no-capacity"
-    SPREAD = "spread"
-    NO_SPARE_CORES = "no-spare-cores"
-    INTERFERENCE = "interference"
-    TRIAL = "trial"
-
-
 class Placer:
     """One placement round.
 
@@ -135,6 +109,7 @@
         self._jobs = jobs
         self._queues = queues
         self._avoided = avoided
+        self._interference = interference
         self._rejected = RejectedSteps() if rejected is None else rejected
         self._candidates = Candidates(
             headrooms, interference, self._rejected, quarantined
@@ -313,22 +288,13 @@
         """Return whether a task may have crashed as many workers as is allowed."""
         return task.crashes + self._unresolved.get(name, 0) >= MAX_CRASHES
 
-    def explain_wait(self, waiting: WaitingStep) -> WaitReason:
+    def explain_wait(self, waiting: WaitingStep) -> Wait:
         """Return why tasks of a step found no worker in this round."""
+        reserved = self._candidates.utilization.get(waiting.queue.service, 0.0)
         if (waiting.job.job, waiting.number) in self.trials:
-            return WaitReason.TRIAL
-        candidates = [
-            headroom
-            for headroom in self._candidates.list_fitting(waiting)
-            if headroom.task_count < headroom.task_limit
-        ]
-        if not candidates:
-            return WaitReason.NO_CAPACITY
-        if not waiting.step.uses_spare_cores:
-            return WaitReason.SPREAD
-        if not any(has_cores(waiting.step, headroom) for headroom in candidates):
-            return WaitReason.NO_SPARE_CORES
-        return WaitReason.INTERFERENCE
+            return Wait(WaitReason.TRIAL, reserved)
+        fitting = self._candidates.list_fitting(waiting)
+        return explain_wait(waiting.step, fitting, reserved, self._interference)
 
     def _place_gang(self, waiting: WaitingStep) -> None:
         """Place all members of a gang or none, all with the same run number."""
