Let a candidate wait for voters that save their votes slowly

On a machine whose disks take as long as a lease, a group that had lost its leader stayed without one through several elections in a row, in which nothing is decided and no restarted controller is ready.

Cause: a candidate stood again, in a new term, one to four heartbeats after it had asked for votes, and no longer counted the votes of the term before. A voter answers only once its vote is durable.

A candidate now waits one election timeout, the time that a voter leaves it anyway after it has granted its vote. After a refusal, as with two candidates at once, it stands again within one to four heartbeats as before. Pre-votes, which save nothing, are asked for again as before.

--- a/src/rhubarbfield/replication/election.py
+++ b/src/rhubarbfield/replication/election.py
@@ -114,7 +114,8 @@
         state.role = Role.CANDIDATE
         self._granted = {state.id}
         self._promised_until = state.refuse_votes_until
-        self._schedule_retry()
+        # A voter whose disk is slow needs the time to save its vote.
+        state.reset_election_timer()
         for voter in self._list_other_voters():
             request = Vote(
                 source=state.id,
@@ -196,8 +197,10 @@
             self._granted.add(message.source)
             self._record_promise(message.unpromised * MICROSECOND)
             self._count_votes()
-        else:
+        elif message.term > state.term:
             state.observe_term(message.term)
+        else:
+            self._schedule_retry()
 
     def _record_promise(self, unpromised: timedelta) -> None:
         """Record until when a voter may have been bound to an earlier leader.
--- a/tests/replication/test_leader.py
+++ b/tests/replication/test_leader.py
@@ -74,6 +74,7 @@
 
     def __init__(self) -> None:
         self.replica: Replica | None = None
+        self.nursery: trio.Nursery | None = None
         self.appends: list[Append] = []
         self.votes: list[bool] = []
         self.unpromised: dict[InstanceName, timedelta] = {}
@@ -123,9 +124,12 @@
     store: MemoryStore,
     scenario: Callable[[Replica, ScriptedPeers], Awaitable[None]],
     seed: int = 1,
+    *,
+    make_peers: Callable[[], ScriptedPeers] = ScriptedPeers,
+    replica_seed: int = 1,
 ) -> None:
     async def run() -> None:
-        peers = ScriptedPeers()
+        peers = make_peers()
         replica = peers.replica = Replica(
             group=GroupId("fleet"),
             name=A.name,
@@ -134,10 +138,11 @@
             store=store,
             sender=peers,
             clock=TrioClock(),
-            random=Random(1),
+            random=Random(replica_seed),
             settings=GroupSettings(),
         )
         async with trio.open_nursery() as nursery:
+            peers.nursery = nursery
             await nursery.start(replica.run)
             await scenario(replica, peers)
             nursery.cancel_scope.cancel()
