Let a leader that was late ask its voters before it steps down

A controller whose loop was held up for longer than its lease gave up its leadership at once, and the domain was without a leader until an election, although no other controller had stood.

Cause: after each heartbeat interval the leader compared the time with the end of its lease, and stepped down if that was past. A leader that was held up comes to this check before it has asked anybody; followers wait longer than a lease, one election timeout, before they stand.

The leader now asks the voters first and waits for one lease, as it does after its election. This is granted once for each lapse, and only if more than two heartbeat intervals have passed since it last asked; a leader that asked in time and got no answer steps down as before. It has no lease meanwhile, so it decides nothing, and it regains one only by answers of a majority in its own term to messages sent now. If another was elected, a majority is in a later term, and its answer deposes the late leader. `quorum-lost` is written at the same moment as before and tells by `stepped_down` which of the two it is.

--- a/src/rhubarbfield/replication/leader.py
+++ b/src/rhubarbfield/replication/leader.py
@@ -13,6 +13,7 @@
 from rhubarbfield.replication.applier import Applier
 from rhubarbfield.replication.contacts import describe_quorum, find_unreachable
 from rhubarbfield.replication.failures import NotLeader, OutcomeUnknown, ProposeError
+from rhubarbfield.replication.grace import Grace
 from rhubarbfield.replication.leadership import Leadership
 from rhubarbfield.replication.messages import AppendAnswer, InstallSnapshotAnswer
 from rhubarbfield.replication.metrics import LAG_ENTRIES, SYNC_SECONDS
@@ -45,7 +46,6 @@
         self._state = state
         self._applier = applier
         self._proposals = proposals
-        self._elected_at = state.now
         self._term = state.term
         self._first_index = LogIndex(state.log.last.index + 1)
         self._written = Signal()
@@ -241,6 +241,7 @@
 
     async def _run_heartbeats(self) -> None:
         state = self._state
+        grace = Grace(state)
         while self.is_active:
             for peer in self.peers.values():
                 peer.request_heartbeat()
@@ -258,12 +259,14 @@
             # Align heartbeats to multiples of the interval, so that groups that
             # share links send them at the same time in one message.
             interval = state.settings.heartbeat
+            grace.record_heartbeat(self._find_lease_end())
             await state.clock.sleep(interval - state.now % interval)
-            grace_end = self._elected_at + state.settings.lease
-            if self.is_active and state.now > max(grace_end, self._find_lease_end()):
+            if self.is_active and grace.is_over(self._find_lease_end()):
                 fields = describe_quorum(state, self.peers)
+                fields["stepped_down"] = not grace.extend_if_late()
                 log_event(logger, logging.WARNING, "quorum-lost", **fields)
-                state.step_down()
+                if fields["stepped_down"]:
+                    state.step_down()
 
     def _find_lag(self) -> int:
         """Return how many entries the voter furthest behind lacks."""
--- a/tests/replication/test_lateness.py
+++ b/tests/replication/test_lateness.py
@@ -9,6 +9,7 @@
 from rhubarbfield.replication import GroupSettings, Replica
 from rhubarbfield.replication.messages import Vote, VoteAnswer
 from rhubarbfield.types import GroupId, InstanceName
+from tests.replication.group import Group
 from tests.replication.test_leader import (
     OLD,
     B,
@@ -18,6 +19,7 @@
     make_store,
     run_scripted,
 )
+from tests.replication.test_replica import run_group
 
 SEEDS = range(1, 11)
 ANSWER_SECONDS = 0.1
@@ -27,6 +29,67 @@
 VOTE_SECONDS = 1.5  # shorter than the lease
 
 
+class LateLeaderTest(unittest.TestCase):
+    def test_a_leader_that_was_late_leads_on_if_no_other_was_elected(self) -> None:
+        async def scenario(group: Group) -> None:
+            leader = await group.wait_leader()
+            await trio.sleep(LED_SECONDS)
+            replica = leader.replica
+            assert replica is not None
+            term = replica.status().term
+            settings = group.settings
+            late = (settings.leader_lease + settings.election_min) / 2
+            late -= settings.heartbeat / 2
+            leader.clock.freeze()
+            await trio.sleep(late.total_seconds())
+            leader.clock.thaw()
+            await trio.sleep(ANSWER_SECONDS)
+            self.assertIsNotNone(replica.leadership)
+            await trio.sleep(settings.election_max.total_seconds())
+            self.assertIsNotNone(replica.leadership)
+            self.assertEqual(replica.status().term, term)
+
+        for seed in SEEDS:
+            run_group(scenario, seed=seed)
+
+    def test_a_late_leader_steps_down_if_nobody_answers(self) -> None:
+        async def scenario(group: Group) -> None:
+            leader = await group.wait_leader()
+            await trio.sleep(LED_SECONDS)
+            replica = leader.replica
+            assert replica is not None
+            settings = group.settings
+            leader.clock.freeze()
+            group.network.isolate(leader.name)
+            await trio.sleep(settings.lease.total_seconds())
+            leader.clock.thaw()
+            allowed = settings.lease + 2 * settings.heartbeat
+            await trio.sleep(allowed.total_seconds())
+            self.assertIsNone(replica.led_term)
+
+        for seed in SEEDS:
+            run_group(scenario, seed=seed)
+
+    def test_a_leader_that_is_always_late_steps_down_if_nobody_answers(self) -> None:
+        async def scenario(group: Group) -> None:
+            leader = await group.wait_leader()
+            await trio.sleep(LED_SECONDS)
+            replica = leader.replica
+            assert replica is not None
+            settings = group.settings
+            group.network.isolate(leader.name)
+            late = 3 * settings.heartbeat
+            for _ in range(2 + 2 * settings.lease // late):
+                leader.clock.freeze()
+                await trio.sleep(late.total_seconds())
+                leader.clock.thaw()
+                await trio.sleep(AWAKE_SECONDS)
+            self.assertIsNone(replica.led_term)
+
+        for seed in SEEDS:
+            run_group(scenario, seed=seed)
+
+
 class SlowVoters(ScriptedPeers):
     """Peers that take almost a lease to save a vote."""
 
