Let a request wait for the next owner when a peer entry has stopped

Cause: a peer entry is chosen by its latest report of free slots, which is valid for two seconds, so that requests may still be forwarded to one that has just stopped. The refused connection counted as an attempt at a backend server: the request was tried again at the same entry, as its reported slots stayed free, until its attempts or the budget of retries were used up.

A connection that was not made is certainly no run. It now has the same effect as a peer entry's answer that it has no room: the entry is given no more requests until its next report, and the request is assigned anew, to another entry or to the next owner, within its own time.

--- a/src/rhubarbfield/entry/peer_entries.py
+++ b/src/rhubarbfield/entry/peer_entries.py
@@ -188,9 +188,17 @@
                 return self._read_answer(entry, request, answer)
             case Failure(CallFailure() as failure):
                 self._pool.retire(entry, connection)
+                if failure.kind is CallFailureKind.UNREACHABLE:
+                    self._clear_free_slots(entry)
                 return Failure(_refuse(entry, failure))
         raise AssertionError
 
+    def _clear_free_slots(self, entry: InstanceName) -> None:
+        """Forward nothing more to ``entry`` until its next report."""
+        reported = self._reported.get(entry)
+        if reported is not None:
+            reported.services = dict.fromkeys(reported.services, 0)
+
     def _read_answer(
         self, entry: InstanceName, request: CallerRequest, answer: ForwardAnswer
     ) -> Result[BackendAnswer, Refusal]:
@@ -242,10 +250,14 @@
 
 
 def _refuse(entry: InstanceName, failure: CallFailure) -> Refusal:
-    sent = failure.kind is CallFailureKind.TIMEOUT
+    outcome, reason = Outcome.NOT_RUN, RefusalReason.BACKEND_UNREACHABLE
+    if failure.kind is CallFailureKind.TIMEOUT:
+        outcome, reason = Outcome.UNKNOWN, RefusalReason.ANSWER_LOST
+    elif failure.kind is CallFailureKind.UNREACHABLE:
+        reason = RefusalReason.NO_ROOM
     return Refusal(
-        outcome=Outcome.UNKNOWN if sent else Outcome.NOT_RUN,
-        reason=RefusalReason.ANSWER_LOST if sent else RefusalReason.BACKEND_UNREACHABLE,
+        outcome=outcome,
+        reason=reason,
         sentence=f"entry {entry} did not answer: {failure.detail}",
         retry_after=RETRY_AFTER,
     )
