Log each witness that has ended, and test that a mark which can't be removed keeps the lease

A witness whose worker was removed before the term began was not named by witness-ignored, as the leader knew only the witnesses that it had seen itself. It notes those of the state when it begins.

--- a/src/rhubarbfield/scheduling/silence_marks.py
+++ b/src/rhubarbfield/scheduling/silence_marks.py
@@ -93,6 +93,7 @@
 
     async def run(self) -> None:
         """Mark workers until cancelled."""
+        self._leases.remember(self._log.state.scheduling.workers.values())
         while True:
             await self._clock.sleep(CHECK_INTERVAL)
             self._leases.prepare()
--- a/src/rhubarbfield/scheduling/witnessed_leases.py
+++ b/src/rhubarbfield/scheduling/witnessed_leases.py
@@ -4,7 +4,7 @@
 
 import logging
 from collections import Counter
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from datetime import timedelta
 
 from rhubarbfield.clock import Clock
@@ -61,6 +61,10 @@
         self._known: dict[WorkerId, tuple[Witness, ...]] = {}
         self._ignored: set[tuple[WorkerId, WorkerId]] = set()
 
+    def remember(self, workers: Iterable[Worker]) -> None:
+        """Note the witnesses at the begin of the term, to log which of them end."""
+        self._known = {each.worker: each.witnesses for each in workers}
+
     def prepare(self) -> None:
         """Read clocks of other workers, for the marks that may soon be needed.
 
@@ -107,9 +111,10 @@
     def count(self) -> None:
         """Count the leases that this leader has not extended, by their witnesses."""
         for name, session in self._sessions.items():
+            if not session.is_former_lease:
+                continue
             worker = self._find_worker(name)
-            if worker is None or not worker.silent or not session.is_former_lease:
-                self._known.pop(name, None)
+            if worker is None or not worker.silent:
                 continue
             self._note_ended(worker)
             if name not in self._logged:
@@ -166,7 +171,7 @@
     def _note_ended(self, worker: Worker) -> None:
         """Log the witnesses that were dropped with their workers."""
         for witness in self._known.get(worker.worker, ()):
-            if witness not in worker.witnesses:
+            if self._find_worker(witness.worker) is None:
                 self._log_ignored(worker, witness, "its life has ended")
         self._known[worker.worker] = worker.witnesses
 
--- a/tests/scheduling/test_silence_marks.py
+++ b/tests/scheduling/test_silence_marks.py
@@ -4,15 +4,18 @@
 
 import unittest
 from datetime import timedelta
+from unittest.mock import patch
 
 import msgspec
 import trio
+from returns.result import Failure
 
+from rhubarbfield.replication import NoQuorum
 from rhubarbfield.scheduling.commands import EndRuns, RemoveWorker, UpdateWorkers
 from rhubarbfield.scheduling.model import Step
 from rhubarbfield.scheduling.state import Worker
 from rhubarbfield.testing.scheduling_workers import StandInWorker
-from rhubarbfield.types import WorkerId
+from rhubarbfield.types import Term, WorkerId
 from tests.scheduling.controllers import Controllers, with_controllers
 from tests.scheduling.deployments import (
     ONE_CORE,
@@ -192,6 +195,36 @@
             await trio.sleep(1.5)
             self.assertGreater(first.lease_end, lease_end)
 
+    @with_deployment()
+    async def test_lease_is_not_extended_while_the_removal_of_the_mark_is_refused(
+        self, deployment: Deployment
+    ) -> None:
+        """The worker is called meanwhile, by a leader that leads."""
+        first = deployment.add_worker("w1", duration=None)
+        propose = deployment.replica.propose
+
+        async def refuse_removals(command: bytes, term: Term | None = None) -> object:
+            if msgspec.msgpack.decode(command).get("heard"):
+                return Failure(NoQuorum())
+            return await propose(command, term)
+
+        async with deployment.lead() as leader:
+            await deployment.submit("j", Step(demand=ONE_CORE, standing=True))
+            await trio.sleep(1)
+            first.is_unreachable = True
+            await trio.sleep(4)
+            session = leader.get_session(first.worker)
+            assert session is not None
+            offered = session._contact.lease.offered_end
+            assert offered is not None
+            with patch.object(deployment.replica, "propose", refuse_removals):
+                first.is_unreachable = False
+                await trio.sleep(1)
+                self.assertTrue(find_record(deployment, first).silent)
+                self.assertEqual(first.lease_end, offered)  # with an earlier call
+            await trio.sleep(1)
+            self.assertGreater(first.lease_end, offered)
+
     @with_deployment()
     async def test_short_silences_leave_no_mark(self, deployment: Deployment) -> None:
         first = deployment.add_worker("w1", duration=None)
--- a/tests/scheduling/test_witnesses.py
+++ b/tests/scheduling/test_witnesses.py
@@ -130,9 +130,12 @@
                     deployment.fleet.restart_delay = timedelta(seconds=0.5)
                     for worker in loss.others[:crashed]:
                         deployment.fleet.crash(worker)
-                async with loss.restart():
-                    took = await loss.measure()
-                    self.assertLess(took, limit)
+                with self.assertLogs("rhubarbfield.scheduling", "WARNING") as logs:
+                    async with loss.restart():
+                        took = await loss.measure()
+                        self.assertLess(took, limit)
+                lines = [line for line in logs.output if "witness-ignored" in line]
+                self.assertEqual(len(lines), crashed)
                 if crashed == 3:
                     self.assertGreater(took, LIMIT_SECONDS)
 
