Ask voters again whose vote a candidate lacks

Since a candidate waits for an election timeout for voters that save their votes slowly, a request for a vote that was lost on the way cost as much: one to four heartbeats before. A candidate now sends its request again within one to four heartbeats, in the same term, to the voters that have not granted their vote. A voter that is asked again has its vote on disk and doesn't write it anew.

--- a/src/rhubarbfield/replication/election.py
+++ b/src/rhubarbfield/replication/election.py
@@ -37,6 +37,7 @@
         self._state = state
         self._granted: set[ReplicaId] = set()
         self._promised_until = timedelta()
+        self._candidate_until = timedelta()
 
     async def run(self) -> None:
         """Start an election whenever the election timer expires, until cancelled."""
@@ -56,6 +57,8 @@
                 # Another voter may have disk space, so let it request votes first.
                 state.is_disk_full = False
                 state.reset_election_timer()
+            elif state.role is Role.CANDIDATE and state.now < self._candidate_until:
+                self._send_vote_requests()
             else:
                 self._request_pre_votes()
 
@@ -116,15 +119,25 @@
         self._promised_until = state.refuse_votes_until
         # A voter whose disk is slow needs the time to save its vote.
         state.reset_election_timer()
+        self._candidate_until = state.election_due
+        self._send_vote_requests()
+        self._count_votes()
+
+    def _send_vote_requests(self) -> None:
+        """Ask the voters that have not granted their vote; a request may be lost."""
+        state = self._state
+        self._schedule_retry()
+        state.election_due = min(state.election_due, self._candidate_until)
         for voter in self._list_other_voters():
+            if voter in self._granted:
+                continue
             request = Vote(
                 source=state.id,
                 target=voter.incarnation,
-                term=term,
+                term=state.term,
                 last=state.log.last,
             )
             state.send(voter.name, request)
-        self._count_votes()
 
     def on_pre_vote(self, message: PreVote) -> None:
         """Answer whether a vote would be granted, without granting it."""
@@ -200,6 +213,7 @@
         elif message.term > state.term:
             state.observe_term(message.term)
         else:
+            self._candidate_until = state.now
             self._schedule_retry()
 
     def _record_promise(self, unpromised: timedelta) -> None:
@@ -254,7 +268,10 @@
             return False
         if not self._is_up_to_date(message.last):
             return False
-        if not state.persist(state.log.save_vote(message.term, message.source)):
+        is_saved = state.log.hard_state.vote == message.source  # asked again
+        if not is_saved and not state.persist(
+            state.log.save_vote(message.term, message.source)
+        ):
             return False
         state.step_down()
         return True
--- a/tests/replication/test_lateness.py
+++ b/tests/replication/test_lateness.py
@@ -127,7 +127,39 @@
             )
 
 
+class LosingVoters(ScriptedPeers):
+    """Peers that the first request for a vote does not reach."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.lost: set[InstanceName] = set()
+
+    def send(
+        self, to: InstanceName, group: GroupId, message: ReplicationMessage
+    ) -> None:
+        if isinstance(message, Vote) and to not in self.lost:
+            self.lost.add(to)
+        else:
+            super().send(to, group, message)
+
+
 class SlowVoterTest(unittest.TestCase):
+    def test_a_lost_request_for_a_vote_does_not_cost_an_election_timeout(self) -> None:
+        async def scenario(replica: Replica, peers: ScriptedPeers) -> None:
+            while replica.status().term == FIRST_TERM:
+                await trio.sleep(0.01)
+            stood_at = trio.current_time()
+            while not peers.appends:
+                await trio.sleep(0.01)
+            lease = GroupSettings().lease.total_seconds()
+            self.assertLess(trio.current_time() - stood_at, lease + ANSWER_SECONDS)
+            self.assertEqual(peers.appends[0].term, FIRST_TERM + 1)
+
+        for seed in SEEDS:
+            entries = make_entry(1, 1, OLD), make_entry(2, 2)
+            store = make_store(*entries, term=FIRST_TERM, commit=1)
+            run_scripted(store, scenario, make_peers=LosingVoters, replica_seed=seed)
+
     def test_a_candidate_waits_for_voters_that_save_their_votes_slowly(self) -> None:
         async def scenario(replica: Replica, peers: ScriptedPeers) -> None:
             while not peers.appends:
