--- a/src/rhubarbfield/scheduling/placing.py
+++ b/src/rhubarbfield/scheduling/placing.py
@@ -42,7 +42,11 @@
     TaskPhase,
 )
 from rhubarbfield.scheduling.suspicion import MAX_CRASHES
-from rhubarbfield.scheduling.wait_reasons import Wait, WaitReason, explain_wait
+from rhubarbfield.scheduling.wait_reasons import (
+    WaitExplanation,
+    WaitReason,
+    explain_wait,
+)
 from rhubarbfield.types import JobId, WorkerId
 
 MAX_STARTS_PER_ROUND = 256  # keeps a command within the size limit of a log entry
@@ -288,11 +292,11 @@
         """Return whether a task may have crashed as many workers as is allowed."""
         return task.crashes + self._unresolved.get(name, 0) >= MAX_CRASHES
 
-    def explain_wait(self, waiting: WaitingStep) -> Wait:
+    def explain_wait(self, waiting: WaitingStep) -> WaitExplanation:
         """Return why tasks of a step found no worker in this round."""
         reserved = self._candidates.utilization.get(waiting.queue.service, 0.0)
         if (waiting.job.job, waiting.number) in self.trials:
-            return Wait(WaitReason.TRIAL, reserved)
+            return WaitExplanation(WaitReason.TRIAL, reserved)
         fitting = self._candidates.list_fitting(waiting)
         return explain_wait(waiting.step, fitting, reserved, self._interference)
 
--- a/src/rhubarbfield/scheduling/wait_reasons.py
+++ b/src/rhubarbfield/scheduling/wait_reasons.py
@@ -59,7 +59,7 @@
 NO_MARGINS = MarginsLeft(math.inf, math.inf)
 
 
-class Wait(msgspec.Struct, frozen=True):
+class WaitExplanation(msgspec.Struct, frozen=True):
     """Why a step is not placed, and how close it is to a worker.
 
     Attributes
@@ -87,7 +87,7 @@
     fitting: Iterable[WorkerHeadroom],
     reserved: float,
     interference: InterferenceModel,
-) -> Wait:
+) -> WaitExplanation:
     """Return why no worker takes a task of a step.
 
     Parameters
@@ -103,15 +103,15 @@
     """
     usable = [each for each in fitting if each.task_count < each.task_limit]
     if not usable:
-        return Wait(WaitReason.NO_CAPACITY, reserved)
+        return WaitExplanation(WaitReason.NO_CAPACITY, reserved)
     if not step.uses_spare_cores:
-        return Wait(WaitReason.SPREAD, reserved, len(usable))
+        return WaitExplanation(WaitReason.SPREAD, reserved, len(usable))
     with_cores = [headroom for headroom in usable if has_cores(step, headroom)]
     if not with_cores:
-        return Wait(WaitReason.NO_SPARE_CORES, reserved, len(usable))
+        return WaitExplanation(WaitReason.NO_SPARE_CORES, reserved, len(usable))
     left = _measure_left(step, with_cores, interference)
     reason = WaitReason.INTERFERENCE
-    return Wait(reason, reserved, len(usable), len(with_cores), left)
+    return WaitExplanation(reason, reserved, len(usable), len(with_cores), left)
 
 
 def _measure_left(
--- a/src/rhubarbfield/scheduling/witnessed_leases.py
+++ b/src/rhubarbfield/scheduling/witnessed_leases.py
@@ -106,7 +106,11 @@
             if len(worker.witnesses) < MIN_WITNESSES:
                 incomplete.append(session)
         chosen = self.choose(incomplete)
-        return [s for s in incomplete if len(chosen[s.worker]) >= MIN_WITNESSES]
+        return [
+            session
+            for session in incomplete
+            if len(chosen[session.worker]) >= MIN_WITNESSES
+        ]
 
     def count(self) -> None:
         """Count the leases that this leader has not extended, by their witnesses."""
