--- a/tests/platform/programs.py
+++ b/tests/platform/programs.py
@@ -179,6 +179,10 @@
         """Return the exit code of a host's process, or None while it runs."""
         return self._processes[host].poll()
 
+    def get_pid(self, host: str) -> int:
+        """Return the id of a host's process."""
+        return self._processes[host].pid
+
     def stop(self) -> None:
         """Kill all processes."""
         self._stopping = True
--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -185,6 +185,10 @@
     def get_pid(self, name: str) -> int:
         return self._processes[name].pid
 
+    def find_exit_code(self, name: str) -> int | None:
+        """Return the exit code of a process, or None while it runs."""
+        return self._processes[name].poll()
+
     def close(self) -> None:
         for process in self._processes.values():
             if process.poll() is None:
