Bound what unfinished HTTP requests make a process hold

Callers saw a process that grew by the sum of all bodies until its machine's memory was used up, and one that ran out of descriptors.

Cause: each connection buffered its request up to the largest body, however many connections there were, and nothing closed any of them before 15 s without a byte.

All HTTP servers of a process now count what they hold in one Intake: bytes of unfinished and of whole requests, and connections.

--- a/src/rhubarbfield/containment.py
+++ b/src/rhubarbfield/containment.py
@@ -41,6 +41,13 @@
     CONNECTION = "connection"
 
 
+def is_fatal(error: Exception) -> bool:
+    """Return whether an error has to stop the process, or a group holds such a one."""
+    return isinstance(error, FATAL_ERRORS) or (
+        isinstance(error, ExceptionGroup) and error.subgroup(FATAL_ERRORS) is not None
+    )
+
+
 def contain(unit: Unit, error: Exception, /, **ids: LogValue) -> None:
     """Log and count an error that costs only one unit of work.
 
@@ -53,9 +60,7 @@
     **ids
         Ids of what the unit worked on.
     """
-    if isinstance(error, FATAL_ERRORS) or (
-        isinstance(error, ExceptionGroup) and error.subgroup(FATAL_ERRORS) is not None
-    ):
+    if is_fatal(error):
         raise error
     CONTAINED_ERRORS.labels(unit.value).inc()
     log_event(
--- a/src/rhubarbfield/platform/controller.py
+++ b/src/rhubarbfield/platform/controller.py
@@ -14,7 +14,7 @@
 from rhubarbfield.replication import LEADERSHIP_RELEASE_DELAY, run_in_thread
 from rhubarbfield.scheduling.controller import SchedulingController, open_log_store
 from rhubarbfield.scheduling.deployment import DeploymentSettings
-from rhubarbfield.scheduling.serving import Program, run_program
+from rhubarbfield.scheduling.serving import Program, make_intake, run_program
 
 
 async def run_controller(
@@ -26,6 +26,7 @@
     """Run a controller: replicate the log, and lead when elected, until stopped."""
     scheduling = settings.make_scheduling_settings()
     clock = HostClock()
+    intake = make_intake(settings, MAX_BODY_BYTES)
     async with open_bridge():
         controller = SchedulingController(
             settings,
@@ -42,6 +43,7 @@
             handler=interface.answer,
             binds=(settings.control,),
             max_body_bytes=MAX_BODY_BYTES,
+            intake=intake,
             begin_stop=controller.release_leadership,
             stop_delay=LEADERSHIP_RELEASE_DELAY,
             add_seeds=controller.add_seeds,
--- a/src/rhubarbfield/platform/entry.py
+++ b/src/rhubarbfield/platform/entry.py
@@ -20,6 +20,7 @@
 from rhubarbfield.scheduling.serving import (
     READINESS_PROPAGATION_DELAY,
     Program,
+    make_intake,
     run_program,
 )
 
@@ -32,6 +33,7 @@
 ) -> None:
     """Run an entry: serve clients until a stop is requested."""
     clock = HostClock()
+    intake = make_intake(settings, MAX_BODY_BYTES)
     grpc = GrpcTransport(Credentials(secret=settings.secret))
     async with (
         open_bridge(),
@@ -43,6 +45,7 @@
             handler=create_ingress_handler(gateway),
             binds=(settings.callers, settings.readiness),
             max_body_bytes=MAX_BODY_BYTES,
+            intake=intake,
             begin_stop=gateway.begin_stop,
             stop_delay=READINESS_PROPAGATION_DELAY,
             add_seeds=gateway.add_seeds,
--- a/src/rhubarbfield/scheduling/serving.py
+++ b/src/rhubarbfield/scheduling/serving.py
@@ -14,6 +14,7 @@
 from rhubarbfield.containment import Unit, contain
 from rhubarbfield.exceptions import UsageError
 from rhubarbfield.httpserver import Handler, HttpLimits, HttpServer
+from rhubarbfield.intake import Intake, choose_limits
 from rhubarbfield.metricspage import show_metrics
 from rhubarbfield.scheduling.deployment import (
     DeploymentSettings,
@@ -29,6 +30,8 @@
 SETTINGS_CHECK_INTERVAL = timedelta(seconds=1)
 # Left of the grace period when connections are cut, to end the process in time.
 EXIT_MARGIN = timedelta(seconds=1)
+# The largest requests that have room at once, whatever the memory.
+LARGEST_BODIES = 2
 
 
 class Program(msgspec.Struct, frozen=True):
@@ -42,6 +45,8 @@
         Answers HTTP requests, at these ``host:port`` addresses.
     max_body_bytes
         Largest content of a request.
+    intake
+        What the process holds of unfinished requests.
     begin_stop
         Called when a planned stop begins.
     stop_delay
@@ -54,6 +59,7 @@
     handler: Handler
     binds: tuple[str, ...]
     max_body_bytes: int
+    intake: Intake
     begin_stop: Callable[[], None]
     stop_delay: timedelta
     add_seeds: Callable[[DeploymentSettings], None]
@@ -116,6 +122,16 @@
             return None
 
 
+def make_intake(settings: DeploymentSettings, max_body_bytes: int) -> Intake:
+    """Return the intake of a process, by the memory of its machine."""
+    return Intake(
+        choose_limits(
+            memory_mb=settings.memory_mb,
+            least_bytes=LARGEST_BODIES * max_body_bytes,
+        )
+    )
+
+
 async def run_program(
     program: Program,
     settings: DeploymentSettings,
@@ -148,10 +164,12 @@
         *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(_serve_metrics, settings)
+            nursery.start_soon(_serve_metrics, settings, program.intake)
             await nursery.start(program.run)
             nursery.start_soon(file.watch, clock)
-            server = HttpServer(program.handler, _make_limits(program, settings))
+            server = HttpServer(
+                program.handler, _make_limits(program, settings), program.intake
+            )
             binds = [bind for bind in program.binds if bind]
             async with trio.open_nursery() as serving:
                 await serving.start(server.serve, binds, wait_for_stop)
@@ -166,9 +184,9 @@
     )
 
 
-async def _serve_metrics(settings: DeploymentSettings) -> None:
+async def _serve_metrics(settings: DeploymentSettings, intake: Intake) -> None:
     """Serve the metrics of the process until cancelled, or log why it can't."""
-    server = HttpServer(show_metrics, HttpLimits())
+    server = HttpServer(show_metrics, HttpLimits(), intake)
     binds = [settings.metrics] if settings.metrics else []
     try:
         await server.serve(binds, trio.sleep_forever)
