Decode chunked content in bulk and in turn

Callers got no answer within 30 s after a crowd had sent chunks of one byte.

Cause: h11 makes an event of each chunk, about as costly for one byte as for 16 KiB, and a connection processed all that one read had brought (11,000 chunks) before it let others run.

--- a/src/rhubarbfield/httpserver/connection.py
+++ b/src/rhubarbfield/httpserver/connection.py
@@ -9,6 +9,7 @@
 import h11
 import trio
 
+from rhubarbfield.httpserver.chunks import ChunkDecoder, ChunkError
 from rhubarbfield.httpserver.messages import (
     TOO_SLOW,
     Field,
@@ -22,6 +23,8 @@
 from rhubarbfield.parts import Parts
 
 READ_BYTES = 65_536
+# What is decoded of chunked content before others have a turn.
+DECODED_BYTES = 4_096
 SENT_BYTES = 262_144
 DISCARD_TIMEOUT = timedelta(seconds=1)
 STATUSES_WITHOUT_CONTENT = frozenset({HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED})
@@ -60,9 +63,9 @@
         self._limits = limits
         self._intake = intake
         self._holding = holding
-        self._protocol = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=limits.header_bytes
-        )
+        self._protocol = self._open_protocol(b"")
+        # What follows chunked content, which h11 does not see.
+        self._following: bytes | None = None
         self._method = ""
         self._client = _find_client(stream)
 
@@ -115,7 +118,10 @@
             return
         if data:
             self._holding.charge(len(data))
-            self._protocol.receive_data(data)
+            if self._following is None:
+                self._protocol.receive_data(data)
+            else:
+                self._following += data
             await trio.sleep_forever()
 
     async def send(self, response: HttpResponse, *, close: bool) -> bool:
@@ -137,6 +143,10 @@
             return False
         if self._protocol.our_state is not h11.DONE:
             return False
+        if self._following is not None:
+            self._protocol = self._open_protocol(self._following)
+            self._following = None
+            return True
         if self._protocol.their_state is not h11.DONE:
             return False
         self._protocol.start_next_cycle()
@@ -149,6 +159,14 @@
             while await self._stream.receive_some(READ_BYTES):
                 pass
 
+    def _open_protocol(self, data: bytes) -> h11.Connection:
+        protocol = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self._limits.header_bytes
+        )
+        if data:
+            protocol.receive_data(data)
+        return protocol
+
     async def _send(self, data: bytes) -> bool:
         """Send ``data``; return False if the client takes nothing for too long."""
         self._holding.charge(len(data))
@@ -166,6 +184,8 @@
         if self._protocol.they_are_waiting_for_100_continue:
             proceed = h11.InformationalResponse(status_code=100, headers=[])
             await self._stream.send_all(self._protocol.send(proceed) or b"")
+        if any(name == b"transfer-encoding" for name, _ in head.headers):
+            return await self._receive_chunks()
         body = Parts()
         try:
             while True:
@@ -180,6 +200,40 @@
             # An error that ends here may outlive the connection, with this frame.
             body.clear()
 
+    async def _receive_chunks(self) -> bytes | None:
+        """Return chunked content, or None if it is cut short.
+
+        h11 makes an event of each chunk, which costs much more than a small chunk
+        costs its sender.
+        """
+        decoder = ChunkDecoder(self._limits.header_bytes)
+        data, _ = self._protocol.trailing_data
+        try:
+            while True:
+                await self._decode(decoder, data)
+                if decoder.is_complete:
+                    self._following = decoder.rest
+                    return decoder.content.take_all()
+                data = b""  # not kept while more is awaited
+                data = await self._receive_some(self._limits.idle_timeout) or b""
+                if not data:
+                    return None
+        finally:
+            decoder.content.clear()
+
+    async def _decode(self, decoder: ChunkDecoder, data: bytes) -> None:
+        try:
+            if len(data) <= DECODED_BYTES:
+                decoder.feed(data)
+                self._check_size(len(decoder.content))
+                return
+            for start in range(0, len(data), DECODED_BYTES):
+                async with self._intake.decoding:
+                    decoder.feed(data[start : start + DECODED_BYTES])
+                self._check_size(len(decoder.content))
+        except ChunkError as error:
+            raise h11.RemoteProtocolError(str(error)) from error
+
     def _check_size(self, size: int) -> None:
         if size > self._limits.body_bytes:
             detail = f"content exceeds {self._limits.body_bytes} bytes"
--- a/src/rhubarbfield/intake.py
+++ b/src/rhubarbfield/intake.py
@@ -89,6 +89,12 @@
     ----------
     limits
         Limits of the process.
+
+    Attributes
+    ----------
+    decoding
+        Held while content is decoded that costs much more time than its size lets
+        expect, so that one client at a time takes it from the others.
     """
 
     def __init__(self, limits: IntakeLimits | None = None) -> None:
@@ -98,6 +104,7 @@
         # In the order in which they began to wait.
         self._waiting: dict[Holding, None] = {}
         self._report = WaitReport(logger, "intake-full", _read_time)
+        self.decoding = trio.Lock()
         HELD_BYTES.set_function(lambda: self._held_bytes)
 
     @property
