Serve callers and operators by the server that bounds its clients

Callers saw an entry that ended with code 70: "another task is currently sending data", raised where hypercorn wrote an answer while it closed the connection. That error of one connection reached the nursery of the daemon. Bodies were held without a bound, and each tiny chunk passed through a channel and two tasks.

HttpServer now serves the Quart apps through a small ASGI adapter: requests arrive whole, an error costs its connection alone, and the intake of the process counts what is held (limits.held_requests_mb, 48).

--- a/src/rhubarbfield/callers/answers.py
+++ b/src/rhubarbfield/callers/answers.py
@@ -9,14 +9,16 @@
 from quart import Response
 from returns.result import Result, Success
 
-from rhubarbfield.callers.parsing import BadRequest
+from rhubarbfield.callers.parsing import BadRequest, FieldName, make_size_error
+from rhubarbfield.httpserver import HttpRefusal, HttpResponse
+from rhubarbfield.httpserver import RefusalReason as UnreadReason
 from rhubarbfield.routing.requests import BackendAnswer, Refusal, RefusalReason
 from rhubarbfield.types import Outcome, RequestId
 
 OUTCOME_HEADER = "Rhubarbfield-Outcome"
 REQUEST_ID_HEADER = "Rhubarbfield-Request-Id"
 REPEATED_HEADER = "Rhubarbfield-Repeated"
-DATE_HEADER = "date"  # Hypercorn adds its own to each response
+DATE_HEADER = "date"  # the server adds its own to each response
 STATUSES_WITHOUT_CONTENT = frozenset({HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED})
 JSON_TYPE = "application/json"
 
@@ -70,17 +72,75 @@
     Unless the content was read, the connection is closed: the unread rest of
     the content would be parsed as the next request.
     """
-    body = RefusalBody(
+    body = _make_bad_request_body(bad_request, request_id)
+    response = _make_json_response(body, bad_request.status)
+    if not content_read:
+        response.headers["Connection"] = "close"
+    return response
+
+
+def _make_bad_request_body(
+    bad_request: BadRequest, request_id: RequestId
+) -> RefusalBody:
+    return RefusalBody(
         outcome=Outcome.NOT_RUN,
         reason="bad-request",
         sentence=f"The request was not run: {bad_request.sentence}.",
         request_id=request_id,
         field=bad_request.field,
     )
-    response = _make_json_response(body, bad_request.status)
-    if not content_read:
-        response.headers["Connection"] = "close"
-    return response
+
+
+def make_unread_response(
+    refusal: HttpRefusal, request_id: RequestId, *, body_limit: int
+) -> HttpResponse:
+    """Return the HTTP response to a request that was refused before it was whole.
+
+    Parameters
+    ----------
+    refusal
+        Why it was refused.
+    request_id
+        Id of the response.
+    body_limit
+        Largest content, in bytes.
+    """
+    if refusal.reason is UnreadReason.OVERLOAD:
+        body = _make_overload_body(refusal, request_id)
+        status = HTTPStatus.SERVICE_UNAVAILABLE
+    else:
+        bad_request = _describe_unread(refusal, body_limit)
+        body = _make_bad_request_body(bad_request, request_id)
+        status = bad_request.status
+    headers = {OUTCOME_HEADER: body.outcome.value, REQUEST_ID_HEADER: request_id}
+    if body.retry_after_seconds is not None:
+        headers["Retry-After"] = str(body.retry_after_seconds)
+    return HttpResponse(status, msgspec.json.encode(body), JSON_TYPE, headers)
+
+
+def _make_overload_body(refusal: HttpRefusal, request_id: RequestId) -> RefusalBody:
+    retry_after = refusal.retry_after
+    return RefusalBody(
+        outcome=Outcome.NOT_RUN,
+        reason=RefusalReason.NO_ROOM,
+        sentence="The request was not run: this entry holds too many unfinished "
+        "requests.",
+        request_id=request_id,
+        retry_after_seconds=(
+            None if retry_after is None else math.ceil(retry_after.total_seconds())
+        ),
+    )
+
+
+def _describe_unread(refusal: HttpRefusal, body_limit: int) -> BadRequest:
+    match refusal.reason:
+        case UnreadReason.TOO_LARGE:
+            return make_size_error(body_limit)
+        case UnreadReason.TOO_SLOW:
+            field, sentence = "content", "the content took too long to arrive"
+        case _:
+            field, sentence = "request", "it is no valid HTTP/1.1 request"
+    return BadRequest(field=FieldName(field), sentence=sentence, status=refusal.status)
 
 
 def make_internal_error_response(request_id: RequestId) -> Response:
--- a/src/rhubarbfield/callers/app.py
+++ b/src/rhubarbfield/callers/app.py
@@ -28,6 +28,7 @@
     parse_request,
 )
 from rhubarbfield.callers.readiness import Readiness
+from rhubarbfield.httpserver import WHOLE_CONTENT
 from rhubarbfield.metricspage import METRICS_TYPE, format_metrics
 from rhubarbfield.routing.requests import Header
 from rhubarbfield.routing.router import Router
@@ -160,7 +161,10 @@
 
 
 async def _read_body() -> bytes:
-    body = await request.get_data(as_text=False)
+    content = request.scope["extensions"].get(WHOLE_CONTENT)
+    if content is not None:
+        return bytes(content)
+    body = await request.get_data(cache=False, as_text=False)
     return body if isinstance(body, bytes) else body.encode()
 
 
--- a/src/rhubarbfield/callers/serving.py
+++ b/src/rhubarbfield/callers/serving.py
@@ -3,20 +3,24 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Awaitable, Callable
+import random
 from datetime import timedelta
-from functools import partial
 
 import msgspec
 import trio
-from hypercorn.config import Config
-from hypercorn.trio import serve as serve_app
 from quart import Quart
 
-from rhubarbfield.appsockets import bind_app
+from rhubarbfield.callers.answers import make_unread_response
+from rhubarbfield.callers.app import make_request_id
 from rhubarbfield.callers.readiness import Readiness
 from rhubarbfield.clock import Clock
-from rhubarbfield.waits import finish_unless
+from rhubarbfield.httpserver import (
+    HttpLimits,
+    HttpRefusal,
+    HttpResponse,
+    serve_app,
+)
+from rhubarbfield.intake import Intake
 
 _logger = logging.getLogger(__name__)
 
@@ -34,14 +38,17 @@
         closed by then.
     drain_timeout
         How long requests in progress may take to finish after that.
-    backlog
-        How many connections may wait to be accepted.
+    body_timeout
+        How long the content of a request may take to arrive.
+    largest_body
+        Largest content of a request, in bytes.
     """
 
     keep_alive: timedelta = timedelta(seconds=4)
     readiness_propagation_delay: timedelta = timedelta(seconds=5)
     drain_timeout: timedelta = timedelta(seconds=35)
-    backlog: int = 1024
+    body_timeout: timedelta = timedelta(seconds=10)
+    largest_body: int = 1 << 20
 
 
 async def serve(
@@ -52,6 +59,7 @@
     readiness: Readiness,
     clock: Clock,
     settings: ServingSettings | None = None,
+    intake: Intake | None = None,
     task_status: trio.TaskStatus[list[str]] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serve ``app`` until ``stop`` is set and its last request has finished.
@@ -70,15 +78,19 @@
         Set to begin the planned stop.
     readiness
         Told once the entry listens.
+    intake
+        What the process holds of unfinished requests.
     task_status
         Started with the bound addresses, including the chosen port; with none
         if ``stop`` was set before the address was free.
     """
     serving_settings = settings if settings is not None else ServingSettings()
-    config = _make_config(address, serving_settings)
-    if not await finish_unless(stop, partial(bind_app, config)):
-        task_status.started([])
-        return
+    rng = random.SystemRandom()
+
+    def refuse(refusal: HttpRefusal) -> HttpResponse:
+        return make_unread_response(
+            refusal, make_request_id(rng), body_limit=serving_settings.largest_body
+        )
 
     async def wait_for_stop() -> None:
         await stop.wait()
@@ -87,33 +99,32 @@
         await clock.sleep(serving_settings.readiness_propagation_delay)
         _logger.info("planned stop: no new connections")
 
+    async def run(
+        *, task_status: trio.TaskStatus[list[str]] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        await serve_app(
+            app,
+            address,
+            wait_for_stop,
+            limits=_make_limits(serving_settings),
+            intake=Intake() if intake is None else intake,
+            refuse=refuse,
+            content_in_scope=True,
+            task_status=task_status,
+        )
+
     async with trio.open_nursery() as nursery:
-        binds = await nursery.start(_serve_app, app, config, wait_for_stop)
-        readiness.set_listening()
-        task_status.started(binds)
+        binds = await nursery.start(run)
+        if binds:
+            readiness.set_listening()
+        task_status.started([f"http://{bind}" for bind in binds])
     _logger.info("planned stop: finished")
 
 
-async def _serve_app(
-    app: Quart,
-    config: Config,
-    wait_for_stop: Callable[[], Awaitable[None]],
-    task_status: trio.TaskStatus[list[str]] = trio.TASK_STATUS_IGNORED,
-) -> None:
-    await serve_app(
-        app,
-        config,
-        shutdown_trigger=wait_for_stop,
-        task_status=task_status,
+def _make_limits(settings: ServingSettings) -> HttpLimits:
+    return HttpLimits(
+        body_bytes=settings.largest_body,
+        keep_alive=settings.keep_alive,
+        body_timeout=settings.body_timeout,
+        drain_timeout=settings.drain_timeout,
     )
-
-
-def _make_config(address: str, settings: ServingSettings) -> Config:
-    config = Config()
-    config.bind = [address]
-    config.backlog = settings.backlog
-    config.keep_alive_timeout = settings.keep_alive.total_seconds()
-    config.graceful_timeout = settings.drain_timeout.total_seconds()
-    config.include_server_header = False
-    config.loglevel = "WARNING"
-    return config
--- a/src/rhubarbfield/controller/program.py
+++ b/src/rhubarbfield/controller/program.py
@@ -2,22 +2,23 @@
 
 from __future__ import annotations
 
-import logging
 import random
+from datetime import timedelta
 from functools import partial
 from pathlib import Path
 
 import trio
-from hypercorn.config import Config
-from hypercorn.trio import serve as serve_app
 from prometheus_client import REGISTRY
 
-from rhubarbfield.appsockets import bind_app
 from rhubarbfield.clock import HostClock
 from rhubarbfield.controller.daemon import Controller
-from rhubarbfield.daemons import load_credentials
+from rhubarbfield.daemons import load_credentials, make_intake_limits
 from rhubarbfield.exceptions import BrokenInvariantError
-from rhubarbfield.operators import create_operators_app
+from rhubarbfield.httpserver import HttpLimits, serve_app
+from rhubarbfield.intake import Intake
+from rhubarbfield.operators.answers import make_unread_response
+from rhubarbfield.operators.app import BODY_TIMEOUT, create_operators_app
+from rhubarbfield.operators.messages import MAX_BODY_BYTES
 from rhubarbfield.peering import GrpcTransport, open_bridge
 from rhubarbfield.replication import LEADERSHIP_RELEASE_DELAY
 from rhubarbfield.settings import Settings
@@ -26,13 +27,15 @@
 from rhubarbfield.storage import FileStore, LogStore, MemoryStore
 from rhubarbfield.types import GroupId
 
-GRACEFUL_TIMEOUT_SECONDS = 5.0
+KEEP_ALIVE = timedelta(seconds=5)
+DRAIN_TIMEOUT = timedelta(seconds=5)
 
 
 async def serve_operators(
     controller: Controller,
     settings: Settings,
     secret: Secret,
+    intake: Intake,
     *,
     task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
 ) -> None:
@@ -56,16 +59,24 @@
         metrics=REGISTRY,
         on_broken_invariant=record_broken,
     )
-    config = Config()
-    config.errorlog = logging.getLogger("rhubarbfield.http")
     addresses = settings.addresses
-    config.bind = [f"{addresses.host}:{addresses.operators_port}"]
-    config.graceful_timeout = GRACEFUL_TIMEOUT_SECONDS
-    config.include_server_header = False
-    config.loglevel = "WARNING"
-    await bind_app(config)
+    limits = HttpLimits(
+        body_bytes=MAX_BODY_BYTES,
+        keep_alive=KEEP_ALIVE,
+        body_timeout=BODY_TIMEOUT,
+        drain_timeout=DRAIN_TIMEOUT,
+    )
+    run = partial(
+        serve_app,
+        app,
+        f"{addresses.host}:{addresses.operators_port}",
+        trio.sleep_forever,
+        limits=limits,
+        intake=intake,
+        refuse=make_unread_response,
+    )
     async with trio.open_nursery() as nursery:
-        await nursery.start(serve_app, app, config)
+        await nursery.start(run)
         task_status.started()
         await seen.wait()
         raise broken[0]
@@ -94,6 +105,7 @@
     """
     secret, credentials = load_credentials(settings)
     clock = HostClock()
+    intake = Intake(make_intake_limits(settings))
     async with open_bridge():
         controller = Controller(
             settings,
@@ -110,7 +122,9 @@
         ) -> None:
             async with trio.open_nursery() as nursery:
                 await nursery.start(controller.run)
-                await nursery.start(serve_operators, controller, settings, secret)
+                await nursery.start(
+                    serve_operators, controller, settings, secret, intake
+                )
                 task_status.started()
                 await stop.wait()
                 controller.release_leadership()
--- a/src/rhubarbfield/daemons.py
+++ b/src/rhubarbfield/daemons.py
@@ -10,6 +10,7 @@
 
 from rhubarbfield.exceptions import UsageError
 from rhubarbfield.fleet import Configuration, ConfigurationInForce
+from rhubarbfield.intake import BYTES_IN_MB, IntakeLimits, choose_limits
 from rhubarbfield.logs import set_level
 from rhubarbfield.peering import Credentials
 from rhubarbfield.settings import Settings, reload_settings
@@ -17,6 +18,9 @@
 
 logger = logging.getLogger(__name__)
 
+# The largest requests that have room at once, whatever the settings.
+LARGEST_BODIES = 2
+
 
 def load_credentials(settings: Settings) -> tuple[Secret, Credentials]:
     """Return the shared secret and the credentials for connections to peers.
@@ -47,6 +51,16 @@
     )
 
 
+def make_intake_limits(settings: Settings) -> IntakeLimits:
+    """Return the limits of what clients may make a daemon hold."""
+    return choose_limits(
+        memory_mb=None,
+        held_mb=settings.limits.held_requests_mb,
+        least_bytes=LARGEST_BODIES
+        * round(settings.routing.largest_request_mb * BYTES_IN_MB),
+    )
+
+
 class SettingsInForce:
     """Settings of a running instance.
 
--- a/src/rhubarbfield/entry/daemon.py
+++ b/src/rhubarbfield/entry/daemon.py
@@ -12,13 +12,18 @@
 
 from rhubarbfield.announcements import AnnouncementSessions
 from rhubarbfield.backends import HttpBackends
-from rhubarbfield.callers import Readiness, create_app, serve
+from rhubarbfield.callers import (
+    Readiness,
+    create_app,
+    serve,
+)
 from rhubarbfield.clock import Clock, HostClock
 from rhubarbfield.controller.groups import list_domain_groups, map_member_addresses
 from rhubarbfield.controller.options import make_entry_lease_terms
 from rhubarbfield.daemons import (
     SettingsInForce,
     load_credentials,
+    make_intake_limits,
 )
 from rhubarbfield.entry.grants import RouterGrants
 from rhubarbfield.entry.options import (
@@ -30,6 +35,7 @@
 from rhubarbfield.entry.peer_entries import PeerEntries
 from rhubarbfield.entry.records import HomeRecords
 from rhubarbfield.entry.session import EntrySession
+from rhubarbfield.intake import Intake
 from rhubarbfield.peering import Encoding, GrpcTransport, Transport, open_bridge
 from rhubarbfield.protocol import (
     DOMAIN_CALL,
@@ -235,6 +241,7 @@
     entry: Entry,
     stop: trio.Event,
     clock: Clock,
+    intake: Intake,
     *,
     task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
 ) -> None:
@@ -256,6 +263,7 @@
         readiness=readiness,
         clock=clock,
         settings=make_serving_settings(entry.settings),
+        intake=intake,
     )
     async with trio.open_nursery() as nursery:
         await nursery.start(run)
@@ -283,6 +291,7 @@
     _, credentials = load_credentials(settings)
     clock = HostClock()
     limits = LiveSettings(make_routing_settings(settings))
+    intake = Intake(make_intake_limits(settings))
     stop = trio.Event()
     async with open_bridge():
         entry = Entry(
@@ -299,7 +308,9 @@
         ) -> None:
             async with trio.open_nursery() as nursery:
                 if await finish_unless(stop, partial(nursery.start, entry.run)):
-                    await serve_callers(entry, stop, clock, task_status=task_status)
+                    await serve_callers(
+                        entry, stop, clock, intake, task_status=task_status
+                    )
                     await entry.hand_over()
                 else:
                     task_status.started()
--- a/src/rhubarbfield/entry/options.py
+++ b/src/rhubarbfield/entry/options.py
@@ -65,4 +65,5 @@
         keep_alive=timing.readiness_off,
         readiness_propagation_delay=timing.readiness_off + timedelta(milliseconds=500),
         drain_timeout=timing.longest_stop,
+        largest_body=make_routing_settings(settings).body_limit,
     )
--- a/src/rhubarbfield/httpserver/__init__.py
+++ b/src/rhubarbfield/httpserver/__init__.py
@@ -4,6 +4,7 @@
 answered yet is counted in an :class:`Intake`, which all servers of the process share.
 """
 
+from rhubarbfield.httpserver.apps import WHOLE_CONTENT, serve_app
 from rhubarbfield.httpserver.messages import (
     JSON_TYPE,
     TEXT_TYPE,
@@ -29,5 +30,7 @@
     "HttpServer",
     "RefusalMaker",
     "RefusalReason",
+    "WHOLE_CONTENT",
     "make_refusal",
+    "serve_app",
 ]
--- a/src/rhubarbfield/operators/answers.py
+++ b/src/rhubarbfield/operators/answers.py
@@ -8,10 +8,17 @@
 from quart import Response
 from returns.result import Failure, Result
 
+from rhubarbfield.httpserver import (
+    JSON_TYPE,
+    HttpRefusal,
+    HttpResponse,
+    RefusalReason,
+)
 from rhubarbfield.operators.failures import FailureKind, OperatorFailure
-from rhubarbfield.operators.messages import FailureAnswer
+from rhubarbfield.operators.messages import MAX_BODY_BYTES, FailureAnswer
 
 RETRY_AFTER_SECONDS = 1
+TOO_LARGE_MESSAGE = f"a request has at most {MAX_BODY_BYTES} bytes"
 _STATUS_BY_KIND = {
     FailureKind.UNAUTHORIZED: 401,
     FailureKind.MALFORMED: 400,
@@ -63,6 +70,29 @@
     return encode(outcome.unwrap())
 
 
+def make_unread_response(refusal: HttpRefusal) -> HttpResponse:
+    """Return the HTTP response to a request that was refused before it was whole."""
+    match refusal.reason:
+        case RefusalReason.TOO_LARGE:
+            kind, message = FailureKind.TOO_LARGE, TOO_LARGE_MESSAGE
+        case RefusalReason.OVERLOAD:
+            kind = FailureKind.BUSY
+            message = "the controller holds too many unfinished requests"
+        case RefusalReason.TOO_SLOW:
+            kind, message = FailureKind.MALFORMED, "the body took too long to arrive"
+        case _:
+            kind, message = FailureKind.MALFORMED, "this is no valid HTTP/1.1 request"
+    failure = OperatorFailure(kind=kind, message=message)
+    status = _STATUS_BY_KIND[kind]
+    headers = (
+        {"Retry-After": str(RETRY_AFTER_SECONDS)}
+        if status == STATUS_UNAVAILABLE
+        else {}
+    )
+    content = msgspec.json.encode(FailureAnswer(failure=failure))
+    return HttpResponse(status, content, JSON_TYPE, headers)
+
+
 def _answer_failure(failure: OperatorFailure) -> Response:
     status = _STATUS_BY_KIND[failure.kind]
     response = encode(FailureAnswer(failure=failure), status)
--- a/src/rhubarbfield/operators/app.py
+++ b/src/rhubarbfield/operators/app.py
@@ -34,6 +34,7 @@
 from rhubarbfield.operators.answers import (
     STATUS_NOT_FOUND,
     STATUS_UNAVAILABLE,
+    TOO_LARGE_MESSAGE,
     Answer,
     encode,
     fail,
@@ -169,8 +170,7 @@
     async def handle_http_error(self, error: HTTPException) -> Response:
         """Answer a request that has no route or is malformed."""
         if isinstance(error, RequestEntityTooLarge):
-            message = f"a request has at most {MAX_BODY_BYTES} bytes"
-            return make_response(fail(FailureKind.TOO_LARGE, message))
+            return make_response(fail(FailureKind.TOO_LARGE, TOO_LARGE_MESSAGE))
         found = error.code != STATUS_NOT_FOUND
         kind = FailureKind.MALFORMED if found else FailureKind.NOT_FOUND
         return make_response(fail(kind, error.description or "not a request"))
--- a/src/rhubarbfield/settings/model.py
+++ b/src/rhubarbfield/settings/model.py
@@ -12,6 +12,7 @@
     Name,
     Port,
     Section,
+    number_field,
     optional_field,
     required_field,
 )
@@ -105,6 +106,17 @@
     )
 
 
+class Limits(Section):
+    """Bounds of what clients may make a daemon hold."""
+
+    held_requests_mb: float = number_field(
+        48,
+        minimum=1,
+        maximum=65_536,
+        description="Memory for requests and messages that are not dealt with yet.",
+    )
+
+
 class Settings(Section):
     """All settings of one instance."""
 
@@ -121,6 +133,7 @@
     routing: Routing = Field(default=Routing(), description="Requests of callers.")
     placement: Placement = required_field("Tasks on workers.")
     timing: Timing = Field(default=Timing(), description="Heartbeats and leases.")
+    limits: Limits = Field(default=Limits(), description="What clients may take up.")
     logging: Logging = Field(default=Logging(), description="The log.")
     _source: str = PrivateAttr(default="")
 
