Bound what gRPC clients make a process hold and do at once

Instances, workers and backend servers: 30 clients with an unfinished message of 16 MB took a process to 382 to 825 MB, and connections without any stream to the last descriptor.

Causes: grpclib reads a message of any announced size and acknowledges all that it has buffered; it keeps several objects per frame, so that frames of one byte take up hundreds of times their size; it never closes a connection that shows no secret; and it processes all frames of a read at once.

BoundedServer counts connections and unread bytes in the intake of the process, keeps bytes in place of frames, refuses messages above MAX_MESSAGE_BYTES before they are read, and lets connections with many frames take turns. A connection counts as kept while it has a stream that shows the secret; one that reads none of 1 MiB is closed.

--- a/src/rhubarbfield/controller/program.py
+++ b/src/rhubarbfield/controller/program.py
@@ -109,7 +109,7 @@
     async with open_bridge():
         controller = Controller(
             settings,
-            transport=GrpcTransport(credentials),
+            transport=GrpcTransport(credentials, intake),
             open_store=partial(open_store, settings),
             clock=clock,
             rng=random.SystemRandom(),
--- a/src/rhubarbfield/daemons.py
+++ b/src/rhubarbfield/daemons.py
@@ -12,15 +12,12 @@
 from rhubarbfield.fleet import Configuration, ConfigurationInForce
 from rhubarbfield.intake import BYTES_IN_MB, IntakeLimits, choose_limits
 from rhubarbfield.logs import set_level
-from rhubarbfield.peering import Credentials
+from rhubarbfield.peering import Credentials, find_least_bytes
 from rhubarbfield.settings import Settings, reload_settings
 from rhubarbfield.settings.secrets import Secret, load_secret
 
 logger = logging.getLogger(__name__)
 
-# The largest requests that have room at once, whatever the settings.
-LARGEST_BODIES = 2
-
 
 def load_credentials(settings: Settings) -> tuple[Secret, Credentials]:
     """Return the shared secret and the credentials for connections to peers.
@@ -56,8 +53,9 @@
     return choose_limits(
         memory_mb=None,
         held_mb=settings.limits.held_requests_mb,
-        least_bytes=LARGEST_BODIES
-        * round(settings.routing.largest_request_mb * BYTES_IN_MB),
+        least_bytes=find_least_bytes(
+            round(settings.routing.largest_request_mb * BYTES_IN_MB)
+        ),
     )
 
 
--- a/src/rhubarbfield/entry/daemon.py
+++ b/src/rhubarbfield/entry/daemon.py
@@ -296,7 +296,7 @@
     async with open_bridge():
         entry = Entry(
             settings,
-            transport=GrpcTransport(credentials),
+            transport=GrpcTransport(credentials, intake),
             backend=HttpBackends(clock, limits),
             limits=limits,
             clock=clock,
--- a/src/rhubarbfield/peering/__init__.py
+++ b/src/rhubarbfield/peering/__init__.py
@@ -8,6 +8,7 @@
 from rhubarbfield.peering.bridge import open_bridge
 from rhubarbfield.peering.credentials import Credentials
 from rhubarbfield.peering.links import PeerLinks, serve_link
+from rhubarbfield.peering.listener import find_least_bytes
 from rhubarbfield.peering.pool import ConnectionPool
 from rhubarbfield.peering.ports import (
     CallFailure,
@@ -41,6 +42,7 @@
     "Transport",
     "UnsendableMessageError",
     "GrpcTransport",
+    "find_least_bytes",
     "connect",
     "open_bridge",
     "dial",
--- a/src/rhubarbfield/peering/server.py
+++ b/src/rhubarbfield/peering/server.py
@@ -12,12 +12,13 @@
 import trio
 from grpclib.const import Cardinality, Handler, Status
 from grpclib.exceptions import GRPCError
-from grpclib.server import Server
 from trio_asyncio import aio_as_trio, trio_as_aio
 
 from rhubarbfield.exceptions import BrokenInvariantError
+from rhubarbfield.intake import Intake
 from rhubarbfield.peering._grpclib import TRANSPORT_ERRORS, GrpcStream, make_codec
 from rhubarbfield.peering.credentials import Credentials
+from rhubarbfield.peering.listener import BoundedServer
 from rhubarbfield.peering.ports import (
     CallHandler,
     CallMethod,
@@ -55,6 +56,7 @@
     def __init__(self, credentials: Credentials) -> None:
         self._credentials = credentials
         self._handlers: dict[str, Handler] = {}
+        self.server: BoundedServer | None = None
         self.invariant_error: BrokenInvariantError | None = None
         self.invariant_broken = trio.Event()
 
@@ -100,6 +102,10 @@
             if not self._credentials.accepts(stream.metadata):
                 logger.warning("peer-refused path=%s", path)
                 raise GRPCError(Status.UNAUTHENTICATED, "the shared secret is wrong")
+            assert self.server is not None
+            connection = self.server.find_protocol(stream)
+            if connection is not None:
+                connection.begin_stream()
             try:
                 await trio_as_aio(run)(stream)
             except (BrokenInvariantError, ExceptionGroup) as error:
@@ -113,6 +119,9 @@
                 raise GRPCError(Status.INVALID_ARGUMENT, str(error)) from error
             except TRANSPORT_ERRORS as error:
                 logger.debug("stream-lost path=%s error=%r", path, error)
+            finally:
+                if connection is not None:
+                    connection.end_stream()
             _raise_if_cancelled()
 
         return run_guarded
@@ -126,6 +135,7 @@
     encoding: Encoding,
     streams: Mapping[StreamMethod, StreamHandler],
     calls: Mapping[CallMethod, CallHandler],
+    intake: Intake,
     task_status: trio.TaskStatus[None],
 ) -> None:
     """Serve streams and calls over gRPC; see :meth:`Transport.serve`."""
@@ -134,7 +144,8 @@
         service.add_stream(stream_method, stream_handler)
     for call_method, call_handler in calls.items():
         service.add_call(call_method, call_handler)
-    server = Server([service], codec=make_codec(encoding))
+    server = BoundedServer([service], codec=make_codec(encoding), intake=intake)
+    service.server = server
     context = credentials.make_server_context()
     await bind_when_free(
         f"{host}:{port}",
--- a/src/rhubarbfield/peering/transport.py
+++ b/src/rhubarbfield/peering/transport.py
@@ -10,6 +10,7 @@
 import trio
 from grpclib.client import Channel
 
+from rhubarbfield.intake import Intake
 from rhubarbfield.logs import log_event
 from rhubarbfield.peering._grpclib import make_codec
 from rhubarbfield.peering.client import GrpcConnection
@@ -38,10 +39,13 @@
     credentials
         Credentials that this process presents and requires of others; peers
         without them are rejected and logged.
+    intake
+        What the process holds of messages that are not read yet.
     """
 
-    def __init__(self, credentials: Credentials) -> None:
+    def __init__(self, credentials: Credentials, intake: Intake | None = None) -> None:
         self._credentials = credentials
+        self._intake = Intake() if intake is None else intake
 
     def open_connection(
         self, host: str, port: int, *, encoding: Encoding = Encoding.MSGPACK
@@ -73,6 +77,7 @@
             encoding=encoding,
             streams=streams or {},
             calls=calls or {},
+            intake=self._intake,
             task_status=task_status,
         )
 
--- a/src/rhubarbfield/platform/controller.py
+++ b/src/rhubarbfield/platform/controller.py
@@ -30,7 +30,7 @@
     async with open_bridge():
         controller = SchedulingController(
             settings,
-            transport=GrpcTransport(Credentials(secret=settings.secret)),
+            transport=GrpcTransport(Credentials(secret=settings.secret), intake),
             store=open_log_store(settings),
             calls=RunnerCalls(scheduling.order_timeout),
             clock=clock,
--- a/src/rhubarbfield/platform/entry.py
+++ b/src/rhubarbfield/platform/entry.py
@@ -34,7 +34,7 @@
     """Run an entry: serve clients until a stop is requested."""
     clock = HostClock()
     intake = make_intake(settings, MAX_BODY_BYTES)
-    grpc = GrpcTransport(Credentials(secret=settings.secret))
+    grpc = GrpcTransport(Credentials(secret=settings.secret), intake)
     async with (
         open_bridge(),
         open_streamed_calls(grpc, JOB_CALL, JOB_STREAM) as transport,
--- a/src/rhubarbfield/scheduling/serving.py
+++ b/src/rhubarbfield/scheduling/serving.py
@@ -16,6 +16,7 @@
 from rhubarbfield.httpserver import Handler, HttpLimits, HttpServer
 from rhubarbfield.intake import Intake, choose_limits
 from rhubarbfield.metricspage import show_metrics
+from rhubarbfield.peering import find_least_bytes
 from rhubarbfield.scheduling.deployment import (
     DeploymentSettings,
     load_deployment_settings,
@@ -30,8 +31,6 @@
 SETTINGS_CHECK_INTERVAL = timedelta(seconds=1)
 # Left of the grace period when connections are cut, to end the process in time.
 EXIT_MARGIN = timedelta(seconds=1)
-# The largest requests that have room at once, whatever the memory.
-LARGEST_BODIES = 2
 
 
 class Program(msgspec.Struct, frozen=True):
@@ -127,7 +126,7 @@
     return Intake(
         choose_limits(
             memory_mb=settings.memory_mb,
-            least_bytes=LARGEST_BODIES * max_body_bytes,
+            least_bytes=find_least_bytes(max_body_bytes),
         )
     )
 
