Count chunked content by what is held, not by its framing

An operator's configuration of 4 MiB in chunks of one byte was answered 504 in calm: its 25 MB of framing counted as held, above the limit of a deployment with 128 MB.

What was decoded is now counted by its own size. A test sends one request of the largest size in each shape to callers, operators and control, and expects 200; by it the fault was found (ControlTest, tiny chunks: 504).

The crowds build what they send before they connect: with 1 MB in chunks of one byte a busy machine took over a second for it, and the entry closed the idle connection. Crowd and bounds are as before.

--- a/src/rhubarbfield/httpserver/chunks.py
+++ b/src/rhubarbfield/httpserver/chunks.py
@@ -43,6 +43,11 @@
         """What has arrived after the end of the content."""
         return bytes(self._buffer)
 
+    @property
+    def size(self) -> int:
+        """Bytes that are held, decoded or not."""
+        return len(self.content) + len(self._buffer)
+
     def feed(self, data: bytes) -> None:
         """Decode more bytes.
 
--- a/src/rhubarbfield/httpserver/connection.py
+++ b/src/rhubarbfield/httpserver/connection.py
@@ -210,7 +210,10 @@
         data, _ = self._protocol.trailing_data
         try:
             while True:
+                held = decoder.size
                 await self._decode(decoder, data)
+                # The framing of small chunks is much larger than what is held of them.
+                self._holding.charge(decoder.size - held - len(data))
                 if decoder.is_complete:
                     self._following = decoder.rest
                     return decoder.content.take_all()
--- a/tests/processes/crowds.py
+++ b/tests/processes/crowds.py
@@ -106,7 +106,7 @@
 
 
 # Sends what the client of a number sends over its connection.
-Client = Callable[[Crowd, int, trio.SocketStream], Awaitable[None]]
+Client = Callable[[int, trio.SocketStream], Awaitable[None]]
 
 
 class _Hold:
@@ -145,7 +145,7 @@
             return
         async with stream:
             try:
-                await self._client(self._crowd, number, stream)
+                await self._client(number, stream)
             except* (trio.BrokenResourceError, h2.exceptions.ProtocolError):
                 pass  # refused; h2 raises if the other side has closed the stream
             self._settle(number)
@@ -177,18 +177,15 @@
     return hold.observed
 
 
-def send_http(head: bytes) -> Client:
-    """Return a client that sends an HTTP/1.1 request with ``head``.
+def send_http(head: bytes, crowd: Crowd) -> Client:
+    """Return a client of ``crowd`` that sends an HTTP/1.1 request with ``head``.
 
     ``head`` is the request line and headers, without those of the body and without
     the empty line at the end.
     """
-    contents: dict[Shape, memoryview] = {}
+    content = memoryview(b"".join((head, *_frame_http(crowd))))
 
-    async def run(crowd: Crowd, number: int, stream: trio.SocketStream) -> None:
-        if crowd.shape not in contents:
-            contents[crowd.shape] = memoryview(b"".join((head, *_frame_http(crowd))))
-        content = contents[crowd.shape]
+    async def run(number: int, stream: trio.SocketStream) -> None:
         size = PIECE_BYTES if crowd.shape is Shape.PIECES else SEND_BYTES
         end = len(content) - _count_missing(number)
         for start in range(0, end, size):
@@ -197,6 +194,18 @@
     return run
 
 
+async def ask_http(head: bytes, crowd: Crowd) -> int:
+    """Send one whole request as a client of ``crowd`` does; return its status."""
+    client = send_http(head, crowd)
+    async with await trio.open_tcp_stream(crowd.host, crowd.port) as stream:
+        await client(0, stream)
+        with trio.fail_after(ANSWER_SECONDS):
+            answer = b""
+            while b"\r\n" not in answer:
+                answer += await stream.receive_some(READ_BYTES)
+    return int(answer.split()[1])
+
+
 def _count_missing(number: int) -> int:
     """Return how many bytes the client of a number leaves out at the end."""
     return 0 if number % WHOLE_INTERVAL == 0 else 1
@@ -215,20 +224,21 @@
     yield b"0\r\n\r\n"
 
 
-def send_grpc(path: str, encoding: str, secret: str) -> Client:
-    """Return a client that sends one message on a gRPC stream.
+def send_grpc(path: str, encoding: str, secret: str, crowd: Crowd) -> Client:
+    """Return a client of ``crowd`` that sends one message on a gRPC stream.
 
     The message is well-formed as far as it goes; ``TINY_CHUNKS`` sends it in frames
     of one byte.
     """
     headers = make_grpc_headers(path, encoding, secret)
 
-    async def run(crowd: Crowd, number: int, stream: trio.SocketStream) -> None:
+    message = memoryview(GRPC_PREFIX.pack(0, len(crowd.body)) + crowd.body)
+
+    async def run(number: int, stream: trio.SocketStream) -> None:
         connection = _open_h2()
         connection.send_headers(STREAM_ID, headers)
         await stream.send_all(connection.data_to_send())
-        message = GRPC_PREFIX.pack(0, len(crowd.body)) + crowd.body
-        content = memoryview(message)[: len(message) - _count_missing(number)]
+        content = message[: len(message) - _count_missing(number)]
         window = _Window(connection, stream)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(window.run, nursery.cancel_scope)
--- a/tests/processes/test_crowds.py
+++ b/tests/processes/test_crowds.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import contextlib
+import json
 import resource
 import tempfile
 import unittest
@@ -26,6 +27,7 @@
     Crowd,
     Process,
     Shape,
+    ask_http,
     hold_crowd,
     is_grpc_served,
     send_grpc,
@@ -52,6 +54,7 @@
 JOB_HEAD = b"POST /p/00000000000000ab HTTP/1.1\r\nHost: h.example\r\n"
 CONFIG_HEAD = b"PUT /config HTTP/1.1\r\nHost: h\r\n"
 METRICS_HEAD = b"POST /metrics HTTP/1.1\r\nHost: h\r\n"
+QUERY_HEAD = b"POST /v1/query HTTP/1.1\r\nHost: h\r\n"
 QUERY = b'{"text": "show workers"}'
 
 
@@ -81,7 +84,7 @@
     body: ClassVar[bytes]
     memory_mb: ClassVar[float]
 
-    def make_client(self) -> Client:
+    def make_client(self, crowd: Crowd) -> Client:
         raise NotImplementedError
 
     def get_address(self) -> tuple[str, int]:
@@ -106,7 +109,7 @@
             body=self.body[:TINY_BODY_BYTES] if tiny else self.body,
         )
         wait_until(self.is_served, "an ordinary request is answered before")
-        observed = hold_crowd(crowd, self.make_client(), process)
+        observed = hold_crowd(crowd, self.make_client(crowd), process)
         wait_until(self.is_served, "an ordinary request is answered afterwards")
         self.assertEqual(self.find_process(), process, "the process was started again")
         self.assertLess(observed.peak_mb, self.memory_mb)
@@ -132,6 +135,29 @@
         self.check(Shape.PIECES, MANY_CLIENTS)  # type: ignore[attr-defined]
 
 
+class HttpListenerTests(ListenerTests):
+    """The crowds of an HTTP listener, and a single request in calm.
+
+    Attributes
+    ----------
+    single
+        Body of an ordinary request of the largest size.
+    """
+
+    single: ClassVar[bytes]
+
+    def test_single_request_of_the_largest_size_is_answered(self) -> None:
+        host, port = self.get_address()  # type: ignore[attr-defined]
+        wait_until(self.is_served, "requests are answered")  # type: ignore[attr-defined]
+        for shape in Shape:
+            crowd = Crowd(
+                clients=1, host=host, port=port, shape=shape, body=self.single
+            )
+            with self.subTest(shape.value):  # type: ignore[attr-defined]
+                status = trio.run(ask_http, self.make_head(), crowd)
+                self.assertEqual(status, 200)  # type: ignore[attr-defined]
+
+
 class FleetTestCase(CrowdTestCase):
     """A listener of the daemons of a fleet with one instance."""
 
@@ -162,14 +188,17 @@
         raise NotImplementedError
 
 
-class CallersTest(ListenerTests, FleetTestCase):
+class CallersTest(HttpListenerTests, FleetTestCase):
     daemon = "entry-a1"
     clients = 300
-    body = bytes(1_000_000)
+    body = single = bytes(1_000_000)
     memory_mb = ENTRY_MB
 
-    def make_client(self) -> Client:
-        return send_http(SERVICE_HEAD)
+    def make_head(self) -> bytes:
+        return SERVICE_HEAD
+
+    def make_client(self, crowd: Crowd) -> Client:
+        return send_http(self.make_head(), crowd)
 
     def get_port_number(self) -> int:
         return 0
@@ -181,17 +210,18 @@
             return False
 
 
-class OperatorsTest(ListenerTests, FleetTestCase):
+class OperatorsTest(HttpListenerTests, FleetTestCase):
     daemon = "controller-a1"
     clients = 300
-    body = QUERY + b" " * (65_536 - len(QUERY))
+    body = single = QUERY + b" " * (65_536 - len(QUERY))
     memory_mb = CONTROLLER_MB
 
-    def make_client(self) -> Client:
-        return send_http(
-            b"POST /v1/query HTTP/1.1\r\nHost: h\r\n"
-            b"Authorization: Bearer %b\r\n" % self.secret.encode()
-        )
+    def make_head(self) -> bytes:
+        secret = self.secret.encode()
+        return QUERY_HEAD + b"Authorization: Bearer %b\r\n" % secret
+
+    def make_client(self, crowd: Crowd) -> Client:
+        return send_http(self.make_head(), crowd)
 
     def get_port_number(self) -> int:
         return 5
@@ -200,11 +230,22 @@
         return "failure" not in self.fleet.query("show workers")
 
 
-class UnknownOperatorsTest(OperatorsTest):
+class UnknownOperatorsTest(ListenerTests, FleetTestCase):
     """Clients that don't show the secret."""
 
-    def make_client(self) -> Client:
-        return send_http(b"POST /v1/query HTTP/1.1\r\nHost: h\r\n")
+    daemon = "controller-a1"
+    clients = 300
+    body = OperatorsTest.body
+    memory_mb = CONTROLLER_MB
+
+    def make_client(self, crowd: Crowd) -> Client:
+        return send_http(QUERY_HEAD, crowd)
+
+    def get_port_number(self) -> int:
+        return 5
+
+    def is_served(self) -> bool:
+        return "failure" not in self.fleet.query("show workers")
 
 
 class PeerTestCase(FleetTestCase):
@@ -215,8 +256,8 @@
     path: ClassVar[str]
     encoding: ClassVar[str] = "msgpack"
 
-    def make_client(self) -> Client:
-        return send_grpc(self.path, self.encoding, self.secret)
+    def make_client(self, crowd: Crowd) -> Client:
+        return send_grpc(self.path, self.encoding, self.secret, crowd)
 
     def is_served(self) -> bool:
         host, port = self.get_address()
@@ -235,8 +276,8 @@
 class UnknownPeerEntriesTest(PeerEntriesTest):
     """Clients that don't show the secret."""
 
-    def make_client(self) -> Client:
-        return send_grpc(self.path, self.encoding, "none")
+    def make_client(self, crowd: Crowd) -> Client:
+        return send_grpc(self.path, self.encoding, "none", crowd)
 
 
 class PeerControllersTest(ListenerTests, PeerTestCase):
@@ -321,8 +362,8 @@
     clients = 400
     body = b" " * 262_144
 
-    def make_client(self) -> Client:
-        return send_http(JOB_HEAD)
+    def make_client(self, crowd: Crowd) -> Client:
+        return send_http(JOB_HEAD, crowd)
 
     def get_address(self) -> tuple[str, int]:
         return self.get_entry(), self.network.callers_port
@@ -331,12 +372,16 @@
         return self.is_waiting_count_shown()
 
 
-class ControlTest(ListenerTests, DeploymentTestCase):
+class ControlTest(HttpListenerTests, DeploymentTestCase):
     clients = 40
     body = b" " * (4 * 1024 * 1024)
+    single = json.dumps(CONFIGURATION).encode().ljust(len(body))
 
-    def make_client(self) -> Client:
-        return send_http(CONFIG_HEAD)
+    def make_head(self) -> bytes:
+        return CONFIG_HEAD
+
+    def make_client(self, crowd: Crowd) -> Client:
+        return send_http(self.make_head(), crowd)
 
     def get_address(self) -> tuple[str, int]:
         return self.get_controller(), self.network.control_port
@@ -349,8 +394,8 @@
     clients = 400
     body = b" " * 262_144
 
-    def make_client(self) -> Client:
-        return send_http(METRICS_HEAD)
+    def make_client(self, crowd: Crowd) -> Client:
+        return send_http(METRICS_HEAD, crowd)
 
     def get_address(self) -> tuple[str, int]:
         return self.get_entry(), self.network.metrics_port
@@ -364,8 +409,10 @@
     clients = PEER_CLIENTS
     body = bytes(MESSAGE_BYTES)
 
-    def make_client(self) -> Client:
-        return send_grpc("/rhubarbfield.Controller/Link", "msgpack", "rhubarbfield")
+    def make_client(self, crowd: Crowd) -> Client:
+        return send_grpc(
+            "/rhubarbfield.Controller/Link", "msgpack", "rhubarbfield", crowd
+        )
 
     def get_address(self) -> tuple[str, int]:
         return self.get_controller(), self.network.peer_port
