--- /dev/null
+++ b/tests/httpserver/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the HTTP server."""
