Date the responses of apps, and pass a backend server's date on

hypercorn added a date to each response, and the callers' answers therefore dropped that of the backend server. Since the change of server answers had none at all. A backend server's date is now passed on like its other headers, and the adapter of apps dates what has no date. AppTest failed before (no date).

--- a/src/rhubarbfield/callers/answers.py
+++ b/src/rhubarbfield/callers/answers.py
@@ -18,7 +18,6 @@
 OUTCOME_HEADER = "Rhubarbfield-Outcome"
 REQUEST_ID_HEADER = "Rhubarbfield-Request-Id"
 REPEATED_HEADER = "Rhubarbfield-Repeated"
-DATE_HEADER = "date"  # the server adds its own to each response
 STATUSES_WITHOUT_CONTENT = frozenset({HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED})
 JSON_TYPE = "application/json"
 
@@ -158,8 +157,7 @@
     response = Response(answer.body, status=answer.status)
     response.headers.clear()
     for header in answer.headers:
-        if header.name.lower() != DATE_HEADER:
-            response.headers.add(header.name, header.value)
+        response.headers.add(header.name, header.value)
     if answer.status not in STATUSES_WITHOUT_CONTENT:
         response.headers.setdefault("Content-Length", str(len(answer.body)))
     if answer.repeated:
--- a/src/rhubarbfield/callers/serving.py
+++ b/src/rhubarbfield/callers/serving.py
@@ -108,6 +108,7 @@
             wait_for_stop,
             limits=_make_limits(serving_settings),
             intake=Intake() if intake is None else intake,
+            clock=clock,
             refuse=refuse,
             content_in_scope=True,
             task_status=task_status,
--- a/src/rhubarbfield/controller/program.py
+++ b/src/rhubarbfield/controller/program.py
@@ -10,7 +10,7 @@
 import trio
 from prometheus_client import REGISTRY
 
-from rhubarbfield.clock import HostClock
+from rhubarbfield.clock import Clock, HostClock
 from rhubarbfield.controller.daemon import Controller
 from rhubarbfield.daemons import load_credentials, make_intake_limits
 from rhubarbfield.exceptions import BrokenInvariantError
@@ -36,6 +36,7 @@
     settings: Settings,
     secret: Secret,
     intake: Intake,
+    clock: Clock,
     *,
     task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
 ) -> None:
@@ -73,6 +74,7 @@
         trio.sleep_forever,
         limits=limits,
         intake=intake,
+        clock=clock,
         refuse=make_unread_response,
     )
     async with trio.open_nursery() as nursery:
@@ -123,7 +125,7 @@
             async with trio.open_nursery() as nursery:
                 await nursery.start(controller.run)
                 await nursery.start(
-                    serve_operators, controller, settings, secret, intake
+                    serve_operators, controller, settings, secret, intake, clock
                 )
                 task_status.started()
                 await stop.wait()
--- a/src/rhubarbfield/httpserver/apps.py
+++ b/src/rhubarbfield/httpserver/apps.py
@@ -7,12 +7,15 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable, Mapping, Sequence
+from datetime import datetime
+from email.utils import format_datetime
 from http import HTTPStatus
 from typing import Any, Protocol
 from urllib.parse import unquote
 
 import trio
 
+from rhubarbfield.clock import Clock
 from rhubarbfield.httpserver.messages import (
     Field,
     HttpLimits,
@@ -49,6 +52,7 @@
     *,
     limits: HttpLimits,
     intake: Intake,
+    clock: Clock,
     refuse: RefusalMaker = make_refusal,
     content_in_scope: bool = False,
     task_status: trio.TaskStatus[list[str]] = trio.TASK_STATUS_IGNORED,
@@ -65,6 +69,8 @@
         Returns when no more connections are to be accepted.
     limits, intake
         Limits of connections, and what the process holds of unfinished requests.
+    clock
+        Dates the responses that the app does not date.
     refuse
         Makes the responses to requests that the app does not see.
     content_in_scope
@@ -80,7 +86,7 @@
         if content_in_scope:
             scope["extensions"][WHOLE_CONTENT], body = body, b""
         await app(scope, _Content(body).receive, response.send)
-        return response.make()
+        return response.make(clock.now())
 
     server = HttpServer(answer, limits, intake, refuse=refuse, cancels_handler=True)
     await server.serve([address], wait_for_stop, task_status=task_status)
@@ -135,8 +141,10 @@
         elif event["type"] == "http.response.body":
             self._content.append(bytes(event.get("body", b"")))
 
-    def make(self) -> HttpResponse:
+    def make(self, now: datetime) -> HttpResponse:
         if self._status is None:
             return HttpResponse(HTTPStatus.INTERNAL_SERVER_ERROR)
         fields = [(bytes(name), bytes(value)) for name, value in self._fields]
+        if all(name.lower() != b"date" for name, _ in fields):
+            fields.append((b"date", format_datetime(now, usegmt=True).encode("ascii")))
         return HttpResponse(self._status, b"".join(self._content), fields=fields)
--- a/src/rhubarbfield/operators/app.py
+++ b/src/rhubarbfield/operators/app.py
@@ -82,7 +82,7 @@
     Returns
     -------
     QuartTrio
-        Application for :func:`hypercorn.trio.serve`.
+        Application for :func:`rhubarbfield.httpserver.serve_app`.
     """
     app = QuartTrio("rhubarbfield.operators")
     app.config["MAX_CONTENT_LENGTH"] = MAX_BODY_BYTES
--- a/tests/httpserver/test_overload.py
+++ b/tests/httpserver/test_overload.py
@@ -9,6 +9,7 @@
 import trio
 import trio.testing
 
+from rhubarbfield.clock import HostClock
 from rhubarbfield.httpserver import (
     HttpLimits,
     HttpRequest,
@@ -121,6 +122,7 @@
                         trio.sleep_forever,
                         limits=LIMITS,
                         intake=Intake(),
+                        clock=HostClock(),
                         task_status=task_status,
                     )
 
@@ -144,6 +146,7 @@
             await stream.send_all(CHUNKED + NEXT)
             answers = await read_all(stream)
             self.assertEqual(answers.count(b"set-cookie: a\r\nset-cookie: b\r\n"), 2)
+            self.assertEqual(answers.count(b"date: "), 2)
 
         self.run_app(app, scenario)
 
