--- a/tests/scheduling/test_metrics.py
+++ b/tests/scheduling/test_metrics.py
@@ -13,6 +13,7 @@
     "scheduling/metrics.py",
     "replication/metrics.py",
     "groups/replicated.py",
+    "intake.py",
 )
 METRIC = re.compile(r"(?:Counter|Gauge|Histogram)\(\s*f?\"([\w{}]+)\"")
 PREFIX = "rhubarbfield_scheduling"
