--- a/src/rhubarbfield/httpserver/connection.py
+++ b/src/rhubarbfield/httpserver/connection.py
@@ -171,10 +171,9 @@
         """Send ``data``; return False if the client takes nothing for too long."""
         self._holding.charge(len(data))
         for start in range(0, len(data), SENT_BYTES):
-            part = data[start : start + SENT_BYTES] if start else data[:SENT_BYTES]
             wait = self._limits.idle_timeout.total_seconds()
             with trio.move_on_after(wait) as scope:
-                await self._stream.send_all(part)
+                await self._stream.send_all(data[start : start + SENT_BYTES])
             if scope.cancelled_caught:
                 return False
         return True
