Accept gRPC connections a few at a time

Cause: asyncio accepts up to its backlog (100) at once, before the first of them counts, and a connection that is given up is closed only after them.

It now accepts 16 at once, with the same queue of 100, and the limit is half of the descriptors instead of five eighths.

--- a/src/rhubarbfield/intake.py
+++ b/src/rhubarbfield/intake.py
@@ -27,7 +27,7 @@
 SHARE_OF_MEMORY = 1 / 8
 # Memory of an open connection beside what was read from it.
 CONNECTION_BYTES = 16_384
-SHARE_OF_DESCRIPTORS = 5 / 8
+SHARE_OF_DESCRIPTORS = 1 / 2
 SHARE_OF_LINGERING = 1 / 2
 
 GIVEN_UP = Counter(
--- a/src/rhubarbfield/peering/server.py
+++ b/src/rhubarbfield/peering/server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import socket
 from collections.abc import Awaitable, Callable, Mapping
 from functools import partial
 from typing import Any
@@ -30,6 +31,10 @@
 
 logger = logging.getLogger(__name__)
 
+LISTEN_BACKLOG = 100
+# A connection that is given up is closed only after those that are accepted with it.
+ACCEPTED_AT_ONCE = 16
+
 GrpcHandler = Callable[[Any], Awaitable[None]]
 
 
@@ -127,6 +132,11 @@
         return run_guarded
 
 
+async def _listen(host: str, port: int) -> socket.socket:
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    return socket.create_server((host, port), family=family, backlog=LISTEN_BACKLOG)
+
+
 async def serve_methods(
     host: str,
     port: int,
@@ -147,10 +157,12 @@
     server = BoundedServer([service], codec=make_codec(encoding), intake=intake)
     service.server = server
     context = credentials.make_server_context()
-    await bind_when_free(
-        f"{host}:{port}",
-        partial(aio_as_trio(server.start), host, port, ssl=context, reuse_address=True),
+    listening = await bind_when_free(f"{host}:{port}", partial(_listen, host, port))
+    await aio_as_trio(server.start)(
+        sock=listening, ssl=context, backlog=ACCEPTED_AT_ONCE
     )
+    # asyncio takes the number that it accepts at once for the queue's length, too.
+    listening.listen(LISTEN_BACKLOG)
     task_status.started()
     try:
         await service.invariant_broken.wait()
