Use trio's accept loop again, and say twice-said things once

The server's own accept loop did what trio.serve_listeners does, with a log event of its own; it calls that again.

Run: format, lint, types, and the tests of the HTTP server, callers, events, metrics and late addresses.

--- a/src/rhubarbfield/callers/serving.py
+++ b/src/rhubarbfield/callers/serving.py
@@ -11,7 +11,7 @@
 from quart import Quart
 
 from rhubarbfield.callers.answers import make_unread_response
-from rhubarbfield.callers.app import make_request_id
+from rhubarbfield.callers.app import BODY_TIMEOUT_SECONDS, make_request_id
 from rhubarbfield.callers.readiness import Readiness
 from rhubarbfield.clock import Clock
 from rhubarbfield.httpserver import (
@@ -47,7 +47,7 @@
     keep_alive: timedelta = timedelta(seconds=4)
     readiness_propagation_delay: timedelta = timedelta(seconds=5)
     drain_timeout: timedelta = timedelta(seconds=35)
-    body_timeout: timedelta = timedelta(seconds=10)
+    body_timeout: timedelta = timedelta(seconds=BODY_TIMEOUT_SECONDS)
     largest_body: int = 1 << 20
 
 
--- a/src/rhubarbfield/entry/daemon.py
+++ b/src/rhubarbfield/entry/daemon.py
@@ -12,11 +12,7 @@
 
 from rhubarbfield.announcements import AnnouncementSessions
 from rhubarbfield.backends import HttpBackends
-from rhubarbfield.callers import (
-    Readiness,
-    create_app,
-    serve,
-)
+from rhubarbfield.callers import Readiness, create_app, serve
 from rhubarbfield.clock import Clock, HostClock
 from rhubarbfield.controller.groups import list_domain_groups, map_member_addresses
 from rhubarbfield.controller.options import make_entry_lease_terms
--- a/src/rhubarbfield/httpserver/server.py
+++ b/src/rhubarbfield/httpserver/server.py
@@ -7,11 +7,9 @@
 
 from __future__ import annotations
 
-import errno
 import logging
 from collections.abc import Awaitable, Callable, Sequence
 from contextlib import AsyncExitStack
-from datetime import timedelta
 from functools import partial
 from http import HTTPStatus
 
@@ -37,9 +35,6 @@
 logger = logging.getLogger(__name__)
 
 LISTEN_BACKLOG = 1024
-# How long no connection is accepted after the system had no resources for one.
-ACCEPT_PAUSE = timedelta(milliseconds=100)
-EXHAUSTION_ERRORS = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS})
 
 
 class HttpServer:
@@ -130,16 +125,9 @@
     async def _accept(
         self, listener: trio.SocketListener, connections: trio.Nursery
     ) -> None:
-        while True:
-            try:
-                stream = await listener.accept()
-            except OSError as error:
-                if error.errno not in EXHAUSTION_ERRORS:
-                    raise
-                logger.warning("accept-paused error=%s", error)
-                await trio.sleep(ACCEPT_PAUSE.total_seconds())
-            else:
-                connections.start_soon(self._serve_connection, stream)
+        await trio.serve_listeners(
+            self._serve_connection, [listener], handler_nursery=connections
+        )
 
     async def _serve_connection(self, stream: trio.SocketStream) -> None:
         holding = self._intake.admit()
--- a/tests/httpserver/test_overload.py
+++ b/tests/httpserver/test_overload.py
@@ -18,6 +18,7 @@
     serve_app,
 )
 from rhubarbfield.intake import CONNECTION_BYTES, Intake, IntakeLimits
+from tests.httpserver.test_server import read_all
 
 HELD_BYTES = 4 * CONNECTION_BYTES
 LIMITS = HttpLimits(body_bytes=HELD_BYTES)
@@ -32,11 +33,6 @@
 TIMEOUT_SECONDS = 10
 
 
-async def read_all(stream: trio.SocketStream) -> bytes:
-    with trio.fail_after(TIMEOUT_SECONDS):
-        return b"".join([part async for part in stream])
-
-
 class OverloadTest(unittest.TestCase):
     def run_served(self, scenario: Callable[[int, Intake], Awaitable[None]]) -> None:
         intake = Intake(IntakeLimits(held_bytes=HELD_BYTES, connections=100))
--- a/tests/processes/test_crowds.py
+++ b/tests/processes/test_crowds.py
@@ -210,19 +210,14 @@
             return False
 
 
-class OperatorsTest(HttpListenerTests, FleetTestCase):
+class OperatorsTestCase(FleetTestCase):
+    """The listener for operators."""
+
     daemon = "controller-a1"
     clients = 300
-    body = single = QUERY + b" " * (65_536 - len(QUERY))
+    body = QUERY + b" " * (65_536 - len(QUERY))
     memory_mb = CONTROLLER_MB
 
-    def make_head(self) -> bytes:
-        secret = self.secret.encode()
-        return QUERY_HEAD + b"Authorization: Bearer %b\r\n" % secret
-
-    def make_client(self, crowd: Crowd) -> Client:
-        return send_http(self.make_head(), crowd)
-
     def get_port_number(self) -> int:
         return 5
 
@@ -230,22 +225,22 @@
         return "failure" not in self.fleet.query("show workers")
 
 
-class UnknownOperatorsTest(ListenerTests, FleetTestCase):
-    """Clients that don't show the secret."""
+class OperatorsTest(HttpListenerTests, OperatorsTestCase):
+    single = OperatorsTestCase.body
 
-    daemon = "controller-a1"
-    clients = 300
-    body = OperatorsTest.body
-    memory_mb = CONTROLLER_MB
+    def make_head(self) -> bytes:
+        secret = self.secret.encode()
+        return QUERY_HEAD + b"Authorization: Bearer %b\r\n" % secret
 
     def make_client(self, crowd: Crowd) -> Client:
-        return send_http(QUERY_HEAD, crowd)
+        return send_http(self.make_head(), crowd)
 
-    def get_port_number(self) -> int:
-        return 5
 
-    def is_served(self) -> bool:
-        return "failure" not in self.fleet.query("show workers")
+class UnknownOperatorsTest(ListenerTests, OperatorsTestCase):
+    """Clients that don't show the secret."""
+
+    def make_client(self, crowd: Crowd) -> Client:
+        return send_http(QUERY_HEAD, crowd)
 
 
 class PeerTestCase(FleetTestCase):
