Log ends that are listed after their run was recorded as ended otherwise

Whether its run had been given up by a lapse, by a view, by a refusal or by a removal was not logged, and a dropped end was logged as run-ended as if it counted.

end-listed-late tells why and how long ago the leader had given the run up, by which basis its lease was counted, and what its task did by then. lease-lapsed tells the basis, and lapse-checked by how much the lease was over on the worker's clock. No decision changes.

--- a/src/rhubarbfield/scheduling/contact.py
+++ b/src/rhubarbfield/scheduling/contact.py
@@ -209,8 +209,21 @@
             log_event(logger, logging.INFO, "worker-regained", worker=self.worker)
         self._unresponsive_since = None
         self._replied_at = self._clock.monotonic()
+        self._check_lapse(worker_clock)
         self.lease.update_clock(worker_clock)
 
+    def _check_lapse(self, worker_clock: timedelta) -> None:
+        """Log whether the lease was over on the worker when it counted as lapsed."""
+        margin = self.lease.check_lapse(worker_clock)
+        if margin is not None:
+            log_event(
+                logger,
+                logging.INFO,
+                "lapse-checked",
+                worker=self.worker,
+                margin=margin,
+            )
+
     def handle_view(self, worker_clock: timedelta, sent_at: timedelta) -> None:
         """Record the reply to a request for a view, which was sent then or later."""
         self.handle_reply(worker_clock)
--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -39,6 +39,7 @@
 from rhubarbfield.scheduling.housekeeping import Housekeeping
 from rhubarbfield.scheduling.interference import InterferenceModel
 from rhubarbfield.scheduling.job_index import JobIndex
+from rhubarbfield.scheduling.late_ends import AbandonCause, LateEnds
 from rhubarbfield.scheduling.metrics import (
     ROUND_SECONDS,
     RUNS_ENDED,
@@ -167,12 +168,13 @@
         self._pacer = RoundPacer(clock)
         self._avoided: dict[TaskName, set[WorkerId]] = {}
         self._ends = Batcher(self._commit_ends)
+        self._late_ends = LateEnds(lambda: self.state, clock)
         self._removals = Removals(
             log,
             self._registry,
             clock,
             settle_ends=self._ends.settle,
-            on_lost=self._terminations.add_ended_run,
+            on_lost=self._handle_lost_run,
         )
         self._suspects = Suspects(lambda: self.state, clock)
         self._availability = WorkerAvailability(
@@ -286,6 +288,12 @@
         self._quarantine.record_presence(worker, start.key, now)
         self._stages.record(StartStage.ORDER, now - start.recorded_at)
 
+    def record_abandoned(
+        self, key: RunKey, cause: AbandonCause, basis: str | None = None
+    ) -> None:
+        """Record that a run counts as ended without the word of its worker."""
+        self._late_ends.record_abandoned(key, cause, basis)
+
     async def remove_worker(
         self, worker: WorkerId, checkpoints: dict[TaskName, CheckpointToken]
     ) -> None:
@@ -557,20 +565,28 @@
     def _find_step_workers(self, step: StepName) -> Set[WorkerId]:
         return self.state.find_step_workers(step)
 
+    def _handle_lost_run(self, key: RunKey) -> None:
+        """Handle a run that ends with its worker."""
+        self._late_ends.record_abandoned(key, AbandonCause.REMOVED)
+        self._terminations.add_ended_run(key)
+
     def _record_outcomes(self, report: WorkerEnds) -> None:
         now = self._clock.monotonic()
         since = self._late_since.get(report.worker)
         for ended in report.ends:
-            log_event(
-                logger,
-                logging.INFO,
-                "run-ended",
-                task=ended.task,
-                run=ended.run,
-                worker=report.worker,
-                end=ended.end.value,
-            )
-            RUNS_ENDED.labels(ended.end.value).inc()
+            if self._late_ends.is_late(report.worker, ended):
+                self._late_ends.log(report.worker, ended)
+            else:
+                log_event(
+                    logger,
+                    logging.INFO,
+                    "run-ended",
+                    task=ended.task,
+                    run=ended.run,
+                    worker=report.worker,
+                    end=ended.end.value,
+                )
+                RUNS_ENDED.labels(ended.end.value).inc()
             step = None if self.is_standing(ended.task) else name_step(ended.task)
             if ended.end is RunEnd.DONE:
                 self._quarantine.record_success(report.worker, step)
--- a/src/rhubarbfield/scheduling/leases.py
+++ b/src/rhubarbfield/scheduling/leases.py
@@ -58,6 +58,7 @@
         self.unextended_since = since
         self.lapses_at = self._find_lapse(since)
         self.saved = timedelta()
+        self._lapsed_at: timedelta | None = None
 
     @property
     def has_clock(self) -> bool:
@@ -88,6 +89,27 @@
         self.saved += self.lapses_at - lapses_at
         self.unextended_since, self.lapses_at = since, lapses_at
 
+    def record_lapse(self) -> None:
+        """Record that the lease counts as lapsed now."""
+        self._lapsed_at = self._clock.monotonic()
+
+    def check_lapse(self, worker_clock: timedelta) -> timedelta | None:
+        """Compare a recorded lapse with the worker's clock, once.
+
+        Returns
+        -------
+        timedelta | None
+            For how long the lease had been over on the worker's clock, at least, when
+            it was recorded as lapsed; None if no lapse was recorded since the last
+            call, or if the lease was not extended here. Less than zero: it may have
+            lasted longer.
+        """
+        lapsed_at, self._lapsed_at = self._lapsed_at, None
+        if lapsed_at is None or self._lease_end is None:
+            return None
+        passed = self._clock.monotonic() - lapsed_at
+        return worker_clock - passed - self._lease_end
+
     def update_clock(self, worker_clock: timedelta) -> None:
         """Record the worker's clock from a reply or report; it may be outdated.
 
--- a/src/rhubarbfield/scheduling/ledger.py
+++ b/src/rhubarbfield/scheduling/ledger.py
@@ -9,6 +9,7 @@
 from rhubarbfield.logs import log_event
 from rhubarbfield.scheduling.commands import EndedRun, WorkerEnds
 from rhubarbfield.scheduling.crashes import CrashedRun
+from rhubarbfield.scheduling.late_ends import AbandonCause
 from rhubarbfield.scheduling.model import RunNumber, TaskName
 from rhubarbfield.scheduling.orders import StartState, Stop, StopReason
 from rhubarbfield.scheduling.ports import ActiveRun, ListedEnd, WorkerView
@@ -228,6 +229,7 @@
                     run=run,
                     listed=was_listed,
                 )
+                self._host.record_abandoned(key, AbandonCause.VANISHED)
                 missing.append(EndedRun(task, run, RunEnd.LOST))
         return missing
 
@@ -258,6 +260,8 @@
 
     async def record_end(self, key: RunKey, end: RunEnd) -> None:
         """Drop a run and record its end; returns once the end is committed."""
+        if end is RunEnd.REJECTED:
+            self._host.record_abandoned(key, AbandonCause.REFUSED)
         await self.record_ends((EndedRun(key.task, key.run, end),))
 
     async def record_ends(
--- a/src/rhubarbfield/scheduling/metrics.py
+++ b/src/rhubarbfield/scheduling/metrics.py
@@ -61,6 +61,11 @@
     ["route"],
 )
 RUNS_ENDED = Counter(f"{_PREFIX}_runs_ended", "Ends of runs.", ["end"])
+ENDS_LISTED_LATE = Counter(
+    f"{_PREFIX}_ends_listed_late",
+    "Ends that workers listed of runs which were recorded as ended otherwise.",
+    ["end"],
+)
 RUNS_PLACED = Counter(f"{_PREFIX}_runs_placed", "Runs that were given a worker.")
 RUNS_DISTURBED = Counter(
     f"{_PREFIX}_runs_disturbed", "Runs that were stopped or slowed.", ["reason"]
--- a/src/rhubarbfield/scheduling/session.py
+++ b/src/rhubarbfield/scheduling/session.py
@@ -15,6 +15,7 @@
 from rhubarbfield.scheduling.commands import EndedRun
 from rhubarbfield.scheduling.contact import RECENT_REPLY, WorkerContact
 from rhubarbfield.scheduling.dispatch import OrderDispatcher
+from rhubarbfield.scheduling.late_ends import AbandonCause
 from rhubarbfield.scheduling.ledger import OrderLedger
 from rhubarbfield.scheduling.metrics import LEASES_LAPSED
 from rhubarbfield.scheduling.model import (
@@ -512,6 +513,8 @@
         if worker is None or not worker.runs:
             return
         LEASES_LAPSED.inc()
+        lease = self._contact.lease
+        basis = self.lease_basis if lease.is_former else "extended"
         log_event(
             logger,
             logging.WARNING,
@@ -519,7 +522,14 @@
             worker=self.worker,
             runs=len(worker.runs),
             silent=self._clock.monotonic() - self.last_contact_at,
+            basis=basis,
+            unextended=self._clock.monotonic() - lease.unextended_since,
+            saved=lease.saved,
         )
+        lease.record_lapse()
+        for task, run in worker.runs.items():
+            key = RunKey(task, run)
+            self._host.record_abandoned(key, AbandonCause.LAPSED, basis)
         saved = self._host.list_checkpoints(self.worker)
         lapsed = tuple(
             each
--- a/src/rhubarbfield/scheduling/session_host.py
+++ b/src/rhubarbfield/scheduling/session_host.py
@@ -8,8 +8,10 @@
 
 from rhubarbfield.scheduling.commands import WorkerEnds
 from rhubarbfield.scheduling.crashes import CrashedRun
+from rhubarbfield.scheduling.late_ends import AbandonCause
 from rhubarbfield.scheduling.model import CheckpointToken, Step, TaskName
 from rhubarbfield.scheduling.orders import Start
+from rhubarbfield.scheduling.progress import RunKey
 from rhubarbfield.scheduling.state import Worker
 from rhubarbfield.types import Term, WorkerId
 
@@ -40,6 +42,11 @@
         ``since`` is when they may have occurred, if that is long ago.
         """
 
+    def record_abandoned(
+        self, key: RunKey, cause: AbandonCause, basis: str | None = None
+    ) -> None:
+        """Record that a run counts as ended without the word of its worker."""
+
     async def remove_worker(
         self, worker: WorkerId, checkpoints: dict[TaskName, CheckpointToken]
     ) -> None:
