Count a success that is listed after its run was recorded as lost

Cause: _end_run dropped the end of a run that is not live, whatever the worker knew, and the number of that end was acknowledged all the same, so that the worker forgot it. The task stayed waiting, and the next round started it.

Now the task keeps the workers of its latest runs that were recorded as ended without their word, and a success that such a worker lists completes it. The next step starts, runs elsewhere are stopped as those of copies are. Failures that are listed late still do not count as attempts.

WorkerEnds.counts_late tells commands of this version: in logs of earlier ones the run that was started instead is recorded, and they are applied as before.

--- a/src/rhubarbfield/scheduling/appliers.py
+++ b/src/rhubarbfield/scheduling/appliers.py
@@ -317,7 +317,7 @@
         if report.recorded_ends > worker.recorded_ends:
             worker.lapsed.clear()  # it was only cut off, and lists its ends
         for ended in report.ends:
-            _end_run(state, worker, ended)
+            _end_run(state, worker, ended, counts_late=report.counts_late)
         worker.lapsed.extend(report.lapsed)
         _record_brief(worker, report)
         worker.recorded_ends = max(worker.recorded_ends, report.recorded_ends)
@@ -356,8 +356,18 @@
         )
 
 
-def _end_run(state: SchedulingState, worker: Worker, ended: EndedRun) -> None:
-    """Record the end of a run; for a run that is not live it changes nothing."""
+def _end_run(
+    state: SchedulingState,
+    worker: Worker,
+    ended: EndedRun,
+    *,
+    counts_late: bool = False,
+) -> None:
+    """Record the end of a run.
+
+    For a run that is not live it changes nothing, unless it is a success that counts
+    late.
+    """
     if worker.runs.get(ended.task) == ended.run:
         del worker.runs[ended.task]
     found = state.find_task(ended.task)
@@ -365,8 +375,13 @@
         return
     job, occurrence, step, task = found
     if task.live.get(ended.run) != worker.worker:
+        if counts_late:
+            _record_late_end(worker, found, ended)
         return
     del task.live[ended.run]
+    is_finite = not job.get_step(step).standing
+    if is_finite and not (ended.end.is_listed or task.phase.is_final):
+        task.record_abandoned(ended.run, worker.worker)
     if ended.checkpoint:
         if job.get_step(step).gang:
             progress = job.occurrences[occurrence][step]
@@ -379,6 +394,23 @@
     job.close_occurrence(occurrence)
 
 
+def _record_late_end(
+    worker: Worker, found: tuple[Job, int, int, Task], ended: EndedRun
+) -> None:
+    """Complete a task whose run has succeeded although it was recorded as ended.
+
+    Other runs of the task may be live; they are obsolete then.
+    """
+    job, occurrence, step, task = found
+    if ended.end is not RunEnd.DONE:
+        return
+    if task.abandoned.get(ended.run) != worker.worker:
+        return
+    if job.is_open and not task.phase.is_final:
+        _finish_task(job, occurrence, step, task)
+        job.close_occurrence(occurrence)
+
+
 def _find_source(end: RunEnd) -> CheckpointSource:
     """Return where the checkpoint of an ended run comes from."""
     if end is RunEnd.STOPPED:
--- a/src/rhubarbfield/scheduling/late_ends.py
+++ b/src/rhubarbfield/scheduling/late_ends.py
@@ -15,14 +15,12 @@
 from rhubarbfield.scheduling.commands import EndedRun
 from rhubarbfield.scheduling.metrics import ENDS_LISTED_LATE
 from rhubarbfield.scheduling.progress import RunKey
-from rhubarbfield.scheduling.state import RunEnd, SchedulingState
+from rhubarbfield.scheduling.state import SchedulingState
 from rhubarbfield.types import WorkerId
 
 logger = logging.getLogger(__name__)
 
 MAX_REMEMBERED_RUNS = 8192  # about 2 MB
-# Ends that no worker lists.
-UNLISTED_ENDS = (RunEnd.LOST, RunEnd.REJECTED)
 
 
 class AbandonCause(Enum):
@@ -92,7 +90,7 @@
         """Return whether a worker lists the end of a run that is not recorded there."""
         record = self._get_state().workers.get(worker)
         is_recorded = record is not None and record.runs.get(ended.task) == ended.run
-        return not is_recorded and ended.end not in UNLISTED_ENDS
+        return not is_recorded and ended.end.is_listed
 
     def log(self, worker: WorkerId, ended: EndedRun) -> None:
         """Log a late end, with what is known of the run and of its task."""
--- a/src/rhubarbfield/scheduling/state.py
+++ b/src/rhubarbfield/scheduling/state.py
@@ -38,6 +38,7 @@
 
 # Tasks that are live or waiting on the largest site.
 MAX_CACHED_NAMES = 32_768
+MAX_ABANDONED_RUNS = 8  # of a task, at most 300 B of a snapshot
 # A task under which so many workers have crashed is suspected, however long it ran.
 SUSPECT_CRASHES = 2
 
@@ -76,6 +77,11 @@
     REJECTED = "rejected"
     LOST = "lost"
 
+    @property
+    def is_listed(self) -> bool:
+        """Whether the worker itself lists such an end."""
+        return self not in (RunEnd.REJECTED, RunEnd.LOST)
+
 
 class Task(msgspec.Struct, array_like=True):
     """Replicated state of a task.
@@ -99,6 +105,9 @@
     blame
         Sum over the crashes right after the start of a run, of 100 divided by the
         number of runs that had just started there.
+    abandoned
+        Worker of each of the latest runs that were recorded as ended although their
+        worker had not listed that, by run number; empty once the task has ended.
     """
 
     phase: TaskPhase = TaskPhase.WAITING
@@ -109,12 +118,19 @@
     crashed_runs: list[RunNumber] = msgspec.field(default_factory=list)
     certain_crashes: int = 0
     blame: int = 0
+    abandoned: dict[RunNumber, WorkerId] = msgspec.field(default_factory=dict)
 
     @property
     def crashes(self) -> int:
         """Number of workers that crashed with a run of the task."""
         return len(self.crashed_runs)
 
+    def record_abandoned(self, run: RunNumber, worker: WorkerId) -> None:
+        """Record that a run counts as ended without the word of its worker."""
+        self.abandoned[run] = worker
+        if len(self.abandoned) > MAX_ABANDONED_RUNS:
+            del self.abandoned[min(self.abandoned)]
+
     @property
     def is_suspect(self) -> bool:
         """Whether the task may crash the workers that start it."""
@@ -249,6 +265,8 @@
     def set_phase(self, task: Task, phase: TaskPhase) -> None:
         """Change the phase of a task of the job."""
         task.phase = phase
+        if phase.is_final:
+            task.abandoned.clear()
         self.__dict__.pop("waiting_steps", None)
 
     @property
--- a/tests/scheduling/late_controllers_run.py
+++ b/tests/scheduling/late_controllers_run.py
@@ -112,6 +112,7 @@
             await trio.sleep(DAY_SECONDS)
             nursery.cancel_scope.cancel()
         self.faults.extend(self.fleet.list_repeated_starts())
+        self.faults.extend(self.fleet.list_starts_of_known())
         self.faults.extend(self.fleet.list_early_acknowledgements())
         self.faults.extend(list_early_starts(self.fleet))
         self.faults.extend(find_torn_gangs(self.fleet))
--- a/tests/scheduling/late_orders.py
+++ b/tests/scheduling/late_orders.py
@@ -79,6 +79,8 @@
     counts
         Whether the end was acknowledged before the worker's lease lapsed; None before
         either.
+    acknowledged_at
+        Monotonic time at which the end was acknowledged, or None.
     """
 
     task: TaskName
@@ -87,6 +89,7 @@
     number: int
     ended_at: timedelta
     counts: bool | None = None
+    acknowledged_at: timedelta | None = None
 
 
 class LateWorker(StandInWorker):
@@ -151,10 +154,15 @@
         self._note_lapse()
         if request.term >= self.term:
             for each in self.done:
-                if each.counts is None and each.number <= request.recorded_ends:
-                    each.counts = True
+                if each.acknowledged_at is None:
+                    self._acknowledge(each, request.recorded_ends)
         return await super().view(request)
 
+    def _acknowledge(self, done: DoneRun, recorded_ends: int) -> None:
+        if done.number <= recorded_ends:
+            done.acknowledged_at = self._clock.monotonic()
+            done.counts = done.counts is None
+
     def end_run(self, task: TaskName, end: RunEnd) -> None:
         run = self.runs[task]
         super().end_run(task, end)
@@ -209,6 +217,7 @@
         self.drawn: Inputs | None = None
         self.plans: dict[StepName, StepPlan] = {}
         self._gangs = Gangs(clock, self.plans)
+        self._ordered_at: dict[TaskName | StepName, timedelta] = {}  # the last time
 
     def add(self, worker: StandInWorker, address: str | None = None) -> None:
         assert isinstance(worker, LateWorker)
@@ -227,6 +236,7 @@
     async def start(
         self, to: WorkerAddress, order: StartOrder
     ) -> Result[timedelta, CallFailure]:
+        self._ordered_at[self.name_whole(order.task)] = self._time.monotonic()
         return await self._call(
             Call.START, to, lambda: super(LateFleet, self).start(to, order)
         )
@@ -292,6 +302,21 @@
             if any(at > done.ended_at for at in starts[self.name_whole(done.task)])
         ]
 
+    def list_starts_of_known(self) -> list[str]:
+        """Return the starts that were ordered after the task was known to be done.
+
+        Whether the worker's lease had lapsed in between does not matter.
+        """
+        return [
+            f"{done.task} is ordered to start at {ordered_at} after run {done.run} on"
+            f" {done.worker} was acknowledged as done at {done.acknowledged_at}"
+            for worker in self.lives
+            for done in worker.done
+            if done.acknowledged_at is not None and done.task not in self.endless
+            for ordered_at in (self._ordered_at[self.name_whole(done.task)],)
+            if ordered_at > done.acknowledged_at
+        ]
+
     def name_whole(self, task: TaskName) -> TaskName | StepName:
         """Return the name of what ends together: a task, or a whole gang."""
         step = name_step(task)
--- a/tests/scheduling/test_appliers.py
+++ b/tests/scheduling/test_appliers.py
@@ -26,6 +26,7 @@
     CancelJob,
     EndedRun,
     EndRuns,
+    OpenOccurrences,
     PutConfiguration,
     RemoveWorker,
     RunsRecorded,
@@ -40,15 +41,18 @@
     Demand,
     JobSubmission,
     MachineName,
+    Recurrence,
     RunNumber,
     Step,
     TaskName,
     name_task,
 )
 from rhubarbfield.scheduling.state import (
+    MAX_ABANDONED_RUNS,
     JobPhase,
     RunEnd,
     SchedulingState,
+    Task,
     TaskPhase,
 )
 from rhubarbfield.types import JobId, LogIndex, ServiceName, WorkerId
@@ -59,6 +63,7 @@
 MIN_CRASHES = 2
 MAX_CRASHES = 3 + 2
 WORKERS = [WorkerId(f"w{number}") for number in range(3)]
+LISTED_ENDS = [end for end in RunEnd if end.is_listed]
 JOBS = [JobId(f"j{number}") for number in range(2)]
 STEPS = (Step(tasks=2), Step(tasks=2, after=(0,)))
 
@@ -110,6 +115,7 @@
         self.done: set[str] = set()
         self.failures: dict[str, int] = {}
         self.crashed: dict[str, set[RunNumber]] = {}
+        self.abandoned: list[tuple[WorkerId, TaskName, RunNumber]] = []
         self.log.apply(PutConfiguration(configuration=CONFIGURATION))
         for worker in WORKERS:
             self.log.apply(UpdateWorkers(reports=(make_report(worker),)))
@@ -157,6 +163,13 @@
             crashes = len(self.crashed.get(name, ()))
             assert crashes < MAX_CRASHES, "too many starts after crashes"
 
+    @precondition(lambda self: self._list_waiting())
+    @rule(data=st.data(), worker=st.sampled_from(WORKERS))
+    def start_waiting(self, data: Any, worker: WorkerId) -> None:
+        """Start a task that may start, as most of a leader's commands do."""
+        job, step, index = data.draw(st.sampled_from(self._list_waiting()))
+        self.start(job, step, index, worker, False)
+
     @precondition(lambda self: self._list_live())
     @rule(data=st.data(), end=st.sampled_from(list(RunEnd)), repeat=st.booleans())
     def end(self, data: Any, end: RunEnd, repeat: bool) -> None:
@@ -169,14 +182,39 @@
             self.done.add(name)
         if end is RunEnd.FAILED:
             self.failures[name] = self.failures.get(name, 0) + 1
+        if not end.is_listed:
+            self.abandoned.append((worker, name, run))
+
+    @precondition(lambda self: self.abandoned)
+    @rule(data=st.data(), end=st.sampled_from(LISTED_ENDS), repeat=st.booleans())
+    def list_late(self, data: Any, end: RunEnd, repeat: bool) -> None:
+        """Let a worker list the end of a run that was recorded as ended otherwise."""
+        worker, name, run = data.draw(st.sampled_from(self.abandoned))
+        found = self.log.state.find_task(name)
+        assert found is not None
+        job, _, _, task = found
+        runs = sorted({run for _, other, run in self.abandoned if other == name})
+        is_known = run in runs[-MAX_ABANDONED_RUNS:]
+        is_unended = job.is_open and not task.phase.is_final
+        if end is RunEnd.DONE and is_known and is_unended:
+            self.done.add(name)
+        report = WorkerEnds(worker, (EndedRun(name, run, end),), counts_late=True)
+        for _ in range(1 + repeat):
+            self.log.apply(EndRuns(workers=(report,)))
+
+    def _abandon_all(self, worker: WorkerId) -> None:
+        runs = self.log.state.workers[worker].runs.items()
+        self.abandoned.extend((worker, task, run) for task, run in runs)
 
     @rule(worker=st.sampled_from(WORKERS))
     def lose(self, worker: WorkerId) -> None:
+        self._abandon_all(worker)
         self.log.apply(RemoveWorker(worker=worker))
         self.log.apply(UpdateWorkers(reports=(make_report(worker),)))
 
     @rule(worker=st.sampled_from(WORKERS), data=st.data(), repeat=st.booleans())
     def crash(self, worker: WorkerId, data: Any, repeat: bool) -> None:
+        self._abandon_all(worker)
         record = self.log.state.workers[worker]
         crashed = [
             *record.lapsed,
@@ -194,6 +232,7 @@
 
     @rule(worker=st.sampled_from(WORKERS), data=st.data())
     def lapse(self, worker: WorkerId, data: Any) -> None:
+        self._abandon_all(worker)
         runs = self.log.state.workers[worker].runs.items()
         ends = tuple(EndedRun(task, run, RunEnd.LOST) for task, run in runs)
         lapsed = tuple(self._draw_crashed(data, task, run) for task, run in runs)
@@ -208,6 +247,22 @@
     def restart(self) -> None:
         self.log.restart()
 
+    @precondition(lambda self: self._list_live())
+    @rule(data=st.data())
+    def lapse_with_runs(self, data: Any) -> None:
+        worker, _, _ = data.draw(st.sampled_from(self._list_live()))
+        self.lapse(worker, data)
+
+    def _list_waiting(self) -> list[tuple[JobId, int, int]]:
+        return [
+            (job.job, step, index)
+            for job in self.log.state.jobs.values()
+            if job.is_open
+            for _, step in job.waiting_steps
+            for index, task in enumerate(job.occurrences[0][step].tasks)
+            if task.phase is TaskPhase.WAITING
+        ]
+
     def _list_live(self) -> list[tuple[WorkerId, Any, RunNumber]]:
         return [
             (worker.worker, task, run)
@@ -242,7 +297,7 @@
 
 InterleavingsTest = Interleavings.TestCase
 InterleavingsTest.settings = settings(
-    max_examples=60, stateful_step_count=40, derandomize=True, deadline=None
+    max_examples=300, stateful_step_count=40, derandomize=True, deadline=None
 )
 
 
@@ -387,6 +442,97 @@
         self.assertEqual(self.log.state.jobs[job].phase, JobPhase.QUEUED)
 
 
+class LateEndsTest(unittest.TestCase):
+    """A worker may list how a run ended that was recorded as lost."""
+
+    def setUp(self) -> None:
+        self.log = Log()
+        self.log.apply(PutConfiguration(configuration=CONFIGURATION))
+        for worker in WORKERS:
+            self.log.apply(UpdateWorkers(reports=(make_report(worker),)))
+        self.name = name_task(JOBS[0], 0, 0, 0)
+
+    def accept(self, *steps: Step) -> None:
+        submission = JobSubmission(payload="", steps=steps)
+        self.log.apply(AcceptJob(job=JOBS[0], queue=QUEUE.name, submission=submission))
+
+    def start(self, run: int, worker: WorkerId) -> Reply:
+        start = RunStart(self.name, RunNumber(run), worker)
+        return self.log.apply(StartRuns(starts=(start,)))
+
+    def end(self, run: int, worker: WorkerId, end: RunEnd) -> None:
+        ended = EndedRun(self.name, RunNumber(run), end)
+        report = WorkerEnds(worker, (ended,), counts_late=True)
+        self.log.apply(EndRuns(workers=(report,)))
+
+    def find(self) -> Task:
+        found = self.log.state.find_task(self.name)
+        assert found is not None
+        return found[3]
+
+    def test_only_the_worker_that_had_the_run_can_list_its_success(self) -> None:
+        self.accept(Step())
+        self.start(1, WORKERS[0])
+        self.end(1, WORKERS[0], RunEnd.LOST)
+        self.end(1, WORKERS[1], RunEnd.DONE)
+        self.end(2, WORKERS[0], RunEnd.DONE)
+        self.assertIs(self.find().phase, TaskPhase.WAITING)
+        self.end(1, WORKERS[0], RunEnd.DONE)
+        self.assertIs(self.find().phase, TaskPhase.DONE)
+
+    def test_failures_listed_late_do_not_count_as_attempts(self) -> None:
+        """The job would be shown as failed while a later run may succeed."""
+        self.accept(Step())
+        for run in range(1, MAX_ATTEMPTS + 1):
+            self.start(run, WORKERS[0])
+            self.end(run, WORKERS[0], RunEnd.LOST)
+            self.end(run, WORKERS[0], RunEnd.FAILED)
+        self.assertEqual(self.find().failures, 0)
+        reply = self.start(MAX_ATTEMPTS + 1, WORKERS[0])
+        self.assertEqual(reply, RunsRecorded(recorded=(0,)))
+
+    def test_success_counts_for_a_worker_that_was_removed_and_reports_again(
+        self,
+    ) -> None:
+        self.accept(Step())
+        self.start(1, WORKERS[0])
+        self.log.apply(RemoveWorker(worker=WORKERS[0]))
+        self.log.apply(UpdateWorkers(reports=(make_report(WORKERS[0]),)))
+        self.end(1, WORKERS[0], RunEnd.DONE)
+        self.assertIs(self.find().phase, TaskPhase.DONE)
+
+    def test_success_of_a_copy_counts_beside_a_later_one(self) -> None:
+        self.accept(Step(copies_allowed=True))
+        self.start(1, WORKERS[0])
+        self.end(1, WORKERS[0], RunEnd.LOST)
+        self.start(2, WORKERS[1])
+        self.end(1, WORKERS[0], RunEnd.DONE)
+        self.assertIs(self.log.state.jobs[JOBS[0]].phase, JobPhase.COMPLETED)
+        self.end(2, WORKERS[1], RunEnd.DONE)
+        self.assertEqual(self.log.state.jobs[JOBS[0]].finished, 1)
+
+    def test_occurrence_ends_once_a_later_run_has_ended_too(self) -> None:
+        recurrence = Recurrence(times=2, first_ms=0, interval_ms=1000)
+        submission = JobSubmission(payload="", steps=(Step(),), recurrence=recurrence)
+        self.log.apply(AcceptJob(job=JOBS[0], queue=QUEUE.name, submission=submission))
+        self.log.apply(OpenOccurrences(due=((JOBS[0], 0),)))
+        self.start(1, WORKERS[0])
+        self.end(1, WORKERS[0], RunEnd.LOST)
+        self.start(2, WORKERS[1])
+        self.end(1, WORKERS[0], RunEnd.DONE)
+        job = self.log.state.jobs[JOBS[0]]
+        self.assertEqual((job.finished, list(job.unfinished)), (1, [0]))
+        self.end(2, WORKERS[1], RunEnd.STOPPED)
+        self.assertEqual((job.finished, list(job.unfinished)), (1, []))
+
+    def test_abandoned_runs_take_bounded_room(self) -> None:
+        self.accept(Step())
+        for run in range(1, 2 * MAX_ABANDONED_RUNS):
+            self.start(run, WORKERS[0])
+            self.end(run, WORKERS[0], RunEnd.LOST)
+        self.assertEqual(len(self.find().abandoned), MAX_ABANDONED_RUNS)
+
+
 class WithdrawnJobsTest(unittest.TestCase):
     def test_cancelled_jobs_are_accepted_as_cancelled_after_a_restart(self) -> None:
         log, job = Log(), JOBS[0]
--- a/tests/scheduling/test_earlier_versions.py
+++ b/tests/scheduling/test_earlier_versions.py
@@ -59,6 +59,17 @@
     failed_runs: list[int]
 
 
+class EarlierEnds(msgspec.Struct, array_like=True):
+    """Ends of runs on one worker as an earlier version reads them."""
+
+    worker: str
+    ends: list[Any]
+    recorded_ends: int = 0
+    lapsed: list[Any] = []
+    brief: list[Any] = []
+    proven: list[Any] = []
+
+
 def make_running_log() -> Log:
     """Return a log with a run on the first worker."""
     log = Log()
@@ -171,6 +182,37 @@
         self.assertEqual((found[3].phase, found[3].crashes), (TaskPhase.WAITING, 0))
         self.assertEqual(log.state.workers[WORKERS[0]].unresolved, [])
 
+    def list_success_late(self, log: Log, *options: bool) -> TaskPhase:
+        """Let the worker list a run as done that was recorded as lost."""
+        done = EndedRun(TASK, RunNumber(1), RunEnd.DONE)
+        lost = EndedRun(TASK, RunNumber(1), RunEnd.LOST)
+        log.apply(EndRuns(workers=(WorkerEnds(WORKERS[0], (lost,)),)))
+        encoded = msgspec.msgpack.decode(
+            log.machine.encode_command(EndRuns(workers=(WorkerEnds(WORKERS[0], ()),)))
+        )
+        report = [WORKERS[0], [msgspec.to_builtins(done)], 1, [], [], [], *options]
+        encoded["workers"] = [report]
+        log.machine.apply(LogIndex(99), msgspec.msgpack.encode(encoded))
+        found = log.state.find_task(TASK)
+        assert found is not None
+        return found[3].phase
+
+    def test_late_success_in_a_log_of_an_earlier_version_stays_without_effect(
+        self,
+    ) -> None:
+        """The run that an earlier leader then recorded is in that log, too."""
+        phase = self.list_success_late(make_running_log())
+        self.assertIs(phase, TaskPhase.WAITING)
+
+    def test_late_success_of_this_version_completes_its_task(self) -> None:
+        phase = self.list_success_late(make_running_log(), True)
+        self.assertIs(phase, TaskPhase.DONE)
+
+    def test_earlier_version_reads_ends_that_count_late(self) -> None:
+        report = WorkerEnds(WORKERS[0], (), 1, counts_late=True)
+        read = msgspec.convert(msgspec.to_builtins(report), type=EarlierEnds)
+        self.assertEqual(read, EarlierEnds(WORKERS[0], [], 1))
+
 
 class RelayedRepliesTest(unittest.TestCase):
     def test_failure_at_a_relay_of_an_earlier_version_is_in_doubt(self) -> None:
