--- a/src/rhubarbfield/scheduling/ledger.py
+++ b/src/rhubarbfield/scheduling/ledger.py
@@ -229,7 +229,6 @@
                     run=run,
                     listed=was_listed,
                 )
-                self._host.record_abandoned(key, AbandonCause.VANISHED)
                 missing.append(EndedRun(task, run, RunEnd.LOST))
         return missing
 
--- a/src/rhubarbfield/scheduling/session.py
+++ b/src/rhubarbfield/scheduling/session.py
@@ -421,9 +421,13 @@
         self._ledger.drop_brief(self._contact.last_contact_at - PROOF_TIME)
         ends = [_convert_end(end) for end in listed]
         if not view.truncated:
-            ends.extend(
-                self._ledger.find_missing(view, recorded_runs, settled, active_before)
+            missing = self._ledger.find_missing(
+                view, recorded_runs, settled, active_before
             )
+            for end in missing:
+                key = RunKey(end.task, end.run)
+                self._host.record_abandoned(key, AbandonCause.VANISHED)
+            ends.extend(missing)
         self._stop_doubtful()
         self._stop_unrecorded(view, worker)
         self._host.handle_view(self.worker)
