--- a/src/rhubarbfield/scheduling/session.py
+++ b/src/rhubarbfield/scheduling/session.py
@@ -424,8 +424,8 @@
             missing = self._ledger.find_missing(
                 view, recorded_runs, settled, active_before
             )
-            for end in missing:
-                key = RunKey(end.task, end.run)
+            for lost in missing:
+                key = RunKey(lost.task, lost.run)
                 self._host.record_abandoned(key, AbandonCause.VANISHED)
             ends.extend(missing)
         self._stop_doubtful()
