Open occurrences although earlier ones wait for what no worker has

Cause: no further occurrence was opened while 256 tasks of the job waited, whether or not any worker could run them.

Now only tasks that idle workers could run count towards the 256.

--- a/src/rhubarbfield/scheduling/housekeeping.py
+++ b/src/rhubarbfield/scheduling/housekeeping.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from datetime import timedelta
 from itertools import takewhile
 from typing import Protocol
@@ -35,6 +35,7 @@
     JobPhase,
     SchedulingState,
 )
+from rhubarbfield.scheduling.worker_kinds import KindsIndex
 from rhubarbfield.types import JobId, Term, WorkerId
 
 logger = logging.getLogger(__name__)
@@ -108,6 +109,7 @@
         self._ended_at: dict[JobId, timedelta] = {}
         self._has_scanned_jobs = False
         self._silence_check_due = timedelta()
+        self._kinds = KindsIndex()
         self._is_stop_due = False
         self._stops_requested = trio.Event()
         self._updates_requested = trio.Event()
@@ -251,10 +253,24 @@
         if not self._jobs.recurring:
             return
         now_ms = self._clock.now().timestamp() * MS_PER_SECOND
-        due = choose_due(self._jobs.recurring.values(), now_ms)
+        due = choose_due(self._jobs.recurring.values(), now_ms, self._list_possible)
         if due:
             await self._log.propose(OpenOccurrences(due=due))
 
+    def _list_possible(self, job: Job) -> Sequence[bool]:
+        """Return of each step of a job whether idle workers could run its tasks."""
+        queue = self._state.find_serving_queue(job.queue)
+        service = None if queue is None else queue.service
+        workers = (
+            worker
+            for worker in self._state.workers.values()
+            if worker.service == service
+        )
+        if service is None:
+            return [False] * len(job.submission.steps)
+        kinds = self._kinds.find(service, workers)
+        return kinds.list_possible(job.job, job.submission)
+
     def _report_end(self, job: Job) -> None:
         if not self._has_scanned_jobs:  # the job ended under an earlier leader
             return
--- a/tests/scheduling/test_occurrences.py
+++ b/tests/scheduling/test_occurrences.py
@@ -24,12 +24,17 @@
     Demand,
     JobPhase,
     JobSubmission,
+    Label,
     Recurrence,
     RunNumber,
     Step,
     TaskName,
 )
-from rhubarbfield.scheduling.occurrences import MAX_WAITING_TASKS, choose_due
+from rhubarbfield.scheduling.occurrences import (
+    MAX_HELD_TASKS,
+    MAX_WAITING_TASKS,
+    choose_due,
+)
 from rhubarbfield.scheduling.placing import Placer
 from rhubarbfield.scheduling.state import Job, RunEnd, TaskPhase
 from rhubarbfield.types import JobId, WorkerId
@@ -48,6 +53,11 @@
     return Job(job=JOB, queue=QUEUE.name, order=1, submission=submission)
 
 
+def list_all(job: Job) -> list[bool]:
+    """Return that workers can run each step of a job."""
+    return [True] * len(job.submission.steps)
+
+
 def start(job: Job, occurrence: int) -> None:
     """Mark the tasks of the first step of an occurrence as running."""
     for task in job.occurrences[occurrence][0].tasks:
@@ -59,41 +69,67 @@
         """All at once held the leader's loop for longer than its lease."""
         for times, interval_ms in ((MANY, 1), (ENDLESS, 1), (ENDLESS, 0)):
             job = make_job(times, Step(), interval_ms=interval_ms)
-            due = choose_due([job], now_ms=ENDLESS)
+            due = choose_due([job], ENDLESS, list_all)
             numbers = [number for _, number in due]
             self.assertEqual(numbers, list(range(MAX_WAITING_TASKS)))
 
     def test_further_occurrences_follow_the_tasks_that_started(self) -> None:
         job = make_job(MANY, Step(tasks=2))
-        for _, number in choose_due([job], ENDLESS):
+        for _, number in choose_due([job], ENDLESS, list_all):
             job.open_occurrence(number)
-        self.assertEqual(choose_due([job], ENDLESS), ())
+        self.assertEqual(choose_due([job], ENDLESS, list_all), ())
         for number in range(10):
             start(job, number)
         opened = MAX_WAITING_TASKS // 2
         self.assertEqual(
-            choose_due([job], ENDLESS),
+            choose_due([job], ENDLESS, list_all),
             tuple((JOB, opened + number) for number in range(10)),
         )
 
     def test_occurrence_larger_than_the_bound_is_opened_alone(self) -> None:
         job = make_job(MANY, Step(tasks=MAX_WAITING_TASKS + 1))
-        self.assertEqual(choose_due([job], ENDLESS), ((JOB, 0),))
+        self.assertEqual(choose_due([job], ENDLESS, list_all), ((JOB, 0),))
         job.open_occurrence(0)
-        self.assertEqual(choose_due([job], ENDLESS), ())
+        self.assertEqual(choose_due([job], ENDLESS, list_all), ())
 
     def test_occurrences_overlap_while_the_earlier_ones_run(self) -> None:
         job = make_job(MANY, Step(), Step(after=(0,)))
         for number in range(MANY // 2):
             job.open_occurrence(number)
             start(job, number)
-        self.assertGreater(len(choose_due([job], ENDLESS)), 0)
+        self.assertGreater(len(choose_due([job], ENDLESS, list_all)), 0)
+
+    def test_tasks_that_no_worker_may_take_hold_up_no_occurrences(self) -> None:
+        job = make_job(MANY, Step(), Step(tasks=MAX_WAITING_TASKS, after=(0,)))
+        for number in range(2):
+            job.open_occurrence(number)
+            start(job, number)
+            job.occurrences[number][0].done = 1
+        self.assertEqual(choose_due([job], ENDLESS, list_all), ())
+        due = choose_due([job], ENDLESS, lambda _: [True, False])
+        self.assertGreater(len(due), 10)
+
+    def test_occurrences_that_have_not_ended_take_bounded_memory(self) -> None:
+        job = make_job(MANY, Step(), Step(tasks=31, after=(0,)))
+        while due := choose_due([job], ENDLESS, lambda _: [True, False]):
+            for _, number in due:
+                job.open_occurrence(number)
+                start(job, number)
+                job.occurrences[number][0].done = 1
+        self.assertEqual(32 * len(job.unfinished), MAX_HELD_TASKS)
+
+    def test_job_that_no_worker_may_run_opens_few_occurrences(self) -> None:
+        job = make_job(MANY, Step(tasks=2))
+        due = choose_due([job], ENDLESS, lambda _: [False])
+        self.assertEqual(len(due), MAX_WAITING_TASKS // 2)
 
     def test_only_occurrences_that_are_due_are_opened(self) -> None:
         job = make_job(MANY, Step(), interval_ms=1000)
-        self.assertEqual(choose_due([job], -1), ())
-        self.assertEqual(choose_due([job], 0), ((JOB, 0),))
-        self.assertEqual(choose_due([job], 2000), tuple((JOB, n) for n in range(3)))
+        self.assertEqual(choose_due([job], -1, list_all), ())
+        self.assertEqual(choose_due([job], 0, list_all), ((JOB, 0),))
+        self.assertEqual(
+            choose_due([job], 2000, list_all), tuple((JOB, n) for n in range(3))
+        )
 
 
 class EndedOccurrencesTest(unittest.TestCase):
@@ -223,6 +259,28 @@
             self.assertGreater(recurring.finished, 0)
             self.assertLess(len(recurring.unfinished), 2 * MAX_WAITING_TASKS)
 
+    @with_deployment()
+    async def test_first_steps_run_while_no_worker_has_the_label_of_the_next(
+        self, deployment: Deployment
+    ) -> None:
+        deployment.add_worker("w1", duration=timedelta(milliseconds=100))
+        first = Step(tasks=4, estimate_ms=100)
+        second = Step(tasks=32, after=(0,), required_label=Label("lost"))
+        times = 12
+        async with deployment.lead():
+            now_ms = int(deployment.clock.now().timestamp() * MS_PER_SECOND)
+            submission = JobSubmission(
+                payload="p",
+                steps=(first, second),
+                recurrence=Recurrence(times, now_ms, 500),
+            )
+            await deployment.propose(
+                AcceptJob(job=JOB, queue=QUEUE.name, submission=submission)
+            )
+            await trio.sleep(10)
+            occurrences = deployment.get_job(JOB).occurrences.values()
+            self.assertEqual(sum(steps[0].is_done for steps in occurrences), times)
+
     @with_deployment()
     async def test_all_due_occurrences_are_done(self, deployment: Deployment) -> None:
         worker = deployment.add_worker("w1", duration=timedelta(milliseconds=100))
