Count a job as begun once a worker is known to have begun it

Cause: a job counted as started when its start was recorded, which is before the order is sent.

Started jobs stay in the state as they were, so that earlier versions apply every command as before.

--- a/src/rhubarbfield/scheduling/appliers.py
+++ b/src/rhubarbfield/scheduling/appliers.py
@@ -325,6 +325,10 @@
         _mark_worker(state, name, command.witnesses.get(name, ()), is_silent=True)
     for name in command.heard:
         _mark_worker(state, name, (), is_silent=False)
+    for begun in command.begun:
+        job = state.jobs.get(begun)
+        if job is not None:
+            job.begun = True
     return Done()
 
 
--- a/src/rhubarbfield/scheduling/commands.py
+++ b/src/rhubarbfield/scheduling/commands.py
@@ -210,9 +210,12 @@
         Workers whose lease may be extended again.
     witnesses
         Clocks of other workers that were read since these leases were extended last.
+    begun
+        Jobs of which a worker is known to have begun a run.
     """
 
     workers: tuple[WorkerEnds, ...]
     silent: tuple[WorkerId, ...] = ()
     heard: tuple[WorkerId, ...] = ()
     witnesses: dict[WorkerId, tuple[Witness, ...]] = msgspec.field(default_factory=dict)
+    begun: tuple[JobId, ...] = ()
--- a/src/rhubarbfield/scheduling/controller.py
+++ b/src/rhubarbfield/scheduling/controller.py
@@ -55,7 +55,7 @@
 from rhubarbfield.scheduling.requests import JOB_CALL, JOB_STREAM
 from rhubarbfield.scheduling.service import SchedulingService
 from rhubarbfield.scheduling.silence_marks import MarkTimes
-from rhubarbfield.scheduling.state import SchedulingState
+from rhubarbfield.scheduling.state import Job, SchedulingState
 from rhubarbfield.storage import (
     MAX_COMMAND_BYTES,
     FileStore,
@@ -137,7 +137,9 @@
             clock=clock,
             locate=settings.locate,
         )
-        self.service = SchedulingService(self.log, self._reception, clock)
+        self.service = SchedulingService(
+            self.log, self._reception, clock, has_begun=self._has_begun
+        )
 
     async def run(
         self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
@@ -232,13 +234,16 @@
                 self._leader = None
             nursery.cancel_scope.cancel()
 
+    def _has_begun(self, job: Job) -> bool:
+        return job.has_begun if self._leader is None else self._leader.has_begun(job)
+
     def _list_relays(self) -> set[InstanceName]:
         members = {member.id.name for member in self._replica.status().members}
         return members - {self._settings.name}
 
 
 def _count_waiting(state: SchedulingState) -> int:
-    return sum(job.is_open and not job.started for job in state.jobs.values())
+    return sum(job.is_open and not job.has_begun for job in state.jobs.values())
 
 
 def _read_version(state: SchedulingState) -> int:
--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -20,6 +20,7 @@
 from rhubarbfield.scheduling.appliers import SchedulingLogState
 from rhubarbfield.scheduling.availability import WorkerAvailability
 from rhubarbfield.scheduling.backlog import Backlog
+from rhubarbfield.scheduling.begun_jobs import BegunJobs
 from rhubarbfield.scheduling.capacities import WorkerCapacities
 from rhubarbfield.scheduling.commands import (
     EndRuns,
@@ -75,6 +76,7 @@
 from rhubarbfield.scheduling.starting import RunStarter
 from rhubarbfield.scheduling.starvation import Starvation
 from rhubarbfield.scheduling.state import (
+    Job,
     RunEnd,
     SchedulingState,
     Worker,
@@ -168,6 +170,7 @@
         self._pacer = RoundPacer(clock)
         self._avoided: dict[TaskName, set[WorkerId]] = {}
         self._ends = Batcher(self._commit_ends)
+        self._begun = BegunJobs(log, clock)
         self._late_ends = LateEnds(lambda: self.state, clock)
         self._removals = Removals(
             log,
@@ -245,6 +248,7 @@
                     ("housekeeping", self._housekeeping.run),
                     ("interference", self._save_harm),
                     ("marks", self._marker.run),
+                    ("begun jobs", self._begun.run),
                 ):
                     nursery.start_soon(self._keep_running, name, work)
         finally:
@@ -286,6 +290,7 @@
         """Record that a worker has answered the order to start a run."""
         now = self._clock.monotonic()
         self._quarantine.record_presence(worker, start.key, now)
+        self._begun.record((start.key.task,))
         self._stages.record(StartStage.ORDER, now - start.recorded_at)
 
     def record_abandoned(
@@ -314,10 +319,15 @@
         record = self.find_worker(worker)
         session = self.get_session(worker)
         if record is not None and session is not None:
+            self._begun.record(session.active)
             self._examine_probes(worker, session)
             self._mitigator.handle_view(record, session)
         self._request_round()
 
+    def has_begun(self, job: Job) -> bool:
+        """Return whether a worker is known to have begun a run of a job."""
+        return self._begun.has_begun(job)
+
     def is_standing(self, task: TaskName) -> bool:
         """Return whether a task runs until its job is cancelled."""
         step = self.state.find_step(task)
@@ -553,7 +563,9 @@
                 self._record_outcomes(report)
             except Exception as error:
                 contain(Unit.SESSION, error, worker=report.worker)
-        await self._propose(EndRuns(workers=ends))
+        begun = self._begun.list_unsaved()
+        await self._propose(EndRuns(workers=ends, begun=begun))
+        self._begun.drop_saved(begun)
 
     async def _propose(self, command: Command) -> None:
         await propose_until_committed(self._log, command, self._clock)
@@ -572,6 +584,9 @@
 
     def _record_outcomes(self, report: WorkerEnds) -> None:
         now = self._clock.monotonic()
+        if report.recorded_ends:  # they are listed by the worker
+            listed = (ended.task for ended in report.ends if ended.end.is_listed)
+            self._begun.record(listed)
         since = self._late_since.get(report.worker)
         for ended in report.ends:
             if self._late_ends.is_late(report.worker, ended):
--- a/src/rhubarbfield/scheduling/service.py
+++ b/src/rhubarbfield/scheduling/service.py
@@ -4,6 +4,7 @@
 
 import logging
 import re
+from collections.abc import Callable
 
 import msgspec
 from returns.result import Failure, Success
@@ -50,7 +51,7 @@
     Ready,
     WaitingJobs,
 )
-from rhubarbfield.scheduling.state import SchedulingState
+from rhubarbfield.scheduling.state import Job, SchedulingState
 from rhubarbfield.types import InstanceName, JobId, LogIndex, Term, WorkerId
 
 logger = logging.getLogger(__name__)
@@ -76,6 +77,8 @@
         Handles heartbeats and departures of workers.
     clock
         Source of time.
+    has_begun
+        Returns whether a job has begun, as far as this controller knows.
     """
 
     def __init__(
@@ -83,8 +86,10 @@
         log: ReplicatedLog[SchedulingLogState],
         reception: Reception,
         clock: Clock,
+        has_begun: Callable[[Job], bool] = lambda job: job.has_begun,
     ) -> None:
         self._log = log
+        self._has_begun = has_begun
         self._clock = clock
         self._reception = reception
         self._admission = Admission(clock)
@@ -231,7 +236,7 @@
         names = {name for name, each in former.items() if each.queue.name == queue}
         names.add(queue)
         return sum(
-            job.queue in names and job.is_open and not job.started
+            job.queue in names and job.is_open and not self._has_begun(job)
             for job in self._state.jobs.values()
         )
 
@@ -329,7 +334,10 @@
 
     def _read(self, job: JobId) -> JobReply:
         found = self._state.jobs.get(job)
-        return NoSuchJob() if found is None else JobStatus(found.phase)
+        if found is None:
+            return NoSuchJob()
+        is_waiting = found.phase is JobPhase.RUNNING and not self._has_begun(found)
+        return JobStatus(JobPhase.QUEUED if is_waiting else found.phase)
 
     async def _propose(self, command: Command) -> Reply | NotLeading | Unavailable:
         match await self._log.propose(command):
--- a/src/rhubarbfield/scheduling/state.py
+++ b/src/rhubarbfield/scheduling/state.py
@@ -208,7 +208,9 @@
         Time of day at which the job was accepted, in ms since 1970; only a hint,
         since clocks differ and may be stepped.
     started
-        Whether any task has started.
+        Whether any run was recorded.
+    begun
+        Whether it is recorded that a worker has begun a run.
     """
 
     job: JobId
@@ -220,12 +222,24 @@
     finished: int = 0
     accepted_ms: int = 0
     started: bool = False
+    begun: bool = False
 
     @property
     def is_open(self) -> bool:
         """Whether tasks of the job may still start."""
         return self.phase in (JobPhase.QUEUED, JobPhase.RUNNING)
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether a worker has begun a run, as far as it is recorded.
+
+        An order to start may be refused, or never arrive. Earlier versions recorded
+        no more than that a task is done.
+        """
+        if self.begun or self.finished:
+            return True
+        return any(step.done for steps in self.occurrences.values() for step in steps)
+
     @property
     def wanted_occurrences(self) -> int:
         """Number of occurrences after which the job is complete."""
@@ -451,7 +465,7 @@
         Returns None if there is no such task. A worker may list tasks of an earlier
         job with the same id, or names that nobody gave.
         """
-        job = self.jobs.get(JobId(name.partition(".")[0]))
+        job = self.jobs.get(find_job_id(name))
         if job is None:
             return None
         try:
@@ -483,6 +497,11 @@
         return {worker for task in tasks for worker in task.live.values()}
 
 
+def find_job_id(name: TaskName) -> JobId:
+    """Return the id of the job of a task."""
+    return JobId(name.partition(".")[0])
+
+
 @functools.lru_cache(maxsize=MAX_CACHED_NAMES)
 def _find_position(name: TaskName) -> tuple[int, int, int]:
     """Return occurrence, step and index from the name of a task."""
