Keep the checkpoint that a run leaves after it was recorded as lost

A worker that is heard again lists what its runs had saved as its lease lapsed. That was dropped like a late success, and the next run resumed from the last checkpoint that a view had shown, or from the beginning.

test_checkpoint_listed_late_is_that_of_the_next_run failed before. Only the latest run of a task counts, and only while no later one is recorded.

--- a/src/rhubarbfield/scheduling/appliers.py
+++ b/src/rhubarbfield/scheduling/appliers.py
@@ -386,13 +386,7 @@
     is_finite = not job.get_step(step).standing
     if is_finite and not (ended.end.is_listed or task.phase.is_final):
         task.record_abandoned(ended.run, worker.worker)
-    if ended.checkpoint:
-        if job.get_step(step).gang:
-            progress = job.occurrences[occurrence][step]
-            source = _find_source(ended.end)
-            progress.save_gang_checkpoint(ended.checkpoint, ended.run, source)
-        # Earlier versions read it of a gang, too.
-        task.checkpoint = ended.checkpoint
+    _save_checkpoint(found, ended)
     if task.phase is TaskPhase.LIVE:
         _record_outcome(state, found, ended)
     job.close_occurrence(occurrence)
@@ -403,16 +397,31 @@
 ) -> None:
     """Complete a task whose run has succeeded although it was recorded as ended.
 
-    Other runs of the task may be live; they are obsolete then.
+    Other runs of the task may be live; they are obsolete then. After another end the
+    next run resumes from the checkpoint of the latest one.
     """
     job, occurrence, step, task = found
-    if ended.end is not RunEnd.DONE:
+    is_known = task.abandoned.get(ended.run) == worker.worker
+    if not is_known or not job.is_open or task.phase.is_final:
         return
-    if task.abandoned.get(ended.run) != worker.worker:
-        return
-    if job.is_open and not task.phase.is_final:
+    if ended.end is RunEnd.DONE:
         _finish_task(job, occurrence, step, task)
         job.close_occurrence(occurrence)
+    elif ended.run == task.last_run:
+        _save_checkpoint(found, ended)
+
+
+def _save_checkpoint(found: tuple[Job, int, int, Task], ended: EndedRun) -> None:
+    """Keep the checkpoint of a run that has ended, if it has one."""
+    job, occurrence, step, task = found
+    if not ended.checkpoint:
+        return
+    if job.get_step(step).gang:
+        progress = job.occurrences[occurrence][step]
+        source = _find_source(ended.end)
+        progress.save_gang_checkpoint(ended.checkpoint, ended.run, source)
+    # Earlier versions read it of a gang, too.
+    task.checkpoint = ended.checkpoint
 
 
 def _find_source(end: RunEnd) -> CheckpointSource:
--- a/tests/scheduling/test_appliers.py
+++ b/tests/scheduling/test_appliers.py
@@ -38,6 +38,7 @@
 )
 from rhubarbfield.scheduling.crashes import CrashedRun, CrashEvidence
 from rhubarbfield.scheduling.model import (
+    CheckpointToken,
     Demand,
     JobSubmission,
     MachineName,
@@ -460,8 +461,8 @@
         start = RunStart(self.name, RunNumber(run), worker)
         return self.log.apply(StartRuns(starts=(start,)))
 
-    def end(self, run: int, worker: WorkerId, end: RunEnd) -> None:
-        ended = EndedRun(self.name, RunNumber(run), end)
+    def end(self, run: int, worker: WorkerId, end: RunEnd, saved: str = "") -> None:
+        ended = EndedRun(self.name, RunNumber(run), end, CheckpointToken(saved))
         report = WorkerEnds(worker, (ended,), counts_late=True)
         self.log.apply(EndRuns(workers=(report,)))
 
@@ -491,6 +492,25 @@
         reply = self.start(MAX_ATTEMPTS + 1, WORKERS[0])
         self.assertEqual(reply, RunsRecorded(recorded=(0,)))
 
+    def test_checkpoint_listed_late_is_that_of_the_next_run(self) -> None:
+        self.accept(Step())
+        self.start(1, WORKERS[0])
+        self.end(1, WORKERS[0], RunEnd.LOST)
+        self.end(1, WORKERS[0], RunEnd.LAPSED, "saved")
+        self.assertEqual(self.find().checkpoint, "saved")
+
+    def test_checkpoint_of_an_earlier_run_does_not_replace_that_of_a_later_one(
+        self,
+    ) -> None:
+        self.accept(Step())
+        self.start(1, WORKERS[0])
+        self.end(1, WORKERS[0], RunEnd.LOST)
+        self.start(2, WORKERS[1])
+        self.end(1, WORKERS[0], RunEnd.LAPSED, "first")
+        self.end(2, WORKERS[1], RunEnd.STOPPED, "second")
+        self.end(1, WORKERS[0], RunEnd.LAPSED, "first")
+        self.assertEqual(self.find().checkpoint, "second")
+
     def test_success_counts_for_a_worker_that_was_removed_and_reports_again(
         self,
     ) -> None:
