Count no job as begun before a run of it is recorded

A worker may list tasks of an earlier job with the same id: its end marked a job that was handed in again as begun for good, so that the waiting count left it out. test_end_of_a_run_that_was_never_recorded_begins_no_job failed before.

--- a/src/rhubarbfield/scheduling/begun_jobs.py
+++ b/src/rhubarbfield/scheduling/begun_jobs.py
@@ -42,7 +42,8 @@
         jobs = self._log.state.scheduling.jobs
         for task in tasks:
             job = jobs.get(find_job_id(task))
-            if job is not None and not job.begun:
+            # A worker may list tasks of an earlier job with the same id.
+            if job is not None and job.started and not job.begun:
                 self._unsaved[job.job] = None
 
     def has_begun(self, job: Job) -> bool:
--- a/src/rhubarbfield/scheduling/state.py
+++ b/src/rhubarbfield/scheduling/state.py
@@ -238,7 +238,10 @@
         """
         if self.begun or self.finished:
             return True
-        return any(step.done for steps in self.occurrences.values() for step in steps)
+        # Most jobs that wait have no run: their tasks need not be looked at.
+        return self.started and any(
+            step.done for steps in self.occurrences.values() for step in steps
+        )
 
     @property
     def wanted_occurrences(self) -> int:
--- a/tests/scheduling/test_begun_jobs.py
+++ b/tests/scheduling/test_begun_jobs.py
@@ -11,7 +11,7 @@
 from rhubarbfield.scheduling.begun_jobs import SAVE_INTERVAL
 from rhubarbfield.scheduling.commands import EndRuns
 from rhubarbfield.scheduling.leader import SchedulingLeader
-from rhubarbfield.scheduling.model import JobPhase, Step
+from rhubarbfield.scheduling.model import Demand, JobPhase, RunNumber, Step, TaskName
 from rhubarbfield.scheduling.requests import (
     JobRequest,
     JobStatus,
@@ -19,7 +19,12 @@
     WaitingJobs,
 )
 from rhubarbfield.scheduling.service import SchedulingService
-from rhubarbfield.testing.scheduling_workers import StandInWorker
+from rhubarbfield.scheduling.state import RunEnd
+from rhubarbfield.testing.scheduling_workers import (
+    CAPACITY,
+    StandInRun,
+    StandInWorker,
+)
 from rhubarbfield.types import JobId
 from tests.scheduling.deployments import ONE_CORE, QUEUE, Deployment, with_deployment
 
@@ -93,6 +98,23 @@
             self.assertEqual(await caller.count_waiting(), 0)
             self.assertIs(await caller.read("j"), JobPhase.RUNNING)
 
+    @with_deployment()
+    async def test_end_of_a_run_that_was_never_recorded_begins_no_job(
+        self, deployment: Deployment
+    ) -> None:
+        """A job that was forgotten may be handed in again while its worker is away."""
+        worker = deployment.add_worker("w1", duration=LONG_WORK)
+        earlier = TaskName("j.0.0.0")
+        worker.runs[earlier] = StandInRun(RunNumber(7), None)
+        worker.end_run(earlier, RunEnd.LAPSED)
+        too_large = Demand(2 * CAPACITY.millicores, 1000)
+        await deployment.submit("j", Step(demand=too_large))
+        async with deployment.lead() as leader:
+            caller = Caller(deployment, leader)
+            await trio.sleep(WAIT_SECONDS)
+            self.assertEqual(worker.ends, [])
+            self.assertEqual(await caller.count_waiting(), 1)
+
     async def begin(self, deployment: Deployment, seconds: float) -> StandInWorker:
         """Let a job begin under a leader whose term then ends."""
         worker = deployment.add_worker("w1", duration=LONG_WORK)
