--- a/tests/scheduling/test_appliers.py
+++ b/tests/scheduling/test_appliers.py
@@ -499,6 +499,14 @@
         self.end(1, WORKERS[0], RunEnd.LAPSED, "saved")
         self.assertEqual(self.find().checkpoint, "saved")
 
+    def test_gang_resumes_from_the_checkpoint_that_a_lapsed_member_lists(self) -> None:
+        self.accept(Step(gang=True))
+        self.start(1, WORKERS[0])
+        self.end(1, WORKERS[0], RunEnd.LOST, "shown")
+        self.end(1, WORKERS[0], RunEnd.LAPSED, "saved")
+        progress = self.log.state.jobs[JOBS[0]].occurrences[0][0]
+        self.assertEqual(progress.find_gang_checkpoint(), "saved")
+
     def test_checkpoint_of_an_earlier_run_does_not_replace_that_of_a_later_one(
         self,
     ) -> None:
--- a/tests/scheduling/test_late_successes.py
+++ b/tests/scheduling/test_late_successes.py
@@ -106,6 +106,20 @@
         tasks = [task for task, _, _ in worker.started]
         self.assertEqual(tasks, ["j.0.0.0", "j.0.1.0"])
 
+    @with_deployment()
+    async def test_next_run_resumes_from_what_a_lapsed_run_had_saved(
+        self, deployment: Deployment
+    ) -> None:
+        """Its worker lists the checkpoint once it is heard again."""
+        worker = deployment.add_worker("w1", duration=LONG_WORK)
+        async with deployment.lead():
+            await deployment.submit("j", Step(demand=ONE_CORE))
+            await trio.sleep(BEFORE_CUT_SECONDS)
+            await cut_off(deployment, worker)
+        orders = deployment.list_sent(StartOrder, "j")
+        checkpoints = [each.order.checkpoint for each in orders]
+        self.assertEqual(checkpoints, ["", "j.0.0.0/1"])
+
     @with_deployment()
     async def test_success_does_not_reopen_a_cancelled_job(
         self, deployment: Deployment
