--- a/src/rhubarbfield/scheduling/appliers.py
+++ b/src/rhubarbfield/scheduling/appliers.py
@@ -15,6 +15,7 @@
     ForgetJobs,
     OpenOccurrences,
     PutConfiguration,
+    RaiseStateVersion,
     RemoveWorker,
     RunsRecorded,
     RunStart,
@@ -299,6 +300,12 @@
     return task.phase is TaskPhase.WAITING
 
 
+@scheduling_commands.applies(RaiseStateVersion)
+def _raise_state_version(state: SchedulingState, command: RaiseStateVersion) -> Reply:
+    state.version = max(state.version, command.version)
+    return Done()
+
+
 @scheduling_commands.applies(SaveHarm)
 def _save_harm(state: SchedulingState, command: SaveHarm) -> Reply:
     for estimate in command.estimates:
--- a/src/rhubarbfield/scheduling/commands.py
+++ b/src/rhubarbfield/scheduling/commands.py
@@ -17,6 +17,7 @@
     QueueConfiguration,
     QueueName,
     RunNumber,
+    StateVersion,
     TaskName,
 )
 from rhubarbfield.scheduling.state import (
@@ -191,6 +192,15 @@
     counts_late: bool = False
 
 
+class RaiseStateVersion(Command, frozen=True):
+    """Let rules take effect that all members of the group know.
+
+    From then on a success counts although its run was recorded as ended before.
+    """
+
+    version: StateVersion
+
+
 class SaveHarm(Command, frozen=True):
     """Save the learned interference estimates for the next leader."""
 
--- a/src/rhubarbfield/scheduling/controller.py
+++ b/src/rhubarbfield/scheduling/controller.py
@@ -136,6 +136,7 @@
             transport=transport,
             clock=clock,
             locate=settings.locate,
+            name=settings.name,
         )
         self.service = SchedulingService(
             self.log, self._reception, clock, has_begun=self._has_begun
@@ -224,6 +225,7 @@
             settings=settings,
             marks=self._marks,
             leadership=leadership,
+            list_others=self._list_relays,
         )
         async with trio.open_nursery() as nursery:
             await nursery.start(calls.run)
--- a/src/rhubarbfield/scheduling/digests.py
+++ b/src/rhubarbfield/scheduling/digests.py
@@ -20,6 +20,7 @@
     HeartbeatRequest,
     Sighting,
 )
+from rhubarbfield.scheduling.model import STATE_VERSION
 from rhubarbfield.types import InstanceName, WorkerId
 
 logger = logging.getLogger(__name__)
@@ -55,9 +56,12 @@
         Calls a controller, and returns its reply within a timeout.
     clock
         Source of time.
+    name
+        This controller.
     """
 
-    def __init__(self, call: LeaderCall, clock: Clock) -> None:
+    def __init__(self, call: LeaderCall, clock: Clock, name: InstanceName) -> None:
+        self._name = name
         self._call = call
         self._clock = clock
         self._answered: dict[WorkerId, _Answered] = {}
@@ -119,7 +123,9 @@
                     sent_at - each.received_at,
                 )
                 for each in sent
-            )
+            ),
+            self._name,
+            STATE_VERSION,
         )
         match await self._call(leader, digest, DIGEST_TIMEOUT):
             case Success(DigestHandled(unknown=unknown)):
--- a/src/rhubarbfield/scheduling/heartbeats.py
+++ b/src/rhubarbfield/scheduling/heartbeats.py
@@ -9,8 +9,9 @@
 from rhubarbfield.groups import NotLeading
 from rhubarbfield.peering import CallMethod, make_call_stream
 from rhubarbfield.scheduling.commands import WorkerReport
+from rhubarbfield.scheduling.model import StateVersion
 from rhubarbfield.scheduling.state import SchedulingState
-from rhubarbfield.types import WorkerId
+from rhubarbfield.types import InstanceName, WorkerId
 
 
 class Heartbeat(msgspec.Struct, frozen=True, tag=True):
@@ -58,9 +59,21 @@
 
 
 class HeartbeatDigest(msgspec.Struct, frozen=True, tag=True):
-    """The heartbeats that a controller has answered since its last digest."""
+    """The heartbeats that a controller has answered since its last digest.
+
+    Attributes
+    ----------
+    sightings
+        The heartbeats.
+    sender
+        The controller; "" if it is of an earlier version.
+    state_version
+        The rules that it knows for applying commands.
+    """
 
     sightings: tuple[Sighting, ...]
+    sender: InstanceName = InstanceName("")
+    state_version: StateVersion = StateVersion(0)
 
 
 class HeartbeatHandled(msgspec.Struct, frozen=True, tag=True):
--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Awaitable, Callable, Mapping, Set
+from collections.abc import Awaitable, Callable, Collection, Mapping, Set
 from datetime import timedelta
 from functools import partial
 
@@ -47,6 +47,7 @@
 )
 from rhubarbfield.scheduling.mitigation import PAUSED, InterferenceMitigator
 from rhubarbfield.scheduling.model import (
+    LATE_SUCCESS_VERSION,
     CheckpointToken,
     Step,
     StepName,
@@ -81,12 +82,13 @@
     SchedulingState,
     Worker,
 )
+from rhubarbfield.scheduling.state_versions import StateVersions
 from rhubarbfield.scheduling.survey import BacklogLog
 from rhubarbfield.scheduling.suspects import Suspects
 from rhubarbfield.scheduling.terminations import Terminations
 from rhubarbfield.scheduling.waiting_log import WaitingLog
 from rhubarbfield.scheduling.witnessed_leases import WitnessedLeases
-from rhubarbfield.types import LogIndex, Term, WorkerId
+from rhubarbfield.types import InstanceName, LogIndex, Term, WorkerId
 
 logger = logging.getLogger(__name__)
 
@@ -113,6 +115,8 @@
         When this controller learned that workers were marked as silent.
     leadership
         Leadership of the term in which it leads.
+    list_others
+        Returns the other members of the group.
     """
 
     def __init__(
@@ -124,6 +128,7 @@
         settings: SchedulingSettings,
         marks: MarkTimes,
         leadership: Leadership,
+        list_others: Callable[[], Collection[InstanceName]] = tuple,
     ) -> None:
         log = self._log = log.in_term(leadership.term)
         self._clock = clock
@@ -171,6 +176,7 @@
         self._avoided: dict[TaskName, set[WorkerId]] = {}
         self._ends = Batcher(self._commit_ends)
         self._begun = BegunJobs(log, clock)
+        self._versions = StateVersions(log, list_others, clock)
         self._late_ends = LateEnds(lambda: self.state, clock)
         self._removals = Removals(
             log,
@@ -249,6 +255,7 @@
                     ("interference", self._save_harm),
                     ("marks", self._marker.run),
                     ("begun jobs", self._begun.run),
+                    ("versions", self._versions.run),
                 ):
                     nursery.start_soon(self._keep_running, name, work)
         finally:
@@ -372,6 +379,7 @@
 
     def handle_digest(self, digest: HeartbeatDigest) -> tuple[WorkerId, ...]:
         """Process heartbeats answered elsewhere; return workers without a record."""
+        self._versions.record(digest)
         workers = self.state.workers
         for sighting in digest.sightings:
             if sighting.worker not in workers:
@@ -563,6 +571,10 @@
                 self._record_outcomes(report)
             except Exception as error:
                 contain(Unit.SESSION, error, worker=report.worker)
+        if self.state.version >= LATE_SUCCESS_VERSION:
+            ends = tuple(
+                msgspec.structs.replace(each, counts_late=True) for each in ends
+            )
         begun = self._begun.list_unsaved()
         await self._propose(EndRuns(workers=ends, begun=begun))
         self._begun.drop_saved(begun)
--- a/src/rhubarbfield/scheduling/ledger.py
+++ b/src/rhubarbfield/scheduling/ledger.py
@@ -298,10 +298,7 @@
             self._known_since.pop(key, None)
         self._ending |= keys
         await self._host.record_ends(
-            WorkerEnds(
-                self._worker, ends, recorded_ends, lapsed, brief, counts_late=True
-            ),
-            since,
+            WorkerEnds(self._worker, ends, recorded_ends, lapsed, brief), since
         )
         self._ending -= keys
 
--- a/src/rhubarbfield/scheduling/model.py
+++ b/src/rhubarbfield/scheduling/model.py
@@ -21,11 +21,15 @@
 Label = NewType("Label", str)
 TaskName = NewType("TaskName", str)
 StepName = NewType("StepName", str)  # the name of a task without its index
+StateVersion = NewType("StateVersion", int)
 RunNumber = NewType("RunNumber", int)
 CheckpointToken = NewType("CheckpointToken", str)
 
 NO_CHECKPOINT = CheckpointToken("")
 MAX_JOB_ID_LENGTH = 64
+# A success that is listed late completes its task.
+LATE_SUCCESS_VERSION = StateVersion(1)
+STATE_VERSION = LATE_SUCCESS_VERSION  # the latest rules that this build knows
 
 
 class JobPhase(StrEnum):
--- a/src/rhubarbfield/scheduling/reception.py
+++ b/src/rhubarbfield/scheduling/reception.py
@@ -75,6 +75,8 @@
         Source of time.
     locate
         Returns host and port of a controller.
+    name
+        This controller.
     """
 
     def __init__(
@@ -85,6 +87,7 @@
         transport: Transport,
         clock: Clock,
         locate: Callable[[InstanceName], tuple[str, int]],
+        name: InstanceName,
     ) -> None:
         self._log = log
         self._get_leader = get_leader
@@ -92,7 +95,7 @@
         self._transport = transport
         self._locate = locate
         self._pool = self._make_pool(transport)
-        self._digests = DigestSender(self._call, clock)
+        self._digests = DigestSender(self._call, clock, name)
         self._unknown: set[WorkerId] = set()
         self._refused = 0  # since the last line about it
         self._refusal_logged_at: timedelta | None = None
--- a/src/rhubarbfield/scheduling/state.py
+++ b/src/rhubarbfield/scheduling/state.py
@@ -28,6 +28,7 @@
     QueueConfiguration,
     QueueName,
     RunNumber,
+    StateVersion,
     Step,
     StepName,
     TaskName,
@@ -426,6 +427,8 @@
         Queues of open jobs that are no longer configured under their names.
     withdrawn
         The latest jobs that were cancelled before they were accepted, oldest first.
+    version
+        The rules in effect, which all members of the group know.
     """
 
     configuration: QueueConfiguration | None = None
@@ -437,6 +440,7 @@
     configuration_sizes: list[int] = msgspec.field(default_factory=list)
     former_queues: dict[QueueName, FormerQueue] = msgspec.field(default_factory=dict)
     withdrawn: dict[JobId, None] = msgspec.field(default_factory=dict)
+    version: StateVersion = StateVersion(0)
 
     def find_queue(self, name: QueueName) -> Queue | None:
         """Return a queue of the configuration in force."""
--- a/tests/scheduling/overloads.py
+++ b/tests/scheduling/overloads.py
@@ -27,7 +27,7 @@
 from rhubarbfield.scheduling.state import JobPhase
 from rhubarbfield.testing.memory_transport import MemoryTransport, SimulatedNetwork
 from rhubarbfield.testing.scheduling_workers import CAPACITY, StandInWorker
-from rhubarbfield.types import JobId, WorkerId
+from rhubarbfield.types import InstanceName, JobId, WorkerId
 from tests.scheduling.deployments import QUEUE, Deployment
 
 WORKERS = 6
@@ -159,6 +159,7 @@
             transport=MemoryTransport(SimulatedNetwork(random.Random(0)), "c"),
             clock=self.clock,
             locate=lambda name: (name, 1),
+            name=InstanceName("c"),
         )
         return SchedulingService(self.log, reception, self.clock)
 
