Try all ways to place a gang, and count places with the limit per worker

Cause: the rack was chosen by room without max_per_worker. The gang then found no place for its last member there, and the next round did the same: no other rack and no several racks were tried.

count_places says how many more tasks of a step a worker may take: label, room, limit per worker, live tasks, probation. Filling a rack or all workers, reserved workers, the check whether a job can run at all and the reason of a wait use it. Spare cores and harm stay apart, since a forced start overrides them. The racks are tried in order, the preferred one first, then all workers together. A round does not count again for a gang that needs no less than one that found no way.

Gangs of the random fleets now draw a limit per worker, and the reference of test_rounds tries the same ways.

--- a/src/rhubarbfield/scheduling/backfilling.py
+++ b/src/rhubarbfield/scheduling/backfilling.py
@@ -11,13 +11,11 @@
 import msgspec
 
 from rhubarbfield.clock import MILLISECOND
-from rhubarbfield.scheduling.candidates import list_full
 from rhubarbfield.scheduling.headroom import (
     WaitingStep,
     WorkerHeadroom,
     admits,
-    has_label,
-    has_room,
+    count_places,
 )
 from rhubarbfield.scheduling.interference import InterferenceModel
 from rhubarbfield.scheduling.model import Demand, Step, find_largest
@@ -173,7 +171,10 @@
         return [
             each.headroom
             for each in self._by_service.get(waiting.queue.service, ())
-            if self._goes_before(waiting, each) and self._admits(waiting, each)
+            if self._goes_before(waiting, each)
+            and self._admits(
+                waiting, each, waiting.count_running(each.headroom.worker.worker)
+            )
         ]
 
     def choose(
@@ -201,9 +202,9 @@
         if not members:
             return None
         key = get_key(waiting)
-        full = list_full(waiting.step, tasks_per_worker)
         for each in sorted(members, key=lambda each: each.holder != key):
-            if each.headroom.worker.worker in full or not self._admits(waiting, each):
+            running = tasks_per_worker.get(each.headroom.worker.worker, 0)
+            if not self._admits(waiting, each, running):
                 continue
             if is_suspect and not self._goes_before(waiting, each):
                 continue
@@ -214,10 +215,12 @@
             return each.headroom
         return None
 
-    def _admits(self, waiting: WaitingStep, reserved: ReservedWorker) -> bool:
+    def _admits(
+        self, waiting: WaitingStep, reserved: ReservedWorker, running: int = 0
+    ) -> bool:
         """Return whether a task of a step may start on a reserved worker now."""
         step, headroom = waiting.step, reserved.headroom
-        if not (has_room(step.reserved, headroom) and has_label(step, headroom)):
+        if not count_places(step, headroom, running):
             return False
         may_use = (
             reserved.is_used
--- a/src/rhubarbfield/scheduling/candidates.py
+++ b/src/rhubarbfield/scheduling/candidates.py
@@ -4,6 +4,7 @@
 
 import math
 from collections.abc import Collection, Iterable, Mapping, Sequence
+from types import MappingProxyType
 
 import msgspec
 
@@ -12,6 +13,7 @@
     WaitingStep,
     WorkerHeadroom,
     admits,
+    count_places,
     has_label,
     has_room,
     measure_utilization,
@@ -140,8 +142,7 @@
         return [
             headroom
             for headroom in self._quarantined.get(waiting.queue.service, ())
-            if has_room(step.reserved, headroom)
-            and has_label(step, headroom)
+            if count_places(step, headroom)
             and admits(step, headroom, self._interference)
             and (is_interrupted or headroom.has_proven_probe)
         ]
@@ -220,14 +221,31 @@
         candidates: Sequence[WorkerHeadroom],
         *,
         is_suspect: bool = False,
+        running: Mapping[WorkerId, int] = MappingProxyType({}),
     ) -> CandidateRanking:
-        """Return a ranking of some workers for tasks of a step."""
+        """Return a ranking of some workers for tasks of a step.
+
+        Parameters
+        ----------
+        step
+            The step.
+        candidates
+            The workers.
+        is_suspect
+            Whether the tasks may crash their worker.
+        running
+            Number of live tasks of the step by worker, which the caller keeps up to
+            date as it adds tasks. Without it the limit per worker is not considered.
+        """
         reserved = step.reserved
         compute_cost = _compute_risk if is_suspect else self._compute_cost
 
         def evaluate(headroom: WorkerHeadroom) -> Cost | None:
             if not has_room(reserved, headroom):
                 return None
+            count = running.get(headroom.worker.worker, 0)
+            if count and not count_places(step, headroom, count):
+                return None
             if not admits(step, headroom, self._interference):
                 return None
             return compute_cost(step, headroom)
--- a/src/rhubarbfield/scheduling/deferrals.py
+++ b/src/rhubarbfield/scheduling/deferrals.py
@@ -6,13 +6,12 @@
 from datetime import timedelta
 
 from rhubarbfield.scheduling.backfilling import ReservedWorker, StepKey, get_key
-from rhubarbfield.scheduling.candidates import list_full
 from rhubarbfield.scheduling.headroom import (
     WaitingStep,
     WorkerHeadroom,
-    count_live,
-    has_label,
+    count_places,
     has_room,
+    measure_steps,
 )
 from rhubarbfield.scheduling.model import Demand, find_largest
 
@@ -65,6 +64,8 @@
     return (
         worker.service == waiting.queue.service
         and step.reserved.fits(worker.capacity)
-        and has_label(step, headroom)
-        and worker.worker not in list_full(step, count_live(waiting.tasks))
+        and count_places(
+            step, measure_steps(worker, ()), waiting.count_running(worker.worker)
+        )
+        > 0
     )
--- a/src/rhubarbfield/scheduling/headroom.py
+++ b/src/rhubarbfield/scheduling/headroom.py
@@ -181,6 +181,12 @@
         steps = self.job.occurrences[self.occurrence]
         return steps[self.number].tasks if steps else []
 
+    def count_running(self, worker: WorkerId) -> int:
+        """Return the number of live tasks on a worker, if the step limits it."""
+        if not self.step.max_per_worker:
+            return 0
+        return count_live(self.tasks).get(worker, 0)
+
 
 def find_task_step(state: SchedulingState, name: TaskName) -> WaitingStep | None:
     """Return the step of a task, or None if its job or queue is unknown."""
@@ -203,6 +209,37 @@
     return headroom.task_count < headroom.task_limit and reserved.fits(headroom.free)
 
 
+def count_places(step: Step, headroom: WorkerHeadroom, running: int = 0) -> int:
+    """Return how many more tasks of a step may run on a worker at a time.
+
+    Whether they find spare cores there and harm no serving task is not part of it.
+
+    Parameters
+    ----------
+    step
+        The step.
+    headroom
+        Headroom of the worker.
+    running
+        Number of live tasks of the step on the worker.
+    """
+    need, free = step.reserved, headroom.free
+    if not has_room(need, headroom) or not has_label(step, headroom):
+        return 0
+    places = step.tasks
+    if step.max_per_worker:
+        places = min(places, step.max_per_worker - running)
+    if not (step.gang and headroom.awaits_probe):
+        places = min(places, headroom.task_limit - headroom.task_count)
+    if need.millicores:
+        places = min(places, free.millicores // need.millicores)
+    if need.memory_mb:
+        places = min(places, free.memory_mb // need.memory_mb)
+    if need.accelerators:
+        places = min(places, free.accelerators // need.accelerators)
+    return max(places, 0)
+
+
 def has_cores(step: Step, headroom: WorkerHeadroom) -> bool:
     """Return whether a worker has enough spare cores, if the task works on these."""
     if not step.uses_spare_cores:
@@ -222,17 +259,34 @@
     return admits_share(headroom.measure_slacks(interference), step.image, share)
 
 
+def count_admitted(
+    step: Step,
+    headroom: WorkerHeadroom,
+    interference: InterferenceModel,
+    running: int = 0,
+) -> int:
+    """Return how many more tasks may start on a worker at most, where none is forced.
+
+    Each but the first may harm serving tasks.
+    """
+    places = count_places(step, headroom, running)
+    if not places or not step.uses_spare_cores:
+        return places
+    if not admits(step, headroom, interference):
+        return 0
+    use = _expect_use(step)
+    if not use:
+        return places
+    least = step.demand.millicores * MIN_SPARE_CORE_FRACTION
+    return min(places, int((headroom.spare_millicores - least) // use) + 1)
+
+
 def is_feasible(waiting: WaitingStep, headroom: WorkerHeadroom) -> bool:
     """Return whether a worker has the service, label and headroom for a task."""
-    step = waiting.step
-    worker = headroom.worker
-    if worker.service != waiting.queue.service or not has_label(step, headroom):
-        return False
-    if not has_room(step.reserved, headroom):
+    step, worker = waiting.step, headroom.worker
+    if worker.service != waiting.queue.service or not has_room(step.reserved, headroom):
         return False
-    if not step.max_per_worker:
-        return True
-    return count_live(waiting.tasks).get(worker.worker, 0) < step.max_per_worker
+    return count_places(step, headroom, waiting.count_running(worker.worker)) > 0
 
 
 def measure_utilization(headrooms: list[WorkerHeadroom]) -> float:
--- a/src/rhubarbfield/scheduling/placing.py
+++ b/src/rhubarbfield/scheduling/placing.py
@@ -15,10 +15,10 @@
 from rhubarbfield.scheduling.candidates import (
     Candidates,
     Saved,
-    list_full,
     save_headroom,
 )
 from rhubarbfield.scheduling.commands import RunStart
+from rhubarbfield.scheduling.gang_ways import UnplaceableGangs, iterate_ways
 from rhubarbfield.scheduling.headroom import (
     WaitingStep,
     WorkerHeadroom,
@@ -123,6 +123,7 @@
         self._is_starved = is_starved
         self._may_wait = may_wait
         self._unresolved = unresolved
+        self._unplaceable = UnplaceableGangs()
         self._starts: list[RunStart] = []
         self._starved: dict[JobId, bool] = {}
         self.unplaced: dict[tuple[JobId, int], WaitingStep] = {}
@@ -298,11 +299,10 @@
         if (waiting.job.job, waiting.number) in self.trials:
             return WaitExplanation(WaitReason.TRIAL, reserved)
         fitting = self._candidates.list_fitting(waiting)
-        return explain_wait(waiting.step, fitting, reserved, self._interference)
+        return explain_wait(waiting, fitting, reserved, self._interference)
 
     def _place_gang(self, waiting: WaitingStep) -> None:
         """Place all members of a gang or none, all with the same run number."""
-        step = waiting.step
         tasks = waiting.tasks
         if any(task.phase is not TaskPhase.WAITING for task in tasks):
             return
@@ -319,21 +319,10 @@
         if self._candidates.is_rejected(waiting) and not unused:
             self._note_unplaced_gang(waiting)
             return
-        ranking = self._rank_for_gang(waiting, unused)
-        saved: dict[WorkerId, Saved] = {}
-        chosen: list[WorkerHeadroom] = []
-        tasks_per_worker: dict[WorkerId, int] = {}
-        for _ in tasks:
-            headroom = ranking.choose(list_full(step, tasks_per_worker), ())
-            if headroom is None:
-                self._candidates.restore(saved.values())
-                self._note_unplaced_gang(waiting)
-                return
-            saved.setdefault(headroom.worker.worker, save_headroom(headroom))
-            if headroom.awaits_probe:
-                headroom.task_limit += 1
-            self._add_task(headroom, step, tasks_per_worker)
-            chosen.append(headroom)
+        chosen = self._choose_for_gang(waiting, unused)
+        if not chosen:
+            self._note_unplaced_gang(waiting)
+            return
         for task, headroom in zip(tasks, chosen, strict=True):
             if task.is_suspect or headroom.awaits_probe:
                 self._candidates.close(headroom)
@@ -345,10 +334,10 @@
     def _note_unplaced_gang(self, waiting: WaitingStep) -> None:
         self.unplaced.setdefault((waiting.job.job, waiting.number), waiting)
 
-    def _rank_for_gang(
+    def _choose_for_gang(
         self, waiting: WaitingStep, unused: list[WorkerHeadroom]
-    ) -> CandidateRanking:
-        """Return a ranking of the workers of one rack, if a gang should have one.
+    ) -> list[WorkerHeadroom]:
+        """Add all members of a gang to workers and return these; none if none fits.
 
         Parameters
         ----------
@@ -357,17 +346,52 @@
         unused
             Reserved workers whose room the gang may use.
         """
-        step = waiting.step
+        running = count_live(waiting.tasks)
+        # What is reserved or runs already differs from gang to gang.
+        is_alike = not (unused or running)
+        if is_alike and self._unplaceable.covers(waiting):
+            return []
+        candidates = [*self._candidates.list_fitting(waiting), *unused]
+        members = len(waiting.tasks)
         is_suspect = any(task.is_suspect for task in waiting.tasks)
-        if step.same_rack:
-            candidates = [*self._candidates.list_fitting(waiting), *unused]
-            rack = _choose_rack(step, len(waiting.tasks), candidates)
-            if rack is not None:
-                return self._candidates.rank(step, rack, is_suspect=is_suspect)
-        if unused:
-            candidates = [*self._candidates.list_fitting(waiting), *unused]
-            return self._candidates.rank(step, candidates, is_suspect=is_suspect)
-        return self._candidates.find_ranking(waiting, is_suspect=is_suspect)
+        step = waiting.step
+        for workers in iterate_ways(
+            step, members, candidates, running, self._interference
+        ):
+            counts = dict(running)
+            if is_alike and workers is candidates and not step.max_per_worker:
+                ranking = self._candidates.find_ranking(waiting, is_suspect=is_suspect)
+            else:
+                ranking = self._candidates.rank(
+                    step, workers, is_suspect=is_suspect, running=counts
+                )
+            chosen = self._fill(waiting, ranking, counts)
+            if chosen:
+                return chosen
+        if is_alike:
+            self._unplaceable.add(waiting)
+        return []
+
+    def _fill(
+        self,
+        waiting: WaitingStep,
+        ranking: CandidateRanking,
+        running: dict[WorkerId, int],
+    ) -> list[WorkerHeadroom]:
+        """Add all members of a gang to the best workers, or none if not all fit."""
+        saved: dict[WorkerId, Saved] = {}
+        chosen: list[WorkerHeadroom] = []
+        for _ in waiting.tasks:
+            headroom = ranking.choose((), ())
+            if headroom is None:
+                self._candidates.restore(saved.values())
+                return []
+            saved.setdefault(headroom.worker.worker, save_headroom(headroom))
+            if headroom.awaits_probe:
+                headroom.task_limit += 1
+            self._add_task(headroom, waiting.step, running)
+            chosen.append(headroom)
+        return chosen
 
     def _may_force(self, waiting: WaitingStep) -> bool:
         """Return whether a task may start although it harms serving tasks."""
@@ -419,34 +443,3 @@
 
 def _count_waiting(waiting: WaitingStep) -> int:
     return sum(task.phase is TaskPhase.WAITING for task in waiting.tasks)
-
-
-def _choose_rack(
-    step: Step, members: int, candidates: list[WorkerHeadroom]
-) -> list[WorkerHeadroom] | None:
-    """Return the workers of a rack that can hold the whole gang, if any."""
-    racks: dict[str, list[WorkerHeadroom]] = {}
-    for headroom in candidates:
-        for label in headroom.worker.labels[1:]:
-            racks.setdefault(label, []).append(headroom)
-    for headrooms in sorted(racks.values(), key=len, reverse=True):
-        if sum(_count_fitting(step, headroom) for headroom in headrooms) >= members:
-            return headrooms
-    return None
-
-
-def _count_fitting(step: Step, headroom: WorkerHeadroom) -> int:
-    need, free = step.reserved, headroom.free
-    counts = [
-        have // want
-        for have, want in (
-            (free.millicores, need.millicores),
-            (free.memory_mb, need.memory_mb),
-            (free.accelerators, need.accelerators),
-        )
-        if want
-    ]
-    limit = headroom.task_limit - headroom.task_count
-    if headroom.awaits_probe and limit > 0:
-        return min(counts, default=limit)
-    return min([*counts, limit])
--- a/src/rhubarbfield/scheduling/rejected_steps.py
+++ b/src/rhubarbfield/scheduling/rejected_steps.py
@@ -16,8 +16,7 @@
     WaitingStep,
     WorkerHeadroom,
     admits,
-    has_label,
-    has_room,
+    count_places,
 )
 from rhubarbfield.scheduling.interference import InterferenceModel
 from rhubarbfield.scheduling.model import Demand, find_largest
@@ -147,13 +146,10 @@
     def may_take(self, waiting: WaitingStep, interference: InterferenceModel) -> bool:
         """Return whether any of them can take a task of a step."""
         step = waiting.step
-        reserved = step.reserved
-        if not reserved.fits(self._largest):
+        if not step.reserved.fits(self._largest):
             return False
         return any(
-            has_room(reserved, headroom)
-            and has_label(step, headroom)
-            and admits(step, headroom, interference)
+            count_places(step, headroom) and admits(step, headroom, interference)
             for headroom in self.members
         )
 
--- a/src/rhubarbfield/scheduling/wait_reasons.py
+++ b/src/rhubarbfield/scheduling/wait_reasons.py
@@ -8,7 +8,14 @@
 
 import msgspec
 
-from rhubarbfield.scheduling.headroom import WorkerHeadroom, has_cores
+from rhubarbfield.scheduling.headroom import (
+    WaitingStep,
+    WorkerHeadroom,
+    count_live,
+    count_places,
+    has_cores,
+    has_room,
+)
 from rhubarbfield.scheduling.interference import InterferenceModel, measure_least_left
 from rhubarbfield.scheduling.model import Step
 
@@ -19,9 +26,11 @@
     Attributes
     ----------
     NO_CAPACITY
-        No usable worker has enough capacity that is not reserved.
+        No usable worker, or for a gang too few, have enough capacity that is not
+        reserved.
     SPREAD
-        Workers with capacity already run as many tasks of the step as it allows.
+        Workers with capacity run as many tasks of the step as it allows, or would
+        have to run more of a gang.
     NO_SPARE_CORES
         Workers with capacity have no spare cores.
     INTERFERENCE
@@ -83,7 +92,7 @@
 
 
 def explain_wait(
-    step: Step,
+    waiting: WaitingStep,
     fitting: Iterable[WorkerHeadroom],
     reserved: float,
     interference: InterferenceModel,
@@ -92,7 +101,7 @@
 
     Parameters
     ----------
-    step
+    waiting
         The step.
     fitting
         Workers with free capacity for a task of it.
@@ -101,10 +110,17 @@
     interference
         The model of how images slow each other.
     """
-    usable = [each for each in fitting if each.task_count < each.task_limit]
-    if not usable:
-        return WaitExplanation(WaitReason.NO_CAPACITY, reserved)
-    if not step.uses_spare_cores:
+    step = waiting.step
+    usable = [each for each in fitting if has_room(step.reserved, each)]
+    unlimited = msgspec.structs.replace(step, max_per_worker=0)
+    needed = len(waiting.tasks) if step.gang else 1
+    if sum(count_places(unlimited, each) for each in usable) < needed:
+        return WaitExplanation(WaitReason.NO_CAPACITY, reserved, len(usable))
+    running = count_live(waiting.tasks) if step.max_per_worker else {}
+    places = sum(
+        count_places(step, each, running.get(each.worker.worker, 0)) for each in usable
+    )
+    if places < needed or not step.uses_spare_cores:
         return WaitExplanation(WaitReason.SPREAD, reserved, len(usable))
     with_cores = [headroom for headroom in usable if has_cores(step, headroom)]
     if not with_cores:
--- a/src/rhubarbfield/scheduling/worker_kinds.py
+++ b/src/rhubarbfield/scheduling/worker_kinds.py
@@ -5,6 +5,11 @@
 from collections import Counter
 from collections.abc import Iterable, Sequence
 
+from rhubarbfield.scheduling.headroom import (
+    WorkerHeadroom,
+    count_places,
+    measure_steps,
+)
 from rhubarbfield.scheduling.model import Demand, JobSubmission, Label, Step
 from rhubarbfield.scheduling.state import Worker
 from rhubarbfield.types import JobId, ServiceName
@@ -25,11 +30,15 @@
     """
 
     def __init__(self, workers: Iterable[Worker]) -> None:
-        self._counts = Counter(
-            (worker.capacity, worker.labels)
-            for worker in workers
-            if worker.capacity.millicores
-        )
+        self._counts: Counter[_Kind] = Counter()
+        self._idle: dict[_Kind, WorkerHeadroom] = {}
+        for worker in workers:
+            kind = worker.capacity, worker.labels
+            if not worker.capacity.millicores:
+                continue
+            self._counts[kind] += 1
+            if kind not in self._idle:
+                self._idle[kind] = measure_steps(worker, ())
         self._known: dict[JobId, tuple[JobSubmission, Sequence[bool]]] = {}
 
     def is_like(self, other: WorkerKinds) -> bool:
@@ -59,29 +68,13 @@
 
     def _can_run(self, step: Step) -> bool:
         missing = step.tasks if step.gang else 1
-        for (capacity, labels), workers in self._counts.items():
-            if not step.required_label or step.required_label in labels:
-                missing -= workers * _count_fitting(step, capacity)
-                if missing <= 0:
-                    return True
+        for kind, workers in self._counts.items():
+            missing -= workers * count_places(step, self._idle[kind])
+            if missing <= 0:
+                return True
         return not self._counts
 
 
-def _count_fitting(step: Step, capacity: Demand) -> int:
-    """Return how many tasks of a step an idle worker can run at a time."""
-    need = step.reserved
-    limits = [
-        have // want
-        for have, want in (
-            (capacity.millicores, need.millicores),
-            (capacity.memory_mb, need.memory_mb),
-            (capacity.accelerators, need.accelerators),
-        )
-        if want
-    ]
-    return min([*limits, step.max_per_worker or step.tasks])
-
-
 class KindsIndex:
     """The kinds of the workers of each service, and what is known of jobs there."""
 
--- a/tests/scheduling/fleets.py
+++ b/tests/scheduling/fleets.py
@@ -201,6 +201,7 @@
             estimate_ms=1000,
             gang=True,
             same_rack=self.random.choice((False, True)),
+            max_per_worker=self.random.choice((0, 0, 1, 2)),
         )
         return self.submit(step)
 
--- a/tests/scheduling/reference_placing.py
+++ b/tests/scheduling/reference_placing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 from collections.abc import Callable, Iterator, Mapping
 
 import msgspec
@@ -162,14 +163,29 @@
                     return
 
     def place_gang(self, waiting: WaitingStep) -> None:
-        step, tasks = waiting.step, waiting.tasks
+        tasks = waiting.tasks
         if any(task.phase is not TaskPhase.WAITING for task in tasks):
             return
-        counts: dict[WorkerId, int] = {}
-        rack = self.find_rack(waiting) if step.same_rack else None
+        for rack in self.list_ways(waiting):
+            chosen = self.fill(waiting, rack)
+            if chosen:
+                break
+        else:
+            return
+        run = RunNumber(max(task.last_run for task in tasks) + 1)
+        for index, best in enumerate(chosen):
+            if best.awaits_probe:
+                best.task_limit = best.task_count
+            name = name_task(waiting.job.job, waiting.occurrence, waiting.number, index)
+            self.starts.append(RunStart(name, run, best.worker.worker))
+
+    def fill(self, waiting: WaitingStep, rack: str | None) -> list[WorkerHeadroom]:
+        """Add all members of a gang, or none."""
+        step = waiting.step
+        counts = count_live(waiting.tasks)
         saved = [msgspec.structs.astuple(each) for each in self.headrooms]
         chosen: list[WorkerHeadroom] = []
-        for _ in tasks:
+        for _ in waiting.tasks:
             fitting = [
                 each
                 for each in self.list_fitting(waiting, counts)
@@ -182,41 +198,21 @@
                         headroom.__struct_fields__, values, strict=True
                     ):
                         setattr(headroom, field, value)
-                return
+                return []
             best.task_limit += best.awaits_probe
             self.add(step, best, counts)
             chosen.append(best)
-        run = RunNumber(max(task.last_run for task in tasks) + 1)
-        for index, best in enumerate(chosen):
-            if best.awaits_probe:
-                best.task_limit = best.task_count
-            name = name_task(waiting.job.job, waiting.occurrence, waiting.number, index)
-            self.starts.append(RunStart(name, run, best.worker.worker))
+        return chosen
 
-    def find_rack(self, waiting: WaitingStep) -> str | None:
-        """Return the rack with most workers among those that hold the gang."""
-        need = waiting.step.reserved
-        sizes: dict[str, list[int]] = {}
-        for each in self.list_fitting(waiting, {}, is_limited=False):
-            counts = [
-                have // want
-                for have, want in zip(
-                    msgspec.structs.astuple(each.free),
-                    msgspec.structs.astuple(need),
-                    strict=True,
-                )
-                if want
-            ]
-            fits = each.task_limit - each.task_count
-            if not (each.awaits_probe and fits):
-                counts.append(fits)
-            fits = min(counts)
-            for label in each.worker.labels[1:]:
-                sizes.setdefault(label, []).append(fits)
-        large = [
-            rack for rack, fits in sizes.items() if sum(fits) >= len(waiting.tasks)
-        ]
-        return max(large, key=lambda rack: len(sizes[rack]), default=None)
+    def list_ways(self, waiting: WaitingStep) -> list[str | None]:
+        """Return the racks to try, the one with most workers first, and then all."""
+        step = waiting.step
+        sizes: Counter[str] = Counter()
+        if step.same_rack:
+            for each in self.list_fitting(waiting, {}, is_limited=False):
+                sizes.update(each.worker.labels[1:])
+        racks = sorted(sizes, key=lambda rack: -sizes[rack])
+        return [*sorted(racks, key=lambda rack: rack != step.preferred_rack), None]
 
     def list_fitting(
         self,
