--- a/tests/platform/test_fuzzing.py
+++ b/tests/platform/test_fuzzing.py
@@ -26,6 +26,7 @@
 from rhubarbfield.scheduling.ranges import MAX_INTEGER, MAX_WORKER_MS
 from rhubarbfield.scheduling.settings import SchedulingSettings
 from rhubarbfield.scheduling.state import Job, SchedulingState, Worker
+from rhubarbfield.scheduling.worker_kinds import WorkerKinds
 from rhubarbfield.types import JobId, Term
 from tests.platform.test_wire import CONFIGURATION, HEARTBEAT, ROUTE
 from tests.scheduling.deployments import CONFIGURATION as ORDINARY_CONFIGURATION
@@ -188,7 +189,11 @@
             capacity=worker.capacity,
         )
         job = Job(job=JobId("j"), queue=QUEUE.name, order=1, submission=submission)
-        for _, number in choose_due([job], now_ms=1e12):
+        kinds = WorkerKinds(state.workers.values())
+        due = choose_due(
+            [job], 1e12, lambda each: kinds.list_possible(each.job, each.submission)
+        )
+        for _, number in due:
             job.open_occurrence(number)
         state.jobs[job.job], state.accepted = job, 1
         admission = Admission(clock)
