--- a/src/rhubarbfield/scheduling/state_versions.py
+++ b/src/rhubarbfield/scheduling/state_versions.py
@@ -62,10 +62,10 @@
     async def run(self) -> None:
         """Raise the version of the state once all members know it, until cancelled."""
         while True:
+            await self._clock.sleep(CHECK_INTERVAL)
             common = self._find_common()
             if common > self._log.state.scheduling.version:
                 await self._raise(common)
-            await self._clock.sleep(CHECK_INTERVAL)
 
     async def _raise(self, version: StateVersion) -> None:
         result = await self._log.propose(RaiseStateVersion(version=version))
