Derive from the state's version whether a late success counts

Each report of ends said so as well (WorkerEnds.counts_late), which the leader set from the version of the state that every replica has when it applies the command. The field has not landed yet, so that no log has it. In logs of earlier versions the version is 0, and such a success has no effect, as before. What is in flight as the version is raised counts now.

Two classes of test_appliers share the set-up that each of them had.

--- a/src/rhubarbfield/scheduling/appliers.py
+++ b/src/rhubarbfield/scheduling/appliers.py
@@ -33,6 +33,7 @@
 )
 from rhubarbfield.scheduling.gang_checkpoints import CheckpointSource
 from rhubarbfield.scheduling.model import (
+    LATE_SUCCESS_VERSION,
     NO_CHECKPOINT,
     RunNumber,
     StepName,
@@ -317,6 +318,7 @@
 
 @scheduling_commands.applies(EndRuns)
 def _end_runs(state: SchedulingState, command: EndRuns) -> Reply:
+    counts_late = state.version >= LATE_SUCCESS_VERSION
     for report in command.workers:
         worker = state.workers.get(report.worker)
         if worker is None:
@@ -324,7 +326,7 @@
         if report.recorded_ends > worker.recorded_ends:
             worker.lapsed.clear()  # it was only cut off, and lists its ends
         for ended in report.ends:
-            _end_run(state, worker, ended, counts_late=report.counts_late)
+            _end_run(state, worker, ended, counts_late=counts_late)
         worker.lapsed.extend(report.lapsed)
         _record_brief(worker, report)
         worker.recorded_ends = max(worker.recorded_ends, report.recorded_ends)
--- a/src/rhubarbfield/scheduling/commands.py
+++ b/src/rhubarbfield/scheduling/commands.py
@@ -178,9 +178,6 @@
         Ended runs whose start may crash the worker yet, for the same case.
     proven
         Earlier ones of these with which the worker has worked on for a while.
-    counts_late
-        Whether a success counts although the run was recorded as ended before. Earlier
-        versions wrote commands without it, which dropped such a success.
     """
 
     worker: WorkerId
@@ -189,7 +186,6 @@
     lapsed: tuple[CrashedRun, ...] = ()
     brief: tuple[CrashedRun, ...] = ()
     proven: tuple[CrashedRun, ...] = ()
-    counts_late: bool = False
 
 
 class RaiseStateVersion(Command, frozen=True):
--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -47,7 +47,6 @@
 )
 from rhubarbfield.scheduling.mitigation import PAUSED, InterferenceMitigator
 from rhubarbfield.scheduling.model import (
-    LATE_SUCCESS_VERSION,
     CheckpointToken,
     Step,
     StepName,
@@ -571,10 +570,6 @@
                 self._record_outcomes(report)
             except Exception as error:
                 contain(Unit.SESSION, error, worker=report.worker)
-        if self.state.version >= LATE_SUCCESS_VERSION:
-            ends = tuple(
-                msgspec.structs.replace(each, counts_late=True) for each in ends
-            )
         begun = self._begun.list_unsaved()
         await self._propose(EndRuns(workers=ends, begun=begun))
         self._begun.drop_saved(begun)
--- a/tests/scheduling/test_appliers.py
+++ b/tests/scheduling/test_appliers.py
@@ -28,6 +28,7 @@
     EndRuns,
     OpenOccurrences,
     PutConfiguration,
+    RaiseStateVersion,
     RemoveWorker,
     RunsRecorded,
     RunStart,
@@ -38,6 +39,7 @@
 )
 from rhubarbfield.scheduling.crashes import CrashedRun, CrashEvidence
 from rhubarbfield.scheduling.model import (
+    STATE_VERSION,
     CheckpointToken,
     Demand,
     JobSubmission,
@@ -118,6 +120,7 @@
         self.crashed: dict[str, set[RunNumber]] = {}
         self.abandoned: list[tuple[WorkerId, TaskName, RunNumber]] = []
         self.log.apply(PutConfiguration(configuration=CONFIGURATION))
+        self.log.apply(RaiseStateVersion(version=STATE_VERSION))
         for worker in WORKERS:
             self.log.apply(UpdateWorkers(reports=(make_report(worker),)))
 
@@ -199,7 +202,7 @@
         is_unended = job.is_open and not task.phase.is_final
         if end is RunEnd.DONE and is_known and is_unended:
             self.done.add(name)
-        report = WorkerEnds(worker, (EndedRun(name, run, end),), counts_late=True)
+        report = WorkerEnds(worker, (EndedRun(name, run, end),))
         for _ in range(1 + repeat):
             self.log.apply(EndRuns(workers=(report,)))
 
@@ -392,8 +395,8 @@
         self.assertEqual(self.log.state.jobs[JOBS[0]].phase, JobPhase.FAILED)
 
 
-class RepeatedProposalsTest(unittest.TestCase):
-    """A leader may propose anew what it does not know to be committed."""
+class SingleTaskCase(unittest.TestCase):
+    """A log with workers, and a task that they may be given."""
 
     def setUp(self) -> None:
         self.log = Log()
@@ -401,7 +404,6 @@
         for worker in WORKERS:
             self.log.apply(UpdateWorkers(reports=(make_report(worker),)))
         self.name = name_task(JOBS[0], 0, 0, 0)
-        self.accept(Step(copies_allowed=True))
 
     def accept(self, *steps: Step) -> None:
         submission = JobSubmission(payload="", steps=steps)
@@ -411,6 +413,14 @@
         start = RunStart(self.name, RunNumber(run), worker)
         return self.log.apply(StartRuns(starts=(start,)))
 
+
+class RepeatedProposalsTest(SingleTaskCase):
+    """A leader may propose anew what it does not know to be committed."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.accept(Step(copies_allowed=True))
+
     def test_copy_with_a_used_run_number_is_not_recorded(self) -> None:
         self.assertEqual(self.start(1, WORKERS[0]), RunsRecorded(recorded=(0,)))
         self.assertEqual(self.start(1, WORKERS[1]), RunsRecorded(recorded=()))
@@ -443,28 +453,16 @@
         self.assertEqual(self.log.state.jobs[job].phase, JobPhase.QUEUED)
 
 
-class LateEndsTest(unittest.TestCase):
+class LateEndsTest(SingleTaskCase):
     """A worker may list how a run ended that was recorded as lost."""
 
     def setUp(self) -> None:
-        self.log = Log()
-        self.log.apply(PutConfiguration(configuration=CONFIGURATION))
-        for worker in WORKERS:
-            self.log.apply(UpdateWorkers(reports=(make_report(worker),)))
-        self.name = name_task(JOBS[0], 0, 0, 0)
-
-    def accept(self, *steps: Step) -> None:
-        submission = JobSubmission(payload="", steps=steps)
-        self.log.apply(AcceptJob(job=JOBS[0], queue=QUEUE.name, submission=submission))
-
-    def start(self, run: int, worker: WorkerId) -> Reply:
-        start = RunStart(self.name, RunNumber(run), worker)
-        return self.log.apply(StartRuns(starts=(start,)))
+        super().setUp()
+        self.log.apply(RaiseStateVersion(version=STATE_VERSION))
 
     def end(self, run: int, worker: WorkerId, end: RunEnd, saved: str = "") -> None:
         ended = EndedRun(self.name, RunNumber(run), end, CheckpointToken(saved))
-        report = WorkerEnds(worker, (ended,), counts_late=True)
-        self.log.apply(EndRuns(workers=(report,)))
+        self.log.apply(EndRuns(workers=(WorkerEnds(worker, (ended,)),)))
 
     def find(self) -> Task:
         found = self.log.state.find_task(self.name)
--- a/tests/scheduling/test_earlier_versions.py
+++ b/tests/scheduling/test_earlier_versions.py
@@ -12,6 +12,7 @@
     EndedRun,
     EndRuns,
     PutConfiguration,
+    RaiseStateVersion,
     RemoveWorker,
     RunStart,
     StartRuns,
@@ -21,6 +22,7 @@
 from rhubarbfield.scheduling.crashes import CrashedRun, CrashEvidence
 from rhubarbfield.scheduling.gang_checkpoints import CheckpointSource
 from rhubarbfield.scheduling.model import (
+    LATE_SUCCESS_VERSION,
     CheckpointToken,
     JobSubmission,
     RunNumber,
@@ -182,7 +184,7 @@
         self.assertEqual((found[3].phase, found[3].crashes), (TaskPhase.WAITING, 0))
         self.assertEqual(log.state.workers[WORKERS[0]].unresolved, [])
 
-    def list_success_late(self, log: Log, *options: bool) -> TaskPhase:
+    def list_success_late(self, log: Log) -> TaskPhase:
         """Let the worker list a run as done that was recorded as lost."""
         done = EndedRun(TASK, RunNumber(1), RunEnd.DONE)
         lost = EndedRun(TASK, RunNumber(1), RunEnd.LOST)
@@ -190,7 +192,7 @@
         encoded = msgspec.msgpack.decode(
             log.machine.encode_command(EndRuns(workers=(WorkerEnds(WORKERS[0], ()),)))
         )
-        report = [WORKERS[0], [msgspec.to_builtins(done)], 1, [], [], [], *options]
+        report = [WORKERS[0], [msgspec.to_builtins(done)], 1, [], [], []]
         encoded["workers"] = [report]
         log.machine.apply(LogIndex(99), msgspec.msgpack.encode(encoded))
         found = log.state.find_task(TASK)
@@ -205,11 +207,13 @@
         self.assertIs(phase, TaskPhase.WAITING)
 
     def test_late_success_of_this_version_completes_its_task(self) -> None:
-        phase = self.list_success_late(make_running_log(), True)
+        log = make_running_log()
+        log.apply(RaiseStateVersion(version=LATE_SUCCESS_VERSION))
+        phase = self.list_success_late(log)
         self.assertIs(phase, TaskPhase.DONE)
 
-    def test_earlier_version_reads_ends_that_count_late(self) -> None:
-        report = WorkerEnds(WORKERS[0], (), 1, counts_late=True)
+    def test_earlier_version_reads_the_ends_of_this_one(self) -> None:
+        report = WorkerEnds(WORKERS[0], (), 1)
         read = msgspec.convert(msgspec.to_builtins(report), type=EarlierEnds)
         self.assertEqual(read, EarlierEnds(WORKERS[0], [], 1))
 
