Look up the kinds of a service's workers once for all recurring jobs

Housekeeping listed all workers of the service anew for each job with due occurrences, as often as every 25 ms on the leader's loop.

The controller's list of the other members is named for what it is, since relays are not its only use, and a test deployment has such a list in place of a class that a test swapped in.

--- a/src/rhubarbfield/scheduling/controller.py
+++ b/src/rhubarbfield/scheduling/controller.py
@@ -212,7 +212,7 @@
         settings = self._settings.make_scheduling_settings()
         calls = RelayedCalls(
             self._calls,
-            list_relays=self._list_relays,
+            list_relays=self._list_others,
             locate=self._settings.locate,
             transport=self._transport,
             clock=self._clock,
@@ -225,7 +225,7 @@
             settings=settings,
             marks=self._marks,
             leadership=leadership,
-            list_others=self._list_relays,
+            list_others=self._list_others,
         )
         async with trio.open_nursery() as nursery:
             await nursery.start(calls.run)
@@ -239,7 +239,7 @@
     def _has_begun(self, job: Job) -> bool:
         return job.has_begun if self._leader is None else self._leader.has_begun(job)
 
-    def _list_relays(self) -> set[InstanceName]:
+    def _list_others(self) -> set[InstanceName]:
         members = {member.id.name for member in self._replica.status().members}
         return members - {self._settings.name}
 
--- a/src/rhubarbfield/scheduling/housekeeping.py
+++ b/src/rhubarbfield/scheduling/housekeeping.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import logging
 from collections.abc import Mapping, Sequence
 from datetime import timedelta
@@ -35,8 +36,8 @@
     JobPhase,
     SchedulingState,
 )
-from rhubarbfield.scheduling.worker_kinds import KindsIndex
-from rhubarbfield.types import JobId, Term, WorkerId
+from rhubarbfield.scheduling.worker_kinds import KindsIndex, WorkerKinds
+from rhubarbfield.types import JobId, ServiceName, Term, WorkerId
 
 logger = logging.getLogger(__name__)
 
@@ -253,23 +254,23 @@
         if not self._jobs.recurring:
             return
         now_ms = self._clock.now().timestamp() * MS_PER_SECOND
-        due = choose_due(self._jobs.recurring.values(), now_ms, self._list_possible)
+        find_kinds = functools.cache(self._find_kinds)  # many jobs share a service
+
+        def list_possible(job: Job) -> Sequence[bool]:
+            queue = self._state.find_serving_queue(job.queue)
+            if queue is None:
+                return [False] * len(job.submission.steps)
+            return find_kinds(queue.service).list_possible(job.job, job.submission)
+
+        due = choose_due(self._jobs.recurring.values(), now_ms, list_possible)
         if due:
             await self._log.propose(OpenOccurrences(due=due))
 
-    def _list_possible(self, job: Job) -> Sequence[bool]:
-        """Return of each step of a job whether idle workers could run its tasks."""
-        queue = self._state.find_serving_queue(job.queue)
-        service = None if queue is None else queue.service
-        workers = (
-            worker
-            for worker in self._state.workers.values()
-            if worker.service == service
+    def _find_kinds(self, service: ServiceName) -> WorkerKinds:
+        workers = self._state.workers.values()
+        return self._kinds.find(
+            service, (worker for worker in workers if worker.service == service)
         )
-        if service is None:
-            return [False] * len(job.submission.steps)
-        kinds = self._kinds.find(service, workers)
-        return kinds.list_possible(job.job, job.submission)
 
     def _report_end(self, job: Job) -> None:
         if not self._has_scanned_jobs:  # the job ended under an earlier leader
--- a/tests/scheduling/deployments.py
+++ b/tests/scheduling/deployments.py
@@ -40,7 +40,7 @@
 from rhubarbfield.testing.crashing_workers import CrashingFleet
 from rhubarbfield.testing.scheduling_fleet import SentOrder
 from rhubarbfield.testing.scheduling_workers import StandInWorker
-from rhubarbfield.types import JobId, ServiceName, Term, WorkerId
+from rhubarbfield.types import InstanceName, JobId, ServiceName, Term, WorkerId
 from tests.controller.single_member import make_single_member_log
 from tests.replication.determinism import run_deterministic
 
@@ -77,6 +77,7 @@
         self.marks = MarkTimes(self.log, self.clock)
         self.elect(1)
         self.reporting: list[StandInWorker] = []
+        self.others: tuple[InstanceName, ...] = ()  # members of the group
 
     @property
     def state(self) -> SchedulingState:
@@ -94,6 +95,7 @@
             settings=self.settings,
             marks=self.marks,
             leadership=leadership,
+            list_others=lambda: self.others,
         )
 
     def add_worker(self, name: str, **options: Any) -> StandInWorker:
--- a/tests/scheduling/test_state_versions.py
+++ b/tests/scheduling/test_state_versions.py
@@ -35,15 +35,6 @@
 OTHERS = (InstanceName("b"), InstanceName("c"))
 
 
-class GroupDeployment(Deployment):
-    """A deployment whose group has two more members."""
-
-    def make_leader(self, *arguments: object) -> SchedulingLeader:
-        leader = super().make_leader(*arguments)  # type: ignore[arg-type]
-        leader._versions._list_others = lambda: OTHERS
-        return leader
-
-
 def tell(leader: SchedulingLeader, name: InstanceName, version: int) -> None:
     """Let the leader receive a digest of another controller."""
     leader.handle_digest(HeartbeatDigest((), name, StateVersion(version)))
@@ -57,7 +48,7 @@
     async def test_version_is_raised_once_all_members_know_it(
         self, deployment: Deployment
     ) -> None:
-        deployment.__class__ = GroupDeployment
+        deployment.others = OTHERS
         async with deployment.lead() as leader:
             await trio.sleep(CHECK_SECONDS)
             self.check(deployment, 0)
@@ -73,7 +64,7 @@
     async def test_version_is_not_raised_beside_a_member_of_an_earlier_version(
         self, deployment: Deployment
     ) -> None:
-        deployment.__class__ = GroupDeployment
+        deployment.others = OTHERS
         async with deployment.lead() as leader:
             tell(leader, OTHERS[0], STATE_VERSION)
             leader.handle_digest(HeartbeatDigest(()))  # it does not tell its name
@@ -85,7 +76,7 @@
         self, deployment: Deployment
     ) -> None:
         """It may come back with an earlier version."""
-        deployment.__class__ = GroupDeployment
+        deployment.others = OTHERS
         async with deployment.lead() as leader:
             tell(leader, OTHERS[0], STATE_VERSION)
             await trio.sleep(2 * MAX_REPORT_AGE.total_seconds())
@@ -98,7 +89,7 @@
         self, deployment: Deployment
     ) -> None:
         """Its replica would keep the task waiting, and start it again as a leader."""
-        deployment.__class__ = GroupDeployment
+        deployment.others = OTHERS
         worker = deployment.add_worker("w1", duration=WORK)
         async with deployment.lead():
             await deployment.submit("j", Step(demand=ONE_CORE))
