--- a/tests/scheduling/test_late_successes.py
+++ b/tests/scheduling/test_late_successes.py
@@ -30,6 +30,15 @@
     await trio.sleep(RECOVERY_SECONDS)
 
 
+async def run_through_cut(
+    deployment: Deployment, steps: tuple[Step, ...], *workers: StandInWorker
+) -> None:
+    """Submit a job, and cut its workers off once its first step has started."""
+    await deployment.submit("j", *steps)
+    await trio.sleep(BEFORE_CUT_SECONDS)
+    await cut_off(deployment, *workers)
+
+
 def count_starts(deployment: Deployment, job: str) -> int:
     return len(deployment.list_sent(StartOrder, job))
 
@@ -41,9 +50,7 @@
     ) -> None:
         worker = deployment.add_worker("w1", duration=WORK)
         async with deployment.lead():
-            await deployment.submit("j", Step(demand=ONE_CORE))
-            await trio.sleep(BEFORE_CUT_SECONDS)
-            await cut_off(deployment, worker)
+            await run_through_cut(deployment, (Step(demand=ONE_CORE),), worker)
         self.assertEqual(count_starts(deployment, "j"), 1)
         self.assertIs(deployment.get_job("j").phase, JobPhase.COMPLETED)
 
@@ -87,9 +94,9 @@
     ) -> None:
         workers = [deployment.add_worker(f"w{i}", duration=WORK) for i in range(2)]
         async with deployment.lead():
-            await deployment.submit("j", Step(tasks=2, gang=True, demand=WHOLE_WORKER))
-            await trio.sleep(BEFORE_CUT_SECONDS)
-            await cut_off(deployment, *workers)
+            await run_through_cut(
+                deployment, (Step(tasks=2, gang=True, demand=WHOLE_WORKER),), *workers
+            )
         self.assertEqual(count_starts(deployment, "j"), 2)
         self.assertIs(deployment.get_job("j").phase, JobPhase.COMPLETED)
 
@@ -100,9 +107,7 @@
         worker = deployment.add_worker("w1", duration=WORK)
         async with deployment.lead():
             steps = (Step(demand=ONE_CORE), Step(demand=ONE_CORE, after=(0,)))
-            await deployment.submit("j", *steps)
-            await trio.sleep(BEFORE_CUT_SECONDS)
-            await cut_off(deployment, worker)
+            await run_through_cut(deployment, steps, worker)
         tasks = [task for task, _, _ in worker.started]
         self.assertEqual(tasks, ["j.0.0.0", "j.0.1.0"])
 
@@ -113,9 +118,7 @@
         """Its worker lists the checkpoint once it is heard again."""
         worker = deployment.add_worker("w1", duration=LONG_WORK)
         async with deployment.lead():
-            await deployment.submit("j", Step(demand=ONE_CORE))
-            await trio.sleep(BEFORE_CUT_SECONDS)
-            await cut_off(deployment, worker)
+            await run_through_cut(deployment, (Step(demand=ONE_CORE),), worker)
         orders = deployment.list_sent(StartOrder, "j")
         checkpoints = [each.order.checkpoint for each in orders]
         self.assertEqual(checkpoints, ["", "j.0.0.0/1"])
@@ -138,9 +141,9 @@
     ) -> None:
         worker = deployment.add_worker("w1", duration=WORK)
         async with deployment.lead():
-            await deployment.submit("j", Step(demand=ONE_CORE, standing=True))
-            await trio.sleep(BEFORE_CUT_SECONDS)
-            await cut_off(deployment, worker)
+            await run_through_cut(
+                deployment, (Step(demand=ONE_CORE, standing=True),), worker
+            )
         self.assertGreater(count_starts(deployment, "j"), 1)
 
 
--- a/tests/scheduling/test_state_versions.py
+++ b/tests/scheduling/test_state_versions.py
@@ -25,10 +25,9 @@
 from tests.scheduling.controllers import Controllers, with_controllers
 from tests.scheduling.deployments import ONE_CORE, Deployment, with_deployment
 from tests.scheduling.test_late_successes import (
-    BEFORE_CUT_SECONDS,
     WORK,
     count_starts,
-    cut_off,
+    run_through_cut,
 )
 
 CHECK_SECONDS = 2 * CHECK_INTERVAL.total_seconds()
@@ -92,9 +91,7 @@
         deployment.others = OTHERS
         worker = deployment.add_worker("w1", duration=WORK)
         async with deployment.lead():
-            await deployment.submit("j", Step(demand=ONE_CORE))
-            await trio.sleep(BEFORE_CUT_SECONDS)
-            await cut_off(deployment, worker)
+            await run_through_cut(deployment, (Step(demand=ONE_CORE),), worker)
             self.assertEqual(deployment.state.version, 0)
         self.assertEqual(count_starts(deployment, "j"), 2)
 
