Record what workers list before a leader hands over by plan

Cause: a planned stop released the leadership at once, with views of workers in progress. Each of them waits for an end for up to 1.5 s, so that nearly every worker with runs has one open. An end that a worker listed in it reached a leader which could not record it any more. The next leader asks again; if the worker has left by then (it drains, has been given notice, or crashes), it counts the run as lost and starts the task again. No lease lapses between the end and its being listed.

Now a leader that stops by plan first lets the views in progress end and their ends be committed, for 2.5 s at most and within the grace period, and releases its leadership after that. Other views go on meanwhile, with shorter waits, so that ends of other workers are known no later than before.

Logs: `views-finished` at a planned stop, and `views-abandoned` where a term ends otherwise with views in progress, which was not to be seen before.

--- a/src/rhubarbfield/platform/controller.py
+++ b/src/rhubarbfield/platform/controller.py
@@ -14,6 +14,7 @@
 from rhubarbfield.replication import LEADERSHIP_RELEASE_DELAY, run_in_thread
 from rhubarbfield.scheduling.controller import SchedulingController, open_log_store
 from rhubarbfield.scheduling.deployment import DeploymentSettings
+from rhubarbfield.scheduling.handover import HANDOVER_TIMEOUT
 from rhubarbfield.scheduling.serving import Program, make_intake, run_program
 
 
@@ -44,7 +45,8 @@
             binds=(settings.control,),
             max_body_bytes=MAX_BODY_BYTES,
             intake=intake,
-            begin_stop=controller.release_leadership,
+            begin_stop=controller.hand_over,
+            begin_timeout=HANDOVER_TIMEOUT,
             stop_delay=LEADERSHIP_RELEASE_DELAY,
             add_seeds=controller.add_seeds,
         )
--- a/src/rhubarbfield/platform/entry.py
+++ b/src/rhubarbfield/platform/entry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from datetime import timedelta
 from pathlib import Path
 
 import trio
@@ -47,6 +48,7 @@
             max_body_bytes=MAX_BODY_BYTES,
             intake=intake,
             begin_stop=gateway.begin_stop,
+            begin_timeout=timedelta(),
             stop_delay=READINESS_PROPAGATION_DELAY,
             add_seeds=gateway.add_seeds,
         )
--- a/src/rhubarbfield/scheduling/controller.py
+++ b/src/rhubarbfield/scheduling/controller.py
@@ -155,8 +155,20 @@
             nursery.start_soon(self._reception.run)
             task_status.started()
 
+    async def hand_over(self, timeout: timedelta) -> None:
+        """Hand leadership over to another controller, before a planned stop.
+
+        Parameters
+        ----------
+        timeout
+            How long this controller may go on leading, to record what workers list.
+        """
+        if self._leader is not None:
+            await self._leader.finish_views(timeout)
+        self.release_leadership()
+
     def release_leadership(self) -> None:
-        """Hand leadership over to another controller, before a planned stop."""
+        """Step down at once, so that another controller is elected."""
         self._replica.release_leadership()
 
     def add_seeds(self, settings: DeploymentSettings) -> None:
--- a/src/rhubarbfield/scheduling/gateway.py
+++ b/src/rhubarbfield/scheduling/gateway.py
@@ -101,7 +101,7 @@
         """Whether a planned stop has begun."""
         return self._stopping
 
-    def begin_stop(self) -> None:
+    async def begin_stop(self, _timeout: timedelta) -> None:
         """Begin a planned stop: the entry is no longer ready."""
         self._stopping = True
         log_event(logger, logging.INFO, "planned-stop-begun")
--- a/src/rhubarbfield/scheduling/leader.py
+++ b/src/rhubarbfield/scheduling/leader.py
@@ -30,6 +30,7 @@
     WorkerReport,
 )
 from rhubarbfield.scheduling.crashes import CrashedRun
+from rhubarbfield.scheduling.handover import ViewsInProgress
 from rhubarbfield.scheduling.headroom import WaitingStep, WorkerHeadroom
 from rhubarbfield.scheduling.headroom_index import HeadroomIndex
 from rhubarbfield.scheduling.heartbeats import (
@@ -116,6 +117,11 @@
         Leadership of the term in which it leads.
     list_others
         Returns the other members of the group.
+
+    Attributes
+    ----------
+    views
+        The views of all sessions that are in progress.
     """
 
     def __init__(
@@ -134,6 +140,7 @@
         self._settings = settings
         self._quarantine = WorkerQuarantine(settings, self._find_step_workers)
         self._term = leadership.term
+        self.views = ViewsInProgress(clock, log.leads)
         self._former_until = leadership.former_until
         self._interference = InterferenceModel()
         self._interference.restore(self.state.harm.values())
@@ -262,6 +269,19 @@
             self._log.machine.unwatch(self._suspects.watch_command)
             self._log.machine.unwatch(self._terminations.watch_command)
             self._log.machine.unwatch(self._request_round_after)
+            self.views.log_abandoned()
+
+    async def finish_views(self, timeout: timedelta) -> None:
+        """Return once all ends that workers have listed are recorded.
+
+        Workers are not viewed any more after that.
+
+        Parameters
+        ----------
+        timeout
+            How long it may take.
+        """
+        await self.views.finish(self._settings.view_timeout, timeout)
 
     # Interface for sessions and the other parts of the leader.
 
--- a/src/rhubarbfield/scheduling/serving.py
+++ b/src/rhubarbfield/scheduling/serving.py
@@ -47,7 +47,9 @@
     intake
         What the process holds of unfinished requests.
     begin_stop
-        Called when a planned stop begins.
+        Called when a planned stop begins, with how long it may take.
+    begin_timeout
+        How long ``begin_stop`` may take, if the grace period allows it.
     stop_delay
         How long the app is served after ``begin_stop``.
     add_seeds
@@ -59,10 +61,17 @@
     binds: tuple[str, ...]
     max_body_bytes: int
     intake: Intake
-    begin_stop: Callable[[], None]
+    begin_stop: Callable[[timedelta], Awaitable[None]]
+    begin_timeout: timedelta
     stop_delay: timedelta
     add_seeds: Callable[[DeploymentSettings], None]
 
+    def limit_begin(self, settings: DeploymentSettings) -> timedelta:
+        """Return how long ``begin_stop`` may take within the grace period."""
+        grace = timedelta(milliseconds=settings.grace_ms)
+        spare = grace - self.stop_delay - 2 * EXIT_MARGIN
+        return max(min(self.begin_timeout, spare), timedelta())
+
 
 class SettingsFile:
     """The settings file of a running program, which may change without a signal.
@@ -156,7 +165,7 @@
 
     async def wait_for_stop() -> None:
         await stop.wait()
-        program.begin_stop()
+        await program.begin_stop(program.limit_begin(settings))
         await clock.sleep(program.stop_delay)
 
     async def run(
@@ -194,8 +203,9 @@
 
 
 def _make_limits(program: Program, settings: DeploymentSettings) -> HttpLimits:
-    grace = timedelta(milliseconds=settings.grace_ms) - program.stop_delay
+    grace = timedelta(milliseconds=settings.grace_ms)
+    served = program.limit_begin(settings) + program.stop_delay
     return HttpLimits(
         body_bytes=program.max_body_bytes,
-        drain_timeout=max(grace - EXIT_MARGIN, EXIT_MARGIN),
+        drain_timeout=max(grace - served - EXIT_MARGIN, EXIT_MARGIN),
     )
--- a/src/rhubarbfield/scheduling/session.py
+++ b/src/rhubarbfield/scheduling/session.py
@@ -339,7 +339,10 @@
             if not self._needs_view():
                 self._view_requested = trio.Event()
                 await self._view_requested.wait()
-            await self._view_once()
+            if self._host.views.is_closed:
+                return
+            with self._host.views.track():
+                await self._view_once()
             await self._clock.sleep(self._settings.view_interval)
 
     def _needs_view(self) -> bool:
@@ -389,9 +392,10 @@
         if not is_awaited or self._ledger.expects_no_end(self.active):
             return timedelta()
         worker = self._host.find_worker(self.worker)
-        if worker is None:
-            return self._settings.view_timeout
-        return self._host.choose_view_timeout(worker)
+        wait = self._settings.view_timeout
+        if worker is not None:
+            wait = self._host.choose_view_timeout(worker)
+        return self._host.views.limit_wait(wait)
 
     async def _apply_view(
         self,
--- a/src/rhubarbfield/scheduling/session_host.py
+++ b/src/rhubarbfield/scheduling/session_host.py
@@ -8,6 +8,7 @@
 
 from rhubarbfield.scheduling.commands import WorkerEnds
 from rhubarbfield.scheduling.crashes import CrashedRun
+from rhubarbfield.scheduling.handover import ViewsInProgress
 from rhubarbfield.scheduling.late_ends import AbandonCause
 from rhubarbfield.scheduling.model import CheckpointToken, Step, TaskName
 from rhubarbfield.scheduling.orders import Start
@@ -20,7 +21,15 @@
 
 
 class SessionHost(Protocol):
-    """The leader, as a worker session uses it."""
+    """The leader, as a worker session uses it.
+
+    Attributes
+    ----------
+    views
+        The views of all sessions that are in progress.
+    """
+
+    views: ViewsInProgress
 
     def find_worker(self, worker: WorkerId) -> Worker | None:
         """Return the replicated record of a worker."""
--- a/tests/scheduling/late_controllers_run.py
+++ b/tests/scheduling/late_controllers_run.py
@@ -15,6 +15,7 @@
 import trio
 
 from rhubarbfield.scheduling.controller import SchedulingController
+from rhubarbfield.scheduling.handover import HANDOVER_TIMEOUT
 from rhubarbfield.scheduling.model import JobSubmission
 from rhubarbfield.scheduling.requests import JobRequest, JobVerb
 from rhubarbfield.storage import LogStore, MemoryStore
@@ -241,7 +242,8 @@
                 if name in self._nurseries:
                     self._nurseries[name].cancel_scope.cancel()
             case "release":
-                self.controllers._members[name].release_leadership()
+                member = self.controllers._members[name]
+                nursery.start_soon(member.hand_over, HANDOVER_TIMEOUT)
             case "pair":
                 assert self.drawn is not None
                 nursery.start_soon(silence_after_late_starts, worker, self.drawn)
--- a/tests/scheduling/test_serving.py
+++ b/tests/scheduling/test_serving.py
@@ -5,7 +5,9 @@
 import tempfile
 import unittest
 from collections.abc import Callable
+from datetime import timedelta
 from pathlib import Path
+from unittest.mock import Mock
 
 import trio
 
@@ -14,7 +16,7 @@
     DeploymentSettings,
     load_deployment_settings,
 )
-from rhubarbfield.scheduling.serving import SettingsFile
+from rhubarbfield.scheduling.serving import Program, SettingsFile
 from tests.replication.determinism import expect_contained_errors, run_deterministic
 
 SEED_LAG_SECONDS = 3.0  # the seeds in the file are this old at most
@@ -89,5 +91,26 @@
         self.assertEqual(self.play(['"c1:1"', ' "c1:1" ']), [])
 
 
+class ProgramTest(unittest.TestCase):
+    def limit_begin(self, grace_ms: int) -> timedelta:
+        program = Program(
+            run=trio.sleep_forever,
+            handler=Mock(),
+            binds=(),
+            max_body_bytes=0,
+            intake=Mock(),
+            begin_stop=Mock(),
+            begin_timeout=timedelta(seconds=2.5),
+            stop_delay=timedelta(seconds=0.7),
+            add_seeds=Mock(),
+        )
+        return program.limit_begin(Mock(DeploymentSettings, grace_ms=grace_ms))
+
+    def test_begin_of_a_planned_stop_leaves_time_to_end_the_process(self) -> None:
+        self.assertEqual(self.limit_begin(6000), timedelta(seconds=2.5))
+        self.assertEqual(self.limit_begin(3000), timedelta(seconds=0.3))
+        self.assertEqual(self.limit_begin(1000), timedelta())
+
+
 if __name__ == "__main__":
     unittest.main()
