Elect no controller that is about to end

What callers saw: after a planned stop of a follower and, less than 0.7 s later, of the leader, the follower could be elected. Its process ended at the end of its stop delay, leading, with views in progress and without a hand-over: no leader until the others' election timers expired, and ends that nobody asked for meanwhile. The longer stop of a leader makes such overlaps more likely.

Cause: a stop that began on a follower had no effect on elections.

Now a planned stop withdraws the replica from elections; a leader goes on until it has handed over.

--- a/src/rhubarbfield/platform/controller.py
+++ b/src/rhubarbfield/platform/controller.py
@@ -45,7 +45,7 @@
             binds=(settings.control,),
             max_body_bytes=MAX_BODY_BYTES,
             intake=intake,
-            begin_stop=controller.hand_over,
+            begin_stop=controller.begin_stop,
             begin_timeout=HANDOVER_TIMEOUT,
             stop_delay=LEADERSHIP_RELEASE_DELAY,
             add_seeds=controller.add_seeds,
--- a/src/rhubarbfield/replication/election.py
+++ b/src/rhubarbfield/replication/election.py
@@ -38,6 +38,7 @@
         self._granted: set[ReplicaId] = set()
         self._promised_until = timedelta()
         self._candidate_until = timedelta()
+        self._is_withdrawn = False
 
     async def run(self) -> None:
         """Start an election whenever the election timer expires, until cancelled."""
@@ -51,7 +52,7 @@
                 continue
             if state.now < state.refuse_votes_until:
                 state.election_due = state.refuse_votes_until
-            elif state.is_leader or not state.is_voter:
+            elif state.is_leader or not state.is_voter or self._is_withdrawn:
                 state.reset_election_timer()
             elif state.is_disk_full:
                 # Another voter may have disk space, so let it request votes first.
@@ -239,6 +240,12 @@
             wait += state.settings.heartbeat
         state.election_due = state.now + wait
 
+    def withdraw(self) -> None:
+        """Stand in no election any more; a leader goes on until it steps down."""
+        self._is_withdrawn = True
+        if self._state.role in (Role.PRE_CANDIDATE, Role.CANDIDATE):
+            self._state.step_down()
+
     def release_leadership(self) -> None:
         """Step down and notify the other voters, so that one is elected at once."""
         state = self._state
--- a/src/rhubarbfield/replication/replica.py
+++ b/src/rhubarbfield/replication/replica.py
@@ -274,6 +274,11 @@
         if self._components is not None:
             await self._components.applier.wait_applied(index)
 
+    def withdraw(self) -> None:
+        """Stand in no election any more, as the process is about to end."""
+        if self._components is not None:
+            self._components.election.withdraw()
+
     def release_leadership(self) -> None:
         """Release leadership before a planned stop, so another voter leads at once."""
         if self._components is not None:
--- a/src/rhubarbfield/scheduling/controller.py
+++ b/src/rhubarbfield/scheduling/controller.py
@@ -155,6 +155,20 @@
             nursery.start_soon(self._reception.run)
             task_status.started()
 
+    async def begin_stop(self, timeout: timedelta) -> None:
+        """Begin a planned stop: hand over, and do not lead again.
+
+        A controller that is elected shortly before its process ends would leave the
+        others without a leader, and views of workers without a record.
+
+        Parameters
+        ----------
+        timeout
+            How long it may take.
+        """
+        self._replica.withdraw()
+        await self.hand_over(timeout)
+
     async def hand_over(self, timeout: timedelta) -> None:
         """Hand leadership over to another controller, before a planned stop.
 
