Give requests what the begin of a stop leaves of the grace period

Cause: the time for requests in progress was set at the start of the process, by the longest begin of a stop, which takes no time on most controllers.

Now it counts from the signal.

Evidence: the new test (failed before: the answer was cut). Its other case, that requests are cut in time if the begin takes its longest, passed before as well.

--- a/src/rhubarbfield/httpserver/server.py
+++ b/src/rhubarbfield/httpserver/server.py
@@ -10,6 +10,7 @@
 import logging
 from collections.abc import Awaitable, Callable, Sequence
 from contextlib import AsyncExitStack
+from datetime import timedelta
 from functools import partial
 from http import HTTPStatus
 
@@ -73,6 +74,7 @@
         self._make_refusal = refuse
         self._cancels_handler = cancels_handler
         self._draining = False
+        self._drain_timeout = limits.drain_timeout
         self._idle: set[trio.CancelScope] = set()
 
     async def serve(
@@ -117,11 +119,21 @@
             await listeners.aclose()
             self._draining = True
             connections.cancel_scope.deadline = (
-                trio.current_time() + self._limits.drain_timeout.total_seconds()
+                trio.current_time() + self._drain_timeout.total_seconds()
             )
             for scope in list(self._idle):
                 scope.cancel()
 
+    def limit_drain(self, timeout: timedelta) -> None:
+        """Set how long requests in progress may take after a stop, before it is over.
+
+        Parameters
+        ----------
+        timeout
+            Replaces ``drain_timeout`` of the limits.
+        """
+        self._drain_timeout = timeout
+
     async def _accept(
         self, listener: trio.SocketListener, connections: trio.Nursery
     ) -> None:
--- a/src/rhubarbfield/scheduling/serving.py
+++ b/src/rhubarbfield/scheduling/serving.py
@@ -72,6 +72,21 @@
         spare = grace - self.stop_delay - 2 * EXIT_MARGIN
         return max(min(self.begin_timeout, spare), timedelta())
 
+    def limit_drain(
+        self, settings: DeploymentSettings, stopping_for: timedelta
+    ) -> timedelta:
+        """Return how long requests in progress may take within the grace period.
+
+        Parameters
+        ----------
+        settings
+            Settings of the instance.
+        stopping_for
+            Time since the stop began.
+        """
+        grace = timedelta(milliseconds=settings.grace_ms)
+        return max(grace - stopping_for - EXIT_MARGIN, EXIT_MARGIN)
+
 
 class SettingsFile:
     """The settings file of a running program, which may change without a signal.
@@ -162,11 +177,16 @@
     """
     stop = trio.Event()
     file = SettingsFile(path, settings, program.add_seeds)
+    server = HttpServer(
+        program.handler, HttpLimits(body_bytes=program.max_body_bytes), program.intake
+    )
 
     async def wait_for_stop() -> None:
         await stop.wait()
+        began = clock.monotonic()
         await program.begin_stop(program.limit_begin(settings))
         await clock.sleep(program.stop_delay)
+        server.limit_drain(program.limit_drain(settings, clock.monotonic() - began))
 
     async def run(
         *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
@@ -175,9 +195,6 @@
             nursery.start_soon(_serve_metrics, settings, program.intake)
             await nursery.start(program.run)
             nursery.start_soon(file.watch, clock)
-            server = HttpServer(
-                program.handler, _make_limits(program, settings), program.intake
-            )
             binds = [bind for bind in program.binds if bind]
             async with trio.open_nursery() as serving:
                 await serving.start(server.serve, binds, wait_for_stop)
@@ -200,12 +217,3 @@
         await server.serve(binds, trio.sleep_forever)
     except* (OSError, ValueError, OverflowError) as errors:
         logger.error("metrics-not-served", exc_info=errors)
-
-
-def _make_limits(program: Program, settings: DeploymentSettings) -> HttpLimits:
-    grace = timedelta(milliseconds=settings.grace_ms)
-    served = program.limit_begin(settings) + program.stop_delay
-    return HttpLimits(
-        body_bytes=program.max_body_bytes,
-        drain_timeout=max(grace - served - EXIT_MARGIN, EXIT_MARGIN),
-    )
--- a/tests/scheduling/test_serving.py
+++ b/tests/scheduling/test_serving.py
@@ -1,22 +1,28 @@
-"""Tests of the settings file of a running program."""
+"""Tests of a running program: its settings file, and its planned stop."""
 
 from __future__ import annotations
 
+import signal
 import tempfile
+import time
 import unittest
 from collections.abc import Callable
 from datetime import timedelta
+from http import HTTPStatus
 from pathlib import Path
 from unittest.mock import Mock
 
 import trio
 
-from rhubarbfield.clock import TrioClock
+from rhubarbfield.clock import HostClock, TrioClock
+from rhubarbfield.httpserver import HttpRequest, HttpResponse
+from rhubarbfield.intake import Intake
 from rhubarbfield.scheduling.deployment import (
     DeploymentSettings,
     load_deployment_settings,
 )
-from rhubarbfield.scheduling.serving import Program, SettingsFile
+from rhubarbfield.scheduling.serving import Program, SettingsFile, run_program
+from tests.peering.test_grpc import find_port
 from tests.replication.determinism import expect_contained_errors, run_deterministic
 
 SEED_LAG_SECONDS = 3.0  # the seeds in the file are this old at most
@@ -112,5 +118,69 @@
         self.assertEqual(self.limit_begin(1000), timedelta())
 
 
+class PlannedStopTest(unittest.TestCase):
+    """On the host's clock, as a program is stopped by a signal."""
+
+    def ask_and_stop(self, *, begin_takes: float, answer_takes: float) -> bytes:
+        """Return the answer to a request that is in progress as a stop begins."""
+        port = find_port()
+        received: list[bytes] = []
+
+        async def answer(_request: HttpRequest) -> HttpResponse:
+            signal.raise_signal(signal.SIGTERM)
+            await trio.sleep(answer_takes)
+            return HttpResponse(HTTPStatus.OK)
+
+        async def begin_stop(_timeout: timedelta) -> None:
+            await trio.sleep(begin_takes)
+
+        async def run(
+            *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+        ) -> None:
+            task_status.started()
+            await trio.sleep_forever()
+
+        program = Program(
+            run=run,
+            handler=answer,
+            binds=(f"127.0.0.1:{port}",),
+            max_body_bytes=1000,
+            intake=Intake(),
+            begin_stop=begin_stop,
+            begin_timeout=timedelta(seconds=0.9),
+            stop_delay=timedelta(seconds=0.1),
+            add_seeds=Mock(),
+        )
+        settings = Mock(DeploymentSettings, grace_ms=3000, metrics="")
+
+        async def ask() -> None:
+            stream = await trio.open_tcp_stream("127.0.0.1", port)
+            await stream.send_all(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+            try:
+                received.append(await stream.receive_some(1000))
+            except trio.BrokenResourceError:
+                received.append(b"")
+
+        async def body() -> None:
+            async with trio.open_nursery() as nursery:
+                await nursery.start(
+                    run_program, program, settings, Path("none"), HostClock()
+                )
+                await ask()
+
+        trio.run(body)
+        return received[0]
+
+    def test_grace_period_is_left_to_requests_if_the_begin_takes_no_time(self) -> None:
+        answer = self.ask_and_stop(begin_takes=0, answer_takes=1.5)
+        self.assertIn(b" 200 ", answer)
+
+    def test_request_is_cut_before_the_grace_period_ends(self) -> None:
+        began = time.monotonic()
+        answer = self.ask_and_stop(begin_takes=0.9, answer_takes=60)
+        self.assertEqual(answer, b"")
+        self.assertLess(time.monotonic() - began, 2.5)
+
+
 if __name__ == "__main__":
     unittest.main()
