Let all that wait for the same views return

A second hand-over in one term replaced the event that the first waited for, which then waited until its timeout and could release a later term's leadership.

--- a/src/rhubarbfield/scheduling/handover.py
+++ b/src/rhubarbfield/scheduling/handover.py
@@ -84,7 +84,8 @@
         self._closes_at = began + min(longest, timeout)
         with trio.move_on_after(timeout.total_seconds()):
             while self._count:
-                self._all_ended = trio.Event()
+                if self._all_ended.is_set():
+                    self._all_ended = trio.Event()
                 await self._all_ended.wait()
         self._closes_at = self._clock.monotonic()
         log_event(
--- a/tests/scheduling/test_handover.py
+++ b/tests/scheduling/test_handover.py
@@ -51,6 +51,25 @@
         took, _ = self.finish_beside(0.2, 60.0)
         self.assertAlmostEqual(took, TIMEOUT.total_seconds())
 
+    def test_two_that_wait_for_the_same_views_both_return(self) -> None:
+        took: list[float] = []
+        views = ViewsInProgress(TrioClock(), lambda: True)
+
+        async def finish() -> None:
+            began = trio.current_time()
+            await views.finish(LONGEST, TIMEOUT)
+            took.append(trio.current_time() - began)
+
+        async def body() -> None:
+            async with trio.open_nursery() as nursery:
+                with views.track():
+                    nursery.start_soon(finish)
+                    nursery.start_soon(finish)
+                    await trio.sleep(0.5)
+
+        run_deterministic(body, seed=1)
+        self.assertEqual([round(seconds, 3) for seconds in took], [0.5, 0.5])
+
     def test_later_views_wait_no_longer_than_the_others(self) -> None:
         waits: list[timedelta] = []
         views = ViewsInProgress(TrioClock(), lambda: True)
