Let no silent worker hold up a planned stop

What callers saw: since, with a worker that does not reply, the leader went on for up to 2.5 s after SIGTERM, and asked no worker for ends in the last second of it. A worker that left within 0.3 s of an end in that time had its result thrown away (shown on a virtual clock; before the next leader asked in time).

Cause: the silent worker was asked again until views were closed, and each of these calls was waited for until it timed out.

Now a worker that does not reply is not asked again once the hand-over has begun.

--- a/src/rhubarbfield/scheduling/handover.py
+++ b/src/rhubarbfield/scheduling/handover.py
@@ -41,6 +41,11 @@
         self._all_ended = trio.Event()
         self._closes_at: timedelta | None = None
 
+    @property
+    def is_closing(self) -> bool:
+        """Whether only workers that reply are to be viewed any more."""
+        return self._closes_at is not None
+
     @property
     def is_closed(self) -> bool:
         """Whether no view may be requested any more."""
--- a/src/rhubarbfield/scheduling/session.py
+++ b/src/rhubarbfield/scheduling/session.py
@@ -339,9 +339,12 @@
             if not self._needs_view():
                 self._view_requested = trio.Event()
                 await self._view_requested.wait()
-            if self._host.views.is_closed:
+            views = self._host.views
+            if views.is_closed or (
+                views.is_closing and not self._contact.is_responsive
+            ):
                 return
-            with self._host.views.track():
+            with views.track():
                 await self._view_once()
             await self._clock.sleep(self._settings.view_interval)
 
