Force no task beside a gang of its job that has started in the round

Seen by callers: serving tasks were harmed for a batch job that had just got harmless work. If a gang of a starved job was placed in a round, a spare-core task of another step of the job was started by force in the same round.

Evidence: test_task_is_forced_beside_a_gang_of_its_job_that_harms_none: 5 starts where 4 are right before, 4 since.

_place_gang notes it as _start_task does, so that all that asks later in the round sees it.

--- a/src/rhubarbfield/scheduling/placing.py
+++ b/src/rhubarbfield/scheduling/placing.py
@@ -323,6 +323,7 @@
         if not chosen:
             self._note_unplaced_gang(waiting)
             return
+        self._starved[waiting.job.job] = False
         for task, headroom in zip(tasks, chosen, strict=True):
             if task.is_suspect or headroom.awaits_probe:
                 self._candidates.close(headroom)
--- a/tests/scheduling/test_gangs.py
+++ b/tests/scheduling/test_gangs.py
@@ -57,7 +57,10 @@
         return self.fleet.submit(Step(**{**fields, **changes}))
 
     def make_placer(
-        self, change: Callable[[WorkerHeadroom], None] = lambda _: None
+        self,
+        change: Callable[[WorkerHeadroom], None] = lambda _: None,
+        *,
+        is_starved: bool = False,
     ) -> Placer:
         leader = self.fleet.leader
         leader._jobs.synchronize(self.fleet.state)
@@ -71,7 +74,7 @@
             avoided={},
             interference=leader._interference,
             rank=leader._rank,
-            is_starved=lambda *_: False,
+            is_starved=lambda *_: is_starved,
         )
 
     def count_by_rack(self, starts: tuple[RunStart, ...]) -> Mapping[str, int]:
@@ -158,6 +161,17 @@
         starts = choose(site.make_placer())
         self.assertEqual(site.count_by_rack(starts), {"r0": 3})
 
+    def test_task_is_forced_beside_a_gang_of_its_job_that_harms_none(self) -> None:
+        def change(headroom: WorkerHeadroom) -> None:
+            margin = LatencyMargin(ImageName("serving"), MARGIN_RESERVE / 2)
+            headroom.known_margins = [margin]
+
+        site = Site()
+        spare = {"uses_spare_cores": True, "image": ImageName("b")}
+        site.fleet.submit(GANG, Step(tasks=2, demand=GANG.demand, **spare))
+        starts = choose(site.make_placer(change, is_starved=True))
+        self.assertEqual(len(starts), GANG.tasks)
+
     def test_gangs_without_a_way_are_ranked_in_each_round(self) -> None:
         site = Site()
         for _ in range(5):
