Start a gang of a starved job where it harms least

The same tasks without the gang were done.

Cause: what an image does to serving tasks is assumed to be high while it isn't known, so that no worker admits it. Only single tasks had a forced start, so that nothing of such a gang ever ran, and nothing taught the model otherwise.

Fix: if a gang on spare cores finds no way, _may_force decides as for single tasks: service below 60% reserved, nothing of the job at work for 2 s, nothing else of it started in the round. All members are then ranked by harm beside those chosen before, and start together or not at all. Places are counted by count_places (limit per worker with live tasks, label, room, probation, room that is kept in vain); a preferred rack does not matter. Of workers that suit alike members take those with cores first and are then spread; by the rule for single tasks all would gather on the worker with the fewest spare cores. The order for single tasks is unchanged.

--- a/src/rhubarbfield/scheduling/candidates.py
+++ b/src/rhubarbfield/scheduling/candidates.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Collection, Iterable, Mapping, Sequence
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 from types import MappingProxyType
 
 import msgspec
@@ -14,6 +14,7 @@
     WorkerHeadroom,
     admits,
     count_places,
+    has_cores,
     has_label,
     has_room,
     measure_utilization,
@@ -185,7 +186,7 @@
         ranking = self._rankings.get(key)
         if ranking is None:
             candidates = self._list_by_label(waiting)
-            ranking = self._rankings[key] = self._rank_by_harm(step, candidates)
+            ranking = self._rankings[key] = self.rank_by_harm(step, candidates)
         return ranking.choose(list_full(step, tasks_per_worker), avoided)
 
     def is_without_worker(self, waiting: WaitingStep) -> bool:
@@ -237,14 +238,11 @@
             Number of live tasks of the step by worker, which the caller keeps up to
             date as it adds tasks. Without it the limit per worker is not considered.
         """
-        reserved = step.reserved
         compute_cost = _compute_risk if is_suspect else self._compute_cost
+        has_place = _make_place_check(step, running)
 
         def evaluate(headroom: WorkerHeadroom) -> Cost | None:
-            if not has_room(reserved, headroom):
-                return None
-            count = running.get(headroom.worker.worker, 0)
-            if count and not count_places(step, headroom, count):
+            if not has_place(headroom):
                 return None
             if not admits(step, headroom, self._interference):
                 return None
@@ -252,6 +250,42 @@
 
         return CandidateRanking(candidates, evaluate, self._changes)
 
+    def rank_by_harm(
+        self,
+        step: Step,
+        candidates: Sequence[WorkerHeadroom],
+        *,
+        running: Mapping[WorkerId, int] = MappingProxyType({}),
+    ) -> CandidateRanking:
+        """Return a ranking of some workers by the harm of a spare-core task.
+
+        Of workers that suit alike the one with the fewest spare cores is best. Members
+        of a gang first take those with cores for them, and then those with the fewest
+        members: the slowest one holds up all.
+
+        Parameters
+        ----------
+        step
+            The step.
+        candidates
+            The workers.
+        running
+            As for ``rank``.
+        """
+        has_place = _make_place_check(step, running)
+
+        def evaluate(headroom: WorkerHeadroom) -> Cost | None:
+            if not has_place(headroom):
+                return None
+            margin = self._interference.find_smallest_margin(
+                headroom.margins, headroom.add_share(step)
+            )
+            lacks_cores = step.gang and not has_cores(step, headroom)
+            members = running.get(headroom.worker.worker, 0) if lacks_cores else 0
+            return (-margin, lacks_cores, members, -_measure_load(headroom))
+
+        return CandidateRanking(candidates, evaluate, self._changes)
+
     def add_task(self, headroom: WorkerHeadroom, step: Step) -> None:
         """Account for one more task of a step on a worker."""
         headroom.add_task(step)
@@ -270,21 +304,6 @@
                 setattr(headroom, name, value)
             self._changes.append(headroom.worker.worker)
 
-    def _rank_by_harm(
-        self, step: Step, candidates: Sequence[WorkerHeadroom]
-    ) -> CandidateRanking:
-        reserved = step.reserved
-
-        def evaluate(headroom: WorkerHeadroom) -> Cost | None:
-            if not has_room(reserved, headroom):
-                return None
-            margin = self._interference.find_smallest_margin(
-                headroom.margins, headroom.add_share(step)
-            )
-            return (-margin, -_measure_load(headroom))
-
-        return CandidateRanking(candidates, evaluate, self._changes)
-
     def _list_by_label(
         self, waiting: WaitingStep, among: Sequence[WorkerHeadroom] | None = None
     ) -> Sequence[WorkerHeadroom]:
@@ -336,6 +355,21 @@
         return (is_far, headroom.failures, wastes, is_unused, left_over)
 
 
+def _make_place_check(
+    step: Step, running: Mapping[WorkerId, int]
+) -> Callable[[WorkerHeadroom], bool]:
+    """Return a function that tells whether a worker has a place for a task."""
+    reserved = step.reserved
+
+    def has_place(headroom: WorkerHeadroom) -> bool:
+        if not has_room(reserved, headroom):
+            return False
+        count = running.get(headroom.worker.worker, 0)
+        return not count or count_places(step, headroom, count) > 0
+
+    return has_place
+
+
 def _group_by_service(
     headrooms: Iterable[WorkerHeadroom],
 ) -> dict[ServiceName, list[WorkerHeadroom]]:
--- a/src/rhubarbfield/scheduling/gang_ways.py
+++ b/src/rhubarbfield/scheduling/gang_ways.py
@@ -8,6 +8,7 @@
     WaitingStep,
     WorkerHeadroom,
     count_admitted,
+    count_places,
 )
 from rhubarbfield.scheduling.interference import InterferenceModel
 from rhubarbfield.scheduling.model import Demand, Label, Step
@@ -43,7 +44,7 @@
     """
     known: dict[WorkerId, int] = {}
 
-    def has_places(workers: Sequence[WorkerHeadroom]) -> bool:
+    def may_take_all(workers: Sequence[WorkerHeadroom]) -> bool:
         missing = members
         for headroom in workers:
             worker = headroom.worker.worker
@@ -55,13 +56,31 @@
                 return True
         return False
 
-    if not has_places(candidates):
+    if not may_take_all(candidates):
         return
     if step.same_rack:
-        yield from filter(has_places, _sort_racks(step, candidates))
+        yield from filter(may_take_all, _sort_racks(step, candidates))
     yield candidates
 
 
+def has_places(
+    step: Step,
+    members: int,
+    candidates: Iterable[WorkerHeadroom],
+    running: Mapping[WorkerId, int],
+) -> bool:
+    """Return whether workers have places for all members, whatever these harm.
+
+    The parameters are those of ``iterate_ways``.
+    """
+    missing = members
+    for headroom in candidates:
+        missing -= count_places(step, headroom, running.get(headroom.worker.worker, 0))
+        if missing <= 0:
+            return True
+    return False
+
+
 def _sort_racks(
     step: Step, candidates: Iterable[WorkerHeadroom]
 ) -> list[list[WorkerHeadroom]]:
--- a/src/rhubarbfield/scheduling/placing.py
+++ b/src/rhubarbfield/scheduling/placing.py
@@ -18,7 +18,11 @@
     save_headroom,
 )
 from rhubarbfield.scheduling.commands import RunStart
-from rhubarbfield.scheduling.gang_ways import UnplaceableGangs, iterate_ways
+from rhubarbfield.scheduling.gang_ways import (
+    UnplaceableGangs,
+    has_places,
+    iterate_ways,
+)
 from rhubarbfield.scheduling.headroom import (
     WaitingStep,
     WorkerHeadroom,
@@ -316,12 +320,14 @@
             self.trials.setdefault((waiting.job.job, waiting.number), waiting)
             return
         unused = self._reserved.list_unused(waiting)
-        if self._candidates.is_rejected(waiting) and not unused:
-            self._note_unplaced_gang(waiting)
-            return
-        chosen = self._choose_for_gang(waiting, unused)
+        chosen: list[WorkerHeadroom] = []
+        if unused or not self._candidates.is_rejected(waiting):
+            chosen = self._choose_for_gang(waiting, unused)
+        # Only the harm of tasks on spare cores keeps them off workers with room.
+        if not chosen and waiting.step.uses_spare_cores and self._may_force(waiting):
+            chosen = self._choose_forced_gang(waiting, unused)
         if not chosen:
-            self._note_unplaced_gang(waiting)
+            self.unplaced.setdefault((waiting.job.job, waiting.number), waiting)
             return
         self._starved[waiting.job.job] = False
         for task, headroom in zip(tasks, chosen, strict=True):
@@ -332,9 +338,6 @@
             name = name_task(waiting.job.job, waiting.occurrence, waiting.number, index)
             self._starts.append(RunStart(name, run, headroom.worker.worker))
 
-    def _note_unplaced_gang(self, waiting: WaitingStep) -> None:
-        self.unplaced.setdefault((waiting.job.job, waiting.number), waiting)
-
     def _choose_for_gang(
         self, waiting: WaitingStep, unused: list[WorkerHeadroom]
     ) -> list[WorkerHeadroom]:
@@ -373,6 +376,20 @@
             self._unplaceable.add(waiting)
         return []
 
+    def _choose_forced_gang(
+        self, waiting: WaitingStep, unused: list[WorkerHeadroom]
+    ) -> list[WorkerHeadroom]:
+        """Add a gang of a starved job to the workers where it harms least.
+
+        Its parameters are those of ``_choose_for_gang``.
+        """
+        step, running = waiting.step, count_live(waiting.tasks)
+        candidates = [*self._candidates.list_fitting(waiting), *unused]
+        if not has_places(step, len(waiting.tasks), candidates, running):
+            return []
+        ranking = self._candidates.rank_by_harm(step, candidates, running=running)
+        return self._fill(waiting, ranking, running)
+
     def _fill(
         self,
         waiting: WaitingStep,
--- a/src/rhubarbfield/scheduling/starvation.py
+++ b/src/rhubarbfield/scheduling/starvation.py
@@ -3,7 +3,7 @@
 The load it answers: batch jobs on spare cores whose image slows all serving tasks,
 while most of the workers' capacity is free. Waiting for a harmless place, such a job
 would stand still for as long as the serving tasks run; so its tasks start where they
-harm least, one after the other.
+harm least, one after the other, and all members of a gang at once.
 """
 
 from __future__ import annotations
--- a/tests/scheduling/disturbed_serving.py
+++ b/tests/scheduling/disturbed_serving.py
@@ -7,6 +7,7 @@
 from contextlib import asynccontextmanager
 from datetime import timedelta
 
+import msgspec
 import trio
 from returns.result import Result
 
@@ -14,7 +15,13 @@
 from rhubarbfield.scheduling.commands import SaveHarm
 from rhubarbfield.scheduling.latency_model import ONLY_BAND
 from rhubarbfield.scheduling.mitigation import SERVING_PERCENT
-from rhubarbfield.scheduling.model import Demand, ImageName, Step, TaskName
+from rhubarbfield.scheduling.model import (
+    Demand,
+    ImageName,
+    RunNumber,
+    Step,
+    TaskName,
+)
 from rhubarbfield.scheduling.ports import (
     CallFailure,
     StartOrder,
@@ -108,7 +115,9 @@
     deployment
         A deployment without workers.
     growth
-        Growth of log tail latency that one batch task causes, which is known.
+        Growth of log tail latency that one batch task causes.
+    is_known
+        Whether the leader knows it from the start.
 
     Attributes
     ----------
@@ -116,17 +125,20 @@
         Times in s for which nothing of a batch job has worked, by job.
     """
 
-    def __init__(self, deployment: Deployment, growth: float) -> None:
+    def __init__(
+        self, deployment: Deployment, growth: float, *, is_known: bool = True
+    ) -> None:
         self.deployment = deployment
         self.standstills: dict[JobId, list[float]] = {}
         self._rate = growth / BATCH_SHARE
-        self._estimate = HarmEstimate(
+        estimate = HarmEstimate(
             ServiceName(SERVING_IMAGE),
             BatchKind(BATCH_IMAGE),
             ONLY_BAND,
             self._rate,
             MANY_SAMPLES,
         )
+        self._estimates = (estimate,) if is_known else ()
         self._idle_since: dict[JobId, float] = {}
         self.workers: list[ServingWorker] = []
         for number in range(WORKERS):
@@ -140,14 +152,14 @@
     @asynccontextmanager
     async def lead(self) -> AsyncIterator[None]:
         """Run a leader during the block, beside serving tasks that are measured."""
-        await self.deployment.propose(SaveHarm(estimates=(self._estimate,)))
+        await self.deployment.propose(SaveHarm(estimates=self._estimates))
         async with self.deployment.lead(), self._serve():
             yield
 
     @asynccontextmanager
     async def lead_while_leading(self) -> AsyncIterator[None]:
         """Do as ``lead`` does, with a new leader in each term."""
-        await self.deployment.propose(SaveHarm(estimates=(self._estimate,)))
+        await self.deployment.propose(SaveHarm(estimates=self._estimates))
         async with self.deployment.lead_while_leading(), self._serve():
             yield
 
@@ -197,6 +209,40 @@
         self.standstills[JobId(name)] = []
         await self.deployment.submit(name, *steps)
 
+    async def submit_gangs(
+        self, name: str, *members: int, others: int = 0, memory_mb: int = 1000
+    ) -> None:
+        """Submit a batch job of gangs of some members, and a step of other tasks.
+
+        None of them waits for another.
+        """
+        demand = Demand(BATCH_DEMAND.millicores, memory_mb)
+        steps = [
+            Step(
+                tasks=count,
+                demand=demand,
+                estimate_ms=1000,
+                image=BATCH_IMAGE,
+                uses_spare_cores=True,
+                gang=True,
+            )
+            for count in members
+        ]
+        if others:
+            other = msgspec.structs.replace(steps[0], tasks=others, gang=False)
+            steps.append(other)
+        self.standstills[JobId(name)] = []
+        await self.deployment.submit(name, *steps)
+
+    def list_starts(self, job: JobId) -> list[tuple[TaskName, RunNumber, float]]:
+        """Return the task, the run and the time in s of each start of a job."""
+        return [
+            (task, run, at.total_seconds())
+            for worker in self.workers
+            for task, run, at in worker.started
+            if task.startswith(f"{job}.")
+        ]
+
     def count_working(self, job: JobId) -> int:
         """Return the number of runs of a job that are not paused."""
         return sum(
--- a/tests/scheduling/reference_placing.py
+++ b/tests/scheduling/reference_placing.py
@@ -5,6 +5,7 @@
 import math
 from collections import Counter
 from collections.abc import Callable, Iterator, Mapping
+from types import MappingProxyType
 
 import msgspec
 
@@ -20,6 +21,7 @@
     WorkerHeadroom,
     admits,
     count_live,
+    has_cores,
     measure_utilization,
 )
 from rhubarbfield.scheduling.interference import InterferenceModel
@@ -138,14 +140,7 @@
             fitting = self.list_fitting(waiting, counts)
             chosen = self.choose_best(step, fitting, self.avoided.get(name, set()))
             is_forced = False
-            if (
-                chosen is None
-                and waiting.queue.service in self.underutilized
-                and not self.has_start(waiting.job)
-                and self.is_starved(
-                    waiting.job, waiting.queue.service in self.mostly_free
-                )
-            ):
+            if chosen is None and self.may_force(waiting):
                 is_forced = True
                 chosen = self.choose_least_harmful(
                     step, fitting, self.avoided.get(name, set())
@@ -171,7 +166,11 @@
             if chosen:
                 break
         else:
-            return
+            if not (waiting.step.uses_spare_cores and self.may_force(waiting)):
+                return
+            chosen = self.fill(waiting, None, is_forced=True)
+            if not chosen:
+                return
         run = RunNumber(max(task.last_run for task in tasks) + 1)
         for index, best in enumerate(chosen):
             if best.awaits_probe:
@@ -179,7 +178,17 @@
             name = name_task(waiting.job.job, waiting.occurrence, waiting.number, index)
             self.starts.append(RunStart(name, run, best.worker.worker))
 
-    def fill(self, waiting: WaitingStep, rack: str | None) -> list[WorkerHeadroom]:
+    def may_force(self, waiting: WaitingStep) -> bool:
+        service = waiting.queue.service
+        return (
+            service in self.underutilized
+            and not self.has_start(waiting.job)
+            and self.is_starved(waiting.job, service in self.mostly_free)
+        )
+
+    def fill(
+        self, waiting: WaitingStep, rack: str | None, *, is_forced: bool = False
+    ) -> list[WorkerHeadroom]:
         """Add all members of a gang, or none."""
         step = waiting.step
         counts = count_live(waiting.tasks)
@@ -191,7 +200,10 @@
                 for each in self.list_fitting(waiting, counts)
                 if rack is None or rack in each.worker.labels[1:]
             ]
-            best = self.choose_best(step, fitting, set())
+            if is_forced:
+                best = self.choose_least_harmful(step, fitting, set(), counts)
+            else:
+                best = self.choose_best(step, fitting, set())
             if best is None:
                 for headroom, values in zip(self.headrooms, saved, strict=True):
                     for field, value in zip(
@@ -248,14 +260,21 @@
         return any(start.task.startswith(f"{job.job}.") for start in self.starts)
 
     def choose_least_harmful(
-        self, step: Step, fitting: list[WorkerHeadroom], avoided: set[WorkerId]
+        self,
+        step: Step,
+        fitting: list[WorkerHeadroom],
+        avoided: set[WorkerId],
+        counts: Mapping[WorkerId, int] = MappingProxyType({}),
     ) -> WorkerHeadroom | None:
         def measure_harm(each: WorkerHeadroom) -> Cost:
             margin = self.interference.find_smallest_margin(
                 each.margins, each.add_share(step)
             )
             load = 1 - each.spare_millicores / max(each.worker.capacity.millicores, 1)
-            return (each.worker.worker in avoided, -margin, -load)
+            lacks_cores = step.gang and not has_cores(step, each)
+            members = counts.get(each.worker.worker, 0) if lacks_cores else 0
+            is_avoided = each.worker.worker in avoided
+            return (is_avoided, -margin, lacks_cores, members, -load)
 
         return min(fitting, key=measure_harm, default=None)
 
