Let a stand-in that crashes while it is called give no reply

It was asked whether it is down before the 2 ms that a call takes, and not after them, so that a worker which crashed in between answered a view with no run and no end.

--- a/src/rhubarbfield/testing/crashing_workers.py
+++ b/src/rhubarbfield/testing/crashing_workers.py
@@ -130,7 +130,10 @@
         if worker is not None and worker.is_down:
             await self._time.sleep(CALL_DURATION)
             return NoReply("connection refused", was_sent=False)
-        return await super().find_worker(to)
+        found = await super().find_worker(to)
+        if isinstance(found, StandInWorker) and found.is_down:  # meanwhile
+            return NoReply("the connection was closed")
+        return found
 
     def _restart_due(self) -> None:
         for worker in list(self._crashing):
