Wait for the view under way before a worker is removed

Cause: a call that finds the next life at a worker's address (421) removes the worker at once. The commit closes its session and cancels the view under way, and so drops the ends in a reply that is still on its way, perhaps through a relay; an EndRuns that follows a RemoveWorker is dropped, too. The removal now waits up to 0.3 s for the reply, whose ends are then committed before it. Evidence: test_listed_ends, the reply 0.1 s under way and the next life there after 0.02 s: 2 starts before, 1 after, and test_removals (6 passed).

--- a/src/rhubarbfield/scheduling/removals.py
+++ b/src/rhubarbfield/scheduling/removals.py
@@ -43,6 +43,8 @@
 logger = logging.getLogger("rhubarbfield.scheduling.leader")
 
 MAX_CRASHED_WORKERS = 1024  # that are remembered
+# For a reply that lists ends and is under way as the worker ends.
+LAST_VIEW_TIMEOUT = timedelta(milliseconds=300)
 
 
 class RemovalCause(Enum):
@@ -139,6 +141,10 @@
         self, worker: WorkerId, checkpoints: dict[TaskName, CheckpointToken]
     ) -> None:
         # The removal makes lost what is not recorded as ended before.
+        session = self._registry.sessions.get(worker)
+        if session is not None:
+            with trio.move_on_after(LAST_VIEW_TIMEOUT.total_seconds()):
+                await session.wait_for_view()
         await self._settle_ends()
         session = self._registry.sessions.get(worker)
         record = self._state.workers.get(worker)
--- a/src/rhubarbfield/scheduling/session.py
+++ b/src/rhubarbfield/scheduling/session.py
@@ -114,6 +114,8 @@
         self._view_requested = trio.Event()
         self._silence_noticed = trio.Event()
         self._lease_shortened = trio.Event()
+        self._view_answered = trio.Event()  # the latest request
+        self._view_answered.set()
         self._acknowledged_ends = 0
         self._viewed_at: timedelta | None = None
         self._progress = Progress()
@@ -327,6 +329,10 @@
         """Request a view of the worker now."""
         self._view_requested.set()
 
+    async def wait_for_view(self) -> None:
+        """Return once no view is under way; the ends in it are passed on by then."""
+        await self._view_answered.wait()
+
     async def run(self) -> None:
         """Send orders and poll the worker until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -366,7 +372,11 @@
             wait_timeout=self._choose_wait_timeout(),
             term=term,
         )
-        result = await self._calls.view(contact.address, request)
+        self._view_answered = trio.Event()
+        try:
+            result = await self._calls.view(contact.address, request)
+        finally:
+            self._view_answered.set()
         match result:
             case Success(view):
                 was_silent = not contact.is_responsive
