--- a/tests/replication/group.py
+++ b/tests/replication/group.py
@@ -127,7 +127,7 @@
     async def start(self, *, may_form_group: bool = True) -> None:
         group = self.group
         self._scope = trio.CancelScope()
-        self.machine = ChainMachine(group.observer)
+        self.machine = group.make_machine(group.observer)
         self.replica = Replica(
             group=GROUP,
             name=self.name,
@@ -191,6 +191,7 @@
         has_first_start: bool = False,
     ) -> None:
         self.has_first_start = has_first_start
+        self.make_machine: Callable[[Observer], ChainMachine] = ChainMachine
         self.avoid_leadership = avoid_leadership
         self.nursery = nursery
         self.random = Random(seed)
