--- a/tests/scheduling/late_controllers_run.py
+++ b/tests/scheduling/late_controllers_run.py
@@ -14,6 +14,7 @@
 
 import trio
 
+from rhubarbfield.clock import Clock
 from rhubarbfield.scheduling.controller import SchedulingController
 from rhubarbfield.scheduling.model import JobSubmission
 from rhubarbfield.scheduling.requests import JobRequest, JobVerb
@@ -91,7 +92,7 @@
         async with trio.open_nursery() as nursery:
             self.controllers = Controllers(
                 make_store=self._stores.__getitem__,
-                make_fleet=lambda clock: LateFleet(clock, self.random, nursery),
+                make_fleet=lambda clock: self.make_fleet(clock, nursery),
             )
             fleet = self.controllers.fleet
             assert isinstance(fleet, LateFleet)
@@ -99,7 +100,7 @@
             self.fleet.has_single_lease = self.has_single_lease
             self.fleet.drawn = self.drawn
             for number in range(WORKERS):
-                worker = LateWorker(WorkerId(f"w{number}"), self.controllers.clock)
+                worker = self.make_worker(WorkerId(f"w{number}"))
                 worker.service = self.services[number % len(self.services)]
                 self.fleet.add(worker)
                 self._workers.append(worker)
@@ -111,12 +112,24 @@
                 nursery.start_soon(work)
             await trio.sleep(DAY_SECONDS)
             nursery.cancel_scope.cancel()
+        self.judge()
+        self.counts += self.fleet.count_runs()
+
+    def judge(self) -> None:
+        """Record what went wrong on the day."""
         self.faults.extend(self.fleet.list_repeated_starts())
         self.faults.extend(self.fleet.list_starts_of_known())
         self.faults.extend(self.fleet.list_early_acknowledgements())
         self.faults.extend(list_early_starts(self.fleet))
         self.faults.extend(find_torn_gangs(self.fleet))
-        self.counts += self.fleet.count_runs()
+
+    def make_fleet(self, clock: Clock, nursery: trio.Nursery) -> LateFleet:
+        """Return the port to the workers, whose late calls ``nursery`` runs."""
+        return LateFleet(clock, self.random, nursery)
+
+    def make_worker(self, name: WorkerId) -> LateWorker:
+        """Return a worker."""
+        return LateWorker(name, self.controllers.clock)
 
     def list_activities(self) -> list[Callable[[], Awaitable[None]]]:
         """Return what goes on during the day."""
--- a/tests/scheduling/late_orders.py
+++ b/tests/scheduling/late_orders.py
@@ -9,12 +9,11 @@
 from enum import Enum
 from typing import Any, TypeVar
 
-import msgspec
 import trio
-from returns.result import Failure, Result
+from returns.result import Failure, Result, Success
 
 from rhubarbfield.clock import Clock
-from rhubarbfield.scheduling.model import RunNumber, StepName, TaskName, name_step
+from rhubarbfield.scheduling.model import StepName, TaskName, name_step
 from rhubarbfield.scheduling.ports import (
     CallFailure,
     ListedEnd,
@@ -32,6 +31,7 @@
 from rhubarbfield.testing.scheduling_workers import StandInWorker
 from rhubarbfield.types import WorkerId
 from tests.scheduling import inputs
+from tests.scheduling.done_runs import DoneRun
 from tests.scheduling.inputs import Call, Inputs
 from tests.scheduling.late_gangs import Gangs, StepPlan
 
@@ -65,33 +65,6 @@
     LOSSY = "lossy"
 
 
-class DoneRun(msgspec.Struct):
-    """A run that ended as done.
-
-    Attributes
-    ----------
-    task, run, worker
-        The run, and where it ended.
-    number
-        Number of the end in the worker's list.
-    ended_at
-        Monotonic time of the end.
-    counts
-        Whether the end was acknowledged before the worker's lease lapsed; None before
-        either.
-    acknowledged_at
-        Monotonic time at which the end was acknowledged, or None.
-    """
-
-    task: TaskName
-    run: RunNumber
-    worker: WorkerId
-    number: int
-    ended_at: timedelta
-    counts: bool | None = None
-    acknowledged_at: timedelta | None = None
-
-
 class LateWorker(StandInWorker):
     """A worker whose clock may be slow, and which knows what became of its ends.
 
@@ -156,7 +129,26 @@
             for each in self.done:
                 if each.acknowledged_at is None:
                     self._acknowledge(each, request.recorded_ends)
-        return await super().view(request)
+        result = await super().view(request)
+        if isinstance(result, Success):
+            self._note_listing(result.unwrap())
+        return result
+
+    def _note_listing(self, view: WorkerView) -> None:
+        """Note the ends that a view is the first to list."""
+        self._note_lapse()
+        numbers = {end.number for end in view.ends}
+        for each in self.done:
+            if each.number in numbers and each.listed_at is None:
+                each.listed_at = self._clock.monotonic()
+                each.is_listed_late = each.counts is False
+
+    def note_arrival(self, view: WorkerView) -> None:
+        """Note the ends in a view that has reached its caller."""
+        numbers = {end.number for end in view.ends}
+        for each in self.done:
+            if each.number in numbers and each.arrived_at is None:
+                each.arrived_at = self._clock.monotonic()
 
     def _acknowledge(self, done: DoneRun, recorded_ends: int) -> None:
         if done.number <= recorded_ends:
@@ -206,6 +198,9 @@
         Draws of a wide day; None on a narrow one.
     plans
         What the runs of steps do.
+    reply_seconds
+        Shortest and longest time for which the reply to a view is under way, None for
+        none. A caller that gives up meanwhile does not get it.
     """
 
     def __init__(self, clock: Clock, rng: random.Random, nursery: trio.Nursery) -> None:
@@ -216,6 +211,7 @@
         self.has_single_lease = False
         self.drawn: Inputs | None = None
         self.plans: dict[StepName, StepPlan] = {}
+        self.reply_seconds: tuple[float, float] | None = None
         self._gangs = Gangs(clock, self.plans)
         self._ordered_at: dict[TaskName | StepName, timedelta] = {}  # the last time
 
@@ -258,9 +254,22 @@
     async def view(
         self, to: WorkerAddress, request: ViewRequest
     ) -> Result[WorkerView, CallFailure]:
-        return await self._call(
+        worker = self.workers.get(to.address)
+        result = await self.get_view(to, request)
+        if isinstance(result, Success) and isinstance(worker, LateWorker):
+            worker.note_arrival(result.unwrap())
+        return result
+
+    async def get_view(
+        self, to: WorkerAddress, request: ViewRequest
+    ) -> Result[WorkerView, CallFailure]:
+        """Return a view after the time for which its reply is under way."""
+        result = await self._call(
             Call.VIEW, to, lambda: super(LateFleet, self).view(to, request)
         )
+        if self.reply_seconds is not None:
+            await trio.sleep(self._random.uniform(*self.reply_seconds))
+        return result
 
     def count_runs_at_once(self) -> int:
         """Return the highest number of workers that run the same task now."""
