--- a/tests/scheduling/departures_run.py
+++ b/tests/scheduling/departures_run.py
@@ -116,7 +116,9 @@
         successor.service = worker.service
         free = [at for at, each in self.workers.items() if each.is_down]
         new = f"{worker.machine}:{len(self.lives)}"
-        successor.place = self._random.choice((worker.address, *free, new))
+        # Another machine's life may have taken the address meanwhile.
+        own = [worker.address] if worker.address in free else []
+        successor.place = self._random.choice((*own, *free, new))
         return successor
 
 
