Answer the calls of a relay before it ends, and let leaders use others

Up to 96 workers share a relay, so on a small site each view goes through one of the followers.

Cause: as that controller's process ended, the views in progress through it were dropped with the replies, and the leader asked the workers again 0.4 s later. One that had listed an end and left by then was counted as lost. It is the class of: a reply reaches a process that ends before it passes on what it knows.

Now a controller that stops by plan tells leaders so with each reply and ping, answers the calls in progress, within the same 2.5 s at most, and only then goes on with its stop. Leaders call the workers through another relay, or directly, from the first such word on.

Logs: `relay-closing`.

--- a/src/rhubarbfield/scheduling/controller.py
+++ b/src/rhubarbfield/scheduling/controller.py
@@ -156,7 +156,7 @@
             task_status.started()
 
     async def begin_stop(self, timeout: timedelta) -> None:
-        """Begin a planned stop: hand over, and do not lead again.
+        """Begin a planned stop: hand over, and neither lead nor relay again.
 
         A controller that is elected shortly before its process ends would leave the
         others without a leader, and views of workers without a record.
@@ -167,7 +167,9 @@
             How long it may take.
         """
         self._replica.withdraw()
-        await self.hand_over(timeout)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.hand_over, timeout)
+            nursery.start_soon(self._relay.close, timeout)
 
     async def hand_over(self, timeout: timedelta) -> None:
         """Hand leadership over to another controller, before a planned stop.
--- a/src/rhubarbfield/scheduling/relay.py
+++ b/src/rhubarbfield/scheduling/relay.py
@@ -46,6 +46,7 @@
 MAX_ORDER_WAIT = timedelta(milliseconds=500)
 # Clocks that differ by 2% drift apart by a fraction of MAX_ORDER_WAIT meanwhile.
 TRANSIT_WINDOW = timedelta(seconds=2)
+CLOSE_POLL_INTERVAL = timedelta(milliseconds=20)
 LEADER_SILENCE_TIMEOUT = timedelta(seconds=5)  # a leader pings several times a second
 
 
@@ -90,6 +91,11 @@
         Source of time.
     is_leading
         Returns whether this instance leads and calls workers itself.
+
+    Attributes
+    ----------
+    is_closing
+        Whether leaders should use other relays, since this one is about to end.
     """
 
     def __init__(
@@ -100,6 +106,7 @@
         self._is_leading = is_leading
         self._term = Term(0)
         self._streams: list[_ServedStream] = []
+        self.is_closing = False
 
     async def serve(self, stream: MessageStream) -> None:
         """Carry out the orders on a stream until it ends; the rest is dropped."""
@@ -121,6 +128,22 @@
                 workers=len(served.addresses),
             )
 
+    async def close(self, timeout: timedelta) -> None:
+        """Return once leaders use other relays and have the replies of this one.
+
+        A worker lists an end to the relay alone, and may leave before it is asked
+        again.
+
+        Parameters
+        ----------
+        timeout
+            How long to wait for workers that do not reply.
+        """
+        self.is_closing = True
+        with trio.move_on_after(timeout.total_seconds()):
+            while any(stream.is_in_use for stream in self._streams):
+                await self._clock.sleep(CLOSE_POLL_INTERVAL)
+
     def observe_term(self, term: Term) -> bool:
         """Record the term of an order; return False if a later one was seen."""
         if term < self._term:
@@ -180,10 +203,18 @@
         self._outbox: Outbox[CallReply] = Outbox(clock)
         self._delays = TransitDelays()
         self._scopes: dict[CallNumber, trio.CancelScope] = {}
+        self._is_sending = False
+        self._has_announced_close = False
         self.addresses: set[str] = set()
         self.calls = 0
         self.late = 0
 
+    @property
+    def is_in_use(self) -> bool:
+        """Whether the leader may send further calls, or waits for replies."""
+        has_replies = self._is_sending or not self._outbox.is_empty
+        return not self._has_announced_close or has_replies or bool(self._scopes)
+
     async def run(self) -> None:
         """Carry out orders until the stream ends."""
         async with trio.open_nursery() as nursery:
@@ -200,7 +231,7 @@
         while (batch := await self._receive_batch()) is not None:
             now = self._clock.monotonic()
             delay = self._delays.measure(batch.sent_at, now)
-            if not batch.entries and not await self._stream.send(ReplyBatch([])):
+            if not batch.entries and not await self._stream.send(self._pack([])):
                 return
             for entry in batch.entries:
                 match entry:
@@ -247,6 +278,13 @@
     async def _send_replies(self, scope: trio.CancelScope) -> None:
         while True:
             replies = await self._outbox.take()
-            if replies and not await send_or_drop(self._stream, ReplyBatch(replies)):
+            self._is_sending = True
+            if replies and not await send_or_drop(self._stream, self._pack(replies)):
                 scope.cancel()
                 return
+            self._is_sending = False
+
+    def _pack(self, replies: list[CallReply]) -> ReplyBatch:
+        is_closing = self._relay.is_closing
+        self._has_announced_close |= is_closing
+        return ReplyBatch(replies, is_closing)
--- a/src/rhubarbfield/scheduling/relay_links.py
+++ b/src/rhubarbfield/scheduling/relay_links.py
@@ -71,6 +71,8 @@
     ----------
     is_connected
         Whether the relay has answered on the current stream.
+    is_closing
+        Whether the relay has told on it that it is about to end.
     missed_pings
         Number of the latest pings without a sign of life.
     workers
@@ -102,6 +104,7 @@
         self._last_number = 0
         self._was_heard = False
         self.is_connected = False
+        self.is_closing = False
         self.missed_pings = 0
         self.workers: dict[str, None] = {}
         self.attempted = trio.Event()
@@ -212,7 +215,7 @@
 
     def _drop_calls(self) -> None:
         """Fail the calls in flight; the relay may have carried them out."""
-        self.is_connected = False
+        self.is_connected = self.is_closing = False
         self.workers.clear()
         self._outbox.clear()
         pending, self._pending = self._pending, {}
@@ -252,6 +255,16 @@
 
     def _handle_replies(self, batch: ReplyBatch) -> None:
         self._was_heard = True
+        if batch.is_closing and not self.is_closing:
+            self.is_closing = True
+            self.workers.clear()
+            log_event(
+                logger,
+                logging.INFO,
+                "relay-closing",
+                relay=self._relay,
+                calls=len(self._pending),
+            )
         if not self.is_connected:
             self.is_connected = True
             self.attempted.set()
--- a/src/rhubarbfield/scheduling/relay_messages.py
+++ b/src/rhubarbfield/scheduling/relay_messages.py
@@ -84,9 +84,18 @@
 
 
 class ReplyBatch(msgspec.Struct, frozen=True, array_like=True):
-    """Results of calls in any order; none in the answer to a ping."""
+    """Results of calls in any order; none in the answer to a ping.
+
+    Attributes
+    ----------
+    replies
+        The results.
+    is_closing
+        Whether the relay is about to end, and should get no further calls.
+    """
 
     replies: list[CallReply]
+    is_closing: bool = False
 
 
 RELAY_STREAM = StreamMethod(
@@ -133,6 +142,11 @@
             self.taken_since = taken[0][0]
         return [entry for _, entry in taken]
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no entry is queued."""
+        return not self._entries
+
     def clear(self) -> None:
         """Remove all entries."""
         self._entries.clear()
--- a/src/rhubarbfield/scheduling/relayed_calls.py
+++ b/src/rhubarbfield/scheduling/relayed_calls.py
@@ -235,7 +235,8 @@
                 link.workers.popitem()
 
     def _list_connected(self) -> list[RelayLink]:
-        return [link for link in self._links.values() if link.is_connected]
+        links = self._links.values()
+        return [link for link in links if link.is_connected and not link.is_closing]
 
     def _synchronize(self, nursery: trio.Nursery) -> None:
         """Open links to new controllers, and close those to removed ones."""
