Sum a gang's places in one loop, and note once that a job counts as begun

iterate_ways and has_places had the same loop with another count of a worker's places: both call _reaches now. An event of WaitsDay that nothing used is gone. No behaviour changes.

--- a/src/rhubarbfield/scheduling/gang_ways.py
+++ b/src/rhubarbfield/scheduling/gang_ways.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Iterator, Mapping, Sequence
+from itertools import accumulate
 
 from rhubarbfield.scheduling.headroom import (
     WaitingStep,
@@ -44,17 +45,15 @@
     """
     known: dict[WorkerId, int] = {}
 
+    def count(headroom: WorkerHeadroom) -> int:
+        worker = headroom.worker.worker
+        if worker not in known:
+            live = running.get(worker, 0)
+            known[worker] = count_admitted(step, headroom, interference, live)
+        return known[worker]
+
     def may_take_all(workers: Sequence[WorkerHeadroom]) -> bool:
-        missing = members
-        for headroom in workers:
-            worker = headroom.worker.worker
-            if worker not in known:
-                live = running.get(worker, 0)
-                known[worker] = count_admitted(step, headroom, interference, live)
-            missing -= known[worker]
-            if missing <= 0:
-                return True
-        return False
+        return _reaches(members, map(count, workers))
 
     if not may_take_all(candidates):
         return
@@ -73,12 +72,16 @@
 
     The parameters are those of ``iterate_ways``.
     """
-    missing = members
-    for headroom in candidates:
-        missing -= count_places(step, headroom, running.get(headroom.worker.worker, 0))
-        if missing <= 0:
-            return True
-    return False
+    places = (
+        count_places(step, headroom, running.get(headroom.worker.worker, 0))
+        for headroom in candidates
+    )
+    return _reaches(members, places)
+
+
+def _reaches(members: int, places: Iterable[int]) -> bool:
+    """Return whether places add up to those for all members, and count no further."""
+    return any(total >= members for total in accumulate(places))
 
 
 def _sort_racks(
--- a/tests/scheduling/waiting_watch.py
+++ b/tests/scheduling/waiting_watch.py
@@ -84,7 +84,7 @@
         self._steps = steps
         self._idle_since: dict[JobId, float] = {}
         self._open: dict[JobId, JobStandstill] = {}
-        self._counted_early: set[JobId] = set()
+        self._begun: set[JobId] = set()  # jobs that have counted as begun
         self._conditions: object = None
         self._disturbed_at = 0.0
 
@@ -127,16 +127,16 @@
 
     def _check_begun(self, job: Job) -> None:
         """Note a job that counts as begun although no worker has started a run."""
-        is_known = job.job in self._counted_early or not job.is_open
+        is_known = job.job in self._begun or not job.is_open
         if is_known or self.leader is None or not self.leader.has_begun(job):
             return
+        self._begun.add(job.job)
         has_started = any(
             find_job_id(task) == job.job
             for worker in self._workers
             for task, _, _ in worker.started
         )
         if not has_started:
-            self._counted_early.add(job.job)
             self.faults.append(f"{job.job} counts as begun, and no worker has begun it")
 
     def _list_possible(self, job: Job) -> list[Step]:
--- a/tests/scheduling/waits_run.py
+++ b/tests/scheduling/waits_run.py
@@ -90,7 +90,6 @@
         self.counts: Counter[str] = Counter()
         self._steps: dict[TaskName, Step] = {}
         self._numbers = itertools.count(1)
-        self._deposed = trio.Event()
         for number, worker in enumerate(self.serving.workers):
             rack = Label(f"r{number % RACKS}")
             labels = (LABEL,) if number in LABELLED else ()
